--- /dev/null
+++ b/packages/net/HeaderList.c
@@ -0,0 +1,150 @@
+#include "HeaderList.h"
+
+#include <glib.h>
+
+typedef struct Header_ {
+    GString *name;
+    GString *value;
+} Header;
+
+struct HeaderList_ {
+    GArray *headers;
+};
+
+static void
+clear_header(gpointer item)
+{
+    Header *header = item;
+
+    g_string_free(header->name, TRUE);
+    g_string_free(header->value, TRUE);
+}
+
+HeaderList *
+HeaderList_Create(void)
+{
+    HeaderList *this = g_new0(HeaderList, 1);
+
+    this->headers = g_array_new(FALSE, FALSE, sizeof(Header));
+    g_array_set_clear_func(this->headers, clear_header);
+    return this;
+}
+
+void
+HeaderList_Destroy(HeaderList *this)
+{
+    if (this == NULL) {
+        return;
+    }
+    g_array_free(this->headers, TRUE);
+    g_free(this);
+}
+
+void
+HeaderList_Add(HeaderList *this, Str name, Str value)
+{
+    Header header;
+
+    header.name = g_string_new_len(name.data, (gssize)name.length);
+    g_string_ascii_down(header.name);
+    header.value =
+        g_string_new_len(value.length ? value.data : "", (gssize)value.length);
+    g_array_append_val(this->headers, header);
+}
+
+void
+HeaderList_AddInt(HeaderList *this, Str name, int64_t value)
+{
+    char text[24];
+
+    g_snprintf(text, sizeof(text), "%" G_GINT64_FORMAT, value);
+    HeaderList_Add(this, name, Str_FromC(text));
+}
+
+static Str
+name_at(const HeaderList *this, size_t i)
+{
+    GString *name = g_array_index(this->headers, Header, i).name;
+
+    return (Str){name->str, name->len};
+}
+
+void
+HeaderList_Remove(HeaderList *this, Str name)
+{
+    for (size_t i = this->headers->len; i > 0; i--) {
+        if (Str_EqualIgnoreCase(name_at(this, i - 1), name)) {
+            g_array_remove_index(this->headers, (guint)(i - 1));
+        }
+    }
+}
+
+void
+HeaderList_Set(HeaderList *this, Str name, Str value)
+{
+    HeaderList_Remove(this, name);
+    HeaderList_Add(this, name, value);
+}
+
+Str
+HeaderList_Get(const HeaderList *this, Str name)
+{
+    for (size_t i = 0; i < this->headers->len; i++) {
+        if (Str_EqualIgnoreCase(name_at(this, i), name)) {
+            GString *value = g_array_index(this->headers, Header, i).value;
+
+            return (Str){value->str, value->len};
+        }
+    }
+    return (Str){NULL, 0};
+}
+
+bool
+HeaderList_Has(const HeaderList *this, Str name)
+{
+    for (size_t i = 0; i < this->headers->len; i++) {
+        if (Str_EqualIgnoreCase(name_at(this, i), name)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+size_t
+HeaderList_Count(const HeaderList *this)
+{
+    return this->headers->len;
+}
+
+void
+HeaderList_At(const HeaderList *this, size_t i, Str *name, Str *value)
+{
+    GString *text = g_array_index(this->headers, Header, i).value;
+
+    *name = name_at(this, i);
+    *value = (Str){text->str, text->len};
+}
+
+bool
+HeaderList_IsHopByHop(Str name)
+{
+    static const char *const names[] = {
+        "connection",
+        "keep-alive",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "http2-settings",
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
+        if (Str_EqualIgnoreCase(name, Str_FromC(names[i]))) {
+            return true;
+        }
+    }
+    return false;
+}
--- /dev/null
+++ b/packages/net/HttpClient.h
@@ -0,0 +1,123 @@
+#ifndef AGATECRANK_NET_HTTPCLIENT_H
+#define AGATECRANK_NET_HTTPCLIENT_H
+
+#include "HeaderList.h"
+#include "HttpWire.h"
+#include "Loop.h"
+
+/**
+ * typedef HttpClient - reusable HTTP/1.1 connections to many peers
+ *
+ * Each connection carries one request at a time, so that no caller waits
+ * behind another's answer.
+ */
+typedef struct HttpClient_ HttpClient;
+
+/** typedef HttpCall - one request to a peer; lives until its last handler */
+typedef struct HttpCall_ HttpCall;
+
+/** enum HttpCallFailure - why a call ended without a whole answer */
+typedef enum HttpCallFailure_ {
+    CALL_FAILED_CONNECT,  /* no byte of the request was given to the peer */
+    CALL_FAILED_BROKEN,   /* the connection ended after bytes were given */
+    CALL_FAILED_FRAMING,  /* the answer's body has the wrong length */
+    CALL_FAILED_CANCELLED /* HttpCall_Cancel() */
+} HttpCallFailure;
+
+/**
+ * struct HttpCallHandlers_ - what the owner of a call does
+ * @on_headers: status and header fields of the answer are there
+ * @on_data: next piece of the answer's body
+ * @on_drained: the request's buffer is empty, more body may be written
+ * @on_complete: the whole answer was received; last handler
+ * @on_failed: the call failed; @bytes_given tells whether any byte of the
+ *             request may have reached the peer; last handler
+ */
+typedef struct HttpCallHandlers_ {
+    void (*on_headers)(void *user, HttpCall *call, int status,
+                       const HeaderList *headers);
+    void (*on_data)(void *user, HttpCall *call, Str data);
+    void (*on_drained)(void *user, HttpCall *call);
+    void (*on_complete)(void *user, HttpCall *call);
+    void (*on_failed)(void *user, HttpCall *call, HttpCallFailure failure,
+                      bool bytes_given, const Error *error);
+} HttpCallHandlers;
+
+/**
+ * struct HttpClientOptions_ - settings of all connections of a client
+ * @max_connections: bound for each peer
+ * @keep_idle_s: seconds that an idle connection is kept
+ * @extra_headers: fields to keep beside the well-known ones, NULL-terminated
+ * @ca_file: PEM file to verify peers with; NULL for plain HTTP
+ * @certificate_file, @key_file: shown to peers, may be NULL
+ */
+typedef struct HttpClientOptions_ {
+    unsigned max_connections;
+    int keep_idle_s;
+    const char *const *extra_headers;
+    const char *ca_file;
+    const char *certificate_file;
+    const char *key_file;
+} HttpClientOptions;
+
+/**
+ * struct HttpCallSpec_ - the request
+ * @address: IP number of the peer
+ * @port: TCP port
+ * @method, @path, @host: as sent
+ * @headers: borrowed during HttpClient_Start()
+ * @content_length: bytes of the body; 0 for none
+ */
+typedef struct HttpCallSpec_ {
+    const char *address;
+    uint16_t port;
+    Str method;
+    Str path;
+    Str host;
+    const HeaderList *headers;
+    int64_t content_length;
+} HttpCallSpec;
+
+/** HttpClient_Create() - a client without connections */
+HttpClient *HttpClient_Create(Loop *loop, const HttpClientOptions *options);
+
+/** HttpClient_Destroy() - release; to be called after all calls ended */
+void HttpClient_Destroy(HttpClient *this);
+
+/**
+ * HttpClient_Start() - send a request
+ *
+ * Handlers never run before this returns.
+ *
+ * Return: the call, or NULL with ERR_LIMIT in @error if all connections to
+ * the peer are busy.
+ */
+HttpCall *HttpClient_Start(HttpClient *this, const HttpCallSpec *spec,
+                           const HttpCallHandlers *handlers, void *user,
+                           Error *error);
+
+/** HttpClient_BusyTo() - calls in flight to a peer */
+unsigned HttpClient_BusyTo(HttpClient *this, const char *address,
+                           uint16_t port);
+
+/** HttpClient_CloseIdle() - close idle connections to a peer that are as
+ *                           old as a connection that went silent */
+void HttpClient_CloseIdle(HttpClient *this, const char *address,
+                          uint16_t port);
+
+/** HttpCall_WriteBody() - append to the request's body */
+void HttpCall_WriteBody(HttpCall *this, Str data);
+
+/** HttpCall_Buffered() - bytes of the request's body not yet sent */
+size_t HttpCall_Buffered(const HttpCall *this);
+
+/** HttpCall_PauseAnswer() - stop or resume reading the answer */
+void HttpCall_PauseAnswer(HttpCall *this, bool paused);
+
+/** HttpCall_BytesGiven() - true once a byte may have reached the peer */
+bool HttpCall_BytesGiven(const HttpCall *this);
+
+/** HttpCall_Cancel() - close the connection; no handler runs any more */
+void HttpCall_Cancel(HttpCall *this);
+
+#endif
--- /dev/null
+++ b/packages/net/HttpFetch.c
@@ -0,0 +1,227 @@
+#include "HttpFetch.h"
+
+#include <glib.h>
+#include <string.h>
+
+#define MAX_CONNECTIONS 16
+#define KEEP_IDLE_S 30
+
+struct HttpFetch_ {
+    Loop *loop;
+    HttpClient *client;
+    char *address;
+    uint16_t port;
+    char *prefix;
+    char *host;
+    size_t max_bytes;
+};
+
+typedef struct Fetch_ {
+    HttpFetch *owner;
+    HttpCall *call;
+    LoopTimer *timer;
+    HttpFetchHandler *handler;
+    void *user;
+    HeaderList *headers;
+    GByteArray *body;
+    int status;
+} Fetch;
+
+static int
+parse_url(HttpFetch *this, Str url, Error *error)
+{
+    Str rest = url, authority, host;
+    uint64_t port;
+
+    if (Str_StartsWith(url, STR("http://"))) {
+        rest = (Str){url.data + 7, url.length - 7};
+    }
+    else if (Str_StartsWith(url, STR("https://"))) {
+        rest = (Str){url.data + 8, url.length - 8};
+    }
+    else {
+        return Error_Set(error, ERR_INVALID, "parse-url", url,
+                         "a URL must begin with http:// or https://");
+    }
+    if (!Str_Split(&rest, '/', &authority)) {
+        return Error_Set(error, ERR_INVALID, "parse-url", url,
+                         "the URL has no address");
+    }
+    this->host = g_strndup(authority.data, authority.length);
+    this->prefix = g_strdup_printf("%s" STR_FORMAT, rest.length > 0 ? "/" : "",
+                                   STR_ARGS(rest));
+    Str_Split(&authority, ':', &host);
+    if (Str_ParseU64(authority, &port) < 0 || port == 0 || port > 65535) {
+        return Error_Set(error, ERR_INVALID, "parse-url", url,
+                         "the URL needs a port from 1 to 65535");
+    }
+    this->address = g_strndup(host.data, host.length);
+    this->port = (uint16_t)port;
+    return 0;
+}
+
+HttpFetch *
+HttpFetch_Create(Loop *loop, Str url, size_t max_bytes,
+                 const HttpClientOptions *tls,
+                 const char *const *extra_headers, Error *error)
+{
+    HttpClientOptions options = {0};
+    HttpFetch *this = g_new0(HttpFetch, 1);
+
+    this->loop = loop;
+    this->max_bytes = max_bytes;
+    if (parse_url(this, url, error) < 0) {
+        HttpFetch_Destroy(this);
+        return NULL;
+    }
+    if (tls != NULL && Str_StartsWith(url, STR("https://"))) {
+        options = *tls;
+    }
+    options.max_connections = MAX_CONNECTIONS;
+    options.keep_idle_s = KEEP_IDLE_S;
+    options.extra_headers = extra_headers;
+    this->client = HttpClient_Create(loop, &options);
+    return this;
+}
+
+void
+HttpFetch_Destroy(HttpFetch *this)
+{
+    if (this == NULL) {
+        return;
+    }
+    HttpClient_Destroy(this->client);
+    g_free(this->address);
+    g_free(this->prefix);
+    g_free(this->host);
+    g_free(this);
+}
+
+static void
+finish_fetch(Fetch *fetch, int code, bool bytes_given, const Error *error)
+{
+    HttpFetchAnswer answer = {
+        .code = code,
+        .status = fetch->status,
+        .bytes_given = bytes_given,
+        .headers = fetch->headers,
+        .body = {(const char *)fetch->body->data, fetch->body->len},
+        .error = error,
+    };
+
+    LoopTimer_Stop(fetch->timer);
+    fetch->handler(fetch->user, &answer);
+    LoopTimer_Destroy(fetch->timer);
+    HeaderList_Destroy(fetch->headers);
+    g_byte_array_free(fetch->body, TRUE);
+    g_free(fetch);
+}
+
+static void
+give_up(Fetch *fetch, int code, const char *text)
+{
+    bool given = fetch->call != NULL && HttpCall_BytesGiven(fetch->call);
+    Error error;
+
+    if (fetch->call != NULL) {
+        HttpCall_Cancel(fetch->call);
+    }
+    Error_Set(&error, code, "fetch", Str_FromC(fetch->owner->host), "%s",
+              text);
+    finish_fetch(fetch, code, given, &error);
+}
+
+static void
+time_out(void *user)
+{
+    Fetch *fetch = user;
+
+    if (fetch->call == NULL) {
+        give_up(fetch, ERR_LIMIT, "too many requests to this peer");
+        return;
+    }
+    give_up(fetch, ERR_TIMEOUT, "no whole answer in time");
+}
+
+static void
+receive_headers(void *user, HttpCall *call, int status,
+                const HeaderList *headers)
+{
+    Fetch *fetch = user;
+    Str name, value;
+
+    fetch->status = status;
+    for (size_t i = 0; i < HeaderList_Count(headers); i++) {
+        HeaderList_At(headers, i, &name, &value);
+        HeaderList_Add(fetch->headers, name, value);
+    }
+}
+
+static void
+receive_data(void *user, HttpCall *call, Str data)
+{
+    Fetch *fetch = user;
+
+    if (fetch->body->len + data.length > fetch->owner->max_bytes) {
+        give_up(fetch, ERR_LIMIT, "the answer is too large");
+        return;
+    }
+    g_byte_array_append(fetch->body, (const guint8 *)data.data,
+                        (guint)data.length);
+}
+
+static void
+body_drained(void *user, HttpCall *call)
+{
+    (void)user;
+}
+
+static void
+complete(void *user, HttpCall *call)
+{
+    finish_fetch(user, 0, true, NULL);
+}
+
+static void
+fail(void *user, HttpCall *call, HttpCallFailure failure, bool bytes_given,
+     const Error *error)
+{
+    finish_fetch(user, error->code, bytes_given, error);
+}
+
+static const HttpCallHandlers fetch_handlers = {
+    receive_headers, receive_data, body_drained, complete, fail,
+};
+
+void
+HttpFetch_Send(HttpFetch *this, Str method, Str path,
+               const HeaderList *headers, Str body, Micros timeout,
+               HttpFetchHandler *handler, void *user)
+{
+    Fetch *fetch = g_new0(Fetch, 1);
+    GString *full = g_string_new(this->prefix);
+    HttpCallSpec spec = {
+        .address = this->address,
+        .port = this->port,
+        .method = method,
+        .host = Str_FromC(this->host),
+        .headers = headers,
+        .content_length = (int64_t)body.length,
+    };
+
+    g_string_append_len(full, path.data, (gssize)path.length);
+    spec.path = (Str){full->str, full->len};
+    fetch->owner = this;
+    fetch->handler = handler;
+    fetch->user = user;
+    fetch->headers = HeaderList_Create();
+    fetch->body = g_byte_array_new();
+    fetch->timer = LoopTimer_Create(this->loop, time_out, fetch);
+    fetch->call =
+        HttpClient_Start(this->client, &spec, &fetch_handlers, fetch, NULL);
+    if (fetch->call != NULL && body.length > 0) {
+        HttpCall_WriteBody(fetch->call, body);
+    }
+    LoopTimer_Start(fetch->timer, fetch->call != NULL ? timeout : 1);
+    g_string_free(full, TRUE);
+}
--- /dev/null
+++ b/packages/net/HttpServer.h
@@ -0,0 +1,114 @@
+#ifndef AGATECRANK_NET_HTTPSERVER_H
+#define AGATECRANK_NET_HTTPSERVER_H
+
+#include "HeaderList.h"
+#include "HttpWire.h"
+#include "Loop.h"
+
+/** typedef HttpServer - one listening address */
+typedef struct HttpServer_ HttpServer;
+
+/**
+ * typedef HttpRequest - one request of a caller and the answer to it
+ *
+ * It lives until on_closed() returns. After HttpRequest_Finish() or
+ * HttpRequest_Abort() no handler but on_closed() runs.
+ */
+typedef struct HttpRequest_ HttpRequest;
+
+/**
+ * struct HttpServerHandlers_ - what the owner of the server does
+ * @on_request: the header block is complete
+ * @on_body: next piece of the body
+ * @on_body_end: the whole body was received
+ * @on_drained: the answer's buffer is empty and more may be written
+ * @on_closed: the last call for this request; @complete is false if the
+ *             caller went away or the connection was aborted
+ */
+typedef struct HttpServerHandlers_ {
+    void (*on_request)(void *user, HttpRequest *request);
+    void (*on_body)(void *user, HttpRequest *request, Str data);
+    void (*on_body_end)(void *user, HttpRequest *request);
+    void (*on_drained)(void *user, HttpRequest *request);
+    void (*on_closed)(void *user, HttpRequest *request, bool complete);
+} HttpServerHandlers;
+
+/**
+ * struct HttpServerOptions_ - settings of one listening address
+ * @address: IP number to listen on
+ * @port: TCP port
+ * @extra_headers: fields to keep beside the well-known ones, NULL-terminated
+ * @keep_alive_s: seconds that an idle connection of a caller stays open
+ * @certificate_file, @key_file: PEM files, NULL for plain HTTP
+ * @client_ca_file: PEM file; callers must then show a certificate
+ */
+typedef struct HttpServerOptions_ {
+    const char *address;
+    uint16_t port;
+    const char *const *extra_headers;
+    int keep_alive_s;
+    const char *certificate_file;
+    const char *key_file;
+    const char *client_ca_file;
+} HttpServerOptions;
+
+/** HttpServer_Create() - listen; NULL with @error filled on failure */
+HttpServer *HttpServer_Create(Loop *loop, const HttpServerOptions *options,
+                              const HttpServerHandlers *handlers, void *user,
+                              Error *error);
+
+/** HttpServer_StopListening() - accept no more, close kept-alive callers */
+void HttpServer_StopListening(HttpServer *this);
+
+/** HttpServer_Destroy() - release; the loop closes the connections */
+void HttpServer_Destroy(HttpServer *this);
+
+/** HttpServer_OpenRequests() - requests without a finished answer */
+size_t HttpServer_OpenRequests(const HttpServer *this);
+
+/** HttpRequest_Method() - upper-case method */
+Str HttpRequest_Method(const HttpRequest *this);
+
+/** HttpRequest_Path() - path with query, re-encoded by RFC 3986 */
+Str HttpRequest_Path(const HttpRequest *this);
+
+/** HttpRequest_Headers() - header fields as received */
+const HeaderList *HttpRequest_Headers(const HttpRequest *this);
+
+/** HttpRequest_CertificateName() - common name of a verified certificate */
+Str HttpRequest_CertificateName(const HttpRequest *this);
+
+/** HttpRequest_ContentLength() - bytes of the body; 0 without a body */
+int64_t HttpRequest_ContentLength(const HttpRequest *this);
+
+/** HttpRequest_SetData() and HttpRequest_Data() - the owner's pointer */
+void HttpRequest_SetData(HttpRequest *this, void *data);
+void *HttpRequest_Data(const HttpRequest *this);
+
+/** HttpRequest_PauseBody() - stop or resume reading from the caller */
+void HttpRequest_PauseBody(HttpRequest *this, bool paused);
+
+/**
+ * HttpRequest_StartAnswer() - give the status and the header fields
+ * @length: bytes of the body, or HTTP_LENGTH_UNKNOWN for chunked framing
+ */
+void HttpRequest_StartAnswer(HttpRequest *this, int status,
+                             const HeaderList *headers, int64_t length);
+
+/** HttpRequest_Write() - append to the answer's body */
+void HttpRequest_Write(HttpRequest *this, Str data);
+
+/** HttpRequest_Buffered() - bytes of the answer that wait to be sent */
+size_t HttpRequest_Buffered(const HttpRequest *this);
+
+/** HttpRequest_Finish() - the answer is whole */
+void HttpRequest_Finish(HttpRequest *this);
+
+/** HttpRequest_Abort() - close so that the caller sees a broken answer */
+void HttpRequest_Abort(HttpRequest *this);
+
+/** HttpRequest_Answer() - a whole short answer in one call */
+void HttpRequest_Answer(HttpRequest *this, int status,
+                        const HeaderList *headers, Str body);
+
+#endif
--- /dev/null
+++ b/packages/net/Loop.c
@@ -0,0 +1,253 @@
+#include "Loop.h"
+
+#include <errno.h>
+#include <glib.h>
+#include <libwebsockets.h>
+#include <signal.h>
+#include <string.h>
+#include <sys/resource.h>
+#include <sys/signalfd.h>
+#include <unistd.h>
+
+/* Header tables are allocated on demand; one is held for each open request. */
+#define HEADER_POOL 8192
+#define HEADER_BYTES 8192
+#define SERVICE_BUFFER_BYTES 32768
+/* Deadlines are our own timers; the library's timeout is only a backstop. */
+#define LIBRARY_TIMEOUT_S 3600
+
+struct Loop_ {
+    struct lws_context *context;
+    struct lws_vhost *vhost;
+    const Clock *clock;
+    LoopSignalHandler *signal_handler;
+    void *signal_user;
+    int signal_fd;
+    bool stopped;
+};
+
+struct LoopTimer_ {
+    lws_sorted_usec_list_t entry; /* first member: cast back in timer_fired */
+    Loop *loop;
+    LoopHandler *handler;
+    void *user;
+};
+
+typedef struct Watch_ {
+    LoopHandler *handler;
+    void *user;
+} Watch;
+
+static EventLog *library_log;
+
+static void
+log_library_line(int level, const char *line)
+{
+    Str text = Str_FromC(line);
+
+    while (text.length > 0 && text.data[text.length - 1] == '\n') {
+        text.length--;
+    }
+    if (EventLog_Begin(library_log, LOG_LEVEL_WARN, "library")) {
+        EventLog_Str(library_log, "text", text);
+        EventLog_End(library_log);
+    }
+}
+
+static int
+watch_callback(struct lws *wsi, enum lws_callback_reasons reason, void *user,
+               void *in, size_t length)
+{
+    Watch *watch = wsi != NULL ? lws_get_opaque_user_data(wsi) : NULL;
+
+    if (reason == LWS_CALLBACK_RAW_RX_FILE && watch != NULL) {
+        watch->handler(watch->user);
+    }
+    if (reason == LWS_CALLBACK_RAW_CLOSE_FILE && watch != NULL) {
+        lws_set_opaque_user_data(wsi, NULL);
+        g_free(watch);
+    }
+    return 0;
+}
+
+static const struct lws_protocols watch_protocols[] = {
+    {"watch", watch_callback, 0, 0, 0, NULL, 0},
+    {NULL, NULL, 0, 0, 0, NULL, 0},
+};
+
+static unsigned
+descriptor_limit(void)
+{
+    struct rlimit limit;
+
+    if (getrlimit(RLIMIT_NOFILE, &limit) != 0) {
+        return 1024;
+    }
+    limit.rlim_cur = limit.rlim_max < 65536 ? limit.rlim_max : 65536;
+    setrlimit(RLIMIT_NOFILE, &limit);
+    return (unsigned)limit.rlim_cur;
+}
+
+Loop *
+Loop_Create(const Clock *clock, EventLog *log, Error *error)
+{
+    struct lws_context_creation_info info = {0};
+    Loop *this = g_new0(Loop, 1);
+
+    this->clock = clock;
+    this->signal_fd = -1;
+    library_log = log;
+    lws_set_log_level(LLL_ERR, log_library_line);
+    info.options =
+        LWS_SERVER_OPTION_EXPLICIT_VHOSTS | LWS_SERVER_OPTION_DISABLE_IPV6;
+    info.port = CONTEXT_PORT_NO_LISTEN;
+    info.max_http_header_pool2 = HEADER_POOL;
+    info.max_http_header_data2 = HEADER_BYTES;
+    info.pt_serv_buf_size = SERVICE_BUFFER_BYTES;
+    info.timeout_secs = LIBRARY_TIMEOUT_S;
+    info.fd_limit_per_thread = descriptor_limit();
+    this->context = lws_create_context(&info);
+    if (this->context == NULL) {
+        Error_Set(error, ERR_IO, "loop-create", STR(""),
+                  "libwebsockets could not create its context");
+        g_free(this);
+        return NULL;
+    }
+    info.protocols = watch_protocols;
+    info.vhost_name = "watch";
+    this->vhost = lws_create_vhost(this->context, &info);
+    return this;
+}
+
+void
+Loop_Destroy(Loop *this)
+{
+    if (this == NULL) {
+        return;
+    }
+    lws_context_destroy(this->context);
+    library_log = NULL;
+    g_free(this);
+}
+
+void
+Loop_Run(Loop *this)
+{
+    while (!this->stopped) {
+        if (lws_service(this->context, 0) < 0) {
+            return;
+        }
+    }
+}
+
+void
+Loop_Stop(Loop *this)
+{
+    this->stopped = true;
+    lws_cancel_service(this->context);
+}
+
+struct lws_context *
+Loop_Context(Loop *this)
+{
+    return this->context;
+}
+
+const Clock *
+Loop_Clock(const Loop *this)
+{
+    return this->clock;
+}
+
+int
+Loop_Watch(Loop *this, int fd, LoopHandler *handler, void *user, Error *error)
+{
+    lws_sock_file_fd_type descriptor = {.filefd = fd};
+    Watch *watch = g_new0(Watch, 1);
+    struct lws *wsi;
+
+    watch->handler = handler;
+    watch->user = user;
+    wsi = lws_adopt_descriptor_vhost(this->vhost, LWS_ADOPT_RAW_FILE_DESC,
+                                     descriptor, "watch", NULL);
+    if (wsi == NULL) {
+        g_free(watch);
+        return Error_Set(error, ERR_IO, "loop-watch", STR(""),
+                         "could not add descriptor %d to the loop", fd);
+    }
+    lws_set_opaque_user_data(wsi, watch);
+    return 0;
+}
+
+static void
+read_signal(void *user)
+{
+    Loop *this = user;
+    struct signalfd_siginfo info;
+
+    if (read(this->signal_fd, &info, sizeof(info)) == sizeof(info)) {
+        this->signal_handler(this->signal_user, (int)info.ssi_signo);
+    }
+}
+
+int
+Loop_WatchSignals(Loop *this, LoopSignalHandler *handler, void *user,
+                  Error *error)
+{
+    sigset_t set;
+
+    sigemptyset(&set);
+    sigaddset(&set, SIGTERM);
+    sigaddset(&set, SIGINT);
+    sigprocmask(SIG_BLOCK, &set, NULL);
+    this->signal_fd = signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
+    if (this->signal_fd < 0) {
+        return Error_Set(error, ERR_IO, "loop-signals", STR(""), "%s",
+                         strerror(errno));
+    }
+    this->signal_handler = handler;
+    this->signal_user = user;
+    return Loop_Watch(this, this->signal_fd, read_signal, this, error);
+}
+
+static void
+timer_fired(lws_sorted_usec_list_t *entry)
+{
+    LoopTimer *this = (LoopTimer *)(void *)entry;
+
+    this->handler(this->user);
+}
+
+LoopTimer *
+LoopTimer_Create(Loop *loop, LoopHandler *handler, void *user)
+{
+    LoopTimer *this = g_new0(LoopTimer, 1);
+
+    this->loop = loop;
+    this->handler = handler;
+    this->user = user;
+    return this;
+}
+
+void
+LoopTimer_Start(LoopTimer *this, Micros delay)
+{
+    lws_sul_schedule(this->loop->context, 0, &this->entry, timer_fired,
+                     delay > 0 ? delay : 1);
+}
+
+void
+LoopTimer_Stop(LoopTimer *this)
+{
+    lws_sul_cancel(&this->entry);
+}
+
+void
+LoopTimer_Destroy(LoopTimer *this)
+{
+    if (this == NULL) {
+        return;
+    }
+    LoopTimer_Stop(this);
+    g_free(this);
+}
--- /dev/null
+++ b/packages/net/Loop.h
@@ -0,0 +1,72 @@
+#ifndef AGATECRANK_NET_LOOP_H
+#define AGATECRANK_NET_LOOP_H
+
+#include "Clock.h"
+#include "Error.h"
+#include "EventLog.h"
+
+/** typedef Loop - the event loop of the process: sockets, timers, signals */
+typedef struct Loop_ Loop;
+
+/** typedef LoopTimer - runs a handler once after a delay; can be restarted */
+typedef struct LoopTimer_ LoopTimer;
+
+typedef void LoopHandler(void *user);
+
+/** typedef LoopSignalHandler - receives the number of the signal */
+typedef void LoopSignalHandler(void *user, int signal);
+
+struct lws_context;
+struct lws_vhost;
+
+/**
+ * Loop_Create() - a loop on libwebsockets' poll backend
+ * @clock: borrowed
+ * @log: borrowed; receives the library's own errors, may be NULL
+ *
+ * Return: NULL with @error filled if the library refuses.
+ */
+Loop *Loop_Create(const Clock *clock, EventLog *log, Error *error);
+
+/** Loop_Destroy() - close everything that is still open */
+void Loop_Destroy(Loop *this);
+
+/** Loop_Run() - serve until Loop_Stop() */
+void Loop_Run(Loop *this);
+
+/** Loop_Stop() - let Loop_Run() return after the current handler */
+void Loop_Stop(Loop *this);
+
+/** Loop_Context() - the library's context, for the HTTP objects */
+struct lws_context *Loop_Context(Loop *this);
+
+/** Loop_Clock() - the clock given at creation */
+const Clock *Loop_Clock(const Loop *this);
+
+/**
+ * Loop_Watch() - call @handler whenever @fd can be read
+ *
+ * The loop takes no ownership of @fd's meaning but closes it at its end.
+ *
+ * Return: 0 or ERR_IO.
+ */
+int Loop_Watch(Loop *this, int fd, LoopHandler *handler, void *user,
+               Error *error);
+
+/** Loop_WatchSignals() - SIGTERM and SIGINT go to @handler; blocks both */
+int Loop_WatchSignals(Loop *this, LoopSignalHandler *handler, void *user,
+                      Error *error);
+
+/** LoopTimer_Create() - a stopped timer */
+LoopTimer *LoopTimer_Create(Loop *loop, LoopHandler *handler, void *user);
+
+/** LoopTimer_Start() - run the handler after @delay, dropping an older one */
+void LoopTimer_Start(LoopTimer *this, Micros delay);
+
+/** LoopTimer_Stop() - forget a pending run */
+void LoopTimer_Stop(LoopTimer *this);
+
+/** LoopTimer_Destroy() - stop and release; NULL is allowed */
+void LoopTimer_Destroy(LoopTimer *this);
+
+#endif
