--- /dev/null
+++ b/packages/core/RetryBudget.h
@@ -0,0 +1,104 @@
+#ifndef AGATECRANK_CORE_RETRYBUDGET_H
+#define AGATECRANK_CORE_RETRYBUDGET_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "Clock.h"
+
+/**
+ * typedef RetryBudget - bounds the retries of one service on one host
+ *
+ * Each host earns retries from its own successes only, so the sum over all
+ * hosts keeps the same share without any exchange.
+ */
+typedef struct RetryBudget_ RetryBudget;
+
+/** Retries earned by one success, and allowed for one first attempt */
+#define RETRY_BUDGET_SHARE 0.10
+
+/** enum RetryFailure - how the attempt ended */
+typedef enum RetryFailure_ {
+    RETRY_FAILURE_NOT_SENT, /* not a byte was given to an upstream */
+    RETRY_FAILURE_SHED,     /* 503 with agatecrank-outcome: not-run */
+    RETRY_FAILURE_BROKEN,   /* the connection ended before the response */
+    RETRY_FAILURE_SILENT,   /* no response in time */
+    RETRY_FAILURE_ERROR,    /* 502, 503 or 504 without the proof */
+} RetryFailure;
+
+/** enum RetryVerdict - retry or why not */
+typedef enum RetryVerdict_ {
+    RETRY_YES,
+    RETRY_UNSAFE,         /* it may have run and is not idempotent */
+    RETRY_RESPONSE_BEGUN, /* part of the response reached the caller */
+    RETRY_BODY_GONE,      /* the body can't be sent again */
+    RETRY_LAYER_ABOVE,    /* agatecrank-retrying: 1 came in */
+    RETRY_LAYER_BELOW,    /* the balancer below had its own budget */
+    RETRY_DEADLINE,       /* no time for another attempt */
+    RETRY_ATTEMPTS,       /* the request had its attempts */
+    RETRY_BUDGET,         /* the budget is spent */
+} RetryVerdict;
+
+/**
+ * struct RetryQuery_ - a failed attempt
+ * @failure: how it ended
+ * @idempotent: the method is one of the service's idempotent methods
+ * @response_begun: response headers went to the caller
+ * @body_kept: the request body can be sent again from the start
+ * @layer_above_retries: agatecrank-retrying: 1 came in
+ * @from_balancer: the response carries agatecrank-reason, that is, a balancer
+ *                 below gave up
+ * @attempts: attempts made so far, the failed one included
+ * @deadline: absolute time in microseconds
+ * @expected: expected time of another attempt, in microseconds
+ */
+typedef struct RetryQuery_ {
+    RetryFailure failure;
+    bool idempotent;
+    bool response_begun;
+    bool body_kept;
+    bool layer_above_retries;
+    bool from_balancer;
+    uint32_t attempts;
+    Micros deadline;
+    Micros expected;
+} RetryQuery;
+
+/**
+ * struct RetryAdvice_ - how a permitted retry is sent
+ * @other_upstream: avoid every upstream that was tried
+ * @new_connection: don't use a pooled connection of the same age
+ */
+typedef struct RetryAdvice_ {
+    RetryVerdict verdict;
+    bool other_upstream;
+    bool new_connection;
+} RetryAdvice;
+
+/** RetryBudget_Create() - an empty budget; @clock is borrowed */
+RetryBudget *RetryBudget_Create(const Clock *clock);
+
+/** RetryBudget_Destroy() - release the budget */
+void RetryBudget_Destroy(RetryBudget *this);
+
+/** RetryBudget_OnFirstAttempt() - a request was sent for the first time */
+void RetryBudget_OnFirstAttempt(RetryBudget *this);
+
+/** RetryBudget_OnSuccess() - a complete response came for any attempt */
+void RetryBudget_OnSuccess(RetryBudget *this);
+
+/** RetryBudget_IsSafe() - whether running it again can do no harm */
+bool RetryBudget_IsSafe(const RetryQuery *query);
+
+/**
+ * RetryBudget_Ask() - may the request be sent again? Spends one if RETRY_YES
+ */
+RetryAdvice RetryBudget_Ask(RetryBudget *this, const RetryQuery *query);
+
+/** RetryBudget_Balance() - retries that could be spent now */
+double RetryBudget_Balance(RetryBudget *this);
+
+/** RetryBudget_Name() - stable word of a verdict, for agatecrank-reason */
+const char *RetryBudget_Name(RetryVerdict verdict);
+
+#endif
