Add the public headers of the claim protocol and the claim record

Cause: requests with an idempotency key need one interface that the request state machine, the log client and the peer links can build against. Measured: nothing yet. Conclusion: the interface can be integrated; the implementation follows.

--- /dev/null
+++ b/packages/core/ClaimRecord.h
@@ -0,0 +1,60 @@
+#ifndef AGATECRANK_CORE_CLAIMRECORD_H
+#define AGATECRANK_CORE_CLAIMRECORD_H
+
+#include <glib.h>
+
+#include "Error.h"
+#include "IdempotencyKey.h"
+
+/* Version written, and the newest `minimum_reader` that can be judged. */
+#define CLAIM_RECORD_VERSION 1
+/* Records hold at most this many claims: 100 bytes each in 256 KiB. */
+#define CLAIM_RECORD_ITEMS 2000
+/* Longest host name in a claim, in bytes. */
+#define CLAIM_HOST_MAX 64
+/* A claim is void if its key's time is further ahead of the log service's
+ * append time. Part of the protocol: it is the same on all hosts. */
+#define CLAIM_FUTURE_MS ((uint64_t)120000)
+
+/**
+ * struct Claim_ - right to run one key, if it is the first in the log
+ * @key: scoped key
+ * @digest: digest of the request (method, target, body)
+ * @host: host that may run it
+ * @incarnation: of that host
+ * @number: unique within the incarnation
+ * @key_time_ms: time inside the key
+ */
+typedef struct Claim_ {
+    KeyHash key;
+    uint64_t digest;
+    Str host;
+    uint64_t incarnation;
+    uint64_t number;
+    uint64_t key_time_ms;
+} Claim;
+
+/** typedef ClaimVisitor - called for each well-formed claim of a record */
+typedef void ClaimVisitor(void *user, const Claim *claim);
+
+/**
+ * ClaimRecord_Write() - append one encoded record to @out
+ * @partitions: number of claims streams that the writer uses
+ * @claims: at most CLAIM_RECORD_ITEMS; none makes a marker
+ */
+void ClaimRecord_Write(uint32_t partitions, const Claim *claims, size_t n,
+                       GString *out);
+
+/**
+ * ClaimRecord_Read() - decode one record
+ * @partitions: set to the number that the writer used
+ * @visit: called for each claim in order; claims out of form are skipped
+ *
+ * Return: number of claims skipped, ERR_PARSE if the record is not well
+ * formed (every host skips it alike), or ERR_PROTOCOL if it needs a newer
+ * reader.
+ */
+int ClaimRecord_Read(Str record, uint32_t *partitions, ClaimVisitor *visit,
+                     void *user);
+
+#endif
--- /dev/null
+++ b/packages/core/IdempotencyKey.h
@@ -0,0 +1,72 @@
+#ifndef AGATECRANK_CORE_IDEMPOTENCYKEY_H
+#define AGATECRANK_CORE_IDEMPOTENCYKEY_H
+
+#include "Str.h"
+
+/* Longest accepted key text, in bytes. */
+#define IDEMPOTENCY_KEY_MAX 128
+
+/**
+ * struct KeyHash_ - key scoped to its line and caller
+ * @word: first 128 bits of a SHA-256, so that no caller can construct a
+ *        key that collides with another line's
+ */
+typedef struct KeyHash_ {
+    uint64_t word[2];
+} KeyHash;
+
+/** enum IdempotencyKeyKind - who made the key */
+typedef enum IdempotencyKeyKind_ {
+    KEY_BY_CALLER, /* UUIDv7 */
+    KEY_ISSUED,    /* agk1-HOST-INCARNATION-UUIDv7 */
+} IdempotencyKeyKind;
+
+/**
+ * struct IdempotencyKey_ - parsed key
+ * @kind: who made it
+ * @uuid: the 16 bytes of the UUIDv7
+ * @time_ms: time inside the UUID, milliseconds since 1970
+ * @host: issuing host, borrowed from the parsed text; empty by caller
+ * @incarnation: of the issuing host; 0 by caller
+ */
+typedef struct IdempotencyKey_ {
+    IdempotencyKeyKind kind;
+    uint8_t uuid[16];
+    uint64_t time_ms;
+    Str host;
+    uint64_t incarnation;
+} IdempotencyKey;
+
+/**
+ * IdempotencyKey_Parse() - read a key
+ *
+ * Hexadecimal digits may be in either case. The incarnation has no leading
+ * zero, so that every key has one spelling besides the case of its digits.
+ *
+ * Return: 0, ERR_LIMIT if longer than IDEMPOTENCY_KEY_MAX, else ERR_PARSE.
+ */
+int IdempotencyKey_Parse(IdempotencyKey *this, Str text);
+
+/** IdempotencyKey_Scope() - hash of line, caller and key */
+KeyHash IdempotencyKey_Scope(const IdempotencyKey *this, Str line, Str caller);
+
+/**
+ * IdempotencyKey_Write() - text of a key
+ * @out: room for IDEMPOTENCY_KEY_MAX + 1 bytes, zero-terminated
+ *
+ * Return: length of the text, or ERR_LIMIT if the host name is too long.
+ */
+int IdempotencyKey_Write(const IdempotencyKey *this, char *out);
+
+/**
+ * IdempotencyKey_Make() - a new key of the given time
+ * @random: 74 random bits are taken from these two words
+ * @host: issuing host, or empty for a caller's key
+ */
+IdempotencyKey IdempotencyKey_Make(uint64_t time_ms, const uint64_t random[2],
+                                   Str host, uint64_t incarnation);
+
+/** KeyHash_Equal() - true if both are the same key of the same scope */
+bool KeyHash_Equal(KeyHash a, KeyHash b);
+
+#endif
