--- /dev/null
+++ b/packages/config/Settings.h
@@ -0,0 +1,96 @@
+#ifndef AGATECRANK_CONFIG_SETTINGS_H
+#define AGATECRANK_CONFIG_SETTINGS_H
+
+#include "Fields.h"
+
+/** enum RoutingPolicy_ - routing.policy, in the order of its words */
+typedef enum RoutingPolicy_ {
+    ROUTING_RANDOM,
+    ROUTING_ROUND_ROBIN,
+    ROUTING_LEAST_INFLIGHT,
+    ROUTING_TWO_CHOICES,
+    ROUTING_PROBED,
+    ROUTING_REPORTS,
+    ROUTING_SLOT_SHARES,
+} RoutingPolicy;
+
+/** struct ListenSettings_ - addresses and ports to listen on */
+typedef struct ListenSettings_ {
+    Str caller_address;
+    uint32_t caller_port;
+    Str admin_address;
+    uint32_t admin_port;
+    Str peer_address;
+    uint32_t peer_port;
+} ListenSettings;
+
+/** struct TlsSettings_ - PEM files; an empty path means not used */
+typedef struct TlsSettings_ {
+    Str caller_certificate_file;
+    Str caller_key_file;
+    Str caller_client_ca_file;
+    Str upstream_ca_file;
+    Str admin_certificate_file;
+    Str admin_key_file;
+    Str admin_client_ca_file;
+    Str log_ca_file;
+} TlsSettings;
+
+/** struct CurveSettings_ - key files of the ZeroMQ links between hosts */
+typedef struct CurveSettings_ {
+    Str public_key_file;
+    Str secret_key_file;
+    Str peer_keys_file;
+} CurveSettings;
+
+/**
+ * struct Settings_ - settings file of agatecrankd, read once at its start
+ *
+ * docs/settings.md lists each key with its type, range and default.
+ */
+typedef struct Settings_ {
+    Str host_id;
+    Str deployment;
+    Str domain;
+    ListenSettings listen;
+    StrList peer_seeds; /* ADDRESS:PORT of ZeroMQ links */
+    Str log_url;
+    uint32_t log_timeout_ms;
+    Str host_list_url;
+    uint32_t host_list_interval_ms;
+    uint32_t routing_policy; /* RoutingPolicy */
+    bool limits_enabled;
+    uint32_t claims_partitions;
+    uint32_t claims_memory_bytes;
+    uint32_t log_level; /* LogLevel */
+    uint32_t decision_lines_per_s;
+    TlsSettings tls;
+    CurveSettings curve;
+    Key32List bootstrap_keys;
+    uint32_t snapshot_interval_s;
+    uint32_t snapshot_spread_s;
+    uint32_t request_buffer_bytes;  /* each stream, caller to upstream */
+    uint32_t response_buffer_bytes; /* each stream, upstream to caller */
+    uint32_t connections_max;
+    uint32_t drain_timeout_s;
+    TextStore *store; /* owns all strings */
+} Settings;
+
+/**
+ * Settings_Parse() - read settings from TOML text
+ * @faults: receives every fault at once
+ *
+ * Return: the settings, or NULL if there is any fault.
+ */
+Settings *Settings_Parse(Str text, Faults *faults);
+
+/** Settings_ReadFile() - as Settings_Parse() for the file at @path */
+Settings *Settings_ReadFile(const char *path, Faults *faults);
+
+/** Settings_Destroy() - release the settings; NULL is accepted */
+void Settings_Destroy(Settings *this);
+
+/** Settings_PolicyName() - word of a routing policy */
+const char *Settings_PolicyName(uint32_t policy);
+
+#endif
