--- /dev/null
+++ b/packages/net/ClaimFollower.c
@@ -0,0 +1,133 @@
+#include "ClaimFollower.h"
+
+#include <glib.h>
+
+#define READ_MAX 512
+#define READ_WAIT (1 * MICROS_PER_S)
+#define RETRY_DELAY (100 * MICROS_PER_MS)
+
+typedef struct Partition_ {
+    ClaimFollower *follower;
+    uint32_t index;
+    LoopTimer *timer;
+    char stream[24];
+} Partition;
+
+struct ClaimFollower_ {
+    Claims *claims;
+    LogClient *log;
+    Micros timeout;
+    ClaimFollowerHandler *on_event;
+    void *user;
+    Partition *partitions;
+    uint32_t count;
+};
+
+typedef struct Append_ {
+    ClaimFollower *follower;
+    uint64_t id;
+} Append;
+
+static void
+read_done(void *user, const LogRead *read)
+{
+    Partition *partition = user;
+    ClaimFollower *this = partition->follower;
+    ClaimLogRead result = {
+        .partition = partition->index,
+        .log_first = read->first,
+        .log_next = read->next,
+        .n = read->count,
+    };
+    ClaimLogRecord *records;
+
+    if (read->code < 0) {
+        Claims_OnReadFailed(this->claims, partition->index);
+        LoopTimer_Start(partition->timer, RETRY_DELAY);
+        this->on_event(this->user);
+        return;
+    }
+    records = g_new(ClaimLogRecord, read->count + 1);
+    for (size_t i = 0; i < read->count; i++) {
+        records[i] =
+            (ClaimLogRecord){read->records[i].offset, read->records[i].time_ms,
+                             read->records[i].data};
+    }
+    result.records = records;
+    Claims_OnRecords(this->claims, &result);
+    g_free(records);
+    LoopTimer_Start(partition->timer, 0);
+    this->on_event(this->user);
+}
+
+static void
+start_read(void *user)
+{
+    Partition *partition = user;
+    ClaimFollower *this = partition->follower;
+
+    LogClient_Read(this->log, Str_FromC(partition->stream),
+                   Claims_ReadFrom(this->claims, partition->index), READ_MAX,
+                   READ_WAIT, this->timeout, read_done, partition);
+}
+
+ClaimFollower *
+ClaimFollower_Create(Loop *loop, Claims *claims, uint32_t partitions,
+                     LogClient *log, Micros timeout,
+                     ClaimFollowerHandler *on_event, void *user)
+{
+    ClaimFollower *this = g_new0(ClaimFollower, 1);
+
+    this->claims = claims;
+    this->log = log;
+    this->timeout = timeout;
+    this->on_event = on_event;
+    this->user = user;
+    this->count = partitions;
+    this->partitions = g_new0(Partition, partitions);
+    for (uint32_t i = 0; i < partitions; i++) {
+        Partition *partition = &this->partitions[i];
+
+        partition->follower = this;
+        partition->index = i;
+        g_snprintf(partition->stream, sizeof(partition->stream), "claims-%u",
+                   i);
+        partition->timer = LoopTimer_Create(loop, start_read, partition);
+        LoopTimer_Start(partition->timer, 0);
+    }
+    return this;
+}
+
+void
+ClaimFollower_Destroy(ClaimFollower *this)
+{
+    for (uint32_t i = 0; i < this->count; i++) {
+        LoopTimer_Destroy(this->partitions[i].timer);
+    }
+    g_free(this->partitions);
+    g_free(this);
+}
+
+static void
+append_done(void *user, int code, uint64_t offset)
+{
+    Append *append = user;
+    ClaimFollower *this = append->follower;
+
+    Claims_OnAppendResult(this->claims, append->id, code);
+    g_free(append);
+    this->on_event(this->user);
+}
+
+void
+ClaimFollower_Append(ClaimFollower *this, const ClaimAction *action)
+{
+    Append *append = g_new0(Append, 1);
+    const Partition *partition = &this->partitions[action->append.partition];
+
+    append->follower = this;
+    append->id = action->append.id;
+    LogClient_Append(this->log, Str_FromC(partition->stream),
+                     action->append.record, this->timeout, append_done,
+                     append);
+}
--- a/packages/net/HttpClient.c
+++ b/packages/net/HttpClient.c
@@ -367,9 +367,9 @@
     return peer;
 }
 
-/* Prefers a free slot with an open connection, then the lowest free one. */
+/* Prefers a free slot with an open connection unless a new one is wanted. */
 static int
-find_slot(HttpClient *this, Peer *peer)
+find_slot(HttpClient *this, Peer *peer, bool new_connection)
 {
     int fallback = -1;
     Slot *slot;
@@ -379,10 +379,10 @@
         if (slot->call != NULL) {
             continue;
         }
-        if (slot->idle != NULL) {
+        if (slot->idle != NULL && !new_connection) {
             return (int)i;
         }
-        if (fallback < 0) {
+        if (fallback < 0 && slot->idle == NULL) {
             fallback = (int)i;
         }
     }
@@ -465,7 +465,7 @@
                  const HttpCallHandlers *handlers, void *user, Error *error)
 {
     Peer *peer = find_peer(this, spec->address, spec->port, true);
-    int index = find_slot(this, peer);
+    int index = find_slot(this, peer, spec->new_connection);
     HttpCall *call;
 
     if (index < 0) {
--- a/packages/net/HttpClient.h
+++ b/packages/net/HttpClient.h
@@ -67,6 +67,7 @@
  * @method, @path, @host: as sent
  * @headers: borrowed during HttpClient_Start()
  * @content_length: bytes of the body; 0 for none
+ * @new_connection: do not use an idle connection
  */
 typedef struct HttpCallSpec_ {
     const char *address;
@@ -76,6 +77,7 @@
     Str host;
     const HeaderList *headers;
     int64_t content_length;
+    bool new_connection;
 } HttpCallSpec;
 
 /** HttpClient_Create() - a client without connections */
--- /dev/null
+++ b/packages/net/Proxy.c
@@ -0,0 +1,794 @@
+#include "Proxy.h"
+
+#include <openssl/crypto.h>
+#include <openssl/sha.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "ProxyHeaders.h"
+
+#define REQUEST_ID_MAX 64
+#define KEYS_PATH "/.agatecrank/keys"
+/* An answer that is not passed on is read to its end only if it is short. */
+#define DISCARD_MAX_BYTES 65536
+
+typedef struct Attempt_ Attempt;
+
+typedef struct ProxyRequest_ {
+    Proxy *proxy;
+    HttpRequest *http; /* NULL once the caller has gone */
+    Attempt *attempt;  /* NULL without an open attempt */
+    LoopTimer *timer;
+    uint64_t id;
+    char request_id[REQUEST_ID_MAX + 1];
+    HeaderList *headers;
+    GString *method;
+    GString *path;
+    GString *host;
+    GByteArray *body;
+    int64_t body_length;
+    int64_t body_received;
+    XXH3_state_t *digest;
+    uint32_t hops;
+    GByteArray *record; /* answer kept for resends; NULL if not wanted */
+    bool body_kept;
+    bool decided; /* Balancer_OnBody() was called */
+    bool over;    /* the balancer has forgotten the request */
+    bool paused;
+} ProxyRequest;
+
+struct Attempt_ {
+    ProxyRequest *owner; /* NULL once its answer is not wanted */
+    HttpCall *call;
+    int64_t discarded;
+    bool paused;
+};
+
+struct Proxy_ {
+    Loop *loop;
+    Balancer *balancer;
+    Random *random;
+    Counters *counters;
+    ProxyOptions options;
+    HttpServer *server;
+    HttpClient *client;
+    GHashTable *requests; /* balancer id to ProxyRequest */
+    GPtrArray *names;
+    ProxyClaimHandler *on_claim;
+    void *user;
+    bool draining;
+};
+
+/* ---- life of a request ---------------------------------------------- */
+
+static void
+destroy_request(gpointer data)
+{
+    ProxyRequest *request = data;
+
+    if (request->attempt != NULL) {
+        request->attempt->owner = NULL;
+    }
+    if (request->http != NULL) {
+        HttpRequest_SetData(request->http, NULL);
+    }
+    LoopTimer_Destroy(request->timer);
+    HeaderList_Destroy(request->headers);
+    g_string_free(request->method, TRUE);
+    g_string_free(request->path, TRUE);
+    g_string_free(request->host, TRUE);
+    g_byte_array_free(request->body, TRUE);
+    if (request->record != NULL) {
+        g_byte_array_free(request->record, TRUE);
+    }
+    XXH3_freeState(request->digest);
+    g_free(request);
+}
+
+/* Removes a request that neither the balancer nor the caller still needs. */
+static void
+release_if_done(ProxyRequest *request)
+{
+    if (request->over && request->http == NULL) {
+        g_hash_table_remove(request->proxy->requests, &request->id);
+    }
+}
+
+static ProxyRequest *
+find_request(Proxy *this, uint64_t id)
+{
+    return g_hash_table_lookup(this->requests, &id);
+}
+
+static void
+attempt_timed_out(void *user)
+{
+    ProxyRequest *request = user;
+    Proxy *this = request->proxy;
+
+    Balancer_OnTimeout(this->balancer, request->id);
+    Proxy_Drain(this);
+}
+
+static Str
+text_of(const GString *text)
+{
+    return (Str){text->str, text->len};
+}
+
+static void
+copy_headers(const HeaderList *from, HeaderList *to)
+{
+    Str name, value;
+
+    for (size_t i = 0; i < HeaderList_Count(from); i++) {
+        HeaderList_At(from, i, &name, &value);
+        HeaderList_Add(to, name, value);
+    }
+}
+
+static void
+set_request_id(Proxy *this, ProxyRequest *request)
+{
+    Str given = HeaderList_Get(request->headers, STR("x-request-id"));
+
+    if (given.length > 0 && given.length <= REQUEST_ID_MAX &&
+        Fields_IsName(given)) {
+        memcpy(request->request_id, given.data, given.length);
+        return;
+    }
+    g_snprintf(request->request_id, sizeof(request->request_id),
+               "%016" G_GINT64_MODIFIER "x%016" G_GINT64_MODIFIER "x",
+               Random_Next(this->random), Random_Next(this->random));
+}
+
+static ProxyRequest *
+create_request(Proxy *this, HttpRequest *http)
+{
+    ProxyRequest *request = g_new0(ProxyRequest, 1);
+    Str method = HttpRequest_Method(http), path = HttpRequest_Path(http);
+    Str host = HeaderList_Get(HttpRequest_Headers(http), STR("host"));
+
+    request->proxy = this;
+    request->http = http;
+    request->headers = HeaderList_Create();
+    copy_headers(HttpRequest_Headers(http), request->headers);
+    request->method = g_string_new_len(method.data, (gssize)method.length);
+    request->path = g_string_new_len(path.data, (gssize)path.length);
+    request->host =
+        g_string_new_len(host.length ? host.data : "", (gssize)host.length);
+    request->body = g_byte_array_new();
+    request->body_length = HttpRequest_ContentLength(http);
+    request->body_kept =
+        request->body_length <= (int64_t)this->options.request_buffer;
+    request->digest = XXH3_createState();
+    XXH3_64bits_reset(request->digest);
+    request->timer = LoopTimer_Create(this->loop, attempt_timed_out, request);
+    set_request_id(this, request);
+    HttpRequest_SetData(http, request);
+    return request;
+}
+
+/* ---- decisions of the balancer -------------------------------------- */
+
+static void
+answer_caller(ProxyRequest *request, const BalancerAction *action)
+{
+    GString *body = g_string_new(NULL);
+    HeaderList *headers = ProxyHeaders_OwnAnswer(
+        Str_FromC(request->request_id), action->answer.outcome,
+        action->answer.reason, action->answer.retry_after, body);
+
+    if (request->http != NULL) {
+        HttpRequest_Answer(request->http, action->answer.status, headers,
+                           text_of(body));
+    }
+    HeaderList_Destroy(headers);
+    g_string_free(body, TRUE);
+}
+
+/* A kept answer is "STATUS CONTENT-TYPE\n" followed by the body. */
+static void
+replay_answer(ProxyRequest *request, Str kept)
+{
+    HeaderList *headers = HeaderList_Create();
+    Str line, status;
+    uint64_t code = 200;
+
+    Str_Split(&kept, '\n', &line);
+    Str_Split(&line, ' ', &status);
+    Str_ParseU64(status, &code);
+    if (line.length > 0) {
+        HeaderList_Add(headers, STR("content-type"), line);
+    }
+    HeaderList_Add(headers, STR("x-request-id"),
+                   Str_FromC(request->request_id));
+    HeaderList_Add(headers, STR("agatecrank-outcome"), STR("ran"));
+    HeaderList_Add(headers, STR("agatecrank-reason"), STR("replayed"));
+    if (request->http != NULL) {
+        HttpRequest_Answer(request->http, (int)code, headers, kept);
+    }
+    HeaderList_Destroy(headers);
+}
+
+static void
+cancel_attempt(Proxy *this, ProxyRequest *request,
+               const BalancerAction *action)
+{
+    Attempt *attempt = request->attempt;
+
+    LoopTimer_Stop(request->timer);
+    if (attempt != NULL) {
+        request->attempt = NULL;
+        attempt->owner = NULL;
+        HttpCall_Cancel(attempt->call);
+        g_free(attempt);
+    }
+    if (action->cancel.silent) {
+        HttpClient_CloseIdle(this->client, action->cancel.address,
+                             action->cancel.port);
+    }
+}
+
+static const HttpCallHandlers call_handlers;
+
+static void
+feed_body(ProxyRequest *request)
+{
+    HttpCall *call = request->attempt->call;
+
+    if (request->body->len == 0) {
+        return;
+    }
+    HttpCall_WriteBody(
+        call, (Str){(const char *)request->body->data, request->body->len});
+    if (!request->body_kept) {
+        g_byte_array_set_size(request->body, 0);
+    }
+}
+
+static void
+send_request(Proxy *this, ProxyRequest *request, const BalancerAction *action)
+{
+    ForwardInfo info = {
+        .request_id = Str_FromC(request->request_id),
+        .caller = action->send.caller,
+        .line = action->send.line,
+        .left = action->send.deadline - Clock_Now(Loop_Clock(this->loop)),
+        .hops = request->hops + 1,
+        .retrying = action->send.retrying,
+    };
+    HeaderList *headers = ProxyHeaders_ForUpstream(request->headers, &info);
+    Attempt *attempt = g_new0(Attempt, 1);
+    HttpCallSpec spec = {
+        .address = action->send.address,
+        .port = action->send.port,
+        .method = text_of(request->method),
+        .path = text_of(request->path),
+        .host = text_of(request->host),
+        .headers = headers,
+        .content_length = request->body_length,
+        .new_connection = action->send.new_connection,
+    };
+
+    attempt->owner = request;
+    attempt->call =
+        HttpClient_Start(this->client, &spec, &call_handlers, attempt, NULL);
+    HeaderList_Destroy(headers);
+    if (attempt->call == NULL) {
+        g_free(attempt);
+        Balancer_OnAttemptEnd(this->balancer, request->id, ATTEMPT_END_UNSENT,
+                              STR(""));
+        return;
+    }
+    request->attempt = attempt;
+    LoopTimer_Start(request->timer, action->send.timeout);
+    feed_body(request);
+}
+
+static void
+do_action(Proxy *this, const BalancerAction *action)
+{
+    ProxyRequest *request = find_request(this, action->request);
+
+    if (request == NULL) {
+        return;
+    }
+    switch (action->kind) {
+    case BALANCER_SEND:
+        send_request(this, request, action);
+        return;
+    case BALANCER_CANCEL:
+        cancel_attempt(this, request, action);
+        return;
+    case BALANCER_ANSWER:
+        answer_caller(request, action);
+        break;
+    case BALANCER_REPLAY:
+        replay_answer(request, action->replay);
+        break;
+    case BALANCER_ABORT:
+        if (request->http != NULL) {
+            HttpRequest_Abort(request->http);
+        }
+        break;
+    }
+    LoopTimer_Stop(request->timer);
+    request->over = true;
+    release_if_done(request);
+}
+
+static bool
+do_claim_action(Proxy *this)
+{
+    ClaimAction action;
+
+    if (!Claims_NextAction(Balancer_Claims(this->balancer), &action)) {
+        return false;
+    }
+    switch (action.kind) {
+    case CLAIM_DISPATCH:
+    case CLAIM_ANSWER:
+        Balancer_OnClaimAction(this->balancer, &action);
+        return true;
+    default:
+        this->on_claim(this->user, &action);
+        return true;
+    }
+}
+
+void
+Proxy_Drain(Proxy *this)
+{
+    BalancerAction action;
+    bool more = true;
+
+    if (this->draining) {
+        return;
+    }
+    this->draining = true;
+    while (more) {
+        more = false;
+        while (Balancer_NextAction(this->balancer, &action)) {
+            do_action(this, &action);
+            more = true;
+        }
+        while (do_claim_action(this)) {
+            more = true;
+        }
+    }
+    this->draining = false;
+}
+
+/* ---- answers of upstreams ------------------------------------------- */
+
+static void
+begin_record(ProxyRequest *request, int status, const HeaderList *headers)
+{
+    Str type = HeaderList_Get(headers, STR("content-type"));
+    char line[16];
+
+    if (!HeaderList_Has(request->headers, STR("idempotency-key"))) {
+        return;
+    }
+    request->record = g_byte_array_new();
+    g_snprintf(line, sizeof(line), "%d ", status);
+    g_byte_array_append(request->record, (const guint8 *)line,
+                        (guint)strlen(line));
+    g_byte_array_append(request->record,
+                        (const guint8 *)(type.length ? type.data : ""),
+                        (guint)type.length);
+    g_byte_array_append(request->record, (const guint8 *)"\n", 1);
+}
+
+static void
+record_data(ProxyRequest *request, Str data)
+{
+    if (request->record == NULL) {
+        return;
+    }
+    if (request->record->len + data.length >
+        request->proxy->options.answer_limit) {
+        g_byte_array_free(request->record, TRUE);
+        request->record = NULL;
+        return;
+    }
+    g_byte_array_append(request->record, (const guint8 *)data.data,
+                        (guint)data.length);
+}
+
+static void
+relay_headers(ProxyRequest *request, int status, const HeaderList *headers)
+{
+    Outcome outcome =
+        Balancer_OutcomeOf(request->proxy->balancer, request->id, status);
+    HeaderList *out = ProxyHeaders_ForCaller(
+        headers, Str_FromC(request->request_id), outcome);
+
+    begin_record(request, status, headers);
+    if (request->http != NULL) {
+        HttpRequest_StartAnswer(request->http, status, out,
+                                HttpWire_ContentLength(headers));
+    }
+    HeaderList_Destroy(out);
+}
+
+static void
+on_call_headers(void *user, HttpCall *call, int status,
+                const HeaderList *headers)
+{
+    Attempt *attempt = user;
+    ProxyRequest *request = attempt->owner;
+    AnswerHead head = {
+        .status = status,
+        .not_run =
+            Str_Equal(HeaderList_Get(headers, STR("agatecrank-outcome")),
+                      STR("not-run")),
+        .from_balancer = HeaderList_Has(headers, STR("agatecrank-reason")),
+        .load = HeaderList_Get(headers, STR("agatecrank-load")),
+    };
+    Proxy *this;
+
+    if (request == NULL) {
+        return;
+    }
+    this = request->proxy;
+    if (Balancer_OnHead(this->balancer, request->id, &head) ==
+        BALANCER_RELAY) {
+        relay_headers(request, status, headers);
+    }
+    else {
+        attempt->owner = NULL;
+        request->attempt = NULL;
+        LoopTimer_Stop(request->timer);
+    }
+    Proxy_Drain(this);
+}
+
+static void
+on_call_data(void *user, HttpCall *call, Str data)
+{
+    Attempt *attempt = user;
+    ProxyRequest *request = attempt->owner;
+
+    if (request == NULL) {
+        attempt->discarded += (int64_t)data.length;
+        if (attempt->discarded > DISCARD_MAX_BYTES) {
+            HttpCall_Cancel(call);
+            g_free(attempt);
+        }
+        return;
+    }
+    record_data(request, data);
+    if (request->http == NULL) {
+        return;
+    }
+    HttpRequest_Write(request->http, data);
+    if (HttpRequest_Buffered(request->http) >
+        request->proxy->options.response_buffer) {
+        attempt->paused = true;
+        HttpCall_PauseAnswer(call, true);
+    }
+}
+
+static void
+on_call_drained(void *user, HttpCall *call)
+{
+    const Attempt *attempt = user;
+    ProxyRequest *request = attempt->owner;
+
+    if (request != NULL && request->paused && request->http != NULL) {
+        request->paused = false;
+        HttpRequest_PauseBody(request->http, false);
+    }
+}
+
+/* Ends an attempt and hands its end to the balancer. */
+static void
+end_attempt(Attempt *attempt, AttemptEnd end)
+{
+    ProxyRequest *request = attempt->owner;
+    Proxy *this;
+    Str kept = {NULL, 0};
+    ExchangeStep step;
+
+    g_free(attempt);
+    if (request == NULL) {
+        return;
+    }
+    this = request->proxy;
+    request->attempt = NULL;
+    LoopTimer_Stop(request->timer);
+    if (end == ATTEMPT_END_WHOLE && request->record != NULL) {
+        kept =
+            (Str){(const char *)request->record->data, request->record->len};
+    }
+    if (end == ATTEMPT_END_WHOLE && request->http != NULL) {
+        HttpRequest_Finish(request->http);
+    }
+    step = Balancer_OnAttemptEnd(this->balancer, request->id, end, kept);
+    if (step == EXCHANGE_STEP_FINISH || step == EXCHANGE_STEP_DROP) {
+        request->over = true;
+        release_if_done(request);
+    }
+    Proxy_Drain(this);
+}
+
+static void
+on_call_complete(void *user, HttpCall *call)
+{
+    end_attempt(user, ATTEMPT_END_WHOLE);
+}
+
+static void
+on_call_failed(void *user, HttpCall *call, HttpCallFailure failure,
+               bool bytes_given, const Error *error)
+{
+    AttemptEnd end = ATTEMPT_END_BROKEN;
+
+    if (!bytes_given) {
+        end = ATTEMPT_END_UNSENT;
+    }
+    else if (failure == CALL_FAILED_FRAMING) {
+        end = ATTEMPT_END_FRAMING;
+    }
+    end_attempt(user, end);
+}
+
+static const HttpCallHandlers call_handlers = {
+    on_call_headers,  on_call_data,   on_call_drained,
+    on_call_complete, on_call_failed,
+};
+
+/* ---- requests of callers -------------------------------------------- */
+
+static void
+answer_issued_key(Proxy *this, HttpRequest *http)
+{
+    HeaderList *headers = HeaderList_Create();
+    uint64_t words[2] = {Random_Next(this->random), Random_Next(this->random)};
+    char key[IDEMPOTENCY_KEY_MAX + 1];
+    char *body;
+
+    HeaderList_Add(headers, STR("content-type"), STR("application/json"));
+    if (Claims_IssueKey(Balancer_Claims(this->balancer), words, key) < 0) {
+        HttpRequest_Answer(http, 500, headers,
+                           STR("{\"reason\":\"host-name-too-long\"}\n"));
+    }
+    else {
+        body = g_strdup_printf("{\"key\":\"%s\"}\n", key);
+        HttpRequest_Answer(http, 200, headers, Str_FromC(body));
+        g_free(body);
+    }
+    HeaderList_Destroy(headers);
+}
+
+static bool
+hash_credential(const HttpRequest *http, uint8_t digest[32])
+{
+    Str text = HeaderList_Get(HttpRequest_Headers(http), STR("authorization"));
+    Str scheme;
+
+    if (!Str_Split(&text, ' ', &scheme) ||
+        !Str_EqualIgnoreCase(scheme, STR("bearer"))) {
+        return false;
+    }
+    text = Str_Trim(text);
+    if (text.length == 0) {
+        return false;
+    }
+    SHA256((const unsigned char *)text.data, text.length, digest);
+    return true;
+}
+
+static void
+offer_request(Proxy *this, ProxyRequest *request)
+{
+    const HeaderList *headers = request->headers;
+    uint8_t digest[32];
+    bool known = hash_credential(request->http, digest);
+    uint64_t hops = 0;
+    RequestInfo info = {
+        .request_id = Str_FromC(request->request_id),
+        .method = text_of(request->method),
+        .path = text_of(request->path),
+        .service = ProxyHeaders_Service(text_of(request->host)),
+        .credential = {(const char *)digest, known ? sizeof(digest) : 0},
+        .key = HeaderList_Get(headers, STR("idempotency-key")),
+        .deadline = ProxyHeaders_Deadline(headers),
+        .layer_above_retries =
+            HeaderList_Has(headers, STR("agatecrank-retrying")),
+        .body_length = request->body_length,
+        .body_kept = request->body_kept,
+    };
+
+    Str_ParseU64(HeaderList_Get(headers, STR("agatecrank-hops")), &hops);
+    request->hops =
+        hops < BALANCER_HOPS_MAX ? (uint32_t)hops : BALANCER_HOPS_MAX;
+    info.hops = request->hops;
+    request->id = Balancer_OnRequest(this->balancer, &info);
+    g_hash_table_insert(this->requests, &request->id, request);
+    OPENSSL_cleanse(digest, sizeof(digest));
+}
+
+static void
+on_request(void *user, HttpRequest *http)
+{
+    Proxy *this = user;
+
+    if (Str_Equal(HttpRequest_Path(http), STR(KEYS_PATH)) &&
+        Str_Equal(HttpRequest_Method(http), STR("POST"))) {
+        HttpRequest_SetData(http, NULL);
+        answer_issued_key(this, http);
+        return;
+    }
+    offer_request(this, create_request(this, http));
+    Proxy_Drain(this);
+}
+
+/* The digest covers the length and the body, or its first part if the body
+ * is too long to be held. */
+static void
+decide(ProxyRequest *request)
+{
+    request->decided = true;
+    XXH3_64bits_update(request->digest, &request->body_length,
+                       sizeof(request->body_length));
+    Balancer_OnBody(request->proxy->balancer, request->id,
+                    XXH3_64bits_digest(request->digest));
+    Proxy_Drain(request->proxy);
+}
+
+static void
+on_body(void *user, HttpRequest *http, Str data)
+{
+    Proxy *this = user;
+    ProxyRequest *request = HttpRequest_Data(http);
+
+    if (request == NULL || request->over) {
+        return;
+    }
+    request->body_received += (int64_t)data.length;
+    g_byte_array_append(request->body, (const guint8 *)data.data,
+                        (guint)data.length);
+    if (!request->decided) {
+        XXH3_64bits_update(request->digest, data.data, data.length);
+    }
+    if (request->body_kept) {
+        return;
+    }
+    if (request->decided && request->attempt != NULL) {
+        feed_body(request);
+    }
+    if (request->body->len + (request->attempt != NULL
+                                  ? HttpCall_Buffered(request->attempt->call)
+                                  : 0) >=
+        this->options.request_buffer) {
+        request->paused = true;
+        HttpRequest_PauseBody(http, true);
+    }
+    if (!request->decided &&
+        request->body->len >= this->options.request_buffer) {
+        decide(request);
+    }
+}
+
+static void
+on_body_end(void *user, HttpRequest *http)
+{
+    ProxyRequest *request = HttpRequest_Data(http);
+
+    if (request != NULL && !request->over && !request->decided) {
+        decide(request);
+    }
+}
+
+static void
+on_answer_drained(void *user, HttpRequest *http)
+{
+    ProxyRequest *request = HttpRequest_Data(http);
+
+    if (request != NULL && request->attempt != NULL &&
+        request->attempt->paused) {
+        request->attempt->paused = false;
+        HttpCall_PauseAnswer(request->attempt->call, false);
+    }
+}
+
+static void
+on_closed(void *user, HttpRequest *http, bool complete)
+{
+    Proxy *this = user;
+    ProxyRequest *request = HttpRequest_Data(http);
+
+    if (request == NULL) {
+        return;
+    }
+    request->http = NULL;
+    if (!request->over &&
+        !Balancer_OnCallerGone(this->balancer, request->id)) {
+        Proxy_Drain(this);
+        request->over = true;
+    }
+    release_if_done(request);
+    Proxy_Drain(this);
+}
+
+static const HttpServerHandlers server_handlers = {
+    on_request, on_body, on_body_end, on_answer_drained, on_closed,
+};
+
+/* ---- creation ------------------------------------------------------- */
+
+static void
+collect_names(Proxy *this, const char *const *forward)
+{
+    static const char *const own[] = {
+        "idempotency-key",    "x-request-id",        "agatecrank-deadline-ms",
+        "agatecrank-outcome", "agatecrank-reason",   "agatecrank-load",
+        "agatecrank-hops",    "agatecrank-retrying", "traceparent",
+        "tracestate",
+    };
+
+    this->names = g_ptr_array_new_with_free_func(g_free);
+    for (size_t i = 0; i < G_N_ELEMENTS(own); i++) {
+        g_ptr_array_add(this->names, g_strdup(own[i]));
+    }
+    for (size_t i = 0; forward != NULL && forward[i] != NULL; i++) {
+        g_ptr_array_add(this->names, g_ascii_strdown(forward[i], -1));
+    }
+    g_ptr_array_add(this->names, NULL);
+}
+
+Proxy *
+Proxy_Create(Loop *loop, Balancer *balancer, Random *random,
+             Counters *counters, const ProxyOptions *options,
+             ProxyClaimHandler *on_claim, void *user, Error *error)
+{
+    Proxy *this = g_new0(Proxy, 1);
+
+    this->loop = loop;
+    this->balancer = balancer;
+    this->random = random;
+    this->counters = counters;
+    this->options = *options;
+    this->on_claim = on_claim;
+    this->user = user;
+    this->requests = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+                                           destroy_request);
+    collect_names(this, options->forward);
+    this->options.server.extra_headers =
+        (const char *const *)this->names->pdata;
+    this->options.client.extra_headers =
+        (const char *const *)this->names->pdata;
+    this->client = HttpClient_Create(loop, &this->options.client);
+    this->server = HttpServer_Create(loop, &this->options.server,
+                                     &server_handlers, this, error);
+    if (this->server == NULL) {
+        Proxy_Destroy(this);
+        return NULL;
+    }
+    return this;
+}
+
+void
+Proxy_Destroy(Proxy *this)
+{
+    g_hash_table_destroy(this->requests);
+    g_ptr_array_free(this->names, TRUE);
+    HttpServer_Destroy(this->server);
+    HttpClient_Destroy(this->client);
+    g_free(this);
+}
+
+void
+Proxy_StopListening(Proxy *this)
+{
+    HttpServer_StopListening(this->server);
+}
+
+size_t
+Proxy_OpenRequests(const Proxy *this)
+{
+    return HttpServer_OpenRequests(this->server);
+}
--- /dev/null
+++ b/packages/net/Proxy.h
@@ -0,0 +1,52 @@
+#ifndef AGATECRANK_NET_PROXY_H
+#define AGATECRANK_NET_PROXY_H
+
+#include "Balancer.h"
+#include "HttpClient.h"
+#include "HttpServer.h"
+
+/**
+ * typedef Proxy - carries bytes between callers and upstreams
+ *
+ * It does what a Balancer decides and reports back what happened.
+ */
+typedef struct Proxy_ Proxy;
+
+/**
+ * struct ProxyOptions_ - settings
+ * @server: listening address for callers; its handlers are the proxy's own
+ * @client: connections to upstreams
+ * @request_buffer, @response_buffer: bytes held for each open request
+ * @answer_limit: largest answer that is kept for resends of its key
+ * @forward: names of further header fields to pass on, NULL-terminated
+ */
+typedef struct ProxyOptions_ {
+    HttpServerOptions server;
+    HttpClientOptions client;
+    size_t request_buffer;
+    size_t response_buffer;
+    size_t answer_limit;
+    const char *const *forward;
+} ProxyOptions;
+
+/** typedef ProxyClaimHandler - a claim action that needs the log or a peer */
+typedef void ProxyClaimHandler(void *user, const ClaimAction *action);
+
+/** Proxy_Create() - listen for callers; NULL with @error on failure */
+Proxy *Proxy_Create(Loop *loop, Balancer *balancer, Random *random,
+                    Counters *counters, const ProxyOptions *options,
+                    ProxyClaimHandler *on_claim, void *user, Error *error);
+
+/** Proxy_Destroy() - release; the loop must not run any more */
+void Proxy_Destroy(Proxy *this);
+
+/** Proxy_Drain() - do what the balancer decided since the last call */
+void Proxy_Drain(Proxy *this);
+
+/** Proxy_StopListening() - take no new connections */
+void Proxy_StopListening(Proxy *this);
+
+/** Proxy_OpenRequests() - requests that are not answered in full */
+size_t Proxy_OpenRequests(const Proxy *this);
+
+#endif
--- /dev/null
+++ b/packages/net/ProxyHeaders.c
@@ -0,0 +1,130 @@
+#include "ProxyHeaders.h"
+
+#define DEADLINE_MAX_MS ((uint64_t)24 * 3600 * 1000)
+
+static bool
+is_internal(Str name)
+{
+    return Str_StartsWith(name, STR("agatecrank-"));
+}
+
+/* Fields named by Connection concern this connection only. */
+static bool
+is_named_by_connection(const HeaderList *headers, Str name)
+{
+    Str rest = HeaderList_Get(headers, STR("connection"));
+    Str field;
+
+    while (Str_Split(&rest, ',', &field)) {
+        if (Str_EqualIgnoreCase(Str_Trim(field), name)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+copy_end_to_end(const HeaderList *from, HeaderList *to)
+{
+    Str name, value;
+
+    for (size_t i = 0; i < HeaderList_Count(from); i++) {
+        HeaderList_At(from, i, &name, &value);
+        if (HeaderList_IsHopByHop(name) || is_internal(name) ||
+            is_named_by_connection(from, name) ||
+            Str_Equal(name, STR("content-length"))) {
+            continue;
+        }
+        HeaderList_Add(to, name, value);
+    }
+}
+
+HeaderList *
+ProxyHeaders_ForUpstream(const HeaderList *from, const ForwardInfo *info)
+{
+    HeaderList *to = HeaderList_Create();
+
+    copy_end_to_end(from, to);
+    HeaderList_Remove(to, STR("host"));
+    HeaderList_Remove(to, STR("authorization"));
+    HeaderList_Remove(to, STR("expect"));
+    /* The library adds these two to each request by itself. */
+    HeaderList_Remove(to, STR("pragma"));
+    HeaderList_Remove(to, STR("cache-control"));
+    HeaderList_Set(to, STR("x-request-id"), info->request_id);
+    HeaderList_Add(to, STR("agatecrank-caller"), info->caller);
+    HeaderList_Add(to, STR("agatecrank-line"), info->line);
+    HeaderList_AddInt(to, STR("agatecrank-deadline-ms"),
+                      info->left > 0 ? info->left / MICROS_PER_MS : 0);
+    HeaderList_AddInt(to, STR("agatecrank-hops"), info->hops);
+    if (info->retrying) {
+        HeaderList_Add(to, STR("agatecrank-retrying"), STR("1"));
+    }
+    return to;
+}
+
+HeaderList *
+ProxyHeaders_ForCaller(const HeaderList *from, Str request_id, Outcome outcome)
+{
+    HeaderList *to = HeaderList_Create();
+
+    copy_end_to_end(from, to);
+    HeaderList_Set(to, STR("x-request-id"), request_id);
+    HeaderList_Add(to, STR("agatecrank-outcome"),
+                   Str_FromC(Outcome_Word(outcome)));
+    return to;
+}
+
+HeaderList *
+ProxyHeaders_OwnAnswer(Str request_id, Outcome outcome, const char *reason,
+                       Micros retry_after, GString *body)
+{
+    HeaderList *to = HeaderList_Create();
+    Micros seconds = (retry_after + MICROS_PER_S - 1) / MICROS_PER_S;
+
+    HeaderList_Add(to, STR("content-type"), STR("application/json"));
+    HeaderList_Add(to, STR("x-request-id"), request_id);
+    HeaderList_Add(to, STR("agatecrank-outcome"),
+                   Str_FromC(Outcome_Word(outcome)));
+    HeaderList_Add(to, STR("agatecrank-reason"), Str_FromC(reason));
+    g_string_append_printf(body,
+                           "{\"outcome\":\"%s\",\"reason\":\"%s\","
+                           "\"request_id\":\"" STR_FORMAT "\"",
+                           Outcome_Word(outcome), reason,
+                           STR_ARGS(request_id));
+    if (retry_after > 0) {
+        HeaderList_AddInt(to, STR("retry-after"), seconds);
+        g_string_append_printf(body, ",\"retry_after_ms\":%" G_GINT64_FORMAT,
+                               retry_after / MICROS_PER_MS);
+    }
+    g_string_append(body, "}\n");
+    return to;
+}
+
+Str
+ProxyHeaders_Service(Str host)
+{
+    size_t length = 0;
+
+    while (length < host.length && host.data[length] != '.' &&
+           host.data[length] != ':') {
+        length++;
+    }
+    return (Str){host.data, length};
+}
+
+Micros
+ProxyHeaders_Deadline(const HeaderList *headers)
+{
+    uint64_t ms;
+    Str text = HeaderList_Get(headers, STR("agatecrank-deadline-ms"));
+
+    if (Str_ParseU64(text, &ms) < 0) {
+        return 0;
+    }
+    if (ms > DEADLINE_MAX_MS) {
+        ms = DEADLINE_MAX_MS;
+    }
+    /* A deadline of 0 has passed already; 1 us keeps it apart from none. */
+    return ms > 0 ? (Micros)ms * MICROS_PER_MS : 1;
+}
