Add the log service stand-in

Checked by hand with an HTTP client: offsets, long-poll wake, lost answer (stored, connection closed), 503, 413 above 256 KiB.

--- /dev/null
+++ b/standins/standin-log.c
@@ -0,0 +1,556 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "Control.h"
+#include "Random.h"
+
+#define RECORD_BYTES_MAX (256 * 1024)
+#define WAIT_MS_MAX 60000
+#define READ_RECORDS_DEFAULT 1000
+
+typedef struct Options_ {
+    int64_t port;
+    int64_t seed;
+    int64_t retain_count;
+    int64_t retain_ms;
+    int64_t delay_append_ms;
+    int64_t delay_read_ms;
+    int64_t lag_ms;
+    int64_t lose_next;
+    double lose_share;
+    int64_t max_appends_per_s;
+    int64_t max_read_bytes;
+    char *down;
+} Options;
+
+#define FIELD(name) offsetof(Options, name)
+
+static const Setting table[] = {
+    {"port", SETTING_INT, FIELD(port), false, "port, 0 for a free one"},
+    {"seed", SETTING_INT, FIELD(seed), false, "seed of random faults"},
+    {"retain-count", SETTING_INT, FIELD(retain_count), true,
+     "records kept in each stream, 0 for all"},
+    {"retain-ms", SETTING_INT, FIELD(retain_ms), true,
+     "age at which a record expires, 0 for never"},
+    {"delay-append-ms", SETTING_INT, FIELD(delay_append_ms), true,
+     "time before an append takes effect"},
+    {"delay-read-ms", SETTING_INT, FIELD(delay_read_ms), true,
+     "time before a read is served"},
+    {"lag-ms", SETTING_INT, FIELD(lag_ms), true,
+     "time until reads see a record"},
+    {"lose-next", SETTING_INT, FIELD(lose_next), true,
+     "number of next appends whose answer is lost after the write"},
+    {"lose-share", SETTING_REAL, FIELD(lose_share), true,
+     "share of appends whose answer is lost after the write"},
+    {"max-appends-per-s", SETTING_INT, FIELD(max_appends_per_s), true,
+     "appends above this rate get 503, 0 for no bound"},
+    {"max-read-bytes", SETTING_INT, FIELD(max_read_bytes), true,
+     "bytes of one read, at least one record is given"},
+    {"down", SETTING_TEXT, FIELD(down), true,
+     "no, 503, silent (no answer) or close"},
+};
+
+typedef struct Record_ {
+    uint64_t offset;
+    Micros wall;
+    Micros seen; /* monotonic time of the append */
+    GBytes *bytes;
+} Record;
+
+typedef struct Stream_ {
+    GQueue records; /* Record, oldest first */
+    uint64_t next;
+} Stream;
+
+typedef struct Counters_ {
+    int64_t appends;
+    int64_t refused;
+    int64_t lost;
+    int64_t reads;
+    int64_t read_bytes;
+    int64_t expired;
+} Counters;
+
+typedef struct LogService_ {
+    Options options;
+    Counters counters;
+    Clock *clock;
+    Random *random;
+    GHashTable *streams; /* name -> Stream */
+    GHashTable *waiting; /* HttpRequest -> itself: reads that wait */
+    double tokens;
+    Micros refilled;
+} LogService;
+
+static void
+free_record(void *pointer)
+{
+    Record *record = pointer;
+
+    g_bytes_unref(record->bytes);
+    g_free(record);
+}
+
+static void
+free_stream(void *pointer)
+{
+    Stream *stream = pointer;
+
+    g_queue_clear_full(&stream->records, free_record);
+    g_free(stream);
+}
+
+static Stream *
+get_stream(LogService *log, const HttpRequest *request)
+{
+    Str path = HttpRequest_Path(request);
+    Str prefix = STR("/streams/");
+    g_autofree char *name = NULL;
+    Stream *stream;
+
+    if (!Str_StartsWith(path, prefix) || path.length == prefix.length) {
+        return NULL;
+    }
+    name = g_strndup(path.data + prefix.length, path.length - prefix.length);
+    stream = g_hash_table_lookup(log->streams, name);
+    if (stream == NULL) {
+        stream = g_new0(Stream, 1);
+        g_queue_init(&stream->records);
+        g_hash_table_insert(log->streams, g_strdup(name), stream);
+    }
+    return stream;
+}
+
+static uint64_t
+first_offset(const Stream *stream)
+{
+    const Record *first = g_queue_peek_head((GQueue *)&stream->records);
+
+    return first != NULL ? first->offset : stream->next;
+}
+
+static void
+expire(LogService *log, Stream *stream)
+{
+    Micros now = Clock_Now(log->clock);
+    int64_t count = log->options.retain_count;
+    Micros age = log->options.retain_ms * MICROS_PER_MS;
+    Record *record;
+
+    while ((record = g_queue_peek_head(&stream->records)) != NULL) {
+        bool old = age > 0 && record->seen + age <= now;
+        bool over = count > 0 && stream->records.length > count;
+
+        if (!old && !over) {
+            return;
+        }
+        free_record(g_queue_pop_head(&stream->records));
+        log->counters.expired++;
+    }
+}
+
+/* Reads are served as by a replica that is lag_ms behind. */
+static uint64_t
+visible_next(const LogService *log, const Stream *stream)
+{
+    Micros limit = Clock_Now(log->clock) - log->options.lag_ms * MICROS_PER_MS;
+    const GList *link = stream->records.tail;
+
+    while (link != NULL && ((const Record *)link->data)->seen > limit) {
+        link = link->prev;
+    }
+    return link != NULL ? ((const Record *)link->data)->offset + 1
+                        : first_offset(stream);
+}
+
+/* Most reads want the newest records, so the search starts at the end. */
+static const GList *
+find_offset(const Stream *stream, uint64_t from)
+{
+    const GList *link = stream->records.tail;
+
+    if (link == NULL || ((const Record *)link->data)->offset < from) {
+        return NULL;
+    }
+    while (link->prev != NULL &&
+           ((const Record *)link->prev->data)->offset >= from) {
+        link = link->prev;
+    }
+    return link;
+}
+
+static void
+append_records(const LogService *log, const Stream *stream, uint64_t from,
+               uint64_t next, uint64_t max, GString *out)
+{
+    const GList *link = find_offset(stream, from);
+
+    for (; link != NULL && max > 0; link = link->next, max--) {
+        const Record *record = link->data;
+        gsize length;
+        const char *data = g_bytes_get_data(record->bytes, &length);
+
+        if (record->offset >= next ||
+            (out->len > 0 &&
+             out->len + length > (gsize)log->options.max_read_bytes)) {
+            return;
+        }
+        g_string_append_printf(
+            out,
+            "%" G_GUINT64_FORMAT " %" G_GINT64_FORMAT " %" G_GSIZE_FORMAT "\n",
+            record->offset, (gint64)(record->wall / MICROS_PER_MS), length);
+        g_string_append_len(out, data, (gssize)length);
+        g_string_append_c(out, '\n');
+    }
+}
+
+static void
+answer_read(LogService *log, HttpRequest *request, Stream *stream,
+            uint64_t next)
+{
+    uint64_t from = HttpRequest_Query(request, "from", 0);
+    uint64_t max = HttpRequest_Query(request, "max", READ_RECORDS_DEFAULT);
+    GString *body = g_string_new(NULL);
+    char headers[128];
+
+    from = MAX(from, first_offset(stream));
+    append_records(log, stream, from, next, max, body);
+    snprintf(headers, sizeof(headers),
+             "log-first: %" G_GUINT64_FORMAT "\r\nlog-next: %" G_GUINT64_FORMAT
+             "\r\n",
+             first_offset(stream), next);
+    log->counters.reads++;
+    log->counters.read_bytes += (int64_t)body->len;
+    g_hash_table_remove(log->waiting, request);
+    HttpRequest_Answer(request, 200, headers, (Str){body->str, body->len});
+    g_string_free(body, TRUE);
+}
+
+static void
+end_wait(void *user, HttpRequest *request)
+{
+    LogService *log = user;
+    Stream *stream = get_stream(log, request);
+
+    expire(log, stream);
+    answer_read(log, request, stream, visible_next(log, stream));
+}
+
+static bool
+has_news(LogService *log, HttpRequest *request, Stream *stream)
+{
+    uint64_t from = HttpRequest_Query(request, "from", 0);
+
+    return MAX(from, first_offset(stream)) < visible_next(log, stream);
+}
+
+static void
+serve_read(void *user, HttpRequest *request)
+{
+    LogService *log = user;
+    Stream *stream = get_stream(log, request);
+    uint64_t wait_ms = HttpRequest_Query(request, "wait_ms", 0);
+
+    expire(log, stream);
+    if (wait_ms == 0 || has_news(log, request, stream)) {
+        answer_read(log, request, stream, visible_next(log, stream));
+        return;
+    }
+    g_hash_table_add(log->waiting, request);
+    HttpRequest_After(
+        request, (Micros)MIN(wait_ms, WAIT_MS_MAX) * MICROS_PER_MS, end_wait);
+}
+
+static void
+wake_readers(LogService *log)
+{
+    g_autoptr(GList) requests = g_hash_table_get_keys(log->waiting);
+
+    for (GList *link = requests; link != NULL; link = link->next) {
+        HttpRequest *request = link->data;
+        Stream *stream = get_stream(log, request);
+
+        if (has_news(log, request, stream)) {
+            answer_read(log, request, stream, visible_next(log, stream));
+        }
+    }
+}
+
+typedef struct Wake_ {
+    lws_sorted_usec_list_t timer;
+    LogService *log;
+} Wake;
+
+static void
+on_wake(lws_sorted_usec_list_t *timer)
+{
+    Wake *wake = lws_container_of(timer, Wake, timer);
+
+    wake_readers(wake->log);
+    g_free(wake);
+}
+
+static struct lws_context *context;
+
+/* With a lag, a waiting read is woken when the record becomes visible. */
+static void
+wake_after_lag(LogService *log)
+{
+    Wake *wake;
+
+    if (log->options.lag_ms <= 0) {
+        wake_readers(log);
+        return;
+    }
+    wake = g_new0(Wake, 1);
+    wake->log = log;
+    lws_sul_schedule(context, 0, &wake->timer, on_wake,
+                     log->options.lag_ms * MICROS_PER_MS + MICROS_PER_MS);
+}
+
+static bool
+take_append_token(LogService *log)
+{
+    Micros now = Clock_Now(log->clock);
+    double rate = (double)log->options.max_appends_per_s;
+
+    if (rate <= 0) {
+        return true;
+    }
+    log->tokens += (double)(now - log->refilled) * rate / MICROS_PER_S;
+    log->tokens = MIN(log->tokens, MAX(rate / 10, 1.0));
+    log->refilled = now;
+    if (log->tokens < 1.0) {
+        return false;
+    }
+    log->tokens -= 1.0;
+    return true;
+}
+
+static bool
+loses_answer(LogService *log)
+{
+    if (log->options.lose_next > 0) {
+        log->options.lose_next--;
+        return true;
+    }
+    return Random_Unit(log->random) < log->options.lose_share;
+}
+
+static void
+serve_append(void *user, HttpRequest *request)
+{
+    LogService *log = user;
+    Stream *stream = get_stream(log, request);
+    Str body = Control_Body(request);
+    Record *record;
+
+    if (!take_append_token(log)) {
+        log->counters.refused++;
+        HttpRequest_Answer(request, 503, "", STR(""));
+        return;
+    }
+    record = g_new0(Record, 1);
+    record->offset = stream->next++;
+    record->wall = Clock_Wall(log->clock);
+    record->seen = Clock_Now(log->clock);
+    record->bytes = g_bytes_new(body.data, body.length);
+    g_queue_push_tail(&stream->records, record);
+    log->counters.appends++;
+    expire(log, stream);
+    if (loses_answer(log)) {
+        log->counters.lost++;
+        HttpRequest_Abort(request);
+    }
+    else {
+        HttpRequest_AnswerJson(
+            request, 200,
+            json_pack("{s:I}", "offset", (json_int_t)record->offset));
+    }
+    wake_after_lag(log);
+}
+
+static json_t *
+show(LogService *log)
+{
+    const Counters *c = &log->counters;
+    json_t *streams = json_object();
+    GHashTableIter iter;
+    gpointer name;
+    gpointer stream;
+
+    g_hash_table_iter_init(&iter, log->streams);
+    while (g_hash_table_iter_next(&iter, &name, &stream)) {
+        json_object_set_new(streams, name,
+                            json_pack("{s:I, s:I}", "first",
+                                      (json_int_t)first_offset(stream), "next",
+                                      (json_int_t)((Stream *)stream)->next));
+    }
+    return json_pack("{s:I, s:I, s:I, s:I, s:I, s:I, s:o, s:o}", "appends",
+                     c->appends, "refused", c->refused, "lost", c->lost,
+                     "reads", c->reads, "read_bytes", c->read_bytes, "expired",
+                     c->expired, "streams", streams, "settings",
+                     Settings_Show(table, G_N_ELEMENTS(table), &log->options));
+}
+
+static bool is_down(LogService *log, HttpRequest *request);
+
+static void
+serve_control(LogService *log, HttpRequest *request)
+{
+    Error error;
+    json_t *object;
+
+    if (strcmp(HttpRequest_Method(request), "POST") == 0) {
+        object = Control_Parse(request);
+        if (object == NULL) {
+            return;
+        }
+        if (Settings_Apply(table, G_N_ELEMENTS(table), &log->options, object,
+                           &error) < 0) {
+            json_decref(object);
+            Control_Refuse(request, &error);
+            return;
+        }
+        json_decref(object);
+    }
+    HttpRequest_AnswerJson(request, 200, show(log));
+}
+
+/* An outage also ends the reads that wait. */
+static void
+fail_readers(LogService *log)
+{
+    g_autoptr(GList) requests = g_hash_table_get_keys(log->waiting);
+
+    for (GList *link = requests; link != NULL; link = link->next) {
+        if (is_down(log, link->data)) {
+            g_hash_table_remove(log->waiting, link->data);
+        }
+    }
+}
+
+static void
+never(void *user, HttpRequest *request)
+{
+    (void)user;
+    (void)request;
+}
+
+static bool
+is_down(LogService *log, HttpRequest *request)
+{
+    const char *down = log->options.down;
+
+    if (strcmp(down, "no") == 0 || *down == '\0') {
+        return false;
+    }
+    log->counters.refused++;
+    if (strcmp(down, "503") == 0) {
+        HttpRequest_Answer(request, 503, "", STR(""));
+    }
+    else if (strcmp(down, "close") == 0) {
+        HttpRequest_Abort(request);
+    }
+    else {
+        HttpRequest_After(request, WAIT_MS_MAX * MICROS_PER_MS, never);
+    }
+    return true;
+}
+
+static void
+on_begin(void *user, HttpRequest *request)
+{
+    (void)user;
+    (void)request;
+}
+
+static void
+on_data(void *user, HttpRequest *request, Str piece)
+{
+    (void)user;
+    if (Control_Body(request).length <= 4 * RECORD_BYTES_MAX) {
+        Control_Keep(request, piece);
+    }
+}
+
+static void
+on_complete(void *user, HttpRequest *request)
+{
+    LogService *log = user;
+    bool post = strcmp(HttpRequest_Method(request), "POST") == 0;
+
+    if (Str_Equal(HttpRequest_Path(request), STR("/control"))) {
+        serve_control(log, request);
+        fail_readers(log);
+        wake_readers(log);
+        return;
+    }
+    if (is_down(log, request)) {
+        return;
+    }
+    if (get_stream(log, request) == NULL) {
+        HttpRequest_Answer(request, 404, "", STR(""));
+        return;
+    }
+    if (post && HttpRequest_Length(request) > RECORD_BYTES_MAX) {
+        HttpRequest_Answer(request, 413, "", STR(""));
+        return;
+    }
+    HttpRequest_After(request,
+                      MICROS_PER_MS * (post ? log->options.delay_append_ms
+                                            : log->options.delay_read_ms),
+                      post ? serve_append : serve_read);
+}
+
+static void
+on_gone(void *user, HttpRequest *request, bool answered)
+{
+    LogService *log = user;
+
+    (void)answered;
+    g_hash_table_remove(log->waiting, request);
+    Control_Drop(request);
+}
+
+int
+main(int argc, char **argv)
+{
+    static const HttpHandlers handlers = {on_begin, on_data, on_complete,
+                                          on_gone};
+    LogService log = {.options = {.seed = 1,
+                                  .max_read_bytes = 4 * 1024 * 1024,
+                                  .down = "no"}};
+    HttpServer *server;
+    int code =
+        Settings_Parse(table, G_N_ELEMENTS(table), &log.options, argc, argv);
+
+    if (code != 0) {
+        Settings_Clear(table, G_N_ELEMENTS(table), &log.options);
+        return code < 0 ? 2 : 0;
+    }
+    log.clock = Clock_CreateSystem();
+    log.random = Random_Create((uint64_t)log.options.seed);
+    log.streams =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_stream);
+    log.waiting = g_hash_table_new(NULL, NULL);
+    context = HttpServer_CreateContext();
+    server =
+        HttpServer_Create(context, (int)log.options.port, &handlers, &log);
+    if (server == NULL) {
+        fprintf(stderr, "can not listen on port %d\n", (int)log.options.port);
+        return 1;
+    }
+    printf("port=%d\n", HttpServer_Port(server));
+    fflush(stdout);
+    HttpServer_Run(context);
+    lws_context_destroy(context);
+    HttpServer_Destroy(server);
+    g_hash_table_destroy(log.waiting);
+    g_hash_table_destroy(log.streams);
+    Random_Destroy(log.random);
+    Clock_Destroy(log.clock);
+    Settings_Clear(table, G_N_ELEMENTS(table), &log.options);
+    return 0;
+}
