Serve the stand-ins from raw sockets with a strict reader

The HTTP server role of libwebsockets 4.1.6 does not read a connection while its answer is pending: a closed caller was noticed only when the answer was written, and the poll loop span meanwhile (seen with strace: POLLIN every 0.05 ms). HttpServer now takes raw connections from the same library and reads requests by HttpMessage, which refuses ambiguous framing and counts it, so an upstream also shows whether a balancer forwards such requests.

--- /dev/null
+++ b/standins/HttpConnection.c
@@ -0,0 +1,227 @@
+#include "HttpConnection.h"
+
+#include <string.h>
+
+#define PIECE_BYTES (64 * 1024)
+#define HEADER_ROOM 4096
+#define PIPELINED_BYTES_MAX (1024 * 1024)
+
+HttpConnection *
+HttpConnection_Create(HttpServer *server, struct lws *wsi)
+{
+    HttpConnection *this = g_new0(HttpConnection, 1);
+
+    this->server = server;
+    this->wsi = wsi;
+    this->input = g_string_new(NULL);
+    server->opened++;
+    g_hash_table_add(server->connections, this);
+    return this;
+}
+
+void
+HttpConnection_Destroy(HttpConnection *this)
+{
+    if (this == NULL) {
+        return;
+    }
+    if (this->request != NULL) {
+        HttpRequest_Destroy(this->request, false);
+    }
+    g_hash_table_remove(this->server->connections, this);
+    g_string_free(this->input, TRUE);
+    g_free(this);
+}
+
+static int
+send_text(HttpConnection *this, const char *text)
+{
+    unsigned char buffer[LWS_PRE + 128];
+    size_t length = strlen(text);
+
+    memcpy(buffer + LWS_PRE, text, length);
+    return lws_write(this->wsi, buffer + LWS_PRE, length, LWS_WRITE_RAW);
+}
+
+static int
+refuse_malformed(HttpConnection *this)
+{
+    this->server->malformed++;
+    this->closing = true;
+    lws_callback_on_writable(this->wsi);
+    return send_text(this, "HTTP/1.1 400 Bad Request\r\n"
+                           "content-length: 0\r\nconnection: close\r\n\r\n");
+}
+
+static void
+complete_request(HttpRequest *request)
+{
+    HttpServer *server = request->connection->server;
+
+    request->completed = true;
+    server->handlers->complete(server->user, request);
+}
+
+/* Takes what belongs to the body off @bytes. */
+static void
+take_body(HttpRequest *request, Str *bytes)
+{
+    HttpServer *server = request->connection->server;
+    size_t piece =
+        MIN(bytes->length, request->message.length - request->received);
+
+    request->received += piece;
+    if (piece > 0 && server->handlers->data != NULL) {
+        server->handlers->data(server->user, request,
+                               (Str){bytes->data, piece});
+    }
+    bytes->data += piece;
+    bytes->length -= piece;
+    if (request->received == request->message.length) {
+        complete_request(request);
+    }
+}
+
+/* Return: 1 if a request began, 0 if more bytes are needed, -1 to close. */
+static int
+begin_request(HttpConnection *this)
+{
+    static HttpMessage message;
+    Str bytes = {this->input->str, this->input->len};
+    HttpRequest *request;
+    int code = HttpMessage_Parse(&message, bytes);
+
+    if (code < 0 || (code == 1 && message.chunked)) {
+        return refuse_malformed(this) < 0 ? -1 : 0;
+    }
+    if (code == 0) {
+        return 0;
+    }
+    request = HttpRequest_Create(this, (Str){bytes.data, message.bytes});
+    this->request = request;
+    g_string_erase(this->input, 0, (gssize)message.bytes);
+    if (HttpMessage_Has(&request->message, STR("expect")) &&
+        send_text(this, "HTTP/1.1 100 Continue\r\n\r\n") < 0) {
+        return -1;
+    }
+    this->server->handlers->begin(this->server->user, request);
+    return 1;
+}
+
+/* Serves what is buffered, up to a request that waits for its answer. */
+static int
+process_input(HttpConnection *this)
+{
+    while (!this->kill && !this->closing) {
+        Str bytes;
+
+        if (this->request == NULL) {
+            int code = this->input->len > 0 ? begin_request(this) : 0;
+
+            if (code <= 0) {
+                return code;
+            }
+        }
+        if (this->request->completed) {
+            return 0;
+        }
+        bytes = (Str){this->input->str, this->input->len};
+        take_body(this->request, &bytes);
+        g_string_erase(this->input, 0,
+                       (gssize)(this->input->len - bytes.length));
+        if (this->request != NULL && !this->request->completed) {
+            return 0;
+        }
+    }
+    return this->kill ? -1 : 0;
+}
+
+int
+HttpConnection_OnBytes(HttpConnection *this, Str bytes)
+{
+    if (this->silent || this->closing) {
+        return 0;
+    }
+    if (this->kill) {
+        return -1;
+    }
+    /* The body of a long request is handed on without a copy. */
+    if (this->request != NULL && !this->request->completed &&
+        this->input->len == 0) {
+        take_body(this->request, &bytes);
+    }
+    if (this->input->len + bytes.length > PIPELINED_BYTES_MAX) {
+        return -1;
+    }
+    g_string_append_len(this->input, bytes.data, (gssize)bytes.length);
+    return process_input(this);
+}
+
+/* Headers and the first bytes of the body go out in one piece. */
+static int
+send_piece(HttpRequest *request)
+{
+    static unsigned char buffer[LWS_PRE + HEADER_ROOM + PIECE_BYTES];
+    size_t length = 0;
+    size_t piece;
+
+    if (!request->head_sent) {
+        length = request->answer_head->len;
+        if (length > HEADER_ROOM) {
+            return -1;
+        }
+        memcpy(buffer + LWS_PRE, request->answer_head->str, length);
+        request->head_sent = true;
+    }
+    piece =
+        MIN(sizeof(buffer) - LWS_PRE - length, request->send - request->sent);
+    if (piece > 0) {
+        request->fill(request->fill_user, request->sent,
+                      (char *)buffer + LWS_PRE + length, piece);
+    }
+    request->sent += piece;
+    length += piece;
+    return lws_write(request->connection->wsi, buffer + LWS_PRE, length,
+                     LWS_WRITE_RAW);
+}
+
+static int
+finish_answer(HttpConnection *this)
+{
+    HttpRequest *request = this->request;
+    bool close = request->close || request->send != request->announced ||
+                 !request->completed;
+
+    this->request = NULL;
+    HttpRequest_Destroy(request, true);
+    if (close) {
+        this->closing = true;
+        lws_callback_on_writable(this->wsi);
+        return 0;
+    }
+    return process_input(this);
+}
+
+int
+HttpConnection_OnWriteable(HttpConnection *this)
+{
+    HttpRequest *request = this->request;
+
+    if (this->closing || this->kill) {
+        return -1;
+    }
+    if (request == NULL || !request->answering || this->silent) {
+        return 0;
+    }
+    do {
+        if (send_piece(request) < 0) {
+            return -1;
+        }
+    } while (request->sent < request->send &&
+             !lws_send_pipe_choked(this->wsi));
+    if (request->sent < request->send) {
+        lws_callback_on_writable(this->wsi);
+        return 0;
+    }
+    return finish_answer(this);
+}
--- /dev/null
+++ b/standins/HttpRequest.c
@@ -0,0 +1,245 @@
+#include "HttpConnection.h"
+
+#include <string.h>
+
+static int
+hex_digit(char c)
+{
+    return g_ascii_xdigit_value(c);
+}
+
+static char *
+decode_path(Str path)
+{
+    GString *out = g_string_new(NULL);
+
+    for (size_t i = 0; i < path.length; i++) {
+        if (path.data[i] == '%' && i + 2 < path.length &&
+            hex_digit(path.data[i + 1]) >= 0 &&
+            hex_digit(path.data[i + 2]) >= 0) {
+            int byte =
+                hex_digit(path.data[i + 1]) * 16 + hex_digit(path.data[i + 2]);
+
+            g_string_append_c(out, (gchar)byte);
+            i += 2;
+            continue;
+        }
+        g_string_append_c(out, path.data[i]);
+    }
+    return g_string_free(out, FALSE);
+}
+
+static bool
+wants_close(const HttpMessage *message)
+{
+    Str connection = HttpMessage_Header(message, STR("connection"));
+
+    return Str_EqualIgnoreCase(connection, STR("close")) ||
+           Str_Equal(message->start[2], STR("HTTP/1.0"));
+}
+
+HttpRequest *
+HttpRequest_Create(HttpConnection *connection, Str bytes)
+{
+    HttpRequest *this = g_new0(HttpRequest, 1);
+    Str target;
+    Str path;
+
+    this->connection = connection;
+    this->head = g_string_new_len(bytes.data, (gssize)bytes.length);
+    HttpMessage_Parse(&this->message, (Str){this->head->str, this->head->len});
+    target = this->message.start[1];
+    Str_Split(&target, '?', &path);
+    this->method =
+        g_strndup(this->message.start[0].data, this->message.start[0].length);
+    this->path = decode_path(path);
+    this->query = g_strdup_printf("&" STR_FORMAT, STR_ARGS(target));
+    this->close = wants_close(&this->message);
+    return this;
+}
+
+void
+HttpRequest_Destroy(HttpRequest *this, bool answered)
+{
+    HttpServer *server = this->connection->server;
+
+    lws_sul_cancel(&this->timer);
+    if (server->handlers->gone != NULL) {
+        server->handlers->gone(server->user, this, answered);
+    }
+    if (this->answer_head != NULL) {
+        g_string_free(this->answer_head, TRUE);
+    }
+    if (this->body != NULL) {
+        g_bytes_unref(this->body);
+    }
+    g_string_free(this->head, TRUE);
+    g_free(this->method);
+    g_free(this->path);
+    g_free(this->query);
+    g_free(this);
+}
+
+const char *
+HttpRequest_Method(const HttpRequest *this)
+{
+    return this->method;
+}
+
+Str
+HttpRequest_Path(const HttpRequest *this)
+{
+    return Str_FromC(this->path);
+}
+
+uint64_t
+HttpRequest_Query(const HttpRequest *this, const char *name,
+                  uint64_t otherwise)
+{
+    g_autofree char *key = g_strdup_printf("&%s=", name);
+    const char *found = strstr(this->query, key);
+
+    if (found == NULL) {
+        return otherwise;
+    }
+    return g_ascii_strtoull(found + strlen(key), NULL, 10);
+}
+
+char *
+HttpRequest_Header(const HttpRequest *this, const char *name)
+{
+    Str value = HttpMessage_Header(&this->message, Str_FromC(name));
+
+    if (!HttpMessage_Has(&this->message, Str_FromC(name))) {
+        return NULL;
+    }
+    return g_strndup(value.data, value.length);
+}
+
+uint64_t
+HttpRequest_Length(const HttpRequest *this)
+{
+    return this->message.length;
+}
+
+void
+HttpRequest_SetData(HttpRequest *this, void *data)
+{
+    this->data = data;
+}
+
+void *
+HttpRequest_Data(const HttpRequest *this)
+{
+    return this->data;
+}
+
+HttpServer *
+HttpRequest_Server(const HttpRequest *this)
+{
+    return this->connection->server;
+}
+
+static void
+on_timer(lws_sorted_usec_list_t *timer)
+{
+    HttpRequest *this = lws_container_of(timer, HttpRequest, timer);
+
+    this->callback(this->connection->server->user, this);
+}
+
+void
+HttpRequest_After(HttpRequest *this, Micros delay,
+                  void (*callback)(void *user, HttpRequest *request))
+{
+    this->callback = callback;
+    lws_sul_schedule(this->connection->server->context, 0, &this->timer,
+                     on_timer, MAX(delay, 1));
+}
+
+static const char *
+status_text(int status)
+{
+    switch (status) {
+    case 200:
+        return "OK";
+    case 400:
+        return "Bad Request";
+    case 404:
+        return "Not Found";
+    case 413:
+        return "Payload Too Large";
+    case 500:
+        return "Internal Server Error";
+    case 503:
+        return "Service Unavailable";
+    case 504:
+        return "Gateway Timeout";
+    default:
+        return "Status";
+    }
+}
+
+void
+HttpRequest_AnswerStream(HttpRequest *this, int status, const char *headers,
+                         uint64_t length, uint64_t send, HttpFill *fill,
+                         void *user)
+{
+    bool head = strcmp(this->method, "HEAD") == 0;
+
+    if (this->answering) {
+        return;
+    }
+    this->answering = true;
+    this->answer_head = g_string_new(NULL);
+    g_string_printf(this->answer_head,
+                    "HTTP/1.1 %d %s\r\n"
+                    "content-length: %" G_GUINT64_FORMAT "\r\n"
+                    "%s%s\r\n",
+                    status, status_text(status), length,
+                    this->close ? "connection: close\r\n" : "", headers);
+    this->announced = head ? 0 : length;
+    this->send = head ? 0 : send;
+    this->fill = fill;
+    this->fill_user = user;
+    lws_callback_on_writable(this->connection->wsi);
+}
+
+static void
+fill_from_body(void *user, uint64_t offset, char *out, size_t length)
+{
+    const char *data = g_bytes_get_data(((HttpRequest *)user)->body, NULL);
+
+    memcpy(out, data + offset, length);
+}
+
+void
+HttpRequest_Answer(HttpRequest *this, int status, const char *headers,
+                   Str body)
+{
+    if (this->answering) {
+        return;
+    }
+    this->body = g_bytes_new(body.data, body.length);
+    HttpRequest_AnswerStream(this, status, headers, body.length, body.length,
+                             fill_from_body, this);
+}
+
+void
+HttpRequest_AnswerJson(HttpRequest *this, int status, json_t *json)
+{
+    char *text = json_dumps(json, JSON_COMPACT);
+
+    HttpRequest_Answer(this, status, "content-type: application/json\r\n",
+                       Str_FromC(text));
+    free(text);
+    json_decref(json);
+}
+
+void
+HttpRequest_Abort(HttpRequest *this)
+{
+    this->connection->kill = true;
+    lws_set_timeout(this->connection->wsi, PENDING_TIMEOUT_USER_OK,
+                    LWS_TO_KILL_ASYNC);
+}
--- a/standins/HttpServer.h
+++ b/standins/HttpServer.h
@@ -9,7 +9,13 @@
 #include "Error.h"
 #include "Str.h"
 
-/** typedef HttpServer - one listening loopback port with its handlers */
+/**
+ * typedef HttpServer - one listening loopback port with its handlers
+ *
+ * Connections are raw sockets of libwebsockets: its HTTP server role
+ * (4.1.6) does not read while an answer is pending, so it would notice a
+ * cancelled request only at the end and use a whole core until then.
+ */
 typedef struct HttpServer_ HttpServer;
 
 /** typedef HttpRequest - one request, from its headers to its answer's end */
@@ -17,7 +23,7 @@
 
 /**
  * struct HttpHandlers_ - what a program does with requests
- * @begin: the headers are there; HttpRequest_Header() works only in here
+ * @begin: the headers are there
  * @data: a piece of the body; may be NULL
  * @complete: the whole body is there; answer now or later
  * @gone: the answer was sent or the connection closed; the request is freed
@@ -79,6 +85,12 @@
 /** HttpServer_Connections() - number of open connections */
 uint32_t HttpServer_Connections(const HttpServer *this);
 
+/** HttpServer_Opened() - number of connections ever accepted */
+uint64_t HttpServer_Opened(const HttpServer *this);
+
+/** HttpServer_Malformed() - malformed or ambiguous requests, refused */
+uint64_t HttpServer_Malformed(const HttpServer *this);
+
 /** HttpRequest_Method() - upper-case name */
 const char *HttpRequest_Method(const HttpRequest *this);
 
--- a/standins/Upstream.c
+++ b/standins/Upstream.c
@@ -637,14 +637,16 @@
 
     return json_pack(
         "{s:s, s:i, s:i, s:i, s:i, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I, "
-        "s:I, s:I, s:I, s:o}",
+        "s:I, s:I, s:I, s:I, s:I, s:o}",
         "id", this->id, "port", Upstream_Port(this), "inflight",
         (int)this->running, "queued", (int)this->queue.length, "connections",
         (int)HttpServer_Connections(this->server), "requests", c->requests,
         "executed", c->executed, "ok", c->ok, "failed", c->failed, "shed",
         c->shed, "expired", c->expired, "cancelled", c->cancelled, "dropped",
         c->dropped, "crashes", c->crashes, "probes", c->probes, "busy_us",
-        c->busy_us, "settings",
+        c->busy_us, "opened", (json_int_t)HttpServer_Opened(this->server),
+        "malformed", (json_int_t)HttpServer_Malformed(this->server),
+        "settings",
         Settings_Show(UPSTREAM_SETTINGS, UPSTREAM_SETTINGS_COUNT,
                       &this->settings));
 }
