--- /dev/null
+++ b/packages/agatecrankd/Daemon.c
@@ -0,0 +1,424 @@
+#include "Daemon.h"
+
+#include <glib.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <sys/random.h>
+
+#include "Admin.h"
+#include "ClaimFollower.h"
+#include "ConfigFollower.h"
+#include "HostListClient.h"
+#include "LogSink.h"
+#include "Prober.h"
+#include "Proxy.h"
+
+#define TICK (5 * MICROS_PER_MS)
+#define SERIES_MAX 20000
+#define KEEP_IDLE_S 60
+#define CALLER_KEEP_ALIVE_S 60
+#define ATTEMPTS_MAX 3
+#define ANSWER_LIMIT_BYTES (64 * 1024)
+
+struct Daemon_ {
+    const Settings *settings;
+    Clock *clock;
+    LogSink *sink;
+    EventLog *log;
+    EventLog *decisions;
+    Counters *counters;
+    Random *random;
+    Loop *loop;
+    ConfigState *config;
+    ConfigSync *sync;
+    Balancer *balancer;
+    Proxy *proxy;
+    Prober *prober;
+    Admin *admin;
+    LogClient *log_client;
+    HostListClient *host_list;
+    ConfigFollower *config_follower;
+    ClaimFollower *claim_follower;
+    LoopTimer *timer;
+    char *host_id;
+    bool ready;
+    bool leaving;
+    Micros leave_until;
+    int exit_code;
+};
+
+static uint64_t
+random_seed(void)
+{
+    uint64_t seed = 0;
+
+    if (getrandom(&seed, sizeof(seed), 0) != sizeof(seed)) {
+        seed = (uint64_t)g_get_real_time();
+    }
+    return seed;
+}
+
+static const char *
+path_or_null(Str path)
+{
+    return path.length > 0 ? path.data : NULL;
+}
+
+/* ---- events --------------------------------------------------------- */
+
+static void
+update_ready(Daemon *this)
+{
+    bool ready = ConfigSync_Ready(this->sync) &&
+                 HostListClient_Age(this->host_list) >= 0;
+
+    if (ready == this->ready) {
+        return;
+    }
+    this->ready = ready;
+    Balancer_SetReady(this->balancer, ready);
+    if (EventLog_Begin(this->log, LOG_LEVEL_INFO, "ready")) {
+        EventLog_Int(this->log, "offset",
+                     (int64_t)ConfigState_Offset(this->config));
+        EventLog_End(this->log);
+    }
+}
+
+static void
+config_changed(void *user)
+{
+    Daemon *this = user;
+
+    Balancer_OnConfigChanged(this->balancer);
+    update_ready(this);
+    Proxy_Drain(this->proxy);
+}
+
+static void
+fetch_from_peer(void *user, const ConfigFetch *fetch, uint64_t choice)
+{
+    Daemon *this = user;
+
+    ConfigSync_OnFetchFailed(this->sync);
+}
+
+static void
+claim_event(void *user)
+{
+    Daemon *this = user;
+
+    Proxy_Drain(this->proxy);
+}
+
+static void
+carry_claim_action(void *user, const ClaimAction *action)
+{
+    Daemon *this = user;
+
+    if (action->kind == CLAIM_APPEND) {
+        ClaimFollower_Append(this->claim_follower, action);
+    }
+}
+
+static void
+set_hosts(Daemon *this, const HostEntry *entries, size_t count)
+{
+    GArray *hosts = g_array_new(FALSE, FALSE, sizeof(Str));
+    size_t own = SIZE_MAX;
+
+    for (size_t i = 0; i < count; i++) {
+        if (entries[i].role != HOST_BALANCER || entries[i].leaving) {
+            continue;
+        }
+        if (Str_Equal(entries[i].id, this->settings->host_id)) {
+            own = hosts->len;
+        }
+        g_array_append_val(hosts, entries[i].id);
+    }
+    if (own == SIZE_MAX) {
+        own = hosts->len;
+        g_array_append_val(hosts, this->settings->host_id);
+    }
+    Balancer_SetHosts(this->balancer, (const Str *)(void *)hosts->data,
+                      hosts->len, own);
+    g_array_free(hosts, TRUE);
+}
+
+static void
+host_list_changed(void *user, const HostEntry *entries, size_t count)
+{
+    Daemon *this = user;
+
+    set_hosts(this, entries, count);
+    Balancer_OnHostList(this->balancer, entries, count);
+    update_ready(this);
+    Proxy_Drain(this->proxy);
+}
+
+/* ---- leaving -------------------------------------------------------- */
+
+static void
+finish(Daemon *this, int code)
+{
+    size_t open = Proxy_OpenRequests(this->proxy);
+
+    this->exit_code = code;
+    if (EventLog_Begin(this->log, LOG_LEVEL_INFO, "stopped")) {
+        EventLog_Int(this->log, "interrupted_requests", (int64_t)open);
+        EventLog_End(this->log);
+    }
+    Loop_Stop(this->loop);
+}
+
+static void
+check_drained(Daemon *this)
+{
+    if (Proxy_OpenRequests(this->proxy) == 0) {
+        finish(this, EXIT_DRAINED);
+    }
+    else if (Clock_Now(this->clock) >= this->leave_until) {
+        finish(this, EXIT_INTERRUPTED);
+    }
+}
+
+static void
+on_signal(void *user, int number)
+{
+    Daemon *this = user;
+
+    if (this->leaving) {
+        finish(this, Proxy_OpenRequests(this->proxy) > 0 ? EXIT_INTERRUPTED
+                                                         : EXIT_DRAINED);
+        return;
+    }
+    this->leaving = true;
+    this->leave_until = Clock_Now(this->clock) +
+                        (Micros)this->settings->drain_timeout_s * MICROS_PER_S;
+    Admin_SetLeaving(this->admin);
+    if (EventLog_Begin(this->log, LOG_LEVEL_INFO, "leaving")) {
+        EventLog_Int(this->log, "signal", number);
+        EventLog_Int(this->log, "open_requests",
+                     (int64_t)Proxy_OpenRequests(this->proxy));
+        EventLog_End(this->log);
+    }
+    Proxy_StopListening(this->proxy);
+}
+
+static void
+tick(void *user)
+{
+    Daemon *this = user;
+
+    LoopTimer_Start(this->timer, TICK);
+    Balancer_OnTick(this->balancer);
+    Proxy_Drain(this->proxy);
+    if (this->leaving) {
+        check_drained(this);
+    }
+}
+
+/* ---- creation ------------------------------------------------------- */
+
+static void
+create_base(Daemon *this)
+{
+    const Settings *settings = this->settings;
+
+    this->clock = Clock_CreateSystem();
+    this->sink = LogSink_Create(this->clock, settings->host_id);
+    this->log = EventLog_Create(this->clock, (LogLevel)settings->log_level, 0,
+                                LogSink_Write, this->sink);
+    this->decisions = EventLog_Create(
+        this->clock, (LogLevel)settings->log_level,
+        settings->decision_lines_per_s, LogSink_Write, this->sink);
+    this->counters = Counters_Create(SERIES_MAX);
+    this->random = Random_Create(random_seed());
+}
+
+static void
+create_core(Daemon *this)
+{
+    const Settings *settings = this->settings;
+    ConfigOptions config = {.bootstrap_keys = settings->bootstrap_keys};
+    ConfigSyncOptions sync = {0};
+    BalancerOptions options = {
+        .router = RouterOptions_Default(),
+        .admission = {.mode = settings->limits_enabled ? ADMISSION_SHARED
+                                                       : ADMISSION_OFF,
+                      .hosts = 1},
+        .claims = ClaimsOptions_Default(settings->host_id,
+                                        Random_Next(this->random)),
+        .domain = settings->domain,
+        .attempts_max = ATTEMPTS_MAX,
+    };
+
+    options.router.policy = (RoutingPolicy)settings->routing_policy;
+    options.claims.partitions = settings->claims_partitions;
+    options.claims.answer_limit = ANSWER_LIMIT_BYTES;
+    sync.snapshots.interval =
+        (Micros)settings->snapshot_interval_s * MICROS_PER_S;
+    sync.snapshots.spread = (Micros)settings->snapshot_spread_s * MICROS_PER_S;
+    this->config = ConfigState_Create(&config);
+    this->sync = ConfigSync_Create(&sync, this->config, this->clock,
+                                   this->random, this->log);
+    this->balancer =
+        Balancer_Create(&options, this->config, this->clock, this->random,
+                        this->decisions, this->counters);
+}
+
+static int
+create_proxy(Daemon *this, Error *error)
+{
+    const Settings *settings = this->settings;
+    ProxyOptions options = {
+        .server = {.address = settings->listen.caller_address.data,
+                   .port = (uint16_t)settings->listen.caller_port,
+                   .keep_alive_s = CALLER_KEEP_ALIVE_S,
+                   .certificate_file =
+                       path_or_null(settings->tls.caller_certificate_file),
+                   .key_file = path_or_null(settings->tls.caller_key_file),
+                   .client_ca_file =
+                       path_or_null(settings->tls.caller_client_ca_file)},
+        .client = {.max_connections = 64,
+                   .keep_idle_s = KEEP_IDLE_S,
+                   .ca_file = path_or_null(settings->tls.upstream_ca_file)},
+        .request_buffer = settings->request_buffer_bytes,
+        .response_buffer = settings->response_buffer_bytes,
+        .answer_limit = ANSWER_LIMIT_BYTES,
+    };
+
+    this->proxy =
+        Proxy_Create(this->loop, this->balancer, this->random, this->counters,
+                     &options, carry_claim_action, this, error);
+    if (this->proxy == NULL) {
+        return ERR_IO;
+    }
+    this->prober = Prober_Create(this->loop, this->balancer, this->counters,
+                                 &options.client);
+    return 0;
+}
+
+static int
+create_platform(Daemon *this, Error *error)
+{
+    const Settings *settings = this->settings;
+    Micros timeout = (Micros)settings->log_timeout_ms * MICROS_PER_MS;
+    HttpClientOptions tls = {.ca_file =
+                                 path_or_null(settings->tls.log_ca_file)};
+    static const ConfigFollowerHandlers handlers = {config_changed,
+                                                    fetch_from_peer};
+
+    this->log_client =
+        LogClient_Create(this->loop, settings->log_url, &tls, error);
+    if (this->log_client == NULL) {
+        return ERR_INVALID;
+    }
+    this->host_list = HostListClient_Create(
+        this->loop, settings->host_list_url,
+        (Micros)settings->host_list_interval_ms * MICROS_PER_MS, &tls,
+        this->log, host_list_changed, this, error);
+    if (this->host_list == NULL) {
+        return ERR_INVALID;
+    }
+    this->config_follower = ConfigFollower_Create(
+        this->loop, this->sync, this->config, this->log_client, timeout,
+        this->log, &handlers, this);
+    this->claim_follower =
+        ClaimFollower_Create(this->loop, Balancer_Claims(this->balancer),
+                             settings->claims_partitions, this->log_client,
+                             timeout, claim_event, this);
+    return 0;
+}
+
+static int
+create_admin(Daemon *this, Error *error)
+{
+    const Settings *settings = this->settings;
+    AdminOptions options = {
+        .server = {.address = settings->listen.admin_address.data,
+                   .port = (uint16_t)settings->listen.admin_port,
+                   .keep_alive_s = CALLER_KEEP_ALIVE_S,
+                   .certificate_file =
+                       path_or_null(settings->tls.admin_certificate_file),
+                   .key_file = path_or_null(settings->tls.admin_key_file),
+                   .client_ca_file =
+                       path_or_null(settings->tls.admin_client_ca_file)},
+        .balancer = this->balancer,
+        .config = this->config,
+        .sync = this->sync,
+        .counters = this->counters,
+        .settings = settings,
+        .log_client = this->log_client,
+        .host_list = this->host_list,
+    };
+
+    this->admin = Admin_Create(this->loop, &options, error);
+    return this->admin != NULL ? 0 : ERR_IO;
+}
+
+Daemon *
+Daemon_Create(const Settings *settings, Error *error)
+{
+    Daemon *this = g_new0(Daemon, 1);
+
+    this->settings = settings;
+    create_base(this);
+    this->loop = Loop_Create(this->clock, this->log, error);
+    if (this->loop == NULL) {
+        Daemon_Destroy(this);
+        return NULL;
+    }
+    create_core(this);
+    if (create_proxy(this, error) < 0 || create_platform(this, error) < 0 ||
+        create_admin(this, error) < 0 ||
+        Loop_WatchSignals(this->loop, on_signal, this, error) < 0) {
+        Daemon_Destroy(this);
+        return NULL;
+    }
+    Balancer_SetHosts(this->balancer, &settings->host_id, 1, 0);
+    this->timer = LoopTimer_Create(this->loop, tick, this);
+    LoopTimer_Start(this->timer, TICK);
+    return this;
+}
+
+static void
+destroy_net(Daemon *this)
+{
+    LoopTimer_Destroy(this->timer);
+    if (this->claim_follower != NULL) {
+        ClaimFollower_Destroy(this->claim_follower);
+    }
+    if (this->config_follower != NULL) {
+        ConfigFollower_Destroy(this->config_follower);
+    }
+    if (this->prober != NULL) {
+        Prober_Destroy(this->prober);
+    }
+}
+
+void
+Daemon_Destroy(Daemon *this)
+{
+    /* The process ends next; sockets are closed by the loop, and the objects
+     * that its last callbacks use outlive it. */
+    if (this->loop != NULL) {
+        destroy_net(this);
+    }
+    EventLog_Destroy(this->decisions);
+    EventLog_Destroy(this->log);
+    LogSink_Destroy(this->sink);
+    g_free(this);
+}
+
+int
+Daemon_Run(Daemon *this)
+{
+    if (EventLog_Begin(this->log, LOG_LEVEL_INFO, "started")) {
+        EventLog_C(this->log, "version", AGATECRANK_VERSION);
+        EventLog_Str(this->log, "domain", this->settings->domain);
+        EventLog_Str(this->log, "deployment", this->settings->deployment);
+        EventLog_End(this->log);
+    }
+    Loop_Run(this->loop);
+    return this->exit_code;
+}
--- /dev/null
+++ b/packages/agatecrankd/LogSink.c
@@ -0,0 +1,91 @@
+#include "LogSink.h"
+
+#include <glib.h>
+#include <log4c.h>
+#include <stdio.h>
+
+#define CATEGORY "agatecrank"
+#define LAYOUT "agatecrank-line"
+
+struct LogSink_ {
+    const Clock *clock;
+    char *host;
+    log4c_category_t *category;
+};
+
+/* The message is a finished line, so the layout only ends it. */
+static const char *
+format_line(const log4c_layout_t *layout, const log4c_logging_event_t *event)
+{
+    static GString *buffer;
+
+    (void)layout;
+    if (buffer == NULL) {
+        buffer = g_string_sized_new(1024);
+    }
+    g_string_assign(buffer, event->evt_msg);
+    g_string_append_c(buffer, '\n');
+    return buffer->str;
+}
+
+static const log4c_layout_type_t line_layout = {LAYOUT, format_line};
+
+LogSink *
+LogSink_Create(const Clock *clock, Str host)
+{
+    LogSink *this = g_new0(LogSink, 1);
+    log4c_layout_t *layout;
+    log4c_appender_t *appender;
+
+    this->clock = clock;
+    this->host = g_strndup(host.data, host.length);
+    log4c_init();
+    log4c_layout_type_set(&line_layout);
+    layout = log4c_layout_get(LAYOUT);
+    log4c_layout_set_type(layout, &line_layout);
+    appender = log4c_appender_get("stderr");
+    log4c_appender_set_layout(appender, layout);
+    this->category = log4c_category_get(CATEGORY);
+    if (log4c_category_get_appender(this->category) == NULL) {
+        log4c_category_set_appender(this->category, appender);
+    }
+    log4c_category_set_priority(this->category, LOG4C_PRIORITY_DEBUG);
+    return this;
+}
+
+void
+LogSink_Destroy(LogSink *this)
+{
+    if (this == NULL) {
+        return;
+    }
+    log4c_fini();
+    g_free(this->host);
+    g_free(this);
+}
+
+static const struct {
+    int priority;
+    const char *word;
+} levels[] = {
+    [LOG_LEVEL_ERROR] = {LOG4C_PRIORITY_ERROR, "error"},
+    [LOG_LEVEL_WARN] = {LOG4C_PRIORITY_WARN, "warn"},
+    [LOG_LEVEL_INFO] = {LOG4C_PRIORITY_INFO, "info"},
+    [LOG_LEVEL_DEBUG] = {LOG4C_PRIORITY_DEBUG, "debug"},
+};
+
+void
+LogSink_Write(void *user, LogLevel level, Str line)
+{
+    LogSink *this = user;
+    Micros wall = Clock_Wall(this->clock);
+    GDateTime *time = g_date_time_new_from_unix_utc(wall / MICROS_PER_S);
+    char *text = g_date_time_format(time, "%Y-%m-%dT%H:%M:%S");
+
+    log4c_category_log(this->category, levels[level].priority,
+                       "time=%s.%06dZ level=%s host=%s " STR_FORMAT, text,
+                       (int)(wall % MICROS_PER_S), levels[level].word,
+                       this->host, STR_ARGS(line));
+    g_free(text);
+    g_date_time_unref(time);
+}
--- a/packages/config/Settings.h
+++ b/packages/config/Settings.h
@@ -2,17 +2,7 @@
 #define AGATECRANK_CONFIG_SETTINGS_H
 
 #include "Fields.h"
-
-/** enum RoutingPolicy_ - routing.policy, in the order of its words */
-typedef enum RoutingPolicy_ {
-    ROUTING_RANDOM,
-    ROUTING_ROUND_ROBIN,
-    ROUTING_LEAST_INFLIGHT,
-    ROUTING_TWO_CHOICES,
-    ROUTING_PROBED,
-    ROUTING_REPORTS,
-    ROUTING_SLOT_SHARES,
-} RoutingPolicy;
+#include "RoutingPolicy.h"
 
 /** struct ListenSettings_ - addresses and ports to listen on */
 typedef struct ListenSettings_ {
--- a/packages/core/Router.h
+++ b/packages/core/Router.h
@@ -8,24 +8,13 @@
 #include "Clock.h"
 #include "ProbeBudget.h"
 #include "Random.h"
+#include "RoutingPolicy.h"
 #include "SlotMessage.h"
 #include "Str.h"
 
 /** typedef Router - chooses the upstream of each request on one host */
 typedef struct Router_ Router;
 
-/** enum RoutingPolicy_ - setting "routing.policy" */
-typedef enum RoutingPolicy_ {
-    ROUTING_RANDOM,
-    ROUTING_ROUND_ROBIN,
-    ROUTING_LEAST_INFLIGHT,
-    ROUTING_TWO_CHOICES,
-    ROUTING_PROBED,
-    ROUTING_REPORTS,
-    ROUTING_SLOT_SHARES,
-    ROUTING_POLICIES
-} RoutingPolicy;
-
 /** enum RouterFault_ - planted faults that the checks must catch */
 typedef enum RouterFault_ {
     ROUTER_FAULT_NONE,
--- /dev/null
+++ b/packages/net/Admin.c
@@ -0,0 +1,402 @@
+#include "Admin.h"
+
+#include <glib.h>
+#include <string.h>
+
+#include "AdminReads.h"
+
+#define BODY_MAX_BYTES 4096
+
+struct Admin_ {
+    Loop *loop;
+    AdminOptions options;
+    HttpServer *server;
+    bool leaving;
+};
+
+static void
+answer_text(HttpRequest *request, int status, const char *type, Str text)
+{
+    HeaderList *headers = HeaderList_Create();
+
+    HeaderList_Add(headers, STR("content-type"), Str_FromC(type));
+    HttpRequest_Answer(request, status, headers, text);
+    HeaderList_Destroy(headers);
+}
+
+/* Takes the reference of @root. */
+static void
+answer_json(HttpRequest *request, int status, json_t *root)
+{
+    char *text = json_dumps(root, JSON_INDENT(2) | JSON_PRESERVE_ORDER);
+    GString *line = g_string_new(text);
+
+    g_string_append_c(line, '\n');
+    answer_text(request, status, "application/json",
+                (Str){line->str, line->len});
+    g_string_free(line, TRUE);
+    free(text);
+    json_decref(root);
+}
+
+static void
+answer_error(HttpRequest *request, int status, const char *code,
+             const char *text)
+{
+    json_t *root = json_object();
+
+    json_object_set_new(root, "error", json_string(code));
+    json_object_set_new(root, "text", json_string(text));
+    answer_json(request, status, root);
+}
+
+static void
+answer_ready(Admin *this, HttpRequest *request)
+{
+    ConfigSyncStatus sync;
+    const char *reason;
+
+    ConfigSync_Status(this->options.sync, &sync);
+    reason = this->leaving ? "leaving" : sync.reason;
+    if (!this->leaving && sync.ready &&
+        HostListClient_Age(this->options.host_list) < 0) {
+        reason = "no host list yet";
+        sync.ready = false;
+    }
+    if (this->leaving || !sync.ready) {
+        answer_error(request, 503, "not-ready", reason);
+        return;
+    }
+    answer_text(request, 200, "text/plain", STR("ready\n"));
+}
+
+static void
+update_gauges(const Admin *this)
+{
+    const AdminOptions *options = &this->options;
+    const ClaimsCounters *claims =
+        Claims_Counters(Balancer_Claims(options->balancer));
+    ConfigSyncStatus sync;
+
+    ConfigSync_Status(options->sync, &sync);
+    Counters_Set(options->counters, "agatecrank_open_requests", NULL, 0,
+                 (double)Balancer_OpenRequests(options->balancer));
+    Counters_Set(options->counters, "agatecrank_config_offset", NULL, 0,
+                 (double)sync.offset);
+    Counters_Set(options->counters, "agatecrank_log_up", NULL, 0,
+                 sync.log_up ? 1 : 0);
+    Counters_Set(options->counters, "agatecrank_log_read_age_seconds", NULL, 0,
+                 (double)sync.read_age / 1e6);
+    Counters_Set(options->counters, "agatecrank_log_appends", NULL, 0,
+                 (double)LogClient_Appends(options->log_client));
+    Counters_Set(options->counters, "agatecrank_log_bytes", NULL, 0,
+                 (double)LogClient_BytesMoved(options->log_client));
+    Counters_Set(options->counters, "agatecrank_host_list_age_seconds", NULL,
+                 0, (double)HostListClient_Age(options->host_list) / 1e6);
+    Counters_Set(options->counters, "agatecrank_claims_dispatched", NULL, 0,
+                 (double)claims->dispatched);
+    Counters_Set(options->counters, "agatecrank_claims_abandoned", NULL, 0,
+                 (double)claims->abandoned);
+    Counters_Set(
+        options->counters, "agatecrank_quarantine_entries", NULL, 0,
+        (double)Quarantine_Entries(Balancer_Quarantine(options->balancer)));
+}
+
+static void
+update_probe_gauges(const Admin *this)
+{
+    NameTable *services = Balancer_Services(this->options.balancer);
+    ConfigCursor cursor = {0};
+    const ConfigObject *object;
+
+    while ((object = ConfigState_Next(this->options.config, CONFIG_SERVICE,
+                                      &cursor)) != NULL) {
+        CounterLabel label = {"service", object->name};
+
+        if (NameTable_Find(services, object->name) == NAME_NONE) {
+            continue;
+        }
+        Counters_Set(this->options.counters,
+                     "agatecrank_probe_budget_requests_per_s", &label, 1,
+                     object->service.probe_requests_per_s);
+    }
+}
+
+static void
+answer_metrics(Admin *this, HttpRequest *request)
+{
+    GString *text = g_string_sized_new(65536);
+
+    update_gauges(this);
+    update_probe_gauges(this);
+    Counters_Write(this->options.counters, text);
+    answer_text(request, 200, "text/plain; version=0.0.4",
+                (Str){text->str, text->len});
+    g_string_free(text, TRUE);
+}
+
+static int
+hex_digit(char c)
+{
+    return g_ascii_xdigit_value(c);
+}
+
+static bool
+parse_hex64(const char *text, uint64_t *value)
+{
+    uint64_t n = 0;
+
+    for (int i = 0; i < 16; i++) {
+        int digit = hex_digit(text[i]);
+
+        if (digit < 0) {
+            return false;
+        }
+        n = n << 4 | (uint64_t)digit;
+    }
+    *value = n;
+    return true;
+}
+
+static void
+release_quarantine(Admin *this, HttpRequest *request, Str body,
+                   const ConfigObject *operator_)
+{
+    json_t *root = json_loadb(body.data, body.length, 0, NULL);
+    const char *line = json_string_value(json_object_get(root, "line"));
+    const char *text = json_string_value(json_object_get(root, "fingerprint"));
+    Fingerprint fingerprint = {0};
+
+    if (line == NULL || text == NULL || strlen(text) != 32 ||
+        !parse_hex64(text, &fingerprint.high) ||
+        !parse_hex64(text + 16, &fingerprint.low)) {
+        answer_error(request, 400, "invalid",
+                     "the body must be {\"line\":NAME,"
+                     "\"fingerprint\":32 hexadecimal digits}");
+        json_decref(root);
+        return;
+    }
+    fingerprint.line = NameTable_Find(Balancer_Lines(this->options.balancer),
+                                      Str_FromC(line));
+    if (!OperatorAuth_MayUseLine(operator_, Str_FromC(line)) ||
+        Quarantine_Release(Balancer_Quarantine(this->options.balancer),
+                           &fingerprint) < 0) {
+        answer_error(request, 404, "not-found",
+                     "no such fingerprint in your lines");
+    }
+    else {
+        answer_text(request, 200, "application/json",
+                    STR("{\"released\":true}\n"));
+    }
+    json_decref(root);
+}
+
+/* ---- signed calls ---------------------------------------------------- */
+
+static ConfigKind
+kind_of_path(Str path)
+{
+    static const struct {
+        const char *path;
+        ConfigKind kind;
+    } kinds[] = {
+        {"/v1/lines", CONFIG_LINE},         {"/v1/services", CONFIG_SERVICE},
+        {"/v1/callers", CONFIG_CALLER},     {"/v1/selectors", CONFIG_SELECTOR},
+        {"/v1/operators", CONFIG_OPERATOR},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(kinds); i++) {
+        if (Str_Equal(path, Str_FromC(kinds[i].path))) {
+            return kinds[i].kind;
+        }
+    }
+    return CONFIG_KINDS;
+}
+
+static json_t *
+read_path(Admin *this, Str path, const AdminQuery *query,
+          const ConfigObject *operator_, Error *error)
+{
+    const AdminOptions *options = &this->options;
+    ConfigKind kind = kind_of_path(path);
+    Str prefix = STR("/v1/publications/");
+
+    if (kind != CONFIG_KINDS) {
+        return AdminReads_Objects(options, kind, query, operator_);
+    }
+    if (Str_Equal(path, STR("/v1/status"))) {
+        return AdminReads_Status(options);
+    }
+    if (Str_Equal(path, STR("/v1/upstreams"))) {
+        return AdminReads_Upstreams(options, query);
+    }
+    if (Str_Equal(path, STR("/v1/shares"))) {
+        return AdminReads_Shares(options, query, operator_);
+    }
+    if (Str_Equal(path, STR("/v1/quarantine"))) {
+        return AdminReads_Quarantine(options, operator_);
+    }
+    if (Str_Equal(path, STR("/v1/explain"))) {
+        return AdminReads_Explain(options, query, operator_, error);
+    }
+    if (Str_StartsWith(path, prefix)) {
+        return AdminReads_Publication(
+            options,
+            (Str){path.data + prefix.length, path.length - prefix.length});
+    }
+    return NULL;
+}
+
+static void
+answer_signed(Admin *this, HttpRequest *request, Str body)
+{
+    AdminCall call = {
+        .method = HttpRequest_Method(request),
+        .target = HttpRequest_Path(request),
+        .body = body,
+    };
+    Error error = {.code = ERR_NOT_FOUND, .text = "no such resource"};
+    const ConfigObject *operator_;
+    AdminQuery query;
+    Str rest = call.target, path;
+    json_t *root;
+
+    if (OperatorAuth_Check(
+            &call,
+            HeaderList_Get(HttpRequest_Headers(request), STR("authorization")),
+            Clock_Wall(Loop_Clock(this->loop)), this->options.config,
+            &this->options.settings->bootstrap_keys, &operator_, &error) < 0) {
+        answer_error(request, 401, Error_Name(error.code), error.text);
+        return;
+    }
+    Str_Split(&rest, '?', &path);
+    if (AdminQuery_Parse(&query, rest, &error) < 0) {
+        answer_error(request, 400, Error_Name(error.code), error.text);
+        return;
+    }
+    if (Str_Equal(call.method, STR("POST")) &&
+        Str_Equal(path, STR("/v1/quarantine/release"))) {
+        release_quarantine(this, request, body, operator_);
+        return;
+    }
+    if (!Str_Equal(call.method, STR("GET"))) {
+        answer_error(request, 405, "method-not-allowed",
+                     "changes are published through the log");
+        return;
+    }
+    root = read_path(this, path, &query, operator_, &error);
+    if (root == NULL) {
+        answer_error(request, 404, Error_Name(error.code), error.text);
+        return;
+    }
+    answer_json(request, 200, root);
+}
+
+static bool
+answer_open(Admin *this, HttpRequest *request)
+{
+    Str path = HttpRequest_Path(request);
+
+    if (!Str_Equal(HttpRequest_Method(request), STR("GET"))) {
+        return false;
+    }
+    if (Str_Equal(path, STR("/healthz"))) {
+        answer_text(request, 200, "text/plain", STR("ok\n"));
+        return true;
+    }
+    if (Str_Equal(path, STR("/readyz"))) {
+        answer_ready(this, request);
+        return true;
+    }
+    if (Str_Equal(path, STR("/metrics"))) {
+        answer_metrics(this, request);
+        return true;
+    }
+    return false;
+}
+
+/* ---- server ---------------------------------------------------------- */
+
+static void
+on_request(void *user, HttpRequest *request)
+{
+    Admin *this = user;
+
+    HttpRequest_SetData(request, NULL);
+    if (answer_open(this, request)) {
+        return;
+    }
+    if (HttpRequest_ContentLength(request) > BODY_MAX_BYTES) {
+        answer_error(request, 413, "limit", "the body is too large");
+        return;
+    }
+    HttpRequest_SetData(request, g_string_new(NULL));
+}
+
+static void
+on_body(void *user, HttpRequest *request, Str data)
+{
+    GString *body = HttpRequest_Data(request);
+
+    if (body != NULL) {
+        g_string_append_len(body, data.data, (gssize)data.length);
+    }
+}
+
+static void
+on_body_end(void *user, HttpRequest *request)
+{
+    const GString *body = HttpRequest_Data(request);
+
+    if (body != NULL) {
+        answer_signed(user, request, (Str){body->str, body->len});
+    }
+}
+
+static void
+on_drained(void *user, HttpRequest *request)
+{
+}
+
+static void
+on_closed(void *user, HttpRequest *request, bool complete)
+{
+    GString *body = HttpRequest_Data(request);
+
+    if (body != NULL) {
+        g_string_free(body, TRUE);
+    }
+}
+
+static const HttpServerHandlers handlers = {
+    on_request, on_body, on_body_end, on_drained, on_closed,
+};
+
+Admin *
+Admin_Create(Loop *loop, const AdminOptions *options, Error *error)
+{
+    Admin *this = g_new0(Admin, 1);
+
+    this->loop = loop;
+    this->options = *options;
+    this->server =
+        HttpServer_Create(loop, &options->server, &handlers, this, error);
+    if (this->server == NULL) {
+        g_free(this);
+        return NULL;
+    }
+    return this;
+}
+
+void
+Admin_Destroy(Admin *this)
+{
+    HttpServer_Destroy(this->server);
+    g_free(this);
+}
+
+void
+Admin_SetLeaving(Admin *this)
+{
+    this->leaving = true;
+}
--- /dev/null
+++ b/packages/net/AdminReads.c
@@ -0,0 +1,401 @@
+#include "AdminReads.h"
+
+#include <glib.h>
+#include <string.h>
+
+#define SUBSET_MAX 64
+#define QUARANTINE_MAX 200
+
+static json_t *
+json_str(Str text)
+{
+    return json_stringn_nocheck(text.length ? text.data : "", text.length);
+}
+
+int
+AdminQuery_Parse(AdminQuery *this, Str text, Error *error)
+{
+    Str field, key;
+
+    memset(this, 0, sizeof(*this));
+    this->limit = ADMIN_LIMIT_DEFAULT;
+    while (Str_Split(&text, '&', &field)) {
+        Str_Split(&field, '=', &key);
+        if (Str_Equal(key, STR("service"))) {
+            this->service = field;
+        }
+        else if (Str_Equal(key, STR("caller"))) {
+            this->caller = field;
+        }
+        else if (Str_Equal(key, STR("after"))) {
+            this->after = field;
+        }
+        else if (!Str_Equal(key, STR("limit")) ||
+                 Str_ParseU64(field, &this->limit) < 0 || this->limit < 1 ||
+                 this->limit > ADMIN_LIMIT_MAX) {
+            return Error_Set(error, ERR_INVALID, "admin-query", STR(""),
+                             "unknown or wrong query field '" STR_FORMAT
+                             "'; limit is 1 to %d",
+                             STR_ARGS(key), ADMIN_LIMIT_MAX);
+        }
+    }
+    return 0;
+}
+
+json_t *
+AdminReads_Status(const AdminOptions *options)
+{
+    ConfigSyncStatus sync;
+    const ClaimsCounters *claims =
+        Claims_Counters(Balancer_Claims(options->balancer));
+    json_t *root = json_object();
+
+    ConfigSync_Status(options->sync, &sync);
+    json_object_set_new(root, "host", json_str(options->settings->host_id));
+    json_object_set_new(root, "deployment",
+                        json_str(options->settings->deployment));
+    json_object_set_new(root, "domain", json_str(options->settings->domain));
+    json_object_set_new(root, "version", json_string(AGATECRANK_VERSION));
+    json_object_set_new(root, "ready", json_boolean(sync.ready));
+    json_object_set_new(root, "reason", json_string(sync.reason));
+    json_object_set_new(root, "config_offset",
+                        json_integer((json_int_t)sync.offset));
+    json_object_set_new(
+        root, "config_accepted",
+        json_integer((json_int_t)ConfigState_Accepted(options->config)));
+    json_object_set_new(root, "log_up", json_boolean(sync.log_up));
+    json_object_set_new(root, "log_age_ms",
+                        json_integer(sync.read_age / MICROS_PER_MS));
+    json_object_set_new(
+        root, "host_list_age_ms",
+        json_integer(HostListClient_Age(options->host_list) / MICROS_PER_MS));
+    json_object_set_new(
+        root, "open_requests",
+        json_integer((json_int_t)Balancer_OpenRequests(options->balancer)));
+    json_object_set_new(
+        root, "log_appends",
+        json_integer((json_int_t)LogClient_Appends(options->log_client)));
+    json_object_set_new(root, "claims_dispatched",
+                        json_integer((json_int_t)claims->dispatched));
+    json_object_set_new(root, "claims_remembered",
+                        json_integer((json_int_t)Claims_RememberedKeys(
+                            Balancer_Claims(options->balancer))));
+    return root;
+}
+
+/* Services are seen by every operator, operators only by global ones. */
+static bool
+may_see(const ConfigObject *operator_, const ConfigObject *object)
+{
+    Str owner = ConfigObject_Owner(object);
+
+    if (object->kind == CONFIG_SERVICE) {
+        return true;
+    }
+    if (object->kind == CONFIG_LINE) {
+        return OperatorAuth_MayUseLine(operator_, object->name);
+    }
+    if (object->kind == CONFIG_OPERATOR) {
+        return operator_ == NULL || ConfigObject_IsGlobalOperator(operator_) ||
+               Str_Equal(operator_->name, object->name);
+    }
+    return OperatorAuth_MayUseLine(operator_, owner);
+}
+
+static int
+compare(Str a, Str b)
+{
+    size_t n = a.length < b.length ? a.length : b.length;
+    int order = n > 0 ? memcmp(a.data, b.data, n) : 0;
+
+    if (order != 0) {
+        return order;
+    }
+    return a.length < b.length ? -1 : a.length > b.length;
+}
+
+json_t *
+AdminReads_Objects(const AdminOptions *options, ConfigKind kind,
+                   const AdminQuery *query, const ConfigObject *operator_)
+{
+    json_t *root = json_object(), *items = json_array();
+    ConfigCursor cursor = {0};
+    const ConfigObject *object;
+
+    while ((object = ConfigState_Next(options->config, kind, &cursor)) !=
+           NULL) {
+        json_t *item;
+        GString *text;
+
+        if (compare(object->name, query->after) <= 0 ||
+            !may_see(operator_, object)) {
+            continue;
+        }
+        if (json_array_size(items) >= query->limit) {
+            json_object_set(
+                root, "next",
+                json_object_get(
+                    json_array_get(items, json_array_size(items) - 1),
+                    "name"));
+            break;
+        }
+        text = g_string_new(NULL);
+        ConfigObject_Write(object, text);
+        item = json_object();
+        json_object_set_new(item, "name", json_str(object->name));
+        json_object_set_new(item, "changed",
+                            json_integer((json_int_t)ConfigState_Changed(
+                                options->config, kind, object->name)));
+        json_object_set_new(item, "toml",
+                            json_str((Str){text->str, text->len}));
+        json_array_append_new(items, item);
+        g_string_free(text, TRUE);
+    }
+    json_object_set_new(root, "items", items);
+    return root;
+}
+
+static json_t *
+write_upstream(const AdminOptions *options, const DirectoryUpstream *upstream)
+{
+    json_t *item = json_object(), *labels = json_object();
+
+    json_object_set_new(item, "name", json_str(upstream->id));
+    json_object_set_new(
+        item, "service",
+        json_str(NameTable_Name(Balancer_Services(options->balancer),
+                                upstream->service)));
+    json_object_set_new(item, "domain", json_str(upstream->domain_name));
+    json_object_set_new(
+        item, "address",
+        json_sprintf("%s:%u", upstream->address, upstream->port));
+    json_object_set_new(item, "leaving", json_boolean(upstream->leaving));
+    json_object_set_new(
+        item, "inflight",
+        json_integer(Router_Inflight(Balancer_Router(options->balancer),
+                                     upstream->index)));
+    for (size_t i = 0; i < upstream->labels.count; i++) {
+        json_object_set_new(labels, upstream->labels.items[i].key.data,
+                            json_str(upstream->labels.items[i].value));
+    }
+    json_object_set_new(item, "labels", labels);
+    return item;
+}
+
+json_t *
+AdminReads_Upstreams(const AdminOptions *options, const AdminQuery *query)
+{
+    json_t *root = json_object(), *items = json_array();
+    const Directory *directory = Balancer_Directory(options->balancer);
+    uint64_t start = 0;
+
+    if (query->after.length > 0 && Str_ParseU64(query->after, &start) < 0) {
+        start = 0;
+    }
+    for (uint32_t i = (uint32_t)start; i < Directory_Limit(directory); i++) {
+        const DirectoryUpstream *upstream = Directory_At(directory, i);
+
+        if (upstream == NULL || !upstream->present ||
+            (query->service.length > 0 &&
+             !Str_Equal(query->service,
+                        NameTable_Name(Balancer_Services(options->balancer),
+                                       upstream->service)))) {
+            continue;
+        }
+        if (json_array_size(items) >= query->limit) {
+            json_object_set_new(root, "next", json_sprintf("%u", i));
+            break;
+        }
+        json_array_append_new(items, write_upstream(options, upstream));
+    }
+    json_object_set_new(root, "items", items);
+    return root;
+}
+
+static json_t *
+write_share(const AdminOptions *options, uint32_t service, uint32_t line)
+{
+    AdmissionView view;
+    json_t *item;
+
+    if (!Admission_View(Balancer_Admission(options->balancer), service, line,
+                        &view)) {
+        return NULL;
+    }
+    item = json_object();
+    json_object_set_new(
+        item, "line",
+        json_str(NameTable_Name(Balancer_Lines(options->balancer), line)));
+    json_object_set_new(item, "service",
+                        json_str(NameTable_Name(
+                            Balancer_Services(options->balancer), service)));
+    json_object_set_new(item, "short", json_boolean(view.short_of_capacity));
+    json_object_set_new(item, "limited", json_boolean(view.limited));
+    json_object_set_new(item, "demand_slots", json_real(view.demand));
+    json_object_set_new(item, "allowance_slots", json_real(view.allowance));
+    json_object_set_new(item, "queued", json_integer(view.queued));
+    json_object_set_new(item, "admitted",
+                        json_integer((json_int_t)view.admitted));
+    json_object_set_new(item, "refused",
+                        json_integer((json_int_t)view.refused));
+    return item;
+}
+
+json_t *
+AdminReads_Shares(const AdminOptions *options, const AdminQuery *query,
+                  const ConfigObject *operator_)
+{
+    json_t *root = json_object(), *items = json_array();
+    NameTable *services = Balancer_Services(options->balancer);
+    NameTable *lines = Balancer_Lines(options->balancer);
+
+    for (uint32_t s = 0; s < NameTable_Count(services); s++) {
+        if (query->service.length > 0 &&
+            !Str_Equal(query->service, NameTable_Name(services, s))) {
+            continue;
+        }
+        for (uint32_t l = 0; l < NameTable_Count(lines); l++) {
+            json_t *item;
+
+            if (json_array_size(items) >= query->limit ||
+                !OperatorAuth_MayUseLine(operator_,
+                                         NameTable_Name(lines, l))) {
+                continue;
+            }
+            item = write_share(options, s, l);
+            if (item != NULL) {
+                json_array_append_new(items, item);
+            }
+        }
+    }
+    json_object_set_new(root, "items", items);
+    return root;
+}
+
+json_t *
+AdminReads_Quarantine(const AdminOptions *options,
+                      const ConfigObject *operator_)
+{
+    QuarantineItem found[QUARANTINE_MAX];
+    size_t n = Quarantine_List(Balancer_Quarantine(options->balancer), found,
+                               QUARANTINE_MAX);
+    json_t *root = json_object(), *items = json_array();
+
+    for (size_t i = 0; i < n; i++) {
+        Str line = NameTable_Name(Balancer_Lines(options->balancer),
+                                  found[i].fingerprint.line);
+        json_t *item;
+
+        if (!OperatorAuth_MayUseLine(operator_, line)) {
+            continue;
+        }
+        item = json_object();
+        json_object_set_new(item, "line", json_str(line));
+        json_object_set_new(item, "fingerprint",
+                            json_sprintf("%016" G_GINT64_MODIFIER
+                                         "x%016" G_GINT64_MODIFIER "x",
+                                         found[i].fingerprint.high,
+                                         found[i].fingerprint.low));
+        json_object_set_new(item, "losses", json_integer(found[i].losses));
+        json_object_set_new(
+            item, "refused",
+            json_boolean(found[i].losses >= QUARANTINE_LOSSES &&
+                         !found[i].released));
+        json_object_set_new(item, "age_ms",
+                            json_integer(found[i].age / MICROS_PER_MS));
+        json_array_append_new(items, item);
+    }
+    json_object_set_new(root, "items", items);
+    return root;
+}
+
+static json_t *
+admitted_upstreams(const AdminOptions *options, const Admitted *admitted)
+{
+    json_t *items = json_array();
+    Directory *directory = Balancer_Directory(options->balancer);
+    uint32_t service = NameTable_Find(Balancer_Services(options->balancer),
+                                      admitted->service->name);
+    uint32_t subset[SUBSET_MAX];
+    size_t n = service == NAME_NONE
+                   ? 0
+                   : Router_Subset(Balancer_Router(options->balancer), service,
+                                   subset, SUBSET_MAX);
+
+    for (size_t i = 0; i < n; i++) {
+        const DirectoryUpstream *upstream = Directory_At(directory, subset[i]);
+
+        if (upstream != NULL &&
+            Labels_Match(&admitted->upstreams, &upstream->labels)) {
+            json_array_append_new(items, write_upstream(options, upstream));
+        }
+    }
+    return items;
+}
+
+json_t *
+AdminReads_Explain(const AdminOptions *options, const AdminQuery *query,
+                   const ConfigObject *operator_, Error *error)
+{
+    const ConfigObject *caller =
+        ConfigState_Find(options->config, CONFIG_CALLER, query->caller);
+    Admitted admitted;
+    json_t *root;
+    int code;
+
+    if (caller == NULL ||
+        !OperatorAuth_MayUseLine(operator_, caller->caller.line)) {
+        Error_Set(error, ERR_NOT_FOUND, "explain", query->caller,
+                  "no such caller in your lines");
+        return NULL;
+    }
+    code =
+        ConfigState_Select(options->config, caller, query->service, &admitted);
+    root = json_object();
+    json_object_set_new(root, "caller", json_str(caller->name));
+    json_object_set_new(root, "line", json_str(caller->caller.line));
+    json_object_set_new(root, "service", json_str(query->service));
+    json_object_set_new(root, "admitted", json_boolean(code == 0));
+    if (code < 0) {
+        json_object_set_new(
+            root, "reason",
+            json_string(code == ERR_NOT_FOUND
+                            ? "unknown-service"
+                            : "no selector admits the caller"));
+        return root;
+    }
+    json_object_set_new(root, "selector", json_str(admitted.selector->name));
+    json_object_set_new(root, "deadline_ms",
+                        json_integer(admitted.deadline / MICROS_PER_MS));
+    json_object_set_new(root, "share_percent", json_integer(admitted.share));
+    json_object_set_new(root, "require_key",
+                        json_boolean(admitted.service->service.require_key));
+    json_object_set_new(root, "upstreams",
+                        admitted_upstreams(options, &admitted));
+    return root;
+}
+
+json_t *
+AdminReads_Publication(const AdminOptions *options, Str path)
+{
+    ConfigVerdict verdict;
+    json_t *root = NULL;
+    Str author;
+
+    ConfigVerdict_Init(&verdict);
+    if (Str_Split(&path, '/', &author) &&
+        ConfigState_Verdict(options->config, author, path, &verdict) == 0) {
+        root = json_object();
+        json_object_set_new(root, "author", json_str(author));
+        json_object_set_new(root, "id", json_str(path));
+        json_object_set_new(root, "verdict",
+                            json_string(ConfigVerdict_Name(verdict.outcome)));
+        json_object_set_new(root, "offset",
+                            json_integer((json_int_t)verdict.offset));
+        json_object_set_new(
+            root, "text",
+            json_str((Str){verdict.text->str, verdict.text->len}));
+    }
+    ConfigVerdict_Clear(&verdict);
+    return root;
+}
--- /dev/null
+++ b/packages/net/AdminReads.h
@@ -0,0 +1,60 @@
+#ifndef AGATECRANK_NET_ADMINREADS_H
+#define AGATECRANK_NET_ADMINREADS_H
+
+#include <jansson.h>
+
+#include "Admin.h"
+#include "OperatorAuth.h"
+
+/**
+ * struct AdminQuery_ - query part of a read
+ * @limit: entries to return, at most ADMIN_LIMIT_MAX
+ * @after: name after which to go on
+ */
+typedef struct AdminQuery_ {
+    Str service;
+    Str caller;
+    Str after;
+    uint64_t limit;
+} AdminQuery;
+
+#define ADMIN_LIMIT_DEFAULT 100
+#define ADMIN_LIMIT_MAX 500
+
+/** AdminQuery_Parse() - 0, or ERR_INVALID for an unknown or wrong field */
+int AdminQuery_Parse(AdminQuery *this, Str text, Error *error);
+
+/** AdminReads_Status() - this host as a whole */
+json_t *AdminReads_Status(const AdminOptions *options);
+
+/** AdminReads_Objects() - objects of a kind that @operator_ may see */
+json_t *AdminReads_Objects(const AdminOptions *options, ConfigKind kind,
+                           const AdminQuery *query,
+                           const ConfigObject *operator_);
+
+/** AdminReads_Upstreams() - upstreams with what the router knows */
+json_t *AdminReads_Upstreams(const AdminOptions *options,
+                             const AdminQuery *query);
+
+/** AdminReads_Shares() - share and demand of the operator's lines */
+json_t *AdminReads_Shares(const AdminOptions *options, const AdminQuery *query,
+                          const ConfigObject *operator_);
+
+/** AdminReads_Quarantine() - fingerprints of the operator's lines */
+json_t *AdminReads_Quarantine(const AdminOptions *options,
+                              const ConfigObject *operator_);
+
+/**
+ * AdminReads_Explain() - why a caller's request would go where
+ *
+ * Return: NULL with @error filled if the caller may not be seen or is not
+ * known.
+ */
+json_t *AdminReads_Explain(const AdminOptions *options,
+                           const AdminQuery *query,
+                           const ConfigObject *operator_, Error *error);
+
+/** AdminReads_Publication() - verdict of "AUTHOR/ID", NULL if unknown */
+json_t *AdminReads_Publication(const AdminOptions *options, Str path);
+
+#endif
--- a/packages/net/HttpClient.c
+++ b/packages/net/HttpClient.c
@@ -272,7 +272,13 @@
             return -1;
         }
         receive_headers(slot->client, call);
-        return 0;
+        if (!call->no_answer_body) {
+            return 0;
+        }
+        /* The library would wait for a body that never comes, so the
+         * connection is given up after an answer without one. */
+        complete_call(call);
+        return -1;
     case LWS_CALLBACK_RECEIVE_CLIENT_HTTP:
         return lws_http_client_read(wsi, &cursor, &space) < 0 ? -1 : 0;
     case LWS_CALLBACK_RECEIVE_CLIENT_HTTP_READ:
--- a/packages/net/HttpServer.c
+++ b/packages/net/HttpServer.c
@@ -504,6 +504,12 @@
     return this;
 }
 
+uint16_t
+HttpServer_Port(const HttpServer *this)
+{
+    return (uint16_t)lws_get_vhost_listen_port(this->vhost);
+}
+
 void
 HttpServer_StopListening(HttpServer *this)
 {
--- a/packages/net/HttpServer.h
+++ b/packages/net/HttpServer.h
@@ -57,6 +57,9 @@
                               const HttpServerHandlers *handlers, void *user,
                               Error *error);
 
+/** HttpServer_Port() - TCP port, also if the options gave 0 */
+uint16_t HttpServer_Port(const HttpServer *this);
+
 /** HttpServer_StopListening() - accept no more, close kept-alive callers */
 void HttpServer_StopListening(HttpServer *this);
 
--- a/packages/net/Loop.c
+++ b/packages/net/Loop.c
@@ -133,6 +133,7 @@
 void
 Loop_Run(Loop *this)
 {
+    this->stopped = false;
     while (!this->stopped) {
         if (lws_service(this->context, 0) < 0) {
             return;
--- /dev/null
+++ b/tests/test_http.c
@@ -0,0 +1,371 @@
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "HttpFetch.h"
+#include "HttpServer.h"
+
+#define MANY_BYTES ((size_t)3 * 1024 * 1024)
+#define PIECE 20000
+#define TEST_TIMEOUT (4 * MICROS_PER_S)
+
+typedef struct Fixture_ {
+    Clock *clock;
+    Loop *loop;
+    HttpServer *server;
+    HttpFetch *fetch;
+    LoopTimer *slow;
+    HttpRequest *slow_request;
+    size_t to_write;
+    size_t waiting;
+    int code;
+    int status;
+    bool bytes_given;
+    size_t length;
+    bool pattern_ok;
+    uint64_t order;
+    uint64_t slow_order;
+    size_t server_closed_early;
+    char echoed[256];
+} Fixture;
+
+static char
+pattern_at(size_t i)
+{
+    return (char)('a' + i % 23);
+}
+
+static void
+write_more(Fixture *f, HttpRequest *request)
+{
+    char piece[PIECE];
+    size_t n = f->to_write < PIECE ? f->to_write : PIECE;
+    size_t start = MANY_BYTES - f->to_write;
+
+    for (size_t i = 0; i < n; i++) {
+        piece[i] = pattern_at(start + i);
+    }
+    HttpRequest_Write(request, (Str){piece, n});
+    f->to_write -= n;
+    if (f->to_write == 0) {
+        HttpRequest_Finish(request);
+    }
+}
+
+static void
+finish_slow(void *user)
+{
+    Fixture *f = user;
+    HeaderList *headers = HeaderList_Create();
+
+    HttpRequest_Answer(f->slow_request, 200, headers, STR("slow"));
+    HeaderList_Destroy(headers);
+}
+
+static void
+on_request(void *user, HttpRequest *request)
+{
+    Fixture *f = user;
+    HeaderList *headers = HeaderList_Create();
+    Str path = HttpRequest_Path(request);
+
+    HttpRequest_SetData(request, NULL);
+    if (Str_Equal(path, STR("/many"))) {
+        f->to_write = MANY_BYTES;
+        HttpRequest_StartAnswer(request, 200, headers, MANY_BYTES);
+        write_more(f, request);
+    }
+    else if (Str_Equal(path, STR("/chunked"))) {
+        f->to_write = MANY_BYTES;
+        HttpRequest_StartAnswer(request, 200, headers, HTTP_LENGTH_UNKNOWN);
+        write_more(f, request);
+    }
+    else if (Str_Equal(path, STR("/slow"))) {
+        f->slow_request = request;
+        LoopTimer_Start(f->slow, 200 * MICROS_PER_MS);
+    }
+    else if (Str_Equal(path, STR("/broken"))) {
+        HttpRequest_StartAnswer(request, 200, headers, 100);
+        HttpRequest_Write(request, STR("part"));
+    }
+    else if (Str_Equal(path, STR("/silent"))) {
+        HttpRequest_SetData(request, f);
+    }
+    else if (Str_Equal(path, STR("/upload"))) {
+        HttpRequest_SetData(request, g_new0(size_t, 1));
+    }
+    else {
+        g_snprintf(f->echoed, sizeof(f->echoed), STR_FORMAT " " STR_FORMAT,
+                   STR_ARGS(HttpRequest_Method(request)), STR_ARGS(path));
+        HttpRequest_Answer(request, 200, headers, STR("hello"));
+    }
+    HeaderList_Destroy(headers);
+}
+
+static void
+on_body(void *user, HttpRequest *request, Str data)
+{
+    size_t *received = HttpRequest_Data(request);
+
+    for (size_t i = 0; i < data.length; i++) {
+        g_assert_cmpint(data.data[i], ==, pattern_at(*received + i));
+    }
+    *received += data.length;
+}
+
+static void
+on_body_end(void *user, HttpRequest *request)
+{
+    HeaderList *headers;
+    char *text;
+
+    if (!Str_Equal(HttpRequest_Path(request), STR("/upload"))) {
+        return;
+    }
+    headers = HeaderList_Create();
+    text = g_strdup_printf("%zu", *(size_t *)HttpRequest_Data(request));
+    HttpRequest_Answer(request, 200, headers, Str_FromC(text));
+    g_free(text);
+    HeaderList_Destroy(headers);
+}
+
+static void
+on_drained(void *user, HttpRequest *request)
+{
+    Fixture *f = user;
+
+    if (Str_Equal(HttpRequest_Path(request), STR("/broken"))) {
+        HttpRequest_Abort(request);
+        return;
+    }
+    write_more(f, request);
+}
+
+static void
+on_closed(void *user, HttpRequest *request, bool complete)
+{
+    Fixture *f = user;
+
+    if (!complete) {
+        f->server_closed_early++;
+    }
+    if (Str_Equal(HttpRequest_Path(request), STR("/upload"))) {
+        g_free(HttpRequest_Data(request));
+    }
+}
+
+static const HttpServerHandlers handlers = {
+    on_request, on_body, on_body_end, on_drained, on_closed,
+};
+
+static void
+set_up(Fixture *f)
+{
+    HttpServerOptions options = {.address = "127.0.0.1", .keep_alive_s = 60};
+    Error error = {0};
+    char *url;
+
+    memset(f, 0, sizeof(*f));
+    f->clock = Clock_CreateSystem();
+    f->loop = Loop_Create(f->clock, NULL, &error);
+    f->server = HttpServer_Create(f->loop, &options, &handlers, f, &error);
+    g_assert_nonnull(f->server);
+    f->slow = LoopTimer_Create(f->loop, finish_slow, f);
+    url = g_strdup_printf("http://127.0.0.1:%u", HttpServer_Port(f->server));
+    f->fetch = HttpFetch_Create(f->loop, Str_FromC(url), 2 * MANY_BYTES, NULL,
+                                NULL, &error);
+    g_free(url);
+}
+
+static void
+tear_down(Fixture *f)
+{
+    LoopTimer_Destroy(f->slow);
+    Loop_Destroy(f->loop);
+    HttpFetch_Destroy(f->fetch);
+    HttpServer_Destroy(f->server);
+    Clock_Destroy(f->clock);
+}
+
+static void
+take_answer(void *user, const HttpFetchAnswer *answer)
+{
+    Fixture *f = user;
+
+    f->code = answer->code;
+    f->status = answer->status;
+    f->length = answer->body.length;
+    f->bytes_given = answer->bytes_given;
+    f->order++;
+    f->pattern_ok = true;
+    for (size_t i = 0; i < answer->body.length; i++) {
+        f->pattern_ok = f->pattern_ok && answer->body.data[i] == pattern_at(i);
+    }
+    if (answer->body.length == 4) {
+        f->slow_order = f->order;
+    }
+    f->waiting--;
+    if (f->waiting == 0) {
+        Loop_Stop(f->loop);
+    }
+}
+
+static void
+send_only(Fixture *f, Str method, Str path, Str body, Micros timeout)
+{
+    f->waiting++;
+    HttpFetch_Send(f->fetch, method, path, NULL, body, timeout, take_answer,
+                   f);
+}
+
+static void
+send_and_run(Fixture *f, Str method, Str path, Str body)
+{
+    send_only(f, method, path, body, TEST_TIMEOUT);
+    Loop_Run(f->loop);
+}
+
+/* Guards against bodies that are cut, reordered or wrongly framed. */
+static void
+test_whole_bodies(void)
+{
+    static const char *const paths[] = {"/many", "/chunked"};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(paths); i++) {
+        Fixture f;
+
+        set_up(&f);
+        send_and_run(&f, STR("GET"), Str_FromC(paths[i]), STR(""));
+        g_assert_cmpint(f.code, ==, 0);
+        g_assert_cmpint(f.status, ==, 200);
+        g_assert_cmpuint(f.length, ==, MANY_BYTES);
+        g_assert_true(f.pattern_ok);
+        tear_down(&f);
+    }
+}
+
+/* Guards against upload bytes that are lost or out of order. */
+static void
+test_upload(void)
+{
+    Fixture f;
+    char *body = g_malloc(MANY_BYTES);
+
+    for (size_t i = 0; i < MANY_BYTES; i++) {
+        body[i] = pattern_at(i);
+    }
+    set_up(&f);
+    send_and_run(&f, STR("POST"), STR("/upload"), (Str){body, MANY_BYTES});
+    g_assert_cmpint(f.code, ==, 0);
+    g_assert_cmpuint(f.length, ==, 7);
+    tear_down(&f);
+    g_free(body);
+}
+
+/* Guards against a slow answer that holds up another request. */
+static void
+test_no_head_of_line_blocking(void)
+{
+    Fixture f;
+
+    set_up(&f);
+    send_only(&f, STR("GET"), STR("/slow"), STR(""), TEST_TIMEOUT);
+    send_only(&f, STR("GET"), STR("/x"), STR(""), TEST_TIMEOUT);
+    send_only(&f, STR("GET"), STR("/y"), STR(""), TEST_TIMEOUT);
+    Loop_Run(f.loop);
+    g_assert_cmpuint(f.slow_order, ==, 3);
+    tear_down(&f);
+}
+
+/* Guards against a cut answer that looks whole. */
+static void
+test_broken_answer(void)
+{
+    Fixture f;
+
+    set_up(&f);
+    send_and_run(&f, STR("GET"), STR("/broken"), STR(""));
+    g_assert_cmpint(f.code, <, 0);
+    g_assert_true(f.bytes_given);
+    tear_down(&f);
+}
+
+/* Guards against a failed connect that counts as sent. */
+static void
+test_refused_connection(void)
+{
+    Fixture f;
+    Error error;
+
+    set_up(&f);
+    HttpFetch_Destroy(f.fetch);
+    f.fetch = HttpFetch_Create(f.loop, STR("http://127.0.0.1:1"), 100, NULL,
+                               NULL, &error);
+    send_and_run(&f, STR("GET"), STR("/x"), STR(""));
+    g_assert_cmpint(f.code, <, 0);
+    g_assert_false(f.bytes_given);
+    tear_down(&f);
+}
+
+static void
+test_methods(void)
+{
+    static const struct {
+        const char *method;
+        const char *path;
+        const char *seen;
+        size_t length;
+    } cases[] = {
+        {"GET", "/a%20b?x=1&y=%2F", "GET /a%20b?x=1&y=/", 5},
+        {"HEAD", "/a", "HEAD /a", 0},
+        {"DELETE", "/a", "DELETE /a", 5},
+        {"PATCH", "/a", "PATCH /a", 5},
+        {"PUT", "/a", "PUT /a", 5},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        Fixture f;
+
+        set_up(&f);
+        g_test_message("%s %s", cases[i].method, cases[i].path);
+        send_and_run(&f, Str_FromC(cases[i].method), Str_FromC(cases[i].path),
+                     STR(""));
+        g_assert_cmpint(f.code, ==, 0);
+        g_assert_cmpint(f.status, ==, 200);
+        g_assert_cmpstr(f.echoed, ==, cases[i].seen);
+        g_assert_cmpuint(f.length, ==, cases[i].length);
+        /* The connection must still be usable. */
+        send_and_run(&f, STR("GET"), STR("/again"), STR(""));
+        g_assert_cmpint(f.code, ==, 0);
+        tear_down(&f);
+    }
+}
+
+/* Guards against a peer that accepts and never answers. */
+static void
+test_silent_peer(void)
+{
+    Fixture f;
+
+    set_up(&f);
+    send_only(&f, STR("GET"), STR("/silent"), STR(""), 100 * MICROS_PER_MS);
+    Loop_Run(f.loop);
+    g_assert_cmpint(f.code, ==, ERR_TIMEOUT);
+    g_assert_true(f.bytes_given);
+    tear_down(&f);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/net/http/whole-bodies", test_whole_bodies);
+    g_test_add_func("/net/http/upload", test_upload);
+    g_test_add_func("/net/http/no-head-of-line-blocking",
+                    test_no_head_of_line_blocking);
+    g_test_add_func("/net/http/broken-answer", test_broken_answer);
+    g_test_add_func("/net/http/refused-connection", test_refused_connection);
+    g_test_add_func("/net/http/methods", test_methods);
+    g_test_add_func("/net/http/silent-peer", test_silent_peer);
+    return g_test_run();
+}
