--- a/packages/core/Admission.h
+++ b/packages/core/Admission.h
@@ -101,6 +101,7 @@
 
 /**
  * struct AdmissionResult_ - end of an admitted request
+ * @cost: as in the request
  * @charge: from the verdict
  * @busy: time in flight upstream, in microseconds
  */
@@ -108,6 +109,7 @@
     uint32_t service;
     uint32_t line;
     uint64_t caller;
+    double cost;
     Micros charge;
     Micros busy;
     AdmissionOutcome outcome;
@@ -213,12 +215,12 @@
 
 /**
  * Admission_OnLoad() - in-band load report of an upstream
- * @queue: requests waiting at the upstream
- * @slots: its slots, at least 1
+ * @held: requests that it runs or queues, without the one it answers
+ * @slots: its slots
  *
  * Without reports the latency above the lowest seen stands in.
  */
-void Admission_OnLoad(Admission *this, uint32_t service, uint32_t queue,
+void Admission_OnLoad(Admission *this, uint32_t service, uint32_t held,
                       uint32_t slots);
 
 /** Admission_OnPeerUsage() - an item of another host; old ones are ignored */
--- a/packages/core/RetryBudget.h
+++ b/packages/core/RetryBudget.h
@@ -14,7 +14,7 @@
  */
 typedef struct RetryBudget_ RetryBudget;
 
-/** Retries earned by one success, and allowed for one first attempt */
+/** Retries earned by one success */
 #define RETRY_BUDGET_SHARE 0.10
 
 /** enum RetryFailure - how the attempt ended */
@@ -81,9 +81,6 @@
 /** RetryBudget_Destroy() - release the budget */
 void RetryBudget_Destroy(RetryBudget *this);
 
-/** RetryBudget_OnFirstAttempt() - a request was sent for the first time */
-void RetryBudget_OnFirstAttempt(RetryBudget *this);
-
 /** RetryBudget_OnSuccess() - a complete response came for any attempt */
 void RetryBudget_OnSuccess(RetryBudget *this);
 
