--- /dev/null
+++ b/packages/config/ConfigDiff.c
@@ -0,0 +1,291 @@
+#include "ConfigDiff.h"
+
+#include <string.h>
+
+static void
+write_side(const ConfigObject *object, const Field *field, char sign,
+           GString *out)
+{
+    GString *text;
+
+    if (object == NULL) {
+        return;
+    }
+    text = g_string_new(NULL);
+    if (Fields_Write(field, object, text)) {
+        g_string_append_printf(out, "  %c %s", sign, text->str);
+    }
+    g_string_free(text, TRUE);
+}
+
+static bool
+field_differs(const Field *field, const ConfigObject *from,
+              const ConfigObject *to)
+{
+    GString *old = g_string_new(NULL);
+    GString *new = g_string_new(NULL);
+    bool differs;
+
+    if (from != NULL) {
+        Fields_Write(field, from, old);
+    }
+    if (to != NULL) {
+        Fields_Write(field, to, new);
+    }
+    differs = !g_string_equal(old, new);
+    g_string_free(old, TRUE);
+    g_string_free(new, TRUE);
+    return differs;
+}
+
+bool
+ConfigDiff_Objects(const ConfigObject *from, const ConfigObject *to,
+                   GString *out)
+{
+    const ConfigObject *any = to != NULL ? to : from;
+    char sign = '~';
+    size_t before = out->len;
+    size_t body;
+
+    if (any == NULL) {
+        return false;
+    }
+    if (from == NULL || to == NULL) {
+        sign = from == NULL ? '+' : '-';
+    }
+    g_string_append_printf(out, "%c %s." STR_FORMAT "\n", sign,
+                           ConfigObject_KindName(any->kind),
+                           STR_ARGS(any->name));
+    body = out->len;
+    for (const Field *field = ConfigObject_Fields(any->kind);
+         field->key != NULL; field++) {
+        if (field_differs(field, from, to)) {
+            write_side(from, field, '-', out);
+            write_side(to, field, '+', out);
+        }
+    }
+    if (sign == '~' && out->len == body) {
+        g_string_truncate(out, before);
+        return false;
+    }
+    return true;
+}
+
+size_t
+ConfigDiff_Document(const ConfigState *state, const ConfigDocument *document,
+                    GString *out)
+{
+    size_t changed = 0;
+    size_t count;
+    const ConfigObject *objects = ConfigDocument_Objects(document, &count);
+    const ConfigDeletion *deletions;
+
+    for (size_t i = 0; i < count; i++) {
+        changed += ConfigDiff_Objects(
+            ConfigState_Find(state, objects[i].kind, objects[i].name),
+            &objects[i], out);
+    }
+    deletions = ConfigDocument_Deletions(document, &count);
+    for (size_t i = 0; i < count; i++) {
+        changed += ConfigDiff_Objects(
+            ConfigState_Find(state, deletions[i].kind, deletions[i].name),
+            NULL, out);
+    }
+    return changed;
+}
+
+size_t
+ConfigDiff_States(const ConfigState *from, const ConfigState *to, GString *out)
+{
+    size_t changed = 0;
+
+    for (ConfigKind kind = 0; kind < CONFIG_KINDS; kind++) {
+        ConfigCursor cursor = {0};
+        const ConfigObject *object;
+
+        while ((object = ConfigState_Next(to, kind, &cursor)) != NULL) {
+            changed += ConfigDiff_Objects(
+                ConfigState_Find(from, kind, object->name), object, out);
+        }
+        cursor = (ConfigCursor){0};
+        while ((object = ConfigState_Next(from, kind, &cursor)) != NULL) {
+            if (ConfigState_Find(to, kind, object->name) == NULL) {
+                changed += ConfigDiff_Objects(object, NULL, out);
+            }
+        }
+    }
+    return changed;
+}
+
+/* What a caller may use at one service in one state; NULL: nothing. */
+static const Labels *
+upstreams_of(const ConfigState *state, Str caller, Str service,
+             Admitted *admitted)
+{
+    const ConfigObject *object =
+        ConfigState_Find(state, CONFIG_CALLER, caller);
+
+    if (object == NULL ||
+        ConfigState_Select(state, object, service, admitted) != 0) {
+        return NULL;
+    }
+    return &admitted->upstreams;
+}
+
+/* Upstreams of @service that @has selects and @lacks does not. */
+static size_t
+write_only_in(const Labels *has, const Labels *lacks, Str caller, Str service,
+              const DiffUpstream *upstreams, size_t count, const char *verb,
+              GString *out)
+{
+    GString *ids = g_string_new(NULL);
+    size_t found = 0;
+
+    for (size_t i = 0; has != NULL && i < count; i++) {
+        const DiffUpstream *upstream = &upstreams[i];
+
+        if (!Str_Equal(upstream->service, service) ||
+            !Labels_Match(has, &upstream->labels) ||
+            (lacks != NULL && Labels_Match(lacks, &upstream->labels))) {
+            continue;
+        }
+        if (found++ < DIFF_IDS_MAX) {
+            g_string_append_printf(ids, " " STR_FORMAT,
+                                   STR_ARGS(upstream->id));
+        }
+    }
+    if (found > 0) {
+        g_string_append_printf(out, STR_FORMAT " " STR_FORMAT " %s %zu:%s%s\n",
+                               STR_ARGS(caller), STR_ARGS(service), verb,
+                               found, ids->str,
+                               found > DIFF_IDS_MAX ? " ..." : "");
+    }
+    g_string_free(ids, TRUE);
+    return found > 0;
+}
+
+typedef struct Comparison_ {
+    const ConfigState *from;
+    const ConfigState *to;
+    const DiffUpstream *upstreams;
+    size_t count;
+    GString *out;
+} Comparison;
+
+static size_t
+compare_service(const Comparison *this, Str caller, Str service)
+{
+    Admitted old;
+    Admitted new;
+    const Labels *before = upstreams_of(this->from, caller, service, &old);
+    const Labels *after = upstreams_of(this->to, caller, service, &new);
+    size_t lines;
+
+    if (before == after ||
+        (before != NULL && after != NULL && Labels_Equal(before, after))) {
+        return 0;
+    }
+    lines = write_only_in(after, before, caller, service, this->upstreams,
+                          this->count, "gains", this->out);
+    return lines + write_only_in(before, after, caller, service,
+                                 this->upstreams, this->count, "loses",
+                                 this->out);
+}
+
+/* Services that selectors of each line name, in either state. */
+static GHashTable *
+services_by_line(const Comparison *this)
+{
+    GHashTable *lines = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+                                              (GDestroyNotify)g_tree_destroy);
+    const ConfigState *states[] = {this->from, this->to};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(states); i++) {
+        ConfigCursor cursor = {0};
+        const ConfigObject *object;
+
+        while ((object = ConfigState_Next(states[i], CONFIG_SELECTOR,
+                                          &cursor)) != NULL) {
+            const ConfigSelector *selector = &object->selector;
+            GTree *services = g_hash_table_lookup(lines, selector->line.data);
+
+            if (services == NULL) {
+                services = g_tree_new((GCompareFunc)strcmp);
+                g_hash_table_insert(lines, g_strdup(selector->line.data),
+                                    services);
+            }
+            g_tree_replace(services, (gpointer)selector->service.data,
+                           (gpointer)selector);
+        }
+    }
+    return lines;
+}
+
+static size_t
+compare_line(const Comparison *this, GHashTable *lines, Str caller, Str line)
+{
+    GTree *services = g_hash_table_lookup(lines, line.data);
+    size_t written = 0;
+
+    if (services == NULL) {
+        return 0;
+    }
+    for (GTreeNode *node = g_tree_node_first(services); node != NULL;
+         node = g_tree_node_next(node)) {
+        written +=
+            compare_service(this, caller, Str_FromC(g_tree_node_key(node)));
+    }
+    return written;
+}
+
+/* A caller that moved has two lines; a shared service is compared once. */
+static size_t
+compare_caller(const Comparison *this, GHashTable *lines, Str name)
+{
+    const ConfigObject *old =
+        ConfigState_Find(this->from, CONFIG_CALLER, name);
+    const ConfigObject *new = ConfigState_Find(this->to, CONFIG_CALLER, name);
+    GTree *other;
+    size_t written;
+
+    if (old == NULL || new == NULL ||
+        Str_Equal(old->caller.line, new->caller.line)) {
+        return compare_line(this, lines, name,
+                            new != NULL ? new->caller.line : old->caller.line);
+    }
+    written = compare_line(this, lines, name, new->caller.line);
+    other = g_hash_table_lookup(lines, old->caller.line.data);
+    for (GTreeNode *node = other ? g_tree_node_first(other) : NULL;
+         node != NULL; node = g_tree_node_next(node)) {
+        const char *service = g_tree_node_key(node);
+        GTree *seen = g_hash_table_lookup(lines, new->caller.line.data);
+
+        if (seen == NULL || g_tree_lookup(seen, service) == NULL) {
+            written += compare_service(this, name, Str_FromC(service));
+        }
+    }
+    return written;
+}
+
+size_t
+ConfigDiff_Access(const ConfigState *from, const ConfigState *to,
+                  const DiffUpstream *upstreams, size_t count, GString *out)
+{
+    Comparison comparison = {from, to, upstreams, count, out};
+    GHashTable *lines = services_by_line(&comparison);
+    ConfigCursor cursor = {0};
+    const ConfigObject *caller;
+    size_t written = 0;
+
+    while ((caller = ConfigState_Next(to, CONFIG_CALLER, &cursor)) != NULL) {
+        written += compare_caller(&comparison, lines, caller->name);
+    }
+    cursor = (ConfigCursor){0};
+    while ((caller = ConfigState_Next(from, CONFIG_CALLER, &cursor)) != NULL) {
+        if (ConfigState_Find(to, CONFIG_CALLER, caller->name) == NULL) {
+            written += compare_caller(&comparison, lines, caller->name);
+        }
+    }
+    g_hash_table_destroy(lines);
+    return written;
+}
--- /dev/null
+++ b/packages/config/ConfigLoad.c
@@ -0,0 +1,468 @@
+/*
+ * Reads the text form described in ConfigStore.c. Everything in it is
+ * checked: it may come from a peer, or from anybody who can append to the
+ * snapshots stream.
+ */
+#include <openssl/sha.h>
+#include <string.h>
+
+#include "ConfigStatePrivate.h"
+
+#define HEX_DIGEST (2 * SHA256_DIGEST_LENGTH)
+
+/* Reads a snapshot into an empty state. */
+typedef struct Loader_ {
+    ConfigState *state;
+    GHashTable *versions; /* operator name to Version */
+    uint64_t last;        /* offset of the last record */
+    bool any;
+} Loader;
+
+/* An operator as the record that defined it says. */
+typedef struct Version_ {
+    ConfigSource *source;
+    const ConfigObject *object;
+} Version;
+
+static void
+free_version(gpointer item)
+{
+    ConfigSource_Unref(((Version *)item)->source);
+    g_free(item);
+}
+
+static bool
+read_number(Str *rest, const char *word, uint64_t *value)
+{
+    Str line;
+    Str key;
+
+    return Str_Split(rest, '\n', &line) && Str_Split(&line, ' ', &key) &&
+           Str_Equal(key, Str_FromC(word)) && Str_ParseU64(line, value) == 0;
+}
+
+static bool
+read_hex(Str text, uint8_t *bytes, size_t length)
+{
+    if (text.length != 2 * length) {
+        return false;
+    }
+    for (size_t i = 0; i < length; i++) {
+        int high = g_ascii_xdigit_value(text.data[2 * i]);
+        int low = g_ascii_xdigit_value(text.data[2 * i + 1]);
+
+        if (high < 0 || low < 0) {
+            return false;
+        }
+        bytes[i] = (uint8_t)(high * 16 + low);
+    }
+    return true;
+}
+
+static bool
+may_change_all(const Loader *loader, const ConfigObject *author,
+               const ConfigDocument *document)
+{
+    size_t count;
+    const ConfigObject *objects = ConfigDocument_Objects(document, &count);
+
+    for (size_t i = 0; i < count; i++) {
+        if (!ConfigRule_MayChange(loader->state, author,
+                                  ConfigObject_Owner(&objects[i]))) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static void
+keep_versions(Loader *loader, ConfigSource *source)
+{
+    size_t count;
+    const ConfigObject *objects =
+        ConfigDocument_Objects(source->document, &count);
+    const ConfigDeletion *deletions;
+
+    for (size_t i = 0; i < count; i++) {
+        Version *version;
+
+        if (objects[i].kind != CONFIG_OPERATOR) {
+            continue;
+        }
+        version = g_new0(Version, 1);
+        version->source = ConfigSource_Ref(source);
+        version->object = &objects[i];
+        g_hash_table_replace(
+            loader->versions,
+            g_strndup(objects[i].name.data, objects[i].name.length), version);
+    }
+    deletions = ConfigDocument_Deletions(source->document, &count);
+    for (size_t i = 0; i < count; i++) {
+        char *name =
+            g_strndup(deletions[i].name.data, deletions[i].name.length);
+
+        if (deletions[i].kind == CONFIG_OPERATOR) {
+            g_hash_table_remove(loader->versions, name);
+        }
+        g_free(name);
+    }
+}
+
+/* Checks signature and rights as far as one record shows them. */
+static ConfigSource *
+verify_record(Loader *loader, uint64_t offset, Str record, Error *error)
+{
+    Publication *publication = Publication_Parse(record, error);
+    Faults *faults = Faults_Create(STR(""));
+    const ConfigObject *author = NULL;
+    ConfigDocument *document = NULL;
+    ConfigSource *source = NULL;
+    const Version *version = NULL;
+
+    if (publication != NULL) {
+        document = ConfigDocument_Parse(
+            (Str){publication->document->str, publication->document->len},
+            faults);
+    }
+    if (document != NULL) {
+        version = g_hash_table_lookup(loader->versions, publication->author);
+        author = version != NULL ? version->object : NULL;
+        if (!loader->any) {
+            author =
+                ConfigRule_FindBootstrap(loader->state, publication, document);
+        }
+    }
+    if (author != NULL && publication->base <= offset &&
+        Publication_Verify(publication, &author->operator_.public_key) &&
+        may_change_all(loader, author, document)) {
+        source = ConfigSource_Create(offset, record, document,
+                                     version ? version->source : NULL);
+        keep_versions(loader, source);
+    }
+    else {
+        ConfigDocument_Destroy(document);
+        Error_Set(error, ERR_DENIED, "snapshot-load", STR(""),
+                  "record %llu: no operator with this right signed it",
+                  (unsigned long long)offset);
+    }
+    Faults_Destroy(faults);
+    Publication_Destroy(publication);
+    return source;
+}
+
+static bool
+read_change(Str item, const ConfigSource *source, ConfigChange *change,
+            ConfigState *state)
+{
+    size_t objects;
+    size_t deletions;
+    const ConfigObject *object =
+        ConfigDocument_Objects(source->document, &objects);
+    const ConfigDeletion *deletion =
+        ConfigDocument_Deletions(source->document, &deletions);
+    bool live = item.length > 0 && item.data[0] == 'o';
+    uint64_t index;
+    Str number;
+    Str owner = {NULL, 0};
+
+    if (item.length < 2 || (!live && item.data[0] != 'd')) {
+        return false;
+    }
+    owner = (Str){item.data + 1, item.length - 1};
+    if (!Str_Split(&owner, ':', &number) ||
+        Str_ParseU64(number, &index) != 0 ||
+        index >= (live ? objects : deletions)) {
+        return false;
+    }
+    if (live) {
+        change->entry = ConfigTable_Get(state->table, object[index].kind,
+                                        object[index].name);
+        change->object = &object[index];
+        return true;
+    }
+    if (!Str_Equal(owner, STR("-")) && !Fields_IsName(owner)) {
+        return false;
+    }
+    change->entry = ConfigTable_Get(state->table, deletion[index].kind,
+                                    deletion[index].name);
+    change->owner = Str_Equal(owner, STR("-"))
+                        ? g_strdup("")
+                        : g_strndup(owner.data, owner.length);
+    return true;
+}
+
+static bool
+take_item(Loader *loader, Str item, ConfigSource *source)
+{
+    ConfigState *state = loader->state;
+    ConfigChange change = {0};
+    const ConfigEntry *clash;
+
+    if (!read_change(item, source, &change, state)) {
+        return false;
+    }
+    if (change.entry->source != NULL) {
+        g_free(change.owner);
+        return false;
+    }
+    change.source = ConfigSource_Ref(source);
+    clash = ConfigTable_Swap(state->table, &change, 1);
+    if (change.entry->object == NULL) {
+        g_queue_push_tail(state->tombstones, change.entry);
+    }
+    return clash == NULL;
+}
+
+static int
+read_record(Loader *loader, Str line, Str *rest, Error *error)
+{
+    uint64_t offset = 0;
+    uint64_t length = 0;
+    ConfigSource *source;
+    int code = 0;
+    Str field;
+
+    if (!Str_Split(&line, ' ', &field) || Str_ParseU64(field, &offset) ||
+        !Str_Split(&line, ' ', &field) || Str_ParseU64(field, &length) ||
+        length >= rest->length || rest->data[length] != '\n' ||
+        (loader->any && offset <= loader->last) ||
+        offset >= loader->state->offset) {
+        return Error_Set(error, ERR_PARSE, "snapshot-load", STR(""),
+                         "bad record line");
+    }
+    source = verify_record(loader, offset, (Str){rest->data, length}, error);
+    *rest = (Str){rest->data + length + 1, rest->length - length - 1};
+    if (source == NULL) {
+        return ERR_DENIED;
+    }
+    while (code == 0 && Str_Split(&line, ' ', &field)) {
+        if (!take_item(loader, field, source)) {
+            code = Error_Set(error, ERR_PARSE, "snapshot-load", STR(""),
+                             "bad item of record %llu",
+                             (unsigned long long)offset);
+        }
+    }
+    ConfigSource_Unref(source);
+    loader->last = offset;
+    loader->any = true;
+    return code;
+}
+
+static bool
+read_verdict(ConfigHistory *history, Str item)
+{
+    uint64_t offset;
+    uint64_t outcome;
+    Str id;
+    Str number;
+
+    if (!Str_Split(&item, ':', &id) || !Fields_IsName(id) ||
+        !Str_Split(&item, ':', &number) || Str_ParseU64(number, &offset) ||
+        Str_ParseU64(item, &outcome) || outcome >= CONFIG_OUTCOMES) {
+        return false;
+    }
+    ConfigHistory_Add(history, id, offset, (ConfigOutcome)outcome, STR(""));
+    return true;
+}
+
+static int
+read_history(Loader *loader, Str line, Error *error)
+{
+    ConfigState *state = loader->state;
+    ConfigHistory *history;
+    uint64_t floor = 0;
+    Str author;
+    Str field;
+
+    if (!Str_Split(&line, ' ', &author) ||
+        ConfigState_Find(state, CONFIG_OPERATOR, author) == NULL ||
+        !Str_Split(&line, ' ', &field) || Str_ParseU64(field, &floor) ||
+        floor > state->offset) {
+        return Error_Set(error, ERR_PARSE, "snapshot-load", STR(""),
+                         "bad history line");
+    }
+    history = ConfigHistory_Create(state->options.history_max, floor);
+    g_hash_table_replace(state->histories,
+                         g_strndup(author.data, author.length), history);
+    while (Str_Split(&line, ' ', &field)) {
+        if (!read_verdict(history, field)) {
+            return Error_Set(error, ERR_PARSE, "snapshot-load", STR(""),
+                             "bad history item");
+        }
+    }
+    return 0;
+}
+
+static int
+check_digest(Str *text, Error *error)
+{
+    uint8_t stated[SHA256_DIGEST_LENGTH];
+    uint8_t digest[SHA256_DIGEST_LENGTH];
+    size_t tail = strlen("sha256 ") + HEX_DIGEST + 1;
+
+    if (text->length <= tail) {
+        return Error_Set(error, ERR_PARSE, "snapshot-load", STR(""),
+                         "too short");
+    }
+    text->length -= tail;
+    SHA256((const unsigned char *)text->data, text->length, digest);
+    if (memcmp(text->data + text->length, "sha256 ", 7) != 0 ||
+        !read_hex((Str){text->data + text->length + 7, HEX_DIGEST}, stated,
+                  sizeof(stated)) ||
+        memcmp(stated, digest, sizeof(digest)) != 0) {
+        return Error_Set(error, ERR_PARSE, "snapshot-load", STR(""),
+                         "wrong digest");
+    }
+    return 0;
+}
+
+static int
+read_head(Loader *loader, Str *rest, Error *error)
+{
+    ConfigState *state = loader->state;
+    Str line = {NULL, 0};
+    Str word;
+
+    if (!Str_Split(rest, '\n', &line) ||
+        !Str_Equal(line, STR("agatecrank-snapshot 1")) ||
+        !read_number(rest, "offset", &state->offset) ||
+        !read_number(rest, "accepted", &state->accepted) ||
+        !Str_Split(rest, '\n', &line) || !Str_Split(&line, ' ', &word) ||
+        !Str_Equal(word, STR("digest")) ||
+        !read_hex(line, state->digest, CONFIG_DIGEST) ||
+        !read_number(rest, "floor", &state->tombstone_floor) ||
+        state->accepted > state->offset ||
+        state->tombstone_floor > state->offset) {
+        return Error_Set(error, ERR_PARSE, "snapshot-load", STR(""),
+                         "bad head");
+    }
+    return 0;
+}
+
+static int
+read_body(Loader *loader, Str rest, Error *error)
+{
+    int code = 0;
+    Str line;
+    Str word;
+
+    while (code == 0 && Str_Split(&rest, '\n', &line)) {
+        if (Str_Equal(line, STR("end"))) {
+            return rest.length == 0 ? 0 : ERR_PARSE;
+        }
+        if (!Str_Split(&line, ' ', &word)) {
+            break;
+        }
+        if (Str_Equal(word, STR("record"))) {
+            code = read_record(loader, line, &rest, error);
+        }
+        else if (Str_Equal(word, STR("history"))) {
+            code = read_history(loader, line, error);
+        }
+        else {
+            break;
+        }
+    }
+    return code != 0 ? code
+                     : Error_Set(error, ERR_PARSE, "snapshot-load", STR(""),
+                                 "unknown line");
+}
+
+/* What must hold in any state that publications can lead to. */
+static int
+check_loaded(const Loader *loader, Error *error)
+{
+    const ConfigState *state = loader->state;
+
+    if ((state->accepted > 0) != loader->any ||
+        (loader->any && state->accepted <= loader->last)) {
+        return Error_Set(error, ERR_PARSE, "snapshot-load", STR(""),
+                         "accepted offset does not fit the records");
+    }
+    if (state->accepted > 0 &&
+        ConfigTable_GlobalOperators(state->table) == 0) {
+        return Error_Set(error, ERR_DENIED, "snapshot-load", STR(""),
+                         "no operator with lines = [\"*\"]");
+    }
+    for (ConfigKind kind = CONFIG_CALLER; kind <= CONFIG_SELECTOR; kind++) {
+        ConfigCursor cursor = {0};
+        const ConfigObject *object;
+
+        while ((object = ConfigState_Next(state, kind, &cursor)) != NULL) {
+            ConfigKind missing;
+            Str name;
+
+            if (ConfigRule_FirstMissing(state, object, &missing, &name)) {
+                return Error_Set(error, ERR_PARSE, "snapshot-load", STR(""),
+                                 "%s." STR_FORMAT " is missing",
+                                 ConfigObject_KindName(missing),
+                                 STR_ARGS(name));
+            }
+        }
+    }
+    return 0;
+}
+
+/* True if an object of @now is newer than the same object of @next. */
+static bool
+would_revert(const ConfigState *now, const ConfigState *next)
+{
+    for (ConfigKind kind = 0; kind < CONFIG_KINDS; kind++) {
+        GTree *tree = ConfigTable_Tree(now->table, kind);
+
+        for (GTreeNode *node = g_tree_node_first(tree); node != NULL;
+             node = g_tree_node_next(node)) {
+            const ConfigEntry *entry = g_tree_node_value(node);
+
+            if (ConfigState_Changed(next, kind, entry->name) <
+                entry->source->offset + 1) {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
+static int
+load(Loader *loader, Str text, Error *error)
+{
+    int code = check_digest(&text, error);
+
+    if (code == 0) {
+        code = read_head(loader, &text, error);
+    }
+    if (code == 0) {
+        code = read_body(loader, text, error);
+    }
+    return code == 0 ? check_loaded(loader, error) : code;
+}
+
+int
+ConfigState_LoadSnapshot(ConfigState *this, Str snapshot, Error *error)
+{
+    bool any_age =
+        (this->options.test_faults & CONFIG_FAULT_OLD_SNAPSHOT) != 0;
+    Loader loader = {.state = ConfigState_Create(&this->options)};
+    int code;
+
+    loader.versions =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_version);
+    code = load(&loader, snapshot, error);
+    g_hash_table_destroy(loader.versions);
+    if (code == 0 && loader.state->offset <= this->offset && !any_age) {
+        code = Error_Set(error, ERR_EXPIRED, "snapshot-load", STR(""),
+                         "offset %llu is not newer than %llu",
+                         (unsigned long long)loader.state->offset,
+                         (unsigned long long)this->offset);
+    }
+    if (code == 0 && !any_age && would_revert(this, loader.state)) {
+        code = Error_Set(error, ERR_CONFLICT, "snapshot-load", STR(""),
+                         "would revert an object");
+    }
+    if (code != 0) {
+        ConfigState_Destroy(loader.state);
+        return code;
+    }
+    ConfigState_Replace(this, loader.state);
+    return 0;
+}
--- /dev/null
+++ b/packages/config/ConfigObject.c
@@ -0,0 +1,181 @@
+#include "ConfigObject.h"
+
+#include <string.h>
+
+/* Defaults and bounds; docs/settings.md lists them for operators. */
+#define SLOTS_DEFAULT 6
+#define CONNECTIONS_DEFAULT 250
+#define PROBE_REQUESTS_DEFAULT 20
+#define PROBE_BYTES_DEFAULT 4000
+#define PROBE_TIME_SHARE_DEFAULT 0.001
+#define SHARE_DEFAULT 100
+#define DEADLINE_DEFAULT_MS 30000
+#define DEADLINE_MAX_MS 600000
+
+#define AT(member) offsetof(ConfigObject, member)
+
+static const Field line_fields[] = {
+    {"weight", FIELD_U32, AT(product_line.weight), true, 1, 1000000, NULL},
+    {NULL, 0, 0, false, 0, 0, NULL},
+};
+
+static const Field service_fields[] = {
+    {"slots", FIELD_U32, AT(service.slots), false, 1, 65535, NULL},
+    {"connections", FIELD_U32, AT(service.connections), false, 1, 65535, NULL},
+    {"probe_requests_per_s", FIELD_U32, AT(service.probe_requests_per_s),
+     false, 0, 1000000, NULL},
+    {"probe_bytes_per_s", FIELD_U32, AT(service.probe_bytes_per_s), false, 0,
+     1000000000, NULL},
+    {"probe_time_share", FIELD_REAL, AT(service.probe_time_share), false, 0, 1,
+     NULL},
+    {"require_key", FIELD_BOOL, AT(service.require_key), false, 0, 0, NULL},
+    {"idempotent_methods", FIELD_NAMES, AT(service.idempotent_methods), false,
+     0, 0, NULL},
+    {NULL, 0, 0, false, 0, 0, NULL},
+};
+
+static const Field caller_fields[] = {
+    {"line", FIELD_NAME, AT(caller.line), true, 0, 0, NULL},
+    {"token_sha256", FIELD_HEX32, AT(caller.token_sha256), false, 0, 0, NULL},
+    {"certificate_sha256", FIELD_HEX32, AT(caller.certificate_sha256), false,
+     0, 0, NULL},
+    {"labels", FIELD_LABELS, AT(caller.labels), false, 0, 0, NULL},
+    {NULL, 0, 0, false, 0, 0, NULL},
+};
+
+static const Field selector_fields[] = {
+    {"line", FIELD_NAME, AT(selector.line), true, 0, 0, NULL},
+    {"callers", FIELD_LABELS, AT(selector.callers), false, 0, 0, NULL},
+    {"service", FIELD_NAME, AT(selector.service), true, 0, 0, NULL},
+    {"upstreams", FIELD_LABELS, AT(selector.upstreams), false, 0, 0, NULL},
+    {"share", FIELD_U32, AT(selector.share), false, 1, 100, NULL},
+    {"deadline_ms", FIELD_U32, AT(selector.deadline_ms), false, 1,
+     DEADLINE_MAX_MS, NULL},
+    {NULL, 0, 0, false, 0, 0, NULL},
+};
+
+static const Field operator_fields[] = {
+    {"public_key", FIELD_BASE64, AT(operator_.public_key), true, 0, 0, NULL},
+    {"lines", FIELD_NAMES, AT(operator_.lines), true, 0, 0, NULL},
+    {NULL, 0, 0, false, 0, 0, NULL},
+};
+
+static const struct {
+    const char *name;
+    const Field *fields;
+} kinds[CONFIG_KINDS] = {
+    [CONFIG_LINE] = {"line", line_fields},
+    [CONFIG_SERVICE] = {"service", service_fields},
+    [CONFIG_CALLER] = {"caller", caller_fields},
+    [CONFIG_SELECTOR] = {"selector", selector_fields},
+    [CONFIG_OPERATOR] = {"operator", operator_fields},
+};
+
+const char *
+ConfigObject_KindName(ConfigKind kind)
+{
+    return kinds[kind].name;
+}
+
+ConfigKind
+ConfigObject_FindKind(Str word)
+{
+    ConfigKind kind = CONFIG_LINE;
+
+    while (kind < CONFIG_KINDS &&
+           !Str_Equal(word, Str_FromC(kinds[kind].name))) {
+        kind++;
+    }
+    return kind;
+}
+
+const Field *
+ConfigObject_Fields(ConfigKind kind)
+{
+    return kinds[kind].fields;
+}
+
+void
+ConfigObject_Init(ConfigObject *this, ConfigKind kind, Str name)
+{
+    static const Str methods[] = {{"GET", 3}, {"HEAD", 4}};
+
+    memset(this, 0, sizeof(*this));
+    this->kind = kind;
+    this->name = name;
+    switch (kind) {
+    case CONFIG_SERVICE:
+        this->service.slots = SLOTS_DEFAULT;
+        this->service.connections = CONNECTIONS_DEFAULT;
+        this->service.probe_requests_per_s = PROBE_REQUESTS_DEFAULT;
+        this->service.probe_bytes_per_s = PROBE_BYTES_DEFAULT;
+        this->service.probe_time_share = PROBE_TIME_SHARE_DEFAULT;
+        this->service.idempotent_methods = (StrList){methods, 2};
+        return;
+    case CONFIG_SELECTOR:
+        this->selector.share = SHARE_DEFAULT;
+        this->selector.deadline_ms = DEADLINE_DEFAULT_MS;
+        return;
+    default:
+        return;
+    }
+}
+
+Str
+ConfigObject_Owner(const ConfigObject *this)
+{
+    switch (this->kind) {
+    case CONFIG_LINE:
+        return this->name;
+    case CONFIG_CALLER:
+        return this->caller.line;
+    case CONFIG_SELECTOR:
+        return this->selector.line;
+    default:
+        return STR("");
+    }
+}
+
+bool
+ConfigObject_IsGlobalOperator(const ConfigObject *this)
+{
+    return this->kind == CONFIG_OPERATOR &&
+           StrList_Has(&this->operator_.lines, STR("*"));
+}
+
+static void
+write_fields(const ConfigObject *this, GString *out)
+{
+    for (const Field *field = kinds[this->kind].fields; field->key != NULL;
+         field++) {
+        Fields_Write(field, this, out);
+    }
+}
+
+void
+ConfigObject_Write(const ConfigObject *this, GString *out)
+{
+    g_string_append_printf(out, "[%s.\"" STR_FORMAT "\"]\n",
+                           kinds[this->kind].name, STR_ARGS(this->name));
+    write_fields(this, out);
+}
+
+bool
+ConfigObject_Equal(const ConfigObject *a, const ConfigObject *b)
+{
+    GString *left;
+    GString *right;
+    bool equal;
+
+    if (a->kind != b->kind || !Str_Equal(a->name, b->name)) {
+        return false;
+    }
+    left = g_string_new(NULL);
+    right = g_string_new(NULL);
+    write_fields(a, left);
+    write_fields(b, right);
+    equal = g_string_equal(left, right);
+    g_string_free(left, TRUE);
+    g_string_free(right, TRUE);
+    return equal;
+}
--- /dev/null
+++ b/packages/config/ConfigSource.c
@@ -0,0 +1,38 @@
+#include "ConfigSource.h"
+
+ConfigSource *
+ConfigSource_Create(uint64_t offset, Str record, ConfigDocument *document,
+                    ConfigSource *authority)
+{
+    ConfigSource *this = g_new0(ConfigSource, 1);
+
+    this->references = 1;
+    this->offset = offset;
+    this->record = g_string_new_len(record.data, (gssize)record.length);
+    this->document = document;
+    this->authority = ConfigSource_Ref(authority);
+    return this;
+}
+
+ConfigSource *
+ConfigSource_Ref(ConfigSource *this)
+{
+    if (this != NULL) {
+        this->references++;
+    }
+    return this;
+}
+
+/* A loop, because chains of authorities may be long. */
+void
+ConfigSource_Unref(ConfigSource *this)
+{
+    while (this != NULL && --this->references == 0) {
+        ConfigSource *authority = this->authority;
+
+        ConfigDocument_Destroy(this->document);
+        g_string_free(this->record, TRUE);
+        g_free(this);
+        this = authority;
+    }
+}
--- a/packages/config/ConfigState.h
+++ b/packages/config/ConfigState.h
@@ -41,12 +41,22 @@
 /** ConfigVerdict_Name() - stable lower-case word of an outcome */
 const char *ConfigVerdict_Name(ConfigOutcome outcome);
 
+/** enum ConfigTestFault_ - rules left out so that a checker must notice */
+typedef enum ConfigTestFault_ {
+    CONFIG_FAULT_STALE_BASE = 1,   /* accepts a stale base */
+    CONFIG_FAULT_OLD_SNAPSHOT = 2, /* loads an older snapshot */
+    CONFIG_FAULT_REPEAT = 4,       /* counts a repeated append again */
+    CONFIG_FAULT_SIGNATURE = 8,    /* does not check signatures */
+    CONFIG_FAULT_RIGHTS = 16,      /* lets every operator change all lines */
+} ConfigTestFault;
+
 /** struct ConfigOptions_ - what a state is created with */
 typedef struct ConfigOptions_ {
     Key32List bootstrap_keys; /* copied */
     size_t objects_max;       /* 0: CONFIG_OBJECTS_MAX */
     size_t tombstones_max;    /* 0: CONFIG_TOMBSTONES_MAX */
     size_t history_max;       /* of each operator; 0: CONFIG_HISTORY_MAX */
+    uint32_t test_faults;     /* ConfigTestFault bits, 0 outside of tests */
 } ConfigOptions;
 
 /* These bounds decide verdicts and must be the same on every host. */
@@ -127,7 +137,11 @@
 const ConfigService *ConfigState_FindService(const ConfigState *this,
                                              Str name);
 
-/** ConfigState_Changed() - offset of the object's last change; 0 if none */
+/**
+ * ConfigState_Changed() - offset after the object's last change or deletion
+ *
+ * A publication that touches it needs at least this base. 0 if unknown.
+ */
 uint64_t ConfigState_Changed(const ConfigState *this, ConfigKind kind,
                              Str name);
 
--- /dev/null
+++ b/packages/config/ConfigSync.c
@@ -0,0 +1,448 @@
+#include "ConfigSync.h"
+
+#include <string.h>
+
+#include "ConfigSyncPrivate.h"
+
+static void
+set_default(Micros *value, Micros fallback)
+{
+    if (*value == 0) {
+        *value = fallback;
+    }
+}
+
+ConfigSync *
+ConfigSync_Create(const ConfigSyncOptions *options, ConfigState *state,
+                  const Clock *clock, Random *random, EventLog *log)
+{
+    ConfigSync *this = g_new0(ConfigSync, 1);
+
+    this->options = *options;
+    set_default(&this->options.retry, 200 * MICROS_PER_MS);
+    set_default(&this->options.retry_max, 2 * MICROS_PER_S);
+    set_default(&this->options.read_wait, 10 * MICROS_PER_S);
+    set_default(&this->options.peer_after, 300 * MICROS_PER_MS);
+    set_default(&this->options.fetch_limit, 1 * MICROS_PER_S);
+    if (options->read_max == 0) {
+        this->options.read_max = 256;
+    }
+    if (options->tail_bytes == 0) {
+        this->options.tail_bytes = 1024 * 1024;
+    }
+    this->state = state;
+    this->clock = clock;
+    this->random = random;
+    this->log = log;
+    this->schedule =
+        SnapshotSchedule_Create(&options->snapshots, clock, random);
+    this->scan = ConfigScan_Create();
+    this->tail = ConfigTail_Create(this->options.tail_bytes, clock);
+    this->pieces = SnapshotBuffer_Create();
+    this->record = g_string_new(NULL);
+    ConfigVerdict_Init(&this->verdict);
+    this->started = Clock_Now(clock);
+    this->last_read = this->started;
+    this->choice = Random_Next(random);
+    ConfigScan_Start(this->scan);
+    return this;
+}
+
+static void
+drop_writing(ConfigSync *this)
+{
+    if (this->writing != NULL) {
+        g_string_free(this->writing, TRUE);
+        this->writing = NULL;
+    }
+}
+
+void
+ConfigSync_Destroy(ConfigSync *this)
+{
+    drop_writing(this);
+    g_string_free(this->record, TRUE);
+    ConfigVerdict_Clear(&this->verdict);
+    SnapshotBuffer_Destroy(this->pieces);
+    ConfigTail_Destroy(this->tail);
+    ConfigScan_Destroy(this->scan);
+    SnapshotSchedule_Destroy(this->schedule);
+    g_free(this);
+}
+
+void
+ConfigSync_SetApplied(ConfigSync *this, ConfigSyncApplied *applied, void *user)
+{
+    this->applied = applied;
+    this->user = user;
+}
+
+static void
+log_verdict(ConfigSync *this)
+{
+    const ConfigVerdict *verdict = &this->verdict;
+
+    if (EventLog_Begin(this->log, LOG_LEVEL_INFO, "config-record")) {
+        EventLog_Int(this->log, "offset", (int64_t)verdict->offset);
+        EventLog_C(this->log, "outcome", ConfigVerdict_Name(verdict->outcome));
+        EventLog_C(this->log, "author", verdict->author);
+        EventLog_C(this->log, "id", verdict->id);
+        EventLog_End(this->log);
+    }
+}
+
+/* Records below the offset were applied; one above it leaves a gap. */
+void
+ConfigSync_ApplyRecord(ConfigSync *this, const ConfigRecord *record)
+{
+    uint8_t before[SNAPSHOT_DIGEST];
+
+    if (record->offset != ConfigState_Offset(this->state)) {
+        return;
+    }
+    memcpy(before, ConfigState_Digest(this->state), sizeof(before));
+    ConfigState_Apply(this->state, record->offset, record->data,
+                      &this->verdict, NULL);
+    ConfigTail_Add(this->tail, record, before);
+    SnapshotSchedule_OnRecord(this->schedule, record->offset, record->time_ms);
+    log_verdict(this);
+    if (this->applied != NULL) {
+        this->applied(this->user, &this->verdict);
+    }
+}
+
+bool
+ConfigSync_Load(ConfigSync *this, const GString *snapshot)
+{
+    Error error = {0};
+    int code = ConfigState_LoadSnapshot(
+        this->state, (Str){snapshot->str, snapshot->len}, &error);
+
+    if (code == 0) {
+        ConfigTail_Clear(this->tail);
+        this->status.gap = false;
+        return true;
+    }
+    if (code != ERR_EXPIRED) {
+        this->status.rejected++;
+        if (EventLog_Begin(this->log, LOG_LEVEL_WARN, "snapshot-rejected")) {
+            EventLog_Error(this->log, &error);
+            EventLog_End(this->log);
+        }
+    }
+    return code == ERR_EXPIRED;
+}
+
+/* A forged snapshot with a right digest must not keep hosts from writing
+ * a good one, so signatures are checked here as well. */
+static bool
+is_good_snapshot(const ConfigSync *this, const GString *snapshot)
+{
+    ConfigState *scratch = ConfigState_Clone(this->state);
+    int code = ConfigState_LoadSnapshot(
+        scratch, (Str){snapshot->str, snapshot->len}, NULL);
+
+    ConfigState_Destroy(scratch);
+    return code == 0 || code == ERR_EXPIRED;
+}
+
+static void
+end_scan(ConfigSync *this)
+{
+    if (this->checking) {
+        this->checking = false;
+        SnapshotSchedule_OnChecked(this->schedule);
+    }
+}
+
+static void
+use_scan(ConfigSync *this)
+{
+    GString *snapshot;
+    uint64_t offset;
+    uint64_t time_ms;
+
+    while ((snapshot = ConfigScan_Take(this->scan, &offset, &time_ms)) !=
+           NULL) {
+        bool good = this->checking ? is_good_snapshot(this, snapshot)
+                                   : ConfigSync_Load(this, snapshot);
+
+        if (good) {
+            SnapshotSchedule_OnSnapshot(this->schedule, offset, time_ms);
+            ConfigScan_Finish(this->scan);
+        }
+        g_string_free(snapshot, TRUE);
+    }
+    if (!ConfigScan_IsActive(this->scan)) {
+        end_scan(this);
+    }
+}
+
+static void
+read_succeeded(SyncStream *stream, Micros now)
+{
+    stream->pending = false;
+    stream->delay = 0;
+    stream->next_time = now;
+}
+
+void
+ConfigSync_CheckReady(ConfigSync *this)
+{
+    Micros age = Clock_Now(this->clock) - this->started;
+    ConfigSyncStatus *status = &this->status;
+
+    if (status->ready) {
+        return;
+    }
+    if (ConfigState_Accepted(this->state) == 0) {
+        status->reason = "no-configuration";
+        return;
+    }
+    if (this->answers < PEERS_ASKED && age < START_LIMIT) {
+        status->reason = "asking-peers";
+        return;
+    }
+    if (!ConfigSync_HasPeerOffset(this)) {
+        status->reason = "behind-peers";
+        return;
+    }
+    if (!this->caught_up && status->log_up) {
+        status->reason = "reading-log";
+        return;
+    }
+    if (!this->caught_up && this->peer_answers == 0) {
+        status->reason = "no-log-no-peer";
+        return;
+    }
+    status->ready = true;
+    status->reason = "";
+}
+
+static void
+on_config(ConfigSync *this, uint64_t first, uint64_t next,
+          const ConfigRecord *records, size_t count)
+{
+    ConfigSyncStatus *status = &this->status;
+    uint64_t offset;
+
+    for (size_t i = 0; i < count; i++) {
+        ConfigSync_ApplyRecord(this, &records[i]);
+    }
+    offset = ConfigState_Offset(this->state);
+    status->log_up = true;
+    status->log_next = MAX(status->log_next, next);
+    status->lagging += next < offset;
+    status->ahead = next < offset;
+    this->last_read = Clock_Now(this->clock);
+    this->caught_up = offset >= status->log_next;
+    status->gap = first > offset;
+    if (status->gap && !ConfigScan_IsActive(this->scan)) {
+        ConfigScan_Start(this->scan);
+    }
+    if (first > offset) {
+        this->streams[STREAM_CONFIG].next_time += this->options.retry_max;
+    }
+    else if (next < offset) {
+        this->streams[STREAM_CONFIG].next_time += this->options.retry;
+    }
+}
+
+void
+ConfigSync_OnRecords(ConfigSync *this, ConfigStream stream, uint64_t first,
+                     uint64_t next, const ConfigRecord *records, size_t count)
+{
+    read_succeeded(&this->streams[stream], Clock_Now(this->clock));
+    if (stream == STREAM_SNAPSHOTS) {
+        ConfigScan_OnRecords(this->scan, first, next, records, count);
+        use_scan(this);
+    }
+    else {
+        on_config(this, first, next, records, count);
+    }
+    ConfigSync_CheckReady(this);
+}
+
+/* Random delays, so that hosts do not come back all at once. */
+void
+ConfigSync_OnReadFailed(ConfigSync *this, ConfigStream stream)
+{
+    SyncStream *read = &this->streams[stream];
+    Micros delay = MAX(read->delay, this->options.retry);
+
+    read->pending = false;
+    read->next_time =
+        Clock_Now(this->clock) + delay / 2 +
+        (Micros)Random_Below(this->random, (uint64_t)delay / 2 + 1);
+    read->delay = MIN(2 * delay, this->options.retry_max);
+    if (stream == STREAM_CONFIG) {
+        this->status.log_up = false;
+        this->caught_up = false;
+        /* What the log said before it failed no longer holds back. */
+        this->status.log_next = ConfigState_Offset(this->state);
+    }
+    else if (this->checking) {
+        this->checking = false;
+        ConfigScan_Finish(this->scan);
+        SnapshotSchedule_OnFailed(this->schedule);
+    }
+    ConfigSync_CheckReady(this);
+}
+
+static void
+start_writing(ConfigSync *this)
+{
+    this->writing = g_string_new(NULL);
+    ConfigState_WriteSnapshot(this->state, this->writing);
+    this->writing_offset = ConfigState_Offset(this->state);
+    this->writing_index = 0;
+    Snapshot_Digest((Str){this->writing->str, this->writing->len},
+                    this->writing_digest);
+}
+
+void
+ConfigSync_OnAppended(ConfigSync *this, int code)
+{
+    this->appending = false;
+    if (this->writing == NULL) {
+        return;
+    }
+    /* A lost answer leaves pieces behind; the next check finds them. */
+    if (code != 0) {
+        drop_writing(this);
+        SnapshotSchedule_OnFailed(this->schedule);
+        return;
+    }
+    this->writing_index++;
+    if (this->writing_index <
+        Snapshot_Chunks(this->writing->len, SNAPSHOT_CHUNK_BYTES)) {
+        return;
+    }
+    drop_writing(this);
+    this->status.written++;
+    SnapshotSchedule_OnSnapshot(
+        this->schedule, this->writing_offset,
+        (uint64_t)(Clock_Wall(this->clock) / MICROS_PER_MS));
+    SnapshotSchedule_OnFailed(this->schedule);
+}
+
+static void
+step_schedule(ConfigSync *this)
+{
+    if (!this->status.ready || !this->status.log_up || !this->caught_up ||
+        this->writing != NULL || ConfigScan_IsActive(this->scan)) {
+        return;
+    }
+    switch (SnapshotSchedule_Step(this->schedule)) {
+    case SNAPSHOT_WAIT:
+        return;
+    case SNAPSHOT_CHECK:
+        this->checking = true;
+        ConfigScan_Start(this->scan);
+        return;
+    case SNAPSHOT_WRITE:
+        start_writing(this);
+        return;
+    }
+}
+
+void
+ConfigSync_OnTick(ConfigSync *this)
+{
+    if (this->fetching && Clock_Now(this->clock) - this->fetch_time >=
+                              this->options.fetch_limit) {
+        ConfigSync_OnFetchFailed(this);
+    }
+    step_schedule(this);
+    ConfigSync_CheckReady(this);
+}
+
+/* The scan at the start comes first: reading every record is slower. */
+static bool
+next_read(ConfigSync *this, ConfigAction *action)
+{
+    bool scanning = ConfigScan_IsActive(this->scan);
+    SyncStream *read = &this->streams[STREAM_SNAPSHOTS];
+    bool first = scanning && !this->status.ready && read->delay == 0 &&
+                 !this->status.gap;
+    ConfigStream stream = STREAM_CONFIG;
+    Micros now = Clock_Now(this->clock);
+
+    if (scanning && !read->pending && now >= read->next_time) {
+        stream = STREAM_SNAPSHOTS;
+    }
+    else {
+        read = &this->streams[STREAM_CONFIG];
+        if (read->pending || now < read->next_time || first) {
+            return false;
+        }
+    }
+    read->pending = true;
+    memset(action, 0, sizeof(*action));
+    action->type = CONFIG_ACTION_READ;
+    action->read.stream = stream;
+    if (stream == STREAM_SNAPSHOTS) {
+        ConfigScan_Next(this->scan, &action->read.from, &action->read.max);
+        return true;
+    }
+    action->read.from = ConfigState_Offset(this->state);
+    action->read.max = this->options.read_max;
+    action->read.wait_ms =
+        this->caught_up ? (uint32_t)(this->options.read_wait / MICROS_PER_MS)
+                        : 0;
+    return true;
+}
+
+static bool
+next_append(ConfigSync *this, ConfigAction *action)
+{
+    SnapshotChunk chunk = {.offset = this->writing_offset};
+    size_t start = (size_t)this->writing_index * SNAPSHOT_CHUNK_BYTES;
+
+    if (this->writing == NULL || this->appending) {
+        return false;
+    }
+    memcpy(chunk.digest, this->writing_digest, SNAPSHOT_DIGEST);
+    chunk.index = this->writing_index;
+    chunk.count = Snapshot_Chunks(this->writing->len, SNAPSHOT_CHUNK_BYTES);
+    chunk.data = (Str){this->writing->str + start,
+                       MIN(this->writing->len - start, SNAPSHOT_CHUNK_BYTES)};
+    g_string_truncate(this->record, 0);
+    Snapshot_WriteChunk(&chunk, this->record);
+    this->appending = true;
+    memset(action, 0, sizeof(*action));
+    action->type = CONFIG_ACTION_APPEND;
+    action->append.record = (Str){this->record->str, this->record->len};
+    return true;
+}
+
+bool
+ConfigSync_NextAction(ConfigSync *this, ConfigAction *action)
+{
+    return next_read(this, action) || next_append(this, action) ||
+           ConfigSync_NextFetch(this, action);
+}
+
+int
+ConfigSync_Serve(ConfigSync *this, const ConfigFetch *request,
+                 ConfigChunk *chunk)
+{
+    if (!this->status.ready) {
+        return ERR_NOT_FOUND;
+    }
+    return ConfigTail_Serve(this->tail, this->state, request, chunk);
+}
+
+bool
+ConfigSync_Ready(const ConfigSync *this)
+{
+    return this->status.ready;
+}
+
+void
+ConfigSync_Status(const ConfigSync *this, ConfigSyncStatus *status)
+{
+    *status = this->status;
+    status->offset = ConfigState_Offset(this->state);
+    status->read_age = Clock_Now(this->clock) - this->last_read;
+}
--- /dev/null
+++ b/packages/config/ConfigSyncPrivate.h
@@ -0,0 +1,72 @@
+#ifndef AGATECRANK_CONFIG_CONFIGSYNCPRIVATE_H
+#define AGATECRANK_CONFIG_CONFIGSYNCPRIVATE_H
+
+#include "ConfigScan.h"
+#include "ConfigTail.h"
+
+/* Peers asked at the start: a lagging read alone must not let a restarted
+ * host serve an older configuration than the one that was in force. */
+#define PEERS_ASKED 3
+#define START_LIMIT (1 * MICROS_PER_S)
+
+/* Shared by ConfigSync.c and ConfigSyncPeers.c only. */
+typedef struct SyncStream_ {
+    bool pending;
+    Micros next_time;
+    Micros delay; /* after the next failure */
+} SyncStream;
+
+struct ConfigSync_ {
+    ConfigSyncOptions options;
+    ConfigState *state;
+    const Clock *clock;
+    Random *random;
+    EventLog *log;
+    ConfigSyncApplied *applied;
+    void *user;
+    SnapshotSchedule *schedule;
+    ConfigScan *scan;
+    ConfigTail *tail;
+    ConfigVerdict verdict;
+    ConfigSyncStatus status;
+    SyncStream streams[2];
+    Micros started;
+    Micros last_read;
+    bool caught_up; /* offset reached the end that the log stated */
+    bool checking;  /* the scan is for the snapshot schedule */
+    uint64_t peer_offset;
+    Micros peer_heard;     /* since when a peer is ahead */
+    uint32_t answers;      /* of peers, failed ones too */
+    uint32_t peer_answers; /* of peers that are ready themselves */
+    bool fetching;
+    Micros fetch_time;
+    Micros next_fetch;
+    uint64_t choice;
+    uint32_t failures;
+    bool piecewise; /* a snapshot is fetched from a peer */
+    SnapshotChunk piece;
+    SnapshotBuffer *pieces;
+    GString *writing; /* snapshot that is being appended */
+    uint64_t writing_offset;
+    uint8_t writing_digest[SNAPSHOT_DIGEST];
+    uint32_t writing_index;
+    bool appending;
+    GString *record;
+};
+
+/** ConfigSync_HasPeerOffset() - no peer is known to be ahead */
+bool ConfigSync_HasPeerOffset(const ConfigSync *this);
+
+/** ConfigSync_ApplyRecord() - apply it if it is the next one */
+void ConfigSync_ApplyRecord(ConfigSync *this, const ConfigRecord *record);
+
+/** ConfigSync_Load() - load a snapshot; true unless it was refused */
+bool ConfigSync_Load(ConfigSync *this, const GString *snapshot);
+
+/** ConfigSync_CheckReady() - become ready if all is known */
+void ConfigSync_CheckReady(ConfigSync *this);
+
+/** ConfigSync_NextFetch() - the FETCH part of ConfigSync_NextAction() */
+bool ConfigSync_NextFetch(ConfigSync *this, ConfigAction *action);
+
+#endif
--- /dev/null
+++ b/packages/config/ConfigTrial.c
@@ -0,0 +1,215 @@
+#include "ConfigTrial.h"
+
+#include "ConfigDiff.h"
+
+ConfigOutcome
+ConfigTrial_Refuse(const ConfigTrial *trial, ConfigOutcome outcome,
+                   const char *format, ...)
+{
+    va_list args;
+
+    va_start(args, format);
+    g_string_append_vprintf(trial->verdict->text, format, args);
+    va_end(args);
+    return outcome;
+}
+
+bool
+ConfigTrial_HasFault(const ConfigState *state, ConfigTestFault fault)
+{
+    return (state->options.test_faults & fault) != 0;
+}
+
+Str
+ConfigTrial_Owner(const ConfigEntry *entry)
+{
+    if (entry->object != NULL) {
+        return ConfigObject_Owner(entry->object);
+    }
+    return Str_FromC(entry->owner);
+}
+
+static ConfigOutcome
+check_rights(const ConfigTrial *trial, ConfigKind kind, Str name,
+             const ConfigObject *object)
+{
+    const ConfigState *state = trial->state;
+    const ConfigEntry *entry = ConfigTable_Find(state->table, kind, name);
+    bool known = entry != NULL && entry->source != NULL;
+    uint32_t weight = 0;
+
+    if ((object != NULL &&
+         !ConfigRule_MayChange(state, trial->author,
+                               ConfigObject_Owner(object))) ||
+        (known && !ConfigRule_MayChange(state, trial->author,
+                                        ConfigTrial_Owner(entry)))) {
+        return ConfigTrial_Refuse(trial, CONFIG_DENIED,
+                                  "%s may not change %s." STR_FORMAT "\n",
+                                  trial->publication->author,
+                                  ConfigObject_KindName(kind), STR_ARGS(name));
+    }
+    if (object == NULL || kind != CONFIG_LINE ||
+        ConfigRule_MayChange(state, trial->author, STR(""))) {
+        return CONFIG_ACCEPTED;
+    }
+    /* A greater weight takes capacity from the other lines. */
+    if (known && entry->object != NULL) {
+        weight = entry->object->product_line.weight;
+    }
+    if (object->product_line.weight > weight) {
+        return ConfigTrial_Refuse(
+            trial, CONFIG_DENIED,
+            "%s may not raise the weight of line." STR_FORMAT
+            " from %u to %u: that takes from other lines\n",
+            trial->publication->author, STR_ARGS(name), weight,
+            object->product_line.weight);
+    }
+    return CONFIG_ACCEPTED;
+}
+
+static ConfigOutcome
+check_base(const ConfigTrial *trial, ConfigKind kind, Str name,
+           const ConfigObject *object)
+{
+    uint64_t changed = ConfigState_Changed(trial->state, kind, name);
+
+    if (trial->publication->base >= changed ||
+        ConfigTrial_HasFault(trial->state, CONFIG_FAULT_STALE_BASE)) {
+        return CONFIG_ACCEPTED;
+    }
+    ConfigTrial_Refuse(trial, CONFIG_STALE,
+                       "%s." STR_FORMAT
+                       " changed below offset %llu, base is %llu; "
+                       "difference from what is in force:\n",
+                       ConfigObject_KindName(kind), STR_ARGS(name),
+                       (unsigned long long)changed,
+                       (unsigned long long)trial->publication->base);
+    ConfigDiff_Objects(ConfigState_Find(trial->state, kind, name), object,
+                       trial->verdict->text);
+    return CONFIG_STALE;
+}
+
+typedef ConfigOutcome Check(const ConfigTrial *trial, ConfigKind kind,
+                            Str name, const ConfigObject *object);
+
+/* Reports all objects at fault; the outcome is that of the first one. */
+static ConfigOutcome
+check_all(const ConfigTrial *trial, Check *check)
+{
+    ConfigOutcome first = CONFIG_ACCEPTED;
+    size_t count;
+    size_t deleted;
+    const ConfigObject *objects =
+        ConfigDocument_Objects(trial->document, &count);
+    const ConfigDeletion *deletions =
+        ConfigDocument_Deletions(trial->document, &deleted);
+
+    for (size_t i = 0; i < count + deleted; i++) {
+        const ConfigDeletion *gone = i < count ? NULL : &deletions[i - count];
+        ConfigOutcome outcome =
+            gone == NULL
+                ? check(trial, objects[i].kind, objects[i].name, &objects[i])
+                : check(trial, gone->kind, gone->name, NULL);
+
+        if (first == CONFIG_ACCEPTED) {
+            first = outcome;
+        }
+        if (trial->verdict->text->len > HISTORY_TEXT_MAX) {
+            break;
+        }
+    }
+    return first;
+}
+
+static ConfigOutcome
+check_deletions(const ConfigTrial *trial)
+{
+    size_t count;
+    const ConfigDeletion *deletions =
+        ConfigDocument_Deletions(trial->document, &count);
+
+    for (size_t i = 0; i < count; i++) {
+        if (ConfigState_Find(trial->state, deletions[i].kind,
+                             deletions[i].name) == NULL) {
+            return ConfigTrial_Refuse(trial, CONFIG_REFERENCE,
+                                      "%s." STR_FORMAT " does not exist\n",
+                                      ConfigObject_KindName(deletions[i].kind),
+                                      STR_ARGS(deletions[i].name));
+        }
+    }
+    return CONFIG_ACCEPTED;
+}
+
+static ConfigOutcome
+check_references(const ConfigTrial *trial, const ConfigChange *changes,
+                 size_t count)
+{
+    for (size_t i = 0; i < count; i++) {
+        const ConfigEntry *entry = changes[i].entry;
+        const char *word = ConfigObject_KindName(entry->kind);
+        ConfigKind kind;
+        Str name;
+
+        if (entry->object == NULL && entry->references > 0) {
+            return ConfigTrial_Refuse(
+                trial, CONFIG_REFERENCE,
+                "%s." STR_FORMAT " is still used by %zu objects\n", word,
+                STR_ARGS(entry->name), entry->references);
+        }
+        if (entry->object != NULL &&
+            ConfigRule_FirstMissing(trial->state, entry->object, &kind,
+                                    &name)) {
+            return ConfigTrial_Refuse(trial, CONFIG_REFERENCE,
+                                      "%s." STR_FORMAT " names %s." STR_FORMAT
+                                      ", which does not exist\n",
+                                      word, STR_ARGS(entry->name),
+                                      ConfigObject_KindName(kind),
+                                      STR_ARGS(name));
+        }
+    }
+    return CONFIG_ACCEPTED;
+}
+
+ConfigOutcome
+ConfigTrial_CheckResult(const ConfigTrial *trial, const ConfigChange *changes,
+                        size_t count, const ConfigEntry *clash)
+{
+    const ConfigState *state = trial->state;
+    size_t live = 0;
+
+    if (clash != NULL) {
+        return ConfigTrial_Refuse(
+            trial, CONFIG_REFERENCE,
+            "caller." STR_FORMAT
+            " has the token or certificate of another caller\n",
+            STR_ARGS(clash->name));
+    }
+    if (ConfigTable_GlobalOperators(state->table) == 0) {
+        return ConfigTrial_Refuse(
+            trial, CONFIG_REFERENCE,
+            "no operator with lines = [\"*\"] would be left\n");
+    }
+    for (ConfigKind kind = 0; kind < CONFIG_KINDS; kind++) {
+        live += ConfigTable_Live(state->table, kind);
+    }
+    if (live > state->options.objects_max) {
+        return ConfigTrial_Refuse(trial, CONFIG_FULL,
+                                  "more than %zu objects\n",
+                                  state->options.objects_max);
+    }
+    return check_references(trial, changes, count);
+}
+
+ConfigOutcome
+ConfigTrial_CheckDocument(const ConfigTrial *this)
+{
+    ConfigOutcome outcome = check_all(this, check_rights);
+
+    if (outcome == CONFIG_ACCEPTED) {
+        outcome = check_all(this, check_base);
+    }
+    if (outcome == CONFIG_ACCEPTED) {
+        outcome = check_deletions(this);
+    }
+    return outcome;
+}
--- /dev/null
+++ b/packages/config/Settings.c
@@ -0,0 +1,422 @@
+#include "Settings.h"
+
+#include <errno.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "EventLog.h"
+
+/* A settings file has a few kilobytes; more than this is another file. */
+#define SETTINGS_BYTES_MAX (256 * 1024)
+#define DAY_S 86400
+
+#define AT(member) offsetof(Settings, member)
+#define END                                                                   \
+    {                                                                         \
+        NULL, 0, 0, false, 0, 0, NULL                                         \
+    }
+
+/* In the order of RoutingPolicy. */
+static const char *const policies[] = {
+    "random", "round-robin", "least-inflight", "two-choices",
+    "probed", "reports",     "slot-shares",    NULL};
+
+/* In the order of LogLevel. */
+static const char *const levels[] = {"error", "warn", "info", "debug", NULL};
+
+static const Field host_fields[] = {
+    {"id", FIELD_NAME, AT(host_id), true, 0, 0, NULL},
+    {"deployment", FIELD_NAME, AT(deployment), true, 0, 0, NULL},
+    {"domain", FIELD_NAME, AT(domain), true, 0, 0, NULL},
+    END,
+};
+
+static const Field listen_fields[] = {
+    {"caller_address", FIELD_ADDRESS, AT(listen.caller_address), false, 0, 0,
+     NULL},
+    {"caller_port", FIELD_U32, AT(listen.caller_port), true, 0, 65535, NULL},
+    {"admin_address", FIELD_ADDRESS, AT(listen.admin_address), false, 0, 0,
+     NULL},
+    {"admin_port", FIELD_U32, AT(listen.admin_port), true, 0, 65535, NULL},
+    {"peer_address", FIELD_ADDRESS, AT(listen.peer_address), false, 0, 0,
+     NULL},
+    {"peer_port", FIELD_U32, AT(listen.peer_port), true, 0, 65535, NULL},
+    END,
+};
+
+static const Field peers_fields[] = {
+    {"seeds", FIELD_PEERS, AT(peer_seeds), false, 0, 0, NULL},
+    END,
+};
+
+static const Field log_fields[] = {
+    {"url", FIELD_URL, AT(log_url), true, 0, 0, NULL},
+    {"timeout_ms", FIELD_U32, AT(log_timeout_ms), false, 50, 60000, NULL},
+    END,
+};
+
+static const Field host_list_fields[] = {
+    {"url", FIELD_URL, AT(host_list_url), true, 0, 0, NULL},
+    {"interval_ms", FIELD_U32, AT(host_list_interval_ms), false, 50, 600000,
+     NULL},
+    END,
+};
+
+static const Field routing_fields[] = {
+    {"policy", FIELD_WORD, AT(routing_policy), false, 0, 0, policies},
+    END,
+};
+
+static const Field limits_fields[] = {
+    {"enabled", FIELD_BOOL, AT(limits_enabled), false, 0, 0, NULL},
+    END,
+};
+
+static const Field claims_fields[] = {
+    {"partitions", FIELD_U32, AT(claims_partitions), false, 1, 256, NULL},
+    {"memory_bytes", FIELD_U32, AT(claims_memory_bytes), false, 65536,
+     1073741824, NULL},
+    END,
+};
+
+static const Field logging_fields[] = {
+    {"level", FIELD_WORD, AT(log_level), false, 0, 0, levels},
+    {"decision_lines_per_s", FIELD_U32, AT(decision_lines_per_s), false, 0,
+     1000000, NULL},
+    END,
+};
+
+static const Field tls_fields[] = {
+    {"caller_certificate_file", FIELD_PATH, AT(tls.caller_certificate_file),
+     false, 0, 0, NULL},
+    {"caller_key_file", FIELD_PATH, AT(tls.caller_key_file), false, 0, 0,
+     NULL},
+    {"caller_client_ca_file", FIELD_PATH, AT(tls.caller_client_ca_file), false,
+     0, 0, NULL},
+    {"upstream_ca_file", FIELD_PATH, AT(tls.upstream_ca_file), false, 0, 0,
+     NULL},
+    {"admin_certificate_file", FIELD_PATH, AT(tls.admin_certificate_file),
+     false, 0, 0, NULL},
+    {"admin_key_file", FIELD_PATH, AT(tls.admin_key_file), false, 0, 0, NULL},
+    {"admin_client_ca_file", FIELD_PATH, AT(tls.admin_client_ca_file), false,
+     0, 0, NULL},
+    {"log_ca_file", FIELD_PATH, AT(tls.log_ca_file), false, 0, 0, NULL},
+    END,
+};
+
+static const Field curve_fields[] = {
+    {"public_key_file", FIELD_PATH, AT(curve.public_key_file), false, 0, 0,
+     NULL},
+    {"secret_key_file", FIELD_PATH, AT(curve.secret_key_file), false, 0, 0,
+     NULL},
+    {"peer_keys_file", FIELD_PATH, AT(curve.peer_keys_file), false, 0, 0,
+     NULL},
+    END,
+};
+
+static const Field config_fields[] = {
+    {"bootstrap_keys", FIELD_KEYS, AT(bootstrap_keys), false, 0, 0, NULL},
+    {"snapshot_interval_s", FIELD_U32, AT(snapshot_interval_s), false, 1,
+     30 * DAY_S, NULL},
+    {"snapshot_spread_s", FIELD_U32, AT(snapshot_spread_s), false, 0, DAY_S,
+     NULL},
+    END,
+};
+
+static const Field buffers_fields[] = {
+    {"request_bytes", FIELD_U32, AT(request_buffer_bytes), false, 4096,
+     16777216, NULL},
+    {"response_bytes", FIELD_U32, AT(response_buffer_bytes), false, 4096,
+     16777216, NULL},
+    {"connections", FIELD_U32, AT(connections_max), false, 1, 1000000, NULL},
+    END,
+};
+
+static const Field drain_fields[] = {
+    {"timeout_s", FIELD_U32, AT(drain_timeout_s), false, 0, 3600, NULL},
+    END,
+};
+
+static const struct {
+    const char *name;
+    const Field *fields;
+} tables[] = {
+    {"host", host_fields},           {"listen", listen_fields},
+    {"peers", peers_fields},         {"log", log_fields},
+    {"host_list", host_list_fields}, {"routing", routing_fields},
+    {"limits", limits_fields},       {"claims", claims_fields},
+    {"logging", logging_fields},     {"tls", tls_fields},
+    {"curve", curve_fields},         {"config", config_fields},
+    {"buffers", buffers_fields},     {"drain", drain_fields},
+};
+
+static void
+set_defaults(Settings *this)
+{
+    this->listen.caller_address = STR("0.0.0.0");
+    this->listen.admin_address = STR("127.0.0.1");
+    this->listen.peer_address = STR("0.0.0.0");
+    this->log_timeout_ms = 1000;
+    this->host_list_interval_ms = 1000;
+    this->routing_policy = ROUTING_REPORTS;
+    this->limits_enabled = true;
+    this->claims_partitions = 1;
+    this->claims_memory_bytes = 16 * 1024 * 1024;
+    this->log_level = LOG_LEVEL_INFO;
+    this->decision_lines_per_s = 100;
+    this->snapshot_interval_s = DAY_S / 2;
+    this->snapshot_spread_s = 60;
+    this->request_buffer_bytes = 65536;
+    this->response_buffer_bytes = 65536;
+    this->connections_max = 10000;
+    this->drain_timeout_s = 30;
+}
+
+/* A fault of one key; its place is that of the key, or of its table. */
+static void
+add_clash(const TomlNode *root, const char *table, const char *key,
+          Faults *faults, const char *reason)
+{
+    const TomlNode *node = Toml_Find(root, Str_FromC(table));
+    const TomlNode *item = Toml_Find(node, Str_FromC(key));
+    char *full = g_strconcat(table, ".", key, NULL);
+
+    node = item != NULL ? item : node;
+    Faults_Add(faults, node ? node->line : 0, node ? node->column : 0,
+               Str_FromC(full), "%s", reason);
+    g_free(full);
+}
+
+static bool
+is_any_address(Str address)
+{
+    return Str_Equal(address, STR("0.0.0.0")) || Str_Equal(address, STR("::"));
+}
+
+/* Port 0 lets the system choose, so it clashes with nothing. */
+static bool
+is_same_place(Str address, uint32_t port, Str other, uint32_t other_port)
+{
+    if (port != other_port || port == 0) {
+        return false;
+    }
+    return Str_Equal(address, other) || is_any_address(address) ||
+           is_any_address(other);
+}
+
+static void
+check_listen(const Settings *this, const TomlNode *root, Faults *faults)
+{
+    const ListenSettings *listen = &this->listen;
+
+    if (is_same_place(listen->caller_address, listen->caller_port,
+                      listen->admin_address, listen->admin_port)) {
+        add_clash(root, "listen", "admin_port", faults,
+                  "same address and port as listen.caller_port; "
+                  "choose another port");
+    }
+    if (is_same_place(listen->caller_address, listen->caller_port,
+                      listen->peer_address, listen->peer_port)) {
+        add_clash(root, "listen", "peer_port", faults,
+                  "same address and port as listen.caller_port; "
+                  "choose another port");
+    }
+    if (is_same_place(listen->admin_address, listen->admin_port,
+                      listen->peer_address, listen->peer_port)) {
+        add_clash(root, "listen", "peer_port", faults,
+                  "same address and port as listen.admin_port; "
+                  "choose another port");
+    }
+}
+
+static void
+check_seeds(const Settings *this, const TomlNode *root, Faults *faults)
+{
+    char own[96];
+
+    snprintf(own, sizeof(own), STR_FORMAT ":%u",
+             STR_ARGS(this->listen.peer_address), this->listen.peer_port);
+    if (StrList_Has(&this->peer_seeds, Str_FromC(own))) {
+        add_clash(root, "peers", "seeds", faults,
+                  "names this host itself; give other hosts only");
+    }
+}
+
+static void
+check_pair(const TomlNode *root, Faults *faults, const char *table, Str first,
+           const char *first_key, Str second, const char *second_key)
+{
+    char *reason;
+
+    if ((first.length == 0) != (second.length == 0)) {
+        const char *missing = first.length == 0 ? first_key : second_key;
+        const char *given = first.length == 0 ? second_key : first_key;
+
+        reason = g_strdup_printf("is missing; %s needs it", given);
+        add_clash(root, table, missing, faults, reason);
+        g_free(reason);
+    }
+    if (first.length > 0 && Str_Equal(first, second)) {
+        reason = g_strdup_printf("same file as %s; give another", first_key);
+        add_clash(root, table, second_key, faults, reason);
+        g_free(reason);
+    }
+}
+
+static void
+check_files(const Settings *this, const TomlNode *root, Faults *faults)
+{
+    const TlsSettings *tls = &this->tls;
+
+    check_pair(root, faults, "tls", tls->caller_certificate_file,
+               "caller_certificate_file", tls->caller_key_file,
+               "caller_key_file");
+    check_pair(root, faults, "tls", tls->admin_certificate_file,
+               "admin_certificate_file", tls->admin_key_file,
+               "admin_key_file");
+    check_pair(root, faults, "curve", this->curve.public_key_file,
+               "public_key_file", this->curve.secret_key_file,
+               "secret_key_file");
+    if (tls->caller_client_ca_file.length > 0 &&
+        tls->caller_certificate_file.length == 0) {
+        add_clash(root, "tls", "caller_client_ca_file", faults,
+                  "client certificates need caller_certificate_file");
+    }
+    if (tls->admin_client_ca_file.length > 0 &&
+        tls->admin_certificate_file.length == 0) {
+        add_clash(root, "tls", "admin_client_ca_file", faults,
+                  "client certificates need admin_certificate_file");
+    }
+    if (this->curve.peer_keys_file.length > 0 &&
+        this->curve.secret_key_file.length == 0) {
+        add_clash(root, "curve", "peer_keys_file", faults,
+                  "peer keys need public_key_file and secret_key_file");
+    }
+}
+
+static void
+check_clashes(const Settings *this, const TomlNode *root, Faults *faults)
+{
+    check_listen(this, root, faults);
+    check_seeds(this, root, faults);
+    check_files(this, root, faults);
+    if (this->snapshot_spread_s >= this->snapshot_interval_s) {
+        add_clash(root, "config", "snapshot_spread_s", faults,
+                  "must be less than config.snapshot_interval_s");
+    }
+}
+
+static bool
+is_known_table(Str name)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(tables); i++) {
+        if (Str_Equal(name, Str_FromC(tables[i].name))) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+read_tables(Settings *this, const TomlNode *root, Faults *faults)
+{
+    for (size_t i = 0; i < root->count; i++) {
+        const TomlNode *node = &root->children[i];
+
+        if (!is_known_table(node->key)) {
+            Faults_Add(faults, node->line, node->column, node->key,
+                       "unknown key; remove it or correct its spelling");
+        }
+    }
+    for (size_t i = 0; i < G_N_ELEMENTS(tables); i++) {
+        Str name = Str_FromC(tables[i].name);
+
+        Fields_Read(tables[i].fields, Toml_Find(root, name), name, this,
+                    this->store, faults);
+    }
+}
+
+Settings *
+Settings_Parse(Str text, Faults *faults)
+{
+    size_t before = Faults_Count(faults);
+    TomlFault fault;
+    Toml *toml = Toml_Parse(text, &fault);
+    Settings *this;
+
+    if (toml == NULL) {
+        Faults_Add(faults, fault.line, fault.column, STR(""), "%s",
+                   fault.text);
+        return NULL;
+    }
+    this = g_new0(Settings, 1);
+    this->store = TextStore_Create();
+    set_defaults(this);
+    read_tables(this, Toml_Root(toml), faults);
+    check_clashes(this, Toml_Root(toml), faults);
+    Toml_Destroy(toml);
+    if (Faults_Count(faults) > before) {
+        Settings_Destroy(this);
+        return NULL;
+    }
+    return this;
+}
+
+static GString *
+read_file(const char *path, Faults *faults)
+{
+    FILE *file = fopen(path, "rb");
+    GString *text;
+    char block[4096];
+    size_t length;
+
+    if (file == NULL) {
+        Faults_Add(faults, 0, 0, STR(""), "can not be opened: %s",
+                   g_strerror(errno));
+        return NULL;
+    }
+    text = g_string_new(NULL);
+    while (text->len <= SETTINGS_BYTES_MAX &&
+           (length = fread(block, 1, sizeof(block), file)) > 0) {
+        g_string_append_len(text, block, (gssize)length);
+    }
+    if (ferror(file) || text->len > SETTINGS_BYTES_MAX) {
+        Faults_Add(faults, 0, 0, STR(""),
+                   "can not be read, or is longer than %d bytes",
+                   SETTINGS_BYTES_MAX);
+        g_string_free(text, TRUE);
+        text = NULL;
+    }
+    fclose(file);
+    return text;
+}
+
+Settings *
+Settings_ReadFile(const char *path, Faults *faults)
+{
+    GString *text = read_file(path, faults);
+    Settings *this;
+
+    if (text == NULL) {
+        return NULL;
+    }
+    this = Settings_Parse((Str){text->str, text->len}, faults);
+    g_string_free(text, TRUE);
+    return this;
+}
+
+void
+Settings_Destroy(Settings *this)
+{
+    if (this == NULL) {
+        return;
+    }
+    TextStore_Destroy(this->store);
+    g_free(this);
+}
+
+const char *
+Settings_PolicyName(uint32_t policy)
+{
+    return policy < G_N_ELEMENTS(policies) - 1 ? policies[policy] : "unknown";
+}
--- a/packages/config/Snapshot.h
+++ b/packages/config/Snapshot.h
@@ -56,15 +56,25 @@
 
 /**
  * SnapshotBuffer_Add() - take a chunk
+ * @time_ms: its append time by the log service's clock, 0 from a peer
  *
  * Keeps the pieces of a few snapshots at a time, the newest ones.
  *
  * Return: 1 when the snapshot of the chunk is complete and its digest is
  * right, 0 when pieces are missing, ERR_PROTOCOL when the chunk is wrong.
  */
-int SnapshotBuffer_Add(SnapshotBuffer *this, const SnapshotChunk *chunk);
+int SnapshotBuffer_Add(SnapshotBuffer *this, const SnapshotChunk *chunk,
+                       uint64_t time_ms);
 
-/** SnapshotBuffer_Take() - the newest complete one; the caller frees it */
-GString *SnapshotBuffer_Take(SnapshotBuffer *this, uint64_t *offset);
+/**
+ * SnapshotBuffer_Take() - the newest complete snapshot
+ * @offset: receives its offset
+ * @time_ms: receives the append time of its oldest piece; of pieces that
+ *           were appended more than once the last copy counts
+ *
+ * Return: bytes that the caller frees, or NULL.
+ */
+GString *SnapshotBuffer_Take(SnapshotBuffer *this, uint64_t *offset,
+                             uint64_t *time_ms);
 
 #endif
