Let a stand-in upstream stop listening

lws_vhost_destroy() left the listening socket open, so a crashed upstream still accepted connections (strace: the listener was never closed). HttpServer now owns its listening socket and adopts it as a raw file; a pause closes it and all connections, and a resume listens on the same port. Checked: refused while down, answers again after crash-down-ms, under ASan as well.

--- a/standins/HttpConnection.h
+++ b/standins/HttpConnection.h
@@ -11,6 +11,8 @@
 struct HttpServer_ {
     struct lws_context *context;
     struct lws_vhost *vhost;
+    struct lws *listener; /* NULL while paused */
+    int listen_fd;
     struct lws_protocols protocols[2];
     const HttpHandlers *handlers;
     void *user;
--- a/standins/HttpServer.c
+++ b/standins/HttpServer.c
@@ -1,11 +1,17 @@
 #include "HttpConnection.h"
 
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <signal.h>
 #include <string.h>
 #include <sys/resource.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #define RECEIVE_BYTES (64 * 1024)
 #define FILES_MAX 16384
+#define BACKLOG 4096
 
 static volatile sig_atomic_t stopping;
 static struct lws_context *running;
@@ -62,27 +68,48 @@
     on_signal(0);
 }
 
+/* The listener is a raw file for libwebsockets, so it can be closed alone. */
+static int
+accept_connections(HttpServer *server)
+{
+    static const int on = 1;
+    lws_sock_file_fd_type fd;
+
+    while ((fd.sockfd = accept4(server->listen_fd, NULL, NULL,
+                                SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0) {
+        setsockopt(fd.sockfd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+        lws_adopt_descriptor_vhost(server->vhost, LWS_ADOPT_SOCKET, fd,
+                                   server->protocols[0].name, NULL);
+    }
+    return 0;
+}
+
+/* Some reasons come with a wsi that belongs to no vhost. */
 static int
 handle(struct lws *wsi, enum lws_callback_reasons reason, void *session,
        void *in, size_t length)
 {
-    HttpConnection *connection = lws_get_opaque_user_data(wsi);
-    HttpServer *server;
+    HttpConnection *connection;
 
     switch (reason) {
+    case LWS_CALLBACK_RAW_RX_FILE:
+        return accept_connections(lws_vhost_user(lws_get_vhost(wsi)));
     case LWS_CALLBACK_RAW_ADOPT:
-        server = lws_vhost_user(lws_get_vhost(wsi));
-        connection = HttpConnection_Create(server, wsi);
+        connection =
+            HttpConnection_Create(lws_vhost_user(lws_get_vhost(wsi)), wsi);
         lws_set_opaque_user_data(wsi, connection);
         return 0;
     case LWS_CALLBACK_RAW_RX:
+        connection = lws_get_opaque_user_data(wsi);
         return connection == NULL
                    ? -1
                    : HttpConnection_OnBytes(connection, (Str){in, length});
     case LWS_CALLBACK_RAW_WRITEABLE:
+        connection = lws_get_opaque_user_data(wsi);
         return connection == NULL ? 0 : HttpConnection_OnWriteable(connection);
     case LWS_CALLBACK_RAW_CLOSE:
     case LWS_CALLBACK_WSI_DESTROY:
+        connection = lws_get_opaque_user_data(wsi);
         lws_set_opaque_user_data(wsi, NULL);
         HttpConnection_Destroy(connection);
         return 0;
@@ -96,6 +123,7 @@
                   const HttpHandlers *handlers, void *user)
 {
     HttpServer *this = g_new0(HttpServer, 1);
+    struct lws_context_creation_info info;
 
     this->context = context;
     this->handlers = handlers;
@@ -104,43 +132,74 @@
     this->connections = g_hash_table_new(NULL, NULL);
     this->protocols[0].name = "http";
     this->protocols[0].callback = handle;
-    if (HttpServer_Resume(this) < 0) {
+    memset(&info, 0, sizeof(info));
+    info.port = CONTEXT_PORT_NO_LISTEN_SERVER;
+    info.protocols = this->protocols;
+    info.user = this;
+    this->vhost = lws_create_vhost(context, &info);
+    if (this->vhost == NULL || HttpServer_Resume(this) < 0) {
         HttpServer_Destroy(this);
         return NULL;
     }
     return this;
 }
 
+static int
+listen_on(HttpServer *this)
+{
+    static const int on = 1;
+    struct sockaddr_in address = {.sin_family = AF_INET};
+    socklen_t length = sizeof(address);
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_port = htons((uint16_t)this->port);
+    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    if (bind(fd, (struct sockaddr *)&address, sizeof(address)) < 0 ||
+        listen(fd, BACKLOG) < 0 ||
+        getsockname(fd, (struct sockaddr *)&address, &length) < 0) {
+        close(fd);
+        return ERR_UNAVAILABLE;
+    }
+    this->port = ntohs(address.sin_port);
+    return fd;
+}
+
 int
 HttpServer_Resume(HttpServer *this)
 {
-    struct lws_context_creation_info info;
+    lws_sock_file_fd_type fd;
 
-    if (this->vhost != NULL) {
+    if (this->listener != NULL) {
         return 0;
     }
-    memset(&info, 0, sizeof(info));
-    info.port = this->port;
-    info.iface = "127.0.0.1";
-    info.protocols = this->protocols;
-    info.options = LWS_SERVER_OPTION_ADOPT_APPLY_LISTEN_ACCEPT_CONFIG;
-    info.listen_accept_role = "raw-skt";
-    info.listen_accept_protocol = this->protocols[0].name;
-    info.user = this;
-    this->vhost = lws_create_vhost(this->context, &info);
-    if (this->vhost == NULL) {
+    fd.filefd = listen_on(this);
+    if (fd.filefd < 0) {
         return ERR_UNAVAILABLE;
     }
-    this->port = lws_get_vhost_listen_port(this->vhost);
-    return 0;
+    this->listen_fd = fd.filefd;
+    this->listener =
+        lws_adopt_descriptor_vhost(this->vhost, LWS_ADOPT_RAW_FILE_DESC, fd,
+                                   this->protocols[0].name, NULL);
+    return this->listener != NULL ? 0 : ERR_UNAVAILABLE;
 }
 
 void
 HttpServer_Pause(HttpServer *this)
 {
-    if (this->vhost != NULL) {
-        lws_vhost_destroy(this->vhost);
-        this->vhost = NULL;
+    g_autoptr(GList) open = g_hash_table_get_keys(this->connections);
+
+    if (this->listener != NULL) {
+        lws_set_timeout(this->listener, PENDING_TIMEOUT_USER_OK,
+                        LWS_TO_KILL_SYNC);
+        this->listener = NULL;
+    }
+    for (GList *link = open; link != NULL; link = link->next) {
+        HttpConnection *connection = link->data;
+
+        connection->kill = true;
+        lws_set_timeout(connection->wsi, PENDING_TIMEOUT_USER_OK,
+                        LWS_TO_KILL_ASYNC);
     }
 }
 
