Add the load tool stand-in

The end-to-end tests need callers whose arrivals do not wait for answers and that check each answer in full. standin-caller sends Poisson arrivals over kept connections (one call at a time each, a new connection if none is idle), resends a key through the next target, cancels, and checks request id, request digest, length and every byte of the answer. Latency counts from the arrival, and the tool's own lag is printed beside it.

--- /dev/null
+++ b/standins/CallerSettings.c
@@ -0,0 +1,90 @@
+#include "CallerSettings.h"
+
+#include <glib.h>
+
+#define FIELD(name) offsetof(CallerSettings, name)
+
+const Setting CALLER_SETTINGS[] = {
+    {"targets", SETTING_TEXT, FIELD(targets), false,
+     "address:port,... taken in turn"},
+    {"service", SETTING_TEXT, FIELD(service), false, "Host header"},
+    {"token", SETTING_TEXT, FIELD(token), false, "bearer token"},
+    {"path", SETTING_TEXT, FIELD(path), false, "path of each request"},
+    {"methods", SETTING_TEXT, FIELD(methods), false,
+     "METHOD:WEIGHT,... such as GET:80,POST:20"},
+    {"id-prefix", SETTING_TEXT, FIELD(id_prefix), false,
+     "start of request ids; by default made from the seed"},
+    {"key-share", SETTING_REAL, FIELD(key_share), false,
+     "share of non-idempotent requests that have an idempotency key"},
+    {"rate", SETTING_REAL, FIELD(rate), false, "arrivals per second"},
+    {"count", SETTING_INT, FIELD(count), false,
+     "number of arrivals, 0 for no bound"},
+    {"duration-s", SETTING_REAL, FIELD(duration_s), false,
+     "time with arrivals, 0 for no bound"},
+    {"seed", SETTING_INT, FIELD(seed), false, "seed of arrivals and keys"},
+    {"body-bytes", SETTING_INT, FIELD(body_bytes), false,
+     "request body of POST, PUT and PATCH"},
+    {"answer-bytes", SETTING_INT, FIELD(answer_bytes), false,
+     "answer body asked for by x-answer-bytes"},
+    {"large-share", SETTING_REAL, FIELD(large_share), false,
+     "share of requests with large bodies both ways"},
+    {"large-bytes", SETTING_INT, FIELD(large_bytes), false,
+     "size of a large body"},
+    {"service-ms", SETTING_REAL, FIELD(service_ms), false,
+     "service time asked for by x-service-ms, negative for none"},
+    {"deadline-ms", SETTING_INT, FIELD(deadline_ms), false,
+     "agatecrank-deadline-ms, 0 for none"},
+    {"timeout-ms", SETTING_INT, FIELD(timeout_ms), false,
+     "time after which an attempt is given up"},
+    {"resend", SETTING_TEXT, FIELD(resend), false,
+     "none, or key: the same key through the next target"},
+    {"resend-max", SETTING_INT, FIELD(resend_max), false,
+     "attempts of one call"},
+    {"resend-delay-ms", SETTING_INT, FIELD(resend_delay_ms), false,
+     "time between attempts"},
+    {"cancel-share", SETTING_REAL, FIELD(cancel_share), false,
+     "share of calls whose caller goes away"},
+    {"cancel-ms", SETTING_INT, FIELD(cancel_ms), false,
+     "time after which it goes away"},
+    {"marker", SETTING_TEXT, FIELD(marker), false,
+     "text put into the body of some requests"},
+    {"marker-share", SETTING_REAL, FIELD(marker_share), false,
+     "share of requests with the marker"},
+    {"reuse", SETTING_INT, FIELD(reuse), false,
+     "0: a new connection for each request"},
+    {"tls", SETTING_INT, FIELD(tls), false,
+     "1: TLS without a check of the certificate"},
+    {"journal", SETTING_TEXT, FIELD(journal), false,
+     "file for one line about each attempt"},
+    {"allow-wrong", SETTING_INT, FIELD(allow_wrong), false,
+     "1: exit 0 in spite of wrong answers"},
+    {"allow-incomplete", SETTING_INT, FIELD(allow_incomplete), false,
+     "1: exit 0 in spite of incomplete answers"},
+    {"fail-on-lost", SETTING_INT, FIELD(fail_on_lost), false,
+     "1: exit 1 also if an answer never began"},
+};
+
+const size_t CALLER_SETTINGS_COUNT = G_N_ELEMENTS(CALLER_SETTINGS);
+
+CallerSettings
+CallerSettings_Default(void)
+{
+    return (CallerSettings){
+        .service = "demo",
+        .path = "/work",
+        .methods = "GET:1",
+        .key_share = 1,
+        .rate = 100,
+        .seed = 1,
+        .body_bytes = 64,
+        .answer_bytes = 64,
+        .large_bytes = 1024 * 1024,
+        .service_ms = -1,
+        .timeout_ms = 10000,
+        .resend = "none",
+        .resend_max = 3,
+        .resend_delay_ms = 50,
+        .cancel_ms = 5,
+        .reuse = 1,
+    };
+}
--- /dev/null
+++ b/standins/HttpClient.c
@@ -0,0 +1,449 @@
+#include "HttpClient.h"
+
+#include <string.h>
+
+#define PIECE_BYTES (64 * 1024)
+#define HEADER_ROOM 4096
+
+typedef struct ClientConnection_ ClientConnection;
+
+typedef struct Target_ {
+    char *name;
+    char *address;
+    int port;
+    GQueue idle; /* ClientConnection, last used first */
+} Target;
+
+struct HttpClient_ {
+    struct lws_context *context;
+    struct lws_vhost *vhost;
+    struct lws_protocols protocols[2];
+    GPtrArray *targets;
+    ClientCounters counters;
+    ClientConnection *connecting;
+    int tls;
+    bool reuse;
+};
+
+struct ClientConnection_ {
+    HttpClient *client;
+    Target *target;
+    struct lws *wsi;
+    ClientCall *call;
+    GString *input;
+    HttpMessage message;
+    uint64_t body_sent;
+    uint64_t body_received;
+    uint64_t answered;
+    bool connected;
+    bool head_sent;
+    bool has_head;
+    bool any_byte;
+    bool until_close;
+    bool wants_close;
+    bool kill;
+};
+
+const char *
+ClientResult_Name(ClientResult result)
+{
+    switch (result) {
+    case CLIENT_DONE:
+        return "done";
+    case CLIENT_CONNECT_FAILED:
+        return "connect-failed";
+    case CLIENT_CLOSED:
+        return "closed";
+    case CLIENT_CLOSED_REUSED:
+        return "closed-reused";
+    case CLIENT_SHORT:
+        return "short";
+    case CLIENT_MALFORMED:
+        return "malformed";
+    }
+    return "unknown";
+}
+
+static void
+kill_connection(ClientConnection *this)
+{
+    if (this->kill) {
+        return;
+    }
+    this->kill = true;
+    g_queue_remove(&this->target->idle, this);
+    if (this->wsi != NULL) {
+        lws_set_timeout(this->wsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
+    }
+}
+
+static void
+end_call(ClientConnection *this, ClientResult result)
+{
+    ClientCall *call = this->call;
+
+    this->call = NULL;
+    if (call != NULL) {
+        call->connection = NULL;
+        call->on_done(call->user, result);
+    }
+}
+
+static ClientResult
+close_result(const ClientConnection *this)
+{
+    if (this->until_close && this->has_head) {
+        return CLIENT_DONE;
+    }
+    if (this->any_byte) {
+        return CLIENT_SHORT;
+    }
+    if (!this->connected) {
+        return CLIENT_CONNECT_FAILED;
+    }
+    return this->answered > 0 ? CLIENT_CLOSED_REUSED : CLIENT_CLOSED;
+}
+
+static void
+free_connection(ClientConnection *this)
+{
+    if (this == NULL) {
+        return;
+    }
+    if (this->wsi != NULL) {
+        lws_set_opaque_user_data(this->wsi, NULL);
+    }
+    if (this->client->connecting == this) {
+        this->client->connecting = NULL;
+    }
+    g_queue_remove(&this->target->idle, this);
+    end_call(this, close_result(this));
+    g_string_free(this->input, TRUE);
+    g_free(this);
+}
+
+static int
+write_request(ClientConnection *this)
+{
+    static unsigned char buffer[LWS_PRE + HEADER_ROOM + PIECE_BYTES];
+    ClientCall *call = this->call;
+    size_t length = 0;
+    size_t piece;
+
+    if (call == NULL ||
+        (this->head_sent && this->body_sent == call->body_length)) {
+        return 0;
+    }
+    if (!this->head_sent) {
+        length = MIN(call->head.length, HEADER_ROOM + PIECE_BYTES);
+        memcpy(buffer + LWS_PRE, call->head.data, length);
+        this->head_sent = true;
+    }
+    piece = MIN(sizeof(buffer) - LWS_PRE - length,
+                call->body_length - this->body_sent);
+    if (piece > 0) {
+        call->fill(call->user, this->body_sent,
+                   (char *)buffer + LWS_PRE + length, piece);
+    }
+    this->body_sent += piece;
+    if (this->body_sent < call->body_length) {
+        lws_callback_on_writable(this->wsi);
+    }
+    return lws_write(this->wsi, buffer + LWS_PRE, length + piece,
+                     LWS_WRITE_RAW);
+}
+
+static void
+finish_answer(ClientConnection *this)
+{
+    bool keep = this->client->reuse && !this->wants_close &&
+                this->body_sent == this->call->body_length;
+
+    this->answered++;
+    if (this->input->len > 0) {
+        this->client->counters.excess++;
+        keep = false;
+    }
+    if (keep) {
+        g_queue_push_head(&this->target->idle, this);
+    }
+    else {
+        kill_connection(this);
+    }
+    end_call(this, CLIENT_DONE);
+}
+
+/* Return: true if a final head was read and the body follows. */
+static bool
+read_head(ClientConnection *this)
+{
+    Str bytes = {this->input->str, this->input->len};
+    int code = HttpMessage_Parse(&this->message, bytes);
+    uint64_t status = 0;
+
+    if (code == 0) {
+        return false;
+    }
+    if (code < 0 || this->message.chunked ||
+        Str_ParseU64(this->message.start[1], &status) < 0) {
+        kill_connection(this);
+        end_call(this, CLIENT_MALFORMED);
+        return false;
+    }
+    if (status < 200) {
+        g_string_erase(this->input, 0, (gssize)this->message.bytes);
+        return this->input->len > 0 && read_head(this);
+    }
+    this->has_head = true;
+    this->wants_close = Str_EqualIgnoreCase(
+        HttpMessage_Header(&this->message, STR("connection")), STR("close"));
+    this->until_close = !this->message.has_length && status != 204 &&
+                        status != 304 && !this->call->no_body;
+    this->call->on_head(this->call->user, (int)status, &this->message);
+    return true;
+}
+
+static int
+read_answer(ClientConnection *this, Str bytes)
+{
+    uint64_t length = this->call->no_body ? 0 : this->message.length;
+    size_t piece = bytes.length;
+
+    if (!this->until_close) {
+        piece = MIN(piece, length - this->body_received);
+    }
+    if (piece > 0) {
+        this->call->on_body(this->call->user, this->body_received,
+                            (Str){bytes.data, piece});
+        this->body_received += piece;
+    }
+    g_string_truncate(this->input, 0);
+    g_string_append_len(this->input, bytes.data + piece,
+                        (gssize)(bytes.length - piece));
+    if (!this->until_close && this->body_received == length) {
+        finish_answer(this);
+    }
+    return this->kill ? -1 : 0;
+}
+
+static int
+on_bytes(ClientConnection *this, Str bytes)
+{
+    g_autofree char *rest = NULL;
+    size_t rest_length;
+
+    if (this->kill) {
+        return -1;
+    }
+    if (this->call == NULL) {
+        this->client->counters.excess++;
+        kill_connection(this);
+        return -1;
+    }
+    this->any_byte = true;
+    if (this->has_head) {
+        return read_answer(this, bytes);
+    }
+    g_string_append_len(this->input, bytes.data, (gssize)bytes.length);
+    if (!read_head(this)) {
+        return this->kill ? -1 : 0;
+    }
+    /* The head's texts pointed into the input until here. */
+    rest_length = this->input->len - this->message.bytes;
+    rest = g_memdup2(this->input->str + this->message.bytes, rest_length);
+    return read_answer(this, (Str){rest, rest_length});
+}
+
+static int
+handle(struct lws *wsi, enum lws_callback_reasons reason, void *session,
+       void *in, size_t length)
+{
+    ClientConnection *connection;
+
+    switch (reason) {
+    case LWS_CALLBACK_RAW_CONNECTED:
+        connection = lws_get_opaque_user_data(wsi);
+        if (connection != NULL) {
+            connection->wsi = wsi;
+            connection->connected = true;
+            lws_callback_on_writable(wsi);
+        }
+        return connection == NULL || connection->kill ? -1 : 0;
+    case LWS_CALLBACK_RAW_RX:
+        connection = lws_get_opaque_user_data(wsi);
+        return connection == NULL ? -1
+                                  : on_bytes(connection, (Str){in, length});
+    case LWS_CALLBACK_RAW_WRITEABLE:
+        connection = lws_get_opaque_user_data(wsi);
+        if (connection == NULL || connection->kill) {
+            return -1;
+        }
+        return write_request(connection) < 0 ? -1 : 0;
+    case LWS_CALLBACK_CLIENT_CONNECTION_ERROR:
+    case LWS_CALLBACK_RAW_CLOSE:
+    case LWS_CALLBACK_WSI_DESTROY:
+        connection = lws_get_opaque_user_data(wsi);
+        if (connection != NULL) {
+            connection->wsi = wsi;
+        }
+        free_connection(connection);
+        return 0;
+    default:
+        return 0;
+    }
+}
+
+static void
+open_connection(HttpClient *this, Target *target, ClientCall *call)
+{
+    ClientConnection *connection = g_new0(ClientConnection, 1);
+    struct lws_client_connect_info info;
+    struct lws *wsi;
+
+    connection->client = this;
+    connection->target = target;
+    connection->input = g_string_new(NULL);
+    connection->call = call;
+    call->connection = connection;
+    this->counters.opened++;
+    memset(&info, 0, sizeof(info));
+    info.context = this->context;
+    info.vhost = this->vhost;
+    info.address = target->address;
+    info.host = target->address;
+    info.port = target->port;
+    info.path = "";
+    info.method = "RAW";
+    info.ssl_connection = this->tls;
+    info.local_protocol_name = this->protocols[0].name;
+    info.opaque_user_data = connection;
+    this->connecting = connection;
+    wsi = lws_client_connect_via_info(&info);
+    if (this->connecting == connection) {
+        this->connecting = NULL;
+        connection->wsi = wsi;
+        if (wsi == NULL) {
+            free_connection(connection);
+        }
+    }
+}
+
+void
+HttpClient_Send(HttpClient *this, size_t target, ClientCall *call)
+{
+    Target *place = this->targets->pdata[target];
+    ClientConnection *connection = g_queue_pop_head(&place->idle);
+
+    if (connection == NULL) {
+        open_connection(this, place, call);
+        return;
+    }
+    this->counters.reused++;
+    connection->call = call;
+    call->connection = connection;
+    connection->body_sent = 0;
+    connection->body_received = 0;
+    connection->head_sent = false;
+    connection->has_head = false;
+    connection->any_byte = false;
+    lws_callback_on_writable(connection->wsi);
+}
+
+void
+HttpClient_Cancel(ClientCall *call)
+{
+    ClientConnection *connection = call->connection;
+
+    if (connection == NULL) {
+        return;
+    }
+    call->connection = NULL;
+    connection->call = NULL;
+    kill_connection(connection);
+}
+
+static void
+free_target(void *pointer)
+{
+    Target *target = pointer;
+
+    g_queue_clear(&target->idle);
+    g_free(target->name);
+    g_free(target->address);
+    g_free(target);
+}
+
+static int
+parse_targets(HttpClient *this, const char *text)
+{
+    g_auto(GStrv) names = g_strsplit(text, ",", 0);
+
+    for (char **name = names; *name != NULL; name++) {
+        const char *colon = strrchr(*name, ':');
+        Target *target = g_new0(Target, 1);
+
+        g_queue_init(&target->idle);
+        g_ptr_array_add(this->targets, target);
+        target->name = g_strdup(*name);
+        if (colon == NULL || colon == *name || atoi(colon + 1) <= 0) {
+            return ERR_PARSE;
+        }
+        target->address = g_strndup(*name, (gsize)(colon - *name));
+        target->port = atoi(colon + 1);
+    }
+    return this->targets->len > 0 ? 0 : ERR_PARSE;
+}
+
+HttpClient *
+HttpClient_Create(struct lws_context *context, const char *targets, int tls,
+                  bool reuse)
+{
+    HttpClient *this = g_new0(HttpClient, 1);
+    struct lws_context_creation_info info;
+
+    this->context = context;
+    this->tls = tls;
+    this->reuse = reuse;
+    this->targets = g_ptr_array_new_with_free_func(free_target);
+    this->protocols[0].name = "client";
+    this->protocols[0].callback = handle;
+    memset(&info, 0, sizeof(info));
+    info.port = CONTEXT_PORT_NO_LISTEN;
+    info.protocols = this->protocols;
+    info.options = tls ? LWS_SERVER_OPTION_DO_SSL_GLOBAL_INIT : 0;
+    if (parse_targets(this, targets) == 0) {
+        this->vhost = lws_create_vhost(context, &info);
+    }
+    if (this->vhost == NULL) {
+        HttpClient_Destroy(this);
+        return NULL;
+    }
+    return this;
+}
+
+void
+HttpClient_Destroy(HttpClient *this)
+{
+    if (this != NULL) {
+        g_ptr_array_free(this->targets, TRUE);
+        g_free(this);
+    }
+}
+
+size_t
+HttpClient_TargetCount(const HttpClient *this)
+{
+    return this->targets->len;
+}
+
+const char *
+HttpClient_Target(const HttpClient *this, size_t target)
+{
+    return ((const Target *)this->targets->pdata[target])->name;
+}
+
+ClientCounters
+HttpClient_Counters(const HttpClient *this)
+{
+    return this->counters;
+}
