--- /dev/null
+++ b/packages/core/Router.c
@@ -0,0 +1,616 @@
+#include "Router.h"
+
+#include <glib.h>
+
+#include "Health.h"
+#include "LoadEstimate.h"
+#include "RoutePolicy.h"
+#include "SlotLending.h"
+#include "UpstreamTable.h"
+
+/* An upstream is worth a probe when nothing was heard from it for this long.
+ */
+#define PROBE_UNKNOWN_AGE MICROS_PER_S
+/* Services looked at by one call of Router_NextProbe(). */
+#define PROBE_SERVICES 8
+/* Findings kept for sharing; later ones are dropped until these are read. */
+#define FINDINGS_MAX 32
+
+struct Router_ {
+    RouterOptions options;
+    const Clock *clock;
+    Random *random;
+    UpstreamTable *table;
+    SlotLending *lending;
+    uint32_t probe_turn;
+    RouteFinding findings[FINDINGS_MAX];
+    uint32_t finding_count;
+};
+
+/* Options that a policy does not choose among, unless most are such. */
+typedef struct SetAside_ {
+    RouteOption bad[SUBSET_MAX];
+    RouteOption cold[SUBSET_MAX];
+    uint32_t bad_count;
+    uint32_t cold_count;
+    uint32_t full_count;
+} SetAside;
+
+static const char *const policy_names[ROUTING_POLICIES] = {
+    [ROUTING_RANDOM] = "random",
+    [ROUTING_ROUND_ROBIN] = "round-robin",
+    [ROUTING_LEAST_INFLIGHT] = "least-inflight",
+    [ROUTING_TWO_CHOICES] = "two-choices",
+    [ROUTING_PROBED] = "probed",
+    [ROUTING_REPORTS] = "reports",
+    [ROUTING_SLOT_SHARES] = "slot-shares",
+};
+
+const char *
+RoutingPolicy_Name(RoutingPolicy policy)
+{
+    return policy < ROUTING_POLICIES ? policy_names[policy] : "unknown";
+}
+
+int
+RoutingPolicy_Parse(Str word, RoutingPolicy *policy)
+{
+    for (int p = 0; p < ROUTING_POLICIES; p++) {
+        if (Str_Equal(word, Str_FromC(policy_names[p]))) {
+            *policy = (RoutingPolicy)p;
+            return 0;
+        }
+    }
+    return ERR_INVALID;
+}
+
+RouterOptions
+RouterOptions_Default(void)
+{
+    return (RouterOptions){
+        .policy = ROUTING_REPORTS,
+        .subset_size = 20,
+        .lend = true,
+        .verify_reports = true,
+        .outliers = true,
+        .near_bonus = 1 * MICROS_PER_MS,
+        .ramp = 10 * MICROS_PER_S,
+    };
+}
+
+Router *
+Router_Create(const RouterOptions *options, const Clock *clock, Random *random)
+{
+    Router *this = g_new0(Router, 1);
+
+    this->options = *options;
+    this->clock = clock;
+    this->random = random;
+    this->table = UpstreamTable_Create(&this->options, clock);
+    this->lending = SlotLending_Create(this->table, random);
+    return this;
+}
+
+void
+Router_Destroy(Router *this)
+{
+    SlotLending_Destroy(this->lending);
+    UpstreamTable_Destroy(this->table);
+    g_free(this);
+}
+
+void
+Router_SetHosts(Router *this, const uint64_t *keys, uint32_t count,
+                uint32_t own)
+{
+    UpstreamTable_SetHosts(this->table, keys, count, own);
+}
+
+void
+Router_SetService(Router *this, uint32_t service, const ServiceInfo *info)
+{
+    UpstreamTable_SetService(this->table, service, info);
+}
+
+void
+Router_AddUpstream(Router *this, uint32_t service, uint32_t upstream,
+                   const UpstreamInfo *info)
+{
+    UpstreamTable_Add(this->table, service, upstream, info);
+}
+
+void
+Router_RemoveUpstream(Router *this, uint32_t upstream)
+{
+    UpstreamTable_Remove(this->table, upstream);
+}
+
+void
+Router_SetDraining(Router *this, uint32_t upstream, bool draining)
+{
+    Upstream *u = UpstreamTable_Find(this->table, upstream);
+
+    if (u != NULL) {
+        Health_OnListed(u, draining, Clock_Now(this->clock));
+    }
+}
+
+void
+Router_SetSuspect(Router *this, uint32_t upstream, Micros duration)
+{
+    Upstream *u = UpstreamTable_Find(this->table, upstream);
+
+    if (u != NULL) {
+        Health_Suspect(u, Clock_Now(this->clock), duration);
+    }
+}
+
+static bool
+is_allowed(const RouteQuery *query, uint32_t upstream)
+{
+    for (size_t i = 0; i < query->avoid_count; i++) {
+        if (query->avoid[i] == upstream) {
+            return false;
+        }
+    }
+    return query->admitted == NULL || query->admitted(query->user, upstream);
+}
+
+static uint32_t
+connection_limit(const Router *this, const ServiceState *s, const Upstream *u)
+{
+    if (this->options.policy == ROUTING_SLOT_SHARES &&
+        s->connections_each == 0) {
+        return u->owned;
+    }
+    return s->connections_each;
+}
+
+static bool
+is_full(const Router *this, const ServiceState *s, const Upstream *u)
+{
+    if (this->options.policy == ROUTING_SLOT_SHARES &&
+        u->inflight >= SlotLending_Capacity(u)) {
+        return true;
+    }
+    return u->inflight >= connection_limit(this, s, u) &&
+           this->options.fault != ROUTER_FAULT_IGNORE_CONNECTIONS;
+}
+
+static bool
+is_usable(const Router *this, const RouteQuery *query, uint32_t id, Micros now)
+{
+    Upstream *u = &this->table->upstreams[id];
+
+    if (Health_IsDraining(u, now) &&
+        this->options.fault != ROUTER_FAULT_IGNORE_DRAINING) {
+        return false;
+    }
+    return is_allowed(query, id);
+}
+
+static bool
+looks_bad(const Router *this, const ServiceState *s, const Upstream *u,
+          Micros now)
+{
+    return this->options.outliers &&
+           (u->holds > 0 || LoadEstimate_IsStuck(s, u, now));
+}
+
+static void
+collect(const Router *this, const RouteQuery *query, RouteContext *c,
+        SetAside *aside)
+{
+    for (uint32_t i = 0; i < c->service->subset_count; i++) {
+        uint32_t id = c->service->subset[i];
+        Upstream *u = &this->table->upstreams[id];
+        RouteOption option = {.upstream = u, .id = id};
+
+        if (!is_usable(this, query, id, c->now)) {
+            continue;
+        }
+        if (is_full(this, c->service, u)) {
+            aside->full_count++;
+        }
+        else if (looks_bad(this, c->service, u, c->now)) {
+            aside->bad[aside->bad_count++] = option;
+        }
+        else if (c->now - u->ramp_start < this->options.ramp) {
+            aside->cold[aside->cold_count++] = option;
+        }
+        else {
+            c->items[c->count++] = option;
+        }
+    }
+}
+
+static void
+take_back(RouteContext *c, const RouteOption *options, uint32_t *count)
+{
+    for (uint32_t i = 0; i < *count; i++) {
+        c->items[c->count++] = options[i];
+    }
+    *count = 0;
+}
+
+static void
+describe(const RouteContext *c, uint32_t chosen, uint32_t compared,
+         const char *reason, RouteChoice *choice)
+{
+    uint32_t n = MIN(compared, ROUTE_CANDIDATES_MAX);
+
+    choice->upstream = c->items[chosen].id;
+    choice->reason = reason;
+    choice->compared = compared;
+    choice->candidate_count = 0;
+    for (uint32_t i = 0; i < n; i++) {
+        /* The chosen one comes first, whatever its index. */
+        const RouteOption *o = &c->items[(chosen + i) % MAX(compared, 1)];
+        Micros report = o->upstream->report_time;
+
+        choice->candidates[choice->candidate_count++] = (RouteCandidate){
+            .upstream = o->id,
+            .load = o->load,
+            .age = report < 0 ? -1 : c->now - report,
+        };
+    }
+}
+
+static int
+choose_directly(RouteContext *c, const RouteOption *option, const char *reason,
+                RouteChoice *choice)
+{
+    c->items[0] = *option;
+    c->items[0].load =
+        (float)option->upstream->inflight / option->upstream->slots;
+    describe(c, 0, 1, reason, choice);
+    return 0;
+}
+
+static const RouteOption *
+find_trial(const RouteContext *c, const SetAside *aside)
+{
+    for (uint32_t i = 0; i < aside->bad_count; i++) {
+        if (Health_IsTrialDue(aside->bad[i].upstream, c->now)) {
+            return &aside->bad[i];
+        }
+    }
+    return NULL;
+}
+
+/*
+ * A cold upstream gets its ramp's part of a fair share by lot: compared with
+ * the others it would look idle and draw all traffic.
+ */
+static const RouteOption *
+find_ramped(const RouteContext *c, const SetAside *aside)
+{
+    uint32_t n = c->count + aside->cold_count;
+    double lot;
+
+    if (aside->cold_count == 0) {
+        return NULL;
+    }
+    lot = Random_Unit(c->random) * n;
+    for (uint32_t i = 0; i < aside->cold_count; i++) {
+        lot -= LoadEstimate_Ramp(aside->cold[i].upstream, c->now,
+                                 c->options->ramp);
+        if (lot < 0) {
+            return &aside->cold[i];
+        }
+    }
+    return NULL;
+}
+
+static int
+choose_by_policy(RouteContext *c, RoutingPolicy policy, const char *reason,
+                 RouteChoice *choice)
+{
+    uint32_t compared = 0;
+    uint32_t chosen;
+
+    if (c->count == 0) {
+        return ERR_LIMIT;
+    }
+    chosen = RoutePolicy_Pick(c, policy, &compared);
+    describe(c, chosen, compared, reason, choice);
+    return 0;
+}
+
+static int
+choose(RouteContext *c, SetAside *aside, RouteChoice *choice)
+{
+    RoutingPolicy policy = c->options->policy;
+    uint32_t total = c->count + aside->bad_count + aside->cold_count;
+    const RouteOption *direct;
+
+    if (total == 0) {
+        return aside->full_count > 0 ? ERR_LIMIT : ERR_UNAVAILABLE;
+    }
+    /* Upstreams that are full are in use, so they count as good here. */
+    total += aside->full_count;
+    if (2 * aside->cold_count > total || c->count == 0) {
+        take_back(c, aside->cold, &aside->cold_count);
+    }
+    if (2 * aside->bad_count > total) {
+        take_back(c, aside->cold, &aside->cold_count);
+        take_back(c, aside->bad, &aside->bad_count);
+        return choose_by_policy(c, ROUTING_TWO_CHOICES, "most-look-bad",
+                                choice);
+    }
+    direct = find_trial(c, aside);
+    if (direct != NULL) {
+        return choose_directly(c, direct, "trial", choice);
+    }
+    direct = find_ramped(c, aside);
+    if (direct != NULL) {
+        return choose_directly(c, direct, "ramp", choice);
+    }
+    return choose_by_policy(c, policy, policy_names[policy], choice);
+}
+
+int
+Router_Choose(Router *this, const RouteQuery *query, RouteChoice *choice)
+{
+    RouteContext context;
+    SetAside aside;
+    int result;
+
+    context.options = &this->options;
+    context.service = UpstreamTable_Service(this->table, query->service);
+    context.random = this->random;
+    context.now = Clock_Now(this->clock);
+    context.count = 0;
+    if (context.service == NULL) {
+        return ERR_NOT_FOUND;
+    }
+    /* Only the counts: the arrays are larger than all else touched here. */
+    aside.bad_count = 0;
+    aside.cold_count = 0;
+    aside.full_count = 0;
+    SlotLending_Expire(this->lending);
+    collect(this, query, &context, &aside);
+    result = choose(&context, &aside, choice);
+    if (result == ERR_LIMIT && this->options.lend &&
+        this->options.policy == ROUTING_SLOT_SHARES) {
+        SlotLending_Borrow(this->lending, query->service);
+    }
+    return result;
+}
+
+void
+Router_OnSent(Router *this, uint32_t upstream)
+{
+    Upstream *u = UpstreamTable_Find(this->table, upstream);
+    Micros now = Clock_Now(this->clock);
+
+    if (u == NULL) {
+        return;
+    }
+    u->inflight++;
+    u->sent_since_report++;
+    u->started += now;
+    this->table->services[u->service].inflight++;
+    Health_OnSent(u, now);
+}
+
+static void
+add_finding(Router *this, const Upstream *u, bool draining)
+{
+    Micros hold = u->held_until - Clock_Now(this->clock);
+
+    if (this->finding_count < FINDINGS_MAX) {
+        this->findings[this->finding_count++] = (RouteFinding){
+            .upstream = (uint32_t)(u - this->table->upstreams),
+            .draining = draining,
+            .hold = draining ? 0 : hold,
+        };
+    }
+}
+
+static void
+on_drain_report(Router *this, Upstream *u, bool draining)
+{
+    bool known = (u->flags & UPSTREAM_REPORTED_DRAINING) != 0;
+
+    Health_OnDrainReport(u, draining, Clock_Now(this->clock));
+    if (draining && !known) {
+        add_finding(this, u, true);
+    }
+}
+
+bool
+Router_NextFinding(Router *this, RouteFinding *finding)
+{
+    if (this->finding_count == 0) {
+        return false;
+    }
+    *finding = this->findings[--this->finding_count];
+    return true;
+}
+
+void
+Router_OnReport(Router *this, uint32_t upstream, const LoadReport *report,
+                Micros age)
+{
+    Upstream *u = UpstreamTable_Find(this->table, upstream);
+    Micros now = Clock_Now(this->clock);
+
+    if (u == NULL) {
+        return;
+    }
+    if (this->options.policy != ROUTING_PROBED) {
+        LoadEstimate_OnReport(&this->table->services[u->service], u, report,
+                              now - age, this->options.verify_reports);
+    }
+    on_drain_report(this, u, report->draining);
+}
+
+void
+Router_OnFinished(Router *this, uint32_t upstream, AttemptOutcome outcome,
+                  Micros latency)
+{
+    Upstream *u = UpstreamTable_Find(this->table, upstream);
+    Micros now = Clock_Now(this->clock);
+    ServiceState *s;
+    uint8_t holds;
+
+    /* Requests from before a removal are not counted. */
+    if (u == NULL || u->inflight == 0) {
+        return;
+    }
+    s = &this->table->services[u->service];
+    u->inflight--;
+    s->inflight--;
+    u->started -= now - latency;
+    if (outcome == ATTEMPT_SHED) {
+        u->report_time = now;
+        u->report_load = MAX(u->report_load, u->slots);
+        u->sent_since_report = 0;
+    }
+    holds = u->holds;
+    Health_OnFinished(s, u, outcome, latency, now);
+    if (u->holds > holds) {
+        add_finding(this, u, false);
+    }
+}
+
+/* The upstream of the subset that was heard from least recently. */
+static uint32_t
+least_known(const Router *this, const ServiceState *s)
+{
+    Micros now = Clock_Now(this->clock);
+    Micros oldest = now - PROBE_UNKNOWN_AGE;
+    uint32_t best = UPSTREAM_NONE;
+
+    for (uint32_t i = 0; i < s->subset_count; i++) {
+        const Upstream *u = &this->table->upstreams[s->subset[i]];
+        Micros known = MAX(u->report_time, u->probe_time);
+
+        if ((u->flags & UPSTREAM_REPORTED_DRAINING) != 0) {
+            known = u->probe_time;
+        }
+        if (known <= oldest || known < 0) {
+            oldest = known;
+            best = s->subset[i];
+        }
+    }
+    return best;
+}
+
+static bool
+probe_service(Router *this, uint32_t service, ProbeRequest *probe)
+{
+    ServiceState *s = UpstreamTable_Service(this->table, service);
+    uint32_t upstream = s != NULL ? least_known(this, s) : UPSTREAM_NONE;
+
+    if (upstream == UPSTREAM_NONE || !ProbeBudget_Take(s->budget)) {
+        return false;
+    }
+    this->table->upstreams[upstream].probe_time = Clock_Now(this->clock);
+    *probe = (ProbeRequest){.service = service, .upstream = upstream};
+    return true;
+}
+
+bool
+Router_NextProbe(Router *this, ProbeRequest *probe)
+{
+    uint32_t n = MIN(this->table->service_count, PROBE_SERVICES);
+
+    for (uint32_t i = 0; i < n; i++) {
+        uint32_t service = this->probe_turn++ % this->table->service_count;
+
+        if (probe_service(this, service, probe)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+void
+Router_OnProbe(Router *this, const ProbeRequest *probe,
+               const LoadReport *report, uint32_t bytes, Micros time)
+{
+    ServiceState *s = UpstreamTable_Service(this->table, probe->service);
+    Upstream *u = UpstreamTable_Find(this->table, probe->upstream);
+
+    if (s != NULL) {
+        ProbeBudget_Settle(s->budget, bytes, time);
+    }
+    if (s == NULL || u == NULL || report == NULL) {
+        return;
+    }
+    LoadEstimate_OnReport(s, u, report, Clock_Now(this->clock), false);
+    on_drain_report(this, u, report->draining);
+}
+
+bool
+Router_NextSlotMessage(Router *this, SlotMessage *message)
+{
+    return this->options.policy == ROUTING_SLOT_SHARES &&
+           SlotLending_Next(this->lending, message);
+}
+
+bool
+Router_OnSlotMessage(Router *this, const SlotMessage *message)
+{
+    SlotLending_Expire(this->lending);
+    return SlotLending_OnMessage(this->lending, message);
+}
+
+uint32_t
+Router_Inflight(const Router *this, uint32_t upstream)
+{
+    const Upstream *u = UpstreamTable_Find(this->table, upstream);
+
+    return u != NULL ? u->inflight : 0;
+}
+
+uint32_t
+Router_ConnectionLimit(Router *this, uint32_t upstream)
+{
+    const Upstream *u = UpstreamTable_Find(this->table, upstream);
+    const ServiceState *s;
+
+    if (u == NULL) {
+        return 0;
+    }
+    s = UpstreamTable_Service(this->table, u->service);
+    for (uint32_t i = 0; i < s->subset_count; i++) {
+        if (s->subset[i] == upstream) {
+            return connection_limit(this, s, u);
+        }
+    }
+    return 0;
+}
+
+size_t
+Router_Subset(Router *this, uint32_t service, uint32_t *upstreams, size_t max)
+{
+    const ServiceState *s = UpstreamTable_Service(this->table, service);
+    size_t n = s != NULL ? MIN(max, s->subset_count) : 0;
+
+    for (size_t i = 0; i < n; i++) {
+        upstreams[i] = s->subset[i];
+    }
+    return n;
+}
+
+ProbeSpent
+Router_ProbeSpent(const Router *this, uint32_t service)
+{
+    ProbeSpent none = {0};
+
+    if (service >= this->table->service_count ||
+        !this->table->services[service].present) {
+        return none;
+    }
+    return ProbeBudget_Spent(this->table->services[service].budget);
+}
+
+size_t
+Router_MemoryBytes(const Router *this)
+{
+    return sizeof(*this) + UpstreamTable_MemoryBytes(this->table) +
+           SlotLending_MemoryBytes(this->lending);
+}
--- a/packages/core/Router.h
+++ b/packages/core/Router.h
@@ -6,6 +6,7 @@
 #include <stdint.h>
 
 #include "Clock.h"
+#include "Error.h"
 #include "ProbeBudget.h"
 #include "Random.h"
 #include "SlotMessage.h"
@@ -42,6 +43,8 @@
  * @lend: `slot-shares` borrows from peers when all own slots are busy
  * @verify_reports: `reports` weighs load reports by how well they agree with
  *                  this host's own counts
+ * @outliers: failing and slow upstreams are held back; false only to measure
+ *            a policy by itself
  * @own_domain: failure domain of this host
  * @near_bonus: time by which an upstream in another domain is farther away
  * @ramp: time in which a cold upstream gets up to its full share
@@ -53,6 +56,7 @@
     uint32_t choices;
     bool lend;
     bool verify_reports;
+    bool outliers;
     uint32_t own_domain;
     Micros near_bonus;
     Micros ramp;
@@ -131,6 +135,17 @@
     uint32_t compared;
 } RouteChoice;
 
+/**
+ * struct RouteFinding_ - to be shared with peers
+ * @draining: it reported that it is leaving: Router_SetDraining() there
+ * @hold: else it is suspect for this long: Router_SetSuspect() there
+ */
+typedef struct RouteFinding_ {
+    uint32_t upstream;
+    bool draining;
+    Micros hold;
+} RouteFinding;
+
 /** struct ProbeRequest_ - send GET /load, report to Router_OnProbe() */
 typedef struct ProbeRequest_ {
     uint32_t service;
@@ -214,6 +229,13 @@
 void Router_OnFinished(Router *this, uint32_t upstream, AttemptOutcome outcome,
                        Micros latency);
 
+/**
+ * Router_NextFinding() - what this host found out and its peers should know
+ *
+ * Return: false when there is nothing new since the last call.
+ */
+bool Router_NextFinding(Router *this, RouteFinding *finding);
+
 /** Router_NextProbe() - the next probe that the budget allows, if any */
 bool Router_NextProbe(Router *this, ProbeRequest *probe);
 
--- /dev/null
+++ b/packages/core/UpstreamTable.c
@@ -0,0 +1,338 @@
+#include "UpstreamTable.h"
+
+#include <glib.h>
+#include <string.h>
+
+#include "Subset.h"
+
+/* Median latency that is assumed before the first response. */
+#define TYPICAL_START (10 * MICROS_PER_MS)
+
+UpstreamTable *
+UpstreamTable_Create(const RouterOptions *options, const Clock *clock)
+{
+    UpstreamTable *this = g_new0(UpstreamTable, 1);
+
+    this->clock = clock;
+    this->options = options;
+    this->host_keys = g_new0(uint64_t, 1);
+    this->host_count = 1;
+    return this;
+}
+
+void
+UpstreamTable_Destroy(UpstreamTable *this)
+{
+    for (uint32_t s = 0; s < this->service_count; s++) {
+        g_free(this->services[s].upstreams);
+        ProbeBudget_Destroy(this->services[s].budget);
+    }
+    g_free(this->services);
+    g_free(this->upstreams);
+    g_free(this->host_keys);
+    g_free(this);
+}
+
+void
+UpstreamTable_SetHosts(UpstreamTable *this, const uint64_t *keys,
+                       uint32_t count, uint32_t own)
+{
+    g_free(this->host_keys);
+    this->host_keys = g_new(uint64_t, count);
+    memcpy(this->host_keys, keys, count * sizeof(*keys));
+    this->host_count = count;
+    this->host_own = own;
+    for (uint32_t s = 0; s < this->service_count; s++) {
+        this->services[s].stale = true;
+    }
+}
+
+/* Grows by half, so that adding one at a time costs little in all. */
+static uint32_t
+grown_count(uint32_t count, uint32_t needed)
+{
+    return MAX(needed, count + count / 2);
+}
+
+static ServiceState *
+reach_service(UpstreamTable *this, uint32_t service)
+{
+    if (service >= this->service_count) {
+        uint32_t count = grown_count(this->service_count, service + 1);
+
+        this->services = g_renew(ServiceState, this->services, count);
+        memset(&this->services[this->service_count], 0,
+               (count - this->service_count) * sizeof(ServiceState));
+        this->service_count = count;
+    }
+    return &this->services[service];
+}
+
+static Upstream *
+reach_upstream(UpstreamTable *this, uint32_t upstream)
+{
+    if (upstream >= this->upstream_count) {
+        uint32_t count = grown_count(this->upstream_count, upstream + 1);
+
+        this->upstreams = g_renew(Upstream, this->upstreams, count);
+        memset(&this->upstreams[this->upstream_count], 0,
+               (count - this->upstream_count) * sizeof(Upstream));
+        this->upstream_count = count;
+    }
+    return &this->upstreams[upstream];
+}
+
+void
+UpstreamTable_SetService(UpstreamTable *this, uint32_t service,
+                         const ServiceInfo *info)
+{
+    ServiceState *s = reach_service(this, service);
+
+    if (!s->present) {
+        s->present = true;
+        s->typical = TYPICAL_START;
+        s->busy = -1.0F;
+        s->trust = 1.0F;
+    }
+    s->info = *info;
+    s->stale = true;
+    ProbeBudget_Destroy(s->budget);
+    s->budget = ProbeBudget_Create(&info->probes, this->clock);
+    if (this->options->fault == ROUTER_FAULT_OVERSPEND_PROBES) {
+        ProbeBudget_PlantOverspend(s->budget);
+    }
+}
+
+static void
+start_upstream(UpstreamTable *this, Upstream *u, const UpstreamInfo *info)
+{
+    Micros now = Clock_Now(this->clock);
+
+    memset(u, 0, sizeof(*u));
+    u->flags = UPSTREAM_PRESENT;
+    u->report_time = -1;
+    u->probe_time = -1;
+    u->ramp_start = info->cold ? now : now - this->options->ramp;
+}
+
+void
+UpstreamTable_Add(UpstreamTable *this, uint32_t service, uint32_t upstream,
+                  const UpstreamInfo *info)
+{
+    ServiceState *s = reach_service(this, service);
+    Upstream *u = reach_upstream(this, upstream);
+
+    if ((u->flags & UPSTREAM_PRESENT) != 0 && u->service != service) {
+        UpstreamTable_Remove(this, upstream);
+    }
+    if ((u->flags & UPSTREAM_PRESENT) == 0) {
+        start_upstream(this, u, info);
+        s->upstreams = g_renew(uint32_t, s->upstreams, s->count + 1);
+        s->upstreams[s->count++] = upstream;
+    }
+    u->service = service;
+    u->key = info->key;
+    u->domain = info->domain;
+    u->slots = (uint16_t)CLAMP(info->slots, 1, UINT16_MAX);
+    s->stale = true;
+}
+
+void
+UpstreamTable_Remove(UpstreamTable *this, uint32_t upstream)
+{
+    Upstream *u = UpstreamTable_Find(this, upstream);
+    ServiceState *s;
+
+    if (u == NULL) {
+        return;
+    }
+    s = &this->services[u->service];
+    for (uint32_t i = 0; i < s->count; i++) {
+        if (s->upstreams[i] == upstream) {
+            s->upstreams[i] = s->upstreams[--s->count];
+            break;
+        }
+    }
+    s->inflight -= MIN(s->inflight, u->inflight);
+    u->flags = 0;
+    s->stale = true;
+}
+
+Upstream *
+UpstreamTable_Find(const UpstreamTable *this, uint32_t upstream)
+{
+    if (upstream >= this->upstream_count ||
+        (this->upstreams[upstream].flags & UPSTREAM_PRESENT) == 0) {
+        return NULL;
+    }
+    return &this->upstreams[upstream];
+}
+
+static GHashTable *
+index_by_key(const UpstreamTable *this, const ServiceState *s)
+{
+    GHashTable *by_key = g_hash_table_new(g_int64_hash, g_int64_equal);
+
+    for (uint32_t i = 0; i < s->count; i++) {
+        Upstream *u = &this->upstreams[s->upstreams[i]];
+
+        g_hash_table_insert(by_key, &u->key, u);
+    }
+    return by_key;
+}
+
+static SubsetHosts
+hosts_of(const UpstreamTable *this)
+{
+    return (SubsetHosts){
+        .keys = this->host_keys,
+        .count = this->host_count,
+        .own = this->host_own,
+    };
+}
+
+static void
+compute_subset(UpstreamTable *this, ServiceState *s, GHashTable *by_key)
+{
+    SubsetHosts hosts = hosts_of(this);
+    SubsetItem *items = g_new(SubsetItem, s->count);
+    uint8_t *mine = g_new0(uint8_t, s->count);
+    uint32_t size = MIN(this->options->subset_size, SUBSET_MAX);
+    uint32_t copies =
+        Subset_Copies(hosts.count, s->count, size, s->info.connections);
+
+    for (uint32_t i = 0; i < s->count; i++) {
+        const Upstream *u = &this->upstreams[s->upstreams[i]];
+
+        items[i] = (SubsetItem){.key = u->key, .domain = u->domain};
+    }
+    Subset_Assign(&hosts, items, s->count, copies, mine);
+    s->subset_count = 0;
+    for (uint32_t i = 0; i < s->count && s->subset_count < SUBSET_MAX; i++) {
+        const Upstream *u = g_hash_table_lookup(by_key, &items[i].key);
+
+        if (mine[i]) {
+            s->subset[s->subset_count++] = (uint32_t)(u - this->upstreams);
+        }
+    }
+    s->connections_each =
+        copies > 0 ? s->info.connections / Subset_Divisor(copies) : 0;
+    s->connections_each = MAX(s->connections_each, copies > 0);
+    g_free(items);
+    g_free(mine);
+}
+
+/* Each slot is an item of its own with one host. */
+static void
+compute_slot_owners(UpstreamTable *this, ServiceState *s, GHashTable *by_key)
+{
+    SubsetHosts hosts = hosts_of(this);
+    SubsetItem *items = g_new(SubsetItem, s->slots);
+    uint8_t *mine = g_new0(uint8_t, s->slots);
+    GHashTable *of_item = g_hash_table_new(g_int64_hash, g_int64_equal);
+    uint32_t n = 0;
+
+    for (uint32_t i = 0; i < s->count; i++) {
+        Upstream *u = &this->upstreams[s->upstreams[i]];
+
+        u->owned = 0;
+        for (uint32_t slot = 0; slot < u->slots; slot++) {
+            items[n].key = (u->key + slot) * 0xd1342543de82ef95ULL;
+            items[n++].domain = u->domain;
+        }
+    }
+    Subset_Assign(&hosts, items, n, 1, mine);
+    for (uint32_t i = 0; i < n; i++) {
+        g_hash_table_insert(of_item, &items[i].key, GUINT_TO_POINTER(mine[i]));
+    }
+    for (uint32_t i = 0; i < s->count; i++) {
+        Upstream *u = &this->upstreams[s->upstreams[i]];
+
+        for (uint32_t slot = 0; slot < u->slots; slot++) {
+            uint64_t key = (u->key + slot) * 0xd1342543de82ef95ULL;
+
+            u->owned +=
+                g_hash_table_lookup(of_item, &key) == GUINT_TO_POINTER(1);
+        }
+    }
+    g_hash_table_destroy(of_item);
+    g_free(items);
+    g_free(mine);
+}
+
+/*
+ * With slot shares the upstreams where this host owns a slot come first; the
+ * rest of the subset is used only through loans.
+ */
+static void
+put_owned_first(UpstreamTable *this, ServiceState *s)
+{
+    uint32_t others[SUBSET_MAX];
+    uint32_t other_count = s->subset_count;
+    uint32_t n = 0;
+
+    memcpy(others, s->subset, sizeof(others));
+    for (uint32_t i = 0; i < s->count && n < SUBSET_MAX; i++) {
+        if (this->upstreams[s->upstreams[i]].owned > 0) {
+            s->subset[n++] = s->upstreams[i];
+        }
+    }
+    for (uint32_t i = 0; i < other_count && n < SUBSET_MAX; i++) {
+        if (this->upstreams[others[i]].owned == 0) {
+            s->subset[n++] = others[i];
+        }
+    }
+    s->subset_count = n;
+    s->connections_each =
+        s->info.connections / Subset_Divisor(this->host_count);
+}
+
+static void
+refresh_service(UpstreamTable *this, ServiceState *s)
+{
+    GHashTable *by_key = index_by_key(this, s);
+
+    s->stale = false;
+    s->slots = 0;
+    for (uint32_t i = 0; i < s->count; i++) {
+        s->slots += this->upstreams[s->upstreams[i]].slots;
+    }
+    compute_subset(this, s, by_key);
+    if (this->options->policy == ROUTING_SLOT_SHARES) {
+        compute_slot_owners(this, s, by_key);
+        put_owned_first(this, s);
+    }
+    ProbeBudget_SetShare(s->budget, Subset_Divisor(this->host_count),
+                         s->slots);
+    g_hash_table_destroy(by_key);
+}
+
+ServiceState *
+UpstreamTable_Service(UpstreamTable *this, uint32_t service)
+{
+    ServiceState *s;
+
+    if (service >= this->service_count || !this->services[service].present) {
+        return NULL;
+    }
+    s = &this->services[service];
+    if (s->stale) {
+        refresh_service(this, s);
+    }
+    return s;
+}
+
+size_t
+UpstreamTable_MemoryBytes(const UpstreamTable *this)
+{
+    size_t bytes = sizeof(*this) + this->upstream_count * sizeof(Upstream) +
+                   this->service_count * sizeof(ServiceState) +
+                   this->host_count * sizeof(uint64_t);
+
+    for (uint32_t s = 0; s < this->service_count; s++) {
+        /* A probe budget holds three buckets, limits and counters. */
+        bytes += this->services[s].count * sizeof(uint32_t);
+        bytes += this->services[s].present ? 208 : 0;
+    }
+    return bytes;
+}
