--- /dev/null
+++ b/packages/agatecrank/CheckCommand.c
@@ -0,0 +1,64 @@
+#include <argtable2.h>
+#include <stdio.h>
+
+#include "Command.h"
+#include "ConfigDocument.h"
+#include "Settings.h"
+
+static int
+check_file(const char *path, bool settings)
+{
+    Faults *faults = Faults_Create(Str_FromC(path));
+    int code = COMMAND_OK;
+
+    if (settings) {
+        Settings_Destroy(Settings_ReadFile(path, faults));
+    }
+    else {
+        GString *text = Command_ReadFile(path);
+
+        if (text == NULL) {
+            Faults_Destroy(faults);
+            return COMMAND_USAGE;
+        }
+        ConfigDocument_Destroy(
+            ConfigDocument_Parse((Str){text->str, text->len}, faults));
+        g_string_free(text, TRUE);
+    }
+    if (Faults_Count(faults) > 0) {
+        code = Command_PrintFaults(faults);
+    }
+    else {
+        printf("%s: ok\n", path);
+    }
+    Faults_Destroy(faults);
+    return code;
+}
+
+int
+CheckCommand_Run(int argc, char **argv)
+{
+    struct arg_lit *settings =
+        arg_lit0(NULL, "settings", "FILE holds settings of agatecrankd");
+    struct arg_file *file = arg_file1(NULL, NULL, "FILE", "file to check");
+    struct arg_lit *help = arg_lit0("h", "help", "print this help");
+    struct arg_end *end = arg_end(4);
+    void *table[] = {settings, file, help, end};
+    int errors = arg_parse(argc, argv, table);
+    int code = COMMAND_USAGE;
+
+    if (help->count > 0) {
+        printf("Usage: agatecrank check [--settings] FILE\n\nPrints every "
+               "fault with file, line, key and reason.\n\n");
+        arg_print_glossary(stdout, table, "  %-14s %s\n");
+        code = COMMAND_OK;
+    }
+    else if (errors > 0) {
+        arg_print_errors(stderr, end, "agatecrank check");
+    }
+    else {
+        code = check_file(file->filename[0], settings->count > 0);
+    }
+    arg_freetable(table, sizeof(table) / sizeof(table[0]));
+    return code;
+}
--- /dev/null
+++ b/packages/agatecrank/CliSettings.c
@@ -0,0 +1,93 @@
+#include "CliSettings.h"
+
+#include <glib.h>
+#include <openssl/crypto.h>
+#include <stddef.h>
+#include <string.h>
+
+#define DEFAULT_TIMEOUT_MS 10000
+
+#define AT(member) offsetof(CliSettings, member)
+
+static const Field fields[] = {
+    {"log_url", FIELD_URL, AT(log_url), false, 0, 0, NULL},
+    {"host_list_url", FIELD_URL, AT(host_list_url), false, 0, 0, NULL},
+    {"admin_urls", FIELD_PEERS, AT(admin_urls), false, 0, 0, NULL},
+    {"operator", FIELD_NAME, AT(operator_name), false, 0, 0, NULL},
+    {"key_file", FIELD_PATH, AT(key_file), false, 0, 0, NULL},
+    {"bootstrap_keys", FIELD_KEYS, AT(bootstrap_keys), false, 0, 0, NULL},
+    {"timeout_ms", FIELD_U32, AT(timeout_ms), false, 100, 600000, NULL},
+    {NULL, 0, 0, false, 0, 0, NULL},
+};
+
+CliSettings *
+CliSettings_ReadFile(const char *path, Faults *faults)
+{
+    CliSettings *this = g_new0(CliSettings, 1);
+    GError *error = NULL;
+    char *text = NULL;
+    gsize length = 0;
+    Toml *toml = NULL;
+
+    this->store = TextStore_Create();
+    this->timeout_ms = DEFAULT_TIMEOUT_MS;
+    if (!g_file_get_contents(path, &text, &length, &error)) {
+        Faults_Add(faults, 0, 0, STR(""), "%s", error->message);
+        g_error_free(error);
+    }
+    else {
+        TomlFault fault;
+
+        toml = Toml_Parse((Str){text, length}, &fault);
+        if (toml == NULL) {
+            Faults_Add(faults, fault.line, fault.column, STR(""), "%s",
+                       fault.text);
+        }
+    }
+    if (toml != NULL) {
+        Fields_Read(fields, Toml_Root(toml), STR(""), this, this->store,
+                    faults);
+        Toml_Destroy(toml);
+    }
+    g_free(text);
+    if (Faults_Count(faults) > 0) {
+        CliSettings_Destroy(this);
+        return NULL;
+    }
+    return this;
+}
+
+void
+CliSettings_Destroy(CliSettings *this)
+{
+    if (this == NULL) {
+        return;
+    }
+    TextStore_Destroy(this->store);
+    g_free(this);
+}
+
+int
+CliSettings_ReadKey(const char *path, uint8_t secret[32], Error *error)
+{
+    char *text = NULL;
+    gsize length = 0;
+    Key32 key;
+    bool valid;
+
+    if (!g_file_get_contents(path, &text, &length, NULL)) {
+        return Error_Set(error, ERR_IO, "read-key", Str_FromC(path),
+                         "the key file can not be read");
+    }
+    g_strchomp(text);
+    valid = Fields_Base64(Str_FromC(text), &key);
+    memcpy(secret, key.bytes, 32);
+    OPENSSL_cleanse(text, length);
+    OPENSSL_cleanse(&key, sizeof(key));
+    g_free(text);
+    if (!valid) {
+        return Error_Set(error, ERR_PARSE, "read-key", Str_FromC(path),
+                         "the key file must hold base64 of 32 bytes");
+    }
+    return 0;
+}
--- /dev/null
+++ b/packages/agatecrank/KeygenCommand.c
@@ -0,0 +1,80 @@
+#include <argtable2.h>
+#include <fcntl.h>
+#include <openssl/crypto.h>
+#include <openssl/rand.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "Command.h"
+#include "Publication.h"
+
+/* The file must not exist: a key is never overwritten. */
+static int
+write_secret(const char *path, const uint8_t secret[32])
+{
+    GString *text = g_string_new(NULL);
+    int fd = open(path, O_WRONLY | O_CREAT | O_EXCL | O_CLOEXEC, 0600);
+    bool done;
+
+    Publication_WriteBase64(secret, 32, text);
+    g_string_append_c(text, '\n');
+    done = fd >= 0 && write(fd, text->str, text->len) == (ssize_t)text->len;
+    if (fd >= 0) {
+        done = close(fd) == 0 && done;
+    }
+    OPENSSL_cleanse(text->str, text->len);
+    g_string_free(text, TRUE);
+    return done ? 0 : ERR_IO;
+}
+
+static int
+make_key(const char *path)
+{
+    uint8_t secret[32];
+    Key32 public_key;
+    GString *text;
+    int code;
+
+    if (RAND_priv_bytes(secret, sizeof(secret)) != 1 ||
+        Publication_PublicKey(secret, &public_key) < 0) {
+        fprintf(stderr, "agatecrank: no random bytes are available\n");
+        return COMMAND_UNAVAILABLE;
+    }
+    code = write_secret(path, secret);
+    OPENSSL_cleanse(secret, sizeof(secret));
+    if (code < 0) {
+        fprintf(stderr, "agatecrank: %s can not be written or exists\n", path);
+        return COMMAND_USAGE;
+    }
+    text = g_string_new(NULL);
+    Publication_WriteBase64(public_key.bytes, 32, text);
+    printf("%s\n", text->str);
+    g_string_free(text, TRUE);
+    return COMMAND_OK;
+}
+
+int
+KeygenCommand_Run(int argc, char **argv)
+{
+    struct arg_file *out = arg_file1(NULL, NULL, "FILE", "secret key file");
+    struct arg_lit *help = arg_lit0("h", "help", "print this help");
+    struct arg_end *end = arg_end(4);
+    void *table[] = {out, help, end};
+    int errors = arg_parse(argc, argv, table);
+    int code = COMMAND_USAGE;
+
+    if (help->count > 0) {
+        printf("Usage: agatecrank keygen FILE\n\nWrites a new Ed25519 secret "
+               "key to FILE (mode 0600)\nand prints the public key.\n");
+        code = COMMAND_OK;
+    }
+    else if (errors > 0) {
+        arg_print_errors(stderr, end, "agatecrank keygen");
+    }
+    else {
+        code = make_key(out->filename[0]);
+    }
+    arg_freetable(table, sizeof(table) / sizeof(table[0]));
+    return code;
+}
--- a/packages/config/Toml.cpp
+++ b/packages/config/Toml.cpp
@@ -6,6 +6,11 @@
 #define TOML_EXCEPTIONS 0
 #define TOML_MAX_NESTED_VALUES TOML_DEPTH_MAX
 
+// Str.h is a C header without linkage marks of its own.
+extern "C" {
+#include "Str.h"
+}
+
 #include "Toml.h"
 
 #include <cmath>
--- a/packages/core/Balancer.c
+++ b/packages/core/Balancer.c
@@ -179,6 +179,7 @@
         .service = request->service,
         .line = request->line,
         .caller = request->caller_hash,
+        .cost = 1.0,
         .charge = request->charge,
         .busy = busy,
         .outcome = outcome,
@@ -305,10 +306,6 @@
     const DirectoryUpstream *entry = Directory_At(this->directory, upstream);
     BalancerAction *action = add_action(this, BALANCER_SEND, request->id);
 
-    if (Exchange_Attempts(request->exchange) == 0) {
-        RetryBudget_OnFirstAttempt(
-            service_state(this, request->service)->retries);
-    }
     request->upstream = upstream;
     request->sent = Clock_Now(this->clock);
     request->status = 0;
@@ -957,7 +954,8 @@
     request->status = head->status;
     if (LoadReport_Parse(head->load, &report) == 0) {
         Router_OnReport(this->router, request->upstream, &report, 0);
-        Admission_OnLoad(this->admission, request->service, report.queue,
+        Admission_OnLoad(this->admission, request->service,
+                         report.inflight + report.queue,
                          report.slots > 0 ? report.slots : 1);
     }
     if (head->status == 503 && head->not_run) {
--- a/packages/net/Proxy.c
+++ b/packages/net/Proxy.c
@@ -626,12 +626,16 @@
     Proxy_Drain(this);
 }
 
-/* The digest covers the length and the body, or its first part if the body
- * is too long to be held. */
+/* The digest covers method, target, length and body, or the body's first part
+ * if it is too long to be held. */
 static void
 decide(ProxyRequest *request)
 {
     request->decided = true;
+    XXH3_64bits_update(request->digest, request->method->str,
+                       request->method->len + 1);
+    XXH3_64bits_update(request->digest, request->path->str,
+                       request->path->len + 1);
     XXH3_64bits_update(request->digest, &request->body_length,
                        sizeof(request->body_length));
     Balancer_OnBody(request->proxy->balancer, request->id,
