Run the first end-to-end path in make demo

Cause: the parts had never met. Change: the demo starts stand-ins, three hosts and a publication; readiness is checked on each tick, because the configuration can become complete without a new record; the command accepts an empty log.

--- a/packages/agatecrank/Replica.c
+++ b/packages/agatecrank/Replica.c
@@ -116,7 +116,7 @@
     ConfigSyncStatus status;
 
     ConfigSync_Status(this->sync, &status);
-    return status.ready && status.log_up && status.offset >= status.log_next;
+    return status.log_up && !status.gap && status.offset >= status.log_next;
 }
 
 int
--- a/packages/agatecrankd/Daemon.c
+++ b/packages/agatecrankd/Daemon.c
@@ -210,6 +210,7 @@
     Daemon *this = user;
 
     LoopTimer_Start(this->timer, TICK);
+    update_ready(this);
     Balancer_OnTick(this->balancer);
     Proxy_Drain(this->proxy);
     if (this->leaving) {
@@ -266,6 +267,18 @@
                         this->decisions, this->counters);
 }
 
+/* The list lives as long as the process. */
+static const char *const *
+forward_names(const StrList *names)
+{
+    const char **list = g_new0(const char *, names->count + 1);
+
+    for (size_t i = 0; i < names->count; i++) {
+        list[i] = names->items[i].data;
+    }
+    return list;
+}
+
 static int
 create_proxy(Daemon *this, Error *error)
 {
@@ -285,6 +298,7 @@
         .request_buffer = settings->request_buffer_bytes,
         .response_buffer = settings->response_buffer_bytes,
         .answer_limit = ANSWER_LIMIT_BYTES,
+        .forward = forward_names(&settings->forward_headers),
     };
 
     this->proxy =
--- a/packages/agatecrankd/LogSink.c
+++ b/packages/agatecrankd/LogSink.c
@@ -6,6 +6,7 @@
 
 #define CATEGORY "agatecrank"
 #define LAYOUT "agatecrank-line"
+#define APPENDER "agatecrank-stderr"
 
 struct LogSink_ {
     const Clock *clock;
@@ -30,6 +31,17 @@
 
 static const log4c_layout_type_t line_layout = {LAYOUT, format_line};
 
+/* log4c's own stderr appender puts its name before each line. */
+static int
+append_line(log4c_appender_t *appender, const log4c_logging_event_t *event)
+{
+    (void)appender;
+    return fputs(event->evt_rendered_msg, stderr) < 0 ? -1 : 0;
+}
+
+static const log4c_appender_type_t line_appender = {APPENDER, NULL,
+                                                    append_line, NULL};
+
 LogSink *
 LogSink_Create(const Clock *clock, Str host)
 {
@@ -43,7 +55,9 @@
     log4c_layout_type_set(&line_layout);
     layout = log4c_layout_get(LAYOUT);
     log4c_layout_set_type(layout, &line_layout);
-    appender = log4c_appender_get("stderr");
+    log4c_appender_type_set(&line_appender);
+    appender = log4c_appender_get(APPENDER);
+    log4c_appender_set_type(appender, &line_appender);
     log4c_appender_set_layout(appender, layout);
     this->category = log4c_category_get(CATEGORY);
     if (log4c_category_get_appender(this->category) == NULL) {
--- a/packages/config/Settings.c
+++ b/packages/config/Settings.c
@@ -137,6 +137,11 @@
     END,
 };
 
+static const Field headers_fields[] = {
+    {"forward", FIELD_NAMES, AT(forward_headers), false, 0, 0, NULL},
+    END,
+};
+
 static const struct {
     const char *name;
     const Field *fields;
@@ -148,6 +153,7 @@
     {"logging", logging_fields},     {"tls", tls_fields},
     {"curve", curve_fields},         {"config", config_fields},
     {"buffers", buffers_fields},     {"drain", drain_fields},
+    {"headers", headers_fields},
 };
 
 static void
--- a/packages/config/Settings.h
+++ b/packages/config/Settings.h
@@ -63,7 +63,8 @@
     uint32_t response_buffer_bytes; /* each stream, upstream to caller */
     uint32_t connections_max;
     uint32_t drain_timeout_s;
-    TextStore *store; /* owns all strings */
+    StrList forward_headers; /* passed on beside the well-known ones */
+    TextStore *store;        /* owns all strings */
 } Settings;
 
 /**
--- /dev/null
+++ b/scripts/deployment.sh
@@ -0,0 +1,182 @@
+# Functions that start a small deployment on loopback: stand-ins of the
+# platform, upstreams and balancer hosts. Sourced by the demo and by tests.
+#
+# deployment_init BUILD_DIR   sets up a work folder in $WORK
+# deployment_stop             stops every process that was started here
+
+deployment_init() {
+    BIN=$1
+    WORK=$(mktemp -d)
+    PIDS=()
+    HOSTS=""
+    trap deployment_stop EXIT
+}
+
+deployment_stop() {
+    local pid
+    for pid in "${PIDS[@]}"; do
+        kill "$pid" 2>/dev/null
+    done
+    for pid in "${PIDS[@]}"; do
+        wait "$pid" 2>/dev/null
+    done
+    PIDS=()
+    if [ -n "${KEEP_WORK:-}" ]; then
+        echo "work folder kept: $WORK" >&2
+    else
+        rm -rf "$WORK"
+    fi
+}
+
+# start NAME COMMAND...: runs in the background; output in $WORK/NAME.out
+start() {
+    local name=$1
+    shift
+    "$@" >"$WORK/$name.out" 2>"$WORK/$name.err" &
+    PIDS+=($!)
+    echo $! >"$WORK/$name.pid"
+}
+
+# wait_port NAME: prints the first port that a stand-in announced
+wait_port() {
+    local i port
+    for i in $(seq 200); do
+        port=$(sed -n 's/^port=\([0-9]*\).*/\1/p' "$WORK/$1.out" | head -1)
+        [ -n "$port" ] && { echo "$port"; return 0; }
+        sleep 0.05
+    done
+    echo "no port from $1" >&2
+    cat "$WORK/$1.err" >&2
+    return 1
+}
+
+# wait_http PORT PATH: waits until a path answers 200
+wait_http() {
+    local i
+    for i in $(seq 200); do
+        http_status "$1" "$2" | grep -q '^200$' && return 0
+        sleep 0.05
+    done
+    echo "port $1 did not answer $2" >&2
+    return 1
+}
+
+# http_get PORT PATH [HEADER...]: prints status line, headers and body
+http_get() {
+    local port=$1 path=$2 header
+    shift 2
+    exec 9<>"/dev/tcp/127.0.0.1/$port" || return 1
+    {
+        printf 'GET %s HTTP/1.1\r\nHost: claims-desk\r\n' "$path"
+        for header in "$@"; do printf '%s\r\n' "$header"; done
+        printf 'Connection: close\r\n\r\n'
+    } >&9
+    timeout 10 cat <&9
+    exec 9>&-
+}
+
+http_status() {
+    http_get "$1" "$2" 2>/dev/null | sed -n '1s/^HTTP\/1\.1 \([0-9]*\).*/\1/p'
+}
+
+# add_upstreams NAME SERVICE COUNT DOMAINS OPTIONS...
+add_upstreams() {
+    local name=$1 service=$2 count=$3 domains=$4 i=0 port id domain
+    shift 4
+    start "$name" "$BIN/standins/standin-upstream" --port 0 --count "$count" \
+        --id-prefix "$name" --journal "$WORK/$name.journal" "$@"
+    wait_port "$name" >/dev/null || return 1
+    for i in $(seq 100); do
+        [ "$(grep -c '^port=' "$WORK/$name.out")" -ge "$count" ] && break
+        sleep 0.05
+    done
+    i=0
+    while read -r port id; do
+        domain=$(echo "$domains" | cut -d' ' -f$((i % $(echo "$domains" | wc -w) + 1)))
+        HOSTS="$HOSTS,{\"id\":\"$id\",\"role\":\"upstream\",\"address\":\"127.0.0.1\",\"port\":$port,\"service\":\"$service\",\"domain\":\"$domain\",\"state\":\"live\",\"labels\":{\"pool\":\"main\"}}"
+        i=$((i + 1))
+    done < <(sed -n 's/^port=\([0-9]*\) id=\(.*\)$/\1 \2/p' "$WORK/$name.out")
+}
+
+# start_platform: log service and host list
+start_platform() {
+    start log "$BIN/standins/standin-log" --port 0
+    LOG_PORT=$(wait_port log) || return 1
+    start hostlist "$BIN/standins/standin-hostlist" --port 0
+    LIST_PORT=$(wait_port hostlist) || return 1
+}
+
+# publish_hosts: hands the collected entries to the host list
+publish_hosts() {
+    local body="{\"hosts\":[${HOSTS#,}]}"
+    exec 9<>"/dev/tcp/127.0.0.1/$LIST_PORT"
+    printf 'POST /control HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s' \
+        "${#body}" "$body" >&9
+    timeout 5 cat <&9 >"$WORK/hostlist.reply"
+    exec 9>&-
+}
+
+# operator_settings NAME: key pair and settings of the command
+operator_settings() {
+    local name=$1
+    PUBLIC_KEY=$("$BIN/packages/agatecrank/agatecrank" keygen "$WORK/$name.key") || return 1
+    BOOTSTRAP_KEY=${BOOTSTRAP_KEY:-$PUBLIC_KEY}
+    cat >"$WORK/$name.toml" <<TOML
+log_url = "http://127.0.0.1:$LOG_PORT"
+host_list_url = "http://127.0.0.1:$LIST_PORT"
+operator = "$name"
+key_file = "$WORK/$name.key"
+bootstrap_keys = ["$BOOTSTRAP_KEY"]
+TOML
+}
+
+# free_port: a port that nobody listens on now
+free_port() {
+    local port
+    while :; do
+        port=$((20000 + RANDOM % 30000))
+        (exec 8<>"/dev/tcp/127.0.0.1/$port") 2>/dev/null || { echo "$port"; return; }
+    done
+}
+
+# start_host NAME DOMAIN [EXTRA TOML]: a balancer host; ports in $WORK/NAME.ports
+start_host() {
+    local name=$1 domain=$2 extra=${3:-} caller admin peer
+    caller=$(free_port)
+    admin=$(free_port)
+    peer=$(free_port)
+    echo "$caller $admin $peer" >"$WORK/$name.ports"
+    cat >"$WORK/$name.toml" <<TOML
+[host]
+id = "$name"
+deployment = "demo"
+domain = "$domain"
+[listen]
+caller_address = "127.0.0.1"
+caller_port = $caller
+admin_address = "127.0.0.1"
+admin_port = $admin
+peer_address = "127.0.0.1"
+peer_port = $peer
+[log]
+url = "http://127.0.0.1:$LOG_PORT"
+[host_list]
+url = "http://127.0.0.1:$LIST_PORT"
+interval_ms = 200
+[config]
+bootstrap_keys = ["$BOOTSTRAP_KEY"]
+[headers]
+forward = ["x-service-ms", "x-answer-bytes", "x-body-sha256", "x-upstream"]
+$extra
+TOML
+    HOSTS="$HOSTS,{\"id\":\"$name\",\"role\":\"balancer\",\"address\":\"127.0.0.1\",\"port\":$caller,\"peer_port\":$peer,\"domain\":\"$domain\",\"state\":\"live\"}"
+    start "$name" "$BIN/packages/agatecrankd/agatecrankd" --config "$WORK/$name.toml"
+}
+
+caller_port() { cut -d' ' -f1 "$WORK/$1.ports"; }
+admin_port() { cut -d' ' -f2 "$WORK/$1.ports"; }
+
+token_hash() { printf '%s' "$1" | sha256sum | cut -d' ' -f1; }
+
+# value FILE NAME: value of a name=value line
+value() { sed -n "s/^$2=//p" "$1" | tail -1; }
