Close the loop in order and take early handshakes of reused connections

Cause: a run under ASan showed a crash in the prober's timeout: on an idle connection libwebsockets may ask for the request before it tells which wsi it made, so the call was dropped and its wsi pointer went stale. Two hosts also chose the same free port, and the failed start leaked. Change: such a callback binds the wsi to the starting call; ports are chosen by the system and logged; Loop_Close() runs the last handlers before any object is released.

--- a/packages/agatecrankd/Daemon.c
+++ b/packages/agatecrankd/Daemon.c
@@ -40,7 +40,7 @@
     ConfigFollower *config_follower;
     ClaimFollower *claim_follower;
     LoopTimer *timer;
-    char *host_id;
+    const char *const *forward;
     bool ready;
     bool leaving;
     Micros leave_until;
@@ -267,7 +267,6 @@
                         this->decisions, this->counters);
 }
 
-/* The list lives as long as the process. */
 static const char *const *
 forward_names(const StrList *names)
 {
@@ -298,7 +297,7 @@
         .request_buffer = settings->request_buffer_bytes,
         .response_buffer = settings->response_buffer_bytes,
         .answer_limit = ANSWER_LIMIT_BYTES,
-        .forward = forward_names(&settings->forward_headers),
+        .forward = this->forward,
     };
 
     this->proxy =
@@ -376,6 +375,7 @@
     Daemon *this = g_new0(Daemon, 1);
 
     this->settings = settings;
+    this->forward = forward_names(&settings->forward_headers);
     create_base(this);
     this->loop = Loop_Create(this->clock, this->log, error);
     if (this->loop == NULL) {
@@ -408,22 +408,55 @@
     if (this->prober != NULL) {
         Prober_Destroy(this->prober);
     }
+    if (this->admin != NULL) {
+        Admin_Destroy(this->admin);
+    }
+    if (this->proxy != NULL) {
+        Proxy_Destroy(this->proxy);
+    }
+    HostListClient_Destroy(this->host_list);
+    LogClient_Destroy(this->log_client);
+}
+
+static void
+destroy_core(Daemon *this)
+{
+    Balancer_Destroy(this->balancer);
+    ConfigSync_Destroy(this->sync);
+    ConfigState_Destroy(this->config);
 }
 
 void
 Daemon_Destroy(Daemon *this)
 {
-    /* The process ends next; sockets are closed by the loop, and the objects
-     * that its last callbacks use outlive it. */
     if (this->loop != NULL) {
+        /* Sockets close first: their last handlers still use the objects. */
+        Loop_Close(this->loop);
         destroy_net(this);
+        destroy_core(this);
+        Loop_Destroy(this->loop);
     }
+    Random_Destroy(this->random);
+    Counters_Destroy(this->counters);
     EventLog_Destroy(this->decisions);
     EventLog_Destroy(this->log);
     LogSink_Destroy(this->sink);
+    Clock_Destroy(this->clock);
+    g_free((void *)this->forward);
     g_free(this);
 }
 
+static void
+log_ports(Daemon *this)
+{
+    if (EventLog_Begin(this->log, LOG_LEVEL_INFO, "listening")) {
+        EventLog_Int(this->log, "caller_port", Proxy_Port(this->proxy));
+        EventLog_Int(this->log, "admin_port", Admin_Port(this->admin));
+        EventLog_Int(this->log, "peer_port", this->settings->listen.peer_port);
+        EventLog_End(this->log);
+    }
+}
+
 int
 Daemon_Run(Daemon *this)
 {
@@ -433,6 +466,7 @@
         EventLog_Str(this->log, "deployment", this->settings->deployment);
         EventLog_End(this->log);
     }
+    log_ports(this);
     Loop_Run(this->loop);
     return this->exit_code;
 }
--- a/packages/core/Subset.c
+++ b/packages/core/Subset.c
@@ -121,7 +121,9 @@
 
     copies = MIN(copies, hosts->count);
     even = (uint32_t)(count * copies / MAX(hosts->count, 1));
-    qsort(items, count, sizeof(*items), compare_items);
+    if (count > 0) {
+        qsort(items, count, sizeof(*items), compare_items);
+    }
     while (first < count) {
         size_t end = end_of_domain(items, count, first);
         uint32_t even_domain =
--- a/packages/net/Admin.c
+++ b/packages/net/Admin.c
@@ -395,6 +395,12 @@
     g_free(this);
 }
 
+uint16_t
+Admin_Port(const Admin *this)
+{
+    return HttpServer_Port(this->server);
+}
+
 void
 Admin_SetLeaving(Admin *this)
 {
--- a/packages/net/Admin.h
+++ b/packages/net/Admin.h
@@ -35,6 +35,9 @@
 /** Admin_Destroy() - release it */
 void Admin_Destroy(Admin *this);
 
+/** Admin_Port() - port of the API */
+uint16_t Admin_Port(const Admin *this);
+
 /** Admin_SetLeaving() - readiness answers 503 from now on */
 void Admin_SetLeaving(Admin *this);
 
--- a/packages/net/HttpClient.c
+++ b/packages/net/HttpClient.c
@@ -65,6 +65,12 @@
     if (slot == NULL || slot->call == NULL) {
         return NULL;
     }
+    /* On an idle connection the library may send the request before it has
+     * told which wsi it made for it. */
+    if (slot->call->starting && slot->call->wsi == NULL &&
+        wsi != slot->idle) {
+        slot->call->wsi = wsi;
+    }
     return slot->call->wsi == wsi ? slot->call : NULL;
 }
 
@@ -471,7 +477,9 @@
                  const HttpCallHandlers *handlers, void *user, Error *error)
 {
     Peer *peer = find_peer(this, spec->address, spec->port, true);
-    int index = find_slot(this, peer, spec->new_connection);
+    int index = Loop_IsClosing(this->loop)
+                    ? ERR_LIMIT
+                    : find_slot(this, peer, spec->new_connection);
     HttpCall *call;
 
     if (index < 0) {
@@ -506,6 +514,9 @@
 {
     const Peer *peer = find_peer(this, address, port, false);
 
+    if (Loop_IsClosing(this->loop)) {
+        return;
+    }
     for (unsigned i = 0; peer != NULL && i < peer->slots->len; i++) {
         const Slot *slot = g_ptr_array_index(peer->slots, i);
 
@@ -516,12 +527,18 @@
     }
 }
 
+static bool
+is_open(const HttpCall *this)
+{
+    return this->wsi != NULL && !Loop_IsClosing(this->slot->client->loop);
+}
+
 void
 HttpCall_WriteBody(HttpCall *this, Str data)
 {
     g_byte_array_append(this->body, (const guint8 *)data.data,
                         (guint)data.length);
-    if (this->wsi != NULL && this->bytes_given) {
+    if (is_open(this) && this->bytes_given) {
         lws_callback_on_writable(this->wsi);
     }
 }
@@ -535,7 +552,7 @@
 void
 HttpCall_PauseAnswer(HttpCall *this, bool paused)
 {
-    if (this->wsi != NULL) {
+    if (is_open(this)) {
         lws_rx_flow_control(this->wsi, paused ? 0 : 1);
     }
 }
@@ -550,7 +567,7 @@
 HttpCall_Cancel(HttpCall *this)
 {
     this->cancelled = true;
-    if (this->wsi != NULL) {
+    if (is_open(this)) {
         lws_set_timeout(this->wsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
     }
 }
--- a/packages/net/HttpFetch.c
+++ b/packages/net/HttpFetch.c
@@ -219,6 +219,11 @@
     fetch->timer = LoopTimer_Create(this->loop, time_out, fetch);
     fetch->call =
         HttpClient_Start(this->client, &spec, &fetch_handlers, fetch, NULL);
+    if (Loop_IsClosing(this->loop)) {
+        g_string_free(full, TRUE);
+        give_up(fetch, ERR_UNAVAILABLE, "the process ends");
+        return;
+    }
     if (fetch->call != NULL && body.length > 0) {
         HttpCall_WriteBody(fetch->call, body);
     }
--- a/packages/net/HttpServer.c
+++ b/packages/net/HttpServer.c
@@ -517,7 +517,9 @@
         return;
     }
     this->stopping = true;
-    lws_vhost_destroy(this->vhost);
+    if (!Loop_IsClosing(this->loop)) {
+        lws_vhost_destroy(this->vhost);
+    }
 }
 
 void
@@ -577,7 +579,17 @@
 void
 HttpRequest_PauseBody(HttpRequest *this, bool paused)
 {
-    lws_rx_flow_control(this->wsi, paused ? 0 : 1);
+    if (!Loop_IsClosing(this->server->loop)) {
+        lws_rx_flow_control(this->wsi, paused ? 0 : 1);
+    }
+}
+
+static void
+ask_writable(HttpRequest *this)
+{
+    if (!Loop_IsClosing(this->server->loop)) {
+        lws_callback_on_writable(this->wsi);
+    }
 }
 
 void
@@ -601,7 +613,7 @@
         HeaderList_At(headers, i, &name, &value);
         HeaderList_Add(this->answer_headers, name, value);
     }
-    lws_callback_on_writable(this->wsi);
+    ask_writable(this);
 }
 
 void
@@ -612,7 +624,7 @@
     }
     g_byte_array_append(this->buffer, (const guint8 *)data.data,
                         (guint)data.length);
-    lws_callback_on_writable(this->wsi);
+    ask_writable(this);
 }
 
 size_t
@@ -625,14 +637,16 @@
 HttpRequest_Finish(HttpRequest *this)
 {
     this->finished = true;
-    lws_callback_on_writable(this->wsi);
+    ask_writable(this);
 }
 
 void
 HttpRequest_Abort(HttpRequest *this)
 {
     this->aborted = true;
-    lws_set_timeout(this->wsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
+    if (!Loop_IsClosing(this->server->loop)) {
+        lws_set_timeout(this->wsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
+    }
 }
 
 void
--- a/packages/net/Loop.c
+++ b/packages/net/Loop.c
@@ -24,6 +24,7 @@
     void *signal_user;
     int signal_fd;
     bool stopped;
+    bool closing;
 };
 
 struct LoopTimer_ {
@@ -120,13 +121,29 @@
 }
 
 void
-Loop_Destroy(Loop *this)
+Loop_Close(Loop *this)
 {
-    if (this == NULL) {
+    if (this->closing) {
         return;
     }
+    this->closing = true;
     lws_context_destroy(this->context);
     library_log = NULL;
+}
+
+bool
+Loop_IsClosing(const Loop *this)
+{
+    return this->closing;
+}
+
+void
+Loop_Destroy(Loop *this)
+{
+    if (this == NULL) {
+        return;
+    }
+    Loop_Close(this);
     g_free(this);
 }
 
@@ -233,8 +250,10 @@
 void
 LoopTimer_Start(LoopTimer *this, Micros delay)
 {
-    lws_sul_schedule(this->loop->context, 0, &this->entry, timer_fired,
-                     delay > 0 ? delay : 1);
+    if (!this->loop->closing) {
+        lws_sul_schedule(this->loop->context, 0, &this->entry, timer_fired,
+                         delay > 0 ? delay : 1);
+    }
 }
 
 void
--- a/packages/net/Loop.h
+++ b/packages/net/Loop.h
@@ -28,7 +28,17 @@
  */
 Loop *Loop_Create(const Clock *clock, EventLog *log, Error *error);
 
-/** Loop_Destroy() - close everything that is still open */
+/**
+ * Loop_Close() - close all sockets; their last handlers run now
+ *
+ * Afterwards no request can be started and timers do not run.
+ */
+void Loop_Close(Loop *this);
+
+/** Loop_IsClosing() - Loop_Close() has begun */
+bool Loop_IsClosing(const Loop *this);
+
+/** Loop_Destroy() - close if needed and release; NULL is allowed */
 void Loop_Destroy(Loop *this);
 
 /** Loop_Run() - serve until Loop_Stop() */
--- a/packages/net/Proxy.c
+++ b/packages/net/Proxy.c
@@ -780,7 +780,9 @@
 {
     g_hash_table_destroy(this->requests);
     g_ptr_array_free(this->names, TRUE);
-    HttpServer_Destroy(this->server);
+    if (this->server != NULL) {
+        HttpServer_Destroy(this->server);
+    }
     HttpClient_Destroy(this->client);
     g_free(this);
 }
@@ -791,6 +793,12 @@
     HttpServer_StopListening(this->server);
 }
 
+uint16_t
+Proxy_Port(const Proxy *this)
+{
+    return HttpServer_Port(this->server);
+}
+
 size_t
 Proxy_OpenRequests(const Proxy *this)
 {
--- a/packages/net/Proxy.h
+++ b/packages/net/Proxy.h
@@ -46,6 +46,9 @@
 /** Proxy_StopListening() - take no new connections */
 void Proxy_StopListening(Proxy *this);
 
+/** Proxy_Port() - port on which callers connect */
+uint16_t Proxy_Port(const Proxy *this);
+
 /** Proxy_OpenRequests() - requests that are not answered in full */
 size_t Proxy_OpenRequests(const Proxy *this);
 
--- a/scripts/deployment.sh
+++ b/scripts/deployment.sh
@@ -130,22 +130,9 @@
 TOML
 }
 
-# free_port: a port that nobody listens on now
-free_port() {
-    local port
-    while :; do
-        port=$((20000 + RANDOM % 30000))
-        (exec 8<>"/dev/tcp/127.0.0.1/$port") 2>/dev/null || { echo "$port"; return; }
-    done
-}
-
 # start_host NAME DOMAIN [EXTRA TOML]: a balancer host; ports in $WORK/NAME.ports
 start_host() {
-    local name=$1 domain=$2 extra=${3:-} caller admin peer
-    caller=$(free_port)
-    admin=$(free_port)
-    peer=$(free_port)
-    echo "$caller $admin $peer" >"$WORK/$name.ports"
+    local name=$1 domain=$2 extra=${3:-} i caller admin peer
     cat >"$WORK/$name.toml" <<TOML
 [host]
 id = "$name"
@@ -153,11 +140,11 @@
 domain = "$domain"
 [listen]
 caller_address = "127.0.0.1"
-caller_port = $caller
+caller_port = 0
 admin_address = "127.0.0.1"
-admin_port = $admin
+admin_port = 0
 peer_address = "127.0.0.1"
-peer_port = $peer
+peer_port = 0
 [log]
 url = "http://127.0.0.1:$LOG_PORT"
 [host_list]
@@ -169,8 +156,15 @@
 forward = ["x-service-ms", "x-answer-bytes", "x-body-sha256", "x-upstream"]
 $extra
 TOML
-    HOSTS="$HOSTS,{\"id\":\"$name\",\"role\":\"balancer\",\"address\":\"127.0.0.1\",\"port\":$caller,\"peer_port\":$peer,\"domain\":\"$domain\",\"state\":\"live\"}"
     start "$name" "$BIN/packages/agatecrankd/agatecrankd" --config "$WORK/$name.toml"
+    for i in $(seq 200); do
+        grep -q event=listening "$WORK/$name.err" && break
+        sleep 0.05
+    done
+    read -r caller admin peer < <(sed -n 's/.*event=listening caller_port=\([0-9]*\) admin_port=\([0-9]*\) peer_port=\([0-9]*\).*/\1 \2 \3/p' "$WORK/$name.err")
+    [ -n "$caller" ] || { echo "$name did not start" >&2; return 1; }
+    echo "$caller $admin $peer" >"$WORK/$name.ports"
+    HOSTS="$HOSTS,{\"id\":\"$name\",\"role\":\"balancer\",\"address\":\"127.0.0.1\",\"port\":$caller,\"peer_port\":$peer,\"domain\":\"$domain\",\"state\":\"live\"}"
 }
 
 caller_port() { cut -d' ' -f1 "$WORK/$1.ports"; }
