--- a/packages/core/Admission.c
+++ b/packages/core/Admission.c
@@ -346,14 +346,17 @@
 static void
 refresh(const Admission *this, Service *service, Micros now)
 {
+    Micros passed;
+
     if (!is_adaptive(this) || now - service->refreshed_at < REFRESH_TIME) {
         return;
     }
+    passed = MIN(now - service->refreshed_at, 2 * REFRESH_TIME);
     service->refreshed_at = now;
     count_unknown(this, service, now);
     measure_demand(service, now);
     prepare_start(service);
-    LevelControl_Expire(service->control, now);
+    LevelControl_OnTime(service->control, passed, now);
     allot(service, now);
 }
 
@@ -603,6 +606,11 @@
     if (result->outcome == ADMISSION_SHED) {
         LevelControl_OnShed(service->control, now);
     }
+    /* A deadline that passed says at least that latency was so high; quick
+     * failures say nothing. */
+    if (result->outcome == ADMISSION_FAILED && result->busy > result->charge) {
+        LevelControl_OnLatency(service->control, latency, now);
+    }
     if (result->outcome == ADMISSION_SERVED) {
         LevelControl_OnLatency(service->control, latency, now);
         LineShare_Learn(line->share, latency);
--- a/packages/core/LevelControl.c
+++ b/packages/core/LevelControl.c
@@ -5,7 +5,7 @@
 
 /* An upstream is aimed to hold slots + TARGET_QUEUE x sqrt(slots) requests:
  * the queue that keeps its slots busy grows with the spread of its load. */
-#define TARGET_QUEUE 0.5
+#define TARGET_QUEUE 0.9
 
 /* Loads below are in relation to that target. */
 #define SHORT_FROM 0.90
@@ -24,7 +24,7 @@
 /* Change of the logarithm of the level per second and per unit of the
  * logarithm of the load. Reports, averages and shares delay the effect by
  * about 35 ms, so more than 15 would swing. */
-#define GAIN 10.0
+#define GAIN 7.0
 
 /* Beyond a load of 1.5 the level falls faster, since capacity that was lent
  * has to be back within 100 ms. */
@@ -54,6 +54,14 @@
  * and leave the upstreams idle after it. */
 #define LEAST_LEVEL 0.6
 
+/* One request at a time in all always remains allowed, so that there is
+ * something to observe even if every report misleads. */
+#define MIN_LEVEL 1.0
+
+/* Without any response for this time the level rises on its own. */
+#define SILENT_TIME (100 * MICROS_PER_MS)
+#define SILENT_GAIN 2.0
+
 /* With shares enforced, time over which the capacity follows the level. */
 #define FOLLOW_TIME (2 * MICROS_PER_S)
 
@@ -70,7 +78,13 @@
 #define REPORT_TIME MICROS_PER_S
 #define LATENCY_TIME (100 * MICROS_PER_MS)
 #define BASE_TIME MICROS_PER_S
-#define BLIND_TARGET 1.15
+#define BLIND_TARGET 1.3
+
+/* The averages hold at least this many responses, whatever their rate: the
+ * lowest of averages over a few would lie far below the mean, and a service
+ * that is held down by it would never see enough responses to recover. */
+#define LATENCY_SAMPLES 32
+#define BASE_SAMPLES 512
 
 /* The lowest latency seen rises by this part per second, so that a change of
  * the requests themselves is not taken for a queue forever. */
@@ -96,6 +110,7 @@
     double slow_latency;
     double base_latency;
     Micros latency_at;
+    uint32_t latencies;
 };
 
 LevelControl *
@@ -211,6 +226,7 @@
     double seconds = (double)step / (double)MICROS_PER_S;
 
     this->level *= exp(rate_of_change(this->signal) * seconds);
+    this->level = fmax(this->level, MIN_LEVEL);
     if (isfinite(this->start)) {
         this->level = fmax(this->level, LEAST_LEVEL * this->start);
     }
@@ -270,8 +286,14 @@
     sample(this, SHED_LOAD, now);
 }
 
-/* The slow average is the base: the lowest of many short averages would lie
- * far below the mean of any service whose times vary. */
+static double
+average_samples(double old, double value, Micros passed, Micros time, int n)
+{
+    double weight = 1.0 - exp(-(double)passed / (double)time);
+
+    return old + fmin(weight, 1.0 / n) * (value - old);
+}
+
 void
 LevelControl_OnLatency(LevelControl *this, double latency, Micros now)
 {
@@ -283,12 +305,19 @@
         this->base_latency = latency;
     }
     this->latency_at = now;
+    this->latencies++;
     this->fast_latency =
-        average(this->fast_latency, latency, passed, LATENCY_TIME);
+        average_samples(this->fast_latency, latency, passed, LATENCY_TIME,
+                        MIN(this->latencies, LATENCY_SAMPLES));
     this->slow_latency =
-        average(this->slow_latency, latency, passed, BASE_TIME);
+        average_samples(this->slow_latency, latency, passed, BASE_TIME,
+                        MIN(this->latencies, BASE_SAMPLES));
     this->base_latency *=
         1.0 + BASE_DRIFT * (double)passed / (double)MICROS_PER_S;
+    if (this->latencies < BASE_SAMPLES) {
+        this->base_latency = this->slow_latency;
+        return;
+    }
     this->base_latency = fmin(this->base_latency, this->slow_latency);
     if (this->reported_at < 0 || now - this->reported_at > REPORT_TIME) {
         sample(this, this->fast_latency / this->base_latency / BLIND_TARGET,
@@ -317,12 +346,18 @@
 }
 
 void
-LevelControl_Expire(LevelControl *this, Micros now)
+LevelControl_OnTime(LevelControl *this, Micros passed, Micros now)
 {
-    if (this->is_short && now - this->sampled_at > MICROS_PER_S &&
-        now - this->heard_at > MICROS_PER_S) {
+    Micros silent = now - this->sampled_at;
+
+    if (!this->is_short || silent < SILENT_TIME) {
+        return;
+    }
+    if (silent > MICROS_PER_S && now - this->heard_at > MICROS_PER_S) {
         leave_short(this);
+        return;
     }
+    this->level *= exp(SILENT_GAIN * (double)passed / (double)MICROS_PER_S);
 }
 
 bool
--- a/packages/core/LevelControl.h
+++ b/packages/core/LevelControl.h
@@ -60,8 +60,13 @@
 /** LevelControl_OnPeer() - the level of another host */
 void LevelControl_OnPeer(LevelControl *this, double level, Micros now);
 
-/** LevelControl_Expire() - end the state that rests on silent peers only */
-void LevelControl_Expire(LevelControl *this, Micros now);
+/**
+ * LevelControl_OnTime() - time passes without an observation
+ * @passed: time since the last call, in microseconds
+ *
+ * The level rises, and a state that rests on silent peers ends.
+ */
+void LevelControl_OnTime(LevelControl *this, Micros passed, Micros now);
 
 /** LevelControl_IsWarm() - busy enough for demand to be exchanged */
 bool LevelControl_IsWarm(const LevelControl *this);
--- a/packages/core/LineShare.c
+++ b/packages/core/LineShare.c
@@ -35,7 +35,14 @@
 /* Time of its allowance that a limited line may use at once, and may be in
  * debt for requests of callers that are within their share. */
 #define BURST_TIME (20 * MICROS_PER_MS)
-#define DEBT_TIME (25 * MICROS_PER_MS)
+#define DEBT_TIME (50 * MICROS_PER_MS)
+
+/* What a host may hold in relation to its part when all its callers are below
+ * the common level. Their demand is then what they get on average; without
+ * the slack the randomness of it would have them refused for a caller that
+ * floods another host. */
+#define LIGHT_SLACK 1.3
+#define LIGHT_PART 0.98
 
 /* First guess of a request's slot time, until one has been seen. */
 #define FIRST_COST (5 * MICROS_PER_MS)
@@ -307,13 +314,23 @@
     }
     else {
         depth += this->allowance * (double)BURST_TIME;
-        debt += 4 * this->allowance * (double)DEBT_TIME;
+        debt += 2 * this->allowance * (double)DEBT_TIME;
         this->balance += this->allowance * passed;
         this->balance = fmax(fmin(this->balance, depth), -debt);
     }
     this->balance_at = now;
 }
 
+static bool
+has_light_callers(LineShare *this, Micros now)
+{
+    double level = common_caller_level(this);
+
+    return isfinite(level) &&
+           CallerShares_Capped(this->callers, level, now) >=
+               LIGHT_PART * CallerShares_Capped(this->callers, INFINITY, now);
+}
+
 static void
 begin_limit(LineShare *this, Micros now)
 {
@@ -347,6 +364,9 @@
     }
     begin_limit(this, now);
     this->allowance = entitled * own / all;
+    if (has_light_callers(this, now)) {
+        this->allowance *= LIGHT_SLACK;
+    }
 }
 
 void
--- a/tests/support/LimitsModel.c
+++ b/tests/support/LimitsModel.c
@@ -106,6 +106,7 @@
     for (uint32_t i = 0; i < MODEL_MAX_LINES; i++) {
         this->lines[i].stats.latency = Histogram_Create();
         this->lines[i].stats.decision = Histogram_Create();
+        this->lines[i].stats.others = Histogram_Create();
     }
     start_hosts(this);
     return this;
@@ -219,6 +220,7 @@
     for (uint32_t i = 0; i < MODEL_MAX_LINES; i++) {
         Histogram_Destroy(this->lines[i].stats.latency);
         Histogram_Destroy(this->lines[i].stats.decision);
+        Histogram_Destroy(this->lines[i].stats.others);
     }
     g_free(this->upstreams);
     g_free(this->hosts);
@@ -299,8 +301,9 @@
     stats->good++;
     stats->slot_time += (uint64_t)request->work;
     Histogram_Add(stats->latency, now - request->arrived);
-    if (request->caller < 2) {
-        stats->caller_good[request->caller]++;
+    stats->caller_good[request->caller > 0]++;
+    if (request->caller > 0) {
+        Histogram_Add(stats->others, now - request->arrived);
     }
 }
 
@@ -492,7 +495,8 @@
     request->line = line;
     request->caller = pick < flood ? 0 : 1 + (uint32_t)(pick - flood);
     request->caller = MIN(request->caller, callers - 1);
-    request->host = (uint32_t)Random_Below(this->random, hosts);
+    request->host = load->sticky ? request->caller % hosts
+                                 : (uint32_t)Random_Below(this->random, hosts);
     request->arrived = Clock_Now(this->clock);
     request->measured = request->arrived >= this->measured_from;
     return request;
@@ -514,9 +518,7 @@
     AdmissionVerdict verdict;
 
     stats->offered++;
-    if (request->caller < 2) {
-        stats->caller_offered[request->caller]++;
-    }
+    stats->caller_offered[request->caller > 0]++;
     verdict = Admission_Offer(this->hosts[host], &offered);
     apply(this, request, &verdict);
     set_timer(this, host);
@@ -569,11 +571,13 @@
     for (uint32_t i = 0; i < MODEL_MAX_LINES; i++) {
         ModelStats *stats = &this->lines[i].stats;
         ModelStats empty = {.latency = stats->latency,
-                            .decision = stats->decision};
+                            .decision = stats->decision,
+                            .others = stats->others};
 
         *stats = empty;
         Histogram_Clear(stats->latency);
         Histogram_Clear(stats->decision);
+        Histogram_Clear(stats->others);
         memset(this->lines[i].bins, 0, sizeof(this->lines[i].bins));
     }
 }
--- a/tests/support/LimitsModel.h
+++ b/tests/support/LimitsModel.h
@@ -24,7 +24,8 @@
  * @weight: its share, relative to the others
  * @rate: requests per second through all its hosts together
  * @hosts: enters through hosts 0 to @hosts - 1; 0 for all
- * @callers: callers of equal rate, spread evenly over the hosts
+ * @callers: callers of equal rate
+ * @sticky: each caller enters through one host only, not through all
  * @flood: rate of caller 0 in relation to the others; 0 and 1 for equal
  * @cost: slot time in relation to the mean service time; 0 for 1
  */
@@ -33,6 +34,7 @@
     double rate;
     uint32_t hosts;
     uint32_t callers;
+    bool sticky;
     double flood;
     double cost;
 } ModelLine;
@@ -65,10 +67,12 @@
  * @good: responses within the deadline
  * @slot_time: time that upstreams spent on good responses
  * @wasted: time that they spent on others
- * @caller_good, @caller_offered: as good and offered, for callers 0 and 1
+ * @caller_good, @caller_offered: as good and offered, for caller 0 and for
+ *     the others together
  * @late_refusals: refusals decided more than 5 ms after the arrival
  * @latency: of good responses, at the host
  * @decision: time from arrival to refusal
+ * @others: as latency, without caller 0
  */
 typedef struct ModelStats_ {
     uint64_t offered;
@@ -81,6 +85,7 @@
     uint64_t caller_good[2];
     Histogram *latency;
     Histogram *decision;
+    Histogram *others;
 } ModelStats;
 
 /** LimitsModel_Create() - a model without lines */
