--- /dev/null
+++ b/packages/core/AnswerCache.c
@@ -0,0 +1,116 @@
+#include "AnswerCache.h"
+
+#include <glib.h>
+#include <string.h>
+
+/* Allocation headers, hash table slot and queue link of one answer. */
+#define ANSWER_OVERHEAD 128
+
+typedef struct Answer_ {
+    KeyHash key;
+    size_t length;
+    char data[];
+} Answer;
+
+struct AnswerCache_ {
+    size_t capacity;
+    size_t limit;
+    size_t bytes;
+    GQueue order; /* Answer, oldest first */
+    GHashTable *index;
+};
+
+static guint
+hash_key(gconstpointer key)
+{
+    return (guint)((const Answer *)key)->key.word[0];
+}
+
+static gboolean
+equal_key(gconstpointer a, gconstpointer b)
+{
+    return KeyHash_Equal(((const Answer *)a)->key, ((const Answer *)b)->key);
+}
+
+AnswerCache *
+AnswerCache_Create(size_t bytes, size_t limit)
+{
+    AnswerCache *this = g_new0(AnswerCache, 1);
+
+    this->capacity = bytes;
+    this->limit = limit;
+    g_queue_init(&this->order);
+    this->index = g_hash_table_new(hash_key, equal_key);
+    return this;
+}
+
+static size_t
+cost_of(size_t length)
+{
+    return sizeof(Answer) + ANSWER_OVERHEAD + length;
+}
+
+static void
+drop_oldest(AnswerCache *this)
+{
+    Answer *oldest = g_queue_pop_head(&this->order);
+
+    g_hash_table_remove(this->index, oldest);
+    this->bytes -= cost_of(oldest->length);
+    g_free(oldest);
+}
+
+void
+AnswerCache_Destroy(AnswerCache *this)
+{
+    while (!g_queue_is_empty(&this->order)) {
+        drop_oldest(this);
+    }
+    g_hash_table_destroy(this->index);
+    g_free(this);
+}
+
+bool
+AnswerCache_Put(AnswerCache *this, KeyHash key, Str text)
+{
+    Answer *answer;
+    size_t cost = cost_of(text.length);
+    Str held;
+
+    if (text.length > this->limit || cost > this->capacity ||
+        AnswerCache_Get(this, key, &held)) {
+        return false;
+    }
+    while (this->bytes + cost > this->capacity) {
+        drop_oldest(this);
+    }
+    answer = g_malloc(sizeof(*answer) + text.length);
+    answer->key = key;
+    answer->length = text.length;
+    if (text.length > 0) {
+        memcpy(answer->data, text.data, text.length);
+    }
+    g_queue_push_tail(&this->order, answer);
+    g_hash_table_add(this->index, answer);
+    this->bytes += cost;
+    return true;
+}
+
+bool
+AnswerCache_Get(const AnswerCache *this, KeyHash key, Str *answer)
+{
+    Answer probe = {.key = key};
+    const Answer *held = g_hash_table_lookup(this->index, &probe);
+
+    if (held == NULL) {
+        return false;
+    }
+    *answer = (Str){held->data, held->length};
+    return true;
+}
+
+size_t
+AnswerCache_Bytes(const AnswerCache *this)
+{
+    return this->bytes;
+}
--- /dev/null
+++ b/packages/core/ClaimBatcher.c
@@ -0,0 +1,126 @@
+#include "ClaimBatcher.h"
+
+#include <string.h>
+
+typedef struct Item_ {
+    Claim claim;
+    char host[CLAIM_HOST_MAX];
+} Item;
+
+struct ClaimBatcher_ {
+    double rate;
+    double burst;
+    double tokens; /* as of time */
+    Micros time;
+    GQueue items; /* Item */
+};
+
+ClaimBatcher *
+ClaimBatcher_Create(double rate, double burst, Micros now)
+{
+    ClaimBatcher *this = g_new0(ClaimBatcher, 1);
+
+    this->rate = rate;
+    this->burst = burst;
+    this->tokens = burst;
+    this->time = now;
+    g_queue_init(&this->items);
+    return this;
+}
+
+void
+ClaimBatcher_Destroy(ClaimBatcher *this)
+{
+    ClaimBatcher_Clear(this);
+    g_free(this);
+}
+
+static void
+refill(ClaimBatcher *this, Micros now)
+{
+    if (now <= this->time) {
+        return;
+    }
+    this->tokens += this->rate * (double)(now - this->time) / MICROS_PER_S;
+    this->tokens = MIN(this->tokens, this->burst);
+    this->time = now;
+}
+
+void
+ClaimBatcher_SetRate(ClaimBatcher *this, double rate, Micros now)
+{
+    refill(this, now);
+    this->rate = rate;
+}
+
+bool
+ClaimBatcher_Add(ClaimBatcher *this, const Claim *claim)
+{
+    Item *item;
+
+    if (this->items.length >= CLAIM_BATCHER_MAX ||
+        claim->host.length > CLAIM_HOST_MAX) {
+        return false;
+    }
+    item = g_new(Item, 1);
+    item->claim = *claim;
+    memcpy(item->host, claim->host.data, claim->host.length);
+    item->claim.host.data = item->host;
+    g_queue_push_tail(&this->items, item);
+    return true;
+}
+
+void
+ClaimBatcher_Clear(ClaimBatcher *this)
+{
+    g_queue_clear_full(&this->items, g_free);
+}
+
+size_t
+ClaimBatcher_Count(const ClaimBatcher *this)
+{
+    return this->items.length;
+}
+
+bool
+ClaimBatcher_TakeToken(ClaimBatcher *this, Micros now)
+{
+    refill(this, now);
+    /* Rounding must not turn a due token into a wait of a microsecond. */
+    if (this->tokens < 1.0 - 1e-6) {
+        return false;
+    }
+    this->tokens -= 1.0;
+    return true;
+}
+
+Micros
+ClaimBatcher_NextToken(const ClaimBatcher *this)
+{
+    double missing = 1.0 - this->tokens;
+
+    if (missing <= 0) {
+        return this->time;
+    }
+    return this->time + (Micros)(missing / this->rate * MICROS_PER_S) + 1;
+}
+
+void
+ClaimBatcher_TakeBatch(ClaimBatcher *this, uint32_t partitions,
+                       GString *record)
+{
+    size_t n = MIN(this->items.length, CLAIM_RECORD_ITEMS);
+    Claim *claims = g_new(Claim, n);
+    Item **items = g_new(Item *, n);
+
+    for (size_t i = 0; i < n; i++) {
+        items[i] = g_queue_pop_head(&this->items);
+        claims[i] = items[i]->claim;
+    }
+    ClaimRecord_Write(partitions, claims, n, record);
+    for (size_t i = 0; i < n; i++) {
+        g_free(items[i]);
+    }
+    g_free(items);
+    g_free(claims);
+}
--- a/packages/core/Claims.h
+++ b/packages/core/Claims.h
@@ -34,6 +34,8 @@
     CLAIMS_FAULT_GONE_NOT_RUN,    /* not-run if the holder does not answer */
     CLAIMS_FAULT_IGNORE_DIGEST,   /* hands an answer to another body */
     CLAIMS_FAULT_ISSUED_ANYWHERE, /* runs issued keys without the issuer */
+    CLAIMS_FAULT_UNSCOPED,        /* the same key of two callers is one */
+    CLAIMS_FAULT_SAY_RAN,         /* remembers a refused request as run */
     CLAIMS_FAULT_COUNT,
 } ClaimsFault;
 
@@ -299,9 +301,12 @@
 /** Claims_OnReply() - reply of the host @from to a query of this host */
 void Claims_OnReply(Claims *this, Str from, const ClaimOutcomeReply *reply);
 
-/** Claims_OnTick() - let time pass; call every 5 ms or at Claims_NextTick */
+/** Claims_OnTick() - let time pass; call at Claims_NextTick() or often */
 void Claims_OnTick(Claims *this);
 
+/** Claims_NextTick() - monotonic time at which a tick is due next */
+Micros Claims_NextTick(const Claims *this);
+
 /** Claims_NextAction() - take the next action; false if there is none */
 bool Claims_NextAction(Claims *this, ClaimAction *action);
 
--- /dev/null
+++ b/packages/core/ClaimsLog.c
@@ -0,0 +1,275 @@
+#include <string.h>
+
+#include "ClaimsPrivate.h"
+
+/* Distinct seeds for the two uses of host names in hashes. */
+#define COLLECTOR_SEED 0x636f6c6c65637400
+#define JITTER_SEED 0x6a69747465720000
+
+static Claim
+claim_of(const Claims *this, const Pending *pending)
+{
+    return (Claim){
+        .key = pending->key,
+        .digest = pending->digest,
+        .host = Claims_Host(this),
+        .incarnation = this->options.incarnation,
+        .number = pending->number,
+        .key_time_ms = pending->key_time_ms,
+    };
+}
+
+/* Rendezvous hash over the live hosts. */
+static Str
+collector_of(const Claims *this, uint32_t partition)
+{
+    Str best = Claims_Host(this);
+    uint64_t best_weight = 0;
+
+    if (!this->options.collect) {
+        return best;
+    }
+    for (guint i = 0; i < this->hosts->len; i++) {
+        const GString *name = this->hosts->pdata[i];
+        Str host = {name->str, name->len};
+        uint64_t weight = Str_HashSeeded(host, COLLECTOR_SEED + partition);
+
+        if (i == 0 || weight > best_weight) {
+            best = host;
+            best_weight = weight;
+        }
+    }
+    return best;
+}
+
+static void
+submit_claim(Claims *this, const Pending *pending)
+{
+    Claim claim = claim_of(this, pending);
+    Str collector = collector_of(this, pending->partition);
+    ClaimAction action = {.kind = CLAIM_SUBMIT, .host = collector};
+
+    if (Str_Equal(collector, Claims_Host(this))) {
+        ClaimBatcher_Add(this->partitions[pending->partition].collector,
+                         &claim);
+        return;
+    }
+    action.submit = (ClaimSubmit){
+        .partition = pending->partition, .claims = &claim, .n = 1};
+    ClaimActions_Add(this->actions, &action);
+}
+
+void
+Claims_Submit(Claims *this, Pending *pending)
+{
+    pending->state = PENDING_CLAIMING;
+    pending->number = this->next_number++;
+    pending->wait = this->options.overdue;
+    pending->next_try = Clock_Now(this->clock) + pending->wait;
+    submit_claim(this, pending);
+    Claims_PumpLog(this);
+}
+
+/* Appends the overdue claim itself, and resubmits it in case the message
+ * was lost or the collector has changed. */
+void
+Claims_RetryClaim(Claims *this, Pending *pending, Micros now)
+{
+    const Partition *partition = &this->partitions[pending->partition];
+    Claim claim = claim_of(this, pending);
+    Str collector = collector_of(this, pending->partition);
+
+    this->counters.resubmits++;
+    pending->wait = MIN(pending->wait * 2, RESUBMIT_WAIT_MAX);
+    pending->next_try = now + pending->wait;
+    if (!pending->direct) {
+        pending->direct = ClaimBatcher_Add(partition->direct, &claim);
+    }
+    if (!Str_Equal(collector, Claims_Host(this))) {
+        submit_claim(this, pending);
+    }
+}
+
+static void
+append(Claims *this, uint32_t partition, GString *record)
+{
+    ClaimAction action = {.kind = CLAIM_APPEND};
+
+    action.append.id = this->next_append++;
+    action.append.partition = partition;
+    action.append.record = (Str){record->str, record->len};
+    g_hash_table_insert(this->appends, GSIZE_TO_POINTER(action.append.id),
+                        GUINT_TO_POINTER(partition + 1));
+    ClaimActions_Add(this->actions, &action);
+}
+
+static void
+append_batch(Claims *this, uint32_t partition, ClaimBatcher *batcher)
+{
+    GString *record = g_string_new(NULL);
+
+    ClaimBatcher_TakeBatch(batcher, this->options.partitions, record);
+    append(this, partition, record);
+    g_string_free(record, TRUE);
+}
+
+static void
+clear_direct_marks(Claims *this, uint32_t partition)
+{
+    for (guint i = 0; i < PendingSet_Count(this->pending); i++) {
+        Pending *pending = PendingSet_Get(this->pending, i);
+
+        if (pending->partition == partition) {
+            pending->direct = false;
+        }
+    }
+}
+
+/* Spreads the idle markers of hosts, so that one usually serves all. */
+static Micros
+idle_limit(const Claims *this)
+{
+    Micros interval = this->options.marker_interval;
+    uint64_t jitter = Str_HashSeeded(Claims_Host(this), JITTER_SEED);
+
+    return interval + (Micros)(jitter % ((uint64_t)interval / 2 + 1));
+}
+
+/* Time at which a record without claims is wanted: to learn the stream's
+ * time after a gap, to see whether a failing log accepts appends again, or
+ * to keep one record inside the retention time of an idle stream. */
+static Micros
+marker_time(const Claims *this, const Partition *partition)
+{
+    if (!partition->started) {
+        return INT64_MAX;
+    }
+    if (partition->blind || !partition->append_up) {
+        return partition->next_marker;
+    }
+    return MAX(partition->next_marker,
+               partition->last_record + idle_limit(this));
+}
+
+static void
+pump_marker(Claims *this, uint32_t number, Micros now)
+{
+    Partition *partition = &this->partitions[number];
+
+    if (marker_time(this, partition) > now ||
+        !ClaimBatcher_TakeToken(partition->direct, now)) {
+        return;
+    }
+    partition->next_marker = now + PROBE_INTERVAL;
+    this->counters.markers++;
+    append_batch(this, number, partition->direct);
+    clear_direct_marks(this, number);
+}
+
+void
+Claims_PumpLog(Claims *this)
+{
+    Micros now = Clock_Now(this->clock);
+
+    for (uint32_t i = 0; i < this->options.partitions; i++) {
+        const Partition *partition = &this->partitions[i];
+
+        while (ClaimBatcher_Count(partition->collector) > 0 &&
+               ClaimBatcher_TakeToken(partition->collector, now)) {
+            this->counters.collector_appends++;
+            append_batch(this, i, partition->collector);
+        }
+        if (ClaimBatcher_Count(partition->direct) > 0 &&
+            ClaimBatcher_TakeToken(partition->direct, now)) {
+            this->counters.direct_appends++;
+            append_batch(this, i, partition->direct);
+            clear_direct_marks(this, i);
+        }
+        pump_marker(this, i, now);
+    }
+}
+
+Micros
+Claims_NextLogTick(const Claims *this)
+{
+    Micros next = INT64_MAX;
+
+    for (uint32_t i = 0; i < this->options.partitions; i++) {
+        const Partition *partition = &this->partitions[i];
+        Micros marker = marker_time(this, partition);
+
+        if (ClaimBatcher_Count(partition->collector) > 0) {
+            next = MIN(next, ClaimBatcher_NextToken(partition->collector));
+        }
+        if (ClaimBatcher_Count(partition->direct) > 0) {
+            next = MIN(next, ClaimBatcher_NextToken(partition->direct));
+        }
+        if (marker != INT64_MAX) {
+            next = MIN(next,
+                       MAX(marker, ClaimBatcher_NextToken(partition->direct)));
+        }
+    }
+    return next;
+}
+
+void
+Claims_OnSubmit(Claims *this, const ClaimSubmit *submit)
+{
+    const Partition *partition;
+
+    if (submit->partition >= this->options.partitions) {
+        return;
+    }
+    partition = &this->partitions[submit->partition];
+    for (size_t i = 0; i < submit->n; i++) {
+        /* A claim for a key with a known first claim can not win. */
+        if (ClaimTable_Find(partition->table, submit->claims[i].key)) {
+            continue;
+        }
+        if (!ClaimBatcher_Add(partition->collector, &submit->claims[i])) {
+            this->counters.collector_overflow++;
+        }
+    }
+    Claims_PumpLog(this);
+}
+
+/* Planted fault: runs whatever waits for its claim. */
+static void
+run_unread(Claims *this, uint32_t partition)
+{
+    for (guint i = PendingSet_Count(this->pending); i > 0; i--) {
+        Pending *pending = PendingSet_Get(this->pending, i - 1);
+
+        if (pending->state == PENDING_CLAIMING &&
+            pending->partition == partition) {
+            Claims_Start(this, pending, Claims_TableOf(this, pending));
+        }
+    }
+}
+
+void
+Claims_OnAppendResult(Claims *this, uint64_t append_id, int code)
+{
+    gpointer id = GSIZE_TO_POINTER(append_id);
+    guint number = GPOINTER_TO_UINT(g_hash_table_lookup(this->appends, id));
+    Partition *partition;
+
+    if (number == 0) {
+        return;
+    }
+    g_hash_table_remove(this->appends, id);
+    partition = &this->partitions[number - 1];
+    if (code == 0) {
+        partition->append_up = true;
+        if (this->options.fault == CLAIMS_FAULT_RUN_ON_APPEND) {
+            run_unread(this, number - 1);
+        }
+        return;
+    }
+    this->counters.append_failures++;
+    /* A lost response alone does not tell that the log is down. */
+    if (code != ERR_TIMEOUT && partition->append_up) {
+        partition->append_up = false;
+        partition->next_marker = Clock_Now(this->clock) + PROBE_INTERVAL;
+    }
+}
--- /dev/null
+++ b/packages/core/ClaimsPeer.c
@@ -0,0 +1,264 @@
+#include "ClaimsPrivate.h"
+
+void
+Claims_SendQuery(Claims *this, Pending *pending)
+{
+    ClaimAction action = {
+        .kind = CLAIM_QUERY,
+        .host = {pending->holder->str, pending->holder->len},
+    };
+
+    action.query = (ClaimOutcomeQuery){
+        .number = pending->number,
+        .key = pending->key,
+        .digest = pending->digest,
+        .key_time_ms = pending->key_time_ms,
+        .from = Claims_Host(this),
+        .from_incarnation = this->options.incarnation,
+        .holder_incarnation = pending->holder_incarnation,
+        .issued = pending->may_grant,
+    };
+    this->counters.queries++;
+    pending->next_try = Clock_Now(this->clock) + pending->wait;
+    pending->wait = MIN(pending->wait * 2, QUERY_WAIT_MAX);
+    ClaimActions_Add(this->actions, &action);
+}
+
+static void
+answer_gone(Claims *this, Pending *pending)
+{
+    ClaimAnswer gone = Claims_Reply(CLAIM_UNKNOWN, 409, "holder-gone", 0);
+
+    Claims_AnswerAll(this, pending, &gone);
+}
+
+void
+Claims_Ask(Claims *this, Pending *pending, Str holder, uint64_t incarnation)
+{
+    pending->state = PENDING_ASKING;
+    pending->number = this->next_number++;
+    pending->wait = QUERY_WAIT;
+    pending->holder_incarnation = incarnation;
+    g_string_truncate(pending->holder, 0);
+    g_string_append_len(pending->holder, holder.data, (gssize)holder.length);
+    if (Str_Equal(holder, Claims_Host(this)) || !Claims_IsLive(this, holder)) {
+        answer_gone(this, pending);
+        return;
+    }
+    Claims_SendQuery(this, pending);
+}
+
+static ClaimReplyState
+state_of(ClaimEntryState state)
+{
+    switch (state) {
+    case ENTRY_OPEN:
+    case ENTRY_RUNNING:
+        return CLAIM_REPLY_PENDING;
+    case ENTRY_RAN:
+        return CLAIM_REPLY_RAN;
+    case ENTRY_NOT_RUN:
+        return CLAIM_REPLY_NOT_RUN;
+    case ENTRY_UNKNOWN:
+        break;
+    }
+    return CLAIM_REPLY_UNKNOWN;
+}
+
+/* The first host that asks may run an issued key that was not used. */
+static void
+grant(Claims *this, const ClaimOutcomeQuery *query, ClaimOutcomeReply *reply)
+{
+    uint64_t wall_ms = (uint64_t)(Clock_Wall(this->clock) / MICROS_PER_MS);
+    ClaimEntry entry = {
+        .key = query->key,
+        .digest = query->digest,
+        .time_s = (uint32_t)(query->key_time_ms / 1000),
+        .state = ENTRY_OPEN,
+    };
+
+    if (query->key_time_ms < ClaimTable_Floor(this->issued) ||
+        query->key_time_ms > wall_ms + CLAIM_FUTURE_MS) {
+        reply->state = CLAIM_REPLY_UNKNOWN;
+        return;
+    }
+    entry.holder =
+        ClaimHolders_Take(this->holders, query->from, query->from_incarnation);
+    ClaimTable_Add(this->issued, &entry);
+    this->counters.grants++;
+    reply->state = CLAIM_REPLY_GRANTED;
+}
+
+/* A grant is repeated to the host that has it: that host's own memory of
+ * the key decides whether it still may run. */
+static void
+reply_elsewhere(const Claims *this, const ClaimEntry *entry,
+                const ClaimOutcomeQuery *query, ClaimOutcomeReply *reply)
+{
+    reply->holder = ClaimHolders_Host(this->holders, entry->holder);
+    reply->holder_incarnation =
+        ClaimHolders_Incarnation(this->holders, entry->holder);
+    reply->state = CLAIM_REPLY_HELD;
+    if (reply->holder_incarnation == query->from_incarnation &&
+        Str_Equal(reply->holder, query->from)) {
+        reply->state = CLAIM_REPLY_GRANTED;
+    }
+}
+
+/* The claim may not have been read yet, or is no longer remembered. */
+static ClaimReplyState
+absent_state(const Claims *this, uint32_t number,
+             const ClaimOutcomeQuery *query)
+{
+    uint64_t floor = ClaimTable_Floor(this->partitions[number].table);
+
+    return query->key_time_ms < floor ? CLAIM_REPLY_UNKNOWN
+                                      : CLAIM_REPLY_PENDING;
+}
+
+static void
+fill_reply(Claims *this, const ClaimOutcomeQuery *query,
+           ClaimOutcomeReply *reply)
+{
+    uint32_t number =
+        (uint32_t)(query->key.word[1] % this->options.partitions);
+    const ClaimEntry *entry = ClaimTable_Find(this->issued, query->key);
+
+    if (query->holder_incarnation != this->options.incarnation) {
+        reply->state = CLAIM_REPLY_GONE;
+        return;
+    }
+    if (entry == NULL && query->issued) {
+        grant(this, query, reply);
+        return;
+    }
+    if (entry == NULL) {
+        entry = ClaimTable_Find(this->partitions[number].table, query->key);
+    }
+    if (entry == NULL) {
+        reply->state = absent_state(this, number, query);
+        return;
+    }
+    if (entry->digest != query->digest &&
+        this->options.fault != CLAIMS_FAULT_IGNORE_DIGEST) {
+        reply->state = CLAIM_REPLY_REUSED;
+        return;
+    }
+    if (!Claims_IsMine(this, entry)) {
+        reply_elsewhere(this, entry, query, reply);
+        return;
+    }
+    reply->state = state_of((ClaimEntryState)entry->state);
+    if (reply->state == CLAIM_REPLY_RAN) {
+        reply->has_answer =
+            AnswerCache_Get(this->answers, entry->key, &reply->answer);
+    }
+}
+
+void
+Claims_OnQuery(Claims *this, const ClaimOutcomeQuery *query)
+{
+    ClaimAction action = {.kind = CLAIM_REPLY, .host = query->from};
+
+    action.reply = (ClaimOutcomeReply){
+        .number = query->number,
+        .key = query->key,
+        .to_incarnation = query->from_incarnation,
+    };
+    fill_reply(this, query, &action.reply);
+    this->counters.replies++;
+    ClaimActions_Add(this->actions, &action);
+}
+
+static void
+on_granted(Claims *this, Pending *pending)
+{
+    ClaimAnswer expired = Claims_Reply(CLAIM_UNKNOWN, 409, "key-expired", 0);
+    ClaimEntry entry = {
+        .key = pending->key,
+        .digest = pending->digest,
+        .time_s = (uint32_t)(pending->key_time_ms / 1000),
+        .state = ENTRY_RUNNING,
+    };
+
+    if (!pending->may_grant || ClaimTable_Find(this->issued, pending->key)) {
+        return;
+    }
+    if (pending->key_time_ms < ClaimTable_Floor(this->issued)) {
+        Claims_AnswerAll(this, pending, &expired);
+        return;
+    }
+    entry.holder = ClaimHolders_Take(this->holders, Claims_Host(this),
+                                     this->options.incarnation);
+    ClaimTable_Add(this->issued, &entry);
+    Claims_Start(this, pending, this->issued);
+}
+
+static void
+on_held(Claims *this, Pending *pending, const ClaimOutcomeReply *reply)
+{
+    if (!pending->may_grant) {
+        return;
+    }
+    pending->may_grant = false;
+    Claims_Ask(this, pending, reply->holder, reply->holder_incarnation);
+}
+
+static void
+on_ran(Claims *this, Pending *pending, const ClaimOutcomeReply *reply)
+{
+    ClaimAnswer answer = Claims_Reply(CLAIM_RAN, 409, "answer-not-held", 0);
+
+    if (reply->has_answer) {
+        answer = Claims_Reply(CLAIM_RAN, 0, "repeated", 0);
+        answer.answer = reply->answer;
+    }
+    Claims_AnswerAll(this, pending, &answer);
+}
+
+static void
+answer_with(Claims *this, Pending *pending, ClaimOutcome outcome, int status,
+            const char *reason)
+{
+    ClaimAnswer answer = Claims_Reply(outcome, status, reason, 0);
+
+    Claims_AnswerAll(this, pending, &answer);
+}
+
+void
+Claims_OnReply(Claims *this, Str from, const ClaimOutcomeReply *reply)
+{
+    Pending *pending = PendingSet_Find(this->pending, reply->key);
+
+    if (pending == NULL || pending->state != PENDING_ASKING ||
+        pending->number != reply->number ||
+        reply->to_incarnation != this->options.incarnation ||
+        !Str_Equal(from, (Str){pending->holder->str, pending->holder->len})) {
+        return;
+    }
+    switch (reply->state) {
+    case CLAIM_REPLY_PENDING:
+        return;
+    case CLAIM_REPLY_NOT_RUN:
+        answer_with(this, pending, CLAIM_NOT_RUN, 409, "key-abandoned");
+        return;
+    case CLAIM_REPLY_RAN:
+        on_ran(this, pending, reply);
+        return;
+    case CLAIM_REPLY_UNKNOWN:
+        answer_with(this, pending, CLAIM_UNKNOWN, 409, "outcome-unknown");
+        return;
+    case CLAIM_REPLY_REUSED:
+        answer_with(this, pending, CLAIM_UNKNOWN, 422, "key-reused");
+        return;
+    case CLAIM_REPLY_GONE:
+        answer_gone(this, pending);
+        return;
+    case CLAIM_REPLY_GRANTED:
+        on_granted(this, pending);
+        return;
+    case CLAIM_REPLY_HELD:
+        on_held(this, pending, reply);
+        return;
+    }
+}
--- /dev/null
+++ b/tests/support/ClaimsScenario.h
@@ -0,0 +1,24 @@
+#ifndef AGATECRANK_TESTS_CLAIMSSCENARIO_H
+#define AGATECRANK_TESTS_CLAIMSSCENARIO_H
+
+#include "ClaimsWorld.h"
+
+/** struct ScenarioResult_ - what one seeded run did and broke */
+typedef struct ScenarioResult_ {
+    JournalVerdict verdict;
+    WorldCounters counters;
+    uint64_t runs;
+    uint64_t told[3]; /* by JournalWord */
+} ScenarioResult;
+
+/**
+ * ClaimsScenario_Run() - one random history of callers and faults
+ * @seed: everything in the run depends on it
+ * @fault: planted in every host
+ */
+ScenarioResult ClaimsScenario_Run(uint64_t seed, ClaimsFault fault);
+
+/** ClaimsScenario_Add() - add the result of one run to a total */
+void ClaimsScenario_Add(ScenarioResult *total, const ScenarioResult *one);
+
+#endif
--- /dev/null
+++ b/tests/support/ClaimsWorld.c
@@ -0,0 +1,552 @@
+#include "ClaimsWorldPrivate.h"
+
+#include <stdio.h>
+
+/* Wall time at the start, microseconds since 1970. */
+#define WALL_START ((Micros)1700000000 * MICROS_PER_S)
+
+static uint32_t
+find_host(const ClaimsWorld *this, Str name)
+{
+    for (uint32_t i = 0; i < this->options.hosts; i++) {
+        if (Str_Equal(Str_FromC(this->hosts[i].name), name)) {
+            return i;
+        }
+    }
+    return UINT32_MAX;
+}
+
+/* Messages do not belong to a life of the receiver. */
+static Event *
+new_message(ClaimsWorld *this, EventKind kind, uint32_t from, uint32_t to)
+{
+    Event *event = World_NewEvent(this, kind, to);
+
+    event->epoch = UINT64_MAX;
+    event->from = World_Keep(event, Str_FromC(this->hosts[from].name));
+    return event;
+}
+
+static void
+fill_message(Event *event, const ClaimAction *action, size_t i)
+{
+    switch (event->kind) {
+    case EVENT_SUBMIT:
+        event->partition = action->submit.partition;
+        event->claim = action->submit.claims[i];
+        event->claim.host = World_Keep(event, event->claim.host);
+        return;
+    case EVENT_QUERY:
+        event->query = action->query;
+        event->query.from = World_Keep(event, event->query.from);
+        return;
+    default:
+        event->reply = action->reply;
+        event->reply.holder = World_Keep(event, event->reply.holder);
+        event->reply.answer = World_Keep(event, event->reply.answer);
+        return;
+    }
+}
+
+static void
+send_message(ClaimsWorld *this, uint32_t from, EventKind kind,
+             const ClaimAction *action, size_t i)
+{
+    const WorldOptions *options = &this->options;
+    uint32_t to = find_host(this, action->host);
+    int copies = World_Chance(this, options->repeat_message) ? 2 : 1;
+
+    this->counters.messages++;
+    if (to == UINT32_MAX || World_Chance(this, options->lose_message)) {
+        return;
+    }
+    while (copies-- > 0) {
+        Event *event = new_message(this, kind, from, to);
+
+        fill_message(event, action, i);
+        World_Schedule(
+            event, World_Between(this, options->net_min, options->net_max));
+    }
+}
+
+/* What an answer to this request must show: it differs by caller. */
+static uint64_t
+own_digest(const WorldRequest *request)
+{
+    return request->digest * 2 + request->caller;
+}
+
+static void
+tell(ClaimsWorld *this, uint64_t id, ClaimOutcome outcome, Str answer)
+{
+    static const JournalWord words[] = {
+        [CLAIM_NOT_RUN] = JOURNAL_NOT_RUN,
+        [CLAIM_RAN] = JOURNAL_RAN,
+        [CLAIM_UNKNOWN] = JOURNAL_UNKNOWN,
+    };
+    const Open *open = g_hash_table_lookup(this->open, &id);
+    uint64_t digest = 0;
+
+    if (open == NULL) {
+        return;
+    }
+    Str_ParseU64(answer, &digest);
+    Journal_Told(this->journal, open->request.identity,
+                 own_digest(&open->request), words[outcome], answer.length > 0,
+                 digest);
+    g_hash_table_remove(this->open, &id);
+}
+
+static void
+dispatch(ClaimsWorld *this, uint32_t host, uint64_t id)
+{
+    const Open *open = g_hash_table_lookup(this->open, &id);
+    Event *event = World_NewEvent(this, EVENT_AT_UPSTREAM, host);
+
+    event->id = id;
+    event->request = open->request;
+    this->counters.dispatched++;
+    Histogram_Add(this->added, Clock_Now(this->clock) - open->arrived);
+    World_Schedule(event, World_Between(this, this->options.net_min,
+                                        this->options.net_max));
+}
+
+/* Runs even if the host has died since. */
+static void
+on_at_upstream(ClaimsWorld *this, const Event *event)
+{
+    Event *finished = World_NewEvent(this, EVENT_FINISHED, event->host);
+    char digest[32];
+
+    finished->epoch = event->epoch;
+    finished->id = event->id;
+    finished->outcome = CLAIM_NOT_RUN;
+    if (!World_Chance(this, this->options.upstream_refuses)) {
+        Journal_Ran(this->journal, event->request.identity,
+                    own_digest(&event->request));
+        finished->outcome = CLAIM_UNKNOWN;
+        if (!World_Chance(this, this->options.upstream_breaks)) {
+            finished->outcome = CLAIM_RAN;
+            snprintf(digest, sizeof(digest), "%llu",
+                     (unsigned long long)own_digest(&event->request));
+            finished->bytes = World_Keep(finished, Str_FromC(digest));
+        }
+    }
+    World_Schedule(finished, World_Between(this, this->options.service_min,
+                                           this->options.service_max));
+}
+
+static void
+act(ClaimsWorld *this, uint32_t host, const ClaimAction *action)
+{
+    switch (action->kind) {
+    case CLAIM_APPEND:
+        World_SendAppend(this, host, action);
+        return;
+    case CLAIM_SUBMIT:
+        for (size_t i = 0; i < action->submit.n; i++) {
+            send_message(this, host, EVENT_SUBMIT, action, i);
+        }
+        return;
+    case CLAIM_DISPATCH:
+        dispatch(this, host, action->request_id);
+        return;
+    case CLAIM_ANSWER:
+        tell(this, action->request_id, action->answer.outcome,
+             action->answer.answer);
+        return;
+    case CLAIM_QUERY:
+        send_message(this, host, EVENT_QUERY, action, 0);
+        return;
+    case CLAIM_REPLY:
+        send_message(this, host, EVENT_REPLY, action, 0);
+        return;
+    }
+}
+
+static void
+add_counters(WorldCounters *total, const ClaimsCounters *counters)
+{
+    total->gaps += counters->gaps;
+    total->grants += counters->grants;
+    total->markers += counters->markers;
+    total->direct_appends += counters->direct_appends;
+    total->collector_appends += counters->collector_appends;
+    total->abandoned += counters->abandoned;
+    total->answered += counters->answered;
+}
+
+static void
+kill_host(ClaimsWorld *this, uint32_t number)
+{
+    Host *host = &this->hosts[number];
+
+    if (host->claims == NULL) {
+        return;
+    }
+    add_counters(&this->counters, Claims_Counters(host->claims));
+    Claims_Destroy(host->claims);
+    host->claims = NULL;
+    host->epoch++;
+    memset(host->waiting, 0, sizeof(host->waiting));
+    this->counters.deaths++;
+    World_Schedule(World_NewEvent(this, EVENT_REPLACE, number),
+                   this->options.replace_after);
+}
+
+static void
+start_host(ClaimsWorld *this, uint32_t number)
+{
+    Host *host = &this->hosts[number];
+    ClaimsOptions options = this->options.claims;
+    Str names[WORLD_HOSTS_MAX] = {0};
+
+    for (uint32_t i = 0; i < this->options.hosts; i++) {
+        names[i] = Str_FromC(this->hosts[i].name);
+    }
+    options.host = names[number];
+    options.incarnation = host->epoch + 1;
+    host->claims = Claims_Create(&options, this->clock);
+    host->paused_until = 0;
+    host->next_tick = INT64_MAX;
+    host->drain_due = false;
+    Claims_SetHosts(host->claims, names, this->options.hosts);
+    for (uint32_t p = 0; p < options.partitions; p++) {
+        World_StartRead(this, number, p, 0);
+    }
+}
+
+static void
+pause_host(ClaimsWorld *this, Host *host, Micros duration)
+{
+    host->paused_until =
+        MAX(host->paused_until, Clock_Now(this->clock) + duration);
+    this->counters.pauses++;
+}
+
+static void
+schedule_tick(ClaimsWorld *this, uint32_t number)
+{
+    Host *host = &this->hosts[number];
+    Micros next = Claims_NextTick(host->claims);
+
+    if (next >= host->next_tick || next == INT64_MAX) {
+        return;
+    }
+    host->next_tick = next;
+    World_Schedule(World_NewEvent(this, EVENT_TICK, number),
+                   next - Clock_Now(this->clock));
+}
+
+/* Takes the actions one by one; the host may stop or die before any. */
+static void
+drain(ClaimsWorld *this, uint32_t number)
+{
+    Host *host = &this->hosts[number];
+    ClaimAction action;
+
+    for (;;) {
+        if (World_Chance(this, this->options.die)) {
+            kill_host(this, number);
+            return;
+        }
+        if (World_Chance(this, this->options.pause)) {
+            pause_host(this, host,
+                       World_Between(this, 0, this->options.pause_max));
+            if (!host->drain_due) {
+                host->drain_due = true;
+                World_Schedule(World_NewEvent(this, EVENT_DRAIN, number),
+                               host->paused_until - Clock_Now(this->clock));
+            }
+            return;
+        }
+        if (!Claims_NextAction(host->claims, &action)) {
+            break;
+        }
+        act(this, number, &action);
+    }
+    schedule_tick(this, number);
+}
+
+static void
+begin(ClaimsWorld *this, uint32_t number, const WorldRequest *request)
+{
+    uint64_t id = this->next_id++;
+    Open *open = g_new(Open, 1);
+    ClaimRequest begun = {
+        .line = STR("member-a"),
+        .caller = Str_FromC(request->caller == 0 ? "counter-7" : "counter-8"),
+        .key = Str_FromC(request->key),
+        .digest = request->digest,
+        .deadline = Clock_Now(this->clock) + request->deadline,
+    };
+    ClaimState state;
+
+    *open = (Open){.request = *request, .arrived = Clock_Now(this->clock)};
+    g_hash_table_insert(this->open, g_memdup2(&id, sizeof(id)), open);
+    this->counters.sent++;
+    state = Claims_Begin(this->hosts[number].claims, &begun, id);
+    if (state.kind == CLAIM_STATE_ANSWER) {
+        tell(this, id, state.answer.outcome, state.answer.answer);
+    }
+    if (state.kind == CLAIM_STATE_DISPATCH) {
+        dispatch(this, number, id);
+    }
+}
+
+/* Events that happen in a host, after which its actions are taken. */
+static void
+handle_in_host(ClaimsWorld *this, Event *event)
+{
+    Claims *claims = this->hosts[event->host].claims;
+    ClaimSubmit submit = {
+        .partition = event->partition, .claims = &event->claim, .n = 1};
+
+    switch (event->kind) {
+    case EVENT_BEGIN:
+        begin(this, event->host, &event->request);
+        break;
+    case EVENT_TICK:
+        this->hosts[event->host].next_tick = INT64_MAX;
+        Claims_OnTick(claims);
+        break;
+    case EVENT_DRAIN:
+        this->hosts[event->host].drain_due = false;
+        break;
+    case EVENT_SUBMIT:
+        Claims_OnSubmit(claims, &submit);
+        break;
+    case EVENT_QUERY:
+        Claims_OnQuery(claims, &event->query);
+        break;
+    case EVENT_REPLY:
+        Claims_OnReply(claims, event->from, &event->reply);
+        break;
+    case EVENT_APPEND_RESULT:
+        Claims_OnAppendResult(claims, event->id, event->code);
+        break;
+    case EVENT_READ_RESULT:
+        World_OnReadResult(this, event);
+        break;
+    case EVENT_FINISHED:
+        Claims_OnFinished(claims, event->id, event->outcome, event->bytes);
+        tell(this, event->id, event->outcome, event->bytes);
+        break;
+    default:
+        break;
+    }
+    drain(this, event->host);
+}
+
+/* Returns true if the event was handled outside of the hosts' own time. */
+static bool
+handle_outside(ClaimsWorld *this, const Event *event)
+{
+    Host *host = &this->hosts[event->host];
+
+    switch (event->kind) {
+    case EVENT_APPEND_AT_LOG:
+        World_OnAppendAtLog(this, event);
+        return true;
+    case EVENT_READ_AT_LOG:
+        if (host->claims != NULL && host->epoch == event->epoch) {
+            World_OnReadAtLog(this, event);
+        }
+        return true;
+    case EVENT_READ_TIMEOUT:
+        if (host->epoch == event->epoch && host->waiting[event->partition] &&
+            host->wait_id[event->partition] == event->id) {
+            World_SendReadResult(this, event->host, event->partition);
+        }
+        return true;
+    case EVENT_AT_UPSTREAM:
+        on_at_upstream(this, event);
+        return true;
+    case EVENT_OUTAGE:
+        this->outage = event->code != 0;
+        for (uint32_t p = 0; p < this->options.claims.partitions; p++) {
+            World_WakeReaders(this, p);
+        }
+        return true;
+    case EVENT_KILL:
+        kill_host(this, event->host);
+        return true;
+    case EVENT_PAUSE:
+        pause_host(this, host, event->duration);
+        return true;
+    case EVENT_REPLACE:
+        start_host(this, event->host);
+        return true;
+    default:
+        return false;
+    }
+}
+
+void
+World_HandleEvent(void *user, uint64_t argument)
+{
+    Event *event = user;
+    ClaimsWorld *this = event->world;
+    const Host *host = &this->hosts[event->host];
+    Micros now = Clock_Now(this->clock);
+
+    g_hash_table_steal(this->events, event);
+    if (handle_outside(this, event)) {
+        World_FreeEvent(event);
+        return;
+    }
+    if (host->claims == NULL ||
+        (event->epoch != UINT64_MAX && event->epoch != host->epoch)) {
+        World_FreeEvent(event);
+        return;
+    }
+    if (now < host->paused_until) {
+        World_Schedule(event, host->paused_until - now);
+        return;
+    }
+    handle_in_host(this, event);
+    World_FreeEvent(event);
+}
+
+ClaimsWorld *
+ClaimsWorld_Create(const WorldOptions *options)
+{
+    ClaimsWorld *this = g_new0(ClaimsWorld, 1);
+
+    this->options = *options;
+    this->clock = Clock_CreateManual(MICROS_PER_S, WALL_START);
+    this->queue = EventQueue_Create(this->clock);
+    this->random = Random_Create(options->seed);
+    this->journal = Journal_Create();
+    this->added = Histogram_Create();
+    this->events = g_hash_table_new_full(NULL, NULL, World_FreeEvent, NULL);
+    this->open =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+    this->next_id = 1;
+    for (uint32_t p = 0; p < options->claims.partitions; p++) {
+        this->logs[p] = FakeLog_Create();
+    }
+    for (uint32_t i = 0; i < options->hosts; i++) {
+        snprintf(this->hosts[i].name, NAME_MAX_LENGTH, "entry-%u", i);
+    }
+    for (uint32_t i = 0; i < options->hosts; i++) {
+        start_host(this, i);
+    }
+    return this;
+}
+
+void
+ClaimsWorld_Destroy(ClaimsWorld *this)
+{
+    for (uint32_t i = 0; i < this->options.hosts; i++) {
+        if (this->hosts[i].claims != NULL) {
+            Claims_Destroy(this->hosts[i].claims);
+        }
+    }
+    for (uint32_t p = 0; p < this->options.claims.partitions; p++) {
+        FakeLog_Destroy(this->logs[p]);
+    }
+    g_hash_table_destroy(this->open);
+    g_hash_table_destroy(this->events);
+    Histogram_Destroy(this->added);
+    Journal_Destroy(this->journal);
+    Random_Destroy(this->random);
+    EventQueue_Destroy(this->queue);
+    Clock_Destroy(this->clock);
+    g_free(this);
+}
+
+void
+ClaimsWorld_Send(ClaimsWorld *this, Micros delay, uint32_t host,
+                 const WorldRequest *request)
+{
+    Event *event = World_NewEvent(this, EVENT_BEGIN, host);
+
+    event->epoch = UINT64_MAX;
+    event->request = *request;
+    World_Schedule(event, delay);
+}
+
+bool
+ClaimsWorld_IssueKey(ClaimsWorld *this, uint32_t host, WorldRequest *request)
+{
+    uint64_t random[2] = {Random_Next(this->random),
+                          Random_Next(this->random)};
+
+    return this->hosts[host].claims != NULL &&
+           Claims_IssueKey(this->hosts[host].claims, random, request->key) > 0;
+}
+
+void
+ClaimsWorld_MakeKey(ClaimsWorld *this, Micros age, WorldRequest *request)
+{
+    uint64_t random[2] = {Random_Next(this->random),
+                          Random_Next(this->random)};
+    uint64_t time_ms = (uint64_t)((Clock_Wall(this->clock) - age) / 1000);
+    IdempotencyKey key =
+        IdempotencyKey_Make(time_ms, random, (Str){NULL, 0}, 0);
+
+    IdempotencyKey_Write(&key, request->key);
+}
+
+void
+ClaimsWorld_SetOutage(ClaimsWorld *this, Micros delay, bool outage)
+{
+    Event *event = World_NewEvent(this, EVENT_OUTAGE, 0);
+
+    event->code = outage;
+    World_Schedule(event, delay);
+}
+
+void
+ClaimsWorld_Kill(ClaimsWorld *this, Micros delay, uint32_t host)
+{
+    World_Schedule(World_NewEvent(this, EVENT_KILL, host), delay);
+}
+
+void
+ClaimsWorld_Pause(ClaimsWorld *this, Micros delay, uint32_t host,
+                  Micros duration)
+{
+    Event *event = World_NewEvent(this, EVENT_PAUSE, host);
+
+    event->duration = duration;
+    World_Schedule(event, delay);
+}
+
+void
+ClaimsWorld_Run(ClaimsWorld *this, Micros duration)
+{
+    EventQueue_RunUntil(this->queue, Clock_Now(this->clock) + duration);
+}
+
+const Journal *
+ClaimsWorld_Journal(const ClaimsWorld *this)
+{
+    return this->journal;
+}
+
+WorldCounters
+ClaimsWorld_Counters(const ClaimsWorld *this)
+{
+    WorldCounters total = this->counters;
+
+    for (uint32_t i = 0; i < this->options.hosts; i++) {
+        if (this->hosts[i].claims != NULL) {
+            add_counters(&total, Claims_Counters(this->hosts[i].claims));
+        }
+    }
+    return total;
+}
+
+const Histogram *
+ClaimsWorld_Added(const ClaimsWorld *this)
+{
+    return this->added;
+}
+
+const Claims *
+ClaimsWorld_Host(const ClaimsWorld *this, uint32_t host)
+{
+    return this->hosts[host].claims;
+}
--- /dev/null
+++ b/tests/support/ClaimsWorldLog.c
@@ -0,0 +1,207 @@
+#include "ClaimsWorldPrivate.h"
+
+#define READ_MAX 256
+#define APPEND_TIMEOUT (2 * MICROS_PER_S)
+#define READ_RETRY (200 * MICROS_PER_MS)
+
+bool
+World_Chance(ClaimsWorld *this, double p)
+{
+    return p > 0 && Random_Unit(this->random) < p;
+}
+
+Micros
+World_Between(ClaimsWorld *this, Micros low, Micros high)
+{
+    return low +
+           (Micros)Random_Below(this->random, (uint64_t)(high - low) + 1);
+}
+
+static uint64_t
+log_time(const ClaimsWorld *this)
+{
+    return (uint64_t)(Clock_Wall(this->clock) / MICROS_PER_MS);
+}
+
+Event *
+World_NewEvent(ClaimsWorld *this, EventKind kind, uint32_t host)
+{
+    Event *event = g_new0(Event, 1);
+
+    event->world = this;
+    event->kind = kind;
+    event->host = host;
+    event->epoch = this->hosts[host].epoch;
+    return event;
+}
+
+void
+World_Schedule(Event *event, Micros delay)
+{
+    g_hash_table_add(event->world->events, event);
+    EventQueue_Add(event->world->queue, delay, World_HandleEvent, event, 0);
+}
+
+Str
+World_Keep(Event *event, Str text)
+{
+    if (text.length == 0) {
+        return (Str){NULL, 0};
+    }
+    if (event->text == NULL) {
+        event->text = g_string_chunk_new(128);
+    }
+    return (Str){
+        g_string_chunk_insert_len(event->text, text.data, (gssize)text.length),
+        text.length};
+}
+
+void
+World_FreeEvent(gpointer data)
+{
+    Event *event = data;
+
+    if (event->text != NULL) {
+        g_string_chunk_free(event->text);
+    }
+    if (event->read != NULL) {
+        FakeLog_FreeRead(event->read);
+    }
+    g_free(event);
+}
+
+void
+World_SendAppend(ClaimsWorld *this, uint32_t host, const ClaimAction *action)
+{
+    Event *event = World_NewEvent(this, EVENT_APPEND_AT_LOG, host);
+
+    event->id = action->append.id;
+    event->partition = action->append.partition;
+    event->bytes = World_Keep(event, action->append.record);
+    this->counters.appends++;
+    World_Schedule(event, World_Between(this, this->options.log_min,
+                                        this->options.log_max));
+}
+
+static void
+append_result(ClaimsWorld *this, const Event *append, int code, Micros delay)
+{
+    Event *event = World_NewEvent(this, EVENT_APPEND_RESULT, append->host);
+
+    event->epoch = append->epoch;
+    event->id = append->id;
+    event->code = code;
+    World_Schedule(event, delay);
+}
+
+void
+World_SendReadResult(ClaimsWorld *this, uint32_t host, uint32_t partition)
+{
+    Host *h = &this->hosts[host];
+    Event *event = World_NewEvent(this, EVENT_READ_RESULT, host);
+
+    h->waiting[partition] = false;
+    h->wait_id[partition]++;
+    event->partition = partition;
+    if (this->outage || World_Chance(this, this->options.lose_read)) {
+        event->code = ERR_UNAVAILABLE;
+    }
+    else if (h->claims != NULL) {
+        /* The offset asked for does not change while a read is out. */
+        event->read =
+            FakeLog_Read(this->logs[partition], partition,
+                         Claims_ReadFrom(h->claims, partition), READ_MAX);
+    }
+    this->counters.reads++;
+    World_Schedule(event, World_Between(this, this->options.log_min,
+                                        this->options.log_max));
+}
+
+void
+World_WakeReaders(ClaimsWorld *this, uint32_t partition)
+{
+    for (uint32_t i = 0; i < this->options.hosts; i++) {
+        if (this->hosts[i].waiting[partition]) {
+            World_SendReadResult(this, i, partition);
+        }
+    }
+}
+
+static void
+expire_records(ClaimsWorld *this, uint32_t partition)
+{
+    uint64_t age = (uint64_t)(this->options.retention / MICROS_PER_MS);
+
+    if (age > 0 && log_time(this) > age) {
+        FakeLog_Expire(this->logs[partition], log_time(this) - age);
+    }
+}
+
+void
+World_OnAppendAtLog(ClaimsWorld *this, const Event *event)
+{
+    Micros back =
+        World_Between(this, this->options.log_min, this->options.log_max);
+
+    if (World_Chance(this, this->options.lose_append)) {
+        append_result(this, event, ERR_TIMEOUT, APPEND_TIMEOUT);
+        return;
+    }
+    if (this->outage) {
+        this->counters.log_appends_failed++;
+        append_result(this, event, ERR_UNAVAILABLE, back);
+        return;
+    }
+    FakeLog_Append(this->logs[event->partition], event->bytes, log_time(this));
+    if (World_Chance(this, this->options.lose_result)) {
+        append_result(this, event, ERR_TIMEOUT, APPEND_TIMEOUT);
+    }
+    else {
+        append_result(this, event, 0, back);
+    }
+    World_WakeReaders(this, event->partition);
+}
+
+void
+World_StartRead(ClaimsWorld *this, uint32_t host, uint32_t partition,
+                Micros delay)
+{
+    Event *event = World_NewEvent(this, EVENT_READ_AT_LOG, host);
+
+    event->partition = partition;
+    World_Schedule(event, delay + World_Between(this, this->options.log_min,
+                                                this->options.log_max));
+}
+
+void
+World_OnReadAtLog(ClaimsWorld *this, const Event *event)
+{
+    Host *host = &this->hosts[event->host];
+    Event *timeout;
+
+    expire_records(this, event->partition);
+    if (this->outage || Claims_ReadFrom(host->claims, event->partition) <
+                            FakeLog_Next(this->logs[event->partition])) {
+        World_SendReadResult(this, event->host, event->partition);
+        return;
+    }
+    host->waiting[event->partition] = true;
+    timeout = World_NewEvent(this, EVENT_READ_TIMEOUT, event->host);
+    timeout->partition = event->partition;
+    timeout->id = host->wait_id[event->partition];
+    World_Schedule(timeout, this->options.poll);
+}
+
+void
+World_OnReadResult(ClaimsWorld *this, const Event *event)
+{
+    Host *host = &this->hosts[event->host];
+
+    if (event->code != 0 || event->read == NULL) {
+        Claims_OnReadFailed(host->claims, event->partition);
+        World_StartRead(this, event->host, event->partition, READ_RETRY);
+        return;
+    }
+    Claims_OnRecords(host->claims, event->read);
+    World_StartRead(this, event->host, event->partition, 0);
+}
--- /dev/null
+++ b/tests/support/ClaimsWorldPrivate.h
@@ -0,0 +1,105 @@
+#ifndef AGATECRANK_TESTS_CLAIMSWORLDPRIVATE_H
+#define AGATECRANK_TESTS_CLAIMSWORLDPRIVATE_H
+
+#include "ClaimsWorld.h"
+#include "EventQueue.h"
+#include "FakeLog.h"
+#include "Random.h"
+
+#define NAME_MAX_LENGTH 20
+
+typedef enum EventKind_ {
+    EVENT_BEGIN,
+    EVENT_TICK,
+    EVENT_DRAIN,
+    EVENT_SUBMIT,
+    EVENT_QUERY,
+    EVENT_REPLY,
+    EVENT_APPEND_AT_LOG,
+    EVENT_APPEND_RESULT,
+    EVENT_READ_AT_LOG,
+    EVENT_READ_TIMEOUT,
+    EVENT_READ_RESULT,
+    EVENT_AT_UPSTREAM,
+    EVENT_FINISHED,
+    EVENT_OUTAGE,
+    EVENT_KILL,
+    EVENT_PAUSE,
+    EVENT_REPLACE,
+} EventKind;
+
+/* Whatever an event needs; strings are kept in text. */
+typedef struct Event_ {
+    ClaimsWorld *world;
+    EventKind kind;
+    uint32_t host;
+    uint64_t epoch; /* events of an earlier life of the host are dropped */
+    GStringChunk *text;
+    Claim claim;
+    uint32_t partition;
+    ClaimOutcomeQuery query;
+    ClaimOutcomeReply reply;
+    Str from;
+    Str bytes;
+    uint64_t id;
+    int code;
+    ClaimOutcome outcome;
+    WorldRequest request;
+    ClaimLogRead *read;
+    Micros duration;
+} Event;
+
+typedef struct Host_ {
+    char name[NAME_MAX_LENGTH];
+    Claims *claims; /* NULL while dead */
+    uint64_t epoch;
+    Micros paused_until;
+    Micros next_tick;
+    bool drain_due;
+    bool waiting[WORLD_PARTITIONS_MAX]; /* a read waits at the log */
+    uint64_t wait_id[WORLD_PARTITIONS_MAX];
+} Host;
+
+typedef struct Open_ {
+    WorldRequest request;
+    Micros arrived;
+} Open;
+
+struct ClaimsWorld_ {
+    WorldOptions options;
+    Clock *clock;
+    EventQueue *queue;
+    Random *random;
+    Journal *journal;
+    Histogram *added;
+    FakeLog *logs[WORLD_PARTITIONS_MAX];
+    bool outage;
+    Host hosts[WORLD_HOSTS_MAX];
+    GHashTable *events; /* Event, those that have not run */
+    GHashTable *open;   /* request id -> Open */
+    uint64_t next_id;
+    WorldCounters counters;
+};
+
+/* ClaimsWorld.c */
+void World_HandleEvent(void *user, uint64_t argument);
+
+/* ClaimsWorldLog.c */
+bool World_Chance(ClaimsWorld *this, double p);
+Micros World_Between(ClaimsWorld *this, Micros low, Micros high);
+Event *World_NewEvent(ClaimsWorld *this, EventKind kind, uint32_t host);
+void World_Schedule(Event *event, Micros delay);
+Str World_Keep(Event *event, Str text);
+void World_FreeEvent(gpointer data);
+void World_SendAppend(ClaimsWorld *this, uint32_t host,
+                      const ClaimAction *action);
+void World_OnAppendAtLog(ClaimsWorld *this, const Event *event);
+void World_StartRead(ClaimsWorld *this, uint32_t host, uint32_t partition,
+                     Micros delay);
+void World_OnReadAtLog(ClaimsWorld *this, const Event *event);
+void World_OnReadResult(ClaimsWorld *this, const Event *event);
+void World_SendReadResult(ClaimsWorld *this, uint32_t host,
+                          uint32_t partition);
+void World_WakeReaders(ClaimsWorld *this, uint32_t partition);
+
+#endif
--- /dev/null
+++ b/tests/support/FakeLog.h
@@ -0,0 +1,30 @@
+#ifndef AGATECRANK_TESTS_FAKELOG_H
+#define AGATECRANK_TESTS_FAKELOG_H
+
+#include "Claims.h"
+
+/** typedef FakeLog - one append-only stream with retention, without delays */
+typedef struct FakeLog_ FakeLog;
+
+FakeLog *FakeLog_Create(void);
+void FakeLog_Destroy(FakeLog *this);
+
+/** FakeLog_Append() - write a record; returns its offset */
+uint64_t FakeLog_Append(FakeLog *this, Str record, uint64_t time_ms);
+
+/** FakeLog_Expire() - drop records appended before @time_ms */
+void FakeLog_Expire(FakeLog *this, uint64_t time_ms);
+
+/** FakeLog_Next() - offset of the next append */
+uint64_t FakeLog_Next(const FakeLog *this);
+
+/**
+ * FakeLog_Read() - copy up to @max records from an offset
+ *
+ * Return: to be released with FakeLog_FreeRead().
+ */
+ClaimLogRead *FakeLog_Read(const FakeLog *this, uint32_t partition,
+                           uint64_t from, size_t max);
+void FakeLog_FreeRead(ClaimLogRead *read);
+
+#endif
--- /dev/null
+++ b/tests/test_claims_seeds.c
@@ -0,0 +1,123 @@
+#include <glib.h>
+
+#include "ClaimsScenario.h"
+
+/* Seeds FIRST_SEED up to the number of each test; printed on failure. */
+#define FIRST_SEED 1
+#define SEEDS 1000
+/* A planted fault must show within this many seeds. */
+#define FAULT_SEEDS 1000
+
+static void
+print_result(const char *name, const ScenarioResult *total)
+{
+    g_test_message(
+        "%s: runs=%llu not_run=%llu ran=%llu unknown=%llu deaths=%llu "
+        "pauses=%llu gaps=%llu grants=%llu sent=%llu abandoned=%llu",
+        name, (unsigned long long)total->runs,
+        (unsigned long long)total->told[JOURNAL_NOT_RUN],
+        (unsigned long long)total->told[JOURNAL_RAN],
+        (unsigned long long)total->told[JOURNAL_UNKNOWN],
+        (unsigned long long)total->counters.deaths,
+        (unsigned long long)total->counters.pauses,
+        (unsigned long long)total->counters.gaps,
+        (unsigned long long)total->counters.grants,
+        (unsigned long long)total->counters.sent,
+        (unsigned long long)total->counters.abandoned);
+}
+
+/* Guards against any broken promise under random faults. */
+static void
+test_seeds(void)
+{
+    ScenarioResult total = {0};
+
+    for (uint64_t seed = FIRST_SEED; seed < FIRST_SEED + SEEDS; seed++) {
+        ScenarioResult one = ClaimsScenario_Run(seed, CLAIMS_FAULT_NONE);
+
+        ClaimsScenario_Add(&total, &one);
+        if (JournalVerdict_Total(&one.verdict) > 0) {
+            g_test_message("seed %llu: twice=%llu not-run=%llu ran=%llu "
+                           "answer=%llu",
+                           (unsigned long long)seed,
+                           (unsigned long long)one.verdict.run_twice,
+                           (unsigned long long)one.verdict.false_not_run,
+                           (unsigned long long)one.verdict.false_ran,
+                           (unsigned long long)one.verdict.wrong_answer);
+            g_test_fail();
+        }
+    }
+    print_result("seeds", &total);
+    /* A driver that never reaches the interesting states proves nothing. */
+    g_assert_cmpuint(total.runs, >, SEEDS);
+    g_assert_cmpuint(total.told[JOURNAL_NOT_RUN], >, SEEDS);
+    g_assert_cmpuint(total.told[JOURNAL_RAN], >, SEEDS);
+    g_assert_cmpuint(total.told[JOURNAL_UNKNOWN], >, SEEDS);
+    g_assert_cmpuint(total.counters.gaps, >, SEEDS / 10);
+    g_assert_cmpuint(total.counters.grants, >, SEEDS / 10);
+    g_assert_cmpuint(total.counters.deaths, >, SEEDS);
+}
+
+/* Guards against a checker or a driver that can not see a broken promise. */
+static void
+test_planted_faults(void)
+{
+    static const struct {
+        ClaimsFault fault;
+        const char *name;
+        size_t promise; /* offset in JournalVerdict */
+    } cases[] = {
+        {CLAIMS_FAULT_RUN_ON_APPEND, "run-on-append",
+         offsetof(JournalVerdict, run_twice)},
+        {CLAIMS_FAULT_RUN_ANY_CLAIM, "run-any-claim",
+         offsetof(JournalVerdict, run_twice)},
+        {CLAIMS_FAULT_IGNORE_GAP, "ignore-gap",
+         offsetof(JournalVerdict, run_twice)},
+        {CLAIMS_FAULT_KEEP_FLOOR, "keep-floor",
+         offsetof(JournalVerdict, run_twice)},
+        {CLAIMS_FAULT_ANY_INCARNATION, "any-incarnation",
+         offsetof(JournalVerdict, false_not_run)},
+        {CLAIMS_FAULT_RUN_ABANDONED, "run-abandoned",
+         offsetof(JournalVerdict, false_not_run)},
+        {CLAIMS_FAULT_EARLY_NOT_RUN, "early-not-run",
+         offsetof(JournalVerdict, false_not_run)},
+        {CLAIMS_FAULT_OUTAGE_NOT_RUN, "outage-not-run",
+         offsetof(JournalVerdict, false_not_run)},
+        {CLAIMS_FAULT_GONE_NOT_RUN, "gone-not-run",
+         offsetof(JournalVerdict, false_not_run)},
+        {CLAIMS_FAULT_IGNORE_DIGEST, "ignore-digest",
+         offsetof(JournalVerdict, wrong_answer)},
+        {CLAIMS_FAULT_ISSUED_ANYWHERE, "issued-anywhere",
+         offsetof(JournalVerdict, run_twice)},
+        {CLAIMS_FAULT_UNSCOPED, "unscoped",
+         offsetof(JournalVerdict, wrong_answer)},
+        {CLAIMS_FAULT_SAY_RAN, "say-ran", offsetof(JournalVerdict, false_ran)},
+    };
+
+    G_STATIC_ASSERT(G_N_ELEMENTS(cases) == CLAIMS_FAULT_COUNT - 1);
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        uint64_t seed = FIRST_SEED;
+        uint64_t seen = 0;
+
+        while (seen == 0 && seed < FIRST_SEED + FAULT_SEEDS) {
+            ScenarioResult one = ClaimsScenario_Run(seed, cases[i].fault);
+
+            seen =
+                *(uint64_t *)(void *)((char *)&one.verdict + cases[i].promise);
+            seed++;
+        }
+        g_test_message("fault %s: %llu violations at seed %llu", cases[i].name,
+                       (unsigned long long)seen,
+                       (unsigned long long)(seed - 1));
+        g_assert_cmpuint(seen, >, 0);
+    }
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/claims/seeds", test_seeds);
+    g_test_add_func("/claims/planted-faults", test_planted_faults);
+    return g_test_run();
+}
