--- a/packages/core/ClaimsTime.c
+++ b/packages/core/ClaimsTime.c
@@ -150,10 +150,13 @@
         const Pending *pending = PendingSet_Get(this->pending, i);
 
         g_string_append_printf(out,
-                               "pending=%016" G_GINT64_MODIFIER "x:%s:%u ",
+                               "pending=%016" G_GINT64_MODIFIER
+                               "x:%s:%u:%" G_GUINT64_FORMAT " ",
                                pending->key.word[0], states[pending->state],
-                               pending->waiters->len);
+                               pending->waiters->len, pending->number);
     }
+    g_string_append_printf(out, "actions=%zu ",
+                           ClaimActions_Count(this->actions));
     for (uint32_t i = 0; i < this->options.partitions; i++) {
         const Partition *partition = &this->partitions[i];
 
--- a/tests/support/FakeLog.c
+++ b/tests/support/FakeLog.c
@@ -19,8 +19,8 @@
     return this;
 }
 
-static void
-drop_first(FakeLog *this)
+void
+FakeLog_DropFirst(FakeLog *this)
 {
     Stored *stored = &g_array_index(this->records, Stored, this->first);
 
@@ -32,7 +32,7 @@
 FakeLog_Destroy(FakeLog *this)
 {
     while (this->first < this->records->len) {
-        drop_first(this);
+        FakeLog_DropFirst(this);
     }
     g_array_free(this->records, TRUE);
     g_free(this);
@@ -54,7 +54,7 @@
     while (this->first < this->records->len &&
            g_array_index(this->records, Stored, this->first).time_ms <
                time_ms) {
-        drop_first(this);
+        FakeLog_DropFirst(this);
     }
 }
 
--- a/tests/support/FakeLog.h
+++ b/tests/support/FakeLog.h
@@ -15,6 +15,9 @@
 /** FakeLog_Expire() - drop records appended before @time_ms */
 void FakeLog_Expire(FakeLog *this, uint64_t time_ms);
 
+/** FakeLog_DropFirst() - drop the oldest record; there must be one */
+void FakeLog_DropFirst(FakeLog *this);
+
 /** FakeLog_Next() - offset of the next append */
 uint64_t FakeLog_Next(const FakeLog *this);
 
--- /dev/null
+++ b/tests/test_claims.c
@@ -0,0 +1,503 @@
+#include <glib.h>
+#include <string.h>
+
+#include "AnswerCache.h"
+#include "ClaimBatcher.h"
+#include "ClaimTable.h"
+#include "Claims.h"
+
+#define WALL_START ((Micros)1700000000 * MICROS_PER_S)
+#define NOW_MS ((uint64_t)(WALL_START / 1000))
+#define UUID "018bcfe5-6800-7abc-8def-0123456789ab"
+
+/* Guards against keys that are read in two ways or not at all. */
+static void
+test_parse(void)
+{
+    static const struct {
+        const char *text;
+        int code;
+        const char *host;
+        uint64_t incarnation;
+    } cases[] = {
+        {UUID, 0, "", 0},
+        {"018BCFE5-6800-7ABC-8DEF-0123456789AB", 0, "", 0},
+        {"agk1-entry-3-42-" UUID, 0, "entry-3", 42},
+        {"agk1-e-18446744073709551615-" UUID, 0, "e", UINT64_MAX},
+        {"agk1-e-18446744073709551616-" UUID, ERR_PARSE, "", 0},
+        {"agk1-e-042-" UUID, ERR_PARSE, "", 0},
+        {"agk1-e--" UUID, ERR_PARSE, "", 0},
+        {"agk1--42-" UUID, ERR_PARSE, "", 0},
+        {"agk1-42-" UUID, ERR_PARSE, "", 0},
+        {"agk1-e f-42-" UUID, ERR_PARSE, "", 0},
+        {"agk1-" UUID, ERR_PARSE, "", 0},
+        {"agk1-", ERR_PARSE, "", 0},
+        {"", ERR_PARSE, "", 0},
+        {"018bcfe5-6800-4abc-8def-0123456789ab", ERR_PARSE, "", 0},
+        {"018bcfe5-6800-7abc-0def-0123456789ab", ERR_PARSE, "", 0},
+        {"018bcfe5-6800-7abc-8def-0123456789a", ERR_PARSE, "", 0},
+        {"018bcfe5-6800-7abc-8def-0123456789abc", ERR_PARSE, "", 0},
+        {"018bcfe5x6800-7abc-8def-0123456789ab", ERR_PARSE, "", 0},
+        {"018bcfe5-6800-7abc-8def-0123456789ag", ERR_PARSE, "", 0},
+    };
+    char longest[IDEMPOTENCY_KEY_MAX + 2];
+    IdempotencyKey key;
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        int code = IdempotencyKey_Parse(&key, Str_FromC(cases[i].text));
+
+        g_assert_cmpint(code, ==, cases[i].code);
+        if (code == 0) {
+            g_assert_true(Str_Equal(key.host, Str_FromC(cases[i].host)));
+            g_assert_cmpuint(key.incarnation, ==, cases[i].incarnation);
+            g_assert_cmpuint(key.time_ms, ==, NOW_MS);
+        }
+    }
+    memset(longest, 'a', sizeof(longest));
+    g_assert_cmpint(
+        IdempotencyKey_Parse(&key, (Str){longest, sizeof(longest) - 1}), ==,
+        ERR_LIMIT);
+}
+
+/* Guards against one line's key standing for another line's. */
+static void
+test_scope(void)
+{
+    static const struct {
+        const char *line, *caller, *key;
+        bool same;
+    } cases[] = {
+        {"line", "caller", UUID, true},
+        {"line", "caller", "018BCFE5-6800-7ABC-8DEF-0123456789AB", true},
+        {"lin", "ecaller", UUID, false},
+        {"line2", "caller", UUID, false},
+        {"line", "caller2", UUID, false},
+        {"line", "caller", "018bcfe5-6800-7abc-8def-0123456789ac", false},
+        {"line", "caller", "agk1-e-1-" UUID, false},
+    };
+    IdempotencyKey key;
+    KeyHash first = {{0, 0}};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        KeyHash hash;
+
+        g_assert_cmpint(IdempotencyKey_Parse(&key, Str_FromC(cases[i].key)),
+                        ==, 0);
+        hash = IdempotencyKey_Scope(&key, Str_FromC(cases[i].line),
+                                    Str_FromC(cases[i].caller));
+        first = i == 0 ? hash : first;
+        g_assert_cmpint(KeyHash_Equal(hash, first), ==, cases[i].same);
+    }
+}
+
+/* Guards against a key that is neither remembered nor below the floor. */
+static void
+test_table(void)
+{
+    ClaimHolders *holders = ClaimHolders_Create();
+    ClaimTable *table = ClaimTable_Create(100, holders, false);
+
+    for (uint64_t i = 0; i < 1000; i++) {
+        ClaimEntry entry = {
+            .key = {{i * 0x9e3779b97f4a7c15u, i}},
+            .time_s = (uint32_t)(1000 + i),
+            .holder = ClaimHolders_Take(holders, STR("h"), i / 100),
+        };
+
+        ClaimTable_Add(table, &entry);
+        for (uint64_t k = 0; k <= i; k++) {
+            KeyHash key = {{k * 0x9e3779b97f4a7c15u, k}};
+            const ClaimEntry *found = ClaimTable_Find(table, key);
+
+            g_assert_cmpint(found != NULL, ==, k + 100 > i);
+            g_assert_true(found != NULL ||
+                          ClaimTable_Floor(table) > (1000 + k) * 1000);
+        }
+    }
+    ClaimTable_Forget(table, 1950 * 1000);
+    g_assert_cmpuint(ClaimTable_Count(table), ==, 50);
+    ClaimTable_Destroy(table);
+    ClaimHolders_Destroy(holders);
+}
+
+/* Guards against answers beyond the memory bound or of a wrong key. */
+static void
+test_answers(void)
+{
+    AnswerCache *cache = AnswerCache_Create(4096, 1000);
+    char text[1001];
+    Str answer;
+
+    memset(text, 'x', sizeof(text));
+    g_assert_false(
+        AnswerCache_Put(cache, (KeyHash){{1, 1}}, (Str){text, 1001}));
+    for (uint64_t i = 0; i < 100; i++) {
+        KeyHash key = {{i, 7}};
+
+        memset(text, (int)('a' + i % 26), sizeof(text));
+        g_assert_true(AnswerCache_Put(cache, key, (Str){text, 1000 - i}));
+        g_assert_cmpuint(AnswerCache_Bytes(cache), <=, 4096);
+        g_assert_true(AnswerCache_Get(cache, key, &answer));
+        g_assert_true(Str_Equal(answer, (Str){text, 1000 - i}));
+        g_assert_false(AnswerCache_Get(cache, (KeyHash){{i, 8}}, &answer));
+    }
+    g_assert_false(AnswerCache_Get(cache, (KeyHash){{1, 7}}, &answer));
+    AnswerCache_Destroy(cache);
+}
+
+/* Guards against appends above the agreed rate. */
+static void
+test_append_rate(void)
+{
+    ClaimBatcher *batcher = ClaimBatcher_Create(60, 2, 0);
+    Claim claim = {.host = STR("h")};
+    GString *record = g_string_new(NULL);
+    int appends = 0;
+
+    for (Micros now = 0; now < 10 * MICROS_PER_S; now += 100) {
+        ClaimBatcher_Add(batcher, &claim);
+        if (ClaimBatcher_TakeToken(batcher, now)) {
+            g_string_truncate(record, 0);
+            ClaimBatcher_TakeBatch(batcher, 1, record);
+            appends++;
+        }
+    }
+    g_assert_cmpint(appends, >=, 600);
+    g_assert_cmpint(appends, <=, 602);
+    while (ClaimBatcher_Add(batcher, &claim)) {
+    }
+    g_assert_cmpuint(ClaimBatcher_Count(batcher), ==, CLAIM_BATCHER_MAX);
+    g_string_truncate(record, 0);
+    ClaimBatcher_TakeBatch(batcher, 1, record);
+    g_assert_cmpuint(record->len, <=, 256 * 1024);
+    g_string_free(record, TRUE);
+    ClaimBatcher_Destroy(batcher);
+}
+
+typedef struct Fixture_ {
+    Clock *clock;
+    Claims *claims;
+    uint64_t offset;
+    uint64_t next_id;
+} Fixture;
+
+static void
+set_up(Fixture *f, bool started)
+{
+    ClaimsOptions options = ClaimsOptions_Default(STR("a"), 7);
+    Str hosts[] = {STR("a"), STR("b")};
+    ClaimLogRead read = {0};
+
+    *f = (Fixture){.clock = Clock_CreateManual(MICROS_PER_S, WALL_START),
+                   .next_id = 1};
+    options.collect = false;
+    options.remembered_keys = 1000;
+    f->claims = Claims_Create(&options, f->clock);
+    Claims_SetHosts(f->claims, hosts, 2);
+    if (started) {
+        Claims_OnRecords(f->claims, &read);
+    }
+}
+
+static void
+tear_down(Fixture *f)
+{
+    Claims_Destroy(f->claims);
+    Clock_Destroy(f->clock);
+}
+
+static ClaimState
+begin(Fixture *f, const char *key, uint64_t digest)
+{
+    ClaimRequest request = {
+        .line = STR("line"),
+        .caller = STR("caller"),
+        .key = Str_FromC(key),
+        .digest = digest,
+        .deadline = Clock_Now(f->clock) + MICROS_PER_S,
+    };
+
+    return Claims_Begin(f->claims, &request, f->next_id++);
+}
+
+/* Feeds one record and returns the kind of the next action, or -1. */
+static int
+feed(Fixture *f, uint64_t offset, uint64_t time_ms, Str record,
+     ClaimAction *action)
+{
+    ClaimLogRecord one = {offset, time_ms, record};
+    ClaimLogRead read = {.log_next = offset + 1, .records = &one, .n = 1};
+
+    Claims_OnRecords(f->claims, &read);
+    return Claims_NextAction(f->claims, action) ? (int)action->kind : -1;
+}
+
+/* Takes the append of the request just begun. */
+static GString *
+take_append(Fixture *f)
+{
+    ClaimAction action;
+
+    g_assert_true(Claims_NextAction(f->claims, &action));
+    g_assert_cmpint(action.kind, ==, CLAIM_APPEND);
+    return g_string_new_len(action.append.record.data,
+                            (gssize)action.append.record.length);
+}
+
+static void
+assert_answer(const ClaimAnswer *answer, ClaimOutcome outcome, int status,
+              const char *reason)
+{
+    g_assert_cmpint(answer->outcome, ==, outcome);
+    g_assert_cmpint(answer->status, ==, status);
+    g_assert_cmpstr(answer->reason, ==, reason);
+}
+
+typedef enum Setup_ {
+    SETUP_NONE,
+    SETUP_STARTED,
+    SETUP_READ_FAILED,
+    SETUP_GAP_WITHOUT_RECORD,
+    SETUP_GAP_AND_RECORD,
+    SETUP_APPEND_FAILED,
+    SETUP_OTHER_PARTITIONS,
+    SETUP_NEWER_READER,
+} Setup;
+
+static void
+apply_setup(Fixture *f, Setup setup)
+{
+    GString *record = g_string_new(NULL);
+    ClaimLogRead empty = {.log_first = 5, .log_next = 5};
+    ClaimAction action;
+
+    switch (setup) {
+    case SETUP_NONE:
+    case SETUP_STARTED:
+        break;
+    case SETUP_READ_FAILED:
+        Claims_OnReadFailed(f->claims, 0);
+        break;
+    case SETUP_GAP_WITHOUT_RECORD:
+        Claims_OnRecords(f->claims, &empty);
+        break;
+    case SETUP_GAP_AND_RECORD:
+        ClaimRecord_Write(1, NULL, 0, record);
+        feed(f, 5, NOW_MS, (Str){record->str, record->len}, &action);
+        break;
+    case SETUP_APPEND_FAILED:
+        begin(f, "018bcfe5-6800-7abc-8def-0123456789ff", 1);
+        Claims_NextAction(f->claims, &action);
+        Claims_OnAppendResult(f->claims, action.append.id, ERR_UNAVAILABLE);
+        break;
+    case SETUP_OTHER_PARTITIONS:
+        ClaimRecord_Write(2, NULL, 0, record);
+        feed(f, 0, NOW_MS, (Str){record->str, record->len}, &action);
+        break;
+    case SETUP_NEWER_READER:
+        /* version 2, minimum_reader 2, partitions 1 */
+        feed(f, 0, NOW_MS, STR("\x08\x02\x10\x02\x18\x01"), &action);
+        break;
+    }
+    g_string_free(record, TRUE);
+}
+
+/* Guards against a refusal that claims more than the host can know. */
+static void
+test_refusals(void)
+{
+    static const struct {
+        Setup setup;
+        const char *key;
+        ClaimOutcome outcome;
+        int status;
+        const char *reason;
+    } cases[] = {
+        {SETUP_STARTED, "x", CLAIM_NOT_RUN, 400, "key-malformed"},
+        {SETUP_NONE, UUID, CLAIM_UNKNOWN, 503, "log-unavailable"},
+        {SETUP_READ_FAILED, UUID, CLAIM_UNKNOWN, 503, "log-unavailable"},
+        {SETUP_APPEND_FAILED, UUID, CLAIM_UNKNOWN, 503, "log-unavailable"},
+        {SETUP_GAP_WITHOUT_RECORD, UUID, CLAIM_UNKNOWN, 503, "catching-up"},
+        {SETUP_GAP_AND_RECORD, UUID, CLAIM_UNKNOWN, 409, "key-expired"},
+        {SETUP_NEWER_READER, UUID, CLAIM_UNKNOWN, 409, "key-expired"},
+        {SETUP_OTHER_PARTITIONS, UUID, CLAIM_UNKNOWN, 503, "claims-disabled"},
+        /* 2 min and 1 ms ahead */
+        {SETUP_STARTED, "018bcfe7-3cc1-7abc-8def-0123456789ab", CLAIM_UNKNOWN,
+         409, "key-from-future"},
+        {SETUP_STARTED, "agk1-a-6-" UUID, CLAIM_UNKNOWN, 409, "issuer-gone"},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        Fixture f;
+        ClaimState state;
+
+        set_up(&f, cases[i].setup != SETUP_NONE);
+        apply_setup(&f, cases[i].setup);
+        state = begin(&f, cases[i].key, 1);
+        g_assert_cmpint(state.kind, ==, CLAIM_STATE_ANSWER);
+        assert_answer(&state.answer, cases[i].outcome, cases[i].status,
+                      cases[i].reason);
+        tear_down(&f);
+    }
+}
+
+/* Guards against another word than the rules give after each ending. */
+static void
+test_resend_words(void)
+{
+    static const struct {
+        ClaimOutcome finished;
+        size_t answer_length;
+        uint64_t resend_digest;
+        ClaimOutcome outcome;
+        int status;
+        const char *reason;
+    } cases[] = {
+        {CLAIM_RAN, 10, 1, CLAIM_RAN, 0, "repeated"},
+        {CLAIM_RAN, 100000, 1, CLAIM_RAN, 409, "answer-not-held"},
+        {CLAIM_NOT_RUN, 0, 1, CLAIM_NOT_RUN, 409, "key-abandoned"},
+        {CLAIM_UNKNOWN, 0, 1, CLAIM_UNKNOWN, 409, "outcome-unknown"},
+        {CLAIM_RAN, 10, 2, CLAIM_UNKNOWN, 422, "key-reused"},
+    };
+    char *text = g_malloc0(100000);
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        Fixture f;
+        ClaimAction action;
+        ClaimState state;
+        GString *record;
+
+        set_up(&f, true);
+        state = begin(&f, UUID, 1);
+        g_assert_cmpint(state.kind, ==, CLAIM_STATE_WAIT);
+        record = take_append(&f);
+        g_assert_cmpint(
+            feed(&f, 0, NOW_MS, (Str){record->str, record->len}, &action), ==,
+            CLAIM_DISPATCH);
+        /* The same record again does not run the request again. */
+        g_assert_cmpint(
+            feed(&f, 1, NOW_MS, (Str){record->str, record->len}, &action), ==,
+            -1);
+        Claims_OnFinished(f.claims, 1, cases[i].finished,
+                          (Str){text, cases[i].answer_length});
+        state = begin(&f, UUID, cases[i].resend_digest);
+        g_assert_cmpint(state.kind, ==, CLAIM_STATE_ANSWER);
+        assert_answer(&state.answer, cases[i].outcome, cases[i].status,
+                      cases[i].reason);
+        g_string_free(record, TRUE);
+        tear_down(&f);
+    }
+    g_free(text);
+}
+
+/* Guards against a late dispatch, and against not-run before the claim was
+ * read back as the first. */
+static void
+test_deadlines(void)
+{
+    Fixture f;
+    ClaimAction action;
+    GString *record;
+    ClaimState state;
+    ClaimLogRecord one;
+    ClaimLogRead read = {.log_next = 1, .records = &one, .n = 1};
+
+    set_up(&f, true);
+    begin(&f, UUID, 1);
+    record = take_append(&f);
+    one = (ClaimLogRecord){0, NOW_MS, {record->str, record->len}};
+    Claims_OnRecords(f.claims, &read);
+    Clock_Advance(f.clock, 2 * MICROS_PER_S);
+    g_assert_true(Claims_NextAction(f.claims, &action));
+    assert_answer(&action.answer, CLAIM_NOT_RUN, 504, "deadline");
+    tear_down(&f);
+
+    set_up(&f, true);
+    begin(&f, UUID, 1);
+    g_string_free(take_append(&f), TRUE);
+    Clock_Advance(f.clock, 2 * MICROS_PER_S);
+    Claims_OnTick(f.claims);
+    g_assert_true(Claims_NextAction(f.claims, &action));
+    assert_answer(&action.answer, CLAIM_UNKNOWN, 504, "claim-pending");
+    /* The abandoned claim is read after all: nobody runs the key. */
+    g_assert_cmpint(
+        feed(&f, 0, NOW_MS, (Str){record->str, record->len}, &action), ==, -1);
+    state = begin(&f, UUID, 1);
+    g_assert_cmpint(state.kind, ==, CLAIM_STATE_ANSWER);
+    assert_answer(&state.answer, CLAIM_NOT_RUN, 409, "key-abandoned");
+    g_string_free(record, TRUE);
+    tear_down(&f);
+}
+
+/* Guards against a claim that counts although its key's time is ahead of
+ * the log: the window of other hosts does not cover it. */
+static void
+test_void_claims(void)
+{
+    Fixture f;
+    ClaimAction action;
+    GString *record;
+
+    set_up(&f, true);
+    begin(&f, UUID, 1);
+    record = take_append(&f);
+    g_assert_cmpint(feed(&f, 0, NOW_MS - CLAIM_FUTURE_MS - 1,
+                         (Str){record->str, record->len}, &action),
+                    ==, CLAIM_ANSWER);
+    assert_answer(&action.answer, CLAIM_UNKNOWN, 409, "key-expired");
+    g_string_free(record, TRUE);
+    tear_down(&f);
+}
+
+static void
+ignore_claim(void *user, const Claim *claim)
+{
+    (*(int *)user)++;
+}
+
+/* Guards against records that only some hosts can read. */
+static void
+test_records(void)
+{
+    static const struct {
+        Str record;
+        int code;
+        int claims;
+    } cases[] = {
+        {{"", 0}, ERR_PARSE, 0},
+        {{"\xff\xff", 2}, ERR_PARSE, 0},
+        {{"\x08\x01\x10\x01\x18\x01", 6}, 0, 0},
+        /* field 15 is not known: skipped */
+        {{"\x08\x09\x10\x01\x18\x01\x78\x05", 8}, 0, 0},
+        {{"\x08\x02\x10\x02\x18\x01", 6}, ERR_PROTOCOL, 0},
+        /* an empty claim: skipped and counted */
+        {{"\x08\x01\x10\x01\x18\x01\x22\x00", 8}, 1, 0},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        uint32_t partitions;
+        int claims = 0;
+
+        g_assert_cmpint(ClaimRecord_Read(cases[i].record, &partitions,
+                                         ignore_claim, &claims),
+                        ==, cases[i].code);
+        g_assert_cmpint(claims, ==, cases[i].claims);
+    }
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/claims/key/parse", test_parse);
+    g_test_add_func("/claims/key/scope", test_scope);
+    g_test_add_func("/claims/table", test_table);
+    g_test_add_func("/claims/answers", test_answers);
+    g_test_add_func("/claims/append-rate", test_append_rate);
+    g_test_add_func("/claims/refusals", test_refusals);
+    g_test_add_func("/claims/resend-words", test_resend_words);
+    g_test_add_func("/claims/deadlines", test_deadlines);
+    g_test_add_func("/claims/void", test_void_claims);
+    g_test_add_func("/claims/records", test_records);
+    return g_test_run();
+}
