--- a/tests/support/ClaimsWorld.c
+++ b/tests/support/ClaimsWorld.c
@@ -199,7 +199,7 @@
 {
     Host *host = &this->hosts[number];
     ClaimsOptions options = this->options.claims;
-    Str names[WORLD_HOSTS_MAX];
+    Str names[WORLD_HOSTS_MAX] = {0};
 
     for (uint32_t i = 0; i < this->options.hosts; i++) {
         names[i] = Str_FromC(this->hosts[i].name);
