--- a/packages/config/ConfigSync.c
+++ b/packages/config/ConfigSync.c
@@ -23,7 +23,7 @@
     set_default(&this->options.retry_max, 2 * MICROS_PER_S);
     set_default(&this->options.read_wait, 10 * MICROS_PER_S);
     set_default(&this->options.peer_after, 300 * MICROS_PER_MS);
-    set_default(&this->options.fetch_limit, 1 * MICROS_PER_S);
+    set_default(&this->options.fetch_limit, 250 * MICROS_PER_MS);
     if (options->read_max == 0) {
         this->options.read_max = 256;
     }
@@ -186,10 +186,19 @@
     stream->next_time = now;
 }
 
+static bool
+has_asked_peers(const ConfigSync *this)
+{
+    Micros age = Clock_Now(this->clock) - this->started;
+
+    return this->peer_answers >= PEERS_ASKED || age >= SILENCE_LIMIT ||
+           (age >= SETTLED &&
+            this->peer_answers + this->refusals >= PEERS_WITHOUT);
+}
+
 void
 ConfigSync_CheckReady(ConfigSync *this)
 {
-    Micros age = Clock_Now(this->clock) - this->started;
     ConfigSyncStatus *status = &this->status;
 
     if (status->ready) {
@@ -199,7 +208,7 @@
         status->reason = "no-configuration";
         return;
     }
-    if (this->answers < PEERS_ASKED && age < START_LIMIT) {
+    if (!has_asked_peers(this)) {
         status->reason = "asking-peers";
         return;
     }
@@ -351,7 +360,7 @@
 {
     if (this->fetching && Clock_Now(this->clock) - this->fetch_time >=
                               this->options.fetch_limit) {
-        ConfigSync_OnFetchFailed(this);
+        ConfigSync_DropFetch(this);
     }
     step_schedule(this);
     ConfigSync_CheckReady(this);
--- a/packages/config/ConfigSync.h
+++ b/packages/config/ConfigSync.h
@@ -90,7 +90,7 @@
     Micros retry_max;   /* longest delay after failed reads; 0: 2 s */
     Micros read_wait;   /* long poll; 0: 10 s */
     Micros peer_after;  /* trust in the log before peers; 0: 300 ms */
-    Micros fetch_limit; /* a peer that does not answer; 0: 1 s */
+    Micros fetch_limit; /* a peer that does not answer; 0: 250 ms */
     uint32_t read_max;  /* records of one READ; 0: 256 */
     size_t tail_bytes;  /* recent records kept for peers; 0: 1 MiB */
 } ConfigSyncOptions;
@@ -149,7 +149,12 @@
 /** ConfigSync_OnChunk() - a FETCH was answered */
 void ConfigSync_OnChunk(ConfigSync *this, const ConfigChunk *chunk);
 
-/** ConfigSync_OnFetchFailed() - there is no peer, or it has nothing */
+/**
+ * ConfigSync_OnFetchFailed() - there is no peer, or the peer says that it is
+ * not ready
+ *
+ * Not to be called when a peer is silent: ConfigSync_OnTick() sees to that.
+ */
 void ConfigSync_OnFetchFailed(ConfigSync *this);
 
 /** ConfigSync_OnAppended() - an APPEND ended; @code 0 or negative */
@@ -168,7 +173,8 @@
  * ConfigSync_Serve() - answer a peer's FETCH
  *
  * Return: 0 with @chunk filled, valid until the next call; ERR_NOT_FOUND if
- * this host has nothing newer.
+ * this host is not ready itself. The peer is told so, and calls
+ * ConfigSync_OnFetchFailed().
  */
 int ConfigSync_Serve(ConfigSync *this, const ConfigFetch *request,
                      ConfigChunk *chunk);
--- a/packages/config/ConfigSyncPeers.c
+++ b/packages/config/ConfigSyncPeers.c
@@ -93,7 +93,6 @@
 
     this->fetching = false;
     this->failures = 0;
-    this->answers++;
     this->peer_answers++;
     hear_peer(this, chunk->next);
     if (chunk->snapshot) {
@@ -104,7 +103,7 @@
         this->choice = Random_Next(this->random);
     }
     progress = this->piecewise || ConfigState_Offset(this->state) > before ||
-               this->answers < PEERS_ASKED;
+               this->peer_answers < PEERS_ASKED;
     this->next_fetch =
         now + (progress                         ? 0
                : ConfigSync_HasPeerOffset(this) ? this->options.retry_max
@@ -113,15 +112,22 @@
 }
 
 void
-ConfigSync_OnFetchFailed(ConfigSync *this)
+ConfigSync_DropFetch(ConfigSync *this)
 {
     this->fetching = false;
-    this->answers++;
-    this->next_fetch = Clock_Now(this->clock) + this->options.retry;
+    this->next_fetch = Clock_Now(this->clock);
     if (++this->failures >= FETCH_TRIES || !this->piecewise) {
         this->failures = 0;
         stop_pieces(this);
     }
+}
+
+void
+ConfigSync_OnFetchFailed(ConfigSync *this)
+{
+    ConfigSync_DropFetch(this);
+    this->refusals++;
+    this->next_fetch += this->options.retry;
     ConfigSync_CheckReady(this);
 }
 
@@ -134,7 +140,7 @@
     if (this->piecewise || this->status.gap) {
         return true;
     }
-    if (!this->status.ready && this->answers < PEERS_ASKED) {
+    if (!this->status.ready && this->peer_answers < PEERS_ASKED) {
         return true;
     }
     if (!ConfigSync_HasPeerOffset(this)) {
--- a/packages/config/ConfigSyncPrivate.h
+++ b/packages/config/ConfigSyncPrivate.h
@@ -4,10 +4,17 @@
 #include "ConfigScan.h"
 #include "ConfigTail.h"
 
-/* Peers asked at the start: a lagging read alone must not let a restarted
- * host serve an older configuration than the one that was in force. */
-#define PEERS_ASKED 3
-#define START_LIMIT (1 * MICROS_PER_S)
+/*
+ * A restarted host must not serve an older configuration than was in force,
+ * and one read of the log may lag. It therefore asks peers as well: enough
+ * is one answer more than one lagging peer could give. Peers that say they
+ * have nothing count after SETTLED; silent ones hold the host up until
+ * SILENCE_LIMIT at most.
+ */
+#define PEERS_ASKED 2
+#define PEERS_WITHOUT 3
+#define SETTLED (1 * MICROS_PER_S)
+#define SILENCE_LIMIT (4 * MICROS_PER_S)
 
 /* Shared by ConfigSync.c and ConfigSyncPeers.c only. */
 typedef struct SyncStream_ {
@@ -36,7 +43,7 @@
     bool checking;  /* the scan is for the snapshot schedule */
     uint64_t peer_offset;
     Micros peer_heard;     /* since when a peer is ahead */
-    uint32_t answers;      /* of peers, failed ones too */
+    uint32_t refusals;     /* there is no peer, or it has nothing */
     uint32_t peer_answers; /* of peers that are ready themselves */
     bool fetching;
     Micros fetch_time;
@@ -66,6 +73,9 @@
 /** ConfigSync_CheckReady() - become ready if all is known */
 void ConfigSync_CheckReady(ConfigSync *this);
 
+/** ConfigSync_DropFetch() - the peer did not answer: ask another one */
+void ConfigSync_DropFetch(ConfigSync *this);
+
 /** ConfigSync_NextFetch() - the FETCH part of ConfigSync_NextAction() */
 bool ConfigSync_NextFetch(ConfigSync *this, ConfigAction *action);
 
--- a/packages/config/Toml.cpp
+++ b/packages/config/Toml.cpp
@@ -223,7 +223,9 @@
         return nullptr;
     }
     for (size_t i = 0; i < node->count; i++) {
-        if (Str_Equal(node->children[i].key, key)) {
+        if (std::string_view(node->children[i].key.data,
+                             node->children[i].key.length) ==
+            std::string_view(key.length ? key.data : "", key.length)) {
             return &node->children[i];
         }
     }
