--- a/packages/config/ConfigSync.c
+++ b/packages/config/ConfigSync.c
@@ -23,7 +23,7 @@
     set_default(&this->options.retry_max, 2 * MICROS_PER_S);
     set_default(&this->options.read_wait, 10 * MICROS_PER_S);
     set_default(&this->options.peer_after, 300 * MICROS_PER_MS);
-    set_default(&this->options.fetch_limit, 1 * MICROS_PER_S);
+    set_default(&this->options.fetch_limit, 250 * MICROS_PER_MS);
     if (options->read_max == 0) {
         this->options.read_max = 256;
     }
@@ -133,19 +133,6 @@
     return code == ERR_EXPIRED;
 }
 
-/* A forged snapshot with a right digest must not keep hosts from writing
- * a good one, so signatures are checked here as well. */
-static bool
-is_good_snapshot(const ConfigSync *this, const GString *snapshot)
-{
-    ConfigState *scratch = ConfigState_Clone(this->state);
-    int code = ConfigState_LoadSnapshot(
-        scratch, (Str){snapshot->str, snapshot->len}, NULL);
-
-    ConfigState_Destroy(scratch);
-    return code == 0 || code == ERR_EXPIRED;
-}
-
 static void
 end_scan(ConfigSync *this)
 {
@@ -155,6 +142,15 @@
     }
 }
 
+/* A forged snapshot with a right digest must not keep hosts from writing
+ * a good one. */
+static bool
+is_good(const ConfigSync *this, const GString *snapshot)
+{
+    return ConfigState_CheckSnapshot(
+               this->state, (Str){snapshot->str, snapshot->len}, NULL) == 0;
+}
+
 static void
 use_scan(ConfigSync *this)
 {
@@ -164,7 +160,7 @@
 
     while ((snapshot = ConfigScan_Take(this->scan, &offset, &time_ms)) !=
            NULL) {
-        bool good = this->checking ? is_good_snapshot(this, snapshot)
+        bool good = this->checking ? is_good(this, snapshot)
                                    : ConfigSync_Load(this, snapshot);
 
         if (good) {
@@ -186,10 +182,19 @@
     stream->next_time = now;
 }
 
+static bool
+has_asked_peers(const ConfigSync *this)
+{
+    Micros age = Clock_Now(this->clock) - this->started;
+
+    return this->peer_answers >= PEERS_ASKED || age >= SILENCE_LIMIT ||
+           (age >= SETTLED &&
+            this->peer_answers + this->refusals >= PEERS_WITHOUT);
+}
+
 void
 ConfigSync_CheckReady(ConfigSync *this)
 {
-    Micros age = Clock_Now(this->clock) - this->started;
     ConfigSyncStatus *status = &this->status;
 
     if (status->ready) {
@@ -199,7 +204,7 @@
         status->reason = "no-configuration";
         return;
     }
-    if (this->answers < PEERS_ASKED && age < START_LIMIT) {
+    if (!has_asked_peers(this)) {
         status->reason = "asking-peers";
         return;
     }
@@ -351,7 +356,7 @@
 {
     if (this->fetching && Clock_Now(this->clock) - this->fetch_time >=
                               this->options.fetch_limit) {
-        ConfigSync_OnFetchFailed(this);
+        ConfigSync_DropFetch(this);
     }
     step_schedule(this);
     ConfigSync_CheckReady(this);
