Add the peer messages and the public headers of membership

The messages between hosts are protobuf-c with a version, a deployment and one body each; gossip carries members, compact heartbeats and shared items that are identified by names. No code behind them yet, nothing was measured.

--- /dev/null
+++ b/packages/core/Gossip.h
@@ -0,0 +1,65 @@
+#ifndef AGATECRANK_CORE_GOSSIP_H
+#define AGATECRANK_CORE_GOSSIP_H
+
+#include "SharedItem.h"
+
+/** GOSSIP_MAX - longest gossip message, in bytes */
+#define GOSSIP_MAX 1400
+/** GOSSIP_MEMBERS_MAX, _BEATS_MAX, _ITEMS_MAX - most entries of a message */
+#define GOSSIP_MEMBERS_MAX 64
+#define GOSSIP_BEATS_MAX 256
+#define GOSSIP_ITEMS_MAX 128
+/** GOSSIP_KEY_BYTES - bytes of a CURVE public key */
+#define GOSSIP_KEY_BYTES 32
+
+/**
+ * struct GossipMember_ - what is known about one host
+ * @address: ADDRESS:PORT of its peer link
+ * @key: its CURVE public key of 32 bytes; empty: the deployment's key
+ * @heartbeat: grows while the host is alive
+ * @age: time since the sender heard of a newer heartbeat
+ */
+typedef struct GossipMember_ {
+    Str id;
+    Str address;
+    Str domain;
+    Str key;
+    uint64_t incarnation;
+    uint32_t heartbeat;
+    Micros age;
+    bool leaving;
+} GossipMember;
+
+/** struct GossipBeat_ - heartbeat of the host with this tag */
+typedef struct GossipBeat_ {
+    uint32_t tag;
+    uint32_t heartbeat;
+} GossipBeat;
+
+/**
+ * struct GossipItem_ - an item on its way
+ * @stamp_ms: orders the items of one origin
+ * @hops: hosts passed so far
+ */
+typedef struct GossipItem_ {
+    SharedItem item;
+    uint32_t stamp_ms;
+    uint32_t hops;
+} GossipItem;
+
+/** struct Gossip_ - contents of one gossip message of host @from */
+typedef struct Gossip_ {
+    Str from;
+    uint64_t incarnation;
+    GossipMember members[GOSSIP_MEMBERS_MAX];
+    size_t member_count;
+    GossipBeat beats[GOSSIP_BEATS_MAX];
+    size_t beat_count;
+    GossipItem items[GOSSIP_ITEMS_MAX];
+    size_t item_count;
+} Gossip;
+
+/** Gossip_Tag() - the tag of a host's incarnation */
+uint32_t Gossip_Tag(Str host, uint64_t incarnation);
+
+#endif
--- /dev/null
+++ b/packages/core/PeerCodec.h
@@ -0,0 +1,101 @@
+#ifndef AGATECRANK_CORE_PEERCODEC_H
+#define AGATECRANK_CORE_PEERCODEC_H
+
+#include "Admission.h"
+#include "Claims.h"
+#include "ConfigSync.h"
+#include "Gossip.h"
+#include "PeerMessage.h"
+#include "Quarantine.h"
+#include "SlotMessage.h"
+
+/** enum PeerNameKind_ - kinds of names that hosts keep as dense indexes */
+typedef enum PeerNameKind_ {
+    PEER_NAME_SERVICE,
+    PEER_NAME_UPSTREAM,
+    PEER_NAME_LINE,
+    PEER_NAME_HOST,
+} PeerNameKind;
+
+/**
+ * struct PeerNames_ - translates this host's indexes to names and back
+ * @name: name of an index, empty if there is none
+ * @index: index of a name, NAME_NONE if it is not known here
+ */
+typedef struct PeerNames_ {
+    Str (*name)(void *user, PeerNameKind kind, uint32_t index);
+    uint32_t (*index)(void *user, PeerNameKind kind, Str name);
+    void *user;
+} PeerNames;
+
+/*
+ * PeerCodec_WriteX() replaces @out by the encoded message and returns 0 or a
+ * negative error. PeerCodec_ReadX() fills the plain structure, whose strings
+ * are borrowed from the message, and returns 0, ERR_PROTOCOL if the message
+ * has another body or a field out of range, or ERR_NOT_FOUND if it names
+ * something that this host does not know.
+ */
+
+int PeerCodec_WriteGossip(const PeerEnvelope *envelope, const Gossip *gossip,
+                          GString *out);
+
+/**
+ * PeerCodec_ReadGossip() - entries out of form or of unknown kind are skipped
+ * @skipped: counts them; may be NULL
+ */
+int PeerCodec_ReadGossip(const PeerMessage *message, Gossip *gossip,
+                         uint64_t *skipped);
+
+int PeerCodec_WriteFetch(const PeerEnvelope *envelope,
+                         const ConfigFetch *fetch, GString *out);
+int PeerCodec_ReadFetch(const PeerMessage *message, ConfigFetch *fetch);
+
+/**
+ * PeerCodec_WriteChunk() - records that do not fit are left out
+ *
+ * At least one record is written; the receiver asks for the rest.
+ */
+int PeerCodec_WriteChunk(const PeerEnvelope *envelope,
+                         const ConfigChunk *chunk, GString *out);
+
+/** PeerCodec_ReadChunk() - @records receives ConfigRecord items */
+int PeerCodec_ReadChunk(const PeerMessage *message, ConfigChunk *chunk,
+                        GArray *records);
+
+int PeerCodec_WriteSubmit(const PeerEnvelope *envelope,
+                          const ClaimSubmit *submit, GString *out);
+
+/** PeerCodec_ReadSubmit() - @claims receives Claim items */
+int PeerCodec_ReadSubmit(const PeerMessage *message, ClaimSubmit *submit,
+                         GArray *claims);
+
+int PeerCodec_WriteQuery(const PeerEnvelope *envelope,
+                         const ClaimOutcomeQuery *query, GString *out);
+int PeerCodec_ReadQuery(const PeerMessage *message, ClaimOutcomeQuery *query);
+
+int PeerCodec_WriteReply(const PeerEnvelope *envelope,
+                         const ClaimOutcomeReply *reply, GString *out);
+int PeerCodec_ReadReply(const PeerMessage *message, ClaimOutcomeReply *reply);
+
+/** PeerCodec_WriteSlot() - the receiver is not part of the message */
+int PeerCodec_WriteSlot(const PeerEnvelope *envelope,
+                        const SlotMessage *message, const PeerNames *names,
+                        GString *out);
+
+/** PeerCodec_ReadSlot() - @peer is set to Str_Hash() of the sender's id */
+int PeerCodec_ReadSlot(const PeerMessage *message, const PeerNames *names,
+                       SlotMessage *slot);
+
+/** PeerCodec_ShareUsage() and _TakeUsage() - an item of Admission */
+int PeerCodec_ShareUsage(const UsageItem *usage, const PeerNames *names,
+                         SharedItem *item);
+int PeerCodec_TakeUsage(const SharedItem *item, const PeerNames *names,
+                        UsageItem *usage);
+
+/** PeerCodec_ShareFingerprint() and _TakeFingerprint() - of Quarantine */
+int PeerCodec_ShareFingerprint(const QuarantineItem *fingerprint,
+                               const PeerNames *names, SharedItem *item);
+int PeerCodec_TakeFingerprint(const SharedItem *item, const PeerNames *names,
+                              QuarantineItem *fingerprint);
+
+#endif
--- /dev/null
+++ b/packages/core/SharedItem.h
@@ -0,0 +1,66 @@
+#ifndef AGATECRANK_CORE_SHAREDITEM_H
+#define AGATECRANK_CORE_SHAREDITEM_H
+
+#include <stdbool.h>
+
+#include "Clock.h"
+#include "Quarantine.h"
+#include "Str.h"
+
+/** enum SharedKind_ - kinds of shared items, the most urgent first */
+typedef enum SharedKind_ {
+    SHARED_DRAIN,
+    SHARED_FINGERPRINT,
+    SHARED_CONFIG_OFFSET,
+    SHARED_USAGE,
+    SHARED_SUSPECT,
+    SHARED_KINDS
+} SharedKind;
+
+/**
+ * struct SharedItem_ - something that one host saw and all should know
+ * @host: host that saw it; filled in by Membership_Share()
+ * @incarnation: of that host; filled in by Membership_Share()
+ * @age: time since it was seen, in microseconds
+ *
+ * Everything is identified by names that are the same on all hosts.
+ */
+typedef struct SharedItem_ {
+    SharedKind kind;
+    Str host;
+    uint64_t incarnation;
+    Micros age;
+    union {
+        struct {
+            Str upstream;
+            bool ended; /* it accepts new requests again */
+        } drain;
+        struct {
+            Str upstream;
+            bool ended;
+        } suspect;
+        struct {
+            Str line;
+            uint64_t high, low;
+            uint32_t losses;
+            Str upstreams[QUARANTINE_LOSSES];
+            bool released;
+        } fingerprint;
+        struct {
+            uint64_t offset;
+        } config;
+        struct {
+            Str service;
+            Str line; /* empty: the level of the service */
+            float usage, effective, caller_level;
+        } usage;
+    };
+} SharedItem;
+
+/** SharedKind_Name() - stable lower-case word, for logs */
+const char *SharedKind_Name(SharedKind kind);
+
+/** SharedKind_MaxAge() - age from which an item of the kind has no effect */
+Micros SharedKind_MaxAge(SharedKind kind);
+
+#endif
