--- /dev/null
+++ b/packages/core/GossipCodec.c
@@ -0,0 +1,489 @@
+#include <string.h>
+
+#include "PeerCodec.h"
+
+#define VALUES_PER_LINE 3
+/* Times on the wire are 32-bit milliseconds. */
+#define AGE_MS_MAX ((uint32_t)1000 * 60 * 60 * 24)
+
+/* The encoder's working memory; nothing in it outlives one call. */
+typedef struct Writer_ {
+    Agatecrank__GossipMember members[GOSSIP_MEMBERS_MAX];
+    Agatecrank__GossipMember *member_list[GOSSIP_MEMBERS_MAX];
+    uint32_t tags[GOSSIP_BEATS_MAX];
+    uint32_t beats[GOSSIP_BEATS_MAX];
+    Agatecrank__GossipOrigin origins[GOSSIP_ITEMS_MAX];
+    Agatecrank__GossipOrigin *origin_list[GOSSIP_ITEMS_MAX];
+    size_t origin_count;
+    ProtobufCBinaryData names[GOSSIP_ITEMS_MAX * 4];
+    size_t name_count;
+    Agatecrank__GossipItem items[GOSSIP_ITEMS_MAX];
+    Agatecrank__GossipItem *item_list[GOSSIP_ITEMS_MAX];
+    size_t item_count;
+    union {
+        Agatecrank__ItemDrain drain;
+        Agatecrank__ItemSuspect suspect;
+        Agatecrank__ItemFingerprint fingerprint;
+        Agatecrank__ItemConfigOffset config;
+        Agatecrank__ItemUsage usage;
+    } bodies[GOSSIP_ITEMS_MAX];
+    uint32_t upstreams[GOSSIP_ITEMS_MAX][QUARANTINE_LOSSES];
+    uint32_t lines[GOSSIP_ITEMS_MAX];
+    float values[GOSSIP_ITEMS_MAX * VALUES_PER_LINE];
+    size_t line_count;
+} Writer;
+
+uint32_t
+Gossip_Tag(Str host, uint64_t incarnation)
+{
+    return (uint32_t)Str_HashSeeded(host, incarnation);
+}
+
+static ProtobufCBinaryData
+borrow_bytes(Str text)
+{
+    return (ProtobufCBinaryData){
+        .len = text.length,
+        .data = (uint8_t *)text.data,
+    };
+}
+
+static Str
+to_str(ProtobufCBinaryData bytes)
+{
+    return (Str){(const char *)bytes.data, bytes.len};
+}
+
+static uint32_t
+age_ms(Micros age)
+{
+    Micros ms = age / MICROS_PER_MS;
+
+    return ms < 0 ? 0 : ms > AGE_MS_MAX ? AGE_MS_MAX : (uint32_t)ms;
+}
+
+/* Reference to a name in the message, counted from 1; 0 for no name. */
+static uint32_t
+name_reference(Writer *writer, Str name)
+{
+    if (name.length == 0) {
+        return 0;
+    }
+    for (size_t i = 0; i < writer->name_count; i++) {
+        if (Str_Equal(to_str(writer->names[i]), name)) {
+            return (uint32_t)i + 1;
+        }
+    }
+    writer->names[writer->name_count++] = borrow_bytes(name);
+    return (uint32_t)writer->name_count;
+}
+
+static uint32_t
+origin_reference(Writer *writer, const SharedItem *item)
+{
+    Agatecrank__GossipOrigin *origin;
+
+    for (size_t i = 0; i < writer->origin_count; i++) {
+        if (writer->origins[i].incarnation == item->incarnation &&
+            Str_Equal(to_str(writer->origins[i].host), item->host)) {
+            return (uint32_t)i + 1;
+        }
+    }
+    origin = &writer->origins[writer->origin_count];
+    agatecrank__gossip_origin__init(origin);
+    origin->host = borrow_bytes(item->host);
+    origin->incarnation = item->incarnation;
+    writer->origin_list[writer->origin_count++] = origin;
+    return (uint32_t)writer->origin_count;
+}
+
+static void
+write_members(Writer *writer, const Gossip *gossip, Agatecrank__Gossip *body)
+{
+    for (size_t i = 0; i < gossip->member_count; i++) {
+        const GossipMember *from = &gossip->members[i];
+        Agatecrank__GossipMember *to = &writer->members[i];
+
+        agatecrank__gossip_member__init(to);
+        to->id = borrow_bytes(from->id);
+        to->address = borrow_bytes(from->address);
+        to->domain = borrow_bytes(from->domain);
+        to->key = borrow_bytes(from->key);
+        to->incarnation = from->incarnation;
+        to->heartbeat = from->heartbeat;
+        to->age_ms = age_ms(from->age);
+        to->leaving = from->leaving;
+        writer->member_list[i] = to;
+    }
+    body->n_members = gossip->member_count;
+    body->members = writer->member_list;
+}
+
+static void
+write_beats(Writer *writer, const Gossip *gossip, Agatecrank__Gossip *body)
+{
+    for (size_t i = 0; i < gossip->beat_count; i++) {
+        writer->tags[i] = gossip->beats[i].tag;
+        writer->beats[i] = gossip->beats[i].heartbeat;
+    }
+    body->n_beat_tags = body->n_beats = gossip->beat_count;
+    body->beat_tags = writer->tags;
+    body->beats = writer->beats;
+}
+
+static void
+write_fingerprint(Writer *writer, const SharedItem *item, size_t slot)
+{
+    Agatecrank__ItemFingerprint *body = &writer->bodies[slot].fingerprint;
+
+    agatecrank__item_fingerprint__init(body);
+    body->line = name_reference(writer, item->fingerprint.line);
+    body->high = item->fingerprint.high;
+    body->low = item->fingerprint.low;
+    body->losses = item->fingerprint.losses;
+    body->released = item->fingerprint.released;
+    body->upstreams = writer->upstreams[slot];
+    for (size_t i = 0; i < QUARANTINE_LOSSES; i++) {
+        Str upstream = item->fingerprint.upstreams[i];
+
+        if (upstream.length > 0) {
+            body->upstreams[body->n_upstreams++] =
+                name_reference(writer, upstream);
+        }
+    }
+    writer->items[slot].item_case = AGATECRANK__GOSSIP_ITEM__ITEM_FINGERPRINT;
+    writer->items[slot].fingerprint = body;
+}
+
+static void
+write_body(Writer *writer, const SharedItem *item, size_t slot)
+{
+    Agatecrank__GossipItem *to = &writer->items[slot];
+
+    switch (item->kind) {
+    case SHARED_DRAIN:
+        to->item_case = AGATECRANK__GOSSIP_ITEM__ITEM_DRAIN;
+        to->drain = &writer->bodies[slot].drain;
+        agatecrank__item_drain__init(to->drain);
+        to->drain->upstream = name_reference(writer, item->drain.upstream);
+        to->drain->ended = item->drain.ended;
+        return;
+    case SHARED_SUSPECT:
+        to->item_case = AGATECRANK__GOSSIP_ITEM__ITEM_SUSPECT;
+        to->suspect = &writer->bodies[slot].suspect;
+        agatecrank__item_suspect__init(to->suspect);
+        to->suspect->upstream = name_reference(writer, item->suspect.upstream);
+        to->suspect->ended = item->suspect.ended;
+        return;
+    case SHARED_CONFIG_OFFSET:
+        to->item_case = AGATECRANK__GOSSIP_ITEM__ITEM_CONFIG_OFFSET;
+        to->config_offset = &writer->bodies[slot].config;
+        agatecrank__item_config_offset__init(to->config_offset);
+        to->config_offset->offset = item->config.offset;
+        return;
+    case SHARED_FINGERPRINT:
+        write_fingerprint(writer, item, slot);
+        return;
+    case SHARED_USAGE:
+    case SHARED_KINDS:
+        return;
+    }
+}
+
+static bool
+same_group(const GossipItem *a, const GossipItem *b)
+{
+    return a->item.kind == SHARED_USAGE && b->item.kind == SHARED_USAGE &&
+           a->stamp_ms == b->stamp_ms && a->hops == b->hops &&
+           a->item.incarnation == b->item.incarnation &&
+           Str_Equal(a->item.host, b->item.host) &&
+           Str_Equal(a->item.usage.service, b->item.usage.service);
+}
+
+static void
+add_line(Writer *writer, Agatecrank__ItemUsage *body, const SharedItem *item)
+{
+    float *values = &writer->values[writer->line_count * VALUES_PER_LINE];
+
+    writer->lines[writer->line_count++] =
+        name_reference(writer, item->usage.line);
+    values[0] = item->usage.usage;
+    values[1] = item->usage.effective;
+    values[2] = item->usage.caller_level;
+    body->n_lines++;
+    body->n_values += VALUES_PER_LINE;
+}
+
+/* One wire item for the usage items from @first on that differ in their
+ * line only; returns the number of items taken. */
+static size_t
+write_usage(Writer *writer, const Gossip *gossip, size_t first, size_t slot)
+{
+    Agatecrank__GossipItem *to = &writer->items[slot];
+    Agatecrank__ItemUsage *body = &writer->bodies[slot].usage;
+    const GossipItem *head = &gossip->items[first];
+    size_t i = first;
+
+    agatecrank__item_usage__init(body);
+    body->service = name_reference(writer, head->item.usage.service);
+    body->lines = &writer->lines[writer->line_count];
+    body->values = &writer->values[writer->line_count * VALUES_PER_LINE];
+    for (; i < gossip->item_count && same_group(head, &gossip->items[i]);
+         i++) {
+        add_line(writer, body, &gossip->items[i].item);
+    }
+    to->item_case = AGATECRANK__GOSSIP_ITEM__ITEM_USAGE;
+    to->usage = body;
+    return i - first;
+}
+
+static void
+write_items(Writer *writer, const Gossip *gossip, Agatecrank__Gossip *body)
+{
+    size_t i = 0;
+
+    while (i < gossip->item_count) {
+        const GossipItem *from = &gossip->items[i];
+        size_t slot = writer->item_count++;
+        Agatecrank__GossipItem *to = &writer->items[slot];
+
+        agatecrank__gossip_item__init(to);
+        to->origin = origin_reference(writer, &from->item);
+        to->stamp_ms = from->stamp_ms;
+        to->age_ms = age_ms(from->item.age);
+        to->hops = from->hops;
+        writer->item_list[slot] = to;
+        if (from->item.kind == SHARED_USAGE) {
+            i += write_usage(writer, gossip, i, slot);
+        }
+        else {
+            write_body(writer, &from->item, slot);
+            i++;
+        }
+    }
+    body->n_items = writer->item_count;
+    body->items = writer->item_list;
+    body->n_origins = writer->origin_count;
+    body->origins = writer->origin_list;
+    body->n_names = writer->name_count;
+    body->names = writer->names;
+}
+
+int
+PeerCodec_WriteGossip(const PeerEnvelope *envelope, const Gossip *gossip,
+                      GString *out)
+{
+    Agatecrank__PeerMessage message = AGATECRANK__PEER_MESSAGE__INIT;
+    Agatecrank__Gossip body = AGATECRANK__GOSSIP__INIT;
+    Writer writer;
+
+    writer.origin_count = writer.name_count = writer.item_count = 0;
+    writer.line_count = 0;
+    write_members(&writer, gossip, &body);
+    write_beats(&writer, gossip, &body);
+    write_items(&writer, gossip, &body);
+    message.body_case = AGATECRANK__PEER_MESSAGE__BODY_GOSSIP;
+    message.gossip = &body;
+    return PeerMessage_Encode(envelope, &message, out);
+}
+
+static bool
+is_text(Str text, size_t max)
+{
+    if (text.length > max) {
+        return false;
+    }
+    for (size_t i = 0; i < text.length; i++) {
+        if (text.data[i] <= ' ' || text.data[i] > '~') {
+            return false;
+        }
+    }
+    return true;
+}
+
+static bool
+is_name(Str text)
+{
+    return text.length > 0 && is_text(text, PEER_NAME_MAX);
+}
+
+static bool
+read_member(const Agatecrank__GossipMember *from, GossipMember *to)
+{
+    to->id = to_str(from->id);
+    to->address = to_str(from->address);
+    to->domain = to_str(from->domain);
+    to->key = to_str(from->key);
+    to->incarnation = from->incarnation;
+    to->heartbeat = from->heartbeat;
+    to->age = (Micros)from->age_ms * MICROS_PER_MS;
+    to->leaving = from->leaving;
+    return is_name(to->id) && is_name(to->address) &&
+           is_text(to->domain, PEER_NAME_MAX) &&
+           (to->key.length == 0 || to->key.length == GOSSIP_KEY_BYTES);
+}
+
+static bool
+read_name(const Agatecrank__Gossip *body, uint32_t reference, Str *name)
+{
+    if (reference == 0 || reference > body->n_names) {
+        return false;
+    }
+    *name = to_str(body->names[reference - 1]);
+    return is_name(*name);
+}
+
+static bool
+read_fingerprint(const Agatecrank__Gossip *body,
+                 const Agatecrank__ItemFingerprint *from, SharedItem *to)
+{
+    to->kind = SHARED_FINGERPRINT;
+    to->fingerprint.high = from->high;
+    to->fingerprint.low = from->low;
+    to->fingerprint.losses = from->losses;
+    to->fingerprint.released = from->released;
+    if (from->n_upstreams > QUARANTINE_LOSSES ||
+        from->losses > QUARANTINE_LOSSES ||
+        !read_name(body, from->line, &to->fingerprint.line)) {
+        return false;
+    }
+    for (size_t i = 0; i < from->n_upstreams; i++) {
+        if (!read_name(body, from->upstreams[i],
+                       &to->fingerprint.upstreams[i])) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static bool
+read_body(const Agatecrank__Gossip *body, const Agatecrank__GossipItem *from,
+          SharedItem *to)
+{
+    switch (from->item_case) {
+    case AGATECRANK__GOSSIP_ITEM__ITEM_DRAIN:
+        to->kind = SHARED_DRAIN;
+        to->drain.ended = from->drain->ended;
+        return read_name(body, from->drain->upstream, &to->drain.upstream);
+    case AGATECRANK__GOSSIP_ITEM__ITEM_SUSPECT:
+        to->kind = SHARED_SUSPECT;
+        to->suspect.ended = from->suspect->ended;
+        return read_name(body, from->suspect->upstream, &to->suspect.upstream);
+    case AGATECRANK__GOSSIP_ITEM__ITEM_CONFIG_OFFSET:
+        to->kind = SHARED_CONFIG_OFFSET;
+        to->config.offset = from->config_offset->offset;
+        return true;
+    case AGATECRANK__GOSSIP_ITEM__ITEM_FINGERPRINT:
+        return read_fingerprint(body, from->fingerprint, to);
+    default:
+        return false;
+    }
+}
+
+/* Rejects values that no sum may contain: negative, infinite, not a number. */
+static bool
+is_amount(float value)
+{
+    return value >= 0 && value <= 1e9F;
+}
+
+static uint64_t
+read_usage(const Agatecrank__Gossip *body, const Agatecrank__ItemUsage *from,
+           const GossipItem *head, Gossip *gossip)
+{
+    uint64_t skipped = 0;
+    Str service;
+
+    if (!read_name(body, from->service, &service) ||
+        from->n_values != from->n_lines * VALUES_PER_LINE) {
+        return 1;
+    }
+    for (size_t i = 0; i < from->n_lines; i++) {
+        const float *values = &from->values[i * VALUES_PER_LINE];
+        Str line = {NULL, 0};
+        SharedItem *to;
+
+        if ((from->lines[i] != 0 && !read_name(body, from->lines[i], &line)) ||
+            !is_amount(values[0]) || !is_amount(values[1]) ||
+            !is_amount(values[2]) || gossip->item_count >= GOSSIP_ITEMS_MAX) {
+            skipped++;
+            continue;
+        }
+        gossip->items[gossip->item_count] = *head;
+        to = &gossip->items[gossip->item_count++].item;
+        to->kind = SHARED_USAGE;
+        to->usage.service = service;
+        to->usage.line = line;
+        to->usage.usage = values[0];
+        to->usage.effective = values[1];
+        to->usage.caller_level = values[2];
+    }
+    return skipped;
+}
+
+static uint64_t
+read_item(const Agatecrank__Gossip *body, const Agatecrank__GossipItem *from,
+          Gossip *gossip)
+{
+    GossipItem head = {0};
+
+    if (from->origin == 0 || from->origin > body->n_origins) {
+        return 1;
+    }
+    head.item.host = to_str(body->origins[from->origin - 1]->host);
+    head.item.incarnation = body->origins[from->origin - 1]->incarnation;
+    head.item.age = (Micros)from->age_ms * MICROS_PER_MS;
+    head.stamp_ms = from->stamp_ms;
+    head.hops = from->hops;
+    if (!is_name(head.item.host)) {
+        return 1;
+    }
+    if (from->item_case == AGATECRANK__GOSSIP_ITEM__ITEM_USAGE) {
+        return read_usage(body, from->usage, &head, gossip);
+    }
+    if (gossip->item_count >= GOSSIP_ITEMS_MAX ||
+        !read_body(body, from, &head.item)) {
+        return 1;
+    }
+    gossip->items[gossip->item_count++] = head;
+    return 0;
+}
+
+int
+PeerCodec_ReadGossip(const PeerMessage *message, Gossip *gossip,
+                     uint64_t *skipped)
+{
+    const Agatecrank__Gossip *body = PeerMessage_Get(message)->gossip;
+    uint64_t bad = 0;
+
+    if (PeerMessage_Body(message) != AGATECRANK__PEER_MESSAGE__BODY_GOSSIP ||
+        body->n_beat_tags != body->n_beats) {
+        return ERR_PROTOCOL;
+    }
+    gossip->from = PeerMessage_Host(message);
+    gossip->incarnation = PeerMessage_Incarnation(message);
+    gossip->member_count = gossip->item_count = 0;
+    for (size_t i = 0; i < body->n_members; i++) {
+        if (gossip->member_count < GOSSIP_MEMBERS_MAX &&
+            read_member(body->members[i],
+                        &gossip->members[gossip->member_count])) {
+            gossip->member_count++;
+        }
+        else {
+            bad++;
+        }
+    }
+    gossip->beat_count = MIN(body->n_beats, GOSSIP_BEATS_MAX);
+    bad += body->n_beats - gossip->beat_count;
+    for (size_t i = 0; i < gossip->beat_count; i++) {
+        gossip->beats[i].tag = body->beat_tags[i];
+        gossip->beats[i].heartbeat = body->beats[i];
+    }
+    for (size_t i = 0; i < body->n_items; i++) {
+        bad += read_item(body, body->items[i], gossip);
+    }
+    if (skipped != NULL) {
+        *skipped += bad;
+    }
+    return 0;
+}
--- /dev/null
+++ b/packages/core/ItemStore.c
@@ -0,0 +1,523 @@
+#include "ItemStore.h"
+
+#include <string.h>
+
+#include "Admission.h"
+
+/* Two hosts that see the same thing at about the same time say one thing. */
+#define SAME_SIGHT (500 * MICROS_PER_MS)
+/* Usage is replaced every 50 ms: relaying it more often would not pay. */
+#define USAGE_SENDS 2
+#define SELECT_MAX 256
+#define STRINGS_MAX (2 + QUARANTINE_LOSSES)
+
+struct ItemStore_ {
+    StoredItem **items;
+    size_t count;
+    size_t max;
+    size_t unread;
+    size_t hot;
+    size_t cursor;
+    size_t text_bytes;
+    GHashTable *by_key; /* key to StoredItem */
+    MembershipCounters *counters;
+};
+
+/* The strings of an item, which the store must own; unused ones are NULL. */
+typedef struct Strings_ {
+    Str *at[STRINGS_MAX];
+    size_t count;
+} Strings;
+
+static const struct {
+    const char *name;
+    Micros max_age;
+} kinds[SHARED_KINDS] = {
+    [SHARED_DRAIN] = {"drain", 30 * MICROS_PER_S},
+    [SHARED_FINGERPRINT] = {"fingerprint", 60 * MICROS_PER_S},
+    [SHARED_CONFIG_OFFSET] = {"config-offset", 60 * MICROS_PER_S},
+    [SHARED_USAGE] = {"usage", ADMISSION_ITEM_MAX_AGE},
+    [SHARED_SUSPECT] = {"suspect", 10 * MICROS_PER_S},
+};
+
+const char *
+SharedKind_Name(SharedKind kind)
+{
+    return kinds[kind].name;
+}
+
+Micros
+SharedKind_MaxAge(SharedKind kind)
+{
+    return kinds[kind].max_age;
+}
+
+static Strings
+item_strings(SharedItem *item)
+{
+    Strings list = {{&item->host}, 1};
+
+    switch (item->kind) {
+    case SHARED_DRAIN:
+        list.at[list.count++] = &item->drain.upstream;
+        break;
+    case SHARED_SUSPECT:
+        list.at[list.count++] = &item->suspect.upstream;
+        break;
+    case SHARED_FINGERPRINT:
+        list.at[list.count++] = &item->fingerprint.line;
+        for (size_t i = 0; i < QUARANTINE_LOSSES; i++) {
+            list.at[list.count++] = &item->fingerprint.upstreams[i];
+        }
+        break;
+    case SHARED_USAGE:
+        list.at[list.count++] = &item->usage.service;
+        list.at[list.count++] = &item->usage.line;
+        break;
+    case SHARED_CONFIG_OFFSET:
+    case SHARED_KINDS:
+        break;
+    }
+    return list;
+}
+
+static uint64_t
+item_key(const SharedItem *item)
+{
+    uint64_t seed = (uint64_t)item->kind + 1;
+
+    switch (item->kind) {
+    case SHARED_DRAIN:
+        return Str_HashSeeded(item->drain.upstream, seed);
+    case SHARED_SUSPECT:
+        return Str_HashSeeded(item->suspect.upstream, seed);
+    case SHARED_FINGERPRINT:
+        seed = Str_HashSeeded(item->fingerprint.line, seed);
+        return seed ^ item->fingerprint.high ^ (item->fingerprint.low * 31);
+    case SHARED_USAGE:
+        seed = Str_HashSeeded(item->host, seed);
+        seed = Str_HashSeeded(item->usage.service, seed);
+        return Str_HashSeeded(item->usage.line, seed);
+    case SHARED_CONFIG_OFFSET:
+    case SHARED_KINDS:
+        break;
+    }
+    return seed;
+}
+
+ItemStore *
+ItemStore_Create(uint32_t max, MembershipCounters *counters)
+{
+    ItemStore *this = g_new0(ItemStore, 1);
+
+    this->max = max;
+    this->items = g_new0(StoredItem *, max);
+    this->by_key = g_hash_table_new(g_int64_hash, g_int64_equal);
+    this->counters = counters;
+    return this;
+}
+
+static void
+release_item(StoredItem *item)
+{
+    g_free(item->text);
+    g_free(item);
+}
+
+void
+ItemStore_Destroy(ItemStore *this)
+{
+    for (size_t i = 0; i < this->count; i++) {
+        release_item(this->items[i]);
+    }
+    g_hash_table_destroy(this->by_key);
+    g_free(this->items);
+    g_free(this);
+}
+
+static void
+set_unread(ItemStore *this, StoredItem *item, bool unread)
+{
+    this->unread += (size_t)unread - (size_t)item->unread;
+    item->unread = unread;
+}
+
+static void
+set_hot(ItemStore *this, StoredItem *item, uint32_t left)
+{
+    this->hot += (size_t)(left > 0) - (size_t)(item->hot_left > 0);
+    item->hot_left = left;
+}
+
+static size_t
+text_length(const StoredItem *item)
+{
+    SharedItem copy = item->item;
+    Strings list = item_strings(&copy);
+    size_t length = 0;
+
+    for (size_t i = 0; i < list.count; i++) {
+        length += list.at[i]->length;
+    }
+    return length;
+}
+
+static void
+drop_at(ItemStore *this, size_t index)
+{
+    StoredItem *item = this->items[index];
+
+    set_unread(this, item, false);
+    set_hot(this, item, 0);
+    this->text_bytes -= text_length(item);
+    g_hash_table_remove(this->by_key, &item->key);
+    release_item(item);
+    this->items[index] = this->items[--this->count];
+}
+
+/* The store is full: forget the item that was seen the longest time ago. */
+static void
+drop_oldest(ItemStore *this)
+{
+    size_t oldest = 0;
+
+    for (size_t i = 1; i < this->count; i++) {
+        if (this->items[i]->observed < this->items[oldest]->observed) {
+            oldest = i;
+        }
+    }
+    this->counters->items_dropped++;
+    drop_at(this, oldest);
+}
+
+static void
+copy_strings(ItemStore *this, StoredItem *stored)
+{
+    Strings list = item_strings(&stored->item);
+    size_t used = 0;
+    char *text = g_malloc(text_length(stored) + 1);
+
+    for (size_t i = 0; i < list.count; i++) {
+        Str *string = list.at[i];
+
+        if (string->length > 0) {
+            memcpy(text + used, string->data, string->length);
+        }
+        string->data = text + used;
+        used += string->length;
+    }
+    this->text_bytes += used;
+    g_free(stored->text);
+    stored->text = text;
+}
+
+static bool
+same_origin(const SharedItem *a, const SharedItem *b)
+{
+    return a->incarnation == b->incarnation && Str_Equal(a->host, b->host);
+}
+
+/* True if both say the same of the thing that they are about. */
+static bool
+same_statement(const SharedItem *a, const SharedItem *b)
+{
+    switch (a->kind) {
+    case SHARED_DRAIN:
+        return a->drain.ended == b->drain.ended;
+    case SHARED_SUSPECT:
+        return a->suspect.ended == b->suspect.ended;
+    case SHARED_FINGERPRINT:
+        return a->fingerprint.losses == b->fingerprint.losses &&
+               a->fingerprint.released == b->fingerprint.released;
+    case SHARED_CONFIG_OFFSET:
+        return a->config.offset == b->config.offset;
+    case SHARED_USAGE:
+    case SHARED_KINDS:
+        break;
+    }
+    return false;
+}
+
+static ItemChange
+compare_versions(const StoredItem *old, const GossipItem *item,
+                 Micros observed)
+{
+    const SharedItem *new_item = &item->item;
+    bool same = same_statement(&old->item, new_item);
+
+    if (same_origin(&old->item, new_item)) {
+        if (item->stamp_ms <= old->stamp_ms) {
+            return ITEM_IGNORED;
+        }
+    }
+    else if (new_item->kind == SHARED_USAGE) {
+        /* The key holds the host: only the incarnation differs. */
+        return new_item->incarnation > old->item.incarnation ? ITEM_NEW
+                                                             : ITEM_IGNORED;
+    }
+    if (new_item->kind == SHARED_CONFIG_OFFSET &&
+        new_item->config.offset < old->item.config.offset) {
+        return ITEM_IGNORED;
+    }
+    if (same) {
+        return observed > old->observed + SAME_SIGHT ? ITEM_REFRESHED
+                                                     : ITEM_IGNORED;
+    }
+    if (new_item->kind == SHARED_CONFIG_OFFSET) {
+        return ITEM_NEW;
+    }
+    return observed > old->observed ? ITEM_NEW : ITEM_IGNORED;
+}
+
+static bool
+is_hot_kind(SharedKind kind)
+{
+    return kind == SHARED_DRAIN || kind == SHARED_FINGERPRINT ||
+           kind == SHARED_CONFIG_OFFSET;
+}
+
+static void
+schedule(ItemStore *this, StoredItem *stored, ItemChange change,
+         uint32_t spread)
+{
+    SharedKind kind = stored->item.kind;
+    bool relayed = stored->own || stored->hops < ITEM_HOPS_MAX;
+    uint32_t hot = stored->hot_left;
+
+    if (change == ITEM_NEW) {
+        hot = is_hot_kind(kind) ? spread : 0;
+    }
+    set_hot(this, stored, relayed ? hot : 0);
+    stored->sends_left = kind == SHARED_USAGE ? USAGE_SENDS : spread;
+    if (!relayed) {
+        stored->sends_left = 0;
+    }
+    set_unread(this, stored, !stored->own);
+}
+
+static StoredItem *
+add_item(ItemStore *this, uint64_t key)
+{
+    StoredItem *stored;
+
+    if (this->count == this->max) {
+        drop_oldest(this);
+    }
+    stored = g_new0(StoredItem, 1);
+    stored->key = key;
+    this->items[this->count++] = stored;
+    g_hash_table_insert(this->by_key, &stored->key, stored);
+    return stored;
+}
+
+ItemChange
+ItemStore_Put(ItemStore *this, const GossipItem *item, bool own,
+              uint32_t spread, Micros now)
+{
+    uint64_t key = item_key(&item->item);
+    StoredItem *stored = g_hash_table_lookup(this->by_key, &key);
+    Micros observed = now - item->item.age;
+    ItemChange change = ITEM_NEW;
+
+    if (item->item.age >= SharedKind_MaxAge(item->item.kind)) {
+        return ITEM_IGNORED;
+    }
+    if (stored != NULL) {
+        change = compare_versions(stored, item, observed);
+    }
+    if (change == ITEM_IGNORED) {
+        return change;
+    }
+    if (stored == NULL) {
+        stored = add_item(this, key);
+    }
+    else {
+        this->text_bytes -= text_length(stored);
+    }
+    stored->item = item->item;
+    copy_strings(this, stored);
+    stored->observed = observed;
+    stored->stamp_ms = item->stamp_ms;
+    stored->hops = item->hops;
+    stored->own = own;
+    schedule(this, stored, change, spread);
+    return change;
+}
+
+static bool
+is_expired(const StoredItem *item, Micros now)
+{
+    return now - item->observed >= SharedKind_MaxAge(item->item.kind);
+}
+
+bool
+ItemStore_Next(ItemStore *this, SharedItem *item, Micros now)
+{
+    while (this->unread > 0) {
+        StoredItem *stored;
+
+        if (this->cursor >= this->count) {
+            this->cursor = 0;
+        }
+        stored = this->items[this->cursor++];
+        if (!stored->unread) {
+            continue;
+        }
+        set_unread(this, stored, false);
+        if (!is_expired(stored, now)) {
+            *item = stored->item;
+            item->age = now - stored->observed;
+            return true;
+        }
+    }
+    return false;
+}
+
+void
+ItemStore_DropOrigin(ItemStore *this, Str host, uint64_t incarnation)
+{
+    size_t i = 0;
+
+    while (i < this->count) {
+        const SharedItem *item = &this->items[i]->item;
+
+        if (item->incarnation < incarnation && Str_Equal(item->host, host)) {
+            this->counters->items_dropped++;
+            drop_at(this, i);
+        }
+        else {
+            i++;
+        }
+    }
+}
+
+/* Expired items are kept for as long again, so that a copy that a host with
+ * a slower view still passes on is not taken for a new item. */
+void
+ItemStore_Purge(ItemStore *this, Micros now)
+{
+    size_t i = 0;
+
+    while (i < this->count) {
+        StoredItem *item = this->items[i];
+
+        if (is_expired(item, now)) {
+            set_hot(this, item, 0);
+        }
+        if (now - item->observed >= 2 * SharedKind_MaxAge(item->item.kind)) {
+            this->counters->items_expired++;
+            drop_at(this, i);
+        }
+        else {
+            i++;
+        }
+    }
+}
+
+bool
+ItemStore_Hot(const ItemStore *this)
+{
+    return this->hot > 0;
+}
+
+/* Smaller is more urgent: first what still has to be spread, then by kind,
+ * then the newest. */
+static uint64_t
+rank_of(const StoredItem *item, Micros now)
+{
+    uint64_t age = (uint64_t)MAX(now - item->observed, 0);
+    uint64_t group = item->hot_left > 0 ? 0 : item->sends_left > 0 ? 1 : 2;
+
+    if (item->own && item->item.kind == SHARED_USAGE) {
+        group = 0;
+    }
+    return (group << 60) | ((uint64_t)item->item.kind << 56) | age;
+}
+
+typedef struct Ranked_ {
+    uint64_t rank;
+    StoredItem *item;
+} Ranked;
+
+/* Keeps the @max smallest ranks in a heap with the largest one on top. */
+static void
+heap_offer(Ranked *heap, size_t *count, size_t max, Ranked entry)
+{
+    size_t i;
+
+    if (*count < max) {
+        i = (*count)++;
+        while (i > 0 && heap[(i - 1) / 2].rank < entry.rank) {
+            heap[i] = heap[(i - 1) / 2];
+            i = (i - 1) / 2;
+        }
+        heap[i] = entry;
+        return;
+    }
+    if (entry.rank >= heap[0].rank) {
+        return;
+    }
+    i = 0;
+    for (size_t child = 1; child < *count; child = 2 * i + 1) {
+        if (child + 1 < *count && heap[child + 1].rank > heap[child].rank) {
+            child++;
+        }
+        if (heap[child].rank <= entry.rank) {
+            break;
+        }
+        heap[i] = heap[child];
+        i = child;
+    }
+    heap[i] = entry;
+}
+
+static int
+compare_ranked(const void *a, const void *b)
+{
+    uint64_t left = ((const Ranked *)a)->rank;
+    uint64_t right = ((const Ranked *)b)->rank;
+
+    return left < right ? -1 : left > right;
+}
+
+size_t
+ItemStore_Select(ItemStore *this, StoredItem **items, size_t max, bool relay,
+                 Micros now)
+{
+    Ranked heap[SELECT_MAX];
+    size_t count = 0;
+
+    max = MIN(max, SELECT_MAX);
+    for (size_t i = 0; i < this->count; i++) {
+        StoredItem *item = this->items[i];
+
+        if ((item->own || (relay && item->hops < ITEM_HOPS_MAX)) &&
+            !is_expired(item, now)) {
+            heap_offer(heap, &count, max, (Ranked){rank_of(item, now), item});
+        }
+    }
+    qsort(heap, count, sizeof(Ranked), compare_ranked);
+    for (size_t i = 0; i < count; i++) {
+        items[i] = heap[i].item;
+    }
+    return count;
+}
+
+void
+ItemStore_Sent(ItemStore *this, StoredItem *item, bool urgent)
+{
+    if (item->sends_left > 0) {
+        item->sends_left--;
+    }
+    if (urgent && item->hot_left > 0) {
+        set_hot(this, item, item->hot_left - 1);
+    }
+}
+
+size_t
+ItemStore_Bytes(const ItemStore *this)
+{
+    return sizeof(*this) + this->max * sizeof(StoredItem *) +
+           this->count * (sizeof(StoredItem) + 4 * sizeof(void *)) +
+           this->text_bytes;
+}
--- a/packages/core/Membership.h
+++ b/packages/core/Membership.h
@@ -196,6 +196,13 @@
 /** Membership_Incarnation() - may rise if an earlier life had a later clock */
 uint64_t Membership_Incarnation(const Membership *this);
 
+/**
+ * Membership_Superseded() - another life of this host id has taken over
+ *
+ * Nothing more is sent then; the process should end.
+ */
+bool Membership_Superseded(const Membership *this);
+
 /** Membership_Counters() - totals since creation */
 const MembershipCounters *Membership_Counters(const Membership *this);
 
--- a/packages/core/PeerCodec.h
+++ b/packages/core/PeerCodec.h
@@ -5,6 +5,7 @@
 #include "Claims.h"
 #include "ConfigSync.h"
 #include "Gossip.h"
+#include "NameTable.h"
 #include "PeerMessage.h"
 #include "Quarantine.h"
 #include "SlotMessage.h"
--- /dev/null
+++ b/packages/wire/PeerMessage.c
@@ -0,0 +1,235 @@
+#include "PeerMessage.h"
+
+#include <string.h>
+
+/* Memory that decoding one message may take. Hostile input can ask for some
+ * 50 times its own length, by many empty submessages. */
+#define MEMORY_MAX ((size_t)4 * 1024 * 1024)
+#define BLOCK_BYTES ((size_t)8 * 1024)
+#define ALIGNMENT ((size_t)16)
+
+/* A chunk of memory; all chunks of a message are released together. */
+typedef struct Block_ {
+    struct Block_ *next;
+    size_t used;
+    size_t size;
+} Block;
+
+struct PeerMessage_ {
+    Agatecrank__PeerMessage *message;
+    Block *blocks;
+    size_t allocated;
+    bool exhausted;
+};
+
+static size_t
+align_up(size_t size)
+{
+    return (size + ALIGNMENT - 1) & ~(ALIGNMENT - 1);
+}
+
+static bool
+add_block(PeerMessage *this, size_t size)
+{
+    size_t payload = MAX(size, BLOCK_BYTES);
+    Block *block;
+
+    if (this->allocated + payload > MEMORY_MAX) {
+        this->exhausted = true;
+        return false;
+    }
+    block = g_malloc(align_up(sizeof(Block)) + payload);
+    block->next = this->blocks;
+    block->used = 0;
+    block->size = payload;
+    this->blocks = block;
+    this->allocated += payload;
+    return true;
+}
+
+static void *
+arena_alloc(void *user, size_t size)
+{
+    PeerMessage *this = user;
+    Block *block = this->blocks;
+    char *start;
+
+    if (size > MEMORY_MAX) {
+        this->exhausted = true;
+        return NULL;
+    }
+    size = align_up(size);
+    if (block == NULL || block->size - block->used < size) {
+        if (!add_block(this, size)) {
+            return NULL;
+        }
+        block = this->blocks;
+    }
+    start = (char *)block + align_up(sizeof(Block)) + block->used;
+    block->used += size;
+    return start;
+}
+
+static void
+arena_free(void *user, void *pointer)
+{
+    (void)user;
+    (void)pointer;
+}
+
+bool
+PeerMessage_Accepts(uint32_t own, uint32_t other)
+{
+    return other > 0 && other + 1 >= own && other <= own + 1;
+}
+
+void
+PeerMessage_Destroy(PeerMessage *this)
+{
+    Block *block;
+
+    if (this == NULL) {
+        return;
+    }
+    block = this->blocks;
+    while (block != NULL) {
+        Block *next = block->next;
+
+        g_free(block);
+        block = next;
+    }
+    g_free(this);
+}
+
+static bool
+is_name(Str text)
+{
+    if (text.length == 0 || text.length > PEER_NAME_MAX) {
+        return false;
+    }
+    for (size_t i = 0; i < text.length; i++) {
+        if (text.data[i] <= ' ' || text.data[i] > '~') {
+            return false;
+        }
+    }
+    return true;
+}
+
+static int
+check_envelope(const PeerMessage *this, Str deployment,
+               PeerMessageCounters *counters)
+{
+    if (!PeerMessage_Accepts(PEER_VERSION, this->message->version)) {
+        counters->other_version++;
+        return ERR_PROTOCOL;
+    }
+    if (!Str_Equal(Str_FromC(this->message->deployment), deployment)) {
+        counters->other_deployment++;
+        return ERR_DENIED;
+    }
+    if (!is_name(PeerMessage_Host(this))) {
+        counters->malformed++;
+        return ERR_PARSE;
+    }
+    if (PeerMessage_Body(this) == AGATECRANK__PEER_MESSAGE__BODY__NOT_SET) {
+        counters->unknown_body++;
+        return ERR_NOT_FOUND;
+    }
+    counters->accepted++;
+    return 0;
+}
+
+int
+PeerMessage_Decode(Str bytes, Str deployment, PeerMessage **message,
+                   PeerMessageCounters *counters)
+{
+    PeerMessage *this;
+    ProtobufCAllocator allocator = {arena_alloc, arena_free, NULL};
+    int code;
+
+    if (bytes.length > PEER_MESSAGE_MAX) {
+        counters->oversized++;
+        return ERR_LIMIT;
+    }
+    this = g_new0(PeerMessage, 1);
+    allocator.allocator_data = this;
+    this->message = agatecrank__peer_message__unpack(
+        &allocator, bytes.length, (const uint8_t *)bytes.data);
+    if (this->message == NULL) {
+        code = this->exhausted ? ERR_LIMIT : ERR_PARSE;
+        counters->oversized += this->exhausted;
+        counters->malformed += !this->exhausted;
+    }
+    else {
+        code = check_envelope(this, deployment, counters);
+    }
+    if (code < 0) {
+        PeerMessage_Destroy(this);
+        return code;
+    }
+    *message = this;
+    return 0;
+}
+
+const Agatecrank__PeerMessage *
+PeerMessage_Get(const PeerMessage *this)
+{
+    return this->message;
+}
+
+Agatecrank__PeerMessage__BodyCase
+PeerMessage_Body(const PeerMessage *this)
+{
+    return this->message->body_case;
+}
+
+Str
+PeerMessage_Host(const PeerMessage *this)
+{
+    return Str_FromC(this->message->host);
+}
+
+uint64_t
+PeerMessage_Incarnation(const PeerMessage *this)
+{
+    return this->message->incarnation;
+}
+
+static int
+copy_name(Str name, char out[PEER_NAME_MAX + 1])
+{
+    if (name.length > PEER_NAME_MAX) {
+        return ERR_LIMIT;
+    }
+    if (name.length > 0) {
+        memcpy(out, name.data, name.length);
+    }
+    out[name.length] = 0;
+    return 0;
+}
+
+int
+PeerMessage_Encode(const PeerEnvelope *envelope,
+                   Agatecrank__PeerMessage *message, GString *out)
+{
+    char deployment[PEER_NAME_MAX + 1];
+    char host[PEER_NAME_MAX + 1];
+    size_t size;
+
+    if (copy_name(envelope->deployment, deployment) < 0 ||
+        copy_name(envelope->host, host) < 0) {
+        return ERR_LIMIT;
+    }
+    message->version = PEER_VERSION;
+    message->deployment = deployment;
+    message->host = host;
+    message->incarnation = envelope->incarnation;
+    size = agatecrank__peer_message__get_packed_size(message);
+    if (size <= PEER_MESSAGE_MAX) {
+        g_string_set_size(out, size);
+        agatecrank__peer_message__pack(message, (uint8_t *)out->str);
+    }
+    message->deployment = NULL;
+    message->host = NULL;
+    return size <= PEER_MESSAGE_MAX ? 0 : ERR_LIMIT;
+}
--- a/packages/wire/peer.pb-c.c
+++ b/packages/wire/peer.pb-c.c
@@ -1040,11 +1040,11 @@
     "names",
     5,
     PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_BYTES,
     offsetof(Agatecrank__Gossip, n_names),
     offsetof(Agatecrank__Gossip, names),
     NULL,
-    &protobuf_c_empty_string,
+    NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
@@ -1095,11 +1095,11 @@
     "id",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
     offsetof(Agatecrank__GossipMember, id),
     NULL,
-    &protobuf_c_empty_string,
+    NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
@@ -1107,11 +1107,11 @@
     "address",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
     offsetof(Agatecrank__GossipMember, address),
     NULL,
-    &protobuf_c_empty_string,
+    NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
@@ -1119,11 +1119,11 @@
     "domain",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
     offsetof(Agatecrank__GossipMember, domain),
     NULL,
-    &protobuf_c_empty_string,
+    NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
@@ -1224,11 +1224,11 @@
     "host",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
     offsetof(Agatecrank__GossipOrigin, host),
     NULL,
-    &protobuf_c_empty_string,
+    NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
@@ -2235,11 +2235,11 @@
     "holder",
     5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
     offsetof(Agatecrank__ClaimOutcomeReply, holder),
     NULL,
-    &protobuf_c_empty_string,
+    NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
@@ -2328,11 +2328,11 @@
     "service",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
     offsetof(Agatecrank__SlotMessage, service),
     NULL,
-    &protobuf_c_empty_string,
+    NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
@@ -2340,11 +2340,11 @@
     "upstream",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
     offsetof(Agatecrank__SlotMessage, upstream),
     NULL,
-    &protobuf_c_empty_string,
+    NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
--- a/packages/wire/peer.pb-c.h
+++ b/packages/wire/peer.pb-c.h
@@ -104,7 +104,7 @@
   size_t n_origins;
   Agatecrank__GossipOrigin **origins;
   size_t n_names;
-  char **names;
+  ProtobufCBinaryData *names;
   size_t n_items;
   Agatecrank__GossipItem **items;
 };
@@ -116,12 +116,12 @@
 struct  Agatecrank__GossipMember
 {
   ProtobufCMessage base;
-  char *id;
+  ProtobufCBinaryData id;
   /*
    * ADDRESS:PORT of its peer link
    */
-  char *address;
-  char *domain;
+  ProtobufCBinaryData address;
+  ProtobufCBinaryData domain;
   /*
    * CURVE public key; empty: the deployment's key
    */
@@ -136,18 +136,18 @@
 };
 #define AGATECRANK__GOSSIP_MEMBER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&agatecrank__gossip_member__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, 0, 0 }
+    , {0,NULL}, {0,NULL}, {0,NULL}, {0,NULL}, 0, 0, 0, 0 }
 
 
 struct  Agatecrank__GossipOrigin
 {
   ProtobufCMessage base;
-  char *host;
+  ProtobufCBinaryData host;
   uint64_t incarnation;
 };
 #define AGATECRANK__GOSSIP_ORIGIN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&agatecrank__gossip_origin__descriptor) \
-    , (char *)protobuf_c_empty_string, 0 }
+    , {0,NULL}, 0 }
 
 
 typedef enum {
@@ -376,14 +376,14 @@
    * 8 held; any other value is read as unknown.
    */
   uint32_t state;
-  char *holder;
+  ProtobufCBinaryData holder;
   uint64_t holder_incarnation;
   ProtobufCBinaryData answer;
   protobuf_c_boolean has_answer;
 };
 #define AGATECRANK__CLAIM_OUTCOME_REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&agatecrank__claim_outcome_reply__descriptor) \
-    , 0, {0,NULL}, 0, 0, (char *)protobuf_c_empty_string, 0, {0,NULL}, 0 }
+    , 0, {0,NULL}, 0, 0, {0,NULL}, 0, {0,NULL}, 0 }
 
 
 struct  Agatecrank__SlotMessage
@@ -393,13 +393,13 @@
    * 1 borrow, 2 grant, 3 refuse, 4 return
    */
   uint32_t kind;
-  char *service;
-  char *upstream;
+  ProtobufCBinaryData service;
+  ProtobufCBinaryData upstream;
   uint64_t id;
 };
 #define AGATECRANK__SLOT_MESSAGE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&agatecrank__slot_message__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+    , 0, {0,NULL}, {0,NULL}, 0 }
 
 
 /* Agatecrank__PeerMessage methods */
--- /dev/null
+++ b/tests/support/Cluster.h
@@ -0,0 +1,111 @@
+#ifndef AGATECRANK_TESTS_CLUSTER_H
+#define AGATECRANK_TESTS_CLUSTER_H
+
+#include "EventQueue.h"
+#include "Membership.h"
+#include "PeerMessage.h"
+
+/** CLUSTER_HOSTS_MAX - hosts of one cluster, with those that are gone */
+#define CLUSTER_HOSTS_MAX 256
+
+/**
+ * struct ClusterOptions_ - hosts and network of a simulated deployment
+ * @member: options of every host; names, incarnation and seeds are set here
+ * @loss, @duplicate, @late: share of messages; late ones take up to @late_max
+ * @delay: least delay; @spread: mean of what is added to it
+ */
+typedef struct ClusterOptions_ {
+    uint32_t hosts;
+    uint32_t domains;
+    uint64_t seed;
+    MembershipOptions member;
+    double loss, duplicate, late;
+    Micros delay, spread, late_max;
+} ClusterOptions;
+
+/** struct ClusterHost_ - one host and what it has sent */
+typedef struct ClusterHost_ {
+    char id[24];
+    char address[24];
+    char domain[24];
+    uint32_t domain_index;
+    Membership *membership;
+    Random *random;
+    uint64_t incarnation;
+    uint64_t life;  /* counts starts, for events of an earlier life */
+    Micros changed; /* start, end or pause */
+    Micros scheduled;
+    bool alive;
+    bool paused;
+    GQueue *inbox; /* arrived during a pause */
+    GQueue *window;
+    uint64_t window_bytes, window_messages;
+    uint64_t window_bytes_max, window_messages_max;
+    uint64_t received_bytes;
+} ClusterHost;
+
+/** typedef Cluster - Membership cores on a simulated network */
+typedef struct Cluster_ Cluster;
+
+/** typedef ClusterItemHandler - @host got @item */
+typedef void ClusterItemHandler(void *user, uint32_t host,
+                                const SharedItem *item);
+
+/** ClusterOptions_Default() - 20 hosts on a good network */
+ClusterOptions ClusterOptions_Default(uint64_t seed);
+
+/** Cluster_Create() - all hosts start within the first 500 ms */
+Cluster *Cluster_Create(const ClusterOptions *options);
+
+/** Cluster_Destroy() - release everything */
+void Cluster_Destroy(Cluster *this);
+
+/** Cluster_OnItem() - call @handler for each item that arrives */
+void Cluster_OnItem(Cluster *this, ClusterItemHandler *handler, void *user);
+
+/** Cluster_Run() - let @duration pass */
+void Cluster_Run(Cluster *this, Micros duration);
+
+/** Cluster_Now() - the time */
+Micros Cluster_Now(const Cluster *this);
+
+/** Cluster_Count() - hosts ever added */
+uint32_t Cluster_Count(const Cluster *this);
+
+/** Cluster_Host() - host @index */
+ClusterHost *Cluster_Host(Cluster *this, uint32_t index);
+
+/** Cluster_Random() - random numbers of the run */
+Random *Cluster_Random(Cluster *this);
+
+/** Cluster_Add() - a new host; returns its index */
+uint32_t Cluster_Add(Cluster *this);
+
+/** Cluster_Start() - start a host that is down, as a new incarnation */
+void Cluster_Start(Cluster *this, uint32_t host);
+
+/** Cluster_Kill() - end a host without a word */
+void Cluster_Kill(Cluster *this, uint32_t host);
+
+/** Cluster_Pause() - stop or continue a host; messages wait meanwhile */
+void Cluster_Pause(Cluster *this, uint32_t host, bool paused);
+
+/** Cluster_Cut() - separate a failure domain from the others, or join it */
+void Cluster_Cut(Cluster *this, uint32_t domain, bool cut);
+
+/** Cluster_CutSince() - time of the last change by Cluster_Cut() */
+Micros Cluster_CutSince(const Cluster *this);
+
+/** Cluster_Reaches() - messages from @a get to @b */
+bool Cluster_Reaches(Cluster *this, uint32_t a, uint32_t b);
+
+/** Cluster_Share() - host sees something */
+void Cluster_Share(Cluster *this, uint32_t host, const SharedItem *item);
+
+/** Cluster_Flush() - send what the host has to send */
+void Cluster_Flush(Cluster *this, uint32_t host);
+
+/** Cluster_Lives() - marks in @live the hosts in the view of @host */
+size_t Cluster_Lives(Cluster *this, uint32_t host, uint64_t *incarnations);
+
+#endif
