--- a/packages/core/ItemStore.c
+++ b/packages/core/ItemStore.c
@@ -484,7 +484,7 @@
 ItemStore_Select(ItemStore *this, StoredItem **items, size_t max, bool relay,
                  Micros now)
 {
-    Ranked heap[SELECT_MAX];
+    Ranked heap[SELECT_MAX] = {0};
     size_t count = 0;
 
     max = MIN(max, SELECT_MAX);
--- /dev/null
+++ b/packages/net/PeerLink.c
@@ -0,0 +1,660 @@
+#include "PeerLink.h"
+
+#include <errno.h>
+#include <glib.h>
+#include <string.h>
+#include <unistd.h>
+#include <zmq.h>
+
+#define LINK_STEP "peer-link"
+#define ZAP_ENDPOINT "inproc://zeromq.zap.01"
+#define ZAP_VERSION "1.0"
+#define ZAP_DOMAIN "agatecrank"
+/* Frames of a ZAP request with the CURVE mechanism, RFC 27. */
+#define ZAP_FRAMES 8
+#define ZAP_FRAME_MAX 256
+#define ZAP_REQUEST_ID 1
+#define ZAP_DOMAIN_FRAME 2
+#define ZAP_MECHANISM 5
+#define ZAP_CREDENTIALS 6
+/* A wake-up reads so many messages at most, then leaves the loop to others
+ * and goes on by a timer. */
+#define READ_BATCH 64
+#define SWEEP_INTERVAL MICROS_PER_S
+#define ADDRESS_MAX 128
+#define ENDPOINT_MAX (ADDRESS_MAX + 8)
+#define HANDSHAKE_TIMEOUT_MS 5000
+/* A connection whose peer acknowledges nothing for so long is closed. This
+ * costs no traffic, unlike ZeroMQ's own heartbeats, and the messages that
+ * wait for the peer are dropped with it. */
+#define SILENCE_MS 5000
+#define KEEPALIVE_IDLE_S 60
+#define RECONNECT_MS 100
+#define RECONNECT_MAX_MS 2000
+
+/* Messages wait for a connection no longer and in no greater number, so that
+ * a peer that comes back after an hour is not sent an hour's messages. */
+#define PENDING_MAX 16
+#define PENDING_TIME (2 * MICROS_PER_S)
+#define PENDING_POLL (5 * MICROS_PER_MS)
+
+/* A DEALER socket connected to one peer. Nothing is received on it. */
+typedef struct Peer_ {
+    char address[ADDRESS_MAX + 1];
+    uint8_t key[PEER_KEY_BYTES];
+    void *socket;
+    Micros used;
+    GBytes *pending[PENDING_MAX];
+    uint32_t pending_count;
+    Micros pending_since;
+} Peer;
+
+struct PeerLink_ {
+    PeerLinkOptions options;
+    Loop *loop;
+    EventLog *log;
+    PeerLinkHandler *handler;
+    void *user;
+    PeerLinkCounters counters;
+    void *context;
+    void *zap;
+    void *router;
+    uint16_t port;
+    Peer *peers;
+    LoopTimer *sweep;
+    LoopTimer *resume;
+    LoopTimer *flush;
+    char *deployment;
+    bool reading;
+};
+
+PeerLinkOptions
+PeerLinkOptions_Default(void)
+{
+    return (PeerLinkOptions){
+        .peers_max = 256,
+        .idle_after = 120 * MICROS_PER_S,
+        .queue_max = 32,
+    };
+}
+
+static void
+set_int(void *socket, int option, int value)
+{
+    zmq_setsockopt(socket, option, &value, sizeof(value));
+}
+
+static int
+has_events(void *socket, int events)
+{
+    int have = 0;
+    size_t size = sizeof(have);
+
+    if (zmq_getsockopt(socket, ZMQ_EVENTS, &have, &size) != 0) {
+        return 0;
+    }
+    return have & events;
+}
+
+/* Options of every socket that reaches the network. */
+static void
+set_common(const PeerLink *this, void *socket)
+{
+    const PeerKeys *keys = this->options.keys;
+    int64_t size_max = PEER_MESSAGE_MAX;
+
+    zmq_setsockopt(socket, ZMQ_MAXMSGSIZE, &size_max, sizeof(size_max));
+    zmq_setsockopt(socket, ZMQ_CURVE_SECRETKEY, keys->secret_key.bytes,
+                   PEER_KEY_BYTES);
+    set_int(socket, ZMQ_LINGER, 0);
+    set_int(socket, ZMQ_SNDHWM, (int)this->options.queue_max);
+    set_int(socket, ZMQ_RCVHWM, (int)this->options.queue_max);
+    set_int(socket, ZMQ_HANDSHAKE_IVL, HANDSHAKE_TIMEOUT_MS);
+    set_int(socket, ZMQ_TCP_MAXRT, SILENCE_MS);
+    set_int(socket, ZMQ_TCP_KEEPALIVE, 1);
+    set_int(socket, ZMQ_TCP_KEEPALIVE_IDLE, KEEPALIVE_IDLE_S);
+    set_int(socket, ZMQ_RECONNECT_IVL, RECONNECT_MS);
+    set_int(socket, ZMQ_RECONNECT_IVL_MAX, RECONNECT_MAX_MS);
+}
+
+typedef struct ZapRequest_ {
+    char frames[ZAP_FRAMES][ZAP_FRAME_MAX];
+    int lengths[ZAP_FRAMES];
+    int count;
+} ZapRequest;
+
+/* Return: false if there is no request. */
+static bool
+read_zap(void *zap, ZapRequest *request)
+{
+    int more = 1;
+    size_t size = sizeof(more);
+
+    request->count = 0;
+    while (more) {
+        char frame[ZAP_FRAME_MAX];
+        int length = zmq_recv(zap, frame, sizeof(frame), ZMQ_DONTWAIT);
+
+        if (length < 0) {
+            return false;
+        }
+        if (request->count < ZAP_FRAMES) {
+            request->lengths[request->count] = MIN(length, ZAP_FRAME_MAX);
+            memcpy(request->frames[request->count], frame,
+                   (size_t)request->lengths[request->count]);
+        }
+        request->count++;
+        zmq_getsockopt(zap, ZMQ_RCVMORE, &more, &size);
+    }
+    return true;
+}
+
+static bool
+frame_is(const ZapRequest *request, int frame, const char *text)
+{
+    return Str_Equal(
+        (Str){request->frames[frame], (size_t)request->lengths[frame]},
+        Str_FromC(text));
+}
+
+static bool
+zap_allows(const PeerLink *this, const ZapRequest *request)
+{
+    return request->count > ZAP_CREDENTIALS &&
+           frame_is(request, 0, ZAP_VERSION) &&
+           frame_is(request, ZAP_DOMAIN_FRAME, ZAP_DOMAIN) &&
+           frame_is(request, ZAP_MECHANISM, "CURVE") &&
+           request->lengths[ZAP_CREDENTIALS] == PEER_KEY_BYTES &&
+           PeerKeys_Allows(this->options.keys,
+                           (const uint8_t *)request->frames[ZAP_CREDENTIALS]);
+}
+
+static void
+answer_zap(PeerLink *this, const ZapRequest *request)
+{
+    bool allowed = zap_allows(this, request);
+    const char *status = allowed ? "200" : "400";
+    const char *text = allowed ? "OK" : "not allowed";
+    int id_length = request->count > ZAP_REQUEST_ID ? request->lengths[1] : 0;
+
+    this->counters.key_accepted += allowed;
+    this->counters.key_denied += !allowed;
+    zmq_send(this->zap, ZAP_VERSION, strlen(ZAP_VERSION), ZMQ_SNDMORE);
+    zmq_send(this->zap, request->frames[ZAP_REQUEST_ID], (size_t)id_length,
+             ZMQ_SNDMORE);
+    zmq_send(this->zap, status, 3, ZMQ_SNDMORE);
+    zmq_send(this->zap, text, strlen(text), ZMQ_SNDMORE);
+    zmq_send(this->zap, "", 0, ZMQ_SNDMORE);
+    zmq_send(this->zap, "", 0, 0);
+    if (!allowed && EventLog_Begin(this->log, LOG_LEVEL_INFO, "peer-denied")) {
+        EventLog_Int(this->log, "denied", (int64_t)this->counters.key_denied);
+        EventLog_End(this->log);
+    }
+}
+
+static void
+drain_zap(PeerLink *this)
+{
+    ZapRequest request;
+
+    while (has_events(this->zap, ZMQ_POLLIN) &&
+           read_zap(this->zap, &request)) {
+        answer_zap(this, &request);
+    }
+}
+
+static void
+take_message(PeerLink *this, zmq_msg_t *body)
+{
+    Str bytes = {zmq_msg_data(body), zmq_msg_size(body)};
+    PeerMessage *message = NULL;
+
+    this->counters.received_bytes += bytes.length;
+    if (PeerMessage_Decode(bytes, this->options.deployment, &message,
+                           &this->counters.messages) < 0) {
+        return;
+    }
+    this->handler(this->user, message);
+    PeerMessage_Destroy(message);
+}
+
+/* Reads the frames of one message: the identity that ROUTER adds, then one
+ * body. Return: false if there is no message. */
+static bool
+read_message(PeerLink *this)
+{
+    zmq_msg_t frame;
+    int index = 0;
+    bool more = true;
+
+    while (more) {
+        zmq_msg_init(&frame);
+        if (zmq_msg_recv(&frame, this->router, ZMQ_DONTWAIT) < 0) {
+            zmq_msg_close(&frame);
+            return false;
+        }
+        more = zmq_msg_more(&frame);
+        if (index == 1 && !more) {
+            take_message(this, &frame);
+        }
+        else if (index == 1) {
+            this->counters.messages.malformed++;
+        }
+        zmq_msg_close(&frame);
+        index++;
+    }
+    return true;
+}
+
+/* The descriptors are edge-triggered: everything has to be read until
+ * ZMQ_EVENTS shows nothing more, or be resumed by a timer. */
+static void
+drain_router(PeerLink *this)
+{
+    int n = 0;
+
+    if (this->reading) {
+        return;
+    }
+    this->reading = true;
+    while (n < READ_BATCH && has_events(this->router, ZMQ_POLLIN) &&
+           read_message(this)) {
+        n++;
+    }
+    this->reading = false;
+    if (n == READ_BATCH) {
+        LoopTimer_Start(this->resume, 1);
+    }
+}
+
+static void
+drain_all(void *user)
+{
+    PeerLink *this = user;
+
+    drain_zap(this);
+    drain_router(this);
+}
+
+static void
+drop_pending(PeerLink *this, Peer *peer)
+{
+    for (uint32_t i = 0; i < peer->pending_count; i++) {
+        g_bytes_unref(peer->pending[i]);
+    }
+    this->counters.send_dropped += peer->pending_count;
+    peer->pending_count = 0;
+}
+
+static void
+close_peer(PeerLink *this, Peer *peer)
+{
+    drop_pending(this, peer);
+    zmq_close(peer->socket);
+    memset(peer, 0, sizeof(*peer));
+    this->counters.open--;
+}
+
+/* Return: 0, ERR_LIMIT if the queue of the connection is full or there is no
+ * connection, ERR_IO. */
+static int
+send_now(PeerLink *this, Peer *peer, Str bytes)
+{
+    if (zmq_send(peer->socket, bytes.data, bytes.length, ZMQ_DONTWAIT) < 0) {
+        return errno == EAGAIN ? ERR_LIMIT : ERR_IO;
+    }
+    this->counters.sent++;
+    this->counters.sent_bytes += bytes.length;
+    return 0;
+}
+
+static void
+send_pending(PeerLink *this, Peer *peer)
+{
+    uint32_t sent = 0;
+
+    while (sent < peer->pending_count) {
+        gsize length;
+        const char *data = g_bytes_get_data(peer->pending[sent], &length);
+
+        if (send_now(this, peer, (Str){data, length}) < 0) {
+            break;
+        }
+        g_bytes_unref(peer->pending[sent++]);
+    }
+    peer->pending_count -= sent;
+    memmove(peer->pending, peer->pending + sent,
+            peer->pending_count * sizeof(peer->pending[0]));
+}
+
+/* Sends what waited for connections; runs while anything waits. */
+static void
+flush_peers(void *user)
+{
+    PeerLink *this = user;
+    Micros now = Clock_Now(Loop_Clock(this->loop));
+    bool waiting = false;
+
+    for (uint32_t i = 0; i < this->options.peers_max; i++) {
+        Peer *peer = &this->peers[i];
+
+        if (peer->pending_count == 0) {
+            continue;
+        }
+        send_pending(this, peer);
+        if (now - peer->pending_since >= PENDING_TIME) {
+            drop_pending(this, peer);
+        }
+        waiting |= peer->pending_count > 0;
+    }
+    if (waiting) {
+        LoopTimer_Start(this->flush, PENDING_POLL);
+    }
+}
+
+static void
+keep_pending(PeerLink *this, Peer *peer, Str bytes)
+{
+    if (peer->pending_count == 0) {
+        peer->pending_since = peer->used;
+    }
+    peer->pending[peer->pending_count++] =
+        g_bytes_new(bytes.data, bytes.length);
+    LoopTimer_Start(this->flush, PENDING_POLL);
+}
+
+static void
+sweep_peers(void *user)
+{
+    PeerLink *this = user;
+    Micros now = Clock_Now(Loop_Clock(this->loop));
+
+    for (uint32_t i = 0; i < this->options.peers_max; i++) {
+        Peer *peer = &this->peers[i];
+
+        if (peer->socket != NULL &&
+            now - peer->used >= this->options.idle_after) {
+            close_peer(this, peer);
+            this->counters.closed_idle++;
+        }
+    }
+    drain_all(this);
+    LoopTimer_Start(this->sweep, SWEEP_INTERVAL);
+}
+
+/* The loop closes the descriptors that it watches, so it gets copies. */
+static int
+watch_socket(PeerLink *this, void *socket, Error *error)
+{
+    int fd = -1;
+    int copy;
+    size_t size = sizeof(fd);
+
+    zmq_getsockopt(socket, ZMQ_FD, &fd, &size);
+    copy = dup(fd);
+    if (copy < 0) {
+        return Error_Set(error, ERR_IO, LINK_STEP, STR(""), "%s",
+                         g_strerror(errno));
+    }
+    if (Loop_Watch(this->loop, copy, drain_all, this, error) < 0) {
+        close(copy);
+        return ERR_IO;
+    }
+    return 0;
+}
+
+static int
+fail_link(Error *error, const char *what)
+{
+    return Error_Set(error, ERR_IO, LINK_STEP, STR(""), "%s: %s", what,
+                     zmq_strerror(zmq_errno()));
+}
+
+static void
+note_port(PeerLink *this)
+{
+    char endpoint[ENDPOINT_MAX];
+    size_t size = sizeof(endpoint);
+    const char *colon;
+
+    if (zmq_getsockopt(this->router, ZMQ_LAST_ENDPOINT, endpoint, &size) ==
+        0) {
+        colon = strrchr(endpoint, ':');
+        this->port = (uint16_t)(colon != NULL ? atoi(colon + 1) : 0);
+    }
+}
+
+static int
+open_zap(PeerLink *this, Error *error)
+{
+    this->zap = zmq_socket(this->context, ZMQ_REP);
+    if (this->zap == NULL || zmq_bind(this->zap, ZAP_ENDPOINT) != 0) {
+        return fail_link(error, "could not start authentication");
+    }
+    set_int(this->zap, ZMQ_LINGER, 0);
+    return watch_socket(this, this->zap, error);
+}
+
+static int
+open_router(PeerLink *this, Error *error)
+{
+    char endpoint[ENDPOINT_MAX];
+
+    this->router = zmq_socket(this->context, ZMQ_ROUTER);
+    if (this->router == NULL) {
+        return fail_link(error, "could not open a socket");
+    }
+    set_common(this, this->router);
+    set_int(this->router, ZMQ_CURVE_SERVER, 1);
+    set_int(this->router, ZMQ_ROUTER_HANDOVER, 0);
+    zmq_setsockopt(this->router, ZMQ_ZAP_DOMAIN, ZAP_DOMAIN,
+                   strlen(ZAP_DOMAIN));
+    g_snprintf(endpoint, sizeof(endpoint), "tcp://" STR_FORMAT ":%u",
+               STR_ARGS(this->options.address), this->options.port);
+    if (zmq_bind(this->router, endpoint) != 0) {
+        return fail_link(error, endpoint);
+    }
+    note_port(this);
+    return watch_socket(this, this->router, error);
+}
+
+PeerLink *
+PeerLink_Create(const PeerLinkOptions *options, Loop *loop, EventLog *log,
+                PeerLinkHandler *handler, void *user, Error *error)
+{
+    PeerLink *this = g_new0(PeerLink, 1);
+
+    this->options = *options;
+    this->loop = loop;
+    this->log = log;
+    this->handler = handler;
+    this->user = user;
+    this->deployment =
+        g_strndup(options->deployment.data, options->deployment.length);
+    this->options.deployment = Str_FromC(this->deployment);
+    this->peers = g_new0(Peer, options->peers_max);
+    this->sweep = LoopTimer_Create(loop, sweep_peers, this);
+    this->resume = LoopTimer_Create(loop, drain_all, this);
+    this->flush = LoopTimer_Create(loop, flush_peers, this);
+    this->context = zmq_ctx_new();
+    if (open_zap(this, error) < 0 || open_router(this, error) < 0) {
+        PeerLink_Destroy(this);
+        return NULL;
+    }
+    LoopTimer_Start(this->sweep, SWEEP_INTERVAL);
+    return this;
+}
+
+void
+PeerLink_Destroy(PeerLink *this)
+{
+    if (this == NULL) {
+        return;
+    }
+    for (uint32_t i = 0; i < this->options.peers_max; i++) {
+        if (this->peers[i].socket != NULL) {
+            close_peer(this, &this->peers[i]);
+        }
+    }
+    if (this->router != NULL) {
+        zmq_close(this->router);
+    }
+    if (this->zap != NULL) {
+        zmq_close(this->zap);
+    }
+    zmq_ctx_term(this->context);
+    LoopTimer_Destroy(this->sweep);
+    LoopTimer_Destroy(this->resume);
+    LoopTimer_Destroy(this->flush);
+    g_free(this->peers);
+    g_free(this->deployment);
+    g_free(this);
+}
+
+uint16_t
+PeerLink_Port(const PeerLink *this)
+{
+    return this->port;
+}
+
+/* ADDRESS:PORT in characters that ZeroMQ takes for nothing else. */
+static bool
+is_address(Str address)
+{
+    bool colon = false;
+
+    if (address.length == 0 || address.length > ADDRESS_MAX) {
+        return false;
+    }
+    for (size_t i = 0; i < address.length; i++) {
+        char c = address.data[i];
+
+        if (!g_ascii_isalnum(c) && strchr(".-:[]_", c) == NULL) {
+            return false;
+        }
+        colon |= c == ':';
+    }
+    return colon;
+}
+
+static Peer *
+find_peer(PeerLink *this, Str address, const uint8_t *key)
+{
+    for (uint32_t i = 0; i < this->options.peers_max; i++) {
+        Peer *peer = &this->peers[i];
+
+        if (peer->socket != NULL &&
+            Str_Equal(Str_FromC(peer->address), address) &&
+            memcmp(peer->key, key, PEER_KEY_BYTES) == 0) {
+            return peer;
+        }
+    }
+    return NULL;
+}
+
+/* A free entry, or that of the connection unused for the longest time. */
+static Peer *
+free_entry(PeerLink *this)
+{
+    Peer *oldest = &this->peers[0];
+
+    for (uint32_t i = 0; i < this->options.peers_max; i++) {
+        Peer *peer = &this->peers[i];
+
+        if (peer->socket == NULL) {
+            return peer;
+        }
+        if (peer->used < oldest->used) {
+            oldest = peer;
+        }
+    }
+    close_peer(this, oldest);
+    this->counters.closed_evicted++;
+    return oldest;
+}
+
+static Peer *
+open_peer(PeerLink *this, Str address, const uint8_t *key)
+{
+    const PeerKeys *keys = this->options.keys;
+    Peer *peer = free_entry(this);
+    char endpoint[ENDPOINT_MAX];
+    void *socket = zmq_socket(this->context, ZMQ_DEALER);
+
+    if (socket == NULL) {
+        return NULL;
+    }
+    set_common(this, socket);
+    set_int(socket, ZMQ_IMMEDIATE, 1);
+    zmq_setsockopt(socket, ZMQ_CURVE_SERVERKEY, key, PEER_KEY_BYTES);
+    zmq_setsockopt(socket, ZMQ_CURVE_PUBLICKEY, keys->public_key.bytes,
+                   PEER_KEY_BYTES);
+    g_snprintf(endpoint, sizeof(endpoint), "tcp://" STR_FORMAT,
+               STR_ARGS(address));
+    if (zmq_connect(socket, endpoint) != 0) {
+        zmq_close(socket);
+        return NULL;
+    }
+    peer->socket = socket;
+    memcpy(peer->address, address.data, address.length);
+    peer->address[address.length] = 0;
+    memcpy(peer->key, key, PEER_KEY_BYTES);
+    this->counters.opened++;
+    this->counters.open++;
+    return peer;
+}
+
+static int
+drop_message(PeerLink *this, int code)
+{
+    this->counters.send_dropped++;
+    return code;
+}
+
+int
+PeerLink_Send(PeerLink *this, Str address, Str key, Str bytes)
+{
+    const uint8_t *server = this->options.keys->public_key.bytes;
+    Peer *peer;
+    int code;
+
+    if (key.length == PEER_KEY_BYTES) {
+        server = (const uint8_t *)key.data;
+    }
+    if (!is_address(address) ||
+        (key.length != 0 && key.length != PEER_KEY_BYTES)) {
+        return drop_message(this, ERR_INVALID);
+    }
+    if (bytes.length > PEER_MESSAGE_MAX) {
+        return drop_message(this, ERR_LIMIT);
+    }
+    if (!PeerKeys_Allows(this->options.keys, server)) {
+        return drop_message(this, ERR_DENIED);
+    }
+    peer = find_peer(this, address, server);
+    if (peer == NULL) {
+        peer = open_peer(this, address, server);
+    }
+    if (peer == NULL) {
+        return drop_message(this, ERR_INVALID);
+    }
+    peer->used = Clock_Now(Loop_Clock(this->loop));
+    code = peer->pending_count > 0 ? ERR_LIMIT : send_now(this, peer, bytes);
+    if (code == ERR_LIMIT && peer->pending_count < PENDING_MAX) {
+        keep_pending(this, peer, bytes);
+        code = 0;
+    }
+    if (code < 0) {
+        return drop_message(this, code);
+    }
+    if (!this->reading) {
+        LoopTimer_Start(this->resume, 1);
+    }
+    return 0;
+}
+
+const PeerLinkCounters *
+PeerLink_Counters(const PeerLink *this)
+{
+    return &this->counters;
+}
--- a/packages/net/PeerLink.h
+++ b/packages/net/PeerLink.h
@@ -57,7 +57,11 @@
                           EventLog *log, PeerLinkHandler *handler, void *user,
                           Error *error);
 
-/** PeerLink_Destroy() - close all sockets; unsent messages are dropped */
+/**
+ * PeerLink_Destroy() - close all sockets; unsent messages are dropped
+ *
+ * The loop must not run any more: it still watches two descriptors.
+ */
 void PeerLink_Destroy(PeerLink *this);
 
 /** PeerLink_Port() - port that it listens on */
@@ -65,6 +69,9 @@
 
 /**
  * PeerLink_Send() - send a message, never blocks
+ *
+ * A message waits up to 2 s for the connection to a new peer; at most 16 do.
+ *
  * @address: ADDRESS:PORT
  * @key: public key of the peer, 32 bytes; empty: this host's own public key,
  *       for deployments whose hosts share one pair
