Carry gossip, claims, fetches and slot messages between hosts

Cause: claims waited 250 ms for their own append, because no host could hand them to the collector; hosts did not know of each other.

--- a/packages/agatecrank/KeygenCommand.c
+++ b/packages/agatecrank/KeygenCommand.c
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include "Command.h"
+#include "PeerKeys.h"
 #include "Publication.h"
 
 /* The file must not exist: a key is never overwritten. */
@@ -54,26 +55,50 @@
     return COMMAND_OK;
 }
 
+static int
+make_peer_keys(const char *secret_file)
+{
+    char *public_file = g_strconcat(secret_file, ".pub", NULL);
+    Error error;
+    int code = COMMAND_OK;
+
+    if (PeerKeys_Generate(public_file, secret_file, &error) < 0) {
+        Command_PrintError(&error);
+        code = COMMAND_USAGE;
+    }
+    else {
+        printf("%s\n", public_file);
+    }
+    g_free(public_file);
+    return code;
+}
+
 int
 KeygenCommand_Run(int argc, char **argv)
 {
+    struct arg_lit *peer =
+        arg_lit0(NULL, "peer", "a CURVE pair for the links between hosts");
     struct arg_file *out = arg_file1(NULL, NULL, "FILE", "secret key file");
     struct arg_lit *help = arg_lit0("h", "help", "print this help");
     struct arg_end *end = arg_end(4);
-    void *table[] = {out, help, end};
+    void *table[] = {peer, out, help, end};
     int errors = arg_parse(argc, argv, table);
     int code = COMMAND_USAGE;
 
     if (help->count > 0) {
-        printf("Usage: agatecrank keygen FILE\n\nWrites a new Ed25519 secret "
-               "key to FILE (mode 0600)\nand prints the public key.\n");
+        printf(
+            "Usage: agatecrank keygen [--peer] FILE\n\nWrites a new Ed25519 "
+            "secret key to FILE (mode 0600)\nand prints the public key. "
+            "With --peer, writes a CURVE pair\nto FILE and FILE.pub and "
+            "prints the name of the latter.\n");
         code = COMMAND_OK;
     }
     else if (errors > 0) {
         arg_print_errors(stderr, end, "agatecrank keygen");
     }
     else {
-        code = make_key(out->filename[0]);
+        code = peer->count > 0 ? make_peer_keys(out->filename[0])
+                               : make_key(out->filename[0]);
     }
     arg_freetable(table, sizeof(table) / sizeof(table[0]));
     return code;
--- a/packages/agatecrankd/Daemon.c
+++ b/packages/agatecrankd/Daemon.c
@@ -10,6 +10,7 @@
 #include "ConfigFollower.h"
 #include "HostListClient.h"
 #include "LogSink.h"
+#include "PeerExchange.h"
 #include "Prober.h"
 #include "Proxy.h"
 
@@ -17,6 +18,8 @@
 #define SERIES_MAX 20000
 #define KEEP_IDLE_S 60
 #define CALLER_KEEP_ALIVE_S 60
+/* Time that a new host waits for the claims stream before it is ready. */
+#define CLAIMS_WAIT (1500 * MICROS_PER_MS)
 #define ATTEMPTS_MAX 3
 #define ANSWER_LIMIT_BYTES (64 * 1024)
 
@@ -35,15 +38,19 @@
     Proxy *proxy;
     Prober *prober;
     Admin *admin;
+    PeerKeys *peer_keys;
+    PeerExchange *peers;
     LogClient *log_client;
     HostListClient *host_list;
     ConfigFollower *config_follower;
     ClaimFollower *claim_follower;
     LoopTimer *timer;
     const char *const *forward;
+    uint64_t incarnation;
     bool ready;
     bool leaving;
     Micros leave_until;
+    Micros claims_until;
     int exit_code;
 };
 
@@ -66,11 +73,28 @@
 
 /* ---- events --------------------------------------------------------- */
 
+/* A host without a usable log becomes ready too, after a short wait: it can
+ * still serve every request that needs no claim. */
+static bool
+claims_usable(const Daemon *this)
+{
+    const Claims *claims = Balancer_Claims(this->balancer);
+
+    for (uint32_t i = 0; i < this->settings->claims_partitions; i++) {
+        if (!Claims_LogUsable(claims, i)) {
+            return false;
+        }
+    }
+    return true;
+}
+
 static void
 update_ready(Daemon *this)
 {
-    bool ready = ConfigSync_Ready(this->sync) &&
-                 HostListClient_Age(this->host_list) >= 0;
+    bool ready =
+        ConfigSync_Ready(this->sync) &&
+        HostListClient_Age(this->host_list) >= 0 &&
+        (claims_usable(this) || Clock_Now(this->clock) >= this->claims_until);
 
     if (ready == this->ready) {
         return;
@@ -99,7 +123,7 @@
 {
     Daemon *this = user;
 
-    ConfigSync_OnFetchFailed(this->sync);
+    PeerExchange_Fetch(this->peers, fetch, choice);
 }
 
 static void
@@ -111,37 +135,25 @@
 }
 
 static void
-carry_claim_action(void *user, const ClaimAction *action)
+peer_event(void *user)
 {
     Daemon *this = user;
 
-    if (action->kind == CLAIM_APPEND) {
-        ClaimFollower_Append(this->claim_follower, action);
-    }
+    ConfigFollower_Drain(this->config_follower);
+    Proxy_Drain(this->proxy);
 }
 
 static void
-set_hosts(Daemon *this, const HostEntry *entries, size_t count)
+carry_claim_action(void *user, const ClaimAction *action)
 {
-    GArray *hosts = g_array_new(FALSE, FALSE, sizeof(Str));
-    size_t own = SIZE_MAX;
+    Daemon *this = user;
 
-    for (size_t i = 0; i < count; i++) {
-        if (entries[i].role != HOST_BALANCER || entries[i].leaving) {
-            continue;
-        }
-        if (Str_Equal(entries[i].id, this->settings->host_id)) {
-            own = hosts->len;
-        }
-        g_array_append_val(hosts, entries[i].id);
+    if (action->kind == CLAIM_APPEND) {
+        ClaimFollower_Append(this->claim_follower, action);
     }
-    if (own == SIZE_MAX) {
-        own = hosts->len;
-        g_array_append_val(hosts, this->settings->host_id);
+    else {
+        PeerExchange_SendClaim(this->peers, action);
     }
-    Balancer_SetHosts(this->balancer, (const Str *)(void *)hosts->data,
-                      hosts->len, own);
-    g_array_free(hosts, TRUE);
 }
 
 static void
@@ -149,7 +161,7 @@
 {
     Daemon *this = user;
 
-    set_hosts(this, entries, count);
+    PeerExchange_OnHostList(this->peers, entries, count);
     Balancer_OnHostList(this->balancer, entries, count);
     update_ready(this);
     Proxy_Drain(this->proxy);
@@ -201,6 +213,7 @@
                      (int64_t)Proxy_OpenRequests(this->proxy));
         EventLog_End(this->log);
     }
+    PeerExchange_Leave(this->peers);
     Proxy_StopListening(this->proxy);
 }
 
@@ -234,6 +247,7 @@
         settings->decision_lines_per_s, LogSink_Write, this->sink);
     this->counters = Counters_Create(SERIES_MAX);
     this->random = Random_Create(random_seed());
+    this->incarnation = Membership_NewIncarnation(this->clock, this->random);
 }
 
 static void
@@ -247,8 +261,7 @@
         .admission = {.mode = settings->limits_enabled ? ADMISSION_SHARED
                                                        : ADMISSION_OFF,
                       .hosts = 1},
-        .claims = ClaimsOptions_Default(settings->host_id,
-                                        Random_Next(this->random)),
+        .claims = ClaimsOptions_Default(settings->host_id, this->incarnation),
         .domain = settings->domain,
         .attempts_max = ATTEMPTS_MAX,
     };
@@ -278,6 +291,55 @@
     return list;
 }
 
+static int
+read_peer_keys(Daemon *this, Error *error)
+{
+    const CurveSettings *curve = &this->settings->curve;
+
+    if (curve->secret_key_file.length == 0) {
+        if (EventLog_Begin(this->log, LOG_LEVEL_WARN, "peers-off")) {
+            EventLog_C(this->log, "text",
+                       "no [curve] keys: this host works alone");
+            EventLog_End(this->log);
+        }
+        return 0;
+    }
+    this->peer_keys =
+        PeerKeys_Read(curve->public_key_file.data, curve->secret_key_file.data,
+                      curve->peer_keys_file.data, error);
+    return this->peer_keys != NULL ? 0 : ERR_INVALID;
+}
+
+static int
+create_peers(Daemon *this, Error *error)
+{
+    const Settings *settings = this->settings;
+    PeerExchangeOptions options = {
+        .balancer = this->balancer,
+        .sync = this->sync,
+        .link = PeerLinkOptions_Default(),
+        .host = settings->host_id,
+        .domain = settings->domain,
+        .address = settings->listen.peer_address,
+        .seeds = settings->peer_seeds.items,
+        .seed_count = settings->peer_seeds.count,
+        .incarnation = this->incarnation,
+        .on_event = peer_event,
+        .user = this,
+    };
+
+    if (read_peer_keys(this, error) < 0) {
+        return ERR_INVALID;
+    }
+    options.link.address = settings->listen.peer_address;
+    options.link.port = (uint16_t)settings->listen.peer_port;
+    options.link.deployment = settings->deployment;
+    options.link.keys = this->peer_keys;
+    this->peers = PeerExchange_Create(&options, this->loop, this->random,
+                                      this->log, error);
+    return this->peers != NULL ? 0 : ERR_IO;
+}
+
 static int
 create_proxy(Daemon *this, Error *error)
 {
@@ -363,6 +425,8 @@
         .settings = settings,
         .log_client = this->log_client,
         .host_list = this->host_list,
+        .peers = this->peers,
+        .ready = &this->ready,
     };
 
     this->admin = Admin_Create(this->loop, &options, error);
@@ -383,15 +447,15 @@
         return NULL;
     }
     create_core(this);
-    if (create_proxy(this, error) < 0 || create_platform(this, error) < 0 ||
-        create_admin(this, error) < 0 ||
+    if (create_peers(this, error) < 0 || create_proxy(this, error) < 0 ||
+        create_platform(this, error) < 0 || create_admin(this, error) < 0 ||
         Loop_WatchSignals(this->loop, on_signal, this, error) < 0) {
         Daemon_Destroy(this);
         return NULL;
     }
-    Balancer_SetHosts(this->balancer, &settings->host_id, 1, 0);
     this->timer = LoopTimer_Create(this->loop, tick, this);
     LoopTimer_Start(this->timer, TICK);
+    this->claims_until = Clock_Now(this->clock) + CLAIMS_WAIT;
     return this;
 }
 
@@ -414,6 +478,10 @@
     if (this->proxy != NULL) {
         Proxy_Destroy(this->proxy);
     }
+    if (this->peers != NULL) {
+        PeerExchange_Destroy(this->peers);
+    }
+    PeerKeys_Destroy(this->peer_keys);
     HostListClient_Destroy(this->host_list);
     LogClient_Destroy(this->log_client);
 }
@@ -452,7 +520,7 @@
     if (EventLog_Begin(this->log, LOG_LEVEL_INFO, "listening")) {
         EventLog_Int(this->log, "caller_port", Proxy_Port(this->proxy));
         EventLog_Int(this->log, "admin_port", Admin_Port(this->admin));
-        EventLog_Int(this->log, "peer_port", this->settings->listen.peer_port);
+        EventLog_Int(this->log, "peer_port", PeerExchange_Port(this->peers));
         EventLog_End(this->log);
     }
 }
--- a/packages/core/Balancer.c
+++ b/packages/core/Balancer.c
@@ -35,7 +35,9 @@
     GTree *deadlines;          /* BalancerRequest by deadline and id */
     GArray *actions;           /* BalancerAction */
     guint next_action;
-    GString *replay; /* text of the last BALANCER_REPLAY */
+    GArray *drains;       /* bool by upstream: its last report said draining */
+    GQueue drain_changes; /* upstream * 2 + ended */
+    GString *replay;      /* text of the last BALANCER_REPLAY */
     uint64_t last_id;
     bool ready;
 };
@@ -942,6 +944,43 @@
     return step;
 }
 
+static void
+note_drain(Balancer *this, uint32_t upstream, bool draining)
+{
+    bool *known;
+
+    if (this->drains->len <= upstream) {
+        g_array_set_size(this->drains, upstream + 1);
+    }
+    known = &g_array_index(this->drains, bool, upstream);
+    if (*known == draining) {
+        return;
+    }
+    *known = draining;
+    g_queue_push_tail(&this->drain_changes,
+                      GUINT_TO_POINTER(upstream * 2 + (draining ? 0 : 1)));
+}
+
+bool
+Balancer_NextDrain(Balancer *this, uint32_t *upstream, bool *ended)
+{
+    guint change;
+
+    if (g_queue_is_empty(&this->drain_changes)) {
+        return false;
+    }
+    change = GPOINTER_TO_UINT(g_queue_pop_head(&this->drain_changes));
+    *upstream = change / 2;
+    *ended = change % 2 != 0;
+    return true;
+}
+
+void
+Balancer_OnSlotsChanged(Balancer *this, uint32_t service)
+{
+    retry_waiting(this, service);
+}
+
 BalancerRelay
 Balancer_OnHead(Balancer *this, uint64_t id, const AnswerHead *head)
 {
@@ -954,6 +993,7 @@
     request->status = head->status;
     if (LoadReport_Parse(head->load, &report) == 0) {
         Router_OnReport(this->router, request->upstream, &report, 0);
+        note_drain(this, request->upstream, report.draining);
         Admission_OnLoad(this->admission, request->service,
                          report.inflight + report.queue,
                          report.slots > 0 ? report.slots : 1);
@@ -1142,6 +1182,9 @@
         break;
     case DIRECTORY_REMOVED:
         Router_RemoveUpstream(this->router, upstream->index);
+        if (upstream->index < this->drains->len) {
+            g_array_index(this->drains, bool, upstream->index) = false;
+        }
         break;
     case DIRECTORY_LEAVING:
         Router_SetDraining(this->router, upstream->index, true);
@@ -1245,6 +1288,8 @@
                                            destroy_request);
     this->deadlines = g_tree_new_full(compare_deadlines, NULL, NULL, NULL);
     this->actions = g_array_new(FALSE, TRUE, sizeof(BalancerAction));
+    this->drains = g_array_new(FALSE, TRUE, sizeof(bool));
+    g_queue_init(&this->drain_changes);
     this->replay = g_string_new(NULL);
     return this;
 }
@@ -1270,6 +1315,8 @@
     NameTable_Destroy(this->services);
     NameTable_Destroy(this->lines);
     g_array_free(this->actions, TRUE);
+    g_array_free(this->drains, TRUE);
+    g_queue_clear(&this->drain_changes);
     g_string_free(this->replay, TRUE);
     g_free(this);
 }
--- a/packages/net/Admin.c
+++ b/packages/net/Admin.c
@@ -58,12 +58,10 @@
 
     ConfigSync_Status(this->options.sync, &sync);
     reason = this->leaving ? "leaving" : sync.reason;
-    if (!this->leaving && sync.ready &&
-        HostListClient_Age(this->options.host_list) < 0) {
-        reason = "no host list yet";
-        sync.ready = false;
+    if (!this->leaving && sync.ready && !*this->options.ready) {
+        reason = "waiting for the host list or the claims stream";
     }
-    if (this->leaving || !sync.ready) {
+    if (this->leaving || !*this->options.ready) {
         answer_error(request, 503, "not-ready", reason);
         return;
     }
--- a/packages/net/Admin.h
+++ b/packages/net/Admin.h
@@ -6,6 +6,7 @@
 #include "HostListClient.h"
 #include "HttpServer.h"
 #include "LogClient.h"
+#include "PeerExchange.h"
 #include "Settings.h"
 
 /**
@@ -27,6 +28,8 @@
     const Settings *settings;
     LogClient *log_client;
     HostListClient *host_list;
+    PeerExchange *peers;
+    const bool *ready;
 } AdminOptions;
 
 /** Admin_Create() - listen; NULL with @error filled on failure */
--- a/packages/net/HttpClient.c
+++ b/packages/net/HttpClient.c
@@ -67,8 +67,7 @@
     }
     /* On an idle connection the library may send the request before it has
      * told which wsi it made for it. */
-    if (slot->call->starting && slot->call->wsi == NULL &&
-        wsi != slot->idle) {
+    if (slot->call->starting && slot->call->wsi == NULL && wsi != slot->idle) {
         slot->call->wsi = wsi;
     }
     return slot->call->wsi == wsi ? slot->call : NULL;
--- a/scripts/deployment.sh
+++ b/scripts/deployment.sh
@@ -98,6 +98,13 @@
     done < <(sed -n 's/^port=\([0-9]*\) id=\(.*\)$/\1 \2/p' "$WORK/$name.out")
 }
 
+# peer_keys: one CURVE pair that all hosts of the deployment share
+peer_keys() {
+    [ -f "$WORK/peers.key" ] && return 0
+    "$BIN/packages/agatecrank/agatecrank" keygen --peer "$WORK/peers.key" >/dev/null &&
+        cp "$WORK/peers.key.pub" "$WORK/peers.allowed"
+}
+
 # start_platform: log service and host list
 start_platform() {
     start log "$BIN/standins/standin-log" --port 0
@@ -133,6 +140,7 @@
 # start_host NAME DOMAIN [EXTRA TOML]: a balancer host; ports in $WORK/NAME.ports
 start_host() {
     local name=$1 domain=$2 extra=${3:-} i caller admin peer
+    peer_keys || return 1
     cat >"$WORK/$name.toml" <<TOML
 [host]
 id = "$name"
@@ -152,6 +160,10 @@
 interval_ms = 200
 [config]
 bootstrap_keys = ["$BOOTSTRAP_KEY"]
+[curve]
+public_key_file = "$WORK/peers.key.pub"
+secret_key_file = "$WORK/peers.key"
+peer_keys_file = "$WORK/peers.allowed"
 [headers]
 forward = ["x-service-ms", "x-answer-bytes", "x-body-sha256", "x-upstream"]
 $extra
