--- a/packages/core/LoadEstimate.c
+++ b/packages/core/LoadEstimate.c
@@ -26,6 +26,10 @@
 #define FULL_TRUST_SLOPE 0.25F
 /* Part of a fair share that a cold upstream gets at first. */
 #define RAMP_START 0.1F
+/* Near upstreams may be this much busier than far ones. */
+#define NEAR_TOLERANCE 1.1F
+/* Change of the credit for near upstreams by one report. */
+#define NEAR_STEP (1.0F / 128)
 
 float
 LoadEstimate_Requests(const ServiceState *service, const Upstream *u,
@@ -107,9 +111,26 @@
     }
 }
 
+/*
+ * Near upstreams are preferred as long as that does not make them busier than
+ * far ones, as it would where more hosts than upstreams are in this domain.
+ */
+static void
+adjust_near_credit(ServiceState *s, float share, bool near, float bonus)
+{
+    float *busy = near ? &s->busy_near : &s->busy_far;
+
+    *busy += REPORT_WEIGHT * (share - *busy);
+    s->near_credit += s->busy_near > NEAR_TOLERANCE * s->busy_far
+                          ? -bonus * NEAR_STEP
+                          : bonus * NEAR_STEP;
+    s->near_credit = CLAMP(s->near_credit, 0, bonus * s->trust);
+}
+
 void
 LoadEstimate_OnReport(ServiceState *service, Upstream *u,
-                      const LoadReport *report, Micros written, bool verify)
+                      const LoadReport *report, Micros written,
+                      const RouterOptions *options)
 {
     float load = (float)report->inflight + (float)report->queue;
     float share = load / u->slots;
@@ -121,8 +142,13 @@
         service->busy = share;
     }
     service->busy += REPORT_WEIGHT * (share - service->busy);
-    if (verify && u->inflight > 0) {
-        verify_report(service, (float)u->inflight - 1, load);
+    if (u->inflight > 0) {
+        /* A response, not a probe. */
+        adjust_near_credit(service, share, u->domain == options->own_domain,
+                           (float)options->near_bonus);
+        if (options->verify_reports) {
+            verify_report(service, (float)u->inflight - 1, load);
+        }
     }
     u->report_time = written;
     u->report_load = load;
--- a/packages/core/LoadEstimate.h
+++ b/packages/core/LoadEstimate.h
@@ -36,7 +36,7 @@
 /** LoadEstimate_OnReport() - take in a report that was written at @written */
 void LoadEstimate_OnReport(ServiceState *service, Upstream *u,
                            const LoadReport *report, Micros written,
-                           bool verify);
+                           const RouterOptions *options);
 
 /** LoadEstimate_OnLatency() - take in the latency of a good response */
 void LoadEstimate_OnLatency(ServiceState *service, Upstream *u,
--- a/packages/core/RoutePolicy.c
+++ b/packages/core/RoutePolicy.c
@@ -64,8 +64,8 @@
 
     o->load = requests / slots;
     o->cost = LoadEstimate_Delay(c->service, requests, weight, slots);
-    if (u->domain != c->options->own_domain) {
-        o->cost += (float)c->options->near_bonus;
+    if (u->domain == c->options->own_domain) {
+        o->cost -= c->service->near_credit;
     }
 }
 
--- a/packages/core/Router.c
+++ b/packages/core/Router.c
@@ -441,7 +441,7 @@
     }
     if (this->options.policy != ROUTING_PROBED) {
         LoadEstimate_OnReport(&this->table->services[u->service], u, report,
-                              now - age, this->options.verify_reports);
+                              now - age, &this->options);
     }
     on_drain_report(this, u, report->draining);
 }
@@ -540,7 +540,8 @@
     if (s == NULL || u == NULL || report == NULL) {
         return;
     }
-    LoadEstimate_OnReport(s, u, report, Clock_Now(this->clock), false);
+    LoadEstimate_OnReport(s, u, report, Clock_Now(this->clock),
+                          &this->options);
     on_drain_report(this, u, report->draining);
 }
 
--- a/packages/core/UpstreamTable.c
+++ b/packages/core/UpstreamTable.c
@@ -217,14 +217,16 @@
     }
     s->connections_each =
         copies > 0 ? s->info.connections / Subset_Divisor(copies) : 0;
-    s->connections_each = MAX(s->connections_each, copies > 0);
+    if (copies > 0 && s->connections_each == 0) {
+        s->connections_each = 1;
+    }
     g_free(items);
     g_free(mine);
 }
 
 /* Each slot is an item of its own with one host. */
 static void
-compute_slot_owners(UpstreamTable *this, ServiceState *s, GHashTable *by_key)
+compute_slot_owners(UpstreamTable *this, ServiceState *s)
 {
     SubsetHosts hosts = hosts_of(this);
     SubsetItem *items = g_new(SubsetItem, s->slots);
@@ -251,8 +253,9 @@
         for (uint32_t slot = 0; slot < u->slots; slot++) {
             uint64_t key = (u->key + slot) * 0xd1342543de82ef95ULL;
 
-            u->owned +=
-                g_hash_table_lookup(of_item, &key) == GUINT_TO_POINTER(1);
+            if (g_hash_table_lookup(of_item, &key) != NULL) {
+                u->owned++;
+            }
         }
     }
     g_hash_table_destroy(of_item);
@@ -299,7 +302,7 @@
     }
     compute_subset(this, s, by_key);
     if (this->options->policy == ROUTING_SLOT_SHARES) {
-        compute_slot_owners(this, s, by_key);
+        compute_slot_owners(this, s);
         put_owned_first(this, s);
     }
     ProbeBudget_SetShare(s->budget, Subset_Divisor(this->host_count),
--- a/packages/core/UpstreamTable.h
+++ b/packages/core/UpstreamTable.h
@@ -49,6 +49,8 @@
  * struct ServiceState_ - one service on this host
  * @typical: running median of the latency of good responses, microseconds
  * @busy: mean share of slots that reports show as taken, -1 if unknown
+ * @busy_near, @busy_far: the same within and outside this host's domain
+ * @near_credit: microseconds by which a near upstream is preferred
  * @trust: 0 to 1, how far reports agree with own counts; computed from the
  *         running means, variance and covariance of the two
  */
@@ -67,6 +69,9 @@
     ProbeBudget *budget;
     float typical;
     float busy;
+    float busy_near;
+    float busy_far;
+    float near_credit;
     float trust;
     float own_mean;
     float report_mean;
--- /dev/null
+++ b/tests/support/DriverState.h
@@ -0,0 +1,74 @@
+#ifndef AGATECRANK_TESTS_DRIVERSTATE_H
+#define AGATECRANK_TESTS_DRIVERSTATE_H
+
+#include "RoutingDriver.h"
+
+#define TRIES_MAX 4
+
+/** typedef Driver - state of one run, private to the driver */
+typedef struct Driver_ Driver;
+
+/* The job comes first, so that a job is cast back to its request. */
+typedef struct Request_ {
+    FakeJob job;
+    Driver *driver;
+    Micros arrived;
+    Micros sent;
+    uint32_t service;
+    uint32_t host;
+    uint32_t upstream;
+    uint32_t tried[TRIES_MAX];
+    uint32_t tries;
+} Request;
+
+typedef struct Target_ {
+    FakeUpstream fake;
+    uint32_t service;
+    uint32_t domain;
+    uint32_t connections;
+    bool affected;
+} Target;
+
+typedef struct Host_ {
+    Driver *driver;
+    Router *router;
+    GQueue waiting[DRIVER_SERVICES];
+    double retries[DRIVER_SERVICES];
+} Host;
+
+typedef struct Delivery_ {
+    Driver *driver;
+    uint32_t host;
+    SlotMessage message;
+} Delivery;
+
+typedef struct ProbeRun_ {
+    Driver *driver;
+    uint32_t host;
+    ProbeRequest probe;
+} ProbeRun;
+
+struct Driver_ {
+    DriverOptions options;
+    FakeRules rules;
+    Clock *clock;
+    EventQueue *queue;
+    Random *random;
+    Host *hosts;
+    uint64_t *host_keys;
+    Target targets[DRIVER_UPSTREAMS];
+    uint32_t target_count;
+    FlowStats flows[DRIVER_SERVICES];
+    DriverResult result;
+};
+
+/** Driver_Create() - fakes and routers of a run */
+Driver *Driver_Create(const DriverOptions *options);
+
+/** Driver_Destroy() - release the run and the requests left in queues */
+void Driver_Destroy(Driver *this);
+
+/** Driver_DomainOf() - failure domain of a host */
+uint32_t Driver_DomainOf(const Driver *this, uint32_t host);
+
+#endif
--- /dev/null
+++ b/tests/support/FakeUpstream.c
@@ -0,0 +1,123 @@
+#include "FakeUpstream.h"
+
+/* A cold process is this much slower. */
+#define COLD_FACTOR 5.0
+
+void
+FakeUpstream_Init(FakeUpstream *this, const FakeRules *rules, uint32_t slots)
+{
+    *this = (FakeUpstream){.rules = rules, .slots = slots, .slowness = 1};
+    g_queue_init(&this->waiting);
+}
+
+static LoadReport
+state_of(const FakeUpstream *this)
+{
+    return (LoadReport){
+        .inflight = this->busy,
+        .slots = this->slots,
+        .queue = this->waiting.length,
+        .draining = this->draining,
+    };
+}
+
+void
+FakeUpstream_Remember(FakeUpstream *this)
+{
+    this->history[this->history_at] = state_of(this);
+    this->history_at = (this->history_at + 1) % FAKE_HISTORY;
+}
+
+LoadReport
+FakeUpstream_Report(const FakeUpstream *this)
+{
+    LoadReport report = state_of(this);
+
+    if (this->rules->reports == REPORTS_LATE) {
+        report = this->history[this->history_at];
+        report.draining = this->draining;
+    }
+    if (this->rules->reports == REPORTS_ZERO) {
+        report.inflight = 0;
+        report.queue = 0;
+    }
+    return report;
+}
+
+static double
+draw_time(const FakeRules *rules)
+{
+    double mean = (double)rules->mean;
+    double sum = 0;
+
+    switch (rules->times) {
+    case TIMES_EXPONENTIAL:
+        return Random_Exponential(rules->random, mean);
+    case TIMES_ERLANG4:
+        for (int i = 0; i < 4; i++) {
+            sum += Random_Exponential(rules->random, mean / 4);
+        }
+        return sum;
+    case TIMES_CONSTANT:
+        return mean;
+    }
+    return 0;
+}
+
+static void
+answer(FakeJob *job, AttemptOutcome outcome)
+{
+    job->outcome = outcome;
+    job->report = FakeUpstream_Report(job->fake);
+    job->done(job);
+}
+
+static void on_served(void *user, uint64_t argument);
+
+static void
+serve(FakeUpstream *this, FakeJob *job)
+{
+    double time = draw_time(this->rules) * this->slowness;
+
+    if (this->cold_left > 0) {
+        this->cold_left--;
+        time *= COLD_FACTOR;
+    }
+    this->busy++;
+    job->service_time = (Micros)time;
+    EventQueue_Add(this->rules->queue, job->service_time, on_served, job, 0);
+}
+
+static void
+on_served(void *user, uint64_t argument)
+{
+    FakeJob *job = user;
+    FakeUpstream *this = job->fake;
+    FakeJob *next = g_queue_pop_head(&this->waiting);
+
+    this->busy--;
+    if (next != NULL) {
+        serve(this, next);
+    }
+    answer(job, ATTEMPT_OK);
+}
+
+void
+FakeUpstream_Receive(FakeUpstream *this, FakeJob *job)
+{
+    job->fake = this;
+    job->service_time = 0;
+    if (this->failing) {
+        answer(job, ATTEMPT_ERROR);
+    }
+    else if (this->busy < this->slots) {
+        serve(this, job);
+    }
+    else if (this->rules->shed &&
+             this->waiting.length >= this->rules->queue_max) {
+        answer(job, ATTEMPT_SHED);
+    }
+    else {
+        g_queue_push_tail(&this->waiting, job);
+    }
+}
--- a/tests/support/RoutingDriver.h
+++ b/tests/support/RoutingDriver.h
@@ -1,26 +1,13 @@
 #ifndef AGATECRANK_TESTS_ROUTINGDRIVER_H
 #define AGATECRANK_TESTS_ROUTINGDRIVER_H
 
+#include "FakeUpstream.h"
+#include "FlowStats.h"
 #include "Router.h"
 
 #define DRIVER_SERVICES 2
 #define DRIVER_UPSTREAMS 64
 
-/** enum ReportMode_ - what the fakes' in-band load reports contain */
-typedef enum ReportMode_ {
-    REPORTS_FRESH,
-    REPORTS_NONE,
-    REPORTS_LATE, /* the state of 500 ms ago, which the router is not told */
-    REPORTS_ZERO,
-} ReportMode;
-
-/** enum ServiceTimes_ - distribution of service times, same mean */
-typedef enum ServiceTimes_ {
-    TIMES_EXPONENTIAL,
-    TIMES_ERLANG4, /* variance a quarter of the exponential one */
-    TIMES_CONSTANT,
-} ServiceTimes;
-
 /** struct DriverService_ - one service of a deployment */
 typedef struct DriverService_ {
     const char *name;
@@ -46,7 +33,7 @@
  * @one_domain: all hosts are in the first domain
  * @queue_max: requests that a full upstream queues before it refuses
  * @shed: a full upstream refuses with proof, else it queues all
- * @slow_share: share of upstreams that become @slow_factor times slower
+ * @slow_share: share of upstreams, rounded up, that become @slow_factor times slower
  * @failing: upstreams of each service that fail at once
  * @from, @until: period of slowness, failing, down and drain
  * @drain: first upstream of each service leaves at @from; @listed: the host
@@ -84,23 +71,6 @@
     uint64_t seed;
 } DriverOptions;
 
-/** struct ServiceResult_ - what was seen of one service while measuring */
-typedef struct ServiceResult_ {
-    uint64_t offered;
-    uint64_t answered;
-    uint64_t failed;
-    uint64_t sent;
-    uint64_t sheds;
-    uint64_t retries;
-    Micros p50;
-    Micros p99;
-    Micros wait_p99;       /* latency without the service time itself */
-    double affected_share; /* of attempts, at failing or slow upstreams */
-    double affected_late;  /* same, from 50 ms after @from to @until */
-    double affected_after; /* same, over the last second of the run */
-    double probe_peak;     /* largest use of a probe limit, 1 is all of it */
-} ServiceResult;
-
 /** struct DriverResult_ - outcome of one run */
 typedef struct DriverResult_ {
     ServiceResult services[DRIVER_SERVICES];
--- /dev/null
+++ b/tests/test_routing_faults.c
@@ -0,0 +1,238 @@
+#include <glib.h>
+
+#include "RoutingDriver.h"
+
+#define SEED 7
+
+static DriverOptions
+short_run(const Deployment *deployment)
+{
+    DriverOptions o = DriverOptions_Default(deployment);
+
+    o.warmup = MICROS_PER_S;
+    o.duration = 5 * MICROS_PER_S;
+    o.from = 2 * MICROS_PER_S;
+    o.until = 60 * MICROS_PER_S;
+    o.seed = SEED;
+    return o;
+}
+
+/*
+ * Guards against new requests to an upstream that has been leaving for more
+ * than 2 s, under every policy, although the host list calls it healthy.
+ */
+static void
+test_draining_gets_nothing(void)
+{
+    for (int p = 0; p < ROUTING_POLICIES; p++) {
+        for (int listed = 0; listed < 2; listed++) {
+            DriverOptions o = short_run(&deployment_tunis);
+
+            o.mean = 40 * MICROS_PER_MS;
+            o.drain = true;
+            o.listed = listed;
+            o.router.policy = (RoutingPolicy)p;
+            g_assert_cmpuint(RoutingDriver_Run(&o).sent_while_draining, ==, 0);
+        }
+    }
+}
+
+/* Guards against a check that can not see a router that ignores drains. */
+static void
+test_planted_draining_is_caught(void)
+{
+    DriverOptions o = short_run(&deployment_tunis);
+
+    o.drain = true;
+    o.router.fault = ROUTER_FAULT_IGNORE_DRAINING;
+    g_assert_cmpuint(RoutingDriver_Run(&o).sent_while_draining, >, 0);
+}
+
+static double
+probe_peak(RoutingPolicy policy, double load, bool down, bool shed,
+           RouterFault fault)
+{
+    DriverOptions o = short_run(&deployment_puntarenas);
+    DriverResult r;
+
+    o.router.policy = policy;
+    o.router.fault = fault;
+    o.load = load;
+    o.down = down;
+    o.shed = shed;
+    o.reports = REPORTS_NONE;
+    /* Slow requests keep the number of events small over a longer run. */
+    o.mean = 100 * MICROS_PER_MS;
+    o.duration = 12 * MICROS_PER_S;
+    r = RoutingDriver_Run(&o);
+    return MAX(r.services[0].probe_peak, r.services[1].probe_peak);
+}
+
+/*
+ * Guards against probes above the budget of all hosts together, at ten times
+ * the load (with a storm of retries) and with every upstream down.
+ */
+static void
+test_probe_budget_holds(void)
+{
+    static const struct {
+        RoutingPolicy policy;
+        double load;
+        bool down;
+        bool probes; /* needed, as full upstreams do not say so */
+    } cases[] = {
+        {ROUTING_PROBED, 0.8, false, true},
+        {ROUTING_PROBED, 8, false, true},
+        {ROUTING_PROBED, 0.8, true, true},
+        {ROUTING_REPORTS, 8, false, false},
+        {ROUTING_REPORTS, 0.8, true, true},
+        {ROUTING_SLOT_SHARES, 0.8, true, true},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        double peak = probe_peak(cases[i].policy, cases[i].load, cases[i].down,
+                                 !cases[i].probes, ROUTER_FAULT_NONE);
+
+        g_assert_cmpfloat(peak, <=, 1.0);
+        g_test_message("case %zu: probe peak %.3f", i, peak);
+        g_assert_true(peak > 0.1 || !cases[i].probes);
+    }
+}
+
+/* Guards against a check that can not see overspending. */
+static void
+test_planted_overspend_is_caught(void)
+{
+    double peak = probe_peak(ROUTING_REPORTS, 0.8, false, false,
+                             ROUTER_FAULT_OVERSPEND_PROBES);
+
+    g_assert_cmpfloat(peak, >, 1.0);
+}
+
+static uint32_t
+connections_peak(RoutingPolicy policy, uint32_t connections, RouterFault fault)
+{
+    DriverOptions o = short_run(&deployment_tunis);
+
+    o.router.policy = policy;
+    o.router.fault = fault;
+    o.connections = connections;
+    o.load = 1.5;
+    o.duration = 2 * MICROS_PER_S;
+    return RoutingDriver_Run(&o).connections_peak;
+}
+
+/* Guards against more connections to one upstream than it accepts. */
+static void
+test_connections_hold(void)
+{
+    static const uint32_t bounds[] = {250, 10};
+    uint32_t planted;
+
+    for (int p = 0; p < ROUTING_POLICIES; p++) {
+        for (size_t i = 0; i < G_N_ELEMENTS(bounds); i++) {
+            uint32_t peak = connections_peak((RoutingPolicy)p, bounds[i],
+                                             ROUTER_FAULT_NONE);
+
+            g_assert_cmpuint(peak, <=, bounds[i]);
+        }
+    }
+    planted = connections_peak(ROUTING_REPORTS, 250,
+                               ROUTER_FAULT_IGNORE_CONNECTIONS);
+    g_assert_cmpuint(planted, >, 250);
+}
+
+/* Guards against an upstream that draws traffic by failing at once. */
+static void
+test_failing_draws_no_traffic(void)
+{
+    static const Deployment *const deployments[] = {&deployment_tunis,
+                                                    &deployment_puntarenas};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(deployments); i++) {
+        for (int p = 0; p < ROUTING_POLICIES; p++) {
+            DriverOptions o = short_run(deployments[i]);
+            DriverResult r;
+
+            o.mean = 40 * MICROS_PER_MS;
+            o.failing = 1;
+            o.router.policy = (RoutingPolicy)p;
+            r = RoutingDriver_Run(&o);
+            g_assert_cmpfloat(r.services[0].affected_share, <=, 1.5 / 20);
+            g_assert_cmpfloat(r.services[1].affected_share, <=, 1.5 / 15);
+        }
+    }
+}
+
+/*
+ * Guards against a slow upstream that keeps its traffic for more than some
+ * tens of milliseconds, and one that does not get it back afterwards.
+ */
+static void
+test_slow_loses_traffic_and_returns(void)
+{
+    DriverOptions o = short_run(&deployment_tunis);
+    DriverResult r;
+
+    o.slow_share = 0.1;
+    o.until = 4 * MICROS_PER_S;
+    o.duration = 9 * MICROS_PER_S;
+    r = RoutingDriver_Run(&o);
+    g_assert_cmpfloat(r.services[0].affected_late, <=, 0.3 * 0.1);
+    g_assert_cmpfloat(r.services[0].affected_after, >=, 0.8 * 0.1);
+    g_assert_cmpfloat(r.services[0].affected_after, <=, 1.2 * 0.1);
+}
+
+static Micros
+p99_with(ReportMode reports)
+{
+    DriverOptions o = short_run(&deployment_tunis);
+
+    o.reports = reports;
+    return RoutingDriver_Run(&o).services[0].p99;
+}
+
+/* Guards against herding on reports that are late or always zero. */
+static void
+test_misleading_reports(void)
+{
+    double without = (double)p99_with(REPORTS_NONE);
+    double late = (double)p99_with(REPORTS_LATE);
+    double zero = (double)p99_with(REPORTS_ZERO);
+
+    g_assert_cmpfloat(late, <=, 1.15 * without);
+    g_assert_cmpfloat(zero, <=, 1.15 * without);
+}
+
+/* Guards against retries that multiply requests when nothing works. */
+static void
+test_everything_down(void)
+{
+    DriverOptions o = short_run(&deployment_tunis);
+    ServiceResult r;
+
+    o.down = true;
+    o.warmup = o.from;
+    r = RoutingDriver_Run(&o).services[0];
+    g_assert_cmpuint(r.sent * 10, <=, r.offered * 11);
+    g_assert_cmpuint(r.sent, >, r.offered / 2);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_message("seed %d", SEED);
+    g_test_add_func("/routing/draining", test_draining_gets_nothing);
+    g_test_add_func("/routing/draining-planted",
+                    test_planted_draining_is_caught);
+    g_test_add_func("/routing/probes", test_probe_budget_holds);
+    g_test_add_func("/routing/probes-planted",
+                    test_planted_overspend_is_caught);
+    g_test_add_func("/routing/connections", test_connections_hold);
+    g_test_add_func("/routing/failing", test_failing_draws_no_traffic);
+    g_test_add_func("/routing/slow", test_slow_loses_traffic_and_returns);
+    g_test_add_func("/routing/misleading", test_misleading_reports);
+    g_test_add_func("/routing/down", test_everything_down);
+    return g_test_run();
+}
