--- a/packages/net/HeaderList.c
+++ b/packages/net/HeaderList.c
@@ -49,8 +49,8 @@
     header = &g_array_index(this->headers, Header, this->headers->len - 1);
     header->name = g_string_new_len(name.data, (gssize)name.length);
     g_string_ascii_down(header->name);
-    header->value = g_string_new_len(value.length ? value.data : "",
-                                     (gssize)value.length);
+    header->value =
+        g_string_new_len(value.length ? value.data : "", (gssize)value.length);
 }
 
 void
