--- a/packages/core/ClaimRecord.c
+++ b/packages/core/ClaimRecord.c
@@ -79,6 +79,11 @@
     if (batch == NULL) {
         return ERR_PARSE;
     }
+    /* Foreign bytes often decode as a message of unknown fields. */
+    if (batch->version == 0 || batch->partitions == 0) {
+        agatecrank__claim_batch__free_unpacked(batch, NULL);
+        return ERR_PARSE;
+    }
     *partitions = batch->partitions;
     if (batch->minimum_reader > CLAIM_RECORD_VERSION) {
         agatecrank__claim_batch__free_unpacked(batch, NULL);
--- a/packages/core/Claims.c
+++ b/packages/core/Claims.c
@@ -10,7 +10,8 @@
 #define REMEMBER (3600 * MICROS_PER_S)
 #define MARGIN (180 * MICROS_PER_S)
 #define COLLECTOR_RATE 60.0
-#define DIRECT_RATE 20.0
+#define SUBSTITUTE_RATE 12.0
+#define DIRECT_RATE 8.0
 #define OVERDUE (250 * MICROS_PER_MS)
 #define MARKER_INTERVAL (300 * MICROS_PER_S)
 #define COLLECTOR_BURST 2.0
@@ -30,6 +31,7 @@
         .remember = REMEMBER,
         .margin = MARGIN,
         .collector_rate = COLLECTOR_RATE,
+        .substitute_rate = SUBSTITUTE_RATE,
         .direct_rate = DIRECT_RATE,
         .overdue = OVERDUE,
         .marker_interval = MARKER_INTERVAL,
@@ -129,10 +131,8 @@
     for (uint32_t i = 0; i < this->options.partitions; i++) {
         ClaimBatcher_SetRate(this->partitions[i].direct,
                              this->options.direct_rate * share, now);
-        if (!this->options.collect) {
-            ClaimBatcher_SetRate(this->partitions[i].collector,
-                                 this->options.collector_rate * share, now);
-        }
+        ClaimBatcher_SetRate(this->partitions[i].collector,
+                             Claims_CollectorRate(this, i), now);
     }
 }
 
@@ -178,18 +178,6 @@
                          .retry_after = retry_after};
 }
 
-static ClaimState
-answer_now(ClaimAnswer answer)
-{
-    return (ClaimState){.kind = CLAIM_STATE_ANSWER, .answer = answer};
-}
-
-static ClaimState
-wait_for_action(void)
-{
-    return (ClaimState){.kind = CLAIM_STATE_WAIT};
-}
-
 void
 Claims_AnswerOne(Claims *this, uint64_t request_id, const ClaimAnswer *answer)
 {
@@ -243,207 +231,6 @@
                            : this->partitions[pending->partition].table;
 }
 
-static bool
-same_request(const Claims *this, uint64_t a, uint64_t b)
-{
-    return a == b || this->options.fault == CLAIMS_FAULT_IGNORE_DIGEST;
-}
-
-static ClaimAnswer
-key_reused(void)
-{
-    return Claims_Reply(CLAIM_UNKNOWN, 422, "key-reused", 0);
-}
-
-static Pending *
-add_pending(Claims *this, const ClaimRequest *request, KeyHash hash,
-            const IdempotencyKey *key, uint64_t request_id)
-{
-    Pending *pending = PendingSet_Add(this->pending, hash);
-
-    pending->digest = request->digest;
-    pending->key_time_ms = key->time_ms;
-    pending->partition = (uint32_t)(hash.word[1] % this->options.partitions);
-    pending->issued = key->kind == KEY_ISSUED;
-    PendingSet_AddWaiter(
-        this->pending, pending,
-        (Waiter){.request_id = request_id, .deadline = request->deadline});
-    return pending;
-}
-
-static ClaimState
-join(Claims *this, Pending *pending, const ClaimRequest *request,
-     uint64_t request_id)
-{
-    Waiter waiter = {.request_id = request_id, .deadline = request->deadline};
-
-    if (!same_request(this, pending->digest, request->digest)) {
-        return answer_now(key_reused());
-    }
-    if (pending->waiters->len >= WAITERS_MAX) {
-        return answer_now(
-            Claims_Reply(CLAIM_UNKNOWN, 409, "key-running", RETRY_SOON));
-    }
-    PendingSet_AddWaiter(this->pending, pending, waiter);
-    return wait_for_action();
-}
-
-static ClaimState
-begin_known(Claims *this, const ClaimEntry *entry, const ClaimRequest *request,
-            const IdempotencyKey *key, uint64_t request_id)
-{
-    Pending *pending;
-
-    if (!same_request(this, entry->digest, request->digest)) {
-        return answer_now(key_reused());
-    }
-    if (Claims_IsMine(this, entry)) {
-        if (entry->state == ENTRY_NOT_RUN &&
-            this->options.fault == CLAIMS_FAULT_RUN_ABANDONED) {
-            pending = add_pending(this, request, entry->key, key, request_id);
-            Claims_Start(this, pending, Claims_TableOf(this, pending));
-            return wait_for_action();
-        }
-        return answer_now(Claims_AnswerOf(this, entry));
-    }
-    pending = add_pending(this, request, entry->key, key, request_id);
-    Claims_Ask(this, pending, ClaimHolders_Host(this->holders, entry->holder),
-               ClaimHolders_Incarnation(this->holders, entry->holder));
-    return wait_for_action();
-}
-
-/* Refusals of a key of which this host knows no claim. NULL reason: none. */
-static ClaimAnswer
-check_absent(const Claims *this, const ClaimTable *table,
-             const IdempotencyKey *key, Micros deadline)
-{
-    uint64_t wall_ms = (uint64_t)(Clock_Wall(this->clock) / MICROS_PER_MS);
-
-    if (key->time_ms < ClaimTable_Floor(table)) {
-        return Claims_Reply(CLAIM_UNKNOWN, 409, "key-expired", 0);
-    }
-    if (key->time_ms > wall_ms + CLAIM_FUTURE_MS) {
-        return Claims_Reply(CLAIM_UNKNOWN, 409, "key-from-future", 0);
-    }
-    if (deadline <= Clock_Now(this->clock)) {
-        return Claims_Reply(CLAIM_UNKNOWN, 504, "deadline", 0);
-    }
-    if (PendingSet_Count(this->pending) >= PENDING_MAX) {
-        return Claims_Reply(CLAIM_UNKNOWN, 503, "too-many-claims", RETRY_SOON);
-    }
-    return Claims_Reply(CLAIM_UNKNOWN, 0, NULL, 0);
-}
-
-static ClaimState
-begin_logged(Claims *this, const ClaimRequest *request, KeyHash hash,
-             const IdempotencyKey *key, uint64_t request_id)
-{
-    uint32_t number = (uint32_t)(hash.word[1] % this->options.partitions);
-    const Partition *partition = &this->partitions[number];
-    const ClaimEntry *entry = ClaimTable_Find(partition->table, hash);
-    ClaimAnswer refusal;
-    Pending *pending;
-
-    if (entry != NULL) {
-        return begin_known(this, entry, request, key, request_id);
-    }
-    if (this->disabled) {
-        return answer_now(
-            Claims_Reply(CLAIM_UNKNOWN, 503, "claims-disabled", 0));
-    }
-    if (!Claims_LogUsable(this, number)) {
-        ClaimOutcome outcome =
-            this->options.fault == CLAIMS_FAULT_OUTAGE_NOT_RUN ? CLAIM_NOT_RUN
-                                                               : CLAIM_UNKNOWN;
-        bool reading = partition->read_up && partition->append_up;
-
-        return answer_now(Claims_Reply(
-            outcome, 503, reading ? "catching-up" : "log-unavailable",
-            RETRY_LATER));
-    }
-    refusal = check_absent(this, partition->table, key, request->deadline);
-    if (refusal.reason != NULL) {
-        return answer_now(refusal);
-    }
-    pending = add_pending(this, request, hash, key, request_id);
-    Claims_Submit(this, pending);
-    return wait_for_action();
-}
-
-static void
-hold_issued(Claims *this, const Pending *pending)
-{
-    ClaimEntry entry = {
-        .key = pending->key,
-        .digest = pending->digest,
-        .time_s = (uint32_t)(pending->key_time_ms / 1000),
-        .holder = ClaimHolders_Take(this->holders, Claims_Host(this),
-                                    this->options.incarnation),
-        .state = ENTRY_RUNNING,
-    };
-
-    ClaimTable_Add(this->issued, &entry);
-}
-
-static ClaimState
-begin_issued(Claims *this, const ClaimRequest *request, KeyHash hash,
-             const IdempotencyKey *key, uint64_t request_id)
-{
-    const ClaimEntry *entry = ClaimTable_Find(this->issued, hash);
-    bool here = Str_Equal(key->host, Claims_Host(this));
-    ClaimAnswer refusal;
-    Pending *pending;
-
-    if (entry != NULL) {
-        return begin_known(this, entry, request, key, request_id);
-    }
-    if (this->options.fault == CLAIMS_FAULT_ISSUED_ANYWHERE) {
-        here = true;
-    }
-    else if (here && key->incarnation != this->options.incarnation) {
-        return answer_now(Claims_Reply(CLAIM_UNKNOWN, 409, "issuer-gone", 0));
-    }
-    refusal = check_absent(this, this->issued, key, request->deadline);
-    if (refusal.reason != NULL) {
-        return answer_now(refusal);
-    }
-    pending = add_pending(this, request, hash, key, request_id);
-    if (!here) {
-        pending->may_grant = true;
-        Claims_Ask(this, pending, key->host, key->incarnation);
-        return wait_for_action();
-    }
-    hold_issued(this, pending);
-    Claims_Start(this, pending, this->issued);
-    return wait_for_action();
-}
-
-ClaimState
-Claims_Begin(Claims *this, const ClaimRequest *request, uint64_t request_id)
-{
-    IdempotencyKey key;
-    KeyHash hash;
-    Pending *pending;
-
-    this->counters.begun++;
-    if (IdempotencyKey_Parse(&key, request->key) != 0) {
-        return answer_now(
-            Claims_Reply(CLAIM_NOT_RUN, 400, "key-malformed", 0));
-    }
-    hash = IdempotencyKey_Scope(&key, request->line,
-                                this->options.fault == CLAIMS_FAULT_UNSCOPED
-                                    ? (Str){NULL, 0}
-                                    : request->caller);
-    pending = PendingSet_Find(this->pending, hash);
-    if (pending != NULL) {
-        return join(this, pending, request, request_id);
-    }
-    if (key.kind == KEY_ISSUED) {
-        return begin_issued(this, request, hash, &key, request_id);
-    }
-    return begin_logged(this, request, hash, &key, request_id);
-}
-
 /* This host alone may run the key, and the table says that it runs. */
 void
 Claims_Start(Claims *this, Pending *pending, ClaimTable *table)
--- a/packages/core/Claims.h
+++ b/packages/core/Claims.h
@@ -52,6 +52,8 @@
  * @margin: added to the time of the first record read after a gap; at least
  *          CLAIM_FUTURE_MS; the rest covers a log clock that steps back
  * @collector_rate: appends/s of the collectors of all partitions together
+ * @substitute_rate: appends/s of a host that is sent claims although it is
+ *                   not the collector
  * @direct_rate: appends/s of the direct appends of all hosts together
  * @overdue: time after which a claim that was not read back is appended by
  *           the host itself
@@ -70,6 +72,7 @@
     Micros remember;
     Micros margin;
     double collector_rate;
+    double substitute_rate;
     double direct_rate;
     Micros overdue;
     Micros marker_interval;
@@ -280,7 +283,12 @@
 void Claims_OnFinished(Claims *this, uint64_t request_id, ClaimOutcome outcome,
                        Str answer);
 
-/** Claims_ReadFrom() - offset from which to read the partition next */
+/**
+ * Claims_ReadFrom() - offset from which to read the partition next
+ *
+ * The first read must not wait for records (wait_ms=0): keys are refused
+ * until its result is in, also if the stream is empty.
+ */
 uint64_t Claims_ReadFrom(const Claims *this, uint32_t partition);
 
 /** Claims_OnRecords() - result of a read, also one without records */
--- a/packages/core/ClaimsLog.c
+++ b/packages/core/ClaimsLog.c
@@ -19,46 +19,78 @@
     };
 }
 
-/* Rendezvous hash over the live hosts. */
-static Str
-collector_of(const Claims *this, uint32_t partition)
+/* Rendezvous hash over the live hosts: the collector and its substitute.
+ * Both are this host if it is alone. */
+static void
+find_collectors(const Claims *this, uint32_t partition, Str collectors[2])
 {
-    Str best = Claims_Host(this);
-    uint64_t best_weight = 0;
+    uint64_t weights[2] = {0, 0};
 
-    if (!this->options.collect) {
-        return best;
-    }
-    for (guint i = 0; i < this->hosts->len; i++) {
+    collectors[0] = Claims_Host(this);
+    collectors[1] = Claims_Host(this);
+    for (guint i = 0; i < this->hosts->len && this->options.collect; i++) {
         const GString *name = this->hosts->pdata[i];
         Str host = {name->str, name->len};
         uint64_t weight = Str_HashSeeded(host, COLLECTOR_SEED + partition);
 
-        if (i == 0 || weight > best_weight) {
-            best = host;
-            best_weight = weight;
+        if (i == 0 || weight > weights[0]) {
+            collectors[1] = collectors[0];
+            weights[1] = weights[0];
+            collectors[0] = host;
+            weights[0] = weight;
+        }
+        else if (i == 1 || weight > weights[1]) {
+            collectors[1] = host;
+            weights[1] = weight;
         }
     }
-    return best;
+}
+
+double
+Claims_CollectorRate(const Claims *this, uint32_t partition)
+{
+    const ClaimsOptions *options = &this->options;
+    Str collectors[2];
+
+    if (!options->collect) {
+        return options->collector_rate /
+               (double)(MAX(this->hosts->len, 1) * options->partitions);
+    }
+    find_collectors(this, partition, collectors);
+    return (Str_Equal(collectors[0], Claims_Host(this))
+                ? options->collector_rate
+                : options->substitute_rate) /
+           options->partitions;
 }
 
 static void
-submit_claim(Claims *this, const Pending *pending)
+send_claim(Claims *this, uint32_t partition, const Claim *claim, Str to)
 {
-    Claim claim = claim_of(this, pending);
-    Str collector = collector_of(this, pending->partition);
-    ClaimAction action = {.kind = CLAIM_SUBMIT, .host = collector};
+    ClaimAction action = {.kind = CLAIM_SUBMIT, .host = to};
 
-    if (Str_Equal(collector, Claims_Host(this))) {
-        ClaimBatcher_Add(this->partitions[pending->partition].collector,
-                         &claim);
+    if (Str_Equal(to, Claims_Host(this))) {
+        ClaimBatcher_Add(this->partitions[partition].collector, claim);
         return;
     }
-    action.submit = (ClaimSubmit){
-        .partition = pending->partition, .claims = &claim, .n = 1};
+    action.submit =
+        (ClaimSubmit){.partition = partition, .claims = claim, .n = 1};
     ClaimActions_Add(this->actions, &action);
 }
 
+static void
+submit_claim(Claims *this, const Pending *pending)
+{
+    const Partition *partition = &this->partitions[pending->partition];
+    Claim claim = claim_of(this, pending);
+    Str collectors[2];
+
+    find_collectors(this, pending->partition, collectors);
+    send_claim(this, pending->partition, &claim, collectors[0]);
+    if (Clock_Now(this->clock) < partition->suspect_until) {
+        send_claim(this, pending->partition, &claim, collectors[1]);
+    }
+}
+
 void
 Claims_Submit(Claims *this, Pending *pending)
 {
@@ -70,14 +102,15 @@
     Claims_PumpLog(this);
 }
 
-/* Appends the overdue claim itself, and resubmits it in case the message
- * was lost or the collector has changed. */
+/* An overdue claim goes to the substitute of the collector as well, which
+ * may be gone or cut off, and into the next direct append of this host.
+ * For a while, new claims go to both at once. */
 void
 Claims_RetryClaim(Claims *this, Pending *pending, Micros now)
 {
-    const Partition *partition = &this->partitions[pending->partition];
+    Partition *partition = &this->partitions[pending->partition];
     Claim claim = claim_of(this, pending);
-    Str collector = collector_of(this, pending->partition);
+    Str collectors[2];
 
     this->counters.resubmits++;
     pending->wait = MIN(pending->wait * 2, RESUBMIT_WAIT_MAX);
@@ -85,8 +118,10 @@
     if (!pending->direct) {
         pending->direct = ClaimBatcher_Add(partition->direct, &claim);
     }
-    if (!Str_Equal(collector, Claims_Host(this))) {
-        submit_claim(this, pending);
+    if (this->options.collect) {
+        partition->suspect_until = now + SUSPECT_TIME;
+        find_collectors(this, pending->partition, collectors);
+        send_claim(this, pending->partition, &claim, collectors[1]);
     }
 }
 
--- a/packages/core/ClaimsPrivate.h
+++ b/packages/core/ClaimsPrivate.h
@@ -16,8 +16,13 @@
 #define QUERY_WAIT_MAX MICROS_PER_S
 /* A claim is resubmitted at most this seldom. */
 #define RESUBMIT_WAIT_MAX (4 * MICROS_PER_S)
+/* After an overdue claim, the collector is doubted for this long. */
+#define SUSPECT_TIME (2 * MICROS_PER_S)
 /* While appends fail, each host tries a marker this often. */
 #define PROBE_INTERVAL (5 * MICROS_PER_S)
+/* Failing reads count as an outage after this long, so that one broken
+ * connection does not refuse requests. */
+#define READ_GRACE (250 * MICROS_PER_MS)
 /* Retry-After of refusals that a resend may get past. */
 #define RETRY_SOON MICROS_PER_S
 #define RETRY_LATER (5 * MICROS_PER_S)
@@ -31,6 +36,7 @@
  * @newest_ms: greatest append time read
  * @last_record: monotonic time of the newest record
  * @read_up: the last read succeeded
+ * @read_down_since: time of the first failure since the last success
  * @append_up: no append has failed since the last one that took effect
  */
 typedef struct Partition_ {
@@ -40,8 +46,10 @@
     uint64_t newest_ms;
     Micros last_record;
     bool read_up;
+    Micros read_down_since;
     bool append_up;
     Micros next_marker;
+    Micros suspect_until; /* claims go to the collector's substitute too */
     ClaimTable *table;
     ClaimBatcher *collector;
     ClaimBatcher *direct;
@@ -86,6 +94,7 @@
 
 /* ClaimsLog.c */
 void Claims_Submit(Claims *this, Pending *pending);
+double Claims_CollectorRate(const Claims *this, uint32_t partition);
 void Claims_PumpLog(Claims *this);
 void Claims_RetryClaim(Claims *this, Pending *pending, Micros now);
 Micros Claims_NextLogTick(const Claims *this);
--- a/packages/core/ClaimsRead.c
+++ b/packages/core/ClaimsRead.c
@@ -270,9 +270,16 @@
 void
 Claims_OnReadFailed(Claims *this, uint32_t partition)
 {
-    if (partition < this->options.partitions) {
-        this->partitions[partition].read_up = false;
+    Partition *failed;
+
+    if (partition >= this->options.partitions) {
+        return;
     }
+    failed = &this->partitions[partition];
+    if (failed->read_up) {
+        failed->read_down_since = Clock_Now(this->clock);
+    }
+    failed->read_up = false;
 }
 
 uint64_t
@@ -286,6 +293,10 @@
 {
     const Partition *partition = &this->partitions[number];
 
-    return partition->started && !partition->blind && partition->read_up &&
+    bool readable =
+        partition->read_up ||
+        Clock_Now(this->clock) < partition->read_down_since + READ_GRACE;
+
+    return partition->started && !partition->blind && readable &&
            partition->append_up && !this->disabled;
 }
--- a/tests/support/ClaimsWorld.c
+++ b/tests/support/ClaimsWorld.c
@@ -210,6 +210,7 @@
     host->paused_until = 0;
     host->next_tick = INT64_MAX;
     host->drain_due = false;
+    memset(host->asked, 0, sizeof(host->asked));
     Claims_SetHosts(host->claims, names, this->options.hosts);
     for (uint32_t p = 0; p < options.partitions; p++) {
         World_StartRead(this, number, p, 0);
@@ -545,6 +546,12 @@
     return this->added;
 }
 
+void
+ClaimsWorld_ClearAdded(ClaimsWorld *this)
+{
+    Histogram_Clear(this->added);
+}
+
 const Claims *
 ClaimsWorld_Host(const ClaimsWorld *this, uint32_t host)
 {
--- a/tests/support/ClaimsWorld.h
+++ b/tests/support/ClaimsWorld.h
@@ -103,6 +103,9 @@
 /** ClaimsWorld_Added() - time from arrival at a host to its dispatch */
 const Histogram *ClaimsWorld_Added(const ClaimsWorld *this);
 
+/** ClaimsWorld_ClearAdded() - start the measurement anew */
+void ClaimsWorld_ClearAdded(ClaimsWorld *this);
+
 /** ClaimsWorld_Host() - NULL while the host is dead */
 const Claims *ClaimsWorld_Host(const ClaimsWorld *this, uint32_t host);
 
--- a/tests/support/ClaimsWorldPrivate.h
+++ b/tests/support/ClaimsWorldPrivate.h
@@ -56,6 +56,7 @@
     Micros paused_until;
     Micros next_tick;
     bool drain_due;
+    bool asked[WORLD_PARTITIONS_MAX];   /* the first read was made */
     bool waiting[WORLD_PARTITIONS_MAX]; /* a read waits at the log */
     uint64_t wait_id[WORLD_PARTITIONS_MAX];
 } Host;
