Stop listening without cutting requests in flight

Cause: a test showed that destroying the library's vhost leaves its listening socket open, so a host that shuts down went on taking connections. Change: the server accepts on its own socket and hands connections to the library; a leaving host is not ready first, ends kept-alive connections, then closes the socket after drain.notice_ms. Conclusion: a graceful stop takes nothing new and finishes what runs.

--- a/packages/agatecrankd/Daemon.c
+++ b/packages/agatecrankd/Daemon.c
@@ -49,6 +49,7 @@
     uint64_t incarnation;
     bool ready;
     bool leaving;
+    Micros notice_until;
     Micros leave_until;
     Micros claims_until;
     int exit_code;
@@ -185,6 +186,10 @@
 static void
 check_drained(Daemon *this)
 {
+    if (Clock_Now(this->clock) < this->notice_until) {
+        return;
+    }
+    Proxy_StopListening(this->proxy);
     if (Proxy_OpenRequests(this->proxy) == 0) {
         finish(this, EXIT_DRAINED);
     }
@@ -214,7 +219,10 @@
         EventLog_End(this->log);
     }
     PeerExchange_Leave(this->peers);
-    Proxy_StopListening(this->proxy);
+    Proxy_CloseKeptAlive(this->proxy);
+    this->notice_until =
+        Clock_Now(this->clock) +
+        (Micros)this->settings->drain_notice_ms * MICROS_PER_MS;
 }
 
 static void
--- a/packages/config/Settings.c
+++ b/packages/config/Settings.c
@@ -134,6 +134,7 @@
 
 static const Field drain_fields[] = {
     {"timeout_s", FIELD_U32, AT(drain_timeout_s), false, 0, 3600, NULL},
+    {"notice_ms", FIELD_U32, AT(drain_notice_ms), false, 0, 60000, NULL},
     END,
 };
 
@@ -176,6 +177,7 @@
     this->response_buffer_bytes = 65536;
     this->connections_max = 10000;
     this->drain_timeout_s = 30;
+    this->drain_notice_ms = 1000;
 }
 
 /* A fault of one key; its place is that of the key, or of its table. */
--- a/packages/config/Settings.h
+++ b/packages/config/Settings.h
@@ -62,6 +62,7 @@
     uint32_t request_buffer_bytes;  /* each stream, caller to upstream */
     uint32_t response_buffer_bytes; /* each stream, upstream to caller */
     uint32_t connections_max;
+    uint32_t drain_notice_ms; /* not ready, but connections are taken */
     uint32_t drain_timeout_s;
     StrList forward_headers; /* passed on beside the well-known ones */
     TextStore *store;        /* owns all strings */
--- a/packages/net/HttpServer.c
+++ b/packages/net/HttpServer.c
@@ -1,11 +1,17 @@
 #include "HttpServer.h"
 
+#include <arpa/inet.h>
+#include <errno.h>
 #include <glib.h>
 #include <libwebsockets.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #define WRITE_PIECE_BYTES 16384
 #define HEADER_BLOCK_BYTES 16384
+#define LISTEN_BACKLOG 1024
+#define ACCEPTS_PER_EVENT 64
 /* "hex digits CR LF" before and "CR LF" after each chunk. */
 #define CHUNK_OVERHEAD_BYTES 20
 
@@ -24,7 +30,10 @@
     void *user;
     const char *const *extra_headers;
     size_t open_requests;
+    int listen_fd;
+    uint16_t port;
     bool stopping;
+    bool closing_kept;
 };
 
 struct HttpRequest_ {
@@ -234,7 +243,7 @@
     if (request->content_length < 0) {
         request->content_length = 0;
     }
-    request->close_after = server->stopping;
+    request->close_after = server->closing_kept;
     if (!check_request(request)) {
         return;
     }
@@ -462,23 +471,69 @@
     }
 }
 
-HttpServer *
-HttpServer_Create(Loop *loop, const HttpServerOptions *options,
-                  const HttpServerHandlers *handlers, void *user, Error *error)
+/* The listening socket is our own, because the library has no call that
+ * closes one and lets the requests of its connections finish. */
+static int
+open_socket(HttpServer *this, const HttpServerOptions *options)
+{
+    struct sockaddr_in place = {.sin_family = AF_INET,
+                                .sin_port = htons(options->port)};
+    socklen_t length = sizeof(place);
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    int on = 1;
+
+    if (fd < 0) {
+        return -1;
+    }
+    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    if (inet_pton(AF_INET, options->address, &place.sin_addr) != 1 ||
+        bind(fd, (struct sockaddr *)&place, sizeof(place)) < 0 ||
+        listen(fd, LISTEN_BACKLOG) < 0 ||
+        getsockname(fd, (struct sockaddr *)&place, &length) < 0) {
+        close(fd);
+        return -1;
+    }
+    this->port = ntohs(place.sin_port);
+    return fd;
+}
+
+static void
+accept_callers(void *user)
+{
+    HttpServer *this = user;
+
+    for (int i = 0; i < ACCEPTS_PER_EVENT && !this->stopping; i++) {
+        int fd =
+            accept4(this->listen_fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+
+        if (fd < 0) {
+            return;
+        }
+        /* On failure the library has closed the socket. */
+        lws_adopt_socket_vhost(this->vhost, fd);
+    }
+}
+
+static int
+start_listening(HttpServer *this, const HttpServerOptions *options,
+                Error *error)
+{
+    this->listen_fd = open_socket(this, options);
+    if (this->listen_fd < 0) {
+        return Error_Set(error, ERR_IO, "listen", Str_FromC(options->address),
+                         "cannot listen on %s:%u: %s", options->address,
+                         options->port, strerror(errno));
+    }
+    return Loop_Watch(this->loop, this->listen_fd, accept_callers, this,
+                      error);
+}
+
+static struct lws_vhost *
+create_vhost(HttpServer *this, const HttpServerOptions *options)
 {
     struct lws_context_creation_info info = {0};
-    HttpServer *this = g_new0(HttpServer, 1);
 
-    this->loop = loop;
-    this->handlers = *handlers;
-    this->user = user;
-    this->extra_headers = options->extra_headers;
-    this->protocols[0].name = "http";
-    this->protocols[0].callback = server_callback;
-    this->protocols[0].per_session_data_size = sizeof(Session);
-    this->protocols[0].user = this;
-    info.port = options->port;
-    info.iface = options->address;
+    info.port = CONTEXT_PORT_NO_LISTEN_SERVER;
     info.vhost_name = "callers";
     info.protocols = this->protocols;
     info.keepalive_timeout = options->keep_alive_s;
@@ -493,11 +548,32 @@
         info.options |= LWS_SERVER_OPTION_REQUIRE_VALID_OPENSSL_CLIENT_CERT;
         info.ssl_ca_filepath = options->client_ca_file;
     }
-    info.options |= LWS_SERVER_OPTION_FAIL_UPON_UNABLE_TO_BIND;
-    this->vhost = lws_create_vhost(Loop_Context(loop), &info);
+    return lws_create_vhost(Loop_Context(this->loop), &info);
+}
+
+HttpServer *
+HttpServer_Create(Loop *loop, const HttpServerOptions *options,
+                  const HttpServerHandlers *handlers, void *user, Error *error)
+{
+    HttpServer *this = g_new0(HttpServer, 1);
+
+    this->loop = loop;
+    this->handlers = *handlers;
+    this->user = user;
+    this->extra_headers = options->extra_headers;
+    this->protocols[0].name = "http";
+    this->protocols[0].callback = server_callback;
+    this->protocols[0].per_session_data_size = sizeof(Session);
+    this->protocols[0].user = this;
+    this->vhost = create_vhost(this, options);
     if (this->vhost == NULL) {
-        Error_Set(error, ERR_IO, "listen", Str_FromC(options->address),
-                  "cannot listen on %s:%u", options->address, options->port);
+        Error_Set(error, ERR_INVALID, "listen", Str_FromC(options->address),
+                  "a certificate or key file can not be used");
+        g_free(this);
+        return NULL;
+    }
+    if (start_listening(this, options, error) < 0) {
+        lws_vhost_destroy(this->vhost);
         g_free(this);
         return NULL;
     }
@@ -507,7 +583,13 @@
 uint16_t
 HttpServer_Port(const HttpServer *this)
 {
-    return (uint16_t)lws_get_vhost_listen_port(this->vhost);
+    return this->port;
+}
+
+void
+HttpServer_CloseKeptAlive(HttpServer *this)
+{
+    this->closing_kept = true;
 }
 
 void
@@ -517,9 +599,9 @@
         return;
     }
     this->stopping = true;
-    if (!Loop_IsClosing(this->loop)) {
-        lws_vhost_destroy(this->vhost);
-    }
+    this->closing_kept = true;
+    shutdown(this->listen_fd, SHUT_RDWR);
+    Loop_Unwatch(this->loop, this->listen_fd);
 }
 
 void
@@ -605,7 +687,7 @@
     if (!body_is_whole(this)) {
         this->close_after = true;
     }
-    if (this->server->stopping) {
+    if (this->server->closing_kept) {
         this->close_after = true;
     }
     this->answer_headers = HeaderList_Create();
--- a/packages/net/HttpServer.h
+++ b/packages/net/HttpServer.h
@@ -60,7 +60,10 @@
 /** HttpServer_Port() - TCP port, also if the options gave 0 */
 uint16_t HttpServer_Port(const HttpServer *this);
 
-/** HttpServer_StopListening() - accept no more, close kept-alive callers */
+/** HttpServer_CloseKeptAlive() - end each connection after its next answer */
+void HttpServer_CloseKeptAlive(HttpServer *this);
+
+/** HttpServer_StopListening() - the same, and accept no more connections */
 void HttpServer_StopListening(HttpServer *this);
 
 /** HttpServer_Destroy() - release; the loop closes the connections */
--- a/packages/net/Loop.c
+++ b/packages/net/Loop.c
@@ -22,6 +22,7 @@
     const Clock *clock;
     LoopSignalHandler *signal_handler;
     void *signal_user;
+    GHashTable *watches; /* descriptor to wsi */
     int signal_fd;
     bool stopped;
     bool closing;
@@ -35,6 +36,8 @@
 };
 
 typedef struct Watch_ {
+    Loop *loop;
+    int fd;
     LoopHandler *handler;
     void *user;
 } Watch;
@@ -66,6 +69,7 @@
     }
     if (reason == LWS_CALLBACK_RAW_CLOSE_FILE && watch != NULL) {
         lws_set_opaque_user_data(wsi, NULL);
+        g_hash_table_remove(watch->loop->watches, GINT_TO_POINTER(watch->fd));
         g_free(watch);
     }
     return 0;
@@ -97,6 +101,7 @@
 
     this->clock = clock;
     this->signal_fd = -1;
+    this->watches = g_hash_table_new(g_direct_hash, g_direct_equal);
     library_log = log;
     lws_set_log_level(LLL_ERR, log_library_line);
     info.options =
@@ -111,6 +116,7 @@
     if (this->context == NULL) {
         Error_Set(error, ERR_IO, "loop-create", STR(""),
                   "libwebsockets could not create its context");
+        g_hash_table_destroy(this->watches);
         g_free(this);
         return NULL;
     }
@@ -144,6 +150,7 @@
         return;
     }
     Loop_Close(this);
+    g_hash_table_destroy(this->watches);
     g_free(this);
 }
 
@@ -184,6 +191,8 @@
     Watch *watch = g_new0(Watch, 1);
     struct lws *wsi;
 
+    watch->loop = this;
+    watch->fd = fd;
     watch->handler = handler;
     watch->user = user;
     wsi = lws_adopt_descriptor_vhost(this->vhost, LWS_ADOPT_RAW_FILE_DESC,
@@ -194,9 +203,21 @@
                          "could not add descriptor %d to the loop", fd);
     }
     lws_set_opaque_user_data(wsi, watch);
+    g_hash_table_insert(this->watches, GINT_TO_POINTER(fd), wsi);
     return 0;
 }
 
+void
+Loop_Unwatch(Loop *this, int fd)
+{
+    struct lws *wsi = g_hash_table_lookup(this->watches, GINT_TO_POINTER(fd));
+
+    if (wsi == NULL || this->closing) {
+        return;
+    }
+    lws_set_timeout(wsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
+}
+
 static void
 read_signal(void *user)
 {
--- a/packages/net/Loop.h
+++ b/packages/net/Loop.h
@@ -63,6 +63,9 @@
 int Loop_Watch(Loop *this, int fd, LoopHandler *handler, void *user,
                Error *error);
 
+/** Loop_Unwatch() - stop watching @fd and close it; unknown ones are ignored */
+void Loop_Unwatch(Loop *this, int fd);
+
 /** Loop_WatchSignals() - SIGTERM and SIGINT go to @handler; blocks both */
 int Loop_WatchSignals(Loop *this, LoopSignalHandler *handler, void *user,
                       Error *error);
--- a/packages/net/Proxy.c
+++ b/packages/net/Proxy.c
@@ -787,6 +787,12 @@
     g_free(this);
 }
 
+void
+Proxy_CloseKeptAlive(Proxy *this)
+{
+    HttpServer_CloseKeptAlive(this->server);
+}
+
 void
 Proxy_StopListening(Proxy *this)
 {
--- a/packages/net/Proxy.h
+++ b/packages/net/Proxy.h
@@ -43,6 +43,9 @@
 /** Proxy_Drain() - do what the balancer decided since the last call */
 void Proxy_Drain(Proxy *this);
 
+/** Proxy_CloseKeptAlive() - end each connection after its next answer */
+void Proxy_CloseKeptAlive(Proxy *this);
+
 /** Proxy_StopListening() - take no new connections */
 void Proxy_StopListening(Proxy *this);
 
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -341,6 +341,35 @@
     }
 }
 
+static void
+stop_listening(void *user)
+{
+    Fixture *f = user;
+
+    HttpServer_StopListening(f->server);
+}
+
+/* Guards against a shutdown that cuts a request in flight. */
+static void
+test_stop_listening(void)
+{
+    Fixture f;
+    LoopTimer *stop;
+
+    set_up(&f);
+    stop = LoopTimer_Create(f.loop, stop_listening, &f);
+    LoopTimer_Start(stop, 50 * MICROS_PER_MS);
+    send_and_run(&f, STR("GET"), STR("/slow"), STR(""));
+    g_assert_cmpint(f.code, ==, 0);
+    g_assert_cmpuint(f.length, ==, 4);
+    g_assert_cmpuint(f.server_closed_early, ==, 0);
+    send_and_run(&f, STR("GET"), STR("/x"), STR(""));
+    g_assert_cmpint(f.code, <, 0);
+    g_assert_false(f.bytes_given);
+    LoopTimer_Destroy(stop);
+    tear_down(&f);
+}
+
 /* Guards against a peer that accepts and never answers. */
 static void
 test_silent_peer(void)
@@ -366,6 +395,7 @@
     g_test_add_func("/net/http/broken-answer", test_broken_answer);
     g_test_add_func("/net/http/refused-connection", test_refused_connection);
     g_test_add_func("/net/http/methods", test_methods);
+    g_test_add_func("/net/http/stop-listening", test_stop_listening);
     g_test_add_func("/net/http/silent-peer", test_silent_peer);
     return g_test_run();
 }
