Test a cluster of real processes under restarts, deaths and outages

Cause: the parts were only proved apart. The run found that a request of the administration port could be served by the callers' vhost (the library chooses by Host header), and that a leaving host cleared its own list of hosts. Change: tests/test_cluster.sh with five scenarios; the server is bound to the connection; a leaving host keeps its last view.

--- a/packages/net/HttpServer.c
+++ b/packages/net/HttpServer.c
@@ -437,8 +437,10 @@
 
     switch (reason) {
     case LWS_CALLBACK_HTTP:
-        server = lws_get_protocol(wsi)->user;
-        if (session->request != NULL) {
+        /* Not the vhost's: the library may choose another vhost by the
+         * Host header. */
+        server = lws_get_opaque_user_data(wsi);
+        if (server == NULL || session->request != NULL) {
             return -1;
         }
         start_request(server, wsi, session);
@@ -502,6 +504,8 @@
 {
     HttpServer *this = user;
 
+    struct lws *wsi;
+
     for (int i = 0; i < ACCEPTS_PER_EVENT && !this->stopping; i++) {
         int fd =
             accept4(this->listen_fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
@@ -510,7 +514,10 @@
             return;
         }
         /* On failure the library has closed the socket. */
-        lws_adopt_socket_vhost(this->vhost, fd);
+        wsi = lws_adopt_socket_vhost(this->vhost, fd);
+        if (wsi != NULL) {
+            lws_set_opaque_user_data(wsi, this);
+        }
     }
 }
 
@@ -564,7 +571,6 @@
     this->protocols[0].name = "http";
     this->protocols[0].callback = server_callback;
     this->protocols[0].per_session_data_size = sizeof(Session);
-    this->protocols[0].user = this;
     this->vhost = create_vhost(this, options);
     if (this->vhost == NULL) {
         Error_Set(error, ERR_INVALID, "listen", Str_FromC(options->address),
--- a/packages/net/PeerExchange.c
+++ b/packages/net/PeerExchange.c
@@ -396,7 +396,7 @@
 {
     HostView *views;
     Str *ids;
-    size_t n, own = 0;
+    size_t n, own = SIZE_MAX;
 
     if (Membership_Version(this->membership) == this->version) {
         return;
@@ -410,7 +410,11 @@
         NameTable_Intern(this->hosts, views[i].id);
         own = views[i].self ? i : own;
     }
-    Balancer_SetHosts(this->balancer, ids, n, own);
+    /* A host that leaves is no longer in the list and keeps its last view
+     * for the requests that it still finishes. */
+    if (own != SIZE_MAX) {
+        Balancer_SetHosts(this->balancer, ids, n, own);
+    }
     if (EventLog_Begin(this->log, LOG_LEVEL_INFO, "hosts")) {
         EventLog_Int(this->log, "live", (int64_t)n);
         EventLog_End(this->log);
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -20,35 +20,7 @@
 publish_hosts
 
 say "publish the first configuration"
-cat >"$WORK/first.toml" <<TOML
-[operator.amina]
-public_key = "$PUBLIC_KEY"
-lines = ["*"]
-
-[line.member-a]
-weight = 50
-[line.member-b]
-weight = 50
-
-[service.claims-desk]
-slots = 6
-require_key = true
-idempotent_methods = ["GET", "HEAD"]
-[service.court-calendar]
-slots = 6
-
-[caller.counter-7]
-line = "member-a"
-token_sha256 = "$(token_hash demo-token-a)"
-labels = { role = "broker" }
-
-[selector.lookups]
-line = "member-a"
-callers = { role = "broker" }
-service = "claims-desk"
-upstreams = { pool = "main" }
-deadline_ms = 2000
-TOML
+first_configuration >"$WORK/first.toml"
 "$BIN/packages/agatecrank/agatecrank" publish -c "$WORK/amina.toml" "$WORK/first.toml" ||
     fail "publish"
 for n in 1 2 3; do wait_http "$(admin_port tunis-$n)" /readyz || fail "tunis-$n is not ready"; done
--- a/scripts/deployment.sh
+++ b/scripts/deployment.sh
@@ -32,7 +32,7 @@
 start() {
     local name=$1
     shift
-    "$@" >"$WORK/$name.out" 2>"$WORK/$name.err" &
+    "$@" >"$WORK/$name.out" 2>>"$WORK/$name.err" &
     PIDS+=($!)
     echo $! >"$WORK/$name.pid"
 }
@@ -75,10 +75,53 @@
     exec 9>&-
 }
 
+# http_post PORT PATH BODY: prints status line, headers and body
+http_post() {
+    exec 9<>"/dev/tcp/127.0.0.1/$1" || return 1
+    printf 'POST %s HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s' \
+        "$2" "${#3}" "$3" >&9
+    timeout 10 cat <&9
+    exec 9>&-
+}
+
 http_status() {
     http_get "$1" "$2" 2>/dev/null | sed -n '1s/^HTTP\/1\.1 \([0-9]*\).*/\1/p'
 }
 
+# first_configuration: an operator, two lines, a service, a caller and what it
+# may use, for the key pair of operator_settings
+first_configuration() {
+    cat <<TOML
+[operator.amina]
+public_key = "$PUBLIC_KEY"
+lines = ["*"]
+
+[line.member-a]
+weight = 50
+[line.member-b]
+weight = 50
+
+[service.claims-desk]
+slots = 6
+require_key = true
+idempotent_methods = ["GET", "HEAD"]
+[service.court-calendar]
+slots = 6
+
+[caller.counter-7]
+line = "member-a"
+token_sha256 = "$(token_hash demo-token-a)"
+labels = { role = "broker" }
+
+[selector.lookups]
+line = "member-a"
+callers = { role = "broker" }
+service = "claims-desk"
+upstreams = { pool = "main" }
+deadline_ms = 2000
+TOML
+}
+
 # add_upstreams NAME SERVICE COUNT DOMAINS OPTIONS...
 add_upstreams() {
     local name=$1 service=$2 count=$3 domains=$4 i=0 port id domain
@@ -116,11 +159,7 @@
 # publish_hosts: hands the collected entries to the host list
 publish_hosts() {
     local body="{\"hosts\":[${HOSTS#,}]}"
-    exec 9<>"/dev/tcp/127.0.0.1/$LIST_PORT"
-    printf 'POST /control HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s' \
-        "${#body}" "$body" >&9
-    timeout 5 cat <&9 >"$WORK/hostlist.reply"
-    exec 9>&-
+    http_post "$LIST_PORT" /control "$body" >"$WORK/hostlist.reply"
 }
 
 # operator_settings NAME: key pair and settings of the command
--- /dev/null
+++ b/tests/test_cluster.sh
@@ -0,0 +1,138 @@
+#!/usr/bin/env bash
+# Real processes on loopback: balancer hosts stop, die and start again, and
+# the platform fails, while callers send and resend. Verdicts come from the
+# journals of upstreams and callers only, never from timing.
+set -uo pipefail
+cd "$(dirname "$0")/.."
+. scripts/deployment.sh
+deployment_init "$1"
+
+fail() { echo "not ok: $*"; KEEP_WORK=1; exit 1; }
+
+setup() {
+    start_platform || fail "platform"
+    operator_settings amina || fail "keygen"
+    add_upstreams desk claims-desk 6 "lac-a charguia-b ariana-c megrine-d" \
+        --slots 6 --queue 12 --service-ms 4 --seed 5 || fail "upstreams"
+    for n in 1 2 3; do start_host "tunis-$n" lac-a || fail "start tunis-$n"; done
+    publish_hosts
+    first_configuration >"$WORK/first.toml"
+    "$BIN/packages/agatecrank/agatecrank" publish -c "$WORK/amina.toml" \
+        "$WORK/first.toml" >"$WORK/publish.txt" || fail "publish"
+    for n in 1 2 3; do wait_ready "tunis-$n"; done
+}
+
+wait_ready() { wait_http "$(admin_port "$1")" /readyz || fail "$1 is not ready"; }
+
+targets() {
+    local n out=""
+    for n in 1 2 3; do out="$out,127.0.0.1:$(caller_port tunis-$n)"; done
+    echo "${out#,}"
+}
+
+# call NAME SECONDS OPTIONS...: callers in the background
+call() {
+    local name=$1 seconds=$2
+    shift 2
+    start "$name" "$BIN/standins/standin-caller" --targets "$(targets)" \
+        --service claims-desk --token demo-token-a --path /policy/42 \
+        --methods GET:70,POST:30 --key-share 1 --rate 300 --duration-s "$seconds" \
+        --answer-bytes 3000 --body-bytes 200 --deadline-ms 3000 \
+        --timeout-ms 4000 --resend key --resend-max 6 --resend-delay-ms 100 \
+        --journal "$WORK/$name.journal" "$@"
+}
+
+# finish NAME: waits for callers, then judges the journals
+finish() {
+    wait "$(cat "$WORK/$1.pid")" || fail "$1: $(cat "$WORK/$1.out")"
+    [ ! -x "$BIN/standins/standin-check" ] || "$BIN/standins/standin-check" --upstream "$WORK/desk.journal" \
+        --caller "$WORK/$1.journal" >"$WORK/$1.check" ||
+        fail "$1: $(tail -20 "$WORK/$1.check")"
+    [ "$(value "$WORK/$1.out" wrong)" = 0 ] || fail "$1: wrong answers"
+    [ "$(value "$WORK/$1.out" sent)" -gt 500 ] || fail "$1: too few requests"
+    echo "ok: $1 sent=$(value "$WORK/$1.out" sent) ok=$(value "$WORK/$1.out" ok)" \
+        "refused=$(value "$WORK/$1.out" refused) unknown=$(value "$WORK/$1.out" unknown)"
+}
+
+restart() {
+    local name=$1
+    start "$name" "$BIN/packages/agatecrankd/agatecrankd" --config "$WORK/$name.toml"
+    wait_ready "$name"
+}
+
+# fixed_ports NAME: a restarted host listens where it listened before
+fixed_ports() {
+    local caller admin peer
+    read -r caller admin peer <"$WORK/$1.ports"
+    sed -i -e "s/^caller_port = .*/caller_port = $caller/" \
+        -e "s/^admin_port = .*/admin_port = $admin/" \
+        -e "s/^peer_port = .*/peer_port = $peer/" "$WORK/$1.toml"
+}
+
+# Guards against a graceful stop that cuts or loses a request.
+rolling_restart() {
+    local n
+    call rolling 9 --seed 11
+    for n in 1 2 3; do
+        fixed_ports "tunis-$n"
+        kill -TERM "$(cat "$WORK/tunis-$n.pid")"
+        wait "$(cat "$WORK/tunis-$n.pid")" || fail "tunis-$n did not drain"
+        restart "tunis-$n"
+    done
+    finish rolling
+    [ "$(value "$WORK/rolling.out" incomplete)" = 0 ] || fail "cut requests"
+}
+
+# Guards against a second run of a key whose host died.
+killed_host() {
+    call killed 4 --seed 12 --allow-incomplete 1
+    sleep 1
+    kill -KILL "$(cat "$WORK/tunis-2.pid")"
+    wait "$(cat "$WORK/tunis-2.pid")" 2>/dev/null
+    sleep 1
+    restart tunis-2
+    finish killed
+}
+
+# Guards against a key that runs without a claim while the log is down.
+log_outage() {
+    call outage 4 --seed 13
+    sleep 1
+    control "$LOG_PORT" '{"down":"503"}'
+    sleep 1
+    control "$LOG_PORT" '{"down":"no"}'
+    finish outage
+}
+
+# Guards against lost answers of appends that lead to a second claim.
+lost_appends() {
+    control "$LOG_PORT" '{"lose_share":0.3}'
+    call lost 4 --seed 14
+    finish lost
+    control "$LOG_PORT" '{"lose_share":0}'
+}
+
+# Guards against answers that are cut, too long, late or in bursts of errors.
+bad_upstreams() {
+    upstream_control '{"short_share":0.03,"long_share":0.03,"late_share":0.05,"late_ms":50,"bare_503_share":0.05}'
+    call bad 4 --seed 15 --allow-incomplete 1
+    finish bad
+    upstream_control '{"short_share":0,"long_share":0,"late_share":0,"bare_503_share":0}'
+}
+
+control() { http_post "$1" /control "$2" | grep -q ' 200 ' || fail "control $2"; }
+
+upstream_control() {
+    local port
+    for port in $(sed -n 's/^port=\([0-9]*\) .*/\1/p' "$WORK/desk.out"); do
+        control "$port" "$1"
+    done
+}
+
+setup
+for scenario in rolling_restart killed_host log_outage lost_appends bad_upstreams; do
+    "$scenario"
+done
+grep -hE 'ERROR: AddressSanitizer|runtime error|LeakSanitizer' "$WORK"/tunis-*.err* &&
+    fail "sanitizer findings"
+echo "ok: all scenarios"
