--- a/standins/HttpServer.c
+++ b/standins/HttpServer.c
@@ -168,7 +168,11 @@
 
     g_hash_table_iter_init(&iter, this->connections);
     while (g_hash_table_iter_next(&iter, &connection, NULL)) {
-        ((HttpConnection *)connection)->silent = true;
+        HttpConnection *open = connection;
+
+        open->silent =
+            open->request == NULL ||
+            !Str_Equal(HttpRequest_Path(open->request), STR("/control"));
     }
 }
 
--- a/standins/HttpServer.h
+++ b/standins/HttpServer.h
@@ -65,7 +65,8 @@
 
 /**
  * HttpServer_SilenceOpen() - the connections that are open now are read from
- * but never answered again; new ones work
+ * but never answered again; new ones work, and those that hold a request for
+ * /control
  */
 void HttpServer_SilenceOpen(HttpServer *this);
 
--- /dev/null
+++ b/tests/test_standins.sh
@@ -0,0 +1,180 @@
+#!/usr/bin/env bash
+# Runs the stand-ins as real processes and checks that each fault that other
+# tests inject does what it says and is seen by the load tool or the checker.
+set -uo pipefail
+cd "$(dirname "$0")/.."
+STANDINS_BUILD=$1
+STANDINS_DIR=$(mktemp -d)
+. scripts/standins.sh
+trap 'standin_stop_all; rm -rf "$STANDINS_DIR"' EXIT
+failures=0
+
+# expect TEXT ACTUAL OPERATOR BOUND
+expect() {
+    if ! [ "$2" "$3" "$4" ]; then
+        echo "FAIL $1: $2 $3 $4"
+        failures=$((failures + 1))
+    fi
+}
+
+# field NAME: the first value of that name in a JSON text.
+field() { grep -o "\"$1\":[^,}]*" | head -n 1 | sed 's/^[^:]*://; s/"//g'; }
+
+check() {
+    "$STANDINS_BUILD/standins/standin-check" -u "$STANDINS_DIR/$1.journal" \
+        -c "$STANDINS_DIR/$2.journal" > "$STANDINS_DIR/check.out"
+}
+
+# An answer lost after the write, an outage, expiry and lag must look to a
+# client as they do at the platform.
+test_log() {
+    standin_log log --retain-count 3 || return 1
+    local port=${STANDIN_PORT[log]} answer
+    expect "first offset" "$(standin_http POST "$port" /streams/a one)" = '{"offset":0}'
+    standin_http POST "$port" /streams/a two > /dev/null
+    answer=$(standin_http GET "$port" "/streams/a?from=1" "" | cut -d' ' -f1,3)
+    expect "read" "$answer" = $'1 3\ntwo'
+    standin_control log '{"lose_next":1}' > /dev/null
+    standin_http POST "$port" /streams/a three > /dev/null
+    expect "lost answer" $? -ne 0
+    standin_control log '{"lag_ms":300}' > /dev/null
+    expect "lagging read" "$(standin_http GET "$port" "/streams/a?from=2" "" | wc -c)" -eq 0
+    answer=$(standin_http GET "$port" "/streams/a?from=2&wait_ms=5000" "" | tail -n 1)
+    expect "long poll" "$answer" = three
+    standin_http POST "$port" /streams/a four > /dev/null
+    expect "retention" "$(standin_show log | field first)" -eq 1
+    standin_control log '{"down":"503"}' > /dev/null
+    standin_http POST "$port" /streams/a five > /dev/null
+    expect "down" $? -ne 0
+    expect "not written while down" "$(standin_show log | field next)" -eq 4
+    standin_stop log
+    expect "log exit code" $? -eq 0
+}
+
+# A change must not be seen before its lag is over, and then in full.
+test_hostlist() {
+    standin_hostlist hosts || return 1
+    local port=${STANDIN_PORT[hosts]} tries=0
+    standin_control hosts '{"hosts":[{"id":"a","state":"live"}]}' > /dev/null
+    standin_control hosts '{"lag_ms":400,"set":[{"id":"a","state":"leaving"}]}' > /dev/null
+    expect "before the lag" "$(standin_http GET "$port" /hosts "" | field state)" = live
+    until [ "$(standin_http GET "$port" /hosts "" | field state)" = leaving ] ||
+        [ $((tries += 1)) -gt 100 ]; do
+        sleep 0.05
+    done
+    expect "after the lag" "$tries" -le 100
+    standin_stop hosts
+}
+
+# Without faults nothing may be counted as one.
+test_calls() {
+    standin_upstream u --count 3 --slots 50 --service-ms 2 || return 1
+    standin_call plain "$(standin_targets u)" --rate 300 --count 300 \
+        --methods GET:50,POST:40,HEAD:5,DELETE:5
+    expect "plain exit code" $? -eq 0
+    expect "plain ok" "$(standin_value plain ok)" -eq 300
+    standin_call large "$(standin_targets u)" --rate 10 --count 2 \
+        --methods POST:1 --body-bytes 67108864 --answer-bytes 67108864
+    expect "64 MiB exit code" $? -eq 0
+    expect "64 MiB resident KiB" \
+        "$(sed -n 's/^VmRSS:[[:space:]]*\([0-9]*\) kB/\1/p' "/proc/${STANDIN_PID[u]}/status")" -lt 49152
+    check u plain
+    expect "plain check" $? -eq 0
+}
+
+# Each answer fault must be noticed by the caller.
+test_answer_faults() {
+    local targets
+    targets=$(standin_targets u)
+    standin_control u '{"all":true,"short_share":1}' > /dev/null
+    standin_call short "$targets" --rate 200 --count 20
+    expect "short exit code" $? -eq 1
+    expect "short" "$(standin_value short incomplete)" -eq 20
+    standin_control u '{"all":true,"short_share":0,"long_share":1}' > /dev/null
+    standin_call long "$targets" --rate 200 --count 20
+    expect "long exit code" $? -eq 1
+    expect "long" "$(standin_value long excess)" -eq 20
+    standin_control u '{"all":true,"long_share":0,"fail_share":1}' > /dev/null
+    standin_call fail "$targets" --rate 200 --count 20
+    expect "fail" "$(standin_value fail status_500)" -eq 20
+    standin_control u '{"all":true,"fail_share":0,"bare_503_share":1}' > /dev/null
+    standin_call bare "$targets" --rate 200 --count 20
+    expect "bare 503 has no outcome" "$(standin_value bare outcome_none)" -eq 20
+    standin_control u '{"all":true,"bare_503_share":0,"slots":0}' > /dev/null
+    standin_call shed "$targets" --rate 200 --count 20
+    expect "shed" "$(standin_value shed refused)" -eq 20
+    check u shed
+    expect "shed check" $? -eq 0
+    standin_control u '{"all":true,"slots":50}' > /dev/null
+}
+
+# Late answers make the caller send a key again, which a bare upstream runs
+# again: the checker must say so.
+test_double_run() {
+    standin_control u '{"all":true,"late_share":1,"late_ms":5000}' > /dev/null
+    standin_call twice "$(standin_targets u)" --rate 200 --count 5 \
+        --methods POST:1 --resend key --resend-max 2 --timeout-ms 200
+    expect "timeouts" "$(standin_value twice timeouts)" -eq 10
+    check u twice
+    expect "double run exit code" $? -eq 1
+    expect "double run" "$(standin_value check key-ran-twice)" -eq 5
+    standin_control u '{"all":true,"late_share":0}' > /dev/null
+}
+
+# A caller that goes away must free the slot; a deadline must end the work.
+test_cancel() {
+    standin_call cancel "$(standin_targets u)" --rate 200 --count 20 \
+        --service-ms 3000 --cancel-share 1 --cancel-ms 20
+    expect "cancelled calls" "$(standin_value cancel cancelled)" -eq 20
+    local tries=0 sum=0
+    until [ "$sum" -eq 20 ] || [ $((tries += 1)) -gt 100 ]; do
+        sum=0
+        for i in 0 1 2; do
+            sum=$((sum + $(standin_show u "$i" | field cancelled)))
+        done
+    done
+    expect "cancelled at upstreams" "$sum" -eq 20
+    standin_call deadline "$(standin_targets u)" --rate 200 --count 10 \
+        --service-ms 60000 --deadline-ms 50
+    expect "deadline" "$(standin_value deadline status_504)" -eq 10
+}
+
+# Connections that go silent, and an upstream that dies and comes back.
+test_silence_and_crash() {
+    local port tries=0
+    port=$(standin_ports u | head -n 1)
+    standin_call_background silent "127.0.0.1:$port" --rate 100 --count 10 \
+        --service-ms 1000 --timeout-ms 3000
+    until [ "$(standin_show u | field inflight)" -eq 10 ] || [ $((tries += 1)) -gt 100 ]; do
+        sleep 0.02
+    done
+    standin_control u '{"silence":"open"}' > /dev/null
+    expect "new connections work" "$(standin_http GET "$port" /load "" | cut -c1-9)" = inflight=
+    standin_wait silent
+    expect "silent" "$(standin_value silent lost_timeout)" -eq 10
+    standin_control u '{"crash_marker":"BOOM","crash_mode":"down","crash_down_ms":400}' > /dev/null
+    standin_call crash "127.0.0.1:$port" --rate 100 --count 1 \
+        --methods POST:1 --marker BOOM --marker-share 1
+    expect "crash" "$(standin_value crash lost_closed)" -eq 1
+    tries=0
+    until standin_http GET "$port" /health "" 2> /dev/null || [ $((tries += 1)) -gt 100 ]; do
+        sleep 0.05
+    done
+    expect "back after the crash" "$tries" -le 100
+    standin_control u '{"crash_mode":"exit"}' > /dev/null
+    standin_call exit "127.0.0.1:$port" --rate 100 --count 1 \
+        --methods POST:1 --marker BOOM --marker-share 1
+    standin_wait u
+    expect "exit code of a crash" $? -eq 9
+}
+
+for name in test_log test_hostlist test_calls test_answer_faults \
+    test_double_run test_cancel test_silence_and_crash; do
+    before=$failures
+    "$name" || { [ "$failures" -gt "$before" ] || failures=$((failures + 1)); }
+    [ "$failures" -eq "$before" ] && echo "ok $name" || echo "not ok $name"
+done
+for file in "$STANDINS_DIR"/*.err; do
+    [ -s "$file" ] && { echo "FAIL output in $(basename "$file"):"; cat "$file"; failures=$((failures + 1)); }
+done
+[ "$failures" -eq 0 ]
