--- /dev/null
+++ b/standins/UpstreamJob.c
@@ -0,0 +1,187 @@
+#include "UpstreamJob.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "Pattern.h"
+
+#define ID_BYTES_MAX 256
+#define HEADER_BYTES_MAX 1536
+#define EXTRA_BYTES 16
+
+Micros
+Upstream_Now(const Upstream *this)
+{
+    return Clock_Now(this->environment.clock);
+}
+
+static double
+number_header(HttpRequest *request, const char *name, double otherwise)
+{
+    g_autofree char *value = HttpRequest_Header(request, name);
+
+    return value != NULL ? g_ascii_strtod(value, NULL) : otherwise;
+}
+
+static char *
+request_id(Upstream *this, HttpRequest *request)
+{
+    g_autofree char *given = HttpRequest_Header(request, "x-request-id");
+
+    if (given == NULL || *given == '\0') {
+        return g_strdup_printf("%s:%" G_GUINT64_FORMAT, this->id,
+                               this->next_id++);
+    }
+    return g_strndup(given, ID_BYTES_MAX);
+}
+
+Job *
+Job_Create(Upstream *this, HttpRequest *request)
+{
+    Job *job = g_new0(Job, 1);
+    Str path = HttpRequest_Path(request);
+    double deadline_ms;
+
+    job->upstream = this;
+    job->request = request;
+    job->id = request_id(this, request);
+    job->seed = Pattern_Seed(Str_FromC(job->id));
+    job->key = HttpRequest_Header(request, "idempotency-key");
+    job->path = g_strndup(path.data, path.length);
+    job->wanted_ms = number_header(request, "x-service-ms", -1);
+    job->answer_bytes = (uint64_t)number_header(
+        request, "x-answer-bytes", (double)this->settings.answer_bytes);
+    deadline_ms = number_header(request, "agatecrank-deadline-ms", 0);
+    if (deadline_ms > 0) {
+        job->deadline =
+            Upstream_Now(this) + (Micros)(deadline_ms * MICROS_PER_MS);
+    }
+    job->digest = BodyDigest_Create(this->settings.crash_marker);
+    HttpRequest_SetData(request, job);
+    return job;
+}
+
+void
+Job_Destroy(Job *this)
+{
+    BodyDigest_Destroy(this->digest);
+    g_free(this->id);
+    g_free(this->key);
+    g_free(this->path);
+    g_free(this);
+}
+
+void
+Upstream_WriteLoad(Upstream *this, bool draining, char *out, size_t size)
+{
+    const UpstreamSettings *s = &this->settings;
+    LoadSample load = LoadHistory_At(
+        this->history, Upstream_Now(this) - s->report_lag_ms * MICROS_PER_MS);
+
+    if (strcmp(s->report_lie, "zero") == 0) {
+        load.inflight = 0;
+        load.queue = 0;
+    }
+    else if (strcmp(s->report_lie, "full") == 0) {
+        load.inflight = (uint32_t)s->slots;
+        load.queue = (uint32_t)s->queue;
+    }
+    snprintf(out, size, "inflight=%u slots=%d queue=%u draining=%d",
+             load.inflight, (int)s->slots, load.queue, draining);
+}
+
+static void
+write_headers(Job *job, const char *more, char *out, size_t size)
+{
+    Upstream *this = job->upstream;
+    char load[128] = "";
+    char report[192] = "";
+
+    if (this->settings.report) {
+        Upstream_WriteLoad(this, this->settings.draining != 0, load,
+                           sizeof(load));
+        snprintf(report, sizeof(report), "agatecrank-load: %s\r\n", load);
+    }
+    snprintf(out, size,
+             "x-upstream: %s\r\nx-request-id: %s\r\nx-body-sha256: %s\r\n"
+             "%s%s",
+             this->id, job->id, job->sha256, report, more);
+}
+
+void
+Job_AnswerEmpty(Job *job, int status, const char *more)
+{
+    char headers[HEADER_BYTES_MAX];
+
+    write_headers(job, more, headers, sizeof(headers));
+    HttpRequest_Answer(job->request, status, headers, STR(""));
+}
+
+void
+Job_AnswerNotRun(Job *job, const char *why)
+{
+    EventLog *line =
+        Journal_Begin(job->upstream->environment.journal, "refuse");
+
+    EventLog_C(line, "upstream", job->upstream->id);
+    EventLog_C(line, "request_id", job->id);
+    EventLog_C(line, "key", job->key);
+    EventLog_C(line, "reason", why);
+    EventLog_End(line);
+    job->state = JOB_FINISHED;
+    Job_AnswerEmpty(job, 503, "agatecrank-outcome: not-run\r\n");
+}
+
+static void
+fill_answer(void *user, uint64_t offset, char *out, size_t length)
+{
+    Pattern_Fill(((Job *)user)->seed, offset, out, length);
+}
+
+void
+Job_AnswerOk(Job *job)
+{
+    char headers[HEADER_BYTES_MAX];
+    uint64_t length = job->answer_bytes;
+    uint64_t send = length;
+
+    if (job->fault == FAULT_SHORT) {
+        send = length / 2;
+    }
+    if (job->fault == FAULT_LONG) {
+        send = length + EXTRA_BYTES;
+    }
+    write_headers(job, "content-type: application/octet-stream\r\n", headers,
+                  sizeof(headers));
+    HttpRequest_AnswerStream(job->request, 200, headers, length, send,
+                             fill_answer, job);
+}
+
+void
+Job_JournalStart(const Job *job)
+{
+    EventLog *line =
+        Journal_Begin(job->upstream->environment.journal, "start");
+
+    EventLog_C(line, "upstream", job->upstream->id);
+    EventLog_C(line, "request_id", job->id);
+    EventLog_C(line, "key", job->key);
+    EventLog_C(line, "method", HttpRequest_Method(job->request));
+    EventLog_C(line, "path", job->path);
+    EventLog_C(line, "sha256", job->sha256);
+    EventLog_Int(line, "bytes", (int64_t)HttpRequest_Length(job->request));
+    EventLog_End(line);
+}
+
+void
+Job_JournalEnd(const Job *job, const char *outcome, int status)
+{
+    EventLog *line = Journal_Begin(job->upstream->environment.journal, "end");
+
+    EventLog_C(line, "upstream", job->upstream->id);
+    EventLog_C(line, "request_id", job->id);
+    EventLog_C(line, "key", job->key);
+    EventLog_C(line, "outcome", outcome);
+    EventLog_Int(line, "status", status);
+    EventLog_End(line);
+}
