Add a tester for malformed requests, split the log's streams off

A balancer must refuse ambiguous framing, and its own library's client can not send it. standin-malformed sends 39 cases over plain sockets (both lengths, repeated headers, chunked in disguise, bare line ends, oversized heads, early close, slow bytes) and reports each status and the number of answers; it exits 1 if a bad request gets a 2xx or a good one does not.

--- a/standins/standin-log.c
+++ b/standins/standin-log.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "Control.h"
+#include "LogStream.h"
 #include "Random.h"
 
 #define RECORD_BYTES_MAX (256 * 1024)
@@ -52,18 +53,6 @@
      "no, 503, silent (no answer) or close"},
 };
 
-typedef struct Record_ {
-    uint64_t offset;
-    Micros wall;
-    Micros seen; /* monotonic time of the append */
-    GBytes *bytes;
-} Record;
-
-typedef struct Stream_ {
-    GQueue records; /* Record, oldest first */
-    uint64_t next;
-} Stream;
-
 typedef struct Counters_ {
     int64_t appends;
     int64_t refused;
@@ -78,7 +67,7 @@
     Counters counters;
     Clock *clock;
     Random *random;
-    GHashTable *streams; /* name -> Stream */
+    GHashTable *streams; /* name -> LogStream */
     HttpLoop *loop;
     Timer wake;
     GHashTable *waiting; /* HttpRequest -> itself: reads that wait */
@@ -86,31 +75,19 @@
     Micros refilled;
 } LogService;
 
-static void
-free_record(void *pointer)
-{
-    Record *record = pointer;
-
-    g_bytes_unref(record->bytes);
-    g_free(record);
-}
-
 static void
 free_stream(void *pointer)
 {
-    Stream *stream = pointer;
-
-    g_queue_clear_full(&stream->records, free_record);
-    g_free(stream);
+    LogStream_Destroy(pointer);
 }
 
-static Stream *
+static LogStream *
 get_stream(LogService *log, const HttpRequest *request)
 {
     Str path = HttpRequest_Path(request);
     Str prefix = STR("/streams/");
     g_autofree char *name = NULL;
-    Stream *stream;
+    LogStream *stream;
 
     if (!Str_StartsWith(path, prefix) || path.length == prefix.length) {
         return NULL;
@@ -118,98 +95,32 @@
     name = g_strndup(path.data + prefix.length, path.length - prefix.length);
     stream = g_hash_table_lookup(log->streams, name);
     if (stream == NULL) {
-        stream = g_new0(Stream, 1);
-        g_queue_init(&stream->records);
+        stream = LogStream_Create();
         g_hash_table_insert(log->streams, g_strdup(name), stream);
     }
     return stream;
 }
 
-static uint64_t
-first_offset(const Stream *stream)
-{
-    const Record *first = g_queue_peek_head((GQueue *)&stream->records);
-
-    return first != NULL ? first->offset : stream->next;
-}
-
 static void
-expire(LogService *log, Stream *stream)
+expire(LogService *log, LogStream *stream)
 {
-    Micros now = Clock_Now(log->clock);
-    int64_t count = log->options.retain_count;
     Micros age = log->options.retain_ms * MICROS_PER_MS;
-    Record *record;
+    Micros before = age > 0 ? Clock_Now(log->clock) - age : INT64_MIN;
 
-    while ((record = g_queue_peek_head(&stream->records)) != NULL) {
-        bool old = age > 0 && record->seen + age <= now;
-        bool over = count > 0 && stream->records.length > count;
-
-        if (!old && !over) {
-            return;
-        }
-        free_record(g_queue_pop_head(&stream->records));
-        log->counters.expired++;
-    }
+    log->counters.expired += (int64_t)LogStream_Expire(
+        stream, (uint64_t)log->options.retain_count, before);
 }
 
 /* Reads are served as by a replica that is lag_ms behind. */
 static uint64_t
-visible_next(const LogService *log, const Stream *stream)
+visible_next(const LogService *log, const LogStream *stream)
 {
-    Micros limit = Clock_Now(log->clock) - log->options.lag_ms * MICROS_PER_MS;
-    const GList *link = stream->records.tail;
-
-    while (link != NULL && ((const Record *)link->data)->seen > limit) {
-        link = link->prev;
-    }
-    return link != NULL ? ((const Record *)link->data)->offset + 1
-                        : first_offset(stream);
-}
-
-/* Most reads want the newest records, so the search starts at the end. */
-static const GList *
-find_offset(const Stream *stream, uint64_t from)
-{
-    const GList *link = stream->records.tail;
-
-    if (link == NULL || ((const Record *)link->data)->offset < from) {
-        return NULL;
-    }
-    while (link->prev != NULL &&
-           ((const Record *)link->prev->data)->offset >= from) {
-        link = link->prev;
-    }
-    return link;
+    return LogStream_VisibleNext(
+        stream, Clock_Now(log->clock) - log->options.lag_ms * MICROS_PER_MS);
 }
 
 static void
-append_records(const LogService *log, const Stream *stream, uint64_t from,
-               uint64_t next, uint64_t max, GString *out)
-{
-    const GList *link = find_offset(stream, from);
-
-    for (; link != NULL && max > 0; link = link->next, max--) {
-        const Record *record = link->data;
-        gsize length;
-        const char *data = g_bytes_get_data(record->bytes, &length);
-
-        if (record->offset >= next ||
-            (out->len > 0 &&
-             out->len + length > (gsize)log->options.max_read_bytes)) {
-            return;
-        }
-        g_string_append_printf(
-            out,
-            "%" G_GUINT64_FORMAT " %" G_GINT64_FORMAT " %" G_GSIZE_FORMAT "\n",
-            record->offset, (gint64)(record->wall / MICROS_PER_MS), length);
-        g_string_append_len(out, data, (gssize)length);
-        g_string_append_c(out, '\n');
-    }
-}
-
-static void
-answer_read(LogService *log, HttpRequest *request, Stream *stream,
+answer_read(LogService *log, HttpRequest *request, LogStream *stream,
             uint64_t next)
 {
     uint64_t from = HttpRequest_Query(request, "from", 0);
@@ -217,12 +128,13 @@
     GString *body = g_string_new(NULL);
     char headers[128];
 
-    from = MAX(from, first_offset(stream));
-    append_records(log, stream, from, next, max, body);
+    from = MAX(from, LogStream_First(stream));
+    LogStream_Read(stream, from, next, max,
+                   (uint64_t)log->options.max_read_bytes, body);
     snprintf(headers, sizeof(headers),
              "log-first: %" G_GUINT64_FORMAT "\r\nlog-next: %" G_GUINT64_FORMAT
              "\r\n",
-             first_offset(stream), next);
+             LogStream_First(stream), next);
     log->counters.reads++;
     log->counters.read_bytes += (int64_t)body->len;
     g_hash_table_remove(log->waiting, request);
@@ -234,25 +146,25 @@
 end_wait(void *user, HttpRequest *request)
 {
     LogService *log = user;
-    Stream *stream = get_stream(log, request);
+    LogStream *stream = get_stream(log, request);
 
     expire(log, stream);
     answer_read(log, request, stream, visible_next(log, stream));
 }
 
 static bool
-has_news(LogService *log, HttpRequest *request, Stream *stream)
+has_news(LogService *log, HttpRequest *request, LogStream *stream)
 {
     uint64_t from = HttpRequest_Query(request, "from", 0);
 
-    return MAX(from, first_offset(stream)) < visible_next(log, stream);
+    return MAX(from, LogStream_First(stream)) < visible_next(log, stream);
 }
 
 static void
 serve_read(void *user, HttpRequest *request)
 {
     LogService *log = user;
-    Stream *stream = get_stream(log, request);
+    LogStream *stream = get_stream(log, request);
     uint64_t wait_ms = HttpRequest_Query(request, "wait_ms", 0);
 
     expire(log, stream);
@@ -272,7 +184,7 @@
 
     for (GList *link = requests; link != NULL; link = link->next) {
         HttpRequest *request = link->data;
-        Stream *stream = get_stream(log, request);
+        LogStream *stream = get_stream(log, request);
 
         if (has_news(log, request, stream)) {
             answer_read(log, request, stream, visible_next(log, stream));
@@ -288,7 +200,7 @@
 
     g_hash_table_iter_init(&iter, log->streams);
     while (g_hash_table_iter_next(&iter, NULL, &stream)) {
-        if (visible_next(log, stream) < ((Stream *)stream)->next) {
+        if (visible_next(log, stream) < LogStream_Next(stream)) {
             return true;
         }
     }
@@ -340,21 +252,17 @@
 serve_append(void *user, HttpRequest *request)
 {
     LogService *log = user;
-    Stream *stream = get_stream(log, request);
+    LogStream *stream = get_stream(log, request);
     Str body = Control_Body(request);
-    Record *record;
+    uint64_t offset;
 
     if (!take_append_token(log)) {
         log->counters.refused++;
         HttpRequest_Answer(request, 503, "", STR(""));
         return;
     }
-    record = g_new0(Record, 1);
-    record->offset = stream->next++;
-    record->wall = Clock_Wall(log->clock);
-    record->seen = Clock_Now(log->clock);
-    record->bytes = g_bytes_new(body.data, body.length);
-    g_queue_push_tail(&stream->records, record);
+    offset = LogStream_Append(stream, body, Clock_Now(log->clock),
+                              Clock_Wall(log->clock));
     log->counters.appends++;
     expire(log, stream);
     if (loses_answer(log)) {
@@ -363,8 +271,7 @@
     }
     else {
         HttpRequest_AnswerJson(
-            request, 200,
-            json_pack("{s:I}", "offset", (json_int_t)record->offset));
+            request, 200, json_pack("{s:I}", "offset", (json_int_t)offset));
     }
     on_wake(&log->wake);
 }
@@ -382,8 +289,9 @@
     while (g_hash_table_iter_next(&iter, &name, &stream)) {
         json_object_set_new(streams, name,
                             json_pack("{s:I, s:I}", "first",
-                                      (json_int_t)first_offset(stream), "next",
-                                      (json_int_t)((Stream *)stream)->next));
+                                      (json_int_t)LogStream_First(stream),
+                                      "next",
+                                      (json_int_t)LogStream_Next(stream)));
     }
     return json_pack("{s:I, s:I, s:I, s:I, s:I, s:I, s:o, s:o}", "appends",
                      c->appends, "refused", c->refused, "lost", c->lost,
--- a/tests/test_standins.sh
+++ b/tests/test_standins.sh
@@ -139,6 +139,19 @@
     expect "deadline" "$(standin_value deadline status_504)" -eq 10
 }
 
+# The tester must tell refusals from acceptance, and the strict reader of the
+# upstream must run nothing that came in disguise.
+test_malformed() {
+    standin_background malformed standins/standin-malformed \
+        --target "127.0.0.1:$(standin_ports u | tail -n 1)" --timeout-ms 300
+    standin_wait malformed
+    expect "malformed exit code" $? -eq 0
+    expect "plain" "$(standin_value malformed plain)" = 200
+    expect "both lengths" "$(standin_value malformed both_lengths)" = 400
+    expect "pipelined" "$(standin_value malformed pipelined_answers)" -eq 2
+    expect "smuggled" "$(grep -c path=/smuggled "$STANDINS_DIR/u.journal")" -eq 0
+}
+
 # Connections that go silent, and an upstream that dies and comes back.
 test_silence_and_crash() {
     local port tries=0
@@ -169,7 +182,7 @@
 }
 
 for name in test_log test_hostlist test_calls test_answer_faults \
-    test_double_run test_cancel test_silence_and_crash; do
+    test_double_run test_cancel test_malformed test_silence_and_crash; do
     before=$failures
     "$name" || { [ "$failures" -gt "$before" ] || failures=$((failures + 1)); }
     [ "$failures" -eq "$before" ] && echo "ok $name" || echo "not ok $name"
