--- a/packages/core/Gossip.h
+++ b/packages/core/Gossip.h
@@ -9,6 +9,8 @@
 #define GOSSIP_MEMBERS_MAX 64
 #define GOSSIP_BEATS_MAX 256
 #define GOSSIP_ITEMS_MAX 128
+/** GOSSIP_WANTED_MAX - most tags asked for in a message */
+#define GOSSIP_WANTED_MAX 16
 /** GOSSIP_KEY_BYTES - bytes of a CURVE public key */
 #define GOSSIP_KEY_BYTES 32
 
@@ -30,10 +32,17 @@
     bool leaving;
 } GossipMember;
 
-/** struct GossipBeat_ - heartbeat of the host with this tag */
+/** GOSSIP_BEAT_UNIT - unit of the age of a heartbeat */
+#define GOSSIP_BEAT_UNIT (50 * MICROS_PER_MS)
+
+/**
+ * struct GossipBeat_ - heartbeat of the host with this tag
+ * @age: time since the sender heard of it, rounded up to GOSSIP_BEAT_UNIT
+ */
 typedef struct GossipBeat_ {
     uint32_t tag;
     uint32_t heartbeat;
+    Micros age;
 } GossipBeat;
 
 /**
@@ -57,6 +66,8 @@
     size_t beat_count;
     GossipItem items[GOSSIP_ITEMS_MAX];
     size_t item_count;
+    uint32_t wanted[GOSSIP_WANTED_MAX]; /* tags of hosts not known */
+    size_t wanted_count;
 } Gossip;
 
 /** Gossip_Tag() - the tag of a host's incarnation */
--- a/packages/core/GossipCodec.c
+++ b/packages/core/GossipCodec.c
@@ -12,6 +12,7 @@
     Agatecrank__GossipMember *member_list[GOSSIP_MEMBERS_MAX];
     uint32_t tags[GOSSIP_BEATS_MAX];
     uint32_t beats[GOSSIP_BEATS_MAX];
+    uint32_t beat_ages[GOSSIP_BEATS_MAX];
     Agatecrank__GossipOrigin origins[GOSSIP_ITEMS_MAX];
     Agatecrank__GossipOrigin *origin_list[GOSSIP_ITEMS_MAX];
     size_t origin_count;
@@ -119,14 +120,24 @@
     body->members = writer->member_list;
 }
 
+static uint32_t
+beat_units(Micros age)
+{
+    return (age_ms(age) * MICROS_PER_MS + GOSSIP_BEAT_UNIT - 1) /
+           GOSSIP_BEAT_UNIT;
+}
+
 static void
 write_beats(Writer *writer, const Gossip *gossip, Agatecrank__Gossip *body)
 {
     for (size_t i = 0; i < gossip->beat_count; i++) {
         writer->tags[i] = gossip->beats[i].tag;
         writer->beats[i] = gossip->beats[i].heartbeat;
+        writer->beat_ages[i] = beat_units(gossip->beats[i].age);
     }
     body->n_beat_tags = body->n_beats = gossip->beat_count;
+    body->n_beat_ages = gossip->beat_count;
+    body->beat_ages = writer->beat_ages;
     body->beat_tags = writer->tags;
     body->beats = writer->beats;
 }
@@ -282,6 +293,8 @@
     write_members(&writer, gossip, &body);
     write_beats(&writer, gossip, &body);
     write_items(&writer, gossip, &body);
+    body.n_wanted = gossip->wanted_count;
+    body.wanted = (uint32_t *)gossip->wanted;
     message.body_case = AGATECRANK__PEER_MESSAGE__BODY_GOSSIP;
     message.gossip = &body;
     return PeerMessage_Encode(envelope, &message, out);
@@ -457,7 +470,8 @@
     uint64_t bad = 0;
 
     if (PeerMessage_Body(message) != AGATECRANK__PEER_MESSAGE__BODY_GOSSIP ||
-        body->n_beat_tags != body->n_beats) {
+        body->n_beat_tags != body->n_beats ||
+        body->n_beat_ages != body->n_beats) {
         return ERR_PROTOCOL;
     }
     gossip->from = PeerMessage_Host(message);
@@ -478,6 +492,11 @@
     for (size_t i = 0; i < gossip->beat_count; i++) {
         gossip->beats[i].tag = body->beat_tags[i];
         gossip->beats[i].heartbeat = body->beats[i];
+        gossip->beats[i].age = (Micros)body->beat_ages[i] * GOSSIP_BEAT_UNIT;
+    }
+    gossip->wanted_count = MIN(body->n_wanted, GOSSIP_WANTED_MAX);
+    for (size_t i = 0; i < gossip->wanted_count; i++) {
+        gossip->wanted[i] = body->wanted[i];
     }
     for (size_t i = 0; i < body->n_items; i++) {
         bad += read_item(body, body->items[i], gossip);
--- a/packages/core/GossipDraft.c
+++ b/packages/core/GossipDraft.c
@@ -9,8 +9,9 @@
 #define FIXED64_BYTES 9
 #define ENVELOPE_BYTES (2 + 2 * FIELD_BYTES + FIXED64_BYTES + 4)
 #define MEMBER_BYTES (5 * FIELD_BYTES + FIXED64_BYTES + 6 + 6 + 2)
-#define BEAT_BYTES 9
-#define LISTS_BYTES (2 * FIELD_BYTES)
+#define BEAT_BYTES 11
+#define WANTED_BYTES 4
+#define LISTS_BYTES (4 * FIELD_BYTES)
 #define ITEM_BYTES (FIELD_BYTES + 3 + 6 + 6 + 2 + FIELD_BYTES)
 #define REFERENCE_BYTES 3
 #define FINGERPRINT_BYTES                                                     \
@@ -29,6 +30,7 @@
     this->gossip.member_count = 0;
     this->gossip.beat_count = 0;
     this->gossip.item_count = 0;
+    this->gossip.wanted_count = 0;
     this->name_count = 0;
     this->limit = limit;
     this->bytes = ENVELOPE_BYTES + LISTS_BYTES + envelope->deployment.length +
@@ -70,6 +72,17 @@
     return true;
 }
 
+bool
+GossipDraft_AddWanted(GossipDraft *this, uint32_t tag)
+{
+    if (this->gossip.wanted_count == GOSSIP_WANTED_MAX ||
+        !take_bytes(this, WANTED_BYTES)) {
+        return false;
+    }
+    this->gossip.wanted[this->gossip.wanted_count++] = tag;
+    return true;
+}
+
 /* Bytes for a name that the message does not have yet; notes it. */
 static size_t
 name_bytes(GossipDraft *this, Str name)
--- a/packages/core/GossipDraft.h
+++ b/packages/core/GossipDraft.h
@@ -30,6 +30,9 @@
 /** GossipDraft_AddBeat() - false if it does not fit */
 bool GossipDraft_AddBeat(GossipDraft *this, const GossipBeat *beat);
 
+/** GossipDraft_AddWanted() - false if it does not fit */
+bool GossipDraft_AddWanted(GossipDraft *this, uint32_t tag);
+
 /** GossipDraft_AddItem() - false if it does not fit */
 bool GossipDraft_AddItem(GossipDraft *this, const GossipItem *item);
 
--- a/packages/core/ItemStore.c
+++ b/packages/core/ItemStore.c
@@ -481,8 +481,7 @@
 }
 
 size_t
-ItemStore_Select(ItemStore *this, StoredItem **items, size_t max, bool relay,
-                 Micros now)
+ItemStore_Select(ItemStore *this, StoredItem **items, size_t max, Micros now)
 {
     Ranked heap[SELECT_MAX] = {0};
     size_t count = 0;
@@ -491,7 +490,7 @@
     for (size_t i = 0; i < this->count; i++) {
         StoredItem *item = this->items[i];
 
-        if ((item->own || (relay && item->hops < ITEM_HOPS_MAX)) &&
+        if ((item->own || item->hops < ITEM_HOPS_MAX) &&
             !is_expired(item, now)) {
             heap_offer(heap, &count, max, (Ranked){rank_of(item, now), item});
         }
--- a/packages/core/ItemStore.h
+++ b/packages/core/ItemStore.h
@@ -65,12 +65,11 @@
 
 /**
  * ItemStore_Select() - items for a message, the most urgent first
- * @relay: also items of other hosts
  *
  * Return: number of items written, at most @max.
  */
 size_t ItemStore_Select(ItemStore *this, StoredItem **items, size_t max,
-                        bool relay, Micros now);
+                        Micros now);
 
 /** ItemStore_Sent() - an item of _Select() is in a message */
 void ItemStore_Sent(ItemStore *this, StoredItem *item, bool urgent);
--- a/packages/core/MemberTable.c
+++ b/packages/core/MemberTable.c
@@ -99,7 +99,7 @@
 uint32_t
 MemberTable_Spread(const MemberTable *this)
 {
-    uint32_t spread = 4;
+    uint32_t spread = 3;
 
     for (size_t n = this->present; n > 0; n /= 2) {
         spread++;
@@ -205,7 +205,7 @@
 {
     member->changed = now;
     member->sends_left = MemberTable_Spread(this);
-    member->hot_left = member->leaving ? MemberTable_Spread(this) : 0;
+    member->hot_left = member->leaving ? MemberTable_Spread(this) / 2 : 0;
     this->version++;
 }
 
@@ -318,11 +318,23 @@
             if (beat->heartbeat <= this->members[i]->heartbeat) {
                 return MEMBER_SAME;
             }
-            return refresh_member(this, this->members[i], beat->heartbeat, now,
-                                  now);
+            return refresh_member(this, this->members[i], beat->heartbeat,
+                                  now - beat->age, now);
+        }
+    }
+    return this->count < this->rules.max ? MEMBER_UNKNOWN : MEMBER_SAME;
+}
+
+void
+MemberTable_Want(MemberTable *this, uint32_t tag)
+{
+    for (size_t i = 0; i < this->count; i++) {
+        Member *member = this->members[i];
+
+        if (this->tags[i] == tag && member->state == HOST_LIVE) {
+            member->wanted = true;
         }
     }
-    return MEMBER_SAME;
 }
 
 static void
--- a/packages/core/MemberTable.h
+++ b/packages/core/MemberTable.h
@@ -13,6 +13,7 @@
  * @state: HOST_LIVE, HOST_SUSPECT or HOST_REMOVED
  * @sends_left: messages that should still carry its full record
  * @hot_left: urgent messages that should still carry it
+ * @wanted: a peer has asked for its record
  */
 typedef struct Member_ {
     char id[PEER_NAME_MAX + 1];
@@ -30,6 +31,7 @@
     bool leaving;
     uint32_t sends_left;
     uint32_t hot_left;
+    bool wanted;
 } Member;
 
 /** enum MemberChange_ - what a record did */
@@ -42,6 +44,7 @@
     MEMBER_LEAVING,
     MEMBER_OLD,     /* of an earlier incarnation: ignored */
     MEMBER_REFUSED, /* too old, or no room */
+    MEMBER_UNKNOWN, /* heartbeat of a host that is not known */
 } MemberChange;
 
 /** struct MemberRules_ - times and bounds, see MembershipOptions */
@@ -80,6 +83,9 @@
 MemberChange MemberTable_Beat(MemberTable *this, const GossipBeat *beat,
                               Micros now);
 
+/** MemberTable_Want() - a peer asks for the record of this tag */
+void MemberTable_Want(MemberTable *this, uint32_t tag);
+
 /** MemberTable_Check() - suspect and remove silent hosts */
 void MemberTable_Check(MemberTable *this, Micros now);
 
--- a/packages/core/Membership.c
+++ b/packages/core/Membership.c
@@ -19,14 +19,17 @@
 #define MESSAGE_MIN_BYTES 250
 /* Room that items leave to heartbeats and records in a regular message. */
 #define BEATS_RESERVE_MAX 720
-#define BEAT_RESERVE 9
-#define RECORDS_RESERVE 220
-#define RECORDS_PER_MESSAGE 3
+#define BEAT_RESERVE 11
+#define RECORDS_RESERVE 360
+#define RECORDS_PER_MESSAGE 5
 /* First guess at the cost of a regular message. */
 #define REGULAR_GUESS 700
 /* One of so many regular messages goes to a host that is not a member, so
  * that the two sides of a partition find each other. */
 #define REJOIN_ONE_IN 8
+/* A host that hears nothing may know only hosts that are gone. */
+#define LONELY_AFTER MICROS_PER_S
+#define LONELY_ONE_IN 2
 #define FIRST_URGENT_TARGETS 3
 #define TARGETS_MAX 8
 #define REPLIES_MAX 8
@@ -74,6 +77,7 @@
     uint32_t self_hot;
     Micros created;
     Micros last_tick;
+    Micros last_heard; /* a message of another host */
     Micros next_round;
     Micros next_urgent;
     Micros next_purge;
@@ -91,6 +95,8 @@
     size_t target_count;
     Contact replies[REPLIES_MAX];
     size_t reply_count;
+    uint32_t wanted[GOSSIP_WANTED_MAX]; /* tags of hosts not known */
+    size_t wanted_count;
     Target current;
     size_t record_cursor;
     GossipDraft draft;
@@ -349,6 +355,9 @@
         return;
     }
     copy.hops++;
+    if (this->options.fault == MEMBERSHIP_FAULT_NO_RELAY) {
+        copy.hops = ITEM_HOPS_MAX;
+    }
     if (ItemStore_Put(this->items, &copy, false,
                       MemberTable_Spread(this->members),
                       now) != ITEM_IGNORED) {
@@ -356,7 +365,21 @@
     }
 }
 
-/* Return: true if the sender has to be told who this host is. */
+/* Return: true if the host is not known and the sender is to be asked. */
+static bool
+take_beat(Membership *this, const GossipBeat *beat, Micros now)
+{
+    if (beat->tag == this->self.tag ||
+        MemberTable_Beat(this->members, beat, now) != MEMBER_UNKNOWN ||
+        this->wanted_count == GOSSIP_WANTED_MAX) {
+        return false;
+    }
+    this->wanted[this->wanted_count++] = beat->tag;
+    return true;
+}
+
+/* Return: true if the sender should get a message soon: it did not know this
+ * host, knows hosts that are not known here, or asks for records. */
 static bool
 take_members(Membership *this, const Gossip *gossip, Micros now)
 {
@@ -372,7 +395,11 @@
         }
     }
     for (size_t i = 0; i < gossip->beat_count; i++) {
-        MemberTable_Beat(this->members, &gossip->beats[i], now);
+        answer |= take_beat(this, &gossip->beats[i], now);
+    }
+    for (size_t i = 0; i < gossip->wanted_count; i++) {
+        MemberTable_Want(this->members, gossip->wanted[i]);
+        answer = true;
     }
     return answer;
 }
@@ -390,6 +417,7 @@
         return 0;
     }
     this->counters.messages_received++;
+    this->last_heard = now;
     if (sender != NULL && gossip->incarnation < sender->incarnation &&
         this->options.fault != MEMBERSHIP_FAULT_OLD_INCARNATION) {
         this->counters.old_incarnation++;
@@ -398,7 +426,9 @@
     }
     if (take_members(this, gossip, now)) {
         sender = MemberTable_Find(this->members, gossip->from);
-        queue_reply(this, sender, now);
+        if (sender != NULL) {
+            queue_reply(this, sender, now);
+        }
     }
     for (size_t i = 0; i < gossip->item_count; i++) {
         take_item(this, &gossip->items[i], now);
@@ -511,9 +541,10 @@
     return true;
 }
 
-/* A random member that is not a target yet. */
+/* A random member that was heard of in the last @silence and is not a target
+ * yet. */
 static bool
-pick_member(Membership *this, MessageKind kind)
+pick_heard(Membership *this, Micros silence, MessageKind kind)
 {
     const Member *picked = NULL;
     uint64_t seen = 0;
@@ -522,7 +553,8 @@
     for (size_t i = 0; i < MemberTable_Count(this->members); i++) {
         const Member *member = MemberTable_At(this->members, i);
 
-        if (member->state != HOST_REMOVED &&
+        if (member->state != HOST_REMOVED && !member->leaving &&
+            this->last_tick - member->heard <= silence &&
             !is_target(this, member->address) &&
             Random_Below(this->random, ++seen) == 0) {
             picked = member;
@@ -535,13 +567,25 @@
     return add_target(this, &contact, kind);
 }
 
+/* Silent hosts only if there is no other: when many hosts die at once, most
+ * messages would go to them. */
+static bool
+pick_member(Membership *this, MessageKind kind)
+{
+    Micros suspect = MemberTable_SuspectAfter(this->members);
+
+    return pick_heard(this, suspect / 2, kind) ||
+           pick_heard(this, suspect, kind) ||
+           pick_heard(this, INT64_MAX, kind);
+}
+
 static bool
 is_member_address(const Membership *this, const char *address)
 {
     for (size_t i = 0; i < MemberTable_Count(this->members); i++) {
         const Member *member = MemberTable_At(this->members, i);
 
-        if (member->state != HOST_REMOVED &&
+        if (member->state == HOST_LIVE &&
             strcmp(member->address, address) == 0) {
             return true;
         }
@@ -564,7 +608,7 @@
     }
 }
 
-/* A random host that is not a member: a seed, a listed or a removed one. */
+/* A random host that is not live: a seed, a listed, suspect or removed one. */
 static bool
 pick_stranger(Membership *this)
 {
@@ -581,7 +625,7 @@
         const Member *member = MemberTable_At(this->members, i);
         Contact contact;
 
-        if (member->state == HOST_REMOVED && !member->leaving) {
+        if (member->state != HOST_LIVE && !member->leaving) {
             contact_member(&contact, member);
             consider(this, &contact, &picked, &seen);
         }
@@ -594,10 +638,13 @@
 {
     Micros jitter = this->options.interval / 10;
 
+    bool lonely = now - this->last_heard >= LONELY_AFTER;
+    uint64_t one_in = lonely ? LONELY_ONE_IN : REJOIN_ONE_IN;
+
     this->self.heartbeat++;
     MemberTable_Check(this->members, now);
     for (uint32_t i = 0; i < this->options.fanout; i++) {
-        bool stranger = Random_Below(this->random, REJOIN_ONE_IN) == 0;
+        bool stranger = Random_Below(this->random, one_in) == 0;
 
         if ((!stranger || !pick_stranger(this)) &&
             !pick_member(this, MESSAGE_REGULAR)) {
@@ -720,12 +767,29 @@
     return true;
 }
 
-/* Records that others do not know yet. */
+/* Records that the receiver has asked for. */
 static void
-add_changed(Membership *this, size_t reserve, bool urgent, Micros now)
+add_wanted(Membership *this, Micros now)
 {
     for (size_t i = 0; i < MemberTable_Count(this->members); i++) {
         Member *member = MemberTable_At(this->members, i);
+
+        if (member->wanted && add_record(this, member, false, now)) {
+            member->wanted = false;
+        }
+    }
+}
+
+/* Records that others do not know yet, from a random one on: when many hosts
+ * change at once, not all of them fit. */
+static void
+add_changed(Membership *this, size_t reserve, bool urgent, Micros now)
+{
+    size_t count = MemberTable_Count(this->members);
+    size_t start = Random_Below(this->random, count);
+
+    for (size_t i = 0; i < count; i++) {
+        Member *member = MemberTable_At(this->members, (start + i) % count);
         uint32_t left = urgent ? member->hot_left : member->sends_left;
 
         if (left == 0) {
@@ -770,7 +834,8 @@
     for (size_t i = 0; i < count; i++) {
         const Member *member =
             MemberTable_At(this->members, (start + i) % count);
-        GossipBeat beat = {member->tag, member->heartbeat};
+        GossipBeat beat = {member->tag, member->heartbeat,
+                           now - member->heard};
 
         if (member->state != HOST_LIVE ||
             now - member->heard >= MemberTable_SuspectAfter(this->members)) {
@@ -787,8 +852,7 @@
 add_items(Membership *this, size_t reserve, bool urgent, Micros now)
 {
     StoredItem *items[SELECT_MAX];
-    bool relay = this->options.fault != MEMBERSHIP_FAULT_NO_RELAY;
-    size_t n = ItemStore_Select(this->items, items, SELECT_MAX, relay, now);
+    size_t n = ItemStore_Select(this->items, items, SELECT_MAX, now);
 
     for (size_t i = 0; i < n; i++) {
         GossipItem item = {
@@ -806,6 +870,20 @@
     }
 }
 
+/* Urgent messages are many: a heartbeat does unless this host has news. */
+static void
+add_self(Membership *this, const Target *target)
+{
+    GossipMember record = own_record(this);
+    GossipBeat beat = {this->self.tag, this->self.heartbeat, 0};
+
+    if (target->kind == MESSAGE_URGENT && this->self_hot == 0) {
+        GossipDraft_AddBeat(&this->draft, &beat);
+        return;
+    }
+    GossipDraft_AddMember(&this->draft, &record);
+}
+
 static size_t
 regular_reserve(const Membership *this)
 {
@@ -817,10 +895,14 @@
 static void
 fill_draft(Membership *this, const Target *target, Micros now)
 {
-    GossipMember self = own_record(this);
     GossipDraft *draft = &this->draft;
 
-    GossipDraft_AddMember(draft, &self);
+    add_self(this, target);
+    while (
+        this->wanted_count > 0 &&
+        GossipDraft_AddWanted(draft, this->wanted[this->wanted_count - 1])) {
+        this->wanted_count--;
+    }
     switch (target->kind) {
     case MESSAGE_URGENT:
         add_changed(this, 0, true, now);
@@ -828,6 +910,8 @@
         return;
     case MESSAGE_REPLY:
         add_receiver(this, &target->contact, now);
+        add_wanted(this, now);
+        add_changed(this, 0, false, now);
         add_rotation(this, GOSSIP_MEMBERS_MAX, draft->limit / 4, now);
         add_items(this, 0, false, now);
         return;
--- a/packages/wire/peer.pb-c.c
+++ b/packages/wire/peer.pb-c.c
@@ -986,7 +986,7 @@
   (ProtobufCMessageInit) agatecrank__peer_message__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor agatecrank__gossip__field_descriptors[6] =
+static const ProtobufCFieldDescriptor agatecrank__gossip__field_descriptors[8] =
 {
   {
     "members",
@@ -1060,19 +1060,45 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "wanted",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Agatecrank__Gossip, n_wanted),
+    offsetof(Agatecrank__Gossip, wanted),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "beat_ages",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Agatecrank__Gossip, n_beat_ages),
+    offsetof(Agatecrank__Gossip, beat_ages),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned agatecrank__gossip__field_indices_by_name[] = {
+  7,   /* field[7] = beat_ages */
   1,   /* field[1] = beat_tags */
   2,   /* field[2] = beats */
   5,   /* field[5] = items */
   0,   /* field[0] = members */
   4,   /* field[4] = names */
   3,   /* field[3] = origins */
+  6,   /* field[6] = wanted */
 };
 static const ProtobufCIntRange agatecrank__gossip__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor agatecrank__gossip__descriptor =
 {
@@ -1082,7 +1108,7 @@
   "Agatecrank__Gossip",
   "agatecrank",
   sizeof(Agatecrank__Gossip),
-  6,
+  8,
   agatecrank__gossip__field_descriptors,
   agatecrank__gossip__field_indices_by_name,
   1,  agatecrank__gossip__number_ranges,
--- a/packages/wire/peer.pb-c.h
+++ b/packages/wire/peer.pb-c.h
@@ -98,6 +98,11 @@
   uint32_t *beat_tags;
   size_t n_beats;
   uint32_t *beats;
+  /*
+   * Time since the sender heard of each, in units of 50 ms, rounded up.
+   */
+  size_t n_beat_ages;
+  uint32_t *beat_ages;
   /*
    * Items refer to origins and names by their position, counted from 1.
    */
@@ -107,10 +112,16 @@
   ProtobufCBinaryData *names;
   size_t n_items;
   Agatecrank__GossipItem **items;
+  /*
+   * Tags of heartbeats whose hosts the sender does not know: it asks for
+   * their records.
+   */
+  size_t n_wanted;
+  uint32_t *wanted;
 };
 #define AGATECRANK__GOSSIP__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&agatecrank__gossip__descriptor) \
-    , 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+    , 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
 struct  Agatecrank__GossipMember
--- a/tests/support/Cluster.c
+++ b/tests/support/Cluster.c
@@ -9,6 +9,7 @@
 #define FRAME_BYTES 100
 #define INBOX_MAX 64
 #define SEEDS 3
+#define PEER_PORT 7400
 #define DEPLOYMENT STR("cluster")
 
 typedef struct Packet_ {
@@ -29,14 +30,15 @@
     Random *random;
     ClusterHost hosts[CLUSTER_HOSTS_MAX];
     uint32_t count;
+    bool closing;
     uint64_t cut_domains; /* bit set */
     Micros cut_since;
     ClusterItemHandler *handler;
     void *user;
     GString *bytes;
     Gossip *gossip;
-    GHashTable *addresses; /* address to index */
-    GHashTable *ids;
+    GHashTable *addresses;          /* address to index */
+    bool listed[CLUSTER_HOSTS_MAX]; /* up when the host list was made */
 };
 
 ClusterOptions
@@ -50,6 +52,7 @@
         .delay = 500,
         .spread = 200,
         .late_max = 5 * MICROS_PER_S,
+        .list_lag = 2 * MICROS_PER_S,
     };
 }
 
@@ -59,6 +62,38 @@
     Cluster_Start(user, (uint32_t)host);
 }
 
+/* Gives every host the list made the last time, then makes a new one. */
+static void
+list_event(void *user, uint64_t argument)
+{
+    Cluster *this = user;
+    HostEntry entries[CLUSTER_HOSTS_MAX];
+    size_t n = 0;
+
+    memset(entries, 0, sizeof(entries));
+    for (uint32_t i = 0; i < this->count; i++) {
+        ClusterHost *host = &this->hosts[i];
+
+        if (this->listed[i]) {
+            entries[n].id = Str_FromC(host->id);
+            entries[n].role = HOST_BALANCER;
+            entries[n].address =
+                (Str){host->address, strcspn(host->address, ":")};
+            entries[n++].peer_port = PEER_PORT;
+        }
+        this->listed[i] = host->alive;
+    }
+    for (uint32_t i = 0; i < this->count; i++) {
+        if (this->hosts[i].alive && !this->hosts[i].paused) {
+            Membership_OnHostList(this->hosts[i].membership, entries, n);
+        }
+    }
+    if (!this->closing) {
+        EventQueue_Add(this->queue, this->options.list_lag, list_event, this,
+                       0);
+    }
+}
+
 Cluster *
 Cluster_Create(const ClusterOptions *options)
 {
@@ -71,7 +106,9 @@
     this->bytes = g_string_new(NULL);
     this->gossip = g_new0(Gossip, 1);
     this->addresses = g_hash_table_new(g_str_hash, g_str_equal);
-    this->ids = g_hash_table_new(g_str_hash, g_str_equal);
+    if (options->list_lag > 0) {
+        EventQueue_Add(this->queue, options->list_lag, list_event, this, 0);
+    }
     for (uint32_t i = 0; i < options->hosts; i++) {
         Cluster_Add(this);
         EventQueue_Add(this->queue, (Micros)Random_Below(this->random, 500000),
@@ -96,7 +133,7 @@
         Membership_Destroy(host->membership);
     }
     host->membership = NULL;
-    host->alive = host->paused = false;
+    host->alive = host->paused = host->leaving = false;
     while ((packet = g_queue_pop_head(host->inbox)) != NULL) {
         free_packet(packet);
     }
@@ -115,6 +152,7 @@
         g_queue_free_full(host->window, g_free);
         g_queue_free(host->inbox);
     }
+    this->closing = true;
     /* Packets under way are released by their events. */
     this->cut_domains = UINT64_MAX;
     EventQueue_RunUntil(this->queue, Clock_Now(this->clock) +
@@ -126,7 +164,6 @@
     g_string_free(this->bytes, TRUE);
     g_free(this->gossip);
     g_hash_table_destroy(this->addresses);
-    g_hash_table_destroy(this->ids);
     g_free(this);
 }
 
@@ -184,7 +221,6 @@
     host->window = g_queue_new();
     g_hash_table_insert(this->addresses, host->address,
                         GUINT_TO_POINTER(index + 1));
-    g_hash_table_insert(this->ids, host->id, GUINT_TO_POINTER(index + 1));
     return index;
 }
 
@@ -194,7 +230,8 @@
 {
     size_t n = 0;
 
-    for (uint32_t tries = 0; tries < 200 && n < SEEDS; tries++) {
+    for (uint32_t tries = 0;
+         tries < 200 && n < SEEDS && !this->options.fixed_seeds; tries++) {
         uint32_t i = (uint32_t)Random_Below(this->random, this->count);
 
         if (i != self && this->hosts[i].alive) {
@@ -241,6 +278,14 @@
     this->hosts[index].changed = Clock_Now(this->clock);
 }
 
+void
+Cluster_Leave(Cluster *this, uint32_t index)
+{
+    this->hosts[index].leaving = true;
+    Membership_Leave(this->hosts[index].membership);
+    Cluster_Flush(this, index);
+}
+
 void
 Cluster_Pause(Cluster *this, uint32_t index, bool paused)
 {
--- a/tests/support/Cluster.h
+++ b/tests/support/Cluster.h
@@ -12,6 +12,8 @@
  * struct ClusterOptions_ - hosts and network of a simulated deployment
  * @member: options of every host; names, incarnation and seeds are set here
  * @loss, @duplicate, @late: share of messages; late ones take up to @late_max
+ * @fixed_seeds: the first three hosts are everyone's seeds
+ * @list_lag: hosts get a host list that is so old, as often; 0: none
  * @delay: least delay; @spread: mean of what is added to it
  */
 typedef struct ClusterOptions_ {
@@ -20,7 +22,9 @@
     uint64_t seed;
     MembershipOptions member;
     double loss, duplicate, late;
+    bool fixed_seeds;
     Micros delay, spread, late_max;
+    Micros list_lag;
 } ClusterOptions;
 
 /** struct ClusterHost_ - one host and what it has sent */
@@ -37,6 +41,7 @@
     Micros scheduled;
     bool alive;
     bool paused;
+    bool leaving;
     GQueue *inbox; /* arrived during a pause */
     GQueue *window;
     uint64_t window_bytes, window_messages;
@@ -87,6 +92,9 @@
 /** Cluster_Kill() - end a host without a word */
 void Cluster_Kill(Cluster *this, uint32_t host);
 
+/** Cluster_Leave() - a host says that it shuts down, and goes on for now */
+void Cluster_Leave(Cluster *this, uint32_t host);
+
 /** Cluster_Pause() - stop or continue a host; messages wait meanwhile */
 void Cluster_Pause(Cluster *this, uint32_t host, bool paused);
 
@@ -105,7 +113,7 @@
 /** Cluster_Flush() - send what the host has to send */
 void Cluster_Flush(Cluster *this, uint32_t host);
 
-/** Cluster_Lives() - marks in @live the hosts in the view of @host */
+/** Cluster_Lives() - incarnations of the hosts in the view of @host, or 0 */
 size_t Cluster_Lives(Cluster *this, uint32_t host, uint64_t *incarnations);
 
 #endif
--- /dev/null
+++ b/tests/test_membership.c
@@ -0,0 +1,422 @@
+#include <glib.h>
+#include <string.h>
+
+#include "Cluster.h"
+#include "GossipDraft.h"
+#include "PeerCodec.h"
+
+/* One Membership that a test feeds by hand. */
+typedef struct Rig_ {
+    Clock *clock;
+    Random *random;
+    Membership *membership;
+    Gossip *gossip;
+    GString *bytes;
+    MembershipCounters seen;
+} Rig;
+
+static Rig *
+create_rig(MembershipFault fault)
+{
+    Rig *this = g_new0(Rig, 1);
+    MembershipOptions options = MembershipOptions_Default();
+    Str seeds[2] = {STR("10.0.0.9:7400"), STR("10.0.0.8:7400")};
+
+    this->clock = Clock_CreateManual(MICROS_PER_S, 5000 * MICROS_PER_S);
+    this->random = Random_Create(7);
+    options.deployment = STR("tunis");
+    options.host = STR("self");
+    options.address = STR("10.0.0.1:7400");
+    options.domain = STR("lac-a");
+    options.incarnation = 1000;
+    options.seeds = seeds;
+    options.seed_count = 2;
+    options.fault = fault;
+    this->membership = Membership_Create(&options, this->clock, this->random);
+    this->gossip = g_new0(Gossip, 1);
+    this->bytes = g_string_new(NULL);
+    return this;
+}
+
+static void
+destroy_rig(Rig *this)
+{
+    Membership_Destroy(this->membership);
+    Clock_Destroy(this->clock);
+    Random_Destroy(this->random);
+    g_free(this->gossip);
+    g_string_free(this->bytes, TRUE);
+    g_free(this);
+}
+
+/* Reads the messages that wait; returns their number. */
+static int
+drain(Rig *this)
+{
+    PeerTarget to;
+    int n = 0;
+
+    while (Membership_NextMessage(this->membership, &to, this->bytes)) {
+        n++;
+    }
+    return n;
+}
+
+static void
+advance(Rig *this, Micros time)
+{
+    for (Micros passed = 0; passed < time; passed += 50 * MICROS_PER_MS) {
+        Clock_Advance(this->clock, 50 * MICROS_PER_MS);
+        Membership_OnTick(this->membership);
+        drain(this);
+    }
+}
+
+/* A message of host "peer" with its own record. */
+static int
+hear(Rig *this, uint64_t incarnation, uint32_t heartbeat, bool leaving)
+{
+    Gossip *gossip = this->gossip;
+
+    memset(gossip, 0, sizeof(*gossip));
+    gossip->from = STR("peer");
+    gossip->incarnation = incarnation;
+    gossip->member_count = 1;
+    gossip->members[0] = (GossipMember){
+        .id = STR("peer"),
+        .address = STR("10.0.0.2:7400"),
+        .incarnation = incarnation,
+        .heartbeat = heartbeat,
+        .leaving = leaving,
+    };
+    return Membership_OnGossip(this->membership, gossip);
+}
+
+static HostState
+state_of(Rig *this, const char *host)
+{
+    HostView view;
+
+    g_assert_true(Membership_Find(this->membership, Str_FromC(host), &view));
+    return view.state;
+}
+
+/* Guards against a silent host that is removed at once or never, and a
+ * removed one that can not come back. */
+static void
+test_suspicion(void)
+{
+    Rig *rig = create_rig(MEMBERSHIP_FAULT_NONE);
+    HostView views[4];
+
+    hear(rig, 50, 1, false);
+    g_assert_cmpuint(Membership_Live(rig->membership, views, 4), ==, 2);
+    g_assert_true(Str_Equal(views[0].id, STR("peer")));
+    g_assert_true(views[1].self);
+    advance(rig, 3 * MICROS_PER_S);
+    g_assert_cmpint(state_of(rig, "peer"), ==, HOST_LIVE);
+    advance(rig, 2 * MICROS_PER_S);
+    g_assert_cmpint(state_of(rig, "peer"), ==, HOST_SUSPECT);
+    g_assert_cmpuint(Membership_Live(rig->membership, views, 4), ==, 2);
+    hear(rig, 50, 2, false);
+    g_assert_cmpint(state_of(rig, "peer"), ==, HOST_LIVE);
+    advance(rig, 13 * MICROS_PER_S);
+    g_assert_cmpint(state_of(rig, "peer"), ==, HOST_REMOVED);
+    g_assert_cmpuint(Membership_Live(rig->membership, views, 4), ==, 1);
+    /* Repeats of what is known do not bring it back; news do. */
+    hear(rig, 50, 2, false);
+    g_assert_cmpint(state_of(rig, "peer"), ==, HOST_REMOVED);
+    hear(rig, 50, 3, false);
+    g_assert_cmpint(state_of(rig, "peer"), ==, HOST_LIVE);
+    destroy_rig(rig);
+}
+
+/* Guards against state of an earlier life of a host. */
+static void
+test_incarnations(void)
+{
+    Rig *rig = create_rig(MEMBERSHIP_FAULT_NONE);
+    SharedItem item;
+    HostView view;
+
+    hear(rig, 50, 9, false);
+    hear(rig, 60, 1, false);
+    g_assert_true(Membership_Find(rig->membership, STR("peer"), &view));
+    g_assert_cmpuint(view.incarnation, ==, 60);
+    g_assert_cmpint(hear(rig, 50, 99, true), ==, ERR_EXPIRED);
+    g_assert_true(Membership_Find(rig->membership, STR("peer"), &view));
+    g_assert_cmpuint(view.incarnation, ==, 60);
+    g_assert_cmpint(view.state, ==, HOST_LIVE);
+    /* Items of the earlier life, passed on by another host. */
+    memset(rig->gossip, 0, sizeof(*rig->gossip));
+    rig->gossip->from = STR("third");
+    rig->gossip->item_count = 1;
+    rig->gossip->items[0].item.kind = SHARED_CONFIG_OFFSET;
+    rig->gossip->items[0].item.host = STR("peer");
+    rig->gossip->items[0].item.incarnation = 50;
+    rig->gossip->items[0].item.config.offset = 5;
+    Membership_OnGossip(rig->membership, rig->gossip);
+    g_assert_false(Membership_NextItem(rig->membership, &item));
+    rig->gossip->items[0].item.incarnation = 60;
+    Membership_OnGossip(rig->membership, rig->gossip);
+    g_assert_true(Membership_NextItem(rig->membership, &item));
+    g_assert_cmpuint(item.config.offset, ==, 5);
+    destroy_rig(rig);
+}
+
+/* Guards against a host that is shut out because its clock went back, and
+ * against two lives of one host that outbid each other for ever. */
+static void
+test_outbid(void)
+{
+    Rig *rig = create_rig(MEMBERSHIP_FAULT_NONE);
+    Gossip *gossip = rig->gossip;
+
+    hear(rig, 50, 1, false);
+    gossip->member_count = 1;
+    gossip->members[0].id = STR("self");
+    gossip->members[0].incarnation = 5000;
+    gossip->members[0].heartbeat = 1;
+    Membership_OnGossip(rig->membership, gossip);
+    g_assert_cmpuint(Membership_Incarnation(rig->membership), >, 5000);
+    advance(rig, 40 * MICROS_PER_S);
+    gossip->members[0].incarnation = UINT64_MAX;
+    Membership_OnGossip(rig->membership, gossip);
+    g_assert_true(Membership_Superseded(rig->membership));
+    advance(rig, MICROS_PER_S);
+    g_assert_cmpint(drain(rig), ==, 0);
+    destroy_rig(rig);
+}
+
+/* Guards against a pause of this host that makes all others look dead. */
+static void
+test_own_pause(void)
+{
+    Rig *rig = create_rig(MEMBERSHIP_FAULT_NONE);
+
+    hear(rig, 50, 1, false);
+    Clock_Advance(rig->clock, 60 * MICROS_PER_S);
+    drain(rig);
+    g_assert_cmpint(state_of(rig, "peer"), ==, HOST_LIVE);
+    destroy_rig(rig);
+}
+
+/* Guards against a leaving host that still gets work. */
+static void
+test_leaving(void)
+{
+    Rig *rig = create_rig(MEMBERSHIP_FAULT_NONE);
+    HostView views[4];
+    uint64_t version;
+
+    hear(rig, 50, 1, false);
+    version = Membership_Version(rig->membership);
+    hear(rig, 50, 2, true);
+    g_assert_cmpuint(Membership_Version(rig->membership), >, version);
+    g_assert_cmpint(state_of(rig, "peer"), ==, HOST_LEAVING);
+    g_assert_cmpuint(Membership_Live(rig->membership, views, 4), ==, 1);
+    hear(rig, 50, 3, false);
+    g_assert_cmpint(state_of(rig, "peer"), ==, HOST_LEAVING);
+    Membership_Leave(rig->membership);
+    g_assert_cmpuint(Membership_Live(rig->membership, views, 4), ==, 0);
+    destroy_rig(rig);
+}
+
+/* Guards against a host list that adds or removes members by itself. */
+static void
+test_host_list(void)
+{
+    Rig *rig = create_rig(MEMBERSHIP_FAULT_NONE);
+    HostEntry entries[3] = {
+        {.id = STR("self"),
+         .role = HOST_BALANCER,
+         .address = STR("10.0.0.1"),
+         .peer_port = 7400},
+        {.id = STR("new"),
+         .role = HOST_BALANCER,
+         .address = STR("10.0.0.5"),
+         .peer_port = 7400,
+         .leaving = true},
+        {.id = STR("claims-1"),
+         .role = HOST_UPSTREAM,
+         .address = STR("10.0.0.6"),
+         .peer_port = 7400},
+    };
+    HostView views[4];
+    PeerTarget to;
+    bool contacted = false;
+
+    hear(rig, 50, 1, false);
+    Membership_OnHostList(rig->membership, entries, 3);
+    g_assert_cmpuint(Membership_Live(rig->membership, views, 4), ==, 2);
+    for (int i = 0; i < 400; i++) {
+        Clock_Advance(rig->clock, 100 * MICROS_PER_MS);
+        while (Membership_NextMessage(rig->membership, &to, rig->bytes)) {
+            contacted |= Str_Equal(to.address, STR("10.0.0.5:7400"));
+            g_assert_false(Str_Equal(to.address, STR("10.0.0.6:7400")));
+            g_assert_false(Str_Equal(to.address, STR("10.0.0.1:7400")));
+        }
+    }
+    g_assert_true(contacted);
+    destroy_rig(rig);
+}
+
+/* Guards against items that count for too long, come back after they have
+ * expired, or replace newer ones. */
+static void
+test_item_ages(void)
+{
+    static const struct {
+        SharedKind kind;
+        Micros age;
+        bool taken;
+    } cases[] = {
+        {SHARED_DRAIN, 29 * MICROS_PER_S, true},
+        {SHARED_DRAIN, 30 * MICROS_PER_S, false},
+        {SHARED_SUSPECT, 9 * MICROS_PER_S, true},
+        {SHARED_SUSPECT, 10 * MICROS_PER_S, false},
+        {SHARED_CONFIG_OFFSET, 59 * MICROS_PER_S, true},
+        {SHARED_CONFIG_OFFSET, 60 * MICROS_PER_S, false},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        Rig *rig = create_rig(MEMBERSHIP_FAULT_NONE);
+        SharedItem item;
+        GossipItem *sent = &rig->gossip->items[0];
+
+        hear(rig, 50, 1, false);
+        rig->gossip->item_count = 1;
+        sent->item.kind = cases[i].kind;
+        sent->item.host = STR("peer");
+        sent->item.incarnation = 50;
+        sent->item.age = cases[i].age;
+        if (cases[i].kind != SHARED_CONFIG_OFFSET) {
+            sent->item.drain.upstream = STR("claims-1");
+        }
+        sent->stamp_ms = 10;
+        Membership_OnGossip(rig->membership, rig->gossip);
+        g_assert_cmpint(Membership_NextItem(rig->membership, &item), ==,
+                        cases[i].taken);
+        /* The same version again, from a host with a slower view. */
+        advance(rig, 2 * MICROS_PER_S);
+        sent->item.age = 0;
+        Membership_OnGossip(rig->membership, rig->gossip);
+        g_assert_cmpint(Membership_NextItem(rig->membership, &item), ==,
+                        !cases[i].taken);
+        sent->stamp_ms = 9;
+        Membership_OnGossip(rig->membership, rig->gossip);
+        g_assert_false(Membership_NextItem(rig->membership, &item));
+        destroy_rig(rig);
+    }
+}
+
+static void
+test_bad_items(void)
+{
+    Rig *rig = create_rig(MEMBERSHIP_FAULT_NONE);
+    SharedItem item = {.kind = SHARED_DRAIN};
+    char name[PEER_NAME_MAX + 2];
+
+    g_assert_cmpint(Membership_Share(rig->membership, &item), ==, ERR_INVALID);
+    memset(name, 'x', sizeof(name));
+    item.drain.upstream = (Str){name, sizeof(name) - 1};
+    g_assert_cmpint(Membership_Share(rig->membership, &item), ==, ERR_INVALID);
+    item.drain.upstream.length = PEER_NAME_MAX;
+    g_assert_cmpint(Membership_Share(rig->membership, &item), ==, 0);
+    item.drain.upstream = STR("two words");
+    g_assert_cmpint(Membership_Share(rig->membership, &item), ==, ERR_INVALID);
+    destroy_rig(rig);
+}
+
+/* Guards against messages longer than the limit because the estimate of an
+ * encoded length is too low: names, numbers and lists at their largest. */
+static void
+test_draft_bound(void)
+{
+    Random *random = Random_Create(11);
+    GossipDraft *draft = g_new0(GossipDraft, 1);
+    GString *bytes = g_string_new(NULL);
+    PeerEnvelope envelope = {STR("tunis"), STR("balancer-01"), UINT64_MAX};
+    char text[PEER_NAME_MAX];
+
+    memset(text, 'n', sizeof(text));
+    for (int run = 0; run < 3000; run++) {
+        size_t limit = 250 + Random_Below(random, GOSSIP_MAX - 249);
+
+        GossipDraft_Begin(draft, &envelope, limit);
+        for (int i = 0; i < 200; i++) {
+            Str name = {text, 1 + Random_Below(random, sizeof(text))};
+            GossipMember member = {name,
+                                   name,
+                                   name,
+                                   {NULL, 0},
+                                   UINT64_MAX,
+                                   UINT32_MAX,
+                                   3600 * MICROS_PER_S,
+                                   true};
+            GossipBeat beat = {UINT32_MAX, UINT32_MAX >> (run % 32),
+                               16 * MICROS_PER_S};
+            GossipItem item = {.stamp_ms = UINT32_MAX, .hops = 16};
+
+            item.item.kind = (SharedKind)Random_Below(random, SHARED_KINDS);
+            item.item.host = name;
+            item.item.incarnation = Random_Below(random, 3);
+            item.item.age = 60 * MICROS_PER_S;
+            if (item.item.kind == SHARED_FINGERPRINT) {
+                item.item.fingerprint.line = name;
+                item.item.fingerprint.upstreams[0] = name;
+                item.item.fingerprint.upstreams[1].data = text;
+                item.item.fingerprint.upstreams[1].length = 3;
+                item.item.fingerprint.losses = 2;
+                item.item.fingerprint.high = UINT64_MAX;
+                item.item.fingerprint.low = UINT64_MAX;
+            }
+            else if (item.item.kind == SHARED_CONFIG_OFFSET) {
+                item.item.config.offset = UINT64_MAX;
+            }
+            else if (item.item.kind != SHARED_USAGE) {
+                item.item.drain.upstream = name;
+            }
+            else {
+                item.item.usage.service = name;
+                item.item.usage.line.data = text;
+                item.item.usage.line.length = Random_Below(random, 20);
+                item.item.usage.usage = 1.5F;
+            }
+            switch (Random_Below(random, 4)) {
+            case 0:
+                GossipDraft_AddMember(draft, &member);
+                break;
+            case 1:
+                GossipDraft_AddBeat(draft, &beat);
+                break;
+            default:
+                GossipDraft_AddItem(draft, &item);
+                break;
+            }
+        }
+        GossipDraft_Finish(draft);
+        g_assert_cmpint(
+            PeerCodec_WriteGossip(&envelope, &draft->gossip, bytes), ==, 0);
+        g_assert_cmpuint(bytes->len, <=, limit);
+    }
+    g_string_free(bytes, TRUE);
+    g_free(draft);
+    Random_Destroy(random);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/membership/suspicion", test_suspicion);
+    g_test_add_func("/membership/incarnations", test_incarnations);
+    g_test_add_func("/membership/outbid", test_outbid);
+    g_test_add_func("/membership/own-pause", test_own_pause);
+    g_test_add_func("/membership/leaving", test_leaving);
+    g_test_add_func("/membership/host-list", test_host_list);
+    g_test_add_func("/membership/item-ages", test_item_ages);
+    g_test_add_func("/membership/bad-items", test_bad_items);
+    g_test_add_func("/membership/draft-bound", test_draft_bound);
+    return g_test_run();
+}
--- a/tests/test_peer_codec.c
+++ b/tests/test_peer_codec.c
@@ -47,7 +47,8 @@
                        .age = 4000 * MICROS_PER_MS,
                        .leaving = true};
     for (uint32_t i = 0; i < 3; i++) {
-        gossip.beats[i] = (GossipBeat){i * 1000003, i};
+        gossip.beats[i] =
+            (GossipBeat){i * 1000003, i, i * GOSSIP_BEAT_UNIT - i};
     }
     for (uint32_t i = 0; i < 6; i++) {
         gossip.items[i] = (GossipItem){origin, 50, 2};
@@ -122,6 +123,7 @@
     g_assert_cmpint(out.members[1].age, ==, in.members[1].age);
     g_assert_true(out.members[1].leaving);
     g_assert_cmpuint(out.beats[2].tag, ==, 2000006);
+    g_assert_cmpint(out.beats[2].age, ==, 2 * GOSSIP_BEAT_UNIT);
     g_assert_true(out.items[0].item.drain.ended);
     g_assert_cmpuint(out.items[2].item.config.offset, ==, UINT64_MAX);
     for (size_t i = 0; i < 6; i++) {
