Split Membership into targets, writer and byte budget

The choice of receivers, the contents of messages and the token bucket are objects of their own now; lookups by id compare hashes first and hot records are counted.

--- /dev/null
+++ b/packages/core/ByteBudget.h
@@ -0,0 +1,51 @@
+#ifndef AGATECRANK_CORE_BYTEBUDGET_H
+#define AGATECRANK_CORE_BYTEBUDGET_H
+
+#include <stddef.h>
+
+#include "Clock.h"
+#include "Gossip.h"
+
+/** Framing of one message: TCP and IP headers 40 to 52, ZMTP 9, CURVE 33 */
+#define BUDGET_FRAME_BYTES 100
+/** Burst: two full messages. Rate and burst are the budget of any second */
+#define BUDGET_BURST_BYTES (2 * (GOSSIP_MAX + BUDGET_FRAME_BYTES))
+/** Least room for a message that is worth sending */
+#define BUDGET_MESSAGE_MIN 250
+
+/**
+ * struct ByteBudget_ - bytes that a host may send in any second
+ * @rate: bytes/s that come in
+ * @tokens: bytes that may be sent now
+ * @reserve: what the next regular round needs, moving average
+ */
+typedef struct ByteBudget_ {
+    double rate;
+    double tokens;
+    double reserve;
+    Micros refilled;
+} ByteBudget;
+
+/** ByteBudget_Init() - @reserve is a first guess */
+void ByteBudget_Init(ByteBudget *this, uint32_t bytes_per_s, double reserve,
+                     Micros now);
+
+/** ByteBudget_Refill() - let time pass */
+void ByteBudget_Refill(ByteBudget *this, Micros now);
+
+/** ByteBudget_Room() - length that a message may have now; 0: none */
+size_t ByteBudget_Room(const ByteBudget *this);
+
+/**
+ * ByteBudget_SpareRoom() - as _Room(), leaving what a round after @until
+ * needs
+ */
+size_t ByteBudget_SpareRoom(const ByteBudget *this, Micros until);
+
+/** ByteBudget_Spend() - a message of @length bytes was sent */
+void ByteBudget_Spend(ByteBudget *this, size_t length);
+
+/** ByteBudget_NoteRound() - a round of regular messages took @bytes */
+void ByteBudget_NoteRound(ByteBudget *this, double bytes);
+
+#endif
--- /dev/null
+++ b/packages/core/GossipTargets.c
@@ -0,0 +1,303 @@
+#include "GossipTargets.h"
+
+#include <string.h>
+
+/* A host is answered out of turn no more often than this. */
+#define REPLY_INTERVAL MICROS_PER_S
+/* Random tries before all members are looked at. */
+#define PICK_TRIES 6
+
+struct GossipTargets_ {
+    const MemberTable *members;
+    Random *random;
+    char own_id[PEER_NAME_MAX + 1];
+    char own_address[PEER_NAME_MAX + 1];
+    Contact *seeds;
+    size_t seed_count;
+    Contact *listed;
+    size_t listed_count;
+    Target targets[GOSSIP_TARGETS_MAX];
+    size_t target_count;
+    Contact replies[GOSSIP_REPLIES_MAX];
+    size_t reply_count;
+};
+
+static void
+copy_text(char out[PEER_NAME_MAX + 1], Str text)
+{
+    size_t length = MIN(text.length, PEER_NAME_MAX);
+
+    if (length > 0) {
+        memcpy(out, text.data, length);
+    }
+    out[length] = 0;
+}
+
+static void
+set_contact(Contact *contact, Str id, Str address, Str key)
+{
+    memset(contact, 0, sizeof(*contact));
+    copy_text(contact->id, id);
+    copy_text(contact->address, address);
+    contact->has_key = key.length == GOSSIP_KEY_BYTES;
+    if (contact->has_key) {
+        memcpy(contact->key, key.data, GOSSIP_KEY_BYTES);
+    }
+}
+
+static void
+contact_member(Contact *contact, const Member *member)
+{
+    set_contact(contact, Str_FromC(member->id), Str_FromC(member->address),
+                (Str){(const char *)member->key,
+                      member->has_key ? GOSSIP_KEY_BYTES : 0});
+}
+
+GossipTargets *
+GossipTargets_Create(const MembershipOptions *options,
+                     const MemberTable *members, Random *random)
+{
+    GossipTargets *this = g_new0(GossipTargets, 1);
+
+    this->members = members;
+    this->random = random;
+    copy_text(this->own_id, options->host);
+    copy_text(this->own_address, options->address);
+    this->seed_count = MIN(options->seed_count, GOSSIP_SEEDS_MAX);
+    this->seeds = g_new0(Contact, this->seed_count + 1);
+    for (size_t i = 0; i < this->seed_count; i++) {
+        set_contact(&this->seeds[i], STR(""), options->seeds[i], STR(""));
+    }
+    this->listed = g_new0(Contact, GOSSIP_CONTACTS_MAX);
+    return this;
+}
+
+void
+GossipTargets_Destroy(GossipTargets *this)
+{
+    g_free(this->seeds);
+    g_free(this->listed);
+    g_free(this);
+}
+
+static bool
+is_name(Str text)
+{
+    if (text.length == 0 || text.length > PEER_NAME_MAX) {
+        return false;
+    }
+    for (size_t i = 0; i < text.length; i++) {
+        if (text.data[i] <= ' ' || text.data[i] > '~') {
+            return false;
+        }
+    }
+    return true;
+}
+
+void
+GossipTargets_OnHostList(GossipTargets *this, const HostEntry *entries,
+                         size_t count)
+{
+    this->listed_count = 0;
+    for (size_t i = 0; i < count; i++) {
+        const HostEntry *entry = &entries[i];
+        char address[PEER_NAME_MAX + 1];
+        size_t slot = this->listed_count;
+
+        if (entry->role != HOST_BALANCER || entry->peer_port == 0 ||
+            !is_name(entry->id) || !is_name(entry->address) ||
+            Str_Equal(entry->id, Str_FromC(this->own_id))) {
+            continue;
+        }
+        g_snprintf(address, sizeof(address), STR_FORMAT ":%u",
+                   STR_ARGS(entry->address), entry->peer_port);
+        if (slot == GOSSIP_CONTACTS_MAX) {
+            slot = Random_Below(this->random, GOSSIP_CONTACTS_MAX);
+        }
+        else {
+            this->listed_count++;
+        }
+        set_contact(&this->listed[slot], entry->id, Str_FromC(address),
+                    STR(""));
+    }
+}
+
+static bool
+is_target(const GossipTargets *this, const char *address)
+{
+    for (size_t i = 0; i < this->target_count; i++) {
+        if (strcmp(this->targets[i].contact.address, address) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static bool
+add_target(GossipTargets *this, const Contact *contact, MessageKind kind)
+{
+    if (this->target_count == GOSSIP_TARGETS_MAX ||
+        is_target(this, contact->address)) {
+        return false;
+    }
+    this->targets[this->target_count].contact = *contact;
+    this->targets[this->target_count++].kind = kind;
+    return true;
+}
+
+static bool
+is_heard(const GossipTargets *this, const Member *member, Micros since)
+{
+    return member->state != HOST_REMOVED && !member->leaving &&
+           member->heard >= since && !is_target(this, member->address);
+}
+
+/* A random member heard of since a time, that is not a target yet. */
+static const Member *
+pick_heard(GossipTargets *this, Micros since)
+{
+    size_t count = MemberTable_Count(this->members);
+    const Member *picked = NULL;
+    uint64_t seen = 0;
+
+    for (int i = 0; i < PICK_TRIES && count > 0; i++) {
+        size_t index = Random_Below(this->random, count);
+        const Member *member = MemberTable_At(this->members, index);
+
+        if (is_heard(this, member, since)) {
+            return member;
+        }
+    }
+    for (size_t i = 0; i < count; i++) {
+        const Member *member = MemberTable_At(this->members, i);
+
+        if (is_heard(this, member, since) &&
+            Random_Below(this->random, ++seen) == 0) {
+            picked = member;
+        }
+    }
+    return picked;
+}
+
+/* Silent hosts only if there is no other: when many hosts die at once, most
+ * messages would go to them. */
+bool
+GossipTargets_AddMember(GossipTargets *this, MessageKind kind, Micros now)
+{
+    Micros suspect = MemberTable_SuspectAfter(this->members);
+    const Member *member = pick_heard(this, now - suspect / 2);
+    Contact contact;
+
+    if (member == NULL) {
+        member = pick_heard(this, now - suspect);
+    }
+    if (member == NULL) {
+        member = pick_heard(this, INT64_MIN);
+    }
+    if (member == NULL) {
+        return false;
+    }
+    contact_member(&contact, member);
+    return add_target(this, &contact, kind);
+}
+
+static bool
+is_live_address(const GossipTargets *this, const char *address)
+{
+    for (size_t i = 0; i < MemberTable_Count(this->members); i++) {
+        const Member *member = MemberTable_At(this->members, i);
+
+        if (member->state == HOST_LIVE &&
+            strcmp(member->address, address) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Keeps a random one of the contacts seen so far. */
+static void
+consider(GossipTargets *this, const Contact *contact, Contact *picked,
+         uint64_t *seen)
+{
+    if (strcmp(contact->address, this->own_address) == 0 ||
+        is_target(this, contact->address) ||
+        is_live_address(this, contact->address)) {
+        return;
+    }
+    if (Random_Below(this->random, ++*seen) == 0) {
+        *picked = *contact;
+    }
+}
+
+bool
+GossipTargets_AddStranger(GossipTargets *this)
+{
+    Contact picked = {0};
+    uint64_t seen = 0;
+
+    for (size_t i = 0; i < this->seed_count; i++) {
+        consider(this, &this->seeds[i], &picked, &seen);
+    }
+    for (size_t i = 0; i < this->listed_count; i++) {
+        consider(this, &this->listed[i], &picked, &seen);
+    }
+    for (size_t i = 0; i < MemberTable_Count(this->members); i++) {
+        const Member *member = MemberTable_At(this->members, i);
+        Contact contact;
+
+        if (member->state != HOST_LIVE && !member->leaving) {
+            contact_member(&contact, member);
+            consider(this, &contact, &picked, &seen);
+        }
+    }
+    return seen > 0 && add_target(this, &picked, MESSAGE_REJOIN);
+}
+
+void
+GossipTargets_QueueReply(GossipTargets *this, Member *member, Micros now)
+{
+    if (this->reply_count == GOSSIP_REPLIES_MAX ||
+        (member->replied != 0 && now - member->replied < REPLY_INTERVAL)) {
+        return;
+    }
+    member->replied = now;
+    contact_member(&this->replies[this->reply_count++], member);
+}
+
+bool
+GossipTargets_AddReply(GossipTargets *this)
+{
+    return this->reply_count > 0 &&
+           add_target(this, &this->replies[--this->reply_count],
+                      MESSAGE_REPLY);
+}
+
+size_t
+GossipTargets_Replies(const GossipTargets *this)
+{
+    return this->reply_count;
+}
+
+size_t
+GossipTargets_Count(const GossipTargets *this)
+{
+    return this->target_count;
+}
+
+bool
+GossipTargets_Take(GossipTargets *this, Target *target)
+{
+    if (this->target_count == 0) {
+        return false;
+    }
+    *target = this->targets[--this->target_count];
+    return true;
+}
+
+size_t
+GossipTargets_Bytes(const GossipTargets *this)
+{
+    return sizeof(*this) +
+           (GOSSIP_CONTACTS_MAX + this->seed_count + 1) * sizeof(Contact);
+}
--- a/packages/core/MemberTable.c
+++ b/packages/core/MemberTable.c
@@ -17,9 +17,12 @@
     Random *random;
     MembershipCounters *counters;
     Member **members;
-    uint32_t *tags; /* of the members, kept apart for a fast search */
+    /* Of the members, kept apart for a fast search. */
+    uint32_t *tags;
+    uint64_t *hashes;
     size_t count;
     size_t present; /* not removed */
+    size_t hot;     /* with hot_left above 0 */
     uint64_t version;
 };
 
@@ -34,6 +37,7 @@
     this->counters = counters;
     this->members = g_new0(Member *, rules->max);
     this->tags = g_new0(uint32_t, rules->max);
+    this->hashes = g_new0(uint64_t, rules->max);
     return this;
 }
 
@@ -45,21 +49,23 @@
     }
     g_free(this->members);
     g_free(this->tags);
+    g_free(this->hashes);
     g_free(this);
 }
 
 Member *
 MemberTable_Find(const MemberTable *this, Str id)
 {
+    uint64_t hash;
+
     if (id.length == 0 || id.length > PEER_NAME_MAX) {
         return NULL;
     }
+    hash = Str_Hash(id);
     for (size_t i = 0; i < this->count; i++) {
-        Member *member = this->members[i];
-
-        if (strncmp(member->id, id.data, id.length) == 0 &&
-            member->id[id.length] == 0) {
-            return member;
+        if (this->hashes[i] == hash &&
+            Str_Equal(Str_FromC(this->members[i]->id), id)) {
+            return this->members[i];
         }
     }
     return NULL;
@@ -93,7 +99,8 @@
 MemberTable_Bytes(const MemberTable *this)
 {
     return sizeof(*this) + this->count * sizeof(Member) +
-           this->rules.max * (sizeof(Member *) + sizeof(uint32_t));
+           this->rules.max *
+               (sizeof(Member *) + sizeof(uint32_t) + sizeof(uint64_t));
 }
 
 uint32_t
@@ -134,6 +141,7 @@
 static void
 drop_at(MemberTable *this, size_t index)
 {
+    this->hot -= this->members[index]->hot_left > 0;
     if (this->members[index]->state != HOST_REMOVED) {
         this->present--;
         this->version++;
@@ -142,6 +150,7 @@
     this->count--;
     this->members[index] = this->members[this->count];
     this->tags[index] = this->tags[this->count];
+    this->hashes[index] = this->hashes[this->count];
 }
 
 static bool
@@ -199,13 +208,20 @@
     member->tag = Gossip_Tag(record->id, record->incarnation);
 }
 
+static void
+set_hot(MemberTable *this, Member *member, uint32_t left)
+{
+    this->hot += (size_t)(left > 0) - (size_t)(member->hot_left > 0);
+    member->hot_left = left;
+}
+
 /* The set of live hosts changed: tell the others about this one. */
 static void
 announce(MemberTable *this, Member *member, Micros now)
 {
     member->changed = now;
     member->sends_left = MemberTable_Spread(this);
-    member->hot_left = member->leaving ? MemberTable_Spread(this) / 2 : 0;
+    set_hot(this, member, member->leaving ? MemberTable_Spread(this) / 2 : 0);
     this->version++;
 }
 
@@ -222,6 +238,7 @@
     member->state = HOST_LIVE;
     member->heard = now - record->age;
     this->tags[this->count] = member->tag;
+    this->hashes[this->count] = Str_Hash(record->id);
     this->members[this->count++] = member;
     this->present++;
     this->counters->joined++;
@@ -342,7 +359,8 @@
 {
     member->state = HOST_REMOVED;
     member->changed = now;
-    member->sends_left = member->hot_left = 0;
+    member->sends_left = 0;
+    set_hot(this, member, 0);
     this->present--;
     this->version++;
     this->counters->removed++;
@@ -376,6 +394,23 @@
     return true;
 }
 
+void
+MemberTable_Sent(MemberTable *this, Member *member, bool urgent)
+{
+    if (member->sends_left > 0) {
+        member->sends_left--;
+    }
+    if (urgent && member->hot_left > 0) {
+        set_hot(this, member, member->hot_left - 1);
+    }
+}
+
+bool
+MemberTable_Hot(const MemberTable *this)
+{
+    return this->hot > 0;
+}
+
 void
 MemberTable_Check(MemberTable *this, Micros now)
 {
--- a/packages/core/MemberTable.h
+++ b/packages/core/MemberTable.h
@@ -86,6 +86,12 @@
 /** MemberTable_Want() - a peer asks for the record of this tag */
 void MemberTable_Want(MemberTable *this, uint32_t tag);
 
+/** MemberTable_Sent() - the record of @member is in a message */
+void MemberTable_Sent(MemberTable *this, Member *member, bool urgent);
+
+/** MemberTable_Hot() - records wait for urgent messages */
+bool MemberTable_Hot(const MemberTable *this);
+
 /** MemberTable_Check() - suspect and remove silent hosts */
 void MemberTable_Check(MemberTable *this, Micros now);
 
--- a/packages/core/Membership.c
+++ b/packages/core/Membership.c
@@ -2,70 +2,28 @@
 
 #include <string.h>
 
-#include "GossipDraft.h"
-#include "ItemStore.h"
-#include "MemberTable.h"
-#include "PeerCodec.h"
-
-/* Framing of one message on the wire: TCP and IP headers 40 to 52, ZMTP 9,
- * CURVE 33 bytes. Counted into the budget. */
-#define FRAME_BYTES 100
-/* Burst of the budget: two full messages. Rate and burst together give the
- * budget of any second. */
-#define BURST_BYTES (2 * (GOSSIP_MAX + FRAME_BYTES))
-/* An urgent message beside hot items: fresh usage of this host and others. */
+#include "ByteBudget.h"
+#include "GossipWriter.h"
+
+/* A message with nothing hot: fresh usage of this host and others. */
 #define USAGE_MESSAGE_BYTES 600
-/* Least room for a message that is worth sending. */
-#define MESSAGE_MIN_BYTES 250
-/* Room that items leave to heartbeats and records in a regular message. */
-#define BEATS_RESERVE_MAX 720
-#define BEAT_RESERVE 11
-#define RECORDS_RESERVE 360
-#define RECORDS_PER_MESSAGE 5
-/* First guess at the cost of a regular message. */
-#define REGULAR_GUESS 700
-/* One of so many regular messages goes to a host that is not a member, so
- * that the two sides of a partition find each other. */
+/* First guess at the bytes of a regular round. */
+#define ROUND_GUESS 1400
+/* One of so many regular messages goes to a host that is not live, so that
+ * the two sides of a partition find each other. */
 #define REJOIN_ONE_IN 8
 /* A host that hears nothing may know only hosts that are gone. */
 #define LONELY_AFTER MICROS_PER_S
 #define LONELY_ONE_IN 2
-#define FIRST_URGENT_TARGETS 3
-#define TARGETS_MAX 8
-#define REPLIES_MAX 8
-/* A host that does not know this one is not answered more often than this. */
-#define REPLY_INTERVAL MICROS_PER_S
-/* A longer gap between two ticks means that this process was paused. */
+#define HOT_TARGETS 3
+/* A longer gap between two calls means that this process was paused. */
 #define PAUSE_MIN MICROS_PER_S
 /* Only a host that has just started outbids a later clock of an earlier
  * life; one that runs longer was replaced. */
 #define REFUTE_WINDOW (30 * MICROS_PER_S)
 #define PURGE_INTERVAL MICROS_PER_S
-#define CONTACTS_MAX 256
-#define SEEDS_MAX 64
-#define SELECT_MAX 160
 #define INCARNATION_RANDOM_BITS 22
 
-/* A host that may be contacted although nothing was heard from it. */
-typedef struct Contact_ {
-    char id[PEER_NAME_MAX + 1];
-    char address[PEER_NAME_MAX + 1];
-    uint8_t key[GOSSIP_KEY_BYTES];
-    bool has_key;
-} Contact;
-
-typedef enum MessageKind_ {
-    MESSAGE_REGULAR,
-    MESSAGE_URGENT,
-    MESSAGE_REPLY,  /* to a host that has just joined: many records */
-    MESSAGE_REJOIN, /* to a host that is not a member */
-} MessageKind;
-
-typedef struct Target_ {
-    Contact contact;
-    MessageKind kind;
-} Target;
-
 struct Membership_ {
     MembershipOptions options;
     const Clock *clock;
@@ -81,25 +39,14 @@
     Micros next_round;
     Micros next_urgent;
     Micros next_purge;
-    Micros refilled;
-    double tokens;
-    double regular_cost; /* of a regular message, moving average */
+    ByteBudget budget;
+    double round_bytes; /* of this round's regular messages */
     bool usage_due;
     bool superseded;
     uint64_t own_version;
-    Contact *seeds;
-    size_t seed_count;
-    Contact *listed;
-    size_t listed_count;
-    Target targets[TARGETS_MAX];
-    size_t target_count;
-    Contact replies[REPLIES_MAX];
-    size_t reply_count;
-    uint32_t wanted[GOSSIP_WANTED_MAX]; /* tags of hosts not known */
-    size_t wanted_count;
+    GossipTargets *targets;
+    GossipWriter *writer;
     Target current;
-    size_t record_cursor;
-    GossipDraft draft;
 };
 
 MembershipOptions
@@ -137,26 +84,6 @@
     out[length] = 0;
 }
 
-static void
-set_contact(Contact *contact, Str id, Str address, Str key)
-{
-    memset(contact, 0, sizeof(*contact));
-    copy_text(contact->id, id);
-    copy_text(contact->address, address);
-    contact->has_key = key.length == GOSSIP_KEY_BYTES;
-    if (contact->has_key) {
-        memcpy(contact->key, key.data, GOSSIP_KEY_BYTES);
-    }
-}
-
-static void
-contact_member(Contact *contact, const Member *member)
-{
-    set_contact(contact, Str_FromC(member->id), Str_FromC(member->address),
-                (Str){(const char *)member->key,
-                      member->has_key ? GOSSIP_KEY_BYTES : 0});
-}
-
 static void
 init_self(Membership *this, const MembershipOptions *options)
 {
@@ -196,17 +123,12 @@
     this->members = MemberTable_Create(&rules, random, &this->counters);
     this->items =
         ItemStore_Create(MAX(options->items_max, 1), &this->counters);
-    this->seed_count = MIN(options->seed_count, SEEDS_MAX);
-    this->seeds = g_new0(Contact, this->seed_count + 1);
-    for (size_t i = 0; i < this->seed_count; i++) {
-        set_contact(&this->seeds[i], STR(""), options->seeds[i], STR(""));
-    }
-    this->listed = g_new0(Contact, CONTACTS_MAX);
+    this->targets = GossipTargets_Create(options, this->members, random);
+    this->writer = GossipWriter_Create(this->members, this->items, random);
     this->created = this->last_tick = Clock_Now(clock);
-    this->next_round = this->refilled = this->created;
-    this->next_urgent = this->created;
-    this->tokens = BURST_BYTES;
-    this->regular_cost = REGULAR_GUESS;
+    this->next_round = this->next_urgent = this->created;
+    ByteBudget_Init(&this->budget, options->bytes_per_s, ROUND_GUESS,
+                    this->created);
     return this;
 }
 
@@ -216,8 +138,8 @@
     MemberTable_Destroy(this->members);
     ItemStore_Destroy(this->items);
     g_free((char *)this->options.deployment.data);
-    g_free(this->seeds);
-    g_free(this->listed);
+    GossipTargets_Destroy(this->targets);
+    GossipWriter_Destroy(this->writer);
     g_free(this);
 }
 
@@ -236,12 +158,6 @@
     return now;
 }
 
-static bool
-is_own_address(const Membership *this, const char *address)
-{
-    return strcmp(address, this->self.address) == 0;
-}
-
 static bool
 is_text(Str text, size_t max)
 {
@@ -259,28 +175,7 @@
 void
 Membership_OnHostList(Membership *this, const HostEntry *entries, size_t count)
 {
-    this->listed_count = 0;
-    for (size_t i = 0; i < count; i++) {
-        const HostEntry *entry = &entries[i];
-        char address[PEER_NAME_MAX + 1];
-        size_t slot = this->listed_count;
-
-        if (entry->role != HOST_BALANCER || entry->peer_port == 0 ||
-            !is_text(entry->id, PEER_NAME_MAX) ||
-            Str_Equal(entry->id, Str_FromC(this->self.id))) {
-            continue;
-        }
-        g_snprintf(address, sizeof(address), STR_FORMAT ":%u",
-                   STR_ARGS(entry->address), entry->peer_port);
-        if (slot == CONTACTS_MAX) {
-            slot = Random_Below(this->random, CONTACTS_MAX);
-        }
-        else {
-            this->listed_count++;
-        }
-        set_contact(&this->listed[slot], entry->id, Str_FromC(address),
-                    STR(""));
-    }
+    GossipTargets_OnHostList(this->targets, entries, count);
 }
 
 static uint32_t
@@ -309,17 +204,6 @@
     this->own_version++;
 }
 
-static void
-queue_reply(Membership *this, Member *member, Micros now)
-{
-    if (this->reply_count == REPLIES_MAX ||
-        (member->replied != 0 && now - member->replied < REPLY_INTERVAL)) {
-        return;
-    }
-    member->replied = now;
-    contact_member(&this->replies[this->reply_count++], member);
-}
-
 static MemberChange
 take_record(Membership *this, const GossipMember *record, Micros now)
 {
@@ -370,12 +254,10 @@
 take_beat(Membership *this, const GossipBeat *beat, Micros now)
 {
     if (beat->tag == this->self.tag ||
-        MemberTable_Beat(this->members, beat, now) != MEMBER_UNKNOWN ||
-        this->wanted_count == GOSSIP_WANTED_MAX) {
+        MemberTable_Beat(this->members, beat, now) != MEMBER_UNKNOWN) {
         return false;
     }
-    this->wanted[this->wanted_count++] = beat->tag;
-    return true;
+    return GossipWriter_Want(this->writer, beat->tag);
 }
 
 /* Return: true if the sender should get a message soon: it did not know this
@@ -421,13 +303,13 @@
     if (sender != NULL && gossip->incarnation < sender->incarnation &&
         this->options.fault != MEMBERSHIP_FAULT_OLD_INCARNATION) {
         this->counters.old_incarnation++;
-        queue_reply(this, sender, now);
+        GossipTargets_QueueReply(this->targets, sender, now);
         return ERR_EXPIRED;
     }
     if (take_members(this, gossip, now)) {
         sender = MemberTable_Find(this->members, gossip->from);
         if (sender != NULL) {
-            queue_reply(this, sender, now);
+            GossipTargets_QueueReply(this->targets, sender, now);
         }
     }
     for (size_t i = 0; i < gossip->item_count; i++) {
@@ -495,214 +377,11 @@
     this->own_version++;
 }
 
-static void
-refill(Membership *this, Micros now)
-{
-    double rate = MAX((double)this->options.bytes_per_s - BURST_BYTES, 1);
-
-    this->tokens += rate * (double)(now - this->refilled) / MICROS_PER_S;
-    this->tokens = MIN(this->tokens, BURST_BYTES);
-    this->refilled = now;
-}
-
-/* Bytes that an urgent message may take without using up what the next
- * regular round needs. */
-static size_t
-urgent_room(const Membership *this, Micros now)
-{
-    double rate = MAX((double)this->options.bytes_per_s - BURST_BYTES, 1);
-    double until = (double)MAX(this->next_round - now, 0) / MICROS_PER_S;
-    double needed = this->regular_cost * this->options.fanout - rate * until;
-    double room = this->tokens - MAX(needed, 0) - FRAME_BYTES;
-
-    return room < MESSAGE_MIN_BYTES ? 0 : (size_t)MIN(room, GOSSIP_MAX);
-}
-
-static bool
-is_target(const Membership *this, const char *address)
-{
-    for (size_t i = 0; i < this->target_count; i++) {
-        if (strcmp(this->targets[i].contact.address, address) == 0) {
-            return true;
-        }
-    }
-    return false;
-}
-
-static bool
-add_target(Membership *this, const Contact *contact, MessageKind kind)
-{
-    if (this->target_count == TARGETS_MAX ||
-        is_target(this, contact->address)) {
-        return false;
-    }
-    this->targets[this->target_count].contact = *contact;
-    this->targets[this->target_count++].kind = kind;
-    return true;
-}
-
-/* A random member that was heard of in the last @silence and is not a target
- * yet. */
-static bool
-pick_heard(Membership *this, Micros silence, MessageKind kind)
-{
-    const Member *picked = NULL;
-    uint64_t seen = 0;
-    Contact contact;
-
-    for (size_t i = 0; i < MemberTable_Count(this->members); i++) {
-        const Member *member = MemberTable_At(this->members, i);
-
-        if (member->state != HOST_REMOVED && !member->leaving &&
-            this->last_tick - member->heard <= silence &&
-            !is_target(this, member->address) &&
-            Random_Below(this->random, ++seen) == 0) {
-            picked = member;
-        }
-    }
-    if (picked == NULL) {
-        return false;
-    }
-    contact_member(&contact, picked);
-    return add_target(this, &contact, kind);
-}
-
-/* Silent hosts only if there is no other: when many hosts die at once, most
- * messages would go to them. */
-static bool
-pick_member(Membership *this, MessageKind kind)
-{
-    Micros suspect = MemberTable_SuspectAfter(this->members);
-
-    return pick_heard(this, suspect / 2, kind) ||
-           pick_heard(this, suspect, kind) ||
-           pick_heard(this, INT64_MAX, kind);
-}
-
-static bool
-is_member_address(const Membership *this, const char *address)
-{
-    for (size_t i = 0; i < MemberTable_Count(this->members); i++) {
-        const Member *member = MemberTable_At(this->members, i);
-
-        if (member->state == HOST_LIVE &&
-            strcmp(member->address, address) == 0) {
-            return true;
-        }
-    }
-    return false;
-}
-
-/* Keeps a random one of the contacts seen so far. */
-static void
-consider(Membership *this, const Contact *contact, Contact *picked,
-         uint64_t *seen)
-{
-    if (is_own_address(this, contact->address) ||
-        is_target(this, contact->address) ||
-        is_member_address(this, contact->address)) {
-        return;
-    }
-    if (Random_Below(this->random, ++*seen) == 0) {
-        *picked = *contact;
-    }
-}
-
-/* A random host that is not live: a seed, a listed, suspect or removed one. */
-static bool
-pick_stranger(Membership *this)
-{
-    Contact picked;
-    uint64_t seen = 0;
-
-    for (size_t i = 0; i < this->seed_count; i++) {
-        consider(this, &this->seeds[i], &picked, &seen);
-    }
-    for (size_t i = 0; i < this->listed_count; i++) {
-        consider(this, &this->listed[i], &picked, &seen);
-    }
-    for (size_t i = 0; i < MemberTable_Count(this->members); i++) {
-        const Member *member = MemberTable_At(this->members, i);
-        Contact contact;
-
-        if (member->state != HOST_LIVE && !member->leaving) {
-            contact_member(&contact, member);
-            consider(this, &contact, &picked, &seen);
-        }
-    }
-    return seen > 0 && add_target(this, &picked, MESSAGE_REJOIN);
-}
-
-static void
-start_round(Membership *this, Micros now)
-{
-    Micros jitter = this->options.interval / 10;
-
-    bool lonely = now - this->last_heard >= LONELY_AFTER;
-    uint64_t one_in = lonely ? LONELY_ONE_IN : REJOIN_ONE_IN;
-
-    this->self.heartbeat++;
-    MemberTable_Check(this->members, now);
-    for (uint32_t i = 0; i < this->options.fanout; i++) {
-        bool stranger = Random_Below(this->random, one_in) == 0;
-
-        if ((!stranger || !pick_stranger(this)) &&
-            !pick_member(this, MESSAGE_REGULAR)) {
-            pick_stranger(this);
-        }
-    }
-    this->next_round = now + this->options.interval - jitter / 2 +
-                       (Micros)Random_Below(this->random, (uint64_t)jitter);
-}
-
-static bool
-members_are_hot(const Membership *this)
-{
-    for (size_t i = 0; i < MemberTable_Count(this->members); i++) {
-        if (MemberTable_At(this->members, i)->hot_left > 0) {
-            return true;
-        }
-    }
-    return false;
-}
-
 static bool
 is_hot(const Membership *this)
 {
     return ItemStore_Hot(this->items) || this->self_hot > 0 ||
-           members_are_hot(this);
-}
-
-/* Urgent messages: answers to hosts that have just come, items that were
- * just seen, and usage. Return: false if none is due. */
-static bool
-start_urgent(Membership *this, Micros now)
-{
-    bool hot = is_hot(this);
-    int targets = hot ? FIRST_URGENT_TARGETS : 1;
-
-    if (now < this->next_urgent ||
-        (!hot && !this->usage_due && this->reply_count == 0)) {
-        return false;
-    }
-    if (urgent_room(this, now) == 0) {
-        this->counters.over_budget++;
-        this->next_urgent = now + this->options.urgent_interval;
-        return false;
-    }
-    this->next_urgent = now + this->options.urgent_interval;
-    if (this->reply_count > 0) {
-        add_target(this, &this->replies[--this->reply_count], MESSAGE_REPLY);
-        targets--;
-    }
-    while (targets > 0 && pick_member(this, MESSAGE_URGENT)) {
-        targets--;
-    }
-    this->usage_due = false;
-    if (this->target_count == 0) {
-        this->self_hot = 0;
-    }
-    return this->target_count > 0;
+           MemberTable_Hot(this->members);
 }
 
 void
@@ -722,306 +401,164 @@
     if (this->superseded) {
         return Clock_Now(this->clock) + this->options.interval;
     }
-    if (this->usage_due || this->reply_count > 0 || is_hot(this)) {
+    if (is_hot(this) || this->usage_due ||
+        GossipTargets_Replies(this->targets) > 0) {
         return MIN(this->next_round, this->next_urgent);
     }
     return this->next_round;
 }
 
-static GossipMember
-own_record(const Membership *this)
-{
-    GossipMember record = Member_Record(&this->self, 0);
-
-    record.age = 0;
-    return record;
-}
-
-/* The receiver's own record, if it is of a later life than it uses. */
 static void
-add_receiver(Membership *this, const Contact *contact, Micros now)
-{
-    Member *member = MemberTable_Find(this->members, Str_FromC(contact->id));
-    GossipMember record;
-
-    if (contact->id[0] != 0 && member != NULL) {
-        record = Member_Record(member, now);
-        GossipDraft_AddMember(&this->draft, &record);
-    }
-}
-
-static bool
-add_record(Membership *this, Member *member, bool urgent, Micros now)
+start_round(Membership *this, Micros now)
 {
-    GossipMember record = Member_Record(member, now);
-
-    if (!GossipDraft_AddMember(&this->draft, &record)) {
-        return false;
-    }
-    if (member->sends_left > 0) {
-        member->sends_left--;
-    }
-    if (urgent && member->hot_left > 0) {
-        member->hot_left--;
-    }
-    return true;
-}
+    Micros jitter = this->options.interval / 10;
+    bool lonely = now - this->last_heard >= LONELY_AFTER;
+    uint64_t one_in = lonely ? LONELY_ONE_IN : REJOIN_ONE_IN;
 
-/* Records that the receiver has asked for. */
-static void
-add_wanted(Membership *this, Micros now)
-{
-    for (size_t i = 0; i < MemberTable_Count(this->members); i++) {
-        Member *member = MemberTable_At(this->members, i);
+    this->self.heartbeat++;
+    MemberTable_Check(this->members, now);
+    ByteBudget_NoteRound(&this->budget, this->round_bytes);
+    this->round_bytes = 0;
+    for (uint32_t i = 0; i < this->options.fanout; i++) {
+        bool stranger = Random_Below(this->random, one_in) == 0;
 
-        if (member->wanted && add_record(this, member, false, now)) {
-            member->wanted = false;
+        if ((!stranger || !GossipTargets_AddStranger(this->targets)) &&
+            !GossipTargets_AddMember(this->targets, MESSAGE_REGULAR, now)) {
+            GossipTargets_AddStranger(this->targets);
         }
     }
+    this->next_round = now + this->options.interval - jitter / 2 +
+                       (Micros)Random_Below(this->random, (uint64_t)jitter);
 }
 
-/* Records that others do not know yet, from a random one on: when many hosts
- * change at once, not all of them fit. */
-static void
-add_changed(Membership *this, size_t reserve, bool urgent, Micros now)
+static size_t
+spare_room(const Membership *this, Micros now)
 {
-    size_t count = MemberTable_Count(this->members);
-    size_t start = Random_Below(this->random, count);
-
-    for (size_t i = 0; i < count; i++) {
-        Member *member = MemberTable_At(this->members, (start + i) % count);
-        uint32_t left = urgent ? member->hot_left : member->sends_left;
-
-        if (left == 0) {
-            continue;
-        }
-        if (this->draft.bytes + reserve > this->draft.limit ||
-            !add_record(this, member, urgent, now)) {
-            return;
-        }
-    }
+    return ByteBudget_SpareRoom(&this->budget, this->next_round - now);
 }
 
-/* Records in turn, so that everyone learns of every host again and again. */
 static void
-add_rotation(Membership *this, size_t most, size_t reserve, Micros now)
+choose_urgent(Membership *this, Micros now)
 {
-    size_t count = MemberTable_Count(this->members);
-    size_t added = 0;
+    int left = is_hot(this) ? HOT_TARGETS : 1;
 
-    for (size_t i = 0; i < count; i++) {
-        Member *member =
-            MemberTable_At(this->members, this->record_cursor++ % count);
-
-        if (member->state != HOST_LIVE || member->sends_left > 0) {
-            continue;
-        }
-        if (added++ == most ||
-            this->draft.bytes + reserve > this->draft.limit ||
-            !add_record(this, member, false, now)) {
-            return;
-        }
+    if (GossipTargets_AddReply(this->targets)) {
+        left--;
     }
-}
-
-/* Heartbeats of live hosts, from a random one on. */
-static void
-add_beats(Membership *this, size_t reserve, Micros now)
-{
-    size_t count = MemberTable_Count(this->members);
-    size_t start = Random_Below(this->random, count);
-
-    for (size_t i = 0; i < count; i++) {
-        const Member *member =
-            MemberTable_At(this->members, (start + i) % count);
-        GossipBeat beat = {member->tag, member->heartbeat,
-                           now - member->heard};
-
-        if (member->state != HOST_LIVE ||
-            now - member->heard >= MemberTable_SuspectAfter(this->members)) {
-            continue;
-        }
-        if (this->draft.bytes + reserve > this->draft.limit ||
-            !GossipDraft_AddBeat(&this->draft, &beat)) {
-            return;
-        }
+    while (left > 0 &&
+           GossipTargets_AddMember(this->targets, MESSAGE_URGENT, now)) {
+        left--;
     }
-}
-
-static void
-add_items(Membership *this, size_t reserve, bool urgent, Micros now)
-{
-    StoredItem *items[SELECT_MAX];
-    size_t n = ItemStore_Select(this->items, items, SELECT_MAX, now);
-
-    for (size_t i = 0; i < n; i++) {
-        GossipItem item = {
-            .item = items[i]->item,
-            .stamp_ms = items[i]->stamp_ms,
-            .hops = items[i]->hops,
-        };
-
-        item.item.age = now - items[i]->observed;
-        if (this->draft.bytes + reserve > this->draft.limit ||
-            !GossipDraft_AddItem(&this->draft, &item)) {
-            return;
-        }
-        ItemStore_Sent(this->items, items[i], urgent);
+    this->usage_due = false;
+    if (GossipTargets_Count(this->targets) == 0) {
+        this->self_hot = 0;
     }
 }
 
-/* Urgent messages are many: a heartbeat does unless this host has news. */
+/* Urgent messages: answers to hosts that do not know enough, items that were
+ * just seen, and usage. */
 static void
-add_self(Membership *this, const Target *target)
+start_urgent(Membership *this, Micros now)
 {
-    GossipMember record = own_record(this);
-    GossipBeat beat = {this->self.tag, this->self.heartbeat, 0};
-
-    if (target->kind == MESSAGE_URGENT && this->self_hot == 0) {
-        GossipDraft_AddBeat(&this->draft, &beat);
+    if (now < this->next_urgent ||
+        (!is_hot(this) && !this->usage_due &&
+         GossipTargets_Replies(this->targets) == 0)) {
         return;
     }
-    GossipDraft_AddMember(&this->draft, &record);
-}
-
-static size_t
-regular_reserve(const Membership *this)
-{
-    size_t beats = MemberTable_Members(this->members) * BEAT_RESERVE;
-
-    return MIN(beats, BEATS_RESERVE_MAX) + RECORDS_RESERVE;
-}
-
-static void
-fill_draft(Membership *this, const Target *target, Micros now)
-{
-    GossipDraft *draft = &this->draft;
-
-    add_self(this, target);
-    while (
-        this->wanted_count > 0 &&
-        GossipDraft_AddWanted(draft, this->wanted[this->wanted_count - 1])) {
-        this->wanted_count--;
-    }
-    switch (target->kind) {
-    case MESSAGE_URGENT:
-        add_changed(this, 0, true, now);
-        add_items(this, 0, true, now);
-        return;
-    case MESSAGE_REPLY:
-        add_receiver(this, &target->contact, now);
-        add_wanted(this, now);
-        add_changed(this, 0, false, now);
-        add_rotation(this, GOSSIP_MEMBERS_MAX, draft->limit / 4, now);
-        add_items(this, 0, false, now);
-        return;
-    case MESSAGE_REJOIN:
-        add_receiver(this, &target->contact, now);
-        add_beats(this, draft->limit / 2, now);
+    this->next_urgent = now + this->options.urgent_interval;
+    if (spare_room(this, now) == 0) {
+        this->counters.over_budget++;
         return;
-    case MESSAGE_REGULAR:
-        break;
     }
-    add_changed(this, draft->limit / 2, false, now);
-    add_items(this, regular_reserve(this), false, now);
-    add_beats(this, RECORDS_RESERVE, now);
-    add_rotation(this, RECORDS_PER_MESSAGE, 0, now);
+    choose_urgent(this, now);
 }
 
-/* Bytes that the message to @target may have; 0: not now. */
+/* Bytes that the message may have; 0: none now. */
 static size_t
-message_room(Membership *this, const Target *target, Micros now)
+message_room(const Membership *this, MessageKind kind, Micros now)
 {
-    double room = this->tokens - FRAME_BYTES;
+    size_t room;
 
     if (this->options.fault == MEMBERSHIP_FAULT_OVERSPEND) {
         return GOSSIP_MAX;
     }
-    if (target->kind == MESSAGE_URGENT) {
-        size_t most = is_hot(this) ? GOSSIP_MAX : USAGE_MESSAGE_BYTES;
-
-        return MIN(urgent_room(this, now), most);
+    if (kind == MESSAGE_REGULAR || kind == MESSAGE_REJOIN) {
+        return ByteBudget_Room(&this->budget);
     }
-    if (target->kind == MESSAGE_REPLY) {
-        return urgent_room(this, now);
+    room = spare_room(this, now);
+    if (kind == MESSAGE_URGENT && !is_hot(this)) {
+        return MIN(room, USAGE_MESSAGE_BYTES);
     }
-    return room < MESSAGE_MIN_BYTES ? 0 : (size_t)MIN(room, GOSSIP_MAX);
+    return room;
 }
 
 static void
-account(Membership *this, const Target *target, size_t length)
+account(Membership *this, MessageKind kind, size_t length)
 {
-    double cost = (double)length + FRAME_BYTES;
-
-    this->tokens -= cost;
+    ByteBudget_Spend(&this->budget, length);
     this->counters.messages_sent++;
-    this->counters.bytes_sent += length + FRAME_BYTES;
-    if (target->kind == MESSAGE_URGENT) {
+    this->counters.bytes_sent += length + BUDGET_FRAME_BYTES;
+    if (kind == MESSAGE_URGENT || kind == MESSAGE_REPLY) {
         this->counters.urgent_sent++;
     }
-    if (target->kind == MESSAGE_REJOIN) {
-        this->counters.rejoin_sent++;
-    }
-    if (target->kind == MESSAGE_REGULAR) {
-        this->regular_cost += (cost - this->regular_cost) / 8;
+    else {
+        this->round_bytes += (double)length + BUDGET_FRAME_BYTES;
+        this->counters.rejoin_sent += kind == MESSAGE_REJOIN;
     }
     if (this->self_hot > 0) {
         this->self_hot--;
     }
 }
 
-static bool
-next_target(Membership *this, Micros now)
-{
-    if (this->target_count > 0) {
-        return true;
-    }
-    if (now >= this->next_round) {
-        start_round(this, now);
-    }
-    return this->target_count > 0 || start_urgent(this, now);
-}
-
 /* Return: false if the budget does not allow the message now. */
 static bool
-write_message(Membership *this, const Target *target, GString *bytes,
-              Micros now)
-{
-    PeerEnvelope envelope = {
-        .deployment = this->options.deployment,
-        .host = Str_FromC(this->self.id),
-        .incarnation = this->self.incarnation,
+write_message(Membership *this, GString *bytes, Micros now)
+{
+    GossipRequest request = {
+        .envelope = {this->options.deployment, this->options.host,
+                     this->self.incarnation},
+        .target = &this->current,
+        .self = &this->self,
+        .self_is_news = this->self_hot > 0,
+        .limit = message_room(this, this->current.kind, now),
+        .now = now,
     };
-    size_t room = message_room(this, target, now);
 
-    if (room == 0) {
+    if (request.limit == 0) {
         this->counters.over_budget++;
         return false;
     }
-    GossipDraft_Begin(&this->draft, &envelope, room);
-    fill_draft(this, target, now);
-    GossipDraft_Finish(&this->draft);
-    if (PeerCodec_WriteGossip(&envelope, &this->draft.gossip, bytes) < 0) {
+    if (GossipWriter_Write(this->writer, &request, bytes) < 0) {
         return false;
     }
-    account(this, target, bytes->len);
+    account(this, this->current.kind, bytes->len);
     return true;
 }
 
+static bool
+next_target(Membership *this, Micros now)
+{
+    if (GossipTargets_Count(this->targets) == 0 && now >= this->next_round) {
+        start_round(this, now);
+    }
+    if (GossipTargets_Count(this->targets) == 0) {
+        start_urgent(this, now);
+    }
+    return GossipTargets_Take(this->targets, &this->current);
+}
+
 bool
 Membership_NextMessage(Membership *this, PeerTarget *to, GString *bytes)
 {
+    const Contact *contact = &this->current.contact;
     Micros now = read_clock(this);
 
-    refill(this, now);
+    ByteBudget_Refill(&this->budget, now);
     if (this->superseded) {
         return false;
     }
     while (next_target(this, now)) {
-        const Contact *contact = &this->current.contact;
-
-        this->current = this->targets[--this->target_count];
-        if (write_message(this, &this->current, bytes, now)) {
+        if (write_message(this, bytes, now)) {
             to->id = Str_FromC(contact->id);
             to->address = Str_FromC(contact->address);
             to->key = (Str){(const char *)contact->key,
@@ -1142,6 +679,6 @@
 Membership_Bytes(const Membership *this)
 {
     return sizeof(*this) + MemberTable_Bytes(this->members) +
-           ItemStore_Bytes(this->items) +
-           (CONTACTS_MAX + this->seed_count + 1) * sizeof(Contact);
+           ItemStore_Bytes(this->items) + GossipTargets_Bytes(this->targets) +
+           GossipWriter_Bytes(this->writer);
 }
