--- a/packages/core/ByteBudget.c
+++ b/packages/core/ByteBudget.c
@@ -2,6 +2,10 @@
 
 #define MOVING_SHARE 8
 #define RATE_MIN 1.0
+/* A process starts with two small messages: with a full burst, a host that
+ * restarts within a second would exceed the budget together with its earlier
+ * life. */
+#define START_BYTES (2 * (BUDGET_MESSAGE_MIN + BUDGET_FRAME_BYTES))
 
 void
 ByteBudget_Init(ByteBudget *this, uint32_t bytes_per_s, double reserve,
@@ -10,7 +14,7 @@
     double rate = (double)bytes_per_s - BUDGET_BURST_BYTES;
 
     this->rate = rate > RATE_MIN ? rate : RATE_MIN;
-    this->tokens = BUDGET_BURST_BYTES;
+    this->tokens = START_BYTES;
     this->reserve = reserve;
     this->refilled = now;
 }
