Test late appends, wrong host lists, a missing margin and broken records

Cause: the driver did not delay an append or a message past the retention, gave every host the same host list, and no fault showed that the margin of the remembered window is needed.

--- a/packages/core/Claims.h
+++ b/packages/core/Claims.h
@@ -26,6 +26,7 @@
     CLAIMS_FAULT_RUN_ON_APPEND,   /* runs when the append is acknowledged */
     CLAIMS_FAULT_RUN_ANY_CLAIM,   /* runs its own claim if it is not first */
     CLAIMS_FAULT_IGNORE_GAP,      /* a gap leaves the window as it is */
+    CLAIMS_FAULT_NO_MARGIN,       /* the window starts at the first record */
     CLAIMS_FAULT_KEEP_FLOOR,      /* forgets keys without moving the window */
     CLAIMS_FAULT_ANY_INCARNATION, /* takes an earlier life's claim for its */
     CLAIMS_FAULT_RUN_ABANDONED,   /* runs a claim that it has abandoned */
--- a/packages/core/ClaimsRead.c
+++ b/packages/core/ClaimsRead.c
@@ -185,12 +185,15 @@
 static void
 move_window(Claims *this, uint32_t number, uint64_t time_ms)
 {
+    Micros margin = this->options.fault == CLAIMS_FAULT_NO_MARGIN
+                        ? 0
+                        : this->options.margin;
+
     if (this->options.fault == CLAIMS_FAULT_IGNORE_GAP) {
         return;
     }
-    ClaimTable_RaiseFloor(
-        this->partitions[number].table,
-        time_ms + (uint64_t)(this->options.margin / MICROS_PER_MS));
+    ClaimTable_RaiseFloor(this->partitions[number].table,
+                          time_ms + (uint64_t)(margin / MICROS_PER_MS));
 }
 
 static void
--- a/packages/core/ClaimsTime.c
+++ b/packages/core/ClaimsTime.c
@@ -155,7 +155,7 @@
                                pending->key.word[0], states[pending->state],
                                pending->waiters->len, pending->number);
     }
-    g_string_append_printf(out, "actions=%zu ",
+    g_string_append_printf(out, "disabled=%d actions=%zu ", this->disabled,
                            ClaimActions_Count(this->actions));
     for (uint32_t i = 0; i < this->options.partitions; i++) {
         const Partition *partition = &this->partitions[i];
--- a/tests/support/ClaimsWorld.c
+++ b/tests/support/ClaimsWorld.c
@@ -211,6 +211,9 @@
     host->next_tick = INT64_MAX;
     host->drain_due = false;
     memset(host->asked, 0, sizeof(host->asked));
+    if (World_Chance(this, this->options.wrong_hosts)) {
+        names[World_Between(this, 0, this->options.hosts - 1)] = options.host;
+    }
     Claims_SetHosts(host->claims, names, this->options.hosts);
     for (uint32_t p = 0; p < options.partitions; p++) {
         World_StartRead(this, number, p, 0);
--- a/tests/support/ClaimsWorld.h
+++ b/tests/support/ClaimsWorld.h
@@ -26,6 +26,9 @@
  * @lose_append: share of appends that never reach the log
  * @lose_result: share of append results lost after the write
  * @lose_read: share of read results lost
+ * @late: share of lost appends and of second copies of messages that
+ *        arrive up to @late_max later
+ * @wrong_hosts: share of hosts whose list of live hosts is incomplete
  * @upstream_refuses: share of requests that an upstream proves not run
  * @upstream_breaks: share of responses lost after the request ran
  * @pause: chance of a pause of up to @pause_max before each action
@@ -42,10 +45,12 @@
     Micros service_min, service_max;
     double lose_message, repeat_message;
     double lose_append, lose_result, lose_read;
+    double late, wrong_hosts;
     double upstream_refuses, upstream_breaks;
     double pause, die;
     Micros pause_max;
     Micros replace_after;
+    Micros late_max;
 } WorldOptions;
 
 /**
--- a/tests/support/ClaimsWorldLog.c
+++ b/tests/support/ClaimsWorldLog.c
@@ -137,6 +137,17 @@
     }
 }
 
+/* The append seems lost, and takes effect long after. */
+static void
+append_late(ClaimsWorld *this, const Event *append)
+{
+    Event *event = World_NewEvent(this, EVENT_APPEND_AT_LOG, append->host);
+
+    event->partition = append->partition;
+    event->bytes = World_Keep(event, append->bytes);
+    World_Schedule(event, World_Between(this, 0, this->options.late_max));
+}
+
 void
 World_OnAppendAtLog(ClaimsWorld *this, const Event *event)
 {
@@ -144,6 +155,9 @@
         World_Between(this, this->options.log_min, this->options.log_max);
 
     if (World_Chance(this, this->options.lose_append)) {
+        if (World_Chance(this, this->options.late)) {
+            append_late(this, event);
+        }
         append_result(this, event, ERR_TIMEOUT, APPEND_TIMEOUT);
         return;
     }
--- a/tests/test_claims.c
+++ b/tests/test_claims.c
@@ -5,9 +5,12 @@
 #include "ClaimBatcher.h"
 #include "ClaimTable.h"
 #include "Claims.h"
+#include "Random.h"
 
 #define WALL_START ((Micros)1700000000 * MICROS_PER_S)
 #define NOW_MS ((uint64_t)(WALL_START / 1000))
+#define FUZZ_SEED 4711
+#define FUZZ_RECORDS 20000
 #define UUID "018bcfe5-6800-7abc-8def-0123456789ab"
 
 /* Guards against keys that are read in two ways or not at all. */
@@ -490,6 +493,37 @@
     }
 }
 
+/* Guards against records that crash a host or make it act. */
+static void
+test_record_fuzz(void)
+{
+    Random *random = Random_Create(FUZZ_SEED);
+    Claim claim = {.key = {{1, 2}}, .host = STR("b"), .key_time_ms = NOW_MS};
+    GString *valid = g_string_new(NULL);
+    Fixture f;
+    ClaimAction action;
+
+    set_up(&f, true);
+    ClaimRecord_Write(1, &claim, 1, valid);
+    for (uint64_t i = 0; i < FUZZ_RECORDS; i++) {
+        GString *record = g_string_new_len(valid->str, (gssize)valid->len);
+
+        for (uint64_t n = 1 + Random_Below(random, 4); n > 0; n--) {
+            record->str[Random_Below(random, record->len)] =
+                (char)Random_Next(random);
+        }
+        g_string_truncate(record, 1 + Random_Below(random, record->len));
+        g_assert_cmpint(
+            feed(&f, i, NOW_MS, (Str){record->str, record->len}, &action), ==,
+            -1);
+        g_string_free(record, TRUE);
+    }
+    g_assert_cmpuint(Claims_ReadFrom(f.claims, 0), ==, FUZZ_RECORDS);
+    g_string_free(valid, TRUE);
+    tear_down(&f);
+    Random_Destroy(random);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -504,5 +538,6 @@
     g_test_add_func("/claims/deadlines", test_deadlines);
     g_test_add_func("/claims/void", test_void_claims);
     g_test_add_func("/claims/records", test_records);
+    g_test_add_func("/claims/record-fuzz", test_record_fuzz);
     return g_test_run();
 }
--- a/tests/test_claims_seeds.c
+++ b/tests/test_claims_seeds.c
@@ -73,6 +73,8 @@
          offsetof(JournalVerdict, run_twice)},
         {CLAIMS_FAULT_IGNORE_GAP, "ignore-gap",
          offsetof(JournalVerdict, run_twice)},
+        {CLAIMS_FAULT_NO_MARGIN, "no-margin",
+         offsetof(JournalVerdict, run_twice)},
         {CLAIMS_FAULT_KEEP_FLOOR, "keep-floor",
          offsetof(JournalVerdict, run_twice)},
         {CLAIMS_FAULT_ANY_INCARNATION, "any-incarnation",
