--- a/packages/core/CallerShares.c
+++ b/packages/core/CallerShares.c
@@ -20,10 +20,13 @@
 /* A caller below its level may use this much time of it at once. */
 #define BURST_TIME (200 * MICROS_PER_MS)
 
+/* All demands decay alike, so they are kept as of @epoch and scaled by one
+ * common factor; the epoch moves on before the numbers grow too large. */
+#define MAX_EPOCH (20 * DEMAND_TIME)
+
 typedef struct Bucket_ {
-    double demand;  /* slots, decays by e in DEMAND_TIME */
+    double demand;  /* slots, as of the epoch */
     double balance; /* slot time in microseconds */
-    Micros demand_at;
     Micros balance_at;
 } Bucket;
 
@@ -32,6 +35,7 @@
     double level;
     double cost; /* average of one request, in microseconds */
     Micros level_at;
+    Micros epoch;
     Bucket buckets[BUCKETS];
 };
 
@@ -43,8 +47,8 @@
     this->seed = seed;
     this->level = INFINITY;
     this->level_at = now - LEVEL_TIME;
+    this->epoch = now;
     for (int i = 0; i < BUCKETS; i++) {
-        this->buckets[i].demand_at = now;
         this->buckets[i].balance_at = now;
     }
     return this;
@@ -64,24 +68,37 @@
     return &this->buckets[(mixed >> 32) % BUCKETS];
 }
 
+/* Part of a demand as of the epoch that is left now. */
 static double
-demand_at(const Bucket *bucket, Micros now)
+decay(const CallerShares *this, Micros now)
+{
+    return exp(-(double)(now - this->epoch) / (double)DEMAND_TIME);
+}
+
+static void
+move_epoch(CallerShares *this, Micros now)
 {
-    return bucket->demand *
-           exp(-(double)(now - bucket->demand_at) / (double)DEMAND_TIME);
+    double factor = decay(this, now);
+
+    for (int i = 0; i < BUCKETS; i++) {
+        this->buckets[i].demand *= factor;
+    }
+    this->epoch = now;
 }
 
 double
 CallerShares_Capped(const CallerShares *this, double level, Micros now)
 {
+    double factor = decay(this, now);
+    double cap = level / factor;
     double sum = 0;
 
     for (int i = 0; i < BUCKETS; i++) {
-        if (this->buckets[i].demand > 0) {
-            sum += fmin(demand_at(&this->buckets[i], now), level);
-        }
+        double demand = this->buckets[i].demand;
+
+        sum += demand < cap ? demand : cap;
     }
-    return sum;
+    return sum * factor;
 }
 
 /* Water-filling: the level at which the capped demands sum up to @amount.
@@ -119,11 +136,12 @@
 compute_level(CallerShares *this, double allowance, Micros now)
 {
     double demands[BUCKETS];
+    double factor = decay(this, now);
     int n = 0;
 
     for (int i = 0; i < BUCKETS; i++) {
         if (this->buckets[i].demand > 0) {
-            demands[n++] = demand_at(&this->buckets[i], now);
+            demands[n++] = this->buckets[i].demand * factor;
         }
     }
     this->level = fill(demands, n, REGULATED * allowance);
@@ -153,9 +171,10 @@
     Bucket *bucket = bucket_of(this, caller);
 
     this->cost += (this->cost > 0 ? 0.02 : 1.0) * ((double)cost - this->cost);
-    bucket->demand =
-        demand_at(bucket, now) + (double)cost / (double)DEMAND_TIME;
-    bucket->demand_at = now;
+    if (now - this->epoch > MAX_EPOCH) {
+        move_epoch(this, now);
+    }
+    bucket->demand += (double)cost / (double)DEMAND_TIME / decay(this, now);
     refill(this, bucket, now);
     if (now - this->level_at >= LEVEL_TIME) {
         compute_level(this, allowance, now);
--- a/packages/core/LevelControl.c
+++ b/packages/core/LevelControl.c
@@ -5,7 +5,7 @@
 
 /* An upstream is aimed to hold slots + TARGET_QUEUE x sqrt(slots) requests:
  * the queue that keeps its slots busy grows with the spread of its load. */
-#define TARGET_QUEUE 0.9
+#define TARGET_QUEUE 0.8
 
 /* Loads below are in relation to that target. */
 #define SHORT_FROM 0.90
@@ -62,6 +62,12 @@
 #define SILENT_TIME (100 * MICROS_PER_MS)
 #define SILENT_GAIN 2.0
 
+/* The quick part of the control acts on what limited lines may hold, not on
+ * the level itself: it takes out the randomness of the lines that are not
+ * limited. */
+#define TRIM_GAIN 0.5
+#define MAX_TRIM 1.5
+
 /* With shares enforced, time over which the capacity follows the level. */
 #define FOLLOW_TIME (2 * MICROS_PER_S)
 
@@ -90,6 +96,11 @@
  * the requests themselves is not taken for a queue forever. */
 #define BASE_DRIFT 0.02
 
+/* Time over which the part of waiting in the time in flight is averaged, and
+ * its bound: reports that claim more are not believed. */
+#define WAIT_TIME (100 * MICROS_PER_MS)
+#define MAX_WAIT_PART 0.8
+
 /* What a shed request counts for. */
 #define SHED_LOAD 2.0
 
@@ -105,7 +116,13 @@
     Micros demand_at;
     Micros reported_at; /* last report, -1 if none */
     Micros calm_since;
+    Micros timed_at;
     Micros heard_at; /* last level of a peer */
+    double held;     /* requests at an upstream, averaged */
+    double queued;   /* those of them that wait */
+    double busy;     /* time in flight of all lines' requests */
+    Micros held_at;
+    Micros busy_at;
     double fast_latency;
     double slow_latency;
     double base_latency;
@@ -276,10 +293,36 @@
 LevelControl_OnLoad(LevelControl *this, uint32_t held, uint32_t slots,
                     Micros now)
 {
+    Micros passed = MAX(now - this->held_at, MIN_STEP);
+
+    this->held_at = now;
+    this->held = average(this->held, held, passed, WAIT_TIME);
+    this->queued = average(this->queued, held > slots ? held - slots : 0,
+                           passed, WAIT_TIME);
     this->reported_at = now;
     sample(this, held / (slots + TARGET_QUEUE * sqrt(slots)), now);
 }
 
+/* By Little's law requests wait for the same part of their time as is their
+ * part of those held. Every request waits alike, whatever its work. The result
+ * may be negative for one request; a bound would bias the sum of many. */
+Micros
+LevelControl_Work(LevelControl *this, Micros busy, Micros now)
+{
+    Micros passed = MAX(now - this->busy_at, MIN_STEP);
+    double part;
+    double work;
+
+    this->busy_at = now;
+    this->busy = average(this->busy, (double)busy, passed, WAIT_TIME);
+    if (this->held <= 0) {
+        return busy;
+    }
+    part = fmin(this->queued / this->held, MAX_WAIT_PART);
+    work = ((double)busy - part * this->busy) / (1 - part);
+    return (Micros)work;
+}
+
 void
 LevelControl_OnShed(LevelControl *this, Micros now)
 {
@@ -346,10 +389,12 @@
 }
 
 void
-LevelControl_OnTime(LevelControl *this, Micros passed, Micros now)
+LevelControl_OnTime(LevelControl *this, Micros now)
 {
     Micros silent = now - this->sampled_at;
+    Micros passed = MIN(now - this->timed_at, MAX_STEP);
 
+    this->timed_at = now;
     if (!this->is_short || silent < SILENT_TIME) {
         return;
     }
@@ -360,6 +405,14 @@
     this->level *= exp(SILENT_GAIN * (double)passed / (double)MICROS_PER_S);
 }
 
+double
+LevelControl_Trim(const LevelControl *this)
+{
+    double trim = pow(fmax(this->signal, 0.1), -TRIM_GAIN);
+
+    return fmax(fmin(trim, MAX_TRIM), 1 / MAX_TRIM);
+}
+
 bool
 LevelControl_IsWarm(const LevelControl *this)
 {
--- a/packages/core/LevelControl.h
+++ b/packages/core/LevelControl.h
@@ -48,6 +48,15 @@
 void LevelControl_OnLoad(LevelControl *this, uint32_t held, uint32_t slots,
                          Micros now);
 
+/**
+ * LevelControl_Work() - what a request is charged that was @busy in flight
+ *
+ * Waiting is taken out and spread over all requests by their work, so that
+ * many small requests don't pay for the queue that few large ones make; the
+ * sum over all requests stays their time in flight.
+ */
+Micros LevelControl_Work(LevelControl *this, Micros busy, Micros now);
+
 /** LevelControl_OnShed() - an upstream refused a request as full */
 void LevelControl_OnShed(LevelControl *this, Micros now);
 
@@ -61,12 +70,15 @@
 void LevelControl_OnPeer(LevelControl *this, double level, Micros now);
 
 /**
- * LevelControl_OnTime() - time passes without an observation
- * @passed: time since the last call, in microseconds
+ * LevelControl_OnTime() - call with every request
  *
- * The level rises, and a state that rests on silent peers ends.
+ * Without observations the level rises, and a state that rests on silent
+ * peers ends.
  */
-void LevelControl_OnTime(LevelControl *this, Micros passed, Micros now);
+void LevelControl_OnTime(LevelControl *this, Micros now);
+
+/** LevelControl_Trim() - factor for what limited lines may hold right now */
+double LevelControl_Trim(const LevelControl *this);
 
 /** LevelControl_IsWarm() - busy enough for demand to be exchanged */
 bool LevelControl_IsWarm(const LevelControl *this);
--- a/packages/core/LineShare.c
+++ b/packages/core/LineShare.c
@@ -46,7 +46,12 @@
 
 /* First guess of a request's slot time, until one has been seen. */
 #define FIRST_COST (5 * MICROS_PER_MS)
-#define COST_WEIGHT (1.0 / 64)
+
+/* The expected cost is averaged over this time and at least so many requests.
+ * Over 64 requests alone it swung by a half on a host with 3000 a second, and
+ * the charges with it. */
+#define COST_TIME (500 * MICROS_PER_MS)
+#define COST_SAMPLES 64
 #define DOUBT 0.98
 
 /* Bounds the memory that a peer message can claim. */
@@ -69,7 +74,9 @@
     double lagged;  /* demand as old as what the peers said */
     double delayed; /* the same with callers capped */
     double allowance;
-    double balance; /* slot time in microseconds */
+    double balance;  /* slot time in microseconds */
+    uint32_t learnt; /* requests */
+    Micros learnt_at;
     Micros demand_at;
     Micros delayed_at;
     Micros balance_at;
@@ -120,10 +127,16 @@
 }
 
 void
-LineShare_Learn(LineShare *this, double latency)
+LineShare_Learn(LineShare *this, double latency, Micros now)
 {
+    double passed = (double)(now - this->learnt_at) / (double)COST_TIME;
+    double weight = fmin(1.0 - exp(-passed), 1.0 / COST_SAMPLES);
+
+    this->learnt_at = now;
+    this->learnt++;
+    weight = fmax(weight, 1.0 / (double)MIN(this->learnt, 1 << 20));
     /* One request that hangs must not price out the ones that follow. */
-    this->cost += COST_WEIGHT * (fmin(latency, 16 * this->cost) - this->cost);
+    this->cost += weight * (fmin(latency, 16 * this->cost) - this->cost);
     this->cost = fmax(this->cost, 1.0);
 }
 
--- a/packages/core/LineShare.h
+++ b/packages/core/LineShare.h
@@ -27,7 +27,7 @@
 Micros LineShare_Estimate(const LineShare *this, double cost);
 
 /** LineShare_Learn() - a request took @latency for each unit of cost */
-void LineShare_Learn(LineShare *this, double latency);
+void LineShare_Learn(LineShare *this, double latency, Micros now);
 
 /**
  * LineShare_Doubt() - a request was refused for its expected time
