--- /dev/null
+++ b/tests/test_retry_budget.c
@@ -0,0 +1,162 @@
+#include <glib.h>
+
+#include "Random.h"
+#include "RetryBudget.h"
+
+#define SEED 41
+
+static RetryQuery
+good_query(const Clock *clock)
+{
+    return (RetryQuery){
+        .failure = RETRY_FAILURE_SHED,
+        .body_kept = true,
+        .attempts = 1,
+        .deadline = Clock_Now(clock) + MICROS_PER_S,
+        .expected = 10 * MICROS_PER_MS,
+    };
+}
+
+/* Guards against a request that may have run being sent again. */
+static void
+test_safety(void)
+{
+    static const struct {
+        RetryFailure failure;
+        bool idempotent;
+        bool safe;
+    } cases[] = {
+        {RETRY_FAILURE_NOT_SENT, false, true},
+        {RETRY_FAILURE_SHED, false, true},
+        {RETRY_FAILURE_BROKEN, false, false},
+        {RETRY_FAILURE_SILENT, false, false},
+        {RETRY_FAILURE_ERROR, false, false},
+        {RETRY_FAILURE_BROKEN, true, true},
+        {RETRY_FAILURE_SILENT, true, true},
+        {RETRY_FAILURE_ERROR, true, true},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        RetryQuery query = {.failure = cases[i].failure,
+                            .idempotent = cases[i].idempotent};
+
+        g_assert_cmpint(RetryBudget_IsSafe(&query), ==, cases[i].safe);
+    }
+}
+
+/* Guards against each rule being skipped while the budget is full, and
+ * against a refusal that spends from it. */
+static void
+test_rules(void)
+{
+    Clock *clock = Clock_CreateManual(MICROS_PER_S, 0);
+    RetryBudget *budget = RetryBudget_Create(clock);
+    RetryQuery queries[9];
+    static const RetryVerdict expected[] = {
+        RETRY_RESPONSE_BEGUN, RETRY_UNSAFE,    RETRY_LAYER_ABOVE,
+        RETRY_LAYER_BELOW,    RETRY_BODY_GONE, RETRY_ATTEMPTS,
+        RETRY_DEADLINE,       RETRY_YES,       RETRY_BUDGET,
+    };
+
+    for (int i = 0; i < 10; i++) {
+        RetryBudget_OnSuccess(budget);
+    }
+    for (size_t i = 0; i < G_N_ELEMENTS(queries); i++) {
+        queries[i] = good_query(clock);
+    }
+    queries[0].response_begun = true;
+    queries[1].failure = RETRY_FAILURE_BROKEN;
+    queries[2].layer_above_retries = true;
+    queries[3].from_balancer = true;
+    queries[4].body_kept = false;
+    queries[5].attempts = 3;
+    queries[6].deadline = Clock_Now(clock) + queries[6].expected;
+    for (size_t i = 0; i < G_N_ELEMENTS(queries); i++) {
+        RetryAdvice advice = RetryBudget_Ask(budget, &queries[i]);
+
+        g_assert_cmpstr(RetryBudget_Name(advice.verdict), ==,
+                        RetryBudget_Name(expected[i]));
+        g_assert_cmpint(advice.other_upstream, ==, expected[i] == RETRY_YES);
+    }
+    RetryBudget_Destroy(budget);
+    Clock_Destroy(clock);
+}
+
+/* Guards against a pooled connection that went silent being used again. */
+static void
+test_silence_takes_new_connection(void)
+{
+    Clock *clock = Clock_CreateManual(MICROS_PER_S, 0);
+    RetryBudget *budget = RetryBudget_Create(clock);
+    RetryQuery query = good_query(clock);
+
+    for (int i = 0; i < 10; i++) {
+        RetryBudget_OnSuccess(budget);
+    }
+    query.failure = RETRY_FAILURE_SILENT;
+    query.idempotent = true;
+    g_assert_true(RetryBudget_Ask(budget, &query).new_connection);
+    RetryBudget_Destroy(budget);
+    Clock_Destroy(clock);
+}
+
+/* Guards against retries above 10% of the successes of all hosts together,
+ * and against a balance saved up before an outage that exceeds 10% of one
+ * second's requests. */
+static void
+test_share_over_hosts(void)
+{
+    static const struct {
+        double failing;
+        uint32_t idle_s; /* successes only, before the count starts */
+    } cases[] = {{0.05, 0}, {0.5, 0}, {0.9, 0}, {1.0, 0}, {1.0, 60}};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        Clock *clock = Clock_CreateManual(0, 0);
+        Random *random = Random_Create(SEED + i);
+        RetryBudget *budgets[20];
+        uint32_t retries = 0;
+        uint32_t successes = 0;
+
+        for (int j = 0; j < 20; j++) {
+            budgets[j] = RetryBudget_Create(clock);
+        }
+        for (uint32_t n = 0; n < cases[i].idle_s * 1000; n++) {
+            RetryBudget_OnSuccess(budgets[n % 20]);
+            Clock_Advance(clock, MICROS_PER_MS);
+        }
+        for (int n = 0; n < 10000; n++) {
+            RetryBudget *budget = budgets[Random_Below(random, 20)];
+            RetryQuery query = good_query(clock);
+
+            if (Random_Unit(random) >= cases[i].failing) {
+                RetryBudget_OnSuccess(budget);
+                successes++;
+            }
+            else if (RetryBudget_Ask(budget, &query).verdict == RETRY_YES) {
+                retries++;
+            }
+            Clock_Advance(clock, MICROS_PER_MS);
+        }
+        g_assert_cmpuint(retries, <=,
+                         successes / 10 + (cases[i].idle_s > 0 ? 110 : 0));
+        for (int j = 0; j < 20; j++) {
+            RetryBudget_Destroy(budgets[j]);
+        }
+        Random_Destroy(random);
+        Clock_Destroy(clock);
+    }
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_message("seed=%d", SEED);
+    g_test_add_func("/retry-budget/safety", test_safety);
+    g_test_add_func("/retry-budget/rules", test_rules);
+    g_test_add_func("/retry-budget/silence",
+                    test_silence_takes_new_connection);
+    g_test_add_func("/retry-budget/share", test_share_over_hosts);
+    return g_test_run();
+}
