--- a/bench/bench_routing.c
+++ b/bench/bench_routing.c
@@ -1,114 +1,583 @@
-#include "RoutingDriver.h"
 #include <math.h>
 #include <stdio.h>
-#include <stdlib.h>
-#include <string.h>
+
+#include <glib.h>
+
+#include "RoutingDriver.h"
+
+/* Each figure is the mean of these runs, or the worst for budgets. */
+static const uint64_t seeds[] = {1, 2, 3};
+
+#define BASELINE ROUTING_TWO_CHOICES
+
+static const Deployment *const deployments[] = {&deployment_tunis,
+                                                &deployment_puntarenas};
+
+/* Means over the seeds; latencies in microseconds. */
+typedef struct Figures_ {
+    double p50;
+    double p99;
+    double wait_p99;
+    double sent;
+    double failed;
+    double sheds;
+    double share;
+    double late;
+    double after;
+    double probe_peak;
+    double messages;
+    double connections;
+} Figures;
+
+typedef struct Outcome_ {
+    Figures services[DRIVER_SERVICES];
+} Outcome;
+
+static double
+per(uint64_t part, uint64_t whole)
+{
+    return whole > 0 ? (double)part / (double)whole : 0;
+}
+
+static void
+add_run(Figures *f, const ServiceResult *r, const DriverResult *run,
+        double seconds, double weight)
+{
+    f->p50 += weight * (double)r->p50;
+    f->p99 += weight * (double)r->p99;
+    f->wait_p99 += weight * (double)r->wait_p99;
+    f->sent += weight * per(r->sent, r->offered);
+    f->failed += weight * per(r->failed, r->offered);
+    f->sheds += weight * per(r->sheds, r->offered);
+    f->share += weight * r->affected_share;
+    f->late += weight * r->affected_late;
+    f->after += weight * r->affected_after;
+    f->messages += weight * (double)run->slot_messages / seconds / 20;
+    f->probe_peak = MAX(f->probe_peak, r->probe_peak);
+    f->connections = MAX(f->connections, run->connections_peak);
+}
+
+static Outcome
+run_seeds(DriverOptions options)
+{
+    Outcome out = {0};
+    double seconds =
+        (double)(options.duration - options.warmup) / MICROS_PER_S;
+
+    for (size_t i = 0; i < G_N_ELEMENTS(seeds); i++) {
+        DriverResult r;
+
+        options.seed = seeds[i];
+        r = RoutingDriver_Run(&options);
+        for (int s = 0; s < DRIVER_SERVICES; s++) {
+            add_run(&out.services[s], &r.services[s], &r, seconds,
+                    1.0 / G_N_ELEMENTS(seeds));
+        }
+    }
+    return out;
+}
+
+static DriverOptions
+options_for(const Deployment *deployment)
+{
+    DriverOptions o = DriverOptions_Default(deployment);
+
+    o.duration = 10 * MICROS_PER_S;
+    return o;
+}
+
+/* The baseline of the bounds: local counts alone, nothing held back. */
+static void
+use_baseline(DriverOptions *o)
+{
+    o->router.policy = BASELINE;
+    o->router.outliers = false;
+}
+
+/* A data file for the plots; NULL if bench/out does not exist. */
+static FILE *
+open_data(const char *name, const Deployment *deployment)
+{
+    char path[64];
+
+    g_snprintf(path, sizeof(path), "bench/out/%s_%s.dat", name,
+               deployment->name);
+    return fopen(path, "w");
+}
+
+static void
+close_data(FILE *out)
+{
+    if (out != NULL) {
+        fclose(out);
+    }
+}
+
+static void
+print_value(const char *deployment, const char *service, const char *name,
+            double value)
+{
+    printf("%s_%s_%s=%.4g\n", deployment, service, name, value);
+}
+
+static void
+print_bound(const char *deployment, const char *service, const char *name,
+            double value, double bound)
+{
+    print_value(deployment, service, name, value);
+    printf("%s_%s_%s_bound=%.4g\n", deployment, service, name, bound);
+    printf("%s_%s_%s_met=%s\n", deployment, service, name,
+           value <= bound ? "yes" : "no");
+}
+
+/* Probability that a request waits in M/M/c with @load per server. */
+static double
+erlang_c(uint32_t servers, double load)
+{
+    double offered = servers * load;
+    double blocked = 1;
+
+    for (uint32_t n = 1; n <= servers; n++) {
+        blocked = offered * blocked / (n + offered * blocked);
+    }
+    return blocked / (1 - load * (1 - blocked));
+}
+
+/* Probability that the time in an M/M/c system passes @time. */
+static double
+mmc_tail(uint32_t servers, double load, double mean, double time)
+{
+    double waits = erlang_c(servers, load);
+    double rate = 1 / mean;
+    double drain = servers * (1 - load) * rate;
+    double both = (drain * exp(-rate * time) - rate * exp(-drain * time)) /
+                  (drain - rate);
+
+    return (1 - waits) * exp(-rate * time) + waits * both;
+}
+
+static double
+mmc_p99(const DriverService *service, double load, double mean)
+{
+    uint32_t servers = service->upstreams * service->slots;
+    double low = 0;
+    double high = 1000 * mean;
+
+    for (int i = 0; i < 100; i++) {
+        double middle = (low + high) / 2;
+
+        if (mmc_tail(servers, load, mean, middle) > 0.01) {
+            low = middle;
+        }
+        else {
+            high = middle;
+        }
+    }
+    return high;
+}
+
+/* All bounds of the uniform load, and every policy beside them. */
+static void
+bench_uniform(const Deployment *d)
+{
+    DriverOptions o = options_for(d);
+    Outcome base;
+    Outcome best = run_seeds(o);
+
+    use_baseline(&o);
+    base = run_seeds(o);
+    for (int s = 0; s < DRIVER_SERVICES; s++) {
+        const char *name = d->services[s].name;
+        double limit = mmc_p99(&d->services[s], o.load, (double)o.mean);
+        const Figures *f = &best.services[s];
+        const Figures *b = &base.services[s];
+
+        print_value(d->name, name, "mmc_p99_ms", limit / 1e3);
+        print_value(d->name, name, "uniform_p99_ms", f->p99 / 1e3);
+        print_value(d->name, name, "two_choices_p99_ms", b->p99 / 1e3);
+        print_bound(d->name, name, "uniform_p99_to_mmc", f->p99 / limit, 1.3);
+        print_bound(d->name, name, "uniform_p99_to_two_choices",
+                    f->p99 / b->p99, 0.7);
+        /* What an ideal central queue would reach with the same network. */
+        print_value(d->name, name, "floor_p99_to_two_choices",
+                    (limit + 2.0 * (double)d->one_way) / b->p99);
+        print_value(d->name, name, "uniform_wait_p99_to_two_choices",
+                    f->wait_p99 / b->wait_p99);
+        print_bound(d->name, name, "uniform_probe_use", f->probe_peak, 1);
+    }
+}
+
+static void
+bench_policies(const Deployment *d)
+{
+    FILE *out = open_data("routing_policies", d);
+
+    for (int p = 0; p < ROUTING_POLICIES; p++) {
+        DriverOptions o = options_for(d);
+        Outcome r;
+
+        o.router.policy = (RoutingPolicy)p;
+        r = run_seeds(o);
+        for (int s = 0; s < DRIVER_SERVICES; s++) {
+            const Figures *f = &r.services[s];
+
+            printf("%s_%s_%s_p99_ms=%.4g wait_p99_ms=%.4g "
+                   "slot_messages_per_s_host=%.0f\n",
+                   d->name, d->services[s].name,
+                   RoutingPolicy_Name(o.router.policy), f->p99 / 1e3,
+                   f->wait_p99 / 1e3, f->messages);
+            if (out != NULL && s == 0) {
+                fprintf(out, "%s %.3f %.3f %.1f\n",
+                        RoutingPolicy_Name(o.router.policy), f->p99 / 1e3,
+                        f->wait_p99 / 1e3, f->messages);
+            }
+        }
+    }
+    close_data(out);
+}
+
+/* Variants that were weighed: not bounds, but reasons for the default. */
+static void
+bench_variants(const Deployment *d)
+{
+    static const struct {
+        const char *name;
+        RoutingPolicy policy;
+        uint32_t choices;
+        bool lend;
+        ServiceTimes times;
+        Micros near;
+        bool one_domain;
+        Micros bonus;
+    } cases[] = {
+        {"reports_two", ROUTING_REPORTS, 2, true, 0, 0, false, 0},
+        {"shares_without_lending", ROUTING_SLOT_SHARES, 0, false, 0, 0, false,
+         0},
+        {"erlang4", ROUTING_REPORTS, 0, true, TIMES_ERLANG4, 0, false, 1000},
+        {"erlang4_two_choices", ROUTING_TWO_CHOICES, 0, true, TIMES_ERLANG4, 0,
+         false, 1000},
+        {"near_ignored", ROUTING_REPORTS, 0, true, 0, 100, false, 0},
+        {"near_preferred", ROUTING_REPORTS, 0, true, 0, 100, false, 1000},
+        {"one_domain_near_ignored", ROUTING_REPORTS, 0, true, 0, 100, true, 0},
+        {"one_domain_near_preferred", ROUTING_REPORTS, 0, true, 0, 100, true,
+         1000},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        DriverOptions o = options_for(d);
+        Outcome r;
+
+        o.router.policy = cases[i].policy;
+        o.router.choices = cases[i].choices;
+        o.router.lend = cases[i].lend;
+        o.router.near_bonus = cases[i].bonus;
+        o.times = cases[i].times;
+        o.near = cases[i].near;
+        o.one_domain = cases[i].one_domain;
+        r = run_seeds(o);
+        for (int s = 0; s < DRIVER_SERVICES; s++) {
+            printf("%s_%s_%s_p99_ms=%.4g p50_ms=%.4g\n", d->name,
+                   d->services[s].name, cases[i].name, r.services[s].p99 / 1e3,
+                   r.services[s].p50 / 1e3);
+        }
+    }
+}
+
+/* Measures exactly the 2 s in which a tenth of the upstreams is slow. */
+static void
+bench_slow(const Deployment *d, bool shed)
+{
+    DriverOptions o = options_for(d);
+    Outcome base;
+    Outcome best;
+    Outcome back;
+
+    o.shed = shed;
+    o.queue_max = 6;
+    o.slow_share = 0.1;
+    o.from = 2 * MICROS_PER_S;
+    o.until = 4 * MICROS_PER_S;
+    o.duration = o.until;
+    best = run_seeds(o);
+    o.duration = 9 * MICROS_PER_S;
+    back = run_seeds(o);
+    o.duration = o.until;
+    use_baseline(&o);
+    base = run_seeds(o);
+    for (int s = 0; s < DRIVER_SERVICES; s++) {
+        const char *name = d->services[s].name;
+        double slow =
+            ceil(0.1 * d->services[s].upstreams) / d->services[s].upstreams;
+        const Figures *f = &best.services[s];
+
+        if (shed) {
+            print_value(d->name, name, "slow_shed_p99_ms", f->p99 / 1e3);
+            print_bound(d->name, name, "slow_shed_p99_to_two_choices",
+                        f->p99 / base.services[s].p99, 0.5);
+            continue;
+        }
+        print_value(d->name, name, "slow_p99_ms", f->p99 / 1e3);
+        print_bound(d->name, name, "slow_p99_to_two_choices",
+                    f->p99 / base.services[s].p99, 0.5);
+        print_value(d->name, name, "slow_share_after_50ms", f->late / slow);
+        print_value(d->name, name, "slow_share_regained",
+                    back.services[s].after / slow);
+        print_bound(d->name, name, "slow_probe_use", f->probe_peak, 1);
+    }
+}
+
+static void
+bench_failing(const Deployment *d)
+{
+    for (int p = 0; p < ROUTING_POLICIES; p++) {
+        DriverOptions o = options_for(d);
+        Outcome r;
+
+        o.router.policy = (RoutingPolicy)p;
+        o.failing = 1;
+        o.from = 3 * MICROS_PER_S;
+        o.until = o.duration;
+        r = run_seeds(o);
+        for (int s = 0; s < DRIVER_SERVICES; s++) {
+            double share = r.services[s].share * d->services[s].upstreams;
+            const char *service = d->services[s].name;
+
+            if (o.router.policy != ROUTING_REPORTS) {
+                printf("%s_%s_%s_failing_share=%.4g\n", d->name, service,
+                       RoutingPolicy_Name(o.router.policy), share);
+                continue;
+            }
+            print_bound(d->name, service, "failing_share", share, 1.5);
+            print_bound(d->name, service, "failing_probe_use",
+                        r.services[s].probe_peak, 1);
+        }
+    }
+}
+
+static void
+bench_misleading(const Deployment *d, bool verify)
+{
+    static const struct {
+        const char *name;
+        ReportMode mode;
+    } cases[] = {{"late", REPORTS_LATE}, {"zero", REPORTS_ZERO}};
+    DriverOptions o = options_for(d);
+    Outcome none;
+
+    o.reports = REPORTS_NONE;
+    none = run_seeds(o);
+    o.router.verify_reports = verify;
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        Outcome r;
+
+        o.reports = cases[i].mode;
+        r = run_seeds(o);
+        for (int s = 0; s < DRIVER_SERVICES; s++) {
+            double ratio = r.services[s].p99 / none.services[s].p99;
+            char name[64];
+
+            g_snprintf(name, sizeof(name), "%s_reports_p99_to_none%s",
+                       cases[i].name, verify ? "" : "_unverified");
+            if (verify) {
+                print_bound(d->name, d->services[s].name, name, ratio, 1.15);
+            }
+            else {
+                print_value(d->name, d->services[s].name, name, ratio);
+            }
+        }
+    }
+}
+
+static void
+bench_down(const Deployment *d)
+{
+    DriverOptions o = options_for(d);
+    Outcome r;
+
+    o.down = true;
+    o.from = o.warmup;
+    o.until = o.duration;
+    r = run_seeds(o);
+    for (int s = 0; s < DRIVER_SERVICES; s++) {
+        const char *name = d->services[s].name;
+
+        print_bound(d->name, name, "down_sent_to_offered", r.services[s].sent,
+                    1.1);
+        print_bound(d->name, name, "down_probe_use", r.services[s].probe_peak,
+                    1);
+    }
+}
+
+/* Upstreams that refuse when full, with different queues and retry budgets. */
+static void
+bench_shedding(const Deployment *d)
+{
+    static const struct {
+        const char *name;
+        uint32_t queue_max;
+        double retry_share;
+    } cases[] = {
+        {"shed_at_once", 0, 0.1},
+        {"shed_at_once_free_retries", 0, 10},
+        {"shed_after_half_queue", 3, 0.1},
+        {"shed_after_slots_queue", 6, 0.1},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        DriverOptions o = options_for(d);
+        Outcome r;
+
+        o.shed = true;
+        o.queue_max = cases[i].queue_max;
+        o.retry_share = cases[i].retry_share;
+        r = run_seeds(o);
+        for (int s = 0; s < DRIVER_SERVICES; s++) {
+            const Figures *f = &r.services[s];
+
+            printf("%s_%s_%s_p99_ms=%.4g sheds=%.4f sent=%.4f "
+                   "refused=%.4f\n",
+                   d->name, d->services[s].name, cases[i].name, f->p99 / 1e3,
+                   f->sheds, f->sent, f->failed);
+        }
+    }
+}
+
+static void
+bench_surge(const Deployment *d)
+{
+    DriverOptions o = options_for(d);
+    Outcome r;
+
+    o.load = 8;
+    o.shed = true;
+    o.queue_max = 6;
+    o.duration = 4 * MICROS_PER_S;
+    r = run_seeds(o);
+    for (int s = 0; s < DRIVER_SERVICES; s++) {
+        const char *name = d->services[s].name;
+
+        print_bound(d->name, name, "surge_probe_use", r.services[s].probe_peak,
+                    1);
+        print_bound(d->name, name, "surge_connections",
+                    r.services[s].connections, 250);
+    }
+}
+
+static void
+bench_cold(const Deployment *d)
+{
+    for (int ramped = 0; ramped < 2; ramped++) {
+        DriverOptions o = options_for(d);
+        Outcome r;
+
+        o.cold = true;
+        o.from = 2 * MICROS_PER_S;
+        o.until = 3 * MICROS_PER_S;
+        o.duration = o.until;
+        o.router.ramp = ramped ? o.router.ramp : 1;
+        r = run_seeds(o);
+        for (int s = 0; s < DRIVER_SERVICES; s++) {
+            print_value(d->name, d->services[s].name,
+                        ramped ? "cold_p99_ms" : "cold_unramped_p99_ms",
+                        r.services[s].p99 / 1e3);
+        }
+    }
+}
+
+static void
+bench_load(const Deployment *d)
+{
+    static const RoutingPolicy policies[] = {
+        ROUTING_RANDOM, ROUTING_LEAST_INFLIGHT, ROUTING_TWO_CHOICES,
+        ROUTING_REPORTS};
+    FILE *out = open_data("routing_load", d);
+
+    if (out == NULL) {
+        return;
+    }
+    fprintf(out, "# load mmc random least-inflight two-choices reports\n");
+    for (int percent = 50; percent <= 95; percent += 5) {
+        DriverOptions o = options_for(d);
+
+        o.load = percent / 100.0;
+        fprintf(out, "%d %.3f", percent,
+                mmc_p99(&d->services[0], o.load, (double)o.mean) / 1e3);
+        for (size_t p = 0; p < G_N_ELEMENTS(policies); p++) {
+            o.router.policy = policies[p];
+            fprintf(out, " %.3f",
+                    (double)RoutingDriver_Run(&o).services[0].p99 / 1e3);
+        }
+        fprintf(out, "\n");
+    }
+    close_data(out);
+}
+
+static void
+bench_slow_queueing(const Deployment *d)
+{
+    bench_slow(d, false);
+}
+
+static void
+bench_slow_shedding(const Deployment *d)
+{
+    bench_slow(d, true);
+}
+
+static void
+bench_verified(const Deployment *d)
+{
+    bench_misleading(d, true);
+}
+
+static void
+bench_unverified(const Deployment *d)
+{
+    bench_misleading(d, false);
+}
+
+/* Without arguments all scenarios run, else those that are named. */
+static const struct {
+    const char *name;
+    void (*run)(const Deployment *deployment);
+} scenarios[] = {
+    {"uniform", bench_uniform},
+    {"policies", bench_policies},
+    {"slow", bench_slow_queueing},
+    {"slow-shed", bench_slow_shedding},
+    {"failing", bench_failing},
+    {"misleading", bench_verified},
+    {"unverified", bench_unverified},
+    {"down", bench_down},
+    {"surge", bench_surge},
+    {"cold", bench_cold},
+    {"shedding", bench_shedding},
+    {"variants", bench_variants},
+    {"load", bench_load},
+};
+
+static bool
+is_wanted(const char *name, int argc, char **argv)
+{
+    for (int i = 1; i < argc; i++) {
+        if (g_str_equal(argv[i], name)) {
+            return true;
+        }
+    }
+    return argc == 1;
+}
+
 int
 main(int argc, char **argv)
 {
-    for (int dep = 0; dep < 2; dep++) {
-        const Deployment *dp =
-            dep ? &deployment_puntarenas : &deployment_tunis;
-        for (int shed = 0; shed < 2; shed++)
-            for (int p = 0; p < ROUTING_POLICIES + 2; p++) {
-                DriverOptions o = DriverOptions_Default(dp);
-                const char *n;
-                o.shed = shed;
-                o.duration = 7 * MICROS_PER_S;
-                o.router.policy = p >= ROUTING_POLICIES ? ROUTING_REPORTS : p;
-                n = RoutingPolicy_Name(o.router.policy);
-                if (argc > 1 && atoi(argv[1]) && p != ROUTING_REPORTS)
-                    continue;
-                if (p == ROUTING_POLICIES) {
-                    o.router.choices = 2;
-                    n = "reports2";
-                }
-                if (p == ROUTING_POLICIES + 1) {
-                    o.router.policy = ROUTING_SLOT_SHARES;
-                    o.router.lend = false;
-                    n = "shares_nolend";
-                }
-                for (int i = 1; i < argc; i++) {
-                    if (!strcmp(argv[i], "late"))
-                        o.reports = REPORTS_LATE;
-                    if (!strcmp(argv[i], "zero"))
-                        o.reports = REPORTS_ZERO;
-                    if (!strcmp(argv[i], "none"))
-                        o.reports = REPORTS_NONE;
-                    if (!strcmp(argv[i], "noverify"))
-                        o.router.verify_reports = false;
-                    if (!strcmp(argv[i], "slow")) {
-                        o.slow_share = .1;
-                        o.from = 4 * MICROS_PER_S;
-                        o.until = 6 * MICROS_PER_S;
-                    }
-                    if (!strcmp(argv[i], "slowm")) {
-                        o.slow_share = .1;
-                        o.from = 4 * MICROS_PER_S;
-                        o.until = 6 * MICROS_PER_S;
-                        o.warmup = 4 * MICROS_PER_S;
-                        o.duration = 6 * MICROS_PER_S;
-                    }
-                    if (!strcmp(argv[i], "fail")) {
-                        o.failing = 1;
-                        o.from = 4 * MICROS_PER_S;
-                        o.until = 60 * MICROS_PER_S;
-                    }
-                    if (!strncmp(argv[i], "load=", 5))
-                        o.load = atof(argv[i] + 5);
-                    if (!strcmp(argv[i], "nobudget"))
-                        o.retry_share = 10;
-                    if (!strncmp(argv[i], "near=", 5)) {
-                        o.near = 100;
-                        o.router.near_bonus = atof(argv[i] + 5) * 1000;
-                    }
-                    if (!strcmp(argv[i], "cold")) {
-                        o.cold = true;
-                        o.from = 4 * MICROS_PER_S;
-                        o.warmup = o.from;
-                        o.duration = 5 * MICROS_PER_S;
-                    }
-                    if (!strcmp(argv[i], "onedom"))
-                        o.one_domain = true;
-                    if (!strncmp(argv[i], "queue=", 6))
-                        o.queue_max = atoi(argv[i] + 6);
-                    if (!strcmp(argv[i], "noramp"))
-                        o.router.ramp = 1;
-                    if (!strncmp(argv[i], "ramp=", 5))
-                        o.router.ramp = atof(argv[i] + 5) * 1e6;
-                    if (!strcmp(argv[i], "drain")) {
-                        o.drain = true;
-                        o.from = 4 * MICROS_PER_S;
-                    }
-                    if (!strcmp(argv[i], "pure"))
-                        o.router.outliers = false;
-                    if (!strcmp(argv[i], "erl"))
-                        o.times = TIMES_ERLANG4;
-                    if (!strcmp(argv[i], "down")) {
-                        o.down = true;
-                        o.from = 4 * MICROS_PER_S;
-                        o.warmup = o.from;
-                        o.until = 60 * MICROS_PER_S;
-                    }
-                }
-                if (argc > 1 && atoi(argv[1]) &&
-                    o.router.policy != ROUTING_REPORTS)
-                    continue;
-                DriverResult r = RoutingDriver_Run(&o);
-                for (int s = 0; s < 2; s++) {
-                    ServiceResult *x = &r.services[s];
-                    printf(
-                        "%-14s shed=%d %-14s p50=%.1f p99=%.1f wait99=%.1f "
-                        "sent/off=%.3f shed=%.3f fail=%.4f aff=%.4f late=%.4f "
-                        "after=%.4f probe=%.2f msg/s/host=%.0f conn=%u\n",
-                        dp->services[s].name, shed, n, x->p50 / 1e3,
-                        x->p99 / 1e3, x->wait_p99 / 1e3,
-                        (double)x->sent / x->offered,
-                        (double)x->sheds / x->offered,
-                        (double)x->failed / x->offered, x->affected_share,
-                        x->affected_late, x->affected_after, x->probe_peak,
-                        r.slot_messages / 20.0 / 5, r.connections_peak);
-                }
+    printf("seeds=1,2,3 hosts=20 mean_service_ms=10 load=0.8\n");
+    for (size_t i = 0; i < G_N_ELEMENTS(deployments); i++) {
+        for (size_t k = 0; k < G_N_ELEMENTS(scenarios); k++) {
+            if (is_wanted(scenarios[k].name, argc, argv)) {
+                scenarios[k].run(deployments[i]);
+                fflush(stdout);
             }
+        }
     }
+    return 0;
 }
--- a/packages/core/Health.c
+++ b/packages/core/Health.c
@@ -5,7 +5,7 @@
 #include "LoadEstimate.h"
 
 /* First hold; each further one in a row is twice as long. */
-#define HOLD_TIME (500 * MICROS_PER_MS)
+#define HOLD_TIME (1 * MICROS_PER_S)
 #define HOLD_DOUBLINGS 4
 /* Share of recent failures above which an upstream is held. */
 #define FAILURES_HELD 0.5F
--- a/packages/core/LoadEstimate.c
+++ b/packages/core/LoadEstimate.c
@@ -26,6 +26,11 @@
 #define FULL_TRUST_SLOPE 0.25F
 /* Part of a fair share that a cold upstream gets at first. */
 #define RAMP_START 0.1F
+/*
+ * Reports of less weight are ignored: they would only break ties, always in
+ * favour of the same few upstreams.
+ */
+#define WEIGHT_MIN 0.05F
 /* Near upstreams may be this much busier than far ones. */
 #define NEAR_TOLERANCE 1.1F
 /* Change of the credit for near upstreams by one report. */
@@ -47,6 +52,10 @@
     age =
         (float)(now - u->report_time) / (service->typical * MEAN_OVER_MEDIAN);
     *weight = service->trust / (1 + age + age * age / 2);
+    if (*weight < WEIGHT_MIN) {
+        *weight = 0;
+        return later;
+    }
     return *weight * (u->report_load + u->sent_since_report) +
            (1 - *weight) * later;
 }
@@ -142,8 +151,7 @@
         service->busy = share;
     }
     service->busy += REPORT_WEIGHT * (share - service->busy);
-    if (u->inflight > 0) {
-        /* A response, not a probe. */
+    if (options != NULL && u->inflight > 0) {
         adjust_near_credit(service, share, u->domain == options->own_domain,
                            (float)options->near_bonus);
         if (options->verify_reports) {
--- a/packages/core/LoadEstimate.h
+++ b/packages/core/LoadEstimate.h
@@ -33,7 +33,11 @@
 bool LoadEstimate_IsStuck(const ServiceState *service, const Upstream *u,
                           Micros now);
 
-/** LoadEstimate_OnReport() - take in a report that was written at @written */
+/**
+ * LoadEstimate_OnReport() - take in a report that was written at @written
+ * @options: NULL for the report of a probe, which proves nothing about those
+ *           that come with responses
+ */
 void LoadEstimate_OnReport(ServiceState *service, Upstream *u,
                            const LoadReport *report, Micros written,
                            const RouterOptions *options);
--- a/packages/core/ProbeBudget.c
+++ b/packages/core/ProbeBudget.c
@@ -58,6 +58,12 @@
     fill_bucket(&this->time, seconds);
 }
 
+void
+ProbeBudget_SetLimits(ProbeBudget *this, const ProbeLimits *limits)
+{
+    this->limits = *limits;
+}
+
 void
 ProbeBudget_SetShare(ProbeBudget *this, uint32_t divisor, uint32_t slots)
 {
--- a/packages/core/ProbeBudget.h
+++ b/packages/core/ProbeBudget.h
@@ -46,6 +46,9 @@
 /** ProbeBudget_Destroy() - release the budget */
 void ProbeBudget_Destroy(ProbeBudget *this);
 
+/** ProbeBudget_SetLimits() - new limits; what is spent stays counted */
+void ProbeBudget_SetLimits(ProbeBudget *this, const ProbeLimits *limits);
+
 /**
  * ProbeBudget_SetShare() - divide the limits
  * @divisor: number of hosts that the limits are divided by, at least 1
--- a/packages/core/RoutePolicy.c
+++ b/packages/core/RoutePolicy.c
@@ -7,6 +7,34 @@
 /* A probe's report is used for this long; then own counts alone. */
 #define PROBE_POOL_AGE MICROS_PER_S
 
+static const char *const policy_names[ROUTING_POLICIES] = {
+    [ROUTING_RANDOM] = "random",
+    [ROUTING_ROUND_ROBIN] = "round-robin",
+    [ROUTING_LEAST_INFLIGHT] = "least-inflight",
+    [ROUTING_TWO_CHOICES] = "two-choices",
+    [ROUTING_PROBED] = "probed",
+    [ROUTING_REPORTS] = "reports",
+    [ROUTING_SLOT_SHARES] = "slot-shares",
+};
+
+const char *
+RoutingPolicy_Name(RoutingPolicy policy)
+{
+    return policy < ROUTING_POLICIES ? policy_names[policy] : "unknown";
+}
+
+int
+RoutingPolicy_Parse(Str word, RoutingPolicy *policy)
+{
+    for (int p = 0; p < ROUTING_POLICIES; p++) {
+        if (Str_Equal(word, Str_FromC(policy_names[p]))) {
+            *policy = (RoutingPolicy)p;
+            return 0;
+        }
+    }
+    return ERR_INVALID;
+}
+
 static void
 swap(RouteContext *c, uint32_t a, uint32_t b)
 {
--- a/packages/core/Subset.c
+++ b/packages/core/Subset.c
@@ -3,12 +3,12 @@
 #include <stdbool.h>
 
 #include <glib.h>
+#include <string.h>
 
 /* Loads of one host while items are handed out. */
 typedef struct HostLoad_ {
     uint32_t total;
     uint32_t domain;
-    size_t taken_at; /* 1 + index of the last item that it got */
 } HostLoad;
 
 /* How much an item wants a host: lower is better, fields in order. */
@@ -16,6 +16,7 @@
     uint32_t total_over;
     uint32_t domain_over;
     uint64_t distance;
+    uint32_t host;
 } Rank;
 
 static uint64_t
@@ -59,29 +60,51 @@
     return a->distance < b->distance;
 }
 
-static uint32_t
-pick_host(const SubsetHosts *hosts, const HostLoad *loads, size_t item,
-          uint64_t key, uint32_t even, uint32_t even_domain)
+static void
+swap_ranks(Rank *a, Rank *b)
 {
-    uint32_t best = hosts->count;
-    Rank best_rank = {0};
-
-    for (uint32_t h = 0; h < hosts->count; h++) {
-        Rank rank = {
-            .total_over = steps_over(loads[h].total, even),
-            .domain_over = steps_over(loads[h].domain, even_domain),
-            .distance = mix(key, hosts->keys[h]),
-        };
+    Rank held = *a;
+
+    *a = *b;
+    *b = held;
+}
+
+/* Splits @ranks around a pivot; returns the pivot's final index. */
+static size_t
+partition(Rank *ranks, size_t first, size_t last)
+{
+    size_t border = first;
 
-        if (loads[h].taken_at == item + 1) {
-            continue;
+    swap_ranks(&ranks[first + (last - first) / 2], &ranks[last]);
+    for (size_t i = first; i < last; i++) {
+        if (is_better(&ranks[i], &ranks[last])) {
+            swap_ranks(&ranks[i], &ranks[border++]);
         }
-        if (best == hosts->count || is_better(&rank, &best_rank)) {
-            best = h;
-            best_rank = rank;
+    }
+    swap_ranks(&ranks[border], &ranks[last]);
+    return border;
+}
+
+/* Moves the @k best of @n ranks to the front, in linear time on average. */
+static void
+select_best(Rank *ranks, size_t n, size_t k)
+{
+    size_t first = 0;
+    size_t last = n - 1;
+
+    while (first < last) {
+        size_t pivot = partition(ranks, first, last);
+
+        if (pivot == k) {
+            return;
+        }
+        if (pivot < k) {
+            first = pivot + 1;
+        }
+        else {
+            last = pivot > 0 ? pivot - 1 : 0;
         }
     }
-    return best;
 }
 
 static size_t
@@ -95,50 +118,92 @@
     return end;
 }
 
+/* What one call of Subset_Assign() works on. */
+typedef struct Assignment_ {
+    const SubsetHosts *hosts;
+    HostLoad *loads;
+    Rank *ranks;
+    uint32_t copies;
+    uint32_t even;
+    uint32_t even_domain;
+} Assignment;
+
 static void
-assign_item(const SubsetHosts *hosts, HostLoad *loads, size_t item,
-            uint64_t key, uint32_t copies, uint32_t even, uint32_t even_domain,
-            uint8_t *mine)
+rank_hosts(Assignment *a, uint64_t key)
 {
-    for (uint32_t c = 0; c < copies; c++) {
-        uint32_t h = pick_host(hosts, loads, item, key, even, even_domain);
+    for (uint32_t h = 0; h < a->hosts->count; h++) {
+        a->ranks[h] = (Rank){
+            .total_over = steps_over(a->loads[h].total, a->even),
+            .domain_over = steps_over(a->loads[h].domain, a->even_domain),
+            .distance = mix(key, a->hosts->keys[h]),
+            .host = h,
+        };
+    }
+}
 
-        loads[h].taken_at = item + 1;
-        loads[h].total++;
-        loads[h].domain++;
-        *mine |= h == hosts->own;
+/* Return: 1 if the item has this host, else 0. */
+static uint8_t
+assign_item(Assignment *a, uint64_t key)
+{
+    uint8_t mine = 0;
+
+    rank_hosts(a, key);
+    select_best(a->ranks, a->hosts->count, a->copies);
+    for (uint32_t c = 0; c < a->copies; c++) {
+        uint32_t h = a->ranks[c].host;
+
+        a->loads[h].total++;
+        a->loads[h].domain++;
+        mine |= h == a->hosts->own;
+    }
+    return mine;
+}
+
+static uint32_t
+even_load(const Assignment *a, size_t items)
+{
+    return (uint32_t)(items * a->copies / a->hosts->count);
+}
+
+static size_t
+assign_domain(Assignment *a, const SubsetItem *items, size_t count,
+              uint8_t *mine)
+{
+    size_t owned = 0;
+
+    a->even_domain = even_load(a, count);
+    for (uint32_t h = 0; h < a->hosts->count; h++) {
+        a->loads[h].domain = 0;
     }
+    for (size_t i = 0; i < count; i++) {
+        mine[i] = assign_item(a, items[i].key);
+        owned += mine[i];
+    }
+    return owned;
 }
 
 size_t
 Subset_Assign(const SubsetHosts *hosts, SubsetItem *items, size_t count,
               uint32_t copies, uint8_t *mine)
 {
-    HostLoad *loads = g_new0(HostLoad, hosts->count);
-    uint32_t even;
-    size_t first = 0;
+    Assignment a = {.hosts = hosts, .copies = MIN(copies, hosts->count)};
     size_t owned = 0;
+    size_t end;
 
-    copies = MIN(copies, hosts->count);
-    even = (uint32_t)(count * copies / MAX(hosts->count, 1));
     qsort(items, count, sizeof(*items), compare_items);
-    while (first < count) {
-        size_t end = end_of_domain(items, count, first);
-        uint32_t even_domain =
-            (uint32_t)((end - first) * copies / MAX(hosts->count, 1));
-
-        for (uint32_t h = 0; h < hosts->count; h++) {
-            loads[h].domain = 0;
-        }
-        for (size_t i = first; i < end; i++) {
-            mine[i] = 0;
-            assign_item(hosts, loads, i, items[i].key, copies, even,
-                        even_domain, &mine[i]);
-            owned += mine[i];
-        }
-        first = end;
+    if (a.copies == hosts->count) {
+        memset(mine, 1, count);
+        return count;
+    }
+    a.loads = g_new0(HostLoad, hosts->count);
+    a.ranks = g_new(Rank, hosts->count);
+    a.even = even_load(&a, count);
+    for (size_t first = 0; first < count; first = end) {
+        end = end_of_domain(items, count, first);
+        owned += assign_domain(&a, &items[first], end - first, &mine[first]);
     }
-    g_free(loads);
+    g_free(a.loads);
+    g_free(a.ranks);
     return owned;
 }
 
--- a/packages/core/UpstreamTable.c
+++ b/packages/core/UpstreamTable.c
@@ -37,6 +37,10 @@
 UpstreamTable_SetHosts(UpstreamTable *this, const uint64_t *keys,
                        uint32_t count, uint32_t own)
 {
+    if (count == this->host_count && own == this->host_own &&
+        memcmp(keys, this->host_keys, count * sizeof(*keys)) == 0) {
+        return;
+    }
     g_free(this->host_keys);
     this->host_keys = g_new(uint64_t, count);
     memcpy(this->host_keys, keys, count * sizeof(*keys));
@@ -93,14 +97,17 @@
         s->typical = TYPICAL_START;
         s->busy = -1.0F;
         s->trust = 1.0F;
+        s->budget = ProbeBudget_Create(&info->probes, this->clock);
+        if (this->options->fault == ROUTER_FAULT_OVERSPEND_PROBES) {
+            ProbeBudget_PlantOverspend(s->budget);
+        }
+    }
+    if (memcmp(&s->info, info, sizeof(*info)) == 0) {
+        return;
     }
     s->info = *info;
     s->stale = true;
-    ProbeBudget_Destroy(s->budget);
-    s->budget = ProbeBudget_Create(&info->probes, this->clock);
-    if (this->options->fault == ROUTER_FAULT_OVERSPEND_PROBES) {
-        ProbeBudget_PlantOverspend(s->budget);
-    }
+    ProbeBudget_SetLimits(s->budget, &info->probes);
 }
 
 static void
@@ -125,6 +132,12 @@
     if ((u->flags & UPSTREAM_PRESENT) != 0 && u->service != service) {
         UpstreamTable_Remove(this, upstream);
     }
+    if ((u->flags & UPSTREAM_PRESENT) != 0 && u->key == info->key &&
+        u->domain == info->domain) {
+        /* The host list is repeated often; its slots may be older than what
+         * the upstream reported. */
+        return;
+    }
     if ((u->flags & UPSTREAM_PRESENT) == 0) {
         start_upstream(this, u, info);
         s->upstreams = g_renew(uint32_t, s->upstreams, s->count + 1);
