Say unknown for a key that is refused before its claim is decided

Change: agatecrank-outcome speaks for the key and is unknown there; agatecrank-request-outcome speaks for the one sending. Conclusion: not-run for a key is said only on a won claim.

--- a/packages/core/Balancer.c
+++ b/packages/core/Balancer.c
@@ -252,6 +252,7 @@
 
     action->answer.status = status;
     action->answer.outcome = outcome;
+    action->answer.own = Exchange_Outcome(request->exchange);
     action->answer.reason = reason;
     action->answer.retry_after = retry_after;
     count_outcome(this, request, outcome, reason);
@@ -264,8 +265,13 @@
 answer(Balancer *this, BalancerRequest *request, int status,
        const char *reason, Micros retry_after)
 {
-    answer_as(this, request, status, Exchange_Outcome(request->exchange),
-              reason, retry_after);
+    Outcome outcome = Exchange_Outcome(request->exchange);
+
+    /* An earlier sending of the key may have run through another host. */
+    if (outcome == OUTCOME_NOT_RUN && request->keyed && !request->claim_won) {
+        outcome = OUTCOME_UNKNOWN;
+    }
+    answer_as(this, request, status, outcome, reason, retry_after);
 }
 
 /* ---- dispatch ------------------------------------------------------- */
@@ -457,6 +463,7 @@
         return;
     case CLAIM_STATE_DISPATCH:
         request->claimed = true;
+        request->claim_won = true;
         dispatch(this, request);
         return;
     case CLAIM_STATE_ANSWER:
@@ -479,6 +486,7 @@
         return;
     }
     if (action->kind == CLAIM_DISPATCH) {
+        request->claim_won = true;
         dispatch(this, request);
     }
     else if (action->kind == CLAIM_ANSWER) {
@@ -486,16 +494,10 @@
     }
 }
 
-static bool
-needs_claim(const BalancerRequest *request)
-{
-    return !request->idempotent && request->key.length > 0;
-}
-
 static void
 proceed_admitted(Balancer *this, BalancerRequest *request)
 {
-    if (needs_claim(request)) {
+    if (request->keyed) {
         begin_claim(this, request);
         return;
     }
@@ -590,6 +592,10 @@
     request->body_kept = info->body_kept;
     request->upstream = NAME_NONE;
     request->service = NameTable_Find(this->services, info->service);
+    /* Until the service's own methods are known. */
+    request->keyed = info->key.length > 0 &&
+                     !Str_Equal(info->method, STR("GET")) &&
+                     !Str_Equal(info->method, STR("HEAD"));
     g_hash_table_insert(this->requests, &request->id, request);
     return request;
 }
@@ -649,6 +655,7 @@
     request->caller_hash = Str_Hash(admitted->caller->name);
     request->idempotent = StrList_Has(
         &admitted->service->service.idempotent_methods, info->method);
+    request->keyed = !request->idempotent && info->key.length > 0;
 }
 
 /* Returns false if the request was answered. */
--- a/packages/core/Balancer.h
+++ b/packages/core/Balancer.h
@@ -98,7 +98,8 @@
         } cancel;
         struct {
             int status;
-            Outcome outcome;
+            Outcome outcome; /* of the key, or of the request without one */
+            Outcome own;     /* of this request alone */
             const char *reason;
             Micros retry_after; /* 0: none */
         } answer;
--- a/packages/core/BalancerRequest.h
+++ b/packages/core/BalancerRequest.h
@@ -12,6 +12,7 @@
  * struct BalancerRequest_ - one open request, owned by its Balancer
  * @admitted: it holds an admission charge
  * @claimed: Claims_OnFinished() is owed
+ * @claim_won: its claim was read back as the first for the key
  * @sent: time of the last dispatch
  * @tried: upstreams of earlier attempts
  */
@@ -33,10 +34,12 @@
     Micros received;
     Micros deadline;
     bool idempotent;
+    bool keyed;
     bool layer_above_retries;
     bool body_kept;
     bool admitted;
     bool claimed;
+    bool claim_won;
     bool waiting; /* in the wait list of its service */
     Micros charge;
     Fingerprint fingerprint;
--- a/packages/core/Subset.c
+++ b/packages/core/Subset.c
@@ -190,7 +190,9 @@
     size_t owned = 0;
     size_t end;
 
-    qsort(items, count, sizeof(*items), compare_items);
+    if (count > 0) {
+        qsort(items, count, sizeof(*items), compare_items);
+    }
     if (a.copies == hosts->count) {
         memset(mine, 1, count);
         return count;
--- a/packages/net/Proxy.c
+++ b/packages/net/Proxy.c
@@ -177,7 +177,8 @@
     GString *body = g_string_new(NULL);
     HeaderList *headers = ProxyHeaders_OwnAnswer(
         Str_FromC(request->request_id), action->answer.outcome,
-        action->answer.reason, action->answer.retry_after, body);
+        action->answer.own, action->answer.reason, action->answer.retry_after,
+        body);
 
     if (request->http != NULL) {
         HttpRequest_Answer(request->http, action->answer.status, headers,
--- a/packages/net/ProxyHeaders.c
+++ b/packages/net/ProxyHeaders.c
@@ -77,8 +77,8 @@
 }
 
 HeaderList *
-ProxyHeaders_OwnAnswer(Str request_id, Outcome outcome, const char *reason,
-                       Micros retry_after, GString *body)
+ProxyHeaders_OwnAnswer(Str request_id, Outcome outcome, Outcome own,
+                       const char *reason, Micros retry_after, GString *body)
 {
     HeaderList *to = HeaderList_Create();
     Micros seconds = (retry_after + MICROS_PER_S - 1) / MICROS_PER_S;
@@ -87,11 +87,14 @@
     HeaderList_Add(to, STR("x-request-id"), request_id);
     HeaderList_Add(to, STR("agatecrank-outcome"),
                    Str_FromC(Outcome_Word(outcome)));
+    HeaderList_Add(to, STR("agatecrank-request-outcome"),
+                   Str_FromC(Outcome_Word(own)));
     HeaderList_Add(to, STR("agatecrank-reason"), Str_FromC(reason));
     g_string_append_printf(body,
-                           "{\"outcome\":\"%s\",\"reason\":\"%s\","
+                           "{\"outcome\":\"%s\",\"request_outcome\":\"%s\","
+                           "\"reason\":\"%s\","
                            "\"request_id\":\"" STR_FORMAT "\"",
-                           Outcome_Word(outcome), reason,
+                           Outcome_Word(outcome), Outcome_Word(own), reason,
                            STR_ARGS(request_id));
     if (retry_after > 0) {
         HeaderList_AddInt(to, STR("retry-after"), seconds);
--- a/packages/net/ProxyHeaders.h
+++ b/packages/net/ProxyHeaders.h
@@ -33,11 +33,13 @@
 
 /**
  * ProxyHeaders_OwnAnswer() - answer that the balancer makes itself
+ * @outcome: of the key, or of the request if it has none
+ * @own: of this request alone
  * @body: receives the JSON text
  */
 HeaderList *ProxyHeaders_OwnAnswer(Str request_id, Outcome outcome,
-                                   const char *reason, Micros retry_after,
-                                   GString *body);
+                                   Outcome own, const char *reason,
+                                   Micros retry_after, GString *body);
 
 /** ProxyHeaders_Service() - service named by a Host header */
 Str ProxyHeaders_Service(Str host);
