Let the load tool recover from a stall

A caller at 8,000/s that was stopped for 0.5 s never caught up: 14,796 of 24,220 calls were lost and the run of 3 s took 29 s. Each new connection by lws_client_connect_via_info() walked a sorted list of connect timeouts (seen with gdb), and all overdue arrivals were started before any answer was read. Plain connections are now made by the client itself and adopted, and at most 32 arrivals are started at once.

--- a/standins/HttpClient.c
+++ b/standins/HttpClient.c
@@ -1,6 +1,11 @@
 #include "HttpClient.h"
 
+#include <arpa/inet.h>
+#include <errno.h>
+#include <netinet/tcp.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #define PIECE_BYTES (64 * 1024)
 #define HEADER_ROOM 4096
@@ -254,6 +259,21 @@
     return read_answer(this, (Str){rest, rest_length});
 }
 
+/* The first time that a plain connection is writeable, it is connected. */
+static bool
+check_connected(ClientConnection *this)
+{
+    int error = 0;
+    socklen_t length = sizeof(error);
+
+    if (!this->connected) {
+        getsockopt(lws_get_socket_fd(this->wsi), SOL_SOCKET, SO_ERROR, &error,
+                   &length);
+        this->connected = error == 0;
+    }
+    return this->connected;
+}
+
 static int
 handle(struct lws *wsi, enum lws_callback_reasons reason, void *session,
        void *in, size_t length)
@@ -278,7 +298,9 @@
         if (connection == NULL || connection->kill) {
             return -1;
         }
-        return write_request(connection) < 0 ? -1 : 0;
+        return check_connected(connection) && write_request(connection) >= 0
+                   ? 0
+                   : -1;
     case LWS_CALLBACK_CLIENT_CONNECTION_ERROR:
     case LWS_CALLBACK_RAW_CLOSE:
     case LWS_CALLBACK_WSI_DESTROY:
@@ -293,25 +315,62 @@
     }
 }
 
+/*
+ * lws_client_connect_via_info() keeps its connect timeouts in a sorted list:
+ * with thousands of connections each new one takes ms, and a caller that was
+ * stalled once never catches up. Plain connections are made here instead.
+ */
+static struct lws *
+connect_plain(HttpClient *this, const Target *target)
+{
+    static const int on = 1;
+    struct sockaddr_in address = {.sin_family = AF_INET};
+    lws_sock_file_fd_type fd;
+
+    address.sin_port = htons((uint16_t)target->port);
+    if (inet_pton(AF_INET, target->address, &address.sin_addr) != 1) {
+        return NULL;
+    }
+    fd.sockfd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (fd.sockfd < 0) {
+        return NULL;
+    }
+    setsockopt(fd.sockfd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    if (connect(fd.sockfd, (struct sockaddr *)&address, sizeof(address)) < 0 &&
+        errno != EINPROGRESS) {
+        close(fd.sockfd);
+        return NULL;
+    }
+    return lws_adopt_descriptor_vhost(this->vhost, LWS_ADOPT_SOCKET, fd,
+                                      this->protocols[0].name, NULL);
+}
+
 static void
-open_connection(HttpClient *this, Target *target, ClientCall *call)
+open_plain(ClientConnection *connection)
 {
-    ClientConnection *connection = g_new0(ClientConnection, 1);
+    connection->wsi = connect_plain(connection->client, connection->target);
+    if (connection->wsi == NULL) {
+        free_connection(connection);
+        return;
+    }
+    lws_set_opaque_user_data(connection->wsi, connection);
+    lws_callback_on_writable(connection->wsi);
+}
+
+/* The callbacks may have released the connection before the return. */
+static void
+open_tls(ClientConnection *connection)
+{
+    HttpClient *this = connection->client;
     struct lws_client_connect_info info;
     struct lws *wsi;
 
-    connection->client = this;
-    connection->target = target;
-    connection->input = g_string_new(NULL);
-    connection->call = call;
-    call->connection = connection;
-    this->counters.opened++;
     memset(&info, 0, sizeof(info));
     info.context = this->loop->context;
     info.vhost = this->vhost;
-    info.address = target->address;
-    info.host = target->address;
-    info.port = target->port;
+    info.address = connection->target->address;
+    info.host = info.address;
+    info.port = connection->target->port;
     info.path = "";
     info.method = "RAW";
     info.ssl_connection = this->tls;
@@ -328,6 +387,25 @@
     }
 }
 
+static void
+open_connection(HttpClient *this, Target *target, ClientCall *call)
+{
+    ClientConnection *connection = g_new0(ClientConnection, 1);
+
+    connection->client = this;
+    connection->target = target;
+    connection->input = g_string_new(NULL);
+    connection->call = call;
+    call->connection = connection;
+    this->counters.opened++;
+    if (this->tls) {
+        open_tls(connection);
+    }
+    else {
+        open_plain(connection);
+    }
+}
+
 void
 HttpClient_Send(HttpClient *this, size_t target, ClientCall *call)
 {
--- a/standins/standin-caller.c
+++ b/standins/standin-caller.c
@@ -7,6 +7,9 @@
 #include "HttpClient.h"
 #include "Journal.h"
 
+/* Answers are read after so many arrivals, also after a stall. */
+#define ARRIVALS_MAX 32
+
 typedef struct Totals_ {
     uint64_t calls;
     uint64_t sent;
@@ -335,7 +338,9 @@
 {
     Caller *caller = TIMER_OWNER(timer, Caller, timer);
 
-    while (!is_over(caller) && caller->next <= Clock_Now(caller->clock)) {
+    for (int i = 0; i < ARRIVALS_MAX && !is_over(caller) &&
+                    caller->next <= Clock_Now(caller->clock);
+         i++) {
         start_call(caller, caller->next);
         caller->next += CallPlanner_Gap(caller->planner);
     }
