--- a/standins/standin-hostlist.c
+++ b/standins/standin-hostlist.c
@@ -52,6 +52,7 @@
     g_free(version);
 }
 
+/* A version that is visible makes the older ones visible, too. */
 static void
 publish(HostList *list, Micros lag)
 {
@@ -63,6 +64,11 @@
                      "hosts", list->hosts);
     version->visible = Clock_Now(list->clock) + lag;
     version->text = json_dumps(text, JSON_COMPACT);
+    for (GList *link = list->versions.head; link != NULL; link = link->next) {
+        Version *older = link->data;
+
+        older->visible = MIN(older->visible, version->visible);
+    }
     json_decref(text);
     g_queue_push_tail(&list->versions, version);
 }
