Let a stand-in upstream close idle connections

A balancer that keeps connections meets upstreams that close them while idle, at worst just when a request is sent. idle-ms closes a connection after that time without a request, and peak_connections shows whether a bound on connections held. test_idle checks that the client opens new ones; it passes under ASan with the other stand-in tests (14.6 s in all).

--- a/standins/HttpConnection.c
+++ b/standins/HttpConnection.c
@@ -6,6 +6,25 @@
 #define HEADER_ROOM 4096
 #define PIPELINED_BYTES_MAX (1024 * 1024)
 
+static void
+on_idle(Timer *timer)
+{
+    HttpConnection *this = TIMER_OWNER(timer, HttpConnection, idle);
+
+    this->kill = true;
+    lws_set_timeout(this->wsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
+}
+
+static void
+watch_idle(HttpConnection *this)
+{
+    if (this->server->idle > 0 && this->request == NULL &&
+        this->input->len == 0 && !this->silent) {
+        Timer_Start(&this->idle, this->server->loop->timers,
+                    this->server->idle, on_idle);
+    }
+}
+
 HttpConnection *
 HttpConnection_Create(HttpServer *server, struct lws *wsi)
 {
@@ -16,6 +35,8 @@
     this->input = g_string_new(NULL);
     server->opened++;
     g_hash_table_add(server->connections, this);
+    server->peak = MAX(server->peak, HttpServer_Connections(server));
+    watch_idle(this);
     return this;
 }
 
@@ -28,6 +49,7 @@
     if (this->request != NULL) {
         HttpRequest_Destroy(this->request, false);
     }
+    Timer_Stop(&this->idle);
     g_hash_table_remove(this->server->connections, this);
     g_string_free(this->input, TRUE);
     g_free(this);
@@ -139,6 +161,7 @@
 int
 HttpConnection_OnBytes(HttpConnection *this, Str bytes)
 {
+    Timer_Stop(&this->idle);
     if (this->silent || this->closing) {
         return 0;
     }
@@ -199,6 +222,7 @@
         lws_callback_on_writable(this->wsi);
         return 0;
     }
+    watch_idle(this);
     return process_input(this);
 }
 
--- a/standins/HttpConnection.h
+++ b/standins/HttpConnection.h
@@ -18,6 +18,8 @@
     void *user;
     GHashTable *connections; /* HttpConnection -> itself */
     uint64_t opened;
+    uint32_t peak;
+    Micros idle; /* time after which an idle connection is closed, 0: never */
     uint64_t malformed;
     int port;
 };
@@ -27,6 +29,7 @@
     struct lws *wsi;
     HttpRequest *request;
     GString *input; /* bytes of the next requests */
+    Timer idle;     /* runs while there is neither request nor input */
     bool silent;    /* reads, but never takes a request or answers */
     bool kill;      /* to be closed without more output */
     bool closing;   /* to be closed once the output is sent */
--- a/standins/HttpServer.c
+++ b/standins/HttpServer.c
@@ -193,3 +193,15 @@
 {
     return this->malformed;
 }
+
+void
+HttpServer_SetIdle(HttpServer *this, Micros idle)
+{
+    this->idle = idle;
+}
+
+uint32_t
+HttpServer_Peak(const HttpServer *this)
+{
+    return this->peak;
+}
--- a/standins/HttpServer.h
+++ b/standins/HttpServer.h
@@ -73,6 +73,12 @@
 /** HttpServer_Connections() - number of open connections */
 uint32_t HttpServer_Connections(const HttpServer *this);
 
+/** HttpServer_SetIdle() - close connections idle for so long; 0: never */
+void HttpServer_SetIdle(HttpServer *this, Micros idle);
+
+/** HttpServer_Peak() - most connections open at once */
+uint32_t HttpServer_Peak(const HttpServer *this);
+
 /** HttpServer_Opened() - number of connections ever accepted */
 uint64_t HttpServer_Opened(const HttpServer *this);
 
--- a/standins/Upstream.c
+++ b/standins/Upstream.c
@@ -351,6 +351,7 @@
         Upstream_Destroy(this);
         return NULL;
     }
+    HttpServer_SetIdle(this->server, this->settings.idle_ms * MICROS_PER_MS);
     return this;
 }
 
@@ -394,6 +395,7 @@
     if (code < 0) {
         return code;
     }
+    HttpServer_SetIdle(this->server, this->settings.idle_ms * MICROS_PER_MS);
     if (json_object_get(object, "cold_ms") != NULL) {
         this->cold_since = Upstream_Now(this);
     }
@@ -414,7 +416,7 @@
 
     return json_pack(
         "{s:s, s:i, s:i, s:i, s:i, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I, "
-        "s:I, s:I, s:I, s:I, s:I, s:o}",
+        "s:I, s:I, s:I, s:I, s:I, s:i, s:o}",
         "id", this->id, "port", Upstream_Port(this), "inflight",
         (int)this->running, "queued", (int)this->queue.length, "connections",
         (int)HttpServer_Connections(this->server), "requests", c->requests,
@@ -423,7 +425,7 @@
         c->dropped, "crashes", c->crashes, "probes", c->probes, "busy_us",
         c->busy_us, "opened", (json_int_t)HttpServer_Opened(this->server),
         "malformed", (json_int_t)HttpServer_Malformed(this->server),
-        "settings",
+        "peak_connections", (int)HttpServer_Peak(this->server), "settings",
         Settings_Show(UPSTREAM_SETTINGS, UPSTREAM_SETTINGS_COUNT,
                       &this->settings));
 }
--- a/standins/UpstreamSettings.c
+++ b/standins/UpstreamSettings.c
@@ -51,6 +51,8 @@
      "share answered 500 at once during a burst"},
     {"bare-503-share", SETTING_REAL, FIELD(bare_503_share), true,
      "share that runs and is then answered 503 without an outcome"},
+    {"idle-ms", SETTING_INT, FIELD(idle_ms), true,
+     "closes connections that were idle for so long, 0 for never"},
     {"silent", SETTING_INT, FIELD(silent), true,
      "1: accepts and reads, never runs or answers"},
     {"crash-marker", SETTING_TEXT, FIELD(crash_marker), true,
--- a/standins/UpstreamSettings.h
+++ b/standins/UpstreamSettings.h
@@ -31,6 +31,7 @@
     int64_t burst_ms;
     double burst_share;
     double bare_503_share;
+    int64_t idle_ms;
     int64_t silent;
     char *crash_marker;
     char *crash_mode;
--- a/tests/test_standins.sh
+++ b/tests/test_standins.sh
@@ -139,6 +139,15 @@
     expect "deadline" "$(standin_value deadline status_504)" -eq 10
 }
 
+# An upstream that closes idle connections must make a client open new ones.
+test_idle() {
+    standin_control u '{"all":true,"idle_ms":1}' > /dev/null
+    standin_call idle "$(standin_targets u)" --rate 20 --count 10
+    expect "idle ok" "$(standin_value idle ok)" -ge 1
+    expect "connections after idle" "$(standin_value idle connections)" -gt 3
+    standin_control u '{"all":true,"idle_ms":0}' > /dev/null
+}
+
 # The tester must tell refusals from acceptance, and the strict reader of the
 # upstream must run nothing that came in disguise.
 test_malformed() {
@@ -184,7 +193,7 @@
 }
 
 for name in test_log test_hostlist test_calls test_answer_faults \
-    test_double_run test_cancel test_malformed test_silence_and_crash; do
+    test_double_run test_cancel test_idle test_malformed test_silence_and_crash; do
     before=$failures
     "$name" || { [ "$failures" -gt "$before" ] || failures=$((failures + 1)); }
     [ "$failures" -eq "$before" ] && echo "ok $name" || echo "not ok $name"
