--- a/bench/bench_outcomes.c
+++ b/bench/bench_outcomes.c
@@ -312,6 +312,7 @@
                 (Claim){.key = {{Random_Next(random), Random_Next(random)}},
                         .host = STR("entry-1"),
                         .incarnation = offset % HOSTS,
+                        .digest = Random_Next(random),
                         .number = i + 1,
                         .key_time_ms = 1700000000000};
         }
--- a/tests/support/ClaimsScenario.c
+++ b/tests/support/ClaimsScenario.c
@@ -76,6 +76,7 @@
         .late = pick(this, 0, 0.3, 0.7),
         .late_max = (Micros)pick(this, 1, 30, 400) * MICROS_PER_S,
         .wrong_hosts = pick(this, 0, 0.2, 0.5),
+        .cancel = pick(this, 0, 0.05, 0.3),
         .pause = pick(this, 0, 0.002, 0.02),
         .die = pick(this, 0, 0.0005, 0.005),
         .pause_max = (Micros)pick(this, 100000, 2000000, 200.0 * MICROS_PER_S),
--- a/tests/support/ClaimsWorld.c
+++ b/tests/support/ClaimsWorld.c
@@ -295,6 +295,21 @@
     if (state.kind == CLAIM_STATE_DISPATCH) {
         dispatch(this, number, id);
     }
+    if (World_Chance(this, this->options.cancel)) {
+        Event *event = World_NewEvent(this, EVENT_CANCEL, number);
+
+        event->id = id;
+        World_Schedule(event, World_Between(this, 0, request->deadline));
+    }
+}
+
+/* A caller that goes away is told nothing. */
+static void
+cancel(ClaimsWorld *this, uint32_t number, uint64_t id)
+{
+    if (Claims_Cancel(this->hosts[number].claims, id) == 0) {
+        g_hash_table_remove(this->open, &id);
+    }
 }
 
 /* Events that happen in a host, after which its actions are taken. */
@@ -335,6 +350,9 @@
         Claims_OnFinished(claims, event->id, event->outcome, event->bytes);
         tell(this, event->id, event->outcome, event->bytes);
         break;
+    case EVENT_CANCEL:
+        cancel(this, event->host, event->id);
+        break;
     default:
         break;
     }
--- a/tests/support/ClaimsWorld.h
+++ b/tests/support/ClaimsWorld.h
@@ -29,6 +29,7 @@
  * @late: share of lost appends and of second copies of messages that
  *        arrive up to @late_max later
  * @wrong_hosts: share of hosts whose list of live hosts is incomplete
+ * @cancel: share of callers that go away before their deadline
  * @upstream_refuses: share of requests that an upstream proves not run
  * @upstream_breaks: share of responses lost after the request ran
  * @pause: chance of a pause of up to @pause_max before each action
@@ -46,6 +47,7 @@
     double lose_message, repeat_message;
     double lose_append, lose_result, lose_read;
     double late, wrong_hosts;
+    double cancel;
     double upstream_refuses, upstream_breaks;
     double pause, die;
     Micros pause_max;
--- a/tests/support/ClaimsWorldPrivate.h
+++ b/tests/support/ClaimsWorldPrivate.h
@@ -22,6 +22,7 @@
     EVENT_READ_RESULT,
     EVENT_AT_UPSTREAM,
     EVENT_FINISHED,
+    EVENT_CANCEL,
     EVENT_OUTAGE,
     EVENT_KILL,
     EVENT_PAUSE,
