--- a/bench/bench_retries.c
+++ b/bench/bench_retries.c
@@ -186,7 +186,7 @@
         Clock_Advance(clock, 50 * MICROS_PER_MS);
     }
     printf("quarantine_upstreams_lost=%u\n", lost);
-    printf("quarantine_upstreams_lost_bound=%u\n", QUARANTINE_LOSSES);
+    printf("quarantine_upstreams_lost_bound=%d\n", QUARANTINE_LOSSES);
     printf("quarantine_upstreams_lost_met=%s\n",
            lost <= QUARANTINE_LOSSES ? "yes" : "no");
     printf("quarantine_innocent_refused=%u\n", refused);
--- a/packages/core/Admission.c
+++ b/packages/core/Admission.c
@@ -188,8 +188,10 @@
 }
 
 static AdmissionVerdict
-admit(ServiceLine *line, uint64_t request_id, Micros charge, Micros now)
+admit(ServiceShares *service, ServiceLine *line, uint64_t request_id,
+      Micros charge, Micros now)
 {
+    service->in_flight++;
     LineShare_Charge(line->share, charge, now);
     line->admitted++;
     return (AdmissionVerdict){
@@ -244,7 +246,7 @@
     }
     if (wait == 0 && line->queue.length == 0) {
         LineShare_ChargeCaller(line->share, request->caller, charge, now);
-        return admit(line, id, charge, now);
+        return admit(service, line, id, charge, now);
     }
     if (!within) {
         return refuse(this, service, line, id, 0, "caller-share");
@@ -279,7 +281,7 @@
                                 request->cost > 0 ? request->cost : 1.0);
     LineShare_OnOffer(line->share, request->caller, charge, now);
     if (this->options.mode == ADMISSION_OFF) {
-        return admit(line, request->request_id, charge, now);
+        return admit(service, line, request->request_id, charge, now);
     }
     refresh(this, service, line, now);
     return decide(this, service, line, request, charge, now);
@@ -313,7 +315,8 @@
             refuse(this, service, line, queued->request_id, 0, "expired");
     }
     else {
-        *verdict = admit(line, queued->request_id, queued->charge, now);
+        *verdict =
+            admit(service, line, queued->request_id, queued->charge, now);
     }
     g_free(queued);
     return true;
@@ -436,6 +439,7 @@
     if (line == NULL) {
         return;
     }
+    service->in_flight -= MIN(service->in_flight, 1);
     work = work_of(service, result, now);
     LineShare_Charge(line->share, work - result->charge, now);
     LineShare_ChargeCaller(line->share, result->caller, work - result->charge,
--- a/packages/core/LevelControl.c
+++ b/packages/core/LevelControl.c
@@ -58,9 +58,11 @@
  * something to observe even if every report misleads. */
 #define MIN_LEVEL 1.0
 
-/* Without any response for this time the level rises on its own. */
-#define SILENT_TIME (100 * MICROS_PER_MS)
+/* Without any response for this time the level rises on its own, quickly if
+ * this host has nothing in flight, so that upstreams can only be idle. */
+#define SILENT_TIME (50 * MICROS_PER_MS)
 #define SILENT_GAIN 2.0
+#define IDLE_GAIN 20.0
 
 /* The quick part of the control acts on what limited lines may hold, not on
  * the level itself: it takes out the randomness of the lines that are not
@@ -155,6 +157,16 @@
     return old + weight * (value - old);
 }
 
+/* A first guess, also from a service that is overloaded as soon as it is
+ * seen: without any the level would fall until the backlog is gone. */
+static void
+guess_capacity(LevelControl *this, double sum)
+{
+    if (this->steady > CAPACITY_FROM && sum > 0) {
+        this->capacity = sum / this->steady;
+    }
+}
+
 static void
 learn_capacity(LevelControl *this, double sum, Micros passed)
 {
@@ -162,9 +174,6 @@
         sum <= 0) {
         return;
     }
-    if (this->capacity <= 0) {
-        this->capacity = sum / this->steady;
-    }
     this->capacity =
         average(this->capacity, sum / this->steady, passed, CAPACITY_TIME);
 }
@@ -187,6 +196,9 @@
 
     this->demand_at = now;
     this->highest = highest;
+    if (this->capacity <= 0) {
+        guess_capacity(this, sum);
+    }
     if (this->is_short) {
         follow_level(this, passed);
     }
@@ -389,7 +401,7 @@
 }
 
 void
-LevelControl_OnTime(LevelControl *this, Micros now)
+LevelControl_OnTime(LevelControl *this, bool idle, Micros now)
 {
     Micros silent = now - this->sampled_at;
     Micros passed = MIN(now - this->timed_at, MAX_STEP);
@@ -402,7 +414,8 @@
         leave_short(this);
         return;
     }
-    this->level *= exp(SILENT_GAIN * (double)passed / (double)MICROS_PER_S);
+    this->level *= exp((idle ? IDLE_GAIN : SILENT_GAIN) * (double)passed /
+                       (double)MICROS_PER_S);
 }
 
 double
--- a/packages/core/LevelControl.h
+++ b/packages/core/LevelControl.h
@@ -71,11 +71,12 @@
 
 /**
  * LevelControl_OnTime() - call with every request
+ * @idle: this host has no request in flight
  *
  * Without observations the level rises, and a state that rests on silent
  * peers ends.
  */
-void LevelControl_OnTime(LevelControl *this, Micros now);
+void LevelControl_OnTime(LevelControl *this, bool idle, Micros now);
 
 /** LevelControl_Trim() - factor for what limited lines may hold right now */
 double LevelControl_Trim(const LevelControl *this);
--- a/packages/core/LineShare.c
+++ b/packages/core/LineShare.c
@@ -35,7 +35,12 @@
 /* Time of its allowance that a limited line may use at once, and may be in
  * debt for requests of callers that are within their share. */
 #define BURST_TIME (20 * MICROS_PER_MS)
-#define DEBT_TIME (50 * MICROS_PER_MS)
+#define DEBT_TIME (80 * MICROS_PER_MS)
+#define DEBT_COSTS 3
+
+/* Callers above their share run while the debt is below this part of what
+ * others may make. */
+#define HEAVY_PART 0.2
 
 /* What a host may hold in relation to its part when all its callers are below
  * the common level. Their demand is then what they get on average; without
@@ -74,8 +79,9 @@
     double lagged;  /* demand as old as what the peers said */
     double delayed; /* the same with callers capped */
     double allowance;
-    double balance;  /* slot time in microseconds */
-    uint32_t learnt; /* requests */
+    double untrimmed; /* allowance without the trim of the moment */
+    double balance;   /* slot time in microseconds */
+    uint32_t learnt;  /* requests */
     Micros learnt_at;
     Micros demand_at;
     Micros delayed_at;
@@ -166,7 +172,7 @@
         LineShare_Demand(this, now) + (double)cost / (double)DEMAND_TIME;
     this->quick += (double)cost / (double)QUICK_TIME;
     if (this->callers != NULL) {
-        CallerShares_OnOffer(this->callers, caller, cost, this->allowance,
+        CallerShares_OnOffer(this->callers, caller, cost, this->untrimmed,
                              now);
     }
 }
@@ -296,6 +302,15 @@
     return this->quick > this->demand + SURGE_SIGMAS * sqrt(variance);
 }
 
+/* Hosts that were not heard are expected to see what the others see on
+ * average: this host alone at first, nearly all of them soon after. */
+static double
+expected_elsewhere(const LineShare *this, double known, uint32_t unknown)
+{
+    unknown = MIN(unknown, this->hosts - 1);
+    return known * unknown / (this->hosts - unknown);
+}
+
 double
 LineShare_Total(LineShare *this, uint32_t unknown, Micros now)
 {
@@ -304,7 +319,8 @@
 
     expire_peers(this, now);
     delay_demand(this, now);
-    others = fmax(0, this->peer_usage) + unknown * this->lagged;
+    others = fmax(0, this->peer_usage);
+    others += expected_elsewhere(this, this->lagged + others, unknown);
     if (!is_surging(this)) {
         return demand + others;
     }
@@ -320,7 +336,7 @@
 {
     double passed = (double)(now - this->balance_at);
     double depth = 2 * this->cost;
-    double debt = 4 * this->cost;
+    double debt = 6 * this->cost;
 
     if (isinf(this->allowance)) {
         this->balance = depth;
@@ -362,12 +378,14 @@
 }
 
 void
-LineShare_Allow(LineShare *this, double entitled, uint32_t unknown, Micros now)
+LineShare_Allow(LineShare *this, double entitled, double trim,
+                uint32_t unknown, Micros now)
 {
     double prior = EVEN_PRIOR * entitled / this->hosts;
     double own = this->delayed + prior;
-    double all = this->delayed * (1 + unknown) + this->hosts * prior +
-                 fmax(0, this->peer_effective);
+    double all = this->delayed + fmax(0, this->peer_effective);
+
+    all += expected_elsewhere(this, all, unknown) + this->hosts * prior;
 
     refill(this, now);
     if (isinf(entitled)) {
@@ -376,10 +394,11 @@
         return;
     }
     begin_limit(this, now);
-    this->allowance = entitled * own / all;
+    this->untrimmed = entitled * own / all;
     if (has_light_callers(this, now)) {
-        this->allowance *= LIGHT_SLACK;
+        this->untrimmed *= LIGHT_SLACK;
     }
+    this->allowance = this->untrimmed * trim;
 }
 
 void
@@ -423,8 +442,10 @@
         return 0;
     }
     refill(this, now);
-    limit = within ? -(this->cost + this->allowance * (double)DEBT_TIME)
-                   : this->cost + this->allowance * (double)BURST_TIME / 2;
+    limit = -(DEBT_COSTS * this->cost + this->allowance * (double)DEBT_TIME);
+    if (!within) {
+        limit *= HEAVY_PART;
+    }
     missing = limit + (double)ahead - this->balance;
     if (missing <= 0) {
         return 0;
--- a/packages/core/LineShare.h
+++ b/packages/core/LineShare.h
@@ -51,18 +51,19 @@
 
 /**
  * LineShare_Total() - slots demanded on all hosts
- * @unknown: hosts that were not heard; they count like this host
+ * @unknown: hosts that were not heard; they count like the others
  */
 double LineShare_Total(LineShare *this, uint32_t unknown, Micros now);
 
 /**
  * LineShare_Allow() - set the slots that the line may hold on all hosts
  * @entitled: infinite if the line is not limited
+ * @trim: factor for the load of the moment; callers' shares don't follow it
  *
  * The part of this host follows from the demand on the other hosts.
  */
-void LineShare_Allow(LineShare *this, double entitled, uint32_t unknown,
-                     Micros now);
+void LineShare_Allow(LineShare *this, double entitled, double trim,
+                     uint32_t unknown, Micros now);
 
 /** LineShare_Allowance() - slots that the line may hold on this host */
 double LineShare_Allowance(const LineShare *this);
--- a/packages/core/ServiceShares.c
+++ b/packages/core/ServiceShares.c
@@ -206,14 +206,14 @@
     if (line->total <= entitled) {
         entitled = INFINITY;
     }
-    LineShare_Allow(line->share, entitled * LevelControl_Trim(this->control),
+    LineShare_Allow(line->share, entitled, LevelControl_Trim(this->control),
                     this->unknown, now);
 }
 
 void
 ServiceShares_Refresh(ServiceShares *this, ServiceLine *line, Micros now)
 {
-    LevelControl_OnTime(this->control, now);
+    LevelControl_OnTime(this->control, this->in_flight == 0, now);
     count_unknown(this, now);
     if (line != NULL) {
         refresh_line(this, line, now);
--- a/packages/core/ServiceShares.h
+++ b/packages/core/ServiceShares.h
@@ -33,6 +33,7 @@
  * @heard: by host, last level item; NULL while none came
  * @unknown: live hosts that were not heard
  * @queued: requests that wait, all lines together
+ * @in_flight: requests admitted and not finished
  */
 typedef struct ServiceShares_ {
     uint32_t id;
@@ -49,6 +50,7 @@
     uint32_t heard_slots;
     uint32_t unknown;
     uint32_t queued;
+    uint32_t in_flight;
 } ServiceShares;
 
 /** ServiceShares_Create() - a service without lines */
