--- a/bench/bench_retries.c
+++ b/bench/bench_retries.c
@@ -207,6 +207,7 @@
     bench_outage("down_10s", 1, 1, 10000, 10 * MICROS_PER_S);
     bench_outage("down_slow_rate_10s", 1, 1, 100, 10 * MICROS_PER_S);
     bench_outage("half_failing", 1, 0.5, 10000, 10 * MICROS_PER_S);
+    bench_outage("chain16_down_1s", 16, 1, 2000, MICROS_PER_S);
     bench_outage("chain16_down_10s", 16, 1, 2000, 10 * MICROS_PER_S);
     bench_outage("chain16_half_failing", 16, 0.5, 2000, 10 * MICROS_PER_S);
     bench_quarantine();
--- a/packages/core/Admission.c
+++ b/packages/core/Admission.c
@@ -439,7 +439,9 @@
     if (line == NULL) {
         return;
     }
-    service->in_flight -= MIN(service->in_flight, 1);
+    if (result->charge != 0) {
+        service->in_flight -= MIN(service->in_flight, 1);
+    }
     work = work_of(service, result, now);
     LineShare_Charge(line->share, work - result->charge, now);
     LineShare_ChargeCaller(line->share, result->caller, work - result->charge,
--- a/packages/core/Admission.h
+++ b/packages/core/Admission.h
@@ -103,7 +103,8 @@
  * struct AdmissionResult_ - end of an admitted request
  * @cost: as in the request
  * @charge: from the verdict
- * @busy: time in flight upstream, in microseconds
+ * @busy: time in flight upstream, in microseconds; without the network's
+ *        round trip if that is known, which makes costs more exact
  */
 typedef struct AdmissionResult_ {
     uint32_t service;
@@ -207,9 +208,11 @@
                       uint64_t caller, uint64_t request_id);
 
 /**
- * Admission_OnFinish() - an admitted request ended; call exactly once each
+ * Admission_OnFinish() - an admitted request ended
  *
- * The difference between the real time in flight and the charge is settled.
+ * Call it once for each admitted request with the charge of its verdict; the
+ * difference to what the request took is settled. An attempt that was shed
+ * and is sent again is reported with a charge of 0 before.
  */
 void Admission_OnFinish(Admission *this, const AdmissionResult *result);
 
--- a/packages/core/Quarantine.c
+++ b/packages/core/Quarantine.c
@@ -45,6 +45,7 @@
     QuarantineOptions options;
     GHashTable *table; /* Fingerprint -> Entry, owned */
     GQueue entries;    /* oldest loss first */
+    uint32_t to_send;  /* entries that the peers don't have yet */
     Proven proven[PROVEN_SLOTS];
 };
 
@@ -118,9 +119,17 @@
     };
 }
 
+static void
+mark_to_send(Quarantine *this, Entry *entry)
+{
+    this->to_send += !entry->to_send;
+    entry->to_send = true;
+}
+
 static void
 drop_entry(Quarantine *this, Entry *entry)
 {
+    this->to_send -= entry->to_send;
     g_queue_unlink(&this->entries, &entry->by_age);
     g_hash_table_remove(this->table, &entry->fingerprint);
 }
@@ -159,7 +168,7 @@
 touch(Quarantine *this, Entry *entry, Micros lost_at)
 {
     entry->lost_at = lost_at;
-    entry->to_send = true;
+    mark_to_send(this, entry);
     g_queue_unlink(&this->entries, &entry->by_age);
     g_queue_push_tail_link(&this->entries, &entry->by_age);
 }
@@ -382,7 +391,7 @@
 {
     entry->losses = 0;
     entry->released_at = when;
-    entry->to_send = true;
+    mark_to_send(this, entry);
     g_queue_unlink(&this->entries, &entry->by_age);
     g_queue_push_tail_link(&this->entries, &entry->by_age);
 }
@@ -459,11 +468,15 @@
 bool
 Quarantine_NextItem(Quarantine *this, QuarantineItem *item)
 {
+    if (this->to_send == 0) {
+        return false;
+    }
     for (GList *link = this->entries.tail; link != NULL; link = link->prev) {
         Entry *entry = link->data;
 
         if (entry->to_send) {
             entry->to_send = false;
+            this->to_send--;
             *item = item_of(this, entry);
             return true;
         }
--- a/packages/core/RetryBudget.c
+++ b/packages/core/RetryBudget.c
@@ -11,7 +11,7 @@
  * otherwise never earn a whole one. */
 #define LEAST_CAP 1.0
 
-/* Two upstreams in all: a third attempt rarely helps and costs the same. */
+/* A fourth attempt rarely helps and costs as much as the first. */
 #define MAX_ATTEMPTS 3
 
 struct RetryBudget_ {
