--- a/bench/bench_retries.c
+++ b/bench/bench_retries.c
@@ -186,7 +186,7 @@
         Clock_Advance(clock, 50 * MICROS_PER_MS);
     }
     printf("quarantine_upstreams_lost=%u\n", lost);
-    printf("quarantine_upstreams_lost_bound=%u\n", QUARANTINE_LOSSES);
+    printf("quarantine_upstreams_lost_bound=%d\n", QUARANTINE_LOSSES);
     printf("quarantine_upstreams_lost_met=%s\n",
            lost <= QUARANTINE_LOSSES ? "yes" : "no");
     printf("quarantine_innocent_refused=%u\n", refused);
@@ -207,6 +207,7 @@
     bench_outage("down_10s", 1, 1, 10000, 10 * MICROS_PER_S);
     bench_outage("down_slow_rate_10s", 1, 1, 100, 10 * MICROS_PER_S);
     bench_outage("half_failing", 1, 0.5, 10000, 10 * MICROS_PER_S);
+    bench_outage("chain16_down_1s", 16, 1, 2000, MICROS_PER_S);
     bench_outage("chain16_down_10s", 16, 1, 2000, 10 * MICROS_PER_S);
     bench_outage("chain16_half_failing", 16, 0.5, 2000, 10 * MICROS_PER_S);
     bench_quarantine();
