--- a/bench/routing.gnuplot
+++ b/bench/routing.gnuplot
@@ -1,7 +1,7 @@
 # Plots of bench_routing and bench_routing_cost; runs in bench/out.
 set terminal svg size 900,600
 set grid
-set key top left
+set key below
 
 set output "routing_load.svg"
 set multiplot layout 1,2
@@ -20,6 +20,7 @@
 set style data histograms
 set style fill solid 0.6
 set logscale y
+set yrange [5:*]
 set xlabel ""
 set xtics rotate by -40
 set title "claims-desk at 80% load"
