Cap reported slots at the configured number

Cause: a report with many slots made an upstream look idle for ever, and small errors in latencies would add up in the age of own requests. Change: reports lower the slots, never raise them; the sum of start times is reset when nothing is in flight; a changed slot count in the host list is taken over. Driver, benchmark and test with a lying upstream.

--- a/bench/bench_routing.c
+++ b/bench/bench_routing.c
@@ -354,6 +354,28 @@
     }
 }
 
+/* One upstream reports 1000 idle slots, all others tell the truth. */
+static void
+bench_lying(const Deployment *d)
+{
+    DriverOptions o = options_for(d);
+    Outcome honest = run_seeds(o);
+    Outcome r;
+
+    o.lying = 1;
+    o.from = 2 * MICROS_PER_S;
+    o.until = o.duration;
+    r = run_seeds(o);
+    for (int s = 0; s < DRIVER_SERVICES; s++) {
+        const char *service = d->services[s].name;
+
+        print_value(d->name, service, "lying_share",
+                    r.services[s].share * d->services[s].upstreams);
+        print_value(d->name, service, "lying_p99_to_honest",
+                    r.services[s].p99 / honest.services[s].p99);
+    }
+}
+
 static void
 bench_misleading(const Deployment *d, bool verify)
 {
@@ -541,19 +563,13 @@
     const char *name;
     void (*run)(const Deployment *deployment);
 } scenarios[] = {
-    {"uniform", bench_uniform},
-    {"policies", bench_policies},
-    {"slow", bench_slow_queueing},
-    {"slow-shed", bench_slow_shedding},
-    {"failing", bench_failing},
-    {"misleading", bench_verified},
-    {"unverified", bench_unverified},
-    {"down", bench_down},
-    {"surge", bench_surge},
-    {"cold", bench_cold},
-    {"shedding", bench_shedding},
-    {"variants", bench_variants},
-    {"load", bench_load},
+    {"uniform", bench_uniform},     {"policies", bench_policies},
+    {"slow", bench_slow_queueing},  {"slow-shed", bench_slow_shedding},
+    {"failing", bench_failing},     {"lying", bench_lying},
+    {"misleading", bench_verified}, {"unverified", bench_unverified},
+    {"down", bench_down},           {"surge", bench_surge},
+    {"cold", bench_cold},           {"shedding", bench_shedding},
+    {"variants", bench_variants},   {"load", bench_load},
 };
 
 static bool
--- a/packages/core/LoadEstimate.c
+++ b/packages/core/LoadEstimate.c
@@ -151,7 +151,7 @@
     float share = load / u->slots;
 
     if (report->slots > 0) {
-        u->slots = (uint16_t)MIN(report->slots, UINT16_MAX);
+        u->slots = (uint16_t)MIN(report->slots, u->slots_max);
     }
     if (service->busy < 0) {
         service->busy = share;
--- a/packages/core/Router.c
+++ b/packages/core/Router.c
@@ -216,6 +216,10 @@
     u->inflight--;
     s->inflight--;
     u->started -= now - latency;
+    if (u->inflight == 0) {
+        /* Latencies that are off by a little do not add up. */
+        u->started = 0;
+    }
     if (outcome == ATTEMPT_SHED) {
         u->report_time = now;
         u->report_load = MAX(u->report_load, u->slots);
--- a/packages/core/Router.h
+++ b/packages/core/Router.h
@@ -74,8 +74,8 @@
 typedef struct UpstreamInfo_ {
     uint64_t key; /* stable hash of the upstream's id, equal on every host */
     uint32_t domain;
-    uint32_t slots;
-    bool cold; /* just started: ramp it up */
+    uint32_t slots; /* reports may lower it, never raise it */
+    bool cold;      /* just started: ramp it up */
 } UpstreamInfo;
 
 /** struct LoadReport_ - contents of an `agatecrank-load` header */
--- a/packages/core/UpstreamTable.c
+++ b/packages/core/UpstreamTable.c
@@ -128,14 +128,14 @@
 {
     ServiceState *s = reach_service(this, service);
     Upstream *u = reach_upstream(this, upstream);
+    uint16_t slots = (uint16_t)CLAMP(info->slots, 1, UINT16_MAX);
 
     if ((u->flags & UPSTREAM_PRESENT) != 0 && u->service != service) {
         UpstreamTable_Remove(this, upstream);
     }
     if ((u->flags & UPSTREAM_PRESENT) != 0 && u->key == info->key &&
-        u->domain == info->domain) {
-        /* The host list is repeated often; its slots may be older than what
-         * the upstream reported. */
+        u->domain == info->domain && u->slots_max == slots) {
+        /* The host list is repeated often. */
         return;
     }
     if ((u->flags & UPSTREAM_PRESENT) == 0) {
@@ -146,7 +146,8 @@
     u->service = service;
     u->key = info->key;
     u->domain = info->domain;
-    u->slots = (uint16_t)CLAMP(info->slots, 1, UINT16_MAX);
+    u->slots_max = slots;
+    u->slots = slots;
     s->stale = true;
 }
 
@@ -251,7 +252,7 @@
         Upstream *u = &this->upstreams[s->upstreams[i]];
 
         u->owned = 0;
-        for (uint32_t slot = 0; slot < u->slots; slot++) {
+        for (uint32_t slot = 0; slot < u->slots_max; slot++) {
             items[n].key = (u->key + slot) * 0xd1342543de82ef95ULL;
             items[n++].domain = u->domain;
         }
@@ -263,7 +264,7 @@
     for (uint32_t i = 0; i < s->count; i++) {
         Upstream *u = &this->upstreams[s->upstreams[i]];
 
-        for (uint32_t slot = 0; slot < u->slots; slot++) {
+        for (uint32_t slot = 0; slot < u->slots_max; slot++) {
             uint64_t key = (u->key + slot) * 0xd1342543de82ef95ULL;
 
             if (g_hash_table_lookup(of_item, &key) != NULL) {
@@ -311,7 +312,7 @@
     s->stale = false;
     s->slots = 0;
     for (uint32_t i = 0; i < s->count; i++) {
-        s->slots += this->upstreams[s->upstreams[i]].slots;
+        s->slots += this->upstreams[s->upstreams[i]].slots_max;
     }
     compute_subset(this, s, by_key);
     if (this->options->policy == ROUTING_SLOT_SHARES) {
--- a/packages/core/UpstreamTable.h
+++ b/packages/core/UpstreamTable.h
@@ -18,6 +18,7 @@
 /**
  * struct Upstream_ - what this host knows of one upstream
  * @started: sum of the start times of the requests in flight
+ * @slots_max: configured slots; reports may lower @slots, not raise it above
  * @penalty: requests counted as in flight although they failed early
  */
 typedef struct Upstream_ {
@@ -36,6 +37,7 @@
     uint32_t service;
     uint32_t domain;
     uint16_t slots;
+    uint16_t slots_max;
     uint16_t inflight;
     uint16_t sent_since_report;
     uint16_t owned;
--- a/tests/support/DriverState.c
+++ b/tests/support/DriverState.c
@@ -49,7 +49,7 @@
 
     for (uint32_t s = 0; s < DRIVER_SERVICES; s++) {
         const DriverService *service = &deployment->services[s];
-        double affected = d->options.failing + one +
+        double affected = d->options.failing + d->options.lying + one +
                           d->options.slow_share * service->upstreams;
 
         for (uint32_t i = 0; i < service->upstreams; i++) {
--- a/tests/support/FakeUpstream.c
+++ b/tests/support/FakeUpstream.c
@@ -37,10 +37,13 @@
         report = this->history[this->history_at];
         report.draining = this->draining;
     }
-    if (this->rules->reports == REPORTS_ZERO) {
+    if (this->rules->reports == REPORTS_ZERO || this->lying) {
         report.inflight = 0;
         report.queue = 0;
     }
+    if (this->lying) {
+        report.slots = 1000;
+    }
     return report;
 }
 
--- a/tests/support/FakeUpstream.h
+++ b/tests/support/FakeUpstream.h
@@ -59,6 +59,7 @@
  * @slowness: factor on service times of requests that start now
  * @cold_left: requests that still run at a cold process's speed
  * @failing: answers at once with an error
+ * @lying: reports that it is idle and has many slots
  */
 typedef struct FakeUpstream_ {
     const FakeRules *rules;
@@ -67,6 +68,7 @@
     uint32_t cold_left;
     double slowness;
     bool failing;
+    bool lying;
     bool draining;
     GQueue waiting;
     LoadReport history[FAKE_HISTORY];
--- a/tests/support/RoutingDriver.c
+++ b/tests/support/RoutingDriver.c
@@ -395,6 +395,7 @@
 
         t->fake.failing =
             options->down || (t->affected && options->failing > 0);
+        t->fake.lying = t->affected && options->lying > 0;
         if (t->affected && options->slow_share > 0) {
             t->fake.slowness = options->slow_factor;
         }
--- a/tests/support/RoutingDriver.h
+++ b/tests/support/RoutingDriver.h
@@ -35,6 +35,7 @@
  * @queue_max: requests that a full upstream queues before it refuses
  * @shed: a full upstream refuses with proof, else it queues all
  * @slow_share: share of upstreams, rounded up, that become @slow_factor times slower
+ * @lying: upstreams of each service that report that they are idle
  * @failing: upstreams of each service that fail at once
  * @from, @until: period of slowness, failing, down and drain
  * @drain: first upstream of each service leaves at @from; @listed: the host
@@ -58,6 +59,7 @@
     uint32_t queue_max;
     double slow_share;
     double slow_factor;
+    uint32_t lying;
     uint32_t failing;
     bool down;
     bool drain;
--- a/tests/test_routing_faults.c
+++ b/tests/test_routing_faults.c
@@ -211,6 +211,18 @@
     g_assert_cmpfloat(zero, <=, 1.15 * without);
 }
 
+/* Guards against one upstream that draws traffic by claiming to be idle. */
+static void
+test_lying_draws_no_traffic(void)
+{
+    DriverOptions o = short_run(&deployment_tunis);
+    ServiceResult r;
+
+    o.lying = 1;
+    r = RoutingDriver_Run(&o).services[0];
+    g_assert_cmpfloat(r.affected_share, <=, 1.5 / 20);
+}
+
 /* Guards against retries that multiply requests when nothing works. */
 static void
 test_everything_down(void)
@@ -240,6 +252,7 @@
     g_test_add_func("/routing/failing", test_failing_draws_no_traffic);
     g_test_add_func("/routing/slow", test_slow_loses_traffic_and_returns);
     g_test_add_func("/routing/misleading", test_misleading_reports);
+    g_test_add_func("/routing/lying", test_lying_draws_no_traffic);
     g_test_add_func("/routing/down", test_everything_down);
     return g_test_run();
 }
