--- a/bench/bench_routing.c
+++ b/bench/bench_routing.c
@@ -3,80 +3,14 @@
 
 #include <glib.h>
 
-#include "RoutingDriver.h"
-
-/* Each figure is the mean of these runs, or the worst for budgets. */
-static const uint64_t seeds[] = {1, 2, 3};
+#include "MmcQueue.h"
+#include "Outcome.h"
 
 #define BASELINE ROUTING_TWO_CHOICES
 
 static const Deployment *const deployments[] = {&deployment_tunis,
                                                 &deployment_puntarenas};
 
-/* Means over the seeds; latencies in microseconds. */
-typedef struct Figures_ {
-    double p50;
-    double p99;
-    double wait_p99;
-    double sent;
-    double failed;
-    double sheds;
-    double share;
-    double late;
-    double after;
-    double probe_peak;
-    double messages;
-    double connections;
-} Figures;
-
-typedef struct Outcome_ {
-    Figures services[DRIVER_SERVICES];
-} Outcome;
-
-static double
-per(uint64_t part, uint64_t whole)
-{
-    return whole > 0 ? (double)part / (double)whole : 0;
-}
-
-static void
-add_run(Figures *f, const ServiceResult *r, const DriverResult *run,
-        double seconds, double weight)
-{
-    f->p50 += weight * (double)r->p50;
-    f->p99 += weight * (double)r->p99;
-    f->wait_p99 += weight * (double)r->wait_p99;
-    f->sent += weight * per(r->sent, r->offered);
-    f->failed += weight * per(r->failed, r->offered);
-    f->sheds += weight * per(r->sheds, r->offered);
-    f->share += weight * r->affected_share;
-    f->late += weight * r->affected_late;
-    f->after += weight * r->affected_after;
-    f->messages += weight * (double)run->slot_messages / seconds / 20;
-    f->probe_peak = MAX(f->probe_peak, r->probe_peak);
-    f->connections = MAX(f->connections, run->connections_peak);
-}
-
-static Outcome
-run_seeds(DriverOptions options)
-{
-    Outcome out = {0};
-    double seconds =
-        (double)(options.duration - options.warmup) / MICROS_PER_S;
-
-    for (size_t i = 0; i < G_N_ELEMENTS(seeds); i++) {
-        DriverResult r;
-
-        options.seed = seeds[i];
-        r = RoutingDriver_Run(&options);
-        for (int s = 0; s < DRIVER_SERVICES; s++) {
-            add_run(&out.services[s], &r.services[s], &r, seconds,
-                    1.0 / G_N_ELEMENTS(seeds));
-        }
-    }
-    return out;
-}
-
 static DriverOptions
 options_for(const Deployment *deployment)
 {
@@ -130,50 +64,10 @@
            value <= bound ? "yes" : "no");
 }
 
-/* Probability that a request waits in M/M/c with @load per server. */
-static double
-erlang_c(uint32_t servers, double load)
-{
-    double offered = servers * load;
-    double blocked = 1;
-
-    for (uint32_t n = 1; n <= servers; n++) {
-        blocked = offered * blocked / (n + offered * blocked);
-    }
-    return blocked / (1 - load * (1 - blocked));
-}
-
-/* Probability that the time in an M/M/c system passes @time. */
-static double
-mmc_tail(uint32_t servers, double load, double mean, double time)
+static uint32_t
+slots_of(const DriverService *service)
 {
-    double waits = erlang_c(servers, load);
-    double rate = 1 / mean;
-    double drain = servers * (1 - load) * rate;
-    double both = (drain * exp(-rate * time) - rate * exp(-drain * time)) /
-                  (drain - rate);
-
-    return (1 - waits) * exp(-rate * time) + waits * both;
-}
-
-static double
-mmc_p99(const DriverService *service, double load, double mean)
-{
-    uint32_t servers = service->upstreams * service->slots;
-    double low = 0;
-    double high = 1000 * mean;
-
-    for (int i = 0; i < 100; i++) {
-        double middle = (low + high) / 2;
-
-        if (mmc_tail(servers, load, mean, middle) > 0.01) {
-            low = middle;
-        }
-        else {
-            high = middle;
-        }
-    }
-    return high;
+    return service->upstreams * service->slots;
 }
 
 /* All bounds of the uniform load, and every policy beside them. */
@@ -182,13 +76,14 @@
 {
     DriverOptions o = options_for(d);
     Outcome base;
-    Outcome best = run_seeds(o);
+    Outcome best = Outcome_Run(o);
 
     use_baseline(&o);
-    base = run_seeds(o);
+    base = Outcome_Run(o);
     for (int s = 0; s < DRIVER_SERVICES; s++) {
         const char *name = d->services[s].name;
-        double limit = mmc_p99(&d->services[s], o.load, (double)o.mean);
+        double limit =
+            MmcQueue_P99(slots_of(&d->services[s]), o.load, (double)o.mean);
         const Figures *f = &best.services[s];
         const Figures *b = &base.services[s];
 
@@ -217,7 +112,7 @@
         Outcome r;
 
         o.router.policy = (RoutingPolicy)p;
-        r = run_seeds(o);
+        r = Outcome_Run(o);
         for (int s = 0; s < DRIVER_SERVICES; s++) {
             const Figures *f = &r.services[s];
 
@@ -274,7 +169,7 @@
         o.times = cases[i].times;
         o.near = cases[i].near;
         o.one_domain = cases[i].one_domain;
-        r = run_seeds(o);
+        r = Outcome_Run(o);
         for (int s = 0; s < DRIVER_SERVICES; s++) {
             printf("%s_%s_%s_p99_ms=%.4g p50_ms=%.4g\n", d->name,
                    d->services[s].name, cases[i].name, r.services[s].p99 / 1e3,
@@ -298,12 +193,12 @@
     o.from = 2 * MICROS_PER_S;
     o.until = 4 * MICROS_PER_S;
     o.duration = o.until;
-    best = run_seeds(o);
+    best = Outcome_Run(o);
     o.duration = 9 * MICROS_PER_S;
-    back = run_seeds(o);
+    back = Outcome_Run(o);
     o.duration = o.until;
     use_baseline(&o);
-    base = run_seeds(o);
+    base = Outcome_Run(o);
     for (int s = 0; s < DRIVER_SERVICES; s++) {
         const char *name = d->services[s].name;
         double slow =
@@ -337,7 +232,7 @@
         o.failing = 1;
         o.from = 3 * MICROS_PER_S;
         o.until = o.duration;
-        r = run_seeds(o);
+        r = Outcome_Run(o);
         for (int s = 0; s < DRIVER_SERVICES; s++) {
             double share = r.services[s].share * d->services[s].upstreams;
             const char *service = d->services[s].name;
@@ -359,13 +254,13 @@
 bench_lying(const Deployment *d)
 {
     DriverOptions o = options_for(d);
-    Outcome honest = run_seeds(o);
+    Outcome honest = Outcome_Run(o);
     Outcome r;
 
     o.lying = 1;
     o.from = 2 * MICROS_PER_S;
     o.until = o.duration;
-    r = run_seeds(o);
+    r = Outcome_Run(o);
     for (int s = 0; s < DRIVER_SERVICES; s++) {
         const char *service = d->services[s].name;
 
@@ -387,13 +282,13 @@
     Outcome none;
 
     o.reports = REPORTS_NONE;
-    none = run_seeds(o);
+    none = Outcome_Run(o);
     o.router.verify_reports = verify;
     for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
         Outcome r;
 
         o.reports = cases[i].mode;
-        r = run_seeds(o);
+        r = Outcome_Run(o);
         for (int s = 0; s < DRIVER_SERVICES; s++) {
             double ratio = r.services[s].p99 / none.services[s].p99;
             char name[64];
@@ -419,7 +314,7 @@
     o.down = true;
     o.from = o.warmup;
     o.until = o.duration;
-    r = run_seeds(o);
+    r = Outcome_Run(o);
     for (int s = 0; s < DRIVER_SERVICES; s++) {
         const char *name = d->services[s].name;
 
@@ -452,7 +347,7 @@
         o.shed = true;
         o.queue_max = cases[i].queue_max;
         o.retry_share = cases[i].retry_share;
-        r = run_seeds(o);
+        r = Outcome_Run(o);
         for (int s = 0; s < DRIVER_SERVICES; s++) {
             const Figures *f = &r.services[s];
 
@@ -474,7 +369,7 @@
     o.shed = true;
     o.queue_max = 6;
     o.duration = 4 * MICROS_PER_S;
-    r = run_seeds(o);
+    r = Outcome_Run(o);
     for (int s = 0; s < DRIVER_SERVICES; s++) {
         const char *name = d->services[s].name;
 
@@ -497,7 +392,7 @@
         o.until = 3 * MICROS_PER_S;
         o.duration = o.until;
         o.router.ramp = ramped ? o.router.ramp : 1;
-        r = run_seeds(o);
+        r = Outcome_Run(o);
         for (int s = 0; s < DRIVER_SERVICES; s++) {
             print_value(d->name, d->services[s].name,
                         ramped ? "cold_p99_ms" : "cold_unramped_p99_ms",
@@ -522,8 +417,10 @@
         DriverOptions o = options_for(d);
 
         o.load = percent / 100.0;
-        fprintf(out, "%d %.3f", percent,
-                mmc_p99(&d->services[0], o.load, (double)o.mean) / 1e3);
+        fprintf(
+            out, "%d %.3f", percent,
+            MmcQueue_P99(slots_of(&d->services[0]), o.load, (double)o.mean) /
+                1e3);
         for (size_t p = 0; p < G_N_ELEMENTS(policies); p++) {
             o.router.policy = policies[p];
             fprintf(out, " %.3f",
--- /dev/null
+++ b/tests/support/Outcome.c
@@ -0,0 +1,50 @@
+#include "Outcome.h"
+
+#include <glib.h>
+
+/* Each figure is the mean of these runs, or the worst for budgets. */
+static const uint64_t seeds[] = {1, 2, 3};
+
+static double
+per(uint64_t part, uint64_t whole)
+{
+    return whole > 0 ? (double)part / (double)whole : 0;
+}
+
+static void
+add_run(Figures *f, const ServiceResult *r, const DriverResult *run,
+        double seconds, double weight)
+{
+    f->p50 += weight * (double)r->p50;
+    f->p99 += weight * (double)r->p99;
+    f->wait_p99 += weight * (double)r->wait_p99;
+    f->sent += weight * per(r->sent, r->offered);
+    f->failed += weight * per(r->failed, r->offered);
+    f->sheds += weight * per(r->sheds, r->offered);
+    f->share += weight * r->affected_share;
+    f->late += weight * r->affected_late;
+    f->after += weight * r->affected_after;
+    f->messages += weight * (double)run->slot_messages / seconds / 20;
+    f->probe_peak = MAX(f->probe_peak, r->probe_peak);
+    f->connections = MAX(f->connections, run->connections_peak);
+}
+
+Outcome
+Outcome_Run(DriverOptions options)
+{
+    Outcome out = {0};
+    double seconds =
+        (double)(options.duration - options.warmup) / MICROS_PER_S;
+
+    for (size_t i = 0; i < G_N_ELEMENTS(seeds); i++) {
+        DriverResult r;
+
+        options.seed = seeds[i];
+        r = RoutingDriver_Run(&options);
+        for (int s = 0; s < DRIVER_SERVICES; s++) {
+            add_run(&out.services[s], &r.services[s], &r, seconds,
+                    1.0 / G_N_ELEMENTS(seeds));
+        }
+    }
+    return out;
+}
