--- a/tests/support/RoutingDriver.h
+++ b/tests/support/RoutingDriver.h
@@ -28,12 +28,14 @@
 
 /**
  * struct DriverOptions_ - one run: hosts with a Router each, fake upstreams
+ * @hidden: live hosts that each host does not know of
  * @load: offered load as a share of all slots
  * @near: one-way latency within a domain; 0 for the deployment's latency
  * @one_domain: all hosts are in the first domain
  * @queue_max: requests that a full upstream queues before it refuses
  * @shed: a full upstream refuses with proof, else it queues all
  * @slow_share: share of upstreams, rounded up, that become @slow_factor times slower
+ * @lying: upstreams of each service that report that they are idle
  * @failing: upstreams of each service that fail at once
  * @from, @until: period of slowness, failing, down and drain
  * @drain: first upstream of each service leaves at @from; @listed: the host
@@ -46,6 +48,7 @@
     const Deployment *deployment;
     RouterOptions router;
     uint32_t hosts;
+    uint32_t hidden;
     double load;
     Micros mean;
     Micros near;
@@ -56,6 +59,7 @@
     uint32_t queue_max;
     double slow_share;
     double slow_factor;
+    uint32_t lying;
     uint32_t failing;
     bool down;
     bool drain;
