Give usage to the peers in turn within the byte budget

Measured per item, a surge at 20 hosts left 28% of the items older than their limit of 3 s: receivers were random, messages of 250 bytes carried the same few items again, and the burst of the budget lowered its rate.

--- a/bench/bench_membership.c
+++ b/bench/bench_membership.c
@@ -18,6 +18,7 @@
 #define MEMORY_BOUND (32.0 * 1024 * 1024)
 #define DRAIN_BOUND (2 * MICROS_PER_S)
 #define DRAINS 400
+#define USAGE_ITEMS 12
 #define STEP (20 * MICROS_PER_MS)
 
 typedef struct Totals_ {
@@ -162,9 +163,24 @@
 
 typedef struct Surge_ {
     Cluster *cluster;
-    Micros (*last)[CLUSTER_HOSTS_MAX]; /* when measured, at host of host */
+    /* When measured, at a host, of a host, of each of its items. */
+    Micros (*last)[CLUSTER_HOSTS_MAX][USAGE_ITEMS];
 } Surge;
 
+/* Number of the item among those that every host shares. */
+static uint32_t
+usage_index(const SharedItem *item)
+{
+    uint32_t line = 0;
+
+    if (item->usage.line.length > 0) {
+        char last = item->usage.line.data[item->usage.line.length - 1];
+
+        line = 1 + (uint32_t)(last - 'a');
+    }
+    return 2 * line + (item->usage.service.data[1] == 'o');
+}
+
 static void
 note_usage(void *user, uint32_t host, const SharedItem *item)
 {
@@ -176,7 +192,9 @@
     if (item->kind == SHARED_USAGE && Str_ParseU64(digits, &origin) == 0) {
         Micros seen = Cluster_Now(surge->cluster) - item->age;
 
-        surge->last[host][origin] = MAX(surge->last[host][origin], seen);
+        Micros *last = &surge->last[host][origin][usage_index(item)];
+
+        *last = MAX(*last, seen);
     }
 }
 
@@ -207,9 +225,10 @@
 
     for (uint32_t a = 0; a < hosts; a++) {
         for (uint32_t b = 0; b < hosts; b++) {
-            Micros age = Cluster_Now(surge->cluster) - surge->last[a][b];
+            for (uint32_t i = 0; i < USAGE_ITEMS && a != b; i++) {
+                Micros age =
+                    Cluster_Now(surge->cluster) - surge->last[a][b][i];
 
-            if (a != b) {
                 Histogram_Add(ages, age);
                 *known += age < SharedKind_MaxAge(SHARED_USAGE);
                 (*all)++;
@@ -223,8 +242,8 @@
 measure_surge(uint32_t hosts)
 {
     Cluster *cluster = create_cluster(hosts, SEED + 1);
-    Surge surge = {cluster, g_malloc0(sizeof(Micros) * CLUSTER_HOSTS_MAX *
-                                      CLUSTER_HOSTS_MAX)};
+    Surge surge = {cluster,
+                   g_malloc0(sizeof(*surge.last) * CLUSTER_HOSTS_MAX)};
     Histogram *ages = Histogram_Create();
     double seconds = 20;
     uint64_t known = 0;
--- a/packages/core/ByteBudget.h
+++ b/packages/core/ByteBudget.h
@@ -8,8 +8,9 @@
 
 /** Framing of one message: TCP and IP headers 40 to 52, ZMTP 9, CURVE 33 */
 #define BUDGET_FRAME_BYTES 100
-/** Burst: two full messages. Rate and burst are the budget of any second */
-#define BUDGET_BURST_BYTES (2 * (GOSSIP_MAX + BUDGET_FRAME_BYTES))
+/** Burst: a regular round of 200 hosts takes 1,840 bytes. Rate and burst make
+ * up the budget of any second, so that a larger burst lowers the rate. */
+#define BUDGET_BURST_BYTES 2200
 /** Least room for a message that is worth sending */
 #define BUDGET_MESSAGE_MIN 250
 
--- a/packages/core/GossipTargets.c
+++ b/packages/core/GossipTargets.c
@@ -20,6 +20,7 @@
     size_t target_count;
     Contact replies[GOSSIP_REPLIES_MAX];
     size_t reply_count;
+    size_t cursor; /* of GossipTargets_AddNext() */
 };
 
 static void
@@ -201,6 +202,27 @@
     return add_target(this, &contact, kind);
 }
 
+/* Every member gets usage at even intervals: with random choice, 5% of it
+ * was older than its limit of 3 s at 20 hosts. */
+bool
+GossipTargets_AddNext(GossipTargets *this, MessageKind kind, Micros now)
+{
+    size_t count = MemberTable_Count(this->members);
+    Micros since = now - MemberTable_SuspectAfter(this->members);
+    Contact contact;
+
+    for (size_t i = 0; i < count; i++) {
+        const Member *member =
+            MemberTable_At(this->members, this->cursor++ % count);
+
+        if (is_heard(this, member, since)) {
+            contact_member(&contact, member);
+            return add_target(this, &contact, kind);
+        }
+    }
+    return false;
+}
+
 static bool
 is_live_address(const GossipTargets *this, const char *address)
 {
--- a/packages/core/GossipTargets.h
+++ b/packages/core/GossipTargets.h
@@ -51,6 +51,9 @@
 bool GossipTargets_AddMember(GossipTargets *this, MessageKind kind,
                              Micros now);
 
+/** GossipTargets_AddNext() - the next live member in turn, for usage */
+bool GossipTargets_AddNext(GossipTargets *this, MessageKind kind, Micros now);
+
 /** GossipTargets_AddStranger() - a random seed, or a listed, suspect or
  * removed host that is not live; false if there is none */
 bool GossipTargets_AddStranger(GossipTargets *this);
--- a/packages/core/ItemStore.c
+++ b/packages/core/ItemStore.c
@@ -19,6 +19,7 @@
     size_t hot;
     size_t cursor;
     size_t text_bytes;
+    uint64_t sendings;
     GHashTable *by_key; /* key to StoredItem */
     MembershipCounters *counters;
 };
@@ -428,8 +429,9 @@
     uint64_t age = (uint64_t)MAX(now - item->observed, 0);
     uint64_t group = item->hot_left > 0 ? 0 : item->sends_left > 0 ? 1 : 2;
 
+    /* Not all own usage fits one message: what was sent longest ago first. */
     if (item->own && item->item.kind == SHARED_USAGE) {
-        group = 0;
+        return ((uint64_t)SHARED_USAGE << 56) | item->sent;
     }
     return (group << 60) | ((uint64_t)item->item.kind << 56) | age;
 }
@@ -505,6 +507,7 @@
 void
 ItemStore_Sent(ItemStore *this, StoredItem *item, bool urgent)
 {
+    item->sent = ++this->sendings;
     if (item->sends_left > 0) {
         item->sends_left--;
     }
--- a/packages/core/ItemStore.h
+++ b/packages/core/ItemStore.h
@@ -12,6 +12,7 @@
  * @observed: local time at which the origin saw it
  * @hot_left: urgent messages that should still carry it
  * @sends_left: messages that should still carry it
+ * @sent: number of its last sending among those of all items; 0: never
  * @unread: not yet returned by ItemStore_Next()
  */
 typedef struct StoredItem_ {
@@ -23,6 +24,7 @@
     uint32_t hops;
     uint32_t hot_left;
     uint32_t sends_left;
+    uint64_t sent;
     bool own;
     bool unread;
 } StoredItem;
--- a/packages/core/Membership.c
+++ b/packages/core/Membership.c
@@ -5,8 +5,11 @@
 #include "ByteBudget.h"
 #include "GossipWriter.h"
 
-/* A message with nothing hot: fresh usage of this host and others. */
-#define USAGE_MESSAGE_BYTES 600
+/* A message of usage alone carries some 12 items of this host, and is put off
+ * while the budget has less room: smaller messages spend the budget on
+ * framing, larger ones come too seldom. */
+#define USAGE_MESSAGE_MAX 500
+#define USAGE_MESSAGE_MIN 450
 /* First guess at the bytes of a regular round. */
 #define ROUND_GUESS 1400
 /* One of so many regular messages goes to a host that is not live, so that
@@ -440,11 +443,15 @@
 static void
 choose_urgent(Membership *this, Micros now)
 {
-    int left = is_hot(this) ? HOT_TARGETS : 1;
+    int left = is_hot(this) ? HOT_TARGETS : 0;
 
     if (GossipTargets_AddReply(this->targets)) {
         left--;
     }
+    if (this->usage_due &&
+        GossipTargets_AddNext(this->targets, MESSAGE_URGENT, now)) {
+        left--;
+    }
     while (left > 0 &&
            GossipTargets_AddMember(this->targets, MESSAGE_URGENT, now)) {
         left--;
@@ -455,6 +462,16 @@
     }
 }
 
+/* Room from which on urgent messages are worth sending now. */
+static size_t
+urgent_min(const Membership *this)
+{
+    if (is_hot(this) || GossipTargets_Replies(this->targets) > 0) {
+        return BUDGET_MESSAGE_MIN;
+    }
+    return USAGE_MESSAGE_MIN;
+}
+
 /* Urgent messages: answers to hosts that do not know enough, items that were
  * just seen, and usage. */
 static void
@@ -466,7 +483,7 @@
         return;
     }
     this->next_urgent = now + this->options.urgent_interval;
-    if (spare_room(this, now) == 0) {
+    if (spare_room(this, now) < urgent_min(this)) {
         this->counters.over_budget++;
         return;
     }
@@ -487,7 +504,7 @@
     }
     room = spare_room(this, now);
     if (kind == MESSAGE_URGENT && !is_hot(this)) {
-        return MIN(room, USAGE_MESSAGE_BYTES);
+        return MIN(room, USAGE_MESSAGE_MAX);
     }
     return room;
 }
