Keep room for items in every regular message

With a partial view of 40 of 100 hosts, 2 to 5 hosts did not get a drain within 4 s: records of changed hosts filled half of a message and the rest was reserved for heartbeats, so that regular messages carried no items. Items come first now, and a host that hears nothing asks for answers.

--- a/packages/core/GossipTargets.c
+++ b/packages/core/GossipTargets.c
@@ -95,6 +95,54 @@
     return true;
 }
 
+/* Value of a Z85 character (ZeroMQ RFC 32), or -1. */
+static int
+z85_value(char c)
+{
+    static const char alphabet[] =
+        "0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ.-:+=^"
+        "!/*?&<>()[]{}@%$#";
+    const char *at = c != 0 ? strchr(alphabet, c) : NULL;
+
+    return at != NULL ? (int)(at - alphabet) : -1;
+}
+
+/* Return: false if @text is not the Z85 text of a key. */
+static bool
+decode_key(Str text, uint8_t key[GOSSIP_KEY_BYTES])
+{
+    if (text.length != GOSSIP_KEY_BYTES / 4 * 5) {
+        return false;
+    }
+    for (size_t i = 0; i < GOSSIP_KEY_BYTES / 4; i++) {
+        uint64_t word = 0;
+
+        for (size_t k = 0; k < 5; k++) {
+            int value = z85_value(text.data[i * 5 + k]);
+
+            if (value < 0) {
+                return false;
+            }
+            word = word * 85 + (uint64_t)value;
+        }
+        for (size_t k = 0; k < 4; k++) {
+            key[i * 4 + k] = (uint8_t)(word >> (24 - 8 * k));
+        }
+    }
+    return true;
+}
+
+static bool
+find_key(const Labels *labels, uint8_t key[GOSSIP_KEY_BYTES])
+{
+    for (size_t i = 0; i < labels->count; i++) {
+        if (Str_Equal(labels->items[i].key, STR("peer_key"))) {
+            return decode_key(labels->items[i].value, key);
+        }
+    }
+    return false;
+}
+
 void
 GossipTargets_OnHostList(GossipTargets *this, const HostEntry *entries,
                          size_t count)
@@ -120,6 +168,8 @@
         }
         set_contact(&this->listed[slot], entry->id, Str_FromC(address),
                     STR(""));
+        this->listed[slot].has_key =
+            find_key(&entry->labels, this->listed[slot].key);
     }
 }
 
--- a/packages/core/GossipWriter.c
+++ b/packages/core/GossipWriter.c
@@ -43,6 +43,11 @@
     if (this->wanted_count == GOSSIP_WANTED_MAX) {
         return false;
     }
+    for (size_t i = 0; i < this->wanted_count; i++) {
+        if (this->wanted[i] == tag) {
+            return true;
+        }
+    }
     this->wanted[this->wanted_count++] = tag;
     return true;
 }
@@ -204,11 +209,24 @@
 }
 
 static size_t
-regular_reserve(const GossipWriter *this)
+beats_reserve(const GossipWriter *this)
 {
     size_t beats = MemberTable_Members(this->members) * BEAT_RESERVE;
 
-    return MIN(beats, BEATS_RESERVE_MAX) + RECORDS_RESERVE;
+    return MIN(beats, MIN(BEATS_RESERVE_MAX, this->draft.limit / 2));
+}
+
+/* Items come first: when many hosts change at once, their records would leave
+ * no room for them. A quarter of each message is theirs in any case. */
+static void
+fill_regular(GossipWriter *this, Micros now)
+{
+    size_t reserve = beats_reserve(this) + RECORDS_RESERVE;
+
+    add_items(this, MIN(reserve, this->draft.limit * 3 / 4), false, now);
+    add_changed(this, beats_reserve(this), false, now);
+    add_beats(this, MIN(RECORDS_RESERVE, this->draft.limit / 4), now);
+    add_rotation(this, RECORDS_PER_MESSAGE, 0, now);
 }
 
 static void
@@ -233,12 +251,9 @@
         add_beats(this, limit / 2, now);
         return;
     case MESSAGE_REGULAR:
-        break;
+        fill_regular(this, now);
+        return;
     }
-    add_changed(this, limit / 2, false, now);
-    add_items(this, regular_reserve(this), false, now);
-    add_beats(this, RECORDS_RESERVE, now);
-    add_rotation(this, RECORDS_PER_MESSAGE, 0, now);
 }
 
 int
--- a/packages/core/Membership.c
+++ b/packages/core/Membership.c
@@ -15,7 +15,8 @@
 /* One of so many regular messages goes to a host that is not live, so that
  * the two sides of a partition find each other. */
 #define REJOIN_ONE_IN 8
-/* A host that hears nothing may know only hosts that are gone. */
+/* A host that hears nothing may know only hosts that are gone, or be in the
+ * views of few. */
 #define LONELY_AFTER MICROS_PER_S
 #define LONELY_ONE_IN 2
 #define HOT_TARGETS 3
@@ -419,6 +420,10 @@
     uint64_t one_in = lonely ? LONELY_ONE_IN : REJOIN_ONE_IN;
 
     this->self.heartbeat++;
+    if (lonely) {
+        /* Asking for the own record makes the receivers answer. */
+        GossipWriter_Want(this->writer, this->self.tag);
+    }
     MemberTable_Check(this->members, now);
     ByteBudget_NoteRound(&this->budget, this->round_bytes);
     this->round_bytes = 0;
--- a/packages/core/Membership.h
+++ b/packages/core/Membership.h
@@ -134,7 +134,8 @@
  * Membership_OnHostList() - the platform's list, a hint whom to contact
  *
  * It lags: nobody joins or leaves because of it. Upstreams are skipped. A
- * label "peer_key" is the host's public key in Z85.
+ * label "peer_key" is the host's public key in Z85; without it, and for
+ * seeds, the deployment's key is used.
  */
 void Membership_OnHostList(Membership *this, const HostEntry *entries,
                            size_t count);
--- a/tests/test_membership.c
+++ b/tests/test_membership.c
@@ -242,17 +242,27 @@
          .address = STR("10.0.0.6"),
          .peer_port = 7400},
     };
+    /* Key of the first example in the Z85 specification, four times. */
+    static const Label label = {
+        {"peer_key", 8}, {"HelloWorldHelloWorldHelloWorldHelloWorld", 40}};
+    static const uint8_t start[] = {0x86, 0x4f, 0xd2, 0x6f,
+                                    0xb5, 0x59, 0xf7, 0x5b};
     HostView views[4];
     PeerTarget to;
     bool contacted = false;
 
+    entries[1].labels.items = &label;
+    entries[1].labels.count = 1;
     hear(rig, 50, 1, false);
     Membership_OnHostList(rig->membership, entries, 3);
     g_assert_cmpuint(Membership_Live(rig->membership, views, 4), ==, 2);
     for (int i = 0; i < 400; i++) {
         Clock_Advance(rig->clock, 100 * MICROS_PER_MS);
         while (Membership_NextMessage(rig->membership, &to, rig->bytes)) {
-            contacted |= Str_Equal(to.address, STR("10.0.0.5:7400"));
+            if (Str_Equal(to.address, STR("10.0.0.5:7400"))) {
+                contacted = true;
+                g_assert_cmpmem(to.key.data, MIN(to.key.length, 8), start, 8);
+            }
             g_assert_false(Str_Equal(to.address, STR("10.0.0.6:7400")));
             g_assert_false(Str_Equal(to.address, STR("10.0.0.1:7400")));
         }
@@ -310,6 +320,41 @@
     }
 }
 
+static void
+count_item(void *user, uint32_t host, const SharedItem *item)
+{
+    *(uint32_t *)user += item->kind == SHARED_DRAIN;
+}
+
+/* Guards against views that grow without bound, and against items that do
+ * not reach hosts outside of the own view. */
+static void
+test_partial_view(void)
+{
+    ClusterOptions options = ClusterOptions_Default(5);
+    SharedItem item = {.kind = SHARED_DRAIN};
+    uint64_t seen[CLUSTER_HOSTS_MAX];
+    uint32_t reached = 0;
+    Cluster *cluster;
+
+    options.hosts = 100;
+    options.member.members_max = 40;
+    cluster = Cluster_Create(&options);
+    Cluster_OnItem(cluster, count_item, &reached);
+    Cluster_Run(cluster, 20 * MICROS_PER_S);
+    for (uint32_t i = 0; i < options.hosts; i++) {
+        size_t n = Cluster_Lives(cluster, i, seen);
+
+        g_assert_cmpuint(n, <=, 41);
+        g_assert_cmpuint(n, >=, 30);
+    }
+    item.drain.upstream = STR("claims-1");
+    Cluster_Share(cluster, 0, &item);
+    Cluster_Run(cluster, SharedKind_MaxAge(SHARED_DRAIN) / 3);
+    g_assert_cmpuint(reached, ==, options.hosts - 1);
+    Cluster_Destroy(cluster);
+}
+
 static void
 test_bad_items(void)
 {
@@ -416,6 +461,7 @@
     g_test_add_func("/membership/leaving", test_leaving);
     g_test_add_func("/membership/host-list", test_host_list);
     g_test_add_func("/membership/item-ages", test_item_ages);
+    g_test_add_func("/membership/partial-view", test_partial_view);
     g_test_add_func("/membership/bad-items", test_bad_items);
     g_test_add_func("/membership/draft-bound", test_draft_bound);
     return g_test_run();
