--- a/packages/net/HeaderList.c
+++ b/packages/net/HeaderList.c
@@ -43,13 +43,14 @@
 void
 HeaderList_Add(HeaderList *this, Str name, Str value)
 {
-    Header header;
+    Header *header;
 
-    header.name = g_string_new_len(name.data, (gssize)name.length);
-    g_string_ascii_down(header.name);
-    header.value =
+    g_array_set_size(this->headers, this->headers->len + 1);
+    header = &g_array_index(this->headers, Header, this->headers->len - 1);
+    header->name = g_string_new_len(name.data, (gssize)name.length);
+    g_string_ascii_down(header->name);
+    header->value =
         g_string_new_len(value.length ? value.data : "", (gssize)value.length);
-    g_array_append_val(this->headers, header);
 }
 
 void
