--- a/bench/membership.gnuplot
+++ b/bench/membership.gnuplot
@@ -2,7 +2,7 @@
 set output 'membership.png'
 set multiplot layout 2,2
 set grid
-set key top left
+set key center right
 set title 'Cost of one host by number of hosts'
 set xlabel 'hosts'
 set ylabel 'bytes/s sent'
