--- a/packages/core/ItemStore.c
+++ b/packages/core/ItemStore.c
@@ -2,14 +2,11 @@
 
 #include <string.h>
 
-#include "Admission.h"
-
 /* Two hosts that see the same thing at about the same time say one thing. */
 #define SAME_SIGHT (500 * MICROS_PER_MS)
 /* Usage is replaced every 50 ms: relaying it more often would not pay. */
 #define USAGE_SENDS 2
 #define SELECT_MAX 256
-#define STRINGS_MAX (2 + QUARANTINE_LOSSES)
 
 struct ItemStore_ {
     StoredItem **items;
@@ -24,88 +21,6 @@
     MembershipCounters *counters;
 };
 
-/* The strings of an item, which the store must own; unused ones are NULL. */
-typedef struct Strings_ {
-    Str *at[STRINGS_MAX];
-    size_t count;
-} Strings;
-
-static const struct {
-    const char *name;
-    Micros max_age;
-} kinds[SHARED_KINDS] = {
-    [SHARED_DRAIN] = {"drain", 30 * MICROS_PER_S},
-    [SHARED_FINGERPRINT] = {"fingerprint", 60 * MICROS_PER_S},
-    [SHARED_CONFIG_OFFSET] = {"config-offset", 60 * MICROS_PER_S},
-    [SHARED_USAGE] = {"usage", ADMISSION_ITEM_MAX_AGE},
-    [SHARED_SUSPECT] = {"suspect", 10 * MICROS_PER_S},
-};
-
-const char *
-SharedKind_Name(SharedKind kind)
-{
-    return kinds[kind].name;
-}
-
-Micros
-SharedKind_MaxAge(SharedKind kind)
-{
-    return kinds[kind].max_age;
-}
-
-static Strings
-item_strings(SharedItem *item)
-{
-    Strings list = {{&item->host}, 1};
-
-    switch (item->kind) {
-    case SHARED_DRAIN:
-        list.at[list.count++] = &item->drain.upstream;
-        break;
-    case SHARED_SUSPECT:
-        list.at[list.count++] = &item->suspect.upstream;
-        break;
-    case SHARED_FINGERPRINT:
-        list.at[list.count++] = &item->fingerprint.line;
-        for (size_t i = 0; i < QUARANTINE_LOSSES; i++) {
-            list.at[list.count++] = &item->fingerprint.upstreams[i];
-        }
-        break;
-    case SHARED_USAGE:
-        list.at[list.count++] = &item->usage.service;
-        list.at[list.count++] = &item->usage.line;
-        break;
-    case SHARED_CONFIG_OFFSET:
-    case SHARED_KINDS:
-        break;
-    }
-    return list;
-}
-
-static uint64_t
-item_key(const SharedItem *item)
-{
-    uint64_t seed = (uint64_t)item->kind + 1;
-
-    switch (item->kind) {
-    case SHARED_DRAIN:
-        return Str_HashSeeded(item->drain.upstream, seed);
-    case SHARED_SUSPECT:
-        return Str_HashSeeded(item->suspect.upstream, seed);
-    case SHARED_FINGERPRINT:
-        seed = Str_HashSeeded(item->fingerprint.line, seed);
-        return seed ^ item->fingerprint.high ^ (item->fingerprint.low * 31);
-    case SHARED_USAGE:
-        seed = Str_HashSeeded(item->host, seed);
-        seed = Str_HashSeeded(item->usage.service, seed);
-        return Str_HashSeeded(item->usage.line, seed);
-    case SHARED_CONFIG_OFFSET:
-    case SHARED_KINDS:
-        break;
-    }
-    return seed;
-}
-
 ItemStore *
 ItemStore_Create(uint32_t max, MembershipCounters *counters)
 {
@@ -154,7 +69,7 @@
 text_length(const StoredItem *item)
 {
     SharedItem copy = item->item;
-    Strings list = item_strings(&copy);
+    SharedStrings list = SharedItem_Strings(&copy);
     size_t length = 0;
 
     for (size_t i = 0; i < list.count; i++) {
@@ -194,7 +109,7 @@
 static void
 copy_strings(ItemStore *this, StoredItem *stored)
 {
-    Strings list = item_strings(&stored->item);
+    SharedStrings list = SharedItem_Strings(&stored->item);
     size_t used = 0;
     char *text = g_malloc(text_length(stored) + 1);
 
@@ -218,33 +133,12 @@
     return a->incarnation == b->incarnation && Str_Equal(a->host, b->host);
 }
 
-/* True if both say the same of the thing that they are about. */
-static bool
-same_statement(const SharedItem *a, const SharedItem *b)
-{
-    switch (a->kind) {
-    case SHARED_DRAIN:
-        return a->drain.ended == b->drain.ended;
-    case SHARED_SUSPECT:
-        return a->suspect.ended == b->suspect.ended;
-    case SHARED_FINGERPRINT:
-        return a->fingerprint.losses == b->fingerprint.losses &&
-               a->fingerprint.released == b->fingerprint.released;
-    case SHARED_CONFIG_OFFSET:
-        return a->config.offset == b->config.offset;
-    case SHARED_USAGE:
-    case SHARED_KINDS:
-        break;
-    }
-    return false;
-}
-
 static ItemChange
 compare_versions(const StoredItem *old, const GossipItem *item,
                  Micros observed)
 {
     const SharedItem *new_item = &item->item;
-    bool same = same_statement(&old->item, new_item);
+    bool same = SharedItem_SaysSame(&old->item, new_item);
 
     if (same_origin(&old->item, new_item)) {
         if (item->stamp_ms <= old->stamp_ms) {
@@ -315,7 +209,7 @@
 ItemStore_Put(ItemStore *this, const GossipItem *item, bool own,
               uint32_t spread, Micros now)
 {
-    uint64_t key = item_key(&item->item);
+    uint64_t key = SharedItem_Key(&item->item);
     StoredItem *stored = g_hash_table_lookup(this->by_key, &key);
     Micros observed = now - item->item.age;
     ItemChange change = ITEM_NEW;
--- a/packages/core/Membership.c
+++ b/packages/core/Membership.c
@@ -162,20 +162,6 @@
     return now;
 }
 
-static bool
-is_text(Str text, size_t max)
-{
-    if (text.length == 0 || text.length > max) {
-        return false;
-    }
-    for (size_t i = 0; i < text.length; i++) {
-        if (text.data[i] <= ' ' || text.data[i] > '~') {
-            return false;
-        }
-    }
-    return true;
-}
-
 void
 Membership_OnHostList(Membership *this, const HostEntry *entries, size_t count)
 {
@@ -322,42 +308,13 @@
     return 0;
 }
 
-static bool
-item_is_valid(const SharedItem *item)
-{
-    switch (item->kind) {
-    case SHARED_DRAIN:
-        return is_text(item->drain.upstream, PEER_NAME_MAX);
-    case SHARED_SUSPECT:
-        return is_text(item->suspect.upstream, PEER_NAME_MAX);
-    case SHARED_FINGERPRINT:
-        for (size_t i = 0; i < QUARANTINE_LOSSES; i++) {
-            if (item->fingerprint.upstreams[i].length > 0 &&
-                !is_text(item->fingerprint.upstreams[i], PEER_NAME_MAX)) {
-                return false;
-            }
-        }
-        return is_text(item->fingerprint.line, PEER_NAME_MAX) &&
-               item->fingerprint.losses <= QUARANTINE_LOSSES;
-    case SHARED_USAGE:
-        return is_text(item->usage.service, PEER_NAME_MAX) &&
-               (item->usage.line.length == 0 ||
-                is_text(item->usage.line, PEER_NAME_MAX));
-    case SHARED_CONFIG_OFFSET:
-        return true;
-    case SHARED_KINDS:
-        break;
-    }
-    return false;
-}
-
 int
 Membership_Share(Membership *this, const SharedItem *item)
 {
     Micros now = Clock_Now(this->clock);
     GossipItem own = {.item = *item, .stamp_ms = now_stamp(this, now)};
 
-    if (!item_is_valid(item)) {
+    if (!SharedItem_IsValid(item)) {
         return ERR_INVALID;
     }
     own.item.host = Str_FromC(this->self.id);
--- /dev/null
+++ b/packages/core/SharedItem.c
@@ -0,0 +1,143 @@
+#include "SharedItem.h"
+
+#include "Admission.h"
+#include "PeerMessage.h"
+
+static const struct {
+    const char *name;
+    Micros max_age;
+} kinds[SHARED_KINDS] = {
+    [SHARED_DRAIN] = {"drain", 30 * MICROS_PER_S},
+    [SHARED_FINGERPRINT] = {"fingerprint", 60 * MICROS_PER_S},
+    [SHARED_CONFIG_OFFSET] = {"config-offset", 60 * MICROS_PER_S},
+    [SHARED_USAGE] = {"usage", ADMISSION_ITEM_MAX_AGE},
+    [SHARED_SUSPECT] = {"suspect", 10 * MICROS_PER_S},
+};
+
+const char *
+SharedKind_Name(SharedKind kind)
+{
+    return kinds[kind].name;
+}
+
+Micros
+SharedKind_MaxAge(SharedKind kind)
+{
+    return kinds[kind].max_age;
+}
+
+SharedStrings
+SharedItem_Strings(SharedItem *item)
+{
+    SharedStrings list = {{&item->host}, 1};
+
+    switch (item->kind) {
+    case SHARED_DRAIN:
+        list.at[list.count++] = &item->drain.upstream;
+        break;
+    case SHARED_SUSPECT:
+        list.at[list.count++] = &item->suspect.upstream;
+        break;
+    case SHARED_FINGERPRINT:
+        list.at[list.count++] = &item->fingerprint.line;
+        for (size_t i = 0; i < QUARANTINE_LOSSES; i++) {
+            list.at[list.count++] = &item->fingerprint.upstreams[i];
+        }
+        break;
+    case SHARED_USAGE:
+        list.at[list.count++] = &item->usage.service;
+        list.at[list.count++] = &item->usage.line;
+        break;
+    case SHARED_CONFIG_OFFSET:
+    case SHARED_KINDS:
+        break;
+    }
+    return list;
+}
+
+uint64_t
+SharedItem_Key(const SharedItem *item)
+{
+    uint64_t seed = (uint64_t)item->kind + 1;
+
+    switch (item->kind) {
+    case SHARED_DRAIN:
+        return Str_HashSeeded(item->drain.upstream, seed);
+    case SHARED_SUSPECT:
+        return Str_HashSeeded(item->suspect.upstream, seed);
+    case SHARED_FINGERPRINT:
+        seed = Str_HashSeeded(item->fingerprint.line, seed);
+        return seed ^ item->fingerprint.high ^ (item->fingerprint.low * 31);
+    case SHARED_USAGE:
+        seed = Str_HashSeeded(item->host, seed);
+        seed = Str_HashSeeded(item->usage.service, seed);
+        return Str_HashSeeded(item->usage.line, seed);
+    case SHARED_CONFIG_OFFSET:
+    case SHARED_KINDS:
+        break;
+    }
+    return seed;
+}
+
+bool
+SharedItem_SaysSame(const SharedItem *a, const SharedItem *b)
+{
+    switch (a->kind) {
+    case SHARED_DRAIN:
+        return a->drain.ended == b->drain.ended;
+    case SHARED_SUSPECT:
+        return a->suspect.ended == b->suspect.ended;
+    case SHARED_FINGERPRINT:
+        return a->fingerprint.losses == b->fingerprint.losses &&
+               a->fingerprint.released == b->fingerprint.released;
+    case SHARED_CONFIG_OFFSET:
+        return a->config.offset == b->config.offset;
+    case SHARED_USAGE:
+    case SHARED_KINDS:
+        break;
+    }
+    return false;
+}
+
+static bool
+is_text(Str text, size_t max)
+{
+    if (text.length == 0 || text.length > max) {
+        return false;
+    }
+    for (size_t i = 0; i < text.length; i++) {
+        if (text.data[i] <= ' ' || text.data[i] > '~') {
+            return false;
+        }
+    }
+    return true;
+}
+
+bool
+SharedItem_IsValid(const SharedItem *item)
+{
+    switch (item->kind) {
+    case SHARED_DRAIN:
+        return is_text(item->drain.upstream, PEER_NAME_MAX);
+    case SHARED_SUSPECT:
+        return is_text(item->suspect.upstream, PEER_NAME_MAX);
+    case SHARED_FINGERPRINT:
+        for (size_t i = 0; i < QUARANTINE_LOSSES; i++) {
+            if (item->fingerprint.upstreams[i].length > 0 &&
+                !is_text(item->fingerprint.upstreams[i], PEER_NAME_MAX)) {
+                return false;
+            }
+        }
+        return is_text(item->fingerprint.line, PEER_NAME_MAX) &&
+               item->fingerprint.losses <= QUARANTINE_LOSSES;
+    case SHARED_USAGE:
+        return is_text(item->usage.service, PEER_NAME_MAX) &&
+               (item->usage.line.length == 0 ||
+                is_text(item->usage.line, PEER_NAME_MAX));
+    case SHARED_CONFIG_OFFSET:
+        return true;
+    case SHARED_KINDS:
+        break;
+    }
+    return false;
+}
--- a/packages/core/SharedItem.h
+++ b/packages/core/SharedItem.h
@@ -63,4 +63,25 @@
 /** SharedKind_MaxAge() - age from which an item of the kind has no effect */
 Micros SharedKind_MaxAge(SharedKind kind);
 
+/** Most strings of one item */
+#define SHARED_STRINGS_MAX (2 + QUARANTINE_LOSSES)
+
+/** struct SharedStrings_ - where an item keeps its strings */
+typedef struct SharedStrings_ {
+    Str *at[SHARED_STRINGS_MAX];
+    size_t count;
+} SharedStrings;
+
+/** SharedItem_Strings() - the strings of @item, the host's name first */
+SharedStrings SharedItem_Strings(SharedItem *item);
+
+/** SharedItem_Key() - the same for items about the same thing */
+uint64_t SharedItem_Key(const SharedItem *item);
+
+/** SharedItem_SaysSame() - both say the same of what they are about */
+bool SharedItem_SaysSame(const SharedItem *a, const SharedItem *b);
+
+/** SharedItem_IsValid() - its names can be sent */
+bool SharedItem_IsValid(const SharedItem *item);
+
 #endif
--- a/packages/net/PeerLink.c
+++ b/packages/net/PeerLink.c
@@ -6,17 +6,9 @@
 #include <unistd.h>
 #include <zmq.h>
 
+#include "PeerGate.h"
+
 #define LINK_STEP "peer-link"
-#define ZAP_ENDPOINT "inproc://zeromq.zap.01"
-#define ZAP_VERSION "1.0"
-#define ZAP_DOMAIN "agatecrank"
-/* Frames of a ZAP request with the CURVE mechanism, RFC 27. */
-#define ZAP_FRAMES 8
-#define ZAP_FRAME_MAX 256
-#define ZAP_REQUEST_ID 1
-#define ZAP_DOMAIN_FRAME 2
-#define ZAP_MECHANISM 5
-#define ZAP_CREDENTIALS 6
 /* A wake-up reads so many messages at most, then leaves the loop to others
  * and goes on by a timer. */
 #define READ_BATCH 64
@@ -57,7 +49,7 @@
     void *user;
     PeerLinkCounters counters;
     void *context;
-    void *zap;
+    PeerGate *gate;
     void *router;
     uint16_t port;
     Peer *peers;
@@ -117,92 +109,6 @@
     set_int(socket, ZMQ_RECONNECT_IVL_MAX, RECONNECT_MAX_MS);
 }
 
-typedef struct ZapRequest_ {
-    char frames[ZAP_FRAMES][ZAP_FRAME_MAX];
-    int lengths[ZAP_FRAMES];
-    int count;
-} ZapRequest;
-
-/* Return: false if there is no request. */
-static bool
-read_zap(void *zap, ZapRequest *request)
-{
-    int more = 1;
-    size_t size = sizeof(more);
-
-    request->count = 0;
-    while (more) {
-        char frame[ZAP_FRAME_MAX];
-        int length = zmq_recv(zap, frame, sizeof(frame), ZMQ_DONTWAIT);
-
-        if (length < 0) {
-            return false;
-        }
-        if (request->count < ZAP_FRAMES) {
-            request->lengths[request->count] = MIN(length, ZAP_FRAME_MAX);
-            memcpy(request->frames[request->count], frame,
-                   (size_t)request->lengths[request->count]);
-        }
-        request->count++;
-        zmq_getsockopt(zap, ZMQ_RCVMORE, &more, &size);
-    }
-    return true;
-}
-
-static bool
-frame_is(const ZapRequest *request, int frame, const char *text)
-{
-    return Str_Equal(
-        (Str){request->frames[frame], (size_t)request->lengths[frame]},
-        Str_FromC(text));
-}
-
-static bool
-zap_allows(const PeerLink *this, const ZapRequest *request)
-{
-    return request->count > ZAP_CREDENTIALS &&
-           frame_is(request, 0, ZAP_VERSION) &&
-           frame_is(request, ZAP_DOMAIN_FRAME, ZAP_DOMAIN) &&
-           frame_is(request, ZAP_MECHANISM, "CURVE") &&
-           request->lengths[ZAP_CREDENTIALS] == PEER_KEY_BYTES &&
-           PeerKeys_Allows(this->options.keys,
-                           (const uint8_t *)request->frames[ZAP_CREDENTIALS]);
-}
-
-static void
-answer_zap(PeerLink *this, const ZapRequest *request)
-{
-    bool allowed = zap_allows(this, request);
-    const char *status = allowed ? "200" : "400";
-    const char *text = allowed ? "OK" : "not allowed";
-    int id_length = request->count > ZAP_REQUEST_ID ? request->lengths[1] : 0;
-
-    this->counters.key_accepted += allowed;
-    this->counters.key_denied += !allowed;
-    zmq_send(this->zap, ZAP_VERSION, strlen(ZAP_VERSION), ZMQ_SNDMORE);
-    zmq_send(this->zap, request->frames[ZAP_REQUEST_ID], (size_t)id_length,
-             ZMQ_SNDMORE);
-    zmq_send(this->zap, status, 3, ZMQ_SNDMORE);
-    zmq_send(this->zap, text, strlen(text), ZMQ_SNDMORE);
-    zmq_send(this->zap, "", 0, ZMQ_SNDMORE);
-    zmq_send(this->zap, "", 0, 0);
-    if (!allowed && EventLog_Begin(this->log, LOG_LEVEL_INFO, "peer-denied")) {
-        EventLog_Int(this->log, "denied", (int64_t)this->counters.key_denied);
-        EventLog_End(this->log);
-    }
-}
-
-static void
-drain_zap(PeerLink *this)
-{
-    ZapRequest request;
-
-    while (has_events(this->zap, ZMQ_POLLIN) &&
-           read_zap(this->zap, &request)) {
-        answer_zap(this, &request);
-    }
-}
-
 static void
 take_message(PeerLink *this, zmq_msg_t *body)
 {
@@ -272,7 +178,9 @@
 {
     PeerLink *this = user;
 
-    drain_zap(this);
+    PeerGate_Drain(this->gate);
+    this->counters.key_accepted = PeerGate_Accepted(this->gate);
+    this->counters.key_denied = PeerGate_Denied(this->gate);
     drain_router(this);
 }
 
@@ -424,17 +332,6 @@
     }
 }
 
-static int
-open_zap(PeerLink *this, Error *error)
-{
-    this->zap = zmq_socket(this->context, ZMQ_REP);
-    if (this->zap == NULL || zmq_bind(this->zap, ZAP_ENDPOINT) != 0) {
-        return fail_link(error, "could not start authentication");
-    }
-    set_int(this->zap, ZMQ_LINGER, 0);
-    return watch_socket(this, this->zap, error);
-}
-
 static int
 open_router(PeerLink *this, Error *error)
 {
@@ -447,15 +344,15 @@
     set_common(this, this->router);
     set_int(this->router, ZMQ_CURVE_SERVER, 1);
     set_int(this->router, ZMQ_ROUTER_HANDOVER, 0);
-    zmq_setsockopt(this->router, ZMQ_ZAP_DOMAIN, ZAP_DOMAIN,
-                   strlen(ZAP_DOMAIN));
+    zmq_setsockopt(this->router, ZMQ_ZAP_DOMAIN, PEER_GATE_DOMAIN,
+                   strlen(PEER_GATE_DOMAIN));
     g_snprintf(endpoint, sizeof(endpoint), "tcp://" STR_FORMAT ":%u",
                STR_ARGS(this->options.address), this->options.port);
     if (zmq_bind(this->router, endpoint) != 0) {
         return fail_link(error, endpoint);
     }
     note_port(this);
-    return watch_socket(this, this->router, error);
+    return 0;
 }
 
 PeerLink *
@@ -477,7 +374,10 @@
     this->resume = LoopTimer_Create(loop, drain_all, this);
     this->flush = LoopTimer_Create(loop, flush_peers, this);
     this->context = zmq_ctx_new();
-    if (open_zap(this, error) < 0 || open_router(this, error) < 0) {
+    this->gate = PeerGate_Create(this->context, options->keys, log, error);
+    if (this->gate == NULL || open_router(this, error) < 0 ||
+        watch_socket(this, PeerGate_Socket(this->gate), error) < 0 ||
+        watch_socket(this, this->router, error) < 0) {
         PeerLink_Destroy(this);
         return NULL;
     }
@@ -499,9 +399,7 @@
     if (this->router != NULL) {
         zmq_close(this->router);
     }
-    if (this->zap != NULL) {
-        zmq_close(this->zap);
-    }
+    PeerGate_Destroy(this->gate);
     zmq_ctx_term(this->context);
     LoopTimer_Destroy(this->sweep);
     LoopTimer_Destroy(this->resume);
