--- a/tests/test_membership_runs.c
+++ b/tests/test_membership_runs.c
@@ -10,7 +10,7 @@
 
 #define RUNS 1000
 #define FIRST_SEED 1
-#define THREADS 6
+#define THREADS 8
 #define HOSTS 20
 #define HOSTS_MAX 48
 #define SAMPLE (500 * MICROS_PER_MS)
