--- a/packages/core/Membership.c
+++ b/packages/core/Membership.c
@@ -5,14 +5,18 @@
 #include "ByteBudget.h"
 #include "GossipWriter.h"
 
-/* A message with nothing hot: fresh usage of this host and others. */
-#define USAGE_MESSAGE_BYTES 600
+/* A message of usage alone carries some 12 items of this host, and is put off
+ * while the budget has less room: smaller messages spend the budget on
+ * framing, larger ones come too seldom. */
+#define USAGE_MESSAGE_MAX 500
+#define USAGE_MESSAGE_MIN 450
 /* First guess at the bytes of a regular round. */
 #define ROUND_GUESS 1400
 /* One of so many regular messages goes to a host that is not live, so that
  * the two sides of a partition find each other. */
 #define REJOIN_ONE_IN 8
-/* A host that hears nothing may know only hosts that are gone. */
+/* A host that hears nothing may know only hosts that are gone, or be in the
+ * views of few. */
 #define LONELY_AFTER MICROS_PER_S
 #define LONELY_ONE_IN 2
 #define HOT_TARGETS 3
@@ -158,20 +162,6 @@
     return now;
 }
 
-static bool
-is_text(Str text, size_t max)
-{
-    if (text.length == 0 || text.length > max) {
-        return false;
-    }
-    for (size_t i = 0; i < text.length; i++) {
-        if (text.data[i] <= ' ' || text.data[i] > '~') {
-            return false;
-        }
-    }
-    return true;
-}
-
 void
 Membership_OnHostList(Membership *this, const HostEntry *entries, size_t count)
 {
@@ -318,42 +308,13 @@
     return 0;
 }
 
-static bool
-item_is_valid(const SharedItem *item)
-{
-    switch (item->kind) {
-    case SHARED_DRAIN:
-        return is_text(item->drain.upstream, PEER_NAME_MAX);
-    case SHARED_SUSPECT:
-        return is_text(item->suspect.upstream, PEER_NAME_MAX);
-    case SHARED_FINGERPRINT:
-        for (size_t i = 0; i < QUARANTINE_LOSSES; i++) {
-            if (item->fingerprint.upstreams[i].length > 0 &&
-                !is_text(item->fingerprint.upstreams[i], PEER_NAME_MAX)) {
-                return false;
-            }
-        }
-        return is_text(item->fingerprint.line, PEER_NAME_MAX) &&
-               item->fingerprint.losses <= QUARANTINE_LOSSES;
-    case SHARED_USAGE:
-        return is_text(item->usage.service, PEER_NAME_MAX) &&
-               (item->usage.line.length == 0 ||
-                is_text(item->usage.line, PEER_NAME_MAX));
-    case SHARED_CONFIG_OFFSET:
-        return true;
-    case SHARED_KINDS:
-        break;
-    }
-    return false;
-}
-
 int
 Membership_Share(Membership *this, const SharedItem *item)
 {
     Micros now = Clock_Now(this->clock);
     GossipItem own = {.item = *item, .stamp_ms = now_stamp(this, now)};
 
-    if (!item_is_valid(item)) {
+    if (!SharedItem_IsValid(item)) {
         return ERR_INVALID;
     }
     own.item.host = Str_FromC(this->self.id);
@@ -416,6 +377,10 @@
     uint64_t one_in = lonely ? LONELY_ONE_IN : REJOIN_ONE_IN;
 
     this->self.heartbeat++;
+    if (lonely) {
+        /* Asking for the own record makes the receivers answer. */
+        GossipWriter_Want(this->writer, this->self.tag);
+    }
     MemberTable_Check(this->members, now);
     ByteBudget_NoteRound(&this->budget, this->round_bytes);
     this->round_bytes = 0;
@@ -440,11 +405,15 @@
 static void
 choose_urgent(Membership *this, Micros now)
 {
-    int left = is_hot(this) ? HOT_TARGETS : 1;
+    int left = is_hot(this) ? HOT_TARGETS : 0;
 
     if (GossipTargets_AddReply(this->targets)) {
         left--;
     }
+    if (this->usage_due &&
+        GossipTargets_AddNext(this->targets, MESSAGE_URGENT, now)) {
+        left--;
+    }
     while (left > 0 &&
            GossipTargets_AddMember(this->targets, MESSAGE_URGENT, now)) {
         left--;
@@ -455,6 +424,16 @@
     }
 }
 
+/* Room from which on urgent messages are worth sending now. */
+static size_t
+urgent_min(const Membership *this)
+{
+    if (is_hot(this) || GossipTargets_Replies(this->targets) > 0) {
+        return BUDGET_MESSAGE_MIN;
+    }
+    return USAGE_MESSAGE_MIN;
+}
+
 /* Urgent messages: answers to hosts that do not know enough, items that were
  * just seen, and usage. */
 static void
@@ -466,7 +445,7 @@
         return;
     }
     this->next_urgent = now + this->options.urgent_interval;
-    if (spare_room(this, now) == 0) {
+    if (spare_room(this, now) < urgent_min(this)) {
         this->counters.over_budget++;
         return;
     }
@@ -487,7 +466,7 @@
     }
     room = spare_room(this, now);
     if (kind == MESSAGE_URGENT && !is_hot(this)) {
-        return MIN(room, USAGE_MESSAGE_BYTES);
+        return MIN(room, USAGE_MESSAGE_MAX);
     }
     return room;
 }
