Keep headers of replayed answers, share findings, slow down idle ticks

Cause: reviews of the parts named what the shell had to do: obey the claims' read wait, answer a fetch that finds nothing, report shed attempts that are sent again, share what the router finds; a replayed answer lost its headers; ticks cost 1.4% of a core while idle. Change: the above; drained upstreams of a service get no new requests; ticks of 5 ms only with open requests.

--- a/packages/agatecrankd/Daemon.c
+++ b/packages/agatecrankd/Daemon.c
@@ -15,6 +15,9 @@
 #include "Proxy.h"
 
 #define TICK (5 * MICROS_PER_MS)
+/* Without open requests only slow work is due; 5 ms ticks cost 0.5% of a
+ * core. */
+#define IDLE_TICK (25 * MICROS_PER_MS)
 #define SERIES_MAX 20000
 #define KEEP_IDLE_S 60
 #define CALLER_KEEP_ALIVE_S 60
@@ -225,12 +228,24 @@
         (Micros)this->settings->drain_notice_ms * MICROS_PER_MS;
 }
 
+static Micros
+tick_interval(const Daemon *this)
+{
+    Micros now = Clock_Now(this->clock);
+    Micros due = Claims_NextTick(Balancer_Claims(this->balancer)) - now;
+
+    if (Balancer_OpenRequests(this->balancer) > 0 || due < TICK) {
+        return TICK;
+    }
+    return due < IDLE_TICK ? due : IDLE_TICK;
+}
+
 static void
 tick(void *user)
 {
     Daemon *this = user;
 
-    LoopTimer_Start(this->timer, TICK);
+    LoopTimer_Start(this->timer, tick_interval(this));
     update_ready(this);
     Balancer_OnTick(this->balancer);
     Proxy_Drain(this->proxy);
--- a/packages/core/Balancer.c
+++ b/packages/core/Balancer.c
@@ -35,9 +35,7 @@
     GTree *deadlines;          /* BalancerRequest by deadline and id */
     GArray *actions;           /* BalancerAction */
     guint next_action;
-    GArray *drains;       /* bool by upstream: its last report said draining */
-    GQueue drain_changes; /* upstream * 2 + ended */
-    GString *replay;      /* text of the last BALANCER_REPLAY */
+    GString *replay; /* text of the last BALANCER_REPLAY */
     uint64_t last_id;
     bool ready;
 };
@@ -924,6 +922,22 @@
     }
 }
 
+/* The charge of the request is kept for the attempt that follows. */
+static void
+report_shed(Balancer *this, const BalancerRequest *request, Micros busy)
+{
+    AdmissionResult result = {
+        .service = request->service,
+        .line = request->line,
+        .caller = request->caller_hash,
+        .cost = 1.0,
+        .busy = busy,
+        .outcome = ADMISSION_SHED,
+    };
+
+    Admission_OnFinish(this->admission, &result);
+}
+
 static ExchangeStep
 end_attempt(Balancer *this, BalancerRequest *request, AttemptEnd end,
             bool from_balancer, Str kept)
@@ -936,6 +950,9 @@
     if (end != ATTEMPT_END_WHOLE && end != ATTEMPT_END_GONE &&
         ask_retry(this, request, retry_failure(end), from_balancer, busy)) {
         Exchange_OnRetried(request->exchange, end);
+        if (end == ATTEMPT_END_REFUSED) {
+            report_shed(this, request, busy);
+        }
         dispatch(this, request);
         return EXCHANGE_STEP_ANSWER;
     }
@@ -951,37 +968,6 @@
     return step;
 }
 
-static void
-note_drain(Balancer *this, uint32_t upstream, bool draining)
-{
-    bool *known;
-
-    if (this->drains->len <= upstream) {
-        g_array_set_size(this->drains, upstream + 1);
-    }
-    known = &g_array_index(this->drains, bool, upstream);
-    if (*known == draining) {
-        return;
-    }
-    *known = draining;
-    g_queue_push_tail(&this->drain_changes,
-                      GUINT_TO_POINTER(upstream * 2 + (draining ? 0 : 1)));
-}
-
-bool
-Balancer_NextDrain(Balancer *this, uint32_t *upstream, bool *ended)
-{
-    guint change;
-
-    if (g_queue_is_empty(&this->drain_changes)) {
-        return false;
-    }
-    change = GPOINTER_TO_UINT(g_queue_pop_head(&this->drain_changes));
-    *upstream = change / 2;
-    *ended = change % 2 != 0;
-    return true;
-}
-
 void
 Balancer_OnSlotsChanged(Balancer *this, uint32_t service)
 {
@@ -1000,7 +986,6 @@
     request->status = head->status;
     if (LoadReport_Parse(head->load, &report) == 0) {
         Router_OnReport(this->router, request->upstream, &report, 0);
-        note_drain(this, request->upstream, report.draining);
         Admission_OnLoad(this->admission, request->service,
                          report.inflight + report.queue,
                          report.slots > 0 ? report.slots : 1);
@@ -1175,6 +1160,19 @@
                        &info);
 }
 
+/* An operator's drain and the host list's both count. */
+static void
+apply_drain(Balancer *this, const DirectoryUpstream *upstream)
+{
+    const ConfigService *service = ConfigState_FindService(
+        this->config, NameTable_Name(this->services, upstream->service));
+    bool drained =
+        service != NULL && StrList_Has(&service->drained, upstream->id);
+
+    Router_SetDraining(this->router, upstream->index,
+                       drained || upstream->leaving);
+}
+
 static void
 on_directory_change(void *user, const DirectoryUpstream *upstream,
                     DirectoryChange change)
@@ -1186,18 +1184,14 @@
     switch (change) {
     case DIRECTORY_ADDED:
         add_to_router(this, upstream);
+        apply_drain(this, upstream);
         break;
     case DIRECTORY_REMOVED:
         Router_RemoveUpstream(this->router, upstream->index);
-        if (upstream->index < this->drains->len) {
-            g_array_index(this->drains, bool, upstream->index) = false;
-        }
         break;
     case DIRECTORY_LEAVING:
-        Router_SetDraining(this->router, upstream->index, true);
-        break;
     case DIRECTORY_STAYING:
-        Router_SetDraining(this->router, upstream->index, false);
+        apply_drain(this, upstream);
         break;
     }
     if (EventLog_Begin(this->log, LOG_LEVEL_INFO, "upstream")) {
@@ -1243,6 +1237,7 @@
 
         if (upstream != NULL && upstream->present) {
             add_to_router(this, upstream);
+            apply_drain(this, upstream);
         }
     }
 }
@@ -1295,8 +1290,6 @@
                                            destroy_request);
     this->deadlines = g_tree_new_full(compare_deadlines, NULL, NULL, NULL);
     this->actions = g_array_new(FALSE, TRUE, sizeof(BalancerAction));
-    this->drains = g_array_new(FALSE, TRUE, sizeof(bool));
-    g_queue_init(&this->drain_changes);
     this->replay = g_string_new(NULL);
     return this;
 }
@@ -1322,8 +1315,6 @@
     NameTable_Destroy(this->services);
     NameTable_Destroy(this->lines);
     g_array_free(this->actions, TRUE);
-    g_array_free(this->drains, TRUE);
-    g_queue_clear(&this->drain_changes);
     g_string_free(this->replay, TRUE);
     g_free(this);
 }
--- a/packages/core/Balancer.h
+++ b/packages/core/Balancer.h
@@ -193,12 +193,6 @@
 /** Balancer_OnSlotsChanged() - a peer's message made a slot usable */
 void Balancer_OnSlotsChanged(Balancer *this, uint32_t service);
 
-/**
- * Balancer_NextDrain() - next change of a drain that this host saw itself
- * @ended: the upstream takes requests again
- */
-bool Balancer_NextDrain(Balancer *this, uint32_t *upstream, bool *ended);
-
 /** Balancer_NextAction() - take the next action; false if there is none */
 bool Balancer_NextAction(Balancer *this, BalancerAction *action);
 
--- a/packages/net/ClaimFollower.c
+++ b/packages/net/ClaimFollower.c
@@ -65,10 +65,11 @@
 {
     Partition *partition = user;
     ClaimFollower *this = partition->follower;
+    Micros wait = Claims_ReadWait(this->claims, partition->index, READ_WAIT);
 
     LogClient_Read(this->log, Str_FromC(partition->stream),
                    Claims_ReadFrom(this->claims, partition->index), READ_MAX,
-                   READ_WAIT, this->timeout, read_done, partition);
+                   wait, this->timeout, read_done, partition);
 }
 
 ClaimFollower *
--- a/packages/net/ConfigFollower.c
+++ b/packages/net/ConfigFollower.c
@@ -2,7 +2,7 @@
 
 #include <glib.h>
 
-#define TICK (20 * MICROS_PER_MS)
+#define TICK (50 * MICROS_PER_MS)
 #define STREAMS 2
 
 typedef struct Reader_ {
--- a/packages/net/PeerExchange.c
+++ b/packages/net/PeerExchange.c
@@ -4,7 +4,7 @@
 
 #include "PeerCodec.h"
 
-#define TICK (10 * MICROS_PER_MS)
+#define TICK (25 * MICROS_PER_MS)
 #define USAGE_INTERVAL (50 * MICROS_PER_MS)
 #define LIVE_MAX 1024
 #define USAGE_MAX 64
@@ -204,9 +204,14 @@
     ConfigFetch fetch;
     ConfigChunk chunk;
 
-    if (PeerCodec_ReadFetch(message, &fetch) < 0 ||
-        ConfigSync_Serve(this->sync, &fetch, &chunk) < 0 ||
-        PeerCodec_WriteChunk(&from, &chunk, this->bytes) < 0) {
+    if (PeerCodec_ReadFetch(message, &fetch) < 0) {
+        return;
+    }
+    if (ConfigSync_Serve(this->sync, &fetch, &chunk) < 0) {
+        /* An empty chunk says that this host has nothing newer. */
+        chunk = (ConfigChunk){.next = fetch.from};
+    }
+    if (PeerCodec_WriteChunk(&from, &chunk, this->bytes) < 0) {
         return;
     }
     send_to(this, PeerMessage_Host(message));
@@ -219,7 +224,12 @@
     ConfigChunk chunk;
 
     if (PeerCodec_ReadChunk(message, &chunk, records) == 0) {
-        ConfigSync_OnChunk(this->sync, &chunk);
+        if (chunk.count == 0 && !chunk.snapshot) {
+            ConfigSync_OnFetchFailed(this->sync);
+        }
+        else {
+            ConfigSync_OnChunk(this->sync, &chunk);
+        }
     }
     g_array_free(records, TRUE);
 }
@@ -349,13 +359,22 @@
 }
 
 static void
-share_drains(PeerExchange *this)
+share_findings(PeerExchange *this)
 {
-    SharedItem item = {.kind = SHARED_DRAIN};
-    uint32_t upstream;
+    RouteFinding finding;
+
+    while (Router_NextFinding(Balancer_Router(this->balancer), &finding)) {
+        Str name = name_of(this, PEER_NAME_UPSTREAM, finding.upstream);
+        SharedItem item = {0};
 
-    while (Balancer_NextDrain(this->balancer, &upstream, &item.drain.ended)) {
-        item.drain.upstream = name_of(this, PEER_NAME_UPSTREAM, upstream);
+        if (finding.draining) {
+            item.kind = SHARED_DRAIN;
+            item.drain.upstream = name;
+        }
+        else {
+            item.kind = SHARED_SUSPECT;
+            item.suspect.upstream = name;
+        }
         Membership_Share(this->membership, &item);
     }
 }
@@ -429,7 +448,7 @@
     SharedItem item;
 
     share_usage(this);
-    share_drains(this);
+    share_findings(this);
     share_fingerprints(this);
     share_offset(this);
     while (Membership_NextItem(this->membership, &item)) {
--- a/packages/net/Prober.c
+++ b/packages/net/Prober.c
@@ -3,7 +3,7 @@
 #include <glib.h>
 #include <string.h>
 
-#define TICK (10 * MICROS_PER_MS)
+#define TICK (25 * MICROS_PER_MS)
 #define PROBE_TIMEOUT (1 * MICROS_PER_S)
 #define PROBE_BODY_MAX 512
 /* Bytes of a request and of an answer's header block, for the budget. */
--- a/packages/net/Proxy.c
+++ b/packages/net/Proxy.c
@@ -188,26 +188,26 @@
     g_string_free(body, TRUE);
 }
 
-/* A kept answer is "STATUS CONTENT-TYPE\n" followed by the body. */
+/* A kept answer is the status, the header fields and an empty line, each
+ * ended by a line feed, and the body. */
 static void
 replay_answer(ProxyRequest *request, Str kept)
 {
     HeaderList *headers = HeaderList_Create();
-    Str line, status;
-    uint64_t code = 200;
+    Str line, name;
+    uint64_t status = 200;
 
     Str_Split(&kept, '\n', &line);
-    Str_Split(&line, ' ', &status);
-    Str_ParseU64(status, &code);
-    if (line.length > 0) {
-        HeaderList_Add(headers, STR("content-type"), line);
+    Str_ParseU64(line, &status);
+    while (Str_Split(&kept, '\n', &line) && line.length > 0) {
+        Str_Split(&line, ':', &name);
+        HeaderList_Add(headers, name, line);
     }
-    HeaderList_Add(headers, STR("x-request-id"),
+    HeaderList_Set(headers, STR("x-request-id"),
                    Str_FromC(request->request_id));
-    HeaderList_Add(headers, STR("agatecrank-outcome"), STR("ran"));
     HeaderList_Add(headers, STR("agatecrank-reason"), STR("replayed"));
     if (request->http != NULL) {
-        HttpRequest_Answer(request->http, (int)code, headers, kept);
+        HttpRequest_Answer(request->http, (int)status, headers, kept);
     }
     HeaderList_Destroy(headers);
 }
@@ -363,23 +363,33 @@
 
 /* ---- answers of upstreams ------------------------------------------- */
 
+static void
+record_text(ProxyRequest *request, Str text)
+{
+    g_byte_array_append(request->record, (const guint8 *)text.data,
+                        (guint)text.length);
+}
+
 static void
 begin_record(ProxyRequest *request, int status, const HeaderList *headers)
 {
-    Str type = HeaderList_Get(headers, STR("content-type"));
     char line[16];
+    Str name, value;
 
     if (!HeaderList_Has(request->headers, STR("idempotency-key"))) {
         return;
     }
     request->record = g_byte_array_new();
-    g_snprintf(line, sizeof(line), "%d ", status);
-    g_byte_array_append(request->record, (const guint8 *)line,
-                        (guint)strlen(line));
-    g_byte_array_append(request->record,
-                        (const guint8 *)(type.length ? type.data : ""),
-                        (guint)type.length);
-    g_byte_array_append(request->record, (const guint8 *)"\n", 1);
+    g_snprintf(line, sizeof(line), "%d\n", status);
+    record_text(request, Str_FromC(line));
+    for (size_t i = 0; i < HeaderList_Count(headers); i++) {
+        HeaderList_At(headers, i, &name, &value);
+        record_text(request, name);
+        record_text(request, STR(":"));
+        record_text(request, value);
+        record_text(request, STR("\n"));
+    }
+    record_text(request, STR("\n"));
 }
 
 static void
@@ -406,7 +416,7 @@
     HeaderList *out = ProxyHeaders_ForCaller(
         headers, Str_FromC(request->request_id), outcome);
 
-    begin_record(request, status, headers);
+    begin_record(request, status, out);
     if (request->http != NULL) {
         HttpRequest_StartAnswer(request->http, status, out,
                                 HttpWire_ContentLength(headers));
