Test the balancer core and the outcome rules

Cause: the part that ties routing, limits, claims and outcomes together had no test of its own. Change: table tests of Exchange, and of Balancer with a signed configuration: refusals, readiness, shed and silent upstreams, drains, a caller that goes.

--- /dev/null
+++ b/tests/test_balancer.c
@@ -0,0 +1,346 @@
+#include <glib.h>
+#include <openssl/sha.h>
+#include <string.h>
+
+#include "Balancer.h"
+#include "ConfigFixture.h"
+
+#define UPSTREAMS 4
+
+static const char document[] =
+    "[operator.root]\npublic_key = \"%s\"\nlines = [\"*\"]\n"
+    "[line.a]\nweight = 50\n"
+    "[service.desk]\nslots = 2\nconnections = 20\nrequire_key = true\n"
+    "idempotent_methods = [\"GET\"]\ndrained = [\"up-3\"]\n"
+    "[caller.counter]\nline = \"a\"\ntoken_sha256 = \"%s\"\n"
+    "[selector.lookups]\nline = \"a\"\nservice = \"desk\"\n"
+    "upstreams = { pool = \"main\" }\ndeadline_ms = 1000\n";
+
+typedef struct Fixture_ {
+    Clock *clock;
+    Random *random;
+    Counters *counters;
+    ConfigState *config;
+    Balancer *balancer;
+    BalancerAction action;
+} Fixture;
+
+static void
+add_upstreams(Fixture *f, size_t count)
+{
+    static const Label labels[] = {{STR("pool"), STR("main")}};
+    HostEntry entries[UPSTREAMS];
+    char ids[UPSTREAMS][8];
+
+    for (size_t i = 0; i < count; i++) {
+        g_snprintf(ids[i], sizeof(ids[i]), "up-%zu", i);
+        entries[i] = (HostEntry){
+            .id = Str_FromC(ids[i]),
+            .role = HOST_UPSTREAM,
+            .address = STR("127.0.0.1"),
+            .port = (uint16_t)(7000 + i),
+            .service = STR("desk"),
+            .domain = STR("lac-a"),
+            .labels = {labels, 1},
+        };
+    }
+    Balancer_OnHostList(f->balancer, entries, count);
+}
+
+static void
+publish(Fixture *f)
+{
+    char *key = Fixture_PublicKey(KEY_ROOT);
+    char hex[SHA256_DIGEST_LENGTH * 2 + 1];
+    uint8_t digest[SHA256_DIGEST_LENGTH];
+    char *text;
+
+    SHA256((const unsigned char *)"token", 5, digest);
+    for (size_t i = 0; i < sizeof(digest); i++) {
+        g_snprintf(hex + 2 * i, 3, "%02x", digest[i]);
+    }
+    text = g_strdup_printf(document, key, hex);
+    g_assert_cmpint(
+        Fixture_Apply(f->config, "first", "root", KEY_ROOT, 0, text, NULL), ==,
+        CONFIG_ACCEPTED);
+    g_free(text);
+    g_free(key);
+}
+
+static void
+set_up(Fixture *f)
+{
+    ConfigOptions config = Fixture_Options();
+    BalancerOptions options = {
+        .router = RouterOptions_Default(),
+        .admission = {.mode = ADMISSION_SHARED, .hosts = 1},
+        .claims = ClaimsOptions_Default(STR("host-1"), 1),
+        .attempts_max = 3,
+    };
+    Str host = STR("host-1");
+
+    memset(f, 0, sizeof(*f));
+    f->clock = Clock_CreateManual(MICROS_PER_S, 1700000000 * MICROS_PER_S);
+    f->random = Random_Create(3);
+    f->counters = Counters_Create(1000);
+    f->config = ConfigState_Create(&config);
+    f->balancer = Balancer_Create(&options, f->config, f->clock, f->random,
+                                  NULL, f->counters);
+    Balancer_SetHosts(f->balancer, &host, 1, 0);
+    publish(f);
+    add_upstreams(f, UPSTREAMS);
+    Balancer_OnConfigChanged(f->balancer);
+    Balancer_SetReady(f->balancer, true);
+}
+
+static void
+tear_down(Fixture *f)
+{
+    Balancer_Destroy(f->balancer);
+    ConfigState_Destroy(f->config);
+    Counters_Destroy(f->counters);
+    Random_Destroy(f->random);
+    Clock_Destroy(f->clock);
+}
+
+static uint64_t
+request(Fixture *f, const char *method, const char *token, const char *key)
+{
+    uint8_t digest[SHA256_DIGEST_LENGTH];
+    RequestInfo info = {
+        .request_id = STR("r-1"),
+        .method = Str_FromC(method),
+        .path = STR("/x"),
+        .service = STR("desk"),
+        .credential = {(const char *)digest, token != NULL ? 32 : 0},
+        .key = Str_FromC(key),
+        .body_kept = true,
+    };
+    uint64_t id;
+
+    if (token != NULL) {
+        SHA256((const unsigned char *)token, strlen(token), digest);
+    }
+    id = Balancer_OnRequest(f->balancer, &info);
+    Balancer_OnBody(f->balancer, id, 42);
+    return id;
+}
+
+static BalancerActionKind
+next_action(Fixture *f)
+{
+    g_assert_true(Balancer_NextAction(f->balancer, &f->action));
+    return f->action.kind;
+}
+
+static void
+expect_answer(Fixture *f, int status, Outcome outcome, const char *reason)
+{
+    g_assert_cmpint(next_action(f), ==, BALANCER_ANSWER);
+    g_assert_cmpint(f->action.answer.status, ==, status);
+    g_assert_cmpint(f->action.answer.outcome, ==, outcome);
+    g_assert_cmpstr(f->action.answer.reason, ==, reason);
+    g_assert_false(Balancer_NextAction(f->balancer, &f->action));
+    g_assert_cmpuint(Balancer_OpenRequests(f->balancer), ==, 0);
+}
+
+/* Guards against callers that reach an upstream without a selector. */
+static void
+test_refusals(void)
+{
+    static const struct {
+        const char *method;
+        const char *token;
+        const char *key;
+        int status;
+        Outcome outcome;
+        const char *reason;
+    } cases[] = {
+        {"GET", NULL, NULL, 401, OUTCOME_NOT_RUN, "no-credential"},
+        {"GET", "other", NULL, 403, OUTCOME_NOT_RUN, "not-admitted"},
+        {"POST", "token", NULL, 400, OUTCOME_NOT_RUN, "key-required"},
+        {"POST", "token", "0190-not-a-key", 400, OUTCOME_NOT_RUN,
+         "key-malformed"},
+        /* The log was never read, so nothing is known of the key. */
+        {"POST", "token", "018bcfe5-6800-7abc-8def-0123456789ab", 503,
+         OUTCOME_UNKNOWN, "catching-up"},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        Fixture f;
+
+        set_up(&f);
+        g_test_message("%s %s", cases[i].method, cases[i].reason);
+        request(&f, cases[i].method, cases[i].token, cases[i].key);
+        expect_answer(&f, cases[i].status, cases[i].outcome, cases[i].reason);
+        tear_down(&f);
+    }
+}
+
+/* Guards against a host that serves before it has a configuration. */
+static void
+test_not_ready(void)
+{
+    Fixture f;
+
+    set_up(&f);
+    Balancer_SetReady(f.balancer, false);
+    request(&f, "GET", "token", NULL);
+    expect_answer(&f, 503, OUTCOME_NOT_RUN, "not-ready");
+    request(&f, "POST", "token", "018bcfe5-6800-7abc-8def-0123456789ab");
+    expect_answer(&f, 503, OUTCOME_UNKNOWN, "not-ready");
+    tear_down(&f);
+}
+
+/* Answers GET requests; ten of them earn one retry. */
+static void
+serve(Fixture *f, int count)
+{
+    for (int i = 0; i < count; i++) {
+        uint64_t id = request(f, "GET", "token", NULL);
+        AnswerHead head = {.status = 200, .load = STR("")};
+
+        g_assert_cmpint(next_action(f), ==, BALANCER_SEND);
+        g_assert_cmpint(f->action.send.port, !=, 7003);
+        g_assert_cmpint(Balancer_OnHead(f->balancer, id, &head), ==,
+                        BALANCER_RELAY);
+        g_assert_cmpint(
+            Balancer_OnAttemptEnd(f->balancer, id, ATTEMPT_END_WHOLE, STR("")),
+            ==, EXCHANGE_STEP_FINISH);
+        Clock_Advance(f->clock, MICROS_PER_MS);
+    }
+}
+
+static AnswerHead
+shed_head(void)
+{
+    return (AnswerHead){.status = 503,
+                        .not_run = true,
+                        .load = STR("inflight=2 slots=2 queue=0 draining=0")};
+}
+
+/* Guards against a retry on the same upstream, and against an outcome that
+ * claims a run where every upstream proved the opposite. */
+static void
+test_shed_is_retried_elsewhere(void)
+{
+    Fixture f;
+    AnswerHead head = shed_head();
+    uint32_t seen[UPSTREAMS] = {0};
+    uint64_t id;
+    int attempts = 0;
+
+    set_up(&f);
+    serve(&f, 30);
+    id = request(&f, "GET", "token", NULL);
+    while (next_action(&f) == BALANCER_SEND) {
+        attempts++;
+        seen[f.action.send.upstream]++;
+        g_assert_cmpuint(seen[f.action.send.upstream], ==, 1);
+        g_assert_cmpint(Balancer_OnHead(f.balancer, id, &head), ==,
+                        BALANCER_DISCARD);
+    }
+    g_assert_cmpint(attempts, >=, 2);
+    g_assert_cmpint(attempts, <=, 3);
+    g_assert_cmpint(f.action.kind, ==, BALANCER_ANSWER);
+    g_assert_cmpint(f.action.answer.outcome, ==, OUTCOME_NOT_RUN);
+    g_assert_cmpint(f.action.answer.retry_after, >, 0);
+    tear_down(&f);
+}
+
+/* Guards against new requests for an upstream that is drained. */
+static void
+test_drained_upstream(void)
+{
+    Fixture f;
+
+    set_up(&f);
+    serve(&f, 200);
+    g_assert_cmpuint(Balancer_OpenRequests(f.balancer), ==, 0);
+    tear_down(&f);
+}
+
+/* Guards against a silent connection that takes the caller's whole time, and
+ * against a second answer to the caller. */
+static void
+test_silent_upstream(void)
+{
+    Fixture f;
+    uint64_t id;
+    uint32_t first;
+
+    set_up(&f);
+    serve(&f, 30);
+    id = request(&f, "GET", "token", NULL);
+    g_assert_cmpint(next_action(&f), ==, BALANCER_SEND);
+    first = f.action.send.upstream;
+    g_assert_cmpint(f.action.send.timeout, <=, 500 * MICROS_PER_MS);
+    Clock_Advance(f.clock, f.action.send.timeout);
+    Balancer_OnTimeout(f.balancer, id);
+    g_assert_cmpint(next_action(&f), ==, BALANCER_CANCEL);
+    g_assert_true(f.action.cancel.silent);
+    g_assert_cmpint(next_action(&f), ==, BALANCER_SEND);
+    g_assert_cmpuint(f.action.send.upstream, !=, first);
+    g_assert_true(f.action.send.new_connection);
+    Clock_Advance(f.clock, MICROS_PER_S);
+    Balancer_OnTimeout(f.balancer, id);
+    g_assert_cmpint(next_action(&f), ==, BALANCER_CANCEL);
+    expect_answer(&f, 504, OUTCOME_UNKNOWN, "upstream-deadline");
+    tear_down(&f);
+}
+
+/* Guards against work for a caller that has gone. */
+static void
+test_caller_gone(void)
+{
+    Fixture f;
+    uint64_t id;
+
+    set_up(&f);
+    id = request(&f, "GET", "token", NULL);
+    g_assert_cmpint(next_action(&f), ==, BALANCER_SEND);
+    g_assert_false(Balancer_OnCallerGone(f.balancer, id));
+    g_assert_cmpint(next_action(&f), ==, BALANCER_CANCEL);
+    g_assert_false(Balancer_NextAction(f.balancer, &f.action));
+    g_assert_cmpuint(Balancer_OpenRequests(f.balancer), ==, 0);
+    tear_down(&f);
+}
+
+/* Guards against a load report that is taken in spite of its form. */
+static void
+test_load_report(void)
+{
+    static const struct {
+        const char *text;
+        int code;
+    } cases[] = {
+        {"inflight=1 slots=6 queue=0 draining=1", 0},
+        {"slots=6 inflight=1", 0},
+        {"inflight=1", ERR_PARSE},
+        {"inflight=-1 slots=6", ERR_PARSE},
+        {"inflight=1 slots=99999999999", ERR_PARSE},
+        {"", ERR_PARSE},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        LoadReport report;
+
+        g_assert_cmpint(LoadReport_Parse(Str_FromC(cases[i].text), &report),
+                        ==, cases[i].code);
+    }
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/core/balancer/refusals", test_refusals);
+    g_test_add_func("/core/balancer/not-ready", test_not_ready);
+    g_test_add_func("/core/balancer/shed-is-retried-elsewhere",
+                    test_shed_is_retried_elsewhere);
+    g_test_add_func("/core/balancer/drained-upstream", test_drained_upstream);
+    g_test_add_func("/core/balancer/silent-upstream", test_silent_upstream);
+    g_test_add_func("/core/balancer/caller-gone", test_caller_gone);
+    g_test_add_func("/core/balancer/load-report", test_load_report);
+    return g_test_run();
+}
--- /dev/null
+++ b/tests/test_exchange.c
@@ -0,0 +1,139 @@
+#include <glib.h>
+
+#include "Exchange.h"
+
+/** struct Script_ - what happened to a request and what it must be told
+ * @ends: ends of attempts, separated by retries; the last one is final
+ * @relayed: status whose header block went to the caller before the last
+ *           end, 0 if none did
+ */
+typedef struct Script_ {
+    const char *failure;
+    AttemptEnd ends[4];
+    size_t count;
+    int relayed;
+    ExchangeStep step;
+    Outcome outcome;
+} Script;
+
+static const Script scripts[] = {
+    {"a request that was never sent is not-run",
+     {0},
+     0,
+     0,
+     EXCHANGE_STEP_ANSWER,
+     OUTCOME_NOT_RUN},
+    {"a refused connection is not-run",
+     {ATTEMPT_END_UNSENT},
+     1,
+     0,
+     EXCHANGE_STEP_ANSWER,
+     OUTCOME_NOT_RUN},
+    {"the upstream's proof is not-run",
+     {ATTEMPT_END_REFUSED},
+     1,
+     0,
+     EXCHANGE_STEP_ANSWER,
+     OUTCOME_NOT_RUN},
+    {"a connection that breaks after bytes is unknown",
+     {ATTEMPT_END_BROKEN},
+     1,
+     0,
+     EXCHANGE_STEP_ANSWER,
+     OUTCOME_UNKNOWN},
+    {"a deadline after bytes is unknown",
+     {ATTEMPT_END_DEADLINE},
+     1,
+     0,
+     EXCHANGE_STEP_ANSWER,
+     OUTCOME_UNKNOWN},
+    {"a proof does not undo an earlier broken attempt",
+     {ATTEMPT_END_BROKEN, ATTEMPT_END_REFUSED},
+     2,
+     0,
+     EXCHANGE_STEP_ANSWER,
+     OUTCOME_UNKNOWN},
+    {"an unsent attempt does not undo an earlier deadline",
+     {ATTEMPT_END_DEADLINE, ATTEMPT_END_UNSENT},
+     2,
+     0,
+     EXCHANGE_STEP_ANSWER,
+     OUTCOME_UNKNOWN},
+    {"two proofs are not-run",
+     {ATTEMPT_END_REFUSED, ATTEMPT_END_REFUSED},
+     2,
+     0,
+     EXCHANGE_STEP_ANSWER,
+     OUTCOME_NOT_RUN},
+    {"a whole answer is ran",
+     {ATTEMPT_END_WHOLE},
+     1,
+     200,
+     EXCHANGE_STEP_FINISH,
+     OUTCOME_RAN},
+    {"an upstream's own error is ran",
+     {ATTEMPT_END_WHOLE},
+     1,
+     500,
+     EXCHANGE_STEP_FINISH,
+     OUTCOME_RAN},
+    {"a bare 503 proves nothing",
+     {ATTEMPT_END_WHOLE},
+     1,
+     503,
+     EXCHANGE_STEP_FINISH,
+     OUTCOME_UNKNOWN},
+    {"a cut answer is aborted, not ended",
+     {ATTEMPT_END_BROKEN},
+     1,
+     200,
+     EXCHANGE_STEP_ABORT,
+     OUTCOME_RAN},
+    {"an answer of the wrong length is aborted",
+     {ATTEMPT_END_FRAMING},
+     1,
+     200,
+     EXCHANGE_STEP_ABORT,
+     OUTCOME_RAN},
+    {"nobody is told after the caller has gone",
+     {ATTEMPT_END_GONE},
+     1,
+     0,
+     EXCHANGE_STEP_DROP,
+     OUTCOME_UNKNOWN},
+};
+
+static void
+test_outcomes(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(scripts); i++) {
+        const Script *script = &scripts[i];
+        Exchange *exchange = Exchange_Create();
+
+        g_test_message("%s", script->failure);
+        for (size_t a = 0; a < script->count; a++) {
+            Exchange_OnDispatched(exchange);
+            g_assert_true(Exchange_MayHaveRun(exchange));
+            if (a + 1 < script->count) {
+                Exchange_OnRetried(exchange, script->ends[a]);
+                continue;
+            }
+            if (script->relayed != 0) {
+                Exchange_OnRelayed(exchange, script->relayed);
+            }
+            g_assert_cmpint(Exchange_OnAttemptEnd(exchange, script->ends[a]),
+                            ==, script->step);
+        }
+        g_assert_cmpint(Exchange_Outcome(exchange), ==, script->outcome);
+        g_assert_cmpuint(Exchange_Attempts(exchange), ==, script->count);
+        Exchange_Destroy(exchange);
+    }
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/core/exchange/outcomes", test_outcomes);
+    return g_test_run();
+}
