End a host whose id another process took over, repeat the offset item

Cause: the membership's author named both as duties of the shell: a superseded process must end, and an item about an offset counts for 60 s only. Change: both, with one path for every way of leaving. Conclusion: the shell does what the membership asks.

--- a/packages/agatecrankd/Daemon.c
+++ b/packages/agatecrankd/Daemon.c
@@ -202,30 +202,36 @@
 }
 
 static void
-on_signal(void *user, int number)
+begin_leaving(Daemon *this, const char *reason)
 {
-    Daemon *this = user;
-
-    if (this->leaving) {
-        finish(this, Proxy_OpenRequests(this->proxy) > 0 ? EXIT_INTERRUPTED
-                                                         : EXIT_DRAINED);
-        return;
-    }
     this->leaving = true;
     this->leave_until = Clock_Now(this->clock) +
                         (Micros)this->settings->drain_timeout_s * MICROS_PER_S;
+    this->notice_until =
+        Clock_Now(this->clock) +
+        (Micros)this->settings->drain_notice_ms * MICROS_PER_MS;
     Admin_SetLeaving(this->admin);
     if (EventLog_Begin(this->log, LOG_LEVEL_INFO, "leaving")) {
-        EventLog_Int(this->log, "signal", number);
+        EventLog_C(this->log, "reason", reason);
         EventLog_Int(this->log, "open_requests",
                      (int64_t)Proxy_OpenRequests(this->proxy));
         EventLog_End(this->log);
     }
     PeerExchange_Leave(this->peers);
     Proxy_CloseKeptAlive(this->proxy);
-    this->notice_until =
-        Clock_Now(this->clock) +
-        (Micros)this->settings->drain_notice_ms * MICROS_PER_MS;
+}
+
+static void
+on_signal(void *user, int number)
+{
+    Daemon *this = user;
+
+    if (this->leaving) {
+        finish(this, Proxy_OpenRequests(this->proxy) > 0 ? EXIT_INTERRUPTED
+                                                         : EXIT_DRAINED);
+        return;
+    }
+    begin_leaving(this, number == SIGTERM ? "sigterm" : "sigint");
 }
 
 static Micros
@@ -249,6 +255,10 @@
     update_ready(this);
     Balancer_OnTick(this->balancer);
     Proxy_Drain(this->proxy);
+    if (!this->leaving &&
+        Membership_Superseded(PeerExchange_Membership(this->peers))) {
+        begin_leaving(this, "another process has this host id");
+    }
     if (this->leaving) {
         check_drained(this);
     }
--- a/packages/net/PeerExchange.c
+++ b/packages/net/PeerExchange.c
@@ -5,6 +5,8 @@
 #include "PeerCodec.h"
 
 #define TICK (25 * MICROS_PER_MS)
+/* An item about an offset counts for 60 s, so it is told again in time. */
+#define OFFSET_INTERVAL (30 * MICROS_PER_S)
 #define USAGE_INTERVAL (50 * MICROS_PER_MS)
 #define LIVE_MAX 1024
 #define USAGE_MAX 64
@@ -26,6 +28,7 @@
     uint64_t version;
     uint64_t shared_offset;
     Micros usage_due;
+    Micros offset_due;
     void (*on_event)(void *user);
     void *user;
 };
@@ -400,9 +403,11 @@
     ConfigSyncStatus status;
 
     ConfigSync_Status(this->sync, &status);
-    if (status.offset == this->shared_offset) {
+    if (status.offset == this->shared_offset &&
+        Clock_Now(this->clock) < this->offset_due) {
         return;
     }
+    this->offset_due = Clock_Now(this->clock) + OFFSET_INTERVAL;
     this->shared_offset = status.offset;
     item.config.offset = status.offset;
     Membership_Share(this->membership, &item);
