--- a/tests/test_readme.sh
+++ b/tests/test_readme.sh
@@ -34,4 +34,29 @@
     grep -qE "^\|.*\`$field[\`=]" README.md || fail "field $field is not explained"
 done
 rm -f "$script" "$out"
-echo "ok: the walk of the README"
+
+# Guards against a capacity page that differs from the committed measurements,
+# and against a missing bench line that is taken for a number.
+bash scripts/capacity.sh --check >"$out" 2>&1 || fail "docs/CAPACITY.md differs from docs/measurements.txt"
+tables=$(mktemp -d)
+awk -F= -v tables="$tables" -f scripts/capacity.awk /dev/null
+grep -q '| added to a call at p99 | not measured | not measured |' "$tables/traffic.table" ||
+    { rm -rf "$tables"; fail "a missing value is not reported"; }
+rm -rf "$tables" "$out"
+
+# Guards against log events, fields and metrics that the pages do not have.
+for name in $(grep -rhoE 'EventLog_Begin\([^"]*"[a-z-]+"' packages --include='*.c' | sed 's/.*"\(.*\)"/\1/'); do
+    grep -q "^| \`$name\` |" docs/logs.md || { echo "not ok: event $name is not in docs/logs.md"; exit 1; }
+done
+for name in $(grep -rhoE 'EventLog_(Str|C|Int|Real)\([^"]*"[a-z_]+"' packages --include='*.c' | sed 's/.*"\(.*\)"/\1/' | sort -u); do
+    grep -q "\`$name\`" docs/logs.md || { echo "not ok: field $name is not in docs/logs.md"; exit 1; }
+done
+for name in $(grep -rhoE '"agatecrank_[a-z_]+"' packages --include='*.c' | tr -d '"' | sort -u); do
+    grep -q "^| \`$name\` |" docs/alerts.md || { echo "not ok: $name is not in docs/alerts.md"; exit 1; }
+done
+
+# Guards against pages that are named and do not exist.
+for link in $(grep -ohE '\]\((docs/)?[A-Za-z-]+\.md\)' README.md | sed 's/^..//; s/)$//'); do
+    [ -f "$link" ] || { echo "not ok: README names $link"; exit 1; }
+done
+echo "ok: the walk of the README, the capacity page, events, metrics"
