Add the operators' commands and complete the administration API

Operators could only publish; the state of hosts had to be read with a hand-made signature. The API lists hosts from the membership, pages every list and takes its paths from one table. A verdict's text may show objects of other lines, so an operator now reads its own publications only.

--- /dev/null
+++ b/packages/agatecrank/CallCommand.c
@@ -0,0 +1,75 @@
+#include <stdio.h>
+
+#include "AdminClient.h"
+#include "Command.h"
+
+/* Only a read that got no answer has certainly changed nothing. */
+static int
+exit_code(const AdminAnswer *answer, bool reads)
+{
+    if (answer->status == 0) {
+        return answer->given && !reads ? COMMAND_UNKNOWN : COMMAND_UNAVAILABLE;
+    }
+    if (answer->status == 200) {
+        return COMMAND_OK;
+    }
+    return answer->status >= 500 ? COMMAND_UNAVAILABLE : COMMAND_REFUSED;
+}
+
+static int
+call(const CliSettings *settings, const char *method, const char *target,
+     const char *body)
+{
+    AdminClient *client = AdminClient_Create(settings);
+    AdminAnswer *answer;
+    int code;
+
+    if (client == NULL) {
+        return COMMAND_USAGE;
+    }
+    answer = AdminClient_Call(client, 0, method, target, body);
+    if (answer->status == 0) {
+        Command_PrintError(&answer->error);
+    }
+    else {
+        fprintf(stderr, "status %d\n", answer->status);
+        fputs(answer->text->str, stdout);
+    }
+    code = exit_code(answer, g_str_equal(method, "GET"));
+    AdminAnswers_Free(answer, 1);
+    AdminClient_Destroy(client);
+    return code;
+}
+
+int
+CallCommand_Run(int argc, char **argv)
+{
+    CommonArgs common = CommonArgs_Create();
+    struct arg_str *method = arg_str1(NULL, NULL, "METHOD", "GET or POST");
+    struct arg_str *target = arg_str1(NULL, NULL, "PATH", "path with query");
+    struct arg_str *body = arg_str0(NULL, NULL, "BODY", "JSON");
+    void *table[] = {common.config, common.output, common.help, method,
+                     target,        body,          common.end};
+    CliSettings *settings = NULL;
+    int code;
+
+    if (CommonArgs_Parse(
+            &common, argc, argv, table, G_N_ELEMENTS(table),
+            "Sends a signed call to the first host in admin_urls, prints the "
+            "status on\nstandard error and the body, as the host sent it, on "
+            "standard output.\n" COMMAND_CHANGE_EXITS,
+            &code)) {
+        settings = CommonArgs_Settings(&common);
+    }
+    if (settings != NULL && target->sval[0][0] != '/') {
+        fprintf(stderr, "agatecrank: PATH must begin with /\n");
+        code = COMMAND_USAGE;
+    }
+    else if (settings != NULL) {
+        code = call(settings, method->sval[0], target->sval[0],
+                    body->count > 0 ? body->sval[0] : "");
+    }
+    CliSettings_Destroy(settings);
+    arg_freetable(table, G_N_ELEMENTS(table));
+    return code;
+}
--- a/packages/agatecrank/CliSettings.c
+++ b/packages/agatecrank/CliSettings.c
@@ -13,6 +13,7 @@
     {"log_url", FIELD_URL, AT(log_url), false, 0, 0, NULL},
     {"host_list_url", FIELD_URL, AT(host_list_url), false, 0, 0, NULL},
     {"admin_urls", FIELD_PEERS, AT(admin_urls), false, 0, 0, NULL},
+    {"admin_ca_file", FIELD_PATH, AT(admin_ca_file), false, 0, 0, NULL},
     {"operator", FIELD_NAME, AT(operator_name), false, 0, 0, NULL},
     {"key_file", FIELD_PATH, AT(key_file), false, 0, 0, NULL},
     {"bootstrap_keys", FIELD_KEYS, AT(bootstrap_keys), false, 0, 0, NULL},
--- a/packages/agatecrank/CliSettings.h
+++ b/packages/agatecrank/CliSettings.h
@@ -9,6 +9,7 @@
     Str log_url;
     Str host_list_url;
     StrList admin_urls; /* ADDRESS:PORT of the administration APIs */
+    Str admin_ca_file;  /* the APIs use TLS if this is given */
     Str operator_name;
     Str key_file; /* Ed25519 secret key, base64, one line */
     Key32List bootstrap_keys;
--- a/packages/agatecrank/Command.c
+++ b/packages/agatecrank/Command.c
@@ -2,6 +2,65 @@
 
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
+
+CommonArgs
+CommonArgs_Create(void)
+{
+    return (CommonArgs){
+        .config = arg_file0("c", "config", "FILE",
+                            "settings of agatecrank (or AGATECRANK_CONFIG)"),
+        .output =
+            arg_str0("o", "output", "text|json", "form of the result: text"),
+        .help = arg_lit0("h", "help", "print this help"),
+        .end = arg_end(4),
+    };
+}
+
+bool
+CommonArgs_Parse(const CommonArgs *this, int argc, char **argv, void **table,
+                 size_t count, const char *usage, int *code)
+{
+    int errors = arg_parse(argc, argv, table);
+    char *name = g_strconcat("agatecrank ", argv[0], NULL);
+    bool go_on = false;
+
+    *code = COMMAND_USAGE;
+    if (this->help->count > 0) {
+        printf("Usage: %s", name);
+        arg_print_syntax(stdout, table, "\n\n");
+        fputs(usage, stdout);
+        arg_print_glossary(stdout, table, "  %-26s %s\n");
+        *code = COMMAND_OK;
+    }
+    else if (errors > 0) {
+        arg_print_errors(stderr, this->end, name);
+    }
+    else if (this->output->count > 0 &&
+             strcmp(this->output->sval[0], "text") != 0 &&
+             strcmp(this->output->sval[0], "json") != 0) {
+        fprintf(stderr, "%s: --output must be text or json\n", name);
+    }
+    else {
+        go_on = true;
+    }
+    g_free(name);
+    return go_on;
+}
+
+bool
+CommonArgs_Json(const CommonArgs *this)
+{
+    return this->output->count > 0 &&
+           strcmp(this->output->sval[0], "json") == 0;
+}
+
+CliSettings *
+CommonArgs_Settings(const CommonArgs *this)
+{
+    return Command_ReadSettings(
+        this->config->count > 0 ? this->config->filename[0] : NULL);
+}
 
 void
 Command_PrintError(const Error *error)
--- a/packages/agatecrank/Command.h
+++ b/packages/agatecrank/Command.h
@@ -1,6 +1,7 @@
 #ifndef AGATECRANK_AGATECRANK_COMMAND_H
 #define AGATECRANK_AGATECRANK_COMMAND_H
 
+#include <argtable2.h>
 #include <glib.h>
 
 #include "CliSettings.h"
@@ -31,6 +32,49 @@
 /** Command_Table() - all subcommands, ended by a NULL name */
 const Command *Command_Table(void);
 
+/**
+ * struct CommonArgs_ - options that most subcommands have
+ *
+ * Each subcommand puts them into its own argtable.
+ */
+typedef struct CommonArgs_ {
+    struct arg_file *config;
+    struct arg_str *output;
+    struct arg_lit *help;
+    struct arg_end *end;
+} CommonArgs;
+
+/** CommonArgs_Create() - to be freed with the argtable */
+CommonArgs CommonArgs_Create(void);
+
+/**
+ * CommonArgs_Parse() - parse, and handle --help and wrong options
+ * @table: @count argtable entries, with those of @this
+ * @usage: text of --help above the list of options
+ *
+ * Return: true if the subcommand goes on; otherwise @code is its exit code.
+ */
+bool CommonArgs_Parse(const CommonArgs *this, int argc, char **argv,
+                      void **table, size_t count, const char *usage,
+                      int *code);
+
+/** CommonArgs_Json() - --output json was given */
+bool CommonArgs_Json(const CommonArgs *this);
+
+/** CommonArgs_Settings() - settings, or NULL after printing what is wrong */
+CliSettings *CommonArgs_Settings(const CommonArgs *this);
+
+/** COMMAND_READ_EXITS - exit codes of a subcommand that only reads */
+#define COMMAND_READ_EXITS                                                    \
+    "\nExit codes: 0 done, 1 wrong options or settings, 2 refused or not "    \
+    "found,\n4 nobody answered.\n\n"
+
+/** COMMAND_CHANGE_EXITS - exit codes of a subcommand that changes something */
+#define COMMAND_CHANGE_EXITS                                                  \
+    "\nExit codes: 0 done, 1 wrong options, settings or file, 2 refused,\n"   \
+    "3 not known whether it took effect, 4 unavailable and nothing was "      \
+    "done.\n\n"
+
 /** Command_PrintError() - "agatecrank: step (peer): text" on stderr */
 void Command_PrintError(const Error *error);
 
@@ -52,5 +96,13 @@
 CommandHandler CheckCommand_Run;
 CommandHandler DiffCommand_Run;
 CommandHandler PublishCommand_Run;
+CommandHandler HistoryCommand_Run;
+CommandHandler StatusCommand_Run;
+CommandHandler ReadCommand_Run;
+CommandHandler ExplainCommand_Run;
+CommandHandler DrainCommand_Run;
+CommandHandler QuarantineCommand_Run;
+CommandHandler TopCommand_Run;
+CommandHandler CallCommand_Run;
 
 #endif
--- /dev/null
+++ b/packages/agatecrank/HistoryCommand.c
@@ -0,0 +1,131 @@
+#include <stdio.h>
+
+#include "Command.h"
+#include "Output.h"
+#include "Publisher.h"
+
+#define LIMIT_DEFAULT 50
+
+static const Column columns[] = {
+    {"OFFSET", "offset"},   {"AUTHOR", "author"}, {"ID", "id"},
+    {"VERDICT", "verdict"}, {"TEXT", "text"},     {NULL, NULL},
+};
+
+static void
+add_author(const ConfigState *state, Str author, GPtrArray *found)
+{
+    ConfigVerdict verdict;
+
+    ConfigVerdict_Init(&verdict);
+    for (size_t i = 0; ConfigState_History(state, author, i, &verdict) == 0;
+         i++) {
+        json_t *item = json_object();
+
+        json_object_set_new(item, "offset",
+                            json_integer((json_int_t)verdict.offset));
+        json_object_set_new(item, "author", json_string(verdict.author));
+        json_object_set_new(item, "id", json_string(verdict.id));
+        json_object_set_new(item, "verdict",
+                            json_string(ConfigVerdict_Name(verdict.outcome)));
+        json_object_set_new(item, "text", json_string(verdict.text->str));
+        g_ptr_array_add(found, item);
+    }
+    ConfigVerdict_Clear(&verdict);
+}
+
+static int
+compare_offsets(const void *a, const void *b)
+{
+    json_int_t left =
+        json_integer_value(json_object_get(*(json_t *const *)a, "offset"));
+    json_int_t right =
+        json_integer_value(json_object_get(*(json_t *const *)b, "offset"));
+
+    return left < right ? -1 : left > right;
+}
+
+/* The newest @limit verdicts, oldest first. */
+static json_t *
+collect(const ConfigState *state, const char *author, size_t limit)
+{
+    GPtrArray *found = g_ptr_array_new();
+    json_t *items = json_array();
+    ConfigCursor cursor = {0};
+    const ConfigObject *object;
+
+    if (author != NULL) {
+        add_author(state, Str_FromC(author), found);
+    }
+    while (author == NULL && (object = ConfigState_Next(state, CONFIG_OPERATOR,
+                                                        &cursor)) != NULL) {
+        add_author(state, object->name, found);
+    }
+    g_ptr_array_sort(found, compare_offsets);
+    for (guint i = 0; i < found->len; i++) {
+        if (found->len - i <= limit) {
+            json_array_append(items, found->pdata[i]);
+        }
+        json_decref(found->pdata[i]);
+    }
+    g_ptr_array_free(found, TRUE);
+    return items;
+}
+
+static void
+print_history(json_t *items, bool json)
+{
+    GString *out;
+
+    if (json) {
+        json_t *root = json_pack("{s:O}", "items", items);
+
+        Output_Json(root);
+        json_decref(root);
+        return;
+    }
+    out = g_string_new(NULL);
+    Output_Table(items, columns, out);
+    fputs(out->str, stdout);
+    g_string_free(out, TRUE);
+}
+
+int
+HistoryCommand_Run(int argc, char **argv)
+{
+    CommonArgs common = CommonArgs_Create();
+    struct arg_str *author =
+        arg_str0(NULL, "author", "NAME", "of this operator only");
+    struct arg_int *limit =
+        arg_int0(NULL, "limit", "N", "newest N verdicts: 50");
+    void *table[] = {common.config, common.output, author,
+                     limit,         common.help,   common.end};
+    CliSettings *settings = NULL;
+    Replica *replica = NULL;
+    int code;
+
+    limit->ival[0] = LIMIT_DEFAULT;
+    if (CommonArgs_Parse(&common, argc, argv, table, G_N_ELEMENTS(table),
+                         "Shows the verdicts on publications, as every host "
+                         "reaches them from the log:\nthe last 256 of each "
+                         "operator are remembered.\n" COMMAND_READ_EXITS,
+                         &code)) {
+        settings = CommonArgs_Settings(&common);
+    }
+    if (settings != NULL) {
+        code = Publisher_CatchUp(settings, &replica);
+    }
+    if (settings != NULL && code == COMMAND_OK) {
+        json_t *items = collect(
+            Replica_State(replica), author->count > 0 ? author->sval[0] : NULL,
+            limit->ival[0] > 0 ? (size_t)limit->ival[0] : 0);
+
+        print_history(items, CommonArgs_Json(&common));
+        json_decref(items);
+    }
+    if (replica != NULL) {
+        Replica_Destroy(replica);
+    }
+    CliSettings_Destroy(settings);
+    arg_freetable(table, G_N_ELEMENTS(table));
+    return code;
+}
--- /dev/null
+++ b/packages/agatecrank/TopCommand.c
@@ -0,0 +1,242 @@
+#include <poll.h>
+#include <stdio.h>
+#include <string.h>
+#include <termios.h>
+#include <unistd.h>
+
+#include "AdminClient.h"
+#include "Command.h"
+#include "Output.h"
+
+#define INTERVAL_DEFAULT_MS 2000
+#define INTERVAL_MIN_MS 100
+#define KEY_CTRL_C 3
+#define CLEAR_SCREEN "\033[H\033[J"
+
+static const Column line_columns[] = {
+    {"LINE", "line"},
+    {"SERVICE", "service"},
+    {"SHORT", "short"},
+    {"DEMAND", "demand_slots"},
+    {"ALLOWANCE", "allowance_slots"},
+    {"QUEUED", "queued"},
+    {"ADMITTED/S", "admitted_per_s"},
+    {"REFUSED/S", "refused_per_s"},
+    {NULL, NULL},
+};
+
+static const Column upstream_columns[] = {
+    {"UPSTREAM", "name"},   {"SERVICE", "service"},
+    {"DOMAIN", "domain"},   {"INFLIGHT", "inflight"},
+    {"LEAVING", "leaving"}, {"DRAINED", "drained"},
+    {NULL, NULL},
+};
+
+/** struct Top_ - one call of "top" */
+typedef struct Top_ {
+    AdminClient *client;
+    int interval_ms;
+    int count; /* refreshes; 0: until a key ends it */
+    bool json;
+    bool in_place;
+    bool keys; /* standard input is a terminal */
+    struct termios saved;
+    GHashTable *earlier; /* "line service" to its item one refresh ago */
+    gint64 earlier_time; /* microseconds */
+} Top;
+
+static void
+start_keys(Top *this)
+{
+    struct termios raw;
+
+    this->keys =
+        isatty(STDIN_FILENO) && tcgetattr(STDIN_FILENO, &this->saved) == 0;
+    if (!this->keys) {
+        return;
+    }
+    raw = this->saved;
+    raw.c_lflag &= ~(tcflag_t)(ICANON | ECHO | ISIG);
+    tcsetattr(STDIN_FILENO, TCSANOW, &raw);
+}
+
+static void
+stop_keys(const Top *this)
+{
+    if (this->keys) {
+        tcsetattr(STDIN_FILENO, TCSANOW, &this->saved);
+    }
+}
+
+/* Waits for one interval; true if a key ends the command. */
+static bool
+wait_interval(const Top *this)
+{
+    gint64 end = g_get_monotonic_time() + (gint64)this->interval_ms * 1000;
+    struct pollfd input = {.fd = STDIN_FILENO, .events = POLLIN};
+
+    for (;;) {
+        gint64 left = (end - g_get_monotonic_time()) / 1000;
+        char key;
+
+        if (left <= 0) {
+            return false;
+        }
+        if (poll(&input, this->keys ? 1 : 0, (int)left) <= 0) {
+            continue;
+        }
+        if (read(STDIN_FILENO, &key, 1) != 1 || key == 'q' ||
+            key == KEY_CTRL_C) {
+            return true;
+        }
+    }
+}
+
+static void
+set_rate(json_t *item, const json_t *old, const char *key, const char *rate,
+         double seconds)
+{
+    json_int_t now = json_integer_value(json_object_get(item, key));
+    json_int_t before = json_integer_value(json_object_get(old, key));
+
+    /* A restarted host counts from 0 again. */
+    if (old != NULL && seconds > 0 && now >= before) {
+        json_object_set_new(item, rate,
+                            json_real((double)(now - before) / seconds));
+    }
+}
+
+static void
+add_rates(Top *this, const json_t *shares)
+{
+    gint64 time = g_get_monotonic_time();
+    double seconds = (double)(time - this->earlier_time) / 1e6;
+    GHashTable *seen = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+                                             (GDestroyNotify)json_decref);
+    size_t index;
+    json_t *item;
+
+    json_array_foreach(shares, index, item)
+    {
+        char *name = g_strdup_printf(
+            "%s %s", json_string_value(json_object_get(item, "line")),
+            json_string_value(json_object_get(item, "service")));
+        const json_t *old =
+            this->earlier ? g_hash_table_lookup(this->earlier, name) : NULL;
+
+        set_rate(item, old, "admitted", "admitted_per_s", seconds);
+        set_rate(item, old, "refused", "refused_per_s", seconds);
+        g_hash_table_replace(seen, name, json_incref(item));
+    }
+    if (this->earlier != NULL) {
+        g_hash_table_destroy(this->earlier);
+    }
+    this->earlier = seen;
+    this->earlier_time = time;
+}
+
+static void
+show(const Top *this, const json_t *shares, const json_t *upstreams)
+{
+    GString *out;
+
+    if (this->json) {
+        json_t *root =
+            json_pack("{s:O,s:O}", "lines", shares, "upstreams", upstreams);
+
+        Output_Json(root);
+        json_decref(root);
+        return;
+    }
+    out = g_string_new(this->in_place ? CLEAR_SCREEN : NULL);
+    Output_Table(shares, line_columns, out);
+    g_string_append_c(out, '\n');
+    Output_Table(upstreams, upstream_columns, out);
+    if (this->in_place) {
+        g_string_append(out, "\nq ends\n");
+    }
+    fputs(out->str, stdout);
+    fflush(stdout);
+    g_string_free(out, TRUE);
+}
+
+static int
+refresh(Top *this)
+{
+    json_t *shares = NULL, *upstreams = NULL;
+    int code = AdminClient_Read(this->client, "/v1/shares", &shares);
+
+    if (code == COMMAND_OK) {
+        code = AdminClient_Read(this->client, "/v1/upstreams", &upstreams);
+    }
+    if (code == COMMAND_OK) {
+        const json_t *items = json_object_get(shares, "items");
+
+        add_rates(this, items);
+        show(this, items, json_object_get(upstreams, "items"));
+    }
+    json_decref(shares);
+    json_decref(upstreams);
+    return code;
+}
+
+static int
+run(Top *this)
+{
+    int code = refresh(this);
+
+    for (int i = 1;
+         code == COMMAND_OK && (this->count == 0 || i < this->count); i++) {
+        if (wait_interval(this)) {
+            break;
+        }
+        code = refresh(this);
+    }
+    return code;
+}
+
+int
+TopCommand_Run(int argc, char **argv)
+{
+    CommonArgs common = CommonArgs_Create();
+    struct arg_int *count =
+        arg_int0(NULL, "count", "N", "end after N refreshes");
+    struct arg_int *interval = arg_int0(NULL, "interval-ms", "MS",
+                                        "time between two refreshes: 2000");
+    void *table[] = {common.config, common.output, count,
+                     interval,      common.help,   common.end};
+    CliSettings *settings = NULL;
+    Top this = {0};
+    int code;
+
+    count->ival[0] = 0;
+    interval->ival[0] = INTERVAL_DEFAULT_MS;
+    if (CommonArgs_Parse(
+            &common, argc, argv, table, G_N_ELEMENTS(table),
+            "Shows your lines and all upstreams, as one host sees them, and "
+            "refreshes the\ntable in place; q or Ctrl-C ends it. Plain output "
+            "if standard output is no\nterminal.\n" COMMAND_READ_EXITS,
+            &code)) {
+        settings = CommonArgs_Settings(&common);
+        code = COMMAND_USAGE;
+    }
+    if (settings != NULL) {
+        this.client = AdminClient_Create(settings);
+    }
+    if (this.client != NULL) {
+        this.count = MAX(count->ival[0], 0);
+        this.interval_ms = MAX(interval->ival[0], INTERVAL_MIN_MS);
+        this.json = CommonArgs_Json(&common);
+        this.in_place = !this.json && isatty(STDOUT_FILENO);
+        start_keys(&this);
+        code = run(&this);
+        stop_keys(&this);
+    }
+    if (this.earlier != NULL) {
+        g_hash_table_destroy(this.earlier);
+    }
+    AdminClient_Destroy(this.client);
+    CliSettings_Destroy(settings);
+    arg_freetable(table, G_N_ELEMENTS(table));
+    return code;
+}
--- a/packages/config/ConfigObject.c
+++ b/packages/config/ConfigObject.c
@@ -31,6 +31,7 @@
     {"require_key", FIELD_BOOL, AT(service.require_key), false, 0, 0, NULL},
     {"idempotent_methods", FIELD_NAMES, AT(service.idempotent_methods), false,
      0, 0, NULL},
+    {"drained", FIELD_NAMES, AT(service.drained), false, 0, 0, NULL},
     {NULL, 0, 0, false, 0, 0, NULL},
 };
 
--- a/packages/config/ConfigObject.h
+++ b/packages/config/ConfigObject.h
@@ -26,6 +26,7 @@
     double probe_time_share;       /* of upstream time, 0 to 1 */
     bool require_key;
     StrList idempotent_methods;
+    StrList drained; /* upstreams that get no new requests */
 } ConfigService;
 
 /** struct ConfigCaller_ - a caller, found by token or certificate */
--- a/packages/config/ConfigState.c
+++ b/packages/config/ConfigState.c
@@ -293,27 +293,56 @@
     return admit(this, true, certificate_sha256, service, admitted);
 }
 
-int
-ConfigState_Verdict(const ConfigState *this, Str author, Str id,
-                    ConfigVerdict *verdict)
+static const ConfigHistory *
+find_history(const ConfigState *this, Str author)
 {
     const ConfigHistory *history;
-    const HistoryItem *item;
     char *name;
 
-    if (!Fields_IsName(author) || !Fields_IsName(id)) {
-        return ERR_NOT_FOUND;
+    if (!Fields_IsName(author)) {
+        return NULL;
     }
     name = g_strndup(author.data, author.length);
     history = g_hash_table_lookup(this->histories, name);
-    item = history ? ConfigHistory_Find(history, id) : NULL;
-    if (item != NULL) {
-        verdict->outcome = item->outcome;
-        verdict->offset = item->offset;
-        memcpy(verdict->author, name, author.length + 1);
-        memcpy(verdict->id, item->id, sizeof(verdict->id));
-        g_string_assign(verdict->text, item->text ? item->text : "");
-    }
     g_free(name);
-    return item != NULL ? 0 : ERR_NOT_FOUND;
+    return history;
+}
+
+static int
+fill_verdict(const HistoryItem *item, Str author, ConfigVerdict *verdict)
+{
+    if (item == NULL) {
+        return ERR_NOT_FOUND;
+    }
+    verdict->outcome = item->outcome;
+    verdict->offset = item->offset;
+    memcpy(verdict->author, author.data, author.length);
+    verdict->author[author.length] = '\0';
+    memcpy(verdict->id, item->id, sizeof(verdict->id));
+    g_string_assign(verdict->text, item->text ? item->text : "");
+    return 0;
+}
+
+int
+ConfigState_Verdict(const ConfigState *this, Str author, Str id,
+                    ConfigVerdict *verdict)
+{
+    const ConfigHistory *history = find_history(this, author);
+
+    if (history == NULL || !Fields_IsName(id)) {
+        return ERR_NOT_FOUND;
+    }
+    return fill_verdict(ConfigHistory_Find(history, id), author, verdict);
+}
+
+int
+ConfigState_History(const ConfigState *this, Str author, size_t index,
+                    ConfigVerdict *verdict)
+{
+    const ConfigHistory *history = find_history(this, author);
+
+    if (history == NULL) {
+        return ERR_NOT_FOUND;
+    }
+    return fill_verdict(ConfigHistory_Get(history, index), author, verdict);
 }
--- a/packages/config/ConfigState.h
+++ b/packages/config/ConfigState.h
@@ -202,6 +202,15 @@
 int ConfigState_Verdict(const ConfigState *this, Str author, Str id,
                         ConfigVerdict *verdict);
 
+/**
+ * ConfigState_History() - remembered verdict @index of an operator
+ * @index: from 0, the oldest, on
+ *
+ * Return: 0 with @verdict filled, or ERR_NOT_FOUND past the newest one.
+ */
+int ConfigState_History(const ConfigState *this, Str author, size_t index,
+                        ConfigVerdict *verdict);
+
 /** ConfigState_WriteSnapshot() - append the whole state, see Snapshot.h */
 int ConfigState_WriteSnapshot(const ConfigState *this, GString *out);
 
--- a/packages/net/Admin.c
+++ b/packages/net/Admin.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "AdminReads.h"
+#include "AdminRoutes.h"
 
 #define BODY_MAX_BYTES 4096
 
@@ -191,58 +192,54 @@
 
 /* ---- signed calls ---------------------------------------------------- */
 
-static ConfigKind
-kind_of_path(Str path)
+static json_t *
+read_route(Admin *this, const AdminRoute *route, Str rest,
+           const AdminQuery *query, const ConfigObject *operator_,
+           Error *error)
 {
-    static const struct {
-        const char *path;
-        ConfigKind kind;
-    } kinds[] = {
-        {"/v1/lines", CONFIG_LINE},         {"/v1/services", CONFIG_SERVICE},
-        {"/v1/callers", CONFIG_CALLER},     {"/v1/selectors", CONFIG_SELECTOR},
-        {"/v1/operators", CONFIG_OPERATOR},
-    };
+    const AdminOptions *options = &this->options;
 
-    for (size_t i = 0; i < G_N_ELEMENTS(kinds); i++) {
-        if (Str_Equal(path, Str_FromC(kinds[i].path))) {
-            return kinds[i].kind;
-        }
+    switch (route->action) {
+    case ADMIN_OBJECTS:
+        return AdminReads_Objects(options, route->kind, query, operator_);
+    case ADMIN_STATUS:
+        return AdminReads_Status(options);
+    case ADMIN_HOSTS:
+        return AdminReads_Hosts(options, query);
+    case ADMIN_UPSTREAMS:
+        return AdminReads_Upstreams(options, query, error);
+    case ADMIN_SHARES:
+        return AdminReads_Shares(options, query, operator_, error);
+    case ADMIN_QUARANTINE:
+        return AdminReads_Quarantine(options, query, operator_, error);
+    case ADMIN_EXPLAIN:
+        return AdminReads_Explain(options, query, operator_, error);
+    case ADMIN_PUBLICATION:
+        return AdminReads_Publication(options, rest, operator_);
+    default:
+        return NULL;
     }
-    return CONFIG_KINDS;
 }
 
-static json_t *
-read_path(Admin *this, Str path, const AdminQuery *query,
-          const ConfigObject *operator_, Error *error)
+static void
+answer_read(Admin *this, HttpRequest *request, const AdminRoute *route,
+            Str rest, Str fields, const ConfigObject *operator_)
 {
-    const AdminOptions *options = &this->options;
-    ConfigKind kind = kind_of_path(path);
-    Str prefix = STR("/v1/publications/");
+    Error error = {.code = ERR_NOT_FOUND, .text = "no such resource"};
+    AdminQuery query;
+    json_t *root;
 
-    if (kind != CONFIG_KINDS) {
-        return AdminReads_Objects(options, kind, query, operator_);
-    }
-    if (Str_Equal(path, STR("/v1/status"))) {
-        return AdminReads_Status(options);
-    }
-    if (Str_Equal(path, STR("/v1/upstreams"))) {
-        return AdminReads_Upstreams(options, query);
-    }
-    if (Str_Equal(path, STR("/v1/shares"))) {
-        return AdminReads_Shares(options, query, operator_);
-    }
-    if (Str_Equal(path, STR("/v1/quarantine"))) {
-        return AdminReads_Quarantine(options, operator_);
-    }
-    if (Str_Equal(path, STR("/v1/explain"))) {
-        return AdminReads_Explain(options, query, operator_, error);
+    if (AdminQuery_Parse(&query, fields, &error) < 0) {
+        answer_error(request, 400, Error_Name(error.code), error.text);
+        return;
     }
-    if (Str_StartsWith(path, prefix)) {
-        return AdminReads_Publication(
-            options,
-            (Str){path.data + prefix.length, path.length - prefix.length});
+    root = read_route(this, route, rest, &query, operator_, &error);
+    if (root == NULL) {
+        answer_error(request, error.code == ERR_INVALID ? 400 : 404,
+                     Error_Name(error.code), error.text);
+        return;
     }
-    return NULL;
+    answer_json(request, 200, root);
 }
 
 static void
@@ -253,11 +250,11 @@
         .target = HttpRequest_Path(request),
         .body = body,
     };
-    Error error = {.code = ERR_NOT_FOUND, .text = "no such resource"};
+    Error error;
     const ConfigObject *operator_;
-    AdminQuery query;
-    Str rest = call.target, path;
-    json_t *root;
+    const AdminRoute *route;
+    Str fields = call.target, path, rest;
+    bool known;
 
     if (OperatorAuth_Check(
             &call,
@@ -267,50 +264,48 @@
         answer_error(request, 401, Error_Name(error.code), error.text);
         return;
     }
-    Str_Split(&rest, '?', &path);
-    if (AdminQuery_Parse(&query, rest, &error) < 0) {
-        answer_error(request, 400, Error_Name(error.code), error.text);
-        return;
-    }
-    if (Str_Equal(call.method, STR("POST")) &&
-        Str_Equal(path, STR("/v1/quarantine/release"))) {
-        release_quarantine(this, request, body, operator_);
-        return;
-    }
-    if (!Str_Equal(call.method, STR("GET"))) {
+    Str_Split(&fields, '?', &path);
+    route = AdminRoute_Find(call.method, path, &rest, &known);
+    if (route == NULL && known) {
         answer_error(request, 405, "method-not-allowed",
                      "changes are published through the log");
-        return;
     }
-    root = read_path(this, path, &query, operator_, &error);
-    if (root == NULL) {
-        answer_error(request, 404, Error_Name(error.code), error.text);
-        return;
+    else if (route == NULL) {
+        answer_error(request, 404, Error_Name(ERR_NOT_FOUND),
+                     "no such resource");
+    }
+    else if (route->action == ADMIN_RELEASE) {
+        release_quarantine(this, request, body, operator_);
+    }
+    else {
+        answer_read(this, request, route, rest, fields, operator_);
     }
-    answer_json(request, 200, root);
 }
 
 static bool
 answer_open(Admin *this, HttpRequest *request)
 {
-    Str path = HttpRequest_Path(request);
+    Str rest;
+    bool known;
+    const AdminRoute *route = AdminRoute_Find(
+        HttpRequest_Method(request), HttpRequest_Path(request), &rest, &known);
 
-    if (!Str_Equal(HttpRequest_Method(request), STR("GET"))) {
+    if (route == NULL) {
         return false;
     }
-    if (Str_Equal(path, STR("/healthz"))) {
+    switch (route->action) {
+    case ADMIN_HEALTH:
         answer_text(request, 200, "text/plain", STR("ok\n"));
         return true;
-    }
-    if (Str_Equal(path, STR("/readyz"))) {
+    case ADMIN_READY:
         answer_ready(this, request);
         return true;
-    }
-    if (Str_Equal(path, STR("/metrics"))) {
+    case ADMIN_METRICS:
         answer_metrics(this, request);
         return true;
+    default:
+        return false;
     }
-    return false;
 }
 
 /* ---- server ---------------------------------------------------------- */
--- a/packages/net/AdminReads.c
+++ b/packages/net/AdminReads.c
@@ -4,7 +4,7 @@
 #include <string.h>
 
 #define SUBSET_MAX 64
-#define QUARANTINE_MAX 200
+#define HOSTS_MAX 1024
 
 static json_t *
 json_str(Str text)
@@ -27,6 +27,9 @@
         else if (Str_Equal(key, STR("caller"))) {
             this->caller = field;
         }
+        else if (Str_Equal(key, STR("name"))) {
+            this->name = field;
+        }
         else if (Str_Equal(key, STR("after"))) {
             this->after = field;
         }
@@ -56,7 +59,7 @@
                         json_str(options->settings->deployment));
     json_object_set_new(root, "domain", json_str(options->settings->domain));
     json_object_set_new(root, "version", json_string(AGATECRANK_VERSION));
-    json_object_set_new(root, "ready", json_boolean(sync.ready));
+    json_object_set_new(root, "ready", json_boolean(*options->ready));
     json_object_set_new(root, "reason", json_string(sync.reason));
     json_object_set_new(root, "config_offset",
                         json_integer((json_int_t)sync.offset));
@@ -155,6 +158,28 @@
     return root;
 }
 
+/* Position of the first entry of a page, for lists without names. */
+static int
+parse_position(Str text, uint64_t *position, Error *error)
+{
+    *position = 0;
+    if (text.length > 0 && Str_ParseU64(text, position) < 0) {
+        return Error_Set(error, ERR_INVALID, "admin-query", STR(""),
+                         "after must be the next of an earlier page");
+    }
+    return 0;
+}
+
+static bool
+is_drained(const AdminOptions *options, const DirectoryUpstream *upstream)
+{
+    const ConfigService *service = ConfigState_FindService(
+        options->config, NameTable_Name(Balancer_Services(options->balancer),
+                                        upstream->service));
+
+    return service != NULL && StrList_Has(&service->drained, upstream->id);
+}
+
 static json_t *
 write_upstream(const AdminOptions *options, const DirectoryUpstream *upstream)
 {
@@ -170,6 +195,8 @@
         item, "address",
         json_sprintf("%s:%u", upstream->address, upstream->port));
     json_object_set_new(item, "leaving", json_boolean(upstream->leaving));
+    json_object_set_new(item, "drained",
+                        json_boolean(is_drained(options, upstream)));
     json_object_set_new(
         item, "inflight",
         json_integer(Router_Inflight(Balancer_Router(options->balancer),
@@ -182,28 +209,44 @@
     return item;
 }
 
+static bool
+matches(const AdminOptions *options, const AdminQuery *query,
+        const DirectoryUpstream *upstream)
+{
+    Str service;
+
+    if (upstream == NULL || !upstream->present) {
+        return false;
+    }
+    service = NameTable_Name(Balancer_Services(options->balancer),
+                             upstream->service);
+    return (query->service.length == 0 ||
+            Str_Equal(query->service, service)) &&
+           (query->name.length == 0 || Str_Equal(query->name, upstream->id));
+}
+
 json_t *
-AdminReads_Upstreams(const AdminOptions *options, const AdminQuery *query)
+AdminReads_Upstreams(const AdminOptions *options, const AdminQuery *query,
+                     Error *error)
 {
-    json_t *root = json_object(), *items = json_array();
     const Directory *directory = Balancer_Directory(options->balancer);
-    uint64_t start = 0;
+    json_t *root, *items;
+    uint64_t start;
 
-    if (query->after.length > 0 && Str_ParseU64(query->after, &start) < 0) {
-        start = 0;
+    if (parse_position(query->after, &start, error) < 0) {
+        return NULL;
     }
-    for (uint32_t i = (uint32_t)start; i < Directory_Limit(directory); i++) {
-        const DirectoryUpstream *upstream = Directory_At(directory, i);
-
-        if (upstream == NULL || !upstream->present ||
-            (query->service.length > 0 &&
-             !Str_Equal(query->service,
-                        NameTable_Name(Balancer_Services(options->balancer),
-                                       upstream->service)))) {
+    root = json_object();
+    items = json_array();
+    for (uint64_t i = start; i < Directory_Limit(directory); i++) {
+        const DirectoryUpstream *upstream =
+            Directory_At(directory, (uint32_t)i);
+
+        if (!matches(options, query, upstream)) {
             continue;
         }
         if (json_array_size(items) >= query->limit) {
-            json_object_set_new(root, "next", json_sprintf("%u", i));
+            json_object_set_new(root, "next", json_sprintf("%u", (uint32_t)i));
             break;
         }
         json_array_append_new(items, write_upstream(options, upstream));
@@ -212,6 +255,46 @@
     return root;
 }
 
+static json_t *
+write_host(const HostView *view)
+{
+    static const char *const states[] = {"live", "suspect", "leaving",
+                                         "removed"};
+    json_t *item = json_object();
+
+    json_object_set_new(item, "id", json_str(view->id));
+    json_object_set_new(item, "domain", json_str(view->domain));
+    json_object_set_new(item, "state", json_string(states[view->state]));
+    json_object_set_new(
+        item, "age_ms",
+        json_integer(view->self ? 0 : view->silent / MICROS_PER_MS));
+    json_object_set_new(item, "self", json_boolean(view->self));
+    return item;
+}
+
+json_t *
+AdminReads_Hosts(const AdminOptions *options, const AdminQuery *query)
+{
+    HostView *views = g_new(HostView, HOSTS_MAX);
+    size_t n = Membership_Live(PeerExchange_Membership(options->peers), views,
+                               HOSTS_MAX);
+    json_t *root = json_object(), *items = json_array();
+
+    for (size_t i = 0; i < n; i++) {
+        if (compare(views[i].id, query->after) <= 0) {
+            continue;
+        }
+        if (json_array_size(items) >= query->limit) {
+            json_object_set_new(root, "next", json_str(views[i - 1].id));
+            break;
+        }
+        json_array_append_new(items, write_host(&views[i]));
+    }
+    json_object_set_new(root, "items", items);
+    g_free(views);
+    return root;
+}
+
 static json_t *
 write_share(const AdminOptions *options, uint32_t service, uint32_t line)
 {
@@ -241,70 +324,117 @@
     return item;
 }
 
+static bool
+share_visible(const AdminOptions *options, const AdminQuery *query,
+              const ConfigObject *operator_, uint32_t service, uint32_t line)
+{
+    return (query->service.length == 0 ||
+            Str_Equal(query->service,
+                      NameTable_Name(Balancer_Services(options->balancer),
+                                     service))) &&
+           OperatorAuth_MayUseLine(
+               operator_,
+               NameTable_Name(Balancer_Lines(options->balancer), line));
+}
+
+/* Pages go by service index times LINES_SPAN plus line index, so that a line
+ * that appears between two pages moves no entry. */
+#define LINES_SPAN 1000000
+
 json_t *
 AdminReads_Shares(const AdminOptions *options, const AdminQuery *query,
-                  const ConfigObject *operator_)
+                  const ConfigObject *operator_, Error *error)
 {
-    json_t *root = json_object(), *items = json_array();
-    NameTable *services = Balancer_Services(options->balancer);
-    NameTable *lines = Balancer_Lines(options->balancer);
+    uint32_t services = NameTable_Count(Balancer_Services(options->balancer));
+    uint32_t lines = NameTable_Count(Balancer_Lines(options->balancer));
+    json_t *root, *items;
+    uint64_t start;
 
-    for (uint32_t s = 0; s < NameTable_Count(services); s++) {
-        if (query->service.length > 0 &&
-            !Str_Equal(query->service, NameTable_Name(services, s))) {
-            continue;
-        }
-        for (uint32_t l = 0; l < NameTable_Count(lines); l++) {
-            json_t *item;
+    if (parse_position(query->after, &start, error) < 0) {
+        return NULL;
+    }
+    root = json_object();
+    items = json_array();
+    for (uint64_t s = start / LINES_SPAN; s < services; s++) {
+        uint64_t l = s == start / LINES_SPAN ? start % LINES_SPAN : 0;
 
-            if (json_array_size(items) >= query->limit ||
-                !OperatorAuth_MayUseLine(operator_,
-                                         NameTable_Name(lines, l))) {
+        for (; l < lines; l++) {
+            json_t *item = NULL;
+
+            if (share_visible(options, query, operator_, (uint32_t)s,
+                              (uint32_t)l)) {
+                item = write_share(options, (uint32_t)s, (uint32_t)l);
+            }
+            if (item == NULL) {
                 continue;
             }
-            item = write_share(options, s, l);
-            if (item != NULL) {
-                json_array_append_new(items, item);
+            if (json_array_size(items) >= query->limit) {
+                json_decref(item);
+                json_object_set_new(
+                    root, "next",
+                    json_sprintf("%" G_GUINT64_FORMAT, s * LINES_SPAN + l));
+                s = services;
+                break;
             }
+            json_array_append_new(items, item);
         }
     }
     json_object_set_new(root, "items", items);
     return root;
 }
 
-json_t *
-AdminReads_Quarantine(const AdminOptions *options,
-                      const ConfigObject *operator_)
+static json_t *
+write_quarantine(const QuarantineItem *entry, Str line)
 {
-    QuarantineItem found[QUARANTINE_MAX];
-    size_t n = Quarantine_List(Balancer_Quarantine(options->balancer), found,
-                               QUARANTINE_MAX);
-    json_t *root = json_object(), *items = json_array();
+    json_t *item = json_object();
 
-    for (size_t i = 0; i < n; i++) {
+    json_object_set_new(item, "line", json_str(line));
+    json_object_set_new(
+        item, "fingerprint",
+        json_sprintf("%016" G_GINT64_MODIFIER "x%016" G_GINT64_MODIFIER "x",
+                     entry->fingerprint.high, entry->fingerprint.low));
+    json_object_set_new(item, "losses", json_integer(entry->losses));
+    json_object_set_new(
+        item, "refused",
+        json_boolean(entry->losses >= QUARANTINE_LOSSES && !entry->released));
+    json_object_set_new(item, "age_ms",
+                        json_integer(entry->age / MICROS_PER_MS));
+    return item;
+}
+
+json_t *
+AdminReads_Quarantine(const AdminOptions *options, const AdminQuery *query,
+                      const ConfigObject *operator_, Error *error)
+{
+    Quarantine *quarantine = Balancer_Quarantine(options->balancer);
+    size_t max = Quarantine_Entries(quarantine);
+    json_t *root, *items;
+    QuarantineItem *found;
+    uint64_t start;
+    size_t n;
+
+    if (parse_position(query->after, &start, error) < 0) {
+        return NULL;
+    }
+    root = json_object();
+    items = json_array();
+    found = g_new0(QuarantineItem, max + 1);
+    n = Quarantine_List(quarantine, found, max);
+    for (uint64_t i = start; i < n; i++) {
         Str line = NameTable_Name(Balancer_Lines(options->balancer),
                                   found[i].fingerprint.line);
-        json_t *item;
 
         if (!OperatorAuth_MayUseLine(operator_, line)) {
             continue;
         }
-        item = json_object();
-        json_object_set_new(item, "line", json_str(line));
-        json_object_set_new(item, "fingerprint",
-                            json_sprintf("%016" G_GINT64_MODIFIER
-                                         "x%016" G_GINT64_MODIFIER "x",
-                                         found[i].fingerprint.high,
-                                         found[i].fingerprint.low));
-        json_object_set_new(item, "losses", json_integer(found[i].losses));
-        json_object_set_new(
-            item, "refused",
-            json_boolean(found[i].losses >= QUARANTINE_LOSSES &&
-                         !found[i].released));
-        json_object_set_new(item, "age_ms",
-                            json_integer(found[i].age / MICROS_PER_MS));
-        json_array_append_new(items, item);
+        if (json_array_size(items) >= query->limit) {
+            json_object_set_new(root, "next",
+                                json_sprintf("%" G_GUINT64_FORMAT, i));
+            break;
+        }
+        json_array_append_new(items, write_quarantine(&found[i], line));
     }
+    g_free(found);
     json_object_set_new(root, "items", items);
     return root;
 }
@@ -325,7 +455,7 @@
     for (size_t i = 0; i < n; i++) {
         const DirectoryUpstream *upstream = Directory_At(directory, subset[i]);
 
-        if (upstream != NULL &&
+        if (upstream != NULL && !is_drained(options, upstream) &&
             Labels_Match(&admitted->upstreams, &upstream->labels)) {
             json_array_append_new(items, write_upstream(options, upstream));
         }
@@ -375,15 +505,23 @@
     return root;
 }
 
+static bool
+may_read(const ConfigObject *operator_, Str author)
+{
+    return operator_ == NULL || ConfigObject_IsGlobalOperator(operator_) ||
+           Str_Equal(operator_->name, author);
+}
+
 json_t *
-AdminReads_Publication(const AdminOptions *options, Str path)
+AdminReads_Publication(const AdminOptions *options, Str path,
+                       const ConfigObject *operator_)
 {
     ConfigVerdict verdict;
     json_t *root = NULL;
     Str author;
 
     ConfigVerdict_Init(&verdict);
-    if (Str_Split(&path, '/', &author) &&
+    if (Str_Split(&path, '/', &author) && may_read(operator_, author) &&
         ConfigState_Verdict(options->config, author, path, &verdict) == 0) {
         root = json_object();
         json_object_set_new(root, "author", json_str(author));
--- a/packages/net/AdminReads.h
+++ b/packages/net/AdminReads.h
@@ -9,11 +9,12 @@
 /**
  * struct AdminQuery_ - query part of a read
  * @limit: entries to return, at most ADMIN_LIMIT_MAX
- * @after: name after which to go on
+ * @after: value of "next" of the page before, empty for the first page
  */
 typedef struct AdminQuery_ {
     Str service;
     Str caller;
+    Str name;
     Str after;
     uint64_t limit;
 } AdminQuery;
@@ -34,15 +35,19 @@
 
 /** AdminReads_Upstreams() - upstreams with what the router knows */
 json_t *AdminReads_Upstreams(const AdminOptions *options,
-                             const AdminQuery *query);
+                             const AdminQuery *query, Error *error);
+
+/** AdminReads_Hosts() - members of the deployment as this host sees them */
+json_t *AdminReads_Hosts(const AdminOptions *options, const AdminQuery *query);
 
 /** AdminReads_Shares() - share and demand of the operator's lines */
 json_t *AdminReads_Shares(const AdminOptions *options, const AdminQuery *query,
-                          const ConfigObject *operator_);
+                          const ConfigObject *operator_, Error *error);
 
 /** AdminReads_Quarantine() - fingerprints of the operator's lines */
 json_t *AdminReads_Quarantine(const AdminOptions *options,
-                              const ConfigObject *operator_);
+                              const AdminQuery *query,
+                              const ConfigObject *operator_, Error *error);
 
 /**
  * AdminReads_Explain() - why a caller's request would go where
@@ -54,7 +59,15 @@
                            const AdminQuery *query,
                            const ConfigObject *operator_, Error *error);
 
-/** AdminReads_Publication() - verdict of "AUTHOR/ID", NULL if unknown */
-json_t *AdminReads_Publication(const AdminOptions *options, Str path);
+/**
+ * AdminReads_Publication() - verdict of "AUTHOR/ID"
+ *
+ * A refusal's text may show objects of any line, so an operator sees only its
+ * own publications, a global one all.
+ *
+ * Return: NULL if it is unknown or not to be seen.
+ */
+json_t *AdminReads_Publication(const AdminOptions *options, Str path,
+                               const ConfigObject *operator_);
 
 #endif
