net: notice callers that go away while their answer is pending

Cause: libwebsockets 4.1.6 does not read a connection while its answer is awaited, but polls it.

HttpServer stops reading once a request is whole and lifts that for each write, since a connection with reading stopped does not write either; an answer to a paused upload was blocked by the same rule. LoopTimer uses libev's timers.

--- a/packages/net/HttpServer.c
+++ b/packages/net/HttpServer.c
@@ -1,5 +1,7 @@
 #include "HttpServer.h"
 
+#include "CloseWatch.h"
+
 #include <arpa/inet.h>
 #include <errno.h>
 #include <glib.h>
@@ -26,6 +28,7 @@
 struct HttpServer_ {
     Loop *loop;
     struct lws_vhost *vhost;
+    CloseWatch *watch;
     struct lws_protocols protocols[2];
     HttpServerHandlers handlers;
     void *user;
@@ -55,6 +58,11 @@
     int64_t answer_written;
     GByteArray *buffer;
     size_t buffer_sent;
+    int fd;
+    bool body_paused;  /* by the owner */
+    bool awaits;       /* the body is whole, the answer is not */
+    bool writing;      /* the library is asked for a chance to write */
+    bool flow_stopped; /* the library was told not to read */
     bool finished;
     bool aborted;
     bool is_head;
@@ -77,6 +85,65 @@
     {WSI_TOKEN_OPTIONS_URI, "OPTIONS"},
 };
 
+/* While an answer is awaited the library polls for bytes that it does not
+ * read, such as a pipelined request or the end of the stream: it would spin,
+ * and run no timer of its own meanwhile. A connection that is told not to read
+ * does not write either, so that is lifted for each write. */
+static void
+update_flow(HttpRequest *this)
+{
+    bool stop = (this->body_paused || this->awaits) && !this->writing;
+
+    if (stop == this->flow_stopped || Loop_IsClosing(this->server->loop)) {
+        return;
+    }
+    this->flow_stopped = stop;
+    lws_rx_flow_control(this->wsi, stop ? 0 : 1);
+}
+
+static void
+start_waiting(HttpRequest *this)
+{
+    this->awaits = true;
+    update_flow(this);
+}
+
+static void
+ask_writable(HttpRequest *this)
+{
+    if (this->aborted || Loop_IsClosing(this->server->loop)) {
+        return;
+    }
+    this->writing = true;
+    update_flow(this);
+    lws_callback_on_writable(this->wsi);
+}
+
+/* The caller closed, or takes bytes again. */
+static void
+notice_caller(void *user, void *connection, bool closed)
+{
+    HttpRequest *request = connection;
+
+    if (closed) {
+        HttpRequest_Abort(request);
+    }
+    else {
+        ask_writable(request);
+    }
+}
+
+/* Waits for the caller to take bytes, or for more of the answer. */
+static void
+rest_from_writing(HttpRequest *this, bool more)
+{
+    this->writing = false;
+    update_flow(this);
+    if (more) {
+        CloseWatch_Start(this->server->watch, this->fd, this, true);
+    }
+}
+
 static void
 append_encoded(GString *out, const char *text, size_t length)
 {
@@ -169,6 +236,7 @@
     read_path(this);
     read_certificate(this);
     this->is_head = g_str_equal(this->method->str, "HEAD");
+    this->fd = lws_get_socket_fd(wsi);
     server->open_requests++;
     return this;
 }
@@ -178,6 +246,7 @@
 {
     HttpServer *server = this->server;
 
+    CloseWatch_Stop(server->watch, this->fd);
     server->handlers.on_closed(server->user, this, complete);
     server->open_requests--;
     HeaderList_Destroy(this->headers);
@@ -257,6 +326,7 @@
 start_request(HttpServer *server, struct lws *wsi, Session *session)
 {
     HttpRequest *request = create_request(server, wsi);
+    bool known;
 
     session->request = request;
     request->content_length = HttpWire_ContentLength(request->headers);
@@ -268,6 +338,14 @@
     if (!check_request(request)) {
         return;
     }
+    known = CloseWatch_Start(server->watch, request->fd, request, false);
+    request->awaits = request->content_length == 0;
+    /* After a pipelined request the library polls for writing, and clears
+     * that only by a call that writes. */
+    if (known) {
+        ask_writable(request);
+    }
+    update_flow(request);
     server->handlers.on_request(server->user, request);
     if (request->content_length == 0 && !request->finished &&
         !request->aborted) {
@@ -294,6 +372,7 @@
 
     if (request->content_length > 0 && !request->finished &&
         !request->aborted) {
+        start_waiting(request);
         server->handlers.on_body_end(server->user, request);
     }
 }
@@ -402,6 +481,10 @@
     bool keep = body_is_whole(this) && !this->close_after;
 
     session->request = NULL;
+    if (keep) {
+        this->awaits = this->body_paused = false;
+        update_flow(this);
+    }
     destroy_request(this, true);
     if (!keep) {
         return -1;
@@ -413,6 +496,7 @@
 write_answer(HttpRequest *this, Session *session)
 {
     HttpServer *server = this->server;
+    bool more;
 
     if (this->aborted) {
         return -1;
@@ -442,9 +526,13 @@
         !this->finished) {
         server->handlers.on_drained(server->user, this);
     }
-    if (this->state == ANSWER_BODY &&
-        (pending_bytes(this) > 0 || this->finished)) {
-        lws_callback_on_writable(this->wsi);
+    more = this->state == ANSWER_BODY &&
+           (pending_bytes(this) > 0 || this->finished);
+    if (more && !lws_send_pipe_choked(this->wsi)) {
+        ask_writable(this);
+    }
+    else {
+        rest_from_writing(this, more);
     }
     return 0;
 }
@@ -604,7 +692,8 @@
         g_free(this);
         return NULL;
     }
-    if (start_listening(this, options, error) < 0) {
+    this->watch = CloseWatch_Create(loop, notice_caller, this, error);
+    if (this->watch == NULL || start_listening(this, options, error) < 0) {
         lws_vhost_destroy(this->vhost);
         g_free(this);
         return NULL;
@@ -645,6 +734,9 @@
 void
 HttpServer_Destroy(HttpServer *this)
 {
+    if (this != NULL) {
+        CloseWatch_Destroy(this->watch);
+    }
     g_free(this);
 }
 
@@ -699,17 +791,8 @@
 void
 HttpRequest_PauseBody(HttpRequest *this, bool paused)
 {
-    if (!Loop_IsClosing(this->server->loop)) {
-        lws_rx_flow_control(this->wsi, paused ? 0 : 1);
-    }
-}
-
-static void
-ask_writable(HttpRequest *this)
-{
-    if (!Loop_IsClosing(this->server->loop)) {
-        lws_callback_on_writable(this->wsi);
-    }
+    this->body_paused = paused;
+    update_flow(this);
 }
 
 void
@@ -764,6 +847,8 @@
 HttpRequest_Abort(HttpRequest *this)
 {
     this->aborted = true;
+    this->writing = false;
+    start_waiting(this);
     if (!Loop_IsClosing(this->server->loop)) {
         lws_set_timeout(this->wsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
     }
--- a/packages/net/Loop.c
+++ b/packages/net/Loop.c
@@ -25,13 +25,14 @@
     LoopSignalHandler *signal_handler;
     void *signal_user;
     GHashTable *watches; /* descriptor to wsi */
+    uint64_t turns;
     int signal_fd;
     bool stopped;
     bool closing;
 };
 
 struct LoopTimer_ {
-    lws_sorted_usec_list_t entry; /* first member: cast back in timer_fired */
+    struct ev_timer event;
     Loop *loop;
     LoopHandler *handler;
     void *user;
@@ -169,6 +170,7 @@
     this->stopped = false;
     while (!this->stopped) {
         ev_run(this->events, EVRUN_ONCE);
+        this->turns++;
     }
 }
 
@@ -179,6 +181,12 @@
     ev_break(this->events, EVBREAK_ONE);
 }
 
+uint64_t
+Loop_Turns(const Loop *this)
+{
+    return this->turns;
+}
+
 struct lws_context *
 Loop_Context(Loop *this)
 {
@@ -257,9 +265,9 @@
 }
 
 static void
-timer_fired(lws_sorted_usec_list_t *entry)
+timer_fired(struct ev_loop *events, struct ev_timer *event, int revents)
 {
-    LoopTimer *this = (LoopTimer *)(void *)entry;
+    LoopTimer *this = event->data;
 
     this->handler(this->user);
 }
@@ -272,22 +280,38 @@
     this->loop = loop;
     this->handler = handler;
     this->user = user;
+    ev_init(&this->event, timer_fired);
+    this->event.data = this;
     return this;
 }
 
+/* Not the library's timers: with libev they run only in a turn without any
+ * event, so never on a busy host or beside a descriptor it does not read. */
 void
 LoopTimer_Start(LoopTimer *this, Micros delay)
 {
-    if (!this->loop->closing) {
-        lws_sul_schedule(this->loop->context, 0, &this->entry, timer_fired,
-                         delay > 0 ? delay : 1);
+    struct ev_loop *events = this->loop->events;
+    double passed;
+
+    if (this->loop->closing) {
+        return;
     }
+    ev_timer_stop(events, &this->event);
+    /* libev counts from the start of the turn. */
+    passed = ev_time() - ev_now(events);
+    ev_timer_set(&this->event,
+                 (double)(delay > 0 ? delay : 1) / MICROS_PER_S +
+                     (passed > 0 ? passed : 0),
+                 0.);
+    ev_timer_start(events, &this->event);
 }
 
 void
 LoopTimer_Stop(LoopTimer *this)
 {
-    lws_sul_cancel(&this->entry);
+    if (!this->loop->closing) {
+        ev_timer_stop(this->loop->events, &this->event);
+    }
 }
 
 void
--- a/packages/net/Loop.h
+++ b/packages/net/Loop.h
@@ -47,6 +47,9 @@
 /** Loop_Stop() - let Loop_Run() return after the current handler */
 void Loop_Stop(Loop *this);
 
+/** Loop_Turns() - times the loop woke up; a fast rise shows that it spins */
+uint64_t Loop_Turns(const Loop *this);
+
 /** Loop_Context() - the library's context, for the HTTP objects */
 struct lws_context *Loop_Context(Loop *this);
 
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -1,6 +1,9 @@
+#include <arpa/inet.h>
 #include <glib.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "HttpFetch.h"
 #include "HttpServer.h"
@@ -26,6 +29,8 @@
     uint64_t order;
     uint64_t slow_order;
     size_t server_closed_early;
+    size_t requests;
+    bool stop_on_close;
     char echoed[256];
 } Fixture;
 
@@ -69,6 +74,7 @@
     HeaderList *headers = HeaderList_Create();
     Str path = HttpRequest_Path(request);
 
+    f->requests++;
     HttpRequest_SetData(request, NULL);
     if (Str_Equal(path, STR("/many"))) {
         f->to_write = MANY_BYTES;
@@ -107,6 +113,9 @@
 {
     size_t *received = HttpRequest_Data(request);
 
+    if (!Str_Equal(HttpRequest_Path(request), STR("/upload"))) {
+        return;
+    }
     for (size_t i = 0; i < data.length; i++) {
         g_assert_cmpint(data.data[i], ==, pattern_at(*received + i));
     }
@@ -149,6 +158,9 @@
     if (!complete) {
         f->server_closed_early++;
     }
+    if (f->stop_on_close) {
+        Loop_Stop(f->loop);
+    }
     if (Str_Equal(HttpRequest_Path(request), STR("/upload"))) {
         g_free(HttpRequest_Data(request));
     }
@@ -399,6 +411,119 @@
     tear_down(&f);
 }
 
+static int
+connect_raw(const Fixture *f, const char *bytes)
+{
+    struct sockaddr_in place = {.sin_family = AF_INET};
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+    place.sin_port = htons(HttpServer_Port(f->server));
+    place.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    g_assert_cmpint(connect(fd, (struct sockaddr *)&place, sizeof(place)), ==,
+                    0);
+    g_assert_cmpint(send(fd, bytes, strlen(bytes), MSG_NOSIGNAL), ==,
+                    (ssize_t)strlen(bytes));
+    return fd;
+}
+
+static void
+stop_loop(void *user)
+{
+    Loop_Stop(user);
+}
+
+static void
+run_for(Fixture *f, Micros time)
+{
+    LoopTimer *timer = LoopTimer_Create(f->loop, stop_loop, f->loop);
+
+    LoopTimer_Start(timer, time);
+    Loop_Run(f->loop);
+    LoopTimer_Destroy(timer);
+}
+
+#define HEAD(method, path) method " " path " HTTP/1.1\r\nhost: a\r\n"
+/* A loop that spins makes tens of thousands of turns in this time. */
+#define IDLE_TIME (300 * MICROS_PER_MS)
+#define IDLE_TURNS 200
+
+/* Guards against a request that goes on after its caller went away, and
+ * against a loop that spins on a connection it does not read from. */
+static void
+test_caller_goes_away(void)
+{
+    static const struct {
+        const char *name;
+        const char *bytes;
+        bool at_once;
+        size_t requests;
+    } cases[] = {
+        {"idle", HEAD("GET", "/silent") "\r\n", false, 1},
+        {"at-once", HEAD("GET", "/silent") "\r\n", true, 1},
+        {"with-body", HEAD("PUT", "/silent") "content-length: 2\r\n\r\nab",
+         false, 1},
+        {"body-not-whole",
+         HEAD("PUT", "/silent") "content-length: 9\r\n\r\nab", false, 1},
+        {"pipelined", HEAD("GET", "/silent") "\r\n" HEAD("GET", "/x") "\r\n",
+         false, 1},
+        {"pipelined-at-once",
+         HEAD("GET", "/silent") "\r\n" HEAD("GET", "/x") "\r\n", true, 1},
+        {"reused", HEAD("GET", "/x") "\r\n" HEAD("GET", "/silent") "\r\n",
+         false, 2},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        Fixture f;
+        uint64_t turns;
+        int fd;
+
+        set_up(&f);
+        g_test_message("%s", cases[i].name);
+        fd = connect_raw(&f, cases[i].bytes);
+        if (!cases[i].at_once) {
+            run_for(&f, IDLE_TIME);
+            turns = Loop_Turns(f.loop);
+            g_assert_cmpuint(f.requests, ==, cases[i].requests);
+            g_assert_cmpuint(turns, <, IDLE_TURNS);
+        }
+        close(fd);
+        f.stop_on_close = true;
+        run_for(&f, TEST_TIMEOUT);
+        g_assert_cmpuint(f.server_closed_early, ==, 1);
+        turns = Loop_Turns(f.loop);
+        run_for(&f, IDLE_TIME);
+        g_assert_cmpuint(Loop_Turns(f.loop) - turns, <, IDLE_TURNS);
+        tear_down(&f);
+    }
+}
+
+/* Guards against a pipelined request that is lost or run out of turn. */
+static void
+test_pipelined(void)
+{
+    static const char bytes[] = HEAD("GET", "/slow") "\r\n" HEAD(
+        "GET", "/x") "connection: close\r\n\r\n";
+    char answer[2048];
+    size_t length = 0;
+    ssize_t n;
+    Fixture f;
+    int fd;
+
+    set_up(&f);
+    fd = connect_raw(&f, bytes);
+    run_for(&f, 2 * IDLE_TIME);
+    while ((n = recv(fd, answer + length, sizeof(answer) - 1 - length,
+                     MSG_DONTWAIT)) > 0) {
+        length += (size_t)n;
+    }
+    answer[length] = '\0';
+    g_test_message("%s", answer);
+    g_assert_nonnull(strstr(answer, "slow"));
+    g_assert_nonnull(strstr(strstr(answer, "slow"), "hello"));
+    close(fd);
+    tear_down(&f);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -413,5 +538,7 @@
     g_test_add_func("/net/http/stop-listening", test_stop_listening);
     g_test_add_func("/net/http/connection-reuse", test_connection_reuse);
     g_test_add_func("/net/http/silent-peer", test_silent_peer);
+    g_test_add_func("/net/http/caller-goes-away", test_caller_goes_away);
+    g_test_add_func("/net/http/pipelined", test_pipelined);
     return g_test_run();
 }
