net: Loop_Turn for programs that wait for their own condition

test_peer_link drove the loop through lws_service(), which returned after each turn only because the library's timers ended it. With libev's own timers it never returned, and the test hung.

--- a/packages/net/Loop.c
+++ b/packages/net/Loop.c
@@ -164,13 +164,19 @@
     g_free(this);
 }
 
+void
+Loop_Turn(Loop *this)
+{
+    ev_run(this->events, EVRUN_ONCE);
+    this->turns++;
+}
+
 void
 Loop_Run(Loop *this)
 {
     this->stopped = false;
     while (!this->stopped) {
-        ev_run(this->events, EVRUN_ONCE);
-        this->turns++;
+        Loop_Turn(this);
     }
 }
 
--- a/packages/net/Loop.h
+++ b/packages/net/Loop.h
@@ -44,6 +44,9 @@
 /** Loop_Run() - serve until Loop_Stop() */
 void Loop_Run(Loop *this);
 
+/** Loop_Turn() - wait for events once and handle them */
+void Loop_Turn(Loop *this);
+
 /** Loop_Stop() - let Loop_Run() return after the current handler */
 void Loop_Stop(Loop *this);
 
--- /dev/null
+++ b/tests/test_hardening.sh
@@ -0,0 +1,95 @@
+#!/usr/bin/env bash
+# Hostile and careless callers against a real balancer host. What an upstream
+# ran is taken from its journal; no verdict comes from timing.
+set -uo pipefail
+cd "$(dirname "$0")/.."
+. scripts/deployment.sh
+deployment_init "$1"
+
+LARGE_BYTES=67108864
+# Target of the task: growth of the peak resident size with 64 MiB both ways.
+GROWTH_MAX_KB=16384
+
+fail() { echo "not ok: $*"; KEEP_WORK=1; exit 1; }
+
+setup() {
+    start_platform || fail "platform"
+    operator_settings amina || fail "keygen"
+    add_upstreams desk claims-desk 1 "lac-a" --slots 6 --queue 12 \
+        --service-ms 2 --seed 5 || fail "upstreams"
+    start_host tunis-1 lac-a || fail "start"
+    publish_hosts
+    first_configuration | sed -e 's/^require_key = true/require_key = false/' \
+        -e 's/"GET", "HEAD"/"GET", "HEAD", "PUT"/' \
+        -e 's/^deadline_ms = .*/deadline_ms = 60000/' >"$WORK/first.toml"
+    "$BIN/packages/agatecrank/agatecrank" publish -c "$WORK/amina.toml" \
+        "$WORK/first.toml" >"$WORK/publish.txt" || fail "publish"
+    wait_http "$(admin_port tunis-1)" /readyz || fail "not ready"
+    TARGET=127.0.0.1:$(caller_port tunis-1)
+}
+
+ended() { grep -c "event=end.*outcome=$1" "$WORK/desk.journal"; }
+
+# wait_journal PATTERN: until the upstream has written a line like that
+wait_journal() {
+    local i
+    for i in $(seq 200); do
+        grep -q "$1" "$WORK/desk.journal" && return 0
+        sleep 0.05
+    done
+    return 1
+}
+
+# Guards against a request that runs on upstream after its caller went away.
+caller_goes_away() {
+    exec 8<>"/dev/tcp/127.0.0.1/$(caller_port tunis-1)" || fail "connect"
+    printf 'GET /leaves HTTP/1.1\r\nHost: claims-desk\r\nAuthorization: Bearer demo-token-a\r\nx-service-ms: 30000\r\n\r\n' >&8
+    wait_journal 'event=start.*path=/leaves' || fail "the request did not start"
+    exec 8>&- 8<&-
+    wait_journal 'event=end.*outcome=cancelled' || fail "no cancellation upstream"
+    echo "ok: caller_goes_away"
+}
+
+# Guards against malformed requests that run, or that hide another request.
+malformed() {
+    timeout 100 "$BIN/standins/standin-malformed" --target "$TARGET" \
+        --service claims-desk --token demo-token-a >"$WORK/malformed.out" \
+        2>"$WORK/malformed.err"
+    sed -n 's/_met=no$//p' "$WORK/malformed.out" >"$WORK/unmet"
+    [ "$(value "$WORK/malformed.out" cases)" -ge 39 ] || fail "malformed did not run"
+    grep -q 'path=/smuggled' "$WORK/desk.journal" && fail "a hidden request ran"
+    [ -s "$WORK/unmet" ] && fail "malformed: $(tr '\n' ' ' <"$WORK/unmet")"
+    echo "ok: malformed cases=$(value "$WORK/malformed.out" cases)"
+}
+
+peak_kb() { sed -n 's/^VmHWM:[^0-9]*\([0-9]*\).*/\1/p' "/proc/$(cat "$WORK/tunis-1.pid")/status"; }
+
+# large NAME COUNT BYTES: PUT requests with bodies of that size both ways
+large() {
+    timeout 100 "$BIN/standins/standin-caller" --targets "$TARGET" \
+        --service claims-desk --token demo-token-a --path /policy/42 \
+        --methods PUT:1 --rate 2 --count "$2" --large-share 1 \
+        --large-bytes "$3" --timeout-ms 60000 --fail-on-lost 1 --seed 21 \
+        >"$WORK/$1.out" 2>"$WORK/$1.err" || fail "$1: $(cat "$WORK/$1.out")"
+    [ "$(value "$WORK/$1.out" ok)" = "$2" ] || fail "$1: $(cat "$WORK/$1.out")"
+}
+
+# Guards against a host that buffers whole bodies.
+large_bodies() {
+    local before after
+    large warm 4 1048576
+    before=$(peak_kb)
+    large large 2 "$LARGE_BYTES"
+    after=$(peak_kb)
+    echo "growth_kb=$((after - before)) growth_bound_kb=$GROWTH_MAX_KB"
+    [ $((after - before)) -lt "$GROWTH_MAX_KB" ] || fail "bodies are buffered"
+    echo "ok: large_bodies"
+}
+
+setup
+for scenario in ${SCENARIOS:-caller_goes_away malformed large_bodies}; do
+    "$scenario"
+done
+grep -hE 'ERROR: AddressSanitizer|runtime error|LeakSanitizer' "$WORK"/tunis-*.err &&
+    fail "sanitizer findings"
+echo "ok: all scenarios"
