net: refuse empty lengths and names with a space before the colon

An empty field ended the search for further ones of its name, so an empty content-length or a folded transfer-encoding passed, and the library keeps 'content-length :' as an unknown field.

Change: empty fields count; the five names that matter are refused with a space or tab before the colon.

--- a/packages/net/HttpServer.c
+++ b/packages/net/HttpServer.c
@@ -289,7 +289,8 @@
                          "\"method-not-allowed\"}"));
         return false;
     }
-    if (HttpWire_CheckFraming(this->headers, &error) < 0) {
+    if (HttpWire_HasMisspelled(this->wsi) ||
+        HttpWire_CheckFraming(this->headers, &error) < 0) {
         answer_error(this, 400,
                      STR("{\"outcome\":\"not-run\",\"reason\":"
                          "\"ambiguous-framing\"}"));
--- a/packages/net/HttpWire.c
+++ b/packages/net/HttpWire.c
@@ -10,17 +10,16 @@
 add_fragments(struct lws *wsi, HeaderList *headers, Str name,
               enum lws_token_indexes token)
 {
-    for (int fragment = 0;; fragment++) {
-        int length = lws_hdr_fragment_length(wsi, token, fragment);
-        char *value;
+    int length = 0;
 
-        if (length <= 0) {
-            return;
-        }
-        value = g_malloc((gsize)length + 1);
-        length =
-            lws_hdr_copy_fragment(wsi, value, length + 1, token, fragment);
-        if (length > 0) {
+    /* An empty field counts, too: the next one of its name is a duplicate. */
+    for (int fragment = 0; length >= 0; fragment++) {
+        int bytes = lws_hdr_fragment_length(wsi, token, fragment);
+        char *value = g_malloc((gsize)MAX(bytes, 0) + 1);
+
+        length = lws_hdr_copy_fragment(wsi, value, MAX(bytes, 0) + 1, token,
+                                       fragment);
+        if (length >= 0) {
             HeaderList_Add(headers, name, (Str){value, (size_t)length});
         }
         g_free(value);
@@ -71,6 +70,30 @@
     }
 }
 
+bool
+HttpWire_HasMisspelled(struct lws *wsi)
+{
+    static const char *const names[] = {
+        "content-length :",
+        "content-length\t:",
+        "transfer-encoding :",
+        "transfer-encoding\t:",
+        "host :",
+        "host\t:",
+        "authorization :",
+        "authorization\t:",
+        "idempotency-key :",
+        "idempotency-key\t:",
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
+        if (lws_hdr_custom_length(wsi, names[i], (int)strlen(names[i])) >= 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static size_t
 count_fields(const HeaderList *headers, Str name)
 {
@@ -92,6 +115,7 @@
         "transfer-encoding",
     };
     Str length = HeaderList_Get(headers, STR("content-length"));
+    bool has_length = HeaderList_Has(headers, STR("content-length"));
     uint64_t n;
 
     for (size_t i = 0; i < G_N_ELEMENTS(single); i++) {
@@ -100,12 +124,11 @@
                              "header %s is there twice", single[i]);
         }
     }
-    if (length.length > 0 &&
-        HeaderList_Has(headers, STR("transfer-encoding"))) {
+    if (has_length && HeaderList_Has(headers, STR("transfer-encoding"))) {
         return Error_Set(error, ERR_PROTOCOL, "read-request", STR(""),
                          "both content-length and transfer-encoding");
     }
-    if (length.length > 0 && (Str_ParseU64(length, &n) < 0 || n > INT64_MAX)) {
+    if (has_length && (Str_ParseU64(length, &n) < 0 || n > INT64_MAX)) {
         return Error_Set(error, ERR_PROTOCOL, "read-request", STR(""),
                          "content-length is not a whole number");
     }
--- a/packages/net/HttpWire.h
+++ b/packages/net/HttpWire.h
@@ -18,6 +18,13 @@
 void HttpWire_ReadHeaders(struct lws *wsi, HeaderList *headers,
                           const char *const *extra);
 
+/**
+ * HttpWire_HasMisspelled() - a name that matters has a space before its colon
+ *
+ * The library takes such a field for an unknown one; another parser may not.
+ */
+bool HttpWire_HasMisspelled(struct lws *wsi);
+
 /**
  * HttpWire_CheckFraming() - refuse a request whose extent is ambiguous
  *
