--- a/packages/net/AdminReads.c
+++ b/packages/net/AdminReads.c
@@ -1,6 +1,7 @@
 #include "AdminReads.h"
 
 #include <glib.h>
+#include <math.h>
 #include <string.h>
 
 #define SUBSET_MAX 64
@@ -315,7 +316,10 @@
     json_object_set_new(item, "short", json_boolean(view.short_of_capacity));
     json_object_set_new(item, "limited", json_boolean(view.limited));
     json_object_set_new(item, "demand_slots", json_real(view.demand));
-    json_object_set_new(item, "allowance_slots", json_real(view.allowance));
+    /* Without a limit the allowance is infinite, which JSON has no word for. */
+    json_object_set_new(item, "allowance_slots",
+                        isfinite(view.allowance) ? json_real(view.allowance)
+                                                 : json_null());
     json_object_set_new(item, "queued", json_integer(view.queued));
     json_object_set_new(item, "admitted",
                         json_integer((json_int_t)view.admitted));
