Run no handlers while the loop closes

Cause: the turns that the closing loop now makes called handlers of objects that their owner had destroyed already (test_peer_link, heap-use-after-free); the hardening test added PUT to a list that has it by now. Change: watches and timers are silent while closing; the test takes the common configuration.

--- a/packages/net/Loop.c
+++ b/packages/net/Loop.c
@@ -69,7 +69,8 @@
 {
     Watch *watch = wsi != NULL ? lws_get_opaque_user_data(wsi) : NULL;
 
-    if (reason == LWS_CALLBACK_RAW_RX_FILE && watch != NULL) {
+    if (reason == LWS_CALLBACK_RAW_RX_FILE && watch != NULL &&
+        !watch->loop->closing) {
         watch->handler(watch->user);
     }
     if (reason == LWS_CALLBACK_RAW_CLOSE_FILE && watch != NULL) {
@@ -304,7 +305,9 @@
 {
     LoopTimer *this = event->data;
 
-    this->handler(this->user);
+    if (!this->loop->closing) {
+        this->handler(this->user);
+    }
 }
 
 LoopTimer *
--- a/tests/test_hardening.sh
+++ b/tests/test_hardening.sh
@@ -20,7 +20,6 @@
     start_host tunis-1 lac-a || fail "start"
     publish_hosts
     first_configuration | sed -e 's/^require_key = true/require_key = false/' \
-        -e 's/"GET", "HEAD"/"GET", "HEAD", "PUT"/' \
         -e 's/^deadline_ms = .*/deadline_ms = 60000/' >"$WORK/first.toml"
     "$BIN/packages/agatecrank/agatecrank" publish -c "$WORK/amina.toml" \
         "$WORK/first.toml" >"$WORK/publish.txt" || fail "publish"
