--- a/bench/bench_hosts.sh
+++ b/bench/bench_hosts.sh
@@ -45,7 +45,7 @@
     after=$(cpu_ticks $host)
     sent=$(value "$WORK/$host.txt" sent)
     echo "host_${host}_cpu_us_per_request=$(awk -v t=$((after - before)) -v n="$sent" \
-        'BEGIN {printf "%.1f", t * 10000 / n}')"
+        'BEGIN {printf "%.1f", t * 10000 / n}')" | tee -a "$WORK/figures"
     echo "host_${host}_resident_kb=$(resident_kb $host)"
 done
 for name in direct quiet logged; do
@@ -71,6 +71,19 @@
 appends=$(http_get "$LOG_PORT" /control | tr -d ' ' | grep -oE '"appends":[0-9]+' | cut -d: -f2)
 echo "host_log_appends=$appends"
 
+# Requests that one core carries, and memory of 1,000 open connections.
+cpu=$(sed -n 's/^host_quiet_cpu_us_per_request=//p' "$WORK/figures")
+echo "host_requests_per_s_per_core=$(awk -v c="$cpu" 'BEGIN {printf "%d", 1000000 / c}')"
+ulimit -n 4096
+before=$(resident_kb quiet)
+fds=()
+for _ in $(seq 1000); do
+    exec {fd}<>"/dev/tcp/127.0.0.1/$(caller_port quiet)" && fds+=("$fd")
+done
+sleep 1
+echo "host_kb_per_1000_connections=$(($(resident_kb quiet) - before))"
+for fd in "${fds[@]}"; do exec {fd}>&-; done
+
 # Control cost while nothing is asked of the host.
 for host in quiet logged; do
     before=$(cpu_ticks $host)
