Split reports and configuration off the balancer core

Cause: Balancer.c had 1437 lines; its log lines and what it takes over from configuration and host list stand by themselves. Change: BalancerReport.c, BalancerConfig.c and a private header; no behaviour changes. Conclusion: the request flow is left in one file of 1196 lines, still long.

--- a/packages/core/Balancer.c
+++ b/packages/core/Balancer.c
@@ -2,122 +2,15 @@
 
 #include <string.h>
 
-#include "BalancerRequest.h"
+#include "BalancerPrivate.h"
 
 /* An idempotent request gets at most this part of its remaining time for one
  * attempt, so that a silent connection leaves time for another one. */
 #define ATTEMPT_TIME_SHARE 0.5
 #define RETRY_AFTER_UNAVAILABLE (1 * MICROS_PER_S)
 #define RETRY_AFTER_DEADLINE (1 * MICROS_PER_S)
-#define DEFAULT_CONNECTIONS 250
 #define SUSPECT_TIME (1 * MICROS_PER_S)
 
-typedef struct Service_ {
-    RetryBudget *retries;
-    GQueue waiting; /* BalancerRequest * whose upstreams were all full */
-} Service;
-
-struct Balancer_ {
-    BalancerOptions options;
-    ConfigState *config;
-    const Clock *clock;
-    EventLog *log;
-    Counters *counters;
-    NameTable *services;
-    NameTable *lines;
-    Directory *directory;
-    Router *router;
-    Admission *admission;
-    Quarantine *quarantine;
-    Claims *claims;
-    GPtrArray *service_states; /* Service by index */
-    GHashTable *requests;      /* id to BalancerRequest */
-    GTree *deadlines;          /* BalancerRequest by deadline and id */
-    GArray *actions;           /* BalancerAction */
-    guint next_action;
-    GString *replay; /* text of the last BALANCER_REPLAY */
-    uint64_t last_id;
-    bool ready;
-};
-
-/* ---- reports -------------------------------------------------------- */
-
-static void
-count_outcome(Balancer *this, const BalancerRequest *request, Outcome outcome,
-              const char *reason)
-{
-    CounterLabel labels[] = {
-        {"line", request->line_name},
-        {"service", NameTable_Name(this->services, request->service)},
-        {"outcome", Str_FromC(Outcome_Word(outcome))},
-        {"reason", Str_FromC(reason)},
-    };
-
-    Counters_Add(this->counters, "agatecrank_requests_total", labels,
-                 G_N_ELEMENTS(labels), 1);
-}
-
-static void
-log_route(Balancer *this, const BalancerRequest *request,
-          const RouteChoice *choice, int code)
-{
-    char text[160];
-    size_t used = 0;
-
-    if (!EventLog_Begin(this->log, LOG_LEVEL_INFO, "route")) {
-        return;
-    }
-    EventLog_Str(this->log, "request", request->request_id);
-    EventLog_Str(this->log, "line", request->line_name);
-    EventLog_Str(this->log, "service",
-                 NameTable_Name(this->services, request->service));
-    EventLog_Int(this->log, "attempt",
-                 Exchange_Attempts(request->exchange) + 1);
-    if (code < 0) {
-        EventLog_C(this->log, "choice", "none");
-        EventLog_C(this->log, "reason", Error_Name(code));
-        EventLog_End(this->log);
-        return;
-    }
-    EventLog_Str(this->log, "choice",
-                 Directory_At(this->directory, choice->upstream)->id);
-    EventLog_C(this->log, "reason", choice->reason);
-    EventLog_Int(this->log, "compared", choice->compared);
-    text[0] = '\0';
-    for (uint32_t i = 0; i < choice->candidate_count; i++) {
-        const RouteCandidate *candidate = &choice->candidates[i];
-        const DirectoryUpstream *upstream =
-            Directory_At(this->directory, candidate->upstream);
-
-        if (upstream == NULL || used >= sizeof(text) - 1) {
-            break;
-        }
-        used += (size_t)g_snprintf(
-            text + used, sizeof(text) - used, "%s" STR_FORMAT ":%.2f:%dms",
-            i > 0 ? "," : "", STR_ARGS(upstream->id), candidate->load,
-            candidate->age < 0 ? -1 : (int)(candidate->age / MICROS_PER_MS));
-    }
-    EventLog_C(this->log, "candidates", text);
-    EventLog_End(this->log);
-}
-
-static void
-log_refusal(Balancer *this, const BalancerRequest *request,
-            const BalancerAction *action)
-{
-    if (!EventLog_Begin(this->log, LOG_LEVEL_INFO, "refuse")) {
-        return;
-    }
-    EventLog_Str(this->log, "request", request->request_id);
-    EventLog_Str(this->log, "line", request->line_name);
-    EventLog_Str(this->log, "service",
-                 NameTable_Name(this->services, request->service));
-    EventLog_Int(this->log, "status", action->answer.status);
-    EventLog_C(this->log, "outcome", Outcome_Word(action->answer.outcome));
-    EventLog_C(this->log, "reason", action->answer.reason);
-    EventLog_End(this->log);
-}
-
 /* ---- life of a request ---------------------------------------------- */
 
 static BalancerRequest *
@@ -148,8 +41,8 @@
     g_free(request);
 }
 
-static Service *
-service_state(Balancer *this, uint32_t service)
+Service *
+Balancer_ServiceState(Balancer *this, uint32_t service)
 {
     while (this->service_states->len <= service) {
         Service *state = g_new0(Service, 1);
@@ -166,7 +59,7 @@
 {
     if (request->waiting) {
         request->waiting = false;
-        g_queue_remove(&service_state(this, request->service)->waiting,
+        g_queue_remove(&Balancer_ServiceState(this, request->service)->waiting,
                        request);
     }
 }
@@ -253,8 +146,8 @@
     action->answer.own = Exchange_Outcome(request->exchange);
     action->answer.reason = reason;
     action->answer.retry_after = retry_after;
-    count_outcome(this, request, outcome, reason);
-    log_refusal(this, request, action);
+    Balancer_CountOutcome(this, request, outcome, reason);
+    Balancer_LogRefusal(this, request, action);
     Exchange_OnAnswered(request->exchange);
     end_request(this, request);
 }
@@ -384,15 +277,15 @@
             Quarantine_Busy(this->quarantine, busy, G_N_ELEMENTS(busy));
     }
     code = Router_Choose(this->router, &query, &choice);
-    log_route(this, request, &choice, code);
+    Balancer_LogRoute(this, request, &choice, code);
     switch (code) {
     case 0:
         send_attempt(this, request, choice.upstream);
         return;
     case ERR_LIMIT:
         request->waiting = true;
-        g_queue_push_tail(&service_state(this, request->service)->waiting,
-                          request);
+        g_queue_push_tail(
+            &Balancer_ServiceState(this, request->service)->waiting, request);
         return;
     default:
         answer(this, request, 503, "no-upstream", RETRY_AFTER_UNAVAILABLE);
@@ -403,7 +296,7 @@
 static void
 retry_waiting(Balancer *this, uint32_t service)
 {
-    GQueue *waiting = &service_state(this, service)->waiting;
+    GQueue *waiting = &Balancer_ServiceState(this, service)->waiting;
     guint count = waiting->length;
 
     for (guint i = 0; i < count && waiting->length > 0; i++) {
@@ -444,7 +337,7 @@
     g_string_append_len(this->replay, claim->answer.data,
                         (gssize)claim->answer.length);
     action->replay = (Str){this->replay->str, this->replay->len};
-    count_outcome(this, request, OUTCOME_RAN, "replayed");
+    Balancer_CountOutcome(this, request, OUTCOME_RAN, "replayed");
     Exchange_OnAnswered(request->exchange);
     end_request(this, request);
 }
@@ -840,8 +733,8 @@
     if (query.attempts >= this->options.attempts_max) {
         return false;
     }
-    advice = RetryBudget_Ask(service_state(this, request->service)->retries,
-                             &query);
+    advice = RetryBudget_Ask(
+        Balancer_ServiceState(this, request->service)->retries, &query);
     if (EventLog_Begin(this->log, LOG_LEVEL_INFO, "retry")) {
         EventLog_Str(this->log, "request", request->request_id);
         EventLog_Int(this->log, "attempts", query.attempts);
@@ -861,10 +754,11 @@
     };
     Outcome outcome = Exchange_Outcome(request->exchange);
 
-    RetryBudget_OnSuccess(service_state(this, request->service)->retries);
+    RetryBudget_OnSuccess(
+        Balancer_ServiceState(this, request->service)->retries);
     settle_admission(this, request, busy, ADMISSION_SERVED);
     settle_claim(this, request, claim_outcome(outcome), kept);
-    count_outcome(this, request, outcome, "upstream");
+    Balancer_CountOutcome(this, request, outcome, "upstream");
     Counters_Observe(this->counters, "agatecrank_request_seconds", labels,
                      G_N_ELEMENTS(labels),
                      Clock_Now(this->clock) - request->received);
@@ -915,15 +809,16 @@
                RETRY_AFTER_UNAVAILABLE);
         return;
     case EXCHANGE_STEP_ABORT:
-        count_outcome(this, request, OUTCOME_UNKNOWN, failure_reason(end));
+        Balancer_CountOutcome(this, request, OUTCOME_UNKNOWN,
+                              failure_reason(end));
         settle_claim(this, request, CLAIM_UNKNOWN, STR(""));
         add_action(this, BALANCER_ABORT, request->id);
         end_request(this, request);
         return;
     case EXCHANGE_STEP_DROP:
     case EXCHANGE_STEP_FINISH:
-        count_outcome(this, request, Exchange_Outcome(request->exchange),
-                      "caller-gone");
+        Balancer_CountOutcome(
+            this, request, Exchange_Outcome(request->exchange), "caller-gone");
         end_request(this, request);
         return;
     }
@@ -1071,8 +966,8 @@
     if (request->claimed && Claims_Cancel(this->claims, request->id) == 0) {
         request->claimed = false;
     }
-    count_outcome(this, request, Exchange_Outcome(request->exchange),
-                  "caller-gone");
+    Balancer_CountOutcome(this, request, Exchange_Outcome(request->exchange),
+                          "caller-gone");
     end_request(this, request);
     return false;
 }
@@ -1126,149 +1021,13 @@
     Claims_OnTick(this->claims);
     for (uint32_t i = 0; i < this->service_states->len; i++) {
         take_queued(this, i);
-        if (service_state(this, i)->waiting.length > 0) {
+        if (Balancer_ServiceState(this, i)->waiting.length > 0) {
             retry_waiting(this, i);
         }
     }
     expire_requests(this);
 }
 
-/* ---- configuration and hosts ---------------------------------------- */
-
-static void
-set_service(Balancer *this, uint32_t index, const ConfigService *service)
-{
-    ServiceInfo info = {.connections = DEFAULT_CONNECTIONS};
-
-    if (service != NULL) {
-        info.connections = service->connections;
-        info.probes.requests_per_s = service->probe_requests_per_s;
-        info.probes.bytes_per_s = service->probe_bytes_per_s;
-        info.probes.time_share = service->probe_time_share;
-    }
-    Router_SetService(this->router, index, &info);
-    service_state(this, index);
-}
-
-static void
-add_to_router(Balancer *this, const DirectoryUpstream *upstream)
-{
-    const ConfigService *service = ConfigState_FindService(
-        this->config, NameTable_Name(this->services, upstream->service));
-    UpstreamInfo info = {
-        .key = Str_Hash(upstream->id),
-        .domain = upstream->domain,
-        .slots = service != NULL ? service->slots : 1,
-        .cold = this->ready,
-    };
-
-    set_service(this, upstream->service, service);
-    Router_AddUpstream(this->router, upstream->service, upstream->index,
-                       &info);
-}
-
-/* An operator's drain and the host list's both count. */
-static void
-apply_drain(Balancer *this, const DirectoryUpstream *upstream)
-{
-    const ConfigService *service = ConfigState_FindService(
-        this->config, NameTable_Name(this->services, upstream->service));
-    bool drained =
-        service != NULL && StrList_Has(&service->drained, upstream->id);
-
-    Router_SetDraining(this->router, upstream->index,
-                       drained || upstream->leaving);
-}
-
-static void
-on_directory_change(void *user, const DirectoryUpstream *upstream,
-                    DirectoryChange change)
-{
-    static const char *const words[] = {"added", "removed", "leaving",
-                                        "staying"};
-    Balancer *this = user;
-
-    switch (change) {
-    case DIRECTORY_ADDED:
-        add_to_router(this, upstream);
-        apply_drain(this, upstream);
-        break;
-    case DIRECTORY_REMOVED:
-        Router_RemoveUpstream(this->router, upstream->index);
-        break;
-    case DIRECTORY_LEAVING:
-    case DIRECTORY_STAYING:
-        apply_drain(this, upstream);
-        break;
-    }
-    if (EventLog_Begin(this->log, LOG_LEVEL_INFO, "upstream")) {
-        EventLog_Str(this->log, "upstream", upstream->id);
-        EventLog_C(this->log, "change", words[change]);
-        EventLog_End(this->log);
-    }
-}
-
-static void
-set_line(Balancer *this, const ConfigObject *selector)
-{
-    const ConfigObject *line =
-        ConfigState_Find(this->config, CONFIG_LINE, selector->selector.line);
-
-    if (line == NULL) {
-        return;
-    }
-    Admission_SetLine(
-        this->admission,
-        NameTable_Intern(this->services, selector->selector.service),
-        NameTable_Intern(this->lines, selector->selector.line),
-        (double)line->product_line.weight * selector->selector.share / 100.0);
-}
-
-void
-Balancer_OnConfigChanged(Balancer *this)
-{
-    const ConfigObject *object;
-    ConfigCursor services = {0}, selectors = {0};
-
-    while ((object = ConfigState_Next(this->config, CONFIG_SERVICE,
-                                      &services)) != NULL) {
-        set_service(this, NameTable_Intern(this->services, object->name),
-                    &object->service);
-    }
-    while ((object = ConfigState_Next(this->config, CONFIG_SELECTOR,
-                                      &selectors)) != NULL) {
-        set_line(this, object);
-    }
-    for (uint32_t i = 0; i < Directory_Limit(this->directory); i++) {
-        const DirectoryUpstream *upstream = Directory_At(this->directory, i);
-
-        if (upstream != NULL && upstream->present) {
-            add_to_router(this, upstream);
-            apply_drain(this, upstream);
-        }
-    }
-}
-
-void
-Balancer_OnHostList(Balancer *this, const HostEntry *entries, size_t count)
-{
-    Directory_Update(this->directory, entries, count);
-}
-
-void
-Balancer_SetHosts(Balancer *this, const Str *hosts, size_t count, size_t own)
-{
-    uint64_t *keys = g_new(uint64_t, count);
-
-    for (size_t i = 0; i < count; i++) {
-        keys[i] = Str_Hash(hosts[i]);
-    }
-    Router_SetHosts(this->router, keys, (uint32_t)count, (uint32_t)own);
-    Admission_SetHosts(this->admission, (uint32_t)count);
-    Claims_SetHosts(this->claims, hosts, count);
-    g_free(keys);
-}
-
 /* ---- creation and access -------------------------------------------- */
 
 Balancer *
@@ -1287,7 +1046,7 @@
     this->services = NameTable_Create();
     this->lines = NameTable_Create();
     this->directory =
-        Directory_Create(this->services, on_directory_change, this);
+        Directory_Create(this->services, Balancer_OnDirectoryChange, this);
     this->router = Router_Create(&options->router, clock, random);
     this->admission = Admission_Create(&options->admission, clock, random);
     this->quarantine = Quarantine_Create(&quarantine, clock);
