Accept waiting connections before the listening socket closes

Cause: ten demos at a time showed GETs whose connection was reset when a host stopped listening: they waited in the accept queue. Change: the queue is emptied before the socket is shut down.

--- a/packages/net/HttpServer.c
+++ b/packages/net/HttpServer.c
@@ -726,6 +726,8 @@
     if (this->stopping) {
         return;
     }
+    /* Connections that wait to be accepted would be reset. */
+    accept_callers(this);
     this->stopping = true;
     this->closing_kept = true;
     shutdown(this->listen_fd, SHUT_RDWR);
