--- a/packages/agatecrank/AdminClient.c
+++ b/packages/agatecrank/AdminClient.c
@@ -64,7 +64,7 @@
 
         this->fetches[i] =
             HttpFetch_Create(this->loop, Str_FromC(url), ANSWER_MAX_BYTES,
-                             secure ? &tls : NULL, NULL, error);
+                             secure ? &tls : NULL, error);
         g_free(url);
         if (this->fetches[i] == NULL) {
             return error->code;
--- a/packages/agatecrankd/Daemon.c
+++ b/packages/agatecrankd/Daemon.c
@@ -48,7 +48,6 @@
     ConfigFollower *config_follower;
     ClaimFollower *claim_follower;
     LoopTimer *timer;
-    const char *const *forward;
     uint64_t incarnation;
     bool ready;
     bool leaving;
@@ -226,6 +225,9 @@
 {
     Daemon *this = user;
 
+    if (number == SIGHUP) {
+        return;
+    }
     if (this->leaving) {
         finish(this, Proxy_OpenRequests(this->proxy) > 0 ? EXIT_INTERRUPTED
                                                          : EXIT_DRAINED);
@@ -272,7 +274,7 @@
     const Settings *settings = this->settings;
 
     this->clock = Clock_CreateSystem();
-    this->sink = LogSink_Create(this->clock, settings->host_id);
+    this->sink = LogSink_Create(this->clock, settings->host_id, STDERR_FILENO);
     this->log = EventLog_Create(this->clock, (LogLevel)settings->log_level, 0,
                                 LogSink_Write, this->sink);
     this->decisions = EventLog_Create(
@@ -313,17 +315,6 @@
                         this->decisions, this->counters);
 }
 
-static const char *const *
-forward_names(const StrList *names)
-{
-    const char **list = g_new0(const char *, names->count + 1);
-
-    for (size_t i = 0; i < names->count; i++) {
-        list[i] = names->items[i].data;
-    }
-    return list;
-}
-
 static int
 read_peer_keys(Daemon *this, Error *error)
 {
@@ -392,7 +383,6 @@
         .request_buffer = settings->request_buffer_bytes,
         .response_buffer = settings->response_buffer_bytes,
         .answer_limit = ANSWER_LIMIT_BYTES,
-        .forward = this->forward,
     };
 
     this->proxy =
@@ -472,7 +462,6 @@
     Daemon *this = g_new0(Daemon, 1);
 
     this->settings = settings;
-    this->forward = forward_names(&settings->forward_headers);
     create_base(this);
     this->loop = Loop_Create(this->clock, this->log, error);
     if (this->loop == NULL) {
@@ -543,7 +532,6 @@
     EventLog_Destroy(this->log);
     LogSink_Destroy(this->sink);
     Clock_Destroy(this->clock);
-    g_free((void *)this->forward);
     g_free(this);
 }
 
--- a/packages/config/Settings.c
+++ b/packages/config/Settings.c
@@ -138,11 +138,6 @@
     END,
 };
 
-static const Field headers_fields[] = {
-    {"forward", FIELD_NAMES, AT(forward_headers), false, 0, 0, NULL},
-    END,
-};
-
 static const struct {
     const char *name;
     const Field *fields;
@@ -154,7 +149,6 @@
     {"logging", logging_fields},     {"tls", tls_fields},
     {"curve", curve_fields},         {"config", config_fields},
     {"buffers", buffers_fields},     {"drain", drain_fields},
-    {"headers", headers_fields},
 };
 
 static void
@@ -370,8 +364,8 @@
     return this;
 }
 
-static GString *
-read_file(const char *path, Faults *faults)
+GString *
+Settings_ReadText(const char *path, Faults *faults)
 {
     FILE *file = fopen(path, "rb");
     GString *text;
@@ -402,7 +396,7 @@
 Settings *
 Settings_ReadFile(const char *path, Faults *faults)
 {
-    GString *text = read_file(path, faults);
+    GString *text = Settings_ReadText(path, faults);
     Settings *this;
 
     if (text == NULL) {
--- a/packages/config/Settings.h
+++ b/packages/config/Settings.h
@@ -64,8 +64,7 @@
     uint32_t connections_max;
     uint32_t drain_notice_ms; /* not ready, but connections are taken */
     uint32_t drain_timeout_s;
-    StrList forward_headers; /* passed on beside the well-known ones */
-    TextStore *store;        /* owns all strings */
+    TextStore *store; /* owns all strings */
 } Settings;
 
 /**
@@ -85,4 +84,7 @@
 /** Settings_PolicyName() - word of a routing policy */
 const char *Settings_PolicyName(uint32_t policy);
 
+/** Settings_ReadText() - contents of a settings file, or NULL with a fault */
+GString *Settings_ReadText(const char *path, Faults *faults);
+
 #endif
--- a/packages/net/HeaderList.c
+++ b/packages/net/HeaderList.c
@@ -100,6 +100,17 @@
     return (Str){NULL, 0};
 }
 
+int64_t
+HeaderList_ContentLength(const HeaderList *this)
+{
+    uint64_t n;
+
+    if (Str_ParseU64(HeaderList_Get(this, STR("content-length")), &n) < 0) {
+        return -1;
+    }
+    return (int64_t)n;
+}
+
 bool
 HeaderList_Has(const HeaderList *this, Str name)
 {
@@ -149,3 +160,34 @@
     }
     return false;
 }
+
+/* Fields named by Connection concern this connection only. */
+static bool
+is_named_by_connection(const HeaderList *headers, Str name)
+{
+    Str rest = HeaderList_Get(headers, STR("connection"));
+    Str field;
+
+    while (Str_Split(&rest, ',', &field)) {
+        if (Str_EqualIgnoreCase(Str_Trim(field), name)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+void
+HeaderList_CopyEndToEnd(const HeaderList *from, HeaderList *to)
+{
+    Str name, value;
+
+    for (size_t i = 0; i < HeaderList_Count(from); i++) {
+        HeaderList_At(from, i, &name, &value);
+        if (HeaderList_IsHopByHop(name) ||
+            is_named_by_connection(from, name) ||
+            Str_Equal(name, STR("content-length"))) {
+            continue;
+        }
+        HeaderList_Add(to, name, value);
+    }
+}
--- a/packages/net/HeaderList.h
+++ b/packages/net/HeaderList.h
@@ -27,6 +27,9 @@
 /** HeaderList_Get() - first value of a name, or an empty Str */
 Str HeaderList_Get(const HeaderList *this, Str name);
 
+/** HeaderList_ContentLength() - the length of the body, or -1 */
+int64_t HeaderList_ContentLength(const HeaderList *this);
+
 /** HeaderList_Has() - true if a field of that name is there */
 bool HeaderList_Has(const HeaderList *this, Str name);
 
@@ -43,4 +46,12 @@
  */
 bool HeaderList_IsHopByHop(Str name);
 
+/**
+ * HeaderList_CopyEndToEnd() - append the fields that are passed on
+ *
+ * Left out are those that concern one connection and content-length, which
+ * is written anew.
+ */
+void HeaderList_CopyEndToEnd(const HeaderList *from, HeaderList *to);
+
 #endif
--- a/packages/net/HostListClient.c
+++ b/packages/net/HostListClient.c
@@ -192,8 +192,7 @@
     this->received = -1;
     this->handler = handler;
     this->user = user;
-    this->fetch =
-        HttpFetch_Create(loop, url, LIST_MAX_BYTES, tls, NULL, error);
+    this->fetch = HttpFetch_Create(loop, url, LIST_MAX_BYTES, tls, error);
     if (this->fetch == NULL) {
         g_free(this);
         return NULL;
--- a/packages/net/HttpClient.c
+++ b/packages/net/HttpClient.c
@@ -1,322 +1,353 @@
 #include "HttpClient.h"
 
 #include <glib.h>
-#include <libwebsockets.h>
 #include <string.h>
 
-#define WRITE_PIECE_BYTES 16384
-#define READ_PIECE_BYTES 16384
+#include "Socket.h"
 
-typedef struct Slot_ Slot;
+#define ANSWER_HEAD_BYTES 65536
+#define KEEP_ALIVE_MARGIN (500 * MICROS_PER_MS)
 
-/* libwebsockets queues a request behind the running one on the same vhost,
- * so each lane is a vhost and carries one call to each peer at a time. */
-typedef struct Lane_ {
-    struct lws_vhost *vhost;
-} Lane;
-
-struct Slot_ {
-    HttpClient *client;
-    HttpCall *call;
-    struct lws *idle;
-};
+typedef struct Connection_ Connection;
 
 typedef struct Peer_ {
-    GPtrArray *slots;
+    GQueue *idle; /* Connection, the last used one first */
+    unsigned open;
     unsigned busy;
 } Peer;
 
 struct HttpClient_ {
     Loop *loop;
     HttpClientOptions options;
-    struct lws_protocols protocols[2];
-    GArray *lanes;
+    TlsContext *tls;
     GHashTable *peers;
+    GHashTable *connections; /* set of Connection */
+    uint64_t opened;
 };
 
-struct HttpCall_ {
-    Slot *slot;
+struct Connection_ {
+    HttpClient *client;
     Peer *peer;
-    struct lws *wsi;
+    Socket *socket;
+    HttpParser *parser;
+    HttpCall *call; /* NULL while idle */
+    Micros opened_at;
+    Micros idle_since;
+    Micros idle_limit; /* by the peer's Keep-Alive field, 0 without one */
+    unsigned holds;    /* callbacks that run now */
+    bool connected;
+    bool gone;
+    bool skipping; /* the current answer belongs to an earlier request */
+    bool answered; /* the current answer is whole */
+    bool keep_alive;
+    HttpFraming framing;
+};
+
+struct HttpCall_ {
+    HttpClient *client;
+    Connection *connection; /* NULL after a failure */
     HttpCallHandlers handlers;
     void *user;
-    HeaderList *headers;
-    GString *path;
-    GByteArray *body;
-    size_t body_sent;
-    int64_t content_length;
-    int64_t content_sent;
-    int64_t answer_length;
-    int64_t answer_received;
     LoopTimer *deferred_failure;
+    GString *match_name;
+    GString *match_value;
+    int64_t content_length;
+    int64_t content_given;
     Error error;
     bool is_head;
-    bool peer_closes;
-    bool has_body_method;
-    bool no_answer_body;
     bool bytes_given;
-    bool answered;
-    bool cancelled;
-    bool starting;
-    bool failed;
 };
 
-static HttpCall *
-call_of(Slot *slot, struct lws *wsi)
+static void
+release_connection(Connection *this)
 {
-    if (slot == NULL || slot->call == NULL) {
-        return NULL;
+    if (!this->gone || this->holds > 0) {
+        return;
     }
-    /* On an idle connection the library may send the request before it has
-     * told which wsi it made for it. */
-    if (slot->call->starting && slot->call->wsi == NULL && wsi != slot->idle) {
-        slot->call->wsi = wsi;
+    HttpParser_Destroy(this->parser);
+    g_free(this);
+}
+
+/* The socket is released already, or about to be by the caller. */
+static void
+forget_connection(Connection *this)
+{
+    this->gone = true;
+    this->socket = NULL;
+    this->peer->open--;
+    g_queue_remove(this->peer->idle, this);
+    g_hash_table_remove(this->client->connections, this);
+    release_connection(this);
+}
+
+static void
+close_connection(Connection *this)
+{
+    Socket *socket = this->socket;
+
+    if (this->gone) {
+        return;
     }
-    return slot->call->wsi == wsi ? slot->call : NULL;
+    forget_connection(this);
+    Socket_Close(socket);
 }
 
 static void
-release_call(HttpCall *call)
+destroy_call(HttpCall *call)
 {
-    call->slot->call = NULL;
-    call->peer->busy--;
     LoopTimer_Destroy(call->deferred_failure);
-    HeaderList_Destroy(call->headers);
-    g_string_free(call->path, TRUE);
-    g_byte_array_free(call->body, TRUE);
+    g_string_free(call->match_name, TRUE);
+    g_string_free(call->match_value, TRUE);
     g_free(call);
 }
 
 static void
-deliver_failure(HttpCall *call, HttpCallFailure failure)
+detach_call(HttpCall *call)
 {
-    if (!call->cancelled) {
-        call->cancelled = true;
-        call->handlers.on_failed(call->user, call, failure, call->bytes_given,
-                                 &call->error);
+    if (call->connection != NULL) {
+        call->connection->call = NULL;
+        call->connection->peer->busy--;
+        call->connection = NULL;
     }
-    release_call(call);
 }
 
 static void
-deliver_deferred_failure(void *user)
+fail_call(HttpCall *call, HttpCallFailure failure)
 {
-    deliver_failure(user, CALL_FAILED_CONNECT);
+    detach_call(call);
+    call->handlers.on_failed(call->user, call, failure, call->bytes_given,
+                             &call->error);
+    destroy_call(call);
 }
 
 static void
-fail_call(HttpCall *call, const char *text)
+on_open(void *user)
 {
-    HttpCallFailure failure =
-        call->bytes_given ? CALL_FAILED_BROKEN : CALL_FAILED_CONNECT;
+    Connection *this = user;
 
-    call->failed = true;
-    Error_Set(&call->error, ERR_IO,
-              call->bytes_given ? "upstream-answer" : "upstream-connect",
-              Str_FromC(call->error.peer), "%s", text);
-    if (call->starting) {
-        return;
+    this->connected = true;
+    if (this->call != NULL) {
+        this->call->bytes_given = true;
     }
-    deliver_failure(call, failure);
 }
 
-static int
-append_request_headers(HttpCall *call, unsigned char **cursor, size_t length)
+static bool
+is_other_answer(const HttpCall *call, const HttpHead *head)
 {
-    unsigned char *end = *cursor + length;
-    Str name, value;
-    char digits[24];
+    Str name = {call->match_name->str, call->match_name->len};
+    Str expected = {call->match_value->str, call->match_value->len};
+
+    return name.length > 0 && HeaderList_Has(head->headers, name) &&
+           !Str_Equal(HeaderList_Get(head->headers, name), expected);
+}
+
+/* Half a second before the peer's limit, so that a request does not cross
+ * its close. Source of the field: RFC 2068, section 19.7.1.1. */
+static Micros
+idle_limit_of(const HeaderList *headers)
+{
+    Str rest = HeaderList_Get(headers, STR("keep-alive"));
+    Str item;
+    uint64_t seconds;
 
-    call->bytes_given = true;
-    for (size_t i = 0; i < HeaderList_Count(call->headers); i++) {
-        HeaderList_At(call->headers, i, &name, &value);
-        if (HttpWire_WriteHeader(call->wsi, name, value, cursor, end) < 0) {
-            return -1;
+    while (Str_Split(&rest, ',', &item)) {
+        item = Str_Trim(item);
+        if (!Str_StartsWith(item, STR("timeout="))) {
+            continue;
         }
-    }
-    if (call->content_length > 0 || call->has_body_method) {
-        g_snprintf(digits, sizeof(digits), "%" G_GINT64_FORMAT,
-                   call->content_length);
-        if (HttpWire_WriteHeader(call->wsi, STR("content-length"),
-                                 Str_FromC(digits), cursor, end) < 0) {
-            return -1;
+        item = (Str){item.data + 8, item.length - 8};
+        if (Str_ParseU64(item, &seconds) == 0 && seconds <= 3600) {
+            return MAX((Micros)seconds * MICROS_PER_S - KEEP_ALIVE_MARGIN, 1);
         }
     }
-    if (call->content_length > 0) {
-        lws_client_http_body_pending(call->wsi, 1);
-        lws_callback_on_writable(call->wsi);
-    }
     return 0;
 }
 
-static int
-write_body(HttpCall *call)
+static HttpBodyRule
+on_head(void *user, const HttpHead *head)
 {
-    unsigned char piece[LWS_PRE + WRITE_PIECE_BYTES];
-    size_t n = call->body->len - call->body_sent;
-    bool last;
+    Connection *this = user;
+    HttpCall *call = this->call;
+
+    this->keep_alive = head->keep_alive;
+    this->framing = head->framing;
+    this->idle_limit = idle_limit_of(head->headers);
+    if (call == NULL) {
+        return HTTP_BODY_FRAMED;
+    }
+    /* Interim answers come before the one that counts. */
+    this->skipping =
+        (head->status >= 100 && head->status < 200) ||
+        (is_other_answer(call, head) && head->framing != HTTP_FRAMING_CLOSE);
+    if (!this->skipping) {
+        call->handlers.on_headers(call->user, call, head->status,
+                                  head->headers);
+    }
+    return call->is_head ? HTTP_BODY_NONE : HTTP_BODY_FRAMED;
+}
 
-    if (n > WRITE_PIECE_BYTES) {
-        n = WRITE_PIECE_BYTES;
-    }
-    if (n == 0) {
-        return 0;
-    }
-    memcpy(piece + LWS_PRE, call->body->data + call->body_sent, n);
-    call->body_sent += n;
-    call->content_sent += (int64_t)n;
-    last = call->content_sent >= call->content_length;
-    if (last) {
-        lws_client_http_body_pending(call->wsi, 0);
-    }
-    if (lws_write(call->wsi, piece + LWS_PRE, n,
-                  last ? LWS_WRITE_HTTP_FINAL : LWS_WRITE_HTTP) < 0) {
-        return -1;
-    }
-    if (call->body_sent < call->body->len) {
-        lws_callback_on_writable(call->wsi);
-        return 0;
-    }
-    g_byte_array_set_size(call->body, 0);
-    call->body_sent = 0;
-    if (!last && !call->cancelled) {
-        call->handlers.on_drained(call->user, call);
+static void
+on_body(void *user, Str data)
+{
+    Connection *this = user;
+
+    if (this->call != NULL && !this->skipping) {
+        this->call->handlers.on_data(this->call->user, this->call, data);
     }
-    return 0;
 }
 
 static void
-receive_headers(HttpClient *client, HttpCall *call)
+on_message_end(void *user)
 {
-    HeaderList *headers = HeaderList_Create();
-    int status = (int)lws_http_client_http_response(call->wsi);
+    Connection *this = user;
 
-    call->answered = true;
-    HttpWire_ReadHeaders(call->wsi, headers, client->options.extra_headers);
-    call->answer_length = HttpWire_ContentLength(headers);
-    call->peer_closes = Str_EqualIgnoreCase(
-        HeaderList_Get(headers, STR("connection")), STR("close"));
-    call->no_answer_body = call->is_head || status == 204 || status == 304;
-    if (!call->cancelled) {
-        call->handlers.on_headers(call->user, call, status, headers);
-    }
-    HeaderList_Destroy(headers);
+    this->answered = !this->skipping;
 }
 
-static int
-receive_data(HttpCall *call, Str data)
+static const HttpParserHandlers parser_handlers = {
+    on_head,
+    on_body,
+    on_message_end,
+};
+
+/* @extra: the peer sent more than the answer. */
+static void
+complete_call(Connection *this, bool extra)
 {
-    call->answer_received += (int64_t)data.length;
-    if (call->answer_length >= 0 &&
-        call->answer_received > call->answer_length) {
-        return -1;
-    }
-    if (!call->cancelled) {
-        call->handlers.on_data(call->user, call, data);
-    }
-    return 0;
+    HttpCall *call = this->call;
+    bool reusable = !extra && this->keep_alive &&
+                    this->framing != HTTP_FRAMING_CLOSE &&
+                    call->content_given >= call->content_length &&
+                    Socket_Buffered(this->socket) == 0;
+
+    detach_call(call);
+    this->answered = false;
+    if (reusable) {
+        this->idle_since = Clock_Now(Loop_Clock(this->client->loop));
+        g_queue_push_head(this->peer->idle, this);
+    }
+    else {
+        close_connection(this);
+    }
+    call->handlers.on_complete(call->user, call);
+    destroy_call(call);
 }
 
-static bool
-answer_is_whole(const HttpCall *call)
+static void
+fail_connection(Connection *this, HttpCallFailure failure, const Error *error)
 {
-    if (call->no_answer_body || call->answer_length < 0) {
-        return true;
+    HttpCall *call = this->call;
+
+    close_connection(this);
+    if (call == NULL) {
+        return;
     }
-    return call->answer_received == call->answer_length;
+    Error_Set(&call->error, error->code, "upstream-answer",
+              Str_FromC(call->error.peer), "%s", error->text);
+    fail_call(call, failure);
 }
 
-static int
-complete_call(HttpCall *call)
+static void
+parse(Connection *this, Str data)
 {
-    Slot *slot = call->slot;
-    /* Anything else would send the next request into a closing connection. */
-    bool reusable =
-        call->content_sent >= call->content_length && !call->peer_closes;
+    Error error;
+    size_t used;
 
-    if (!answer_is_whole(call)) {
-        Error_Set(&call->error, ERR_PROTOCOL, "upstream-answer",
-                  Str_FromC(call->error.peer),
-                  "the answer has %" G_GINT64_FORMAT " of %" G_GINT64_FORMAT
-                  " bytes",
-                  call->answer_received, call->answer_length);
-        deliver_failure(call, CALL_FAILED_FRAMING);
-        return -1;
-    }
-    slot->idle = reusable ? call->wsi : NULL;
-    if (!call->cancelled) {
-        call->cancelled = true;
-        call->handlers.on_complete(call->user, call);
+    while (data.length > 0 && !this->gone) {
+        if (this->call == NULL) {
+            /* Nothing was asked for. */
+            close_connection(this);
+            return;
+        }
+        if (HttpParser_Feed(this->parser, data, &used, &error) < 0) {
+            fail_connection(this, CALL_FAILED_FRAMING, &error);
+            return;
+        }
+        data.data += used;
+        data.length -= used;
+        if (this->answered && this->call != NULL) {
+            complete_call(this, data.length > 0);
+            return;
+        }
     }
-    release_call(call);
-    return reusable ? 0 : -1;
 }
 
 static void
-connection_gone(Slot *slot, struct lws *wsi, const char *text)
+on_data(void *user, Str data)
 {
-    HttpCall *call = call_of(slot, wsi);
+    Connection *this = user;
 
-    if (slot != NULL && slot->idle == wsi) {
-        slot->idle = NULL;
-    }
-    if (call != NULL && !call->failed) {
-        fail_call(call, text);
-    }
+    this->holds++;
+    parse(this, data);
+    this->holds--;
+    release_connection(this);
 }
 
-static int
-client_callback(struct lws *wsi, enum lws_callback_reasons reason, void *user,
-                void *in, size_t length)
+static void
+on_drained(void *user)
 {
-    Slot *slot = wsi != NULL ? lws_get_opaque_user_data(wsi) : NULL;
-    HttpCall *call = call_of(slot, wsi);
-    char buffer[LWS_PRE + READ_PIECE_BYTES];
-    char *cursor = buffer + LWS_PRE;
-    int space = READ_PIECE_BYTES;
+    Connection *this = user;
+    HttpCall *call = this->call;
 
-    switch (reason) {
-    case LWS_CALLBACK_CLIENT_APPEND_HANDSHAKE_HEADER:
-        return call != NULL ? append_request_headers(call, in, length) : -1;
-    case LWS_CALLBACK_CLIENT_HTTP_WRITEABLE:
-        return call != NULL ? write_body(call) : 0;
-    case LWS_CALLBACK_ESTABLISHED_CLIENT_HTTP:
-        if (call == NULL) {
-            return -1;
-        }
-        receive_headers(slot->client, call);
-        if (!call->no_answer_body) {
-            return 0;
-        }
-        /* The library would wait for a body that never comes, so the
-         * connection is given up after an answer without one. */
-        complete_call(call);
-        return -1;
-    case LWS_CALLBACK_RECEIVE_CLIENT_HTTP:
-        return lws_http_client_read(wsi, &cursor, &space) < 0 ? -1 : 0;
-    case LWS_CALLBACK_RECEIVE_CLIENT_HTTP_READ:
-        return call != NULL ? receive_data(call, (Str){in, length}) : -1;
-    case LWS_CALLBACK_COMPLETED_CLIENT_HTTP:
-        return call != NULL ? complete_call(call) : 0;
-    case LWS_CALLBACK_CLIENT_CONNECTION_ERROR:
-        connection_gone(slot, wsi,
-                        in != NULL ? (const char *)in : "connection failed");
-        return 0;
-    case LWS_CALLBACK_CLOSED_CLIENT_HTTP:
-    case LWS_CALLBACK_WSI_DESTROY:
-        connection_gone(slot, wsi, "the peer closed the connection");
-        return 0;
+    if (call != NULL && call->content_given < call->content_length) {
+        call->handlers.on_drained(call->user, call);
+    }
+}
+
+static const char *
+end_text(SocketEnd end)
+{
+    switch (end) {
+    case SOCKET_END_REFUSED:
+        return "the connection could not be established";
+    case SOCKET_END_EOF:
+        return "the peer closed the connection";
+    case SOCKET_END_LOOP:
+        return "the process stops";
     default:
-        return 0;
+        return "the connection broke";
     }
 }
 
+static void
+on_end(void *user, SocketEnd end)
+{
+    Connection *this = user;
+    HttpCall *call = this->call;
+    Error ignored;
+
+    this->holds++;
+    forget_connection(this);
+    if (call != NULL && end == SOCKET_END_EOF &&
+        HttpParser_Finish(this->parser, &ignored) == 0 && this->answered) {
+        detach_call(call);
+        call->handlers.on_complete(call->user, call);
+        destroy_call(call);
+    }
+    else if (this->call != NULL) {
+        Error_Set(&call->error, ERR_IO,
+                  call->bytes_given ? "upstream-answer" : "upstream-connect",
+                  Str_FromC(call->error.peer), "%s", end_text(end));
+        fail_call(call, call->bytes_given ? CALL_FAILED_BROKEN
+                                          : CALL_FAILED_CONNECT);
+    }
+    this->holds--;
+    release_connection(this);
+}
+
+static const SocketHandlers socket_handlers = {
+    on_open,
+    on_data,
+    on_drained,
+    on_end,
+};
+
 static void
 destroy_peer(gpointer data)
 {
     Peer *peer = data;
 
-    g_ptr_array_free(peer->slots, TRUE);
+    g_queue_free(peer->idle);
     g_free(peer);
 }
 
@@ -327,49 +358,31 @@
 
     this->loop = loop;
     this->options = *options;
-    this->protocols[0].name = "http";
-    this->protocols[0].callback = client_callback;
-    this->protocols[0].user = this;
-    this->lanes = g_array_new(FALSE, FALSE, sizeof(Lane));
     this->peers =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, destroy_peer);
+    this->connections = g_hash_table_new(g_direct_hash, g_direct_equal);
     return this;
 }
 
 void
 HttpClient_Destroy(HttpClient *this)
 {
+    GList *all;
+
     if (this == NULL) {
         return;
     }
-    g_array_free(this->lanes, TRUE);
+    all = g_hash_table_get_keys(this->connections);
+    for (GList *item = all; item != NULL; item = item->next) {
+        close_connection(item->data);
+    }
+    g_list_free(all);
+    TlsContext_Destroy(this->tls);
+    g_hash_table_destroy(this->connections);
     g_hash_table_destroy(this->peers);
     g_free(this);
 }
 
-static struct lws_vhost *
-lane_vhost(HttpClient *this, unsigned index)
-{
-    struct lws_context_creation_info info = {0};
-
-    while (this->lanes->len <= index) {
-        Lane lane;
-
-        info.port = CONTEXT_PORT_NO_LISTEN;
-        info.protocols = this->protocols;
-        info.vhost_name = "lane";
-        if (this->options.ca_file != NULL) {
-            info.options = LWS_SERVER_OPTION_DO_SSL_GLOBAL_INIT;
-            info.client_ssl_ca_filepath = this->options.ca_file;
-            info.client_ssl_cert_filepath = this->options.certificate_file;
-            info.client_ssl_private_key_filepath = this->options.key_file;
-        }
-        lane.vhost = lws_create_vhost(Loop_Context(this->loop), &info);
-        g_array_append_val(this->lanes, lane);
-    }
-    return g_array_index(this->lanes, Lane, index).vhost;
-}
-
 static Peer *
 find_peer(HttpClient *this, const char *address, uint16_t port, bool create)
 {
@@ -380,106 +393,170 @@
     peer = g_hash_table_lookup(this->peers, key);
     if (peer == NULL && create) {
         peer = g_new0(Peer, 1);
-        peer->slots = g_ptr_array_new_with_free_func(g_free);
+        peer->idle = g_queue_new();
         g_hash_table_insert(this->peers, g_strdup(key), peer);
     }
     return peer;
 }
 
-/* Prefers a free slot with an open connection unless a new one is wanted. */
-static int
-find_slot(HttpClient *this, Peer *peer, bool new_connection)
+static bool
+is_too_old(const HttpClient *this, const Connection *connection,
+           Micros idle_max)
 {
-    int fallback = -1;
-    Slot *slot;
+    Micros idle = Clock_Now(Loop_Clock(this->loop)) - connection->idle_since;
 
-    for (unsigned i = 0; i < peer->slots->len; i++) {
-        slot = g_ptr_array_index(peer->slots, i);
-        if (slot->call != NULL) {
-            continue;
-        }
-        if (slot->idle != NULL && !new_connection) {
-            return (int)i;
-        }
-        if (fallback < 0 && slot->idle == NULL) {
-            fallback = (int)i;
-        }
+    return (this->options.keep_idle_s > 0 &&
+            idle > this->options.keep_idle_s * MICROS_PER_S) ||
+           (connection->idle_limit > 0 && idle > connection->idle_limit) ||
+           (idle_max > 0 && idle > idle_max);
+}
+
+/* Returns NULL if a new connection has to be opened. */
+static Connection *
+take_idle(HttpClient *this, Peer *peer, const HttpCallSpec *spec)
+{
+    Connection *connection = g_queue_peek_head(peer->idle);
+
+    if (connection == NULL || spec->new_connection ||
+        is_too_old(this, connection, spec->idle_max)) {
+        return NULL;
     }
-    if (fallback >= 0) {
-        return fallback;
+    return g_queue_pop_head(peer->idle);
+}
+
+/* Idle connections give way to calls that may not use them. */
+static bool
+make_room(HttpClient *this, Peer *peer)
+{
+    if (peer->open >= this->options.max_connections &&
+        peer->idle->length > 0) {
+        close_connection(g_queue_peek_tail(peer->idle));
     }
-    if (peer->slots->len >= this->options.max_connections) {
-        return ERR_LIMIT;
+    return peer->open < this->options.max_connections;
+}
+
+static TlsContext *
+tls_of(HttpClient *this, Error *error)
+{
+    TlsFiles files = {this->options.certificate_file, this->options.key_file,
+                      this->options.ca_file};
+
+    if (this->options.ca_file != NULL && this->tls == NULL) {
+        this->tls = TlsContext_Create(false, &files, error);
     }
-    slot = g_new0(Slot, 1);
-    slot->client = this;
-    g_ptr_array_add(peer->slots, slot);
-    return (int)peer->slots->len - 1;
+    return this->tls;
+}
+
+static Connection *
+open_connection(HttpClient *this, Peer *peer, const HttpCallSpec *spec,
+                Error *error)
+{
+    Connection *connection = g_new0(Connection, 1);
+    SocketOptions options = {
+        .tls = tls_of(this, error),
+        .user_timeout_ms = this->options.user_timeout_ms,
+        .keep_alive_s = this->options.keep_alive_s,
+    };
+
+    connection->client = this;
+    connection->peer = peer;
+    connection->opened_at = Clock_Now(Loop_Clock(this->loop));
+    if (this->options.ca_file == NULL || options.tls != NULL) {
+        connection->socket =
+            Socket_Connect(this->loop, spec->address, spec->port, &options,
+                           &socket_handlers, connection, error);
+    }
+    if (connection->socket == NULL) {
+        g_free(connection);
+        return NULL;
+    }
+    connection->parser = HttpParser_Create(
+        HTTP_PARSER_ANSWERS, ANSWER_HEAD_BYTES, &parser_handlers, connection);
+    g_hash_table_add(this->connections, connection);
+    peer->open++;
+    this->opened++;
+    return connection;
 }
 
 static HttpCall *
-create_call(Peer *peer, Slot *slot, const HttpCallSpec *spec,
+create_call(HttpClient *this, const HttpCallSpec *spec,
             const HttpCallHandlers *handlers, void *user)
 {
     HttpCall *call = g_new0(HttpCall, 1);
-    Str name, value;
 
-    call->peer = peer;
-    call->slot = slot;
+    call->client = this;
     call->handlers = *handlers;
     call->user = user;
     call->content_length = spec->content_length;
-    call->answer_length = HTTP_LENGTH_UNKNOWN;
     call->is_head = Str_Equal(spec->method, STR("HEAD"));
-    call->has_body_method = Str_Equal(spec->method, STR("POST")) ||
-                            Str_Equal(spec->method, STR("PUT")) ||
-                            Str_Equal(spec->method, STR("PATCH"));
-    call->headers = HeaderList_Create();
-    call->path = g_string_new_len(spec->path.data, (gssize)spec->path.length);
-    call->body = g_byte_array_new();
+    call->match_name =
+        g_string_new_len(spec->match_name.length ? spec->match_name.data : "",
+                         (gssize)spec->match_name.length);
+    call->match_value = g_string_new_len(
+        spec->match_value.length ? spec->match_value.data : "",
+        (gssize)spec->match_value.length);
     g_snprintf(call->error.peer, sizeof(call->error.peer), "%s:%u",
                spec->address, spec->port);
+    return call;
+}
+
+static void
+append(GString *out, Str text)
+{
+    g_string_append_len(out, text.length ? text.data : "",
+                        (gssize)text.length);
+}
+
+static bool
+has_body_method(Str method)
+{
+    return Str_Equal(method, STR("POST")) || Str_Equal(method, STR("PUT")) ||
+           Str_Equal(method, STR("PATCH"));
+}
+
+static void
+append_fields(GString *out, const HttpCallSpec *spec)
+{
+    Str name, value;
+
+    if (spec->headers == NULL || !HeaderList_Has(spec->headers, STR("host"))) {
+        g_string_append_printf(out, "host: %s\r\n", spec->address);
+    }
     for (size_t i = 0;
          spec->headers != NULL && i < HeaderList_Count(spec->headers); i++) {
         HeaderList_At(spec->headers, i, &name, &value);
-        HeaderList_Add(call->headers, name, value);
+        append(out, name);
+        append(out, STR(": "));
+        append(out, value);
+        append(out, STR("\r\n"));
     }
-    slot->call = call;
-    peer->busy++;
-    return call;
+    if (spec->content_length > 0 || has_body_method(spec->method)) {
+        g_string_append_printf(out, "content-length: %" G_GINT64_FORMAT "\r\n",
+                               spec->content_length);
+    }
+}
+
+static void
+send_head(HttpCall *call, const HttpCallSpec *spec)
+{
+    GString *out = g_string_sized_new(512 + spec->body.length);
+
+    append(out, spec->method);
+    append(out, STR(" "));
+    append(out, spec->path);
+    append(out, STR(" HTTP/1.1\r\n"));
+    append_fields(out, spec);
+    append(out, STR("\r\n"));
+    append(out, spec->body);
+    call->content_given = (int64_t)spec->body.length;
+    Socket_Write(call->connection->socket, (Str){out->str, out->len});
+    g_string_free(out, TRUE);
 }
 
 static void
-connect_call(HttpClient *this, HttpCall *call, const HttpCallSpec *spec,
-             struct lws_vhost *vhost)
-{
-    struct lws_client_connect_info info = {0};
-    char *method = g_strndup(spec->method.data, spec->method.length);
-
-    info.context = Loop_Context(this->loop);
-    info.vhost = vhost;
-    info.address = spec->address;
-    info.port = spec->port;
-    info.path = call->path->str;
-    /* The library finds an idle connection only if the Host field is the
-     * peer's address; the caller's own goes into x-forwarded-host. */
-    info.host = spec->address;
-    info.method = method;
-    info.ssl_connection = LCCSCF_PIPELINE | LCCSCF_HTTP_NO_FOLLOW_REDIRECT;
-    if (this->options.ca_file != NULL) {
-        info.ssl_connection |= LCCSCF_USE_SSL;
-        info.alpn = "http/1.1";
-    }
-    info.local_protocol_name = "http";
-    info.opaque_user_data = call->slot;
-    info.keep_warm_secs = (uint16_t)this->options.keep_idle_s;
-    info.pwsi = &call->wsi;
-    call->starting = true;
-    if (lws_client_connect_via_info(&info) == NULL && !call->failed) {
-        fail_call(call, "the connection could not be started");
-    }
-    call->starting = false;
-    g_free(method);
+deliver_deferred_failure(void *user)
+{
+    fail_call(user, CALL_FAILED_CONNECT);
 }
 
 HttpCall *
@@ -487,27 +564,35 @@
                  const HttpCallHandlers *handlers, void *user, Error *error)
 {
     Peer *peer = find_peer(this, spec->address, spec->port, true);
-    int index = Loop_IsClosing(this->loop)
-                    ? ERR_LIMIT
-                    : find_slot(this, peer, spec->new_connection);
+    Connection *connection = NULL;
     HttpCall *call;
 
-    if (index < 0) {
+    if (!Loop_IsClosing(this->loop)) {
+        connection = take_idle(this, peer, spec);
+    }
+    if (connection == NULL &&
+        (Loop_IsClosing(this->loop) || !make_room(this, peer))) {
         Error_Set(error, ERR_LIMIT, "upstream-connect",
                   Str_FromC(spec->address),
                   "all %u connections to port %u are busy",
                   this->options.max_connections, spec->port);
         return NULL;
     }
-    call = create_call(peer, g_ptr_array_index(peer->slots, (guint)index),
-                       spec, handlers, user);
-    connect_call(this, call, spec, lane_vhost(this, (unsigned)index));
-    if (call->failed) {
-        call->wsi = NULL;
+    call = create_call(this, spec, handlers, user);
+    if (connection == NULL) {
+        connection = open_connection(this, peer, spec, &call->error);
+    }
+    if (connection == NULL) {
         call->deferred_failure =
             LoopTimer_Create(this->loop, deliver_deferred_failure, call);
         LoopTimer_Start(call->deferred_failure, 1);
+        return call;
     }
+    call->connection = connection;
+    connection->call = call;
+    peer->busy++;
+    call->bytes_given = connection->connected;
+    send_head(call, spec);
     return call;
 }
 
@@ -522,47 +607,40 @@
 void
 HttpClient_CloseIdle(HttpClient *this, const char *address, uint16_t port)
 {
-    const Peer *peer = find_peer(this, address, port, false);
+    Peer *peer = find_peer(this, address, port, false);
 
-    if (Loop_IsClosing(this->loop)) {
-        return;
-    }
-    for (unsigned i = 0; peer != NULL && i < peer->slots->len; i++) {
-        const Slot *slot = g_ptr_array_index(peer->slots, i);
-
-        if (slot->call == NULL && slot->idle != NULL) {
-            Loop_Kill(this->loop, slot->idle);
-        }
+    while (peer != NULL && peer->idle->length > 0) {
+        close_connection(g_queue_peek_head(peer->idle));
     }
 }
 
-static bool
-is_open(const HttpCall *this)
+uint64_t
+HttpClient_Opened(const HttpClient *this)
 {
-    return this->wsi != NULL && !Loop_IsClosing(this->slot->client->loop);
+    return this->opened;
 }
 
 void
 HttpCall_WriteBody(HttpCall *this, Str data)
 {
-    g_byte_array_append(this->body, (const guint8 *)data.data,
-                        (guint)data.length);
-    if (is_open(this) && this->bytes_given) {
-        lws_callback_on_writable(this->wsi);
+    this->content_given += (int64_t)data.length;
+    if (this->connection != NULL) {
+        Socket_Write(this->connection->socket, data);
     }
 }
 
 size_t
 HttpCall_Buffered(const HttpCall *this)
 {
-    return this->body->len - this->body_sent;
+    return this->connection != NULL ? Socket_Buffered(this->connection->socket)
+                                    : 0;
 }
 
 void
 HttpCall_PauseAnswer(HttpCall *this, bool paused)
 {
-    if (is_open(this)) {
-        lws_rx_flow_control(this->wsi, paused ? 0 : 1);
+    if (this->connection != NULL) {
+        Socket_Pause(this->connection->socket, paused);
     }
 }
 
@@ -575,8 +653,11 @@
 void
 HttpCall_Cancel(HttpCall *this)
 {
-    this->cancelled = true;
-    if (is_open(this)) {
-        Loop_Kill(this->slot->client->loop, this->wsi);
+    Connection *connection = this->connection;
+
+    detach_call(this);
+    if (connection != NULL) {
+        close_connection(connection);
     }
+    destroy_call(this);
 }
--- a/packages/net/HttpClient.h
+++ b/packages/net/HttpClient.h
@@ -1,8 +1,7 @@
 #ifndef AGATECRANK_NET_HTTPCLIENT_H
 #define AGATECRANK_NET_HTTPCLIENT_H
 
-#include "HeaderList.h"
-#include "HttpWire.h"
+#include "HttpParser.h"
 #include "Loop.h"
 
 /**
@@ -47,27 +46,33 @@
  * struct HttpClientOptions_ - settings of all connections of a client
  * @max_connections: bound for each peer
  * @keep_idle_s: seconds that an idle connection is kept
- * @extra_headers: fields to keep beside the well-known ones, NULL-terminated
  * @ca_file: PEM file to verify peers with; NULL for plain HTTP
  * @certificate_file, @key_file: shown to peers, may be NULL
+ * @user_timeout_ms, @keep_alive_s: as in struct SocketOptions_
  */
 typedef struct HttpClientOptions_ {
     unsigned max_connections;
     int keep_idle_s;
-    const char *const *extra_headers;
     const char *ca_file;
     const char *certificate_file;
     const char *key_file;
+    int user_timeout_ms;
+    int keep_alive_s;
 } HttpClientOptions;
 
 /**
  * struct HttpCallSpec_ - the request
  * @address: IP number of the peer
  * @port: TCP port
- * @method, @path: as sent; the Host field is the address
- * @headers: borrowed during HttpClient_Start()
+ * @method, @path: as sent
+ * @headers: borrowed during HttpClient_Start(); without a Host field the
+ *           address is sent as one
  * @content_length: bytes of the body; 0 for none
+ * @body: first bytes of the body, sent together with the header block
  * @new_connection: do not use an idle connection
+ * @idle_max: use no connection that was idle for longer; 0 for no bound
+ * @match_name, @match_value: an answer that has this field with another
+ *     value belongs to an earlier request and is skipped; may be empty
  */
 typedef struct HttpCallSpec_ {
     const char *address;
@@ -76,7 +81,11 @@
     Str path;
     const HeaderList *headers;
     int64_t content_length;
+    Str body;
     bool new_connection;
+    Micros idle_max;
+    Str match_name;
+    Str match_value;
 } HttpCallSpec;
 
 /** HttpClient_Create() - a client without connections */
@@ -106,6 +115,9 @@
 void HttpClient_CloseIdle(HttpClient *this, const char *address,
                           uint16_t port);
 
+/** HttpClient_Opened() - connections opened so far */
+uint64_t HttpClient_Opened(const HttpClient *this);
+
 /** HttpCall_WriteBody() - append to the request's body */
 void HttpCall_WriteBody(HttpCall *this, Str data);
 
--- a/packages/net/HttpFetch.c
+++ b/packages/net/HttpFetch.c
@@ -62,8 +62,7 @@
 
 HttpFetch *
 HttpFetch_Create(Loop *loop, Str url, size_t max_bytes,
-                 const HttpClientOptions *tls,
-                 const char *const *extra_headers, Error *error)
+                 const HttpClientOptions *client, Error *error)
 {
     HttpClientOptions options = {0};
     HttpFetch *this = g_new0(HttpFetch, 1);
@@ -74,12 +73,14 @@
         HttpFetch_Destroy(this);
         return NULL;
     }
-    if (tls != NULL && Str_StartsWith(url, STR("https://"))) {
-        options = *tls;
+    if (client != NULL) {
+        options = *client;
+    }
+    if (!Str_StartsWith(url, STR("https://"))) {
+        options.ca_file = NULL;
     }
     options.max_connections = MAX_CONNECTIONS;
     options.keep_idle_s = KEEP_IDLE_S;
-    options.extra_headers = extra_headers;
     this->client = HttpClient_Create(loop, &options);
     return this;
 }
--- a/packages/net/HttpFetch.h
+++ b/packages/net/HttpFetch.h
@@ -31,8 +31,7 @@
  * Return: NULL with @error filled if the URL can not be used.
  */
 HttpFetch *HttpFetch_Create(Loop *loop, Str url, size_t max_bytes,
-                            const HttpClientOptions *tls,
-                            const char *const *extra_headers, Error *error);
+                            const HttpClientOptions *client, Error *error);
 
 /** HttpFetch_Destroy() - release; no request may be running */
 void HttpFetch_Destroy(HttpFetch *this);
--- /dev/null
+++ b/packages/net/HttpParser.c
@@ -0,0 +1,491 @@
+#include "HttpParser.h"
+
+#include <glib.h>
+#include <http_parser.h>
+#include <string.h>
+
+typedef enum ParserState_ {
+    STATE_HEAD,
+    STATE_BODY,
+    STATE_FAILED,
+} ParserState;
+
+struct HttpParser_ {
+    HttpParserKind kind;
+    HttpParserHandlers handlers;
+    void *user;
+    size_t head_bytes_max;
+    http_parser library;
+    ParserState state;
+    GString *head;
+    size_t searched; /* bytes of head without an end of the block */
+    GString *target;
+    GString *name;
+    GString *value;
+    bool value_seen;
+    HeaderList *headers;
+    bool ended;
+};
+
+static void
+add_field(HttpParser *this)
+{
+    if (this->value_seen) {
+        HeaderList_Add(this->headers, (Str){this->name->str, this->name->len},
+                       (Str){this->value->str, this->value->len});
+        g_string_truncate(this->name, 0);
+        g_string_truncate(this->value, 0);
+        this->value_seen = false;
+    }
+}
+
+static int
+on_url(http_parser *library, const char *data, size_t length)
+{
+    HttpParser *this = library->data;
+
+    g_string_append_len(this->target, data, (gssize)length);
+    return 0;
+}
+
+static int
+on_field(http_parser *library, const char *data, size_t length)
+{
+    HttpParser *this = library->data;
+
+    add_field(this);
+    g_string_append_len(this->name, data, (gssize)length);
+    return 0;
+}
+
+static int
+on_value(http_parser *library, const char *data, size_t length)
+{
+    HttpParser *this = library->data;
+
+    this->value_seen = true;
+    g_string_append_len(this->value, data, (gssize)length);
+    return 0;
+}
+
+static HttpFraming
+framing_of(const HttpParser *this)
+{
+    const http_parser *library = &this->library;
+
+    if ((library->flags & F_CHUNKED) != 0) {
+        return HTTP_FRAMING_CHUNKED;
+    }
+    if (library->content_length != G_MAXUINT64 ||
+        this->kind == HTTP_PARSER_REQUESTS) {
+        return HTTP_FRAMING_LENGTH;
+    }
+    return HTTP_FRAMING_CLOSE;
+}
+
+static int
+on_headers_complete(http_parser *library)
+{
+    HttpParser *this = library->data;
+    HttpHead head = {.status = library->status_code};
+
+    /* Trailer fields come after the head was handed out. */
+    add_field(this);
+    if (this->kind == HTTP_PARSER_REQUESTS) {
+        head.method = Str_FromC(http_method_str(library->method));
+        head.target = (Str){this->target->str, this->target->len};
+    }
+    head.keep_alive = http_should_keep_alive(library);
+    head.framing = framing_of(this);
+    head.length = HTTP_LENGTH_UNKNOWN;
+    if (head.framing == HTTP_FRAMING_LENGTH) {
+        head.length = library->content_length == G_MAXUINT64
+                          ? 0
+                          : (int64_t)library->content_length;
+    }
+    head.headers = this->headers;
+    return this->handlers.on_head(this->user, &head) == HTTP_BODY_NONE ? 1 : 0;
+}
+
+static int
+on_body(http_parser *library, const char *data, size_t length)
+{
+    HttpParser *this = library->data;
+
+    this->handlers.on_body(this->user, (Str){data, length});
+    return 0;
+}
+
+/* The next message is read only when its owner is ready for it. */
+static int
+on_message_complete(http_parser *library)
+{
+    HttpParser *this = library->data;
+
+    this->ended = true;
+    http_parser_pause(library, 1);
+    return 0;
+}
+
+static const http_parser_settings library_settings = {
+    .on_url = on_url,
+    .on_header_field = on_field,
+    .on_header_value = on_value,
+    .on_headers_complete = on_headers_complete,
+    .on_body = on_body,
+    .on_message_complete = on_message_complete,
+};
+
+static void
+begin_message(HttpParser *this)
+{
+    http_parser_init(&this->library, this->kind == HTTP_PARSER_REQUESTS
+                                         ? HTTP_REQUEST
+                                         : HTTP_RESPONSE);
+    this->library.data = this;
+    this->state = STATE_HEAD;
+    this->searched = 0;
+    this->ended = false;
+    this->value_seen = false;
+    g_string_truncate(this->head, 0);
+    g_string_truncate(this->target, 0);
+    g_string_truncate(this->name, 0);
+    g_string_truncate(this->value, 0);
+    HeaderList_Destroy(this->headers);
+    this->headers = HeaderList_Create();
+}
+
+HttpParser *
+HttpParser_Create(HttpParserKind kind, size_t head_bytes_max,
+                  const HttpParserHandlers *handlers, void *user)
+{
+    HttpParser *this = g_new0(HttpParser, 1);
+
+    this->kind = kind;
+    this->head_bytes_max = head_bytes_max;
+    this->handlers = *handlers;
+    this->user = user;
+    this->head = g_string_new(NULL);
+    this->target = g_string_new(NULL);
+    this->name = g_string_new(NULL);
+    this->value = g_string_new(NULL);
+    http_parser_set_max_header_size((uint32_t)MAX(head_bytes_max, 80 * 1024));
+    begin_message(this);
+    return this;
+}
+
+void
+HttpParser_Destroy(HttpParser *this)
+{
+    if (this == NULL) {
+        return;
+    }
+    HeaderList_Destroy(this->headers);
+    g_string_free(this->head, TRUE);
+    g_string_free(this->target, TRUE);
+    g_string_free(this->name, TRUE);
+    g_string_free(this->value, TRUE);
+    g_free(this);
+}
+
+static bool
+is_token(char c)
+{
+    return g_ascii_isalnum(c) ||
+           (c != '\0' && strchr("!#$%&'*+-.^_`|~", c) != NULL);
+}
+
+static bool
+is_field_line(Str line)
+{
+    size_t n = 0;
+
+    while (n < line.length && is_token(line.data[n])) {
+        n++;
+    }
+    return n > 0 && n < line.length && line.data[n] == ':';
+}
+
+/* A repeated or doubtful field of these names changes who asks, for what, or
+ * where the message ends. */
+static bool
+is_single(Str name)
+{
+    static const char *const names[] = {
+        "content-length", "transfer-encoding", "host",
+        "authorization",  "idempotency-key",
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
+        if (Str_EqualIgnoreCase(name, Str_FromC(names[i]))) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static Str
+field_name(Str line)
+{
+    const char *colon = memchr(line.data, ':', line.length);
+
+    return (Str){line.data, (size_t)(colon - line.data)};
+}
+
+static Str
+field_value(Str line)
+{
+    size_t skip = field_name(line).length + 1;
+
+    return Str_Trim((Str){line.data + skip, line.length - skip});
+}
+
+static int
+refuse(Error *error, const char *text)
+{
+    return Error_Set(error, ERR_PROTOCOL, "read-head", STR(""), "%s", text);
+}
+
+static int
+check_bytes(Str block, Error *error)
+{
+    for (size_t i = 0; i < block.length; i++) {
+        unsigned char c = (unsigned char)block.data[i];
+
+        if (c == '\r' && i + 1 < block.length && block.data[i + 1] != '\n') {
+            return refuse(error, "bare CR");
+        }
+        if (c == '\n' && (i == 0 || block.data[i - 1] != '\r')) {
+            return refuse(error, "bare LF");
+        }
+        if ((c < ' ' && c != '\t' && c != '\r' && c != '\n') || c == 0x7f) {
+            return refuse(error, "control byte");
+        }
+    }
+    return 0;
+}
+
+typedef struct FramingFields_ {
+    bool length;
+    bool encoding;
+} FramingFields;
+
+static int
+check_field(Str line, GPtrArray *seen, FramingFields *framing, Error *error)
+{
+    Str name, value, other;
+    uint64_t number;
+
+    if (!is_field_line(line)) {
+        return refuse(error, "not a header field");
+    }
+    name = field_name(line);
+    value = field_value(line);
+    if (!is_single(name)) {
+        return 0;
+    }
+    for (guint i = 0; i < seen->len; i++) {
+        other = field_name(*(Str *)g_ptr_array_index(seen, i));
+        if (Str_EqualIgnoreCase(name, other)) {
+            return refuse(error, "repeated header field");
+        }
+    }
+    g_ptr_array_add(seen, g_memdup2(&line, sizeof(line)));
+    if (Str_EqualIgnoreCase(name, STR("content-length"))) {
+        framing->length = true;
+        if (Str_ParseU64(value, &number) < 0 || number > G_MAXINT64) {
+            return refuse(error, "content-length is not a whole number");
+        }
+    }
+    if (Str_EqualIgnoreCase(name, STR("transfer-encoding"))) {
+        framing->encoding = true;
+        if (!Str_EqualIgnoreCase(value, STR("chunked"))) {
+            return refuse(error, "unknown transfer-encoding");
+        }
+    }
+    return 0;
+}
+
+static int
+check_fields(Str block, GPtrArray *seen, Error *error)
+{
+    FramingFields framing = {false, false};
+    Str line;
+    bool first = true;
+
+    /* The last two lines are the empty one and what follows it. */
+    while (Str_Split(&block, '\n', &line)) {
+        if (line.length > 0 && line.data[line.length - 1] == '\r') {
+            line.length--;
+        }
+        if (!first && line.length > 0 &&
+            check_field(line, seen, &framing, error) < 0) {
+            return ERR_PROTOCOL;
+        }
+        first = false;
+    }
+    if (framing.length && framing.encoding) {
+        return refuse(error, "both content-length and transfer-encoding");
+    }
+    return 0;
+}
+
+static int
+check_head(Str block, Error *error)
+{
+    GPtrArray *seen;
+    int code = check_bytes(block, error);
+
+    if (code < 0) {
+        return code;
+    }
+    seen = g_ptr_array_new_with_free_func(g_free);
+    code = check_fields(block, seen, error);
+    g_ptr_array_free(seen, TRUE);
+    return code;
+}
+
+static int
+run_library(HttpParser *this, Str data, size_t *used, Error *error)
+{
+    *used = http_parser_execute(&this->library, &library_settings, data.data,
+                                data.length);
+    if (HTTP_PARSER_ERRNO(&this->library) == HPE_PAUSED) {
+        http_parser_pause(&this->library, 0);
+    }
+    if (HTTP_PARSER_ERRNO(&this->library) != HPE_OK) {
+        return refuse(
+            error, http_errno_description(HTTP_PARSER_ERRNO(&this->library)));
+    }
+    return 0;
+}
+
+/* Takes bytes until the header block is whole; sets @whole then. */
+static int
+collect_head(HttpParser *this, Str data, size_t *used, bool *whole,
+             Error *error)
+{
+    size_t before = this->head->len, end;
+    const char *found;
+
+    *used = 0;
+    *whole = false;
+    while (before == 0 && this->kind == HTTP_PARSER_REQUESTS &&
+           data.length >= 2 && memcmp(data.data, "\r\n", 2) == 0) {
+        data.data += 2;
+        data.length -= 2;
+        *used += 2;
+    }
+    g_string_append_len(this->head, data.data, (gssize)data.length);
+    found =
+        g_strstr_len(this->head->str + this->searched,
+                     (gssize)(this->head->len - this->searched), "\r\n\r\n");
+    end = found != NULL ? (size_t)(found - this->head->str) + 4
+                        : this->head->len;
+    if (end > this->head_bytes_max) {
+        return Error_Set(error, ERR_LIMIT, "read-head", STR(""),
+                         "the header block is longer than %zu bytes",
+                         this->head_bytes_max);
+    }
+    if (found == NULL) {
+        *used += data.length;
+        this->searched = this->head->len > 3 ? this->head->len - 3 : 0;
+        /* Refused now: with a bare LF the end may never come. */
+        return check_bytes((Str){this->head->str, this->head->len}, error);
+    }
+    *used += end - before;
+    g_string_truncate(this->head, end);
+    *whole = true;
+    return check_head((Str){this->head->str, this->head->len}, error);
+}
+
+static int
+fail(HttpParser *this, int code)
+{
+    this->state = STATE_FAILED;
+    return code;
+}
+
+static int
+feed(HttpParser *this, Str data, size_t *used, Error *error)
+{
+    size_t n = 0;
+    bool whole;
+    int code;
+
+    *used = 0;
+    if (this->state == STATE_HEAD) {
+        code = collect_head(this, data, used, &whole, error);
+        if (code < 0 || !whole) {
+            return code;
+        }
+        this->state = STATE_BODY;
+        code = run_library(this, (Str){this->head->str, this->head->len}, &n,
+                           error);
+        if (code < 0 || this->ended) {
+            return code;
+        }
+        data.data += *used;
+        data.length -= *used;
+    }
+    if (data.length > 0) {
+        code = run_library(this, data, &n, error);
+        *used += n;
+        return code;
+    }
+    return 0;
+}
+
+int
+HttpParser_Feed(HttpParser *this, Str data, size_t *used, Error *error)
+{
+    int code;
+
+    *used = 0;
+    if (this->state == STATE_FAILED) {
+        return refuse(error, "the connection broke the protocol before");
+    }
+    code = feed(this, data, used, error);
+    if (code < 0) {
+        return fail(this, code);
+    }
+    if (this->ended) {
+        this->handlers.on_end(this->user);
+        begin_message(this);
+    }
+    return 0;
+}
+
+int
+HttpParser_Finish(HttpParser *this, Error *error)
+{
+    if (HttpParser_IsIdle(this)) {
+        return 0;
+    }
+    if (this->state != STATE_BODY) {
+        return refuse(error, "the connection ended in a header block");
+    }
+    http_parser_execute(&this->library, &library_settings, NULL, 0);
+    if (!this->ended) {
+        fail(this, ERR_PROTOCOL);
+        return refuse(error, "the connection ended in a body");
+    }
+    this->handlers.on_end(this->user);
+    begin_message(this);
+    return 0;
+}
+
+bool
+HttpParser_IsIdle(const HttpParser *this)
+{
+    return this->state == STATE_HEAD && this->head->len == 0;
+}
+
+HeaderList *
+HttpParser_TakeHeaders(HttpParser *this)
+{
+    HeaderList *headers = this->headers;
+
+    this->headers = HeaderList_Create();
+    return headers;
+}
--- a/packages/net/HttpServer.c
+++ b/packages/net/HttpServer.c
@@ -1,68 +1,68 @@
 #include "HttpServer.h"
 
-#include "CloseWatch.h"
-
 #include <arpa/inet.h>
 #include <errno.h>
 #include <glib.h>
-#include <libwebsockets.h>
-#include <netinet/tcp.h>
+#include <http_parser.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
-#define WRITE_PIECE_BYTES 16384
-#define HEADER_BLOCK_BYTES 16384
+#include "Socket.h"
+
 #define LISTEN_BACKLOG 1024
 #define ACCEPTS_PER_EVENT 64
-/* "hex digits CR LF" before and "CR LF" after each chunk. */
-#define CHUNK_OVERHEAD_BYTES 20
+#define HEAD_BYTES_DEFAULT 16384
+/* Bytes of pipelined requests that are read ahead. */
+#define READ_AHEAD_BYTES 65536
 
-typedef enum AnswerState_ {
-    ANSWER_NONE,
-    ANSWER_HEADERS,
-    ANSWER_BODY,
-    ANSWER_DONE,
-} AnswerState;
+typedef struct Connection_ Connection;
 
 struct HttpServer_ {
     Loop *loop;
-    struct lws_vhost *vhost;
-    CloseWatch *watch;
-    struct lws_protocols protocols[2];
+    LoopIo *listener;
+    TlsContext *tls;
     HttpServerHandlers handlers;
     void *user;
-    const char *const *extra_headers;
+    HttpLimits limits;
+    Micros idle_time;
+    GHashTable *connections; /* set of Connection */
     size_t open_requests;
     uint64_t accepted;
     int listen_fd;
     uint16_t port;
+    bool accept_chunked;
     bool stopping;
     bool closing_kept;
 };
 
+struct Connection_ {
+    HttpServer *server;
+    Socket *socket;
+    HttpParser *parser;
+    HttpRequest *request;
+    GByteArray *ahead; /* bytes that follow the current request */
+    LoopTask *task;
+    LoopTimer *timer;
+    Micros expires; /* when the wait for a header block is over */
+    Micros timer_at;
+    unsigned holds; /* callbacks that run now */
+    bool gone;
+};
+
 struct HttpRequest_ {
     HttpServer *server;
-    struct lws *wsi;
+    Connection *connection;
     HeaderList *headers;
     GString *method;
     GString *path;
-    GString *certificate_name;
     int64_t content_length;
     int64_t body_received;
     void *data;
-    AnswerState state;
-    int status;
-    HeaderList *answer_headers;
-    int64_t answer_length;
-    int64_t answer_written;
-    GByteArray *buffer;
-    size_t buffer_sent;
-    int fd;
-    bool body_paused;  /* by the owner */
-    bool awaits;       /* the body is whole, the answer is not */
-    bool writing;      /* the library is asked for a chance to write */
-    bool flow_stopped; /* the library was told not to read */
+    GByteArray *output;
+    bool body_whole;
+    bool body_paused;
+    bool started;
     bool finished;
     bool aborted;
     bool is_head;
@@ -70,521 +70,486 @@
     bool close_after;
 };
 
-/* The library keeps a pointer to this for each connection. */
-typedef struct Session_ {
-    HttpRequest *request;
-} Session;
-
-static const struct {
-    enum lws_token_indexes token;
-    const char *name;
-} methods[] = {
-    {WSI_TOKEN_GET_URI, "GET"},         {WSI_TOKEN_POST_URI, "POST"},
-    {WSI_TOKEN_PUT_URI, "PUT"},         {WSI_TOKEN_DELETE_URI, "DELETE"},
-    {WSI_TOKEN_PATCH_URI, "PATCH"},     {WSI_TOKEN_HEAD_URI, "HEAD"},
-    {WSI_TOKEN_OPTIONS_URI, "OPTIONS"},
-};
-
-/* While an answer is awaited the library polls for bytes that it does not
- * read, such as a pipelined request or the end of the stream: it would spin,
- * and run no timer of its own meanwhile. A connection that is told not to read
- * does not write either, so that is lifted for each write. */
 static void
-update_flow(HttpRequest *this)
+destroy_request(HttpRequest *this, bool complete)
 {
-    bool stop = (this->body_paused || this->awaits) && !this->writing;
-
-    if (stop == this->flow_stopped || Loop_IsClosing(this->server->loop)) {
-        return;
-    }
-    this->flow_stopped = stop;
-    lws_rx_flow_control(this->wsi, stop ? 0 : 1);
-}
+    HttpServer *server = this->server;
 
-static void
-start_waiting(HttpRequest *this)
-{
-    this->awaits = true;
-    update_flow(this);
+    server->handlers.on_closed(server->user, this, complete);
+    server->open_requests--;
+    HeaderList_Destroy(this->headers);
+    g_string_free(this->method, TRUE);
+    g_string_free(this->path, TRUE);
+    g_byte_array_free(this->output, TRUE);
+    g_free(this);
 }
 
 static void
-ask_writable(HttpRequest *this)
+release_connection(Connection *this)
 {
-    if (this->aborted || Loop_IsClosing(this->server->loop)) {
+    if (!this->gone || this->holds > 0) {
         return;
     }
-    this->writing = true;
-    update_flow(this);
-    lws_callback_on_writable(this->wsi);
+    LoopTask_Destroy(this->task);
+    LoopTimer_Destroy(this->timer);
+    HttpParser_Destroy(this->parser);
+    g_byte_array_free(this->ahead, TRUE);
+    g_free(this);
 }
 
-/* The caller closed, or takes bytes again. */
+/* The socket is released already, or about to be by the caller. */
 static void
-notice_caller(void *user, void *connection, bool closed)
+forget_connection(Connection *this, bool complete)
 {
-    HttpRequest *request = connection;
+    HttpRequest *request = this->request;
 
-    if (closed) {
-        HttpRequest_Abort(request);
-    }
-    else {
-        ask_writable(request);
+    this->gone = true;
+    this->socket = NULL;
+    this->request = NULL;
+    g_hash_table_remove(this->server->connections, this);
+    if (request != NULL) {
+        destroy_request(request, complete);
     }
+    release_connection(this);
 }
 
-/* Waits for the caller to take bytes, or for more of the answer. */
 static void
-rest_from_writing(HttpRequest *this, bool more)
+close_connection(Connection *this)
 {
-    this->writing = false;
-    update_flow(this);
-    if (more) {
-        CloseWatch_Start(this->server->watch, this->fd, this, true);
+    Socket *socket = this->socket;
+
+    if (this->gone) {
+        return;
     }
+    forget_connection(this, false);
+    Socket_Close(socket);
 }
 
 static void
-append_encoded(GString *out, const char *text, size_t length)
+finish_connection(Connection *this, bool complete)
 {
-    static const char plain[] = "-._~!$&'()*+,;=:@/?%";
+    Socket *socket = this->socket;
 
-    for (size_t i = 0; i < length; i++) {
-        unsigned char c = (unsigned char)text[i];
-
-        if (g_ascii_isalnum(c) || (c != 0 && strchr(plain, c) != NULL)) {
-            g_string_append_c(out, (gchar)c);
-        }
-        else {
-            g_string_append_printf(out, "%%%02X", c);
-        }
+    if (this->gone) {
+        return;
     }
+    forget_connection(this, complete);
+    Socket_Finish(socket);
 }
 
-/* The library hands out the path with percent-encoding removed, so it is
- * encoded again; a literal percent sign must be encoded first. */
-static void
-append_path(GString *out, const char *text, size_t length)
+static Micros
+now(const Connection *this)
 {
-    for (size_t i = 0; i < length; i++) {
-        if (text[i] == '%' || text[i] == '?') {
-            g_string_append_printf(out, "%%%02X", (unsigned char)text[i]);
-        }
-        else {
-            append_encoded(out, text + i, 1);
-        }
-    }
+    return Clock_Now(Loop_Clock(this->server->loop));
 }
 
+/* Keeps a running timer that is early enough, as most waits end in time. */
 static void
-read_path(HttpRequest *this)
+wait_at_most(Connection *this, Micros time)
 {
-    char piece[HEADER_BLOCK_BYTES];
-    int n;
-
-    for (size_t i = 0; i < G_N_ELEMENTS(methods); i++) {
-        if (lws_hdr_total_length(this->wsi, methods[i].token) <= 0) {
-            continue;
-        }
-        g_string_assign(this->method, methods[i].name);
-        n = lws_hdr_copy(this->wsi, piece, sizeof(piece), methods[i].token);
-        if (n > 0) {
-            append_path(this->path, piece, (size_t)n);
-        }
-        break;
-    }
-    for (int i = 0;; i++) {
-        n = lws_hdr_copy_fragment(this->wsi, piece, sizeof(piece),
-                                  WSI_TOKEN_HTTP_URI_ARGS, i);
-        if (n <= 0) {
-            break;
-        }
-        g_string_append_c(this->path, i == 0 ? '?' : '&');
-        append_encoded(this->path, piece, (size_t)n);
+    this->expires = time > 0 ? now(this) + time : 0;
+    if (time > 0 && (this->timer_at == 0 || this->timer_at > this->expires)) {
+        this->timer_at = this->expires;
+        LoopTimer_Start(this->timer, time);
     }
 }
 
 static void
-read_certificate(HttpRequest *this)
+send_plain_answer(Connection *this, int status, const char *reason)
 {
-    union lws_tls_cert_info_results info;
+    GString *body = g_string_new(NULL);
+    GString *answer = g_string_new(NULL);
 
-    if (lws_tls_peer_cert_info(this->wsi, LWS_TLS_CERT_INFO_VERIFIED, &info,
-                               0) != 0 ||
-        !info.verified) {
-        return;
-    }
-    if (lws_tls_peer_cert_info(this->wsi, LWS_TLS_CERT_INFO_COMMON_NAME, &info,
-                               sizeof(info.ns.name)) == 0) {
-        g_string_assign(this->certificate_name, info.ns.name);
-    }
+    g_string_printf(body, "{\"outcome\":\"not-run\",\"reason\":\"%s\"}",
+                    reason);
+    g_string_printf(answer,
+                    "HTTP/1.1 %d %s\r\ncontent-type: application/json\r\n"
+                    "agatecrank-outcome: not-run\r\nagatecrank-reason: %s\r\n"
+                    "content-length: %zu\r\nconnection: close\r\n\r\n%s",
+                    status, http_status_str((enum http_status)status), reason,
+                    body->len, body->str);
+    Socket_Write(this->socket, (Str){answer->str, answer->len});
+    g_string_free(answer, TRUE);
+    g_string_free(body, TRUE);
 }
 
-static HttpRequest *
-create_request(HttpServer *server, struct lws *wsi)
+/* Refuses a message for which there is no request object. */
+static void
+refuse_message(Connection *this, int status, const char *reason)
 {
-    HttpRequest *this = g_new0(HttpRequest, 1);
-
-    this->server = server;
-    this->wsi = wsi;
-    this->headers = HeaderList_Create();
-    this->method = g_string_new(NULL);
-    this->path = g_string_new(NULL);
-    this->certificate_name = g_string_new(NULL);
-    this->buffer = g_byte_array_new();
-    HttpWire_ReadHeaders(wsi, this->headers, server->extra_headers);
-    read_path(this);
-    read_certificate(this);
-    this->is_head = g_str_equal(this->method->str, "HEAD");
-    this->fd = lws_get_socket_fd(wsi);
-    server->open_requests++;
-    return this;
+    if (this->request != NULL) {
+        close_connection(this);
+        return;
+    }
+    send_plain_answer(this, status, reason);
+    finish_connection(this, false);
 }
 
 static void
-destroy_request(HttpRequest *this, bool complete)
+on_timer(void *user)
 {
-    HttpServer *server = this->server;
+    Connection *this = user;
+    Micros time = now(this);
 
-    CloseWatch_Stop(server->watch, this->fd);
-    server->handlers.on_closed(server->user, this, complete);
-    server->open_requests--;
-    HeaderList_Destroy(this->headers);
-    HeaderList_Destroy(this->answer_headers);
-    g_string_free(this->method, TRUE);
-    g_string_free(this->path, TRUE);
-    g_string_free(this->certificate_name, TRUE);
-    g_byte_array_free(this->buffer, TRUE);
-    g_free(this);
+    this->timer_at = 0;
+    if (this->expires == 0) {
+        return;
+    }
+    if (this->expires > time) {
+        this->timer_at = this->expires;
+        LoopTimer_Start(this->timer, this->expires - time);
+        return;
+    }
+    if (HttpParser_IsIdle(this->parser)) {
+        finish_connection(this, false);
+        return;
+    }
+    refuse_message(this, 408, "header-timeout");
 }
 
 static void
-answer_error(HttpRequest *this, int status, Str text)
+answer_error(HttpRequest *this, int status, const char *reason)
 {
     HeaderList *headers = HeaderList_Create();
+    char *body =
+        g_strdup_printf("{\"outcome\":\"not-run\",\"reason\":\"%s\"}", reason);
 
     HeaderList_Add(headers, STR("content-type"), STR("application/json"));
     HeaderList_Add(headers, STR("agatecrank-outcome"), STR("not-run"));
-    HeaderList_Add(headers, STR("agatecrank-reason"), STR("bad-request"));
+    HeaderList_Add(headers, STR("agatecrank-reason"), Str_FromC(reason));
     this->close_after = true;
-    HttpRequest_Answer(this, status, headers, text);
+    HttpRequest_Answer(this, status, headers, Str_FromC(body));
     HeaderList_Destroy(headers);
+    g_free(body);
 }
 
 static bool
-body_is_whole(const HttpRequest *this)
+is_known_method(Str method)
 {
-    return this->body_received >= this->content_length;
+    static const char *const known[] = {
+        "GET", "POST", "PUT", "DELETE", "PATCH", "HEAD", "OPTIONS",
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(known); i++) {
+        if (Str_Equal(method, Str_FromC(known[i]))) {
+            return true;
+        }
+    }
+    return false;
 }
 
-/* Returns false if the request was answered because it is malformed. */
+static HttpRequest *
+create_request(Connection *connection, const HttpHead *head)
+{
+    HttpRequest *this = g_new0(HttpRequest, 1);
+    HttpServer *server = connection->server;
+
+    this->server = server;
+    this->connection = connection;
+    this->headers = HttpParser_TakeHeaders(connection->parser);
+    this->method =
+        g_string_new_len(head->method.data, (gssize)head->method.length);
+    this->path =
+        g_string_new_len(head->target.data, (gssize)head->target.length);
+    this->content_length = head->length;
+    this->output = g_byte_array_new();
+    this->is_head = Str_Equal(head->method, STR("HEAD"));
+    this->close_after = server->closing_kept || !head->keep_alive;
+    server->open_requests++;
+    return this;
+}
+
+/* Returns false if the request was answered because it can not be served. */
 static bool
-check_request(HttpRequest *this)
+check_request(HttpRequest *this, const HttpHead *head)
 {
-    Error error;
+    const HttpServer *server = this->server;
 
-    if (this->method->len == 0) {
-        answer_error(this, 405,
-                     STR("{\"outcome\":\"not-run\",\"reason\":"
-                         "\"method-not-allowed\"}"));
+    if (!is_known_method(head->method)) {
+        answer_error(this, 405, "method-not-allowed");
         return false;
     }
-    if (HttpWire_HasMisspelled(this->wsi) ||
-        HttpWire_CheckFraming(this->headers, &error) < 0) {
-        answer_error(this, 400,
-                     STR("{\"outcome\":\"not-run\",\"reason\":"
-                         "\"ambiguous-framing\"}"));
+    if (head->framing == HTTP_FRAMING_CHUNKED && !server->accept_chunked) {
+        answer_error(this, 411, "length-required");
         return false;
     }
-    if (HeaderList_Has(this->headers, STR("transfer-encoding"))) {
-        answer_error(this, 411,
-                     STR("{\"outcome\":\"not-run\",\"reason\":"
-                         "\"length-required\"}"));
+    if (server->limits.body_bytes > 0 &&
+        head->length > server->limits.body_bytes) {
+        answer_error(this, 413, "body-too-large");
         return false;
     }
     return true;
 }
 
-/* Without a length the library reads all that follows a request of these
- * methods as its body, so the connection can not be used again. */
-static bool
-takes_rest_for_body(const HttpRequest *this)
+static HttpBodyRule
+on_head(void *user, const HttpHead *head)
 {
-    static const char *const with_body[] = {"POST", "PUT", "PATCH"};
+    Connection *this = user;
+    HttpServer *server = this->server;
+    HttpRequest *request = create_request(this, head);
 
-    if (HeaderList_Has(this->headers, STR("content-length"))) {
-        return false;
+    this->request = request;
+    this->expires = 0;
+    if (!check_request(request, head)) {
+        return HTTP_BODY_FRAMED;
     }
-    for (size_t i = 0; i < G_N_ELEMENTS(with_body); i++) {
-        if (g_str_equal(this->method->str, with_body[i])) {
-            return true;
-        }
+    if (head->length != 0 &&
+        Str_EqualIgnoreCase(HeaderList_Get(request->headers, STR("expect")),
+                            STR("100-continue"))) {
+        Socket_Write(this->socket, STR("HTTP/1.1 100 Continue\r\n\r\n"));
     }
-    return false;
+    server->handlers.on_request(server->user, request);
+    return HTTP_BODY_FRAMED;
 }
 
 static void
-start_request(HttpServer *server, struct lws *wsi, Session *session)
+on_body(void *user, Str data)
 {
-    HttpRequest *request = create_request(server, wsi);
-    bool known;
+    Connection *this = user;
+    HttpRequest *request = this->request;
+    HttpServer *server = this->server;
 
-    session->request = request;
-    request->content_length = HttpWire_ContentLength(request->headers);
-    if (request->content_length < 0) {
-        request->content_length = 0;
-    }
-    request->close_after =
-        server->closing_kept || takes_rest_for_body(request);
-    if (!check_request(request)) {
+    if (request == NULL || request->finished || request->aborted) {
         return;
     }
-    known = CloseWatch_Start(server->watch, request->fd, request, false);
-    request->awaits = request->content_length == 0;
-    /* After a pipelined request the library polls for writing, and clears
-     * that only by a call that writes. */
-    if (known) {
-        ask_writable(request);
-    }
-    update_flow(request);
-    server->handlers.on_request(server->user, request);
-    if (request->content_length == 0 && !request->finished &&
-        !request->aborted) {
-        server->handlers.on_body_end(server->user, request);
+    request->body_received += (int64_t)data.length;
+    if (server->limits.body_bytes > 0 &&
+        request->body_received > server->limits.body_bytes &&
+        !request->started) {
+        answer_error(request, 413, "body-too-large");
+        return;
     }
+    server->handlers.on_body(server->user, request, data);
 }
 
 static void
-receive_body(HttpRequest *request, Str data)
+on_message_end(void *user)
 {
-    HttpServer *server = request->server;
+    Connection *this = user;
+    HttpRequest *request = this->request;
 
-    request->body_received += (int64_t)data.length;
-    if (request->finished || request->aborted) {
+    if (request == NULL) {
         return;
     }
-    server->handlers.on_body(server->user, request, data);
+    request->body_whole = true;
+    if (!request->finished && !request->aborted) {
+        this->server->handlers.on_body_end(this->server->user, request);
+    }
 }
 
-static void
-end_body(HttpRequest *request)
+static const HttpParserHandlers parser_handlers = {
+    on_head,
+    on_body,
+    on_message_end,
+};
+
+static bool
+reads_ahead(const Connection *this)
 {
-    HttpServer *server = request->server;
+    return this->request != NULL && this->request->body_whole;
+}
 
-    if (request->content_length > 0 && !request->finished &&
-        !request->aborted) {
-        start_waiting(request);
-        server->handlers.on_body_end(server->user, request);
+static void
+update_flow(Connection *this)
+{
+    if (this->gone) {
+        return;
     }
+    Socket_Pause(this->socket,
+                 this->ahead->len > READ_AHEAD_BYTES ||
+                     (this->request != NULL && this->request->body_paused));
 }
 
-static int
-write_headers(HttpRequest *this)
+static void
+parse(Connection *this, Str data)
 {
-    unsigned char block[LWS_PRE + HEADER_BLOCK_BYTES];
-    unsigned char *start = block + LWS_PRE, *cursor = start;
-    unsigned char *end = block + sizeof(block) - 1;
-    Str name, value;
-    char length[24];
+    Error error;
+    size_t used;
+    int code;
 
-    if (lws_add_http_header_status(this->wsi, (unsigned)this->status, &cursor,
-                                   end)) {
-        return -1;
-    }
-    for (size_t i = 0; i < HeaderList_Count(this->answer_headers); i++) {
-        HeaderList_At(this->answer_headers, i, &name, &value);
-        if (HttpWire_WriteHeader(this->wsi, name, value, &cursor, end) < 0) {
-            return -1;
+    while (data.length > 0 && !this->gone) {
+        if (reads_ahead(this)) {
+            g_byte_array_append(this->ahead, (const guint8 *)data.data,
+                                (guint)data.length);
+            return;
         }
+        code = HttpParser_Feed(this->parser, data, &used, &error);
+        if (code < 0 && !this->gone) {
+            refuse_message(this, code == ERR_LIMIT ? 431 : 400,
+                           code == ERR_LIMIT ? "head-too-large"
+                                             : "ambiguous-framing");
+        }
+        if (code < 0) {
+            return;
+        }
+        data.data += used;
+        data.length -= used;
     }
-    if (this->answer_length >= 0) {
-        g_snprintf(length, sizeof(length), "%" G_GINT64_FORMAT,
-                   this->answer_length);
-        HttpWire_WriteHeader(this->wsi, STR("content-length"),
-                             Str_FromC(length), &cursor, end);
-    }
-    else if (this->chunked) {
-        HttpWire_WriteHeader(this->wsi, STR("transfer-encoding"),
-                             STR("chunked"), &cursor, end);
-    }
-    if (this->close_after) {
-        HttpWire_WriteHeader(this->wsi, STR("connection"), STR("close"),
-                             &cursor, end);
-    }
-    if (lws_finalize_http_header(this->wsi, &cursor, end)) {
-        return -1;
-    }
-    if (lws_write(this->wsi, start, (size_t)(cursor - start),
-                  LWS_WRITE_HTTP_HEADERS) < 0) {
-        return -1;
-    }
-    return 0;
 }
 
-static size_t
-pending_bytes(const HttpRequest *this)
+static void
+on_data(void *user, Str data)
 {
-    return this->buffer->len - this->buffer_sent;
+    Connection *this = user;
+
+    this->holds++;
+    if (this->request == NULL && HttpParser_IsIdle(this->parser)) {
+        wait_at_most(this, this->server->limits.head_time);
+    }
+    parse(this, data);
+    update_flow(this);
+    this->holds--;
+    release_connection(this);
 }
 
-static int
-write_piece(HttpRequest *this)
+/* The connection stays open only if the whole request was read, as the rest
+ * of a body would be taken for the next request. */
+static void
+complete_request(Connection *this)
 {
-    unsigned char
-        piece[LWS_PRE + WRITE_PIECE_BYTES + CHUNK_OVERHEAD_BYTES + 8];
-    unsigned char *start = piece + LWS_PRE;
-    size_t n = pending_bytes(this), used = 0;
-    bool last;
+    HttpRequest *request = this->request;
+    GByteArray *ahead = this->ahead;
 
-    if (n > WRITE_PIECE_BYTES) {
-        n = WRITE_PIECE_BYTES;
-    }
-    last = this->finished && n == pending_bytes(this);
-    if (this->chunked && n > 0) {
-        used = (size_t)g_snprintf((char *)start, CHUNK_OVERHEAD_BYTES,
-                                  "%zx\r\n", n);
-    }
-    if (n > 0) {
-        memcpy(start + used, this->buffer->data + this->buffer_sent, n);
-        used += n;
+    if (!request->body_whole || request->close_after) {
+        finish_connection(this, true);
+        return;
     }
-    if (this->chunked && n > 0) {
-        memcpy(start + used, "\r\n", 2);
-        used += 2;
+    this->request = NULL;
+    destroy_request(request, true);
+    wait_at_most(this, this->server->idle_time);
+    this->ahead = g_byte_array_new();
+    if (ahead->len > 0) {
+        wait_at_most(this, this->server->limits.head_time);
     }
-    if (this->chunked && last) {
-        memcpy(start + used, "0\r\n\r\n", 5);
-        used += 5;
+    parse(this, (Str){(const char *)ahead->data, ahead->len});
+    g_byte_array_free(ahead, TRUE);
+    update_flow(this);
+}
+
+static void
+write_output(Connection *this)
+{
+    HttpRequest *request = this->request;
+
+    if (request->output->len > 0) {
+        Socket_Write(this->socket, (Str){(const char *)request->output->data,
+                                         request->output->len});
+        g_byte_array_set_size(request->output, 0);
     }
-    this->buffer_sent += n;
-    if (pending_bytes(this) == 0) {
-        g_byte_array_set_size(this->buffer, 0);
-        this->buffer_sent = 0;
+    if (Socket_Buffered(this->socket) > 0) {
+        return;
     }
-    if (last) {
-        this->state = ANSWER_DONE;
+    if (request->finished) {
+        complete_request(this);
     }
-    if (used == 0) {
-        return 0;
+    else if (request->started) {
+        this->server->handlers.on_drained(this->server->user, request);
     }
-    return lws_write(this->wsi, start, used,
-                     last ? LWS_WRITE_HTTP_FINAL : LWS_WRITE_HTTP) < 0
-               ? -1
-               : 0;
 }
 
-/* Ends the transaction; the connection stays open only if the whole request
- * was read, as the rest of a body would be taken for the next request. */
-static int
-complete_request(HttpRequest *this, Session *session)
+static void
+run_task(void *user)
 {
-    struct lws *wsi = this->wsi;
-    bool keep = body_is_whole(this) && !this->close_after;
+    Connection *this = user;
 
-    session->request = NULL;
-    if (keep) {
-        this->awaits = this->body_paused = false;
-        update_flow(this);
+    if (this->gone || this->request == NULL) {
+        return;
     }
-    destroy_request(this, true);
-    if (!keep) {
-        return -1;
+    this->holds++;
+    if (this->request->aborted) {
+        close_connection(this);
     }
-    return lws_http_transaction_completed(wsi) ? -1 : 0;
+    else {
+        write_output(this);
+    }
+    this->holds--;
+    release_connection(this);
 }
 
-static int
-write_answer(HttpRequest *this, Session *session)
+static void
+on_drained(void *user)
 {
-    HttpServer *server = this->server;
-    bool more;
+    Connection *this = user;
 
-    if (this->aborted) {
-        return -1;
+    if (this->request != NULL) {
+        LoopTask_Schedule(this->task);
     }
-    if (this->state == ANSWER_HEADERS) {
-        this->state = ANSWER_BODY;
-        if (write_headers(this) < 0) {
-            return -1;
-        }
-        if (!lws_send_pipe_choked(this->wsi) &&
-            (pending_bytes(this) > 0 || this->finished)) {
-            if (write_piece(this) < 0) {
-                return -1;
-            }
-        }
-    }
-    else if (this->state == ANSWER_BODY &&
-             (pending_bytes(this) > 0 || this->finished)) {
-        if (write_piece(this) < 0) {
-            return -1;
+}
+
+static void
+on_open(void *user)
+{
+}
+
+static void
+on_end(void *user, SocketEnd end)
+{
+    forget_connection(user, false);
+}
+
+static const SocketHandlers socket_handlers = {
+    on_open,
+    on_data,
+    on_drained,
+    on_end,
+};
+
+static void
+adopt(HttpServer *server, int fd)
+{
+    Connection *this = g_new0(Connection, 1);
+    SocketOptions options = {.tls = server->tls};
+
+    this->server = server;
+    this->ahead = g_byte_array_new();
+    this->parser =
+        HttpParser_Create(HTTP_PARSER_REQUESTS, server->limits.head_bytes,
+                          &parser_handlers, this);
+    this->task = LoopTask_Create(server->loop, run_task, this);
+    this->timer = LoopTimer_Create(server->loop, on_timer, this);
+    this->socket =
+        Socket_Accept(server->loop, fd, &options, &socket_handlers, this);
+    g_hash_table_add(server->connections, this);
+    wait_at_most(this, server->idle_time);
+}
+
+static void
+accept_callers(HttpServer *this)
+{
+    for (int i = 0; i < ACCEPTS_PER_EVENT && !this->stopping; i++) {
+        int fd =
+            accept4(this->listen_fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+
+        if (fd < 0) {
+            return;
         }
+        this->accepted++;
+        adopt(this, fd);
     }
-    if (this->state == ANSWER_DONE) {
-        return complete_request(this, session);
-    }
-    if (this->state == ANSWER_BODY && pending_bytes(this) == 0 &&
-        !this->finished) {
-        server->handlers.on_drained(server->user, this);
-    }
-    more = this->state == ANSWER_BODY &&
-           (pending_bytes(this) > 0 || this->finished);
-    if (more && !lws_send_pipe_choked(this->wsi)) {
-        ask_writable(this);
-    }
-    else {
-        rest_from_writing(this, more);
-    }
-    return 0;
 }
 
-static int
-server_callback(struct lws *wsi, enum lws_callback_reasons reason, void *user,
-                void *in, size_t length)
+static void
+close_listener(HttpServer *this)
 {
-    Session *session = user;
-    HttpServer *server;
+    if (this->listener != NULL) {
+        LoopIo_Destroy(this->listener);
+        this->listener = NULL;
+        close(this->listen_fd);
+    }
+}
 
-    switch (reason) {
-    case LWS_CALLBACK_HTTP:
-        /* Not the vhost's: the library may choose another vhost by the
-         * Host header. */
-        server = lws_get_opaque_user_data(wsi);
-        if (server == NULL || session->request != NULL) {
-            return -1;
-        }
-        start_request(server, wsi, session);
-        return 0;
-    case LWS_CALLBACK_HTTP_BODY:
-        if (session != NULL && session->request != NULL) {
-            receive_body(session->request, (Str){in, length});
-        }
-        return 0;
-    case LWS_CALLBACK_HTTP_BODY_COMPLETION:
-        if (session != NULL && session->request != NULL) {
-            end_body(session->request);
-        }
-        return 0;
-    case LWS_CALLBACK_HTTP_WRITEABLE:
-        if (session != NULL && session->request != NULL) {
-            return write_answer(session->request, session);
-        }
-        return 0;
-    case LWS_CALLBACK_CLOSED_HTTP:
-        if (session != NULL && session->request != NULL) {
-            HttpRequest *request = session->request;
+static void
+on_listener(void *user, unsigned events)
+{
+    HttpServer *this = user;
 
-            session->request = NULL;
-            destroy_request(request, false);
-        }
-        return 0;
-    default:
-        return 0;
+    if ((events & LOOP_IO_CLOSING) != 0) {
+        close_listener(this);
+        return;
     }
+    accept_callers(this);
 }
 
-/* The listening socket is our own, because the library has no call that
- * closes one and lets the requests of its connections finish. */
 static int
 open_socket(HttpServer *this, const HttpServerOptions *options)
 {
@@ -609,33 +574,6 @@
     return fd;
 }
 
-static void
-accept_callers(void *user)
-{
-    HttpServer *this = user;
-
-    struct lws *wsi;
-    int on = 1;
-
-    for (int i = 0; i < ACCEPTS_PER_EVENT && !this->stopping; i++) {
-        int fd =
-            accept4(this->listen_fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
-
-        if (fd < 0) {
-            return;
-        }
-        /* On failure the library has closed the socket. */
-        this->accepted++;
-        /* Without it the second piece of an answer waits for a delayed
-         * acknowledgement, about 43 ms. */
-        setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-        wsi = lws_adopt_socket_vhost(this->vhost, fd);
-        if (wsi != NULL) {
-            lws_set_opaque_user_data(wsi, this);
-        }
-    }
-}
-
 static int
 start_listening(HttpServer *this, const HttpServerOptions *options,
                 Error *error)
@@ -646,31 +584,10 @@
                          "cannot listen on %s:%u: %s", options->address,
                          options->port, strerror(errno));
     }
-    return Loop_Watch(this->loop, this->listen_fd, accept_callers, this,
-                      error);
-}
-
-static struct lws_vhost *
-create_vhost(HttpServer *this, const HttpServerOptions *options)
-{
-    struct lws_context_creation_info info = {0};
-
-    info.port = CONTEXT_PORT_NO_LISTEN_SERVER;
-    info.vhost_name = "callers";
-    info.protocols = this->protocols;
-    info.keepalive_timeout = options->keep_alive_s;
-    info.timeout_secs = 3600;
-    if (options->certificate_file != NULL) {
-        info.options |= LWS_SERVER_OPTION_DO_SSL_GLOBAL_INIT;
-        info.ssl_cert_filepath = options->certificate_file;
-        info.ssl_private_key_filepath = options->key_file;
-        info.alpn = "http/1.1";
-    }
-    if (options->client_ca_file != NULL) {
-        info.options |= LWS_SERVER_OPTION_REQUIRE_VALID_OPENSSL_CLIENT_CERT;
-        info.ssl_ca_filepath = options->client_ca_file;
-    }
-    return lws_create_vhost(Loop_Context(this->loop), &info);
+    this->listener =
+        LoopIo_Create(this->loop, this->listen_fd, on_listener, this);
+    LoopIo_Want(this->listener, LOOP_IO_READ);
+    return 0;
 }
 
 HttpServer *
@@ -678,30 +595,37 @@
                   const HttpServerHandlers *handlers, void *user, Error *error)
 {
     HttpServer *this = g_new0(HttpServer, 1);
+    TlsFiles files = {options->certificate_file, options->key_file,
+                      options->client_ca_file};
 
     this->loop = loop;
     this->handlers = *handlers;
     this->user = user;
-    this->extra_headers = options->extra_headers;
-    this->protocols[0].name = "http";
-    this->protocols[0].callback = server_callback;
-    this->protocols[0].per_session_data_size = sizeof(Session);
-    this->vhost = create_vhost(this, options);
-    if (this->vhost == NULL) {
-        Error_Set(error, ERR_INVALID, "listen", Str_FromC(options->address),
-                  "a certificate or key file can not be used");
-        g_free(this);
-        return NULL;
+    this->accept_chunked = options->accept_chunked;
+    this->connections = g_hash_table_new(g_direct_hash, g_direct_equal);
+    HttpServer_SetLimits(this, &options->limits, options->keep_alive_s);
+    if (options->certificate_file != NULL) {
+        this->tls = TlsContext_Create(true, &files, error);
     }
-    this->watch = CloseWatch_Create(loop, notice_caller, this, error);
-    if (this->watch == NULL || start_listening(this, options, error) < 0) {
-        lws_vhost_destroy(this->vhost);
-        g_free(this);
+    if ((options->certificate_file != NULL && this->tls == NULL) ||
+        start_listening(this, options, error) < 0) {
+        HttpServer_Destroy(this);
         return NULL;
     }
     return this;
 }
 
+void
+HttpServer_SetLimits(HttpServer *this, const HttpLimits *limits,
+                     int keep_alive_s)
+{
+    this->limits = *limits;
+    if (this->limits.head_bytes == 0) {
+        this->limits.head_bytes = HEAD_BYTES_DEFAULT;
+    }
+    this->idle_time = keep_alive_s * MICROS_PER_S;
+}
+
 uint16_t
 HttpServer_Port(const HttpServer *this)
 {
@@ -720,6 +644,22 @@
     this->closing_kept = true;
 }
 
+void
+HttpServer_CloseIdle(HttpServer *this)
+{
+    GList *all = g_hash_table_get_keys(this->connections);
+
+    for (GList *item = all; item != NULL; item = item->next) {
+        Connection *connection = item->data;
+
+        if (connection->request == NULL &&
+            HttpParser_IsIdle(connection->parser)) {
+            finish_connection(connection, false);
+        }
+    }
+    g_list_free(all);
+}
+
 void
 HttpServer_StopListening(HttpServer *this)
 {
@@ -730,16 +670,25 @@
     accept_callers(this);
     this->stopping = true;
     this->closing_kept = true;
-    shutdown(this->listen_fd, SHUT_RDWR);
-    Loop_Unwatch(this->loop, this->listen_fd);
+    close_listener(this);
 }
 
 void
 HttpServer_Destroy(HttpServer *this)
 {
-    if (this != NULL) {
-        CloseWatch_Destroy(this->watch);
+    GList *all;
+
+    if (this == NULL) {
+        return;
+    }
+    all = g_hash_table_get_keys(this->connections);
+    for (GList *item = all; item != NULL; item = item->next) {
+        close_connection(item->data);
     }
+    g_list_free(all);
+    close_listener(this);
+    TlsContext_Destroy(this->tls);
+    g_hash_table_destroy(this->connections);
     g_free(this);
 }
 
@@ -770,7 +719,9 @@
 Str
 HttpRequest_CertificateName(const HttpRequest *this)
 {
-    return (Str){this->certificate_name->str, this->certificate_name->len};
+    return this->connection->socket != NULL
+               ? Socket_PeerName(this->connection->socket)
+               : STR("");
 }
 
 int64_t
@@ -795,66 +746,102 @@
 HttpRequest_PauseBody(HttpRequest *this, bool paused)
 {
     this->body_paused = paused;
-    update_flow(this);
+    update_flow(this->connection);
+}
+
+static void
+append(HttpRequest *this, const char *data, size_t length)
+{
+    g_byte_array_append(this->output, (const guint8 *)data, (guint)length);
+}
+
+static void
+append_field(HttpRequest *this, Str name, Str value)
+{
+    append(this, name.data, name.length);
+    append(this, ": ", 2);
+    if (value.length > 0) {
+        append(this, value.data, value.length);
+    }
+    append(this, "\r\n", 2);
 }
 
 void
 HttpRequest_StartAnswer(HttpRequest *this, int status,
                         const HeaderList *headers, int64_t length)
 {
+    char line[64];
     Str name, value;
 
-    this->state = ANSWER_HEADERS;
-    this->status = status;
-    this->answer_length = length;
+    this->started = true;
     this->chunked = length < 0 && !this->is_head;
-    if (!body_is_whole(this)) {
+    if ((!this->body_whole && this->content_length != 0) ||
+        this->server->closing_kept) {
         this->close_after = true;
     }
-    if (this->server->closing_kept) {
-        this->close_after = true;
-    }
-    this->answer_headers = HeaderList_Create();
+    g_snprintf(line, sizeof(line), "HTTP/1.1 %d %s\r\n", status,
+               http_status_str((enum http_status)status));
+    append(this, line, strlen(line));
     for (size_t i = 0; i < HeaderList_Count(headers); i++) {
         HeaderList_At(headers, i, &name, &value);
-        HeaderList_Add(this->answer_headers, name, value);
+        append_field(this, name, value);
+    }
+    if (length >= 0) {
+        g_snprintf(line, sizeof(line), "%" G_GINT64_FORMAT, length);
+        append_field(this, STR("content-length"), Str_FromC(line));
+    }
+    else if (this->chunked) {
+        append_field(this, STR("transfer-encoding"), STR("chunked"));
     }
-    ask_writable(this);
+    if (this->close_after) {
+        append_field(this, STR("connection"), STR("close"));
+    }
+    append(this, "\r\n", 2);
+    LoopTask_Schedule(this->connection->task);
 }
 
 void
 HttpRequest_Write(HttpRequest *this, Str data)
 {
-    if (this->is_head || this->aborted) {
+    char line[24];
+
+    if (this->is_head || this->aborted || data.length == 0) {
         return;
     }
-    g_byte_array_append(this->buffer, (const guint8 *)data.data,
-                        (guint)data.length);
-    ask_writable(this);
+    if (this->chunked) {
+        g_snprintf(line, sizeof(line), "%zx\r\n", data.length);
+        append(this, line, strlen(line));
+    }
+    append(this, data.data, data.length);
+    if (this->chunked) {
+        append(this, "\r\n", 2);
+    }
+    LoopTask_Schedule(this->connection->task);
 }
 
 size_t
 HttpRequest_Buffered(const HttpRequest *this)
 {
-    return pending_bytes(this);
+    const Socket *socket = this->connection->socket;
+
+    return this->output->len + (socket != NULL ? Socket_Buffered(socket) : 0);
 }
 
 void
 HttpRequest_Finish(HttpRequest *this)
 {
+    if (this->chunked && !this->finished) {
+        append(this, "0\r\n\r\n", 5);
+    }
     this->finished = true;
-    ask_writable(this);
+    LoopTask_Schedule(this->connection->task);
 }
 
 void
 HttpRequest_Abort(HttpRequest *this)
 {
     this->aborted = true;
-    this->writing = false;
-    start_waiting(this);
-    if (!Loop_IsClosing(this->server->loop)) {
-        Loop_Kill(this->server->loop, this->wsi);
-    }
+    LoopTask_Schedule(this->connection->task);
 }
 
 void
--- a/packages/net/HttpServer.h
+++ b/packages/net/HttpServer.h
@@ -1,8 +1,7 @@
 #ifndef AGATECRANK_NET_HTTPSERVER_H
 #define AGATECRANK_NET_HTTPSERVER_H
 
-#include "HeaderList.h"
-#include "HttpWire.h"
+#include "HttpParser.h"
 #include "Loop.h"
 
 /** typedef HttpServer - one listening address */
@@ -33,23 +32,37 @@
     void (*on_closed)(void *user, HttpRequest *request, bool complete);
 } HttpServerHandlers;
 
+/**
+ * struct HttpLimits_ - bounds on what a caller may send and how slowly
+ * @head_bytes: longest header block, answered 431; 0 for the default
+ * @body_bytes: longest body, answered 413; 0 for none
+ * @head_time: time for a header block, answered 408; 0 for none
+ */
+typedef struct HttpLimits_ {
+    size_t head_bytes;
+    int64_t body_bytes;
+    Micros head_time;
+} HttpLimits;
+
 /**
  * struct HttpServerOptions_ - settings of one listening address
  * @address: IP number to listen on
  * @port: TCP port
- * @extra_headers: fields to keep beside the well-known ones, NULL-terminated
  * @keep_alive_s: seconds that an idle connection of a caller stays open
  * @certificate_file, @key_file: PEM files, NULL for plain HTTP
  * @client_ca_file: PEM file; callers must then show a certificate
+ * @limits: bounds on what a caller may send
+ * @accept_chunked: bodies may be framed by chunks; else they get 411
  */
 typedef struct HttpServerOptions_ {
     const char *address;
     uint16_t port;
-    const char *const *extra_headers;
     int keep_alive_s;
     const char *certificate_file;
     const char *key_file;
     const char *client_ca_file;
+    HttpLimits limits;
+    bool accept_chunked;
 } HttpServerOptions;
 
 /** HttpServer_Create() - listen; NULL with @error filled on failure */
@@ -60,12 +73,19 @@
 /** HttpServer_Port() - TCP port, also if the options gave 0 */
 uint16_t HttpServer_Port(const HttpServer *this);
 
+/** HttpServer_SetLimits() - for the next request of each connection */
+void HttpServer_SetLimits(HttpServer *this, const HttpLimits *limits,
+                          int keep_alive_s);
+
 /** HttpServer_Accepted() - connections accepted so far */
 uint64_t HttpServer_Accepted(const HttpServer *this);
 
 /** HttpServer_CloseKeptAlive() - end each connection after its next answer */
 void HttpServer_CloseKeptAlive(HttpServer *this);
 
+/** HttpServer_CloseIdle() - close connections without a request */
+void HttpServer_CloseIdle(HttpServer *this);
+
 /** HttpServer_StopListening() - the same, and accept no more connections */
 void HttpServer_StopListening(HttpServer *this);
 
@@ -78,7 +98,7 @@
 /** HttpRequest_Method() - upper-case method */
 Str HttpRequest_Method(const HttpRequest *this);
 
-/** HttpRequest_Path() - path with query, re-encoded by RFC 3986 */
+/** HttpRequest_Path() - path with query, as received */
 Str HttpRequest_Path(const HttpRequest *this);
 
 /** HttpRequest_Headers() - header fields as received */
@@ -87,7 +107,8 @@
 /** HttpRequest_CertificateName() - common name of a verified certificate */
 Str HttpRequest_CertificateName(const HttpRequest *this);
 
-/** HttpRequest_ContentLength() - bytes of the body; 0 without a body */
+/** HttpRequest_ContentLength() - bytes of the body, 0 without a body, or
+ *                               HTTP_LENGTH_UNKNOWN for a chunked one */
 int64_t HttpRequest_ContentLength(const HttpRequest *this);
 
 /** HttpRequest_SetData() and HttpRequest_Data() - the owner's pointer */
--- a/packages/net/LogClient.c
+++ b/packages/net/LogClient.c
@@ -26,11 +26,9 @@
 LogClient_Create(Loop *loop, Str url, const HttpClientOptions *tls,
                  Error *error)
 {
-    static const char *const names[] = {"log-first", "log-next", NULL};
     LogClient *this = g_new0(LogClient, 1);
 
-    this->fetch =
-        HttpFetch_Create(loop, url, ANSWER_MAX_BYTES, tls, names, error);
+    this->fetch = HttpFetch_Create(loop, url, ANSWER_MAX_BYTES, tls, error);
     if (this->fetch == NULL) {
         g_free(this);
         return NULL;
--- a/packages/net/Loop.c
+++ b/packages/net/Loop.c
@@ -27,12 +27,29 @@
     LoopSignalHandler *signal_handler;
     void *signal_user;
     GHashTable *watches; /* descriptor to wsi */
+    GHashTable *ios;     /* set of LoopIo */
+    struct ev_prepare prepare;
+    GQueue *tasks; /* scheduled LoopTask in order */
     uint64_t turns;
     int signal_fd;
     bool stopped;
     bool closing;
 };
 
+struct LoopIo_ {
+    struct ev_io event;
+    Loop *loop;
+    LoopIoHandler *handler;
+    void *user;
+};
+
+struct LoopTask_ {
+    Loop *loop;
+    LoopHandler *handler;
+    void *user;
+    bool scheduled;
+};
+
 struct LoopTimer_ {
     struct ev_timer event;
     Loop *loop;
@@ -99,6 +116,18 @@
     return (unsigned)limit.rlim_cur;
 }
 
+static void
+run_tasks(struct ev_loop *events, struct ev_prepare *event, int revents)
+{
+    Loop *this = event->data;
+    LoopTask *task;
+
+    while ((task = g_queue_pop_head(this->tasks)) != NULL) {
+        task->scheduled = false;
+        task->handler(task->user);
+    }
+}
+
 Loop *
 Loop_Create(const Clock *clock, EventLog *log, Error *error)
 {
@@ -109,6 +138,8 @@
     this->clock = clock;
     this->signal_fd = -1;
     this->watches = g_hash_table_new(g_direct_hash, g_direct_equal);
+    this->ios = g_hash_table_new(g_direct_hash, g_direct_equal);
+    this->tasks = g_queue_new();
     library_log = log;
     lws_set_log_level(LLL_ERR, log_library_line);
     /* The library's own poll loop rounds timers down to milliseconds and spins
@@ -129,12 +160,17 @@
         Error_Set(error, ERR_IO, "loop-create", STR(""),
                   "libwebsockets could not create its context");
         g_hash_table_destroy(this->watches);
+        g_hash_table_destroy(this->ios);
+        g_queue_free(this->tasks);
         g_free(this);
         return NULL;
     }
     info.protocols = watch_protocols;
     info.vhost_name = "watch";
     this->vhost = lws_create_vhost(this->context, &info);
+    ev_prepare_init(&this->prepare, run_tasks);
+    this->prepare.data = this;
+    ev_prepare_start(this->events, &this->prepare);
     return this;
 }
 
@@ -154,6 +190,54 @@
     }
 }
 
+LoopTask *
+LoopTask_Create(Loop *loop, LoopHandler *handler, void *user)
+{
+    LoopTask *this = g_new0(LoopTask, 1);
+
+    this->loop = loop;
+    this->handler = handler;
+    this->user = user;
+    return this;
+}
+
+void
+LoopTask_Schedule(LoopTask *this)
+{
+    if (!this->scheduled && !this->loop->closing) {
+        this->scheduled = true;
+        g_queue_push_tail(this->loop->tasks, this);
+    }
+}
+
+void
+LoopTask_Destroy(LoopTask *this)
+{
+    if (this == NULL) {
+        return;
+    }
+    if (this->scheduled) {
+        g_queue_remove(this->loop->tasks, this);
+    }
+    g_free(this);
+}
+
+static void
+close_ios(Loop *this)
+{
+    GList *ios = g_hash_table_get_keys(this->ios);
+
+    for (GList *item = ios; item != NULL; item = item->next) {
+        LoopIo *io = item->data;
+
+        /* A handler may have destroyed others. */
+        if (g_hash_table_contains(this->ios, io)) {
+            io->handler(io->user, LOOP_IO_CLOSING);
+        }
+    }
+    g_list_free(ios);
+}
+
 void
 Loop_Close(Loop *this)
 {
@@ -161,6 +245,8 @@
         return;
     }
     this->closing = true;
+    close_ios(this);
+    ev_prepare_stop(this->events, &this->prepare);
     free_detached_connections(this);
     lws_context_destroy(this->context);
     ev_loop_destroy(this->events);
@@ -181,6 +267,8 @@
     }
     Loop_Close(this);
     g_hash_table_destroy(this->watches);
+    g_hash_table_destroy(this->ios);
+    g_queue_free(this->tasks);
     g_free(this);
 }
 
@@ -249,24 +337,73 @@
 }
 
 void
-Loop_Kill(Loop *this, struct lws *wsi)
+Loop_Unwatch(Loop *this, int fd)
 {
-    if (this->closing) {
+    struct lws *wsi = g_hash_table_lookup(this->watches, GINT_TO_POINTER(fd));
+
+    if (wsi == NULL || this->closing) {
         return;
     }
+    /* Wakes the library, whose timers wait for an event of its own. */
     lws_set_timeout(wsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
     lws_cancel_service(this->context);
 }
 
+static void
+io_ready(struct ev_loop *events, struct ev_io *event, int revents)
+{
+    LoopIo *this = event->data;
+    unsigned seen = 0;
+
+    seen |= (revents & EV_READ) != 0 ? LOOP_IO_READ : 0;
+    seen |= (revents & EV_WRITE) != 0 ? LOOP_IO_WRITE : 0;
+    if (!this->loop->closing && seen != 0) {
+        this->handler(this->user, seen);
+    }
+}
+
+LoopIo *
+LoopIo_Create(Loop *loop, int fd, LoopIoHandler *handler, void *user)
+{
+    LoopIo *this = g_new0(LoopIo, 1);
+
+    this->loop = loop;
+    this->handler = handler;
+    this->user = user;
+    ev_io_init(&this->event, io_ready, fd, 0);
+    this->event.data = this;
+    g_hash_table_add(loop->ios, this);
+    return this;
+}
+
 void
-Loop_Unwatch(Loop *this, int fd)
+LoopIo_Want(LoopIo *this, unsigned events)
 {
-    struct lws *wsi = g_hash_table_lookup(this->watches, GINT_TO_POINTER(fd));
+    struct ev_loop *loop = this->loop->events;
+    int wanted = 0;
 
-    if (wsi == NULL || this->closing) {
+    wanted |= (events & LOOP_IO_READ) != 0 ? EV_READ : 0;
+    wanted |= (events & LOOP_IO_WRITE) != 0 ? EV_WRITE : 0;
+    if (this->loop->closing ||
+        (ev_is_active(&this->event) && this->event.events == wanted)) {
         return;
     }
-    Loop_Kill(this, wsi);
+    ev_io_stop(loop, &this->event);
+    ev_io_set(&this->event, this->event.fd, wanted);
+    if (wanted != 0) {
+        ev_io_start(loop, &this->event);
+    }
+}
+
+void
+LoopIo_Destroy(LoopIo *this)
+{
+    if (this == NULL) {
+        return;
+    }
+    ev_io_stop(this->loop->events, &this->event);
+    g_hash_table_remove(this->loop->ios, this);
+    g_free(this);
 }
 
 static void
@@ -289,6 +426,7 @@
     sigemptyset(&set);
     sigaddset(&set, SIGTERM);
     sigaddset(&set, SIGINT);
+    sigaddset(&set, SIGHUP);
     sigprocmask(SIG_BLOCK, &set, NULL);
     this->signal_fd = signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
     if (this->signal_fd < 0) {
--- a/packages/net/Loop.h
+++ b/packages/net/Loop.h
@@ -70,17 +70,44 @@
 int Loop_Watch(Loop *this, int fd, LoopHandler *handler, void *user,
                Error *error);
 
-/**
- * Loop_Kill() - close a connection of the library in its next turn
- *
- * It wakes the library, whose timers otherwise wait for an event of its own.
- */
-void Loop_Kill(Loop *this, struct lws *wsi);
-
 /** Loop_Unwatch() - stop watching @fd and close it; unknown ones are ignored */
 void Loop_Unwatch(Loop *this, int fd);
 
-/** Loop_WatchSignals() - SIGTERM and SIGINT go to @handler; blocks both */
+/** typedef LoopIo - readiness of one descriptor, which its owner closes */
+typedef struct LoopIo_ LoopIo;
+
+/** enum LoopIoEvent - what a LoopIo reports, as a set of bits */
+enum LoopIoEvent {
+    LOOP_IO_READ = 1,
+    LOOP_IO_WRITE = 2,
+    LOOP_IO_CLOSING = 4, /* the loop ends; destroy the LoopIo now */
+};
+
+/** typedef LoopIoHandler - @events is a set of enum LoopIoEvent */
+typedef void LoopIoHandler(void *user, unsigned events);
+
+/** LoopIo_Create() - reports nothing until LoopIo_Want() */
+LoopIo *LoopIo_Create(Loop *loop, int fd, LoopIoHandler *handler, void *user);
+
+/** LoopIo_Want() - the events to report from now on */
+void LoopIo_Want(LoopIo *this, unsigned events);
+
+/** LoopIo_Destroy() - allowed in the handler; NULL is allowed */
+void LoopIo_Destroy(LoopIo *this);
+
+/** typedef LoopTask - runs a handler before the loop waits again */
+typedef struct LoopTask_ LoopTask;
+
+/** LoopTask_Create() - a task that is not scheduled */
+LoopTask *LoopTask_Create(Loop *loop, LoopHandler *handler, void *user);
+
+/** LoopTask_Schedule() - run the handler once, after the current one */
+void LoopTask_Schedule(LoopTask *this);
+
+/** LoopTask_Destroy() - allowed in the handler; NULL is allowed */
+void LoopTask_Destroy(LoopTask *this);
+
+/** Loop_WatchSignals() - SIGTERM, SIGINT and SIGHUP go to @handler */
 int Loop_WatchSignals(Loop *this, LoopSignalHandler *handler, void *user,
                       Error *error);
 
--- a/packages/net/PeerKeys.c
+++ b/packages/net/PeerKeys.c
@@ -75,7 +75,7 @@
 read_key(const char *file, PeerKey *key, Error *error)
 {
     char *text;
-    size_t length;
+    size_t length = 0;
     Str rest;
     Str line = {NULL, 0};
     int code = read_file(file, &text, &length, error);
@@ -100,7 +100,7 @@
 read_allowed(const char *file, PeerKeys *keys, Error *error)
 {
     char *text;
-    size_t length;
+    size_t length = 0;
     size_t number = 0;
     Str rest;
     Str line;
--- a/packages/net/Proxy.c
+++ b/packages/net/Proxy.c
@@ -53,7 +53,6 @@
     HttpServer *server;
     HttpClient *client;
     GHashTable *requests; /* balancer id to ProxyRequest */
-    GPtrArray *names;
     ProxyClaimHandler *on_claim;
     void *user;
     bool draining;
@@ -419,7 +418,7 @@
     begin_record(request, status, out);
     if (request->http != NULL) {
         HttpRequest_StartAnswer(request->http, status, out,
-                                HttpWire_ContentLength(headers));
+                                HeaderList_ContentLength(headers));
     }
     HeaderList_Destroy(out);
 }
@@ -735,26 +734,6 @@
 
 /* ---- creation ------------------------------------------------------- */
 
-static void
-collect_names(Proxy *this, const char *const *forward)
-{
-    static const char *const own[] = {
-        "idempotency-key",    "x-request-id",        "agatecrank-deadline-ms",
-        "agatecrank-outcome", "agatecrank-reason",   "agatecrank-load",
-        "agatecrank-hops",    "agatecrank-retrying", "traceparent",
-        "tracestate",
-    };
-
-    this->names = g_ptr_array_new_with_free_func(g_free);
-    for (size_t i = 0; i < G_N_ELEMENTS(own); i++) {
-        g_ptr_array_add(this->names, g_strdup(own[i]));
-    }
-    for (size_t i = 0; forward != NULL && forward[i] != NULL; i++) {
-        g_ptr_array_add(this->names, g_ascii_strdown(forward[i], -1));
-    }
-    g_ptr_array_add(this->names, NULL);
-}
-
 Proxy *
 Proxy_Create(Loop *loop, Balancer *balancer, Random *random,
              Counters *counters, const ProxyOptions *options,
@@ -771,11 +750,6 @@
     this->user = user;
     this->requests = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
                                            destroy_request);
-    collect_names(this, options->forward);
-    this->options.server.extra_headers =
-        (const char *const *)this->names->pdata;
-    this->options.client.extra_headers =
-        (const char *const *)this->names->pdata;
     this->client = HttpClient_Create(loop, &this->options.client);
     this->server = HttpServer_Create(loop, &this->options.server,
                                      &server_handlers, this, error);
@@ -790,7 +764,6 @@
 Proxy_Destroy(Proxy *this)
 {
     g_hash_table_destroy(this->requests);
-    g_ptr_array_free(this->names, TRUE);
     if (this->server != NULL) {
         HttpServer_Destroy(this->server);
     }
--- a/packages/net/Proxy.h
+++ b/packages/net/Proxy.h
@@ -18,7 +18,6 @@
  * @client: connections to upstreams
  * @request_buffer, @response_buffer: bytes held for each open request
  * @answer_limit: largest answer that is kept for resends of its key
- * @forward: names of further header fields to pass on, NULL-terminated
  */
 typedef struct ProxyOptions_ {
     HttpServerOptions server;
@@ -26,7 +25,6 @@
     size_t request_buffer;
     size_t response_buffer;
     size_t answer_limit;
-    const char *const *forward;
 } ProxyOptions;
 
 /** typedef ProxyClaimHandler - a claim action that needs the log or a peer */
--- a/packages/net/ProxyHeaders.c
+++ b/packages/net/ProxyHeaders.c
@@ -8,35 +8,20 @@
     return Str_StartsWith(name, STR("agatecrank-"));
 }
 
-/* Fields named by Connection concern this connection only. */
-static bool
-is_named_by_connection(const HeaderList *headers, Str name)
-{
-    Str rest = HeaderList_Get(headers, STR("connection"));
-    Str field;
-
-    while (Str_Split(&rest, ',', &field)) {
-        if (Str_EqualIgnoreCase(Str_Trim(field), name)) {
-            return true;
-        }
-    }
-    return false;
-}
-
 static void
-copy_end_to_end(const HeaderList *from, HeaderList *to)
+copy_without_internal(const HeaderList *from, HeaderList *to)
 {
+    HeaderList *all = HeaderList_Create();
     Str name, value;
 
-    for (size_t i = 0; i < HeaderList_Count(from); i++) {
-        HeaderList_At(from, i, &name, &value);
-        if (HeaderList_IsHopByHop(name) || is_internal(name) ||
-            is_named_by_connection(from, name) ||
-            Str_Equal(name, STR("content-length"))) {
-            continue;
+    HeaderList_CopyEndToEnd(from, all);
+    for (size_t i = 0; i < HeaderList_Count(all); i++) {
+        HeaderList_At(all, i, &name, &value);
+        if (!is_internal(name)) {
+            HeaderList_Add(to, name, value);
         }
-        HeaderList_Add(to, name, value);
     }
+    HeaderList_Destroy(all);
 }
 
 HeaderList *
@@ -44,13 +29,10 @@
 {
     HeaderList *to = HeaderList_Create();
 
-    copy_end_to_end(from, to);
+    copy_without_internal(from, to);
     HeaderList_Remove(to, STR("host"));
     HeaderList_Remove(to, STR("authorization"));
     HeaderList_Remove(to, STR("expect"));
-    /* The library adds these two to each request by itself. */
-    HeaderList_Remove(to, STR("pragma"));
-    HeaderList_Remove(to, STR("cache-control"));
     HeaderList_Set(to, STR("x-request-id"), info->request_id);
     HeaderList_Set(to, STR("x-forwarded-host"), info->host);
     HeaderList_Add(to, STR("agatecrank-caller"), info->caller);
@@ -69,7 +51,7 @@
 {
     HeaderList *to = HeaderList_Create();
 
-    copy_end_to_end(from, to);
+    copy_without_internal(from, to);
     HeaderList_Set(to, STR("x-request-id"), request_id);
     HeaderList_Add(to, STR("agatecrank-outcome"),
                    Str_FromC(Outcome_Word(outcome)));
--- /dev/null
+++ b/packages/net/Socket.c
@@ -0,0 +1,464 @@
+#include "Socket.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <glib.h>
+#include <netinet/tcp.h>
+#include <openssl/x509.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define READ_BYTES 16384
+/* Reads for one event, so that one peer does not hold up the others. */
+#define READS_PER_EVENT 8
+#define KEEP_ALIVE_PROBES 3
+#define LINGER_TIME (1 * MICROS_PER_S)
+#define COMMON_NAME_BYTES 128
+
+typedef enum SocketState_ {
+    STATE_CONNECTING,
+    STATE_HANDSHAKE,
+    STATE_OPEN,
+    STATE_LINGERING,
+    STATE_CLOSED,
+} SocketState;
+
+struct Socket_ {
+    Loop *loop;
+    LoopIo *io;
+    SSL *ssl;
+    LoopTimer *linger;
+    SocketHandlers handlers;
+    void *user;
+    GByteArray *output;
+    size_t output_sent;
+    char common_name[COMMON_NAME_BYTES];
+    SocketState state;
+    int fd;
+    unsigned holds; /* handlers that run now */
+    bool paused;
+    bool shut_down;
+    bool tls_wants_write;
+};
+
+static void
+release(Socket *this)
+{
+    if (this->state != STATE_CLOSED || this->holds > 0) {
+        return;
+    }
+    g_byte_array_free(this->output, TRUE);
+    g_free(this);
+}
+
+static void
+close_descriptor(Socket *this)
+{
+    if (this->state == STATE_CLOSED) {
+        return;
+    }
+    this->state = STATE_CLOSED;
+    LoopTimer_Destroy(this->linger);
+    LoopIo_Destroy(this->io);
+    if (this->ssl != NULL) {
+        SSL_free(this->ssl);
+    }
+    close(this->fd);
+}
+
+static void
+end(Socket *this, SocketEnd how)
+{
+    bool tell = this->state != STATE_LINGERING && this->state != STATE_CLOSED;
+
+    close_descriptor(this);
+    if (tell) {
+        this->handlers.on_end(this->user, how);
+    }
+}
+
+static void
+want_events(Socket *this)
+{
+    unsigned events = 0;
+
+    if (this->state == STATE_CLOSED) {
+        return;
+    }
+    if (this->state == STATE_CONNECTING) {
+        events = LOOP_IO_WRITE;
+    }
+    else {
+        events = this->paused ? 0 : LOOP_IO_READ;
+        if (Socket_Buffered(this) > 0 || this->tls_wants_write) {
+            events |= LOOP_IO_WRITE;
+        }
+    }
+    LoopIo_Want(this->io, events);
+}
+
+static bool
+tls_must_wait(Socket *this, int result)
+{
+    int reason = SSL_get_error(this->ssl, result);
+
+    this->tls_wants_write = reason == SSL_ERROR_WANT_WRITE;
+    return reason == SSL_ERROR_WANT_READ || reason == SSL_ERROR_WANT_WRITE;
+}
+
+/* Returns bytes, 0 at the end of the stream, -1 to wait or -2 if broken. */
+static ssize_t
+receive(Socket *this, char *buffer, size_t length)
+{
+    ssize_t n;
+
+    if (this->ssl != NULL) {
+        n = SSL_read(this->ssl, buffer, (int)length);
+        if (n > 0) {
+            return n;
+        }
+        if (SSL_get_error(this->ssl, (int)n) == SSL_ERROR_ZERO_RETURN) {
+            return 0;
+        }
+        return tls_must_wait(this, (int)n) ? -1 : -2;
+    }
+    n = recv(this->fd, buffer, length, 0);
+    if (n >= 0) {
+        return n;
+    }
+    return errno == EAGAIN || errno == EINTR ? -1 : -2;
+}
+
+static ssize_t
+transmit(Socket *this, const void *data, size_t length)
+{
+    ssize_t n;
+
+    if (this->ssl != NULL) {
+        n = SSL_write(this->ssl, data, (int)length);
+        if (n > 0) {
+            return n;
+        }
+        return tls_must_wait(this, (int)n) ? -1 : -2;
+    }
+    n = send(this->fd, data, length, MSG_NOSIGNAL);
+    if (n >= 0) {
+        return n;
+    }
+    return errno == EAGAIN || errno == EINTR ? -1 : -2;
+}
+
+/* Returns false if the connection is broken. */
+static bool
+flush(Socket *this)
+{
+    while (Socket_Buffered(this) > 0) {
+        ssize_t n = transmit(this, this->output->data + this->output_sent,
+                             Socket_Buffered(this));
+
+        if (n == -1) {
+            return true;
+        }
+        if (n < 0) {
+            return false;
+        }
+        this->output_sent += (size_t)n;
+    }
+    g_byte_array_set_size(this->output, 0);
+    this->output_sent = 0;
+    return true;
+}
+
+static void
+shut_down_when_flushed(Socket *this)
+{
+    if (Socket_Buffered(this) > 0 || this->shut_down) {
+        return;
+    }
+    this->shut_down = true;
+    if (this->ssl != NULL) {
+        SSL_shutdown(this->ssl);
+    }
+    shutdown(this->fd, SHUT_WR);
+}
+
+static void
+read_peer(Socket *this)
+{
+    char buffer[READ_BYTES];
+
+    for (int i = 0; i < READS_PER_EVENT && this->state != STATE_CLOSED; i++) {
+        ssize_t n = receive(this, buffer, sizeof(buffer));
+
+        if (n == -1) {
+            return;
+        }
+        if (n <= 0) {
+            end(this, n == 0 ? SOCKET_END_EOF : SOCKET_END_BROKEN);
+            return;
+        }
+        if (this->state != STATE_LINGERING) {
+            this->handlers.on_data(this->user, (Str){buffer, (size_t)n});
+        }
+        if ((size_t)n < sizeof(buffer) && this->ssl == NULL) {
+            return;
+        }
+        if (this->paused) {
+            return;
+        }
+    }
+}
+
+static void
+read_common_name(Socket *this)
+{
+    X509 *certificate = SSL_get1_peer_certificate(this->ssl);
+
+    if (certificate == NULL) {
+        return;
+    }
+    if (SSL_get_verify_result(this->ssl) == X509_V_OK) {
+        X509_NAME_get_text_by_NID(X509_get_subject_name(certificate),
+                                  NID_commonName, this->common_name,
+                                  sizeof(this->common_name));
+    }
+    X509_free(certificate);
+}
+
+static void
+open_now(Socket *this)
+{
+    this->state = STATE_OPEN;
+    this->handlers.on_open(this->user);
+    /* A broken connection is reported by the next event. */
+    if (this->state == STATE_OPEN) {
+        flush(this);
+    }
+}
+
+static void
+shake_hands(Socket *this)
+{
+    int result = SSL_do_handshake(this->ssl);
+
+    if (result == 1) {
+        this->tls_wants_write = false;
+        read_common_name(this);
+        open_now(this);
+        return;
+    }
+    if (!tls_must_wait(this, result)) {
+        end(this, SOCKET_END_REFUSED);
+    }
+}
+
+static void
+finish_connecting(Socket *this)
+{
+    int code = 0;
+    socklen_t length = sizeof(code);
+
+    if (getsockopt(this->fd, SOL_SOCKET, SO_ERROR, &code, &length) != 0 ||
+        code != 0) {
+        end(this, SOCKET_END_REFUSED);
+        return;
+    }
+    if (this->ssl == NULL) {
+        open_now(this);
+        return;
+    }
+    this->state = STATE_HANDSHAKE;
+    shake_hands(this);
+}
+
+static void
+write_peer(Socket *this)
+{
+    bool pending = Socket_Buffered(this) > 0;
+
+    if (!flush(this)) {
+        end(this, SOCKET_END_BROKEN);
+        return;
+    }
+    if (this->state == STATE_LINGERING) {
+        shut_down_when_flushed(this);
+        return;
+    }
+    if (pending && Socket_Buffered(this) == 0) {
+        this->handlers.on_drained(this->user);
+    }
+}
+
+static void
+on_events(void *user, unsigned events)
+{
+    Socket *this = user;
+
+    this->holds++;
+    if ((events & LOOP_IO_CLOSING) != 0) {
+        end(this, SOCKET_END_LOOP);
+    }
+    else if (this->state == STATE_CONNECTING) {
+        finish_connecting(this);
+    }
+    else if (this->state == STATE_HANDSHAKE) {
+        shake_hands(this);
+    }
+    else {
+        if ((events & LOOP_IO_WRITE) != 0) {
+            write_peer(this);
+        }
+        if ((events & LOOP_IO_READ) != 0 && this->state != STATE_CLOSED) {
+            read_peer(this);
+        }
+    }
+    want_events(this);
+    this->holds--;
+    release(this);
+}
+
+static void
+set_options(int fd, const SocketOptions *options)
+{
+    int on = 1, probes = KEEP_ALIVE_PROBES;
+
+    /* Without it a second piece waits for a delayed acknowledgement. */
+    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    if (options->user_timeout_ms > 0) {
+        setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT,
+                   &options->user_timeout_ms,
+                   sizeof(options->user_timeout_ms));
+    }
+    if (options->keep_alive_s > 0) {
+        setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+        setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &options->keep_alive_s,
+                   sizeof(options->keep_alive_s));
+        setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &options->keep_alive_s,
+                   sizeof(options->keep_alive_s));
+        setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
+    }
+}
+
+static Socket *
+create(Loop *loop, int fd, SocketState state, const SocketOptions *options,
+       const SocketHandlers *handlers, void *user)
+{
+    Socket *this = g_new0(Socket, 1);
+
+    this->loop = loop;
+    this->fd = fd;
+    this->state = state;
+    this->handlers = *handlers;
+    this->user = user;
+    this->output = g_byte_array_new();
+    this->io = LoopIo_Create(loop, fd, on_events, this);
+    set_options(fd, options);
+    if (options->tls != NULL) {
+        this->ssl = TlsContext_Session(options->tls, fd);
+    }
+    want_events(this);
+    return this;
+}
+
+Socket *
+Socket_Accept(Loop *loop, int fd, const SocketOptions *options,
+              const SocketHandlers *handlers, void *user)
+{
+    return create(loop, fd,
+                  options->tls != NULL ? STATE_HANDSHAKE : STATE_OPEN, options,
+                  handlers, user);
+}
+
+Socket *
+Socket_Connect(Loop *loop, const char *address, uint16_t port,
+               const SocketOptions *options, const SocketHandlers *handlers,
+               void *user, Error *error)
+{
+    struct sockaddr_in place = {.sin_family = AF_INET,
+                                .sin_port = htons(port)};
+    int fd = -1;
+
+    if (inet_pton(AF_INET, address, &place.sin_addr) == 1) {
+        fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    }
+    if (fd < 0) {
+        Error_Set(error, ERR_IO, "connect", Str_FromC(address),
+                  "no socket, or no IPv4 address");
+        return NULL;
+    }
+    if (connect(fd, (struct sockaddr *)&place, sizeof(place)) < 0 &&
+        errno != EINPROGRESS) {
+        Error_Set(error, ERR_IO, "connect", Str_FromC(address), "port %u: %s",
+                  port, strerror(errno));
+        close(fd);
+        return NULL;
+    }
+    return create(loop, fd, STATE_CONNECTING, options, handlers, user);
+}
+
+void
+Socket_Write(Socket *this, Str data)
+{
+    bool idle = Socket_Buffered(this) == 0;
+
+    if (this->state == STATE_CLOSED || data.length == 0) {
+        return;
+    }
+    g_byte_array_append(this->output, (const guint8 *)data.data,
+                        (guint)data.length);
+    /* A broken connection is reported by the next event. */
+    if (idle && this->state == STATE_OPEN) {
+        flush(this);
+    }
+    want_events(this);
+}
+
+size_t
+Socket_Buffered(const Socket *this)
+{
+    return this->output->len - this->output_sent;
+}
+
+void
+Socket_Pause(Socket *this, bool paused)
+{
+    if (this->paused != paused) {
+        this->paused = paused;
+        want_events(this);
+    }
+}
+
+void
+Socket_Close(Socket *this)
+{
+    close_descriptor(this);
+    release(this);
+}
+
+static void
+stop_lingering(void *user)
+{
+    Socket_Close(user);
+}
+
+void
+Socket_Finish(Socket *this)
+{
+    if (this->state != STATE_OPEN || Loop_IsClosing(this->loop)) {
+        Socket_Close(this);
+        return;
+    }
+    this->state = STATE_LINGERING;
+    this->paused = false;
+    this->linger = LoopTimer_Create(this->loop, stop_lingering, this);
+    LoopTimer_Start(this->linger, LINGER_TIME);
+    shut_down_when_flushed(this);
+    want_events(this);
+}
+
+Str
+Socket_PeerName(const Socket *this)
+{
+    return Str_FromC(this->common_name);
+}
--- a/scripts/deployment.sh
+++ b/scripts/deployment.sh
@@ -203,8 +203,6 @@
 public_key_file = "$WORK/peers.key.pub"
 secret_key_file = "$WORK/peers.key"
 peer_keys_file = "$WORK/peers.allowed"
-[headers]
-forward = ["x-service-ms", "x-answer-bytes", "x-body-sha256", "x-upstream"]
 $extra
 TOML
     start "$name" "$BIN/packages/agatecrankd/agatecrankd" --config "$WORK/$name.toml"
