--- a/packages/agatecrankd/LogSink.c
+++ b/packages/agatecrankd/LogSink.c
@@ -2,11 +2,15 @@
 
 #include <glib.h>
 #include <log4c.h>
-#include <stdio.h>
+#include <poll.h>
+#include <string.h>
+#include <unistd.h>
 
 #define CATEGORY "agatecrank"
 #define LAYOUT "agatecrank-line"
-#define APPENDER "agatecrank-stderr"
+#define APPENDER "agatecrank-descriptor"
+/* A pipe that is ready takes this much without blocking (POSIX PIPE_BUF). */
+#define LINE_BYTES_MAX 4096
 
 struct LogSink_ {
     const Clock *clock;
@@ -31,25 +35,39 @@
 
 static const log4c_layout_type_t line_layout = {LAYOUT, format_line};
 
-/* log4c's own stderr appender puts its name before each line. */
+static int descriptor;
+static unsigned long lost_lines;
+
+/* A reader that stops reading costs lines, not requests. log4c's own stderr
+ * appender blocks, and puts its name before each line. */
 static int
 append_line(log4c_appender_t *appender, const log4c_logging_event_t *event)
 {
+    struct pollfd writable = {.fd = descriptor, .events = POLLOUT};
+    size_t length = strlen(event->evt_rendered_msg);
+
     (void)appender;
-    return fputs(event->evt_rendered_msg, stderr) < 0 ? -1 : 0;
+    if (poll(&writable, 1, 0) != 1 || (writable.revents & POLLOUT) == 0 ||
+        write(descriptor, event->evt_rendered_msg,
+              MIN(length, LINE_BYTES_MAX)) < 0) {
+        lost_lines++;
+        return -1;
+    }
+    return 0;
 }
 
 static const log4c_appender_type_t line_appender = {APPENDER, NULL,
                                                     append_line, NULL};
 
 LogSink *
-LogSink_Create(const Clock *clock, Str host)
+LogSink_Create(const Clock *clock, Str host, int fd)
 {
     LogSink *this = g_new0(LogSink, 1);
     log4c_layout_t *layout;
     log4c_appender_t *appender;
 
     this->clock = clock;
+    descriptor = fd;
     this->host = g_strndup(host.data, host.length);
     log4c_init();
     log4c_layout_type_set(&line_layout);
@@ -67,6 +85,12 @@
     return this;
 }
 
+uint64_t
+LogSink_Lost(void)
+{
+    return lost_lines;
+}
+
 void
 LogSink_Destroy(LogSink *this)
 {
--- a/packages/agatecrankd/main.c
+++ b/packages/agatecrankd/main.c
@@ -1,9 +1,13 @@
 #include <argtable2.h>
 #include <glib.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "Daemon.h"
+#include "GatewayDaemon.h"
+#include "PlatformBounds.h"
+#include "PlatformDialect.h"
 
 #define PROGRAM "agatecrankd"
 
@@ -30,43 +34,116 @@
 }
 
 static int
-run_daemon(const char *path, bool check)
+print_start_error(const Error *error)
+{
+    fprintf(stderr, PROGRAM ": %s: step %s: %s\n", error->peer, error->step,
+            error->text);
+    return EXIT_START;
+}
+
+static int
+run_balancer(const Settings *settings)
 {
-    Faults *faults = Faults_Create(Str_FromC(path));
-    Settings *settings = Settings_ReadFile(path, faults);
     Daemon *daemon;
     Error error;
     int code;
 
-    if (settings == NULL) {
-        code = print_faults(faults);
-        Faults_Destroy(faults);
-        return code;
+    daemon = Daemon_Create(settings, &error);
+    if (daemon == NULL) {
+        return print_start_error(&error);
+    }
+    code = Daemon_Run(daemon);
+    Daemon_Destroy(daemon);
+    return code;
+}
+
+static int
+run_gateway(const GatewaySettings *settings)
+{
+    GatewayDaemon *daemon;
+    Error error;
+    int code;
+
+    daemon = GatewayDaemon_Create(settings, &error);
+    if (daemon == NULL) {
+        return print_start_error(&error);
+    }
+    code = GatewayDaemon_Run(daemon);
+    GatewayDaemon_Destroy(daemon);
+    return code;
+}
+
+/* Returns -1 if the settings are in order and @check was not asked for. */
+static int
+report_settings(const char *path, bool usable, bool check, Faults *faults)
+{
+    if (!usable) {
+        return print_faults(faults);
     }
-    Faults_Destroy(faults);
     if (check) {
         printf("%s: ok\n", path);
-        Settings_Destroy(settings);
         return 0;
     }
-    daemon = Daemon_Create(settings, &error);
-    if (daemon == NULL) {
-        fprintf(stderr, PROGRAM ": %s: step %s: %s\n", error.peer, error.step,
-                error.text);
-        Settings_Destroy(settings);
-        return EXIT_START;
+    return -1;
+}
+
+static int
+start_balancer(const char *path, Str text, bool check, Faults *faults)
+{
+    Settings *settings = Settings_Parse(text, faults);
+    int code = report_settings(path, settings != NULL, check, faults);
+
+    if (code < 0) {
+        code = run_balancer(settings);
     }
-    code = Daemon_Run(daemon);
-    Daemon_Destroy(daemon);
     Settings_Destroy(settings);
     return code;
 }
 
+static int
+start_gateway(const char *path, Str text, bool check, Faults *faults)
+{
+    GatewaySettings *settings =
+        GatewaySettings_Parse(text, PlatformBounds_Read, faults);
+    int code = report_settings(path, settings != NULL, check, faults);
+
+    if (code < 0) {
+        code = run_gateway(settings);
+    }
+    GatewaySettings_Destroy(settings);
+    return code;
+}
+
+static int
+start(const char *path, bool check)
+{
+    Faults *faults = Faults_Create(Str_FromC(path));
+    GString *text = Settings_ReadText(path, faults);
+    int code = EXIT_USAGE;
+
+    if (text == NULL) {
+        code = print_faults(faults);
+    }
+    else if (GatewaySettings_IsOne((Str){text->str, text->len})) {
+        code = start_gateway(path, (Str){text->str, text->len}, check, faults);
+    }
+    else {
+        code =
+            start_balancer(path, (Str){text->str, text->len}, check, faults);
+    }
+    if (text != NULL) {
+        g_string_free(text, TRUE);
+    }
+    Faults_Destroy(faults);
+    return code;
+}
+
 int
 main(int argc, char **argv)
 {
-    struct arg_file *config =
-        arg_file0("c", "config", "FILE", "settings file (TOML)");
+    struct arg_file *config = arg_file0(
+        "c", "config", "FILE",
+        "settings file (TOML); default: $" PLATFORM_SETTINGS_VARIABLE);
     struct arg_lit *check =
         arg_lit0(NULL, "check", "check the settings file and exit");
     struct arg_lit *help = arg_lit0("h", "help", "print this help and exit");
@@ -76,6 +153,8 @@
     void *table[] = {config, check, help, version, end};
     int errors = arg_parse(argc, argv, table);
     int code = EXIT_USAGE;
+    const char *path = config->count > 0 ? config->filename[0]
+                                         : getenv(PLATFORM_SETTINGS_VARIABLE);
 
     if (help->count > 0) {
         print_help(table);
@@ -89,11 +168,11 @@
         arg_print_errors(stderr, end, PROGRAM);
         fprintf(stderr, "Try '" PROGRAM " --help'.\n");
     }
-    else if (config->count == 0) {
+    else if (path == NULL) {
         fprintf(stderr, PROGRAM ": --config FILE is required\n");
     }
     else {
-        code = run_daemon(config->filename[0], check->count > 0);
+        code = start(path, check->count > 0);
     }
     arg_freetable(table, sizeof(table) / sizeof(table[0]));
     return code;
--- /dev/null
+++ b/packages/gateway/Dispatcher.c
@@ -0,0 +1,670 @@
+#include "Dispatcher.h"
+
+#include <glib.h>
+#include <string.h>
+
+#include "NameTable.h"
+#include "Quarantine.h"
+#include "RetryWindow.h"
+#include "UpstreamSet.h"
+
+/* Bounds the upstreams that one request can be tried on. */
+#define ATTEMPTS_MAX 8
+/* An answer takes a few milliseconds more than the work: no time for one. */
+#define ATTEMPT_TIME_MIN (10 * MICROS_PER_MS)
+/* Mean wait that a refused caller is told; spread so that they do not come
+ * back together. */
+#define RETRY_AFTER_MEAN (200 * MICROS_PER_MS)
+/* A host without a configuration usually has it within this time. */
+#define RETRY_AFTER_START (1 * MICROS_PER_S)
+/* All requests are of one line: the gateway's callers have no shares. */
+#define ONLY_LINE 0
+
+struct Job_ {
+    Dispatcher *owner;
+    void *user;
+    GString *id;
+    RouteTable *table;
+    const Route *route;
+    Fingerprint fingerprint;
+    Micros arrived;
+    Micros deadline;        /* of the final answer */
+    Micros caller_deadline; /* when the caller stops to wait */
+    Micros sent_at;
+    uint32_t service;
+    uint32_t upstream; /* of the running attempt, or UPSTREAM_NONE */
+    uint32_t tried[ATTEMPTS_MAX];
+    uint32_t tried_count;
+    bool may_have_run;
+};
+
+#define UPSTREAM_NONE UINT32_MAX
+
+struct Dispatcher_ {
+    DispatcherOptions options;
+    const Clock *clock;
+    Random *random;
+    EventLog *log;
+    Counters *counters;
+    NameTable *services;
+    NameTable *domains;
+    Router *router;
+    UpstreamSet *upstreams;
+    Quarantine *quarantine;
+    RouteTable *routes;
+    GPtrArray *windows; /* RetryWindow of each service */
+    GHashTable *jobs;   /* set of Job */
+    GArray *actions;
+    guint actions_taken;
+};
+
+/* ---- log and counters ----------------------------------------------- */
+
+static void
+count(Dispatcher *this, const char *name, const char *key, Str value)
+{
+    CounterLabel label = {key, value};
+
+    Counters_Add(this->counters, name, &label, 1, 1);
+}
+
+static Str
+upstream_id(const Dispatcher *this, uint32_t index)
+{
+    const UpstreamRecord *record = UpstreamSet_Record(this->upstreams, index);
+
+    return record != NULL ? record->id : STR("gone");
+}
+
+static bool
+begin_line(const Job *job, LogLevel level, const char *event)
+{
+    EventLog *log = job->owner->log;
+
+    if (!EventLog_Begin(log, level, event)) {
+        return false;
+    }
+    EventLog_Str(log, "request", (Str){job->id->str, job->id->len});
+    if (job->route != NULL) {
+        EventLog_Str(log, "route", job->route->name);
+        EventLog_Int(log, "version", (int64_t)RouteTable_Version(job->table));
+    }
+    return true;
+}
+
+static void
+log_choice(const Job *job, const RouteChoice *choice, Micros left)
+{
+    Dispatcher *this = job->owner;
+
+    if (!begin_line(job, LOG_LEVEL_INFO, "route")) {
+        return;
+    }
+    EventLog_Str(this->log, "service",
+                 NameTable_Name(this->services, job->service));
+    EventLog_Int(this->log, "attempt", job->tried_count);
+    EventLog_Str(this->log, "choice", upstream_id(this, choice->upstream));
+    EventLog_C(this->log, "reason", choice->reason);
+    EventLog_Int(this->log, "compared", choice->compared);
+    if (choice->candidate_count > 0) {
+        EventLog_Real(this->log, "load", choice->candidates[0].load);
+        EventLog_Int(this->log, "age_ms",
+                     choice->candidates[0].age < 0
+                         ? -1
+                         : choice->candidates[0].age / MICROS_PER_MS);
+    }
+    EventLog_Int(this->log, "left_ms", left / MICROS_PER_MS);
+    EventLog_End(this->log);
+}
+
+static const char *
+result_word(AttemptResult result)
+{
+    switch (result) {
+    case ATTEMPT_RESULT_ANSWER:
+        return "answer";
+    case ATTEMPT_RESULT_NOT_RUN:
+        return "not-run";
+    case ATTEMPT_RESULT_MOVED:
+        return "moved";
+    case ATTEMPT_RESULT_UNSENT:
+        return "unsent";
+    case ATTEMPT_RESULT_BROKEN:
+        return "broken";
+    }
+    return "unknown";
+}
+
+static void
+log_attempt_end(const Job *job, uint32_t upstream, const AttemptEndInfo *end)
+{
+    Dispatcher *this = job->owner;
+    bool good = end->result == ATTEMPT_RESULT_ANSWER && end->status < 500;
+
+    count(this, "agatecrank_attempts_total", "result",
+          Str_FromC(result_word(end->result)));
+    if (!begin_line(job, good ? LOG_LEVEL_DEBUG : LOG_LEVEL_INFO, "attempt")) {
+        return;
+    }
+    EventLog_Str(this->log, "upstream", upstream_id(this, upstream));
+    EventLog_C(this->log, "result", result_word(end->result));
+    EventLog_Int(this->log, "status", end->status);
+    EventLog_Int(this->log, "took_ms",
+                 (Clock_Now(this->clock) - job->sent_at) / MICROS_PER_MS);
+    EventLog_End(this->log);
+}
+
+static void
+log_refusal(const Job *job, int status, const char *reason)
+{
+    Dispatcher *this = job->owner;
+
+    if (!begin_line(job, LOG_LEVEL_INFO, "refuse")) {
+        return;
+    }
+    EventLog_Int(this->log, "status", status);
+    EventLog_C(this->log, "reason", reason);
+    EventLog_Int(this->log, "attempts", job->tried_count);
+    EventLog_Int(this->log, "held_ms",
+                 (Clock_Now(this->clock) - job->arrived) / MICROS_PER_MS);
+    EventLog_End(this->log);
+}
+
+/* ---- life of a job -------------------------------------------------- */
+
+static void
+destroy_job(gpointer data)
+{
+    Job *job = data;
+
+    g_string_free(job->id, TRUE);
+    RouteTable_Unref(job->table);
+    g_free(job);
+}
+
+Dispatcher *
+Dispatcher_Create(const DispatcherOptions *options, const Clock *clock,
+                  Random *random, EventLog *log, Counters *counters)
+{
+    Dispatcher *this = g_new0(Dispatcher, 1);
+    RouterOptions router = RouterOptions_Default();
+    uint64_t only_host = Str_Hash(options->domain);
+    QuarantineOptions quarantine = {0};
+
+    this->options = *options;
+    this->clock = clock;
+    this->random = random;
+    this->log = log;
+    this->counters = counters;
+    this->services = NameTable_Create();
+    this->domains = NameTable_Create();
+    router.own_domain = NameTable_Intern(this->domains, options->domain);
+    this->router = Router_Create(&router, clock, random);
+    Router_SetHosts(this->router, &only_host, 1, 0);
+    this->upstreams =
+        UpstreamSet_Create(this->router, this->services, this->domains,
+                           options->return_grace, clock, log);
+    this->quarantine = Quarantine_Create(&quarantine, clock);
+    this->windows =
+        g_ptr_array_new_with_free_func((GDestroyNotify)RetryWindow_Destroy);
+    this->jobs = g_hash_table_new_full(g_direct_hash, g_direct_equal,
+                                       destroy_job, NULL);
+    this->actions = g_array_new(FALSE, FALSE, sizeof(DispatchAction));
+    return this;
+}
+
+void
+Dispatcher_Destroy(Dispatcher *this)
+{
+    if (this == NULL) {
+        return;
+    }
+    g_hash_table_destroy(this->jobs);
+    g_array_free(this->actions, TRUE);
+    g_ptr_array_free(this->windows, TRUE);
+    RouteTable_Unref(this->routes);
+    Quarantine_Destroy(this->quarantine);
+    UpstreamSet_Destroy(this->upstreams);
+    Router_Destroy(this->router);
+    NameTable_Destroy(this->services);
+    NameTable_Destroy(this->domains);
+    g_free(this);
+}
+
+static uint32_t
+service_index(Dispatcher *this, Str name)
+{
+    uint32_t service = NameTable_Intern(this->services, name);
+    RetryWindowOptions options = {
+        .window = this->options.retry_window,
+        .share = this->options.retry_share,
+        .extra = this->options.retry_extra,
+    };
+    /* The platform's limit is the upstream's own and shared by all hosts;
+     * one connection is open for each request, so slots bound them. */
+    ServiceInfo info = {.connections = UINT16_MAX};
+
+    while (this->windows->len <= service) {
+        Router_SetService(this->router, this->windows->len, &info);
+        g_ptr_array_add(this->windows,
+                        RetryWindow_Create(&options, this->clock));
+    }
+    return service;
+}
+
+static void
+push_action(Dispatcher *this, const DispatchAction *action)
+{
+    g_array_append_val(this->actions, *action);
+}
+
+static void
+end_attempt(Job *job, AttemptOutcome outcome)
+{
+    Dispatcher *this = job->owner;
+
+    if (job->upstream == UPSTREAM_NONE) {
+        return;
+    }
+    Router_OnFinished(this->router, job->upstream, outcome,
+                      Clock_Now(this->clock) - job->sent_at);
+    UpstreamSet_Release(this->upstreams, job->upstream);
+    job->upstream = UPSTREAM_NONE;
+}
+
+static void
+end_job(Job *job)
+{
+    end_attempt(job, ATTEMPT_CANCELLED);
+    g_hash_table_remove(job->owner->jobs, job);
+}
+
+static Micros
+spread(Dispatcher *this, Micros mean)
+{
+    return (Micros)((0.5 + Random_Unit(this->random)) * (double)mean);
+}
+
+static void
+answer(Job *job, int status, const char *reason, Micros retry_after)
+{
+    Dispatcher *this = job->owner;
+    DispatchAction action = {
+        .kind = DISPATCH_ANSWER,
+        .job = job,
+        .user = job->user,
+        .answer = {status, reason, retry_after},
+    };
+
+    log_refusal(job, status, reason);
+    count(this, "agatecrank_refusals_total", "reason", Str_FromC(reason));
+    push_action(this, &action);
+    end_job(job);
+}
+
+/* Only a request that certainly did not run may be told so. */
+static void
+give_up(Job *job, const char *reason)
+{
+    if (job->may_have_run) {
+        answer(job, 502, reason, 0);
+        return;
+    }
+    answer(job, 503, reason, spread(job->owner, RETRY_AFTER_MEAN));
+}
+
+/* ---- routes and upstreams ------------------------------------------- */
+
+int
+Dispatcher_SetRoutes(Dispatcher *this, RouteTable *routes)
+{
+    uint64_t version = RouteTable_Version(routes);
+
+    if (this->routes != NULL && RouteTable_Version(this->routes) >= version) {
+        return ERR_CONFLICT;
+    }
+    RouteTable_Unref(this->routes);
+    this->routes = RouteTable_Ref(routes);
+    if (EventLog_Begin(this->log, LOG_LEVEL_INFO, "routes")) {
+        EventLog_Int(this->log, "version", (int64_t)version);
+        EventLog_Int(this->log, "routes", (int64_t)RouteTable_Count(routes));
+        EventLog_End(this->log);
+    }
+    Counters_Set(this->counters, "agatecrank_routes_version", NULL, 0,
+                 (double)version);
+    return 0;
+}
+
+const RouteTable *
+Dispatcher_Routes(const Dispatcher *this)
+{
+    return this->routes;
+}
+
+void
+Dispatcher_PutUpstream(Dispatcher *this, const UpstreamEntry *entry)
+{
+    service_index(this, entry->service);
+    UpstreamSet_Put(this->upstreams, entry);
+}
+
+void
+Dispatcher_RemoveUpstream(Dispatcher *this, Str id)
+{
+    UpstreamSet_Remove(this->upstreams, id);
+}
+
+void
+Dispatcher_KeepUpstreams(Dispatcher *this, GHashTable *ids)
+{
+    UpstreamSet_KeepOnly(this->upstreams, ids);
+}
+
+void
+Dispatcher_SetSource(Dispatcher *this, bool reachable)
+{
+    UpstreamSet_SetSource(this->upstreams, reachable);
+}
+
+size_t
+Dispatcher_UpstreamCount(const Dispatcher *this)
+{
+    return UpstreamSet_Count(this->upstreams);
+}
+
+/* ---- sending -------------------------------------------------------- */
+
+static void
+send_to(Job *job, const RouteChoice *choice)
+{
+    Dispatcher *this = job->owner;
+    const UpstreamRecord *record =
+        UpstreamSet_Record(this->upstreams, choice->upstream);
+    Micros now = Clock_Now(this->clock);
+    DispatchAction action = {
+        .kind = DISPATCH_SEND,
+        .job = job,
+        .user = job->user,
+        .send = {record->address, record->port, record->id,
+                 job->deadline - now, job->route->kind == ROUTE_IDEMPOTENT},
+    };
+
+    job->upstream = choice->upstream;
+    job->tried[job->tried_count++] = choice->upstream;
+    job->sent_at = now;
+    UpstreamSet_Acquire(this->upstreams, choice->upstream);
+    Router_OnSent(this->router, choice->upstream);
+    Quarantine_OnStart(this->quarantine, &job->fingerprint, choice->upstream);
+    count(this, "agatecrank_placements_total", "reason",
+          Str_FromC(choice->reason));
+    log_choice(job, choice, action.send.timeout);
+    push_action(this, &action);
+}
+
+static bool
+place(Job *job)
+{
+    Dispatcher *this = job->owner;
+    RouteQuery query = {
+        .service = job->service,
+        .avoid = job->tried,
+        .avoid_count = job->tried_count,
+    };
+    RouteChoice choice;
+
+    if (Router_Choose(this->router, &query, &choice) < 0) {
+        return false;
+    }
+    send_to(job, &choice);
+    return true;
+}
+
+/* Tries again after an attempt that ended without an answer to pass on.
+ * @arrived: the failed attempt counts against the budget of repeats. */
+static void
+try_again(Job *job, const char *reason)
+{
+    Dispatcher *this = job->owner;
+    Micros left = job->deadline - Clock_Now(this->clock);
+
+    if (job->may_have_run && job->route->kind != ROUTE_IDEMPOTENT) {
+        give_up(job, reason);
+    }
+    else if (job->tried_count >= MIN(job->route->attempts_max, ATTEMPTS_MAX)) {
+        give_up(job, reason);
+    }
+    else if (left < ATTEMPT_TIME_MIN) {
+        give_up(job, "deadline");
+    }
+    else if (!RetryWindow_Take(
+                 g_ptr_array_index(this->windows, job->service))) {
+        give_up(job, "retry-budget");
+    }
+    else if (!place(job)) {
+        give_up(job, reason);
+    }
+}
+
+static Micros
+job_time(const JobInfo *info, const Route *route)
+{
+    return info->timeout > 0 ? MIN(info->timeout, route->timeout)
+                             : route->timeout;
+}
+
+static Fingerprint
+fingerprint_of(const JobInfo *info)
+{
+    uint64_t digest = Str_Hash(info->body);
+
+    return Quarantine_Fingerprint(
+        ONLY_LINE, info->method, info->path,
+        (Str){(const char *)&digest, sizeof(digest)});
+}
+
+static Job *
+create_job(Dispatcher *this, const JobInfo *info, void *user)
+{
+    Job *job = g_new0(Job, 1);
+
+    job->owner = this;
+    job->user = user;
+    job->id = g_string_new_len(info->id.length ? info->id.data : "",
+                               (gssize)info->id.length);
+    job->arrived = Clock_Now(this->clock);
+    job->deadline = job->arrived;
+    job->upstream = UPSTREAM_NONE;
+    g_hash_table_add(this->jobs, job);
+    return job;
+}
+
+static void
+start(Job *job, const JobInfo *info)
+{
+    Dispatcher *this = job->owner;
+    const Route *route = job->route;
+
+    job->deadline = job->arrived + job_time(info, route);
+    job->service = service_index(
+        this, Route_Pick(route, Random_Unit(this->random))->service);
+    job->fingerprint = fingerprint_of(info);
+    RetryWindow_OnRequest(g_ptr_array_index(this->windows, job->service));
+    if (Quarantine_Check(this->quarantine, &job->fingerprint) ==
+        QUARANTINE_REFUSE) {
+        answer(job, 503, "quarantined", spread(this, RETRY_AFTER_START));
+        return;
+    }
+    if (!place(job)) {
+        give_up(job, "no-upstream");
+    }
+}
+
+Job *
+Dispatcher_Offer(Dispatcher *this, const JobInfo *info, void *user)
+{
+    Job *job = create_job(this, info, user);
+
+    if (this->routes == NULL) {
+        answer(job, 503, "no-configuration", spread(this, RETRY_AFTER_START));
+        return NULL;
+    }
+    job->table = RouteTable_Ref(this->routes);
+    job->route = RouteTable_Find(this->routes, info->host, info->path);
+    if (job->route == NULL) {
+        answer(job, 404, "no-route", 0);
+        return NULL;
+    }
+    start(job, info);
+    return g_hash_table_contains(this->jobs, job) ? job : NULL;
+}
+
+/* ---- ends of attempts ----------------------------------------------- */
+
+static JobVerdict
+on_answer(Job *job, const AttemptEndInfo *end)
+{
+    Dispatcher *this = job->owner;
+    uint32_t upstream = job->upstream;
+
+    Quarantine_OnFinished(this->quarantine, &job->fingerprint, upstream);
+    job->may_have_run = true;
+    if (end->status < 500) {
+        end_attempt(job, ATTEMPT_OK);
+        g_hash_table_remove(this->jobs, job);
+        return JOB_RELAY;
+    }
+    end_attempt(job, ATTEMPT_ERROR);
+    /* Another upstream may serve what this one failed. */
+    if (job->route->kind == ROUTE_IDEMPOTENT &&
+        job->tried_count < MIN(job->route->attempts_max, ATTEMPTS_MAX) &&
+        job->deadline - Clock_Now(this->clock) >= ATTEMPT_TIME_MIN &&
+        RetryWindow_Take(g_ptr_array_index(this->windows, job->service)) &&
+        place(job)) {
+        return JOB_DISCARD;
+    }
+    g_hash_table_remove(this->jobs, job);
+    return JOB_RELAY;
+}
+
+JobVerdict
+Dispatcher_OnAttemptEnd(Dispatcher *this, Job *job, const AttemptEndInfo *end)
+{
+    uint32_t upstream = job->upstream;
+
+    log_attempt_end(job, upstream, end);
+    if (end->report != NULL) {
+        Router_OnReport(this->router, upstream, end->report, 0);
+    }
+    switch (end->result) {
+    case ATTEMPT_RESULT_ANSWER:
+        return on_answer(job, end);
+    case ATTEMPT_RESULT_NOT_RUN:
+        end_attempt(job, ATTEMPT_SHED);
+        try_again(job, "upstream-full");
+        break;
+    case ATTEMPT_RESULT_MOVED:
+        end_attempt(job, ATTEMPT_BROKEN);
+        try_again(job, "upstream-moved");
+        break;
+    case ATTEMPT_RESULT_UNSENT:
+        end_attempt(job, ATTEMPT_BROKEN);
+        try_again(job, "upstream-unreachable");
+        break;
+    case ATTEMPT_RESULT_BROKEN:
+        Quarantine_OnLost(this->quarantine, upstream, &job->fingerprint, 1);
+        end_attempt(job, ATTEMPT_BROKEN);
+        job->may_have_run = true;
+        try_again(job, "upstream-broken");
+        break;
+    }
+    return JOB_DISCARD;
+}
+
+void
+Dispatcher_OnCallerGone(Dispatcher *this, Job *job)
+{
+    if (begin_line(job, LOG_LEVEL_INFO, "caller-gone")) {
+        EventLog_Str(this->log, "upstream", upstream_id(this, job->upstream));
+        EventLog_Int(this->log, "held_ms",
+                     (Clock_Now(this->clock) - job->arrived) / MICROS_PER_MS);
+        EventLog_End(this->log);
+    }
+    count(this, "agatecrank_attempts_total", "result", STR("caller-gone"));
+    end_job(job);
+}
+
+static void
+time_out(Job *job)
+{
+    Dispatcher *this = job->owner;
+    DispatchAction cancel = {
+        .kind = DISPATCH_CANCEL,
+        .job = job,
+        .user = job->user,
+    };
+
+    if (job->upstream != UPSTREAM_NONE) {
+        push_action(this, &cancel);
+        end_attempt(job, ATTEMPT_TIMEOUT);
+        job->may_have_run = true;
+    }
+    if (job->may_have_run) {
+        answer(job, 504, "deadline", 0);
+        return;
+    }
+    answer(job, 503, "deadline", spread(this, RETRY_AFTER_MEAN));
+}
+
+void
+Dispatcher_OnTime(Dispatcher *this)
+{
+    GList *jobs = g_hash_table_get_keys(this->jobs);
+    Micros now = Clock_Now(this->clock);
+
+    UpstreamSet_OnTime(this->upstreams);
+    for (GList *item = jobs; item != NULL; item = item->next) {
+        Job *job = item->data;
+
+        if (job->deadline <= now) {
+            time_out(job);
+        }
+    }
+    g_list_free(jobs);
+}
+
+Micros
+Dispatcher_NextTime(const Dispatcher *this)
+{
+    Micros next = UpstreamSet_NextTime(this->upstreams);
+    GHashTableIter iterator;
+    gpointer key;
+
+    g_hash_table_iter_init(&iterator, this->jobs);
+    while (g_hash_table_iter_next(&iterator, &key, NULL)) {
+        const Job *job = key;
+
+        if (next < 0 || job->deadline < next) {
+            next = job->deadline;
+        }
+    }
+    return next;
+}
+
+bool
+Dispatcher_NextAction(Dispatcher *this, DispatchAction *action)
+{
+    if (this->actions_taken >= this->actions->len) {
+        g_array_set_size(this->actions, 0);
+        this->actions_taken = 0;
+        return false;
+    }
+    *action =
+        g_array_index(this->actions, DispatchAction, this->actions_taken++);
+    return true;
+}
+
+size_t
+Dispatcher_OpenJobs(const Dispatcher *this)
+{
+    return g_hash_table_size(this->jobs);
+}
--- /dev/null
+++ b/packages/gateway/Gateway.c
@@ -0,0 +1,603 @@
+#include "Gateway.h"
+
+#include <glib.h>
+
+/* An answer is held back until it is whole, so that a broken one can be
+ * fetched again; a longer one is passed on as it comes. */
+#define HOLD_BYTES_MAX (256 * 1024)
+/* Bytes that wait for a slow caller before the upstream has to wait. */
+#define RELAY_BUFFER_BYTES (128 * 1024)
+#define UPSTREAM_KEEP_IDLE_S 8
+/* A silent connection shows itself within three probes. */
+#define UPSTREAM_KEEP_ALIVE_S 1
+/* Until the first configuration tells. */
+#define CALLER_IDLE_DEFAULT_S 15
+/* Bodies are held in memory until they are whole. */
+#define BODY_BYTES_MAX (64 * 1024 * 1024)
+
+struct Gateway_ {
+    Loop *loop;
+    Dispatcher *dispatcher;
+    Counters *counters;
+    GatewayOptions options;
+    HttpServer *server;
+    HttpClient *client;
+    LoopTimer *timer;
+    Micros timer_at;
+    bool draining;
+};
+
+/* One request of a caller. */
+typedef struct Exchange_ {
+    Gateway *gateway;
+    HttpRequest *request; /* NULL once the caller has gone */
+    Job *job;             /* NULL once the answer is decided */
+    HttpCall *call;       /* NULL without an open attempt */
+    GByteArray *body;
+    HeaderList *answer_headers;
+    GByteArray *answer;
+    int answer_status;
+    Micros received_at;
+    bool relaying;
+    bool paused;
+} Exchange;
+
+static Str
+bytes_of(const GByteArray *bytes)
+{
+    return (Str){(const char *)bytes->data, bytes->len};
+}
+
+static Exchange *
+create_exchange(Gateway *this, HttpRequest *request)
+{
+    Exchange *exchange = g_new0(Exchange, 1);
+
+    exchange->gateway = this;
+    exchange->request = request;
+    exchange->body = g_byte_array_new();
+    exchange->answer = g_byte_array_new();
+    exchange->received_at = Clock_Now(Loop_Clock(this->loop));
+    HttpRequest_SetData(request, exchange);
+    return exchange;
+}
+
+static void
+destroy_exchange(Exchange *exchange)
+{
+    g_byte_array_free(exchange->body, TRUE);
+    g_byte_array_free(exchange->answer, TRUE);
+    HeaderList_Destroy(exchange->answer_headers);
+    g_free(exchange);
+}
+
+static void
+cancel_call(Exchange *exchange)
+{
+    if (exchange->call != NULL) {
+        HttpCall_Cancel(exchange->call);
+        exchange->call = NULL;
+    }
+}
+
+static void
+reset_answer(Exchange *exchange)
+{
+    g_byte_array_set_size(exchange->answer, 0);
+    HeaderList_Destroy(exchange->answer_headers);
+    exchange->answer_headers = NULL;
+    exchange->answer_status = 0;
+}
+
+static void
+observe_answer(const Exchange *exchange, int status)
+{
+    Gateway *this = exchange->gateway;
+    char text[8];
+    CounterLabel label = {"status", {text, 0}};
+
+    g_snprintf(text, sizeof(text), "%d", status);
+    label.value = Str_FromC(text);
+    Counters_Add(this->counters, "agatecrank_answers_total", &label, 1, 1);
+    Counters_Observe(this->counters, "agatecrank_request_seconds", NULL, 0,
+                     Clock_Now(Loop_Clock(this->loop)) -
+                         exchange->received_at);
+}
+
+/* ---- answers to callers --------------------------------------------- */
+
+static void
+add_retry_after(HeaderList *headers, Micros time)
+{
+    char text[32];
+
+    g_snprintf(text, sizeof(text), "%.3f", (double)time / MICROS_PER_S);
+    HeaderList_Add(headers, STR("retry-after"), Str_FromC(text));
+}
+
+static void
+answer_caller(Exchange *exchange, const DispatchAction *action)
+{
+    const Dialect *dialect = exchange->gateway->options.dialect;
+    HeaderList *headers = HeaderList_Create();
+    char *body;
+
+    exchange->job = NULL;
+    if (exchange->request != NULL) {
+        HeaderList_Add(headers, STR("content-type"), STR("application/json"));
+        HeaderList_Add(headers, dialect->attempt_id,
+                       HeaderList_Get(HttpRequest_Headers(exchange->request),
+                                      dialect->attempt_id));
+        if (action->answer.retry_after > 0) {
+            add_retry_after(headers, action->answer.retry_after);
+        }
+        body = g_strdup_printf("{\"reason\":\"%s\"}", action->answer.reason);
+        HttpRequest_Answer(exchange->request, action->answer.status, headers,
+                           Str_FromC(body));
+        observe_answer(exchange, action->answer.status);
+        g_free(body);
+    }
+    HeaderList_Destroy(headers);
+}
+
+/* Passes on what has come; the rest follows if @whole is false. */
+static void
+relay(Exchange *exchange, bool whole)
+{
+    HeaderList *headers = HeaderList_Create();
+    Str body = bytes_of(exchange->answer);
+    int64_t length = HeaderList_ContentLength(exchange->answer_headers);
+
+    HeaderList_CopyEndToEnd(exchange->answer_headers, headers);
+    exchange->job = NULL;
+    if (whole &&
+        !Str_Equal(HttpRequest_Method(exchange->request), STR("HEAD"))) {
+        length = (int64_t)body.length;
+    }
+    HttpRequest_StartAnswer(exchange->request, exchange->answer_status,
+                            headers, length);
+    HttpRequest_Write(exchange->request, body);
+    if (whole) {
+        HttpRequest_Finish(exchange->request);
+    }
+    g_byte_array_set_size(exchange->answer, 0);
+    observe_answer(exchange, exchange->answer_status);
+    HeaderList_Destroy(headers);
+}
+
+/* ---- attempts ------------------------------------------------------- */
+
+static bool
+promises_not_run(int status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+/* A status that promises "not run" without the upstream's own statement, or
+ * an answer that is not marked as its own, can not be passed on. */
+static AttemptResult
+judge(const Exchange *exchange)
+{
+    const Dialect *dialect = exchange->gateway->options.dialect;
+    const HeaderList *headers = exchange->answer_headers;
+    int status = exchange->answer_status;
+    Str sent = HeaderList_Get(HttpRequest_Headers(exchange->request),
+                              dialect->attempt_id);
+
+    if (status == 421) {
+        return ATTEMPT_RESULT_MOVED;
+    }
+    if (HeaderList_Has(headers, dialect->not_run)) {
+        return ATTEMPT_RESULT_NOT_RUN;
+    }
+    if (promises_not_run(status) ||
+        !Str_Equal(HeaderList_Get(headers, dialect->attempt_id), sent) ||
+        (status < 300 && !HeaderList_Has(headers, dialect->signature))) {
+        return ATTEMPT_RESULT_BROKEN;
+    }
+    return ATTEMPT_RESULT_ANSWER;
+}
+
+static JobVerdict
+end_attempt(Exchange *exchange, AttemptResult result)
+{
+    Gateway *this = exchange->gateway;
+    const Dialect *dialect = this->options.dialect;
+    AttemptEndInfo end = {.result = result, .status = exchange->answer_status};
+    LoadReport report;
+
+    if (exchange->answer_headers != NULL &&
+        dialect->parse_load(
+            HeaderList_Get(exchange->answer_headers, dialect->load),
+            &report) == 0) {
+        end.report = &report;
+    }
+    return Dispatcher_OnAttemptEnd(this->dispatcher, exchange->job, &end);
+}
+
+static void
+on_call_headers(void *user, HttpCall *call, int status,
+                const HeaderList *headers)
+{
+    Exchange *exchange = user;
+
+    reset_answer(exchange);
+    exchange->answer_status = status;
+    exchange->answer_headers = HeaderList_Create();
+    for (size_t i = 0; i < HeaderList_Count(headers); i++) {
+        Str name, value;
+
+        HeaderList_At(headers, i, &name, &value);
+        HeaderList_Add(exchange->answer_headers, name, value);
+    }
+}
+
+static void
+relay_more(Exchange *exchange, Str data)
+{
+    HttpRequest_Write(exchange->request, data);
+    if (!exchange->paused &&
+        HttpRequest_Buffered(exchange->request) > RELAY_BUFFER_BYTES) {
+        exchange->paused = true;
+        HttpCall_PauseAnswer(exchange->call, true);
+    }
+}
+
+static void
+on_call_data(void *user, HttpCall *call, Str data)
+{
+    Exchange *exchange = user;
+
+    if (exchange->relaying) {
+        relay_more(exchange, data);
+        return;
+    }
+    g_byte_array_append(exchange->answer, (const guint8 *)data.data,
+                        (guint)data.length);
+    if (exchange->answer->len <= HOLD_BYTES_MAX ||
+        judge(exchange) != ATTEMPT_RESULT_ANSWER) {
+        return;
+    }
+    if (end_attempt(exchange, ATTEMPT_RESULT_ANSWER) == JOB_RELAY) {
+        exchange->relaying = true;
+        relay(exchange, false);
+        return;
+    }
+    cancel_call(exchange);
+    reset_answer(exchange);
+    Gateway_Drain(exchange->gateway);
+}
+
+static void
+on_call_drained(void *user, HttpCall *call)
+{
+}
+
+static void
+finish_attempt(Exchange *exchange, AttemptResult result)
+{
+    Gateway *this = exchange->gateway;
+
+    exchange->call = NULL;
+    if (exchange->job == NULL) {
+        return;
+    }
+    if (end_attempt(exchange, result) == JOB_RELAY) {
+        relay(exchange, true);
+    }
+    else {
+        reset_answer(exchange);
+    }
+    Gateway_Drain(this);
+}
+
+static void
+on_call_complete(void *user, HttpCall *call)
+{
+    Exchange *exchange = user;
+
+    if (exchange->relaying) {
+        exchange->call = NULL;
+        HttpRequest_Finish(exchange->request);
+        return;
+    }
+    finish_attempt(exchange, judge(exchange));
+}
+
+static void
+on_call_failed(void *user, HttpCall *call, HttpCallFailure failure,
+               bool bytes_given, const Error *error)
+{
+    Exchange *exchange = user;
+
+    if (exchange->relaying) {
+        exchange->call = NULL;
+        HttpRequest_Abort(exchange->request);
+        return;
+    }
+    finish_attempt(exchange, bytes_given ? ATTEMPT_RESULT_BROKEN
+                                         : ATTEMPT_RESULT_UNSENT);
+}
+
+static const HttpCallHandlers call_handlers = {
+    on_call_headers,  on_call_data,   on_call_drained,
+    on_call_complete, on_call_failed,
+};
+
+static HeaderList *
+headers_for_upstream(const Exchange *exchange, const DispatchAction *action)
+{
+    const Dialect *dialect = exchange->gateway->options.dialect;
+    HeaderList *headers = HeaderList_Create();
+    char text[24];
+
+    HeaderList_CopyEndToEnd(HttpRequest_Headers(exchange->request), headers);
+    HeaderList_Remove(headers, STR("expect"));
+    g_snprintf(text, sizeof(text), "%" G_GINT64_FORMAT,
+               MAX(action->send.timeout / MICROS_PER_MS, 1));
+    HeaderList_Set(headers, dialect->timeout_ms, Str_FromC(text));
+    HeaderList_Set(headers, dialect->instance, action->send.instance);
+    return headers;
+}
+
+static void
+send_request(Exchange *exchange, const DispatchAction *action)
+{
+    Gateway *this = exchange->gateway;
+    const Dialect *dialect = this->options.dialect;
+    HeaderList *headers = headers_for_upstream(exchange, action);
+    HttpCallSpec spec = {
+        .address = action->send.address,
+        .port = action->send.port,
+        .method = HttpRequest_Method(exchange->request),
+        .path = HttpRequest_Path(exchange->request),
+        .headers = headers,
+        .content_length = (int64_t)exchange->body->len,
+        .body = bytes_of(exchange->body),
+        .idle_max = action->send.idempotent ? 0 : this->options.reuse_idle,
+        .match_name = dialect->attempt_id,
+        .match_value = HeaderList_Get(HttpRequest_Headers(exchange->request),
+                                      dialect->attempt_id),
+    };
+
+    reset_answer(exchange);
+    exchange->job = action->job;
+    exchange->call =
+        HttpClient_Start(this->client, &spec, &call_handlers, exchange, NULL);
+    HeaderList_Destroy(headers);
+    if (exchange->call == NULL) {
+        end_attempt(exchange, ATTEMPT_RESULT_UNSENT);
+    }
+}
+
+static void
+do_action(const DispatchAction *action)
+{
+    Exchange *exchange = action->user;
+
+    switch (action->kind) {
+    case DISPATCH_SEND:
+        send_request(exchange, action);
+        break;
+    case DISPATCH_CANCEL:
+        cancel_call(exchange);
+        break;
+    case DISPATCH_ANSWER:
+        answer_caller(exchange, action);
+        break;
+    }
+}
+
+static void
+update_timer(Gateway *this)
+{
+    Micros next = Dispatcher_NextTime(this->dispatcher);
+    Micros now = Clock_Now(Loop_Clock(this->loop));
+
+    /* A timer that fires too early is cheaper than one set again each time. */
+    if (next < 0 || (this->timer_at > 0 && this->timer_at <= next)) {
+        return;
+    }
+    this->timer_at = next;
+    LoopTimer_Start(this->timer, MAX(next - now, 1));
+}
+
+void
+Gateway_Drain(Gateway *this)
+{
+    DispatchAction action;
+
+    if (this->draining) {
+        return;
+    }
+    this->draining = true;
+    while (Dispatcher_NextAction(this->dispatcher, &action)) {
+        do_action(&action);
+    }
+    this->draining = false;
+    update_timer(this);
+}
+
+static void
+on_timer(void *user)
+{
+    Gateway *this = user;
+
+    this->timer_at = 0;
+    Dispatcher_OnTime(this->dispatcher);
+    Gateway_Drain(this);
+}
+
+/* ---- callers -------------------------------------------------------- */
+
+static void
+on_request(void *user, HttpRequest *request)
+{
+    create_exchange(user, request);
+}
+
+static void
+on_body(void *user, HttpRequest *request, Str data)
+{
+    Exchange *exchange = HttpRequest_Data(request);
+
+    g_byte_array_append(exchange->body, (const guint8 *)data.data,
+                        (guint)data.length);
+}
+
+static Micros
+caller_timeout(const Gateway *this, const HeaderList *headers)
+{
+    uint64_t ms;
+
+    if (Str_ParseU64(
+            HeaderList_Get(headers, this->options.dialect->timeout_ms), &ms) <
+            0 ||
+        ms > G_MAXINT32) {
+        return 0;
+    }
+    return (Micros)ms * MICROS_PER_MS;
+}
+
+static void
+on_body_end(void *user, HttpRequest *request)
+{
+    Gateway *this = user;
+    Exchange *exchange = HttpRequest_Data(request);
+    const HeaderList *headers = HttpRequest_Headers(request);
+    JobInfo info = {
+        .id = HeaderList_Get(headers, this->options.dialect->attempt_id),
+        .method = HttpRequest_Method(request),
+        .host = HeaderList_Get(headers, STR("host")),
+        .path = HttpRequest_Path(request),
+        .body = bytes_of(exchange->body),
+        .timeout = caller_timeout(this, headers),
+    };
+
+    exchange->job = Dispatcher_Offer(this->dispatcher, &info, exchange);
+    Gateway_Drain(this);
+}
+
+static void
+on_answer_drained(void *user, HttpRequest *request)
+{
+    Exchange *exchange = HttpRequest_Data(request);
+
+    if (exchange != NULL && exchange->paused && exchange->call != NULL) {
+        exchange->paused = false;
+        HttpCall_PauseAnswer(exchange->call, false);
+    }
+}
+
+static void
+on_closed(void *user, HttpRequest *request, bool complete)
+{
+    Gateway *this = user;
+    Exchange *exchange = HttpRequest_Data(request);
+
+    if (exchange == NULL) {
+        return;
+    }
+    exchange->request = NULL;
+    if (exchange->job != NULL) {
+        Dispatcher_OnCallerGone(this->dispatcher, exchange->job);
+    }
+    cancel_call(exchange);
+    destroy_exchange(exchange);
+    if (!Loop_IsClosing(this->loop)) {
+        Gateway_Drain(this);
+    }
+}
+
+static const HttpServerHandlers server_handlers = {
+    on_request, on_body, on_body_end, on_answer_drained, on_closed,
+};
+
+/* ---- creation ------------------------------------------------------- */
+
+Gateway *
+Gateway_Create(Loop *loop, Dispatcher *dispatcher, Counters *counters,
+               const GatewayOptions *options, Error *error)
+{
+    Gateway *this = g_new0(Gateway, 1);
+    HttpServerOptions server = {
+        .address = options->address,
+        .port = options->port,
+        .keep_alive_s = CALLER_IDLE_DEFAULT_S,
+        .limits = {.body_bytes = BODY_BYTES_MAX},
+        .accept_chunked = true,
+    };
+    HttpClientOptions client = {
+        .max_connections = options->connections_max,
+        .keep_idle_s = UPSTREAM_KEEP_IDLE_S,
+        .keep_alive_s = UPSTREAM_KEEP_ALIVE_S,
+    };
+
+    this->loop = loop;
+    this->dispatcher = dispatcher;
+    this->counters = counters;
+    this->options = *options;
+    this->client = HttpClient_Create(loop, &client);
+    this->timer = LoopTimer_Create(loop, on_timer, this);
+    this->server =
+        HttpServer_Create(loop, &server, &server_handlers, this, error);
+    if (this->server == NULL) {
+        Gateway_Destroy(this);
+        return NULL;
+    }
+    return this;
+}
+
+void
+Gateway_Destroy(Gateway *this)
+{
+    if (this == NULL) {
+        return;
+    }
+    LoopTimer_Destroy(this->timer);
+    HttpServer_Destroy(this->server);
+    HttpClient_Destroy(this->client);
+    g_free(this);
+}
+
+void
+Gateway_SetLimits(Gateway *this, const CallerLimits *limits)
+{
+    HttpLimits http = {
+        .head_bytes = limits->head_bytes,
+        .body_bytes = limits->body_bytes > 0
+                          ? (int64_t)MIN(limits->body_bytes, BODY_BYTES_MAX)
+                          : BODY_BYTES_MAX,
+        .head_time = limits->head_time,
+    };
+    int idle_s = limits->idle_time > 0
+                     ? (int)(limits->idle_time / MICROS_PER_S)
+                     : CALLER_IDLE_DEFAULT_S;
+
+    HttpServer_SetLimits(this->server, &http, idle_s);
+}
+
+void
+Gateway_CloseKeptAlive(Gateway *this)
+{
+    HttpServer_CloseKeptAlive(this->server);
+}
+
+void
+Gateway_StopListening(Gateway *this)
+{
+    HttpServer_StopListening(this->server);
+    HttpServer_CloseIdle(this->server);
+}
+
+size_t
+Gateway_OpenRequests(const Gateway *this)
+{
+    return HttpServer_OpenRequests(this->server);
+}
+
+uint16_t
+Gateway_Port(const Gateway *this)
+{
+    return HttpServer_Port(this->server);
+}
--- /dev/null
+++ b/packages/gateway/GatewaySettings.c
@@ -0,0 +1,165 @@
+#include "GatewaySettings.h"
+
+#include <glib.h>
+
+#include "EventLog.h"
+#include "Fields.h"
+
+/* Routine lines; refusals and failures are a few a second. */
+#define DECISION_LINES_DEFAULT 20
+#define DRAIN_DEFAULT (2 * MICROS_PER_S)
+#define STOP_DEFAULT (6 * MICROS_PER_S)
+#define RETRY_WINDOW_DEFAULT (10 * MICROS_PER_S)
+#define RETRY_SHARE_DEFAULT 0.2
+
+#define END                                                                   \
+    {                                                                         \
+        NULL, 0, 0, false, 0, 0, NULL                                         \
+    }
+
+/* The texts of addresses before they are parsed. */
+typedef struct AddressTexts_ {
+    Str callers;
+    Str readiness;
+    Str metrics;
+    Str store;
+} AddressTexts;
+
+/* In the order of LogLevel. */
+static const char *const levels[] = {"error", "warn", "info", "debug", NULL};
+
+static const Field host_fields[] = {
+    {"id", FIELD_NAME, offsetof(GatewaySettings, host_id), true, 0, 0, NULL},
+    {"domain", FIELD_NAME, offsetof(GatewaySettings, domain), true, 0, 0,
+     NULL},
+    END,
+};
+
+static const Field gateway_fields[] = {
+    {"callers", FIELD_TEXT, offsetof(AddressTexts, callers), true, 0, 0, NULL},
+    {"readiness", FIELD_TEXT, offsetof(AddressTexts, readiness), true, 0, 0,
+     NULL},
+    {"metrics", FIELD_TEXT, offsetof(AddressTexts, metrics), true, 0, 0, NULL},
+    {"store", FIELD_TEXT, offsetof(AddressTexts, store), true, 0, 0, NULL},
+    END,
+};
+
+static const Field logging_fields[] = {
+    {"level", FIELD_WORD, offsetof(GatewaySettings, log_level), false, 0, 0,
+     levels},
+    {"decision_lines_per_s", FIELD_U32,
+     offsetof(GatewaySettings, decision_lines_per_s), false, 1, 1000000, NULL},
+    END,
+};
+
+static const char *const tables[] = {"host", "gateway", "logging", "bounds",
+                                     NULL};
+
+bool
+GatewaySettings_IsOne(Str text)
+{
+    Toml *toml = Toml_Parse(text, NULL);
+    bool found =
+        toml != NULL && Toml_Find(Toml_Root(toml), STR("gateway")) != NULL;
+
+    if (toml != NULL) {
+        Toml_Destroy(toml);
+    }
+    return found;
+}
+
+static void
+check_tables(const TomlNode *root, Faults *faults)
+{
+    for (size_t i = 0; i < root->count; i++) {
+        const TomlNode *node = &root->children[i];
+        bool known = false;
+
+        for (size_t k = 0; tables[k] != NULL; k++) {
+            known = known || Str_Equal(node->key, Str_FromC(tables[k]));
+        }
+        if (!known) {
+            Faults_Add(faults, node->line, node->column, node->key,
+                       "unknown key; remove it or correct its spelling");
+        }
+    }
+}
+
+static void
+read_address(const TomlNode *table, const char *key, Str text,
+             Endpoint *endpoint, Faults *faults)
+{
+    const TomlNode *node =
+        table != NULL ? Toml_Find(table, Str_FromC(key)) : NULL;
+
+    if (node != NULL && text.length > 0 &&
+        Endpoint_Parse(text, endpoint) < 0) {
+        Faults_Add(faults, node->line, node->column, Str_FromC(key),
+                   "must be \"ADDRESS:PORT\" with an IPv4 number");
+    }
+}
+
+static void
+read_document(GatewaySettings *this, const TomlNode *root,
+              GatewayBoundsReader *read_bounds, Faults *faults)
+{
+    const TomlNode *gateway = Toml_Find(root, STR("gateway"));
+    AddressTexts texts = {{NULL, 0}, {NULL, 0}, {NULL, 0}, {NULL, 0}};
+
+    check_tables(root, faults);
+    Fields_Read(host_fields, Toml_Find(root, STR("host")), STR("host"), this,
+                this->memory, faults);
+    Fields_Read(gateway_fields, gateway, STR("gateway"), &texts, this->memory,
+                faults);
+    Fields_Read(logging_fields, Toml_Find(root, STR("logging")),
+                STR("logging"), this, this->memory, faults);
+    read_address(gateway, "callers", texts.callers, &this->callers, faults);
+    read_address(gateway, "readiness", texts.readiness, &this->readiness,
+                 faults);
+    read_address(gateway, "metrics", texts.metrics, &this->metrics, faults);
+    read_address(gateway, "store", texts.store, &this->store, faults);
+    read_bounds(Toml_Find(root, STR("bounds")), &this->bounds, faults);
+}
+
+GatewaySettings *
+GatewaySettings_Parse(Str text, GatewayBoundsReader *read_bounds,
+                      Faults *faults)
+{
+    size_t before = Faults_Count(faults);
+    TomlFault fault;
+    Toml *toml = Toml_Parse(text, &fault);
+    GatewaySettings *this;
+
+    if (toml == NULL) {
+        Faults_Add(faults, fault.line, fault.column, STR(""), "%s",
+                   fault.text);
+        return NULL;
+    }
+    this = g_new0(GatewaySettings, 1);
+    this->memory = TextStore_Create();
+    this->log_level = LOG_LEVEL_INFO;
+    this->decision_lines_per_s = DECISION_LINES_DEFAULT;
+    this->bounds = (GatewayBounds){
+        .drain_time = DRAIN_DEFAULT,
+        .stop_time = STOP_DEFAULT,
+        .retry_window = RETRY_WINDOW_DEFAULT,
+        .retry_share = RETRY_SHARE_DEFAULT,
+    };
+    read_document(this, Toml_Root(toml), read_bounds, faults);
+    Toml_Destroy(toml);
+    if (Faults_Count(faults) > before) {
+        GatewaySettings_Destroy(this);
+        return NULL;
+    }
+    return this;
+}
+
+void
+GatewaySettings_Destroy(GatewaySettings *this)
+{
+    if (this == NULL) {
+        return;
+    }
+    TextStore_Destroy(this->memory);
+    g_free(this);
+}
--- /dev/null
+++ b/packages/gateway/GatewaySettings.h
@@ -0,0 +1,64 @@
+#ifndef AGATECRANK_GATEWAY_GATEWAYSETTINGS_H
+#define AGATECRANK_GATEWAY_GATEWAYSETTINGS_H
+
+#include "Clock.h"
+#include "Endpoint.h"
+#include "Faults.h"
+#include "Toml.h"
+
+/**
+ * struct GatewayBounds_ - what the operators of a platform promise callers
+ * @drain_time: from the notice that an upstream leaves to its last request
+ * @stop_time: from SIGTERM to SIGKILL
+ * @retry_window, @retry_share, @retry_extra: repeats over all hosts together
+ */
+typedef struct GatewayBounds_ {
+    Micros drain_time;
+    Micros stop_time;
+    Micros retry_window;
+    double retry_share;
+    double retry_extra;
+} GatewayBounds;
+
+/**
+ * struct GatewaySettings_ - settings of a gateway host
+ * @host_id, @domain: name and failure domain of this host
+ * @callers, @readiness, @metrics: addresses to listen on
+ * @store: address of the platform's store
+ * @log_level: a LogLevel
+ * @decision_lines_per_s: bound on routine log lines
+ */
+typedef struct GatewaySettings_ {
+    Str host_id;
+    Str domain;
+    Endpoint callers;
+    Endpoint readiness;
+    Endpoint metrics;
+    Endpoint store;
+    uint32_t log_level;
+    uint32_t decision_lines_per_s;
+    GatewayBounds bounds;
+    struct TextStore_ *memory;
+} GatewaySettings;
+
+/** typedef GatewayBoundsReader - reads the table [bounds], which may be NULL */
+typedef void GatewayBoundsReader(const TomlNode *table, GatewayBounds *bounds,
+                                 Faults *faults);
+
+/** GatewaySettings_IsOne() - the document is one of a gateway host */
+bool GatewaySettings_IsOne(Str text);
+
+/**
+ * GatewaySettings_Parse() - read a settings document
+ * @read_bounds: reads the bounds in the words of the platform
+ *
+ * Return: NULL with @faults filled if anything is wrong.
+ */
+GatewaySettings *GatewaySettings_Parse(Str text,
+                                       GatewayBoundsReader *read_bounds,
+                                       Faults *faults);
+
+/** GatewaySettings_Destroy() - NULL is allowed */
+void GatewaySettings_Destroy(GatewaySettings *this);
+
+#endif
--- /dev/null
+++ b/packages/gateway/RouteTable.c
@@ -0,0 +1,186 @@
+#include "RouteTable.h"
+
+#include <glib.h>
+#include <string.h>
+
+#include "TextStore.h"
+
+struct RouteTable_ {
+    uint64_t version;
+    CallerLimits limits;
+    TextStore *store;
+    GHashTable *routes; /* "host prefix" to Route */
+    unsigned references;
+};
+
+RouteTable *
+RouteTable_Create(uint64_t version, const CallerLimits *limits)
+{
+    RouteTable *this = g_new0(RouteTable, 1);
+
+    this->version = version;
+    this->limits = *limits;
+    this->store = TextStore_Create();
+    this->routes = g_hash_table_new(g_str_hash, g_str_equal);
+    this->references = 1;
+    return this;
+}
+
+RouteTable *
+RouteTable_Ref(RouteTable *this)
+{
+    this->references++;
+    return this;
+}
+
+void
+RouteTable_Unref(RouteTable *this)
+{
+    if (this == NULL || --this->references > 0) {
+        return;
+    }
+    g_hash_table_destroy(this->routes);
+    TextStore_Destroy(this->store);
+    g_free(this);
+}
+
+static void
+write_key(GString *key, Str host, Str prefix)
+{
+    g_string_truncate(key, 0);
+    g_string_append_len(key, host.data, (gssize)host.length);
+    g_string_ascii_down(key);
+    g_string_append_c(key, ' ');
+    g_string_append_len(key, prefix.data, (gssize)prefix.length);
+}
+
+static bool
+is_usable(const Route *route)
+{
+    uint64_t weights = 0;
+
+    for (size_t i = 0; i < route->part_count; i++) {
+        weights += route->parts[i].weight;
+    }
+    return route->host.length > 0 && route->prefix.length > 0 &&
+           route->prefix.data[0] == '/' &&
+           route->prefix.data[route->prefix.length - 1] == '/' &&
+           route->timeout > 0 && route->attempts_max > 0 && weights > 0;
+}
+
+static Route *
+copy_route(RouteTable *this, const Route *route)
+{
+    Route *copy = TextStore_Alloc(this->store, sizeof(*copy));
+    RoutePart *parts =
+        TextStore_Alloc(this->store, route->part_count * sizeof(*parts));
+
+    *copy = *route;
+    copy->name = TextStore_Copy(this->store, route->name);
+    copy->host = TextStore_Copy(this->store, route->host);
+    copy->prefix = TextStore_Copy(this->store, route->prefix);
+    for (size_t i = 0; i < route->part_count; i++) {
+        parts[i].service =
+            TextStore_Copy(this->store, route->parts[i].service);
+        parts[i].weight = route->parts[i].weight;
+    }
+    copy->parts = parts;
+    return copy;
+}
+
+int
+RouteTable_Add(RouteTable *this, const Route *route, Error *error)
+{
+    GString *key;
+    Str kept;
+
+    if (!is_usable(route)) {
+        return Error_Set(error, ERR_INVALID, "add-route", route->name,
+                         "a host, a prefix between slashes, a timeout, an "
+                         "attempt and a weight are required");
+    }
+    key = g_string_new(NULL);
+    write_key(key, route->host, route->prefix);
+    if (g_hash_table_contains(this->routes, key->str)) {
+        g_string_free(key, TRUE);
+        return Error_Set(error, ERR_CONFLICT, "add-route", route->name,
+                         "another route has the host and the prefix");
+    }
+    kept = TextStore_Copy(this->store, (Str){key->str, key->len});
+    g_hash_table_insert(this->routes, (gpointer)kept.data,
+                        copy_route(this, route));
+    g_string_free(key, TRUE);
+    return 0;
+}
+
+static Str
+without_port(Str host)
+{
+    const char *colon =
+        host.length > 0 ? memchr(host.data, ':', host.length) : NULL;
+
+    return colon != NULL ? (Str){host.data, (size_t)(colon - host.data)}
+                         : host;
+}
+
+static Str
+without_query(Str path)
+{
+    const char *mark =
+        path.length > 0 ? memchr(path.data, '?', path.length) : NULL;
+
+    return mark != NULL ? (Str){path.data, (size_t)(mark - path.data)} : path;
+}
+
+const Route *
+RouteTable_Find(const RouteTable *this, Str host, Str path)
+{
+    GString *key = g_string_new(NULL);
+    const Route *found = NULL;
+
+    host = without_port(host);
+    path = without_query(path);
+    for (size_t n = path.length; n > 0 && found == NULL; n--) {
+        if (path.data[n - 1] == '/') {
+            write_key(key, host, (Str){path.data, n});
+            found = g_hash_table_lookup(this->routes, key->str);
+        }
+    }
+    g_string_free(key, TRUE);
+    return found;
+}
+
+uint64_t
+RouteTable_Version(const RouteTable *this)
+{
+    return this->version;
+}
+
+const CallerLimits *
+RouteTable_Limits(const RouteTable *this)
+{
+    return &this->limits;
+}
+
+size_t
+RouteTable_Count(const RouteTable *this)
+{
+    return g_hash_table_size(this->routes);
+}
+
+const RoutePart *
+Route_Pick(const Route *this, double lot)
+{
+    double sum = 0, passed = 0;
+
+    for (size_t i = 0; i < this->part_count; i++) {
+        sum += this->parts[i].weight;
+    }
+    for (size_t i = 0; i + 1 < this->part_count; i++) {
+        passed += this->parts[i].weight;
+        if (lot * sum < passed) {
+            return &this->parts[i];
+        }
+    }
+    return &this->parts[this->part_count - 1];
+}
--- /dev/null
+++ b/packages/gateway/UpstreamSet.c
@@ -0,0 +1,317 @@
+#include "UpstreamSet.h"
+
+#include <string.h>
+
+/* Removals that arrive this long after an outage may be due to it. */
+#define OUTAGE_MEMORY (3 * MICROS_PER_S)
+
+typedef struct Listed_ {
+    UpstreamRecord record;
+    GString *id;
+    int64_t started;
+    uint64_t sequence;
+    Micros removed_at; /* when the grace ends; -1 while listed */
+    uint32_t index;
+} Listed;
+
+struct UpstreamSet_ {
+    Router *router;
+    NameTable *services;
+    NameTable *domains;
+    const Clock *clock;
+    EventLog *log;
+    GHashTable *by_id;   /* GString to Listed */
+    GPtrArray *by_index; /* Listed or NULL */
+    GArray *uses;        /* uint32_t for each index: open attempts */
+    Micros grace;
+    Micros returned_at; /* end of the last outage, -1 without one */
+    bool reachable;
+};
+
+static void
+destroy_listed(gpointer data)
+{
+    Listed *listed = data;
+
+    g_string_free(listed->id, TRUE);
+    g_free(listed);
+}
+
+UpstreamSet *
+UpstreamSet_Create(Router *router, NameTable *services, NameTable *domains,
+                   Micros grace, const Clock *clock, EventLog *log)
+{
+    UpstreamSet *this = g_new0(UpstreamSet, 1);
+
+    this->router = router;
+    this->services = services;
+    this->domains = domains;
+    this->grace = grace;
+    this->clock = clock;
+    this->log = log;
+    this->by_id = g_hash_table_new_full((GHashFunc)g_string_hash,
+                                        (GEqualFunc)g_string_equal, NULL,
+                                        destroy_listed);
+    this->by_index = g_ptr_array_new();
+    this->uses = g_array_new(FALSE, TRUE, sizeof(uint32_t));
+    this->returned_at = -1;
+    this->reachable = true;
+    return this;
+}
+
+void
+UpstreamSet_Destroy(UpstreamSet *this)
+{
+    if (this == NULL) {
+        return;
+    }
+    g_hash_table_destroy(this->by_id);
+    g_ptr_array_free(this->by_index, TRUE);
+    g_array_free(this->uses, TRUE);
+    g_free(this);
+}
+
+static Listed *
+find(const UpstreamSet *this, Str id)
+{
+    GString *key = g_string_new_len(id.data, (gssize)id.length);
+    Listed *found = g_hash_table_lookup(this->by_id, key);
+
+    g_string_free(key, TRUE);
+    return found;
+}
+
+static void
+log_change(UpstreamSet *this, const Listed *listed, const char *change)
+{
+    if (EventLog_Begin(this->log, LOG_LEVEL_INFO, "upstream")) {
+        EventLog_Str(this->log, "upstream", listed->record.id);
+        EventLog_C(this->log, "change", change);
+        EventLog_C(this->log, "address", listed->record.address);
+        EventLog_Str(this->log, "service",
+                     NameTable_Name(this->services, listed->record.service));
+        EventLog_Int(this->log, "sequence", (int64_t)listed->sequence);
+        EventLog_End(this->log);
+    }
+}
+
+/* An index is used again once no attempt refers to its former upstream. */
+static uint32_t
+free_index(UpstreamSet *this)
+{
+    for (guint i = 0; i < this->by_index->len; i++) {
+        if (g_ptr_array_index(this->by_index, i) == NULL &&
+            g_array_index(this->uses, uint32_t, i) == 0) {
+            return i;
+        }
+    }
+    g_ptr_array_add(this->by_index, NULL);
+    g_array_set_size(this->uses, this->by_index->len);
+    return this->by_index->len - 1;
+}
+
+static void
+forget(UpstreamSet *this, Listed *listed, const char *change)
+{
+    log_change(this, listed, change);
+    Router_RemoveUpstream(this->router, listed->index);
+    g_ptr_array_index(this->by_index, listed->index) = NULL;
+    g_hash_table_remove(this->by_id, listed->id);
+}
+
+static Listed *
+add(UpstreamSet *this, const UpstreamEntry *entry)
+{
+    Listed *listed = g_new0(Listed, 1);
+    UpstreamInfo info = {
+        .key = Str_Hash(entry->id),
+        .domain = NameTable_Intern(this->domains, entry->domain),
+        .slots = entry->slots,
+        .cold = entry->warmup > 0,
+    };
+
+    listed->id = g_string_new_len(entry->id.data, (gssize)entry->id.length);
+    listed->index = free_index(this);
+    listed->record.id = (Str){listed->id->str, listed->id->len};
+    listed->record.service = NameTable_Intern(this->services, entry->service);
+    g_hash_table_insert(this->by_id, listed->id, listed);
+    g_ptr_array_index(this->by_index, listed->index) = listed;
+    Router_AddUpstream(this->router, listed->record.service, listed->index,
+                       &info);
+    return listed;
+}
+
+static bool
+is_newer(const Listed *listed, const UpstreamEntry *entry)
+{
+    if (entry->started != listed->started) {
+        return entry->started > listed->started;
+    }
+    /* The same description may be listed again after an outage. */
+    return entry->sequence > listed->sequence || listed->removed_at >= 0;
+}
+
+static bool
+is_same_place(const UpstreamSet *this, const Listed *listed,
+              const UpstreamEntry *entry)
+{
+    return entry->started == listed->started &&
+           Str_Equal(entry->service,
+                     NameTable_Name(this->services, listed->record.service)) &&
+           Str_Equal(entry->address, Str_FromC(listed->record.address)) &&
+           entry->port == listed->record.port;
+}
+
+static void
+describe(UpstreamSet *this, Listed *listed, const UpstreamEntry *entry)
+{
+    size_t length = MIN(entry->address.length, UPSTREAM_ADDRESS_MAX - 1);
+
+    memcpy(listed->record.address, entry->address.data, length);
+    listed->record.address[length] = '\0';
+    listed->record.port = entry->port;
+    listed->record.draining = entry->draining;
+    listed->started = entry->started;
+    listed->sequence = entry->sequence;
+    listed->removed_at = -1;
+    Router_SetDraining(this->router, listed->index, entry->draining);
+}
+
+bool
+UpstreamSet_Put(UpstreamSet *this, const UpstreamEntry *entry)
+{
+    Listed *listed = find(this, entry->id);
+    bool was_draining = listed != NULL && listed->record.draining;
+
+    if (listed != NULL && !is_newer(listed, entry)) {
+        return false;
+    }
+    /* A new start knows nothing of before, and neither must the router. */
+    if (listed != NULL && !is_same_place(this, listed, entry)) {
+        forget(this, listed, "restarted");
+        listed = NULL;
+        was_draining = false;
+    }
+    if (listed == NULL) {
+        listed = add(this, entry);
+        describe(this, listed, entry);
+        log_change(this, listed, entry->draining ? "draining" : "added");
+        return true;
+    }
+    describe(this, listed, entry);
+    if (entry->draining != was_draining) {
+        log_change(this, listed, entry->draining ? "draining" : "ready");
+    }
+    return true;
+}
+
+static bool
+may_be_lapsed(const UpstreamSet *this)
+{
+    return !this->reachable ||
+           (this->returned_at >= 0 &&
+            Clock_Now(this->clock) - this->returned_at < OUTAGE_MEMORY);
+}
+
+static void
+remove_listed(UpstreamSet *this, Listed *listed)
+{
+    if (!may_be_lapsed(this) || listed->record.draining) {
+        forget(this, listed, "removed");
+        return;
+    }
+    if (listed->removed_at < 0) {
+        listed->removed_at = Clock_Now(this->clock) + this->grace;
+        log_change(this, listed, "lapsed");
+    }
+}
+
+void
+UpstreamSet_Remove(UpstreamSet *this, Str id)
+{
+    Listed *listed = find(this, id);
+
+    if (listed != NULL) {
+        remove_listed(this, listed);
+    }
+}
+
+void
+UpstreamSet_KeepOnly(UpstreamSet *this, GHashTable *ids)
+{
+    for (guint i = 0; i < this->by_index->len; i++) {
+        Listed *listed = g_ptr_array_index(this->by_index, i);
+
+        if (listed != NULL && !g_hash_table_contains(ids, listed->id)) {
+            remove_listed(this, listed);
+        }
+    }
+}
+
+void
+UpstreamSet_SetSource(UpstreamSet *this, bool reachable)
+{
+    if (reachable && !this->reachable) {
+        this->returned_at = Clock_Now(this->clock);
+    }
+    this->reachable = reachable;
+}
+
+void
+UpstreamSet_OnTime(UpstreamSet *this)
+{
+    Micros now = Clock_Now(this->clock);
+
+    for (guint i = 0; i < this->by_index->len; i++) {
+        Listed *listed = g_ptr_array_index(this->by_index, i);
+
+        if (listed != NULL && listed->removed_at >= 0 &&
+            listed->removed_at <= now) {
+            forget(this, listed, "removed");
+        }
+    }
+}
+
+Micros
+UpstreamSet_NextTime(const UpstreamSet *this)
+{
+    Micros next = -1;
+
+    for (guint i = 0; i < this->by_index->len; i++) {
+        const Listed *listed = g_ptr_array_index(this->by_index, i);
+
+        if (listed != NULL && listed->removed_at >= 0 &&
+            (next < 0 || listed->removed_at < next)) {
+            next = listed->removed_at;
+        }
+    }
+    return next;
+}
+
+const UpstreamRecord *
+UpstreamSet_Record(const UpstreamSet *this, uint32_t index)
+{
+    const Listed *listed = index < this->by_index->len
+                               ? g_ptr_array_index(this->by_index, index)
+                               : NULL;
+
+    return listed != NULL ? &listed->record : NULL;
+}
+
+size_t
+UpstreamSet_Count(const UpstreamSet *this)
+{
+    return g_hash_table_size(this->by_id);
+}
+
+void
+UpstreamSet_Acquire(UpstreamSet *this, uint32_t index)
+{
+    g_array_index(this->uses, uint32_t, index)++;
+}
+
+void
+UpstreamSet_Release(UpstreamSet *this, uint32_t index)
+{
+    g_array_index(this->uses, uint32_t, index)--;
+}
--- /dev/null
+++ b/packages/net/KeyedFollower.c
@@ -0,0 +1,215 @@
+#include "KeyedFollower.h"
+
+typedef enum FollowerState_ {
+    STATE_SNAPSHOT,
+    STATE_TAIL,
+} FollowerState;
+
+struct KeyedFollower_ {
+    const KeyedLog *source;
+    KeyedFollowerOptions options;
+    KeyedFollowerHandlers handlers;
+    void *user;
+    Random *random;
+    EventLog *log;
+    LoopTimer *timer;
+    GString *topic;
+    FollowerState state;
+    GHashTable *keys; /* of the snapshot that is read now */
+    GString *after;   /* last key of its last page */
+    uint64_t next;    /* offset to read from */
+    uint64_t reads;
+    bool complete;
+    bool reachable;
+};
+
+static void on_page(void *user, const KeyedPage *page);
+
+static Str
+text_of(const GString *text)
+{
+    return (Str){text->str, text->len};
+}
+
+static void
+read_next(void *user)
+{
+    KeyedFollower *this = user;
+    const KeyedLog *source = this->source;
+
+    this->reads++;
+    switch (this->state) {
+    case STATE_SNAPSHOT:
+        source->read_newest(source->self, text_of(this->topic),
+                            text_of(this->after), this->options.timeout,
+                            on_page, this);
+        break;
+    case STATE_TAIL:
+        source->read_tail(
+            source->self, text_of(this->topic), this->next, this->options.wait,
+            this->options.wait + this->options.timeout, on_page, this);
+        break;
+    }
+}
+
+static void
+free_string(gpointer data)
+{
+    g_string_free(data, TRUE);
+}
+
+static void
+begin_snapshot(KeyedFollower *this)
+{
+    this->state = STATE_SNAPSHOT;
+    g_hash_table_remove_all(this->keys);
+    g_string_truncate(this->after, 0);
+    this->next = 0;
+}
+
+static void
+log_state(KeyedFollower *this, int code)
+{
+    LogLevel level = this->reachable ? LOG_LEVEL_INFO : LOG_LEVEL_WARN;
+
+    if (EventLog_Begin(this->log, level,
+                       this->reachable ? "store-regained" : "store-lost")) {
+        EventLog_Str(this->log, "topic", text_of(this->topic));
+        EventLog_C(this->log, "reason", code < 0 ? Error_Name(code) : "none");
+        EventLog_Int(this->log, "offset", (int64_t)this->next);
+        EventLog_End(this->log);
+    }
+}
+
+static void
+set_reachable(KeyedFollower *this, bool reachable, int code)
+{
+    if (this->reachable == reachable) {
+        return;
+    }
+    this->reachable = reachable;
+    log_state(this, code);
+    this->handlers.on_state(this->user, reachable);
+}
+
+static void
+take_snapshot_page(KeyedFollower *this, const KeyedPage *page)
+{
+    for (size_t i = 0; i < page->count; i++) {
+        const KeyedRecord *record = &page->records[i];
+
+        g_hash_table_add(
+            this->keys,
+            g_string_new_len(record->key.data, (gssize)record->key.length));
+        this->handlers.on_record(this->user, record);
+        g_string_truncate(this->after, 0);
+        g_string_append_len(this->after, record->key.data,
+                            (gssize)record->key.length);
+    }
+    /* Pages are no snapshot of one moment, so what changed since the first
+     * one is read again. */
+    if (this->next == 0) {
+        this->next = page->end;
+    }
+    if (page->more && page->count > 0) {
+        return;
+    }
+    this->handlers.on_snapshot(this->user, this->keys);
+    this->state = STATE_TAIL;
+    this->complete = true;
+}
+
+static void
+take_tail(KeyedFollower *this, const KeyedPage *page)
+{
+    for (size_t i = 0; i < page->count; i++) {
+        this->handlers.on_record(this->user, &page->records[i]);
+        this->next = page->records[i].offset + 1;
+    }
+}
+
+static Micros
+spread(KeyedFollower *this, Micros mean)
+{
+    return (Micros)((0.5 + Random_Unit(this->random)) * (double)mean);
+}
+
+static void
+on_page(void *user, const KeyedPage *page)
+{
+    KeyedFollower *this = user;
+    bool was_tail = this->state == STATE_TAIL;
+
+    if (page->code == ERR_EXPIRED) {
+        set_reachable(this, true, 0);
+        begin_snapshot(this);
+        LoopTimer_Start(this->timer, spread(this, this->options.retry) / 4);
+        return;
+    }
+    if (page->code < 0) {
+        set_reachable(this, false, page->code);
+        LoopTimer_Start(this->timer, spread(this, this->options.retry));
+        return;
+    }
+    set_reachable(this, true, 0);
+    if (was_tail) {
+        take_tail(this, page);
+    }
+    else {
+        take_snapshot_page(this, page);
+    }
+    LoopTimer_Start(this->timer,
+                    was_tail && page->count > 0 ? this->options.pause : 1);
+}
+
+KeyedFollower *
+KeyedFollower_Create(Loop *loop, const KeyedLog *source,
+                     const KeyedFollowerOptions *options,
+                     const KeyedFollowerHandlers *handlers, void *user,
+                     Random *random, EventLog *log)
+{
+    KeyedFollower *this = g_new0(KeyedFollower, 1);
+
+    this->source = source;
+    this->options = *options;
+    this->handlers = *handlers;
+    this->user = user;
+    this->random = random;
+    this->log = log;
+    this->topic =
+        g_string_new_len(options->topic.data, (gssize)options->topic.length);
+    this->after = g_string_new(NULL);
+    this->keys =
+        g_hash_table_new_full((GHashFunc)g_string_hash,
+                              (GEqualFunc)g_string_equal, free_string, NULL);
+    this->timer = LoopTimer_Create(loop, read_next, this);
+    this->reachable = true;
+    begin_snapshot(this);
+    LoopTimer_Start(this->timer, 1);
+    return this;
+}
+
+void
+KeyedFollower_Destroy(KeyedFollower *this)
+{
+    if (this == NULL) {
+        return;
+    }
+    LoopTimer_Destroy(this->timer);
+    g_hash_table_destroy(this->keys);
+    g_string_free(this->after, TRUE);
+    g_string_free(this->topic, TRUE);
+    g_free(this);
+}
+
+bool
+KeyedFollower_IsComplete(const KeyedFollower *this)
+{
+    return this->complete;
+}
+
+uint64_t
+KeyedFollower_Reads(const KeyedFollower *this)
+{
+    return this->reads;
+}
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -4,10 +4,10 @@
 cd "$(dirname "$0")/.."
 mkdir -p build/cppcheck
 includes=()
-for d in packages/*/ tests/support standins; do
+for d in packages/*/ platform tests/support standins; do
     [ -d "$d" ] && includes+=(-I "$d")
 done
 exec cppcheck --quiet --std=c11 --enable=warning,performance,portability \
     --error-exitcode=1 --inline-suppr --cppcheck-build-dir=build/cppcheck \
     --suppress=missingInclude --suppress='*:*.pb-c.*' --library=gtk \
-    -j "$(nproc)" "${includes[@]}" packages standins tests bench
+    -j "$(nproc)" "${includes[@]}" packages platform standins tests bench
