gateway: ask upstreams for their load before placing a request

Cause: a quarter of the upstreams work four times slower than usual for some 300 ms at a time, and a host hears of each less than once a second, so a fifth of the requests went to a slow one (line event=route: age_ms over 1000).

Change: Placement asks up to four upstreams of the own failure domain on their load path when a request comes, others only if none of these is idle at the usual pace, and sends to the shortest expected time.

--- a/packages/core/Router.h
+++ b/packages/core/Router.h
@@ -67,11 +67,17 @@
     bool cold;      /* just started: ramp it up */
 } UpstreamInfo;
 
-/** struct LoadReport_ - contents of an `agatecrank-load` header */
+/**
+ * struct LoadReport_ - load that an upstream states
+ * @inflight: requests that hold a slot
+ * @pace_percent: how long work takes on its machine now, 100 as usual; 0 if
+ *                it does not tell
+ */
 typedef struct LoadReport_ {
-    uint32_t inflight; /* requests that hold a slot */
+    uint32_t inflight;
     uint32_t slots;
     uint32_t queue;
+    uint32_t pace_percent;
     bool draining;
 } LoadReport;
 
--- a/packages/gateway/Dialect.h
+++ b/packages/gateway/Dialect.h
@@ -10,6 +10,7 @@
  * @instance: to an upstream: the id that must answer at its address
  * @not_run: from an upstream: it did not run the request
  * @signature: from an upstream: marks its answer as its own
+ * @instance_id: from an upstream that tells its load: its id
  * @load: from an upstream: its load, read by @parse_load
  * @parse_load: 0 or ERR_PARSE
  */
@@ -19,6 +20,7 @@
     Str instance;
     Str not_run;
     Str signature;
+    Str instance_id;
     Str load;
     int (*parse_load)(Str text, LoadReport *report);
 } Dialect;
--- a/packages/gateway/Dispatcher.c
+++ b/packages/gateway/Dispatcher.c
@@ -15,6 +15,8 @@
 /* Mean wait that a refused caller is told; spread so that they do not come
  * back together. */
 #define RETRY_AFTER_MEAN (200 * MICROS_PER_MS)
+/* Several times what a question and its answer take between domains. */
+#define ASK_TIME (8 * MICROS_PER_MS)
 /* A host without a configuration usually has it within this time. */
 #define RETRY_AFTER_START (1 * MICROS_PER_S)
 /* All requests are of one line: the gateway's callers have no shares. */
@@ -31,11 +33,15 @@
     Micros deadline;        /* of the final answer */
     Micros caller_deadline; /* when the caller stops to wait */
     Micros sent_at;
+    Micros ask_until; /* when to stop to wait for loads, 0 if it does not */
+    uint32_t asked[2 * PLACEMENT_ROUND_MAX];
+    uint32_t asked_count;
     uint32_t service;
     uint32_t upstream; /* of the running attempt, or UPSTREAM_NONE */
     uint32_t tried[ATTEMPTS_MAX];
     uint32_t tried_count;
     bool may_have_run;
+    bool asked_far; /* upstreams of other domains were asked, too */
 };
 
 #define UPSTREAM_NONE UINT32_MAX
@@ -48,7 +54,7 @@
     Counters *counters;
     NameTable *services;
     NameTable *domains;
-    Router *router;
+    Placement *placement;
     UpstreamSet *upstreams;
     Quarantine *quarantine;
     RouteTable *routes;
@@ -93,7 +99,7 @@
 }
 
 static void
-log_choice(const Job *job, const RouteChoice *choice, Micros left)
+log_choice(const Job *job, const PlacementChoice *choice, Micros left)
 {
     Dispatcher *this = job->owner;
 
@@ -105,14 +111,11 @@
     EventLog_Int(this->log, "attempt", job->tried_count);
     EventLog_Str(this->log, "choice", upstream_id(this, choice->upstream));
     EventLog_C(this->log, "reason", choice->reason);
-    EventLog_Int(this->log, "compared", choice->compared);
-    if (choice->candidate_count > 0) {
-        EventLog_Real(this->log, "load", choice->candidates[0].load);
-        EventLog_Int(this->log, "age_ms",
-                     choice->candidates[0].age < 0
-                         ? -1
-                         : choice->candidates[0].age / MICROS_PER_MS);
-    }
+    EventLog_Real(this->log, "cost", choice->cost);
+    EventLog_Real(this->log, "busy", choice->busy);
+    EventLog_Int(this->log, "pace_percent", choice->pace_percent);
+    EventLog_Int(this->log, "age_us", choice->age);
+    EventLog_Int(this->log, "asked", job->asked_count);
     EventLog_Int(this->log, "left_ms", left / MICROS_PER_MS);
     EventLog_End(this->log);
 }
@@ -187,8 +190,6 @@
                   Random *random, EventLog *log, Counters *counters)
 {
     Dispatcher *this = g_new0(Dispatcher, 1);
-    RouterOptions router = RouterOptions_Default();
-    uint64_t only_host = Str_Hash(options->domain);
     QuarantineOptions quarantine = {0};
 
     this->options = *options;
@@ -198,11 +199,10 @@
     this->counters = counters;
     this->services = NameTable_Create();
     this->domains = NameTable_Create();
-    router.own_domain = NameTable_Intern(this->domains, options->domain);
-    this->router = Router_Create(&router, clock, random);
-    Router_SetHosts(this->router, &only_host, 1, 0);
+    this->placement = Placement_Create(
+        NameTable_Intern(this->domains, options->domain), clock, random);
     this->upstreams =
-        UpstreamSet_Create(this->router, this->services, this->domains,
+        UpstreamSet_Create(this->placement, this->services, this->domains,
                            options->return_grace, clock, log);
     this->quarantine = Quarantine_Create(&quarantine, clock);
     this->windows =
@@ -225,7 +225,7 @@
     RouteTable_Unref(this->routes);
     Quarantine_Destroy(this->quarantine);
     UpstreamSet_Destroy(this->upstreams);
-    Router_Destroy(this->router);
+    Placement_Destroy(this->placement);
     NameTable_Destroy(this->services);
     NameTable_Destroy(this->domains);
     g_free(this);
@@ -240,12 +240,8 @@
         .share = this->options.retry_share,
         .extra = this->options.retry_extra,
     };
-    /* The platform's limit is the upstream's own and shared by all hosts;
-     * one connection is open for each request, so slots bound them. */
-    ServiceInfo info = {.connections = UINT16_MAX};
 
     while (this->windows->len <= service) {
-        Router_SetService(this->router, this->windows->len, &info);
         g_ptr_array_add(this->windows,
                         RetryWindow_Create(&options, this->clock));
     }
@@ -266,8 +262,7 @@
     if (job->upstream == UPSTREAM_NONE) {
         return;
     }
-    Router_OnFinished(this->router, job->upstream, outcome,
-                      Clock_Now(this->clock) - job->sent_at);
+    Placement_OnFinished(this->placement, job->upstream, outcome);
     UpstreamSet_Release(this->upstreams, job->upstream);
     job->upstream = UPSTREAM_NONE;
 }
@@ -375,7 +370,15 @@
 /* ---- sending -------------------------------------------------------- */
 
 static void
-send_to(Job *job, const RouteChoice *choice)
+begin_placing(Job *job)
+{
+    job->ask_until = 0;
+    job->asked_count = 0;
+    job->asked_far = false;
+}
+
+static void
+send_to(Job *job, const PlacementChoice *choice)
 {
     Dispatcher *this = job->owner;
     const UpstreamRecord *record =
@@ -389,11 +392,12 @@
                  job->deadline - now, job->route->kind == ROUTE_IDEMPOTENT},
     };
 
+    begin_placing(job);
     job->upstream = choice->upstream;
     job->tried[job->tried_count++] = choice->upstream;
     job->sent_at = now;
     UpstreamSet_Acquire(this->upstreams, choice->upstream);
-    Router_OnSent(this->router, choice->upstream);
+    Placement_OnSent(this->placement, choice->upstream);
     Quarantine_OnStart(this->quarantine, &job->fingerprint, choice->upstream);
     count(this, "agatecrank_placements_total", "reason",
           Str_FromC(choice->reason));
@@ -401,20 +405,101 @@
     push_action(this, &action);
 }
 
-static bool
-place(Job *job)
+static void
+ask(Job *job, uint32_t upstream)
 {
     Dispatcher *this = job->owner;
-    RouteQuery query = {
+    const UpstreamRecord *record =
+        UpstreamSet_Record(this->upstreams, upstream);
+    DispatchAction action = {.kind = DISPATCH_ASK};
+
+    job->asked[job->asked_count++] = upstream;
+    /* The answer to another request's question serves this one, too. */
+    if (Placement_IsAsked(this->placement, upstream)) {
+        return;
+    }
+    Placement_OnAsked(this->placement, upstream);
+    UpstreamSet_Acquire(this->upstreams, upstream);
+    action.ask.address = record->address;
+    action.ask.port = record->port;
+    action.ask.instance = record->id;
+    action.ask.upstream = upstream;
+    action.ask.path = RouteTable_LoadPath(
+        job->table, NameTable_Name(this->services, record->service));
+    push_action(this, &action);
+}
+
+static PlacementQuery
+query_of(const Job *job)
+{
+    return (PlacementQuery){
         .service = job->service,
         .avoid = job->tried,
         .avoid_count = job->tried_count,
     };
-    RouteChoice choice;
+}
+
+/* Returns false if there is none whose load is not known. */
+static bool
+ask_round(Job *job, PlacementScope scope)
+{
+    Dispatcher *this = job->owner;
+    PlacementQuery query = query_of(job);
+    uint32_t upstreams[PLACEMENT_ROUND_MAX];
+    size_t n;
+
+    /* Without a path there is no way to ask. */
+    if (RouteTable_LoadPath(job->table,
+                            NameTable_Name(this->services, job->service))
+            .length == 0) {
+        return false;
+    }
+    n = Placement_Ask(this->placement, &query, scope, upstreams);
+    for (size_t i = 0; i < n; i++) {
+        ask(job, upstreams[i]);
+    }
+    job->ask_until = Clock_Now(this->clock) + ASK_TIME;
+    return n > 0;
+}
 
-    if (Router_Choose(this->router, &query, &choice) < 0) {
+static bool
+is_waiting(const Job *job)
+{
+    if (Clock_Now(job->owner->clock) >= job->ask_until) {
         return false;
     }
+    for (uint32_t i = 0; i < job->asked_count; i++) {
+        if (Placement_IsAsked(job->owner->placement, job->asked[i])) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Sends the request, or asks for loads first; false if there is no upstream. */
+static bool
+place(Job *job)
+{
+    Dispatcher *this = job->owner;
+    PlacementQuery query = query_of(job);
+    PlacementChoice choice;
+
+    if (Placement_Choose(this->placement, &query, &choice) < 0) {
+        return false;
+    }
+    if (!choice.good && job->ask_until == 0 &&
+        ask_round(job, PLACEMENT_OWN_DOMAIN)) {
+        return true;
+    }
+    if (!choice.good && is_waiting(job)) {
+        return true;
+    }
+    if (!choice.good && !job->asked_far) {
+        job->asked_far = true;
+        if (ask_round(job, PLACEMENT_OTHER_DOMAINS)) {
+            return true;
+        }
+    }
     send_to(job, &choice);
     return true;
 }
@@ -553,7 +638,7 @@
 
     log_attempt_end(job, upstream, end);
     if (end->report != NULL) {
-        Router_OnReport(this->router, upstream, end->report, 0);
+        Placement_OnReport(this->placement, upstream, end->report);
     }
     switch (end->result) {
     case ATTEMPT_RESULT_ANSWER:
@@ -580,6 +665,42 @@
     return JOB_DISCARD;
 }
 
+static bool
+is_asking(const Job *job)
+{
+    return job->ask_until > 0;
+}
+
+/* Lets the jobs go on that may have waited for what is known now. */
+static void
+place_waiting(Dispatcher *this)
+{
+    GList *jobs = g_hash_table_get_keys(this->jobs);
+
+    for (GList *item = jobs; item != NULL; item = item->next) {
+        Job *job = item->data;
+
+        if (is_asking(job) && !place(job)) {
+            give_up(job, "no-upstream");
+        }
+    }
+    g_list_free(jobs);
+}
+
+void
+Dispatcher_OnLoad(Dispatcher *this, uint32_t upstream,
+                  const LoadReport *report)
+{
+    if (report != NULL) {
+        Placement_OnReport(this->placement, upstream, report);
+    }
+    Placement_OnTold(this->placement, upstream, report != NULL);
+    UpstreamSet_Release(this->upstreams, upstream);
+    count(this, "agatecrank_load_questions_total", "result",
+          report != NULL ? STR("told") : STR("silent"));
+    place_waiting(this);
+}
+
 void
 Dispatcher_OnCallerGone(Dispatcher *this, Job *job)
 {
@@ -630,6 +751,7 @@
         }
     }
     g_list_free(jobs);
+    place_waiting(this);
 }
 
 Micros
@@ -642,9 +764,11 @@
     g_hash_table_iter_init(&iterator, this->jobs);
     while (g_hash_table_iter_next(&iterator, &key, NULL)) {
         const Job *job = key;
+        Micros due = is_asking(job) ? MIN(job->ask_until, job->deadline)
+                                    : job->deadline;
 
-        if (next < 0 || job->deadline < next) {
-            next = job->deadline;
+        if (next < 0 || due < next) {
+            next = due;
         }
     }
     return next;
--- a/packages/gateway/Dispatcher.h
+++ b/packages/gateway/Dispatcher.h
@@ -3,8 +3,8 @@
 
 #include "Counters.h"
 #include "EventLog.h"
+#include "Placement.h"
 #include "RouteTable.h"
-#include "Router.h"
 
 /**
  * typedef Dispatcher - every decision about the requests of one gateway host
@@ -100,6 +100,7 @@
 } JobVerdict;
 
 typedef enum DispatchActionKind_ {
+    DISPATCH_ASK,    /* ask an upstream for its load; belongs to no job */
     DISPATCH_SEND,   /* send the request to an upstream */
     DISPATCH_ANSWER, /* answer the caller; the job is over */
     DISPATCH_CANCEL, /* end the attempt; an answer follows */
@@ -115,6 +116,13 @@
     Job *job;
     void *user; /* as given to Dispatcher_Offer() */
     union {
+        struct {
+            const char *address;
+            uint16_t port;
+            Str instance;
+            Str path;
+            uint32_t upstream; /* for Dispatcher_OnLoad() */
+        } ask;
         struct {
             const char *address;
             uint16_t port;
@@ -172,6 +180,10 @@
 JobVerdict Dispatcher_OnAttemptEnd(Dispatcher *this, Job *job,
                                    const AttemptEndInfo *end);
 
+/** Dispatcher_OnLoad() - end of a DISPATCH_ASK; NULL if it was not told */
+void Dispatcher_OnLoad(Dispatcher *this, uint32_t upstream,
+                       const LoadReport *report);
+
 /** Dispatcher_OnCallerGone() - nobody waits for it any more; it is over */
 void Dispatcher_OnCallerGone(Dispatcher *this, Job *job);
 
--- a/packages/gateway/Gateway.c
+++ b/packages/gateway/Gateway.c
@@ -10,6 +10,8 @@
 #define UPSTREAM_KEEP_IDLE_S 8
 /* A silent connection shows itself within three probes. */
 #define UPSTREAM_KEEP_ALIVE_S 1
+/* A machine that is only slow has answered by then. */
+#define QUESTION_TIMEOUT (60 * MICROS_PER_MS)
 /* Until the first configuration tells. */
 #define CALLER_IDLE_DEFAULT_S 15
 /* Bodies are held in memory until they are whole. */
@@ -370,12 +372,118 @@
     }
 }
 
+/* ---- questions for load --------------------------------------------- */
+
+typedef struct Question_ {
+    Gateway *gateway;
+    HttpCall *call;
+    LoopTimer *timer;
+    GString *instance;
+    LoadReport report;
+    uint32_t upstream;
+    bool told;
+} Question;
+
+static void
+end_question(Question *question)
+{
+    Gateway *this = question->gateway;
+
+    Dispatcher_OnLoad(this->dispatcher, question->upstream,
+                      question->told ? &question->report : NULL);
+    LoopTimer_Destroy(question->timer);
+    g_string_free(question->instance, TRUE);
+    g_free(question);
+    Gateway_Drain(this);
+}
+
+/* The status is left out of account: upstreams that work well may call
+ * themselves ill, and the reverse. */
 static void
-do_action(const DispatchAction *action)
+on_question_headers(void *user, HttpCall *call, int status,
+                    const HeaderList *headers)
+{
+    Question *question = user;
+    const Dialect *dialect = question->gateway->options.dialect;
+    Str instance = {question->instance->str, question->instance->len};
+
+    question->told =
+        Str_Equal(HeaderList_Get(headers, dialect->instance_id), instance) &&
+        dialect->parse_load(HeaderList_Get(headers, dialect->load),
+                            &question->report) == 0;
+}
+
+static void
+on_question_data(void *user, HttpCall *call, Str data)
+{
+}
+
+static void
+on_question_complete(void *user, HttpCall *call)
+{
+    end_question(user);
+}
+
+static void
+on_question_failed(void *user, HttpCall *call, HttpCallFailure failure,
+                   bool bytes_given, const Error *error)
+{
+    Question *question = user;
+
+    question->told = false;
+    end_question(question);
+}
+
+static void
+on_question_timeout(void *user)
+{
+    Question *question = user;
+
+    HttpCall_Cancel(question->call);
+    question->told = false;
+    end_question(question);
+}
+
+static const HttpCallHandlers question_handlers = {
+    on_question_headers,  on_question_data,   on_call_drained,
+    on_question_complete, on_question_failed,
+};
+
+static void
+ask_upstream(Gateway *this, const DispatchAction *action)
+{
+    HttpCallSpec spec = {
+        .address = action->ask.address,
+        .port = action->ask.port,
+        .method = STR("GET"),
+        .path = action->ask.path,
+    };
+    Question *question = g_new0(Question, 1);
+
+    question->gateway = this;
+    question->upstream = action->ask.upstream;
+    question->instance = g_string_new_len(action->ask.instance.data,
+                                          (gssize)action->ask.instance.length);
+    question->timer =
+        LoopTimer_Create(this->loop, on_question_timeout, question);
+    question->call = HttpClient_Start(this->client, &spec, &question_handlers,
+                                      question, NULL);
+    if (question->call == NULL) {
+        end_question(question);
+        return;
+    }
+    LoopTimer_Start(question->timer, QUESTION_TIMEOUT);
+}
+
+static void
+do_action(Gateway *this, const DispatchAction *action)
 {
     Exchange *exchange = action->user;
 
     switch (action->kind) {
+    case DISPATCH_ASK:
+        ask_upstream(this, action);
+        break;
     case DISPATCH_SEND:
         send_request(exchange, action);
         break;
@@ -412,7 +520,7 @@
     }
     this->draining = true;
     while (Dispatcher_NextAction(this->dispatcher, &action)) {
-        do_action(&action);
+        do_action(this, &action);
     }
     this->draining = false;
     update_timer(this);
--- /dev/null
+++ b/packages/gateway/Placement.h
@@ -0,0 +1,121 @@
+#ifndef AGATECRANK_GATEWAY_PLACEMENT_H
+#define AGATECRANK_GATEWAY_PLACEMENT_H
+
+#include "Router.h"
+
+/**
+ * typedef Placement - chooses upstreams by load reports of this moment
+ *
+ * The load it answers: upstreams share their machines with others, so that a
+ * quarter of them work several times slower than usual for a few hundred
+ * milliseconds, and one host sees each of them less than once a second. Its
+ * own last report is then out of date, so a few upstreams are asked for their
+ * load when a request comes, those of the own failure domain first, as bytes
+ * between domains cost.
+ */
+typedef struct Placement_ Placement;
+
+/** Upstreams that are asked in one round */
+#define PLACEMENT_ROUND_MAX 4
+
+/** struct PlacementInfo_ - what an upstream says of itself */
+typedef struct PlacementInfo_ {
+    uint32_t service;
+    uint32_t domain;
+    uint32_t slots;
+    Micros warmup;
+} PlacementInfo;
+
+/**
+ * struct PlacementQuery_ - what a decision is about
+ * @avoid: upstreams that the request was sent to before
+ */
+typedef struct PlacementQuery_ {
+    uint32_t service;
+    const uint32_t *avoid;
+    size_t avoid_count;
+} PlacementQuery;
+
+/** enum PlacementScope - where to look for upstreams to ask */
+typedef enum PlacementScope_ {
+    PLACEMENT_OWN_DOMAIN,
+    PLACEMENT_OTHER_DOMAINS,
+} PlacementScope;
+
+/**
+ * struct PlacementChoice_ - the decision and what its log line needs
+ * @cost: expected time of the request there, in times of an idle upstream
+ * @busy: requests running, waiting and on their way there for each slot
+ * @age: age of its last report, -1 without one
+ * @reason: static lower-case word
+ * @good: an idle upstream could hardly serve it faster
+ */
+typedef struct PlacementChoice_ {
+    uint32_t upstream;
+    float cost;
+    float busy;
+    uint32_t pace_percent;
+    Micros age;
+    const char *reason;
+    bool good;
+} PlacementChoice;
+
+/** Placement_Create() - @clock and @random are borrowed */
+Placement *Placement_Create(uint32_t own_domain, const Clock *clock,
+                            Random *random);
+
+/** Placement_Destroy() - NULL is allowed */
+void Placement_Destroy(Placement *this);
+
+/** Placement_Add() - an upstream of which nothing is known yet */
+void Placement_Add(Placement *this, uint32_t upstream,
+                   const PlacementInfo *info);
+
+/** Placement_Remove() - forget it */
+void Placement_Remove(Placement *this, uint32_t upstream);
+
+/** Placement_SetDraining() - it takes nothing new, or does again */
+void Placement_SetDraining(Placement *this, uint32_t upstream, bool draining);
+
+/** Placement_OnSent() - a request is on its way to it */
+void Placement_OnSent(Placement *this, uint32_t upstream);
+
+/** Placement_OnReport() - a load report that was made just now */
+void Placement_OnReport(Placement *this, uint32_t upstream,
+                        const LoadReport *report);
+
+/** Placement_OnFinished() - a request that was sent there ended */
+void Placement_OnFinished(Placement *this, uint32_t upstream,
+                          AttemptOutcome outcome);
+
+/** Placement_OnAsked() - it was asked for its load */
+void Placement_OnAsked(Placement *this, uint32_t upstream);
+
+/** Placement_OnTold() - the question is over, with a report before or none */
+void Placement_OnTold(Placement *this, uint32_t upstream, bool reported);
+
+/** Placement_IsAsked() - an answer to Placement_OnAsked() is outstanding */
+bool Placement_IsAsked(const Placement *this, uint32_t upstream);
+
+/**
+ * Placement_Ask() - upstreams whose load should be known for a request
+ * @upstreams: room for PLACEMENT_ROUND_MAX
+ *
+ * Return: their number; those whose report is fresh are left out.
+ */
+size_t Placement_Ask(Placement *this, const PlacementQuery *query,
+                     PlacementScope scope, uint32_t *upstreams);
+
+/**
+ * Placement_Choose() - the upstream with the shortest expected time
+ *
+ * Return: 0, or ERR_UNAVAILABLE if none may be used.
+ */
+int Placement_Choose(Placement *this, const PlacementQuery *query,
+                     PlacementChoice *choice);
+
+/** Placement_Busy() - mean of busy for each slot over a service's upstreams
+ *                     with a report, -1 without any */
+float Placement_Busy(const Placement *this, uint32_t service);
+
+#endif
--- a/packages/gateway/RouteTable.c
+++ b/packages/gateway/RouteTable.c
@@ -9,7 +9,8 @@
     uint64_t version;
     CallerLimits limits;
     TextStore *store;
-    GHashTable *routes; /* "host prefix" to Route */
+    GHashTable *routes;     /* "host prefix" to Route */
+    GHashTable *load_paths; /* service to path */
     unsigned references;
 };
 
@@ -22,6 +23,7 @@
     this->limits = *limits;
     this->store = TextStore_Create();
     this->routes = g_hash_table_new(g_str_hash, g_str_equal);
+    this->load_paths = g_hash_table_new(g_str_hash, g_str_equal);
     this->references = 1;
     return this;
 }
@@ -40,6 +42,7 @@
         return;
     }
     g_hash_table_destroy(this->routes);
+    g_hash_table_destroy(this->load_paths);
     TextStore_Destroy(this->store);
     g_free(this);
 }
@@ -113,6 +116,24 @@
     return 0;
 }
 
+void
+RouteTable_AddService(RouteTable *this, Str service, Str load_path)
+{
+    g_hash_table_insert(this->load_paths,
+                        (gpointer)TextStore_Copy(this->store, service).data,
+                        (gpointer)TextStore_Copy(this->store, load_path).data);
+}
+
+Str
+RouteTable_LoadPath(const RouteTable *this, Str service)
+{
+    char *name = g_strndup(service.data, service.length);
+    const char *path = g_hash_table_lookup(this->load_paths, name);
+
+    g_free(name);
+    return Str_FromC(path);
+}
+
 static Str
 without_port(Str host)
 {
--- a/packages/gateway/RouteTable.h
+++ b/packages/gateway/RouteTable.h
@@ -76,6 +76,12 @@
  */
 int RouteTable_Add(RouteTable *this, const Route *route, Error *error);
 
+/** RouteTable_AddService() - where upstreams of a service tell their load */
+void RouteTable_AddService(RouteTable *this, Str service, Str load_path);
+
+/** RouteTable_LoadPath() - as added, or an empty Str */
+Str RouteTable_LoadPath(const RouteTable *this, Str service);
+
 /**
  * RouteTable_Find() - the route with the longest prefix of @path
  * @host: value of the Host field, with or without a port
--- a/packages/gateway/UpstreamSet.c
+++ b/packages/gateway/UpstreamSet.c
@@ -15,7 +15,7 @@
 } Listed;
 
 struct UpstreamSet_ {
-    Router *router;
+    Placement *placement;
     NameTable *services;
     NameTable *domains;
     const Clock *clock;
@@ -38,12 +38,13 @@
 }
 
 UpstreamSet *
-UpstreamSet_Create(Router *router, NameTable *services, NameTable *domains,
-                   Micros grace, const Clock *clock, EventLog *log)
+UpstreamSet_Create(Placement *placement, NameTable *services,
+                   NameTable *domains, Micros grace, const Clock *clock,
+                   EventLog *log)
 {
     UpstreamSet *this = g_new0(UpstreamSet, 1);
 
-    this->router = router;
+    this->placement = placement;
     this->services = services;
     this->domains = domains;
     this->grace = grace;
@@ -114,7 +115,7 @@
 forget(UpstreamSet *this, Listed *listed, const char *change)
 {
     log_change(this, listed, change);
-    Router_RemoveUpstream(this->router, listed->index);
+    Placement_Remove(this->placement, listed->index);
     g_ptr_array_index(this->by_index, listed->index) = NULL;
     g_hash_table_remove(this->by_id, listed->id);
 }
@@ -123,21 +124,20 @@
 add(UpstreamSet *this, const UpstreamEntry *entry)
 {
     Listed *listed = g_new0(Listed, 1);
-    UpstreamInfo info = {
-        .key = Str_Hash(entry->id),
+    PlacementInfo info = {
+        .service = NameTable_Intern(this->services, entry->service),
         .domain = NameTable_Intern(this->domains, entry->domain),
         .slots = entry->slots,
-        .cold = entry->warmup > 0,
+        .warmup = entry->warmup,
     };
 
     listed->id = g_string_new_len(entry->id.data, (gssize)entry->id.length);
     listed->index = free_index(this);
     listed->record.id = (Str){listed->id->str, listed->id->len};
-    listed->record.service = NameTable_Intern(this->services, entry->service);
+    listed->record.service = info.service;
     g_hash_table_insert(this->by_id, listed->id, listed);
     g_ptr_array_index(this->by_index, listed->index) = listed;
-    Router_AddUpstream(this->router, listed->record.service, listed->index,
-                       &info);
+    Placement_Add(this->placement, listed->index, &info);
     return listed;
 }
 
@@ -174,7 +174,7 @@
     listed->started = entry->started;
     listed->sequence = entry->sequence;
     listed->removed_at = -1;
-    Router_SetDraining(this->router, listed->index, entry->draining);
+    Placement_SetDraining(this->placement, listed->index, entry->draining);
 }
 
 bool
@@ -186,7 +186,7 @@
     if (listed != NULL && !is_newer(listed, entry)) {
         return false;
     }
-    /* A new start knows nothing of before, and neither must the router. */
+    /* Nothing that was learned of the former start counts for the new one. */
     if (listed != NULL && !is_same_place(this, listed, entry)) {
         forget(this, listed, "restarted");
         listed = NULL;
--- a/packages/gateway/UpstreamSet.h
+++ b/packages/gateway/UpstreamSet.h
@@ -5,10 +5,10 @@
 
 #include "Dispatcher.h"
 #include "NameTable.h"
-#include "Router.h"
+#include "Placement.h"
 
 /**
- * typedef UpstreamSet - the listed upstreams and what the router knows of them
+ * typedef UpstreamSet - the listed upstreams and who may be chosen
  *
  * It keeps the newest description of each, whatever the order of arrival, and
  * keeps an upstream that vanished during an outage of its source for a while.
@@ -26,7 +26,7 @@
 
 /** UpstreamSet_Create() - everything is borrowed; @grace as return_grace of
  *                         struct DispatcherOptions_ */
-UpstreamSet *UpstreamSet_Create(Router *router, NameTable *services,
+UpstreamSet *UpstreamSet_Create(Placement *placement, NameTable *services,
                                 NameTable *domains, Micros grace,
                                 const Clock *clock, EventLog *log);
 
@@ -51,7 +51,7 @@
 /** UpstreamSet_NextTime() - when UpstreamSet_OnTime() is due; -1: never */
 Micros UpstreamSet_NextTime(const UpstreamSet *this);
 
-/** UpstreamSet_Record() - by the router's index; NULL if there is none */
+/** UpstreamSet_Record() - by its index; NULL if there is none */
 const UpstreamRecord *UpstreamSet_Record(const UpstreamSet *this,
                                          uint32_t index);
 
