Bound connecting and store reads in time

Cause: a machine cut off for 12 s kept its hanging connect and its long read of the store past the end of the cut (event=store-lost came only after 17 s).

--- a/packages/gateway/Gateway.c
+++ b/packages/gateway/Gateway.c
@@ -8,6 +8,9 @@
 /* Bytes that wait for a slow caller before the upstream has to wait. */
 #define RELAY_BUFFER_BYTES (128 * 1024)
 #define UPSTREAM_KEEP_IDLE_S 8
+/* Fifty times what it takes between domains; nothing was sent by then, so the
+ * request can go to another upstream. */
+#define UPSTREAM_CONNECT_TIMEOUT (150 * MICROS_PER_MS)
 /* A silent connection shows itself within three probes. */
 #define UPSTREAM_KEEP_ALIVE_S 1
 /* A machine that is only slow has answered by then. */
@@ -639,6 +642,7 @@
         .max_connections = options->connections_max,
         .keep_idle_s = UPSTREAM_KEEP_IDLE_S,
         .keep_alive_s = UPSTREAM_KEEP_ALIVE_S,
+        .connect_timeout = UPSTREAM_CONNECT_TIMEOUT,
     };
 
     this->loop = loop;
--- a/packages/net/HttpClient.c
+++ b/packages/net/HttpClient.c
@@ -456,6 +456,7 @@
         .tls = tls_of(this, error),
         .user_timeout_ms = this->options.user_timeout_ms,
         .keep_alive_s = this->options.keep_alive_s,
+        .connect_timeout = this->options.connect_timeout,
     };
 
     connection->client = this;
--- a/packages/net/HttpClient.h
+++ b/packages/net/HttpClient.h
@@ -48,7 +48,7 @@
  * @keep_idle_s: seconds that an idle connection is kept
  * @ca_file: PEM file to verify peers with; NULL for plain HTTP
  * @certificate_file, @key_file: shown to peers, may be NULL
- * @user_timeout_ms, @keep_alive_s: as in struct SocketOptions_
+ * @user_timeout_ms, @keep_alive_s, @connect_timeout: as in struct SocketOptions_
  */
 typedef struct HttpClientOptions_ {
     unsigned max_connections;
@@ -58,6 +58,7 @@
     const char *key_file;
     int user_timeout_ms;
     int keep_alive_s;
+    Micros connect_timeout;
 } HttpClientOptions;
 
 /**
--- a/packages/net/KeyedFollower.c
+++ b/packages/net/KeyedFollower.c
@@ -36,6 +36,8 @@
 {
     KeyedFollower *this = user;
     const KeyedLog *source = this->source;
+    /* A read that the log holds could not be told from one that is lost. */
+    Micros wait = this->reachable ? this->options.wait : 0;
 
     this->reads++;
     switch (this->state) {
@@ -46,8 +48,8 @@
         break;
     case STATE_TAIL:
         source->read_tail(
-            source->self, text_of(this->topic), this->next, this->options.wait,
-            this->options.wait + this->options.timeout, on_page, this);
+            source->self, text_of(this->topic), this->next, wait, wait + this->options.timeout,
+                          on_page, this);
         break;
     }
 }
--- a/packages/net/Socket.c
+++ b/packages/net/Socket.c
@@ -12,7 +12,7 @@
 #define READ_BYTES 16384
 /* Reads for one event, so that one peer does not hold up the others. */
 #define READS_PER_EVENT 8
-#define KEEP_ALIVE_PROBES 3
+#define KEEP_ALIVE_PROBES 2
 #define LINGER_TIME (1 * MICROS_PER_S)
 #define COMMON_NAME_BYTES 128
 
@@ -28,7 +28,7 @@
     Loop *loop;
     LoopIo *io;
     SSL *ssl;
-    LoopTimer *linger;
+    LoopTimer *timer; /* of connecting or lingering */
     SocketHandlers handlers;
     void *user;
     GByteArray *output;
@@ -59,7 +59,7 @@
         return;
     }
     this->state = STATE_CLOSED;
-    LoopTimer_Destroy(this->linger);
+    LoopTimer_Destroy(this->timer);
     LoopIo_Destroy(this->io);
     if (this->ssl != NULL) {
         SSL_free(this->ssl);
@@ -226,14 +226,32 @@
     X509_free(certificate);
 }
 
+static void
+write_peer(Socket *this)
+{
+    bool pending = Socket_Buffered(this) > 0;
+
+    if (!flush(this)) {
+        end(this, SOCKET_END_BROKEN);
+        return;
+    }
+    if (this->state == STATE_LINGERING) {
+        shut_down_when_flushed(this);
+        return;
+    }
+    if (pending && Socket_Buffered(this) == 0) {
+        this->handlers.on_drained(this->user);
+    }
+}
+
 static void
 open_now(Socket *this)
 {
+    LoopTimer_Stop(this->timer);
     this->state = STATE_OPEN;
     this->handlers.on_open(this->user);
-    /* A broken connection is reported by the next event. */
     if (this->state == STATE_OPEN) {
-        flush(this);
+        write_peer(this);
     }
 }
 
@@ -272,24 +290,6 @@
     shake_hands(this);
 }
 
-static void
-write_peer(Socket *this)
-{
-    bool pending = Socket_Buffered(this) > 0;
-
-    if (!flush(this)) {
-        end(this, SOCKET_END_BROKEN);
-        return;
-    }
-    if (this->state == STATE_LINGERING) {
-        shut_down_when_flushed(this);
-        return;
-    }
-    if (pending && Socket_Buffered(this) == 0) {
-        this->handlers.on_drained(this->user);
-    }
-}
-
 static void
 on_events(void *user, unsigned events)
 {
@@ -340,6 +340,21 @@
     }
 }
 
+static void
+on_timer(void *user)
+{
+    Socket *this = user;
+
+    if (this->state == STATE_LINGERING) {
+        Socket_Close(this);
+        return;
+    }
+    this->holds++;
+    end(this, SOCKET_END_REFUSED);
+    this->holds--;
+    release(this);
+}
+
 static Socket *
 create(Loop *loop, int fd, SocketState state, const SocketOptions *options,
        const SocketHandlers *handlers, void *user)
@@ -353,6 +368,10 @@
     this->user = user;
     this->output = g_byte_array_new();
     this->io = LoopIo_Create(loop, fd, on_events, this);
+    this->timer = LoopTimer_Create(loop, on_timer, this);
+    if (state == STATE_CONNECTING && options->connect_timeout > 0) {
+        LoopTimer_Start(this->timer, options->connect_timeout);
+    }
     set_options(fd, options);
     if (options->tls != NULL) {
         this->ssl = TlsContext_Session(options->tls, fd);
@@ -436,12 +455,6 @@
     release(this);
 }
 
-static void
-stop_lingering(void *user)
-{
-    Socket_Close(user);
-}
-
 void
 Socket_Finish(Socket *this)
 {
@@ -451,8 +464,7 @@
     }
     this->state = STATE_LINGERING;
     this->paused = false;
-    this->linger = LoopTimer_Create(this->loop, stop_lingering, this);
-    LoopTimer_Start(this->linger, LINGER_TIME);
+    LoopTimer_Start(this->timer, LINGER_TIME);
     shut_down_when_flushed(this);
     want_events(this);
 }
--- a/packages/net/Socket.h
+++ b/packages/net/Socket.h
@@ -39,12 +39,14 @@
  * @tls: borrowed; NULL for plain TCP
  * @user_timeout_ms: bound on unacknowledged bytes; 0 for the system's
  * @keep_alive_s: interval of TCP keep-alive probes, 0 for none; the
- *                connection is broken after three without an answer
+ *                connection is broken after two without an answer
+ * @connect_timeout: time to establish the connection, 0 for no bound
  */
 typedef struct SocketOptions_ {
     TlsContext *tls;
     int user_timeout_ms;
     int keep_alive_s;
+    Micros connect_timeout;
 } SocketOptions;
 
 /** Socket_Accept() - take over a connected descriptor */
