--- a/packages/gateway/UpstreamSet.c
+++ b/packages/gateway/UpstreamSet.c
@@ -2,9 +2,6 @@
 
 #include <string.h>
 
-/* Removals that arrive this long after an outage may be due to it. */
-#define OUTAGE_MEMORY (3 * MICROS_PER_S)
-
 typedef struct Listed_ {
     UpstreamRecord record;
     GString *id;
@@ -210,7 +207,7 @@
 {
     return !this->reachable ||
            (this->returned_at >= 0 &&
-            Clock_Now(this->clock) - this->returned_at < OUTAGE_MEMORY);
+            Clock_Now(this->clock) - this->returned_at < this->grace);
 }
 
 static void
@@ -221,7 +218,9 @@
         return;
     }
     if (listed->removed_at < 0) {
-        listed->removed_at = Clock_Now(this->clock) + this->grace;
+        listed->removed_at =
+            (this->reachable ? this->returned_at : Clock_Now(this->clock)) +
+            this->grace;
         log_change(this, listed, "lapsed");
     }
 }
--- a/packages/net/KeyedFollower.c
+++ b/packages/net/KeyedFollower.c
@@ -21,6 +21,7 @@
     uint64_t reads;
     bool complete;
     bool reachable;
+    bool reading;
 };
 
 static void on_page(void *user, const KeyedPage *page);
@@ -40,6 +41,7 @@
     Micros wait = this->reachable ? this->options.wait : 0;
 
     this->reads++;
+    this->reading = true;
     switch (this->state) {
     case STATE_SNAPSHOT:
         source->read_newest(source->self, text_of(this->topic),
@@ -47,9 +49,8 @@
                             on_page, this);
         break;
     case STATE_TAIL:
-        source->read_tail(
-            source->self, text_of(this->topic), this->next, wait, wait + this->options.timeout,
-                          on_page, this);
+        source->read_tail(source->self, text_of(this->topic), this->next, wait,
+                          wait + this->options.timeout, on_page, this);
         break;
     }
 }
@@ -142,6 +143,7 @@
     KeyedFollower *this = user;
     bool was_tail = this->state == STATE_TAIL;
 
+    this->reading = false;
     if (page->code == ERR_EXPIRED) {
         set_reachable(this, true, 0);
         begin_snapshot(this);
@@ -204,6 +206,14 @@
     g_free(this);
 }
 
+void
+KeyedFollower_Hurry(KeyedFollower *this)
+{
+    if (!this->reachable && !this->reading) {
+        LoopTimer_Start(this->timer, 1);
+    }
+}
+
 bool
 KeyedFollower_IsComplete(const KeyedFollower *this)
 {
--- a/packages/net/KeyedFollower.h
+++ b/packages/net/KeyedFollower.h
@@ -53,6 +53,9 @@
 /** KeyedFollower_Destroy() - after Loop_Close(); NULL is allowed */
 void KeyedFollower_Destroy(KeyedFollower *this);
 
+/** KeyedFollower_Hurry() - if it waits after a failure, read at once */
+void KeyedFollower_Hurry(KeyedFollower *this);
+
 /** KeyedFollower_IsComplete() - a snapshot was read since the start */
 bool KeyedFollower_IsComplete(const KeyedFollower *this);
 
