gateway: let requests wait for room instead of filling the upstreams

Change: RequestQueue: a request that finds no upstream below the knee waits up to 0.4 of its objective, the most urgent first, and goes as soon as an own request ends where there is room; one that would wait longer is refused at once with Retry-After.

--- a/packages/gateway/Dispatcher.c
+++ b/packages/gateway/Dispatcher.c
@@ -5,6 +5,7 @@
 
 #include "NameTable.h"
 #include "Quarantine.h"
+#include "RequestQueue.h"
 #include "RetryWindow.h"
 #include "UpstreamSet.h"
 
@@ -15,6 +16,13 @@
 /* Mean wait that a refused caller is told; spread so that they do not come
  * back together. */
 #define RETRY_AFTER_MEAN (200 * MICROS_PER_MS)
+/* Part of the objective that a request may wait for room. */
+#define WAIT_SHARE 0.4
+/* A report of this age still tells that there is room. */
+#define ROOM_KNOWN_TIME (25 * MICROS_PER_MS)
+/* Time after which the head of a queue asks for room, if none of this host's
+ * own requests ended meanwhile. */
+#define POLL_TIME (20 * MICROS_PER_MS)
 /* Several times what a question and its answer take between domains. */
 #define ASK_TIME (8 * MICROS_PER_MS)
 /* A host without a configuration usually has it within this time. */
@@ -42,6 +50,7 @@
     uint32_t tried_count;
     bool may_have_run;
     bool asked_far; /* upstreams of other domains were asked, too */
+    bool queued;
 };
 
 #define UPSTREAM_NONE UINT32_MAX
@@ -60,6 +69,8 @@
     Quarantine *quarantine;
     RouteTable *routes;
     GPtrArray *windows; /* RetryWindow of each service */
+    GPtrArray *queues;  /* RequestQueue of each service */
+    Micros poll_at;     /* when the heads of the queues ask again */
     GHashTable *jobs;   /* set of Job */
     GArray *actions;
     guint actions_taken;
@@ -211,6 +222,8 @@
     this->quarantine = Quarantine_Create(&quarantine, clock);
     this->windows =
         g_ptr_array_new_with_free_func((GDestroyNotify)RetryWindow_Destroy);
+    this->queues =
+        g_ptr_array_new_with_free_func((GDestroyNotify)RequestQueue_Destroy);
     this->jobs = g_hash_table_new_full(g_direct_hash, g_direct_equal,
                                        destroy_job, NULL);
     this->actions = g_array_new(FALSE, FALSE, sizeof(DispatchAction));
@@ -226,6 +239,7 @@
     g_hash_table_destroy(this->jobs);
     g_array_free(this->actions, TRUE);
     g_ptr_array_free(this->windows, TRUE);
+    g_ptr_array_free(this->queues, TRUE);
     RouteTable_Unref(this->routes);
     Quarantine_Destroy(this->quarantine);
     UpstreamSet_Destroy(this->upstreams);
@@ -248,6 +262,7 @@
     while (this->windows->len <= service) {
         g_ptr_array_add(this->windows,
                         RetryWindow_Create(&options, this->clock));
+        g_ptr_array_add(this->queues, RequestQueue_Create(this->clock));
     }
     return service;
 }
@@ -271,9 +286,25 @@
     job->upstream = UPSTREAM_NONE;
 }
 
+static RequestQueue *
+queue_of(const Job *job)
+{
+    return g_ptr_array_index(job->owner->queues, job->service);
+}
+
+static void
+leave_queue(Job *job)
+{
+    if (job->queued) {
+        RequestQueue_Remove(queue_of(job), job);
+        job->queued = false;
+    }
+}
+
 static void
 end_job(Job *job)
 {
+    leave_queue(job);
     end_attempt(job, ATTEMPT_CANCELLED);
     g_hash_table_remove(job->owner->jobs, job);
 }
@@ -397,6 +428,7 @@
     };
 
     begin_placing(job);
+    leave_queue(job);
     job->upstream = choice->upstream;
     job->tried[job->tried_count++] = choice->upstream;
     job->sent_at = now;
@@ -480,7 +512,56 @@
     return false;
 }
 
-/* Sends the request, or asks for loads first; false if there is no upstream. */
+/* Asks in the own failure domain, then in the others; false if the load of
+ * all that may be asked is known, or is waited for no longer. */
+static bool
+asks(Job *job)
+{
+    if (job->ask_until == 0 && ask_round(job, PLACEMENT_OWN_DOMAIN)) {
+        return true;
+    }
+    if (is_waiting(job)) {
+        return true;
+    }
+    if (job->asked_far) {
+        return false;
+    }
+    job->asked_far = true;
+    return ask_round(job, PLACEMENT_OTHER_DOMAINS);
+}
+
+/* The rest of the objective is needed for the work itself. */
+static Micros
+patience_of(const Job *job)
+{
+    Micros longest = (Micros)(WAIT_SHARE * (double)job->route->objective);
+    Micros waited = Clock_Now(job->owner->clock) - job->arrived;
+
+    return MIN(longest - waited,
+               job->deadline - ATTEMPT_TIME_MIN - job->arrived - waited);
+}
+
+static void
+enqueue(Job *job)
+{
+    Dispatcher *this = job->owner;
+
+    begin_placing(job);
+    if (!RequestQueue_Push(queue_of(job), job, job->route->priority,
+                           patience_of(job))) {
+        give_up(job, "overloaded");
+        return;
+    }
+    job->queued = true;
+    if (this->poll_at <= Clock_Now(this->clock)) {
+        this->poll_at = Clock_Now(this->clock) + POLL_TIME;
+    }
+    count(this, "agatecrank_queued_total", "service",
+          NameTable_Name(this->services, job->service));
+}
+
+/* Sends the request, asks for loads first, or lets it wait for room; false if
+ * there is no upstream. */
 static bool
 place(Job *job)
 {
@@ -491,23 +572,43 @@
     if (Placement_Choose(this->placement, &query, &choice) < 0) {
         return false;
     }
-    if (!choice.good && job->ask_until == 0 &&
-        ask_round(job, PLACEMENT_OWN_DOMAIN)) {
-        return true;
+    if (choice.good && choice.room) {
+        send_to(job, &choice);
+    }
+    else if (!RequestQueue_HasTurn(queue_of(job), job->route->priority)) {
+        enqueue(job);
     }
-    if (!choice.good && is_waiting(job)) {
+    else if (asks(job)) {
         return true;
     }
-    if (!choice.good && !job->asked_far) {
-        job->asked_far = true;
-        if (ask_round(job, PLACEMENT_OTHER_DOMAINS)) {
-            return true;
-        }
+    else if (choice.room) {
+        send_to(job, &choice);
+    }
+    else {
+        enqueue(job);
     }
-    send_to(job, &choice);
     return true;
 }
 
+/* Sends what waits as long as there is room that is known to be there now. */
+static void
+serve_queue(Dispatcher *this, uint32_t service)
+{
+    RequestQueue *queue = g_ptr_array_index(this->queues, service);
+    PlacementChoice choice;
+    Job *job;
+
+    while ((job = RequestQueue_Head(queue)) != NULL) {
+        PlacementQuery query = query_of(job);
+
+        if (Placement_Choose(this->placement, &query, &choice) < 0 ||
+            !choice.room || choice.age < 0 || choice.age > ROOM_KNOWN_TIME) {
+            return;
+        }
+        send_to(job, &choice);
+    }
+}
+
 /* Tries again after an attempt that ended without an answer to pass on.
  * @arrived: the failed attempt counts against the budget of repeats. */
 static void
@@ -635,15 +736,11 @@
     return JOB_RELAY;
 }
 
-JobVerdict
-Dispatcher_OnAttemptEnd(Dispatcher *this, Job *job, const AttemptEndInfo *end)
+static JobVerdict
+settle_attempt(Job *job, const AttemptEndInfo *end)
 {
-    uint32_t upstream = job->upstream;
+    Dispatcher *this = job->owner;
 
-    log_attempt_end(job, upstream, end);
-    if (end->report != NULL) {
-        Placement_OnReport(this->placement, upstream, end->report);
-    }
     switch (end->result) {
     case ATTEMPT_RESULT_ANSWER:
         return on_answer(job, end);
@@ -660,7 +757,8 @@
         try_again(job, "upstream-unreachable");
         break;
     case ATTEMPT_RESULT_BROKEN:
-        Quarantine_OnLost(this->quarantine, upstream, &job->fingerprint, 1);
+        Quarantine_OnLost(this->quarantine, job->upstream, &job->fingerprint,
+                          1);
         end_attempt(job, ATTEMPT_BROKEN);
         job->may_have_run = true;
         try_again(job, "upstream-broken");
@@ -669,12 +767,76 @@
     return JOB_DISCARD;
 }
 
+JobVerdict
+Dispatcher_OnAttemptEnd(Dispatcher *this, Job *job, const AttemptEndInfo *end)
+{
+    uint32_t service = job->service;
+    JobVerdict verdict;
+
+    log_attempt_end(job, job->upstream, end);
+    if (end->report != NULL) {
+        Placement_OnReport(this->placement, job->upstream, end->report);
+    }
+    RequestQueue_OnRoom(g_ptr_array_index(this->queues, service));
+    verdict = settle_attempt(job, end);
+    serve_queue(this, service);
+    return verdict;
+}
+
 static bool
 is_asking(const Job *job)
 {
     return job->ask_until > 0;
 }
 
+static void
+serve_queues(Dispatcher *this)
+{
+    for (guint i = 0; i < this->queues->len; i++) {
+        serve_queue(this, i);
+    }
+}
+
+/* The heads of the queues ask, as nothing may come back from upstreams that
+ * only other hosts use. */
+static void
+poll_for_room(Dispatcher *this)
+{
+    Micros now = Clock_Now(this->clock);
+    bool waits = false;
+
+    if (this->poll_at == 0 || this->poll_at > now) {
+        return;
+    }
+    for (guint i = 0; i < this->queues->len; i++) {
+        Job *job = RequestQueue_Head(g_ptr_array_index(this->queues, i));
+
+        if (job != NULL) {
+            waits = true;
+            job->asked_count = 0;
+            ask_round(job, job->asked_far ? PLACEMENT_OTHER_DOMAINS
+                                          : PLACEMENT_OWN_DOMAIN);
+            job->ask_until = 0;
+            job->asked_far = !job->asked_far;
+        }
+    }
+    this->poll_at = waits ? now + POLL_TIME : 0;
+}
+
+static void
+expire_queued(Dispatcher *this)
+{
+    for (guint i = 0; i < this->queues->len; i++) {
+        Job *job;
+
+        while ((job = RequestQueue_Expired(
+                    g_ptr_array_index(this->queues, i))) != NULL) {
+            job->queued = false;
+            give_up(job, "overloaded");
+        }
+    }
+}
+
 /* Lets the jobs go on that may have waited for what is known now. */
 static void
 place_waiting(Dispatcher *this)
@@ -703,6 +865,7 @@
     count(this, "agatecrank_load_questions_total", "result",
           report != NULL ? STR("told") : STR("silent"));
     place_waiting(this);
+    serve_queues(this);
 }
 
 void
@@ -756,13 +919,27 @@
         }
     }
     g_list_free(jobs);
+    expire_queued(this);
     place_waiting(this);
+    poll_for_room(this);
+    serve_queues(this);
+}
+
+/* Negative times mean never. */
+static Micros
+earlier(Micros a, Micros b)
+{
+    if (a < 0 || b < 0) {
+        return MAX(a, b);
+    }
+    return MIN(a, b);
 }
 
 Micros
 Dispatcher_NextTime(const Dispatcher *this)
 {
-    Micros next = UpstreamSet_NextTime(this->upstreams);
+    Micros next = earlier(UpstreamSet_NextTime(this->upstreams),
+                          this->poll_at > 0 ? this->poll_at : -1);
     GHashTableIter iterator;
     gpointer key;
 
@@ -772,9 +949,11 @@
         Micros due = is_asking(job) ? MIN(job->ask_until, job->deadline)
                                     : job->deadline;
 
-        if (next < 0 || due < next) {
-            next = due;
-        }
+        next = earlier(next, due);
+    }
+    for (guint i = 0; i < this->queues->len; i++) {
+        next = earlier(
+            next, RequestQueue_NextTime(g_ptr_array_index(this->queues, i)));
     }
     return next;
 }
--- a/packages/gateway/Placement.c
+++ b/packages/gateway/Placement.c
@@ -235,6 +235,7 @@
         return;
     }
     load->inflight -= MIN(load->inflight, 1);
+    load->sent = MIN(load->sent, load->inflight);
     switch (outcome) {
     case ATTEMPT_OK:
         load->failures *= 1 - FAILURE_WEIGHT;
@@ -367,6 +368,15 @@
     return pace * (work + over / slots) + FAILURE_COST * load->failures;
 }
 
+/* At least one request may always run. */
+static bool
+has_room(const Load *load, float busy)
+{
+    float slots = (float)load->info.slots;
+
+    return busy * slots + 1 <= MAX(floorf(KNEE_BUSY * slots), 1);
+}
+
 typedef struct Best_ {
     uint32_t upstream;
     float cost;
@@ -455,6 +465,7 @@
         .age = load->report_at < 0 ? -1 : now - load->report_at,
         .reason = reason,
         .good = is_fresh(load, now) && best->cost <= GOOD_COST,
+        .room = has_room(load, best->busy),
     };
     return 0;
 }
--- a/packages/gateway/Placement.h
+++ b/packages/gateway/Placement.h
@@ -16,7 +16,7 @@
 typedef struct Placement_ Placement;
 
 /** Upstreams that are asked in one round */
-#define PLACEMENT_ROUND_MAX 4
+#define PLACEMENT_ROUND_MAX 3
 
 /** struct PlacementInfo_ - what an upstream says of itself */
 typedef struct PlacementInfo_ {
@@ -49,6 +49,7 @@
  * @age: age of its last report, -1 without one
  * @reason: static lower-case word
  * @good: an idle upstream could hardly serve it faster
+ * @room: it does not make the upstream so full that it slows down
  */
 typedef struct PlacementChoice_ {
     uint32_t upstream;
@@ -58,6 +59,7 @@
     Micros age;
     const char *reason;
     bool good;
+    bool room;
 } PlacementChoice;
 
 /** Placement_Create() - @clock and @random are borrowed */
--- /dev/null
+++ b/packages/gateway/RequestQueue.c
@@ -0,0 +1,173 @@
+#include "RequestQueue.h"
+
+#include <glib.h>
+
+/* Weight of one interval in the mean time between ends of requests. */
+#define INTERVAL_WEIGHT 0.1
+/* A pause in the load tells nothing about how fast requests end. */
+#define INTERVAL_MAX (200 * MICROS_PER_MS)
+
+typedef struct Entry_ {
+    void *item;
+    unsigned priority;
+    Micros until;
+} Entry;
+
+struct RequestQueue_ {
+    const Clock *clock;
+    GQueue *entries; /* Entry, by priority and then by arrival */
+    Micros last_end; /* -1 before the first */
+    double interval; /* mean time between ends, 0 if it is not known */
+};
+
+RequestQueue *
+RequestQueue_Create(const Clock *clock)
+{
+    RequestQueue *this = g_new0(RequestQueue, 1);
+
+    this->clock = clock;
+    this->entries = g_queue_new();
+    this->last_end = -1;
+    return this;
+}
+
+void
+RequestQueue_Destroy(RequestQueue *this)
+{
+    if (this == NULL) {
+        return;
+    }
+    g_queue_free_full(this->entries, g_free);
+    g_free(this);
+}
+
+/* Returns the first entry that is less urgent; NULL if there is none. */
+static GList *
+place_of(const RequestQueue *this, unsigned priority, size_t *ahead)
+{
+    GList *link = this->entries->head;
+
+    *ahead = 0;
+    while (link != NULL && ((Entry *)link->data)->priority <= priority) {
+        link = link->next;
+        (*ahead)++;
+    }
+    return link;
+}
+
+Micros
+RequestQueue_ExpectedWait(const RequestQueue *this, unsigned priority)
+{
+    size_t ahead;
+
+    place_of(this, priority, &ahead);
+    return (Micros)((double)(ahead + 1) * this->interval);
+}
+
+bool
+RequestQueue_Push(RequestQueue *this, void *item, unsigned priority,
+                  Micros patience)
+{
+    Entry *entry;
+    size_t ahead;
+    GList *place = place_of(this, priority, &ahead);
+
+    if (patience <= 0 ||
+        RequestQueue_ExpectedWait(this, priority) > patience) {
+        return false;
+    }
+    entry = g_new0(Entry, 1);
+    entry->item = item;
+    entry->priority = priority;
+    entry->until = Clock_Now(this->clock) + patience;
+    g_queue_insert_before(this->entries, place, entry);
+    return true;
+}
+
+void *
+RequestQueue_Head(const RequestQueue *this)
+{
+    const Entry *entry = g_queue_peek_head(this->entries);
+
+    return entry != NULL ? entry->item : NULL;
+}
+
+bool
+RequestQueue_HasTurn(const RequestQueue *this, unsigned priority)
+{
+    const Entry *entry = g_queue_peek_head(this->entries);
+
+    return entry == NULL || priority < entry->priority;
+}
+
+static void *
+take(RequestQueue *this, GList *link)
+{
+    Entry *entry = link->data;
+    void *item = entry->item;
+
+    g_queue_delete_link(this->entries, link);
+    g_free(entry);
+    return item;
+}
+
+bool
+RequestQueue_Remove(RequestQueue *this, void *item)
+{
+    for (GList *link = this->entries->head; link != NULL; link = link->next) {
+        if (((Entry *)link->data)->item == item) {
+            take(this, link);
+            return true;
+        }
+    }
+    return false;
+}
+
+void *
+RequestQueue_Expired(RequestQueue *this)
+{
+    Micros now = Clock_Now(this->clock);
+
+    for (GList *link = this->entries->head; link != NULL; link = link->next) {
+        if (((Entry *)link->data)->until <= now) {
+            return take(this, link);
+        }
+    }
+    return NULL;
+}
+
+Micros
+RequestQueue_NextTime(const RequestQueue *this)
+{
+    Micros next = -1;
+
+    for (GList *link = this->entries->head; link != NULL; link = link->next) {
+        Micros until = ((Entry *)link->data)->until;
+
+        if (next < 0 || until < next) {
+            next = until;
+        }
+    }
+    return next;
+}
+
+void
+RequestQueue_OnRoom(RequestQueue *this)
+{
+    Micros now = Clock_Now(this->clock);
+    double passed = (double)MIN(now - this->last_end, INTERVAL_MAX);
+
+    if (this->last_end >= 0) {
+        this->interval =
+            this->interval > 0
+                ? this->interval + INTERVAL_WEIGHT * (passed - this->interval)
+                : passed;
+    }
+    this->last_end = now;
+}
+
+size_t
+RequestQueue_Length(const RequestQueue *this)
+{
+    return this->entries->length;
+}
