gateway: a budget for load questions, asking those that were good last

Change: Placement keeps a budget by this host's share of the load, asks three a round, those with the best last report first; repeats use 0.95 of their share.

--- a/packages/agatecrankd/GatewayDaemon.c
+++ b/packages/agatecrankd/GatewayDaemon.c
@@ -17,7 +17,7 @@
 /* Hosts that a service's repeats are shared by, at most; see below. */
 #define RETRY_HOSTS_MAX 200
 /* The part of the shared bound that is spent: hosts see different windows. */
-#define RETRY_MARGIN 0.8
+#define RETRY_MARGIN 0.95
 /* Less than the bound on drains. */
 #define RETURN_GRACE (1800 * MICROS_PER_MS)
 #define CONNECTIONS_MAX 32
@@ -229,6 +229,7 @@
         .retry_window = bounds->retry_window,
         .retry_share = bounds->retry_share * RETRY_MARGIN,
         .retry_extra = 1 + bounds->retry_extra / RETRY_HOSTS_MAX,
+        .questions_per_s = bounds->questions_per_s,
         .return_grace = MIN(RETURN_GRACE, bounds->drain_time * 9 / 10),
     };
 
--- a/packages/gateway/Dispatcher.c
+++ b/packages/gateway/Dispatcher.c
@@ -214,8 +214,9 @@
     this->counters = counters;
     this->services = NameTable_Create();
     this->domains = NameTable_Create();
-    this->placement = Placement_Create(
-        NameTable_Intern(this->domains, options->domain), clock, random);
+    this->placement =
+        Placement_Create(NameTable_Intern(this->domains, options->domain),
+                         options->questions_per_s, clock, random);
     this->upstreams =
         UpstreamSet_Create(this->placement, this->services, this->domains,
                            options->return_grace, clock, log);
--- a/packages/gateway/Dispatcher.h
+++ b/packages/gateway/Dispatcher.h
@@ -25,6 +25,7 @@
  * struct DispatcherOptions_ - settings
  * @domain: failure domain of this host
  * @retry_window, @retry_share, @retry_extra: see struct RetryWindowOptions_
+ * @questions_per_s: see Placement_Create()
  * @return_grace: time after an outage of the upstreams' source in which an
  *                upstream that vanished meanwhile is still used
  */
@@ -33,6 +34,7 @@
     Micros retry_window;
     double retry_share;
     double retry_extra;
+    double questions_per_s;
     Micros return_grace;
 } DispatcherOptions;
 
--- a/packages/gateway/GatewaySettings.h
+++ b/packages/gateway/GatewaySettings.h
@@ -10,11 +10,13 @@
  * struct GatewayBounds_ - what the operators of a platform promise callers
  * @drain_time: from the notice that an upstream leaves to its last request
  * @stop_time: from SIGTERM to SIGKILL
+ * @questions_per_s: questions for its load to an upstream, over all hosts
  * @retry_window, @retry_share, @retry_extra: repeats over all hosts together
  */
 typedef struct GatewayBounds_ {
     Micros drain_time;
     Micros stop_time;
+    double questions_per_s;
     Micros retry_window;
     double retry_share;
     double retry_extra;
--- a/packages/gateway/Placement.c
+++ b/packages/gateway/Placement.c
@@ -47,10 +47,23 @@
     bool asked;
 } Load;
 
+/* Part of the budget for questions that is spent. */
+#define QUESTIONS_MARGIN 0.95F
+/* Seconds for which unspent questions are kept: the bound is one on a mean
+ * over much longer, and bursts last some seconds. */
+#define QUESTIONS_KEPT_S 10
+/* A host that starts knows nothing of its share of the load. */
+#define QUESTIONS_START 200.0F
+
+/* Difference of costs that does not decide who is asked. */
+#define ASK_JITTER 0.2F
+
 typedef struct Service_ {
     GArray *upstreams; /* uint32_t */
     float mean_pace;
     float mean_busy;
+    float mean_own; /* requests of this host in flight */
+    uint32_t inflight;
     bool reported;
 } Service;
 
@@ -58,6 +71,9 @@
     const Clock *clock;
     Random *random;
     uint32_t own_domain;
+    float questions_per_s;
+    float questions; /* that may be asked now */
+    Micros earned_at;
     GArray *loads;       /* Load by upstream */
     GPtrArray *services; /* Service by index */
 };
@@ -72,13 +88,17 @@
 }
 
 Placement *
-Placement_Create(uint32_t own_domain, const Clock *clock, Random *random)
+Placement_Create(uint32_t own_domain, double questions_per_s,
+                 const Clock *clock, Random *random)
 {
     Placement *this = g_new0(Placement, 1);
 
     this->clock = clock;
     this->random = random;
     this->own_domain = own_domain;
+    this->questions_per_s = (float)questions_per_s;
+    this->questions = QUESTIONS_START;
+    this->earned_at = Clock_Now(clock);
     this->loads = g_array_new(FALSE, TRUE, sizeof(Load));
     this->services = g_ptr_array_new_with_free_func(destroy_service);
     return this;
@@ -118,6 +138,7 @@
         service->upstreams = g_array_new(FALSE, FALSE, sizeof(uint32_t));
         service->mean_pace = MEAN_PACE_START;
         service->mean_busy = MEAN_BUSY_START;
+        service->mean_own = 1;
         g_ptr_array_add(this->services, service);
     }
     return g_ptr_array_index(this->services, index);
@@ -145,13 +166,16 @@
 Placement_Remove(Placement *this, uint32_t upstream)
 {
     Load *load = find(this, upstream);
+    Service *service;
     GArray *list;
 
     if (load == NULL) {
         return;
     }
+    service = service_at(this, load->info.service);
+    service->inflight -= MIN(service->inflight, load->inflight);
     load->present = false;
-    list = service_at(this, load->info.service)->upstreams;
+    list = service->upstreams;
     for (guint i = 0; i < list->len; i++) {
         if (g_array_index(list, uint32_t, i) == upstream) {
             g_array_remove_index_fast(list, i);
@@ -180,6 +204,7 @@
     }
     load->sent++;
     load->inflight++;
+    service_at(this, load->info.service)->inflight++;
     /* The next trial of an upstream that failed comes after this one. */
     if (load->holds > 0) {
         load->held_until = Clock_Now(this->clock) +
@@ -211,6 +236,8 @@
     service->mean_busy += MEAN_WEIGHT * ((load->running + load->waiting) /
                                              (float)load->info.slots -
                                          service->mean_busy);
+    service->mean_own +=
+        MEAN_WEIGHT * ((float)service->inflight - service->mean_own);
     service->reported = true;
 }
 
@@ -230,11 +257,14 @@
                      AttemptOutcome outcome)
 {
     Load *load = find(this, upstream);
+    Service *service;
 
     if (load == NULL) {
         return;
     }
+    service = service_at(this, load->info.service);
     load->inflight -= MIN(load->inflight, 1);
+    service->inflight -= MIN(service->inflight, 1);
     load->sent = MIN(load->sent, load->inflight);
     switch (outcome) {
     case ATTEMPT_OK:
@@ -305,36 +335,54 @@
     return load->report_at >= 0 && now - load->report_at <= FRESH_TIME;
 }
 
-size_t
-Placement_Ask(Placement *this, const PlacementQuery *query,
-              PlacementScope scope, uint32_t *upstreams)
+/* This host's part of the requests that the service works on, by the reports
+ * of the upstreams: its part of the budget, too. */
+static float
+own_share(const Placement *this, const Service *service)
 {
-    const Service *service = service_at(this, query->service);
-    Micros now = Clock_Now(this->clock);
-    size_t seen = 0, n = 0;
+    float all = 0;
 
     for (guint i = 0; i < service->upstreams->len; i++) {
         uint32_t upstream = g_array_index(service->upstreams, uint32_t, i);
-        const Load *load = load_at(this, upstream);
-        bool near = load->info.domain == this->own_domain;
 
-        if (near != (scope == PLACEMENT_OWN_DOMAIN) || is_held(load, now) ||
-            !is_usable(load, query, upstream) || is_fresh(load, now)) {
-            continue;
-        }
-        /* Each of them is in the sample with the same probability. */
-        seen++;
-        if (n < PLACEMENT_ROUND_MAX) {
-            upstreams[n++] = upstream;
-        }
-        else {
-            uint64_t place = Random_Below(this->random, seen);
+        all += (float)load_at(this, upstream)->info.slots;
+    }
+    all *= service->mean_busy;
+    return all > service->mean_own ? service->mean_own / all : 1;
+}
 
-            if (place < PLACEMENT_ROUND_MAX) {
-                upstreams[place] = upstream;
-            }
-        }
+static float
+questions_rate(const Placement *this)
+{
+    float rate = 0;
+
+    for (guint i = 0; i < this->services->len; i++) {
+        const Service *service = g_ptr_array_index(this->services, i);
+
+        rate += QUESTIONS_MARGIN * this->questions_per_s *
+                (float)service->upstreams->len * own_share(this, service);
+    }
+    return rate;
+}
+
+/* Returns how many questions may be asked, at most @wanted. */
+static size_t
+spend(Placement *this, size_t wanted)
+{
+    Micros now = Clock_Now(this->clock);
+    float rate, passed;
+    size_t n;
+
+    if (this->questions_per_s <= 0 || wanted == 0) {
+        return wanted;
     }
+    rate = questions_rate(this);
+    passed = (float)(now - this->earned_at) / MICROS_PER_S;
+    this->earned_at = now;
+    this->questions = MIN(this->questions + rate * passed,
+                          QUESTIONS_START + rate * QUESTIONS_KEPT_S);
+    n = MIN(wanted, (size_t)MAX(this->questions, 0));
+    this->questions -= (float)n;
     return n;
 }
 
@@ -368,6 +416,66 @@
     return pace * (work + over / slots) + FAILURE_COST * load->failures;
 }
 
+typedef struct Candidate_ {
+    uint32_t upstream;
+    float cost;
+} Candidate;
+
+/* Keeps the @most cheapest in order. */
+static size_t
+keep_cheapest(Candidate *candidates, size_t n, size_t most, Candidate one)
+{
+    size_t place = n;
+
+    while (place > 0 && candidates[place - 1].cost > one.cost) {
+        place--;
+    }
+    if (place >= most) {
+        return n;
+    }
+    n = MIN(n + 1, most);
+    for (size_t i = n - 1; i > place; i--) {
+        candidates[i] = candidates[i - 1];
+    }
+    candidates[place] = one;
+    return n;
+}
+
+/* Asks those that were good when last heard of, and rather one of which
+ * nothing is known than one that was slow. */
+size_t
+Placement_Ask(Placement *this, const PlacementQuery *query,
+              PlacementScope scope, uint32_t *upstreams)
+{
+    Service *service = service_at(this, query->service);
+    Candidate candidates[PLACEMENT_ROUND_MAX];
+    Micros now = Clock_Now(this->clock);
+    size_t n = 0;
+    float busy;
+
+    for (guint i = 0; i < service->upstreams->len; i++) {
+        uint32_t upstream = g_array_index(service->upstreams, uint32_t, i);
+        const Load *load = load_at(this, upstream);
+        bool near = load->info.domain == this->own_domain;
+
+        if (near != (scope == PLACEMENT_OWN_DOMAIN) || is_held(load, now) ||
+            !is_usable(load, query, upstream) || is_fresh(load, now)) {
+            continue;
+        }
+        /* The lot decides between those that look alike. */
+        n = keep_cheapest(
+            candidates, n, PLACEMENT_ROUND_MAX,
+            (Candidate){upstream,
+                        cost_of(service, load, now, &busy) +
+                            ASK_JITTER * (float)Random_Unit(this->random)});
+    }
+    n = spend(this, n);
+    for (size_t i = 0; i < n; i++) {
+        upstreams[i] = candidates[i].upstream;
+    }
+    return n;
+}
+
 /* At least one request may always run. */
 static bool
 has_room(const Load *load, float busy)
--- a/packages/gateway/Placement.h
+++ b/packages/gateway/Placement.h
@@ -15,7 +15,7 @@
  */
 typedef struct Placement_ Placement;
 
-/** Upstreams that are asked in one round */
+/** Most upstreams that are asked in one round */
 #define PLACEMENT_ROUND_MAX 3
 
 /** struct PlacementInfo_ - what an upstream says of itself */
@@ -62,9 +62,13 @@
     bool room;
 } PlacementChoice;
 
-/** Placement_Create() - @clock and @random are borrowed */
-Placement *Placement_Create(uint32_t own_domain, const Clock *clock,
-                            Random *random);
+/**
+ * Placement_Create() - @clock and @random are borrowed
+ * @questions_per_s: bound on how often all hosts together ask an upstream for
+ *                   its load, on average; 0 for no bound
+ */
+Placement *Placement_Create(uint32_t own_domain, double questions_per_s,
+                            const Clock *clock, Random *random);
 
 /** Placement_Destroy() - NULL is allowed */
 void Placement_Destroy(Placement *this);
@@ -103,7 +107,8 @@
  * Placement_Ask() - upstreams whose load should be known for a request
  * @upstreams: room for PLACEMENT_ROUND_MAX
  *
- * Return: their number; those whose report is fresh are left out.
+ * Return: their number; those whose report is fresh are left out, and all
+ * once the budget for questions is spent.
  */
 size_t Placement_Ask(Placement *this, const PlacementQuery *query,
                      PlacementScope scope, uint32_t *upstreams);
--- a/tests/test_gateway_parts.c
+++ b/tests/test_gateway_parts.c
@@ -179,7 +179,7 @@
     f->random = Random_Create(1);
     f->services = NameTable_Create();
     f->domains = NameTable_Create();
-    f->placement = Placement_Create(DOMAIN, f->clock, f->random);
+    f->placement = Placement_Create(DOMAIN, 0, f->clock, f->random);
     f->set = UpstreamSet_Create(f->placement, f->services, f->domains, GRACE,
                                 f->clock, NULL);
 }
