Read the store through one host of each failure domain

Change: KeyedSource reads through the first host of the domain that answers (KeyedRelay, KeyedMirror), and the store at once if none does; direct reads are held 0.9 s at most. Hosts list themselves in a topic of the store.

--- a/packages/agatecrankd/GatewayDaemon.c
+++ b/packages/agatecrankd/GatewayDaemon.c
@@ -6,6 +6,7 @@
 
 #include "Daemon.h"
 #include "Gateway.h"
+#include "KeyedSource.h"
 #include "LogSink.h"
 #include "PlatformDialect.h"
 #include "PlatformFeed.h"
@@ -29,6 +30,9 @@
 #define STOP_MARGIN (300 * MICROS_PER_MS)
 #define STOP_CHECK (50 * MICROS_PER_MS)
 #define STATUS_KEEP_ALIVE_S 30
+/* A direct read and the pause before it take 1.2 s; with a peer's own wait a
+ * host that lost the store is noticed well within 2 s. */
+#define RELAY_AGE_MAX (1300 * MICROS_PER_MS)
 
 struct GatewayDaemon_ {
     const GatewaySettings *settings;
@@ -42,6 +46,8 @@
     Dispatcher *dispatcher;
     Gateway *gateway;
     StoreClient *store;
+    KeyedRelay *relay;
+    KeyedSource *source;
     PlatformFeed *feed;
     HttpServer *readiness;
     HttpServer *metrics;
@@ -109,8 +115,8 @@
                  (double)Gateway_OpenRequests(this->gateway));
     Counters_Set(this->counters, "agatecrank_upstreams", NULL, 0,
                  (double)Dispatcher_UpstreamCount(this->dispatcher));
-    Counters_Set(this->counters, "agatecrank_store_reads", NULL, 0,
-                 (double)PlatformFeed_Reads(this->feed));
+    Counters_Set(this->counters, "agatecrank_store_calls", NULL, 0,
+                 (double)KeyedSource_StoreCalls(this->source));
     Counters_Set(this->counters, "agatecrank_log_lines_lost", NULL, 0,
                  (double)(LogSink_Lost() + EventLog_Dropped(this->log) +
                           EventLog_Dropped(this->decisions)));
@@ -251,6 +257,55 @@
     return HttpServer_Create(this->loop, &options, handlers, this, error);
 }
 
+static void
+on_direct(void *user, bool direct)
+{
+    GatewayDaemon *this = user;
+
+    KeyedRelay_SetDirect(this->relay, direct);
+}
+
+static void
+on_asked(void *user)
+{
+    GatewayDaemon *this = user;
+
+    KeyedSource_OnAsked(this->source);
+}
+
+static int
+create_feed(GatewayDaemon *this, Error *error)
+{
+    const GatewaySettings *settings = this->settings;
+    KeyedRelayOptions relay = {
+        .address = settings->relay.address,
+        .port = settings->relay.port,
+        .age_max = RELAY_AGE_MAX,
+        .on_asked = on_asked,
+        .user = this,
+    };
+    KeyedSourceOptions source = {
+        .host = settings->host_id,
+        .domain = settings->domain,
+        .relay = settings->relay,
+        .on_direct = on_direct,
+        .user = this,
+    };
+
+    this->relay = KeyedRelay_Create(this->loop, &relay, error);
+    if (this->relay == NULL) {
+        return ERR_IO;
+    }
+    KeyedRelay_SetDirect(this->relay, true);
+    this->source = KeyedSource_Create(this->loop, StoreClient_Log(this->store),
+                                      &source, this->random, this->log);
+    this->feed =
+        PlatformFeed_Create(this->loop, KeyedSource_Log(this->source),
+                            this->relay, this->dispatcher, this->random,
+                            this->log, this->counters, on_feed, this);
+    return 0;
+}
+
 static int
 create_net(GatewayDaemon *this, Error *error)
 {
@@ -277,10 +332,7 @@
         this->store == NULL) {
         return ERR_IO;
     }
-    this->feed = PlatformFeed_Create(this->loop, StoreClient_Log(this->store),
-                                     this->dispatcher, this->random, this->log,
-                                     this->counters, on_feed, this);
-    return 0;
+    return create_feed(this, error);
 }
 
 GatewayDaemon *
@@ -312,7 +364,9 @@
         /* Sockets close first: their last handlers still use the objects. */
         Loop_Close(this->loop);
         LoopTimer_Destroy(this->stop_timer);
+        KeyedRelay_Destroy(this->relay);
         PlatformFeed_Destroy(this->feed);
+        KeyedSource_Destroy(this->source);
         StoreClient_Destroy(this->store);
         HttpServer_Destroy(this->metrics);
         HttpServer_Destroy(this->readiness);
--- a/packages/gateway/GatewaySettings.c
+++ b/packages/gateway/GatewaySettings.c
@@ -22,6 +22,7 @@
     Str callers;
     Str readiness;
     Str metrics;
+    Str relay;
     Str store;
 } AddressTexts;
 
@@ -40,6 +41,7 @@
     {"readiness", FIELD_TEXT, offsetof(AddressTexts, readiness), true, 0, 0,
      NULL},
     {"metrics", FIELD_TEXT, offsetof(AddressTexts, metrics), true, 0, 0, NULL},
+    {"relay", FIELD_TEXT, offsetof(AddressTexts, relay), true, 0, 0, NULL},
     {"store", FIELD_TEXT, offsetof(AddressTexts, store), true, 0, 0, NULL},
     END,
 };
@@ -104,7 +106,8 @@
               GatewayBoundsReader *read_bounds, Faults *faults)
 {
     const TomlNode *gateway = Toml_Find(root, STR("gateway"));
-    AddressTexts texts = {{NULL, 0}, {NULL, 0}, {NULL, 0}, {NULL, 0}};
+    AddressTexts texts = {
+        {NULL, 0}, {NULL, 0}, {NULL, 0}, {NULL, 0}, {NULL, 0}};
 
     check_tables(root, faults);
     Fields_Read(host_fields, Toml_Find(root, STR("host")), STR("host"), this,
@@ -117,6 +120,7 @@
     read_address(gateway, "readiness", texts.readiness, &this->readiness,
                  faults);
     read_address(gateway, "metrics", texts.metrics, &this->metrics, faults);
+    read_address(gateway, "relay", texts.relay, &this->relay, faults);
     read_address(gateway, "store", texts.store, &this->store, faults);
     read_bounds(Toml_Find(root, STR("bounds")), &this->bounds, faults);
 }
--- a/packages/gateway/GatewaySettings.h
+++ b/packages/gateway/GatewaySettings.h
@@ -26,6 +26,7 @@
  * struct GatewaySettings_ - settings of a gateway host
  * @host_id, @domain: name and failure domain of this host
  * @callers, @readiness, @metrics: addresses to listen on
+ * @relay: where other hosts read the store through this one
  * @store: address of the platform's store
  * @log_level: a LogLevel
  * @decision_lines_per_s: bound on routine log lines
@@ -36,6 +37,7 @@
     Endpoint callers;
     Endpoint readiness;
     Endpoint metrics;
+    Endpoint relay;
     Endpoint store;
     uint32_t log_level;
     uint32_t decision_lines_per_s;
--- a/packages/net/KeyedFollower.c
+++ b/packages/net/KeyedFollower.c
@@ -1,5 +1,8 @@
 #include "KeyedFollower.h"
 
+/* Records that another host may ask for again. */
+#define TAIL_MAX 2048
+
 typedef enum FollowerState_ {
     STATE_SNAPSHOT,
     STATE_TAIL,
@@ -15,13 +18,16 @@
     EventLog *log;
     LoopTimer *timer;
     GString *topic;
+    KeyedMirror *mirror;
+    Micros answered_at;
     FollowerState state;
     GHashTable *keys; /* of the snapshot that is read now */
     GString *after;   /* last key of its last page */
     uint64_t next;    /* offset to read from */
     uint64_t reads;
     Micros settled_at; /* when reads may be held for long again */
-    bool complete;
+    bool complete;     /* no snapshot is being read */
+    bool was_complete;
     bool reachable;
     bool reading;
 };
@@ -88,6 +94,8 @@
     this->state = STATE_SNAPSHOT;
     g_hash_table_remove_all(this->keys);
     g_string_truncate(this->after, 0);
+    KeyedMirror_Restart(this->mirror);
+    this->complete = false;
     this->next = 0;
 }
 
@@ -137,6 +145,7 @@
         g_hash_table_add(
             this->keys,
             g_string_new_len(record->key.data, (gssize)record->key.length));
+        KeyedMirror_Put(this->mirror, record);
         this->handlers.on_record(this->user, record);
         g_string_truncate(this->after, 0);
         g_string_append_len(this->after, record->key.data,
@@ -152,14 +161,16 @@
     }
     log_position(this, "store-snapshot", g_hash_table_size(this->keys));
     this->handlers.on_snapshot(this->user, this->keys);
+    KeyedMirror_Finish(this->mirror, this->next);
     this->state = STATE_TAIL;
-    this->complete = true;
+    this->complete = this->was_complete = true;
 }
 
 static void
 take_tail(KeyedFollower *this, const KeyedPage *page)
 {
     for (size_t i = 0; i < page->count; i++) {
+        KeyedMirror_Append(this->mirror, &page->records[i]);
         this->handlers.on_record(this->user, &page->records[i]);
         this->next = page->records[i].offset + 1;
     }
@@ -192,12 +203,14 @@
         return;
     }
     set_reachable(this, true, 0);
+    this->answered_at = Clock_Now(this->clock);
     if (was_tail) {
         take_tail(this, page);
     }
     else {
         take_snapshot_page(this, page);
     }
+    this->handlers.on_page(this->user);
     LoopTimer_Start(this->timer,
                     was_tail && page->count > 0 ? this->options.pause : 1);
 }
@@ -225,6 +238,7 @@
                               (GEqualFunc)g_string_equal, free_string, NULL);
     this->timer = LoopTimer_Create(loop, read_next, this);
     this->reachable = true;
+    this->mirror = KeyedMirror_Create(TAIL_MAX);
     begin_snapshot(this);
     LoopTimer_Start(this->timer, 1);
     return this;
@@ -237,6 +251,7 @@
         return;
     }
     LoopTimer_Destroy(this->timer);
+    KeyedMirror_Destroy(this->mirror);
     g_hash_table_destroy(this->keys);
     g_string_free(this->after, TRUE);
     g_string_free(this->topic, TRUE);
@@ -254,7 +269,21 @@
 bool
 KeyedFollower_IsComplete(const KeyedFollower *this)
 {
-    return this->complete;
+    return this->was_complete;
+}
+
+const KeyedMirror *
+KeyedFollower_Mirror(const KeyedFollower *this)
+{
+    return this->mirror;
+}
+
+Micros
+KeyedFollower_Age(const KeyedFollower *this)
+{
+    return this->reachable && this->complete
+               ? Clock_Now(this->clock) - this->answered_at
+               : -1;
 }
 
 uint64_t
--- a/packages/net/KeyedFollower.h
+++ b/packages/net/KeyedFollower.h
@@ -4,6 +4,7 @@
 #include <glib.h>
 
 #include "KeyedLog.h"
+#include "KeyedMirror.h"
 #include "Loop.h"
 #include "Random.h"
 
@@ -40,11 +41,13 @@
  * @on_snapshot: a snapshot is complete; @keys (set of GString) are all there
  *               are, and every other key is gone
  * @on_state: the log answers again, or no longer
+ * @on_page: an answer was taken in
  */
 typedef struct KeyedFollowerHandlers_ {
     void (*on_record)(void *user, const KeyedRecord *record);
     void (*on_snapshot)(void *user, GHashTable *keys);
     void (*on_state)(void *user, bool reachable);
+    void (*on_page)(void *user);
 } KeyedFollowerHandlers;
 
 /** KeyedFollower_Create() - starts to read; everything else is borrowed */
@@ -62,6 +65,13 @@
 /** KeyedFollower_IsComplete() - a snapshot was read since the start */
 bool KeyedFollower_IsComplete(const KeyedFollower *this);
 
+/** KeyedFollower_Mirror() - what was read */
+const KeyedMirror *KeyedFollower_Mirror(const KeyedFollower *this);
+
+/** KeyedFollower_Age() - time since the last answer; -1 while the log can not
+ *                        be read or no snapshot is complete */
+Micros KeyedFollower_Age(const KeyedFollower *this);
+
 /** KeyedFollower_Reads() - calls to the log so far */
 uint64_t KeyedFollower_Reads(const KeyedFollower *this);
 
--- a/packages/net/KeyedLog.h
+++ b/packages/net/KeyedLog.h
@@ -35,10 +35,14 @@
 
 typedef void KeyedPageHandler(void *user, const KeyedPage *page);
 
+/** typedef KeyedAppendHandler - 0 or an error as in struct KeyedPage_ */
+typedef void KeyedAppendHandler(void *user, int code);
+
 /**
  * struct KeyedLog_ - a log with topics whose newest record of each key is kept
  * @read_newest: the newest record of each key after @after, in pages
  * @read_tail: records from an offset on, waiting up to @wait for one
+ * @append: write a record; it may have been written if the result is not 0
  *
  * Each handler runs once, never before the call returns.
  */
@@ -48,6 +52,8 @@
                         KeyedPageHandler *handler, void *user);
     void (*read_tail)(void *self, Str topic, uint64_t from, Micros wait,
                       Micros timeout, KeyedPageHandler *handler, void *user);
+    void (*append)(void *self, Str topic, Str key, Str value, Micros timeout,
+                   KeyedAppendHandler *handler, void *user);
 } KeyedLog;
 
 #endif
