--- /dev/null
+++ b/tests/test_dispatcher.c
@@ -0,0 +1,395 @@
+#include <glib.h>
+#include <string.h>
+
+#include "Dispatcher.h"
+
+#define SLOTS 4
+#define OBJECTIVE (300 * MICROS_PER_MS)
+#define TIMEOUT (800 * MICROS_PER_MS)
+
+typedef struct Fixture_ {
+    Clock *clock;
+    Random *random;
+    Counters *counters;
+    Dispatcher *dispatcher;
+    DispatchAction action; /* the last one but questions */
+    char sent_to[64];
+    size_t sends;
+    size_t answers;
+    size_t cancels;
+} Fixture;
+
+static const RoutePart parts[] = {{{"desk", 4}, 1}};
+
+static void
+add_route(RouteTable *table, const char *prefix, RouteKind kind,
+          uint32_t priority)
+{
+    Route route = {
+        .name = Str_FromC(prefix),
+        .host = STR("a.example"),
+        .prefix = Str_FromC(prefix),
+        .kind = kind,
+        .timeout = TIMEOUT,
+        .objective = OBJECTIVE,
+        .priority = priority,
+        .attempts_max = 2,
+        .parts = parts,
+        .part_count = 1,
+    };
+
+    g_assert_cmpint(RouteTable_Add(table, &route, NULL), ==, 0);
+}
+
+static int
+set_routes(Fixture *f, uint64_t version)
+{
+    CallerLimits limits = {0};
+    RouteTable *table = RouteTable_Create(version, &limits);
+    int code;
+
+    add_route(table, "/safe/", ROUTE_IDEMPOTENT, 2);
+    add_route(table, "/once/", ROUTE_AT_MOST_ONCE, 1);
+    code = Dispatcher_SetRoutes(f->dispatcher, table);
+    RouteTable_Unref(table);
+    return code;
+}
+
+static void
+add_upstream(Fixture *f, const char *id)
+{
+    UpstreamEntry entry = {
+        .id = Str_FromC(id),
+        .started = 1,
+        .sequence = 1,
+        .service = STR("desk"),
+        .address = STR("10.0.0.1"),
+        .port = 80,
+        .domain = STR("a"),
+        .slots = SLOTS,
+    };
+
+    Dispatcher_PutUpstream(f->dispatcher, &entry);
+}
+
+static void
+create(Fixture *f)
+{
+    DispatcherOptions options = {
+        .domain = STR("a"),
+        .retry_window = 10 * MICROS_PER_S,
+        .retry_share = 0.2,
+        .retry_extra = 2,
+        .return_grace = MICROS_PER_S,
+    };
+
+    memset(f, 0, sizeof(*f));
+    f->clock = Clock_CreateManual(MICROS_PER_S, 0);
+    f->random = Random_Create(3);
+    f->counters = Counters_Create(100);
+    f->dispatcher = Dispatcher_Create(&options, f->clock, f->random, NULL,
+                                      NULL, f->counters);
+}
+
+static void
+set_up(Fixture *f, gconstpointer data)
+{
+    create(f);
+    g_assert_cmpint(set_routes(f, 1), ==, 0);
+    add_upstream(f, "u");
+    add_upstream(f, "v");
+}
+
+static void
+tear_down(Fixture *f, gconstpointer data)
+{
+    Dispatcher_Destroy(f->dispatcher);
+    Counters_Destroy(f->counters);
+    Random_Destroy(f->random);
+    Clock_Destroy(f->clock);
+}
+
+static void
+drain(Fixture *f)
+{
+    DispatchAction action;
+
+    while (Dispatcher_NextAction(f->dispatcher, &action)) {
+        switch (action.kind) {
+        case DISPATCH_ASK:
+            continue;
+        case DISPATCH_SEND:
+            f->sends++;
+            g_snprintf(f->sent_to, sizeof(f->sent_to), STR_FORMAT,
+                       STR_ARGS(action.send.instance));
+            break;
+        case DISPATCH_ANSWER:
+            f->answers++;
+            break;
+        case DISPATCH_CANCEL:
+            f->cancels++;
+            break;
+        }
+        f->action = action;
+    }
+}
+
+static Job *
+offer(Fixture *f, const char *path, Micros timeout)
+{
+    JobInfo info = {
+        .id = STR("r"),
+        .method = STR("GET"),
+        .host = STR("a.example"),
+        .path = Str_FromC(path),
+        .timeout = timeout,
+    };
+    Job *job = Dispatcher_Offer(f->dispatcher, &info, NULL);
+
+    drain(f);
+    return job;
+}
+
+static JobVerdict
+end(Fixture *f, Job *job, AttemptResult result, int status)
+{
+    AttemptEndInfo info = {.result = result, .status = status};
+    JobVerdict verdict = Dispatcher_OnAttemptEnd(f->dispatcher, job, &info);
+
+    drain(f);
+    return verdict;
+}
+
+static void
+wait_for(Fixture *f, Micros time)
+{
+    Clock_Advance(f->clock, time);
+    Dispatcher_OnTime(f->dispatcher);
+    drain(f);
+}
+
+/* Guards against a request that may run twice, and against a status that
+ * promises that it did not run when it may have. */
+static void
+test_at_most_once(Fixture *f, gconstpointer data)
+{
+    static const struct {
+        const char *path;
+        AttemptResult result;
+        int status;
+        size_t sends; /* in all */
+        int answer;   /* 0: passed on or sent again */
+    } cases[] = {
+        {"/once/1", ATTEMPT_RESULT_BROKEN, 0, 1, 502},
+        {"/once/1", ATTEMPT_RESULT_ANSWER, 500, 1, 0},
+        {"/once/1", ATTEMPT_RESULT_NOT_RUN, 503, 2, 0},
+        {"/once/1", ATTEMPT_RESULT_MOVED, 421, 2, 0},
+        {"/once/1", ATTEMPT_RESULT_UNSENT, 0, 2, 0},
+        {"/safe/1", ATTEMPT_RESULT_BROKEN, 0, 2, 0},
+        {"/safe/1", ATTEMPT_RESULT_ANSWER, 500, 2, 0},
+        {"/safe/1", ATTEMPT_RESULT_ANSWER, 404, 1, 0},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        Fixture one;
+        Job *job;
+
+        g_test_message("case %zu", i);
+        set_up(&one, NULL);
+        job = offer(&one, cases[i].path, 0);
+        g_assert_nonnull(job);
+        end(&one, job, cases[i].result, cases[i].status);
+        g_assert_cmpuint(one.sends, ==, cases[i].sends);
+        g_assert_cmpuint(one.answers, ==, cases[i].answer != 0);
+        if (cases[i].answer != 0) {
+            g_assert_cmpint(one.action.answer.status, ==, cases[i].answer);
+            g_assert_cmpint(one.action.answer.retry_after, ==, 0);
+        }
+        tear_down(&one, NULL);
+    }
+}
+
+/* Guards against a retry on the upstream that just failed. */
+static void
+test_other_upstream(Fixture *f, gconstpointer data)
+{
+    Job *job = offer(f, "/once/1", 0);
+    char first[64];
+
+    g_strlcpy(first, f->sent_to, sizeof(first));
+    end(f, job, ATTEMPT_RESULT_NOT_RUN, 503);
+    g_assert_cmpstr(first, !=, f->sent_to);
+    /* Both refused it: it did not run, and the caller may come back. */
+    end(f, job, ATTEMPT_RESULT_NOT_RUN, 503);
+    g_assert_cmpint(f->action.answer.status, ==, 503);
+    g_assert_cmpint(f->action.answer.retry_after, >, 0);
+}
+
+/* Guards against a refusal that claims "not run" after an earlier attempt of
+ * an idempotent request may have run. */
+static void
+test_true_refusal(Fixture *f, gconstpointer data)
+{
+    Job *job = offer(f, "/safe/1", 0);
+
+    end(f, job, ATTEMPT_RESULT_BROKEN, 0);
+    end(f, job, ATTEMPT_RESULT_NOT_RUN, 503);
+    g_assert_cmpint(f->action.answer.status, ==, 502);
+}
+
+/* Guards against holding a caller beyond its own or the route's time. */
+static void
+test_deadline(Fixture *f, gconstpointer data)
+{
+    Micros times[] = {0, 500 * MICROS_PER_MS, 2 * MICROS_PER_S};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(times); i++) {
+        Micros bound = times[i] > 0 && times[i] < TIMEOUT ? times[i] : TIMEOUT;
+
+        f->answers = f->cancels = 0;
+        offer(f, "/safe/1", times[i]);
+        g_assert_cmpint(f->action.send.timeout, ==, bound);
+        g_assert_cmpint(Dispatcher_NextTime(f->dispatcher), ==,
+                        Clock_Now(f->clock) + bound);
+        wait_for(f, bound - 1);
+        g_assert_cmpuint(f->answers, ==, 0);
+        wait_for(f, 1);
+        g_assert_cmpuint(f->cancels, ==, 1);
+        g_assert_cmpint(f->action.answer.status, ==, 504);
+        g_assert_cmpuint(Dispatcher_OpenJobs(f->dispatcher), ==, 0);
+    }
+}
+
+/* Guards against a 404 before any routes are known, and against going back to
+ * older routes. */
+static void
+test_routes(void)
+{
+    Fixture f;
+
+    create(&f);
+    offer(&f, "/safe/1", 0);
+    g_assert_cmpint(f.action.answer.status, ==, 503);
+    g_assert_cmpint(set_routes(&f, 5), ==, 0);
+    g_assert_cmpint(set_routes(&f, 4), ==, ERR_CONFLICT);
+    g_assert_cmpint(set_routes(&f, 5), ==, ERR_CONFLICT);
+    offer(&f, "/other/1", 0);
+    g_assert_cmpint(f.action.answer.status, ==, 404);
+    offer(&f, "/safe/1", 0);
+    g_assert_cmpint(f.action.answer.status, ==, 503);
+    g_assert_cmpstr(f.action.answer.reason, ==, "no-upstream");
+    tear_down(&f, NULL);
+}
+
+/* Guards against repeats beyond the budget when everything fails. */
+static void
+test_retry_budget(Fixture *f, gconstpointer data)
+{
+    for (int i = 0; i < 100; i++) {
+        Job *job = offer(f, "/safe/1", 0);
+
+        while (job != NULL && f->action.kind == DISPATCH_SEND) {
+            end(f, job, ATTEMPT_RESULT_NOT_RUN, 503);
+        }
+        Clock_Advance(f->clock, 10 * MICROS_PER_MS);
+    }
+    g_assert_cmpuint(f->sends, <=, 100 + 20 + 2);
+    g_assert_cmpuint(f->sends, >=, 110);
+    g_assert_cmpuint(f->answers, ==, 100);
+}
+
+/* Sends a report of full slots from both upstreams. */
+static void
+fill(Fixture *f, uint32_t running)
+{
+    LoadReport report = {
+        .inflight = running, .slots = SLOTS, .pace_percent = 100};
+
+    Dispatcher_OnLoad(f->dispatcher, 0, &report);
+    Dispatcher_OnLoad(f->dispatcher, 1, &report);
+    drain(f);
+}
+
+static void
+set_up_asking(Fixture *f, gconstpointer data)
+{
+    CallerLimits limits = {0};
+    RouteTable *table = RouteTable_Create(1, &limits);
+
+    create(f);
+    RouteTable_AddService(table, STR("desk"), STR("/health"));
+    add_route(table, "/safe/", ROUTE_IDEMPOTENT, 2);
+    add_route(table, "/once/", ROUTE_AT_MOST_ONCE, 1);
+    g_assert_cmpint(Dispatcher_SetRoutes(f->dispatcher, table), ==, 0);
+    RouteTable_Unref(table);
+    add_upstream(f, "u");
+    add_upstream(f, "v");
+}
+
+/* Guards against filling upstreams that are full, against less urgent requests
+ * that go first, and against waiting for longer than makes sense. */
+static void
+test_queue(Fixture *f, gconstpointer data)
+{
+    Job *safe, *once;
+
+    safe = offer(f, "/safe/1", 0);
+    fill(f, SLOTS);
+    g_assert_cmpuint(f->sends, ==, 0);
+    once = offer(f, "/once/1", 0);
+    g_assert_cmpuint(f->sends, ==, 0);
+    g_assert_nonnull(safe);
+    g_assert_nonnull(once);
+    fill(f, SLOTS - 2);
+    /* Each has room for one more. */
+    g_assert_cmpuint(f->sends, ==, 2);
+    offer(f, "/safe/2", 0);
+    fill(f, SLOTS);
+    wait_for(f, OBJECTIVE / 2);
+    g_assert_cmpint(f->action.answer.status, ==, 503);
+    g_assert_cmpstr(f->action.answer.reason, ==, "overloaded");
+    g_assert_cmpint(f->action.answer.retry_after, >, 0);
+}
+
+/* Guards against waiting for an upstream that does not tell its load. */
+static void
+test_silent_upstreams(Fixture *f, gconstpointer data)
+{
+    offer(f, "/safe/1", 0);
+    g_assert_cmpuint(f->sends, ==, 0);
+    wait_for(f, 10 * MICROS_PER_MS);
+    g_assert_cmpuint(f->sends, ==, 1);
+}
+
+/* Guards against work that nobody waits for. */
+static void
+test_caller_gone(Fixture *f, gconstpointer data)
+{
+    Job *job = offer(f, "/safe/1", 0);
+
+    Dispatcher_OnCallerGone(f->dispatcher, job);
+    drain(f);
+    fill(f, 0);
+    wait_for(f, TIMEOUT);
+    g_assert_cmpuint(f->sends, ==, 0);
+    g_assert_cmpuint(f->answers, ==, 0);
+}
+
+#define ADD(path, set_up, test)                                               \
+    g_test_add(path, Fixture, NULL, set_up, test, tear_down)
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    ADD("/dispatcher/at-most-once", set_up, test_at_most_once);
+    ADD("/dispatcher/other-upstream", set_up, test_other_upstream);
+    ADD("/dispatcher/true-refusal", set_up, test_true_refusal);
+    ADD("/dispatcher/deadline", set_up, test_deadline);
+    g_test_add_func("/dispatcher/routes", test_routes);
+    ADD("/dispatcher/retry-budget", set_up, test_retry_budget);
+    ADD("/dispatcher/queue", set_up_asking, test_queue);
+    ADD("/dispatcher/silent-upstreams", set_up_asking, test_silent_upstreams);
+    ADD("/dispatcher/caller-gone", set_up_asking, test_caller_gone);
+    return g_test_run();
+}
--- /dev/null
+++ b/tests/test_placement.c
@@ -0,0 +1,202 @@
+#include <glib.h>
+
+#include "Placement.h"
+
+#define NEAR 0
+#define FAR 1
+#define SERVICE 0
+#define SLOTS 6
+
+typedef struct Fixture_ {
+    Clock *clock;
+    Random *random;
+    Placement *placement;
+} Fixture;
+
+static void
+set_up(Fixture *f, gconstpointer data)
+{
+    f->clock = Clock_CreateManual(MICROS_PER_S, 0);
+    f->random = Random_Create(7);
+    f->placement = Placement_Create(NEAR, 0, f->clock, f->random);
+}
+
+static void
+tear_down(Fixture *f, gconstpointer data)
+{
+    Placement_Destroy(f->placement);
+    Random_Destroy(f->random);
+    Clock_Destroy(f->clock);
+}
+
+static void
+add(Fixture *f, uint32_t upstream, uint32_t domain)
+{
+    PlacementInfo info = {SERVICE, domain, SLOTS, 0};
+
+    Placement_Add(f->placement, upstream, &info);
+}
+
+static void
+report(Fixture *f, uint32_t upstream, uint32_t running, uint32_t pace)
+{
+    LoadReport one = {
+        .inflight = running, .slots = SLOTS, .pace_percent = pace};
+
+    Placement_OnReport(f->placement, upstream, &one);
+}
+
+static PlacementChoice
+choose(Fixture *f)
+{
+    PlacementQuery query = {.service = SERVICE};
+    PlacementChoice choice;
+
+    g_assert_cmpint(Placement_Choose(f->placement, &query, &choice), ==, 0);
+    return choice;
+}
+
+/* Guards against an upstream on a slow machine that is chosen because it has
+ * fewer requests. */
+static void
+test_pace(Fixture *f, gconstpointer data)
+{
+    add(f, 0, NEAR);
+    add(f, 1, NEAR);
+    report(f, 0, 0, 400);
+    report(f, 1, 2, 100);
+    g_assert_cmpuint(choose(f).upstream, ==, 1);
+}
+
+/* Guards against bytes between domains that gain nothing, and against staying
+ * in a domain whose upstreams are slow. */
+static void
+test_domains(Fixture *f, gconstpointer data)
+{
+    add(f, 0, NEAR);
+    add(f, 1, FAR);
+    report(f, 0, 2, 100);
+    report(f, 1, 0, 100);
+    g_assert_cmpuint(choose(f).upstream, ==, 0);
+    report(f, 0, 2, 400);
+    g_assert_cmpuint(choose(f).upstream, ==, 1);
+}
+
+/* Guards against filling an upstream beyond the point where it slows down. */
+static void
+test_room(Fixture *f, gconstpointer data)
+{
+    add(f, 0, NEAR);
+    report(f, 0, 3, 100);
+    g_assert_true(choose(f).room);
+    Placement_OnSent(f->placement, 0);
+    g_assert_false(choose(f).room);
+    Placement_OnFinished(f->placement, 0, ATTEMPT_OK);
+    g_assert_true(choose(f).room);
+}
+
+/* Guards against old reports that count like new ones. */
+static void
+test_age(Fixture *f, gconstpointer data)
+{
+    add(f, 0, NEAR);
+    add(f, 1, NEAR);
+    report(f, 0, 0, 100);
+    g_assert_true(choose(f).good);
+    Clock_Advance(f->clock, 2 * MICROS_PER_S);
+    report(f, 1, 1, 110);
+    g_assert_cmpuint(choose(f).upstream, ==, 1);
+}
+
+/* Guards against an upstream that fails at once and looks idle. */
+static void
+test_failures(Fixture *f, gconstpointer data)
+{
+    add(f, 0, NEAR);
+    add(f, 1, FAR);
+    for (int i = 0; i < 3; i++) {
+        Placement_OnSent(f->placement, 0);
+        Placement_OnFinished(f->placement, 0, ATTEMPT_ERROR);
+        report(f, 0, 0, 100);
+        report(f, 1, 3, 100);
+    }
+    g_assert_cmpuint(choose(f).upstream, ==, 1);
+    /* If all fail the measurement may be wrong: it is used again. */
+    Placement_SetDraining(f->placement, 1, true);
+    g_assert_cmpstr(choose(f).reason, ==, "most-look-bad");
+}
+
+/* Guards against asking twice, draining ones, or those just heard of. */
+static void
+test_ask(Fixture *f, gconstpointer data)
+{
+    PlacementQuery query = {.service = SERVICE};
+    uint32_t asked[PLACEMENT_ROUND_MAX];
+
+    add(f, 0, NEAR);
+    add(f, 1, NEAR);
+    add(f, 2, NEAR);
+    add(f, 3, FAR);
+    Placement_SetDraining(f->placement, 1, true);
+    report(f, 2, 0, 100);
+    g_assert_cmpuint(
+        Placement_Ask(f->placement, &query, PLACEMENT_OWN_DOMAIN, asked), ==,
+        1);
+    g_assert_cmpuint(asked[0], ==, 0);
+    g_assert_cmpuint(
+        Placement_Ask(f->placement, &query, PLACEMENT_OTHER_DOMAINS, asked),
+        ==, 1);
+    g_assert_cmpuint(asked[0], ==, 3);
+}
+
+/* Guards against more questions than the budget of all hosts allows. */
+static void
+test_budget(void)
+{
+    Clock *clock = Clock_CreateManual(MICROS_PER_S, 0);
+    Random *random = Random_Create(7);
+    Placement *placement = Placement_Create(NEAR, 10, clock, random);
+    PlacementQuery query = {.service = SERVICE};
+    PlacementInfo info = {SERVICE, NEAR, SLOTS, 0};
+    LoadReport half = {.inflight = 3, .slots = SLOTS, .pace_percent = 100};
+    uint32_t asked[PLACEMENT_ROUND_MAX];
+    size_t sum = 0;
+
+    for (uint32_t i = 0; i < 20; i++) {
+        Placement_Add(placement, i, &info);
+    }
+    /* This host has 3 of the 60 requests that run. */
+    for (uint32_t i = 0; i < 3; i++) {
+        Placement_OnSent(placement, i);
+    }
+    for (int i = 0; i < 400; i++) {
+        Placement_OnReport(placement, (uint32_t)i % 20, &half);
+    }
+    for (int ms = 0; ms < 100000; ms += 10) {
+        Clock_Advance(clock, 10 * MICROS_PER_MS);
+        sum += Placement_Ask(placement, &query, PLACEMENT_OWN_DOMAIN, asked);
+    }
+    /* 10 a second for each of 20, and a twentieth of them, in 100 s. */
+    g_assert_cmpuint(sum, <=, 1000 + 200 + 100);
+    g_assert_cmpuint(sum, >=, 800);
+    Placement_Destroy(placement);
+    Random_Destroy(random);
+    Clock_Destroy(clock);
+}
+
+#define ADD(path, test)                                                       \
+    g_test_add(path, Fixture, NULL, set_up, test, tear_down)
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    ADD("/placement/pace", test_pace);
+    ADD("/placement/domains", test_domains);
+    ADD("/placement/room", test_room);
+    ADD("/placement/age", test_age);
+    ADD("/placement/failures", test_failures);
+    ADD("/placement/ask", test_ask);
+    g_test_add_func("/placement/budget", test_budget);
+    return g_test_run();
+}
