--- a/packages/gateway/Placement.c
+++ b/packages/gateway/Placement.c
@@ -476,13 +476,15 @@
     return n;
 }
 
-/* At least one request may always run. */
+/* At least one request may always run. Upstreams that do not tell their load
+ * say themselves when they are full. */
 static bool
-has_room(const Load *load, float busy)
+has_room(const Service *service, const Load *load, float busy)
 {
     float slots = (float)load->info.slots;
 
-    return busy * slots + 1 <= MAX(floorf(KNEE_BUSY * slots), 1);
+    return !service->reported ||
+           busy * slots + 1 <= MAX(floorf(KNEE_BUSY * slots), 1);
 }
 
 typedef struct Best_ {
@@ -573,7 +575,7 @@
         .age = load->report_at < 0 ? -1 : now - load->report_at,
         .reason = reason,
         .good = is_fresh(load, now) && best->cost <= GOOD_COST,
-        .room = has_room(load, best->busy),
+        .room = has_room(service_at(this, query->service), load, best->busy),
     };
     return 0;
 }
--- /dev/null
+++ b/tests/test_overload.c
@@ -0,0 +1,359 @@
+#include <glib.h>
+#include <string.h>
+
+#include "Dispatcher.h"
+#include "EventQueue.h"
+
+/* Plays the load that RequestQueue answers: more requests than the upstreams
+ * can work on, and upstreams that slow down when nearly full. What callers get
+ * is counted, with the queue and with upstreams that hide how full they are,
+ * so that everything is sent at once. */
+
+#define SEED 42
+#define UPSTREAMS 20
+#define SLOTS 6
+#define WAITING_MAX 12
+#define WORK (100 * MICROS_PER_MS)
+#define KNEE_SLOTS 4
+#define KNEE_COST 1.7
+#define OBJECTIVE (250 * MICROS_PER_MS)
+#define TIMEOUT (1200 * MICROS_PER_MS)
+#define LOAD_TIME (10 * MICROS_PER_S)
+/* Requests a second that the upstreams can serve below the knee. */
+#define CAPACITY (UPSTREAMS * KNEE_SLOTS * MICROS_PER_S / WORK)
+
+typedef struct World_ World;
+
+typedef struct Server_ {
+    GQueue *waiting; /* Request */
+    uint32_t running;
+} Server;
+
+typedef struct Request_ {
+    World *world;
+    Job *job;
+    Micros arrived;
+    uint32_t server;
+    bool once;
+    bool at_server;
+} Request;
+
+struct World_ {
+    Clock *clock;
+    Random *random;
+    Counters *counters;
+    Dispatcher *dispatcher;
+    EventQueue *events;
+    Server servers[UPSTREAMS];
+    bool tells_load;
+    unsigned offered, in_time, late, refused, failed;
+    unsigned once_in_time, once_offered;
+    Micros refused_after_max;
+};
+
+static void drain(World *w);
+
+static void
+run_next(World *w, uint32_t index);
+
+static void
+finish(void *user, uint64_t argument)
+{
+    Request *request = user;
+    World *w = request->world;
+    Server *server = &w->servers[request->server];
+    LoadReport report;
+    AttemptEndInfo end = {.result = ATTEMPT_RESULT_ANSWER, .status = 200};
+    Micros took = Clock_Now(w->clock) - request->arrived;
+
+    server->running--;
+    run_next(w, request->server);
+    if (request->job == NULL) {
+        g_free(request);
+        return;
+    }
+    report = (LoadReport){.inflight = server->running,
+                          .queue = server->waiting->length,
+                          .slots = SLOTS,
+                          .pace_percent = 100};
+    end.report = w->tells_load ? &report : NULL;
+    if (took <= OBJECTIVE) {
+        w->in_time++;
+        w->once_in_time += request->once;
+    }
+    else {
+        w->late++;
+    }
+    Dispatcher_OnAttemptEnd(w->dispatcher, request->job, &end);
+    g_free(request);
+    drain(w);
+}
+
+static void
+run(World *w, Request *request)
+{
+    Server *server = &w->servers[request->server];
+    Micros work = WORK / 2 + (Micros)Random_Below(w->random, WORK);
+
+    server->running++;
+    if (server->running > KNEE_SLOTS) {
+        work = (Micros)(KNEE_COST * (double)work);
+    }
+    EventQueue_Add(w->events, work, finish, request, 0);
+}
+
+static void
+run_next(World *w, uint32_t index)
+{
+    Request *next = g_queue_pop_head(w->servers[index].waiting);
+
+    if (next != NULL) {
+        run(w, next);
+    }
+}
+
+static void
+arrive(World *w, Request *request, uint32_t index)
+{
+    Server *server = &w->servers[index];
+    AttemptEndInfo end = {.result = ATTEMPT_RESULT_NOT_RUN, .status = 503};
+
+    request->server = index;
+    request->at_server = true;
+    if (server->running < SLOTS) {
+        run(w, request);
+    }
+    else if (server->waiting->length < WAITING_MAX) {
+        g_queue_push_tail(server->waiting, request);
+    }
+    else {
+        request->at_server = false;
+        Dispatcher_OnAttemptEnd(w->dispatcher, request->job, &end);
+    }
+}
+
+static void
+tell_load(void *user, uint64_t index)
+{
+    World *w = user;
+    const Server *server = &w->servers[index];
+    LoadReport report = {.inflight = server->running,
+                         .queue = server->waiting->length,
+                         .slots = SLOTS,
+                         .pace_percent = 100};
+
+    Dispatcher_OnLoad(w->dispatcher, (uint32_t)index, &report);
+    drain(w);
+}
+
+static void
+take_answer(World *w, const DispatchAction *action)
+{
+    Request *request = action->user;
+    Micros took = Clock_Now(w->clock) - request->arrived;
+
+    request->job = NULL;
+    if (action->answer.status == 503) {
+        w->refused++;
+        w->refused_after_max = MAX(w->refused_after_max, took);
+    }
+    else {
+        w->failed++;
+    }
+    if (!request->at_server) {
+        g_free(request);
+    }
+}
+
+static void
+drain(World *w)
+{
+    DispatchAction action;
+    Request *request;
+
+    while (Dispatcher_NextAction(w->dispatcher, &action)) {
+        request = action.user;
+        switch (action.kind) {
+        case DISPATCH_ASK:
+            EventQueue_Add(w->events, MICROS_PER_MS, tell_load, w,
+                           action.ask.upstream);
+            break;
+        case DISPATCH_SEND:
+            request->job = action.job;
+            arrive(w, request,
+                   (uint32_t)(action.send.port - 1));
+            break;
+        case DISPATCH_CANCEL:
+            break;
+        case DISPATCH_ANSWER:
+            take_answer(w, &action);
+            break;
+        }
+    }
+}
+
+static void
+tick(void *user, uint64_t argument)
+{
+    World *w = user;
+
+    Dispatcher_OnTime(w->dispatcher);
+    drain(w);
+    EventQueue_Add(w->events, MICROS_PER_MS, tick, w, 0);
+}
+
+static void
+offer(void *user, uint64_t rate)
+{
+    World *w = user;
+    Request *request = g_new0(Request, 1);
+    JobInfo info = {.id = STR("r"), .method = STR("GET"), .host = STR("a")};
+    Job *job;
+
+    request->world = w;
+    request->arrived = Clock_Now(w->clock);
+    request->once = Random_Below(w->random, 3) == 0;
+    info.path = request->once ? STR("/once/") : STR("/safe/");
+    w->offered++;
+    w->once_offered += request->once;
+    job = Dispatcher_Offer(w->dispatcher, &info, request);
+    if (job != NULL) {
+        request->job = job;
+    }
+    drain(w);
+    if (Clock_Now(w->clock) < LOAD_TIME) {
+        EventQueue_Add(w->events,
+                       (Micros)Random_Exponential(
+                           w->random, (double)MICROS_PER_S / (double)rate),
+                       offer, w, rate);
+    }
+}
+
+static void
+add_route(RouteTable *table, const char *prefix, RouteKind kind,
+          uint32_t priority)
+{
+    static const RoutePart parts[] = {{{"desk", 4}, 1}};
+    Route route = {
+        .name = Str_FromC(prefix),
+        .host = STR("a"),
+        .prefix = Str_FromC(prefix),
+        .kind = kind,
+        .timeout = TIMEOUT,
+        .objective = OBJECTIVE,
+        .priority = priority,
+        .attempts_max = 2,
+        .parts = parts,
+        .part_count = 1,
+    };
+
+    RouteTable_Add(table, &route, NULL);
+}
+
+static void
+add_upstreams(World *w)
+{
+    for (uint32_t i = 0; i < UPSTREAMS; i++) {
+        char id[16];
+        UpstreamEntry entry = {
+            .started = 1,
+            .sequence = 1,
+            .service = STR("desk"),
+            .address = STR("10.0.0.1"),
+            .port = (uint16_t)(i + 1),
+            .domain = STR("a"),
+            .slots = SLOTS,
+        };
+
+        g_snprintf(id, sizeof(id), "u%u", i);
+        entry.id = Str_FromC(id);
+        Dispatcher_PutUpstream(w->dispatcher, &entry);
+        w->servers[i].waiting = g_queue_new();
+    }
+}
+
+static void
+play(World *w, bool tells_load, uint64_t rate)
+{
+    DispatcherOptions options = {
+        .domain = STR("a"),
+        .retry_window = 10 * MICROS_PER_S,
+        .retry_share = 0.2,
+    };
+    CallerLimits limits = {0};
+    RouteTable *table = RouteTable_Create(1, &limits);
+
+    memset(w, 0, sizeof(*w));
+    w->clock = Clock_CreateManual(0, 0);
+    w->random = Random_Create(SEED);
+    w->counters = Counters_Create(100);
+    w->events = EventQueue_Create(w->clock);
+    w->tells_load = tells_load;
+    w->dispatcher = Dispatcher_Create(&options, w->clock, w->random, NULL,
+                                      NULL, w->counters);
+    if (tells_load) {
+        RouteTable_AddService(table, STR("desk"), STR("/load"));
+    }
+    add_route(table, "/safe/", ROUTE_IDEMPOTENT, 2);
+    add_route(table, "/once/", ROUTE_AT_MOST_ONCE, 1);
+    Dispatcher_SetRoutes(w->dispatcher, table);
+    RouteTable_Unref(table);
+    add_upstreams(w);
+    EventQueue_Add(w->events, 0, offer, w, rate);
+    EventQueue_Add(w->events, 0, tick, w, 0);
+    EventQueue_RunUntil(w->events, LOAD_TIME + 10 * MICROS_PER_S);
+    for (uint32_t i = 0; i < UPSTREAMS; i++) {
+        g_queue_free(w->servers[i].waiting);
+    }
+    EventQueue_Destroy(w->events);
+    Dispatcher_Destroy(w->dispatcher);
+    Counters_Destroy(w->counters);
+    Random_Destroy(w->random);
+    Clock_Destroy(w->clock);
+    g_test_message("offered=%u in_time=%u late=%u refused=%u failed=%u "
+                   "once=%u/%u refused_after_max_us=%" G_GINT64_FORMAT,
+                   w->offered, w->in_time, w->late, w->refused, w->failed,
+                   w->once_in_time, w->once_offered, w->refused_after_max);
+}
+
+/* Guards against sending so much that every answer is late: half as much again
+ * as the upstreams can serve. */
+static void
+test_overload(void)
+{
+    World queued, plain;
+
+    play(&queued, true, CAPACITY * 3 / 2);
+    play(&plain, false, CAPACITY * 3 / 2);
+    /* Nine tenths of what can be served is served in time. */
+    g_assert_cmpuint(queued.in_time, >=,
+                     CAPACITY * LOAD_TIME / MICROS_PER_S * 9 / 10);
+    g_assert_cmpuint(queued.in_time, >=, 3 * plain.in_time / 2);
+    g_assert_cmpuint(queued.late + queued.failed, <=, queued.offered / 50);
+    /* The rest is told so within two fifths of the objective. */
+    g_assert_cmpint(queued.refused_after_max, <=,
+                    OBJECTIVE * 2 / 5 + 2 * MICROS_PER_MS);
+    /* The more urgent kind is served first. */
+    g_assert_cmpuint(queued.once_in_time * 10, >=, queued.once_offered * 9);
+}
+
+/* Guards against refusing while there is room. */
+static void
+test_normal_load(void)
+{
+    World w;
+
+    play(&w, true, CAPACITY / 2);
+    g_assert_cmpuint(w.refused, ==, 0);
+    g_assert_cmpuint(w.in_time * 100, >=, w.offered * 99);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_message("seed %d", SEED);
+    g_test_add_func("/overload/overload", test_overload);
+    g_test_add_func("/overload/normal-load", test_normal_load);
+    return g_test_run();
+}
