--- a/packages/gateway/Dispatcher.c
+++ b/packages/gateway/Dispatcher.c
@@ -428,7 +428,6 @@
                  job->deadline - now, job->route->kind == ROUTE_IDEMPOTENT},
     };
 
-    begin_placing(job);
     leave_queue(job);
     job->upstream = choice->upstream;
     job->tried[job->tried_count++] = choice->upstream;
@@ -439,6 +438,7 @@
     count(this, "agatecrank_placements_total", "reason",
           Str_FromC(choice->reason));
     log_choice(job, choice, action.send.timeout);
+    begin_placing(job);
     push_action(this, &action);
 }
 
--- a/packages/gateway/RequestQueue.c
+++ b/packages/gateway/RequestQueue.c
@@ -61,7 +61,7 @@
     size_t ahead;
 
     place_of(this, priority, &ahead);
-    return (Micros)((double)(ahead + 1) * this->interval);
+    return (Micros)((double)ahead * this->interval);
 }
 
 bool
--- a/packages/gateway/RequestQueue.h
+++ b/packages/gateway/RequestQueue.h
@@ -52,7 +52,8 @@
 /** RequestQueue_OnRoom() - an upstream finished a request of this host */
 void RequestQueue_OnRoom(RequestQueue *this);
 
-/** RequestQueue_ExpectedWait() - of a new item of @priority */
+/** RequestQueue_ExpectedWait() - until a new item of @priority is the head;
+ *                                room may come at any moment then */
 Micros RequestQueue_ExpectedWait(const RequestQueue *this, unsigned priority);
 
 /** RequestQueue_Length() - number of items */
--- a/tests/test_overload.c
+++ b/tests/test_overload.c
@@ -53,8 +53,7 @@
 
 static void drain(World *w);
 
-static void
-run_next(World *w, uint32_t index);
+static void run_next(World *w, uint32_t index);
 
 static void
 finish(void *user, uint64_t argument)
@@ -180,8 +179,7 @@
             break;
         case DISPATCH_SEND:
             request->job = action.job;
-            arrive(w, request,
-                   (uint32_t)(action.send.port - 1));
+            arrive(w, request, (uint32_t)(action.send.port - 1));
             break;
         case DISPATCH_CANCEL:
             break;
