--- /dev/null
+++ b/tests/test_keyed_follower.c
@@ -0,0 +1,476 @@
+#include <glib.h>
+#include <string.h>
+
+#include "KeyedCodec.h"
+#include "KeyedRelay.h"
+#include "KeyedSource.h"
+
+/* The log is a fake at its interface: it answers from an array of records, in
+ * the loop's next turn, as its switches say. */
+
+#define TOPIC "keyed.test"
+#define RECORDS_MAX 64
+
+typedef struct FakeLog_ {
+    Loop *loop;
+    KeyedLog interface;
+    KeyedRecord records[RECORDS_MAX];
+    char keys[RECORDS_MAX][16];
+    size_t count;
+    uint64_t first; /* older records are gone */
+    bool down;
+    unsigned reads;
+    unsigned snapshots;
+    GList *pending; /* Reply */
+} FakeLog;
+
+typedef struct Reply_ {
+    FakeLog *log;
+    LoopTimer *timer;
+    KeyedPageHandler *handler;
+    void *user;
+    KeyedPage page;
+    GArray *records;
+} Reply;
+
+static void
+destroy_reply(gpointer data)
+{
+    Reply *reply = data;
+
+    g_array_free(reply->records, TRUE);
+    LoopTimer_Destroy(reply->timer);
+    g_free(reply);
+}
+
+static void
+deliver(void *user)
+{
+    Reply *reply = user;
+
+    reply->log->pending = g_list_remove(reply->log->pending, reply);
+
+    reply->page.records = (const KeyedRecord *)reply->records->data;
+    reply->page.count = reply->records->len;
+    reply->handler(reply->user, &reply->page);
+    destroy_reply(reply);
+}
+
+static Reply *
+create_reply(FakeLog *log, Micros delay, KeyedPageHandler *handler, void *user)
+{
+    Reply *reply = g_new0(Reply, 1);
+
+    reply->log = log;
+    reply->handler = handler;
+    reply->user = user;
+    reply->records = g_array_new(FALSE, FALSE, sizeof(KeyedRecord));
+    reply->page.code = log->down ? ERR_UNAVAILABLE : 0;
+    reply->page.end = log->count;
+    reply->timer = LoopTimer_Create(log->loop, deliver, reply);
+    LoopTimer_Start(reply->timer, delay);
+    log->pending = g_list_prepend(log->pending, reply);
+    return reply;
+}
+
+static bool
+is_newest(const FakeLog *log, size_t index)
+{
+    for (size_t i = index + 1; i < log->count; i++) {
+        if (Str_Equal(log->records[i].key, log->records[index].key)) {
+            return false;
+        }
+    }
+    return !log->records[index].removed;
+}
+
+static void
+read_newest(void *self, Str topic, Str after, Micros timeout,
+            KeyedPageHandler *handler, void *user)
+{
+    FakeLog *log = self;
+    Reply *reply = create_reply(log, 100, handler, user);
+
+    log->snapshots++;
+    for (size_t i = 0; i < log->count && !log->down; i++) {
+        if (is_newest(log, i)) {
+            g_array_append_val(reply->records, log->records[i]);
+        }
+    }
+}
+
+static void
+read_tail(void *self, Str topic, uint64_t from, Micros wait, Micros timeout,
+          KeyedPageHandler *handler, void *user)
+{
+    FakeLog *log = self;
+    bool empty = from >= log->count;
+    Reply *reply =
+        create_reply(log, empty ? MIN(wait, 2000) + 100 : 100, handler, user);
+
+    log->reads++;
+    if (from < log->first && !log->down) {
+        reply->page.code = ERR_EXPIRED;
+    }
+    for (uint64_t i = from; i < log->count && reply->page.code == 0; i++) {
+        g_array_append_val(reply->records, log->records[i]);
+    }
+}
+
+static void
+append(void *self, Str topic, Str key, Str value, Micros timeout,
+       KeyedAppendHandler *handler, void *user)
+{
+    handler(user, 0);
+}
+
+static void
+write_record(FakeLog *log, const char *key, Str value)
+{
+    size_t i = log->count++;
+
+    g_strlcpy(log->keys[i], key, sizeof(log->keys[i]));
+    log->records[i] = (KeyedRecord){
+        .key = Str_FromC(log->keys[i]),
+        .value = value,
+        .removed = value.length == 0,
+        .offset = i,
+    };
+}
+
+typedef struct Fixture_ {
+    Clock *clock;
+    Loop *loop;
+    Random *random;
+    FakeLog log;
+    KeyedFollower *follower;
+    GString *seen;
+    unsigned snapshots;
+    unsigned outages;
+    size_t keys;
+} Fixture;
+
+static void
+on_record(void *user, const KeyedRecord *record)
+{
+    Fixture *f = user;
+
+    g_string_append_printf(f->seen, STR_FORMAT "=" STR_FORMAT " ",
+                           STR_ARGS(record->key), STR_ARGS(record->value));
+}
+
+static void
+on_snapshot(void *user, GHashTable *keys)
+{
+    Fixture *f = user;
+
+    f->snapshots++;
+    f->keys = g_hash_table_size(keys);
+}
+
+static void
+on_state(void *user, bool reachable)
+{
+    Fixture *f = user;
+
+    f->outages += reachable ? 0 : 1;
+}
+
+static void
+on_page(void *user)
+{
+}
+
+static void
+set_up(Fixture *f, gconstpointer data)
+{
+    static const KeyedFollowerHandlers handlers = {on_record, on_snapshot,
+                                                   on_state, on_page};
+    KeyedFollowerOptions options = {
+        .topic = STR(TOPIC),
+        .pause = 100,
+        .wait = 5000,
+        .settle_wait = 1000,
+        .settle_time = 1000,
+        .timeout = MICROS_PER_S,
+        .retry = 1000,
+    };
+
+    memset(f, 0, sizeof(*f));
+    f->clock = Clock_CreateSystem();
+    f->random = Random_Create(1);
+    f->loop = Loop_Create(f->clock, NULL, NULL);
+    f->seen = g_string_new(NULL);
+    f->log.loop = f->loop;
+    f->log.interface = (KeyedLog){&f->log, read_newest, read_tail, append};
+    write_record(&f->log, "a", STR("1"));
+    write_record(&f->log, "b", STR("2"));
+    f->follower = KeyedFollower_Create(f->loop, &f->log.interface, &options,
+                                       &handlers, f, f->random, NULL);
+}
+
+static void
+tear_down(Fixture *f, gconstpointer data)
+{
+    Loop_Close(f->loop);
+    g_list_free_full(f->log.pending, destroy_reply);
+    KeyedFollower_Destroy(f->follower);
+    Loop_Destroy(f->loop);
+    g_string_free(f->seen, TRUE);
+    Random_Destroy(f->random);
+    Clock_Destroy(f->clock);
+}
+
+static void
+run_until_seen(Fixture *f, const char *text)
+{
+    while (strstr(f->seen->str, text) == NULL) {
+        Loop_Turn(f->loop);
+    }
+}
+
+/* Guards against records that are lost between a snapshot and what follows. */
+static void
+test_snapshot_and_tail(Fixture *f, gconstpointer data)
+{
+    run_until_seen(f, "b=2 ");
+    write_record(&f->log, "a", STR("3"));
+    write_record(&f->log, "b", STR(""));
+    run_until_seen(f, "a=3 b= ");
+    g_assert_cmpuint(f->snapshots, ==, 1);
+    g_assert_cmpuint(KeyedMirror_End(KeyedFollower_Mirror(f->follower)), ==,
+                     4);
+}
+
+/* Guards against going on after records that the log has dropped. */
+static void
+test_expired(Fixture *f, gconstpointer data)
+{
+    run_until_seen(f, "b=2 ");
+    write_record(&f->log, "b", STR(""));
+    write_record(&f->log, "c", STR("4"));
+    f->log.first = 4;
+    g_string_truncate(f->seen, 0);
+    run_until_seen(f, "c=4 ");
+    while (f->snapshots < 2) {
+        Loop_Turn(f->loop);
+    }
+    g_assert_cmpuint(f->keys, ==, 2);
+}
+
+/* Guards against an outage that ends unnoticed. */
+static void
+test_outage(Fixture *f, gconstpointer data)
+{
+    run_until_seen(f, "b=2 ");
+    f->log.down = true;
+    while (f->outages == 0) {
+        Loop_Turn(f->loop);
+    }
+    g_assert_cmpint(KeyedFollower_Age(f->follower), ==, -1);
+    write_record(&f->log, "a", STR("5"));
+    f->log.down = false;
+    run_until_seen(f, "a=5 ");
+    g_assert_cmpint(KeyedFollower_Age(f->follower), >=, 0);
+}
+
+/* ---- relays --------------------------------------------------------- */
+
+typedef struct Host_ {
+    Fixture *f;
+    KeyedSource *source;
+    KeyedRelay *relay;
+    KeyedFollower *follower;
+    FakeLog *log;
+    GString *seen;
+    bool direct;
+} Host;
+
+static void
+host_record(void *user, const KeyedRecord *record)
+{
+    Host *host = user;
+
+    g_string_append_printf(host->seen, STR_FORMAT "=" STR_FORMAT " ",
+                           STR_ARGS(record->key), STR_ARGS(record->value));
+}
+
+static void
+host_snapshot(void *user, GHashTable *keys)
+{
+}
+
+static void
+host_state(void *user, bool reachable)
+{
+}
+
+static void
+host_page(void *user)
+{
+    Host *host = user;
+
+    KeyedRelay_Notify(host->relay);
+}
+
+static void
+host_direct(void *user, bool direct)
+{
+    Host *host = user;
+
+    host->direct = direct;
+    KeyedRelay_SetDirect(host->relay, direct);
+}
+
+static void
+host_asked(void *user)
+{
+    Host *host = user;
+
+    if (host->source != NULL) {
+        KeyedSource_OnAsked(host->source);
+    }
+}
+
+static void
+start_host(Host *host, Fixture *f, const char *id, uint16_t port)
+{
+    static const KeyedFollowerHandlers handlers = {host_record, host_snapshot,
+                                                   host_state, host_page};
+    KeyedRelayOptions relay = {.address = "127.0.0.1",
+                               .port = port,
+                               .age_max = 5 * MICROS_PER_S,
+                               .on_asked = host_asked,
+                               .user = host};
+    KeyedSourceOptions source = {.host = Str_FromC(id),
+                                 .domain = STR("d"),
+                                 .relay = {"127.0.0.1", port},
+                                 .on_direct = host_direct,
+                                 .user = host};
+    KeyedFollowerOptions options = {
+        .topic = STR(TOPIC),
+        .pause = 1000,
+        .wait = 100000,
+        .timeout = MICROS_PER_S,
+        .retry = 10000,
+    };
+
+    memset(host, 0, sizeof(*host));
+    host->f = f;
+    host->seen = g_string_new(NULL);
+    host->direct = true;
+    host->relay = KeyedRelay_Create(f->loop, &relay, NULL);
+    g_assert_nonnull(host->relay);
+    KeyedRelay_SetDirect(host->relay, true);
+    host->source = KeyedSource_Create(f->loop, &f->log.interface, &source,
+                                      f->random, NULL);
+    host->follower =
+        KeyedFollower_Create(f->loop, KeyedSource_Log(host->source), &options,
+                             &handlers, host, f->random, NULL);
+    KeyedRelay_Add(host->relay, STR(TOPIC), host->follower);
+}
+
+static void
+stop_host(Host *host)
+{
+    KeyedRelay_Destroy(host->relay);
+    KeyedFollower_Destroy(host->follower);
+    KeyedSource_Destroy(host->source);
+    g_string_free(host->seen, TRUE);
+}
+
+static uint16_t
+free_port(Fixture *f)
+{
+    static const HttpServerHandlers none = {NULL, NULL, NULL, NULL, NULL};
+    HttpServerOptions options = {.address = "127.0.0.1"};
+    HttpServer *server = HttpServer_Create(f->loop, &options, &none, f, NULL);
+    uint16_t port = HttpServer_Port(server);
+
+    HttpServer_Destroy(server);
+    return port;
+}
+
+/* Guards against hosts that all read the log, and against one that stays
+ * behind when the host that it reads through gives no answer. */
+static void
+test_relay(Fixture *f, gconstpointer data)
+{
+    uint16_t ports[2] = {free_port(f), free_port(f)};
+    char value[2][32];
+    Host first, second;
+
+    for (int i = 0; i < 2; i++) {
+        g_snprintf(value[i], sizeof(value[i]), "d 127.0.0.1:%u", ports[i]);
+    }
+    write_record(&f->log, "host-1", Str_FromC(value[0]));
+    write_record(&f->log, "host-2", Str_FromC(value[1]));
+    start_host(&first, f, "host-1", ports[0]);
+    start_host(&second, f, "host-2", ports[1]);
+    while (second.direct) {
+        Loop_Turn(f->loop);
+    }
+    g_assert_true(first.direct);
+    write_record(&f->log, "x", STR("1"));
+    while (strstr(second.seen->str, "x=1 ") == NULL) {
+        Loop_Turn(f->loop);
+    }
+    g_assert_nonnull(strstr(first.seen->str, "x=1 "));
+    /* The first host refuses from now on. */
+    KeyedRelay_SetDirect(first.relay, false);
+    write_record(&f->log, "x", STR("2"));
+    while (strstr(second.seen->str, "x=2 ") == NULL) {
+        Loop_Turn(f->loop);
+    }
+    Loop_Close(f->loop);
+    stop_host(&first);
+    stop_host(&second);
+}
+
+/* Guards against bytes of a peer that are read beyond their end. */
+static void
+test_codec(void)
+{
+    KeyedRecord record = {STR("key"), STR("value"), false, 7};
+    KeyedRecord removed = {STR("gone"), STR(""), true, 8};
+    GArray *records = g_array_new(FALSE, FALSE, sizeof(KeyedRecord));
+    GArray *read = g_array_new(FALSE, FALSE, sizeof(KeyedRecord));
+    GString *text = g_string_new(NULL);
+    uint64_t end;
+
+    g_array_append_val(records, record);
+    g_array_append_val(records, removed);
+    KeyedCodec_Write(9, records, text);
+    g_assert_cmpint(KeyedCodec_Read((Str){text->str, text->len}, &end, read),
+                    ==, 0);
+    g_assert_cmpuint(end, ==, 9);
+    g_assert_cmpuint(read->len, ==, 2);
+    g_assert_true(
+        Str_Equal(g_array_index(read, KeyedRecord, 0).value, STR("value")));
+    g_assert_true(g_array_index(read, KeyedRecord, 1).removed);
+    for (gsize n = 0; n < text->len; n++) {
+        int code;
+
+        g_array_set_size(read, 0);
+        code = KeyedCodec_Read((Str){text->str, n}, &end, read);
+        g_assert_true(code == ERR_PARSE || n == 8 || n == 8 + 16 + 8);
+    }
+    g_array_free(records, TRUE);
+    g_array_free(read, TRUE);
+    g_string_free(text, TRUE);
+}
+
+#define ADD(path, test)                                                       \
+    g_test_add(path, Fixture, NULL, set_up, test, tear_down)
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    ADD("/keyed/snapshot-and-tail", test_snapshot_and_tail);
+    ADD("/keyed/expired", test_expired);
+    ADD("/keyed/outage", test_outage);
+    ADD("/keyed/relay", test_relay);
+    g_test_add_func("/keyed/codec", test_codec);
+    return g_test_run();
+}
