--- a/packages/gateway/Dispatcher.c
+++ b/packages/gateway/Dispatcher.c
@@ -13,6 +13,8 @@
 #define ATTEMPTS_MAX 8
 /* An answer takes a few milliseconds more than the work: no time for one. */
 #define ATTEMPT_TIME_MIN (10 * MICROS_PER_MS)
+/* The way back to the caller, who waits no longer than it said. */
+#define CALLER_MARGIN (15 * MICROS_PER_MS)
 /* Mean wait that a refused caller is told; spread so that they do not come
  * back together. */
 #define RETRY_AFTER_MEAN (200 * MICROS_PER_MS)
@@ -639,8 +641,9 @@
 static Micros
 job_time(const JobInfo *info, const Route *route)
 {
-    return info->timeout > 0 ? MIN(info->timeout, route->timeout)
-                             : route->timeout;
+    return info->timeout > 0
+               ? MIN(info->timeout - CALLER_MARGIN, route->timeout)
+               : route->timeout;
 }
 
 static Fingerprint
--- a/packages/net/KeyedFollower.c
+++ b/packages/net/KeyedFollower.c
@@ -9,6 +9,7 @@
 } FollowerState;
 
 struct KeyedFollower_ {
+    Loop *loop;
     const KeyedLog *source;
     KeyedFollowerOptions options;
     KeyedFollowerHandlers handlers;
@@ -189,6 +190,9 @@
     bool was_tail = this->state == STATE_TAIL;
 
     this->reading = false;
+    if (Loop_IsClosing(this->loop)) {
+        return;
+    }
     if (page->code == ERR_EXPIRED) {
         set_reachable(this, true, 0);
         log_position(this, "store-expired", 0);
@@ -223,6 +227,7 @@
 {
     KeyedFollower *this = g_new0(KeyedFollower, 1);
 
+    this->loop = loop;
     this->source = source;
     this->options = *options;
     this->handlers = *handlers;
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -247,7 +247,7 @@
         Micros bound = times[i] > 0 && times[i] < TIMEOUT ? times[i] : TIMEOUT;
 
         f->answers = f->cancels = 0;
-        offer(f, "/safe/1", times[i]);
+        offer(f, "/safe/1", cases[i].caller);
         g_assert_cmpint(f->action.send.timeout, ==, bound);
         g_assert_cmpint(Dispatcher_NextTime(f->dispatcher), ==,
                         Clock_Now(f->clock) + bound);
