--- a/standins/HttpRequest.c
+++ b/standins/HttpRequest.c
@@ -105,6 +105,21 @@
     return g_ascii_strtoull(found + strlen(key), NULL, 10);
 }
 
+char *
+HttpRequest_QueryText(const HttpRequest *this, const char *name)
+{
+    g_autofree char *key = g_strdup_printf("&%s=", name);
+    const char *found = strstr(this->query, key);
+    g_autofree char *raw = NULL;
+
+    if (found == NULL) {
+        return NULL;
+    }
+    found += strlen(key);
+    raw = g_strndup(found, strcspn(found, "&"));
+    return g_uri_unescape_string(raw, NULL);
+}
+
 char *
 HttpRequest_Header(const HttpRequest *this, const char *name)
 {
--- a/standins/HttpServer.h
+++ b/standins/HttpServer.h
@@ -95,6 +95,9 @@
 uint64_t HttpRequest_Query(const HttpRequest *this, const char *name,
                            uint64_t otherwise);
 
+/** HttpRequest_QueryText() - a text in the query, a new string, or NULL */
+char *HttpRequest_QueryText(const HttpRequest *this, const char *name);
+
 /** HttpRequest_Header() - a new string, or NULL; @name in lower case */
 char *HttpRequest_Header(const HttpRequest *this, const char *name);
 
--- /dev/null
+++ b/standins/PlatformTruth.c
@@ -0,0 +1,152 @@
+#include "PlatformTruth.h"
+
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+
+typedef struct Attempt_ {
+    char *id;
+    unsigned runs;
+    bool once;
+    bool told_not_run;
+} Attempt;
+
+struct PlatformTruth_ {
+    GHashTable *attempts; /* id to Attempt */
+    unsigned sent;
+    unsigned served;
+    unsigned refused;
+    unsigned failed;
+    unsigned violations;
+};
+
+static void
+free_attempt(gpointer data)
+{
+    Attempt *attempt = data;
+
+    g_free(attempt->id);
+    g_free(attempt);
+}
+
+PlatformTruth *
+PlatformTruth_Create(void)
+{
+    PlatformTruth *this = g_new0(PlatformTruth, 1);
+
+    this->attempts =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_attempt);
+    return this;
+}
+
+void
+PlatformTruth_Destroy(PlatformTruth *this)
+{
+    g_hash_table_destroy(this->attempts);
+    g_free(this);
+}
+
+void
+PlatformTruth_Violation(PlatformTruth *this, const char *format, ...)
+{
+    va_list arguments;
+
+    this->violations++;
+    printf("violation: ");
+    va_start(arguments, format);
+    vprintf(format, arguments);
+    va_end(arguments);
+    printf("\n");
+    fflush(stdout);
+}
+
+void
+PlatformTruth_OnSent(PlatformTruth *this, const char *id, bool once)
+{
+    Attempt *attempt = g_new0(Attempt, 1);
+
+    attempt->id = g_strdup(id);
+    attempt->once = once;
+    g_hash_table_insert(this->attempts, attempt->id, attempt);
+    this->sent++;
+}
+
+void
+PlatformTruth_OnRun(PlatformTruth *this, const char *id, const char *upstream)
+{
+    Attempt *attempt = g_hash_table_lookup(this->attempts, id);
+
+    if (attempt == NULL) {
+        PlatformTruth_Violation(this, "unasked id=%s upstream=%s", id,
+                                upstream);
+        return;
+    }
+    attempt->runs++;
+    if (attempt->once && attempt->runs > 1) {
+        PlatformTruth_Violation(this, "twice id=%s upstream=%s", id, upstream);
+    }
+    if (attempt->once && attempt->told_not_run) {
+        PlatformTruth_Violation(this, "refused-and-run id=%s upstream=%s", id,
+                                upstream);
+    }
+}
+
+static void
+check_success(PlatformTruth *this, const Attempt *attempt,
+              const char *signature, const char *body)
+{
+    g_autofree char *expected = g_strdup_printf("answer to %s", attempt->id);
+    size_t length = strlen(attempt->id);
+
+    if (attempt->runs == 0 || signature == NULL ||
+        strncmp(signature, attempt->id, length) != 0 ||
+        signature[length] != '.' || strcmp(body, expected) != 0) {
+        PlatformTruth_Violation(this, "mixed id=%s signature=%s body=%.40s",
+                                attempt->id,
+                                signature != NULL ? signature : "none", body);
+    }
+}
+
+void
+PlatformTruth_OnAnswer(PlatformTruth *this, const char *id, int status,
+                       const char *signature, const char *body)
+{
+    Attempt *attempt = g_hash_table_lookup(this->attempts, id);
+
+    if (status >= 200 && status < 300) {
+        this->served++;
+        check_success(this, attempt, signature, body);
+        return;
+    }
+    if (status != 503 && status != 429) {
+        this->failed++;
+        return;
+    }
+    this->refused++;
+    attempt->told_not_run = true;
+    if (attempt->once && attempt->runs > 0) {
+        PlatformTruth_Violation(this, "refused-and-run id=%s", id);
+    }
+}
+
+unsigned
+PlatformTruth_Report(const PlatformTruth *this)
+{
+    printf("sent=%u\nserved=%u\nrefused=%u\nfailed=%u\nviolations=%u\n",
+           this->sent, this->served, this->refused, this->failed,
+           this->violations);
+    fflush(stdout);
+    return this->violations;
+}
+
+unsigned
+PlatformTruth_Served(const PlatformTruth *this)
+{
+    return this->served;
+}
+
+unsigned
+PlatformTruth_Sent(const PlatformTruth *this)
+{
+    return this->sent;
+}
--- /dev/null
+++ b/standins/PlatformUpstream.h
@@ -0,0 +1,55 @@
+#ifndef AGATECRANK_STANDINS_PLATFORMUPSTREAM_H
+#define AGATECRANK_STANDINS_PLATFORMUPSTREAM_H
+
+#include "PlatformStore.h"
+#include "PlatformTruth.h"
+#include "Random.h"
+
+/** typedef PlatformUpstream - an upstream as the users' platform has them */
+typedef struct PlatformUpstream_ PlatformUpstream;
+
+/** struct UpstreamWorld_ - what the upstreams of a process share */
+typedef struct UpstreamWorld_ {
+    HttpLoop *loop;
+    const Clock *clock;
+    Random *random;
+    PlatformStore *store;
+    PlatformTruth *truth;
+    Micros work;       /* mean time of a request */
+    double lost_share; /* requests whose answer is lost after they ran */
+    double cut_share;  /* answers that end early */
+    Micros drain_time; /* bound for requests after a drain was told */
+} UpstreamWorld;
+
+/** PlatformUpstream_Create() - listen and register; NULL on failure */
+PlatformUpstream *PlatformUpstream_Create(const UpstreamWorld *world,
+                                          const char *service,
+                                          const char *domain, unsigned number);
+
+/** PlatformUpstream_Destroy() - only after HttpLoop_Close() */
+void PlatformUpstream_Destroy(PlatformUpstream *this);
+
+/** PlatformUpstream_Drain() - report that it leaves */
+void PlatformUpstream_Drain(PlatformUpstream *this);
+
+/** PlatformUpstream_Leave() - remove its entry */
+void PlatformUpstream_Leave(PlatformUpstream *this);
+
+/** PlatformUpstream_Crash() - end without a word */
+void PlatformUpstream_Crash(PlatformUpstream *this);
+
+/** PlatformUpstream_Restart() - start again with the same id, after a crash
+ *                               or a drain */
+void PlatformUpstream_Restart(PlatformUpstream *this);
+
+/** PlatformUpstream_Silence() - open connections are never answered again */
+void PlatformUpstream_Silence(PlatformUpstream *this);
+
+/** PlatformUpstream_IsUp() - neither crashed nor leaving */
+bool PlatformUpstream_IsUp(const PlatformUpstream *this);
+
+/** PlatformUpstream_Forgive() - the store is disturbed: the bound on drains
+ *                               starts anew */
+void PlatformUpstream_Forgive(PlatformUpstream *this);
+
+#endif
--- /dev/null
+++ b/standins/standin-platform.c
@@ -0,0 +1,372 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "PlatformCaller.h"
+#include "PlatformUpstream.h"
+#include "Settings.h"
+
+/* The users' platform around gateway hosts in one process: the store, the
+ * upstreams and the callers. It injects faults by a seed and checks from both
+ * ends what the hosts promise. */
+
+#define HOST "gateway.example"
+#define SERVICE "desk"
+#define CONFIG_PERIOD (3 * MICROS_PER_S)
+
+typedef struct Options_ {
+    int64_t seed;
+    int64_t upstreams;
+    int64_t domains;
+    int64_t start_ms;
+    int64_t load_ms;
+    int64_t rest_ms;
+    int64_t work_ms;
+    int64_t drain_ms;
+    double rate;
+    double fault_period_s;
+    double served_least;
+    char *hosts;
+} Options;
+
+#define FIELD(name) offsetof(Options, name)
+
+static const Setting table[] = {
+    {"seed", SETTING_INT, FIELD(seed), false, "seed of load and faults"},
+    {"upstreams", SETTING_INT, FIELD(upstreams), false, "number of them"},
+    {"domains", SETTING_INT, FIELD(domains), false, "failure domains"},
+    {"start-ms", SETTING_INT, FIELD(start_ms), false,
+     "time before the callers begin"},
+    {"load-ms", SETTING_INT, FIELD(load_ms), false, "time of load and faults"},
+    {"rest-ms", SETTING_INT, FIELD(rest_ms), false,
+     "time of load after the last fault"},
+    {"work-ms", SETTING_INT, FIELD(work_ms), false, "mean time of a request"},
+    {"drain-ms", SETTING_INT, FIELD(drain_ms), false,
+     "bound for requests to an upstream that told that it leaves"},
+    {"rate", SETTING_REAL, FIELD(rate), false, "calls a second"},
+    {"fault-period-s", SETTING_REAL, FIELD(fault_period_s), false,
+     "mean time between faults, 0 for none"},
+    {"served-least", SETTING_REAL, FIELD(served_least), false,
+     "share of the calls after the last fault that must be served"},
+    {"hosts", SETTING_TEXT, FIELD(hosts), false,
+     "ADDRESS:PORT,... of the gateway hosts"},
+};
+
+typedef struct Platform_ {
+    Options options;
+    Clock *clock;
+    Random *random;
+    HttpLoop *loop;
+    PlatformStore *store;
+    PlatformTruth *truth;
+    PlatformCaller *caller;
+    GPtrArray *upstreams; /* PlatformUpstream */
+    Timer phase;
+    Timer fault;
+    Timer store_back;
+    Timer config;
+    unsigned version;
+    unsigned served_before;
+    unsigned sent_before;
+    int phases;
+    bool faults_over;
+} Platform;
+
+static void
+put_config(Platform *this)
+{
+    g_autofree char *text = g_strdup_printf(
+        "{\"version\":\"%08x\",\"services\":[{\"name\":\"" SERVICE
+        "\",\"healthPath\":\"/health\"}],\"limits\":{\"maxHeaderBytes\":16384,"
+        "\"maxBodyBytes\":1000000,\"headerTimeoutS\":3,\"idleTimeoutS\":15},"
+        "\"hosts\":[{\"host\":\"" HOST "\",\"paths\":["
+        "{\"name\":\"safe\",\"pathPrefix\":\"/safe/\",\"kind\":\"safe\","
+        "\"timeoutS\":1.2,\"targetLatencyS\":0.25,\"priority\":2,"
+        "\"service\":\"" SERVICE "\",\"maxAttempts\":2},"
+        "{\"name\":\"once\",\"pathPrefix\":\"/once/\",\"kind\":\"unsafe\","
+        "\"timeoutS\":1.2,\"targetLatencyS\":0.3,\"priority\":1,"
+        "\"service\":\"" SERVICE "\",\"maxAttempts\":2}]}]}",
+        ++this->version);
+
+    PlatformStore_Put(this->store, "keyed.op", "config", text);
+}
+
+static void
+on_config(Timer *timer)
+{
+    Platform *this = TIMER_OWNER(timer, Platform, config);
+
+    put_config(this);
+    Timer_Start(&this->config, this->loop->timers, CONFIG_PERIOD, on_config);
+}
+
+static PlatformUpstream *
+any_upstream(Platform *this)
+{
+    return g_ptr_array_index(this->upstreams,
+                             Random_Below(this->random, this->upstreams->len));
+}
+
+static unsigned
+count_up(const Platform *this)
+{
+    unsigned n = 0;
+
+    for (guint i = 0; i < this->upstreams->len; i++) {
+        n += PlatformUpstream_IsUp(g_ptr_array_index(this->upstreams, i));
+    }
+    return n;
+}
+
+static void
+forgive_drains(Platform *this)
+{
+    for (guint i = 0; i < this->upstreams->len; i++) {
+        PlatformUpstream_Forgive(g_ptr_array_index(this->upstreams, i));
+    }
+}
+
+static void
+on_store_back(Timer *timer)
+{
+    Platform *this = TIMER_OWNER(timer, Platform, store_back);
+
+    PlatformStore_SetMode(this->store, STORE_UP);
+    forgive_drains(this);
+}
+
+static void
+disturb_store(Platform *this)
+{
+    static const StoreMode modes[] = {STORE_BUSY, STORE_MANY, STORE_SILENT,
+                                      STORE_CLOSED};
+    Micros time = MICROS_PER_S / 2 +
+                  (Micros)Random_Below(this->random, 3 * MICROS_PER_S);
+
+    PlatformStore_SetMode(
+        this->store, modes[Random_Below(this->random, G_N_ELEMENTS(modes))]);
+    Timer_Start(&this->store_back, this->loop->timers, time, on_store_back);
+}
+
+/* Half of the upstreams stay up, so that there is something to serve with. */
+static void
+disturb_upstream(Platform *this)
+{
+    PlatformUpstream *upstream = any_upstream(this);
+    const char *what = "restart";
+
+    if (!PlatformUpstream_IsUp(upstream)) {
+        PlatformUpstream_Restart(upstream);
+    }
+    else if (count_up(this) <= this->upstreams->len / 2) {
+        what = "none";
+    }
+    else if (Random_Below(this->random, 2) == 0) {
+        what = "crash";
+        PlatformUpstream_Crash(upstream);
+    }
+    else {
+        what = "drain";
+        PlatformUpstream_Drain(upstream);
+    }
+    printf("fault=%s\n", what);
+}
+
+static void
+inject_fault(Platform *this)
+{
+    switch (Random_Below(this->random, 8)) {
+    case 0:
+        printf("fault=store\n");
+        disturb_store(this);
+        break;
+    case 1:
+        printf("fault=forget\n");
+        PlatformStore_Forget(this->store);
+        break;
+    case 2:
+        printf("fault=silence\n");
+        PlatformUpstream_Silence(any_upstream(this));
+        break;
+    default:
+        disturb_upstream(this);
+    }
+    fflush(stdout);
+}
+
+static void
+on_fault(Timer *timer)
+{
+    Platform *this = TIMER_OWNER(timer, Platform, fault);
+    double period = this->options.fault_period_s * MICROS_PER_S;
+
+    if (this->faults_over || period <= 0) {
+        return;
+    }
+    inject_fault(this);
+    Timer_Start(&this->fault, this->loop->timers,
+                1 + (Micros)Random_Exponential(this->random, period),
+                on_fault);
+}
+
+static void
+end_faults(Platform *this)
+{
+    this->faults_over = true;
+    Timer_Stop(&this->store_back);
+    on_store_back(&this->store_back);
+    for (guint i = 0; i < this->upstreams->len; i++) {
+        PlatformUpstream *upstream = g_ptr_array_index(this->upstreams, i);
+
+        if (!PlatformUpstream_IsUp(upstream)) {
+            PlatformUpstream_Restart(upstream);
+        }
+    }
+    printf("faults=over\n");
+    fflush(stdout);
+}
+
+/* Start, load with faults, recovery, rest, answers to the last calls. */
+static void
+on_phase(Timer *timer)
+{
+    Platform *this = TIMER_OWNER(timer, Platform, phase);
+    const Options *options = &this->options;
+    Micros next = 0;
+
+    switch (this->phases++) {
+    case 0:
+        PlatformCaller_Start(this->caller);
+        on_fault(&this->fault);
+        next = options->load_ms * MICROS_PER_MS;
+        break;
+    case 1:
+        end_faults(this);
+        next = options->rest_ms * MICROS_PER_MS;
+        break;
+    case 2:
+        this->served_before = PlatformTruth_Served(this->truth);
+        this->sent_before = PlatformTruth_Sent(this->truth);
+        next = options->rest_ms * MICROS_PER_MS;
+        break;
+    case 3:
+        PlatformCaller_Stop(this->caller);
+        next = 2 * MICROS_PER_S;
+        break;
+    default:
+        HttpLoop_Stop();
+        return;
+    }
+    Timer_Start(&this->phase, this->loop->timers, next, on_phase);
+}
+
+static bool
+create_world(Platform *this)
+{
+    UpstreamWorld world = {
+        .loop = this->loop,
+        .clock = this->clock,
+        .random = this->random,
+        .store = this->store,
+        .truth = this->truth,
+        .work = this->options.work_ms * MICROS_PER_MS,
+        .lost_share = this->options.fault_period_s > 0 ? 0.005 : 0,
+        .cut_share = this->options.fault_period_s > 0 ? 0.005 : 0,
+        .drain_time = this->options.drain_ms * MICROS_PER_MS,
+    };
+
+    for (int64_t i = 0; i < this->options.upstreams; i++) {
+        g_autofree char *domain =
+            g_strdup_printf("d%d", (int)(i % this->options.domains));
+        PlatformUpstream *upstream =
+            PlatformUpstream_Create(&world, SERVICE, domain, (unsigned)i);
+
+        if (upstream == NULL) {
+            return false;
+        }
+        g_ptr_array_add(this->upstreams, upstream);
+    }
+    return true;
+}
+
+static int
+judge(Platform *this)
+{
+    unsigned violations = PlatformTruth_Report(this->truth);
+    double served = PlatformTruth_Served(this->truth) - this->served_before;
+    double offered = PlatformTruth_Sent(this->truth) - this->sent_before;
+
+    printf("store_calls=%u\nserved_at_rest=%.3f\n",
+           PlatformStore_Calls(this->store), served / offered);
+    if (served < this->options.served_least * offered) {
+        printf("violation: too few calls were served at rest\n");
+        violations++;
+    }
+    return violations > 0 ? 1 : 0;
+}
+
+static void
+free_upstream(gpointer data)
+{
+    PlatformUpstream_Destroy(data);
+}
+
+static int
+play(Platform *this)
+{
+    int code = 1;
+
+    this->clock = Clock_CreateSystem();
+    this->random = Random_Create((uint64_t)this->options.seed);
+    this->loop = HttpLoop_Create();
+    this->truth = PlatformTruth_Create();
+    this->upstreams = g_ptr_array_new_with_free_func(free_upstream);
+    this->store = PlatformStore_Create(this->loop);
+    this->caller = PlatformCaller_Create(this->loop, this->clock, this->random,
+                                         this->truth, this->options.hosts,
+                                         this->options.rate);
+    if (this->store != NULL && this->caller != NULL && create_world(this)) {
+        on_config(&this->config);
+        printf("port=%d\n", PlatformStore_Port(this->store));
+        fflush(stdout);
+        Timer_Start(&this->phase, this->loop->timers,
+                    this->options.start_ms * MICROS_PER_MS, on_phase);
+        HttpLoop_Run(this->loop, false);
+        code = judge(this);
+    }
+    HttpLoop_Close(this->loop);
+    PlatformCaller_Destroy(this->caller);
+    g_ptr_array_free(this->upstreams, TRUE);
+    PlatformStore_Destroy(this->store);
+    HttpLoop_Destroy(this->loop);
+    PlatformTruth_Destroy(this->truth);
+    Random_Destroy(this->random);
+    Clock_Destroy(this->clock);
+    return code;
+}
+
+int
+main(int argc, char **argv)
+{
+    Platform platform = {.options = {.seed = 1,
+                                     .upstreams = 8,
+                                     .domains = 2,
+                                     .start_ms = 3000,
+                                     .load_ms = 5000,
+                                     .rest_ms = 3000,
+                                     .work_ms = 30,
+                                     .drain_ms = 2500,
+                                     .rate = 100,
+                                     .served_least = 0.95,
+                                     .hosts = NULL}};
+    int code = Settings_Parse(table, G_N_ELEMENTS(table), &platform.options,
+                              argc, argv);
+
+    if (code == 0) {
+        code = play(&platform);
+    }
+    else {
+        code = code < 0 ? 2 : 0;
+    }
+    Settings_Clear(table, G_N_ELEMENTS(table), &platform.options);
+    return code;
+}
