--- a/standins/PlatformStore.c
+++ b/standins/PlatformStore.c
@@ -339,6 +339,12 @@
     }
 }
 
+bool
+PlatformStore_IsUp(const PlatformStore *this)
+{
+    return this->mode == STORE_UP;
+}
+
 void
 PlatformStore_Forget(PlatformStore *this)
 {
--- a/standins/PlatformStore.h
+++ b/standins/PlatformStore.h
@@ -28,6 +28,9 @@
 /** PlatformStore_SetMode() - from now on */
 void PlatformStore_SetMode(PlatformStore *this, StoreMode mode);
 
+/** PlatformStore_IsUp() - calls are served */
+bool PlatformStore_IsUp(const PlatformStore *this);
+
 /** PlatformStore_Put() - write a record; an empty value drops the key */
 void PlatformStore_Put(PlatformStore *this, const char *topic, const char *key,
                        const char *value);
