gateway: more questions before a request waits; learn the wait from the queue

Change: up to five rounds of questions before a request waits; the expected wait comes from the intervals between requests served from the queue.

--- a/packages/gateway/Dispatcher.c
+++ b/packages/gateway/Dispatcher.c
@@ -32,6 +32,12 @@
 /* All requests are of one line: the gateway's callers have no shares. */
 #define ONLY_LINE 0
 
+/* Rounds of questions for a better upstream than one that has room. */
+#define ROUNDS_FOR_BEST 2
+/* Rounds until it counts as sure that there is no room: a sample of a dozen,
+ * of some hundred upstreams. */
+#define ROUNDS_MAX 5
+
 struct Job_ {
     Dispatcher *owner;
     void *user;
@@ -44,14 +50,14 @@
     Micros caller_deadline; /* when the caller stops to wait */
     Micros sent_at;
     Micros ask_until; /* when to stop to wait for loads, 0 if it does not */
-    uint32_t asked[2 * PLACEMENT_ROUND_MAX];
+    uint32_t asked[ROUNDS_MAX * PLACEMENT_ROUND_MAX];
     uint32_t asked_count;
+    uint32_t rounds;
     uint32_t service;
     uint32_t upstream; /* of the running attempt, or UPSTREAM_NONE */
     uint32_t tried[ATTEMPTS_MAX];
     uint32_t tried_count;
     bool may_have_run;
-    bool asked_far; /* upstreams of other domains were asked, too */
     bool queued;
 };
 
@@ -296,10 +302,10 @@
 }
 
 static void
-leave_queue(Job *job)
+leave_queue(Job *job, bool served)
 {
     if (job->queued) {
-        RequestQueue_Remove(queue_of(job), job);
+        RequestQueue_Remove(queue_of(job), job, served);
         job->queued = false;
     }
 }
@@ -307,7 +313,7 @@
 static void
 end_job(Job *job)
 {
-    leave_queue(job);
+    leave_queue(job, false);
     end_attempt(job, ATTEMPT_CANCELLED);
     g_hash_table_remove(job->owner->jobs, job);
 }
@@ -412,7 +418,7 @@
 {
     job->ask_until = 0;
     job->asked_count = 0;
-    job->asked_far = false;
+    job->rounds = 0;
 }
 
 static void
@@ -430,7 +436,7 @@
                  job->deadline - now, job->route->kind == ROUTE_IDEMPOTENT},
     };
 
-    leave_queue(job);
+    leave_queue(job, true);
     job->upstream = choice->upstream;
     job->tried[job->tried_count++] = choice->upstream;
     job->sent_at = now;
@@ -515,22 +521,24 @@
     return false;
 }
 
-/* Asks in the own failure domain, then in the others; false if the load of
- * all that may be asked is known, or is waited for no longer. */
+/* Asks in the own failure domain and in the others by turns; false if the
+ * load of all that may be asked is known, or is waited for no longer. */
 static bool
-asks(Job *job)
+asks(Job *job, uint32_t rounds_max)
 {
-    if (job->ask_until == 0 && ask_round(job, PLACEMENT_OWN_DOMAIN)) {
-        return true;
-    }
     if (is_waiting(job)) {
         return true;
     }
-    if (job->asked_far) {
-        return false;
+    while (job->rounds < rounds_max) {
+        PlacementScope scope = job->rounds++ % 2 == 0
+                                   ? PLACEMENT_OWN_DOMAIN
+                                   : PLACEMENT_OTHER_DOMAINS;
+
+        if (ask_round(job, scope)) {
+            return true;
+        }
     }
-    job->asked_far = true;
-    return ask_round(job, PLACEMENT_OTHER_DOMAINS);
+    return false;
 }
 
 /* The rest of the objective is needed for the work itself. */
@@ -581,7 +589,7 @@
     else if (!RequestQueue_HasTurn(queue_of(job), job->route->priority)) {
         enqueue(job);
     }
-    else if (asks(job)) {
+    else if (asks(job, choice.room ? ROUNDS_FOR_BEST : ROUNDS_MAX)) {
         return true;
     }
     else if (choice.room) {
@@ -781,7 +789,6 @@
     if (end->report != NULL) {
         Placement_OnReport(this->placement, job->upstream, end->report);
     }
-    RequestQueue_OnRoom(g_ptr_array_index(this->queues, service));
     verdict = settle_attempt(job, end);
     serve_queue(this, service);
     return verdict;
@@ -818,10 +825,9 @@
         if (job != NULL) {
             waits = true;
             job->asked_count = 0;
-            ask_round(job, job->asked_far ? PLACEMENT_OTHER_DOMAINS
-                                          : PLACEMENT_OWN_DOMAIN);
+            ask_round(job, job->rounds++ % 2 == 0 ? PLACEMENT_OTHER_DOMAINS
+                                                  : PLACEMENT_OWN_DOMAIN);
             job->ask_until = 0;
-            job->asked_far = !job->asked_far;
         }
     }
     this->poll_at = waits ? now + POLL_TIME : 0;
--- a/packages/gateway/RequestQueue.c
+++ b/packages/gateway/RequestQueue.c
@@ -2,10 +2,8 @@
 
 #include <glib.h>
 
-/* Weight of one interval in the mean time between ends of requests. */
-#define INTERVAL_WEIGHT 0.1
-/* A pause in the load tells nothing about how fast requests end. */
-#define INTERVAL_MAX (200 * MICROS_PER_MS)
+/* Weight of one interval in the mean time between items that are served. */
+#define INTERVAL_WEIGHT 0.2
 
 typedef struct Entry_ {
     void *item;
@@ -16,8 +14,8 @@
 struct RequestQueue_ {
     const Clock *clock;
     GQueue *entries; /* Entry, by priority and then by arrival */
-    Micros last_end; /* -1 before the first */
-    double interval; /* mean time between ends, 0 if it is not known */
+    Micros since;    /* the last item was served, or the first one came */
+    double interval; /* mean time between items served, 0 if not known */
 };
 
 RequestQueue *
@@ -27,7 +25,6 @@
 
     this->clock = clock;
     this->entries = g_queue_new();
-    this->last_end = -1;
     return this;
 }
 
@@ -61,7 +58,13 @@
     size_t ahead;
 
     place_of(this, priority, &ahead);
-    return (Micros)((double)ahead * this->interval);
+    if (this->entries->length == 0) {
+        return 0;
+    }
+    /* If nothing is served for long, the mean of before says little. */
+    return (Micros)((double)ahead *
+                    MAX(this->interval,
+                        (double)(Clock_Now(this->clock) - this->since)));
 }
 
 bool
@@ -76,6 +79,9 @@
         RequestQueue_ExpectedWait(this, priority) > patience) {
         return false;
     }
+    if (this->entries->length == 0) {
+        this->since = Clock_Now(this->clock);
+    }
     entry = g_new0(Entry, 1);
     entry->item = item;
     entry->priority = priority;
@@ -111,12 +117,25 @@
     return item;
 }
 
+static void
+learn_interval(RequestQueue *this)
+{
+    Micros now = Clock_Now(this->clock);
+    double passed = (double)(now - this->since);
+
+    this->interval += INTERVAL_WEIGHT * (passed - this->interval);
+    this->since = now;
+}
+
 bool
-RequestQueue_Remove(RequestQueue *this, void *item)
+RequestQueue_Remove(RequestQueue *this, void *item, bool served)
 {
     for (GList *link = this->entries->head; link != NULL; link = link->next) {
         if (((Entry *)link->data)->item == item) {
             take(this, link);
+            if (served) {
+                learn_interval(this);
+            }
             return true;
         }
     }
@@ -151,21 +170,6 @@
     return next;
 }
 
-void
-RequestQueue_OnRoom(RequestQueue *this)
-{
-    Micros now = Clock_Now(this->clock);
-    double passed = (double)MIN(now - this->last_end, INTERVAL_MAX);
-
-    if (this->last_end >= 0) {
-        this->interval =
-            this->interval > 0
-                ? this->interval + INTERVAL_WEIGHT * (passed - this->interval)
-                : passed;
-    }
-    this->last_end = now;
-}
-
 size_t
 RequestQueue_Length(const RequestQueue *this)
 {
--- a/packages/gateway/RequestQueue.h
+++ b/packages/gateway/RequestQueue.h
@@ -39,8 +39,9 @@
 /** RequestQueue_HasTurn() - a new item of @priority would be the head */
 bool RequestQueue_HasTurn(const RequestQueue *this, unsigned priority);
 
-/** RequestQueue_Remove() - it waits no longer; false if it did not wait */
-bool RequestQueue_Remove(RequestQueue *this, void *item);
+/** RequestQueue_Remove() - it waits no longer, as its caller has gone or it
+ *                          was @served; false if it did not wait */
+bool RequestQueue_Remove(RequestQueue *this, void *item, bool served);
 
 /** RequestQueue_Expired() - an item whose patience is over, removed; NULL if
  *                           there is none */
@@ -49,9 +50,6 @@
 /** RequestQueue_NextTime() - when the next patience ends; -1 for never */
 Micros RequestQueue_NextTime(const RequestQueue *this);
 
-/** RequestQueue_OnRoom() - an upstream finished a request of this host */
-void RequestQueue_OnRoom(RequestQueue *this);
-
 /** RequestQueue_ExpectedWait() - until a new item of @priority is the head;
  *                                room may come at any moment then */
 Micros RequestQueue_ExpectedWait(const RequestQueue *this, unsigned priority);
