--- a/packages/gateway/Dispatcher.c
+++ b/packages/gateway/Dispatcher.c
@@ -18,6 +18,8 @@
 /* Mean wait that a refused caller is told; spread so that they do not come
  * back together. */
 #define RETRY_AFTER_MEAN (200 * MICROS_PER_MS)
+/* Part of the upstreams whose load must be known to call a service full. */
+#define KNOWN_SHARE_MIN 0.5F
 /* Part of the objective that a request may wait for room. */
 #define WAIT_SHARE 0.4
 /* A report of this age still tells that there is room. */
@@ -571,6 +573,15 @@
           NameTable_Name(this->services, job->service));
 }
 
+/* A small sample of a large service does not tell that it is full: waiting
+ * would leave upstreams idle that were not asked. A free slot is taken then,
+ * though the upstream may slow down. */
+static bool
+may_be_elsewhere(const PlacementChoice *choice)
+{
+    return choice->slot && choice->known_share < KNOWN_SHARE_MIN;
+}
+
 /* Sends the request, asks for loads first, or lets it wait for room; false if
  * there is no upstream. */
 static bool
@@ -592,7 +603,7 @@
     else if (asks(job, choice.room ? ROUNDS_FOR_BEST : ROUNDS_MAX)) {
         return true;
     }
-    else if (choice.room) {
+    else if (choice.room || may_be_elsewhere(&choice)) {
         send_to(job, &choice);
     }
     else {
--- a/packages/gateway/Placement.c
+++ b/packages/gateway/Placement.c
@@ -492,6 +492,8 @@
     float cost;
     float busy;
     uint32_t ties;
+    uint32_t seen;
+    uint32_t fresh;
 } Best;
 
 static void
@@ -519,6 +521,7 @@
     const Service *service = service_at(this, query->service);
     Micros now = Clock_Now(this->clock);
     float busy, cost;
+    Best *best;
 
     *near = *far = (Best){0};
     for (guint i = 0; i < service->upstreams->len; i++) {
@@ -528,9 +531,11 @@
         if (!is_usable(load, query, upstream) || is_held(load, now) != held) {
             continue;
         }
+        best = load->info.domain == this->own_domain ? near : far;
+        best->seen++;
+        best->fresh += is_fresh(load, now);
         cost = cost_of(service, load, now, &busy);
-        consider(this, load->info.domain == this->own_domain ? near : far,
-                 upstream, cost, busy);
+        consider(this, best, upstream, cost, busy);
     }
 }
 
@@ -576,6 +581,10 @@
         .reason = reason,
         .good = is_fresh(load, now) && best->cost <= GOOD_COST,
         .room = has_room(service_at(this, query->service), load, best->busy),
+        .slot = best->busy * (float)load->info.slots + 1 <=
+                (float)load->info.slots,
+        .known_share =
+            (float)(near.fresh + far.fresh) / (float)(near.seen + far.seen),
     };
     return 0;
 }
--- a/packages/gateway/Placement.h
+++ b/packages/gateway/Placement.h
@@ -50,6 +50,8 @@
  * @reason: static lower-case word
  * @good: an idle upstream could hardly serve it faster
  * @room: it does not make the upstream so full that it slows down
+ * @slot: it can start there at once, though the upstream may slow down
+ * @known_share: part of the usable upstreams with a fresh report
  */
 typedef struct PlacementChoice_ {
     uint32_t upstream;
@@ -60,6 +62,8 @@
     const char *reason;
     bool good;
     bool room;
+    bool slot;
+    float known_share;
 } PlacementChoice;
 
 /**
--- a/packages/net/Loop.c
+++ b/packages/net/Loop.c
@@ -250,6 +250,7 @@
     free_detached_connections(this);
     lws_context_destroy(this->context);
     ev_loop_destroy(this->events);
+    this->events = NULL;
     library_log = NULL;
 }
 
@@ -401,7 +402,9 @@
     if (this == NULL) {
         return;
     }
-    ev_io_stop(this->loop->events, &this->event);
+    if (this->loop->events != NULL) {
+        ev_io_stop(this->loop->events, &this->event);
+    }
     g_hash_table_remove(this->loop->ios, this);
     g_free(this);
 }
@@ -485,7 +488,8 @@
 void
 LoopTimer_Stop(LoopTimer *this)
 {
-    if (!this->loop->closing) {
+    /* Also while the loop closes: it still turns then. */
+    if (this->loop->events != NULL) {
         ev_timer_stop(this->loop->events, &this->event);
     }
 }
--- /dev/null
+++ b/tests/test_loop.c
@@ -0,0 +1,107 @@
+#include <glib.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "Loop.h"
+
+typedef struct Fixture_ {
+    Clock *clock;
+    Loop *loop;
+    LoopTimer *timer;
+    LoopTask *task;
+    LoopIo *io;
+    int pair[2];
+    unsigned fired;
+    unsigned tasks;
+} Fixture;
+
+static void
+on_timer(void *user)
+{
+    Fixture *f = user;
+
+    f->fired++;
+}
+
+static void
+on_task(void *user)
+{
+    Fixture *f = user;
+
+    f->tasks++;
+    if (f->tasks < 3) {
+        LoopTask_Schedule(f->task);
+    }
+}
+
+static void
+on_io(void *user, unsigned events)
+{
+    Fixture *f = user;
+
+    if ((events & LOOP_IO_CLOSING) != 0) {
+        LoopTimer_Destroy(f->timer);
+        f->timer = NULL;
+        LoopIo_Destroy(f->io);
+        f->io = NULL;
+    }
+}
+
+static void
+set_up(Fixture *f, gconstpointer data)
+{
+    f->clock = Clock_CreateSystem();
+    f->loop = Loop_Create(f->clock, NULL, NULL);
+    g_assert_nonnull(f->loop);
+    f->timer = LoopTimer_Create(f->loop, on_timer, f);
+    f->task = LoopTask_Create(f->loop, on_task, f);
+    g_assert_cmpint(socketpair(AF_UNIX, SOCK_STREAM, 0, f->pair), ==, 0);
+    f->io = LoopIo_Create(f->loop, f->pair[0], on_io, f);
+    LoopIo_Want(f->io, LOOP_IO_READ);
+}
+
+static void
+tear_down(Fixture *f, gconstpointer data)
+{
+    Loop_Close(f->loop);
+    LoopTask_Destroy(f->task);
+    LoopTimer_Destroy(f->timer);
+    Loop_Destroy(f->loop);
+    close(f->pair[0]);
+    close(f->pair[1]);
+    Clock_Destroy(f->clock);
+}
+
+/* Guards against a timer that is released while the loop closes and that the
+ * event library still holds: hosts ended with SIGABRT or SIGSEGV after their
+ * drain. */
+static void
+test_destroy_while_closing(Fixture *f, gconstpointer data)
+{
+    LoopTimer_Start(f->timer, 1);
+    Loop_Close(f->loop);
+    g_assert_null(f->timer);
+    g_assert_cmpuint(f->fired, ==, 0);
+}
+
+/* Guards against tasks that wait for the next event of a socket or timer. */
+static void
+test_tasks(Fixture *f, gconstpointer data)
+{
+    LoopTask_Schedule(f->task);
+    LoopTimer_Start(f->timer, 1000);
+    Loop_Turn(f->loop);
+    g_assert_cmpuint(f->tasks, ==, 3);
+}
+
+#define ADD(path, test)                                                       \
+    g_test_add(path, Fixture, NULL, set_up, test, tear_down)
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    ADD("/loop/destroy-while-closing", test_destroy_while_closing);
+    ADD("/loop/tasks", test_tasks);
+    return g_test_run();
+}
