Fewer calls to the store by restarted hosts and while it is away

Change: a host reads the list of hosts first and then through a relay; one that is no relay asks a store that does not answer once in 0.9 s.

--- a/packages/agatecrankd/GatewayDaemon.c
+++ b/packages/agatecrankd/GatewayDaemon.c
@@ -298,7 +298,7 @@
     }
     KeyedRelay_SetDirect(this->relay, true);
     this->source = KeyedSource_Create(this->loop, StoreClient_Log(this->store),
-                                      &source, this->random, this->log);
+                                      &source, this->log);
     this->feed =
         PlatformFeed_Create(this->loop, KeyedSource_Log(this->source),
                             this->relay, this->dispatcher, this->random,
--- a/packages/net/KeyedSource.c
+++ b/packages/net/KeyedSource.c
@@ -16,12 +16,15 @@
 #define PEER_TIMEOUT (250 * MICROS_PER_MS)
 #define PEER_CONNECT_TIMEOUT (150 * MICROS_PER_MS)
 /* A host that did not answer is left out for so long. */
-#define PEER_BAD_TIME (3 * MICROS_PER_S)
+#define PEER_BAD_TIME (1 * MICROS_PER_S)
+/* While the log does not answer, a host that is no relay asks it again after
+ * this time only: all of them at the pace of the relays would be a load that
+ * nobody needs. */
+#define STORE_PAUSE (900 * MICROS_PER_MS)
 /* A host that was asked reads the log itself for so long. */
 #define ASKED_TIME (5 * MICROS_PER_S)
-/* Hosts that start together are all listed when the list is read. */
-#define LIST_FIRST (300 * MICROS_PER_MS)
-#define LIST_DELAY (600 * MICROS_PER_MS)
+/* Hosts that start together are all listed when the list is read again. */
+#define LIST_DELAY (900 * MICROS_PER_MS)
 #define LIST_RETRY (3 * MICROS_PER_S)
 /* Replaced hosts appear in the list by then. */
 #define LIST_PERIOD (60 * MICROS_PER_S)
@@ -38,16 +41,20 @@
     Loop *loop;
     const KeyedLog *store;
     const Clock *clock;
-    Random *random;
     EventLog *log;
     KeyedSourceOptions options;
+    char *own_id;
     KeyedLog interface;
     GPtrArray *peers; /* Peer of the own domain, by id */
     GPtrArray *old;   /* Peer that is no longer listed */
     LoopTimer *list_timer;
-    Micros asked_at; /* -1 before the first time */
+    GQueue *held;           /* Read that waits for the list */
+    GQueue *refused;        /* Read whose refusal is due */
+    Micros asked_at;        /* -1 before the first time */
+    Micros store_failed_at; /* -1 while it answers */
     uint64_t store_calls;
-    bool listed; /* this host is in the list */
+    bool list_known; /* it was read, or can not be read now */
+    bool listed;     /* this host is in the list */
     bool direct;
 };
 
@@ -58,6 +65,9 @@
     GString *topic;
     GString *after;
     uint64_t from;
+    Micros wait;
+    Micros timeout;
+    LoopTimer *refusal;
     bool newest;
     KeyedPageHandler *handler;
     void *user;
@@ -79,27 +89,32 @@
     return Clock_Now(this->clock);
 }
 
+/* This host would be the relay if all answered. */
+static bool
+is_first(const KeyedSource *this)
+{
+    const Peer *first =
+        this->peers->len > 0 ? g_ptr_array_index(this->peers, 0) : NULL;
+
+    return first != NULL && g_strcmp0(this->own_id, first->id) < 0;
+}
+
 /* Returns the host to read through; NULL to read the log. */
 static Peer *
 choose_peer(const KeyedSource *this)
 {
-    char *own = g_strndup(this->options.host.data, this->options.host.length);
-    Peer *chosen = NULL;
-
-    for (guint i = 0; i < MIN(this->peers->len, RELAYS_MAX) && chosen == NULL;
-         i++) {
+    if (is_first(this) ||
+        (this->asked_at >= 0 && now(this) - this->asked_at < ASKED_TIME)) {
+        return NULL;
+    }
+    for (guint i = 0; i < MIN(this->peers->len, RELAYS_MAX); i++) {
         Peer *peer = g_ptr_array_index(this->peers, i);
 
         if (peer->bad_until <= now(this)) {
-            chosen = peer;
+            return g_strcmp0(this->own_id, peer->id) < 0 ? NULL : peer;
         }
     }
-    if ((chosen != NULL && g_strcmp0(own, chosen->id) < 0) ||
-        (this->asked_at >= 0 && now(this) - this->asked_at < ASKED_TIME)) {
-        chosen = NULL;
-    }
-    g_free(own);
-    return chosen;
+    return NULL;
 }
 
 static void
@@ -122,8 +137,11 @@
 /* ---- reads ---------------------------------------------------------- */
 
 static void
-destroy_read(Read *read)
+destroy_read(gpointer data)
 {
+    Read *read = data;
+
+    LoopTimer_Destroy(read->refusal);
     g_string_free(read->topic, TRUE);
     g_string_free(read->after, TRUE);
     g_free(read);
@@ -149,25 +167,7 @@
     }
 }
 
-/* The log is asked without waiting: it may be ahead of the peer. */
-static void
-read_store_instead(Read *read)
-{
-    KeyedSource *this = read->source;
-    const KeyedLog *store = this->store;
-
-    this->store_calls++;
-    if (read->newest) {
-        store->read_newest(store->self, text_of(read->topic),
-                           text_of(read->after), CALL_TIMEOUT, read->handler,
-                           read->user);
-    }
-    else {
-        store->read_tail(store->self, text_of(read->topic), read->from, 0,
-                         CALL_TIMEOUT, read->handler, read->user);
-    }
-    destroy_read(read);
-}
+static void read_store(Read *read);
 
 static void
 deliver(Read *read, const KeyedPage *page)
@@ -201,7 +201,10 @@
             deliver(read, &page);
         }
         else {
-            read_store_instead(read);
+            /* Without waiting: the log may be ahead of the peer. */
+            read->timeout -= read->wait;
+            read->wait = 0;
+            read_store(read);
         }
     }
     else {
@@ -213,69 +216,141 @@
 }
 
 static void
-read_peer(KeyedSource *this, Peer *peer, const char *path, Str topic,
-          Str after, uint64_t from, Micros timeout, KeyedPageHandler *handler,
-          void *user)
+on_store_page(void *user, const KeyedPage *page)
+{
+    Read *read = user;
+    bool failed = page->code < 0 && page->code != ERR_EXPIRED;
+
+    read->source->store_failed_at = failed ? now(read->source) : -1;
+    deliver(read, page);
+}
+
+static void
+refuse_read(void *user)
+{
+    KeyedPage page = {.code = ERR_UNAVAILABLE};
+    Read *read = user;
+
+    g_queue_remove(read->source->refused, read);
+    deliver(read, &page);
+}
+
+static bool
+may_read_store(const KeyedSource *this)
+{
+    return this->peers->len == 0 || is_first(this) ||
+           this->store_failed_at < 0 ||
+           now(this) - this->store_failed_at >= STORE_PAUSE;
+}
+
+static void
+read_store(Read *read)
+{
+    KeyedSource *this = read->source;
+    const KeyedLog *store = this->store;
+    Micros held = MIN(read->wait, DIRECT_WAIT);
+
+    if (!may_read_store(this)) {
+        read->refusal = LoopTimer_Create(this->loop, refuse_read, read);
+        LoopTimer_Start(read->refusal, 1);
+        g_queue_push_tail(this->refused, read);
+        return;
+    }
+    this->store_calls++;
+    if (read->newest) {
+        store->read_newest(store->self, text_of(read->topic),
+                           text_of(read->after), read->timeout, on_store_page,
+                           read);
+    }
+    else {
+        store->read_tail(store->self, text_of(read->topic), read->from, held,
+                         read->timeout - read->wait + held, on_store_page,
+                         read);
+    }
+}
+
+static void
+read_peer(Read *read)
+{
+    Micros wait = MIN(read->wait, PEER_WAIT);
+    GString *path = g_string_new(NULL);
+
+    if (read->newest) {
+        g_string_printf(path, "/newest?topic=%s", read->topic->str);
+    }
+    else {
+        g_string_printf(path,
+                        "/tail?topic=%s&from=%" G_GUINT64_FORMAT
+                        "&wait_ms=%" G_GINT64_FORMAT,
+                        read->topic->str, read->from, wait / MICROS_PER_MS);
+    }
+    HttpFetch_Send(read->peer->fetch, STR("GET"), text_of(path), NULL, STR(""),
+                   wait + PEER_TIMEOUT, on_peer_answer, read);
+    g_string_free(path, TRUE);
+}
+
+/* A snapshot that was begun at the store is finished there. */
+static void
+start_read(Read *read)
+{
+    KeyedSource *this = read->source;
+
+    read->peer = read->after->len == 0 ? choose_peer(this) : NULL;
+    set_direct(this, read->peer);
+    if (read->peer == NULL) {
+        read_store(read);
+    }
+    else {
+        read_peer(read);
+    }
+}
+
+static void
+add_read(KeyedSource *this, Read *read)
+{
+    if (this->list_known) {
+        start_read(read);
+    }
+    else {
+        g_queue_push_tail(this->held, read);
+    }
+}
+
+static Read *
+create_read(KeyedSource *this, Str topic, Str after, Micros timeout,
+            KeyedPageHandler *handler, void *user)
 {
     Read *read = g_new0(Read, 1);
 
     read->source = this;
-    read->peer = peer;
     read->topic = g_string_new_len(topic.data, (gssize)topic.length);
     read->after =
         g_string_new_len(after.length ? after.data : "", (gssize)after.length);
-    read->from = from;
-    read->newest = g_str_has_prefix(path, "/newest");
+    read->timeout = timeout;
     read->handler = handler;
     read->user = user;
-    HttpFetch_Send(peer->fetch, STR("GET"), Str_FromC(path), NULL, STR(""),
-                   timeout, on_peer_answer, read);
+    return read;
 }
 
 static void
 read_newest(void *self, Str topic, Str after, Micros timeout,
             KeyedPageHandler *handler, void *user)
 {
-    KeyedSource *this = self;
-    Peer *peer = after.length == 0 ? choose_peer(this) : NULL;
-    char *path;
+    Read *read = create_read(self, topic, after, timeout, handler, user);
 
-    set_direct(this, peer);
-    if (peer == NULL) {
-        this->store_calls++;
-        this->store->read_newest(this->store->self, topic, after, timeout,
-                                 handler, user);
-        return;
-    }
-    path = g_strdup_printf("/newest?topic=" STR_FORMAT, STR_ARGS(topic));
-    read_peer(this, peer, path, topic, after, 0, PEER_TIMEOUT, handler, user);
-    g_free(path);
+    read->newest = true;
+    add_read(self, read);
 }
 
 static void
 read_tail(void *self, Str topic, uint64_t from, Micros wait, Micros timeout,
           KeyedPageHandler *handler, void *user)
 {
-    KeyedSource *this = self;
-    Peer *peer = choose_peer(this);
-    char *path;
-
-    set_direct(this, peer);
-    if (peer == NULL) {
-        Micros held = MIN(wait, DIRECT_WAIT);
+    Read *read = create_read(self, topic, STR(""), timeout, handler, user);
 
-        this->store_calls++;
-        this->store->read_tail(this->store->self, topic, from, held,
-                               timeout - wait + held, handler, user);
-        return;
-    }
-    wait = MIN(wait, PEER_WAIT);
-    path = g_strdup_printf("/tail?topic=" STR_FORMAT "&from=%" G_GUINT64_FORMAT
-                           "&wait_ms=%" G_GINT64_FORMAT,
-                           STR_ARGS(topic), from, wait / MICROS_PER_MS);
-    read_peer(this, peer, path, topic, STR(""), from, wait + PEER_TIMEOUT,
-              handler, user);
-    g_free(path);
+    read->from = from;
+    read->wait = wait;
+    add_read(self, read);
 }
 
 /* ---- list of hosts -------------------------------------------------- */
@@ -311,25 +386,52 @@
     g_ptr_array_add(peers, peer);
 }
 
+static char *
+own_value(const KeyedSource *this)
+{
+    return g_strdup_printf(STR_FORMAT " %s:%u", STR_ARGS(this->options.domain),
+                           this->options.relay.address,
+                           this->options.relay.port);
+}
+
+static bool
+is_own(const KeyedSource *this, const KeyedRecord *record)
+{
+    char *value = own_value(this);
+    bool same = Str_Equal(record->key, this->options.host) &&
+                Str_Equal(record->value, Str_FromC(value));
+
+    g_free(value);
+    return same;
+}
+
 static void
-on_list(void *user, const KeyedPage *page)
+take_list(KeyedSource *this, const KeyedPage *page)
 {
-    KeyedSource *this = user;
-    GPtrArray *peers;
+    GPtrArray *peers = g_ptr_array_new_with_free_func(destroy_peer);
 
-    if (page->code < 0) {
-        LoopTimer_Start(this->list_timer, LIST_RETRY);
-        return;
-    }
-    peers = g_ptr_array_new_with_free_func(destroy_peer);
+    this->listed = false;
     for (size_t i = 0; i < page->count; i++) {
+        this->listed = this->listed || is_own(this, &page->records[i]);
         add_peer(this, &page->records[i], peers);
     }
     g_ptr_array_sort(peers, compare_peers);
-    /* Reads may still be under way to those of before. */
+    /* Reads may still be under way to those of before, but none to those
+     * before them. */
+    g_ptr_array_set_size(this->old, 0);
     g_ptr_array_extend_and_steal(this->old, this->peers);
     this->peers = peers;
-    LoopTimer_Start(this->list_timer, LIST_PERIOD);
+}
+
+static void
+release_held(KeyedSource *this)
+{
+    Read *read;
+
+    this->list_known = true;
+    while ((read = g_queue_pop_head(this->held)) != NULL) {
+        start_read(read);
+    }
 }
 
 static void
@@ -337,54 +439,76 @@
 {
     KeyedSource *this = user;
 
-    this->listed = code == 0;
     LoopTimer_Start(this->list_timer, code == 0 ? LIST_DELAY : LIST_RETRY);
 }
 
 static void
-update_list(void *user)
+add_to_list(KeyedSource *this)
 {
-    KeyedSource *this = user;
     const KeyedLog *store = this->store;
-    char *value;
+    char *value = own_value(this);
 
     this->store_calls++;
-    if (this->listed) {
-        store->read_newest(store->self, STR(HOSTS_TOPIC), STR(""),
-                           CALL_TIMEOUT, on_list, this);
-        return;
-    }
-    value =
-        g_strdup_printf(STR_FORMAT " %s:%u", STR_ARGS(this->options.domain),
-                        this->options.relay.address, this->options.relay.port);
     store->append(store->self, STR(HOSTS_TOPIC), this->options.host,
                   Str_FromC(value), CALL_TIMEOUT, on_listed, this);
     g_free(value);
 }
 
+static void
+on_list(void *user, const KeyedPage *page)
+{
+    KeyedSource *this = user;
+
+    if (Loop_IsClosing(this->loop)) {
+        return;
+    }
+    if (page->code == 0) {
+        take_list(this, page);
+    }
+    release_held(this);
+    if (page->code == 0 && !this->listed) {
+        add_to_list(this);
+        return;
+    }
+    LoopTimer_Start(this->list_timer,
+                    page->code == 0 ? LIST_PERIOD : LIST_RETRY);
+}
+
+static void
+read_list(void *user)
+{
+    KeyedSource *this = user;
+    const KeyedLog *store = this->store;
+
+    this->store_calls++;
+    store->read_newest(store->self, STR(HOSTS_TOPIC), STR(""), CALL_TIMEOUT,
+                       on_list, this);
+}
+
 /* ---- creation ------------------------------------------------------- */
 
 KeyedSource *
 KeyedSource_Create(Loop *loop, const KeyedLog *store,
-                   const KeyedSourceOptions *options, Random *random,
-                   EventLog *log)
+                   const KeyedSourceOptions *options, EventLog *log)
 {
     KeyedSource *this = g_new0(KeyedSource, 1);
 
     this->loop = loop;
     this->store = store;
     this->clock = Loop_Clock(loop);
-    this->random = random;
     this->log = log;
     this->options = *options;
+    this->own_id = g_strndup(options->host.data, options->host.length);
     this->interface = (KeyedLog){this, read_newest, read_tail, NULL};
     this->peers = g_ptr_array_new_with_free_func(destroy_peer);
     this->old = g_ptr_array_new_with_free_func(destroy_peer);
     this->asked_at = -1;
+    this->store_failed_at = -1;
     this->direct = true;
-    this->list_timer = LoopTimer_Create(loop, update_list, this);
-    LoopTimer_Start(this->list_timer,
-                    (Micros)((1 + Random_Unit(random) / 2) * LIST_FIRST));
+    this->list_timer = LoopTimer_Create(loop, read_list, this);
+    this->held = g_queue_new();
+    this->refused = g_queue_new();
+    LoopTimer_Start(this->list_timer, 1);
     return this;
 }
 
@@ -395,6 +519,9 @@
         return;
     }
     LoopTimer_Destroy(this->list_timer);
+    g_free(this->own_id);
+    g_queue_free_full(this->held, destroy_read);
+    g_queue_free_full(this->refused, destroy_read);
     g_ptr_array_free(this->peers, TRUE);
     g_ptr_array_free(this->old, TRUE);
     g_free(this);
--- a/packages/net/KeyedSource.h
+++ b/packages/net/KeyedSource.h
@@ -4,7 +4,6 @@
 #include "Endpoint.h"
 #include "KeyedLog.h"
 #include "Loop.h"
-#include "Random.h"
 
 /**
  * typedef KeyedSource - reads a log itself or through another host
@@ -33,7 +32,7 @@
 /** KeyedSource_Create() - everything passed in is borrowed */
 KeyedSource *KeyedSource_Create(Loop *loop, const KeyedLog *store,
                                 const KeyedSourceOptions *options,
-                                Random *random, EventLog *log);
+                                EventLog *log);
 
 /** KeyedSource_Destroy() - after Loop_Close(); NULL is allowed */
 void KeyedSource_Destroy(KeyedSource *this);
--- a/tests/test_keyed_follower.c
+++ b/tests/test_keyed_follower.c
@@ -56,6 +56,19 @@
     destroy_reply(reply);
 }
 
+/* As the store's client does when the loop closes. */
+static void
+fail_pending(FakeLog *log)
+{
+    while (log->pending != NULL) {
+        Reply *reply = log->pending->data;
+
+        reply->page.code = ERR_UNAVAILABLE;
+        g_array_set_size(reply->records, 0);
+        deliver(reply);
+    }
+}
+
 static Reply *
 create_reply(FakeLog *log, Micros delay, KeyedPageHandler *handler, void *user)
 {
@@ -213,7 +226,7 @@
 tear_down(Fixture *f, gconstpointer data)
 {
     Loop_Close(f->loop);
-    g_list_free_full(f->log.pending, destroy_reply);
+    fail_pending(&f->log);
     KeyedFollower_Destroy(f->follower);
     Loop_Destroy(f->loop);
     g_string_free(f->seen, TRUE);
@@ -362,8 +375,8 @@
     host->relay = KeyedRelay_Create(f->loop, &relay, NULL);
     g_assert_nonnull(host->relay);
     KeyedRelay_SetDirect(host->relay, true);
-    host->source = KeyedSource_Create(f->loop, &f->log.interface, &source,
-                                      f->random, NULL);
+    host->source =
+        KeyedSource_Create(f->loop, &f->log.interface, &source, NULL);
     host->follower =
         KeyedFollower_Create(f->loop, KeyedSource_Log(host->source), &options,
                              &handlers, host, f->random, NULL);
@@ -423,6 +436,7 @@
         Loop_Turn(f->loop);
     }
     Loop_Close(f->loop);
+    fail_pending(&f->log);
     stop_host(&first);
     stop_host(&second);
 }
