Test TLS both ways and check the address in a peer's certificate

TLS moved from libwebsockets to OpenSSL with the sockets and no test ran it; the client did not compare the certificate with the address. test_tls: bodies both ways, wrong issuer, wrong address, missing and unknown certificates of callers.

--- a/packages/gateway/Dispatcher.c
+++ b/packages/gateway/Dispatcher.c
@@ -29,6 +29,8 @@
 #define POLL_TIME (20 * MICROS_PER_MS)
 /* Several times what a question and its answer take between domains. */
 #define ASK_TIME (8 * MICROS_PER_MS)
+/* The way to the caller and back takes about as long. */
+#define RETRY_AFTER_SOON (20 * MICROS_PER_MS)
 /* A host without a configuration usually has it within this time. */
 #define RETRY_AFTER_START (1 * MICROS_PER_S)
 /* All requests are of one line: the gateway's callers have no shares. */
@@ -343,6 +345,20 @@
     end_job(job);
 }
 
+/* When to come back: soon if there is room, as upstreams that refuse at
+ * random may serve the next try, and later if the service is full. */
+static Micros
+retry_after(const Job *job)
+{
+    Dispatcher *this = job->owner;
+    PlacementQuery query = {.service = job->service};
+    PlacementChoice choice;
+    bool room =
+        Placement_Choose(this->placement, &query, &choice) == 0 && choice.room;
+
+    return spread(this, room ? RETRY_AFTER_SOON : RETRY_AFTER_MEAN);
+}
+
 /* Only a request that certainly did not run may be told so. */
 static void
 give_up(Job *job, const char *reason)
@@ -351,7 +367,7 @@
         answer(job, 502, reason, 0);
         return;
     }
-    answer(job, 503, reason, spread(job->owner, RETRY_AFTER_MEAN));
+    answer(job, 503, reason, retry_after(job));
 }
 
 /* ---- routes and upstreams ------------------------------------------- */
--- a/packages/net/Socket.c
+++ b/packages/net/Socket.c
@@ -356,8 +356,9 @@
 }
 
 static Socket *
-create(Loop *loop, int fd, SocketState state, const SocketOptions *options,
-       const SocketHandlers *handlers, void *user)
+create(Loop *loop, int fd, SocketState state, const char *address,
+       const SocketOptions *options, const SocketHandlers *handlers,
+       void *user)
 {
     Socket *this = g_new0(Socket, 1);
 
@@ -374,7 +375,7 @@
     }
     set_options(fd, options);
     if (options->tls != NULL) {
-        this->ssl = TlsContext_Session(options->tls, fd);
+        this->ssl = TlsContext_Session(options->tls, fd, address);
     }
     want_events(this);
     return this;
@@ -385,8 +386,8 @@
               const SocketHandlers *handlers, void *user)
 {
     return create(loop, fd,
-                  options->tls != NULL ? STATE_HANDSHAKE : STATE_OPEN, options,
-                  handlers, user);
+                  options->tls != NULL ? STATE_HANDSHAKE : STATE_OPEN, NULL,
+                  options, handlers, user);
 }
 
 Socket *
@@ -413,7 +414,8 @@
         close(fd);
         return NULL;
     }
-    return create(loop, fd, STATE_CONNECTING, options, handlers, user);
+    return create(loop, fd, STATE_CONNECTING, address, options, handlers,
+                  user);
 }
 
 void
--- a/packages/net/TlsContext.c
+++ b/packages/net/TlsContext.c
@@ -2,6 +2,7 @@
 
 #include <glib.h>
 #include <openssl/err.h>
+#include <openssl/x509v3.h>
 
 struct TlsContext_ {
     SSL_CTX *library;
@@ -58,7 +59,7 @@
 }
 
 SSL *
-TlsContext_Session(TlsContext *this, int fd)
+TlsContext_Session(TlsContext *this, int fd, const char *address)
 {
     SSL *session = SSL_new(this->library);
 
@@ -68,6 +69,7 @@
     }
     else {
         SSL_set_connect_state(session);
+        X509_VERIFY_PARAM_set1_ip_asc(SSL_get0_param(session), address);
     }
     return session;
 }
--- a/packages/net/TlsContext.h
+++ b/packages/net/TlsContext.h
@@ -27,7 +27,10 @@
 /** TlsContext_Destroy() - connections keep what they need; NULL is allowed */
 void TlsContext_Destroy(TlsContext *this);
 
-/** TlsContext_Session() - state of a new connection over @fd */
-SSL *TlsContext_Session(TlsContext *this, int fd);
+/**
+ * TlsContext_Session() - state of a new connection over @fd
+ * @address: IP number that the peer's certificate must name; NULL at a server
+ */
+SSL *TlsContext_Session(TlsContext *this, int fd, const char *address);
 
 #endif
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -223,6 +223,8 @@
     end(f, job, ATTEMPT_RESULT_NOT_RUN, 503);
     g_assert_cmpint(f->action.answer.status, ==, 503);
     g_assert_cmpint(f->action.answer.retry_after, >, 0);
+    /* Nothing says that the service is full, so it comes back soon. */
+    g_assert_cmpint(f->action.answer.retry_after, <=, 30 * MICROS_PER_MS);
 }
 
 /* Guards against a refusal that claims "not run" after an earlier attempt of
@@ -356,7 +358,7 @@
     wait_for(f, OBJECTIVE / 2);
     g_assert_cmpint(f->action.answer.status, ==, 503);
     g_assert_cmpstr(f->action.answer.reason, ==, "overloaded");
-    g_assert_cmpint(f->action.answer.retry_after, >, 0);
+    g_assert_cmpint(f->action.answer.retry_after, >=, 100 * MICROS_PER_MS);
 }
 
 /* Guards against waiting for an upstream that does not tell its load. */
--- /dev/null
+++ b/tests/test_tls.c
@@ -0,0 +1,263 @@
+#include <glib.h>
+#include <glib/gstdio.h>
+#include <openssl/evp.h>
+#include <openssl/pem.h>
+#include <openssl/x509v3.h>
+#include <string.h>
+
+#include "HttpFetch.h"
+#include "HttpServer.h"
+
+#define BODY_BYTES 300000
+#define CERTIFICATE_S 3600
+#define TEST_TIMEOUT (10 * MICROS_PER_S)
+
+/* Files of one self-signed certificate. */
+typedef struct Pair_ {
+    char *certificate;
+    char *key;
+} Pair;
+
+typedef struct Fixture_ {
+    char *folder;
+    Clock *clock;
+    Loop *loop;
+    HttpServer *server;
+    HttpFetch *fetch;
+    GString *received;
+    GString *peer_name;
+    int code;
+    int status;
+    size_t length;
+} Fixture;
+
+static X509 *
+sign(EVP_PKEY *key, const char *name, const char *address)
+{
+    X509 *certificate = X509_new();
+    X509_NAME *subject = X509_get_subject_name(certificate);
+    char *alternative = g_strdup_printf("IP:%s", address);
+    X509_EXTENSION *extension;
+
+    X509_set_version(certificate, 2);
+    ASN1_INTEGER_set(X509_get_serialNumber(certificate), 1);
+    X509_gmtime_adj(X509_getm_notBefore(certificate), -CERTIFICATE_S);
+    X509_gmtime_adj(X509_getm_notAfter(certificate), CERTIFICATE_S);
+    X509_set_pubkey(certificate, key);
+    X509_NAME_add_entry_by_txt(subject, "CN", MBSTRING_ASC,
+                               (const unsigned char *)name, -1, -1, 0);
+    X509_set_issuer_name(certificate, subject);
+    extension =
+        X509V3_EXT_conf_nid(NULL, NULL, NID_subject_alt_name, alternative);
+    X509_add_ext(certificate, extension, -1);
+    X509_EXTENSION_free(extension);
+    X509_sign(certificate, key, EVP_sha256());
+    g_free(alternative);
+    return certificate;
+}
+
+static Pair
+write_pair(const char *folder, const char *name, const char *address)
+{
+    EVP_PKEY *key = EVP_EC_gen("P-256");
+    X509 *certificate = sign(key, name, address);
+    Pair pair = {g_strdup_printf("%s/%s.pem", folder, name),
+                 g_strdup_printf("%s/%s.key", folder, name)};
+    FILE *file = fopen(pair.certificate, "w");
+
+    PEM_write_X509(file, certificate);
+    fclose(file);
+    file = fopen(pair.key, "w");
+    PEM_write_PrivateKey(file, key, NULL, NULL, 0, NULL, NULL);
+    fclose(file);
+    X509_free(certificate);
+    EVP_PKEY_free(key);
+    return pair;
+}
+
+static void
+free_pair(Pair *pair)
+{
+    g_remove(pair->certificate);
+    g_remove(pair->key);
+    g_free(pair->certificate);
+    g_free(pair->key);
+}
+
+static void
+on_request(void *user, HttpRequest *request)
+{
+    Fixture *f = user;
+    Str name = HttpRequest_CertificateName(request);
+
+    g_string_append_len(f->peer_name, name.data, (gssize)name.length);
+}
+
+static void
+on_body(void *user, HttpRequest *request, Str data)
+{
+    Fixture *f = user;
+
+    g_string_append_len(f->received, data.data, (gssize)data.length);
+}
+
+static void
+on_body_end(void *user, HttpRequest *request)
+{
+    Fixture *f = user;
+    HeaderList *headers = HeaderList_Create();
+
+    HttpRequest_Answer(request, 200, headers,
+                       (Str){f->received->str, f->received->len});
+    HeaderList_Destroy(headers);
+}
+
+static void
+on_drained(void *user, HttpRequest *request)
+{
+}
+
+static void
+on_closed(void *user, HttpRequest *request, bool complete)
+{
+}
+
+static const HttpServerHandlers handlers = {
+    on_request, on_body, on_body_end, on_drained, on_closed,
+};
+
+static void
+take_answer(void *user, const HttpFetchAnswer *answer)
+{
+    Fixture *f = user;
+
+    f->code = answer->code;
+    f->status = answer->status;
+    f->length = answer->body.length;
+    Loop_Stop(f->loop);
+}
+
+/* Sends a body both ways; @trusted is the certificate that the client trusts,
+ * @shown the pair that it shows, or NULL. */
+static void
+exchange(Fixture *f, const Pair *own, const Pair *trusted, const Pair *shown,
+         bool callers_need_one)
+{
+    HttpServerOptions server = {
+        .address = "127.0.0.1",
+        .keep_alive_s = 60,
+        .certificate_file = own->certificate,
+        .key_file = own->key,
+        .client_ca_file = callers_need_one ? trusted->certificate : NULL,
+    };
+    HttpClientOptions client = {
+        .ca_file = trusted->certificate,
+        .certificate_file = shown != NULL ? shown->certificate : NULL,
+        .key_file = shown != NULL ? shown->key : NULL,
+    };
+    GString *body = g_string_new(NULL);
+    char *url;
+
+    for (int i = 0; i < BODY_BYTES; i++) {
+        g_string_append_c(body, (gchar)('a' + i % 26));
+    }
+    f->clock = Clock_CreateSystem();
+    f->loop = Loop_Create(f->clock, NULL, NULL);
+    f->received = g_string_new(NULL);
+    f->peer_name = g_string_new(NULL);
+    f->server = HttpServer_Create(f->loop, &server, &handlers, f, NULL);
+    g_assert_nonnull(f->server);
+    url = g_strdup_printf("https://127.0.0.1:%u", HttpServer_Port(f->server));
+    f->fetch = HttpFetch_Create(f->loop, Str_FromC(url), 2 * BODY_BYTES,
+                                &client, NULL);
+    HttpFetch_Send(f->fetch, STR("PUT"), STR("/"), NULL,
+                   (Str){body->str, body->len}, TEST_TIMEOUT, take_answer, f);
+    Loop_Run(f->loop);
+    g_string_free(body, TRUE);
+    g_free(url);
+}
+
+static void
+end_exchange(Fixture *f)
+{
+    Loop_Destroy(f->loop);
+    HttpFetch_Destroy(f->fetch);
+    HttpServer_Destroy(f->server);
+    Clock_Destroy(f->clock);
+    g_string_free(f->received, TRUE);
+    g_string_free(f->peer_name, TRUE);
+}
+
+static void
+set_up(Fixture *f, gconstpointer data)
+{
+    f->folder = g_dir_make_tmp("agatecrank-tls-XXXXXX", NULL);
+}
+
+static void
+tear_down(Fixture *f, gconstpointer data)
+{
+    g_rmdir(f->folder);
+    g_free(f->folder);
+}
+
+/* Guards against bodies that are cut by TLS records, and a caller's
+ * certificate that is not recognized. */
+static void
+test_both_ways(Fixture *f, gconstpointer data)
+{
+    Pair pair = write_pair(f->folder, "host", "127.0.0.1");
+
+    exchange(f, &pair, &pair, &pair, true);
+    g_assert_cmpint(f->code, ==, 0);
+    g_assert_cmpint(f->status, ==, 200);
+    g_assert_cmpuint(f->length, ==, BODY_BYTES);
+    g_assert_cmpstr(f->peer_name->str, ==, "host");
+    end_exchange(f);
+    free_pair(&pair);
+}
+
+/* Guards against a peer that is not the one that was meant, and a caller
+ * without a certificate where one is required. */
+static void
+test_refused(Fixture *f, gconstpointer data)
+{
+    Pair right = write_pair(f->folder, "right", "127.0.0.1");
+    Pair other = write_pair(f->folder, "other", "127.0.0.1");
+    Pair moved = write_pair(f->folder, "moved", "127.0.0.9");
+    const struct {
+        const Pair *own;
+        const Pair *trusted;
+        const Pair *shown;
+        bool needed;
+    } cases[] = {
+        {&right, &other, NULL, false},
+        {&moved, &moved, NULL, false},
+        {&right, &right, NULL, true},
+        {&right, &right, &other, true},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        g_test_message("case %zu", i);
+        exchange(f, cases[i].own, cases[i].trusted, cases[i].shown,
+                 cases[i].needed);
+        g_assert_cmpint(f->code, <, 0);
+        g_assert_cmpuint(f->received->len, ==, 0);
+        end_exchange(f);
+    }
+    free_pair(&right);
+    free_pair(&other);
+    free_pair(&moved);
+}
+
+#define ADD(path, test)                                                       \
+    g_test_add(path, Fixture, NULL, set_up, test, tear_down)
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    ADD("/tls/both-ways", test_both_ways);
+    ADD("/tls/refused", test_refused);
+    return g_test_run();
+}
