--- /dev/null
+++ b/packages/gateway/DispatcherPrivate.h
@@ -0,0 +1,94 @@
+#ifndef AGATECRANK_GATEWAY_DISPATCHERPRIVATE_H
+#define AGATECRANK_GATEWAY_DISPATCHERPRIVATE_H
+
+#include <glib.h>
+
+#include "Dispatcher.h"
+#include "NameTable.h"
+#include "Quarantine.h"
+#include "RequestQueue.h"
+#include "RetryWindow.h"
+#include "UpstreamSet.h"
+
+/* Bounds the upstreams that one request can be tried on. */
+#define ATTEMPTS_MAX 8
+/* An answer takes a few milliseconds more than the work: no time for one. */
+#define ATTEMPT_TIME_MIN (10 * MICROS_PER_MS)
+/* Rounds until it counts as sure that there is no room: a sample of a dozen,
+ * of some hundred upstreams. */
+#define ROUNDS_MAX 5
+#define UPSTREAM_NONE UINT32_MAX
+
+struct Job_ {
+    Dispatcher *owner;
+    void *user;
+    GString *id;
+    RouteTable *table;
+    const Route *route;
+    Fingerprint fingerprint;
+    Micros arrived;
+    Micros deadline; /* of the final answer */
+    Micros sent_at;
+    Micros ask_until; /* when to stop to wait for loads, 0 if it does not */
+    uint32_t asked[ROUNDS_MAX * PLACEMENT_ROUND_MAX];
+    uint32_t asked_count;
+    uint32_t rounds;
+    uint32_t service;
+    uint32_t upstream; /* of the running attempt, or UPSTREAM_NONE */
+    uint32_t tried[ATTEMPTS_MAX];
+    uint32_t tried_count;
+    bool may_have_run;
+    bool queued;
+};
+
+struct Dispatcher_ {
+    DispatcherOptions options;
+    const Clock *clock;
+    Random *random;
+    EventLog *log;
+    EventLog *decisions;
+    Counters *counters;
+    NameTable *services;
+    NameTable *domains;
+    Placement *placement;
+    UpstreamSet *upstreams;
+    Quarantine *quarantine;
+    RouteTable *routes;
+    GPtrArray *windows; /* RetryWindow of each service */
+    GPtrArray *queues;  /* RequestQueue of each service */
+    Micros poll_at;     /* when the heads of the queues ask again */
+    GHashTable *jobs;   /* set of Job */
+    GArray *actions;
+    guint actions_taken;
+};
+
+/** Dispatcher_Count() - add one to a counter with one label */
+void Dispatcher_Count(Dispatcher *this, const char *name, const char *key,
+                      Str value);
+
+/** Dispatcher_PushAction() - to be handed out by Dispatcher_NextAction() */
+void Dispatcher_PushAction(Dispatcher *this, const DispatchAction *action);
+
+/** Dispatcher_Spread() - a random time from half to one and a half of @mean */
+Micros Dispatcher_Spread(Dispatcher *this, Micros mean);
+
+/** Job_Queue() - where requests of the job's service wait */
+RequestQueue *Job_Queue(const Job *job);
+
+/** Job_LeaveQueue() - it waits no longer; no effect if it does not wait */
+void Job_LeaveQueue(Job *job, bool served);
+
+/** Job_EndAttempt() - its attempt is over; no effect without one */
+void Job_EndAttempt(Job *job, AttemptOutcome outcome);
+
+/** Job_End() - release it */
+void Job_End(Job *job);
+
+/** Job_Answer() - answer the caller, which releases the job */
+void Job_Answer(Job *job, int status, const char *reason, Micros retry_after);
+
+/** Job_GiveUp() - the same, with the status that is true: 502 if it may have
+ *                 run, or 503 and when to come back */
+void Job_GiveUp(Job *job, const char *reason);
+
+#endif
--- /dev/null
+++ b/packages/gateway/JobLog.c
@@ -0,0 +1,117 @@
+#include "JobLog.h"
+
+static Str
+upstream_id(const Dispatcher *this, uint32_t index)
+{
+    const UpstreamRecord *record = UpstreamSet_Record(this->upstreams, index);
+
+    return record != NULL ? record->id : STR("gone");
+}
+
+static bool
+begin_line(const Job *job, LogLevel level, const char *event)
+{
+    EventLog *log = job->owner->decisions;
+
+    if (!EventLog_Begin(log, level, event)) {
+        return false;
+    }
+    EventLog_Str(log, "request", (Str){job->id->str, job->id->len});
+    if (job->route != NULL) {
+        EventLog_Str(log, "route", job->route->name);
+        EventLog_Int(log, "version", (int64_t)RouteTable_Version(job->table));
+    }
+    return true;
+}
+
+void
+JobLog_Choice(const Job *job, const PlacementChoice *choice, Micros left)
+{
+    Dispatcher *this = job->owner;
+
+    if (!begin_line(job, LOG_LEVEL_INFO, "route")) {
+        return;
+    }
+    EventLog_Str(this->decisions, "service",
+                 NameTable_Name(this->services, job->service));
+    EventLog_Int(this->decisions, "attempt", job->tried_count);
+    EventLog_Str(this->decisions, "choice",
+                 upstream_id(this, choice->upstream));
+    EventLog_C(this->decisions, "reason", choice->reason);
+    EventLog_Real(this->decisions, "cost", choice->cost);
+    EventLog_Real(this->decisions, "busy", choice->busy);
+    EventLog_Int(this->decisions, "pace_percent", choice->pace_percent);
+    EventLog_Int(this->decisions, "age_us", choice->age);
+    EventLog_Int(this->decisions, "asked", job->asked_count);
+    EventLog_Int(this->decisions, "left_ms", left / MICROS_PER_MS);
+    EventLog_End(this->decisions);
+}
+
+static const char *
+result_word(AttemptResult result)
+{
+    switch (result) {
+    case ATTEMPT_RESULT_ANSWER:
+        return "answer";
+    case ATTEMPT_RESULT_NOT_RUN:
+        return "not-run";
+    case ATTEMPT_RESULT_MOVED:
+        return "moved";
+    case ATTEMPT_RESULT_UNSENT:
+        return "unsent";
+    case ATTEMPT_RESULT_BROKEN:
+        return "broken";
+    }
+    return "unknown";
+}
+
+void
+JobLog_AttemptEnd(const Job *job, uint32_t upstream, const AttemptEndInfo *end)
+{
+    Dispatcher *this = job->owner;
+    bool good = end->result == ATTEMPT_RESULT_ANSWER && end->status < 500;
+
+    Dispatcher_Count(this, "agatecrank_attempts_total", "result",
+                     Str_FromC(result_word(end->result)));
+    if (!begin_line(job, good ? LOG_LEVEL_DEBUG : LOG_LEVEL_INFO, "attempt")) {
+        return;
+    }
+    EventLog_Str(this->decisions, "upstream", upstream_id(this, upstream));
+    EventLog_C(this->decisions, "result", result_word(end->result));
+    EventLog_Int(this->decisions, "status", end->status);
+    EventLog_Int(this->decisions, "took_ms",
+                 (Clock_Now(this->clock) - job->sent_at) / MICROS_PER_MS);
+    EventLog_End(this->decisions);
+}
+
+void
+JobLog_Refusal(const Job *job, int status, const char *reason)
+{
+    Dispatcher *this = job->owner;
+
+    if (!begin_line(job, LOG_LEVEL_INFO, "refuse")) {
+        return;
+    }
+    EventLog_Int(this->decisions, "status", status);
+    EventLog_C(this->decisions, "reason", reason);
+    EventLog_Int(this->decisions, "attempts", job->tried_count);
+    EventLog_Int(this->decisions, "held_ms",
+                 (Clock_Now(this->clock) - job->arrived) / MICROS_PER_MS);
+    EventLog_End(this->decisions);
+}
+
+void
+JobLog_CallerGone(const Job *job)
+{
+    Dispatcher *this = job->owner;
+
+    if (begin_line(job, LOG_LEVEL_INFO, "caller-gone")) {
+        EventLog_Str(this->decisions, "upstream",
+                     upstream_id(this, job->upstream));
+        EventLog_Int(this->decisions, "held_ms",
+                     (Clock_Now(this->clock) - job->arrived) / MICROS_PER_MS);
+        EventLog_End(this->decisions);
+    }
+    Dispatcher_Count(this, "agatecrank_attempts_total", "result",
+                     STR("caller-gone"));
+}
--- /dev/null
+++ b/packages/gateway/JobLog.h
@@ -0,0 +1,19 @@
+#ifndef AGATECRANK_GATEWAY_JOBLOG_H
+#define AGATECRANK_GATEWAY_JOBLOG_H
+
+#include "DispatcherPrivate.h"
+
+/** JobLog_Choice() - an upstream was chosen; @left: time left to the job */
+void JobLog_Choice(const Job *job, const PlacementChoice *choice, Micros left);
+
+/** JobLog_AttemptEnd() - an attempt ended */
+void JobLog_AttemptEnd(const Job *job, uint32_t upstream,
+                       const AttemptEndInfo *end);
+
+/** JobLog_Refusal() - the host answers by itself */
+void JobLog_Refusal(const Job *job, int status, const char *reason);
+
+/** JobLog_CallerGone() - the caller closed its connection */
+void JobLog_CallerGone(const Job *job);
+
+#endif
--- /dev/null
+++ b/packages/gateway/JobPlacing.h
@@ -0,0 +1,27 @@
+#ifndef AGATECRANK_GATEWAY_JOBPLACING_H
+#define AGATECRANK_GATEWAY_JOBPLACING_H
+
+#include "DispatcherPrivate.h"
+
+/**
+ * JobPlacing_Place() - send a job, ask for loads first, or let it wait
+ *
+ * Return: false if there is no upstream.
+ */
+bool JobPlacing_Place(Job *job);
+
+/** JobPlacing_ServeQueue() - send what waits for a service while there is room
+ *                            that is known to be there now */
+void JobPlacing_ServeQueue(Dispatcher *this, uint32_t service);
+
+/** JobPlacing_OnLoadsKnown() - the jobs that wait for loads may go on */
+void JobPlacing_OnLoadsKnown(Dispatcher *this);
+
+/** JobPlacing_OnTime() - end waits that are over, ask for room again */
+void JobPlacing_OnTime(Dispatcher *this);
+
+/** JobPlacing_DueTime() - when the job is to be looked at; its deadline if it
+ *                         waits for no load */
+Micros JobPlacing_DueTime(const Job *job);
+
+#endif
--- a/packages/gateway/Placement.c
+++ b/packages/gateway/Placement.c
@@ -448,7 +448,7 @@
               PlacementScope scope, uint32_t *upstreams)
 {
     Service *service = service_at(this, query->service);
-    Candidate candidates[PLACEMENT_ROUND_MAX];
+    Candidate candidates[PLACEMENT_ROUND_MAX] = {{0, 0}};
     Micros now = Clock_Now(this->clock);
     size_t n = 0;
     float busy;
--- a/packages/gateway/RequestQueue.c
+++ b/packages/gateway/RequestQueue.c
@@ -38,26 +38,25 @@
     g_free(this);
 }
 
-/* Returns the first entry that is less urgent; NULL if there is none. */
-static GList *
-place_of(const RequestQueue *this, unsigned priority, size_t *ahead)
+/* Returns the number of entries that are as urgent or more. */
+static size_t
+count_ahead(const RequestQueue *this, unsigned priority)
 {
-    GList *link = this->entries->head;
+    size_t n = 0;
 
-    *ahead = 0;
-    while (link != NULL && ((Entry *)link->data)->priority <= priority) {
-        link = link->next;
-        (*ahead)++;
+    for (GList *link = this->entries->head;
+         link != NULL && ((Entry *)link->data)->priority <= priority;
+         link = link->next) {
+        n++;
     }
-    return link;
+    return n;
 }
 
 Micros
 RequestQueue_ExpectedWait(const RequestQueue *this, unsigned priority)
 {
-    size_t ahead;
+    size_t ahead = count_ahead(this, priority);
 
-    place_of(this, priority, &ahead);
     if (this->entries->length == 0) {
         return 0;
     }
@@ -72,8 +71,7 @@
                   Micros patience)
 {
     Entry *entry;
-    size_t ahead;
-    GList *place = place_of(this, priority, &ahead);
+    size_t ahead = count_ahead(this, priority);
 
     if (patience <= 0 ||
         RequestQueue_ExpectedWait(this, priority) > patience) {
@@ -86,7 +84,7 @@
     entry->item = item;
     entry->priority = priority;
     entry->until = Clock_Now(this->clock) + patience;
-    g_queue_insert_before(this->entries, place, entry);
+    g_queue_push_nth(this->entries, entry, (gint)ahead);
     return true;
 }
 
