--- a/packages/gateway/Placement.c
+++ b/packages/gateway/Placement.c
@@ -57,6 +57,10 @@
 
 /* Difference of costs that does not decide who is asked. */
 #define ASK_JITTER 0.2F
+/* Asking one that was not heard of for so long opens a connection, as both
+ * ends close idle ones. */
+#define CONNECTED_TIME (8 * MICROS_PER_S)
+#define CONNECT_COST 0.15F
 
 typedef struct Service_ {
     GArray *upstreams; /* uint32_t */
@@ -421,6 +425,20 @@
     float cost;
 } Candidate;
 
+static float
+cost_of_asking(Placement *this, const Service *service, const Load *load,
+               Micros now)
+{
+    float busy;
+    float cost = cost_of(service, load, now, &busy);
+
+    if (load->report_at < 0 || now - load->report_at > CONNECTED_TIME) {
+        cost += CONNECT_COST;
+    }
+    /* The lot decides between those that look alike. */
+    return cost + ASK_JITTER * (float)Random_Unit(this->random);
+}
+
 /* Keeps the @most cheapest in order. */
 static size_t
 keep_cheapest(Candidate *candidates, size_t n, size_t most, Candidate one)
@@ -451,7 +469,6 @@
     Candidate candidates[PLACEMENT_ROUND_MAX] = {{0, 0}};
     Micros now = Clock_Now(this->clock);
     size_t n = 0;
-    float busy;
 
     for (guint i = 0; i < service->upstreams->len; i++) {
         uint32_t upstream = g_array_index(service->upstreams, uint32_t, i);
@@ -462,12 +479,9 @@
             !is_usable(load, query, upstream) || is_fresh(load, now)) {
             continue;
         }
-        /* The lot decides between those that look alike. */
         n = keep_cheapest(
             candidates, n, PLACEMENT_ROUND_MAX,
-            (Candidate){upstream,
-                        cost_of(service, load, now, &busy) +
-                            ASK_JITTER * (float)Random_Unit(this->random)});
+            (Candidate){upstream, cost_of_asking(this, service, load, now)});
     }
     n = spend(this, n);
     for (size_t i = 0; i < n; i++) {
