net: mend two stalls of long bodies

Cause 2: a connection whose answer was paused by its last piece went back to the pool paused, and the next call on it never ended. Tests: test_http upload-in-pieces and paused-at-the-end, both hung before.

--- a/packages/net/HttpClient.c
+++ b/packages/net/HttpClient.c
@@ -49,6 +49,7 @@
     HttpCallHandlers handlers;
     void *user;
     LoopTimer *deferred_failure;
+    LoopTask *drained; /* tells that more of the body may be written */
     GString *match_name;
     GString *match_value;
     int64_t content_length;
@@ -96,6 +97,7 @@
 destroy_call(HttpCall *call)
 {
     LoopTimer_Destroy(call->deferred_failure);
+    LoopTask_Destroy(call->drained);
     g_string_free(call->match_name, TRUE);
     g_string_free(call->match_value, TRUE);
     g_free(call);
@@ -223,6 +225,8 @@
     detach_call(call);
     this->answered = false;
     if (reusable) {
+        /* The last piece may have paused it. */
+        Socket_Pause(this->socket, false);
         this->idle_since = Clock_Now(Loop_Clock(this->client->loop));
         g_queue_push_head(this->peer->idle, this);
     }
@@ -283,14 +287,23 @@
     release_connection(this);
 }
 
+static void
+tell_drained(void *user)
+{
+    HttpCall *call = user;
+
+    if (call->content_given < call->content_length) {
+        call->handlers.on_drained(call->user, call);
+    }
+}
+
 static void
 on_drained(void *user)
 {
     Connection *this = user;
-    HttpCall *call = this->call;
 
-    if (call != NULL && call->content_given < call->content_length) {
-        call->handlers.on_drained(call->user, call);
+    if (this->call != NULL) {
+        tell_drained(this->call);
     }
 }
 
@@ -621,12 +634,29 @@
     return this->opened;
 }
 
+/* What was sent at once never waited, so the socket reports nothing. */
+static void
+tell_if_drained(HttpCall *this)
+{
+    if (!this->connection->connected ||
+        Socket_Buffered(this->connection->socket) > 0 ||
+        this->content_given >= this->content_length) {
+        return;
+    }
+    if (this->drained == NULL) {
+        this->drained =
+            LoopTask_Create(this->client->loop, tell_drained, this);
+    }
+    LoopTask_Schedule(this->drained);
+}
+
 void
 HttpCall_WriteBody(HttpCall *this, Str data)
 {
     this->content_given += (int64_t)data.length;
     if (this->connection != NULL) {
         Socket_Write(this->connection->socket, data);
+        tell_if_drained(this);
     }
 }
 
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -524,6 +524,128 @@
     tear_down(&f);
 }
 
+/* ---- calls without HttpFetch ---------------------------------------- */
+
+static void
+pausing_data(void *user, HttpCall *call, Str data)
+{
+    HttpCall_PauseAnswer(call, true);
+}
+
+/* One body that is written piece by piece, each when the last was sent. */
+typedef struct Upload_ {
+    Fixture *f;
+    size_t sent;
+    bool done;
+} Upload;
+
+static void
+upload_headers(void *user, HttpCall *call, int status,
+               const HeaderList *headers)
+{
+}
+
+static void
+upload_data(void *user, HttpCall *call, Str data)
+{
+}
+
+static void
+upload_drained(void *user, HttpCall *call)
+{
+    Upload *upload = user;
+    char piece[PIECE];
+    size_t n = MIN(PIECE, MANY_BYTES - upload->sent);
+
+    for (size_t i = 0; i < n; i++) {
+        piece[i] = pattern_at(upload->sent + i);
+    }
+    upload->sent += n;
+    HttpCall_WriteBody(call, (Str){piece, n});
+}
+
+static void
+upload_complete(void *user, HttpCall *call)
+{
+    Upload *upload = user;
+
+    upload->done = true;
+    Loop_Stop(upload->f->loop);
+}
+
+static void
+upload_failed(void *user, HttpCall *call, HttpCallFailure failure,
+              bool bytes_given, const Error *error)
+{
+    g_assert_not_reached();
+}
+
+/* Guards against a body that stops because a piece was sent at once, on a new
+ * connection and on one that is open. */
+static void
+test_upload_in_pieces(void)
+{
+    static const HttpCallHandlers call_handlers = {
+        upload_headers, upload_data, upload_drained, upload_complete,
+        upload_failed};
+    HttpClientOptions options = {.max_connections = 1};
+    HttpCallSpec spec = {
+        .address = "127.0.0.1",
+        .method = STR("PUT"),
+        .path = STR("/upload"),
+        .content_length = MANY_BYTES,
+    };
+    HttpClient *client;
+    Fixture f;
+
+    set_up(&f);
+    client = HttpClient_Create(f.loop, &options);
+    spec.port = HttpServer_Port(f.server);
+    for (int i = 0; i < 2; i++) {
+        Upload upload = {&f, 0, false};
+        HttpCall *call =
+            HttpClient_Start(client, &spec, &call_handlers, &upload, NULL);
+
+        upload_drained(&upload, call);
+        Loop_Run(f.loop);
+        g_assert_true(upload.done);
+    }
+    HttpClient_Destroy(client);
+    tear_down(&f);
+}
+
+/* Guards against a connection that stays paused when the last piece of an
+ * answer paused it: the next call on it would never end. */
+static void
+test_paused_at_the_end(void)
+{
+    static const HttpCallHandlers call_handlers = {
+        upload_headers, pausing_data, upload_drained, upload_complete,
+        upload_failed};
+    HttpClientOptions options = {.max_connections = 1};
+    HttpCallSpec spec = {
+        .address = "127.0.0.1",
+        .method = STR("GET"),
+        .path = STR("/hello"),
+    };
+    HttpClient *client;
+    Fixture f;
+
+    set_up(&f);
+    client = HttpClient_Create(f.loop, &options);
+    spec.port = HttpServer_Port(f.server);
+    for (int i = 0; i < 2; i++) {
+        Upload upload = {&f, 0, false};
+
+        HttpClient_Start(client, &spec, &call_handlers, &upload, NULL);
+        Loop_Run(f.loop);
+        g_assert_true(upload.done);
+    }
+    g_assert_cmpuint(HttpClient_Opened(client), ==, 1);
+    HttpClient_Destroy(client);
+    tear_down(&f);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -540,5 +662,7 @@
     g_test_add_func("/net/http/silent-peer", test_silent_peer);
     g_test_add_func("/net/http/caller-goes-away", test_caller_goes_away);
     g_test_add_func("/net/http/pipelined", test_pipelined);
+    g_test_add_func("/net/http/upload-in-pieces", test_upload_in_pieces);
+    g_test_add_func("/net/http/paused-at-the-end", test_paused_at_the_end);
     return g_test_run();
 }
