Share the extra repeats out over 200 hosts

Each host took one more than its part: with 137 hosts 282 extra repeats in 10 s where 212 are allowed.

--- a/packages/agatecrankd/GatewayDaemon.c
+++ b/packages/agatecrankd/GatewayDaemon.c
@@ -234,7 +234,7 @@
         .domain = this->settings->domain,
         .retry_window = bounds->retry_window,
         .retry_share = bounds->retry_share * RETRY_MARGIN,
-        .retry_extra = 1 + bounds->retry_extra / RETRY_HOSTS_MAX,
+        .retry_extra = bounds->retry_extra / RETRY_HOSTS_MAX,
         .questions_per_s = bounds->questions_per_s,
         .return_grace = MIN(RETURN_GRACE, bounds->drain_time * 9 / 10),
     };
--- a/packages/net/Loop.h
+++ b/packages/net/Loop.h
@@ -21,7 +21,7 @@
 struct lws_vhost;
 
 /**
- * Loop_Create() - a loop on libwebsockets' poll backend
+ * Loop_Create() - a loop on libev, shared with libwebsockets
  * @clock: borrowed
  * @log: borrowed; receives the library's own errors, may be NULL
  *
