--- a/packages/agatecrankd/GatewayDaemon.c
+++ b/packages/agatecrankd/GatewayDaemon.c
@@ -15,7 +15,7 @@
 #define SERIES_MAX 512
 /* A release of hundreds of upstreams fits into some seconds. */
 #define STATE_LINES_PER_S 200
-/* Hosts that a service's repeats are shared by, at most; see below. */
+/* Hosts that share the extra repeats, at most; the largest site has 137. */
 #define RETRY_HOSTS_MAX 200
 /* The part of the shared bound that is spent: hosts see different windows. */
 #define RETRY_MARGIN 0.95
@@ -228,8 +228,8 @@
 create_dispatcher(GatewayDaemon *this)
 {
     const GatewayBounds *bounds = &this->settings->bounds;
-    /* A host does not know how many others there are; each gets the part of
-     * the extra repeats that is safe with the most hosts. */
+    /* A host does not know how many others there are, so each takes the part
+     * that is safe with the most. */
     DispatcherOptions options = {
         .domain = this->settings->domain,
         .retry_window = bounds->retry_window,
