standins: a connection is idle only after its first request

The verdict depended on the machine's speed. Change: the idle time begins after an answer; a request sent 0.3 s after connecting must be answered, which fails before this change.

--- a/standins/HttpConnection.c
+++ b/standins/HttpConnection.c
@@ -36,7 +36,7 @@
     server->opened++;
     g_hash_table_add(server->connections, this);
     server->peak = MAX(server->peak, HttpServer_Connections(server));
-    watch_idle(this);
+    /* Not idle before its first request, however slow the peer is. */
     return this;
 }
 
--- a/tests/test_standins.sh
+++ b/tests/test_standins.sh
@@ -139,12 +139,24 @@
     expect "deadline" "$(standin_value deadline status_504)" -eq 10
 }
 
+# late_request PORT: status of a request sent 0.3 s after connecting
+late_request() (
+    exec {fd}<> "/dev/tcp/127.0.0.1/$1" || return 1
+    sleep 0.3
+    printf 'GET /load HTTP/1.1\r\nhost: standin\r\nconnection: close\r\n\r\n' >&"$fd"
+    read -r _ status _ <&"$fd"
+    echo "$status"
+)
+
 # An upstream that closes idle connections must make a client open new ones.
 test_idle() {
     standin_control u '{"all":true,"idle_ms":1}' > /dev/null
     standin_call idle "$(standin_targets u)" --rate 20 --count 10
     expect "idle ok" "$(standin_value idle ok)" -ge 1
     expect "connections after idle" "$(standin_value idle connections)" -gt 3
+    # A connection that has carried no request yet is not idle: the control
+    # call below comes late on a busy machine.
+    expect "late first request" "$(late_request "$(standin_ports u | tail -n 1)")" = 200
     standin_control u '{"all":true,"idle_ms":0}' > /dev/null
 }
 
