--- a/bench/bench_config.c
+++ b/bench/bench_config.c
@@ -343,8 +343,7 @@
         const GString *record = records->pdata[i];
 
         if (ConfigState_Apply(state, ConfigState_Offset(state),
-                              (Str){record->str, record->len}, NULL,
-                              NULL) != 0) {
+                              Str_FromString(record), NULL, NULL) != 0) {
             g_error("change %u was refused", i);
         }
     }
@@ -408,12 +407,12 @@
     ConfigState_WriteSnapshot(state, text);
     write = cpu_seconds() - start;
     start = cpu_seconds();
-    if (ConfigState_LoadSnapshot(other, (Str){text->str, text->len}, NULL)) {
+    if (ConfigState_LoadSnapshot(other, Str_FromString(text), NULL)) {
         g_error("snapshot was refused");
     }
     load = cpu_seconds() - start;
     start = cpu_seconds();
-    ConfigState_CheckSnapshot(other, (Str){text->str, text->len}, NULL);
+    ConfigState_CheckSnapshot(other, Str_FromString(text), NULL);
     check = cpu_seconds() - start;
     printf("snapshot_bytes=%zu\nsnapshot_records=%u\n", text->len,
            Snapshot_Chunks(text->len, SNAPSHOT_CHUNK_BYTES));
--- a/bench/bench_outcomes.c
+++ b/bench/bench_outcomes.c
@@ -317,7 +317,7 @@
                         .key_time_ms = 1700000000000};
         }
         ClaimRecord_Write(1, batch, n, record);
-        one.record = (Str){record->str, record->len};
+        one.record = Str_FromString(record);
         Claims_OnRecords(claims, &read);
         bytes += record->len;
         g_string_free(record, TRUE);
--- a/packages/agatecrank/AdminClient.c
+++ b/packages/agatecrank/AdminClient.c
@@ -136,8 +136,7 @@
     }
     else {
         result->status = answer->status;
-        g_string_append_len(result->text, answer->body.data,
-                            (gssize)answer->body.length);
+        Str_AppendTo(answer->body, result->text);
         result->body =
             json_loadb(result->text->str, result->text->len, 0, NULL);
     }
@@ -162,8 +161,7 @@
 
     OperatorAuth_Sign(&signed_call, this->settings->operator_name,
                       this->secret, value);
-    HeaderList_Add(headers, STR("authorization"),
-                   (Str){value->str, value->len});
+    HeaderList_Add(headers, STR("authorization"), Str_FromString(value));
     call->answer->host = this->settings->admin_urls.items[host];
     call->answer->text = g_string_new(NULL);
     HttpFetch_Send(this->fetches[host], signed_call.method, signed_call.target,
--- a/packages/agatecrank/CheckCommand.c
+++ b/packages/agatecrank/CheckCommand.c
@@ -22,7 +22,7 @@
             return COMMAND_USAGE;
         }
         ConfigDocument_Destroy(
-            ConfigDocument_Parse((Str){text->str, text->len}, faults));
+            ConfigDocument_Parse(Str_FromString(text), faults));
         g_string_free(text, TRUE);
     }
     if (Faults_Count(faults) > 0) {
--- a/packages/agatecrank/DrainCommand.c
+++ b/packages/agatecrank/DrainCommand.c
@@ -151,7 +151,7 @@
     }
     publisher.replica = this->replica;
     document = write_document(this, service);
-    code = Publisher_Run(&publisher, (Str){document->str, document->len});
+    code = Publisher_Run(&publisher, Str_FromString(document));
     g_string_free(document, TRUE);
     return code;
 }
--- a/packages/agatecrank/PublishCommand.c
+++ b/packages/agatecrank/PublishCommand.c
@@ -35,8 +35,7 @@
     if (this->text == NULL) {
         return COMMAND_USAGE;
     }
-    this->document =
-        parse_document(this->path, (Str){this->text->str, this->text->len});
+    this->document = parse_document(this->path, Str_FromString(this->text));
     if (this->document == NULL) {
         return COMMAND_USAGE;
     }
@@ -87,7 +86,7 @@
     if (code != COMMAND_OK) {
         return code;
     }
-    text = (Str){this->text->str, this->text->len};
+    text = Str_FromString(this->text);
     if (!this->dry_run) {
         return Publisher_Run(&this->publisher, text);
     }
--- a/packages/agatecrank/Publisher.c
+++ b/packages/agatecrank/Publisher.c
@@ -173,7 +173,7 @@
 
     Publication_Write(publication, record);
     fprintf(stderr, "publishing id=%s\n", publication->id);
-    code = Replica_Append(this->replica, (Str){record->str, record->len});
+    code = Replica_Append(this->replica, Str_FromString(record));
     g_string_free(record, TRUE);
     /* An earlier call with this id may have written it. */
     if (code == ERR_UNAVAILABLE && this->id == NULL) {
--- a/packages/agatecrankd/GatewayDaemon.c
+++ b/packages/agatecrankd/GatewayDaemon.c
@@ -123,7 +123,7 @@
     Counters_Write(this->counters, text);
     HeaderList_Add(headers, STR("content-type"),
                    STR("text/plain; version=0.0.4"));
-    HttpRequest_Answer(request, 200, headers, (Str){text->str, text->len});
+    HttpRequest_Answer(request, 200, headers, Str_FromString(text));
     g_string_free(text, TRUE);
     HeaderList_Destroy(headers);
 }
--- a/packages/agatecrankd/main.c
+++ b/packages/agatecrankd/main.c
@@ -124,12 +124,11 @@
     if (text == NULL) {
         code = print_faults(faults);
     }
-    else if (GatewaySettings_IsOne((Str){text->str, text->len})) {
-        code = start_gateway(path, (Str){text->str, text->len}, check, faults);
+    else if (GatewaySettings_IsOne(Str_FromString(text))) {
+        code = start_gateway(path, Str_FromString(text), check, faults);
     }
     else {
-        code =
-            start_balancer(path, (Str){text->str, text->len}, check, faults);
+        code = start_balancer(path, Str_FromString(text), check, faults);
     }
     if (text != NULL) {
         g_string_free(text, TRUE);
--- a/packages/base/EventLog.c
+++ b/packages/base/EventLog.c
@@ -148,7 +148,7 @@
         append_quoted(this->line, value);
         return;
     }
-    g_string_append_len(this->line, value.data, (gssize)value.length);
+    Str_AppendTo(value, this->line);
 }
 
 void
@@ -191,8 +191,7 @@
         return;
     }
     this->open = false;
-    this->sink(this->user, this->line_level,
-               (Str){this->line->str, this->line->len});
+    this->sink(this->user, this->line_level, Str_FromString(this->line));
 }
 
 uint64_t
--- a/packages/base/Str.c
+++ b/packages/base/Str.c
@@ -11,6 +11,35 @@
     return (Str){text, text != NULL ? strlen(text) : 0};
 }
 
+Str
+Str_FromString(const GString *string)
+{
+    return (Str){string->str, string->len};
+}
+
+Str
+Str_FromBytes(const GByteArray *bytes)
+{
+    return (Str){(const char *)bytes->data, bytes->len};
+}
+
+GString *
+Str_ToString(Str s)
+{
+    GString *string = g_string_sized_new(s.length);
+
+    Str_AppendTo(s, string);
+    return string;
+}
+
+void
+Str_AppendTo(Str s, GString *out)
+{
+    if (s.length > 0) {
+        g_string_append_len(out, s.data, (gssize)s.length);
+    }
+}
+
 bool
 Str_Equal(Str a, Str b)
 {
--- a/packages/base/Str.h
+++ b/packages/base/Str.h
@@ -1,6 +1,7 @@
 #ifndef AGATECRANK_BASE_STR_H
 #define AGATECRANK_BASE_STR_H
 
+#include <glib.h>
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
@@ -25,6 +26,18 @@
 /** Str_FromC() - borrow a zero-terminated string; NULL gives an empty Str */
 Str Str_FromC(const char *text);
 
+/** Str_FromString() - borrow the bytes of a GString */
+Str Str_FromString(const GString *string);
+
+/** Str_FromBytes() - borrow the bytes of a GByteArray */
+Str Str_FromBytes(const GByteArray *bytes);
+
+/** Str_ToString() - copy the bytes to a new GString, which the caller frees */
+GString *Str_ToString(Str s);
+
+/** Str_AppendTo() - append the bytes to a GString */
+void Str_AppendTo(Str s, GString *out);
+
 /** Str_Equal() - compare byte by byte; not constant in time */
 bool Str_Equal(Str a, Str b);
 
--- a/packages/config/ConfigLoad.c
+++ b/packages/config/ConfigLoad.c
@@ -114,8 +114,7 @@
 {
     ConfigSource *source = g_hash_table_lookup(loader->known, &offset);
 
-    if (source == NULL ||
-        !Str_Equal(record, (Str){source->record->str, source->record->len})) {
+    if (source == NULL || !Str_Equal(record, Str_FromString(source->record))) {
         return NULL;
     }
     return ConfigSource_Ref(source);
@@ -133,9 +132,8 @@
     const Version *version = NULL;
 
     if (publication != NULL) {
-        document = ConfigDocument_Parse(
-            (Str){publication->document->str, publication->document->len},
-            faults);
+        document = ConfigDocument_Parse(Str_FromString(publication->document),
+                                        faults);
     }
     if (document != NULL) {
         version = g_hash_table_lookup(loader->versions, publication->author);
--- a/packages/config/ConfigRule.c
+++ b/packages/config/ConfigRule.c
@@ -206,7 +206,7 @@
     const GString *text = trial->publication->document;
     Faults *faults = Faults_Create(Str_FromC(trial->publication->id));
     ConfigDocument *document =
-        ConfigDocument_Parse((Str){text->str, text->len}, faults);
+        ConfigDocument_Parse(Str_FromString(text), faults);
 
     if (document == NULL) {
         Faults_Write(faults, trial->verdict->text);
@@ -307,7 +307,7 @@
 {
     ConfigHistory *history =
         g_hash_table_lookup(state->histories, verdict->author);
-    Str text = {verdict->text->str, verdict->text->len};
+    Str text = Str_FromString(verdict->text);
 
     if (history == NULL || verdict->outcome == CONFIG_DUPLICATE ||
         verdict->outcome == CONFIG_FORGED) {
@@ -441,8 +441,7 @@
     g_string_truncate(verdict->text, 0);
     verdict->offset = this->offset;
     Publication_Write(publication, record);
-    judge_record(copy, publication, (Str){record->str, record->len}, false,
-                 verdict);
+    judge_record(copy, publication, Str_FromString(record), false, verdict);
     g_string_free(record, TRUE);
     if (report(verdict, error) != 0) {
         ConfigState_Destroy(copy);
--- a/packages/config/ConfigSource.c
+++ b/packages/config/ConfigSource.c
@@ -9,7 +9,7 @@
     this->references = 1;
     this->offset = offset;
     g_strlcpy(this->author, author, sizeof(this->author));
-    this->record = g_string_new_len(record.data, (gssize)record.length);
+    this->record = Str_ToString(record);
     this->document = document;
     this->authority = ConfigSource_Ref(authority);
     return this;
--- a/packages/config/ConfigStore.c
+++ b/packages/config/ConfigStore.c
@@ -150,8 +150,7 @@
             write_item(item, out);
         }
         g_string_append_c(out, '\n');
-        g_string_append_len(out, source->record->str,
-                            (gssize)source->record->len);
+        Str_AppendTo(Str_FromString(source->record), out);
         g_string_append_c(out, '\n');
     }
     g_array_free(items, TRUE);
--- a/packages/config/ConfigSync.c
+++ b/packages/config/ConfigSync.c
@@ -116,8 +116,8 @@
 ConfigSync_Load(ConfigSync *this, const GString *snapshot)
 {
     Error error = {0};
-    int code = ConfigState_LoadSnapshot(
-        this->state, (Str){snapshot->str, snapshot->len}, &error);
+    int code = ConfigState_LoadSnapshot(this->state, Str_FromString(snapshot),
+                                        &error);
 
     if (code == 0) {
         ConfigTail_Clear(this->tail);
@@ -150,8 +150,8 @@
 static bool
 is_good(const ConfigSync *this, const GString *snapshot)
 {
-    return ConfigState_CheckSnapshot(
-               this->state, (Str){snapshot->str, snapshot->len}, NULL) == 0;
+    return ConfigState_CheckSnapshot(this->state, Str_FromString(snapshot),
+                                     NULL) == 0;
 }
 
 /* Signatures do not cover the offset. A forged one beyond the end of the log
@@ -159,8 +159,7 @@
 static bool
 is_within_log(ConfigSync *this, const GString *snapshot, uint64_t *offset)
 {
-    int code = ConfigState_SnapshotOffset((Str){snapshot->str, snapshot->len},
-                                          offset);
+    int code = ConfigState_SnapshotOffset(Str_FromString(snapshot), offset);
 
     if (code == 0 && (*offset <= this->log_end ||
                       (this->options.test_faults & CONFIG_FAULT_BEYOND))) {
@@ -327,8 +326,7 @@
     ConfigState_WriteSnapshot(this->state, this->writing);
     this->writing_offset = ConfigState_Offset(this->state);
     this->writing_index = 0;
-    Snapshot_Digest((Str){this->writing->str, this->writing->len},
-                    this->writing_digest);
+    Snapshot_Digest(Str_FromString(this->writing), this->writing_digest);
 }
 
 void
@@ -445,7 +443,7 @@
     this->appending = true;
     memset(action, 0, sizeof(*action));
     action->type = CONFIG_ACTION_APPEND;
-    action->append.record = (Str){this->record->str, this->record->len};
+    action->append.record = Str_FromString(this->record);
     return true;
 }
 
--- a/packages/config/ConfigTail.c
+++ b/packages/config/ConfigTail.c
@@ -82,8 +82,7 @@
 
     kept->offset = record->offset;
     kept->time_ms = record->time_ms;
-    kept->data = g_string_new_len(record->data.length ? record->data.data : "",
-                                  (gssize)record->data.length);
+    kept->data = Str_ToString(record->data);
     memcpy(kept->before, before, SNAPSHOT_DIGEST);
     g_queue_push_tail(this->records, kept);
     this->bytes += record->data.length + sizeof(*kept);
@@ -128,8 +127,7 @@
     this->snapshot = g_string_new(NULL);
     ConfigState_WriteSnapshot(state, this->snapshot);
     this->snapshot_offset = ConfigState_Offset(state);
-    Snapshot_Digest((Str){this->snapshot->str, this->snapshot->len},
-                    this->snapshot_digest);
+    Snapshot_Digest(Str_FromString(this->snapshot), this->snapshot_digest);
 }
 
 static void
--- a/packages/config/Publication.c
+++ b/packages/config/Publication.c
@@ -34,8 +34,7 @@
         return NULL;
     }
     this->base = base;
-    this->document = g_string_new_len(document.length ? document.data : "",
-                                      (gssize)document.length);
+    this->document = Str_ToString(document);
     return this;
 }
 
@@ -148,7 +147,7 @@
     for (int i = 0; i < 8; i++) {
         g_string_append_c(out, (char)((uint64_t)part.length >> (8 * i)));
     }
-    g_string_append_len(out, part.data, (gssize)part.length);
+    Str_AppendTo(part, out);
 }
 
 void
@@ -160,7 +159,7 @@
     append_part(out, Str_FromC(this->id));
     append_part(out, Str_FromC(this->author));
     append_part(out, Str_FromC(base));
-    append_part(out, (Str){this->document->str, this->document->len});
+    append_part(out, Str_FromString(this->document));
 }
 
 int
--- a/packages/config/Settings.c
+++ b/packages/config/Settings.c
@@ -402,7 +402,7 @@
     if (text == NULL) {
         return NULL;
     }
-    this = Settings_Parse((Str){text->str, text->len}, faults);
+    this = Settings_Parse(Str_FromString(text), faults);
     g_string_free(text, TRUE);
     return this;
 }
--- a/packages/config/Snapshot.c
+++ b/packages/config/Snapshot.c
@@ -44,7 +44,7 @@
         g_string_append_printf(out, "%02x", chunk->digest[i]);
     }
     g_string_append_printf(out, " %u %u\n", chunk->index, chunk->count);
-    g_string_append_len(out, chunk->data.data, (gssize)chunk->data.length);
+    Str_AppendTo(chunk->data, out);
 }
 
 static bool
@@ -174,8 +174,7 @@
     GString *whole = g_string_sized_new(part->bytes + 1);
 
     for (uint32_t i = 0; i < part->count; i++) {
-        g_string_append_len(whole, part->pieces[i]->str,
-                            (gssize)part->pieces[i]->len);
+        Str_AppendTo(Str_FromString(part->pieces[i]), whole);
     }
     return whole;
 }
@@ -187,7 +186,7 @@
     uint8_t digest[SNAPSHOT_DIGEST];
     bool right;
 
-    Snapshot_Digest((Str){whole->str, whole->len}, digest);
+    Snapshot_Digest(Str_FromString(whole), digest);
     right = memcmp(digest, part->digest, SNAPSHOT_DIGEST) == 0;
     g_string_free(whole, TRUE);
     return right;
@@ -205,9 +204,7 @@
     }
     part = find_part(this, chunk);
     if (part->pieces[chunk->index] == NULL) {
-        part->pieces[chunk->index] =
-            g_string_new_len(chunk->data.length ? chunk->data.data : "",
-                             (gssize)chunk->data.length);
+        part->pieces[chunk->index] = Str_ToString(chunk->data);
         part->bytes += chunk->data.length;
         part->missing--;
     }
--- a/packages/core/balancer/Balancer.c
+++ b/packages/core/balancer/Balancer.c
@@ -334,9 +334,8 @@
     }
     action = add_action(this, BALANCER_REPLAY, request->id);
     g_string_truncate(this->replay, 0);
-    g_string_append_len(this->replay, claim->answer.data,
-                        (gssize)claim->answer.length);
-    action->replay = (Str){this->replay->str, this->replay->len};
+    Str_AppendTo(claim->answer, this->replay);
+    action->replay = Str_FromString(this->replay);
     Balancer_CountOutcome(this, request, OUTCOME_RAN, "replayed");
     Exchange_OnAnswered(request->exchange);
     end_request(this, request);
@@ -514,8 +513,7 @@
     size_t offset = 0;
 
     for (size_t i = 0; i < G_N_ELEMENTS(parts); i++) {
-        g_string_append_len(request->text, parts[i].data,
-                            (gssize)parts[i].length);
+        Str_AppendTo(parts[i], request->text);
         g_string_append_c(request->text, '\0');
     }
     request->request_id = keep_text(request, &offset);
--- a/packages/core/claims/ClaimHolders.c
+++ b/packages/core/claims/ClaimHolders.c
@@ -23,7 +23,7 @@
 {
     const Holder *holder = key;
 
-    return (guint)Str_HashSeeded((Str){holder->host->str, holder->host->len},
+    return (guint)Str_HashSeeded(Str_FromString(holder->host),
                                  holder->incarnation);
 }
 
@@ -87,7 +87,7 @@
 uint32_t
 ClaimHolders_Take(ClaimHolders *this, Str host, uint64_t incarnation)
 {
-    GString *name = g_string_new_len(host.data, (gssize)host.length);
+    GString *name = Str_ToString(host);
     Holder probe = {.host = name, .incarnation = incarnation};
     Holder *holder = g_hash_table_lookup(this->index, &probe);
 
@@ -125,7 +125,7 @@
 {
     const Holder *holder = this->holders->pdata[number];
 
-    return (Str){holder->host->str, holder->host->len};
+    return Str_FromString(holder->host);
 }
 
 uint64_t
--- a/packages/core/claims/Claims.c
+++ b/packages/core/claims/Claims.c
@@ -64,9 +64,8 @@
 
     this->options = *options;
     this->clock = clock;
-    this->host =
-        g_string_new_len(options->host.data, (gssize)options->host.length);
-    this->options.host = (Str){this->host->str, this->host->len};
+    this->host = Str_ToString(options->host);
+    this->options.host = Str_FromString(this->host);
     this->hosts = g_ptr_array_new();
     this->holders = ClaimHolders_Create();
     this->partitions = g_new0(Partition, options->partitions);
@@ -124,9 +123,7 @@
 
     free_hosts(this);
     for (size_t i = 0; i < n; i++) {
-        g_ptr_array_add(
-            this->hosts,
-            g_string_new_len(hosts[i].data, (gssize)hosts[i].length));
+        g_ptr_array_add(this->hosts, Str_ToString(hosts[i]));
     }
     for (uint32_t i = 0; i < this->options.partitions; i++) {
         ClaimBatcher_SetRate(this->partitions[i].direct,
@@ -149,7 +146,7 @@
     for (guint i = 0; i < this->hosts->len; i++) {
         const GString *name = this->hosts->pdata[i];
 
-        if (Str_Equal(host, (Str){name->str, name->len})) {
+        if (Str_Equal(host, Str_FromString(name))) {
             return true;
         }
     }
--- a/packages/core/claims/ClaimsLog.c
+++ b/packages/core/claims/ClaimsLog.c
@@ -30,7 +30,7 @@
     collectors[1] = Claims_Host(this);
     for (guint i = 0; i < this->hosts->len && this->options.collect; i++) {
         const GString *name = this->hosts->pdata[i];
-        Str host = {name->str, name->len};
+        Str host = Str_FromString(name);
         uint64_t weight = Str_HashSeeded(host, COLLECTOR_SEED + partition);
 
         if (i == 0 || weight > weights[0]) {
@@ -132,7 +132,7 @@
 
     action.append.id = this->next_append++;
     action.append.partition = partition;
-    action.append.record = (Str){record->str, record->len};
+    action.append.record = Str_FromString(record);
     g_hash_table_insert(this->appends, GSIZE_TO_POINTER(action.append.id),
                         GUINT_TO_POINTER(partition + 1));
     ClaimActions_Add(this->actions, &action);
--- a/packages/core/claims/ClaimsPeer.c
+++ b/packages/core/claims/ClaimsPeer.c
@@ -5,7 +5,7 @@
 {
     ClaimAction action = {
         .kind = CLAIM_QUERY,
-        .host = {pending->holder->str, pending->holder->len},
+        .host = Str_FromString(pending->holder),
     };
 
     action.query = (ClaimOutcomeQuery){
@@ -40,7 +40,7 @@
     pending->wait = QUERY_WAIT;
     pending->holder_incarnation = incarnation;
     g_string_truncate(pending->holder, 0);
-    g_string_append_len(pending->holder, holder.data, (gssize)holder.length);
+    Str_AppendTo(holder, pending->holder);
     if (Str_Equal(holder, Claims_Host(this)) || !Claims_IsLive(this, holder)) {
         answer_gone(this, pending);
         return;
@@ -233,7 +233,7 @@
     if (pending == NULL || pending->state != PENDING_ASKING ||
         pending->number != reply->number ||
         reply->to_incarnation != this->options.incarnation ||
-        !Str_Equal(from, (Str){pending->holder->str, pending->holder->len})) {
+        !Str_Equal(from, Str_FromString(pending->holder))) {
         return;
     }
     switch (reply->state) {
--- a/packages/gateway/Dispatcher.c
+++ b/packages/gateway/Dispatcher.c
@@ -309,8 +309,7 @@
 
     job->owner = this;
     job->user = user;
-    job->id = g_string_new_len(info->id.length ? info->id.data : "",
-                               (gssize)info->id.length);
+    job->id = Str_ToString(info->id);
     job->arrived = Clock_Now(this->clock);
     job->deadline = job->arrived;
     job->upstream = UPSTREAM_NONE;
--- a/packages/gateway/Gateway.c
+++ b/packages/gateway/Gateway.c
@@ -47,12 +47,6 @@
     bool paused;
 } Exchange;
 
-static Str
-bytes_of(const GByteArray *bytes)
-{
-    return (Str){(const char *)bytes->data, bytes->len};
-}
-
 static Exchange *
 create_exchange(Gateway *this, HttpRequest *request)
 {
@@ -150,7 +144,7 @@
 relay(Exchange *exchange, bool whole)
 {
     HeaderList *headers = HeaderList_Create();
-    Str body = bytes_of(exchange->answer);
+    Str body = Str_FromBytes(exchange->answer);
     int64_t length = HeaderList_ContentLength(exchange->answer_headers);
 
     HeaderList_CopyEndToEnd(exchange->answer_headers, headers);
@@ -358,7 +352,7 @@
         .path = HttpRequest_Path(exchange->request),
         .headers = headers,
         .content_length = (int64_t)exchange->body->len,
-        .body = bytes_of(exchange->body),
+        .body = Str_FromBytes(exchange->body),
         .idle_max = action->send.idempotent ? 0 : this->options.reuse_idle,
         .match_name = dialect->attempt_id,
         .match_value = HeaderList_Get(HttpRequest_Headers(exchange->request),
@@ -408,7 +402,7 @@
 {
     Question *question = user;
     const Dialect *dialect = question->gateway->options.dialect;
-    Str instance = {question->instance->str, question->instance->len};
+    Str instance = Str_FromString(question->instance);
 
     question->told =
         Str_Equal(HeaderList_Get(headers, dialect->instance_id), instance) &&
@@ -465,8 +459,7 @@
 
     question->gateway = this;
     question->upstream = action->ask.upstream;
-    question->instance = g_string_new_len(action->ask.instance.data,
-                                          (gssize)action->ask.instance.length);
+    question->instance = Str_ToString(action->ask.instance);
     question->timer =
         LoopTimer_Create(this->loop, on_question_timeout, question);
     question->call = HttpClient_Start(this->client, &spec, &question_handlers,
@@ -581,7 +574,7 @@
         .method = HttpRequest_Method(request),
         .host = HeaderList_Get(headers, STR("host")),
         .path = HttpRequest_Path(request),
-        .body = bytes_of(exchange->body),
+        .body = Str_FromBytes(exchange->body),
         .timeout = caller_timeout(this, headers),
     };
 
--- a/packages/gateway/JobLog.c
+++ b/packages/gateway/JobLog.c
@@ -16,7 +16,7 @@
     if (!EventLog_Begin(log, level, event)) {
         return false;
     }
-    EventLog_Str(log, "request", (Str){job->id->str, job->id->len});
+    EventLog_Str(log, "request", Str_FromString(job->id));
     if (job->route != NULL) {
         EventLog_Str(log, "route", job->route->name);
         EventLog_Int(log, "version", (int64_t)RouteTable_Version(job->table));
--- a/packages/gateway/RouteTable.c
+++ b/packages/gateway/RouteTable.c
@@ -51,10 +51,10 @@
 write_key(GString *key, Str host, Str prefix)
 {
     g_string_truncate(key, 0);
-    g_string_append_len(key, host.data, (gssize)host.length);
+    Str_AppendTo(host, key);
     g_string_ascii_down(key);
     g_string_append_c(key, ' ');
-    g_string_append_len(key, prefix.data, (gssize)prefix.length);
+    Str_AppendTo(prefix, key);
 }
 
 static bool
@@ -109,7 +109,7 @@
         return Error_Set(error, ERR_CONFLICT, "add-route", route->name,
                          "another route has the host and the prefix");
     }
-    kept = TextStore_Copy(this->store, (Str){key->str, key->len});
+    kept = TextStore_Copy(this->store, Str_FromString(key));
     g_hash_table_insert(this->routes, (gpointer)kept.data,
                         copy_route(this, route));
     g_string_free(key, TRUE);
--- a/packages/gateway/UpstreamSet.c
+++ b/packages/gateway/UpstreamSet.c
@@ -72,7 +72,7 @@
 static Listed *
 find(const UpstreamSet *this, Str id)
 {
-    GString *key = g_string_new_len(id.data, (gssize)id.length);
+    GString *key = Str_ToString(id);
     Listed *found = g_hash_table_lookup(this->by_id, key);
 
     g_string_free(key, TRUE);
@@ -128,9 +128,9 @@
         .warmup = entry->warmup,
     };
 
-    listed->id = g_string_new_len(entry->id.data, (gssize)entry->id.length);
+    listed->id = Str_ToString(entry->id);
     listed->index = free_index(this);
-    listed->record.id = (Str){listed->id->str, listed->id->len};
+    listed->record.id = Str_FromString(listed->id);
     listed->record.service = info.service;
     g_hash_table_insert(this->by_id, listed->id, listed);
     g_ptr_array_index(this->by_index, listed->index) = listed;
--- a/packages/net/Admin.c
+++ b/packages/net/Admin.c
@@ -33,8 +33,7 @@
     GString *line = g_string_new(text);
 
     g_string_append_c(line, '\n');
-    answer_text(request, status, "application/json",
-                (Str){line->str, line->len});
+    answer_text(request, status, "application/json", Str_FromString(line));
     g_string_free(line, TRUE);
     free(text);
     json_decref(root);
@@ -130,7 +129,7 @@
     update_probe_gauges(this);
     Counters_Write(this->options.counters, text);
     answer_text(request, 200, "text/plain; version=0.0.4",
-                (Str){text->str, text->len});
+                Str_FromString(text));
     g_string_free(text, TRUE);
 }
 
@@ -332,7 +331,7 @@
     GString *body = HttpRequest_Data(request);
 
     if (body != NULL) {
-        g_string_append_len(body, data.data, (gssize)data.length);
+        Str_AppendTo(data, body);
     }
 }
 
@@ -342,7 +341,7 @@
     const GString *body = HttpRequest_Data(request);
 
     if (body != NULL) {
-        answer_signed(user, request, (Str){body->str, body->len});
+        answer_signed(user, request, Str_FromString(body));
     }
 }
 
--- a/packages/net/AdminReads.c
+++ b/packages/net/AdminReads.c
@@ -150,8 +150,7 @@
         json_object_set_new(item, "changed",
                             json_integer((json_int_t)ConfigState_Changed(
                                 options->config, kind, object->name)));
-        json_object_set_new(item, "toml",
-                            json_str((Str){text->str, text->len}));
+        json_object_set_new(item, "toml", json_str(Str_FromString(text)));
         json_array_append_new(items, item);
         g_string_free(text, TRUE);
     }
@@ -534,9 +533,8 @@
                             json_string(ConfigVerdict_Name(verdict.outcome)));
         json_object_set_new(root, "offset",
                             json_integer((json_int_t)verdict.offset));
-        json_object_set_new(
-            root, "text",
-            json_str((Str){verdict.text->str, verdict.text->len}));
+        json_object_set_new(root, "text",
+                            json_str(Str_FromString(verdict.text)));
     }
     ConfigVerdict_Clear(&verdict);
     return root;
--- a/packages/net/HeaderList.c
+++ b/packages/net/HeaderList.c
@@ -47,10 +47,9 @@
 
     g_array_set_size(this->headers, this->headers->len + 1);
     header = &g_array_index(this->headers, Header, this->headers->len - 1);
-    header->name = g_string_new_len(name.data, (gssize)name.length);
+    header->name = Str_ToString(name);
     g_string_ascii_down(header->name);
-    header->value =
-        g_string_new_len(value.length ? value.data : "", (gssize)value.length);
+    header->value = Str_ToString(value);
 }
 
 void
@@ -67,7 +66,7 @@
 {
     GString *name = g_array_index(this->headers, Header, i).name;
 
-    return (Str){name->str, name->len};
+    return Str_FromString(name);
 }
 
 void
@@ -94,7 +93,7 @@
         if (Str_EqualIgnoreCase(name_at(this, i), name)) {
             GString *value = g_array_index(this->headers, Header, i).value;
 
-            return (Str){value->str, value->len};
+            return Str_FromString(value);
         }
     }
     return (Str){NULL, 0};
@@ -134,7 +133,7 @@
     GString *text = g_array_index(this->headers, Header, i).value;
 
     *name = name_at(this, i);
-    *value = (Str){text->str, text->len};
+    *value = Str_FromString(text);
 }
 
 bool
--- a/packages/net/HttpClient.c
+++ b/packages/net/HttpClient.c
@@ -136,8 +136,8 @@
 static bool
 is_other_answer(const HttpCall *call, const HttpHead *head)
 {
-    Str name = {call->match_name->str, call->match_name->len};
-    Str expected = {call->match_value->str, call->match_value->len};
+    Str name = Str_FromString(call->match_name);
+    Str expected = Str_FromString(call->match_value);
 
     return name.length > 0 && HeaderList_Has(head->headers, name) &&
            !Str_Equal(HeaderList_Get(head->headers, name), expected);
@@ -503,24 +503,13 @@
     call->user = user;
     call->content_length = spec->content_length;
     call->is_head = Str_Equal(spec->method, STR("HEAD"));
-    call->match_name =
-        g_string_new_len(spec->match_name.length ? spec->match_name.data : "",
-                         (gssize)spec->match_name.length);
-    call->match_value = g_string_new_len(
-        spec->match_value.length ? spec->match_value.data : "",
-        (gssize)spec->match_value.length);
+    call->match_name = Str_ToString(spec->match_name);
+    call->match_value = Str_ToString(spec->match_value);
     g_snprintf(call->error.peer, sizeof(call->error.peer), "%s:%u",
                spec->address, spec->port);
     return call;
 }
 
-static void
-append(GString *out, Str text)
-{
-    g_string_append_len(out, text.length ? text.data : "",
-                        (gssize)text.length);
-}
-
 static bool
 has_body_method(Str method)
 {
@@ -539,10 +528,10 @@
     for (size_t i = 0;
          spec->headers != NULL && i < HeaderList_Count(spec->headers); i++) {
         HeaderList_At(spec->headers, i, &name, &value);
-        append(out, name);
-        append(out, STR(": "));
-        append(out, value);
-        append(out, STR("\r\n"));
+        Str_AppendTo(name, out);
+        Str_AppendTo(STR(": "), out);
+        Str_AppendTo(value, out);
+        Str_AppendTo(STR("\r\n"), out);
     }
     if (spec->content_length > 0 || has_body_method(spec->method)) {
         g_string_append_printf(out, "content-length: %" G_GINT64_FORMAT "\r\n",
@@ -555,15 +544,15 @@
 {
     GString *out = g_string_sized_new(512 + spec->body.length);
 
-    append(out, spec->method);
-    append(out, STR(" "));
-    append(out, spec->path);
-    append(out, STR(" HTTP/1.1\r\n"));
+    Str_AppendTo(spec->method, out);
+    Str_AppendTo(STR(" "), out);
+    Str_AppendTo(spec->path, out);
+    Str_AppendTo(STR(" HTTP/1.1\r\n"), out);
     append_fields(out, spec);
-    append(out, STR("\r\n"));
-    append(out, spec->body);
+    Str_AppendTo(STR("\r\n"), out);
+    Str_AppendTo(spec->body, out);
     call->content_given = (int64_t)spec->body.length;
-    Socket_Write(call->connection->socket, (Str){out->str, out->len});
+    Socket_Write(call->connection->socket, Str_FromString(out));
     g_string_free(out, TRUE);
 }
 
--- a/packages/net/HttpFetch.c
+++ b/packages/net/HttpFetch.c
@@ -106,7 +106,7 @@
         .status = fetch->status,
         .bytes_given = bytes_given,
         .headers = fetch->headers,
-        .body = {(const char *)fetch->body->data, fetch->body->len},
+        .body = Str_FromBytes(fetch->body),
         .error = error,
     };
 
@@ -209,8 +209,8 @@
         .content_length = (int64_t)body.length,
     };
 
-    g_string_append_len(full, path.data, (gssize)path.length);
-    spec.path = (Str){full->str, full->len};
+    Str_AppendTo(path, full);
+    spec.path = Str_FromString(full);
     fetch->owner = this;
     fetch->handler = handler;
     fetch->user = user;
--- a/packages/net/HttpParser.c
+++ b/packages/net/HttpParser.c
@@ -31,8 +31,8 @@
 add_field(HttpParser *this)
 {
     if (this->value_seen) {
-        HeaderList_Add(this->headers, (Str){this->name->str, this->name->len},
-                       (Str){this->value->str, this->value->len});
+        HeaderList_Add(this->headers, Str_FromString(this->name),
+                       Str_FromString(this->value));
         g_string_truncate(this->name, 0);
         g_string_truncate(this->value, 0);
         this->value_seen = false;
@@ -93,7 +93,7 @@
     add_field(this);
     if (this->kind == HTTP_PARSER_REQUESTS) {
         head.method = Str_FromC(http_method_str(library->method));
-        head.target = (Str){this->target->str, this->target->len};
+        head.target = Str_FromString(this->target);
     }
     head.keep_alive = http_should_keep_alive(library);
     head.framing = framing_of(this);
@@ -376,7 +376,7 @@
         data.length -= 2;
         *used += 2;
     }
-    g_string_append_len(this->head, data.data, (gssize)data.length);
+    Str_AppendTo(data, this->head);
     found =
         g_strstr_len(this->head->str + this->searched,
                      (gssize)(this->head->len - this->searched), "\r\n\r\n");
@@ -391,12 +391,12 @@
         *used += data.length;
         this->searched = this->head->len > 3 ? this->head->len - 3 : 0;
         /* Refused now: with a bare LF the end may never come. */
-        return check_bytes((Str){this->head->str, this->head->len}, error);
+        return check_bytes(Str_FromString(this->head), error);
     }
     *used += end - before;
     g_string_truncate(this->head, end);
     *whole = true;
-    return check_head((Str){this->head->str, this->head->len}, error);
+    return check_head(Str_FromString(this->head), error);
 }
 
 static int
@@ -420,8 +420,7 @@
             return code;
         }
         this->state = STATE_BODY;
-        code = run_library(this, (Str){this->head->str, this->head->len}, &n,
-                           error);
+        code = run_library(this, Str_FromString(this->head), &n, error);
         if (code < 0 || this->ended) {
             return code;
         }
--- a/packages/net/HttpServer.c
+++ b/packages/net/HttpServer.c
@@ -168,7 +168,7 @@
                     "content-length: %zu\r\nconnection: close\r\n\r\n%s",
                     status, http_status_str((enum http_status)status), reason,
                     body->len, body->str);
-    Socket_Write(this->socket, (Str){answer->str, answer->len});
+    Socket_Write(this->socket, Str_FromString(answer));
     g_string_free(answer, TRUE);
     g_string_free(body, TRUE);
 }
@@ -247,10 +247,8 @@
     this->server = server;
     this->connection = connection;
     this->headers = HttpParser_TakeHeaders(connection->parser);
-    this->method =
-        g_string_new_len(head->method.data, (gssize)head->method.length);
-    this->path =
-        g_string_new_len(head->target.data, (gssize)head->target.length);
+    this->method = Str_ToString(head->method);
+    this->path = Str_ToString(head->target);
     this->content_length = head->length;
     this->output = g_byte_array_new();
     this->is_head = Str_Equal(head->method, STR("HEAD"));
@@ -421,7 +419,7 @@
     if (ahead->len > 0) {
         wait_at_most(this, this->server->limits.head_time);
     }
-    parse(this, (Str){(const char *)ahead->data, ahead->len});
+    parse(this, Str_FromBytes(ahead));
     g_byte_array_free(ahead, TRUE);
     update_flow(this);
 }
@@ -432,8 +430,7 @@
     HttpRequest *request = this->request;
 
     if (request->output->len > 0) {
-        Socket_Write(this->socket, (Str){(const char *)request->output->data,
-                                         request->output->len});
+        Socket_Write(this->socket, Str_FromBytes(request->output));
         g_byte_array_set_size(request->output, 0);
     }
     if (Socket_Buffered(this->socket) > 0) {
@@ -701,13 +698,13 @@
 Str
 HttpRequest_Method(const HttpRequest *this)
 {
-    return (Str){this->method->str, this->method->len};
+    return Str_FromString(this->method);
 }
 
 Str
 HttpRequest_Path(const HttpRequest *this)
 {
-    return (Str){this->path->str, this->path->len};
+    return Str_FromString(this->path);
 }
 
 const HeaderList *
--- a/packages/net/KeyedCodec.c
+++ b/packages/net/KeyedCodec.c
@@ -17,10 +17,9 @@
         BigEndian_Append(out, record->key.length, 4);
         BigEndian_Append(out, record->removed ? REMOVED : record->value.length,
                          4);
-        g_string_append_len(out, record->key.data, (gssize)record->key.length);
+        Str_AppendTo(record->key, out);
         if (!record->removed) {
-            g_string_append_len(out, record->value.data,
-                                (gssize)record->value.length);
+            Str_AppendTo(record->value, out);
         }
     }
 }
--- a/packages/net/KeyedFollower.c
+++ b/packages/net/KeyedFollower.c
@@ -35,12 +35,6 @@
 
 static void on_page(void *user, const KeyedPage *page);
 
-static Str
-text_of(const GString *text)
-{
-    return (Str){text->str, text->len};
-}
-
 /* A read that the log holds can not be told from one that is lost, nor from
  * one that missed a record which was written just then. Both happen around
  * outages, when many hosts read anew. */
@@ -72,13 +66,14 @@
     this->reading = true;
     switch (this->state) {
     case STATE_SNAPSHOT:
-        source->read_newest(source->self, text_of(this->topic),
-                            text_of(this->after), this->options.timeout,
+        source->read_newest(source->self, Str_FromString(this->topic),
+                            Str_FromString(this->after), this->options.timeout,
                             on_page, this);
         break;
     case STATE_TAIL:
-        source->read_tail(source->self, text_of(this->topic), this->next, wait,
-                          wait + this->options.timeout, on_page, this);
+        source->read_tail(source->self, Str_FromString(this->topic),
+                          this->next, wait, wait + this->options.timeout,
+                          on_page, this);
         break;
     }
 }
@@ -107,7 +102,7 @@
 
     if (EventLog_Begin(this->log, level,
                        this->reachable ? "store-regained" : "store-lost")) {
-        EventLog_Str(this->log, "topic", text_of(this->topic));
+        EventLog_Str(this->log, "topic", Str_FromString(this->topic));
         EventLog_C(this->log, "reason", code < 0 ? Error_Name(code) : "none");
         EventLog_Int(this->log, "offset", (int64_t)this->next);
         EventLog_End(this->log);
@@ -118,7 +113,7 @@
 log_position(KeyedFollower *this, const char *event, size_t records)
 {
     if (EventLog_Begin(this->log, LOG_LEVEL_INFO, event)) {
-        EventLog_Str(this->log, "topic", text_of(this->topic));
+        EventLog_Str(this->log, "topic", Str_FromString(this->topic));
         EventLog_Int(this->log, "offset", (int64_t)this->next);
         EventLog_Int(this->log, "records", (int64_t)records);
         EventLog_End(this->log);
@@ -143,14 +138,11 @@
     for (size_t i = 0; i < page->count; i++) {
         const KeyedRecord *record = &page->records[i];
 
-        g_hash_table_add(
-            this->keys,
-            g_string_new_len(record->key.data, (gssize)record->key.length));
+        g_hash_table_add(this->keys, Str_ToString(record->key));
         KeyedMirror_Put(this->mirror, record);
         this->handlers.on_record(this->user, record);
         g_string_truncate(this->after, 0);
-        g_string_append_len(this->after, record->key.data,
-                            (gssize)record->key.length);
+        Str_AppendTo(record->key, this->after);
     }
     /* Pages are no snapshot of one moment, so what changed since the first
      * one is read again. */
@@ -235,8 +227,7 @@
     this->clock = Loop_Clock(loop);
     this->random = random;
     this->log = log;
-    this->topic =
-        g_string_new_len(options->topic.data, (gssize)options->topic.length);
+    this->topic = Str_ToString(options->topic);
     this->after = g_string_new(NULL);
     this->keys =
         g_hash_table_new_full((GHashFunc)g_string_hash,
--- a/packages/net/KeyedMirror.c
+++ b/packages/net/KeyedMirror.c
@@ -35,10 +35,8 @@
 {
     Kept *kept = g_new0(Kept, 1);
 
-    kept->key = g_string_new_len(record->key.data, (gssize)record->key.length);
-    kept->value =
-        g_string_new_len(record->value.length > 0 ? record->value.data : "",
-                         (gssize)record->value.length);
+    kept->key = Str_ToString(record->key);
+    kept->value = Str_ToString(record->value);
     kept->offset = record->offset;
     kept->removed = record->removed;
     kept->references = 1;
@@ -127,8 +125,8 @@
 record_of(const Kept *kept)
 {
     return (KeyedRecord){
-        .key = {kept->key->str, kept->key->len},
-        .value = {kept->value->str, kept->value->len},
+        .key = Str_FromString(kept->key),
+        .value = Str_FromString(kept->value),
         .removed = kept->removed,
         .offset = kept->offset,
     };
--- a/packages/net/KeyedRelay.c
+++ b/packages/net/KeyedRelay.c
@@ -58,7 +58,7 @@
     GString *body = g_string_new(NULL);
 
     KeyedCodec_Write(KeyedMirror_End(mirror), records, body);
-    answer(request, 200, (Str){body->str, body->len});
+    answer(request, 200, Str_FromString(body));
     g_string_free(body, TRUE);
 }
 
--- a/packages/net/KeyedSource.c
+++ b/packages/net/KeyedSource.c
@@ -147,12 +147,6 @@
     g_free(read);
 }
 
-static Str
-text_of(const GString *text)
-{
-    return (Str){text->str, text->len};
-}
-
 static void
 log_peer_failure(const Read *read, const HttpFetchAnswer *answer)
 {
@@ -258,14 +252,14 @@
     }
     this->store_calls++;
     if (read->newest) {
-        store->read_newest(store->self, text_of(read->topic),
-                           text_of(read->after), read->timeout, on_store_page,
-                           read);
+        store->read_newest(store->self, Str_FromString(read->topic),
+                           Str_FromString(read->after), read->timeout,
+                           on_store_page, read);
     }
     else {
-        store->read_tail(store->self, text_of(read->topic), read->from, held,
-                         read->timeout - read->wait + held, on_store_page,
-                         read);
+        store->read_tail(store->self, Str_FromString(read->topic), read->from,
+                         held, read->timeout - read->wait + held,
+                         on_store_page, read);
     }
 }
 
@@ -284,8 +278,8 @@
                         "&wait_ms=%" G_GINT64_FORMAT,
                         read->topic->str, read->from, wait / MICROS_PER_MS);
     }
-    HttpFetch_Send(read->peer->fetch, STR("GET"), text_of(path), NULL, STR(""),
-                   wait + PEER_TIMEOUT, on_peer_answer, read);
+    HttpFetch_Send(read->peer->fetch, STR("GET"), Str_FromString(path), NULL,
+                   STR(""), wait + PEER_TIMEOUT, on_peer_answer, read);
     g_string_free(path, TRUE);
 }
 
@@ -323,9 +317,8 @@
     Read *read = g_new0(Read, 1);
 
     read->source = this;
-    read->topic = g_string_new_len(topic.data, (gssize)topic.length);
-    read->after =
-        g_string_new_len(after.length ? after.data : "", (gssize)after.length);
+    read->topic = Str_ToString(topic);
+    read->after = Str_ToString(after);
     read->timeout = timeout;
     read->handler = handler;
     read->user = user;
--- a/packages/net/PeerExchange.c
+++ b/packages/net/PeerExchange.c
@@ -97,7 +97,7 @@
         return ERR_NOT_FOUND;
     }
     return PeerLink_Send(this->link, view.address, view.key,
-                         (Str){this->bytes->str, this->bytes->len});
+                         Str_FromString(this->bytes));
 }
 
 void
@@ -153,7 +153,7 @@
     if (this->link == NULL || !choose_peer(this, choice, &peer) ||
         PeerCodec_WriteFetch(&from, fetch, this->bytes) < 0 ||
         PeerLink_Send(this->link, peer.address, peer.key,
-                      (Str){this->bytes->str, this->bytes->len}) < 0) {
+                      Str_FromString(this->bytes)) < 0) {
         ConfigSync_OnFetchFailed(this->sync);
     }
 }
@@ -166,7 +166,7 @@
     while (Membership_NextMessage(this->membership, &to, this->bytes)) {
         if (this->link != NULL) {
             PeerLink_Send(this->link, to.address, to.key,
-                          (Str){this->bytes->str, this->bytes->len});
+                          Str_FromString(this->bytes));
         }
     }
 }
@@ -553,11 +553,8 @@
     this->names = (PeerNames){name_of, index_of, this};
     this->bytes = g_string_new(NULL);
     this->gossip = g_new0(Gossip, 1);
-    this->deployment =
-        g_string_new_len(options->link.deployment.data,
-                         (gssize)options->link.deployment.length);
-    this->host =
-        g_string_new_len(options->host.data, (gssize)options->host.length);
+    this->deployment = Str_ToString(options->link.deployment);
+    this->host = Str_ToString(options->host);
     if (options->link.keys != NULL) {
         this->link = PeerLink_Create(&options->link, loop, log, on_message,
                                      this, error);
--- a/packages/net/Proxy.c
+++ b/packages/net/Proxy.c
@@ -109,12 +109,6 @@
     Proxy_Drain(this);
 }
 
-static Str
-text_of(const GString *text)
-{
-    return (Str){text->str, text->len};
-}
-
 static void
 copy_headers(const HeaderList *from, HeaderList *to)
 {
@@ -152,10 +146,9 @@
     request->http = http;
     request->headers = HeaderList_Create();
     copy_headers(HttpRequest_Headers(http), request->headers);
-    request->method = g_string_new_len(method.data, (gssize)method.length);
-    request->path = g_string_new_len(path.data, (gssize)path.length);
-    request->host =
-        g_string_new_len(host.length ? host.data : "", (gssize)host.length);
+    request->method = Str_ToString(method);
+    request->path = Str_ToString(path);
+    request->host = Str_ToString(host);
     request->body = g_byte_array_new();
     request->body_length = HttpRequest_ContentLength(http);
     request->body_kept =
@@ -181,7 +174,7 @@
 
     if (request->http != NULL) {
         HttpRequest_Answer(request->http, action->answer.status, headers,
-                           text_of(body));
+                           Str_FromString(body));
     }
     HeaderList_Destroy(headers);
     g_string_free(body, TRUE);
@@ -240,8 +233,7 @@
     if (request->body->len == 0) {
         return;
     }
-    HttpCall_WriteBody(
-        call, (Str){(const char *)request->body->data, request->body->len});
+    HttpCall_WriteBody(call, Str_FromBytes(request->body));
     if (!request->body_kept) {
         g_byte_array_set_size(request->body, 0);
     }
@@ -252,7 +244,7 @@
 {
     ForwardInfo info = {
         .request_id = Str_FromC(request->request_id),
-        .host = text_of(request->host),
+        .host = Str_FromString(request->host),
         .caller = action->send.caller,
         .line = action->send.line,
         .left = action->send.deadline - Clock_Now(Loop_Clock(this->loop)),
@@ -264,8 +256,8 @@
     HttpCallSpec spec = {
         .address = action->send.address,
         .port = action->send.port,
-        .method = text_of(request->method),
-        .path = text_of(request->path),
+        .method = Str_FromString(request->method),
+        .path = Str_FromString(request->path),
         .headers = headers,
         .content_length = request->body_length,
         .new_connection = action->send.new_connection,
@@ -510,8 +502,7 @@
     request->attempt = NULL;
     LoopTimer_Stop(request->timer);
     if (end == ATTEMPT_END_WHOLE && request->record != NULL) {
-        kept =
-            (Str){(const char *)request->record->data, request->record->len};
+        kept = Str_FromBytes(request->record);
     }
     if (end == ATTEMPT_END_WHOLE && request->http != NULL) {
         HttpRequest_Finish(request->http);
@@ -600,9 +591,9 @@
     uint64_t hops = 0;
     RequestInfo info = {
         .request_id = Str_FromC(request->request_id),
-        .method = text_of(request->method),
-        .path = text_of(request->path),
-        .service = ProxyHeaders_Service(text_of(request->host)),
+        .method = Str_FromString(request->method),
+        .path = Str_FromString(request->path),
+        .service = ProxyHeaders_Service(Str_FromString(request->host)),
         .credential = {(const char *)digest, known ? sizeof(digest) : 0},
         .key = HeaderList_Get(headers, STR("idempotency-key")),
         .deadline = ProxyHeaders_Deadline(headers),
--- a/standins/AnswerCheck.c
+++ b/standins/AnswerCheck.c
@@ -84,7 +84,7 @@
         this->text = g_string_new(NULL);
     }
     if (this->text->len < TEXT_BYTES_MAX) {
-        g_string_append_len(this->text, piece.data, (gssize)piece.length);
+        Str_AppendTo(piece, this->text);
     }
 }
 
--- a/standins/BodyDigest.c
+++ b/standins/BodyDigest.c
@@ -46,7 +46,7 @@
     if (length == 0 || this->found) {
         return;
     }
-    g_string_append_len(this->tail, piece.data, (gssize)piece.length);
+    Str_AppendTo(piece, this->tail);
     this->found =
         memmem(this->tail->str, this->tail->len, this->marker, length) != NULL;
     if (this->tail->len >= length) {
--- a/standins/Control.c
+++ b/standins/Control.c
@@ -9,7 +9,7 @@
         body = g_string_new(NULL);
         HttpRequest_SetData(request, body);
     }
-    g_string_append_len(body, piece.data, (gssize)piece.length);
+    Str_AppendTo(piece, body);
 }
 
 Str
@@ -17,7 +17,7 @@
 {
     const GString *body = HttpRequest_Data(request);
 
-    return body != NULL ? (Str){body->str, body->len} : STR("");
+    return body != NULL ? Str_FromString(body) : STR("");
 }
 
 void
--- a/standins/HttpClient.c
+++ b/standins/HttpClient.c
@@ -182,7 +182,7 @@
 static bool
 read_head(ClientConnection *this)
 {
-    Str bytes = {this->input->str, this->input->len};
+    Str bytes = Str_FromString(this->input);
     int code = HttpMessage_Parse(&this->message, bytes);
     uint64_t status = 0;
 
@@ -249,7 +249,7 @@
     if (this->has_head) {
         return read_answer(this, bytes);
     }
-    g_string_append_len(this->input, bytes.data, (gssize)bytes.length);
+    Str_AppendTo(bytes, this->input);
     if (!read_head(this)) {
         return this->kill ? -1 : 0;
     }
--- a/standins/HttpConnection.c
+++ b/standins/HttpConnection.c
@@ -109,7 +109,7 @@
 begin_request(HttpConnection *this)
 {
     static HttpMessage message;
-    Str bytes = {this->input->str, this->input->len};
+    Str bytes = Str_FromString(this->input);
     HttpRequest *request;
     int code = HttpMessage_Parse(&message, bytes);
 
@@ -147,7 +147,7 @@
         if (this->request->completed) {
             return 0;
         }
-        bytes = (Str){this->input->str, this->input->len};
+        bytes = Str_FromString(this->input);
         take_body(this->request, &bytes);
         g_string_erase(this->input, 0,
                        (gssize)(this->input->len - bytes.length));
@@ -176,7 +176,7 @@
     if (this->input->len + bytes.length > PIPELINED_BYTES_MAX) {
         return -1;
     }
-    g_string_append_len(this->input, bytes.data, (gssize)bytes.length);
+    Str_AppendTo(bytes, this->input);
     return process_input(this);
 }
 
--- a/standins/HttpRequest.c
+++ b/standins/HttpRequest.c
@@ -46,8 +46,8 @@
     Str path;
 
     this->connection = connection;
-    this->head = g_string_new_len(bytes.data, (gssize)bytes.length);
-    HttpMessage_Parse(&this->message, (Str){this->head->str, this->head->len});
+    this->head = Str_ToString(bytes);
+    HttpMessage_Parse(&this->message, Str_FromString(this->head));
     target = this->message.start[1];
     Str_Split(&target, '?', &path);
     this->method =
--- a/standins/PlatformCaller.c
+++ b/standins/PlatformCaller.c
@@ -63,7 +63,7 @@
 {
     Call *call = user;
 
-    g_string_append_len(call->body, piece.data, (gssize)piece.length);
+    Str_AppendTo(piece, call->body);
 }
 
 static void
@@ -124,7 +124,7 @@
     }
     g_string_append(call->head, "\r\n");
     call->client = (ClientCall){
-        .head = {call->head->str, call->head->len},
+        .head = Str_FromString(call->head),
         .body_length = bytes,
         .fill = fill_body,
         .user = call,
--- a/standins/PlatformStore.c
+++ b/standins/PlatformStore.c
@@ -96,7 +96,7 @@
         g_string_append_len(body, record->key, (gssize)key);
         g_string_append_len(body, value, (gssize)size);
     }
-    HttpRequest_Answer(request, 200, "", (Str){body->str, body->len});
+    HttpRequest_Answer(request, 200, "", Str_FromString(body));
     g_string_free(body, TRUE);
 }
 
--- a/standins/standin-caller.c
+++ b/standins/standin-caller.c
@@ -290,7 +290,7 @@
     AnswerCheck_Begin(&call->check, &call->plan, call->attempt);
     write_head(call);
     call->client = (ClientCall){
-        .head = {call->head->str, call->head->len},
+        .head = Str_FromString(call->head),
         .body_length = call->plan.body_bytes,
         .no_body = strcmp(call->plan.method, "HEAD") == 0,
         .fill = fill_body,
--- a/standins/standin-log.c
+++ b/standins/standin-log.c
@@ -138,7 +138,7 @@
     log->counters.reads++;
     log->counters.read_bytes += (int64_t)body->len;
     g_hash_table_remove(log->waiting, request);
-    HttpRequest_Answer(request, 200, headers, (Str){body->str, body->len});
+    HttpRequest_Answer(request, 200, headers, Str_FromString(body));
     g_string_free(body, TRUE);
 }
 
--- a/standins/standin-malformed.c
+++ b/standins/standin-malformed.c
@@ -91,7 +91,7 @@
 static void
 count_answers(Reply *reply, const GString *input)
 {
-    Str rest = {input->str, input->len};
+    Str rest = Str_FromString(input);
     HttpMessage message;
 
     reply->count = 0;
@@ -180,7 +180,7 @@
         return ERR_UNAVAILABLE;
     }
     MalformedCase_Write(test, options->service, options->token, bytes);
-    send_bytes(fd, (Str){bytes->str, bytes->len}, test->gap_ms);
+    send_bytes(fd, Str_FromString(bytes), test->gap_ms);
     if (test->close_early) {
         shutdown(fd, SHUT_WR);
     }
--- a/tests/support/ClaimsWalk.c
+++ b/tests/support/ClaimsWalk.c
@@ -212,8 +212,7 @@
     if (flight->is_reply) {
         flight->reply = action->reply;
         flight->holder = host_number(action->reply.holder);
-        flight->answer = g_string_new_len(action->reply.answer.data,
-                                          (gssize)action->reply.answer.length);
+        flight->answer = Str_ToString(action->reply.answer);
     }
     else {
         flight->query = action->query;
@@ -229,8 +228,7 @@
     flight->host = host;
     flight->epoch = this->epochs[host];
     flight->append_id = action->append.id;
-    flight->record = g_string_new_len(action->append.record.data,
-                                      (gssize)action->append.record.length);
+    flight->record = Str_ToString(action->append.record);
     g_ptr_array_add(this->appends, flight);
 }
 
@@ -297,7 +295,7 @@
 {
     Flight *flight = this->appends->pdata[step->a];
 
-    FakeLog_Append(this->log, (Str){flight->record->str, flight->record->len},
+    FakeLog_Append(this->log, Str_FromString(flight->record),
                    (uint64_t)(WALL_START / 1000));
     if (step->kind == STEP_REWRITE) {
         this->repeats++;
@@ -320,7 +318,7 @@
     Str from = Str_FromC(HOST_NAMES[flight->from]);
 
     if (flight->is_reply) {
-        flight->reply.answer = (Str){flight->answer->str, flight->answer->len};
+        flight->reply.answer = Str_FromString(flight->answer);
         flight->reply.holder = flight->holder < HOSTS_MAX
                                    ? Str_FromC(HOST_NAMES[flight->holder])
                                    : (Str){NULL, 0};
@@ -527,8 +525,7 @@
 
         g_string_append_printf(text, "|append %u %d ", flight->host,
                                flight->epoch == this->epochs[flight->host]);
-        g_string_append_len(text, flight->record->str,
-                            (gssize)flight->record->len);
+        Str_AppendTo(Str_FromString(flight->record), text);
     }
     for (guint i = 0; i < this->messages->len; i++) {
         const Flight *flight = this->messages->pdata[i];
@@ -574,8 +571,7 @@
     for (size_t i = 0; i < read->n; i++) {
         g_string_append_printf(text, "|record %llu ",
                                (unsigned long long)read->records[i].offset);
-        g_string_append_len(text, read->records[i].record.data,
-                            (gssize)read->records[i].record.length);
+        Str_AppendTo(read->records[i].record, text);
     }
     FakeLog_FreeRead(read);
     describe_flights(this, text);
@@ -614,7 +610,7 @@
     bool added;
 
     describe(world, text);
-    hash = Str_Hash((Str){text->str, text->len});
+    hash = Str_Hash(Str_FromString(text));
     added = g_hash_table_add(seen, g_memdup2(&hash, sizeof(hash)));
     g_string_free(text, TRUE);
     return added;
--- a/tests/support/ConfigFixture.c
+++ b/tests/support/ConfigFixture.c
@@ -104,8 +104,7 @@
 
     ConfigVerdict_Init(&own);
     Fixture_Sign(record, id, author, key, base, document);
-    ConfigState_Apply(state, ConfigState_Offset(state),
-                      (Str){record->str, record->len},
+    ConfigState_Apply(state, ConfigState_Offset(state), Str_FromString(record),
                       verdict != NULL ? verdict : &own, NULL);
     outcome = verdict != NULL ? verdict->outcome : own.outcome;
     ConfigVerdict_Clear(&own);
@@ -136,7 +135,7 @@
         return;
     }
     g_string_truncate(snapshot, snapshot->len - tail);
-    Snapshot_Digest((Str){snapshot->str, snapshot->len}, digest);
+    Snapshot_Digest(Str_FromString(snapshot), digest);
     g_string_append(snapshot, "sha256 ");
     for (size_t i = 0; i < sizeof(digest); i++) {
         g_string_append_printf(snapshot, "%02x", digest[i]);
--- a/tests/support/ConfigFuzz.c
+++ b/tests/support/ConfigFuzz.c
@@ -115,9 +115,9 @@
                   verdict.outcome == CONFIG_ACCEPTED);
     ConfigState_WriteSnapshot(copy, after);
     if (verdict.outcome == CONFIG_ACCEPTED) {
-        g_assert_cmpint(ConfigState_CheckSnapshot(
-                            state, (Str){after->str, after->len}, NULL),
-                        ==, 0);
+        g_assert_cmpint(
+            ConfigState_CheckSnapshot(state, Str_FromString(after), NULL), ==,
+            0);
     }
     ConfigVerdict_Clear(&verdict);
     g_string_free(after, TRUE);
--- a/tests/support/ConfigLab.c
+++ b/tests/support/ConfigLab.c
@@ -188,7 +188,7 @@
 {
     Lab *lab = user;
     LabPublication *publication = lab->publications->pdata[index];
-    Str record = {publication->record->str, publication->record->len};
+    Str record = Str_FromString(publication->record);
 
     /* The last ones have the time that section 7 allows. */
     if (Clock_Now(lab->clock) > lab->options->end - SETTLE_TIME) {
@@ -222,9 +222,9 @@
 
     Fixture_Sign(record, "forged", "root", KEY_OTHER, 1,
                  "[service.svc]\nconnections = 9\n");
-    LabStream_Append(&lab->streams[STREAM_CONFIG],
-                     (Str){record->str, record->len}, Clock_Wall(lab->clock));
-    LabModel_OnAppend(lab, NULL, (Str){record->str, record->len}, 0);
+    LabStream_Append(&lab->streams[STREAM_CONFIG], Str_FromString(record),
+                     Clock_Wall(lab->clock));
+    LabModel_OnAppend(lab, NULL, Str_FromString(record), 0);
     g_string_free(record, TRUE);
     LabNet_WakeReaders(lab);
 }
@@ -244,11 +244,11 @@
     ConfigState_WriteSnapshot(lab->reference, text);
     g_string_replace(text, from, to, 1);
     Fixture_FixDigest(text);
-    chunk.data = (Str){text->str, text->len};
+    chunk.data = Str_FromString(text);
     Snapshot_Digest(chunk.data, chunk.digest);
     Snapshot_WriteChunk(&chunk, record);
-    LabStream_Append(&lab->streams[STREAM_SNAPSHOTS],
-                     (Str){record->str, record->len}, Clock_Wall(lab->clock));
+    LabStream_Append(&lab->streams[STREAM_SNAPSHOTS], Str_FromString(record),
+                     Clock_Wall(lab->clock));
     g_string_free(record, TRUE);
     g_string_free(text, TRUE);
     g_free(to);
--- a/tests/support/ConfigLabLog.c
+++ b/tests/support/ConfigLabLog.c
@@ -24,8 +24,7 @@
 uint64_t
 LabStream_Append(LabStream *this, Str record, Micros now)
 {
-    g_ptr_array_add(this->records,
-                    g_string_new_len(record.data, (gssize)record.length));
+    g_ptr_array_add(this->records, Str_ToString(record));
     g_array_append_val(this->times, now);
     return this->records->len - 1;
 }
--- a/tests/support/ConfigLabModel.c
+++ b/tests/support/ConfigLabModel.c
@@ -40,7 +40,7 @@
     memcpy(expected->digest, ConfigState_Digest(lab->reference),
            SNAPSHOT_DIGEST);
     ConfigState_WriteSnapshot(lab->reference, text);
-    Snapshot_Digest((Str){text->str, text->len}, expected->content);
+    Snapshot_Digest(Str_FromString(text), expected->content);
     g_string_free(text, TRUE);
 }
 
@@ -57,9 +57,9 @@
     lab->seen = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     lab->reference = ConfigState_Create(&options);
     Fixture_Sign(record, "first", "root", KEY_ROOT, 0, document);
-    LabStream_Append(&lab->streams[STREAM_CONFIG],
-                     (Str){record->str, record->len}, Clock_Wall(lab->clock));
-    take_reference(lab, &expected, (Str){record->str, record->len});
+    LabStream_Append(&lab->streams[STREAM_CONFIG], Str_FromString(record),
+                     Clock_Wall(lab->clock));
+    take_reference(lab, &expected, Str_FromString(record));
     g_array_append_val(lab->expected, expected);
     for (uint32_t i = 0; i + 1 < LAB_TARGETS; i++) {
         lab->changed[i] = 1;
@@ -211,7 +211,7 @@
     uint8_t digest[SNAPSHOT_DIGEST];
 
     ConfigState_WriteSnapshot(host->state, text);
-    Snapshot_Digest((Str){text->str, text->len}, digest);
+    Snapshot_Digest(Str_FromString(text), digest);
     g_string_free(text, TRUE);
     return memcmp(digest, expected->content, SNAPSHOT_DIGEST) == 0;
 }
--- a/tests/support/ConfigLabNet.c
+++ b/tests/support/ConfigLabNet.c
@@ -242,15 +242,13 @@
 
     message->data = g_string_new(NULL);
     if (chunk->snapshot) {
-        g_string_append_len(message->data, chunk->piece.data.data,
-                            (gssize)chunk->piece.data.length);
-        chunk->piece.data = (Str){message->data->str, message->data->len};
+        Str_AppendTo(chunk->piece.data, message->data);
+        chunk->piece.data = Str_FromString(message->data);
     }
     message->items = g_new0(ConfigRecord, chunk->count + 1);
     for (size_t i = 0; i < chunk->count; i++) {
         message->items[i] = chunk->records[i];
-        g_string_append_len(message->data, chunk->records[i].data.data,
-                            (gssize)chunk->records[i].data.length);
+        Str_AppendTo(chunk->records[i].data, message->data);
     }
     for (size_t i = 0; i < chunk->count; i++) {
         message->items[i].data.data = message->data->str + at;
--- a/tests/test_base.c
+++ b/tests/test_base.c
@@ -33,6 +33,28 @@
     }
 }
 
+/* Guards against copies that end at a zero byte, and against a Str of no
+ * bytes, whose data may be NULL, that is not copied as an empty string. */
+static void
+test_strings(void)
+{
+    Str text = {"a\0b", 3}, none = {NULL, 0};
+    GString *string = Str_ToString(text), *empty = Str_ToString(none);
+    GByteArray *bytes = g_byte_array_new();
+
+    g_assert_true(Str_Equal(Str_FromString(string), text));
+    g_assert_cmpstr(empty->str, ==, "");
+    Str_AppendTo(none, string);
+    Str_AppendTo(text, string);
+    g_assert_cmpmem(string->str, string->len, "a\0ba\0b", 6);
+    g_assert_cmpuint(Str_FromBytes(bytes).length, ==, 0);
+    g_byte_array_append(bytes, (const guint8 *)text.data, 3);
+    g_assert_true(Str_Equal(Str_FromBytes(bytes), text));
+    g_byte_array_free(bytes, TRUE);
+    g_string_free(empty, TRUE);
+    g_string_free(string, TRUE);
+}
+
 /* Guards against quantiles off by more than the stated 3.2%. */
 static void
 test_histogram_error(void)
@@ -55,7 +77,7 @@
 static void
 keep_line(void *user, LogLevel level, Str line)
 {
-    g_string_append_len(user, line.data, (gssize)line.length);
+    Str_AppendTo(line, user);
     g_string_append_c(user, '\n');
 }
 
@@ -105,6 +127,7 @@
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/base/str/parse-u64", test_parse_u64);
+    g_test_add_func("/base/str/strings", test_strings);
     g_test_add_func("/base/histogram/error", test_histogram_error);
     g_test_add_func("/base/event-log/quotes", test_event_log_quotes);
     g_test_add_func("/base/random/ranges", test_random_ranges);
--- a/tests/test_claims.c
+++ b/tests/test_claims.c
@@ -243,8 +243,7 @@
 
     g_assert_true(Claims_NextAction(f->claims, &action));
     g_assert_cmpint(action.kind, ==, CLAIM_APPEND);
-    return g_string_new_len(action.append.record.data,
-                            (gssize)action.append.record.length);
+    return Str_ToString(action.append.record);
 }
 
 static void
@@ -288,7 +287,7 @@
         break;
     case SETUP_GAP_AND_RECORD:
         ClaimRecord_Write(1, NULL, 0, record);
-        feed(f, 5, NOW_MS, (Str){record->str, record->len}, &action);
+        feed(f, 5, NOW_MS, Str_FromString(record), &action);
         break;
     case SETUP_APPEND_FAILED:
         begin(f, "018bcfe5-6800-7abc-8def-0123456789ff", 1);
@@ -297,7 +296,7 @@
         break;
     case SETUP_OTHER_PARTITIONS:
         ClaimRecord_Write(2, NULL, 0, record);
-        feed(f, 0, NOW_MS, (Str){record->str, record->len}, &action);
+        feed(f, 0, NOW_MS, Str_FromString(record), &action);
         break;
     case SETUP_NEWER_READER:
         /* version 2, minimum_reader 2, partitions 1 */
@@ -376,13 +375,11 @@
         state = begin(&f, UUID, 1);
         g_assert_cmpint(state.kind, ==, CLAIM_STATE_WAIT);
         record = take_append(&f);
-        g_assert_cmpint(
-            feed(&f, 0, NOW_MS, (Str){record->str, record->len}, &action), ==,
-            CLAIM_DISPATCH);
+        g_assert_cmpint(feed(&f, 0, NOW_MS, Str_FromString(record), &action),
+                        ==, CLAIM_DISPATCH);
         /* The same record again does not run the request again. */
-        g_assert_cmpint(
-            feed(&f, 1, NOW_MS, (Str){record->str, record->len}, &action), ==,
-            -1);
+        g_assert_cmpint(feed(&f, 1, NOW_MS, Str_FromString(record), &action),
+                        ==, -1);
         Claims_OnFinished(f.claims, 1, cases[i].finished,
                           (Str){text, cases[i].answer_length});
         state = begin(&f, UUID, cases[i].resend_digest);
@@ -425,8 +422,8 @@
     g_assert_true(Claims_NextAction(f.claims, &action));
     assert_answer(&action.answer, CLAIM_UNKNOWN, 504, "claim-pending");
     /* The abandoned claim is read after all: nobody runs the key. */
-    g_assert_cmpint(
-        feed(&f, 0, NOW_MS, (Str){record->str, record->len}, &action), ==, -1);
+    g_assert_cmpint(feed(&f, 0, NOW_MS, Str_FromString(record), &action), ==,
+                    -1);
     state = begin(&f, UUID, 1);
     g_assert_cmpint(state.kind, ==, CLAIM_STATE_ANSWER);
     assert_answer(&state.answer, CLAIM_NOT_RUN, 409, "key-abandoned");
@@ -447,7 +444,7 @@
     begin(&f, UUID, 1);
     record = take_append(&f);
     g_assert_cmpint(feed(&f, 0, NOW_MS - CLAIM_FUTURE_MS - 1,
-                         (Str){record->str, record->len}, &action),
+                         Str_FromString(record), &action),
                     ==, CLAIM_ANSWER);
     assert_answer(&action.answer, CLAIM_UNKNOWN, 409, "key-expired");
     g_string_free(record, TRUE);
@@ -513,9 +510,8 @@
                 (char)Random_Next(random);
         }
         g_string_truncate(record, 1 + Random_Below(random, record->len));
-        g_assert_cmpint(
-            feed(&f, i, NOW_MS, (Str){record->str, record->len}, &action), ==,
-            -1);
+        g_assert_cmpint(feed(&f, i, NOW_MS, Str_FromString(record), &action),
+                        ==, -1);
         g_string_free(record, TRUE);
     }
     g_assert_cmpuint(Claims_ReadFrom(f.claims, 0), ==, FUZZ_RECORDS);
--- a/tests/test_config_snapshot.c
+++ b/tests/test_config_snapshot.c
@@ -18,12 +18,6 @@
     return text;
 }
 
-static Str
-str_of(const GString *text)
-{
-    return (Str){text->str, text->len};
-}
-
 /* Rights, keys and deletions that a snapshot has to carry. */
 static ConfigState *
 create_rich(const ConfigOptions *options)
@@ -62,12 +56,13 @@
     GString *text = snapshot_of(state);
     GString *again;
 
-    g_assert_cmpint(ConfigState_LoadSnapshot(other, str_of(text), NULL), ==,
-                    0);
+    g_assert_cmpint(
+        ConfigState_LoadSnapshot(other, Str_FromString(text), NULL), ==, 0);
     again = snapshot_of(other);
     g_assert_cmpstr(text->str, ==, again->str);
-    g_assert_cmpint(ConfigState_LoadSnapshot(other, str_of(text), NULL), ==,
-                    ERR_EXPIRED);
+    g_assert_cmpint(
+        ConfigState_LoadSnapshot(other, Str_FromString(text), NULL), ==,
+        ERR_EXPIRED);
     /* Both judge the next records alike: a replay, and a stale base. */
     for (int i = 0; i < 2; i++) {
         ConfigState *host = i == 0 ? state : other;
@@ -137,7 +132,8 @@
         if (row->fixed) {
             Fixture_FixDigest(text);
         }
-        if (ConfigState_LoadSnapshot(other, str_of(text), NULL) != row->code) {
+        if (ConfigState_LoadSnapshot(other, Str_FromString(text), NULL) !=
+            row->code) {
             g_error("%s: not refused as expected", row->guards);
         }
         g_assert_cmpuint(ConfigState_Offset(other), ==, 0);
@@ -161,23 +157,26 @@
     GString *text = snapshot_of(state);
     ConfigState *newer = ConfigState_Create(&options);
 
-    g_assert_cmpint(ConfigState_LoadSnapshot(other, str_of(text), NULL), ==,
-                    ERR_DENIED);
-    ConfigState_LoadSnapshot(newer, str_of(text), NULL);
+    g_assert_cmpint(
+        ConfigState_LoadSnapshot(other, Str_FromString(text), NULL), ==,
+        ERR_DENIED);
+    ConfigState_LoadSnapshot(newer, Str_FromString(text), NULL);
     Fixture_Apply(newer, "7", "op-b", KEY_B, 5, "delete=['selector.b-0']",
                   NULL);
     g_assert_cmpuint(g_string_replace(text, "offset 5", "offset 99", 1), ==,
                      1);
     Fixture_FixDigest(text);
-    g_assert_cmpint(ConfigState_LoadSnapshot(newer, str_of(text), NULL), ==,
-                    ERR_CONFLICT);
+    g_assert_cmpint(
+        ConfigState_LoadSnapshot(newer, Str_FromString(text), NULL), ==,
+        ERR_CONFLICT);
     g_assert_cmpuint(ConfigState_Offset(newer), ==, 6);
-    g_assert_cmpint(ConfigState_CheckSnapshot(newer, str_of(text), NULL), ==,
-                    ERR_CONFLICT);
+    g_assert_cmpint(
+        ConfigState_CheckSnapshot(newer, Str_FromString(text), NULL), ==,
+        ERR_CONFLICT);
     g_string_truncate(text, 0);
     ConfigState_WriteSnapshot(state, text);
-    g_assert_cmpint(ConfigState_CheckSnapshot(newer, str_of(text), NULL), ==,
-                    0);
+    g_assert_cmpint(
+        ConfigState_CheckSnapshot(newer, Str_FromString(text), NULL), ==, 0);
     g_string_free(text, TRUE);
     ConfigState_Destroy(newer);
     ConfigState_Destroy(other);
@@ -213,8 +212,8 @@
     }
     text = snapshot_of(state);
     other = ConfigState_Create(&options);
-    g_assert_cmpint(ConfigState_LoadSnapshot(other, str_of(text), NULL), ==,
-                    0);
+    g_assert_cmpint(
+        ConfigState_LoadSnapshot(other, Str_FromString(text), NULL), ==, 0);
     g_assert_cmpint(Fixture_Apply(other, "x", "op-a", KEY_A, 3,
                                   "[selector.t0]\nline='a'\nservice='svc'",
                                   NULL),
--- a/tests/test_http_parser.c
+++ b/tests/test_http_parser.c
@@ -30,7 +30,7 @@
 {
     Seen *seen = user;
 
-    g_string_append_len(seen->text, data.data, (gssize)data.length);
+    Str_AppendTo(data, seen->text);
 }
 
 static void
@@ -256,8 +256,8 @@
         mutate(random, text);
         set_up(&whole, one->kind);
         set_up(&pieces, one->kind);
-        g_assert_cmpint(feed(&whole, (Str){text->str, text->len}, 10000), ==,
-                        feed(&pieces, (Str){text->str, text->len}, 1));
+        g_assert_cmpint(feed(&whole, Str_FromString(text), 10000), ==,
+                        feed(&pieces, Str_FromString(text), 1));
         g_assert_cmpstr(whole.text->str, ==, pieces.text->str);
         tear_down(&whole);
         tear_down(&pieces);
--- a/tests/test_keyed_follower.c
+++ b/tests/test_keyed_follower.c
@@ -455,8 +455,7 @@
     g_array_append_val(records, record);
     g_array_append_val(records, removed);
     KeyedCodec_Write(9, records, text);
-    g_assert_cmpint(KeyedCodec_Read((Str){text->str, text->len}, &end, read),
-                    ==, 0);
+    g_assert_cmpint(KeyedCodec_Read(Str_FromString(text), &end, read), ==, 0);
     g_assert_cmpuint(end, ==, 9);
     g_assert_cmpuint(read->len, ==, 2);
     g_assert_true(
--- a/tests/test_peer_codec.c
+++ b/tests/test_peer_codec.c
@@ -16,8 +16,8 @@
     PeerMessageCounters counters = {0};
     PeerMessage *message = NULL;
 
-    g_assert_cmpint(PeerMessage_Decode((Str){bytes->str, bytes->len},
-                                       STR("tunis"), &message, &counters),
+    g_assert_cmpint(PeerMessage_Decode(Str_FromString(bytes), STR("tunis"),
+                                       &message, &counters),
                     ==, 0);
     g_assert_cmpuint(counters.accepted, ==, 1);
     g_assert_true(Str_Equal(PeerMessage_Host(message), envelope.host));
@@ -435,12 +435,12 @@
     for (size_t i = 0; i < body; i += 2) {
         g_string_append_len(bytes, "\x32\x00", 2); /* an empty item */
     }
-    g_assert_cmpint(PeerMessage_Decode((Str){bytes->str, bytes->len},
-                                       STR("tunis"), &message, &counters),
+    g_assert_cmpint(PeerMessage_Decode(Str_FromString(bytes), STR("tunis"),
+                                       &message, &counters),
                     ==, ERR_LIMIT);
     g_string_set_size(bytes, PEER_MESSAGE_MAX + 1);
-    g_assert_cmpint(PeerMessage_Decode((Str){bytes->str, bytes->len},
-                                       STR("tunis"), &message, &counters),
+    g_assert_cmpint(PeerMessage_Decode(Str_FromString(bytes), STR("tunis"),
+                                       &message, &counters),
                     ==, ERR_LIMIT);
     g_assert_cmpuint(counters.oversized, ==, 2);
     g_string_free(bytes, TRUE);
@@ -519,7 +519,7 @@
         char *exact;
 
         g_string_truncate(copy, 0);
-        g_string_append_len(copy, from->str, (gssize)from->len);
+        Str_AppendTo(Str_FromString(from), copy);
         mutate(copy, random);
         /* An allocation of the exact length shows reads past the end. */
         exact = g_memdup2(copy->str, copy->len);
--- a/tests/test_peer_link.c
+++ b/tests/test_peer_link.c
@@ -190,7 +190,7 @@
                PeerLink_Port(this->nodes[to].link));
     g_assert_cmpint(PeerCodec_WriteFetch(&envelope, &fetch, bytes), ==, 0);
     code = PeerLink_Send(this->nodes[from].link, Str_FromC(address), key,
-                         (Str){bytes->str, bytes->len});
+                         Str_FromString(bytes));
     g_string_free(bytes, TRUE);
     return code;
 }
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -165,12 +165,11 @@
                 (char)Random_Next(random);
         }
         if (i % 2 == 0) {
-            RouteTable_Unref(
-                ConfigDecoder_Read((Str){text->str, text->len}, &error));
+            RouteTable_Unref(ConfigDecoder_Read(Str_FromString(text), &error));
         }
         else {
             UpstreamDecoder_Free(UpstreamDecoder_Read(
-                STR("i-1"), (Str){text->str, text->len}, &entry, &error));
+                STR("i-1"), Str_FromString(text), &entry, &error));
         }
         g_string_free(text, TRUE);
     }
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -152,7 +152,7 @@
             }
             g_string_append(text, line_ends[i % 2]);
         }
-        g_assert_null(Toml_Parse((Str){text->str, text->len}, &fault));
+        g_assert_null(Toml_Parse(Str_FromString(text), &fault));
         g_assert_cmpstr(fault.text, !=, "");
         g_string_free(text, TRUE);
     }
--- a/tests/test_tls.c
+++ b/tests/test_tls.c
@@ -90,7 +90,7 @@
     Fixture *f = user;
     Str name = HttpRequest_CertificateName(request);
 
-    g_string_append_len(f->peer_name, name.data, (gssize)name.length);
+    Str_AppendTo(name, f->peer_name);
 }
 
 static void
@@ -98,7 +98,7 @@
 {
     Fixture *f = user;
 
-    g_string_append_len(f->received, data.data, (gssize)data.length);
+    Str_AppendTo(data, f->received);
 }
 
 static void
@@ -107,8 +107,7 @@
     Fixture *f = user;
     HeaderList *headers = HeaderList_Create();
 
-    HttpRequest_Answer(request, 200, headers,
-                       (Str){f->received->str, f->received->len});
+    HttpRequest_Answer(request, 200, headers, Str_FromString(f->received));
     HeaderList_Destroy(headers);
 }
 
@@ -170,8 +169,8 @@
     url = g_strdup_printf("https://127.0.0.1:%u", HttpServer_Port(f->server));
     f->fetch = HttpFetch_Create(f->loop, Str_FromC(url), 2 * BODY_BYTES,
                                 &client, NULL);
-    HttpFetch_Send(f->fetch, STR("PUT"), STR("/"), NULL,
-                   (Str){body->str, body->len}, TEST_TIMEOUT, take_answer, f);
+    HttpFetch_Send(f->fetch, STR("PUT"), STR("/"), NULL, Str_FromString(body),
+                   TEST_TIMEOUT, take_answer, f);
     Loop_Run(f->loop);
     g_string_free(body, TRUE);
     g_free(url);
