Share code that was written more than once

Conclusion: the rest that looks alike is data of tests, generated code, or differs by type; JournalCheck keeps its own rule of what is idempotent, as it checks CallPlan's.

--- a/packages/base/Random.c
+++ b/packages/base/Random.c
@@ -70,6 +70,12 @@
     return (double)(Random_Next(this) >> 11) * 0x1.0p-53;
 }
 
+Micros
+Random_Spread(Random *this, Micros mean)
+{
+    return (Micros)((0.5 + Random_Unit(this)) * (double)mean);
+}
+
 double
 Random_Exponential(Random *this, double mean)
 {
--- a/packages/core/membership/Gossip.h
+++ b/packages/core/membership/Gossip.h
@@ -70,6 +70,9 @@
     size_t wanted_count;
 } Gossip;
 
+/** Gossip_SameGroup() - true if both go into one usage item of a message */
+bool Gossip_SameGroup(const GossipItem *a, const GossipItem *b);
+
 /** Gossip_Tag() - the tag of a host's incarnation */
 uint32_t Gossip_Tag(Str host, uint64_t incarnation);
 
--- a/packages/core/membership/GossipCodec.c
+++ b/packages/core/membership/GossipCodec.c
@@ -49,12 +49,6 @@
     };
 }
 
-static Str
-to_str(ProtobufCBinaryData bytes)
-{
-    return (Str){(const char *)bytes.data, bytes.len};
-}
-
 static uint32_t
 age_ms(Micros age)
 {
@@ -71,7 +65,7 @@
         return 0;
     }
     for (size_t i = 0; i < writer->name_count; i++) {
-        if (Str_Equal(to_str(writer->names[i]), name)) {
+        if (Str_Equal(PeerMessage_ToStr(writer->names[i]), name)) {
             return (uint32_t)i + 1;
         }
     }
@@ -86,7 +80,8 @@
 
     for (size_t i = 0; i < writer->origin_count; i++) {
         if (writer->origins[i].incarnation == item->incarnation &&
-            Str_Equal(to_str(writer->origins[i].host), item->host)) {
+            Str_Equal(PeerMessage_ToStr(writer->origins[i].host),
+                      item->host)) {
             return (uint32_t)i + 1;
         }
     }
@@ -201,8 +196,8 @@
     }
 }
 
-static bool
-same_group(const GossipItem *a, const GossipItem *b)
+bool
+Gossip_SameGroup(const GossipItem *a, const GossipItem *b)
 {
     return a->item.kind == SHARED_USAGE && b->item.kind == SHARED_USAGE &&
            a->stamp_ms == b->stamp_ms && a->hops == b->hops &&
@@ -239,7 +234,7 @@
     body->service = name_reference(writer, head->item.usage.service);
     body->lines = &writer->lines[writer->line_count];
     body->values = &writer->values[writer->line_count * VALUES_PER_LINE];
-    for (; i < gossip->item_count && same_group(head, &gossip->items[i]);
+    for (; i < gossip->item_count && Gossip_SameGroup(head, &gossip->items[i]);
          i++) {
         add_line(writer, body, &gossip->items[i].item);
     }
@@ -300,39 +295,19 @@
     return PeerMessage_Encode(envelope, &message, out);
 }
 
-static bool
-is_text(Str text, size_t max)
-{
-    if (text.length > max) {
-        return false;
-    }
-    for (size_t i = 0; i < text.length; i++) {
-        if (text.data[i] <= ' ' || text.data[i] > '~') {
-            return false;
-        }
-    }
-    return true;
-}
-
-static bool
-is_name(Str text)
-{
-    return text.length > 0 && is_text(text, PEER_NAME_MAX);
-}
-
 static bool
 read_member(const Agatecrank__GossipMember *from, GossipMember *to)
 {
-    to->id = to_str(from->id);
-    to->address = to_str(from->address);
-    to->domain = to_str(from->domain);
-    to->key = to_str(from->key);
+    to->id = PeerMessage_ToStr(from->id);
+    to->address = PeerMessage_ToStr(from->address);
+    to->domain = PeerMessage_ToStr(from->domain);
+    to->key = PeerMessage_ToStr(from->key);
     to->incarnation = from->incarnation;
     to->heartbeat = from->heartbeat;
     to->age = (Micros)from->age_ms * MICROS_PER_MS;
     to->leaving = from->leaving;
-    return is_name(to->id) && is_name(to->address) &&
-           is_text(to->domain, PEER_NAME_MAX) &&
+    return PeerName_IsValid(to->id) && PeerName_IsValid(to->address) &&
+           (to->domain.length == 0 || PeerName_IsValid(to->domain)) &&
            (to->key.length == 0 || to->key.length == GOSSIP_KEY_BYTES);
 }
 
@@ -342,8 +317,8 @@
     if (reference == 0 || reference > body->n_names) {
         return false;
     }
-    *name = to_str(body->names[reference - 1]);
-    return is_name(*name);
+    *name = PeerMessage_ToStr(body->names[reference - 1]);
+    return PeerName_IsValid(*name);
 }
 
 static bool
@@ -443,12 +418,12 @@
     if (from->origin == 0 || from->origin > body->n_origins) {
         return 1;
     }
-    head.item.host = to_str(body->origins[from->origin - 1]->host);
+    head.item.host = PeerMessage_ToStr(body->origins[from->origin - 1]->host);
     head.item.incarnation = body->origins[from->origin - 1]->incarnation;
     head.item.age = (Micros)from->age_ms * MICROS_PER_MS;
     head.stamp_ms = from->stamp_ms;
     head.hops = from->hops;
-    if (!is_name(head.item.host)) {
+    if (!PeerName_IsValid(head.item.host)) {
         return 1;
     }
     if (from->item_case == AGATECRANK__GOSSIP_ITEM__ITEM_USAGE) {
--- a/packages/core/membership/GossipDraft.c
+++ b/packages/core/membership/GossipDraft.c
@@ -101,16 +101,6 @@
     return FIELD_BYTES + name.length;
 }
 
-static bool
-same_group(const GossipItem *a, const GossipItem *b)
-{
-    return a->item.kind == SHARED_USAGE && b->item.kind == SHARED_USAGE &&
-           a->stamp_ms == b->stamp_ms && a->hops == b->hops &&
-           a->item.incarnation == b->item.incarnation &&
-           Str_Equal(a->item.host, b->item.host) &&
-           Str_Equal(a->item.usage.service, b->item.usage.service);
-}
-
 /* Bytes for a usage item; those of one service share one wire item. */
 static size_t
 usage_bytes(GossipDraft *this, const GossipItem *item)
@@ -118,7 +108,7 @@
     size_t bytes = USAGE_LINE_BYTES + name_bytes(this, item->item.usage.line);
 
     for (size_t i = 0; i < this->gossip.item_count; i++) {
-        if (same_group(&this->gossip.items[i], item)) {
+        if (Gossip_SameGroup(&this->gossip.items[i], item)) {
             return bytes;
         }
     }
--- a/packages/core/membership/GossipTargets.c
+++ b/packages/core/membership/GossipTargets.c
@@ -23,23 +23,12 @@
     size_t cursor; /* of GossipTargets_AddNext() */
 };
 
-static void
-copy_text(char out[PEER_NAME_MAX + 1], Str text)
-{
-    size_t length = MIN(text.length, PEER_NAME_MAX);
-
-    if (length > 0) {
-        memcpy(out, text.data, length);
-    }
-    out[length] = 0;
-}
-
 static void
 set_contact(Contact *contact, Str id, Str address, Str key)
 {
     memset(contact, 0, sizeof(*contact));
-    copy_text(contact->id, id);
-    copy_text(contact->address, address);
+    PeerName_Copy(contact->id, id);
+    PeerName_Copy(contact->address, address);
     contact->has_key = key.length == GOSSIP_KEY_BYTES;
     if (contact->has_key) {
         memcpy(contact->key, key.data, GOSSIP_KEY_BYTES);
@@ -62,8 +51,8 @@
 
     this->members = members;
     this->random = random;
-    copy_text(this->own_id, options->host);
-    copy_text(this->own_address, options->address);
+    PeerName_Copy(this->own_id, options->host);
+    PeerName_Copy(this->own_address, options->address);
     this->seed_count = MIN(options->seed_count, GOSSIP_SEEDS_MAX);
     this->seeds = g_new0(Contact, this->seed_count + 1);
     for (size_t i = 0; i < this->seed_count; i++) {
@@ -81,20 +70,6 @@
     g_free(this);
 }
 
-static bool
-is_name(Str text)
-{
-    if (text.length == 0 || text.length > PEER_NAME_MAX) {
-        return false;
-    }
-    for (size_t i = 0; i < text.length; i++) {
-        if (text.data[i] <= ' ' || text.data[i] > '~') {
-            return false;
-        }
-    }
-    return true;
-}
-
 /* Value of a Z85 character (ZeroMQ RFC 32), or -1. */
 static int
 z85_value(char c)
@@ -154,7 +129,8 @@
         size_t slot = this->listed_count;
 
         if (entry->role != HOST_BALANCER || entry->peer_port == 0 ||
-            !is_name(entry->id) || !is_name(entry->address) ||
+            !PeerName_IsValid(entry->id) ||
+            !PeerName_IsValid(entry->address) ||
             Str_Equal(entry->id, Str_FromC(this->own_id))) {
             continue;
         }
--- a/packages/core/membership/MemberTable.c
+++ b/packages/core/membership/MemberTable.c
@@ -181,23 +181,12 @@
     return true;
 }
 
-static void
-copy_text(char out[PEER_NAME_MAX + 1], Str text)
-{
-    size_t length = MIN(text.length, PEER_NAME_MAX);
-
-    if (length > 0) {
-        memcpy(out, text.data, length);
-    }
-    out[length] = 0;
-}
-
 static void
 set_identity(Member *member, const GossipMember *record)
 {
-    copy_text(member->id, record->id);
-    copy_text(member->address, record->address);
-    copy_text(member->domain, record->domain);
+    PeerName_Copy(member->id, record->id);
+    PeerName_Copy(member->address, record->address);
+    PeerName_Copy(member->domain, record->domain);
     member->has_key = record->key.length == GOSSIP_KEY_BYTES;
     if (member->has_key) {
         memcpy(member->key, record->key.data, GOSSIP_KEY_BYTES);
--- a/packages/core/membership/Membership.c
+++ b/packages/core/membership/Membership.c
@@ -77,23 +77,12 @@
     return (ms << INCARNATION_RANDOM_BITS) | bits;
 }
 
-static void
-copy_text(char out[PEER_NAME_MAX + 1], Str text)
-{
-    size_t length = MIN(text.length, PEER_NAME_MAX);
-
-    if (length > 0) {
-        memcpy(out, text.data, length);
-    }
-    out[length] = 0;
-}
-
 static void
 init_self(Membership *this, const MembershipOptions *options)
 {
-    copy_text(this->self.id, options->host);
-    copy_text(this->self.address, options->address);
-    copy_text(this->self.domain, options->domain);
+    PeerName_Copy(this->self.id, options->host);
+    PeerName_Copy(this->self.address, options->address);
+    PeerName_Copy(this->self.domain, options->domain);
     this->self.has_key = options->key.length == GOSSIP_KEY_BYTES;
     if (this->self.has_key) {
         memcpy(this->self.key, options->key.data, GOSSIP_KEY_BYTES);
--- a/packages/core/membership/PeerCodec.c
+++ b/packages/core/membership/PeerCodec.c
@@ -14,12 +14,6 @@
     return (ProtobufCBinaryData){.len = length, .data = (uint8_t *)data};
 }
 
-static Str
-to_str(ProtobufCBinaryData bytes)
-{
-    return (Str){(const char *)bytes.data, bytes.len};
-}
-
 static bool
 has_body(const PeerMessage *message, Agatecrank__PeerMessage__BodyCase body)
 {
@@ -143,7 +137,7 @@
     to->offset = from->offset;
     to->index = from->index;
     to->count = from->count;
-    to->data = to_str(from->data);
+    to->data = PeerMessage_ToStr(from->data);
     if (from->digest.len != SNAPSHOT_DIGEST || from->index >= from->count) {
         return ERR_PROTOCOL;
     }
@@ -172,7 +166,7 @@
         ConfigRecord record = {
             .offset = body->records[i]->offset,
             .time_ms = body->records[i]->time_ms,
-            .data = to_str(body->records[i]->data),
+            .data = PeerMessage_ToStr(body->records[i]->data),
         };
 
         g_array_append_val(records, record);
@@ -399,9 +393,9 @@
     reply->state = body->state < G_N_ELEMENTS(reply_states)
                        ? reply_states[body->state]
                        : CLAIM_REPLY_UNKNOWN;
-    reply->holder = to_str(body->holder);
+    reply->holder = PeerMessage_ToStr(body->holder);
     reply->holder_incarnation = body->holder_incarnation;
-    reply->answer = to_str(body->answer);
+    reply->answer = PeerMessage_ToStr(body->answer);
     reply->has_answer = body->has_answer;
     if (reply->holder.length > CLAIM_HOST_MAX) {
         return ERR_PROTOCOL;
@@ -465,11 +459,11 @@
     slot->peer = Str_Hash(PeerMessage_Host(message));
     slot->id = body->id;
     slot->upstream = 0;
-    code = to_index(names, PEER_NAME_SERVICE, to_str(body->service),
+    code = to_index(names, PEER_NAME_SERVICE, PeerMessage_ToStr(body->service),
                     &slot->service);
     if (code == 0 && body->upstream.len > 0) {
-        code = to_index(names, PEER_NAME_UPSTREAM, to_str(body->upstream),
-                        &slot->upstream);
+        code = to_index(names, PEER_NAME_UPSTREAM,
+                        PeerMessage_ToStr(body->upstream), &slot->upstream);
     }
     else if (slot->kind == SLOT_GRANT || slot->kind == SLOT_RETURN) {
         code = code < 0 ? code : ERR_PROTOCOL;
--- a/packages/gateway/Dispatcher.c
+++ b/packages/gateway/Dispatcher.c
@@ -148,12 +148,6 @@
     g_hash_table_remove(job->owner->jobs, job);
 }
 
-Micros
-Dispatcher_Spread(Dispatcher *this, Micros mean)
-{
-    return (Micros)((0.5 + Random_Unit(this->random)) * (double)mean);
-}
-
 void
 Job_Answer(Job *job, int status, const char *reason, Micros retry_after)
 {
@@ -183,7 +177,8 @@
     bool room =
         Placement_Choose(this->placement, &query, &choice) == 0 && choice.room;
 
-    return Dispatcher_Spread(this, room ? RETRY_AFTER_SOON : RETRY_AFTER_MEAN);
+    return Random_Spread(this->random,
+                         room ? RETRY_AFTER_SOON : RETRY_AFTER_MEAN);
 }
 
 /* Only a request that certainly did not run may be told so. */
@@ -258,29 +253,41 @@
 
 /* ---- requests ------------------------------------------------------- */
 
-/* Tries again after an attempt that ended without an answer to pass on.
- * @arrived: the failed attempt counts against the budget of repeats. */
-static void
-try_again(Job *job, const char *reason)
+static RetryWindow *
+job_window(const Job *job)
 {
-    Dispatcher *this = job->owner;
-    Micros left = job->deadline - Clock_Now(this->clock);
+    return g_ptr_array_index(job->owner->windows, job->service);
+}
 
-    if (job->may_have_run && job->route->kind != ROUTE_IDEMPOTENT) {
-        Job_GiveUp(job, reason);
-    }
-    else if (job->tried_count >= MIN(job->route->attempts_max, ATTEMPTS_MAX)) {
-        Job_GiveUp(job, reason);
+/* Starts another attempt, which counts against the budget of repeats.
+ * Returns NULL, or why there is none: @reason if nothing more is to blame
+ * than the attempt that ended. */
+static const char *
+repeat(Job *job, const char *reason)
+{
+    Micros left = job->deadline - Clock_Now(job->owner->clock);
+
+    if ((job->may_have_run && job->route->kind != ROUTE_IDEMPOTENT) ||
+        job->tried_count >= MIN(job->route->attempts_max, ATTEMPTS_MAX)) {
+        return reason;
     }
-    else if (left < ATTEMPT_TIME_MIN) {
-        Job_GiveUp(job, "deadline");
+    if (left < ATTEMPT_TIME_MIN) {
+        return "deadline";
     }
-    else if (!RetryWindow_Take(
-                 g_ptr_array_index(this->windows, job->service))) {
-        Job_GiveUp(job, "retry-budget");
+    if (!RetryWindow_Take(job_window(job))) {
+        return "retry-budget";
     }
-    else if (!JobPlacing_Place(job)) {
-        Job_GiveUp(job, reason);
+    return JobPlacing_Place(job) ? NULL : reason;
+}
+
+/* Tries again after an attempt that ended without an answer to pass on. */
+static void
+try_again(Job *job, const char *reason)
+{
+    const char *obstacle = repeat(job, reason);
+
+    if (obstacle != NULL) {
+        Job_GiveUp(job, obstacle);
     }
 }
 
@@ -327,11 +334,11 @@
     job->service = service_index(
         this, Route_Pick(route, Random_Unit(this->random))->service);
     job->fingerprint = fingerprint_of(info);
-    RetryWindow_OnRequest(g_ptr_array_index(this->windows, job->service));
+    RetryWindow_OnRequest(job_window(job));
     if (Quarantine_Check(this->quarantine, &job->fingerprint) ==
         QUARANTINE_REFUSE) {
         Job_Answer(job, 503, "quarantined",
-                   Dispatcher_Spread(this, RETRY_AFTER_START));
+                   Random_Spread(this->random, RETRY_AFTER_START));
         return;
     }
     if (!JobPlacing_Place(job)) {
@@ -346,7 +353,7 @@
 
     if (this->routes == NULL) {
         Job_Answer(job, 503, "no-configuration",
-                   Dispatcher_Spread(this, RETRY_AFTER_START));
+                   Random_Spread(this->random, RETRY_AFTER_START));
         return NULL;
     }
     job->table = RouteTable_Ref(this->routes);
@@ -376,11 +383,7 @@
     }
     Job_EndAttempt(job, ATTEMPT_ERROR);
     /* Another upstream may serve what this one failed. */
-    if (job->route->kind == ROUTE_IDEMPOTENT &&
-        job->tried_count < MIN(job->route->attempts_max, ATTEMPTS_MAX) &&
-        job->deadline - Clock_Now(this->clock) >= ATTEMPT_TIME_MIN &&
-        RetryWindow_Take(g_ptr_array_index(this->windows, job->service)) &&
-        JobPlacing_Place(job)) {
+    if (repeat(job, "upstream-failed") == NULL) {
         return JOB_DISCARD;
     }
     g_hash_table_remove(this->jobs, job);
@@ -474,7 +477,7 @@
         return;
     }
     Job_Answer(job, 503, "deadline",
-               Dispatcher_Spread(this, RETRY_AFTER_MEAN));
+               Random_Spread(this->random, RETRY_AFTER_MEAN));
 }
 
 void
--- a/packages/gateway/DispatcherPrivate.h
+++ b/packages/gateway/DispatcherPrivate.h
@@ -69,9 +69,6 @@
 /** Dispatcher_PushAction() - to be handed out by Dispatcher_NextAction() */
 void Dispatcher_PushAction(Dispatcher *this, const DispatchAction *action);
 
-/** Dispatcher_Spread() - a random time from half to one and a half of @mean */
-Micros Dispatcher_Spread(Dispatcher *this, Micros mean);
-
 /** Job_Queue() - where requests of the job's service wait */
 RequestQueue *Job_Queue(const Job *job);
 
--- a/packages/gateway/Gateway.c
+++ b/packages/gateway/Gateway.c
@@ -223,12 +223,7 @@
     reset_answer(exchange);
     exchange->answer_status = status;
     exchange->answer_headers = HeaderList_Create();
-    for (size_t i = 0; i < HeaderList_Count(headers); i++) {
-        Str name, value;
-
-        HeaderList_At(headers, i, &name, &value);
-        HeaderList_Add(exchange->answer_headers, name, value);
-    }
+    HeaderList_CopyAll(headers, exchange->answer_headers);
 }
 
 static void
--- a/packages/net/HeaderList.c
+++ b/packages/net/HeaderList.c
@@ -175,6 +175,17 @@
     return false;
 }
 
+void
+HeaderList_CopyAll(const HeaderList *from, HeaderList *to)
+{
+    Str name, value;
+
+    for (size_t i = 0; i < HeaderList_Count(from); i++) {
+        HeaderList_At(from, i, &name, &value);
+        HeaderList_Add(to, name, value);
+    }
+}
+
 void
 HeaderList_CopyEndToEnd(const HeaderList *from, HeaderList *to)
 {
--- a/packages/net/HeaderList.h
+++ b/packages/net/HeaderList.h
@@ -39,6 +39,9 @@
 /** HeaderList_At() - field @i, in the order of adding */
 void HeaderList_At(const HeaderList *this, size_t i, Str *name, Str *value);
 
+/** HeaderList_CopyAll() - append every field of @from */
+void HeaderList_CopyAll(const HeaderList *from, HeaderList *to);
+
 /**
  * HeaderList_IsHopByHop() - true for fields that concern one connection
  *
--- a/packages/net/HttpFetch.c
+++ b/packages/net/HttpFetch.c
@@ -149,13 +149,9 @@
                 const HeaderList *headers)
 {
     Fetch *fetch = user;
-    Str name, value;
 
     fetch->status = status;
-    for (size_t i = 0; i < HeaderList_Count(headers); i++) {
-        HeaderList_At(headers, i, &name, &value);
-        HeaderList_Add(fetch->headers, name, value);
-    }
+    HeaderList_CopyAll(headers, fetch->headers);
 }
 
 static void
--- a/packages/net/KeyedFollower.c
+++ b/packages/net/KeyedFollower.c
@@ -169,12 +169,6 @@
     }
 }
 
-static Micros
-spread(KeyedFollower *this, Micros mean)
-{
-    return (Micros)((0.5 + Random_Unit(this->random)) * (double)mean);
-}
-
 static void
 on_page(void *user, const KeyedPage *page)
 {
@@ -190,12 +184,14 @@
         log_position(this, "store-expired", 0);
         unsettle(this);
         begin_snapshot(this);
-        LoopTimer_Start(this->timer, spread(this, this->options.retry) / 4);
+        LoopTimer_Start(this->timer,
+                        Random_Spread(this->random, this->options.retry) / 4);
         return;
     }
     if (page->code < 0) {
         set_reachable(this, false, page->code);
-        LoopTimer_Start(this->timer, spread(this, this->options.retry));
+        LoopTimer_Start(this->timer,
+                        Random_Spread(this->random, this->options.retry));
         return;
     }
     set_reachable(this, true, 0);
--- a/packages/net/Proxy.c
+++ b/packages/net/Proxy.c
@@ -109,17 +109,6 @@
     Proxy_Drain(this);
 }
 
-static void
-copy_headers(const HeaderList *from, HeaderList *to)
-{
-    Str name, value;
-
-    for (size_t i = 0; i < HeaderList_Count(from); i++) {
-        HeaderList_At(from, i, &name, &value);
-        HeaderList_Add(to, name, value);
-    }
-}
-
 static void
 set_request_id(Proxy *this, ProxyRequest *request)
 {
@@ -145,7 +134,7 @@
     request->proxy = this;
     request->http = http;
     request->headers = HeaderList_Create();
-    copy_headers(HttpRequest_Headers(http), request->headers);
+    HeaderList_CopyAll(HttpRequest_Headers(http), request->headers);
     request->method = Str_ToString(method);
     request->path = Str_ToString(path);
     request->host = Str_ToString(host);
--- a/packages/wire/PeerMessage.c
+++ b/packages/wire/PeerMessage.c
@@ -101,20 +101,6 @@
     g_free(this);
 }
 
-static bool
-is_name(Str text)
-{
-    if (text.length == 0 || text.length > PEER_NAME_MAX) {
-        return false;
-    }
-    for (size_t i = 0; i < text.length; i++) {
-        if (text.data[i] <= ' ' || text.data[i] > '~') {
-            return false;
-        }
-    }
-    return true;
-}
-
 static int
 check_envelope(const PeerMessage *this, Str deployment,
                PeerMessageCounters *counters)
@@ -127,7 +113,7 @@
         counters->other_deployment++;
         return ERR_DENIED;
     }
-    if (!is_name(PeerMessage_Host(this))) {
+    if (!PeerName_IsValid(PeerMessage_Host(this))) {
         counters->malformed++;
         return ERR_PARSE;
     }
@@ -183,6 +169,12 @@
     return this->message->body_case;
 }
 
+Str
+PeerMessage_ToStr(ProtobufCBinaryData field)
+{
+    return (Str){(const char *)field.data, field.len};
+}
+
 Str
 PeerMessage_Host(const PeerMessage *this)
 {
--- a/packages/wire/PeerMessage.h
+++ b/packages/wire/PeerMessage.h
@@ -4,14 +4,13 @@
 #include <glib.h>
 
 #include "Error.h"
+#include "PeerName.h"
 #include "peer.pb-c.h"
 
 /** PEER_VERSION - version of the peer messages that this program writes */
 #define PEER_VERSION 1
 /** PEER_MESSAGE_MAX - longest message, in bytes; a log record and its frame */
 #define PEER_MESSAGE_MAX (320 * 1024)
-/** PEER_NAME_MAX - longest id of a host, deployment, service or upstream */
-#define PEER_NAME_MAX 128
 
 /**
  * struct PeerEnvelope_ - who sends a message
@@ -62,6 +61,9 @@
 /** PeerMessage_Body() - which body it has */
 Agatecrank__PeerMessage__BodyCase PeerMessage_Body(const PeerMessage *this);
 
+/** PeerMessage_ToStr() - borrow a field of a decoded message */
+Str PeerMessage_ToStr(ProtobufCBinaryData field);
+
 /** PeerMessage_Host() - the host that sent it */
 Str PeerMessage_Host(const PeerMessage *this);
 
--- a/tests/support/ConfigFixture.c
+++ b/tests/support/ConfigFixture.c
@@ -125,6 +125,15 @@
     return state;
 }
 
+GString *
+Fixture_Snapshot(const ConfigState *state)
+{
+    GString *text = g_string_new(NULL);
+
+    ConfigState_WriteSnapshot(state, text);
+    return text;
+}
+
 void
 Fixture_FixDigest(GString *snapshot)
 {
--- a/tests/support/ConfigFixture.h
+++ b/tests/support/ConfigFixture.h
@@ -35,6 +35,9 @@
 /** Fixture_Create() - a state with the first document applied */
 ConfigState *Fixture_Create(const ConfigOptions *options);
 
+/** Fixture_Snapshot() - a whole snapshot; the caller frees it */
+GString *Fixture_Snapshot(const ConfigState *state);
+
 /** Fixture_FixDigest() - make the last line of a changed snapshot right */
 void Fixture_FixDigest(GString *snapshot);
 
--- a/tests/test_config.c
+++ b/tests/test_config.c
@@ -75,15 +75,6 @@
      CONFIG_REFERENCE},
 };
 
-static GString *
-snapshot_of(const ConfigState *state)
-{
-    GString *text = g_string_new(NULL);
-
-    ConfigState_WriteSnapshot(state, text);
-    return text;
-}
-
 /* All objects as text: equal texts mean that nothing took effect. */
 static char *
 objects_of(const ConfigState *state)
@@ -344,7 +335,7 @@
         {STR("up-2"), STR("other"), {&pools[1], 1}}};
     ConfigOptions options = Fixture_Options();
     ConfigState *state = Fixture_Create(&options);
-    GString *before = snapshot_of(state);
+    GString *before = Fixture_Snapshot(state);
     GString *text = g_string_new(NULL);
     Publication *publication =
         Publication_Create(STR("p"), STR("op-a"), 1,
@@ -367,7 +358,7 @@
                      2);
     g_assert_cmpstr(text->str, ==,
                     "a-0 svc gains 1: up-1\na-0 svc loses 1: up-0\n");
-    after = snapshot_of(state);
+    after = Fixture_Snapshot(state);
     g_assert_true(g_string_equal(before, after));
     ConfigState_Destroy(next);
     ConfigVerdict_Clear(&verdict);
--- a/tests/test_config_snapshot.c
+++ b/tests/test_config_snapshot.c
@@ -9,15 +9,6 @@
 #define FUZZ_SEED 20261203
 #define FUZZ_ROUNDS 2000
 
-static GString *
-snapshot_of(const ConfigState *state)
-{
-    GString *text = g_string_new(NULL);
-
-    ConfigState_WriteSnapshot(state, text);
-    return text;
-}
-
 /* Rights, keys and deletions that a snapshot has to carry. */
 static ConfigState *
 create_rich(const ConfigOptions *options)
@@ -53,12 +44,12 @@
     ConfigOptions options = Fixture_Options();
     ConfigState *state = create_rich(&options);
     ConfigState *other = ConfigState_Create(&options);
-    GString *text = snapshot_of(state);
+    GString *text = Fixture_Snapshot(state);
     GString *again;
 
     g_assert_cmpint(
         ConfigState_LoadSnapshot(other, Str_FromString(text), NULL), ==, 0);
-    again = snapshot_of(other);
+    again = Fixture_Snapshot(other);
     g_assert_cmpstr(text->str, ==, again->str);
     g_assert_cmpint(
         ConfigState_LoadSnapshot(other, Str_FromString(text), NULL), ==,
@@ -80,7 +71,7 @@
             ==, CONFIG_DENIED);
     }
     g_string_free(again, TRUE);
-    again = snapshot_of(other);
+    again = Fixture_Snapshot(other);
     g_string_truncate(text, 0);
     ConfigState_WriteSnapshot(state, text);
     g_assert_cmpstr(text->str, ==, again->str);
@@ -124,7 +115,7 @@
     for (size_t i = 0; i < G_N_ELEMENTS(damages); i++) {
         const DamageCase *row = &damages[i];
         ConfigState *other = ConfigState_Create(&options);
-        GString *text = snapshot_of(state);
+        GString *text = Fixture_Snapshot(state);
         char *from = g_strcompress(row->from);
         char *to = g_strcompress(row->to);
 
@@ -154,7 +145,7 @@
     ConfigOptions strange = {0};
     ConfigState *state = create_rich(&options);
     ConfigState *other = ConfigState_Create(&strange);
-    GString *text = snapshot_of(state);
+    GString *text = Fixture_Snapshot(state);
     ConfigState *newer = ConfigState_Create(&options);
 
     g_assert_cmpint(
@@ -210,7 +201,7 @@
                                       NULL),
                         ==, CONFIG_ACCEPTED);
     }
-    text = snapshot_of(state);
+    text = Fixture_Snapshot(state);
     other = ConfigState_Create(&options);
     g_assert_cmpint(
         ConfigState_LoadSnapshot(other, Str_FromString(text), NULL), ==, 0);
