Remove functions that nothing calls

Cause: 24 public functions had no caller, not even a test, and six fields, two of them updated on each call to an upstream, one hash table and two further functions existed for them alone. Change: both are gone. No behaviour, log line or counter depends on them. Measured: make check in a fresh clone with this change: 39 passed, 0 failed.

--- a/packages/agatecrank/Command.h
+++ b/packages/agatecrank/Command.h
@@ -29,9 +29,6 @@
     CommandHandler *handler;
 } Command;
 
-/** Command_Table() - all subcommands, ended by a NULL name */
-const Command *Command_Table(void);
-
 /**
  * struct CommonArgs_ - options that most subcommands have
  *
--- a/packages/agatecrank/Replica.c
+++ b/packages/agatecrank/Replica.c
@@ -190,9 +190,3 @@
     }
     return ConfigState_Verdict(this->state, author, id, verdict);
 }
-
-Loop *
-Replica_Loop(Replica *this)
-{
-    return this->loop;
-}
--- a/packages/agatecrank/Replica.h
+++ b/packages/agatecrank/Replica.h
@@ -40,7 +40,4 @@
 int Replica_AwaitVerdict(Replica *this, Str author, Str id,
                          ConfigVerdict *verdict);
 
-/** Replica_Loop() - the loop, for further requests */
-Loop *Replica_Loop(Replica *this);
-
 #endif
--- a/packages/agatecrank/main.c
+++ b/packages/agatecrank/main.c
@@ -27,12 +27,6 @@
     {NULL, NULL, NULL},
 };
 
-const Command *
-Command_Table(void)
-{
-    return commands;
-}
-
 static int
 print_help(FILE *out)
 {
--- a/packages/base/Counters.c
+++ b/packages/base/Counters.c
@@ -160,21 +160,6 @@
     }
 }
 
-double
-Counters_Get(const Counters *this, const char *name,
-             const CounterLabel *labels, size_t count)
-{
-    const Series *series;
-
-    build_key((Counters *)this, name, labels, count);
-    series = g_hash_table_lookup(this->series, this->key->str);
-    if (series == NULL || series->kind == SERIES_HISTOGRAM) {
-        return 0;
-    }
-    return series->kind == SERIES_GAUGE ? series->gauge
-                                        : (double)series->count;
-}
-
 static void
 write_histogram(const Series *series, GString *out)
 {
--- a/packages/base/Counters.h
+++ b/packages/base/Counters.h
@@ -38,10 +38,6 @@
 void Counters_Observe(Counters *this, const char *name,
                       const CounterLabel *labels, size_t count, Micros sample);
 
-/** Counters_Get() - value of a counter or gauge, 0 if there is none */
-double Counters_Get(const Counters *this, const char *name,
-                    const CounterLabel *labels, size_t count);
-
 /**
  * Counters_Write() - append everything in the Prometheus text format 0.0.4
  *
--- a/packages/base/Str.c
+++ b/packages/base/Str.c
@@ -69,20 +69,6 @@
     return true;
 }
 
-bool
-Str_EqualConstantTime(Str a, Str b)
-{
-    unsigned char difference = 0;
-
-    if (a.length != b.length) {
-        return false;
-    }
-    for (size_t i = 0; i < a.length; i++) {
-        difference |= (unsigned char)(a.data[i] ^ b.data[i]);
-    }
-    return difference == 0;
-}
-
 bool
 Str_StartsWith(Str s, Str prefix)
 {
--- a/packages/base/Str.h
+++ b/packages/base/Str.h
@@ -44,9 +44,6 @@
 /** Str_EqualIgnoreCase() - compare with ASCII letters folded */
 bool Str_EqualIgnoreCase(Str a, Str b);
 
-/** Str_EqualConstantTime() - compare secrets; time depends on length only */
-bool Str_EqualConstantTime(Str a, Str b);
-
 /** Str_StartsWith() - true if @s begins with @prefix */
 bool Str_StartsWith(Str s, Str prefix);
 
--- a/packages/config/ConfigObject.c
+++ b/packages/config/ConfigObject.c
@@ -160,23 +160,3 @@
                            kinds[this->kind].name, STR_ARGS(this->name));
     write_fields(this, out);
 }
-
-bool
-ConfigObject_Equal(const ConfigObject *a, const ConfigObject *b)
-{
-    GString *left;
-    GString *right;
-    bool equal;
-
-    if (a->kind != b->kind || !Str_Equal(a->name, b->name)) {
-        return false;
-    }
-    left = g_string_new(NULL);
-    right = g_string_new(NULL);
-    write_fields(a, left);
-    write_fields(b, right);
-    equal = g_string_equal(left, right);
-    g_string_free(left, TRUE);
-    g_string_free(right, TRUE);
-    return equal;
-}
--- a/packages/config/ConfigObject.h
+++ b/packages/config/ConfigObject.h
@@ -97,7 +97,4 @@
 /** ConfigObject_Write() - append the object as a TOML table */
 void ConfigObject_Write(const ConfigObject *this, GString *out);
 
-/** ConfigObject_Equal() - true if all fields are equal */
-bool ConfigObject_Equal(const ConfigObject *a, const ConfigObject *b);
-
 #endif
--- a/packages/config/ConfigRule.c
+++ b/packages/config/ConfigRule.c
@@ -400,7 +400,6 @@
     Publication_Destroy(publication);
     extend_digest(this, record);
     this->offset++;
-    this->counts[verdict->outcome]++;
     return report(verdict, error);
 }
 
--- a/packages/config/ConfigState.c
+++ b/packages/config/ConfigState.c
@@ -173,12 +173,6 @@
     return this->accepted;
 }
 
-uint64_t
-ConfigState_Count(const ConfigState *this, ConfigOutcome outcome)
-{
-    return this->counts[outcome];
-}
-
 const ConfigObject *
 ConfigState_Find(const ConfigState *this, ConfigKind kind, Str name)
 {
--- a/packages/config/ConfigState.h
+++ b/packages/config/ConfigState.h
@@ -137,9 +137,6 @@
 /** ConfigState_Accepted() - offset after the last accepted record; 0: none */
 uint64_t ConfigState_Accepted(const ConfigState *this);
 
-/** ConfigState_Count() - records with @outcome applied by this object */
-uint64_t ConfigState_Count(const ConfigState *this, ConfigOutcome outcome);
-
 /** ConfigState_Find() - object of @kind and @name, or NULL */
 const ConfigObject *ConfigState_Find(const ConfigState *this, ConfigKind kind,
                                      Str name);
--- a/packages/config/ConfigStatePrivate.h
+++ b/packages/config/ConfigStatePrivate.h
@@ -17,7 +17,6 @@
     GQueue *tombstones;       /* ConfigEntry, oldest deletion first */
     uint64_t tombstone_floor; /* offset after the newest one forgotten */
     GHashTable *histories;    /* operator name to ConfigHistory */
-    uint64_t counts[CONFIG_OUTCOMES];
 };
 
 /** ConfigRule_MayChange() - true if operator @author may change @owner */
--- a/packages/config/Faults.c
+++ b/packages/config/Faults.c
@@ -76,12 +76,6 @@
     return this->count;
 }
 
-size_t
-Faults_Kept(const Faults *this)
-{
-    return this->items->len;
-}
-
 static int
 compare_faults(gconstpointer a, gconstpointer b)
 {
--- a/packages/config/Faults.h
+++ b/packages/config/Faults.h
@@ -38,9 +38,6 @@
 /** Faults_Count() - number of faults found, kept or not */
 size_t Faults_Count(const Faults *this);
 
-/** Faults_Kept() - number of faults that Faults_Get() can return */
-size_t Faults_Kept(const Faults *this);
-
 /** Faults_Get() - fault @index in order of lines and columns */
 const Fault *Faults_Get(Faults *this, size_t index);
 
--- a/packages/config/TextStore.c
+++ b/packages/config/TextStore.c
@@ -13,7 +13,6 @@
     char *next;
     size_t left;
     size_t block;
-    size_t bytes;
 };
 
 TextStore *
@@ -43,7 +42,6 @@
 
     this->next = g_malloc0(length);
     this->left = length;
-    this->bytes += length;
     this->block = MIN(this->block * 2, LARGEST_BLOCK);
     g_ptr_array_add(this->blocks, this->next);
 }
@@ -76,9 +74,3 @@
     }
     return (Str){copy, text.length};
 }
-
-size_t
-TextStore_Bytes(const TextStore *this)
-{
-    return this->bytes + sizeof(*this);
-}
--- a/packages/config/TextStore.h
+++ b/packages/config/TextStore.h
@@ -23,7 +23,4 @@
 /** TextStore_Copy() - copy of @text, followed by a zero byte */
 Str TextStore_Copy(TextStore *this, Str text);
 
-/** TextStore_Bytes() - bytes held, with the unused rest of the blocks */
-size_t TextStore_Bytes(const TextStore *this);
-
 #endif
--- a/packages/core/claims/Claims.h
+++ b/packages/core/claims/Claims.h
@@ -348,7 +348,4 @@
 /** Claims_Describe() - state of open requests and keys, for diagnosis */
 void Claims_Describe(const Claims *this, GString *out);
 
-/** ClaimOutcome_Word() - not-run, ran or unknown */
-const char *ClaimOutcome_Word(ClaimOutcome outcome);
-
 #endif
--- a/packages/core/claims/ClaimsTime.c
+++ b/packages/core/claims/ClaimsTime.c
@@ -170,17 +170,3 @@
     g_string_append(out, " issued");
     describe_table(this, this->issued, out);
 }
-
-const char *
-ClaimOutcome_Word(ClaimOutcome outcome)
-{
-    switch (outcome) {
-    case CLAIM_NOT_RUN:
-        return "not-run";
-    case CLAIM_RAN:
-        return "ran";
-    case CLAIM_UNKNOWN:
-        return "unknown";
-    }
-    return "unknown";
-}
--- a/packages/core/limits/LevelControl.c
+++ b/packages/core/limits/LevelControl.c
@@ -444,12 +444,6 @@
     return this->level;
 }
 
-double
-LevelControl_Signal(const LevelControl *this)
-{
-    return this->signal;
-}
-
 size_t
 LevelControl_Bytes(void)
 {
--- a/packages/core/limits/LevelControl.h
+++ b/packages/core/limits/LevelControl.h
@@ -90,9 +90,6 @@
 /** LevelControl_Level() - slots for the whole weight; infinite if not short */
 double LevelControl_Level(const LevelControl *this);
 
-/** LevelControl_Signal() - observed load in relation to the target */
-double LevelControl_Signal(const LevelControl *this);
-
 /** LevelControl_Bytes() - memory held, in bytes */
 size_t LevelControl_Bytes(void);
 
--- a/packages/core/membership/SharedItem.c
+++ b/packages/core/membership/SharedItem.c
@@ -3,27 +3,18 @@
 #include "Admission.h"
 #include "PeerMessage.h"
 
-static const struct {
-    const char *name;
-    Micros max_age;
-} kinds[SHARED_KINDS] = {
-    [SHARED_DRAIN] = {"drain", 30 * MICROS_PER_S},
-    [SHARED_FINGERPRINT] = {"fingerprint", 60 * MICROS_PER_S},
-    [SHARED_CONFIG_OFFSET] = {"config-offset", 60 * MICROS_PER_S},
-    [SHARED_USAGE] = {"usage", ADMISSION_ITEM_MAX_AGE},
-    [SHARED_SUSPECT] = {"suspect", 10 * MICROS_PER_S},
+static const Micros max_ages[SHARED_KINDS] = {
+    [SHARED_DRAIN] = 30 * MICROS_PER_S,
+    [SHARED_FINGERPRINT] = 60 * MICROS_PER_S,
+    [SHARED_CONFIG_OFFSET] = 60 * MICROS_PER_S,
+    [SHARED_USAGE] = ADMISSION_ITEM_MAX_AGE,
+    [SHARED_SUSPECT] = 10 * MICROS_PER_S,
 };
 
-const char *
-SharedKind_Name(SharedKind kind)
-{
-    return kinds[kind].name;
-}
-
 Micros
 SharedKind_MaxAge(SharedKind kind)
 {
-    return kinds[kind].max_age;
+    return max_ages[kind];
 }
 
 SharedStrings
--- a/packages/core/membership/SharedItem.h
+++ b/packages/core/membership/SharedItem.h
@@ -57,9 +57,6 @@
     };
 } SharedItem;
 
-/** SharedKind_Name() - stable lower-case word, for logs */
-const char *SharedKind_Name(SharedKind kind);
-
 /** SharedKind_MaxAge() - age from which an item of the kind has no effect */
 Micros SharedKind_MaxAge(SharedKind kind);
 
--- a/packages/core/routing/Router.c
+++ b/packages/core/routing/Router.c
@@ -364,10 +364,3 @@
     }
     return ProbeBudget_Spent(this->table->services[service].budget);
 }
-
-size_t
-Router_MemoryBytes(const Router *this)
-{
-    return sizeof(*this) + UpstreamTable_MemoryBytes(this->table) +
-           SlotLending_MemoryBytes(this->lending);
-}
--- a/packages/core/routing/Router.h
+++ b/packages/core/routing/Router.h
@@ -262,7 +262,4 @@
 /** Router_ProbeSpent() - probe counters of a service on this host */
 ProbeSpent Router_ProbeSpent(const Router *this, uint32_t service);
 
-/** Router_MemoryBytes() - bytes held, for the capacity report */
-size_t Router_MemoryBytes(const Router *this);
-
 #endif
--- a/packages/core/routing/SlotLending.c
+++ b/packages/core/routing/SlotLending.c
@@ -273,11 +273,3 @@
         loan = g_queue_peek_head(&this->lent);
     }
 }
-
-size_t
-SlotLending_MemoryBytes(const SlotLending *this)
-{
-    return sizeof(*this) + this->out.length * sizeof(SlotMessage) +
-           this->lent.length * sizeof(Loan) +
-           this->taken->len * sizeof(SlotMessage);
-}
--- a/packages/core/routing/SlotLending.h
+++ b/packages/core/routing/SlotLending.h
@@ -33,7 +33,4 @@
 /** SlotLending_Expire() - take back loans that were not returned in time */
 void SlotLending_Expire(SlotLending *this);
 
-/** SlotLending_MemoryBytes() - bytes held */
-size_t SlotLending_MemoryBytes(const SlotLending *this);
-
 #endif
--- a/packages/core/routing/UpstreamTable.c
+++ b/packages/core/routing/UpstreamTable.c
@@ -338,18 +338,3 @@
     }
     return s;
 }
-
-size_t
-UpstreamTable_MemoryBytes(const UpstreamTable *this)
-{
-    size_t bytes = sizeof(*this) + this->upstream_count * sizeof(Upstream) +
-                   this->service_count * sizeof(ServiceState) +
-                   this->host_count * sizeof(uint64_t);
-
-    for (uint32_t s = 0; s < this->service_count; s++) {
-        /* A probe budget holds three buckets, limits and counters. */
-        bytes += this->services[s].count * sizeof(uint32_t);
-        bytes += this->services[s].present ? 208 : 0;
-    }
-    return bytes;
-}
--- a/packages/core/routing/UpstreamTable.h
+++ b/packages/core/routing/UpstreamTable.h
@@ -124,7 +124,4 @@
 /** UpstreamTable_Service() - a service with its subset up to date, or NULL */
 ServiceState *UpstreamTable_Service(UpstreamTable *this, uint32_t service);
 
-/** UpstreamTable_MemoryBytes() - bytes held */
-size_t UpstreamTable_MemoryBytes(const UpstreamTable *this);
-
 #endif
--- a/packages/gateway/Placement.c
+++ b/packages/gateway/Placement.c
@@ -602,13 +602,3 @@
     };
     return 0;
 }
-
-float
-Placement_Busy(const Placement *this, uint32_t service)
-{
-    const Service *known = service < this->services->len
-                               ? g_ptr_array_index(this->services, service)
-                               : NULL;
-
-    return known != NULL && known->reported ? known->mean_busy : -1;
-}
--- a/packages/gateway/Placement.h
+++ b/packages/gateway/Placement.h
@@ -125,8 +125,4 @@
 int Placement_Choose(Placement *this, const PlacementQuery *query,
                      PlacementChoice *choice);
 
-/** Placement_Busy() - mean of busy for each slot over a service's upstreams
- *                     with a report, -1 without any */
-float Placement_Busy(const Placement *this, uint32_t service);
-
 #endif
--- a/packages/gateway/RequestQueue.c
+++ b/packages/gateway/RequestQueue.c
@@ -167,9 +167,3 @@
     }
     return next;
 }
-
-size_t
-RequestQueue_Length(const RequestQueue *this)
-{
-    return this->entries->length;
-}
--- a/packages/gateway/RequestQueue.h
+++ b/packages/gateway/RequestQueue.h
@@ -54,7 +54,4 @@
  *                                room may come at any moment then */
 Micros RequestQueue_ExpectedWait(const RequestQueue *this, unsigned priority);
 
-/** RequestQueue_Length() - number of items */
-size_t RequestQueue_Length(const RequestQueue *this);
-
 #endif
--- a/packages/net/HttpClient.c
+++ b/packages/net/HttpClient.c
@@ -13,7 +13,6 @@
 typedef struct Peer_ {
     GQueue *idle; /* Connection, the last used one first */
     unsigned open;
-    unsigned busy;
 } Peer;
 
 struct HttpClient_ {
@@ -31,7 +30,6 @@
     Socket *socket;
     HttpParser *parser;
     HttpCall *call; /* NULL while idle */
-    Micros opened_at;
     Micros idle_since;
     Micros idle_limit; /* by the peer's Keep-Alive field, 0 without one */
     unsigned holds;    /* callbacks that run now */
@@ -108,7 +106,6 @@
 {
     if (call->connection != NULL) {
         call->connection->call = NULL;
-        call->connection->peer->busy--;
         call->connection = NULL;
     }
 }
@@ -474,7 +471,6 @@
 
     connection->client = this;
     connection->peer = peer;
-    connection->opened_at = Clock_Now(Loop_Clock(this->loop));
     if (this->options.ca_file == NULL || options.tls != NULL) {
         connection->socket =
             Socket_Connect(this->loop, spec->address, spec->port, &options,
@@ -593,20 +589,11 @@
     }
     call->connection = connection;
     connection->call = call;
-    peer->busy++;
     call->bytes_given = connection->connected;
     send_head(call, spec);
     return call;
 }
 
-unsigned
-HttpClient_BusyTo(HttpClient *this, const char *address, uint16_t port)
-{
-    const Peer *peer = find_peer(this, address, port, false);
-
-    return peer != NULL ? peer->busy : 0;
-}
-
 void
 HttpClient_CloseIdle(HttpClient *this, const char *address, uint16_t port)
 {
--- a/packages/net/HttpClient.h
+++ b/packages/net/HttpClient.h
@@ -107,10 +107,6 @@
                            const HttpCallHandlers *handlers, void *user,
                            Error *error);
 
-/** HttpClient_BusyTo() - calls in flight to a peer */
-unsigned HttpClient_BusyTo(HttpClient *this, const char *address,
-                           uint16_t port);
-
 /** HttpClient_CloseIdle() - close idle connections to a peer that are as
  *                           old as a connection that went silent */
 void HttpClient_CloseIdle(HttpClient *this, const char *address,
--- a/packages/net/KeyedFollower.c
+++ b/packages/net/KeyedFollower.c
@@ -22,10 +22,9 @@
     KeyedMirror *mirror;
     Micros answered_at;
     FollowerState state;
-    GHashTable *keys; /* of the snapshot that is read now */
-    GString *after;   /* last key of its last page */
-    uint64_t next;    /* offset to read from */
-    uint64_t reads;
+    GHashTable *keys;  /* of the snapshot that is read now */
+    GString *after;    /* last key of its last page */
+    uint64_t next;     /* offset to read from */
     Micros settled_at; /* when reads may be held for long again */
     bool complete;     /* no snapshot is being read */
     bool was_complete;
@@ -62,7 +61,6 @@
     const KeyedLog *source = this->source;
     Micros wait = wait_for(this);
 
-    this->reads++;
     this->reading = true;
     switch (this->state) {
     case STATE_SNAPSHOT:
@@ -277,9 +275,3 @@
                ? Clock_Now(this->clock) - this->answered_at
                : -1;
 }
-
-uint64_t
-KeyedFollower_Reads(const KeyedFollower *this)
-{
-    return this->reads;
-}
--- a/packages/net/KeyedFollower.h
+++ b/packages/net/KeyedFollower.h
@@ -72,7 +72,4 @@
  *                        be read or no snapshot is complete */
 Micros KeyedFollower_Age(const KeyedFollower *this);
 
-/** KeyedFollower_Reads() - calls to the log so far */
-uint64_t KeyedFollower_Reads(const KeyedFollower *this);
-
 #endif
--- a/packages/net/Loop.c
+++ b/packages/net/Loop.c
@@ -26,8 +26,7 @@
     const Clock *clock;
     LoopSignalHandler *signal_handler;
     void *signal_user;
-    GHashTable *watches; /* descriptor to wsi */
-    GHashTable *ios;     /* set of LoopIo */
+    GHashTable *ios; /* set of LoopIo */
     struct ev_prepare prepare;
     GQueue *tasks; /* scheduled LoopTask in order */
     uint64_t turns;
@@ -59,7 +58,6 @@
 
 typedef struct Watch_ {
     Loop *loop;
-    int fd;
     LoopHandler *handler;
     void *user;
 } Watch;
@@ -92,7 +90,6 @@
     }
     if (reason == LWS_CALLBACK_RAW_CLOSE_FILE && watch != NULL) {
         lws_set_opaque_user_data(wsi, NULL);
-        g_hash_table_remove(watch->loop->watches, GINT_TO_POINTER(watch->fd));
         g_free(watch);
     }
     return 0;
@@ -137,7 +134,6 @@
 
     this->clock = clock;
     this->signal_fd = -1;
-    this->watches = g_hash_table_new(g_direct_hash, g_direct_equal);
     this->ios = g_hash_table_new(g_direct_hash, g_direct_equal);
     this->tasks = g_queue_new();
     library_log = log;
@@ -159,7 +155,6 @@
     if (this->context == NULL) {
         Error_Set(error, ERR_IO, "loop-create", STR(""),
                   "libwebsockets could not create its context");
-        g_hash_table_destroy(this->watches);
         g_hash_table_destroy(this->ios);
         g_queue_free(this->tasks);
         g_free(this);
@@ -267,7 +262,6 @@
         return;
     }
     Loop_Close(this);
-    g_hash_table_destroy(this->watches);
     g_hash_table_destroy(this->ios);
     g_queue_free(this->tasks);
     g_free(this);
@@ -302,12 +296,6 @@
     return this->turns;
 }
 
-struct lws_context *
-Loop_Context(Loop *this)
-{
-    return this->context;
-}
-
 const Clock *
 Loop_Clock(const Loop *this)
 {
@@ -322,7 +310,6 @@
     struct lws *wsi;
 
     watch->loop = this;
-    watch->fd = fd;
     watch->handler = handler;
     watch->user = user;
     wsi = lws_adopt_descriptor_vhost(this->vhost, LWS_ADOPT_RAW_FILE_DESC,
@@ -333,23 +320,9 @@
                          "could not add descriptor %d to the loop", fd);
     }
     lws_set_opaque_user_data(wsi, watch);
-    g_hash_table_insert(this->watches, GINT_TO_POINTER(fd), wsi);
     return 0;
 }
 
-void
-Loop_Unwatch(Loop *this, int fd)
-{
-    struct lws *wsi = g_hash_table_lookup(this->watches, GINT_TO_POINTER(fd));
-
-    if (wsi == NULL || this->closing) {
-        return;
-    }
-    /* Wakes the library, whose timers wait for an event of its own. */
-    lws_set_timeout(wsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
-    lws_cancel_service(this->context);
-}
-
 static void
 io_ready(struct ev_loop *events, struct ev_io *event, int revents)
 {
--- a/packages/net/Loop.h
+++ b/packages/net/Loop.h
@@ -54,9 +54,6 @@
 /** Loop_Turns() - times the loop woke up; a fast rise shows that it spins */
 uint64_t Loop_Turns(const Loop *this);
 
-/** Loop_Context() - the library's context, for the HTTP objects */
-struct lws_context *Loop_Context(Loop *this);
-
 /** Loop_Clock() - the clock given at creation */
 const Clock *Loop_Clock(const Loop *this);
 
@@ -70,9 +67,6 @@
 int Loop_Watch(Loop *this, int fd, LoopHandler *handler, void *user,
                Error *error);
 
-/** Loop_Unwatch() - stop watching @fd and close it; unknown ones are ignored */
-void Loop_Unwatch(Loop *this, int fd);
-
 /** typedef LoopIo - readiness of one descriptor, which its owner closes */
 typedef struct LoopIo_ LoopIo;
 
--- a/packages/net/PeerExchange.c
+++ b/packages/net/PeerExchange.c
@@ -613,9 +613,3 @@
 {
     return this->membership;
 }
-
-const PeerLink *
-PeerExchange_Link(const PeerExchange *this)
-{
-    return this->link;
-}
--- a/packages/net/PeerExchange.h
+++ b/packages/net/PeerExchange.h
@@ -67,7 +67,4 @@
 /** PeerExchange_Membership() - for reports */
 const Membership *PeerExchange_Membership(const PeerExchange *this);
 
-/** PeerExchange_Link() - for reports; NULL without peer links */
-const PeerLink *PeerExchange_Link(const PeerExchange *this);
-
 #endif
--- a/standins/HttpRequest.c
+++ b/standins/HttpRequest.c
@@ -149,12 +149,6 @@
     return this->data;
 }
 
-HttpServer *
-HttpRequest_Server(const HttpRequest *this)
-{
-    return this->connection->server;
-}
-
 static void
 on_timer(Timer *timer)
 {
--- a/standins/HttpServer.h
+++ b/standins/HttpServer.h
@@ -108,9 +108,6 @@
 void HttpRequest_SetData(HttpRequest *this, void *data);
 void *HttpRequest_Data(const HttpRequest *this);
 
-/** HttpRequest_Server() - the server that took the request */
-HttpServer *HttpRequest_Server(const HttpRequest *this);
-
 /**
  * HttpRequest_After() - call @callback after @delay; one timer a request, a
  * second call replaces the first, and it ends with the request
--- a/standins/PlatformStore.c
+++ b/standins/PlatformStore.c
@@ -368,11 +368,3 @@
 {
     return this->calls;
 }
-
-unsigned
-PlatformStore_Keys(const PlatformStore *this, const char *topic)
-{
-    const Topic *found = g_hash_table_lookup(this->topics, topic);
-
-    return found != NULL ? g_hash_table_size(found->newest) : 0;
-}
--- a/standins/PlatformStore.h
+++ b/standins/PlatformStore.h
@@ -41,7 +41,4 @@
 /** PlatformStore_Calls() - calls so far, refused ones too */
 unsigned PlatformStore_Calls(const PlatformStore *this);
 
-/** PlatformStore_Keys() - number of keys with a value */
-unsigned PlatformStore_Keys(const PlatformStore *this, const char *topic);
-
 #endif
--- a/standins/PlatformUpstream.c
+++ b/standins/PlatformUpstream.c
@@ -216,12 +216,6 @@
     tell(this);
 }
 
-void
-PlatformUpstream_Leave(PlatformUpstream *this)
-{
-    PlatformStore_Put(this->world.store, "keyed.servers", this->id, "");
-}
-
 void
 PlatformUpstream_Crash(PlatformUpstream *this)
 {
--- a/standins/PlatformUpstream.h
+++ b/standins/PlatformUpstream.h
@@ -32,9 +32,6 @@
 /** PlatformUpstream_Drain() - report that it leaves */
 void PlatformUpstream_Drain(PlatformUpstream *this);
 
-/** PlatformUpstream_Leave() - remove its entry */
-void PlatformUpstream_Leave(PlatformUpstream *this);
-
 /** PlatformUpstream_Crash() - end without a word */
 void PlatformUpstream_Crash(PlatformUpstream *this);
 
--- a/tests/support/LimitsModel.c
+++ b/tests/support/LimitsModel.c
@@ -55,7 +55,6 @@
     Micros measured_from;
     uint64_t next_id;
     uint64_t items_sent;
-    uint64_t sheds;
 };
 
 static void exchange(void *user, uint64_t host);
@@ -414,7 +413,6 @@
         return;
     }
     upstream->load--;
-    this->sheds++;
     EventQueue_Add(this->events, this->options.one_way, receive_shed, this,
                    argument);
 }
@@ -567,7 +565,6 @@
 {
     this->measured_from = Clock_Now(this->clock);
     this->items_sent = 0;
-    this->sheds = 0;
     for (uint32_t i = 0; i < MODEL_MAX_LINES; i++) {
         ModelStats *stats = &this->lines[i].stats;
         ModelStats empty = {.latency = stats->latency,
@@ -594,24 +591,12 @@
     return this->lines[line].bins[i];
 }
 
-Admission *
-LimitsModel_Admission(const LimitsModel *this, uint32_t host)
-{
-    return this->hosts[host];
-}
-
 uint64_t
 LimitsModel_ItemsSent(const LimitsModel *this)
 {
     return this->items_sent;
 }
 
-uint64_t
-LimitsModel_Sheds(const LimitsModel *this)
-{
-    return this->sheds;
-}
-
 double
 LimitsModel_Capacity(const LimitsModel *this)
 {
--- a/tests/support/LimitsModel.h
+++ b/tests/support/LimitsModel.h
@@ -110,15 +110,9 @@
 /** LimitsModel_Bin() - good responses in bin @i since the measurement began */
 uint32_t LimitsModel_Bin(const LimitsModel *this, uint32_t line, uint32_t i);
 
-/** LimitsModel_Admission() - the Admission of one host */
-Admission *LimitsModel_Admission(const LimitsModel *this, uint32_t host);
-
 /** LimitsModel_ItemsSent() - usage items sent by all hosts */
 uint64_t LimitsModel_ItemsSent(const LimitsModel *this);
 
-/** LimitsModel_Sheds() - requests shed by the upstreams */
-uint64_t LimitsModel_Sheds(const LimitsModel *this);
-
 /** LimitsModel_Capacity() - requests of cost 1 per second */
 double LimitsModel_Capacity(const LimitsModel *this);
 
