net: start timers apart from the time of day

Cause: LoopTimer_Start() added ev_time() - ev_now() to the delay, to make up for the time since the turn began. ev_time() is the time of day. After a step of the clock forward by an hour, timers that were started before libev noticed the step, up to half a second later, ran an hour late. Drains did not end, requests stayed without an answer at their deadline, drained upstreams got requests for seconds, and store reads stopped.

Measured: test_loop /loop/clock-step failed before (timer not run within 10 s) and passes.

Nothing else in the product decides by the time of day while it serves callers.

--- a/packages/net/Loop.c
+++ b/packages/net/Loop.c
@@ -443,17 +443,15 @@
 LoopTimer_Start(LoopTimer *this, Micros delay)
 {
     struct ev_loop *events = this->loop->events;
-    double passed;
 
     if (this->loop->closing) {
         return;
     }
     ev_timer_stop(events, &this->event);
-    /* libev counts from the start of the turn. */
-    passed = ev_time() - ev_now(events);
-    ev_timer_set(&this->event,
-                 (double)(delay > 0 ? delay : 1) / MICROS_PER_S +
-                     (passed > 0 ? passed : 0),
+    /* libev counts from the start of the turn. The time that passed since
+     * can not be added, as ev_time() is the time of day, which may jump. */
+    ev_now_update(events);
+    ev_timer_set(&this->event, (double)(delay > 0 ? delay : 1) / MICROS_PER_S,
                  0.);
     ev_timer_start(events, &this->event);
 }
--- a/tests/test_loop.c
+++ b/tests/test_loop.c
@@ -1,4 +1,5 @@
 #include <glib.h>
+#include <glib/gstdio.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -94,6 +95,40 @@
     g_assert_cmpuint(f->tasks, ==, 3);
 }
 
+static void
+set_skew(const char *path, const char *micros)
+{
+    g_assert_true(g_file_set_contents(path, micros, -1, NULL));
+}
+
+/* Guards against timers that count with the time of day: one that was started
+ * right after a step forward by an hour ran an hour late, so a host did not
+ * end its drain. The program runs with the library of skewed-clock.c. */
+static void
+test_clock_step(Fixture *f, gconstpointer data)
+{
+    g_autofree char *path =
+        g_strdup_printf("%s/test_loop-%d", g_get_tmp_dir(), (int)getpid());
+    Micros end = Clock_Now(f->clock) + 10 * MICROS_PER_S;
+    Micros before;
+
+    set_skew(path, "0");
+    g_setenv("SKEW_FILE", path, TRUE);
+    before = Clock_Wall(f->clock);
+    LoopTask_Schedule(f->task);
+    Loop_Turn(f->loop);
+    set_skew(path, "3600000000");
+    g_assert_cmpint(Clock_Wall(f->clock) - before, >, 3500 * MICROS_PER_S);
+    LoopTimer_Start(f->timer, 10 * MICROS_PER_MS);
+    while (f->fired == 0 && Clock_Now(f->clock) < end) {
+        LoopTask_Schedule(f->task); /* so that a turn does not wait */
+        Loop_Turn(f->loop);
+    }
+    g_unsetenv("SKEW_FILE");
+    g_unlink(path);
+    g_assert_cmpuint(f->fired, ==, 1);
+}
+
 #define ADD(path, test)                                                       \
     g_test_add(path, Fixture, NULL, set_up, test, tear_down)
 
@@ -103,5 +138,6 @@
     g_test_init(&argc, &argv, NULL);
     ADD("/loop/destroy-while-closing", test_destroy_while_closing);
     ADD("/loop/tasks", test_tasks);
+    ADD("/loop/clock-step", test_clock_step);
     return g_test_run();
 }
