soak: disturb links, clocks and records, and judge silence

Cause: the soak disturbed gateway hosts by signals and inside the stand-in only. Nothing was delayed, reset, cut in one direction or silenced on its way, no clock jumped, no write reached the store late, and a caller that got no answer at all was not counted.

Change: LossyLink forwards the connections of one port and disturbs them, LinkFaults holds the links of a run. Callers reach hosts, hosts the store and the upstreams through them. The store also answers late or with bytes that are no records. Records that no host can use and late writes come in. The time of day of hosts jumps (skewed-clock). After the last fault a caller whose time passes without an answer is a violation.

Measured: test_standin_platform shows that each check of answers fails for the case that it guards against.

--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -8,6 +8,8 @@
 set -uo pipefail
 cd "$(dirname "$0")/.."
 BIN=$(realpath "$1")
+# The library that shifts clocks is loaded before that of the sanitizer.
+export ASAN_OPTIONS="${ASAN_OPTIONS:-}:verify_asan_link_order=0"
 shift
 HOSTS=${HOSTS:-4}            # gateway hosts, in two failure domains
 UPSTREAMS=${UPSTREAMS:-10}
@@ -15,6 +17,7 @@
 LOAD_MS=${LOAD_MS:-12000}    # time of load and faults
 REST_MS=${REST_MS:-3000}     # load after the last fault, served again by then
 FAULT_PERIOD_S=${FAULT_PERIOD_S:-0.8}  # of the stand-in; 0 for none
+LINK_PERIOD_S=${LINK_PERIOD_S:-0.6}    # of the links between processes; 0 for none
 SIGNALS=${SIGNALS:-mixed}    # mixed, term or none
 SERVED_LEAST=${SERVED_LEAST:-0.9}
 KEEP=${KEEP:-}               # folder for the logs of seeds that fail
@@ -22,8 +25,9 @@
 address() { echo "127.$((1 + SEED % 200)).$((1 + $$ % 250)).$((10 + $1))"; }
 
 write_settings() {
-    local ip
+    local ip store
     ip=$(address "$1")
+    store=$(echo "$STORE_PORTS" | cut -d ' ' -f "$(($1 + 1))")
     cat >"$WORK/host-$1.toml" <<TOML
 [host]
 id = "host-$1"
@@ -33,7 +37,7 @@
 readiness = "$ip:8081"
 metrics = "$ip:8082"
 relay = "$ip:8083"
-store = "127.0.0.1:$STORE_PORT"
+store = "127.0.0.1:$store"
 [bounds]
 graceS = 6
 drainS = 2
@@ -43,7 +47,8 @@
 }
 
 start_host() {
-    "$BIN/packages/agatecrankd/agatecrankd" --config "$WORK/host-$1.toml" \
+    SKEW_FILE=$WORK/skew-$1 LD_PRELOAD=$BIN/standins/libskewed-clock.so \
+        "$BIN/packages/agatecrankd/agatecrankd" --config "$WORK/host-$1.toml" \
         >>"$WORK/host-$1.log" 2>&1 &
     HOST_PID[$1]=$!
 }
@@ -86,6 +91,15 @@
     done
 }
 
+# Sets the time of day of one host off by up to an hour, again and again.
+disturb_clocks() {
+    RANDOM=$((SEED + 1))
+    while sleep "0.$((2 + RANDOM % 8))"; do
+        echo "$(((RANDOM % 7200 - 3600) * 1000000))" \
+            >"$WORK/skew-$((RANDOM % HOSTS))"
+    done
+}
+
 end_processes() {
     local pid
     for pid in "${HOST_PID[@]}"; do
@@ -99,6 +113,7 @@
 
 play() {
     local targets="" host code=0
+    CLOCKS_PID=
     WORK=$(mktemp -d)
     HOST_PID=()
     : >"$WORK/signals.out"
@@ -108,24 +123,28 @@
     "$BIN/standins/standin-platform" --seed "$SEED" --hosts "${targets#,}" \
         --upstreams "$UPSTREAMS" --rate "$RATE" --load-ms "$LOAD_MS" \
         --rest-ms "$REST_MS" --fault-period-s "$FAULT_PERIOD_S" \
+        --link-period-s "$LINK_PERIOD_S" \
         --served-least "$SERVED_LEAST" \
         >"$WORK/platform.out" 2>"$WORK/platform.err" &
     PLATFORM_PID=$!
     for _ in $(seq 100); do
-        grep -q '^port=' "$WORK/platform.out" && break
+        grep -q '^store_ports=' "$WORK/platform.out" && break
         sleep 0.05
     done
-    STORE_PORT=$(sed -n 's/^port=//p' "$WORK/platform.out")
+    STORE_PORTS=$(sed -n 's/^store_ports= //p' "$WORK/platform.out")
     for host in $(seq 0 $((HOSTS - 1))); do
         write_settings "$host"
         start_host "$host"
     done
     if [ "$SIGNALS" != none ]; then
         sleep 3
+        disturb_clocks &
+        CLOCKS_PID=$!
         disturb_hosts "$(($(date +%s%N) + LOAD_MS * 1000000 - 3000000000))"
     fi
     wait "$PLATFORM_PID"
     code=$?
+    [ -n "$CLOCKS_PID" ] && kill "$CLOCKS_PID" && wait "$CLOCKS_PID" 2>/dev/null
     end_processes
     cat "$WORK/signals.out"
     grep -q violation "$WORK/signals.out" && code=1
@@ -133,7 +152,7 @@
         code=1
     fi
     [ "$code" -eq 0 ] || grep -m 8 violation "$WORK/platform.out"
-    echo "seed=$SEED code=$code $(grep -E '^(sent|served|refused|failed|violations|store_calls|served_at_rest)=' "$WORK/platform.out" | tr '\n' ' ')"
+    echo "seed=$SEED code=$code $(grep -E '^(sent|served|refused|failed|unanswered|violations|store_calls|served_at_rest)=' "$WORK/platform.out" | tr '\n' ' ')"
     if [ "$code" -ne 0 ] && [ -n "$KEEP" ]; then
         mkdir -p "$KEEP" && cp -r "$WORK" "$KEEP/seed-$SEED"
     fi
--- /dev/null
+++ b/standins/LossyLink.c
@@ -0,0 +1,377 @@
+#include "LossyLink.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "Endpoint.h"
+
+#define BACKLOG 512
+#define READ_BYTES (64 * 1024)
+#define HELD_BYTES_MAX (4 * 1024 * 1024)
+
+/* Sides of a connection, and the direction of the bytes that they send. */
+enum Side { SIDE_CLIENT, SIDE_TARGET, SIDES };
+
+struct LossyLink_ {
+    HttpLoop *loop;
+    struct lws_vhost *vhost;
+    struct lws_protocols protocols[2];
+    GHashTable *connections; /* set of LinkConnection */
+    struct sockaddr_in target;
+    int listen_fd;
+    int port;
+    LinkFault fault;
+};
+
+typedef struct LinkSide_ {
+    struct LinkConnection_ *connection;
+    struct lws *wsi; /* NULL once closed */
+    int fd;
+    GString *held; /* read here, to be written to the other side */
+    Timer delay;
+    bool lost; /* a byte of this direction was dropped */
+} LinkSide;
+
+typedef struct LinkConnection_ {
+    LossyLink *link;
+    LinkSide sides[SIDES];
+} LinkConnection;
+
+static LinkSide *
+other_side(const LinkSide *side)
+{
+    LinkConnection *connection = side->connection;
+
+    return &connection
+                ->sides[side == &connection->sides[SIDE_CLIENT] ? SIDE_TARGET
+                                                                : SIDE_CLIENT];
+}
+
+static bool
+loses_bytes(const LinkSide *side)
+{
+    bool client = side == &side->connection->sides[SIDE_CLIENT];
+
+    switch (side->connection->link->fault) {
+    case LINK_CLEAR:
+    case LINK_DELAYED:
+        return false;
+    case LINK_CUT_TO_TARGET:
+        return client;
+    case LINK_CUT_FROM_TARGET:
+        return !client;
+    case LINK_SILENT:
+        return true;
+    }
+    return false;
+}
+
+static void
+close_side(const LinkSide *side)
+{
+    if (side->wsi != NULL) {
+        lws_set_timeout(side->wsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
+    }
+}
+
+/* Without lingering, close() resets the connection. */
+static void
+reset_side(const LinkSide *side)
+{
+    static const struct linger none = {.l_onoff = 1, .l_linger = 0};
+
+    if (side->wsi != NULL) {
+        setsockopt(side->fd, SOL_SOCKET, SO_LINGER, &none, sizeof(none));
+        close_side(side);
+    }
+}
+
+static void
+reset_connection(const LinkConnection *connection)
+{
+    reset_side(&connection->sides[SIDE_CLIENT]);
+    reset_side(&connection->sides[SIDE_TARGET]);
+}
+
+/* Writes what @side holds; closes the other side after the last byte if
+ * @side itself is closed. */
+static void
+forward(LinkSide *side)
+{
+    LinkSide *to = other_side(side);
+
+    if (to->wsi == NULL || side->delay.queue != NULL) {
+        return;
+    }
+    if (side->held->len > 0) {
+        ssize_t sent =
+            send(to->fd, side->held->str, side->held->len, MSG_NOSIGNAL);
+
+        if (sent < 0 && errno != EAGAIN && errno != EWOULDBLOCK) {
+            reset_connection(side->connection);
+            return;
+        }
+        g_string_erase(side->held, 0, MAX(sent, 0));
+    }
+    if (side->held->len > 0) {
+        lws_callback_on_writable(to->wsi);
+    }
+    else if (side->wsi == NULL && !side->lost) {
+        close_side(to);
+    }
+}
+
+static void
+on_delay(Timer *timer)
+{
+    forward(TIMER_OWNER(timer, LinkSide, delay));
+}
+
+static void
+hold(LinkSide *side, const char *bytes, size_t length)
+{
+    LossyLink *link = side->connection->link;
+
+    if (side->lost || loses_bytes(side)) {
+        side->lost = true;
+        return;
+    }
+    g_string_append_len(side->held, bytes, (gssize)length);
+    if (side->held->len > HELD_BYTES_MAX) {
+        reset_connection(side->connection);
+        return;
+    }
+    if (link->fault == LINK_DELAYED && side->delay.queue == NULL) {
+        Timer_Start(&side->delay, link->loop->timers, LINK_DELAY, on_delay);
+    }
+}
+
+/* Return: -1 to close this side. */
+static int
+read_side(LinkSide *side)
+{
+    static char bytes[READ_BYTES];
+    ssize_t length;
+
+    while ((length = recv(side->fd, bytes, sizeof(bytes), 0)) > 0) {
+        hold(side, bytes, (size_t)length);
+    }
+    if (length == 0) {
+        return -1;
+    }
+    if (errno != EAGAIN && errno != EWOULDBLOCK) {
+        reset_connection(side->connection);
+        return -1;
+    }
+    forward(side);
+    return 0;
+}
+
+static void
+free_connection(LinkConnection *connection)
+{
+    for (int i = 0; i < SIDES; i++) {
+        Timer_Stop(&connection->sides[i].delay);
+        g_string_free(connection->sides[i].held, TRUE);
+    }
+    g_hash_table_remove(connection->link->connections, connection);
+    g_free(connection);
+}
+
+/* A side that closes while its direction loses bytes is not noticed. */
+static void
+on_side_closed(LinkSide *side)
+{
+    side->wsi = NULL;
+    side->lost = side->lost || loses_bytes(side);
+    if (other_side(side)->wsi == NULL) {
+        free_connection(side->connection);
+        return;
+    }
+    forward(side);
+}
+
+static bool
+adopt(LinkSide *side, LinkConnection *connection, int fd)
+{
+    static const int on = 1;
+    LossyLink *link = connection->link;
+    lws_sock_file_fd_type file = {.filefd = fd};
+
+    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    side->connection = connection;
+    side->fd = fd;
+    side->held = g_string_new(NULL);
+    side->wsi =
+        lws_adopt_descriptor_vhost(link->vhost, LWS_ADOPT_RAW_FILE_DESC, file,
+                                   link->protocols[0].name, NULL);
+    if (side->wsi == NULL) {
+        return false;
+    }
+    lws_set_opaque_user_data(side->wsi, side);
+    return true;
+}
+
+static void
+open_connection(LossyLink *this, int client)
+{
+    LinkConnection *connection = g_new0(LinkConnection, 1);
+    int target =
+        socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+
+    connect(target, (struct sockaddr *)&this->target, sizeof(this->target));
+    connection->link = this;
+    g_hash_table_add(this->connections, connection);
+    if (!adopt(&connection->sides[SIDE_CLIENT], connection, client) ||
+        !adopt(&connection->sides[SIDE_TARGET], connection, target)) {
+        g_error("out of descriptors for a link");
+    }
+}
+
+static void
+accept_connections(LossyLink *this)
+{
+    int fd;
+
+    while ((fd = accept4(this->listen_fd, NULL, NULL,
+                         SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0) {
+        open_connection(this, fd);
+    }
+}
+
+static int
+handle(struct lws *wsi, enum lws_callback_reasons reason, void *session,
+       void *in, size_t length)
+{
+    LinkSide *side;
+
+    switch (reason) {
+    case LWS_CALLBACK_RAW_RX_FILE:
+        side = lws_get_opaque_user_data(wsi);
+        if (side == NULL) {
+            accept_connections(lws_vhost_user(lws_get_vhost(wsi)));
+            return 0;
+        }
+        return read_side(side);
+    case LWS_CALLBACK_RAW_WRITEABLE_FILE:
+        side = lws_get_opaque_user_data(wsi);
+        if (side != NULL) {
+            forward(other_side(side));
+        }
+        return 0;
+    case LWS_CALLBACK_RAW_CLOSE_FILE:
+    case LWS_CALLBACK_WSI_DESTROY:
+        side = lws_get_opaque_user_data(wsi);
+        lws_set_opaque_user_data(wsi, NULL);
+        if (side != NULL) {
+            on_side_closed(side);
+        }
+        return 0;
+    default:
+        return 0;
+    }
+}
+
+static bool
+parse_target(LossyLink *this, const char *target)
+{
+    Endpoint endpoint;
+
+    if (Endpoint_Parse(Str_FromC(target), &endpoint) < 0) {
+        return false;
+    }
+    this->target.sin_family = AF_INET;
+    this->target.sin_port = htons(endpoint.port);
+    return inet_pton(AF_INET, endpoint.address, &this->target.sin_addr) == 1;
+}
+
+static bool
+start_listening(LossyLink *this)
+{
+    struct sockaddr_in address = {.sin_family = AF_INET};
+    socklen_t length = sizeof(address);
+    lws_sock_file_fd_type file;
+
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    this->listen_fd =
+        socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (bind(this->listen_fd, (struct sockaddr *)&address, length) < 0 ||
+        listen(this->listen_fd, BACKLOG) < 0 ||
+        getsockname(this->listen_fd, (struct sockaddr *)&address, &length) <
+            0) {
+        close(this->listen_fd);
+        return false;
+    }
+    this->port = ntohs(address.sin_port);
+    file.filefd = this->listen_fd;
+    return lws_adopt_descriptor_vhost(this->vhost, LWS_ADOPT_RAW_FILE_DESC,
+                                      file, this->protocols[0].name,
+                                      NULL) != NULL;
+}
+
+LossyLink *
+LossyLink_Create(HttpLoop *loop, const char *target)
+{
+    LossyLink *this = g_new0(LossyLink, 1);
+    struct lws_context_creation_info info;
+
+    this->loop = loop;
+    this->connections = g_hash_table_new(NULL, NULL);
+    this->protocols[0].name = "link";
+    this->protocols[0].callback = handle;
+    memset(&info, 0, sizeof(info));
+    info.port = CONTEXT_PORT_NO_LISTEN_SERVER;
+    info.protocols = this->protocols;
+    info.user = this;
+    if (!parse_target(this, target) ||
+        (this->vhost = lws_create_vhost(loop->context, &info)) == NULL ||
+        !start_listening(this)) {
+        LossyLink_Destroy(this);
+        return NULL;
+    }
+    return this;
+}
+
+void
+LossyLink_Destroy(LossyLink *this)
+{
+    if (this != NULL) {
+        g_hash_table_destroy(this->connections);
+        g_free(this);
+    }
+}
+
+int
+LossyLink_Port(const LossyLink *this)
+{
+    return this->port;
+}
+
+void
+LossyLink_SetFault(LossyLink *this, LinkFault fault)
+{
+    this->fault = fault;
+}
+
+void
+LossyLink_Reset(LossyLink *this)
+{
+    GHashTableIter iterator;
+    gpointer connection;
+
+    g_hash_table_iter_init(&iterator, this->connections);
+    while (g_hash_table_iter_next(&iterator, &connection, NULL)) {
+        reset_connection(connection);
+    }
+}
+
+unsigned
+LossyLink_Open(const LossyLink *this)
+{
+    return g_hash_table_size(this->connections);
+}
--- a/standins/PlatformCaller.c
+++ b/standins/PlatformCaller.c
@@ -87,6 +87,7 @@
 {
     Call *call = TIMER_OWNER(timer, Call, timer);
 
+    PlatformTruth_OnUnanswered(call->caller->truth, call->id);
     HttpClient_Cancel(&call->client);
     destroy_call(call);
 }
--- a/standins/PlatformStore.c
+++ b/standins/PlatformStore.c
@@ -5,6 +5,7 @@
 #include "Control.h"
 
 #define SILENCE (60 * MICROS_PER_S)
+#define SLOW_TIME (600 * MICROS_PER_MS)
 #define WAIT_MAX (30 * MICROS_PER_S)
 
 typedef struct Record_ {
@@ -229,6 +230,26 @@
 {
 }
 
+static void
+serve(void *user, HttpRequest *request)
+{
+    PlatformStore *this = user;
+    Str path = HttpRequest_Path(request);
+
+    if (Str_Equal(path, STR("/agatecrank/log-read"))) {
+        serve_read(this, request, true);
+    }
+    else if (Str_Equal(path, STR("/agatecrank/log-newest"))) {
+        serve_newest(this, request);
+    }
+    else if (Str_Equal(path, STR("/agatecrank/log-append"))) {
+        serve_append(this, request);
+    }
+    else {
+        HttpRequest_Answer(request, 404, "", STR("{}"));
+    }
+}
+
 static bool
 refuses(PlatformStore *this, HttpRequest *request)
 {
@@ -247,6 +268,12 @@
     case STORE_CLOSED:
         HttpRequest_Abort(request);
         return true;
+    case STORE_SLOW:
+        HttpRequest_After(request, SLOW_TIME, serve);
+        return true;
+    case STORE_GARBLED:
+        HttpRequest_Answer(request, 200, "", STR("\0\0{]\377 garbled"));
+        return true;
     }
     return false;
 }
@@ -266,23 +293,10 @@
 on_complete(void *user, HttpRequest *request)
 {
     PlatformStore *this = user;
-    Str path = HttpRequest_Path(request);
 
     this->calls++;
-    if (refuses(this, request)) {
-        return;
-    }
-    if (Str_Equal(path, STR("/agatecrank/log-read"))) {
-        serve_read(this, request, true);
-    }
-    else if (Str_Equal(path, STR("/agatecrank/log-newest"))) {
-        serve_newest(this, request);
-    }
-    else if (Str_Equal(path, STR("/agatecrank/log-append"))) {
-        serve_append(this, request);
-    }
-    else {
-        HttpRequest_Answer(request, 404, "", STR("{}"));
+    if (!refuses(this, request)) {
+        serve(this, request);
     }
 }
 
--- a/standins/PlatformStore.h
+++ b/standins/PlatformStore.h
@@ -10,10 +10,12 @@
 /** enum StoreMode - how it treats calls */
 typedef enum StoreMode_ {
     STORE_UP,
-    STORE_BUSY,   /* 503 */
-    STORE_MANY,   /* 429 */
-    STORE_SILENT, /* no answer, also to reads that wait */
-    STORE_CLOSED, /* connections are closed */
+    STORE_BUSY,    /* 503 */
+    STORE_MANY,    /* 429 */
+    STORE_SILENT,  /* no answer, also to reads that wait */
+    STORE_CLOSED,  /* connections are closed */
+    STORE_SLOW,    /* answers come late */
+    STORE_GARBLED, /* 200 with bytes that are no records */
 } StoreMode;
 
 /** PlatformStore_Create() - listen on 127.0.0.1; NULL if that fails */
--- a/standins/PlatformTruth.c
+++ b/standins/PlatformTruth.c
@@ -9,6 +9,7 @@
     unsigned runs;
     bool once;
     bool told_not_run;
+    bool calm; /* sent while no fault was under way */
 } Attempt;
 
 struct PlatformTruth_ {
@@ -17,7 +18,9 @@
     unsigned served;
     unsigned refused;
     unsigned failed;
+    unsigned unanswered;
     unsigned violations;
+    bool calm;
 };
 
 static void
@@ -67,6 +70,7 @@
 
     attempt->id = g_strdup(id);
     attempt->once = once;
+    attempt->calm = this->calm;
     g_hash_table_insert(this->attempts, attempt->id, attempt);
     this->sent++;
 }
@@ -129,12 +133,31 @@
     }
 }
 
+void
+PlatformTruth_OnUnanswered(PlatformTruth *this, const char *id)
+{
+    const Attempt *attempt = g_hash_table_lookup(this->attempts, id);
+
+    this->unanswered++;
+    if (attempt->calm) {
+        PlatformTruth_Violation(this, "unanswered id=%s runs=%u", id,
+                                attempt->runs);
+    }
+}
+
+void
+PlatformTruth_SetCalm(PlatformTruth *this)
+{
+    this->calm = true;
+}
+
 unsigned
 PlatformTruth_Report(const PlatformTruth *this)
 {
-    printf("sent=%u\nserved=%u\nrefused=%u\nfailed=%u\nviolations=%u\n",
+    printf("sent=%u\nserved=%u\nrefused=%u\nfailed=%u\nunanswered=%u\n"
+           "violations=%u\n",
            this->sent, this->served, this->refused, this->failed,
-           this->violations);
+           this->unanswered, this->violations);
     fflush(stdout);
     return this->violations;
 }
--- a/standins/PlatformTruth.h
+++ b/standins/PlatformTruth.h
@@ -34,6 +34,16 @@
 void PlatformTruth_OnAnswer(PlatformTruth *this, const char *id, int status,
                             const char *signature, const char *body);
 
+/**
+ * PlatformTruth_OnUnanswered() - a caller's time passed without an answer
+ *
+ * This breaks a promise if the attempt was sent during calm.
+ */
+void PlatformTruth_OnUnanswered(PlatformTruth *this, const char *id);
+
+/** PlatformTruth_SetCalm() - no fault is under way from now on */
+void PlatformTruth_SetCalm(PlatformTruth *this);
+
 /** PlatformTruth_Violation() - another check found a broken promise */
 void PlatformTruth_Violation(PlatformTruth *this, const char *format, ...)
     __attribute__((format(printf, 2, 3)));
--- a/standins/PlatformUpstream.c
+++ b/standins/PlatformUpstream.c
@@ -5,14 +5,19 @@
 #define SLOTS 6
 #define WAITING_MAX 12
 #define ID_BYTES 32
+#define CORRECT_DELAY (500 * MICROS_PER_MS)
 
 struct PlatformUpstream_ {
     UpstreamWorld world;
     HttpServer *server;
+    int port; /* of the link that hosts use */
     char id[ID_BYTES];
     char *service;
     char *domain;
     int64_t born_ms;
+    char *older_record; /* before the newest one; NULL if none */
+    char *record;
+    Timer correct;
     unsigned sequence;
     unsigned running;
     Micros draining_since; /* -1 while it is not leaving */
@@ -28,16 +33,18 @@
 static void
 tell(PlatformUpstream *this)
 {
-    g_autofree char *text = g_strdup_printf(
+    g_free(this->older_record);
+    this->older_record = this->record;
+    this->record = g_strdup_printf(
         "{\"address\":\"127.0.0.1:%d\",\"born\":%" G_GINT64_FORMAT
         ",\"info\":{\"service\":\"%s\",\"version\":\"v1\",\"zone\":\"%s\","
         "\"slots\":%d},\"status\":{\"state\":\"%s\",\"seqNo\":%u,"
         "\"warmupLeftS\":0}}",
-        HttpServer_Port(this->server), this->born_ms, this->service,
-        this->domain, SLOTS, this->draining_since >= 0 ? "draining" : "ready",
-        ++this->sequence);
+        this->port, this->born_ms, this->service, this->domain, SLOTS,
+        this->draining_since >= 0 ? "draining" : "ready", ++this->sequence);
 
-    PlatformStore_Put(this->world.store, "keyed.servers", this->id, text);
+    PlatformStore_Put(this->world.store, "keyed.servers", this->id,
+                      this->record);
 }
 
 static char *
@@ -96,8 +103,9 @@
     }
 }
 
-/* A host can not know of a drain that the store took while it did not answer;
- * the bound starts anew with its return. */
+/* A host can not know of a drain that the store took while it did not answer,
+ * or while its link to the store was disturbed; the bound starts anew with the
+ * return of both. */
 static void
 check_drain(const PlatformUpstream *this, const char *attempt)
 {
@@ -105,7 +113,8 @@
                   this->world.drain_time;
 
     if (this->draining_since >= 0 && late > 0 &&
-        PlatformStore_IsUp(this->world.store)) {
+        PlatformStore_IsUp(this->world.store) &&
+        LinkFaults_IsClear(this->world.links, LINKS_TO_STORE)) {
         PlatformTruth_Violation(this->world.truth,
                                 "drain id=%s upstream=%s late_ms=%d", attempt,
                                 this->id, (int)(late / MICROS_PER_MS));
@@ -175,6 +184,15 @@
     }
 }
 
+static int
+add_link(const PlatformUpstream *this)
+{
+    g_autofree char *target =
+        g_strdup_printf("127.0.0.1:%d", HttpServer_Port(this->server));
+
+    return LinkFaults_Add(this->world.links, LINKS_TO_UPSTREAMS, target);
+}
+
 PlatformUpstream *
 PlatformUpstream_Create(const UpstreamWorld *world, const char *service,
                         const char *domain, unsigned number)
@@ -190,7 +208,8 @@
     this->draining_since = -1;
     g_snprintf(this->id, sizeof(this->id), "i-%04u", number);
     this->server = HttpServer_Create(world->loop, 0, &handlers, this);
-    if (this->server == NULL) {
+    this->port = this->server != NULL ? add_link(this) : ERR_UNAVAILABLE;
+    if (this->port < 0) {
         PlatformUpstream_Destroy(this);
         return NULL;
     }
@@ -204,6 +223,9 @@
     if (this->server != NULL) {
         HttpServer_Destroy(this->server);
     }
+    Timer_Stop(&this->correct);
+    g_free(this->older_record);
+    g_free(this->record);
     g_free(this->service);
     g_free(this->domain);
     g_free(this);
@@ -216,6 +238,29 @@
     tell(this);
 }
 
+/* A host that starts before this finds the older record only, so the bound on
+ * a drain starts anew. */
+static void
+on_correct(Timer *timer)
+{
+    PlatformUpstream *this = TIMER_OWNER(timer, PlatformUpstream, correct);
+
+    tell(this);
+    PlatformUpstream_Forgive(this);
+}
+
+void
+PlatformUpstream_WriteLate(PlatformUpstream *this)
+{
+    if (this->older_record == NULL) {
+        return;
+    }
+    PlatformStore_Put(this->world.store, "keyed.servers", this->id,
+                      this->older_record);
+    Timer_Start(&this->correct, this->world.loop->timers, CORRECT_DELAY,
+                on_correct);
+}
+
 void
 PlatformUpstream_Crash(PlatformUpstream *this)
 {
--- a/standins/PlatformUpstream.h
+++ b/standins/PlatformUpstream.h
@@ -1,6 +1,7 @@
 #ifndef AGATECRANK_STANDINS_PLATFORMUPSTREAM_H
 #define AGATECRANK_STANDINS_PLATFORMUPSTREAM_H
 
+#include "LinkFaults.h"
 #include "PlatformStore.h"
 #include "PlatformTruth.h"
 #include "Random.h"
@@ -15,13 +16,15 @@
     Random *random;
     PlatformStore *store;
     PlatformTruth *truth;
+    LinkFaults *links;
     Micros work;       /* mean time of a request */
     double lost_share; /* requests whose answer is lost after they ran */
     double cut_share;  /* answers that end early */
     Micros drain_time; /* bound for requests after a drain was told */
 } UpstreamWorld;
 
-/** PlatformUpstream_Create() - listen and register; NULL on failure */
+/** PlatformUpstream_Create() - listen and register under a link's address;
+ *                              NULL on failure */
 PlatformUpstream *PlatformUpstream_Create(const UpstreamWorld *world,
                                           const char *service,
                                           const char *domain, unsigned number);
@@ -39,6 +42,10 @@
  *                               or a drain */
 void PlatformUpstream_Restart(PlatformUpstream *this);
 
+/** PlatformUpstream_WriteLate() - an older write of its record reaches the
+ *                                 store after the newest one */
+void PlatformUpstream_WriteLate(PlatformUpstream *this);
+
 /** PlatformUpstream_Silence() - open connections are never answered again */
 void PlatformUpstream_Silence(PlatformUpstream *this);
 
--- a/standins/standin-platform.c
+++ b/standins/standin-platform.c
@@ -24,6 +24,7 @@
     int64_t drain_ms;
     double rate;
     double fault_period_s;
+    double link_period_s;
     double served_least;
     char *hosts;
 } Options;
@@ -45,6 +46,8 @@
     {"rate", SETTING_REAL, FIELD(rate), false, "calls a second"},
     {"fault-period-s", SETTING_REAL, FIELD(fault_period_s), false,
      "mean time between faults, 0 for none"},
+    {"link-period-s", SETTING_REAL, FIELD(link_period_s), false,
+     "mean time between faults of links and of records, 0 for none"},
     {"served-least", SETTING_REAL, FIELD(served_least), false,
      "share of the calls after the last fault that must be served"},
     {"hosts", SETTING_TEXT, FIELD(hosts), false,
@@ -55,13 +58,16 @@
     Options options;
     Clock *clock;
     Random *random;
+    Random *link_random; /* so that links do not change the other faults */
     HttpLoop *loop;
     PlatformStore *store;
     PlatformTruth *truth;
+    LinkFaults *links;
     PlatformCaller *caller;
     GPtrArray *upstreams; /* PlatformUpstream */
     Timer phase;
     Timer fault;
+    Timer link_fault;
     Timer store_back;
     Timer config;
     unsigned version;
@@ -137,8 +143,8 @@
 static void
 disturb_store(Platform *this)
 {
-    static const StoreMode modes[] = {STORE_BUSY, STORE_MANY, STORE_SILENT,
-                                      STORE_CLOSED};
+    static const StoreMode modes[] = {STORE_BUSY,   STORE_MANY, STORE_SILENT,
+                                      STORE_CLOSED, STORE_SLOW, STORE_GARBLED};
     Micros time = MICROS_PER_S / 2 +
                   (Micros)Random_Below(this->random, 3 * MICROS_PER_S);
 
@@ -208,12 +214,82 @@
                 on_fault);
 }
 
+static void
+on_link_clear(void *user, LinkGroup group)
+{
+    Platform *this = user;
+
+    if (group == LINKS_TO_STORE) {
+        forgive_drains(this);
+    }
+}
+
+/* Records that another writer could leave: neither an upstream nor a
+ * configuration that hosts can use. */
+static void
+put_bad_record(Platform *this)
+{
+    static const char *const texts[] = {
+        "{",
+        "\xff\xfe",
+        "[]",
+        "{\"address\":7,\"born\":\"now\"}",
+        "{\"address\":\"127.0.0.1:1\",\"born\":1.5,\"info\":{\"service\":"
+        "\"" SERVICE "\"},\"status\":{\"state\":\"odd\",\"seqNo\":1}}",
+    };
+    const char *text =
+        texts[Random_Below(this->link_random, G_N_ELEMENTS(texts))];
+
+    if (Random_Below(this->link_random, 3) == 0) {
+        PlatformStore_Put(this->store, "keyed.op", "config", text);
+    }
+    else {
+        PlatformStore_Put(this->store, "keyed.servers", "i-stranger", text);
+    }
+}
+
+static void
+write_late(Platform *this)
+{
+    PlatformUpstream_WriteLate(g_ptr_array_index(
+        this->upstreams,
+        Random_Below(this->link_random, this->upstreams->len)));
+}
+
+static void
+on_link_fault(Timer *timer)
+{
+    Platform *this = TIMER_OWNER(timer, Platform, link_fault);
+    double period = this->options.link_period_s * MICROS_PER_S;
+
+    if (this->faults_over || period <= 0) {
+        return;
+    }
+    switch (Random_Below(this->link_random, 6)) {
+    case 0:
+        printf("fault=bad-record\n");
+        put_bad_record(this);
+        break;
+    case 1:
+        printf("fault=late-write\n");
+        write_late(this);
+        break;
+    default:
+        LinkFaults_Inject(this->links);
+    }
+    fflush(stdout);
+    Timer_Start(&this->link_fault, this->loop->timers,
+                1 + (Micros)Random_Exponential(this->link_random, period),
+                on_link_fault);
+}
+
 static void
 end_faults(Platform *this)
 {
     this->faults_over = true;
     Timer_Stop(&this->store_back);
     on_store_back(&this->store_back);
+    LinkFaults_End(this->links);
     for (guint i = 0; i < this->upstreams->len; i++) {
         PlatformUpstream *upstream = g_ptr_array_index(this->upstreams, i);
 
@@ -237,6 +313,7 @@
     case 0:
         PlatformCaller_Start(this->caller);
         on_fault(&this->fault);
+        on_link_fault(&this->link_fault);
         next = options->load_ms * MICROS_PER_MS;
         break;
     case 1:
@@ -246,6 +323,7 @@
     case 2:
         this->served_before = PlatformTruth_Served(this->truth);
         this->sent_before = PlatformTruth_Sent(this->truth);
+        PlatformTruth_SetCalm(this->truth);
         next = options->rest_ms * MICROS_PER_MS;
         break;
     case 3:
@@ -268,6 +346,7 @@
         .random = this->random,
         .store = this->store,
         .truth = this->truth,
+        .links = this->links,
         .work = this->options.work_ms * MICROS_PER_MS,
         .lost_share = this->options.fault_period_s > 0 ? 0.005 : 0,
         .cut_share = this->options.fault_period_s > 0 ? 0.005 : 0,
@@ -288,6 +367,36 @@
     return true;
 }
 
+/* Callers reach each host, and each host the store, through a link of its own.
+ * Returns the addresses for the callers, or NULL. */
+static char *
+link_hosts(Platform *this)
+{
+    g_auto(GStrv) hosts = g_strsplit(this->options.hosts, ",", -1);
+    g_autofree char *store =
+        g_strdup_printf("127.0.0.1:%d", PlatformStore_Port(this->store));
+    GString *targets = g_string_new(NULL);
+    GString *ports = g_string_new(NULL);
+
+    for (int i = 0; hosts[i] != NULL; i++) {
+        int to_host = LinkFaults_Add(this->links, LINKS_TO_HOSTS, hosts[i]);
+        int to_store = LinkFaults_Add(this->links, LINKS_TO_STORE, store);
+
+        if (to_host < 0 || to_store < 0) {
+            g_string_free(targets, TRUE);
+            g_string_free(ports, TRUE);
+            return NULL;
+        }
+        g_string_append_printf(targets, "%s127.0.0.1:%d", i > 0 ? "," : "",
+                               to_host);
+        g_string_append_printf(ports, " %d", to_store);
+    }
+    printf("store_ports=%s\n", ports->str);
+    fflush(stdout);
+    g_string_free(ports, TRUE);
+    return g_string_free(targets, FALSE);
+}
+
 static int
 judge(Platform *this)
 {
@@ -313,33 +422,42 @@
 static int
 play(Platform *this)
 {
+    g_autofree char *targets = NULL;
     int code = 1;
 
     this->clock = Clock_CreateSystem();
     this->random = Random_Create((uint64_t)this->options.seed);
+    this->link_random = Random_Create((uint64_t)this->options.seed);
     this->loop = HttpLoop_Create();
+    this->links =
+        LinkFaults_Create(this->loop, this->link_random, on_link_clear, this);
     this->truth = PlatformTruth_Create();
     this->upstreams = g_ptr_array_new_with_free_func(free_upstream);
     this->store = PlatformStore_Create(this->loop);
-    this->caller = PlatformCaller_Create(this->loop, this->clock, this->random,
-                                         this->truth, this->options.hosts,
-                                         this->options.rate);
-    if (this->store != NULL && this->caller != NULL && create_world(this)) {
+    targets = this->store != NULL ? link_hosts(this) : NULL;
+    if (targets != NULL) {
+        this->caller =
+            PlatformCaller_Create(this->loop, this->clock, this->random,
+                                  this->truth, targets, this->options.rate);
+    }
+    if (this->caller != NULL && create_world(this)) {
         on_config(&this->config);
-        printf("port=%d\n", PlatformStore_Port(this->store));
-        fflush(stdout);
         Timer_Start(&this->phase, this->loop->timers,
                     this->options.start_ms * MICROS_PER_MS, on_phase);
         HttpLoop_Run(this->loop, false);
         code = judge(this);
     }
     HttpLoop_Close(this->loop);
-    PlatformCaller_Destroy(this->caller);
+    if (this->caller != NULL) {
+        PlatformCaller_Destroy(this->caller);
+    }
     g_ptr_array_free(this->upstreams, TRUE);
     PlatformStore_Destroy(this->store);
+    LinkFaults_Destroy(this->links);
     HttpLoop_Destroy(this->loop);
     PlatformTruth_Destroy(this->truth);
     Random_Destroy(this->random);
+    Random_Destroy(this->link_random);
     Clock_Destroy(this->clock);
     return code;
 }
--- a/tests/test_gateway.sh
+++ b/tests/test_gateway.sh
@@ -5,7 +5,7 @@
 build=$1
 
 # Guards against calls that are not served, or changed, on a calm day.
-SIGNALS=none FAULT_PERIOD_S=0 LOAD_MS=2000 REST_MS=2000 SERVED_LEAST=0.95 \
+SIGNALS=none FAULT_PERIOD_S=0 LINK_PERIOD_S=0 LOAD_MS=2000 REST_MS=2000 SERVED_LEAST=0.95 \
     bash scripts/soak.sh "$build" 1 || exit 1
 echo "ok: calm"
 
--- /dev/null
+++ b/tests/test_standin_platform.c
@@ -0,0 +1,345 @@
+#include <arpa/inet.h>
+#include <errno.h>
+#include <glib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "LinkFaults.h"
+#include "LossyLink.h"
+#include "PlatformTruth.h"
+
+#define WAIT (5 * G_USEC_PER_SEC)
+
+/* ---- what the soak judges ------------------------------------------- */
+
+typedef struct Story_ {
+    const char *name;
+    bool once;
+    bool calm;
+    unsigned runs_before;
+    int status; /* 0: none came in time */
+    const char *signature;
+    const char *body;
+    unsigned runs_after;
+    unsigned violations;
+} Story;
+
+static unsigned
+judge(const Story *story)
+{
+    PlatformTruth *truth = PlatformTruth_Create();
+    unsigned violations;
+
+    if (story->calm) {
+        PlatformTruth_SetCalm(truth);
+    }
+    PlatformTruth_OnSent(truth, "a1", story->once);
+    for (unsigned i = 0; i < story->runs_before; i++) {
+        PlatformTruth_OnRun(truth, "a1", "i-1");
+    }
+    if (story->status == 0) {
+        PlatformTruth_OnUnanswered(truth, "a1");
+    }
+    else {
+        PlatformTruth_OnAnswer(truth, "a1", story->status, story->signature,
+                               story->body);
+    }
+    for (unsigned i = 0; i < story->runs_after; i++) {
+        PlatformTruth_OnRun(truth, "a1", "i-2");
+    }
+    violations = PlatformTruth_Report(truth);
+    PlatformTruth_Destroy(truth);
+    return violations;
+}
+
+/* Guards against a soak that passes because its checks can not fail. */
+static void
+test_truth(void)
+{
+    static const Story stories[] = {
+        {"served", true, true, 1, 200, "a1.i-1", "answer to a1", 0, 0},
+        {"safe, repeated", false, true, 2, 200, "a1.i-1", "answer to a1", 0,
+         0},
+        {"refused", true, true, 0, 503, NULL, "", 0, 0},
+        {"refused after a safe run", false, true, 1, 503, NULL, "", 0, 0},
+        {"outcome unknown", true, true, 1, 502, NULL, "", 0, 0},
+        {"no answer amid faults", true, false, 1, 0, NULL, NULL, 0, 0},
+        {"ran twice", true, true, 2, 200, "a1.i-1", "answer to a1", 0, 1},
+        {"refused, but ran", true, true, 1, 503, NULL, "", 0, 1},
+        {"refused, then ran", true, true, 0, 429, NULL, "", 1, 1},
+        {"no run", false, true, 0, 200, "a1.i-1", "answer to a1", 0, 1},
+        {"answer of another", true, true, 1, 200, "a10.i-1", "answer to a1", 0,
+         1},
+        {"body of another", true, true, 1, 200, "a1.i-1", "answer to a2", 0,
+         1},
+        {"not signed", true, true, 1, 200, NULL, "answer to a1", 0, 1},
+        {"no answer during calm", false, true, 0, 0, NULL, NULL, 0, 1},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(stories); i++) {
+        g_test_message("%s", stories[i].name);
+        g_assert_cmpuint(judge(&stories[i]), ==, stories[i].violations);
+    }
+}
+
+/* ---- links ---------------------------------------------------------- */
+
+/* A target that the test plays itself, and a client's connection to it. */
+typedef struct Fixture_ {
+    HttpLoop *loop;
+    LossyLink *link;
+    int listener;
+    int client;
+    int target;
+} Fixture;
+
+static struct sockaddr_in
+loopback(int port)
+{
+    struct sockaddr_in address = {.sin_family = AF_INET,
+                                  .sin_port = htons((uint16_t)port)};
+
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    return address;
+}
+
+/* Receives up to @size bytes; -1 with EAGAIN if none came within @wait. */
+static ssize_t
+receive(Fixture *f, int fd, char *out, size_t size, gint64 wait)
+{
+    gint64 end = g_get_monotonic_time() + wait;
+    ssize_t length;
+
+    do {
+        lws_service(f->loop->context, -1);
+        length = recv(fd, out, size, MSG_DONTWAIT);
+    } while (length < 0 && errno == EAGAIN && g_get_monotonic_time() < end);
+    return length;
+}
+
+static void
+expect(Fixture *f, int fd, const char *text)
+{
+    char bytes[64] = "";
+
+    g_assert_cmpint(receive(f, fd, bytes, sizeof(bytes) - 1, WAIT), ==,
+                    (gint64)strlen(text));
+    g_assert_cmpstr(bytes, ==, text);
+}
+
+static void
+expect_nothing(Fixture *f, int fd)
+{
+    char byte;
+
+    g_assert_cmpint(receive(f, fd, &byte, 1, G_USEC_PER_SEC / 10), ==, -1);
+    g_assert_cmpint(errno, ==, EAGAIN);
+}
+
+static void
+send_text(int fd, const char *text)
+{
+    g_assert_cmpint(send(fd, text, strlen(text), MSG_NOSIGNAL), ==,
+                    (gint64)strlen(text));
+}
+
+static void
+open_pair(Fixture *f)
+{
+    struct sockaddr_in address = loopback(LossyLink_Port(f->link));
+    gint64 end = g_get_monotonic_time() + WAIT;
+
+    f->client = socket(AF_INET, SOCK_STREAM, 0);
+    g_assert_cmpint(
+        connect(f->client, (struct sockaddr *)&address, sizeof(address)), ==,
+        0);
+    do {
+        lws_service(f->loop->context, -1);
+        f->target = accept4(f->listener, NULL, NULL, SOCK_NONBLOCK);
+    } while (f->target < 0 && g_get_monotonic_time() < end);
+    g_assert_cmpint(f->target, >=, 0);
+}
+
+static void
+close_pair(Fixture *f)
+{
+    close(f->client);
+    close(f->target);
+}
+
+static void
+set_up(Fixture *f, gconstpointer data)
+{
+    struct sockaddr_in address = loopback(0);
+    socklen_t length = sizeof(address);
+    g_autofree char *target = NULL;
+
+    f->loop = HttpLoop_Create();
+    f->listener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+    g_assert_cmpint(
+        bind(f->listener, (struct sockaddr *)&address, sizeof(address)), ==,
+        0);
+    g_assert_cmpint(listen(f->listener, 8), ==, 0);
+    getsockname(f->listener, (struct sockaddr *)&address, &length);
+    target = g_strdup_printf("127.0.0.1:%d", ntohs(address.sin_port));
+    f->link = LossyLink_Create(f->loop, target);
+    g_assert_nonnull(f->link);
+    open_pair(f);
+}
+
+static void
+tear_down(Fixture *f, gconstpointer data)
+{
+    close_pair(f);
+    close(f->listener);
+    HttpLoop_Close(f->loop);
+    LossyLink_Destroy(f->link);
+    HttpLoop_Destroy(f->loop);
+}
+
+/* Guards against a link that changes or keeps bytes without a fault. */
+static void
+test_clear(Fixture *f, gconstpointer data)
+{
+    char byte;
+
+    send_text(f->client, "question");
+    expect(f, f->target, "question");
+    send_text(f->target, "answer");
+    close(f->target);
+    expect(f, f->client, "answer");
+    g_assert_cmpint(receive(f, f->client, &byte, 1, WAIT), ==, 0);
+    close(f->client);
+    open_pair(f);
+}
+
+/* Guards against a delay that loses bytes, or is none. */
+static void
+test_delayed(Fixture *f, gconstpointer data)
+{
+    gint64 before = g_get_monotonic_time();
+
+    LossyLink_SetFault(f->link, LINK_DELAYED);
+    send_text(f->client, "question");
+    expect(f, f->target, "question");
+    g_assert_cmpint(g_get_monotonic_time() - before, >=, LINK_DELAY);
+}
+
+/* Guards against a cut that hits the other direction, or a stream that goes
+ * on after a gap. */
+static void
+test_cut(Fixture *f, gconstpointer data)
+{
+    LossyLink_SetFault(f->link, LINK_CUT_TO_TARGET);
+    send_text(f->client, "lost");
+    expect_nothing(f, f->target);
+    send_text(f->target, "answer");
+    expect(f, f->client, "answer");
+    LossyLink_SetFault(f->link, LINK_CLEAR);
+    send_text(f->client, "more");
+    expect_nothing(f, f->target);
+    close_pair(f);
+    open_pair(f);
+    send_text(f->client, "question");
+    expect(f, f->target, "question");
+}
+
+/* Guards against a silent link that lets a byte or an end through. */
+static void
+test_silent(Fixture *f, gconstpointer data)
+{
+    LossyLink_SetFault(f->link, LINK_SILENT);
+    send_text(f->client, "lost");
+    expect_nothing(f, f->target);
+    send_text(f->target, "lost");
+    expect_nothing(f, f->client);
+    close(f->target);
+    expect_nothing(f, f->client);
+    close(f->client);
+    LossyLink_SetFault(f->link, LINK_CLEAR);
+    open_pair(f);
+}
+
+/* Guards against a reset that is an orderly end, or that hits later ones. */
+static void
+test_reset(Fixture *f, gconstpointer data)
+{
+    char byte;
+
+    send_text(f->client, "question");
+    expect(f, f->target, "question");
+    LossyLink_Reset(f->link);
+    g_assert_cmpint(receive(f, f->client, &byte, 1, WAIT), ==, -1);
+    g_assert_cmpint(errno, ==, ECONNRESET);
+    g_assert_cmpint(receive(f, f->target, &byte, 1, WAIT), ==, -1);
+    g_assert_cmpint(errno, ==, ECONNRESET);
+    close_pair(f);
+    open_pair(f);
+    send_text(f->client, "again");
+    expect(f, f->target, "again");
+}
+
+/* ---- faults of links ------------------------------------------------ */
+
+typedef struct Cleared_ {
+    unsigned times;
+} Cleared;
+
+static void
+on_clear(void *user, LinkGroup group)
+{
+    Cleared *cleared = user;
+
+    g_assert_cmpint(group, ==, LINKS_TO_STORE);
+    cleared->times++;
+}
+
+/* Guards against a drain that is judged while the store is out of reach, or
+ * never again after it. */
+static void
+test_faults_end(Fixture *f, gconstpointer data)
+{
+    Cleared cleared = {0};
+    Random *random = Random_Create(1);
+    LinkFaults *faults =
+        LinkFaults_Create(f->loop, random, on_clear, &cleared);
+
+    g_assert_cmpint(LinkFaults_Add(faults, LINKS_TO_STORE, "127.0.0.1:1"), >,
+                    0);
+    g_assert_cmpint(LinkFaults_Add(faults, LINKS_TO_STORE, "nowhere"), <, 0);
+    g_assert_true(LinkFaults_IsClear(faults, LINKS_TO_STORE));
+    for (int i = 0; i < 20; i++) {
+        LinkFaults_Inject(faults);
+    }
+    g_assert_false(LinkFaults_IsClear(faults, LINKS_TO_STORE));
+    g_assert_true(LinkFaults_IsClear(faults, LINKS_TO_HOSTS));
+    LinkFaults_End(faults);
+    g_assert_true(LinkFaults_IsClear(faults, LINKS_TO_STORE));
+    g_assert_cmpuint(cleared.times, ==, 1);
+    HttpLoop_Close(f->loop);
+    LinkFaults_Destroy(faults);
+    Random_Destroy(random);
+    LossyLink_Destroy(f->link);
+    HttpLoop_Destroy(f->loop);
+    close_pair(f);
+    close(f->listener);
+}
+
+#define ADD(path, test)                                                       \
+    g_test_add(path, Fixture, NULL, set_up, test, tear_down)
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/standins/truth", test_truth);
+    ADD("/standins/link/clear", test_clear);
+    ADD("/standins/link/delayed", test_delayed);
+    ADD("/standins/link/cut", test_cut);
+    ADD("/standins/link/silent", test_silent);
+    ADD("/standins/link/reset", test_reset);
+    g_test_add("/standins/link/faults-end", Fixture, NULL, set_up,
+               test_faults_end, NULL);
+    return g_test_run();
+}
