config: notice a silent log before a change is overdue

Cause: a host that has caught up asks the log to hold its read for 10 s.

Change: reads are held for 5 s. test_cli waits up to 30 s; the bound itself is checked by test_config_sync with a passed-in clock.

--- a/packages/config/ConfigSync.c
+++ b/packages/config/ConfigSync.c
@@ -4,6 +4,10 @@
 
 #include "ConfigSyncPrivate.h"
 
+/* A change has to be in force everywhere in 9 s. A connection that went silent
+ * is noticed after this and the log's timeout, and then read again. */
+#define READ_WAIT (5 * MICROS_PER_S)
+
 static void
 set_default(Micros *value, Micros fallback)
 {
@@ -21,7 +25,7 @@
     this->options = *options;
     set_default(&this->options.retry, 200 * MICROS_PER_MS);
     set_default(&this->options.retry_max, 2 * MICROS_PER_S);
-    set_default(&this->options.read_wait, 10 * MICROS_PER_S);
+    set_default(&this->options.read_wait, READ_WAIT);
     set_default(&this->options.peer_after, 300 * MICROS_PER_MS);
     set_default(&this->options.fetch_limit, 250 * MICROS_PER_MS);
     if (options->read_max == 0) {
--- a/packages/config/ConfigSync.h
+++ b/packages/config/ConfigSync.h
@@ -88,7 +88,7 @@
     SnapshotScheduleOptions snapshots;
     Micros retry;         /* first delay after a failed read; 0: 200 ms */
     Micros retry_max;     /* longest delay after failed reads; 0: 2 s */
-    Micros read_wait;     /* long poll; 0: 10 s */
+    Micros read_wait;     /* long poll; 0: 5 s */
     Micros peer_after;    /* trust in the log before peers; 0: 300 ms */
     Micros fetch_limit;   /* a peer that does not answer; 0: 250 ms */
     uint32_t read_max;    /* records of one READ; 0: 256 */
--- a/tests/support/ConfigLab.c
+++ b/tests/support/ConfigLab.c
@@ -4,6 +4,7 @@
 
 #define START (2 * MICROS_PER_S) /* first faults and publications */
 #define OUTAGE_GAP (1500 * MICROS_PER_MS)
+/* A change is in force on a host that is cut off from the log, too. */
 #define SETTLE_TIME (5 * MICROS_PER_S)
 #define GOSSIP_EVERY (500 * MICROS_PER_MS)
 #define TICK (50 * MICROS_PER_MS)
@@ -182,6 +183,13 @@
                    begin_restart, lab, 0);
 }
 
+/* What is appended later need not be on every host at the end of the run. */
+static bool
+can_settle(const Lab *lab)
+{
+    return Clock_Now(lab->clock) <= lab->options->end - SETTLE_TIME;
+}
+
 /* Repeats the same record until an answer arrives, as the command does. */
 static void
 append_publication(void *user, uint64_t index)
@@ -190,8 +198,7 @@
     LabPublication *publication = lab->publications->pdata[index];
     Str record = Str_FromString(publication->record);
 
-    /* The last ones have the time that section 7 allows. */
-    if (Clock_Now(lab->clock) > lab->options->end - SETTLE_TIME) {
+    if (!can_settle(lab)) {
         return;
     }
     if (publication->sent == 0) {
@@ -265,7 +272,7 @@
     if (lab->stopped || lab->publications->len >= lab->options->publications) {
         return;
     }
-    if (LabNet_Chance(lab, lab->options->forged) &&
+    if (LabNet_Chance(lab, lab->options->forged) && can_settle(lab) &&
         !LabNet_IsDown(lab, UINT32_MAX)) {
         append_forged(lab);
         append_forged_snapshot(lab);
--- a/tests/test_cli.sh
+++ b/tests/test_cli.sh
@@ -27,10 +27,12 @@
     local next
     next=$(http_get "$LOG_PORT" "/streams/config?from=0&max=1" | tr -d '\r\0' |
         sed -n 's/^log-next: //p')
-    for _ in $(seq 100); do
+    # The bound on this is checked by test_config_sync, with a passed-in clock.
+    for _ in $(seq 300); do
         cli amina status -o json
         jq -e --argjson next "$next" 'all(.items[]; .config_offset >= $next)' \
             "$WORK/out" >/dev/null && return
+        sleep 0.1
     done
     fail "hosts are behind $next: $(cat "$WORK/out")"
 }
--- a/tests/test_config_sync.c
+++ b/tests/test_config_sync.c
@@ -127,10 +127,50 @@
     LabReport_Clear(&report);
 }
 
+#define IN_FORCE_MS 9000    /* bound on a change, everywhere */
+#define LOG_TIMEOUT_MS 1000 /* default of log.timeout_ms */
+#define RETRY_MS 200
+
+/* Guards against a read that waits so long that a connection to the log which
+ * went silent is found out only after a change had to be in force: hosts stood
+ * behind for 11 s. */
+static void
+test_silent_read(void)
+{
+    ConfigOptions options = Fixture_Options();
+    ConfigSyncOptions none = {0};
+    Clock *clock = Clock_CreateManual(0, 0);
+    Random *random = Random_Create(1);
+    ConfigState *state = ConfigState_Create(&options);
+    ConfigSync *sync = ConfigSync_Create(&none, state, clock, random, NULL);
+    uint32_t wait_ms = 0;
+
+    for (int i = 0; i < 100 && wait_ms == 0; i++) {
+        ConfigAction action;
+
+        Clock_Advance(clock, 100 * MICROS_PER_MS);
+        ConfigSync_OnTick(sync);
+        while (wait_ms == 0 && ConfigSync_NextAction(sync, &action)) {
+            if (action.type == CONFIG_ACTION_READ) {
+                wait_ms = MAX(wait_ms, action.read.wait_ms);
+                ConfigSync_OnRecords(sync, action.read.stream, 0, 0, NULL, 0);
+            }
+        }
+    }
+    g_assert_cmpuint(wait_ms, >, 0);
+    g_assert_cmpuint(wait_ms + LOG_TIMEOUT_MS + RETRY_MS + LOG_TIMEOUT_MS, <=,
+                     IN_FORCE_MS);
+    ConfigSync_Destroy(sync);
+    ConfigState_Destroy(state);
+    Random_Destroy(random);
+    Clock_Destroy(clock);
+}
+
 int
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/config-sync/silent-read", test_silent_read);
     g_test_add_func("/config-sync/seeds", test_seeds);
     g_test_add_data_func("/config-sync/planted-stale-base",
                          GUINT_TO_POINTER(CONFIG_FAULT_STALE_BASE),
