agatecrank trace: from a request's id to its cause

Cause: on-call engineers had to read the lines of hosts by hand; lines of refused requests were lost among routine ones under load, a late answer left no line at all, and a refusal did not name the upstream that was tried.

Change: agatecrank trace ID FILE... prints the request's lines, what its host reported on its upstreams around them, the cause and where to look next. Routine lines leave half of the bound to others. Late answers get a line; held_ms and the last upstream are in the lines.

--- a/packages/agatecrank/Command.h
+++ b/packages/agatecrank/Command.h
@@ -100,6 +100,7 @@
 CommandHandler DrainCommand_Run;
 CommandHandler QuarantineCommand_Run;
 CommandHandler TopCommand_Run;
+CommandHandler TraceCommand_Run;
 CommandHandler CallCommand_Run;
 
 #endif
--- a/packages/agatecrank/main.c
+++ b/packages/agatecrank/main.c
@@ -23,6 +23,8 @@
     {"undrain", "put an upstream back into service", DrainCommand_Run},
     {"quarantine", "list or release refused requests", QuarantineCommand_Run},
     {"top", "show lines and upstreams as they change", TopCommand_Run},
+    {"trace", "show from log lines what became of a request",
+     TraceCommand_Run},
     {"call", "send a signed call to the administration API", CallCommand_Run},
     {NULL, NULL, NULL},
 };
--- a/packages/base/EventLog.c
+++ b/packages/base/EventLog.c
@@ -2,6 +2,9 @@
 
 #include <glib.h>
 
+/* Share of the bound that routine lines leave to others. */
+#define ROUTINE_RESERVE 0.5
+
 struct EventLog_ {
     const Clock *clock;
     EventLogSink *sink;
@@ -44,8 +47,9 @@
     g_free(this);
 }
 
+/* Leaves at least @reserve of the bound for other lines. */
 static bool
-take_token(EventLog *this)
+take_token(EventLog *this, double reserve)
 {
     Micros now;
 
@@ -59,15 +63,15 @@
     if (this->tokens > this->lines_per_s) {
         this->tokens = this->lines_per_s;
     }
-    if (this->tokens < 1.0) {
+    if (this->tokens < 1.0 + reserve) {
         return false;
     }
     this->tokens -= 1.0;
     return true;
 }
 
-bool
-EventLog_Begin(EventLog *this, LogLevel level, const char *event)
+static bool
+begin_line(EventLog *this, LogLevel level, const char *event, double reserve)
 {
     if (this == NULL) {
         return false;
@@ -76,7 +80,7 @@
     if (level > this->level) {
         return false;
     }
-    if (level >= LOG_LEVEL_INFO && !take_token(this)) {
+    if (level >= LOG_LEVEL_INFO && !take_token(this, reserve)) {
         this->dropped++;
         this->dropped_since_line++;
         return false;
@@ -92,6 +96,19 @@
     return true;
 }
 
+bool
+EventLog_Begin(EventLog *this, LogLevel level, const char *event)
+{
+    return begin_line(this, level, event, 0.0);
+}
+
+bool
+EventLog_BeginRoutine(EventLog *this, const char *event)
+{
+    return begin_line(this, LOG_LEVEL_INFO, event,
+                      this != NULL ? this->lines_per_s * ROUTINE_RESERVE : 0);
+}
+
 static bool
 needs_quotes(Str value)
 {
--- a/packages/base/EventLog.h
+++ b/packages/base/EventLog.h
@@ -40,6 +40,13 @@
  */
 bool EventLog_Begin(EventLog *this, LogLevel level, const char *event);
 
+/**
+ * EventLog_BeginRoutine() - as EventLog_Begin() at INFO, for a line that gives
+ *                           way: it passes only while half of the bound is
+ *                           left, so that other lines find room
+ */
+bool EventLog_BeginRoutine(EventLog *this, const char *event);
+
 /** EventLog_Str() - add key=value; quoted if it has blanks or quotes */
 void EventLog_Str(EventLog *this, const char *key, Str value);
 
--- a/packages/gateway/JobLog.c
+++ b/packages/gateway/JobLog.c
@@ -8,19 +8,54 @@
     return record != NULL ? record->id : STR("gone");
 }
 
-static bool
-begin_line(const Job *job, LogLevel level, const char *event)
+/* The upstream of the last attempt. */
+static Str
+last_upstream(const Job *job)
+{
+    return job->tried_count > 0
+               ? upstream_id(job->owner, job->tried[job->tried_count - 1])
+               : STR("none");
+}
+
+static int64_t
+held_ms(const Job *job)
+{
+    return (Clock_Now(job->owner->clock) - job->arrived) / MICROS_PER_MS;
+}
+
+static void
+add_job(const Job *job)
 {
     EventLog *log = job->owner->decisions;
 
-    if (!EventLog_Begin(log, level, event)) {
-        return false;
-    }
     EventLog_Str(log, "request", Str_FromString(job->id));
     if (job->route != NULL) {
         EventLog_Str(log, "route", job->route->name);
         EventLog_Int(log, "version", (int64_t)RouteTable_Version(job->table));
     }
+}
+
+static bool
+begin_line(const Job *job, LogLevel level, const char *event)
+{
+    if (!EventLog_Begin(job->owner->decisions, level, event)) {
+        return false;
+    }
+    add_job(job);
+    return true;
+}
+
+/* A first attempt that is sent at once is routine. */
+static bool
+begin_choice(const Job *job)
+{
+    if (job->tried_count > 1) {
+        return begin_line(job, LOG_LEVEL_INFO, "route");
+    }
+    if (!EventLog_BeginRoutine(job->owner->decisions, "route")) {
+        return false;
+    }
+    add_job(job);
     return true;
 }
 
@@ -29,7 +64,7 @@
 {
     Dispatcher *this = job->owner;
 
-    if (!begin_line(job, LOG_LEVEL_INFO, "route")) {
+    if (!begin_choice(job)) {
         return;
     }
     EventLog_Str(this->decisions, "service",
@@ -43,6 +78,7 @@
     EventLog_Int(this->decisions, "pace_percent", choice->pace_percent);
     EventLog_Int(this->decisions, "age_us", choice->age);
     EventLog_Int(this->decisions, "asked", job->asked_count);
+    EventLog_Int(this->decisions, "held_ms", held_ms(job));
     EventLog_Int(this->decisions, "left_ms", left / MICROS_PER_MS);
     EventLog_End(this->decisions);
 }
@@ -69,7 +105,10 @@
 JobLog_AttemptEnd(const Job *job, uint32_t upstream, const AttemptEndInfo *end)
 {
     Dispatcher *this = job->owner;
-    bool good = end->result == ATTEMPT_RESULT_ANSWER && end->status < 500;
+    int64_t held = held_ms(job);
+    int64_t objective = job->route->objective / MICROS_PER_MS;
+    bool good = end->result == ATTEMPT_RESULT_ANSWER && end->status < 500 &&
+                (objective == 0 || held <= objective);
 
     Dispatcher_Count(this, "agatecrank_attempts_total", "result",
                      Str_FromC(result_word(end->result)));
@@ -81,6 +120,8 @@
     EventLog_Int(this->decisions, "status", end->status);
     EventLog_Int(this->decisions, "took_ms",
                  (Clock_Now(this->clock) - job->sent_at) / MICROS_PER_MS);
+    EventLog_Int(this->decisions, "held_ms", held);
+    EventLog_Int(this->decisions, "objective_ms", objective);
     EventLog_End(this->decisions);
 }
 
@@ -95,8 +136,8 @@
     EventLog_Int(this->decisions, "status", status);
     EventLog_C(this->decisions, "reason", reason);
     EventLog_Int(this->decisions, "attempts", job->tried_count);
-    EventLog_Int(this->decisions, "held_ms",
-                 (Clock_Now(this->clock) - job->arrived) / MICROS_PER_MS);
+    EventLog_Str(this->decisions, "upstream", last_upstream(job));
+    EventLog_Int(this->decisions, "held_ms", held_ms(job));
     EventLog_End(this->decisions);
 }
 
@@ -108,8 +149,7 @@
     if (begin_line(job, LOG_LEVEL_INFO, "caller-gone")) {
         EventLog_Str(this->decisions, "upstream",
                      upstream_id(this, job->upstream));
-        EventLog_Int(this->decisions, "held_ms",
-                     (Clock_Now(this->clock) - job->arrived) / MICROS_PER_MS);
+        EventLog_Int(this->decisions, "held_ms", held_ms(job));
         EventLog_End(this->decisions);
     }
     Dispatcher_Count(this, "agatecrank_attempts_total", "result",
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -20,7 +20,11 @@
 LINK_PERIOD_S=${LINK_PERIOD_S:-0.6}    # of the links between processes; 0 for none
 SIGNALS=${SIGNALS:-mixed}    # mixed, term or none
 SERVED_LEAST=${SERVED_LEAST:-0.9}
+START_MS=${START_MS:-3000}   # time before the load
+WORK_MS=${WORK_MS:-30}       # mean time of a request
+SHOW_LATE_MS=${SHOW_LATE_MS:-0}  # print calls that are not served or take longer
 KEEP=${KEEP:-}               # folder for the logs of seeds that fail
+KEEP_ALL=${KEEP_ALL:-}       # also of those that pass
 
 address() { echo "127.$((1 + SEED % 200)).$((1 + $$ % 250)).$((10 + $1))"; }
 
@@ -122,6 +126,7 @@
     done
     "$BIN/standins/standin-platform" --seed "$SEED" --hosts "${targets#,}" \
         --upstreams "$UPSTREAMS" --rate "$RATE" --load-ms "$LOAD_MS" \
+        --start-ms "$START_MS" --work-ms "$WORK_MS" --show-late-ms "$SHOW_LATE_MS" \
         --rest-ms "$REST_MS" --fault-period-s "$FAULT_PERIOD_S" \
         --link-period-s "$LINK_PERIOD_S" \
         --served-least "$SERVED_LEAST" \
@@ -153,7 +158,7 @@
     fi
     [ "$code" -eq 0 ] || grep -m 8 violation "$WORK/platform.out"
     echo "seed=$SEED code=$code $(grep -E '^(sent|served|refused|failed|unanswered|violations|store_calls|served_at_rest)=' "$WORK/platform.out" | tr '\n' ' ')"
-    if [ "$code" -ne 0 ] && [ -n "$KEEP" ]; then
+    if [ -n "$KEEP" ] && { [ "$code" -ne 0 ] || [ -n "$KEEP_ALL" ]; }; then
         mkdir -p "$KEEP" && cp -r "$WORK" "$KEEP/seed-$SEED"
     fi
     rm -rf "$WORK"
--- a/standins/PlatformCaller.c
+++ b/standins/PlatformCaller.c
@@ -1,6 +1,7 @@
 #include "PlatformCaller.h"
 
 #include <glib.h>
+#include <stdio.h>
 
 #define TIMEOUT (1500 * MICROS_PER_MS)
 #define ONCE_SHARE 0.35
@@ -17,6 +18,7 @@
     Timer timer;
     Micros next;
     double rate;
+    Micros show_late; /* 0: show no answers */
     uint64_t prefix;
     uint64_t number;
 };
@@ -29,6 +31,7 @@
     GString *body;
     char *id;
     char *signature;
+    Micros sent;
     int status;
 } Call;
 
@@ -66,12 +69,27 @@
     Str_AppendTo(piece, call->body);
 }
 
+/* For walks through the logs of hosts: calls that were not served, or late. */
+static void
+report_answer(const Call *call)
+{
+    Micros took = Clock_Now(call->caller->clock) - call->sent;
+
+    if (call->caller->show_late > 0 &&
+        (call->status >= 300 || took > call->caller->show_late)) {
+        printf("answer id=%s status=%d ms=%d\n", call->id, call->status,
+               (int)(took / MICROS_PER_MS));
+        fflush(stdout);
+    }
+}
+
 static void
 on_done(void *user, ClientResult result)
 {
     Call *call = user;
 
     if (result == CLIENT_DONE) {
+        report_answer(call);
         PlatformTruth_OnAnswer(call->caller->truth, call->id, call->status,
                                call->signature, call->body->str);
     }
@@ -107,6 +125,7 @@
     uint64_t bytes = once ? BODY_BYTES : 0;
 
     call->caller = this;
+    call->sent = Clock_Now(this->clock);
     call->id = g_strdup_printf("%08x%08x", (unsigned)this->prefix,
                                (unsigned)++this->number);
     call->head = g_string_new(NULL);
@@ -204,6 +223,12 @@
     g_free(this);
 }
 
+void
+PlatformCaller_ShowLate(PlatformCaller *this, Micros late)
+{
+    this->show_late = late;
+}
+
 void
 PlatformCaller_Start(PlatformCaller *this)
 {
--- a/standins/PlatformCaller.h
+++ b/standins/PlatformCaller.h
@@ -21,6 +21,10 @@
 /** PlatformCaller_Destroy() - only after HttpLoop_Close() */
 void PlatformCaller_Destroy(PlatformCaller *this);
 
+/** PlatformCaller_ShowLate() - print the ids of calls that are not served, or
+ *                              after more than @late; 0 for none */
+void PlatformCaller_ShowLate(PlatformCaller *this, Micros late);
+
 /** PlatformCaller_Start() and PlatformCaller_Stop() - begin, or no more */
 void PlatformCaller_Start(PlatformCaller *this);
 void PlatformCaller_Stop(PlatformCaller *this);
--- a/standins/standin-platform.c
+++ b/standins/standin-platform.c
@@ -22,6 +22,7 @@
     int64_t rest_ms;
     int64_t work_ms;
     int64_t drain_ms;
+    int64_t show_late_ms;
     double rate;
     double fault_period_s;
     double link_period_s;
@@ -43,6 +44,8 @@
     {"work-ms", SETTING_INT, FIELD(work_ms), false, "mean time of a request"},
     {"drain-ms", SETTING_INT, FIELD(drain_ms), false,
      "bound for requests to an upstream that told that it leaves"},
+    {"show-late-ms", SETTING_INT, FIELD(show_late_ms), false,
+     "print calls that are not served or take longer, 0 for none"},
     {"rate", SETTING_REAL, FIELD(rate), false, "calls a second"},
     {"fault-period-s", SETTING_REAL, FIELD(fault_period_s), false,
      "mean time between faults, 0 for none"},
@@ -441,6 +444,8 @@
                                   this->truth, targets, this->options.rate);
     }
     if (this->caller != NULL && create_world(this)) {
+        PlatformCaller_ShowLate(this->caller,
+                                this->options.show_late_ms * MICROS_PER_MS);
         on_config(&this->config);
         Timer_Start(&this->phase, this->loop->timers,
                     this->options.start_ms * MICROS_PER_MS, on_phase);
--- a/tests/test_base.c
+++ b/tests/test_base.c
@@ -106,6 +106,35 @@
     Clock_Destroy(clock);
 }
 
+/* Guards against routine lines that use up the bound, so that the line of a
+ * refused request is missing, and against a volume that grows with the load. */
+static void
+test_event_log_routine(void)
+{
+    Clock *clock = Clock_CreateManual(0, 0);
+    GString *out = g_string_new(NULL);
+    EventLog *log = EventLog_Create(clock, LOG_LEVEL_INFO, 20, keep_line, out);
+    unsigned routine = 0, refusals = 0;
+
+    for (int ms = 0; ms < 10000; ms++) {
+        Clock_Advance(clock, MICROS_PER_MS);
+        if (EventLog_BeginRoutine(log, "route")) {
+            EventLog_End(log);
+            routine++;
+        }
+        if (ms % 100 == 0 && EventLog_Begin(log, LOG_LEVEL_INFO, "refuse")) {
+            EventLog_End(log);
+            refusals++;
+        }
+    }
+    g_assert_cmpuint(refusals, ==, 100);
+    g_assert_cmpuint(routine, >=, 90);
+    g_assert_cmpuint(routine + refusals, <=, 20 * 10 + 20);
+    EventLog_Destroy(log);
+    g_string_free(out, TRUE);
+    Clock_Destroy(clock);
+}
+
 /* Guards against a generator whose range or mean is off. */
 static void
 test_random_ranges(void)
@@ -130,6 +159,7 @@
     g_test_add_func("/base/str/strings", test_strings);
     g_test_add_func("/base/histogram/error", test_histogram_error);
     g_test_add_func("/base/event-log/quotes", test_event_log_quotes);
+    g_test_add_func("/base/event-log/routine", test_event_log_routine);
     g_test_add_func("/base/random/ranges", test_random_ranges);
     return g_test_run();
 }
--- /dev/null
+++ b/tests/test_request_trace.c
@@ -0,0 +1,143 @@
+#include <glib.h>
+#include <string.h>
+
+#include "Error.h"
+#include "LogLine.h"
+#include "RequestTrace.h"
+
+#define AT(s) "time=2026-12-04T10:00:" s "Z level=info host=h-1 "
+#define ROUTE(s, attempt, upstream, held)                                     \
+    AT(s)                                                                     \
+    "event=route request=a1 service=desk attempt=" attempt                    \
+    " choice=" upstream " busy=0.8 held_ms=" held "\n"
+#define ATTEMPT(s, upstream, result, took, held)                              \
+    AT(s)                                                                     \
+    "event=attempt request=a1 upstream=" upstream " result=" result           \
+    " took_ms=" took " held_ms=" held "\n"
+#define REFUSE(s, reason)                                                     \
+    AT(s) "event=refuse request=a1 status=503 reason=" reason " held_ms=0\n"
+
+/* Guards against fields that are cut at quotes, or taken out of a value. */
+static void
+test_fields(void)
+{
+    Str line = STR("time=2026-12-04T10:00:00.000005Z "
+                   "path=\"a b\\x0aevent=no \\\"x\\\"\" event=route n=-7 z=");
+    GString *out = g_string_new(NULL);
+
+    g_assert_true(LogLine_Field(line, STR("path"), out));
+    g_assert_cmpstr(out->str, ==, "a b\nevent=no \"x\"");
+    g_assert_true(LogLine_Has(line, STR("event"), STR("route")));
+    g_assert_cmpint(LogLine_Int(line, STR("n"), 1), ==, -7);
+    g_assert_cmpint(LogLine_Int(line, STR("event"), 1), ==, 1);
+    g_assert_true(LogLine_Field(line, STR("z"), out));
+    g_assert_cmpstr(out->str, ==, "");
+    g_assert_false(LogLine_Field(line, STR("b"), out));
+    g_assert_cmpint(LogLine_Time(line) % MICROS_PER_S, ==, 5);
+    g_assert_cmpint(LogLine_Time(STR("no time")), ==, -1);
+    g_assert_cmpint(LogLine_Time(STR("time=\"unclosed")), ==, -1);
+    g_string_free(out, TRUE);
+}
+
+/* Guards against a wrong cause, which sends the reader to the wrong place. */
+static void
+test_causes(void)
+{
+    static const struct {
+        const char *lines;
+        const char *cause;
+    } cases[] = {
+        {REFUSE("01.0", "overloaded"),
+         "cause: no upstream of the service had"},
+        {REFUSE("01.0", "no-route"), "cause: no route"},
+        {REFUSE("01.0", "new-word"), "cause: new-word"},
+        {ROUTE("01.0", "1", "i-1", "0")
+             ATTEMPT("01.5", "i-1", "broken", "500", "500")
+                 REFUSE("01.6", "upstream-broken"),
+         "cause: the connection to the upstream ended"},
+        /* Lines of a host may come in any order. */
+        {REFUSE("01.6", "deadline") ROUTE("01.0", "1", "i-1", "0"),
+         "cause: no whole answer came"},
+        {ROUTE("01.0", "1", "i-1", "0")
+             ATTEMPT("01.5", "i-1", "answer", "500", "500"),
+         "cause: the upstream took most"},
+        {ROUTE("01.0", "1", "i-1", "300")
+             ATTEMPT("01.5", "i-1", "answer", "100", "400"),
+         "cause: it waited for room"},
+        {ROUTE("01.0", "1", "i-1", "0")
+             ATTEMPT("01.5", "i-1", "not-run", "400", "400")
+                 ROUTE("01.5", "2", "i-2", "400")
+                     ATTEMPT("01.6", "i-2", "answer", "100", "500"),
+         "cause: an earlier attempt failed"},
+        {AT("01.0") "event=caller-gone request=a1 upstream=i-1 held_ms=90\n",
+         "cause: the caller closed"},
+        {ROUTE("01.0", "1", "i-1", "0"), "cause: it was sent, and nothing"},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        GString *out = g_string_new(NULL);
+
+        g_assert_cmpint(
+            RequestTrace_Write(Str_FromC(cases[i].lines), STR("a1"), out), ==,
+            0);
+        g_test_message("%s", out->str);
+        g_assert_nonnull(strstr(out->str, cases[i].cause));
+        g_assert_nonnull(strstr(out->str, "next: "));
+        g_string_free(out, TRUE);
+    }
+}
+
+/* Guards against changes of an upstream that are left out, and against those
+ * of other upstreams, hosts and times that bury them. */
+static void
+test_nearby(void)
+{
+    static const char lines[] =
+        AT("00.5") "event=upstream upstream=i-1 change=draining\n" AT(
+            "00.6") "event=upstream upstream=i-2 change=added\n" ROUTE("01.0",
+                                                                       "1",
+                                                                       "i-1",
+                                                                       "0")
+            REFUSE("02.0", "deadline")
+                AT("02.5") "event=store-lost topic=keyed.servers\n" AT(
+                    "09.0") "event=upstream upstream=i-1 change=removed\n"
+                            "time=2026-12-04T10:00:01.0Z host=h-2 "
+                            "event=started\n"
+                            "bytes that are no line \x01 \"\n";
+    GString *out = g_string_new(NULL);
+
+    g_assert_cmpint(RequestTrace_Write(STR(lines), STR("a1"), out), ==, 0);
+    g_assert_nonnull(strstr(out->str, "change=draining"));
+    g_assert_nonnull(strstr(out->str, "event=store-lost"));
+    g_assert_nonnull(strstr(out->str, "-0.500 s"));
+    g_assert_null(strstr(out->str, "i-2"));
+    g_assert_null(strstr(out->str, "change=removed"));
+    g_assert_null(strstr(out->str, "h-2"));
+    g_string_free(out, TRUE);
+}
+
+/* Guards against a guess where the line was left out. */
+static void
+test_left_out(void)
+{
+    static const char lines[] =
+        AT("01.0") "event=route dropped=7 request=b2\n";
+    GString *out = g_string_new(NULL);
+
+    g_assert_cmpint(RequestTrace_Write(STR(lines), STR("a1"), out), ==,
+                    ERR_NOT_FOUND);
+    g_assert_nonnull(strstr(out->str, "7 lines were left out"));
+    g_assert_null(strstr(out->str, "cause"));
+    g_string_free(out, TRUE);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/trace/fields", test_fields);
+    g_test_add_func("/trace/causes", test_causes);
+    g_test_add_func("/trace/nearby", test_nearby);
+    g_test_add_func("/trace/left-out", test_left_out);
+    return g_test_run();
+}
