--- a/packages/agatecrank/completion.bash
+++ b/packages/agatecrank/completion.bash
@@ -6,7 +6,7 @@
     local command=${COMP_WORDS[1]} options="--config --output --help"
     local commands="keygen check diff publish history status hosts lines
         services callers selectors upstreams shares explain drain undrain
-        quarantine top call"
+        quarantine top trace call"
 
     COMPREPLY=()
     if [ "$COMP_CWORD" -eq 1 ]; then
