gateway: take requests from upstreams that lost them

Cause: an upstream that loses power or network does not tell, and one that loses requests reports that it is well.

Change: AttemptWatch. An upstream that has an idempotent attempt for a quarter of its objective and was not heard of is asked for its load; silent twice in a row, it is taken as lost. An attempt that lasts longer than its objective is given up when another upstream turns out to be idle. Both count as repeats and need one left.

--- a/packages/agatecrank/RequestTrace.c
+++ b/packages/agatecrank/RequestTrace.c
@@ -53,6 +53,14 @@
      "the connection to the upstream ended, or its answer was not whole or "
      "not its own; the request may have run there, so it was not sent again",
      "the upstream's changes at that time, and its own log"},
+    {"upstream-lost",
+     "its upstream fell silent, and no other one could take it over; it may "
+     "have run",
+     "event=attempt result=upstream-lost, and the upstream's changes"},
+    {"overdue",
+     "its upstream did not answer within the objective, and no other one "
+     "could take it over; it may have run",
+     "event=attempt result=overdue, and others with the same upstream"},
     {"upstream-failed", "the upstream answered that it failed",
      "the upstream's own log"},
     {"upstream-moved", "another upstream has the address; it did not run",
--- a/packages/gateway/Dispatcher.c
+++ b/packages/gateway/Dispatcher.c
@@ -1,10 +1,12 @@
 #include "Dispatcher.h"
 
+#include "AttemptWatch.h"
 #include "JobLog.h"
 #include "JobPlacing.h"
 
-/* The way back to the caller, who waits no longer than it said. */
-#define CALLER_MARGIN (15 * MICROS_PER_MS)
+/* The way from the caller and back, 8 ms each as the users' platform states, and
+ * some for both ends: the caller waits no longer than it said. */
+#define CALLER_MARGIN (20 * MICROS_PER_MS)
 /* Mean wait that a refused caller is told; spread so that they do not come
  * back together. */
 #define RETRY_AFTER_MEAN (200 * MICROS_PER_MS)
@@ -253,8 +255,8 @@
 
 /* ---- requests ------------------------------------------------------- */
 
-static RetryWindow *
-job_window(const Job *job)
+RetryWindow *
+Job_Window(const Job *job)
 {
     return g_ptr_array_index(job->owner->windows, job->service);
 }
@@ -274,15 +276,14 @@
     if (left < ATTEMPT_TIME_MIN) {
         return "deadline";
     }
-    if (!RetryWindow_Take(job_window(job))) {
+    if (!RetryWindow_Take(Job_Window(job))) {
         return "retry-budget";
     }
     return JobPlacing_Place(job) ? NULL : reason;
 }
 
-/* Tries again after an attempt that ended without an answer to pass on. */
-static void
-try_again(Job *job, const char *reason)
+void
+Job_TryAgain(Job *job, const char *reason)
 {
     const char *obstacle = repeat(job, reason);
 
@@ -334,7 +335,7 @@
     job->service = service_index(
         this, Route_Pick(route, Random_Unit(this->random))->service);
     job->fingerprint = fingerprint_of(info);
-    RetryWindow_OnRequest(job_window(job));
+    RetryWindow_OnRequest(Job_Window(job));
     if (Quarantine_Check(this->quarantine, &job->fingerprint) ==
         QUARANTINE_REFUSE) {
         Job_Answer(job, 503, "quarantined",
@@ -400,22 +401,22 @@
         return on_answer(job, end);
     case ATTEMPT_RESULT_NOT_RUN:
         Job_EndAttempt(job, ATTEMPT_SHED);
-        try_again(job, "upstream-full");
+        Job_TryAgain(job, "upstream-full");
         break;
     case ATTEMPT_RESULT_MOVED:
         Job_EndAttempt(job, ATTEMPT_BROKEN);
-        try_again(job, "upstream-moved");
+        Job_TryAgain(job, "upstream-moved");
         break;
     case ATTEMPT_RESULT_UNSENT:
         Job_EndAttempt(job, ATTEMPT_BROKEN);
-        try_again(job, "upstream-unreachable");
+        Job_TryAgain(job, "upstream-unreachable");
         break;
     case ATTEMPT_RESULT_BROKEN:
         Quarantine_OnLost(this->quarantine, job->upstream, &job->fingerprint,
                           1);
         Job_EndAttempt(job, ATTEMPT_BROKEN);
         job->may_have_run = true;
-        try_again(job, "upstream-broken");
+        Job_TryAgain(job, "upstream-broken");
         break;
     }
     return JOB_DISCARD;
@@ -447,6 +448,9 @@
     UpstreamSet_Release(this->upstreams, upstream);
     Dispatcher_Count(this, "agatecrank_load_questions_total", "result",
                      report != NULL ? STR("told") : STR("silent"));
+    if (report == NULL) {
+        AttemptWatch_OnSilence(this, upstream);
+    }
     JobPlacing_OnLoadsKnown(this);
 }
 
@@ -495,6 +499,7 @@
         }
     }
     g_list_free(jobs);
+    AttemptWatch_OnTime(this);
     JobPlacing_OnTime(this);
 }
 
@@ -521,6 +526,7 @@
         const Job *job = key;
 
         next = earlier(next, JobPlacing_DueTime(job));
+        next = earlier(next, AttemptWatch_DueTime(job));
     }
     for (guint i = 0; i < this->queues->len; i++) {
         next = earlier(
--- a/packages/gateway/DispatcherPrivate.h
+++ b/packages/gateway/DispatcherPrivate.h
@@ -17,6 +17,8 @@
 /* Rounds until it counts as sure that there is no room: a sample of a dozen,
  * of some hundred upstreams. */
 #define ROUNDS_MAX 5
+/* Several times what a question and its answer take between domains. */
+#define ASK_TIME (8 * MICROS_PER_MS)
 #define UPSTREAM_NONE UINT32_MAX
 
 struct Job_ {
@@ -29,6 +31,7 @@
     Micros arrived;
     Micros deadline; /* of the final answer */
     Micros sent_at;
+    Micros watch_at;  /* when to ask its upstream, 0 for never */
     Micros ask_until; /* when to stop to wait for loads, 0 if it does not */
     uint32_t asked[ROUNDS_MAX * PLACEMENT_ROUND_MAX];
     uint32_t asked_count;
@@ -39,6 +42,7 @@
     uint32_t tried_count;
     bool may_have_run;
     bool queued;
+    bool watch_asked; /* others told their load since it is overdue */
 };
 
 struct Dispatcher_ {
@@ -84,6 +88,13 @@
 /** Job_Answer() - answer the caller, which releases the job */
 void Job_Answer(Job *job, int status, const char *reason, Micros retry_after);
 
+/** Job_Window() - bound on repeats of the job's service */
+RetryWindow *Job_Window(const Job *job);
+
+/** Job_TryAgain() - after an attempt that ended without an answer to pass on;
+ *                   gives up for @reason if there can be no other */
+void Job_TryAgain(Job *job, const char *reason);
+
 /** Job_GiveUp() - the same, with the status that is true: 502 if it may have
  *                 run, or 503 and when to come back */
 void Job_GiveUp(Job *job, const char *reason);
--- a/packages/gateway/JobLog.c
+++ b/packages/gateway/JobLog.c
@@ -125,6 +125,25 @@
     EventLog_End(this->decisions);
 }
 
+void
+JobLog_GivenUp(const Job *job, const char *reason)
+{
+    Dispatcher *this = job->owner;
+
+    Dispatcher_Count(this, "agatecrank_attempts_total", "result",
+                     Str_FromC(reason));
+    if (!begin_line(job, LOG_LEVEL_INFO, "attempt")) {
+        return;
+    }
+    EventLog_Str(this->decisions, "upstream",
+                 upstream_id(this, job->upstream));
+    EventLog_C(this->decisions, "result", reason);
+    EventLog_Int(this->decisions, "silences",
+                 Placement_Silences(this->placement, job->upstream));
+    EventLog_Int(this->decisions, "held_ms", held_ms(job));
+    EventLog_End(this->decisions);
+}
+
 void
 JobLog_Refusal(const Job *job, int status, const char *reason)
 {
--- a/packages/gateway/JobPlacing.c
+++ b/packages/gateway/JobPlacing.c
@@ -1,5 +1,6 @@
 #include "JobPlacing.h"
 
+#include "AttemptWatch.h"
 #include "JobLog.h"
 
 /* Part of the upstreams whose load must be known to call a service full. */
@@ -11,8 +12,6 @@
 /* Time after which the head of a queue asks for room, if none of this host's
  * own requests ended meanwhile. */
 #define POLL_TIME (20 * MICROS_PER_MS)
-/* Several times what a question and its answer take between domains. */
-#define ASK_TIME (8 * MICROS_PER_MS)
 /* Rounds of questions for a better upstream than one that has room. */
 #define ROUNDS_FOR_BEST 2
 
@@ -50,35 +49,67 @@
                      Str_FromC(choice->reason));
     JobLog_Choice(job, choice, action.send.timeout);
     begin_placing(job);
+    AttemptWatch_Begin(job);
     Dispatcher_PushAction(this, &action);
 }
 
+static Str
+load_path(const Job *job)
+{
+    return RouteTable_LoadPath(
+        job->table, NameTable_Name(job->owner->services, job->service));
+}
+
+bool
+JobPlacing_CanAsk(const Job *job)
+{
+    return load_path(job).length > 0;
+}
+
 static void
-ask(Job *job, uint32_t upstream)
+push_question(const Job *job, uint32_t upstream)
 {
     Dispatcher *this = job->owner;
     const UpstreamRecord *record =
         UpstreamSet_Record(this->upstreams, upstream);
-    DispatchAction action = {.kind = DISPATCH_ASK};
+    DispatchAction action = {
+        .kind = DISPATCH_ASK,
+        .ask = {.address = record->address,
+                .port = record->port,
+                .instance = record->id,
+                .upstream = upstream,
+                .path = load_path(job)},
+    };
 
-    job->asked[job->asked_count++] = upstream;
-    /* The answer to another request's question serves this one, too. */
-    if (Placement_IsAsked(this->placement, upstream)) {
-        return;
-    }
     Placement_OnAsked(this->placement, upstream);
     UpstreamSet_Acquire(this->upstreams, upstream);
-    action.ask.address = record->address;
-    action.ask.port = record->port;
-    action.ask.instance = record->id;
-    action.ask.upstream = upstream;
-    action.ask.path = RouteTable_LoadPath(
-        job->table, NameTable_Name(this->services, record->service));
     Dispatcher_PushAction(this, &action);
 }
 
-static PlacementQuery
-query_of(const Job *job)
+static void
+ask(Job *job, uint32_t upstream)
+{
+    job->asked[job->asked_count++] = upstream;
+    /* The answer to another request's question serves this one, too. */
+    if (!Placement_IsAsked(job->owner->placement, upstream)) {
+        push_question(job, upstream);
+    }
+}
+
+void
+JobPlacing_AskAgain(const Job *job, uint32_t upstream)
+{
+    Placement *placement = job->owner->placement;
+
+    if (UpstreamSet_Record(job->owner->upstreams, upstream) != NULL &&
+        !Placement_IsAsked(placement, upstream) &&
+        Placement_MayAsk(placement)) {
+        push_question(job, upstream);
+    }
+}
+
+PlacementQuery
+JobPlacing_Query(const Job *job)
 {
     return (PlacementQuery){
         .service = job->service,
@@ -87,19 +118,37 @@
     };
 }
 
+void
+JobPlacing_AskOthers(const Job *job)
+{
+    Placement *placement = job->owner->placement;
+    PlacementQuery query = JobPlacing_Query(job);
+    uint32_t upstreams[PLACEMENT_ROUND_MAX];
+    size_t n =
+        Placement_Ask(placement, &query, PLACEMENT_OWN_DOMAIN, upstreams);
+
+    if (n == 0) {
+        n = Placement_Ask(placement, &query, PLACEMENT_OTHER_DOMAINS,
+                          upstreams);
+    }
+    for (size_t i = 0; i < n; i++) {
+        if (!Placement_IsAsked(placement, upstreams[i])) {
+            push_question(job, upstreams[i]);
+        }
+    }
+}
+
 /* Returns false if there is none whose load is not known. */
 static bool
 ask_round(Job *job, PlacementScope scope)
 {
     Dispatcher *this = job->owner;
-    PlacementQuery query = query_of(job);
+    PlacementQuery query = JobPlacing_Query(job);
     uint32_t upstreams[PLACEMENT_ROUND_MAX];
     size_t n;
 
     /* Without a path there is no way to ask. */
-    if (RouteTable_LoadPath(job->table,
-                            NameTable_Name(this->services, job->service))
-            .length == 0) {
+    if (!JobPlacing_CanAsk(job)) {
         return false;
     }
     n = Placement_Ask(this->placement, &query, scope, upstreams);
@@ -189,7 +238,7 @@
 JobPlacing_Place(Job *job)
 {
     Dispatcher *this = job->owner;
-    PlacementQuery query = query_of(job);
+    PlacementQuery query = JobPlacing_Query(job);
     PlacementChoice choice;
 
     if (Placement_Choose(this->placement, &query, &choice) < 0) {
@@ -222,7 +271,7 @@
     Job *job;
 
     while ((job = RequestQueue_Head(queue)) != NULL) {
-        PlacementQuery query = query_of(job);
+        PlacementQuery query = JobPlacing_Query(job);
 
         if (Placement_Choose(this->placement, &query, &choice) < 0 ||
             !choice.room || choice.age < 0 || choice.age > ROOM_KNOWN_TIME) {
--- a/packages/gateway/JobPlacing.h
+++ b/packages/gateway/JobPlacing.h
@@ -10,6 +10,19 @@
  */
 bool JobPlacing_Place(Job *job);
 
+/** JobPlacing_Query() - where it may be placed: not where it was before */
+PlacementQuery JobPlacing_Query(const Job *job);
+
+/** JobPlacing_CanAsk() - upstreams of the job's service can be asked */
+bool JobPlacing_CanAsk(const Job *job);
+
+/** JobPlacing_AskAgain() - ask an upstream that has the job for its load, if
+ *                          the budget for questions allows it */
+void JobPlacing_AskAgain(const Job *job, uint32_t upstream);
+
+/** JobPlacing_AskOthers() - ask some upstreams that the job was not sent to */
+void JobPlacing_AskOthers(const Job *job);
+
 /** JobPlacing_ServeQueue() - send what waits for a service while there is room
  *                            that is known to be there now */
 void JobPlacing_ServeQueue(Dispatcher *this, uint32_t service);
--- a/packages/gateway/Placement.c
+++ b/packages/gateway/Placement.c
@@ -42,6 +42,7 @@
     uint32_t sent;  /* since the report */
     uint32_t inflight;
     uint32_t holds;
+    uint32_t silences;
     bool present;
     bool draining;
     bool asked;
@@ -231,6 +232,7 @@
         load->info.slots = report->slots;
     }
     load->report_at = Clock_Now(this->clock);
+    load->silences = 0;
     load->running = (float)report->inflight;
     load->waiting = (float)report->queue;
     load->pace =
@@ -304,10 +306,31 @@
 
     if (load != NULL) {
         load->asked = false;
-        load->report_at = reported ? load->report_at : -1;
+        if (!reported) {
+            load->report_at = -1;
+            load->silences++;
+        }
     }
 }
 
+uint32_t
+Placement_Silences(const Placement *this, uint32_t upstream)
+{
+    const Load *load = find(this, upstream);
+
+    return load != NULL ? load->silences : 0;
+}
+
+Micros
+Placement_ReportAge(const Placement *this, uint32_t upstream)
+{
+    const Load *load = find(this, upstream);
+
+    return load != NULL && load->report_at >= 0
+               ? Clock_Now(this->clock) - load->report_at
+               : -1;
+}
+
 bool
 Placement_IsAsked(const Placement *this, uint32_t upstream)
 {
@@ -390,6 +413,12 @@
     return n;
 }
 
+bool
+Placement_MayAsk(Placement *this)
+{
+    return spend(this, 1) == 1;
+}
+
 static float
 busy_of(const Service *service, const Load *load, float weight)
 {
--- a/packages/gateway/Placement.h
+++ b/packages/gateway/Placement.h
@@ -104,6 +104,17 @@
 /** Placement_OnTold() - the question is over, with a report before or none */
 void Placement_OnTold(Placement *this, uint32_t upstream, bool reported);
 
+/** Placement_Silences() - questions in a row that had no answer, since it was
+ *                         last heard of */
+uint32_t Placement_Silences(const Placement *this, uint32_t upstream);
+
+/** Placement_ReportAge() - age of its last report, -1 without one */
+Micros Placement_ReportAge(const Placement *this, uint32_t upstream);
+
+/** Placement_MayAsk() - take one question from the budget; false if it is
+ *                       spent */
+bool Placement_MayAsk(Placement *this);
+
 /** Placement_IsAsked() - an answer to Placement_OnAsked() is outstanding */
 bool Placement_IsAsked(const Placement *this, uint32_t upstream);
 
