gateway: keep what is due in order; never move requests while stopping

Cause: each request walked over all open jobs, and over all listed upstreams for their grace time, to find what is due next.

Change: DueSet, ordered by time, for jobs and lapsed upstreams; jobs that wait for loads have a set of their own. Only a question that gets no answer in time is a silence. A request moves only to an upstream that turned out to be idle, and not at all while the host stops.

Conclusion: the cost of a request no longer grows with the open ones; with 17,000 upstreams of one service the choice has to be a sample.

--- a/packages/agatecrankd/GatewayDaemon.c
+++ b/packages/agatecrankd/GatewayDaemon.c
@@ -186,6 +186,7 @@
         return;
     }
     this->stopping = true;
+    Dispatcher_Stop(this->dispatcher);
     this->stop_began = Clock_Now(this->clock);
     update_ready(this);
     Gateway_CloseKeptAlive(this->gateway);
--- a/packages/gateway/AttemptWatch.c
+++ b/packages/gateway/AttemptWatch.c
@@ -6,6 +6,8 @@
 /* Part of the objective after which an upstream is asked: enough is left then
  * to ask twice and for another upstream to do the work. */
 #define WATCH_SHARE 0.25
+/* Shorter ones would cost more questions than requests. */
+#define WATCH_PERIOD_MIN (20 * MICROS_PER_MS)
 /* One question may be lost, as a packet or to a pause of the upstream. */
 #define SILENCES_MAX 2
 
@@ -18,7 +20,8 @@
 static Micros
 watch_period(const Job *job)
 {
-    return (Micros)(WATCH_SHARE * (double)job->route->objective);
+    return MAX((Micros)(WATCH_SHARE * (double)job->route->objective),
+               WATCH_PERIOD_MIN);
 }
 
 void
@@ -26,16 +29,11 @@
 {
     bool may_repeat = job->route->kind == ROUTE_IDEMPOTENT &&
                       job->tried_count < job->route->attempts_max &&
-                      JobPlacing_CanAsk(job);
+                      job->route->objective > 0 && JobPlacing_CanAsk(job);
 
-    job->watch_at =
-        may_repeat ? Clock_Now(job->owner->clock) + watch_period(job) : 0;
-}
-
-Micros
-AttemptWatch_DueTime(const Job *job)
-{
-    return is_watched(job) ? job->watch_at : -1;
+    Job_SetWatchAt(job, may_repeat
+                            ? Clock_Now(job->owner->clock) + watch_period(job)
+                            : 0);
 }
 
 static bool
@@ -58,7 +56,7 @@
 }
 
 static void
-give_up(Job *job, AttemptOutcome outcome, const char *reason)
+give_up(Job *job, const char *reason)
 {
     DispatchAction cancel = {
         .kind = DISPATCH_CANCEL,
@@ -70,24 +68,32 @@
     Quarantine_OnLost(job->owner->quarantine, job->upstream, &job->fingerprint,
                       1);
     Dispatcher_PushAction(job->owner, &cancel);
-    Job_EndAttempt(job, outcome);
+    Job_EndAttempt(job, ATTEMPT_TIMEOUT);
     job->may_have_run = true;
     Job_TryAgain(job, reason);
 }
 
-/* Its answer will be late in any case, and most that take so long never come.
- * When all upstreams are busy it is left alone, as work would only be done
- * twice. */
-static bool
-is_overdue(const Job *job)
+/* Why another upstream should have the job, or NULL. An answer that takes
+ * longer than the objective will be late in any case, and most of these never
+ * come. */
+static const char *
+why_elsewhere(const Job *job)
 {
-    return Clock_Now(job->owner->clock) - job->sent_at >=
-           job->route->objective;
+    Dispatcher *this = job->owner;
+
+    if (Placement_Silences(this->placement, job->upstream) >= SILENCES_MAX) {
+        return "upstream-lost";
+    }
+    return Clock_Now(this->clock) - job->sent_at >= job->route->objective
+               ? "overdue"
+               : NULL;
 }
 
-/* Returns false if it has to be looked at again when others told their load. */
+/* Moves the job only to an upstream that is idle: when all are busy, work would
+ * only be done twice. Returns false if others are asked for their load first.
+ */
 static bool
-check_overdue(Job *job)
+move(Job *job, const char *reason)
 {
     PlacementChoice choice;
 
@@ -95,7 +101,7 @@
         return true;
     }
     if (choice.good && choice.room) {
-        give_up(job, ATTEMPT_TIMEOUT, "overdue");
+        give_up(job, reason);
         return true;
     }
     if (job->watch_asked) {
@@ -106,43 +112,31 @@
     return false;
 }
 
-static void
-check(Job *job)
-{
-    Micros now = Clock_Now(job->owner->clock);
-
-    job->watch_at = now + watch_period(job);
-    if (is_overdue(job) && !check_overdue(job)) {
-        job->watch_at = now + ASK_TIME;
-        return;
-    }
-    job->watch_asked = false;
-    if (is_watched(job) && !heard_lately(job)) {
-        JobPlacing_AskAgain(job, job->upstream);
-    }
-}
-
 void
-AttemptWatch_OnTime(Dispatcher *this)
+AttemptWatch_OnTime(Job *job)
 {
-    GList *jobs = g_hash_table_get_keys(this->jobs);
+    Dispatcher *this = job->owner;
     Micros now = Clock_Now(this->clock);
+    uint32_t upstream = job->upstream;
+    const char *reason = this->stopping ? NULL : why_elsewhere(job);
 
-    for (GList *item = jobs; item != NULL; item = item->next) {
-        Job *job = item->data;
-
-        if (is_watched(job) && job->watch_at <= now) {
-            check(job);
+    Job_SetWatchAt(job, now + watch_period(job));
+    if (reason != NULL && !move(job, reason)) {
+        Job_SetWatchAt(job, now + ASK_TIME);
+        return;
+    }
+    if (g_hash_table_contains(this->jobs, job) && job->upstream == upstream) {
+        job->watch_asked = false;
+        if (!heard_lately(job)) {
+            JobPlacing_AskAgain(job, upstream);
         }
     }
-    g_list_free(jobs);
 }
 
 void
 AttemptWatch_OnSilence(Dispatcher *this, uint32_t upstream)
 {
     bool lost = Placement_Silences(this->placement, upstream) >= SILENCES_MAX;
-    PlacementChoice choice;
     GList *jobs = g_hash_table_get_keys(this->jobs);
 
     for (GList *item = jobs; item != NULL; item = item->next) {
@@ -151,11 +145,11 @@
         if (!is_watched(job) || job->upstream != upstream) {
             continue;
         }
-        if (!lost) {
-            JobPlacing_AskAgain(job, upstream);
+        if (lost) {
+            AttemptWatch_OnTime(job);
         }
-        else if (can_repeat(job, &choice)) {
-            give_up(job, ATTEMPT_BROKEN, "upstream-lost");
+        else {
+            JobPlacing_AskAgain(job, upstream);
         }
     }
     g_list_free(jobs);
--- a/packages/gateway/Dispatcher.c
+++ b/packages/gateway/Dispatcher.c
@@ -33,6 +33,8 @@
 {
     Job *job = data;
 
+    g_hash_table_remove(job->owner->asking, job);
+    DueSet_Set(job->owner->due, &job->due, -1);
     g_string_free(job->id, TRUE);
     RouteTable_Unref(job->table);
     g_free(job);
@@ -65,6 +67,8 @@
         g_ptr_array_new_with_free_func((GDestroyNotify)RetryWindow_Destroy);
     this->queues =
         g_ptr_array_new_with_free_func((GDestroyNotify)RequestQueue_Destroy);
+    this->asking = g_hash_table_new(NULL, NULL);
+    this->due = DueSet_Create();
     this->jobs = g_hash_table_new_full(g_direct_hash, g_direct_equal,
                                        destroy_job, NULL);
     this->actions = g_array_new(FALSE, FALSE, sizeof(DispatchAction));
@@ -78,6 +82,8 @@
         return;
     }
     g_hash_table_destroy(this->jobs);
+    g_hash_table_destroy(this->asking);
+    DueSet_Destroy(this->due);
     g_array_free(this->actions, TRUE);
     g_ptr_array_free(this->windows, TRUE);
     g_ptr_array_free(this->queues, TRUE);
@@ -114,6 +120,40 @@
     g_array_append_val(this->actions, *action);
 }
 
+static void
+update_due(Job *job)
+{
+    Micros due = job->deadline;
+
+    if (job->ask_until > 0) {
+        due = MIN(due, job->ask_until);
+    }
+    if (job->watch_at > 0) {
+        due = MIN(due, job->watch_at);
+    }
+    DueSet_Set(job->owner->due, &job->due, due);
+}
+
+void
+Job_SetAskUntil(Job *job, Micros until)
+{
+    job->ask_until = until;
+    if (until > 0) {
+        g_hash_table_add(job->owner->asking, job);
+    }
+    else {
+        g_hash_table_remove(job->owner->asking, job);
+    }
+    update_due(job);
+}
+
+void
+Job_SetWatchAt(Job *job, Micros at)
+{
+    job->watch_at = at;
+    update_due(job);
+}
+
 void
 Job_EndAttempt(Job *job, AttemptOutcome outcome)
 {
@@ -125,6 +165,7 @@
     Placement_OnFinished(this->placement, job->upstream, outcome);
     UpstreamSet_Release(this->upstreams, job->upstream);
     job->upstream = UPSTREAM_NONE;
+    Job_SetWatchAt(job, 0);
 }
 
 RequestQueue *
@@ -332,6 +373,7 @@
     const Route *route = job->route;
 
     job->deadline = job->arrived + job_time(info, route);
+    update_due(job);
     job->service = service_index(
         this, Route_Pick(route, Random_Unit(this->random))->service);
     job->fingerprint = fingerprint_of(info);
@@ -437,6 +479,14 @@
     return verdict;
 }
 
+static void
+end_question(Dispatcher *this, uint32_t upstream, Str result)
+{
+    UpstreamSet_Release(this->upstreams, upstream);
+    Dispatcher_Count(this, "agatecrank_load_questions_total", "result",
+                     result);
+}
+
 void
 Dispatcher_OnLoad(Dispatcher *this, uint32_t upstream,
                   const LoadReport *report)
@@ -445,15 +495,25 @@
         Placement_OnReport(this->placement, upstream, report);
     }
     Placement_OnTold(this->placement, upstream, report != NULL);
-    UpstreamSet_Release(this->upstreams, upstream);
-    Dispatcher_Count(this, "agatecrank_load_questions_total", "result",
-                     report != NULL ? STR("told") : STR("silent"));
-    if (report == NULL) {
-        AttemptWatch_OnSilence(this, upstream);
-    }
+    end_question(this, upstream, report != NULL ? STR("told") : STR("none"));
+    JobPlacing_OnLoadsKnown(this);
+}
+
+void
+Dispatcher_OnSilence(Dispatcher *this, uint32_t upstream)
+{
+    Placement_OnSilence(this->placement, upstream);
+    end_question(this, upstream, STR("silent"));
+    AttemptWatch_OnSilence(this, upstream);
     JobPlacing_OnLoadsKnown(this);
 }
 
+void
+Dispatcher_Stop(Dispatcher *this)
+{
+    this->stopping = true;
+}
+
 void
 Dispatcher_OnCallerGone(Dispatcher *this, Job *job)
 {
@@ -484,22 +544,33 @@
                Random_Spread(this->random, RETRY_AFTER_MEAN));
 }
 
+/* Each step below moves the job's due time, or ends the job. */
+static void
+on_due(Job *job)
+{
+    Micros now = Clock_Now(job->owner->clock);
+
+    if (job->deadline <= now) {
+        time_out(job);
+    }
+    else if (job->ask_until > 0 && job->ask_until <= now) {
+        JobPlacing_OnAskTime(job);
+    }
+    else {
+        AttemptWatch_OnTime(job);
+    }
+}
+
 void
 Dispatcher_OnTime(Dispatcher *this)
 {
-    GList *jobs = g_hash_table_get_keys(this->jobs);
     Micros now = Clock_Now(this->clock);
+    DueEntry *entry;
 
     UpstreamSet_OnTime(this->upstreams);
-    for (GList *item = jobs; item != NULL; item = item->next) {
-        Job *job = item->data;
-
-        if (job->deadline <= now) {
-            time_out(job);
-        }
+    while ((entry = DueSet_First(this->due)) != NULL && entry->due <= now) {
+        on_due(DUE_OWNER(entry, Job, due));
     }
-    g_list_free(jobs);
-    AttemptWatch_OnTime(this);
     JobPlacing_OnTime(this);
 }
 
@@ -518,16 +589,8 @@
 {
     Micros next = earlier(UpstreamSet_NextTime(this->upstreams),
                           this->poll_at > 0 ? this->poll_at : -1);
-    GHashTableIter iterator;
-    gpointer key;
 
-    g_hash_table_iter_init(&iterator, this->jobs);
-    while (g_hash_table_iter_next(&iterator, &key, NULL)) {
-        const Job *job = key;
-
-        next = earlier(next, JobPlacing_DueTime(job));
-        next = earlier(next, AttemptWatch_DueTime(job));
-    }
+    next = earlier(next, DueSet_NextTime(this->due));
     for (guint i = 0; i < this->queues->len; i++) {
         next = earlier(
             next, RequestQueue_NextTime(g_ptr_array_index(this->queues, i)));
--- a/packages/gateway/Dispatcher.h
+++ b/packages/gateway/Dispatcher.h
@@ -187,7 +187,15 @@
 JobVerdict Dispatcher_OnAttemptEnd(Dispatcher *this, Job *job,
                                    const AttemptEndInfo *end);
 
-/** Dispatcher_OnLoad() - end of a DISPATCH_ASK; NULL if it was not told */
+/** Dispatcher_OnSilence() - a DISPATCH_ASK had no answer in time */
+void Dispatcher_OnSilence(Dispatcher *this, uint32_t upstream);
+
+/** Dispatcher_Stop() - the host leaves: each attempt runs to its end, as
+ *                      upstreams that are silent may be at work */
+void Dispatcher_Stop(Dispatcher *this);
+
+/** Dispatcher_OnLoad() - a DISPATCH_ASK was answered or failed; NULL if the
+ *                        load was not told */
 void Dispatcher_OnLoad(Dispatcher *this, uint32_t upstream,
                        const LoadReport *report);
 
--- a/packages/gateway/DispatcherPrivate.h
+++ b/packages/gateway/DispatcherPrivate.h
@@ -4,6 +4,7 @@
 #include <glib.h>
 
 #include "Dispatcher.h"
+#include "DueSet.h"
 #include "NameTable.h"
 #include "Quarantine.h"
 #include "RequestQueue.h"
@@ -41,6 +42,7 @@
     uint32_t tried[ATTEMPTS_MAX];
     uint32_t tried_count;
     bool may_have_run;
+    DueEntry due;
     bool queued;
     bool watch_asked; /* others told their load since it is overdue */
 };
@@ -62,8 +64,11 @@
     GPtrArray *queues;  /* RequestQueue of each service */
     Micros poll_at;     /* when the heads of the queues ask again */
     GHashTable *jobs;   /* set of Job */
+    GHashTable *asking; /* those of them that wait for loads */
+    DueSet *due;        /* due of Job: deadline, loads, watch */
     GArray *actions;
     guint actions_taken;
+    bool stopping;
 };
 
 /** Dispatcher_Count() - add one to a counter with one label */
@@ -73,6 +78,12 @@
 /** Dispatcher_PushAction() - to be handed out by Dispatcher_NextAction() */
 void Dispatcher_PushAction(Dispatcher *this, const DispatchAction *action);
 
+/** Job_SetAskUntil() - when to stop to wait for loads; 0: it does not wait */
+void Job_SetAskUntil(Job *job, Micros until);
+
+/** Job_SetWatchAt() - when to look at its attempt; 0: never */
+void Job_SetWatchAt(Job *job, Micros at);
+
 /** Job_Queue() - where requests of the job's service wait */
 RequestQueue *Job_Queue(const Job *job);
 
--- a/packages/gateway/Gateway.c
+++ b/packages/gateway/Gateway.c
@@ -374,6 +374,7 @@
     LoadReport report;
     uint32_t upstream;
     bool told;
+    bool silent; /* no answer in time */
 } Question;
 
 static void
@@ -381,8 +382,13 @@
 {
     Gateway *this = question->gateway;
 
-    Dispatcher_OnLoad(this->dispatcher, question->upstream,
-                      question->told ? &question->report : NULL);
+    if (question->silent) {
+        Dispatcher_OnSilence(this->dispatcher, question->upstream);
+    }
+    else {
+        Dispatcher_OnLoad(this->dispatcher, question->upstream,
+                          question->told ? &question->report : NULL);
+    }
     LoopTimer_Destroy(question->timer);
     g_string_free(question->instance, TRUE);
     g_free(question);
@@ -432,7 +438,7 @@
     Question *question = user;
 
     HttpCall_Cancel(question->call);
-    question->told = false;
+    question->silent = true;
     end_question(question);
 }
 
--- a/packages/gateway/JobPlacing.c
+++ b/packages/gateway/JobPlacing.c
@@ -18,7 +18,7 @@
 static void
 begin_placing(Job *job)
 {
-    job->ask_until = 0;
+    Job_SetAskUntil(job, 0);
     job->asked_count = 0;
     job->rounds = 0;
 }
@@ -155,7 +155,7 @@
     for (size_t i = 0; i < n; i++) {
         ask(job, upstreams[i]);
     }
-    job->ask_until = Clock_Now(this->clock) + ASK_TIME;
+    Job_SetAskUntil(job, Clock_Now(this->clock) + ASK_TIME);
     return n > 0;
 }
 
@@ -281,12 +281,6 @@
     }
 }
 
-static bool
-is_asking(const Job *job)
-{
-    return job->ask_until > 0;
-}
-
 static void
 serve_queues(Dispatcher *this)
 {
@@ -314,7 +308,7 @@
             job->asked_count = 0;
             ask_round(job, job->rounds++ % 2 == 0 ? PLACEMENT_OTHER_DOMAINS
                                                   : PLACEMENT_OWN_DOMAIN);
-            job->ask_until = 0;
+            Job_SetAskUntil(job, 0);
         }
     }
     this->poll_at = waits ? now + POLL_TIME : 0;
@@ -334,22 +328,32 @@
     }
 }
 
+static void
+go_on(Job *job)
+{
+    if (!JobPlacing_Place(job)) {
+        Job_GiveUp(job, "no-upstream");
+    }
+}
+
 /* Lets the jobs go on that may have waited for what is known now. */
 static void
 place_waiting(Dispatcher *this)
 {
-    GList *jobs = g_hash_table_get_keys(this->jobs);
+    GList *jobs = g_hash_table_get_keys(this->asking);
 
     for (GList *item = jobs; item != NULL; item = item->next) {
-        Job *job = item->data;
-
-        if (is_asking(job) && !JobPlacing_Place(job)) {
-            Job_GiveUp(job, "no-upstream");
-        }
+        go_on(item->data);
     }
     g_list_free(jobs);
 }
 
+void
+JobPlacing_OnAskTime(Job *job)
+{
+    go_on(job);
+}
+
 void
 JobPlacing_OnLoadsKnown(Dispatcher *this)
 {
@@ -361,13 +365,6 @@
 JobPlacing_OnTime(Dispatcher *this)
 {
     expire_queued(this);
-    place_waiting(this);
     poll_for_room(this);
     serve_queues(this);
 }
-
-Micros
-JobPlacing_DueTime(const Job *job)
-{
-    return is_asking(job) ? MIN(job->ask_until, job->deadline) : job->deadline;
-}
--- a/packages/gateway/JobPlacing.h
+++ b/packages/gateway/JobPlacing.h
@@ -30,11 +30,10 @@
 /** JobPlacing_OnLoadsKnown() - the jobs that wait for loads may go on */
 void JobPlacing_OnLoadsKnown(Dispatcher *this);
 
+/** JobPlacing_OnAskTime() - the job waits for loads no longer */
+void JobPlacing_OnAskTime(Job *job);
+
 /** JobPlacing_OnTime() - end waits that are over, ask for room again */
 void JobPlacing_OnTime(Dispatcher *this);
 
-/** JobPlacing_DueTime() - when the job is to be looked at; its deadline if it
- *                         waits for no load */
-Micros JobPlacing_DueTime(const Job *job);
-
 #endif
--- a/packages/gateway/Placement.c
+++ b/packages/gateway/Placement.c
@@ -306,10 +306,20 @@
 
     if (load != NULL) {
         load->asked = false;
-        if (!reported) {
-            load->report_at = -1;
-            load->silences++;
-        }
+        load->silences = 0;
+        load->report_at = reported ? load->report_at : -1;
+    }
+}
+
+void
+Placement_OnSilence(Placement *this, uint32_t upstream)
+{
+    Load *load = find(this, upstream);
+
+    if (load != NULL) {
+        load->asked = false;
+        load->silences++;
+        load->report_at = -1;
     }
 }
 
--- a/packages/gateway/Placement.h
+++ b/packages/gateway/Placement.h
@@ -104,6 +104,9 @@
 /** Placement_OnTold() - the question is over, with a report before or none */
 void Placement_OnTold(Placement *this, uint32_t upstream, bool reported);
 
+/** Placement_OnSilence() - a question had no answer in time */
+void Placement_OnSilence(Placement *this, uint32_t upstream);
+
 /** Placement_Silences() - questions in a row that had no answer, since it was
  *                         last heard of */
 uint32_t Placement_Silences(const Placement *this, uint32_t upstream);
--- a/packages/gateway/UpstreamSet.c
+++ b/packages/gateway/UpstreamSet.c
@@ -2,12 +2,14 @@
 
 #include <string.h>
 
+#include "DueSet.h"
+
 typedef struct Listed_ {
     UpstreamRecord record;
     GString *id;
     int64_t started;
     uint64_t sequence;
-    Micros removed_at; /* when the grace ends; -1 while listed */
+    DueEntry grace_end; /* listed in the set of those that lapsed */
     uint32_t index;
 } Listed;
 
@@ -19,6 +21,7 @@
     EventLog *log;
     GHashTable *by_id;   /* GString to Listed */
     GPtrArray *by_index; /* Listed or NULL */
+    DueSet *lapsed;      /* grace_end of Listed */
     GArray *uses;        /* uint32_t for each index: open attempts */
     Micros grace;
     Micros returned_at; /* end of the last outage, -1 without one */
@@ -51,6 +54,7 @@
                                         (GEqualFunc)g_string_equal, NULL,
                                         destroy_listed);
     this->by_index = g_ptr_array_new();
+    this->lapsed = DueSet_Create();
     this->uses = g_array_new(FALSE, TRUE, sizeof(uint32_t));
     this->returned_at = -1;
     this->reachable = true;
@@ -65,6 +69,7 @@
     }
     g_hash_table_destroy(this->by_id);
     g_ptr_array_free(this->by_index, TRUE);
+    DueSet_Destroy(this->lapsed);
     g_array_free(this->uses, TRUE);
     g_free(this);
 }
@@ -114,6 +119,7 @@
     log_change(this, listed, change);
     Placement_Remove(this->placement, listed->index);
     g_ptr_array_index(this->by_index, listed->index) = NULL;
+    DueSet_Set(this->lapsed, &listed->grace_end, -1);
     g_hash_table_remove(this->by_id, listed->id);
 }
 
@@ -145,7 +151,7 @@
         return entry->started > listed->started;
     }
     /* The same description may be listed again after an outage. */
-    return entry->sequence > listed->sequence || listed->removed_at >= 0;
+    return entry->sequence > listed->sequence || listed->grace_end.listed;
 }
 
 static bool
@@ -170,7 +176,7 @@
     listed->record.draining = entry->draining;
     listed->started = entry->started;
     listed->sequence = entry->sequence;
-    listed->removed_at = -1;
+    DueSet_Set(this->lapsed, &listed->grace_end, -1);
     Placement_SetDraining(this->placement, listed->index, entry->draining);
 }
 
@@ -217,10 +223,11 @@
         forget(this, listed, "removed");
         return;
     }
-    if (listed->removed_at < 0) {
-        listed->removed_at =
+    if (!listed->grace_end.listed) {
+        DueSet_Set(
+            this->lapsed, &listed->grace_end,
             (this->reachable ? this->returned_at : Clock_Now(this->clock)) +
-            this->grace;
+                this->grace);
         log_change(this, listed, "lapsed");
     }
 }
@@ -260,31 +267,17 @@
 UpstreamSet_OnTime(UpstreamSet *this)
 {
     Micros now = Clock_Now(this->clock);
+    DueEntry *entry;
 
-    for (guint i = 0; i < this->by_index->len; i++) {
-        Listed *listed = g_ptr_array_index(this->by_index, i);
-
-        if (listed != NULL && listed->removed_at >= 0 &&
-            listed->removed_at <= now) {
-            forget(this, listed, "removed");
-        }
+    while ((entry = DueSet_First(this->lapsed)) != NULL && entry->due <= now) {
+        forget(this, DUE_OWNER(entry, Listed, grace_end), "removed");
     }
 }
 
 Micros
 UpstreamSet_NextTime(const UpstreamSet *this)
 {
-    Micros next = -1;
-
-    for (guint i = 0; i < this->by_index->len; i++) {
-        const Listed *listed = g_ptr_array_index(this->by_index, i);
-
-        if (listed != NULL && listed->removed_at >= 0 &&
-            (next < 0 || listed->removed_at < next)) {
-            next = listed->removed_at;
-        }
-    }
-    return next;
+    return DueSet_NextTime(this->lapsed);
 }
 
 const UpstreamRecord *
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -312,18 +312,24 @@
     g_assert_cmpuint(f->answers, ==, 100);
 }
 
-/* Sends a report of full slots from both upstreams. */
 static void
-fill(Fixture *f, uint32_t running)
+tell(Fixture *f, uint32_t upstream, uint32_t running)
 {
     LoadReport report = {
         .inflight = running, .slots = SLOTS, .pace_percent = 100};
 
-    Dispatcher_OnLoad(f->dispatcher, 0, &report);
-    Dispatcher_OnLoad(f->dispatcher, 1, &report);
+    Dispatcher_OnLoad(f->dispatcher, upstream, &report);
     drain(f);
 }
 
+/* Sends a report from both upstreams. */
+static void
+fill(Fixture *f, uint32_t running)
+{
+    tell(f, 0, running);
+    tell(f, 1, running);
+}
+
 static void
 set_up_asking(Fixture *f, gconstpointer data)
 {
@@ -390,7 +396,7 @@
 static void
 stay_silent(Fixture *f)
 {
-    Dispatcher_OnLoad(f->dispatcher, f->asked, NULL);
+    Dispatcher_OnSilence(f->dispatcher, f->asked);
     drain(f);
 }
 
@@ -400,6 +406,7 @@
 test_lost_upstream(Fixture *f, gconstpointer data)
 {
     char first[64];
+    uint32_t lost;
 
     send_and_wait(f, "/safe/1");
     g_strlcpy(first, f->sent_to, sizeof(first));
@@ -407,9 +414,14 @@
     stay_silent(f);
     g_assert_cmpuint(f->asks, ==, 2);
     g_assert_cmpuint(f->cancels, ==, 0);
+    lost = f->asked;
     stay_silent(f);
+    /* Others are asked for room first. */
+    g_assert_cmpuint(f->cancels, ==, 0);
+    g_assert_cmpuint(f->asked, !=, lost);
+    tell(f, f->asked, 0);
+    wait_for(f, 8 * MICROS_PER_MS);
     g_assert_cmpuint(f->cancels, ==, 1);
-    fill(f, 0);
     g_assert_cmpuint(f->sends, ==, 2);
     g_assert_cmpstr(f->sent_to, !=, first);
     /* There is no third upstream: the last attempt is left alone. */
@@ -463,6 +475,29 @@
     g_assert_cmpuint(f->cancels, ==, 1);
 }
 
+/* Guards against a host that stops and answers in the place of an upstream that
+ * is at work, and against taking one that answers without its load for lost. */
+static void
+test_not_lost(Fixture *f, gconstpointer data)
+{
+    send_and_wait(f, "/safe/1");
+    for (int i = 0; i < 4; i++) {
+        Dispatcher_OnLoad(f->dispatcher, f->asked, NULL);
+        wait_for(f, 10 * MICROS_PER_MS);
+    }
+    fill(f, 0);
+    wait_for(f, 8 * MICROS_PER_MS);
+    g_assert_cmpuint(f->cancels, ==, 0);
+    Dispatcher_Stop(f->dispatcher);
+    stay_silent(f);
+    stay_silent(f);
+    fill(f, 0);
+    wait_for(f, OBJECTIVE);
+    fill(f, 0);
+    wait_for(f, 8 * MICROS_PER_MS);
+    g_assert_cmpuint(f->cancels, ==, 0);
+}
+
 /* Guards against a second run of a request that is not idempotent. */
 static void
 test_lost_upstream_once(Fixture *f, gconstpointer data)
@@ -506,6 +541,7 @@
     ADD("/dispatcher/silent-upstreams", set_up_asking, test_silent_upstreams);
     ADD("/dispatcher/lost-upstream", set_up_asking, test_lost_upstream);
     ADD("/dispatcher/slow-upstream", set_up_asking, test_slow_upstream);
+    ADD("/dispatcher/not-lost", set_up_asking, test_not_lost);
     ADD("/dispatcher/overdue", set_up_asking, test_overdue);
     ADD("/dispatcher/lost-upstream-once", set_up_asking,
         test_lost_upstream_once);
--- a/tests/test_gateway_parts.c
+++ b/tests/test_gateway_parts.c
@@ -1,5 +1,6 @@
 #include <glib.h>
 
+#include "DueSet.h"
 #include "Endpoint.h"
 #include "RetryWindow.h"
 #include "RouteTable.h"
@@ -331,6 +332,31 @@
 #define ADD(path, test)                                                       \
     g_test_add(path, Fixture, NULL, set_up, test, tear_down)
 
+/* Guards against an entry that is lost or handled twice when it moves. */
+static void
+test_due_set(void)
+{
+    DueSet *set = DueSet_Create();
+    DueEntry a = {0}, b = {0}, c = {0};
+
+    g_assert_null(DueSet_First(set));
+    g_assert_cmpint(DueSet_NextTime(set), ==, -1);
+    DueSet_Set(set, &a, 7);
+    DueSet_Set(set, &b, 5);
+    DueSet_Set(set, &c, 5);
+    g_assert_true(DueSet_First(set) == &b);
+    DueSet_Set(set, &b, 9);
+    g_assert_true(DueSet_First(set) == &c);
+    DueSet_Set(set, &c, -1);
+    DueSet_Set(set, &c, -1);
+    g_assert_true(DueSet_First(set) == &a);
+    g_assert_cmpint(DueSet_NextTime(set), ==, 7);
+    DueSet_Set(set, &a, -1);
+    DueSet_Set(set, &b, -1);
+    g_assert_null(DueSet_First(set));
+    DueSet_Destroy(set);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -343,6 +369,7 @@
     ADD("/gateway/index-reuse", test_index_reuse);
     ADD("/gateway/lapse", test_lapse);
     ADD("/gateway/lapse-ends", test_lapse_ends);
+    g_test_add_func("/gateway/due-set", test_due_set);
     g_test_add_func("/gateway/endpoint", test_endpoint);
     return g_test_run();
 }
