--- a/packages/net/KeyedFollower.c
+++ b/packages/net/KeyedFollower.c
@@ -151,10 +151,10 @@
         return;
     }
     log_position(this, "store-snapshot", g_hash_table_size(this->keys));
-    this->handlers.on_snapshot(this->user, this->keys);
     KeyedMirror_Finish(this->mirror, this->next);
     this->state = STATE_TAIL;
     this->complete = this->was_complete = true;
+    this->handlers.on_snapshot(this->user, this->keys);
 }
 
 static void
--- a/tests/test_keyed_follower.c
+++ b/tests/test_keyed_follower.c
@@ -179,6 +179,8 @@
 
     f->snapshots++;
     f->keys = g_hash_table_size(keys);
+    /* What asks whether all is known may do so here. */
+    g_assert_true(KeyedFollower_IsComplete(f->follower));
 }
 
 static void
