gateway: a request that was moved has not broken its upstream

Cause: an attempt that is given up counted as an upstream that its request broke. Two of them, on a busy path, and callers of that path were refused as quarantined.

Change: only broken connections and answers count, as before the watch of attempts.

Measured: test_dispatcher moved-is-no-crash: the third request of a path was refused (3 answers instead of 2), and is sent now.

--- a/packages/gateway/AttemptWatch.c
+++ b/packages/gateway/AttemptWatch.c
@@ -65,8 +65,6 @@
     };
 
     JobLog_GivenUp(job, reason);
-    Quarantine_OnLost(job->owner->quarantine, job->upstream, &job->fingerprint,
-                      1);
     Dispatcher_PushAction(job->owner, &cancel);
     Job_EndAttempt(job, ATTEMPT_TIMEOUT);
     job->may_have_run = true;
--- a/packages/gateway/DispatcherPrivate.h
+++ b/packages/gateway/DispatcherPrivate.h
@@ -41,10 +41,10 @@
     uint32_t upstream; /* of the running attempt, or UPSTREAM_NONE */
     uint32_t tried[ATTEMPTS_MAX];
     uint32_t tried_count;
+    DueEntry due; /* in Dispatcher.due */
     bool may_have_run;
-    DueEntry due;
     bool queued;
-    bool watch_asked; /* others told their load since it is overdue */
+    bool watch_asked; /* others were asked whether one is idle */
 };
 
 struct Dispatcher_ {
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -498,6 +498,34 @@
     g_assert_cmpuint(f->cancels, ==, 0);
 }
 
+/* Guards against requests that are refused as dangerous, because others of
+ * their kind were moved away from slow upstreams. */
+static void
+test_moved_is_no_crash(Fixture *f, gconstpointer data)
+{
+    static const uint32_t upstreams = 4;
+
+    add_upstream(f, "w");
+    add_upstream(f, "x");
+    for (size_t moves = 1; moves <= 2; moves++) {
+        offer(f, "/safe/1", 0);
+        for (uint32_t i = 0; i < upstreams; i++) {
+            tell(f, i, 0);
+        }
+        wait_for(f, OBJECTIVE);
+        for (uint32_t i = 0; i < upstreams; i++) {
+            tell(f, i, 0);
+        }
+        wait_for(f, 8 * MICROS_PER_MS);
+        g_assert_cmpuint(f->cancels, ==, moves);
+        wait_for(f, TIMEOUT);
+        f->cancels = moves;
+    }
+    g_assert_cmpuint(f->answers, ==, 2);
+    offer(f, "/safe/1", 0);
+    g_assert_cmpuint(f->answers, ==, 2);
+}
+
 /* Guards against a second run of a request that is not idempotent. */
 static void
 test_lost_upstream_once(Fixture *f, gconstpointer data)
@@ -543,6 +571,8 @@
     ADD("/dispatcher/slow-upstream", set_up_asking, test_slow_upstream);
     ADD("/dispatcher/not-lost", set_up_asking, test_not_lost);
     ADD("/dispatcher/overdue", set_up_asking, test_overdue);
+    ADD("/dispatcher/moved-is-no-crash", set_up_asking,
+        test_moved_is_no_crash);
     ADD("/dispatcher/lost-upstream-once", set_up_asking,
         test_lost_upstream_once);
     ADD("/dispatcher/caller-gone", set_up_asking, test_caller_gone);
