Measure the lines of gateway hosts, test a reader that stops

Cause: nothing showed what the lines cost a gateway host, that their bound holds under load, or that a reader that stops costs no request.

Change: bench_gateway_log.sh and test_log_reader.sh.

--- /dev/null
+++ b/bench/bench_gateway_log.sh
@@ -0,0 +1,61 @@
+#!/usr/bin/env bash
+# Measures what the lines of one gateway host cost: processor time of a request
+# and lines a second, at the default bound, without a bound and without lines
+# of requests, and the bound under ten times the load. Prints name=value lines.
+set -uo pipefail
+cd "$(dirname "$0")/.."
+BIN=$(realpath "$1")
+RATE=${RATE:-100}
+SECONDS_EACH=${SECONDS_EACH:-8}
+WORK=$(mktemp -d)
+trap 'rm -rf "$WORK"' EXIT
+IP=127.77.$((1 + $$ % 250)).10
+
+ticks() { awk '{print $14 + $15}' "/proc/$1/stat"; }
+
+# play NAME RATE LOGGING: one host under load
+play() {
+    local name=$1 rate=$2 logging=$3 platform host before after sent lines
+    "$BIN/standins/standin-platform" --seed 1 --hosts "$IP:8080" --upstreams 20 --rate "$rate" \
+        --start-ms 1500 --load-ms $((SECONDS_EACH * 1000)) --rest-ms 500 --served-least 0 \
+        >"$WORK/$name.platform" 2>&1 &
+    platform=$!
+    for _ in $(seq 100); do
+        grep -q '^store_ports=' "$WORK/$name.platform" && break
+        sleep 0.05
+    done
+    cat >"$WORK/host.toml" <<TOML
+[host]
+id = "host-1"
+domain = "d0"
+[gateway]
+callers = "$IP:8080"
+readiness = "$IP:8081"
+metrics = "$IP:8082"
+relay = "$IP:8083"
+store = "127.0.0.1:$(sed -n 's/^store_ports= //p' "$WORK/$name.platform")"
+[logging]
+$logging
+TOML
+    "$BIN/packages/agatecrankd/agatecrankd" --config "$WORK/host.toml" >"$WORK/$name.log" 2>&1 &
+    host=$!
+    sleep 1.4
+    before=$(ticks $host)
+    wait $platform
+    after=$(ticks $host)
+    kill $host && wait $host 2>/dev/null
+    sent=$(sed -n 's/^sent=//p' "$WORK/$name.platform")
+    lines=$(grep -cE 'event=(route|attempt|refuse|caller-gone) ' "$WORK/$name.log")
+    echo "gateway_log_${name}_rate_per_s=$rate"
+    echo "gateway_log_${name}_cpu_us_per_request=$(awk -v t=$((after - before)) -v n="$sent" \
+        'BEGIN {printf "%.1f", t * 10000 / n}')"
+    echo "gateway_log_${name}_lines_per_s=$(awk -v l="$lines" -v s="$SECONDS_EACH" \
+        'BEGIN {printf "%.1f", l / s}')"
+    echo "gateway_log_${name}_dropped=$(grep -oE 'dropped=[0-9]+' "$WORK/$name.log" |
+        awk -F= '{n += $2} END {print n + 0}')"
+}
+
+play bounded "$RATE" ''
+play all "$RATE" 'decision_lines_per_s = 1000000'
+play none "$RATE" 'level = "warn"'
+play tenfold $((RATE * 10)) ''
--- /dev/null
+++ b/tests/test_log_reader.sh
@@ -0,0 +1,55 @@
+#!/usr/bin/env bash
+# Guards against a host that waits for the reader of its lines: one that stops
+# reading costs lines, and no request.
+set -uo pipefail
+cd "$(dirname "$0")/.."
+BIN=$(realpath "$1")
+work=$(mktemp -d)
+ip=127.78.$((1 + $$ % 250)).10
+trap 'kill "$reader" "$host" "$platform" 2>/dev/null; rm -rf "$work"' EXIT
+
+fail() { echo "not ok: $*"; exit 1; }
+
+# lost_lines: the host's own count
+lost_lines() {
+    exec 9<>"/dev/tcp/$ip/8082" || return
+    printf 'GET /metrics HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n' >&9
+    tr -d '\r' <&9 | sed -n 's/^agatecrank_log_lines_lost{} //p'
+    exec 9<&-
+}
+
+mkfifo "$work/lines"
+sleep 100 <"$work/lines" &
+reader=$!
+"$BIN/standins/standin-platform" --seed 1 --hosts "$ip:8080" --upstreams 20 --rate 300 \
+    --start-ms 1500 --load-ms 4000 --rest-ms 1000 --served-least 0.95 >"$work/platform" 2>&1 &
+platform=$!
+for _ in $(seq 100); do
+    grep -q '^store_ports=' "$work/platform" && break
+    sleep 0.05
+done
+cat >"$work/host.toml" <<TOML
+[host]
+id = "host-1"
+domain = "d0"
+[gateway]
+callers = "$ip:8080"
+readiness = "$ip:8081"
+metrics = "$ip:8082"
+relay = "$ip:8083"
+store = "127.0.0.1:$(sed -n 's/^store_ports= //p' "$work/platform")"
+[logging]
+decision_lines_per_s = 1000000
+TOML
+"$BIN/packages/agatecrankd/agatecrankd" --config "$work/host.toml" >"$work/lines" 2>"$work/errors" &
+host=$!
+for _ in $(seq 600); do
+    grep -q '^faults=over' "$work/platform" && break
+    lost=$(lost_lines 2>/dev/null)
+    sleep 0.1
+done
+wait "$platform" || fail "calls were lost: $(cat "$work/platform" "$work/errors")"
+[ "${lost:-0}" -gt 0 ] || fail "the reader did not hold up any line"
+echo "ok: $lost lines lost, $(grep -E '^served_at_rest=' "$work/platform")"
+kill "$host"
+wait "$host" || fail "the host ended with $?"
