--- a/packages/gateway/Placement.c
+++ b/packages/gateway/Placement.c
@@ -53,6 +53,9 @@
 /* Seconds for which unspent questions are kept: the bound is one on a mean
  * over much longer, and bursts last some seconds. */
 #define QUESTIONS_KEPT_S 10
+/* Part of the kept questions above which some are spared for other uses than
+ * placing. */
+#define SPARE_SHARE 0.5F
 /* A host that starts knows nothing of its share of the load. */
 #define QUESTIONS_START 200.0F
 
@@ -78,6 +81,7 @@
     uint32_t own_domain;
     float questions_per_s;
     float questions; /* that may be asked now */
+    float questions_max;
     Micros earned_at;
     GArray *loads;       /* Load by upstream */
     GPtrArray *services; /* Service by index */
@@ -402,31 +406,44 @@
     return rate;
 }
 
+static void
+earn_questions(Placement *this)
+{
+    Micros now = Clock_Now(this->clock);
+    float rate = questions_rate(this);
+    float passed = (float)(now - this->earned_at) / MICROS_PER_S;
+
+    this->earned_at = now;
+    this->questions_max = QUESTIONS_START + rate * QUESTIONS_KEPT_S;
+    this->questions =
+        MIN(this->questions + rate * passed, this->questions_max);
+}
+
 /* Returns how many questions may be asked, at most @wanted. */
 static size_t
 spend(Placement *this, size_t wanted)
 {
-    Micros now = Clock_Now(this->clock);
-    float rate, passed;
     size_t n;
 
     if (this->questions_per_s <= 0 || wanted == 0) {
         return wanted;
     }
-    rate = questions_rate(this);
-    passed = (float)(now - this->earned_at) / MICROS_PER_S;
-    this->earned_at = now;
-    this->questions = MIN(this->questions + rate * passed,
-                          QUESTIONS_START + rate * QUESTIONS_KEPT_S);
+    earn_questions(this);
     n = MIN(wanted, (size_t)MAX(this->questions, 0));
     this->questions -= (float)n;
     return n;
 }
 
+/* Placing comes first: it decides for every request. */
 bool
 Placement_MayAsk(Placement *this)
 {
-    return spend(this, 1) == 1;
+    if (this->questions_per_s <= 0) {
+        return true;
+    }
+    earn_questions(this);
+    return this->questions >= SPARE_SHARE * this->questions_max &&
+           spend(this, 1) == 1;
 }
 
 static float
--- a/packages/gateway/Placement.h
+++ b/packages/gateway/Placement.h
@@ -114,8 +114,8 @@
 /** Placement_ReportAge() - age of its last report, -1 without one */
 Micros Placement_ReportAge(const Placement *this, uint32_t upstream);
 
-/** Placement_MayAsk() - take one question from the budget; false if it is
- *                       spent */
+/** Placement_MayAsk() - take one question that placing can spare from the
+ *                       budget; false if there is none */
 bool Placement_MayAsk(Placement *this);
 
 /** Placement_IsAsked() - an answer to Placement_OnAsked() is outstanding */
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -184,6 +184,37 @@
     Clock_Destroy(clock);
 }
 
+/* Guards against questions on running attempts that leave none for placing
+ * when there is more load than the budget allows. */
+static void
+test_spare_questions(void)
+{
+    Clock *clock = Clock_CreateManual(MICROS_PER_S, 0);
+    Random *random = Random_Create(7);
+    Placement *placement = Placement_Create(NEAR, 1, clock, random);
+    PlacementInfo info = {SERVICE, NEAR, SLOTS, 0};
+    PlacementQuery query = {.service = SERVICE};
+    uint32_t asked[PLACEMENT_ROUND_MAX];
+    unsigned spare = 0;
+
+    for (uint32_t i = 0; i < 10; i++) {
+        Placement_Add(placement, i, &info);
+    }
+    while (Placement_MayAsk(placement)) {
+        spare++;
+    }
+    g_assert_cmpuint(spare, >, 0);
+    for (unsigned i = 0; i < spare / PLACEMENT_ROUND_MAX; i++) {
+        g_assert_cmpuint(
+            Placement_Ask(placement, &query, PLACEMENT_OWN_DOMAIN, asked), >,
+            0);
+        g_assert_false(Placement_MayAsk(placement));
+    }
+    Placement_Destroy(placement);
+    Random_Destroy(random);
+    Clock_Destroy(clock);
+}
+
 #define ADD(path, test)                                                       \
     g_test_add(path, Fixture, NULL, set_up, test, tear_down)
 
@@ -198,5 +229,6 @@
     ADD("/placement/failures", test_failures);
     ADD("/placement/ask", test_ask);
     g_test_add_func("/placement/budget", test_budget);
+    g_test_add_func("/placement/spare-questions", test_spare_questions);
     return g_test_run();
 }
