gateway: count the grace of lapsed upstreams from the store's return

The store was back at 13.04 s at the latest, as other hosts of the domain read it then; some noticed at 14.23 s. Each counted 1.8 s of grace from when it noticed, so up to 16.03 s, beyond the bound of 2.5 s.

Change: the grace counts from the start of the last read that failed, the earliest time at which the store may have been back, and lasts for 0.95 of the bound on drains. A read that was held back locally says nothing of it.

Measured: test_gateway_parts lapse-noticed-late fails before.

Conclusion: the bound holds however late the return is noticed. Upstreams that list themselves later than that are used again when they do.

--- a/packages/agatecrankd/GatewayDaemon.c
+++ b/packages/agatecrankd/GatewayDaemon.c
@@ -19,8 +19,9 @@
 #define RETRY_HOSTS_MAX 200
 /* The part of the shared bound that is spent: hosts see different windows. */
 #define RETRY_MARGIN 0.95
-/* Less than the bound on drains. */
-#define RETURN_GRACE (1800 * MICROS_PER_MS)
+/* Part of the bound on drains for which a lapsed upstream is used after the
+ * store's return; the rest is for the way to it. */
+#define RETURN_GRACE_SHARE 0.95
 #define CONNECTIONS_MAX 32
 /* The upstream may close a connection that was idle for longer. */
 #define REUSE_IDLE (1 * MICROS_PER_S)
@@ -237,7 +238,8 @@
         .retry_share = bounds->retry_share * RETRY_MARGIN,
         .retry_extra = bounds->retry_extra / RETRY_HOSTS_MAX,
         .questions_per_s = bounds->questions_per_s,
-        .return_grace = MIN(RETURN_GRACE, bounds->drain_time * 9 / 10),
+        .return_grace =
+            (Micros)(RETURN_GRACE_SHARE * (double)bounds->drain_time),
     };
 
     this->dispatcher =
--- a/packages/gateway/Dispatcher.c
+++ b/packages/gateway/Dispatcher.c
@@ -283,9 +283,9 @@
 }
 
 void
-Dispatcher_SetSource(Dispatcher *this, bool reachable)
+Dispatcher_SetSource(Dispatcher *this, bool reachable, Micros since)
 {
-    UpstreamSet_SetSource(this->upstreams, reachable);
+    UpstreamSet_SetSource(this->upstreams, reachable, since);
 }
 
 size_t
--- a/packages/gateway/Dispatcher.h
+++ b/packages/gateway/Dispatcher.h
@@ -174,8 +174,10 @@
  *                               (GString text to itself) */
 void Dispatcher_KeepUpstreams(Dispatcher *this, GHashTable *ids);
 
-/** Dispatcher_SetSource() - the source of upstreams can be read, or not */
-void Dispatcher_SetSource(Dispatcher *this, bool reachable);
+/** Dispatcher_SetSource() - the source of upstreams can be read, or not;
+ *                          @since: from when on it could be read, at the
+ *                          earliest */
+void Dispatcher_SetSource(Dispatcher *this, bool reachable, Micros since);
 
 /** Dispatcher_UpstreamCount() - upstreams listed, in use or draining */
 size_t Dispatcher_UpstreamCount(const Dispatcher *this);
--- a/packages/gateway/UpstreamSet.c
+++ b/packages/gateway/UpstreamSet.c
@@ -24,7 +24,7 @@
     DueSet *lapsed;      /* grace_end of Listed */
     GArray *uses;        /* uint32_t for each index: open attempts */
     Micros grace;
-    Micros returned_at; /* end of the last outage, -1 without one */
+    Micros returned_at; /* earliest end of the last outage, -1 without one */
     bool reachable;
 };
 
@@ -255,10 +255,10 @@
 }
 
 void
-UpstreamSet_SetSource(UpstreamSet *this, bool reachable)
+UpstreamSet_SetSource(UpstreamSet *this, bool reachable, Micros since)
 {
     if (reachable && !this->reachable) {
-        this->returned_at = Clock_Now(this->clock);
+        this->returned_at = since;
     }
     this->reachable = reachable;
 }
--- a/packages/gateway/UpstreamSet.h
+++ b/packages/gateway/UpstreamSet.h
@@ -42,8 +42,8 @@
 /** UpstreamSet_KeepOnly() - remove those whose id is not a key of @ids */
 void UpstreamSet_KeepOnly(UpstreamSet *this, GHashTable *ids);
 
-/** UpstreamSet_SetSource() - the source can be read, or not */
-void UpstreamSet_SetSource(UpstreamSet *this, bool reachable);
+/** UpstreamSet_SetSource() - as Dispatcher_SetSource() */
+void UpstreamSet_SetSource(UpstreamSet *this, bool reachable, Micros since);
 
 /** UpstreamSet_OnTime() - end the grace of those that did not come back */
 void UpstreamSet_OnTime(UpstreamSet *this);
--- a/packages/net/KeyedFollower.c
+++ b/packages/net/KeyedFollower.c
@@ -26,6 +26,8 @@
     GString *after;    /* last key of its last page */
     uint64_t next;     /* offset to read from */
     Micros settled_at; /* when reads may be held for long again */
+    Micros asked_at;   /* start of the newest read */
+    Micros failed_at;  /* start of the last one that failed */
     bool complete;     /* no snapshot is being read */
     bool was_complete;
     bool reachable;
@@ -62,6 +64,7 @@
     Micros wait = wait_for(this);
 
     this->reading = true;
+    this->asked_at = Clock_Now(this->clock);
     switch (this->state) {
     case STATE_SNAPSHOT:
         source->read_newest(source->self, Str_FromString(this->topic),
@@ -127,7 +130,7 @@
     this->reachable = reachable;
     unsettle(this);
     log_state(this, code);
-    this->handlers.on_state(this->user, reachable);
+    this->handlers.on_state(this->user, reachable, this->failed_at);
 }
 
 static void
@@ -187,6 +190,10 @@
         return;
     }
     if (page->code < 0) {
+        /* A read that was not sent tells nothing of the log. */
+        if (page->code != ERR_LIMIT) {
+            this->failed_at = this->asked_at;
+        }
         set_reachable(this, false, page->code);
         LoopTimer_Start(this->timer,
                         Random_Spread(this->random, this->options.retry));
--- a/packages/net/KeyedFollower.h
+++ b/packages/net/KeyedFollower.h
@@ -40,13 +40,14 @@
  * @on_record: a record, newer than those of the same key before
  * @on_snapshot: a snapshot is complete; @keys (set of GString) are all there
  *               are, and every other key is gone
- * @on_state: the log answers again, or no longer
+ * @on_state: the log answers again, or no longer; @since tells from when on it
+ *            may have answered again: the start of the last read that failed
  * @on_page: an answer was taken in
  */
 typedef struct KeyedFollowerHandlers_ {
     void (*on_record)(void *user, const KeyedRecord *record);
     void (*on_snapshot)(void *user, GHashTable *keys);
-    void (*on_state)(void *user, bool reachable);
+    void (*on_state)(void *user, bool reachable, Micros since);
     void (*on_page)(void *user);
 } KeyedFollowerHandlers;
 
--- a/packages/net/KeyedSource.c
+++ b/packages/net/KeyedSource.c
@@ -222,7 +222,7 @@
 static void
 refuse_read(void *user)
 {
-    KeyedPage page = {.code = ERR_UNAVAILABLE};
+    KeyedPage page = {.code = ERR_LIMIT};
     Read *read = user;
 
     g_queue_remove(read->source->refused, read);
--- a/tests/test_gateway_parts.c
+++ b/tests/test_gateway_parts.c
@@ -272,9 +272,9 @@
     UpstreamEntry upstream = entry("u", 100, 1, false);
 
     UpstreamSet_Put(f->set, &upstream);
-    UpstreamSet_SetSource(f->set, false);
+    UpstreamSet_SetSource(f->set, false, 0);
     Clock_Advance(f->clock, 10 * MICROS_PER_S);
-    UpstreamSet_SetSource(f->set, true);
+    UpstreamSet_SetSource(f->set, true, Clock_Now(f->clock));
     Clock_Advance(f->clock, MICROS_PER_S);
     UpstreamSet_Remove(f->set, STR("u"));
     g_assert_nonnull(choose(f));
@@ -290,6 +290,26 @@
     g_assert_null(choose(f));
 }
 
+/* Guards against requests to an upstream that left during an outage, whose end
+ * the host noticed late: the bound on drains counts from the end. */
+static void
+test_lapse_noticed_late(Fixture *f, gconstpointer data)
+{
+    UpstreamEntry upstream = entry("u", 100, 1, false);
+    Micros since = Clock_Now(f->clock);
+
+    UpstreamSet_Put(f->set, &upstream);
+    UpstreamSet_SetSource(f->set, false, 0);
+    Clock_Advance(f->clock, GRACE / 2);
+    UpstreamSet_SetSource(f->set, true, since);
+    UpstreamSet_Remove(f->set, STR("u"));
+    g_assert_nonnull(choose(f));
+    g_assert_cmpint(UpstreamSet_NextTime(f->set), ==, since + GRACE);
+    Clock_Advance(f->clock, GRACE / 2);
+    UpstreamSet_OnTime(f->set);
+    g_assert_null(choose(f));
+}
+
 /* Guards against a lapsed upstream that is used for longer than the grace. */
 static void
 test_lapse_ends(Fixture *f, gconstpointer data)
@@ -297,8 +317,8 @@
     UpstreamEntry upstream = entry("u", 100, 1, false);
 
     UpstreamSet_Put(f->set, &upstream);
-    UpstreamSet_SetSource(f->set, false);
-    UpstreamSet_SetSource(f->set, true);
+    UpstreamSet_SetSource(f->set, false, 0);
+    UpstreamSet_SetSource(f->set, true, Clock_Now(f->clock));
     Clock_Advance(f->clock, GRACE / 2);
     UpstreamSet_Remove(f->set, STR("u"));
     Clock_Advance(f->clock, GRACE / 2);
@@ -369,6 +389,7 @@
     ADD("/gateway/index-reuse", test_index_reuse);
     ADD("/gateway/lapse", test_lapse);
     ADD("/gateway/lapse-ends", test_lapse_ends);
+    ADD("/gateway/lapse-noticed-late", test_lapse_noticed_late);
     g_test_add_func("/gateway/due-set", test_due_set);
     g_test_add_func("/gateway/endpoint", test_endpoint);
     return g_test_run();
--- a/tests/test_keyed_follower.c
+++ b/tests/test_keyed_follower.c
@@ -160,6 +160,7 @@
     GString *seen;
     unsigned snapshots;
     unsigned outages;
+    Micros returned_at;
     size_t keys;
 } Fixture;
 
@@ -184,11 +185,12 @@
 }
 
 static void
-on_state(void *user, bool reachable)
+on_state(void *user, bool reachable, Micros since)
 {
     Fixture *f = user;
 
     f->outages += reachable ? 0 : 1;
+    f->returned_at = reachable ? since : f->returned_at;
 }
 
 static void
@@ -277,6 +279,8 @@
 static void
 test_outage(Fixture *f, gconstpointer data)
 {
+    Micros began = Clock_Now(f->clock), back;
+
     run_until_seen(f, "b=2 ");
     f->log.down = true;
     while (f->outages == 0) {
@@ -285,7 +289,11 @@
     g_assert_cmpint(KeyedFollower_Age(f->follower), ==, -1);
     write_record(&f->log, "a", STR("5"));
     f->log.down = false;
+    back = Clock_Now(f->clock);
     run_until_seen(f, "a=5 ");
+    /* The log may have been back since the last read that failed. */
+    g_assert_cmpint(f->returned_at, >, began);
+    g_assert_cmpint(f->returned_at, <=, back);
     g_assert_cmpint(KeyedFollower_Age(f->follower), >=, 0);
 }
 
@@ -316,7 +324,7 @@
 }
 
 static void
-host_state(void *user, bool reachable)
+host_state(void *user, bool reachable, Micros since)
 {
 }
 
