tests: play a loss of power under load

Cause: the watch of attempts had no test of what callers get under load.

Change: test_overload power-loss: a fifth of the upstreams fall silent at 0.7 of what all can serve.

Conclusion: no product code changed.

--- a/tests/test_overload.c
+++ b/tests/test_overload.c
@@ -7,7 +7,8 @@
 /* Plays the load that RequestQueue answers: more requests than the upstreams
  * can work on, and upstreams that slow down when nearly full. What callers get
  * is counted, with the queue and with upstreams that hide how full they are,
- * so that everything is sent at once. */
+ * so that everything is sent at once. And the load that AttemptWatch answers:
+ * upstreams that fall silent with the requests that they have. */
 
 #define SEED 42
 #define UPSTREAMS 20
@@ -18,6 +19,9 @@
 #define KNEE_COST 1.7
 #define OBJECTIVE (250 * MICROS_PER_MS)
 #define TIMEOUT (1200 * MICROS_PER_MS)
+#define QUESTION_TIMEOUT (60 * MICROS_PER_MS)
+/* Upstreams that lose their power at once, a fifth of them. */
+#define DARK 4
 #define LOAD_TIME (10 * MICROS_PER_S)
 /* Requests a second that the upstreams can serve below the knee. */
 #define CAPACITY (UPSTREAMS * KNEE_SLOTS * MICROS_PER_S / WORK)
@@ -25,17 +29,24 @@
 typedef struct World_ World;
 
 typedef struct Server_ {
-    GQueue *waiting; /* Request */
+    GQueue *waiting; /* Attempt */
     uint32_t running;
 } Server;
 
+/* A request at an upstream. */
+typedef struct Attempt_ {
+    World *world;
+    struct Request_ *request; /* NULL once nobody waits for it */
+    uint32_t server;
+    bool lost; /* it will never be answered */
+} Attempt;
+
 typedef struct Request_ {
     World *world;
     Job *job;
+    Attempt *attempt;
     Micros arrived;
-    uint32_t server;
     bool once;
-    bool at_server;
 } Request;
 
 struct World_ {
@@ -46,6 +57,8 @@
     EventQueue *events;
     Server servers[UPSTREAMS];
     bool tells_load;
+    Micros dark_from; /* the first DARK upstreams are silent from then on */
+    unsigned safe_lost, safe_failed;
     unsigned offered, in_time, late, refused, failed;
     unsigned once_in_time, once_offered;
     Micros refused_after_max;
@@ -55,28 +68,57 @@
 
 static void run_next(World *w, uint32_t index);
 
+static bool
+is_dark(const World *w, uint32_t server)
+{
+    return w->dark_from > 0 && server < DARK &&
+           Clock_Now(w->clock) >= w->dark_from;
+}
+
+/* The upstream goes on with it, but nobody waits for the answer. */
 static void
-finish(void *user, uint64_t argument)
+leave_attempt(Request *request)
 {
-    Request *request = user;
-    World *w = request->world;
-    Server *server = &w->servers[request->server];
-    LoadReport report;
-    AttemptEndInfo end = {.result = ATTEMPT_RESULT_ANSWER, .status = 200};
-    Micros took = Clock_Now(w->clock) - request->arrived;
+    Attempt *attempt = request->attempt;
+
+    request->attempt = NULL;
+    if (attempt == NULL) {
+        return;
+    }
+    attempt->request = NULL;
+    if (attempt->lost) {
+        g_free(attempt);
+    }
+}
 
-    server->running--;
-    run_next(w, request->server);
-    if (request->job == NULL) {
-        g_free(request);
+static void
+lose(Attempt *attempt)
+{
+    Request *request = attempt->request;
+
+    attempt->lost = true;
+    if (request == NULL) {
+        g_free(attempt);
         return;
     }
-    report = (LoadReport){.inflight = server->running,
-                          .queue = server->waiting->length,
-                          .slots = SLOTS,
-                          .pace_percent = 100};
-    end.report = w->tells_load ? &report : NULL;
-    if (took <= OBJECTIVE) {
+    request->world->safe_lost += !request->once;
+}
+
+static void
+answer(Attempt *attempt)
+{
+    Request *request = attempt->request;
+    World *w = attempt->world;
+    const Server *server = &w->servers[attempt->server];
+    LoadReport report = {.inflight = server->running,
+                         .queue = server->waiting->length,
+                         .slots = SLOTS,
+                         .pace_percent = 100};
+    AttemptEndInfo end = {.result = ATTEMPT_RESULT_ANSWER,
+                          .status = 200,
+                          .report = w->tells_load ? &report : NULL};
+
+    if (Clock_Now(w->clock) - request->arrived <= OBJECTIVE) {
         w->in_time++;
         w->once_in_time += request->once;
     }
@@ -85,26 +127,46 @@
     }
     Dispatcher_OnAttemptEnd(w->dispatcher, request->job, &end);
     g_free(request);
+    g_free(attempt);
     drain(w);
 }
 
 static void
-run(World *w, Request *request)
+finish(void *user, uint64_t argument)
 {
-    Server *server = &w->servers[request->server];
+    Attempt *attempt = user;
+    World *w = attempt->world;
+
+    w->servers[attempt->server].running--;
+    run_next(w, attempt->server);
+    if (is_dark(w, attempt->server)) {
+        lose(attempt);
+    }
+    else if (attempt->request == NULL) {
+        g_free(attempt);
+    }
+    else {
+        answer(attempt);
+    }
+}
+
+static void
+run(World *w, Attempt *attempt)
+{
+    Server *server = &w->servers[attempt->server];
     Micros work = WORK / 2 + (Micros)Random_Below(w->random, WORK);
 
     server->running++;
     if (server->running > KNEE_SLOTS) {
         work = (Micros)(KNEE_COST * (double)work);
     }
-    EventQueue_Add(w->events, work, finish, request, 0);
+    EventQueue_Add(w->events, work, finish, attempt, 0);
 }
 
 static void
 run_next(World *w, uint32_t index)
 {
-    Request *next = g_queue_pop_head(w->servers[index].waiting);
+    Attempt *next = g_queue_pop_head(w->servers[index].waiting);
 
     if (next != NULL) {
         run(w, next);
@@ -116,18 +178,25 @@
 {
     Server *server = &w->servers[index];
     AttemptEndInfo end = {.result = ATTEMPT_RESULT_NOT_RUN, .status = 503};
+    Attempt *attempt;
 
-    request->server = index;
-    request->at_server = true;
-    if (server->running < SLOTS) {
-        run(w, request);
+    if (server->running >= SLOTS && server->waiting->length >= WAITING_MAX) {
+        Dispatcher_OnAttemptEnd(w->dispatcher, request->job, &end);
+        return;
+    }
+    attempt = g_new0(Attempt, 1);
+    attempt->world = w;
+    attempt->request = request;
+    attempt->server = index;
+    request->attempt = attempt;
+    if (is_dark(w, index)) {
+        lose(attempt);
     }
-    else if (server->waiting->length < WAITING_MAX) {
-        g_queue_push_tail(server->waiting, request);
+    else if (server->running < SLOTS) {
+        run(w, attempt);
     }
     else {
-        request->at_server = false;
-        Dispatcher_OnAttemptEnd(w->dispatcher, request->job, &end);
+        g_queue_push_tail(server->waiting, attempt);
     }
 }
 
@@ -145,23 +214,31 @@
     drain(w);
 }
 
+static void
+stay_silent(void *user, uint64_t index)
+{
+    World *w = user;
+
+    Dispatcher_OnSilence(w->dispatcher, (uint32_t)index);
+    drain(w);
+}
+
 static void
 take_answer(World *w, const DispatchAction *action)
 {
     Request *request = action->user;
     Micros took = Clock_Now(w->clock) - request->arrived;
 
-    request->job = NULL;
     if (action->answer.status == 503) {
         w->refused++;
         w->refused_after_max = MAX(w->refused_after_max, took);
     }
     else {
         w->failed++;
+        w->safe_failed += !request->once;
     }
-    if (!request->at_server) {
-        g_free(request);
-    }
+    leave_attempt(request);
+    g_free(request);
 }
 
 static void
@@ -174,6 +251,11 @@
         request = action.user;
         switch (action.kind) {
         case DISPATCH_ASK:
+            if (is_dark(w, action.ask.upstream)) {
+                EventQueue_Add(w->events, QUESTION_TIMEOUT, stay_silent, w,
+                               action.ask.upstream);
+                break;
+            }
             EventQueue_Add(w->events, MICROS_PER_MS, tell_load, w,
                            action.ask.upstream);
             break;
@@ -182,6 +264,7 @@
             arrive(w, request, (uint32_t)(action.send.port - 1));
             break;
         case DISPATCH_CANCEL:
+            leave_attempt(request);
             break;
         case DISPATCH_ANSWER:
             take_answer(w, &action);
@@ -271,7 +354,7 @@
 }
 
 static void
-play(World *w, bool tells_load, uint64_t rate)
+play(World *w, bool tells_load, uint64_t rate, Micros dark_from)
 {
     DispatcherOptions options = {
         .domain = STR("a"),
@@ -287,6 +370,7 @@
     w->counters = Counters_Create(100);
     w->events = EventQueue_Create(w->clock);
     w->tells_load = tells_load;
+    w->dark_from = dark_from;
     w->dispatcher = Dispatcher_Create(&options, w->clock, w->random, NULL,
                                       NULL, w->counters);
     if (tells_load) {
@@ -309,9 +393,11 @@
     Random_Destroy(w->random);
     Clock_Destroy(w->clock);
     g_test_message("offered=%u in_time=%u late=%u refused=%u failed=%u "
-                   "once=%u/%u refused_after_max_us=%" G_GINT64_FORMAT,
+                   "once=%u/%u refused_after_max_us=%" G_GINT64_FORMAT
+                   " safe_lost=%u safe_failed=%u",
                    w->offered, w->in_time, w->late, w->refused, w->failed,
-                   w->once_in_time, w->once_offered, w->refused_after_max);
+                   w->once_in_time, w->once_offered, w->refused_after_max,
+                   w->safe_lost, w->safe_failed);
 }
 
 /* Guards against sending so much that every answer is late: half as much again
@@ -321,8 +407,8 @@
 {
     World queued, plain;
 
-    play(&queued, true, CAPACITY * 3 / 2);
-    play(&plain, false, CAPACITY * 3 / 2);
+    play(&queued, true, CAPACITY * 3 / 2, 0);
+    play(&plain, false, CAPACITY * 3 / 2, 0);
     /* Nine tenths of what can be served is served in time. */
     g_assert_cmpuint(queued.in_time, >=,
                      CAPACITY * LOAD_TIME / MICROS_PER_S * 9 / 10);
@@ -341,11 +427,26 @@
 {
     World w;
 
-    play(&w, true, CAPACITY / 2);
+    play(&w, true, CAPACITY / 2, 0);
     g_assert_cmpuint(w.refused, ==, 0);
     g_assert_cmpuint(w.in_time * 100, >=, w.offered * 99);
 }
 
+/* Guards against callers that get nothing because a fifth of the upstreams lost
+ * its power with their requests, which may run again. */
+static void
+test_power_loss(void)
+{
+    World w;
+
+    play(&w, true, CAPACITY * 7 / 10, LOAD_TIME / 2);
+    g_assert_cmpuint(w.safe_lost, >=, 5);
+    /* A second attempt may meet another of the lost ones. */
+    g_assert_cmpuint(w.safe_failed * UPSTREAMS, <=, w.safe_lost * DARK);
+    /* Nothing else suffers: the others have room for all. */
+    g_assert_cmpuint(w.in_time, >=, w.offered * 97 / 100);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -353,5 +454,6 @@
     g_test_message("seed %d", SEED);
     g_test_add_func("/overload/overload", test_overload);
     g_test_add_func("/overload/normal-load", test_normal_load);
+    g_test_add_func("/overload/power-loss", test_power_loss);
     return g_test_run();
 }
