gateway: hold silent upstreams, take what they had anywhere with room

Cause: test_overload power-loss, a fifth of the upstreams silent at 0.7 of what all can serve: 4 of 6 callers of lost attempts got nothing. Their requests moved to an idle upstream only, which is rare at that load, and second attempts went to other silent ones, whose last report was good.

Change: an attempt whose upstream is lost moves to any upstream with room. Two silences in a row hold an upstream as failures do. The test plays 20 seeds, as one has six lost attempts only; its bound is the chance that a second attempt meets another lost upstream.

Conclusion: at high load most callers of a lost upstream are served now.

--- a/packages/gateway/AttemptWatch.c
+++ b/packages/gateway/AttemptWatch.c
@@ -71,35 +71,41 @@
     Job_TryAgain(job, reason);
 }
 
-/* Why another upstream should have the job, or NULL. An answer that takes
- * longer than the objective will be late in any case, and most of these never
- * come. */
-static const char *
-why_elsewhere(const Job *job)
+static bool
+is_lost(const Job *job)
 {
-    Dispatcher *this = job->owner;
-
-    if (Placement_Silences(this->placement, job->upstream) >= SILENCES_MAX) {
-        return "upstream-lost";
-    }
-    return Clock_Now(this->clock) - job->sent_at >= job->route->objective
-               ? "overdue"
-               : NULL;
+    return Placement_Silences(job->owner->placement, job->upstream) >=
+           SILENCES_MAX;
 }
 
-/* Moves the job only to an upstream that is idle: when all are busy, work would
- * only be done twice. Returns false if others are asked for their load first.
+/* Its answer will be late in any case, and most that take so long never come.
  */
 static bool
-move(Job *job, const char *reason)
+is_overdue(const Job *job)
+{
+    return Clock_Now(job->owner->clock) - job->sent_at >=
+           job->route->objective;
+}
+
+/* What may still be worked on moves to an idle upstream only: when all are
+ * busy, work would only be done twice. */
+static bool
+is_better(const Job *job, const PlacementChoice *choice)
+{
+    return choice->room && (choice->good || is_lost(job));
+}
+
+/* Returns false if others are asked for their load first. */
+static bool
+move(Job *job)
 {
     PlacementChoice choice;
 
     if (!can_repeat(job, &choice)) {
         return true;
     }
-    if (choice.good && choice.room) {
-        give_up(job, reason);
+    if (is_better(job, &choice)) {
+        give_up(job, is_lost(job) ? "upstream-lost" : "overdue");
         return true;
     }
     if (job->watch_asked) {
@@ -116,10 +122,9 @@
     Dispatcher *this = job->owner;
     Micros now = Clock_Now(this->clock);
     uint32_t upstream = job->upstream;
-    const char *reason = this->stopping ? NULL : why_elsewhere(job);
 
     Job_SetWatchAt(job, now + watch_period(job));
-    if (reason != NULL && !move(job, reason)) {
+    if (!this->stopping && (is_lost(job) || is_overdue(job)) && !move(job)) {
         Job_SetWatchAt(job, now + ASK_TIME);
         return;
     }
@@ -134,7 +139,6 @@
 void
 AttemptWatch_OnSilence(Dispatcher *this, uint32_t upstream)
 {
-    bool lost = Placement_Silences(this->placement, upstream) >= SILENCES_MAX;
     GList *jobs = g_hash_table_get_keys(this->jobs);
 
     for (GList *item = jobs; item != NULL; item = item->next) {
@@ -143,7 +147,7 @@
         if (!is_watched(job) || job->upstream != upstream) {
             continue;
         }
-        if (lost) {
+        if (is_lost(job)) {
             AttemptWatch_OnTime(job);
         }
         else {
--- a/packages/gateway/AttemptWatch.h
+++ b/packages/gateway/AttemptWatch.h
@@ -11,8 +11,9 @@
  * once. TCP does not tell, and what they were working on would wait until its
  * deadline. An upstream that has an attempt for long and was not heard of is
  * asked for its load; one that is silent to several questions in a row is
- * taken as gone. Only requests that may run again are given up, only while
- * another upstream is idle and a repeat is left, and not while the host stops.
+ * taken as gone. Only requests that may run again are given up, only while a
+ * repeat is left and another upstream has room, or is idle if the request may
+ * still be worked on, and not while the host stops.
  */
 
 /** AttemptWatch_Begin() - the job was sent to an upstream just now */
--- a/packages/gateway/Placement.c
+++ b/packages/gateway/Placement.c
@@ -25,6 +25,8 @@
 /* Weight of one failure: two in a row pass FAILURES_HELD. */
 #define FAILURE_WEIGHT 0.35F
 #define FAILURES_HELD 0.5F
+/* One question may be lost, as a packet or to a pause of the upstream. */
+#define SILENCES_HELD 2
 #define HOLD_TIME (1 * MICROS_PER_S)
 #define HOLD_DOUBLINGS 3
 /* Cost of each recent failure. */
@@ -252,16 +254,24 @@
 }
 
 static void
-on_failure(Load *load, Micros now)
+hold(Load *load, Micros now)
 {
-    load->failures += FAILURE_WEIGHT * (1 - load->failures);
-    if (load->failures > FAILURES_HELD && load->held_until <= now) {
+    if (load->held_until <= now) {
         load->held_until =
             now + (HOLD_TIME << MIN(load->holds, HOLD_DOUBLINGS));
         load->holds++;
     }
 }
 
+static void
+on_failure(Load *load, Micros now)
+{
+    load->failures += FAILURE_WEIGHT * (1 - load->failures);
+    if (load->failures > FAILURES_HELD) {
+        hold(load, now);
+    }
+}
+
 void
 Placement_OnFinished(Placement *this, uint32_t upstream,
                      AttemptOutcome outcome)
@@ -322,8 +332,10 @@
 
     if (load != NULL) {
         load->asked = false;
-        load->silences++;
         load->report_at = -1;
+        if (++load->silences >= SILENCES_HELD) {
+            hold(load, Clock_Now(this->clock));
+        }
     }
 }
 
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -416,12 +416,10 @@
     g_assert_cmpuint(f->cancels, ==, 0);
     lost = f->asked;
     stay_silent(f);
-    /* Others are asked for room first. */
-    g_assert_cmpuint(f->cancels, ==, 0);
+    /* The other one is asked for its load before it gets the request. */
+    g_assert_cmpuint(f->cancels, ==, 1);
     g_assert_cmpuint(f->asked, !=, lost);
     tell(f, f->asked, 0);
-    wait_for(f, 8 * MICROS_PER_MS);
-    g_assert_cmpuint(f->cancels, ==, 1);
     g_assert_cmpuint(f->sends, ==, 2);
     g_assert_cmpstr(f->sent_to, !=, first);
     /* There is no third upstream: the last attempt is left alone. */
--- a/tests/test_overload.c
+++ b/tests/test_overload.c
@@ -22,6 +22,7 @@
 #define QUESTION_TIMEOUT (60 * MICROS_PER_MS)
 /* Upstreams that lose their power at once, a fifth of them. */
 #define DARK 4
+#define POWER_LOSSES 20
 #define LOAD_TIME (10 * MICROS_PER_S)
 /* Requests a second that the upstreams can serve below the knee. */
 #define CAPACITY (UPSTREAMS * KNEE_SLOTS * MICROS_PER_S / WORK)
@@ -354,7 +355,7 @@
 }
 
 static void
-play(World *w, bool tells_load, uint64_t rate, Micros dark_from)
+play(World *w, uint64_t seed, bool tells_load, uint64_t rate, Micros dark_from)
 {
     DispatcherOptions options = {
         .domain = STR("a"),
@@ -366,7 +367,7 @@
 
     memset(w, 0, sizeof(*w));
     w->clock = Clock_CreateManual(0, 0);
-    w->random = Random_Create(SEED);
+    w->random = Random_Create(seed);
     w->counters = Counters_Create(100);
     w->events = EventQueue_Create(w->clock);
     w->tells_load = tells_load;
@@ -407,8 +408,8 @@
 {
     World queued, plain;
 
-    play(&queued, true, CAPACITY * 3 / 2, 0);
-    play(&plain, false, CAPACITY * 3 / 2, 0);
+    play(&queued, SEED, true, CAPACITY * 3 / 2, 0);
+    play(&plain, SEED, false, CAPACITY * 3 / 2, 0);
     /* Nine tenths of what can be served is served in time. */
     g_assert_cmpuint(queued.in_time, >=,
                      CAPACITY * LOAD_TIME / MICROS_PER_S * 9 / 10);
@@ -427,7 +428,7 @@
 {
     World w;
 
-    play(&w, true, CAPACITY / 2, 0);
+    play(&w, SEED, true, CAPACITY / 2, 0);
     g_assert_cmpuint(w.refused, ==, 0);
     g_assert_cmpuint(w.in_time * 100, >=, w.offered * 99);
 }
@@ -437,14 +438,20 @@
 static void
 test_power_loss(void)
 {
-    World w;
+    unsigned lost = 0, failed = 0;
+
+    for (uint64_t seed = SEED; seed < SEED + POWER_LOSSES; seed++) {
+        World w;
 
-    play(&w, true, CAPACITY * 7 / 10, LOAD_TIME / 2);
-    g_assert_cmpuint(w.safe_lost, >=, 5);
+        play(&w, seed, true, CAPACITY * 7 / 10, LOAD_TIME / 2);
+        lost += w.safe_lost;
+        failed += w.safe_failed;
+        /* Nothing else suffers: the others have room for all. */
+        g_assert_cmpuint(w.in_time, >=, w.offered * 97 / 100);
+    }
+    g_test_message("lost=%u failed=%u", lost, failed);
     /* A second attempt may meet another of the lost ones. */
-    g_assert_cmpuint(w.safe_failed * UPSTREAMS, <=, w.safe_lost * DARK);
-    /* Nothing else suffers: the others have room for all. */
-    g_assert_cmpuint(w.in_time, >=, w.offered * 97 / 100);
+    g_assert_cmpuint(failed * UPSTREAMS, <=, lost * DARK);
 }
 
 int
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -184,6 +184,27 @@
     Clock_Destroy(clock);
 }
 
+/* Guards against an upstream that lost its power and is chosen because it was
+ * idle when last heard of. */
+static void
+test_silence(Fixture *f, gconstpointer data)
+{
+    add(f, 1, NEAR);
+    add(f, 2, NEAR);
+    report(f, 1, 0, 100);
+    report(f, 2, SLOTS, 100);
+    Placement_OnSilence(f->placement, 1);
+    Placement_OnSilence(f->placement, 1);
+    g_assert_cmpuint(Placement_Silences(f->placement, 1), ==, 2);
+    g_assert_cmpuint(choose(f).upstream, ==, 2);
+    report(f, 1, 0, 100);
+    g_assert_cmpuint(Placement_Silences(f->placement, 1), ==, 0);
+    Clock_Advance(f->clock, 2 * MICROS_PER_S);
+    report(f, 1, 0, 100);
+    report(f, 2, SLOTS, 100);
+    g_assert_cmpuint(choose(f).upstream, ==, 1);
+}
+
 /* Guards against questions on running attempts that leave none for placing
  * when there is more load than the budget allows. */
 static void
@@ -228,6 +249,7 @@
     ADD("/placement/age", test_age);
     ADD("/placement/failures", test_failures);
     ADD("/placement/ask", test_ask);
+    ADD("/placement/silence", test_silence);
     g_test_add_func("/placement/budget", test_budget);
     g_test_add_func("/placement/spare-questions", test_spare_questions);
     return g_test_run();
