tests: give each run on loopback addresses of its own

The address came from the process id modulo 250, so the host of one run served the callers of the other, which both stand-ins told as mixed and twice.

Conclusion: a fault of the test, traced.

--- a/bench/bench_gateway_log.sh
+++ b/bench/bench_gateway_log.sh
@@ -4,12 +4,13 @@
 # of requests, and the bound under ten times the load. Prints name=value lines.
 set -uo pipefail
 cd "$(dirname "$0")/.."
+. scripts/loopback.sh
 BIN=$(realpath "$1")
 RATE=${RATE:-100}
 SECONDS_EACH=${SECONDS_EACH:-8}
 WORK=$(mktemp -d)
 trap 'rm -rf "$WORK"' EXIT
-IP=127.77.$((1 + $$ % 250)).10
+IP=$(loopback_address 0)
 
 ticks() { awk '{print $14 + $15}' "/proc/$1/stat"; }
 
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -7,6 +7,7 @@
 # soak.sh BUILD_DIR [SEED...]   settings by environment variables, see below
 set -uo pipefail
 cd "$(dirname "$0")/.."
+. scripts/loopback.sh
 BIN=$(realpath "$1")
 # The library that shifts clocks is loaded before that of the sanitizer.
 export ASAN_OPTIONS="${ASAN_OPTIONS:-}:verify_asan_link_order=0"
@@ -26,11 +27,9 @@
 KEEP=${KEEP:-}               # folder for the logs of seeds that fail
 KEEP_ALL=${KEEP_ALL:-}       # also of those that pass
 
-address() { echo "127.$((1 + SEED % 200)).$((1 + $$ % 250)).$((10 + $1))"; }
-
 write_settings() {
     local ip store
-    ip=$(address "$1")
+    ip=$(loopback_address "$1")
     store=$(echo "$STORE_PORTS" | cut -d ' ' -f "$(($1 + 1))")
     cat >"$WORK/host-$1.toml" <<TOML
 [host]
@@ -122,7 +121,7 @@
     HOST_PID=()
     : >"$WORK/signals.out"
     for host in $(seq 0 $((HOSTS - 1))); do
-        targets="$targets,$(address "$host"):8080"
+        targets="$targets,$(loopback_address "$host"):8080"
     done
     "$BIN/standins/standin-platform" --seed "$SEED" --hosts "${targets#,}" \
         --upstreams "$UPSTREAMS" --rate "$RATE" --load-ms "$LOAD_MS" \
--- a/tests/test_log_reader.sh
+++ b/tests/test_log_reader.sh
@@ -3,9 +3,10 @@
 # reading costs lines, and no request.
 set -uo pipefail
 cd "$(dirname "$0")/.."
+. scripts/loopback.sh
 BIN=$(realpath "$1")
 work=$(mktemp -d)
-ip=127.78.$((1 + $$ % 250)).10
+ip=$(loopback_address 0)
 trap 'kill "$reader" "$host" "$platform" 2>/dev/null; rm -rf "$work"' EXIT
 
 fail() { echo "not ok: $*"; exit 1; }
