gateway: one piece of code for what the watch of attempts repeated

The number of silences that make an upstream lost stood in Placement and in AttemptWatch; cancelling an attempt in Dispatcher and in AttemptWatch; Placement_MayAsk() added up the budget twice, and each question summed the slots of all upstreams of all services. The watch looked its job up in a table to learn whether it still lived.

Change: Placement_IsLost(), Job_CancelAttempt() and one spend() with the share to keep; a service keeps the sum of its slots; move() says what became of the attempt. AskOthers and ask_round send questions in one place, JobLog adds the request in one place, EventLog takes the reserve as a share. No behaviour changed.

--- a/packages/base/EventLog.c
+++ b/packages/base/EventLog.c
@@ -47,7 +47,7 @@
     g_free(this);
 }
 
-/* Leaves at least @reserve of the bound for other lines. */
+/* Leaves at least the share @reserve of the bound for other lines. */
 static bool
 take_token(EventLog *this, double reserve)
 {
@@ -63,7 +63,7 @@
     if (this->tokens > this->lines_per_s) {
         this->tokens = this->lines_per_s;
     }
-    if (this->tokens < 1.0 + reserve) {
+    if (this->tokens < 1.0 + this->lines_per_s * reserve) {
         return false;
     }
     this->tokens -= 1.0;
@@ -105,8 +105,7 @@
 bool
 EventLog_BeginRoutine(EventLog *this, const char *event)
 {
-    return begin_line(this, LOG_LEVEL_INFO, event,
-                      this != NULL ? this->lines_per_s * ROUTINE_RESERVE : 0);
+    return begin_line(this, LOG_LEVEL_INFO, event, ROUTINE_RESERVE);
 }
 
 static bool
--- a/packages/gateway/AttemptWatch.c
+++ b/packages/gateway/AttemptWatch.c
@@ -8,14 +8,13 @@
 #define WATCH_SHARE 0.25
 /* Shorter ones would cost more questions than requests. */
 #define WATCH_PERIOD_MIN (20 * MICROS_PER_MS)
-/* One question may be lost, as a packet or to a pause of the upstream. */
-#define SILENCES_MAX 2
 
-static bool
-is_watched(const Job *job)
-{
-    return job->watch_at > 0 && job->upstream != UPSTREAM_NONE;
-}
+/* What becomes of an attempt that should be somewhere else. */
+typedef enum Move_ {
+    MOVE_NONE,  /* it stays where it is */
+    MOVE_ASKED, /* others are asked for their load first */
+    MOVE_DONE,  /* the job may be over */
+} Move;
 
 static Micros
 watch_period(const Job *job)
@@ -58,24 +57,15 @@
 static void
 give_up(Job *job, const char *reason)
 {
-    DispatchAction cancel = {
-        .kind = DISPATCH_CANCEL,
-        .job = job,
-        .user = job->user,
-    };
-
     JobLog_GivenUp(job, reason);
-    Dispatcher_PushAction(job->owner, &cancel);
-    Job_EndAttempt(job, ATTEMPT_TIMEOUT);
-    job->may_have_run = true;
+    Job_CancelAttempt(job);
     Job_TryAgain(job, reason);
 }
 
 static bool
 is_lost(const Job *job)
 {
-    return Placement_Silences(job->owner->placement, job->upstream) >=
-           SILENCES_MAX;
+    return Placement_IsLost(job->owner->placement, job->upstream);
 }
 
 /* Its answer will be late in any case, and most that take so long never come.
@@ -95,43 +85,45 @@
     return choice->room && (choice->good || is_lost(job));
 }
 
-/* Returns false if others are asked for their load first. */
-static bool
+static Move
 move(Job *job)
 {
     PlacementChoice choice;
 
     if (!can_repeat(job, &choice)) {
-        return true;
+        return MOVE_NONE;
     }
     if (is_better(job, &choice)) {
         give_up(job, is_lost(job) ? "upstream-lost" : "overdue");
-        return true;
+        return MOVE_DONE;
     }
     if (job->watch_asked) {
-        return true;
+        return MOVE_NONE;
     }
-    job->watch_asked = true;
     JobPlacing_AskOthers(job);
-    return false;
+    return MOVE_ASKED;
 }
 
 void
 AttemptWatch_OnTime(Job *job)
 {
-    Dispatcher *this = job->owner;
-    Micros now = Clock_Now(this->clock);
-    uint32_t upstream = job->upstream;
+    Micros now = Clock_Now(job->owner->clock);
+    bool elsewhere =
+        !job->owner->stopping && (is_lost(job) || is_overdue(job));
+    Move moved = elsewhere ? move(job) : MOVE_NONE;
 
-    Job_SetWatchAt(job, now + watch_period(job));
-    if (!this->stopping && (is_lost(job) || is_overdue(job)) && !move(job)) {
+    switch (moved) {
+    case MOVE_DONE:
+        return;
+    case MOVE_ASKED:
+        job->watch_asked = true;
         Job_SetWatchAt(job, now + ASK_TIME);
         return;
-    }
-    if (g_hash_table_contains(this->jobs, job) && job->upstream == upstream) {
+    case MOVE_NONE:
         job->watch_asked = false;
+        Job_SetWatchAt(job, now + watch_period(job));
         if (!heard_lately(job)) {
-            JobPlacing_AskAgain(job, upstream);
+            JobPlacing_AskAgain(job, job->upstream);
         }
     }
 }
@@ -144,7 +136,7 @@
     for (GList *item = jobs; item != NULL; item = item->next) {
         Job *job = item->data;
 
-        if (!is_watched(job) || job->upstream != upstream) {
+        if (job->watch_at == 0 || job->upstream != upstream) {
             continue;
         }
         if (is_lost(job)) {
--- a/packages/gateway/Dispatcher.c
+++ b/packages/gateway/Dispatcher.c
@@ -168,6 +168,20 @@
     Job_SetWatchAt(job, 0);
 }
 
+void
+Job_CancelAttempt(Job *job)
+{
+    DispatchAction cancel = {
+        .kind = DISPATCH_CANCEL,
+        .job = job,
+        .user = job->user,
+    };
+
+    Dispatcher_PushAction(job->owner, &cancel);
+    Job_EndAttempt(job, ATTEMPT_TIMEOUT);
+    job->may_have_run = true;
+}
+
 RequestQueue *
 Job_Queue(const Job *job)
 {
@@ -524,24 +538,15 @@
 static void
 time_out(Job *job)
 {
-    Dispatcher *this = job->owner;
-    DispatchAction cancel = {
-        .kind = DISPATCH_CANCEL,
-        .job = job,
-        .user = job->user,
-    };
-
     if (job->upstream != UPSTREAM_NONE) {
-        Dispatcher_PushAction(this, &cancel);
-        Job_EndAttempt(job, ATTEMPT_TIMEOUT);
-        job->may_have_run = true;
+        Job_CancelAttempt(job);
     }
     if (job->may_have_run) {
         Job_Answer(job, 504, "deadline", 0);
         return;
     }
     Job_Answer(job, 503, "deadline",
-               Random_Spread(this->random, RETRY_AFTER_MEAN));
+               Random_Spread(job->owner->random, RETRY_AFTER_MEAN));
 }
 
 /* Each step below moves the job's due time, or ends the job. */
@@ -554,7 +559,7 @@
         time_out(job);
     }
     else if (job->ask_until > 0 && job->ask_until <= now) {
-        JobPlacing_OnAskTime(job);
+        JobPlacing_GoOn(job);
     }
     else {
         AttemptWatch_OnTime(job);
--- a/packages/gateway/DispatcherPrivate.h
+++ b/packages/gateway/DispatcherPrivate.h
@@ -93,6 +93,9 @@
 /** Job_EndAttempt() - its attempt is over; no effect without one */
 void Job_EndAttempt(Job *job, AttemptOutcome outcome);
 
+/** Job_CancelAttempt() - end its attempt without an answer; it may have run */
+void Job_CancelAttempt(Job *job);
+
 /** Job_End() - release it */
 void Job_End(Job *job);
 
--- a/packages/gateway/JobLog.c
+++ b/packages/gateway/JobLog.c
@@ -23,40 +23,37 @@
     return (Clock_Now(job->owner->clock) - job->arrived) / MICROS_PER_MS;
 }
 
-static void
-add_job(const Job *job)
+/* Adds what each line has to one that was begun; false if it was not. */
+static bool
+add_job(const Job *job, bool begun)
 {
     EventLog *log = job->owner->decisions;
 
+    if (!begun) {
+        return false;
+    }
     EventLog_Str(log, "request", Str_FromString(job->id));
     if (job->route != NULL) {
         EventLog_Str(log, "route", job->route->name);
         EventLog_Int(log, "version", (int64_t)RouteTable_Version(job->table));
     }
+    return true;
 }
 
 static bool
 begin_line(const Job *job, LogLevel level, const char *event)
 {
-    if (!EventLog_Begin(job->owner->decisions, level, event)) {
-        return false;
-    }
-    add_job(job);
-    return true;
+    return add_job(job, EventLog_Begin(job->owner->decisions, level, event));
 }
 
-/* A first attempt that is sent at once is routine. */
+/* A first attempt is routine. */
 static bool
 begin_choice(const Job *job)
 {
     if (job->tried_count > 1) {
         return begin_line(job, LOG_LEVEL_INFO, "route");
     }
-    if (!EventLog_BeginRoutine(job->owner->decisions, "route")) {
-        return false;
-    }
-    add_job(job);
-    return true;
+    return add_job(job, EventLog_BeginRoutine(job->owner->decisions, "route"));
 }
 
 void
--- a/packages/gateway/JobPlacing.c
+++ b/packages/gateway/JobPlacing.c
@@ -86,11 +86,10 @@
     Dispatcher_PushAction(this, &action);
 }
 
+/* The answer to another request's question serves this one, too. */
 static void
-ask(Job *job, uint32_t upstream)
+ask(const Job *job, uint32_t upstream)
 {
-    job->asked[job->asked_count++] = upstream;
-    /* The answer to another request's question serves this one, too. */
     if (!Placement_IsAsked(job->owner->placement, upstream)) {
         push_question(job, upstream);
     }
@@ -132,9 +131,7 @@
                           upstreams);
     }
     for (size_t i = 0; i < n; i++) {
-        if (!Placement_IsAsked(placement, upstreams[i])) {
-            push_question(job, upstreams[i]);
-        }
+        ask(job, upstreams[i]);
     }
 }
 
@@ -153,6 +150,7 @@
     }
     n = Placement_Ask(this->placement, &query, scope, upstreams);
     for (size_t i = 0; i < n; i++) {
+        job->asked[job->asked_count++] = upstreams[i];
         ask(job, upstreams[i]);
     }
     Job_SetAskUntil(job, Clock_Now(this->clock) + ASK_TIME);
@@ -328,8 +326,8 @@
     }
 }
 
-static void
-go_on(Job *job)
+void
+JobPlacing_GoOn(Job *job)
 {
     if (!JobPlacing_Place(job)) {
         Job_GiveUp(job, "no-upstream");
@@ -343,17 +341,11 @@
     GList *jobs = g_hash_table_get_keys(this->asking);
 
     for (GList *item = jobs; item != NULL; item = item->next) {
-        go_on(item->data);
+        JobPlacing_GoOn(item->data);
     }
     g_list_free(jobs);
 }
 
-void
-JobPlacing_OnAskTime(Job *job)
-{
-    go_on(job);
-}
-
 void
 JobPlacing_OnLoadsKnown(Dispatcher *this)
 {
--- a/packages/gateway/JobPlacing.h
+++ b/packages/gateway/JobPlacing.h
@@ -30,8 +30,8 @@
 /** JobPlacing_OnLoadsKnown() - the jobs that wait for loads may go on */
 void JobPlacing_OnLoadsKnown(Dispatcher *this);
 
-/** JobPlacing_OnAskTime() - the job waits for loads no longer */
-void JobPlacing_OnAskTime(Job *job);
+/** JobPlacing_GoOn() - place a job that waited for loads, or give it up */
+void JobPlacing_GoOn(Job *job);
 
 /** JobPlacing_OnTime() - end waits that are over, ask for room again */
 void JobPlacing_OnTime(Dispatcher *this);
--- a/packages/gateway/Placement.c
+++ b/packages/gateway/Placement.c
@@ -26,7 +26,7 @@
 #define FAILURE_WEIGHT 0.35F
 #define FAILURES_HELD 0.5F
 /* One question may be lost, as a packet or to a pause of the upstream. */
-#define SILENCES_HELD 2
+#define SILENCES_LOST 2
 #define HOLD_TIME (1 * MICROS_PER_S)
 #define HOLD_DOUBLINGS 3
 /* Cost of each recent failure. */
@@ -70,6 +70,7 @@
 
 typedef struct Service_ {
     GArray *upstreams; /* uint32_t */
+    uint64_t slots;    /* of all of them */
     float mean_pace;
     float mean_busy;
     float mean_own; /* requests of this host in flight */
@@ -83,7 +84,6 @@
     uint32_t own_domain;
     float questions_per_s;
     float questions; /* that may be asked now */
-    float questions_max;
     Micros earned_at;
     GArray *loads;       /* Load by upstream */
     GPtrArray *services; /* Service by index */
@@ -171,6 +171,7 @@
         .present = true,
     };
     g_array_append_val(service->upstreams, upstream);
+    service->slots += info->slots;
 }
 
 void
@@ -185,6 +186,7 @@
     }
     service = service_at(this, load->info.service);
     service->inflight -= MIN(service->inflight, load->inflight);
+    service->slots -= load->info.slots;
     load->present = false;
     list = service->upstreams;
     for (guint i = 0; i < list->len; i++) {
@@ -235,6 +237,8 @@
     }
     service = service_at(this, load->info.service);
     if (report->slots > 0) {
+        service->slots += report->slots;
+        service->slots -= load->info.slots;
         load->info.slots = report->slots;
     }
     load->report_at = Clock_Now(this->clock);
@@ -325,6 +329,12 @@
     }
 }
 
+static bool
+is_lost(const Load *load)
+{
+    return load->silences >= SILENCES_LOST;
+}
+
 void
 Placement_OnSilence(Placement *this, uint32_t upstream)
 {
@@ -333,12 +343,21 @@
     if (load != NULL) {
         load->asked = false;
         load->report_at = -1;
-        if (++load->silences >= SILENCES_HELD) {
+        load->silences++;
+        if (is_lost(load)) {
             hold(load, Clock_Now(this->clock));
         }
     }
 }
 
+bool
+Placement_IsLost(const Placement *this, uint32_t upstream)
+{
+    const Load *load = find(this, upstream);
+
+    return load != NULL && is_lost(load);
+}
+
 uint32_t
 Placement_Silences(const Placement *this, uint32_t upstream)
 {
@@ -391,16 +410,10 @@
 /* This host's part of the requests that the service works on, by the reports
  * of the upstreams: its part of the budget, too. */
 static float
-own_share(const Placement *this, const Service *service)
+own_share(const Service *service)
 {
-    float all = 0;
-
-    for (guint i = 0; i < service->upstreams->len; i++) {
-        uint32_t upstream = g_array_index(service->upstreams, uint32_t, i);
+    float all = (float)service->slots * service->mean_busy;
 
-        all += (float)load_at(this, upstream)->info.slots;
-    }
-    all *= service->mean_busy;
     return all > service->mean_own ? service->mean_own / all : 1;
 }
 
@@ -413,34 +426,31 @@
         const Service *service = g_ptr_array_index(this->services, i);
 
         rate += QUESTIONS_MARGIN * this->questions_per_s *
-                (float)service->upstreams->len * own_share(this, service);
+                (float)service->upstreams->len * own_share(service);
     }
     return rate;
 }
 
-static void
-earn_questions(Placement *this)
-{
-    Micros now = Clock_Now(this->clock);
-    float rate = questions_rate(this);
-    float passed = (float)(now - this->earned_at) / MICROS_PER_S;
-
-    this->earned_at = now;
-    this->questions_max = QUESTIONS_START + rate * QUESTIONS_KEPT_S;
-    this->questions =
-        MIN(this->questions + rate * passed, this->questions_max);
-}
-
-/* Returns how many questions may be asked, at most @wanted. */
+/* Returns how many questions may be asked, at most @wanted; none if less than
+ * the share @kept of those that can be kept is left. */
 static size_t
-spend(Placement *this, size_t wanted)
+spend(Placement *this, size_t wanted, float kept)
 {
+    Micros now = Clock_Now(this->clock);
+    float rate, passed, most;
     size_t n;
 
     if (this->questions_per_s <= 0 || wanted == 0) {
         return wanted;
     }
-    earn_questions(this);
+    rate = questions_rate(this);
+    passed = (float)(now - this->earned_at) / MICROS_PER_S;
+    this->earned_at = now;
+    most = QUESTIONS_START + rate * QUESTIONS_KEPT_S;
+    this->questions = MIN(this->questions + rate * passed, most);
+    if (this->questions < kept * most) {
+        return 0;
+    }
     n = MIN(wanted, (size_t)MAX(this->questions, 0));
     this->questions -= (float)n;
     return n;
@@ -450,12 +460,7 @@
 bool
 Placement_MayAsk(Placement *this)
 {
-    if (this->questions_per_s <= 0) {
-        return true;
-    }
-    earn_questions(this);
-    return this->questions >= SPARE_SHARE * this->questions_max &&
-           spend(this, 1) == 1;
+    return spend(this, 1, SPARE_SHARE) == 1;
 }
 
 static float
@@ -551,7 +556,7 @@
             candidates, n, PLACEMENT_ROUND_MAX,
             (Candidate){upstream, cost_of_asking(this, service, load, now)});
     }
-    n = spend(this, n);
+    n = spend(this, n, 0);
     for (size_t i = 0; i < n; i++) {
         upstreams[i] = candidates[i].upstream;
     }
--- a/packages/gateway/Placement.h
+++ b/packages/gateway/Placement.h
@@ -107,6 +107,10 @@
 /** Placement_OnSilence() - a question had no answer in time */
 void Placement_OnSilence(Placement *this, uint32_t upstream);
 
+/** Placement_IsLost() - it was silent to so many questions in a row that it is
+ *                       taken as gone; it is held then, like one that fails */
+bool Placement_IsLost(const Placement *this, uint32_t upstream);
+
 /** Placement_Silences() - questions in a row that had no answer, since it was
  *                         last heard of */
 uint32_t Placement_Silences(const Placement *this, uint32_t upstream);
