tests, standins: share what the change wrote more than once

Routes and upstreams of the gateway's tests stood in three files, a call made twice in two tests of HTTP, the listening socket of a stand-in in two files, and the settings of a host and the wait for standin-platform in three scripts.

Change: GatewayFixture, call_twice(), HttpLoop_Listen(), scripts/gateway.sh (was loopback.sh). Assertions are unchanged; a route that test_overload can not add now fails there too.

--- a/bench/bench_dispatcher.c
+++ b/bench/bench_dispatcher.c
@@ -3,7 +3,7 @@
 
 #include <glib.h>
 
-#include "Dispatcher.h"
+#include "GatewayFixture.h"
 
 /* Cost of one request in the gateway's decisions, with this many others open
  * and this many upstreams listed, from the users' sites to the two-year
@@ -30,27 +30,13 @@
 static void
 set_routes(Bench *b)
 {
-    static const RoutePart parts[] = {{{"desk", 4}, 1}};
     CallerLimits limits = {0};
     RouteTable *table = RouteTable_Create(1, &limits);
-    Route route = {
-        .name = STR("all"),
-        .host = STR("a.example"),
-        .prefix = STR("/"),
-        .kind = ROUTE_IDEMPOTENT,
-        .timeout = TIMEOUT,
-        .objective = OBJECTIVE,
-        .priority = 1,
-        .attempts_max = 2,
-        .parts = parts,
-        .part_count = 1,
-    };
 
-    RouteTable_AddService(table, STR("desk"), STR("/health"));
-    if (RouteTable_Add(table, &route, NULL) < 0 ||
-        Dispatcher_SetRoutes(b->dispatcher, table) < 0) {
-        g_error("no routes");
-    }
+    RouteTable_AddService(table, GATEWAY_FIXTURE_SERVICE, STR("/health"));
+    GatewayFixture_AddRoute(table, "/", ROUTE_IDEMPOTENT, 1, OBJECTIVE,
+                            TIMEOUT);
+    Dispatcher_SetRoutes(b->dispatcher, table);
     RouteTable_Unref(table);
 }
 
@@ -59,17 +45,9 @@
 {
     for (uint32_t i = 0; i < count; i++) {
         g_autofree char *id = g_strdup_printf("u%u", i);
-        UpstreamEntry entry = {
-            .id = Str_FromC(id),
-            .started = 1,
-            .sequence = 1,
-            .service = STR("desk"),
-            .address = STR("10.0.0.1"),
-            .port = 80,
-            .domain = i % 4 == 0 ? STR("a") : STR("b"),
-            .slots = SLOTS,
-        };
+        UpstreamEntry entry = GatewayFixture_Upstream(id, 80, SLOTS);
 
+        entry.domain = i % 4 == 0 ? STR("a") : STR("b");
         Dispatcher_PutUpstream(b->dispatcher, &entry);
     }
 }
@@ -97,7 +75,7 @@
     JobInfo info = {
         .id = STR("0123456789abcdef"),
         .method = STR("GET"),
-        .host = STR("a.example"),
+        .host = GATEWAY_FIXTURE_HOST,
         .path = STR("/1"),
     };
 
--- a/bench/bench_gateway_log.sh
+++ b/bench/bench_gateway_log.sh
@@ -4,7 +4,7 @@
 # of requests, and the bound under ten times the load. Prints name=value lines.
 set -uo pipefail
 cd "$(dirname "$0")/.."
-. scripts/loopback.sh
+. scripts/gateway.sh
 BIN=$(realpath "$1")
 RATE=${RATE:-100}
 SECONDS_EACH=${SECONDS_EACH:-8}
@@ -21,23 +21,10 @@
         --start-ms 1500 --load-ms $((SECONDS_EACH * 1000)) --rest-ms 500 --served-least 0 \
         >"$WORK/$name.platform" 2>&1 &
     platform=$!
-    for _ in $(seq 100); do
-        grep -q '^store_ports=' "$WORK/$name.platform" && break
-        sleep 0.05
-    done
-    cat >"$WORK/host.toml" <<TOML
-[host]
-id = "host-1"
-domain = "d0"
-[gateway]
-callers = "$IP:8080"
-readiness = "$IP:8081"
-metrics = "$IP:8082"
-relay = "$IP:8083"
-store = "127.0.0.1:$(sed -n 's/^store_ports= //p' "$WORK/$name.platform")"
-[logging]
-$logging
-TOML
+    {
+        gateway_settings 0 "$(store_ports "$WORK/$name.platform")"
+        printf '[logging]\n%s\n' "$logging"
+    } >"$WORK/host.toml"
     "$BIN/packages/agatecrankd/agatecrankd" --config "$WORK/host.toml" >"$WORK/$name.log" 2>&1 &
     host=$!
     sleep 1.4
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -7,7 +7,7 @@
 # soak.sh BUILD_DIR [SEED...]   settings by environment variables, see below
 set -uo pipefail
 cd "$(dirname "$0")/.."
-. scripts/loopback.sh
+. scripts/gateway.sh
 BIN=$(realpath "$1")
 # The library that shifts clocks is loaded before that of the sanitizer.
 export ASAN_OPTIONS="${ASAN_OPTIONS:-}:verify_asan_link_order=0"
@@ -28,25 +28,10 @@
 KEEP_ALL=${KEEP_ALL:-}       # also of those that pass
 
 write_settings() {
-    local ip store
-    ip=$(loopback_address "$1")
-    store=$(echo "$STORE_PORTS" | cut -d ' ' -f "$(($1 + 1))")
-    cat >"$WORK/host-$1.toml" <<TOML
-[host]
-id = "host-$1"
-domain = "d$(($1 % 2))"
-[gateway]
-callers = "$ip:8080"
-readiness = "$ip:8081"
-metrics = "$ip:8082"
-relay = "$ip:8083"
-store = "127.0.0.1:$store"
-[bounds]
-graceS = 6
-drainS = 2
-probesPerS = 60
-retryBudgetRatio = 0.2
-TOML
+    {
+        gateway_settings "$1" "$(echo "$STORE_PORTS" | cut -d ' ' -f "$(($1 + 1))")"
+        printf '[bounds]\ngraceS = 6\ndrainS = 2\nprobesPerS = 60\nretryBudgetRatio = 0.2\n'
+    } >"$WORK/host-$1.toml"
 }
 
 start_host() {
@@ -131,11 +116,7 @@
         --served-least "$SERVED_LEAST" \
         >"$WORK/platform.out" 2>"$WORK/platform.err" &
     PLATFORM_PID=$!
-    for _ in $(seq 100); do
-        grep -q '^store_ports=' "$WORK/platform.out" && break
-        sleep 0.05
-    done
-    STORE_PORTS=$(sed -n 's/^store_ports= //p' "$WORK/platform.out")
+    STORE_PORTS=$(store_ports "$WORK/platform.out")
     for host in $(seq 0 $((HOSTS - 1))); do
         write_settings "$host"
         start_host "$host"
--- a/standins/HttpLoop.c
+++ b/standins/HttpLoop.c
@@ -1,10 +1,17 @@
 #include "HttpLoop.h"
 
+#include <arpa/inet.h>
+#include <netinet/in.h>
 #include <signal.h>
 #include <string.h>
 #include <sys/resource.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "Error.h"
 
 #define RECEIVE_BYTES (64 * 1024)
+#define BACKLOG 4096
 #define FILES_MAX 16384
 
 static volatile sig_atomic_t stopping;
@@ -81,3 +88,24 @@
 {
     on_signal(0);
 }
+
+int
+HttpLoop_Listen(int *port)
+{
+    static const int on = 1;
+    struct sockaddr_in address = {.sin_family = AF_INET};
+    socklen_t length = sizeof(address);
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_port = htons((uint16_t)*port);
+    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    if (bind(fd, (struct sockaddr *)&address, sizeof(address)) < 0 ||
+        listen(fd, BACKLOG) < 0 ||
+        getsockname(fd, (struct sockaddr *)&address, &length) < 0) {
+        close(fd);
+        return ERR_UNAVAILABLE;
+    }
+    *port = ntohs(address.sin_port);
+    return fd;
+}
--- a/standins/HttpLoop.h
+++ b/standins/HttpLoop.h
@@ -31,6 +31,14 @@
  */
 void HttpLoop_Run(HttpLoop *this, bool spin);
 
+/**
+ * HttpLoop_Listen() - a listening socket on 127.0.0.1 that does not block
+ * @port: 0 for a free one; receives the one in use
+ *
+ * Return: the descriptor, or ERR_UNAVAILABLE.
+ */
+int HttpLoop_Listen(int *port);
+
 /** HttpLoop_Stop() - make HttpLoop_Run() return */
 void HttpLoop_Stop(void);
 
--- a/standins/HttpServer.c
+++ b/standins/HttpServer.c
@@ -1,13 +1,9 @@
 #include "HttpConnection.h"
 
-#include <arpa/inet.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <string.h>
 #include <sys/socket.h>
-#include <unistd.h>
-
-#define BACKLOG 4096
 
 /* The listener is a raw file for libwebsockets, so it can be closed alone. */
 static int
@@ -85,27 +81,6 @@
     return this;
 }
 
-static int
-listen_on(HttpServer *this)
-{
-    static const int on = 1;
-    struct sockaddr_in address = {.sin_family = AF_INET};
-    socklen_t length = sizeof(address);
-    int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    address.sin_port = htons((uint16_t)this->port);
-    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-    if (bind(fd, (struct sockaddr *)&address, sizeof(address)) < 0 ||
-        listen(fd, BACKLOG) < 0 ||
-        getsockname(fd, (struct sockaddr *)&address, &length) < 0) {
-        close(fd);
-        return ERR_UNAVAILABLE;
-    }
-    this->port = ntohs(address.sin_port);
-    return fd;
-}
-
 int
 HttpServer_Resume(HttpServer *this)
 {
@@ -114,7 +89,7 @@
     if (this->listener != NULL) {
         return 0;
     }
-    fd.filefd = listen_on(this);
+    fd.filefd = HttpLoop_Listen(&this->port);
     if (fd.filefd < 0) {
         return ERR_UNAVAILABLE;
     }
--- a/standins/LossyLink.c
+++ b/standins/LossyLink.c
@@ -6,11 +6,9 @@
 #include <netinet/tcp.h>
 #include <string.h>
 #include <sys/socket.h>
-#include <unistd.h>
 
 #include "Endpoint.h"
 
-#define BACKLOG 512
 #define READ_BYTES (64 * 1024)
 #define HELD_BYTES_MAX (4 * 1024 * 1024)
 
@@ -293,21 +291,12 @@
 static bool
 start_listening(LossyLink *this)
 {
-    struct sockaddr_in address = {.sin_family = AF_INET};
-    socklen_t length = sizeof(address);
     lws_sock_file_fd_type file;
 
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    this->listen_fd =
-        socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-    if (bind(this->listen_fd, (struct sockaddr *)&address, length) < 0 ||
-        listen(this->listen_fd, BACKLOG) < 0 ||
-        getsockname(this->listen_fd, (struct sockaddr *)&address, &length) <
-            0) {
-        close(this->listen_fd);
+    this->listen_fd = HttpLoop_Listen(&this->port);
+    if (this->listen_fd < 0) {
         return false;
     }
-    this->port = ntohs(address.sin_port);
     file.filefd = this->listen_fd;
     return lws_adopt_descriptor_vhost(this->vhost, LWS_ADOPT_RAW_FILE_DESC,
                                       file, this->protocols[0].name,
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -1,7 +1,7 @@
 #include <glib.h>
 #include <string.h>
 
-#include "Dispatcher.h"
+#include "GatewayFixture.h"
 
 #define SLOTS 4
 #define OBJECTIVE (300 * MICROS_PER_MS)
@@ -21,28 +21,6 @@
     uint32_t asked; /* the last one */
 } Fixture;
 
-static const RoutePart parts[] = {{{"desk", 4}, 1}};
-
-static void
-add_route(RouteTable *table, const char *prefix, RouteKind kind,
-          uint32_t priority)
-{
-    Route route = {
-        .name = Str_FromC(prefix),
-        .host = STR("a.example"),
-        .prefix = Str_FromC(prefix),
-        .kind = kind,
-        .timeout = TIMEOUT,
-        .objective = OBJECTIVE,
-        .priority = priority,
-        .attempts_max = 2,
-        .parts = parts,
-        .part_count = 1,
-    };
-
-    g_assert_cmpint(RouteTable_Add(table, &route, NULL), ==, 0);
-}
-
 static int
 set_routes(Fixture *f, uint64_t version)
 {
@@ -50,8 +28,10 @@
     RouteTable *table = RouteTable_Create(version, &limits);
     int code;
 
-    add_route(table, "/safe/", ROUTE_IDEMPOTENT, 2);
-    add_route(table, "/once/", ROUTE_AT_MOST_ONCE, 1);
+    GatewayFixture_AddRoute(table, "/safe/", ROUTE_IDEMPOTENT, 2, OBJECTIVE,
+                            TIMEOUT);
+    GatewayFixture_AddRoute(table, "/once/", ROUTE_AT_MOST_ONCE, 1, OBJECTIVE,
+                            TIMEOUT);
     code = Dispatcher_SetRoutes(f->dispatcher, table);
     RouteTable_Unref(table);
     return code;
@@ -60,16 +40,7 @@
 static void
 add_upstream(Fixture *f, const char *id)
 {
-    UpstreamEntry entry = {
-        .id = Str_FromC(id),
-        .started = 1,
-        .sequence = 1,
-        .service = STR("desk"),
-        .address = STR("10.0.0.1"),
-        .port = 80,
-        .domain = STR("a"),
-        .slots = SLOTS,
-    };
+    UpstreamEntry entry = GatewayFixture_Upstream(id, 80, SLOTS);
 
     Dispatcher_PutUpstream(f->dispatcher, &entry);
 }
@@ -144,7 +115,7 @@
     JobInfo info = {
         .id = STR("r"),
         .method = STR("GET"),
-        .host = STR("a.example"),
+        .host = GATEWAY_FIXTURE_HOST,
         .path = Str_FromC(path),
         .timeout = timeout,
     };
@@ -338,8 +309,10 @@
 
     create(f);
     RouteTable_AddService(table, STR("desk"), STR("/health"));
-    add_route(table, "/safe/", ROUTE_IDEMPOTENT, 2);
-    add_route(table, "/once/", ROUTE_AT_MOST_ONCE, 1);
+    GatewayFixture_AddRoute(table, "/safe/", ROUTE_IDEMPOTENT, 2, OBJECTIVE,
+                            TIMEOUT);
+    GatewayFixture_AddRoute(table, "/once/", ROUTE_AT_MOST_ONCE, 1, OBJECTIVE,
+                            TIMEOUT);
     g_assert_cmpint(Dispatcher_SetRoutes(f->dispatcher, table), ==, 0);
     RouteTable_Unref(table);
     add_upstream(f, "u");
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -580,38 +580,52 @@
     g_assert_not_reached();
 }
 
-/* Guards against a body that stops because a piece was sent at once, on a new
- * connection and on one that is open. */
-static void
-test_upload_in_pieces(void)
+/* Makes the call @spec twice with one connection at most, the body included.
+ * Returns the number of connections that were opened. */
+static uint64_t
+call_twice(HttpCallSpec *spec, const HttpCallHandlers *call_handlers)
 {
-    static const HttpCallHandlers call_handlers = {
-        upload_headers, upload_data, upload_drained, upload_complete,
-        upload_failed};
     HttpClientOptions options = {.max_connections = 1};
-    HttpCallSpec spec = {
-        .address = "127.0.0.1",
-        .method = STR("PUT"),
-        .path = STR("/upload"),
-        .content_length = MANY_BYTES,
-    };
     HttpClient *client;
+    uint64_t opened;
     Fixture f;
 
     set_up(&f);
     client = HttpClient_Create(f.loop, &options);
-    spec.port = HttpServer_Port(f.server);
+    spec->address = "127.0.0.1";
+    spec->port = HttpServer_Port(f.server);
     for (int i = 0; i < 2; i++) {
         Upload upload = {&f, 0, false};
         HttpCall *call =
-            HttpClient_Start(client, &spec, &call_handlers, &upload, NULL);
+            HttpClient_Start(client, spec, call_handlers, &upload, NULL);
 
-        upload_drained(&upload, call);
+        if (spec->content_length > 0) {
+            upload_drained(&upload, call);
+        }
         Loop_Run(f.loop);
         g_assert_true(upload.done);
     }
+    opened = HttpClient_Opened(client);
     HttpClient_Destroy(client);
     tear_down(&f);
+    return opened;
+}
+
+/* Guards against a body that stops because a piece was sent at once, on a new
+ * connection and on one that is open. */
+static void
+test_upload_in_pieces(void)
+{
+    static const HttpCallHandlers call_handlers = {
+        upload_headers, upload_data, upload_drained, upload_complete,
+        upload_failed};
+    HttpCallSpec spec = {
+        .method = STR("PUT"),
+        .path = STR("/upload"),
+        .content_length = MANY_BYTES,
+    };
+
+    call_twice(&spec, &call_handlers);
 }
 
 /* Guards against a connection that stays paused when the last piece of an
@@ -622,28 +636,9 @@
     static const HttpCallHandlers call_handlers = {
         upload_headers, pausing_data, upload_drained, upload_complete,
         upload_failed};
-    HttpClientOptions options = {.max_connections = 1};
-    HttpCallSpec spec = {
-        .address = "127.0.0.1",
-        .method = STR("GET"),
-        .path = STR("/hello"),
-    };
-    HttpClient *client;
-    Fixture f;
-
-    set_up(&f);
-    client = HttpClient_Create(f.loop, &options);
-    spec.port = HttpServer_Port(f.server);
-    for (int i = 0; i < 2; i++) {
-        Upload upload = {&f, 0, false};
+    HttpCallSpec spec = {.method = STR("GET"), .path = STR("/hello")};
 
-        HttpClient_Start(client, &spec, &call_handlers, &upload, NULL);
-        Loop_Run(f.loop);
-        g_assert_true(upload.done);
-    }
-    g_assert_cmpuint(HttpClient_Opened(client), ==, 1);
-    HttpClient_Destroy(client);
-    tear_down(&f);
+    g_assert_cmpuint(call_twice(&spec, &call_handlers), ==, 1);
 }
 
 int
--- a/tests/test_keyed_follower.c
+++ b/tests/test_keyed_follower.c
@@ -164,13 +164,19 @@
     size_t keys;
 } Fixture;
 
+static void
+see(GString *seen, const KeyedRecord *record)
+{
+    g_string_append_printf(seen, STR_FORMAT "=" STR_FORMAT " ",
+                           STR_ARGS(record->key), STR_ARGS(record->value));
+}
+
 static void
 on_record(void *user, const KeyedRecord *record)
 {
     Fixture *f = user;
 
-    g_string_append_printf(f->seen, STR_FORMAT "=" STR_FORMAT " ",
-                           STR_ARGS(record->key), STR_ARGS(record->value));
+    see(f->seen, record);
 }
 
 static void
@@ -314,8 +320,7 @@
 {
     Host *host = user;
 
-    g_string_append_printf(host->seen, STR_FORMAT "=" STR_FORMAT " ",
-                           STR_ARGS(record->key), STR_ARGS(record->value));
+    see(host->seen, record);
 }
 
 static void
--- a/tests/test_log_reader.sh
+++ b/tests/test_log_reader.sh
@@ -3,7 +3,7 @@
 # reading costs lines, and no request.
 set -uo pipefail
 cd "$(dirname "$0")/.."
-. scripts/loopback.sh
+. scripts/gateway.sh
 BIN=$(realpath "$1")
 work=$(mktemp -d)
 ip=$(loopback_address 0)
@@ -25,23 +25,10 @@
 "$BIN/standins/standin-platform" --seed 1 --hosts "$ip:8080" --upstreams 20 --rate 300 \
     --start-ms 1500 --load-ms 4000 --rest-ms 1000 --served-least 0.95 >"$work/platform" 2>&1 &
 platform=$!
-for _ in $(seq 100); do
-    grep -q '^store_ports=' "$work/platform" && break
-    sleep 0.05
-done
-cat >"$work/host.toml" <<TOML
-[host]
-id = "host-1"
-domain = "d0"
-[gateway]
-callers = "$ip:8080"
-readiness = "$ip:8081"
-metrics = "$ip:8082"
-relay = "$ip:8083"
-store = "127.0.0.1:$(sed -n 's/^store_ports= //p' "$work/platform")"
-[logging]
-decision_lines_per_s = 1000000
-TOML
+{
+    gateway_settings 0 "$(store_ports "$work/platform")"
+    printf '[logging]\ndecision_lines_per_s = 1000000\n'
+} >"$work/host.toml"
 "$BIN/packages/agatecrankd/agatecrankd" --config "$work/host.toml" >"$work/lines" 2>"$work/errors" &
 host=$!
 for _ in $(seq 600); do
--- a/tests/test_overload.c
+++ b/tests/test_overload.c
@@ -1,8 +1,8 @@
 #include <glib.h>
 #include <string.h>
 
-#include "Dispatcher.h"
 #include "EventQueue.h"
+#include "GatewayFixture.h"
 
 /* Plays the load that RequestQueue answers: more requests than the upstreams
  * can work on, and upstreams that slow down when nearly full. What callers get
@@ -289,7 +289,8 @@
 {
     World *w = user;
     Request *request = g_new0(Request, 1);
-    JobInfo info = {.id = STR("r"), .method = STR("GET"), .host = STR("a")};
+    JobInfo info = {
+        .id = STR("r"), .method = STR("GET"), .host = GATEWAY_FIXTURE_HOST};
     Job *job;
 
     request->world = w;
@@ -311,44 +312,14 @@
     }
 }
 
-static void
-add_route(RouteTable *table, const char *prefix, RouteKind kind,
-          uint32_t priority)
-{
-    static const RoutePart parts[] = {{{"desk", 4}, 1}};
-    Route route = {
-        .name = Str_FromC(prefix),
-        .host = STR("a"),
-        .prefix = Str_FromC(prefix),
-        .kind = kind,
-        .timeout = TIMEOUT,
-        .objective = OBJECTIVE,
-        .priority = priority,
-        .attempts_max = 2,
-        .parts = parts,
-        .part_count = 1,
-    };
-
-    RouteTable_Add(table, &route, NULL);
-}
-
 static void
 add_upstreams(World *w)
 {
     for (uint32_t i = 0; i < UPSTREAMS; i++) {
-        char id[16];
-        UpstreamEntry entry = {
-            .started = 1,
-            .sequence = 1,
-            .service = STR("desk"),
-            .address = STR("10.0.0.1"),
-            .port = (uint16_t)(i + 1),
-            .domain = STR("a"),
-            .slots = SLOTS,
-        };
-
-        g_snprintf(id, sizeof(id), "u%u", i);
-        entry.id = Str_FromC(id);
+        g_autofree char *id = g_strdup_printf("u%u", i);
+        UpstreamEntry entry =
+            GatewayFixture_Upstream(id, (uint16_t)(i + 1), SLOTS);
+
         Dispatcher_PutUpstream(w->dispatcher, &entry);
         w->servers[i].waiting = g_queue_new();
     }
@@ -377,8 +348,10 @@
     if (tells_load) {
         RouteTable_AddService(table, STR("desk"), STR("/load"));
     }
-    add_route(table, "/safe/", ROUTE_IDEMPOTENT, 2);
-    add_route(table, "/once/", ROUTE_AT_MOST_ONCE, 1);
+    GatewayFixture_AddRoute(table, "/safe/", ROUTE_IDEMPOTENT, 2, OBJECTIVE,
+                            TIMEOUT);
+    GatewayFixture_AddRoute(table, "/once/", ROUTE_AT_MOST_ONCE, 1, OBJECTIVE,
+                            TIMEOUT);
     Dispatcher_SetRoutes(w->dispatcher, table);
     RouteTable_Unref(table);
     add_upstreams(w);
