gateway: log losses of upstreams per request

The lines of a gateway host did not tell a request that ended upstreams from others: no line named its fingerprint, a loss that was counted, or what the quarantine knew when the request was sent or refused. The hypotheses of the incident could not be told apart.

event=loss for each counted loss, with fingerprint and losses; both fields on route and refuse lines of requests that have losses; counter agatecrank_request_losses_total. No decision changes.

--- a/packages/core/limits/Quarantine.c
+++ b/packages/core/limits/Quarantine.c
@@ -221,6 +221,14 @@
     return is_refused(entry) ? QUARANTINE_REFUSE : QUARANTINE_ISOLATE;
 }
 
+uint32_t
+Quarantine_LossCount(Quarantine *this, const Fingerprint *fingerprint)
+{
+    const Entry *entry = find_entry(this, fingerprint);
+
+    return entry != NULL ? entry->losses : 0;
+}
+
 static bool
 contains(const uint32_t *upstreams, size_t n, uint32_t upstream)
 {
--- a/packages/core/limits/Quarantine.h
+++ b/packages/core/limits/Quarantine.h
@@ -93,6 +93,10 @@
 QuarantineVerdict Quarantine_Check(Quarantine *this,
                                    const Fingerprint *fingerprint);
 
+/** Quarantine_LossCount() - losses of distinct upstreams known for a request */
+uint32_t Quarantine_LossCount(Quarantine *this,
+                              const Fingerprint *fingerprint);
+
 /**
  * Quarantine_SuspectUpstreams() - upstreams that run a suspect now
  *
--- a/packages/gateway/Dispatcher.c
+++ b/packages/gateway/Dispatcher.c
@@ -476,6 +476,7 @@
     case ATTEMPT_RESULT_BROKEN:
         Quarantine_OnUpstreamUnreachable(this->quarantine, job->upstream,
                                          &job->fingerprint, 1);
+        JobLog_Loss(job, job->upstream);
         Job_EndAttempt(job, ATTEMPT_CONNECTION_FAILED);
         job->may_have_run = true;
         Job_Retry(job, "upstream-broken");
--- a/packages/gateway/JobLog.c
+++ b/packages/gateway/JobLog.c
@@ -48,6 +48,24 @@
         job, EventLog_Begin(job->owner->decisions, level, event));
 }
 
+/* Adds what the quarantine knows of the request, for requests that it has
+ * losses of only. */
+static void
+add_quarantine_fields(const Job *job)
+{
+    EventLog *log = job->owner->decisions;
+    uint32_t losses =
+        Quarantine_LossCount(job->owner->quarantine, &job->fingerprint);
+    char text[20];
+
+    if (losses > 0) {
+        g_snprintf(text, sizeof(text), "%016" G_GINT64_MODIFIER "x",
+                   job->fingerprint.low);
+        EventLog_CStr(log, "fingerprint", text);
+        EventLog_Int(log, "losses", losses);
+    }
+}
+
 /* First attempts are routine and rate-limited. */
 static bool
 begin_choice(const Job *job)
@@ -80,6 +98,7 @@
     EventLog_Int(this->decisions, "asked", job->probed_count);
     EventLog_Int(this->decisions, "held_ms", elapsed_ms(job));
     EventLog_Int(this->decisions, "left_ms", remaining / MICROS_PER_MS);
+    add_quarantine_fields(job);
     EventLog_End(this->decisions);
 }
 
@@ -146,6 +165,20 @@
     EventLog_End(this->decisions);
 }
 
+void
+JobLog_Loss(const Job *job, uint32_t upstream)
+{
+    Dispatcher *this = job->owner;
+
+    Dispatcher_Count(this, "agatecrank_request_losses_total", "service",
+                     NameTable_Name(this->services, job->service));
+    if (begin_line(job, LOG_LEVEL_WARN, "loss")) {
+        EventLog_Str(this->decisions, "upstream", upstream_id(this, upstream));
+        add_quarantine_fields(job);
+        EventLog_End(this->decisions);
+    }
+}
+
 void
 JobLog_Rejection(const Job *job, int status, const char *reason)
 {
@@ -159,6 +192,7 @@
     EventLog_Int(this->decisions, "attempts", job->tried_count);
     EventLog_Str(this->decisions, "upstream", last_upstream(job));
     EventLog_Int(this->decisions, "held_ms", elapsed_ms(job));
+    add_quarantine_fields(job);
     EventLog_End(this->decisions);
 }
 
