gateway: visit jobs in order of arrival

Cause: AttemptMonitor_OnProbeTimeout() and resume_probing_jobs() visited jobs in the order of a hash table keyed by pointers.

Change: jobs have a number and are visited in that order.

--- a/packages/gateway/AttemptMonitor.c
+++ b/packages/gateway/AttemptMonitor.c
@@ -132,7 +132,7 @@
 void
 AttemptMonitor_OnProbeTimeout(Dispatcher *this, uint32_t upstream)
 {
-    GList *jobs = g_hash_table_get_keys(this->jobs);
+    GList *jobs = Job_Sorted(this->jobs);
 
     for (GList *item = jobs; item != NULL; item = item->next) {
         Job *job = item->data;
--- a/packages/gateway/Dispatcher.c
+++ b/packages/gateway/Dispatcher.c
@@ -151,6 +151,21 @@
     update_due(job);
 }
 
+static gint
+compare_numbers(gconstpointer a, gconstpointer b)
+{
+    uint64_t x = ((const Job *)a)->number;
+    uint64_t y = ((const Job *)b)->number;
+
+    return x < y ? -1 : x > y;
+}
+
+GList *
+Job_Sorted(GHashTable *set)
+{
+    return g_list_sort(g_hash_table_get_keys(set), compare_numbers);
+}
+
 void
 Job_SetMonitorAt(Job *job, Micros at)
 {
@@ -379,6 +394,7 @@
     job->owner = this;
     job->user = user;
     job->id = Str_ToString(info->id);
+    job->number = this->job_count++;
     job->arrived = Clock_Now(this->clock);
     job->deadline = job->arrived;
     job->upstream = UPSTREAM_NONE;
--- a/packages/gateway/DispatcherPrivate.h
+++ b/packages/gateway/DispatcherPrivate.h
@@ -28,6 +28,7 @@
     Dispatcher *owner;
     void *user;
     GString *id;
+    uint64_t number; /* in order of arrival */
     RouteTable *table;
     const Route *route;
     Fingerprint fingerprint;
@@ -67,6 +68,7 @@
     Micros queue_probe_at;    /* next probes for queued jobs; 0 for none */
     GHashTable *jobs;         /* set of Job */
     GHashTable *probing;      /* subset of jobs that wait for probe replies */
+    uint64_t job_count;       /* jobs so far */
     DueSet *due;              /* jobs by deadline, probe wait or check */
     GArray *actions;
     guint actions_taken;
@@ -85,6 +87,16 @@
  */
 void Job_SetProbeDeadline(Job *job, Micros until);
 
+/**
+ * Job_Sorted() - jobs of a set in order of arrival
+ * @set: Dispatcher.jobs or a subset of it
+ *
+ * Decisions on several jobs must not depend on the order of a hash table.
+ *
+ * Return: a list to release with g_list_free().
+ */
+GList *Job_Sorted(GHashTable *set);
+
 /** Job_SetMonitorAt() - set the next check of the attempt; 0: none */
 void Job_SetMonitorAt(Job *job, Micros at);
 
--- a/packages/gateway/JobPlacement.c
+++ b/packages/gateway/JobPlacement.c
@@ -346,7 +346,7 @@
 static void
 resume_probing_jobs(Dispatcher *this)
 {
-    GList *jobs = g_hash_table_get_keys(this->probing);
+    GList *jobs = Job_Sorted(this->probing);
 
     for (GList *item = jobs; item != NULL; item = item->next) {
         JobPlacement_Resume(item->data);
