--- /dev/null
+++ b/packages/core/limits/LossWatch.c
@@ -0,0 +1,215 @@
+#include "LossWatch.h"
+
+#include <glib.h>
+
+/* A crashed upstream is back after some seconds at the earliest; later
+ * responses may be those of its next incarnation. */
+#define DECISION_TIME_US (1 * MICROS_PER_S)
+/* A single failure may be due to a lost packet or to a full upstream. */
+#define PROBE_FAILURES_COUNT 2
+#define WATCHED_MAX 256
+#define UPSTREAM_NONE UINT32_MAX
+
+typedef struct Watched_ {
+    LostAttempt attempt;
+    uint32_t probe_failures;
+    bool reachable_network; /* the upstream's machine refused a probe */
+} Watched;
+
+/* The last response of an upstream. */
+typedef struct Alive_ {
+    uint32_t upstream;
+    Micros time;
+} Alive;
+
+struct LossWatch_ {
+    const Clock *clock;
+    GArray *watched; /* Watched, oldest first */
+    Alive alive[2];  /* of two upstreams, the latest first */
+};
+
+LossWatch *
+LossWatch_Create(const Clock *clock)
+{
+    LossWatch *this = g_new0(LossWatch, 1);
+
+    this->clock = clock;
+    this->watched = g_array_new(FALSE, FALSE, sizeof(Watched));
+    this->alive[0] = this->alive[1] = (Alive){UPSTREAM_NONE, -1};
+    return this;
+}
+
+void
+LossWatch_Destroy(LossWatch *this)
+{
+    if (this == NULL) {
+        return;
+    }
+    g_array_free(this->watched, TRUE);
+    g_free(this);
+}
+
+static Watched *
+watched_at(const LossWatch *this, size_t i)
+{
+    return &g_array_index(this->watched, Watched, i);
+}
+
+void
+LossWatch_Add(LossWatch *this, const LostAttempt *attempt)
+{
+    Watched watched = {.attempt = *attempt};
+
+    if (this->watched->len >= WATCHED_MAX) {
+        g_array_remove_index(this->watched, 0);
+    }
+    g_array_append_val(this->watched, watched);
+}
+
+static void
+note_alive(LossWatch *this, uint32_t upstream)
+{
+    if (this->alive[0].upstream != upstream) {
+        this->alive[1] = this->alive[0];
+    }
+    this->alive[0] = (Alive){upstream, Clock_Now(this->clock)};
+}
+
+void
+LossWatch_OnResponse(LossWatch *this, uint32_t upstream, Micros sent)
+{
+    note_alive(this, upstream);
+    for (guint i = this->watched->len; i > 0; i--) {
+        const LostAttempt *attempt = &watched_at(this, i - 1)->attempt;
+
+        if (attempt->upstream == upstream && sent >= attempt->ended) {
+            g_array_remove_index(this->watched, i - 1);
+        }
+    }
+}
+
+void
+LossWatch_OnProbeFailure(LossWatch *this, uint32_t upstream, Micros sent,
+                         bool refused)
+{
+    for (guint i = 0; i < this->watched->len; i++) {
+        Watched *watched = watched_at(this, i);
+
+        if (watched->attempt.upstream == upstream &&
+            sent >= watched->attempt.ended) {
+            watched->probe_failures++;
+            watched->reachable_network |= refused;
+        }
+    }
+}
+
+void
+LossWatch_OnUnreachable(LossWatch *this, uint32_t upstream)
+{
+    for (guint i = 0; i < this->watched->len; i++) {
+        Watched *watched = watched_at(this, i);
+
+        if (watched->attempt.upstream == upstream) {
+            watched->probe_failures = PROBE_FAILURES_COUNT;
+        }
+    }
+}
+
+void
+LossWatch_OnInstance(LossWatch *this, uint32_t upstream, uint32_t instance)
+{
+    for (guint i = this->watched->len; i > 0; i--) {
+        const LostAttempt *attempt = &watched_at(this, i - 1)->attempt;
+
+        if (attempt->upstream == upstream && attempt->instance != instance) {
+            g_array_remove_index(this->watched, i - 1);
+        }
+    }
+}
+
+bool
+LossWatch_NextUpstream(const LossWatch *this, size_t *i, uint32_t *upstream)
+{
+    if (*i >= this->watched->len) {
+        return false;
+    }
+    *upstream = watched_at(this, (*i)++)->attempt.upstream;
+    return true;
+}
+
+bool
+LossWatch_NeedsProbe(const LossWatch *this, uint32_t upstream)
+{
+    for (guint i = 0; i < this->watched->len; i++) {
+        const Watched *watched = watched_at(this, i);
+
+        if (watched->attempt.upstream == upstream &&
+            !watched->attempt.cancelled &&
+            watched->probe_failures < PROBE_FAILURES_COUNT) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static bool
+is_cut_off(const LossWatch *this, const Watched *watched)
+{
+    const Alive *other = this->alive[0].upstream == watched->attempt.upstream
+                             ? &this->alive[1]
+                             : &this->alive[0];
+
+    return !watched->reachable_network && other->time < watched->attempt.sent;
+}
+
+static bool
+is_due(const LossWatch *this, const Watched *watched)
+{
+    return Clock_Now(this->clock) - watched->attempt.ended >= DECISION_TIME_US;
+}
+
+static bool
+is_lost(const LossWatch *this, const Watched *watched)
+{
+    if (is_cut_off(this, watched)) {
+        return false;
+    }
+    return watched->probe_failures >= PROBE_FAILURES_COUNT ||
+           (is_due(this, watched) && !watched->attempt.cancelled);
+}
+
+bool
+LossWatch_NextLoss(LossWatch *this, LostAttempt *loss)
+{
+    guint i = 0;
+
+    while (i < this->watched->len) {
+        const Watched *watched = watched_at(this, i);
+
+        if (is_lost(this, watched)) {
+            *loss = watched->attempt;
+            g_array_remove_index(this->watched, i);
+            return true;
+        }
+        if (is_due(this, watched)) {
+            g_array_remove_index(this->watched, i);
+        }
+        else {
+            i++;
+        }
+    }
+    return false;
+}
+
+Micros
+LossWatch_NextTime(const LossWatch *this)
+{
+    Micros next = -1;
+
+    for (guint i = 0; i < this->watched->len; i++) {
+        Micros due = watched_at(this, i)->attempt.ended + DECISION_TIME_US;
+
+        next = next < 0 ? due : MIN(next, due);
+    }
+    return next;
+}
--- a/packages/core/limits/Quarantine.c
+++ b/packages/core/limits/Quarantine.c
@@ -9,6 +9,22 @@
 #define DEFAULT_SUSPECT_TTL_US (60 * MICROS_PER_S)
 #define DEFAULT_REFUSE_TTL_US (600 * MICROS_PER_S)
 
+/* Refusal after three, four and more losses. Each end of a refusal may cost
+ * another upstream, so there are few of them in a day. */
+#define THREE_LOSSES_TTL_US (300 * MICROS_PER_S)
+#define FOUR_LOSSES_TTL_US (3000 * MICROS_PER_S)
+#define REFUSE_TTL_MAX_US (24 * 3600 * MICROS_PER_S)
+
+/* Losses up to which a response of this host outweighs them. */
+#define DOUBTFUL_LOSSES_MAX 3
+/* Items with more losses are not replaced by ones with other losses: the
+ * refusal lasts as long. */
+#define REPAIRED_LOSSES_MAX 4
+/* Another host may replace an incomplete item in this time, which spares the
+ * call. */
+#define REPAIR_DELAY_US (1 * MICROS_PER_S)
+#define REPAIR_SPREAD_US (3 * MICROS_PER_S)
+
 /* Upstreams that are tracked as running the same suspect at one time. */
 #define RUNNING_MAX 4
 
@@ -27,12 +43,15 @@
 typedef struct Entry_ {
     Fingerprint fingerprint;
     uint32_t losses;
-    uint32_t upstreams[QUARANTINE_LOSS_THRESHOLD];
+    uint32_t upstreams[QUARANTINE_LOSSES_MAX];
+    bool own[QUARANTINE_LOSSES_MAX]; /* observed by this host */
     Micros lost_at;
     Micros released_at; /* 0 if never released */
     uint32_t running[RUNNING_MAX];
     uint32_t running_count;
+    Micros send_at; /* when to send it to the peers */
     bool unsent;
+    bool published; /* this host has sent it to the peers */
     GList age_link; /* link in Quarantine.entries */
 } Entry;
 
@@ -47,6 +66,8 @@
     GHashTable *table;     /* Fingerprint -> Entry, owned */
     GQueue entries;        /* oldest loss first */
     uint32_t unsent_count; /* entries to be sent to the peers */
+    Micros peers_reachable_since;
+    bool peers_reachable;
     RecentResponse recent_responses[RECENT_RESPONSE_COUNT];
 };
 
@@ -86,6 +107,7 @@
     this->table = g_hash_table_new_full(hash_fingerprint, equal_fingerprints,
                                         NULL, g_free);
     g_queue_init(&this->entries);
+    this->peers_reachable = true;
     return this;
 }
 
@@ -122,34 +144,111 @@
 }
 
 static void
-mark_unsent(Quarantine *this, Entry *entry)
+send_after(Quarantine *this, Entry *entry, Micros delay)
 {
+    Micros at = Clock_Now(this->clock) + delay;
+
+    entry->send_at = entry->unsent ? MIN(entry->send_at, at) : at;
     this->unsent_count += !entry->unsent;
     entry->unsent = true;
 }
 
 static void
-drop_entry(Quarantine *this, Entry *entry)
+mark_unsent(Quarantine *this, Entry *entry)
+{
+    send_after(this, entry, 0);
+}
+
+static void
+mark_sent(Quarantine *this, Entry *entry)
 {
     this->unsent_count -= entry->unsent;
+    entry->unsent = false;
+}
+
+static void
+drop_entry(Quarantine *this, Entry *entry)
+{
+    mark_sent(this, entry);
     g_queue_unlink(&this->entries, &entry->age_link);
     g_hash_table_remove(this->table, &entry->fingerprint);
 }
 
+/* Returns a number from 0 to below 1 that differs between hosts. */
+static double
+host_spread(const Quarantine *this, const Fingerprint *fingerprint)
+{
+    uint64_t hash = fingerprint->low ^ this->options.host_salt;
+
+    if (this->options.host_salt == 0) {
+        return 0;
+    }
+    hash = Str_HashSeeded((Str){(const char *)&hash, sizeof(hash)},
+                          fingerprint->high);
+    return (double)(hash >> 11) / (double)(1ULL << 53);
+}
+
+static Micros
+refusal_time(const Quarantine *this, const Entry *entry)
+{
+    Micros ttl = this->options.refuse_ttl;
+
+    if (entry->losses == 3) {
+        ttl = MAX(ttl, THREE_LOSSES_TTL_US);
+    }
+    else if (entry->losses == 4) {
+        ttl = MAX(ttl, FOUR_LOSSES_TTL_US);
+    }
+    else if (entry->losses > 4) {
+        ttl = REFUSE_TTL_MAX_US;
+    }
+    return ttl +
+           (Micros)((double)ttl * host_spread(this, &entry->fingerprint));
+}
+
+/* Returns the end of the refusal, 0 for a suspect. Time without the peers does
+ * not count: after it, all hosts would admit the request at once. */
+static Micros
+refused_until(const Quarantine *this, const Entry *entry)
+{
+    Micros since = entry->lost_at;
+
+    if (entry->losses < QUARANTINE_LOSS_THRESHOLD) {
+        return 0;
+    }
+    if (entry->losses > QUARANTINE_LOSS_THRESHOLD) {
+        since = this->peers_reachable ? MAX(since, this->peers_reachable_since)
+                                      : Clock_Now(this->clock);
+    }
+    return since + refusal_time(this, entry);
+}
+
+/* At least as long as a suspicion, which the release may have to outlast. */
+static Micros
+release_ttl(const Quarantine *this)
+{
+    return MAX(this->options.refuse_ttl, this->options.suspect_ttl);
+}
+
 static bool
-is_refused(const Entry *entry)
+is_refused(const Quarantine *this, const Entry *entry)
 {
-    return entry->losses >= QUARANTINE_LOSS_THRESHOLD;
+    return Clock_Now(this->clock) < refused_until(this, entry);
 }
 
+/* The losses are kept after the refusal, so that the next one does not count
+ * as the first. */
 static bool
 is_expired(const Quarantine *this, const Entry *entry)
 {
     Micros since = MAX(entry->lost_at, entry->released_at);
     Micros ttl = this->options.suspect_ttl;
 
-    if (entry->losses >= QUARANTINE_LOSS_THRESHOLD || entry->released_at > 0) {
-        ttl = this->options.refuse_ttl;
+    if (entry->losses >= QUARANTINE_LOSS_THRESHOLD) {
+        ttl = MAX(refused_until(this, entry) - since, REFUSE_TTL_MAX_US);
+    }
+    else if (entry->released_at > 0) {
+        ttl = release_ttl(this);
     }
     return Clock_Now(this->clock) - since >= ttl;
 }
@@ -170,7 +269,6 @@
 set_lost_at(Quarantine *this, Entry *entry, Micros lost_at)
 {
     entry->lost_at = lost_at;
-    mark_unsent(this, entry);
     g_queue_unlink(&this->entries, &entry->age_link);
     g_queue_push_tail_link(&this->entries, &entry->age_link);
 }
@@ -188,7 +286,7 @@
         return;
     }
     for (int i = 0; i < 64 && link != NULL; i++, link = link->next) {
-        if (!is_refused(link->data)) {
+        if (!is_refused(this, link->data)) {
             victim = link;
             break;
         }
@@ -210,6 +308,26 @@
     return entry;
 }
 
+static RecentResponse *
+recent_response_of(Quarantine *this, const Fingerprint *fingerprint)
+{
+    return &this->recent_responses[fingerprint->low % RECENT_RESPONSE_COUNT];
+}
+
+/* Returns the time of the last response to the request, -1 if there was none
+ * recently. */
+static Micros
+last_response(Quarantine *this, const Fingerprint *fingerprint)
+{
+    const RecentResponse *recent = recent_response_of(this, fingerprint);
+
+    return recent->low == fingerprint->low && recent->time > 0 &&
+                   Clock_Now(this->clock) - recent->time <
+                       RECENT_RESPONSE_TIME_US
+               ? recent->time
+               : -1;
+}
+
 QuarantineVerdict
 Quarantine_Check(Quarantine *this, const Fingerprint *fingerprint)
 {
@@ -218,7 +336,24 @@
     if (entry == NULL || entry->losses == 0) {
         return QUARANTINE_PASS;
     }
-    return is_refused(entry) ? QUARANTINE_REFUSE : QUARANTINE_ISOLATE;
+    if (entry->losses < QUARANTINE_LOSS_THRESHOLD) {
+        return QUARANTINE_ISOLATE;
+    }
+    if (!is_refused(this, entry)) {
+        return QUARANTINE_PASS;
+    }
+    return entry->losses <= DOUBTFUL_LOSSES_MAX &&
+                   last_response(this, fingerprint) > entry->lost_at
+               ? QUARANTINE_ISOLATE
+               : QUARANTINE_REFUSE;
+}
+
+Micros
+Quarantine_RefusedUntil(Quarantine *this, const Fingerprint *fingerprint)
+{
+    const Entry *entry = find_entry(this, fingerprint);
+
+    return entry != NULL ? refused_until(this, entry) : 0;
 }
 
 uint32_t
@@ -282,19 +417,27 @@
     }
 }
 
-static RecentResponse *
-recent_response_of(Quarantine *this, const Fingerprint *fingerprint)
+void
+Quarantine_OnAttemptEnd(Quarantine *this, const Fingerprint *fingerprint,
+                        uint32_t upstream)
 {
-    return &this->recent_responses[fingerprint->low % RECENT_RESPONSE_COUNT];
+    Entry *entry = find_entry(this, fingerprint);
+
+    if (entry != NULL) {
+        remove_running(entry, upstream);
+    }
 }
 
-static bool
-completed_recently(Quarantine *this, const Fingerprint *fingerprint)
+/* A released fingerprint starts again without losses. The entry is kept, so
+ * that older items of peers can't revert the release. */
+static void
+release_entry(Quarantine *this, Entry *entry, Micros when)
 {
-    const RecentResponse *recent = recent_response_of(this, fingerprint);
-
-    return recent->low == fingerprint->low && recent->time > 0 &&
-           Clock_Now(this->clock) - recent->time < RECENT_RESPONSE_TIME_US;
+    entry->losses = 0;
+    entry->released_at = when;
+    mark_unsent(this, entry);
+    g_queue_unlink(&this->entries, &entry->age_link);
+    g_queue_push_tail_link(&this->entries, &entry->age_link);
 }
 
 /* A refused entry is kept: an attempt sent before the loss may still complete
@@ -312,50 +455,71 @@
         return;
     }
     remove_running(entry, upstream);
-    if (is_refused(entry)) {
+    if (is_refused(this, entry)) {
         return;
     }
-    if (entry->released_at > 0) {
-        /* Kept, so that older items of peers can't revert the release. */
+    if (entry->losses >= QUARANTINE_LOSS_THRESHOLD) {
+        release_entry(this, entry, MAX(Clock_Now(this->clock), 1));
+    }
+    else if (entry->released_at > 0) {
         entry->losses = 0;
-        return;
     }
-    drop_entry(this, entry);
+    else {
+        drop_entry(this, entry);
+    }
 }
 
 /* Further losses of a fingerprint within one incident are not counted if it
  * also completed recently: a popular request runs on every upstream of a rack
  * that fails. */
 static bool
-counts_as_new_loss(Quarantine *this, const Entry *entry, uint32_t upstream)
+counts_as_new_loss(Quarantine *this, const Entry *entry, uint32_t upstream,
+                   Micros when)
 {
-    Micros elapsed = Clock_Now(this->clock) - entry->lost_at;
-
     if (contains(entry->upstreams, entry->losses, upstream)) {
         return false;
     }
     if (entry->losses == 0) {
         return true;
     }
-    return elapsed >= INCIDENT_WINDOW_US ||
-           !completed_recently(this, &entry->fingerprint);
+    return when - entry->lost_at >= INCIDENT_WINDOW_US ||
+           last_response(this, &entry->fingerprint) < 0;
 }
 
+/* The first loss of a request that completed recently is not sent to the
+ * peers: most such requests run on an upstream that fails by itself. */
 static void
-count_loss(Quarantine *this, const Fingerprint *fingerprint, uint32_t upstream)
+add_own_loss(Quarantine *this, Entry *entry, uint32_t upstream, Micros when)
+{
+    if (entry->losses < QUARANTINE_LOSSES_MAX) {
+        entry->own[entry->losses] = true;
+        entry->upstreams[entry->losses++] = upstream;
+    }
+    set_lost_at(this, entry, MAX(entry->lost_at, when));
+    if (entry->losses >= QUARANTINE_LOSS_THRESHOLD ||
+        last_response(this, &entry->fingerprint) < 0) {
+        mark_unsent(this, entry);
+    }
+}
+
+bool
+Quarantine_OnLoss(Quarantine *this, const Fingerprint *fingerprint,
+                  uint32_t upstream, Micros when)
 {
     Entry *entry = find_entry(this, fingerprint);
 
+    if (last_response(this, fingerprint) > when) {
+        return false;
+    }
     if (entry == NULL) {
         entry = add_entry(this, fingerprint);
     }
     remove_running(entry, upstream);
-    if (counts_as_new_loss(this, entry, upstream)) {
-        if (entry->losses < QUARANTINE_LOSS_THRESHOLD) {
-            entry->upstreams[entry->losses++] = upstream;
-        }
-        set_lost_at(this, entry, Clock_Now(this->clock));
+    if (!counts_as_new_loss(this, entry, upstream, when)) {
+        return false;
     }
+    add_own_loss(this, entry, upstream, when);
+    return true;
 }
 
 /* Drops suspects whose only loss is explained by a refused fingerprint that
@@ -388,43 +552,58 @@
                                  const Fingerprint *running, size_t n)
 {
     for (size_t i = 0; i < n; i++) {
-        count_loss(this, &running[i], upstream);
+        Quarantine_OnLoss(this, &running[i], upstream, Clock_Now(this->clock));
     }
     for (size_t i = 0; i < n; i++) {
         const Entry *entry = find_entry(this, &running[i]);
 
-        if (entry != NULL && is_refused(entry)) {
+        if (entry != NULL && is_refused(this, entry)) {
             clear_explained_suspects(this, entry);
         }
     }
 }
 
-/* A released fingerprint starts again without losses. */
-static void
-release_entry(Quarantine *this, Entry *entry, Micros when)
-{
-    entry->losses = 0;
-    entry->released_at = when;
-    mark_unsent(this, entry);
-    g_queue_unlink(&this->entries, &entry->age_link);
-    g_queue_push_tail_link(&this->entries, &entry->age_link);
-}
-
+/* Adds the losses that were unknown; returns whether there are any. */
 static bool
 merge_losses(Entry *entry, const QuarantineItem *item)
 {
     uint32_t before = entry->losses;
 
-    for (uint32_t i = 0; i < MIN(item->losses, QUARANTINE_LOSS_THRESHOLD);
-         i++) {
-        if (entry->losses < QUARANTINE_LOSS_THRESHOLD &&
+    for (uint32_t i = 0; i < item->losses; i++) {
+        if (entry->losses < QUARANTINE_LOSSES_MAX &&
             !contains(entry->upstreams, entry->losses, item->upstreams[i])) {
+            entry->own[entry->losses] = false;
             entry->upstreams[entry->losses++] = item->upstreams[i];
         }
     }
     return entry->losses > before;
 }
 
+/* Replaces an item that lacks a loss or a release. The host that observed the
+ * loss does it at once, the others only if it does not. */
+static void
+repair_item(Quarantine *this, Entry *entry, const QuarantineItem *item)
+{
+    bool complete =
+        entry->released_at == 0 || item->released || entry->losses > 0;
+    Micros delay =
+        REPAIR_DELAY_US +
+        (Micros)(host_spread(this, &entry->fingerprint) * REPAIR_SPREAD_US);
+
+    for (uint32_t i = 0; i < entry->losses; i++) {
+        if (!contains(item->upstreams, item->losses, entry->upstreams[i])) {
+            complete = false;
+            delay = entry->own[i] ? 0 : delay;
+        }
+    }
+    if (complete) {
+        mark_sent(this, entry);
+    }
+    else if (item->losses <= REPAIRED_LOSSES_MAX) {
+        send_after(this, entry, delay);
+    }
+}
+
 /* Ages are rounded in messages. A release and a loss within INCIDENT_WINDOW_US
  * of each other are therefore merged as the release being newer, and a release
  * this close to a known one is ignored, so that hosts don't resend the same
@@ -438,19 +617,35 @@
     }
 }
 
-void
-Quarantine_OnPeerItem(Quarantine *this, const QuarantineItem *item)
+static int
+check_item(const QuarantineItem *item)
 {
-    Micros when = Clock_Now(this->clock) - MAX(item->age, 0);
-    Entry *entry = find_entry(this, &item->fingerprint);
-
-    if (item->age >= this->options.refuse_ttl) {
-        return;
+    if (item->losses > QUARANTINE_LOSSES_MAX || item->age < 0 ||
+        item->released != (item->losses == 0)) {
+        return ERR_INVALID;
     }
-    if (entry == NULL) {
-        entry = add_entry(this, &item->fingerprint);
-        entry->lost_at = when;
+    for (uint32_t i = 1; i < item->losses; i++) {
+        if (contains(item->upstreams, i, item->upstreams[i])) {
+            return ERR_INVALID;
+        }
     }
+    return 0;
+}
+
+static Micros
+max_age(const Quarantine *this, const QuarantineItem *item)
+{
+    if (item->released) {
+        return release_ttl(this);
+    }
+    return item->losses < QUARANTINE_LOSS_THRESHOLD ? this->options.suspect_ttl
+                                                    : REFUSE_TTL_MAX_US;
+}
+
+static void
+merge_item(Quarantine *this, Entry *entry, const QuarantineItem *item,
+           Micros when)
+{
     if (item->released) {
         merge_release(this, entry, when);
         return;
@@ -461,12 +656,60 @@
     }
     if (merge_losses(entry, item)) {
         set_lost_at(this, entry, MAX(entry->lost_at, when));
+        if (!this->options.newest_only) {
+            mark_unsent(this, entry);
+        }
     }
-    if (is_refused(entry)) {
+    if (is_refused(this, entry)) {
         clear_explained_suspects(this, entry);
     }
 }
 
+int
+Quarantine_OnPeerItem(Quarantine *this, const QuarantineItem *item)
+{
+    Micros when = Clock_Now(this->clock) - item->age;
+    Entry *entry = find_entry(this, &item->fingerprint);
+    int code = check_item(item);
+
+    if (code < 0) {
+        return code;
+    }
+    if (item->age >= max_age(this, item)) {
+        return ERR_EXPIRED;
+    }
+    if (entry == NULL) {
+        entry = add_entry(this, &item->fingerprint);
+        entry->lost_at = when;
+    }
+    merge_item(this, entry, item, when);
+    if (this->options.newest_only) {
+        repair_item(this, entry, item);
+    }
+    return 0;
+}
+
+void
+Quarantine_OnPeerForgot(Quarantine *this, const Fingerprint *fingerprint)
+{
+    QuarantineItem nothing = {.fingerprint = *fingerprint};
+    Entry *entry = find_entry(this, fingerprint);
+
+    if (entry != NULL && this->options.newest_only &&
+        entry->losses >= QUARANTINE_LOSS_THRESHOLD) {
+        repair_item(this, entry, &nothing);
+    }
+}
+
+void
+Quarantine_SetPeersReachable(Quarantine *this, bool reachable)
+{
+    if (reachable && !this->peers_reachable) {
+        this->peers_reachable_since = Clock_Now(this->clock);
+    }
+    this->peers_reachable = reachable;
+}
+
 static QuarantineItem
 make_item(const Quarantine *this, const Entry *entry)
 {
@@ -483,20 +726,69 @@
     return item;
 }
 
+static Entry *
+find_unsent(Quarantine *this, uint32_t losses_min)
+{
+    Micros now = Clock_Now(this->clock);
+
+    for (GList *link = this->entries.tail; link != NULL; link = link->prev) {
+        Entry *entry = link->data;
+
+        if (entry->unsent && entry->send_at <= now &&
+            entry->losses >= losses_min) {
+            return entry;
+        }
+    }
+    return NULL;
+}
+
 bool
 Quarantine_NextItem(Quarantine *this, QuarantineItem *item)
 {
+    Entry *entry;
+
     if (this->unsent_count == 0) {
         return false;
     }
-    for (GList *link = this->entries.tail; link != NULL; link = link->prev) {
+    entry = find_unsent(this, QUARANTINE_LOSS_THRESHOLD);
+    if (entry == NULL) {
+        entry = find_unsent(this, 0);
+    }
+    if (entry == NULL) {
+        return false;
+    }
+    mark_sent(this, entry);
+    entry->published = true;
+    *item = make_item(this, entry);
+    return true;
+}
+
+void
+Quarantine_Resend(Quarantine *this, const Fingerprint *fingerprint)
+{
+    Entry *entry = find_entry(this, fingerprint);
+
+    if (entry != NULL) {
+        mark_unsent(this, entry);
+    }
+}
+
+bool
+Quarantine_NextForgotten(Quarantine *this, Fingerprint *fingerprint)
+{
+    GList *link = this->entries.head;
+
+    while (link != NULL) {
         Entry *entry = link->data;
+        bool published = entry->published;
 
-        if (entry->unsent) {
-            entry->unsent = false;
-            this->unsent_count--;
-            *item = make_item(this, entry);
-            return true;
+        link = link->next;
+        if (is_expired(this, entry)) {
+            *fingerprint = entry->fingerprint;
+            drop_entry(this, entry);
+            if (published) {
+                return true;
+            }
         }
     }
     return false;
@@ -511,7 +803,7 @@
          link = link->prev) {
         const Entry *entry = link->data;
 
-        if (is_refused(entry) == refused && !is_expired(this, entry)) {
+        if (is_refused(this, entry) == refused && !is_expired(this, entry)) {
             items[n++] = make_item(this, entry);
         }
     }
--- a/packages/core/limits/Quarantine.h
+++ b/packages/core/limits/Quarantine.h
@@ -14,13 +14,18 @@
  * If an upstream becomes unreachable while a request runs on it, a loss is
  * counted for the fingerprint of the request. One loss makes the fingerprint a
  * suspect. After losses of two distinct upstreams it is refused on every host
- * until the entry expires or an operator releases it.
+ * for a time that grows with the number of losses. Then hosts admit it again,
+ * each at a time of its own, so that a request that still crashes upstreams
+ * reaches few of them. A response clears it, and so does an operator.
  */
 typedef struct Quarantine_ Quarantine;
 
 /** Losses of distinct upstreams after which a fingerprint is refused */
 #define QUARANTINE_LOSS_THRESHOLD 2
 
+/** Losses that are kept for a fingerprint */
+#define QUARANTINE_LOSSES_MAX 6
+
 /**
  * struct Fingerprint_ - identity of a request for Quarantine
  * @line: line index; a fingerprint never affects another line
@@ -37,13 +42,21 @@
  * @max_entries: entries kept; if exceeded, one of the oldest is evicted,
  *   suspects before refused fingerprints; 0 for 4096
  * @suspect_ttl: microseconds after which a suspect expires; 0 for 60 s
- * @refuse_ttl: microseconds after which a refusal or a release expires; 0 for
- *   10 min
+ * @refuse_ttl: microseconds for which a fingerprint is refused after two
+ *   losses, and after which a release expires; 0 for 10 min. The refusal lasts
+ *   at least 5 min after three losses, 50 min after four and a day after more.
+ * @host_salt: differs between hosts; the end of a refusal is delayed by up to
+ *   its duration, as this number decides; 0 for no delay
+ * @newest_only: the peers see only the newest item that any host has sent for
+ *   a fingerprint, so that an item which lacks something is replaced by the
+ *   hosts that know it
  */
 typedef struct QuarantineOptions_ {
     uint32_t max_entries;
     Micros suspect_ttl;
     Micros refuse_ttl;
+    uint64_t host_salt;
+    bool newest_only;
 } QuarantineOptions;
 
 /** enum QuarantineVerdict - how to handle a request */
@@ -54,8 +67,9 @@
 } QuarantineVerdict;
 
 /**
- * struct QuarantineItem_ - one fingerprint, for gossip and for operators
- * @losses: number of distinct upstreams that became unreachable
+ * struct QuarantineItem_ - one fingerprint, for peers and for operators
+ * @losses: number of distinct upstreams that became unreachable; 0 without
+ *   @released if this host has forgotten the fingerprint
  * @upstreams: those upstreams, @losses of them
  * @age: time since the last loss, or since the release if @released, in
  *   microseconds
@@ -65,7 +79,7 @@
 typedef struct QuarantineItem_ {
     Fingerprint fingerprint;
     uint32_t losses;
-    uint32_t upstreams[QUARANTINE_LOSS_THRESHOLD];
+    uint32_t upstreams[QUARANTINE_LOSSES_MAX];
     Micros age;
     bool released;
 } QuarantineItem;
@@ -112,9 +126,17 @@
                        uint32_t upstream);
 
 /**
- * Quarantine_OnResponse() - the upstream responded
+ * Quarantine_OnAttemptEnd() - an attempt ended without a response that shows
+ * anything about the request
+ */
+void Quarantine_OnAttemptEnd(Quarantine *this, const Fingerprint *fingerprint,
+                             uint32_t upstream);
+
+/**
+ * Quarantine_OnResponse() - the upstream executed the request and responded
  *
- * Clears the suspicion; a fingerprint that is already refused stays refused.
+ * Clears the suspicion. A fingerprint that is refused stays refused; with up
+ * to three losses, this host admits it until the next loss.
  */
 void Quarantine_OnResponse(Quarantine *this, const Fingerprint *fingerprint,
                            uint32_t upstream);
@@ -129,16 +151,67 @@
 void Quarantine_OnUpstreamUnreachable(Quarantine *this, uint32_t upstream,
                                       const Fingerprint *running, size_t n);
 
-/** Quarantine_OnPeerItem() - merge an item of another host */
-void Quarantine_OnPeerItem(Quarantine *this, const QuarantineItem *item);
+/**
+ * Quarantine_OnLoss() - an upstream became unreachable while a request ran on
+ * it
+ * @when: time at which the attempt ended, not after now
+ *
+ * Return: false if the loss does not count, because the request has got a
+ * response since or the upstream is counted already.
+ */
+bool Quarantine_OnLoss(Quarantine *this, const Fingerprint *fingerprint,
+                       uint32_t upstream, Micros when);
+
+/**
+ * Quarantine_OnPeerItem() - merge an item of another host
+ *
+ * Return: 0; ERR_INVALID if the item contradicts itself; ERR_EXPIRED if it is
+ * too old to matter.
+ */
+int Quarantine_OnPeerItem(Quarantine *this, const QuarantineItem *item);
+
+/**
+ * Quarantine_OnPeerForgot() - the newest item of a fingerprint was removed
+ *
+ * With @newest_only, the item is sent again while it matters to this host.
+ */
+void Quarantine_OnPeerForgot(Quarantine *this, const Fingerprint *fingerprint);
+
+/**
+ * Quarantine_SetPeersReachable() - whether items reach the peers
+ *
+ * A fingerprint with three losses or more stays refused while they do not: the
+ * hosts could not tell each other of a further loss.
+ */
+void Quarantine_SetPeersReachable(Quarantine *this, bool reachable);
 
 /**
  * Quarantine_NextItem() - next changed item to send to the peers
  *
+ * Refused fingerprints come first.
+ *
  * Return: false if there is none.
  */
 bool Quarantine_NextItem(Quarantine *this, QuarantineItem *item);
 
+/** Quarantine_Resend() - an item that was taken did not reach the peers */
+void Quarantine_Resend(Quarantine *this, const Fingerprint *fingerprint);
+
+/**
+ * Quarantine_NextForgotten() - drop the expired entries
+ *
+ * Return: true with the fingerprint of one that this host had sent to the
+ * peers; false if there is none left.
+ */
+bool Quarantine_NextForgotten(Quarantine *this, Fingerprint *fingerprint);
+
+/**
+ * Quarantine_RefusedUntil() - time at which this host admits a refused request
+ * again if there is no further loss
+ */
+Micros Quarantine_RefusedUntil(Quarantine *this,
+                               const Fingerprint *fingerprint);
+
 /**
  * Quarantine_List() - list refused fingerprints, then suspects
  *
--- a/packages/gateway/AttemptMonitor.c
+++ b/packages/gateway/AttemptMonitor.c
@@ -23,16 +23,26 @@
                MONITOR_PERIOD_MIN_US);
 }
 
+static bool
+may_retry(const Job *job)
+{
+    return job->route->kind == ROUTE_IDEMPOTENT &&
+           job->tried_count < job->route->attempts_max;
+}
+
+/* An attempt that can't be moved is monitored, too: the upstream may have
+ * crashed of it. */
 void
 AttemptMonitor_Start(Job *job)
 {
-    bool may_retry = job->route->kind == ROUTE_IDEMPOTENT &&
-                     job->tried_count < job->route->attempts_max &&
-                     job->route->objective > 0 && JobPlacement_CanProbe(job);
+    Micros now = Clock_Now(job->owner->clock);
 
-    Job_SetMonitorAt(job, may_retry ? Clock_Now(job->owner->clock) +
-                                          monitor_period(job)
-                                    : 0);
+    if (job->route->objective <= 0 || !JobPlacement_CanProbe(job)) {
+        Job_SetMonitorAt(job, 0);
+        return;
+    }
+    Job_SetMonitorAt(job, now + (may_retry(job) ? monitor_period(job)
+                                                : job->route->objective));
 }
 
 static bool
@@ -109,8 +119,8 @@
 AttemptMonitor_OnTime(Job *job)
 {
     Micros now = Clock_Now(job->owner->clock);
-    bool should_move =
-        !job->owner->stopping && (is_unreachable(job) || is_overdue(job));
+    bool should_move = !job->owner->stopping && may_retry(job) &&
+                       (is_unreachable(job) || is_overdue(job));
     MoveResult result = should_move ? move_attempt(job) : MOVE_NONE;
 
     switch (result) {
@@ -122,6 +132,9 @@
         return;
     case MOVE_NONE:
         job->others_probed = false;
+        if (is_unreachable(job)) {
+            Job_ReportNoResponse(job, false);
+        }
         Job_SetMonitorAt(job, now + monitor_period(job));
         if (!has_recent_report(job)) {
             JobPlacement_ProbeAgain(job, job->upstream);
--- a/packages/gateway/Dispatcher.c
+++ b/packages/gateway/Dispatcher.c
@@ -15,11 +15,12 @@
  * takes about as long. */
 #define RETRY_AFTER_SOON_US (20 * MICROS_PER_MS)
 /* Mean Retry-After of a host without a configuration, which usually arrives
- * within this time, and of quarantined requests. */
+ * within this time. */
 #define RETRY_AFTER_STARTUP_US (1 * MICROS_PER_S)
-/* The quarantine distinguishes product lines; the gateway's callers have no
- * shares, so all requests belong to one line. */
-#define ONLY_LINE 0
+/* Bounds of Retry-After while a request is refused because it crashes
+ * upstreams. A response elsewhere may end the refusal early. */
+#define RETRY_AFTER_CRASHING_MIN_US (1 * MICROS_PER_S)
+#define RETRY_AFTER_CRASHING_MAX_US (60 * MICROS_PER_S)
 
 void
 Dispatcher_Count(Dispatcher *this, const char *name, const char *key,
@@ -50,7 +51,6 @@
                   Counters *counters)
 {
     Dispatcher *this = g_new0(Dispatcher, 1);
-    QuarantineOptions quarantine = {0};
 
     this->options = *options;
     this->clock = clock;
@@ -66,7 +66,9 @@
     this->upstreams =
         UpstreamSet_Create(this->placement, this->services, this->domains,
                            options->outage_grace, clock, log);
-    this->quarantine = Quarantine_Create(&quarantine, clock);
+    this->guard = CrashGuard_Create(this->upstreams, options->host, clock,
+                                    random, log, counters);
+    this->probe_sent_at = g_array_new(FALSE, TRUE, sizeof(Micros));
     this->retry_windows =
         g_ptr_array_new_with_free_func((GDestroyNotify)RetryWindow_Destroy);
     this->queues =
@@ -92,7 +94,8 @@
     g_ptr_array_free(this->retry_windows, TRUE);
     g_ptr_array_free(this->queues, TRUE);
     RouteTable_Unref(this->routes);
-    Quarantine_Destroy(this->quarantine);
+    CrashGuard_Destroy(this->guard);
+    g_array_free(this->probe_sent_at, TRUE);
     UpstreamSet_Destroy(this->upstreams);
     Placement_Destroy(this->placement);
     NameTable_Destroy(this->services);
@@ -187,6 +190,32 @@
     Job_SetMonitorAt(job, 0);
 }
 
+void
+Job_ReportNoResponse(Job *job, bool cancelled)
+{
+    Dispatcher *this = job->owner;
+    const UpstreamRecord *record =
+        UpstreamSet_Record(this->upstreams, job->upstream);
+    LostAttempt attempt = {
+        .fingerprint = job->fingerprint,
+        .upstream = job->upstream,
+        .sent = job->sent_at,
+        .ended = Clock_Now(this->clock),
+        .cancelled = cancelled,
+    };
+
+    /* One that leaves ends as planned. */
+    if (job->loss_reported || record == NULL || record->draining) {
+        return;
+    }
+    job->loss_reported = true;
+    attempt.instance = record->instance;
+    CrashGuard_OnNoResponse(this->guard, &attempt);
+    if (Placement_IsUnreachable(this->placement, job->upstream)) {
+        CrashGuard_OnUnreachable(this->guard, job->upstream);
+    }
+}
+
 void
 Job_CancelAttempt(Job *job)
 {
@@ -196,6 +225,7 @@
         .user = job->user,
     };
 
+    Job_ReportNoResponse(job, false);
     Dispatcher_PushAction(job->owner, &cancel);
     Job_EndAttempt(job, ATTEMPT_TIMEOUT);
     job->may_have_run = true;
@@ -270,6 +300,40 @@
     Job_Reject(job, 503, reason, retry_after(job));
 }
 
+bool
+Job_RefuseCrashing(Job *job)
+{
+    Dispatcher *this = job->owner;
+    Micros wait = CrashGuard_RefusalTime(this->guard, &job->fingerprint);
+
+    if (!CrashGuard_Refuses(this->guard, &job->fingerprint)) {
+        return false;
+    }
+    if (job->may_have_run) {
+        Job_Reject(job, 502, "quarantined", 0);
+        return true;
+    }
+    Job_Reject(
+        job, 503, "quarantined",
+        Random_Jitter(this->random, CLAMP(wait, RETRY_AFTER_CRASHING_MIN_US,
+                                          RETRY_AFTER_CRASHING_MAX_US)));
+    return true;
+}
+
+/* Counts the losses that are certain, and probes upstreams to decide on the
+ * others. */
+static void
+settle_losses(Dispatcher *this)
+{
+    uint32_t upstream;
+    size_t i = 0;
+
+    CrashGuard_OnTime(this->guard);
+    while (CrashGuard_NextProbe(this->guard, &i, &upstream)) {
+        JobPlacement_ProbeUpstream(this, upstream);
+    }
+}
+
 /* ---- routes and upstreams ------------------------------------------- */
 
 int
@@ -303,18 +367,21 @@
 {
     service_index(this, entry->service);
     UpstreamSet_Put(this->upstreams, entry);
+    CrashGuard_OnUpstreamsChanged(this->guard);
 }
 
 void
 Dispatcher_RemoveUpstream(Dispatcher *this, Str id)
 {
     UpstreamSet_Remove(this->upstreams, id);
+    CrashGuard_OnUpstreamsChanged(this->guard);
 }
 
 void
 Dispatcher_RetainUpstreams(Dispatcher *this, GHashTable *ids)
 {
     UpstreamSet_RetainOnly(this->upstreams, ids);
+    CrashGuard_OnUpstreamsChanged(this->guard);
 }
 
 void
@@ -352,6 +419,9 @@
     if (remaining < ATTEMPT_TIME_MIN_US) {
         return "deadline";
     }
+    if (CrashGuard_Refuses(job->owner->guard, &job->fingerprint)) {
+        return "quarantined";
+    }
     if (!RetryWindow_Take(Job_RetryWindow(job))) {
         return "retry-budget";
     }
@@ -376,16 +446,6 @@
                : route->timeout;
 }
 
-static Fingerprint
-fingerprint_of(const JobInfo *info)
-{
-    uint64_t digest = Str_Hash(info->body);
-
-    return Quarantine_Fingerprint(
-        ONLY_LINE, info->method, info->path,
-        (Str){(const char *)&digest, sizeof(digest)});
-}
-
 static Job *
 create_job(Dispatcher *this, const JobInfo *info, void *user)
 {
@@ -412,15 +472,10 @@
     update_due(job);
     job->service = service_index(
         this, Route_Pick(route, Random_Unit(this->random))->service);
-    job->fingerprint = fingerprint_of(info);
+    job->fingerprint =
+        CrashGuard_Fingerprint(info->method, info->path, info->body);
     RetryWindow_OnRequest(Job_RetryWindow(job));
-    if (Quarantine_Check(this->quarantine, &job->fingerprint) ==
-        QUARANTINE_REFUSE) {
-        Job_Reject(job, 503, "quarantined",
-                   Random_Jitter(this->random, RETRY_AFTER_STARTUP_US));
-        return;
-    }
-    if (!JobPlacement_Place(job)) {
+    if (!Job_RefuseCrashing(job) && !JobPlacement_Place(job)) {
         Job_Abandon(job, "no-upstream");
     }
 }
@@ -453,9 +508,9 @@
     Dispatcher *this = job->owner;
     uint32_t upstream = job->upstream;
 
-    Quarantine_OnResponse(this->quarantine, &job->fingerprint, upstream);
     job->may_have_run = true;
     if (end->status < 500) {
+        CrashGuard_OnSuccess(this->guard, &job->fingerprint, upstream);
         Job_EndAttempt(job, ATTEMPT_OK);
         g_hash_table_remove(this->jobs, job);
         return JOB_RELAY;
@@ -472,8 +527,6 @@
 static JobVerdict
 settle_attempt(Job *job, const AttemptEndInfo *end)
 {
-    Dispatcher *this = job->owner;
-
     switch (end->result) {
     case ATTEMPT_RESULT_RESPONSE:
         return on_response(job, end);
@@ -490,9 +543,7 @@
         Job_Retry(job, "upstream-unreachable");
         break;
     case ATTEMPT_RESULT_BROKEN:
-        Quarantine_OnUpstreamUnreachable(this->quarantine, job->upstream,
-                                         &job->fingerprint, 1);
-        JobLog_Loss(job, job->upstream);
+        Job_ReportNoResponse(job, false);
         Job_EndAttempt(job, ATTEMPT_CONNECTION_FAILED);
         job->may_have_run = true;
         Job_Retry(job, "upstream-broken");
@@ -508,10 +559,15 @@
     JobVerdict verdict;
 
     JobLog_AttemptEnd(job, job->upstream, end);
+    if (end->result == ATTEMPT_RESULT_RESPONSE ||
+        end->result == ATTEMPT_RESULT_NOT_RUN) {
+        CrashGuard_OnAlive(this->guard, job->upstream, job->sent_at);
+    }
     if (end->report != NULL) {
         Placement_OnReport(this->placement, job->upstream, end->report);
     }
     verdict = settle_attempt(job, end);
+    settle_losses(this);
     JobPlacement_ServeQueue(this, service);
     return verdict;
 }
@@ -524,24 +580,44 @@
                      result);
 }
 
+static Micros
+probe_sent_at(const Dispatcher *this, uint32_t upstream)
+{
+    return upstream < this->probe_sent_at->len
+               ? g_array_index(this->probe_sent_at, Micros, upstream)
+               : 0;
+}
+
 void
-Dispatcher_OnProbeResult(Dispatcher *this, uint32_t upstream,
+Dispatcher_OnProbeResult(Dispatcher *this, uint32_t upstream, bool alive,
                          const LoadReport *report)
 {
+    Micros sent = probe_sent_at(this, upstream);
+
+    if (alive) {
+        CrashGuard_OnAlive(this->guard, upstream, sent);
+    }
+    else {
+        CrashGuard_OnProbeFailure(this->guard, upstream, sent, true);
+    }
     if (report != NULL) {
         Placement_OnReport(this->placement, upstream, report);
     }
     Placement_OnProbeResult(this->placement, upstream, report != NULL);
     end_probe(this, upstream, report != NULL ? STR("told") : STR("none"));
+    settle_losses(this);
     JobPlacement_OnProbeEnd(this);
 }
 
 void
 Dispatcher_OnProbeTimeout(Dispatcher *this, uint32_t upstream)
 {
+    CrashGuard_OnProbeFailure(this->guard, upstream,
+                              probe_sent_at(this, upstream), false);
     Placement_OnProbeTimeout(this->placement, upstream);
     end_probe(this, upstream, STR("silent"));
     AttemptMonitor_OnProbeTimeout(this, upstream);
+    settle_losses(this);
     JobPlacement_OnProbeEnd(this);
 }
 
@@ -555,6 +631,7 @@
 Dispatcher_OnCallerDisconnect(Dispatcher *this, Job *job)
 {
     JobLog_CallerDisconnect(job);
+    Job_ReportNoResponse(job, true);
     Job_End(job);
 }
 
@@ -596,6 +673,8 @@
     DueEntry *entry;
 
     UpstreamSet_OnTime(this->upstreams);
+    CrashGuard_OnUpstreamsChanged(this->guard);
+    settle_losses(this);
     while ((entry = DueSet_First(this->due)) != NULL && entry->due <= now) {
         on_due(DUE_OWNER(entry, Job, due));
     }
@@ -619,6 +698,7 @@
         earlier(UpstreamSet_NextTime(this->upstreams),
                 this->queue_probe_at > 0 ? this->queue_probe_at : -1);
 
+    next = earlier(next, CrashGuard_NextTime(this->guard));
     next = earlier(next, DueSet_NextTime(this->due));
     for (guint i = 0; i < this->queues->len; i++) {
         next = earlier(
@@ -640,6 +720,12 @@
     return true;
 }
 
+CrashGuard *
+Dispatcher_CrashGuard(Dispatcher *this)
+{
+    return this->guard;
+}
+
 size_t
 Dispatcher_OpenJobs(const Dispatcher *this)
 {
--- a/packages/gateway/Dispatcher.h
+++ b/packages/gateway/Dispatcher.h
@@ -24,13 +24,14 @@
 
 /**
  * struct DispatcherOptions_ - settings
- * @domain: failure domain of this host
+ * @host, @domain: id and failure domain of this host
  * @retry_window, @retry_share, @retry_extra: see struct RetryWindowOptions_
  * @probes_per_s: see Placement_Create()
  * @outage_grace: time after an outage of the upstream source during which an
  *                upstream that disappeared in the outage stays in use
  */
 typedef struct DispatcherOptions_ {
+    Str host;
     Str domain;
     Micros retry_window;
     double retry_share;
@@ -220,9 +221,10 @@
 
 /**
  * Dispatcher_OnProbeResult() - a DISPATCH_PROBE was answered or failed
+ * @alive: the upstream itself responded, with or without a load report
  * @report: NULL without a load report
  */
-void Dispatcher_OnProbeResult(Dispatcher *this, uint32_t upstream,
+void Dispatcher_OnProbeResult(Dispatcher *this, uint32_t upstream, bool alive,
                               const LoadReport *report);
 
 /**
@@ -241,6 +243,9 @@
 /** Dispatcher_NextAction() - take the next action; false if there is none */
 bool Dispatcher_NextAction(Dispatcher *this, DispatchAction *action);
 
+/** Dispatcher_CrashGuard() - what is shared with the other hosts; borrowed */
+struct CrashGuard_ *Dispatcher_CrashGuard(Dispatcher *this);
+
 /** Dispatcher_OpenJobs() - number of jobs that have not ended */
 size_t Dispatcher_OpenJobs(const Dispatcher *this);
 
--- a/packages/gateway/DispatcherPrivate.h
+++ b/packages/gateway/DispatcherPrivate.h
@@ -3,10 +3,10 @@
 
 #include <glib.h>
 
+#include "CrashGuard.h"
 #include "Dispatcher.h"
 #include "DueSet.h"
 #include "NameTable.h"
-#include "Quarantine.h"
 #include "RequestQueue.h"
 #include "RetryWindow.h"
 #include "UpstreamSet.h"
@@ -47,6 +47,7 @@
     DueEntry due; /* element of Dispatcher.due */
     bool may_have_run;
     bool queued;
+    bool loss_reported; /* the current attempt, to the guard */
     bool others_probed; /* other upstreams were probed for a move */
 };
 
@@ -61,7 +62,8 @@
     NameTable *domains;
     Placement *placement;
     UpstreamSet *upstreams;
-    Quarantine *quarantine;
+    CrashGuard *guard;
+    GArray *probe_sent_at; /* Micros by upstream: last probe */
     RouteTable *routes;
     GPtrArray *retry_windows; /* RetryWindow by service */
     GPtrArray *queues;        /* RequestQueue by service */
@@ -128,6 +130,21 @@
  */
 void Job_Reject(Job *job, int status, const char *reason, Micros retry_after);
 
+/**
+ * Job_ReportNoResponse() - tell the guard that the current attempt has got no
+ *     response so far; once for each attempt
+ * @cancelled: see struct LostAttempt_
+ */
+void Job_ReportNoResponse(Job *job, bool cancelled);
+
+/**
+ * Job_RefuseCrashing() - reject the job if it must not be sent because it
+ *     crashes upstreams; releases the job then
+ *
+ * Return: whether it was rejected.
+ */
+bool Job_RefuseCrashing(Job *job);
+
 /** Job_RetryWindow() - the retry limit of the job's service */
 RetryWindow *Job_RetryWindow(const Job *job);
 
--- a/packages/gateway/Gateway.c
+++ b/packages/gateway/Gateway.c
@@ -379,6 +379,7 @@
     GString *instance;
     LoadReport report;
     uint32_t upstream;
+    bool alive; /* the upstream itself responded */
     bool has_report;
     bool timed_out; /* no response within LOAD_PROBE_TIMEOUT_US */
 } Probe;
@@ -393,6 +394,7 @@
     }
     else {
         Dispatcher_OnProbeResult(this->dispatcher, probe->upstream,
+                                 probe->alive,
                                  probe->has_report ? &probe->report : NULL);
     }
     LoopTimer_Destroy(probe->timer);
@@ -411,8 +413,10 @@
     const Dialect *dialect = probe->gateway->options.dialect;
     Str instance = Str_FromString(probe->instance);
 
+    probe->alive =
+        Str_Equal(HeaderList_Get(headers, dialect->instance_id), instance);
     probe->has_report =
-        Str_Equal(HeaderList_Get(headers, dialect->instance_id), instance) &&
+        probe->alive &&
         dialect->parse_load(HeaderList_Get(headers, dialect->load),
                             &probe->report) == 0;
 }
@@ -434,7 +438,7 @@
 {
     Probe *probe = user;
 
-    probe->has_report = false;
+    probe->alive = probe->has_report = false;
     end_probe(probe);
 }
 
--- a/packages/gateway/JobLog.c
+++ b/packages/gateway/JobLog.c
@@ -55,7 +55,7 @@
 {
     EventLog *log = job->owner->decisions;
     uint32_t losses =
-        Quarantine_LossCount(job->owner->quarantine, &job->fingerprint);
+        CrashGuard_LossCount(job->owner->guard, &job->fingerprint);
     char text[20];
 
     if (losses > 0) {
@@ -165,20 +165,6 @@
     EventLog_End(this->decisions);
 }
 
-void
-JobLog_Loss(const Job *job, uint32_t upstream)
-{
-    Dispatcher *this = job->owner;
-
-    Dispatcher_Count(this, "agatecrank_request_losses_total", "service",
-                     NameTable_Name(this->services, job->service));
-    if (begin_line(job, LOG_LEVEL_WARN, "loss")) {
-        EventLog_Str(this->decisions, "upstream", upstream_id(this, upstream));
-        add_quarantine_fields(job);
-        EventLog_End(this->decisions);
-    }
-}
-
 void
 JobLog_Rejection(const Job *job, int status, const char *reason)
 {
--- a/packages/gateway/JobLog.h
+++ b/packages/gateway/JobLog.h
@@ -19,9 +19,6 @@
  */
 void JobLog_AttemptAbandoned(const Job *job, const char *reason);
 
-/** JobLog_Loss() - an upstream was lost while the request ran on it */
-void JobLog_Loss(const Job *job, uint32_t upstream);
-
 /** JobLog_Rejection() - the host responds itself */
 void JobLog_Rejection(const Job *job, int status, const char *reason);
 
--- a/packages/gateway/JobPlacement.c
+++ b/packages/gateway/JobPlacement.c
@@ -46,7 +46,7 @@
     job->sent_at = now;
     UpstreamSet_Acquire(this->upstreams, choice->upstream);
     Placement_OnSent(this->placement, choice->upstream);
-    Quarantine_OnSent(this->quarantine, &job->fingerprint, choice->upstream);
+    job->loss_reported = false;
     Dispatcher_Count(this, "agatecrank_placements_total", "reason",
                      Str_FromC(choice->reason));
     JobLog_Choice(job, choice, action.send.timeout);
@@ -69,9 +69,8 @@
 }
 
 static void
-push_probe(const Job *job, uint32_t upstream)
+push_probe(Dispatcher *this, uint32_t upstream, Str path)
 {
-    Dispatcher *this = job->owner;
     const UpstreamRecord *record =
         UpstreamSet_Record(this->upstreams, upstream);
     DispatchAction action = {
@@ -80,9 +79,14 @@
                   .port = record->port,
                   .instance = record->id,
                   .upstream = upstream,
-                  .path = load_path(job)},
+                  .path = path},
     };
 
+    if (upstream >= this->probe_sent_at->len) {
+        g_array_set_size(this->probe_sent_at, upstream + 1);
+    }
+    g_array_index(this->probe_sent_at, Micros, upstream) =
+        Clock_Now(this->clock);
     Placement_OnProbeSent(this->placement, upstream);
     UpstreamSet_Acquire(this->upstreams, upstream);
     Dispatcher_PushAction(this, &action);
@@ -93,7 +97,25 @@
 probe(const Job *job, uint32_t upstream)
 {
     if (!Placement_IsProbePending(job->owner->placement, upstream)) {
-        push_probe(job, upstream);
+        push_probe(job->owner, upstream, load_path(job));
+    }
+}
+
+void
+JobPlacement_ProbeUpstream(Dispatcher *this, uint32_t upstream)
+{
+    const UpstreamRecord *record =
+        UpstreamSet_Record(this->upstreams, upstream);
+    Str path;
+
+    if (record == NULL || this->routes == NULL ||
+        Placement_IsProbePending(this->placement, upstream)) {
+        return;
+    }
+    path = RouteTable_LoadPath(
+        this->routes, NameTable_Name(this->services, record->service));
+    if (path.length > 0) {
+        push_probe(this, upstream, path);
     }
 }
 
@@ -105,7 +127,7 @@
     if (UpstreamSet_Record(job->owner->upstreams, upstream) != NULL &&
         !Placement_IsProbePending(placement, upstream) &&
         Placement_TakeSpareProbe(placement)) {
-        push_probe(job, upstream);
+        push_probe(job->owner, upstream, load_path(job));
     }
 }
 
@@ -276,6 +298,9 @@
     while ((job = RequestQueue_Head(queue)) != NULL) {
         PlacementQuery query = JobPlacement_Query(job);
 
+        if (Job_RefuseCrashing(job)) {
+            continue;
+        }
         if (Placement_Choose(this->placement, &query, &choice) < 0 ||
             !choice.has_capacity || choice.age < 0 ||
             choice.age > CAPACITY_REPORT_AGE_MAX_US) {
@@ -337,7 +362,7 @@
 void
 JobPlacement_Resume(Job *job)
 {
-    if (!JobPlacement_Place(job)) {
+    if (!Job_RefuseCrashing(job) && !JobPlacement_Place(job)) {
         Job_Abandon(job, "no-upstream");
     }
 }
--- a/packages/gateway/JobPlacement.h
+++ b/packages/gateway/JobPlacement.h
@@ -19,6 +19,12 @@
  */
 bool JobPlacement_CanProbe(const Job *job);
 
+/**
+ * JobPlacement_ProbeUpstream() - probe an upstream regardless of the probe
+ *     budget, unless a probe is pending or its service does not support them
+ */
+void JobPlacement_ProbeUpstream(Dispatcher *this, uint32_t upstream);
+
 /**
  * JobPlacement_ProbeAgain() - probe the upstream of the job's attempt, if the
  *     probe budget allows it
--- a/packages/gateway/UpstreamSet.c
+++ b/packages/gateway/UpstreamSet.c
@@ -176,6 +176,8 @@
     listed->record.address[length] = '\0';
     listed->record.port = entry->port;
     listed->record.draining = entry->draining;
+    listed->record.instance =
+        (uint32_t)Str_HashSeeded(entry->id, (uint64_t)entry->started) | 1;
     listed->started = entry->started;
     listed->sequence = entry->sequence;
     DueSet_Set(this->expired, &listed->grace_end, -1);
--- a/packages/gateway/UpstreamSet.h
+++ b/packages/gateway/UpstreamSet.h
@@ -18,9 +18,11 @@
 
 /**
  * struct UpstreamRecord_ - an upstream; valid until the next change of the set
+ * @instance: identifies its incarnation on all hosts; never 0
  */
 typedef struct UpstreamRecord_ {
     Str id;
+    uint32_t instance;
     char address[UPSTREAM_ADDRESS_BYTES];
     uint16_t port;
     uint32_t service;
--- a/tests/support/CrashSimulation.c
+++ b/tests/support/CrashSimulation.c
@@ -3,6 +3,7 @@
 #include <glib.h>
 #include <string.h>
 
+#include "CrashChannel.h"
 #include "CrashUpstreams.h"
 #include "EventQueue.h"
 #include "GatewayFixture.h"
@@ -78,6 +79,7 @@
     Counters *counters;
     EventQueue *events;
     CrashUpstreams *upstreams;
+    CrashChannel *channel; /* NULL if the hosts are isolated */
     RouteTable *routes;
     Host hosts[HOSTS_MAX];
     GPtrArray *attempts;    /* all of the run, owned */
@@ -387,8 +389,12 @@
 is_in_touch(const Host *host)
 {
     const Simulation *sim = host->simulation;
+    Micros since = host->started;
 
-    return Clock_Now(sim->clock) - host->started >= STABLE_US;
+    if (sim->channel != NULL) {
+        since = MAX(since, CrashChannel_SoundSince(sim->channel));
+    }
+    return Clock_Now(sim->clock) - since >= STABLE_US;
 }
 
 static void
@@ -462,9 +468,9 @@
             Dispatcher_OnProbeTimeout(dispatcher, event->upstream);
         }
         else {
-            Dispatcher_OnProbeResult(dispatcher, event->upstream,
-                                     event->has_report ? &event->report
-                                                       : NULL);
+            Dispatcher_OnProbeResult(
+                dispatcher, event->upstream, event->has_report,
+                event->has_report ? &event->report : NULL);
         }
         handle_actions(event->host);
     }
@@ -543,7 +549,9 @@
 {
     Simulation *sim = user;
     Host *host = &sim->hosts[index];
+    g_autofree char *id = g_strdup_printf("host-%u", (unsigned)index);
     DispatcherOptions options = {
+        .host = Str_FromC(id),
         .domain = STR("a"),
         .retry_window = 10 * MICROS_PER_S,
         .retry_share = 0.2,
@@ -557,6 +565,10 @@
                                          NULL, NULL, sim->counters);
     Dispatcher_SetRoutes(host->dispatcher, sim->routes);
     CrashUpstreams_PutAll(sim->upstreams, host->dispatcher);
+    if (sim->channel != NULL) {
+        CrashChannel_Attach(sim->channel, host->index,
+                            Dispatcher_CrashGuard(host->dispatcher));
+    }
 }
 
 static void
@@ -564,6 +576,9 @@
 {
     GList *requests = g_hash_table_get_keys(host->requests);
 
+    if (host->simulation->channel != NULL) {
+        CrashChannel_Detach(host->simulation->channel, host->index);
+    }
     Dispatcher_Destroy(host->dispatcher);
     host->dispatcher = NULL;
     for (GList *item = requests; item != NULL; item = item->next) {
@@ -635,6 +650,9 @@
             Dispatcher_OnTime(sim->hosts[i].dispatcher);
             handle_actions(&sim->hosts[i]);
         }
+        if (sim->hosts[i].dispatcher != NULL && sim->channel != NULL) {
+            CrashChannel_Flush(sim->channel, i);
+        }
     }
     EventQueue_Add(sim->events, TICK_US, tick, sim, 0);
 }
@@ -677,6 +695,11 @@
     sim->events = EventQueue_Create(sim->clock);
     sim->upstreams = CrashUpstreams_Create(
         options->upstream_count, sim->events, sim->random, apply_listing, sim);
+    if (!options->isolated_hosts) {
+        sim->channel =
+            CrashChannel_Create(options->host_count, options->channel,
+                                sim->events, sim->clock, sim->random);
+    }
     sim->routes = create_routes();
     sim->attempts = g_ptr_array_new_with_free_func(free_attempt);
     sim->host_events = g_ptr_array_new_with_free_func(g_free);
@@ -703,6 +726,9 @@
     for (unsigned i = 0; i < REPEATED_KINDS; i++) {
         g_hash_table_destroy(sim->repeated[i].hosts);
     }
+    if (sim->channel != NULL) {
+        CrashChannel_Destroy(sim->channel);
+    }
     EventQueue_Destroy(sim->events);
     CrashUpstreams_Destroy(sim->upstreams);
     RouteTable_Unref(sim->routes);
@@ -752,6 +778,10 @@
     start_load(sim);
     EventQueue_RunUntil(sim->events, options->duration + 5 * MICROS_PER_S);
     result = sim->result;
+    if (sim->channel != NULL) {
+        result.channel_calls = CrashChannel_CallCount(sim->channel);
+        result.channel_bytes = CrashChannel_ByteCount(sim->channel);
+    }
     destroy_simulation(sim);
     return result;
 }
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -244,6 +244,8 @@
         g_assert_cmpuint(f->cancels, ==, 1);
         g_assert_cmpint(f->action.respond.status, ==, 504);
         g_assert_cmpuint(Dispatcher_OpenJobs(f->dispatcher), ==, 0);
+        /* Until then the host wakes up to decide on the lost upstream. */
+        advance_time(f, MICROS_PER_S);
     }
 }
 
@@ -291,7 +293,7 @@
     LoadReport report = {
         .inflight = running, .slots = SLOT_COUNT, .slowdown_percent = 100};
 
-    Dispatcher_OnProbeResult(f->dispatcher, upstream, &report);
+    Dispatcher_OnProbeResult(f->dispatcher, upstream, true, &report);
     take_actions(f);
 }
 
@@ -416,7 +418,7 @@
 
     send_and_wait(f, "/safe/1");
     time_out_probe(f);
-    Dispatcher_OnProbeResult(f->dispatcher, f->last_probed, &report);
+    Dispatcher_OnProbeResult(f->dispatcher, f->last_probed, true, &report);
     take_actions(f);
     g_assert_cmpuint(f->cancels, ==, 0);
     /* A response came in between, so this is not the second timeout in a
@@ -461,7 +463,7 @@
 {
     send_and_wait(f, "/safe/1");
     for (int i = 0; i < 4; i++) {
-        Dispatcher_OnProbeResult(f->dispatcher, f->last_probed, NULL);
+        Dispatcher_OnProbeResult(f->dispatcher, f->last_probed, false, NULL);
         advance_time(f, 10 * MICROS_PER_MS);
     }
     report_load(f, 0);
--- a/tests/test_overload.c
+++ b/tests/test_overload.c
@@ -215,7 +215,7 @@
                          .slots = SLOT_COUNT,
                          .slowdown_percent = 100};
 
-    Dispatcher_OnProbeResult(sim->dispatcher, (uint32_t)index, &report);
+    Dispatcher_OnProbeResult(sim->dispatcher, (uint32_t)index, true, &report);
     handle_actions(sim);
 }
 
