gateway: exchange the quarantine through the platform's store

Hosts are replaced at any time and have no disk, so it must be the store: it also tells a host that starts.

Change: QuarantineFeed follows the topic keyed.agatecrank-quarantine (read through the relay of the failure domain like the other topics) and appends what is due, at most 32 records of up to 128 bytes in a call and two calls a second, with a delay after failures. KeyedLog appends several records at once. The topic is read in long polls of 2 s, as each read is charged; relays have an age limit per topic for that.

--- a/packages/agatecrankd/GatewayDaemon.c
+++ b/packages/agatecrankd/GatewayDaemon.c
@@ -10,6 +10,7 @@
 #include "LogSink.h"
 #include "PlatformDialect.h"
 #include "PlatformFeed.h"
+#include "QuarantineFeed.h"
 #include "StoreClient.h"
 
 #define SERIES_MAX 512
@@ -34,10 +35,6 @@
 #define STOP_MARGIN_US (300 * MICROS_PER_MS)
 #define STOP_CHECK_INTERVAL_US (50 * MICROS_PER_MS)
 #define STATUS_KEEP_ALIVE_S 30
-/* A direct read and the pause before it take 1.2 s. Together with the timeout
- * of the reading peer, a host that cannot reach the store is detected well
- * within 2 s. */
-#define RELAY_AGE_MAX_US (1300 * MICROS_PER_MS)
 
 struct GatewayDaemon_ {
     const GatewaySettings *settings;
@@ -54,6 +51,7 @@
     KeyedRelay *relay;
     KeyedSource *source;
     PlatformFeed *feed;
+    QuarantineFeed *quarantine;
     HttpServer *readiness;
     HttpServer *metrics;
     LoopTimer *stop_timer;
@@ -121,7 +119,8 @@
     Counters_Set(this->counters, "agatecrank_upstreams", NULL, 0,
                  (double)Dispatcher_UpstreamCount(this->dispatcher));
     Counters_Set(this->counters, "agatecrank_store_calls", NULL, 0,
-                 (double)KeyedSource_LogCalls(this->source));
+                 (double)(KeyedSource_LogCalls(this->source) +
+                          QuarantineFeed_Appends(this->quarantine)));
     Counters_Set(this->counters, "agatecrank_log_lines_lost", NULL, 0,
                  (double)(LogSink_DroppedLines() +
                           EventLog_Dropped(this->log) +
@@ -242,6 +241,7 @@
     /* A host does not know the number of hosts, so each takes the share that
      * is safe for RETRY_HOSTS_MAX hosts. */
     DispatcherOptions options = {
+        .host = this->settings->host_id,
         .domain = this->settings->domain,
         .retry_window = bounds->retry_window,
         .retry_share = bounds->retry_share * RETRY_BOUND_RATIO,
@@ -292,7 +292,6 @@
     KeyedRelayOptions relay = {
         .address = settings->relay.address,
         .port = settings->relay.port,
-        .age_max = RELAY_AGE_MAX_US,
         .on_relay_request = on_relay_request,
         .user = this,
     };
@@ -311,6 +310,12 @@
     KeyedRelay_SetDirect(this->relay, true);
     this->source = KeyedSource_Create(this->loop, StoreClient_Log(this->store),
                                       &source, this->log);
+    /* Its snapshot is read first, so that no request is sent without it. */
+    this->quarantine =
+        QuarantineFeed_Create(this->loop, KeyedSource_Log(this->source),
+                              StoreClient_Log(this->store), this->relay,
+                              Dispatcher_CrashGuard(this->dispatcher),
+                              this->random, this->log, this->counters);
     this->feed =
         PlatformFeed_Create(this->loop, KeyedSource_Log(this->source),
                             this->relay, this->dispatcher, this->random,
@@ -318,6 +323,16 @@
     return 0;
 }
 
+static void
+on_gateway_update(void *user)
+{
+    GatewayDaemon *this = user;
+
+    if (this->quarantine != NULL) {
+        QuarantineFeed_Flush(this->quarantine);
+    }
+}
+
 static int
 create_net(GatewayDaemon *this, Error *error)
 {
@@ -328,6 +343,8 @@
         .dialect = &PLATFORM_DIALECT,
         .connections_max = CONNECTIONS_MAX,
         .reuse_idle = REUSE_IDLE_MAX_US,
+        .on_update = on_gateway_update,
+        .user = this,
     };
 
     this->gateway = Gateway_Create(this->loop, this->dispatcher,
@@ -379,6 +396,7 @@
         LoopTimer_Destroy(this->stop_timer);
         KeyedRelay_Destroy(this->relay);
         PlatformFeed_Destroy(this->feed);
+        QuarantineFeed_Destroy(this->quarantine);
         KeyedSource_Destroy(this->source);
         StoreClient_Destroy(this->store);
         HttpServer_Destroy(this->metrics);
--- a/packages/core/limits/Quarantine.c
+++ b/packages/core/limits/Quarantine.c
@@ -763,6 +763,24 @@
     return true;
 }
 
+Micros
+Quarantine_NextSendTime(const Quarantine *this)
+{
+    Micros next = -1;
+
+    if (this->unsent_count == 0) {
+        return -1;
+    }
+    for (GList *link = this->entries.tail; link != NULL; link = link->prev) {
+        const Entry *entry = link->data;
+
+        if (entry->unsent) {
+            next = next < 0 ? entry->send_at : MIN(next, entry->send_at);
+        }
+    }
+    return next;
+}
+
 void
 Quarantine_Resend(Quarantine *this, const Fingerprint *fingerprint)
 {
--- a/packages/core/limits/Quarantine.h
+++ b/packages/core/limits/Quarantine.h
@@ -194,6 +194,9 @@
  */
 bool Quarantine_NextItem(Quarantine *this, QuarantineItem *item);
 
+/** Quarantine_NextSendTime() - when the next item is due, or -1 for never */
+Micros Quarantine_NextSendTime(const Quarantine *this);
+
 /** Quarantine_Resend() - an item that was taken did not reach the peers */
 void Quarantine_Resend(Quarantine *this, const Fingerprint *fingerprint);
 
--- a/packages/core/limits/QuarantineExchange.c
+++ b/packages/core/limits/QuarantineExchange.c
@@ -100,6 +100,20 @@
     return this->batch_count;
 }
 
+Micros
+QuarantineExchange_NextTime(QuarantineExchange *this)
+{
+    Micros next = Quarantine_NextSendTime(this->quarantine);
+
+    if (this->batch_count > 0) {
+        return -1;
+    }
+    if (this->options.removes) {
+        next = next < 0 ? this->remove_at : MIN(next, this->remove_at);
+    }
+    return next < 0 ? -1 : MAX(next, this->next_batch_at);
+}
+
 void
 QuarantineExchange_OnBatchEnd(QuarantineExchange *this, int code)
 {
--- a/packages/core/limits/QuarantineExchange.h
+++ b/packages/core/limits/QuarantineExchange.h
@@ -56,6 +56,12 @@
 size_t QuarantineExchange_NextBatch(QuarantineExchange *this,
                                     QuarantineItem *items);
 
+/**
+ * QuarantineExchange_NextTime() - when the next batch may be due, or -1 if that
+ * depends on the end of the current one
+ */
+Micros QuarantineExchange_NextTime(QuarantineExchange *this);
+
 /**
  * QuarantineExchange_OnBatchEnd() - the batch has ended
  * @code: 0, or an error, after which its items are sent again, as they may or
--- a/packages/gateway/CrashGuard.c
+++ b/packages/gateway/CrashGuard.c
@@ -223,6 +223,12 @@
     return QuarantineExchange_NextBatch(this->exchange, items);
 }
 
+Micros
+CrashGuard_NextBatchTime(CrashGuard *this)
+{
+    return QuarantineExchange_NextTime(this->exchange);
+}
+
 void
 CrashGuard_OnBatchEnd(CrashGuard *this, int code)
 {
@@ -258,7 +264,7 @@
     item->losses = n;
 }
 
-void
+int
 CrashGuard_OnPeerItem(CrashGuard *this, const QuarantineItem *item)
 {
     QuarantineItem believed = *item;
@@ -268,7 +274,7 @@
     if (item->losses > 0 && item->age < DISPROOF_TIME_US) {
         drop_contradicted_losses(this, &believed);
         if (believed.losses == 0) {
-            return;
+            return 0;
         }
     }
     code = item->fingerprint.line == ONLY_LINE
@@ -283,6 +289,7 @@
     else if (CrashGuard_LossCount(this, &item->fingerprint) > before) {
         log_loss(this, &item->fingerprint, "peer", STR("unknown"));
     }
+    return code;
 }
 
 void
--- a/packages/gateway/CrashGuard.h
+++ b/packages/gateway/CrashGuard.h
@@ -83,6 +83,9 @@
  */
 size_t CrashGuard_NextBatch(CrashGuard *this, QuarantineItem *items);
 
+/** CrashGuard_NextBatchTime() - see QuarantineExchange_NextTime() */
+Micros CrashGuard_NextBatchTime(CrashGuard *this);
+
 /** CrashGuard_OnBatchEnd() - see QuarantineExchange_OnBatchEnd() */
 void CrashGuard_OnBatchEnd(CrashGuard *this, int code);
 
@@ -90,8 +93,11 @@
  * CrashGuard_OnPeerItem() - an item of another host or of an earlier life
  *
  * Losses of upstreams that have responded to this host since are left out.
+ *
+ * Return: 0, also if nothing is left; otherwise see
+ * QuarantineExchange_Receive().
  */
-void CrashGuard_OnPeerItem(CrashGuard *this, const QuarantineItem *item);
+int CrashGuard_OnPeerItem(CrashGuard *this, const QuarantineItem *item);
 
 /** CrashGuard_OnPeerForgot() - see Quarantine_OnPeerForgot() */
 void CrashGuard_OnPeerForgot(CrashGuard *this, const Fingerprint *fingerprint);
--- a/packages/gateway/Gateway.c
+++ b/packages/gateway/Gateway.c
@@ -531,6 +531,9 @@
     }
     this->running_actions = false;
     update_timer(this);
+    if (this->options.on_update != NULL) {
+        this->options.on_update(this->options.user);
+    }
 }
 
 static void
--- a/packages/net/KeyedLog.h
+++ b/packages/net/KeyedLog.h
@@ -49,7 +49,8 @@
  *               page begins after the key @after
  * @read_tail: read the records from offset @from on; if there is none, wait
  *             up to @wait for one (long poll)
- * @append: append a record; after an error it may still have been written
+ * @append: append records, all or none; after an error they may still have
+ *          been written. A record with an empty value removes its key
  *
  * A compacted topic keeps at least the newest record of each key. A handler
  * is called exactly once, and not before the function has returned. @timeout
@@ -61,8 +62,9 @@
                         KeyedPageHandler *handler, void *user);
     void (*read_tail)(void *self, Str topic, uint64_t from, Micros wait,
                       Micros timeout, KeyedPageHandler *handler, void *user);
-    void (*append)(void *self, Str topic, Str key, Str value, Micros timeout,
-                   KeyedAppendHandler *handler, void *user);
+    void (*append)(void *self, Str topic, const KeyedRecord *records,
+                   size_t count, Micros timeout, KeyedAppendHandler *handler,
+                   void *user);
 } KeyedLog;
 
 #endif
--- a/packages/net/KeyedRelay.c
+++ b/packages/net/KeyedRelay.c
@@ -12,6 +12,7 @@
 typedef struct Topic_ {
     char name[TOPIC_BYTES_MAX];
     KeyedFollower *follower;
+    Micros age_max;
 } Topic;
 
 /* A tail read that waits for a new record (long poll). */
@@ -67,7 +68,7 @@
 {
     Micros age = KeyedFollower_Age(topic->follower);
 
-    return this->direct && age >= 0 && age <= this->options.age_max;
+    return this->direct && age >= 0 && age <= topic->age_max;
 }
 
 /* Returns false, without a response, if the read has to wait for a record. */
@@ -245,12 +246,14 @@
 }
 
 void
-KeyedRelay_Add(KeyedRelay *this, Str topic, KeyedFollower *follower)
+KeyedRelay_Add(KeyedRelay *this, Str topic, KeyedFollower *follower,
+               Micros age_max)
 {
     Topic *added = &this->topics[this->topic_count++];
 
     memcpy(added->name, topic.data, MIN(topic.length, TOPIC_BYTES_MAX - 1));
     added->follower = follower;
+    added->age_max = age_max;
 }
 
 void
--- a/packages/net/KeyedRelay.h
+++ b/packages/net/KeyedRelay.h
@@ -17,13 +17,11 @@
 /**
  * struct KeyedRelayOptions_ - settings
  * @address, @port: where to listen for other hosts
- * @age_max: longest time since the last successful read of the log
  * @on_relay_request: called at each read by another host
  */
 typedef struct KeyedRelayOptions_ {
     const char *address;
     uint16_t port;
-    Micros age_max;
     void (*on_relay_request)(void *user);
     void *user;
 } KeyedRelayOptions;
@@ -42,11 +40,13 @@
 /**
  * KeyedRelay_Add() - serve the topic that a follower reads
  * @topic: its name, at most 63 bytes
+ * @age_max: longest time since the last successful read of the log
  * @follower: borrowed
  *
  * At most 4 topics can be added.
  */
-void KeyedRelay_Add(KeyedRelay *this, Str topic, KeyedFollower *follower);
+void KeyedRelay_Add(KeyedRelay *this, Str topic, KeyedFollower *follower,
+                    Micros age_max);
 
 /** KeyedRelay_SetDirect() - set whether this host reads the log itself */
 void KeyedRelay_SetDirect(KeyedRelay *this, bool direct);
--- a/packages/net/KeyedSource.c
+++ b/packages/net/KeyedSource.c
@@ -9,10 +9,10 @@
  * A relay reads the log directly while other hosts read through it. */
 #define RELAYS_MAX 2
 #define HOSTS_TOPIC "keyed.agatecrank-hosts"
-/* Longest duration of a long poll. A read may miss a record that is written at
- * the same time. Two reads and the pauses between them still take less than
- * the time within which a change has to be in force. */
-#define DIRECT_WAIT_US (900 * MICROS_PER_MS)
+/* Longest duration of a long poll, whatever the follower asks for. A read may
+ * miss a record that is written at the same time, and a connection may have
+ * become silent. */
+#define DIRECT_WAIT_MAX_US (2 * MICROS_PER_S)
 #define RELAY_WAIT_US (400 * MICROS_PER_MS)
 #define RELAY_TIMEOUT_US (250 * MICROS_PER_MS)
 #define RELAY_CONNECT_TIMEOUT_US (150 * MICROS_PER_MS)
@@ -249,7 +249,7 @@
 {
     KeyedSource *this = read->source;
     const KeyedLog *keyed_log = this->keyed_log;
-    Micros wait = MIN(read->wait, DIRECT_WAIT_US);
+    Micros wait = MIN(read->wait, DIRECT_WAIT_MAX_US);
 
     if (!may_read_log(this)) {
         read->rejection = LoopTimer_Create(this->loop, reject_read, read);
@@ -450,11 +450,12 @@
 {
     const KeyedLog *keyed_log = this->keyed_log;
     char *value = registration_value(this);
+    KeyedRecord record = {.key = this->options.host,
+                          .value = Str_FromC(value)};
 
     this->log_calls++;
-    keyed_log->append(keyed_log->self, STR(HOSTS_TOPIC), this->options.host,
-                      Str_FromC(value), LOG_CALL_TIMEOUT_US, on_registered,
-                      this);
+    keyed_log->append(keyed_log->self, STR(HOSTS_TOPIC), &record, 1,
+                      LOG_CALL_TIMEOUT_US, on_registered, this);
     g_free(value);
 }
 
--- a/standins/PlatformStore.c
+++ b/standins/PlatformStore.c
@@ -207,29 +207,60 @@
     append_record(this, topic, key, value, strlen(value));
 }
 
-/* The body is one record in the format of respond_with_records(). */
+/* Splits the next record off a body in the format of respond_with_records().
+ * Returns false if it is malformed. */
+static bool
+split_record(Str *body, Str *record)
+{
+    uint32_t length = 0;
+
+    if (body->length < 6) {
+        return false;
+    }
+    for (int i = 0; i < 4; i++) {
+        length = length << 8 | (unsigned char)body->data[i];
+    }
+    *record = (Str){body->data + 4, length};
+    if (length < 2 || length > body->length - 4 ||
+        (unsigned char)record->data[0] >= length) {
+        return false;
+    }
+    body->data += 4 + length;
+    body->length -= 4 + length;
+    return true;
+}
+
+static bool
+are_records(Str body)
+{
+    Str record;
+
+    while (body.length > 0) {
+        if (!split_record(&body, &record)) {
+            return false;
+        }
+    }
+    return true;
+}
+
 static void
 serve_append(PlatformStore *this, HttpRequest *request)
 {
     g_autofree char *name = HttpRequest_QueryString(request, "topic");
-    Str body = Control_Body(request);
-    size_t key;
+    Str body = Control_Body(request), record;
 
-    if (body.length < 6 || name == NULL) {
+    if (body.length == 0 || name == NULL || !are_records(body)) {
         HttpRequest_Respond(request, 400, "", STR("{}"));
         return;
     }
-    key = (unsigned char)body.data[4];
-    if (body.length < 5 + key) {
-        HttpRequest_Respond(request, 400, "", STR("{}"));
-    }
-    else {
-        g_autofree char *text = g_strndup(body.data + 5, key);
+    while (body.length > 0 && split_record(&body, &record)) {
+        size_t key = (unsigned char)record.data[0];
+        g_autofree char *text = g_strndup(record.data + 1, key);
 
-        append_record(this, name, text, body.data + 5 + key,
-                      body.length - 5 - key);
-        HttpRequest_Respond(request, 200, "", STR("{\"offset\":0,\"end\":1}"));
+        append_record(this, name, text, record.data + 1 + key,
+                      record.length - 1 - key);
     }
+    HttpRequest_Respond(request, 200, "", STR("{\"offset\":0,\"end\":1}"));
 }
 
 static void
--- a/tests/test_keyed_follower.c
+++ b/tests/test_keyed_follower.c
@@ -132,8 +132,8 @@
 }
 
 static void
-append(void *self, Str topic, Str key, Str value, Micros timeout,
-       KeyedAppendHandler *handler, void *user)
+append(void *self, Str topic, const KeyedRecord *records, size_t count,
+       Micros timeout, KeyedAppendHandler *handler, void *user)
 {
     handler(user, 0);
 }
@@ -371,7 +371,6 @@
                                                    host_state, host_page};
     KeyedRelayOptions relay = {.address = "127.0.0.1",
                                .port = port,
-                               .age_max = 5 * MICROS_PER_S,
                                .on_relay_request = host_relay_request,
                                .user = host};
     KeyedSourceOptions source = {.host = Str_FromC(id),
@@ -399,7 +398,7 @@
     host->follower =
         KeyedFollower_Create(f->loop, KeyedSource_Log(host->source), &options,
                              &handlers, host, f->random, NULL);
-    KeyedRelay_Add(host->relay, STR(TOPIC), host->follower);
+    KeyedRelay_Add(host->relay, STR(TOPIC), host->follower, 5 * MICROS_PER_S);
 }
 
 static void
