tests: run requests that end upstreams against host processes

Also: two losses refuse a request for 3 s instead of 6 s, and not while two other upstreams are lost at about the same time.

--- a/packages/core/limits/Quarantine.c
+++ b/packages/core/limits/Quarantine.c
@@ -55,6 +55,16 @@
     GList age_link; /* link in Quarantine.entries */
 } Entry;
 
+/* Upstreams of which the last losses are kept, and the time between two losses
+ * that may have one reason. */
+#define RECENT_LOSS_COUNT 32
+#define COMMON_REASON_TIME_US (5 * MICROS_PER_S)
+
+typedef struct RecentLoss_ {
+    uint32_t upstream;
+    Micros time;
+} RecentLoss;
+
 typedef struct RecentResponse_ {
     uint64_t low;
     Micros time;
@@ -69,6 +79,8 @@
     Micros peers_reachable_since;
     bool peers_reachable;
     RecentResponse recent_responses[RECENT_RESPONSE_COUNT];
+    RecentLoss recent_losses[RECENT_LOSS_COUNT];
+    uint32_t recent_loss_count; /* so far */
 };
 
 static guint
@@ -206,6 +218,50 @@
            (Micros)((double)ttl * host_spread(this, &entry->fingerprint));
 }
 
+static bool
+contains(const uint32_t *upstreams, size_t n, uint32_t upstream)
+{
+    for (size_t i = 0; i < n; i++) {
+        if (upstreams[i] == upstream) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+note_loss(Quarantine *this, uint32_t upstream, Micros when)
+{
+    for (uint32_t i = 0; i < RECENT_LOSS_COUNT; i++) {
+        if (this->recent_losses[i].upstream == upstream &&
+            this->recent_losses[i].time > 0) {
+            return;
+        }
+    }
+    this->recent_losses[this->recent_loss_count++ % RECENT_LOSS_COUNT] =
+        (RecentLoss){upstream, when};
+}
+
+/* Returns whether several upstreams that the request did not run on were lost
+ * at about the same time as those that it ran on. */
+static bool
+is_mass_failure(const Quarantine *this, const Entry *entry)
+{
+    uint32_t others = 0;
+
+    if (this->options.other_losses == 0) {
+        return false;
+    }
+    for (uint32_t i = 0; i < RECENT_LOSS_COUNT; i++) {
+        const RecentLoss *loss = &this->recent_losses[i];
+
+        others += loss->time > 0 &&
+                  ABS(loss->time - entry->lost_at) < COMMON_REASON_TIME_US &&
+                  !contains(entry->upstreams, entry->losses, loss->upstream);
+    }
+    return others >= this->options.other_losses;
+}
+
 /* Returns the end of the refusal, 0 for a suspect. Time without the peers does
  * not count: after it, all hosts would admit the request at once. */
 static Micros
@@ -213,7 +269,9 @@
 {
     Micros since = entry->lost_at;
 
-    if (entry->losses < QUARANTINE_LOSS_THRESHOLD) {
+    if (entry->losses < QUARANTINE_LOSS_THRESHOLD ||
+        (entry->losses == QUARANTINE_LOSS_THRESHOLD &&
+         is_mass_failure(this, entry))) {
         return 0;
     }
     if (entry->losses > QUARANTINE_LOSS_THRESHOLD) {
@@ -364,17 +422,6 @@
     return entry != NULL ? entry->losses : 0;
 }
 
-static bool
-contains(const uint32_t *upstreams, size_t n, uint32_t upstream)
-{
-    for (size_t i = 0; i < n; i++) {
-        if (upstreams[i] == upstream) {
-            return true;
-        }
-    }
-    return false;
-}
-
 size_t
 Quarantine_SuspectUpstreams(Quarantine *this, uint32_t *upstreams, size_t max)
 {
@@ -491,6 +538,7 @@
 static void
 add_own_loss(Quarantine *this, Entry *entry, uint32_t upstream, Micros when)
 {
+    note_loss(this, upstream, when);
     if (entry->losses < QUARANTINE_LOSSES_MAX) {
         entry->own[entry->losses] = true;
         entry->upstreams[entry->losses++] = upstream;
@@ -565,11 +613,13 @@
 
 /* Adds the losses that were unknown; returns whether there are any. */
 static bool
-merge_losses(Entry *entry, const QuarantineItem *item)
+merge_losses(Quarantine *this, Entry *entry, const QuarantineItem *item,
+             Micros when)
 {
     uint32_t before = entry->losses;
 
     for (uint32_t i = 0; i < item->losses; i++) {
+        note_loss(this, item->upstreams[i], when);
         if (entry->losses < QUARANTINE_LOSSES_MAX &&
             !contains(entry->upstreams, entry->losses, item->upstreams[i])) {
             entry->own[entry->losses] = false;
@@ -654,7 +704,7 @@
         when <= entry->released_at + INCIDENT_WINDOW_US) {
         return;
     }
-    if (merge_losses(entry, item)) {
+    if (merge_losses(this, entry, item, when)) {
         set_lost_at(this, entry, MAX(entry->lost_at, when));
         if (!this->options.newest_only) {
             mark_unsent(this, entry);
--- a/packages/core/limits/Quarantine.h
+++ b/packages/core/limits/Quarantine.h
@@ -47,6 +47,9 @@
  *   at least 5 min after three losses, 50 min after four and a day after more.
  * @host_salt: differs between hosts; the end of a refusal is delayed by up to
  *   its duration, as this number decides; 0 for no delay
+ * @other_losses: number of other upstreams that are lost at about the same time
+ *   from which on two losses are not enough to refuse a fingerprint: upstreams
+ *   fail for another reason then; 0 for no limit
  * @newest_only: the peers see only the newest item that any host has sent for
  *   a fingerprint, so that an item which lacks something is replaced by the
  *   hosts that know it
@@ -56,6 +59,7 @@
     Micros suspect_ttl;
     Micros refuse_ttl;
     uint64_t host_salt;
+    uint32_t other_losses;
     bool newest_only;
 } QuarantineOptions;
 
--- a/packages/gateway/CrashGuard.c
+++ b/packages/gateway/CrashGuard.c
@@ -5,7 +5,9 @@
 #define ONLY_LINE 0
 /* A request that merely ran on two upstreams that failed is admitted again
  * after this time. */
-#define REFUSE_TTL_US (6 * MICROS_PER_S)
+#define REFUSE_TTL_US (3 * MICROS_PER_S)
+/* A single other upstream may be lost to another crashing request. */
+#define OTHER_LOSSES_COUNT 2
 /* Each batch is a call to the store, whose rate all hosts share. */
 #define BATCH_INTERVAL_US (500 * MICROS_PER_MS)
 #define FINGERPRINT_BYTES 20
@@ -33,6 +35,7 @@
     QuarantineOptions options = {
         .refuse_ttl = REFUSE_TTL_US,
         .host_salt = Str_Hash(host) | 1,
+        .other_losses = OTHER_LOSSES_COUNT,
         .newest_only = true,
     };
     QuarantineExchangeOptions exchange = {
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -24,7 +24,8 @@
 REST_MS=${REST_MS:-3000}     # duration of load after the last fault
 FAULT_PERIOD_S=${FAULT_PERIOD_S:-0.8}  # between faults of store and upstreams; 0 for none
 LINK_PERIOD_S=${LINK_PERIOD_S:-0.6}    # between faults of links; 0 for none
-SIGNALS=${SIGNALS:-mixed}    # mixed, term (SIGTERM only) or none
+SIGNALS=${SIGNALS:-mixed}    # mixed, term (SIGTERM only), ends (SIGTERM and SIGKILL) or none
+CRASH_INTERVAL_MS=${CRASH_INTERVAL_MS:-0}  # between requests that end upstreams; 0 for none
 SERVED_LEAST=${SERVED_LEAST:-0.9}  # fraction of the calls after the last fault that must be served
 START_MS=${START_MS:-3000}   # delay before the load
 WORK_MS=${WORK_MS:-30}       # mean service time of a request
@@ -77,6 +78,7 @@
         host=$((RANDOM % HOSTS))
         kind=$((RANDOM % 10))
         [ "$SIGNALS" = term ] && kind=0
+        [ "$SIGNALS" = ends ] && kind=$((kind % 6))
         case $kind in
         0 | 1 | 2) stop_and_restart "$host" TERM ;;
         3 | 4 | 5) stop_and_restart "$host" KILL ;;
@@ -128,6 +130,7 @@
         --start-ms "$START_MS" --work-ms "$WORK_MS" --show-late-ms "$SHOW_LATE_MS" \
         --rest-ms "$REST_MS" --fault-period-s "$FAULT_PERIOD_S" \
         --link-period-s "$LINK_PERIOD_S" \
+        --crash-interval-ms "$CRASH_INTERVAL_MS" \
         --served-least "$SERVED_LEAST" \
         >"$WORK/platform.out" 2>"$WORK/platform.err" &
     PLATFORM_PID=$!
@@ -152,6 +155,7 @@
         code=1
     fi
     [ "$code" -eq 0 ] || grep -m 8 violation "$WORK/platform.out"
+    grep '^crashing=' "$WORK/platform.out"
     echo "seed=$SEED code=$code $(grep -E '^(sent|served|refused|failed|unanswered|violations|store_calls|served_at_rest)=' "$WORK/platform.out" | tr '\n' ' ')"
     if [ -n "$KEEP" ] && { [ "$code" -ne 0 ] || [ -n "$KEEP_ALL" ]; }; then
         mkdir -p "$KEEP" && cp -r "$WORK" "$KEEP/seed-$SEED"
--- a/standins/PlatformCaller.c
+++ b/standins/PlatformCaller.c
@@ -121,7 +121,7 @@
 }
 
 static Call *
-create_call(PlatformCaller *this, bool unsafe)
+create_call(PlatformCaller *this, bool unsafe, const char *path)
 {
     Call *call = g_new0(Call, 1);
     uint64_t body_length = unsafe ? BODY_BYTES : 0;
@@ -133,12 +133,11 @@
     call->head = g_string_new(NULL);
     call->body = g_string_new(NULL);
     g_string_printf(call->head,
-                    "%s /%s/%u HTTP/1.1\r\nhost: gateway.example\r\n"
+                    "%s /%s%s HTTP/1.1\r\nhost: gateway.example\r\n"
                     "agatecrank-attempt-id: %s\r\n"
                     "agatecrank-timeout-ms: %d\r\n%s",
-                    unsafe ? "POST" : "GET", unsafe ? "once" : "safe",
-                    (unsigned)this->call_count, call->id,
-                    (int)(CALL_TIMEOUT_US / MICROS_PER_MS),
+                    unsafe ? "POST" : "GET", unsafe ? "once" : "safe", path,
+                    call->id, (int)(CALL_TIMEOUT_US / MICROS_PER_MS),
                     unsafe ? "connection: close\r\n" : "");
     if (unsafe) {
         g_string_append_printf(call->head, "content-length: %d\r\n",
@@ -158,11 +157,10 @@
 }
 
 static void
-send_call(PlatformCaller *this)
+send_to_any(PlatformCaller *this, HttpClient *client, bool unsafe,
+            const char *path)
 {
-    bool unsafe = Random_Unit(this->random) < UNSAFE_RATIO;
-    HttpClient *client = unsafe ? this->fresh_client : this->reusing_client;
-    Call *call = create_call(this, unsafe);
+    Call *call = create_call(this, unsafe, path);
     size_t target = Random_Below(this->random, HttpClient_TargetCount(client));
 
     g_hash_table_add(this->calls, call);
@@ -171,6 +169,26 @@
     HttpClient_Send(client, target, &call->client);
 }
 
+static void
+send_call(PlatformCaller *this)
+{
+    bool unsafe = Random_Unit(this->random) < UNSAFE_RATIO;
+    g_autofree char *path =
+        g_strdup_printf("/%u", (unsigned)this->call_count + 1);
+
+    send_to_any(this, unsafe ? this->fresh_client : this->reusing_client,
+                unsafe, path);
+}
+
+void
+PlatformCaller_SendCrashing(PlatformCaller *this, bool at_most_once)
+{
+    bool fresh = at_most_once || Random_Below(this->random, 2) == 0;
+
+    send_to_any(this, fresh ? this->fresh_client : this->reusing_client,
+                at_most_once, PLATFORM_CRASH_PATH);
+}
+
 static void
 on_send_timer(Timer *timer)
 {
--- a/standins/PlatformCaller.h
+++ b/standins/PlatformCaller.h
@@ -35,6 +35,14 @@
  */
 void PlatformCaller_PrintSlowCalls(PlatformCaller *this, Micros min_latency);
 
+/**
+ * PlatformCaller_SendCrashing() - send a request that ends upstreams
+ * @at_most_once: the request that is not idempotent; there is one of each kind
+ *
+ * It goes to a random host, on a kept or a new connection.
+ */
+void PlatformCaller_SendCrashing(PlatformCaller *this, bool at_most_once);
+
 /** PlatformCaller_Start() and PlatformCaller_Stop() - start or stop sending */
 void PlatformCaller_Start(PlatformCaller *this);
 void PlatformCaller_Stop(PlatformCaller *this);
--- a/standins/PlatformChecker.c
+++ b/standins/PlatformChecker.c
@@ -4,6 +4,10 @@
 #include <stdio.h>
 #include <string.h>
 
+#define ENDS_ALLOWED 3
+#define LATE_ALLOWED 3
+#define LATE_AFTER_US (3 * MICROS_PER_S)
+
 typedef struct Attempt_ {
     char *id;
     unsigned executions;
@@ -12,8 +16,17 @@
     bool response_required; /* as of the time when it was sent */
 } Attempt;
 
+/* A request that ends upstreams, over all attempts. */
+typedef struct Crashing_ {
+    unsigned executions;
+    unsigned ends;
+    unsigned late;
+    Micros third_end;
+} Crashing;
+
 struct PlatformChecker_ {
     GHashTable *attempts; /* id to Attempt */
+    GHashTable *crashing; /* request to Crashing, owned */
     unsigned sent;
     unsigned served;
     unsigned refused;
@@ -39,6 +52,8 @@
 
     this->attempts =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_attempt);
+    this->crashing =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     return this;
 }
 
@@ -46,6 +61,7 @@
 PlatformChecker_Destroy(PlatformChecker *this)
 {
     g_hash_table_destroy(this->attempts);
+    g_hash_table_destroy(this->crashing);
     g_free(this);
 }
 
@@ -150,6 +166,60 @@
     }
 }
 
+static Crashing *
+get_crashing(PlatformChecker *this, const char *request)
+{
+    Crashing *crashing = g_hash_table_lookup(this->crashing, request);
+
+    if (crashing == NULL) {
+        crashing = g_new0(Crashing, 1);
+        g_hash_table_insert(this->crashing, g_strdup(request), crashing);
+    }
+    return crashing;
+}
+
+void
+PlatformChecker_OnCrashingExecution(PlatformChecker *this, const char *request,
+                                    Micros now, bool in_touch)
+{
+    Crashing *crashing = get_crashing(this, request);
+
+    crashing->executions++;
+    if (crashing->ends >= ENDS_ALLOWED && in_touch &&
+        now - crashing->third_end > LATE_AFTER_US &&
+        ++crashing->late > LATE_ALLOWED) {
+        PlatformChecker_ReportViolation(
+            this, "crashing request=%s ends=%u late=%u", request,
+            crashing->ends, crashing->late);
+    }
+}
+
+void
+PlatformChecker_OnCrash(PlatformChecker *this, const char *request, Micros now)
+{
+    Crashing *crashing = get_crashing(this, request);
+
+    if (++crashing->ends == ENDS_ALLOWED) {
+        crashing->third_end = now;
+    }
+}
+
+static void
+print_crashing(const PlatformChecker *this)
+{
+    GHashTableIter iter;
+    gpointer request, value;
+
+    g_hash_table_iter_init(&iter, this->crashing);
+    while (g_hash_table_iter_next(&iter, &request, &value)) {
+        const Crashing *crashing = value;
+
+        printf("crashing=%s executions=%u ends=%u late=%u\n",
+               (const char *)request, crashing->executions, crashing->ends,
+               crashing->late);
+    }
+}
+
 void
 PlatformChecker_RequireResponses(PlatformChecker *this)
 {
@@ -159,6 +229,7 @@
 unsigned
 PlatformChecker_PrintTotals(const PlatformChecker *this)
 {
+    print_crashing(this);
     printf("sent=%u\nserved=%u\nrefused=%u\nfailed=%u\nunanswered=%u\n"
            "violations=%u\n",
            this->sent, this->served, this->refused, this->failed,
--- a/standins/PlatformChecker.h
+++ b/standins/PlatformChecker.h
@@ -6,6 +6,9 @@
 
 #include "Clock.h"
 
+/** Part of the path of requests that end the upstreams that run them */
+#define PLATFORM_CRASH_PATH "/crash"
+
 /**
  * typedef PlatformChecker - checks the guarantees of gateway hosts
  *
@@ -59,6 +62,24 @@
  */
 void PlatformChecker_RequireResponses(PlatformChecker *this);
 
+/**
+ * PlatformChecker_OnCrashingExecution() - record that an upstream starts to
+ *     execute a request that will end it
+ * @request: identifies the request over all attempts
+ * @now: time of the call
+ * @in_touch: the hosts could have told each other of earlier ends
+ *
+ * It is a violation if a request is executed more than three times later than
+ * 3 s after it has ended the third upstream.
+ */
+void PlatformChecker_OnCrashingExecution(PlatformChecker *this,
+                                         const char *request, Micros now,
+                                         bool in_touch);
+
+/** PlatformChecker_OnCrash() - record that a request ended an upstream */
+void PlatformChecker_OnCrash(PlatformChecker *this, const char *request,
+                             Micros now);
+
 /** PlatformChecker_ReportViolation() - print and count a violation that was
  *                                     found by other code */
 void PlatformChecker_ReportViolation(PlatformChecker *this, const char *format,
--- a/standins/PlatformUpstream.c
+++ b/standins/PlatformUpstream.c
@@ -6,6 +6,11 @@
 #define QUEUED_MAX 12 /* requests beyond the slots */
 #define ID_BYTES 32
 #define CORRECTION_DELAY_US (500 * MICROS_PER_MS)
+#define CRASH_DELAY_US (10 * MICROS_PER_MS)
+#define CRASH_DOWN_MIN_US (2 * MICROS_PER_S)
+#define CRASH_DOWN_SPREAD_US (2 * MICROS_PER_S)
+/* Hosts are in touch if the store has been sound for this time. */
+#define STABLE_TIME_US (3 * MICROS_PER_S)
 
 struct PlatformUpstream_ {
     PlatformContext context;
@@ -18,6 +23,9 @@
     char *previous_record; /* NULL if there is none */
     char *record;
     Timer correction_timer;
+    Timer crash_timer;
+    Timer restart_timer;
+    char *crashing; /* path of the request that ends it, or NULL */
     unsigned sequence;
     unsigned inflight;     /* requests in progress */
     Micros draining_since; /* -1 if not draining */
@@ -124,6 +132,65 @@
     }
 }
 
+static void
+on_restart_timer(Timer *timer)
+{
+    PlatformUpstream *this =
+        TIMER_OWNER(timer, PlatformUpstream, restart_timer);
+
+    if (this->crashed) {
+        PlatformUpstream_Restart(this);
+    }
+}
+
+static void
+on_crash_timer(Timer *timer)
+{
+    PlatformUpstream *this = TIMER_OWNER(timer, PlatformUpstream, crash_timer);
+
+    PlatformChecker_OnCrash(this->context.checker, this->crashing,
+                            Clock_Now(this->context.clock));
+    g_clear_pointer(&this->crashing, g_free);
+    if (!this->crashed) {
+        PlatformUpstream_Crash(this);
+    }
+    Timer_Start(&this->restart_timer, this->context.loop->timers,
+                CRASH_DOWN_MIN_US + (Micros)Random_Below(this->context.random,
+                                                         CRASH_DOWN_SPREAD_US),
+                on_restart_timer);
+}
+
+static bool
+is_store_sound(const PlatformUpstream *this)
+{
+    return PlatformStore_IsUp(this->context.store) &&
+           LinkFaults_IsClear(this->context.links, LINKS_TO_STORE) &&
+           Clock_Now(this->context.clock) - *this->context.store_sound_since >=
+               STABLE_TIME_US;
+}
+
+static bool
+is_crashing(Str path)
+{
+    return g_strstr_len(path.data, (gssize)path.length, PLATFORM_CRASH_PATH) !=
+           NULL;
+}
+
+static void
+start_crash(PlatformUpstream *this, Str path)
+{
+    g_autofree char *request = g_strndup(path.data, path.length);
+
+    PlatformChecker_OnCrashingExecution(this->context.checker, request,
+                                        Clock_Now(this->context.clock),
+                                        is_store_sound(this));
+    if (this->crashing == NULL) {
+        this->crashing = g_steal_pointer(&request);
+        Timer_Start(&this->crash_timer, this->context.loop->timers,
+                    CRASH_DELAY_US, on_crash_timer);
+    }
+}
+
 static void
 start_execution(PlatformUpstream *this, HttpRequest *request, char *attempt_id)
 {
@@ -171,6 +238,9 @@
     }
     else {
         check_drain(this, attempt_id);
+        if (is_crashing(HttpRequest_Path(request))) {
+            start_crash(this, HttpRequest_Path(request));
+        }
         start_execution(this, request, g_steal_pointer(&attempt_id));
     }
     g_free(attempt_id);
@@ -228,6 +298,9 @@
         HttpServer_Destroy(this->server);
     }
     Timer_Stop(&this->correction_timer);
+    Timer_Stop(&this->crash_timer);
+    Timer_Stop(&this->restart_timer);
+    g_free(this->crashing);
     g_free(this->previous_record);
     g_free(this->record);
     g_free(this->service);
--- a/standins/PlatformUpstream.h
+++ b/standins/PlatformUpstream.h
@@ -6,8 +6,13 @@
 #include "PlatformStore.h"
 #include "Random.h"
 
-/** typedef PlatformUpstream - upstream that registers itself in the platform's
- *                            store */
+/**
+ * typedef PlatformUpstream - upstream that registers itself in the platform's
+ *                            store
+ *
+ * A request with PLATFORM_CRASH_PATH in its path ends it shortly after its
+ * start. It is back after some seconds.
+ */
 typedef struct PlatformUpstream_ PlatformUpstream;
 
 /**
@@ -17,6 +22,7 @@
  * @lost_response_ratio: fraction of executions whose connection is closed
  *                       instead of a response
  * @truncated_response_ratio: fraction of executions whose response ends early
+ * @store_sound_since: end of the last fault of the store or of the links to it
  * @drain_limit: time after a drain report within which hosts may still send
  *               requests
  */
@@ -30,6 +36,7 @@
     Micros mean_service_time;
     double lost_response_ratio;
     double truncated_response_ratio;
+    const Micros *store_sound_since;
     Micros drain_limit;
 } PlatformContext;
 
--- a/standins/standin-platform.c
+++ b/standins/standin-platform.c
@@ -23,6 +23,7 @@
     int64_t work_ms;
     int64_t drain_ms;
     int64_t show_late_ms;
+    int64_t crash_interval_ms;
     double rate;
     double fault_period_s;
     double link_period_s;
@@ -46,6 +47,8 @@
      "bound for requests to an upstream that told that it leaves"},
     {"show-late-ms", SETTING_INT, FIELD(show_late_ms), false,
      "print calls that are not served or take longer, 0 for none"},
+    {"crash-interval-ms", SETTING_INT, FIELD(crash_interval_ms), false,
+     "mean time between requests that end upstreams, 0 for none"},
     {"rate", SETTING_REAL, FIELD(rate), false, "calls a second"},
     {"fault-period-s", SETTING_REAL, FIELD(fault_period_s), false,
      "mean time between faults, 0 for none"},
@@ -62,6 +65,7 @@
     Clock *clock;
     Random *random;
     Random *link_random; /* separate: link faults do not change others */
+    Random *crash_random;
     HttpLoop *loop;
     PlatformStore *store;
     PlatformChecker *checker;
@@ -73,6 +77,8 @@
     Timer link_fault_timer;
     Timer store_recovery_timer;
     Timer config_timer;
+    Timer crash_timer;
+    Micros store_sound_since;
     unsigned version;
     unsigned served_before_check;
     unsigned sent_before_check;
@@ -142,6 +148,7 @@
     Platform *this = TIMER_OWNER(timer, Platform, store_recovery_timer);
 
     PlatformStore_SetMode(this->store, STORE_UP);
+    this->store_sound_since = Clock_Now(this->clock);
     extend_drain_limits(this);
 }
 
@@ -227,6 +234,7 @@
     Platform *this = user;
 
     if (group == LINKS_TO_STORE) {
+        this->store_sound_since = Clock_Now(this->clock);
         extend_drain_limits(this);
     }
 }
@@ -290,6 +298,21 @@
                 on_link_fault_timer);
 }
 
+static void
+on_crash_timer(Timer *timer)
+{
+    Platform *this = TIMER_OWNER(timer, Platform, crash_timer);
+    Micros interval = this->options.crash_interval_ms * MICROS_PER_MS;
+
+    if (this->faults_ended || interval <= 0) {
+        return;
+    }
+    PlatformCaller_SendCrashing(this->caller,
+                                Random_Below(this->crash_random, 2) == 0);
+    Timer_Start(&this->crash_timer, this->loop->timers,
+                Random_Jitter(this->crash_random, interval), on_crash_timer);
+}
+
 static void
 end_faults(Platform *this)
 {
@@ -322,6 +345,7 @@
         PlatformCaller_Start(this->caller);
         on_fault_timer(&this->fault_timer);
         on_link_fault_timer(&this->link_fault_timer);
+        on_crash_timer(&this->crash_timer);
         duration = options->load_ms * MICROS_PER_MS;
         break;
     case 1:
@@ -360,6 +384,7 @@
         .lost_response_ratio = this->options.fault_period_s > 0 ? 0.005 : 0,
         .truncated_response_ratio =
             this->options.fault_period_s > 0 ? 0.005 : 0,
+        .store_sound_since = &this->store_sound_since,
         .drain_limit = this->options.drain_ms * MICROS_PER_MS,
     };
 
@@ -440,6 +465,7 @@
     this->clock = Clock_CreateSystem();
     this->random = Random_Create((uint64_t)this->options.seed);
     this->link_random = Random_Create((uint64_t)this->options.seed);
+    this->crash_random = Random_Create((uint64_t)this->options.seed);
     this->loop = HttpLoop_Create();
     this->links =
         LinkFaults_Create(this->loop, this->link_random, on_link_clear, this);
@@ -472,6 +498,7 @@
     PlatformChecker_Destroy(this->checker);
     Random_Destroy(this->random);
     Random_Destroy(this->link_random);
+    Random_Destroy(this->crash_random);
     Clock_Destroy(this->clock);
     return code;
 }
