core/balancer: clear suspicions by complete responses only

Cause: close_attempt() reported each end of an attempt but a closed connection as a response to the quarantine: deadlines, framing errors, unsent and rejected attempts. Each of them cleared the suspicion that the request crashes upstreams, and so did a 5xx.

Change: only a complete response below 500 clears it.

Measured: test_balancer, crashing-request-without-response, fails before (a third upstream gets the request) and passes after.

--- a/packages/core/balancer/Balancer.c
+++ b/packages/core/balancer/Balancer.c
@@ -693,10 +693,15 @@
     if (end == ATTEMPT_END_CONNECTION_CLOSED) {
         report_upstream_unreachable(this, upstream);
     }
-    else if (request->fingerprinted) {
+    else if (request->fingerprinted && end == ATTEMPT_END_COMPLETE &&
+             request->status < 500) {
         Quarantine_OnResponse(this->quarantine, &request->fingerprint,
                               upstream);
     }
+    else if (request->fingerprinted) {
+        Quarantine_OnAttemptEnd(this->quarantine, &request->fingerprint,
+                                upstream);
+    }
     request->upstream = NAME_INDEX_NONE;
     if (request->tried_count < AVOIDED_UPSTREAMS_MAX) {
         request->tried[request->tried_count++] = upstream;
--- a/tests/test_balancer.c
+++ b/tests/test_balancer.c
@@ -316,6 +316,44 @@
     tear_down(&f);
 }
 
+/* An attempt without a valid response must not clear the suspicion that a
+ * request crashes upstreams. */
+static void
+test_crashing_request_without_response(void)
+{
+    static const AttemptEnd ends[] = {ATTEMPT_END_FRAMING,
+                                      ATTEMPT_END_DEADLINE, ATTEMPT_END_UNSENT,
+                                      ATTEMPT_END_REFUSED};
+    Fixture f;
+    uint64_t id;
+    uint32_t lost;
+
+    for (size_t i = 0; i < G_N_ELEMENTS(ends); i++) {
+        set_up(&f);
+        serve_requests(&f, 60);
+        f.digest = 42;
+        id = send_request(&f, "GET", "token", NULL);
+        g_assert_cmpint(next_action(&f), ==, BALANCER_SEND);
+        lost = f.action.send.upstream;
+        Balancer_OnAttemptEnd(f.balancer, id, ATTEMPT_END_CONNECTION_CLOSED,
+                              STR(""));
+        g_assert_cmpint(next_action(&f), ==, BALANCER_SEND);
+        Balancer_OnAttemptEnd(f.balancer, id, ends[i], STR(""));
+        while (next_action(&f) != BALANCER_RESPOND) {
+            Balancer_OnAttemptEnd(f.balancer, id, ATTEMPT_END_DEADLINE,
+                                  STR(""));
+        }
+        id = send_request(&f, "GET", "token", NULL);
+        do {
+            g_assert_cmpint(next_action(&f), ==, BALANCER_SEND);
+            Balancer_OnAttemptEnd(f.balancer, id,
+                                  ATTEMPT_END_CONNECTION_CLOSED, STR(""));
+        } while (f.action.send.upstream == lost);
+        expect_response(&f, 422, OUTCOME_UNKNOWN, "quarantined");
+        tear_down(&f);
+    }
+}
+
 /* The attempt of a request must be cancelled when its caller disconnects. */
 static void
 test_caller_disconnect(void)
@@ -369,6 +407,8 @@
     g_test_add_func("/core/balancer/silent-upstream",
                     test_unresponsive_upstream);
     g_test_add_func("/core/balancer/crashing-request", test_crashing_request);
+    g_test_add_func("/core/balancer/crashing-request-without-response",
+                    test_crashing_request_without_response);
     g_test_add_func("/core/balancer/caller-gone", test_caller_disconnect);
     g_test_add_func("/core/balancer/load-report", test_load_report);
     return g_test_run();
