--- a/packages/net/PeerExchange.c
+++ b/packages/net/PeerExchange.c
@@ -3,6 +3,7 @@
 #include <glib.h>
 
 #include "PeerCodec.h"
+#include "QuarantineExchange.h"
 
 #define TICK_INTERVAL_US (25 * MICROS_PER_MS)
 /* An item with an offset expires after 60 s, so it is renewed before. */
@@ -19,6 +20,7 @@
     Membership *membership;
     PeerLink *link;
     LoopTimer *timer;
+    QuarantineExchange *quarantine;
     NameTable *hosts; /* ids of all hosts seen */
     PeerNames names;  /* index to name and back, for messages */
     GString *bytes;   /* encoded message to send */
@@ -326,8 +328,7 @@
     case SHARED_FINGERPRINT:
         if (PeerCodec_ItemToFingerprint(item, &this->names, &fingerprint) ==
             0) {
-            Quarantine_OnPeerItem(Balancer_Quarantine(this->balancer),
-                                  &fingerprint);
+            QuarantineExchange_Receive(this->quarantine, &fingerprint);
         }
         return;
     case SHARED_CONFIG_OFFSET:
@@ -387,15 +388,18 @@
 static void
 share_fingerprints(PeerExchange *this)
 {
-    QuarantineItem changed;
+    QuarantineItem changed[QUARANTINE_BATCH_MAX];
+    size_t n = QuarantineExchange_NextBatch(this->quarantine, changed);
     SharedItem item;
 
-    while (
-        Quarantine_NextItem(Balancer_Quarantine(this->balancer), &changed)) {
-        if (PeerCodec_FingerprintToItem(&changed, &this->names, &item) == 0) {
+    for (size_t i = 0; i < n; i++) {
+        if (PeerCodec_FingerprintToItem(&changed[i], &this->names, &item) ==
+            0) {
             Membership_Share(this->membership, &item);
         }
     }
+    /* Gossip repeats an item until the peers have it. */
+    QuarantineExchange_OnBatchEnd(this->quarantine, 0);
 }
 
 static void
@@ -544,6 +548,7 @@
                     Random *random, EventLog *log, Error *error)
 {
     PeerExchange *this = g_new0(PeerExchange, 1);
+    QuarantineExchangeOptions quarantine = {0};
 
     this->balancer = options->balancer;
     this->sync = options->sync;
@@ -566,6 +571,9 @@
         }
     }
     create_membership(this, options, random);
+    this->quarantine =
+        QuarantineExchange_Create(Balancer_Quarantine(options->balancer),
+                                  &quarantine, this->clock, random);
     this->timer = LoopTimer_Create(loop, on_tick, this);
     LoopTimer_Start(this->timer, TICK_INTERVAL_US);
     return this;
@@ -581,6 +589,7 @@
     if (this->membership != NULL) {
         Membership_Destroy(this->membership);
     }
+    QuarantineExchange_Destroy(this->quarantine);
     NameTable_Destroy(this->hosts);
     g_string_free(this->bytes, TRUE);
     g_string_free(this->deployment, TRUE);
