tests: parts of the quarantine that hosts share

LossWatch by a table of cases, QuarantineExchange's limits, items that contradict themselves or are too old, items that lack a loss, and the records of the store: round trip, clocks that differ, malformed texts and 20,000 seeded mutations.

The time in a record is limited, so that its age cannot overflow.

--- a/packages/gateway/QuarantineRecord.c
+++ b/packages/gateway/QuarantineRecord.c
@@ -5,6 +5,8 @@
 #define HIGH_DIGITS 16
 #define KEY_DIGITS (2 * HIGH_DIGITS)
 #define FORMAT "q1"
+/* Year 2286. */
+#define TIME_MAX_MS 10000000000000
 #define RELEASED "released"
 #define HEX_64 "%016" G_GINT64_MODIFIER "x"
 
@@ -69,7 +71,7 @@
     Str field;
 
     if (!Str_Split(text, ' ', &field) || Str_ParseU64(field, &ms) < 0 ||
-        ms > (uint64_t)(G_MAXINT64 / MICROS_PER_MS)) {
+        ms > TIME_MAX_MS) {
         return false;
     }
     *time = (Micros)ms * MICROS_PER_MS;
--- a/tests/test_gateway_parts.c
+++ b/tests/test_gateway_parts.c
@@ -2,10 +2,13 @@
 
 #include "DueSet.h"
 #include "Endpoint.h"
+#include "QuarantineRecord.h"
+#include "Random.h"
 #include "RetryWindow.h"
 #include "RouteTable.h"
 #include "UpstreamSet.h"
 
+#define SEED 5
 #define OWN_DOMAIN 0
 #define GRACE_US (1800 * MICROS_PER_MS)
 
@@ -383,6 +386,103 @@
     DueSet_Destroy(set);
 }
 
+static int
+read_quarantine_record(const char *key, const char *value, Micros wall,
+                       QuarantineItem *item)
+{
+    KeyedRecord record = {.key = Str_FromC(key),
+                          .value = Str_FromC(value),
+                          .removed = value[0] == '\0'};
+
+    return QuarantineRecord_Read(&record, wall, item);
+}
+
+/* Guards against a host that cannot read what another one has written, and
+ * against an age that the clock of another host decides. */
+static void
+test_quarantine_record(void)
+{
+    QuarantineItem item = {
+        .fingerprint = {.high = 0x12, .low = 0xfedcba9876543210},
+        .losses = QUARANTINE_LOSSES_MAX,
+        .upstreams = {1, 2, 3, 4, 5, UINT32_MAX},
+        .age = 7 * MICROS_PER_S,
+    };
+    QuarantineItem read;
+    char key[QUARANTINE_KEY_BYTES], value[QUARANTINE_VALUE_BYTES];
+    Micros wall = (Micros)1800000000 * MICROS_PER_S;
+
+    QuarantineRecord_Write(&item, wall, key, value);
+    g_assert_cmpint(read_quarantine_record(key, value, -1, &read), ==, 0);
+    g_assert_cmpmem(&read, sizeof(read), &item, sizeof(item));
+    read_quarantine_record(key, value, wall + 2 * MICROS_PER_S, &read);
+    g_assert_cmpint(read.age, ==, 9 * MICROS_PER_S);
+    read_quarantine_record(key, value, wall - 3600 * MICROS_PER_S, &read);
+    g_assert_cmpint(read.age, ==, 7 * MICROS_PER_S);
+    item.losses = 0;
+    item.released = true;
+    QuarantineRecord_Write(&item, wall, key, value);
+    g_assert_cmpint(read_quarantine_record(key, value, -1, &read), ==, 0);
+    g_assert_true(read.released && read.losses == 0);
+    item.released = false;
+    QuarantineRecord_Write(&item, wall, key, value);
+    g_assert_cmpstr(value, ==, "");
+    g_assert_cmpint(read_quarantine_record(key, value, -1, &read), ==, 0);
+}
+
+#define VALID_KEY "0123456789abcdef0123456789abcdef"
+
+/* Guards against a record of another writer that is believed or read beyond
+ * its end. */
+static void
+test_malformed_quarantine_record(void)
+{
+    static const struct {
+        const char *key, *value;
+        int code;
+    } rows[] = {
+        {VALID_KEY, "q1 0 0 00000001", 0},
+        {VALID_KEY "0", "q1 0 0 00000001", ERR_PARSE},
+        {"0123456789abcdeg0123456789abcdef", "q1 0 0 00000001", ERR_PARSE},
+        {"", "q1 0 0 00000001", ERR_PARSE},
+        {VALID_KEY, "q2 0 0 00000001", ERR_PARSE},
+        {VALID_KEY, "q1", ERR_PARSE},
+        {VALID_KEY, "q1 0 0", ERR_PARSE},
+        {VALID_KEY, "q1 0 -1 00000001", ERR_PARSE},
+        {VALID_KEY, "q1 99999999999999999999 0 00000001", ERR_PARSE},
+        {VALID_KEY, "q1 0 18446744073709551615 00000001", ERR_PARSE},
+        {VALID_KEY, "q1 0 9223372036854775 00000001", ERR_PARSE},
+        {VALID_KEY, "q1 0 0 1", ERR_PARSE},
+        {VALID_KEY, "q1 0 0 0000000x", ERR_PARSE},
+        {VALID_KEY, "q1 0 0 00000001 released", ERR_PARSE},
+        {VALID_KEY,
+         "q1 0 0 00000001 00000002 00000003 00000004 00000005 00000006 "
+         "00000007",
+         ERR_PARSE},
+    };
+    QuarantineItem item;
+    Random *random = Random_Create(SEED);
+
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        g_assert_cmpint(
+            read_quarantine_record(rows[i].key, rows[i].value, 0, &item), ==,
+            rows[i].code);
+    }
+    for (int i = 0; i < 20000; i++) {
+        char value[] = "q1 1800000000000 12 00000001 00000002";
+
+        for (int k = 0; k < 3; k++) {
+            value[Random_Below(random, sizeof(value) - 1)] =
+                (char)Random_Below(random, 256);
+        }
+        if (read_quarantine_record(VALID_KEY, value, 0, &item) == 0) {
+            g_assert_cmpuint(item.losses, <=, QUARANTINE_LOSSES_MAX);
+            g_assert_cmpint(item.age, >=, 0);
+        }
+    }
+    Random_Destroy(random);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -397,6 +497,9 @@
     ADD("/gateway/lapse-ends", test_outage_grace_ends);
     ADD("/gateway/lapse-noticed-late", test_outage_end_detected_late);
     g_test_add_func("/gateway/due-set", test_due_set);
+    g_test_add_func("/gateway/quarantine-record", test_quarantine_record);
+    g_test_add_func("/gateway/malformed-quarantine-record",
+                    test_malformed_quarantine_record);
     g_test_add_func("/gateway/endpoint", test_endpoint);
     return g_test_run();
 }
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -1,7 +1,8 @@
 #include <glib.h>
 
 #include "Error.h"
-#include "Quarantine.h"
+#include "LossWatch.h"
+#include "QuarantineExchange.h"
 #include "Random.h"
 
 #define SEED 43
@@ -268,6 +269,245 @@
     Clock_Destroy(clock);
 }
 
+/* Guards against believing what contradicts itself or is too old, and against
+ * keeping an entry for it. */
+static void
+test_invalid_items(void)
+{
+    static const struct {
+        QuarantineItem item;
+        int code;
+    } rows[] = {
+        {{.losses = 2, .upstreams = {7, 8}}, 0},
+        {{.released = true}, 0},
+        {{.losses = 0}, ERR_INVALID},
+        {{.losses = 1, .upstreams = {7}, .released = true}, ERR_INVALID},
+        {{.losses = 2, .upstreams = {7, 7}}, ERR_INVALID},
+        {{.losses = QUARANTINE_LOSSES_MAX + 1}, ERR_INVALID},
+        {{.losses = 1, .upstreams = {7}, .age = -1}, ERR_INVALID},
+        {{.losses = 1, .upstreams = {7}, .age = 61 * MICROS_PER_S},
+         ERR_EXPIRED},
+        {{.losses = 2, .upstreams = {7, 8}, .age = 25 * 3600 * MICROS_PER_S},
+         ERR_EXPIRED},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        QuarantineOptions options = {0};
+        Clock *clock = Clock_CreateManual(MICROS_PER_S, 0);
+        Quarantine *quarantine = Quarantine_Create(&options, clock);
+
+        g_assert_cmpint(Quarantine_OnPeerItem(quarantine, &rows[i].item), ==,
+                        rows[i].code);
+        g_assert_cmpuint(Quarantine_EntryCount(quarantine), ==,
+                         rows[i].code == 0);
+        Quarantine_Destroy(quarantine);
+        Clock_Destroy(clock);
+    }
+}
+
+/* Guards against a peer that floods the others, and against more than one call
+ * in an interval or while a call has not ended. */
+static void
+test_exchange_limits(void)
+{
+    QuarantineOptions options = {0};
+    QuarantineExchangeOptions exchange_options = {
+        .interval = 500 * MICROS_PER_MS, .removes = true};
+    QuarantineItem items[QUARANTINE_BATCH_MAX];
+    QuarantineItem item = {.losses = 1, .upstreams = {7}};
+    Clock *clock = Clock_CreateManual(MICROS_PER_S, 0);
+    Random *random = Random_Create(SEED);
+    Quarantine *quarantine = Quarantine_Create(&options, clock);
+    QuarantineExchange *exchange = QuarantineExchange_Create(
+        quarantine, &exchange_options, clock, random);
+    unsigned accepted = 0;
+
+    for (uint32_t i = 0; i < 40; i++) {
+        Fingerprint f = {.low = i + 1};
+
+        Quarantine_OnLoss(quarantine, &f, i, Clock_Now(clock));
+    }
+    g_assert_cmpuint(QuarantineExchange_NextBatch(exchange, items), ==,
+                     QUARANTINE_BATCH_MAX);
+    Clock_Advance(clock, MICROS_PER_S);
+    g_assert_cmpuint(QuarantineExchange_NextBatch(exchange, items), ==, 0);
+    QuarantineExchange_OnBatchEnd(exchange, ERR_TIMEOUT);
+    g_assert_cmpuint(QuarantineExchange_NextBatch(exchange, items), ==, 0);
+    Clock_Advance(clock, MICROS_PER_S);
+    g_assert_cmpuint(QuarantineExchange_NextBatch(exchange, items), ==,
+                     QUARANTINE_BATCH_MAX);
+    QuarantineExchange_OnBatchEnd(exchange, 0);
+    g_assert_cmpuint(QuarantineExchange_NextBatch(exchange, items), ==, 0);
+    Clock_Advance(clock, 500 * MICROS_PER_MS);
+    g_assert_cmpuint(QuarantineExchange_NextBatch(exchange, items), ==, 8);
+    QuarantineExchange_OnBatchEnd(exchange, 0);
+    for (uint32_t i = 0; i < 10000; i++) {
+        item.fingerprint.low = 1000 + i;
+        accepted += QuarantineExchange_Receive(exchange, &item) == 0;
+    }
+    g_assert_cmpuint(accepted, <=, 4096);
+    Clock_Advance(clock, MICROS_PER_S);
+    g_assert_cmpint(QuarantineExchange_Receive(exchange, &item), ==, 0);
+    QuarantineExchange_Destroy(exchange);
+    Quarantine_Destroy(quarantine);
+    Random_Destroy(random);
+    Clock_Destroy(clock);
+}
+
+/* Guards against a newest item that lacks a loss: a host that starts later
+ * would not know it. */
+static void
+test_incomplete_item(void)
+{
+    QuarantineOptions options = {.newest_only = true};
+    QuarantineItem item = {
+        .fingerprint = crashing, .losses = 1, .upstreams = {9}};
+    Clock *clock = Clock_CreateManual(MICROS_PER_S, 0);
+    Quarantine *observer = Quarantine_Create(&options, clock);
+    Quarantine *other_host = Quarantine_Create(&options, clock);
+    QuarantineItem sent;
+
+    Quarantine_OnLoss(observer, &crashing, 1, Clock_Now(clock));
+    g_assert_true(Quarantine_NextItem(observer, &sent));
+    Quarantine_OnPeerItem(other_host, &sent);
+    Quarantine_OnPeerItem(observer, &item);
+    Quarantine_OnPeerItem(other_host, &item);
+    g_assert_true(Quarantine_NextItem(observer, &sent));
+    g_assert_cmpuint(sent.losses, ==, 2);
+    g_assert_false(Quarantine_NextItem(other_host, &item));
+    Quarantine_OnPeerItem(other_host, &sent);
+    Clock_Advance(clock, 10 * MICROS_PER_S);
+    g_assert_false(Quarantine_NextItem(other_host, &item));
+    g_assert_cmpint(Quarantine_Check(other_host, &crashing), ==,
+                    QUARANTINE_REFUSE);
+    Quarantine_Destroy(observer);
+    Quarantine_Destroy(other_host);
+    Clock_Destroy(clock);
+}
+
+typedef enum WatchAction_ {
+    WATCH_END,
+    NO_RESPONSE,   /* an attempt at the upstream ended without a response */
+    CANCELLED,     /* as NO_RESPONSE, cancelled */
+    ALIVE,         /* the upstream responded to what was sent now */
+    ALIVE_EARLIER, /* it responded to what was sent before the attempt ended */
+    PROBE_REFUSED,
+    PROBE_SILENT,
+    PASS_MS, /* time advances by @upstream milliseconds */
+    LOST,    /* the upstream is lost */
+    NOT_LOST,
+} WatchAction;
+
+/* Each case names the failure that it guards against. */
+static const struct {
+    const char *name;
+    struct {
+        WatchAction action;
+        uint32_t upstream;
+    } steps[10];
+} watch_cases[] = {
+    {"a lost response counts as a lost upstream",
+     {{NO_RESPONSE, 1},
+      {PASS_MS, 10},
+      {ALIVE, 1},
+      {PASS_MS, 1000},
+      {NOT_LOST, 0}}},
+    {"an earlier request that still completes hides a loss",
+     {{ALIVE, 2},
+      {NO_RESPONSE, 1},
+      {PASS_MS, 1},
+      {ALIVE_EARLIER, 1},
+      {PROBE_REFUSED, 1},
+      {PROBE_REFUSED, 1},
+      {LOST, 1}}},
+    {"a silent upstream is not lost",
+     {{NO_RESPONSE, 1},
+      {PROBE_SILENT, 1},
+      {NOT_LOST, 0},
+      {ALIVE, 2},
+      {PROBE_SILENT, 1},
+      {LOST, 1}}},
+    {"an upstream without load probes is never lost",
+     {{NO_RESPONSE, 1},
+      {ALIVE, 2},
+      {PASS_MS, 999},
+      {NOT_LOST, 0},
+      {PASS_MS, 1},
+      {LOST, 1}}},
+    {"a host that is cut off counts losses",
+     {{NO_RESPONSE, 1},
+      {PROBE_SILENT, 1},
+      {PROBE_SILENT, 1},
+      {PASS_MS, 2000},
+      {NOT_LOST, 0}}},
+    {"a request that its caller cancels counts a loss",
+     {{CANCELLED, 1}, {ALIVE, 2}, {PASS_MS, 2000}, {NOT_LOST, 0}}},
+    {"a request that is cancelled at a crashed upstream counts none",
+     {{CANCELLED, 1},
+      {ALIVE, 2},
+      {PROBE_REFUSED, 1},
+      {PROBE_REFUSED, 1},
+      {LOST, 1}}},
+};
+
+static void
+run_watch_step(LossWatch *watch, Clock *clock, WatchAction action,
+               uint32_t upstream)
+{
+    Micros now = Clock_Now(clock);
+    LostAttempt attempt = {.fingerprint = crashing,
+                           .upstream = upstream,
+                           .instance = upstream,
+                           .sent = now - MICROS_PER_MS,
+                           .ended = now,
+                           .cancelled = action == CANCELLED};
+
+    switch (action) {
+    case NO_RESPONSE:
+    case CANCELLED:
+        LossWatch_Add(watch, &attempt);
+        break;
+    case ALIVE:
+        LossWatch_OnResponse(watch, upstream, now);
+        break;
+    case ALIVE_EARLIER:
+        LossWatch_OnResponse(watch, upstream, now - 100 * MICROS_PER_MS);
+        break;
+    case PROBE_REFUSED:
+    case PROBE_SILENT:
+        LossWatch_OnProbeFailure(watch, upstream, now,
+                                 action == PROBE_REFUSED);
+        break;
+    case PASS_MS:
+        Clock_Advance(clock, upstream * MICROS_PER_MS);
+        break;
+    case LOST:
+        g_assert_true(LossWatch_NextLoss(watch, &attempt));
+        g_assert_cmpuint(attempt.upstream, ==, upstream);
+        break;
+    default:
+        g_assert_false(LossWatch_NextLoss(watch, &attempt));
+        break;
+    }
+}
+
+static void
+test_loss_watch(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(watch_cases); i++) {
+        Clock *clock = Clock_CreateManual(MICROS_PER_S, 0);
+        LossWatch *watch = LossWatch_Create(clock);
+
+        g_test_message("case: %s", watch_cases[i].name);
+        for (size_t k = 0; watch_cases[i].steps[k].action != WATCH_END; k++) {
+            run_watch_step(watch, clock, watch_cases[i].steps[k].action,
+                           watch_cases[i].steps[k].upstream);
+        }
+        LossWatch_Destroy(watch);
+        Clock_Destroy(clock);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -277,5 +517,9 @@
     g_test_add_func("/quarantine/fingerprints", test_fingerprints);
     g_test_add_func("/quarantine/busy", test_suspect_upstreams);
     g_test_add_func("/quarantine/bounded", test_bounded);
+    g_test_add_func("/quarantine/invalid-items", test_invalid_items);
+    g_test_add_func("/quarantine/exchange-limits", test_exchange_limits);
+    g_test_add_func("/quarantine/incomplete-item", test_incomplete_item);
+    g_test_add_func("/quarantine/loss-watch", test_loss_watch);
     return g_test_run();
 }
