--- a/packages/agatecrank/RequestTrace.c
+++ b/packages/agatecrank/RequestTrace.c
@@ -51,8 +51,10 @@
     {"no-route",
      "no route of the active configuration matches the host and path",
      "event=routes: whether it has the expected version"},
-    {"quarantined", "several upstreams failed while running the same request",
-     "event=attempt lines with result=broken and the same route"},
+    {"quarantined",
+     "several upstreams failed while running the same request, at this or "
+     "other hosts",
+     "event=loss lines of all hosts with the fingerprint of the refuse line"},
     {"upstream-broken",
      "the connection to the upstream ended, or its response was incomplete "
      "or not marked as its own; the request may have been executed, so it "
