tests: no retry and no queued send of a request that crashes upstreams

The case not-lost passes PROBE_ANSWERED for a response without a load report, as its comment says, where the new parameter had become PROBE_REFUSED.

--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -1,6 +1,7 @@
 #include <glib.h>
 #include <string.h>
 
+#include "CrashGuard.h"
 #include "GatewayFixture.h"
 
 #define SLOT_COUNT 4
@@ -464,7 +465,7 @@
 {
     send_and_wait(f, "/safe/1");
     for (int i = 0; i < 4; i++) {
-        Dispatcher_OnProbeResult(f->dispatcher, f->last_probed, PROBE_REFUSED,
+        Dispatcher_OnProbeResult(f->dispatcher, f->last_probed, PROBE_ANSWERED,
                                  NULL);
         advance_time(f, 10 * MICROS_PER_MS);
     }
@@ -535,6 +536,57 @@
     g_assert_cmpuint(f->responses, ==, 0);
 }
 
+/* Guards against a retry of a request that is known to crash upstreams by
+ * then, and against a 503 for it after an attempt that may have run. */
+static void
+test_retry_of_crashing_request(Fixture *f, gconstpointer data)
+{
+    QuarantineItem item = {
+        .fingerprint =
+            CrashGuard_Fingerprint(STR("GET"), STR("/safe/1"), STR("")),
+        .losses = 2,
+        .upstreams = {1, 2},
+    };
+    Job *job = submit(f, "/safe/1", 0);
+
+    CrashGuard_OnPeerItem(Dispatcher_CrashGuard(f->dispatcher), &item);
+    end_attempt(f, job, ATTEMPT_RESULT_BROKEN, 0);
+    g_assert_cmpuint(f->sends, ==, 1);
+    g_assert_cmpint(f->action.respond.status, ==, 502);
+    g_assert_cmpstr(f->action.respond.reason, ==, "quarantined");
+    submit(f, "/safe/1", 0);
+    g_assert_cmpuint(f->sends, ==, 1);
+    g_assert_cmpint(f->action.respond.status, ==, 503);
+    g_assert_cmpint(f->action.respond.retry_after, >, 0);
+    submit(f, "/safe/2", 0);
+    g_assert_cmpuint(f->sends, ==, 2);
+}
+
+/* Guards against sending a request from the queue that is known to crash
+ * upstreams by then. */
+static void
+test_queued_crashing_request(Fixture *f, gconstpointer data)
+{
+    QuarantineItem item = {
+        .fingerprint =
+            CrashGuard_Fingerprint(STR("GET"), STR("/safe/1"), STR("")),
+        .losses = 2,
+        .upstreams = {1, 2},
+    };
+
+    submit(f, "/safe/1", 0);
+    report_load(f, SLOT_COUNT);
+    advance_time(f, 8 * MICROS_PER_MS);
+    report_load(f, SLOT_COUNT);
+    g_assert_cmpuint(f->sends, ==, 0);
+    CrashGuard_OnPeerItem(Dispatcher_CrashGuard(f->dispatcher), &item);
+    report_load(f, 0);
+    advance_time(f, 8 * MICROS_PER_MS);
+    g_assert_cmpuint(f->sends, ==, 0);
+    g_assert_cmpuint(f->responses, ==, 1);
+    g_assert_cmpstr(f->action.respond.reason, ==, "quarantined");
+}
+
 #define ADD(path, set_up, test)                                               \
     g_test_add(path, Fixture, NULL, set_up, test, tear_down)
 
@@ -559,6 +611,10 @@
         test_move_is_no_failure);
     ADD("/dispatcher/lost-upstream-once", set_up_probing,
         test_unreachable_at_most_once);
+    ADD("/dispatcher/retry-of-crashing-request", set_up,
+        test_retry_of_crashing_request);
+    ADD("/dispatcher/queued-crashing-request", set_up_probing,
+        test_queued_crashing_request);
     ADD("/dispatcher/caller-gone", set_up_probing, test_caller_disconnect);
     return g_test_run();
 }
