--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -536,20 +536,28 @@
     g_assert_cmpuint(f->responses, ==, 0);
 }
 
-/* Guards against a retry of a request that is known to crash upstreams by
- * then, and against a 503 for it after an attempt that may have run. */
+/* Another host tells of a request that it has ended two upstreams. */
 static void
-test_retry_of_crashing_request(Fixture *f, gconstpointer data)
+report_crashing_request(Fixture *f, const char *path)
 {
     QuarantineItem item = {
         .fingerprint =
-            CrashGuard_Fingerprint(STR("GET"), STR("/safe/1"), STR("")),
+            CrashGuard_Fingerprint(STR("GET"), Str_FromC(path), STR("")),
         .losses = 2,
         .upstreams = {1, 2},
     };
-    Job *job = submit(f, "/safe/1", 0);
 
     CrashGuard_OnPeerItem(Dispatcher_CrashGuard(f->dispatcher), &item);
+}
+
+/* Guards against a retry of a request that is known to crash upstreams by
+ * then, and against a 503 for it after an attempt that may have run. */
+static void
+test_retry_of_crashing_request(Fixture *f, gconstpointer data)
+{
+    Job *job = submit(f, "/safe/1", 0);
+
+    report_crashing_request(f, "/safe/1");
     end_attempt(f, job, ATTEMPT_RESULT_BROKEN, 0);
     g_assert_cmpuint(f->sends, ==, 1);
     g_assert_cmpint(f->action.respond.status, ==, 502);
@@ -567,19 +575,12 @@
 static void
 test_queued_crashing_request(Fixture *f, gconstpointer data)
 {
-    QuarantineItem item = {
-        .fingerprint =
-            CrashGuard_Fingerprint(STR("GET"), STR("/safe/1"), STR("")),
-        .losses = 2,
-        .upstreams = {1, 2},
-    };
-
     submit(f, "/safe/1", 0);
     report_load(f, SLOT_COUNT);
     advance_time(f, 8 * MICROS_PER_MS);
     report_load(f, SLOT_COUNT);
     g_assert_cmpuint(f->sends, ==, 0);
-    CrashGuard_OnPeerItem(Dispatcher_CrashGuard(f->dispatcher), &item);
+    report_crashing_request(f, "/safe/1");
     report_load(f, 0);
     advance_time(f, 8 * MICROS_PER_MS);
     g_assert_cmpuint(f->sends, ==, 0);
