gateway: a closed connection does not prove an upstream alive

Cause: took a probe whose connection was accepted and then closed as a sign of life.

Change: such a probe decides nothing. It is repeated every 150 ms, and the loss counts after a second unless the upstream responds, so that a full upstream is still not taken for one that has ended.

Two cases of test_quarantine, loss-watch.

--- a/packages/core/limits/LossWatch.c
+++ b/packages/core/limits/LossWatch.c
@@ -7,12 +7,15 @@
 #define DECISION_TIME_US (1 * MICROS_PER_S)
 /* A single failure may be due to a lost packet or to a full upstream. */
 #define PROBE_FAILURES_COUNT 2
+/* Pause before the next probe of an upstream that may be full. */
+#define PROBE_PAUSE_US (150 * MICROS_PER_MS)
 #define WATCHED_MAX 256
 #define UPSTREAM_NONE UINT32_MAX
 
 typedef struct Watched_ {
     LostAttempt attempt;
     uint32_t probe_failures;
+    Micros probe_at;        /* earliest time of the next probe */
     bool reachable_network; /* the upstream's machine refused a probe */
 } Watched;
 
@@ -103,6 +106,20 @@
     }
 }
 
+void
+LossWatch_OnProbeUnclear(LossWatch *this, uint32_t upstream, Micros sent)
+{
+    for (guint i = 0; i < this->watched->len; i++) {
+        Watched *watched = watched_at(this, i);
+
+        if (watched->attempt.upstream == upstream &&
+            sent >= watched->attempt.ended) {
+            watched->reachable_network = true;
+            watched->probe_at = Clock_Now(this->clock) + PROBE_PAUSE_US;
+        }
+    }
+}
+
 void
 LossWatch_OnUnreachable(LossWatch *this, uint32_t upstream)
 {
@@ -145,6 +162,7 @@
 
         if (watched->attempt.upstream == upstream &&
             !watched->attempt.cancelled &&
+            watched->probe_at <= Clock_Now(this->clock) &&
             watched->probe_failures < PROBE_FAILURES_COUNT) {
             return true;
         }
@@ -207,8 +225,12 @@
     Micros next = -1;
 
     for (guint i = 0; i < this->watched->len; i++) {
-        Micros due = watched_at(this, i)->attempt.ended + DECISION_TIME_US;
+        const Watched *watched = watched_at(this, i);
+        Micros due = watched->attempt.ended + DECISION_TIME_US;
 
+        if (watched->probe_at > Clock_Now(this->clock)) {
+            due = MIN(due, watched->probe_at);
+        }
         next = next < 0 ? due : MIN(next, due);
     }
     return next;
--- a/packages/core/limits/LossWatch.h
+++ b/packages/core/limits/LossWatch.h
@@ -58,6 +58,14 @@
 void LossWatch_OnProbeFailure(LossWatch *this, uint32_t upstream, Micros sent,
                               bool refused);
 
+/**
+ * LossWatch_OnProbeUnclear() - a probe's connection was accepted and closed
+ *
+ * A full upstream does this, and so does a proxy before one that has ended. The
+ * probe is repeated until the decision.
+ */
+void LossWatch_OnProbeUnclear(LossWatch *this, uint32_t upstream, Micros sent);
+
 /** LossWatch_OnUnreachable() - as many probes as are needed have failed */
 void LossWatch_OnUnreachable(LossWatch *this, uint32_t upstream);
 
--- a/packages/gateway/CrashGuard.c
+++ b/packages/gateway/CrashGuard.c
@@ -164,6 +164,12 @@
     LossWatch_OnProbeFailure(this->watch, upstream, sent, refused);
 }
 
+void
+CrashGuard_OnProbeUnclear(CrashGuard *this, uint32_t upstream, Micros sent)
+{
+    LossWatch_OnProbeUnclear(this->watch, upstream, sent);
+}
+
 void
 CrashGuard_OnUnreachable(CrashGuard *this, uint32_t upstream)
 {
--- a/packages/gateway/CrashGuard.h
+++ b/packages/gateway/CrashGuard.h
@@ -61,6 +61,10 @@
 void CrashGuard_OnProbeFailure(CrashGuard *this, uint32_t upstream,
                                Micros sent, bool refused);
 
+/** CrashGuard_OnProbeUnclear() - see LossWatch_OnProbeUnclear() */
+void CrashGuard_OnProbeUnclear(CrashGuard *this, uint32_t upstream,
+                               Micros sent);
+
 /** CrashGuard_OnUnreachable() - the last probes of an upstream have failed */
 void CrashGuard_OnUnreachable(CrashGuard *this, uint32_t upstream);
 
--- a/packages/gateway/Dispatcher.c
+++ b/packages/gateway/Dispatcher.c
@@ -596,9 +596,11 @@
 
     switch (result) {
     case PROBE_ANSWERED:
-    case PROBE_ACCEPTED:
         CrashGuard_OnAlive(this->guard, upstream, sent);
         break;
+    case PROBE_ACCEPTED:
+        CrashGuard_OnProbeUnclear(this->guard, upstream, sent);
+        break;
     case PROBE_REFUSED:
         CrashGuard_OnProbeFailure(this->guard, upstream, sent, true);
         break;
--- a/packages/gateway/Gateway.c
+++ b/packages/gateway/Gateway.c
@@ -406,12 +406,13 @@
     Gateway_RunActions(this);
 }
 
-/* Another upstream uses the address of one that has ended. */
+/* Another upstream uses the address of one that has ended. One that is leaving
+ * may not tell its id. */
 static ProbeResult
 result_of_instance(Str id, Str expected)
 {
     if (id.length == 0) {
-        return PROBE_ACCEPTED;
+        return PROBE_ANSWERED;
     }
     return Str_Equal(id, expected) ? PROBE_ANSWERED : PROBE_REFUSED;
 }
@@ -429,7 +430,7 @@
     probe->result = result_of_instance(
         HeaderList_Get(headers, dialect->instance_id), instance);
     probe->has_report =
-        probe->result == PROBE_ANSWERED &&
+        Str_Equal(HeaderList_Get(headers, dialect->instance_id), instance) &&
         dialect->parse_load(HeaderList_Get(headers, dialect->load),
                             &probe->report) == 0;
 }
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -393,8 +393,9 @@
     ALIVE_EARLIER, /* it responded to what was sent before the attempt ended */
     PROBE_REFUSED,
     PROBE_SILENT,
-    PASS_MS, /* time advances by @upstream milliseconds */
-    LOST,    /* the upstream is lost */
+    PROBE_CLOSED, /* its connection was accepted and closed */
+    PASS_MS,      /* time advances by @upstream milliseconds */
+    LOST,         /* the upstream is lost */
     NOT_LOST,
 } WatchAction;
 
@@ -420,6 +421,22 @@
       {PROBE_REFUSED, 1},
       {PROBE_REFUSED, 1},
       {LOST, 1}}},
+    {"a full upstream that closes connections counts as lost",
+     {{NO_RESPONSE, 1},
+      {PROBE_CLOSED, 1},
+      {PASS_MS, 150},
+      {PROBE_CLOSED, 1},
+      {PASS_MS, 150},
+      {ALIVE, 1},
+      {PASS_MS, 1000},
+      {NOT_LOST, 0}}},
+    {"an upstream that ended behind a proxy is not lost",
+     {{NO_RESPONSE, 1},
+      {PROBE_CLOSED, 1},
+      {PASS_MS, 999},
+      {NOT_LOST, 0},
+      {PASS_MS, 1},
+      {LOST, 1}}},
     {"a silent upstream is not lost",
      {{NO_RESPONSE, 1},
       {PROBE_SILENT, 1},
@@ -478,6 +495,9 @@
         LossWatch_OnProbeFailure(watch, upstream, now,
                                  action == PROBE_REFUSED);
         break;
+    case PROBE_CLOSED:
+        LossWatch_OnProbeUnclear(watch, upstream, now);
+        break;
     case PASS_MS:
         Clock_Advance(clock, upstream * MICROS_PER_MS);
         break;
