gateway: probe another upstream before a host counts itself cut off

A host with few requests lost an upstream and heard of no other one for 1.9 s, so it counted nothing; the request got two losses instead of three and was admitted again.

Change: once the probes of an upstream have failed and no other one has responded since, another one is probed, in turn.

--- a/packages/core/limits/LossWatch.c
+++ b/packages/core/limits/LossWatch.c
@@ -180,6 +180,21 @@
     return !watched->reachable_network && other->time < watched->attempt.sent;
 }
 
+bool
+LossWatch_NeedsReference(const LossWatch *this, uint32_t *upstream)
+{
+    for (guint i = 0; i < this->watched->len; i++) {
+        const Watched *watched = watched_at(this, i);
+
+        if (watched->probe_failures >= PROBE_FAILURES_COUNT &&
+            is_cut_off(this, watched)) {
+            *upstream = watched->attempt.upstream;
+            return true;
+        }
+    }
+    return false;
+}
+
 static bool
 is_due(const LossWatch *this, const Watched *watched)
 {
--- a/packages/core/limits/LossWatch.h
+++ b/packages/core/limits/LossWatch.h
@@ -90,6 +90,13 @@
 /** LossWatch_NeedsProbe() - whether a probe of the upstream helps to decide */
 bool LossWatch_NeedsProbe(const LossWatch *this, uint32_t upstream);
 
+/**
+ * LossWatch_NeedsReference() - whether a response of another upstream is all
+ * that is missing for a decision
+ * @upstream: set to the upstream that is watched
+ */
+bool LossWatch_NeedsReference(const LossWatch *this, uint32_t *upstream);
+
 /** LossWatch_NextLoss() - take the next loss that is certain */
 bool LossWatch_NextLoss(LossWatch *this, LostAttempt *loss);
 
--- a/packages/gateway/CrashGuard.c
+++ b/packages/gateway/CrashGuard.c
@@ -199,6 +199,12 @@
     return false;
 }
 
+bool
+CrashGuard_NeedsReference(const CrashGuard *this, uint32_t *upstream)
+{
+    return LossWatch_NeedsReference(this->watch, upstream);
+}
+
 void
 CrashGuard_OnTime(CrashGuard *this)
 {
--- a/packages/gateway/CrashGuard.h
+++ b/packages/gateway/CrashGuard.h
@@ -76,6 +76,9 @@
 bool CrashGuard_NextProbe(const CrashGuard *this, size_t *i,
                           uint32_t *upstream);
 
+/** CrashGuard_NeedsReference() - see LossWatch_NeedsReference() */
+bool CrashGuard_NeedsReference(const CrashGuard *this, uint32_t *upstream);
+
 /** CrashGuard_OnTime() - count the losses that are certain */
 void CrashGuard_OnTime(CrashGuard *this);
 
--- a/packages/gateway/Dispatcher.c
+++ b/packages/gateway/Dispatcher.c
@@ -320,6 +320,26 @@
     return true;
 }
 
+/* Probes an upstream other than @watched to find out whether this host is cut
+ * off: a host with few requests may not hear of any for a second. */
+static void
+probe_reference(Dispatcher *this, uint32_t watched)
+{
+    uint32_t end = UpstreamSet_IndexEnd(this->upstreams);
+
+    if (Placement_IsProbePending(this->placement, this->reference)) {
+        return;
+    }
+    for (uint32_t i = 0; i < end; i++) {
+        this->reference = (this->reference + 1) % end;
+        if (this->reference != watched &&
+            UpstreamSet_Record(this->upstreams, this->reference) != NULL) {
+            JobPlacement_ProbeUpstream(this, this->reference);
+            return;
+        }
+    }
+}
+
 /* Counts the losses that are certain, and probes upstreams to decide on the
  * others. */
 static void
@@ -332,6 +352,9 @@
     while (CrashGuard_NextProbe(this->guard, &i, &upstream)) {
         JobPlacement_ProbeUpstream(this, upstream);
     }
+    if (CrashGuard_NeedsReference(this->guard, &upstream)) {
+        probe_reference(this, upstream);
+    }
 }
 
 /* ---- routes and upstreams ------------------------------------------- */
--- a/packages/gateway/DispatcherPrivate.h
+++ b/packages/gateway/DispatcherPrivate.h
@@ -63,6 +63,7 @@
     Placement *placement;
     UpstreamSet *upstreams;
     CrashGuard *guard;
+    uint32_t reference;    /* upstream of the last reference probe */
     GArray *probe_sent_at; /* Micros by upstream: last probe */
     RouteTable *routes;
     GPtrArray *retry_windows; /* RetryWindow by service */
--- a/packages/gateway/UpstreamSet.c
+++ b/packages/gateway/UpstreamSet.c
@@ -296,6 +296,12 @@
     return listed != NULL ? &listed->record : NULL;
 }
 
+uint32_t
+UpstreamSet_IndexEnd(const UpstreamSet *this)
+{
+    return this->by_index->len;
+}
+
 size_t
 UpstreamSet_Count(const UpstreamSet *this)
 {
--- a/packages/gateway/UpstreamSet.h
+++ b/packages/gateway/UpstreamSet.h
@@ -80,6 +80,9 @@
 /** UpstreamSet_Release() - release a reservation of UpstreamSet_Acquire() */
 void UpstreamSet_Release(UpstreamSet *this, uint32_t index);
 
+/** UpstreamSet_IndexEnd() - all indexes in use are below this number */
+uint32_t UpstreamSet_IndexEnd(const UpstreamSet *this);
+
 /** UpstreamSet_Count() - number of upstreams */
 size_t UpstreamSet_Count(const UpstreamSet *this);
 
