--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -395,6 +395,7 @@
     PROBE_SILENT,
     PROBE_CLOSED, /* its connection was accepted and closed */
     PASS_MS,      /* time advances by @upstream milliseconds */
+    REFERENCE,    /* a response of another upstream than this one is missing */
     LOST,         /* the upstream is lost */
     NOT_LOST,
 } WatchAction;
@@ -451,6 +452,14 @@
       {NOT_LOST, 0},
       {PASS_MS, 1},
       {LOST, 1}}},
+    {"a host with few requests counts no loss",
+     {{NO_RESPONSE, 1},
+      {PROBE_SILENT, 1},
+      {PROBE_SILENT, 1},
+      {NOT_LOST, 0},
+      {REFERENCE, 1},
+      {ALIVE, 2},
+      {LOST, 1}}},
     {"a host that is cut off counts losses",
      {{NO_RESPONSE, 1},
       {PROBE_SILENT, 1},
@@ -478,6 +487,7 @@
                            .sent = now - MICROS_PER_MS,
                            .ended = now,
                            .cancelled = action == CANCELLED};
+    uint32_t watched;
 
     switch (action) {
     case NO_RESPONSE:
@@ -501,6 +511,10 @@
     case PASS_MS:
         Clock_Advance(clock, upstream * MICROS_PER_MS);
         break;
+    case REFERENCE:
+        g_assert_true(LossWatch_NeedsReference(watch, &watched));
+        g_assert_cmpuint(watched, ==, upstream);
+        break;
     case LOST:
         g_assert_true(LossWatch_NextLoss(watch, &attempt));
         g_assert_cmpuint(attempt.upstream, ==, upstream);
