gateway: no loop of loss probes that cannot be sent

Found by reading the change: while all connections to an upstream are in use, or the loop closes, a probe ends at once with nothing known. The upstream was then probed again immediately, for up to the second until the decision, and so was the next reference upstream.

--- a/packages/agatecrankd/GatewayDaemon.c
+++ b/packages/agatecrankd/GatewayDaemon.c
@@ -310,7 +310,8 @@
     KeyedRelay_SetDirect(this->relay, true);
     this->source = KeyedSource_Create(this->loop, StoreClient_Log(this->store),
                                       &source, this->log);
-    /* Its snapshot is read first, so that no request is sent without it. */
+    /* Created first, so that its snapshot is requested before the routes,
+     * without which no request is sent. */
     this->quarantine =
         QuarantineFeed_Create(this->loop, KeyedSource_Log(this->source),
                               StoreClient_Log(this->store), this->relay,
--- a/packages/core/limits/LossWatch.c
+++ b/packages/core/limits/LossWatch.c
@@ -107,14 +107,15 @@
 }
 
 void
-LossWatch_OnProbeUnclear(LossWatch *this, uint32_t upstream, Micros sent)
+LossWatch_OnProbeUnclear(LossWatch *this, uint32_t upstream, Micros sent,
+                         bool accepted)
 {
     for (guint i = 0; i < this->watched->len; i++) {
         Watched *watched = watched_at(this, i);
 
         if (watched->attempt.upstream == upstream &&
             sent >= watched->attempt.ended) {
-            watched->reachable_network = true;
+            watched->reachable_network |= accepted;
             watched->probe_at = Clock_Now(this->clock) + PROBE_PAUSE_US;
         }
     }
--- a/packages/core/limits/LossWatch.h
+++ b/packages/core/limits/LossWatch.h
@@ -59,12 +59,15 @@
                               bool refused);
 
 /**
- * LossWatch_OnProbeUnclear() - a probe's connection was accepted and closed
+ * LossWatch_OnProbeUnclear() - a probe ended and shows nothing
+ * @accepted: its connection was accepted and closed, so that this host is not
+ *            cut off. A full upstream does this, and so does a proxy before one
+ *            that has ended
  *
- * A full upstream does this, and so does a proxy before one that has ended. The
- * probe is repeated until the decision.
+ * The probe is repeated, after a pause, until the decision.
  */
-void LossWatch_OnProbeUnclear(LossWatch *this, uint32_t upstream, Micros sent);
+void LossWatch_OnProbeUnclear(LossWatch *this, uint32_t upstream, Micros sent,
+                              bool accepted);
 
 /** LossWatch_OnUnreachable() - as many probes as are needed have failed */
 void LossWatch_OnUnreachable(LossWatch *this, uint32_t upstream);
--- a/packages/gateway/CrashGuard.c
+++ b/packages/gateway/CrashGuard.c
@@ -165,9 +165,10 @@
 }
 
 void
-CrashGuard_OnProbeUnclear(CrashGuard *this, uint32_t upstream, Micros sent)
+CrashGuard_OnProbeUnclear(CrashGuard *this, uint32_t upstream, Micros sent,
+                          bool accepted)
 {
-    LossWatch_OnProbeUnclear(this->watch, upstream, sent);
+    LossWatch_OnProbeUnclear(this->watch, upstream, sent, accepted);
 }
 
 void
--- a/packages/gateway/CrashGuard.h
+++ b/packages/gateway/CrashGuard.h
@@ -63,7 +63,7 @@
 
 /** CrashGuard_OnProbeUnclear() - see LossWatch_OnProbeUnclear() */
 void CrashGuard_OnProbeUnclear(CrashGuard *this, uint32_t upstream,
-                               Micros sent);
+                               Micros sent, bool accepted);
 
 /** CrashGuard_OnUnreachable() - the last probes of an upstream have failed */
 void CrashGuard_OnUnreachable(CrashGuard *this, uint32_t upstream);
--- a/packages/gateway/Dispatcher.c
+++ b/packages/gateway/Dispatcher.c
@@ -327,9 +327,14 @@
 {
     uint32_t end = UpstreamSet_IndexEnd(this->upstreams);
 
-    if (Placement_IsProbePending(this->placement, this->reference)) {
+    Micros now = Clock_Now(this->clock);
+
+    /* A probe that cannot be sent ends at once. */
+    if (now < this->reference_at ||
+        Placement_IsProbePending(this->placement, this->reference)) {
         return;
     }
+    this->reference_at = now + PROBE_WAIT_US;
     for (uint32_t i = 0; i < end; i++) {
         this->reference = (this->reference + 1) % end;
         if (this->reference != watched &&
@@ -622,13 +627,13 @@
         CrashGuard_OnAlive(this->guard, upstream, sent);
         break;
     case PROBE_ACCEPTED:
-        CrashGuard_OnProbeUnclear(this->guard, upstream, sent);
+    case PROBE_UNCLEAR:
+        CrashGuard_OnProbeUnclear(this->guard, upstream, sent,
+                                  result == PROBE_ACCEPTED);
         break;
     case PROBE_REFUSED:
         CrashGuard_OnProbeFailure(this->guard, upstream, sent, true);
         break;
-    case PROBE_UNCLEAR:
-        break;
     }
     if (report != NULL) {
         Placement_OnReport(this->placement, upstream, report);
--- a/packages/gateway/DispatcherPrivate.h
+++ b/packages/gateway/DispatcherPrivate.h
@@ -64,6 +64,7 @@
     UpstreamSet *upstreams;
     CrashGuard *guard;
     uint32_t reference;    /* upstream of the last reference probe */
+    Micros reference_at;   /* earliest time of the next one */
     GArray *probe_sent_at; /* Micros by upstream: last probe */
     RouteTable *routes;
     GPtrArray *retry_windows; /* RetryWindow by service */
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -570,6 +570,26 @@
     g_assert_cmpuint(f->sends, ==, 2);
 }
 
+/* Guards against a loop of probes that cannot be sent. */
+static void
+test_probe_that_fails_at_once(Fixture *f, gconstpointer data)
+{
+    Job *job = submit(f, "/once/1", 0);
+
+    report_load(f, 0);
+    g_assert_cmpuint(f->sends, ==, 1);
+    f->probes = 0;
+    end_attempt(f, job, ATTEMPT_RESULT_BROKEN, 0);
+    for (int i = 0; i < 10; i++) {
+        Dispatcher_OnProbeResult(f->dispatcher, f->last_probed, PROBE_UNCLEAR,
+                                 NULL);
+        take_actions(f);
+    }
+    g_assert_cmpuint(f->probes, <=, 2);
+    advance_time(f, 200 * MICROS_PER_MS);
+    g_assert_cmpuint(f->probes, <=, 4);
+}
+
 /* Guards against sending a request from the queue that is known to crash
  * upstreams by then. */
 static void
@@ -614,6 +634,8 @@
         test_unreachable_at_most_once);
     ADD("/dispatcher/retry-of-crashing-request", set_up,
         test_retry_of_crashing_request);
+    ADD("/dispatcher/probe-that-fails-at-once", set_up_probing,
+        test_probe_that_fails_at_once);
     ADD("/dispatcher/queued-crashing-request", set_up_probing,
         test_queued_crashing_request);
     ADD("/dispatcher/caller-gone", set_up_probing, test_caller_disconnect);
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -506,7 +506,7 @@
                                  action == PROBE_REFUSED);
         break;
     case PROBE_CLOSED:
-        LossWatch_OnProbeUnclear(watch, upstream, now);
+        LossWatch_OnProbeUnclear(watch, upstream, now, true);
         break;
     case PASS_MS:
         Clock_Advance(clock, upstream * MICROS_PER_MS);
