--- a/packages/core/limits/LossWatch.c
+++ b/packages/core/limits/LossWatch.c
@@ -16,7 +16,7 @@
     LostAttempt attempt;
     uint32_t probe_failures;
     Micros probe_at;        /* earliest time of the next probe */
-    bool reachable_network; /* the upstream's machine refused a probe */
+    bool reachable_network; /* the upstream's address responded */
 } Watched;
 
 /* The last response of an upstream. */
--- a/packages/core/limits/LossWatch.h
+++ b/packages/core/limits/LossWatch.h
@@ -9,8 +9,8 @@
  * An attempt that ends without a response does not show that its upstream has
  * ended: the connection may have been reset, the response lost, or this host
  * cut off. The attempt is kept until the upstream responds to something that
- * was sent later, which clears it, or until two probes in a row have failed or
- * a second has passed. It then counts as a loss if another upstream has
+ * was sent later, which clears it, or until two probes have failed or a second
+ * has passed. It then counts as a loss if another upstream has
  * responded to this host in the meantime.
  */
 typedef struct LossWatch_ LossWatch;
