--- a/tests/support/CrashSimulation.c
+++ b/tests/support/CrashSimulation.c
@@ -704,6 +704,8 @@
     sim->events = EventQueue_Create(sim->clock);
     sim->upstreams = CrashUpstreams_Create(
         options->upstream_count, sim->events, sim->random, apply_listing, sim);
+    CrashUpstreams_SetReplacementDelay(sim->upstreams,
+                                       options->replacement_delay);
     if (!options->isolated_hosts) {
         sim->channel =
             CrashChannel_Create(options->host_count, options->channel,
--- a/tests/support/CrashSimulation.h
+++ b/tests/support/CrashSimulation.h
@@ -32,6 +32,8 @@
  * @restart_interval: mean time between restarts of a host, 0 for none
  * @failure_interval: mean time between failures of several upstreams at once
  *                    that no request causes, 0 for none
+ * @replacement_delay: mean time after which another upstream takes the place
+ *                     of one that has ended; 0: it starts again later
  * @lost_ratio: fraction of the responses to other requests that are lost though
  *              the upstream goes on
  * @failure_ratio: fraction of the upstreams that fail then
@@ -45,6 +47,7 @@
     double normal_per_s, repeated_per_s;
     Micros restart_interval;
     Micros failure_interval;
+    Micros replacement_delay;
     double lost_ratio;
     double failure_ratio;
     CrashKind crash;
--- a/tests/support/CrashUpstreams.c
+++ b/tests/support/CrashUpstreams.c
@@ -24,6 +24,7 @@
     Upstream *all;
     uint32_t count;
     uint32_t next_id;
+    Micros replacement_delay; /* 0: ended upstreams start again */
     EventQueue *events;
     Random *random;
     CrashListHandler *on_list;
@@ -79,6 +80,12 @@
     return this;
 }
 
+void
+CrashUpstreams_SetReplacementDelay(CrashUpstreams *this, Micros mean)
+{
+    this->replacement_delay = mean;
+}
+
 void
 CrashUpstreams_Destroy(CrashUpstreams *this)
 {
@@ -144,7 +151,7 @@
     record->up = true;
     record->silent = false;
     record->running = 0;
-    if (Random_Below(this->random, 2) == 0) {
+    if (this->replacement_delay > 0 || Random_Below(this->random, 2) == 0) {
         record->id = create_id(this);
         record->listed = false;
     }
@@ -152,6 +159,16 @@
                    on_listed, this, upstream);
 }
 
+static Micros
+down_time(CrashUpstreams *this)
+{
+    if (this->replacement_delay > 0) {
+        return Random_Jitter(this->random, this->replacement_delay);
+    }
+    return DOWN_MIN_US +
+           (Micros)Random_Exponential(this->random, (double)DOWN_MEAN_US);
+}
+
 void
 CrashUpstreams_End(CrashUpstreams *this, uint32_t upstream, CrashKind kind)
 {
@@ -165,10 +182,7 @@
         (kind == CRASH_MIXED && Random_Below(this->random, 2) == 0);
     *event = (ListEvent){this, record->id, record->life};
     EventQueue_Add(this->events, LEASE_US, on_lease_end, event, upstream);
-    EventQueue_Add(this->events,
-                   DOWN_MIN_US + (Micros)Random_Exponential(
-                                     this->random, (double)DOWN_MEAN_US),
-                   restart, this, upstream);
+    EventQueue_Add(this->events, down_time(this), restart, this, upstream);
 }
 
 bool
--- a/tests/support/CrashUpstreams.h
+++ b/tests/support/CrashUpstreams.h
@@ -23,6 +23,12 @@
                                       Random *random,
                                       CrashListHandler *on_list, void *user);
 
+/**
+ * CrashUpstreams_SetReplacementDelay() - replace ended upstreams by new ones
+ * @mean: mean time from the end of an upstream to the start of another one
+ */
+void CrashUpstreams_SetReplacementDelay(CrashUpstreams *this, Micros mean);
+
 /** CrashUpstreams_Destroy() - release */
 void CrashUpstreams_Destroy(CrashUpstreams *this);
 
--- a/tests/test_crashing_request.c
+++ b/tests/test_crashing_request.c
@@ -118,6 +118,18 @@
     assert_bounded(&options);
 }
 
+static void
+test_replaced_upstreams(gconstpointer data)
+{
+    CrashOptions options = deployment;
+
+    options.crash = CRASH_MIXED;
+    options.resend_interval = 200 * MICROS_PER_MS;
+    options.replacement_delay = 500 * MICROS_PER_MS;
+    options.crashing_count = (unsigned)GPOINTER_TO_INT(data);
+    assert_bounded(&options);
+}
+
 static void
 test_channel(gconstpointer data)
 {
@@ -187,6 +199,10 @@
     g_test_add_func("/crashing-request/at-most-once", test_at_most_once);
     g_test_add_func("/crashing-request/fast-resends", test_fast_resends);
     g_test_add_func("/crashing-request/host-restarts", test_host_restarts);
+    g_test_add_data_func("/crashing-request/replaced-upstreams",
+                         GINT_TO_POINTER(1), test_replaced_upstreams);
+    g_test_add_data_func("/crashing-request/replaced-upstreams-of-two",
+                         GINT_TO_POINTER(2), test_replaced_upstreams);
     g_test_add_data_func("/crashing-request/slow-channel",
                          GINT_TO_POINTER(CHANNEL_SLOW), test_channel);
     g_test_add_data_func("/crashing-request/faulty-channel",
