gateway: read the limit that an upstream names

Cause: logs and metrics cannot tell whether a host knew of an upstream's request limit when it sent too much: nothing reads the field, and its name is not in the tree.

A text that is no number is logged and ignored. A probe ends a limit only if a probe has named it. Nothing is limited by it yet.

--- a/packages/agatecrankd/GatewayDaemon.c
+++ b/packages/agatecrankd/GatewayDaemon.c
@@ -344,6 +344,7 @@
         .dialect = &PLATFORM_DIALECT,
         .connections_max = CONNECTIONS_MAX,
         .reuse_idle = REUSE_IDLE_MAX_US,
+        .log = this->log,
         .on_update = on_gateway_update,
         .user = this,
     };
--- a/packages/gateway/Dialect.h
+++ b/packages/gateway/Dialect.h
@@ -3,6 +3,9 @@
 
 #include "Router.h"
 
+/** Names that the field of a limit may have */
+#define DIALECT_LIMITS_MAX 2
+
 /**
  * struct Dialect_ - header fields that a platform's callers and upstreams use
  * @attempt_id: id of a caller's attempt; upstreams return it
@@ -13,6 +16,10 @@
  * @instance_id: from a probed upstream: its id
  * @load: from an upstream: its load, parsed by @parse_load
  * @parse_load: returns 0 or ERR_PARSE
+ * @limits: from an upstream: requests per second that it accepts from all
+ *          hosts together, parsed by @parse_limit; the first field present
+ *          counts, and an empty name ends the list
+ * @parse_limit: returns 0 or ERR_PARSE
  */
 typedef struct Dialect_ {
     Str attempt_id;
@@ -23,6 +30,8 @@
     Str instance_id;
     Str load;
     int (*parse_load)(Str text, LoadReport *report);
+    Str limits[DIALECT_LIMITS_MAX];
+    int (*parse_limit)(Str text, double *per_s);
 } Dialect;
 
 #endif
--- a/packages/gateway/Dispatcher.c
+++ b/packages/gateway/Dispatcher.c
@@ -60,9 +60,10 @@
     this->counters = counters;
     this->services = NameTable_Create();
     this->domains = NameTable_Create();
+    this->limits = UpstreamLimits_Create(clock);
     this->placement =
         Placement_Create(NameTable_Intern(this->domains, options->domain),
-                         options->probes_per_s, clock, random);
+                         options->probes_per_s, this->limits, clock, random);
     this->upstreams =
         UpstreamSet_Create(this->placement, this->services, this->domains,
                            options->outage_grace, clock, log);
@@ -98,6 +99,7 @@
     g_array_free(this->probe_sent_at, TRUE);
     UpstreamSet_Destroy(this->upstreams);
     Placement_Destroy(this->placement);
+    UpstreamLimits_Destroy(this->limits);
     NameTable_Destroy(this->services);
     NameTable_Destroy(this->domains);
     g_free(this);
@@ -580,6 +582,53 @@
     return JOB_DISCARD;
 }
 
+static const char *
+limit_change_name(LimitChange change)
+{
+    switch (change) {
+    case LIMIT_CHANGE_NAMED:
+        return "named";
+    case LIMIT_CHANGE_UPDATED:
+        return "updated";
+    case LIMIT_CHANGE_ENDED:
+        return "ended";
+    case LIMIT_CHANGE_NONE:
+        break;
+    }
+    return "none";
+}
+
+static void
+on_limit(Dispatcher *this, uint32_t upstream, LimitNotice limit,
+         LimitSource source)
+{
+    const UpstreamRecord *record =
+        UpstreamSet_Record(this->upstreams, upstream);
+    LimitChange change;
+
+    /* The upstream may have been removed while the request was processed. */
+    if (record == NULL) {
+        return;
+    }
+    change = UpstreamLimits_OnResponse(this->limits, upstream, limit, source);
+    if (change == LIMIT_CHANGE_NONE) {
+        return;
+    }
+    Dispatcher_Count(this, "agatecrank_upstream_limit_changes_total", "change",
+                     Str_FromC(limit_change_name(change)));
+    Counters_Set(this->counters, "agatecrank_limited_upstreams", NULL, 0,
+                 UpstreamLimits_Count(this->limits));
+    if (EventLog_Begin(this->log, LOG_LEVEL_INFO, "upstream-limit")) {
+        EventLog_Str(this->log, "upstream", record->id);
+        EventLog_CStr(this->log, "change", limit_change_name(change));
+        EventLog_CStr(this->log, "source",
+                      source == LIMIT_SOURCE_PROBE ? "probe" : "request");
+        EventLog_Real(this->log, "per_s",
+                      UpstreamLimits_PerS(this->limits, upstream));
+        EventLog_End(this->log);
+    }
+}
+
 JobVerdict
 Dispatcher_OnAttemptEnd(Dispatcher *this, Job *job, const AttemptEndInfo *end)
 {
@@ -594,6 +643,7 @@
     if (end->report != NULL) {
         Placement_OnReport(this->placement, job->upstream, end->report);
     }
+    on_limit(this, job->upstream, end->limit, LIMIT_SOURCE_REQUEST);
     verdict = settle_attempt(job, end);
     settle_losses(this);
     JobPlacement_ServeQueue(this, service);
@@ -616,6 +666,12 @@
                : 0;
 }
 
+void
+Dispatcher_OnProbeLimit(Dispatcher *this, uint32_t upstream, LimitNotice limit)
+{
+    on_limit(this, upstream, limit, LIMIT_SOURCE_PROBE);
+}
+
 void
 Dispatcher_OnProbeResult(Dispatcher *this, uint32_t upstream,
                          ProbeResult result, const LoadReport *report)
--- a/packages/gateway/Dispatcher.h
+++ b/packages/gateway/Dispatcher.h
@@ -5,6 +5,7 @@
 #include "EventLog.h"
 #include "Placement.h"
 #include "RouteTable.h"
+#include "UpstreamLimits.h"
 
 /**
  * typedef Dispatcher - routes and dispatches the requests of a gateway host
@@ -90,11 +91,13 @@
  * struct AttemptEndInfo_ - the end of an attempt
  * @status: HTTP status of the response
  * @report: load report of the response, or NULL
+ * @limit: limit that the upstream names in the response
  */
 typedef struct AttemptEndInfo_ {
     AttemptResult result;
     int status;
     const LoadReport *report;
+    LimitNotice limit;
 } AttemptEndInfo;
 
 /** enum JobVerdict - whether an upstream's response is used */
@@ -239,6 +242,13 @@
 void Dispatcher_OnProbeResult(Dispatcher *this, uint32_t upstream,
                               ProbeResult result, const LoadReport *report);
 
+/**
+ * Dispatcher_OnProbeLimit() - the response to a DISPATCH_PROBE names a limit or
+ *     none; call it before Dispatcher_OnProbeResult()
+ */
+void Dispatcher_OnProbeLimit(Dispatcher *this, uint32_t upstream,
+                             LimitNotice limit);
+
 /**
  * Dispatcher_OnCallerDisconnect() - end a job whose caller has disconnected
  */
--- a/packages/gateway/DispatcherPrivate.h
+++ b/packages/gateway/DispatcherPrivate.h
@@ -62,6 +62,7 @@
     NameTable *domains;
     Placement *placement;
     UpstreamSet *upstreams;
+    UpstreamLimits *limits;
     CrashGuard *guard;
     uint32_t reference;    /* upstream of the last reference probe */
     Micros reference_at;   /* earliest time of the next one */
--- a/packages/gateway/Gateway.c
+++ b/packages/gateway/Gateway.c
@@ -202,6 +202,63 @@
     return ATTEMPT_RESULT_RESPONSE;
 }
 
+static void
+log_invalid_limit(const Gateway *this, Str text)
+{
+    Counters_Add(this->counters, "agatecrank_bad_limits_total", NULL, 0, 1);
+    if (EventLog_Begin(this->options.log, LOG_LEVEL_WARN, "bad-limit")) {
+        EventLog_Str(this->options.log, "text", text);
+        EventLog_End(this->options.log);
+    }
+}
+
+static LimitNotice
+read_limit(const Gateway *this, const HeaderList *headers)
+{
+    const Dialect *dialect = this->options.dialect;
+    LimitNotice limit = {.kind = LIMIT_ABSENT};
+
+    for (size_t i = 0; i < DIALECT_LIMITS_MAX && dialect->limits[i].length > 0;
+         i++) {
+        if (!HeaderList_Has(headers, dialect->limits[i])) {
+            continue;
+        }
+        limit.kind = LIMIT_NAMED;
+        if (dialect->parse_limit(HeaderList_Get(headers, dialect->limits[i]),
+                                 &limit.per_s) < 0) {
+            log_invalid_limit(this,
+                              HeaderList_Get(headers, dialect->limits[i]));
+            limit.kind = LIMIT_UNKNOWN;
+        }
+        return limit;
+    }
+    return limit;
+}
+
+/* A broken response or one of another upstream says nothing. One that was
+ * generated without executing the request may lack the limit. */
+static LimitNotice
+limit_of_response(const Exchange *exchange, AttemptResult result)
+{
+    LimitNotice limit = {.kind = LIMIT_UNKNOWN};
+
+    switch (result) {
+    case ATTEMPT_RESULT_RESPONSE:
+        return read_limit(exchange->gateway, exchange->response_headers);
+    case ATTEMPT_RESULT_NOT_RUN:
+        limit = read_limit(exchange->gateway, exchange->response_headers);
+        if (limit.kind == LIMIT_ABSENT) {
+            limit.kind = LIMIT_UNKNOWN;
+        }
+        break;
+    case ATTEMPT_RESULT_MOVED:
+    case ATTEMPT_RESULT_UNSENT:
+    case ATTEMPT_RESULT_BROKEN:
+        break;
+    }
+    return limit;
+}
+
 static JobVerdict
 report_attempt_end(Exchange *exchange, AttemptResult result)
 {
@@ -217,6 +274,7 @@
             &report) == 0) {
         end.report = &report;
     }
+    end.limit = limit_of_response(exchange, result);
     return Dispatcher_OnAttemptEnd(this->dispatcher, exchange->job, &end);
 }
 
@@ -378,6 +436,7 @@
     LoopTimer *timer;
     GString *instance;
     LoadReport report;
+    LimitNotice limit;
     uint32_t upstream;
     ProbeResult result;
     bool has_report;
@@ -396,6 +455,8 @@
                                   probe->connected);
     }
     else {
+        Dispatcher_OnProbeLimit(this->dispatcher, probe->upstream,
+                                probe->limit);
         Dispatcher_OnProbeResult(this->dispatcher, probe->upstream,
                                  probe->result,
                                  probe->has_report ? &probe->report : NULL);
@@ -429,10 +490,13 @@
 
     probe->result = result_of_instance(
         HeaderList_Get(headers, dialect->instance_id), instance);
+    if (!Str_Equal(HeaderList_Get(headers, dialect->instance_id), instance)) {
+        return;
+    }
     probe->has_report =
-        Str_Equal(HeaderList_Get(headers, dialect->instance_id), instance) &&
         dialect->parse_load(HeaderList_Get(headers, dialect->load),
                             &probe->report) == 0;
+    probe->limit = read_limit(probe->gateway, headers);
 }
 
 static void
@@ -453,6 +517,7 @@
     Probe *probe = user;
 
     probe->has_report = false;
+    probe->limit.kind = LIMIT_UNKNOWN;
     probe->result = PROBE_UNCLEAR;
     if (!maybe_sent) {
         probe->result = PROBE_REFUSED;
--- a/packages/gateway/Gateway.h
+++ b/packages/gateway/Gateway.h
@@ -18,6 +18,7 @@
  * @connections_max: limit on the connections to each upstream
  * @reuse_idle: longest idle time of a connection that is reused for a request
  *              that must not run twice: the peer may be about to close it
+ * @log: events of the state of the host
  * @on_update: called after events of the dispatcher were handled; may be NULL
  */
 typedef struct GatewayOptions_ {
@@ -26,6 +27,7 @@
     const Dialect *dialect;
     unsigned connections_max;
     Micros reuse_idle;
+    EventLog *log;
     void (*on_update)(void *user);
     void *user;
 } GatewayOptions;
--- a/packages/gateway/Placement.c
+++ b/packages/gateway/Placement.c
@@ -87,6 +87,7 @@
 struct Placement_ {
     const Clock *clock;
     Random *random;
+    UpstreamLimits *limits;
     uint32_t own_domain;
     float probes_per_s;
     float probe_tokens; /* probes that may be sent now */
@@ -105,13 +106,14 @@
 }
 
 Placement *
-Placement_Create(uint32_t own_domain, double probes_per_s, const Clock *clock,
-                 Random *random)
+Placement_Create(uint32_t own_domain, double probes_per_s,
+                 UpstreamLimits *limits, const Clock *clock, Random *random)
 {
     Placement *this = g_new0(Placement, 1);
 
     this->clock = clock;
     this->random = random;
+    this->limits = limits;
     this->own_domain = own_domain;
     this->probes_per_s = (float)probes_per_s;
     this->probe_tokens = INITIAL_PROBES_COUNT;
@@ -194,6 +196,7 @@
     service->inflight -= MIN(service->inflight, load->inflight);
     service->slots -= load->info.slots;
     load->present = false;
+    UpstreamLimits_Forget(this->limits, upstream);
     list = service->upstreams;
     for (guint i = 0; i < list->len; i++) {
         if (g_array_index(list, uint32_t, i) == upstream) {
--- a/packages/gateway/Placement.h
+++ b/packages/gateway/Placement.h
@@ -2,6 +2,7 @@
 #define AGATECRANK_GATEWAY_PLACEMENT_H
 
 #include "Router.h"
+#include "UpstreamLimits.h"
 
 /**
  * typedef Placement - chooses upstreams by current load reports
@@ -75,12 +76,14 @@
 } PlacementChoice;
 
 /**
- * Placement_Create() - @clock and @random are borrowed
+ * Placement_Create() - all pointers are borrowed
+ * @limits: limits of the upstreams, by the same indexes
  * @probes_per_s: mean rate of probes that an upstream may receive from all
  *                hosts together; 0 for no limit
  */
 Placement *Placement_Create(uint32_t own_domain, double probes_per_s,
-                            const Clock *clock, Random *random);
+                            UpstreamLimits *limits, const Clock *clock,
+                            Random *random);
 
 /** Placement_Destroy() - NULL is allowed */
 void Placement_Destroy(Placement *this);
--- a/tests/test_gateway_parts.c
+++ b/tests/test_gateway_parts.c
@@ -174,6 +174,7 @@
     Random *random;
     NameTable *services;
     NameTable *domains;
+    UpstreamLimits *limits;
     Placement *placement;
     UpstreamSet *set;
 } Fixture;
@@ -185,7 +186,9 @@
     f->random = Random_Create(1);
     f->services = NameTable_Create();
     f->domains = NameTable_Create();
-    f->placement = Placement_Create(OWN_DOMAIN, 0, f->clock, f->random);
+    f->limits = UpstreamLimits_Create(f->clock);
+    f->placement =
+        Placement_Create(OWN_DOMAIN, 0, f->limits, f->clock, f->random);
     f->set = UpstreamSet_Create(f->placement, f->services, f->domains,
                                 GRACE_US, f->clock, NULL);
 }
@@ -195,6 +198,7 @@
 {
     UpstreamSet_Destroy(f->set);
     Placement_Destroy(f->placement);
+    UpstreamLimits_Destroy(f->limits);
     NameTable_Destroy(f->services);
     NameTable_Destroy(f->domains);
     Random_Destroy(f->random);
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -10,6 +10,7 @@
 typedef struct Fixture_ {
     Clock *clock;
     Random *random;
+    UpstreamLimits *limits;
     Placement *placement;
 } Fixture;
 
@@ -18,13 +19,16 @@
 {
     f->clock = Clock_CreateManual(MICROS_PER_S, 0);
     f->random = Random_Create(7);
-    f->placement = Placement_Create(OWN_DOMAIN, 0, f->clock, f->random);
+    f->limits = UpstreamLimits_Create(f->clock);
+    f->placement =
+        Placement_Create(OWN_DOMAIN, 0, f->limits, f->clock, f->random);
 }
 
 static void
 tear_down(Fixture *f, gconstpointer data)
 {
     Placement_Destroy(f->placement);
+    UpstreamLimits_Destroy(f->limits);
     Random_Destroy(f->random);
     Clock_Destroy(f->clock);
 }
@@ -161,7 +165,9 @@
 {
     Clock *clock = Clock_CreateManual(MICROS_PER_S, 0);
     Random *random = Random_Create(7);
-    Placement *placement = Placement_Create(OWN_DOMAIN, 10, clock, random);
+    UpstreamLimits *limits = UpstreamLimits_Create(clock);
+    Placement *placement =
+        Placement_Create(OWN_DOMAIN, 10, limits, clock, random);
     PlacementQuery query = {.service = SERVICE};
     PlacementInfo info = {SERVICE, OWN_DOMAIN, SLOT_COUNT, 0};
     LoadReport half = {
@@ -189,6 +195,7 @@
     g_assert_cmpuint(sum, <=, 1000 + 200 + 100);
     g_assert_cmpuint(sum, >=, 800);
     Placement_Destroy(placement);
+    UpstreamLimits_Destroy(limits);
     Random_Destroy(random);
     Clock_Destroy(clock);
 }
@@ -221,7 +228,9 @@
 {
     Clock *clock = Clock_CreateManual(MICROS_PER_S, 0);
     Random *random = Random_Create(7);
-    Placement *placement = Placement_Create(OWN_DOMAIN, 1, clock, random);
+    UpstreamLimits *limits = UpstreamLimits_Create(clock);
+    Placement *placement =
+        Placement_Create(OWN_DOMAIN, 1, limits, clock, random);
     PlacementInfo info = {SERVICE, OWN_DOMAIN, SLOT_COUNT, 0};
     PlacementQuery query = {.service = SERVICE};
     uint32_t probed[PLACEMENT_PROBES_MAX];
@@ -241,6 +250,7 @@
         g_assert_false(Placement_TakeSpareProbe(placement));
     }
     Placement_Destroy(placement);
+    UpstreamLimits_Destroy(limits);
     Random_Destroy(random);
     Clock_Destroy(clock);
 }
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -212,6 +212,45 @@
     }
 }
 
+/* Guards against limits that are read from texts that name none. */
+static void
+test_limits(void)
+{
+    static const struct {
+        const char *text;
+        int code;
+        double per_s;
+    } cases[] = {
+        {"2.3", 0, 2.3},
+        {" 17 ", 0, 17},
+        {"0", 0, 0},
+        {"1000000", 0, 1e6},
+        {"", ERR_PARSE, 0},
+        {".", ERR_PARSE, 0},
+        {"-1", ERR_PARSE, 0},
+        {"1e3", ERR_PARSE, 0},
+        {"inf", ERR_PARSE, 0},
+        {"nan", ERR_PARSE, 0},
+        {"0x10", ERR_PARSE, 0},
+        {"2.3.4", ERR_PARSE, 0},
+        {"2,3", ERR_PARSE, 0},
+        {"1000001", ERR_PARSE, 0},
+        {"00000000000000000000000000000002", ERR_PARSE, 0},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        double per_s = 0;
+
+        g_test_message("%s", cases[i].text);
+        g_assert_cmpint(
+            PLATFORM_DIALECT.parse_limit(Str_FromC(cases[i].text), &per_s), ==,
+            cases[i].code);
+        if (cases[i].code == 0) {
+            g_assert_cmpfloat(per_s, ==, cases[i].per_s);
+        }
+    }
+}
+
 #define SETTINGS                                                              \
     "[host]\nid = \"h\"\ndomain = \"a\"\n[gateway]\n"                         \
     "callers = \"10.0.0.1:1\"\nreadiness = \"10.0.0.1:2\"\n"                  \
@@ -263,6 +302,7 @@
     g_test_add_func("/platform/upstream", test_upstream);
     g_test_add_func("/platform/mutations", test_mutations);
     g_test_add_func("/platform/load", test_load);
+    g_test_add_func("/platform/limits", test_limits);
     g_test_add_func("/platform/settings", test_settings);
     return g_test_run();
 }
