membership: tell live hosts of the platform from those that are gone

Cause: the list of hosts in the store only grows: a host writes its entry when it starts, nobody removes that of a host that has ended, and each entry stays a candidate for the relay. What hosts share out by that list would be left to hosts that are gone.

Change: HostRoster. Each host renews its entry every second reading of the list (120 s); an entry that was not renewed for 300 s, while the list could be read, is that of a host that is gone, and the first live host removes it, 32 at a time. Only offsets are compared, no clocks; an outage of the store restarts the wait, and an entry that disappears counts for two more minutes. It also says from when on the others know of a host that joins; the platform's setting for a first start tells that all join together. event=hosts.

Calls: one append and one read more in 120 s for each host; none within the first 120 s.

--- a/packages/agatecrankd/GatewayDaemon.c
+++ b/packages/agatecrankd/GatewayDaemon.c
@@ -299,6 +299,7 @@
         .host = settings->host_id,
         .domain = settings->domain,
         .relay = settings->relay,
+        .first_start = settings->first_start,
         .on_direct = on_direct_change,
         .user = this,
     };
--- a/packages/gateway/GatewaySettings.c
+++ b/packages/gateway/GatewaySettings.c
@@ -18,14 +18,15 @@
         NULL, 0, 0, false, 0, 0, NULL                                         \
     }
 
-/* Texts of the addresses before they are parsed. */
-typedef struct AddressTexts_ {
+/* The table [gateway] before its addresses are parsed. */
+typedef struct GatewayTable_ {
     Str callers;
     Str readiness;
     Str metrics;
     Str relay;
     Str store;
-} AddressTexts;
+    bool first_start;
+} GatewayTable;
 
 /* In the order of enum LogLevel. */
 static const char *const level_names[] = {"error", "warn", "info", "debug",
@@ -39,12 +40,14 @@
 };
 
 static const Field gateway_fields[] = {
-    {"callers", FIELD_TEXT, offsetof(AddressTexts, callers), true, 0, 0, NULL},
-    {"readiness", FIELD_TEXT, offsetof(AddressTexts, readiness), true, 0, 0,
+    {"callers", FIELD_TEXT, offsetof(GatewayTable, callers), true, 0, 0, NULL},
+    {"readiness", FIELD_TEXT, offsetof(GatewayTable, readiness), true, 0, 0,
      NULL},
-    {"metrics", FIELD_TEXT, offsetof(AddressTexts, metrics), true, 0, 0, NULL},
-    {"relay", FIELD_TEXT, offsetof(AddressTexts, relay), true, 0, 0, NULL},
-    {"store", FIELD_TEXT, offsetof(AddressTexts, store), true, 0, 0, NULL},
+    {"metrics", FIELD_TEXT, offsetof(GatewayTable, metrics), true, 0, 0, NULL},
+    {"relay", FIELD_TEXT, offsetof(GatewayTable, relay), true, 0, 0, NULL},
+    {"store", FIELD_TEXT, offsetof(GatewayTable, store), true, 0, 0, NULL},
+    {"first_start", FIELD_BOOL, offsetof(GatewayTable, first_start), false, 0,
+     0, NULL},
     FIELDS_END,
 };
 
@@ -108,24 +111,25 @@
               GatewayBoundsReader *read_bounds, Diagnostics *diagnostics)
 {
     const TomlNode *gateway = Toml_Find(root, STR("gateway"));
-    AddressTexts texts = {
-        {NULL, 0}, {NULL, 0}, {NULL, 0}, {NULL, 0}, {NULL, 0}};
+    GatewayTable table = {{NULL, 0}, {NULL, 0}, {NULL, 0},
+                          {NULL, 0}, {NULL, 0}, false};
 
     check_tables(root, diagnostics);
     Fields_Read(host_fields, Toml_Find(root, STR("host")), STR("host"), this,
                 this->arena, diagnostics);
-    Fields_Read(gateway_fields, gateway, STR("gateway"), &texts, this->arena,
+    Fields_Read(gateway_fields, gateway, STR("gateway"), &table, this->arena,
                 diagnostics);
     Fields_Read(logging_fields, Toml_Find(root, STR("logging")),
                 STR("logging"), this, this->arena, diagnostics);
-    read_address(gateway, "callers", texts.callers, &this->callers,
+    this->first_start = table.first_start;
+    read_address(gateway, "callers", table.callers, &this->callers,
                  diagnostics);
-    read_address(gateway, "readiness", texts.readiness, &this->readiness,
+    read_address(gateway, "readiness", table.readiness, &this->readiness,
                  diagnostics);
-    read_address(gateway, "metrics", texts.metrics, &this->metrics,
+    read_address(gateway, "metrics", table.metrics, &this->metrics,
                  diagnostics);
-    read_address(gateway, "relay", texts.relay, &this->relay, diagnostics);
-    read_address(gateway, "store", texts.store, &this->store, diagnostics);
+    read_address(gateway, "relay", table.relay, &this->relay, diagnostics);
+    read_address(gateway, "store", table.store, &this->store, diagnostics);
     read_bounds(Toml_Find(root, STR("bounds")), &this->bounds, diagnostics);
 }
 
--- a/packages/gateway/GatewaySettings.h
+++ b/packages/gateway/GatewaySettings.h
@@ -31,6 +31,7 @@
  * @callers, @readiness, @metrics: addresses to listen on
  * @relay: address on which other hosts read the store through this one
  * @store: address of the platform's store
+ * @first_start: the whole deployment starts for the first time
  * @log_level: a LogLevel
  * @decision_lines_per_s: limit on routine log lines
  * @bounds: see struct GatewayBounds_
@@ -44,6 +45,7 @@
     Endpoint metrics;
     Endpoint relay;
     Endpoint store;
+    bool first_start;
     uint32_t log_level;
     uint32_t decision_lines_per_s;
     GatewayBounds bounds;
--- a/packages/net/KeyedSource.c
+++ b/packages/net/KeyedSource.c
@@ -2,6 +2,7 @@
 
 #include <glib.h>
 
+#include "HostRoster.h"
 #include "HttpFetch.h"
 #include "KeyedCodec.h"
 
@@ -29,8 +30,8 @@
  * which then contains all hosts that started at the same time. */
 #define LIST_REREAD_DELAY_US (900 * MICROS_PER_MS)
 #define LIST_RETRY_DELAY_US (3 * MICROS_PER_S)
-/* Interval of the reads of the list, which detect replaced hosts. */
-#define LIST_READ_INTERVAL_US (60 * MICROS_PER_S)
+/* Entries of hosts that are gone are removed in batches of this size. */
+#define REMOVALS_MAX 32
 #define LOG_CALL_TIMEOUT_US (1 * MICROS_PER_S)
 #define RESPONSE_BYTES_MAX (64 * 1024 * 1024)
 
@@ -49,6 +50,7 @@
     KeyedSourceOptions options;
     char *own_id;
     KeyedLog interface;
+    HostRoster *roster;
     GPtrArray *peers;          /* Peer, ordered by id */
     GPtrArray *unlisted_peers; /* Peer of the previous list */
     LoopTimer *list_timer;
@@ -362,20 +364,31 @@
     return g_strcmp0((*(Peer *const *)a)->id, (*(Peer *const *)b)->id);
 }
 
-/* Adds the host of a registration, whose value is "DOMAIN ADDRESS:PORT". */
+/* Reads a registration, whose value is "DOMAIN ADDRESS:PORT". */
+static bool
+parse_registration(const KeyedRecord *record, Str *domain, Endpoint *endpoint)
+{
+    Str text = record->value;
+
+    return !record->removed && record->key.length > 0 &&
+           Str_Split(&text, ' ', domain) &&
+           Endpoint_Parse(text, endpoint) == 0;
+}
+
+/* Adds the host of a registration if it can be a relay for this one. */
 static void
 add_peer(KeyedSource *this, const KeyedRecord *record, GPtrArray *peers)
 {
     HttpClientOptions options = {.connect_timeout = RELAY_CONNECT_TIMEOUT_US};
-    Str text = record->value, domain;
     Endpoint endpoint;
+    Str domain;
     Peer *peer;
     char *url;
 
-    if (record->removed || !Str_Split(&text, ' ', &domain) ||
+    if (!parse_registration(record, &domain, &endpoint) ||
         !Str_Equal(domain, this->options.domain) ||
         Str_Equal(record->key, this->options.host) ||
-        Endpoint_Parse(text, &endpoint) < 0) {
+        !HostRoster_IsLive(this->roster, record->key)) {
         return;
     }
     peer = g_new0(Peer, 1);
@@ -406,11 +419,48 @@
     return same;
 }
 
+static void
+log_hosts(const KeyedSource *this, size_t listed, size_t live)
+{
+    Micros known_from = HostRoster_KnownFrom(this->roster);
+
+    if (EventLog_Begin(this->log, LOG_LEVEL_INFO, "hosts")) {
+        EventLog_Int(this->log, "live", (int64_t)live);
+        EventLog_Int(this->log, "listed", (int64_t)listed);
+        EventLog_Int(this->log, "known_in_ms",
+                     known_from == INT64_MAX
+                         ? -1
+                         : MAX(known_from - now(this), 0) / MICROS_PER_MS);
+        EventLog_End(this->log);
+    }
+}
+
+static void
+update_roster(KeyedSource *this, const KeyedPage *page)
+{
+    GArray *ids = g_array_new(FALSE, FALSE, sizeof(Str));
+    Endpoint endpoint;
+    Str domain;
+
+    HostRoster_BeginList(this->roster);
+    for (size_t i = 0; i < page->count; i++) {
+        if (parse_registration(&page->records[i], &domain, &endpoint)) {
+            HostRoster_PutEntry(this->roster, page->records[i].key,
+                                page->records[i].offset);
+        }
+    }
+    HostRoster_EndList(this->roster);
+    HostRoster_Live(this->roster, ids);
+    log_hosts(this, page->count, ids->len);
+    g_array_free(ids, TRUE);
+}
+
 static void
 apply_list(KeyedSource *this, const KeyedPage *page)
 {
     GPtrArray *peers = g_ptr_array_new_with_free_func(destroy_peer);
 
+    update_roster(this, page);
     this->registered = false;
     for (size_t i = 0; i < page->count; i++) {
         this->registered =
@@ -445,6 +495,42 @@
                     code == 0 ? LIST_REREAD_DELAY_US : LIST_RETRY_DELAY_US);
 }
 
+static void
+on_removed(void *user, int code)
+{
+    KeyedSource *this = user;
+
+    if (code < 0 && !Loop_IsClosing(this->loop) &&
+        EventLog_Begin(this->log, LOG_LEVEL_INFO, "hosts-unremoved")) {
+        EventLog_CStr(this->log, "reason", Error_Name(code));
+        EventLog_End(this->log);
+    }
+}
+
+/* Removes the entries of hosts that are gone, at most a batch. */
+static void
+remove_gone_hosts(KeyedSource *this)
+{
+    const KeyedLog *keyed_log = this->keyed_log;
+    GArray *ids = g_array_new(FALSE, FALSE, sizeof(Str));
+    KeyedRecord records[REMOVALS_MAX];
+    size_t n;
+
+    HostRoster_Removable(this->roster, ids);
+    n = MIN(ids->len, REMOVALS_MAX);
+    for (size_t i = 0; i < n; i++) {
+        records[i] = (KeyedRecord){.key = g_array_index(ids, Str, i),
+                                   .value = STR(""),
+                                   .removed = true};
+    }
+    if (n > 0) {
+        this->log_calls++;
+        keyed_log->append(keyed_log->self, STR(HOSTS_TOPIC), records, n,
+                          LOG_CALL_TIMEOUT_US, on_removed, this);
+    }
+    g_array_free(ids, TRUE);
+}
+
 static void
 register_host(KeyedSource *this)
 {
@@ -470,12 +556,19 @@
     if (page->code == 0) {
         apply_list(this, page);
     }
+    else {
+        HostRoster_OnReadFailure(this->roster);
+    }
     start_queued_reads(this);
-    if (page->code == 0 && !this->registered) {
+    if (page->code == 0 &&
+        (!this->registered || HostRoster_NeedsRenewal(this->roster))) {
         register_host(this);
         return;
     }
-    LoopTimer_Start(this->list_timer, page->code == 0 ? LIST_READ_INTERVAL_US
+    if (page->code == 0) {
+        remove_gone_hosts(this);
+    }
+    LoopTimer_Start(this->list_timer, page->code == 0 ? HOST_LIST_INTERVAL_US
                                                       : LIST_RETRY_DELAY_US);
 }
 
@@ -504,6 +597,8 @@
     this->log = log;
     this->options = *options;
     this->own_id = g_strndup(options->host.data, options->host.length);
+    this->roster =
+        HostRoster_Create(options->host, options->first_start, this->clock);
     this->interface = (KeyedLog){this, read_newest, read_tail, NULL};
     this->peers = g_ptr_array_new_with_free_func(destroy_peer);
     this->unlisted_peers = g_ptr_array_new_with_free_func(destroy_peer);
@@ -524,6 +619,7 @@
         return;
     }
     LoopTimer_Destroy(this->list_timer);
+    HostRoster_Destroy(this->roster);
     g_free(this->own_id);
     g_queue_free_full(this->queued_reads, destroy_read);
     g_queue_free_full(this->rejected_reads, destroy_read);
--- a/packages/net/KeyedSource.h
+++ b/packages/net/KeyedSource.h
@@ -20,6 +20,7 @@
  * struct KeyedSourceOptions_ - settings
  * @host, @domain: id and failure domain of this host
  * @relay: address and port of this host's KeyedRelay
+ * @first_start: see HostRoster_Create()
  * @on_direct: called when this host begins (@direct set) or ceases to read the
  *             log directly
  */
@@ -27,6 +28,7 @@
     Str host;
     Str domain;
     Endpoint relay;
+    bool first_start;
     void (*on_direct)(void *user, bool direct);
     void *user;
 } KeyedSourceOptions;
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -273,6 +273,8 @@
         {SETTINGS "store = \"store:5\"\n", false},
         {SETTINGS "store = \"10.0.0.2:5\"\nspeed = 1\n", false},
         {SETTINGS "store = \"10.0.0.2:5\"\n[bounds]\ndrainS = \"2\"\n", false},
+        {SETTINGS "store = \"10.0.0.2:5\"\nfirst_start = true\n", true},
+        {SETTINGS "store = \"10.0.0.2:5\"\nfirst_start = 1\n", false},
         {SETTINGS "store = \"10.0.0.2:5\"\n[other]\n", false},
     };
 
