gateway: keep the limit that an upstream names over all hosts together

What callers and upstreams saw: an upstream in need that named a limit of 2.3 requests a second got 22 in 4 s where 19 are allowed, like every other upstream.

Cause: no host kept the limit, and each host alone cannot: 20 hosts with one request each exceed what 2.3 a second allow in 4 s, and none knows what the others send. A bound on all hosts together without a part for each of them.

Change: UpstreamLimits divides the limit among a few hosts, three and one more for each request per second, chosen by rendezvous hashing over the list of live hosts and the incarnation of the upstream; the others send it nothing. So no message and no call to the store is added. Each part is a token bucket that starts empty. Every send asks it: retries, moved attempts, the queue. A host that joins waits until all others have it in their lists. Hosts without a part learn of the end by a probe a second (less often with many hosts), or by rare requests where probes name no limit. What cannot be sent is refused at once (reason upstream-limits) with the time until this host may send again as Retry-After.

--- a/packages/agatecrankd/GatewayDaemon.c
+++ b/packages/agatecrankd/GatewayDaemon.c
@@ -277,6 +277,14 @@
     KeyedRelay_SetDirect(this->relay, direct);
 }
 
+static void
+on_hosts(void *user, const Str *ids, size_t count, Micros known_from)
+{
+    GatewayDaemon *this = user;
+
+    Dispatcher_SetHosts(this->dispatcher, ids, count, known_from);
+}
+
 static void
 on_relay_request(void *user)
 {
@@ -301,6 +309,7 @@
         .relay = settings->relay,
         .first_start = settings->first_start,
         .on_direct = on_direct_change,
+        .on_hosts = on_hosts,
         .user = this,
     };
 
--- a/packages/core/limits/UpstreamLimits.c
+++ b/packages/core/limits/UpstreamLimits.c
@@ -7,25 +7,58 @@
 /* Ratio of a limit to the one reported last above which it is reported as
  * changed; a limit may differ slightly in each response. */
 #define REPORTED_CHANGE_RATIO 1.25
+/* Hosts that share a limit: this many, and one more for each request per
+ * second. If each of them sends a request at the same moment, the upstream gets
+ * no more than it accepts in a few seconds. */
+#define SHARING_HOSTS_MIN 3
+/* Requests that a host accumulates: one, or its part of this time. */
+#define BURST_US (500 * MICROS_PER_MS)
+/* Interval at which hosts that may not send an upstream anything probe it: a
+ * second, or more with more hosts, so that the upstream gets few probes. */
+#define PROBE_INTERVAL_MIN_US (1 * MICROS_PER_S)
+#define PROBE_INTERVAL_PER_HOST_US (50 * MICROS_PER_MS)
+/* Where probes name no limit, a host without a part learns of its end only by a
+ * request. All hosts together send such requests at this part of the limit,
+ * each one in a short time only, so that they do not accumulate. */
+#define TRIAL_RATIO 0.25
+#define TRIAL_TIME_US (1 * MICROS_PER_S)
+#define TRIAL_INTERVAL_MIN_US (10 * MICROS_PER_S)
+#define TRIAL_INTERVAL_MAX_US (120 * MICROS_PER_S)
+#define NOT_LISTED UINT32_MAX
 
 typedef struct Limit_ {
     double per_s;          /* NO_LIMIT for none */
     double reported_per_s; /* at the last LimitChange */
-    bool named_by_probes;  /* a probe has named the limit in force */
+    double part_per_s;     /* of this host */
+    double tokens;         /* requests that this host may send now */
+    Micros refilled_at;
+    Micros heard_at; /* last response of the upstream */
+    Micros trial_at; /* start of the next trial, without a part */
+    uint32_t instance;
+    uint32_t list; /* number of the list that the part is computed from */
+    bool named_by_probes; /* a probe has named the limit in force */
 } Limit;
 
 struct UpstreamLimits_ {
     const Clock *clock;
+    Random *random;
+    uint64_t own_key;
+    GArray *host_keys; /* uint64_t */
+    uint32_t list;     /* number of the list of hosts */
+    Micros known_from;
     GArray *limits; /* Limit by upstream */
     uint32_t count; /* upstreams with a limit */
 };
 
 UpstreamLimits *
-UpstreamLimits_Create(const Clock *clock)
+UpstreamLimits_Create(Str host, const Clock *clock, Random *random)
 {
     UpstreamLimits *this = g_new0(UpstreamLimits, 1);
 
     this->clock = clock;
+    this->random = random;
+    this->own_key = Str_Hash(host);
+    this->host_keys = g_array_new(FALSE, FALSE, sizeof(uint64_t));
     this->limits = g_array_new(FALSE, TRUE, sizeof(Limit));
     return this;
 }
@@ -36,6 +69,7 @@
     if (this == NULL) {
         return;
     }
+    g_array_free(this->host_keys, TRUE);
     g_array_free(this->limits, TRUE);
     g_free(this);
 }
@@ -52,16 +86,197 @@
 }
 
 /* Returns NULL without a limit. */
-static const Limit *
+static Limit *
 find_limit(const UpstreamLimits *this, uint32_t upstream)
 {
-    const Limit *limit = upstream < this->limits->len
-                             ? &g_array_index(this->limits, Limit, upstream)
-                             : NULL;
+    Limit *limit = upstream < this->limits->len
+                       ? &g_array_index(this->limits, Limit, upstream)
+                       : NULL;
 
     return limit != NULL && limit->per_s >= 0 ? limit : NULL;
 }
 
+/* ---- parts ----------------------------------------------------------- */
+
+void
+UpstreamLimits_SetHosts(UpstreamLimits *this, const Str *hosts, size_t count,
+                        Micros known_from)
+{
+    g_array_set_size(this->host_keys, 0);
+    for (size_t i = 0; i < count; i++) {
+        uint64_t key = Str_Hash(hosts[i]);
+
+        g_array_append_val(this->host_keys, key);
+    }
+    this->known_from = known_from;
+    this->list++;
+}
+
+static uint64_t
+weight_of(uint64_t host_key, uint32_t instance)
+{
+    return Str_HashSeeded((Str){(const char *)&host_key, sizeof(host_key)},
+                          instance);
+}
+
+/* Returns the number of hosts that precede this one for the upstream. */
+static uint32_t
+rank(const UpstreamLimits *this, uint32_t instance)
+{
+    uint64_t own = weight_of(this->own_key, instance);
+    bool listed = false;
+    uint32_t before = 0;
+
+    for (guint i = 0; i < this->host_keys->len; i++) {
+        uint64_t key = g_array_index(this->host_keys, uint64_t, i);
+
+        listed = listed || key == this->own_key;
+        before += weight_of(key, instance) < own;
+    }
+    return listed ? before : NOT_LISTED;
+}
+
+static void
+update_part(UpstreamLimits *this, Limit *limit)
+{
+    double sharing = MIN(SHARING_HOSTS_MIN + floor(limit->per_s),
+                         (double)this->host_keys->len);
+
+    limit->list = this->list;
+    limit->part_per_s = (double)rank(this, limit->instance) < sharing
+                            ? limit->per_s / sharing
+                            : 0;
+}
+
+/* Brings part and tokens of the limit up to date. */
+static void
+refill(UpstreamLimits *this, Limit *limit)
+{
+    Micros now = Clock_Now(this->clock);
+    Micros since = MAX(limit->refilled_at, this->known_from);
+    double burst;
+
+    if (limit->list != this->list) {
+        update_part(this, limit);
+    }
+    burst = MAX(limit->part_per_s * BURST_US / MICROS_PER_S, 1);
+    if (now > since) {
+        limit->tokens +=
+            limit->part_per_s * (double)(now - since) / MICROS_PER_S;
+    }
+    limit->tokens = MIN(limit->tokens, burst);
+    limit->refilled_at = now;
+}
+
+static bool
+has_part(const UpstreamLimits *this, const Limit *limit)
+{
+    return limit->part_per_s > 0 && Clock_Now(this->clock) >= this->known_from;
+}
+
+static Micros
+trial_interval(const UpstreamLimits *this, const Limit *limit)
+{
+    double interval = this->host_keys->len * (double)MICROS_PER_S /
+                      (TRIAL_RATIO * limit->per_s);
+
+    if (this->host_keys->len == 0 || !(interval < TRIAL_INTERVAL_MAX_US)) {
+        return TRIAL_INTERVAL_MAX_US;
+    }
+    return MAX((Micros)interval, TRIAL_INTERVAL_MIN_US);
+}
+
+static void
+schedule_trial(UpstreamLimits *this, Limit *limit)
+{
+    limit->trial_at = Clock_Now(this->clock) +
+                      Random_Jitter(this->random, trial_interval(this, limit));
+}
+
+static bool
+is_trial_due(UpstreamLimits *this, Limit *limit)
+{
+    Micros now = Clock_Now(this->clock);
+
+    if (limit->named_by_probes) {
+        return false;
+    }
+    if (now > limit->trial_at + TRIAL_TIME_US) {
+        schedule_trial(this, limit);
+    }
+    return now >= limit->trial_at;
+}
+
+bool
+UpstreamLimits_MaySend(UpstreamLimits *this, uint32_t upstream)
+{
+    Limit *limit = this->count > 0 ? find_limit(this, upstream) : NULL;
+
+    if (limit == NULL) {
+        return true;
+    }
+    refill(this, limit);
+    return has_part(this, limit) ? limit->tokens >= 1
+                                 : is_trial_due(this, limit);
+}
+
+void
+UpstreamLimits_OnSent(UpstreamLimits *this, uint32_t upstream)
+{
+    Limit *limit = this->count > 0 ? find_limit(this, upstream) : NULL;
+
+    if (limit == NULL) {
+        return;
+    }
+    refill(this, limit);
+    if (has_part(this, limit)) {
+        limit->tokens -= 1;
+    }
+    else {
+        schedule_trial(this, limit);
+    }
+}
+
+Micros
+UpstreamLimits_Wait(UpstreamLimits *this, uint32_t upstream)
+{
+    Limit *limit = find_limit(this, upstream);
+
+    if (limit == NULL || UpstreamLimits_MaySend(this, upstream)) {
+        return 0;
+    }
+    if (!has_part(this, limit)) {
+        return -1;
+    }
+    return (Micros)((1 - limit->tokens) / limit->part_per_s * MICROS_PER_S);
+}
+
+bool
+UpstreamLimits_IsProbeDue(UpstreamLimits *this, uint32_t upstream)
+{
+    const Limit *limit = this->count > 0 ? find_limit(this, upstream) : NULL;
+    Micros interval =
+        MAX(PROBE_INTERVAL_MIN_US,
+            (Micros)this->host_keys->len * PROBE_INTERVAL_PER_HOST_US);
+
+    return limit != NULL && !UpstreamLimits_MaySend(this, upstream) &&
+           Clock_Now(this->clock) - limit->heard_at >= interval;
+}
+
+double
+UpstreamLimits_PartPerS(UpstreamLimits *this, uint32_t upstream)
+{
+    Limit *limit = find_limit(this, upstream);
+
+    if (limit == NULL) {
+        return NO_LIMIT;
+    }
+    refill(this, limit);
+    return has_part(this, limit) ? limit->part_per_s : 0;
+}
+
+/* ---- limits ---------------------------------------------------------- */
+
 static bool
 is_valid(double per_s)
 {
@@ -75,28 +290,47 @@
     this->count--;
 }
 
+/* A new limit starts without tokens: the host has just sent requests. */
+static void
+start_limit(UpstreamLimits *this, Limit *limit, uint32_t instance)
+{
+    limit->tokens = 0;
+    limit->refilled_at = Clock_Now(this->clock);
+    limit->instance = instance;
+    schedule_trial(this, limit);
+    this->count++;
+}
+
 static LimitChange
-set_limit(UpstreamLimits *this, Limit *limit, double per_s)
+set_limit(UpstreamLimits *this, Limit *limit, uint32_t instance, double per_s)
 {
     bool is_new = limit->per_s < 0;
     double low = MIN(per_s, limit->reported_per_s);
     double high = MAX(per_s, limit->reported_per_s);
 
+    if (!is_new) {
+        refill(this, limit);
+    }
     limit->per_s = per_s;
+    if (is_new) {
+        start_limit(this, limit, instance);
+    }
+    update_part(this, limit);
     if (!is_new && high <= REPORTED_CHANGE_RATIO * low) {
         return LIMIT_CHANGE_NONE;
     }
     limit->reported_per_s = per_s;
-    this->count += is_new;
     return is_new ? LIMIT_CHANGE_NAMED : LIMIT_CHANGE_UPDATED;
 }
 
 LimitChange
 UpstreamLimits_OnResponse(UpstreamLimits *this, uint32_t upstream,
-                          LimitNotice notice, LimitSource source)
+                          uint32_t instance, LimitNotice notice,
+                          LimitSource source)
 {
     Limit *limit = limit_at(this, upstream);
 
+    limit->heard_at = Clock_Now(this->clock);
     switch (notice.kind) {
     case LIMIT_UNKNOWN:
         break;
@@ -112,7 +346,7 @@
             break;
         }
         limit->named_by_probes |= source == LIMIT_SOURCE_PROBE;
-        return set_limit(this, limit, notice.per_s);
+        return set_limit(this, limit, instance, notice.per_s);
     }
     return LIMIT_CHANGE_NONE;
 }
--- a/packages/core/limits/UpstreamLimits.h
+++ b/packages/core/limits/UpstreamLimits.h
@@ -5,10 +5,19 @@
 #include <stdint.h>
 
 #include "Clock.h"
+#include "Random.h"
+#include "Str.h"
 
 /**
  * typedef UpstreamLimits - request rates that upstreams accept from all hosts
  *     together, as named in their responses
+ *
+ * Answers the load of an upstream in need behind many hosts, none of which
+ * knows what the others send. A few hosts have equal parts of the limit; their
+ * number grows with it, because each host can have one request in hand at any
+ * time. Which ones follows by rendezvous hashing from the list of hosts and the
+ * incarnation of the upstream, so that hosts with the same list agree without a
+ * message. The other hosts send it nothing.
  */
 typedef struct UpstreamLimits_ UpstreamLimits;
 
@@ -45,25 +54,66 @@
     LIMIT_CHANGE_ENDED,
 } LimitChange;
 
-/** UpstreamLimits_Create() - no limits; @clock is borrowed */
-UpstreamLimits *UpstreamLimits_Create(const Clock *clock);
+/**
+ * UpstreamLimits_Create() - no limits and no hosts
+ * @host: id of this host
+ *
+ * @clock and @random are borrowed.
+ */
+UpstreamLimits *UpstreamLimits_Create(Str host, const Clock *clock,
+                                      Random *random);
 
 /** UpstreamLimits_Destroy() - NULL is allowed */
 void UpstreamLimits_Destroy(UpstreamLimits *this);
 
+/**
+ * UpstreamLimits_SetHosts() - set the hosts that share the limits
+ * @hosts: ids of the live hosts, in any order
+ * @known_from: time from which all of them have this host in their list
+ *
+ * A host that is not in its own list, or not yet in that of the others, has no
+ * part of any limit.
+ */
+void UpstreamLimits_SetHosts(UpstreamLimits *this, const Str *hosts,
+                             size_t count, Micros known_from);
+
 /**
  * UpstreamLimits_OnResponse() - an upstream has responded
+ * @instance: identifies its incarnation on all hosts
  *
  * Limits that are negative, not finite or above UPSTREAM_LIMIT_MAX_PER_S are
  * ignored. Some upstreams may name their limit in responses to requests only,
  * so a probe ends a limit only if probes have named it.
  */
 LimitChange UpstreamLimits_OnResponse(UpstreamLimits *this, uint32_t upstream,
-                                      LimitNotice notice, LimitSource source);
+                                      uint32_t instance, LimitNotice notice,
+                                      LimitSource source);
 
 /** UpstreamLimits_Forget() - the index is used by another upstream from now */
 void UpstreamLimits_Forget(UpstreamLimits *this, uint32_t upstream);
 
+/** UpstreamLimits_MaySend() - whether the upstream may get a request now */
+bool UpstreamLimits_MaySend(UpstreamLimits *this, uint32_t upstream);
+
+/** UpstreamLimits_OnSent() - the upstream is sent a request */
+void UpstreamLimits_OnSent(UpstreamLimits *this, uint32_t upstream);
+
+/**
+ * UpstreamLimits_Wait() - time until the upstream may get a request
+ *
+ * Return: 0 if it may now, -1 if this host has no part of its limit.
+ */
+Micros UpstreamLimits_Wait(UpstreamLimits *this, uint32_t upstream);
+
+/**
+ * UpstreamLimits_IsProbeDue() - whether to ask an upstream if it still has its
+ *     limit, because it may not get a request
+ */
+bool UpstreamLimits_IsProbeDue(UpstreamLimits *this, uint32_t upstream);
+
+/** UpstreamLimits_PartPerS() - part of this host, -1 without a limit */
+double UpstreamLimits_PartPerS(UpstreamLimits *this, uint32_t upstream);
+
 /** UpstreamLimits_PerS() - the limit of an upstream, -1 if it has none */
 double UpstreamLimits_PerS(const UpstreamLimits *this, uint32_t upstream);
 
--- a/packages/gateway/Dispatcher.c
+++ b/packages/gateway/Dispatcher.c
@@ -14,6 +14,9 @@
 /* Mean Retry-After while there is spare capacity; the round trip to the caller
  * takes about as long. */
 #define RETRY_AFTER_SOON_US (20 * MICROS_PER_MS)
+/* Longest time until a part of a limit is available that is told to callers;
+ * other hosts may have parts left. */
+#define RETRY_AFTER_LIMITS_MAX_US (1 * MICROS_PER_S)
 /* Mean Retry-After of a host without a configuration, which usually arrives
  * within this time. */
 #define RETRY_AFTER_STARTUP_US (1 * MICROS_PER_S)
@@ -60,7 +63,7 @@
     this->counters = counters;
     this->services = NameTable_Create();
     this->domains = NameTable_Create();
-    this->limits = UpstreamLimits_Create(clock);
+    this->limits = UpstreamLimits_Create(options->host, clock, random);
     this->placement =
         Placement_Create(NameTable_Intern(this->domains, options->domain),
                          options->probes_per_s, this->limits, clock, random);
@@ -274,6 +277,16 @@
     Job_End(job);
 }
 
+/* Returns the time until this host may send an upstream of the job's service a
+ * request again, or somewhat more, so that rejected callers do not return at
+ * the same time. */
+static Micros
+retry_after_limits(Dispatcher *this, Micros wait)
+{
+    wait = CLAMP(wait, RETRY_AFTER_FULL_US, RETRY_AFTER_LIMITS_MAX_US);
+    return wait + (Micros)Random_Below(this->random, (uint64_t)wait);
+}
+
 /* Returns a short time if there is spare capacity, as an upstream that rejects
  * requests at random may accept the next attempt, and a longer one if the
  * service is full. */
@@ -283,12 +296,17 @@
     Dispatcher *this = job->owner;
     PlacementQuery query = {.service = job->service};
     PlacementChoice choice;
-    bool has_capacity =
-        Placement_Choose(this->placement, &query, &choice) == 0 &&
-        choice.has_capacity;
+    Micros wait;
 
-    return Random_Jitter(this->random, has_capacity ? RETRY_AFTER_SOON_US
-                                                    : RETRY_AFTER_FULL_US);
+    if (Placement_Choose(this->placement, &query, &choice) == 0) {
+        return Random_Jitter(this->random, choice.has_capacity
+                                               ? RETRY_AFTER_SOON_US
+                                               : RETRY_AFTER_FULL_US);
+    }
+    if (Placement_LimitWait(this->placement, &query, &wait)) {
+        return retry_after_limits(this, wait);
+    }
+    return Random_Jitter(this->random, RETRY_AFTER_FULL_US);
 }
 
 /* A 503 promises that the request was not executed. */
@@ -426,6 +444,13 @@
     return UpstreamSet_Count(this->upstreams);
 }
 
+void
+Dispatcher_SetHosts(Dispatcher *this, const Str *hosts, size_t count,
+                    Micros known_from)
+{
+    UpstreamLimits_SetHosts(this->limits, hosts, count, known_from);
+}
+
 /* ---- requests ------------------------------------------------------- */
 
 RetryWindow *
@@ -505,9 +530,7 @@
     job->fingerprint =
         CrashGuard_Fingerprint(info->method, info->path, info->body);
     RetryWindow_OnRequest(Job_RetryWindow(job));
-    if (!Job_RefuseCrashing(job) && !JobPlacement_Place(job)) {
-        Job_Abandon(job, "no-upstream");
-    }
+    JobPlacement_Resume(job);
 }
 
 Job *
@@ -610,7 +633,8 @@
     if (record == NULL) {
         return;
     }
-    change = UpstreamLimits_OnResponse(this->limits, upstream, limit, source);
+    change = UpstreamLimits_OnResponse(this->limits, upstream,
+                                       record->instance, limit, source);
     if (change == LIMIT_CHANGE_NONE) {
         return;
     }
@@ -625,6 +649,8 @@
                       source == LIMIT_SOURCE_PROBE ? "probe" : "request");
         EventLog_Real(this->log, "per_s",
                       UpstreamLimits_PerS(this->limits, upstream));
+        EventLog_Real(this->log, "part_per_s",
+                      UpstreamLimits_PartPerS(this->limits, upstream));
         EventLog_End(this->log);
     }
 }
--- a/packages/gateway/Dispatcher.h
+++ b/packages/gateway/Dispatcher.h
@@ -203,6 +203,13 @@
 void Dispatcher_SetSourceReachable(Dispatcher *this, bool reachable,
                                    Micros since);
 
+/**
+ * Dispatcher_SetHosts() - set the live hosts, with which this one shares the
+ *     limits that upstreams name; see UpstreamLimits_SetHosts()
+ */
+void Dispatcher_SetHosts(Dispatcher *this, const Str *hosts, size_t count,
+                         Micros known_from);
+
 /**
  * Dispatcher_UpstreamCount() - number of known upstreams, with draining ones
  */
--- a/packages/gateway/JobPlacement.c
+++ b/packages/gateway/JobPlacement.c
@@ -267,6 +267,10 @@
     PlacementChoice choice;
 
     if (Placement_Choose(this->placement, &query, &choice) < 0) {
+        /* A limit may have ended. */
+        if (JobPlacement_CanProbe(job)) {
+            JobPlacement_ProbeOthers(job);
+        }
         return false;
     }
     if (choice.near_idle && choice.has_capacity) {
@@ -361,11 +365,22 @@
     }
 }
 
+static const char *
+placement_failure(const Job *job)
+{
+    PlacementQuery query = JobPlacement_Query(job);
+    Micros wait;
+
+    return Placement_LimitWait(job->owner->placement, &query, &wait)
+               ? "upstream-limits"
+               : "no-upstream";
+}
+
 void
 JobPlacement_Resume(Job *job)
 {
     if (!Job_RefuseCrashing(job) && !JobPlacement_Place(job)) {
-        Job_Abandon(job, "no-upstream");
+        Job_Abandon(job, placement_failure(job));
     }
 }
 
--- a/packages/gateway/Placement.c
+++ b/packages/gateway/Placement.c
@@ -224,6 +224,7 @@
     if (load == NULL) {
         return;
     }
+    UpstreamLimits_OnSent(this->limits, upstream);
     load->sent++;
     load->inflight++;
     service_at(this, load->info.service)->inflight++;
@@ -399,7 +400,7 @@
 }
 
 static bool
-is_usable(const Load *load, const PlacementQuery *query, uint32_t upstream)
+is_candidate(const Load *load, const PlacementQuery *query, uint32_t upstream)
 {
     for (size_t i = 0; i < query->avoid_count; i++) {
         if (query->avoid[i] == upstream) {
@@ -409,6 +410,14 @@
     return !load->draining;
 }
 
+static bool
+is_usable(Placement *this, const Load *load, const PlacementQuery *query,
+          uint32_t upstream)
+{
+    return is_candidate(load, query, upstream) &&
+           UpstreamLimits_MaySend(this->limits, upstream);
+}
+
 static bool
 is_ejected(const Load *load, Micros now)
 {
@@ -557,6 +566,17 @@
     return n;
 }
 
+/* One that may get no request is probed now and then only, to learn whether it
+ * still has its limit. */
+static bool
+may_probe(Placement *this, const Load *load, const PlacementQuery *query,
+          uint32_t upstream)
+{
+    return is_candidate(load, query, upstream) &&
+           (UpstreamLimits_MaySend(this->limits, upstream) ||
+            UpstreamLimits_IsProbeDue(this->limits, upstream));
+}
+
 /* Prefers upstreams that were fast by their last report. One whose load is
  * unknown comes before one that was slow. */
 size_t
@@ -574,7 +594,7 @@
         bool own = load->info.domain == this->own_domain;
 
         if (own != (scope == PLACEMENT_OWN_DOMAIN) || is_ejected(load, now) ||
-            !is_usable(load, query, upstream) || is_fresh(load, now)) {
+            !may_probe(this, load, query, upstream) || is_fresh(load, now)) {
             continue;
         }
         n = insert_cheapest(
@@ -642,7 +662,7 @@
         uint32_t upstream = g_array_index(service->upstreams, uint32_t, i);
         const Load *load = load_at(this, upstream);
 
-        if (!is_usable(load, query, upstream) ||
+        if (!is_usable(this, load, query, upstream) ||
             is_ejected(load, now) != ejected) {
             continue;
         }
@@ -707,3 +727,26 @@
     };
     return 0;
 }
+
+bool
+Placement_LimitWait(Placement *this, const PlacementQuery *query, Micros *wait)
+{
+    const Service *service = service_at(this, query->service);
+    bool limited = false;
+
+    *wait = -1;
+    for (guint i = 0; i < service->upstreams->len; i++) {
+        uint32_t upstream = g_array_index(service->upstreams, uint32_t, i);
+        Micros own = UpstreamLimits_Wait(this->limits, upstream);
+
+        if (own == 0 ||
+            !is_candidate(load_at(this, upstream), query, upstream)) {
+            continue;
+        }
+        limited = true;
+        if (own > 0 && (*wait < 0 || own < *wait)) {
+            *wait = own;
+        }
+    }
+    return limited;
+}
--- a/packages/gateway/Placement.h
+++ b/packages/gateway/Placement.h
@@ -168,4 +168,12 @@
 int Placement_Choose(Placement *this, const PlacementQuery *query,
                      PlacementChoice *choice);
 
+/**
+ * Placement_LimitWait() - whether upstreams can't be used because of the limits
+ *     that they name
+ * @wait: output: time until one of them can; -1 if this host has no part
+ */
+bool Placement_LimitWait(Placement *this, const PlacementQuery *query,
+                         Micros *wait);
+
 #endif
--- a/packages/net/KeyedSource.c
+++ b/packages/net/KeyedSource.c
@@ -452,6 +452,8 @@
     HostRoster_EndList(this->roster);
     HostRoster_Live(this->roster, ids);
     log_hosts(this, page->count, ids->len);
+    this->options.on_hosts(this->options.user, (const Str *)ids->data,
+                           ids->len, HostRoster_KnownFrom(this->roster));
     g_array_free(ids, TRUE);
 }
 
--- a/packages/net/KeyedSource.h
+++ b/packages/net/KeyedSource.h
@@ -23,6 +23,8 @@
  * @first_start: see HostRoster_Create()
  * @on_direct: called when this host begins (@direct set) or ceases to read the
  *             log directly
+ * @on_hosts: called after each reading of the list of hosts with the @count
+ *            live ones; @known_from as of HostRoster_KnownFrom()
  */
 typedef struct KeyedSourceOptions_ {
     Str host;
@@ -30,6 +32,8 @@
     Endpoint relay;
     bool first_start;
     void (*on_direct)(void *user, bool direct);
+    void (*on_hosts)(void *user, const Str *ids, size_t count,
+                     Micros known_from);
     void *user;
 } KeyedSourceOptions;
 
--- a/tests/support/LimitSimulation.c
+++ b/tests/support/LimitSimulation.c
@@ -1,6 +1,7 @@
 #include "LimitSimulation.h"
 
 #include <glib.h>
+#include <string.h>
 
 #include "GatewayFixture.h"
 #include "LimitUpstreams.h"
@@ -12,6 +13,12 @@
 #define LOST_RATIO 0.1
 #define FIRST_CHANGE_US (4 * MICROS_PER_S)
 #define HOST_DOWN_US (500 * MICROS_PER_MS)
+/* Hosts read the list of hosts at this interval; all know of a host that joins
+ * after it. */
+#define LIST_INTERVAL_US (60 * MICROS_PER_S)
+#define LIST_KNOWN_US (66 * MICROS_PER_S)
+#define LIST_RETRY_US (3 * MICROS_PER_S)
+#define CUT_TIME_US (20 * MICROS_PER_S)
 #define PATH "/safe/x"
 #define HOSTS_MAX 64
 
@@ -24,6 +31,8 @@
     char *id;
     uint32_t index;
     uint32_t start_count;
+    Micros known_from; /* the other hosts have it in their lists */
+    Micros cut_until;
 } Host;
 
 /* One attempt of a caller. */
@@ -137,6 +146,7 @@
     if (action->respond.status == 503) {
         sim->result.refusals++;
         sim->result.refused_with_capacity +=
+            strcmp(action->respond.reason, "upstream-limits") == 0 &&
             LimitUpstreams_HasFreeSlot(sim->upstreams);
         sim->result.held_longest = MAX(sim->result.held_longest, held);
     }
@@ -350,6 +360,42 @@
     EventQueue_Add(sim->events, TICK_US, tick, sim, 0);
 }
 
+/* ---- list of hosts --------------------------------------------------- */
+
+static void
+apply_list(Host *host)
+{
+    Simulation *sim = host->simulation;
+    Str ids[HOSTS_MAX];
+
+    for (unsigned i = 0; i < sim->started_hosts; i++) {
+        ids[i] = Str_FromC(sim->hosts[i].id);
+    }
+    if (sim->options.isolated_hosts) {
+        ids[0] = Str_FromC(host->id);
+    }
+    Dispatcher_SetHosts(host->dispatcher, ids,
+                        sim->options.isolated_hosts ? 1 : sim->started_hosts,
+                        host->known_from);
+}
+
+static void
+read_list(void *user, uint64_t start_count)
+{
+    Host *host = user;
+    Simulation *sim = host->simulation;
+    bool cut = Clock_Now(sim->clock) < host->cut_until;
+
+    if (host->start_count != start_count || host->dispatcher == NULL) {
+        return;
+    }
+    if (!cut) {
+        apply_list(host);
+    }
+    EventQueue_Add(sim->events, cut ? LIST_RETRY_US : LIST_INTERVAL_US,
+                   read_list, host, start_count);
+}
+
 /* ---- lives of hosts and upstreams ------------------------------------ */
 
 static void
@@ -376,6 +422,8 @@
         Dispatcher_PutUpstream(host->dispatcher, &entry);
     }
     LimitUpstreams_OnHostStart(sim->upstreams, host->index);
+    EventQueue_Add(sim->events, Random_Jitter(sim->random, NETWORK_DELAY_US),
+                   read_list, host, host->start_count);
 }
 
 static void
@@ -412,9 +460,25 @@
 {
     Simulation *sim = user;
 
+    sim->hosts[sim->started_hosts].known_from =
+        sim->options.impatient_hosts ? 0
+                                     : Clock_Now(sim->clock) + LIST_KNOWN_US;
     start_host(sim, sim->started_hosts++);
 }
 
+static void
+cut_host(void *user, uint64_t argument)
+{
+    Simulation *sim = user;
+    Host *host = &sim->hosts[Random_Below(sim->random, sim->started_hosts)];
+
+    host->cut_until =
+        Clock_Now(sim->clock) + Random_Jitter(sim->random, CUT_TIME_US);
+    EventQueue_Add(sim->events,
+                   Random_Jitter(sim->random, sim->options.cut_interval),
+                   cut_host, sim, 0);
+}
+
 static void
 restart_upstream(void *user, uint64_t argument)
 {
@@ -512,6 +576,9 @@
     if (options->restart_interval > 0) {
         EventQueue_Add(sim->events, FIRST_CHANGE_US, restart_host, sim, 0);
     }
+    if (options->cut_interval > 0) {
+        EventQueue_Add(sim->events, FIRST_CHANGE_US, cut_host, sim, 0);
+    }
     if (options->upstream_restart_interval > 0) {
         EventQueue_Add(sim->events, FIRST_CHANGE_US, restart_upstream, sim, 0);
     }
--- a/tests/support/LimitSimulation.h
+++ b/tests/support/LimitSimulation.h
@@ -21,6 +21,7 @@
  *               LIMIT_PLAN_VARIES reach
  * @requests_per_s: of all callers
  * @extra_hosts: hosts that join during the run, besides @host_count
+ * @join_time: time in which they join
  * @restart_interval: mean time between restarts of a host, 0 for none
  * @upstream_restart_interval: the same for upstreams
  * @cut_interval: mean time between cuts of a host from the list of hosts, 0
@@ -29,6 +30,8 @@
  * @lossy: a tenth of the responses to requests are lost
  * @unread_limits: plants a fault: hosts do not learn of limits
  * @isolated_hosts: plants a fault: each host takes itself for the only one
+ * @impatient_hosts: plants a fault: hosts that join do not wait until the others
+ *                   know of them
  */
 typedef struct LimitOptions_ {
     uint64_t seed;
@@ -38,6 +41,7 @@
     Micros duration;
     double requests_per_s;
     unsigned extra_hosts;
+    Micros join_time;
     Micros restart_interval;
     Micros upstream_restart_interval;
     Micros cut_interval;
@@ -45,6 +49,7 @@
     bool lossy;
     bool unread_limits;
     bool isolated_hosts;
+    bool impatient_hosts;
 } LimitOptions;
 
 /**
@@ -56,8 +61,8 @@
  * @limited_allowed: what the limits allow in that time
  * @requests, @served: of callers, without their retries
  * @refused: requests that no host served
- * @refused_with_capacity: attempts refused by a host while an upstream without
- *                         a limit had a free slot
+ * @refused_with_capacity: attempts refused because of limits while an upstream
+ *                         without one had a free slot
  * @refusals: attempts refused by a host, among them retries of callers
  * @held_longest: longest time until such a refusal
  */
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -611,6 +611,57 @@
 #define ADD(path, set_up, test)                                               \
     g_test_add(path, Fixture, NULL, set_up, test, tear_down)
 
+static JobVerdict
+end_with_limit(Fixture *f, Job *job, double per_s)
+{
+    AttemptEndInfo info = {.result = ATTEMPT_RESULT_RESPONSE,
+                           .status = 200,
+                           .limit = {LIMIT_NAMED, per_s}};
+    JobVerdict verdict = Dispatcher_OnAttemptEnd(f->dispatcher, job, &info);
+
+    take_actions(f);
+    return verdict;
+}
+
+/* Guards against requests that wait for a limited upstream until their
+ * deadline, and against a Retry-After at which the host refuses again. */
+static void
+test_limited_upstreams(Fixture *f, gconstpointer data)
+{
+    Str hosts[] = {STR("")};
+    Job *u, *v;
+
+    Dispatcher_SetHosts(f->dispatcher, hosts, 1, 0);
+    u = submit(f, "/once/1", 0);
+    v = submit(f, "/once/2", 0);
+    end_with_limit(f, u, 2);
+    end_with_limit(f, v, 2);
+    g_assert_null(submit(f, "/once/3", 0));
+    g_assert_cmpuint(f->sends, ==, 2);
+    g_assert_cmpint(f->action.kind, ==, DISPATCH_RESPOND);
+    g_assert_cmpint(f->action.respond.status, ==, 503);
+    g_assert_cmpstr(f->action.respond.reason, ==, "upstream-limits");
+    g_assert_cmpint(f->action.respond.retry_after, >=, 500 * MICROS_PER_MS);
+    advance_time(f, f->action.respond.retry_after);
+    g_assert_nonnull(submit(f, "/once/3", 0));
+    g_assert_cmpuint(f->sends, ==, 3);
+}
+
+/* Guards against requests for a limited upstream at a host that the others do
+ * not know yet. */
+static void
+test_limit_of_unknown_host(Fixture *f, gconstpointer data)
+{
+    Str hosts[] = {STR("")};
+
+    Dispatcher_SetHosts(f->dispatcher, hosts, 1, 60 * MICROS_PER_S);
+    end_with_limit(f, submit(f, "/once/1", 0), 2);
+    end_with_limit(f, submit(f, "/once/2", 0), 2);
+    advance_time(f, 5 * MICROS_PER_S);
+    g_assert_null(submit(f, "/once/3", 0));
+    g_assert_cmpuint(f->sends, ==, 2);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -638,6 +689,9 @@
         test_probe_that_fails_at_once);
     ADD("/dispatcher/queued-crashing-request", set_up_probing,
         test_queued_crashing_request);
+    ADD("/dispatcher/limited-upstreams", set_up, test_limited_upstreams);
+    ADD("/dispatcher/limit-of-unknown-host", set_up,
+        test_limit_of_unknown_host);
     ADD("/dispatcher/caller-gone", set_up_probing, test_caller_disconnect);
     return g_test_run();
 }
--- a/tests/test_keyed_follower.c
+++ b/tests/test_keyed_follower.c
@@ -317,6 +317,7 @@
     FakeLog *log;
     GString *seen;
     bool direct;
+    size_t listed; /* live hosts */
 } Host;
 
 static void
@@ -354,6 +355,14 @@
     KeyedRelay_SetDirect(host->relay, direct);
 }
 
+static void
+host_list(void *user, const Str *ids, size_t count, Micros known_from)
+{
+    Host *host = user;
+
+    host->listed = count;
+}
+
 static void
 host_relay_request(void *user)
 {
@@ -377,6 +386,7 @@
                                  .domain = STR("d"),
                                  .relay = {"127.0.0.1", port},
                                  .on_direct = host_direct,
+                                 .on_hosts = host_list,
                                  .user = host};
     KeyedFollowerOptions options = {
         .topic = STR(TOPIC),
@@ -442,6 +452,7 @@
         Loop_RunOnce(f->loop);
     }
     g_assert_true(first.direct);
+    g_assert_cmpuint(first.listed, ==, 2);
     write_record(&f->log, "x", STR("1"));
     while (strstr(second.seen->str, "x=1 ") == NULL) {
         Loop_RunOnce(f->loop);
