standins: upstreams that name limits; test of host processes

Cause: the regression test drives Dispatcher objects; whether host processes read the field from responses and probes, and get the list of hosts in time, was not tested.

--- a/scripts/gateway.sh
+++ b/scripts/gateway.sh
@@ -32,5 +32,6 @@
 metrics = "$ip:8082"
 relay = "$ip:8083"
 store = "127.0.0.1:$2"
+first_start = true
 TOML
 }
--- a/standins/PlatformUpstream.c
+++ b/standins/PlatformUpstream.c
@@ -12,6 +12,11 @@
 /* Hosts are in touch if the store has been sound for this time. */
 #define STABLE_TIME_US (3 * MICROS_PER_S)
 
+#define LIMIT_WINDOW_US (4 * MICROS_PER_S)
+#define LIMIT_NOTICE_US (3 * MICROS_PER_S)
+#define LIMIT_FACTOR 1.5
+#define LIMIT_EXTRA 5
+
 struct PlatformUpstream_ {
     PlatformContext context;
     HttpServer *server;
@@ -29,6 +34,9 @@
     unsigned sequence;
     unsigned inflight;     /* requests in progress */
     Micros draining_since; /* -1 if not draining */
+    double limit_per_s;    /* negative if it names none */
+    Micros limit_since;    /* since then no higher limit was named */
+    GArray *arrivals;      /* Micros: requests since limit_since */
     bool crashed;
 };
 
@@ -59,12 +67,16 @@
 common_headers(const PlatformUpstream *this, const char *attempt_id)
 {
     unsigned running = MIN(this->inflight, SLOT_COUNT);
+    g_autofree char *limit =
+        this->limit_per_s >= 0
+            ? g_strdup_printf("server-limit: %.1f\r\n", this->limit_per_s)
+            : g_strdup("");
 
     return g_strdup_printf("agatecrank-instance-id: %s\r\n"
                            "agatecrank-server-load: %u,%u,%d,100\r\n"
-                           "%s%s%s",
+                           "%s%s%s%s",
                            this->id, running, this->inflight - running,
-                           SLOT_COUNT,
+                           SLOT_COUNT, limit,
                            attempt_id != NULL ? "agatecrank-attempt-id: " : "",
                            attempt_id != NULL ? attempt_id : "",
                            attempt_id != NULL ? "\r\n" : "");
@@ -132,6 +144,47 @@
     }
 }
 
+static void
+check_limit(PlatformUpstream *this, const char *attempt_id)
+{
+    Micros now = Clock_Now(this->context.clock);
+    double allowed =
+        LIMIT_FACTOR * this->limit_per_s * LIMIT_WINDOW_US / MICROS_PER_S +
+        LIMIT_EXTRA;
+    unsigned count = 0;
+
+    if (this->limit_per_s < 0 || now < this->limit_since + LIMIT_NOTICE_US) {
+        return;
+    }
+    g_array_append_val(this->arrivals, now);
+    for (guint i = 0; i < this->arrivals->len; i++) {
+        count +=
+            now - g_array_index(this->arrivals, Micros, i) <= LIMIT_WINDOW_US;
+    }
+    if (count > allowed) {
+        PlatformChecker_ReportViolation(
+            this->context.checker,
+            "limit id=%s upstream=%s arrivals=%u allowed=%.1f", attempt_id,
+            this->id, count, allowed);
+    }
+}
+
+void
+PlatformUpstream_SetLimit(PlatformUpstream *this, double per_s)
+{
+    if (this->limit_per_s < 0 || per_s < this->limit_per_s) {
+        this->limit_since = Clock_Now(this->context.clock);
+        g_array_set_size(this->arrivals, 0);
+    }
+    this->limit_per_s = per_s;
+}
+
+double
+PlatformUpstream_Limit(const PlatformUpstream *this)
+{
+    return this->limit_per_s;
+}
+
 static void
 on_restart_timer(Timer *timer)
 {
@@ -238,6 +291,7 @@
     }
     else {
         check_drain(this, attempt_id);
+        check_limit(this, attempt_id);
         if (is_crashing(HttpRequest_Path(request))) {
             start_crash(this, HttpRequest_Path(request));
         }
@@ -280,6 +334,8 @@
     this->domain = g_strdup(domain);
     this->born_ms = Clock_Wall(context->clock) / MICROS_PER_MS;
     this->draining_since = -1;
+    this->limit_per_s = -1;
+    this->arrivals = g_array_new(FALSE, FALSE, sizeof(Micros));
     g_snprintf(this->id, sizeof(this->id), "i-%04u", number);
     this->server = HttpServer_Create(context->loop, 0, &handlers, this);
     this->port = this->server != NULL ? add_link(this) : ERR_UNAVAILABLE;
@@ -300,6 +356,7 @@
     Timer_Stop(&this->correction_timer);
     Timer_Stop(&this->crash_timer);
     Timer_Stop(&this->restart_timer);
+    g_array_free(this->arrivals, TRUE);
     g_free(this->crashing);
     g_free(this->previous_record);
     g_free(this->record);
@@ -354,6 +411,7 @@
     }
     this->crashed = false;
     this->draining_since = -1;
+    this->limit_per_s = -1;
     this->born_ms = MAX(Clock_Wall(this->context.clock) / MICROS_PER_MS,
                         this->born_ms + 1);
     this->sequence = 0;
--- a/standins/PlatformUpstream.h
+++ b/standins/PlatformUpstream.h
@@ -79,6 +79,18 @@
  */
 void PlatformUpstream_StallConnections(PlatformUpstream *this);
 
+/**
+ * PlatformUpstream_SetLimit() - name a limit in all responses from now on
+ * @per_s: requests per second from all hosts together; negative for none
+ *
+ * From 3 s after the limit was named or lowered, it is a violation if in 4 s
+ * more requests arrive than one and a half times what it allows, and 5.
+ */
+void PlatformUpstream_SetLimit(PlatformUpstream *this, double per_s);
+
+/** PlatformUpstream_Limit() - the limit that it names, negative for none */
+double PlatformUpstream_Limit(const PlatformUpstream *this);
+
 /** PlatformUpstream_IsUp() - true if neither crashed nor draining */
 bool PlatformUpstream_IsUp(const PlatformUpstream *this);
 
--- a/standins/standin-platform.c
+++ b/standins/standin-platform.c
@@ -12,6 +12,8 @@
 #define HOST "gateway.example"
 #define SERVICE "desk"
 #define CONFIG_INTERVAL_US (3 * MICROS_PER_S)
+#define LIMIT_MIN_PER_S 1.0
+#define LIMIT_SPREAD_PER_S 4.0
 
 typedef struct Options_ {
     int64_t seed;
@@ -24,6 +26,7 @@
     int64_t drain_ms;
     int64_t show_late_ms;
     int64_t crash_interval_ms;
+    int64_t limit_interval_ms;
     double rate;
     double fault_period_s;
     double link_period_s;
@@ -49,6 +52,8 @@
      "print calls that are not served or take longer, 0 for none"},
     {"crash-interval-ms", SETTING_INT, FIELD(crash_interval_ms), false,
      "mean time between requests that end upstreams, 0 for none"},
+    {"limit-interval-ms", SETTING_INT, FIELD(limit_interval_ms), false,
+     "mean time between changes of the limits of upstreams, 0 for none"},
     {"rate", SETTING_REAL, FIELD(rate), false, "calls a second"},
     {"fault-period-s", SETTING_REAL, FIELD(fault_period_s), false,
      "mean time between faults, 0 for none"},
@@ -66,6 +71,7 @@
     Random *random;
     Random *link_random; /* separate: link faults do not change others */
     Random *crash_random;
+    Random *limit_random;
     HttpLoop *loop;
     PlatformStore *store;
     PlatformChecker *checker;
@@ -78,6 +84,7 @@
     Timer store_recovery_timer;
     Timer config_timer;
     Timer crash_timer;
+    Timer limit_timer;
     Micros store_sound_since;
     unsigned version;
     unsigned served_before_check;
@@ -313,6 +320,32 @@
                 Random_Jitter(this->crash_random, interval), on_crash_timer);
 }
 
+static void
+on_limit_timer(Timer *timer)
+{
+    Platform *this = TIMER_OWNER(timer, Platform, limit_timer);
+    Micros interval = this->options.limit_interval_ms * MICROS_PER_MS;
+    PlatformUpstream *upstream;
+
+    if (this->faults_ended || interval <= 0) {
+        return;
+    }
+    upstream =
+        g_ptr_array_index(this->upstreams, Random_Below(this->limit_random,
+                                                        this->upstreams->len));
+    if (PlatformUpstream_Limit(upstream) >= 0 &&
+        Random_Below(this->limit_random, 2) == 0) {
+        PlatformUpstream_SetLimit(upstream, -1);
+    }
+    else {
+        PlatformUpstream_SetLimit(
+            upstream, LIMIT_MIN_PER_S + Random_Unit(this->limit_random) *
+                                            LIMIT_SPREAD_PER_S);
+    }
+    Timer_Start(&this->limit_timer, this->loop->timers,
+                Random_Jitter(this->limit_random, interval), on_limit_timer);
+}
+
 static void
 end_faults(Platform *this)
 {
@@ -323,6 +356,7 @@
     for (guint i = 0; i < this->upstreams->len; i++) {
         PlatformUpstream *upstream = g_ptr_array_index(this->upstreams, i);
 
+        PlatformUpstream_SetLimit(upstream, -1);
         if (!PlatformUpstream_IsUp(upstream)) {
             PlatformUpstream_Restart(upstream);
         }
@@ -346,6 +380,7 @@
         on_fault_timer(&this->fault_timer);
         on_link_fault_timer(&this->link_fault_timer);
         on_crash_timer(&this->crash_timer);
+        on_limit_timer(&this->limit_timer);
         duration = options->load_ms * MICROS_PER_MS;
         break;
     case 1:
@@ -466,6 +501,7 @@
     this->random = Random_Create((uint64_t)this->options.seed);
     this->link_random = Random_Create((uint64_t)this->options.seed);
     this->crash_random = Random_Create((uint64_t)this->options.seed);
+    this->limit_random = Random_Create((uint64_t)this->options.seed);
     this->loop = HttpLoop_Create();
     this->links =
         LinkFaults_Create(this->loop, this->link_random, on_link_clear, this);
@@ -499,6 +535,7 @@
     Random_Destroy(this->random);
     Random_Destroy(this->link_random);
     Random_Destroy(this->crash_random);
+    Random_Destroy(this->limit_random);
     Clock_Destroy(this->clock);
     return code;
 }
