limits: a host keeps the part of a limit that accrues while it waits for a request

Change: one request and the part of 250 ms. In any 4 s the hosts with a part send at most 3 requests plus 5.25 times the limit, below the rule's 5 and 6 times.

--- a/packages/core/limits/UpstreamLimits.c
+++ b/packages/core/limits/UpstreamLimits.c
@@ -11,8 +11,8 @@
  * second. If each of them sends a request at the same moment, the upstream gets
  * no more than it accepts in a few seconds. */
 #define SHARING_HOSTS_MIN 3
-/* Requests that a host accumulates: one, or its part of this time. */
-#define BURST_US (500 * MICROS_PER_MS)
+/* A host accumulates one request and its part of this time. */
+#define BURST_US (250 * MICROS_PER_MS)
 /* Interval at which hosts that may not send an upstream anything probe it: a
  * second, or more with more hosts, so that the upstream gets few probes. */
 #define PROBE_INTERVAL_MIN_US (1 * MICROS_PER_S)
@@ -159,7 +159,7 @@
     if (limit->list != this->list) {
         update_part(this, limit);
     }
-    burst = MAX(limit->part_per_s * BURST_US / MICROS_PER_S, 1);
+    burst = 1 + limit->part_per_s * BURST_US / MICROS_PER_S;
     if (now > since) {
         limit->tokens +=
             limit->part_per_s * (double)(now - since) / MICROS_PER_S;
