net: notice a store that has come back from an older copy

A follower whose offset the new end had passed missed the records in between for good and kept those that were lost; a relay handed out the lost ones; an upstream that was removed meanwhile would be used again; what hosts had written was not written again.

Change: a page tells its era, from the store or from the relay that passes it on. A host that has seen a higher era reads past a relay of a lower one. Hosts write their entries again, spread over 2 s or 20 ms a host; losses that the copy lacks are sent again as after their removal.

--- a/packages/core/membership/HostRoster.c
+++ b/packages/core/membership/HostRoster.c
@@ -195,6 +195,12 @@
     }
 }
 
+size_t
+HostRoster_Count(const HostRoster *this)
+{
+    return g_hash_table_size(this->entries);
+}
+
 Micros
 HostRoster_KnownFrom(const HostRoster *this)
 {
--- a/packages/core/membership/HostRoster.h
+++ b/packages/core/membership/HostRoster.h
@@ -57,6 +57,9 @@
  */
 void HostRoster_Live(const HostRoster *this, GArray *ids);
 
+/** HostRoster_Count() - number of hosts, also of those that are gone */
+size_t HostRoster_Count(const HostRoster *this);
+
 /**
  * HostRoster_KnownFrom() - time from which all live hosts have this one in
  *     their rosters; INT64_MAX if its entry has not been seen yet
--- a/packages/gateway/CrashGuard.c
+++ b/packages/gateway/CrashGuard.c
@@ -314,6 +314,12 @@
     Quarantine_OnPeerForgot(this->quarantine, fingerprint);
 }
 
+size_t
+CrashGuard_List(CrashGuard *this, QuarantineItem *items, size_t max)
+{
+    return Quarantine_List(this->quarantine, items, max);
+}
+
 void
 CrashGuard_SetPeersReachable(CrashGuard *this, bool reachable)
 {
--- a/packages/gateway/CrashGuard.h
+++ b/packages/gateway/CrashGuard.h
@@ -109,6 +109,9 @@
 /** CrashGuard_OnPeerForgot() - see Quarantine_OnPeerForgot() */
 void CrashGuard_OnPeerForgot(CrashGuard *this, const Fingerprint *fingerprint);
 
+/** CrashGuard_List() - see Quarantine_List() */
+size_t CrashGuard_List(CrashGuard *this, QuarantineItem *items, size_t max);
+
 /** CrashGuard_SetPeersReachable() - see Quarantine_SetPeersReachable() */
 void CrashGuard_SetPeersReachable(CrashGuard *this, bool reachable);
 
--- a/packages/gateway/Dispatcher.h
+++ b/packages/gateway/Dispatcher.h
@@ -50,6 +50,8 @@
  * @slots: number of requests that it processes concurrently
  * @draining: accepts no new requests
  * @warmup: time for which it is slower after its start
+ * @restored: read from an older copy of the source, which may list upstreams
+ *            that were removed since
  */
 typedef struct UpstreamEntry_ {
     Str id;
@@ -62,6 +64,7 @@
     uint32_t slots;
     bool draining;
     Micros warmup;
+    bool restored;
 } UpstreamEntry;
 
 /**
--- a/packages/gateway/QuarantineFeed.c
+++ b/packages/gateway/QuarantineFeed.c
@@ -26,6 +26,10 @@
 #define LEFTOVERS_MAX QUARANTINE_BATCH_MAX
 #define LEFTOVERS_DELAY_US (10 * MICROS_PER_S)
 
+/* Items that are compared with the snapshot of a log that has come back from an
+ * older copy, the newest first. */
+#define LOST_ITEMS_MAX 512
+
 struct QuarantineFeed_ {
     Loop *loop;
     const KeyedLog *keyed_log;
@@ -40,6 +44,7 @@
     LoopTimer *leftovers_timer;
     QuarantineItem leftovers[LEFTOVERS_MAX];
     size_t leftover_count;
+    bool restored; /* the next snapshot is that of an older copy */
     uint64_t appends;
 };
 
@@ -172,11 +177,36 @@
     }
 }
 
+/* Sends again what a log that has come back from an older copy has lost. */
+static void
+resend_lost_items(QuarantineFeed *this, GHashTable *keys)
+{
+    QuarantineItem items[LOST_ITEMS_MAX];
+    size_t n = CrashGuard_List(this->guard, items, LOST_ITEMS_MAX);
+
+    for (size_t i = 0; i < n; i++) {
+        char key[QUARANTINE_KEY_BYTES], value[QUARANTINE_VALUE_BYTES];
+        GString *text;
+
+        QuarantineRecord_Write(&items[i], Clock_Wall(Loop_Clock(this->loop)),
+                               key, value);
+        text = g_string_new(key);
+        if (!g_hash_table_contains(keys, text)) {
+            CrashGuard_OnPeerForgot(this->guard, &items[i].fingerprint);
+        }
+        g_string_free(text, TRUE);
+    }
+}
+
 static void
 on_snapshot(void *user, GHashTable *keys)
 {
     QuarantineFeed *this = user;
 
+    if (this->restored) {
+        this->restored = false;
+        resend_lost_items(this, keys);
+    }
     if (this->leftover_count == 0 ||
         Random_Below(this->random, REMOVERS_ONE_IN) > 0) {
         this->leftover_count = 0;
@@ -197,6 +227,14 @@
     }
 }
 
+static void
+on_era(void *user, Micros since)
+{
+    QuarantineFeed *this = user;
+
+    this->restored = true;
+}
+
 static void
 on_page(void *user)
 {
@@ -215,7 +253,7 @@
                       Counters *counters)
 {
     static const KeyedFollowerHandlers handlers = {on_record, on_snapshot,
-                                                   on_state, on_page};
+                                                   on_state, on_page, on_era};
     KeyedFollowerOptions options = {
         .topic = STR(TOPIC),
         .read_interval = READ_INTERVAL_US,
--- a/packages/gateway/UpstreamSet.c
+++ b/packages/gateway/UpstreamSet.c
@@ -4,6 +4,18 @@
 
 #include "DueSet.h"
 
+/* Copies of the source are seconds old; upstreams that were removed longer ago
+ * are not listed in any. */
+#define REMOVED_KEPT_US (60 * MICROS_PER_S)
+
+/* An upstream that the source has removed. */
+typedef struct RemovedUpstream_ {
+    GString *id;
+    int64_t started;
+    uint64_t sequence;
+    Micros at;
+} RemovedUpstream;
+
 typedef struct ListedUpstream_ {
     UpstreamRecord record;
     GString *id;
@@ -20,6 +32,7 @@
     const Clock *clock;
     EventLog *log;
     GHashTable *by_id;   /* ListedUpstream by GString */
+    GHashTable *removed; /* RemovedUpstream by GString */
     GPtrArray *by_index; /* ListedUpstream or NULL */
     DueSet *expired;     /* entries of ListedUpstream in their grace period */
     GArray *references;  /* uint32_t by index: attempts and probes */
@@ -37,6 +50,15 @@
     g_free(listed);
 }
 
+static void
+destroy_removed(gpointer data)
+{
+    RemovedUpstream *removed = data;
+
+    g_string_free(removed->id, TRUE);
+    g_free(removed);
+}
+
 UpstreamSet *
 UpstreamSet_Create(Placement *placement, NameTable *services,
                    NameTable *domains, Micros grace, const Clock *clock,
@@ -53,6 +75,9 @@
     this->by_id = g_hash_table_new_full((GHashFunc)g_string_hash,
                                         (GEqualFunc)g_string_equal, NULL,
                                         destroy_listed);
+    this->removed = g_hash_table_new_full((GHashFunc)g_string_hash,
+                                          (GEqualFunc)g_string_equal, NULL,
+                                          destroy_removed);
     this->by_index = g_ptr_array_new();
     this->expired = DueSet_Create();
     this->references = g_array_new(FALSE, TRUE, sizeof(uint32_t));
@@ -68,6 +93,7 @@
         return;
     }
     g_hash_table_destroy(this->by_id);
+    g_hash_table_destroy(this->removed);
     g_ptr_array_free(this->by_index, TRUE);
     DueSet_Destroy(this->expired);
     g_array_free(this->references, TRUE);
@@ -124,6 +150,44 @@
     g_hash_table_remove(this->by_id, listed->id);
 }
 
+static gboolean
+is_outdated(gpointer key, gpointer value, gpointer user)
+{
+    const UpstreamSet *this = user;
+    const RemovedUpstream *removed = value;
+
+    return Clock_Now(this->clock) - removed->at > REMOVED_KEPT_US;
+}
+
+static void
+remember_removed(UpstreamSet *this, const ListedUpstream *listed)
+{
+    RemovedUpstream *removed = g_new0(RemovedUpstream, 1);
+
+    g_hash_table_foreach_remove(this->removed, is_outdated, this);
+    removed->id = Str_ToString(listed->record.id);
+    removed->started = listed->started;
+    removed->sequence = listed->sequence;
+    removed->at = Clock_Now(this->clock);
+    g_hash_table_replace(this->removed, removed->id, removed);
+}
+
+/* Returns whether an older copy of the source lists an upstream that was
+ * removed since. One that is alive has described itself again by now or will,
+ * with a higher sequence. */
+static bool
+was_removed(const UpstreamSet *this, const UpstreamEntry *entry)
+{
+    GString *key = Str_ToString(entry->id);
+    const RemovedUpstream *removed = g_hash_table_lookup(this->removed, key);
+
+    g_string_free(key, TRUE);
+    return entry->restored && removed != NULL &&
+           (entry->started < removed->started ||
+            (entry->started == removed->started &&
+             entry->sequence <= removed->sequence));
+}
+
 static ListedUpstream *
 add_upstream(UpstreamSet *this, const UpstreamEntry *entry)
 {
@@ -190,7 +254,8 @@
     ListedUpstream *listed = find_upstream(this, entry->id);
     bool was_draining = listed != NULL && listed->record.draining;
 
-    if (listed != NULL && !is_newer(listed, entry)) {
+    if ((listed != NULL && !is_newer(listed, entry)) ||
+        was_removed(this, entry)) {
         return false;
     }
     /* Load and failures of an earlier incarnation do not apply to the new
@@ -225,6 +290,7 @@
 remove_or_expire(UpstreamSet *this, ListedUpstream *listed)
 {
     if (!in_grace_period(this) || listed->record.draining) {
+        remember_removed(this, listed);
         drop(this, listed, "removed");
         return;
     }
@@ -276,7 +342,10 @@
 
     while ((entry = DueSet_First(this->expired)) != NULL &&
            entry->due <= now) {
-        drop(this, DUE_OWNER(entry, ListedUpstream, grace_end), "removed");
+        ListedUpstream *listed = DUE_OWNER(entry, ListedUpstream, grace_end);
+
+        remember_removed(this, listed);
+        drop(this, listed, "removed");
     }
 }
 
--- a/packages/net/KeyedCodec.h
+++ b/packages/net/KeyedCodec.h
@@ -5,6 +5,9 @@
 
 #include "KeyedLog.h"
 
+/** Header field of a relay's responses: era of the topic, see KeyedPage */
+#define KEYED_ERA_FIELD "log-era"
+
 /**
  * KeyedCodec_Write() - encode records of a topic
  * @end: offset of the next record of the topic
--- a/packages/net/KeyedFollower.c
+++ b/packages/net/KeyedFollower.c
@@ -2,6 +2,11 @@
 
 /* Records kept in order, for other hosts that read through this one. */
 #define TAIL_RECORDS_MAX 2048
+/* Time for which an era below the known one is taken for an answer that was
+ * under way. After it the log is believed to have been replaced. */
+#define LOWER_ERA_TIME_US (5 * MICROS_PER_S)
+/* Shortest time between two changes of the era, as each costs a snapshot. */
+#define ERA_INTERVAL_US (1 * MICROS_PER_S)
 
 typedef enum FollowerState_ {
     STATE_SNAPSHOT,
@@ -28,8 +33,13 @@
     Micros recovery_end;       /* reads use the usual wait from then on */
     Micros read_started_at;    /* start of the latest read */
     Micros last_failure_at;    /* start of the last read that failed */
-    bool complete;             /* the current snapshot is complete */
-    bool ever_complete;        /* a snapshot was completed before */
+    uint64_t era;
+    Micros era_changed_at;
+    Micros lower_era_since; /* first page of a lower era, or -1 */
+    bool era_known;
+    bool restored;      /* the era is new, its snapshot not complete */
+    bool complete;      /* the current snapshot is complete */
+    bool ever_complete; /* a snapshot was completed before */
     bool reachable;
     bool reading;
 };
@@ -160,6 +170,7 @@
     KeyedMirror_EndSnapshot(this->mirror, this->next_offset);
     this->state = STATE_TAIL;
     this->complete = this->ever_complete = true;
+    this->restored = false;
     this->handlers.on_snapshot(this->user, this->snapshot_keys);
 }
 
@@ -173,6 +184,72 @@
     }
 }
 
+static void
+log_era(KeyedFollower *this, const KeyedPage *page, const char *result)
+{
+    if (EventLog_Begin(this->log, LOG_LEVEL_WARN, "store-era")) {
+        EventLog_Str(this->log, "topic", Str_FromString(this->topic));
+        EventLog_Int(this->log, "known", (int64_t)this->era);
+        EventLog_Int(this->log, "era", (int64_t)page->era);
+        EventLog_Int(this->log, "offset", (int64_t)this->next_offset);
+        EventLog_Int(this->log, "end", (int64_t)page->end);
+        EventLog_CStr(this->log, "result", result);
+        EventLog_End(this->log);
+    }
+}
+
+static void
+change_era(KeyedFollower *this, const KeyedPage *page)
+{
+    Micros now = Clock_Now(this->clock);
+    Micros earliest = this->era_changed_at + ERA_INTERVAL_US;
+    Micros delay = Random_Jitter(this->random, this->options.retry_delay) / 4;
+
+    log_era(this, page, "snapshot");
+    this->era = page->era;
+    this->era_changed_at = now;
+    this->lower_era_since = -1;
+    this->restored = this->ever_complete;
+    set_reachable(this, true, 0);
+    begin_recovery(this);
+    if (this->handlers.on_era != NULL) {
+        this->handlers.on_era(this->user,
+                              MAX(this->last_read_at, this->last_failure_at));
+    }
+    begin_snapshot(this);
+    LoopTimer_Start(this->timer, MAX(delay, earliest - now));
+}
+
+/* Returns whether the page is of the known era. Otherwise it must not be used,
+ * and the next read is scheduled. */
+static bool
+check_era(KeyedFollower *this, const KeyedPage *page)
+{
+    Micros now = Clock_Now(this->clock);
+
+    if (page->era == KEYED_ERA_UNKNOWN || page->era == this->era ||
+        !this->era_known) {
+        this->era = page->era == KEYED_ERA_UNKNOWN ? this->era : page->era;
+        this->era_known = this->era_known || page->era != KEYED_ERA_UNKNOWN;
+        this->lower_era_since = -1;
+        return true;
+    }
+    if (page->era < this->era) {
+        if (this->lower_era_since < 0) {
+            log_era(this, page, "rejected");
+            this->lower_era_since = now;
+        }
+        if (now - this->lower_era_since < LOWER_ERA_TIME_US) {
+            LoopTimer_Start(
+                this->timer,
+                Random_Jitter(this->random, this->options.retry_delay));
+            return false;
+        }
+    }
+    change_era(this, page);
+    return false;
+}
+
 static void
 on_page(void *user, const KeyedPage *page)
 {
@@ -183,6 +260,10 @@
     if (Loop_IsClosing(this->loop)) {
         return;
     }
+    if ((page->code == 0 || page->code == ERR_EXPIRED) &&
+        !check_era(this, page)) {
+        return;
+    }
     if (page->code == ERR_EXPIRED) {
         set_reachable(this, true, 0);
         log_position(this, "store-expired", 0);
@@ -241,6 +322,8 @@
                               (GEqualFunc)g_string_equal, free_string, NULL);
     this->timer = LoopTimer_Create(loop, read_next, this);
     this->reachable = true;
+    this->lower_era_since = -1;
+    this->era_changed_at = -ERA_INTERVAL_US;
     this->mirror = KeyedMirror_Create(TAIL_RECORDS_MAX);
     begin_snapshot(this);
     LoopTimer_Start(this->timer, 1);
@@ -281,6 +364,18 @@
     return this->mirror;
 }
 
+uint64_t
+KeyedFollower_Era(const KeyedFollower *this)
+{
+    return this->era_known ? this->era : KEYED_ERA_UNKNOWN;
+}
+
+bool
+KeyedFollower_IsRestored(const KeyedFollower *this)
+{
+    return this->restored;
+}
+
 Micros
 KeyedFollower_Age(const KeyedFollower *this)
 {
--- a/packages/net/KeyedFollower.h
+++ b/packages/net/KeyedFollower.h
@@ -12,7 +12,8 @@
  * typedef KeyedFollower - follows one topic of a KeyedLog
  *
  * It reads a snapshot and then the records that follow. If the log has dropped
- * records before they were read, it starts again with a snapshot.
+ * records before they were read, or has come back from an older copy (a new
+ * era), it starts again with a snapshot. Pages of an earlier era are not used.
  */
 typedef struct KeyedFollower_ KeyedFollower;
 
@@ -47,12 +48,16 @@
  *            of the last failed read, the earliest time at which the log may
  *            have become reachable again
  * @on_page: the records of a response have been processed
+ * @on_era: the log has come back from an older copy, not before @since; a
+ *          snapshot follows, and the newest record of a key may be older than
+ *          one that was read before. May be NULL
  */
 typedef struct KeyedFollowerHandlers_ {
     void (*on_record)(void *user, const KeyedRecord *record);
     void (*on_snapshot)(void *user, GHashTable *keys);
     void (*on_state)(void *user, bool reachable, Micros since);
     void (*on_page)(void *user);
+    void (*on_era)(void *user, Micros since);
 } KeyedFollowerHandlers;
 
 /**
@@ -77,6 +82,15 @@
 /** KeyedFollower_Mirror() - copy of the topic as read so far */
 const KeyedMirror *KeyedFollower_Mirror(const KeyedFollower *this);
 
+/** KeyedFollower_Era() - era of the mirror */
+uint64_t KeyedFollower_Era(const KeyedFollower *this);
+
+/**
+ * KeyedFollower_IsRestored() - whether the snapshot being read is the first one
+ *     of a new era
+ */
+bool KeyedFollower_IsRestored(const KeyedFollower *this);
+
 /**
  * KeyedFollower_Age() - time since the last successful read
  *
--- a/packages/net/KeyedLog.h
+++ b/packages/net/KeyedLog.h
@@ -18,6 +18,9 @@
     uint64_t offset;
 } KeyedRecord;
 
+/** Era of a page whose source does not tell it */
+#define KEYED_ERA_UNKNOWN UINT64_MAX
+
 /**
  * struct KeyedPage_ - result of one read, valid during the handler
  * @code: 0; ERR_EXPIRED if the log no longer has the records from the offset
@@ -27,6 +30,10 @@
  * @records: @count records, by offset, or by key in a snapshot
  * @more: the snapshot continues after the last key of this page
  * @end: offset of the next record to be written
+ * @era: number of times that the log has come back from an older copy of itself,
+ *       if @code is 0 or ERR_EXPIRED. Records that the copy lacks are lost, and
+ *       their offsets are given out again: offsets of different eras are
+ *       unrelated
  */
 typedef struct KeyedPage_ {
     int code;
@@ -34,6 +41,7 @@
     size_t count;
     bool more;
     uint64_t end;
+    uint64_t era;
 } KeyedPage;
 
 /** typedef KeyedPageHandler - result of a read */
--- a/packages/net/KeyedRelay.c
+++ b/packages/net/KeyedRelay.c
@@ -52,6 +52,23 @@
     HeaderList_Destroy(headers);
 }
 
+/* Responds with a statement on the topic, which holds for its era only. */
+static void
+respond_with_era(HttpRequest *request, const Topic *topic, int status,
+                 Str body)
+{
+    HeaderList *headers = HeaderList_Create();
+    uint64_t era = KeyedFollower_Era(topic->follower);
+    char text[24];
+
+    if (era != KEYED_ERA_UNKNOWN) {
+        g_snprintf(text, sizeof(text), "%" G_GUINT64_FORMAT, era);
+        HeaderList_Add(headers, STR(KEYED_ERA_FIELD), Str_FromC(text));
+    }
+    HttpRequest_Respond(request, status, headers, body);
+    HeaderList_Destroy(headers);
+}
+
 static void
 respond_records(HttpRequest *request, const Topic *topic, GArray *records)
 {
@@ -59,7 +76,7 @@
     GString *body = g_string_new(NULL);
 
     KeyedCodec_Write(KeyedMirror_End(mirror), records, body);
-    respond(request, 200, Str_FromString(body));
+    respond_with_era(request, topic, 200, Str_FromString(body));
     g_string_free(body, TRUE);
 }
 
@@ -86,7 +103,7 @@
         wait = false;
     }
     else if (code < 0) {
-        respond(request, 410, STR(""));
+        respond_with_era(request, topic, 410, STR(""));
     }
     else if (!wait) {
         respond_records(request, topic, records);
--- a/packages/net/KeyedSource.c
+++ b/packages/net/KeyedSource.c
@@ -30,6 +30,9 @@
  * which then contains all hosts that started at the same time. */
 #define LIST_REREAD_DELAY_US (900 * MICROS_PER_MS)
 #define LIST_RETRY_DELAY_US (3 * MICROS_PER_S)
+/* Time over which hosts write their entries again that the log has lost. */
+#define REREGISTER_SPREAD_MIN_US (2 * MICROS_PER_S)
+#define REREGISTER_SPREAD_PER_HOST_US (20 * MICROS_PER_MS)
 /* Entries of hosts that are gone are removed in batches of this size. */
 #define REMOVALS_MAX 32
 #define LOG_CALL_TIMEOUT_US (1 * MICROS_PER_S)
@@ -59,6 +62,7 @@
     Micros relay_request_at; /* last relay request, -1 for none */
     Micros log_failed_at;    /* time of the last read, -1 if it succeeded */
     uint64_t log_calls;
+    uint64_t era;        /* of the last page that was delivered */
     bool list_attempted; /* a read of the list has ended */
     bool registered;     /* the list contains this host */
     bool direct;         /* reads go to the log, not to a relay */
@@ -154,6 +158,20 @@
     g_free(read);
 }
 
+/* Relays of earlier versions do not tell the era. */
+static uint64_t
+era_of_relay(const HttpFetchResponse *response)
+{
+    uint64_t era;
+
+    return response->headers != NULL &&
+                   Str_ParseU64(
+                       HeaderList_Get(response->headers, STR(KEYED_ERA_FIELD)),
+                       &era) == 0
+               ? era
+               : KEYED_ERA_UNKNOWN;
+}
+
 static void
 log_relay_failure(const Read *read, const HttpFetchResponse *response)
 {
@@ -163,7 +181,10 @@
         EventLog_CStr(log, "peer", read->relay->id);
         EventLog_CStr(log, "reason",
                       response->code < 0 ? Error_Name(response->code)
-                                         : "refused");
+                      : response->status == 200 || response->status == 410
+                          ? "invalid"
+                          : "refused");
+        EventLog_Int(log, "era", (int64_t)era_of_relay(response));
         EventLog_Int(log, "status", response->status);
         EventLog_End(log);
     }
@@ -181,20 +202,49 @@
     handler(user, page);
 }
 
+/* The hosts write their entries again, spread over time so that the rate of
+ * calls does not grow with their number. */
+static void
+on_era(KeyedSource *this, uint64_t era)
+{
+    Micros spread =
+        MAX(REREGISTER_SPREAD_MIN_US, (Micros)(HostRoster_Count(this->roster) *
+                                               REREGISTER_SPREAD_PER_HOST_US));
+
+    if (era == KEYED_ERA_UNKNOWN || era == this->era) {
+        return;
+    }
+    if (this->era != KEYED_ERA_UNKNOWN) {
+        LoopTimer_Start(
+            this->list_timer,
+            1 + (Micros)(Str_Hash(this->options.host) % (uint64_t)spread));
+    }
+    this->era = era;
+}
+
+static bool
+is_older_era(const KeyedSource *this, uint64_t era)
+{
+    return era != KEYED_ERA_UNKNOWN && this->era != KEYED_ERA_UNKNOWN &&
+           era < this->era;
+}
+
 static void
 on_relay_response(void *user, const HttpFetchResponse *response)
 {
     Read *read = user;
-    KeyedPage page = {0};
+    KeyedPage page = {.era = era_of_relay(response)};
+    bool older = is_older_era(read->source, page.era);
     GArray *records;
 
-    if (response->code == 0 && response->status == 410) {
+    if (response->code == 0 && response->status == 410 && !older) {
         page.code = ERR_EXPIRED;
+        on_era(read->source, page.era);
         deliver(read, &page);
         return;
     }
     records = g_array_new(FALSE, FALSE, sizeof(KeyedRecord));
-    if (response->code < 0 || response->status != 200 ||
+    if (response->code < 0 || response->status != 200 || older ||
         KeyedCodec_Read(response->body, &page.end, records) < 0) {
         read->relay->ejected_until =
             now(read->source) + RELAY_EJECTION_TIME_US;
@@ -213,6 +263,7 @@
     else {
         page.records = (const KeyedRecord *)records->data;
         page.count = records->len;
+        on_era(read->source, page.era);
         deliver(read, &page);
     }
     g_array_free(records, TRUE);
@@ -225,6 +276,9 @@
     bool failed = page->code < 0 && page->code != ERR_EXPIRED;
 
     read->source->log_failed_at = failed ? now(read->source) : -1;
+    if (!failed) {
+        on_era(read->source, page->era);
+    }
     deliver(read, page);
 }
 
@@ -606,6 +660,7 @@
     this->unlisted_peers = g_ptr_array_new_with_free_func(destroy_peer);
     this->relay_request_at = -1;
     this->log_failed_at = -1;
+    this->era = KEYED_ERA_UNKNOWN;
     this->direct = true;
     this->list_timer = LoopTimer_Create(loop, read_list, this);
     this->queued_reads = g_queue_new();
--- a/tests/test_gateway_parts.c
+++ b/tests/test_gateway_parts.c
@@ -322,6 +322,24 @@
     g_assert_null(choose(f));
 }
 
+/* Guards against using an upstream again that was removed, because the source
+ * has come back from a copy that still lists it. */
+static void
+test_removed_before_copy(Fixture *f, gconstpointer data)
+{
+    UpstreamEntry upstream = entry("u", 100, 5, false);
+
+    UpstreamSet_Put(f->set, &upstream);
+    UpstreamSet_Remove(f->set, STR("u"));
+    upstream.restored = true;
+    upstream.sequence = 4;
+    g_assert_false(UpstreamSet_Put(f->set, &upstream));
+    g_assert_null(choose(f));
+    upstream.sequence = 6;
+    g_assert_true(UpstreamSet_Put(f->set, &upstream));
+    g_assert_nonnull(choose(f));
+}
+
 /* Guards against using a removed upstream beyond the grace period. */
 static void
 test_outage_grace_ends(Fixture *f, gconstpointer data)
@@ -497,6 +515,7 @@
     g_test_add_func("/gateway/retry-window", test_retry_window);
     ADD("/gateway/newest-counts", test_newest_description);
     ADD("/gateway/index-reuse", test_index_reuse);
+    ADD("/gateway/removed-before-copy", test_removed_before_copy);
     ADD("/gateway/lapse", test_outage_grace);
     ADD("/gateway/lapse-ends", test_outage_grace_ends);
     ADD("/gateway/lapse-noticed-late", test_outage_end_detected_late);
--- a/tests/test_keyed_follower.c
+++ b/tests/test_keyed_follower.c
@@ -18,6 +18,7 @@
     char keys[RECORDS_MAX][16];
     size_t count;
     uint64_t first; /* offset of the oldest retained record */
+    uint64_t era;
     bool unavailable;
     unsigned reads;
     unsigned snapshots;
@@ -81,6 +82,7 @@
     reply->records = g_array_new(FALSE, FALSE, sizeof(KeyedRecord));
     reply->page.code = log->unavailable ? ERR_UNAVAILABLE : 0;
     reply->page.end = log->count;
+    reply->page.era = log->era;
     reply->timer = LoopTimer_Create(log->loop, deliver, reply);
     LoopTimer_Start(reply->timer, delay);
     log->pending = g_list_prepend(log->pending, reply);
@@ -152,6 +154,14 @@
     };
 }
 
+/* Plays the return of the log from a copy that has the first @count records. */
+static void
+restore(FakeLog *log, size_t count)
+{
+    log->count = count;
+    log->era++;
+}
+
 typedef struct Fixture_ {
     Clock *clock;
     Loop *loop;
@@ -161,6 +171,7 @@
     GString *seen;
     unsigned snapshots;
     unsigned outages;
+    unsigned eras;
     Micros returned_at;
     size_t keys;
 } Fixture;
@@ -205,11 +216,20 @@
 {
 }
 
+static void
+on_era(void *user, Micros since)
+{
+    Fixture *f = user;
+
+    f->eras++;
+    g_assert_cmpint(since, <=, Clock_Now(f->clock));
+}
+
 static void
 set_up(Fixture *f, gconstpointer data)
 {
     static const KeyedFollowerHandlers handlers = {on_record, on_snapshot,
-                                                   on_state, on_page};
+                                                   on_state, on_page, on_era};
     KeyedFollowerOptions options = {
         .topic = STR(TOPIC),
         .read_interval = 100,
@@ -307,6 +327,61 @@
     g_assert_cmpint(KeyedFollower_Age(f->follower), >=, 0);
 }
 
+/* Guards against a follower that misses the records before its offset after the
+ * log has come back from an older copy, and keeps those that the copy lacks. */
+static void
+test_restored_log(Fixture *f, gconstpointer data)
+{
+    run_until_seen(f, "b=2 ");
+    g_string_truncate(f->seen, 0);
+    restore(&f->log, 1);
+    write_record(&f->log, "c", STR("3"));
+    write_record(&f->log, "d", STR("4"));
+    write_record(&f->log, "e", STR("5"));
+    run_until_seen(f, "c=3 d=4 e=5 ");
+    while (f->snapshots < 2) {
+        Loop_RunOnce(f->loop);
+    }
+    g_assert_cmpuint(f->eras, ==, 1);
+    g_assert_cmpuint(f->keys, ==, 4);
+    g_assert_cmpuint(KeyedFollower_Era(f->follower), ==, 1);
+    g_assert_false(KeyedFollower_IsRestored(f->follower));
+    restore(&f->log, 0);
+    restore(&f->log, 0);
+    write_record(&f->log, "x", STR("6"));
+    run_until_seen(f, "x=6 ");
+    while (f->snapshots < 3) {
+        Loop_RunOnce(f->loop);
+    }
+    g_assert_cmpuint(f->keys, ==, 1);
+}
+
+/* Guards against pages of an earlier era that arrive late, and against a
+ * snapshot for each response of a log that tells eras at random. */
+static void
+test_lower_era(Fixture *f, gconstpointer data)
+{
+    Micros until;
+
+    run_until_seen(f, "b=2 ");
+    restore(&f->log, 2);
+    while (f->snapshots < 2) {
+        Loop_RunOnce(f->loop);
+    }
+    g_string_truncate(f->seen, 0);
+    f->log.era = 0;
+    write_record(&f->log, "c", STR("3"));
+    until = Clock_Now(f->clock) + 50 * MICROS_PER_MS;
+    while (Clock_Now(f->clock) < until) {
+        Loop_RunOnce(f->loop);
+    }
+    g_assert_cmpstr(f->seen->str, ==, "");
+    g_assert_cmpuint(f->log.snapshots, ==, 2);
+    f->log.era = 1;
+    run_until_seen(f, "c=3 ");
+    g_assert_cmpuint(f->log.snapshots, ==, 2);
+}
+
 /* ---- relays --------------------------------------------------------- */
 
 typedef struct Host_ {
@@ -376,8 +451,8 @@
 static void
 start_host(Host *host, Fixture *f, const char *id, uint16_t port)
 {
-    static const KeyedFollowerHandlers handlers = {host_record, host_snapshot,
-                                                   host_state, host_page};
+    static const KeyedFollowerHandlers handlers = {
+        host_record, host_snapshot, host_state, host_page, NULL};
     KeyedRelayOptions relay = {.address = "127.0.0.1",
                                .port = port,
                                .on_relay_request = host_relay_request,
@@ -458,6 +533,12 @@
         Loop_RunOnce(f->loop);
     }
     g_assert_nonnull(strstr(first.seen->str, "x=1 "));
+    /* The offset of the second host exists in the new era, too. */
+    restore(&f->log, f->log.count - 1);
+    write_record(&f->log, "y", STR("3"));
+    while (strstr(second.seen->str, "y=3 ") == NULL) {
+        Loop_RunOnce(f->loop);
+    }
     /* The first host responds with 503 from now on. */
     KeyedRelay_SetDirect(first.relay, false);
     write_record(&f->log, "x", STR("2"));
@@ -511,6 +592,8 @@
     g_test_init(&argc, &argv, NULL);
     ADD("/keyed/snapshot-and-tail", test_snapshot_and_tail);
     ADD("/keyed/expired", test_expired);
+    ADD("/keyed/restored-log", test_restored_log);
+    ADD("/keyed/lower-era", test_lower_era);
     ADD("/keyed/outage", test_outage);
     ADD("/keyed/relay", test_relay);
     g_test_add_func("/keyed/codec", test_codec);
