--- a/standins/PlatformStore.c
+++ b/standins/PlatformStore.c
@@ -19,6 +19,7 @@
     GHashTable *newest;   /* key to Record, borrowed */
     GPtrArray *compacted; /* former records, owned for newest */
     uint64_t first_offset;
+    uint64_t copied_end; /* end of the topic in the copy */
 } Topic;
 
 struct PlatformStore_ {
@@ -26,6 +27,7 @@
     GHashTable *topics;
     GHashTable *waiting_reads; /* set of HttpRequest */
     StoreMode mode;
+    unsigned era; /* how often it has come back from its copy */
     unsigned request_count;
 };
 
@@ -71,6 +73,14 @@
     return topic->first_offset + topic->records->len;
 }
 
+static void
+respond(const PlatformStore *this, HttpRequest *request, int status, Str body)
+{
+    g_autofree char *headers = g_strdup_printf("store-era: %u\r\n", this->era);
+
+    HttpRequest_Respond(request, status, headers, body);
+}
+
 /* Appends the low @bytes bytes of @number. */
 static void
 append_big_endian(GString *out, uint64_t number, int bytes)
@@ -84,7 +94,8 @@
  * length of what follows (4 bytes), the length of the key (1 byte), the key and
  * the value. */
 static void
-respond_with_records(HttpRequest *request, const Topic *topic, uint64_t from)
+respond_with_records(const PlatformStore *this, HttpRequest *request,
+                     const Topic *topic, uint64_t from)
 {
     GString *body = g_string_new(NULL);
 
@@ -101,7 +112,7 @@
         g_string_append_len(body, record->key, (gssize)key);
         g_string_append_len(body, value, (gssize)size);
     }
-    HttpRequest_Respond(request, 200, "", Str_FromString(body));
+    respond(this, request, 200, Str_FromString(body));
     g_string_free(body, TRUE);
 }
 
@@ -113,7 +124,7 @@
     const Topic *topic = get_topic(this, name);
 
     g_hash_table_remove(this->waiting_reads, request);
-    respond_with_records(request, topic, end_offset(topic));
+    respond_with_records(this, request, topic, end_offset(topic));
 }
 
 /* Responds to a read, or lets it wait for a record if @may_wait. Returns false
@@ -126,8 +137,8 @@
     uint64_t from = HttpRequest_QueryNumber(request, "from", 0);
     uint64_t wait_ms = HttpRequest_QueryNumber(request, "waitMs", 0);
 
-    if (from < topic->first_offset) {
-        HttpRequest_Respond(request, 410, "", STR("{}"));
+    if (from < topic->first_offset || from > end_offset(topic)) {
+        respond(this, request, 410, STR("{}"));
         return true;
     }
     if (from >= end_offset(topic) && wait_ms > 0 && may_wait) {
@@ -138,7 +149,7 @@
         return false;
     }
     if (from < end_offset(topic) || wait_ms == 0) {
-        respond_with_records(request, topic, from);
+        respond_with_records(this, request, topic, from);
         return true;
     }
     return false;
@@ -149,25 +160,28 @@
 {
     g_autofree char *name = HttpRequest_QueryString(request, "topic");
     const Topic *topic = get_topic(this, name);
-    json_t *items = json_array();
+    json_t *items = json_array(), *page;
     GHashTableIter iterator;
     gpointer value;
+    char *text;
 
     g_hash_table_iter_init(&iterator, topic->newest);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         const Record *record = value;
         gsize size;
         const guchar *data = g_bytes_get_data(record->value, &size);
-        g_autofree char *text = g_base64_encode(data, size);
+        g_autofree char *encoded = g_base64_encode(data, size);
 
         json_array_append_new(
             items, json_pack("{s:s,s:s,s:I}", "key", record->key, "value",
-                             text, "offset", (json_int_t)record->offset));
+                             encoded, "offset", (json_int_t)record->offset));
     }
-    HttpRequest_RespondJson(request, 200,
-                            json_pack("{s:o,s:b,s:I}", "items", items, "more",
-                                      0, "end",
-                                      (json_int_t)end_offset(topic)));
+    page = json_pack("{s:o,s:b,s:I}", "items", items, "more", 0, "end",
+                     (json_int_t)end_offset(topic));
+    text = json_dumps(page, JSON_COMPACT);
+    respond(this, request, 200, Str_FromC(text));
+    free(text);
+    json_decref(page);
 }
 
 static void
@@ -250,7 +264,7 @@
     Str body = Control_Body(request), record;
 
     if (body.length == 0 || name == NULL || !are_records(body)) {
-        HttpRequest_Respond(request, 400, "", STR("{}"));
+        respond(this, request, 400, STR("{}"));
         return;
     }
     while (body.length > 0 && split_record(&body, &record)) {
@@ -260,7 +274,7 @@
         append_record(this, name, text, record.data + 1 + key,
                       record.length - 1 - key);
     }
-    HttpRequest_Respond(request, 200, "", STR("{\"offset\":0,\"end\":1}"));
+    respond(this, request, 200, STR("{\"offset\":0,\"end\":1}"));
 }
 
 static void
@@ -296,10 +310,10 @@
     case STORE_UP:
         return false;
     case STORE_UNAVAILABLE:
-        HttpRequest_Respond(request, 503, "", STR("{}"));
+        respond(this, request, 503, STR("{}"));
         return true;
     case STORE_RATE_LIMITED:
-        HttpRequest_Respond(request, 429, "", STR("{}"));
+        respond(this, request, 429, STR("{}"));
         return true;
     case STORE_UNRESPONSIVE:
         HttpRequest_StartTimer(request, UNRESPONSIVE_TIME_US, ignore_request);
@@ -416,6 +430,62 @@
     }
 }
 
+void
+PlatformStore_Copy(PlatformStore *this)
+{
+    GHashTableIter iterator;
+    gpointer value;
+
+    g_hash_table_iter_init(&iterator, this->topics);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        Topic *topic = value;
+
+        topic->copied_end = end_offset(topic);
+    }
+}
+
+static void
+put_newest(Topic *topic, Record *record)
+{
+    g_hash_table_remove(topic->newest, record->key);
+    if (g_bytes_get_size(record->value) > 0) {
+        g_hash_table_insert(topic->newest, record->key, record);
+    }
+}
+
+/* Drops the records that the copy lacks. */
+static void
+restore_topic(Topic *topic)
+{
+    uint64_t end = MAX(topic->copied_end, topic->first_offset);
+
+    g_hash_table_remove_all(topic->newest);
+    if (end < end_offset(topic)) {
+        g_ptr_array_set_size(topic->records,
+                             (gint)(end - topic->first_offset));
+    }
+    for (guint i = 0; i < topic->compacted->len; i++) {
+        put_newest(topic, g_ptr_array_index(topic->compacted, i));
+    }
+    for (guint i = 0; i < topic->records->len; i++) {
+        put_newest(topic, g_ptr_array_index(topic->records, i));
+    }
+}
+
+void
+PlatformStore_Restore(PlatformStore *this)
+{
+    GHashTableIter iterator;
+    gpointer value;
+
+    this->era++;
+    g_hash_table_iter_init(&iterator, this->topics);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        restore_topic(value);
+    }
+    wake_readers(this);
+}
+
 unsigned
 PlatformStore_RequestCount(const PlatformStore *this)
 {
--- a/standins/PlatformStore.h
+++ b/standins/PlatformStore.h
@@ -50,6 +50,17 @@
  */
 void PlatformStore_Compact(PlatformStore *this);
 
+/** PlatformStore_Copy() - keep a copy of the current records */
+void PlatformStore_Copy(PlatformStore *this);
+
+/**
+ * PlatformStore_Restore() - come back from the copy
+ *
+ * Records written since are lost and their offsets are given out again. All
+ * responses name a new era.
+ */
+void PlatformStore_Restore(PlatformStore *this);
+
 /** PlatformStore_RequestCount() - requests so far, rejected ones included */
 unsigned PlatformStore_RequestCount(const PlatformStore *this);
 
--- a/standins/PlatformUpstream.c
+++ b/standins/PlatformUpstream.c
@@ -365,6 +365,14 @@
     g_free(this);
 }
 
+void
+PlatformUpstream_Describe(PlatformUpstream *this)
+{
+    if (!this->crashed) {
+        publish_record(this);
+    }
+}
+
 void
 PlatformUpstream_Drain(PlatformUpstream *this)
 {
--- a/standins/PlatformUpstream.h
+++ b/standins/PlatformUpstream.h
@@ -53,6 +53,9 @@
 /** PlatformUpstream_Destroy() - release; only after HttpLoop_Close() */
 void PlatformUpstream_Destroy(PlatformUpstream *this);
 
+/** PlatformUpstream_Describe() - write its record again, if it has not crashed */
+void PlatformUpstream_Describe(PlatformUpstream *this);
+
 /** PlatformUpstream_Drain() - report to the store that it is draining */
 void PlatformUpstream_Drain(PlatformUpstream *this);
 
--- a/standins/standin-platform.c
+++ b/standins/standin-platform.c
@@ -12,6 +12,9 @@
 #define HOST "gateway.example"
 #define SERVICE "desk"
 #define CONFIG_INTERVAL_US (3 * MICROS_PER_S)
+#define COPY_AGE_US (2 * MICROS_PER_S)
+#define RESTORE_OUTAGE_US (300 * MICROS_PER_MS)
+#define REWRITE_DELAY_US (1 * MICROS_PER_S)
 #define LIMIT_MIN_PER_S 1.0
 #define LIMIT_SPREAD_PER_S 4.0
 
@@ -27,6 +30,7 @@
     int64_t show_late_ms;
     int64_t crash_interval_ms;
     int64_t limit_interval_ms;
+    int64_t restore_interval_ms;
     double rate;
     double fault_period_s;
     double link_period_s;
@@ -54,6 +58,8 @@
      "mean time between requests that end upstreams, 0 for none"},
     {"limit-interval-ms", SETTING_INT, FIELD(limit_interval_ms), false,
      "mean time between changes of the limits of upstreams, 0 for none"},
+    {"restore-interval-ms", SETTING_INT, FIELD(restore_interval_ms), false,
+     "mean time between returns of the store from a copy, 0 for none"},
     {"rate", SETTING_REAL, FIELD(rate), false, "calls a second"},
     {"fault-period-s", SETTING_REAL, FIELD(fault_period_s), false,
      "mean time between faults, 0 for none"},
@@ -72,6 +78,7 @@
     Random *link_random; /* separate: link faults do not change others */
     Random *crash_random;
     Random *limit_random;
+    Random *restore_random;
     HttpLoop *loop;
     PlatformStore *store;
     PlatformChecker *checker;
@@ -85,6 +92,9 @@
     Timer config_timer;
     Timer crash_timer;
     Timer limit_timer;
+    Timer copy_timer;
+    Timer restore_timer;
+    Timer rewrite_timer;
     Micros store_sound_since;
     unsigned version;
     unsigned served_before_check;
@@ -346,10 +356,101 @@
                 Random_Jitter(this->limit_random, interval), on_limit_timer);
 }
 
+static void on_copy_timer(Timer *timer);
+
+/* Upstreams write what they know again; operators have done so at once. One
+ * that leaves has written that already. */
+static void
+on_rewrite_timer(Timer *timer)
+{
+    Platform *this = TIMER_OWNER(timer, Platform, rewrite_timer);
+
+    for (guint i = 0; i < this->upstreams->len; i++) {
+        PlatformUpstream *upstream = g_ptr_array_index(this->upstreams, i);
+
+        if (PlatformUpstream_IsUp(upstream)) {
+            PlatformUpstream_Describe(upstream);
+        }
+    }
+}
+
+/* Writes again what the copy lacks of an upstream that leaves. */
+static void
+drain_after_restore(Platform *this)
+{
+    PlatformUpstream *upstream =
+        g_ptr_array_index(this->upstreams, Random_Below(this->restore_random,
+                                                        this->upstreams->len));
+
+    for (guint i = 0; i < this->upstreams->len; i++) {
+        PlatformUpstream *other = g_ptr_array_index(this->upstreams, i);
+
+        if (!PlatformUpstream_IsUp(other)) {
+            PlatformUpstream_Describe(other);
+        }
+    }
+    if (PlatformUpstream_IsUp(upstream) &&
+        count_running_upstreams(this) > this->upstreams->len / 2) {
+        PlatformUpstream_Drain(upstream);
+    }
+}
+
+static void
+restore_store(Platform *this)
+{
+    printf("fault=restore\n");
+    fflush(stdout);
+    PlatformStore_SetMode(this->store, STORE_UP);
+    PlatformStore_Restore(this->store);
+    publish_config(this);
+    this->store_sound_since = Clock_Now(this->clock);
+    extend_drain_limits(this);
+    drain_after_restore(this);
+    /* Written at once, they let the end pass the offsets of the hosts. */
+    Timer_Start(&this->rewrite_timer, this->loop->timers,
+                Random_Below(this->restore_random, 2) == 0
+                    ? 1
+                    : Random_Jitter(this->restore_random, REWRITE_DELAY_US),
+                on_rewrite_timer);
+}
+
+static void
+on_restore_timer(Timer *timer)
+{
+    Platform *this = TIMER_OWNER(timer, Platform, restore_timer);
+
+    if (PlatformStore_IsUp(this->store)) {
+        PlatformStore_SetMode(this->store, STORE_UNAVAILABLE);
+        Timer_Start(&this->restore_timer, this->loop->timers,
+                    Random_Jitter(this->restore_random, RESTORE_OUTAGE_US),
+                    on_restore_timer);
+        return;
+    }
+    restore_store(this);
+    on_copy_timer(&this->copy_timer);
+}
+
+static void
+on_copy_timer(Timer *timer)
+{
+    Platform *this = TIMER_OWNER(timer, Platform, copy_timer);
+    Micros interval = this->options.restore_interval_ms * MICROS_PER_MS;
+
+    if (this->faults_ended || interval <= 0) {
+        return;
+    }
+    PlatformStore_Copy(this->store);
+    Timer_Start(&this->restore_timer, this->loop->timers,
+                MAX(Random_Jitter(this->restore_random, interval),
+                    Random_Jitter(this->restore_random, COPY_AGE_US)),
+                on_restore_timer);
+}
+
 static void
 end_faults(Platform *this)
 {
     this->faults_ended = true;
+    Timer_Stop(&this->restore_timer);
     Timer_Stop(&this->store_recovery_timer);
     on_store_recovery(&this->store_recovery_timer);
     LinkFaults_ClearAll(this->links);
@@ -381,6 +482,7 @@
         on_link_fault_timer(&this->link_fault_timer);
         on_crash_timer(&this->crash_timer);
         on_limit_timer(&this->limit_timer);
+        on_copy_timer(&this->copy_timer);
         duration = options->load_ms * MICROS_PER_MS;
         break;
     case 1:
@@ -502,6 +604,7 @@
     this->link_random = Random_Create((uint64_t)this->options.seed);
     this->crash_random = Random_Create((uint64_t)this->options.seed);
     this->limit_random = Random_Create((uint64_t)this->options.seed);
+    this->restore_random = Random_Create((uint64_t)this->options.seed);
     this->loop = HttpLoop_Create();
     this->links =
         LinkFaults_Create(this->loop, this->link_random, on_link_clear, this);
@@ -536,6 +639,7 @@
     Random_Destroy(this->link_random);
     Random_Destroy(this->crash_random);
     Random_Destroy(this->limit_random);
+    Random_Destroy(this->restore_random);
     Clock_Destroy(this->clock);
     return code;
 }
