membership: a host renews its entry although it sometimes cannot read the list

Cause: found by reading: a failed read of the list restarted the wait for a renewal also of the own entry. A host with one failed read in 100 s would never renew it, and count as gone at the others after 300 s.

Change: only the entries of others wait anew.

Measured: test_host_roster renewal-with-failures fails before (NeedsRenewal false) and passes now.

--- a/packages/core/membership/HostRoster.c
+++ b/packages/core/membership/HostRoster.c
@@ -149,7 +149,7 @@
     this->was_read = true;
 }
 
-/* A host may have renewed its entry, or may have been unable to. */
+/* Other hosts may have renewed their entries, or may have been unable to. */
 void
 HostRoster_OnReadFailure(HostRoster *this)
 {
@@ -158,8 +158,12 @@
 
     g_hash_table_iter_init(&iter, this->entries);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        ((Entry *)value)->changed_at = Clock_Now(this->clock);
-        ((Entry *)value)->listed_at = Clock_Now(this->clock);
+        Entry *entry = value;
+
+        entry->listed_at = Clock_Now(this->clock);
+        if (!g_string_equal(entry->id, this->own)) {
+            entry->changed_at = Clock_Now(this->clock);
+        }
     }
 }
 
--- a/tests/test_host_roster.c
+++ b/tests/test_host_roster.c
@@ -172,6 +172,19 @@
     g_assert_false(HostRoster_NeedsRenewal(f->roster));
 }
 
+/* Guards against a host that never renews its entry because it sometimes cannot
+ * read the list, and counts as gone at the others. */
+static void
+test_renewal_with_failures(Fixture *f, gconstpointer data)
+{
+    read_list(f, "b", 1);
+    for (int i = 0; i < 2; i++) {
+        reread(f, "b", HOST_LIST_INTERVAL_US);
+        HostRoster_OnReadFailure(f->roster);
+    }
+    g_assert_true(HostRoster_NeedsRenewal(f->roster));
+}
+
 int
 main(int argc, char **argv)
 {
@@ -192,5 +205,7 @@
                tear_down);
     g_test_add("/host-roster/renewal", Fixture, NULL, set_up, test_renewal,
                tear_down);
+    g_test_add("/host-roster/renewal-with-failures", Fixture, NULL, set_up,
+               test_renewal_with_failures, tear_down);
     return g_test_run();
 }
