limits: keep the limit of an upstream whose entry lapsed

Cause: found by reading: a host forgot the limit with the entry. After an outage of the store in which entries lapse, each host would send the upstream requests again until a response names the limit, all hosts together beyond it. The reason of the refusal was also unknown to agatecrank trace.

Measured: test_dispatcher limit-of-relisted-upstream fails without it (planted) and passes; test_upstream_limit and the tests of the gateway parts pass.

--- a/packages/agatecrank/RequestTrace.c
+++ b/packages/agatecrank/RequestTrace.c
@@ -45,6 +45,11 @@
     {"no-upstream",
      "all listed upstreams of the service are draining, or none is listed",
      "event=upstream lines, then store-lost"},
+    {"upstream-limits",
+     "every upstream of the service that is not draining has named a request "
+     "limit, and this host has used its part or has none",
+     "event=upstream-limit lines: per_s is the limit, part_per_s the part of "
+     "the host; event=hosts: the hosts that share it"},
     {"no-configuration",
      "the host had just started and had not yet read the routes",
      "event=started, store-lost and ready of this host"},
--- a/packages/core/limits/UpstreamLimits.c
+++ b/packages/core/limits/UpstreamLimits.c
@@ -25,6 +25,9 @@
 #define TRIAL_INTERVAL_MIN_US (10 * MICROS_PER_S)
 #define TRIAL_INTERVAL_MAX_US (120 * MICROS_PER_S)
 #define NOT_LISTED UINT32_MAX
+/* Entries that lapsed are back within seconds if the upstream is alive. */
+#define REMOVED_KEPT_US (30 * MICROS_PER_S)
+#define REMOVED_MAX 1024
 
 typedef struct Limit_ {
     double per_s;          /* NO_LIMIT for none */
@@ -46,8 +49,9 @@
     GArray *host_keys; /* uint64_t */
     uint32_t list;     /* number of the list of hosts */
     Micros known_from;
-    GArray *limits; /* Limit by upstream */
-    uint32_t count; /* upstreams with a limit */
+    GArray *limits;      /* Limit by upstream */
+    GHashTable *removed; /* Limit of an unlisted upstream by its instance */
+    uint32_t count;      /* upstreams with a limit */
 };
 
 UpstreamLimits *
@@ -60,6 +64,7 @@
     this->own_key = Str_Hash(host);
     this->host_keys = g_array_new(FALSE, FALSE, sizeof(uint64_t));
     this->limits = g_array_new(FALSE, TRUE, sizeof(Limit));
+    this->removed = g_hash_table_new_full(NULL, NULL, NULL, g_free);
     return this;
 }
 
@@ -71,6 +76,7 @@
     }
     g_array_free(this->host_keys, TRUE);
     g_array_free(this->limits, TRUE);
+    g_hash_table_destroy(this->removed);
     g_free(this);
 }
 
@@ -351,14 +357,46 @@
     return LIMIT_CHANGE_NONE;
 }
 
+static gboolean
+is_outdated(gpointer key, gpointer value, gpointer user)
+{
+    const UpstreamLimits *this = user;
+    const Limit *limit = value;
+
+    return Clock_Now(this->clock) - limit->heard_at > REMOVED_KEPT_US;
+}
+
 void
-UpstreamLimits_Forget(UpstreamLimits *this, uint32_t upstream)
+UpstreamLimits_OnRemoved(UpstreamLimits *this, uint32_t upstream)
 {
-    Limit *limit = limit_at(this, upstream);
+    Limit *limit = find_limit(this, upstream);
 
-    if (limit->per_s >= 0) {
-        end_limit(this, limit);
+    if (limit == NULL) {
+        return;
+    }
+    g_hash_table_foreach_remove(this->removed, is_outdated, this);
+    if (g_hash_table_size(this->removed) < REMOVED_MAX) {
+        g_hash_table_insert(this->removed, GUINT_TO_POINTER(limit->instance),
+                            g_memdup2(limit, sizeof(*limit)));
+    }
+    end_limit(this, limit);
+}
+
+void
+UpstreamLimits_OnListed(UpstreamLimits *this, uint32_t upstream,
+                        uint32_t instance)
+{
+    const Limit *kept =
+        g_hash_table_lookup(this->removed, GUINT_TO_POINTER(instance));
+
+    if (kept == NULL || find_limit(this, upstream) != NULL) {
+        return;
+    }
+    if (!is_outdated(NULL, (gpointer)kept, this)) {
+        *limit_at(this, upstream) = *kept;
+        this->count++;
     }
+    g_hash_table_remove(this->removed, GUINT_TO_POINTER(instance));
 }
 
 double
--- a/packages/core/limits/UpstreamLimits.h
+++ b/packages/core/limits/UpstreamLimits.h
@@ -89,8 +89,16 @@
                                       uint32_t instance, LimitNotice notice,
                                       LimitSource source);
 
-/** UpstreamLimits_Forget() - the index is used by another upstream from now */
-void UpstreamLimits_Forget(UpstreamLimits *this, uint32_t upstream);
+/**
+ * UpstreamLimits_OnRemoved() - the upstream is not listed any more
+ *
+ * Its limit is kept for a while, as it may be listed again.
+ */
+void UpstreamLimits_OnRemoved(UpstreamLimits *this, uint32_t upstream);
+
+/** UpstreamLimits_OnListed() - the index is used by an incarnation from now on */
+void UpstreamLimits_OnListed(UpstreamLimits *this, uint32_t upstream,
+                             uint32_t instance);
 
 /** UpstreamLimits_MaySend() - whether the upstream may get a request now */
 bool UpstreamLimits_MaySend(UpstreamLimits *this, uint32_t upstream);
--- a/packages/gateway/Placement.c
+++ b/packages/gateway/Placement.c
@@ -178,6 +178,7 @@
         .warmup_until = now + info->warmup,
         .present = true,
     };
+    UpstreamLimits_OnListed(this->limits, upstream, info->instance);
     g_array_append_val(service->upstreams, upstream);
     service->slots += info->slots;
 }
@@ -196,7 +197,7 @@
     service->inflight -= MIN(service->inflight, load->inflight);
     service->slots -= load->info.slots;
     load->present = false;
-    UpstreamLimits_Forget(this->limits, upstream);
+    UpstreamLimits_OnRemoved(this->limits, upstream);
     list = service->upstreams;
     for (guint i = 0; i < list->len; i++) {
         if (g_array_index(list, uint32_t, i) == upstream) {
--- a/packages/gateway/Placement.h
+++ b/packages/gateway/Placement.h
@@ -24,12 +24,14 @@
  * @service, @domain: indexes of the names
  * @slots: number of requests that it processes concurrently
  * @warmup: time after its addition during which it is slower
+ * @instance: identifies its incarnation on all hosts
  */
 typedef struct PlacementInfo_ {
     uint32_t service;
     uint32_t domain;
     uint32_t slots;
     Micros warmup;
+    uint32_t instance;
 } PlacementInfo;
 
 /**
--- a/packages/gateway/UpstreamSet.c
+++ b/packages/gateway/UpstreamSet.c
@@ -188,6 +188,13 @@
              entry->sequence <= removed->sequence));
 }
 
+/* Hash of id and start; never 0. */
+static uint32_t
+instance_of(const UpstreamEntry *entry)
+{
+    return (uint32_t)Str_HashSeeded(entry->id, (uint64_t)entry->started) | 1;
+}
+
 static ListedUpstream *
 add_upstream(UpstreamSet *this, const UpstreamEntry *entry)
 {
@@ -197,6 +204,7 @@
         .domain = NameTable_Intern(this->domains, entry->domain),
         .slots = entry->slots,
         .warmup = entry->warmup,
+        .instance = instance_of(entry),
     };
 
     listed->id = Str_ToString(entry->id);
@@ -240,8 +248,7 @@
     listed->record.address[length] = '\0';
     listed->record.port = entry->port;
     listed->record.draining = entry->draining;
-    listed->record.instance =
-        (uint32_t)Str_HashSeeded(entry->id, (uint64_t)entry->started) | 1;
+    listed->record.instance = instance_of(entry);
     listed->started = entry->started;
     listed->sequence = entry->sequence;
     DueSet_Set(this->expired, &listed->grace_end, -1);
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -647,6 +647,22 @@
     g_assert_cmpuint(f->sends, ==, 3);
 }
 
+/* Guards against a host that forgets a limit because the entry of its upstream
+ * lapsed. */
+static void
+test_limit_of_relisted_upstream(Fixture *f, gconstpointer data)
+{
+    Str hosts[] = {STR("")};
+
+    Dispatcher_SetHosts(f->dispatcher, hosts, 1, 0);
+    Dispatcher_RemoveUpstream(f->dispatcher, STR("v"));
+    end_with_limit(f, submit(f, "/once/1", 0), 0.1);
+    Dispatcher_RemoveUpstream(f->dispatcher, STR("u"));
+    add_upstream(f, "u");
+    g_assert_null(submit(f, "/once/2", 0));
+    g_assert_cmpuint(f->sends, ==, 1);
+}
+
 /* Guards against requests for a limited upstream at a host that the others do
  * not know yet. */
 static void
@@ -690,6 +706,8 @@
     ADD("/dispatcher/queued-crashing-request", set_up_probing,
         test_queued_crashing_request);
     ADD("/dispatcher/limited-upstreams", set_up, test_limited_upstreams);
+    ADD("/dispatcher/limit-of-relisted-upstream", set_up,
+        test_limit_of_relisted_upstream);
     ADD("/dispatcher/limit-of-unknown-host", set_up,
         test_limit_of_unknown_host);
     ADD("/dispatcher/caller-gone", set_up_probing, test_caller_disconnect);
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -36,7 +36,7 @@
 static void
 add(Fixture *f, uint32_t upstream, uint32_t domain)
 {
-    PlacementInfo info = {SERVICE, domain, SLOT_COUNT, 0};
+    PlacementInfo info = {SERVICE, domain, SLOT_COUNT, 0, 0};
 
     Placement_Add(f->placement, upstream, &info);
 }
@@ -170,7 +170,7 @@
     Placement *placement =
         Placement_Create(OWN_DOMAIN, 10, limits, clock, random);
     PlacementQuery query = {.service = SERVICE};
-    PlacementInfo info = {SERVICE, OWN_DOMAIN, SLOT_COUNT, 0};
+    PlacementInfo info = {SERVICE, OWN_DOMAIN, SLOT_COUNT, 0, 0};
     LoadReport half = {
         .inflight = 3, .slots = SLOT_COUNT, .slowdown_percent = 100};
     uint32_t probed[PLACEMENT_PROBES_MAX];
@@ -233,7 +233,7 @@
         UpstreamLimits_Create(STR("host-0"), clock, random);
     Placement *placement =
         Placement_Create(OWN_DOMAIN, 1, limits, clock, random);
-    PlacementInfo info = {SERVICE, OWN_DOMAIN, SLOT_COUNT, 0};
+    PlacementInfo info = {SERVICE, OWN_DOMAIN, SLOT_COUNT, 0, 0};
     PlacementQuery query = {.service = SERVICE};
     uint32_t probed[PLACEMENT_PROBES_MAX];
     unsigned spare = 0;
