net: read the list of hosts to its end

Cause: found by reading: of the list of hosts only the first page was read, 500 entries. With more hosts, those beyond it would register at each reading, have no part of a limit, and find no relay among the others.

Change: pages are read until there are no more; one reading at a time, as the return of the store starts one too. A case of 60 hosts and 50 upstreams, all limited.

--- a/packages/net/KeyedSource.c
+++ b/packages/net/KeyedSource.c
@@ -56,6 +56,8 @@
     HostRoster *roster;
     GPtrArray *peers;          /* Peer, ordered by id */
     GPtrArray *unlisted_peers; /* Peer of the previous list */
+    GPtrArray *listed_peers;   /* Peer of the list being read, or NULL */
+    size_t listed_count;       /* entries of that list so far */
     LoopTimer *list_timer;
     GQueue *queued_reads;    /* Read that waits for the list */
     GQueue *rejected_reads;  /* Read to fail with ERR_LIMIT */
@@ -63,6 +65,7 @@
     Micros log_failed_at;    /* time of the last read, -1 if it succeeded */
     uint64_t log_calls;
     uint64_t era;        /* of the last page that was delivered */
+    bool list_reading;   /* a read of the list is in flight */
     bool list_attempted; /* a read of the list has ended */
     bool registered;     /* the list contains this host */
     bool direct;         /* reads go to the log, not to a relay */
@@ -490,45 +493,51 @@
 }
 
 static void
-update_roster(KeyedSource *this, const KeyedPage *page)
+begin_list(KeyedSource *this)
+{
+    HostRoster_BeginList(this->roster);
+    g_clear_pointer(&this->listed_peers, g_ptr_array_unref);
+    this->listed_peers = g_ptr_array_new_with_free_func(destroy_peer);
+    this->listed_count = 0;
+    this->registered = false;
+}
+
+static void
+apply_list_page(KeyedSource *this, const KeyedPage *page)
 {
-    GArray *ids = g_array_new(FALSE, FALSE, sizeof(Str));
     Endpoint endpoint;
     Str domain;
 
-    HostRoster_BeginList(this->roster);
     for (size_t i = 0; i < page->count; i++) {
-        if (parse_registration(&page->records[i], &domain, &endpoint)) {
-            HostRoster_PutEntry(this->roster, page->records[i].key,
-                                page->records[i].offset);
+        const KeyedRecord *record = &page->records[i];
+
+        if (parse_registration(record, &domain, &endpoint)) {
+            HostRoster_PutEntry(this->roster, record->key, record->offset);
         }
+        this->registered =
+            this->registered || is_own_registration(this, record);
+        add_peer(this, record, this->listed_peers);
     }
-    HostRoster_EndList(this->roster);
-    HostRoster_Live(this->roster, ids);
-    log_hosts(this, page->count, ids->len);
-    this->options.on_hosts(this->options.user, (const Str *)ids->data,
-                           ids->len, HostRoster_KnownFrom(this->roster));
-    g_array_free(ids, TRUE);
+    this->listed_count += page->count;
 }
 
 static void
-apply_list(KeyedSource *this, const KeyedPage *page)
+end_list(KeyedSource *this)
 {
-    GPtrArray *peers = g_ptr_array_new_with_free_func(destroy_peer);
+    GArray *ids = g_array_new(FALSE, FALSE, sizeof(Str));
 
-    update_roster(this, page);
-    this->registered = false;
-    for (size_t i = 0; i < page->count; i++) {
-        this->registered =
-            this->registered || is_own_registration(this, &page->records[i]);
-        add_peer(this, &page->records[i], peers);
-    }
-    g_ptr_array_sort(peers, compare_peers);
+    HostRoster_EndList(this->roster);
+    HostRoster_Live(this->roster, ids);
+    log_hosts(this, this->listed_count, ids->len);
+    this->options.on_hosts(this->options.user, (const Str *)ids->data,
+                           ids->len, HostRoster_KnownFrom(this->roster));
+    g_array_free(ids, TRUE);
+    g_ptr_array_sort(this->listed_peers, compare_peers);
     /* Reads may still be in flight to peers of the previous list, but not to
      * peers of older lists. */
     g_ptr_array_set_size(this->unlisted_peers, 0);
     g_ptr_array_extend_and_steal(this->unlisted_peers, this->peers);
-    this->peers = peers;
+    this->peers = g_steal_pointer(&this->listed_peers);
 }
 
 static void
@@ -601,6 +610,8 @@
     g_free(value);
 }
 
+static void read_list_page(KeyedSource *this, Str after);
+
 static void
 on_list(void *user, const KeyedPage *page)
 {
@@ -610,11 +621,17 @@
         return;
     }
     if (page->code == 0) {
-        apply_list(this, page);
+        apply_list_page(this, page);
+        if (page->more && page->count > 0) {
+            read_list_page(this, page->records[page->count - 1].key);
+            return;
+        }
+        end_list(this);
     }
     else {
         HostRoster_OnReadFailure(this->roster);
     }
+    this->list_reading = false;
     start_queued_reads(this);
     if (page->code == 0 &&
         (!this->registered || HostRoster_NeedsRenewal(this->roster))) {
@@ -629,16 +646,29 @@
 }
 
 static void
-read_list(void *user)
+read_list_page(KeyedSource *this, Str after)
 {
-    KeyedSource *this = user;
     const KeyedLog *keyed_log = this->keyed_log;
 
     this->log_calls++;
-    keyed_log->read_newest(keyed_log->self, STR(HOSTS_TOPIC), STR(""),
+    keyed_log->read_newest(keyed_log->self, STR(HOSTS_TOPIC), after,
                            LOG_CALL_TIMEOUT_US, on_list, this);
 }
 
+static void
+read_list(void *user)
+{
+    KeyedSource *this = user;
+
+    if (this->list_reading) {
+        LoopTimer_Start(this->list_timer, LIST_REREAD_DELAY_US);
+        return;
+    }
+    this->list_reading = true;
+    begin_list(this);
+    read_list_page(this, STR(""));
+}
+
 /* ---- creation ------------------------------------------------------- */
 
 KeyedSource *
@@ -682,6 +712,7 @@
     g_queue_free_full(this->rejected_reads, destroy_read);
     g_ptr_array_free(this->peers, TRUE);
     g_ptr_array_free(this->unlisted_peers, TRUE);
+    g_clear_pointer(&this->listed_peers, g_ptr_array_unref);
     g_free(this);
 }
 
--- a/tests/test_keyed_follower.c
+++ b/tests/test_keyed_follower.c
@@ -19,6 +19,7 @@
     size_t count;
     uint64_t first; /* offset of the oldest retained record */
     uint64_t era;
+    size_t page_max; /* records in a page of a snapshot, 0 for no limit */
     bool unavailable;
     unsigned reads;
     unsigned snapshots;
@@ -107,11 +108,19 @@
     FakeLog *log = self;
     Reply *reply = create_reply(log, 100, handler, user);
 
+    bool skip = after.length > 0;
+
     log->snapshots++;
     for (size_t i = 0; i < log->count && !log->unavailable; i++) {
-        if (is_newest(log, i)) {
+        if (!skip && is_newest(log, i)) {
+            reply->page.more =
+                log->page_max > 0 && reply->records->len == log->page_max;
+            if (reply->page.more) {
+                break;
+            }
             g_array_append_val(reply->records, log->records[i]);
         }
+        skip = skip && !Str_Equal(log->records[i].key, after);
     }
 }
 
@@ -551,6 +560,32 @@
     stop_host(&second);
 }
 
+/* Guards against a host that shares with the hosts of the first page of the
+ * list only. */
+static void
+test_list_in_pages(Fixture *f, gconstpointer data)
+{
+    char value[32];
+    uint16_t port = free_port(f);
+    Host host;
+
+    g_snprintf(value, sizeof(value), "d 127.0.0.1:%u", port);
+    for (int i = 0; i < 7; i++) {
+        g_autofree char *id = g_strdup_printf("host-%d", i);
+
+        write_record(&f->log, id, Str_FromC(value));
+    }
+    f->log.page_max = 3;
+    start_host(&host, f, "host-6", port);
+    while (host.listed == 0) {
+        Loop_RunOnce(f->loop);
+    }
+    g_assert_cmpuint(host.listed, ==, 7);
+    Loop_Close(f->loop);
+    fail_pending(&f->log);
+    stop_host(&host);
+}
+
 /* Guards against reads beyond the end of a truncated message of a peer. */
 static void
 test_codec(void)
@@ -596,6 +631,7 @@
     ADD("/keyed/lower-era", test_lower_era);
     ADD("/keyed/outage", test_outage);
     ADD("/keyed/relay", test_relay);
+    ADD("/keyed/list-in-pages", test_list_in_pages);
     g_test_add_func("/keyed/codec", test_codec);
     return g_test_run();
 }
--- a/tests/test_upstream_limit.c
+++ b/tests/test_upstream_limit.c
@@ -186,6 +186,21 @@
     g_assert_cmpuint(run_worst(options).violations, >, 0);
 }
 
+static void
+test_many_hosts(void)
+{
+    LimitOptions options = deployment;
+    LimitResult worst;
+
+    options.host_count = 60;
+    options.upstream_count = options.limited_count = 50;
+    options.requests_per_s = 300;
+    options.duration = 20 * MICROS_PER_S;
+    worst = assert_kept(&options);
+    g_assert_cmpfloat(worst.limited_arrivals, >=,
+                      USED_RATIO_MIN * worst.limited_allowed);
+}
+
 static void
 test_hosts_cut_off(void)
 {
@@ -276,6 +291,7 @@
     g_test_add_func("/upstream-limit/zero", test_no_requests_allowed);
     g_test_add_func("/upstream-limit/host-restarts", test_host_restarts);
     g_test_add_func("/upstream-limit/hosts-join", test_hosts_join);
+    g_test_add_func("/upstream-limit/many-hosts", test_many_hosts);
     g_test_add_func("/upstream-limit/hosts-cut-off", test_hosts_cut_off);
     g_test_add_func("/upstream-limit/upstream-restarts",
                     test_upstream_restarts);
