--- a/packages/gateway/Dispatcher.c
+++ b/packages/gateway/Dispatcher.c
@@ -438,6 +438,12 @@
     UpstreamSet_SetSourceReachable(this->upstreams, reachable, since);
 }
 
+uint32_t
+Dispatcher_LimitedUpstreamCount(const Dispatcher *this)
+{
+    return UpstreamLimits_Count(this->limits);
+}
+
 size_t
 Dispatcher_UpstreamCount(const Dispatcher *this)
 {
@@ -640,8 +646,6 @@
     }
     Dispatcher_Count(this, "agatecrank_upstream_limit_changes_total", "change",
                      Str_FromC(limit_change_name(change)));
-    Counters_Set(this->counters, "agatecrank_limited_upstreams", NULL, 0,
-                 UpstreamLimits_Count(this->limits));
     if (EventLog_Begin(this->log, LOG_LEVEL_INFO, "upstream-limit")) {
         EventLog_Str(this->log, "upstream", record->id);
         EventLog_CStr(this->log, "change", limit_change_name(change));
--- a/packages/gateway/Dispatcher.h
+++ b/packages/gateway/Dispatcher.h
@@ -213,6 +213,9 @@
 void Dispatcher_SetHosts(Dispatcher *this, const Str *hosts, size_t count,
                          Micros known_from);
 
+/** Dispatcher_LimitedUpstreamCount() - number of upstreams that name a limit */
+uint32_t Dispatcher_LimitedUpstreamCount(const Dispatcher *this);
+
 /**
  * Dispatcher_UpstreamCount() - number of known upstreams, with draining ones
  */
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -657,7 +657,9 @@
     Dispatcher_SetHosts(f->dispatcher, hosts, 1, 0);
     Dispatcher_RemoveUpstream(f->dispatcher, STR("v"));
     end_with_limit(f, submit(f, "/once/1", 0), 0.1);
+    g_assert_cmpuint(Dispatcher_LimitedUpstreamCount(f->dispatcher), ==, 1);
     Dispatcher_RemoveUpstream(f->dispatcher, STR("u"));
+    g_assert_cmpuint(Dispatcher_LimitedUpstreamCount(f->dispatcher), ==, 0);
     add_upstream(f, "u");
     g_assert_null(submit(f, "/once/2", 0));
     g_assert_cmpuint(f->sends, ==, 1);
