net: count idle connections that run out of time, and log their limit

Change: event=routes has idle_ms; two gauges count idle connections that were closed, and those with input waiting. HttpServer_SetLimits() takes microseconds, so that a test can use limits below a second; the gateway still passes seconds.

--- a/packages/agatecrankd/GatewayDaemon.c
+++ b/packages/agatecrankd/GatewayDaemon.c
@@ -107,6 +107,17 @@
     HeaderList_Destroy(headers);
 }
 
+static void
+set_idle_counters(const GatewayDaemon *this)
+{
+    const HttpServerIdleCounts *idle = Gateway_IdleCounts(this->gateway);
+
+    Counters_Set(this->counters, "agatecrank_idle_connections_closed", NULL, 0,
+                 (double)idle->closed);
+    Counters_Set(this->counters, "agatecrank_idle_connections_with_input",
+                 NULL, 0, (double)idle->with_input);
+}
+
 static void
 respond_metrics(void *user, HttpRequest *request)
 {
@@ -123,6 +134,7 @@
     Counters_Set(this->counters, "agatecrank_store_calls", NULL, 0,
                  (double)(KeyedSource_LogCalls(this->source) +
                           QuarantineFeed_Appends(this->quarantine)));
+    set_idle_counters(this);
     Counters_Set(this->counters, "agatecrank_log_lines_lost", NULL, 0,
                  (double)(LogSink_DroppedLines() +
                           EventLog_Dropped(this->log) +
--- a/packages/gateway/Dispatcher.c
+++ b/packages/gateway/Dispatcher.c
@@ -397,6 +397,8 @@
     if (EventLog_Begin(this->log, LOG_LEVEL_INFO, "routes")) {
         EventLog_Int(this->log, "version", (int64_t)version);
         EventLog_Int(this->log, "routes", (int64_t)RouteTable_Count(routes));
+        EventLog_Int(this->log, "idle_ms",
+                     RouteTable_Limits(routes)->idle_time / MICROS_PER_MS);
         EventLog_End(this->log);
     }
     Counters_Set(this->counters, "agatecrank_routes_version", NULL, 0,
--- a/packages/gateway/Gateway.c
+++ b/packages/gateway/Gateway.c
@@ -783,7 +783,7 @@
                      ? (int)(limits->idle_time / MICROS_PER_S)
                      : CALLER_IDLE_DEFAULT_S;
 
-    HttpServer_SetLimits(this->server, &http, idle_s);
+    HttpServer_SetLimits(this->server, &http, idle_s * MICROS_PER_S);
 }
 
 void
@@ -805,6 +805,12 @@
     return HttpServer_OpenRequests(this->server);
 }
 
+const HttpServerIdleCounts *
+Gateway_IdleCounts(const Gateway *this)
+{
+    return HttpServer_IdleCounts(this->server);
+}
+
 uint16_t
 Gateway_Port(const Gateway *this)
 {
--- a/packages/gateway/Gateway.h
+++ b/packages/gateway/Gateway.h
@@ -58,6 +58,9 @@
 /** Gateway_OpenRequests() - number of requests without a complete response */
 size_t Gateway_OpenRequests(const Gateway *this);
 
+/** Gateway_IdleCounts() - see HttpServer_IdleCounts() */
+const HttpServerIdleCounts *Gateway_IdleCounts(const Gateway *this);
+
 /** Gateway_Port() - TCP port, also if the options had port 0 */
 uint16_t Gateway_Port(const Gateway *this);
 
--- a/packages/net/HttpServer.c
+++ b/packages/net/HttpServer.c
@@ -29,6 +29,7 @@
     GHashTable *connections; /* set of Connection */
     size_t open_requests;
     uint64_t accepted;
+    HttpServerIdleCounts idle_counts;
     int listen_fd;
     uint16_t port;
     bool accept_chunked;
@@ -205,6 +206,9 @@
         return;
     }
     if (HttpParser_IsIdle(this->parser)) {
+        this->server->idle_counts.closed++;
+        this->server->idle_counts.with_input +=
+            Socket_HasInput(this->socket) ? 1 : 0;
         close_gracefully(this, false);
         return;
     }
@@ -605,7 +609,8 @@
     this->user = user;
     this->accept_chunked = options->accept_chunked;
     this->connections = g_hash_table_new(g_direct_hash, g_direct_equal);
-    HttpServer_SetLimits(this, &options->limits, options->keep_alive_s);
+    HttpServer_SetLimits(this, &options->limits,
+                         options->keep_alive_s * MICROS_PER_S);
     if (options->certificate_file != NULL) {
         this->tls = TlsContext_Create(true, &files, error);
     }
@@ -619,13 +624,13 @@
 
 void
 HttpServer_SetLimits(HttpServer *this, const HttpLimits *limits,
-                     int keep_alive_s)
+                     Micros idle_timeout)
 {
     this->limits = *limits;
     if (this->limits.head_bytes == 0) {
         this->limits.head_bytes = HEAD_BYTES_DEFAULT;
     }
-    this->idle_timeout = keep_alive_s * MICROS_PER_S;
+    this->idle_timeout = idle_timeout;
 }
 
 uint16_t
@@ -640,6 +645,12 @@
     return this->accepted;
 }
 
+const HttpServerIdleCounts *
+HttpServer_IdleCounts(const HttpServer *this)
+{
+    return &this->idle_counts;
+}
+
 void
 HttpServer_DisableKeepAlive(HttpServer *this)
 {
--- a/packages/net/HttpServer.h
+++ b/packages/net/HttpServer.h
@@ -76,17 +76,31 @@
                               const HttpServerHandlers *handlers, void *user,
                               Error *error);
 
+/**
+ * struct HttpServerIdleCounts_ - idle connections whose time has run out
+ * @closed: connections that were closed
+ * @with_input: times that input was waiting to be read
+ */
+typedef struct HttpServerIdleCounts_ {
+    uint64_t closed;
+    uint64_t with_input;
+} HttpServerIdleCounts;
+
+/** HttpServer_IdleCounts() - counts since the start; borrowed */
+const HttpServerIdleCounts *HttpServer_IdleCounts(const HttpServer *this);
+
 /** HttpServer_Port() - TCP port; the one in use if the options gave 0 */
 uint16_t HttpServer_Port(const HttpServer *this);
 
 /**
  * HttpServer_SetLimits() - change the limits and the idle timeout
+ * @idle_timeout: time after which an idle connection is closed; 0 for never
  *
  * The head_bytes limit applies to new connections, the others also to the next
  * request of each open connection.
  */
 void HttpServer_SetLimits(HttpServer *this, const HttpLimits *limits,
-                          int keep_alive_s);
+                          Micros idle_timeout);
 
 /** HttpServer_AcceptedCount() - number of connections accepted so far */
 uint64_t HttpServer_AcceptedCount(const HttpServer *this);
--- a/packages/net/Socket.c
+++ b/packages/net/Socket.c
@@ -6,6 +6,7 @@
 #include <netinet/tcp.h>
 #include <openssl/x509.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -447,6 +448,14 @@
     return this->output->len - this->output_sent;
 }
 
+bool
+Socket_HasInput(const Socket *this)
+{
+    int bytes = 0;
+
+    return ioctl(this->fd, FIONREAD, &bytes) == 0 && bytes > 0;
+}
+
 void
 Socket_Pause(Socket *this, bool paused)
 {
--- a/packages/net/Socket.h
+++ b/packages/net/Socket.h
@@ -72,6 +72,9 @@
 /** Socket_Buffered() - bytes in the output buffer */
 size_t Socket_Buffered(const Socket *this);
 
+/** Socket_HasInput() - whether bytes of the peer wait to be read */
+bool Socket_HasInput(const Socket *this);
+
 /** Socket_Pause() - stop or resume reading from the peer */
 void Socket_Pause(Socket *this, bool paused);
 
