net: leave requests unread that cross the close of an idle connection

Callers saw: a whole request ends with the connection, without an answer (LOST). Cause: the host ended an idle connection like one with a response on its way: it sent the end and read and discarded input for another second. A request that arrived in that second was read whole and answered by nothing; its caller can't know that it did not run. Change: an idle connection is closed at once, at its limit and at a stop. The system resets it when input arrives, which tells the caller that nothing was read. Measured: request-after-close and request-after-stop of test_idle_connections failed before and pass; test_http and test_tls pass. The other cases still fail.

--- a/packages/net/HttpServer.c
+++ b/packages/net/HttpServer.c
@@ -138,6 +138,15 @@
     Socket_CloseGracefully(socket);
 }
 
+static void
+close_idle(Connection *this)
+{
+    Socket *socket = this->socket;
+
+    remove_connection(this, false);
+    Socket_CloseIdle(socket);
+}
+
 static Micros
 now(const Connection *this)
 {
@@ -209,7 +218,7 @@
         this->server->idle_counts.closed++;
         this->server->idle_counts.with_input +=
             Socket_HasInput(this->socket) ? 1 : 0;
-        close_gracefully(this, false);
+        close_idle(this);
         return;
     }
     reject_message(this, 408, "header-timeout");
@@ -667,7 +676,7 @@
 
         if (connection->request == NULL &&
             HttpParser_IsIdle(connection->parser)) {
-            close_gracefully(connection, false);
+            close_idle(connection);
         }
     }
     g_list_free(all);
--- a/packages/net/Socket.c
+++ b/packages/net/Socket.c
@@ -486,6 +486,15 @@
     update_events(this);
 }
 
+void
+Socket_CloseIdle(Socket *this)
+{
+    if (this->state == STATE_OPEN && this->ssl != NULL) {
+        SSL_shutdown(this->ssl);
+    }
+    Socket_Close(this);
+}
+
 Str
 Socket_PeerCommonName(const Socket *this)
 {
--- a/packages/net/Socket.h
+++ b/packages/net/Socket.h
@@ -90,6 +90,14 @@
  */
 void Socket_CloseGracefully(Socket *this);
 
+/**
+ * Socket_CloseIdle() - close a connection on which no response is due
+ *
+ * No handler runs afterwards. Input that still arrives is left unread and
+ * resets the connection, so that the peer can tell that it was not handled.
+ */
+void Socket_CloseIdle(Socket *this);
+
 /**
  * Socket_PeerCommonName() - common name in the verified certificate of
  *     the peer, or an empty Str
