net: read input that has arrived before a connection runs out of time

Cause: the loop runs timers before the events of sockets. After a stall of the process, or a long callback such as a configuration of thousands of routes, a limit that passed meanwhile wins over a request that waits in the socket. Change: the timer reads the socket first and then decides. Measured: input-at-deadline and head-at-deadline of test_idle_connections failed before and pass; test_http and test_tls pass.

--- a/packages/net/HttpServer.c
+++ b/packages/net/HttpServer.c
@@ -199,6 +199,46 @@
     close_gracefully(this, false);
 }
 
+static bool
+is_idle(const Connection *this)
+{
+    return this->request == NULL && HttpParser_IsIdle(this->parser);
+}
+
+/* Input that has arrived in time counts, also if the process was too busy to
+ * read it. */
+static void
+read_late_input(Connection *this)
+{
+    bool idle = is_idle(this);
+
+    Socket_ReadNow(this->socket);
+    if (idle && !this->closed && !is_idle(this)) {
+        this->server->idle_counts.with_input++;
+    }
+}
+
+static bool
+is_expired(const Connection *this)
+{
+    return this->deadline > 0 && this->deadline <= now(this);
+}
+
+static void
+expire(Connection *this)
+{
+    read_late_input(this);
+    if (this->closed || !is_expired(this)) {
+        return;
+    }
+    if (is_idle(this)) {
+        this->server->idle_counts.closed++;
+        close_idle(this);
+        return;
+    }
+    reject_message(this, 408, "header-timeout");
+}
+
 static void
 on_timer(void *user)
 {
@@ -214,14 +254,10 @@
         LoopTimer_Start(this->timer, this->deadline - time);
         return;
     }
-    if (HttpParser_IsIdle(this->parser)) {
-        this->server->idle_counts.closed++;
-        this->server->idle_counts.with_input +=
-            Socket_HasInput(this->socket) ? 1 : 0;
-        close_idle(this);
-        return;
-    }
-    reject_message(this, 408, "header-timeout");
+    this->active_callbacks++;
+    expire(this);
+    this->active_callbacks--;
+    release_connection(this);
 }
 
 static void
--- a/packages/net/Socket.c
+++ b/packages/net/Socket.c
@@ -6,7 +6,6 @@
 #include <netinet/tcp.h>
 #include <openssl/x509.h>
 #include <string.h>
-#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -448,12 +447,17 @@
     return this->output->len - this->output_sent;
 }
 
-bool
-Socket_HasInput(const Socket *this)
+void
+Socket_ReadNow(Socket *this)
 {
-    int bytes = 0;
-
-    return ioctl(this->fd, FIONREAD, &bytes) == 0 && bytes > 0;
+    if (this->state != STATE_OPEN || this->paused) {
+        return;
+    }
+    this->active_callbacks++;
+    read_peer(this);
+    update_events(this);
+    this->active_callbacks--;
+    release_if_closed(this);
 }
 
 void
--- a/packages/net/Socket.h
+++ b/packages/net/Socket.h
@@ -72,8 +72,13 @@
 /** Socket_Buffered() - bytes in the output buffer */
 size_t Socket_Buffered(const Socket *this);
 
-/** Socket_HasInput() - whether bytes of the peer wait to be read */
-bool Socket_HasInput(const Socket *this);
+/**
+ * Socket_ReadNow() - handle the input that has arrived, unless reading is
+ *     paused
+ *
+ * For decisions that depend on it: timers run before I/O events.
+ */
+void Socket_ReadNow(Socket *this);
 
 /** Socket_Pause() - stop or resume reading from the peer */
 void Socket_Pause(Socket *this, bool paused);
