net: read input that has arrived before idle connections close at a stop

Cause: HttpServer_CloseIdle() closed each connection whose parser was idle without a look at the socket, where a request may wait. A host that stops calls it every 50 ms while callers go on using their connections. Change: it reads the sockets first. A request found there is answered with connection: close. Measured: input-at-stop of test_idle_connections failed before and passes.

--- a/packages/net/HttpServer.c
+++ b/packages/net/HttpServer.c
@@ -702,17 +702,29 @@
     this->keep_alive_disabled = true;
 }
 
+static void
+close_if_idle(Connection *this)
+{
+    this->active_callbacks++;
+    if (is_idle(this)) {
+        read_late_input(this);
+    }
+    if (!this->closed && is_idle(this)) {
+        close_idle(this);
+    }
+    this->active_callbacks--;
+    release_connection(this);
+}
+
 void
 HttpServer_CloseIdle(HttpServer *this)
 {
     GList *all = g_hash_table_get_keys(this->connections);
 
     for (GList *item = all; item != NULL; item = item->next) {
-        Connection *connection = item->data;
-
-        if (connection->request == NULL &&
-            HttpParser_IsIdle(connection->parser)) {
-            close_idle(connection);
+        /* Input of another connection may have closed it. */
+        if (g_hash_table_contains(this->connections, item->data)) {
+            close_if_idle(item->data);
         }
     }
     g_list_free(all);
