net: a raised idle limit holds for connections that are idle already

Callers saw: nothing reported; found by reading. A caller that goes by the new configuration reuses a connection that the host closes by the old limit. Cause: the deadline of an idle connection was set once, by the limit of that time. Change: when it passes, the limit in force counts. A lowered limit still holds from the next response on, so callers that don't know it yet keep their connections.

--- a/packages/net/HttpServer.c
+++ b/packages/net/HttpServer.c
@@ -46,7 +46,8 @@
     LoopTask *task;        /* writes output and completes the request */
     LoopTimer *timer;      /* for the deadline */
     Micros deadline;       /* of the idle or the header timeout; 0 for none */
-    Micros timer_due;      /* when the timer fires; 0 if it is stopped */
+    Micros idle_since;
+    Micros timer_due;          /* when the timer fires; 0 if it is stopped */
     unsigned active_callbacks; /* callbacks on the call stack */
     bool closed;
 };
@@ -167,6 +168,13 @@
     }
 }
 
+static void
+begin_idle(Connection *this)
+{
+    this->idle_since = now(this);
+    set_deadline(this, this->server->idle_timeout);
+}
+
 static void
 send_error_response(Connection *this, int status, const char *reason)
 {
@@ -218,6 +226,24 @@
     }
 }
 
+/* A raised limit applies to connections that are idle already. */
+static void
+extend_idle_time(Connection *this)
+{
+    Micros limit = this->server->idle_timeout;
+    Micros left = this->idle_since + limit - now(this);
+
+    if (!is_idle(this)) {
+        return;
+    }
+    if (limit == 0) {
+        this->deadline = 0;
+    }
+    else if (left > 0) {
+        set_deadline(this, left);
+    }
+}
+
 static bool
 is_expired(const Connection *this)
 {
@@ -228,7 +254,11 @@
 expire(Connection *this)
 {
     read_late_input(this);
-    if (this->closed || !is_expired(this)) {
+    if (this->closed) {
+        return;
+    }
+    extend_idle_time(this);
+    if (!is_expired(this)) {
         return;
     }
     if (is_idle(this)) {
@@ -467,7 +497,7 @@
     }
     this->request = NULL;
     destroy_request(request, true);
-    set_deadline(this, this->server->idle_timeout);
+    begin_idle(this);
     this->pipelined = g_byte_array_new();
     if (pipelined->len > 0) {
         set_deadline(this, this->server->limits.head_timeout);
@@ -560,7 +590,7 @@
     this->socket =
         Socket_Accept(server->loop, fd, &options, &socket_handlers, this);
     g_hash_table_add(server->connections, this);
-    set_deadline(this, server->idle_timeout);
+    begin_idle(this);
 }
 
 static void
