gateway: keep fractions of the callers' idle limit

Callers saw: nothing reported; found by reading. Cause: the limit was cut to whole seconds. 2.4 s became 2 s, little above the 1.92 s for which a caller may reuse a connection; below 1 s it became 0, no limit at all. Change: microseconds all the way. Measured: short-limit of test_idle_connections failed before and passes.

--- a/packages/gateway/Gateway.c
+++ b/packages/gateway/Gateway.c
@@ -779,11 +779,11 @@
                           : BODY_MAX_BYTES,
         .head_timeout = limits->head_timeout,
     };
-    int idle_s = limits->idle_time > 0
-                     ? (int)(limits->idle_time / MICROS_PER_S)
-                     : CALLER_IDLE_DEFAULT_S;
+    Micros idle_time = limits->idle_time > 0
+                           ? limits->idle_time
+                           : CALLER_IDLE_DEFAULT_S * MICROS_PER_S;
 
-    HttpServer_SetLimits(this->server, &http, idle_s * MICROS_PER_S);
+    HttpServer_SetLimits(this->server, &http, idle_time);
 }
 
 void
