--- a/packages/gateway/Gateway.c
+++ b/packages/gateway/Gateway.c
@@ -779,11 +779,11 @@
                           : BODY_MAX_BYTES,
         .head_timeout = limits->head_timeout,
     };
-    int idle_s = limits->idle_time > 0
-                     ? (int)(limits->idle_time / MICROS_PER_S)
-                     : CALLER_IDLE_DEFAULT_S;
+    Micros idle_time = limits->idle_time > 0
+                           ? limits->idle_time
+                           : CALLER_IDLE_DEFAULT_S * MICROS_PER_S;
 
-    HttpServer_SetLimits(this->server, &http, idle_s);
+    HttpServer_SetLimits(this->server, &http, idle_time);
 }
 
 void
@@ -805,6 +805,12 @@
     return HttpServer_OpenRequests(this->server);
 }
 
+const HttpServerIdleCounts *
+Gateway_IdleCounts(const Gateway *this)
+{
+    return HttpServer_IdleCounts(this->server);
+}
+
 uint16_t
 Gateway_Port(const Gateway *this)
 {
--- a/packages/net/HttpServer.c
+++ b/packages/net/HttpServer.c
@@ -15,6 +15,10 @@
 #define HEAD_BYTES_DEFAULT 16384
 /* Reading pauses when more bytes of pipelined requests are buffered. */
 #define PIPELINED_BYTES_MAX 65536
+/* Part of the idle limit that is added for the last response and the next
+ * request on their way: a caller counts from the arrival of the response. */
+#define IDLE_TRANSIT_RATIO 0.25
+#define IDLE_TRANSIT_MAX_US (5 * MICROS_PER_S)
 
 typedef struct Connection_ Connection;
 
@@ -29,6 +33,7 @@
     GHashTable *connections; /* set of Connection */
     size_t open_requests;
     uint64_t accepted;
+    HttpServerIdleCounts idle_counts;
     int listen_fd;
     uint16_t port;
     bool accept_chunked;
@@ -45,7 +50,8 @@
     LoopTask *task;        /* writes output and completes the request */
     LoopTimer *timer;      /* for the deadline */
     Micros deadline;       /* of the idle or the header timeout; 0 for none */
-    Micros timer_due;      /* when the timer fires; 0 if it is stopped */
+    Micros idle_since;
+    Micros timer_due;          /* when the timer fires; 0 if it is stopped */
     unsigned active_callbacks; /* callbacks on the call stack */
     bool closed;
 };
@@ -137,6 +143,15 @@
     Socket_CloseGracefully(socket);
 }
 
+static void
+close_idle(Connection *this)
+{
+    Socket *socket = this->socket;
+
+    remove_connection(this, false);
+    Socket_CloseIdle(socket);
+}
+
 static Micros
 now(const Connection *this)
 {
@@ -157,6 +172,21 @@
     }
 }
 
+static Micros
+idle_close_time(const HttpServer *this)
+{
+    Micros transit = (Micros)(IDLE_TRANSIT_RATIO * (double)this->idle_timeout);
+
+    return this->idle_timeout + MIN(transit, IDLE_TRANSIT_MAX_US);
+}
+
+static void
+begin_idle(Connection *this)
+{
+    this->idle_since = now(this);
+    set_deadline(this, idle_close_time(this->server));
+}
+
 static void
 send_error_response(Connection *this, int status, const char *reason)
 {
@@ -189,6 +219,68 @@
     close_gracefully(this, false);
 }
 
+static bool
+is_idle(const Connection *this)
+{
+    return this->request == NULL && HttpParser_IsIdle(this->parser);
+}
+
+/* Input that has arrived in time counts, also if the process was too busy to
+ * read it. */
+static void
+read_late_input(Connection *this)
+{
+    bool idle = is_idle(this);
+
+    Socket_ReadNow(this->socket);
+    if (idle && !this->closed && !is_idle(this)) {
+        this->server->idle_counts.with_input++;
+    }
+}
+
+/* A raised limit applies to connections that are idle already. */
+static void
+extend_idle_time(Connection *this)
+{
+    Micros limit = idle_close_time(this->server);
+    Micros left = this->idle_since + limit - now(this);
+
+    if (!is_idle(this)) {
+        return;
+    }
+    if (limit == 0) {
+        this->deadline = 0;
+    }
+    else if (left > 0) {
+        set_deadline(this, left);
+    }
+}
+
+static bool
+is_expired(const Connection *this)
+{
+    return this->deadline > 0 && this->deadline <= now(this);
+}
+
+static void
+expire(Connection *this)
+{
+    read_late_input(this);
+    if (this->closed) {
+        return;
+    }
+    extend_idle_time(this);
+    if (!is_expired(this)) {
+        return;
+    }
+    if (is_idle(this)) {
+        this->server->idle_counts.closed++;
+        close_idle(this);
+        return;
+    }
+    reject_message(this, 408, "header-timeout");
+}
+
 static void
 on_timer(void *user)
 {
@@ -204,11 +296,10 @@
         LoopTimer_Start(this->timer, this->deadline - time);
         return;
     }
-    if (HttpParser_IsIdle(this->parser)) {
-        close_gracefully(this, false);
-        return;
-    }
-    reject_message(this, 408, "header-timeout");
+    this->active_callbacks++;
+    expire(this);
+    this->active_callbacks--;
+    release_connection(this);
 }
 
 static void
@@ -418,7 +509,7 @@
     }
     this->request = NULL;
     destroy_request(request, true);
-    set_deadline(this, this->server->idle_timeout);
+    begin_idle(this);
     this->pipelined = g_byte_array_new();
     if (pipelined->len > 0) {
         set_deadline(this, this->server->limits.head_timeout);
@@ -511,7 +602,7 @@
     this->socket =
         Socket_Accept(server->loop, fd, &options, &socket_handlers, this);
     g_hash_table_add(server->connections, this);
-    set_deadline(this, server->idle_timeout);
+    begin_idle(this);
 }
 
 static void
@@ -605,7 +696,8 @@
     this->user = user;
     this->accept_chunked = options->accept_chunked;
     this->connections = g_hash_table_new(g_direct_hash, g_direct_equal);
-    HttpServer_SetLimits(this, &options->limits, options->keep_alive_s);
+    HttpServer_SetLimits(this, &options->limits,
+                         options->keep_alive_s * MICROS_PER_S);
     if (options->certificate_file != NULL) {
         this->tls = TlsContext_Create(true, &files, error);
     }
@@ -619,13 +711,13 @@
 
 void
 HttpServer_SetLimits(HttpServer *this, const HttpLimits *limits,
-                     int keep_alive_s)
+                     Micros idle_timeout)
 {
     this->limits = *limits;
     if (this->limits.head_bytes == 0) {
         this->limits.head_bytes = HEAD_BYTES_DEFAULT;
     }
-    this->idle_timeout = keep_alive_s * MICROS_PER_S;
+    this->idle_timeout = idle_timeout;
 }
 
 uint16_t
@@ -640,23 +732,41 @@
     return this->accepted;
 }
 
+const HttpServerIdleCounts *
+HttpServer_IdleCounts(const HttpServer *this)
+{
+    return &this->idle_counts;
+}
+
 void
 HttpServer_DisableKeepAlive(HttpServer *this)
 {
     this->keep_alive_disabled = true;
 }
 
+static void
+close_if_idle(Connection *this)
+{
+    this->active_callbacks++;
+    if (is_idle(this)) {
+        read_late_input(this);
+    }
+    if (!this->closed && is_idle(this)) {
+        close_idle(this);
+    }
+    this->active_callbacks--;
+    release_connection(this);
+}
+
 void
 HttpServer_CloseIdle(HttpServer *this)
 {
     GList *all = g_hash_table_get_keys(this->connections);
 
     for (GList *item = all; item != NULL; item = item->next) {
-        Connection *connection = item->data;
-
-        if (connection->request == NULL &&
-            HttpParser_IsIdle(connection->parser)) {
-            close_gracefully(connection, false);
+        /* Input of another connection may have closed it. */
+        if (g_hash_table_contains(this->connections, item->data)) {
+            close_if_idle(item->data);
         }
     }
     g_list_free(all);
--- a/packages/net/Socket.c
+++ b/packages/net/Socket.c
@@ -447,6 +447,19 @@
     return this->output->len - this->output_sent;
 }
 
+void
+Socket_ReadNow(Socket *this)
+{
+    if (this->state != STATE_OPEN || this->paused) {
+        return;
+    }
+    this->active_callbacks++;
+    read_peer(this);
+    update_events(this);
+    this->active_callbacks--;
+    release_if_closed(this);
+}
+
 void
 Socket_Pause(Socket *this, bool paused)
 {
@@ -477,6 +490,15 @@
     update_events(this);
 }
 
+void
+Socket_CloseIdle(Socket *this)
+{
+    if (this->state == STATE_OPEN && this->ssl != NULL) {
+        SSL_shutdown(this->ssl);
+    }
+    Socket_Close(this);
+}
+
 Str
 Socket_PeerCommonName(const Socket *this)
 {
--- a/packages/net/Socket.h
+++ b/packages/net/Socket.h
@@ -72,6 +72,14 @@
 /** Socket_Buffered() - bytes in the output buffer */
 size_t Socket_Buffered(const Socket *this);
 
+/**
+ * Socket_ReadNow() - handle the input that has arrived, unless reading is
+ *     paused
+ *
+ * For decisions that depend on it: timers run before I/O events.
+ */
+void Socket_ReadNow(Socket *this);
+
 /** Socket_Pause() - stop or resume reading from the peer */
 void Socket_Pause(Socket *this, bool paused);
 
@@ -87,6 +95,14 @@
  */
 void Socket_CloseGracefully(Socket *this);
 
+/**
+ * Socket_CloseIdle() - close a connection on which no response is due
+ *
+ * No handler runs afterwards. Input that still arrives is left unread and
+ * resets the connection, so that the peer can tell that it was not handled.
+ */
+void Socket_CloseIdle(Socket *this);
+
 /**
  * Socket_PeerCommonName() - common name in the verified certificate of
  *     the peer, or an empty Str
