gateway: interface for forwarding requests to another host

Cause: a host without a path to any upstream answers 503 to all callers, though other hosts can still reach the upstreams.

Change: Dispatcher.h names peers, forwards, their ends and limits on attempts over two hops. Nothing sets peers yet, and no forward is issued.

--- a/packages/gateway/Dispatcher.c
+++ b/packages/gateway/Dispatcher.c
@@ -267,7 +267,7 @@
         .kind = DISPATCH_RESPOND,
         .job = job,
         .user = job->user,
-        .respond = {status, reason, retry_after},
+        .respond = {status, reason, retry_after, !job->may_have_run},
     };
 
     JobLog_Rejection(job, status, reason);
@@ -457,6 +457,21 @@
     UpstreamLimits_SetHosts(this->limits, hosts, count, known_from);
 }
 
+void
+Dispatcher_SetPeers(Dispatcher *this, const PeerInfo *peers, size_t count)
+{
+    (void)this;
+    (void)peers;
+    (void)count;
+}
+
+bool
+Dispatcher_IsCutOff(const Dispatcher *this)
+{
+    (void)this;
+    return false;
+}
+
 /* ---- requests ------------------------------------------------------- */
 
 RetryWindow *
@@ -680,6 +695,18 @@
     return verdict;
 }
 
+JobVerdict
+Dispatcher_OnForwardEnd(Dispatcher *this, Job *job, const ForwardEndInfo *end)
+{
+    (void)this;
+    if (end->result == FORWARD_RESPONSE) {
+        Job_End(job);
+        return JOB_RELAY;
+    }
+    Job_Abandon(job, "upstream-unreachable");
+    return JOB_DISCARD;
+}
+
 static void
 end_probe(Dispatcher *this, uint32_t upstream, Str result)
 {
--- a/packages/gateway/Dispatcher.h
+++ b/packages/gateway/Dispatcher.h
@@ -67,10 +67,20 @@
     bool restored;
 } UpstreamEntry;
 
+/** struct PeerInfo_ - another host, which can forward requests for this one */
+typedef struct PeerInfo_ {
+    Str id;
+    Str domain;
+} PeerInfo;
+
 /**
  * struct JobInfo_ - a complete request
  * @id: identifies the caller's attempt in the log
  * @timeout: time that the caller waits, from now; 0 for no limit
+ * @attempts_max: number of upstreams that it may still be sent to; 0: as the
+ *                route says
+ * @forwarded: sent by a peer: is not forwarded again, and does not count as a
+ *             request in the retry window
  */
 typedef struct JobInfo_ {
     Str id;
@@ -79,6 +89,8 @@
     Str path;
     Str body;
     Micros timeout;
+    uint32_t attempts_max;
+    bool forwarded;
 } JobInfo;
 
 /** enum AttemptResult - how an attempt to send a request ended */
@@ -103,7 +115,38 @@
     LimitNotice limit;
 } AttemptEndInfo;
 
-/** enum JobVerdict - whether an upstream's response is used */
+/** enum ForwardResult - how a request forwarded to a peer ended */
+typedef enum ForwardResult_ {
+    FORWARD_RESPONSE, /* complete authentic response of an upstream */
+    FORWARD_NOT_RUN,  /* the peer states: not executed and never will be */
+    FORWARD_FAILED,   /* 5xx of the peer itself; may have been executed */
+    FORWARD_UNSENT,   /* nothing of the request reached the peer */
+    FORWARD_BROKEN,   /* anything else; may have been executed */
+} ForwardResult;
+
+/** enum ForwardRefusal - why a peer did not execute a forwarded request */
+typedef enum ForwardRefusal_ {
+    FORWARD_REFUSAL_NONE,
+    FORWARD_REFUSAL_CUT_OFF, /* reason "cut-off": it reaches no upstream */
+    FORWARD_REFUSAL_LIMIT,   /* "forward-limit": bound on forwarded requests */
+    FORWARD_REFUSAL_DENIED,  /* it does not accept requests of this host */
+    FORWARD_REFUSAL_OTHER,
+} ForwardRefusal;
+
+/**
+ * struct ForwardEndInfo_ - the end of a forward
+ * @status: HTTP status of the response
+ * @refusal: with FORWARD_NOT_RUN
+ * @retry_after: as the peer states; 0 for none
+ */
+typedef struct ForwardEndInfo_ {
+    ForwardResult result;
+    int status;
+    ForwardRefusal refusal;
+    Micros retry_after;
+} ForwardEndInfo;
+
+/** enum JobVerdict - whether the response of an upstream or peer is used */
 typedef enum JobVerdict_ {
     JOB_RELAY,   /* relay it to the caller; the job has ended */
     JOB_DISCARD, /* drop it; an action for the job follows */
@@ -120,8 +163,9 @@
 typedef enum DispatchActionKind_ {
     DISPATCH_PROBE,   /* request an upstream's load; without a job */
     DISPATCH_SEND,    /* send the request to an upstream */
+    DISPATCH_FORWARD, /* send the request to a peer */
     DISPATCH_RESPOND, /* send a response of the host; the job has ended */
-    DISPATCH_CANCEL,  /* cancel the attempt; a further action follows */
+    DISPATCH_CANCEL,  /* cancel the attempt or forward; an action follows */
 } DispatchActionKind;
 
 /**
@@ -149,10 +193,17 @@
             Micros timeout; /* from now; sent to the upstream */
             bool idempotent;
         } send;
+        struct {
+            Str peer;              /* id of the host */
+            Micros timeout;        /* from now; sent to the peer */
+            uint32_t attempts_max; /* of the peer, at least 1 */
+            bool idempotent;
+        } forward;
         struct {
             int status;
             const char *reason; /* static string */
             Micros retry_after; /* 0 for none */
+            bool not_run; /* nothing was sent that may still be executed */
         } respond;
     };
 } DispatchAction;
@@ -213,6 +264,17 @@
 void Dispatcher_SetHosts(Dispatcher *this, const Str *hosts, size_t count,
                          Micros known_from);
 
+/**
+ * Dispatcher_SetPeers() - replace the list of the hosts that can forward
+ *     requests for this one
+ * @peers: without this host; copied
+ */
+void Dispatcher_SetPeers(Dispatcher *this, const PeerInfo *peers,
+                         size_t count);
+
+/** Dispatcher_IsCutOff() - whether this host reaches no upstream */
+bool Dispatcher_IsCutOff(const Dispatcher *this);
+
 /** Dispatcher_LimitedUpstreamCount() - number of upstreams that name a limit */
 uint32_t Dispatcher_LimitedUpstreamCount(const Dispatcher *this);
 
@@ -233,6 +295,10 @@
 JobVerdict Dispatcher_OnAttemptEnd(Dispatcher *this, Job *job,
                                    const AttemptEndInfo *end);
 
+/** Dispatcher_OnForwardEnd() - the request of a DISPATCH_FORWARD has ended */
+JobVerdict Dispatcher_OnForwardEnd(Dispatcher *this, Job *job,
+                                   const ForwardEndInfo *end);
+
 /**
  * Dispatcher_OnProbeTimeout() - a DISPATCH_PROBE got no response in time
  * @connected: it was sent on an open connection
--- a/packages/gateway/Gateway.c
+++ b/packages/gateway/Gateway.c
@@ -583,6 +583,8 @@
     case DISPATCH_SEND:
         send_request(exchange, action);
         break;
+    case DISPATCH_FORWARD: /* there is none without peers */
+        break;
     case DISPATCH_CANCEL:
         cancel_call(exchange);
         break;
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -105,6 +105,8 @@
         case DISPATCH_CANCEL:
             f->cancels++;
             break;
+        case DISPATCH_FORWARD:
+            break;
         }
         f->action = action;
     }
--- a/tests/test_overload.c
+++ b/tests/test_overload.c
@@ -270,6 +270,8 @@
             request->job = action.job;
             receive_request(sim, request, (uint32_t)(action.send.port - 1));
             break;
+        case DISPATCH_FORWARD:
+            g_assert_not_reached();
         case DISPATCH_CANCEL:
             abandon_attempt(request);
             break;
