net: public keys and forwarding ports in the list of hosts

Cause: hosts know each other's relays only. A host that is to execute requests for another one has to prove who it is, and the other one must know where to send them.

Change: an entry is "DOMAIN;PORT;KEY ADDRESS:PORT". Entries without port and key are read as before. The version before reads a new entry as that of a live host in another domain, so it does not use it as a relay. A malformed port or key is logged as event=bad-host-entry and costs the host its forwards only. KeyedSource reports the newest entries of the live hosts after each reading of the list; no further topic or call.

--- /dev/null
+++ b/packages/net/HostEntry.c
@@ -0,0 +1,48 @@
+#include "HostEntry.h"
+
+#include "Error.h"
+#include "Hex.h"
+
+static int
+parse_forward(Str text, HostEntry *this)
+{
+    uint64_t port;
+    Str field;
+
+    if (!Str_Split(&text, ';', &field) || Str_ParseU64(field, &port) < 0 ||
+        port == 0 || port > UINT16_MAX || !Str_Split(&text, ';', &field) ||
+        Hex_Parse(field, this->key, HOST_KEY_BYTES) < 0) {
+        return ERR_INVALID;
+    }
+    this->forward_port = (uint16_t)port;
+    return 0;
+}
+
+int
+HostEntry_Parse(Str text, HostEntry *this)
+{
+    Str first;
+
+    *this = (HostEntry){.forward_port = 0};
+    if (!Str_Split(&text, ' ', &first) ||
+        Endpoint_Parse(text, &this->relay) < 0) {
+        return ERR_PARSE;
+    }
+    Str_Split(&first, ';', &this->domain);
+    /* Fields that later versions may add after the key are ignored. */
+    return first.length > 0 ? parse_forward(first, this) : 0;
+}
+
+char *
+HostEntry_Format(const HostEntry *this)
+{
+    GString *text = Str_ToString(this->domain);
+
+    if (this->forward_port > 0) {
+        g_string_append_printf(text, ";%u;", this->forward_port);
+        Hex_Append(text, this->key, HOST_KEY_BYTES);
+    }
+    g_string_append_printf(text, " %s:%u", this->relay.address,
+                           this->relay.port);
+    return g_string_free(text, FALSE);
+}
--- /dev/null
+++ b/packages/net/HostEntry.h
@@ -0,0 +1,40 @@
+#ifndef AGATECRANK_NET_HOSTENTRY_H
+#define AGATECRANK_NET_HOSTENTRY_H
+
+#include "Endpoint.h"
+
+/** HOST_KEY_BYTES - size of an X25519 key */
+#define HOST_KEY_BYTES 32
+
+/**
+ * struct HostEntry_ - what a host writes about itself into the list of hosts
+ * @domain: failure domain; borrowed from the text when parsed
+ * @relay: address of its KeyedRelay
+ * @forward_port: TCP port for forwarded requests, at the address of @relay; 0
+ *                if it takes none
+ * @key: public key of its present process; undefined if @forward_port is 0
+ *
+ * The text is "DOMAIN;PORT;KEY ADDRESS:PORT" with the key in hexadecimal, and
+ * "DOMAIN ADDRESS:PORT" of a host that takes no forwarded requests. Hosts of
+ * versions without forwarding read the first form as an entry of another
+ * domain.
+ */
+typedef struct HostEntry_ {
+    Str domain;
+    Endpoint relay;
+    uint16_t forward_port;
+    uint8_t key[HOST_KEY_BYTES];
+} HostEntry;
+
+/**
+ * HostEntry_Parse() - parse the text of an entry
+ *
+ * Return: 0; ERR_INVALID if the host is live but its port or key is malformed,
+ * then @forward_port is 0; ERR_PARSE if nothing can be used.
+ */
+int HostEntry_Parse(Str text, HostEntry *entry);
+
+/** HostEntry_Format() - text of an entry, to be freed with g_free() */
+char *HostEntry_Format(const HostEntry *this);
+
+#endif
--- a/packages/net/KeyedSource.c
+++ b/packages/net/KeyedSource.c
@@ -1,6 +1,7 @@
 #include "KeyedSource.h"
 
 #include <glib.h>
+#include <string.h>
 
 #include "HostRoster.h"
 #include "HttpFetch.h"
@@ -54,6 +55,7 @@
     char *own_id;
     KeyedLog interface;
     HostRoster *roster;
+    GHashTable *entries;       /* Listed by its id */
     GPtrArray *peers;          /* Peer, ordered by id */
     GPtrArray *unlisted_peers; /* Peer of the previous list */
     GPtrArray *listed_peers;   /* Peer of the list being read, or NULL */
@@ -71,6 +73,13 @@
     bool direct;         /* reads go to the log, not to a relay */
 };
 
+/* The newest entry of a host. */
+typedef struct Listed_ {
+    GString *id;
+    GString *domain;
+    HostEntry entry;
+} Listed;
+
 /* A pending read. @relay is NULL for a direct read. */
 typedef struct Read_ {
     KeyedSource *source;
@@ -96,6 +105,16 @@
     g_free(peer);
 }
 
+static void
+destroy_listed(gpointer data)
+{
+    Listed *listed = data;
+
+    g_string_free(listed->id, TRUE);
+    g_string_free(listed->domain, TRUE);
+    g_free(listed);
+}
+
 static Micros
 now(const KeyedSource *this)
 {
@@ -421,15 +440,21 @@
     return g_strcmp0((*(Peer *const *)a)->id, (*(Peer *const *)b)->id);
 }
 
-/* Reads a registration, whose value is "DOMAIN ADDRESS:PORT". */
-static bool
-parse_registration(const KeyedRecord *record, Str *domain, Endpoint *endpoint)
+static void
+log_bad_entry(const KeyedSource *this, Str id, int code)
 {
-    Str text = record->value;
+    if (EventLog_Begin(this->log, LOG_LEVEL_INFO, "bad-host-entry")) {
+        EventLog_Str(this->log, "host", id);
+        EventLog_CStr(this->log, "reason", Error_Name(code));
+        EventLog_End(this->log);
+    }
+}
 
+static bool
+parse_registration(const KeyedRecord *record, HostEntry *entry)
+{
     return !record->removed && record->key.length > 0 &&
-           Str_Split(&text, ' ', domain) &&
-           Endpoint_Parse(text, endpoint) == 0;
+           HostEntry_Parse(record->value, entry) != ERR_PARSE;
 }
 
 /* Adds the host of a registration if it can be a relay for this one. */
@@ -437,20 +462,20 @@
 add_peer(KeyedSource *this, const KeyedRecord *record, GPtrArray *peers)
 {
     HttpClientOptions options = {.connect_timeout = RELAY_CONNECT_TIMEOUT_US};
-    Endpoint endpoint;
-    Str domain;
+    HostEntry entry;
     Peer *peer;
     char *url;
 
-    if (!parse_registration(record, &domain, &endpoint) ||
-        !Str_Equal(domain, this->options.domain) ||
+    if (!parse_registration(record, &entry) ||
+        !Str_Equal(entry.domain, this->options.domain) ||
         Str_Equal(record->key, this->options.host) ||
         !HostRoster_IsLive(this->roster, record->key)) {
         return;
     }
     peer = g_new0(Peer, 1);
     peer->id = g_strndup(record->key.data, record->key.length);
-    url = g_strdup_printf("http://%s:%u", endpoint.address, endpoint.port);
+    url =
+        g_strdup_printf("http://%s:%u", entry.relay.address, entry.relay.port);
     peer->fetch = HttpFetch_Create(this->loop, Str_FromC(url),
                                    RESPONSE_BYTES_MAX, &options, NULL);
     g_free(url);
@@ -460,9 +485,12 @@
 static char *
 registration_value(const KeyedSource *this)
 {
-    return g_strdup_printf(STR_FORMAT " %s:%u", STR_ARGS(this->options.domain),
-                           this->options.relay.address,
-                           this->options.relay.port);
+    HostEntry entry = {.domain = this->options.domain,
+                       .relay = this->options.relay,
+                       .forward_port = this->options.forward_port};
+
+    memcpy(entry.key, this->options.key, HOST_KEY_BYTES);
+    return HostEntry_Format(&entry);
 }
 
 static bool
@@ -502,18 +530,45 @@
     this->registered = false;
 }
 
+/* Copies an entry of the list. */
 static void
-apply_list_page(KeyedSource *this, const KeyedPage *page)
+put_entry(KeyedSource *this, Str id, const HostEntry *entry)
 {
-    Endpoint endpoint;
-    Str domain;
+    Listed *listed = g_new0(Listed, 1);
 
+    listed->id = Str_ToString(id);
+    listed->domain = Str_ToString(entry->domain);
+    listed->entry = *entry;
+    listed->entry.domain = Str_FromString(listed->domain);
+    g_hash_table_replace(this->entries, listed->id, listed);
+}
+
+static void
+apply_entry(KeyedSource *this, const KeyedRecord *record)
+{
+    HostEntry entry;
+    int code;
+
+    if (record->removed || record->key.length == 0) {
+        return;
+    }
+    code = HostEntry_Parse(record->value, &entry);
+    if (code < 0) {
+        log_bad_entry(this, record->key, code);
+    }
+    if (code != ERR_PARSE) {
+        HostRoster_PutEntry(this->roster, record->key, record->offset);
+        put_entry(this, record->key, &entry);
+    }
+}
+
+static void
+apply_list_page(KeyedSource *this, const KeyedPage *page)
+{
     for (size_t i = 0; i < page->count; i++) {
         const KeyedRecord *record = &page->records[i];
 
-        if (parse_registration(record, &domain, &endpoint)) {
-            HostRoster_PutEntry(this->roster, record->key, record->offset);
-        }
+        apply_entry(this, record);
         this->registered =
             this->registered || is_own_registration(this, record);
         add_peer(this, record, this->listed_peers);
@@ -521,6 +576,38 @@
     this->listed_count += page->count;
 }
 
+static gboolean
+is_gone(gpointer id, gpointer value, gpointer user)
+{
+    const KeyedSource *this = user;
+    const Listed *listed = value;
+
+    return !HostRoster_IsLive(this->roster, Str_FromString(listed->id));
+}
+
+/* A live host whose entry has disappeared keeps its last one. */
+static void
+report_entries(KeyedSource *this)
+{
+    GArray *hosts = g_array_new(FALSE, FALSE, sizeof(ListedHost));
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_foreach_remove(this->entries, is_gone, this);
+    g_hash_table_iter_init(&iter, this->entries);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const Listed *listed = value;
+        ListedHost host = {Str_FromString(listed->id), listed->entry};
+
+        g_array_append_val(hosts, host);
+    }
+    if (this->options.on_entries != NULL) {
+        this->options.on_entries(this->options.user,
+                                 (const ListedHost *)hosts->data, hosts->len);
+    }
+    g_array_free(hosts, TRUE);
+}
+
 static void
 end_list(KeyedSource *this)
 {
@@ -532,6 +619,7 @@
     this->options.on_hosts(this->options.user, (const Str *)ids->data,
                            ids->len, HostRoster_KnownFrom(this->roster));
     g_array_free(ids, TRUE);
+    report_entries(this);
     g_ptr_array_sort(this->listed_peers, compare_peers);
     /* Reads may still be in flight to peers of the previous list, but not to
      * peers of older lists. */
@@ -686,6 +774,9 @@
     this->roster =
         HostRoster_Create(options->host, options->first_start, this->clock);
     this->interface = (KeyedLog){this, read_newest, read_tail, NULL};
+    this->entries = g_hash_table_new_full((GHashFunc)g_string_hash,
+                                          (GEqualFunc)g_string_equal, NULL,
+                                          destroy_listed);
     this->peers = g_ptr_array_new_with_free_func(destroy_peer);
     this->unlisted_peers = g_ptr_array_new_with_free_func(destroy_peer);
     this->relay_request_at = -1;
@@ -707,6 +798,7 @@
     }
     LoopTimer_Destroy(this->list_timer);
     HostRoster_Destroy(this->roster);
+    g_hash_table_destroy(this->entries);
     g_free(this->own_id);
     g_queue_free_full(this->queued_reads, destroy_read);
     g_queue_free_full(this->rejected_reads, destroy_read);
--- a/packages/net/KeyedSource.h
+++ b/packages/net/KeyedSource.h
@@ -1,7 +1,7 @@
 #ifndef AGATECRANK_NET_KEYEDSOURCE_H
 #define AGATECRANK_NET_KEYEDSOURCE_H
 
-#include "Endpoint.h"
+#include "HostEntry.h"
 #include "KeyedLog.h"
 #include "Loop.h"
 
@@ -16,24 +16,36 @@
  */
 typedef struct KeyedSource_ KeyedSource;
 
+/** struct ListedHost_ - a live host with its newest entry */
+typedef struct ListedHost_ {
+    Str id;
+    HostEntry entry;
+} ListedHost;
+
 /**
  * struct KeyedSourceOptions_ - settings
  * @host, @domain: id and failure domain of this host
  * @relay: address and port of this host's KeyedRelay
+ * @forward_port, @key: as in struct HostEntry_, for the entry of this host
  * @first_start: see HostRoster_Create()
  * @on_direct: called when this host begins (@direct set) or ceases to read the
  *             log directly
  * @on_hosts: called after each reading of the list of hosts with the @count
  *            live ones; @known_from as of HostRoster_KnownFrom()
+ * @on_entries: called with the entries of live hosts, this one included, after
+ *              on_hosts; may be NULL
  */
 typedef struct KeyedSourceOptions_ {
     Str host;
     Str domain;
     Endpoint relay;
+    uint16_t forward_port;
+    uint8_t key[HOST_KEY_BYTES];
     bool first_start;
     void (*on_direct)(void *user, bool direct);
     void (*on_hosts)(void *user, const Str *ids, size_t count,
                      Micros known_from);
+    void (*on_entries)(void *user, const ListedHost *hosts, size_t count);
     void *user;
 } KeyedSourceOptions;
 
--- a/tests/test_keyed_follower.c
+++ b/tests/test_keyed_follower.c
@@ -23,7 +23,8 @@
     bool unavailable;
     unsigned reads;
     unsigned snapshots;
-    GList *pending; /* Reply */
+    char appended[128]; /* value of the last record that was appended */
+    GList *pending;     /* Reply */
 } FakeLog;
 
 typedef struct Reply_ {
@@ -146,6 +147,10 @@
 append(void *self, Str topic, const KeyedRecord *records, size_t count,
        Micros timeout, KeyedAppendHandler *handler, void *user)
 {
+    FakeLog *log = self;
+
+    g_snprintf(log->appended, sizeof(log->appended), STR_FORMAT,
+               STR_ARGS(records[0].value));
     handler(user, 0);
 }
 
@@ -400,6 +405,7 @@
     KeyedFollower *follower;
     FakeLog *log;
     GString *seen;
+    GString *entries; /* of the last list */
     bool direct;
     size_t listed; /* live hosts */
 } Host;
@@ -447,6 +453,20 @@
     host->listed = count;
 }
 
+static void
+host_entries(void *user, const ListedHost *hosts, size_t count)
+{
+    Host *host = user;
+
+    g_string_truncate(host->entries, 0);
+    for (size_t i = 0; i < count; i++) {
+        g_autofree char *text = HostEntry_Format(&hosts[i].entry);
+
+        g_string_append_printf(host->entries, "[" STR_FORMAT " %s]",
+                               STR_ARGS(hosts[i].id), text);
+    }
+}
+
 static void
 host_relay_request(void *user)
 {
@@ -471,6 +491,9 @@
                                  .relay = {"127.0.0.1", port},
                                  .on_direct = host_direct,
                                  .on_hosts = host_list,
+                                 .on_entries = host_entries,
+                                 .forward_port = 7734,
+                                 .key = {1},
                                  .user = host};
     KeyedFollowerOptions options = {
         .topic = STR(TOPIC),
@@ -483,6 +506,7 @@
     memset(host, 0, sizeof(*host));
     host->f = f;
     host->seen = g_string_new(NULL);
+    host->entries = g_string_new(NULL);
     host->direct = true;
     host->relay = KeyedRelay_Create(f->loop, &relay, NULL);
     g_assert_nonnull(host->relay);
@@ -502,6 +526,7 @@
     KeyedFollower_Destroy(host->follower);
     KeyedSource_Destroy(host->source);
     g_string_free(host->seen, TRUE);
+    g_string_free(host->entries, TRUE);
 }
 
 static uint16_t
@@ -586,6 +611,35 @@
     stop_host(&host);
 }
 
+#define KEY "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff"
+
+/* Guards against hosts whose keys are not known, and against a malformed key
+ * that makes a host count as gone. */
+static void
+test_entries(Fixture *f, gconstpointer data)
+{
+    Host host;
+
+    write_record(&f->log, "host-1", STR("d;81;" KEY " 127.0.0.1:80"));
+    write_record(&f->log, "host-2", STR("d;81;00 127.0.0.1:80"));
+    write_record(&f->log, "host-3", STR("e 127.0.0.1:80"));
+    write_record(&f->log, "host-4", STR("e 127.0.0.1"));
+    start_host(&host, f, "host-5", free_port(f));
+    while (f->log.appended[0] == '\0') {
+        Loop_RunOnce(f->loop);
+    }
+    g_assert_true(g_str_has_prefix(f->log.appended, "d;7734;0100"));
+    g_assert_cmpuint(host.listed, ==, 3);
+    g_assert_nonnull(
+        strstr(host.entries->str, "[host-1 d;81;" KEY " 127.0.0.1:80]"));
+    g_assert_nonnull(strstr(host.entries->str, "[host-2 d 127.0.0.1:80]"));
+    g_assert_nonnull(strstr(host.entries->str, "[host-3 e 127.0.0.1:80]"));
+    g_assert_null(strstr(host.entries->str, "host-4"));
+    Loop_Close(f->loop);
+    fail_pending(&f->log);
+    stop_host(&host);
+}
+
 /* Guards against reads beyond the end of a truncated message of a peer. */
 static void
 test_codec(void)
@@ -632,6 +686,7 @@
     ADD("/keyed/outage", test_outage);
     ADD("/keyed/relay", test_relay);
     ADD("/keyed/list-in-pages", test_list_in_pages);
+    ADD("/keyed/entries", test_entries);
     g_test_add_func("/keyed/codec", test_codec);
     return g_test_run();
 }
