net: remember sequence numbers of processes that left the list of hosts

Cause: a host whose entry was missing in one reading of the list came back with an empty window of sequence numbers, so its earlier requests could run again. A host also needs keys with a sender that it has not read in the list yet, to state that it did not run a request.

Change: processes that are no longer listed, or claim to be hosts, are kept with their windows: 1,024 at most, for 10 minutes, or 10 seconds without an authentic request. Claims of unknown processes derive keys at most 20 times a second. Sequence numbers are counted for all peers together and never start again.

--- a/packages/net/HostKeys.c
+++ b/packages/net/HostKeys.c
@@ -8,14 +8,26 @@
 #include <string.h>
 
 #define PEERS_MAX 512
+#define UNLISTED_MAX 1024
+/* Bounds the processor time that claims of unknown processes cost. */
+#define UNLISTED_MAX_PER_S 20
+/* Longer than a request may take. */
+#define UNLISTED_TIME_US (600 * MICROS_PER_S)
+/* Time for a claim without an authentic request. */
+#define CLAIM_TIME_US (10 * MICROS_PER_S)
 #define SECRET_BYTES 32
 
 struct HostKeys_ {
     GString *host;
     EVP_PKEY *pair;
     uint8_t public_key[HOST_KEY_BYTES];
-    GHashTable *by_id; /* HostPeer, owned by @peers */
-    GPtrArray *peers;  /* HostPeer */
+    const Clock *clock;
+    GHashTable *by_id;   /* HostPeer, owned by @peers */
+    GPtrArray *peers;    /* HostPeer */
+    GPtrArray *unlisted; /* HostPeer, the oldest first */
+    uint64_t sequence;
+    Micros second_began; /* for UNLISTED_MAX_PER_S */
+    unsigned second_count;
 };
 
 static void
@@ -37,14 +49,17 @@
 }
 
 HostKeys *
-HostKeys_Create(Str host, Error *error)
+HostKeys_Create(Str host, const Clock *clock, Error *error)
 {
     HostKeys *this = g_new0(HostKeys, 1);
     size_t length = HOST_KEY_BYTES;
 
     this->host = Str_ToString(host);
+    this->clock = clock;
+    this->second_began = Clock_Now(clock);
     this->by_id = create_index();
     this->peers = g_ptr_array_new_with_free_func(destroy_peer);
+    this->unlisted = g_ptr_array_new_with_free_func(destroy_peer);
     this->pair = EVP_PKEY_Q_keygen(NULL, NULL, "X25519");
     if (this->pair == NULL ||
         EVP_PKEY_get_raw_public_key(this->pair, this->public_key, &length) !=
@@ -65,6 +80,7 @@
     }
     g_hash_table_destroy(this->by_id);
     g_ptr_array_free(this->peers, TRUE);
+    g_ptr_array_free(this->unlisted, TRUE);
     EVP_PKEY_free(this->pair);
     g_string_free(this->host, TRUE);
     g_free(this);
@@ -184,16 +200,51 @@
 }
 
 static bool
-is_same_process(const HostPeer *peer, const ListedHost *host)
+is_process(const HostPeer *peer, Str id, const uint8_t *key)
 {
-    return memcmp(peer->key, host->entry.key, HOST_KEY_BYTES) == 0;
+    return memcmp(peer->key, key, HOST_KEY_BYTES) == 0 &&
+           Str_Equal(Str_FromString(peer->id), id);
 }
 
+/* Its sequence numbers are remembered: what it sent before must not run again,
+ * nor be denied. */
 static void
-remove_peer(HostKeys *this, HostPeer *peer)
+unlist_peer(HostKeys *this, HostPeer *peer)
 {
+    guint i;
+
     g_hash_table_remove(this->by_id, peer->id);
-    g_ptr_array_remove_fast(this->peers, peer);
+    if (g_ptr_array_find(this->peers, peer, &i)) {
+        g_ptr_array_steal_index_fast(this->peers, i);
+    }
+    if (this->unlisted->len >= UNLISTED_MAX) {
+        g_ptr_array_remove_index(this->unlisted, 0);
+    }
+    peer->unlisted_at = Clock_Now(this->clock);
+    g_ptr_array_add(this->unlisted, peer);
+}
+
+static int
+find_unlisted(const HostKeys *this, Str id, const uint8_t *key)
+{
+    for (guint i = 0; i < this->unlisted->len; i++) {
+        if (is_process(g_ptr_array_index(this->unlisted, i), id, key)) {
+            return (int)i;
+        }
+    }
+    return -1;
+}
+
+static void
+list_peer(HostKeys *this, const ListedHost *host)
+{
+    int i = find_unlisted(this, host->id, host->entry.key);
+    HostPeer *peer = i >= 0 ? g_ptr_array_steal_index(this->unlisted, (guint)i)
+                            : create_peer(host->id, host->entry.key);
+
+    peer->unlisted_at = -1;
+    g_hash_table_insert(this->by_id, peer->id, peer);
+    g_ptr_array_add(this->peers, peer);
 }
 
 static void
@@ -201,17 +252,16 @@
 {
     HostPeer *peer = lookup(this, host->id);
 
-    if (peer != NULL && !is_same_process(peer, host)) {
-        remove_peer(this, peer);
+    if (peer != NULL && !is_process(peer, host->id, host->entry.key)) {
+        unlist_peer(this, peer);
         peer = NULL;
     }
+    if (peer == NULL && this->peers->len >= PEERS_MAX) {
+        return;
+    }
     if (peer == NULL) {
-        if (this->peers->len >= PEERS_MAX) {
-            return;
-        }
-        peer = create_peer(host->id, host->entry.key);
-        g_hash_table_insert(this->by_id, peer->id, peer);
-        g_ptr_array_add(this->peers, peer);
+        list_peer(this, host);
+        peer = lookup(this, host->id);
     }
     g_string_truncate(peer->domain, 0);
     Str_AppendTo(host->entry.domain, peer->domain);
@@ -236,7 +286,7 @@
         HostPeer *peer = g_ptr_array_index(this->peers, i - 1);
 
         if (!peer->listed) {
-            remove_peer(this, peer);
+            unlist_peer(this, peer);
         }
     }
 }
@@ -247,13 +297,76 @@
     return this->peers;
 }
 
+static HostPeer *
+with_keys(const HostKeys *this, HostPeer *peer)
+{
+    if (!peer->derived) {
+        peer->derived = HostKeys_Derive(this, Str_FromString(peer->id),
+                                        peer->key, &peer->keys) == 0;
+    }
+    return peer->derived ? peer : NULL;
+}
+
 HostPeer *
 HostKeys_Find(HostKeys *this, Str id)
 {
     HostPeer *peer = lookup(this, id);
 
-    if (peer != NULL && !peer->derived) {
-        peer->derived = HostKeys_Derive(this, id, peer->key, &peer->keys) == 0;
+    return peer != NULL ? with_keys(this, peer) : NULL;
+}
+
+/* ---- processes that are not listed ---------------------------------- */
+
+static void
+forget_unlisted(HostKeys *this)
+{
+    Micros now = Clock_Now(this->clock);
+
+    for (guint i = this->unlisted->len; i > 0; i--) {
+        const HostPeer *peer = g_ptr_array_index(this->unlisted, i - 1);
+        Micros limit =
+            peer->received.highest > 0 ? UNLISTED_TIME_US : CLAIM_TIME_US;
+
+        if (now - peer->unlisted_at > limit) {
+            g_ptr_array_remove_index(this->unlisted, i - 1);
+        }
+    }
+}
+
+static bool
+may_remember(HostKeys *this)
+{
+    Micros now = Clock_Now(this->clock);
+
+    if (now - this->second_began >= MICROS_PER_S) {
+        this->second_began = now;
+        this->second_count = 0;
+        forget_unlisted(this);
     }
-    return peer != NULL && peer->derived ? peer : NULL;
+    return this->unlisted->len < UNLISTED_MAX &&
+           this->second_count++ < UNLISTED_MAX_PER_S;
+}
+
+HostPeer *
+HostKeys_FindUnlisted(HostKeys *this, Str id, const uint8_t *key)
+{
+    int i = find_unlisted(this, id, key);
+    HostPeer *peer;
+
+    if (i >= 0) {
+        return with_keys(this, g_ptr_array_index(this->unlisted, (guint)i));
+    }
+    if (!may_remember(this)) {
+        return NULL;
+    }
+    peer = create_peer(id, key);
+    peer->unlisted_at = Clock_Now(this->clock);
+    g_ptr_array_add(this->unlisted, peer);
+    return with_keys(this, peer);
+}
+
+uint64_t
+HostKeys_NextSequence(HostKeys *this)
+{
+    return ++this->sequence;
 }
--- a/packages/net/HostKeys.h
+++ b/packages/net/HostKeys.h
@@ -28,10 +28,9 @@
 } PairKeys;
 
 /**
- * struct HostPeer_ - another host that takes forwarded requests
- * @address: where it takes them
+ * struct HostPeer_ - process of another host
+ * @address: where it takes forwarded requests
  * @key: its public key
- * @sequence: of the last request sent to it
  * @received: sequence numbers of the requests received from it
  */
 typedef struct HostPeer_ {
@@ -40,19 +39,20 @@
     Endpoint address;
     uint8_t key[HOST_KEY_BYTES];
     PairKeys keys;
-    bool derived; /* @keys is valid */
-    bool listed;  /* in the list that is being applied */
-    uint64_t sequence;
     ReplayWindow received;
+    Micros unlisted_at; /* -1 while it is in the list of hosts */
+    bool derived;       /* @keys is valid */
+    bool listed;        /* in the list that is being applied */
 } HostPeer;
 
 /**
  * HostKeys_Create() - generate the key pair
  * @host: id of this host
+ * @clock: borrowed
  *
  * Return: NULL with @error filled if there is no randomness.
  */
-HostKeys *HostKeys_Create(Str host, Error *error);
+HostKeys *HostKeys_Create(Str host, const Clock *clock, Error *error);
 
 /** HostKeys_Destroy() - erase the keys and release; NULL is allowed */
 void HostKeys_Destroy(HostKeys *this);
@@ -67,8 +67,8 @@
  * HostKeys_SetPeers() - replace the list of hosts
  *
  * This host, hosts without a key and more than some hundreds are left out. A
- * host with another key than before is another process: its sequence numbers
- * start again.
+ * host with another key than before is another process. Processes that are no
+ * longer listed are remembered for some minutes.
  */
 void HostKeys_SetPeers(HostKeys *this, const ListedHost *hosts, size_t count);
 
@@ -83,6 +83,19 @@
  */
 HostPeer *HostKeys_Find(HostKeys *this, Str id);
 
+/**
+ * HostKeys_FindUnlisted() - find a process that is not in the list of hosts, or
+ *     remember it
+ * @id, @key: as it claims
+ *
+ * Return: as HostKeys_Find(); NULL also if there are too many such processes,
+ * in a second or altogether.
+ */
+HostPeer *HostKeys_FindUnlisted(HostKeys *this, Str id, const uint8_t *key);
+
+/** HostKeys_NextSequence() - a number that this process has not used yet */
+uint64_t HostKeys_NextSequence(HostKeys *this);
+
 /**
  * HostKeys_Derive() - derive the keys of a pair
  * @id, @key: of the other host
--- a/tests/test_forward_seal.c
+++ b/tests/test_forward_seal.c
@@ -78,10 +78,12 @@
 
 /* ---- keys ----------------------------------------------------------- */
 
+static Clock *test_clock;
+
 static HostKeys *
 create_keys(const char *id)
 {
-    HostKeys *keys = HostKeys_Create(Str_FromC(id), NULL);
+    HostKeys *keys = HostKeys_Create(Str_FromC(id), test_clock, NULL);
 
     g_assert_nonnull(keys);
     return keys;
@@ -148,14 +150,16 @@
 
     introduce(a, b);
     peer = HostKeys_Find(a, STR("b"));
-    peer->sequence = 7;
     g_assert_true(ReplayWindow_Use(&peer->received, 9));
     introduce(a, b);
-    g_assert_cmpuint(HostKeys_Find(a, STR("b"))->sequence, ==, 7);
+    peer = HostKeys_Find(a, STR("b"));
+    g_assert_false(ReplayWindow_Use(&peer->received, 9));
     introduce(a, successor);
     peer = HostKeys_Find(a, STR("b"));
-    g_assert_cmpuint(peer->sequence, ==, 0);
     g_assert_true(ReplayWindow_Use(&peer->received, 9));
+    introduce(a, b);
+    peer = HostKeys_Find(a, STR("b"));
+    g_assert_false(ReplayWindow_Use(&peer->received, 9));
     memset(zero.entry.key, 0, HOST_KEY_BYTES);
     HostKeys_SetPeers(a, &zero, 1);
     g_assert_null(HostKeys_Find(a, STR("b")));
@@ -363,7 +367,10 @@
 int
 main(int argc, char **argv)
 {
+    int code;
+
     g_test_init(&argc, &argv, NULL);
+    test_clock = Clock_CreateManual(1, 1);
     g_test_add_func("/forward/entry", test_entry);
     g_test_add_func("/forward/entry-of-next-version",
                     test_entry_of_next_version);
@@ -374,5 +381,7 @@
     g_test_add_func("/forward/request-ignores-hop", test_request_ignores_hop);
     g_test_add_func("/forward/response-covers", test_response_covers);
     g_test_add_func("/forward/texts", test_texts);
-    return g_test_run();
+    code = g_test_run();
+    Clock_Destroy(test_clock);
+    return code;
 }
