--- a/packages/net/ForwardSeal.c
+++ b/packages/net/ForwardSeal.c
@@ -161,6 +161,12 @@
 /* In the order of enum ForwardOutcome. */
 static const char *const outcome_names[] = {"relayed", "not-run", "unknown"};
 
+const char *
+ForwardOutcome_Name(ForwardOutcome outcome)
+{
+    return outcome_names[outcome];
+}
+
 int
 ForwardResponseSeal_Parse(Str text, ForwardResponseSeal *this)
 {
--- a/packages/net/ForwardSeal.h
+++ b/packages/net/ForwardSeal.h
@@ -54,6 +54,9 @@
     FORWARD_OUTCOME_UNKNOWN, /* by the host itself; may have been executed */
 } ForwardOutcome;
 
+/** ForwardOutcome_Name() - its word in texts and logs */
+const char *ForwardOutcome_Name(ForwardOutcome outcome);
+
 /**
  * struct ForwardResponseSeal_ - proves which host sent a response, to which
  *     request
--- a/packages/net/HttpServer.c
+++ b/packages/net/HttpServer.c
@@ -744,6 +744,12 @@
     return this->data;
 }
 
+void
+HttpRequest_CloseAfter(HttpRequest *this)
+{
+    this->close_after = true;
+}
+
 void
 HttpRequest_PauseBody(HttpRequest *this, bool paused)
 {
--- a/packages/net/HttpServer.h
+++ b/packages/net/HttpServer.h
@@ -138,6 +138,9 @@
 /** HttpRequest_Data() - pointer set by HttpRequest_SetData() */
 void *HttpRequest_Data(const HttpRequest *this);
 
+/** HttpRequest_CloseAfter() - close the connection after the response */
+void HttpRequest_CloseAfter(HttpRequest *this);
+
 /** HttpRequest_PauseBody() - stop or resume reading the request body */
 void HttpRequest_PauseBody(HttpRequest *this, bool paused);
 
