gateway: send requests to other hosts and take theirs

Cause: the dispatcher can decide to forward a request, but nothing carries it out.

Change: an exchange of the Gateway serves callers and other hosts alike. A response of a peer is used only with a valid seal; one of an upstream must also pass the checks that a direct one has to pass. The response of the peer itself ends the forward as not run or failed. The listener is the setting gateway.forward, by default the port below the relay's. The list of hosts gives the dispatcher its peers.

--- a/packages/agatecrankd/GatewayDaemon.c
+++ b/packages/agatecrankd/GatewayDaemon.c
@@ -2,6 +2,7 @@
 
 #include <glib.h>
 #include <signal.h>
+#include <string.h>
 #include <unistd.h>
 
 #include "BalancerDaemon.h"
@@ -45,6 +46,7 @@
     Random *random;
     Counters *counters;
     Loop *loop;
+    HostKeys *keys;
     Dispatcher *dispatcher;
     Gateway *gateway;
     StoreClient *store;
@@ -118,6 +120,8 @@
                  (double)Gateway_OpenRequests(this->gateway));
     Counters_Set(this->counters, "agatecrank_upstreams", NULL, 0,
                  (double)Dispatcher_UpstreamCount(this->dispatcher));
+    Counters_Set(this->counters, "agatecrank_cut_off", NULL, 0,
+                 Dispatcher_IsCutOff(this->dispatcher) ? 1 : 0);
     Counters_Set(this->counters, "agatecrank_limited_upstreams", NULL, 0,
                  Dispatcher_LimitedUpstreamCount(this->dispatcher));
     Counters_Set(this->counters, "agatecrank_store_calls", NULL, 0,
@@ -287,6 +291,29 @@
     Dispatcher_SetHosts(this->dispatcher, ids, count, known_from);
 }
 
+/* Hosts that listen for no requests of others take no part in forwarding. */
+static void
+on_entries(void *user, const ListedHost *hosts, size_t count)
+{
+    GatewayDaemon *this = user;
+    const GPtrArray *known = HostKeys_Peers(this->keys);
+    GArray *peers = g_array_new(FALSE, FALSE, sizeof(PeerInfo));
+
+    HostKeys_SetPeers(this->keys, hosts, count);
+    for (guint i = 0; i < known->len; i++) {
+        const HostPeer *peer = g_ptr_array_index(known, i);
+        PeerInfo info = {Str_FromString(peer->id),
+                         Str_FromString(peer->domain)};
+
+        g_array_append_val(peers, info);
+    }
+    if (Gateway_ForwardPort(this->gateway) > 0) {
+        Dispatcher_SetPeers(this->dispatcher, (const PeerInfo *)peers->data,
+                            peers->len);
+    }
+    g_array_free(peers, TRUE);
+}
+
 static void
 on_relay_request(void *user)
 {
@@ -312,9 +339,12 @@
         .first_start = settings->first_start,
         .on_direct = on_direct_change,
         .on_hosts = on_hosts,
+        .on_entries = on_entries,
+        .forward_port = Gateway_ForwardPort(this->gateway),
         .user = this,
     };
 
+    memcpy(source.key, HostKeys_PublicKey(this->keys), HOST_KEY_BYTES);
     this->relay = KeyedRelay_Create(this->loop, &relay, error);
     if (this->relay == NULL) {
         return ERR_IO;
@@ -356,11 +386,16 @@
         .dialect = &PLATFORM_DIALECT,
         .connections_max = CONNECTIONS_MAX,
         .reuse_idle = REUSE_IDLE_MAX_US,
+        .keys = this->keys,
         .log = this->log,
+        .decisions = this->decision_log,
         .on_update = on_gateway_update,
         .user = this,
     };
 
+    if (settings->forward.port > 0) {
+        options.forward = settings->forward;
+    }
     this->gateway = Gateway_Create(this->loop, this->dispatcher,
                                    this->counters, &options, error);
     if (this->gateway == NULL) {
@@ -390,6 +425,11 @@
         GatewayDaemon_Destroy(this);
         return NULL;
     }
+    this->keys = HostKeys_Create(settings->host_id, this->clock, error);
+    if (this->keys == NULL) {
+        GatewayDaemon_Destroy(this);
+        return NULL;
+    }
     create_dispatcher(this);
     this->stop_timer = LoopTimer_Create(this->loop, check_stop, this);
     if (create_net(this, error) < 0 ||
@@ -417,6 +457,7 @@
         HttpServer_Destroy(this->readiness);
         Gateway_Destroy(this->gateway);
         Dispatcher_Destroy(this->dispatcher);
+        HostKeys_Destroy(this->keys);
         Loop_Destroy(this->loop);
     }
     Counters_Destroy(this->counters);
@@ -435,6 +476,8 @@
         EventLog_CStr(this->log, "program_version", AGATECRANK_VERSION);
         EventLog_CStr(this->log, "store", this->settings->store.address);
         EventLog_Int(this->log, "caller_port", Gateway_Port(this->gateway));
+        EventLog_Int(this->log, "forward_port",
+                     Gateway_ForwardPort(this->gateway));
         EventLog_End(this->log);
     }
     Loop_Run(this->loop);
--- a/packages/gateway/Gateway.c
+++ b/packages/gateway/Gateway.c
@@ -2,6 +2,9 @@
 
 #include <glib.h>
 
+#include "ForwardClient.h"
+#include "ForwardServer.h"
+
 /* Responses up to this size are buffered until they are complete, so that a
  * truncated one can be fetched again; larger ones are relayed as they
  * arrive. */
@@ -22,6 +25,9 @@
 #define CALLER_IDLE_DEFAULT_S 15
 /* Request bodies are buffered in memory until they are complete. */
 #define BODY_MAX_BYTES (64 * 1024 * 1024)
+/* Time for the way back to the host that forwarded a request. */
+#define FORWARD_MARGIN_US (20 * MICROS_PER_MS)
+#define RETRY_AFTER_MAX_S 3600
 
 struct Gateway_ {
     Loop *loop;
@@ -30,17 +36,31 @@
     GatewayOptions options;
     HttpServer *server;
     HttpClient *client;
+    ForwardServer *forward_server; /* NULL without a listener */
+    ForwardClient *forward_client; /* NULL without keys */
     LoopTimer *timer;
     Micros timer_at;
     bool running_actions;
 };
 
-/* A caller's request and the attempt to serve it. */
+/* A request that is forwarded to a peer. */
+typedef struct Forward_ {
+    GString *peer;
+    ForwardTicket ticket;
+    Micros started_at;
+    bool authentic; /* the response has the peer's seal */
+    ForwardOutcome outcome;
+    ForwardEndInfo end; /* as far as known from the response */
+} Forward;
+
+/* A request and the attempt to serve it. */
 typedef struct Exchange_ {
     Gateway *gateway;
-    HttpRequest *request; /* NULL after the caller has disconnected */
-    Job *job;             /* NULL once the response is decided */
-    HttpCall *call;       /* NULL without an open attempt */
+    HttpRequest *request;
+    ForwardedRequest *forwarded; /* NULL if a caller sent it to this host */
+    Job *job;                    /* NULL once the response is decided */
+    HttpCall *call;              /* NULL without an open attempt */
+    Forward *forward;            /* NULL unless the attempt is at a peer */
     GByteArray *body;
     HeaderList *response_headers;
     GByteArray *response;
@@ -60,19 +80,93 @@
     exchange->body = g_byte_array_new();
     exchange->response = g_byte_array_new();
     exchange->received_at = Clock_Now(Loop_Clock(this->loop));
-    HttpRequest_SetData(request, exchange);
     return exchange;
 }
 
+static void
+destroy_forward(Forward *forward)
+{
+    g_string_free(forward->peer, TRUE);
+    g_free(forward);
+}
+
 static void
 destroy_exchange(Exchange *exchange)
 {
+    if (exchange->forward != NULL) {
+        destroy_forward(exchange->forward);
+    }
     g_byte_array_free(exchange->body, TRUE);
     g_byte_array_free(exchange->response, TRUE);
     HeaderList_Destroy(exchange->response_headers);
     g_free(exchange);
 }
 
+/* The words in which peers state their refusals. */
+static const struct {
+    ForwardRefusal refusal;
+    const char *name;
+} refusals[] = {
+    {FORWARD_REFUSAL_CUT_OFF, "cut-off"},
+    {FORWARD_REFUSAL_LIMIT, "forward-limit"},
+    {FORWARD_REFUSAL_DENIED, "forward-denied"},
+    {FORWARD_REFUSAL_NONE, "none"},
+};
+
+static ForwardRefusal
+refusal_of(Str name)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(refusals); i++) {
+        if (Str_Equal(name, Str_FromC(refusals[i].name))) {
+            return refusals[i].refusal;
+        }
+    }
+    return FORWARD_REFUSAL_OTHER;
+}
+
+static const char *
+refusal_name(ForwardRefusal refusal)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(refusals); i++) {
+        if (refusals[i].refusal == refusal) {
+            return refusals[i].name;
+        }
+    }
+    return "other";
+}
+
+static Str
+attempt_id(const Exchange *exchange)
+{
+    return HeaderList_Get(HttpRequest_Headers(exchange->request),
+                          exchange->gateway->options.dialect->attempt_id);
+}
+
+/* Logs and counts the end of a forward. */
+static void
+end_forward(Exchange *exchange, const char *result)
+{
+    Gateway *this = exchange->gateway;
+    EventLog *log = this->options.decisions;
+    Forward *forward = g_steal_pointer(&exchange->forward);
+    CounterLabel label = {"result", Str_FromC(result)};
+
+    Counters_Add(this->counters, "agatecrank_forwards_total", &label, 1, 1);
+    if (EventLog_Begin(log, LOG_LEVEL_INFO, "forward-end")) {
+        EventLog_Str(log, "request", attempt_id(exchange));
+        EventLog_Str(log, "peer", Str_FromString(forward->peer));
+        EventLog_CStr(log, "result", result);
+        EventLog_Int(log, "status", forward->end.status);
+        EventLog_CStr(log, "reason", refusal_name(forward->end.refusal));
+        EventLog_Int(
+            log, "ms",
+            (Clock_Now(Loop_Clock(this->loop)) - forward->started_at) /
+                MICROS_PER_MS);
+        EventLog_End(log);
+    }
+    destroy_forward(forward);
+}
+
 static void
 cancel_call(Exchange *exchange)
 {
@@ -80,6 +174,9 @@
         HttpCall_Cancel(exchange->call);
         exchange->call = NULL;
     }
+    if (exchange->forward != NULL) {
+        end_forward(exchange, "cancelled");
+    }
 }
 
 static void
@@ -98,6 +195,9 @@
     char text[8];
     CounterLabel label = {"status", {text, 0}};
 
+    if (exchange->forwarded != NULL) {
+        return;
+    }
     g_snprintf(text, sizeof(text), "%d", status);
     label.value = Str_FromC(text);
     Counters_Add(this->counters, "agatecrank_answers_total", &label, 1, 1);
@@ -125,20 +225,24 @@
     char *body;
 
     exchange->job = NULL;
-    if (exchange->request != NULL) {
-        HeaderList_Add(headers, STR("content-type"), STR("application/json"));
-        HeaderList_Add(headers, dialect->attempt_id,
-                       HeaderList_Get(HttpRequest_Headers(exchange->request),
-                                      dialect->attempt_id));
-        if (action->respond.retry_after > 0) {
-            add_retry_after(headers, action->respond.retry_after);
-        }
-        body = g_strdup_printf("{\"reason\":\"%s\"}", action->respond.reason);
-        HttpRequest_Respond(exchange->request, action->respond.status, headers,
-                            Str_FromC(body));
-        record_response(exchange, action->respond.status);
-        g_free(body);
+    HeaderList_Add(headers, STR("content-type"), STR("application/json"));
+    HeaderList_Add(headers, dialect->attempt_id, attempt_id(exchange));
+    if (action->respond.retry_after > 0) {
+        add_retry_after(headers, action->respond.retry_after);
+    }
+    if (exchange->forwarded != NULL) {
+        ForwardedRequest_Seal(exchange->forwarded,
+                              action->respond.not_run
+                                  ? FORWARD_OUTCOME_NOT_RUN
+                                  : FORWARD_OUTCOME_UNKNOWN,
+                              Str_FromC(action->respond.reason),
+                              action->respond.status, headers);
     }
+    body = g_strdup_printf("{\"reason\":\"%s\"}", action->respond.reason);
+    HttpRequest_Respond(exchange->request, action->respond.status, headers,
+                        Str_FromC(body));
+    record_response(exchange, action->respond.status);
+    g_free(body);
     HeaderList_Destroy(headers);
 }
 
@@ -153,6 +257,10 @@
 
     HeaderList_CopyEndToEnd(exchange->response_headers, headers);
     exchange->job = NULL;
+    if (exchange->forwarded != NULL) {
+        ForwardedRequest_Seal(exchange->forwarded, FORWARD_OUTCOME_RELAYED,
+                              STR(""), exchange->response_status, headers);
+    }
     if (complete &&
         !Str_Equal(HttpRequest_Method(exchange->request), STR("HEAD"))) {
         length = (int64_t)body.length;
@@ -278,6 +386,125 @@
     return Dispatcher_OnAttemptEnd(this->dispatcher, exchange->job, &end);
 }
 
+/* ---- forwards to peers ---------------------------------------------- */
+
+static Micros
+parse_retry_after(const HeaderList *headers)
+{
+    char text[16];
+    double seconds;
+    char *end;
+
+    g_snprintf(text, sizeof(text), STR_FORMAT,
+               STR_ARGS(HeaderList_Get(headers, STR("retry-after"))));
+    seconds = g_ascii_strtod(text, &end);
+    return *end == '\0' && seconds > 0 && seconds < RETRY_AFTER_MAX_S
+               ? (Micros)(seconds * MICROS_PER_S)
+               : 0;
+}
+
+/* Nothing is used of a response that lacks the seal. */
+static void
+read_forward_seal(Exchange *exchange)
+{
+    Forward *forward = exchange->forward;
+    ForwardResponseSeal seal;
+
+    forward->end.status = exchange->response_status;
+    forward->authentic =
+        ForwardTicket_Check(&forward->ticket, exchange->response_status,
+                            exchange->response_headers, &seal) == 0;
+    if (!forward->authentic) {
+        return;
+    }
+    forward->outcome = seal.outcome;
+    if (seal.outcome == FORWARD_OUTCOME_NOT_RUN) {
+        forward->end.refusal = refusal_of(seal.reason);
+        forward->end.retry_after =
+            parse_retry_after(exchange->response_headers);
+    }
+    HeaderList_Remove(exchange->response_headers, STR(FORWARD_FIELD));
+}
+
+static ForwardResult
+classify_forward(const Exchange *exchange)
+{
+    const Forward *forward = exchange->forward;
+
+    if (!forward->authentic) {
+        return FORWARD_BROKEN;
+    }
+    switch (forward->outcome) {
+    case FORWARD_OUTCOME_RELAYED:
+        return classify_response(exchange) == ATTEMPT_RESULT_RESPONSE
+                   ? FORWARD_RESPONSE
+                   : FORWARD_BROKEN;
+    case FORWARD_OUTCOME_NOT_RUN:
+        return FORWARD_NOT_RUN;
+    case FORWARD_OUTCOME_UNKNOWN:
+        return FORWARD_FAILED;
+    }
+    return FORWARD_BROKEN;
+}
+
+static const char *
+forward_result_name(ForwardResult result)
+{
+    switch (result) {
+    case FORWARD_RESPONSE:
+        return "answer";
+    case FORWARD_NOT_RUN:
+        return "not-run";
+    case FORWARD_FAILED:
+        return "failed";
+    case FORWARD_UNSENT:
+        return "unsent";
+    case FORWARD_BROKEN:
+        return "broken";
+    }
+    return "unknown";
+}
+
+static JobVerdict
+report_forward_end(Exchange *exchange, ForwardResult result)
+{
+    ForwardEndInfo end = exchange->forward->end;
+
+    end.result = result;
+    end_forward(exchange, forward_result_name(result));
+    return Dispatcher_OnForwardEnd(exchange->gateway->dispatcher,
+                                   exchange->job, &end);
+}
+
+/* ---- responses of upstreams and peers ------------------------------- */
+
+static bool
+is_response(const Exchange *exchange)
+{
+    return exchange->forward != NULL
+               ? classify_forward(exchange) == FORWARD_RESPONSE
+               : classify_response(exchange) == ATTEMPT_RESULT_RESPONSE;
+}
+
+static JobVerdict
+report_response(Exchange *exchange)
+{
+    return exchange->forward != NULL
+               ? report_forward_end(exchange, classify_forward(exchange))
+               : report_attempt_end(exchange, classify_response(exchange));
+}
+
+static JobVerdict
+report_failure(Exchange *exchange, bool maybe_sent)
+{
+    if (exchange->forward != NULL) {
+        return report_forward_end(exchange, maybe_sent ? FORWARD_BROKEN
+                                                       : FORWARD_UNSENT);
+    }
+    return report_attempt_end(exchange, maybe_sent ? ATTEMPT_RESULT_BROKEN
+                                                   : ATTEMPT_RESULT_UNSENT);
+}
+
 static void
 on_call_headers(void *user, HttpCall *call, int status,
                 const HeaderList *headers)
@@ -288,6 +515,9 @@
     exchange->response_status = status;
     exchange->response_headers = HeaderList_Create();
     HeaderList_CopyAll(headers, exchange->response_headers);
+    if (exchange->forward != NULL) {
+        read_forward_seal(exchange);
+    }
 }
 
 static void
@@ -310,13 +540,16 @@
         relay_data(exchange, data);
         return;
     }
+    if (exchange->forward != NULL && !is_response(exchange)) {
+        return;
+    }
     g_byte_array_append(exchange->response, (const guint8 *)data.data,
                         (guint)data.length);
     if (exchange->response->len <= RESPONSE_BUFFER_MAX_BYTES ||
-        classify_response(exchange) != ATTEMPT_RESULT_RESPONSE) {
+        !is_response(exchange)) {
         return;
     }
-    if (report_attempt_end(exchange, ATTEMPT_RESULT_RESPONSE) == JOB_RELAY) {
+    if (report_response(exchange) == JOB_RELAY) {
         exchange->relaying = true;
         relay(exchange, false);
         return;
@@ -332,21 +565,15 @@
 }
 
 static void
-finish_attempt(Exchange *exchange, AttemptResult result)
+follow_verdict(Exchange *exchange, JobVerdict verdict)
 {
-    Gateway *this = exchange->gateway;
-
-    exchange->call = NULL;
-    if (exchange->job == NULL) {
-        return;
-    }
-    if (report_attempt_end(exchange, result) == JOB_RELAY) {
+    if (verdict == JOB_RELAY) {
         relay(exchange, true);
     }
     else {
         reset_response(exchange);
     }
-    Gateway_RunActions(this);
+    Gateway_RunActions(exchange->gateway);
 }
 
 static void
@@ -359,7 +586,10 @@
         HttpRequest_Finish(exchange->request);
         return;
     }
-    finish_attempt(exchange, classify_response(exchange));
+    exchange->call = NULL;
+    if (exchange->job != NULL) {
+        follow_verdict(exchange, report_response(exchange));
+    }
 }
 
 static void
@@ -373,8 +603,10 @@
         HttpRequest_Abort(exchange->request);
         return;
     }
-    finish_attempt(exchange,
-                   maybe_sent ? ATTEMPT_RESULT_BROKEN : ATTEMPT_RESULT_UNSENT);
+    exchange->call = NULL;
+    if (exchange->job != NULL) {
+        follow_verdict(exchange, report_failure(exchange, maybe_sent));
+    }
 }
 
 static const HttpCallHandlers call_handlers = {
@@ -383,7 +615,7 @@
 };
 
 static HeaderList *
-headers_for_upstream(const Exchange *exchange, const DispatchAction *action)
+headers_to_send(const Exchange *exchange, Micros timeout)
 {
     const Dialect *dialect = exchange->gateway->options.dialect;
     HeaderList *headers = HeaderList_Create();
@@ -391,10 +623,10 @@
 
     HeaderList_CopyEndToEnd(HttpRequest_Headers(exchange->request), headers);
     HeaderList_Remove(headers, STR("expect"));
+    HeaderList_Remove(headers, STR(FORWARD_FIELD));
     g_snprintf(text, sizeof(text), "%" G_GINT64_FORMAT,
-               MAX(action->send.timeout / MICROS_PER_MS, 1));
+               MAX(timeout / MICROS_PER_MS, 1));
     HeaderList_Set(headers, dialect->timeout_ms, Str_FromC(text));
-    HeaderList_Set(headers, dialect->instance, action->send.instance);
     return headers;
 }
 
@@ -403,7 +635,7 @@
 {
     Gateway *this = exchange->gateway;
     const Dialect *dialect = this->options.dialect;
-    HeaderList *headers = headers_for_upstream(exchange, action);
+    HeaderList *headers = headers_to_send(exchange, action->send.timeout);
     HttpCallSpec spec = {
         .address = action->send.address,
         .port = action->send.port,
@@ -418,6 +650,7 @@
                                       dialect->attempt_id),
     };
 
+    HeaderList_Set(headers, dialect->instance, action->send.instance);
     reset_response(exchange);
     exchange->job = action->job;
     exchange->call =
@@ -428,6 +661,62 @@
     }
 }
 
+static void
+log_forward(const Exchange *exchange, const DispatchAction *action)
+{
+    EventLog *log = exchange->gateway->options.decisions;
+
+    if (EventLog_Begin(log, LOG_LEVEL_INFO, "forward")) {
+        EventLog_Str(log, "request", attempt_id(exchange));
+        EventLog_Str(log, "peer", action->forward.peer);
+        EventLog_Int(log, "attempts", action->forward.attempts_max);
+        EventLog_Int(log, "timeout_ms",
+                     action->forward.timeout / MICROS_PER_MS);
+        EventLog_End(log);
+    }
+}
+
+static void
+begin_forward(Exchange *exchange, const DispatchAction *action)
+{
+    reset_response(exchange);
+    exchange->job = action->job;
+    exchange->forward = g_new0(Forward, 1);
+    exchange->forward->peer = Str_ToString(action->forward.peer);
+    exchange->forward->started_at =
+        Clock_Now(Loop_Clock(exchange->gateway->loop));
+    log_forward(exchange, action);
+}
+
+static void
+forward_request(Exchange *exchange, const DispatchAction *action)
+{
+    Gateway *this = exchange->gateway;
+    HeaderList *headers = headers_to_send(exchange, action->forward.timeout);
+    ForwardCallSpec spec = {
+        .peer = action->forward.peer,
+        .method = HttpRequest_Method(exchange->request),
+        .path = HttpRequest_Path(exchange->request),
+        .headers = headers,
+        .body = Str_FromBytes(exchange->body),
+        .attempts_max = action->forward.attempts_max,
+        .idle_max = action->forward.idempotent ? 0 : this->options.reuse_idle,
+        .match_name = this->options.dialect->attempt_id,
+        .match_value = attempt_id(exchange),
+    };
+
+    begin_forward(exchange, action);
+    if (this->forward_client != NULL) {
+        exchange->call =
+            ForwardClient_Start(this->forward_client, &spec, &call_handlers,
+                                exchange, &exchange->forward->ticket);
+    }
+    HeaderList_Destroy(headers);
+    if (exchange->call == NULL) {
+        report_forward_end(exchange, FORWARD_UNSENT);
+    }
+}
+
 /* ---- load probes ---------------------------------------------------- */
 
 typedef struct Probe_ {
@@ -583,7 +872,8 @@
     case DISPATCH_SEND:
         send_request(exchange, action);
         break;
-    case DISPATCH_FORWARD: /* there is none without peers */
+    case DISPATCH_FORWARD:
+        forward_request(exchange, action);
         break;
     case DISPATCH_CANCEL:
         cancel_call(exchange);
@@ -638,25 +928,10 @@
     Gateway_RunActions(this);
 }
 
-/* ---- callers -------------------------------------------------------- */
-
-static void
-on_request(void *user, HttpRequest *request)
-{
-    create_exchange(user, request);
-}
-
-static void
-on_body(void *user, HttpRequest *request, Str data)
-{
-    Exchange *exchange = HttpRequest_Data(request);
-
-    g_byte_array_append(exchange->body, (const guint8 *)data.data,
-                        (guint)data.length);
-}
+/* ---- requests ------------------------------------------------------- */
 
 static Micros
-caller_timeout(const Gateway *this, const HeaderList *headers)
+timeout_of(const Gateway *this, const HeaderList *headers)
 {
     uint64_t ms;
 
@@ -670,45 +945,43 @@
 }
 
 static void
-on_body_end(void *user, HttpRequest *request)
+submit(Exchange *exchange)
 {
-    Gateway *this = user;
-    Exchange *exchange = HttpRequest_Data(request);
-    const HeaderList *headers = HttpRequest_Headers(request);
+    Gateway *this = exchange->gateway;
+    const HeaderList *headers = HttpRequest_Headers(exchange->request);
+    ForwardedRequest *forwarded = exchange->forwarded;
     JobInfo info = {
-        .id = HeaderList_Get(headers, this->options.dialect->attempt_id),
-        .method = HttpRequest_Method(request),
+        .id = attempt_id(exchange),
+        .method = HttpRequest_Method(exchange->request),
         .host = HeaderList_Get(headers, STR("host")),
-        .path = HttpRequest_Path(request),
+        .path = HttpRequest_Path(exchange->request),
         .body = Str_FromBytes(exchange->body),
-        .timeout = caller_timeout(this, headers),
+        .timeout = timeout_of(this, headers),
     };
 
+    if (forwarded != NULL) {
+        info.forwarded = true;
+        info.attempts_max = ForwardedRequest_AttemptsMax(forwarded);
+        info.timeout = MAX(info.timeout - FORWARD_MARGIN_US, MICROS_PER_MS);
+    }
     exchange->job = Dispatcher_Submit(this->dispatcher, &info, exchange);
     Gateway_RunActions(this);
 }
 
 static void
-on_response_drained(void *user, HttpRequest *request)
+resume_call(Exchange *exchange)
 {
-    Exchange *exchange = HttpRequest_Data(request);
-
-    if (exchange != NULL && exchange->paused && exchange->call != NULL) {
+    if (exchange->paused && exchange->call != NULL) {
         exchange->paused = false;
         HttpCall_PauseResponse(exchange->call, false);
     }
 }
 
 static void
-on_closed(void *user, HttpRequest *request, bool complete)
+end_exchange(Exchange *exchange)
 {
-    Gateway *this = user;
-    Exchange *exchange = HttpRequest_Data(request);
+    Gateway *this = exchange->gateway;
 
-    if (exchange == NULL) {
-        return;
-    }
-    exchange->request = NULL;
     if (exchange->job != NULL) {
         Dispatcher_OnCallerDisconnect(this->dispatcher, exchange->job);
     }
@@ -719,12 +992,127 @@
     }
 }
 
+/* ---- requests of callers -------------------------------------------- */
+
+static void
+on_request(void *user, HttpRequest *request)
+{
+    HttpRequest_SetData(request, create_exchange(user, request));
+}
+
+static void
+on_body(void *user, HttpRequest *request, Str data)
+{
+    Exchange *exchange = HttpRequest_Data(request);
+
+    g_byte_array_append(exchange->body, (const guint8 *)data.data,
+                        (guint)data.length);
+}
+
+static void
+on_body_end(void *user, HttpRequest *request)
+{
+    submit(HttpRequest_Data(request));
+}
+
+static void
+on_response_drained(void *user, HttpRequest *request)
+{
+    if (HttpRequest_Data(request) != NULL) {
+        resume_call(HttpRequest_Data(request));
+    }
+}
+
+static void
+on_closed(void *user, HttpRequest *request, bool complete)
+{
+    if (HttpRequest_Data(request) != NULL) {
+        end_exchange(HttpRequest_Data(request));
+    }
+}
+
 static const HttpServerHandlers server_handlers = {
     on_request, on_body, on_body_end, on_response_drained, on_closed,
 };
 
+/* ---- requests of other hosts ---------------------------------------- */
+
+static void
+log_forwarded(const Exchange *exchange)
+{
+    EventLog *log = exchange->gateway->options.decisions;
+    const ForwardedRequest *forwarded = exchange->forwarded;
+
+    if (EventLog_BeginRoutine(log, "forwarded")) {
+        EventLog_Str(log, "request", attempt_id(exchange));
+        EventLog_Str(log, "from", ForwardedRequest_Sender(forwarded));
+        EventLog_Int(log, "attempts", ForwardedRequest_AttemptsMax(forwarded));
+        EventLog_End(log);
+    }
+}
+
+static void *
+on_forwarded_request(void *user, ForwardedRequest *forwarded)
+{
+    Exchange *exchange =
+        create_exchange(user, ForwardedRequest_Http(forwarded));
+
+    exchange->forwarded = forwarded;
+    g_byte_array_free(exchange->body, TRUE);
+    exchange->body = ForwardedRequest_TakeBody(forwarded);
+    log_forwarded(exchange);
+    submit(exchange);
+    return exchange;
+}
+
+static void
+on_forwarded_drained(void *user, void *data)
+{
+    resume_call(data);
+}
+
+static void
+on_forwarded_closed(void *user, void *data, bool complete)
+{
+    end_exchange(data);
+}
+
+static const ForwardServerHandlers forward_handlers = {
+    on_forwarded_request,
+    on_forwarded_drained,
+    on_forwarded_closed,
+};
+
 /* ---- creation ------------------------------------------------------- */
 
+/* A host that cannot listen for its peers still serves its callers. */
+static void
+create_forwarding(Gateway *this)
+{
+    ForwardServerOptions options = {
+        .address = this->options.forward,
+        .keys = this->options.keys,
+        .counters = this->counters,
+        .log = this->options.log,
+    };
+    Error error;
+
+    if (options.keys == NULL) {
+        return;
+    }
+    this->forward_client = ForwardClient_Create(this->loop, options.keys);
+    if (options.address.address[0] == '\0') {
+        return;
+    }
+    this->forward_server = ForwardServer_Create(
+        this->loop, &options, &forward_handlers, this, &error);
+    if (this->forward_server == NULL &&
+        EventLog_Begin(this->options.log, LOG_LEVEL_WARN, "no-forwarding")) {
+        EventLog_Error(this->options.log, &error);
+        EventLog_End(this->options.log);
+    }
+}
+
 Gateway *
 Gateway_Create(Loop *loop, Dispatcher *dispatcher, Counters *counters,
                const GatewayOptions *options, Error *error)
@@ -756,6 +1144,7 @@
         Gateway_Destroy(this);
         return NULL;
     }
+    create_forwarding(this);
     return this;
 }
 
@@ -767,7 +1156,9 @@
     }
     LoopTimer_Destroy(this->timer);
     HttpServer_Destroy(this->server);
+    ForwardServer_Destroy(this->forward_server);
     HttpClient_Destroy(this->client);
+    ForwardClient_Destroy(this->forward_client);
     g_free(this);
 }
 
@@ -786,12 +1177,18 @@
                      : CALLER_IDLE_DEFAULT_S;
 
     HttpServer_SetLimits(this->server, &http, idle_s);
+    if (this->forward_server != NULL) {
+        ForwardServer_SetHeadBytes(this->forward_server, limits->head_bytes);
+    }
 }
 
 void
 Gateway_CloseKeptAlive(Gateway *this)
 {
     HttpServer_DisableKeepAlive(this->server);
+    if (this->forward_server != NULL) {
+        ForwardServer_CloseKeptAlive(this->forward_server);
+    }
 }
 
 void
@@ -799,12 +1196,27 @@
 {
     HttpServer_StopListening(this->server);
     HttpServer_CloseIdle(this->server);
+    if (this->forward_server != NULL) {
+        ForwardServer_StopListening(this->forward_server);
+    }
 }
 
 size_t
 Gateway_OpenRequests(const Gateway *this)
 {
-    return HttpServer_OpenRequests(this->server);
+    size_t forwarded = this->forward_server != NULL
+                           ? ForwardServer_OpenRequests(this->forward_server)
+                           : 0;
+
+    return HttpServer_OpenRequests(this->server) + forwarded;
+}
+
+uint16_t
+Gateway_ForwardPort(const Gateway *this)
+{
+    return this->forward_server != NULL
+               ? ForwardServer_Port(this->forward_server)
+               : 0;
 }
 
 uint16_t
--- a/packages/gateway/Gateway.h
+++ b/packages/gateway/Gateway.h
@@ -3,6 +3,7 @@
 
 #include "Dialect.h"
 #include "Dispatcher.h"
+#include "HostKeys.h"
 #include "HttpClient.h"
 #include "HttpServer.h"
 
@@ -18,7 +19,11 @@
  * @connections_max: limit on the connections to each upstream
  * @reuse_idle: longest idle time of a connection that is reused for a request
  *              that must not run twice: the peer may be about to close it
+ * @forward: where other hosts send requests to be executed here; without an
+ *           address there is no such listener
+ * @keys: of the hosts that may do so, or NULL for no forwarding
  * @log: events of the state of the host
+ * @decisions: events of requests
  * @on_update: called after events of the dispatcher were handled; may be NULL
  */
 typedef struct GatewayOptions_ {
@@ -27,7 +32,10 @@
     const Dialect *dialect;
     unsigned connections_max;
     Micros reuse_idle;
+    Endpoint forward;
+    HostKeys *keys;
     EventLog *log;
+    EventLog *decisions;
     void (*on_update)(void *user);
     void *user;
 } GatewayOptions;
@@ -58,6 +66,11 @@
 /** Gateway_OpenRequests() - number of requests without a complete response */
 size_t Gateway_OpenRequests(const Gateway *this);
 
+/**
+ * Gateway_ForwardPort() - port for requests of other hosts, 0 if there is none
+ */
+uint16_t Gateway_ForwardPort(const Gateway *this);
+
 /** Gateway_Port() - TCP port, also if the options had port 0 */
 uint16_t Gateway_Port(const Gateway *this);
 
--- a/packages/gateway/GatewaySettings.c
+++ b/packages/gateway/GatewaySettings.c
@@ -1,6 +1,7 @@
 #include "GatewaySettings.h"
 
 #include <glib.h>
+#include <string.h>
 
 #include "EventLog.h"
 #include "Fields.h"
@@ -24,6 +25,7 @@
     Str readiness;
     Str metrics;
     Str relay;
+    Str forward;
     Str store;
     bool first_start;
 } GatewayTable;
@@ -45,6 +47,8 @@
      NULL},
     {"metrics", FIELD_TEXT, offsetof(GatewayTable, metrics), true, 0, 0, NULL},
     {"relay", FIELD_TEXT, offsetof(GatewayTable, relay), true, 0, 0, NULL},
+    {"forward", FIELD_TEXT, offsetof(GatewayTable, forward), false, 0, 0,
+     NULL},
     {"store", FIELD_TEXT, offsetof(GatewayTable, store), true, 0, 0, NULL},
     {"first_start", FIELD_BOOL, offsetof(GatewayTable, first_start), false, 0,
      0, NULL},
@@ -106,12 +110,54 @@
     }
 }
 
+static bool
+is_same_endpoint(const Endpoint *a, const Endpoint *b)
+{
+    return a->port == b->port && strcmp(a->address, b->address) == 0;
+}
+
+static bool
+listens_on(const GatewaySettings *this, const Endpoint *endpoint)
+{
+    return is_same_endpoint(endpoint, &this->callers) ||
+           is_same_endpoint(endpoint, &this->readiness) ||
+           is_same_endpoint(endpoint, &this->metrics) ||
+           is_same_endpoint(endpoint, &this->relay);
+}
+
+/* Other hosts know the address of the relay only. By default the port is the
+ * one below the relay's, unless it is taken. */
+static void
+read_forward(GatewaySettings *this, const TomlNode *table, Str text,
+             Diagnostics *diagnostics)
+{
+    const TomlNode *node =
+        table != NULL ? Toml_Find(table, STR("forward")) : NULL;
+
+    if (node == NULL) {
+        this->forward = this->relay;
+        this->forward.port = this->relay.port > 0 ? this->relay.port - 1 : 0;
+        if (listens_on(this, &this->forward)) {
+            this->forward.port = 0;
+        }
+        return;
+    }
+    if (Endpoint_Parse(text, &this->forward) < 0 || this->forward.port == 0 ||
+        listens_on(this, &this->forward) ||
+        strcmp(this->forward.address, this->relay.address) != 0) {
+        Diagnostics_Add(
+            diagnostics, node->line, node->column, STR("forward"),
+            "must be \"ADDRESS:PORT\" with the address of relay and "
+            "a port of its own");
+    }
+}
+
 static void
 read_document(GatewaySettings *this, const TomlNode *root,
               GatewayBoundsReader *read_bounds, Diagnostics *diagnostics)
 {
     const TomlNode *gateway = Toml_Find(root, STR("gateway"));
-    GatewayTable table = {{NULL, 0}, {NULL, 0}, {NULL, 0},
+    GatewayTable table = {{NULL, 0}, {NULL, 0}, {NULL, 0}, {NULL, 0},
                           {NULL, 0}, {NULL, 0}, false};
 
     check_tables(root, diagnostics);
@@ -129,6 +175,7 @@
     read_address(gateway, "metrics", table.metrics, &this->metrics,
                  diagnostics);
     read_address(gateway, "relay", table.relay, &this->relay, diagnostics);
+    read_forward(this, gateway, table.forward, diagnostics);
     read_address(gateway, "store", table.store, &this->store, diagnostics);
     read_bounds(Toml_Find(root, STR("bounds")), &this->bounds, diagnostics);
 }
--- a/packages/gateway/GatewaySettings.h
+++ b/packages/gateway/GatewaySettings.h
@@ -30,6 +30,8 @@
  * @host_id, @domain: name and failure domain of this host
  * @callers, @readiness, @metrics: addresses to listen on
  * @relay: address on which other hosts read the store through this one
+ * @forward: address on which other hosts send requests to be executed here; port
+ *           0 for none
  * @store: address of the platform's store
  * @first_start: the whole deployment starts for the first time
  * @log_level: a LogLevel
@@ -44,6 +46,7 @@
     Endpoint readiness;
     Endpoint metrics;
     Endpoint relay;
+    Endpoint forward;
     Endpoint store;
     bool first_start;
     uint32_t log_level;
--- a/scripts/gateway.sh
+++ b/scripts/gateway.sh
@@ -31,6 +31,7 @@
 readiness = "$ip:8081"
 metrics = "$ip:8082"
 relay = "$ip:8083"
+forward = "$ip:8084"
 store = "127.0.0.1:$2"
 first_start = true
 TOML
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -276,6 +276,11 @@
         {SETTINGS "store = \"10.0.0.2:5\"\nfirst_start = true\n", true},
         {SETTINGS "store = \"10.0.0.2:5\"\nfirst_start = 1\n", false},
         {SETTINGS "store = \"10.0.0.2:5\"\n[other]\n", false},
+        {SETTINGS "store = \"10.0.0.2:5\"\nforward = \"10.0.0.1:5\"\n", true},
+        {SETTINGS "store = \"10.0.0.2:5\"\nforward = \"10.0.0.1:3\"\n", false},
+        {SETTINGS "store = \"10.0.0.2:5\"\nforward = \"10.0.0.1:0\"\n", false},
+        {SETTINGS "store = \"10.0.0.2:5\"\nforward = \"10.0.0.2:5\"\n", false},
+        {SETTINGS "store = \"10.0.0.2:5\"\nforward = \"here\"\n", false},
     };
 
     for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
@@ -295,6 +300,38 @@
     }
 }
 
+/* Guards against a host that does not start because the port that it would use
+ * by default is taken, and against ports that nobody chose. */
+static void
+test_forward_port(void)
+{
+    static const struct {
+        const char *relay;
+        uint16_t port;
+    } cases[] = {{"10.0.0.1:7735", 7734},
+                 {"10.0.0.1:4", 0},
+                 {"10.0.0.2:4", 3},
+                 {"10.0.0.1:0", 0},
+                 {"10.0.0.1:1", 0}};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        Diagnostics *diagnostics = Diagnostics_Create(STR("f"));
+        g_autofree char *text = g_strdup_printf(
+            "[host]\nid = \"h\"\ndomain = \"a\"\n[gateway]\n"
+            "callers = \"10.0.0.1:1\"\nreadiness = \"10.0.0.1:2\"\n"
+            "metrics = \"10.0.0.1:3\"\nrelay = \"%s\"\n"
+            "store = \"10.0.0.2:5\"\n",
+            cases[i].relay);
+        GatewaySettings *settings = GatewaySettings_Parse(
+            Str_FromC(text), PlatformBounds_Read, diagnostics);
+
+        g_assert_nonnull(settings);
+        g_assert_cmpuint(settings->forward.port, ==, cases[i].port);
+        GatewaySettings_Destroy(settings);
+        Diagnostics_Destroy(diagnostics);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -306,5 +343,6 @@
     g_test_add_func("/platform/load", test_load);
     g_test_add_func("/platform/limits", test_limits);
     g_test_add_func("/platform/settings", test_settings);
+    g_test_add_func("/platform/forward-port", test_forward_port);
     return g_test_run();
 }
