standins: cut the path of some hosts to all upstreams

Cause: the links of the stand-in lead to an upstream from all hosts alike, so no test had a host that alone reaches none.

Change: a preloaded library gives each host an address of its own on loopback, by which LossyLink tells clients apart. HostCut makes open connections of the first hosts silent or resets them, or leaves them, and has new ones hang or be refused. standin-platform counts the calls by host and compares the share that the cut hosts serve with that of the others.

--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -28,6 +28,8 @@
 CRASH_INTERVAL_MS=${CRASH_INTERVAL_MS:-0}  # between requests that end upstreams; 0 for none
 LIMIT_INTERVAL_MS=${LIMIT_INTERVAL_MS:-0}  # between changes of the limits that upstreams name; 0 for none
 RESTORE_INTERVAL_MS=${RESTORE_INTERVAL_MS:-0}  # between returns of the store from a copy; 0 for none
+CUT_KIND=${CUT_KIND:-}       # silent, refused or reset: cuts hosts off from the upstreams during the load
+CUT_HOSTS=${CUT_HOSTS:-1}    # number of hosts that are cut off, if CUT_KIND is set
 SERVED_LEAST=${SERVED_LEAST:-0.9}  # fraction of the calls after the last fault that must be served
 START_MS=${START_MS:-3000}   # delay before the load
 WORK_MS=${WORK_MS:-30}       # mean service time of a request
@@ -43,9 +45,15 @@
     } >"$WORK/host-$1.toml"
 }
 
-# start_host HOST: starts a host with a clock that inject_clock_faults can shift
+# start_host HOST: starts a host with a clock that inject_clock_faults can shift,
+# and with links to the upstreams that the stand-in can cut
 start_host() {
-    SKEW_FILE=$WORK/skew-$1 LD_PRELOAD=$BIN/standins/libskewed-clock.so \
+    local libraries=$BIN/standins/libskewed-clock.so cut=
+    [ -n "$CUT_KIND" ] && libraries="$libraries:$BIN/standins/libhost-links.so"
+    [ "$1" -lt "$CUT_HOSTS" ] && cut=$WORK/cut
+    SKEW_FILE=$WORK/skew-$1 LD_PRELOAD=$libraries \
+        SOURCE_ADDRESS=$(loopback_address "$1") CUT_FILE=$cut \
+        STORE_PORT=$(echo "$STORE_PORTS" | cut -d ' ' -f "$(($1 + 1))") \
         "$BIN/packages/agatecrankd/agatecrankd" --config "$WORK/host-$1.toml" \
         >>"$WORK/host-$1.log" 2>&1 &
     HOST_PID[$1]=$!
@@ -136,6 +144,7 @@
         --limit-interval-ms "$LIMIT_INTERVAL_MS" \
         --restore-interval-ms "$RESTORE_INTERVAL_MS" \
         --served-least "$SERVED_LEAST" \
+        ${CUT_KIND:+--cut-hosts "$CUT_HOSTS" --cut-kind "$CUT_KIND" --cut-file "$WORK/cut"} \
         >"$WORK/platform.out" 2>"$WORK/platform.err" &
     PLATFORM_PID=$!
     STORE_PORTS=$(store_ports "$WORK/platform.out")
@@ -160,6 +169,7 @@
     fi
     [ "$code" -eq 0 ] || grep -m 8 violation "$WORK/platform.out"
     grep '^crashing=' "$WORK/platform.out"
+    grep '^served_\(at_cut\|elsewhere\)=' "$WORK/platform.out"
     echo "seed=$SEED code=$code $(grep -E '^(sent|served|refused|failed|unanswered|violations|store_calls|served_at_rest)=' "$WORK/platform.out" | tr '\n' ' ')"
     if [ -n "$KEEP" ] && { [ "$code" -ne 0 ] || [ -n "$KEEP_ALL" ]; }; then
         mkdir -p "$KEEP" && cp -r "$WORK" "$KEEP/seed-$SEED"
--- a/standins/LinkFaults.c
+++ b/standins/LinkFaults.c
@@ -144,3 +144,29 @@
 {
     return this->faulty_counts[group] == 0;
 }
+
+void
+LinkFaults_SilenceSources(LinkFaults *this, LinkGroup group,
+                          const GArray *sources)
+{
+    for (guint i = 0; i < this->links->len; i++) {
+        const Link *link = g_ptr_array_index(this->links, i);
+
+        if (link->group == group) {
+            LossyLink_SilenceSources(link->lossy_link, sources);
+        }
+    }
+}
+
+void
+LinkFaults_ResetSources(LinkFaults *this, LinkGroup group,
+                        const GArray *sources)
+{
+    for (guint i = 0; i < this->links->len; i++) {
+        const Link *link = g_ptr_array_index(this->links, i);
+
+        if (link->group == group) {
+            LossyLink_ResetSources(link->lossy_link, sources);
+        }
+    }
+}
--- a/standins/LinkFaults.h
+++ b/standins/LinkFaults.h
@@ -56,6 +56,20 @@
  */
 void LinkFaults_ClearAll(LinkFaults *this);
 
+/**
+ * LinkFaults_SilenceSources() - as LossyLink_SilenceSources(), for all links of
+ *     a group
+ */
+void LinkFaults_SilenceSources(LinkFaults *this, LinkGroup group,
+                               const GArray *sources);
+
+/**
+ * LinkFaults_ResetSources() - as LossyLink_ResetSources(), for all links of a
+ *     group
+ */
+void LinkFaults_ResetSources(LinkFaults *this, LinkGroup group,
+                             const GArray *sources);
+
 /** LinkFaults_IsClear() - true if no link of @group has a fault */
 bool LinkFaults_IsClear(const LinkFaults *this, LinkGroup group);
 
--- a/standins/LossyLink.c
+++ b/standins/LossyLink.c
@@ -24,6 +24,7 @@
     int listen_fd;
     int port;
     LinkFault fault;
+    const GArray *silent_sources; /* in_addr_t; NULL for none */
 };
 
 typedef struct LinkSide_ {
@@ -37,6 +38,7 @@
 
 typedef struct LinkConnection_ {
     LossyLink *link;
+    in_addr_t source; /* address of the client */
     LinkSide sides[SIDES];
 } LinkConnection;
 
@@ -50,11 +52,26 @@
                                                                 : SIDE_CLIENT];
 }
 
+static bool
+contains(const GArray *sources, in_addr_t source)
+{
+    for (guint i = 0; sources != NULL && i < sources->len; i++) {
+        if (g_array_index(sources, in_addr_t, i) == source) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static bool
 drops_bytes(const LinkSide *side)
 {
     bool client = side == &side->connection->sides[SIDE_CLIENT];
 
+    if (contains(side->connection->link->silent_sources,
+                 side->connection->source)) {
+        return true;
+    }
     switch (side->connection->link->fault) {
     case LINK_CLEAR:
     case LINK_DELAYED:
@@ -217,7 +234,7 @@
 }
 
 static void
-open_connection(LossyLink *this, int client)
+open_connection(LossyLink *this, int client, in_addr_t source)
 {
     LinkConnection *connection = g_new0(LinkConnection, 1);
     int target =
@@ -225,6 +242,7 @@
 
     connect(target, (struct sockaddr *)&this->target, sizeof(this->target));
     connection->link = this;
+    connection->source = source;
     g_hash_table_add(this->connections, connection);
     if (!adopt_socket(&connection->sides[SIDE_CLIENT], connection, client) ||
         !adopt_socket(&connection->sides[SIDE_TARGET], connection, target)) {
@@ -235,11 +253,14 @@
 static void
 accept_connections(LossyLink *this)
 {
+    struct sockaddr_in client = {.sin_family = AF_INET};
+    socklen_t length = sizeof(client);
     int fd;
 
-    while ((fd = accept4(this->listen_fd, NULL, NULL,
+    while ((fd = accept4(this->listen_fd, (struct sockaddr *)&client, &length,
                          SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0) {
-        open_connection(this, fd);
+        open_connection(this, fd, client.sin_addr.s_addr);
+        length = sizeof(client);
     }
 }
 
@@ -360,6 +381,28 @@
     }
 }
 
+void
+LossyLink_SilenceSources(LossyLink *this, const GArray *sources)
+{
+    this->silent_sources = sources;
+}
+
+void
+LossyLink_ResetSources(LossyLink *this, const GArray *sources)
+{
+    GHashTableIter iterator;
+    gpointer key;
+
+    g_hash_table_iter_init(&iterator, this->connections);
+    while (g_hash_table_iter_next(&iterator, &key, NULL)) {
+        const LinkConnection *connection = key;
+
+        if (contains(sources, connection->source)) {
+            reset_connection(connection);
+        }
+    }
+}
+
 unsigned
 LossyLink_ConnectionCount(const LossyLink *this)
 {
--- a/standins/LossyLink.h
+++ b/standins/LossyLink.h
@@ -44,6 +44,16 @@
 /** LossyLink_Reset() - reset every open connection on both sides */
 void LossyLink_Reset(LossyLink *this);
 
+/**
+ * LossyLink_SilenceSources() - drop the bytes of some clients, beside the fault
+ * @sources: array of in_addr_t, the addresses of the clients; borrowed; NULL for
+ *           none
+ */
+void LossyLink_SilenceSources(LossyLink *this, const GArray *sources);
+
+/** LossyLink_ResetSources() - reset the open connections of some clients */
+void LossyLink_ResetSources(LossyLink *this, const GArray *sources);
+
 /** LossyLink_ConnectionCount() - number of connections with at least one side
  *                               open */
 unsigned LossyLink_ConnectionCount(const LossyLink *this);
--- a/standins/PlatformCaller.c
+++ b/standins/PlatformCaller.c
@@ -165,6 +165,7 @@
 
     g_hash_table_add(this->calls, call);
     PlatformChecker_OnSent(this->checker, call->id, unsafe);
+    PlatformChecker_OnTarget(this->checker, call->id, (unsigned)target);
     Timer_Start(&call->timer, this->loop->timers, CALL_TIMEOUT_US, on_timeout);
     HttpClient_Send(client, target, &call->client);
 }
--- a/standins/PlatformChecker.c
+++ b/standins/PlatformChecker.c
@@ -6,6 +6,7 @@
 
 #define ENDS_ALLOWED 3
 #define LATE_ALLOWED 3
+#define HOSTS_MAX 200
 #define LATE_AFTER_US (3 * MICROS_PER_S)
 
 typedef struct Attempt_ {
@@ -14,8 +15,15 @@
     bool at_most_once;
     bool reported_not_run;
     bool response_required; /* as of the time when it was sent */
+    int host;               /* -1 if it is not counted for its host */
 } Attempt;
 
+/* Counted attempts of a host. */
+typedef struct Share_ {
+    unsigned sent;
+    unsigned served;
+} Share;
+
 /* A request that ends upstreams, over all attempts. */
 typedef struct Crashing_ {
     unsigned executions;
@@ -34,6 +42,8 @@
     unsigned unanswered;
     unsigned violations;
     bool response_required;
+    bool counting;
+    Share shares[HOSTS_MAX];
 };
 
 static void
@@ -88,10 +98,41 @@
     attempt->id = g_strdup(id);
     attempt->at_most_once = at_most_once;
     attempt->response_required = this->response_required;
+    attempt->host = -1;
     g_hash_table_insert(this->attempts, attempt->id, attempt);
     this->sent++;
 }
 
+void
+PlatformChecker_OnTarget(PlatformChecker *this, const char *id, unsigned host)
+{
+    Attempt *attempt = g_hash_table_lookup(this->attempts, id);
+
+    if (this->counting && host < HOSTS_MAX) {
+        attempt->host = (int)host;
+        this->shares[host].sent++;
+    }
+}
+
+void
+PlatformChecker_CountShares(PlatformChecker *this, bool on)
+{
+    this->counting = on;
+}
+
+double
+PlatformChecker_ServedShare(const PlatformChecker *this, unsigned first,
+                            unsigned count)
+{
+    Share sum = {0, 0};
+
+    for (unsigned i = first; i < first + count && i < HOSTS_MAX; i++) {
+        sum.sent += this->shares[i].sent;
+        sum.served += this->shares[i].served;
+    }
+    return sum.sent > 0 ? (double)sum.served / sum.sent : 0;
+}
+
 void
 PlatformChecker_OnExecution(PlatformChecker *this, const char *id,
                             const char *upstream)
@@ -140,6 +181,9 @@
 
     if (status >= 200 && status < 300) {
         this->served++;
+        if (attempt->host >= 0) {
+            this->shares[attempt->host].served++;
+        }
         check_success(this, attempt, signature, body);
         return;
     }
--- a/standins/PlatformChecker.h
+++ b/standins/PlatformChecker.h
@@ -31,6 +31,26 @@
 void PlatformChecker_OnSent(PlatformChecker *this, const char *id,
                             bool at_most_once);
 
+/**
+ * PlatformChecker_OnTarget() - record the host that a sent attempt goes to, from
+ *     0; to be called after PlatformChecker_OnSent()
+ */
+void PlatformChecker_OnTarget(PlatformChecker *this, const char *id,
+                              unsigned host);
+
+/**
+ * PlatformChecker_CountShares() - begin or end to count attempts by their hosts
+ */
+void PlatformChecker_CountShares(PlatformChecker *this, bool on);
+
+/**
+ * PlatformChecker_ServedShare() - fraction of the counted attempts that were
+ *     served
+ * @first, @count: hosts
+ */
+double PlatformChecker_ServedShare(const PlatformChecker *this, unsigned first,
+                                   unsigned count);
+
 /** PlatformChecker_OnExecution() - record that an upstream starts to execute an
  *                                 attempt */
 void PlatformChecker_OnExecution(PlatformChecker *this, const char *id,
--- a/standins/standin-platform.c
+++ b/standins/standin-platform.c
@@ -1,6 +1,9 @@
 #include <stdio.h>
 #include <string.h>
 
+#include <arpa/inet.h>
+
+#include "HostCut.h"
 #include "PlatformCaller.h"
 #include "PlatformUpstream.h"
 #include "Settings.h"
@@ -15,6 +18,10 @@
 #define COPY_AGE_US (2 * MICROS_PER_S)
 #define RESTORE_OUTAGE_US (300 * MICROS_PER_MS)
 #define REWRITE_DELAY_US (1 * MICROS_PER_S)
+/* Time in which a host notices that its path is cut. */
+#define CUT_NOTICE_US (3 * MICROS_PER_S)
+/* Least share of the calls that a cut host serves, of that of the others. */
+#define CUT_SERVED_LEAST_RATIO (2.0 / 3)
 #define LIMIT_MIN_PER_S 1.0
 #define LIMIT_SPREAD_PER_S 4.0
 
@@ -31,11 +38,14 @@
     int64_t crash_interval_ms;
     int64_t limit_interval_ms;
     int64_t restore_interval_ms;
+    int64_t cut_hosts;
     double rate;
     double fault_period_s;
     double link_period_s;
     double served_least;
     char *hosts;
+    char *cut_kind;
+    char *cut_file;
 } Options;
 
 #define FIELD(name) offsetof(Options, name)
@@ -69,6 +79,13 @@
      "share of the calls after the last fault that must be served"},
     {"hosts", SETTING_TEXT, FIELD(hosts), false,
      "ADDRESS:PORT,... of the gateway hosts"},
+    {"cut-hosts", SETTING_INT, FIELD(cut_hosts), false,
+     "number of hosts, the first ones, that reach no upstream during the "
+     "load"},
+    {"cut-kind", SETTING_TEXT, FIELD(cut_kind), false,
+     "silent, refused or reset"},
+    {"cut-file", SETTING_TEXT, FIELD(cut_file), false,
+     "file by which the hosts' library learns of the cut"},
 };
 
 typedef struct Platform_ {
@@ -95,6 +112,8 @@
     Timer copy_timer;
     Timer restore_timer;
     Timer rewrite_timer;
+    Timer cut_timer;
+    HostCut *cut; /* NULL without cut hosts */
     Micros store_sound_since;
     unsigned version;
     unsigned served_before_check;
@@ -446,10 +465,41 @@
                 on_restore_timer);
 }
 
+static void
+on_cut_timer(Timer *timer)
+{
+    Platform *this = TIMER_OWNER(timer, Platform, cut_timer);
+
+    PlatformChecker_CountShares(this->checker, true);
+}
+
+static void
+begin_cut(Platform *this)
+{
+    if (this->cut != NULL) {
+        printf("fault=cut kind=%s\n", this->options.cut_kind);
+        fflush(stdout);
+        HostCut_Begin(this->cut);
+        Timer_Start(&this->cut_timer, this->loop->timers, CUT_NOTICE_US,
+                    on_cut_timer);
+    }
+}
+
+static void
+end_cut(Platform *this)
+{
+    if (this->cut != NULL) {
+        Timer_Stop(&this->cut_timer);
+        HostCut_End(this->cut);
+        PlatformChecker_CountShares(this->checker, false);
+    }
+}
+
 static void
 end_faults(Platform *this)
 {
     this->faults_ended = true;
+    end_cut(this);
     Timer_Stop(&this->restore_timer);
     Timer_Stop(&this->store_recovery_timer);
     on_store_recovery(&this->store_recovery_timer);
@@ -483,6 +533,7 @@
         on_crash_timer(&this->crash_timer);
         on_limit_timer(&this->limit_timer);
         on_copy_timer(&this->copy_timer);
+        begin_cut(this);
         duration = options->load_ms * MICROS_PER_MS;
         break;
     case 1:
@@ -569,6 +620,50 @@
     return g_string_free(targets, FALSE);
 }
 
+static bool
+create_cut(Platform *this)
+{
+    g_auto(GStrv) hosts = g_strsplit(this->options.hosts, ",", -1);
+    GArray *addresses;
+    CutKind kind;
+
+    if (this->options.cut_hosts == 0) {
+        return true;
+    }
+    if (!HostCut_ParseKind(this->options.cut_kind, &kind)) {
+        return false;
+    }
+    addresses = g_array_new(FALSE, FALSE, sizeof(in_addr_t));
+    for (int i = 0; i < this->options.cut_hosts && hosts[i] != NULL; i++) {
+        g_autofree char *host = g_strndup(hosts[i], strcspn(hosts[i], ":"));
+        in_addr_t address = inet_addr(host);
+
+        g_array_append_val(addresses, address);
+    }
+    this->cut =
+        HostCut_Create(this->links, kind, addresses, this->options.cut_file);
+    return this->cut != NULL;
+}
+
+static unsigned
+print_cut(const Platform *this)
+{
+    unsigned cut = (unsigned)this->options.cut_hosts;
+    double at_cut = PlatformChecker_ServedShare(this->checker, 0, cut);
+    double elsewhere =
+        PlatformChecker_ServedShare(this->checker, cut, UINT16_MAX);
+
+    if (this->cut == NULL) {
+        return 0;
+    }
+    printf("served_at_cut=%.3f\nserved_elsewhere=%.3f\n", at_cut, elsewhere);
+    if (elsewhere > 0 && at_cut >= CUT_SERVED_LEAST_RATIO * elsewhere) {
+        return 0;
+    }
+    printf("violation: too few calls were served at the cut hosts\n");
+    return 1;
+}
+
 static int
 print_result(Platform *this)
 {
@@ -584,6 +679,7 @@
         printf("violation: too few calls were served at rest\n");
         violations++;
     }
+    violations += print_cut(this);
     return violations > 0 ? 1 : 0;
 }
 
@@ -617,7 +713,7 @@
             PlatformCaller_Create(this->loop, this->clock, this->random,
                                   this->checker, targets, this->options.rate);
     }
-    if (this->caller != NULL && create_upstreams(this)) {
+    if (this->caller != NULL && create_upstreams(this) && create_cut(this)) {
         PlatformCaller_PrintSlowCalls(
             this->caller, this->options.show_late_ms * MICROS_PER_MS);
         on_config_timer(&this->config_timer);
@@ -632,6 +728,7 @@
     }
     g_ptr_array_free(this->upstreams, TRUE);
     PlatformStore_Destroy(this->store);
+    HostCut_Destroy(this->cut);
     LinkFaults_Destroy(this->links);
     HttpLoop_Destroy(this->loop);
     PlatformChecker_Destroy(this->checker);
--- a/tests/test_standin_platform.c
+++ b/tests/test_standin_platform.c
@@ -290,6 +290,36 @@
     expect_text(f, f->target, "again");
 }
 
+/* Guards against a cut that affects other clients than the given ones, or
+ * leaves theirs as they are. */
+static void
+test_sources(Fixture *f, gconstpointer data)
+{
+    in_addr_t own = htonl(INADDR_LOOPBACK), other = inet_addr("127.0.0.2");
+    GArray *sources = g_array_new(FALSE, FALSE, sizeof(in_addr_t));
+    char byte;
+
+    g_array_append_val(sources, other);
+    LossyLink_SilenceSources(f->link, sources);
+    LossyLink_ResetSources(f->link, sources);
+    send_text(f->client, "question");
+    expect_text(f, f->target, "question");
+    g_array_append_val(sources, own);
+    LossyLink_SilenceSources(f->link, sources);
+    send_text(f->client, "lost");
+    expect_nothing(f, f->target);
+    LossyLink_SilenceSources(f->link, NULL);
+    send_text(f->client, "lost");
+    expect_nothing(f, f->target);
+    LossyLink_ResetSources(f->link, sources);
+    g_assert_cmpint(receive(f, f->target, &byte, 1, RECEIVE_TIMEOUT_US), ==,
+                    -1);
+    g_assert_cmpint(errno, ==, ECONNRESET);
+    close_pair(f);
+    open_pair(f);
+    g_array_free(sources, TRUE);
+}
+
 /* ---- LinkFaults ----------------------------------------------------- */
 
 typedef struct ClearCounter_ {
@@ -349,6 +379,7 @@
     ADD("/standins/link/cut", test_cut);
     ADD("/standins/link/silent", test_silent);
     ADD("/standins/link/reset", test_reset);
+    ADD("/standins/link/sources", test_sources);
     g_test_add("/standins/link/faults-end", Fixture, NULL, set_up,
                test_faults_end, NULL);
     return g_test_run();
