agatecrank: trace requests that were forwarded

Cause: the conclusion of a trace did not know the lines of forwards, so it told of a request executed by another host that nothing was logged.

Change: the end of a forward is an outcome, and the reasons cut-off and forward-limit are explained. Lines of both hosts were shown already.

Measured: test_request_trace passes with three more cases; it fails at one of them with the code before.

--- a/packages/agatecrank/RequestTrace.c
+++ b/packages/agatecrank/RequestTrace.c
@@ -56,6 +56,15 @@
     {"no-route",
      "no route of the active configuration matches the host and path",
      "event=routes: whether it has the expected version"},
+    {"cut-off",
+     "the host reached no upstream, nor a host that could execute the "
+     "request; "
+     "it was not executed",
+     "event=forward-end lines: result and reason; the network of the host"},
+    {"forward-limit",
+     "the host executes as many requests of other hosts as it may; it was not "
+     "executed there",
+     "event=forwarded lines of that host: how many hosts are cut off"},
     {"quarantined",
      "several upstreams failed while running the same request, at this or "
      "other hosts",
@@ -286,6 +295,24 @@
     }
 }
 
+static void
+explain_forward(Str line, GString *out)
+{
+    if (LogLine_FieldEquals(line, STR("result"), STR("answer"))) {
+        write_cause(
+            out,
+            "the host reached no upstream and had another host execute "
+            "the request",
+            "the lines of that host from event=forwarded on");
+        return;
+    }
+    write_cause(out,
+                "the host reached no upstream, and the host that it sent the "
+                "request to gave no response of an upstream",
+                "result and reason of event=forward-end, and the lines of its "
+                "peer");
+}
+
 /* The last line with the outcome of the request determines the cause. */
 static void
 write_conclusion(Trace *this, GString *out)
@@ -308,6 +335,10 @@
             explain_latency(this, line, out);
             return;
         }
+        if (is_event(line, "forward-end")) {
+            explain_forward(line, out);
+            return;
+        }
         if (is_event(line, "attempt")) {
             explain_failed_attempt(this, line, out);
             return;
--- a/tests/test_request_trace.c
+++ b/tests/test_request_trace.c
@@ -17,6 +17,12 @@
 #define REFUSE_LINE(s, reason)                                                \
     LINE_AT(s)                                                                \
     "event=refuse request=a1 status=503 reason=" reason " held_ms=0\n"
+#define FORWARD_LINE(s) LINE_AT(s) "event=forward request=a1 peer=h-2\n"
+#define END_LINE(s, result)                                                   \
+    LINE_AT(s) "event=forward-end request=a1 peer=h-2 result=" result "\n"
+#define PEER_LINE(s)                                                          \
+    "time=2026-12-04T10:00:" s                                                \
+    "Z host=h-2 event=forwarded request=a1 from=h-1\n"
 #define UPSTREAM_LINE(s, upstream, change)                                    \
     LINE_AT(s) "event=upstream upstream=" upstream " change=" change "\n"
 #define STORE_LOST_LINE(s) LINE_AT(s) "event=store-lost topic=keyed.servers\n"
@@ -92,6 +98,13 @@
         {ATTEMPT_LINE("01.5", "i-1", "broken", "5", "5")
              ROUTE_LINE("01.6", "2", "i-2", "100"),
          "cause: it was sent, and nothing"},
+        {FORWARD_LINE("01.0") PEER_LINE("01.1") END_LINE("01.5", "answer"),
+         "cause: the host reached no upstream and had another host"},
+        {FORWARD_LINE("01.0") END_LINE("01.5", "broken"),
+         "cause: the host reached no upstream, and the host that it"},
+        {FORWARD_LINE("01.0") END_LINE("01.5", "not-run")
+             REFUSE_LINE("01.5", "cut-off"),
+         "cause: the host reached no upstream, nor a host"},
     };
 
     for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
