--- a/packages/gateway/UpstreamSet.c
+++ b/packages/gateway/UpstreamSet.c
@@ -211,6 +211,7 @@
     listed->index = allocate_index(this);
     listed->record.id = Str_FromString(listed->id);
     listed->record.service = info.service;
+    listed->record.domain = info.domain;
     g_hash_table_insert(this->by_id, listed->id, listed);
     g_ptr_array_index(this->by_index, listed->index) = listed;
     Placement_Add(this->placement, listed->index, &info);
--- a/packages/gateway/UpstreamSet.h
+++ b/packages/gateway/UpstreamSet.h
@@ -26,6 +26,7 @@
     char address[UPSTREAM_ADDRESS_BYTES];
     uint16_t port;
     uint32_t service;
+    uint32_t domain;
     bool draining;
 } UpstreamRecord;
 
