gateway: forward requests to a peer while cut off from all upstreams

Change: HostPath feeds the PathMonitor and handles its verdicts; JobForward sends jobs to peers, sums attempts over both hops, and bounds what a host accepts from peers. A job for which no connection could be opened waits for the verdict while probes are open. Hosts without a list of peers behave as before.

--- a/packages/core/limits/LossWatch.c
+++ b/packages/core/limits/LossWatch.c
@@ -69,6 +69,12 @@
     g_array_append_val(this->watched, watched);
 }
 
+void
+LossWatch_Clear(LossWatch *this)
+{
+    g_array_set_size(this->watched, 0);
+}
+
 static void
 note_alive(LossWatch *this, uint32_t upstream)
 {
--- a/packages/gateway/AttemptMonitor.c
+++ b/packages/gateway/AttemptMonitor.c
@@ -1,5 +1,6 @@
 #include "AttemptMonitor.h"
 
+#include "JobForward.h"
 #include "JobLog.h"
 #include "JobPlacement.h"
 
@@ -27,7 +28,7 @@
 may_retry(const Job *job)
 {
     return job->route->kind == ROUTE_IDEMPOTENT &&
-           job->tried_count < job->route->attempts_max;
+           MAX(job->tried_count, job->attempts_used) < job->attempts_max;
 }
 
 /* An attempt that can't be moved is monitored, too: the upstream may have
@@ -100,6 +101,9 @@
 {
     PlacementChoice choice;
 
+    if (JobForward_Applies(job)) {
+        return JobForward_Move(job, "path-lost") ? MOVE_DONE : MOVE_NONE;
+    }
     if (!can_retry(job, &choice)) {
         return MOVE_NONE;
     }
--- a/packages/gateway/CrashGuard.c
+++ b/packages/gateway/CrashGuard.c
@@ -171,6 +171,12 @@
     LossWatch_OnProbeUnclear(this->watch, upstream, sent, accepted);
 }
 
+void
+CrashGuard_ForgetUndecided(CrashGuard *this)
+{
+    LossWatch_Clear(this->watch);
+}
+
 void
 CrashGuard_OnUnreachable(CrashGuard *this, uint32_t upstream)
 {
--- a/packages/gateway/CrashGuard.h
+++ b/packages/gateway/CrashGuard.h
@@ -65,6 +65,12 @@
 void CrashGuard_OnProbeUnclear(CrashGuard *this, uint32_t upstream,
                                Micros sent, bool accepted);
 
+/**
+ * CrashGuard_ForgetUndecided() - this host is cut off, so that attempts without
+ *     a response show nothing
+ */
+void CrashGuard_ForgetUndecided(CrashGuard *this);
+
 /** CrashGuard_OnUnreachable() - the last probes of an upstream have failed */
 void CrashGuard_OnUnreachable(CrashGuard *this, uint32_t upstream);
 
--- a/packages/gateway/Dispatcher.c
+++ b/packages/gateway/Dispatcher.c
@@ -1,6 +1,8 @@
 #include "Dispatcher.h"
 
 #include "AttemptMonitor.h"
+#include "HostPath.h"
+#include "JobForward.h"
 #include "JobLog.h"
 #include "JobPlacement.h"
 
@@ -17,6 +19,9 @@
 /* Longest time until a part of a limit is available that is told to callers;
  * other hosts may have parts left. */
 #define RETRY_AFTER_LIMITS_MAX_US (1 * MICROS_PER_S)
+/* Longest Retry-After of a peer that is passed on; other hosts may serve the
+ * caller sooner. */
+#define RETRY_AFTER_PEER_MAX_US (1 * MICROS_PER_S)
 /* Mean Retry-After of a host without a configuration, which usually arrives
  * within this time. */
 #define RETRY_AFTER_STARTUP_US (1 * MICROS_PER_S)
@@ -42,6 +47,8 @@
     Job *job = data;
 
     g_hash_table_remove(job->owner->probing, job);
+    JobForward_End(job, PEER_UNKNOWN);
+    job->owner->accepted_open -= job->forwarded;
     DueSet_Set(job->owner->due, &job->due, -1);
     g_string_free(job->id, TRUE);
     RouteTable_Unref(job->table);
@@ -72,7 +79,10 @@
                            options->outage_grace, clock, log);
     this->guard = CrashGuard_Create(this->upstreams, options->host, clock,
                                     random, log, counters);
-    this->probe_sent_at = g_array_new(FALSE, TRUE, sizeof(Micros));
+    this->sent_probes = g_array_new(FALSE, TRUE, sizeof(SentProbe));
+    this->path = PathMonitor_Create(clock, random, log, counters);
+    this->peers = PeerSet_Create(options->domain, clock, random);
+    this->accept_refilled_at = Clock_Now(clock);
     this->retry_windows =
         g_ptr_array_new_with_free_func((GDestroyNotify)RetryWindow_Destroy);
     this->queues =
@@ -99,7 +109,9 @@
     g_ptr_array_free(this->queues, TRUE);
     RouteTable_Unref(this->routes);
     CrashGuard_Destroy(this->guard);
-    g_array_free(this->probe_sent_at, TRUE);
+    PeerSet_Destroy(this->peers);
+    PathMonitor_Destroy(this->path);
+    g_array_free(this->sent_probes, TRUE);
     UpstreamSet_Destroy(this->upstreams);
     Placement_Destroy(this->placement);
     UpstreamLimits_Destroy(this->limits);
@@ -143,9 +155,19 @@
     if (job->monitor_at > 0) {
         due = MIN(due, job->monitor_at);
     }
+    if (job->held_until > 0) {
+        due = MIN(due, job->held_until);
+    }
     DueSet_Set(job->owner->due, &job->due, due);
 }
 
+void
+Job_SetHeldUntil(Job *job, Micros until)
+{
+    job->held_until = until;
+    update_due(job);
+}
+
 void
 Job_SetProbeDeadline(Job *job, Micros until)
 {
@@ -221,6 +243,14 @@
     }
 }
 
+static void
+use_attempt(Job *job)
+{
+    job->attempts_used++;
+    job->may_have_run = true;
+    job->reached_upstream = true;
+}
+
 void
 Job_CancelAttempt(Job *job)
 {
@@ -233,7 +263,7 @@
     Job_ReportNoResponse(job, false);
     Dispatcher_PushAction(job->owner, &cancel);
     Job_EndAttempt(job, ATTEMPT_TIMEOUT);
-    job->may_have_run = true;
+    use_attempt(job);
 }
 
 RequestQueue *
@@ -298,6 +328,10 @@
     PlacementChoice choice;
     Micros wait;
 
+    if (JobForward_Applies(job)) {
+        return MAX(Random_Jitter(this->random, RETRY_AFTER_FULL_US),
+                   MIN(job->peer_retry_after, RETRY_AFTER_PEER_MAX_US));
+    }
     if (Placement_Choose(this->placement, &query, &choice) == 0) {
         return Random_Jitter(this->random, choice.has_capacity
                                                ? RETRY_AFTER_SOON_US
@@ -460,16 +494,13 @@
 void
 Dispatcher_SetPeers(Dispatcher *this, const PeerInfo *peers, size_t count)
 {
-    (void)this;
-    (void)peers;
-    (void)count;
+    PeerSet_Replace(this->peers, peers, count);
 }
 
 bool
 Dispatcher_IsCutOff(const Dispatcher *this)
 {
-    (void)this;
-    return false;
+    return PathMonitor_State(this->path) == PATH_CUT_OFF;
 }
 
 /* ---- requests ------------------------------------------------------- */
@@ -488,8 +519,11 @@
 {
     Micros remaining = job->deadline - Clock_Now(job->owner->clock);
 
+    if (JobForward_Applies(job)) {
+        return JobForward_Start(job);
+    }
     if ((job->may_have_run && job->route->kind != ROUTE_IDEMPOTENT) ||
-        job->tried_count >= MIN(job->route->attempts_max, ATTEMPTS_MAX)) {
+        MAX(job->tried_count, job->attempts_used) >= job->attempts_max) {
         return reason;
     }
     if (remaining < ATTEMPT_TIME_MIN_US) {
@@ -534,10 +568,20 @@
     job->arrived = Clock_Now(this->clock);
     job->deadline = job->arrived;
     job->upstream = UPSTREAM_NONE;
+    job->forwarded = info->forwarded;
+    this->accepted_open += info->forwarded;
     g_hash_table_add(this->jobs, job);
     return job;
 }
 
+static uint32_t
+attempts_max(const JobInfo *info, const Route *route)
+{
+    uint32_t n = MIN(route->attempts_max, ATTEMPTS_MAX);
+
+    return info->attempts_max > 0 ? MIN(n, info->attempts_max) : n;
+}
+
 static void
 start_job(Job *job, const JobInfo *info)
 {
@@ -545,12 +589,18 @@
     const Route *route = job->route;
 
     job->deadline = job->arrived + time_budget(info, route);
+    job->attempts_max = attempts_max(info, route);
     update_due(job);
     job->service = service_index(
         this, Route_Pick(route, Random_Unit(this->random))->service);
     job->fingerprint =
         CrashGuard_Fingerprint(info->method, info->path, info->body);
-    RetryWindow_OnRequest(Job_RetryWindow(job));
+    if (!job->forwarded) {
+        RetryWindow_OnRequest(Job_RetryWindow(job));
+    }
+    else if (!JobForward_Admit(job)) {
+        return;
+    }
     JobPlacement_Resume(job);
 }
 
@@ -582,7 +632,7 @@
     Dispatcher *this = job->owner;
     uint32_t upstream = job->upstream;
 
-    job->may_have_run = true;
+    use_attempt(job);
     if (end->status < 500) {
         CrashGuard_OnSuccess(this->guard, &job->fingerprint, upstream);
         Job_EndAttempt(job, ATTEMPT_OK);
@@ -605,21 +655,25 @@
     case ATTEMPT_RESULT_RESPONSE:
         return on_response(job, end);
     case ATTEMPT_RESULT_NOT_RUN:
+        job->reached_upstream = true;
         Job_EndAttempt(job, ATTEMPT_SHED);
         Job_Retry(job, "upstream-full");
         break;
     case ATTEMPT_RESULT_MOVED:
+        job->reached_upstream = true;
         Job_EndAttempt(job, ATTEMPT_CONNECTION_FAILED);
         Job_Retry(job, "upstream-moved");
         break;
     case ATTEMPT_RESULT_UNSENT:
         Job_EndAttempt(job, ATTEMPT_CONNECTION_FAILED);
-        Job_Retry(job, "upstream-unreachable");
+        if (!HostPath_Hold(job)) {
+            Job_Retry(job, "upstream-unreachable");
+        }
         break;
     case ATTEMPT_RESULT_BROKEN:
         Job_ReportNoResponse(job, false);
         Job_EndAttempt(job, ATTEMPT_CONNECTION_FAILED);
-        job->may_have_run = true;
+        use_attempt(job);
         Job_Retry(job, "upstream-broken");
         break;
     }
@@ -681,6 +735,7 @@
     JobVerdict verdict;
 
     JobLog_AttemptEnd(job, job->upstream, end);
+    HostPath_OnAttemptEnd(this, job, end->result);
     if (end->result == ATTEMPT_RESULT_RESPONSE ||
         end->result == ATTEMPT_RESULT_NOT_RUN) {
         CrashGuard_OnAlive(this->guard, job->upstream, job->sent_at);
@@ -690,23 +745,12 @@
     }
     on_limit(this, job->upstream, end->limit, LIMIT_SOURCE_REQUEST);
     verdict = settle_attempt(job, end);
+    HostPath_Run(this);
     settle_losses(this);
     JobPlacement_ServeQueue(this, service);
     return verdict;
 }
 
-JobVerdict
-Dispatcher_OnForwardEnd(Dispatcher *this, Job *job, const ForwardEndInfo *end)
-{
-    (void)this;
-    if (end->result == FORWARD_RESPONSE) {
-        Job_End(job);
-        return JOB_RELAY;
-    }
-    Job_Abandon(job, "upstream-unreachable");
-    return JOB_DISCARD;
-}
-
 static void
 end_probe(Dispatcher *this, uint32_t upstream, Str result)
 {
@@ -715,12 +759,12 @@
                      result);
 }
 
-static Micros
-probe_sent_at(const Dispatcher *this, uint32_t upstream)
+SentProbe
+Dispatcher_SentProbe(const Dispatcher *this, uint32_t upstream)
 {
-    return upstream < this->probe_sent_at->len
-               ? g_array_index(this->probe_sent_at, Micros, upstream)
-               : 0;
+    return upstream < this->sent_probes->len
+               ? g_array_index(this->sent_probes, SentProbe, upstream)
+               : (SentProbe){0, false};
 }
 
 void
@@ -733,8 +777,9 @@
 Dispatcher_OnProbeResult(Dispatcher *this, uint32_t upstream,
                          ProbeResult result, const LoadReport *report)
 {
-    Micros sent = probe_sent_at(this, upstream);
+    Micros sent = Dispatcher_SentProbe(this, upstream).sent;
 
+    HostPath_OnProbeResult(this, upstream, result);
     switch (result) {
     case PROBE_ANSWERED:
         CrashGuard_OnAlive(this->guard, upstream, sent);
@@ -753,6 +798,7 @@
     }
     Placement_OnProbeResult(this->placement, upstream, report != NULL);
     end_probe(this, upstream, report != NULL ? STR("told") : STR("none"));
+    HostPath_Run(this);
     settle_losses(this);
     JobPlacement_OnProbeEnd(this);
 }
@@ -768,8 +814,9 @@
 void
 Dispatcher_OnProbeTimeout(Dispatcher *this, uint32_t upstream, bool connected)
 {
-    Micros sent = probe_sent_at(this, upstream);
+    Micros sent = Dispatcher_SentProbe(this, upstream).sent;
 
+    HostPath_OnProbeTimeout(this, upstream, connected);
     if (may_be_busy(this, upstream, connected)) {
         CrashGuard_OnAlive(this->guard, upstream, sent);
     }
@@ -778,6 +825,7 @@
     }
     Placement_OnProbeTimeout(this->placement, upstream);
     end_probe(this, upstream, STR("silent"));
+    HostPath_Run(this);
     AttemptMonitor_OnProbeTimeout(this, upstream);
     settle_losses(this);
     JobPlacement_OnProbeEnd(this);
@@ -803,6 +851,9 @@
     if (job->upstream != UPSTREAM_NONE) {
         Job_CancelAttempt(job);
     }
+    if (job->peer != NULL) {
+        JobForward_Cancel(job);
+    }
     if (job->may_have_run) {
         Job_Reject(job, 504, "deadline", 0);
         return;
@@ -820,6 +871,9 @@
     if (job->deadline <= now) {
         time_out(job);
     }
+    else if (job->held_until > 0 && job->held_until <= now) {
+        HostPath_EndHold(job);
+    }
     else if (job->probe_deadline > 0 && job->probe_deadline <= now) {
         JobPlacement_Resume(job);
     }
@@ -836,6 +890,7 @@
 
     UpstreamSet_OnTime(this->upstreams);
     CrashGuard_OnUpstreamsChanged(this->guard);
+    HostPath_Run(this);
     settle_losses(this);
     while ((entry = DueSet_First(this->due)) != NULL && entry->due <= now) {
         on_due(DUE_OWNER(entry, Job, due));
@@ -862,6 +917,7 @@
 
     next = earlier(next, CrashGuard_NextTime(this->guard));
     next = earlier(next, DueSet_NextTime(this->due));
+    next = earlier(next, PathMonitor_NextTime(this->path));
     for (guint i = 0; i < this->queues->len; i++) {
         next = earlier(
             next, RequestQueue_NextTime(g_ptr_array_index(this->queues, i)));
--- a/packages/gateway/DispatcherPrivate.h
+++ b/packages/gateway/DispatcherPrivate.h
@@ -7,6 +7,8 @@
 #include "Dispatcher.h"
 #include "DueSet.h"
 #include "NameTable.h"
+#include "PathMonitor.h"
+#include "PeerSet.h"
 #include "RequestQueue.h"
 #include "RetryWindow.h"
 #include "UpstreamSet.h"
@@ -23,6 +25,14 @@
  * between failure domains. */
 #define PROBE_WAIT_US (8 * MICROS_PER_MS)
 #define UPSTREAM_NONE UINT32_MAX
+/* Peers that a request is forwarded to. */
+#define FORWARD_PEERS_MAX 3
+
+/* The last probe of an upstream. */
+typedef struct SentProbe_ {
+    Micros sent;
+    bool new_connection;
+} SentProbe;
 
 struct Job_ {
     Dispatcher *owner;
@@ -44,8 +54,18 @@
     uint32_t upstream; /* of the current attempt, or UPSTREAM_NONE */
     uint32_t tried[ATTEMPTS_MAX];
     uint32_t tried_count;
-    DueEntry due; /* element of Dispatcher.due */
+    uint32_t attempts_max;     /* on all hosts together */
+    uint32_t attempts_used;    /* those that may have been executed */
+    uint32_t attempts_granted; /* to the peer of the last forward */
+    Peer *peer;                /* of the open forward, or NULL */
+    uint64_t peers_tried[FORWARD_PEERS_MAX];
+    uint32_t peer_count;
+    Micros peer_retry_after; /* longest that a peer has stated */
+    Micros held_until;       /* end of the wait for the path; 0 for none */
+    DueEntry due;            /* element of Dispatcher.due */
     bool may_have_run;
+    bool reached_upstream; /* some upstream may have received it */
+    bool forwarded;        /* by a peer */
     bool queued;
     bool loss_reported; /* the current attempt, to the guard */
     bool others_probed; /* other upstreams were probed for a move */
@@ -64,9 +84,16 @@
     UpstreamSet *upstreams;
     UpstreamLimits *limits;
     CrashGuard *guard;
-    uint32_t reference;    /* upstream of the last reference probe */
-    Micros reference_at;   /* earliest time of the next one */
-    GArray *probe_sent_at; /* Micros by upstream: last probe */
+    uint32_t reference;  /* upstream of the last reference probe */
+    Micros reference_at; /* earliest time of the next one */
+    GArray *sent_probes; /* SentProbe by upstream */
+    PathMonitor *path;
+    PathState path_state; /* that was handled last */
+    Micros path_back_at;  /* end of the last cut */
+    PeerSet *peers;
+    uint32_t accepted_open; /* jobs of peers */
+    double accept_tokens;   /* jobs of peers that may be accepted now */
+    Micros accept_refilled_at;
     RouteTable *routes;
     GPtrArray *retry_windows; /* RetryWindow by service */
     GPtrArray *queues;        /* RequestQueue by service */
@@ -87,6 +114,12 @@
 /** Dispatcher_PushAction() - append an action for Dispatcher_NextAction() */
 void Dispatcher_PushAction(Dispatcher *this, const DispatchAction *action);
 
+/** Dispatcher_SentProbe() - the last probe of an upstream */
+SentProbe Dispatcher_SentProbe(const Dispatcher *this, uint32_t upstream);
+
+/** Job_SetHeldUntil() - set the end of the wait for the path; 0: none */
+void Job_SetHeldUntil(Job *job, Micros until);
+
 /**
  * Job_SetProbeDeadline() - set the end of the wait for probe replies; 0: none
  */
--- /dev/null
+++ b/packages/gateway/JobForward.c
@@ -0,0 +1,312 @@
+#include "JobForward.h"
+
+#include "JobLog.h"
+#include "JobPlacement.h"
+
+/* Jobs of peers that may be open, and their rate. */
+#define ACCEPTED_OPEN_MAX 256
+#define ACCEPTED_PER_S 500.0
+#define ACCEPTED_BURST 250.0
+/* Part of the open jobs that may be of peers while a queue exists. */
+#define ACCEPTED_QUEUED_RATIO 0.6
+#define ACCEPTED_QUEUED_MIN 16
+#define RETRY_AFTER_US (200 * MICROS_PER_MS)
+
+bool
+JobForward_Applies(const Job *job)
+{
+    const Dispatcher *this = job->owner;
+
+    return Dispatcher_IsCutOff(this) &&
+           (job->forwarded || PeerSet_Count(this->peers) > 0);
+}
+
+static uint32_t
+attempts_left(const Job *job)
+{
+    return job->attempts_max - MIN(job->attempts_used, job->attempts_max);
+}
+
+static void
+push_forward(Job *job)
+{
+    Micros now = Clock_Now(job->owner->clock);
+    DispatchAction action = {
+        .kind = DISPATCH_FORWARD,
+        .job = job,
+        .user = job->user,
+        .forward = {Peer_Id(job->peer), job->deadline - now,
+                    job->attempts_granted,
+                    job->route->kind == ROUTE_IDEMPOTENT},
+    };
+
+    job->sent_at = now;
+    JobPlacement_Withdraw(job);
+    Job_SetMonitorAt(job, 0);
+    JobLog_Forward(job);
+    Dispatcher_PushAction(job->owner, &action);
+}
+
+static const char *
+find_obstacle(const Job *job)
+{
+    Dispatcher *this = job->owner;
+
+    if (job->forwarded) {
+        return job->reached_upstream ? "path-lost" : "cut-off";
+    }
+    if ((job->may_have_run && job->route->kind != ROUTE_IDEMPOTENT) ||
+        attempts_left(job) == 0) {
+        return "path-lost";
+    }
+    if (job->deadline - Clock_Now(this->clock) < ATTEMPT_TIME_MIN_US) {
+        return "deadline";
+    }
+    if (CrashGuard_Refuses(this->guard, &job->fingerprint)) {
+        return "quarantined";
+    }
+    return job->peer_count >= FORWARD_PEERS_MAX ? "no-peer" : NULL;
+}
+
+const char *
+JobForward_Start(Job *job)
+{
+    Dispatcher *this = job->owner;
+    const char *obstacle = find_obstacle(job);
+    Peer *peer;
+
+    if (obstacle != NULL) {
+        return obstacle;
+    }
+    peer = PeerSet_Take(this->peers, job->peers_tried, job->peer_count);
+    if (peer == NULL) {
+        return "no-peer";
+    }
+    if (job->reached_upstream && !RetryWindow_Take(Job_RetryWindow(job))) {
+        PeerSet_Release(this->peers, peer, PEER_UNKNOWN);
+        return "retry-budget";
+    }
+    job->peer = peer;
+    job->peers_tried[job->peer_count++] = Peer_Number(peer);
+    job->attempts_granted = attempts_left(job);
+    push_forward(job);
+    return NULL;
+}
+
+void
+JobForward_Redirect(Job *job)
+{
+    const char *obstacle = JobForward_Start(job);
+
+    if (obstacle != NULL) {
+        Job_Abandon(job, obstacle);
+    }
+}
+
+bool
+JobForward_Move(Job *job, const char *reason)
+{
+    if (job->forwarded || job->route->kind != ROUTE_IDEMPOTENT ||
+        attempts_left(job) <= 1 || job->peer_count >= FORWARD_PEERS_MAX ||
+        job->deadline - Clock_Now(job->owner->clock) < ATTEMPT_TIME_MIN_US ||
+        RetryWindow_Remaining(Job_RetryWindow(job)) < 1) {
+        return false;
+    }
+    JobLog_AttemptAbandoned(job, reason);
+    Job_CancelAttempt(job);
+    JobForward_Redirect(job);
+    return true;
+}
+
+void
+JobForward_End(Job *job, PeerOutcome outcome)
+{
+    if (job->peer != NULL) {
+        PeerSet_Release(job->owner->peers, job->peer, outcome);
+        job->peer = NULL;
+    }
+}
+
+static void
+use_granted(Job *job)
+{
+    job->attempts_used += job->attempts_granted;
+    job->may_have_run = true;
+    job->reached_upstream = true;
+}
+
+void
+JobForward_Cancel(Job *job)
+{
+    DispatchAction cancel = {
+        .kind = DISPATCH_CANCEL,
+        .job = job,
+        .user = job->user,
+    };
+
+    Dispatcher_PushAction(job->owner, &cancel);
+    JobForward_End(job, PEER_SILENT);
+    use_granted(job);
+}
+
+/* ---- ends of forwards ------------------------------------------------ */
+
+static PeerOutcome
+outcome_of_refusal(ForwardRefusal refusal)
+{
+    switch (refusal) {
+    case FORWARD_REFUSAL_CUT_OFF:
+        return PEER_CUT_OFF;
+    case FORWARD_REFUSAL_LIMIT:
+        return PEER_FULL;
+    case FORWARD_REFUSAL_DENIED:
+        return PEER_DENIED;
+    case FORWARD_REFUSAL_NONE:
+    case FORWARD_REFUSAL_OTHER:
+        break;
+    }
+    return PEER_UNKNOWN;
+}
+
+static PeerOutcome
+outcome_of(const ForwardEndInfo *end)
+{
+    switch (end->result) {
+    case FORWARD_RESPONSE:
+        return PEER_SERVED;
+    case FORWARD_NOT_RUN:
+        return outcome_of_refusal(end->refusal);
+    case FORWARD_UNSENT:
+    case FORWARD_BROKEN:
+        return PEER_UNREACHABLE;
+    case FORWARD_FAILED:
+        break;
+    }
+    return PEER_UNKNOWN;
+}
+
+/* The path may have come back in the meantime. */
+static void
+send_again(Job *job)
+{
+    if (JobForward_Applies(job)) {
+        JobForward_Redirect(job);
+    }
+    else if (job->reached_upstream || job->tried_count > 0) {
+        Job_Retry(job, "no-peer");
+    }
+    else {
+        JobPlacement_Resume(job);
+    }
+}
+
+static void
+fail(Job *job, const ForwardEndInfo *end)
+{
+    use_granted(job);
+    if (end->result == FORWARD_FAILED && end->status == 504) {
+        Job_Reject(job, 504, "deadline", 0);
+        return;
+    }
+    Job_Abandon(job,
+                end->result == FORWARD_FAILED ? "peer-failed" : "peer-broken");
+}
+
+static JobVerdict
+settle_forward(Job *job, const ForwardEndInfo *end)
+{
+    switch (end->result) {
+    case FORWARD_RESPONSE:
+        job->may_have_run = true;
+        Job_End(job);
+        return JOB_RELAY;
+    case FORWARD_NOT_RUN:
+        /* The peer may have sent it to an upstream that rejected it. */
+        job->reached_upstream |=
+            outcome_of_refusal(end->refusal) == PEER_UNKNOWN;
+        job->peer_retry_after = MAX(job->peer_retry_after, end->retry_after);
+        send_again(job);
+        break;
+    case FORWARD_UNSENT:
+        send_again(job);
+        break;
+    case FORWARD_FAILED:
+    case FORWARD_BROKEN:
+        fail(job, end);
+        break;
+    }
+    return JOB_DISCARD;
+}
+
+JobVerdict
+Dispatcher_OnForwardEnd(Dispatcher *this, Job *job, const ForwardEndInfo *end)
+{
+    uint32_t service = job->service;
+    JobVerdict verdict;
+
+    JobLog_ForwardEnd(job, end);
+    JobForward_End(job, outcome_of(end));
+    verdict = settle_forward(job, end);
+    JobPlacement_ServeQueue(this, service);
+    return verdict;
+}
+
+/* ---- jobs of peers --------------------------------------------------- */
+
+static bool
+take_accepted(Dispatcher *this)
+{
+    Micros now = Clock_Now(this->clock);
+
+    this->accept_tokens += ACCEPTED_PER_S *
+                           (double)(now - this->accept_refilled_at) /
+                           (double)MICROS_PER_S;
+    this->accept_tokens = MIN(this->accept_tokens, ACCEPTED_BURST);
+    this->accept_refilled_at = now;
+    if (this->accept_tokens < 1) {
+        return false;
+    }
+    this->accept_tokens--;
+    return true;
+}
+
+/* Callers of this host keep their part while requests have to wait. */
+static bool
+leaves_room(const Job *job)
+{
+    const Dispatcher *this = job->owner;
+
+    return RequestQueue_Head(Job_Queue(job)) == NULL ||
+           this->accepted_open <= ACCEPTED_QUEUED_MIN ||
+           this->accepted_open <=
+               ACCEPTED_QUEUED_RATIO * (double)Dispatcher_OpenJobs(this);
+}
+
+static const char *
+find_refusal(const Job *job)
+{
+    Dispatcher *this = job->owner;
+
+    if (Dispatcher_IsCutOff(this)) {
+        return "cut-off";
+    }
+    if (this->accepted_open > ACCEPTED_OPEN_MAX || !leaves_room(job) ||
+        !take_accepted(this)) {
+        return "forward-limit";
+    }
+    return NULL;
+}
+
+bool
+JobForward_Admit(Job *job)
+{
+    const char *refusal = find_refusal(job);
+
+    Dispatcher_Count(job->owner, "agatecrank_forwards_accepted_total",
+                     "result", Str_FromC(refusal != NULL ? refusal : "yes"));
+    if (refusal != NULL) {
+        Job_Reject(job, 503, refusal,
+                   Random_Jitter(job->owner->random, RETRY_AFTER_US));
+    }
+    return refusal == NULL;
+}
--- a/packages/gateway/JobLog.c
+++ b/packages/gateway/JobLog.c
@@ -196,3 +196,76 @@
     Dispatcher_Count(this, "agatecrank_attempts_total", "result",
                      STR("caller-gone"));
 }
+
+void
+JobLog_Forward(const Job *job)
+{
+    Dispatcher *this = job->owner;
+
+    if (!begin_line(job, LOG_LEVEL_INFO, "forward")) {
+        return;
+    }
+    EventLog_Str(this->decisions, "peer", Peer_Id(job->peer));
+    EventLog_Int(this->decisions, "peers", job->peer_count);
+    EventLog_Int(this->decisions, "attempts_max", job->attempts_granted);
+    EventLog_Int(this->decisions, "held_ms", elapsed_ms(job));
+    EventLog_Int(this->decisions, "left_ms",
+                 (job->deadline - job->sent_at) / MICROS_PER_MS);
+    EventLog_End(this->decisions);
+}
+
+static const char *
+forward_result_name(const ForwardEndInfo *end)
+{
+    switch (end->result) {
+    case FORWARD_RESPONSE:
+        return "answer";
+    case FORWARD_NOT_RUN:
+        return "not-run";
+    case FORWARD_FAILED:
+        return "failed";
+    case FORWARD_UNSENT:
+        return "unsent";
+    case FORWARD_BROKEN:
+        return "broken";
+    }
+    return "unknown";
+}
+
+static const char *
+refusal_name(ForwardRefusal refusal)
+{
+    switch (refusal) {
+    case FORWARD_REFUSAL_NONE:
+        return "none";
+    case FORWARD_REFUSAL_CUT_OFF:
+        return "cut-off";
+    case FORWARD_REFUSAL_LIMIT:
+        return "forward-limit";
+    case FORWARD_REFUSAL_DENIED:
+        return "denied";
+    case FORWARD_REFUSAL_OTHER:
+        break;
+    }
+    return "other";
+}
+
+void
+JobLog_ForwardEnd(const Job *job, const ForwardEndInfo *end)
+{
+    Dispatcher *this = job->owner;
+
+    Dispatcher_Count(this, "agatecrank_forwards_total", "result",
+                     Str_FromC(forward_result_name(end)));
+    if (!begin_line(job, LOG_LEVEL_INFO, "forward-end")) {
+        return;
+    }
+    EventLog_Str(this->decisions, "peer", Peer_Id(job->peer));
+    EventLog_CStr(this->decisions, "result", forward_result_name(end));
+    EventLog_CStr(this->decisions, "refusal", refusal_name(end->refusal));
+    EventLog_Int(this->decisions, "status", end->status);
+    EventLog_Int(this->decisions, "took_ms",
+                 (Clock_Now(this->clock) - job->sent_at) / MICROS_PER_MS);
+    EventLog_Int(this->decisions, "held_ms", elapsed_ms(job));
+    EventLog_End(this->decisions);
+}
--- a/packages/gateway/JobLog.h
+++ b/packages/gateway/JobLog.h
@@ -25,4 +25,10 @@
 /** JobLog_CallerDisconnect() - the caller closed its connection */
 void JobLog_CallerDisconnect(const Job *job);
 
+/** JobLog_Forward() - the job was forwarded to a peer */
+void JobLog_Forward(const Job *job);
+
+/** JobLog_ForwardEnd() - the open forward has ended */
+void JobLog_ForwardEnd(const Job *job, const ForwardEndInfo *end);
+
 #endif
--- a/packages/gateway/JobPlacement.c
+++ b/packages/gateway/JobPlacement.c
@@ -1,6 +1,7 @@
 #include "JobPlacement.h"
 
 #include "AttemptMonitor.h"
+#include "JobForward.h"
 #include "JobLog.h"
 
 /* Part of the upstreams that must have a fresh report for the service to count
@@ -62,6 +63,23 @@
         job->table, NameTable_Name(job->owner->services, job->service));
 }
 
+void
+JobPlacement_Withdraw(Job *job)
+{
+    Job_LeaveQueue(job, false);
+    Job_SetHeldUntil(job, 0);
+    reset_probing(job);
+}
+
+bool
+JobPlacement_HasLoadPath(const Dispatcher *this, uint32_t service)
+{
+    return this->routes != NULL &&
+           RouteTable_LoadPath(this->routes,
+                               NameTable_Name(this->services, service))
+                   .length > 0;
+}
+
 bool
 JobPlacement_CanProbe(const Job *job)
 {
@@ -83,11 +101,11 @@
                   .new_connection = new_connection},
     };
 
-    if (upstream >= this->probe_sent_at->len) {
-        g_array_set_size(this->probe_sent_at, upstream + 1);
+    if (upstream >= this->sent_probes->len) {
+        g_array_set_size(this->sent_probes, upstream + 1);
     }
-    g_array_index(this->probe_sent_at, Micros, upstream) =
-        Clock_Now(this->clock);
+    g_array_index(this->sent_probes, SentProbe, upstream) =
+        (SentProbe){Clock_Now(this->clock), new_connection};
     Placement_OnProbeSent(this->placement, upstream);
     UpstreamSet_Acquire(this->upstreams, upstream);
     Dispatcher_PushAction(this, &action);
@@ -379,7 +397,13 @@
 void
 JobPlacement_Resume(Job *job)
 {
-    if (!Job_RefuseCrashing(job) && !JobPlacement_Place(job)) {
+    if (Job_RefuseCrashing(job)) {
+        return;
+    }
+    if (JobForward_Applies(job)) {
+        JobForward_Redirect(job);
+    }
+    else if (!JobPlacement_Place(job)) {
         Job_Abandon(job, placement_failure(job));
     }
 }
--- a/packages/gateway/JobPlacement.h
+++ b/packages/gateway/JobPlacement.h
@@ -57,4 +57,10 @@
  */
 void JobPlacement_OnTime(Dispatcher *this);
 
+/** JobPlacement_Withdraw() - end all waiting of a job that leaves this host */
+void JobPlacement_Withdraw(Job *job);
+
+/** JobPlacement_HasLoadPath() - whether upstreams of a service are probed */
+bool JobPlacement_HasLoadPath(const Dispatcher *this, uint32_t service);
+
 #endif
--- a/packages/gateway/Placement.c
+++ b/packages/gateway/Placement.c
@@ -38,8 +38,16 @@
 /* Cost that a failure ratio of 1 adds. */
 #define FAILURE_COST 2.0F
 
+typedef struct Failures_ {
+    float ratio; /* moving average: 1 for a failure, 0 for a success */
+    uint32_t ejections;
+    uint32_t probe_timeouts;
+    Micros ejected_until;
+} Failures;
+
 typedef struct Load_ {
     PlacementInfo info;
+    Failures saved;   /* see Placement_SaveFailures() */
     Micros report_at; /* -1 without a report */
     Micros warmup_until;
     Micros ejected_until;
@@ -488,6 +496,36 @@
     return take_probes(this, 1, SPARE_PROBES_RATIO) == 1;
 }
 
+void
+Placement_SpendProbes(Placement *this, size_t count)
+{
+    this->probe_tokens -= (float)count;
+}
+
+void
+Placement_SaveFailures(Placement *this)
+{
+    for (guint i = 0; i < this->loads->len; i++) {
+        Load *load = load_at(this, i);
+
+        load->saved = (Failures){load->failure_ratio, load->ejections,
+                                 load->probe_timeouts, load->ejected_until};
+    }
+}
+
+void
+Placement_RestoreFailures(Placement *this)
+{
+    for (guint i = 0; i < this->loads->len; i++) {
+        Load *load = load_at(this, i);
+
+        load->failure_ratio = load->saved.ratio;
+        load->ejections = load->saved.ejections;
+        load->probe_timeouts = load->saved.probe_timeouts;
+        load->ejected_until = load->saved.ejected_until;
+    }
+}
+
 static float
 expected_requests(const Service *service, const Load *load, float weight)
 {
--- a/packages/gateway/Placement.h
+++ b/packages/gateway/Placement.h
@@ -148,6 +148,20 @@
  */
 bool Placement_TakeSpareProbe(Placement *this);
 
+/** Placement_SpendProbes() - count probes towards the budget, even beyond it */
+void Placement_SpendProbes(Placement *this, size_t count);
+
+/**
+ * Placement_SaveFailures() - remember the failures and ejections of upstreams
+ */
+void Placement_SaveFailures(Placement *this);
+
+/**
+ * Placement_RestoreFailures() - forget what was learnt since
+ *     Placement_SaveFailures()
+ */
+void Placement_RestoreFailures(Placement *this);
+
 /** Placement_IsProbePending() - whether a probe has not ended yet */
 bool Placement_IsProbePending(const Placement *this, uint32_t upstream);
 
