gateway: leave lines and counts of forwards to the dispatcher

Cause: both the dispatcher and the Gateway logged and counted each forward. A body too large to be forwarded, or all connections to a peer in use, ended a forward as unsent, for which the dispatcher takes the peer for unreachable.

Change: the Gateway logs and counts none. Such ends are reported as not run. The trace explains the new reasons of refusals.

--- a/packages/agatecrank/RequestTrace.c
+++ b/packages/agatecrank/RequestTrace.c
@@ -57,10 +57,27 @@
      "no route of the active configuration matches the host and path",
      "event=routes: whether it has the expected version"},
     {"cut-off",
-     "the host reached no upstream, nor a host that could execute the "
-     "request; "
-     "it was not executed",
-     "event=forward-end lines: result and reason; the network of the host"},
+     "the host that was asked to execute it reached no upstream itself; it "
+     "was "
+     "not executed",
+     "event=path lines, and the network of the host"},
+    {"no-peer",
+     "the host reached no upstream, and no host that it sent the request to "
+     "could execute it; it was not executed",
+     "event=forward-end lines: refusal"},
+    {"path-lost",
+     "the host lost its path to the upstreams, and the request may have been "
+     "executed or had used its attempts",
+     "event=path of the host, and its network"},
+    {"peer-broken",
+     "the host reached no upstream, and the connection to the host that it "
+     "sent "
+     "the request to ended, or the response was not that host's",
+     "event=forward-refused and event=stopping of the peer"},
+    {"peer-failed",
+     "the host reached no upstream, and the host that it sent the request to "
+     "answered with a failure of its own",
+     "the lines of the peer from event=forwarded on"},
     {"forward-limit",
      "the host executes as many requests of other hosts as it may; it was not "
      "executed there",
@@ -306,11 +323,12 @@
             "the lines of that host from event=forwarded on");
         return;
     }
-    write_cause(out,
-                "the host reached no upstream, and the host that it sent the "
-                "request to gave no response of an upstream",
-                "result and reason of event=forward-end, and the lines of its "
-                "peer");
+    write_cause(
+        out,
+        "the host reached no upstream, and the host that it sent the "
+        "request to gave no response of an upstream",
+        "result and refusal of event=forward-end, and the lines of its "
+        "peer");
 }
 
 /* The last line with the outcome of the request determines the cause. */
--- a/packages/gateway/ForwardClient.c
+++ b/packages/gateway/ForwardClient.c
@@ -67,7 +67,7 @@
 HttpCall *
 ForwardClient_Start(ForwardClient *this, const ForwardCallSpec *spec,
                     const HttpCallHandlers *handlers, void *user,
-                    ForwardTicket *ticket)
+                    ForwardTicket *ticket, Error *error)
 {
     const HostPeer *peer = HostKeys_Find(this->keys, spec->peer);
     HttpCallSpec call = {
@@ -82,12 +82,16 @@
     };
 
     if (peer == NULL || spec->body.length > FORWARD_BODY_MAX_BYTES) {
+        Error_Set(error, peer == NULL ? ERR_NOT_FOUND : ERR_INVALID, "forward",
+                  spec->peer,
+                  peer == NULL ? "the host is not known"
+                               : "the body is too large");
         return NULL;
     }
     add_seal(this, peer, spec, ticket);
     call.address = peer->address.address;
     call.port = peer->address.port;
-    return HttpClient_Start(this->client, &call, handlers, user, NULL);
+    return HttpClient_Start(this->client, &call, handlers, user, error);
 }
 
 int
--- a/packages/gateway/ForwardClient.h
+++ b/packages/gateway/ForwardClient.h
@@ -42,12 +42,13 @@
  * ForwardClient_Start() - seal and send a request
  * @ticket: filled in
  *
- * Return: as HttpClient_Start(); NULL also if the peer is not known any more or
- * the body is larger than FORWARD_BODY_MAX_BYTES.
+ * Return: as HttpClient_Start(); NULL also with ERR_NOT_FOUND if the peer is not
+ * known any more, or ERR_INVALID if the body is larger than
+ * FORWARD_BODY_MAX_BYTES.
  */
 HttpCall *ForwardClient_Start(ForwardClient *this, const ForwardCallSpec *spec,
                               const HttpCallHandlers *handlers, void *user,
-                              ForwardTicket *ticket);
+                              ForwardTicket *ticket, Error *error);
 
 /**
  * ForwardTicket_Check() - check the seal of a response
--- a/packages/gateway/Gateway.c
+++ b/packages/gateway/Gateway.c
@@ -45,9 +45,7 @@
 
 /* A request that is forwarded to a peer. */
 typedef struct Forward_ {
-    GString *peer;
     ForwardTicket ticket;
-    Micros started_at;
     bool authentic; /* the response has the peer's seal */
     ForwardOutcome outcome;
     ForwardEndInfo end; /* as far as known from the response */
@@ -83,58 +81,16 @@
     return exchange;
 }
 
-static void
-destroy_forward(Forward *forward)
-{
-    g_string_free(forward->peer, TRUE);
-    g_free(forward);
-}
-
 static void
 destroy_exchange(Exchange *exchange)
 {
-    if (exchange->forward != NULL) {
-        destroy_forward(exchange->forward);
-    }
+    g_free(exchange->forward);
     g_byte_array_free(exchange->body, TRUE);
     g_byte_array_free(exchange->response, TRUE);
     HeaderList_Destroy(exchange->response_headers);
     g_free(exchange);
 }
 
-/* The words in which peers state their refusals. */
-static const struct {
-    ForwardRefusal refusal;
-    const char *name;
-} refusals[] = {
-    {FORWARD_REFUSAL_CUT_OFF, "cut-off"},
-    {FORWARD_REFUSAL_LIMIT, "forward-limit"},
-    {FORWARD_REFUSAL_DENIED, "forward-denied"},
-    {FORWARD_REFUSAL_NONE, "none"},
-};
-
-static ForwardRefusal
-refusal_of(Str name)
-{
-    for (size_t i = 0; i < G_N_ELEMENTS(refusals); i++) {
-        if (Str_Equal(name, Str_FromC(refusals[i].name))) {
-            return refusals[i].refusal;
-        }
-    }
-    return FORWARD_REFUSAL_OTHER;
-}
-
-static const char *
-refusal_name(ForwardRefusal refusal)
-{
-    for (size_t i = 0; i < G_N_ELEMENTS(refusals); i++) {
-        if (refusals[i].refusal == refusal) {
-            return refusals[i].name;
-        }
-    }
-    return "other";
-}
-
 static Str
 attempt_id(const Exchange *exchange)
 {
@@ -142,31 +98,6 @@
                           exchange->gateway->options.dialect->attempt_id);
 }
 
-/* Logs and counts the end of a forward. */
-static void
-end_forward(Exchange *exchange, const char *result)
-{
-    Gateway *this = exchange->gateway;
-    EventLog *log = this->options.decisions;
-    Forward *forward = g_steal_pointer(&exchange->forward);
-    CounterLabel label = {"result", Str_FromC(result)};
-
-    Counters_Add(this->counters, "agatecrank_forwards_total", &label, 1, 1);
-    if (EventLog_Begin(log, LOG_LEVEL_INFO, "forward-end")) {
-        EventLog_Str(log, "request", attempt_id(exchange));
-        EventLog_Str(log, "peer", Str_FromString(forward->peer));
-        EventLog_CStr(log, "result", result);
-        EventLog_Int(log, "status", forward->end.status);
-        EventLog_CStr(log, "reason", refusal_name(forward->end.refusal));
-        EventLog_Int(
-            log, "ms",
-            (Clock_Now(Loop_Clock(this->loop)) - forward->started_at) /
-                MICROS_PER_MS);
-        EventLog_End(log);
-    }
-    destroy_forward(forward);
-}
-
 static void
 cancel_call(Exchange *exchange)
 {
@@ -174,9 +105,7 @@
         HttpCall_Cancel(exchange->call);
         exchange->call = NULL;
     }
-    if (exchange->forward != NULL) {
-        end_forward(exchange, "cancelled");
-    }
+    g_clear_pointer(&exchange->forward, g_free);
 }
 
 static void
@@ -403,6 +332,27 @@
                : 0;
 }
 
+/* The words in which peers state that they refuse a request. */
+static ForwardRefusal
+refusal_of(Str reason)
+{
+    static const struct {
+        const char *reason;
+        ForwardRefusal refusal;
+    } refusals[] = {
+        {"cut-off", FORWARD_REFUSAL_CUT_OFF},
+        {"forward-limit", FORWARD_REFUSAL_LIMIT},
+        {"forward-denied", FORWARD_REFUSAL_DENIED},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(refusals); i++) {
+        if (Str_Equal(reason, Str_FromC(refusals[i].reason))) {
+            return refusals[i].refusal;
+        }
+    }
+    return FORWARD_REFUSAL_OTHER;
+}
+
 /* Nothing is used of a response that lacks the seal. */
 static void
 read_forward_seal(Exchange *exchange)
@@ -447,31 +397,13 @@
     return FORWARD_BROKEN;
 }
 
-static const char *
-forward_result_name(ForwardResult result)
-{
-    switch (result) {
-    case FORWARD_RESPONSE:
-        return "answer";
-    case FORWARD_NOT_RUN:
-        return "not-run";
-    case FORWARD_FAILED:
-        return "failed";
-    case FORWARD_UNSENT:
-        return "unsent";
-    case FORWARD_BROKEN:
-        return "broken";
-    }
-    return "unknown";
-}
-
 static JobVerdict
 report_forward_end(Exchange *exchange, ForwardResult result)
 {
     ForwardEndInfo end = exchange->forward->end;
 
     end.result = result;
-    end_forward(exchange, forward_result_name(result));
+    g_clear_pointer(&exchange->forward, g_free);
     return Dispatcher_OnForwardEnd(exchange->gateway->dispatcher,
                                    exchange->job, &end);
 }
@@ -661,31 +593,25 @@
     }
 }
 
+/* The request is not forwarded, which says nothing bad about the peer unless it
+ * is gone. */
 static void
-log_forward(const Exchange *exchange, const DispatchAction *action)
+report_not_started(Exchange *exchange, int code)
 {
-    EventLog *log = exchange->gateway->options.decisions;
+    ForwardResult result = FORWARD_NOT_RUN;
 
-    if (EventLog_Begin(log, LOG_LEVEL_INFO, "forward")) {
-        EventLog_Str(log, "request", attempt_id(exchange));
-        EventLog_Str(log, "peer", action->forward.peer);
-        EventLog_Int(log, "attempts", action->forward.attempts_max);
-        EventLog_Int(log, "timeout_ms",
-                     action->forward.timeout / MICROS_PER_MS);
-        EventLog_End(log);
+    switch (code) {
+    case ERR_INVALID: /* too large to be forwarded */
+        exchange->forward->end.refusal = FORWARD_REFUSAL_OTHER;
+        break;
+    case ERR_LIMIT:
+        exchange->forward->end.refusal = FORWARD_REFUSAL_LIMIT;
+        break;
+    default:
+        result = FORWARD_UNSENT;
+        break;
     }
-}
-
-static void
-begin_forward(Exchange *exchange, const DispatchAction *action)
-{
-    reset_response(exchange);
-    exchange->job = action->job;
-    exchange->forward = g_new0(Forward, 1);
-    exchange->forward->peer = Str_ToString(action->forward.peer);
-    exchange->forward->started_at =
-        Clock_Now(Loop_Clock(exchange->gateway->loop));
-    log_forward(exchange, action);
+    report_forward_end(exchange, result);
 }
 
 static void
@@ -704,16 +630,19 @@
         .match_name = this->options.dialect->attempt_id,
         .match_value = attempt_id(exchange),
     };
+    Error error = {.code = ERR_NOT_FOUND};
 
-    begin_forward(exchange, action);
+    reset_response(exchange);
+    exchange->job = action->job;
+    exchange->forward = g_new0(Forward, 1);
     if (this->forward_client != NULL) {
         exchange->call =
             ForwardClient_Start(this->forward_client, &spec, &call_handlers,
-                                exchange, &exchange->forward->ticket);
+                                exchange, &exchange->forward->ticket, &error);
     }
     HeaderList_Destroy(headers);
     if (exchange->call == NULL) {
-        report_forward_end(exchange, FORWARD_UNSENT);
+        report_not_started(exchange, error.code);
     }
 }
 
--- a/tests/test_forwarding.c
+++ b/tests/test_forwarding.c
@@ -215,7 +215,7 @@
 
     begin_call(f);
     g_assert_nonnull(ForwardClient_Start(f->forwards, &spec, &call_handlers, f,
-                                         &f->ticket));
+                                         &f->ticket, NULL));
     HeaderList_Destroy(headers);
     wait_for_end(f);
 }
@@ -502,6 +502,7 @@
                             .headers = headers,
                             .attempts_max = 2};
     Message message;
+    Error error;
 
     g_string_set_size(body, FORWARD_BODY_MAX_BYTES);
     memset(body->str, 'x', body->len);
@@ -510,7 +511,12 @@
     g_string_append_c(body, 'x');
     spec.body = Str_FromString(body);
     g_assert_null(ForwardClient_Start(f->forwards, &spec, &call_handlers, f,
-                                      &f->ticket));
+                                      &f->ticket, &error));
+    g_assert_cmpint(error.code, ==, ERR_INVALID);
+    spec.peer = STR("c");
+    g_assert_null(ForwardClient_Start(f->forwards, &spec, &call_handlers, f,
+                                      &f->ticket, &error));
+    g_assert_cmpint(error.code, ==, ERR_NOT_FOUND);
     init_message(f, &message);
     message.body = Str_FromString(body);
     ForwardSeal_Digest(message.body, message.seal.digest);
--- a/tests/test_gateway_forward.c
+++ b/tests/test_gateway_forward.c
@@ -212,8 +212,8 @@
     HeaderList_Add(headers, STR("agatecrank-attempt-id"), STR(ID));
     HeaderList_Add(headers, STR("agatecrank-timeout-ms"), STR("900"));
     HeaderList_Add(headers, STR("x-own"), STR("kept"));
-    f->call =
-        ForwardClient_Start(f->forwards, &spec, &call_handlers, f, &f->ticket);
+    f->call = ForwardClient_Start(f->forwards, &spec, &call_handlers, f,
+                                  &f->ticket, NULL);
     g_assert_nonnull(f->call);
     HeaderList_Destroy(headers);
 }
@@ -296,6 +296,25 @@
     Dispatcher_SetSourceReachable(f->dispatcher, true, 0);
 }
 
+static void
+set_flag(void *user)
+{
+    *(bool *)user = true;
+}
+
+static void
+run_for(Fixture *f, Micros time)
+{
+    bool passed = false;
+    LoopTimer *timer = LoopTimer_Create(f->loop, set_flag, &passed);
+
+    LoopTimer_Start(timer, time);
+    while (!passed) {
+        Loop_RunOnce(f->loop);
+    }
+    LoopTimer_Destroy(timer);
+}
+
 static void
 set_up(Fixture *f, gconstpointer data)
 {
@@ -318,6 +337,8 @@
     f->forwards = ForwardClient_Create(f->loop, f->a);
     f->guard = LoopTimer_Create(f->loop, fail_test, f);
     LoopTimer_Start(f->guard, 20 * MICROS_PER_S);
+    /* The bound on the rate of requests of other hosts starts at none. */
+    run_for(f, 20 * MICROS_PER_MS);
 }
 
 static void
@@ -377,29 +398,18 @@
     g_assert_cmpint(f->timeout_ms, >, 0);
 }
 
-static void
-set_flag(void *user)
-{
-    *(bool *)user = true;
-}
-
 /* Guards against a large response that is incomplete, or that is held in memory
  * while the other host does not read it. */
 static void
 test_large(Fixture *f, gconstpointer data)
 {
-    bool passed = false;
-    LoopTimer *timer = LoopTimer_Create(f->loop, set_flag, &passed);
-
     begin_forward(f, "/safe/large");
     while (f->received == 0) {
         Loop_RunOnce(f->loop);
     }
+    g_assert_cmpint(f->status, ==, 200);
     HttpCall_PauseResponse(f->call, true);
-    LoopTimer_Start(timer, 500 * MICROS_PER_MS);
-    while (!passed) {
-        Loop_RunOnce(f->loop);
-    }
+    run_for(f, 500 * MICROS_PER_MS);
     g_assert_cmpuint(f->to_write, >, 0);
     HttpCall_PauseResponse(f->call, false);
     while (!f->complete && !f->failed) {
@@ -408,7 +418,6 @@
     g_assert_true(f->complete);
     g_assert_cmpint(f->check, ==, 0);
     g_assert_cmpuint(f->received, ==, LARGE_BYTES);
-    LoopTimer_Destroy(timer);
 }
 
 /* Guards against a response that breaks off at the upstream and looks complete
--- a/tests/test_request_trace.c
+++ b/tests/test_request_trace.c
@@ -103,8 +103,8 @@
         {FORWARD_LINE("01.0") END_LINE("01.5", "broken"),
          "cause: the host reached no upstream, and the host that it"},
         {FORWARD_LINE("01.0") END_LINE("01.5", "not-run")
-             REFUSE_LINE("01.5", "cut-off"),
-         "cause: the host reached no upstream, nor a host"},
+             REFUSE_LINE("01.5", "no-peer"),
+         "cause: the host reached no upstream, and no host"},
     };
 
     for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
