gateway: do not take the crashes of most upstreams for a cut

Cause: found with the simulation of crashing requests and hosts that know peers: with most of 19 upstreams down, a sample of six often fails as a whole, so that hosts took themselves for cut off and counted no losses.

Change: the sample has 24 upstreams, those heard of last first; while cut off, six are probed at a time, and one response to a probe and one in the sample that follows end the cut. Losses that are undecided when a cut begins are kept if it lasts up to a second, and are decided by what is learnt after it.

--- a/packages/core/limits/LossWatch.c
+++ b/packages/core/limits/LossWatch.c
@@ -75,6 +75,20 @@
     g_array_set_size(this->watched, 0);
 }
 
+void
+LossWatch_Renew(LossWatch *this)
+{
+    for (guint i = 0; i < this->watched->len; i++) {
+        Watched *watched = watched_at(this, i);
+
+        watched->attempt.sent = Clock_Now(this->clock);
+        watched->attempt.ended = watched->attempt.sent;
+        watched->probe_failures = 0;
+        watched->probe_at = 0;
+        watched->reachable_network = false;
+    }
+}
+
 static void
 note_alive(LossWatch *this, uint32_t upstream)
 {
--- a/packages/core/limits/LossWatch.h
+++ b/packages/core/limits/LossWatch.h
@@ -69,9 +69,12 @@
 void LossWatch_OnProbeUnclear(LossWatch *this, uint32_t upstream, Micros sent,
                               bool accepted);
 
-/** LossWatch_Clear() - drop all attempts: this host was cut off */
+/** LossWatch_Clear() - drop all attempts */
 void LossWatch_Clear(LossWatch *this);
 
+/** LossWatch_Renew() - drop the evidence so far; attempts count as ended now */
+void LossWatch_Renew(LossWatch *this);
+
 /** LossWatch_OnUnreachable() - as many probes as are needed have failed */
 void LossWatch_OnUnreachable(LossWatch *this, uint32_t upstream);
 
--- a/packages/gateway/CrashGuard.c
+++ b/packages/gateway/CrashGuard.c
@@ -172,9 +172,21 @@
 }
 
 void
-CrashGuard_ForgetUndecided(CrashGuard *this)
+CrashGuard_OnPathRestored(CrashGuard *this, Micros duration)
 {
-    LossWatch_Clear(this->watch);
+    if (duration > DISPROOF_TIME_US) {
+        LossWatch_Clear(this->watch);
+        return;
+    }
+    LossWatch_Renew(this->watch);
+}
+
+Micros
+CrashGuard_AliveAt(const CrashGuard *this, uint32_t upstream)
+{
+    return upstream < this->alive_at->len
+               ? g_array_index(this->alive_at, Micros, upstream)
+               : 0;
 }
 
 void
--- a/packages/gateway/CrashGuard.h
+++ b/packages/gateway/CrashGuard.h
@@ -54,6 +54,9 @@
 /** CrashGuard_OnAlive() - an upstream responded to what was sent at @sent */
 void CrashGuard_OnAlive(CrashGuard *this, uint32_t upstream, Micros sent);
 
+/** CrashGuard_AliveAt() - time of the upstream's last response, 0 for none */
+Micros CrashGuard_AliveAt(const CrashGuard *this, uint32_t upstream);
+
 /** CrashGuard_OnNoResponse() - see LossWatch_Add() */
 void CrashGuard_OnNoResponse(CrashGuard *this, const LostAttempt *attempt);
 
@@ -66,10 +69,13 @@
                                Micros sent, bool accepted);
 
 /**
- * CrashGuard_ForgetUndecided() - this host is cut off, so that attempts without
- *     a response show nothing
+ * CrashGuard_OnPathRestored() - this host reaches upstreams again
+ * @duration: time for which it has not
+ *
+ * Attempts without a response are decided on by what is learnt from now on.
+ * Those of a longer time ago are dropped.
  */
-void CrashGuard_ForgetUndecided(CrashGuard *this);
+void CrashGuard_OnPathRestored(CrashGuard *this, Micros duration);
 
 /** CrashGuard_OnUnreachable() - the last probes of an upstream have failed */
 void CrashGuard_OnUnreachable(CrashGuard *this, uint32_t upstream);
--- a/packages/gateway/DispatcherPrivate.h
+++ b/packages/gateway/DispatcherPrivate.h
@@ -89,6 +89,7 @@
     GArray *sent_probes; /* SentProbe by upstream */
     PathMonitor *path;
     PathState path_state; /* that was handled last */
+    Micros path_lost_at;  /* beginning of the last cut */
     Micros path_back_at;  /* end of the last cut */
     PeerSet *peers;
     uint32_t accepted_open; /* jobs of peers */
--- a/packages/gateway/HostPath.c
+++ b/packages/gateway/HostPath.c
@@ -138,6 +138,7 @@
         }
         target.service = record->service;
         target.domain = record->domain;
+        target.heard_at = CrashGuard_AliveAt(this->guard, i);
         target.busy = Placement_IsProbePending(this->placement, i);
         g_array_append_val(targets, target);
     }
@@ -195,7 +196,7 @@
     bool silent = PathMonitor_IsSilent(this->path);
     GList *jobs;
 
-    CrashGuard_ForgetUndecided(this->guard);
+    this->path_lost_at = Clock_Now(this->clock);
     jobs = Job_Sorted(this->jobs);
     for (GList *item = jobs; item != NULL; item = item->next) {
         on_job_cut_off(item->data, silent);
@@ -221,8 +222,10 @@
         on_cut_off(this);
     }
     else if (before == PATH_CUT_OFF) {
-        Placement_RestoreFailures(this->placement);
         this->path_back_at = Clock_Now(this->clock);
+        Placement_RestoreFailures(this->placement);
+        CrashGuard_OnPathRestored(this->guard,
+                                  this->path_back_at - this->path_lost_at);
     }
     else if (state == PATH_REACHABLE) {
         release_held(this);
--- a/packages/gateway/PathMonitor.c
+++ b/packages/gateway/PathMonitor.c
@@ -3,6 +3,9 @@
 /* Upstreams probed in the first round of a suspicion, and in each check of a
  * path that is cut off. */
 #define ALARM_SIZE 2
+#define CHECK_SIZE 6
+/* Least size of a sample while other probes of many upstreams are open. */
+#define SAMPLE_MIN 6
 /* Least time between the starts of suspicions: each costs new connections. */
 #define ALARM_INTERVAL_US (100 * MICROS_PER_MS)
 /* Least time from the start of a suspicion to its second round, so that both
@@ -22,8 +25,6 @@
 /* Rounds without a result after which a suspicion ends; a host that always
  * stalls is judged by its timeouts then. */
 #define VOID_ROUNDS_MAX 3
-/* Responses of a sample that show the end of a cut. */
-#define RESTORED_MIN 2
 /* A deployment with one upstream can't tell its crash from a cut. */
 #define TARGETS_MIN 2
 
@@ -57,6 +58,7 @@
     Probed probed[PATH_SAMPLE_MAX]; /* in this round */
     size_t probed_count;
     size_t target_count; /* as of the last selection, like the next two */
+    size_t free_count;   /* at the start of the round: not busy */
     bool many_services;
     bool many_domains;
 };
@@ -104,9 +106,14 @@
 static size_t
 round_size(const PathMonitor *this)
 {
-    size_t size =
-        this->round == ROUND_ALARM ? ALARM_SIZE : (size_t)PATH_SAMPLE_MAX;
+    size_t size;
 
+    if (this->round == ROUND_SAMPLE) {
+        size = CLAMP(this->free_count, SAMPLE_MIN, PATH_SAMPLE_MAX);
+    }
+    else {
+        size = this->state == PATH_CUT_OFF ? CHECK_SIZE : ALARM_SIZE;
+    }
     return MIN(size, this->target_count);
 }
 
@@ -283,8 +290,7 @@
     if (this->round == ROUND_ALARM && responses > 0) {
         schedule_round(this, ROUND_SAMPLE, now);
     }
-    else if (this->round == ROUND_SAMPLE &&
-             responses >= MIN(RESTORED_MIN, round_size(this))) {
+    else if (this->round == ROUND_SAMPLE && responses > 0) {
         declare_restored(this);
     }
     else if (is_complete(this)) {
@@ -420,13 +426,19 @@
 static void
 note_targets(PathMonitor *this, const PathTarget *targets, size_t count)
 {
+    size_t free_count = 0;
+
     this->target_count = count;
     this->many_services = false;
     this->many_domains = false;
-    for (size_t i = 1; i < count; i++) {
+    for (size_t i = 0; i < count; i++) {
+        free_count += !targets[i].busy;
         this->many_services |= targets[i].service != targets[0].service;
         this->many_domains |= targets[i].domain != targets[0].domain;
     }
+    if (this->probed_count == 0) {
+        this->free_count = free_count;
+    }
 }
 
 /* Returns how much of the sample is of the same service or domain, -1 if the
@@ -448,7 +460,17 @@
     return n;
 }
 
-/* Returns a random one of the targets that overlap least with the sample. */
+/* Whether a target was heard of later: it is less likely to have ended. While
+ * cut off, this is a long time ago for all of them. */
+static bool
+is_later(const PathMonitor *this, const PathTarget *target,
+         const PathTarget *other)
+{
+    return this->state != PATH_CUT_OFF && target->heard_at > other->heard_at;
+}
+
+/* Returns one of the targets that overlap least with the sample, the one heard
+ * of last or, while cut off, a random one. */
 static const PathTarget *
 pick_target(PathMonitor *this, const PathTarget *targets, size_t count)
 {
@@ -459,10 +481,14 @@
     for (size_t i = 0; i < count; i++) {
         int n = targets[i].busy ? -1 : overlap(this, &targets[i]);
 
-        if (n < 0 || (best != NULL && n > least)) {
+        if (n < 0 || (best != NULL && n > least) ||
+            (best != NULL && n == least &&
+             is_later(this, best, &targets[i]))) {
             continue;
         }
-        ties = best != NULL && n == least ? ties + 1 : 1;
+        ties = best != NULL && n == least && !is_later(this, &targets[i], best)
+                   ? ties + 1
+                   : 1;
         least = n;
         if (Random_Below(this->random, ties) == 0) {
             best = &targets[i];
--- a/packages/gateway/PathMonitor.h
+++ b/packages/gateway/PathMonitor.h
@@ -12,13 +12,14 @@
  * Judges by probes on new connections, since open ones may live on while new
  * ones are refused. A failure of any kind starts a suspicion: two upstreams are
  * probed, then a sample spread over services and failure domains. The path is
- * cut off if all of them fail; one response ends the suspicion. While cut off,
- * two upstreams are probed at intervals, and a sample confirms the end.
+ * cut off if all of them fail; one response ends the suspicion. The sample is
+ * large because most upstreams may have crashed. While cut off, a few upstreams
+ * are probed at intervals, and a sample confirms the end.
  */
 typedef struct PathMonitor_ PathMonitor;
 
 /** Most upstreams that are probed in one round */
-#define PATH_SAMPLE_MAX 6
+#define PATH_SAMPLE_MAX 24
 
 typedef enum PathState_ {
     PATH_REACHABLE,
@@ -39,12 +40,14 @@
 
 /**
  * struct PathTarget_ - an upstream that can be probed
+ * @heard_at: time of its last response, 0 for none
  * @busy: a probe of it is open already
  */
 typedef struct PathTarget_ {
     uint32_t upstream;
     uint32_t service;
     uint32_t domain;
+    Micros heard_at;
     bool busy;
 } PathTarget;
 
--- a/tests/support/CrashSimulation.h
+++ b/tests/support/CrashSimulation.h
@@ -37,6 +37,8 @@
  * @lost_ratio: fraction of the responses to other requests that are lost though
  *              the upstream goes on
  * @failure_ratio: fraction of the upstreams that fail then
+ * @knows_peers: hosts forward requests while they take themselves for cut off;
+ *               the peers refuse them
  * @isolated_hosts: plants a fault: the hosts exchange nothing
  */
 typedef struct CrashOptions_ {
@@ -53,6 +55,7 @@
     CrashKind crash;
     ChannelFaults channel;
     bool at_most_once;
+    bool knows_peers;
     bool isolated_hosts;
 } CrashOptions;
 
--- a/tests/test_crashing_request.c
+++ b/tests/test_crashing_request.c
@@ -108,6 +108,20 @@
     assert_bounded(&options);
 }
 
+/* Guards against hosts that take the crashes of most upstreams for a cut and
+ * count none of them. */
+static void
+test_not_taken_for_cut(void)
+{
+    CrashOptions options = deployment;
+
+    options.crash = CRASH_MIXED;
+    options.resend_interval = 100 * MICROS_PER_MS;
+    options.crashing_count = 2;
+    options.knows_peers = true;
+    assert_bounded(&options);
+}
+
 static void
 test_host_restarts(void)
 {
@@ -198,6 +212,8 @@
     g_test_add_func("/crashing-request/silent", test_silent);
     g_test_add_func("/crashing-request/at-most-once", test_at_most_once);
     g_test_add_func("/crashing-request/fast-resends", test_fast_resends);
+    g_test_add_func("/crashing-request/not-taken-for-cut",
+                    test_not_taken_for_cut);
     g_test_add_func("/crashing-request/host-restarts", test_host_restarts);
     g_test_add_data_func("/crashing-request/replaced-upstreams",
                          GINT_TO_POINTER(1), test_replaced_upstreams);
