--- a/packages/gateway/PathMonitor.c
+++ b/packages/gateway/PathMonitor.c
@@ -3,6 +3,9 @@
 /* Upstreams probed in the first round of a suspicion, and in each check of a
  * path that is cut off. */
 #define ALARM_SIZE 2
+#define CHECK_SIZE 6
+/* Least size of a sample while other probes of many upstreams are open. */
+#define SAMPLE_MIN 6
 /* Least time between the starts of suspicions: each costs new connections. */
 #define ALARM_INTERVAL_US (100 * MICROS_PER_MS)
 /* Least time from the start of a suspicion to its second round, so that both
@@ -17,11 +20,11 @@
  * a stall of this host. */
 #define TICK_US (20 * MICROS_PER_MS)
 #define STALL_US (25 * MICROS_PER_MS)
+/* Least time between the starts of rounds that repeat each other. */
+#define REPEAT_DELAY_US (50 * MICROS_PER_MS)
 /* Rounds without a result after which a suspicion ends; a host that always
  * stalls is judged by its timeouts then. */
 #define VOID_ROUNDS_MAX 3
-/* Responses of a sample that show the end of a cut. */
-#define RESTORED_MIN 2
 /* A deployment with one upstream can't tell its crash from a cut. */
 #define TARGETS_MIN 2
 
@@ -55,6 +58,7 @@
     Probed probed[PATH_SAMPLE_MAX]; /* in this round */
     size_t probed_count;
     size_t target_count; /* as of the last selection, like the next two */
+    size_t free_count;   /* at the start of the round: not busy */
     bool many_services;
     bool many_domains;
 };
@@ -102,9 +106,14 @@
 static size_t
 round_size(const PathMonitor *this)
 {
-    size_t size =
-        this->round == ROUND_ALARM ? ALARM_SIZE : (size_t)PATH_SAMPLE_MAX;
+    size_t size;
 
+    if (this->round == ROUND_SAMPLE) {
+        size = CLAMP(this->free_count, SAMPLE_MIN, PATH_SAMPLE_MAX);
+    }
+    else {
+        size = this->state == PATH_CUT_OFF ? CHECK_SIZE : ALARM_SIZE;
+    }
     return MIN(size, this->target_count);
 }
 
@@ -124,7 +133,8 @@
 {
     return count_results(this, PATH_PROBE_REFUSED) +
            count_results(this, PATH_PROBE_TIMEOUT) +
-           count_results(this, PATH_PROBE_SILENT);
+           count_results(this, PATH_PROBE_SILENT) +
+           count_results(this, PATH_PROBE_CLOSED);
 }
 
 static bool
@@ -214,18 +224,23 @@
 }
 
 /* Whether the failures of the round can be due to a stall of this host, or to
- * upstreams that are slow to respond. */
+ * upstreams that respond slowly or are full. */
 static bool
 is_doubtful(const PathMonitor *this)
 {
-    size_t timeouts = count_results(this, PATH_PROBE_TIMEOUT) +
-                      count_results(this, PATH_PROBE_SILENT);
+    bool repeated = this->void_rounds >= VOID_ROUNDS_MAX;
+    bool silent = count_results(this, PATH_PROBE_SILENT) > 0;
+    bool stalled = this->stalled &&
+                   (silent || count_results(this, PATH_PROBE_TIMEOUT) > 0);
 
-    if (this->stalled && timeouts > 0 && this->void_rounds < VOID_ROUNDS_MAX) {
+    if (stalled && !repeated) {
         return true;
     }
-    return (this->stalled || count_results(this, PATH_PROBE_SILENT) > 0) &&
-           timeouts > 0 && !PathMonitor_IsSilent(this);
+    if (PathMonitor_IsSilent(this)) {
+        return false;
+    }
+    return stalled || silent ||
+           (count_results(this, PATH_PROBE_CLOSED) > 0 && !repeated);
 }
 
 static bool
@@ -244,7 +259,9 @@
         end_suspicion(this);
         return;
     }
-    schedule_round(this, this->round, Clock_Now(this->clock));
+    schedule_round(
+        this, this->round,
+        MAX(Clock_Now(this->clock), this->round_at + REPEAT_DELAY_US));
 }
 
 static void
@@ -257,6 +274,7 @@
         declare_cut(this);
     }
     else {
+        this->void_rounds = 0;
         schedule_round(
             this, ROUND_SAMPLE,
             MAX(Clock_Now(this->clock), this->since + SAMPLE_DELAY_US));
@@ -272,8 +290,7 @@
     if (this->round == ROUND_ALARM && responses > 0) {
         schedule_round(this, ROUND_SAMPLE, now);
     }
-    else if (this->round == ROUND_SAMPLE &&
-             responses >= MIN(RESTORED_MIN, round_size(this))) {
+    else if (this->round == ROUND_SAMPLE && responses > 0) {
         declare_restored(this);
     }
     else if (is_complete(this)) {
@@ -409,13 +426,19 @@
 static void
 note_targets(PathMonitor *this, const PathTarget *targets, size_t count)
 {
+    size_t free_count = 0;
+
     this->target_count = count;
     this->many_services = false;
     this->many_domains = false;
-    for (size_t i = 1; i < count; i++) {
+    for (size_t i = 0; i < count; i++) {
+        free_count += !targets[i].busy;
         this->many_services |= targets[i].service != targets[0].service;
         this->many_domains |= targets[i].domain != targets[0].domain;
     }
+    if (this->probed_count == 0) {
+        this->free_count = free_count;
+    }
 }
 
 /* Returns how much of the sample is of the same service or domain, -1 if the
@@ -437,7 +460,17 @@
     return n;
 }
 
-/* Returns a random one of the targets that overlap least with the sample. */
+/* Whether a target was heard of later: it is less likely to have ended. While
+ * cut off, this is a long time ago for all of them. */
+static bool
+is_later(const PathMonitor *this, const PathTarget *target,
+         const PathTarget *other)
+{
+    return this->state != PATH_CUT_OFF && target->heard_at > other->heard_at;
+}
+
+/* Returns one of the targets that overlap least with the sample, the one heard
+ * of last or, while cut off, a random one. */
 static const PathTarget *
 pick_target(PathMonitor *this, const PathTarget *targets, size_t count)
 {
@@ -448,10 +481,14 @@
     for (size_t i = 0; i < count; i++) {
         int n = targets[i].busy ? -1 : overlap(this, &targets[i]);
 
-        if (n < 0 || (best != NULL && n > least)) {
+        if (n < 0 || (best != NULL && n > least) ||
+            (best != NULL && n == least &&
+             is_later(this, best, &targets[i]))) {
             continue;
         }
-        ties = best != NULL && n == least ? ties + 1 : 1;
+        ties = best != NULL && n == least && !is_later(this, &targets[i], best)
+                   ? ties + 1
+                   : 1;
         least = n;
         if (Random_Below(this->random, ties) == 0) {
             best = &targets[i];
@@ -486,8 +523,14 @@
     return this->state;
 }
 
+bool
+PathMonitor_HeardSince(const PathMonitor *this, Micros time)
+{
+    return this->heard_at >= time;
+}
+
 bool
 PathMonitor_IsSilent(const PathMonitor *this)
 {
-    return this->heard_at < this->since;
+    return !PathMonitor_HeardSince(this, this->since);
 }
--- a/packages/gateway/PathMonitor.h
+++ b/packages/gateway/PathMonitor.h
@@ -12,13 +12,14 @@
  * Judges by probes on new connections, since open ones may live on while new
  * ones are refused. A failure of any kind starts a suspicion: two upstreams are
  * probed, then a sample spread over services and failure domains. The path is
- * cut off if all of them fail; one response ends the suspicion. While cut off,
- * two upstreams are probed at intervals, and a sample confirms the end.
+ * cut off if all of them fail; one response ends the suspicion. The sample is
+ * large because most upstreams may have crashed. While cut off, a few upstreams
+ * are probed at intervals, and a sample confirms the end.
  */
 typedef struct PathMonitor_ PathMonitor;
 
 /** Most upstreams that are probed in one round */
-#define PATH_SAMPLE_MAX 6
+#define PATH_SAMPLE_MAX 24
 
 typedef enum PathState_ {
     PATH_REACHABLE,
@@ -33,17 +34,20 @@
     PATH_PROBE_REFUSED, /* the connection was refused or reset */
     PATH_PROBE_TIMEOUT, /* the connection was not opened in time */
     PATH_PROBE_SILENT,  /* the connection was accepted, nothing followed */
+    PATH_PROBE_CLOSED,  /* it was accepted and closed without a response */
     PATH_PROBE_UNCLEAR, /* not sent */
 } PathProbeResult;
 
 /**
  * struct PathTarget_ - an upstream that can be probed
+ * @heard_at: time of its last response, 0 for none
  * @busy: a probe of it is open already
  */
 typedef struct PathTarget_ {
     uint32_t upstream;
     uint32_t service;
     uint32_t domain;
+    Micros heard_at;
     bool busy;
 } PathTarget;
 
@@ -94,6 +98,9 @@
 /** PathMonitor_State() - the state as of the last call */
 PathState PathMonitor_State(const PathMonitor *this);
 
+/** PathMonitor_HeardSince() - whether an upstream has responded since @time */
+bool PathMonitor_HeardSince(const PathMonitor *this, Micros time);
+
 /**
  * PathMonitor_IsSilent() - whether no upstream has responded since the
  *     suspicion began, on open connections either
