tests: name the test of the listener for other hosts after it

Change: test_forwarding.c is test_forward_server.c, with its paths.

Measured: nothing but the names changes.

--- a/tests/test_forwarding.c
+++ b/tests/test_forward_server.c
@@ -589,17 +589,17 @@
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
-    ADD("/forwarding/genuine", test_genuine);
-    ADD("/forwarding/altered", test_altered);
-    ADD("/forwarding/forged", test_forged);
-    ADD("/forwarding/wrong-receiver", test_wrong_receiver);
-    ADD("/forwarding/replayed", test_replayed);
-    ADD("/forwarding/replayed-after-change", test_replayed_after_change);
-    ADD("/forwarding/replayed-after-denial", test_replayed_after_denial);
-    ADD("/forwarding/unknown-key", test_unknown_key);
-    ADD("/forwarding/unknown-keys", test_unknown_keys);
-    ADD("/forwarding/large-body", test_large_body);
-    ADD("/forwarding/foreign-response", test_foreign_response);
-    ADD("/forwarding/altered-response", test_altered_response);
+    ADD("/forward-server/genuine", test_genuine);
+    ADD("/forward-server/altered", test_altered);
+    ADD("/forward-server/forged", test_forged);
+    ADD("/forward-server/wrong-receiver", test_wrong_receiver);
+    ADD("/forward-server/replayed", test_replayed);
+    ADD("/forward-server/replayed-after-change", test_replayed_after_change);
+    ADD("/forward-server/replayed-after-denial", test_replayed_after_denial);
+    ADD("/forward-server/unknown-key", test_unknown_key);
+    ADD("/forward-server/unknown-keys", test_unknown_keys);
+    ADD("/forward-server/large-body", test_large_body);
+    ADD("/forward-server/foreign-response", test_foreign_response);
+    ADD("/forward-server/altered-response", test_altered_response);
     return g_test_run();
 }
