gateway: accept forwarded requests from the start

Cause: the bucket that bounds the rate of forwarded requests was empty at the start of a host, which refused the first ones with forward-limit.

Change: it starts full. test_forwarding checks the decisions on one host: first sends, sums of attempts, retry limits, refusals, deadlines, waits for the path.

--- a/packages/gateway/Dispatcher.c
+++ b/packages/gateway/Dispatcher.c
@@ -82,7 +82,8 @@
     this->sent_probes = g_array_new(FALSE, TRUE, sizeof(SentProbe));
     this->path = PathMonitor_Create(clock, random, log, counters);
     this->peers = PeerSet_Create(options->domain, clock, random);
-    this->accept_refilled_at = Clock_Now(clock);
+    /* The bucket is full at the start. */
+    this->accept_refilled_at = Clock_Now(clock) - MICROS_PER_S;
     this->retry_windows =
         g_ptr_array_new_with_free_func((GDestroyNotify)RetryWindow_Destroy);
     this->queues =
--- /dev/null
+++ b/tests/test_forwarding.c
@@ -0,0 +1,494 @@
+#include <glib.h>
+#include <string.h>
+
+#include "GatewayFixture.h"
+
+#define OBJECTIVE_US (300 * MICROS_PER_MS)
+#define TIMEOUT_US (1000 * MICROS_PER_MS)
+#define SLOT_COUNT 8
+#define UPSTREAM_COUNT 4
+#define PROBES_MAX 64
+
+typedef struct Fixture_ {
+    Clock *clock;
+    Random *random;
+    Counters *counters;
+    Dispatcher *dispatcher;
+    DispatchAction action; /* last one that is not a probe */
+    char peer[16];         /* of the last forward */
+    char reason[32];       /* of the last response */
+    uint32_t probes[PROBES_MAX];
+    size_t probe_count;
+    Job *watched;
+    uint32_t granted; /* to the peer that got the watched job */
+    size_t sends, forwards, responses, cancels;
+} Fixture;
+
+static void
+create(Fixture *f, double retry_share, double retry_extra)
+{
+    static const char *const ids[UPSTREAM_COUNT] = {"t", "u", "v", "w"};
+    PeerInfo peers[] = {{STR("p1"), STR("a")},
+                        {STR("p2"), STR("a")},
+                        {STR("p3"), STR("b")},
+                        {STR("p4"), STR("b")}};
+    DispatcherOptions options = {.host = STR("h"),
+                                 .domain = STR("a"),
+                                 .retry_window = 10 * MICROS_PER_S,
+                                 .retry_share = retry_share,
+                                 .retry_extra = retry_extra};
+    CallerLimits limits = {0};
+    RouteTable *table = RouteTable_Create(1, &limits);
+
+    memset(f, 0, sizeof(*f));
+    f->clock = Clock_CreateManual(MICROS_PER_S, 0);
+    f->random = Random_Create(5);
+    f->counters = Counters_Create(100);
+    f->dispatcher = Dispatcher_Create(&options, f->clock, f->random, NULL,
+                                      NULL, f->counters);
+    RouteTable_AddService(table, GATEWAY_FIXTURE_SERVICE, STR("/load"));
+    GatewayFixture_AddRoute(table, "/safe/", ROUTE_IDEMPOTENT, 2, OBJECTIVE_US,
+                            TIMEOUT_US);
+    GatewayFixture_AddRoute(table, "/once/", ROUTE_AT_MOST_ONCE, 1,
+                            OBJECTIVE_US, TIMEOUT_US);
+    Dispatcher_SetRoutes(f->dispatcher, table);
+    RouteTable_Unref(table);
+    for (int i = 0; i < UPSTREAM_COUNT; i++) {
+        UpstreamEntry entry = GatewayFixture_Upstream(ids[i], 80, SLOT_COUNT);
+
+        Dispatcher_PutUpstream(f->dispatcher, &entry);
+    }
+    Dispatcher_SetPeers(f->dispatcher, peers, G_N_ELEMENTS(peers));
+}
+
+static void
+set_up(Fixture *f, gconstpointer data)
+{
+    create(f, 0, 2);
+}
+
+static void
+set_up_without_retries(Fixture *f, gconstpointer data)
+{
+    create(f, 0, 0);
+}
+
+static void
+tear_down(Fixture *f, gconstpointer data)
+{
+    Dispatcher_Destroy(f->dispatcher);
+    Counters_Destroy(f->counters);
+    Random_Destroy(f->random);
+    Clock_Destroy(f->clock);
+}
+
+static void
+take_actions(Fixture *f)
+{
+    DispatchAction action;
+
+    while (Dispatcher_NextAction(f->dispatcher, &action)) {
+        switch (action.kind) {
+        case DISPATCH_PROBE:
+            g_assert_cmpuint(f->probe_count, <, PROBES_MAX);
+            f->probes[f->probe_count++] = action.probe.upstream;
+            continue;
+        case DISPATCH_SEND:
+            f->sends++;
+            break;
+        case DISPATCH_FORWARD:
+            f->forwards++;
+            if (action.job == f->watched) {
+                f->granted = action.forward.attempts_max;
+            }
+            g_snprintf(f->peer, sizeof(f->peer), STR_FORMAT,
+                       STR_ARGS(action.forward.peer));
+            break;
+        case DISPATCH_RESPOND:
+            f->responses++;
+            g_strlcpy(f->reason, action.respond.reason, sizeof(f->reason));
+            break;
+        case DISPATCH_CANCEL:
+            f->cancels++;
+            break;
+        }
+        f->action = action;
+    }
+}
+
+static void
+end_probes(Fixture *f, ProbeResult result)
+{
+    LoadReport report = {.slots = SLOT_COUNT, .slowdown_percent = 100};
+    uint32_t probes[PROBES_MAX];
+    size_t n = f->probe_count;
+
+    memcpy(probes, f->probes, sizeof(probes));
+    f->probe_count = 0;
+    for (size_t i = 0; i < n; i++) {
+        Dispatcher_OnProbeResult(f->dispatcher, probes[i], result,
+                                 result == PROBE_ANSWERED ? &report : NULL);
+        take_actions(f);
+    }
+}
+
+static void
+advance_time(Fixture *f, Micros time)
+{
+    Clock_Advance(f->clock, time);
+    Dispatcher_OnTime(f->dispatcher);
+    take_actions(f);
+}
+
+static Job *
+submit_info(Fixture *f, const char *path, uint32_t attempts_max,
+            bool forwarded)
+{
+    JobInfo info = {.id = STR("r"),
+                    .method = STR("GET"),
+                    .host = GATEWAY_FIXTURE_HOST,
+                    .path = Str_FromC(path),
+                    .attempts_max = attempts_max,
+                    .forwarded = forwarded};
+    Job *job = Dispatcher_Submit(f->dispatcher, &info, NULL);
+
+    take_actions(f);
+    return job;
+}
+
+static Job *
+submit(Fixture *f, const char *path)
+{
+    return submit_info(f, path, 0, false);
+}
+
+/* Submits a request and has it sent to an upstream. */
+static Job *
+send_request(Fixture *f, const char *path, uint32_t attempts_max,
+             bool forwarded)
+{
+    Job *job = submit_info(f, path, attempts_max, forwarded);
+    size_t sends = f->sends;
+
+    end_probes(f, PROBE_ANSWERED);
+    if (f->sends == sends) {
+        advance_time(f, 10 * MICROS_PER_MS);
+    }
+    g_assert_cmpint(f->action.kind, ==, DISPATCH_SEND);
+    advance_time(f, MICROS_PER_MS);
+    return job;
+}
+
+static JobVerdict
+end_attempt(Fixture *f, Job *job, AttemptResult result)
+{
+    AttemptEndInfo end = {.result = result, .status = 200};
+    JobVerdict verdict = Dispatcher_OnAttemptEnd(f->dispatcher, job, &end);
+
+    take_actions(f);
+    return verdict;
+}
+
+static JobVerdict
+end_forward(Fixture *f, Job *job, ForwardResult result, ForwardRefusal refusal)
+{
+    ForwardEndInfo end = {.result = result, .status = 200, .refusal = refusal};
+    JobVerdict verdict = Dispatcher_OnForwardEnd(f->dispatcher, job, &end);
+
+    take_actions(f);
+    return verdict;
+}
+
+/* Has a request fail to connect, and all probes, until the cut is noticed. */
+static void
+cut_off(Fixture *f)
+{
+    JobInfo info = {.id = STR("r"),
+                    .method = STR("GET"),
+                    .host = GATEWAY_FIXTURE_HOST,
+                    .path = STR("/once/first"),
+                    .timeout = TIMEOUT_US};
+    Job *job = Dispatcher_Submit(f->dispatcher, &info, NULL);
+
+    take_actions(f);
+    for (int i = 0; !Dispatcher_IsCutOff(f->dispatcher); i++) {
+        g_assert_cmpint(i, <, 50);
+        if (f->action.kind == DISPATCH_SEND && f->action.job == job) {
+            f->action.kind = DISPATCH_PROBE;
+            end_attempt(f, job, ATTEMPT_RESULT_UNSENT);
+        }
+        end_probes(f, PROBE_REFUSED);
+        advance_time(f, 10 * MICROS_PER_MS);
+    }
+    Dispatcher_OnCallerDisconnect(f->dispatcher, job);
+    take_actions(f);
+}
+
+/* Guards against a 503 of a host without a path, and against a retry limit that
+ * prevents the first send. */
+static void
+test_first_send(Fixture *f, gconstpointer data)
+{
+    Job *job;
+
+    cut_off(f);
+    f->sends = 0;
+    job = submit(f, "/once/1");
+    g_assert_cmpint(f->action.kind, ==, DISPATCH_FORWARD);
+    g_assert_cmpuint(f->action.forward.attempts_max, ==, 2);
+    g_assert_cmpint(f->action.forward.timeout, ==, TIMEOUT_US);
+    g_assert_false(f->action.forward.idempotent);
+    g_assert_cmpuint(f->sends, ==, 0);
+    g_assert_cmpint(end_forward(f, job, FORWARD_RESPONSE, 0), ==, JOB_RELAY);
+}
+
+/* Guards against more upstreams than the route allows, over both hops. */
+static void
+test_attempts_are_summed(Fixture *f, gconstpointer data)
+{
+    Job *job = send_request(f, "/safe/1", 0, false);
+
+    f->watched = job;
+    cut_off(f);
+    g_assert_cmpuint(f->cancels, ==, 1);
+    g_assert_cmpuint(f->granted, ==, 1);
+    end_forward(f, job, FORWARD_BROKEN, 0);
+    g_assert_cmpint(f->action.respond.status, ==, 502);
+}
+
+/* Guards against forwards beyond the retry limit. */
+static void
+test_no_retry_left(Fixture *f, gconstpointer data)
+{
+    Job *job = send_request(f, "/safe/1", 0, false);
+
+    cut_off(f);
+    g_assert_cmpint(end_attempt(f, job, ATTEMPT_RESULT_RESPONSE), ==,
+                    JOB_RELAY);
+    job = submit(f, "/safe/2");
+    f->forwards = 0;
+    end_forward(f, job, FORWARD_NOT_RUN, FORWARD_REFUSAL_OTHER);
+    g_assert_cmpuint(f->forwards, ==, 0);
+    g_assert_cmpint(f->action.respond.status, ==, 503);
+    g_assert_true(f->action.respond.not_run);
+}
+
+/* Guards against a second run of a request that is not idempotent. */
+static void
+test_may_have_run(Fixture *f, gconstpointer data)
+{
+    Job *sent = send_request(f, "/once/1", 0, false), *job;
+
+    cut_off(f);
+    job = submit(f, "/once/2");
+    f->forwards = 0;
+    end_forward(f, job, FORWARD_BROKEN, 0);
+    g_assert_cmpint(f->action.respond.status, ==, 502);
+    g_assert_false(f->action.respond.not_run);
+    end_attempt(f, sent, ATTEMPT_RESULT_BROKEN);
+    g_assert_cmpint(f->action.respond.status, ==, 502);
+    g_assert_cmpuint(f->forwards, ==, 0);
+}
+
+/* Guards against a request that goes from peer to peer. */
+static void
+test_three_peers(Fixture *f, gconstpointer data)
+{
+    char peers[3][16];
+    Job *job;
+
+    cut_off(f);
+    f->forwards = 0;
+    job = submit(f, "/once/1");
+    for (int i = 0; i < 3; i++) {
+        g_assert_cmpuint(f->forwards, ==, i + 1);
+        g_strlcpy(peers[i], f->peer, sizeof(peers[i]));
+        end_forward(f, job, i == 1 ? FORWARD_UNSENT : FORWARD_NOT_RUN,
+                    FORWARD_REFUSAL_CUT_OFF);
+    }
+    g_assert_cmpstr(peers[0], !=, peers[1]);
+    g_assert_cmpstr(peers[1], !=, peers[2]);
+    g_assert_cmpstr(peers[0], !=, peers[2]);
+    g_assert_cmpuint(f->forwards, ==, 3);
+    g_assert_cmpint(f->action.respond.status, ==, 503);
+    g_assert_true(f->action.respond.not_run);
+    g_assert_cmpint(f->action.respond.retry_after, >, 0);
+}
+
+/* Guards against loops, and against a refusal that the other host can't tell
+ * from that of an upstream. */
+static void
+test_forwarded_to_cut_host(Fixture *f, gconstpointer data)
+{
+    cut_off(f);
+    f->forwards = 0;
+    g_assert_null(submit_info(f, "/safe/1", 2, true));
+    g_assert_cmpint(f->action.respond.status, ==, 503);
+    g_assert_cmpstr(f->reason, ==, "cut-off");
+    g_assert_true(f->action.respond.not_run);
+    g_assert_cmpuint(f->forwards, ==, 0);
+}
+
+/* Guards against a peer that uses attempts it was not granted. */
+static void
+test_granted_attempts(Fixture *f, gconstpointer data)
+{
+    Job *job = send_request(f, "/safe/1", 1, true);
+
+    end_attempt(f, job, ATTEMPT_RESULT_BROKEN);
+    g_assert_cmpuint(f->sends, ==, 1);
+    g_assert_cmpint(f->action.respond.status, ==, 502);
+    g_assert_false(f->action.respond.not_run);
+}
+
+/* Guards against requests that raise the retry limit of two hosts. */
+static void
+test_forwarded_adds_no_retries(Fixture *f, gconstpointer data)
+{
+    Job *job;
+
+    tear_down(f, NULL);
+    create(f, 1, 0);
+    for (int i = 0; i < 5; i++) {
+        job = send_request(f, "/safe/1", 2, true);
+        end_attempt(f, job, ATTEMPT_RESULT_RESPONSE);
+    }
+    job = send_request(f, "/safe/2", 2, true);
+    f->sends = 0;
+    end_attempt(f, job, ATTEMPT_RESULT_BROKEN);
+    end_probes(f, PROBE_ANSWERED);
+    g_assert_cmpuint(f->sends, ==, 0);
+    g_assert_cmpint(f->action.respond.status, ==, 502);
+}
+
+static void
+test_deadline(Fixture *f, gconstpointer data)
+{
+    cut_off(f);
+    f->cancels = 0;
+    submit(f, "/safe/1");
+    end_probes(f, PROBE_REFUSED);
+    advance_time(f, TIMEOUT_US);
+    g_assert_cmpuint(f->cancels, ==, 1);
+    g_assert_cmpint(f->action.respond.status, ==, 504);
+    g_assert_false(f->action.respond.not_run);
+}
+
+static void
+restore(Fixture *f)
+{
+    for (int i = 0; Dispatcher_IsCutOff(f->dispatcher); i++) {
+        g_assert_cmpint(i, <, 50);
+        end_probes(f, PROBE_ANSWERED);
+        advance_time(f, 10 * MICROS_PER_MS);
+    }
+}
+
+/* Guards against a request that is refused although the path is back, and
+ * against upstreams that stay ejected after the cut. */
+static void
+test_path_is_back(Fixture *f, gconstpointer data)
+{
+    Job *job;
+
+    cut_off(f);
+    job = submit(f, "/safe/1");
+    restore(f);
+    f->sends = 0;
+    end_forward(f, job, FORWARD_NOT_RUN, FORWARD_REFUSAL_CUT_OFF);
+    end_probes(f, PROBE_ANSWERED);
+    advance_time(f, 10 * MICROS_PER_MS);
+    g_assert_cmpuint(f->sends, ==, 1);
+    end_attempt(f, job, ATTEMPT_RESULT_RESPONSE);
+    g_assert_cmpint(Dispatcher_OpenJobs(f->dispatcher), ==, 0);
+}
+
+/* Guards against attempts that are spent while the path is being probed, and
+ * against requests that wait for long if it is there. */
+static void
+test_held(Fixture *f, gconstpointer data)
+{
+    Job *job = send_request(f, "/safe/1", 0, false);
+
+    f->sends = 0;
+    end_attempt(f, job, ATTEMPT_RESULT_UNSENT);
+    g_assert_cmpuint(f->sends + f->responses, ==, 0);
+    end_probes(f, PROBE_ANSWERED);
+    if (f->sends == 0) {
+        end_probes(f, PROBE_ANSWERED);
+        advance_time(f, 10 * MICROS_PER_MS);
+    }
+    g_assert_cmpuint(f->sends, ==, 1);
+    /* Within a tenth of a second there is no second suspicion. */
+    end_attempt(f, job, ATTEMPT_RESULT_UNSENT);
+    g_assert_cmpuint(f->responses, ==, 1);
+}
+
+static void
+test_held_for_long(Fixture *f, gconstpointer data)
+{
+    Job *job = send_request(f, "/safe/1", 0, false);
+
+    f->sends = 0;
+    end_attempt(f, job, ATTEMPT_RESULT_UNSENT);
+    advance_time(f, 149 * MICROS_PER_MS);
+    g_assert_cmpuint(f->sends + f->responses, ==, 0);
+    advance_time(f, MICROS_PER_MS);
+    advance_time(f, 10 * MICROS_PER_MS);
+    g_assert_cmpuint(f->sends, ==, 1);
+    Dispatcher_OnCallerDisconnect(f->dispatcher, job);
+}
+
+/* Guards against peers that take all of a host. */
+static void
+test_forward_limit(Fixture *f, gconstpointer data)
+{
+    unsigned accepted = 0;
+
+    for (int i = 0; i < 600 && f->responses == 0; i++) {
+        accepted += submit_info(f, "/safe/1", 2, true) != NULL;
+        f->probe_count = 0;
+        Clock_Advance(f->clock, MICROS_PER_MS / 4);
+    }
+    g_assert_cmpuint(accepted, >, 16);
+    g_assert_cmpuint(accepted, <=, 256);
+    g_assert_cmpstr(f->reason, ==, "forward-limit");
+    g_assert_true(f->action.respond.not_run);
+    /* Own callers are served. */
+    g_assert_nonnull(submit(f, "/safe/1"));
+}
+
+/* Guards against leaks of forwards that are open at the end. */
+static void
+test_open_at_end(Fixture *f, gconstpointer data)
+{
+    cut_off(f);
+    submit(f, "/safe/1");
+    g_assert_cmpint(f->action.kind, ==, DISPATCH_FORWARD);
+    Dispatcher_SetPeers(f->dispatcher, NULL, 0);
+    Dispatcher_Stop(f->dispatcher);
+}
+
+#define ADD(path, set_up, test)                                               \
+    g_test_add("/forwarding/" path, Fixture, NULL, set_up, test, tear_down)
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    ADD("first-send", set_up_without_retries, test_first_send);
+    ADD("attempts-are-summed", set_up, test_attempts_are_summed);
+    ADD("no-retry-left", set_up_without_retries, test_no_retry_left);
+    ADD("may-have-run", set_up, test_may_have_run);
+    ADD("three-peers", set_up, test_three_peers);
+    ADD("forwarded-to-cut-host", set_up, test_forwarded_to_cut_host);
+    ADD("granted-attempts", set_up, test_granted_attempts);
+    ADD("forwarded-adds-no-retries", set_up, test_forwarded_adds_no_retries);
+    ADD("deadline", set_up, test_deadline);
+    ADD("path-is-back", set_up, test_path_is_back);
+    ADD("held", set_up, test_held);
+    ADD("held-for-long", set_up, test_held_for_long);
+    ADD("forward-limit", set_up, test_forward_limit);
+    ADD("open-at-end", set_up, test_open_at_end);
+    return g_test_run();
+}
