--- a/packages/gateway/CrashGuard.c
+++ b/packages/gateway/CrashGuard.c
@@ -171,6 +171,24 @@
     LossWatch_OnProbeUnclear(this->watch, upstream, sent, accepted);
 }
 
+void
+CrashGuard_OnPathRestored(CrashGuard *this, Micros duration)
+{
+    if (duration > DISPROOF_TIME_US) {
+        LossWatch_Clear(this->watch);
+        return;
+    }
+    LossWatch_Renew(this->watch);
+}
+
+Micros
+CrashGuard_AliveAt(const CrashGuard *this, uint32_t upstream)
+{
+    return upstream < this->alive_at->len
+               ? g_array_index(this->alive_at, Micros, upstream)
+               : 0;
+}
+
 void
 CrashGuard_OnUnreachable(CrashGuard *this, uint32_t upstream)
 {
--- a/packages/gateway/CrashGuard.h
+++ b/packages/gateway/CrashGuard.h
@@ -54,6 +54,9 @@
 /** CrashGuard_OnAlive() - an upstream responded to what was sent at @sent */
 void CrashGuard_OnAlive(CrashGuard *this, uint32_t upstream, Micros sent);
 
+/** CrashGuard_AliveAt() - time of the upstream's last response, 0 for none */
+Micros CrashGuard_AliveAt(const CrashGuard *this, uint32_t upstream);
+
 /** CrashGuard_OnNoResponse() - see LossWatch_Add() */
 void CrashGuard_OnNoResponse(CrashGuard *this, const LostAttempt *attempt);
 
@@ -65,6 +68,15 @@
 void CrashGuard_OnProbeUnclear(CrashGuard *this, uint32_t upstream,
                                Micros sent, bool accepted);
 
+/**
+ * CrashGuard_OnPathRestored() - this host reaches upstreams again
+ * @duration: time for which it has not
+ *
+ * Attempts without a response are decided on by what is learnt from now on.
+ * Those of a longer time ago are dropped.
+ */
+void CrashGuard_OnPathRestored(CrashGuard *this, Micros duration);
+
 /** CrashGuard_OnUnreachable() - the last probes of an upstream have failed */
 void CrashGuard_OnUnreachable(CrashGuard *this, uint32_t upstream);
 
