standins: check the retries of a service at the upstreams

Cause: the users saw rule BUDGET broken on real processes: more arrivals beyond the first of each request than the limit. The soak counted retries nowhere.

Change: RetryRule counts requests where callers send them, and arrivals by their id where the head reaches an upstream, rejected ones included, and judges every span of 10 s against 0.2 of the requests and 64, with the requests of that span, the one before it or the one half a window before it. PlatformChecker reports a violation. New in the soak: LOSS_PERIOD_MS and LOSS_RATIO, SIGNALS=herd (four of five hosts are killed at once), DOMAINS; hosts get the constant part of the limit as deployed.

Measured: test_standin_platform retry-rule and retries.

--- a/scripts/gateway.sh
+++ b/scripts/gateway.sh
@@ -18,14 +18,15 @@
     sed -n 's/^store_ports= //p' "$1"
 }
 
-# gateway_settings N STORE_PORT: prints the settings of host N
+# gateway_settings N STORE_PORT: prints the settings of host N, which is in one
+# of $DOMAINS failure domains (default 2)
 gateway_settings() {
     local ip
     ip=$(loopback_address "$1")
     cat <<TOML
 [host]
 id = "host-$1"
-domain = "d$(($1 % 2))"
+domain = "d$(($1 % ${DOMAINS:-2}))"
 [gateway]
 callers = "$ip:8080"
 readiness = "$ip:8081"
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -4,7 +4,7 @@
 cd "$(dirname "$0")/.."
 mkdir -p build/cppcheck
 includes=()
-for d in packages/*/ packages/core/*/ platform tests/support standins; do
+for d in packages/*/ packages/core/*/ platform tests/support standins standins/rules; do
     [ -d "$d" ] && includes+=(-I "$d")
 done
 exec cppcheck --quiet --std=c11 --enable=warning,performance,portability \
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -17,17 +17,21 @@
 # library that shifts clocks is, so the check is off.
 export ASAN_OPTIONS="${ASAN_OPTIONS:-}:verify_asan_link_order=0"
 shift
-HOSTS=${HOSTS:-4}            # gateway hosts, in two failure domains
+HOSTS=${HOSTS:-4}            # gateway hosts
+DOMAINS=${DOMAINS:-2}        # their failure domains
 UPSTREAMS=${UPSTREAMS:-10}
 RATE=${RATE:-120}            # calls per second
 LOAD_MS=${LOAD_MS:-12000}    # duration of load with faults
 REST_MS=${REST_MS:-3000}     # duration of load after the last fault
 FAULT_PERIOD_S=${FAULT_PERIOD_S:-0.8}  # between faults of store and upstreams; 0 for none
 LINK_PERIOD_S=${LINK_PERIOD_S:-0.6}    # between faults of links; 0 for none
-SIGNALS=${SIGNALS:-mixed}    # mixed, term (SIGTERM only), ends (SIGTERM and SIGKILL) or none
+SIGNALS=${SIGNALS:-mixed}    # mixed, term (SIGTERM only), ends (SIGTERM and SIGKILL), herd (SIGKILL to four of five
+                             # hosts at once, soon after many responses begin to be lost) or none
 CRASH_INTERVAL_MS=${CRASH_INTERVAL_MS:-0}  # between requests that end upstreams; 0 for none
 LIMIT_INTERVAL_MS=${LIMIT_INTERVAL_MS:-0}  # between changes of the limits that upstreams name; 0 for none
 RESTORE_INTERVAL_MS=${RESTORE_INTERVAL_MS:-0}  # between returns of the store from a copy; 0 for none
+LOSS_PERIOD_MS=${LOSS_PERIOD_MS:-0}  # duration of pauses, and of losses of many responses after each; 0 for none
+LOSS_RATIO=${LOSS_RATIO:-0.5}  # fraction of the responses that are lost then
 SERVED_LEAST=${SERVED_LEAST:-0.9}  # fraction of the calls after the last fault that must be served
 START_MS=${START_MS:-3000}   # delay before the load
 WORK_MS=${WORK_MS:-30}       # mean service time of a request
@@ -39,7 +43,7 @@
 write_settings() {
     {
         gateway_settings "$1" "$(echo "$STORE_PORTS" | cut -d ' ' -f "$(($1 + 1))")"
-        printf '[bounds]\ngraceS = 6\ndrainS = 2\nprobesPerS = 60\nretryBudgetRatio = 0.2\n'
+        printf '[bounds]\ngraceS = 6\ndrainS = 2\nprobesPerS = 60\nretryBudgetRatio = 0.2\nretryBudgetExtra = 64\n'
     } >"$WORK/host-$1.toml"
 }
 
@@ -94,6 +98,21 @@
     done
 }
 
+# inject_herd_kill: kills four of five hosts at once, 2 s after many responses
+# begin to be lost, and starts them again
+inject_herd_kill() {
+    local count=$((HOSTS * 4 / 5)) host
+    until grep -q '^fault=responses' "$WORK/platform.out"; do
+        sleep 0.1
+    done
+    sleep 2
+    kill -KILL "${HOST_PID[@]:0:count}"
+    for host in $(seq 0 $((count - 1))); do
+        wait "${HOST_PID[$host]}" 2>/dev/null
+        start_host "$host"
+    done
+}
+
 # inject_clock_faults: repeatedly shifts the time of day of a random host by up to
 # an hour in either direction
 inject_clock_faults() {
@@ -128,13 +147,14 @@
         targets="$targets,$(loopback_address "$host"):8080"
     done
     "$BIN/standins/standin-platform" --seed "$SEED" --hosts "${targets#,}" \
-        --upstreams "$UPSTREAMS" --rate "$RATE" --load-ms "$LOAD_MS" \
+        --upstreams "$UPSTREAMS" --domains "$DOMAINS" --rate "$RATE" --load-ms "$LOAD_MS" \
         --start-ms "$START_MS" --work-ms "$WORK_MS" --show-late-ms "$SHOW_LATE_MS" \
         --rest-ms "$REST_MS" --fault-period-s "$FAULT_PERIOD_S" \
         --link-period-s "$LINK_PERIOD_S" \
         --crash-interval-ms "$CRASH_INTERVAL_MS" \
         --limit-interval-ms "$LIMIT_INTERVAL_MS" \
         --restore-interval-ms "$RESTORE_INTERVAL_MS" \
+        --loss-period-ms "$LOSS_PERIOD_MS" --loss-ratio "$LOSS_RATIO" \
         --served-least "$SERVED_LEAST" \
         >"$WORK/platform.out" 2>"$WORK/platform.err" &
     PLATFORM_PID=$!
@@ -143,7 +163,9 @@
         write_settings "$host"
         start_host "$host"
     done
-    if [ "$SIGNALS" != none ]; then
+    if [ "$SIGNALS" = herd ]; then
+        inject_herd_kill
+    elif [ "$SIGNALS" != none ]; then
         sleep 3
         inject_clock_faults &
         CLOCKS_PID=$!
@@ -160,7 +182,7 @@
     fi
     [ "$code" -eq 0 ] || grep -m 8 violation "$WORK/platform.out"
     grep '^crashing=' "$WORK/platform.out"
-    echo "seed=$SEED code=$code $(grep -E '^(sent|served|refused|failed|unanswered|violations|store_calls|served_at_rest)=' "$WORK/platform.out" | tr '\n' ' ')"
+    echo "seed=$SEED code=$code $(grep -E '^(sent|served|refused|failed|unanswered|violations|retries|retries_in_window|retry_limit_used|store_calls|served_at_rest)=' "$WORK/platform.out" | tr '\n' ' ')"
     if [ -n "$KEEP" ] && { [ "$code" -ne 0 ] || [ -n "$KEEP_ALL" ]; }; then
         mkdir -p "$KEEP" && cp -r "$WORK" "$KEEP/seed-$SEED"
     fi
--- a/standins/PlatformCaller.c
+++ b/standins/PlatformCaller.c
@@ -164,7 +164,7 @@
     size_t target = Random_Below(this->random, HttpClient_TargetCount(client));
 
     g_hash_table_add(this->calls, call);
-    PlatformChecker_OnSent(this->checker, call->id, unsafe);
+    PlatformChecker_OnSent(this->checker, call->id, unsafe, call->sent_at);
     Timer_Start(&call->timer, this->loop->timers, CALL_TIMEOUT_US, on_timeout);
     HttpClient_Send(client, target, &call->client);
 }
--- a/standins/PlatformChecker.c
+++ b/standins/PlatformChecker.c
@@ -27,6 +27,7 @@
 struct PlatformChecker_ {
     GHashTable *attempts; /* id to Attempt */
     GHashTable *crashing; /* request to Crashing, owned */
+    RetryRule *retries;
     unsigned sent;
     unsigned served;
     unsigned refused;
@@ -46,7 +47,7 @@
 }
 
 PlatformChecker *
-PlatformChecker_Create(void)
+PlatformChecker_Create(const RetryRuleOptions *retries)
 {
     PlatformChecker *this = g_new0(PlatformChecker, 1);
 
@@ -54,6 +55,7 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_attempt);
     this->crashing =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    this->retries = RetryRule_Create(retries);
     return this;
 }
 
@@ -62,6 +64,7 @@
 {
     g_hash_table_destroy(this->attempts);
     g_hash_table_destroy(this->crashing);
+    RetryRule_Destroy(this->retries);
     g_free(this);
 }
 
@@ -81,7 +84,7 @@
 
 void
 PlatformChecker_OnSent(PlatformChecker *this, const char *id,
-                       bool at_most_once)
+                       bool at_most_once, Micros now)
 {
     Attempt *attempt = g_new0(Attempt, 1);
 
@@ -89,9 +92,16 @@
     attempt->at_most_once = at_most_once;
     attempt->response_required = this->response_required;
     g_hash_table_insert(this->attempts, attempt->id, attempt);
+    RetryRule_OnRequest(this->retries, now);
     this->sent++;
 }
 
+void
+PlatformChecker_OnArrival(PlatformChecker *this, const char *id, Micros now)
+{
+    RetryRule_OnArrival(this->retries, id, now);
+}
+
 void
 PlatformChecker_OnExecution(PlatformChecker *this, const char *id,
                             const char *upstream)
@@ -226,9 +236,24 @@
     this->response_required = true;
 }
 
+static void
+check_retries(PlatformChecker *this)
+{
+    RetryRuleResult worst = RetryRule_Judge(this->retries);
+
+    if (worst.used > 1) {
+        PlatformChecker_ReportViolation(
+            this, "retries in_window=%u requests=%u used=%.3f", worst.retries,
+            worst.requests, worst.used);
+    }
+    printf("retries=%u\nretries_in_window=%u\nretry_limit_used=%.3f\n",
+           worst.retry_count, worst.retries, worst.used);
+}
+
 unsigned
-PlatformChecker_PrintTotals(const PlatformChecker *this)
+PlatformChecker_PrintTotals(PlatformChecker *this)
 {
+    check_retries(this);
     print_crashing(this);
     printf("sent=%u\nserved=%u\nrefused=%u\nfailed=%u\nunanswered=%u\n"
            "violations=%u\n",
--- a/standins/PlatformChecker.h
+++ b/standins/PlatformChecker.h
@@ -5,6 +5,7 @@
 #include <stdbool.h>
 
 #include "Clock.h"
+#include "RetryRule.h"
 
 /** Part of the path of requests that end the upstreams that run them */
 #define PLATFORM_CRASH_PATH "/crash"
@@ -17,8 +18,11 @@
  */
 typedef struct PlatformChecker_ PlatformChecker;
 
-/** PlatformChecker_Create() - create a checker without attempts */
-PlatformChecker *PlatformChecker_Create(void);
+/**
+ * PlatformChecker_Create() - create a checker without attempts
+ * @retries: limit on the retries of all hosts
+ */
+PlatformChecker *PlatformChecker_Create(const RetryRuleOptions *retries);
 
 /** PlatformChecker_Destroy() - release the checker */
 void PlatformChecker_Destroy(PlatformChecker *this);
@@ -27,9 +31,18 @@
  * PlatformChecker_OnSent() - record that a caller sends an attempt
  * @at_most_once: the attempt must not be executed twice, and not at all if a
  *                response rejects it (503 or 429)
+ * @now: time of the call
  */
 void PlatformChecker_OnSent(PlatformChecker *this, const char *id,
-                            bool at_most_once);
+                            bool at_most_once, Micros now);
+
+/**
+ * PlatformChecker_OnArrival() - record that the header of an attempt arrives
+ *                               at an upstream, which may reject it
+ * @now: time of the call
+ */
+void PlatformChecker_OnArrival(PlatformChecker *this, const char *id,
+                               Micros now);
 
 /** PlatformChecker_OnExecution() - record that an upstream starts to execute an
  *                                 attempt */
@@ -86,9 +99,13 @@
                                      ...)
     __attribute__((format(printf, 2, 3)));
 
-/** PlatformChecker_PrintTotals() - print totals; returns the number of
- *                                 violations */
-unsigned PlatformChecker_PrintTotals(const PlatformChecker *this);
+/**
+ * PlatformChecker_PrintTotals() - check what is known at the end only, and
+ *                                 print totals
+ *
+ * Return: the number of violations.
+ */
+unsigned PlatformChecker_PrintTotals(PlatformChecker *this);
 
 /** PlatformChecker_SentCount() - number of attempts sent so far */
 unsigned PlatformChecker_SentCount(const PlatformChecker *this);
--- a/standins/PlatformUpstream.c
+++ b/standins/PlatformUpstream.c
@@ -113,10 +113,10 @@
         g_strdup_printf("answer to %s", execution->attempt_id);
     double draw = Random_Unit(this->context.random);
 
-    if (draw < this->context.lost_response_ratio) {
+    if (draw < *this->context.lost_response_ratio) {
         HttpRequest_Abort(request);
     }
-    else if (draw < this->context.lost_response_ratio +
+    else if (draw < *this->context.lost_response_ratio +
                         this->context.truncated_response_ratio) {
         HttpRequest_RespondStream(request, 200, headers, strlen(body), 3,
                                   fill_placeholder, NULL);
@@ -264,6 +264,14 @@
 static void
 on_begin(void *user, HttpRequest *request)
 {
+    PlatformUpstream *this = user;
+    g_autofree char *attempt_id =
+        HttpRequest_Header(request, "agatecrank-attempt-id");
+
+    if (attempt_id != NULL) {
+        PlatformChecker_OnArrival(this->context.checker, attempt_id,
+                                  Clock_Now(this->context.clock));
+    }
 }
 
 static void
--- a/standins/PlatformUpstream.h
+++ b/standins/PlatformUpstream.h
@@ -34,7 +34,7 @@
     PlatformChecker *checker;
     LinkFaults *links;
     Micros mean_service_time;
-    double lost_response_ratio;
+    const double *lost_response_ratio;
     double truncated_response_ratio;
     const Micros *store_sound_since;
     Micros drain_limit;
--- a/standins/standin-platform.c
+++ b/standins/standin-platform.c
@@ -17,6 +17,10 @@
 #define REWRITE_DELAY_US (1 * MICROS_PER_S)
 #define LIMIT_MIN_PER_S 1.0
 #define LIMIT_SPREAD_PER_S 4.0
+#define LOST_RESPONSE_RATIO 0.005
+#define RETRY_WINDOW_US (10 * MICROS_PER_S)
+#define RETRY_RATIO 0.2
+#define RETRY_EXTRA 64
 
 typedef struct Options_ {
     int64_t seed;
@@ -31,6 +35,8 @@
     int64_t crash_interval_ms;
     int64_t limit_interval_ms;
     int64_t restore_interval_ms;
+    int64_t loss_period_ms;
+    double loss_ratio;
     double rate;
     double fault_period_s;
     double link_period_s;
@@ -60,6 +66,12 @@
      "mean time between changes of the limits of upstreams, 0 for none"},
     {"restore-interval-ms", SETTING_INT, FIELD(restore_interval_ms), false,
      "mean time between returns of the store from a copy, 0 for none"},
+    {"loss-period-ms", SETTING_INT, FIELD(loss_period_ms), false,
+     "time of each loss of many responses and of each pause between them, 0 "
+     "for"
+     " none"},
+    {"loss-ratio", SETTING_REAL, FIELD(loss_ratio), false,
+     "share of the responses that are lost then"},
     {"rate", SETTING_REAL, FIELD(rate), false, "calls a second"},
     {"fault-period-s", SETTING_REAL, FIELD(fault_period_s), false,
      "mean time between faults, 0 for none"},
@@ -95,7 +107,9 @@
     Timer copy_timer;
     Timer restore_timer;
     Timer rewrite_timer;
+    Timer loss_timer;
     Micros store_sound_since;
+    double lost_response_ratio;
     unsigned version;
     unsigned served_before_check;
     unsigned sent_before_check;
@@ -356,6 +370,41 @@
                 Random_Jitter(this->limit_random, interval), on_limit_timer);
 }
 
+static double
+usual_loss_ratio(const Platform *this)
+{
+    return this->options.fault_period_s > 0 ? LOST_RESPONSE_RATIO : 0;
+}
+
+static void start_loss_timer(Platform *this);
+
+static void
+on_loss_timer(Timer *timer)
+{
+    Platform *this = TIMER_OWNER(timer, Platform, loss_timer);
+    bool losing = this->lost_response_ratio > usual_loss_ratio(this);
+
+    if (this->faults_ended) {
+        return;
+    }
+    this->lost_response_ratio =
+        losing ? usual_loss_ratio(this) : this->options.loss_ratio;
+    printf("fault=responses ratio=%.3f\n", this->lost_response_ratio);
+    fflush(stdout);
+    start_loss_timer(this);
+}
+
+static void
+start_loss_timer(Platform *this)
+{
+    Micros period = this->options.loss_period_ms * MICROS_PER_MS;
+
+    if (period > 0) {
+        Timer_Start(&this->loss_timer, this->loop->timers, period,
+                    on_loss_timer);
+    }
+}
+
 static void on_copy_timer(Timer *timer);
 
 /* Upstreams write what they know again; operators have done so at once. One
@@ -450,6 +499,7 @@
 end_faults(Platform *this)
 {
     this->faults_ended = true;
+    this->lost_response_ratio = usual_loss_ratio(this);
     Timer_Stop(&this->restore_timer);
     Timer_Stop(&this->store_recovery_timer);
     on_store_recovery(&this->store_recovery_timer);
@@ -483,6 +533,7 @@
         on_crash_timer(&this->crash_timer);
         on_limit_timer(&this->limit_timer);
         on_copy_timer(&this->copy_timer);
+        start_loss_timer(this);
         duration = options->load_ms * MICROS_PER_MS;
         break;
     case 1:
@@ -518,7 +569,7 @@
         .checker = this->checker,
         .links = this->links,
         .mean_service_time = this->options.work_ms * MICROS_PER_MS,
-        .lost_response_ratio = this->options.fault_period_s > 0 ? 0.005 : 0,
+        .lost_response_ratio = &this->lost_response_ratio,
         .truncated_response_ratio =
             this->options.fault_period_s > 0 ? 0.005 : 0,
         .store_sound_since = &this->store_sound_since,
@@ -596,10 +647,13 @@
 static int
 run_platform(Platform *this)
 {
+    static const RetryRuleOptions retry_limit = {RETRY_WINDOW_US, RETRY_RATIO,
+                                                 RETRY_EXTRA};
     g_autofree char *targets = NULL;
     int code = 1;
 
     this->clock = Clock_CreateSystem();
+    this->lost_response_ratio = usual_loss_ratio(this);
     this->random = Random_Create((uint64_t)this->options.seed);
     this->link_random = Random_Create((uint64_t)this->options.seed);
     this->crash_random = Random_Create((uint64_t)this->options.seed);
@@ -608,7 +662,7 @@
     this->loop = HttpLoop_Create();
     this->links =
         LinkFaults_Create(this->loop, this->link_random, on_link_clear, this);
-    this->checker = PlatformChecker_Create();
+    this->checker = PlatformChecker_Create(&retry_limit);
     this->upstreams = g_ptr_array_new_with_free_func(free_upstream);
     this->store = PlatformStore_Create(this->loop);
     targets = this->store != NULL ? create_host_links(this) : NULL;
@@ -655,6 +709,7 @@
                                      .rest_ms = 3000,
                                      .work_ms = 30,
                                      .drain_ms = 2500,
+                                     .loss_ratio = 0.5,
                                      .rate = 100,
                                      .served_least = 0.95,
                                      .hosts = NULL}};
--- a/tests/test_standin_platform.c
+++ b/tests/test_standin_platform.c
@@ -13,6 +13,8 @@
 
 /* ---- PlatformChecker ------------------------------------------------ */
 
+static const RetryRuleOptions retry_limit = {10 * MICROS_PER_S, 0.2, 3};
+
 typedef struct CheckerCase_ {
     const char *name;
     bool at_most_once;
@@ -28,13 +30,13 @@
 static unsigned
 count_violations(const CheckerCase *test_case)
 {
-    PlatformChecker *checker = PlatformChecker_Create();
+    PlatformChecker *checker = PlatformChecker_Create(&retry_limit);
     unsigned violations;
 
     if (test_case->response_required) {
         PlatformChecker_RequireResponses(checker);
     }
-    PlatformChecker_OnSent(checker, "a1", test_case->at_most_once);
+    PlatformChecker_OnSent(checker, "a1", test_case->at_most_once, 0);
     for (unsigned i = 0; i < test_case->executions_before; i++) {
         PlatformChecker_OnExecution(checker, "a1", "i-1");
     }
@@ -87,6 +89,91 @@
     }
 }
 
+/* ---- RetryRule ------------------------------------------------------ */
+
+/* Requests and retries at the same time. */
+typedef struct RetryEvent_ {
+    double time_s;
+    unsigned requests;
+    unsigned retries;
+} RetryEvent;
+
+typedef struct RetryCase_ {
+    const char *name;
+    RetryEvent events[4];
+    unsigned retries, requests; /* of the worst span */
+} RetryCase;
+
+static RetryRuleResult
+judge_retries(const RetryCase *test_case)
+{
+    RetryRule *rule = RetryRule_Create(&retry_limit);
+    RetryRuleResult result;
+
+    RetryRule_OnArrival(rule, "a", 0);
+    for (size_t i = 0; i < G_N_ELEMENTS(test_case->events); i++) {
+        const RetryEvent *event = &test_case->events[i];
+        Micros now = (Micros)(event->time_s * MICROS_PER_S);
+
+        for (unsigned k = 0; k < event->requests; k++) {
+            RetryRule_OnRequest(rule, now);
+        }
+        for (unsigned k = 0; k < event->retries; k++) {
+            RetryRule_OnArrival(rule, "a", now);
+        }
+    }
+    result = RetryRule_Judge(rule);
+    RetryRule_Destroy(rule);
+    return result;
+}
+
+/* Guards against a check that overlooks a span or a request of the windows
+ * that count. */
+static void
+test_retry_rule(void)
+{
+    static const RetryCase cases[] = {
+        {"as many as allowed", {{20, 50, 13}}, 13, 50},
+        {"one too many", {{20, 50, 14}}, 14, 50},
+        {"in two spans", {{20, 50, 13}, {30, 0, 13}}, 13, 50},
+        {"in one span", {{20, 50, 13}, {29, 0, 1}}, 14, 50},
+        {"requests of the window before", {{20, 50, 0}, {29, 0, 13}}, 13, 50},
+        {"requests too old", {{20, 50, 0}, {40.1, 0, 4}}, 4, 0},
+        {"two groups of requests count once",
+         {{20, 50, 0}, {28, 50, 23}},
+         23,
+         50},
+        {"without requests", {{20, 0, 3}, {31, 0, 4}}, 4, 0},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        RetryRuleResult result = judge_retries(&cases[i]);
+
+        g_test_message("%s", cases[i].name);
+        g_assert_cmpuint(result.retries, ==, cases[i].retries);
+        g_assert_cmpuint(result.requests, ==, cases[i].requests);
+        g_assert_cmpfloat_with_epsilon(
+            result.used,
+            cases[i].retries /
+                (retry_limit.ratio * cases[i].requests + retry_limit.extra),
+            1e-6);
+    }
+}
+
+/* Guards against a soak test that passes with too many retries. */
+static void
+test_retries_checked(void)
+{
+    PlatformChecker *checker = PlatformChecker_Create(&retry_limit);
+
+    PlatformChecker_OnSent(checker, "a1", false, MICROS_PER_S);
+    for (unsigned i = 0; i < 5; i++) {
+        PlatformChecker_OnArrival(checker, "a1", MICROS_PER_S);
+    }
+    g_assert_cmpuint(PlatformChecker_PrintTotals(checker), ==, 1);
+    PlatformChecker_Destroy(checker);
+}
+
 /* ---- LossyLink ------------------------------------------------------ */
 
 /* A link to a listener of the test, with a client connected through it. */
@@ -344,6 +431,8 @@
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/standins/truth", test_checker);
+    g_test_add_func("/standins/retry-rule", test_retry_rule);
+    g_test_add_func("/standins/retries", test_retries_checked);
     ADD("/standins/link/clear", test_clear);
     ADD("/standins/link/delayed", test_delayed);
     ADD("/standins/link/cut", test_cut);
