gateway: a retry uses requests of the last second only

Cause: each host allowed retries for the requests of its own last 10 s. A host that ended, or whose callers moved, could use ten seconds of its requests at once, and the hosts that got these callers allowed retries for the same load again in the same window. With bursts apart, requests from before the window allowed retries in it. The sum over all hosts exceeded 0.2 of the requests and 64 though each host kept its part.

Change: a request allows its part of a retry until the end of the next half second; what expires is kept up to one retry, so that hosts with few requests can retry. The limit on the window stays. No communication, no store call; memory per service grows by 344 bytes.

--- a/packages/gateway/RetryWindow.c
+++ b/packages/gateway/RetryWindow.c
@@ -8,10 +8,17 @@
 /* Retries are kept for one more step, since a part of the oldest step may lie
  * in the window. */
 #define KEPT_STEP_COUNT (STEP_COUNT + 1)
+/* Steps in which a request allows a retry, the current one included. With more
+ * of them, hosts whose callers move to others could use the same load twice. */
+#define EARNED_STEP_COUNT 2
+/* Retries that older requests allow, for hosts with few requests. */
+#define SAVED_MAX 1.0
 
 typedef struct Step_ {
     uint32_t requests;
     uint32_t retries;
+    double earned;     /* retries that its requests still allow */
+    double extra_used; /* part of options.extra */
 } Step;
 
 struct RetryWindow_ {
@@ -19,6 +26,7 @@
     const Clock *clock;
     Step steps[KEPT_STEP_COUNT];
     int64_t current;
+    double saved; /* retries that older requests allow */
 };
 
 RetryWindow *
@@ -44,6 +52,16 @@
     return &this->steps[number % KEPT_STEP_COUNT];
 }
 
+static void
+save_oldest_earned(RetryWindow *this)
+{
+    Step *step =
+        step_at(this, this->current + KEPT_STEP_COUNT - EARNED_STEP_COUNT + 1);
+
+    this->saved = MIN(this->saved + step->earned, SAVED_MAX);
+    step->earned = 0;
+}
+
 static Step *
 advance(RetryWindow *this)
 {
@@ -53,6 +71,7 @@
         this->current = now - KEPT_STEP_COUNT;
     }
     while (this->current < now) {
+        save_oldest_earned(this);
         this->current++;
         memset(step_at(this, this->current), 0, sizeof(Step));
     }
@@ -62,15 +81,17 @@
 void
 RetryWindow_OnRequest(RetryWindow *this)
 {
-    advance(this)->requests++;
+    Step *step = advance(this);
+
+    step->requests++;
+    step->earned += this->options.share;
 }
 
-double
-RetryWindow_Remaining(RetryWindow *this)
+static double
+remaining_in_window(RetryWindow *this)
 {
     double requests = 0, retries = 0;
 
-    advance(this);
     for (int i = 0; i < KEPT_STEP_COUNT; i++) {
         requests += this->steps[i].requests;
         retries += this->steps[i].retries;
@@ -81,12 +102,60 @@
     return this->options.share * requests + this->options.extra - retries;
 }
 
+static double
+extra_remaining(const RetryWindow *this)
+{
+    double used = 0;
+
+    for (int i = 0; i < KEPT_STEP_COUNT; i++) {
+        used += this->steps[i].extra_used;
+    }
+    return this->options.extra - used;
+}
+
+static double
+earned_remaining(RetryWindow *this)
+{
+    double earned = 0;
+
+    for (int i = 0; i < EARNED_STEP_COUNT; i++) {
+        earned += step_at(this, this->current + KEPT_STEP_COUNT - i)->earned;
+    }
+    return earned;
+}
+
+double
+RetryWindow_Remaining(RetryWindow *this)
+{
+    advance(this);
+    return MIN(remaining_in_window(this),
+               earned_remaining(this) + this->saved + extra_remaining(this));
+}
+
+static void
+use_earned(RetryWindow *this)
+{
+    double needed = 1, used;
+
+    for (int i = EARNED_STEP_COUNT - 1; i >= 0; i--) {
+        Step *step = step_at(this, this->current + KEPT_STEP_COUNT - i);
+
+        used = MIN(step->earned, needed);
+        step->earned -= used;
+        needed -= used;
+    }
+    used = MIN(this->saved, needed);
+    this->saved -= used;
+    step_at(this, this->current)->extra_used += needed - used;
+}
+
 bool
 RetryWindow_Take(RetryWindow *this)
 {
     if (RetryWindow_Remaining(this) < 1) {
         return false;
     }
-    advance(this)->retries++;
+    use_earned(this);
+    step_at(this, this->current)->retries++;
     return true;
 }
--- a/packages/gateway/RetryWindow.h
+++ b/packages/gateway/RetryWindow.h
@@ -11,6 +11,10 @@
  * In any window, the number of retries is at most a share of the requests that
  * this host received in it, plus a constant. Each host keeps its own limit, so
  * the sum over all hosts is limited without communication between them.
+ *
+ * A request allows its share of a retry for a tenth of the window at most, and
+ * older ones together a single retry. Otherwise callers that move to another
+ * host in a window would allow retries at both.
  */
 typedef struct RetryWindow_ RetryWindow;
 
--- a/tests/test_gateway_parts.c
+++ b/tests/test_gateway_parts.c
@@ -167,6 +167,42 @@
     Clock_Destroy(clock);
 }
 
+static unsigned
+take_all(RetryWindow *window)
+{
+    unsigned n = 0;
+
+    while (RetryWindow_Take(window)) {
+        n++;
+    }
+    return n;
+}
+
+/* Guards against retries that requests of seconds ago allow, and against hosts
+ * with few requests that never retry. */
+static void
+test_retry_of_old_requests(void)
+{
+    RetryWindowOptions options = {
+        .window = WINDOW_US, .share = 0.2, .extra = 0.3};
+    Clock *clock = Clock_CreateManual(7 * MICROS_PER_S, 0);
+    RetryWindow *window = RetryWindow_Create(&options, clock);
+
+    for (int i = 0; i < 100; i++) {
+        RetryWindow_OnRequest(window);
+    }
+    Clock_Advance(clock, WINDOW_US / 5);
+    g_assert_cmpuint(take_all(window), ==, 1);
+    Clock_Advance(clock, 3 * WINDOW_US);
+    for (int i = 0; i < 5; i++) {
+        RetryWindow_OnRequest(window);
+        Clock_Advance(clock, WINDOW_US / 10);
+    }
+    g_assert_cmpuint(take_all(window), ==, 1);
+    RetryWindow_Destroy(window);
+    Clock_Destroy(clock);
+}
+
 /* ---- upstreams ------------------------------------------------------ */
 
 typedef struct Fixture_ {
@@ -513,6 +549,8 @@
     g_test_add_func("/gateway/refuse-route", test_reject_route);
     g_test_add_func("/gateway/split", test_split);
     g_test_add_func("/gateway/retry-window", test_retry_window);
+    g_test_add_func("/gateway/retry-of-old-requests",
+                    test_retry_of_old_requests);
     ADD("/gateway/newest-counts", test_newest_description);
     ADD("/gateway/index-reuse", test_index_reuse);
     ADD("/gateway/removed-before-copy", test_removed_before_copy);
