--- a/standins/PlatformChecker.c
+++ b/standins/PlatformChecker.c
@@ -35,6 +35,7 @@
 struct PlatformChecker_ {
     GHashTable *attempts; /* id to Attempt */
     GHashTable *crashing; /* request to Crashing, owned */
+    RetryRule *retries;
     unsigned sent;
     unsigned served;
     unsigned refused;
@@ -56,7 +57,7 @@
 }
 
 PlatformChecker *
-PlatformChecker_Create(void)
+PlatformChecker_Create(const RetryRuleOptions *retries)
 {
     PlatformChecker *this = g_new0(PlatformChecker, 1);
 
@@ -64,6 +65,7 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_attempt);
     this->crashing =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    this->retries = RetryRule_Create(retries);
     return this;
 }
 
@@ -72,6 +74,7 @@
 {
     g_hash_table_destroy(this->attempts);
     g_hash_table_destroy(this->crashing);
+    RetryRule_Destroy(this->retries);
     g_free(this);
 }
 
@@ -91,7 +94,7 @@
 
 void
 PlatformChecker_OnSent(PlatformChecker *this, const char *id,
-                       bool at_most_once)
+                       bool at_most_once, Micros now)
 {
     Attempt *attempt = g_new0(Attempt, 1);
 
@@ -100,6 +103,7 @@
     attempt->response_required = this->response_required;
     attempt->host = -1;
     g_hash_table_insert(this->attempts, attempt->id, attempt);
+    RetryRule_OnRequest(this->retries, now);
     this->sent++;
 }
 
@@ -133,6 +137,12 @@
     return sum.sent > 0 ? (double)sum.served / sum.sent : 0;
 }
 
+void
+PlatformChecker_OnArrival(PlatformChecker *this, const char *id, Micros now)
+{
+    RetryRule_OnArrival(this->retries, id, now);
+}
+
 void
 PlatformChecker_OnExecution(PlatformChecker *this, const char *id,
                             const char *upstream)
@@ -270,9 +280,24 @@
     this->response_required = true;
 }
 
+static void
+check_retries(PlatformChecker *this)
+{
+    RetryRuleResult worst = RetryRule_Judge(this->retries);
+
+    if (worst.used > 1) {
+        PlatformChecker_ReportViolation(
+            this, "retries in_window=%u requests=%u used=%.3f", worst.retries,
+            worst.requests, worst.used);
+    }
+    printf("retries=%u\nretries_in_window=%u\nretry_limit_used=%.3f\n",
+           worst.retry_count, worst.retries, worst.used);
+}
+
 unsigned
-PlatformChecker_PrintTotals(const PlatformChecker *this)
+PlatformChecker_PrintTotals(PlatformChecker *this)
 {
+    check_retries(this);
     print_crashing(this);
     printf("sent=%u\nserved=%u\nrefused=%u\nfailed=%u\nunanswered=%u\n"
            "violations=%u\n",
