gateway: give up long responses that are not relayed

Cause: a response above 256 KiB was collected without a limit until the deadline if it could not be relayed (no signature, other or no attempt id, a 503 without the upstream's own statement). 256 MiB within the deadline are possible on loopback; above 4 GiB GLib ends the process ("adding 16384 to array would overflow"). The caller got 504 though another upstream was sound.

Change: the attempt ends once the buffer is full, as broken or as what its header block states, and is retried like any other. The response of a retry arrives on another connection; this one is closed.

Conclusion: memory for an attempt is bounded by 256 KiB and one read.

--- a/packages/gateway/Gateway.c
+++ b/packages/gateway/Gateway.c
@@ -312,11 +312,11 @@
     }
     g_byte_array_append(exchange->response, (const guint8 *)data.data,
                         (guint)data.length);
-    if (exchange->response->len <= RESPONSE_BUFFER_MAX_BYTES ||
-        classify_response(exchange) != ATTEMPT_RESULT_RESPONSE) {
+    if (exchange->response->len <= RESPONSE_BUFFER_MAX_BYTES) {
         return;
     }
-    if (report_attempt_end(exchange, ATTEMPT_RESULT_RESPONSE) == JOB_RELAY) {
+    if (report_attempt_end(exchange, classify_response(exchange)) ==
+        JOB_RELAY) {
         exchange->relaying = true;
         relay(exchange, false);
         return;
--- /dev/null
+++ b/tests/test_endless_responses.c
@@ -0,0 +1,557 @@
+#include <arpa/inet.h>
+#include <glib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "Gateway.h"
+#include "GatewayFixture.h"
+#include "PlatformDialect.h"
+#include "Socket.h"
+
+/* Upstreams whose responses do not end, in the same loop as the gateway. */
+
+#define BLOCK_BYTES 65536
+/* Send buffer of an upstream: what it has sent was nearly all received. */
+#define SEND_BUFFER_BYTES 65536
+#define TRICKLE_INTERVAL_US MICROS_PER_MS
+#define TIMEOUT_US (400 * MICROS_PER_MS)
+#define LONG_TIMEOUT_US (5 * MICROS_PER_S)
+/* An upstream goes silent after this, so that a run that fails cannot exhaust
+ * the memory of the machine. */
+#define SENT_BYTES_MAX (256 * 1024 * 1024)
+#define RUN_TIME_MAX_US (60 * MICROS_PER_S)
+/* Bounds what is received of a response that is given up, with the buffers of
+ * the kernel. */
+#define GIVEN_UP_BYTES_MAX (8 * 1024 * 1024)
+#define IDENTITY                                                              \
+    "Agatecrank-Attempt-Id: %s\r\n"                                           \
+    "Agatecrank-Response-Signature: s\r\n"
+
+typedef struct Fixture_ Fixture;
+
+/* Response of an upstream: the head, with the request's id, and then the part,
+ * @parts times; 0 for endless. */
+typedef struct Script_ {
+    const char *name;
+    const char *head;
+    const char *part;
+    uint64_t parts;
+    bool trickle;
+    bool close;
+} Script;
+
+typedef struct Peer_ {
+    Fixture *fixture;
+    const Script *script;
+    int listener;
+    uint16_t port;
+    unsigned requests;
+    unsigned open;
+    uint64_t sent;
+    GPtrArray *links;
+} Peer;
+
+typedef struct Link_ {
+    Peer *peer;
+    Socket *socket;
+    LoopTimer *timer;
+    GString *request;
+    GString *block;
+    uint64_t parts_left;
+    bool responding;
+} Link;
+
+typedef struct Caller_ {
+    Fixture *fixture;
+    HttpCall *call;
+    int status;
+    uint64_t bytes;
+    char body[64];
+    bool complete;
+    bool failed;
+} Caller;
+
+struct Fixture_ {
+    Clock *clock;
+    Random *random;
+    Counters *counters;
+    Dispatcher *dispatcher;
+    Loop *loop;
+    Gateway *gateway;
+    HttpClient *client;
+    LoopTimer *guard;
+    Peer peers[2];
+    unsigned peer_count;
+    unsigned waiting;
+    unsigned calls;
+};
+
+static const Script good = {
+    .name = "good",
+    .head = "HTTP/1.1 200 OK\r\n" IDENTITY "Content-Length: 2\r\n\r\n",
+    .part = "ok",
+    .parts = 1,
+};
+
+/* ---- upstreams ------------------------------------------------------- */
+
+static void
+end_link(Link *link)
+{
+    link->peer->open--;
+    link->socket = NULL;
+    LoopTimer_Stop(link->timer);
+}
+
+static void
+pump(void *user)
+{
+    Link *link = user;
+    const Script *script = link->peer->script;
+    Str data = Str_FromString(link->block);
+
+    if (link->socket == NULL || Socket_Buffered(link->socket) > 0 ||
+        link->peer->sent > SENT_BYTES_MAX) {
+        return;
+    }
+    if (script->parts > 0 && link->parts_left == 0) {
+        link->responding = false;
+        if (script->close) {
+            Socket_CloseGracefully(link->socket);
+            end_link(link);
+        }
+        return;
+    }
+    if (script->trickle) {
+        data.length = 1;
+        g_string_append_c(link->block, link->block->str[0]);
+        g_string_erase(link->block, 0, 1);
+    }
+    link->parts_left -= script->parts > 0;
+    link->peer->sent += data.length;
+    Socket_Write(link->socket, data);
+    LoopTimer_Start(link->timer, script->trickle ? TRICKLE_INTERVAL_US : 1);
+}
+
+static void
+append_parts(Link *link)
+{
+    const Script *script = link->peer->script;
+
+    g_string_truncate(link->block, 0);
+    g_string_append(link->block, script->part);
+    while (script->parts == 0 && !script->trickle &&
+           link->block->len < BLOCK_BYTES) {
+        g_string_append(link->block, script->part);
+    }
+}
+
+static void
+respond(Link *link, const char *request)
+{
+    const char *name = "agatecrank-attempt-id: ";
+    const char *begin = strstr(request, name);
+    g_autofree char *id = NULL;
+    g_auto(GStrv) pieces = g_strsplit(link->peer->script->head, "%s", -1);
+    g_autofree char *head = NULL;
+
+    g_assert_nonnull(begin);
+    begin += strlen(name);
+    id = g_strndup(begin, (gsize)(strchr(begin, '\r') - begin));
+    head = g_strjoinv(id, pieces);
+    link->peer->requests++;
+    link->responding = true;
+    link->parts_left = link->peer->script->parts;
+    append_parts(link);
+    Socket_Write(link->socket, Str_FromC(head));
+    pump(link);
+}
+
+static void
+link_data(void *user, Str data)
+{
+    Link *link = user;
+
+    Str_AppendTo(data, link->request);
+    if (strstr(link->request->str, "\r\n\r\n") != NULL) {
+        g_autofree char *lower =
+            g_ascii_strdown(link->request->str, (gssize)link->request->len);
+
+        g_string_truncate(link->request, 0);
+        respond(link, lower);
+    }
+}
+
+static void
+link_drained(void *user)
+{
+    Link *link = user;
+
+    if (link->responding && !link->peer->script->trickle) {
+        pump(link);
+    }
+}
+
+static void
+link_open(void *user)
+{
+    (void)user;
+}
+
+static void
+link_end(void *user, SocketEnd end)
+{
+    end_link(user);
+}
+
+static const SocketHandlers link_handlers = {link_open, link_data,
+                                             link_drained, link_end};
+
+static void
+accept_link(void *user)
+{
+    Peer *peer = user;
+    SocketOptions options = {0};
+    int bytes = SEND_BUFFER_BYTES;
+    int fd = accept4(peer->listener, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    Link *link;
+
+    if (fd < 0) {
+        return;
+    }
+    setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &bytes, sizeof(bytes));
+    link = g_new0(Link, 1);
+    link->peer = peer;
+    link->request = g_string_new(NULL);
+    link->block = g_string_new(NULL);
+    link->timer = LoopTimer_Create(peer->fixture->loop, pump, link);
+    peer->open++;
+    g_ptr_array_add(peer->links, link);
+    link->socket =
+        Socket_Accept(peer->fixture->loop, fd, &options, &link_handlers, link);
+}
+
+static void
+destroy_link(gpointer data)
+{
+    Link *link = data;
+
+    g_string_free(link->request, TRUE);
+    g_string_free(link->block, TRUE);
+    g_free(link);
+}
+
+static void
+add_peer(Fixture *f, const Script *script)
+{
+    Peer *peer = &f->peers[f->peer_count];
+    struct sockaddr_in address = {.sin_family = AF_INET};
+    socklen_t length = sizeof(address);
+    g_autofree char *id = g_strdup_printf("u%u", f->peer_count++);
+    UpstreamEntry entry;
+
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    peer->fixture = f;
+    peer->script = script;
+    peer->links = g_ptr_array_new_with_free_func(destroy_link);
+    peer->listener =
+        socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    g_assert_cmpint(
+        bind(peer->listener, (struct sockaddr *)&address, sizeof(address)), ==,
+        0);
+    g_assert_cmpint(listen(peer->listener, 100), ==, 0);
+    getsockname(peer->listener, (struct sockaddr *)&address, &length);
+    peer->port = ntohs(address.sin_port);
+    g_assert_cmpint(
+        Loop_Watch(f->loop, peer->listener, accept_link, peer, NULL), ==, 0);
+    entry = GatewayFixture_Upstream(id, peer->port, 100);
+    entry.address = STR("127.0.0.1");
+    Dispatcher_PutUpstream(f->dispatcher, &entry);
+}
+
+/* ---- callers --------------------------------------------------------- */
+
+static void
+caller_headers(void *user, HttpCall *call, int status,
+               const HeaderList *headers)
+{
+    Caller *caller = user;
+
+    caller->status = status;
+}
+
+static void
+caller_data(void *user, HttpCall *call, Str data)
+{
+    Caller *caller = user;
+    size_t space = sizeof(caller->body) - 1;
+
+    if (caller->bytes < space) {
+        memcpy(caller->body + caller->bytes, data.data,
+               MIN(data.length, space - caller->bytes));
+    }
+    caller->bytes += data.length;
+}
+
+static void
+caller_drained(void *user, HttpCall *call)
+{
+    (void)user;
+}
+
+static void
+end_caller(Caller *caller)
+{
+    Fixture *f = caller->fixture;
+
+    f->waiting--;
+    if (f->waiting == 0) {
+        Loop_Stop(f->loop);
+    }
+}
+
+static void
+caller_complete(void *user, HttpCall *call)
+{
+    Caller *caller = user;
+
+    caller->complete = true;
+    end_caller(caller);
+}
+
+static void
+caller_failed(void *user, HttpCall *call, HttpCallFailure failure,
+              bool maybe_sent, const Error *error)
+{
+    Caller *caller = user;
+
+    caller->failed = true;
+    end_caller(caller);
+}
+
+static const HttpCallHandlers caller_handlers = {
+    caller_headers,  caller_data,   caller_drained,
+    caller_complete, caller_failed,
+};
+
+static void
+start_call(Fixture *f, const char *path, Caller *caller)
+{
+    HeaderList *headers = HeaderList_Create();
+    g_autofree char *id = g_strdup_printf("request-%u", f->calls++);
+    HttpCallSpec spec = {
+        .address = "127.0.0.1",
+        .port = Gateway_Port(f->gateway),
+        .method = STR("GET"),
+        .path = Str_FromC(path),
+        .headers = headers,
+    };
+
+    memset(caller, 0, sizeof(*caller));
+    caller->fixture = f;
+    HeaderList_Add(headers, STR("host"), GATEWAY_FIXTURE_HOST);
+    HeaderList_Add(headers, PLATFORM_DIALECT.attempt_id, Str_FromC(id));
+    f->waiting++;
+    caller->call =
+        HttpClient_Start(f->client, &spec, &caller_handlers, caller, NULL);
+    g_assert_nonnull(caller->call);
+    HeaderList_Destroy(headers);
+}
+
+static Caller
+call_once(Fixture *f, const char *path)
+{
+    Caller caller;
+
+    start_call(f, path, &caller);
+    Loop_Run(f->loop);
+    return caller;
+}
+
+/* ---- fixture --------------------------------------------------------- */
+
+static void
+on_guard(void *user)
+{
+    g_error("the run did not end in time");
+}
+
+static void
+set_routes(Fixture *f)
+{
+    CallerLimits limits = {0};
+    RouteTable *table = RouteTable_Create(1, &limits);
+
+    GatewayFixture_AddRoute(table, "/safe/", ROUTE_IDEMPOTENT, 2,
+                            TIMEOUT_US / 4, TIMEOUT_US);
+    GatewayFixture_AddRoute(table, "/long/", ROUTE_IDEMPOTENT, 2,
+                            TIMEOUT_US / 4, LONG_TIMEOUT_US);
+    g_assert_cmpint(Dispatcher_SetRoutes(f->dispatcher, table), ==, 0);
+    RouteTable_Unref(table);
+}
+
+static void
+set_up(Fixture *f)
+{
+    DispatcherOptions options = {
+        .domain = STR("a"),
+        .retry_window = 10 * MICROS_PER_S,
+        .retry_share = 1,
+        .retry_extra = 100,
+        .outage_grace = MICROS_PER_S,
+    };
+    GatewayOptions gateway = {
+        .address = "127.0.0.1",
+        .dialect = &PLATFORM_DIALECT,
+        .connections_max = 200,
+    };
+    HttpClientOptions client = {.max_connections = 200};
+    Error error = {0};
+
+    memset(f, 0, sizeof(*f));
+    f->clock = Clock_CreateSystem();
+    f->random = Random_Create(5);
+    f->counters = Counters_Create(100);
+    f->dispatcher = Dispatcher_Create(&options, f->clock, f->random, NULL,
+                                      NULL, f->counters);
+    f->loop = Loop_Create(f->clock, NULL, &error);
+    f->gateway =
+        Gateway_Create(f->loop, f->dispatcher, f->counters, &gateway, &error);
+    g_assert_nonnull(f->gateway);
+    f->client = HttpClient_Create(f->loop, &client);
+    f->guard = LoopTimer_Create(f->loop, on_guard, f);
+    LoopTimer_Start(f->guard, RUN_TIME_MAX_US);
+    set_routes(f);
+}
+
+static void
+tear_down(Fixture *f)
+{
+    LoopTimer_Destroy(f->guard);
+    for (unsigned i = 0; i < f->peer_count; i++) {
+        for (guint j = 0; j < f->peers[i].links->len; j++) {
+            Link *link = g_ptr_array_index(f->peers[i].links, j);
+
+            LoopTimer_Destroy(link->timer);
+            if (link->socket != NULL) {
+                Socket_Close(link->socket);
+            }
+        }
+    }
+    Loop_Close(f->loop);
+    HttpClient_Destroy(f->client);
+    Gateway_Destroy(f->gateway);
+    Dispatcher_Destroy(f->dispatcher);
+    Loop_Destroy(f->loop);
+    for (unsigned i = 0; i < f->peer_count; i++) {
+        g_ptr_array_free(f->peers[i].links, TRUE);
+    }
+    Counters_Destroy(f->counters);
+    Random_Destroy(f->random);
+    Clock_Destroy(f->clock);
+}
+
+/* ---- tests ----------------------------------------------------------- */
+
+/* Peak resident size of the process in KiB. */
+static uint64_t
+peak_kb(void)
+{
+    g_autofree char *text = NULL;
+    const char *line;
+
+    g_assert_true(g_file_get_contents("/proc/self/status", &text, NULL, NULL));
+    line = strstr(text, "VmHWM:");
+    return line != NULL ? g_ascii_strtoull(line + 6, NULL, 10) : 0;
+}
+
+#define OK_HEAD "HTTP/1.1 200 OK\r\n"
+#define SIGNED OK_HEAD IDENTITY
+
+/* Responses that are given up before they reach the caller. */
+static const Script given_up[] = {
+    {.name = "header-line", .head = OK_HEAD "X: ", .part = "aaaaaaaa"},
+    {.name = "header-lines", .head = OK_HEAD, .part = "X-Line: v\r\n"},
+    {.name = "status-line", .head = "HTTP/1.1 200 ", .part = "OK OK "},
+    {.name = "no-http", .head = "", .part = "lorem ipsum "},
+    {.name = "unsigned-chunks",
+     .head = OK_HEAD
+     "Agatecrank-Attempt-Id: %s\r\nTransfer-Encoding: chunked\r\n\r\n",
+     .part = "8\r\nbbbbbbbb\r\n"},
+    {.name = "unmarked-503",
+     .head =
+         "HTTP/1.1 503 Full\r\n" IDENTITY "Transfer-Encoding: chunked\r\n\r\n",
+     .part = "8\r\nbbbbbbbb\r\n"},
+    {.name = "unframed", .head = OK_HEAD "\r\n", .part = "bbbbbbbb"},
+    {.name = "chunk-extension",
+     .head = SIGNED "Transfer-Encoding: chunked\r\n\r\n2;",
+     .part = "a=bbbbbb;"},
+    {.name = "chunk-size",
+     .head = SIGNED "Transfer-Encoding: chunked\r\n\r\n",
+     .part = "00000000"},
+    {.name = "trailers",
+     .head = SIGNED "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n",
+     .part = "X-Line: v\r\n"},
+};
+
+/* Guards against an endless response that fills the memory of the host, or
+ * that is read until the deadline. */
+static void
+test_given_up(gconstpointer data)
+{
+    const Script *script = data;
+    Caller caller;
+    Micros started;
+    Fixture f;
+
+    set_up(&f);
+    add_peer(&f, script);
+    started = Clock_Now(f.clock);
+    caller = call_once(&f, "/long/x");
+    g_test_message("status=%d body=%s sent=%" G_GUINT64_FORMAT
+                   " took_us=%" G_GINT64_FORMAT " peak_kb=%" G_GUINT64_FORMAT,
+                   caller.status, caller.body, f.peers[0].sent,
+                   Clock_Now(f.clock) - started, peak_kb());
+    g_assert_true(caller.complete);
+    g_assert_cmpint(caller.status, ==, 502);
+    g_assert_cmpstr(caller.body, ==, "{\"reason\":\"upstream-broken\"}");
+    g_assert_cmpuint(f.peers[0].sent, <, GIVEN_UP_BYTES_MAX);
+    tear_down(&f);
+}
+
+/* Guards against a request that fails though another upstream is sound. */
+static void
+test_retried(gconstpointer data)
+{
+    Fixture f;
+
+    set_up(&f);
+    add_peer(&f, data);
+    add_peer(&f, &good);
+    for (int i = 0; i < 20; i++) {
+        Caller caller = call_once(&f, "/long/x");
+
+        g_assert_cmpint(caller.status, ==, 200);
+        g_assert_cmpstr(caller.body, ==, "ok");
+    }
+    g_assert_cmpuint(f.peers[0].requests, >, 0);
+    g_assert_cmpuint(f.peers[0].requests, <, 10);
+    tear_down(&f);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    for (size_t i = 0; i < G_N_ELEMENTS(given_up); i++) {
+        g_autofree char *alone =
+            g_strdup_printf("/net/endless/given-up/%s", given_up[i].name);
+        g_autofree char *retried =
+            g_strdup_printf("/net/endless/retried/%s", given_up[i].name);
+
+        g_test_add_data_func(alone, &given_up[i], test_given_up);
+        g_test_add_data_func(retried, &given_up[i], test_retried);
+    }
+    return g_test_run();
+}
