net: bound the responses that precede the current one

Cause: interim (1xx) responses and responses to other requests were skipped without an end, on the connection of a request until its deadline.

Change: a call fails as malformed once more than 1 MiB was skipped on its connection. A late response to an earlier request that is longer now costs the connection and an attempt; it was read to its end before.

Test: test_endless_responses, given-up and retried: interim, other-id, other-id-body.

--- a/packages/net/HttpClient.c
+++ b/packages/net/HttpClient.c
@@ -6,6 +6,9 @@
 #include "Socket.h"
 
 #define RESPONSE_HEAD_BYTES_MAX 65536
+/* Interim responses and responses to earlier requests, before the response to
+ * the current request. */
+#define SKIPPED_BYTES_MAX (1024 * 1024)
 #define KEEP_ALIVE_MARGIN_US (500 * MICROS_PER_MS)
 
 typedef struct Connection_ Connection;
@@ -32,6 +35,7 @@
     HttpCall *call; /* NULL while idle */
     Micros idle_since;
     Micros keep_alive_timeout; /* from Keep-Alive of the peer; 0 if absent */
+    size_t skipped_bytes;      /* received before the current response */
     unsigned active_callbacks; /* callbacks on the call stack */
     bool connected;
     bool closed;
@@ -250,6 +254,18 @@
     fail_call(call, failure);
 }
 
+static int
+count_skipped(Connection *this, size_t bytes, Error *error)
+{
+    this->skipped_bytes += bytes;
+    if (this->skipped_bytes > SKIPPED_BYTES_MAX) {
+        return Error_Set(error, ERR_LIMIT, "read-response", STR(""),
+                         "more than %d bytes precede the response",
+                         SKIPPED_BYTES_MAX);
+    }
+    return 0;
+}
+
 static void
 parse(Connection *this, Str data)
 {
@@ -268,6 +284,10 @@
         }
         data.data += used;
         data.length -= used;
+        if (this->skipping_response && count_skipped(this, used, &error) < 0) {
+            fail_connection(this, CALL_FAILED_FRAMING, &error);
+            return;
+        }
         if (this->response_complete && this->call != NULL) {
             complete_call(this, data.length > 0);
             return;
@@ -595,6 +615,7 @@
     }
     call->connection = connection;
     connection->call = call;
+    connection->skipped_bytes = 0;
     call->maybe_sent = connection->connected;
     send_head(call, spec);
     return call;
--- a/tests/test_endless_responses.c
+++ b/tests/test_endless_responses.c
@@ -475,6 +475,15 @@
     {.name = "header-lines", .head = OK_HEAD, .part = "X-Line: v\r\n"},
     {.name = "status-line", .head = "HTTP/1.1 200 ", .part = "OK OK "},
     {.name = "no-http", .head = "", .part = "lorem ipsum "},
+    {.name = "interim", .head = "", .part = "HTTP/1.1 102 Wait\r\n\r\n"},
+    {.name = "other-id",
+     .head = "",
+     .part = OK_HEAD
+     "Agatecrank-Attempt-Id: other\r\nContent-Length: 2\r\n\r\nok"},
+    {.name = "other-id-body",
+     .head = OK_HEAD
+     "Agatecrank-Attempt-Id: other\r\nTransfer-Encoding: chunked\r\n\r\n",
+     .part = "8\r\nbbbbbbbb\r\n"},
     {.name = "unsigned-chunks",
      .head = OK_HEAD
      "Agatecrank-Attempt-Id: %s\r\nTransfer-Encoding: chunked\r\n\r\n",
