gateway: end relays at the deadline and count their outcome

Cause: once the beginning of a response was relayed, the job was released and the attempt counted as answered. No deadline ended the relay, and an upstream whose responses never end stayed in use like a sound one.

Change: the job and its attempt stay open until the relay ends. At the deadline (the caller's or the route's, whichever is earlier) the connections to upstream and caller are closed; the caller sees a truncated response. The attempt counts as failed, but not if the caller has not read for 0.1 s. A truncated relay counts as failed, too, and releases the upstream's slot only then. New line `relay`, new counter agatecrank_relays_total. Touches Dispatcher and JobLog, where the deadline of a job is.

Test: test_endless_responses, relayed and ejected (length, chunks, unframed, trickle), stalled-caller, long (64 MiB with a length and unframed, 4 MiB beyond the objective); test_dispatcher, relay-deadline.

Conclusion: bytes that an endless upstream sends to one caller are bounded by the deadline only.

--- a/packages/gateway/Dispatcher.c
+++ b/packages/gateway/Dispatcher.c
@@ -561,6 +561,15 @@
 
 /* ---- attempt results ------------------------------------------------ */
 
+/* The attempt stays open until Dispatcher_OnRelayEnd(). */
+static void
+begin_relay(Job *job)
+{
+    job->relaying = true;
+    job->loss_reported = true;
+    Job_SetMonitorAt(job, 0);
+}
+
 static JobVerdict
 on_response(Job *job, const AttemptEndInfo *end)
 {
@@ -568,6 +577,10 @@
     uint32_t upstream = job->upstream;
 
     job->may_have_run = true;
+    if (end->status < 500 && end->more_follows) {
+        begin_relay(job);
+        return JOB_RELAY;
+    }
     if (end->status < 500) {
         CrashGuard_OnSuccess(this->guard, &job->fingerprint, upstream);
         Job_EndAttempt(job, ATTEMPT_OK);
@@ -579,6 +592,10 @@
     if (start_retry(job, "upstream-failed") == NULL) {
         return JOB_DISCARD;
     }
+    if (end->more_follows) {
+        begin_relay(job);
+        return JOB_RELAY;
+    }
     g_hash_table_remove(this->jobs, job);
     return JOB_RELAY;
 }
@@ -680,6 +697,37 @@
     return verdict;
 }
 
+static AttemptOutcome
+outcome_of_relay(RelayEnd end)
+{
+    switch (end) {
+    case RELAY_COMPLETE:
+        return ATTEMPT_OK;
+    case RELAY_BROKEN:
+        return ATTEMPT_CONNECTION_FAILED;
+    case RELAY_TIMEOUT:
+        return ATTEMPT_TIMEOUT;
+    case RELAY_CALLER_SLOW:
+        break;
+    }
+    return ATTEMPT_CANCELLED;
+}
+
+void
+Dispatcher_OnRelayEnd(Dispatcher *this, Job *job, RelayEnd end)
+{
+    uint32_t service = job->service;
+
+    JobLog_RelayEnd(job, end);
+    /* After a status of 500 or more, the attempt has ended as failed. */
+    if (end == RELAY_COMPLETE && job->upstream != UPSTREAM_NONE) {
+        CrashGuard_OnSuccess(this->guard, &job->fingerprint, job->upstream);
+    }
+    Job_EndAttempt(job, outcome_of_relay(end));
+    Job_End(job);
+    JobPlacement_ServeQueue(this, service);
+}
+
 static void
 end_probe(Dispatcher *this, uint32_t upstream, Str result)
 {
@@ -770,6 +818,20 @@
     Job_End(job);
 }
 
+/* The owner tells how the relay ended. */
+static void
+abort_relay(Job *job)
+{
+    DispatchAction abort = {
+        .kind = DISPATCH_ABORT,
+        .job = job,
+        .user = job->user,
+    };
+
+    DueSet_Set(job->owner->due, &job->due, -1);
+    Dispatcher_PushAction(job->owner, &abort);
+}
+
 static void
 time_out(Job *job)
 {
@@ -790,7 +852,10 @@
 {
     Micros now = Clock_Now(job->owner->clock);
 
-    if (job->deadline <= now) {
+    if (job->deadline <= now && job->relaying) {
+        abort_relay(job);
+    }
+    else if (job->deadline <= now) {
         time_out(job);
     }
     else if (job->probe_deadline > 0 && job->probe_deadline <= now) {
--- a/packages/gateway/Dispatcher.h
+++ b/packages/gateway/Dispatcher.h
@@ -95,17 +95,29 @@
  * @status: HTTP status of the response
  * @report: load report of the response, or NULL
  * @limit: limit that the upstream names in the response
+ * @more_follows: the response is longer than what was received; with JOB_RELAY
+ *                the job goes on until Dispatcher_OnRelayEnd()
  */
 typedef struct AttemptEndInfo_ {
     AttemptResult result;
     int status;
     const LoadReport *report;
     LimitNotice limit;
+    bool more_follows;
 } AttemptEndInfo;
 
+/** enum RelayEnd - how the relay of a long response ended */
+typedef enum RelayEnd_ {
+    RELAY_COMPLETE,
+    RELAY_BROKEN,      /* the connection ended early or was malformed */
+    RELAY_TIMEOUT,     /* the deadline passed */
+    RELAY_CALLER_SLOW, /* the same, while the caller did not read */
+} RelayEnd;
+
 /** enum JobVerdict - whether an upstream's response is used */
 typedef enum JobVerdict_ {
-    JOB_RELAY,   /* relay it to the caller; the job has ended */
+    JOB_RELAY,   /* relay it to the caller; the job has ended unless more
+                    follows */
     JOB_DISCARD, /* drop it; an action for the job follows */
 } JobVerdict;
 
@@ -122,6 +134,7 @@
     DISPATCH_SEND,    /* send the request to an upstream */
     DISPATCH_RESPOND, /* send a response of the host; the job has ended */
     DISPATCH_CANCEL,  /* cancel the attempt; a further action follows */
+    DISPATCH_ABORT,   /* end the relay: its deadline has passed */
 } DispatchActionKind;
 
 /**
@@ -233,6 +246,12 @@
 JobVerdict Dispatcher_OnAttemptEnd(Dispatcher *this, Job *job,
                                    const AttemptEndInfo *end);
 
+/**
+ * Dispatcher_OnRelayEnd() - the relay of a response has ended, also after
+ *     DISPATCH_ABORT; ends the job
+ */
+void Dispatcher_OnRelayEnd(Dispatcher *this, Job *job, RelayEnd end);
+
 /**
  * Dispatcher_OnProbeTimeout() - a DISPATCH_PROBE got no response in time
  * @connected: it was sent on an open connection
--- a/packages/gateway/DispatcherPrivate.h
+++ b/packages/gateway/DispatcherPrivate.h
@@ -47,6 +47,7 @@
     DueEntry due; /* element of Dispatcher.due */
     bool may_have_run;
     bool queued;
+    bool relaying;      /* the caller has got the beginning of a response */
     bool loss_reported; /* the current attempt, to the guard */
     bool others_probed; /* other upstreams were probed for a move */
 };
--- a/packages/gateway/Gateway.c
+++ b/packages/gateway/Gateway.c
@@ -9,6 +9,9 @@
 /* Bytes buffered for a slow caller above which reading from the upstream
  * pauses. */
 #define RELAY_BUFFER_MAX_BYTES (128 * 1024)
+/* A caller that takes no more than RELAY_BUFFER_MAX_BYTES in this time is the
+ * reason that a relay is late. */
+#define CALLER_STALL_US (100 * MICROS_PER_MS)
 #define UPSTREAM_IDLE_TIMEOUT_S 8
 /* Fifty times the usual connection time between failure domains. Nothing was
  * sent by then, so the request can go to another upstream. */
@@ -39,13 +42,14 @@
 typedef struct Exchange_ {
     Gateway *gateway;
     HttpRequest *request; /* NULL after the caller has disconnected */
-    Job *job;             /* NULL once the response is decided */
+    Job *job;             /* NULL once the response is complete or ended */
     HttpCall *call;       /* NULL without an open attempt */
     GByteArray *body;
     HeaderList *response_headers;
     GByteArray *response;
     int response_status;
     Micros received_at;
+    Micros paused_at;
     bool relaying;
     bool paused;
 } Exchange;
@@ -152,7 +156,9 @@
     int64_t length = HeaderList_ContentLength(exchange->response_headers);
 
     HeaderList_CopyEndToEnd(exchange->response_headers, headers);
-    exchange->job = NULL;
+    if (complete) {
+        exchange->job = NULL;
+    }
     if (complete &&
         !Str_Equal(HttpRequest_Method(exchange->request), STR("HEAD"))) {
         length = (int64_t)body.length;
@@ -260,12 +266,13 @@
 }
 
 static JobVerdict
-report_attempt_end(Exchange *exchange, AttemptResult result)
+report_attempt_end(Exchange *exchange, AttemptResult result, bool more_follows)
 {
     Gateway *this = exchange->gateway;
     const Dialect *dialect = this->options.dialect;
     AttemptEndInfo end = {.result = result,
-                          .status = exchange->response_status};
+                          .status = exchange->response_status,
+                          .more_follows = more_follows};
     LoadReport report;
 
     if (exchange->response_headers != NULL &&
@@ -297,6 +304,7 @@
     if (!exchange->paused &&
         HttpRequest_Buffered(exchange->request) > RELAY_BUFFER_MAX_BYTES) {
         exchange->paused = true;
+        exchange->paused_at = Clock_Now(Loop_Clock(exchange->gateway->loop));
         HttpCall_PauseResponse(exchange->call, true);
     }
 }
@@ -315,7 +323,7 @@
     if (exchange->response->len <= RESPONSE_BUFFER_MAX_BYTES) {
         return;
     }
-    if (report_attempt_end(exchange, classify_response(exchange)) ==
+    if (report_attempt_end(exchange, classify_response(exchange), true) ==
         JOB_RELAY) {
         exchange->relaying = true;
         relay(exchange, false);
@@ -331,6 +339,36 @@
 {
 }
 
+/* Ends the relay of a response whose call has ended. */
+static void
+end_relay(Exchange *exchange, RelayEnd end)
+{
+    Gateway *this = exchange->gateway;
+    Job *job = exchange->job;
+
+    exchange->call = NULL;
+    exchange->job = NULL;
+    Dispatcher_OnRelayEnd(this->dispatcher, job, end);
+    if (end == RELAY_COMPLETE) {
+        HttpRequest_Finish(exchange->request);
+    }
+    else {
+        HttpRequest_Abort(exchange->request);
+    }
+    Gateway_RunActions(this);
+}
+
+static void
+abort_relay(Exchange *exchange)
+{
+    Micros now = Clock_Now(Loop_Clock(exchange->gateway->loop));
+    bool stalled =
+        exchange->paused && now - exchange->paused_at >= CALLER_STALL_US;
+
+    cancel_call(exchange);
+    end_relay(exchange, stalled ? RELAY_CALLER_SLOW : RELAY_TIMEOUT);
+}
+
 static void
 finish_attempt(Exchange *exchange, AttemptResult result)
 {
@@ -340,7 +378,7 @@
     if (exchange->job == NULL) {
         return;
     }
-    if (report_attempt_end(exchange, result) == JOB_RELAY) {
+    if (report_attempt_end(exchange, result, false) == JOB_RELAY) {
         relay(exchange, true);
     }
     else {
@@ -355,8 +393,7 @@
     Exchange *exchange = user;
 
     if (exchange->relaying) {
-        exchange->call = NULL;
-        HttpRequest_Finish(exchange->request);
+        end_relay(exchange, RELAY_COMPLETE);
         return;
     }
     finish_attempt(exchange, classify_response(exchange));
@@ -369,8 +406,7 @@
     Exchange *exchange = user;
 
     if (exchange->relaying) {
-        exchange->call = NULL;
-        HttpRequest_Abort(exchange->request);
+        end_relay(exchange, RELAY_BROKEN);
         return;
     }
     finish_attempt(exchange,
@@ -424,7 +460,7 @@
         HttpClient_Start(this->client, &spec, &call_handlers, exchange, NULL);
     HeaderList_Destroy(headers);
     if (exchange->call == NULL) {
-        report_attempt_end(exchange, ATTEMPT_RESULT_UNSENT);
+        report_attempt_end(exchange, ATTEMPT_RESULT_UNSENT, false);
     }
 }
 
@@ -589,6 +625,9 @@
     case DISPATCH_RESPOND:
         respond_to_caller(exchange, action);
         break;
+    case DISPATCH_ABORT:
+        abort_relay(exchange);
+        break;
     }
 }
 
--- a/packages/gateway/JobLog.c
+++ b/packages/gateway/JobLog.c
@@ -146,6 +146,42 @@
     EventLog_End(this->decisions);
 }
 
+static const char *
+relay_end_name(RelayEnd end)
+{
+    switch (end) {
+    case RELAY_COMPLETE:
+        return "complete";
+    case RELAY_BROKEN:
+        return "broken";
+    case RELAY_TIMEOUT:
+        return "deadline";
+    case RELAY_CALLER_SLOW:
+        return "caller-slow";
+    }
+    return "unknown";
+}
+
+void
+JobLog_RelayEnd(const Job *job, RelayEnd end)
+{
+    Dispatcher *this = job->owner;
+
+    Dispatcher_Count(this, "agatecrank_relays_total", "result",
+                     Str_FromC(relay_end_name(end)));
+    if (!begin_line(job,
+                    end == RELAY_COMPLETE ? LOG_LEVEL_DEBUG : LOG_LEVEL_INFO,
+                    "relay")) {
+        return;
+    }
+    EventLog_Str(this->decisions, "upstream", last_upstream(job));
+    EventLog_CStr(this->decisions, "result", relay_end_name(end));
+    EventLog_Int(this->decisions, "took_ms",
+                 (Clock_Now(this->clock) - job->sent_at) / MICROS_PER_MS);
+    EventLog_Int(this->decisions, "held_ms", elapsed_ms(job));
+    EventLog_End(this->decisions);
+}
+
 void
 JobLog_AttemptAbandoned(const Job *job, const char *reason)
 {
--- a/packages/gateway/JobLog.h
+++ b/packages/gateway/JobLog.h
@@ -14,6 +14,11 @@
 void JobLog_AttemptEnd(const Job *job, uint32_t upstream,
                        const AttemptEndInfo *end);
 
+/**
+ * JobLog_RelayEnd() - count and log the end of the relay of a long response
+ */
+void JobLog_RelayEnd(const Job *job, RelayEnd end);
+
 /**
  * JobLog_AttemptAbandoned() - the current attempt is abandoned for another one
  */
--- a/tests/support/CrashSimulation.c
+++ b/tests/support/CrashSimulation.c
@@ -538,6 +538,8 @@
         case DISPATCH_SEND:
             send_attempt(host, &action);
             break;
+        case DISPATCH_ABORT:
+            g_assert_not_reached();
         case DISPATCH_CANCEL:
             if (request->attempt != NULL) {
                 request->attempt->request = NULL;
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -18,6 +18,7 @@
     size_t sends;
     size_t responses;
     size_t cancels;
+    size_t aborts;
     size_t probes;
     uint32_t last_probed; /* upstream of the last probe */
 } Fixture;
@@ -105,6 +106,9 @@
         case DISPATCH_CANCEL:
             f->cancels++;
             break;
+        case DISPATCH_ABORT:
+            f->aborts++;
+            break;
         }
         f->action = action;
     }
@@ -680,6 +684,61 @@
     g_assert_cmpuint(f->sends, ==, 2);
 }
 
+/* Guards against a relay that no deadline ends, and against an upstream that
+ * counts as sound because its responses began well. */
+static void
+test_relay_deadline(Fixture *f, gconstpointer data)
+{
+    static const struct {
+        RelayEnd end;
+        bool ejected;
+    } cases[] = {{RELAY_TIMEOUT, true},
+                 {RELAY_BROKEN, true},
+                 {RELAY_CALLER_SLOW, false},
+                 {RELAY_COMPLETE, false}};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        size_t sent_to_u = 0;
+
+        tear_down(f, NULL);
+        set_up(f, NULL);
+        for (size_t n = 0; n < 12; n++) {
+            AttemptEndInfo info = {.result = ATTEMPT_RESULT_RESPONSE,
+                                   .status = 200,
+                                   .more_follows = true};
+            Job *job = submit(f, "/safe/1", 0);
+            bool to_u = strcmp(f->sent_to, "u") == 0;
+
+            g_assert_cmpint(Dispatcher_OnAttemptEnd(f->dispatcher, job, &info),
+                            ==, JOB_RELAY);
+            g_assert_cmpuint(Dispatcher_OpenJobs(f->dispatcher), ==, 1);
+            if (!to_u) {
+                Dispatcher_OnRelayEnd(f->dispatcher, job, RELAY_COMPLETE);
+                continue;
+            }
+            sent_to_u++;
+            if (cases[i].end == RELAY_TIMEOUT) {
+                f->aborts = 0;
+                advance_time(f, TIMEOUT_US - 1);
+                g_assert_cmpuint(f->aborts, ==, 0);
+                advance_time(f, 1);
+                g_assert_cmpuint(f->aborts, ==, 1);
+                advance_time(f, TIMEOUT_US);
+                g_assert_cmpuint(f->aborts, ==, 1);
+            }
+            Dispatcher_OnRelayEnd(f->dispatcher, job, cases[i].end);
+            g_assert_cmpuint(Dispatcher_OpenJobs(f->dispatcher), ==, 0);
+        }
+        g_test_message("end=%d sent=%zu", (int)cases[i].end, sent_to_u);
+        if (cases[i].ejected) {
+            g_assert_cmpuint(sent_to_u, <=, 3);
+        }
+        else {
+            g_assert_cmpuint(sent_to_u, >=, 4);
+        }
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -712,6 +771,7 @@
         test_limit_of_relisted_upstream);
     ADD("/dispatcher/limit-of-unknown-host", set_up,
         test_limit_of_unknown_host);
+    ADD("/dispatcher/relay-deadline", set_up, test_relay_deadline);
     ADD("/dispatcher/caller-gone", set_up_probing, test_caller_disconnect);
     return g_test_run();
 }
--- a/tests/test_endless_responses.c
+++ b/tests/test_endless_responses.c
@@ -14,13 +14,13 @@
 #define BLOCK_BYTES 65536
 /* Send buffer of an upstream: what it has sent was nearly all received. */
 #define SEND_BUFFER_BYTES 65536
-#define TRICKLE_INTERVAL_US MICROS_PER_MS
+#define TRICKLE_INTERVAL_US (5 * MICROS_PER_MS)
 #define TIMEOUT_US (400 * MICROS_PER_MS)
 #define LONG_TIMEOUT_US (5 * MICROS_PER_S)
 /* An upstream goes silent after this, so that a run that fails cannot exhaust
  * the memory of the machine. */
 #define SENT_BYTES_MAX (256 * 1024 * 1024)
-#define RUN_TIME_MAX_US (60 * MICROS_PER_S)
+#define RUN_TIME_MAX_US (20 * MICROS_PER_S)
 /* Bounds what is received of a response that is given up, with the buffers of
  * the kernel. */
 #define GIVEN_UP_BYTES_MAX (8 * 1024 * 1024)
@@ -37,7 +37,10 @@
     const char *head;
     const char *part;
     uint64_t parts;
-    bool trickle;
+    size_t burst; /* bytes of parts before a trickle */
+    bool blocks;  /* the part is repeated up to BLOCK_BYTES */
+    bool trickle; /* a byte at a time */
+    bool slow;    /* with a pause after each part */
     bool close;
 } Script;
 
@@ -70,6 +73,7 @@
     char body[64];
     bool complete;
     bool failed;
+    bool stall; /* read nothing after the beginning */
 } Caller;
 
 struct Fixture_ {
@@ -125,24 +129,27 @@
     }
     if (script->trickle) {
         data.length = 1;
-        g_string_append_c(link->block, link->block->str[0]);
-        g_string_erase(link->block, 0, 1);
     }
     link->parts_left -= script->parts > 0;
     link->peer->sent += data.length;
     Socket_Write(link->socket, data);
-    LoopTimer_Start(link->timer, script->trickle ? TRICKLE_INTERVAL_US : 1);
+    if (script->trickle) {
+        g_string_append_c(link->block, link->block->str[0]);
+        g_string_erase(link->block, 0, 1);
+    }
+    LoopTimer_Start(link->timer,
+                    script->trickle || script->slow ? TRICKLE_INTERVAL_US : 1);
 }
 
 static void
 append_parts(Link *link)
 {
     const Script *script = link->peer->script;
+    bool fill = script->blocks || (script->parts == 0 && !script->trickle);
 
     g_string_truncate(link->block, 0);
     g_string_append(link->block, script->part);
-    while (script->parts == 0 && !script->trickle &&
-           link->block->len < BLOCK_BYTES) {
+    while (fill && link->block->len < BLOCK_BYTES) {
         g_string_append(link->block, script->part);
     }
 }
@@ -165,6 +172,9 @@
     link->parts_left = link->peer->script->parts;
     append_parts(link);
     Socket_Write(link->socket, Str_FromC(head));
+    for (size_t n = 0; n < link->peer->script->burst; n += link->block->len) {
+        Socket_Write(link->socket, Str_FromString(link->block));
+    }
     pump(link);
 }
 
@@ -188,7 +198,8 @@
 {
     Link *link = user;
 
-    if (link->responding && !link->peer->script->trickle) {
+    if (link->responding && !link->peer->script->slow &&
+        !link->peer->script->trickle) {
         pump(link);
     }
 }
@@ -292,6 +303,9 @@
                MIN(data.length, space - caller->bytes));
     }
     caller->bytes += data.length;
+    if (caller->stall) {
+        HttpCall_PauseResponse(call, true);
+    }
 }
 
 static void
@@ -549,6 +563,157 @@
     tear_down(&f);
 }
 
+/* Responses that are relayed before it shows that they do not end. */
+static const Script relayed[] = {
+    {.name = "length",
+     .head = SIGNED "Content-Length: 1000000000000\r\n\r\n",
+     .part = "bbbbbbbb"},
+    {.name = "chunks",
+     .head = SIGNED "Transfer-Encoding: chunked\r\n\r\n",
+     .part = "8\r\nbbbbbbbb\r\n"},
+    {.name = "unframed", .head = SIGNED "\r\n", .part = "bbbbbbbb"},
+    {.name = "trickle",
+     .head = SIGNED "Transfer-Encoding: chunked\r\n\r\n",
+     .part = "8\r\nbbbbbbbb\r\n",
+     .burst = 1000 * 1000,
+     .trickle = true},
+};
+
+static void
+stop_loop(void *user)
+{
+    Loop_Stop(user);
+}
+
+static void
+run_for(Fixture *f, Micros time)
+{
+    LoopTimer *timer = LoopTimer_Create(f->loop, stop_loop, f->loop);
+
+    LoopTimer_Start(timer, time);
+    Loop_Run(f->loop);
+    LoopTimer_Destroy(timer);
+}
+
+/* Guards against a relay that goes on after the caller's deadline, and against
+ * a truncated response that looks complete. */
+static void
+test_relayed(gconstpointer data)
+{
+    Caller caller;
+    Micros started;
+    Fixture f;
+
+    set_up(&f);
+    add_peer(&f, data);
+    started = Clock_Now(f.clock);
+    caller = call_once(&f, "/safe/x");
+    g_test_message("sent=%" G_GUINT64_FORMAT " took_us=%" G_GINT64_FORMAT
+                   " peak_kb=%" G_GUINT64_FORMAT,
+                   f.peers[0].sent, Clock_Now(f.clock) - started, peak_kb());
+    g_assert_cmpint(caller.status, ==, 200);
+    g_assert_true(caller.failed);
+    run_for(&f, 50 * MICROS_PER_MS);
+    g_assert_cmpuint(f.peers[0].open, ==, 0);
+    tear_down(&f);
+}
+
+/* Guards against an upstream that stays in use though none of its responses
+ * ends. */
+static void
+test_ejected(gconstpointer data)
+{
+    Fixture f;
+    unsigned served = 0;
+
+    set_up(&f);
+    add_peer(&f, data);
+    add_peer(&f, &good);
+    for (int i = 0; i < 30; i++) {
+        Caller caller = call_once(&f, "/safe/x");
+
+        g_assert_cmpint(caller.complete, ==, caller.bytes == 2);
+        served += caller.complete;
+    }
+    g_test_message("sent=%" G_GUINT64_FORMAT " served=%u endless=%u",
+                   f.peers[0].sent, served, f.peers[0].requests);
+    g_assert_cmpuint(f.peers[0].requests, >, 0);
+    g_assert_cmpuint(f.peers[0].requests, <=, 3);
+    g_assert_cmpuint(served, >=, 27);
+    tear_down(&f);
+}
+
+#define LONG_BYTES ((uint64_t)64 * 1024 * 1024)
+
+static const Script long_length = {
+    .name = "long-length",
+    .head = SIGNED "Content-Length: 67108864\r\n\r\n",
+    .part = "bbbbbbbb",
+    .parts = LONG_BYTES / BLOCK_BYTES,
+    .blocks = true,
+};
+static const Script long_unframed = {
+    .name = "long-unframed",
+    .head = SIGNED "\r\n",
+    .part = "bbbbbbbb",
+    .parts = LONG_BYTES / BLOCK_BYTES,
+    .blocks = true,
+    .close = true,
+};
+/* Takes longer than the objective of the route. */
+static const Script long_slow = {
+    .name = "long-slow",
+    .head = SIGNED "Content-Length: 4194304\r\n\r\n",
+    .part = "bbbbbbbb",
+    .parts = 64,
+    .blocks = true,
+    .slow = true,
+};
+
+/* Guards against an honest long response that is broken off. */
+static void
+test_long_response(gconstpointer data)
+{
+    const Script *script = data;
+    Caller caller;
+    Fixture f;
+
+    set_up(&f);
+    add_peer(&f, script);
+    caller = call_once(&f, "/long/x");
+    g_test_message("sent=%" G_GUINT64_FORMAT " peak_kb=%" G_GUINT64_FORMAT,
+                   f.peers[0].sent, peak_kb());
+    g_assert_true(caller.complete);
+    g_assert_cmpuint(caller.bytes, ==, script->parts * BLOCK_BYTES);
+    tear_down(&f);
+}
+
+/* Guards against an upstream that is ejected because callers do not read. */
+static void
+test_stalled_caller(void)
+{
+    GString *counters = g_string_new(NULL);
+    Caller caller;
+    Fixture f;
+
+    set_up(&f);
+    add_peer(&f, &long_length);
+    start_call(&f, "/safe/x", &caller);
+    caller.stall = true;
+    run_for(&f, 2 * TIMEOUT_US);
+    HttpCall_PauseResponse(caller.call, false);
+    caller.stall = false;
+    Loop_Run(f.loop);
+    g_assert_true(caller.failed);
+    g_assert_cmpuint(f.peers[0].open, ==, 0);
+    g_assert_cmpuint(f.peers[0].sent, <, GIVEN_UP_BYTES_MAX);
+    Counters_Write(f.counters, counters);
+    g_assert_nonnull(strstr(
+        counters->str, "agatecrank_relays_total{result=\"caller-slow\"} 1"));
+    g_string_free(counters, TRUE);
+    tear_down(&f);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -562,5 +727,21 @@
         g_test_add_data_func(alone, &given_up[i], test_given_up);
         g_test_add_data_func(retried, &given_up[i], test_retried);
     }
+    for (size_t i = 0; i < G_N_ELEMENTS(relayed); i++) {
+        g_autofree char *alone =
+            g_strdup_printf("/net/endless/relayed/%s", relayed[i].name);
+        g_autofree char *ejected =
+            g_strdup_printf("/net/endless/ejected/%s", relayed[i].name);
+
+        g_test_add_data_func(alone, &relayed[i], test_relayed);
+        g_test_add_data_func(ejected, &relayed[i], test_ejected);
+    }
+    g_test_add_data_func("/net/endless/long/length", &long_length,
+                         test_long_response);
+    g_test_add_data_func("/net/endless/long/unframed", &long_unframed,
+                         test_long_response);
+    g_test_add_data_func("/net/endless/long/slow", &long_slow,
+                         test_long_response);
+    g_test_add_func("/net/endless/stalled-caller", test_stalled_caller);
     return g_test_run();
 }
--- a/tests/test_overload.c
+++ b/tests/test_overload.c
@@ -273,6 +273,8 @@
         case DISPATCH_CANCEL:
             abandon_attempt(request);
             break;
+        case DISPATCH_ABORT:
+            g_assert_not_reached();
         case DISPATCH_RESPOND:
             handle_host_response(sim, &action);
             break;
