net: bound the open responses of a client together

Cause: each response of the store or a relay may have had 64 MiB, on up to 16 connections at once, on a host of 160 MB. A response above the limit failed with ERR_LIMIT, which followers take for a read that was rejected locally, so that it said nothing against the store.

A response above the limit fails with ERR_PROTOCOL.

--- a/packages/net/HttpFetch.c
+++ b/packages/net/HttpFetch.c
@@ -5,6 +5,9 @@
 
 #define CONNECTIONS_MAX 16
 #define IDLE_TIMEOUT_S 30
+/* Limit on all open responses of a client together, relative to that on
+ * one. */
+#define TOTAL_BYTES_FACTOR 2
 
 struct HttpFetch_ {
     Loop *loop;
@@ -14,6 +17,7 @@
     char *prefix;
     char *authority; /* ADDRESS:PORT, for error messages */
     size_t max_bytes;
+    size_t total_bytes; /* of the bodies of all open responses */
 };
 
 typedef struct Fetch_ {
@@ -111,6 +115,7 @@
     };
 
     LoopTimer_Stop(fetch->timer);
+    fetch->owner->total_bytes -= fetch->body->len;
     fetch->handler(fetch->user, &response);
     LoopTimer_Destroy(fetch->timer);
     HeaderList_Destroy(fetch->headers);
@@ -157,12 +162,20 @@
 on_data(void *user, HttpCall *call, Str data)
 {
     Fetch *fetch = user;
+    HttpFetch *this = fetch->owner;
 
-    if (fetch->body->len + data.length > fetch->owner->max_bytes) {
-        abort_fetch(fetch, ERR_LIMIT,
+    if (fetch->body->len + data.length > this->max_bytes) {
+        abort_fetch(fetch, ERR_PROTOCOL,
                     "the response body exceeds the size limit");
         return;
     }
+    if (this->total_bytes + data.length >
+        TOTAL_BYTES_FACTOR * this->max_bytes) {
+        abort_fetch(fetch, ERR_LIMIT,
+                    "the open responses together exceed the size limit");
+        return;
+    }
+    this->total_bytes += data.length;
     g_byte_array_append(fetch->body, (const guint8 *)data.data,
                         (guint)data.length);
 }
--- a/packages/net/HttpFetch.h
+++ b/packages/net/HttpFetch.h
@@ -33,7 +33,9 @@
 /**
  * HttpFetch_Create() - create a client for the peer of a URL
  * @url: http://IP:PORT[/prefix], or https:// if @client has a CA file
- * @max_bytes: limit on the size of a response body
+ * @max_bytes: limit on the size of a response body, beyond which a request
+ *             fails with ERR_PROTOCOL; all open responses together may have
+ *             twice as much, beyond which one fails with ERR_LIMIT
  * @client: settings of the connections, may be NULL; max_connections and
  *          idle_timeout_s are ignored
  *
--- a/packages/net/KeyedSource.c
+++ b/packages/net/KeyedSource.c
@@ -36,7 +36,8 @@
 /* Entries of hosts that are gone are removed in batches of this size. */
 #define REMOVALS_MAX 32
 #define LOG_CALL_TIMEOUT_US (1 * MICROS_PER_S)
-#define RESPONSE_BYTES_MAX (64 * 1024 * 1024)
+/* A relay sends a whole topic at once. */
+#define RESPONSE_BYTES_MAX (8 * 1024 * 1024)
 
 /* Another host of the same domain. */
 typedef struct Peer_ {
