net: check each byte of a header block once

Cause: after each read the incomplete header block was checked again from its beginning, so that a peer that sends 64 KiB of it byte by byte costs 2.7 s of processor time. This also holds for requests of callers.

Change: only new bytes are checked, and the last one before them, as a CR cannot be judged without the next byte.

Test: test_endless_responses, trickled-head (processor time for 64 KiB at most 64 times that for 4 KiB, as a ratio in one run). test_http_parser passes.

--- a/packages/net/HttpParser.c
+++ b/packages/net/HttpParser.c
@@ -248,10 +248,11 @@
     return Error_Set(error, ERR_PROTOCOL, "read-head", STR(""), "%s", text);
 }
 
+/* Checks the bytes from index @from on; those before it were checked. */
 static int
-check_bytes(Str block, Error *error)
+check_bytes(Str block, size_t from, Error *error)
 {
-    for (size_t i = 0; i < block.length; i++) {
+    for (size_t i = from; i < block.length; i++) {
         unsigned char c = (unsigned char)block.data[i];
 
         if (c == '\r' && i + 1 < block.length && block.data[i + 1] != '\n') {
@@ -343,7 +344,7 @@
 check_head(Str block, Error *error)
 {
     GPtrArray *seen;
-    int code = check_bytes(block, error);
+    int code = check_bytes(block, 0, error);
 
     if (code < 0) {
         return code;
@@ -399,8 +400,10 @@
     if (found == NULL) {
         *used += data.length;
         this->searched = this->head->len > 3 ? this->head->len - 3 : 0;
-        /* Checked early: after a bare LF the end may never be recognized. */
-        return check_bytes(Str_FromString(this->head), error);
+        /* Checked early: after a bare LF the end may never be recognized. A CR
+         * was not checked without the byte after it. */
+        return check_bytes(Str_FromString(this->head),
+                           before > 0 ? before - 1 : 0, error);
     }
     *used += end - before;
     g_string_truncate(this->head, end);
--- a/tests/test_endless_responses.c
+++ b/tests/test_endless_responses.c
@@ -2,6 +2,7 @@
 #include <glib.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <time.h>
 #include <unistd.h>
 
 #include "Gateway.h"
@@ -817,6 +818,62 @@
     tear_down(&f);
 }
 
+static HttpBodyRule
+ignore_head(void *user, const HttpHead *head)
+{
+    return HTTP_BODY_FRAMED;
+}
+
+static void
+ignore_body(void *user, Str data)
+{
+    (void)user;
+}
+
+static void
+ignore_end(void *user)
+{
+    (void)user;
+}
+
+/* Processor time for a header block of @bytes that arrives byte by byte. */
+static Micros
+time_trickled_head(size_t bytes)
+{
+    static const HttpParserHandlers handlers = {ignore_head, ignore_body,
+                                                ignore_end};
+    HttpParser *parser =
+        HttpParser_Create(HTTP_PARSER_RESPONSES, BLOCK_BYTES, &handlers, NULL);
+    struct timespec begin, end;
+    Error error;
+    size_t used;
+
+    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &begin);
+    for (size_t i = 0; i < bytes; i++) {
+        g_assert_cmpint(HttpParser_Feed(parser, STR("a"), &used, &error), ==,
+                        0);
+    }
+    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &end);
+    HttpParser_Destroy(parser);
+    return (end.tv_sec - begin.tv_sec) * MICROS_PER_S +
+           (end.tv_nsec - begin.tv_nsec) / 1000;
+}
+
+/* Guards against a header block that is checked from its beginning after each
+ * byte: 16 times the bytes would take 256 times the time. */
+static void
+test_trickled_head(void)
+{
+    Micros one, many;
+
+    time_trickled_head(BLOCK_BYTES);
+    one = time_trickled_head(BLOCK_BYTES / 16);
+    many = time_trickled_head(BLOCK_BYTES);
+    g_test_message("one_us=%" G_GINT64_FORMAT " many_us=%" G_GINT64_FORMAT,
+                   one, many);
+    g_assert_cmpint(many, <, 64 * one);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -847,6 +904,7 @@
                          test_long_response);
     g_test_add_func("/net/endless/fetches", test_fetches);
     g_test_add_func("/net/endless/store", test_store);
+    g_test_add_func("/net/endless/trickled-head", test_trickled_head);
     g_test_add_func("/net/endless/stalled-caller", test_stalled_caller);
     return g_test_run();
 }
