net: bound the responses to load probes

Cause: the body of a probe's response was read without a limit until the probe's time ended: 60 ms at gateway hosts, 1 s at the others, for each probe.

Change: a call may have a limit on its response, beyond which it fails as malformed; load probes of Gateway and Prober have 64 KiB. The probe ends without a report, not as silent: the upstream is alive, and its failure shows in requests.

Test: test_endless_responses, probe (Gateway). Prober uses the same limit of HttpClient and has no test of its own.

--- a/packages/gateway/Gateway.c
+++ b/packages/gateway/Gateway.c
@@ -21,6 +21,7 @@
 #define UPSTREAM_KEEP_ALIVE_S 1
 /* Even an upstream on a slow machine replies within this time. */
 #define LOAD_PROBE_TIMEOUT_US (60 * MICROS_PER_MS)
+#define LOAD_PROBE_BYTES_MAX 65536
 /* Applies until the first configuration arrives. */
 #define CALLER_IDLE_DEFAULT_S 15
 /* Request bodies are buffered in memory until they are complete. */
@@ -589,6 +590,7 @@
         .method = STR("GET"),
         .path = action->probe.path,
         .new_connection = action->probe.new_connection,
+        .response_bytes_max = LOAD_PROBE_BYTES_MAX,
     };
     Probe *probe = g_new0(Probe, 1);
 
--- a/packages/net/HttpClient.c
+++ b/packages/net/HttpClient.c
@@ -56,6 +56,8 @@
     GString *match_value;
     int64_t content_length;
     int64_t content_written;
+    size_t response_bytes;
+    size_t response_bytes_max; /* 0 for no limit */
     Error error;
     bool is_head;
     bool maybe_sent;
@@ -197,6 +199,7 @@
     Connection *this = user;
 
     if (this->call != NULL && !this->skipping_response) {
+        this->call->response_bytes += data.length;
         this->call->handlers.on_data(this->call->user, this->call, data);
     }
 }
@@ -266,6 +269,18 @@
     return 0;
 }
 
+static int
+check_response_length(const HttpCall *call, Error *error)
+{
+    if (call == NULL || call->response_bytes_max == 0 ||
+        call->response_bytes <= call->response_bytes_max) {
+        return 0;
+    }
+    return Error_Set(error, ERR_LIMIT, "read-response", STR(""),
+                     "the response body is longer than %zu bytes",
+                     call->response_bytes_max);
+}
+
 static void
 parse(Connection *this, Str data)
 {
@@ -288,6 +303,10 @@
             fail_connection(this, CALL_FAILED_FRAMING, &error);
             return;
         }
+        if (check_response_length(this->call, &error) < 0) {
+            fail_connection(this, CALL_FAILED_FRAMING, &error);
+            return;
+        }
         if (this->response_complete && this->call != NULL) {
             complete_call(this, data.length > 0);
             return;
@@ -524,6 +543,7 @@
     call->handlers = *handlers;
     call->user = user;
     call->content_length = spec->content_length;
+    call->response_bytes_max = spec->response_bytes_max;
     call->is_head = Str_Equal(spec->method, STR("HEAD"));
     call->match_name = Str_ToString(spec->match_name);
     call->match_value = Str_ToString(spec->match_value);
--- a/packages/net/HttpClient.h
+++ b/packages/net/HttpClient.h
@@ -80,6 +80,8 @@
  * @match_name, @match_value: a response that has this header field with
  *     another value belongs to an earlier request and is skipped; may be
  *     empty
+ * @response_bytes_max: a response with a longer body fails as malformed; 0 for
+ *     no limit
  */
 typedef struct HttpCallSpec_ {
     const char *address;
@@ -93,6 +95,7 @@
     Micros idle_max;
     Str match_name;
     Str match_value;
+    size_t response_bytes_max;
 } HttpCallSpec;
 
 /** HttpClient_Create() - create a client without connections */
--- a/packages/net/Prober.c
+++ b/packages/net/Prober.c
@@ -6,6 +6,7 @@
 #define TICK_INTERVAL_US (25 * MICROS_PER_MS)
 #define HTTP_PROBE_TIMEOUT_US (1 * MICROS_PER_S)
 #define PROBE_BODY_BYTES_MAX 512
+#define PROBE_RESPONSE_BYTES_MAX 65536
 /* Estimated size of a request and of the response headers, for the budget. */
 #define PROBE_OVERHEAD_BYTES 400
 
@@ -123,6 +124,7 @@
     HttpCallSpec spec = {
         .method = STR("GET"),
         .path = STR("/load"),
+        .response_bytes_max = PROBE_RESPONSE_BYTES_MAX,
     };
 
     probe->prober = this;
--- a/tests/test_endless_responses.c
+++ b/tests/test_endless_responses.c
@@ -50,6 +50,7 @@
 typedef struct Peer_ {
     Fixture *fixture;
     const Script *script;
+    const Script *probe_script; /* NULL for the same */
     int listener;
     uint16_t port;
     unsigned requests;
@@ -64,6 +65,7 @@
     LoopTimer *timer;
     GString *request;
     GString *block;
+    const Script *script; /* of the current request */
     uint64_t parts_left;
     bool responding;
 } Link;
@@ -92,6 +94,7 @@
     unsigned peer_count;
     unsigned waiting;
     unsigned calls;
+    bool probing; /* the service supports load probes */
 };
 
 static const Script good = {
@@ -115,7 +118,7 @@
 pump(void *user)
 {
     Link *link = user;
-    const Script *script = link->peer->script;
+    const Script *script = link->script;
     Str data = Str_FromString(link->block);
 
     if (link->socket == NULL || Socket_Buffered(link->socket) > 0 ||
@@ -147,7 +150,7 @@
 static void
 append_parts(Link *link)
 {
-    const Script *script = link->peer->script;
+    const Script *script = link->script;
     bool fill = script->blocks || (script->parts == 0 && !script->trickle);
 
     g_string_truncate(link->block, 0);
@@ -163,18 +166,23 @@
     const char *name = "agatecrank-attempt-id: ";
     const char *begin = strstr(request, name);
     g_autofree char *id = NULL;
-    g_auto(GStrv) pieces = g_strsplit(link->peer->script->head, "%s", -1);
+    bool probe = g_str_has_prefix(request, "get /health");
+    g_auto(GStrv) pieces = NULL;
     g_autofree char *head = NULL;
 
     begin = begin != NULL ? begin + strlen(name) : "\r";
     id = g_strndup(begin, (gsize)(strchr(begin, '\r') - begin));
+    link->script = probe && link->peer->probe_script != NULL
+                       ? link->peer->probe_script
+                       : link->peer->script;
+    pieces = g_strsplit(link->script->head, "%s", -1);
     head = g_strjoinv(id, pieces);
-    link->peer->requests++;
+    link->peer->requests += !probe;
     link->responding = true;
-    link->parts_left = link->peer->script->parts;
+    link->parts_left = link->script->parts;
     append_parts(link);
     Socket_Write(link->socket, Str_FromC(head));
-    for (size_t n = 0; n < link->peer->script->burst; n += link->block->len) {
+    for (size_t n = 0; n < link->script->burst; n += link->block->len) {
         Socket_Write(link->socket, Str_FromString(link->block));
     }
     pump(link);
@@ -200,8 +208,7 @@
 {
     Link *link = user;
 
-    if (link->responding && !link->peer->script->slow &&
-        !link->peer->script->trickle) {
+    if (link->responding && !link->script->slow && !link->script->trickle) {
         pump(link);
     }
 }
@@ -399,6 +406,9 @@
     CallerLimits limits = {0};
     RouteTable *table = RouteTable_Create(1, &limits);
 
+    if (f->probing) {
+        RouteTable_AddService(table, STR("desk"), STR("/health"));
+    }
     GatewayFixture_AddRoute(table, "/safe/", ROUTE_IDEMPOTENT, 2,
                             TIMEOUT_US / 4, TIMEOUT_US);
     GatewayFixture_AddRoute(table, "/long/", ROUTE_IDEMPOTENT, 2,
@@ -408,7 +418,7 @@
 }
 
 static void
-set_up(Fixture *f)
+create(Fixture *f, bool probing)
 {
     DispatcherOptions options = {
         .domain = STR("a"),
@@ -426,6 +436,7 @@
     Error error = {0};
 
     memset(f, 0, sizeof(*f));
+    f->probing = probing;
     f->clock = Clock_CreateSystem();
     f->random = Random_Create(5);
     f->counters = Counters_Create(100);
@@ -441,6 +452,12 @@
     set_routes(f);
 }
 
+static void
+set_up(Fixture *f)
+{
+    create(f, false);
+}
+
 static void
 tear_down(Fixture *f)
 {
@@ -818,6 +835,38 @@
     tear_down(&f);
 }
 
+/* Guards against a load probe that reads until its time ends, and against a
+ * report from it. */
+static void
+test_probe(void)
+{
+    static const Script report = {
+        .head = OK_HEAD "Agatecrank-Instance-Id: u0\r\n"
+                        "Agatecrank-Server-Load: 0,0,100\r\n"
+                        "Transfer-Encoding: chunked\r\n\r\n",
+        .part = "8\r\nbbbbbbbb\r\n",
+    };
+    GString *counters = g_string_new(NULL);
+    Caller caller;
+    Fixture f;
+
+    create(&f, true);
+    add_peer(&f, &good);
+    f.peers[0].probe_script = &report;
+    caller = call_once(&f, "/long/x");
+    run_for(&f, 100 * MICROS_PER_MS);
+    Counters_Write(f.counters, counters);
+    g_test_message("sent=%" G_GUINT64_FORMAT " status=%d", f.peers[0].sent,
+                   caller.status);
+    g_assert_cmpint(caller.status, ==, 200);
+    g_assert_cmpuint(f.peers[0].sent, >, 0);
+    g_assert_cmpuint(f.peers[0].sent, <, GIVEN_UP_BYTES_MAX / 8);
+    g_assert_null(strstr(counters->str, "result=\"told\""));
+    g_assert_nonnull(strstr(counters->str, "result=\"none\""));
+    g_string_free(counters, TRUE);
+    tear_down(&f);
+}
+
 static HttpBodyRule
 ignore_head(void *user, const HttpHead *head)
 {
@@ -905,6 +954,7 @@
     g_test_add_func("/net/endless/fetches", test_fetches);
     g_test_add_func("/net/endless/store", test_store);
     g_test_add_func("/net/endless/trickled-head", test_trickled_head);
+    g_test_add_func("/net/endless/probe", test_probe);
     g_test_add_func("/net/endless/stalled-caller", test_stalled_caller);
     return g_test_run();
 }
