gateway: log why an attempt has no valid response

Cause: the line `attempt` with result=broken did not tell whether the connection ended, the header block was too long or the bytes were no HTTP.

Test: test_endless_responses, given-up: a line with result=broken and a cause, and no more than 2,048 bytes of log for one request.

--- a/packages/gateway/Dispatcher.h
+++ b/packages/gateway/Dispatcher.h
@@ -97,6 +97,7 @@
  * @limit: limit that the upstream names in the response
  * @more_follows: the response is longer than what was received; with JOB_RELAY
  *                the job goes on until Dispatcher_OnRelayEnd()
+ * @cause: for the log, why there is no valid response; may be empty
  */
 typedef struct AttemptEndInfo_ {
     AttemptResult result;
@@ -104,6 +105,7 @@
     const LoadReport *report;
     LimitNotice limit;
     bool more_follows;
+    Str cause;
 } AttemptEndInfo;
 
 /** enum RelayEnd - how the relay of a long response ended */
--- a/packages/gateway/Gateway.c
+++ b/packages/gateway/Gateway.c
@@ -266,14 +266,17 @@
     return limit;
 }
 
+/* @cause: for the log; may be empty */
 static JobVerdict
-report_attempt_end(Exchange *exchange, AttemptResult result, bool more_follows)
+report_attempt_end(Exchange *exchange, AttemptResult result, bool more_follows,
+                   Str cause)
 {
     Gateway *this = exchange->gateway;
     const Dialect *dialect = this->options.dialect;
     AttemptEndInfo end = {.result = result,
                           .status = exchange->response_status,
-                          .more_follows = more_follows};
+                          .more_follows = more_follows,
+                          .cause = cause};
     LoadReport report;
 
     if (exchange->response_headers != NULL &&
@@ -314,6 +317,7 @@
 on_call_data(void *user, HttpCall *call, Str data)
 {
     Exchange *exchange = user;
+    AttemptResult result;
 
     if (exchange->relaying) {
         relay_data(exchange, data);
@@ -324,8 +328,11 @@
     if (exchange->response->len <= RESPONSE_BUFFER_MAX_BYTES) {
         return;
     }
-    if (report_attempt_end(exchange, classify_response(exchange), true) ==
-        JOB_RELAY) {
+    result = classify_response(exchange);
+    if (report_attempt_end(exchange, result, true,
+                           result == ATTEMPT_RESULT_BROKEN
+                               ? STR("invalid and too long to be buffered")
+                               : STR("")) == JOB_RELAY) {
         exchange->relaying = true;
         relay(exchange, false);
         return;
@@ -371,7 +378,7 @@
 }
 
 static void
-finish_attempt(Exchange *exchange, AttemptResult result)
+finish_attempt(Exchange *exchange, AttemptResult result, Str cause)
 {
     Gateway *this = exchange->gateway;
 
@@ -379,7 +386,7 @@
     if (exchange->job == NULL) {
         return;
     }
-    if (report_attempt_end(exchange, result, false) == JOB_RELAY) {
+    if (report_attempt_end(exchange, result, false, cause) == JOB_RELAY) {
         relay(exchange, true);
     }
     else {
@@ -397,7 +404,7 @@
         end_relay(exchange, RELAY_COMPLETE);
         return;
     }
-    finish_attempt(exchange, classify_response(exchange));
+    finish_attempt(exchange, classify_response(exchange), STR(""));
 }
 
 static void
@@ -411,7 +418,8 @@
         return;
     }
     finish_attempt(exchange,
-                   maybe_sent ? ATTEMPT_RESULT_BROKEN : ATTEMPT_RESULT_UNSENT);
+                   maybe_sent ? ATTEMPT_RESULT_BROKEN : ATTEMPT_RESULT_UNSENT,
+                   Str_FromC(error->text));
 }
 
 static const HttpCallHandlers call_handlers = {
@@ -461,7 +469,8 @@
         HttpClient_Start(this->client, &spec, &call_handlers, exchange, NULL);
     HeaderList_Destroy(headers);
     if (exchange->call == NULL) {
-        report_attempt_end(exchange, ATTEMPT_RESULT_UNSENT, false);
+        report_attempt_end(exchange, ATTEMPT_RESULT_UNSENT, false,
+                           STR("all connections are busy"));
     }
 }
 
--- a/packages/gateway/JobLog.c
+++ b/packages/gateway/JobLog.c
@@ -143,6 +143,9 @@
                  (Clock_Now(this->clock) - job->sent_at) / MICROS_PER_MS);
     EventLog_Int(this->decisions, "held_ms", total_ms);
     EventLog_Int(this->decisions, "objective_ms", objective_ms);
+    if (end->cause.length > 0) {
+        EventLog_Str(this->decisions, "cause", end->cause);
+    }
     EventLog_End(this->decisions);
 }
 
--- a/tests/test_endless_responses.c
+++ b/tests/test_endless_responses.c
@@ -27,6 +27,8 @@
 /* Bounds what is received of a response that is given up, with the buffers of
  * the kernel. */
 #define GIVEN_UP_BYTES_MAX (8 * 1024 * 1024)
+/* Of the log of one request. */
+#define LINES_BYTES_MAX 2048
 #define IDENTITY                                                              \
     "Agatecrank-Attempt-Id: %s\r\n"                                           \
     "Agatecrank-Response-Signature: s\r\n"
@@ -94,7 +96,9 @@
     unsigned peer_count;
     unsigned waiting;
     unsigned calls;
-    bool probing; /* the service supports load probes */
+    EventLog *log;
+    GString *lines; /* of the log */
+    bool probing;   /* the service supports load probes */
 };
 
 static const Script good = {
@@ -417,6 +421,13 @@
     RouteTable_Unref(table);
 }
 
+static void
+add_line(void *user, LogLevel level, Str line)
+{
+    Str_AppendTo(line, user);
+    g_string_append_c(user, '\n');
+}
+
 static void
 create(Fixture *f, bool probing)
 {
@@ -440,8 +451,10 @@
     f->clock = Clock_CreateSystem();
     f->random = Random_Create(5);
     f->counters = Counters_Create(100);
+    f->lines = g_string_new(NULL);
+    f->log = EventLog_Create(f->clock, LOG_LEVEL_INFO, 0, add_line, f->lines);
     f->dispatcher = Dispatcher_Create(&options, f->clock, f->random, NULL,
-                                      NULL, f->counters);
+                                      f->log, f->counters);
     f->loop = Loop_Create(f->clock, NULL, &error);
     f->gateway =
         Gateway_Create(f->loop, f->dispatcher, f->counters, &gateway, &error);
@@ -480,6 +493,8 @@
     for (unsigned i = 0; i < f->peer_count; i++) {
         g_ptr_array_free(f->peers[i].links, TRUE);
     }
+    EventLog_Destroy(f->log);
+    g_string_free(f->lines, TRUE);
     Counters_Destroy(f->counters);
     Random_Destroy(f->random);
     Clock_Destroy(f->clock);
@@ -543,6 +558,7 @@
 test_given_up(gconstpointer data)
 {
     const Script *script = data;
+    const char *line;
     Caller caller;
     Micros started;
     Fixture f;
@@ -559,6 +575,10 @@
     g_assert_cmpint(caller.status, ==, 502);
     g_assert_cmpstr(caller.body, ==, "{\"reason\":\"upstream-broken\"}");
     g_assert_cmpuint(f.peers[0].sent, <, GIVEN_UP_BYTES_MAX);
+    line = strstr(f.lines->str, "result=broken");
+    g_assert_nonnull(line);
+    g_assert_nonnull(strstr(line, " cause=\""));
+    g_assert_cmpuint(f.lines->len, <, LINES_BYTES_MAX);
     tear_down(&f);
 }
 
