--- a/tests/test_endless_responses.c
+++ b/tests/test_endless_responses.c
@@ -126,7 +126,7 @@
     Str data = Str_FromString(link->block);
 
     if (link->socket == NULL || Socket_Buffered(link->socket) > 0 ||
-        link->peer->sent > SENT_BYTES_MAX) {
+        (script->parts == 0 && link->peer->sent > SENT_BYTES_MAX)) {
         return;
     }
     if (script->parts > 0 && link->parts_left == 0) {
@@ -179,6 +179,9 @@
     link->script = probe && link->peer->probe_script != NULL
                        ? link->peer->probe_script
                        : link->peer->script;
+    if (g_str_has_prefix(request, "get /long/good")) {
+        link->script = &good;
+    }
     pieces = g_strsplit(link->script->head, "%s", -1);
     head = g_strjoinv(id, pieces);
     link->peer->requests += !probe;
@@ -887,6 +890,72 @@
     tear_down(&f);
 }
 
+#define ENDLESS_COUNT 40
+#define SOUND_COUNT 50
+
+typedef struct Pace_ {
+    uint64_t iterations;
+    Micros time;
+} Pace;
+
+/* Iterations of the loop and time of the calls, one after the other. */
+static Pace
+time_sound_calls(Fixture *f)
+{
+    Micros started = Clock_Now(f->clock);
+    Pace pace = {.iterations = Loop_Iterations(f->loop)};
+
+    for (int i = 0; i < SOUND_COUNT; i++) {
+        Caller caller;
+
+        start_call(f, "/long/good", &caller);
+        while (!caller.complete && !caller.failed) {
+            Loop_RunOnce(f->loop);
+        }
+        g_assert_cmpstr(caller.body, ==, "ok");
+    }
+    pace.iterations = Loop_Iterations(f->loop) - pace.iterations;
+    pace.time = Clock_Now(f->clock) - started;
+    return pace;
+}
+
+/* Guards against endless responses that keep the loop from other requests:
+ * each takes as many iterations as alone. */
+static void
+test_other_requests(gconstpointer data)
+{
+    g_autofree Caller *callers = g_new0(Caller, ENDLESS_COUNT);
+    Pace alone, beside;
+    uint64_t before_kb;
+    Fixture f;
+
+    set_up(&f);
+    add_peer(&f, data);
+    alone = time_sound_calls(&f);
+    before_kb = peak_kb();
+    for (unsigned i = 0; i < ENDLESS_COUNT; i++) {
+        start_call(&f, "/long/x", &callers[i]);
+    }
+    while (f.peers[0].requests < SOUND_COUNT + ENDLESS_COUNT) {
+        Loop_RunOnce(f.loop);
+    }
+    beside = time_sound_calls(&f);
+    g_test_message("iterations=%" G_GUINT64_FORMAT "/%" G_GUINT64_FORMAT
+                   " time_us=%" G_GINT64_FORMAT "/%" G_GINT64_FORMAT
+                   " sent=%" G_GUINT64_FORMAT " peak_kb=%" G_GUINT64_FORMAT
+                   "+%" G_GUINT64_FORMAT,
+                   beside.iterations, alone.iterations, beside.time,
+                   alone.time, f.peers[0].sent, before_kb,
+                   peak_kb() - before_kb);
+    g_assert_cmpuint(beside.iterations, <=, 2 * alone.iterations);
+    for (unsigned i = 0; i < ENDLESS_COUNT; i++) {
+        if (!callers[i].complete && !callers[i].failed) {
+            HttpCall_Cancel(callers[i].call);
+        }
+    }
+    tear_down(&f);
+}
+
 static HttpBodyRule
 ignore_head(void *user, const HttpHead *head)
 {
@@ -974,6 +1043,10 @@
     g_test_add_func("/net/endless/fetches", test_fetches);
     g_test_add_func("/net/endless/store", test_store);
     g_test_add_func("/net/endless/trickled-head", test_trickled_head);
+    g_test_add_data_func("/net/endless/others/length", &relayed[0],
+                         test_other_requests);
+    g_test_add_data_func("/net/endless/others/chunks", &relayed[1],
+                         test_other_requests);
     g_test_add_func("/net/endless/probe", test_probe);
     g_test_add_func("/net/endless/stalled-caller", test_stalled_caller);
     return g_test_run();
