standins: responses of upstreams that do not end

Cause: the soak had no upstream whose response does not end.

The stand-in's caller keeps no more than 64 KiB of a body; none that is complete is longer.

--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -28,6 +28,7 @@
 CRASH_INTERVAL_MS=${CRASH_INTERVAL_MS:-0}  # between requests that end upstreams; 0 for none
 LIMIT_INTERVAL_MS=${LIMIT_INTERVAL_MS:-0}  # between changes of the limits that upstreams name; 0 for none
 RESTORE_INTERVAL_MS=${RESTORE_INTERVAL_MS:-0}  # between returns of the store from a copy; 0 for none
+ENDLESS_SHARE=${ENDLESS_SHARE:-0}  # fraction of the responses of upstreams that do not end
 SERVED_LEAST=${SERVED_LEAST:-0.9}  # fraction of the calls after the last fault that must be served
 START_MS=${START_MS:-3000}   # delay before the load
 WORK_MS=${WORK_MS:-30}       # mean service time of a request
@@ -135,7 +136,7 @@
         --crash-interval-ms "$CRASH_INTERVAL_MS" \
         --limit-interval-ms "$LIMIT_INTERVAL_MS" \
         --restore-interval-ms "$RESTORE_INTERVAL_MS" \
-        --served-least "$SERVED_LEAST" \
+        --endless-share "$ENDLESS_SHARE" --served-least "$SERVED_LEAST" \
         >"$WORK/platform.out" 2>"$WORK/platform.err" &
     PLATFORM_PID=$!
     STORE_PORTS=$(store_ports "$WORK/platform.out")
--- a/standins/PlatformCaller.c
+++ b/standins/PlatformCaller.c
@@ -4,6 +4,8 @@
 #include <stdio.h>
 
 #define CALL_TIMEOUT_US (1500 * MICROS_PER_MS)
+/* More than any complete response has; one that does not end is not kept. */
+#define BODY_KEPT_BYTES_MAX 65536
 #define UNSAFE_RATIO 0.35 /* calls of /once/, with a body */
 #define BODY_BYTES 2000
 
@@ -66,7 +68,9 @@
 {
     Call *call = user;
 
-    Str_AppendTo(piece, call->body);
+    if (call->body->len < BODY_KEPT_BYTES_MAX) {
+        Str_AppendTo(piece, call->body);
+    }
 }
 
 /* Prints a failed or slow call; its id is also in the event logs of the hosts.
--- a/standins/PlatformUpstream.c
+++ b/standins/PlatformUpstream.c
@@ -5,6 +5,8 @@
 #define SLOT_COUNT 6
 #define QUEUED_MAX 12 /* requests beyond the slots */
 #define ID_BYTES 32
+/* Length of a response that does not end within the deadline of any request. */
+#define ENDLESS_BYTES ((uint64_t)1 << 50)
 #define CORRECTION_DELAY_US (500 * MICROS_PER_MS)
 #define CRASH_DELAY_US (10 * MICROS_PER_MS)
 #define CRASH_DOWN_MIN_US (2 * MICROS_PER_S)
@@ -100,6 +102,17 @@
     memset(out, 'x', length);
 }
 
+static void
+respond_endless(PlatformUpstream *this, HttpRequest *request,
+                const char *common, const char *signed_headers)
+{
+    bool has_signature = Random_Below(this->context.random, 2) == 0;
+
+    HttpRequest_RespondStream(
+        request, 200, has_signature ? signed_headers : common, ENDLESS_BYTES,
+        ENDLESS_BYTES, fill_placeholder, NULL);
+}
+
 static void
 finish_execution(void *user, HttpRequest *request)
 {
@@ -112,12 +125,17 @@
     g_autofree char *body =
         g_strdup_printf("answer to %s", execution->attempt_id);
     double draw = Random_Unit(this->context.random);
+    double truncated = this->context.lost_response_ratio +
+                       this->context.truncated_response_ratio;
 
     if (draw < this->context.lost_response_ratio) {
         HttpRequest_Abort(request);
     }
-    else if (draw < this->context.lost_response_ratio +
-                        this->context.truncated_response_ratio) {
+    else if (draw >= truncated &&
+             draw < truncated + this->context.endless_response_ratio) {
+        respond_endless(this, request, common, headers);
+    }
+    else if (draw < truncated) {
         HttpRequest_RespondStream(request, 200, headers, strlen(body), 3,
                                   fill_placeholder, NULL);
     }
--- a/standins/PlatformUpstream.h
+++ b/standins/PlatformUpstream.h
@@ -22,6 +22,8 @@
  * @lost_response_ratio: fraction of executions whose connection is closed
  *                       instead of a response
  * @truncated_response_ratio: fraction of executions whose response ends early
+ * @endless_response_ratio: fraction of executions whose response does not end;
+ *                          half of them bear no signature
  * @store_sound_since: end of the last fault of the store or of the links to it
  * @drain_limit: time after a drain report within which hosts may still send
  *               requests
@@ -36,6 +38,7 @@
     Micros mean_service_time;
     double lost_response_ratio;
     double truncated_response_ratio;
+    double endless_response_ratio;
     const Micros *store_sound_since;
     Micros drain_limit;
 } PlatformContext;
--- a/standins/standin-platform.c
+++ b/standins/standin-platform.c
@@ -35,6 +35,7 @@
     double fault_period_s;
     double link_period_s;
     double served_least;
+    double endless_share;
     char *hosts;
 } Options;
 
@@ -67,6 +68,8 @@
      "mean time between faults of links and of records, 0 for none"},
     {"served-least", SETTING_REAL, FIELD(served_least), false,
      "share of the calls after the last fault that must be served"},
+    {"endless-share", SETTING_REAL, FIELD(endless_share), false,
+     "share of the responses of upstreams that do not end"},
     {"hosts", SETTING_TEXT, FIELD(hosts), false,
      "ADDRESS:PORT,... of the gateway hosts"},
 };
@@ -521,6 +524,7 @@
         .lost_response_ratio = this->options.fault_period_s > 0 ? 0.005 : 0,
         .truncated_response_ratio =
             this->options.fault_period_s > 0 ? 0.005 : 0,
+        .endless_response_ratio = this->options.endless_share,
         .store_sound_since = &this->store_sound_since,
         .drain_limit = this->options.drain_ms * MICROS_PER_MS,
     };
