net: limit the time for responses that are discarded

Cause: a balancer host reads a response that it does not relay to its end, to keep the connection, unless it is longer than 64 KiB. No time ended that: an upstream that sends a byte now and then held the connection, one of 64.

Change: the connection is closed after 1 s.

Test: test_endless_responses, proxy-discard; also proxy-relay, which was sound before: relays of balancer hosts end at the deadline of the request.

--- a/packages/net/Proxy.c
+++ b/packages/net/Proxy.c
@@ -12,6 +12,7 @@
 /* A response that is not relayed is read to its end, which keeps the
  * connection reusable, unless it is longer than this. */
 #define DISCARDED_BYTES_MAX 65536
+#define DISCARD_TIME_US (1 * MICROS_PER_S)
 
 typedef struct Attempt_ Attempt;
 
@@ -41,6 +42,7 @@
 struct Attempt_ {
     ProxyRequest *owner; /* NULL if the response is discarded */
     HttpCall *call;
+    LoopTimer *timer;     /* while the response is discarded */
     int64_t discarded;    /* bytes */
     bool response_paused; /* reading from the upstream is paused */
 };
@@ -61,13 +63,40 @@
 
 /* ---- request objects ------------------------------------------------- */
 
+static void
+destroy_attempt(Attempt *attempt)
+{
+    LoopTimer_Destroy(attempt->timer);
+    g_free(attempt);
+}
+
+static void
+on_discard_timeout(void *user)
+{
+    Attempt *attempt = user;
+
+    HttpCall_Cancel(attempt->call);
+    destroy_attempt(attempt);
+}
+
+/* The rest of the response is read without its request. */
+static void
+discard_response(Attempt *attempt)
+{
+    Loop *loop = attempt->owner->proxy->loop;
+
+    attempt->owner = NULL;
+    attempt->timer = LoopTimer_Create(loop, on_discard_timeout, attempt);
+    LoopTimer_Start(attempt->timer, DISCARD_TIME_US);
+}
+
 static void
 destroy_request(gpointer data)
 {
     ProxyRequest *request = data;
 
     if (request->attempt != NULL) {
-        request->attempt->owner = NULL;
+        discard_response(request->attempt);
     }
     if (request->http != NULL) {
         HttpRequest_SetData(request->http, NULL);
@@ -205,7 +234,7 @@
         request->attempt = NULL;
         attempt->owner = NULL;
         HttpCall_Cancel(attempt->call);
-        g_free(attempt);
+        destroy_attempt(attempt);
     }
     if (action->cancel.no_response) {
         HttpClient_CloseIdle(this->client, action->cancel.address,
@@ -258,7 +287,7 @@
         HttpClient_Start(this->client, &spec, &call_handlers, attempt, NULL);
     HeaderList_Destroy(headers);
     if (attempt->call == NULL) {
-        g_free(attempt);
+        destroy_attempt(attempt);
         Balancer_OnAttemptEnd(this->balancer, request->id, ATTEMPT_END_UNSENT,
                               STR(""));
         return;
@@ -430,7 +459,7 @@
         relay_headers(request, status, headers);
     }
     else {
-        attempt->owner = NULL;
+        discard_response(attempt);
         request->attempt = NULL;
         LoopTimer_Stop(request->timer);
     }
@@ -447,7 +476,7 @@
         attempt->discarded += (int64_t)data.length;
         if (attempt->discarded > DISCARDED_BYTES_MAX) {
             HttpCall_Cancel(call);
-            g_free(attempt);
+            destroy_attempt(attempt);
         }
         return;
     }
@@ -484,7 +513,7 @@
     Str recorded = {NULL, 0};
     ExchangeStep step;
 
-    g_free(attempt);
+    destroy_attempt(attempt);
     if (request == NULL) {
         return;
     }
--- a/tests/test_endless_responses.c
+++ b/tests/test_endless_responses.c
@@ -5,10 +5,13 @@
 #include <time.h>
 #include <unistd.h>
 
+#include "Balancer.h"
+#include "ConfigFixture.h"
 #include "Gateway.h"
 #include "GatewayFixture.h"
 #include "HttpFetch.h"
 #include "PlatformDialect.h"
+#include "Proxy.h"
 #include "Socket.h"
 #include "StoreClient.h"
 
@@ -94,6 +97,8 @@
     LoopTimer *guard;
     Peer peers[2];
     unsigned peer_count;
+    uint16_t port; /* where callers connect */
+    const char *host;
     unsigned waiting;
     unsigned calls;
     EventLog *log;
@@ -372,7 +377,7 @@
     g_autofree char *id = g_strdup_printf("request-%u", f->calls++);
     HttpCallSpec spec = {
         .address = "127.0.0.1",
-        .port = Gateway_Port(f->gateway),
+        .port = f->port,
         .method = STR("GET"),
         .path = Str_FromC(path),
         .headers = headers,
@@ -380,7 +385,8 @@
 
     memset(caller, 0, sizeof(*caller));
     caller->fixture = f;
-    HeaderList_Add(headers, STR("host"), GATEWAY_FIXTURE_HOST);
+    HeaderList_Add(headers, STR("host"), Str_FromC(f->host));
+    HeaderList_Add(headers, STR("authorization"), STR("Bearer token"));
     HeaderList_Add(headers, PLATFORM_DIALECT.attempt_id, Str_FromC(id));
     f->waiting++;
     caller->call =
@@ -462,6 +468,8 @@
     f->gateway =
         Gateway_Create(f->loop, f->dispatcher, f->counters, &gateway, &error);
     g_assert_nonnull(f->gateway);
+    f->port = Gateway_Port(f->gateway);
+    f->host = "a.example";
     f->client = HttpClient_Create(f->loop, &client);
     f->guard = LoopTimer_Create(f->loop, on_guard, f);
     LoopTimer_Start(f->guard, RUN_TIME_MAX_US);
@@ -956,6 +964,162 @@
     tear_down(&f);
 }
 
+/* ---- balancer hosts -------------------------------------------------- */
+
+static const char config_document[] =
+    "[operator.root]\npublic_key = \"%s\"\nlines = [\"*\"]\n"
+    "[line.a]\nweight = 50\n"
+    "[service.desk]\nslots = 100\nconnections = 100\n"
+    "idempotent_methods = [\"GET\"]\n"
+    "[caller.counter]\nline = \"a\"\ntoken_sha256 = \"%s\"\n"
+    "[selector.lookups]\nline = \"a\"\nservice = \"desk\"\n"
+    "deadline_ms = 400\n";
+
+typedef struct Host_ {
+    ConfigState *config;
+    Balancer *balancer;
+    Proxy *proxy;
+} Host;
+
+static void
+on_claim(void *user, const ClaimAction *action)
+{
+    (void)user;
+}
+
+static void
+publish_config(const Host *host)
+{
+    g_autofree char *key = Fixture_PublicKey(KEY_ROOT);
+    g_autofree char *token =
+        g_compute_checksum_for_string(G_CHECKSUM_SHA256, "token", -1);
+    g_autofree char *text = g_strdup_printf(config_document, key, token);
+
+    g_assert_cmpint(
+        Fixture_Apply(host->config, "first", "root", KEY_ROOT, 0, text, NULL),
+        ==, CONFIG_ACCEPTED);
+}
+
+static void
+add_directory(Fixture *f, const Host *host)
+{
+    HostEntry entries[G_N_ELEMENTS(f->peers)];
+    char ids[G_N_ELEMENTS(f->peers)][8];
+
+    for (unsigned i = 0; i < f->peer_count; i++) {
+        g_snprintf(ids[i], sizeof(ids[i]), "up-%u", i);
+        entries[i] = (HostEntry){
+            .id = Str_FromC(ids[i]),
+            .role = HOST_UPSTREAM,
+            .address = STR("127.0.0.1"),
+            .port = f->peers[i].port,
+            .service = STR("desk"),
+            .domain = STR("lac-a"),
+        };
+    }
+    Balancer_OnHostList(host->balancer, entries, f->peer_count);
+}
+
+/* Callers connect to a balancer host in front of the upstreams. */
+static void
+start_host(Fixture *f, Host *host)
+{
+    ConfigOptions config = Fixture_Options();
+    BalancerOptions balancer = {
+        .router = RouterOptions_Default(),
+        .admission = {.mode = ADMISSION_SHARED, .hosts = 1},
+        .claims = ClaimsOptions_Default(STR("host-1"), 1),
+        .attempts_max = 3,
+    };
+    ProxyOptions proxy = {
+        .server = {.address = "127.0.0.1", .keep_alive_s = 60},
+        .client = {.max_connections = 64},
+        .request_buffer_bytes = BLOCK_BYTES,
+        .response_buffer_bytes = BLOCK_BYTES,
+        .answer_limit = BLOCK_BYTES,
+    };
+    Str name = STR("host-1");
+    Error error;
+
+    host->config = ConfigState_Create(&config);
+    host->balancer = Balancer_Create(&balancer, host->config, f->clock,
+                                     f->random, NULL, f->counters);
+    Balancer_SetHosts(host->balancer, &name, 1, 0);
+    publish_config(host);
+    add_directory(f, host);
+    Balancer_OnConfigChanged(host->balancer);
+    Balancer_SetReady(host->balancer, true);
+    host->proxy = Proxy_Create(f->loop, host->balancer, f->random, f->counters,
+                               &proxy, on_claim, NULL, &error);
+    g_assert_nonnull(host->proxy);
+    f->port = Proxy_Port(host->proxy);
+    f->host = "desk";
+}
+
+static void
+stop_host(Fixture *f, Host *host)
+{
+    Loop_Close(f->loop);
+    Proxy_Destroy(host->proxy);
+    Balancer_Destroy(host->balancer);
+    ConfigState_Destroy(host->config);
+}
+
+/* Guards against a relay of a balancer host that no deadline ends. */
+static void
+test_proxy_relay(gconstpointer data)
+{
+    Caller caller;
+    Host host;
+    Fixture f;
+
+    set_up(&f);
+    add_peer(&f, data);
+    start_host(&f, &host);
+    caller = call_once(&f, "/x");
+    g_test_message("sent=%" G_GUINT64_FORMAT " status=%d", f.peers[0].sent,
+                   caller.status);
+    g_assert_true(caller.failed);
+    run_for(&f, 50 * MICROS_PER_MS);
+    g_assert_cmpuint(f.peers[0].open, ==, 0);
+    stop_host(&f, &host);
+    tear_down(&f);
+}
+
+/* Guards against a response that is not relayed and holds its connection
+ * without an end: it stays below the limit on its length. */
+static void
+test_proxy_discard(void)
+{
+    static const Script rejection = {
+        .head = "HTTP/1.1 503 Full\r\nagatecrank-outcome: not-run\r\n"
+                "Transfer-Encoding: chunked\r\n\r\n",
+        .part = "8\r\nbbbbbbbb\r\n",
+        .trickle = true,
+    };
+    Host host;
+    Fixture f;
+
+    set_up(&f);
+    add_peer(&f, &rejection);
+    add_peer(&f, &good);
+    start_host(&f, &host);
+    for (int i = 0; i < 10; i++) {
+        Caller caller = call_once(&f, "/x");
+
+        g_assert_true(caller.complete);
+    }
+    g_assert_cmpuint(f.peers[0].requests, >, 0);
+    run_for(&f, 1500 * MICROS_PER_MS);
+    g_test_message("requests=%u sent=%" G_GUINT64_FORMAT " open=%u",
+                   f.peers[0].requests, f.peers[0].sent, f.peers[0].open);
+    g_assert_cmpuint(f.peers[0].open, ==, 0);
+    stop_host(&f, &host);
+    tear_down(&f);
+}
+
+/* ---- parser ---------------------------------------------------------- */
+
 static HttpBodyRule
 ignore_head(void *user, const HttpHead *head)
 {
@@ -1047,6 +1211,13 @@
                          test_other_requests);
     g_test_add_data_func("/net/endless/others/chunks", &relayed[1],
                          test_other_requests);
+    for (size_t i = 0; i < G_N_ELEMENTS(relayed); i++) {
+        g_autofree char *path =
+            g_strdup_printf("/net/endless/proxy-relay/%s", relayed[i].name);
+
+        g_test_add_data_func(path, &relayed[i], test_proxy_relay);
+    }
+    g_test_add_func("/net/endless/proxy-discard", test_proxy_discard);
     g_test_add_func("/net/endless/probe", test_probe);
     g_test_add_func("/net/endless/stalled-caller", test_stalled_caller);
     return g_test_run();
