tests: responses that trickle

No fault was found where the service's upstreams answer load probes: a trickled header block, interim response or body ends at the deadline with 504 and its connection, and beside an idle upstream the request moves there after its objective (AttemptMonitor).

--- a/tests/test_endless_responses.c
+++ b/tests/test_endless_responses.c
@@ -60,6 +60,7 @@
     uint16_t port;
     unsigned requests;
     unsigned open;
+    unsigned responding; /* connections with an open response */
     uint64_t sent;
     GPtrArray *links;
 } Peer;
@@ -115,10 +116,19 @@
 
 /* ---- upstreams ------------------------------------------------------- */
 
+static void
+set_responding(Link *link, bool responding)
+{
+    link->peer->responding += responding;
+    link->peer->responding -= link->responding;
+    link->responding = responding;
+}
+
 static void
 end_link(Link *link)
 {
     link->peer->open--;
+    set_responding(link, false);
     link->socket = NULL;
     LoopTimer_Stop(link->timer);
 }
@@ -135,7 +145,7 @@
         return;
     }
     if (script->parts > 0 && link->parts_left == 0) {
-        link->responding = false;
+        set_responding(link, false);
         if (script->close) {
             Socket_CloseGracefully(link->socket);
             end_link(link);
@@ -190,7 +200,7 @@
     pieces = g_strsplit(link->script->head, "%s", -1);
     head = g_strjoinv(id, pieces);
     link->peer->requests += !probe;
-    link->responding = true;
+    set_responding(link, true);
     link->parts_left = link->script->parts;
     append_parts(link);
     Socket_Write(link->socket, Str_FromC(head));
@@ -964,6 +974,81 @@
     tear_down(&f);
 }
 
+static const Script trickled[] = {
+    {.name = "no-http", .head = "", .part = "lorem ", .trickle = true},
+    {.name = "header-line",
+     .head = OK_HEAD "X: ",
+     .part = "aaaaaa",
+     .trickle = true},
+    {.name = "interim",
+     .head = "",
+     .part = "HTTP/1.1 102 Wait\r\n\r\n",
+     .trickle = true},
+    {.name = "chunks",
+     .head = SIGNED "Transfer-Encoding: chunked\r\n\r\n",
+     .part = "8\r\nbbbbbbbb\r\n",
+     .trickle = true},
+    {.name = "unframed",
+     .head = SIGNED "\r\n",
+     .part = "bbbbbbbb",
+     .trickle = true},
+};
+
+#define REPORT(id)                                                            \
+    {                                                                         \
+        .head = OK_HEAD "Agatecrank-Instance-Id: " id "\r\n"                  \
+                        "Agatecrank-Server-Load: 0,0,100\r\n"                 \
+                        "Content-Length: 2\r\n\r\n",                          \
+        .part = "ok", .parts = 1,                                             \
+    }
+
+static const Script reports[] = {REPORT("u0"), REPORT("u1")};
+
+/* Guards against a trickle that passes for a response, and that holds its
+ * connection after the deadline. */
+static void
+test_trickle(gconstpointer data)
+{
+    Caller caller;
+    Fixture f;
+
+    create(&f, true);
+    add_peer(&f, data);
+    f.peers[0].probe_script = &reports[0];
+    caller = call_once(&f, "/safe/x");
+    g_assert_true(caller.complete);
+    g_assert_cmpint(caller.status, ==, 504);
+    run_for(&f, 50 * MICROS_PER_MS);
+    g_assert_cmpuint(f.peers[0].responding, ==, 0);
+    tear_down(&f);
+}
+
+/* Guards against a request that waits for a trickle until its deadline though
+ * another upstream is idle. */
+static void
+test_trickle_moved(gconstpointer data)
+{
+    Caller caller;
+    Fixture f;
+
+    create(&f, true);
+    add_peer(&f, data);
+    add_peer(&f, &good);
+    f.peers[0].probe_script = &reports[0];
+    f.peers[1].probe_script = &reports[1];
+    for (int i = 0; i < 20; i++) {
+        caller = call_once(&f, "/safe/x");
+        g_assert_true(caller.complete);
+        g_assert_cmpint(caller.status, ==, 200);
+    }
+    g_test_message("status=%d trickled=%u sound=%u", caller.status,
+                   f.peers[0].requests, f.peers[1].requests);
+    g_assert_cmpuint(f.peers[0].requests, >, 0);
+    g_assert_cmpuint(f.peers[0].requests, <, 5);
+    g_assert_cmpuint(f.peers[0].responding, ==, 0);
+    tear_down(&f);
+}
+
 /* ---- balancer hosts -------------------------------------------------- */
 
 static const char config_document[] =
@@ -1217,6 +1302,15 @@
 
         g_test_add_data_func(path, &relayed[i], test_proxy_relay);
     }
+    for (size_t i = 0; i < G_N_ELEMENTS(trickled); i++) {
+        g_autofree char *path =
+            g_strdup_printf("/net/endless/trickle/%s", trickled[i].name);
+        g_autofree char *moved =
+            g_strdup_printf("/net/endless/trickle-moved/%s", trickled[i].name);
+
+        g_test_add_data_func(path, &trickled[i], test_trickle);
+        g_test_add_data_func(moved, &trickled[i], test_trickle_moved);
+    }
     g_test_add_func("/net/endless/proxy-discard", test_proxy_discard);
     g_test_add_func("/net/endless/probe", test_probe);
     g_test_add_func("/net/endless/stalled-caller", test_stalled_caller);
