tests: responses with more or fewer bytes than announced

No fault was found: excess bytes, also endless and trickled ones, end the connection and never reach a caller; truncated responses with a length or in chunks and an unframed one that is reset fail the attempt (502); an unframed one that ends with the connection arrives whole.

--- a/tests/test_endless_responses.c
+++ b/tests/test_endless_responses.c
@@ -50,6 +50,7 @@
     bool trickle; /* a byte at a time */
     bool slow;    /* with a pause after each part */
     bool close;
+    bool reset; /* instead of a close */
 } Script;
 
 typedef struct Peer_ {
@@ -68,6 +69,7 @@
 typedef struct Link_ {
     Peer *peer;
     Socket *socket;
+    int fd; /* owned by the socket */
     LoopTimer *timer;
     GString *request;
     GString *block;
@@ -137,6 +139,7 @@
 pump(void *user)
 {
     Link *link = user;
+    static const struct linger at_once = {.l_onoff = 1};
     const Script *script = link->script;
     Str data = Str_FromString(link->block);
 
@@ -146,7 +149,13 @@
     }
     if (script->parts > 0 && link->parts_left == 0) {
         set_responding(link, false);
-        if (script->close) {
+        if (script->reset) {
+            setsockopt(link->fd, SOL_SOCKET, SO_LINGER, &at_once,
+                       sizeof(at_once));
+            Socket_Close(link->socket);
+            end_link(link);
+        }
+        else if (script->close) {
             Socket_CloseGracefully(link->socket);
             end_link(link);
         }
@@ -265,6 +274,7 @@
     setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &bytes, sizeof(bytes));
     link = g_new0(Link, 1);
     link->peer = peer;
+    link->fd = fd;
     link->request = g_string_new(NULL);
     link->block = g_string_new(NULL);
     link->timer = LoopTimer_Create(peer->fixture->loop, pump, link);
@@ -994,6 +1004,84 @@
      .trickle = true},
 };
 
+/* Responses with more or fewer bytes than announced. */
+static const struct {
+    Script script;
+    int status;
+    const char *body; /* NULL for one of the host */
+} framed[] = {
+    {{.name = "excess",
+      .head = SIGNED "Content-Length: 2\r\n\r\n",
+      .part = "ok"},
+     200,
+     "ok"},
+    {{.name = "excess-chunks",
+      .head = SIGNED "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+      .part = "2\r\nok\r\n"},
+     200,
+     "ok"},
+    {{.name = "excess-trickle",
+      .head = SIGNED "Content-Length: 2\r\n\r\nok",
+      .part = "junk",
+      .trickle = true},
+     200,
+     "ok"},
+    {{.name = "short",
+      .head = SIGNED "Content-Length: 20\r\n\r\n",
+      .part = "ok",
+      .parts = 2,
+      .close = true},
+     502,
+     NULL},
+    {{.name = "short-chunks",
+      .head = SIGNED "Transfer-Encoding: chunked\r\n\r\n",
+      .part = "2\r\nok\r\n",
+      .parts = 2,
+      .close = true},
+     502,
+     NULL},
+    {{.name = "unframed",
+      .head = SIGNED "\r\n",
+      .part = "ok",
+      .parts = 2,
+      .close = true},
+     200,
+     "okok"},
+    {{.name = "unframed-reset",
+      .head = SIGNED "\r\n",
+      .part = "ok",
+      .parts = 2,
+      .slow = true,
+      .reset = true},
+     502,
+     NULL},
+};
+
+/* Guards against a truncated response that passes for a whole one, and against
+ * excess bytes that pass for the next response. */
+static void
+test_framing(gconstpointer data)
+{
+    size_t i = GPOINTER_TO_SIZE(data);
+    Caller caller;
+    Fixture f;
+
+    set_up(&f);
+    add_peer(&f, &framed[i].script);
+    for (int n = 0; n < 2; n++) {
+        caller = call_once(&f, "/long/x");
+        g_test_message("status=%d body=%s", caller.status, caller.body);
+        g_assert_true(caller.complete);
+        g_assert_cmpint(caller.status, ==, framed[i].status);
+        if (framed[i].body != NULL) {
+            g_assert_cmpstr(caller.body, ==, framed[i].body);
+        }
+        run_for(&f, 20 * MICROS_PER_MS);
+        g_assert_cmpuint(f.peers[0].open, ==, 0);
+    }
+    tear_down(&f);
+}
+
 #define REPORT(id)                                                            \
     {                                                                         \
         .head = OK_HEAD "Agatecrank-Instance-Id: " id "\r\n"                  \
@@ -1302,6 +1390,12 @@
 
         g_test_add_data_func(path, &relayed[i], test_proxy_relay);
     }
+    for (size_t i = 0; i < G_N_ELEMENTS(framed); i++) {
+        g_autofree char *path =
+            g_strdup_printf("/net/endless/framing/%s", framed[i].script.name);
+
+        g_test_add_data_func(path, GSIZE_TO_POINTER(i), test_framing);
+    }
     for (size_t i = 0; i < G_N_ELEMENTS(trickled); i++) {
         g_autofree char *path =
             g_strdup_printf("/net/endless/trickle/%s", trickled[i].name);
