gateway: limit the time for the rest of a header block

Cause: where upstreams do not answer load probes, a request waited for a trickled header block until its deadline, though another upstream was idle.

Change: for a request that can be sent again, an attempt fails a quarter of its remaining time after the first byte of a header block that is not complete by then. Other requests wait until the deadline, as before. A lone upstream's trickle now ends with 502 after that time instead of 504 at the deadline.

--- a/packages/gateway/Gateway.c
+++ b/packages/gateway/Gateway.c
@@ -22,6 +22,9 @@
 /* Even an upstream on a slow machine replies within this time. */
 #define LOAD_PROBE_TIMEOUT_US (60 * MICROS_PER_MS)
 #define LOAD_PROBE_BYTES_MAX 65536
+/* Part of the remaining time in which the rest of a header block arrives, at
+ * most, if the request can be sent again. */
+#define HEAD_TIME_RATIO 0.25
 /* Applies until the first configuration arrives. */
 #define CALLER_IDLE_DEFAULT_S 15
 /* Request bodies are buffered in memory until they are complete. */
@@ -458,6 +461,10 @@
         .content_length = (int64_t)exchange->body->len,
         .body = Str_FromBytes(exchange->body),
         .idle_max = action->send.idempotent ? 0 : this->options.reuse_idle,
+        .head_timeout =
+            action->send.idempotent
+                ? (Micros)(HEAD_TIME_RATIO * (double)action->send.timeout)
+                : 0,
         .match_name = dialect->attempt_id,
         .match_value = HeaderList_Get(HttpRequest_Headers(exchange->request),
                                       dialect->attempt_id),
--- a/packages/net/HttpClient.c
+++ b/packages/net/HttpClient.c
@@ -32,7 +32,8 @@
     Peer *peer;
     Socket *socket;
     HttpParser *parser;
-    HttpCall *call; /* NULL while idle */
+    HttpCall *call;        /* NULL while idle */
+    LoopTimer *head_timer; /* for the rest of a header block; NULL if unused */
     Micros idle_since;
     Micros keep_alive_timeout; /* from Keep-Alive of the peer; 0 if absent */
     size_t skipped_bytes;      /* received before the current response */
@@ -41,6 +42,7 @@
     bool closed;
     bool skipping_response; /* it is interim or for an earlier request */
     bool response_complete; /* of the current request */
+    bool in_body;           /* a header block was received, its body not */
     bool keep_alive;
     HttpFraming framing;
 };
@@ -56,6 +58,7 @@
     GString *match_value;
     int64_t content_length;
     int64_t content_written;
+    Micros head_timeout; /* 0 for none */
     size_t response_bytes;
     size_t response_bytes_max; /* 0 for no limit */
     Error error;
@@ -70,6 +73,7 @@
         return;
     }
     HttpParser_Destroy(this->parser);
+    LoopTimer_Destroy(this->head_timer);
     g_free(this);
 }
 
@@ -79,6 +83,9 @@
 {
     this->closed = true;
     this->socket = NULL;
+    if (this->head_timer != NULL) {
+        LoopTimer_Stop(this->head_timer);
+    }
     this->peer->connection_count--;
     g_queue_remove(this->peer->idle, this);
     g_hash_table_remove(this->client->connections, this);
@@ -176,6 +183,7 @@
     Connection *this = user;
     HttpCall *call = this->call;
 
+    this->in_body = true;
     this->keep_alive = head->keep_alive;
     this->framing = head->framing;
     this->keep_alive_timeout = parse_keep_alive(head->headers);
@@ -209,6 +217,7 @@
 {
     Connection *this = user;
 
+    this->in_body = false;
     this->response_complete = !this->skipping_response;
 }
 
@@ -314,13 +323,45 @@
     }
 }
 
+static void
+on_head_timeout(void *user)
+{
+    Connection *this = user;
+    Error error;
+
+    Error_Set(&error, ERR_TIMEOUT, "read-head", STR(""),
+              "the header block was not complete in time");
+    fail_connection(this, CALL_FAILED_FRAMING, &error);
+}
+
+static void
+update_head_timer(Connection *this, bool was_in_head)
+{
+    bool in_head = !this->closed && this->call != NULL &&
+                   this->call->head_timeout > 0 && !this->in_body &&
+                   !HttpParser_IsIdle(this->parser);
+
+    if (in_head && !was_in_head) {
+        if (this->head_timer == NULL) {
+            this->head_timer =
+                LoopTimer_Create(this->client->loop, on_head_timeout, this);
+        }
+        LoopTimer_Start(this->head_timer, this->call->head_timeout);
+    }
+    else if (!in_head && !this->closed && this->head_timer != NULL) {
+        LoopTimer_Stop(this->head_timer);
+    }
+}
+
 static void
 on_data(void *user, Str data)
 {
     Connection *this = user;
+    bool was_in_head = !this->in_body && !HttpParser_IsIdle(this->parser);
 
     this->active_callbacks++;
     parse(this, data);
+    update_head_timer(this, was_in_head);
     this->active_callbacks--;
     release_connection(this);
 }
@@ -543,6 +584,7 @@
     call->handlers = *handlers;
     call->user = user;
     call->content_length = spec->content_length;
+    call->head_timeout = spec->head_timeout;
     call->response_bytes_max = spec->response_bytes_max;
     call->is_head = Str_Equal(spec->method, STR("HEAD"));
     call->match_name = Str_ToString(spec->match_name);
--- a/packages/net/HttpClient.h
+++ b/packages/net/HttpClient.h
@@ -80,6 +80,8 @@
  * @match_name, @match_value: a response that has this header field with
  *     another value belongs to an earlier request and is skipped; may be
  *     empty
+ * @head_timeout: a response whose header block is not complete this long after
+ *     its first byte fails as malformed; 0 for no limit
  * @response_bytes_max: a response with a longer body fails as malformed; 0 for
  *     no limit
  */
@@ -95,6 +97,7 @@
     Micros idle_max;
     Str match_name;
     Str match_value;
+    Micros head_timeout;
     size_t response_bytes_max;
 } HttpCallSpec;
 
