net: time each header block on its own

Cause: the time limit for the rest of a header block went on if a read ended within the next one, so that interim responses split over reads counted as one late header block.

Change: the limit begins anew with each header block.

--- a/packages/net/HttpClient.c
+++ b/packages/net/HttpClient.c
@@ -43,6 +43,7 @@
     bool skipping_response; /* it is interim or for an earlier request */
     bool response_complete; /* of the current request */
     bool in_body;           /* a header block was received, its body not */
+    bool timing_head;       /* head_timer runs */
     bool keep_alive;
     HttpFraming framing;
 };
@@ -184,6 +185,7 @@
     HttpCall *call = this->call;
 
     this->in_body = true;
+    this->timing_head = false;
     this->keep_alive = head->keep_alive;
     this->framing = head->framing;
     this->keep_alive_timeout = parse_keep_alive(head->headers);
@@ -335,13 +337,13 @@
 }
 
 static void
-update_head_timer(Connection *this, bool was_in_head)
+update_head_timer(Connection *this)
 {
     bool in_head = !this->closed && this->call != NULL &&
                    this->call->head_timeout > 0 && !this->in_body &&
                    !HttpParser_IsIdle(this->parser);
 
-    if (in_head && !was_in_head) {
+    if (in_head && !this->timing_head) {
         if (this->head_timer == NULL) {
             this->head_timer =
                 LoopTimer_Create(this->client->loop, on_head_timeout, this);
@@ -351,17 +353,17 @@
     else if (!in_head && !this->closed && this->head_timer != NULL) {
         LoopTimer_Stop(this->head_timer);
     }
+    this->timing_head = in_head;
 }
 
 static void
 on_data(void *user, Str data)
 {
     Connection *this = user;
-    bool was_in_head = !this->in_body && !HttpParser_IsIdle(this->parser);
 
     this->active_callbacks++;
     parse(this, data);
-    update_head_timer(this, was_in_head);
+    update_head_timer(this);
     this->active_callbacks--;
     release_connection(this);
 }
--- a/tests/test_endless_responses.c
+++ b/tests/test_endless_responses.c
@@ -1114,6 +1114,29 @@
     tear_down(&f);
 }
 
+/* Guards against interim responses that count as one late header block because
+ * each read ends within one. */
+static void
+test_split_interim(void)
+{
+    static const Script split = {
+        .head = "HTTP/1.1 1",
+        .part = "02 Wait\r\n\r\nHTTP/1.1 1",
+        .blocks = false,
+        .parts = 1000,
+        .slow = true,
+    };
+    Caller caller;
+    Fixture f;
+
+    set_up(&f);
+    add_peer(&f, &split);
+    caller = call_once(&f, "/safe/x");
+    g_assert_true(caller.complete);
+    g_assert_cmpint(caller.status, ==, 504);
+    tear_down(&f);
+}
+
 /* Guards against a request that waits for a trickle until its deadline though
  * another upstream is idle. */
 static void
@@ -1435,6 +1458,7 @@
                          test_trickle_unprobed);
     g_test_add_data_func("/net/endless/trickle-unprobed/header-line",
                          &trickled[1], test_trickle_unprobed);
+    g_test_add_func("/net/endless/split-interim", test_split_interim);
     g_test_add_func("/net/endless/proxy-discard", test_proxy_discard);
     g_test_add_func("/net/endless/probe", test_probe);
     g_test_add_func("/net/endless/stalled-caller", test_stalled_caller);
