--- a/tests/test_hardening.sh
+++ b/tests/test_hardening.sh
@@ -108,8 +108,27 @@
     echo "ok: large_bodies"
 }
 
+# Guards against a response without an end that is relayed after the deadline,
+# or held in memory.
+endless_response() {
+    local before after code bytes
+    large warm 4 1048576
+    before=$(peak_kb)
+    exec 8<>"/dev/tcp/127.0.0.1/$(caller_port tunis-1)" || fail "connect"
+    printf 'GET /endless HTTP/1.1\r\nHost: claims-desk\r\nAuthorization: Bearer demo-token-a\r\nagatecrank-deadline-ms: 1000\r\nx-answer-bytes: 1000000000000\r\n\r\n' >&8
+    bytes=$(set -o pipefail; timeout 20 cat <&8 | wc -c)
+    code=$?
+    exec 8>&- 8<&-
+    [ "$code" -ne 124 ] || fail "the relay did not end"
+    [ "$bytes" -gt 1048576 ] || fail "only $bytes bytes were relayed"
+    after=$(peak_kb)
+    echo "growth_kb=$((after - before)) growth_bound_kb=$GROWTH_MAX_KB"
+    [ $((after - before)) -lt "$GROWTH_MAX_KB" ] || fail "the response is buffered"
+    echo "ok: endless_response"
+}
+
 setup
-for scenario in ${SCENARIOS:-caller_goes_away malformed large_bodies}; do
+for scenario in ${SCENARIOS:-caller_goes_away malformed large_bodies endless_response}; do
     "$scenario"
 done
 grep -hE 'ERROR: AddressSanitizer|runtime error|LeakSanitizer' "$WORK"/tunis-*.err &&
