--- a/packages/gateway/Dispatcher.c
+++ b/packages/gateway/Dispatcher.c
@@ -651,6 +651,14 @@
 
 /* ---- attempt results ------------------------------------------------ */
 
+void
+Job_BeginRelay(Job *job)
+{
+    job->relaying = true;
+    job->loss_reported = true;
+    Job_SetMonitorAt(job, 0);
+}
+
 static JobVerdict
 on_response(Job *job, const AttemptEndInfo *end)
 {
@@ -658,6 +666,10 @@
     uint32_t upstream = job->upstream;
 
     use_attempt(job);
+    if (end->status < 500 && end->more_follows) {
+        Job_BeginRelay(job);
+        return JOB_RELAY;
+    }
     if (end->status < 500) {
         CrashGuard_OnSuccess(this->guard, &job->fingerprint, upstream);
         Job_EndAttempt(job, ATTEMPT_OK);
@@ -669,6 +681,10 @@
     if (start_retry(job, "upstream-failed") == NULL) {
         return JOB_DISCARD;
     }
+    if (end->more_follows) {
+        Job_BeginRelay(job);
+        return JOB_RELAY;
+    }
     g_hash_table_remove(this->jobs, job);
     return JOB_RELAY;
 }
@@ -776,6 +792,37 @@
     return verdict;
 }
 
+static AttemptOutcome
+outcome_of_relay(RelayEnd end)
+{
+    switch (end) {
+    case RELAY_COMPLETE:
+        return ATTEMPT_OK;
+    case RELAY_BROKEN:
+        return ATTEMPT_CONNECTION_FAILED;
+    case RELAY_TIMEOUT:
+        return ATTEMPT_TIMEOUT;
+    case RELAY_CALLER_SLOW:
+        break;
+    }
+    return ATTEMPT_CANCELLED;
+}
+
+void
+Dispatcher_OnRelayEnd(Dispatcher *this, Job *job, RelayEnd end)
+{
+    uint32_t service = job->service;
+
+    JobLog_RelayEnd(job, end);
+    /* After a status of 500 or more, the attempt has ended as failed. */
+    if (end == RELAY_COMPLETE && job->upstream != UPSTREAM_NONE) {
+        CrashGuard_OnSuccess(this->guard, &job->fingerprint, job->upstream);
+    }
+    Job_EndAttempt(job, outcome_of_relay(end));
+    Job_End(job);
+    JobPlacement_ServeQueue(this, service);
+}
+
 static void
 end_probe(Dispatcher *this, uint32_t upstream, Str result)
 {
@@ -870,6 +917,20 @@
     Job_End(job);
 }
 
+/* The owner tells how the relay ended. */
+static void
+abort_relay(Job *job)
+{
+    DispatchAction abort = {
+        .kind = DISPATCH_ABORT,
+        .job = job,
+        .user = job->user,
+    };
+
+    DueSet_Set(job->owner->due, &job->due, -1);
+    Dispatcher_PushAction(job->owner, &abort);
+}
+
 static void
 time_out(Job *job)
 {
@@ -893,7 +954,10 @@
 {
     Micros now = Clock_Now(job->owner->clock);
 
-    if (job->deadline <= now) {
+    if (job->deadline <= now && job->relaying) {
+        abort_relay(job);
+    }
+    else if (job->deadline <= now) {
         time_out(job);
     }
     else if (job->held_until > 0 && job->held_until <= now) {
--- a/packages/gateway/Dispatcher.h
+++ b/packages/gateway/Dispatcher.h
@@ -107,12 +107,17 @@
  * @status: HTTP status of the response
  * @report: load report of the response, or NULL
  * @limit: limit that the upstream names in the response
+ * @more_follows: the response is longer than what was received; with JOB_RELAY
+ *                the job goes on until Dispatcher_OnRelayEnd()
+ * @cause: for the log, why there is no valid response; may be empty
  */
 typedef struct AttemptEndInfo_ {
     AttemptResult result;
     int status;
     const LoadReport *report;
     LimitNotice limit;
+    bool more_follows;
+    Str cause;
 } AttemptEndInfo;
 
 /** enum ForwardResult - how a request forwarded to a peer ended */
@@ -138,17 +143,28 @@
  * @status: HTTP status of the response
  * @refusal: with FORWARD_NOT_RUN
  * @retry_after: as the peer states; 0 for none
+ * @more_follows: as in struct AttemptEndInfo_
  */
 typedef struct ForwardEndInfo_ {
     ForwardResult result;
     int status;
     ForwardRefusal refusal;
     Micros retry_after;
+    bool more_follows;
 } ForwardEndInfo;
 
+/** enum RelayEnd - how the relay of a long response ended */
+typedef enum RelayEnd_ {
+    RELAY_COMPLETE,
+    RELAY_BROKEN,      /* the connection ended early or was malformed */
+    RELAY_TIMEOUT,     /* the deadline passed */
+    RELAY_CALLER_SLOW, /* the same, while the caller did not read */
+} RelayEnd;
+
 /** enum JobVerdict - whether the response of an upstream or peer is used */
 typedef enum JobVerdict_ {
-    JOB_RELAY,   /* relay it to the caller; the job has ended */
+    JOB_RELAY,   /* relay it to the caller; the job has ended unless more
+                    follows */
     JOB_DISCARD, /* drop it; an action for the job follows */
 } JobVerdict;
 
@@ -166,6 +182,7 @@
     DISPATCH_FORWARD, /* send the request to a peer */
     DISPATCH_RESPOND, /* send a response of the host; the job has ended */
     DISPATCH_CANCEL,  /* cancel the attempt or forward; an action follows */
+    DISPATCH_ABORT,   /* end the relay: its deadline has passed */
 } DispatchActionKind;
 
 /**
@@ -299,6 +316,12 @@
 JobVerdict Dispatcher_OnForwardEnd(Dispatcher *this, Job *job,
                                    const ForwardEndInfo *end);
 
+/**
+ * Dispatcher_OnRelayEnd() - the relay of a response has ended, also after
+ *     DISPATCH_ABORT; ends the job
+ */
+void Dispatcher_OnRelayEnd(Dispatcher *this, Job *job, RelayEnd end);
+
 /**
  * Dispatcher_OnProbeTimeout() - a DISPATCH_PROBE got no response in time
  * @connected: it was sent on an open connection
--- a/packages/gateway/DispatcherPrivate.h
+++ b/packages/gateway/DispatcherPrivate.h
@@ -67,6 +67,7 @@
     bool reached_upstream; /* some upstream may have received it */
     bool forwarded;        /* by a peer */
     bool queued;
+    bool relaying;      /* the caller has got the beginning of a response */
     bool loss_reported; /* the current attempt, to the guard */
     bool others_probed; /* other upstreams were probed for a move */
 };
@@ -157,6 +158,12 @@
  */
 void Job_CancelAttempt(Job *job);
 
+/**
+ * Job_BeginRelay() - the caller gets the beginning of a response; an open
+ *     attempt stays open until Dispatcher_OnRelayEnd()
+ */
+void Job_BeginRelay(Job *job);
+
 /** Job_End() - end the job and release it */
 void Job_End(Job *job);
 
--- a/packages/gateway/ForwardServer.c
+++ b/packages/gateway/ForwardServer.c
@@ -399,8 +399,7 @@
     HttpLimits limits =
         limits_for(head_bytes > 0 ? head_bytes : HEAD_DEFAULT_BYTES);
 
-    HttpServer_SetLimits(this->server, &limits,
-                         IDLE_TIMEOUT_S * MICROS_PER_S);
+    HttpServer_SetLimits(this->server, &limits, IDLE_TIMEOUT_S * MICROS_PER_S);
 }
 
 void
--- a/packages/gateway/Gateway.c
+++ b/packages/gateway/Gateway.c
@@ -12,6 +12,9 @@
 /* Bytes buffered for a slow caller above which reading from the upstream
  * pauses. */
 #define RELAY_BUFFER_MAX_BYTES (128 * 1024)
+/* A caller that takes no more than RELAY_BUFFER_MAX_BYTES in this time is the
+ * reason that a relay is late. */
+#define CALLER_STALL_US (100 * MICROS_PER_MS)
 #define UPSTREAM_IDLE_TIMEOUT_S 8
 /* Fifty times the usual connection time between failure domains. Nothing was
  * sent by then, so the request can go to another upstream. */
@@ -21,6 +24,10 @@
 #define UPSTREAM_KEEP_ALIVE_S 1
 /* Even an upstream on a slow machine replies within this time. */
 #define LOAD_PROBE_TIMEOUT_US (60 * MICROS_PER_MS)
+#define LOAD_PROBE_BYTES_MAX 65536
+/* Part of the remaining time in which the rest of a header block arrives, at
+ * most, if the request can be sent again. */
+#define HEAD_TIME_RATIO 0.25
 /* Applies until the first configuration arrives. */
 #define CALLER_IDLE_DEFAULT_S 15
 /* Request bodies are buffered in memory until they are complete. */
@@ -56,14 +63,15 @@
     Gateway *gateway;
     HttpRequest *request;
     ForwardedRequest *forwarded; /* NULL if a caller sent it to this host */
-    Job *job;                    /* NULL once the response is decided */
-    HttpCall *call;              /* NULL without an open attempt */
-    Forward *forward;            /* NULL unless the attempt is at a peer */
+    Job *job;         /* NULL once the response is complete or ended */
+    HttpCall *call;   /* NULL without an open attempt */
+    Forward *forward; /* NULL unless the attempt is at a peer */
     GByteArray *body;
     HeaderList *response_headers;
     GByteArray *response;
     int response_status;
     Micros received_at;
+    Micros paused_at;
     bool relaying;
     bool paused;
 } Exchange;
@@ -185,11 +193,13 @@
     int64_t length = HeaderList_ContentLength(exchange->response_headers);
 
     HeaderList_CopyEndToEnd(exchange->response_headers, headers);
-    exchange->job = NULL;
     if (exchange->forwarded != NULL) {
         ForwardedRequest_Seal(exchange->forwarded, FORWARD_OUTCOME_RELAYED,
                               STR(""), exchange->response_status, headers);
     }
+    if (complete) {
+        exchange->job = NULL;
+    }
     if (complete &&
         !Str_Equal(HttpRequest_Method(exchange->request), STR("HEAD"))) {
         length = (int64_t)body.length;
@@ -296,13 +306,17 @@
     return limit;
 }
 
+/* @cause: for the log; may be empty */
 static JobVerdict
-report_attempt_end(Exchange *exchange, AttemptResult result)
+report_attempt_end(Exchange *exchange, AttemptResult result, bool more_follows,
+                   Str cause)
 {
     Gateway *this = exchange->gateway;
     const Dialect *dialect = this->options.dialect;
     AttemptEndInfo end = {.result = result,
-                          .status = exchange->response_status};
+                          .status = exchange->response_status,
+                          .more_follows = more_follows,
+                          .cause = cause};
     LoadReport report;
 
     if (exchange->response_headers != NULL &&
@@ -398,11 +412,12 @@
 }
 
 static JobVerdict
-report_forward_end(Exchange *exchange, ForwardResult result)
+report_forward_end(Exchange *exchange, ForwardResult result, bool more_follows)
 {
     ForwardEndInfo end = exchange->forward->end;
 
     end.result = result;
+    end.more_follows = more_follows;
     g_clear_pointer(&exchange->forward, g_free);
     return Dispatcher_OnForwardEnd(exchange->gateway->dispatcher,
                                    exchange->job, &end);
@@ -419,22 +434,32 @@
 }
 
 static JobVerdict
-report_response(Exchange *exchange)
+report_response(Exchange *exchange, bool more_follows)
 {
-    return exchange->forward != NULL
-               ? report_forward_end(exchange, classify_forward(exchange))
-               : report_attempt_end(exchange, classify_response(exchange));
+    AttemptResult result;
+    bool too_long;
+
+    if (exchange->forward != NULL) {
+        return report_forward_end(exchange, classify_forward(exchange),
+                                  more_follows);
+    }
+    result = classify_response(exchange);
+    too_long = more_follows && result == ATTEMPT_RESULT_BROKEN;
+    return report_attempt_end(
+        exchange, result, more_follows,
+        too_long ? STR("invalid and too long to be buffered") : STR(""));
 }
 
 static JobVerdict
-report_failure(Exchange *exchange, bool maybe_sent)
+report_failure(Exchange *exchange, bool maybe_sent, const Error *error)
 {
     if (exchange->forward != NULL) {
-        return report_forward_end(exchange, maybe_sent ? FORWARD_BROKEN
-                                                       : FORWARD_UNSENT);
+        return report_forward_end(
+            exchange, maybe_sent ? FORWARD_BROKEN : FORWARD_UNSENT, false);
     }
-    return report_attempt_end(exchange, maybe_sent ? ATTEMPT_RESULT_BROKEN
-                                                   : ATTEMPT_RESULT_UNSENT);
+    return report_attempt_end(
+        exchange, maybe_sent ? ATTEMPT_RESULT_BROKEN : ATTEMPT_RESULT_UNSENT,
+        false, Str_FromC(error->text));
 }
 
 static void
@@ -459,6 +484,7 @@
     if (!exchange->paused &&
         HttpRequest_Buffered(exchange->request) > RELAY_BUFFER_MAX_BYTES) {
         exchange->paused = true;
+        exchange->paused_at = Clock_Now(Loop_Clock(exchange->gateway->loop));
         HttpCall_PauseResponse(exchange->call, true);
     }
 }
@@ -477,11 +503,10 @@
     }
     g_byte_array_append(exchange->response, (const guint8 *)data.data,
                         (guint)data.length);
-    if (exchange->response->len <= RESPONSE_BUFFER_MAX_BYTES ||
-        !is_response(exchange)) {
+    if (exchange->response->len <= RESPONSE_BUFFER_MAX_BYTES) {
         return;
     }
-    if (report_response(exchange) == JOB_RELAY) {
+    if (report_response(exchange, true) == JOB_RELAY) {
         exchange->relaying = true;
         relay(exchange, false);
         return;
@@ -496,6 +521,36 @@
 {
 }
 
+/* Ends the relay of a response whose call has ended. */
+static void
+end_relay(Exchange *exchange, RelayEnd end)
+{
+    Gateway *this = exchange->gateway;
+    Job *job = exchange->job;
+
+    exchange->call = NULL;
+    exchange->job = NULL;
+    Dispatcher_OnRelayEnd(this->dispatcher, job, end);
+    if (end == RELAY_COMPLETE) {
+        HttpRequest_Finish(exchange->request);
+    }
+    else {
+        HttpRequest_Abort(exchange->request);
+    }
+    Gateway_RunActions(this);
+}
+
+static void
+abort_relay(Exchange *exchange)
+{
+    Micros now = Clock_Now(Loop_Clock(exchange->gateway->loop));
+    bool stalled =
+        exchange->paused && now - exchange->paused_at >= CALLER_STALL_US;
+
+    cancel_call(exchange);
+    end_relay(exchange, stalled ? RELAY_CALLER_SLOW : RELAY_TIMEOUT);
+}
+
 static void
 follow_verdict(Exchange *exchange, JobVerdict verdict)
 {
@@ -514,13 +569,12 @@
     Exchange *exchange = user;
 
     if (exchange->relaying) {
-        exchange->call = NULL;
-        HttpRequest_Finish(exchange->request);
+        end_relay(exchange, RELAY_COMPLETE);
         return;
     }
     exchange->call = NULL;
     if (exchange->job != NULL) {
-        follow_verdict(exchange, report_response(exchange));
+        follow_verdict(exchange, report_response(exchange, false));
     }
 }
 
@@ -531,13 +585,12 @@
     Exchange *exchange = user;
 
     if (exchange->relaying) {
-        exchange->call = NULL;
-        HttpRequest_Abort(exchange->request);
+        end_relay(exchange, RELAY_BROKEN);
         return;
     }
     exchange->call = NULL;
     if (exchange->job != NULL) {
-        follow_verdict(exchange, report_failure(exchange, maybe_sent));
+        follow_verdict(exchange, report_failure(exchange, maybe_sent, error));
     }
 }
 
@@ -577,6 +630,10 @@
         .content_length = (int64_t)exchange->body->len,
         .body = Str_FromBytes(exchange->body),
         .idle_max = action->send.idempotent ? 0 : this->options.reuse_idle,
+        .head_timeout =
+            action->send.idempotent
+                ? (Micros)(HEAD_TIME_RATIO * (double)action->send.timeout)
+                : 0,
         .match_name = dialect->attempt_id,
         .match_value = HeaderList_Get(HttpRequest_Headers(exchange->request),
                                       dialect->attempt_id),
@@ -589,7 +646,8 @@
         HttpClient_Start(this->client, &spec, &call_handlers, exchange, NULL);
     HeaderList_Destroy(headers);
     if (exchange->call == NULL) {
-        report_attempt_end(exchange, ATTEMPT_RESULT_UNSENT);
+        report_attempt_end(exchange, ATTEMPT_RESULT_UNSENT, false,
+                           STR("all connections are busy"));
     }
 }
 
@@ -611,7 +669,7 @@
         result = FORWARD_UNSENT;
         break;
     }
-    report_forward_end(exchange, result);
+    report_forward_end(exchange, result, false);
 }
 
 static void
@@ -771,6 +829,7 @@
         .method = STR("GET"),
         .path = action->probe.path,
         .new_connection = action->probe.new_connection,
+        .response_bytes_max = LOAD_PROBE_BYTES_MAX,
     };
     Probe *probe = g_new0(Probe, 1);
 
@@ -810,6 +869,9 @@
     case DISPATCH_RESPOND:
         respond_to_caller(exchange, action);
         break;
+    case DISPATCH_ABORT:
+        abort_relay(exchange);
+        break;
     }
 }
 
--- a/packages/gateway/HostPath.c
+++ b/packages/gateway/HostPath.c
@@ -177,6 +177,9 @@
 static void
 on_job_cut_off(Job *job, bool silent)
 {
+    if (job->relaying) {
+        return;
+    }
     if (!JobForward_Applies(job)) {
         HostPath_EndHold(job);
         return;
--- a/packages/gateway/JobForward.c
+++ b/packages/gateway/JobForward.c
@@ -238,7 +238,12 @@
     switch (end->result) {
     case FORWARD_RESPONSE:
         job->may_have_run = true;
-        Job_End(job);
+        if (end->more_follows) {
+            Job_BeginRelay(job);
+        }
+        else {
+            Job_End(job);
+        }
         return JOB_RELAY;
     case FORWARD_NOT_RUN:
         /* The peer may have sent it to an upstream that rejected it. */
--- a/packages/net/HttpClient.c
+++ b/packages/net/HttpClient.c
@@ -6,6 +6,9 @@
 #include "Socket.h"
 
 #define RESPONSE_HEAD_BYTES_MAX 65536
+/* Interim responses and responses to earlier requests, before the response to
+ * the current request. */
+#define SKIPPED_BYTES_MAX (1024 * 1024)
 #define KEEP_ALIVE_MARGIN_US (500 * MICROS_PER_MS)
 
 typedef struct Connection_ Connection;
@@ -29,14 +32,18 @@
     Peer *peer;
     Socket *socket;
     HttpParser *parser;
-    HttpCall *call; /* NULL while idle */
+    HttpCall *call;        /* NULL while idle */
+    LoopTimer *head_timer; /* for the rest of a header block; NULL if unused */
     Micros idle_since;
     Micros keep_alive_timeout; /* from Keep-Alive of the peer; 0 if absent */
+    size_t skipped_bytes;      /* received before the current response */
     unsigned active_callbacks; /* callbacks on the call stack */
     bool connected;
     bool closed;
     bool skipping_response; /* it is interim or for an earlier request */
     bool response_complete; /* of the current request */
+    bool in_body;           /* a header block was received, its body not */
+    bool timing_head;       /* head_timer runs */
     bool keep_alive;
     HttpFraming framing;
 };
@@ -52,6 +59,9 @@
     GString *match_value;
     int64_t content_length;
     int64_t content_written;
+    Micros head_timeout; /* 0 for none */
+    size_t response_bytes;
+    size_t response_bytes_max; /* 0 for no limit */
     Error error;
     bool is_head;
     bool maybe_sent;
@@ -64,6 +74,7 @@
         return;
     }
     HttpParser_Destroy(this->parser);
+    LoopTimer_Destroy(this->head_timer);
     g_free(this);
 }
 
@@ -73,6 +84,9 @@
 {
     this->closed = true;
     this->socket = NULL;
+    if (this->head_timer != NULL) {
+        LoopTimer_Stop(this->head_timer);
+    }
     this->peer->connection_count--;
     g_queue_remove(this->peer->idle, this);
     g_hash_table_remove(this->client->connections, this);
@@ -170,6 +184,8 @@
     Connection *this = user;
     HttpCall *call = this->call;
 
+    this->in_body = true;
+    this->timing_head = false;
     this->keep_alive = head->keep_alive;
     this->framing = head->framing;
     this->keep_alive_timeout = parse_keep_alive(head->headers);
@@ -193,6 +209,7 @@
     Connection *this = user;
 
     if (this->call != NULL && !this->skipping_response) {
+        this->call->response_bytes += data.length;
         this->call->handlers.on_data(this->call->user, this->call, data);
     }
 }
@@ -202,6 +219,7 @@
 {
     Connection *this = user;
 
+    this->in_body = false;
     this->response_complete = !this->skipping_response;
 }
 
@@ -250,6 +268,30 @@
     fail_call(call, failure);
 }
 
+static int
+count_skipped(Connection *this, size_t bytes, Error *error)
+{
+    this->skipped_bytes += bytes;
+    if (this->skipped_bytes > SKIPPED_BYTES_MAX) {
+        return Error_Set(error, ERR_LIMIT, "read-response", STR(""),
+                         "more than %d bytes precede the response",
+                         SKIPPED_BYTES_MAX);
+    }
+    return 0;
+}
+
+static int
+check_response_length(const HttpCall *call, Error *error)
+{
+    if (call == NULL || call->response_bytes_max == 0 ||
+        call->response_bytes <= call->response_bytes_max) {
+        return 0;
+    }
+    return Error_Set(error, ERR_LIMIT, "read-response", STR(""),
+                     "the response body is longer than %zu bytes",
+                     call->response_bytes_max);
+}
+
 static void
 parse(Connection *this, Str data)
 {
@@ -268,6 +310,14 @@
         }
         data.data += used;
         data.length -= used;
+        if (this->skipping_response && count_skipped(this, used, &error) < 0) {
+            fail_connection(this, CALL_FAILED_FRAMING, &error);
+            return;
+        }
+        if (check_response_length(this->call, &error) < 0) {
+            fail_connection(this, CALL_FAILED_FRAMING, &error);
+            return;
+        }
         if (this->response_complete && this->call != NULL) {
             complete_call(this, data.length > 0);
             return;
@@ -275,6 +325,37 @@
     }
 }
 
+static void
+on_head_timeout(void *user)
+{
+    Connection *this = user;
+    Error error;
+
+    Error_Set(&error, ERR_TIMEOUT, "read-head", STR(""),
+              "the header block was not complete in time");
+    fail_connection(this, CALL_FAILED_FRAMING, &error);
+}
+
+static void
+update_head_timer(Connection *this)
+{
+    bool in_head = !this->closed && this->call != NULL &&
+                   this->call->head_timeout > 0 && !this->in_body &&
+                   !HttpParser_IsIdle(this->parser);
+
+    if (in_head && !this->timing_head) {
+        if (this->head_timer == NULL) {
+            this->head_timer =
+                LoopTimer_Create(this->client->loop, on_head_timeout, this);
+        }
+        LoopTimer_Start(this->head_timer, this->call->head_timeout);
+    }
+    else if (!in_head && !this->closed && this->head_timer != NULL) {
+        LoopTimer_Stop(this->head_timer);
+    }
+    this->timing_head = in_head;
+}
+
 static void
 on_data(void *user, Str data)
 {
@@ -282,6 +363,7 @@
 
     this->active_callbacks++;
     parse(this, data);
+    update_head_timer(this);
     this->active_callbacks--;
     release_connection(this);
 }
@@ -504,6 +586,8 @@
     call->handlers = *handlers;
     call->user = user;
     call->content_length = spec->content_length;
+    call->head_timeout = spec->head_timeout;
+    call->response_bytes_max = spec->response_bytes_max;
     call->is_head = Str_Equal(spec->method, STR("HEAD"));
     call->match_name = Str_ToString(spec->match_name);
     call->match_value = Str_ToString(spec->match_value);
@@ -595,6 +679,7 @@
     }
     call->connection = connection;
     connection->call = call;
+    connection->skipped_bytes = 0;
     call->maybe_sent = connection->connected;
     send_head(call, spec);
     return call;
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -34,6 +34,7 @@
 CUT_HOSTS=${CUT_HOSTS:-1}    # number of hosts that are cut off, if CUT_KIND is set
 LOSS_PERIOD_MS=${LOSS_PERIOD_MS:-0}  # duration of pauses, and of losses of many responses after each; 0 for none
 LOSS_RATIO=${LOSS_RATIO:-0.5}  # fraction of the responses that are lost then
+ENDLESS_SHARE=${ENDLESS_SHARE:-0}  # fraction of the responses of upstreams that do not end
 SERVED_LEAST=${SERVED_LEAST:-0.9}  # fraction of the calls after the last fault that must be served
 START_MS=${START_MS:-3000}   # delay before the load
 WORK_MS=${WORK_MS:-30}       # mean service time of a request
@@ -163,7 +164,7 @@
         --limit-interval-ms "$LIMIT_INTERVAL_MS" \
         --restore-interval-ms "$RESTORE_INTERVAL_MS" \
         --loss-period-ms "$LOSS_PERIOD_MS" --loss-ratio "$LOSS_RATIO" \
-        --served-least "$SERVED_LEAST" \
+        --endless-share "$ENDLESS_SHARE" --served-least "$SERVED_LEAST" \
         ${CUT_KIND:+--cut-hosts "$CUT_HOSTS" --cut-kind "$CUT_KIND" --cut-file "$WORK/cut"} \
         >"$WORK/platform.out" 2>"$WORK/platform.err" &
     PLATFORM_PID=$!
--- a/tests/support/CrashSimulation.c
+++ b/tests/support/CrashSimulation.c
@@ -551,6 +551,8 @@
         case DISPATCH_FORWARD:
             refuse_forward(host, action.job);
             break;
+        case DISPATCH_ABORT:
+            g_assert_not_reached();
         case DISPATCH_CANCEL:
             if (request->attempt != NULL) {
                 request->attempt->request = NULL;
--- a/tests/support/LimitSimulation.c
+++ b/tests/support/LimitSimulation.c
@@ -334,6 +334,7 @@
             send_attempt(host, &action);
             break;
         case DISPATCH_FORWARD:
+        case DISPATCH_ABORT:
             g_assert_not_reached();
         case DISPATCH_CANCEL:
             if (request->attempt != NULL) {
--- a/tests/support/RetrySimulation.c
+++ b/tests/support/RetrySimulation.c
@@ -377,6 +377,9 @@
         case DISPATCH_SEND:
             send_attempt(host, &action);
             break;
+        case DISPATCH_FORWARD:
+        case DISPATCH_ABORT:
+            g_assert_not_reached();
         case DISPATCH_CANCEL:
             cancel_attempt(action.user);
             break;
--- a/tests/test_forwarding.c
+++ b/tests/test_forwarding.c
@@ -21,7 +21,7 @@
     size_t probe_count;
     Job *watched;
     uint32_t granted; /* to the peer that got the watched job */
-    size_t sends, forwards, responses, cancels;
+    size_t sends, forwards, responses, cancels, aborts;
 } Fixture;
 
 static void
@@ -111,6 +111,9 @@
         case DISPATCH_CANCEL:
             f->cancels++;
             break;
+        case DISPATCH_ABORT:
+            f->aborts++;
+            break;
         }
         f->action = action;
     }
