net: name the entries of the list of hosts RosterEntry

Cause: two types were named HostEntry, of the product's host list (core) and of the platform's list of hosts (net); a test that uses both does not compile. Change: the newer one and its files are renamed; no behaviour changes. Measured: builds; the tests of entries and seals pass.

--- a/packages/net/ForwardSeal.h
+++ b/packages/net/ForwardSeal.h
@@ -2,7 +2,7 @@
 #define AGATECRANK_NET_FORWARDSEAL_H
 
 #include "HeaderList.h"
-#include "HostEntry.h"
+#include "RosterEntry.h"
 
 /** Header field of a seal, in requests and responses */
 #define FORWARD_FIELD "agatecrank-forward"
--- a/packages/net/KeyedSource.c
+++ b/packages/net/KeyedSource.c
@@ -78,7 +78,7 @@
 typedef struct Listed_ {
     GString *id;
     GString *domain;
-    HostEntry entry;
+    RosterEntry entry;
 } Listed;
 
 /* A pending read. @relay is NULL for a direct read. */
@@ -452,10 +452,10 @@
 }
 
 static bool
-parse_registration(const KeyedRecord *record, HostEntry *entry)
+parse_registration(const KeyedRecord *record, RosterEntry *entry)
 {
     return !record->removed && record->key.length > 0 &&
-           HostEntry_Parse(record->value, entry) != ERR_PARSE;
+           RosterEntry_Parse(record->value, entry) != ERR_PARSE;
 }
 
 /* Adds the host of a registration if it can be a relay for this one. */
@@ -463,7 +463,7 @@
 add_peer(KeyedSource *this, const KeyedRecord *record, GPtrArray *peers)
 {
     HttpClientOptions options = {.connect_timeout = RELAY_CONNECT_TIMEOUT_US};
-    HostEntry entry;
+    RosterEntry entry;
     Peer *peer;
     char *url;
 
@@ -486,12 +486,12 @@
 static char *
 registration_value(const KeyedSource *this)
 {
-    HostEntry entry = {.domain = this->options.domain,
-                       .relay = this->options.relay,
-                       .forward_port = this->options.forward_port};
+    RosterEntry entry = {.domain = this->options.domain,
+                         .relay = this->options.relay,
+                         .forward_port = this->options.forward_port};
 
     memcpy(entry.key, this->options.key, HOST_KEY_BYTES);
-    return HostEntry_Format(&entry);
+    return RosterEntry_Format(&entry);
 }
 
 static bool
@@ -533,7 +533,7 @@
 
 /* Copies an entry of the list. */
 static void
-put_entry(KeyedSource *this, Str id, const HostEntry *entry)
+put_entry(KeyedSource *this, Str id, const RosterEntry *entry)
 {
     Listed *listed = g_new0(Listed, 1);
 
@@ -547,13 +547,13 @@
 static void
 apply_entry(KeyedSource *this, const KeyedRecord *record)
 {
-    HostEntry entry;
+    RosterEntry entry;
     int code;
 
     if (record->removed || record->key.length == 0) {
         return;
     }
-    code = HostEntry_Parse(record->value, &entry);
+    code = RosterEntry_Parse(record->value, &entry);
     if (code < 0) {
         log_bad_entry(this, record->key, code);
     }
--- a/packages/net/KeyedSource.h
+++ b/packages/net/KeyedSource.h
@@ -1,9 +1,9 @@
 #ifndef AGATECRANK_NET_KEYEDSOURCE_H
 #define AGATECRANK_NET_KEYEDSOURCE_H
 
-#include "HostEntry.h"
 #include "KeyedLog.h"
 #include "Loop.h"
+#include "RosterEntry.h"
 
 /**
  * typedef KeyedSource - reads a log directly or through a relay
@@ -19,14 +19,14 @@
 /** struct ListedHost_ - a live host with its newest entry */
 typedef struct ListedHost_ {
     Str id;
-    HostEntry entry;
+    RosterEntry entry;
 } ListedHost;
 
 /**
  * struct KeyedSourceOptions_ - settings
  * @host, @domain: id and failure domain of this host
  * @relay: address and port of this host's KeyedRelay
- * @forward_port, @key: as in struct HostEntry_, for the entry of this host
+ * @forward_port, @key: as in struct RosterEntry_, for the entry of this host
  * @first_start: see HostRoster_Create()
  * @on_direct: called when this host begins (@direct set) or ceases to read the
  *             log directly
--- a/packages/net/HostEntry.c
+++ b/packages/net/RosterEntry.c
@@ -1,10 +1,10 @@
-#include "HostEntry.h"
+#include "RosterEntry.h"
 
 #include "Error.h"
 #include "Hex.h"
 
 static int
-parse_forward(Str text, HostEntry *this)
+parse_forward(Str text, RosterEntry *this)
 {
     uint64_t port;
     Str field;
@@ -19,11 +19,11 @@
 }
 
 int
-HostEntry_Parse(Str text, HostEntry *this)
+RosterEntry_Parse(Str text, RosterEntry *this)
 {
     Str first;
 
-    *this = (HostEntry){.forward_port = 0};
+    *this = (RosterEntry){.forward_port = 0};
     if (!Str_Split(&text, ' ', &first) ||
         Endpoint_Parse(text, &this->relay) < 0) {
         return ERR_PARSE;
@@ -34,7 +34,7 @@
 }
 
 char *
-HostEntry_Format(const HostEntry *this)
+RosterEntry_Format(const RosterEntry *this)
 {
     GString *text = Str_ToString(this->domain);
 
--- a/packages/net/HostEntry.h
+++ b/packages/net/RosterEntry.h
@@ -1,5 +1,5 @@
-#ifndef AGATECRANK_NET_HOSTENTRY_H
-#define AGATECRANK_NET_HOSTENTRY_H
+#ifndef AGATECRANK_NET_ROSTERENTRY_H
+#define AGATECRANK_NET_ROSTERENTRY_H
 
 #include "Endpoint.h"
 
@@ -7,7 +7,7 @@
 #define HOST_KEY_BYTES 32
 
 /**
- * struct HostEntry_ - what a host writes about itself into the list of hosts
+ * struct RosterEntry_ - what a host writes about itself into the list of hosts
  * @domain: failure domain; borrowed from the text when parsed
  * @relay: address of its KeyedRelay
  * @forward_port: TCP port for forwarded requests, at the address of @relay; 0
@@ -19,22 +19,22 @@
  * versions without forwarding read the first form as an entry of another
  * domain.
  */
-typedef struct HostEntry_ {
+typedef struct RosterEntry_ {
     Str domain;
     Endpoint relay;
     uint16_t forward_port;
     uint8_t key[HOST_KEY_BYTES];
-} HostEntry;
+} RosterEntry;
 
 /**
- * HostEntry_Parse() - parse the text of an entry
+ * RosterEntry_Parse() - parse the text of an entry
  *
  * Return: 0; ERR_INVALID if the host is live but its port or key is malformed,
  * then @forward_port is 0; ERR_PARSE if nothing can be used.
  */
-int HostEntry_Parse(Str text, HostEntry *entry);
+int RosterEntry_Parse(Str text, RosterEntry *entry);
 
-/** HostEntry_Format() - text of an entry, to be freed with g_free() */
-char *HostEntry_Format(const HostEntry *this);
+/** RosterEntry_Format() - text of an entry, to be freed with g_free() */
+char *RosterEntry_Format(const RosterEntry *this);
 
 #endif
--- a/tests/test_forward_seal.c
+++ b/tests/test_forward_seal.c
@@ -35,10 +35,10 @@
     };
 
     for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
-        HostEntry entry;
+        RosterEntry entry;
 
-        g_assert_cmpint(HostEntry_Parse(Str_FromC(cases[i].text), &entry), ==,
-                        cases[i].code);
+        g_assert_cmpint(RosterEntry_Parse(Str_FromC(cases[i].text), &entry),
+                        ==, cases[i].code);
         if (cases[i].code != ERR_PARSE) {
             g_assert_true(Str_Equal(entry.domain, Str_FromC(cases[i].domain)));
             g_assert_cmpuint(entry.relay.port, ==, cases[i].relay_port);
@@ -60,19 +60,19 @@
 static void
 test_entry_of_next_version(void)
 {
-    HostEntry entry = {
+    RosterEntry entry = {
         .domain = STR("d"), .relay = {"10.0.0.1", 7735}, .forward_port = 7734};
-    HostEntry parsed;
+    RosterEntry parsed;
     Endpoint endpoint;
     g_autofree char *text = NULL;
     Str domain;
 
     g_assert_cmpint(Hex_Parse(STR(KEY), entry.key, HOST_KEY_BYTES), ==, 0);
-    text = HostEntry_Format(&entry);
+    text = RosterEntry_Format(&entry);
     g_assert_cmpstr(text, ==, "d;7734;" KEY " 10.0.0.1:7735");
     g_assert_true(parse_as_before(Str_FromC(text), &domain, &endpoint));
     g_assert_cmpuint(endpoint.port, ==, 7735);
-    g_assert_cmpint(HostEntry_Parse(Str_FromC(text), &parsed), ==, 0);
+    g_assert_cmpint(RosterEntry_Parse(Str_FromC(text), &parsed), ==, 0);
     g_assert_cmpmem(parsed.key, HOST_KEY_BYTES, entry.key, HOST_KEY_BYTES);
 }
 
--- a/tests/test_keyed_follower.c
+++ b/tests/test_keyed_follower.c
@@ -460,7 +460,7 @@
 
     g_string_truncate(host->entries, 0);
     for (size_t i = 0; i < count; i++) {
-        g_autofree char *text = HostEntry_Format(&hosts[i].entry);
+        g_autofree char *text = RosterEntry_Format(&hosts[i].entry);
 
         g_string_append_printf(host->entries, "[" STR_FORMAT " %s]",
                                STR_ARGS(hosts[i].id), text);
