gateway: limit the time for the body of a forwarded request

Change: a body that is not complete within 2 s ends its connection.

Measured: /forward-server/slow-body fails before (no end within 10 s) and passes with sanitizers.

--- a/packages/gateway/ForwardServer.c
+++ b/packages/gateway/ForwardServer.c
@@ -7,12 +7,16 @@
 #define HEAD_EXTRA_BYTES 1024
 #define HEAD_DEFAULT_BYTES 16384
 #define HEAD_TIMEOUT_US (1 * MICROS_PER_S)
+/* A host that loses its path to this one while it sends leaves a connection
+ * that never ends. */
+#define BODY_TIMEOUT_US (2 * MICROS_PER_S)
 #define IDLE_TIMEOUT_S 15
 /* Bodies of all open requests together. */
 #define BODIES_MAX_BYTES ((int64_t)32 * 1024 * 1024)
 #define REFUSAL_LOG_INTERVAL_US (1 * MICROS_PER_S)
 
 struct ForwardServer_ {
+    Loop *loop;
     HttpServer *server;
     ForwardServerOptions options;
     ForwardServerHandlers handlers;
@@ -31,6 +35,7 @@
     uint32_t attempts_max;
     uint8_t response_key[FORWARD_MAC_KEY_BYTES];
     uint8_t digest[FORWARD_DIGEST_BYTES];
+    LoopTimer *body_timer;
     GByteArray *body;   /* NULL once taken */
     int64_t body_bytes; /* as announced */
     void *data;         /* of the owner */
@@ -178,7 +183,16 @@
 
 /* ---- requests ------------------------------------------------------- */
 
-static ForwardedRequest *
+static void
+on_body_timeout(void *user)
+{
+    ForwardedRequest *this = user;
+
+    log_refusal(this->server, Str_FromString(this->sender), "body-timeout");
+    HttpRequest_Abort(this->http);
+}
+
+static void
 create_forwarded(ForwardServer *this, HttpRequest *request,
                  const HostPeer *peer, const ForwardRequestSeal *seal)
 {
@@ -195,8 +209,10 @@
     forwarded->body = g_byte_array_new();
     forwarded->body_bytes = HttpRequest_ContentLength(request);
     this->body_bytes += forwarded->body_bytes;
+    forwarded->body_timer =
+        LoopTimer_Create(this->loop, on_body_timeout, forwarded);
+    LoopTimer_Start(forwarded->body_timer, BODY_TIMEOUT_US);
     HttpRequest_SetData(request, forwarded);
-    return forwarded;
 }
 
 static void
@@ -204,6 +220,7 @@
 {
     HttpRequest_SetData(this->http, NULL);
     this->server->body_bytes -= this->body_bytes;
+    LoopTimer_Destroy(this->body_timer);
     if (this->body != NULL) {
         g_byte_array_free(this->body, TRUE);
     }
@@ -260,6 +277,7 @@
     if (forwarded == NULL) {
         return;
     }
+    LoopTimer_Stop(forwarded->body_timer);
     ForwardSeal_Digest(Str_FromBytes(forwarded->body), digest);
     if (!ForwardSeal_Equal(digest, forwarded->digest, sizeof(digest))) {
         refuse(this, request, Str_FromString(forwarded->sender), "bad-body");
@@ -363,6 +381,7 @@
         .limits = limits_for(HEAD_DEFAULT_BYTES),
     };
 
+    this->loop = loop;
     this->options = *options;
     this->handlers = *handlers;
     this->user = user;
--- a/tests/test_forward_server.c
+++ b/tests/test_forward_server.c
@@ -529,6 +529,35 @@
     g_string_free(body, TRUE);
 }
 
+/* Guards against bodies that never end and use up the bound on bodies. */
+static void
+test_slow_body(Fixture *f, gconstpointer data)
+{
+    Message message;
+    HttpCallSpec spec = {.address = "127.0.0.1",
+                         .port = ForwardServer_Port(f->server),
+                         .method = STR("POST"),
+                         .path = STR("/once/1"),
+                         .content_length = sizeof(BODY) - 1,
+                         .body = STR("some")};
+    GString *text = g_string_new(NULL);
+
+    init_message(f, &message);
+    seal_message(&message);
+    ForwardRequestSeal_Format(&message.seal, text);
+    HeaderList_Set(message.headers, STR(FORWARD_FIELD), Str_FromString(text));
+    spec.headers = message.headers;
+    begin_call(f);
+    g_assert_nonnull(
+        HttpClient_Start(f->client, &spec, &call_handlers, f, NULL));
+    wait_for_end(f);
+    g_assert_cmpint(f->status, ==, 0);
+    g_assert_cmpuint(f->runs, ==, 0);
+    g_assert_cmpuint(ForwardServer_OpenRequests(f->server), ==, 0);
+    g_string_free(text, TRUE);
+    HeaderList_Destroy(message.headers);
+}
+
 /* ---- responses ------------------------------------------------------ */
 
 /* Guards against using a response of a process that has taken over the address
@@ -599,6 +628,7 @@
     ADD("/forward-server/unknown-key", test_unknown_key);
     ADD("/forward-server/unknown-keys", test_unknown_keys);
     ADD("/forward-server/large-body", test_large_body);
+    ADD("/forward-server/slow-body", test_slow_body);
     ADD("/forward-server/foreign-response", test_foreign_response);
     ADD("/forward-server/altered-response", test_altered_response);
     return g_test_run();
