--- a/packages/net/HostKeys.h
+++ b/packages/net/HostKeys.h
@@ -100,7 +100,7 @@
  * HostKeys_Derive() - derive the keys of a pair
  * @id, @key: of the other host
  *
- * Costs some ten microseconds. Return: 0, or ERR_INVALID if @key is unusable.
+ * Return: 0, or ERR_INVALID if @key is unusable.
  */
 int HostKeys_Derive(const HostKeys *this, Str id, const uint8_t *key,
                     PairKeys *keys);
