tests: failures that are taken back after a cut

Cause: planting back that failures and ejections of a cut are kept turned no test red.

Change: test_placement checks that failures before the cut stay and later ones go; test_forwarding that no upstream is ejected after a cut, by probes or by attempts that end after it.

--- a/tests/test_forwarding.c
+++ b/tests/test_forwarding.c
@@ -19,6 +19,7 @@
     char reason[32];       /* of the last response */
     uint32_t probes[PROBES_MAX];
     size_t probe_count;
+    bool silent; /* probes time out instead of being refused */
     Job *watched;
     uint32_t granted; /* to the peer that got the watched job */
     size_t sends, forwards, responses, cancels;
@@ -126,8 +127,14 @@
     memcpy(probes, f->probes, sizeof(probes));
     f->probe_count = 0;
     for (size_t i = 0; i < n; i++) {
-        Dispatcher_OnProbeResult(f->dispatcher, probes[i], result,
-                                 result == PROBE_ANSWERED ? &report : NULL);
+        if (result == PROBE_REFUSED && f->silent) {
+            Dispatcher_OnProbeTimeout(f->dispatcher, probes[i], false);
+        }
+        else {
+            Dispatcher_OnProbeResult(f->dispatcher, probes[i], result,
+                                     result == PROBE_ANSWERED ? &report
+                                                              : NULL);
+        }
         take_actions(f);
     }
 }
@@ -403,6 +410,42 @@
     g_assert_cmpint(Dispatcher_OpenJobs(f->dispatcher), ==, 0);
 }
 
+static bool
+has_counted(Fixture *f, const char *label)
+{
+    GString *text = g_string_new(NULL);
+    bool found;
+
+    Counters_Write(f->counters, text);
+    found = strstr(text->str, label) != NULL;
+    g_string_free(text, TRUE);
+    return found;
+}
+
+/* Guards against upstreams that are ejected because of attempts that were lost
+ * in the cut: those abandoned in it and those that end after it. */
+static void
+test_no_ejections(Fixture *f, gconstpointer data)
+{
+    Job *jobs[10];
+
+    f->silent = data != NULL;
+    Dispatcher_RemoveUpstream(f->dispatcher, STR("v"));
+    Dispatcher_RemoveUpstream(f->dispatcher, STR("w"));
+    for (size_t i = 0; i < G_N_ELEMENTS(jobs); i++) {
+        jobs[i] = send_request(f, "/once/1", 0, false);
+    }
+    cut_off(f);
+    restore(f);
+    for (size_t i = 0; i < G_N_ELEMENTS(jobs); i++) {
+        end_attempt(f, jobs[i], ATTEMPT_RESULT_BROKEN);
+        end_probes(f, PROBE_ANSWERED);
+    }
+    send_request(f, "/safe/1", 0, false);
+    g_assert_true(has_counted(f, "placements_total{reason=\"shortest\"}"));
+    g_assert_false(has_counted(f, "most-look-bad"));
+}
+
 /* Guards against attempts that are spent while the path is being probed, and
  * against requests that wait for long if it is there. */
 static void
@@ -486,6 +529,9 @@
     ADD("forwarded-adds-no-retries", set_up, test_forwarded_adds_no_retries);
     ADD("deadline", set_up, test_deadline);
     ADD("path-is-back", set_up, test_path_is_back);
+    ADD("no-ejections", set_up, test_no_ejections);
+    g_test_add("/forwarding/no-ejections-silent", Fixture, GINT_TO_POINTER(1),
+               set_up, test_no_ejections, tear_down);
     ADD("held", set_up, test_held);
     ADD("held-for-long", set_up, test_held_for_long);
     ADD("forward-limit", set_up, test_forward_limit);
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -260,6 +260,28 @@
 #define ADD(path, test)                                                       \
     g_test_add(path, Fixture, NULL, set_up, test, tear_down)
 
+/* Guards against ejections that were learnt while this host was cut off. */
+static void
+test_restored_failures(Fixture *f, gconstpointer data)
+{
+    add(f, 0, OWN_DOMAIN);
+    add(f, 1, OWN_DOMAIN);
+    for (int i = 0; i < 3; i++) {
+        Placement_OnSent(f->placement, 0);
+        Placement_OnFinished(f->placement, 0, ATTEMPT_TIMEOUT);
+    }
+    Placement_SaveFailures(f->placement);
+    for (int i = 0; i < 3; i++) {
+        Placement_OnProbeTimeout(f->placement, 1);
+    }
+    g_assert_true(Placement_IsUnreachable(f->placement, 1));
+    Placement_RestoreFailures(f->placement);
+    g_assert_false(Placement_IsUnreachable(f->placement, 1));
+    /* The one that failed before stays ejected. */
+    g_assert_cmpuint(choose(f).upstream, ==, 1);
+    g_assert_cmpstr(choose(f).reason, ==, "shortest");
+}
+
 int
 main(int argc, char **argv)
 {
@@ -271,6 +293,7 @@
     ADD("/placement/failures", test_failures);
     ADD("/placement/ask", test_select_probes);
     ADD("/placement/silence", test_probe_timeouts);
+    ADD("/placement/restored-failures", test_restored_failures);
     g_test_add_func("/placement/budget", test_probe_budget);
     g_test_add_func("/placement/spare-questions", test_spare_probes);
     return g_test_run();
