--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -32,6 +32,8 @@
 RESTORE_INTERVAL_MS=${RESTORE_INTERVAL_MS:-0}  # between returns of the store from a copy; 0 for none
 LOSS_PERIOD_MS=${LOSS_PERIOD_MS:-0}  # duration of pauses, and of losses of many responses after each; 0 for none
 LOSS_RATIO=${LOSS_RATIO:-0.5}  # fraction of the responses that are lost then
+RETRY_RATIO=${RETRY_RATIO:-0.2}  # retries per request that hosts are allowed
+RETRY_EXTRA=${RETRY_EXTRA:-64}   # retries in addition to that, in 10 s
 SERVED_LEAST=${SERVED_LEAST:-0.9}  # fraction of the calls after the last fault that must be served
 START_MS=${START_MS:-3000}   # delay before the load
 WORK_MS=${WORK_MS:-30}       # mean service time of a request
@@ -43,7 +45,8 @@
 write_settings() {
     {
         gateway_settings "$1" "$(echo "$STORE_PORTS" | cut -d ' ' -f "$(($1 + 1))")"
-        printf '[bounds]\ngraceS = 6\ndrainS = 2\nprobesPerS = 60\nretryBudgetRatio = 0.2\nretryBudgetExtra = 64\n'
+        printf '[bounds]\ngraceS = 6\ndrainS = 2\nprobesPerS = 60\n'
+        printf 'retryBudgetRatio = %s\nretryBudgetExtra = %s\n' "$RETRY_RATIO" "$RETRY_EXTRA"
     } >"$WORK/host-$1.toml"
 }
 
