net: keep the connection while its header block times out

Cause: the timer of the header block closed and released the connection outside of a callback of its socket, and then detached the call from it (address sanitizer: heap-use-after-free in detach_call; found by the sanitized run of test_endless_responses, trickle; the release runs before it showed nothing).

Change: the timer counts as a callback, as on_data does.

--- a/packages/net/HttpClient.c
+++ b/packages/net/HttpClient.c
@@ -333,7 +333,10 @@
 
     Error_Set(&error, ERR_TIMEOUT, "read-head", STR(""),
               "the header block was not complete in time");
+    this->active_callbacks++;
     fail_connection(this, CALL_FAILED_FRAMING, &error);
+    this->active_callbacks--;
+    release_connection(this);
 }
 
 static void
