gateway: one object says whether an upstream may be sent to

Cause: draining and ejection were fields of the load table, limits an object of their own, and each place that chooses or probes upstreams combined them by itself.

Change: Eligibility holds draining, ejection and the limits and reduces them to one reason for each upstream; Placement asks it. event=route and event=refuse have the number of upstreams by reason (excluded), the metrics agatecrank_excluded_upstreams. Placement_LimitWait() becomes Placement_Blocked(), which also tells the reason. Slow start stays a cost in Placement, quarantine a property of requests in CrashGuard.

Measured: test_placement, test_gateway_parts, test_dispatcher, test_upstream_limit and test_request_trace pass with sanitizers, unchanged.

--- a/packages/agatecrankd/GatewayDaemon.c
+++ b/packages/agatecrankd/GatewayDaemon.c
@@ -107,6 +107,19 @@
     HeaderList_Destroy(headers);
 }
 
+static void
+set_excluded_counts(GatewayDaemon *this)
+{
+    for (int reason = ELIGIBILITY_OK + 1; reason < ELIGIBILITY_COUNT;
+         reason++) {
+        CounterLabel label = {"reason",
+                              Str_FromC(Eligibility_ReasonName(reason))};
+
+        Counters_Set(this->counters, "agatecrank_excluded_upstreams", &label,
+                     1, Dispatcher_ExcludedCount(this->dispatcher, reason));
+    }
+}
+
 static void
 respond_metrics(void *user, HttpRequest *request)
 {
@@ -120,6 +133,7 @@
                  (double)Dispatcher_UpstreamCount(this->dispatcher));
     Counters_Set(this->counters, "agatecrank_limited_upstreams", NULL, 0,
                  Dispatcher_LimitedUpstreamCount(this->dispatcher));
+    set_excluded_counts(this);
     Counters_Set(this->counters, "agatecrank_store_calls", NULL, 0,
                  (double)(KeyedSource_LogCalls(this->source) +
                           QuarantineFeed_Appends(this->quarantine)));
--- a/packages/gateway/Dispatcher.c
+++ b/packages/gateway/Dispatcher.c
@@ -303,7 +303,8 @@
                                                ? RETRY_AFTER_SOON_US
                                                : RETRY_AFTER_FULL_US);
     }
-    if (Placement_LimitWait(this->placement, &query, &wait)) {
+    if (Placement_Blocked(this->placement, &query, &wait) ==
+        ELIGIBILITY_LIMIT) {
         return retry_after_limits(this, wait);
     }
     return Random_Jitter(this->random, RETRY_AFTER_FULL_US);
@@ -444,6 +445,12 @@
     return UpstreamLimits_Count(this->limits);
 }
 
+uint32_t
+Dispatcher_ExcludedCount(const Dispatcher *this, EligibilityReason reason)
+{
+    return Eligibility_Count(Placement_Eligibility(this->placement), reason);
+}
+
 size_t
 Dispatcher_UpstreamCount(const Dispatcher *this)
 {
--- a/packages/gateway/Dispatcher.h
+++ b/packages/gateway/Dispatcher.h
@@ -216,6 +216,13 @@
 /** Dispatcher_LimitedUpstreamCount() - number of upstreams that name a limit */
 uint32_t Dispatcher_LimitedUpstreamCount(const Dispatcher *this);
 
+/**
+ * Dispatcher_ExcludedCount() - number of upstreams that may get no request for
+ *     a reason
+ */
+uint32_t Dispatcher_ExcludedCount(const Dispatcher *this,
+                                  EligibilityReason reason);
+
 /**
  * Dispatcher_UpstreamCount() - number of known upstreams, with draining ones
  */
--- /dev/null
+++ b/packages/gateway/Eligibility.c
@@ -0,0 +1,216 @@
+#include "Eligibility.h"
+
+#include <glib.h>
+
+/* Duration of the first ejection, and how often it doubles at most: with each
+ * further ejection in a row. */
+#define EJECTION_BASE_US (1 * MICROS_PER_S)
+#define EJECTION_DOUBLINGS_MAX 3
+
+typedef struct Entry_ {
+    uint32_t instance;
+    uint32_t ejections; /* in a row */
+    Micros ejected_until;
+    bool listed;
+    bool draining;
+} Entry;
+
+struct Eligibility_ {
+    UpstreamLimits *limits;
+    const Clock *clock;
+    GArray *entries; /* Entry by upstream */
+};
+
+Eligibility *
+Eligibility_Create(UpstreamLimits *limits, const Clock *clock)
+{
+    Eligibility *this = g_new0(Eligibility, 1);
+
+    this->limits = limits;
+    this->clock = clock;
+    this->entries = g_array_new(FALSE, TRUE, sizeof(Entry));
+    return this;
+}
+
+void
+Eligibility_Destroy(Eligibility *this)
+{
+    if (this == NULL) {
+        return;
+    }
+    g_array_free(this->entries, TRUE);
+    g_free(this);
+}
+
+const char *
+Eligibility_ReasonName(EligibilityReason reason)
+{
+    switch (reason) {
+    case ELIGIBILITY_OK:
+        return "ok";
+    case ELIGIBILITY_EJECTED:
+        return "ejected";
+    case ELIGIBILITY_LIMIT:
+        return "limit";
+    case ELIGIBILITY_DRAINING:
+        return "draining";
+    case ELIGIBILITY_COUNT:
+        break;
+    }
+    return "unknown";
+}
+
+static Entry *
+find_entry(const Eligibility *this, uint32_t upstream)
+{
+    return upstream < this->entries->len
+               ? &g_array_index(this->entries, Entry, upstream)
+               : NULL;
+}
+
+void
+Eligibility_OnListed(Eligibility *this, uint32_t upstream, uint32_t instance)
+{
+    if (this->entries->len <= upstream) {
+        g_array_set_size(this->entries, upstream + 1);
+    }
+    *find_entry(this, upstream) =
+        (Entry){.instance = instance, .listed = true};
+    UpstreamLimits_OnListed(this->limits, upstream, instance);
+}
+
+void
+Eligibility_OnRemoved(Eligibility *this, uint32_t upstream)
+{
+    Entry *entry = find_entry(this, upstream);
+
+    if (entry != NULL) {
+        entry->listed = false;
+        UpstreamLimits_OnRemoved(this->limits, upstream);
+    }
+}
+
+void
+Eligibility_SetDraining(Eligibility *this, uint32_t upstream, bool draining)
+{
+    Entry *entry = find_entry(this, upstream);
+
+    if (entry != NULL) {
+        entry->draining = draining;
+    }
+}
+
+/* ---- ejection -------------------------------------------------------- */
+
+static Micros
+ejection_end(const Eligibility *this, const Entry *entry)
+{
+    return Clock_Now(this->clock) +
+           (EJECTION_BASE_US << MIN(entry->ejections, EJECTION_DOUBLINGS_MAX));
+}
+
+static bool
+is_ejected(const Eligibility *this, const Entry *entry)
+{
+    return entry->ejected_until > Clock_Now(this->clock);
+}
+
+void
+Eligibility_Eject(Eligibility *this, uint32_t upstream)
+{
+    Entry *entry = find_entry(this, upstream);
+
+    if (entry != NULL && !is_ejected(this, entry)) {
+        entry->ejected_until = ejection_end(this, entry);
+        entry->ejections++;
+    }
+}
+
+void
+Eligibility_OnSuccess(Eligibility *this, uint32_t upstream)
+{
+    Entry *entry = find_entry(this, upstream);
+
+    if (entry != NULL) {
+        entry->ejections = 0;
+        entry->ejected_until = 0;
+    }
+}
+
+void
+Eligibility_OnSent(Eligibility *this, uint32_t upstream)
+{
+    Entry *entry = find_entry(this, upstream);
+
+    UpstreamLimits_OnSent(this->limits, upstream);
+    /* The next trial of an ejected upstream starts after this one. */
+    if (entry != NULL && entry->ejections > 0) {
+        entry->ejected_until = ejection_end(this, entry);
+    }
+}
+
+/* ---- decisions ------------------------------------------------------- */
+
+EligibilityReason
+Eligibility_Reason(const Eligibility *this, uint32_t upstream)
+{
+    const Entry *entry = find_entry(this, upstream);
+
+    if (entry == NULL) {
+        return ELIGIBILITY_OK;
+    }
+    if (entry->draining) {
+        return ELIGIBILITY_DRAINING;
+    }
+    if (!UpstreamLimits_MaySend(this->limits, upstream)) {
+        return ELIGIBILITY_LIMIT;
+    }
+    return is_ejected(this, entry) ? ELIGIBILITY_EJECTED : ELIGIBILITY_OK;
+}
+
+Micros
+Eligibility_Wait(const Eligibility *this, uint32_t upstream)
+{
+    switch (Eligibility_Reason(this, upstream)) {
+    case ELIGIBILITY_LIMIT:
+        return UpstreamLimits_Wait(this->limits, upstream);
+    case ELIGIBILITY_OK:
+    case ELIGIBILITY_EJECTED:
+        return 0;
+    case ELIGIBILITY_DRAINING:
+    case ELIGIBILITY_COUNT:
+        break;
+    }
+    return -1;
+}
+
+/* One that may get no request is probed now and then only, to learn whether it
+ * still has its limit. */
+bool
+Eligibility_MayProbe(const Eligibility *this, uint32_t upstream)
+{
+    switch (Eligibility_Reason(this, upstream)) {
+    case ELIGIBILITY_OK:
+        return true;
+    case ELIGIBILITY_LIMIT:
+        return !is_ejected(this, find_entry(this, upstream)) &&
+               UpstreamLimits_IsProbeDue(this->limits, upstream);
+    case ELIGIBILITY_EJECTED:
+    case ELIGIBILITY_DRAINING:
+    case ELIGIBILITY_COUNT:
+        break;
+    }
+    return false;
+}
+
+uint32_t
+Eligibility_Count(const Eligibility *this, EligibilityReason reason)
+{
+    uint32_t count = 0;
+
+    for (guint i = 0; i < this->entries->len; i++) {
+        count += find_entry(this, i)->listed &&
+                 Eligibility_Reason(this, i) == reason;
+    }
+    return count;
+}
--- /dev/null
+++ b/packages/gateway/Eligibility.h
@@ -0,0 +1,75 @@
+#ifndef AGATECRANK_GATEWAY_ELIGIBILITY_H
+#define AGATECRANK_GATEWAY_ELIGIBILITY_H
+
+#include "UpstreamLimits.h"
+
+/**
+ * typedef Eligibility - which upstreams this host may send requests to now
+ *
+ * Holds what an upstream has announced and what this host has found out, by
+ * incarnation, and reduces it to one reason for each upstream.
+ */
+typedef struct Eligibility_ Eligibility;
+
+/** enum EligibilityReason_ - why no request may be sent, weakest reason first */
+typedef enum EligibilityReason_ {
+    ELIGIBILITY_OK,
+    ELIGIBILITY_EJECTED,  /* it fails or is unreachable; the last resort */
+    ELIGIBILITY_LIMIT,    /* this host's part of its limit is used up */
+    ELIGIBILITY_DRAINING, /* its description says so */
+    ELIGIBILITY_COUNT,
+} EligibilityReason;
+
+/** Eligibility_Create() - all pointers are borrowed */
+Eligibility *Eligibility_Create(UpstreamLimits *limits, const Clock *clock);
+
+/** Eligibility_Destroy() - NULL is allowed */
+void Eligibility_Destroy(Eligibility *this);
+
+/** Eligibility_ReasonName() - static lower-case word */
+const char *Eligibility_ReasonName(EligibilityReason reason);
+
+/**
+ * Eligibility_OnListed() - the index is used by an incarnation from now on
+ * @instance: identifies it on all hosts; 0 if unknown
+ */
+void Eligibility_OnListed(Eligibility *this, uint32_t upstream,
+                          uint32_t instance);
+
+/** Eligibility_OnRemoved() - the upstream is not listed any more */
+void Eligibility_OnRemoved(Eligibility *this, uint32_t upstream);
+
+/** Eligibility_SetDraining() - set what its description says */
+void Eligibility_SetDraining(Eligibility *this, uint32_t upstream,
+                             bool draining);
+
+/**
+ * Eligibility_Eject() - the upstream fails; each further ejection in a row
+ *     lasts longer
+ */
+void Eligibility_Eject(Eligibility *this, uint32_t upstream);
+
+/** Eligibility_OnSuccess() - the upstream has processed a request */
+void Eligibility_OnSuccess(Eligibility *this, uint32_t upstream);
+
+/** Eligibility_OnSent() - the upstream is sent a request */
+void Eligibility_OnSent(Eligibility *this, uint32_t upstream);
+
+/** Eligibility_Reason() - strongest reason against a request to the upstream */
+EligibilityReason Eligibility_Reason(const Eligibility *this,
+                                     uint32_t upstream);
+
+/**
+ * Eligibility_Wait() - time until the upstream may get a request
+ *
+ * Return: 0 if it may now, -1 if the time is unknown.
+ */
+Micros Eligibility_Wait(const Eligibility *this, uint32_t upstream);
+
+/** Eligibility_MayProbe() - whether its load may be probed for a request */
+bool Eligibility_MayProbe(const Eligibility *this, uint32_t upstream);
+
+/** Eligibility_Count() - number of listed upstreams with a reason */
+uint32_t Eligibility_Count(const Eligibility *this, EligibilityReason reason);
+
+#endif
--- a/packages/gateway/JobLog.c
+++ b/packages/gateway/JobLog.c
@@ -66,6 +66,29 @@
     }
 }
 
+/* Adds the upstreams of the service that may get no request now, as
+ * "REASON:COUNT,...". */
+static void
+add_excluded_field(const Job *job)
+{
+    Dispatcher *this = job->owner;
+    uint32_t counts[ELIGIBILITY_COUNT];
+    GString *text = g_string_new(NULL);
+
+    Placement_CountReasons(this->placement, job->service, counts);
+    for (int reason = ELIGIBILITY_OK + 1; reason < ELIGIBILITY_COUNT;
+         reason++) {
+        if (counts[reason] > 0) {
+            g_string_append_printf(text, "%s%s:%u", text->len > 0 ? "," : "",
+                                   Eligibility_ReasonName(reason),
+                                   counts[reason]);
+        }
+    }
+    EventLog_CStr(this->decisions, "excluded",
+                  text->len > 0 ? text->str : "none");
+    g_string_free(text, TRUE);
+}
+
 /* First attempts are routine and rate-limited. */
 static bool
 begin_choice(const Job *job)
@@ -96,6 +119,7 @@
     EventLog_Int(this->decisions, "pace_percent", choice->slowdown_percent);
     EventLog_Int(this->decisions, "age_us", choice->age);
     EventLog_Int(this->decisions, "asked", job->probed_count);
+    add_excluded_field(job);
     EventLog_Int(this->decisions, "held_ms", elapsed_ms(job));
     EventLog_Int(this->decisions, "left_ms", remaining / MICROS_PER_MS);
     add_quarantine_fields(job);
@@ -178,6 +202,9 @@
     EventLog_Int(this->decisions, "attempts", job->tried_count);
     EventLog_Str(this->decisions, "upstream", last_upstream(job));
     EventLog_Int(this->decisions, "held_ms", elapsed_ms(job));
+    if (job->route != NULL) {
+        add_excluded_field(job);
+    }
     add_quarantine_fields(job);
     EventLog_End(this->decisions);
 }
--- a/packages/gateway/JobPlacement.c
+++ b/packages/gateway/JobPlacement.c
@@ -371,9 +371,16 @@
     PlacementQuery query = JobPlacement_Query(job);
     Micros wait;
 
-    return Placement_LimitWait(job->owner->placement, &query, &wait)
-               ? "upstream-limits"
-               : "no-upstream";
+    switch (Placement_Blocked(job->owner->placement, &query, &wait)) {
+    case ELIGIBILITY_LIMIT:
+        return "upstream-limits";
+    case ELIGIBILITY_OK:
+    case ELIGIBILITY_EJECTED:
+    case ELIGIBILITY_DRAINING:
+    case ELIGIBILITY_COUNT:
+        break;
+    }
+    return "no-upstream";
 }
 
 void
--- a/packages/gateway/Placement.c
+++ b/packages/gateway/Placement.c
@@ -31,10 +31,6 @@
 /* Probe timeouts in a row after which an upstream counts as unreachable: a
  * single one may be due to a lost packet or to a pause of the upstream. */
 #define UNREACHABLE_TIMEOUTS_COUNT 2
-/* Duration of the first ejection, and how often it doubles at most: with each
- * further ejection in a row. */
-#define EJECTION_BASE_US (1 * MICROS_PER_S)
-#define EJECTION_DOUBLINGS_MAX 3
 /* Cost that a failure ratio of 1 adds. */
 #define FAILURE_COST 2.0F
 
@@ -42,17 +38,14 @@
     PlacementInfo info;
     Micros report_at; /* -1 without a report */
     Micros warmup_until;
-    Micros ejected_until;
     float running; /* by the last report, like the next two */
     float waiting;
     float slowdown;
     float failure_ratio; /* moving average: 1 for a failure, 0 for a success */
     uint32_t sent;       /* requests since the report */
     uint32_t inflight;
-    uint32_t ejections;
     uint32_t probe_timeouts;
     bool present;
-    bool draining;
     bool probe_pending;
 } Load;
 
@@ -87,7 +80,7 @@
 struct Placement_ {
     const Clock *clock;
     Random *random;
-    UpstreamLimits *limits;
+    Eligibility *eligibility;
     uint32_t own_domain;
     float probes_per_s;
     float probe_tokens; /* probes that may be sent now */
@@ -113,7 +106,7 @@
 
     this->clock = clock;
     this->random = random;
-    this->limits = limits;
+    this->eligibility = Eligibility_Create(limits, clock);
     this->own_domain = own_domain;
     this->probes_per_s = (float)probes_per_s;
     this->probe_tokens = INITIAL_PROBES_COUNT;
@@ -129,11 +122,18 @@
     if (this == NULL) {
         return;
     }
+    Eligibility_Destroy(this->eligibility);
     g_array_free(this->loads, TRUE);
     g_ptr_array_free(this->services, TRUE);
     g_free(this);
 }
 
+Eligibility *
+Placement_Eligibility(const Placement *this)
+{
+    return this->eligibility;
+}
+
 static Load *
 load_at(const Placement *this, uint32_t upstream)
 {
@@ -178,7 +178,7 @@
         .warmup_until = now + info->warmup,
         .present = true,
     };
-    UpstreamLimits_OnListed(this->limits, upstream, info->instance);
+    Eligibility_OnListed(this->eligibility, upstream, info->instance);
     g_array_append_val(service->upstreams, upstream);
     service->slots += info->slots;
 }
@@ -197,7 +197,7 @@
     service->inflight -= MIN(service->inflight, load->inflight);
     service->slots -= load->info.slots;
     load->present = false;
-    UpstreamLimits_OnRemoved(this->limits, upstream);
+    Eligibility_OnRemoved(this->eligibility, upstream);
     list = service->upstreams;
     for (guint i = 0; i < list->len; i++) {
         if (g_array_index(list, uint32_t, i) == upstream) {
@@ -210,10 +210,8 @@
 void
 Placement_SetDraining(Placement *this, uint32_t upstream, bool draining)
 {
-    Load *load = find_load(this, upstream);
-
-    if (load != NULL) {
-        load->draining = draining;
+    if (find_load(this, upstream) != NULL) {
+        Eligibility_SetDraining(this->eligibility, upstream, draining);
     }
 }
 
@@ -225,16 +223,10 @@
     if (load == NULL) {
         return;
     }
-    UpstreamLimits_OnSent(this->limits, upstream);
+    Eligibility_OnSent(this->eligibility, upstream);
     load->sent++;
     load->inflight++;
     service_at(this, load->info.service)->inflight++;
-    /* The next trial of an ejected upstream starts after this one. */
-    if (load->ejections > 0) {
-        load->ejected_until =
-            Clock_Now(this->clock) +
-            (EJECTION_BASE_US << MIN(load->ejections, EJECTION_DOUBLINGS_MAX));
-    }
 }
 
 void
@@ -273,22 +265,11 @@
 }
 
 static void
-eject(Load *load, Micros now)
-{
-    if (load->ejected_until <= now) {
-        load->ejected_until =
-            now +
-            (EJECTION_BASE_US << MIN(load->ejections, EJECTION_DOUBLINGS_MAX));
-        load->ejections++;
-    }
-}
-
-static void
-on_failure(Load *load, Micros now)
+on_failure(Placement *this, uint32_t upstream, Load *load)
 {
     load->failure_ratio += FAILURE_EWMA_WEIGHT * (1 - load->failure_ratio);
     if (load->failure_ratio > EJECTION_FAILURE_RATIO) {
-        eject(load, now);
+        Eligibility_Eject(this->eligibility, upstream);
     }
 }
 
@@ -309,13 +290,12 @@
     switch (outcome) {
     case ATTEMPT_OK:
         load->failure_ratio *= 1 - FAILURE_EWMA_WEIGHT;
-        load->ejections = 0;
-        load->ejected_until = 0;
+        Eligibility_OnSuccess(this->eligibility, upstream);
         break;
     case ATTEMPT_ERROR:
     case ATTEMPT_CONNECTION_FAILED:
     case ATTEMPT_TIMEOUT:
-        on_failure(load, Clock_Now(this->clock));
+        on_failure(this, upstream, load);
         break;
     case ATTEMPT_SHED:
     case ATTEMPT_CANCELLED:
@@ -361,7 +341,7 @@
         load->report_at = -1;
         load->probe_timeouts++;
         if (is_unreachable(load)) {
-            eject(load, Clock_Now(this->clock));
+            Eligibility_Eject(this->eligibility, upstream);
         }
     }
 }
@@ -401,28 +381,14 @@
 }
 
 static bool
-is_candidate(const Load *load, const PlacementQuery *query, uint32_t upstream)
+is_avoided(const PlacementQuery *query, uint32_t upstream)
 {
     for (size_t i = 0; i < query->avoid_count; i++) {
         if (query->avoid[i] == upstream) {
-            return false;
+            return true;
         }
     }
-    return !load->draining;
-}
-
-static bool
-is_usable(Placement *this, const Load *load, const PlacementQuery *query,
-          uint32_t upstream)
-{
-    return is_candidate(load, query, upstream) &&
-           UpstreamLimits_MaySend(this->limits, upstream);
-}
-
-static bool
-is_ejected(const Load *load, Micros now)
-{
-    return load->ejected_until > now;
+    return false;
 }
 
 static bool
@@ -567,17 +533,6 @@
     return n;
 }
 
-/* One that may get no request is probed now and then only, to learn whether it
- * still has its limit. */
-static bool
-may_probe(Placement *this, const Load *load, const PlacementQuery *query,
-          uint32_t upstream)
-{
-    return is_candidate(load, query, upstream) &&
-           (UpstreamLimits_MaySend(this->limits, upstream) ||
-            UpstreamLimits_IsProbeDue(this->limits, upstream));
-}
-
 /* Prefers upstreams that were fast by their last report. One whose load is
  * unknown comes before one that was slow. */
 size_t
@@ -594,8 +549,9 @@
         const Load *load = load_at(this, upstream);
         bool own = load->info.domain == this->own_domain;
 
-        if (own != (scope == PLACEMENT_OWN_DOMAIN) || is_ejected(load, now) ||
-            !may_probe(this, load, query, upstream) || is_fresh(load, now)) {
+        if (own != (scope == PLACEMENT_OWN_DOMAIN) ||
+            is_avoided(query, upstream) || is_fresh(load, now) ||
+            !Eligibility_MayProbe(this->eligibility, upstream)) {
             continue;
         }
         n = insert_cheapest(
@@ -650,8 +606,8 @@
 }
 
 static void
-find_best(Placement *this, const PlacementQuery *query, bool ejected,
-          Best *own, Best *other)
+find_best(Placement *this, const PlacementQuery *query,
+          EligibilityReason accepted, Best *own, Best *other)
 {
     const Service *service = service_at(this, query->service);
     Micros now = Clock_Now(this->clock);
@@ -663,8 +619,8 @@
         uint32_t upstream = g_array_index(service->upstreams, uint32_t, i);
         const Load *load = load_at(this, upstream);
 
-        if (!is_usable(this, load, query, upstream) ||
-            is_ejected(load, now) != ejected) {
+        if (is_avoided(query, upstream) ||
+            Eligibility_Reason(this->eligibility, upstream) != accepted) {
             continue;
         }
         best = load->info.domain == this->own_domain ? own : other;
@@ -698,11 +654,11 @@
     const Load *load;
     Best own, other;
 
-    find_best(this, query, false, &own, &other);
+    find_best(this, query, ELIGIBILITY_OK, &own, &other);
     if (own.ties == 0 && other.ties == 0) {
         /* When all upstreams are ejected, the detection of failures may be
          * wrong, so ejected ones are used. */
-        find_best(this, query, true, &own, &other);
+        find_best(this, query, ELIGIBILITY_EJECTED, &own, &other);
         reason = "most-look-bad";
     }
     if (own.ties == 0 && other.ties == 0) {
@@ -729,25 +685,43 @@
     return 0;
 }
 
-bool
-Placement_LimitWait(Placement *this, const PlacementQuery *query, Micros *wait)
+void
+Placement_CountReasons(Placement *this, uint32_t service, uint32_t *counts)
+{
+    const GArray *upstreams = service_at(this, service)->upstreams;
+
+    for (int reason = 0; reason < ELIGIBILITY_COUNT; reason++) {
+        counts[reason] = 0;
+    }
+    for (guint i = 0; i < upstreams->len; i++) {
+        counts[Eligibility_Reason(this->eligibility,
+                                  g_array_index(upstreams, uint32_t, i))]++;
+    }
+}
+
+EligibilityReason
+Placement_Blocked(Placement *this, const PlacementQuery *query, Micros *wait)
 {
     const Service *service = service_at(this, query->service);
-    bool limited = false;
+    EligibilityReason reason = ELIGIBILITY_OK;
 
     *wait = -1;
     for (guint i = 0; i < service->upstreams->len; i++) {
         uint32_t upstream = g_array_index(service->upstreams, uint32_t, i);
-        Micros own = UpstreamLimits_Wait(this->limits, upstream);
+        EligibilityReason own =
+            Eligibility_Reason(this->eligibility, upstream);
+        Micros own_wait = Eligibility_Wait(this->eligibility, upstream);
 
-        if (own == 0 ||
-            !is_candidate(load_at(this, upstream), query, upstream)) {
+        if (is_avoided(query, upstream) || own <= ELIGIBILITY_EJECTED) {
             continue;
         }
-        limited = true;
-        if (own > 0 && (*wait < 0 || own < *wait)) {
-            *wait = own;
+        if (own_wait >= 0 && (*wait < 0 || own_wait < *wait)) {
+            *wait = own_wait;
+            reason = own;
+        }
+        else if (*wait < 0 && (reason == ELIGIBILITY_OK || own < reason)) {
+            reason = own;
         }
     }
-    return limited;
+    return reason;
 }
--- a/packages/gateway/Placement.h
+++ b/packages/gateway/Placement.h
@@ -1,8 +1,8 @@
 #ifndef AGATECRANK_GATEWAY_PLACEMENT_H
 #define AGATECRANK_GATEWAY_PLACEMENT_H
 
+#include "Eligibility.h"
 #include "Router.h"
-#include "UpstreamLimits.h"
 
 /**
  * typedef Placement - chooses upstreams by current load reports
@@ -90,6 +90,9 @@
 /** Placement_Destroy() - NULL is allowed */
 void Placement_Destroy(Placement *this);
 
+/** Placement_Eligibility() - decides which upstreams may be used; borrowed */
+Eligibility *Placement_Eligibility(const Placement *this);
+
 /** Placement_Add() - add an upstream whose load is unknown */
 void Placement_Add(Placement *this, uint32_t upstream,
                    const PlacementInfo *info);
@@ -171,11 +174,21 @@
                      PlacementChoice *choice);
 
 /**
- * Placement_LimitWait() - whether upstreams can't be used because of the limits
- *     that they name
- * @wait: output: time until one of them can; -1 if this host has no part
+ * Placement_CountReasons() - count the upstreams of a service by the reason
+ *     against a request to them
+ * @counts: output, with ELIGIBILITY_COUNT elements
+ */
+void Placement_CountReasons(Placement *this, uint32_t service,
+                            uint32_t *counts);
+
+/**
+ * Placement_Blocked() - why no upstream can be chosen
+ * @wait: output: time until one of them can; -1 if it is unknown
+ *
+ * Return: the reason of the upstream that can be used first, ELIGIBILITY_OK if
+ * there is no upstream.
  */
-bool Placement_LimitWait(Placement *this, const PlacementQuery *query,
-                         Micros *wait);
+EligibilityReason Placement_Blocked(Placement *this,
+                                    const PlacementQuery *query, Micros *wait);
 
 #endif
