gateway: send nothing to an upstream whose responses say that it leaves

Cause: nothing read the field. A host left an upstream alone only once its entry in the store said draining or was gone, so while the store was away, or where the entry went on to say ready, it sent for as long as the upstream served.

Change: PlatformDialect decodes the field, NoticeReader reads it when the headers of a response arrive (to a request or a probe, own responses only), Eligibility keeps it by incarnation, also over a lapse and return of the entry. Such an upstream gets no request, retry, queued send or probe for placement; what is in hand there ends normally, and no response from it counts as no loss. Malformed and repeated fields are counted and logged once a second.

With half of the upstreams leaving at once no request is refused, sent twice or cut short.

--- a/packages/agatecrank/RequestTrace.c
+++ b/packages/agatecrank/RequestTrace.c
@@ -43,8 +43,11 @@
      "an attempt failed, and the retry budget of the window was exhausted",
      "event=attempt lines with a result other than answer: the failures"},
     {"no-upstream",
-     "all listed upstreams of the service are draining, or none is listed",
-     "event=upstream lines, then store-lost"},
+     "all listed upstreams of the service are draining or leaving, or none is "
+     "listed",
+     "excluded of the refusal; event=upstream and event=upstream-notice "
+     "lines, "
+     "then store-lost"},
     {"upstream-limits",
      "every upstream of the service that is not draining has named a request "
      "limit, and this host has used its part or has none",
--- a/packages/gateway/Dialect.h
+++ b/packages/gateway/Dialect.h
@@ -16,6 +16,8 @@
  * @instance_id: from a probed upstream: its id
  * @load: from an upstream: its load, parsed by @parse_load
  * @parse_load: returns 0 or ERR_PARSE
+ * @leaving: from an upstream: it will end and wants no more requests
+ * @parse_leaving: returns 0 if the value says so, or ERR_PARSE
  * @limits: from an upstream: requests per second that it accepts from all
  *          hosts together, parsed by @parse_limit; the first field present
  *          counts, and an empty name ends the list
@@ -30,6 +32,8 @@
     Str instance_id;
     Str load;
     int (*parse_load)(Str text, LoadReport *report);
+    Str leaving;
+    int (*parse_leaving)(Str text);
     Str limits[DIALECT_LIMITS_MAX];
     int (*parse_limit)(Str text, double *per_s);
 } Dialect;
--- a/packages/gateway/Dispatcher.c
+++ b/packages/gateway/Dispatcher.c
@@ -210,7 +210,9 @@
     };
 
     /* One that leaves ends as planned. */
-    if (job->loss_reported || record == NULL || record->draining) {
+    if (job->loss_reported || record == NULL ||
+        Eligibility_IsEnding(Placement_Eligibility(this->placement),
+                             job->upstream)) {
         return;
     }
     job->loss_reported = true;
--- a/packages/gateway/Dispatcher.h
+++ b/packages/gateway/Dispatcher.h
@@ -6,6 +6,7 @@
 #include "Placement.h"
 #include "RouteTable.h"
 #include "UpstreamLimits.h"
+#include "UpstreamNotice.h"
 
 /**
  * typedef Dispatcher - routes and dispatches the requests of a gateway host
@@ -269,6 +270,17 @@
 void Dispatcher_OnProbeLimit(Dispatcher *this, uint32_t upstream,
                              LimitNotice limit);
 
+/**
+ * Dispatcher_OnNotice() - the upstream of the current attempt has begun a
+ *     response
+ */
+void Dispatcher_OnNotice(Dispatcher *this, const Job *job,
+                         const UpstreamNotice *notice);
+
+/** Dispatcher_OnProbeNotice() - an upstream has responded to a DISPATCH_PROBE */
+void Dispatcher_OnProbeNotice(Dispatcher *this, uint32_t upstream,
+                              const UpstreamNotice *notice);
+
 /**
  * Dispatcher_OnCallerDisconnect() - end a job whose caller has disconnected
  */
--- /dev/null
+++ b/packages/gateway/DispatcherNotices.c
@@ -0,0 +1,46 @@
+#include "DispatcherPrivate.h"
+
+static void
+log_notice(Dispatcher *this, uint32_t upstream, const char *kind,
+           const char *source)
+{
+    const UpstreamRecord *record =
+        UpstreamSet_Record(this->upstreams, upstream);
+
+    Dispatcher_Count(this, "agatecrank_upstream_notices_total", "kind",
+                     Str_FromC(kind));
+    if (EventLog_Begin(this->log, LOG_LEVEL_INFO, "upstream-notice")) {
+        EventLog_Str(this->log, "upstream",
+                     record != NULL ? record->id : STR("gone"));
+        EventLog_CStr(this->log, "kind", kind);
+        EventLog_CStr(this->log, "source", source);
+        EventLog_End(this->log);
+    }
+}
+
+static void
+on_notice(Dispatcher *this, uint32_t upstream, const UpstreamNotice *notice,
+          const char *source)
+{
+    Eligibility *eligibility = Placement_Eligibility(this->placement);
+
+    if (notice->leaving && Eligibility_SetLeaving(eligibility, upstream)) {
+        log_notice(this, upstream, "leaving", source);
+    }
+}
+
+void
+Dispatcher_OnNotice(Dispatcher *this, const Job *job,
+                    const UpstreamNotice *notice)
+{
+    if (job->upstream != UPSTREAM_NONE) {
+        on_notice(this, job->upstream, notice, "request");
+    }
+}
+
+void
+Dispatcher_OnProbeNotice(Dispatcher *this, uint32_t upstream,
+                         const UpstreamNotice *notice)
+{
+    on_notice(this, upstream, notice, "probe");
+}
--- a/packages/gateway/Eligibility.c
+++ b/packages/gateway/Eligibility.c
@@ -7,10 +7,29 @@
 #define EJECTION_BASE_US (1 * MICROS_PER_S)
 #define EJECTION_DOUBLINGS_MAX 3
 
+/* Time for which the notices of an incarnation that is not listed are kept,
+ * and their number. */
+#define KEPT_US (600 * MICROS_PER_S)
+#define KEPT_MAX 4096
+
+/* What an upstream has announced in its responses. */
+typedef struct Notices_ {
+    bool leaving;
+} Notices;
+
+/* Notices of an incarnation that is not listed. */
+typedef struct Kept_ {
+    GList link; /* element of Eligibility.by_age */
+    uint32_t instance;
+    Micros at;
+    Notices notices;
+} Kept;
+
 typedef struct Entry_ {
     uint32_t instance;
     uint32_t ejections; /* in a row */
     Micros ejected_until;
+    Notices notices;
     bool listed;
     bool draining;
 } Entry;
@@ -18,7 +37,9 @@
 struct Eligibility_ {
     UpstreamLimits *limits;
     const Clock *clock;
-    GArray *entries; /* Entry by upstream */
+    GArray *entries;  /* Entry by upstream */
+    GHashTable *kept; /* Kept by instance */
+    GQueue by_age;    /* the same, oldest first */
 };
 
 Eligibility *
@@ -29,6 +50,8 @@
     this->limits = limits;
     this->clock = clock;
     this->entries = g_array_new(FALSE, TRUE, sizeof(Entry));
+    this->kept = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+    g_queue_init(&this->by_age);
     return this;
 }
 
@@ -39,6 +62,7 @@
         return;
     }
     g_array_free(this->entries, TRUE);
+    g_hash_table_destroy(this->kept);
     g_free(this);
 }
 
@@ -54,6 +78,8 @@
         return "limit";
     case ELIGIBILITY_DRAINING:
         return "draining";
+    case ELIGIBILITY_LEAVING:
+        return "leaving";
     case ELIGIBILITY_COUNT:
         break;
     }
@@ -68,6 +94,70 @@
                : NULL;
 }
 
+/* ---- notices of incarnations that are not listed --------------------- */
+
+static bool
+is_outdated(const Eligibility *this, const Kept *kept)
+{
+    return Clock_Now(this->clock) - kept->at > KEPT_US;
+}
+
+static void
+forget(Eligibility *this, Kept *kept)
+{
+    g_queue_unlink(&this->by_age, &kept->link);
+    g_hash_table_remove(this->kept, GUINT_TO_POINTER(kept->instance));
+}
+
+static void
+make_room(Eligibility *this)
+{
+    const GList *first;
+
+    while ((first = g_queue_peek_head_link(&this->by_age)) != NULL &&
+           (is_outdated(this, first->data) ||
+            g_queue_get_length(&this->by_age) >= KEPT_MAX)) {
+        forget(this, first->data);
+    }
+}
+
+static void
+keep(Eligibility *this, const Entry *entry)
+{
+    gpointer key = GUINT_TO_POINTER(entry->instance);
+    Kept *kept = g_hash_table_lookup(this->kept, key);
+
+    if (entry->instance == 0 || !entry->notices.leaving) {
+        return;
+    }
+    if (kept != NULL) {
+        forget(this, kept);
+    }
+    make_room(this);
+    kept = g_new0(Kept, 1);
+    kept->link.data = kept;
+    kept->instance = entry->instance;
+    kept->at = Clock_Now(this->clock);
+    kept->notices = entry->notices;
+    g_hash_table_insert(this->kept, key, kept);
+    g_queue_push_tail_link(&this->by_age, &kept->link);
+}
+
+static Notices
+take_kept(Eligibility *this, uint32_t instance)
+{
+    Kept *kept = g_hash_table_lookup(this->kept, GUINT_TO_POINTER(instance));
+    Notices notices = {0};
+
+    if (kept != NULL) {
+        notices = is_outdated(this, kept) ? notices : kept->notices;
+        forget(this, kept);
+    }
+    return notices;
+}
+
+/* ---- listing --------------------------------------------------------- */
+
 void
 Eligibility_OnListed(Eligibility *this, uint32_t upstream, uint32_t instance)
 {
@@ -75,7 +165,9 @@
         g_array_set_size(this->entries, upstream + 1);
     }
     *find_entry(this, upstream) =
-        (Entry){.instance = instance, .listed = true};
+        (Entry){.instance = instance,
+                .listed = true,
+                .notices = take_kept(this, instance)};
     UpstreamLimits_OnListed(this->limits, upstream, instance);
 }
 
@@ -85,6 +177,7 @@
     Entry *entry = find_entry(this, upstream);
 
     if (entry != NULL) {
+        keep(this, entry);
         entry->listed = false;
         UpstreamLimits_OnRemoved(this->limits, upstream);
     }
@@ -100,6 +193,29 @@
     }
 }
 
+bool
+Eligibility_SetLeaving(Eligibility *this, uint32_t upstream)
+{
+    Entry *entry = find_entry(this, upstream);
+
+    if (entry == NULL || entry->notices.leaving) {
+        return false;
+    }
+    entry->notices.leaving = true;
+    if (!entry->listed) {
+        keep(this, entry);
+    }
+    return true;
+}
+
+bool
+Eligibility_IsEnding(const Eligibility *this, uint32_t upstream)
+{
+    const Entry *entry = find_entry(this, upstream);
+
+    return entry != NULL && (entry->draining || entry->notices.leaving);
+}
+
 /* ---- ejection -------------------------------------------------------- */
 
 static Micros
@@ -159,6 +275,9 @@
     if (entry == NULL) {
         return ELIGIBILITY_OK;
     }
+    if (entry->notices.leaving) {
+        return ELIGIBILITY_LEAVING;
+    }
     if (entry->draining) {
         return ELIGIBILITY_DRAINING;
     }
@@ -178,6 +297,7 @@
     case ELIGIBILITY_EJECTED:
         return 0;
     case ELIGIBILITY_DRAINING:
+    case ELIGIBILITY_LEAVING:
     case ELIGIBILITY_COUNT:
         break;
     }
@@ -197,6 +317,7 @@
                UpstreamLimits_IsProbeDue(this->limits, upstream);
     case ELIGIBILITY_EJECTED:
     case ELIGIBILITY_DRAINING:
+    case ELIGIBILITY_LEAVING:
     case ELIGIBILITY_COUNT:
         break;
     }
--- a/packages/gateway/Eligibility.h
+++ b/packages/gateway/Eligibility.h
@@ -17,6 +17,7 @@
     ELIGIBILITY_EJECTED,  /* it fails or is unreachable; the last resort */
     ELIGIBILITY_LIMIT,    /* this host's part of its limit is used up */
     ELIGIBILITY_DRAINING, /* its description says so */
+    ELIGIBILITY_LEAVING,  /* its responses say so */
     ELIGIBILITY_COUNT,
 } EligibilityReason;
 
@@ -43,6 +44,18 @@
 void Eligibility_SetDraining(Eligibility *this, uint32_t upstream,
                              bool draining);
 
+/**
+ * Eligibility_SetLeaving() - a response of the upstream says that it will end
+ *
+ * Holds for its incarnation, also while that is not listed.
+ *
+ * Return: whether this was unknown.
+ */
+bool Eligibility_SetLeaving(Eligibility *this, uint32_t upstream);
+
+/** Eligibility_IsEnding() - whether the upstream is draining or leaving */
+bool Eligibility_IsEnding(const Eligibility *this, uint32_t upstream);
+
 /**
  * Eligibility_Eject() - the upstream fails; each further ejection in a row
  *     lasts longer
--- a/packages/gateway/Gateway.c
+++ b/packages/gateway/Gateway.c
@@ -2,6 +2,8 @@
 
 #include <glib.h>
 
+#include "NoticeReader.h"
+
 /* Responses up to this size are buffered until they are complete, so that a
  * truncated one can be fetched again; larger ones are relayed as they
  * arrive. */
@@ -30,6 +32,7 @@
     GatewayOptions options;
     HttpServer *server;
     HttpClient *client;
+    NoticeReader *notices;
     LoopTimer *timer;
     Micros timer_at;
     bool running_actions;
@@ -283,7 +286,18 @@
                 const HeaderList *headers)
 {
     Exchange *exchange = user;
+    Gateway *this = exchange->gateway;
 
+    if (exchange->job != NULL &&
+        NoticeReader_IsOwn(
+            this->notices, status, headers,
+            HeaderList_Get(HttpRequest_Headers(exchange->request),
+                           this->options.dialect->attempt_id))) {
+        UpstreamNotice notice =
+            NoticeReader_Read(this->notices, status, headers);
+
+        Dispatcher_OnNotice(this->dispatcher, exchange->job, &notice);
+    }
     reset_response(exchange);
     exchange->response_status = status;
     exchange->response_headers = HeaderList_Create();
@@ -487,6 +501,7 @@
     Probe *probe = user;
     const Dialect *dialect = probe->gateway->options.dialect;
     Str instance = Str_FromString(probe->instance);
+    UpstreamNotice notice;
 
     probe->result = result_of_instance(
         HeaderList_Get(headers, dialect->instance_id), instance);
@@ -497,6 +512,9 @@
         dialect->parse_load(HeaderList_Get(headers, dialect->load),
                             &probe->report) == 0;
     probe->limit = read_limit(probe->gateway, headers);
+    notice = NoticeReader_Read(probe->gateway->notices, status, headers);
+    Dispatcher_OnProbeNotice(probe->gateway->dispatcher, probe->upstream,
+                             &notice);
 }
 
 static void
@@ -747,6 +765,8 @@
     this->counters = counters;
     this->options = *options;
     this->client = HttpClient_Create(loop, &client);
+    this->notices = NoticeReader_Create(options->dialect, Loop_Clock(loop),
+                                        options->log, counters);
     this->timer = LoopTimer_Create(loop, on_timer, this);
     this->server =
         HttpServer_Create(loop, &server, &server_handlers, this, error);
@@ -766,6 +786,7 @@
     LoopTimer_Destroy(this->timer);
     HttpServer_Destroy(this->server);
     HttpClient_Destroy(this->client);
+    NoticeReader_Destroy(this->notices);
     g_free(this);
 }
 
--- a/packages/gateway/JobPlacement.c
+++ b/packages/gateway/JobPlacement.c
@@ -377,6 +377,7 @@
     case ELIGIBILITY_OK:
     case ELIGIBILITY_EJECTED:
     case ELIGIBILITY_DRAINING:
+    case ELIGIBILITY_LEAVING:
     case ELIGIBILITY_COUNT:
         break;
     }
--- /dev/null
+++ b/tests/support/NoticeSimulation.h
@@ -0,0 +1,58 @@
+#ifndef AGATECRANK_TESTS_NOTICESIMULATION_H
+#define AGATECRANK_TESTS_NOTICESIMULATION_H
+
+#include "Dialect.h"
+
+/**
+ * struct NoticeOptions_ - a deployment, its load and its upstreams
+ * @dialect: how the upstreams' headers are read
+ * @leaving_count: upstreams that say at a random time that they leave, and
+ *                 serve on; the store lists them as ready
+ * @leaving_at_once: all of them say so at the same time
+ * @malformed_count: upstreams that say so in a malformed way, and stay
+ * @requests_per_s: of all callers
+ * @entry_interval: mean time between new descriptions of a random upstream, 0
+ *                  for none; every other one lapses and returns
+ * @host_restart_interval: mean time between restarts of a host, 0 for none
+ * @life_time: time after which one that leaves is back under its id, 0 for
+ *             never
+ * @silent_probes: responses to probes do not have the headers
+ * @unread: plants a fault: hosts do not read the headers
+ */
+typedef struct NoticeOptions_ {
+    const Dialect *dialect;
+    uint64_t seed;
+    unsigned host_count, upstream_count;
+    unsigned leaving_count, malformed_count;
+    bool leaving_at_once;
+    Micros duration;
+    double requests_per_s;
+    Micros entry_interval;
+    Micros host_restart_interval;
+    Micros life_time;
+    bool silent_probes;
+    bool unread;
+} NoticeOptions;
+
+/**
+ * struct NoticeResult_ - what upstreams and callers observed
+ * @late_arrivals: requests that a caller sent 2 s or more after the host had
+ *                 passed on that the upstream leaves, and that reached it
+ * @told: pairs of host and upstream that the rule applies to
+ * @reborn_arrivals: requests that reached new incarnations
+ * @malformed_arrivals: requests that reached upstreams with malformed headers
+ * @requests, @served, @refused: of callers, by their first attempt
+ * @resent: requests that a host sent once more
+ * @cut_short: attempts cancelled by a host
+ */
+typedef struct NoticeResult_ {
+    unsigned late_arrivals, told;
+    unsigned reborn_arrivals, malformed_arrivals;
+    unsigned requests, served, refused;
+    unsigned resent, cut_short;
+} NoticeResult;
+
+/** NoticeSimulation_Run() - run hosts, upstreams and callers by a seed */
+NoticeResult NoticeSimulation_Run(const NoticeOptions *options);
+
+#endif
--- /dev/null
+++ b/tests/test_eligibility.c
@@ -0,0 +1,163 @@
+#include <glib.h>
+
+#include "Eligibility.h"
+#include "NoticeReader.h"
+#include "PlatformDialect.h"
+
+#define UPSTREAM 3
+#define OTHER_INDEX 4
+#define INSTANCE 77
+#define NEXT_INSTANCE 78
+
+typedef struct Fixture_ {
+    Clock *clock;
+    Random *random;
+    Counters *counters;
+    UpstreamLimits *limits;
+    Eligibility *eligibility;
+    NoticeReader *reader;
+} Fixture;
+
+static void
+set_up(Fixture *f, gconstpointer data)
+{
+    f->clock = Clock_CreateManual(MICROS_PER_S, 0);
+    f->random = Random_Create(1);
+    f->counters = Counters_Create(100);
+    f->limits = UpstreamLimits_Create(STR("host-0"), f->clock, f->random);
+    f->eligibility = Eligibility_Create(f->limits, f->clock);
+    f->reader =
+        NoticeReader_Create(&PLATFORM_DIALECT, f->clock, NULL, f->counters);
+    Eligibility_OnListed(f->eligibility, UPSTREAM, INSTANCE);
+}
+
+static void
+tear_down(Fixture *f, gconstpointer data)
+{
+    NoticeReader_Destroy(f->reader);
+    Eligibility_Destroy(f->eligibility);
+    UpstreamLimits_Destroy(f->limits);
+    Counters_Destroy(f->counters);
+    Random_Destroy(f->random);
+    Clock_Destroy(f->clock);
+}
+
+static void
+assert_reason(const Fixture *f, uint32_t upstream, EligibilityReason reason)
+{
+    g_assert_cmpstr(
+        Eligibility_ReasonName(Eligibility_Reason(f->eligibility, upstream)),
+        ==, Eligibility_ReasonName(reason));
+}
+
+/* Guards against a description that is believed over a response. */
+static void
+test_description(Fixture *f, gconstpointer data)
+{
+    g_assert_true(Eligibility_SetLeaving(f->eligibility, UPSTREAM));
+    g_assert_false(Eligibility_SetLeaving(f->eligibility, UPSTREAM));
+    Eligibility_SetDraining(f->eligibility, UPSTREAM, false);
+    assert_reason(f, UPSTREAM, ELIGIBILITY_LEAVING);
+    g_assert_true(Eligibility_IsEnding(f->eligibility, UPSTREAM));
+    g_assert_false(Eligibility_MayProbe(f->eligibility, UPSTREAM));
+    g_assert_cmpint(Eligibility_Wait(f->eligibility, UPSTREAM), ==, -1);
+    g_assert_cmpuint(Eligibility_Count(f->eligibility, ELIGIBILITY_LEAVING),
+                     ==, 1);
+}
+
+/* Guards against an upstream that is used again because its entry lapsed and
+ * returned under another index. */
+static void
+test_relisted(Fixture *f, gconstpointer data)
+{
+    Eligibility_SetLeaving(f->eligibility, UPSTREAM);
+    Eligibility_OnRemoved(f->eligibility, UPSTREAM);
+    Clock_Advance(f->clock, 60 * MICROS_PER_S);
+    Eligibility_OnListed(f->eligibility, OTHER_INDEX, INSTANCE);
+    assert_reason(f, OTHER_INDEX, ELIGIBILITY_LEAVING);
+}
+
+/* Guards against a response that is forgotten because the entry lapsed before
+ * it arrived. */
+static void
+test_response_while_lapsed(Fixture *f, gconstpointer data)
+{
+    Eligibility_OnRemoved(f->eligibility, UPSTREAM);
+    Eligibility_SetLeaving(f->eligibility, UPSTREAM);
+    Eligibility_OnListed(f->eligibility, UPSTREAM, INSTANCE);
+    assert_reason(f, UPSTREAM, ELIGIBILITY_LEAVING);
+}
+
+/* Guards against a new incarnation that is taken for the one that left. */
+static void
+test_new_incarnation(Fixture *f, gconstpointer data)
+{
+    Eligibility_SetLeaving(f->eligibility, UPSTREAM);
+    Eligibility_OnRemoved(f->eligibility, UPSTREAM);
+    Eligibility_OnListed(f->eligibility, UPSTREAM, NEXT_INSTANCE);
+    assert_reason(f, UPSTREAM, ELIGIBILITY_OK);
+}
+
+/* Guards against memory that grows with each incarnation that leaves. */
+static void
+test_many_incarnations(Fixture *f, gconstpointer data)
+{
+    for (uint32_t i = 1; i < 20000; i++) {
+        Eligibility_OnListed(f->eligibility, UPSTREAM, i);
+        Eligibility_SetLeaving(f->eligibility, UPSTREAM);
+        Eligibility_OnRemoved(f->eligibility, UPSTREAM);
+    }
+    Eligibility_OnListed(f->eligibility, UPSTREAM, 19999);
+    assert_reason(f, UPSTREAM, ELIGIBILITY_LEAVING);
+    Eligibility_OnListed(f->eligibility, UPSTREAM, 1);
+    assert_reason(f, UPSTREAM, ELIGIBILITY_OK);
+}
+
+static UpstreamNotice
+read_field(const Fixture *f, int status, const char *name, const char *first,
+           const char *second)
+{
+    HeaderList *headers = HeaderList_Create();
+    UpstreamNotice notice;
+
+    HeaderList_Add(headers, Str_FromC(name), Str_FromC(first));
+    if (second != NULL) {
+        HeaderList_Add(headers, Str_FromC(name), Str_FromC(second));
+    }
+    notice = NoticeReader_Read(f->reader, status, headers);
+    HeaderList_Destroy(headers);
+    return notice;
+}
+
+/* Guards against malformed fields that take upstreams out of use. */
+static void
+test_leaving_values(Fixture *f, gconstpointer data)
+{
+    static const char *const malformed[] = {"",     "0",  "01",  "1, 1", "-1",
+                                            "true", "1;", "1 1", "11"};
+
+    g_assert_true(read_field(f, 200, "Server-Leaving", " 1\t", NULL).leaving);
+    g_assert_true(read_field(f, 503, "server-leaving", "1", NULL).leaving);
+    g_assert_false(read_field(f, 200, "server-leaving", "1", "1").leaving);
+    for (size_t i = 0; i < G_N_ELEMENTS(malformed); i++) {
+        g_assert_false(
+            read_field(f, 200, "server-leaving", malformed[i], NULL).leaving);
+    }
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+#define ADD(name, function)                                                   \
+    g_test_add("/eligibility/" name, Fixture, NULL, set_up, function,         \
+               tear_down)
+    ADD("description", test_description);
+    ADD("relisted", test_relisted);
+    ADD("response-while-lapsed", test_response_while_lapsed);
+    ADD("new-incarnation", test_new_incarnation);
+    ADD("many-incarnations", test_many_incarnations);
+    ADD("leaving-values", test_leaving_values);
+#undef ADD
+    return g_test_run();
+}
--- /dev/null
+++ b/tests/test_upstream_notices.c
@@ -0,0 +1,200 @@
+#include <glib.h>
+
+#include "NoticeSimulation.h"
+#include "PlatformDialect.h"
+
+/* Guards against requests that reach an upstream after it has announced that it
+ * wants none. Arrivals are counted at the upstreams. The environment variable
+ * RUNS sets the number of seeds of each case. */
+
+#define SEED 51
+#define RUN_COUNT 3
+
+static const NoticeOptions small = {
+    .dialect = &PLATFORM_DIALECT,
+    .host_count = 20,
+    .upstream_count = 19,
+    .duration = 16 * MICROS_PER_S,
+    .requests_per_s = 250,
+};
+
+static const NoticeOptions large = {
+    .dialect = &PLATFORM_DIALECT,
+    .host_count = 137,
+    .upstream_count = 60,
+    .duration = 12 * MICROS_PER_S,
+    .requests_per_s = 900,
+};
+
+/* Returns the sums over all seeds. */
+static NoticeResult
+run_all(NoticeOptions options)
+{
+    const char *runs = g_getenv("RUNS");
+    uint64_t count =
+        runs != NULL ? g_ascii_strtoull(runs, NULL, 10) : RUN_COUNT;
+    NoticeResult sum = {0};
+
+    for (uint64_t seed = SEED; seed < SEED + count; seed++) {
+        NoticeResult result;
+
+        options.seed = seed;
+        result = NoticeSimulation_Run(&options);
+        g_test_message("seed=%" G_GUINT64_FORMAT
+                       " late=%u told=%u reborn=%u malformed=%u requests=%u "
+                       "served=%u refused=%u resent=%u cut_short=%u",
+                       seed, result.late_arrivals, result.told,
+                       result.reborn_arrivals, result.malformed_arrivals,
+                       result.requests, result.served, result.refused,
+                       result.resent, result.cut_short);
+        sum.late_arrivals += result.late_arrivals;
+        sum.told += result.told;
+        sum.reborn_arrivals += result.reborn_arrivals;
+        sum.malformed_arrivals += result.malformed_arrivals;
+        sum.requests += result.requests;
+        sum.served += result.served;
+        sum.refused += result.refused;
+        sum.resent += result.resent;
+        sum.cut_short += result.cut_short;
+    }
+    return sum;
+}
+
+static void
+assert_left_alone(const NoticeResult *sum)
+{
+    g_assert_cmpuint(sum->told, >, 0);
+    g_assert_cmpuint(sum->late_arrivals, ==, 0);
+}
+
+static void
+assert_all_served(const NoticeResult *sum)
+{
+    g_assert_cmpuint(sum->refused, ==, 0);
+    g_assert_cmpuint(sum->resent, ==, 0);
+    g_assert_cmpuint(sum->cut_short, ==, 0);
+}
+
+static void
+test_one_leaves(gconstpointer data)
+{
+    NoticeOptions options = *(const NoticeOptions *)data;
+    NoticeResult sum;
+
+    options.leaving_count = 1;
+    options.silent_probes = true;
+    sum = run_all(options);
+    assert_left_alone(&sum);
+    assert_all_served(&sum);
+}
+
+static void
+test_many_leave(gconstpointer data)
+{
+    NoticeOptions options = *(const NoticeOptions *)data;
+    NoticeResult sum;
+
+    options.leaving_count = options.upstream_count / 2;
+    options.leaving_at_once = true;
+    sum = run_all(options);
+    assert_left_alone(&sum);
+    assert_all_served(&sum);
+}
+
+static void
+test_all_leave(gconstpointer data)
+{
+    NoticeOptions options = *(const NoticeOptions *)data;
+    NoticeResult sum;
+
+    options.leaving_count = options.upstream_count;
+    options.leaving_at_once = true;
+    sum = run_all(options);
+    assert_left_alone(&sum);
+}
+
+static void
+test_entries_change(gconstpointer data)
+{
+    NoticeOptions options = *(const NoticeOptions *)data;
+    NoticeResult sum;
+
+    options.leaving_count = options.upstream_count / 3;
+    options.entry_interval = 100 * MICROS_PER_MS;
+    options.silent_probes = true;
+    sum = run_all(options);
+    assert_left_alone(&sum);
+}
+
+static void
+test_upstreams_return(gconstpointer data)
+{
+    NoticeOptions options = *(const NoticeOptions *)data;
+    NoticeResult sum;
+
+    options.leaving_count = options.upstream_count / 2;
+    options.leaving_at_once = true;
+    options.life_time = 4 * MICROS_PER_S;
+    options.entry_interval = 200 * MICROS_PER_MS;
+    sum = run_all(options);
+    assert_left_alone(&sum);
+    g_assert_cmpuint(sum.reborn_arrivals * 25, >, sum.requests);
+}
+
+static void
+test_hosts_restart(gconstpointer data)
+{
+    NoticeOptions options = *(const NoticeOptions *)data;
+    NoticeResult sum;
+
+    options.leaving_count = options.upstream_count / 2;
+    options.host_restart_interval = 500 * MICROS_PER_MS;
+    sum = run_all(options);
+    assert_left_alone(&sum);
+}
+
+static void
+test_malformed(gconstpointer data)
+{
+    NoticeOptions options = *(const NoticeOptions *)data;
+    NoticeResult sum;
+
+    options.malformed_count = options.upstream_count;
+    sum = run_all(options);
+    assert_all_served(&sum);
+    /* Some are on their way at the end. */
+    g_assert_cmpuint(sum.malformed_arrivals * 100, >=, sum.requests * 99);
+}
+
+/* The check must fail if hosts do not read the header. */
+static void
+test_planted_unread(void)
+{
+    NoticeOptions options = small;
+
+    options.leaving_count = 1;
+    options.unread = true;
+    g_assert_cmpuint(run_all(options).late_arrivals, >, 0);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_set_nonfatal_assertions();
+    g_test_message("seed %d", SEED);
+#define ADD(name, function)                                                   \
+    g_test_add_data_func("/upstream-notices/" name, &small, function);        \
+    g_test_add_data_func("/upstream-notices/many-hosts/" name, &large,        \
+                         function)
+    ADD("one-leaves", test_one_leaves);
+    ADD("many-leave", test_many_leave);
+    ADD("all-leave", test_all_leave);
+    ADD("entries-change", test_entries_change);
+    ADD("upstreams-return", test_upstreams_return);
+    ADD("hosts-restart", test_hosts_restart);
+    ADD("malformed", test_malformed);
+#undef ADD
+    g_test_add_func("/upstream-notices/planted-unread", test_planted_unread);
+    return g_test_run();
+}
