gateway: send nothing to an upstream during a pause that it asks for

Cause: the Retry-After of an upstream's 503 was not read. The host sent on, and probed it, as its load report allowed.

Change: PlatformDialect decodes the field into a time; a date, a sign, an exponent and a repeated field change nothing, more than 120 s counts as that, both are counted and logged once a second. Eligibility keeps the pause by incarnation; Placement chooses and probes no such upstream, nor do the probes that decide on losses. If all upstreams of a service are paused, callers are refused at once with the shortest remaining time or up to a quarter more (upstream-pauses), queued requests too if they can't wait for the end.

With one upstream that pauses no request is refused.

--- a/packages/agatecrank/RequestTrace.c
+++ b/packages/agatecrank/RequestTrace.c
@@ -48,6 +48,11 @@
      "excluded of the refusal; event=upstream and event=upstream-notice "
      "lines, "
      "then store-lost"},
+    {"upstream-pauses",
+     "every upstream of the service that is not draining or leaving has asked "
+     "this host for a pause",
+     "event=upstream-notice lines with kind=pause: pause_ms; excluded of the "
+     "refusal"},
     {"upstream-limits",
      "every upstream of the service that is not draining has named a request "
      "limit, and this host has used its part or has none",
--- a/packages/gateway/Dialect.h
+++ b/packages/gateway/Dialect.h
@@ -18,6 +18,10 @@
  * @parse_load: returns 0 or ERR_PARSE
  * @leaving: from an upstream: it will end and wants no more requests
  * @parse_leaving: returns 0 if the value says so, or ERR_PARSE
+ * @pause: from an upstream, with status 503: time for which it wants nothing
+ *         from this host, parsed by @parse_pause
+ * @parse_pause: returns 0, ERR_PARSE, or ERR_LIMIT if the time is longer than
+ *               UPSTREAM_PAUSE_MAX, which it returns then
  * @limits: from an upstream: requests per second that it accepts from all
  *          hosts together, parsed by @parse_limit; the first field present
  *          counts, and an empty name ends the list
@@ -34,6 +38,8 @@
     int (*parse_load)(Str text, LoadReport *report);
     Str leaving;
     int (*parse_leaving)(Str text);
+    Str pause;
+    int (*parse_pause)(Str text, Micros *time);
     Str limits[DIALECT_LIMITS_MAX];
     int (*parse_limit)(Str text, double *per_s);
 } Dialect;
--- a/packages/gateway/Dispatcher.c
+++ b/packages/gateway/Dispatcher.c
@@ -289,6 +289,16 @@
     return wait + (Micros)Random_Below(this->random, (uint64_t)wait);
 }
 
+/* Returns the time until the first upstream may be sent to again, or up to a
+ * quarter more, so that rejected callers do not return at the same time. */
+static Micros
+retry_after_pause(Dispatcher *this, Micros wait)
+{
+    return wait +
+           (Micros)Random_Below(this->random,
+                                (uint64_t)MAX(wait / 4, RETRY_AFTER_SOON_US));
+}
+
 /* Returns a short time if there is spare capacity, as an upstream that rejects
  * requests at random may accept the next attempt, and a longer one if the
  * service is full. */
@@ -305,9 +315,17 @@
                                                ? RETRY_AFTER_SOON_US
                                                : RETRY_AFTER_FULL_US);
     }
-    if (Placement_Blocked(this->placement, &query, &wait) ==
-        ELIGIBILITY_LIMIT) {
+    switch (Placement_Blocked(this->placement, &query, &wait)) {
+    case ELIGIBILITY_LIMIT:
         return retry_after_limits(this, wait);
+    case ELIGIBILITY_PAUSED:
+        return retry_after_pause(this, wait);
+    case ELIGIBILITY_OK:
+    case ELIGIBILITY_EJECTED:
+    case ELIGIBILITY_DRAINING:
+    case ELIGIBILITY_LEAVING:
+    case ELIGIBILITY_COUNT:
+        break;
     }
     return Random_Jitter(this->random, RETRY_AFTER_FULL_US);
 }
--- a/packages/gateway/DispatcherNotices.c
+++ b/packages/gateway/DispatcherNotices.c
@@ -2,7 +2,7 @@
 
 static void
 log_notice(Dispatcher *this, uint32_t upstream, const char *kind,
-           const char *source)
+           const char *source, Micros pause)
 {
     const UpstreamRecord *record =
         UpstreamSet_Record(this->upstreams, upstream);
@@ -14,6 +14,7 @@
                      record != NULL ? record->id : STR("gone"));
         EventLog_CStr(this->log, "kind", kind);
         EventLog_CStr(this->log, "source", source);
+        EventLog_Int(this->log, "pause_ms", pause / MICROS_PER_MS);
         EventLog_End(this->log);
     }
 }
@@ -25,7 +26,11 @@
     Eligibility *eligibility = Placement_Eligibility(this->placement);
 
     if (notice->leaving && Eligibility_SetLeaving(eligibility, upstream)) {
-        log_notice(this, upstream, "leaving", source);
+        log_notice(this, upstream, "leaving", source, 0);
+    }
+    if (notice->pause > 0 &&
+        Eligibility_Pause(eligibility, upstream, notice->pause)) {
+        log_notice(this, upstream, "pause", source, notice->pause);
     }
 }
 
--- a/packages/gateway/Eligibility.c
+++ b/packages/gateway/Eligibility.c
@@ -14,6 +14,7 @@
 
 /* What an upstream has announced in its responses. */
 typedef struct Notices_ {
+    Micros paused_until;
     bool leaving;
 } Notices;
 
@@ -76,6 +77,8 @@
         return "ejected";
     case ELIGIBILITY_LIMIT:
         return "limit";
+    case ELIGIBILITY_PAUSED:
+        return "paused";
     case ELIGIBILITY_DRAINING:
         return "draining";
     case ELIGIBILITY_LEAVING:
@@ -94,6 +97,12 @@
                : NULL;
 }
 
+static bool
+is_paused(const Eligibility *this, const Entry *entry)
+{
+    return entry->notices.paused_until > Clock_Now(this->clock);
+}
+
 /* ---- notices of incarnations that are not listed --------------------- */
 
 static bool
@@ -127,7 +136,8 @@
     gpointer key = GUINT_TO_POINTER(entry->instance);
     Kept *kept = g_hash_table_lookup(this->kept, key);
 
-    if (entry->instance == 0 || !entry->notices.leaving) {
+    if (entry->instance == 0 ||
+        (!entry->notices.leaving && !is_paused(this, entry))) {
         return;
     }
     if (kept != NULL) {
@@ -208,6 +218,33 @@
     return true;
 }
 
+bool
+Eligibility_Pause(Eligibility *this, uint32_t upstream, Micros time)
+{
+    Entry *entry = find_entry(this, upstream);
+    bool was_paused;
+
+    if (entry == NULL || time <= 0) {
+        return false;
+    }
+    was_paused = is_paused(this, entry);
+    entry->notices.paused_until =
+        MAX(entry->notices.paused_until,
+            Clock_Now(this->clock) + MIN(time, UPSTREAM_PAUSE_MAX));
+    if (!entry->listed) {
+        keep(this, entry);
+    }
+    return !was_paused;
+}
+
+bool
+Eligibility_IsPaused(const Eligibility *this, uint32_t upstream)
+{
+    const Entry *entry = find_entry(this, upstream);
+
+    return entry != NULL && is_paused(this, entry);
+}
+
 bool
 Eligibility_IsEnding(const Eligibility *this, uint32_t upstream)
 {
@@ -281,6 +318,9 @@
     if (entry->draining) {
         return ELIGIBILITY_DRAINING;
     }
+    if (is_paused(this, entry)) {
+        return ELIGIBILITY_PAUSED;
+    }
     if (!UpstreamLimits_MaySend(this->limits, upstream)) {
         return ELIGIBILITY_LIMIT;
     }
@@ -293,6 +333,9 @@
     switch (Eligibility_Reason(this, upstream)) {
     case ELIGIBILITY_LIMIT:
         return UpstreamLimits_Wait(this->limits, upstream);
+    case ELIGIBILITY_PAUSED:
+        return find_entry(this, upstream)->notices.paused_until -
+               Clock_Now(this->clock);
     case ELIGIBILITY_OK:
     case ELIGIBILITY_EJECTED:
         return 0;
@@ -316,6 +359,7 @@
         return !is_ejected(this, find_entry(this, upstream)) &&
                UpstreamLimits_IsProbeDue(this->limits, upstream);
     case ELIGIBILITY_EJECTED:
+    case ELIGIBILITY_PAUSED:
     case ELIGIBILITY_DRAINING:
     case ELIGIBILITY_LEAVING:
     case ELIGIBILITY_COUNT:
--- a/packages/gateway/Eligibility.h
+++ b/packages/gateway/Eligibility.h
@@ -11,11 +11,15 @@
  */
 typedef struct Eligibility_ Eligibility;
 
+/** Longest pause of an upstream that is believed */
+#define UPSTREAM_PAUSE_MAX (120 * MICROS_PER_S)
+
 /** enum EligibilityReason_ - why no request may be sent, weakest reason first */
 typedef enum EligibilityReason_ {
     ELIGIBILITY_OK,
     ELIGIBILITY_EJECTED,  /* it fails or is unreachable; the last resort */
     ELIGIBILITY_LIMIT,    /* this host's part of its limit is used up */
+    ELIGIBILITY_PAUSED,   /* it wants nothing from this host for a time */
     ELIGIBILITY_DRAINING, /* its description says so */
     ELIGIBILITY_LEAVING,  /* its responses say so */
     ELIGIBILITY_COUNT,
@@ -53,6 +57,20 @@
  */
 bool Eligibility_SetLeaving(Eligibility *this, uint32_t upstream);
 
+/**
+ * Eligibility_Pause() - the upstream wants nothing from this host for a time
+ * @time: from now, UPSTREAM_PAUSE_MAX at most
+ *
+ * A shorter one does not end a longer one before. Holds for its incarnation,
+ * also while that is not listed.
+ *
+ * Return: whether there was none.
+ */
+bool Eligibility_Pause(Eligibility *this, uint32_t upstream, Micros time);
+
+/** Eligibility_IsPaused() - whether it may get neither requests nor probes */
+bool Eligibility_IsPaused(const Eligibility *this, uint32_t upstream);
+
 /** Eligibility_IsEnding() - whether the upstream is draining or leaving */
 bool Eligibility_IsEnding(const Eligibility *this, uint32_t upstream);
 
--- a/packages/gateway/JobPlacement.c
+++ b/packages/gateway/JobPlacement.c
@@ -110,6 +110,8 @@
     Str path;
 
     if (record == NULL || this->routes == NULL ||
+        Eligibility_IsPaused(Placement_Eligibility(this->placement),
+                             upstream) ||
         Placement_IsProbePending(this->placement, upstream)) {
         return;
     }
@@ -127,6 +129,7 @@
     Placement *placement = job->owner->placement;
 
     if (UpstreamSet_Record(job->owner->upstreams, upstream) != NULL &&
+        !Eligibility_IsPaused(Placement_Eligibility(placement), upstream) &&
         !Placement_IsProbePending(placement, upstream) &&
         Placement_TakeSpareProbe(placement)) {
         push_probe(job->owner, upstream, load_path(job), false);
@@ -294,6 +297,23 @@
     return true;
 }
 
+/* Rejects a queued job if all upstreams that it may use are paused for longer
+ * than it may wait. */
+static bool
+reject_paused(Job *job)
+{
+    PlacementQuery query = JobPlacement_Query(job);
+    Micros wait;
+
+    if (Placement_Blocked(job->owner->placement, &query, &wait) !=
+            ELIGIBILITY_PAUSED ||
+        wait < queue_wait_max(job)) {
+        return false;
+    }
+    Job_Abandon(job, "upstream-pauses");
+    return true;
+}
+
 void
 JobPlacement_ServeQueue(Dispatcher *this, uint32_t service)
 {
@@ -307,8 +327,13 @@
         if (Job_RefuseCrashing(job)) {
             continue;
         }
-        if (Placement_Choose(this->placement, &query, &choice) < 0 ||
-            !choice.has_capacity || choice.age < 0 ||
+        if (Placement_Choose(this->placement, &query, &choice) < 0) {
+            if (reject_paused(job)) {
+                continue;
+            }
+            return;
+        }
+        if (!choice.has_capacity || choice.age < 0 ||
             choice.age > CAPACITY_REPORT_AGE_MAX_US) {
             return;
         }
@@ -374,6 +399,8 @@
     switch (Placement_Blocked(job->owner->placement, &query, &wait)) {
     case ELIGIBILITY_LIMIT:
         return "upstream-limits";
+    case ELIGIBILITY_PAUSED:
+        return "upstream-pauses";
     case ELIGIBILITY_OK:
     case ELIGIBILITY_EJECTED:
     case ELIGIBILITY_DRAINING:
--- a/packages/gateway/NoticeReader.c
+++ b/packages/gateway/NoticeReader.c
@@ -87,10 +87,33 @@
     return true;
 }
 
+static Micros
+read_pause(NoticeReader *this, const HeaderList *headers)
+{
+    Str name = this->dialect->pause;
+    Str text = HeaderList_Get(headers, name);
+    Micros pause = 0;
+    int code;
+
+    if (!HeaderList_Has(headers, name)) {
+        return 0;
+    }
+    code = count_fields(headers, name) > 1
+               ? ERR_PARSE
+               : this->dialect->parse_pause(text, &pause);
+    if (code < 0) {
+        report_invalid(this, "pause", text);
+    }
+    return code == 0 || code == ERR_LIMIT ? pause : 0;
+}
+
 UpstreamNotice
 NoticeReader_Read(NoticeReader *this, int status, const HeaderList *headers)
 {
-    return (UpstreamNotice){.leaving = read_leaving(this, headers)};
+    return (UpstreamNotice){
+        .leaving = read_leaving(this, headers),
+        .pause = status == 503 ? read_pause(this, headers) : 0,
+    };
 }
 
 bool
--- a/packages/gateway/UpstreamNotice.h
+++ b/packages/gateway/UpstreamNotice.h
@@ -9,9 +9,11 @@
  * struct UpstreamNotice_ - what a response of an upstream says of further
  *                          requests to it
  * @leaving: it will end and wants no more requests
+ * @pause: time for which it wants nothing from this host; 0 for none
  */
 typedef struct UpstreamNotice_ {
     bool leaving;
+    Micros pause;
 } UpstreamNotice;
 
 #endif
--- a/tests/support/NoticeSimulation.c
+++ b/tests/support/NoticeSimulation.c
@@ -1,6 +1,7 @@
 #include "NoticeSimulation.h"
 
 #include <glib.h>
+#include <string.h>
 
 #include "Dispatcher.h"
 #include "EventQueue.h"
@@ -18,15 +19,30 @@
 #define FIRST_NOTICE_US (2 * MICROS_PER_S)
 #define NOTICE_SPREAD_US (6 * MICROS_PER_S)
 #define RULE_LEAVING_US (2 * MICROS_PER_S)
+#define RULE_PAUSE_US (500 * MICROS_PER_MS)
+#define RULE_PAUSE_COUNT 2
+#define PAUSE_MIN_US (300 * MICROS_PER_MS)
+#define PAUSE_SPREAD_US (3 * MICROS_PER_S)
+#define PRESSED_TIME_US (1500 * MICROS_PER_MS)
+#define FREE_TIME_US (2 * MICROS_PER_S)
 #define PATH "/safe/x"
 #define ATTEMPT_ID STR("r")
 #define NEVER (-1)
 
 typedef struct Simulation_ Simulation;
 
+/* A pause that an upstream has asked a host for. */
+typedef struct Pause_ {
+    Micros from; /* the rule applies from then on */
+    Micros to;
+    unsigned arrivals;
+} Pause;
+
 /* What the rules hold against a host, for one upstream. */
 typedef struct Told_ {
-    Micros leaving_at; /* it passed on that the upstream leaves, or NEVER */
+    Micros leaving_at;   /* it passed on that the upstream leaves, or NEVER */
+    GArray *pauses;      /* Pause */
+    Micros paused_until; /* as the host knows */
 } Told;
 
 typedef struct Host_ {
@@ -46,6 +62,8 @@
     unsigned running;
     bool leaving;
     bool malformed;
+    bool pausing; /* at times */
+    bool pressed; /* turns requests away now */
 } Upstream;
 
 /* One attempt of a caller. */
@@ -64,6 +82,7 @@
     Upstream *upstream;
     int64_t life;
     int status;
+    Micros pause;
     LoadReport report;
     HeaderList *headers;
 } Attempt;
@@ -73,6 +92,8 @@
     uint32_t start_count;
     uint32_t index; /* of the upstream at the host */
     Upstream *upstream;
+    int status;
+    Micros pause;
     LoadReport report;
     HeaderList *headers;
 } Probe;
@@ -193,6 +214,39 @@
     }
 }
 
+static void
+add_pause(Simulation *sim, HeaderList *headers, Micros pause)
+{
+    static const char *const values[] = {"Fri, 04 Dec 2026 10:00:00 GMT",
+                                         "-3",
+                                         "inf",
+                                         "nan",
+                                         "1e3",
+                                         "2, 5",
+                                         "",
+                                         "1.5s",
+                                         "+4",
+                                         "0x10"};
+    char text[32];
+
+    g_snprintf(text, sizeof(text), "%.3f", (double)pause / MICROS_PER_S);
+    HeaderList_Add(
+        headers, STR("retry-after"),
+        Str_FromC(sim->options.malformed_pauses
+                      ? values[Random_Below(sim->random, G_N_ELEMENTS(values))]
+                      : text));
+}
+
+/* Returns the pause that a pressed upstream asks for, in milliseconds. */
+static Micros
+draw_pause(Simulation *sim)
+{
+    Micros pause =
+        PAUSE_MIN_US + (Micros)Random_Below(sim->random, PAUSE_SPREAD_US);
+
+    return pause - pause % MICROS_PER_MS;
+}
+
 static HeaderList *
 headers_of(Simulation *sim, const Upstream *upstream)
 {
@@ -215,13 +269,44 @@
     return &host->told[upstream - host->simulation->upstreams];
 }
 
+/* Counts an arrival in each pause that it falls into. */
+static void
+judge_pauses(const Host *host, const Upstream *upstream)
+{
+    const Simulation *sim = host->simulation;
+    GArray *pauses = told_of(host, upstream)->pauses;
+    bool early = false;
+
+    for (guint i = 0; i < pauses->len; i++) {
+        Pause *pause = &g_array_index(pauses, Pause, i);
+
+        if (now(sim) >= pause->from && now(sim) < pause->to &&
+            ++pause->arrivals > RULE_PAUSE_COUNT) {
+            early = true;
+        }
+    }
+    host->simulation->result.early_sends += early;
+}
+
+static void
+start_pause(Simulation *sim, Host *host, const Upstream *upstream, Micros time)
+{
+    Pause pause = {now(sim) + RULE_PAUSE_US, now(sim) + time, 0};
+
+    sim->result.pauses++;
+    if (!sim->options.malformed_pauses) {
+        g_array_append_val(told_of(host, upstream)->pauses, pause);
+    }
+}
+
 static void
 judge_arrival(const Host *host, const Upstream *upstream,
               const Request *request)
 {
     NoticeResult *result = &host->simulation->result;
-    Told *told = told_of(host, upstream);
+    const Told *told = told_of(host, upstream);
 
+    judge_pauses(host, upstream);
     result->reborn_arrivals += upstream->life > 1;
     result->malformed_arrivals += upstream->malformed;
     if (told->leaving_at != NEVER && request != NULL &&
@@ -250,6 +335,11 @@
     host = request->host;
     attempt->request = NULL;
     request->attempt = NULL;
+    told = told_of(host, attempt->upstream);
+    told->paused_until = MAX(told->paused_until, now(sim) + attempt->pause);
+    if (attempt->status == 503) {
+        end.result = ATTEMPT_RESULT_NOT_RUN;
+    }
     if (attempt->life != attempt->upstream->life) {
         end.result = ATTEMPT_RESULT_BROKEN;
     }
@@ -260,7 +350,6 @@
     }
     if (Dispatcher_OnAttemptEnd(host->dispatcher, request->job, &end) ==
         JOB_RELAY) {
-        told = told_of(host, attempt->upstream);
         sim->result.served++;
         if (told->leaving_at == NEVER && attempt->upstream->leaving &&
             HeaderList_Has(attempt->headers, STR("server-leaving"))) {
@@ -281,6 +370,7 @@
     if (attempt->life == upstream->life) {
         upstream->running--;
     }
+    attempt->simulation->result.pausing_arrivals += upstream->pausing;
     attempt->status = 200;
     attempt->report = report_of(upstream);
     attempt->headers = headers_of(attempt->simulation, upstream);
@@ -288,14 +378,36 @@
                    attempt, 0);
 }
 
+static void
+turn_away(Attempt *attempt, Host *host)
+{
+    Simulation *sim = attempt->simulation;
+
+    attempt->status = 503;
+    attempt->pause = draw_pause(sim);
+    attempt->report = report_of(attempt->upstream);
+    attempt->headers = headers_of(sim, attempt->upstream);
+    add_pause(sim, attempt->headers, attempt->pause);
+    start_pause(sim, host, attempt->upstream, attempt->pause);
+    EventQueue_Add(sim->events, NETWORK_DELAY_US, deliver_end, attempt, 0);
+}
+
 static void
 receive_attempt(void *user, uint64_t host)
 {
     Attempt *attempt = user;
     Simulation *sim = attempt->simulation;
 
+    /* The connection ended with the incarnation that it was opened to. */
+    if (attempt->life != attempt->upstream->life) {
+        EventQueue_Add(sim->events, NETWORK_DELAY_US, deliver_end, attempt, 0);
+        return;
+    }
     judge_arrival(&sim->hosts[host], attempt->upstream, attempt->request);
-    attempt->life = attempt->upstream->life;
+    if (attempt->upstream->pressed) {
+        turn_away(attempt, &sim->hosts[host]);
+        return;
+    }
     attempt->upstream->running++;
     EventQueue_Add(sim->events, Random_Jitter(sim->random, WORK_TIME_US),
                    end_work, attempt, 0);
@@ -307,13 +419,17 @@
     Probe *probe = user;
     Host *host = probe->host;
 
+    Told *told = told_of(host, probe->upstream);
+
     if (host->dispatcher == NULL || host->start_count != probe->start_count) {
         return;
     }
+    told->paused_until =
+        MAX(told->paused_until, now(host->simulation) + probe->pause);
     if (!host->simulation->options.unread &&
         !host->simulation->options.silent_probes) {
         UpstreamNotice notice =
-            NoticeReader_Read(host->reader, 200, probe->headers);
+            NoticeReader_Read(host->reader, probe->status, probe->headers);
 
         Dispatcher_OnProbeNotice(host->dispatcher, probe->index, &notice);
     }
@@ -330,8 +446,16 @@
     Probe *probe = user;
     Simulation *sim = probe->host->simulation;
 
+    judge_pauses(probe->host, probe->upstream);
     probe->report = report_of(probe->upstream);
     probe->headers = headers_of(sim, probe->upstream);
+    probe->status = 200;
+    if (probe->upstream->pressed && !sim->options.silent_probes) {
+        probe->status = 503;
+        probe->pause = draw_pause(sim);
+        add_pause(sim, probe->headers, probe->pause);
+        start_pause(sim, probe->host, probe->upstream, probe->pause);
+    }
     EventQueue_Add(sim->events, NETWORK_DELAY_US, deliver_probe_end, probe, 0);
 }
 
@@ -362,10 +486,32 @@
     attempt->request = request;
     attempt->simulation = sim;
     attempt->upstream = &sim->upstreams[action->send.port - 1];
+    attempt->life = attempt->upstream->life;
     EventQueue_Add(sim->events, NETWORK_DELAY_US, receive_attempt, attempt,
                    (uint64_t)(host - sim->hosts));
 }
 
+static void
+judge_refusal(const Host *host, const DispatchAction *action)
+{
+    Simulation *sim = host->simulation;
+    const Request *request = action->user;
+    Micros until = host->told[0].paused_until;
+
+    sim->result.refused++;
+    if (strcmp(action->respond.reason, "upstream-pauses") != 0) {
+        return;
+    }
+    for (unsigned i = 1; i < sim->options.upstream_count; i++) {
+        until = MIN(until, host->told[i].paused_until);
+    }
+    sim->result.pause_refusals++;
+    sim->result.early_returns +=
+        now(sim) + action->respond.retry_after < until;
+    sim->result.held_longest =
+        MAX(sim->result.held_longest, now(sim) - request->arrived);
+}
+
 static void
 handle_actions(Host *host)
 {
@@ -389,7 +535,7 @@
             }
             break;
         case DISPATCH_RESPOND:
-            host->simulation->result.refused++;
+            judge_refusal(host, &action);
             free_request(request);
             break;
         }
@@ -423,6 +569,14 @@
     return entry;
 }
 
+static void
+forget_told(Told *told)
+{
+    told->leaving_at = NEVER;
+    told->paused_until = 0;
+    g_array_set_size(told->pauses, 0);
+}
+
 static void
 start_host(void *user, uint64_t index)
 {
@@ -445,7 +599,7 @@
         UpstreamEntry entry = entry_of(sim, &sim->upstreams[i]);
 
         Dispatcher_PutUpstream(host->dispatcher, &entry);
-        host->told[i] = (Told){.leaving_at = NEVER};
+        forget_told(&host->told[i]);
     }
 }
 
@@ -537,7 +691,7 @@
     upstream->running = 0;
     upstream->leaving = false;
     for (unsigned i = 0; i < sim->options.host_count; i++) {
-        told_of(&sim->hosts[i], upstream)->leaving_at = NEVER;
+        forget_told(told_of(&sim->hosts[i], upstream));
     }
     publish(sim, upstream, true);
 }
@@ -554,6 +708,23 @@
     }
 }
 
+static void
+change_pressed(void *user, uint64_t index)
+{
+    Simulation *sim = user;
+    uint64_t end =
+        sim->options.pausing_at_once ? sim->options.pausing_count : index + 1;
+    bool pressed = !sim->upstreams[index].pressed;
+
+    for (uint64_t i = index; i < end; i++) {
+        sim->upstreams[i].pressed = pressed;
+    }
+    EventQueue_Add(
+        sim->events,
+        Random_Jitter(sim->random, pressed ? PRESSED_TIME_US : FREE_TIME_US),
+        change_pressed, sim, index);
+}
+
 /* ---- runs ------------------------------------------------------------ */
 
 static RouteTable *
@@ -591,6 +762,7 @@
             .sequence = 1,
             .malformed = i >= options->leaving_count &&
                          i < options->leaving_count + options->malformed_count,
+            .pausing = i < options->pausing_count,
         };
     }
     for (unsigned i = 0; i < options->host_count; i++) {
@@ -600,6 +772,9 @@
         host->id = g_strdup_printf("host-%u", i);
         host->requests = g_hash_table_new(NULL, NULL);
         host->told = g_new0(Told, options->upstream_count);
+        for (unsigned k = 0; k < options->upstream_count; k++) {
+            host->told[k].pauses = g_array_new(FALSE, FALSE, sizeof(Pause));
+        }
         host->reader = NoticeReader_Create(options->dialect, sim->clock, NULL,
                                            sim->counters);
     }
@@ -617,6 +792,9 @@
         }
         NoticeReader_Destroy(host->reader);
         g_hash_table_destroy(host->requests);
+        for (unsigned k = 0; k < sim->options.upstream_count; k++) {
+            g_array_free(host->told[k].pauses, TRUE);
+        }
         g_free(host->told);
         g_free(host->id);
     }
@@ -648,6 +826,13 @@
         }
         EventQueue_Add(sim->events, delay, start_leaving, sim, i);
     }
+    for (unsigned i = 0; i < options->pausing_count; i++) {
+        if (i == 0 || !options->pausing_at_once) {
+            EventQueue_Add(sim->events,
+                           Random_Jitter(sim->random, FIRST_NOTICE_US),
+                           change_pressed, sim, i);
+        }
+    }
     if (options->entry_interval > 0) {
         EventQueue_Add(sim->events, FIRST_NOTICE_US, change_entry, sim, 0);
     }
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -680,6 +680,63 @@
     g_assert_cmpuint(f->sends, ==, 2);
 }
 
+static void
+pause_upstream(Fixture *f, Job *job, Micros pause)
+{
+    UpstreamNotice notice = {.pause = pause};
+
+    Dispatcher_OnNotice(f->dispatcher, job, &notice);
+    end_attempt(f, job, ATTEMPT_RESULT_NOT_RUN, 503);
+}
+
+/* Guards against a pause that is forgotten at a retry, against callers that are
+ * told to return before it ends, and against callers that all return at the
+ * same moment. */
+static void
+test_paused_upstreams(Fixture *f, gconstpointer data)
+{
+    Micros first = G_MAXINT64, last = 0;
+    Job *job = submit(f, "/once/1", 0);
+
+    pause_upstream(f, job, 4 * MICROS_PER_S);
+    g_assert_cmpuint(f->sends, ==, 2);
+    pause_upstream(f, job, 2 * MICROS_PER_S);
+    for (int i = 0; i < 100; i++) {
+        Micros wait;
+
+        g_assert_null(submit(f, "/once/2", 0));
+        wait = f->action.respond.retry_after;
+        g_assert_cmpstr(f->action.respond.reason, ==, "upstream-pauses");
+        g_assert_cmpint(f->action.respond.status, ==, 503);
+        first = MIN(first, wait);
+        last = MAX(last, wait);
+    }
+    g_assert_cmpint(first, >=, 2 * MICROS_PER_S);
+    g_assert_cmpint(last, <=, 2500 * MICROS_PER_MS);
+    g_assert_cmpint(last - first, >=, 300 * MICROS_PER_MS);
+    g_assert_cmpuint(f->sends, ==, 2);
+    advance_time(f, 2 * MICROS_PER_S);
+    g_assert_nonnull(submit(f, "/once/3", 0));
+    g_assert_cmpuint(f->sends, ==, 3);
+}
+
+/* Guards against a retry that goes to an upstream which another request has
+ * found paused. */
+static void
+test_retry_with_pause(Fixture *f, gconstpointer data)
+{
+    Job *job = submit(f, "/once/1", 0);
+
+    pause_upstream(f, job, 4 * MICROS_PER_S);
+    end_attempt(f, job, ATTEMPT_RESULT_RESPONSE, 200);
+    g_assert_cmpuint(f->sends, ==, 2);
+    job = submit(f, "/once/2", 0);
+    g_assert_cmpuint(f->sends, ==, 3);
+    end_attempt(f, job, ATTEMPT_RESULT_NOT_RUN, 503);
+    g_assert_cmpuint(f->sends, ==, 3);
+    g_assert_cmpint(f->action.respond.status, ==, 503);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -712,6 +769,8 @@
         test_limit_of_relisted_upstream);
     ADD("/dispatcher/limit-of-unknown-host", set_up,
         test_limit_of_unknown_host);
+    ADD("/dispatcher/paused-upstreams", set_up, test_paused_upstreams);
+    ADD("/dispatcher/retry-with-pause", set_up, test_retry_with_pause);
     ADD("/dispatcher/caller-gone", set_up_probing, test_caller_disconnect);
     return g_test_run();
 }
--- a/tests/test_eligibility.c
+++ b/tests/test_eligibility.c
@@ -113,6 +113,42 @@
     assert_reason(f, UPSTREAM, ELIGIBILITY_OK);
 }
 
+/* Guards against a pause that a later, shorter one ends, and against probes
+ * while it lasts. */
+static void
+test_pause(Fixture *f, gconstpointer data)
+{
+    g_assert_true(
+        Eligibility_Pause(f->eligibility, UPSTREAM, 5 * MICROS_PER_S));
+    g_assert_false(Eligibility_Pause(f->eligibility, UPSTREAM, MICROS_PER_S));
+    assert_reason(f, UPSTREAM, ELIGIBILITY_PAUSED);
+    g_assert_cmpint(Eligibility_Wait(f->eligibility, UPSTREAM), ==,
+                    5 * MICROS_PER_S);
+    g_assert_false(Eligibility_MayProbe(f->eligibility, UPSTREAM));
+    Clock_Advance(f->clock, 5 * MICROS_PER_S - 1);
+    assert_reason(f, UPSTREAM, ELIGIBILITY_PAUSED);
+    Clock_Advance(f->clock, 1);
+    assert_reason(f, UPSTREAM, ELIGIBILITY_OK);
+    g_assert_false(Eligibility_IsPaused(f->eligibility, UPSTREAM));
+}
+
+/* Guards against a pause without an end, and against one that is forgotten
+ * because the entry lapsed. */
+static void
+test_pause_bounds(Fixture *f, gconstpointer data)
+{
+    g_assert_false(Eligibility_Pause(f->eligibility, UPSTREAM, -1));
+    g_assert_false(Eligibility_Pause(f->eligibility, UPSTREAM, 0));
+    Eligibility_Pause(f->eligibility, UPSTREAM, G_MAXINT64);
+    g_assert_cmpint(Eligibility_Wait(f->eligibility, UPSTREAM), ==,
+                    UPSTREAM_PAUSE_MAX);
+    Eligibility_OnRemoved(f->eligibility, UPSTREAM);
+    Eligibility_OnListed(f->eligibility, OTHER_INDEX, INSTANCE);
+    assert_reason(f, OTHER_INDEX, ELIGIBILITY_PAUSED);
+    Eligibility_OnListed(f->eligibility, UPSTREAM, NEXT_INSTANCE);
+    assert_reason(f, UPSTREAM, ELIGIBILITY_OK);
+}
+
 static UpstreamNotice
 read_field(const Fixture *f, int status, const char *name, const char *first,
            const char *second)
@@ -145,6 +181,45 @@
     }
 }
 
+/* Guards against dates and numbers out of range that are taken for a pause, and
+ * against a pause in a response that turned nothing away. */
+static void
+test_pause_values(Fixture *f, gconstpointer data)
+{
+    static const struct {
+        const char *text;
+        Micros pause;
+    } cases[] = {
+        {"3", 3 * MICROS_PER_S},
+        {" 0.25 ", 250 * MICROS_PER_MS},
+        {"0", 0},
+        {"0.0000001", 1},
+        {"120", UPSTREAM_PAUSE_MAX},
+        {"121", UPSTREAM_PAUSE_MAX},
+        {"9999999999999999999999999999999", UPSTREAM_PAUSE_MAX},
+        {"99999999999999999999999999999999", 0},
+        {"Fri, 04 Dec 2026 10:00:00 GMT", 0},
+        {"-3", 0},
+        {"+3", 0},
+        {"inf", 0},
+        {"nan", 0},
+        {"1e3", 0},
+        {"2, 5", 0},
+        {"1.2.3", 0},
+        {".", 0},
+        {"", 0},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        g_assert_cmpint(
+            read_field(f, 503, "Retry-After", cases[i].text, NULL).pause, ==,
+            cases[i].pause);
+    }
+    g_assert_cmpint(read_field(f, 503, "retry-after", "2", "3").pause, ==, 0);
+    g_assert_cmpint(read_field(f, 429, "retry-after", "2", NULL).pause, ==, 0);
+    g_assert_cmpint(read_field(f, 200, "retry-after", "2", NULL).pause, ==, 0);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -158,6 +233,9 @@
     ADD("new-incarnation", test_new_incarnation);
     ADD("many-incarnations", test_many_incarnations);
     ADD("leaving-values", test_leaving_values);
+    ADD("pause", test_pause);
+    ADD("pause-bounds", test_pause_bounds);
+    ADD("pause-values", test_pause_values);
 #undef ADD
     return g_test_run();
 }
--- a/tests/test_upstream_notices.c
+++ b/tests/test_upstream_notices.c
@@ -42,11 +42,16 @@
         result = NoticeSimulation_Run(&options);
         g_test_message("seed=%" G_GUINT64_FORMAT
                        " late=%u told=%u reborn=%u malformed=%u requests=%u "
-                       "served=%u refused=%u resent=%u cut_short=%u",
+                       "served=%u refused=%u resent=%u cut_short=%u "
+                       "early_sends=%u pauses=%u pausing=%u pause_refusals=%u "
+                       "early_returns=%u held_ms=%d",
                        seed, result.late_arrivals, result.told,
                        result.reborn_arrivals, result.malformed_arrivals,
                        result.requests, result.served, result.refused,
-                       result.resent, result.cut_short);
+                       result.resent, result.cut_short, result.early_sends,
+                       result.pauses, result.pausing_arrivals,
+                       result.pause_refusals, result.early_returns,
+                       (int)(result.held_longest / MICROS_PER_MS));
         sum.late_arrivals += result.late_arrivals;
         sum.told += result.told;
         sum.reborn_arrivals += result.reborn_arrivals;
@@ -56,6 +61,12 @@
         sum.refused += result.refused;
         sum.resent += result.resent;
         sum.cut_short += result.cut_short;
+        sum.early_sends += result.early_sends;
+        sum.pauses += result.pauses;
+        sum.pausing_arrivals += result.pausing_arrivals;
+        sum.pause_refusals += result.pause_refusals;
+        sum.early_returns += result.early_returns;
+        sum.held_longest = MAX(sum.held_longest, result.held_longest);
     }
     return sum;
 }
@@ -166,6 +177,112 @@
     g_assert_cmpuint(sum.malformed_arrivals * 100, >=, sum.requests * 99);
 }
 
+static void
+assert_pauses_kept(const NoticeResult *sum)
+{
+    g_assert_cmpuint(sum->pauses, >, 0);
+    g_assert_cmpuint(sum->early_sends, ==, 0);
+    g_assert_cmpuint(sum->early_returns, ==, 0);
+    g_assert_cmpuint(sum->pausing_arrivals, >, 0);
+}
+
+/* Requests that are turned away are served by another upstream. */
+static void
+test_one_pauses(gconstpointer data)
+{
+    NoticeOptions options = *(const NoticeOptions *)data;
+    NoticeResult sum;
+
+    options.pausing_count = 1;
+    options.silent_probes = true;
+    sum = run_all(options);
+    assert_pauses_kept(&sum);
+    g_assert_cmpuint(sum.refused, ==, 0);
+    g_assert_cmpuint(sum.resent, >, 0);
+}
+
+static void
+test_many_pause(gconstpointer data)
+{
+    NoticeOptions options = *(const NoticeOptions *)data;
+    NoticeResult sum;
+
+    options.pausing_count = options.upstream_count / 2;
+    options.entry_interval = 200 * MICROS_PER_MS;
+    sum = run_all(options);
+    assert_pauses_kept(&sum);
+}
+
+/* Each host sends most of its retries to upstreams that others of its requests
+ * have found paused, unless it remembers them. */
+static void
+test_few_hosts(gconstpointer data)
+{
+    NoticeOptions options = *(const NoticeOptions *)data;
+    NoticeResult sum;
+
+    options.host_count = 2;
+    options.upstream_count = 8;
+    options.pausing_count = 7;
+    options.requests_per_s = 200;
+    options.silent_probes = true;
+    sum = run_all(options);
+    assert_pauses_kept(&sum);
+}
+
+static void
+test_all_pause(gconstpointer data)
+{
+    NoticeOptions options = *(const NoticeOptions *)data;
+    NoticeResult sum;
+
+    options.pausing_count = options.upstream_count;
+    options.pausing_at_once = true;
+    sum = run_all(options);
+    assert_pauses_kept(&sum);
+    g_assert_cmpuint(sum.pause_refusals, >, 0);
+}
+
+static void
+test_pauses_with_restarts(gconstpointer data)
+{
+    NoticeOptions options = *(const NoticeOptions *)data;
+    NoticeResult sum;
+
+    options.pausing_count = options.upstream_count;
+    options.leaving_count = options.upstream_count / 3;
+    options.life_time = 2 * MICROS_PER_S;
+    options.silent_probes = true;
+    options.host_restart_interval = 500 * MICROS_PER_MS;
+    sum = run_all(options);
+    assert_left_alone(&sum);
+    assert_pauses_kept(&sum);
+}
+
+/* A malformed pause must not keep an upstream out of use. */
+static void
+test_malformed_pauses(gconstpointer data)
+{
+    NoticeOptions options = *(const NoticeOptions *)data;
+    NoticeResult sum;
+
+    options.pausing_count = options.upstream_count;
+    options.malformed_pauses = true;
+    sum = run_all(options);
+    g_assert_cmpuint(sum.pauses, >, 0);
+    g_assert_cmpuint(sum.pause_refusals, ==, 0);
+}
+
+static void
+test_planted_unread_pauses(void)
+{
+    NoticeOptions options = small;
+
+    options.pausing_count = options.upstream_count / 2;
+    options.unread = true;
+    g_assert_cmpuint(run_all(options).early_sends, >, 0);
+}
+
 /* The check must fail if hosts do not read the header. */
 static void
 test_planted_unread(void)
@@ -194,7 +311,16 @@
     ADD("upstreams-return", test_upstreams_return);
     ADD("hosts-restart", test_hosts_restart);
     ADD("malformed", test_malformed);
+    ADD("one-pauses", test_one_pauses);
+    ADD("many-pause", test_many_pause);
+    ADD("all-pause", test_all_pause);
+    ADD("pauses-with-restarts", test_pauses_with_restarts);
+    ADD("malformed-pauses", test_malformed_pauses);
 #undef ADD
+    g_test_add_data_func("/upstream-notices/few-hosts", &small,
+                         test_few_hosts);
     g_test_add_func("/upstream-notices/planted-unread", test_planted_unread);
+    g_test_add_func("/upstream-notices/planted-unread-pauses",
+                    test_planted_unread_pauses);
     return g_test_run();
 }
