standins: upstreams that say that they leave or ask for pauses

Cause: no stand-in sent either field, so no process test could show that hosts read them.

Restarts of hosts are not run here, the check does not know of them.

--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -27,6 +27,7 @@
 SIGNALS=${SIGNALS:-mixed}    # mixed, term (SIGTERM only), ends (SIGTERM and SIGKILL) or none
 CRASH_INTERVAL_MS=${CRASH_INTERVAL_MS:-0}  # between requests that end upstreams; 0 for none
 LIMIT_INTERVAL_MS=${LIMIT_INTERVAL_MS:-0}  # between changes of the limits that upstreams name; 0 for none
+NOTICE_INTERVAL_MS=${NOTICE_INTERVAL_MS:-0}  # between upstreams that leave or ask for pauses; 0 for none
 RESTORE_INTERVAL_MS=${RESTORE_INTERVAL_MS:-0}  # between returns of the store from a copy; 0 for none
 SERVED_LEAST=${SERVED_LEAST:-0.9}  # fraction of the calls after the last fault that must be served
 START_MS=${START_MS:-3000}   # delay before the load
@@ -134,6 +135,7 @@
         --link-period-s "$LINK_PERIOD_S" \
         --crash-interval-ms "$CRASH_INTERVAL_MS" \
         --limit-interval-ms "$LIMIT_INTERVAL_MS" \
+        --notice-interval-ms "$NOTICE_INTERVAL_MS" \
         --restore-interval-ms "$RESTORE_INTERVAL_MS" \
         --served-least "$SERVED_LEAST" \
         >"$WORK/platform.out" 2>"$WORK/platform.err" &
@@ -160,7 +162,7 @@
     fi
     [ "$code" -eq 0 ] || grep -m 8 violation "$WORK/platform.out"
     grep '^crashing=' "$WORK/platform.out"
-    echo "seed=$SEED code=$code $(grep -E '^(sent|served|refused|failed|unanswered|violations|store_calls|served_at_rest)=' "$WORK/platform.out" | tr '\n' ' ')"
+    echo "seed=$SEED code=$code $(grep -E '^(sent|served|refused|failed|unanswered|violations|store_calls|served_at_rest|leaving_told|pauses_told)=' "$WORK/platform.out" | tr '\n' ' ')"
     if [ -n "$KEEP" ] && { [ "$code" -ne 0 ] || [ -n "$KEEP_ALL" ]; }; then
         mkdir -p "$KEEP" && cp -r "$WORK" "$KEEP/seed-$SEED"
     fi
--- a/standins/PlatformCaller.c
+++ b/standins/PlatformCaller.c
@@ -33,6 +33,7 @@
     char *signature;
     Micros sent_at;
     int status;
+    bool leaving; /* the response says that the upstream leaves */
 } Call;
 
 static void
@@ -55,6 +56,8 @@
         HttpMessage_Header(message, STR("agatecrank-response-signature"));
 
     call->status = status;
+    call->leaving = Str_Equal(
+        HttpMessage_Header(message, STR("server-leaving")), STR("1"));
     g_free(call->signature);
     call->signature = signature.length > 0
                           ? g_strndup(signature.data, signature.length)
@@ -69,6 +72,20 @@
     Str_AppendTo(piece, call->body);
 }
 
+/* The signature is "ID.UPSTREAM". */
+static void
+report_leaving(const Call *call)
+{
+    const char *upstream =
+        call->signature != NULL ? strchr(call->signature, '.') : NULL;
+
+    if (call->leaving && upstream != NULL) {
+        NoticeCheck_OnLeavingRelayed(
+            PlatformChecker_Notices(call->caller->checker), call->id,
+            upstream + 1, Clock_Now(call->caller->clock));
+    }
+}
+
 /* Prints a failed or slow call; its id is also in the event logs of the hosts.
  */
 static void
@@ -91,6 +108,7 @@
 
     if (result == CLIENT_DONE) {
         print_slow_call(call);
+        report_leaving(call);
         PlatformChecker_OnResponse(call->caller->checker, call->id,
                                    call->status, call->signature,
                                    call->body->str);
@@ -165,6 +183,8 @@
 
     g_hash_table_add(this->calls, call);
     PlatformChecker_OnSent(this->checker, call->id, unsafe);
+    NoticeCheck_OnSent(PlatformChecker_Notices(this->checker), call->id,
+                       (unsigned)target, call->sent_at);
     Timer_Start(&call->timer, this->loop->timers, CALL_TIMEOUT_US, on_timeout);
     HttpClient_Send(client, target, &call->client);
 }
--- a/standins/PlatformChecker.c
+++ b/standins/PlatformChecker.c
@@ -27,6 +27,7 @@
 struct PlatformChecker_ {
     GHashTable *attempts; /* id to Attempt */
     GHashTable *crashing; /* request to Crashing, owned */
+    NoticeCheck *notices;
     unsigned sent;
     unsigned served;
     unsigned refused;
@@ -54,6 +55,7 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_attempt);
     this->crashing =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    this->notices = NoticeCheck_Create();
     return this;
 }
 
@@ -62,9 +64,16 @@
 {
     g_hash_table_destroy(this->attempts);
     g_hash_table_destroy(this->crashing);
+    NoticeCheck_Destroy(this->notices);
     g_free(this);
 }
 
+NoticeCheck *
+PlatformChecker_Notices(const PlatformChecker *this)
+{
+    return this->notices;
+}
+
 void
 PlatformChecker_ReportViolation(PlatformChecker *this, const char *format, ...)
 {
@@ -230,6 +239,7 @@
 PlatformChecker_PrintTotals(const PlatformChecker *this)
 {
     print_crashing(this);
+    NoticeCheck_PrintTotals(this->notices);
     printf("sent=%u\nserved=%u\nrefused=%u\nfailed=%u\nunanswered=%u\n"
            "violations=%u\n",
            this->sent, this->served, this->refused, this->failed,
--- a/standins/PlatformChecker.h
+++ b/standins/PlatformChecker.h
@@ -5,6 +5,7 @@
 #include <stdbool.h>
 
 #include "Clock.h"
+#include "NoticeCheck.h"
 
 /** Part of the path of requests that end the upstreams that run them */
 #define PLATFORM_CRASH_PATH "/crash"
@@ -23,6 +24,9 @@
 /** PlatformChecker_Destroy() - release the checker */
 void PlatformChecker_Destroy(PlatformChecker *this);
 
+/** PlatformChecker_Notices() - the check of notices, which it owns */
+NoticeCheck *PlatformChecker_Notices(const PlatformChecker *this);
+
 /**
  * PlatformChecker_OnSent() - record that a caller sends an attempt
  * @at_most_once: the attempt must not be executed twice, and not at all if a
--- a/standins/PlatformUpstream.c
+++ b/standins/PlatformUpstream.c
@@ -12,6 +12,11 @@
 /* Hosts are in touch if the store has been sound for this time. */
 #define STABLE_TIME_US (3 * MICROS_PER_S)
 
+#define LEAVING_MIN_US (3 * MICROS_PER_S)
+#define LEAVING_SPREAD_US (2 * MICROS_PER_S)
+#define PAUSE_MIN_MS 600
+#define PAUSE_SPREAD_MS 2400
+
 #define LIMIT_WINDOW_US (4 * MICROS_PER_S)
 #define LIMIT_NOTICE_US (3 * MICROS_PER_S)
 #define LIMIT_FACTOR 1.5
@@ -30,6 +35,7 @@
     Timer correction_timer;
     Timer crash_timer;
     Timer restart_timer;
+    Timer leaving_timer;
     char *crashing; /* path of the request that ends it, or NULL */
     unsigned sequence;
     unsigned inflight;     /* requests in progress */
@@ -37,6 +43,9 @@
     double limit_per_s;    /* negative if it names none */
     Micros limit_since;    /* since then no higher limit was named */
     GArray *arrivals;      /* Micros: requests since limit_since */
+    Micros pressed_until;  /* requests are turned away until then */
+    bool leaving;
+    bool malformed;
     bool crashed;
 };
 
@@ -63,6 +72,15 @@
                       this->record);
 }
 
+static const char *
+leaving_header(const PlatformUpstream *this)
+{
+    if (this->leaving) {
+        return "server-leaving: 1\r\n";
+    }
+    return this->malformed ? "server-leaving: 1, 1\r\n" : "";
+}
+
 static char *
 common_headers(const PlatformUpstream *this, const char *attempt_id)
 {
@@ -74,9 +92,9 @@
 
     return g_strdup_printf("agatecrank-instance-id: %s\r\n"
                            "agatecrank-server-load: %u,%u,%d,100\r\n"
-                           "%s%s%s%s",
+                           "%s%s%s%s%s",
                            this->id, running, this->inflight - running,
-                           SLOT_COUNT, limit,
+                           SLOT_COUNT, limit, leaving_header(this),
                            attempt_id != NULL ? "agatecrank-attempt-id: " : "",
                            attempt_id != NULL ? attempt_id : "",
                            attempt_id != NULL ? "\r\n" : "");
@@ -94,6 +112,60 @@
     HttpRequest_Respond(request, status, headers, STR(""));
 }
 
+/* Returns the pause of a request that is turned away, in milliseconds. */
+static Micros
+draw_pause_ms(const PlatformUpstream *this)
+{
+    return PAUSE_MIN_MS +
+           (Micros)Random_Below(this->context.random, PAUSE_SPREAD_MS);
+}
+
+static void
+turn_away(const PlatformUpstream *this, HttpRequest *request,
+          const char *attempt_id)
+{
+    Micros pause_ms = draw_pause_ms(this);
+    g_autofree char *common = common_headers(this, attempt_id);
+    g_autofree char *pause =
+        this->malformed ? g_strdup("Fri, 04 Dec 2026 10:00:00 GMT")
+                        : g_strdup_printf("%.3f", (double)pause_ms / 1000);
+    g_autofree char *headers = g_strconcat(
+        common, "agatecrank-not-executed: 1\r\nretry-after: ", pause, "\r\n",
+        NULL);
+
+    if (attempt_id != NULL && !this->malformed) {
+        NoticeCheck_OnPause(PlatformChecker_Notices(this->context.checker),
+                            attempt_id, this->id,
+                            Clock_Now(this->context.clock),
+                            pause_ms * MICROS_PER_MS);
+    }
+    HttpRequest_Respond(request, 503, headers, STR(""));
+}
+
+static bool
+is_pressed(const PlatformUpstream *this)
+{
+    return Clock_Now(this->context.clock) < this->pressed_until;
+}
+
+static void
+check_notices(const PlatformUpstream *this, const char *attempt_id)
+{
+    NoticeCheck *notices = PlatformChecker_Notices(this->context.checker);
+
+    if (NoticeCheck_IsLate(notices, attempt_id, this->id)) {
+        PlatformChecker_ReportViolation(this->context.checker,
+                                        "leaving id=%s upstream=%s",
+                                        attempt_id, this->id);
+    }
+    if (NoticeCheck_IsEarly(notices, attempt_id, this->id,
+                            Clock_Now(this->context.clock))) {
+        PlatformChecker_ReportViolation(this->context.checker,
+                                        "pause id=%s upstream=%s", attempt_id,
+                                        this->id);
+    }
+}
+
 static void
 fill_placeholder(void *user, uint64_t offset, char *out, size_t length)
 {
@@ -277,7 +349,12 @@
     if (Str_Equal(HttpRequest_Path(request), STR("/health"))) {
         g_autofree char *headers = common_headers(this, NULL);
 
-        HttpRequest_Respond(request, 200, headers, STR(""));
+        if (is_pressed(this)) {
+            turn_away(this, request, NULL);
+        }
+        else {
+            HttpRequest_Respond(request, 200, headers, STR(""));
+        }
     }
     else if (attempt_id == NULL) {
         HttpRequest_Respond(request, 400, "agatecrank-not-executed: 1\r\n",
@@ -286,12 +363,17 @@
     else if (instance != NULL && strcmp(instance, this->id) != 0) {
         reject(this, request, 421);
     }
+    else if (is_pressed(this)) {
+        check_notices(this, attempt_id);
+        turn_away(this, request, attempt_id);
+    }
     else if (this->inflight >= SLOT_COUNT + QUEUED_MAX) {
         reject(this, request, 503);
     }
     else {
         check_drain(this, attempt_id);
         check_limit(this, attempt_id);
+        check_notices(this, attempt_id);
         if (is_crashing(HttpRequest_Path(request))) {
             start_crash(this, HttpRequest_Path(request));
         }
@@ -356,6 +438,7 @@
     Timer_Stop(&this->correction_timer);
     Timer_Stop(&this->crash_timer);
     Timer_Stop(&this->restart_timer);
+    Timer_Stop(&this->leaving_timer);
     g_array_free(this->arrivals, TRUE);
     g_free(this->crashing);
     g_free(this->previous_record);
@@ -420,12 +503,46 @@
     this->crashed = false;
     this->draining_since = -1;
     this->limit_per_s = -1;
+    this->pressed_until = 0;
+    this->leaving = false;
+    Timer_Stop(&this->leaving_timer);
+    NoticeCheck_OnRestart(PlatformChecker_Notices(this->context.checker),
+                          this->id, Clock_Now(this->context.clock));
     this->born_ms = MAX(Clock_Wall(this->context.clock) / MICROS_PER_MS,
                         this->born_ms + 1);
     this->sequence = 0;
     publish_record(this);
 }
 
+static void
+on_leaving_timer(Timer *timer)
+{
+    PlatformUpstream_Restart(
+        TIMER_OWNER(timer, PlatformUpstream, leaving_timer));
+}
+
+void
+PlatformUpstream_Leave(PlatformUpstream *this)
+{
+    this->leaving = true;
+    Timer_Start(&this->leaving_timer, this->context.loop->timers,
+                LEAVING_MIN_US + (Micros)Random_Below(this->context.random,
+                                                      LEAVING_SPREAD_US),
+                on_leaving_timer);
+}
+
+void
+PlatformUpstream_Press(PlatformUpstream *this, Micros time)
+{
+    this->pressed_until = Clock_Now(this->context.clock) + time;
+}
+
+void
+PlatformUpstream_SetMalformed(PlatformUpstream *this, bool malformed)
+{
+    this->malformed = malformed;
+}
+
 void
 PlatformUpstream_StallConnections(PlatformUpstream *this)
 {
@@ -435,7 +552,7 @@
 bool
 PlatformUpstream_IsUp(const PlatformUpstream *this)
 {
-    return !this->crashed && this->draining_since < 0;
+    return !this->crashed && !this->leaving && this->draining_since < 0;
 }
 
 void
--- a/standins/PlatformUpstream.h
+++ b/standins/PlatformUpstream.h
@@ -94,7 +94,33 @@
 /** PlatformUpstream_Limit() - the limit that it names, negative for none */
 double PlatformUpstream_Limit(const PlatformUpstream *this);
 
-/** PlatformUpstream_IsUp() - true if neither crashed nor draining */
+/**
+ * PlatformUpstream_Leave() - say in all responses that it leaves
+ *
+ * It serves on, its record says ready. Some seconds later a new incarnation with
+ * the same id follows. It is a violation if a request arrives that a caller sent
+ * 2 s or more after the host had passed such a response on.
+ */
+void PlatformUpstream_Leave(PlatformUpstream *this);
+
+/**
+ * PlatformUpstream_Press() - turn all requests away for a time, each with a
+ *     Retry-After
+ *
+ * It is a violation if more than two requests of a host arrive between 0.5 s
+ * after such a response to it and the end of the time that it tells.
+ */
+void PlatformUpstream_Press(PlatformUpstream *this, Micros time);
+
+/**
+ * PlatformUpstream_SetMalformed() - announce in malformed ways, which must
+ *     change nothing
+ */
+void PlatformUpstream_SetMalformed(PlatformUpstream *this, bool malformed);
+
+/**
+ * PlatformUpstream_IsUp() - true if neither crashed nor draining nor leaving
+ */
 bool PlatformUpstream_IsUp(const PlatformUpstream *this);
 
 /**
--- a/standins/standin-platform.c
+++ b/standins/standin-platform.c
@@ -17,6 +17,9 @@
 #define REWRITE_DELAY_US (1 * MICROS_PER_S)
 #define LIMIT_MIN_PER_S 1.0
 #define LIMIT_SPREAD_PER_S 4.0
+#define PRESSED_TIME_US (1000 * MICROS_PER_MS)
+/* One in so many notices is of all upstreams at once. */
+#define NOTICE_OF_ALL_ONE_IN 12
 
 typedef struct Options_ {
     int64_t seed;
@@ -30,6 +33,7 @@
     int64_t show_late_ms;
     int64_t crash_interval_ms;
     int64_t limit_interval_ms;
+    int64_t notice_interval_ms;
     int64_t restore_interval_ms;
     double rate;
     double fault_period_s;
@@ -58,6 +62,8 @@
      "mean time between requests that end upstreams, 0 for none"},
     {"limit-interval-ms", SETTING_INT, FIELD(limit_interval_ms), false,
      "mean time between changes of the limits of upstreams, 0 for none"},
+    {"notice-interval-ms", SETTING_INT, FIELD(notice_interval_ms), false,
+     "mean time between upstreams that leave or ask for pauses, 0 for none"},
     {"restore-interval-ms", SETTING_INT, FIELD(restore_interval_ms), false,
      "mean time between returns of the store from a copy, 0 for none"},
     {"rate", SETTING_REAL, FIELD(rate), false, "calls a second"},
@@ -78,6 +84,7 @@
     Random *link_random; /* separate: link faults do not change others */
     Random *crash_random;
     Random *limit_random;
+    Random *notice_random;
     Random *restore_random;
     HttpLoop *loop;
     PlatformStore *store;
@@ -92,6 +99,7 @@
     Timer config_timer;
     Timer crash_timer;
     Timer limit_timer;
+    Timer notice_timer;
     Timer copy_timer;
     Timer restore_timer;
     Timer rewrite_timer;
@@ -356,6 +364,58 @@
                 Random_Jitter(this->limit_random, interval), on_limit_timer);
 }
 
+static void
+press_all(Platform *this)
+{
+    for (guint i = 0; i < this->upstreams->len; i++) {
+        PlatformUpstream_Press(
+            g_ptr_array_index(this->upstreams, i),
+            Random_Jitter(this->notice_random, PRESSED_TIME_US));
+    }
+}
+
+static void
+announce(Platform *this, PlatformUpstream *upstream)
+{
+    switch (Random_Below(this->notice_random, 4)) {
+    case 0:
+        if (PlatformUpstream_IsUp(upstream)) {
+            PlatformUpstream_Leave(upstream);
+        }
+        break;
+    case 1:
+        PlatformUpstream_SetMalformed(upstream, true);
+        break;
+    case 2:
+        PlatformUpstream_SetMalformed(upstream, false);
+        break;
+    default:
+        PlatformUpstream_Press(
+            upstream, Random_Jitter(this->notice_random, PRESSED_TIME_US));
+    }
+}
+
+static void
+on_notice_timer(Timer *timer)
+{
+    Platform *this = TIMER_OWNER(timer, Platform, notice_timer);
+    Micros interval = this->options.notice_interval_ms * MICROS_PER_MS;
+
+    if (this->faults_ended || interval <= 0) {
+        return;
+    }
+    if (Random_Below(this->notice_random, NOTICE_OF_ALL_ONE_IN) == 0) {
+        press_all(this);
+    }
+    else {
+        announce(this, g_ptr_array_index(this->upstreams,
+                                         Random_Below(this->notice_random,
+                                                      this->upstreams->len)));
+    }
+    Timer_Start(&this->notice_timer, this->loop->timers,
+                Random_Jitter(this->notice_random, interval), on_notice_timer);
+}
+
 static void on_copy_timer(Timer *timer);
 
 /* Upstreams write what they know again; operators have done so at once. One
@@ -458,6 +518,8 @@
         PlatformUpstream *upstream = g_ptr_array_index(this->upstreams, i);
 
         PlatformUpstream_SetLimit(upstream, -1);
+        PlatformUpstream_SetMalformed(upstream, false);
+        PlatformUpstream_Press(upstream, 0);
         if (!PlatformUpstream_IsUp(upstream)) {
             PlatformUpstream_Restart(upstream);
         }
@@ -482,6 +544,7 @@
         on_link_fault_timer(&this->link_fault_timer);
         on_crash_timer(&this->crash_timer);
         on_limit_timer(&this->limit_timer);
+        on_notice_timer(&this->notice_timer);
         on_copy_timer(&this->copy_timer);
         duration = options->load_ms * MICROS_PER_MS;
         break;
@@ -604,6 +667,7 @@
     this->link_random = Random_Create((uint64_t)this->options.seed);
     this->crash_random = Random_Create((uint64_t)this->options.seed);
     this->limit_random = Random_Create((uint64_t)this->options.seed);
+    this->notice_random = Random_Create((uint64_t)this->options.seed);
     this->restore_random = Random_Create((uint64_t)this->options.seed);
     this->loop = HttpLoop_Create();
     this->links =
@@ -639,6 +703,7 @@
     Random_Destroy(this->link_random);
     Random_Destroy(this->crash_random);
     Random_Destroy(this->limit_random);
+    Random_Destroy(this->notice_random);
     Random_Destroy(this->restore_random);
     Clock_Destroy(this->clock);
     return code;
--- a/tests/test_standin_platform.c
+++ b/tests/test_standin_platform.c
@@ -53,6 +53,35 @@
     return violations;
 }
 
+/* Guards against a soak test that passes because hosts may send what they like
+ * to upstreams that have announced that they want nothing. */
+static void
+test_notice_check(void)
+{
+    NoticeCheck *check = NoticeCheck_Create();
+
+    NoticeCheck_OnSent(check, "a", 0, 0);
+    NoticeCheck_OnLeavingRelayed(check, "a", "i-1", 0);
+    NoticeCheck_OnSent(check, "b", 0, 2 * MICROS_PER_S);
+    NoticeCheck_OnSent(check, "c", 0, 2 * MICROS_PER_S + 1);
+    NoticeCheck_OnSent(check, "d", 1, 2 * MICROS_PER_S + 1);
+    g_assert_false(NoticeCheck_IsLate(check, "b", "i-1"));
+    g_assert_true(NoticeCheck_IsLate(check, "c", "i-1"));
+    g_assert_false(NoticeCheck_IsLate(check, "c", "i-2"));
+    g_assert_false(NoticeCheck_IsLate(check, "d", "i-1"));
+    NoticeCheck_OnRestart(check, "i-1", 3 * MICROS_PER_S);
+    g_assert_false(NoticeCheck_IsLate(check, "c", "i-1"));
+
+    NoticeCheck_OnPause(check, "a", "i-2", 0, 2 * MICROS_PER_S);
+    g_assert_false(NoticeCheck_IsEarly(check, "b", "i-2", MICROS_PER_S / 4));
+    g_assert_false(NoticeCheck_IsEarly(check, "b", "i-2", MICROS_PER_S));
+    g_assert_false(NoticeCheck_IsEarly(check, "d", "i-2", MICROS_PER_S));
+    g_assert_false(NoticeCheck_IsEarly(check, "b", "i-2", MICROS_PER_S));
+    g_assert_true(NoticeCheck_IsEarly(check, "c", "i-2", MICROS_PER_S));
+    g_assert_false(NoticeCheck_IsEarly(check, "c", "i-2", 2 * MICROS_PER_S));
+    NoticeCheck_Destroy(check);
+}
+
 /* Guards against a soak test that passes because its checks never fail. */
 static void
 test_checker(void)
@@ -344,6 +373,7 @@
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/standins/truth", test_checker);
+    g_test_add_func("/standins/notices", test_notice_check);
     ADD("/standins/link/clear", test_clear);
     ADD("/standins/link/delayed", test_delayed);
     ADD("/standins/link/cut", test_cut);
