--- a/packages/gateway/Dispatcher.c
+++ b/packages/gateway/Dispatcher.c
@@ -243,7 +243,9 @@
     };
 
     /* One that leaves ends as planned. */
-    if (job->loss_reported || record == NULL || record->draining ||
+    if (job->loss_reported || record == NULL ||
+        Eligibility_IsEnding(Placement_Eligibility(this->placement),
+                             job->upstream) ||
         Dispatcher_IsCutOff(this) || job->sent_at < this->path_back_at) {
         return;
     }
@@ -329,6 +331,16 @@
     return wait + (Micros)Random_Below(this->random, (uint64_t)wait);
 }
 
+/* Returns the time until the first upstream may be sent to again, or up to a
+ * quarter more, so that rejected callers do not return at the same time. */
+static Micros
+retry_after_pause(Dispatcher *this, Micros wait)
+{
+    return wait +
+           (Micros)Random_Below(this->random,
+                                (uint64_t)MAX(wait / 4, RETRY_AFTER_SOON_US));
+}
+
 /* Returns a short time if there is spare capacity, as an upstream that rejects
  * requests at random may accept the next attempt, and a longer one if the
  * service is full. */
@@ -349,8 +361,17 @@
                                                ? RETRY_AFTER_SOON_US
                                                : RETRY_AFTER_FULL_US);
     }
-    if (Placement_LimitWait(this->placement, &query, &wait)) {
+    switch (Placement_Blocked(this->placement, &query, &wait)) {
+    case ELIGIBILITY_LIMIT:
         return retry_after_limits(this, wait);
+    case ELIGIBILITY_PAUSED:
+        return retry_after_pause(this, wait);
+    case ELIGIBILITY_OK:
+    case ELIGIBILITY_EJECTED:
+    case ELIGIBILITY_DRAINING:
+    case ELIGIBILITY_LEAVING:
+    case ELIGIBILITY_COUNT:
+        break;
     }
     return Random_Jitter(this->random, RETRY_AFTER_FULL_US);
 }
@@ -503,6 +524,12 @@
     return UpstreamLimits_Count(this->limits);
 }
 
+uint32_t
+Dispatcher_ExcludedCount(const Dispatcher *this, EligibilityReason reason)
+{
+    return Eligibility_Count(Placement_Eligibility(this->placement), reason);
+}
+
 size_t
 Dispatcher_UpstreamCount(const Dispatcher *this)
 {
--- a/packages/gateway/HostPath.c
+++ b/packages/gateway/HostPath.c
@@ -122,6 +122,15 @@
 
 /* ---- probes ---------------------------------------------------------- */
 
+static bool
+may_not_be_probed(const Dispatcher *this, uint32_t upstream)
+{
+    const Eligibility *eligibility = Placement_Eligibility(this->placement);
+
+    return Eligibility_IsEnding(eligibility, upstream) ||
+           Eligibility_IsPaused(eligibility, upstream);
+}
+
 static GArray *
 list_targets(const Dispatcher *this)
 {
@@ -132,7 +141,7 @@
         const UpstreamRecord *record = UpstreamSet_Record(this->upstreams, i);
         PathTarget target = {.upstream = i};
 
-        if (record == NULL || record->draining ||
+        if (record == NULL || may_not_be_probed(this, i) ||
             !JobPlacement_HasLoadPath(this, record->service)) {
             continue;
         }
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -29,6 +29,7 @@
                              # hosts at once, soon after many responses begin to be lost) or none
 CRASH_INTERVAL_MS=${CRASH_INTERVAL_MS:-0}  # between requests that end upstreams; 0 for none
 LIMIT_INTERVAL_MS=${LIMIT_INTERVAL_MS:-0}  # between changes of the limits that upstreams name; 0 for none
+NOTICE_INTERVAL_MS=${NOTICE_INTERVAL_MS:-0}  # between upstreams that leave or ask for pauses; 0 for none
 RESTORE_INTERVAL_MS=${RESTORE_INTERVAL_MS:-0}  # between returns of the store from a copy; 0 for none
 CUT_KIND=${CUT_KIND:-}       # silent, refused or reset: cuts hosts off from the upstreams during the load
 CUT_HOSTS=${CUT_HOSTS:-1}    # number of hosts that are cut off, if CUT_KIND is set
@@ -165,6 +166,7 @@
         --link-period-s "$LINK_PERIOD_S" \
         --crash-interval-ms "$CRASH_INTERVAL_MS" \
         --limit-interval-ms "$LIMIT_INTERVAL_MS" \
+        --notice-interval-ms "$NOTICE_INTERVAL_MS" \
         --restore-interval-ms "$RESTORE_INTERVAL_MS" \
         --loss-period-ms "$LOSS_PERIOD_MS" --loss-ratio "$LOSS_RATIO" \
         --endless-share "$ENDLESS_SHARE" --served-least "$SERVED_LEAST" \
@@ -196,7 +198,7 @@
     [ "$code" -eq 0 ] || grep -m 8 violation "$WORK/platform.out"
     grep '^crashing=' "$WORK/platform.out"
     grep '^served_\(at_cut\|elsewhere\)=' "$WORK/platform.out"
-    echo "seed=$SEED code=$code $(grep -E '^(sent|served|refused|failed|unanswered|violations|retries|retries_in_window|retry_limit_used|store_calls|served_at_rest)=' "$WORK/platform.out" | tr '\n' ' ')"
+    echo "seed=$SEED code=$code $(grep -E '^(sent|served|refused|failed|unanswered|violations|retries|retries_in_window|retry_limit_used|store_calls|served_at_rest|leaving_told|pauses_told)=' "$WORK/platform.out" | tr '\n' ' ')"
     if [ -n "$KEEP" ] && { [ "$code" -ne 0 ] || [ -n "$KEEP_ALL" ]; }; then
         mkdir -p "$KEEP" && cp -r "$WORK" "$KEEP/seed-$SEED"
     fi
--- a/standins/PlatformChecker.c
+++ b/standins/PlatformChecker.c
@@ -36,6 +36,7 @@
     GHashTable *attempts; /* id to Attempt */
     GHashTable *crashing; /* request to Crashing, owned */
     RetryRule *retries;
+    NoticeCheck *notices;
     unsigned sent;
     unsigned served;
     unsigned refused;
@@ -66,6 +67,7 @@
     this->crashing =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     this->retries = RetryRule_Create(retries);
+    this->notices = NoticeCheck_Create();
     return this;
 }
 
@@ -75,9 +77,16 @@
     g_hash_table_destroy(this->attempts);
     g_hash_table_destroy(this->crashing);
     RetryRule_Destroy(this->retries);
+    NoticeCheck_Destroy(this->notices);
     g_free(this);
 }
 
+NoticeCheck *
+PlatformChecker_Notices(const PlatformChecker *this)
+{
+    return this->notices;
+}
+
 void
 PlatformChecker_ReportViolation(PlatformChecker *this, const char *format, ...)
 {
@@ -299,6 +308,7 @@
 {
     check_retries(this);
     print_crashing(this);
+    NoticeCheck_PrintTotals(this->notices);
     printf("sent=%u\nserved=%u\nrefused=%u\nfailed=%u\nunanswered=%u\n"
            "violations=%u\n",
            this->sent, this->served, this->refused, this->failed,
