tests: a response that is on its way when its connection closes as idle

Cause: Socket_CloseIdle() closes a socket whose response the system still sends. Input of the peer then resets the connection and discards the response. Change: response-at-stop of test_idle_connections.

--- a/tests/test_idle_connections.c
+++ b/tests/test_idle_connections.c
@@ -13,6 +13,8 @@
 /* Longer than the idle limit of a connection and all that is added to it. */
 #define STALL_TIME_US (400 * MICROS_PER_MS)
 #define ITERATIONS_MAX 200
+/* More than the caller's buffer takes, less than that of the host. */
+#define SLOW_RESPONSE_BYTES 65536
 #define REQUEST "GET /x HTTP/1.1\r\nhost: a\r\n\r\n"
 
 typedef struct Fixture_ {
@@ -21,6 +23,7 @@
     HttpServer *server;
     int fd; /* of the caller */
     size_t requests;
+    size_t response_bytes; /* of a body; 0 for a short one */
 } Fixture;
 
 static void
@@ -39,9 +42,16 @@
 static void
 on_body_end(void *user, HttpRequest *request)
 {
+    const Fixture *f = user;
     HeaderList *headers = HeaderList_Create();
+    GString *body = g_string_new("hello");
 
-    HttpRequest_Respond(request, 200, headers, STR("hello"));
+    if (f->response_bytes > 0) {
+        g_string_set_size(body, f->response_bytes);
+        memset(body->str, 'x', body->len);
+    }
+    HttpRequest_Respond(request, 200, headers, Str_FromString(body));
+    g_string_free(body, TRUE);
     HeaderList_Destroy(headers);
 }
 
@@ -106,7 +116,7 @@
 }
 
 static void
-connect_caller(Fixture *f, uint16_t port)
+connect_fd(const Fixture *f, uint16_t port)
 {
     struct sockaddr_in peer = {
         .sin_family = AF_INET,
@@ -114,11 +124,17 @@
         .sin_addr = {htonl(INADDR_LOOPBACK)},
     };
 
-    f->fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     g_assert_cmpint(connect(f->fd, (struct sockaddr *)&peer, sizeof(peer)), ==,
                     0);
 }
 
+static void
+connect_caller(Fixture *f, uint16_t port)
+{
+    f->fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    connect_fd(f, port);
+}
+
 static void
 set_limits(const Fixture *f, Micros idle_time, Micros head_time)
 {
@@ -272,6 +288,64 @@
     tear_down(&f);
 }
 
+/* Connects a caller whose small buffer holds up responses, and sends a request.
+ * Returns when the host has handed its response to the system. */
+static void
+start_slow_response(Fixture *f)
+{
+    int bytes = 4096;
+
+    close(f->fd);
+    f->fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    setsockopt(f->fd, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes));
+    connect_fd(f, HttpServer_Port(f->server));
+    f->response_bytes = SLOW_RESPONSE_BYTES;
+    send_text(f, REQUEST);
+    for (int i = 0; i < 5; i++) {
+        run_once(f);
+    }
+    g_assert_cmpuint(f->requests, ==, 2);
+    g_assert_cmpuint(HttpServer_OpenRequests(f->server), ==, 0);
+}
+
+/* Returns the number of bytes until the end of the connection or, with @count
+ * above 0, until that many have arrived. */
+static size_t
+read_bytes(Fixture *f, size_t count)
+{
+    char text[4096];
+    size_t total = 0;
+
+    for (int i = 0; i < ITERATIONS_MAX && (count == 0 || total < count); i++) {
+        ssize_t n = recv(f->fd, text, sizeof(text), MSG_DONTWAIT);
+
+        if (n > 0) {
+            total += (size_t)n;
+        }
+        if (n == 0 || (n < 0 && errno != EAGAIN)) {
+            break;
+        }
+        run_once(f);
+    }
+    return total;
+}
+
+/* Guards against a response that is cut since the host closes its connection
+ * as idle while the system still sends it, and the peer sends something. */
+static void
+test_response_at_stop(void)
+{
+    Fixture f;
+
+    set_up(&f);
+    start_slow_response(&f);
+    HttpServer_StopListening(f.server);
+    HttpServer_CloseIdle(f.server);
+    send_text(&f, REQUEST);
+    g_assert_cmpuint(read_bytes(&f, 0), >, SLOW_RESPONSE_BYTES);
+    tear_down(&f);
+}
+
 /* Guards against a connection that is closed by a limit that has been raised
  * since. */
 static void
@@ -341,5 +415,7 @@
                     test_request_after_stop);
     g_test_add_func("/net/idle-connections/raised-limit", test_raised_limit);
     g_test_add_func("/net/idle-connections/short-limit", test_short_limit);
+    g_test_add_func("/net/idle-connections/response-at-stop",
+                    test_response_at_stop);
     return g_test_run();
 }
