tests: idle time that runs while the response is on its way

Cause: the idle time begins when the system takes the response. A quarter of the limit is added, whatever the response takes. Change: slow-response of test_idle_connections.

--- a/tests/test_idle_connections.c
+++ b/tests/test_idle_connections.c
@@ -346,6 +346,29 @@
     tear_down(&f);
 }
 
+/* Guards against idle time that runs while the response is still on its way
+ * to the caller. */
+static void
+test_slow_response(void)
+{
+    Fixture f;
+
+    set_up(&f);
+    start_slow_response(&f);
+    g_usleep(STALL_TIME_US);
+    run_once(&f);
+    run_once(&f);
+    g_assert_cmpuint(read_bytes(&f, SLOW_RESPONSE_BYTES), >=,
+                     SLOW_RESPONSE_BYTES);
+    f.response_bytes = 0;
+    send_text(&f, REQUEST);
+    for (int i = 0; i < 5; i++) {
+        run_once(&f);
+    }
+    g_assert_cmpuint(f.requests, ==, 3);
+    tear_down(&f);
+}
+
 /* Guards against a connection that is closed by a limit that has been raised
  * since. */
 static void
@@ -417,5 +440,6 @@
     g_test_add_func("/net/idle-connections/short-limit", test_short_limit);
     g_test_add_func("/net/idle-connections/response-at-stop",
                     test_response_at_stop);
+    g_test_add_func("/net/idle-connections/slow-response", test_slow_response);
     return g_test_run();
 }
