tests: a lowered idle limit and a caller that does not know it yet

Cause: a lowered limit holds from the next response on; the caller still goes by the limit before. Change: lowered-limit of test_idle_connections.

--- a/tests/test_idle_connections.c
+++ b/tests/test_idle_connections.c
@@ -369,6 +369,28 @@
     tear_down(&f);
 }
 
+/* Guards against a lowered limit that closes connections of callers that do not
+ * know it yet. */
+static void
+test_lowered_limit(void)
+{
+    Fixture f;
+
+    set_up(&f);
+    set_limits(&f, 4 * STALL_TIME_US, 0);
+    send_text(&f, REQUEST);
+    g_assert_cmpint(read_status(&f), ==, 200);
+    set_limits(&f, IDLE_TIME_US, 0);
+    send_text(&f, REQUEST);
+    g_assert_cmpint(read_status(&f), ==, 200);
+    g_usleep(STALL_TIME_US);
+    run_once(&f);
+    run_once(&f);
+    send_text(&f, REQUEST);
+    g_assert_cmpint(read_status(&f), ==, 200);
+    tear_down(&f);
+}
+
 /* Guards against a connection that is closed by a limit that has been raised
  * since. */
 static void
@@ -441,5 +463,6 @@
     g_test_add_func("/net/idle-connections/response-at-stop",
                     test_response_at_stop);
     g_test_add_func("/net/idle-connections/slow-response", test_slow_response);
+    g_test_add_func("/net/idle-connections/lowered-limit", test_lowered_limit);
     return g_test_run();
 }
