tests: an empty line on an idle connection without a head limit

Cause: on_data() replaces the idle deadline by the head limit, also if the parser skips the input. Without a head limit the connection is never closed. Change: empty-line of test_idle_connections.

--- a/tests/test_idle_connections.c
+++ b/tests/test_idle_connections.c
@@ -391,6 +391,22 @@
     tear_down(&f);
 }
 
+/* Guards against an idle connection without a time limit: empty lines before a
+ * request remove it if the head has no limit. */
+static void
+test_empty_line(void)
+{
+    Fixture f;
+
+    set_up(&f);
+    send_text(&f, "\r\n");
+    run_once(&f);
+    run_once(&f);
+    g_usleep(STALL_TIME_US);
+    g_assert_cmpint(read_status(&f), ==, 0);
+    tear_down(&f);
+}
+
 /* Guards against a connection that is closed by a limit that has been raised
  * since. */
 static void
@@ -464,5 +480,6 @@
                     test_response_at_stop);
     g_test_add_func("/net/idle-connections/slow-response", test_slow_response);
     g_test_add_func("/net/idle-connections/lowered-limit", test_lowered_limit);
+    g_test_add_func("/net/idle-connections/empty-line", test_empty_line);
     return g_test_run();
 }
