tests: a connection that is established when its connect timeout passes

Cause: the timer of a socket ends it without a look at the connection. Change: connected-at-timeout of test_late_responses.

--- a/tests/test_late_responses.c
+++ b/tests/test_late_responses.c
@@ -135,11 +135,79 @@
     tear_down(&f);
 }
 
+static void
+on_headers(void *user, HttpCall *call, int status, const HeaderList *headers)
+{
+}
+
+static void
+on_data(void *user, HttpCall *call, Str data)
+{
+}
+
+static void
+on_drained(void *user, HttpCall *call)
+{
+}
+
+static void
+on_complete(void *user, HttpCall *call)
+{
+    Fixture *f = user;
+
+    f->ended++;
+}
+
+static void
+on_failed(void *user, HttpCall *call, HttpCallFailure failure, bool maybe_sent,
+          const Error *error)
+{
+    Fixture *f = user;
+
+    f->ended++;
+    f->failed++;
+}
+
+static const HttpCallHandlers handlers = {
+    on_headers, on_data, on_drained, on_complete, on_failed,
+};
+
+/* Guards against an upstream that counts as unreachable since a stalled
+ * process checks the connect timeout before it sees that it is connected. */
+static void
+test_connected_at_timeout(void)
+{
+    HttpClientOptions options = {.max_connections = 1,
+                                 .connect_timeout = TIMEOUT_US};
+    HttpCallSpec spec = {
+        .address = "127.0.0.1", .method = STR("GET"), .path = STR("/")};
+    HttpClient *client;
+    Fixture f;
+
+    set_up(&f);
+    client = HttpClient_Create(f.loop, &options);
+    spec.port = f.port;
+    HttpClient_Start(client, &spec, &handlers, &f, NULL);
+    f.fd = accept(f.listen_fd, NULL, NULL);
+    g_usleep(STALL_TIME_US);
+    run_once(&f);
+    g_assert_cmpuint(f.failed, ==, 0);
+    receive_request(&f);
+    send_response(&f);
+    run_until_ended(&f, 1);
+    close(f.fd);
+    Loop_Close(f.loop);
+    HttpClient_Destroy(client);
+    tear_down(&f);
+}
+
 int
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/net/late-responses/response-at-timeout",
                     test_response_at_timeout);
+    g_test_add_func("/net/late-responses/connected-at-timeout",
+                    test_connected_at_timeout);
     return g_test_run();
 }
