tests: reuse of a connection whose end waits in the socket

Cause: HttpClient takes an idle connection without reading its socket. Change: end-before-reuse of test_late_responses.

--- a/tests/test_late_responses.c
+++ b/tests/test_late_responses.c
@@ -201,6 +201,37 @@
     tear_down(&f);
 }
 
+/* Guards against a request on a connection whose end has arrived but was not
+ * read: whether the request ran is then unknown. */
+static void
+test_end_before_reuse(void)
+{
+    HttpClientOptions options = {.max_connections = 1};
+    HttpCallSpec spec = {
+        .address = "127.0.0.1", .method = STR("GET"), .path = STR("/")};
+    HttpClient *client;
+    Fixture f;
+
+    set_up(&f);
+    client = HttpClient_Create(f.loop, &options);
+    spec.port = f.port;
+    HttpClient_Start(client, &spec, &handlers, &f, NULL);
+    f.fd = accept(f.listen_fd, NULL, NULL);
+    receive_request(&f);
+    send_response(&f);
+    run_until_ended(&f, 1);
+    close(f.fd);
+    g_usleep(MICROS_PER_MS);
+    HttpClient_Start(client, &spec, &handlers, &f, NULL);
+    run_once(&f);
+    run_once(&f);
+    g_assert_cmpuint(f.failed, ==, 0);
+    g_assert_cmpuint(HttpClient_OpenedCount(client), ==, 2);
+    Loop_Close(f.loop);
+    HttpClient_Destroy(client);
+    tear_down(&f);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -209,5 +240,7 @@
                     test_response_at_timeout);
     g_test_add_func("/net/late-responses/connected-at-timeout",
                     test_connected_at_timeout);
+    g_test_add_func("/net/late-responses/end-before-reuse",
+                    test_end_before_reuse);
     return g_test_run();
 }
