tests: a TLS connection that is idle after a long response

Cause: tls_wants_write stays set when the write that had to wait is complete, so the socket waits to write with nothing to write. Change: idle-after-transfer of test_tls. Measured: fails on, about 290,000 iterations of the loop in 100 ms.

--- a/tests/test_tls.c
+++ b/tests/test_tls.c
@@ -9,8 +9,12 @@
 #include "HttpServer.h"
 
 #define BODY_BYTES 300000
+/* More than the buffers of the system take. */
+#define LONG_BODY_BYTES 16000000
 #define CERTIFICATE_VALIDITY_S 3600
 #define TEST_TIMEOUT_US (10 * MICROS_PER_S)
+#define IDLE_TIME_US (100 * MICROS_PER_MS)
+#define IDLE_ITERATIONS_MAX 50
 
 /* Paths of a self-signed certificate and its key. */
 typedef struct CertificateFiles_ {
@@ -29,6 +33,7 @@
     int code;
     int status;
     size_t length;
+    size_t body_bytes;
 } Fixture;
 
 static X509 *
@@ -161,7 +166,7 @@
     GString *body = g_string_new(NULL);
     char *url;
 
-    for (int i = 0; i < BODY_BYTES; i++) {
+    for (size_t i = 0; i < f->body_bytes; i++) {
         g_string_append_c(body, (gchar)('a' + i % 26));
     }
     f->clock = Clock_CreateSystem();
@@ -171,7 +176,7 @@
     f->server = HttpServer_Create(f->loop, &server, &handlers, f, NULL);
     g_assert_nonnull(f->server);
     url = g_strdup_printf("https://127.0.0.1:%u", HttpServer_Port(f->server));
-    f->fetch = HttpFetch_Create(f->loop, Str_FromC(url), 2 * BODY_BYTES,
+    f->fetch = HttpFetch_Create(f->loop, Str_FromC(url), 2 * f->body_bytes,
                                 &client, NULL);
     HttpFetch_Send(f->fetch, STR("PUT"), STR("/"), NULL, Str_FromString(body),
                    TEST_TIMEOUT_US, on_response, f);
@@ -194,6 +199,7 @@
 static void
 set_up(Fixture *f, gconstpointer data)
 {
+    f->body_bytes = BODY_BYTES;
     f->folder = g_dir_make_tmp("agatecrank-tls-XXXXXX", NULL);
 }
 
@@ -221,6 +227,37 @@
     remove_certificate(&files);
 }
 
+static void
+on_wake(void *user)
+{
+    Fixture *f = user;
+
+    Loop_Stop(f->loop);
+}
+
+/* Guards against a connection that keeps the loop from waiting: a write that
+ * had to wait is complete, but the connection still waits to write. */
+static void
+test_idle_after_transfer(Fixture *f, gconstpointer data)
+{
+    CertificateFiles files =
+        create_certificate(f->folder, "host", "127.0.0.1");
+    LoopTimer *timer;
+    uint64_t iterations;
+
+    f->body_bytes = LONG_BODY_BYTES;
+    transfer_body(f, &files, &files, &files, true);
+    timer = LoopTimer_Create(f->loop, on_wake, f);
+    iterations = Loop_Iterations(f->loop);
+    LoopTimer_Start(timer, IDLE_TIME_US);
+    Loop_Run(f->loop);
+    g_assert_cmpuint(Loop_Iterations(f->loop) - iterations, <,
+                     IDLE_ITERATIONS_MAX);
+    LoopTimer_Destroy(timer);
+    tear_down_transfer(f);
+    remove_certificate(&files);
+}
+
 /* Guards against a server with an untrusted certificate or one for another
  * address, and against a client without a trusted certificate where one is
  * required. */
@@ -267,6 +304,7 @@
 {
     g_test_init(&argc, &argv, NULL);
     ADD("/tls/both-ways", test_transfer);
+    ADD("/tls/idle-after-transfer", test_idle_after_transfer);
     ADD("/tls/refused", test_rejected_certificates);
     return g_test_run();
 }
