net: timers run after the I/O events of the same iteration

After a stall of more than 60 ms, such as a large configuration, every open load probe counts as unanswered, a connection that is established as refused, a response that waits in its socket as late. Cause: libev runs the timers of an iteration before its socket events. Change: timers have the lowest priority, so what has arrived is handled first. Beyond as many ready sockets as libev takes from the system at once (64 at first) a timer may still come first.

--- a/packages/net/Loop.c
+++ b/packages/net/Loop.c
@@ -438,6 +438,9 @@
     this->handler = handler;
     this->user = user;
     ev_init(&this->event, timer_fired);
+    /* I/O events of the same iteration run first: what has arrived in time
+     * counts, also if the process was too busy to read it. */
+    ev_set_priority(&this->event, EV_MINPRI);
     this->event.data = this;
     return this;
 }
