net: look for the end of an upstream's connection before it is reused

Cause: an end that had arrived but was not read yet was not seen. The request was sent and failed as one that may have run, so one that must not run twice was lost. Change: HttpClient reads a kept connection before it sends on it, and takes the next one if it has ended or carries bytes without a request. Measured: test_late_responses end-before-reuse failed before and passes. One more read for each request on a kept connection.

--- a/packages/net/HttpClient.c
+++ b/packages/net/HttpClient.c
@@ -510,17 +510,37 @@
            (idle_max > 0 && idle > idle_max);
 }
 
+/* Returns whether the connection can still be used: its end, or bytes without a
+ * request, may wait to be read. */
+static bool
+is_open_and_quiet(Connection *this)
+{
+    bool open;
+
+    this->active_callbacks++;
+    Socket_ReadNow(this->socket);
+    open = !this->closed;
+    this->active_callbacks--;
+    release_connection(this);
+    return open;
+}
+
 /* Returns NULL if a new connection has to be opened. */
 static Connection *
 take_idle_connection(HttpClient *this, Peer *peer, const HttpCallSpec *spec)
 {
-    Connection *connection = g_queue_peek_head(peer->idle);
+    Connection *connection;
 
-    if (connection == NULL || spec->new_connection ||
-        is_idle_expired(this, connection, spec->idle_max)) {
-        return NULL;
+    while ((connection = g_queue_peek_head(peer->idle)) != NULL) {
+        if (spec->new_connection ||
+            is_idle_expired(this, connection, spec->idle_max)) {
+            return NULL;
+        }
+        if (is_open_and_quiet(connection)) {
+            return g_queue_pop_head(peer->idle);
+        }
     }
-    return g_queue_pop_head(peer->idle);
+    return NULL;
 }
 
 /* Closes an idle connection if the limit is reached and the call cannot use
