net: idle time begins when the response has been received

Cause: the time that a response takes was added to the limit as a quarter of it, which is nothing beside a short limit. Change: where the system tells that bytes are not acknowledged yet, the idle time starts anew when the limit passes, for up to 60 s from the response.

--- a/packages/net/HttpServer.c
+++ b/packages/net/HttpServer.c
@@ -19,6 +19,8 @@
  * request on their way: a caller counts from the arrival of the response. */
 #define IDLE_TRANSIT_RATIO 0.25
 #define IDLE_TRANSIT_MAX_US (5 * MICROS_PER_S)
+/* Longest time that a caller may take to receive a response. */
+#define SEND_TIME_MAX_US (60 * MICROS_PER_S)
 
 typedef struct Connection_ Connection;
 
@@ -50,8 +52,9 @@
     LoopTask *task;        /* writes output and completes the request */
     LoopTimer *timer;      /* for the deadline */
     Micros deadline;       /* of the idle or the header timeout; 0 for none */
-    Micros idle_since;
-    Micros timer_due;          /* when the timer fires; 0 if it is stopped */
+    Micros idle_since;     /* since all was received, as far as known */
+    Micros responded_at;   /* the last response was handed to the system */
+    Micros timer_due;      /* when the timer fires; 0 if it is stopped */
     unsigned active_callbacks; /* callbacks on the call stack */
     bool closed;
 };
@@ -183,7 +186,8 @@
 static void
 begin_idle(Connection *this)
 {
-    this->idle_since = now(this);
+    this->responded_at = now(this);
+    this->idle_since = this->responded_at;
     set_deadline(this, idle_close_time(this->server));
 }
 
@@ -238,16 +242,22 @@
     }
 }
 
-/* A raised limit applies to connections that are idle already. */
+/* Idle time begins when the response has been received. A raised limit applies
+ * to connections that are idle already. */
 static void
 extend_idle_time(Connection *this)
 {
     Micros limit = idle_close_time(this->server);
-    Micros left = this->idle_since + limit - now(this);
+    Micros left;
 
     if (!is_idle(this)) {
         return;
     }
+    if (Socket_IsSending(this->socket) &&
+        now(this) - this->responded_at < SEND_TIME_MAX_US) {
+        this->idle_since = now(this);
+    }
+    left = this->idle_since + limit - now(this);
     if (limit == 0) {
         this->deadline = 0;
     }
--- a/packages/net/Socket.c
+++ b/packages/net/Socket.c
@@ -3,9 +3,11 @@
 #include <arpa/inet.h>
 #include <errno.h>
 #include <glib.h>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <openssl/x509.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -447,6 +449,15 @@
     return this->output->len - this->output_sent;
 }
 
+bool
+Socket_IsSending(const Socket *this)
+{
+    int bytes = 0;
+
+    return Socket_Buffered(this) > 0 ||
+           (ioctl(this->fd, SIOCOUTQ, &bytes) == 0 && bytes > 0);
+}
+
 void
 Socket_ReadNow(Socket *this)
 {
--- a/packages/net/Socket.h
+++ b/packages/net/Socket.h
@@ -72,6 +72,13 @@
 /** Socket_Buffered() - bytes in the output buffer */
 size_t Socket_Buffered(const Socket *this);
 
+/**
+ * Socket_IsSending() - whether the peer has not received all that was written
+ *
+ * False where the system can't tell.
+ */
+bool Socket_IsSending(const Socket *this);
+
 /**
  * Socket_ReadNow() - handle the input that has arrived, unless reading is
  *     paused
