net: let a response arrive that is on its way when a host stops

Callers saw: nothing reported; a regression of the close that leaves input unread, found by its review. Cause: a connection counts as idle once its response is with the system. Closed at once, it is reset by whatever the caller sends next, and the rest of the response is lost. Its request has run. Change: at a stop, a connection whose bytes are not acknowledged ends as before: the end follows the response, and input is read and discarded for a second. Measured: response-at-stop of test_idle_connections failed before and passes.

--- a/packages/net/HttpServer.c
+++ b/packages/net/HttpServer.c
@@ -762,7 +762,12 @@
         read_late_input(this);
     }
     if (!this->closed && is_idle(this)) {
-        close_idle(this);
+        if (Socket_IsSending(this->socket)) {
+            close_gracefully(this, false);
+        }
+        else {
+            close_idle(this);
+        }
     }
     this->active_callbacks--;
     release_connection(this);
