net: keep a lowered idle limit from callers that do not know it yet

Cause: a response after the change started the new limit, while its caller may go by the old one until it has read the new configuration. Change: the longer of both holds for 9 s after the change, the time in which a change has to be known everywhere. The limit that applies before the first configuration is not kept.

--- a/packages/net/HttpServer.c
+++ b/packages/net/HttpServer.c
@@ -19,6 +19,8 @@
  * request on their way: a caller counts from the arrival of the response. */
 #define IDLE_TRANSIT_RATIO 0.25
 #define IDLE_TRANSIT_MAX_US (5 * MICROS_PER_S)
+/* Time in which a change of the limits is known everywhere. */
+#define LIMIT_CHANGE_US (9 * MICROS_PER_S)
 /* Longest time that a caller may take to receive a response. */
 #define SEND_TIME_MAX_US (60 * MICROS_PER_S)
 
@@ -32,6 +34,8 @@
     void *user;
     HttpLimits limits;
     Micros idle_timeout;
+    Micros previous_timeout; /* holds until previous_until */
+    Micros previous_until;
     GHashTable *connections; /* set of Connection */
     size_t open_requests;
     uint64_t accepted;
@@ -41,6 +45,7 @@
     bool accept_chunked;
     bool stopping;
     bool keep_alive_disabled;
+    bool configured; /* the limits are from HttpServer_SetLimits() */
 };
 
 struct Connection_ {
@@ -175,12 +180,22 @@
     }
 }
 
+/* Callers may still go by a limit that has been lowered. */
+static Micros
+longest_idle_time(const HttpServer *this)
+{
+    return Clock_Now(Loop_Clock(this->loop)) < this->previous_until
+               ? MAX(this->idle_timeout, this->previous_timeout)
+               : this->idle_timeout;
+}
+
 static Micros
 idle_close_time(const HttpServer *this)
 {
-    Micros transit = (Micros)(IDLE_TRANSIT_RATIO * (double)this->idle_timeout);
+    Micros longest = longest_idle_time(this);
+    Micros transit = (Micros)(IDLE_TRANSIT_RATIO * (double)longest);
 
-    return this->idle_timeout + MIN(transit, IDLE_TRANSIT_MAX_US);
+    return longest + MIN(transit, IDLE_TRANSIT_MAX_US);
 }
 
 static void
@@ -693,6 +708,30 @@
     return 0;
 }
 
+static void
+apply_limits(HttpServer *this, const HttpLimits *limits, Micros idle_timeout)
+{
+    this->limits = *limits;
+    if (this->limits.head_bytes == 0) {
+        this->limits.head_bytes = HEAD_BYTES_DEFAULT;
+    }
+    this->idle_timeout = idle_timeout;
+}
+
+void
+HttpServer_SetLimits(HttpServer *this, const HttpLimits *limits,
+                     Micros idle_timeout)
+{
+    if (this->configured && idle_timeout > 0 &&
+        idle_timeout < this->idle_timeout) {
+        this->previous_timeout = longest_idle_time(this);
+        this->previous_until =
+            Clock_Now(Loop_Clock(this->loop)) + LIMIT_CHANGE_US;
+    }
+    apply_limits(this, limits, idle_timeout);
+    this->configured = true;
+}
+
 HttpServer *
 HttpServer_Create(Loop *loop, const HttpServerOptions *options,
                   const HttpServerHandlers *handlers, void *user, Error *error)
@@ -706,8 +745,7 @@
     this->user = user;
     this->accept_chunked = options->accept_chunked;
     this->connections = g_hash_table_new(g_direct_hash, g_direct_equal);
-    HttpServer_SetLimits(this, &options->limits,
-                         options->keep_alive_s * MICROS_PER_S);
+    apply_limits(this, &options->limits, options->keep_alive_s * MICROS_PER_S);
     if (options->certificate_file != NULL) {
         this->tls = TlsContext_Create(true, &files, error);
     }
@@ -719,17 +757,6 @@
     return this;
 }
 
-void
-HttpServer_SetLimits(HttpServer *this, const HttpLimits *limits,
-                     Micros idle_timeout)
-{
-    this->limits = *limits;
-    if (this->limits.head_bytes == 0) {
-        this->limits.head_bytes = HEAD_BYTES_DEFAULT;
-    }
-    this->idle_timeout = idle_timeout;
-}
-
 uint16_t
 HttpServer_Port(const HttpServer *this)
 {
