net: an empty line does not remove the limit of an idle connection

Cause: the first input on an idle connection sets the limit of header blocks, which is none on the servers for readiness, metrics and other hosts. An empty line or a part of a block then kept the connection open for good. Change: without such a limit, the idle limit stays.

--- a/packages/net/HttpServer.c
+++ b/packages/net/HttpServer.c
@@ -206,6 +206,15 @@
     set_deadline(this, idle_close_time(this->server));
 }
 
+/* Without a limit of its own, a header block has the rest of the idle time. */
+static void
+begin_head(Connection *this)
+{
+    if (this->server->limits.head_timeout > 0) {
+        set_deadline(this, this->server->limits.head_timeout);
+    }
+}
+
 static void
 send_error_response(Connection *this, int status, const char *reason)
 {
@@ -511,8 +520,8 @@
     Connection *this = user;
 
     this->active_callbacks++;
-    if (this->request == NULL && HttpParser_IsIdle(this->parser)) {
-        set_deadline(this, this->server->limits.head_timeout);
+    if (is_idle(this)) {
+        begin_head(this);
     }
     parse(this, data);
     update_reading(this);
@@ -537,7 +546,7 @@
     begin_idle(this);
     this->pipelined = g_byte_array_new();
     if (pipelined->len > 0) {
-        set_deadline(this, this->server->limits.head_timeout);
+        begin_head(this);
     }
     parse(this, Str_FromBytes(pipelined));
     g_byte_array_free(pipelined, TRUE);
