net: a TLS connection stops waiting to write when it has written

Cause: the mark of a write that had to wait was cleared by the next read only, so the loop spun on a connection that was idle after a long transfer. Change: a write that succeeds clears it.

--- a/packages/net/Socket.c
+++ b/packages/net/Socket.c
@@ -143,6 +143,7 @@
     if (this->ssl != NULL) {
         n = SSL_write(this->ssl, data, (int)length);
         if (n > 0) {
+            this->tls_wants_write = false;
             return n;
         }
         return tls_would_block(this, (int)n) ? -1 : -2;
