--- a/packages/agatecrankd/GatewayDaemon.c
+++ b/packages/agatecrankd/GatewayDaemon.c
@@ -120,8 +120,6 @@
                  (double)Gateway_OpenRequests(this->gateway));
     Counters_Set(this->counters, "agatecrank_upstreams", NULL, 0,
                  (double)Dispatcher_UpstreamCount(this->dispatcher));
-    Counters_Set(this->counters, "agatecrank_cut_off", NULL, 0,
-                 Dispatcher_IsCutOff(this->dispatcher) ? 1 : 0);
     Counters_Set(this->counters, "agatecrank_limited_upstreams", NULL, 0,
                  Dispatcher_LimitedUpstreamCount(this->dispatcher));
     Counters_Set(this->counters, "agatecrank_store_calls", NULL, 0,
