gateway: read the clock for paused and ejected upstreams only

Cause: each upstream that is compared for a request read the clock twice, whether or not it had a pause or an ejection.

Change: the clock is read only where there is one.

--- a/packages/gateway/Eligibility.c
+++ b/packages/gateway/Eligibility.c
@@ -100,7 +100,8 @@
 static bool
 is_paused(const Eligibility *this, const Entry *entry)
 {
-    return entry->notices.paused_until > Clock_Now(this->clock);
+    return entry->notices.paused_until > 0 &&
+           entry->notices.paused_until > Clock_Now(this->clock);
 }
 
 /* ---- notices of incarnations that are not listed --------------------- */
@@ -265,7 +266,8 @@
 static bool
 is_ejected(const Eligibility *this, const Entry *entry)
 {
-    return entry->ejected_until > Clock_Now(this->clock);
+    return entry->ejected_until > 0 &&
+           entry->ejected_until > Clock_Now(this->clock);
 }
 
 void
