net: read the list of hosts sooner when keys have changed

Cause: a host that starts again has another key, which the others read up to 60 s later. Until then they refuse its requests, and it can't use them.

Change: a sealed request of a process that is not listed, or a 403 without a seal, brings the next reading of the list forward, to 5 s after the last one at the earliest. No further topic; more calls only while requests are forwarded.

--- a/packages/agatecrankd/GatewayDaemon.c
+++ b/packages/agatecrankd/GatewayDaemon.c
@@ -374,6 +374,16 @@
     }
 }
 
+static void
+on_stale_keys(void *user)
+{
+    GatewayDaemon *this = user;
+
+    if (this->source != NULL) {
+        KeyedSource_RefreshHosts(this->source);
+    }
+}
+
 static int
 create_net(GatewayDaemon *this, Error *error)
 {
@@ -387,6 +397,7 @@
         .keys = this->keys,
         .log = this->log,
         .decisions = this->decision_log,
+        .on_stale_keys = on_stale_keys,
         .on_update = on_gateway_update,
         .user = this,
     };
--- a/packages/gateway/ForwardServer.h
+++ b/packages/gateway/ForwardServer.h
@@ -24,11 +24,14 @@
  * @on_request: a complete request; the returned pointer is passed to the other
  *              handlers as @data
  * @on_drained, @on_closed: as in struct HttpServerHandlers_
+ * @on_unlisted: a process that knows this one's key sent a request, but is not
+ *               in the list of hosts
  */
 typedef struct ForwardServerHandlers_ {
     void *(*on_request)(void *user, ForwardedRequest *request);
     void (*on_drained)(void *user, void *data);
     void (*on_closed)(void *user, void *data, bool complete);
+    void (*on_unlisted)(void *user);
 } ForwardServerHandlers;
 
 /**
--- a/packages/gateway/Gateway.c
+++ b/packages/gateway/Gateway.c
@@ -397,12 +397,25 @@
     return FORWARD_BROKEN;
 }
 
+static void
+on_stale_keys(void *user)
+{
+    Gateway *this = user;
+
+    if (this->options.on_stale_keys != NULL) {
+        this->options.on_stale_keys(this->options.user);
+    }
+}
+
 static JobVerdict
 report_forward_end(Exchange *exchange, ForwardResult result)
 {
     ForwardEndInfo end = exchange->forward->end;
 
     end.result = result;
+    if (end.status == 403 && !exchange->forward->authentic) {
+        on_stale_keys(exchange->gateway);
+    }
     g_clear_pointer(&exchange->forward, g_free);
     return Dispatcher_OnForwardEnd(exchange->gateway->dispatcher,
                                    exchange->job, &end);
@@ -1010,6 +1023,7 @@
     on_forwarded_request,
     on_forwarded_drained,
     on_forwarded_closed,
+    on_stale_keys,
 };
 
 /* ---- creation ------------------------------------------------------- */
--- a/packages/net/KeyedSource.c
+++ b/packages/net/KeyedSource.c
@@ -30,6 +30,8 @@
 /* Delay between the registration of this host and the next read of the list,
  * which then contains all hosts that started at the same time. */
 #define LIST_REREAD_DELAY_US (900 * MICROS_PER_MS)
+/* Least interval of readings of the list that are brought forward. */
+#define LIST_REFRESH_INTERVAL_US (5 * MICROS_PER_S)
 #define LIST_RETRY_DELAY_US (3 * MICROS_PER_S)
 /* Time over which hosts write their entries again that the log has lost. */
 #define REREGISTER_SPREAD_MIN_US (2 * MICROS_PER_S)
@@ -61,6 +63,8 @@
     GPtrArray *listed_peers;   /* Peer of the list being read, or NULL */
     size_t listed_count;       /* entries of that list so far */
     LoopTimer *list_timer;
+    Micros list_due;         /* when list_timer runs out */
+    Micros list_read_at;     /* begin of the last reading */
     GQueue *queued_reads;    /* Read that waits for the list */
     GQueue *rejected_reads;  /* Read to fail with ERR_LIMIT */
     Micros relay_request_at; /* last relay request, -1 for none */
@@ -121,6 +125,13 @@
     return Clock_Now(this->clock);
 }
 
+static void
+schedule_list(KeyedSource *this, Micros delay)
+{
+    this->list_due = now(this) + delay;
+    LoopTimer_Start(this->list_timer, delay);
+}
+
 /* Returns whether this host is the relay if all hosts are reachable. */
 static bool
 is_preferred_relay(const KeyedSource *this)
@@ -237,9 +248,8 @@
         return;
     }
     if (this->era != KEYED_ERA_UNKNOWN) {
-        LoopTimer_Start(
-            this->list_timer,
-            1 + (Micros)(Str_Hash(this->options.host) % (uint64_t)spread));
+        schedule_list(this, 1 + (Micros)(Str_Hash(this->options.host) %
+                                         (uint64_t)spread));
     }
     this->era = era;
 }
@@ -644,8 +654,8 @@
 {
     KeyedSource *this = user;
 
-    LoopTimer_Start(this->list_timer,
-                    code == 0 ? LIST_REREAD_DELAY_US : LIST_RETRY_DELAY_US);
+    schedule_list(this,
+                  code == 0 ? LIST_REREAD_DELAY_US : LIST_RETRY_DELAY_US);
 }
 
 static void
@@ -729,8 +739,8 @@
     if (page->code == 0) {
         remove_gone_hosts(this);
     }
-    LoopTimer_Start(this->list_timer, page->code == 0 ? HOST_LIST_INTERVAL_US
-                                                      : LIST_RETRY_DELAY_US);
+    schedule_list(this, page->code == 0 ? HOST_LIST_INTERVAL_US
+                                        : LIST_RETRY_DELAY_US);
 }
 
 static void
@@ -749,10 +759,12 @@
     KeyedSource *this = user;
 
     if (this->list_reading) {
-        LoopTimer_Start(this->list_timer, LIST_REREAD_DELAY_US);
+        schedule_list(this, LIST_REREAD_DELAY_US);
         return;
     }
     this->list_reading = true;
+    this->list_due = INT64_MAX;
+    this->list_read_at = now(this);
     begin_list(this);
     read_list_page(this, STR(""));
 }
@@ -786,7 +798,7 @@
     this->list_timer = LoopTimer_Create(loop, read_list, this);
     this->queued_reads = g_queue_new();
     this->rejected_reads = g_queue_new();
-    LoopTimer_Start(this->list_timer, 1);
+    schedule_list(this, 1);
     return this;
 }
 
@@ -820,6 +832,16 @@
     this->relay_request_at = now(this);
 }
 
+void
+KeyedSource_RefreshHosts(KeyedSource *this)
+{
+    Micros due = MAX(this->list_read_at + LIST_REFRESH_INTERVAL_US, now(this));
+
+    if (!this->list_reading && due < this->list_due) {
+        schedule_list(this, MAX(due - now(this), 1));
+    }
+}
+
 uint64_t
 KeyedSource_LogCalls(const KeyedSource *this)
 {
--- a/packages/net/KeyedSource.h
+++ b/packages/net/KeyedSource.h
@@ -67,6 +67,14 @@
 /** KeyedSource_OnRelayRequest() - another host reads through this one */
 void KeyedSource_OnRelayRequest(KeyedSource *this);
 
+/**
+ * KeyedSource_RefreshHosts() - bring the next reading of the list of hosts
+ *     forward, because a host has another key than the list had
+ *
+ * The list is read at most every 5 s for this.
+ */
+void KeyedSource_RefreshHosts(KeyedSource *this);
+
 /** KeyedSource_LogCalls() - number of calls to the log so far */
 uint64_t KeyedSource_LogCalls(const KeyedSource *this);
 
--- a/tests/test_forward_server.c
+++ b/tests/test_forward_server.c
@@ -19,6 +19,7 @@
     LoopTimer *guard;
     unsigned runs;
     unsigned closed;
+    unsigned unlisted;
     ForwardTicket ticket;
     ForwardOutcome outcome;
     GString *reason;
@@ -82,6 +83,12 @@
     f->closed++;
 }
 
+static void
+run_unlisted(void *user)
+{
+    ((Fixture *)user)->unlisted++;
+}
+
 /* ---- host a --------------------------------------------------------- */
 
 static void
@@ -154,7 +161,7 @@
 set_up(Fixture *f, gconstpointer data)
 {
     static const ForwardServerHandlers handlers = {run_request, run_drained,
-                                                   run_closed};
+                                                   run_closed, run_unlisted};
     HttpClientOptions client = {.max_connections = 4};
     ForwardServerOptions options = {.address = {"127.0.0.1", 0}};
 
@@ -356,6 +363,7 @@
     REFUSED(message.key = zero; seal_message(&message));
     REFUSED(message.seal.sender = STR("c"));
     REFUSED(memset(message.seal.sender_key, 0, HOST_KEY_BYTES));
+    g_assert_cmpuint(f->unlisted, ==, 0);
     REFUSED(message.seal.sender = STR("b"); seal_message(&message));
     begin_call(f);
     g_assert_nonnull(
@@ -461,6 +469,7 @@
     g_assert_true(f->authentic);
     g_assert_cmpint(f->outcome, ==, FORWARD_OUTCOME_NOT_RUN);
     g_assert_cmpstr(f->reason->str, ==, "forward-denied");
+    g_assert_cmpuint(f->unlisted, ==, 1);
     g_assert_cmpuint(f->runs, ==, 0);
 }
 
--- a/tests/test_keyed_follower.c
+++ b/tests/test_keyed_follower.c
@@ -408,6 +408,7 @@
     GString *entries; /* of the last list */
     bool direct;
     size_t listed; /* live hosts */
+    unsigned lists;
 } Host;
 
 static void
@@ -451,6 +452,7 @@
     Host *host = user;
 
     host->listed = count;
+    host->lists++;
 }
 
 static void
@@ -640,6 +642,40 @@
     stop_host(&host);
 }
 
+/* Guards against a host that knows the key of a restarted one a minute later
+ * only, and against readings of the list without bound. */
+static void
+test_refresh(Fixture *f, gconstpointer data)
+{
+    gint64 began;
+    unsigned lists;
+    Host host;
+
+    write_record(&f->log, "host-1", STR("d 127.0.0.1:80"));
+    start_host(&host, f, "host-5", free_port(f));
+    while (f->log.appended[0] == '\0') {
+        Loop_RunOnce(f->loop);
+    }
+    write_record(&f->log, "host-5", Str_FromC(f->log.appended));
+    lists = host.lists;
+    while (host.lists == lists) {
+        Loop_RunOnce(f->loop);
+    }
+    began = g_get_monotonic_time();
+    lists = host.lists;
+    write_record(&f->log, "host-1", STR("d;81;" KEY " 127.0.0.1:80"));
+    while (host.lists == lists) {
+        KeyedSource_RefreshHosts(host.source);
+        Loop_RunOnce(f->loop);
+    }
+    g_assert_cmpint(g_get_monotonic_time() - began, >=, 4 * MICROS_PER_S);
+    g_assert_nonnull(
+        strstr(host.entries->str, "[host-1 d;81;" KEY " 127.0.0.1:80]"));
+    Loop_Close(f->loop);
+    fail_pending(&f->log);
+    stop_host(&host);
+}
+
 /* Guards against reads beyond the end of a truncated message of a peer. */
 static void
 test_codec(void)
@@ -687,6 +723,7 @@
     ADD("/keyed/relay", test_relay);
     ADD("/keyed/list-in-pages", test_list_in_pages);
     ADD("/keyed/entries", test_entries);
+    ADD("/keyed/refresh", test_refresh);
     g_test_add_func("/keyed/codec", test_codec);
     return g_test_run();
 }
