--- a/packages/gateway/Gateway.c
+++ b/packages/gateway/Gateway.c
@@ -413,6 +413,16 @@
     return FORWARD_BROKEN;
 }
 
+static void
+on_stale_keys(void *user)
+{
+    Gateway *this = user;
+
+    if (this->options.on_stale_keys != NULL) {
+        this->options.on_stale_keys(this->options.user);
+    }
+}
+
 static JobVerdict
 report_forward_end(Exchange *exchange, ForwardResult result, bool more_follows)
 {
@@ -420,6 +430,9 @@
 
     end.result = result;
     end.more_follows = more_follows;
+    if (end.status == 403 && !exchange->forward->authentic) {
+        on_stale_keys(exchange->gateway);
+    }
     g_clear_pointer(&exchange->forward, g_free);
     return Dispatcher_OnForwardEnd(exchange->gateway->dispatcher,
                                    exchange->job, &end);
@@ -1089,6 +1102,7 @@
     on_forwarded_request,
     on_forwarded_drained,
     on_forwarded_closed,
+    on_stale_keys,
 };
 
 /* ---- creation ------------------------------------------------------- */
