--- a/tests/test_forwarding.c
+++ b/tests/test_forwarding.c
@@ -300,6 +300,45 @@
     g_assert_cmpuint(f->forwards, ==, 0);
 }
 
+/* Guards against a long response over a peer that no deadline ends. */
+static void
+test_relay_deadline(Fixture *f, gconstpointer data)
+{
+    ForwardEndInfo end = {
+        .result = FORWARD_RESPONSE, .status = 200, .more_follows = true};
+    Job *job;
+
+    cut_off(f);
+    job = submit(f, "/once/1");
+    g_assert_cmpint(Dispatcher_OnForwardEnd(f->dispatcher, job, &end), ==,
+                    JOB_RELAY);
+    f->aborts = 0;
+    advance_time(f, TIMEOUT_US);
+    g_assert_cmpuint(f->aborts, ==, 1);
+    Dispatcher_OnRelayEnd(f->dispatcher, job, RELAY_TIMEOUT);
+    g_assert_cmpuint(Dispatcher_OpenJobs(f->dispatcher), ==, 0);
+}
+
+/* Guards against a second response to a caller that has got the beginning of
+ * one when the path is lost. */
+static void
+test_cut_during_relay(Fixture *f, gconstpointer data)
+{
+    AttemptEndInfo end = {.result = ATTEMPT_RESULT_RESPONSE,
+                          .status = 500,
+                          .more_follows = true};
+    Job *job = send_request(f, "/once/1", 0, false);
+
+    g_assert_cmpint(Dispatcher_OnAttemptEnd(f->dispatcher, job, &end), ==,
+                    JOB_RELAY);
+    take_actions(f);
+    f->watched = job;
+    f->granted = 0;
+    cut_off(f);
+    g_assert_cmpuint(f->granted, ==, 0);
+    Dispatcher_OnRelayEnd(f->dispatcher, job, RELAY_COMPLETE);
+}
+
 /* Guards against a request that goes from peer to peer. */
 static void
 test_three_peers(Fixture *f, gconstpointer data)
@@ -526,6 +565,8 @@
     ADD("attempts-are-summed", set_up, test_attempts_are_summed);
     ADD("no-retry-left", set_up_without_retries, test_no_retry_left);
     ADD("may-have-run", set_up, test_may_have_run);
+    ADD("relay-deadline", set_up, test_relay_deadline);
+    ADD("cut-during-relay", set_up, test_cut_during_relay);
     ADD("three-peers", set_up, test_three_peers);
     ADD("forwarded-to-cut-host", set_up, test_forwarded_to_cut_host);
     ADD("granted-attempts", set_up, test_granted_attempts);
