net: the stop of a balancer host reads requests before it ends

Cause: Proxy closed no idle connections at a stop. The loop ended when no request was open, though requests might wait unread on kept connections. Change: as gateways do, it reads its idle connections and closes those without input; a request found there counts as open and is answered first.

--- a/packages/net/Proxy.c
+++ b/packages/net/Proxy.c
@@ -792,6 +792,7 @@
 Proxy_StopListening(Proxy *this)
 {
     HttpServer_StopListening(this->server);
+    HttpServer_CloseIdle(this->server);
 }
 
 uint16_t
--- a/packages/net/Proxy.h
+++ b/packages/net/Proxy.h
@@ -54,7 +54,10 @@
 /** Proxy_DisableKeepAlive() - close each connection after its response */
 void Proxy_DisableKeepAlive(Proxy *this);
 
-/** Proxy_StopListening() - disable keep-alive and close the listener */
+/**
+ * Proxy_StopListening() - disable keep-alive, close the listener and idle
+ *     connections
+ */
 void Proxy_StopListening(Proxy *this);
 
 /** Proxy_Port() - TCP port of the server for callers */
