--- a/packages/net/HttpServer.h
+++ b/packages/net/HttpServer.h
@@ -78,8 +78,8 @@
 
 /**
  * struct HttpServerIdleCounts_ - idle connections whose time has run out
- * @closed: connections that were closed
- * @with_input: times that input was waiting to be read
+ * @closed: connections that were closed by their limit
+ * @with_input: times that input was waiting to be read then, or at a stop
  */
 typedef struct HttpServerIdleCounts_ {
     uint64_t closed;
@@ -99,7 +99,9 @@
  *                and requests take time on their way.
  *
  * The head_bytes limit applies to new connections, the others also to the next
- * request of each open connection.
+ * request of each open connection. A raised idle timeout also applies to
+ * connections that are idle; the one before a lowered timeout holds for 9 s
+ * more, as callers may still go by it.
  */
 void HttpServer_SetLimits(HttpServer *this, const HttpLimits *limits,
                           Micros idle_timeout);
--- a/packages/net/Socket.h
+++ b/packages/net/Socket.h
@@ -106,7 +106,7 @@
  * Socket_CloseIdle() - close a connection on which no response is due
  *
  * No handler runs afterwards. Input that still arrives is left unread and
- * resets the connection, so that the peer can tell that it was not handled.
+ * resets the connection.
  */
 void Socket_CloseIdle(Socket *this);
 
