net: bound what the system keeps for a caller that does not read

Cause: test_endless_responses, case stalled-caller, failed once beside load: 20.8 MB were sent, the bound is 8 MiB. Traced with SIOCOUTQ and FIONREAD on every socket of the process each 20 ms, beside four busy processes: the bytes are in buffers of the system. In the largest of 30 runs (13.6 MB) 9.3 MB lay in the receive buffer of the host's connection to the upstream, which the system had raised to 17.3 MB (tcp_rmem allows 32 MiB), and 3.9 MB in the send buffer of its connection to the caller (tcp_wmem: 4 MiB); the product held 136 kB. Over 106 runs it held 0.2 MB at most while the relay was open, one sample at its end apart. The send buffer takes 3.9 MB for each such caller in all runs, also on an idle machine.

Change: HttpServer sets TCP_NOTSENT_LOWAT on accepted connections, 512 KiB. The test fixes the receive buffers, which belong to the system's own adjustment, and has a bound of 2 MiB instead of 8 MiB. Its 800 ms count from the first byte of the response, so that a process that stands still before the request has arrived does not read on before the deadline. The receive buffer of upstream connections remains the system's: a fixed one bounds the rate of a connection to buffer / round-trip time.

Conclusion: no buffer of the product without a bound. A caller that stops reading takes some 0.5 MB instead of 3.9 MB of the system's send buffer.

--- a/packages/net/HttpServer.c
+++ b/packages/net/HttpServer.c
@@ -23,6 +23,9 @@
 #define LIMIT_CHANGE_US (9 * MICROS_PER_S)
 /* Longest time that a caller may take to receive a response. */
 #define SEND_TIME_MAX_US (60 * MICROS_PER_S)
+/* Bounds what the system keeps for a caller that does not read. Larger than a
+ * response that is buffered whole, which is then written at once. */
+#define UNSENT_BYTES_MAX (512 * 1024)
 
 typedef struct Connection_ Connection;
 
@@ -624,7 +627,10 @@
 accept_connection(HttpServer *server, int fd)
 {
     Connection *this = g_new0(Connection, 1);
-    SocketOptions options = {.tls = server->tls};
+    SocketOptions options = {
+        .tls = server->tls,
+        .unsent_bytes_max = UNSENT_BYTES_MAX,
+    };
 
     this->server = server;
     this->pipelined = g_byte_array_new();
--- a/packages/net/Socket.c
+++ b/packages/net/Socket.c
@@ -338,6 +338,11 @@
                    &options->user_timeout_ms,
                    sizeof(options->user_timeout_ms));
     }
+    if (options->unsent_bytes_max > 0) {
+        setsockopt(fd, IPPROTO_TCP, TCP_NOTSENT_LOWAT,
+                   &options->unsent_bytes_max,
+                   sizeof(options->unsent_bytes_max));
+    }
     if (options->keep_alive_s > 0) {
         setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
         setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &options->keep_alive_s,
--- a/packages/net/Socket.h
+++ b/packages/net/Socket.h
@@ -43,12 +43,15 @@
  * @keep_alive_s: interval of TCP keep-alive probes, 0 for none; the
  *                connection ends after two probes without a response
  * @connect_timeout: time limit to establish the connection; 0 for none
+ * @unsent_bytes_max: TCP_NOTSENT_LOWAT, the bytes that the system takes beyond
+ *                    the receive window of the peer; 0 for the system default
  */
 typedef struct SocketOptions_ {
     TlsContext *tls;
     int user_timeout_ms;
     int keep_alive_s;
     Micros connect_timeout;
+    int unsent_bytes_max;
 } SocketOptions;
 
 /** Socket_Accept() - take ownership of a connected descriptor */
--- a/tests/test_endless_responses.c
+++ b/tests/test_endless_responses.c
@@ -20,6 +20,10 @@
 #define BLOCK_BYTES 65536
 /* Send buffer of an upstream: what it has sent was nearly all received. */
 #define SEND_BUFFER_BYTES 65536
+/* Of connections to upstreams and of callers that stall. The system raises a
+ * receive buffer up to tcp_rmem unless it is set. */
+#define RECEIVE_BUFFER_BYTES 65536
+#define DESCRIPTORS_MAX 1024
 #define TRICKLE_INTERVAL_US (5 * MICROS_PER_MS)
 #define TIMEOUT_US (400 * MICROS_PER_MS)
 #define LONG_TIMEOUT_US (5 * MICROS_PER_S)
@@ -30,6 +34,9 @@
 /* Bounds what is received of a response that is given up, with the buffers of
  * the kernel. */
 #define GIVEN_UP_BYTES_MAX (8 * 1024 * 1024)
+/* The same while a caller does not read, from the beginning of the response to
+ * its end. */
+#define STALLED_BYTES_MAX (2 * 1024 * 1024)
 /* Of the log of one request. */
 #define LINES_BYTES_MAX 2048
 #define IDENTITY                                                              \
@@ -259,6 +266,23 @@
 static const SocketHandlers link_handlers = {link_open, link_data,
                                              link_drained, link_end};
 
+/* Fixes the receive buffers of the connections of this process to @port. */
+static void
+fix_receive_buffers(uint16_t port)
+{
+    int bytes = RECEIVE_BUFFER_BYTES;
+
+    for (int fd = 0; fd < DESCRIPTORS_MAX; fd++) {
+        struct sockaddr_in address = {0};
+        socklen_t length = sizeof(address);
+
+        if (getpeername(fd, (struct sockaddr *)&address, &length) == 0 &&
+            address.sin_family == AF_INET && ntohs(address.sin_port) == port) {
+            setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes));
+        }
+    }
+}
+
 static void
 accept_link(void *user)
 {
@@ -271,6 +295,7 @@
     if (fd < 0) {
         return;
     }
+    fix_receive_buffers(peer->port);
     setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &bytes, sizeof(bytes));
     link = g_new0(Link, 1);
     link->peer = peer;
@@ -331,6 +356,9 @@
     Caller *caller = user;
 
     caller->status = status;
+    if (caller->stall) {
+        fix_receive_buffers(caller->fixture->port);
+    }
 }
 
 static void
@@ -758,7 +786,8 @@
     tear_down(&f);
 }
 
-/* Guards against an upstream that is ejected because callers do not read. */
+/* Guards against an upstream that is ejected because callers do not read, and
+ * against the memory that such a caller takes on the host. */
 static void
 test_stalled_caller(void)
 {
@@ -770,13 +799,19 @@
     add_peer(&f, &long_length);
     start_call(&f, "/safe/x", &caller);
     caller.stall = true;
+    /* The request's deadline counts from its arrival. */
+    while (caller.bytes == 0) {
+        Loop_RunOnce(f.loop);
+    }
     run_for(&f, 2 * TIMEOUT_US);
+    g_test_message("sent=%" G_GUINT64_FORMAT, f.peers[0].sent);
+    g_assert_cmpuint(f.peers[0].sent, <, STALLED_BYTES_MAX);
     HttpCall_PauseResponse(caller.call, false);
     caller.stall = false;
     Loop_Run(f.loop);
     g_assert_true(caller.failed);
     g_assert_cmpuint(f.peers[0].open, ==, 0);
-    g_assert_cmpuint(f.peers[0].sent, <, GIVEN_UP_BYTES_MAX);
+    g_assert_cmpuint(f.peers[0].sent, <, STALLED_BYTES_MAX);
     Counters_Write(f.counters, counters);
     g_assert_nonnull(strstr(
         counters->str, "agatecrank_relays_total{result=\"caller-slow\"} 1"));
