net: bound a response of the log service to 4 MiB

Cause: LogClient kept up to 96 MiB of a response, twice that with two reads open; control has 32 MB, a small host 160 MB. A reader of claims asks for 512 records of up to 256 KiB. A page of them at the target (245 kB each, docs/CAPACITY.md) is 125 MB, above the old bound as well: it would have been read again every 100 ms.

A longer response is dropped with an event log-read-dropped and read again for 15 records. The stream keeps this limit and doubles it while pages are full and short. Responses that are too long even so fail, and claims are then read once a second.

Conclusion: at most 8 MiB in the open responses of the log service together. The host list (16 MiB a response) and relays (8 MiB) keep their bounds.

--- a/packages/agatecrank/Replica.c
+++ b/packages/agatecrank/Replica.c
@@ -83,7 +83,8 @@
     this->random = Random_Create((uint64_t)g_get_real_time());
     this->timeout = (Micros)settings->timeout_ms * MICROS_PER_MS;
     this->loop = Loop_Create(this->clock, NULL, error);
-    this->log = LogClient_Create(this->loop, settings->log_url, &tls, error);
+    this->log =
+        LogClient_Create(this->loop, settings->log_url, &tls, NULL, error);
     if (this->log == NULL) {
         Replica_Destroy(this);
         return NULL;
--- a/packages/agatecrankd/BalancerDaemon.c
+++ b/packages/agatecrankd/BalancerDaemon.c
@@ -407,8 +407,8 @@
     static const ConfigFollowerHandlers handlers = {on_config_changed,
                                                     fetch_from_peer};
 
-    this->log_client =
-        LogClient_Create(this->loop, settings->log_url, &tls, error);
+    this->log_client = LogClient_Create(this->loop, settings->log_url, &tls,
+                                        this->log, error);
     if (this->log_client == NULL) {
         return ERR_INVALID;
     }
--- a/packages/net/ClaimFollower.c
+++ b/packages/net/ClaimFollower.c
@@ -5,6 +5,8 @@
 #define READ_RECORDS_MAX 512
 #define READ_WAIT_US (1 * MICROS_PER_S)
 #define RETRY_DELAY_US (100 * MICROS_PER_MS)
+/* Bounds the bytes of responses that are dropped. */
+#define TOO_LONG_DELAY_US (1 * MICROS_PER_S)
 
 typedef struct Partition_ {
     ClaimFollower *follower;
@@ -43,7 +45,8 @@
 
     if (read->code < 0) {
         Claims_OnReadFailed(this->claims, partition->index);
-        LoopTimer_Start(partition->timer, RETRY_DELAY_US);
+        LoopTimer_Start(partition->timer,
+                        read->too_long ? TOO_LONG_DELAY_US : RETRY_DELAY_US);
         this->on_event(this->user);
         return;
     }
--- a/packages/net/HttpFetch.c
+++ b/packages/net/HttpFetch.c
@@ -29,6 +29,7 @@
     HeaderList *headers;
     GByteArray *body;
     int status;
+    bool too_long;
 } Fetch;
 
 static int
@@ -109,6 +110,7 @@
         .code = code,
         .status = fetch->status,
         .maybe_sent = maybe_sent,
+        .too_long = fetch->too_long,
         .headers = fetch->headers,
         .body = Str_FromBytes(fetch->body),
         .error = error,
@@ -165,6 +167,7 @@
     HttpFetch *this = fetch->owner;
 
     if (fetch->body->len + data.length > this->max_bytes) {
+        fetch->too_long = true;
         abort_fetch(fetch, ERR_PROTOCOL,
                     "the response body exceeds the size limit");
         return;
--- a/packages/net/HttpFetch.h
+++ b/packages/net/HttpFetch.h
@@ -15,6 +15,7 @@
  * @code: 0, or a negative ErrorCode if there is no complete response
  * @status: HTTP status; 0 if no header block was received
  * @maybe_sent: false only if no byte of the request can have reached the peer
+ * @too_long: @code is ERR_PROTOCOL because the body exceeds the size limit
  * @headers, @body: of the response, as far as received
  * @error: NULL if @code is 0
  */
@@ -22,6 +23,7 @@
     int code;
     int status;
     bool maybe_sent;
+    bool too_long;
     const HeaderList *headers;
     Str body;
     const Error *error;
--- a/packages/net/LogClient.c
+++ b/packages/net/LogClient.c
@@ -4,11 +4,21 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define RESPONSE_BYTES_MAX (96 * 1024 * 1024)
+/* The service takes no longer record. */
+#define RECORD_BYTES_MAX (256 * 1024)
+/* The line before a record, with three numbers of up to 20 digits, and the line
+ * feed after it. */
+#define RECORD_FRAME_BYTES_MAX 64
+/* Records that always fit into a response. */
+#define FITTING_RECORDS                                                       \
+    (LOG_RESPONSE_BYTES_MAX / (RECORD_BYTES_MAX + RECORD_FRAME_BYTES_MAX))
 #define PATH_BYTES_MAX 256
 
 struct LogClient_ {
     HttpFetch *fetch;
+    EventLog *log;
+    GHashTable *limits; /* records of a read by stream, where responses were
+                         * too long */
     uint64_t bytes;
     uint64_t appends;
 };
@@ -20,20 +30,32 @@
         LogAppendHandler *append;
     };
     void *user;
+    struct {
+        char *stream;
+        uint64_t from;
+        uint32_t max; /* of the caller */
+        uint32_t limited_max;
+        Micros wait;
+        Micros timeout;
+    } request; /* of a read */
 } PendingCall;
 
 LogClient *
 LogClient_Create(Loop *loop, Str url, const HttpClientOptions *client_options,
-                 Error *error)
+                 EventLog *log, Error *error)
 {
-    LogClient *this = g_new0(LogClient, 1);
+    HttpFetch *fetch = HttpFetch_Create(loop, url, LOG_RESPONSE_BYTES_MAX,
+                                        client_options, error);
+    LogClient *this;
 
-    this->fetch =
-        HttpFetch_Create(loop, url, RESPONSE_BYTES_MAX, client_options, error);
-    if (this->fetch == NULL) {
-        g_free(this);
+    if (fetch == NULL) {
         return NULL;
     }
+    this = g_new0(LogClient, 1);
+    this->fetch = fetch;
+    this->log = log;
+    this->limits =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     return this;
 }
 
@@ -44,6 +66,7 @@
         return;
     }
     HttpFetch_Destroy(this->fetch);
+    g_hash_table_destroy(this->limits);
     g_free(this);
 }
 
@@ -158,37 +181,115 @@
     return LogClient_ParseRecords(response->body, records);
 }
 
+static void send_read(PendingCall *pending);
+
+static void
+log_dropped(const PendingCall *pending)
+{
+    EventLog *log = pending->client->log;
+
+    if (EventLog_Begin(log, LOG_LEVEL_WARN, "log-read-dropped")) {
+        EventLog_CStr(log, "stream", pending->request.stream);
+        EventLog_Int(log, "offset", (int64_t)pending->request.from);
+        EventLog_Int(log, "records_max", pending->request.limited_max);
+        EventLog_CStr(log, "reason", "too-long");
+        EventLog_End(log);
+    }
+}
+
+/* Doubles the limit of the stream while twice the records would fit. */
+static void
+raise_limit(const PendingCall *pending, size_t bytes, size_t count)
+{
+    GHashTable *limits = pending->client->limits;
+    uint32_t max = pending->request.limited_max;
+
+    if (max == pending->request.max || count < max ||
+        bytes > LOG_RESPONSE_BYTES_MAX / 2) {
+        return;
+    }
+    if (max >= pending->request.max / 2) {
+        g_hash_table_remove(limits, pending->request.stream);
+    }
+    else {
+        g_hash_table_insert(limits, g_strdup(pending->request.stream),
+                            GUINT_TO_POINTER(2 * max));
+    }
+}
+
 static void
 on_read(void *user, const HttpFetchResponse *response)
 {
     PendingCall *pending = user;
-    GArray *records = g_array_new(FALSE, FALSE, sizeof(LogRecord));
-    LogRead read = {0};
+    LogClient *this = pending->client;
+    GArray *records;
+    LogRead read = {.too_long = response->too_long};
 
+    this->bytes += response->body.length;
+    if (response->too_long) {
+        log_dropped(pending);
+        g_hash_table_insert(this->limits, g_strdup(pending->request.stream),
+                            GUINT_TO_POINTER(FITTING_RECORDS));
+        if (pending->request.limited_max > FITTING_RECORDS) {
+            send_read(pending);
+            return;
+        }
+    }
+    records = g_array_new(FALSE, FALSE, sizeof(LogRecord));
     read.code = parse_read(response, &read, records);
     read.records = (const LogRecord *)(void *)records->data;
     read.count = records->len;
-    pending->client->bytes += response->body.length;
+    if (read.code == 0) {
+        raise_limit(pending, response->body.length, read.count);
+    }
     pending->read(pending->user, &read);
     g_array_free(records, TRUE);
+    g_free(pending->request.stream);
     g_free(pending);
 }
 
+static uint32_t
+limit_records(const LogClient *this, const char *stream, uint32_t max)
+{
+    uint32_t limit =
+        GPOINTER_TO_UINT(g_hash_table_lookup(this->limits, stream));
+
+    return limit > 0 ? MIN(max, limit) : max;
+}
+
+static void
+send_read(PendingCall *pending)
+{
+    LogClient *this = pending->client;
+    char path[PATH_BYTES_MAX];
+
+    pending->request.limited_max =
+        limit_records(this, pending->request.stream, pending->request.max);
+    g_snprintf(path, sizeof(path),
+               "/streams/%s?from=%" G_GUINT64_FORMAT
+               "&max=%u&wait_ms=%" G_GINT64_FORMAT,
+               pending->request.stream, pending->request.from,
+               pending->request.limited_max,
+               pending->request.wait / MICROS_PER_MS);
+    HttpFetch_Send(this->fetch, STR("GET"), Str_FromC(path), NULL, STR(""),
+                   pending->request.wait + pending->request.timeout, on_read,
+                   pending);
+}
+
 void
 LogClient_Read(LogClient *this, Str stream, uint64_t from, uint32_t max,
                Micros wait, Micros timeout, LogReadHandler *handler,
                void *user)
 {
     PendingCall *pending = create_pending(this, user);
-    char path[PATH_BYTES_MAX];
 
     pending->read = handler;
-    g_snprintf(path, sizeof(path),
-               "/streams/" STR_FORMAT "?from=%" G_GUINT64_FORMAT
-               "&max=%u&wait_ms=%" G_GINT64_FORMAT,
-               STR_ARGS(stream), from, max, wait / MICROS_PER_MS);
-    HttpFetch_Send(this->fetch, STR("GET"), Str_FromC(path), NULL, STR(""),
-                   wait + timeout, on_read, pending);
+    pending->request.stream = g_strndup(stream.data, stream.length);
+    pending->request.from = from;
+    pending->request.max = max;
+    pending->request.wait = wait;
+    pending->request.timeout = timeout;
+    send_read(pending);
 }
 
 uint64_t
--- a/packages/net/LogClient.h
+++ b/packages/net/LogClient.h
@@ -3,8 +3,12 @@
 
 #include <glib.h>
 
+#include "EventLog.h"
 #include "HttpFetch.h"
 
+/** LOG_RESPONSE_BYTES_MAX - longest response that is kept */
+#define LOG_RESPONSE_BYTES_MAX (4 * 1024 * 1024)
+
 /** typedef LogClient - HTTP client of the platform's log service */
 typedef struct LogClient_ LogClient;
 
@@ -22,12 +26,15 @@
 /**
  * struct LogRead_ - result of a read
  * @code: 0 or a negative error number; the rest is valid only with 0
+ * @too_long: @code is ERR_PROTOCOL because the response was too long even with
+ *            as few records as always fit; valid always
  * @first: oldest offset that the log retains
  * @next: offset of the next append
  * @records: @count records, valid during the handler
  */
 typedef struct LogRead_ {
     int code;
+    bool too_long;
     uint64_t first;
     uint64_t next;
     const LogRecord *records;
@@ -48,12 +55,13 @@
 /**
  * LogClient_Create() - client of the log service at @url
  * @client_options: TLS and connection options; its file names are borrowed
+ * @log: for dropped responses, borrowed; may be NULL
  *
  * Return: NULL with @error filled if @url is invalid.
  */
 LogClient *LogClient_Create(Loop *loop, Str url,
                             const HttpClientOptions *client_options,
-                            Error *error);
+                            EventLog *log, Error *error);
 
 /** LogClient_Destroy() - close and release; NULL is allowed */
 void LogClient_Destroy(LogClient *this);
@@ -71,6 +79,10 @@
  * @wait: longest time that the service may wait for a record (long poll)
  * @timeout: for the response, in addition to @wait
  * @handler: called exactly once, not before the function has returned
+ *
+ * A response above LOG_RESPONSE_BYTES_MAX is dropped and the read is sent again
+ * for as few records as always fit. Later reads of the stream return at most as
+ * many, and more again while they are short.
  */
 void LogClient_Read(LogClient *this, Str stream, uint64_t from, uint32_t max,
                     Micros wait, Micros timeout, LogReadHandler *handler,
--- a/tests/test_endless_responses.c
+++ b/tests/test_endless_responses.c
@@ -6,10 +6,13 @@
 #include <unistd.h>
 
 #include "Balancer.h"
+#include "ClaimFollower.h"
 #include "ConfigFixture.h"
 #include "Gateway.h"
 #include "GatewayFixture.h"
 #include "HttpFetch.h"
+#include "HttpServer.h"
+#include "LogClient.h"
 #include "PlatformDialect.h"
 #include "Proxy.h"
 #include "Socket.h"
@@ -921,6 +924,310 @@
     tear_down(&f);
 }
 
+/* ---- log service ----------------------------------------------------- */
+
+/* Of one response. */
+#define LOG_PAGE_BYTES_MAX (4 * 1024 * 1024)
+#define LOG_RECORD_BYTES_MAX (256 * 1024)
+#define LOG_LARGE_COUNT 40
+#define LOG_SMALL_BYTES 100
+#define LOG_SMALL_COUNT 2000
+#define LOG_READ_RECORDS 512
+
+/* Log service with one stream: large records, then small ones. */
+typedef struct LogStandIn_ {
+    HttpServer *server;
+    uint64_t large_count, count;
+    bool ignores_max;
+    unsigned reads;
+    GString *data;
+} LogStandIn;
+
+typedef struct LogReader_ {
+    Fixture *fixture;
+    LogClient *client;
+    uint64_t next;
+    uint64_t end;
+    size_t page_bytes_max;
+    size_t page_records_max;
+    int code;
+} LogReader;
+
+static uint64_t
+query_number(Str path, const char *name)
+{
+    g_autofree char *text = g_strndup(path.data, path.length);
+    const char *found = strstr(text, name);
+
+    g_assert_nonnull(found);
+    return g_ascii_strtoull(found + strlen(name), NULL, 10);
+}
+
+static void
+serve_log(void *user, HttpRequest *request)
+{
+    LogStandIn *this = user;
+    uint64_t from = query_number(HttpRequest_Path(request), "from=");
+    uint64_t max = query_number(HttpRequest_Path(request), "max=");
+    HeaderList *headers = HeaderList_Create();
+    GString *body = g_string_new(NULL);
+    char next[24];
+
+    this->reads++;
+    if (this->ignores_max) {
+        max = this->count;
+    }
+    for (uint64_t i = from; i < MIN(this->count, from + max); i++) {
+        size_t length =
+            i < this->large_count ? LOG_RECORD_BYTES_MAX : LOG_SMALL_BYTES;
+
+        g_string_append_printf(body, "%" G_GUINT64_FORMAT " 1 %zu\n", i,
+                               length);
+        g_string_append_len(body, this->data->str, (gssize)length);
+        g_string_append_c(body, '\n');
+    }
+    g_snprintf(next, sizeof(next), "%" G_GUINT64_FORMAT, this->count);
+    HeaderList_Add(headers, STR("log-first"), STR("0"));
+    HeaderList_Add(headers, STR("log-next"), Str_FromC(next));
+    HttpRequest_Respond(request, 200, headers, Str_FromString(body));
+    HeaderList_Destroy(headers);
+    g_string_free(body, TRUE);
+}
+
+static void
+ignore_request_data(void *user, HttpRequest *request, Str data)
+{
+    (void)user;
+}
+
+static void
+ignore_request(void *user, HttpRequest *request)
+{
+    (void)user;
+}
+
+static void
+ignore_closed(void *user, HttpRequest *request, bool complete)
+{
+    (void)user;
+}
+
+static void
+start_log(Fixture *f, LogStandIn *this)
+{
+    static const HttpServerHandlers handlers = {
+        serve_log,      ignore_request_data, ignore_request,
+        ignore_request, ignore_closed,
+    };
+    HttpServerOptions options = {.address = "127.0.0.1"};
+
+    this->data = g_string_sized_new(LOG_RECORD_BYTES_MAX);
+    g_string_set_size(this->data, LOG_RECORD_BYTES_MAX);
+    memset(this->data->str, 'b', this->data->len);
+    this->server = HttpServer_Create(f->loop, &options, &handlers, this, NULL);
+    g_assert_nonnull(this->server);
+}
+
+static void
+stop_log(LogStandIn *this)
+{
+    HttpServer_Destroy(this->server);
+    g_string_free(this->data, TRUE);
+}
+
+static void
+start_reader(Fixture *f, LogReader *reader, uint16_t port)
+{
+    g_autofree char *url = g_strdup_printf("http://127.0.0.1:%u", port);
+
+    memset(reader, 0, sizeof(*reader));
+    reader->fixture = f;
+    reader->client =
+        LogClient_Create(f->loop, Str_FromC(url), NULL, f->log, NULL);
+}
+
+static void
+on_log_read(void *user, const LogRead *read)
+{
+    LogReader *reader = user;
+    size_t bytes = 0;
+
+    for (size_t i = 0; i < read->count; i++) {
+        g_assert_cmpuint(read->records[i].offset, ==, reader->next);
+        reader->next++;
+        bytes += read->records[i].data.length;
+    }
+    reader->page_bytes_max = MAX(reader->page_bytes_max, bytes);
+    reader->page_records_max = MAX(reader->page_records_max, read->count);
+    reader->code = read->code;
+    reader->end = read->next;
+    Loop_Stop(reader->fixture->loop);
+}
+
+static void
+read_log(LogReader *reader)
+{
+    LogClient_Read(reader->client, STR("claims-0"), reader->next,
+                   LOG_READ_RECORDS, 0, LONG_TIMEOUT_US, on_log_read, reader);
+    Loop_Run(reader->fixture->loop);
+}
+
+static void
+read_whole_log(LogReader *reader)
+{
+    do {
+        read_log(reader);
+        g_assert_cmpint(reader->code, ==, 0);
+    } while (reader->next < reader->end);
+}
+
+static unsigned
+count_dropped(const Fixture *f)
+{
+    unsigned count = 0;
+
+    for (const char *at = f->lines->str;
+         (at = strstr(at, "event=log-read-dropped")) != NULL; at++) {
+        count++;
+    }
+    return count;
+}
+
+/* Guards against a response of the log service that fills the memory of the
+ * host. */
+static void
+test_log_endless(void)
+{
+    static const Script endless = {.head = OK_HEAD "\r\n", .part = "bbbbbbbb"};
+    LogReader reader;
+    Fixture f;
+
+    set_up(&f);
+    add_peer(&f, &endless);
+    start_reader(&f, &reader, f.peers[0].port);
+    read_log(&reader);
+    g_test_message("sent=%" G_GUINT64_FORMAT " code=%d", f.peers[0].sent,
+                   reader.code);
+    g_assert_cmpint(reader.code, ==, ERR_PROTOCOL);
+    g_assert_cmpuint(f.peers[0].sent, <, 3 * LOG_PAGE_BYTES_MAX);
+    g_assert_cmpuint(count_dropped(&f), ==, 2);
+    Loop_Close(f.loop);
+    LogClient_Destroy(reader.client);
+    tear_down(&f);
+}
+
+/* Guards against pages of large records that exceed the memory of the host, and
+ * against a reader that does not get past them. */
+static void
+test_log_large(void)
+{
+    LogStandIn stand_in = {.large_count = LOG_LARGE_COUNT,
+                           .count = LOG_LARGE_COUNT};
+    LogReader reader;
+    Fixture f;
+
+    set_up(&f);
+    start_log(&f, &stand_in);
+    start_reader(&f, &reader, HttpServer_Port(stand_in.server));
+    read_whole_log(&reader);
+    g_test_message("reads=%u page_bytes_max=%zu", stand_in.reads,
+                   reader.page_bytes_max);
+    g_assert_cmpuint(reader.next, ==, LOG_LARGE_COUNT);
+    g_assert_cmpuint(reader.page_bytes_max, <=, LOG_PAGE_BYTES_MAX);
+    g_assert_cmpuint(stand_in.reads, <=, 4);
+    g_assert_cmpuint(count_dropped(&f), ==, 1);
+    Loop_Close(f.loop);
+    LogClient_Destroy(reader.client);
+    stop_log(&stand_in);
+    tear_down(&f);
+}
+
+/* Guards against pages that stay small after a few large records. */
+static void
+test_log_small(void)
+{
+    LogStandIn stand_in = {.large_count = LOG_LARGE_COUNT,
+                           .count = LOG_LARGE_COUNT + LOG_SMALL_COUNT};
+    LogReader reader;
+    Fixture f;
+
+    set_up(&f);
+    start_log(&f, &stand_in);
+    start_reader(&f, &reader, HttpServer_Port(stand_in.server));
+    read_whole_log(&reader);
+    g_test_message("reads=%u page_records_max=%zu", stand_in.reads,
+                   reader.page_records_max);
+    g_assert_cmpuint(reader.next, ==, stand_in.count);
+    g_assert_cmpuint(reader.page_records_max, ==, LOG_READ_RECORDS);
+    g_assert_cmpuint(stand_in.reads, <, 20);
+    Loop_Close(f.loop);
+    LogClient_Destroy(reader.client);
+    stop_log(&stand_in);
+    tear_down(&f);
+}
+
+/* Guards against pages far above what was asked for. */
+static void
+test_log_excess(void)
+{
+    LogStandIn stand_in = {.large_count = LOG_LARGE_COUNT,
+                           .count = LOG_LARGE_COUNT,
+                           .ignores_max = true};
+    LogReader reader;
+    Fixture f;
+
+    set_up(&f);
+    start_log(&f, &stand_in);
+    start_reader(&f, &reader, HttpServer_Port(stand_in.server));
+    read_log(&reader);
+    g_test_message("reads=%u code=%d", stand_in.reads, reader.code);
+    g_assert_cmpint(reader.code, ==, ERR_PROTOCOL);
+    g_assert_cmpuint(reader.next, ==, 0);
+    g_assert_cmpuint(stand_in.reads, ==, 2);
+    g_assert_cmpuint(count_dropped(&f), ==, 2);
+    Loop_Close(f.loop);
+    LogClient_Destroy(reader.client);
+    stop_log(&stand_in);
+    tear_down(&f);
+}
+
+static void
+on_claim_event(void *user)
+{
+    (void)user;
+}
+
+/* Guards against dropped pages that are read again without a pause. */
+static void
+test_log_excess_rate(void)
+{
+    LogStandIn stand_in = {.large_count = LOG_LARGE_COUNT,
+                           .count = LOG_LARGE_COUNT,
+                           .ignores_max = true};
+    ClaimsOptions options = ClaimsOptions_Default(STR("host-1"), 1);
+    ClaimFollower *follower;
+    LogReader reader;
+    Claims *claims;
+    Fixture f;
+
+    set_up(&f);
+    start_log(&f, &stand_in);
+    start_reader(&f, &reader, HttpServer_Port(stand_in.server));
+    claims = Claims_Create(&options, f.clock);
+    follower = ClaimFollower_Create(f.loop, claims, 1, reader.client,
+                                    LONG_TIMEOUT_US, on_claim_event, NULL);
+    run_for(&f, 3 * MICROS_PER_S);
+    g_test_message("reads=%u", stand_in.reads);
+    g_assert_cmpuint(stand_in.reads, >=, 2);
+    g_assert_cmpuint(stand_in.reads, <=, 4);
+    Loop_Close(f.loop);
+    ClaimFollower_Destroy(follower);
+    Claims_Destroy(claims);
+    LogClient_Destroy(reader.client);
+    stop_log(&stand_in);
+    tear_down(&f);
+}
+
 /* Guards against a load probe that reads until its time ends, and against a
  * report from it. */
 static void
@@ -1463,6 +1770,11 @@
                          test_long_response);
     g_test_add_func("/net/endless/fetches", test_fetches);
     g_test_add_func("/net/endless/store", test_store);
+    g_test_add_func("/net/endless/log/endless", test_log_endless);
+    g_test_add_func("/net/endless/log/large", test_log_large);
+    g_test_add_func("/net/endless/log/small", test_log_small);
+    g_test_add_func("/net/endless/log/excess", test_log_excess);
+    g_test_add_func("/net/endless/log/excess-rate", test_log_excess_rate);
     g_test_add_func("/net/endless/trickled-head", test_trickled_head);
     g_test_add_data_func("/net/endless/others/length", &relayed[0],
                          test_other_requests);
