gateway: a retry counts towards its limit when it is sent

Cause: a retry took a token of its RetryWindow before it was placed. One that found every upstream of its service paused, or was rejected in the queue, kept the token though nothing was sent; later retries were refused as retry-budget.

Change: the token is reserved while the retry waits and used up when it is sent to an upstream. It is given back if the retry is not placed, rejected or forwarded to a peer, which takes its own. A reserved retry whose allowance has left the window when it is to be sent is refused.

Measured: the two new cases of test_dispatcher fail before: of seven retries while both upstreams are paused one is refused as retry-budget, and after queued retries that were rejected none of two allowed retries is sent. They pass now, as does a new case of test_gateway_parts on reserved retries, and test_retry_window_runs, test_retrying_hosts, test_upstream_notices and test_forwarding.

--- a/packages/gateway/Dispatcher.c
+++ b/packages/gateway/Dispatcher.c
@@ -48,6 +48,7 @@
 
     g_hash_table_remove(job->owner->probing, job);
     JobForward_End(job, PEER_UNKNOWN);
+    Job_ReleaseRetry(job);
     job->owner->accepted_open -= job->forwarded;
     DueSet_Set(job->owner->due, &job->due, -1);
     g_string_free(job->id, TRUE);
@@ -563,9 +564,36 @@
     return g_ptr_array_index(job->owner->retry_windows, job->service);
 }
 
-/* Starts another attempt, which counts towards the retry limit. Returns NULL
- * on success, otherwise why no attempt was started: @reason unless the
- * deadline or the retry limit prevents it. */
+static bool
+reserve_retry(Job *job)
+{
+    job->retry_reserved =
+        job->retry_reserved || RetryWindow_Reserve(Job_RetryWindow(job));
+    return job->retry_reserved;
+}
+
+void
+Job_ReleaseRetry(Job *job)
+{
+    if (job->retry_reserved) {
+        RetryWindow_Release(Job_RetryWindow(job));
+        job->retry_reserved = false;
+    }
+}
+
+bool
+Job_UseRetry(Job *job)
+{
+    if (!job->retry_reserved) {
+        return true;
+    }
+    job->retry_reserved = false;
+    return RetryWindow_UseReserved(Job_RetryWindow(job));
+}
+
+/* Starts another attempt, which counts towards the retry limit once it is
+ * sent. Returns NULL on success, otherwise why no attempt was started: @reason
+ * unless the deadline or the retry limit prevents it. */
 static const char *
 start_retry(Job *job, const char *reason)
 {
@@ -584,10 +612,14 @@
     if (CrashGuard_Refuses(job->owner->guard, &job->fingerprint)) {
         return "quarantined";
     }
-    if (!RetryWindow_Take(Job_RetryWindow(job))) {
+    if (!reserve_retry(job)) {
         return "retry-budget";
     }
-    return JobPlacement_Place(job) ? NULL : reason;
+    if (!JobPlacement_Place(job)) {
+        Job_ReleaseRetry(job);
+        return reason;
+    }
+    return NULL;
 }
 
 void
--- a/packages/gateway/DispatcherPrivate.h
+++ b/packages/gateway/DispatcherPrivate.h
@@ -70,6 +70,7 @@
     bool relaying;      /* the caller has got the beginning of a response */
     bool loss_reported; /* the current attempt, to the guard */
     bool others_probed; /* other upstreams were probed for a move */
+    bool retry_reserved;
 };
 
 struct Dispatcher_ {
@@ -192,6 +193,17 @@
 /** Job_RetryWindow() - the retry limit of the job's service */
 RetryWindow *Job_RetryWindow(const Job *job);
 
+/** Job_ReleaseRetry() - give back the retry that is reserved, if any */
+void Job_ReleaseRetry(Job *job);
+
+/**
+ * Job_UseRetry() - use up the retry that is reserved, if any, as the job is
+ *     sent
+ *
+ * Return: false if the retry limit does not allow it any more.
+ */
+bool Job_UseRetry(Job *job);
+
 /**
  * Job_Retry() - send the job to another upstream after a failed attempt
  * @reason: reason of the rejection if no retry is possible
--- a/packages/gateway/JobForward.c
+++ b/packages/gateway/JobForward.c
@@ -86,6 +86,7 @@
     if (peer == NULL) {
         return no_peer;
     }
+    Job_ReleaseRetry(job);
     if (job->reached_upstream && !RetryWindow_Take(Job_RetryWindow(job))) {
         PeerSet_Release(this->peers, peer, PEER_UNKNOWN);
         return "retry-budget";
--- a/packages/gateway/JobPlacement.c
+++ b/packages/gateway/JobPlacement.c
@@ -26,6 +26,7 @@
     job->probe_rounds = 0;
 }
 
+/* Sends the job, or rejects it if that is a retry beyond the limit. */
 static void
 send_to(Job *job, const PlacementChoice *choice)
 {
@@ -41,6 +42,10 @@
                  job->deadline - now, job->route->kind == ROUTE_IDEMPOTENT},
     };
 
+    if (!Job_UseRetry(job)) {
+        Job_Abandon(job, "retry-budget");
+        return;
+    }
     Job_LeaveQueue(job, true);
     job->upstream = choice->upstream;
     job->tried[job->tried_count++] = choice->upstream;
--- a/packages/gateway/RetryWindow.c
+++ b/packages/gateway/RetryWindow.c
@@ -27,6 +27,7 @@
     Step steps[KEPT_STEP_COUNT];
     int64_t current;
     double saved; /* retries that older requests allow */
+    uint32_t reserved;
 };
 
 RetryWindow *
@@ -124,14 +125,20 @@
     return earned;
 }
 
-double
-RetryWindow_Remaining(RetryWindow *this)
+static double
+remaining(RetryWindow *this)
 {
     advance(this);
     return MIN(remaining_in_window(this),
                earned_remaining(this) + this->saved + extra_remaining(this));
 }
 
+double
+RetryWindow_Remaining(RetryWindow *this)
+{
+    return remaining(this) - this->reserved;
+}
+
 static void
 use_earned(RetryWindow *this)
 {
@@ -150,12 +157,35 @@
 }
 
 bool
-RetryWindow_Take(RetryWindow *this)
+RetryWindow_Reserve(RetryWindow *this)
 {
     if (RetryWindow_Remaining(this) < 1) {
         return false;
     }
+    this->reserved++;
+    return true;
+}
+
+void
+RetryWindow_Release(RetryWindow *this)
+{
+    this->reserved--;
+}
+
+bool
+RetryWindow_UseReserved(RetryWindow *this)
+{
+    this->reserved--;
+    if (remaining(this) < 1) {
+        return false;
+    }
     use_earned(this);
     step_at(this, this->current)->retries++;
     return true;
 }
+
+bool
+RetryWindow_Take(RetryWindow *this)
+{
+    return RetryWindow_Reserve(this) && RetryWindow_UseReserved(this);
+}
--- a/packages/gateway/RetryWindow.h
+++ b/packages/gateway/RetryWindow.h
@@ -43,7 +43,27 @@
 /** RetryWindow_Take() - use up one retry; false if none is left */
 bool RetryWindow_Take(RetryWindow *this);
 
-/** RetryWindow_Remaining() - number of retries that are allowed now */
+/**
+ * RetryWindow_Reserve() - set aside one retry, which is used up when it is sent
+ *
+ * Return: false if none is left.
+ */
+bool RetryWindow_Reserve(RetryWindow *this);
+
+/** RetryWindow_Release() - give back a reserved retry that is not sent */
+void RetryWindow_Release(RetryWindow *this);
+
+/**
+ * RetryWindow_UseReserved() - use up a reserved retry
+ *
+ * Return: false if what allowed it has left the window; it is given back then.
+ */
+bool RetryWindow_UseReserved(RetryWindow *this);
+
+/**
+ * RetryWindow_Remaining() - number of retries that are allowed now, without the
+ *     reserved ones
+ */
 double RetryWindow_Remaining(RetryWindow *this);
 
 #endif
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -6,6 +6,7 @@
 
 #define SLOT_COUNT 4
 #define OBJECTIVE_US (300 * MICROS_PER_MS)
+#define RETRY_EXTRA 2
 #define TIMEOUT_US (800 * MICROS_PER_MS)
 
 typedef struct Fixture_ {
@@ -54,7 +55,7 @@
         .domain = STR("a"),
         .retry_window = 10 * MICROS_PER_S,
         .retry_share = 0.2,
-        .retry_extra = 2,
+        .retry_extra = RETRY_EXTRA,
         .outage_grace = MICROS_PER_S,
     };
 
@@ -798,6 +799,64 @@
     g_assert_cmpint(f->action.respond.status, ==, 503);
 }
 
+/* Guards against retries that find all upstreams paused and use up the limit on
+ * retries, though nothing is sent. */
+static void
+test_retries_while_paused(Fixture *f, gconstpointer data)
+{
+    Job *jobs[2 * SLOT_COUNT];
+
+    for (size_t i = 0; i < G_N_ELEMENTS(jobs); i++) {
+        jobs[i] = submit(f, "/once/1", 0);
+    }
+    pause_upstream(f, jobs[0], 2 * MICROS_PER_S);
+    pause_upstream(f, jobs[0], 2 * MICROS_PER_S);
+    g_assert_cmpuint(f->sends, ==, G_N_ELEMENTS(jobs) + 1);
+    for (size_t i = 1; i < G_N_ELEMENTS(jobs); i++) {
+        end_attempt(f, jobs[i], ATTEMPT_RESULT_NOT_RUN, 503);
+        g_assert_cmpstr(f->action.respond.reason, ==, "upstream-full");
+    }
+    g_assert_cmpuint(f->sends, ==, G_N_ELEMENTS(jobs) + 1);
+    advance_time(f, 2 * MICROS_PER_S);
+    f->sends = 0;
+    for (int i = 0; i < RETRY_EXTRA; i++) {
+        end_attempt(f, submit(f, "/once/2", 0), ATTEMPT_RESULT_NOT_RUN, 503);
+    }
+    g_assert_cmpuint(f->sends, ==, 2 * RETRY_EXTRA);
+}
+
+/* Guards against a retry that is rejected in the queue and uses up the limit on
+ * retries. */
+static void
+test_queued_retries(Fixture *f, gconstpointer data)
+{
+    Job *jobs[8];
+
+    for (size_t i = 0; i < G_N_ELEMENTS(jobs); i++) {
+        jobs[i] = submit(f, "/once/1", 0);
+        report_load(f, 0);
+    }
+    g_assert_cmpuint(f->sends, ==, G_N_ELEMENTS(jobs));
+    report_load(f, 2 * SLOT_COUNT);
+    for (size_t i = 0; i < G_N_ELEMENTS(jobs); i++) {
+        end_attempt(f, jobs[i], ATTEMPT_RESULT_NOT_RUN, 503);
+        report_load(f, 2 * SLOT_COUNT);
+    }
+    advance_time(f, OBJECTIVE_US);
+    g_assert_cmpuint(f->sends, ==, G_N_ELEMENTS(jobs));
+    g_assert_cmpuint(f->responses, ==, G_N_ELEMENTS(jobs));
+    advance_time(f, 2 * MICROS_PER_S);
+    f->sends = 0;
+    for (int i = 0; i < RETRY_EXTRA; i++) {
+        Job *job = submit(f, "/once/2", 0);
+
+        report_load(f, 0);
+        end_attempt(f, job, ATTEMPT_RESULT_NOT_RUN, 503);
+        report_load(f, 0);
+    }
+    g_assert_cmpuint(f->sends, ==, 2 * RETRY_EXTRA);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -833,6 +892,8 @@
     ADD("/dispatcher/relay-deadline", set_up, test_relay_deadline);
     ADD("/dispatcher/paused-upstreams", set_up, test_paused_upstreams);
     ADD("/dispatcher/retry-with-pause", set_up, test_retry_with_pause);
+    ADD("/dispatcher/retries-while-paused", set_up, test_retries_while_paused);
+    ADD("/dispatcher/queued-retries", set_up_probing, test_queued_retries);
     ADD("/dispatcher/caller-gone", set_up_probing, test_caller_disconnect);
     return g_test_run();
 }
--- a/tests/test_gateway_parts.c
+++ b/tests/test_gateway_parts.c
@@ -203,6 +203,34 @@
     Clock_Destroy(clock);
 }
 
+/* Guards against a reserved retry that another one uses, and against one that
+ * is sent after what allowed it has left the window. */
+static void
+test_reserved_retry(void)
+{
+    RetryWindowOptions options = {
+        .window = WINDOW_US, .share = 0.2, .extra = 0.3};
+    Clock *clock = Clock_CreateManual(7 * MICROS_PER_S, 0);
+    RetryWindow *window = RetryWindow_Create(&options, clock);
+
+    for (int i = 0; i < 15; i++) {
+        RetryWindow_OnRequest(window);
+    }
+    g_assert_true(RetryWindow_Reserve(window));
+    g_assert_true(RetryWindow_Reserve(window));
+    g_assert_cmpuint(take_all(window), ==, 1);
+    RetryWindow_Release(window);
+    g_assert_cmpuint(take_all(window), ==, 1);
+    Clock_Advance(clock, 2 * WINDOW_US);
+    g_assert_false(RetryWindow_UseReserved(window));
+    for (int i = 0; i < 15; i++) {
+        RetryWindow_OnRequest(window);
+    }
+    g_assert_cmpuint(take_all(window), ==, 3);
+    RetryWindow_Destroy(window);
+    Clock_Destroy(clock);
+}
+
 /* ---- upstreams ------------------------------------------------------ */
 
 typedef struct Fixture_ {
@@ -549,6 +577,7 @@
     g_test_add_func("/gateway/refuse-route", test_reject_route);
     g_test_add_func("/gateway/split", test_split);
     g_test_add_func("/gateway/retry-window", test_retry_window);
+    g_test_add_func("/gateway/reserved-retry", test_reserved_retry);
     g_test_add_func("/gateway/retry-of-old-requests",
                     test_retry_of_old_requests);
     ADD("/gateway/newest-counts", test_newest_description);
