gateway: a notice holds for the incarnation that has said it

Cause: what a response says (leaving, pause) was held against the incarnation that the host knew when it arrived. A new incarnation uses the address before its entry is read; what it said until then was kept for the one before and lost with the entry.

Change: notices keep the times of their requests, pauses up to four that differ. When the entry of a new incarnation is read at the same address, the notices of requests that were sent since its start (born) become its own, also those of responses that arrive after the entry; the others stay with the one before. The time of the request is compared and not that of the response: a response of the old incarnation may arrive after the new one has started, while a request sent since then can only have reached the new one.

What can't be known: born is by the clock of the upstream, so the comparison is wrong by the difference of the clocks. With a slow clock at the host, a notice from before the entry is lost as before, until the next response. With a fast clock, the last notices of the old incarnation are held against the new one. A probe response without the header refutes a true notice of a new incarnation whose probes do not have it; the next response says it again.

--- a/packages/gateway/DispatcherNotices.c
+++ b/packages/gateway/DispatcherNotices.c
@@ -21,15 +21,18 @@
 
 static void
 on_notice(Dispatcher *this, uint32_t upstream, const UpstreamNotice *notice,
-          const char *source)
+          const char *source, Micros sent)
 {
     Eligibility *eligibility = Placement_Eligibility(this->placement);
 
-    if (notice->leaving && Eligibility_SetLeaving(eligibility, upstream)) {
+    if (!notice->leaving) {
+        Eligibility_OnNotLeaving(eligibility, upstream);
+    }
+    else if (Eligibility_SetLeaving(eligibility, upstream, sent)) {
         log_notice(this, upstream, "leaving", source, 0);
     }
     if (notice->pause > 0 &&
-        Eligibility_Pause(eligibility, upstream, notice->pause)) {
+        Eligibility_Pause(eligibility, upstream, notice->pause, sent)) {
         log_notice(this, upstream, "pause", source, notice->pause);
     }
 }
@@ -39,7 +42,7 @@
                     const UpstreamNotice *notice)
 {
     if (job->upstream != UPSTREAM_NONE) {
-        on_notice(this, job->upstream, notice, "request");
+        on_notice(this, job->upstream, notice, "request", job->sent_at);
     }
 }
 
@@ -47,5 +50,6 @@
 Dispatcher_OnProbeNotice(Dispatcher *this, uint32_t upstream,
                          const UpstreamNotice *notice)
 {
-    on_notice(this, upstream, notice, "probe");
+    on_notice(this, upstream, notice, "probe",
+              Dispatcher_SentProbe(this, upstream).sent);
 }
--- a/packages/gateway/Eligibility.c
+++ b/packages/gateway/Eligibility.c
@@ -1,6 +1,7 @@
 #include "Eligibility.h"
 
 #include <glib.h>
+#include <string.h>
 
 /* Duration of the first ejection, and how often it doubles at most: with each
  * further ejection in a row. */
@@ -12,10 +13,25 @@
 #define KEPT_US (600 * MICROS_PER_S)
 #define KEPT_MAX 4096
 
+/* Time for which an upstream counts as leaving because of responses that may be
+ * of the incarnation before it, unless it confirms or refutes them. */
+#define UNCONFIRMED_US (60 * MICROS_PER_S)
+
+/* Pauses of an upstream that are kept apart. */
+#define PAUSES_MAX 4
+
+typedef struct Pause_ {
+    Micros sent; /* time of the request */
+    Micros until;
+} Pause;
+
 /* What an upstream has announced in its responses. */
 typedef struct Notices_ {
-    Micros paused_until;
+    Pause pauses[PAUSES_MAX]; /* those sent later end earlier */
+    uint32_t pause_count;
     bool leaving;
+    Micros leaving_sent;      /* time of the last request */
+    Micros unconfirmed_until; /* 0 if the incarnation itself has said it */
 } Notices;
 
 /* Notices of an incarnation that is not listed. */
@@ -36,6 +52,10 @@
     Ejection ejection;
     Ejection saved; /* see Eligibility_SaveEjections() */
     Notices notices;
+    uint32_t successor; /* upstream at the same address, if @has_successor */
+    uint32_t successor_instance;
+    Micros succeeded_at;
+    bool has_successor;
     bool listed;
     bool draining;
 } Entry;
@@ -102,11 +122,79 @@
                : NULL;
 }
 
+/* ---- notices --------------------------------------------------------- */
+
+/* Returns the latest end of all pauses. */
+static Micros
+paused_until(const Notices *notices)
+{
+    return notices->pause_count > 0 ? notices->pauses[0].until : 0;
+}
+
 static bool
 is_paused(const Eligibility *this, const Entry *entry)
 {
-    return entry->notices.paused_until > 0 &&
-           entry->notices.paused_until > Clock_Now(this->clock);
+    return entry->notices.pause_count > 0 &&
+           paused_until(&entry->notices) > Clock_Now(this->clock);
+}
+
+static bool
+is_leaving(const Eligibility *this, const Entry *entry)
+{
+    return entry->notices.leaving &&
+           (entry->notices.unconfirmed_until == 0 ||
+            entry->notices.unconfirmed_until > Clock_Now(this->clock));
+}
+
+/* Of the pauses that were sent since some time, the first one ends last. One
+ * that another makes needless at all times is dropped. */
+static void
+add_pause(Notices *notices, Pause pause)
+{
+    Pause kept[PAUSES_MAX + 1];
+    uint32_t count = 0;
+    bool added = false;
+
+    for (uint32_t i = 0; i < notices->pause_count; i++) {
+        const Pause *other = &notices->pauses[i];
+
+        if (other->sent >= pause.sent && other->until >= pause.until) {
+            return;
+        }
+        if (other->sent > pause.sent && !added) {
+            kept[count++] = pause;
+            added = true;
+        }
+        if (other->sent > pause.sent || other->until > pause.until) {
+            kept[count++] = *other;
+        }
+    }
+    if (!added) {
+        kept[count++] = pause;
+    }
+    if (count > PAUSES_MAX) {
+        count--;
+        memmove(&kept[1], &kept[2], (count - 1) * sizeof(Pause));
+    }
+    memcpy(notices->pauses, kept, count * sizeof(Pause));
+    notices->pause_count = count;
+}
+
+/* Adds what responses to requests since some time have said. */
+static void
+add_notices(Notices *notices, const Notices *other, Micros since,
+            Micros unconfirmed_until)
+{
+    if (other->leaving && other->leaving_sent >= since) {
+        notices->leaving = true;
+        notices->leaving_sent = other->leaving_sent;
+        notices->unconfirmed_until = unconfirmed_until;
+    }
+    for (uint32_t i = 0; i < other->pause_count; i++) {
+        if (other->pauses[i].sent >= since) {
+            add_pause(notices, other->pauses[i]);
+        }
+    }
 }
 
 /* ---- notices of incarnations that are not listed --------------------- */
@@ -143,7 +231,7 @@
     Kept *kept = g_hash_table_lookup(this->kept, key);
 
     if (entry->instance == 0 ||
-        (!entry->notices.leaving && !is_paused(this, entry))) {
+        (!is_leaving(this, entry) && !is_paused(this, entry))) {
         return;
     }
     if (kept != NULL) {
@@ -199,6 +287,56 @@
     }
 }
 
+static Micros
+unconfirmed_until(const Eligibility *this)
+{
+    return Clock_Now(this->clock) + UNCONFIRMED_US;
+}
+
+void
+Eligibility_Inherit(Eligibility *this, uint32_t upstream, uint32_t predecessor,
+                    Micros since)
+{
+    const Kept *kept =
+        g_hash_table_lookup(this->kept, GUINT_TO_POINTER(predecessor));
+    Entry *entry = find_entry(this, upstream);
+
+    if (kept != NULL && !is_outdated(this, kept)) {
+        add_notices(&entry->notices, &kept->notices, since,
+                    unconfirmed_until(this));
+    }
+    /* Responses may still arrive for an upstream that is not listed. */
+    for (guint i = 0; i < this->entries->len; i++) {
+        Entry *ended = find_entry(this, i);
+
+        if (!ended->listed && ended->instance == predecessor) {
+            ended->successor = upstream;
+            ended->successor_instance = entry->instance;
+            ended->succeeded_at = since;
+            ended->has_successor = true;
+        }
+    }
+}
+
+/* Returns the incarnation that has responded to a request for an upstream, or
+ * NULL if it is not known any more. */
+static Entry *
+find_responder(Eligibility *this, uint32_t upstream, Micros sent)
+{
+    Entry *entry = find_entry(this, upstream);
+
+    while (entry != NULL && !entry->listed && entry->has_successor &&
+           sent >= entry->succeeded_at) {
+        uint32_t instance = entry->successor_instance;
+
+        entry = find_entry(this, entry->successor);
+        if (entry->instance != instance) {
+            return NULL;
+        }
+    }
+    return entry;
+}
+
 void
 Eligibility_SetDraining(Eligibility *this, uint32_t upstream, bool draining)
 {
@@ -210,33 +348,54 @@
 }
 
 bool
-Eligibility_SetLeaving(Eligibility *this, uint32_t upstream)
+Eligibility_SetLeaving(Eligibility *this, uint32_t upstream, Micros sent)
 {
-    Entry *entry = find_entry(this, upstream);
+    Entry *entry = find_responder(this, upstream, sent);
+    bool was_leaving, is_own;
 
-    if (entry == NULL || entry->notices.leaving) {
+    if (entry == NULL) {
         return false;
     }
+    was_leaving = is_leaving(this, entry);
+    is_own = entry == find_entry(this, upstream);
+    if (!was_leaving || is_own) {
+        entry->notices.unconfirmed_until =
+            is_own ? 0 : unconfirmed_until(this);
+    }
     entry->notices.leaving = true;
+    entry->notices.leaving_sent = MAX(entry->notices.leaving_sent, sent);
     if (!entry->listed) {
         keep(this, entry);
     }
-    return true;
+    return !was_leaving;
 }
 
-bool
-Eligibility_Pause(Eligibility *this, uint32_t upstream, Micros time)
+void
+Eligibility_OnNotLeaving(Eligibility *this, uint32_t upstream)
 {
     Entry *entry = find_entry(this, upstream);
+
+    if (entry != NULL && entry->listed &&
+        entry->notices.unconfirmed_until > 0) {
+        entry->notices.leaving = false;
+        entry->notices.unconfirmed_until = 0;
+    }
+}
+
+bool
+Eligibility_Pause(Eligibility *this, uint32_t upstream, Micros time,
+                  Micros sent)
+{
+    Entry *entry = find_responder(this, upstream, sent);
     bool was_paused;
 
     if (entry == NULL || time <= 0) {
         return false;
     }
     was_paused = is_paused(this, entry);
-    entry->notices.paused_until =
-        MAX(entry->notices.paused_until,
-            Clock_Now(this->clock) + MIN(time, UPSTREAM_PAUSE_MAX));
+    add_pause(
+        &entry->notices,
+        (Pause){sent, Clock_Now(this->clock) + MIN(time, UPSTREAM_PAUSE_MAX)});
     if (!entry->listed) {
         keep(this, entry);
     }
@@ -256,7 +415,7 @@
 {
     const Entry *entry = find_entry(this, upstream);
 
-    return entry != NULL && (entry->draining || entry->notices.leaving);
+    return entry != NULL && (entry->draining || is_leaving(this, entry));
 }
 
 /* ---- ejection -------------------------------------------------------- */
@@ -340,7 +499,7 @@
     if (entry == NULL) {
         return ELIGIBILITY_OK;
     }
-    if (entry->notices.leaving) {
+    if (is_leaving(this, entry)) {
         return ELIGIBILITY_LEAVING;
     }
     if (entry->draining) {
@@ -362,7 +521,7 @@
     case ELIGIBILITY_LIMIT:
         return UpstreamLimits_Wait(this->limits, upstream);
     case ELIGIBILITY_PAUSED:
-        return find_entry(this, upstream)->notices.paused_until -
+        return paused_until(&find_entry(this, upstream)->notices) -
                Clock_Now(this->clock);
     case ELIGIBILITY_OK:
     case ELIGIBILITY_EJECTED:
@@ -376,20 +535,23 @@
 }
 
 /* One that may get no request is probed now and then only, to learn whether it
- * still has its limit. */
+ * still has its limit, or if it may not have announced itself that it leaves. */
 bool
 Eligibility_MayProbe(const Eligibility *this, uint32_t upstream)
 {
+    const Entry *entry = find_entry(this, upstream);
+
     switch (Eligibility_Reason(this, upstream)) {
     case ELIGIBILITY_OK:
         return true;
     case ELIGIBILITY_LIMIT:
-        return !is_ejected(this, find_entry(this, upstream)) &&
+        return !is_ejected(this, entry) &&
                UpstreamLimits_IsProbeDue(this->limits, upstream);
+    case ELIGIBILITY_LEAVING:
+        return entry->notices.unconfirmed_until > 0 && !is_paused(this, entry);
     case ELIGIBILITY_EJECTED:
     case ELIGIBILITY_PAUSED:
     case ELIGIBILITY_DRAINING:
-    case ELIGIBILITY_LEAVING:
     case ELIGIBILITY_COUNT:
         break;
     }
--- a/packages/gateway/Eligibility.h
+++ b/packages/gateway/Eligibility.h
@@ -48,25 +48,48 @@
 void Eligibility_SetDraining(Eligibility *this, uint32_t upstream,
                              bool draining);
 
+/**
+ * Eligibility_Inherit() - an upstream uses the address of an incarnation that
+ *     has ended
+ * @upstream: listed
+ * @predecessor: instance of the one that has ended; it is not listed any more
+ * @since: time of the start of the new one by the clock of this host
+ *
+ * Responses to requests that were sent since then are of the new incarnation,
+ * whether they have arrived or not. If the clock of this host is fast, they may
+ * be of the one before, so load probes ask whether the new one leaves.
+ */
+void Eligibility_Inherit(Eligibility *this, uint32_t upstream,
+                         uint32_t predecessor, Micros since);
+
 /**
  * Eligibility_SetLeaving() - a response of the upstream says that it will end
+ * @sent: time at which the request was sent
  *
  * Holds for its incarnation, also while that is not listed.
  *
  * Return: whether this was unknown.
  */
-bool Eligibility_SetLeaving(Eligibility *this, uint32_t upstream);
+bool Eligibility_SetLeaving(Eligibility *this, uint32_t upstream, Micros sent);
+
+/**
+ * Eligibility_OnNotLeaving() - a response of the upstream does not say that it
+ *     will end; ends what it has inherited
+ */
+void Eligibility_OnNotLeaving(Eligibility *this, uint32_t upstream);
 
 /**
  * Eligibility_Pause() - the upstream wants nothing from this host for a time
  * @time: from now, UPSTREAM_PAUSE_MAX at most
+ * @sent: time at which the request was sent that it has responded to
  *
  * A shorter one does not end a longer one before. Holds for its incarnation,
  * also while that is not listed.
  *
  * Return: whether there was none.
  */
-bool Eligibility_Pause(Eligibility *this, uint32_t upstream, Micros time);
+bool Eligibility_Pause(Eligibility *this, uint32_t upstream, Micros time,
+                       Micros sent);
 
 /** Eligibility_IsPaused() - whether it may get neither requests nor probes */
 bool Eligibility_IsPaused(const Eligibility *this, uint32_t upstream);
--- a/packages/gateway/UpstreamSet.c
+++ b/packages/gateway/UpstreamSet.c
@@ -8,9 +8,13 @@
  * are not listed in any. */
 #define REMOVED_KEPT_US (60 * MICROS_PER_S)
 
-/* An upstream that the source has removed. */
+/* An upstream that the source has removed, or the incarnation before one that
+ * is listed. */
 typedef struct RemovedUpstream_ {
     GString *id;
+    uint32_t instance;
+    char address[UPSTREAM_ADDRESS_BYTES];
+    uint16_t port;
     int64_t started;
     uint64_t sequence;
     Micros at;
@@ -166,22 +170,33 @@
 
     g_hash_table_foreach_remove(this->removed, is_outdated, this);
     removed->id = Str_ToString(listed->record.id);
+    removed->instance = listed->record.instance;
+    memcpy(removed->address, listed->record.address, UPSTREAM_ADDRESS_BYTES);
+    removed->port = listed->record.port;
     removed->started = listed->started;
     removed->sequence = listed->sequence;
     removed->at = Clock_Now(this->clock);
     g_hash_table_replace(this->removed, removed->id, removed);
 }
 
+static const RemovedUpstream *
+find_removed(const UpstreamSet *this, Str id)
+{
+    GString *key = Str_ToString(id);
+    const RemovedUpstream *removed = g_hash_table_lookup(this->removed, key);
+
+    g_string_free(key, TRUE);
+    return removed;
+}
+
 /* Returns whether an older copy of the source lists an upstream that was
  * removed since. One that is alive has described itself again by now or will,
  * with a higher sequence. */
 static bool
 was_removed(const UpstreamSet *this, const UpstreamEntry *entry)
 {
-    GString *key = Str_ToString(entry->id);
-    const RemovedUpstream *removed = g_hash_table_lookup(this->removed, key);
+    const RemovedUpstream *removed = find_removed(this, entry->id);
 
-    g_string_free(key, TRUE);
     return entry->restored && removed != NULL &&
            (entry->started < removed->started ||
             (entry->started == removed->started &&
@@ -256,6 +271,24 @@
     Placement_SetDraining(this->placement, listed->index, entry->draining);
 }
 
+/* Responses that arrived before this entry were taken for those of the
+ * incarnation before. */
+static void
+inherit_notices(const UpstreamSet *this, const ListedUpstream *listed)
+{
+    const RemovedUpstream *before = find_removed(this, listed->record.id);
+    Micros age =
+        Clock_Wall(this->clock) - (Micros)listed->started * MICROS_PER_MS;
+
+    if (before != NULL && before->started < listed->started &&
+        before->port == listed->record.port &&
+        strcmp(before->address, listed->record.address) == 0) {
+        Eligibility_Inherit(Placement_Eligibility(this->placement),
+                            listed->index, before->instance,
+                            Clock_Now(this->clock) - age);
+    }
+}
+
 bool
 UpstreamSet_Put(UpstreamSet *this, const UpstreamEntry *entry)
 {
@@ -269,6 +302,7 @@
     /* Load and failures of an earlier incarnation do not apply to the new
      * one. */
     if (listed != NULL && !is_same_instance(this, listed, entry)) {
+        remember_removed(this, listed);
         drop(this, listed, "restarted");
         listed = NULL;
         was_draining = false;
@@ -276,6 +310,7 @@
     if (listed == NULL) {
         listed = add_upstream(this, entry);
         update_record(this, listed, entry);
+        inherit_notices(this, listed);
         log_change(this, listed, entry->draining ? "draining" : "added");
         return true;
     }
--- a/tests/support/NoticeSimulation.c
+++ b/tests/support/NoticeSimulation.c
@@ -58,6 +58,7 @@
 typedef struct Upstream_ {
     char *id;
     int64_t life;
+    int64_t started; /* milliseconds by the clock of the simulation */
     uint64_t sequence;
     unsigned running;
     bool leaving;
@@ -567,7 +568,7 @@
     UpstreamEntry entry = GatewayFixture_Upstream(
         upstream->id, (uint16_t)(upstream - sim->upstreams + 1), SLOT_COUNT);
 
-    entry.started = upstream->life;
+    entry.started = upstream->started;
     entry.sequence = upstream->sequence;
     return entry;
 }
@@ -636,26 +637,52 @@
 }
 
 static void
-publish(Simulation *sim, const Upstream *upstream, bool listed)
+publish_to(Host *host, const Upstream *upstream, bool listed)
 {
-    UpstreamEntry entry = entry_of(sim, upstream);
+    UpstreamEntry entry = entry_of(host->simulation, upstream);
 
+    if (host->dispatcher == NULL) {
+        return;
+    }
+    if (listed) {
+        Dispatcher_PutUpstream(host->dispatcher, &entry);
+    }
+    else {
+        Dispatcher_RemoveUpstream(host->dispatcher, entry.id);
+    }
+    handle_actions(host);
+}
+
+static void
+publish(Simulation *sim, const Upstream *upstream, bool listed)
+{
     for (unsigned i = 0; i < sim->options.host_count; i++) {
-        Host *host = &sim->hosts[i];
+        publish_to(&sim->hosts[i], upstream, listed);
+    }
+}
 
-        if (host->dispatcher == NULL) {
-            continue;
-        }
-        if (listed) {
-            Dispatcher_PutUpstream(host->dispatcher, &entry);
-        }
-        else {
-            Dispatcher_RemoveUpstream(host->dispatcher, entry.id);
-        }
-        handle_actions(host);
+static void
+read_entry(void *user, uint64_t index)
+{
+    Host *host = user;
+
+    publish_to(host, &host->simulation->upstreams[index], true);
+}
+
+/* Each host reads the entry at another time. */
+static void
+publish_late(Simulation *sim, uint64_t index)
+{
+    for (unsigned i = 0; i < sim->options.host_count; i++) {
+        EventQueue_Add(sim->events,
+                       1 + (Micros)Random_Below(
+                               sim->random, (uint64_t)sim->options.entry_lag),
+                       read_entry, &sim->hosts[i], index);
     }
 }
 
+static void start_leaving(void *user, uint64_t index);
+
 static void
 relist(void *user, uint64_t index)
 {
@@ -690,13 +717,23 @@
     Upstream *upstream = &sim->upstreams[index];
 
     upstream->life++;
+    upstream->started = Clock_Wall(sim->clock) / MICROS_PER_MS;
     upstream->sequence = 1;
     upstream->running = 0;
     upstream->leaving = false;
     for (unsigned i = 0; i < sim->options.host_count; i++) {
         forget_told(told_of(&sim->hosts[i], upstream));
     }
-    publish(sim, upstream, true);
+    if (sim->options.return_time > 0) {
+        EventQueue_Add(sim->events, sim->options.return_time, start_leaving,
+                       sim, index);
+    }
+    if (sim->options.entry_lag > 0) {
+        publish_late(sim, index);
+    }
+    else {
+        publish(sim, upstream, true);
+    }
 }
 
 static void
@@ -762,6 +799,7 @@
         sim->upstreams[i] = (Upstream){
             .id = g_strdup_printf("u-%u", i),
             .life = 1,
+            .started = 1,
             .sequence = 1,
             .malformed = i >= options->leaving_count &&
                          i < options->leaving_count + options->malformed_count,
@@ -827,7 +865,10 @@
         if (!options->leaving_at_once) {
             delay += (Micros)Random_Below(sim->random, NOTICE_SPREAD_US);
         }
-        EventQueue_Add(sim->events, delay, start_leaving, sim, i);
+        EventQueue_Add(sim->events, delay,
+                       options->return_time > 0 ? restart_upstream
+                                                : start_leaving,
+                       sim, i);
     }
     for (unsigned i = 0; i < options->pausing_count; i++) {
         if (i == 0 || !options->pausing_at_once) {
--- a/tests/support/NoticeSimulation.h
+++ b/tests/support/NoticeSimulation.h
@@ -20,6 +20,10 @@
  * @host_restart_interval: mean time between restarts of a host, 0 for none
  * @life_time: time after which one that leaves is back under its id, 0 for
  *             never
+ * @return_time: if not 0, those that leave restart without a word first, and
+ *               say so this time after each restart
+ * @entry_lag: longest time until a host reads the entry of a new incarnation;
+ *             each host reads it at another time
  * @silent_probes: responses to probes do not have the headers
  * @unread: plants a fault: hosts do not read the headers
  */
@@ -34,6 +38,8 @@
     Micros entry_interval;
     Micros host_restart_interval;
     Micros life_time;
+    Micros return_time;
+    Micros entry_lag;
     bool silent_probes;
     bool unread;
 } NoticeOptions;
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -799,6 +799,156 @@
     g_assert_cmpint(f->action.respond.status, ==, 503);
 }
 
+/* Reads the entry of a new incarnation, which started @age ago by the clock of
+ * this host. */
+static void
+restart_upstream(Fixture *f, const char *id, Micros age)
+{
+    UpstreamEntry entry = GatewayFixture_Upstream(id, 80, SLOT_COUNT);
+
+    entry.started = (Clock_Wall(f->clock) - age) / MICROS_PER_MS;
+    Dispatcher_PutUpstream(f->dispatcher, &entry);
+}
+
+static void
+end_with_notice(Fixture *f, Job *job, UpstreamNotice notice)
+{
+    Dispatcher_OnNotice(f->dispatcher, job, &notice);
+    end_attempt(f, job, ATTEMPT_RESULT_RESPONSE, 200);
+}
+
+static void
+keep_one_upstream(Fixture *f)
+{
+    Dispatcher_RemoveUpstream(f->dispatcher, STR("v"));
+    advance_time(f, 10 * MICROS_PER_S);
+}
+
+static bool
+can_send(Fixture *f)
+{
+    Job *job = submit(f, "/once/9", 0);
+
+    if (job != NULL) {
+        end_attempt(f, job, ATTEMPT_RESULT_RESPONSE, 200);
+    }
+    return job != NULL;
+}
+
+/* Guards against what a new incarnation says being forgotten when its entry is
+ * read later. */
+static void
+test_notice_before_entry(Fixture *f, gconstpointer data)
+{
+    keep_one_upstream(f);
+    end_with_notice(f, submit(f, "/once/1", 0),
+                    (UpstreamNotice){.leaving = true});
+    advance_time(f, 500 * MICROS_PER_MS);
+    restart_upstream(f, "u", MICROS_PER_S);
+    g_assert_false(can_send(f));
+    restart_upstream(f, "u", 0);
+    end_with_notice(f, submit(f, "/once/1", 0),
+                    (UpstreamNotice){.pause = 5 * MICROS_PER_S});
+    advance_time(f, 500 * MICROS_PER_MS);
+    restart_upstream(f, "u", 500 * MICROS_PER_MS);
+    g_assert_false(can_send(f));
+    advance_time(f, 4500 * MICROS_PER_MS);
+    g_assert_true(can_send(f));
+}
+
+/* As above, while the entry of the one before is gone. */
+static void
+test_notice_between_entries(Fixture *f, gconstpointer data)
+{
+    keep_one_upstream(f);
+    end_with_notice(f, submit(f, "/once/1", 0),
+                    (UpstreamNotice){.leaving = true});
+    Dispatcher_RemoveUpstream(f->dispatcher, STR("u"));
+    advance_time(f, 500 * MICROS_PER_MS);
+    restart_upstream(f, "u", MICROS_PER_S);
+    g_assert_false(can_send(f));
+}
+
+/* Guards against a new incarnation that is held to what the one before said. */
+static void
+test_notice_of_old_incarnation(Fixture *f, gconstpointer data)
+{
+    UpstreamNotice notice = {.leaving = true, .pause = 60 * MICROS_PER_S};
+    Job *old, *new;
+
+    keep_one_upstream(f);
+    end_with_notice(f, submit(f, "/once/1", 0), notice);
+    advance_time(f, 500 * MICROS_PER_MS);
+    restart_upstream(f, "u", 100 * MICROS_PER_MS);
+    g_assert_true(can_send(f));
+    old = submit(f, "/once/1", 0);
+    advance_time(f, 200 * MICROS_PER_MS);
+    new = submit(f, "/once/2", 0);
+    end_with_notice(f, old, notice);
+    end_with_notice(f, new, (UpstreamNotice){.pause = 3 * MICROS_PER_S});
+    restart_upstream(f, "u", 100 * MICROS_PER_MS);
+    g_assert_false(can_send(f));
+    advance_time(f, 3 * MICROS_PER_S);
+    g_assert_true(can_send(f));
+}
+
+/* Guards against a response that is held against the wrong incarnation because
+ * it arrives after the new entry. */
+static void
+test_notice_after_entry(Fixture *f, gconstpointer data)
+{
+    UpstreamNotice notice = {.leaving = true};
+    Job *job;
+
+    keep_one_upstream(f);
+    job = submit(f, "/once/1", 0);
+    advance_time(f, 200 * MICROS_PER_MS);
+    restart_upstream(f, "u", 100 * MICROS_PER_MS);
+    end_with_notice(f, job, notice);
+    g_assert_true(can_send(f));
+    job = submit(f, "/once/1", 0);
+    advance_time(f, 10 * MICROS_PER_MS);
+    restart_upstream(f, "u", 50 * MICROS_PER_MS);
+    end_with_notice(f, job, notice);
+    g_assert_false(can_send(f));
+}
+
+/* Guards against an upstream at another address that is held to what the one
+ * before said. */
+static void
+test_notice_at_other_address(Fixture *f, gconstpointer data)
+{
+    UpstreamEntry entry = GatewayFixture_Upstream("u", 81, SLOT_COUNT);
+
+    keep_one_upstream(f);
+    end_with_notice(f, submit(f, "/once/1", 0),
+                    (UpstreamNotice){.leaving = true});
+    entry.started = (Clock_Wall(f->clock) - MICROS_PER_S) / MICROS_PER_MS;
+    Dispatcher_PutUpstream(f->dispatcher, &entry);
+    g_assert_true(can_send(f));
+}
+
+/* Guards against a host with a fast clock that takes the last words of an
+ * incarnation for those of the next one and never uses it. */
+static void
+test_notice_with_fast_clock(Fixture *f, gconstpointer data)
+{
+    UpstreamNotice none = {0};
+    Job *job;
+
+    keep_one_upstream(f);
+    job = submit(f, "/once/1", 0);
+    reply_to_probe(f, 0, 0);
+    end_with_notice(f, job, (UpstreamNotice){.leaving = true});
+    restart_upstream(f, "u", 5 * MICROS_PER_S);
+    f->probes = 0;
+    g_assert_null(submit(f, "/once/1", 0));
+    g_assert_cmpuint(f->probes, ==, 1);
+    Dispatcher_OnProbeNotice(f->dispatcher, f->last_probed, &none);
+    reply_to_probe(f, f->last_probed, 0);
+    g_assert_nonnull(submit(f, "/once/1", 0));
+}
+
 /* Guards against retries that find all upstreams paused and use up the limit on
  * retries, though nothing is sent. */
 static void
@@ -892,6 +1042,16 @@
     ADD("/dispatcher/relay-deadline", set_up, test_relay_deadline);
     ADD("/dispatcher/paused-upstreams", set_up, test_paused_upstreams);
     ADD("/dispatcher/retry-with-pause", set_up, test_retry_with_pause);
+    ADD("/dispatcher/notice-before-entry", set_up, test_notice_before_entry);
+    ADD("/dispatcher/notice-between-entries", set_up,
+        test_notice_between_entries);
+    ADD("/dispatcher/notice-of-old-incarnation", set_up,
+        test_notice_of_old_incarnation);
+    ADD("/dispatcher/notice-after-entry", set_up, test_notice_after_entry);
+    ADD("/dispatcher/notice-at-other-address", set_up,
+        test_notice_at_other_address);
+    ADD("/dispatcher/notice-with-fast-clock", set_up_probing,
+        test_notice_with_fast_clock);
     ADD("/dispatcher/retries-while-paused", set_up, test_retries_while_paused);
     ADD("/dispatcher/queued-retries", set_up_probing, test_queued_retries);
     ADD("/dispatcher/caller-gone", set_up_probing, test_caller_disconnect);
--- a/tests/test_eligibility.c
+++ b/tests/test_eligibility.c
@@ -54,8 +54,10 @@
 static void
 test_description(Fixture *f, gconstpointer data)
 {
-    g_assert_true(Eligibility_SetLeaving(f->eligibility, UPSTREAM));
-    g_assert_false(Eligibility_SetLeaving(f->eligibility, UPSTREAM));
+    g_assert_true(
+        Eligibility_SetLeaving(f->eligibility, UPSTREAM, Clock_Now(f->clock)));
+    g_assert_false(
+        Eligibility_SetLeaving(f->eligibility, UPSTREAM, Clock_Now(f->clock)));
     Eligibility_SetDraining(f->eligibility, UPSTREAM, false);
     assert_reason(f, UPSTREAM, ELIGIBILITY_LEAVING);
     g_assert_true(Eligibility_IsEnding(f->eligibility, UPSTREAM));
@@ -70,7 +72,7 @@
 static void
 test_relisted(Fixture *f, gconstpointer data)
 {
-    Eligibility_SetLeaving(f->eligibility, UPSTREAM);
+    Eligibility_SetLeaving(f->eligibility, UPSTREAM, Clock_Now(f->clock));
     Eligibility_OnRemoved(f->eligibility, UPSTREAM);
     Clock_Advance(f->clock, 60 * MICROS_PER_S);
     Eligibility_OnListed(f->eligibility, OTHER_INDEX, INSTANCE);
@@ -83,7 +85,7 @@
 test_response_while_lapsed(Fixture *f, gconstpointer data)
 {
     Eligibility_OnRemoved(f->eligibility, UPSTREAM);
-    Eligibility_SetLeaving(f->eligibility, UPSTREAM);
+    Eligibility_SetLeaving(f->eligibility, UPSTREAM, Clock_Now(f->clock));
     Eligibility_OnListed(f->eligibility, UPSTREAM, INSTANCE);
     assert_reason(f, UPSTREAM, ELIGIBILITY_LEAVING);
 }
@@ -92,7 +94,7 @@
 static void
 test_new_incarnation(Fixture *f, gconstpointer data)
 {
-    Eligibility_SetLeaving(f->eligibility, UPSTREAM);
+    Eligibility_SetLeaving(f->eligibility, UPSTREAM, Clock_Now(f->clock));
     Eligibility_OnRemoved(f->eligibility, UPSTREAM);
     Eligibility_OnListed(f->eligibility, UPSTREAM, NEXT_INSTANCE);
     assert_reason(f, UPSTREAM, ELIGIBILITY_OK);
@@ -104,7 +106,7 @@
 {
     for (uint32_t i = 1; i < 20000; i++) {
         Eligibility_OnListed(f->eligibility, UPSTREAM, i);
-        Eligibility_SetLeaving(f->eligibility, UPSTREAM);
+        Eligibility_SetLeaving(f->eligibility, UPSTREAM, Clock_Now(f->clock));
         Eligibility_OnRemoved(f->eligibility, UPSTREAM);
     }
     Eligibility_OnListed(f->eligibility, UPSTREAM, 19999);
@@ -118,9 +120,10 @@
 static void
 test_pause(Fixture *f, gconstpointer data)
 {
-    g_assert_true(
-        Eligibility_Pause(f->eligibility, UPSTREAM, 5 * MICROS_PER_S));
-    g_assert_false(Eligibility_Pause(f->eligibility, UPSTREAM, MICROS_PER_S));
+    g_assert_true(Eligibility_Pause(f->eligibility, UPSTREAM, 5 * MICROS_PER_S,
+                                    Clock_Now(f->clock)));
+    g_assert_false(Eligibility_Pause(f->eligibility, UPSTREAM, MICROS_PER_S,
+                                     Clock_Now(f->clock)));
     assert_reason(f, UPSTREAM, ELIGIBILITY_PAUSED);
     g_assert_cmpint(Eligibility_Wait(f->eligibility, UPSTREAM), ==,
                     5 * MICROS_PER_S);
@@ -137,9 +140,12 @@
 static void
 test_pause_bounds(Fixture *f, gconstpointer data)
 {
-    g_assert_false(Eligibility_Pause(f->eligibility, UPSTREAM, -1));
-    g_assert_false(Eligibility_Pause(f->eligibility, UPSTREAM, 0));
-    Eligibility_Pause(f->eligibility, UPSTREAM, G_MAXINT64);
+    g_assert_false(
+        Eligibility_Pause(f->eligibility, UPSTREAM, -1, Clock_Now(f->clock)));
+    g_assert_false(
+        Eligibility_Pause(f->eligibility, UPSTREAM, 0, Clock_Now(f->clock)));
+    Eligibility_Pause(f->eligibility, UPSTREAM, G_MAXINT64,
+                      Clock_Now(f->clock));
     g_assert_cmpint(Eligibility_Wait(f->eligibility, UPSTREAM), ==,
                     UPSTREAM_PAUSE_MAX);
     Eligibility_OnRemoved(f->eligibility, UPSTREAM);
@@ -149,6 +155,61 @@
     assert_reason(f, UPSTREAM, ELIGIBILITY_OK);
 }
 
+static Micros
+inherited_wait(const Fixture *f, uint32_t instance, Micros since)
+{
+    Eligibility_OnListed(f->eligibility, OTHER_INDEX, instance);
+    Eligibility_Inherit(f->eligibility, OTHER_INDEX, INSTANCE, since);
+    return Eligibility_Wait(f->eligibility, OTHER_INDEX);
+}
+
+/* Guards against a new incarnation that is held to a longer pause which the one
+ * before asked for, and against memory that grows with each pause. */
+static void
+test_inherited_pauses(Fixture *f, gconstpointer data)
+{
+    Micros sent = Clock_Now(f->clock);
+
+    for (int i = 0; i < 20; i++) {
+        Eligibility_Pause(f->eligibility, UPSTREAM, (100 - i) * MICROS_PER_S,
+                          sent + i * MICROS_PER_MS);
+    }
+    Eligibility_OnRemoved(f->eligibility, UPSTREAM);
+    g_assert_cmpint(inherited_wait(f, 80, sent), ==, 100 * MICROS_PER_S);
+    g_assert_cmpint(inherited_wait(f, 81, sent + 19 * MICROS_PER_MS), ==,
+                    81 * MICROS_PER_S);
+    g_assert_cmpint(inherited_wait(f, 82, sent + 20 * MICROS_PER_MS), ==, 0);
+    /* One that is sent later and ends later makes all others needless. */
+    Eligibility_OnListed(f->eligibility, UPSTREAM, INSTANCE);
+    Eligibility_Pause(f->eligibility, UPSTREAM, 110 * MICROS_PER_S,
+                      sent + 30 * MICROS_PER_MS);
+    Eligibility_OnRemoved(f->eligibility, UPSTREAM);
+    g_assert_cmpint(inherited_wait(f, 83, sent), ==, 110 * MICROS_PER_S);
+    g_assert_cmpint(inherited_wait(f, 84, sent + 30 * MICROS_PER_MS), ==,
+                    110 * MICROS_PER_S);
+}
+
+/* Guards against an upstream that a host with a fast clock and without probes
+ * never uses again. */
+static void
+test_unconfirmed_leaving(Fixture *f, gconstpointer data)
+{
+    Micros sent = Clock_Now(f->clock);
+
+    Eligibility_SetLeaving(f->eligibility, UPSTREAM, sent);
+    Eligibility_OnRemoved(f->eligibility, UPSTREAM);
+    inherited_wait(f, NEXT_INSTANCE, sent);
+    assert_reason(f, OTHER_INDEX, ELIGIBILITY_LEAVING);
+    g_assert_true(Eligibility_MayProbe(f->eligibility, OTHER_INDEX));
+    Clock_Advance(f->clock, 60 * MICROS_PER_S);
+    assert_reason(f, OTHER_INDEX, ELIGIBILITY_OK);
+    Eligibility_SetLeaving(f->eligibility, OTHER_INDEX, Clock_Now(f->clock));
+    Eligibility_OnNotLeaving(f->eligibility, OTHER_INDEX);
+    Clock_Advance(f->clock, 60 * MICROS_PER_S);
+    assert_reason(f, OTHER_INDEX, ELIGIBILITY_LEAVING);
+    g_assert_false(Eligibility_MayProbe(f->eligibility, OTHER_INDEX));
+}
+
 static UpstreamNotice
 read_field(const Fixture *f, int status, const char *name, const char *first,
            const char *second)
@@ -235,6 +296,8 @@
     ADD("leaving-values", test_leaving_values);
     ADD("pause", test_pause);
     ADD("pause-bounds", test_pause_bounds);
+    ADD("inherited-pauses", test_inherited_pauses);
+    ADD("unconfirmed-leaving", test_unconfirmed_leaving);
     ADD("pause-values", test_pause_values);
 #undef ADD
     return g_test_run();
--- a/tests/test_upstream_notices.c
+++ b/tests/test_upstream_notices.c
@@ -86,6 +86,15 @@
     g_assert_cmpuint(sum->cut_short, ==, 0);
 }
 
+static void
+assert_pauses_kept(const NoticeResult *sum)
+{
+    g_assert_cmpuint(sum->pauses, >, 0);
+    g_assert_cmpuint(sum->early_sends, ==, 0);
+    g_assert_cmpuint(sum->early_returns, ==, 0);
+    g_assert_cmpuint(sum->pausing_arrivals, >, 0);
+}
+
 static void
 test_one_leaves(gconstpointer data)
 {
@@ -152,6 +161,39 @@
     g_assert_cmpuint(sum.reborn_arrivals * 25, >, sum.requests);
 }
 
+/* Guards against notices of new incarnations that are forgotten when their
+ * entries are read. */
+static void
+test_late_entries(gconstpointer data)
+{
+    NoticeOptions options = *(const NoticeOptions *)data;
+    NoticeResult sum;
+
+    options.leaving_count = options.upstream_count / 2;
+    options.return_time = 100 * MICROS_PER_MS;
+    options.entry_lag = 1500 * MICROS_PER_MS;
+    options.silent_probes = true;
+    sum = run_all(options);
+    assert_left_alone(&sum);
+}
+
+/* Guards against new incarnations that get no requests because the ones before
+ * them announced that they leave. */
+static void
+test_returns_with_late_entries(gconstpointer data)
+{
+    NoticeOptions options = *(const NoticeOptions *)data;
+    NoticeResult sum;
+
+    options.leaving_count = options.upstream_count / 2;
+    options.leaving_at_once = true;
+    options.life_time = 3 * MICROS_PER_S;
+    options.entry_lag = 1500 * MICROS_PER_MS;
+    sum = run_all(options);
+    assert_left_alone(&sum);
+    g_assert_cmpuint(sum.reborn_arrivals * 25, >, sum.requests);
+}
+
 static void
 test_hosts_restart(gconstpointer data)
 {
@@ -177,15 +219,6 @@
     g_assert_cmpuint(sum.malformed_arrivals * 100, >=, sum.requests * 99);
 }
 
-static void
-assert_pauses_kept(const NoticeResult *sum)
-{
-    g_assert_cmpuint(sum->pauses, >, 0);
-    g_assert_cmpuint(sum->early_sends, ==, 0);
-    g_assert_cmpuint(sum->early_returns, ==, 0);
-    g_assert_cmpuint(sum->pausing_arrivals, >, 0);
-}
-
 /* Requests that are turned away are served by another upstream. */
 static void
 test_one_pauses(gconstpointer data)
@@ -309,6 +342,8 @@
     ADD("all-leave", test_all_leave);
     ADD("entries-change", test_entries_change);
     ADD("upstreams-return", test_upstreams_return);
+    ADD("late-entries", test_late_entries);
+    ADD("returns-with-late-entries", test_returns_with_late_entries);
     ADD("hosts-restart", test_hosts_restart);
     ADD("malformed", test_malformed);
     ADD("one-pauses", test_one_pauses);
