tests: notices of upstreams in responses over a peer

Cause: nothing guarded what hosts make of Server-Leaving and Retry-After in a response that came over a peer.

Change: the host that has talked to the upstream acts on both (test_gateway_forward). The first host takes neither for a notice of the peer or of an upstream of its own, and passes on what the plain path passes on (test_gateway_cut_off): Server-Leaving of a relayed response, but no Retry-After of a rejection.

--- a/tests/test_gateway_cut_off.c
+++ b/tests/test_gateway_cut_off.c
@@ -16,6 +16,9 @@
 /* What the peer answers. */
 typedef enum Answer_ {
     ANSWER_RELAYED,
+    ANSWER_LEAVING,
+    ANSWER_PAUSE,
+    ANSWER_FULL,
     ANSWER_UNSEALED,
     ANSWER_OTHER_SEQUENCE,
     ANSWER_OTHER_STATUS,
@@ -76,7 +79,8 @@
     head.sequence = sent.sequence + (f->answer == ANSWER_OTHER_SEQUENCE);
     head.status += f->answer == ANSWER_OTHER_STATUS;
     if (outcome != FORWARD_OUTCOME_RELAYED) {
-        seal.reason = STR("cut-off");
+        seal.reason =
+            f->answer == ANSWER_FULL ? STR("upstream-full") : STR("cut-off");
     }
     ForwardResponseSeal_Mac(&seal, &head, a->keys.sent_response, seal.mac);
     ForwardResponseSeal_Format(&seal, text);
@@ -101,6 +105,9 @@
 
     HeaderList_Add(headers, STR("agatecrank-attempt-id"),
                    f->answer == ANSWER_OTHER_ATTEMPT ? STR("18") : STR(ID));
+    if (f->answer == ANSWER_LEAVING) {
+        HeaderList_Add(headers, STR("server-leaving"), STR("1"));
+    }
     if (f->answer != ANSWER_UNSIGNED) {
         HeaderList_Add(headers, STR("agatecrank-response-signature"),
                        STR(ID ".u"));
@@ -112,9 +119,13 @@
 respond_relayed(Fixture *f, HttpRequest *request)
 {
     HeaderList *headers = response_headers(f);
+    int status = f->answer == ANSWER_PAUSE ? 503 : 200;
 
+    if (f->answer == ANSWER_PAUSE) {
+        HeaderList_Add(headers, STR("retry-after"), STR("30"));
+    }
     if (f->answer != ANSWER_UNSEALED) {
-        add_seal(f, request, FORWARD_OUTCOME_RELAYED, 200, headers);
+        add_seal(f, request, FORWARD_OUTCOME_RELAYED, status, headers);
     }
     if (f->answer == ANSWER_LARGE || f->answer == ANSWER_BROKEN) {
         f->open = request;
@@ -122,7 +133,7 @@
         HttpRequest_StartResponse(request, 200, headers, LARGE_BYTES);
     }
     else {
-        HttpRequest_Respond(request, 200, headers, STR("result"));
+        HttpRequest_Respond(request, status, headers, STR("result"));
     }
     HeaderList_Destroy(headers);
 }
@@ -133,6 +144,11 @@
     HeaderList *headers = HeaderList_Create();
     int status = f->answer == ANSWER_FAILED ? 502 : 503;
 
+    if (f->answer == ANSWER_FULL) {
+        HeaderList_Add(headers, STR("agatecrank-attempt-id"), STR(ID));
+        HeaderList_Add(headers, STR("server-leaving"), STR("1"));
+        HeaderList_Add(headers, STR("retry-after"), STR("30"));
+    }
     if (f->answer == ANSWER_UNSEALED_NOT_RUN) {
         HeaderList_Add(headers, STR("agatecrank-not-executed"), STR("1"));
     }
@@ -153,6 +169,7 @@
 
     f->received++;
     switch (f->answer) {
+    case ANSWER_FULL:
     case ANSWER_NOT_RUN:
     case ANSWER_UNSEALED_NOT_RUN:
     case ANSWER_FAILED:
@@ -473,6 +490,38 @@
     g_assert_cmpuint(f->received, ==, 1);
 }
 
+static void
+assert_no_notice(const Fixture *f)
+{
+    g_assert_cmpuint(
+        Dispatcher_ExcludedCount(f->dispatcher, ELIGIBILITY_LEAVING), ==, 0);
+    g_assert_cmpuint(
+        Dispatcher_ExcludedCount(f->dispatcher, ELIGIBILITY_PAUSED), ==, 0);
+}
+
+/* Guards against what an upstream of a peer says being held against the peer or
+ * an upstream of this host. */
+static void
+test_notice_over_peer(Fixture *f, gconstpointer data)
+{
+    call(f, "/once/1", ANSWER_LEAVING);
+    g_assert_cmpint(f->status, ==, 200);
+    /* As over the plain path. */
+    g_assert_true(HeaderList_Has(f->headers, STR("server-leaving")));
+    assert_no_notice(f);
+    call(f, "/once/1", ANSWER_FULL);
+    g_assert_cmpint(f->status, ==, 503);
+    g_assert_false(HeaderList_Has(f->headers, STR("server-leaving")));
+    assert_no_notice(f);
+    call(f, "/once/1", ANSWER_RELAYED);
+    g_assert_cmpint(f->status, ==, 200);
+    call(f, "/once/1", ANSWER_PAUSE);
+    g_assert_cmpint(f->status, ==, 502);
+    g_assert_false(HeaderList_Has(f->headers, STR("retry-after")));
+    assert_no_notice(f);
+    g_assert_cmpuint(f->received, ==, 4);
+}
+
 /* Guards against a peer that is gone and keeps a request that nobody got. */
 static void
 test_unsent(Fixture *f, gconstpointer data)
@@ -572,6 +621,7 @@
     ADD_NOT_USED("/cut-off/unsealed-not-run", ANSWER_UNSEALED_NOT_RUN);
     ADD_NOT_USED("/cut-off/failed", ANSWER_FAILED);
     ADD("/cut-off/not-run", test_not_run);
+    ADD("/cut-off/notice-over-peer", test_notice_over_peer);
     ADD("/cut-off/unsent", test_unsent);
     ADD("/cut-off/large-request", test_large_request);
     ADD("/cut-off/large-response", test_large_response);
--- a/tests/test_gateway_forward.c
+++ b/tests/test_gateway_forward.c
@@ -103,6 +103,17 @@
         f->to_write = LARGE_BYTES;
         HttpRequest_StartResponse(request, 200, headers, LARGE_BYTES);
     }
+    else if (Str_Equal(path, STR("/safe/leaving"))) {
+        f->open = NULL;
+        HeaderList_Add(headers, STR("server-leaving"), STR("1"));
+        HttpRequest_Respond(request, 207, headers, STR("result"));
+    }
+    else if (Str_Equal(path, STR("/safe/paused"))) {
+        f->open = NULL;
+        HeaderList_Add(headers, STR("agatecrank-not-executed"), STR("1"));
+        HeaderList_Add(headers, STR("retry-after"), STR("30"));
+        HttpRequest_Respond(request, 503, headers, STR(""));
+    }
     else if (!Str_Equal(path, STR("/safe/hang"))) {
         f->open = NULL;
         HttpRequest_Respond(request, 207, headers, STR("result"));
@@ -459,6 +470,31 @@
     g_assert_cmpuint(f->runs, ==, 0);
 }
 
+/* Guards against a host that forgets what an upstream says in the response to a
+ * request of another host. */
+static void
+test_pause(Fixture *f, gconstpointer data)
+{
+    forward(f, "/safe/paused");
+    g_assert_cmpint(f->status, ==, 503);
+    g_assert_cmpint(f->seal.outcome, ==, FORWARD_OUTCOME_NOT_RUN);
+    g_assert_cmpuint(
+        Dispatcher_ExcludedCount(f->dispatcher, ELIGIBILITY_PAUSED), ==, 1);
+}
+
+static void
+test_leaving(Fixture *f, gconstpointer data)
+{
+    forward(f, "/safe/leaving");
+    g_assert_cmpint(f->status, ==, 207);
+    g_assert_cmpint(f->check, ==, 0);
+    g_assert_cmpint(f->seal.outcome, ==, FORWARD_OUTCOME_RELAYED);
+    g_assert_cmpuint(
+        Dispatcher_ExcludedCount(f->dispatcher, ELIGIBILITY_LEAVING), ==, 1);
+    /* As over the plain path. */
+    g_assert_true(HeaderList_Has(f->headers, STR("server-leaving")));
+}
+
 /* Guards against a host that takes requests while it stops and then breaks them
  * off. */
 static void
@@ -488,6 +524,8 @@
     ADD("/gateway-forward/broken", test_broken);
     ADD("/gateway-forward/cancelled", test_cancelled);
     ADD("/gateway-forward/not-run", test_not_run);
+    ADD("/gateway-forward/pause-of-upstream", test_pause);
+    ADD("/gateway-forward/leaving-upstream", test_leaving);
     ADD("/gateway-forward/stopping", test_stopping);
     return g_test_run();
 }
