standins: judge notices with restarts, freezes and cuts

Cause: NoticeCheck took the caller's host for the one that sends to the upstream, which is a peer while that host is cut off, and knew of no restarts and freezes of hosts. It held what an old incarnation had said against the new one if the response was passed on more than 0.5 s after the restart, as by a frozen host. So the soak played notices with SIGNALS=none only.

Change: each host connects from an address of its own, links keep it, and arrivals are judged by it. soak.sh records starts and freezes in a file that is read when a request looks like a violation: what a host was told before its last start or freeze does not count, for a pause neither before a cut; what it is told afterwards does. A response counts for the incarnation that has started before the request was sent. A pause does not count if the link drops the response. The line on a restart of an upstream in test_notice_check is part of a case of its own now.

--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -54,11 +54,18 @@
     } >"$WORK/host-$1.toml"
 }
 
+# record_event HOST: tells the stand-in that a host is being started, frozen or
+# resumed
+record_event() {
+    echo "$1 $(date +%s%N)" >>"$WORK/host-events"
+}
+
 # start_host HOST: starts a host with a clock that inject_clock_faults can shift,
-# and with links to the upstreams that the stand-in can cut
+# an address of its own from which it connects, and links to the upstreams that
+# the stand-in can cut
 start_host() {
-    local libraries=$BIN/standins/libskewed-clock.so cut=
-    [ -n "$CUT_KIND" ] && libraries="$libraries:$BIN/standins/libhost-links.so"
+    local libraries=$BIN/standins/libskewed-clock.so:$BIN/standins/libhost-links.so cut=
+    record_event "$1"
     [ "$1" -lt "$CUT_HOSTS" ] && cut=$WORK/cut
     SKEW_FILE=$WORK/skew-$1 LD_PRELOAD=$libraries \
         SOURCE_ADDRESS=$(loopback_address "$1") CUT_FILE=$cut \
@@ -103,8 +110,10 @@
         3 | 4 | 5) stop_and_restart "$host" KILL ;;
         6) kill -HUP "${HOST_PID[$host]}" ;;
         *)
+            record_event "$host"
             kill -STOP "${HOST_PID[$host]}"
             sleep "$((RANDOM % 2)).$((RANDOM % 10))"
+            record_event "$host"
             kill -CONT "${HOST_PID[$host]}"
             ;;
         esac
@@ -170,6 +179,7 @@
         --restore-interval-ms "$RESTORE_INTERVAL_MS" \
         --loss-period-ms "$LOSS_PERIOD_MS" --loss-ratio "$LOSS_RATIO" \
         --endless-share "$ENDLESS_SHARE" --served-least "$SERVED_LEAST" \
+        --host-events "$WORK/host-events" \
         ${CUT_KIND:+--cut-hosts "$CUT_HOSTS" --cut-kind "$CUT_KIND" --cut-file "$WORK/cut"} \
         >"$WORK/platform.out" 2>"$WORK/platform.err" &
     PLATFORM_PID=$!
--- a/standins/HttpRequest.c
+++ b/standins/HttpRequest.c
@@ -80,6 +80,17 @@
     g_free(this);
 }
 
+struct sockaddr_in
+HttpRequest_Peer(const HttpRequest *this)
+{
+    struct sockaddr_in address = {0};
+    socklen_t length = sizeof(address);
+
+    getpeername(lws_get_socket_fd(this->connection->wsi),
+                (struct sockaddr *)&address, &length);
+    return address;
+}
+
 const char *
 HttpRequest_Method(const HttpRequest *this)
 {
--- a/standins/HttpServer.h
+++ b/standins/HttpServer.h
@@ -3,6 +3,7 @@
 
 #include <glib.h>
 #include <jansson.h>
+#include <netinet/in.h>
 
 #include "Clock.h"
 #include "Error.h"
@@ -96,6 +97,9 @@
 /** HttpServer_MalformedRequests() - number of malformed requests rejected */
 uint64_t HttpServer_MalformedRequests(const HttpServer *this);
 
+/** HttpRequest_Peer() - address and port of the client */
+struct sockaddr_in HttpRequest_Peer(const HttpRequest *this);
+
 /** HttpRequest_Method() - name as in the request line */
 const char *HttpRequest_Method(const HttpRequest *this);
 
--- a/standins/LinkFaults.c
+++ b/standins/LinkFaults.c
@@ -170,3 +170,16 @@
         }
     }
 }
+
+bool
+LinkFaults_Delivers(const LinkFaults *this, int link, uint16_t port)
+{
+    for (guint i = 0; i < this->links->len; i++) {
+        const Link *other = g_ptr_array_index(this->links, i);
+
+        if (LossyLink_Port(other->lossy_link) == link) {
+            return LossyLink_Delivers(other->lossy_link, port);
+        }
+    }
+    return false;
+}
--- a/standins/LinkFaults.h
+++ b/standins/LinkFaults.h
@@ -70,6 +70,12 @@
 void LinkFaults_ResetSources(LinkFaults *this, LinkGroup group,
                              const GArray *sources);
 
+/**
+ * LinkFaults_Delivers() - as LossyLink_Delivers(), for one link
+ * @link: its port
+ */
+bool LinkFaults_Delivers(const LinkFaults *this, int link, uint16_t port);
+
 /** LinkFaults_IsClear() - true if no link of @group has a fault */
 bool LinkFaults_IsClear(const LinkFaults *this, LinkGroup group);
 
--- a/standins/LossyLink.c
+++ b/standins/LossyLink.c
@@ -233,6 +233,20 @@
     return true;
 }
 
+/* The target sees the address of the client. */
+static void
+bind_source(int fd, in_addr_t source)
+{
+    static const int on = 1;
+    struct sockaddr_in address = {.sin_family = AF_INET};
+
+    address.sin_addr.s_addr = source;
+    setsockopt(fd, IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, &on, sizeof(on));
+    if (bind(fd, (struct sockaddr *)&address, sizeof(address)) < 0) {
+        g_error("cannot bind the address of a client");
+    }
+}
+
 static void
 open_connection(LossyLink *this, int client, in_addr_t source)
 {
@@ -240,6 +254,7 @@
     int target =
         socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 
+    bind_source(target, source);
     connect(target, (struct sockaddr *)&this->target, sizeof(this->target));
     connection->link = this;
     connection->source = source;
@@ -408,3 +423,33 @@
 {
     return g_hash_table_size(this->connections);
 }
+
+static uint16_t
+port_at_target(const LinkConnection *connection)
+{
+    struct sockaddr_in address = {0};
+    socklen_t length = sizeof(address);
+
+    getsockname(connection->sides[SIDE_TARGET].fd, (struct sockaddr *)&address,
+                &length);
+    return ntohs(address.sin_port);
+}
+
+bool
+LossyLink_Delivers(const LossyLink *this, uint16_t port)
+{
+    GHashTableIter iterator;
+    gpointer key;
+
+    g_hash_table_iter_init(&iterator, this->connections);
+    while (g_hash_table_iter_next(&iterator, &key, NULL)) {
+        const LinkConnection *connection = key;
+        const LinkSide *target = &connection->sides[SIDE_TARGET];
+
+        if (target->wsi != NULL && port_at_target(connection) == port) {
+            return connection->sides[SIDE_CLIENT].wsi != NULL &&
+                   !target->has_gap && !drops_bytes(target);
+        }
+    }
+    return false;
+}
--- a/standins/LossyLink.h
+++ b/standins/LossyLink.h
@@ -54,6 +54,13 @@
 /** LossyLink_ResetSources() - reset the open connections of some clients */
 void LossyLink_ResetSources(LossyLink *this, const GArray *sources);
 
+/**
+ * LossyLink_Delivers() - whether bytes from the target get through to the client
+ *     of a connection now
+ * @port: of the client, as the target sees it
+ */
+bool LossyLink_Delivers(const LossyLink *this, uint16_t port);
+
 /** LossyLink_ConnectionCount() - number of connections with at least one side
  *                               open */
 unsigned LossyLink_ConnectionCount(const LossyLink *this);
--- a/standins/PlatformChecker.c
+++ b/standins/PlatformChecker.c
@@ -58,7 +58,8 @@
 }
 
 PlatformChecker *
-PlatformChecker_Create(const RetryRuleOptions *retries)
+PlatformChecker_Create(const RetryRuleOptions *retries,
+                       const HostEvents *events)
 {
     PlatformChecker *this = g_new0(PlatformChecker, 1);
 
@@ -67,7 +68,7 @@
     this->crashing =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     this->retries = RetryRule_Create(retries);
-    this->notices = NoticeCheck_Create();
+    this->notices = NoticeCheck_Create(events);
     return this;
 }
 
--- a/standins/PlatformChecker.h
+++ b/standins/PlatformChecker.h
@@ -22,8 +22,10 @@
 /**
  * PlatformChecker_Create() - create a checker without attempts
  * @retries: limit on the retries of all hosts
+ * @events: see NoticeCheck_Create()
  */
-PlatformChecker *PlatformChecker_Create(const RetryRuleOptions *retries);
+PlatformChecker *PlatformChecker_Create(const RetryRuleOptions *retries,
+                                        const HostEvents *events);
 
 /** PlatformChecker_Destroy() - release the checker */
 void PlatformChecker_Destroy(PlatformChecker *this);
--- a/standins/PlatformUpstream.c
+++ b/standins/PlatformUpstream.c
@@ -122,6 +122,28 @@
            (Micros)Random_Below(this->context.random, PAUSE_SPREAD_MS);
 }
 
+/* Returns the host that has sent the request. */
+static int
+sender_of(const PlatformUpstream *this, const HttpRequest *request)
+{
+    struct sockaddr_in peer = HttpRequest_Peer(request);
+    const GArray *hosts = this->context.hosts;
+
+    for (guint i = 0; i < hosts->len; i++) {
+        if (g_array_index(hosts, in_addr_t, i) == peer.sin_addr.s_addr) {
+            return (int)i;
+        }
+    }
+    return NOTICE_HOST_UNKNOWN;
+}
+
+static bool
+reaches_host(const PlatformUpstream *this, const HttpRequest *request)
+{
+    return LinkFaults_Delivers(this->context.links, this->port,
+                               ntohs(HttpRequest_Peer(request).sin_port));
+}
+
 static void
 turn_away(const PlatformUpstream *this, HttpRequest *request,
           const char *attempt_id)
@@ -135,9 +157,10 @@
         common, "agatecrank-not-executed: 1\r\nretry-after: ", pause, "\r\n",
         NULL);
 
-    if (attempt_id != NULL && !this->malformed) {
+    if (attempt_id != NULL && !this->malformed &&
+        reaches_host(this, request)) {
         NoticeCheck_OnPause(PlatformChecker_Notices(this->context.checker),
-                            attempt_id, this->id,
+                            attempt_id, sender_of(this, request), this->id,
                             Clock_Now(this->context.clock),
                             pause_ms * MICROS_PER_MS);
     }
@@ -151,20 +174,22 @@
 }
 
 static void
-check_notices(const PlatformUpstream *this, const char *attempt_id)
+check_notices(const PlatformUpstream *this, const HttpRequest *request,
+              const char *attempt_id)
 {
     NoticeCheck *notices = PlatformChecker_Notices(this->context.checker);
+    int sender = sender_of(this, request);
 
-    if (NoticeCheck_IsLate(notices, attempt_id, this->id)) {
+    if (NoticeCheck_IsLate(notices, attempt_id, sender, this->id)) {
         PlatformChecker_ReportViolation(this->context.checker,
-                                        "leaving id=%s upstream=%s",
-                                        attempt_id, this->id);
+                                        "leaving id=%s host=%d upstream=%s",
+                                        attempt_id, sender, this->id);
     }
-    if (NoticeCheck_IsEarly(notices, attempt_id, this->id,
+    if (NoticeCheck_IsEarly(notices, attempt_id, sender, this->id,
                             Clock_Now(this->context.clock))) {
         PlatformChecker_ReportViolation(this->context.checker,
-                                        "pause id=%s upstream=%s", attempt_id,
-                                        this->id);
+                                        "pause id=%s host=%d upstream=%s",
+                                        attempt_id, sender, this->id);
     }
 }
 
@@ -390,7 +415,7 @@
         reject(this, request, 421);
     }
     else if (is_pressed(this)) {
-        check_notices(this, attempt_id);
+        check_notices(this, request, attempt_id);
         turn_away(this, request, attempt_id);
     }
     else if (this->inflight >= SLOT_COUNT + QUEUED_MAX) {
@@ -399,7 +424,7 @@
     else {
         check_drain(this, attempt_id);
         check_limit(this, attempt_id);
-        check_notices(this, attempt_id);
+        check_notices(this, request, attempt_id);
         if (is_crashing(HttpRequest_Path(request))) {
             start_crash(this, HttpRequest_Path(request));
         }
--- a/standins/PlatformUpstream.h
+++ b/standins/PlatformUpstream.h
@@ -17,6 +17,8 @@
 
 /**
  * struct PlatformContext_ - objects and settings that all upstreams share
+ * @hosts: array of in_addr_t, addresses from which the hosts connect, unless
+ *         they do so from 127.0.0.1
  * @links: each upstream adds a link to itself, which hosts connect to
  * @mean_service_time: mean time of an execution
  * @lost_response_ratio: fraction of executions whose connection is closed
@@ -35,6 +37,7 @@
     PlatformStore *store;
     PlatformChecker *checker;
     LinkFaults *links;
+    const GArray *hosts;
     Micros mean_service_time;
     const double *lost_response_ratio;
     double truncated_response_ratio;
--- a/standins/standin-platform.c
+++ b/standins/standin-platform.c
@@ -4,6 +4,7 @@
 #include <arpa/inet.h>
 
 #include "HostCut.h"
+#include "HostEvents.h"
 #include "PlatformCaller.h"
 #include "PlatformUpstream.h"
 #include "Settings.h"
@@ -57,6 +58,7 @@
     char *hosts;
     char *cut_kind;
     char *cut_file;
+    char *host_events;
 } Options;
 
 #define FIELD(name) offsetof(Options, name)
@@ -105,6 +107,8 @@
      "load"},
     {"cut-kind", SETTING_TEXT, FIELD(cut_kind), false,
      "silent, refused or reset"},
+    {"host-events", SETTING_TEXT, FIELD(host_events), false,
+     "file with the times at which hosts are started and frozen"},
     {"cut-file", SETTING_TEXT, FIELD(cut_file), false,
      "file by which the hosts' library learns of the cut"},
 };
@@ -136,7 +140,9 @@
     Timer restore_timer;
     Timer rewrite_timer;
     Timer cut_timer;
-    HostCut *cut; /* NULL without cut hosts */
+    GArray *hosts;      /* in_addr_t */
+    HostEvents *events; /* NULL if none are recorded */
+    HostCut *cut;       /* NULL without cut hosts */
     Timer loss_timer;
     Micros store_sound_since;
     double lost_response_ratio;
@@ -585,6 +591,21 @@
     PlatformChecker_CountShares(this->checker, true);
 }
 
+static guint
+cut_host_count(const Platform *this)
+{
+    return MIN((guint)this->options.cut_hosts, this->hosts->len);
+}
+
+static void
+report_cut(const Platform *this)
+{
+    for (guint i = 0; i < cut_host_count(this); i++) {
+        NoticeCheck_OnCut(PlatformChecker_Notices(this->checker), i,
+                          Clock_Now(this->clock));
+    }
+}
+
 static void
 begin_cut(Platform *this)
 {
@@ -592,6 +613,7 @@
         printf("fault=cut kind=%s\n", this->options.cut_kind);
         fflush(stdout);
         HostCut_Begin(this->cut);
+        report_cut(this);
         Timer_Start(&this->cut_timer, this->loop->timers, CUT_NOTICE_US,
                     on_cut_timer);
     }
@@ -603,6 +625,7 @@
     if (this->cut != NULL) {
         Timer_Stop(&this->cut_timer);
         HostCut_End(this->cut);
+        report_cut(this);
         PlatformChecker_CountShares(this->checker, false);
     }
 }
@@ -685,6 +708,7 @@
         .store = this->store,
         .checker = this->checker,
         .links = this->links,
+        .hosts = this->hosts,
         .mean_service_time = this->options.work_ms * MICROS_PER_MS,
         .lost_response_ratio = &this->lost_response_ratio,
         .truncated_response_ratio =
@@ -738,10 +762,24 @@
     return g_string_free(targets, FALSE);
 }
 
+static GArray *
+list_hosts(const Platform *this)
+{
+    g_auto(GStrv) hosts = g_strsplit(this->options.hosts, ",", -1);
+    GArray *addresses = g_array_new(FALSE, FALSE, sizeof(in_addr_t));
+
+    for (int i = 0; hosts[i] != NULL; i++) {
+        g_autofree char *host = g_strndup(hosts[i], strcspn(hosts[i], ":"));
+        in_addr_t address = inet_addr(host);
+
+        g_array_append_val(addresses, address);
+    }
+    return addresses;
+}
+
 static bool
 create_cut(Platform *this)
 {
-    g_auto(GStrv) hosts = g_strsplit(this->options.hosts, ",", -1);
     GArray *addresses;
     CutKind kind;
 
@@ -752,12 +790,7 @@
         return false;
     }
     addresses = g_array_new(FALSE, FALSE, sizeof(in_addr_t));
-    for (int i = 0; i < this->options.cut_hosts && hosts[i] != NULL; i++) {
-        g_autofree char *host = g_strndup(hosts[i], strcspn(hosts[i], ":"));
-        in_addr_t address = inet_addr(host);
-
-        g_array_append_val(addresses, address);
-    }
+    g_array_append_vals(addresses, this->hosts->data, cut_host_count(this));
     this->cut =
         HostCut_Create(this->links, kind, addresses, this->options.cut_file);
     return this->cut != NULL;
@@ -824,9 +857,14 @@
     this->notice_random = Random_Create((uint64_t)this->options.seed);
     this->restore_random = Random_Create((uint64_t)this->options.seed);
     this->loop = HttpLoop_Create();
+    this->hosts = list_hosts(this);
     this->links =
         LinkFaults_Create(this->loop, this->link_random, on_link_clear, this);
-    this->checker = PlatformChecker_Create(&retry_limit);
+    if (this->options.host_events != NULL) {
+        this->events =
+            HostEvents_Create(this->options.host_events, this->clock);
+    }
+    this->checker = PlatformChecker_Create(&retry_limit, this->events);
     this->upstreams = g_ptr_array_new_with_free_func(free_upstream);
     this->store = PlatformStore_Create(this->loop);
     targets = this->store != NULL ? create_host_links(this) : NULL;
@@ -854,6 +892,8 @@
     LinkFaults_Destroy(this->links);
     HttpLoop_Destroy(this->loop);
     PlatformChecker_Destroy(this->checker);
+    HostEvents_Destroy(this->events);
+    g_array_free(this->hosts, TRUE);
     Random_Destroy(this->random);
     Random_Destroy(this->link_random);
     Random_Destroy(this->crash_random);
--- a/tests/test_announcing_upstreams.sh
+++ b/tests/test_announcing_upstreams.sh
@@ -16,3 +16,10 @@
 grep -qE 'leaving_told=[1-9]' "$out" || { echo "no host was told that an upstream leaves"; exit 1; }
 grep -qE 'pauses_told=[1-9]' "$out" || { echo "no upstream asked for a pause"; exit 1; }
 echo "ok: announcements kept"
+
+# Guards against the same while hosts are ended, frozen and started again.
+SIGNALS=mixed bash scripts/soak.sh "$build" 2 | tee "$out"
+[ "${PIPESTATUS[0]}" -eq 0 ] || exit 1
+grep -qE 'leaving_told=[1-9]' "$out" || { echo "no host was told that an upstream leaves"; exit 1; }
+grep -qE 'pauses_told=[1-9]' "$out" || { echo "no upstream asked for a pause"; exit 1; }
+echo "ok: announcements kept while hosts restart"
--- a/tests/test_standin_platform.c
+++ b/tests/test_standin_platform.c
@@ -1,6 +1,7 @@
 #include <arpa/inet.h>
 #include <errno.h>
 #include <glib.h>
+#include <glib/gstdio.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -30,7 +31,7 @@
 static unsigned
 count_violations(const CheckerCase *test_case)
 {
-    PlatformChecker *checker = PlatformChecker_Create(&retry_limit);
+    PlatformChecker *checker = PlatformChecker_Create(&retry_limit, NULL);
     unsigned violations;
 
     if (test_case->response_required) {
@@ -55,33 +56,123 @@
     return violations;
 }
 
+#define CALLER_HOST NOTICE_HOST_UNKNOWN
+
 /* Guards against a soak test that passes because hosts may send what they like
  * to upstreams that have announced that they want nothing. */
 static void
 test_notice_check(void)
 {
-    NoticeCheck *check = NoticeCheck_Create();
+    NoticeCheck *check = NoticeCheck_Create(NULL);
 
     NoticeCheck_OnSent(check, "a", 0, 0);
     NoticeCheck_OnLeavingRelayed(check, "a", "i-1", 0);
     NoticeCheck_OnSent(check, "b", 0, 2 * MICROS_PER_S);
     NoticeCheck_OnSent(check, "c", 0, 2 * MICROS_PER_S + 1);
     NoticeCheck_OnSent(check, "d", 1, 2 * MICROS_PER_S + 1);
-    g_assert_false(NoticeCheck_IsLate(check, "b", "i-1"));
-    g_assert_true(NoticeCheck_IsLate(check, "c", "i-1"));
-    g_assert_false(NoticeCheck_IsLate(check, "c", "i-2"));
-    g_assert_false(NoticeCheck_IsLate(check, "d", "i-1"));
-    NoticeCheck_OnRestart(check, "i-1", 3 * MICROS_PER_S);
-    g_assert_false(NoticeCheck_IsLate(check, "c", "i-1"));
-
-    NoticeCheck_OnPause(check, "a", "i-2", 0, 2 * MICROS_PER_S);
-    g_assert_false(NoticeCheck_IsEarly(check, "b", "i-2", MICROS_PER_S / 4));
-    g_assert_false(NoticeCheck_IsEarly(check, "b", "i-2", MICROS_PER_S));
-    g_assert_false(NoticeCheck_IsEarly(check, "d", "i-2", MICROS_PER_S));
-    g_assert_false(NoticeCheck_IsEarly(check, "b", "i-2", MICROS_PER_S));
-    g_assert_true(NoticeCheck_IsEarly(check, "c", "i-2", MICROS_PER_S));
-    g_assert_false(NoticeCheck_IsEarly(check, "c", "i-2", 2 * MICROS_PER_S));
+    g_assert_false(NoticeCheck_IsLate(check, "b", CALLER_HOST, "i-1"));
+    g_assert_true(NoticeCheck_IsLate(check, "c", CALLER_HOST, "i-1"));
+    g_assert_false(NoticeCheck_IsLate(check, "c", CALLER_HOST, "i-2"));
+    g_assert_false(NoticeCheck_IsLate(check, "d", CALLER_HOST, "i-1"));
+    /* Another host has sent it to the upstream. */
+    g_assert_false(NoticeCheck_IsLate(check, "c", 1, "i-1"));
+    g_assert_true(NoticeCheck_IsLate(check, "d", 0, "i-1"));
+
+    NoticeCheck_OnPause(check, "a", CALLER_HOST, "i-2", 0, 2 * MICROS_PER_S);
+    g_assert_false(
+        NoticeCheck_IsEarly(check, "b", CALLER_HOST, "i-2", MICROS_PER_S / 4));
+    g_assert_false(
+        NoticeCheck_IsEarly(check, "b", CALLER_HOST, "i-2", MICROS_PER_S));
+    g_assert_false(
+        NoticeCheck_IsEarly(check, "d", CALLER_HOST, "i-2", MICROS_PER_S));
+    g_assert_false(NoticeCheck_IsEarly(check, "b", 1, "i-2", MICROS_PER_S));
+    g_assert_false(
+        NoticeCheck_IsEarly(check, "b", CALLER_HOST, "i-2", MICROS_PER_S));
+    g_assert_true(
+        NoticeCheck_IsEarly(check, "c", CALLER_HOST, "i-2", MICROS_PER_S));
+    g_assert_true(NoticeCheck_IsEarly(check, "d", 0, "i-2", MICROS_PER_S));
+    g_assert_false(
+        NoticeCheck_IsEarly(check, "c", CALLER_HOST, "i-2", 2 * MICROS_PER_S));
+    NoticeCheck_Destroy(check);
+}
+
+/* Guards against a new incarnation of an upstream that is taken for the one that
+ * has announced something, and against one that is not judged. */
+static void
+test_notices_of_restarted_upstream(void)
+{
+    NoticeCheck *check = NoticeCheck_Create(NULL);
+    const Micros s = MICROS_PER_S;
+
+    NoticeCheck_OnSent(check, "a", 0, 0);
+    NoticeCheck_OnSent(check, "old", 0, 3 * s - 1);
+    NoticeCheck_OnSent(check, "new", 0, 3 * s);
+    NoticeCheck_OnSent(check, "late", 0, 9 * s);
+    NoticeCheck_OnLeavingRelayed(check, "a", "i-1", 0);
+    NoticeCheck_OnPause(check, "a", CALLER_HOST, "i-1", 0, 20 * s);
+    g_assert_true(NoticeCheck_IsLate(check, "late", CALLER_HOST, "i-1"));
+    NoticeCheck_OnRestart(check, "i-1", 3 * s);
+    NoticeCheck_OnLeavingRelayed(check, "old", "i-1", 4 * s);
+    g_assert_false(NoticeCheck_IsLate(check, "late", CALLER_HOST, "i-1"));
+    for (int i = 0; i < 4; i++) {
+        g_assert_false(
+            NoticeCheck_IsEarly(check, "late", CALLER_HOST, "i-1", 9 * s));
+    }
+    NoticeCheck_OnLeavingRelayed(check, "new", "i-1", 4 * s);
+    g_assert_true(NoticeCheck_IsLate(check, "late", CALLER_HOST, "i-1"));
+    NoticeCheck_Destroy(check);
+}
+
+static unsigned
+count_early(NoticeCheck *check, int sends)
+{
+    unsigned n = 0;
+
+    for (int i = 0; i < sends; i++) {
+        n += NoticeCheck_IsEarly(check, "late", CALLER_HOST, "i-2",
+                                 9 * MICROS_PER_S);
+    }
+    return n;
+}
+
+/* Guards against a host that is judged by what it heard before it was started or
+ * frozen, and against one that is never judged after that. */
+static void
+test_notices_of_restarted_host(void)
+{
+    g_autofree char *path = NULL;
+    int fd = g_file_open_tmp("host-events-XXXXXX", &path, NULL);
+    Clock *clock = Clock_CreateManual(20 * MICROS_PER_S, 1020 * MICROS_PER_S);
+    HostEvents *events = HostEvents_Create(path, clock);
+    NoticeCheck *check = NoticeCheck_Create(events);
+    const Micros s = MICROS_PER_S;
+
+    g_assert_cmpint(fd, >=, 0);
+    close(fd);
+    g_assert_cmpint(HostEvents_Last(events, 0), ==, -1);
+    NoticeCheck_OnSent(check, "a", 0, 0);
+    NoticeCheck_OnSent(check, "b", 0, 0);
+    NoticeCheck_OnSent(check, "late", 0, 9 * s);
+    NoticeCheck_OnLeavingRelayed(check, "a", "i-1", s);
+    NoticeCheck_OnPause(check, "a", CALLER_HOST, "i-2", s, 20 * s);
+    g_assert_true(NoticeCheck_IsLate(check, "late", CALLER_HOST, "i-1"));
+    g_assert_cmpuint(count_early(check, 4), ==, 2);
+    g_assert_true(g_file_set_contents(
+        path, "1 1008000000000\n0 1003000000000\n", -1, NULL));
+    g_assert_cmpint(HostEvents_Last(events, 0), ==, 3 * s);
+    g_assert_false(NoticeCheck_IsLate(check, "late", CALLER_HOST, "i-1"));
+    g_assert_cmpuint(count_early(check, 4), ==, 0);
+    NoticeCheck_OnLeavingRelayed(check, "b", "i-1", 4 * s);
+    NoticeCheck_OnPause(check, "b", CALLER_HOST, "i-2", 4 * s, 20 * s);
+    g_assert_true(NoticeCheck_IsLate(check, "late", CALLER_HOST, "i-1"));
+    g_assert_cmpuint(count_early(check, 4), ==, 2);
+    NoticeCheck_OnCut(check, 0, 5 * s);
+    g_assert_true(NoticeCheck_IsLate(check, "late", CALLER_HOST, "i-1"));
+    g_assert_cmpuint(count_early(check, 4), ==, 0);
     NoticeCheck_Destroy(check);
+    HostEvents_Destroy(events);
+    Clock_Destroy(clock);
+    g_unlink(path);
 }
 
 /* Guards against a soak test that passes because its checks never fail. */
@@ -193,7 +284,7 @@
 static void
 test_retries_checked(void)
 {
-    PlatformChecker *checker = PlatformChecker_Create(&retry_limit);
+    PlatformChecker *checker = PlatformChecker_Create(&retry_limit, NULL);
 
     PlatformChecker_OnSent(checker, "a1", false, MICROS_PER_S);
     for (unsigned i = 0; i < 5; i++) {
@@ -493,6 +584,10 @@
     g_test_add_func("/standins/retry-rule", test_retry_rule);
     g_test_add_func("/standins/retries", test_retries_checked);
     g_test_add_func("/standins/notices", test_notice_check);
+    g_test_add_func("/standins/notices-of-restarted-upstream",
+                    test_notices_of_restarted_upstream);
+    g_test_add_func("/standins/notices-of-restarted-host",
+                    test_notices_of_restarted_host);
     ADD("/standins/link/clear", test_clear);
     ADD("/standins/link/delayed", test_delayed);
     ADD("/standins/link/cut", test_cut);
