gateway: callers wait for probes that ask whether a limit has ended

Cause: a host that may not send an upstream anything probed it once a second at most (20 hosts), and refused the caller without waiting for the response. When all upstreams of a service had a limit, hosts refused for up to a second after an end.

Change: while no upstream can be chosen, a request waits for the probes that are due, five rounds of 8 ms at most. Limits that probes have named are asked for every 250 ms (12.5 ms for each host) instead of every second; other limits as before. No message between hosts and no call to the store is added.

--- a/packages/core/limits/UpstreamLimits.c
+++ b/packages/core/limits/UpstreamLimits.c
@@ -13,10 +13,14 @@
 #define SHARING_HOSTS_MIN 3
 /* A host accumulates one request and its part of this time. */
 #define BURST_US (250 * MICROS_PER_MS)
-/* Interval at which hosts that may not send an upstream anything probe it: a
- * second, or more with more hosts, so that the upstream gets few probes. */
-#define PROBE_INTERVAL_MIN_US (1 * MICROS_PER_S)
-#define PROBE_INTERVAL_PER_HOST_US (50 * MICROS_PER_MS)
+/* Interval at which hosts that may not send an upstream anything probe it while
+ * callers wait; longer with more hosts, so that it gets at most 80 such probes
+ * a second. */
+#define PROBE_INTERVAL_MIN_US (250 * MICROS_PER_MS)
+#define PROBE_INTERVAL_PER_HOST_US (MICROS_PER_S / 80)
+/* The same where probes name no limit and so do not end one. */
+#define SILENT_PROBE_INTERVAL_MIN_US (1 * MICROS_PER_S)
+#define SILENT_PROBE_INTERVAL_PER_HOST_US (50 * MICROS_PER_MS)
 /* Where probes name no limit, a host without a part learns of its end only by a
  * request. All hosts together send such requests at this part of the limit,
  * each one in a short time only, so that they do not accumulate. */
@@ -257,16 +261,25 @@
     return (Micros)((1 - limit->tokens) / limit->part_per_s * MICROS_PER_S);
 }
 
+static Micros
+probe_interval(const UpstreamLimits *this, const Limit *limit)
+{
+    Micros hosts = this->host_keys->len;
+
+    return limit->named_by_probes
+               ? MAX(PROBE_INTERVAL_MIN_US, hosts * PROBE_INTERVAL_PER_HOST_US)
+               : MAX(SILENT_PROBE_INTERVAL_MIN_US,
+                     hosts * SILENT_PROBE_INTERVAL_PER_HOST_US);
+}
+
 bool
 UpstreamLimits_IsProbeDue(UpstreamLimits *this, uint32_t upstream)
 {
     const Limit *limit = this->count > 0 ? find_limit(this, upstream) : NULL;
-    Micros interval =
-        MAX(PROBE_INTERVAL_MIN_US,
-            (Micros)this->host_keys->len * PROBE_INTERVAL_PER_HOST_US);
 
     return limit != NULL && !UpstreamLimits_MaySend(this, upstream) &&
-           Clock_Now(this->clock) - limit->heard_at >= interval;
+           Clock_Now(this->clock) - limit->heard_at >=
+               probe_interval(this, limit);
 }
 
 double
--- a/packages/gateway/JobPlacement.c
+++ b/packages/gateway/JobPlacement.c
@@ -289,10 +289,7 @@
 
     if (Placement_Choose(this->placement, &query, &choice) < 0) {
         /* A limit may have ended. */
-        if (JobPlacement_CanProbe(job)) {
-            JobPlacement_ProbeOthers(job);
-        }
-        return false;
+        return continue_probing(job, PROBE_ROUNDS_MAX);
     }
     if (choice.near_idle && choice.has_capacity) {
         send_to(job, &choice);
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -686,6 +686,50 @@
     g_assert_cmpuint(f->sends, ==, 2);
 }
 
+/* Probes of both upstreams name a limit of which this host has no part. */
+static void
+limit_by_probes(Fixture *f)
+{
+    LimitNotice limit = {LIMIT_NAMED, 2};
+    Str hosts[] = {STR("")};
+
+    Dispatcher_SetHosts(f->dispatcher, hosts, 1, 60 * MICROS_PER_S);
+    for (uint32_t i = 0; i < 2; i++) {
+        Dispatcher_OnProbeLimit(f->dispatcher, i, limit);
+    }
+    g_assert_cmpuint(Dispatcher_LimitedUpstreamCount(f->dispatcher), ==, 2);
+    advance_time(f, 300 * MICROS_PER_MS);
+}
+
+/* Guards against refusing a request because of a limit that has ended, while a
+ * probe asks for it. */
+static void
+test_limit_ended_by_probe(Fixture *f, gconstpointer data)
+{
+    LimitNotice none = {.kind = LIMIT_ABSENT};
+
+    limit_by_probes(f);
+    g_assert_nonnull(submit(f, "/once/1", 0));
+    g_assert_cmpuint(f->probes, ==, 2);
+    Dispatcher_OnProbeLimit(f->dispatcher, 0, none);
+    reply_to_probe(f, 0, 0);
+    g_assert_cmpuint(f->sends, ==, 1);
+    g_assert_cmpuint(f->responses, ==, 0);
+}
+
+/* Guards against requests that wait long for probes which get no response. */
+static void
+test_limit_unanswered_probes(Fixture *f, gconstpointer data)
+{
+    limit_by_probes(f);
+    submit(f, "/once/1", 0);
+    for (int i = 0; i < 5; i++) {
+        advance_time(f, 8 * MICROS_PER_MS);
+    }
+    g_assert_cmpuint(f->sends, ==, 0);
+    g_assert_cmpstr(f->action.respond.reason, ==, "upstream-limits");
+}
+
 /* Guards against a relay that no deadline ends, and against an upstream that
  * counts as sound because its responses began well. */
 static void
@@ -830,6 +874,10 @@
         test_limit_of_relisted_upstream);
     ADD("/dispatcher/limit-of-unknown-host", set_up,
         test_limit_of_unknown_host);
+    ADD("/dispatcher/limit-ended-by-probe", set_up_probing,
+        test_limit_ended_by_probe);
+    ADD("/dispatcher/limit-unanswered-probes", set_up_probing,
+        test_limit_unanswered_probes);
     ADD("/dispatcher/relay-deadline", set_up, test_relay_deadline);
     ADD("/dispatcher/paused-upstreams", set_up, test_paused_upstreams);
     ADD("/dispatcher/retry-with-pause", set_up, test_retry_with_pause);
--- a/tests/test_ended_limits.c
+++ b/tests/test_ended_limits.c
@@ -3,7 +3,8 @@
 #include "LimitSimulation.h"
 
 /* Guards against hosts that refuse requests because of limits that have ended:
- * all upstreams name one, which changes and ends at random. */
+ * all upstreams name one, which changes and ends at random. The environment
+ * variable RUNS sets the number of seeds of each case. */
 
 #define SEED 31
 #define RUN_COUNT 4
@@ -24,10 +25,12 @@
         .requests_per_s = 126,
         .silent_probes = silent_probes != NULL,
     };
+    const char *runs = g_getenv("RUNS");
+    uint64_t count =
+        runs != NULL ? g_ascii_strtoull(runs, NULL, 10) : RUN_COUNT;
     unsigned requests = 0, refused = 0;
 
-    for (options.seed = SEED; options.seed < SEED + RUN_COUNT;
-         options.seed++) {
+    for (options.seed = SEED; options.seed < SEED + count; options.seed++) {
         LimitResult result = LimitSimulation_Run(&options);
 
         g_assert_cmpuint(result.violations, ==, 0);
