gateway: a probe sent before a limit was named does not end it

Cause: a response to a probe that names no limit ended the limit, even if a response to a request had named it after the probe was sent: the two take different connections, and either may arrive first.

Change: such a probe says nothing about the limit; the next one does.

--- a/packages/core/limits/UpstreamLimits.c
+++ b/packages/core/limits/UpstreamLimits.c
@@ -40,6 +40,7 @@
     double tokens;         /* requests that this host may send now */
     Micros refilled_at;
     Micros heard_at; /* last response of the upstream */
+    Micros named_at; /* last response that named the limit */
     Micros trial_at; /* start of the next trial, without a part */
     uint32_t instance;
     uint32_t list; /* number of the list that the part is computed from */
@@ -365,6 +366,7 @@
             break;
         }
         limit->named_by_probes |= source == LIMIT_SOURCE_PROBE;
+        limit->named_at = limit->heard_at;
         return set_limit(this, limit, instance, notice.per_s);
     }
     return LIMIT_CHANGE_NONE;
@@ -420,6 +422,14 @@
     return limit != NULL ? limit->per_s : NO_LIMIT;
 }
 
+Micros
+UpstreamLimits_NamedAt(const UpstreamLimits *this, uint32_t upstream)
+{
+    const Limit *limit = find_limit(this, upstream);
+
+    return limit != NULL ? limit->named_at : -1;
+}
+
 uint32_t
 UpstreamLimits_Count(const UpstreamLimits *this)
 {
--- a/packages/core/limits/UpstreamLimits.h
+++ b/packages/core/limits/UpstreamLimits.h
@@ -125,6 +125,12 @@
 /** UpstreamLimits_PerS() - the limit of an upstream, -1 if it has none */
 double UpstreamLimits_PerS(const UpstreamLimits *this, uint32_t upstream);
 
+/**
+ * UpstreamLimits_NamedAt() - time of the last response that named the limit, -1
+ *     without a limit
+ */
+Micros UpstreamLimits_NamedAt(const UpstreamLimits *this, uint32_t upstream);
+
 /** UpstreamLimits_Count() - number of upstreams that have a limit */
 uint32_t UpstreamLimits_Count(const UpstreamLimits *this);
 
--- a/packages/gateway/Dispatcher.c
+++ b/packages/gateway/Dispatcher.c
@@ -869,6 +869,12 @@
 void
 Dispatcher_OnProbeLimit(Dispatcher *this, uint32_t upstream, LimitNotice limit)
 {
+    /* Responses may overtake each other. */
+    if (limit.kind == LIMIT_ABSENT &&
+        Dispatcher_SentProbe(this, upstream).sent <
+            UpstreamLimits_NamedAt(this->limits, upstream)) {
+        limit.kind = LIMIT_UNKNOWN;
+    }
     on_limit(this, upstream, limit, LIMIT_SOURCE_PROBE);
 }
 
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -730,6 +730,40 @@
     g_assert_cmpstr(f->action.respond.reason, ==, "upstream-limits");
 }
 
+/* Guards against believing an end that is older than the last response that
+ * named the limit. */
+static void
+test_limit_named_after_probe(Fixture *f, gconstpointer data)
+{
+    LimitNotice none = {.kind = LIMIT_ABSENT};
+    uint32_t upstream;
+    Job *job = submit(f, "/once/0", 0);
+
+    report_load(f, 0);
+    upstream = f->sent_to[0] == 'u' ? 0 : 1;
+    limit_by_probes(f);
+    submit(f, "/once/1", 0);
+    advance_time(f, MICROS_PER_MS);
+    end_with_limit(f, job, 2);
+    Dispatcher_OnProbeLimit(f->dispatcher, upstream, none);
+    reply_to_probe(f, upstream, 0);
+    g_assert_cmpuint(Dispatcher_LimitedUpstreamCount(f->dispatcher), ==, 2);
+    g_assert_cmpuint(f->sends, ==, 1);
+    /* The next probe is newer. */
+    advance_time(f, MICROS_PER_S);
+    f->probes = 0;
+    submit(f, "/once/2", 0);
+    g_assert_cmpuint(f->probes, >=, 1);
+    Dispatcher_OnProbeLimit(f->dispatcher, upstream, none);
+    g_assert_cmpuint(Dispatcher_LimitedUpstreamCount(f->dispatcher), ==, 1);
+    /* Told twice, and named again at once. */
+    Dispatcher_OnProbeLimit(f->dispatcher, upstream, none);
+    g_assert_cmpuint(Dispatcher_LimitedUpstreamCount(f->dispatcher), ==, 1);
+    Dispatcher_OnProbeLimit(f->dispatcher, upstream,
+                            (LimitNotice){LIMIT_NAMED, 2});
+    g_assert_cmpuint(Dispatcher_LimitedUpstreamCount(f->dispatcher), ==, 2);
+}
+
 /* Guards against a relay that no deadline ends, and against an upstream that
  * counts as sound because its responses began well. */
 static void
@@ -878,6 +912,8 @@
         test_limit_ended_by_probe);
     ADD("/dispatcher/limit-unanswered-probes", set_up_probing,
         test_limit_unanswered_probes);
+    ADD("/dispatcher/limit-named-after-probe", set_up_probing,
+        test_limit_named_after_probe);
     ADD("/dispatcher/relay-deadline", set_up, test_relay_deadline);
     ADD("/dispatcher/paused-upstreams", set_up, test_paused_upstreams);
     ADD("/dispatcher/retry-with-pause", set_up, test_retry_with_pause);
