gateway: the linter sees that a successor is checked

Cause: cppcheck reports a null dereference where Eligibility follows an upstream to the incarnation after it; the index there is always one that was listed.

Change: the check is written out. scripts/lint.sh passes.

--- a/packages/gateway/Eligibility.c
+++ b/packages/gateway/Eligibility.c
@@ -330,7 +330,7 @@
         uint32_t instance = entry->successor_instance;
 
         entry = find_entry(this, entry->successor);
-        if (entry->instance != instance) {
+        if (entry == NULL || entry->instance != instance) {
             return NULL;
         }
     }
