gateway: a host that passes on over a peer that an upstream leaves knows which

Cause: a host that is cut off passes on the response of an upstream, with Server-Leaving, that a peer has got. It did not know which upstream had said it, and sent that one requests again once it reached it, later than the rule allows after it had passed the announcement on.

The number is that by which all hosts identify an incarnation, so it is held against no other upstream, also if its entry has not been read yet. Retry-After needs nothing: it is meant for the host that has got the 503. The fields of a response over a peer are not read as those of an upstream of this host any more, which counted malformed ones twice.

Measured: leaving-upstream of test_gateway_forward and leaving-over-peer of test_gateway_cut_off fail before and pass now.

--- a/packages/gateway/Dispatcher.h
+++ b/packages/gateway/Dispatcher.h
@@ -366,6 +366,20 @@
 void Dispatcher_OnNotice(Dispatcher *this, const Job *job,
                          const UpstreamNotice *notice);
 
+/**
+ * Dispatcher_OnPeerNotice() - a peer has relayed a response to the job in which
+ *     an upstream says that it leaves
+ * @instance: of the upstream, as Dispatcher_AttemptInstance() of the peer
+ */
+void Dispatcher_OnPeerNotice(Dispatcher *this, const Job *job,
+                             uint32_t instance);
+
+/**
+ * Dispatcher_AttemptInstance() - identifies the upstream of the current attempt
+ *     on all hosts; 0 if it is not listed any more
+ */
+uint32_t Dispatcher_AttemptInstance(const Dispatcher *this, const Job *job);
+
 /** Dispatcher_OnProbeNotice() - an upstream has responded to a DISPATCH_PROBE */
 void Dispatcher_OnProbeNotice(Dispatcher *this, uint32_t upstream,
                               const UpstreamNotice *notice);
--- a/packages/gateway/DispatcherNotices.c
+++ b/packages/gateway/DispatcherNotices.c
@@ -53,3 +53,22 @@
     on_notice(this, upstream, notice, "probe",
               Dispatcher_SentProbe(this, upstream).sent);
 }
+
+void
+Dispatcher_OnPeerNotice(Dispatcher *this, const Job *job, uint32_t instance)
+{
+    if (Eligibility_OnPeerNotice(Placement_Eligibility(this->placement),
+                                 instance, job->sent_at)) {
+        log_notice(this, UpstreamSet_IndexOf(this->upstreams, instance),
+                   "leaving", "peer", 0);
+    }
+}
+
+uint32_t
+Dispatcher_AttemptInstance(const Dispatcher *this, const Job *job)
+{
+    const UpstreamRecord *record =
+        UpstreamSet_Record(this->upstreams, job->upstream);
+
+    return record != NULL ? record->instance : 0;
+}
--- a/packages/gateway/Eligibility.c
+++ b/packages/gateway/Eligibility.c
@@ -370,6 +370,27 @@
     return !was_leaving;
 }
 
+bool
+Eligibility_OnPeerNotice(Eligibility *this, uint32_t instance, Micros sent)
+{
+    Entry unlisted = {.instance = instance};
+    bool was_leaving;
+
+    for (guint i = 0; i < this->entries->len; i++) {
+        const Entry *entry = find_entry(this, i);
+
+        if (entry->listed && entry->instance == instance) {
+            return Eligibility_SetLeaving(this, i, sent);
+        }
+    }
+    unlisted.notices = take_kept(this, instance);
+    was_leaving = unlisted.notices.leaving;
+    unlisted.notices.leaving = true;
+    unlisted.notices.leaving_sent = MAX(unlisted.notices.leaving_sent, sent);
+    keep(this, &unlisted);
+    return !was_leaving;
+}
+
 void
 Eligibility_OnNotLeaving(Eligibility *this, uint32_t upstream)
 {
--- a/packages/gateway/Eligibility.h
+++ b/packages/gateway/Eligibility.h
@@ -72,6 +72,14 @@
  */
 bool Eligibility_SetLeaving(Eligibility *this, uint32_t upstream, Micros sent);
 
+/**
+ * Eligibility_OnPeerNotice() - as Eligibility_SetLeaving(), in a response that
+ *     another host has received
+ * @instance: of the upstream; it need not be listed
+ */
+bool Eligibility_OnPeerNotice(Eligibility *this, uint32_t instance,
+                              Micros sent);
+
 /**
  * Eligibility_OnNotLeaving() - a response of the upstream does not say that it
  *     will end; ends what it has inherited
--- a/packages/gateway/Gateway.c
+++ b/packages/gateway/Gateway.c
@@ -72,6 +72,7 @@
     HeaderList *response_headers;
     GByteArray *response;
     int response_status;
+    uint32_t leaving_instance; /* of the upstream, if its response says so */
     Micros received_at;
     Micros paused_at;
     bool relaying;
@@ -125,6 +126,7 @@
     HeaderList_Destroy(exchange->response_headers);
     exchange->response_headers = NULL;
     exchange->response_status = 0;
+    exchange->leaving_instance = 0;
 }
 
 static void
@@ -185,6 +187,22 @@
     HeaderList_Destroy(headers);
 }
 
+/* Tells the host that passes the response on to the caller which upstream
+ * leaves. */
+static void
+seal_relayed(const Exchange *exchange, HeaderList *headers)
+{
+    char reason[32] = "";
+
+    if (exchange->leaving_instance != 0) {
+        g_snprintf(reason, sizeof(reason), FORWARD_LEAVING "%u",
+                   exchange->leaving_instance);
+    }
+    ForwardedRequest_Seal(exchange->forwarded, FORWARD_OUTCOME_RELAYED,
+                          Str_FromC(reason), exchange->response_status,
+                          headers);
+}
+
 /* Relays the response as far as it has arrived; unless @complete is set, the
  * rest follows. */
 static void
@@ -196,8 +214,7 @@
 
     HeaderList_CopyEndToEnd(exchange->response_headers, headers);
     if (exchange->forwarded != NULL) {
-        ForwardedRequest_Seal(exchange->forwarded, FORWARD_OUTCOME_RELAYED,
-                              STR(""), exchange->response_status, headers);
+        seal_relayed(exchange, headers);
     }
     if (complete) {
         exchange->job = NULL;
@@ -369,6 +386,24 @@
     return FORWARD_REFUSAL_OTHER;
 }
 
+static void
+read_peer_notice(const Exchange *exchange, Str reason)
+{
+    uint64_t instance;
+
+    if (exchange->job == NULL ||
+        !Str_StartsWith(reason, STR(FORWARD_LEAVING))) {
+        return;
+    }
+    reason.data += strlen(FORWARD_LEAVING);
+    reason.length -= strlen(FORWARD_LEAVING);
+    if (Str_ParseU64(reason, &instance) == 0 && instance > 0 &&
+        instance <= UINT32_MAX) {
+        Dispatcher_OnPeerNotice(exchange->gateway->dispatcher, exchange->job,
+                                (uint32_t)instance);
+    }
+}
+
 /* Nothing is used of a response that lacks the seal. */
 static void
 read_forward_seal(Exchange *exchange)
@@ -384,6 +419,9 @@
         return;
     }
     forward->outcome = seal.outcome;
+    if (seal.outcome == FORWARD_OUTCOME_RELAYED) {
+        read_peer_notice(exchange, seal.reason);
+    }
     if (seal.outcome == FORWARD_OUTCOME_NOT_RUN) {
         forward->end.refusal = refusal_of(seal.reason);
         forward->end.retry_after =
@@ -477,24 +515,34 @@
         false, Str_FromC(error->text));
 }
 
+static void
+read_notice(Exchange *exchange, int status, const HeaderList *headers)
+{
+    Gateway *this = exchange->gateway;
+    UpstreamNotice notice;
+
+    if (!NoticeReader_IsOwn(this->notices, status, headers,
+                            attempt_id(exchange))) {
+        return;
+    }
+    notice = NoticeReader_Read(this->notices, status, headers);
+    Dispatcher_OnNotice(this->dispatcher, exchange->job, &notice);
+    if (notice.leaving) {
+        exchange->leaving_instance =
+            Dispatcher_AttemptInstance(this->dispatcher, exchange->job);
+    }
+}
+
 static void
 on_call_headers(void *user, HttpCall *call, int status,
                 const HeaderList *headers)
 {
     Exchange *exchange = user;
-    Gateway *this = exchange->gateway;
 
-    if (exchange->job != NULL &&
-        NoticeReader_IsOwn(
-            this->notices, status, headers,
-            HeaderList_Get(HttpRequest_Headers(exchange->request),
-                           this->options.dialect->attempt_id))) {
-        UpstreamNotice notice =
-            NoticeReader_Read(this->notices, status, headers);
-
-        Dispatcher_OnNotice(this->dispatcher, exchange->job, &notice);
-    }
     reset_response(exchange);
+    if (exchange->job != NULL && exchange->forward == NULL) {
+        read_notice(exchange, status, headers);
+    }
     exchange->response_status = status;
     exchange->response_headers = HeaderList_Create();
     HeaderList_CopyAll(headers, exchange->response_headers);
--- a/packages/gateway/UpstreamSet.c
+++ b/packages/gateway/UpstreamSet.c
@@ -408,6 +408,19 @@
     return listed != NULL ? &listed->record : NULL;
 }
 
+uint32_t
+UpstreamSet_IndexOf(const UpstreamSet *this, uint32_t instance)
+{
+    for (guint i = 0; i < this->by_index->len; i++) {
+        const UpstreamRecord *record = UpstreamSet_Record(this, i);
+
+        if (record != NULL && record->instance == instance) {
+            return i;
+        }
+    }
+    return UINT32_MAX;
+}
+
 uint32_t
 UpstreamSet_IndexEnd(const UpstreamSet *this)
 {
--- a/packages/gateway/UpstreamSet.h
+++ b/packages/gateway/UpstreamSet.h
@@ -72,6 +72,9 @@
 const UpstreamRecord *UpstreamSet_Record(const UpstreamSet *this,
                                          uint32_t index);
 
+/** UpstreamSet_IndexOf() - index of an instance; UINT32_MAX if not listed */
+uint32_t UpstreamSet_IndexOf(const UpstreamSet *this, uint32_t instance);
+
 /**
  * UpstreamSet_Acquire() - reserve an index for an attempt or a probe until
  *     UpstreamSet_Release()
--- a/packages/net/ForwardSeal.h
+++ b/packages/net/ForwardSeal.h
@@ -7,6 +7,9 @@
 /** Header field of a seal, in requests and responses */
 #define FORWARD_FIELD "agatecrank-forward"
 
+/** Beginning of the reason in a seal if the upstream says that it leaves */
+#define FORWARD_LEAVING "leaving-"
+
 /** FORWARD_MAC_KEY_BYTES - size of the key of a seal */
 #define FORWARD_MAC_KEY_BYTES 32
 /** FORWARD_MAC_BYTES - size of a seal, an HMAC-SHA256 */
@@ -60,7 +63,8 @@
 /**
  * struct ForwardResponseSeal_ - proves which host sent a response, to which
  *     request
- * @reason: a word; empty with FORWARD_OUTCOME_RELAYED
+ * @reason: a word; with FORWARD_OUTCOME_RELAYED it is empty, or FORWARD_LEAVING
+ *          and the number of the incarnation of the upstream
  * @mac: over the above, the sequence number, the status and the header fields
  *
  * The text is "1 OUTCOME REASON MAC", with "-" for an empty reason.
--- a/tests/test_eligibility.c
+++ b/tests/test_eligibility.c
@@ -210,6 +210,27 @@
     g_assert_false(Eligibility_MayProbe(f->eligibility, OTHER_INDEX));
 }
 
+/* Guards against a notice over a peer that is forgotten because the entry of its
+ * upstream has not been read, or that ends a pause. */
+static void
+test_peer_notice(Fixture *f, gconstpointer data)
+{
+    Micros sent = Clock_Now(f->clock);
+
+    Eligibility_Pause(f->eligibility, UPSTREAM, 9 * MICROS_PER_S, sent);
+    Eligibility_OnRemoved(f->eligibility, UPSTREAM);
+    g_assert_true(Eligibility_OnPeerNotice(f->eligibility, INSTANCE, sent));
+    g_assert_false(Eligibility_OnPeerNotice(f->eligibility, INSTANCE, sent));
+    Eligibility_OnListed(f->eligibility, UPSTREAM, INSTANCE);
+    assert_reason(f, UPSTREAM, ELIGIBILITY_LEAVING);
+    g_assert_true(Eligibility_IsPaused(f->eligibility, UPSTREAM));
+    Eligibility_OnListed(f->eligibility, OTHER_INDEX, NEXT_INSTANCE);
+    assert_reason(f, OTHER_INDEX, ELIGIBILITY_OK);
+    g_assert_true(
+        Eligibility_OnPeerNotice(f->eligibility, NEXT_INSTANCE, sent));
+    assert_reason(f, OTHER_INDEX, ELIGIBILITY_LEAVING);
+}
+
 static UpstreamNotice
 read_field(const Fixture *f, int status, const char *name, const char *first,
            const char *second)
@@ -298,6 +319,7 @@
     ADD("pause-bounds", test_pause_bounds);
     ADD("inherited-pauses", test_inherited_pauses);
     ADD("unconfirmed-leaving", test_unconfirmed_leaving);
+    ADD("peer-notice", test_peer_notice);
     ADD("pause-values", test_pause_values);
 #undef ADD
     return g_test_run();
--- a/tests/test_gateway_cut_off.c
+++ b/tests/test_gateway_cut_off.c
@@ -48,6 +48,7 @@
     HttpRequest *open; /* at the peer, without a complete response */
     size_t to_write;
     Answer answer;
+    char reason[32];   /* in the seal of ANSWER_LEAVING */
     unsigned received; /* by the peer */
     unsigned aborted;  /* requests that were closed at the peer */
     HeaderList *headers;
@@ -78,6 +79,9 @@
         ==, 0);
     head.sequence = sent.sequence + (f->answer == ANSWER_OTHER_SEQUENCE);
     head.status += f->answer == ANSWER_OTHER_STATUS;
+    if (f->answer == ANSWER_LEAVING) {
+        seal.reason = Str_FromC(f->reason);
+    }
     if (outcome != FORWARD_OUTCOME_RELAYED) {
         seal.reason =
             f->answer == ANSWER_FULL ? STR("upstream-full") : STR("cut-off");
@@ -522,6 +526,31 @@
     g_assert_cmpuint(f->received, ==, 4);
 }
 
+/* Guards against a host that has passed on that an upstream leaves and sends
+ * requests there once it reaches it again. */
+static void
+test_leaving_over_peer(Fixture *f, gconstpointer data)
+{
+    static const char *const malformed[] = {
+        "leaving-", "leaving-x", "leaving-0", "leaving-4294967296", "left-1"};
+    uint32_t instance = (uint32_t)Str_HashSeeded(STR("v"), 1) | 1;
+
+    for (size_t i = 0; i < G_N_ELEMENTS(malformed); i++) {
+        g_strlcpy(f->reason, malformed[i], sizeof(f->reason));
+        call(f, "/once/1", ANSWER_LEAVING);
+        g_assert_cmpint(f->status, ==, 200);
+        assert_no_notice(f);
+    }
+    g_snprintf(f->reason, sizeof(f->reason), "leaving-%u", instance ^ 2);
+    call(f, "/once/1", ANSWER_LEAVING);
+    assert_no_notice(f);
+    g_snprintf(f->reason, sizeof(f->reason), "leaving-%u", instance);
+    call(f, "/once/1", ANSWER_LEAVING);
+    g_assert_cmpint(f->status, ==, 200);
+    g_assert_cmpuint(
+        Dispatcher_ExcludedCount(f->dispatcher, ELIGIBILITY_LEAVING), ==, 1);
+}
+
 /* Guards against a peer that is gone and keeps a request that nobody got. */
 static void
 test_unsent(Fixture *f, gconstpointer data)
@@ -622,6 +651,7 @@
     ADD_NOT_USED("/cut-off/failed", ANSWER_FAILED);
     ADD("/cut-off/not-run", test_not_run);
     ADD("/cut-off/notice-over-peer", test_notice_over_peer);
+    ADD("/cut-off/leaving-over-peer", test_leaving_over_peer);
     ADD("/cut-off/unsent", test_unsent);
     ADD("/cut-off/large-request", test_large_request);
     ADD("/cut-off/large-response", test_large_response);
--- a/tests/test_gateway_forward.c
+++ b/tests/test_gateway_forward.c
@@ -491,6 +491,7 @@
     g_assert_cmpint(f->seal.outcome, ==, FORWARD_OUTCOME_RELAYED);
     g_assert_cmpuint(
         Dispatcher_ExcludedCount(f->dispatcher, ELIGIBILITY_LEAVING), ==, 1);
+    g_assert_true(Str_StartsWith(f->seal.reason, STR("leaving-")));
     /* As over the plain path. */
     g_assert_true(HeaderList_Has(f->headers, STR("server-leaving")));
 }
