limits: bound the requests that ask whether an unheard limit has ended

Cause: where probes name no limit, hosts without a part send a request now and then, at a quarter of the limit from all hosts together. They do not hear that the limit has fallen, so 17 hosts that know of a limit of 17 a second send 1.7 a second of them where 2.3 in all are accepted.

Change: all hosts together send at most one such request in 2 s.

--- a/packages/core/limits/UpstreamLimits.c
+++ b/packages/core/limits/UpstreamLimits.c
@@ -22,9 +22,11 @@
 #define SILENT_PROBE_INTERVAL_MIN_US (1 * MICROS_PER_S)
 #define SILENT_PROBE_INTERVAL_PER_HOST_US (50 * MICROS_PER_MS)
 /* Where probes name no limit, a host without a part learns of its end only by a
- * request. All hosts together send such requests at this part of the limit,
+ * request. All hosts together send such requests at this part of the limit, and
+ * at most at this rate, because they may not have heard that it has fallen;
  * each one in a short time only, so that they do not accumulate. */
 #define TRIAL_RATIO 0.25
+#define TRIAL_RATE_MAX_PER_S 0.5
 #define TRIAL_TIME_US (1 * MICROS_PER_S)
 #define TRIAL_INTERVAL_MIN_US (10 * MICROS_PER_S)
 #define TRIAL_INTERVAL_MAX_US (120 * MICROS_PER_S)
@@ -188,8 +190,8 @@
 static Micros
 trial_interval(const UpstreamLimits *this, const Limit *limit)
 {
-    double interval = this->host_keys->len * (double)MICROS_PER_S /
-                      (TRIAL_RATIO * limit->per_s);
+    double rate = MIN(TRIAL_RATIO * limit->per_s, TRIAL_RATE_MAX_PER_S);
+    double interval = this->host_keys->len * (double)MICROS_PER_S / rate;
 
     if (this->host_keys->len == 0 || !(interval < TRIAL_INTERVAL_MAX_US)) {
         return TRIAL_INTERVAL_MAX_US;
--- a/tests/test_upstream_limit.c
+++ b/tests/test_upstream_limit.c
@@ -249,6 +249,19 @@
     assert_kept(&options);
 }
 
+/* Guards against hosts without a part that send requests at the rate of a limit
+ * that has fallen since they heard of it. */
+static void
+test_unheard_falls(void)
+{
+    LimitOptions options = deployment;
+
+    options.plan = LIMIT_PLAN_FALLS;
+    options.limited_count = options.upstream_count;
+    options.silent_probes = true;
+    assert_kept(&options);
+}
+
 /* The check must fail if hosts do not read the limits. */
 static void
 test_planted_unread(void)
@@ -302,6 +315,7 @@
     g_test_add_data_func("/upstream-limit/silent-probes-vary",
                          GINT_TO_POINTER(LIMIT_PLAN_VARIES),
                          test_silent_probes);
+    g_test_add_func("/upstream-limit/unheard-falls", test_unheard_falls);
     g_test_add_func("/upstream-limit/planted-unread", test_planted_unread);
     g_test_add_func("/upstream-limit/planted-isolation",
                     test_planted_isolation);
