limits: a restored path alone proves no loss

Cause: LossWatch_Renew() took the end of a cut for proof that the path works after a connection had broken. If the path was lost again before the upstreams could respond to their probes, all connections reset in the first cut counted as losses in the second one.

Change: after a cut, a response on a connection opened since is needed, as before it.

--- a/packages/core/limits/LossWatch.c
+++ b/packages/core/limits/LossWatch.c
@@ -108,7 +108,7 @@
         watched->probe_failures = 0;
         watched->probe_at = 0;
         watched->reachable_network = false;
-        watched->path_worked = has_failed(watched, watched->attempt.ended);
+        watched->path_worked = false;
     }
 }
 
