Early readings of the list of hosts within a second

Cause: after a refused forward, the list was read at most 5 s after the last reading, whatever that one was for. Change: an early reading may follow the last one after 1 s. RefreshLimit bounds them: 6 and one more each 5 s (18 in a minute at most, 12 on average as before), and 3 and one more each 10 s for one host id, so that one id that is refused again and again leaves readings for the others. Steady readings are unchanged. Measured: /keyed/refresh fails before (a reading after 2 s or more) and passes now; /keyed/refresh-bound fails without the limit (4 readings in 5 s, 3 allowed).

--- a/packages/agatecrankd/GatewayDaemon.c
+++ b/packages/agatecrankd/GatewayDaemon.c
@@ -401,12 +401,12 @@
 }
 
 static void
-on_stale_keys(void *user)
+on_stale_keys(void *user, Str host)
 {
     GatewayDaemon *this = user;
 
     if (this->source != NULL) {
-        KeyedSource_RefreshHosts(this->source);
+        KeyedSource_RefreshHosts(this->source, host);
     }
 }
 
--- a/packages/gateway/ForwardServer.c
+++ b/packages/gateway/ForwardServer.c
@@ -156,7 +156,7 @@
     count(this, "denied");
     respond_not_run(request, peer->keys.sent_response, seal->sequence,
                     "forward-denied");
-    this->handlers.on_unlisted(this->user);
+    this->handlers.on_unlisted(this->user, seal->sender);
 }
 
 /* Returns the sender of an authentic request, or NULL after a response. */
--- a/packages/gateway/ForwardServer.h
+++ b/packages/gateway/ForwardServer.h
@@ -25,13 +25,13 @@
  *              handlers as @data
  * @on_drained, @on_closed: as in struct HttpServerHandlers_
  * @on_unlisted: a process that knows this one's key sent a request, but is not
- *               in the list of hosts
+ *               in the list of hosts; @id as it claims
  */
 typedef struct ForwardServerHandlers_ {
     void *(*on_request)(void *user, ForwardedRequest *request);
     void (*on_drained)(void *user, void *data);
     void (*on_closed)(void *user, void *data, bool complete);
-    void (*on_unlisted)(void *user);
+    void (*on_unlisted)(void *user, Str id);
 } ForwardServerHandlers;
 
 /**
--- a/packages/gateway/Gateway.c
+++ b/packages/gateway/Gateway.c
@@ -54,6 +54,7 @@
 
 /* A request that is forwarded to a peer. */
 typedef struct Forward_ {
+    GString *peer; /* its id */
     ForwardTicket ticket;
     bool authentic; /* the response has the peer's seal */
     ForwardOutcome outcome;
@@ -78,6 +79,15 @@
     bool paused;
 } Exchange;
 
+static void
+destroy_forward(Forward *forward)
+{
+    if (forward != NULL) {
+        g_string_free(forward->peer, TRUE);
+        g_free(forward);
+    }
+}
+
 static Exchange *
 create_exchange(Gateway *this, HttpRequest *request)
 {
@@ -94,7 +104,7 @@
 static void
 destroy_exchange(Exchange *exchange)
 {
-    g_free(exchange->forward);
+    destroy_forward(exchange->forward);
     g_byte_array_free(exchange->body, TRUE);
     g_byte_array_free(exchange->response, TRUE);
     HeaderList_Destroy(exchange->response_headers);
@@ -115,7 +125,7 @@
         HttpCall_Cancel(exchange->call);
         exchange->call = NULL;
     }
-    g_clear_pointer(&exchange->forward, g_free);
+    g_clear_pointer(&exchange->forward, destroy_forward);
 }
 
 static void
@@ -414,12 +424,12 @@
 }
 
 static void
-on_stale_keys(void *user)
+on_stale_keys(void *user, Str host)
 {
     Gateway *this = user;
 
     if (this->options.on_stale_keys != NULL) {
-        this->options.on_stale_keys(this->options.user);
+        this->options.on_stale_keys(this->options.user, host);
     }
 }
 
@@ -431,9 +441,10 @@
     end.result = result;
     end.more_follows = more_follows;
     if (end.status == 403 && !exchange->forward->authentic) {
-        on_stale_keys(exchange->gateway);
+        on_stale_keys(exchange->gateway,
+                      Str_FromString(exchange->forward->peer));
     }
-    g_clear_pointer(&exchange->forward, g_free);
+    g_clear_pointer(&exchange->forward, destroy_forward);
     return Dispatcher_OnForwardEnd(exchange->gateway->dispatcher,
                                    exchange->job, &end);
 }
@@ -719,6 +730,7 @@
     reset_response(exchange);
     exchange->job = action->job;
     exchange->forward = g_new0(Forward, 1);
+    exchange->forward->peer = Str_ToString(spec.peer);
     if (this->forward_client != NULL) {
         exchange->call =
             ForwardClient_Start(this->forward_client, &spec, &call_handlers,
--- a/packages/gateway/Gateway.h
+++ b/packages/gateway/Gateway.h
@@ -24,7 +24,7 @@
  * @keys: of the hosts that may do so, or NULL for no forwarding
  * @log: events of the state of the host
  * @decisions: events of requests
- * @on_stale_keys: another host has another key than was listed
+ * @on_stale_keys: another host, as it claims, has another key than was listed
  * @on_update: called after events of the dispatcher were handled; may be NULL
  */
 typedef struct GatewayOptions_ {
@@ -37,7 +37,7 @@
     HostKeys *keys;
     EventLog *log;
     EventLog *decisions;
-    void (*on_stale_keys)(void *user);
+    void (*on_stale_keys)(void *user, Str host);
     void (*on_update)(void *user);
     void *user;
 } GatewayOptions;
--- a/packages/net/KeyedSource.c
+++ b/packages/net/KeyedSource.c
@@ -6,6 +6,7 @@
 #include "HostRoster.h"
 #include "HttpFetch.h"
 #include "KeyedCodec.h"
+#include "RefreshLimit.h"
 
 /* Number of hosts of a domain, the first by id, that the others try as relays.
  * A relay reads the log directly while other hosts read through it. */
@@ -30,8 +31,8 @@
 /* Delay between the registration of this host and the next read of the list,
  * which then contains all hosts that started at the same time. */
 #define LIST_REREAD_DELAY_US (900 * MICROS_PER_MS)
-/* Least interval of readings of the list that are brought forward. */
-#define LIST_REFRESH_INTERVAL_US (5 * MICROS_PER_S)
+/* Least time between a reading of the list and one that is brought forward. */
+#define LIST_REFRESH_DELAY_US (1 * MICROS_PER_S)
 #define LIST_RETRY_DELAY_US (3 * MICROS_PER_S)
 /* Time over which hosts write their entries again that the log has lost. */
 #define REREGISTER_SPREAD_MIN_US (2 * MICROS_PER_S)
@@ -66,6 +67,7 @@
     LoopTimer *list_timer;
     Micros list_due;         /* when list_timer runs out */
     Micros list_read_at;     /* begin of the last reading */
+    RefreshLimit *refreshes; /* readings that are brought forward */
     GQueue *queued_reads;    /* Read that waits for the list */
     GQueue *rejected_reads;  /* Read to fail with ERR_LIMIT */
     Micros relay_request_at; /* last relay request, -1 for none */
@@ -126,11 +128,17 @@
     return Clock_Now(this->clock);
 }
 
+static void
+schedule_list_at(KeyedSource *this, Micros due)
+{
+    this->list_due = due;
+    LoopTimer_Start(this->list_timer, MAX(due - now(this), 1));
+}
+
 static void
 schedule_list(KeyedSource *this, Micros delay)
 {
-    this->list_due = now(this) + delay;
-    LoopTimer_Start(this->list_timer, delay);
+    schedule_list_at(this, now(this) + delay);
 }
 
 /* Returns whether this host is the relay if all hosts are reachable. */
@@ -786,6 +794,7 @@
     this->own_id = g_strndup(options->host.data, options->host.length);
     this->roster =
         HostRoster_Create(options->host, options->first_start, this->clock);
+    this->refreshes = RefreshLimit_Create(this->clock);
     this->interface = (KeyedLog){this, read_newest, read_tail, NULL};
     this->entries = g_hash_table_new_full((GHashFunc)g_string_hash,
                                           (GEqualFunc)g_string_equal, NULL,
@@ -811,6 +820,7 @@
     }
     LoopTimer_Destroy(this->list_timer);
     HostRoster_Destroy(this->roster);
+    RefreshLimit_Destroy(this->refreshes);
     g_hash_table_destroy(this->entries);
     g_free(this->own_id);
     g_queue_free_full(this->queued_reads, destroy_read);
@@ -834,12 +844,13 @@
 }
 
 void
-KeyedSource_RefreshHosts(KeyedSource *this)
+KeyedSource_RefreshHosts(KeyedSource *this, Str host)
 {
-    Micros due = MAX(this->list_read_at + LIST_REFRESH_INTERVAL_US, now(this));
+    Micros due = MAX(this->list_read_at + LIST_REFRESH_DELAY_US, now(this));
 
-    if (!this->list_reading && due < this->list_due) {
-        schedule_list(this, MAX(due - now(this), 1));
+    if (!this->list_reading && due < this->list_due &&
+        RefreshLimit_Take(this->refreshes, host)) {
+        schedule_list_at(this, due);
     }
 }
 
--- a/packages/net/KeyedSource.h
+++ b/packages/net/KeyedSource.h
@@ -70,10 +70,11 @@
 /**
  * KeyedSource_RefreshHosts() - bring the next reading of the list of hosts
  *     forward, because a host has another key than the list had
+ * @host: its id, as it claims
  *
- * The list is read at most every 5 s for this.
+ * The list is read within a second for this, as RefreshLimit allows.
  */
-void KeyedSource_RefreshHosts(KeyedSource *this);
+void KeyedSource_RefreshHosts(KeyedSource *this, Str host);
 
 /** KeyedSource_LogCalls() - number of calls to the log so far */
 uint64_t KeyedSource_LogCalls(const KeyedSource *this);
--- a/tests/test_forward_server.c
+++ b/tests/test_forward_server.c
@@ -84,8 +84,9 @@
 }
 
 static void
-run_unlisted(void *user)
+run_unlisted(void *user, Str id)
 {
+    g_assert_true(Str_Equal(id, STR("a")));
     ((Fixture *)user)->unlisted++;
 }
 
--- a/tests/test_keyed_follower.c
+++ b/tests/test_keyed_follower.c
@@ -23,6 +23,7 @@
     bool unavailable;
     unsigned reads;
     unsigned snapshots;
+    Micros snapshot_at; /* begin of the last one */
     char appended[128]; /* value of the last record that was appended */
     GList *pending;     /* Reply */
 } FakeLog;
@@ -112,6 +113,7 @@
     bool skip = after.length > 0;
 
     log->snapshots++;
+    log->snapshot_at = Clock_Now(Loop_Clock(log->loop));
     for (size_t i = 0; i < log->count && !log->unavailable; i++) {
         if (!skip && is_newest(log, i)) {
             reply->page.more =
@@ -642,35 +644,94 @@
     stop_host(&host);
 }
 
-/* Guards against a host that knows the key of a restarted one a minute later
- * only, and against readings of the list without bound. */
+/* Starts a host that has read a list with its own entry. */
 static void
-test_refresh(Fixture *f, gconstpointer data)
+start_listed_host(Host *host, Fixture *f)
 {
-    gint64 began;
     unsigned lists;
-    Host host;
 
     write_record(&f->log, "host-1", STR("d 127.0.0.1:80"));
-    start_host(&host, f, "host-5", free_port(f));
+    start_host(host, f, "host-5", free_port(f));
     while (f->log.appended[0] == '\0') {
         Loop_RunOnce(f->loop);
     }
     write_record(&f->log, "host-5", Str_FromC(f->log.appended));
-    lists = host.lists;
-    while (host.lists == lists) {
+    lists = host->lists;
+    while (host->lists == lists) {
         Loop_RunOnce(f->loop);
     }
-    began = g_get_monotonic_time();
-    lists = host.lists;
-    write_record(&f->log, "host-1", STR("d;81;" KEY " 127.0.0.1:80"));
-    while (host.lists == lists) {
-        KeyedSource_RefreshHosts(host.source);
+}
+
+static void
+set_flag(void *user)
+{
+    *(bool *)user = true;
+}
+
+/* Guards against a host that knows the key of a restarted one seconds later,
+ * because the list has just been read or the restart is not the first one. */
+static void
+test_refresh(Fixture *f, gconstpointer data)
+{
+    static const char *const values[] = {"d;81;" KEY " 127.0.0.1:80",
+                                         "d 127.0.0.1:80"};
+    bool late = false;
+    LoopTimer *timer = LoopTimer_Create(f->loop, set_flag, &late);
+    Host host;
+
+    start_listed_host(&host, f);
+    for (int i = 0; i < 3; i++) {
+        const char *value = values[i % 2];
+        g_autofree char *entry = g_strdup_printf("[host-1 %s]", value);
+        unsigned lists = host.lists;
+
+        write_record(&f->log, "host-1", Str_FromC(value));
+        LoopTimer_Start(timer, 2 * MICROS_PER_S);
+        while (host.lists == lists) {
+            for (int j = 0; j < 100; j++) {
+                KeyedSource_RefreshHosts(host.source, STR("host-1"));
+            }
+            Loop_RunOnce(f->loop);
+        }
+        g_assert_false(late);
+        g_assert_nonnull(strstr(host.entries->str, entry));
+    }
+    LoopTimer_Destroy(timer);
+    Loop_Close(f->loop);
+    fail_pending(&f->log);
+    stop_host(&host);
+}
+
+/* Guards against readings of the list without bound while a host is denied, and
+ * against several within a second. */
+static void
+test_refresh_bound(Fixture *f, gconstpointer data)
+{
+    bool over = false;
+    LoopTimer *timer = LoopTimer_Create(f->loop, set_flag, &over);
+    Micros began, last;
+    unsigned first, lists;
+    Host host;
+
+    start_listed_host(&host, f);
+    began = Clock_Now(f->clock);
+    last = f->log.snapshot_at;
+    first = lists = f->log.snapshots;
+    LoopTimer_Start(timer, 5 * MICROS_PER_S);
+    while (!over) {
+        KeyedSource_RefreshHosts(host.source, STR("host-1"));
         Loop_RunOnce(f->loop);
+        if (f->log.snapshots > lists) {
+            g_assert_cmpuint(f->log.snapshots, ==, lists + 1);
+            g_assert_cmpint(f->log.snapshot_at - last, >=,
+                            900 * MICROS_PER_MS);
+            last = f->log.snapshot_at;
+            lists = f->log.snapshots;
+        }
     }
-    g_assert_cmpint(g_get_monotonic_time() - began, >=, 4 * MICROS_PER_S);
-    g_assert_nonnull(
-        strstr(host.entries->str, "[host-1 d;81;" KEY " 127.0.0.1:80]"));
+    g_assert_cmpint(lists - first, <=,
+                    3 + (Clock_Now(f->clock) - began) / (10 * MICROS_PER_S));
+    LoopTimer_Destroy(timer);
     Loop_Close(f->loop);
     fail_pending(&f->log);
     stop_host(&host);
@@ -724,6 +785,7 @@
     ADD("/keyed/list-in-pages", test_list_in_pages);
     ADD("/keyed/entries", test_entries);
     ADD("/keyed/refresh", test_refresh);
+    ADD("/keyed/refresh-bound", test_refresh_bound);
     g_test_add_func("/keyed/codec", test_codec);
     return g_test_run();
 }
