net: read the list of hosts as soon as the store answers for the first time

Cause: a host that starts while the store is away reads the list 3 s after the failed attempt, though its other reads succeed before. Until then it knows no peers. Change: the first successful read of the log brings the first reading of the list forward, to 1 s after the last attempt at the earliest. Measured: /keyed/list-after-outage fails before, passes now.

--- a/packages/net/KeyedSource.c
+++ b/packages/net/KeyedSource.c
@@ -76,6 +76,7 @@
     uint64_t era;        /* of the last page that was delivered */
     bool list_reading;   /* a read of the list is in flight */
     bool list_attempted; /* a read of the list has ended */
+    bool list_read;      /* a read of the list has succeeded */
     bool registered;     /* the list contains this host */
     bool direct;         /* reads go to the log, not to a relay */
 };
@@ -141,6 +142,15 @@
     schedule_list_at(this, now(this) + delay);
 }
 
+/* Returns when the list can be read, -1 if that is no sooner than planned. */
+static Micros
+earlier_reading(const KeyedSource *this)
+{
+    Micros due = MAX(this->list_read_at + LIST_REFRESH_DELAY_US, now(this));
+
+    return !this->list_reading && due < this->list_due ? due : -1;
+}
+
 /* Returns whether this host is the relay if all hosts are reachable. */
 static bool
 is_preferred_relay(const KeyedSource *this)
@@ -310,6 +320,17 @@
     g_array_free(records, TRUE);
 }
 
+/* Without the list a host has no peers. */
+static void
+read_first_list(KeyedSource *this)
+{
+    Micros due = earlier_reading(this);
+
+    if (!this->list_read && due >= 0) {
+        schedule_list_at(this, due);
+    }
+}
+
 static void
 on_log_page(void *user, const KeyedPage *page)
 {
@@ -319,6 +340,7 @@
     read->source->log_failed_at = failed ? now(read->source) : -1;
     if (!failed) {
         on_era(read->source, page->era);
+        read_first_list(read->source);
     }
     deliver(read, page);
 }
@@ -632,6 +654,7 @@
 {
     GArray *ids = g_array_new(FALSE, FALSE, sizeof(Str));
 
+    this->list_read = true;
     HostRoster_EndList(this->roster);
     HostRoster_Live(this->roster, ids);
     log_hosts(this, this->listed_count, ids->len);
@@ -846,10 +869,9 @@
 void
 KeyedSource_RefreshHosts(KeyedSource *this, Str host)
 {
-    Micros due = MAX(this->list_read_at + LIST_REFRESH_DELAY_US, now(this));
+    Micros due = earlier_reading(this);
 
-    if (!this->list_reading && due < this->list_due &&
-        RefreshLimit_Take(this->refreshes, host)) {
+    if (due >= 0 && RefreshLimit_Take(this->refreshes, host)) {
         schedule_list_at(this, due);
     }
 }
--- a/tests/test_keyed_follower.c
+++ b/tests/test_keyed_follower.c
@@ -702,6 +702,36 @@
     stop_host(&host);
 }
 
+/* Guards against a host that starts while the log is unreachable and knows no
+ * other host for seconds after it could read the list. */
+static void
+test_list_after_outage(Fixture *f, gconstpointer data)
+{
+    bool late = false;
+    LoopTimer *timer = LoopTimer_Create(f->loop, set_flag, &late);
+    unsigned snapshots;
+    Host host;
+
+    write_record(&f->log, "host-1", STR("d 127.0.0.1:80"));
+    f->log.unavailable = true;
+    start_host(&host, f, "host-5", free_port(f));
+    snapshots = f->log.snapshots;
+    while (f->log.snapshots < snapshots + 4) {
+        Loop_RunOnce(f->loop);
+    }
+    g_assert_cmpuint(host.lists, ==, 0);
+    f->log.unavailable = false;
+    LoopTimer_Start(timer, 2 * MICROS_PER_S);
+    while (host.lists == 0) {
+        Loop_RunOnce(f->loop);
+    }
+    g_assert_false(late);
+    LoopTimer_Destroy(timer);
+    Loop_Close(f->loop);
+    fail_pending(&f->log);
+    stop_host(&host);
+}
+
 /* Guards against readings of the list without bound while a host is denied, and
  * against several within a second. */
 static void
@@ -784,6 +814,7 @@
     ADD("/keyed/relay", test_relay);
     ADD("/keyed/list-in-pages", test_list_in_pages);
     ADD("/keyed/entries", test_entries);
+    ADD("/keyed/list-after-outage", test_list_after_outage);
     ADD("/keyed/refresh", test_refresh);
     ADD("/keyed/refresh-bound", test_refresh_bound);
     g_test_add_func("/keyed/codec", test_codec);
