net: confirmed claims leave the limit on early readings of a host full

Cause: a host that restarts four times within 10 s used up its own bucket of RefreshLimit, and its last key was read up to 10 s late. Change: a new key in the list fills the bucket of its host again, so that it limits claims that the list does not confirm. The bucket for all hosts stays: 18 readings in a minute at most. Measured: /refresh-limit/confirmed fails before; /keyed/refresh now reads five new keys of a host in a row.

--- a/packages/net/KeyedSource.c
+++ b/packages/net/KeyedSource.c
@@ -576,8 +576,14 @@
 put_entry(KeyedSource *this, Str id, const RosterEntry *entry)
 {
     Listed *listed = g_new0(Listed, 1);
+    const Listed *before;
 
     listed->id = Str_ToString(id);
+    before = g_hash_table_lookup(this->entries, listed->id);
+    if (before != NULL && entry->forward_port > 0 &&
+        memcmp(before->entry.key, entry->key, HOST_KEY_BYTES) != 0) {
+        RefreshLimit_Confirm(this->refreshes, id);
+    }
     listed->domain = Str_ToString(entry->domain);
     listed->entry = *entry;
     listed->entry.domain = Str_FromString(listed->domain);
--- a/packages/net/RefreshLimit.c
+++ b/packages/net/RefreshLimit.c
@@ -107,3 +107,11 @@
     take_token(bucket, HOST_INTERVAL_US, now);
     return true;
 }
+
+void
+RefreshLimit_Confirm(RefreshLimit *this, Str host)
+{
+    GString id = {(char *)host.data, host.length, 0};
+
+    g_hash_table_remove(this->hosts, &id);
+}
--- a/packages/net/RefreshLimit.h
+++ b/packages/net/RefreshLimit.h
@@ -12,8 +12,8 @@
  *
  * Two token buckets must have a token: one for all hosts, with a burst of 6 and
  * one more each 5 s (18 in a minute at most), and one for each host id, with a
- * burst of 3 and one more each 10 s. An id that is claimed again and again
- * leaves readings for the others.
+ * burst of 3 and one more each 10 s, that is full again when the list confirms a
+ * claim. An id that is claimed again and again leaves readings for the others.
  */
 typedef struct RefreshLimit_ RefreshLimit;
 
@@ -31,4 +31,7 @@
  */
 bool RefreshLimit_Take(RefreshLimit *this, Str host);
 
+/** RefreshLimit_Confirm() - the list has a new key of a host */
+void RefreshLimit_Confirm(RefreshLimit *this, Str host);
+
 #endif
--- a/tests/test_keyed_follower.c
+++ b/tests/test_keyed_follower.c
@@ -617,6 +617,9 @@
 
 #define KEY "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff"
 
+#define OTHER_KEY                                                             \
+    "ff112233445566778899aabbccddeeff00112233445566778899aabbccddeeff"
+
 /* Guards against hosts whose keys are not known, and against a malformed key
  * that makes a host count as gone. */
 static void
@@ -674,13 +677,13 @@
 test_refresh(Fixture *f, gconstpointer data)
 {
     static const char *const values[] = {"d;81;" KEY " 127.0.0.1:80",
-                                         "d 127.0.0.1:80"};
+                                         "d;82;" OTHER_KEY " 127.0.0.1:80"};
     bool late = false;
     LoopTimer *timer = LoopTimer_Create(f->loop, set_flag, &late);
     Host host;
 
     start_listed_host(&host, f);
-    for (int i = 0; i < 3; i++) {
+    for (int i = 0; i < 5; i++) {
         const char *value = values[i % 2];
         g_autofree char *entry = g_strdup_printf("[host-1 %s]", value);
         unsigned lists = host.lists;
--- a/tests/test_refresh_limit.c
+++ b/tests/test_refresh_limit.c
@@ -104,6 +104,18 @@
     g_assert_false(RefreshLimit_Take(f->limit, STR("x")));
 }
 
+/* Guards against a host that restarts several times in a row and is not read
+ * after the last time, and against a limit on all hosts that this evades. */
+static void
+test_confirmed(Fixture *f, gconstpointer data)
+{
+    for (int i = 0; i < 6; i++) {
+        g_assert_true(RefreshLimit_Take(f->limit, STR("x")));
+        RefreshLimit_Confirm(f->limit, STR("x"));
+    }
+    g_assert_false(RefreshLimit_Take(f->limit, STR("x")));
+}
+
 int
 main(int argc, char **argv)
 {
@@ -113,5 +125,6 @@
     ADD("many-ids", test_many_ids);
     ADD("one-id", test_one_id);
     ADD("other-id", test_other_id);
+    ADD("confirmed", test_confirmed);
     return g_test_run();
 }
