soak: restarts are excused at hosts that are cut off

Cause: the check of hosts that are cut off from the upstreams counted calls at hosts that did not run. RECOVER holds for a host from 3 s (stableWindowS) after the begin of its cut; a restart or freeze of the host is excused. Change: soak.sh tells the stand-in which hosts run. Calls at a host that does not, or was started or continued less than 3 s ago, do not count, at all hosts. From SIGTERM on they count as long as the host listens. Fewer than 20 counted calls at the hosts cut off give no verdict; their number is printed. SIGNALS=pairs kills the hosts cut off twice within a second. NO_FORWARD takes forwarding from hosts, to test the check; test_cut_off_host does so beside restarts.

--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -26,13 +26,15 @@
 FAULT_PERIOD_S=${FAULT_PERIOD_S:-0.8}  # between faults of store and upstreams; 0 for none
 LINK_PERIOD_S=${LINK_PERIOD_S:-0.6}    # between faults of links; 0 for none
 SIGNALS=${SIGNALS:-mixed}    # mixed, term (SIGTERM only), ends (SIGTERM and SIGKILL), herd (SIGKILL to four of five
-                             # hosts at once, soon after many responses begin to be lost) or none
+                             # hosts at once, soon after many responses begin to be lost), pairs (SIGKILL to the hosts
+                             # that are cut off, twice within a second, every 6 s) or none
 CRASH_INTERVAL_MS=${CRASH_INTERVAL_MS:-0}  # between requests that end upstreams; 0 for none
 LIMIT_INTERVAL_MS=${LIMIT_INTERVAL_MS:-0}  # between changes of the limits that upstreams name; 0 for none
 NOTICE_INTERVAL_MS=${NOTICE_INTERVAL_MS:-0}  # between upstreams that leave or ask for pauses; 0 for none
 RESTORE_INTERVAL_MS=${RESTORE_INTERVAL_MS:-0}  # between returns of the store from a copy; 0 for none
 CUT_KIND=${CUT_KIND:-}       # silent, refused or reset: cuts hosts off from the upstreams during the load
 CUT_HOSTS=${CUT_HOSTS:-1}    # number of hosts that are cut off, if CUT_KIND is set
+NO_FORWARD=${NO_FORWARD:-0}  # number of hosts, the first ones, without forwarding; for tests of the checks
 LOSS_PERIOD_MS=${LOSS_PERIOD_MS:-0}  # duration of pauses, and of losses of many responses after each; 0 for none
 LOSS_RATIO=${LOSS_RATIO:-0.5}  # fraction of the responses that are lost then
 ENDLESS_SHARE=${ENDLESS_SHARE:-0}  # fraction of the responses of upstreams that do not end
@@ -48,12 +50,18 @@
 # write_settings HOST: writes the settings of a host
 write_settings() {
     {
-        gateway_settings "$1" "$(echo "$STORE_PORTS" | cut -d ' ' -f "$(($1 + 1))")"
+        gateway_settings "$1" "$(echo "$STORE_PORTS" | cut -d ' ' -f "$(($1 + 1))")" |
+            if [ "$1" -lt "$NO_FORWARD" ]; then grep -v '^forward = '; else cat; fi
         printf '[bounds]\ngraceS = 6\ndrainS = 2\nprobesPerS = 60\n'
         printf 'retryBudgetRatio = %s\nretryBudgetExtra = %s\n' "$RETRY_RATIO" "$RETRY_EXTRA"
     } >"$WORK/host-$1.toml"
 }
 
+# note_state HOST STATE: tells the stand-in that a host is up or down
+note_state() {
+    echo "$2" >"$WORK/states/host-$1"
+}
+
 # start_host HOST: starts a host with a clock that inject_clock_faults can shift,
 # and with links to the upstreams that the stand-in can cut
 start_host() {
@@ -66,18 +74,23 @@
         "$BIN/packages/agatecrankd/agatecrankd" --config "$WORK/host-$1.toml" \
         >>"$WORK/host-$1.log" 2>&1 &
     HOST_PID[$1]=$!
+    note_state "$1" up
 }
 
 # stop_and_restart HOST SIGNAL: sends a signal to a host and starts it again when
 # it has exited. After SIGTERM it must exit by itself within 6.5 s, a little more
 # than its graceS, with code 0 (drained) or 3 (interrupted); else it is killed.
 stop_and_restart() {
-    local host=$1 signal=$2 pid=${HOST_PID[$1]} code
+    local host=$1 signal=$2 pid=${HOST_PID[$1]} code i
+    [ "$signal" = KILL ] && note_state "$host" down
     kill "-$signal" "$pid" 2>/dev/null
-    for _ in $(seq 65); do
+    for i in $(seq 65); do
         kill -0 "$pid" 2>/dev/null || break
+        # Hosts accept connections for 2.5 s after SIGTERM.
+        [ "$i" -eq 26 ] && note_state "$host" down
         sleep 0.1
     done
+    note_state "$host" down
     kill -KILL "$pid" 2>/dev/null
     wait "$pid" 2>/dev/null
     code=$?
@@ -103,9 +116,11 @@
         3 | 4 | 5) stop_and_restart "$host" KILL ;;
         6) kill -HUP "${HOST_PID[$host]}" ;;
         *)
+            note_state "$host" down
             kill -STOP "${HOST_PID[$host]}"
             sleep "$((RANDOM % 2)).$((RANDOM % 10))"
             kill -CONT "${HOST_PID[$host]}"
+            note_state "$host" up
             ;;
         esac
     done
@@ -121,11 +136,32 @@
     sleep 2
     kill -KILL "${HOST_PID[@]:0:count}"
     for host in $(seq 0 $((count - 1))); do
+        note_state "$host" down
         wait "${HOST_PID[$host]}" 2>/dev/null
         start_host "$host"
     done
 }
 
+# inject_pair_kills UNTIL: kills the hosts that are cut off and starts them again,
+# twice within a second, until a time in nanoseconds since 1970
+inject_pair_kills() {
+    local until=$1 host
+    until grep -q '^fault=cut' "$WORK/platform.out"; do
+        sleep 0.1
+    done
+    sleep 3
+    while [ "$(date +%s%N)" -lt "$until" ]; do
+        for host in $(seq 0 $((CUT_HOSTS - 1))); do
+            stop_and_restart "$host" KILL
+        done
+        sleep 0.6
+        for host in $(seq 0 $((CUT_HOSTS - 1))); do
+            stop_and_restart "$host" KILL
+        done
+        sleep 5
+    done
+}
+
 # inject_clock_faults: repeatedly shifts the time of day of a random host by up to
 # an hour in either direction
 inject_clock_faults() {
@@ -156,6 +192,7 @@
     WORK=$(mktemp -d)
     HOST_PID=()
     : >"$WORK/signals.out"
+    mkdir "$WORK/states"
     for host in $(seq 0 $((HOSTS - 1))); do
         targets="$targets,$(loopback_address "$host"):8080"
     done
@@ -170,6 +207,7 @@
         --restore-interval-ms "$RESTORE_INTERVAL_MS" \
         --loss-period-ms "$LOSS_PERIOD_MS" --loss-ratio "$LOSS_RATIO" \
         --endless-share "$ENDLESS_SHARE" --served-least "$SERVED_LEAST" \
+        --host-states "$WORK/states" \
         ${CUT_KIND:+--cut-hosts "$CUT_HOSTS" --cut-kind "$CUT_KIND" --cut-file "$WORK/cut"} \
         >"$WORK/platform.out" 2>"$WORK/platform.err" &
     PLATFORM_PID=$!
@@ -180,6 +218,8 @@
     done
     if [ "$SIGNALS" = herd ]; then
         inject_herd_kill
+    elif [ "$SIGNALS" = pairs ]; then
+        inject_pair_kills "$(($(date +%s%N) + LOAD_MS * 1000000))"
     elif [ "$SIGNALS" != none ]; then
         sleep 3
         inject_clock_faults &
@@ -197,7 +237,7 @@
     fi
     [ "$code" -eq 0 ] || grep -m 8 violation "$WORK/platform.out"
     grep '^crashing=' "$WORK/platform.out"
-    grep '^served_\(at_cut\|elsewhere\)=' "$WORK/platform.out"
+    grep '^\(counted_at_cut\|served_at_cut\|served_elsewhere\)=' "$WORK/platform.out"
     echo "seed=$SEED code=$code $(grep -E '^(sent|served|refused|failed|unanswered|violations|retries|retries_in_window|retry_limit_used|store_calls|served_at_rest|leaving_told|pauses_told)=' "$WORK/platform.out" | tr '\n' ' ')"
     if [ -n "$KEEP" ] && { [ "$code" -ne 0 ] || [ -n "$KEEP_ALL" ]; }; then
         mkdir -p "$KEEP" && cp -r "$WORK" "$KEEP/seed-$SEED"
--- a/standins/PlatformChecker.h
+++ b/standins/PlatformChecker.h
@@ -60,6 +60,20 @@
  */
 void PlatformChecker_CountShares(PlatformChecker *this, bool on);
 
+/** typedef PlatformExcuse - true if attempts at a host do not count now */
+typedef bool PlatformExcuse(void *user, unsigned host);
+
+/** PlatformChecker_SetExcuse() - do not count some attempts by their hosts */
+void PlatformChecker_SetExcuse(PlatformChecker *this, PlatformExcuse *excuse,
+                               void *user);
+
+/**
+ * PlatformChecker_CountedCount() - number of counted attempts
+ * @first, @count: hosts
+ */
+unsigned PlatformChecker_CountedCount(const PlatformChecker *this,
+                                      unsigned first, unsigned count);
+
 /**
  * PlatformChecker_ServedShare() - fraction of the counted attempts that were
  *     served
--- a/standins/standin-platform.c
+++ b/standins/standin-platform.c
@@ -3,6 +3,7 @@
 
 #include <arpa/inet.h>
 
+#include "CutExcuse.h"
 #include "HostCut.h"
 #include "PlatformCaller.h"
 #include "PlatformUpstream.h"
@@ -22,6 +23,8 @@
 #define CUT_NOTICE_US (3 * MICROS_PER_S)
 /* Least share of the calls that a cut host serves, of that of the others. */
 #define CUT_SERVED_LEAST_RATIO (2.0 / 3)
+/* Calls at cut hosts that are needed for a verdict. */
+#define CUT_CALLS_LEAST 20
 #define LIMIT_MIN_PER_S 1.0
 #define LIMIT_SPREAD_PER_S 4.0
 #define LOST_RESPONSE_RATIO 0.005
@@ -57,6 +60,7 @@
     char *hosts;
     char *cut_kind;
     char *cut_file;
+    char *host_states;
 } Options;
 
 #define FIELD(name) offsetof(Options, name)
@@ -107,6 +111,8 @@
      "silent, refused or reset"},
     {"cut-file", SETTING_TEXT, FIELD(cut_file), false,
      "file by which the hosts' library learns of the cut"},
+    {"host-states", SETTING_TEXT, FIELD(host_states), false,
+     "folder with a file for each host that says whether it is up"},
 };
 
 typedef struct Platform_ {
@@ -136,7 +142,9 @@
     Timer restore_timer;
     Timer rewrite_timer;
     Timer cut_timer;
-    HostCut *cut; /* NULL without cut hosts */
+    HostCut *cut;       /* NULL without cut hosts */
+    HostStates *states; /* NULL without their folder */
+    CutExcuse *excuse;  /* the same */
     Timer loss_timer;
     Micros store_sound_since;
     double lost_response_ratio;
@@ -763,10 +771,27 @@
     return this->cut != NULL;
 }
 
+static bool
+is_excused(void *user, unsigned host)
+{
+    const Platform *this = user;
+
+    return CutExcuse_Applies(this->excuse, host);
+}
+
+static void
+create_excuse(Platform *this)
+{
+    this->states = HostStates_Create(this->options.host_states, this->clock);
+    this->excuse = CutExcuse_Create(this->states);
+    PlatformChecker_SetExcuse(this->checker, is_excused, this);
+}
+
 static unsigned
 print_cut(const Platform *this)
 {
     unsigned cut = (unsigned)this->options.cut_hosts;
+    unsigned counted = PlatformChecker_CountedCount(this->checker, 0, cut);
     double at_cut = PlatformChecker_ServedShare(this->checker, 0, cut);
     double elsewhere =
         PlatformChecker_ServedShare(this->checker, cut, UINT16_MAX);
@@ -774,7 +799,11 @@
     if (this->cut == NULL) {
         return 0;
     }
-    printf("served_at_cut=%.3f\nserved_elsewhere=%.3f\n", at_cut, elsewhere);
+    printf("counted_at_cut=%u\nserved_at_cut=%.3f\nserved_elsewhere=%.3f\n",
+           counted, at_cut, elsewhere);
+    if (counted < CUT_CALLS_LEAST) {
+        return 0;
+    }
     if (elsewhere > 0 && at_cut >= CUT_SERVED_LEAST_RATIO * elsewhere) {
         return 0;
     }
@@ -827,6 +856,9 @@
     this->links =
         LinkFaults_Create(this->loop, this->link_random, on_link_clear, this);
     this->checker = PlatformChecker_Create(&retry_limit);
+    if (this->options.host_states != NULL) {
+        create_excuse(this);
+    }
     this->upstreams = g_ptr_array_new_with_free_func(free_upstream);
     this->store = PlatformStore_Create(this->loop);
     targets = this->store != NULL ? create_host_links(this) : NULL;
@@ -854,6 +886,8 @@
     LinkFaults_Destroy(this->links);
     HttpLoop_Destroy(this->loop);
     PlatformChecker_Destroy(this->checker);
+    CutExcuse_Destroy(this->excuse);
+    HostStates_Destroy(this->states);
     Random_Destroy(this->random);
     Random_Destroy(this->link_random);
     Random_Destroy(this->crash_random);
--- a/tests/test_cut_off_host.sh
+++ b/tests/test_cut_off_host.sh
@@ -13,3 +13,15 @@
     CUT_KIND=$kind bash scripts/soak.sh "$build" 1 || exit 1
     echo "ok: $kind"
 done
+
+# Guards against peers that learn the key of a restarted host seconds later.
+export SIGNALS=pairs LOAD_MS=14000 CUT_KIND=reset
+bash scripts/soak.sh "$build" 2 || exit 1
+echo "ok: restarts"
+
+# Guards against a check that excuses a host which forwards nothing because it
+# restarts.
+out=$(NO_FORWARD=1 bash scripts/soak.sh "$build" 2)
+echo "$out"
+grep -q '^violation: too few calls were served at the cut hosts' <<<"$out" || exit 1
+echo "ok: planted"
--- a/tests/test_standin_platform.c
+++ b/tests/test_standin_platform.c
@@ -1,10 +1,12 @@
 #include <arpa/inet.h>
 #include <errno.h>
 #include <glib.h>
+#include <glib/gstdio.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "CutExcuse.h"
 #include "LinkFaults.h"
 #include "LossyLink.h"
 #include "PlatformChecker.h"
@@ -203,6 +205,100 @@
     PlatformChecker_Destroy(checker);
 }
 
+typedef struct ExcuseFixture_ {
+    Clock *clock;
+    HostStates *states;
+    CutExcuse *excuse;
+    PlatformChecker *checker;
+    char *folder;
+    char *file; /* of host 0 */
+    unsigned sent;
+} ExcuseFixture;
+
+static bool
+is_excused(void *user, unsigned host)
+{
+    const ExcuseFixture *f = user;
+
+    return CutExcuse_Applies(f->excuse, host);
+}
+
+static void
+set_up_excuse(ExcuseFixture *f, gconstpointer data)
+{
+    f->clock = Clock_CreateManual(0, g_get_real_time());
+    f->folder = g_dir_make_tmp("states-XXXXXX", NULL);
+    f->file = g_build_filename(f->folder, "host-0", NULL);
+    f->states = HostStates_Create(f->folder, f->clock);
+    f->excuse = CutExcuse_Create(f->states);
+    f->checker = PlatformChecker_Create(&retry_limit);
+    PlatformChecker_SetExcuse(f->checker, is_excused, f);
+    PlatformChecker_CountShares(f->checker, true);
+}
+
+static void
+tear_down_excuse(ExcuseFixture *f, gconstpointer data)
+{
+    PlatformChecker_Destroy(f->checker);
+    CutExcuse_Destroy(f->excuse);
+    HostStates_Destroy(f->states);
+    Clock_Destroy(f->clock);
+    g_unlink(f->file);
+    g_rmdir(f->folder);
+    g_free(f->file);
+    g_free(f->folder);
+}
+
+/* Sets the clock to the time of the system, which files have. */
+static void
+set_state(ExcuseFixture *f, const char *state)
+{
+    Clock_Advance(f->clock, g_get_real_time() - Clock_Wall(f->clock));
+    g_assert_true(g_file_set_contents(f->file, state, -1, NULL));
+}
+
+static void
+send_refused(ExcuseFixture *f, unsigned host)
+{
+    g_autofree char *id = g_strdup_printf("a%u", ++f->sent);
+
+    PlatformChecker_OnSent(f->checker, id, false, 0);
+    PlatformChecker_OnTarget(f->checker, id, host);
+    PlatformChecker_OnResponse(f->checker, id, 503, NULL, "");
+}
+
+/* Guards against a check of hosts that are cut off which counts their restarts
+ * as failures, and against one that excuses a host which runs. */
+static void
+test_restarts_excused(ExcuseFixture *f, gconstpointer data)
+{
+    static const struct {
+        const char *state;
+        Micros advance;
+        unsigned counted;
+    } steps[] = {
+        {NULL, 0, 1},
+        {"up", 2900 * MICROS_PER_MS, 1},
+        {"up", 60 * MICROS_PER_S, 2},
+        {"down", 60 * MICROS_PER_S, 2},
+        {"", 60 * MICROS_PER_S, 2},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(steps); i++) {
+        if (steps[i].state != NULL) {
+            set_state(f, steps[i].state);
+        }
+        Clock_Advance(f->clock, steps[i].advance);
+        send_refused(f, 0);
+        send_refused(f, 1);
+        g_assert_cmpuint(PlatformChecker_CountedCount(f->checker, 0, 1), ==,
+                         steps[i].counted);
+        g_assert_cmpuint(PlatformChecker_CountedCount(f->checker, 1, 1), ==,
+                         i + 1);
+    }
+    g_assert_cmpfloat(PlatformChecker_ServedShare(f->checker, 0, 2), ==, 0);
+}
+
 /* ---- LossyLink ------------------------------------------------------ */
 
 /* A link to a listener of the test, with a client connected through it. */
@@ -493,6 +589,10 @@
     g_test_add_func("/standins/retry-rule", test_retry_rule);
     g_test_add_func("/standins/retries", test_retries_checked);
     g_test_add_func("/standins/notices", test_notice_check);
+#define ADD_EXCUSE(path, test)                                                \
+    g_test_add("/standins/excused/" path, ExcuseFixture, NULL, set_up_excuse, \
+               test, tear_down_excuse)
+    ADD_EXCUSE("restarts", test_restarts_excused);
     ADD("/standins/link/clear", test_clear);
     ADD("/standins/link/delayed", test_delayed);
     ADD("/standins/link/cut", test_cut);
