soak: calls that a cut link keeps from a host are excused

Cause: the check of hosts that are cut off from the upstreams counted calls whose link to the host let nothing pass. RECOVER is about hosts that callers reach. Change: calls at a host whose link from the callers stops bytes when they are sent do not count, at all hosts.

--- a/standins/LinkFaults.c
+++ b/standins/LinkFaults.c
@@ -22,6 +22,7 @@
     LossyLink *lossy_link;
     LinkGroup group;
     Timer clear_timer; /* runs while the link has a fault */
+    bool cut;          /* the fault stops bytes */
 } Link;
 
 static void
@@ -78,6 +79,7 @@
     LinkFaults *owner = link->owner;
 
     LossyLink_SetFault(link->lossy_link, LINK_CLEAR);
+    link->cut = false;
     if (--owner->faulty_counts[link->group] == 0) {
         owner->on_clear(owner->user, link->group);
     }
@@ -116,6 +118,7 @@
         return;
     }
     LossyLink_SetFault(link->lossy_link, faults[choice].fault);
+    link->cut = faults[choice].fault != LINK_DELAYED;
     if (link->clear_timer.queue == NULL) {
         this->faulty_counts[link->group]++;
     }
@@ -145,6 +148,19 @@
     return this->faulty_counts[group] == 0;
 }
 
+bool
+LinkFaults_IsCut(const LinkFaults *this, LinkGroup group, unsigned index)
+{
+    for (guint i = 0; i < this->links->len; i++) {
+        const Link *link = g_ptr_array_index(this->links, i);
+
+        if (link->group == group && index-- == 0) {
+            return link->cut;
+        }
+    }
+    return false;
+}
+
 void
 LinkFaults_SilenceSources(LinkFaults *this, LinkGroup group,
                           const GArray *sources)
--- a/standins/LinkFaults.h
+++ b/standins/LinkFaults.h
@@ -70,6 +70,12 @@
 void LinkFaults_ResetSources(LinkFaults *this, LinkGroup group,
                              const GArray *sources);
 
+/**
+ * LinkFaults_IsCut() - true if a link has a fault that stops bytes
+ * @index: of the link in its group, in the order of LinkFaults_Add()
+ */
+bool LinkFaults_IsCut(const LinkFaults *this, LinkGroup group, unsigned index);
+
 /** LinkFaults_IsClear() - true if no link of @group has a fault */
 bool LinkFaults_IsClear(const LinkFaults *this, LinkGroup group);
 
--- a/standins/standin-platform.c
+++ b/standins/standin-platform.c
@@ -783,7 +783,7 @@
 create_excuse(Platform *this)
 {
     this->states = HostStates_Create(this->options.host_states, this->clock);
-    this->excuse = CutExcuse_Create(this->states);
+    this->excuse = CutExcuse_Create(this->states, this->links);
     PlatformChecker_SetExcuse(this->checker, is_excused, this);
 }
 
