gateway: probes that time out in a doubt prove no loss

Cause: an attempt without a response counted as lost at once if its upstream had become unreachable by two probe timeouts, also where these came from a doubt of the host's path that had ended without a verdict. Two cuts of 100 ms beside each other thus showed losses of upstreams that lived.

--- a/packages/gateway/Dispatcher.c
+++ b/packages/gateway/Dispatcher.c
@@ -252,7 +252,9 @@
     job->loss_reported = true;
     attempt.instance = record->instance;
     CrashGuard_OnNoResponse(this->guard, &attempt);
-    if (Placement_IsUnreachable(this->placement, job->upstream)) {
+    /* Probes that timed out in a doubt may show the path only. */
+    if (Placement_IsUnreachable(this->placement, job->upstream) &&
+        !PathMonitor_DoubtedSince(this->path, job->sent_at)) {
         CrashGuard_OnUnreachable(this->guard, job->upstream);
     }
 }
--- a/packages/gateway/PathMonitor.c
+++ b/packages/gateway/PathMonitor.c
@@ -523,6 +523,12 @@
     return this->state;
 }
 
+bool
+PathMonitor_DoubtedSince(const PathMonitor *this, Micros time)
+{
+    return this->state != PATH_REACHABLE || this->since > time;
+}
+
 bool
 PathMonitor_HeardSince(const PathMonitor *this, Micros time)
 {
--- a/packages/gateway/PathMonitor.h
+++ b/packages/gateway/PathMonitor.h
@@ -98,6 +98,9 @@
 /** PathMonitor_State() - the state as of the last call */
 PathState PathMonitor_State(const PathMonitor *this);
 
+/** PathMonitor_DoubtedSince() - whether the path has been in doubt since then */
+bool PathMonitor_DoubtedSince(const PathMonitor *this, Micros time);
+
 /** PathMonitor_HeardSince() - whether an upstream has responded since @time */
 bool PathMonitor_HeardSince(const PathMonitor *this, Micros time);
 
--- a/tests/test_cut_off_hosts.c
+++ b/tests/test_cut_off_hosts.c
@@ -69,6 +69,12 @@
               {CUT_SILENT, DOMAIN_A, AT(8.2), AT(12)},
               {CUT_REFUSED, DOMAIN_A, AT(12.5), AT(16.5)}},
      .cut_count = 3},
+    /* Too short for a verdict; what was under way comes up to a second late. */
+    {.name = "flapping-fast",
+     .cuts = {{CUT_SILENT, DOMAIN_A, AT(4), AT(4.1)},
+              {CUT_SILENT, DOMAIN_A, AT(4.17), AT(4.27)},
+              {CUT_SILENT, DOMAIN_A, AT(4.34), AT(12)}},
+     .cut_count = 3},
     {.name = "losses",
      .cuts = {{CUT_SILENT, DOMAIN_A, AT(4), AT(14)}},
      .cut_count = 1,
