--- a/tests/test_upstream_limit.c
+++ b/tests/test_upstream_limit.c
@@ -138,6 +138,20 @@
                       USED_RATIO_MIN * worst.limited_allowed);
 }
 
+/* Guards against refusals because of limits that have ended, if probes name
+ * them; test_ended_limits has the case in which probes name none, too. */
+static void
+test_all_upstreams_vary(void)
+{
+    LimitOptions options = deployment;
+    LimitResult worst;
+
+    options.plan = LIMIT_PLAN_VARIES;
+    options.limited_count = options.upstream_count;
+    worst = assert_kept(&options);
+    assert_no_wrong_refusals(&worst);
+}
+
 static void
 test_low_limit(void)
 {
@@ -300,6 +314,8 @@
     g_test_add_func("/upstream-limit/most-upstreams-vary",
                     test_most_upstreams_vary);
     g_test_add_func("/upstream-limit/all-upstreams", test_all_upstreams);
+    g_test_add_func("/upstream-limit/all-upstreams-vary",
+                    test_all_upstreams_vary);
     g_test_add_func("/upstream-limit/low", test_low_limit);
     g_test_add_func("/upstream-limit/zero", test_no_requests_allowed);
     g_test_add_func("/upstream-limit/host-restarts", test_host_restarts);
