soak: hosts that cannot know each other's keys are excused

Cause: the check of hosts that are cut off from the upstreams counted calls at them while no host with a path could be known. Change: a host is new from its start to 3 s later, and to 3 s after the end of a cut from the store that began within 3 s of the start or before. Calls do not count at a new host, and at a cut one if it and each host with a path are new to one of the two. Freezes excuse calls at the frozen host only. An outage without restarts excuses nothing.

--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -57,7 +57,7 @@
     } >"$WORK/host-$1.toml"
 }
 
-# note_state HOST STATE: tells the stand-in that a host is up or down
+# note_state HOST STATE: tells the stand-in that a host is down, or up again
 note_state() {
     echo "$2" >"$WORK/states/host-$1"
 }
@@ -74,7 +74,6 @@
         "$BIN/packages/agatecrankd/agatecrankd" --config "$WORK/host-$1.toml" \
         >>"$WORK/host-$1.log" 2>&1 &
     HOST_PID[$1]=$!
-    note_state "$1" up
 }
 
 # stop_and_restart HOST SIGNAL: sends a signal to a host and starts it again when
@@ -98,6 +97,7 @@
         echo "violation: host-$host exited with code $code after SIGTERM" >>"$WORK/signals.out"
     fi
     start_host "$host"
+    note_state "$host" up
 }
 
 # inject_host_faults UNTIL: sends random signals to random hosts, until a time in
@@ -116,11 +116,11 @@
         3 | 4 | 5) stop_and_restart "$host" KILL ;;
         6) kill -HUP "${HOST_PID[$host]}" ;;
         *)
-            note_state "$host" down
+            echo down >"$WORK/states/freeze-$host"
             kill -STOP "${HOST_PID[$host]}"
             sleep "$((RANDOM % 2)).$((RANDOM % 10))"
             kill -CONT "${HOST_PID[$host]}"
-            note_state "$host" up
+            echo up >"$WORK/states/freeze-$host"
             ;;
         esac
     done
@@ -139,6 +139,7 @@
         note_state "$host" down
         wait "${HOST_PID[$host]}" 2>/dev/null
         start_host "$host"
+        note_state "$host" up
     done
 }
 
--- a/standins/HostStates.c
+++ b/standins/HostStates.c
@@ -28,10 +28,12 @@
     g_free(this);
 }
 
-bool
-HostStates_IsSteady(const HostStates *this, unsigned host, Micros least)
+static bool
+is_up_for(const HostStates *this, const char *name, unsigned host,
+          Micros least)
 {
-    g_autofree char *path = g_strdup_printf("%s/host-%u", this->folder, host);
+    g_autofree char *path =
+        g_strdup_printf("%s/%s-%u", this->folder, name, host);
     g_autofree char *text = NULL;
     GStatBuf status;
     Micros changed;
@@ -45,3 +47,16 @@
     return g_str_has_prefix(text, "up") &&
            Clock_Wall(this->clock) - changed >= least;
 }
+
+bool
+HostStates_HasRun(const HostStates *this, unsigned host, Micros least)
+{
+    return is_up_for(this, "host", host, least);
+}
+
+bool
+HostStates_IsSteady(const HostStates *this, unsigned host, Micros least)
+{
+    return HostStates_HasRun(this, host, least) &&
+           is_up_for(this, "freeze", host, least);
+}
--- a/standins/HostStates.h
+++ b/standins/HostStates.h
@@ -8,8 +8,10 @@
 /**
  * typedef HostStates - which hosts run, as the script that runs them tells
  *
- * The file host-N of a folder says "up" since a host was started or continued,
- * and something else from the time when it was stopped, killed or frozen.
+ * The file host-N of a folder says "up" since a host was started again, and
+ * something else from the time when it was stopped or killed. There is none for
+ * the first life of a host. The file freeze-N does so for a host that is frozen
+ * and continued.
  */
 typedef struct HostStates_ HostStates;
 
@@ -20,10 +22,15 @@
 void HostStates_Destroy(HostStates *this);
 
 /**
- * HostStates_IsSteady() - tell whether a host has run for some time
+ * HostStates_HasRun() - tell whether a host was started some time ago
  * @host: number of the host
  *
- * Return: true if it has been up for @least, or has no file.
+ * Return: true if it has been up for @least, frozen or not, or has no file.
+ */
+bool HostStates_HasRun(const HostStates *this, unsigned host, Micros least);
+
+/**
+ * HostStates_IsSteady() - as HostStates_HasRun(), and not frozen in that time
  */
 bool HostStates_IsSteady(const HostStates *this, unsigned host, Micros least);
 
--- a/standins/standin-platform.c
+++ b/standins/standin-platform.c
@@ -145,6 +145,7 @@
     HostCut *cut;       /* NULL without cut hosts */
     HostStates *states; /* NULL without their folder */
     CutExcuse *excuse;  /* the same */
+    unsigned host_count;
     Timer loss_timer;
     Micros store_sound_since;
     double lost_response_ratio;
@@ -774,16 +775,27 @@
 static bool
 is_excused(void *user, unsigned host)
 {
-    const Platform *this = user;
+    Platform *this = user;
 
+    for (unsigned i = 0; i < this->host_count; i++) {
+        CutExcuse_OnStore(
+            this->excuse, i,
+            PlatformStore_IsUp(this->store) &&
+                !LinkFaults_IsCut(this->links, LINKS_TO_STORE, i));
+    }
     return CutExcuse_Applies(this->excuse, host);
 }
 
 static void
 create_excuse(Platform *this)
 {
+    g_auto(GStrv) hosts = g_strsplit(this->options.hosts, ",", -1);
+
     this->states = HostStates_Create(this->options.host_states, this->clock);
-    this->excuse = CutExcuse_Create(this->states, this->links);
+    this->host_count = g_strv_length(hosts);
+    this->excuse =
+        CutExcuse_Create(this->states, this->links, this->host_count,
+                         (unsigned)this->options.cut_hosts, this->clock);
     PlatformChecker_SetExcuse(this->checker, is_excused, this);
 }
 
