--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -63,7 +63,7 @@
     echo "$1 $(date +%s%N)" >>"$WORK/host-events"
 }
 
-# note_state HOST STATE: tells the stand-in that a host is up or down
+# note_state HOST STATE: tells the stand-in that a host is down, or up again
 note_state() {
     echo "$2" >"$WORK/states/host-$1"
 }
@@ -81,7 +81,6 @@
         "$BIN/packages/agatecrankd/agatecrankd" --config "$WORK/host-$1.toml" \
         >>"$WORK/host-$1.log" 2>&1 &
     HOST_PID[$1]=$!
-    note_state "$1" up
 }
 
 # stop_and_restart HOST SIGNAL: sends a signal to a host and starts it again when
@@ -105,6 +104,7 @@
         echo "violation: host-$host exited with code $code after SIGTERM" >>"$WORK/signals.out"
     fi
     start_host "$host"
+    note_state "$host" up
 }
 
 # inject_host_faults UNTIL: sends random signals to random hosts, until a time in
@@ -124,12 +124,12 @@
         6) kill -HUP "${HOST_PID[$host]}" ;;
         *)
             record_event "$host"
-            note_state "$host" down
+            echo down >"$WORK/states/freeze-$host"
             kill -STOP "${HOST_PID[$host]}"
             sleep "$((RANDOM % 2)).$((RANDOM % 10))"
             record_event "$host"
             kill -CONT "${HOST_PID[$host]}"
-            note_state "$host" up
+            echo up >"$WORK/states/freeze-$host"
             ;;
         esac
     done
@@ -148,6 +148,7 @@
         note_state "$host" down
         wait "${HOST_PID[$host]}" 2>/dev/null
         start_host "$host"
+        note_state "$host" up
     done
 }
 
