gateway: probes of an upstream that has failed start no further suspicion

Cause: each probe that timed out put the host's path in doubt, also those by which LossWatch decides on an upstream that has failed under a request. While in doubt no such probe is sent, so a silent upstream took one suspicion after the other, 100 ms apart, before its loss counted. Meanwhile the request ended further upstreams, and with all of a small deployment silent the cut came before.

Change: a probe that times out does not start a suspicion if an attempt at that upstream is being decided on: the attempt, or the probe before it, has started one. Refused and closed connections still do; their probes take no time, and the suspicion shows that the path works.

--- a/packages/core/limits/LossWatch.c
+++ b/packages/core/limits/LossWatch.c
@@ -210,6 +210,17 @@
     return true;
 }
 
+bool
+LossWatch_IsWatched(const LossWatch *this, uint32_t upstream)
+{
+    for (guint i = 0; i < this->watched->len; i++) {
+        if (watched_at(this, i)->attempt.upstream == upstream) {
+            return true;
+        }
+    }
+    return false;
+}
+
 bool
 LossWatch_NeedsProbe(const LossWatch *this, uint32_t upstream)
 {
--- a/packages/core/limits/LossWatch.h
+++ b/packages/core/limits/LossWatch.h
@@ -117,6 +117,9 @@
 bool LossWatch_NextUpstream(const LossWatch *this, size_t *i,
                             uint32_t *upstream);
 
+/** LossWatch_IsWatched() - whether an attempt at the upstream is kept */
+bool LossWatch_IsWatched(const LossWatch *this, uint32_t upstream);
+
 /** LossWatch_NeedsProbe() - whether a probe of the upstream helps to decide */
 bool LossWatch_NeedsProbe(const LossWatch *this, uint32_t upstream);
 
--- a/packages/gateway/CrashGuard.c
+++ b/packages/gateway/CrashGuard.c
@@ -233,6 +233,12 @@
     return false;
 }
 
+bool
+CrashGuard_IsWatched(const CrashGuard *this, uint32_t upstream)
+{
+    return LossWatch_IsWatched(this->watch, upstream);
+}
+
 bool
 CrashGuard_NeedsReference(const CrashGuard *this, uint32_t *upstream)
 {
--- a/packages/gateway/CrashGuard.h
+++ b/packages/gateway/CrashGuard.h
@@ -94,6 +94,9 @@
 bool CrashGuard_NextProbe(const CrashGuard *this, size_t *i,
                           uint32_t *upstream);
 
+/** CrashGuard_IsWatched() - see LossWatch_IsWatched() */
+bool CrashGuard_IsWatched(const CrashGuard *this, uint32_t upstream);
+
 /** CrashGuard_NeedsReference() - see LossWatch_NeedsReference() */
 bool CrashGuard_NeedsReference(const CrashGuard *this, uint32_t *upstream);
 
--- a/packages/gateway/HostPath.c
+++ b/packages/gateway/HostPath.c
@@ -113,6 +113,12 @@
 void
 HostPath_OnProbeTimeout(Dispatcher *this, uint32_t upstream, bool connected)
 {
+    /* An upstream that has failed under a request has started a suspicion. */
+    if (CrashGuard_IsWatched(this->guard, upstream)) {
+        on_probe_end(this, upstream,
+                     connected ? PATH_PROBE_SILENT : PATH_PROBE_TIMEOUT);
+        return;
+    }
     if (connected) {
         on_no_response(this, Dispatcher_SentProbe(this, upstream).sent);
     }
--- a/tests/test_forwarding.c
+++ b/tests/test_forwarding.c
@@ -142,6 +142,28 @@
     }
 }
 
+/* Ends all probes; those of one upstream time out, the others are answered. */
+static void
+end_probes_except(Fixture *f, uint32_t silent)
+{
+    LoadReport report = {.slots = SLOT_COUNT, .slowdown_percent = 100};
+    uint32_t probes[PROBES_MAX];
+    size_t n = f->probe_count;
+
+    memcpy(probes, f->probes, sizeof(probes));
+    f->probe_count = 0;
+    for (size_t i = 0; i < n; i++) {
+        if (probes[i] == silent) {
+            Dispatcher_OnProbeTimeout(f->dispatcher, silent, false);
+        }
+        else {
+            Dispatcher_OnProbeResult(f->dispatcher, probes[i], PROBE_ANSWERED,
+                                     &report);
+        }
+        take_actions(f);
+    }
+}
+
 static void
 advance_time(Fixture *f, Micros time)
 {
@@ -488,6 +510,24 @@
     g_assert_false(has_counted(f, "most-look-bad"));
 }
 
+/* Guards against a loss that is decided on late because each failed probe of
+ * the same upstream puts the path in doubt again. */
+static void
+test_one_suspicion(Fixture *f, gconstpointer data)
+{
+    Job *job = send_request(f, "/once/1", 0, false);
+    uint32_t upstream = (uint32_t)(*f->action.send.instance.data - 't');
+
+    end_attempt(f, job, ATTEMPT_RESULT_BROKEN);
+    for (int i = 0; !has_counted(f, "request_losses_total"); i++) {
+        g_assert_cmpint(i, <, 100);
+        end_probes_except(f, upstream);
+        advance_time(f, 10 * MICROS_PER_MS);
+    }
+    g_assert_true(
+        has_counted(f, "path_changes_total{state=\"suspected\"} 1\n"));
+}
+
 /* Guards against attempts that are spent while the path is being probed, and
  * against requests that wait for long if it is there. */
 static void
@@ -576,6 +616,7 @@
     ADD("no-ejections", set_up, test_no_ejections);
     g_test_add("/forwarding/no-ejections-silent", Fixture, GINT_TO_POINTER(1),
                set_up, test_no_ejections, tear_down);
+    ADD("one-suspicion", set_up, test_one_suspicion);
     ADD("held", set_up, test_held);
     ADD("held-for-long", set_up, test_held_for_long);
     ADD("forward-limit", set_up, test_forward_limit);
