--- a/tests/test_refresh_limit.c
+++ b/tests/test_refresh_limit.c
@@ -72,8 +72,9 @@
 test_many_ids(Fixture *f, gconstpointer data)
 {
     unsigned sum;
+    unsigned most = take_for_minutes(f, false, &sum);
 
-    g_assert_cmpuint(take_for_minutes(f, false, &sum), <=, ALL_MAX_PER_MINUTE);
+    g_assert_cmpuint(most, <=, ALL_MAX_PER_MINUTE);
     g_assert_cmpuint(sum, <=, MINUTES * 12 + 6);
     g_assert_cmpuint(sum, >=, MINUTES * 12);
 }
@@ -82,8 +83,9 @@
 test_one_id(Fixture *f, gconstpointer data)
 {
     unsigned sum;
+    unsigned most = take_for_minutes(f, true, &sum);
 
-    g_assert_cmpuint(take_for_minutes(f, true, &sum), <=, HOST_MAX_PER_MINUTE);
+    g_assert_cmpuint(most, <=, HOST_MAX_PER_MINUTE);
     g_assert_cmpuint(sum, <=, MINUTES * 6 + 3);
 }
 
