gateway: a peer's notice confirms that an unlisted upstream leaves

Cause: what an incarnation has inherited from the one before it is unconfirmed and lapses after 60 s. A peer that names the incarnation left that time in place while it is not listed; found by reading. Change: a peer's notice clears the time, as an own response does. Measured: /eligibility/peer-notice-confirms fails before, passes now.

--- a/packages/gateway/Eligibility.c
+++ b/packages/gateway/Eligibility.c
@@ -384,8 +384,9 @@
         }
     }
     unlisted.notices = take_kept(this, instance);
-    was_leaving = unlisted.notices.leaving;
+    was_leaving = is_leaving(this, &unlisted);
     unlisted.notices.leaving = true;
+    unlisted.notices.unconfirmed_until = 0;
     unlisted.notices.leaving_sent = MAX(unlisted.notices.leaving_sent, sent);
     keep(this, &unlisted);
     return !was_leaving;
--- a/tests/test_eligibility.c
+++ b/tests/test_eligibility.c
@@ -231,6 +231,23 @@
     assert_reason(f, OTHER_INDEX, ELIGIBILITY_LEAVING);
 }
 
+/* Guards against an upstream that gets requests again 60 s after a peer has told
+ * that it leaves, because that was uncertain before. */
+static void
+test_peer_notice_confirms(Fixture *f, gconstpointer data)
+{
+    Micros sent = Clock_Now(f->clock);
+
+    Eligibility_SetLeaving(f->eligibility, UPSTREAM, sent);
+    Eligibility_OnRemoved(f->eligibility, UPSTREAM);
+    inherited_wait(f, NEXT_INSTANCE, sent);
+    Eligibility_OnRemoved(f->eligibility, OTHER_INDEX);
+    Eligibility_OnPeerNotice(f->eligibility, NEXT_INSTANCE, sent);
+    Clock_Advance(f->clock, 60 * MICROS_PER_S);
+    Eligibility_OnListed(f->eligibility, OTHER_INDEX, NEXT_INSTANCE);
+    assert_reason(f, OTHER_INDEX, ELIGIBILITY_LEAVING);
+}
+
 static UpstreamNotice
 read_field(const Fixture *f, int status, const char *name, const char *first,
            const char *second)
@@ -320,6 +337,7 @@
     ADD("inherited-pauses", test_inherited_pauses);
     ADD("unconfirmed-leaving", test_unconfirmed_leaving);
     ADD("peer-notice", test_peer_notice);
+    ADD("peer-notice-confirms", test_peer_notice_confirms);
     ADD("pause-values", test_pause_values);
 #undef ADD
     return g_test_run();
