--- a/packages/core/limits/LossWatch.h
+++ b/packages/core/limits/LossWatch.h
@@ -137,8 +137,8 @@
  * LossWatch_NextProvenLoss() - take the next loss that is certain even if this
  *     host is cut off now
  *
- * The connection broke, and a new one to another upstream worked after that.
- * Other losses are left for LossWatch_NextLoss().
+ * The connection broke or two probes failed, and a new connection to another
+ * upstream worked after that. Other losses are left for LossWatch_NextLoss().
  */
 bool LossWatch_NextProvenLoss(LossWatch *this, LostAttempt *loss);
 
