--- a/standins/standin-platform.c
+++ b/standins/standin-platform.c
@@ -151,7 +151,6 @@
     HostCut *cut;       /* NULL without cut hosts */
     HostStates *states; /* NULL without their folder */
     CutExcuse *excuse;  /* the same */
-    unsigned host_count;
     Timer loss_timer;
     Micros store_sound_since;
     double lost_response_ratio;
@@ -810,7 +809,7 @@
 {
     Platform *this = user;
 
-    for (unsigned i = 0; i < this->host_count; i++) {
+    for (guint i = 0; i < this->hosts->len; i++) {
         CutExcuse_OnStore(
             this->excuse, i,
             PlatformStore_IsUp(this->store) &&
@@ -822,12 +821,9 @@
 static void
 create_excuse(Platform *this)
 {
-    g_auto(GStrv) hosts = g_strsplit(this->options.hosts, ",", -1);
-
     this->states = HostStates_Create(this->options.host_states, this->clock);
-    this->host_count = g_strv_length(hosts);
     this->excuse =
-        CutExcuse_Create(this->states, this->links, this->host_count,
+        CutExcuse_Create(this->states, this->links, this->hosts->len,
                          (unsigned)this->options.cut_hosts, this->clock);
     PlatformChecker_SetExcuse(this->checker, is_excused, this);
 }
