--- a/packages/gateway/HostPath.c
+++ b/packages/gateway/HostPath.c
@@ -113,7 +113,8 @@
 void
 HostPath_OnProbeTimeout(Dispatcher *this, uint32_t upstream, bool connected)
 {
-    /* An upstream that has failed under a request has started a suspicion. */
+    /* The attempt that is being decided on, or the probe before it, has started
+     * a suspicion; more timeouts of its upstream say nothing about the path. */
     if (CrashGuard_IsWatched(this->guard, upstream)) {
         on_probe_end(this, upstream,
                      connected ? PATH_PROBE_SILENT : PATH_PROBE_TIMEOUT);
