retries: divide the constant part by the number of live hosts

Each host took a 200th of the constant part, so 472 hosts took 2.4 times of it, 1,000 would take 5 times. Change: a host takes 0.95 of the constant part divided by the live hosts of its list, once the others have it in theirs, and nothing in the first window of its process, as the process before it may have used the part.

--- a/packages/agatecrankd/GatewayDaemon.c
+++ b/packages/agatecrankd/GatewayDaemon.c
@@ -17,8 +17,6 @@
 #define SERIES_MAX 512
 /* A rollout that replaces hundreds of upstreams is logged within seconds. */
 #define STATE_LOG_LINES_PER_S 200
-/* Most hosts that share the extra retries; the largest site has 137. */
-#define RETRY_HOSTS_MAX 200
 /* Part of the shared retry bound that is used, because the retry windows of
  * the hosts are not aligned. */
 #define RETRY_BOUND_RATIO 0.95
@@ -268,14 +266,12 @@
 create_dispatcher(GatewayDaemon *this)
 {
     const GatewayBounds *bounds = &this->settings->bounds;
-    /* A host does not know the number of hosts, so each takes the share that
-     * is safe for RETRY_HOSTS_MAX hosts. */
     DispatcherOptions options = {
         .host = this->settings->host_id,
         .domain = this->settings->domain,
         .retry_window = bounds->retry_window,
         .retry_share = bounds->retry_share * RETRY_BOUND_RATIO,
-        .retry_extra = bounds->retry_extra / RETRY_HOSTS_MAX,
+        .retry_shared_extra = bounds->retry_extra * RETRY_BOUND_RATIO,
         .probes_per_s = bounds->probes_per_s,
         .outage_grace =
             (Micros)(OUTAGE_GRACE_RATIO * (double)bounds->drain_time),
--- a/packages/gateway/Dispatcher.c
+++ b/packages/gateway/Dispatcher.c
@@ -65,6 +65,7 @@
 
     this->options = *options;
     this->clock = clock;
+    this->started = Clock_Now(clock);
     this->random = random;
     this->log = log;
     this->decisions = decisions;
@@ -130,11 +131,15 @@
         .window = this->options.retry_window,
         .share = this->options.retry_share,
         .extra = this->options.retry_extra,
+        .shared_extra = this->options.retry_shared_extra,
     };
 
     while (this->retry_windows->len <= service) {
-        g_ptr_array_add(this->retry_windows,
-                        RetryWindow_Create(&options, this->clock));
+        RetryWindow *window =
+            RetryWindow_Create(&options, this->started, this->clock);
+
+        RetryWindow_SetHosts(window, this->host_count, this->hosts_known_from);
+        g_ptr_array_add(this->retry_windows, window);
         g_ptr_array_add(this->queues, RequestQueue_Create(this->clock));
     }
     return service;
@@ -544,6 +549,12 @@
                     Micros known_from)
 {
     UpstreamLimits_SetHosts(this->limits, hosts, count, known_from);
+    this->host_count = count;
+    this->hosts_known_from = known_from;
+    for (guint i = 0; i < this->retry_windows->len; i++) {
+        RetryWindow_SetHosts(g_ptr_array_index(this->retry_windows, i), count,
+                             known_from);
+    }
 }
 
 void
--- a/packages/gateway/Dispatcher.h
+++ b/packages/gateway/Dispatcher.h
@@ -27,7 +27,8 @@
 /**
  * struct DispatcherOptions_ - settings
  * @host, @domain: id and failure domain of this host
- * @retry_window, @retry_share, @retry_extra: see struct RetryWindowOptions_
+ * @retry_window, @retry_share, @retry_extra, @retry_shared_extra: see struct
+ *     RetryWindowOptions_
  * @probes_per_s: see Placement_Create()
  * @outage_grace: time after an outage of the upstream source during which an
  *                upstream that disappeared in the outage stays in use
@@ -38,6 +39,7 @@
     Micros retry_window;
     double retry_share;
     double retry_extra;
+    double retry_shared_extra;
     double probes_per_s;
     Micros outage_grace;
 } DispatcherOptions;
@@ -277,7 +279,8 @@
 
 /**
  * Dispatcher_SetHosts() - set the live hosts, with which this one shares the
- *     limits that upstreams name; see UpstreamLimits_SetHosts()
+ *     limits that upstreams name and the extra retries; see
+ *     UpstreamLimits_SetHosts() and RetryWindow_SetHosts()
  */
 void Dispatcher_SetHosts(Dispatcher *this, const Str *hosts, size_t count,
                          Micros known_from);
--- a/packages/gateway/DispatcherPrivate.h
+++ b/packages/gateway/DispatcherPrivate.h
@@ -99,12 +99,15 @@
     Micros accept_refilled_at;
     RouteTable *routes;
     GPtrArray *retry_windows; /* RetryWindow by service */
-    GPtrArray *queues;        /* RequestQueue by service */
-    Micros queue_probe_at;    /* next probes for queued jobs; 0 for none */
-    GHashTable *jobs;         /* set of Job */
-    GHashTable *probing;      /* subset of jobs that wait for probe replies */
-    uint64_t job_count;       /* jobs so far */
-    DueSet *due;              /* jobs by deadline, probe wait or check */
+    Micros started;
+    size_t host_count;       /* live hosts, 0 until they are known */
+    Micros hosts_known_from; /* since then they count this one */
+    GPtrArray *queues;       /* RequestQueue by service */
+    Micros queue_probe_at;   /* next probes for queued jobs; 0 for none */
+    GHashTable *jobs;        /* set of Job */
+    GHashTable *probing;     /* subset of jobs that wait for probe replies */
+    uint64_t job_count;      /* jobs so far */
+    DueSet *due;             /* jobs by deadline, probe wait or check */
     GArray *actions;
     guint actions_taken;
     bool stopping;
--- a/packages/gateway/RetryWindow.c
+++ b/packages/gateway/RetryWindow.c
@@ -18,12 +18,15 @@
     uint32_t requests;
     uint32_t retries;
     double earned;     /* retries that its requests still allow */
-    double extra_used; /* part of options.extra */
+    double extra_used; /* part of extra() */
 } Step;
 
 struct RetryWindow_ {
     RetryWindowOptions options;
     const Clock *clock;
+    Micros started;
+    size_t host_count;
+    Micros known_from;
     Step steps[KEPT_STEP_COUNT];
     int64_t current;
     double saved; /* retries that older requests allow */
@@ -31,12 +34,14 @@
 };
 
 RetryWindow *
-RetryWindow_Create(const RetryWindowOptions *options, const Clock *clock)
+RetryWindow_Create(const RetryWindowOptions *options, Micros started,
+                   const Clock *clock)
 {
     RetryWindow *this = g_new0(RetryWindow, 1);
 
     this->options = *options;
     this->clock = clock;
+    this->started = started;
     this->current = Clock_Now(clock) / (options->window / STEP_COUNT);
     return this;
 }
@@ -47,6 +52,26 @@
     g_free(this);
 }
 
+void
+RetryWindow_SetHosts(RetryWindow *this, size_t count, Micros known_from)
+{
+    this->host_count = count;
+    this->known_from = known_from;
+}
+
+/* Returns the retries in a window beyond the share of the requests. */
+static double
+extra(const RetryWindow *this)
+{
+    Micros from = MAX(this->started + this->options.window, this->known_from);
+
+    if (this->host_count == 0 || Clock_Now(this->clock) < from) {
+        return this->options.extra;
+    }
+    return this->options.extra +
+           this->options.shared_extra / (double)this->host_count;
+}
+
 static Step *
 step_at(RetryWindow *this, int64_t number)
 {
@@ -100,7 +125,7 @@
     /* The oldest step may lie outside the window, so its requests do not
      * count. */
     requests -= step_at(this, this->current + 1)->requests;
-    return this->options.share * requests + this->options.extra - retries;
+    return this->options.share * requests + extra(this) - retries;
 }
 
 static double
@@ -111,7 +136,7 @@
     for (int i = 0; i < KEPT_STEP_COUNT; i++) {
         used += this->steps[i].extra_used;
     }
-    return this->options.extra - used;
+    return extra(this) - used;
 }
 
 static double
--- a/packages/gateway/RetryWindow.h
+++ b/packages/gateway/RetryWindow.h
@@ -2,6 +2,7 @@
 #define AGATECRANK_GATEWAY_RETRYWINDOW_H
 
 #include <stdbool.h>
+#include <stddef.h>
 
 #include "Clock.h"
 
@@ -10,7 +11,8 @@
  *
  * In any window, the number of retries is at most a share of the requests that
  * this host received in it, plus a constant. Each host keeps its own limit, so
- * the sum over all hosts is limited without communication between them.
+ * the sum over all hosts is limited without communication between them. The
+ * constant of the whole deployment is divided by the number of live hosts.
  *
  * A request allows its share of a retry for a tenth of the window at most, and
  * older ones together a single retry. Otherwise callers that move to another
@@ -23,20 +25,37 @@
  * @window: length of the sliding window
  * @share: retries per request
  * @extra: retries in addition to that share
+ * @shared_extra: the same for all hosts together, see RetryWindow_SetHosts()
  */
 typedef struct RetryWindowOptions_ {
     Micros window;
     double share;
     double extra;
+    double shared_extra;
 } RetryWindowOptions;
 
-/** RetryWindow_Create() - @clock is borrowed */
+/**
+ * RetryWindow_Create() - a window without requests
+ * @started: when the process of this host started
+ *
+ * @clock is borrowed.
+ */
 RetryWindow *RetryWindow_Create(const RetryWindowOptions *options,
-                                const Clock *clock);
+                                Micros started, const Clock *clock);
 
 /** RetryWindow_Destroy() - release it; NULL is allowed */
 void RetryWindow_Destroy(RetryWindow *this);
 
+/**
+ * RetryWindow_SetHosts() - set the hosts that divide the shared extra retries
+ * @count: number of live hosts, this one included; none are used while it is 0
+ * @known_from: time from which the others count this host
+ *
+ * A process uses no part of them in its first window, because an earlier
+ * process of the host may have used it.
+ */
+void RetryWindow_SetHosts(RetryWindow *this, size_t count, Micros known_from);
+
 /** RetryWindow_OnRequest() - count a request of a caller */
 void RetryWindow_OnRequest(RetryWindow *this);
 
--- a/tests/support/RetrySimulation.c
+++ b/tests/support/RetrySimulation.c
@@ -12,16 +12,18 @@
 #define OBJECTIVE_US (300 * MICROS_PER_MS)
 #define TIMEOUT_US (1000 * MICROS_PER_MS)
 #define HOST_DOWN_US (500 * MICROS_PER_MS)
-#define HOSTS_MAX 200
+#define HOSTS_MAX 1024
 #define HOST_STEP 7 /* to the next host that a caller tries */
 #define SERVICE_COUNT 2
 #define SECOND_SERVICE_RATIO 0.3
 #define RETRY_WINDOW_US (10 * MICROS_PER_S)
 #define RETRY_RATIO 0.2
-#define RETRY_EXTRA 64
 /* As in GatewayDaemon.c */
-#define RETRY_HOSTS_MAX 200
 #define RETRY_BOUND_RATIO 0.95
+#define FIXED_PART_HOSTS 200
+/* As in HostRoster.c: hosts know one that joins after this time. */
+#define LIST_INTERVAL_US (60 * MICROS_PER_S)
+#define KNOWN_DELAY_US (66 * MICROS_PER_S)
 #define UNLIMITED_SHARE 100.0
 
 typedef struct Simulation_ Simulation;
@@ -69,6 +71,9 @@
     RouteTable *routes;
     RetryRule *rules[SERVICE_COUNT];
     Host hosts[HOSTS_MAX];
+    unsigned host_count; /* with those that join */
+    Str ids[HOSTS_MAX];
+    GPtrArray *id_texts;
     GPtrArray *owned; /* Request, Attempt and Probe of the run */
 };
 
@@ -173,11 +178,10 @@
 static Host *
 choose_host(Simulation *sim)
 {
-    size_t first = Random_Below(sim->random, sim->options.host_count);
+    size_t first = Random_Below(sim->random, sim->host_count);
 
-    for (unsigned i = 0; i < sim->options.host_count; i++) {
-        Host *host =
-            &sim->hosts[(first + i * HOST_STEP) % sim->options.host_count];
+    for (unsigned i = 0; i < sim->host_count; i++) {
+        Host *host = &sim->hosts[(first + i * HOST_STEP) % sim->host_count];
 
         if (host->dispatcher != NULL) {
             return host;
@@ -396,7 +400,7 @@
     Simulation *sim = user;
     Micros now = Clock_Now(sim->clock);
 
-    for (unsigned i = 0; i < sim->options.host_count; i++) {
+    for (unsigned i = 0; i < sim->host_count; i++) {
         Host *host = &sim->hosts[i];
 
         if (host->dispatcher != NULL && host->paused_until <= now) {
@@ -409,12 +413,55 @@
 
 /* ---- lives of hosts -------------------------------------------------- */
 
+/* Returns the constant part that a host takes without regard to others. */
 static double
-extra_of_host(const Simulation *sim)
+own_extra(const Simulation *sim)
+{
+    switch (sim->options.fault) {
+    case RETRY_FAULT_WHOLE_EXTRA:
+        return sim->options.extra;
+    case RETRY_FAULT_FIXED_PART:
+        return sim->options.extra / FIXED_PART_HOSTS;
+    case RETRY_FAULT_PART_AT_ONCE:
+        return sim->options.extra * RETRY_BOUND_RATIO / sim->host_count;
+    case RETRY_FAULT_NONE:
+    case RETRY_FAULT_UNLIMITED:
+    case RETRY_FAULT_UNCOUNTED:
+        break;
+    }
+    return 0;
+}
+
+static bool
+has_joined(const Simulation *sim)
+{
+    return sim->options.join_count > 0 &&
+           Clock_Now(sim->clock) >= sim->options.join_time;
+}
+
+/* A host reads the list of hosts. */
+static void
+read_list(void *user, uint64_t index)
 {
-    return sim->options.fault == RETRY_FAULT_WHOLE_EXTRA
-               ? RETRY_EXTRA
-               : (double)RETRY_EXTRA / RETRY_HOSTS_MAX;
+    Simulation *sim = user;
+    Host *host = &sim->hosts[index];
+    bool joins = index >= sim->options.host_count;
+    size_t count = has_joined(sim) ? sim->host_count : sim->options.host_count;
+
+    if (host->dispatcher != NULL) {
+        Dispatcher_SetHosts(host->dispatcher, sim->ids, count,
+                            joins ? sim->options.join_time + KNOWN_DELAY_US
+                                  : 0);
+    }
+}
+
+static void
+read_list_again(void *user, uint64_t index)
+{
+    Simulation *sim = user;
+
+    read_list(sim, index);
+    EventQueue_Add(sim->events, LIST_INTERVAL_US, read_list_again, sim, index);
 }
 
 static void
@@ -442,7 +489,10 @@
         .retry_share = sim->options.fault == RETRY_FAULT_UNLIMITED
                            ? UNLIMITED_SHARE
                            : RETRY_RATIO * RETRY_BOUND_RATIO,
-        .retry_extra = extra_of_host(sim),
+        .retry_extra = own_extra(sim),
+        .retry_shared_extra = sim->options.fault == RETRY_FAULT_NONE
+                                  ? sim->options.extra * RETRY_BOUND_RATIO
+                                  : 0,
         .probes_per_s = 60,
     };
 
@@ -452,6 +502,17 @@
                                          NULL, NULL, sim->counters);
     Dispatcher_SetRoutes(host->dispatcher, sim->routes);
     put_upstreams(sim, host->dispatcher);
+    read_list(sim, index);
+}
+
+static void
+join_hosts(void *user, uint64_t argument)
+{
+    Simulation *sim = user;
+
+    for (unsigned i = sim->options.host_count; i < sim->host_count; i++) {
+        start_host(sim, i);
+    }
 }
 
 static void
@@ -471,7 +532,7 @@
 restart_host(void *user, uint64_t argument)
 {
     Simulation *sim = user;
-    size_t index = Random_Below(sim->random, sim->options.host_count);
+    size_t index = Random_Below(sim->random, sim->host_count);
 
     if (sim->hosts[index].dispatcher != NULL) {
         sim->result.restarts++;
@@ -487,8 +548,7 @@
 kill_hosts(void *user, uint64_t argument)
 {
     Simulation *sim = user;
-    unsigned count =
-        (unsigned)(sim->options.kill_ratio * sim->options.host_count);
+    unsigned count = (unsigned)(sim->options.kill_ratio * sim->host_count);
 
     for (unsigned i = 0; i < count; i++) {
         if (sim->hosts[i].dispatcher != NULL) {
@@ -504,8 +564,7 @@
 pause_host(void *user, uint64_t argument)
 {
     Simulation *sim = user;
-    Host *host =
-        &sim->hosts[Random_Below(sim->random, sim->options.host_count)];
+    Host *host = &sim->hosts[Random_Below(sim->random, sim->host_count)];
 
     host->paused_until =
         Clock_Now(sim->clock) +
@@ -555,25 +614,34 @@
 static Simulation *
 create_simulation(const RetryOptions *options)
 {
-    static const RetryRuleOptions limit = {RETRY_WINDOW_US, RETRY_RATIO,
-                                           RETRY_EXTRA};
+    RetryRuleOptions limit = {RETRY_WINDOW_US, RETRY_RATIO, options->extra};
     Simulation *sim = g_new0(Simulation, 1);
 
-    g_assert_cmpuint(options->host_count, <=, HOSTS_MAX);
     sim->options = *options;
+    sim->host_count = options->host_count + options->join_count;
+    g_assert_cmpuint(sim->host_count, <=, HOSTS_MAX);
     sim->clock = Clock_CreateManual(MICROS_PER_S, MICROS_PER_S);
     sim->random = Random_Create(options->seed);
     sim->counters = Counters_Create(100);
     sim->events = EventQueue_Create(sim->clock);
     sim->routes = create_routes(options);
     sim->owned = g_ptr_array_new_with_free_func(g_free);
+    sim->id_texts = g_ptr_array_new_with_free_func(g_free);
     for (unsigned i = 0; i < SERVICE_COUNT; i++) {
         sim->rules[i] = RetryRule_Create(&limit);
     }
-    for (unsigned i = 0; i < options->host_count; i++) {
+    for (unsigned i = 0; i < sim->host_count; i++) {
         sim->hosts[i].simulation = sim;
         sim->hosts[i].requests = g_hash_table_new(NULL, NULL);
+        g_ptr_array_add(sim->id_texts, g_strdup_printf("h-%u", i));
+        sim->ids[i] = Str_FromC(g_ptr_array_index(sim->id_texts, i));
+    }
+    for (unsigned i = 0; i < options->host_count; i++) {
         start_host(sim, i);
+        EventQueue_Add(
+            sim->events,
+            (Micros)Random_Below(sim->random, (uint64_t)LIST_INTERVAL_US),
+            read_list_again, sim, i);
     }
     return sim;
 }
@@ -581,7 +649,7 @@
 static void
 destroy_simulation(Simulation *sim)
 {
-    for (unsigned i = 0; i < sim->options.host_count; i++) {
+    for (unsigned i = 0; i < sim->host_count; i++) {
         if (sim->hosts[i].dispatcher != NULL) {
             stop_host(&sim->hosts[i]);
         }
@@ -593,6 +661,7 @@
     EventQueue_Destroy(sim->events);
     RouteTable_Unref(sim->routes);
     g_ptr_array_free(sim->owned, TRUE);
+    g_ptr_array_free(sim->id_texts, TRUE);
     Counters_Destroy(sim->counters);
     Random_Destroy(sim->random);
     Clock_Destroy(sim->clock);
@@ -627,6 +696,10 @@
     if (options->kill_time > 0) {
         EventQueue_Add(sim->events, options->kill_time, kill_hosts, sim, 0);
     }
+    if (options->join_count > 0) {
+        EventQueue_Add(sim->events, options->join_time - Clock_Now(sim->clock),
+                       join_hosts, sim, 0);
+    }
     if (options->pause_interval > 0) {
         EventQueue_Add(sim->events, options->pause_interval, pause_host, sim,
                        0);
--- a/tests/support/RetrySimulation.h
+++ b/tests/support/RetrySimulation.h
@@ -17,13 +17,16 @@
 /** enum RetryFault - faults that are planted in the hosts */
 typedef enum RetryFault_ {
     RETRY_FAULT_NONE,
-    RETRY_FAULT_UNLIMITED,   /* no limit on retries */
-    RETRY_FAULT_UNCOUNTED,   /* a broken connection resends without a count */
-    RETRY_FAULT_WHOLE_EXTRA, /* each host takes the whole constant part */
+    RETRY_FAULT_UNLIMITED,    /* no limit on retries */
+    RETRY_FAULT_UNCOUNTED,    /* a broken connection resends without a count */
+    RETRY_FAULT_WHOLE_EXTRA,  /* each host takes the whole constant part */
+    RETRY_FAULT_FIXED_PART,   /* each host takes a 200th of it */
+    RETRY_FAULT_PART_AT_ONCE, /* each process takes its part at its start */
 } RetryFault;
 
 /**
  * struct RetryOptions_ - a deployment and its load
+ * @extra: constant part of the platform's limit
  * @requests_per_s: of all callers, to two services
  * @attempts_max: sends of one request
  * @split: one route to both services instead of a route to each
@@ -35,6 +38,8 @@
  * @restart_interval: mean time between restarts of a host, 0 for none
  * @kill_time, @kill_ratio, @kill_down: when which fraction of the hosts is
  *     killed at once, and for how long; 0 for never
+ * @join_time, @join_count: when how many more hosts start, which the others
+ *     learn of when they read the list of hosts again; 0 for never
  * @pause_interval, @pause_time: mean time between pauses of a host, and longest
  *                               one; 0 for none
  * @delayed_ratio, @delay: fraction of the sends that arrive later, also after
@@ -43,6 +48,7 @@
 typedef struct RetryOptions_ {
     uint64_t seed;
     unsigned host_count, upstream_count;
+    double extra;
     Micros duration;
     double requests_per_s;
     uint32_t attempts_max;
@@ -55,6 +61,8 @@
     Micros kill_time;
     double kill_ratio;
     Micros kill_down;
+    Micros join_time;
+    unsigned join_count;
     Micros pause_interval, pause_time;
     double delayed_ratio;
     Micros delay;
--- a/tests/test_gateway_parts.c
+++ b/tests/test_gateway_parts.c
@@ -126,7 +126,8 @@
     RetryWindowOptions options = {
         .window = WINDOW_US, .share = 0.2, .extra = 3};
     Clock *clock = Clock_CreateManual(7 * MICROS_PER_S, 0);
-    RetryWindow *window = RetryWindow_Create(&options, clock);
+    RetryWindow *window =
+        RetryWindow_Create(&options, Clock_Now(clock), clock);
     Random *random = Random_Create(5);
     GArray *requests = g_array_new(FALSE, FALSE, sizeof(Micros));
     GArray *retries = g_array_new(FALSE, FALSE, sizeof(Micros));
@@ -186,7 +187,8 @@
     RetryWindowOptions options = {
         .window = WINDOW_US, .share = 0.2, .extra = 0.3};
     Clock *clock = Clock_CreateManual(7 * MICROS_PER_S, 0);
-    RetryWindow *window = RetryWindow_Create(&options, clock);
+    RetryWindow *window =
+        RetryWindow_Create(&options, Clock_Now(clock), clock);
 
     for (int i = 0; i < 100; i++) {
         RetryWindow_OnRequest(window);
@@ -211,7 +213,8 @@
     RetryWindowOptions options = {
         .window = WINDOW_US, .share = 0.2, .extra = 0.3};
     Clock *clock = Clock_CreateManual(7 * MICROS_PER_S, 0);
-    RetryWindow *window = RetryWindow_Create(&options, clock);
+    RetryWindow *window =
+        RetryWindow_Create(&options, Clock_Now(clock), clock);
 
     for (int i = 0; i < 15; i++) {
         RetryWindow_OnRequest(window);
--- a/tests/test_retry_window_runs.c
+++ b/tests/test_retry_window_runs.c
@@ -16,6 +16,7 @@
 static const RetryOptions deployment = {
     .host_count = 19,
     .upstream_count = 36,
+    .extra = 64,
     .duration = 40 * MICROS_PER_S,
     .requests_per_s = 243,
     .attempts_max = 2,
@@ -28,6 +29,7 @@
 static const RetryOptions killed_hosts = {
     .host_count = 19,
     .upstream_count = 36,
+    .extra = 64,
     .duration = 56 * MICROS_PER_S,
     .requests_per_s = 243,
     .attempts_max = 2,
@@ -39,6 +41,19 @@
     .kill_down = 2 * MICROS_PER_S,
 };
 
+/* The platform's bounds for hundreds of hosts, and fewer upstreams. */
+static const RetryOptions hundreds = {
+    .host_count = 472,
+    .upstream_count = 260,
+    .extra = 630,
+    .duration = 16 * MICROS_PER_S,
+    .requests_per_s = 1900,
+    .attempts_max = 2,
+    .fail_time = 40 * MICROS_PER_S,
+    .fail_ratio = 0.9,
+    .cause = RETRY_CAUSE_REJECTED,
+};
+
 /* Returns the sums over all seeds, and the worst window of all. */
 static RetryResult
 run_worst(RetryOptions options)
@@ -73,6 +88,20 @@
     g_assert_cmpfloat(run_worst(options).worst.used, <=, 1);
 }
 
+/* One seed, as these take long. */
+static RetryResult
+run_hundreds(RetryOptions options)
+{
+    RetryResult result;
+
+    options.seed = SEED;
+    result = RetrySimulation_Run(&options);
+    g_test_message("hosts=%u retries=%u requests=%u used=%.3f",
+                   options.host_count, result.worst.retries,
+                   result.worst.requests, result.worst.used);
+    return result;
+}
+
 static void
 test_failures(void)
 {
@@ -185,6 +214,53 @@
     assert_kept(options);
 }
 
+/* Guards against a constant part that grows with the number of hosts. */
+static void
+test_hundreds_of_hosts(void)
+{
+    RetryOptions options = hundreds;
+    double used = run_hundreds(options).worst.used;
+
+    g_assert_cmpfloat(used, <=, 1);
+    g_assert_cmpfloat(used, >=, USED_RATIO_MIN);
+    options.host_count = 1000;
+    g_assert_cmpfloat(run_hundreds(options).worst.used, <=, 1);
+}
+
+/* Guards against hosts that join and take a part before the others have made
+ * room for it. */
+static void
+test_joining_hosts(void)
+{
+    RetryOptions options = hundreds;
+
+    options.join_time = 4 * MICROS_PER_S;
+    options.join_count = 260;
+    g_assert_cmpfloat(run_hundreds(options).worst.used, <=, 1);
+}
+
+/* Guards against a process that takes the part of the one before it again. */
+static void
+test_restarts_of_hundreds(void)
+{
+    RetryOptions options = hundreds;
+
+    options.restart_interval = 10 * MICROS_PER_MS;
+    g_assert_cmpfloat(run_hundreds(options).worst.used, <=, 1);
+}
+
+static void
+test_planted_faults_of_hundreds(void)
+{
+    RetryOptions options = hundreds;
+
+    options.fault = RETRY_FAULT_FIXED_PART;
+    g_assert_cmpfloat(run_hundreds(options).worst.used, >, 1);
+    options.fault = RETRY_FAULT_PART_AT_ONCE;
+    options.restart_interval = 10 * MICROS_PER_MS;
+    g_assert_cmpfloat(run_hundreds(options).worst.used, >, 1);
+}
+
 /* Guards against a test that passes because it counts nothing. */
 static void
 test_planted_faults(void)
@@ -214,5 +290,11 @@
                     test_killed_hosts_of_many);
     g_test_add_func("/retry-window/bursts", test_bursts);
     g_test_add_func("/retry-window/planted-faults", test_planted_faults);
+    g_test_add_func("/retry-window/hundreds-of-hosts", test_hundreds_of_hosts);
+    g_test_add_func("/retry-window/joining-hosts", test_joining_hosts);
+    g_test_add_func("/retry-window/restarts-of-hundreds",
+                    test_restarts_of_hundreds);
+    g_test_add_func("/retry-window/planted-faults-of-hundreds",
+                    test_planted_faults_of_hundreds);
     return g_test_run();
 }
