tests: no calls in assertions of test_retry_window_runs

Cause: the linter warns of calls with effects in assertions. Change: results are kept in variables; the checks are the same.

--- a/tests/test_retry_window_runs.c
+++ b/tests/test_retry_window_runs.c
@@ -224,7 +224,8 @@
     g_assert_cmpfloat(used, <=, 1);
     g_assert_cmpfloat(used, >=, USED_RATIO_MIN);
     options.host_count = 1000;
-    g_assert_cmpfloat(run_hundreds(options).worst.used, <=, 1);
+    used = run_hundreds(options).worst.used;
+    g_assert_cmpfloat(used, <=, 1);
 }
 
 /* Guards against hosts that join and take a part before the others have made
@@ -233,10 +234,12 @@
 test_joining_hosts(void)
 {
     RetryOptions options = hundreds;
+    RetryResult result;
 
     options.join_time = 4 * MICROS_PER_S;
     options.join_count = 260;
-    g_assert_cmpfloat(run_hundreds(options).worst.used, <=, 1);
+    result = run_hundreds(options);
+    g_assert_cmpfloat(result.worst.used, <=, 1);
 }
 
 /* Guards against a process that takes the part of the one before it again. */
@@ -244,21 +247,26 @@
 test_restarts_of_hundreds(void)
 {
     RetryOptions options = hundreds;
+    RetryResult result;
 
     options.restart_interval = 10 * MICROS_PER_MS;
-    g_assert_cmpfloat(run_hundreds(options).worst.used, <=, 1);
+    result = run_hundreds(options);
+    g_assert_cmpfloat(result.worst.used, <=, 1);
 }
 
 static void
 test_planted_faults_of_hundreds(void)
 {
     RetryOptions options = hundreds;
+    RetryResult result;
 
     options.fault = RETRY_FAULT_FIXED_PART;
-    g_assert_cmpfloat(run_hundreds(options).worst.used, >, 1);
+    result = run_hundreds(options);
+    g_assert_cmpfloat(result.worst.used, >, 1);
     options.fault = RETRY_FAULT_PART_AT_ONCE;
     options.restart_interval = 10 * MICROS_PER_MS;
-    g_assert_cmpfloat(run_hundreds(options).worst.used, >, 1);
+    result = run_hundreds(options);
+    g_assert_cmpfloat(result.worst.used, >, 1);
 }
 
 /* Guards against a test that passes because it counts nothing. */
