--- a/packages/agatecrankd/GatewayDaemon.c
+++ b/packages/agatecrankd/GatewayDaemon.c
@@ -295,14 +295,6 @@
     return HttpServer_Create(this->loop, &options, handlers, this, error);
 }
 
-static void
-on_direct_change(void *user, bool direct)
-{
-    GatewayDaemon *this = user;
-
-    KeyedRelay_SetDirect(this->relay, direct);
-}
-
 static void
 on_hosts(void *user, const Str *ids, size_t count, Micros known_from)
 {
@@ -334,12 +326,32 @@
     g_array_free(peers, TRUE);
 }
 
+/* The relay listens before there is a source. */
+static void
+serve_hosts(void *user, Micros age_max, KeyedPageHandler *handler,
+            void *handler_user)
+{
+    GatewayDaemon *this = user;
+    KeyedPage page = {.code = ERR_UNAVAILABLE};
+
+    if (this->source == NULL) {
+        handler(handler_user, &page);
+        return;
+    }
+    KeyedSource_ServeHosts(this->source, age_max, handler, handler_user);
+}
+
 static void
-on_relay_request(void *user)
+register_for(void *user, Str host, Str value, KeyedAppendHandler *handler,
+             void *handler_user)
 {
     GatewayDaemon *this = user;
 
-    KeyedSource_OnRelayRequest(this->source);
+    if (this->source == NULL) {
+        handler(handler_user, ERR_UNAVAILABLE);
+        return;
+    }
+    KeyedSource_RegisterFor(this->source, host, value, handler, handler_user);
 }
 
 static int
@@ -349,27 +361,30 @@
     KeyedRelayOptions relay = {
         .address = settings->relay.address,
         .port = settings->relay.port,
-        .on_relay_request = on_relay_request,
+        .serve_hosts = serve_hosts,
+        .register_for = register_for,
         .user = this,
     };
     KeyedSourceOptions source = {
         .host = settings->host_id,
-        .domain = settings->domain,
-        .relay = settings->relay,
+        .entry = {.domain = settings->domain,
+                  .region = settings->region,
+                  .link_mbps = settings->link_mbps,
+                  .relay = settings->relay,
+                  .forward_port = Gateway_ForwardPort(this->gateway)},
+        .seeds = settings->seeds,
+        .seed_count = settings->seed_count,
         .first_start = settings->first_start,
-        .on_direct = on_direct_change,
         .on_hosts = on_hosts,
         .on_entries = on_entries,
-        .forward_port = Gateway_ForwardPort(this->gateway),
         .user = this,
     };
 
-    memcpy(source.key, HostKeys_PublicKey(this->keys), HOST_KEY_BYTES);
+    memcpy(source.entry.key, HostKeys_PublicKey(this->keys), HOST_KEY_BYTES);
     this->relay = KeyedRelay_Create(this->loop, &relay, error);
     if (this->relay == NULL) {
         return ERR_IO;
     }
-    KeyedRelay_SetDirect(this->relay, true);
     this->source = KeyedSource_Create(this->loop, StoreClient_Log(this->store),
                                       &source, this->log);
     /* Created first, so that its snapshot is requested before the routes,
--- a/packages/gateway/GatewaySettings.c
+++ b/packages/gateway/GatewaySettings.c
@@ -14,6 +14,8 @@
 #define RETRY_WINDOW_DEFAULT_US (10 * MICROS_PER_S)
 #define RETRY_SHARE_DEFAULT_RATIO 0.2
 
+#define LINK_MAX_MBPS 1000000
+
 #define FIELDS_END                                                            \
     {                                                                         \
         NULL, 0, 0, false, 0, 0, NULL                                         \
@@ -27,6 +29,8 @@
     Str relay;
     Str forward;
     Str store;
+    StrList seeds;
+    double link_mbps;
     bool first_start;
 } GatewayTable;
 
@@ -38,6 +42,8 @@
     {"id", FIELD_NAME, offsetof(GatewaySettings, host_id), true, 0, 0, NULL},
     {"domain", FIELD_NAME, offsetof(GatewaySettings, domain), true, 0, 0,
      NULL},
+    {"region", FIELD_NAME, offsetof(GatewaySettings, region), false, 0, 0,
+     NULL},
     FIELDS_END,
 };
 
@@ -50,6 +56,10 @@
     {"forward", FIELD_TEXT, offsetof(GatewayTable, forward), false, 0, 0,
      NULL},
     {"store", FIELD_TEXT, offsetof(GatewayTable, store), true, 0, 0, NULL},
+    {"seeds", FIELD_ENDPOINTS, offsetof(GatewayTable, seeds), false, 0, 0,
+     NULL},
+    {"link_mbps", FIELD_REAL, offsetof(GatewayTable, link_mbps), false, 0,
+     LINK_MAX_MBPS, NULL},
     {"first_start", FIELD_BOOL, offsetof(GatewayTable, first_start), false, 0,
      0, NULL},
     FIELDS_END,
@@ -152,13 +162,29 @@
     }
 }
 
+/* Relays of all hosts listen on the same port, and the platform may name
+ * another one of the seeds. */
+static void
+read_seeds(GatewaySettings *this, const StrList *addresses)
+{
+    Endpoint *seeds =
+        Arena_Alloc(this->arena, addresses->count * sizeof(Endpoint));
+
+    for (size_t i = 0; i < addresses->count; i++) {
+        if (Endpoint_Parse(addresses->items[i], &seeds[this->seed_count]) ==
+            0) {
+            seeds[this->seed_count++].port = this->relay.port;
+        }
+    }
+    this->seeds = seeds;
+}
+
 static void
 read_document(GatewaySettings *this, const TomlNode *root,
               GatewayBoundsReader *read_bounds, Diagnostics *diagnostics)
 {
     const TomlNode *gateway = Toml_Find(root, STR("gateway"));
-    GatewayTable table = {{NULL, 0}, {NULL, 0}, {NULL, 0}, {NULL, 0},
-                          {NULL, 0}, {NULL, 0}, false};
+    GatewayTable table = {.first_start = false};
 
     check_tables(root, diagnostics);
     Fields_Read(host_fields, Toml_Find(root, STR("host")), STR("host"), this,
@@ -168,6 +194,7 @@
     Fields_Read(logging_fields, Toml_Find(root, STR("logging")),
                 STR("logging"), this, this->arena, diagnostics);
     this->first_start = table.first_start;
+    this->link_mbps = (uint32_t)table.link_mbps;
     read_address(gateway, "callers", table.callers, &this->callers,
                  diagnostics);
     read_address(gateway, "readiness", table.readiness, &this->readiness,
@@ -177,6 +204,7 @@
     read_address(gateway, "relay", table.relay, &this->relay, diagnostics);
     read_forward(this, gateway, table.forward, diagnostics);
     read_address(gateway, "store", table.store, &this->store, diagnostics);
+    read_seeds(this, &table.seeds);
     read_bounds(Toml_Find(root, STR("bounds")), &this->bounds, diagnostics);
 }
 
--- a/packages/gateway/GatewaySettings.h
+++ b/packages/gateway/GatewaySettings.h
@@ -28,11 +28,15 @@
 /**
  * struct GatewaySettings_ - settings of a gateway host
  * @host_id, @domain: name and failure domain of this host
+ * @region: region of the failure domain; empty if there is only one
+ * @link_mbps: capacity of the network link of this host; 0 if it is not known
  * @callers, @readiness, @metrics: addresses to listen on
  * @relay: address on which other hosts read the store through this one
  * @forward: address on which other hosts send requests to be executed here; port
  *           0 for none
  * @store: address of the platform's store
+ * @seeds, @seed_count: addresses of the relays of hosts that may be running when
+ *                      the deployment starts
  * @first_start: the whole deployment starts for the first time
  * @log_level: a LogLevel
  * @decision_lines_per_s: limit on routine log lines
@@ -42,12 +46,16 @@
 typedef struct GatewaySettings_ {
     Str host_id;
     Str domain;
+    Str region;
+    uint32_t link_mbps;
     Endpoint callers;
     Endpoint readiness;
     Endpoint metrics;
     Endpoint relay;
     Endpoint forward;
     Endpoint store;
+    const Endpoint *seeds;
+    size_t seed_count;
     bool first_start;
     uint32_t log_level;
     uint32_t decision_lines_per_s;
--- a/packages/net/HostKeys.c
+++ b/packages/net/HostKeys.c
@@ -7,7 +7,7 @@
 #include <openssl/params.h>
 #include <string.h>
 
-#define PEERS_MAX 512
+#define PEERS_MAX 4096
 #define UNLISTED_MAX 1024
 /* Bounds the processor time that claims of unknown processes cost. */
 #define UNLISTED_MAX_PER_S 20
--- a/packages/net/HttpServer.c
+++ b/packages/net/HttpServer.c
@@ -885,6 +885,13 @@
     return this->headers;
 }
 
+bool
+HttpRequest_IsFrom(const HttpRequest *this, const char *address)
+{
+    return this->connection->socket != NULL &&
+           Socket_IsFrom(this->connection->socket, address);
+}
+
 Str
 HttpRequest_CertificateName(const HttpRequest *this)
 {
--- a/packages/net/HttpServer.h
+++ b/packages/net/HttpServer.h
@@ -143,6 +143,9 @@
  */
 Str HttpRequest_CertificateName(const HttpRequest *this);
 
+/** HttpRequest_IsFrom() - whether the caller has this IPv4 address */
+bool HttpRequest_IsFrom(const HttpRequest *this, const char *address);
+
 /**
  * HttpRequest_ContentLength() - length of the body in bytes
  *
--- a/packages/net/KeyedCodec.c
+++ b/packages/net/KeyedCodec.c
@@ -1,11 +1,17 @@
 #include "KeyedCodec.h"
 
+#include <string.h>
+#include <zlib.h>
+
 #include "BigEndian.h"
 
 /* Value length that marks a removed key. */
 #define REMOVED_LENGTH UINT32_MAX
 #define END_BYTES 8
 #define RECORD_HEADER_BYTES 16
+/* Shorter texts take one packet or two. */
+#define DEFLATE_BYTES_MIN 2048
+#define INFLATE_CHUNK_BYTES 65536
 
 void
 KeyedCodec_Write(uint64_t end, const GArray *records, GString *out)
@@ -25,6 +31,53 @@
     }
 }
 
+GString *
+KeyedCodec_Deflate(const GString *text)
+{
+    uLongf length = compressBound(text->len);
+    GString *out;
+
+    if (text->len < DEFLATE_BYTES_MIN) {
+        return NULL;
+    }
+    out = g_string_sized_new(length);
+    if (compress2((Bytef *)out->str, &length, (const Bytef *)text->str,
+                  text->len, Z_BEST_SPEED) != Z_OK) {
+        g_string_free(out, TRUE);
+        return NULL;
+    }
+    return g_string_set_size(out, length);
+}
+
+GString *
+KeyedCodec_Inflate(Str text, size_t bytes_max)
+{
+    GString *out = g_string_new(NULL);
+    z_stream stream = {.next_in = (Bytef *)text.data,
+                       .avail_in = (uInt)text.length};
+    int code = inflateInit(&stream);
+
+    while (code == Z_OK && out->len < bytes_max) {
+        size_t before = out->len;
+        size_t room = MIN(INFLATE_CHUNK_BYTES, bytes_max - before);
+
+        g_string_set_size(out, before + room);
+        stream.next_out = (Bytef *)out->str + before;
+        stream.avail_out = (uInt)room;
+        code = inflate(&stream, Z_NO_FLUSH);
+        g_string_set_size(out, before + room - stream.avail_out);
+        if (code == Z_OK && out->len == before) {
+            code = Z_DATA_ERROR; /* the text ends early */
+        }
+    }
+    inflateEnd(&stream);
+    if (code != Z_STREAM_END || stream.avail_in > 0) {
+        g_string_free(out, TRUE);
+        return NULL;
+    }
+    return out;
+}
+
 static void
 skip(Str *text, size_t bytes)
 {
--- a/packages/net/KeyedFollower.c
+++ b/packages/net/KeyedFollower.c
@@ -286,7 +286,7 @@
         return;
     }
     set_reachable(this, true, 0);
-    this->last_read_at = Clock_Now(this->clock);
+    this->last_read_at = Clock_Now(this->clock) - page->age;
     if (was_tail) {
         apply_tail(this, page);
     }
@@ -370,6 +370,12 @@
     return this->era_known ? this->era : KEYED_ERA_UNKNOWN;
 }
 
+bool
+KeyedFollower_IsReachable(const KeyedFollower *this)
+{
+    return this->reachable;
+}
+
 bool
 KeyedFollower_IsRestored(const KeyedFollower *this)
 {
--- a/packages/net/KeyedFollower.h
+++ b/packages/net/KeyedFollower.h
@@ -91,8 +91,11 @@
  */
 bool KeyedFollower_IsRestored(const KeyedFollower *this);
 
+/** KeyedFollower_IsReachable() - whether the last read has succeeded */
+bool KeyedFollower_IsReachable(const KeyedFollower *this);
+
 /**
- * KeyedFollower_Age() - time since the last successful read
+ * KeyedFollower_Age() - time for which the copy may be out of date
  *
  * Return: -1 while the log is unreachable or a snapshot is being read.
  */
--- a/packages/net/KeyedLog.h
+++ b/packages/net/KeyedLog.h
@@ -34,6 +34,8 @@
  *       if @code is 0 or ERR_EXPIRED. Records that the copy lacks are lost, and
  *       their offsets are given out again: offsets of different eras are
  *       unrelated
+ * @age: time for which the page may have been out of date when it was received,
+ *       because another host has read it
  */
 typedef struct KeyedPage_ {
     int code;
@@ -42,6 +44,7 @@
     bool more;
     uint64_t end;
     uint64_t era;
+    Micros age;
 } KeyedPage;
 
 /** typedef KeyedPageHandler - result of a read */
--- a/packages/net/KeyedMirror.c
+++ b/packages/net/KeyedMirror.c
@@ -133,10 +133,16 @@
     };
 }
 
+bool
+KeyedMirror_Has(const KeyedMirror *this, uint64_t from)
+{
+    return from >= this->tail_start && from <= this->end;
+}
+
 int
 KeyedMirror_Tail(const KeyedMirror *this, uint64_t from, GArray *records)
 {
-    if (from < this->tail_start || from > this->end) {
+    if (!KeyedMirror_Has(this, from)) {
         return ERR_EXPIRED;
     }
     for (GList *link = this->tail->head; link != NULL; link = link->next) {
--- a/packages/net/KeyedMirror.h
+++ b/packages/net/KeyedMirror.h
@@ -38,6 +38,9 @@
 /** KeyedMirror_End() - offset of the next record of the topic */
 uint64_t KeyedMirror_End(const KeyedMirror *this);
 
+/** KeyedMirror_Has() - whether the tail reaches back to offset @from */
+bool KeyedMirror_Has(const KeyedMirror *this, uint64_t from);
+
 /**
  * KeyedMirror_Tail() - records from offset @from on
  * @records: array of KeyedRecord to append to; valid until the next change
--- a/packages/net/KeyedRelay.h
+++ b/packages/net/KeyedRelay.h
@@ -7,22 +7,26 @@
 /**
  * typedef KeyedRelay - serves the topics that this host reads to other hosts
  *
- * Each call to the log is charged, so the hosts of a failure domain read it
- * through one of them, the relay. A relay serves reads only while it reads the
- * log itself and its last read is recent; otherwise it responds with status
- * 503 and the other host reads the log itself.
+ * Each call to the log is charged, so hosts read it through others
+ * (KeyedSource). A relay serves reads only while its copy is recent, however
+ * many hosts it has come over, and tells its age; otherwise it responds with
+ * status 503 and KEYED_STATE_FIELD, and the other host reads elsewhere.
  */
 typedef struct KeyedRelay_ KeyedRelay;
 
 /**
  * struct KeyedRelayOptions_ - settings
  * @address, @port: where to listen for other hosts
- * @on_relay_request: called at each read by another host
+ * @serve_hosts: hand on the list of hosts, see HostList_Serve()
+ * @register_for: write the entry of another host
  */
 typedef struct KeyedRelayOptions_ {
     const char *address;
     uint16_t port;
-    void (*on_relay_request)(void *user);
+    void (*serve_hosts)(void *user, Micros age_max, KeyedPageHandler *handler,
+                        void *handler_user);
+    void (*register_for)(void *user, Str host, Str value,
+                         KeyedAppendHandler *handler, void *handler_user);
     void *user;
 } KeyedRelayOptions;
 
@@ -48,9 +52,6 @@
 void KeyedRelay_Add(KeyedRelay *this, Str topic, KeyedFollower *follower,
                     Micros age_max);
 
-/** KeyedRelay_SetDirect() - set whether this host reads the log itself */
-void KeyedRelay_SetDirect(KeyedRelay *this, bool direct);
-
 /** KeyedRelay_Notify() - respond to waiting reads that have new records */
 void KeyedRelay_Notify(KeyedRelay *this);
 
--- a/packages/net/KeyedSource.c
+++ b/packages/net/KeyedSource.c
@@ -3,91 +3,81 @@
 #include <glib.h>
 #include <string.h>
 
-#include "HostRoster.h"
+#include "AppendBatch.h"
 #include "HttpFetch.h"
 #include "KeyedCodec.h"
-#include "RefreshLimit.h"
+#include "RelayTree.h"
 
-/* Number of hosts of a domain, the first by id, that the others try as relays.
- * A relay reads the log directly while other hosts read through it. */
-#define RELAYS_MAX 2
-#define HOSTS_TOPIC "keyed.agatecrank-hosts"
 /* Longest duration of a long poll, whatever the follower asks for. A read may
  * miss a record that is written at the same time, and a connection may have
  * become silent. */
 #define DIRECT_WAIT_MAX_US (2 * MICROS_PER_S)
+/* Part of it for a host that others read through. With the waits and pauses
+ * below it, what they get is young enough to be served. */
+#define RELAY_DIRECT_WAIT_RATIO 0.4
+/* Waits of a relay that reads through a root, and of a host that reads through
+ * a relay. */
+#define ROOT_WAIT_US (200 * MICROS_PER_MS)
 #define RELAY_WAIT_US (400 * MICROS_PER_MS)
+/* Longest wait for a relay that has started and has not read the log yet. */
+#define START_WAIT_US (400 * MICROS_PER_MS)
 #define RELAY_TIMEOUT_US (250 * MICROS_PER_MS)
 #define RELAY_CONNECT_TIMEOUT_US (150 * MICROS_PER_MS)
-/* Time for which a relay without a valid response is ejected. */
+/* Time for which a relay without a valid response is ejected, doubled with each
+ * timeout in a row. */
 #define RELAY_EJECTION_TIME_US (1 * MICROS_PER_S)
-/* While the log is unreachable, hosts other than the preferred relay call it
- * only at this interval, because calls of all hosts at the rate of the relays
- * would be needless load. */
+#define RELAY_EJECTION_DOUBLINGS_MAX 3
+/* A host that starts waits this long for relays that start, too. */
+#define START_PATIENCE_US (400 * MICROS_PER_MS)
+#define START_RETRY_US (50 * MICROS_PER_MS)
+/* While the log is unreachable, it is called only at this interval. Hosts whose
+ * relays say that it is share a rate of calls. */
 #define LOG_RETRY_INTERVAL_US (900 * MICROS_PER_MS)
-/* A host reads the log directly for this long after another host has read
- * through it. */
-#define RELAY_ACTIVE_TIME_US (5 * MICROS_PER_S)
-/* Delay between the registration of this host and the next read of the list,
- * which then contains all hosts that started at the same time. */
-#define LIST_REREAD_DELAY_US (900 * MICROS_PER_MS)
-/* Least time between a reading of the list and one that is brought forward. */
-#define LIST_REFRESH_DELAY_US (1 * MICROS_PER_S)
-#define LIST_RETRY_DELAY_US (3 * MICROS_PER_S)
-/* Time over which hosts write their entries again that the log has lost. */
-#define REREGISTER_SPREAD_MIN_US (2 * MICROS_PER_S)
-#define REREGISTER_SPREAD_PER_HOST_US (20 * MICROS_PER_MS)
-/* Entries of hosts that are gone are removed in batches of this size. */
-#define REMOVALS_MAX 32
+#define LOG_RETRY_PER_HOST_US (15 * MICROS_PER_MS)
+/* What relays say holds for this long. */
+#define LOST_TIME_US (2 * MICROS_PER_S)
 #define LOG_CALL_TIMEOUT_US (1 * MICROS_PER_S)
 /* A relay sends a whole topic at once. */
 #define RESPONSE_BYTES_MAX (8 * 1024 * 1024)
 
-/* Another host of the same domain. */
+/* Another host that this one reads through. */
 typedef struct Peer_ {
     char *id;
+    Endpoint address;
     HttpFetch *fetch;
     Micros ejected_until;
+    Micros refused_at; /* last refusal that came at once, -1 for none */
+    unsigned timeouts; /* in a row */
+    unsigned references;
 } Peer;
 
+typedef struct Registration_ Registration;
+
 struct KeyedSource_ {
     Loop *loop;
     const KeyedLog *keyed_log;
     const Clock *clock;
     EventLog *log;
     KeyedSourceOptions options;
-    char *own_id;
     KeyedLog interface;
-    HostRoster *roster;
-    GHashTable *entries;       /* Listed by its id */
-    GPtrArray *peers;          /* Peer, ordered by id */
-    GPtrArray *unlisted_peers; /* Peer of the previous list */
-    GPtrArray *listed_peers;   /* Peer of the list being read, or NULL */
-    size_t listed_count;       /* entries of that list so far */
-    LoopTimer *list_timer;
-    Micros list_due;         /* when list_timer runs out */
-    Micros list_read_at;     /* begin of the last reading */
-    RefreshLimit *refreshes; /* readings that are brought forward */
+    HostList *list;
+    AppendBatch *batch;                 /* entries of other hosts */
+    Registration *waiting_registration; /* for its timer, or NULL */
+    RelayLevel level;
+    GPtrArray *parents; /* Peer, the preferred one first */
+    GPtrArray *seeds;   /* Peer */
+    Micros started;
     GQueue *queued_reads;    /* Read that waits for the list */
-    GQueue *rejected_reads;  /* Read to fail with ERR_LIMIT */
-    Micros relay_request_at; /* last relay request, -1 for none */
+    GQueue *postponed_reads; /* Read that waits for its timer */
     Micros log_failed_at;    /* time of the last read, -1 if it succeeded */
+    Micros lost_heard_at;    /* a relay has no access to the log, or -1 */
+    Micros lost_retry_at;    /* next call of the log while none has */
     uint64_t log_calls;
     uint64_t era;        /* of the last page that was delivered */
-    bool list_reading;   /* a read of the list is in flight */
-    bool list_attempted; /* a read of the list has ended */
-    bool list_read;      /* a read of the list has succeeded */
-    bool registered;     /* the list contains this host */
+    bool list_attempted; /* a reading of the list has ended */
     bool direct;         /* reads go to the log, not to a relay */
 };
 
-/* The newest entry of a host. */
-typedef struct Listed_ {
-    GString *id;
-    GString *domain;
-    RosterEntry entry;
-} Listed;
-
 /* A pending read. @relay is NULL for a direct read. */
 typedef struct Read_ {
     KeyedSource *source;
@@ -97,87 +87,135 @@
     uint64_t from;
     Micros wait;
     Micros timeout;
-    LoopTimer *rejection;
+    Micros age_max; /* of the list of hosts, -1 for other topics */
+    Micros sent_at;
+    LoopTimer *timer;
     bool newest;
+    bool timed_out; /* at a relay */
     KeyedPageHandler *handler;
     void *user;
 } Read;
 
+/* The pending registration of this host. */
+struct Registration_ {
+    KeyedSource *source;
+    Peer *relay;
+    GString *host;
+    GString *value;
+    LoopTimer *timer;
+    KeyedAppendHandler *handler;
+    void *user;
+};
+
+static Micros
+now(const KeyedSource *this)
+{
+    return Clock_Now(this->clock);
+}
+
+/* ---- peers ---------------------------------------------------------- */
+
+static Peer *
+create_peer(Loop *loop, Str id, const Endpoint *address)
+{
+    HttpClientOptions options = {.connect_timeout = RELAY_CONNECT_TIMEOUT_US};
+    Peer *peer = g_new0(Peer, 1);
+    char *url =
+        g_strdup_printf("http://%s:%u", address->address, address->port);
+
+    peer->id = g_strndup(id.data, id.length);
+    peer->address = *address;
+    peer->fetch = HttpFetch_Create(loop, Str_FromC(url), RESPONSE_BYTES_MAX,
+                                   &options, NULL);
+    peer->refused_at = -1;
+    peer->references = 1;
+    g_free(url);
+    return peer;
+}
+
 static void
-destroy_peer(gpointer data)
+unref_peer(gpointer data)
 {
     Peer *peer = data;
 
+    if (peer == NULL || --peer->references > 0) {
+        return;
+    }
     HttpFetch_Destroy(peer->fetch);
     g_free(peer->id);
     g_free(peer);
 }
 
-static void
-destroy_listed(gpointer data)
+static Peer *
+ref_peer(Peer *peer)
 {
-    Listed *listed = data;
-
-    g_string_free(listed->id, TRUE);
-    g_string_free(listed->domain, TRUE);
-    g_free(listed);
+    if (peer != NULL) {
+        peer->references++;
+    }
+    return peer;
 }
 
-static Micros
-now(const KeyedSource *this)
+static bool
+is_same_address(const Endpoint *a, const Endpoint *b)
 {
-    return Clock_Now(this->clock);
+    return a->port == b->port && strcmp(a->address, b->address) == 0;
 }
 
-static void
-schedule_list_at(KeyedSource *this, Micros due)
+/* Returns a reference to the peer of a host, the one in use if there is one. */
+static Peer *
+peer_of(const KeyedSource *this, const ListedHost *host)
 {
-    this->list_due = due;
-    LoopTimer_Start(this->list_timer, MAX(due - now(this), 1));
-}
+    for (guint i = 0; i < this->parents->len; i++) {
+        Peer *peer = g_ptr_array_index(this->parents, i);
 
-static void
-schedule_list(KeyedSource *this, Micros delay)
-{
-    schedule_list_at(this, now(this) + delay);
+        if (Str_Equal(Str_FromC(peer->id), host->id) &&
+            is_same_address(&peer->address, &host->entry.relay)) {
+            return ref_peer(peer);
+        }
+    }
+    return create_peer(this->loop, host->id, &host->entry.relay);
 }
 
-/* Returns when the list can be read, -1 if that is no sooner than planned. */
-static Micros
-earlier_reading(const KeyedSource *this)
+/* Returns the first relay that can be used, NULL if there is none. */
+static Peer *
+choose_relay(const KeyedSource *this)
 {
-    Micros due = MAX(this->list_read_at + LIST_REFRESH_DELAY_US, now(this));
+    for (guint i = 0; i < this->parents->len; i++) {
+        Peer *peer = g_ptr_array_index(this->parents, i);
 
-    return !this->list_reading && due < this->list_due ? due : -1;
+        if (peer->ejected_until <= now(this)) {
+            return peer;
+        }
+    }
+    return NULL;
 }
 
-/* Returns whether this host is the relay if all hosts are reachable. */
 static bool
-is_preferred_relay(const KeyedSource *this)
+is_starting(const KeyedSource *this)
 {
-    const Peer *first =
-        this->peers->len > 0 ? g_ptr_array_index(this->peers, 0) : NULL;
-
-    return first != NULL && g_strcmp0(this->own_id, first->id) < 0;
+    return now(this) - this->started < START_PATIENCE_US;
 }
 
-/* Returns the relay to read through, NULL to read the log directly. */
-static Peer *
-choose_relay(const KeyedSource *this)
+/* Returns whether a relay seems to start, too. */
+static bool
+expects_relay(const KeyedSource *this)
 {
-    if (is_preferred_relay(this) ||
-        (this->relay_request_at >= 0 &&
-         now(this) - this->relay_request_at < RELAY_ACTIVE_TIME_US)) {
-        return NULL;
+    if (!is_starting(this) || this->level == RELAY_LEVEL_ROOT) {
+        return false;
     }
-    for (guint i = 0; i < MIN(this->peers->len, RELAYS_MAX); i++) {
-        Peer *peer = g_ptr_array_index(this->peers, i);
-
-        if (peer->ejected_until <= now(this)) {
-            return g_strcmp0(this->own_id, peer->id) < 0 ? NULL : peer;
+    for (guint i = 0; i < this->parents->len; i++) {
+        if (((Peer *)g_ptr_array_index(this->parents, i))->refused_at >= 0) {
+            return true;
         }
     }
-    return NULL;
+    return false;
+}
+
+/* Hosts wait for the roots, so these do not wait for each other. */
+static bool
+is_starting_root(const KeyedSource *this)
+{
+    return is_starting(this) && this->level == RELAY_LEVEL_ROOT;
 }
 
 static void
@@ -191,10 +229,9 @@
     this->direct = direct;
     if (EventLog_Begin(this->log, LOG_LEVEL_INFO, "store-path")) {
         EventLog_CStr(this->log, "through", direct ? "none" : peer->id);
-        EventLog_Int(this->log, "peers", this->peers->len);
+        EventLog_Int(this->log, "peers", this->parents->len);
         EventLog_End(this->log);
     }
-    this->options.on_direct(this->options.user, direct);
 }
 
 /* ---- reads ---------------------------------------------------------- */
@@ -204,24 +241,41 @@
 {
     Read *read = data;
 
-    LoopTimer_Destroy(read->rejection);
+    LoopTimer_Destroy(read->timer);
+    unref_peer(read->relay);
     g_string_free(read->topic, TRUE);
     g_string_free(read->after, TRUE);
     g_free(read);
 }
 
-/* Relays of earlier versions do not tell the era. */
+/* Returns @missing if the response does not have the number. */
 static uint64_t
-era_of_relay(const HttpFetchResponse *response)
+number_field(const HttpFetchResponse *response, const char *name,
+             uint64_t missing)
 {
-    uint64_t era;
+    uint64_t number;
 
     return response->headers != NULL &&
                    Str_ParseU64(
-                       HeaderList_Get(response->headers, STR(KEYED_ERA_FIELD)),
-                       &era) == 0
-               ? era
-               : KEYED_ERA_UNKNOWN;
+                       HeaderList_Get(response->headers, Str_FromC(name)),
+                       &number) == 0
+               ? number
+               : missing;
+}
+
+/* Relays of earlier versions do not tell the era. */
+static uint64_t
+era_of_relay(const HttpFetchResponse *response)
+{
+    return number_field(response, KEYED_ERA_FIELD, KEYED_ERA_UNKNOWN);
+}
+
+static bool
+has_state(const HttpFetchResponse *response, const char *state)
+{
+    return response->code == 0 && response->status == 503 &&
+           Str_Equal(HeaderList_Get(response->headers, STR(KEYED_STATE_FIELD)),
+                     Str_FromC(state));
 }
 
 static void
@@ -242,6 +296,7 @@
     }
 }
 
+static void start_read(Read *read);
 static void read_log(Read *read);
 
 static void
@@ -254,21 +309,14 @@
     handler(user, page);
 }
 
-/* The hosts write their entries again, spread over time so that the rate of
- * calls does not grow with their number. */
 static void
 on_era(KeyedSource *this, uint64_t era)
 {
-    Micros spread =
-        MAX(REREGISTER_SPREAD_MIN_US, (Micros)(HostRoster_Count(this->roster) *
-                                               REREGISTER_SPREAD_PER_HOST_US));
-
     if (era == KEYED_ERA_UNKNOWN || era == this->era) {
         return;
     }
     if (this->era != KEYED_ERA_UNKNOWN) {
-        schedule_list(this, 1 + (Micros)(Str_Hash(this->options.host) %
-                                         (uint64_t)spread));
+        HostList_OnRestored(this->list);
     }
     this->era = era;
 }
@@ -280,54 +328,153 @@
            era < this->era;
 }
 
+/* A relay has no access to the log. Each host tries it at another time. */
+static void
+on_lost(KeyedSource *this)
+{
+    Micros spread = (Micros)HostList_Count(this->list) * LOG_RETRY_PER_HOST_US;
+
+    if (this->lost_heard_at < 0 ||
+        now(this) - this->lost_heard_at > LOST_TIME_US) {
+        this->lost_retry_at =
+            this->level == RELAY_LEVEL_LEAF && spread > 0
+                ? now(this) +
+                      (Micros)(Str_Hash(this->options.host) % (uint64_t)spread)
+                : now(this);
+    }
+    this->lost_heard_at = now(this);
+}
+
+/* Returns whether the relay did not respond, rather than refuse. */
+static bool
+is_timeout(const Read *read, const HttpFetchResponse *response)
+{
+    return response->code < 0 &&
+           now(read->source) - read->sent_at >= RELAY_CONNECT_TIMEOUT_US / 2;
+}
+
+static void
+eject(Read *read, const HttpFetchResponse *response)
+{
+    KeyedSource *this = read->source;
+    Peer *relay = read->relay;
+    bool late = is_timeout(read, response);
+    bool refused = has_state(response, KEYED_STATE_STARTING) ||
+                   (response->code < 0 && !late);
+    Micros time = RELAY_EJECTION_TIME_US
+                  << MIN(relay->timeouts, RELAY_EJECTION_DOUBLINGS_MAX);
+
+    /* Several reads of a relay may be under way. */
+    if (late && relay->ejected_until <= now(this)) {
+        relay->timeouts++;
+    }
+    else if (!late) {
+        relay->timeouts = 0;
+        time = RELAY_EJECTION_TIME_US;
+    }
+    relay->refused_at = refused ? now(this) : -1;
+    relay->ejected_until = MAX(
+        relay->ejected_until,
+        now(this) + (refused && is_starting(this) ? START_RETRY_US : time));
+    if (has_state(response, KEYED_STATE_LOST)) {
+        on_lost(this);
+    }
+}
+
+static void
+on_relay_failure(Read *read, const HttpFetchResponse *response)
+{
+    KeyedSource *this = read->source;
+    KeyedPage page = {.code = ERR_UNAVAILABLE};
+    bool late;
+
+    if (Loop_IsClosing(this->loop)) {
+        deliver(read, &page);
+        return;
+    }
+    /* Relays of earlier versions do not serve the list of hosts. */
+    if (read->age_max < 0 || response->code < 0 || response->status != 404) {
+        eject(read, response);
+        log_relay_failure(read, response);
+    }
+    else {
+        read_log(read);
+        return;
+    }
+    late = is_timeout(read, response);
+    if (!(late && read->timed_out) &&
+        (choose_relay(this) != NULL || expects_relay(this))) {
+        if (late) {
+            read->timed_out = true;
+            read->timeout -= read->wait;
+            read->wait = 0;
+        }
+        start_read(read);
+        return;
+    }
+    /* No wait: the log may have records that the relay lacks. */
+    read->timeout -= read->wait;
+    read->wait = 0;
+    update_direct(this, NULL);
+    read_log(read);
+}
+
+/* Returns NULL if the body is not compressed; an empty text, which is no page,
+ * if it is damaged. */
+static GString *
+inflate_body(const HttpFetchResponse *response)
+{
+    GString *body;
+
+    if (response->code < 0 ||
+        !Str_Equal(
+            HeaderList_Get(response->headers, STR(KEYED_ENCODING_FIELD)),
+            STR(KEYED_DEFLATE))) {
+        return NULL;
+    }
+    body = KeyedCodec_Inflate(response->body, RESPONSE_BYTES_MAX);
+    return body != NULL ? body : g_string_new(NULL);
+}
+
 static void
 on_relay_response(void *user, const HttpFetchResponse *response)
 {
     Read *read = user;
-    KeyedPage page = {.era = era_of_relay(response)};
-    bool older = is_older_era(read->source, page.era);
+    KeyedSource *this = read->source;
+    KeyedPage page = {
+        .era = era_of_relay(response),
+        .age = (Micros)MIN(number_field(response, KEYED_AGE_FIELD, 0),
+                           KEYED_AGE_MAX_MS) *
+               MICROS_PER_MS};
+    bool older = is_older_era(this, page.era);
+    GString *inflated;
     GArray *records;
 
     if (response->code == 0 && response->status == 410 && !older) {
         page.code = ERR_EXPIRED;
-        on_era(read->source, page.era);
+        on_era(this, page.era);
         deliver(read, &page);
         return;
     }
     records = g_array_new(FALSE, FALSE, sizeof(KeyedRecord));
+    inflated = inflate_body(response);
     if (response->code < 0 || response->status != 200 || older ||
-        KeyedCodec_Read(response->body, &page.end, records) < 0) {
-        read->relay->ejected_until =
-            now(read->source) + RELAY_EJECTION_TIME_US;
-        log_relay_failure(read, response);
-        if (Loop_IsClosing(read->source->loop)) {
-            page.code = ERR_UNAVAILABLE;
-            deliver(read, &page);
-        }
-        else {
-            /* No wait: the log may have records that the relay lacks. */
-            read->timeout -= read->wait;
-            read->wait = 0;
-            read_log(read);
-        }
+        KeyedCodec_Read(inflated != NULL ? Str_FromString(inflated)
+                                         : response->body,
+                        &page.end, records) < 0) {
+        on_relay_failure(read, response);
     }
     else {
+        read->relay->refused_at = -1;
+        read->relay->timeouts = 0;
         page.records = (const KeyedRecord *)records->data;
         page.count = records->len;
-        on_era(read->source, page.era);
+        on_era(this, page.era);
         deliver(read, &page);
     }
     g_array_free(records, TRUE);
-}
-
-/* Without the list a host has no peers. */
-static void
-read_first_list(KeyedSource *this)
-{
-    Micros due = earlier_reading(this);
-
-    if (!this->list_read && due >= 0) {
-        schedule_list_at(this, due);
+    if (inflated != NULL) {
+        g_string_free(inflated, TRUE);
     }
 }
 
@@ -340,27 +487,71 @@
     read->source->log_failed_at = failed ? now(read->source) : -1;
     if (!failed) {
         on_era(read->source, page->era);
-        read_first_list(read->source);
+        HostList_ReadNow(read->source->list);
     }
     deliver(read, page);
 }
 
+static void
+on_postponed(void *user)
+{
+    Read *read = user;
+
+    g_queue_remove(read->source->postponed_reads, read);
+    start_read(read);
+}
+
 static void
 reject_read(void *user)
 {
     KeyedPage page = {.code = ERR_LIMIT};
     Read *read = user;
 
-    g_queue_remove(read->source->rejected_reads, read);
+    g_queue_remove(read->source->postponed_reads, read);
     deliver(read, &page);
 }
 
+static void
+postpone(Read *read, Micros delay, LoopHandler *handler)
+{
+    LoopTimer_Destroy(read->timer);
+    read->timer = LoopTimer_Create(read->source->loop, handler, read);
+    LoopTimer_Start(read->timer, delay);
+    g_queue_push_tail(read->source->postponed_reads, read);
+}
+
+static bool
+relays_are_lost(const KeyedSource *this)
+{
+    return this->lost_heard_at >= 0 &&
+           now(this) - this->lost_heard_at <= LOST_TIME_US;
+}
+
+/* Returns whether the log may be called, and counts the call. */
 static bool
-may_read_log(const KeyedSource *this)
+take_log_call(KeyedSource *this)
 {
-    return this->peers->len == 0 || is_preferred_relay(this) ||
-           this->log_failed_at < 0 ||
-           now(this) - this->log_failed_at >= LOG_RETRY_INTERVAL_US;
+    Micros interval = LOG_RETRY_INTERVAL_US;
+
+    if (this->parents->len == 0) {
+        return true;
+    }
+    if (this->log_failed_at >= 0 &&
+        now(this) - this->log_failed_at < interval) {
+        return false;
+    }
+    if (!relays_are_lost(this)) {
+        return true;
+    }
+    if (now(this) < this->lost_retry_at) {
+        return false;
+    }
+    if (this->level == RELAY_LEVEL_LEAF) {
+        interval = MAX(interval, (Micros)HostList_Count(this->list) *
+                                     LOG_RETRY_PER_HOST_US);
+        this->lost_retry_at = now(this) + interval;
+    }
+    return true;
 }
 
 static void
@@ -370,10 +561,11 @@
     const KeyedLog *keyed_log = this->keyed_log;
     Micros wait = MIN(read->wait, DIRECT_WAIT_MAX_US);
 
-    if (!may_read_log(this)) {
-        read->rejection = LoopTimer_Create(this->loop, reject_read, read);
-        LoopTimer_Start(read->rejection, 1);
-        g_queue_push_tail(this->rejected_reads, read);
+    if (this->level != RELAY_LEVEL_LEAF) {
+        wait = (Micros)(RELAY_DIRECT_WAIT_RATIO * (double)wait);
+    }
+    if (!take_log_call(this)) {
+        postpone(read, 1, reject_read);
         return;
     }
     this->log_calls++;
@@ -389,23 +581,41 @@
     }
 }
 
+/* Returns how long the relay may take to respond, and appends the query. */
+static Micros
+relay_query(const Read *read, GString *path)
+{
+    Micros wait = MIN(read->wait, read->source->level == RELAY_LEVEL_LEAF
+                                      ? RELAY_WAIT_US
+                                      : ROOT_WAIT_US);
+
+    if (read->age_max >= 0) {
+        g_string_printf(path, "/newest?topic=%s&age_ms=%" G_GINT64_FORMAT,
+                        read->topic->str, read->age_max / MICROS_PER_MS);
+        return LOG_CALL_TIMEOUT_US;
+    }
+    if (read->newest) {
+        g_string_printf(path, "/newest?topic=%s&wait_ms=%" G_GINT64_FORMAT,
+                        read->topic->str, START_WAIT_US / MICROS_PER_MS);
+        return START_WAIT_US + RELAY_TIMEOUT_US;
+    }
+    g_string_printf(path,
+                    "/tail?topic=%s&from=%" G_GUINT64_FORMAT
+                    "&wait_ms=%" G_GINT64_FORMAT,
+                    read->topic->str, read->from, wait / MICROS_PER_MS);
+    return wait + RELAY_TIMEOUT_US;
+}
+
 static void
 read_relay(Read *read)
 {
-    Micros wait = MIN(read->wait, RELAY_WAIT_US);
     GString *path = g_string_new(NULL);
+    Micros timeout = relay_query(read, path);
 
-    if (read->newest) {
-        g_string_printf(path, "/newest?topic=%s", read->topic->str);
-    }
-    else {
-        g_string_printf(path,
-                        "/tail?topic=%s&from=%" G_GUINT64_FORMAT
-                        "&wait_ms=%" G_GINT64_FORMAT,
-                        read->topic->str, read->from, wait / MICROS_PER_MS);
-    }
+    read->sent_at = now(read->source);
+    g_string_append(path, "&encoding=" KEYED_DEFLATE);
     HttpFetch_Send(read->relay->fetch, STR("GET"), Str_FromString(path), NULL,
-                   STR(""), wait + RELAY_TIMEOUT_US, on_relay_response, read);
+                   STR(""), timeout, on_relay_response, read);
     g_string_free(path, TRUE);
 }
 
@@ -416,8 +626,18 @@
 {
     KeyedSource *this = read->source;
 
-    read->relay = read->after->len == 0 ? choose_relay(this) : NULL;
-    update_direct(this, read->relay);
+    unref_peer(read->relay);
+    read->relay = NULL;
+    if (read->after->len == 0 && !is_starting_root(this)) {
+        read->relay = ref_peer(choose_relay(this));
+    }
+    if (read->relay == NULL && read->after->len == 0 && expects_relay(this)) {
+        postpone(read, START_RETRY_US, on_postponed);
+        return;
+    }
+    if (read->after->len == 0) {
+        update_direct(this, read->relay);
+    }
     if (read->relay == NULL) {
         read_log(read);
     }
@@ -447,6 +667,7 @@
     read->topic = Str_ToString(topic);
     read->after = Str_ToString(after);
     read->timeout = timeout;
+    read->age_max = -1;
     read->handler = handler;
     read->user = user;
     return read;
@@ -475,369 +696,271 @@
 
 /* ---- list of hosts -------------------------------------------------- */
 
-static gint
-compare_peers(gconstpointer a, gconstpointer b)
-{
-    return g_strcmp0((*(Peer *const *)a)->id, (*(Peer *const *)b)->id);
-}
-
 static void
-log_bad_entry(const KeyedSource *this, Str id, int code)
-{
-    if (EventLog_Begin(this->log, LOG_LEVEL_INFO, "bad-host-entry")) {
-        EventLog_Str(this->log, "host", id);
-        EventLog_CStr(this->log, "reason", Error_Name(code));
-        EventLog_End(this->log);
-    }
-}
-
-static bool
-parse_registration(const KeyedRecord *record, RosterEntry *entry)
+read_list(void *user, Str after, Micros age_max, KeyedPageHandler *handler,
+          void *handler_user)
 {
-    return !record->removed && record->key.length > 0 &&
-           RosterEntry_Parse(record->value, entry) != ERR_PARSE;
-}
-
-/* Adds the host of a registration if it can be a relay for this one. */
-static void
-add_peer(KeyedSource *this, const KeyedRecord *record, GPtrArray *peers)
-{
-    HttpClientOptions options = {.connect_timeout = RELAY_CONNECT_TIMEOUT_US};
-    RosterEntry entry;
-    Peer *peer;
-    char *url;
-
-    if (!parse_registration(record, &entry) ||
-        !Str_Equal(entry.domain, this->options.domain) ||
-        Str_Equal(record->key, this->options.host) ||
-        !HostRoster_IsLive(this->roster, record->key)) {
-        return;
-    }
-    peer = g_new0(Peer, 1);
-    peer->id = g_strndup(record->key.data, record->key.length);
-    url =
-        g_strdup_printf("http://%s:%u", entry.relay.address, entry.relay.port);
-    peer->fetch = HttpFetch_Create(this->loop, Str_FromC(url),
-                                   RESPONSE_BYTES_MAX, &options, NULL);
-    g_free(url);
-    g_ptr_array_add(peers, peer);
-}
-
-static char *
-registration_value(const KeyedSource *this)
-{
-    RosterEntry entry = {.domain = this->options.domain,
-                         .relay = this->options.relay,
-                         .forward_port = this->options.forward_port};
-
-    memcpy(entry.key, this->options.key, HOST_KEY_BYTES);
-    return RosterEntry_Format(&entry);
-}
-
-static bool
-is_own_registration(const KeyedSource *this, const KeyedRecord *record)
-{
-    char *value = registration_value(this);
-    bool same = Str_Equal(record->key, this->options.host) &&
-                Str_Equal(record->value, Str_FromC(value));
+    KeyedSource *this = user;
+    Read *read = create_read(this, STR(HOSTS_TOPIC), after,
+                             LOG_CALL_TIMEOUT_US, handler, handler_user);
 
-    g_free(value);
-    return same;
+    read->newest = true;
+    read->age_max = age_max;
+    start_read(read);
 }
 
 static void
-log_hosts(const KeyedSource *this, size_t listed, size_t live)
+append_to_list(void *user, const KeyedRecord *records, size_t count,
+               KeyedAppendHandler *handler, void *handler_user)
 {
-    Micros known_from = HostRoster_KnownFrom(this->roster);
+    KeyedSource *this = user;
 
-    if (EventLog_Begin(this->log, LOG_LEVEL_INFO, "hosts")) {
-        EventLog_Int(this->log, "live", (int64_t)live);
-        EventLog_Int(this->log, "listed", (int64_t)listed);
-        EventLog_Int(this->log, "known_in_ms",
-                     known_from == INT64_MAX
-                         ? -1
-                         : MAX(known_from - now(this), 0) / MICROS_PER_MS);
-        EventLog_End(this->log);
-    }
+    this->log_calls++;
+    this->keyed_log->append(this->keyed_log->self, STR(HOSTS_TOPIC), records,
+                            count, LOG_CALL_TIMEOUT_US, handler, handler_user);
 }
 
-static void
-begin_list(KeyedSource *this)
+static RelayMember
+to_member(Str id, const RosterEntry *entry)
 {
-    HostRoster_BeginList(this->roster);
-    g_clear_pointer(&this->listed_peers, g_ptr_array_unref);
-    this->listed_peers = g_ptr_array_new_with_free_func(destroy_peer);
-    this->listed_count = 0;
-    this->registered = false;
+    return (RelayMember){id, entry->domain, entry->region, entry->link_mbps};
 }
 
-/* Copies an entry of the list. */
+/* Determines the parents of this host by the list of hosts. */
 static void
-put_entry(KeyedSource *this, Str id, const RosterEntry *entry)
+update_parents(KeyedSource *this, const GArray *hosts)
 {
-    Listed *listed = g_new0(Listed, 1);
-    const Listed *before;
+    RelayMember *members = g_new(RelayMember, hosts->len + 1);
+    RelayMember own = to_member(this->options.host, &this->options.entry);
+    GPtrArray *parents = g_ptr_array_new_with_free_func(unref_peer);
+    RelayPlan plan;
 
-    listed->id = Str_ToString(id);
-    before = g_hash_table_lookup(this->entries, listed->id);
-    if (before != NULL && entry->forward_port > 0 &&
-        memcmp(before->entry.key, entry->key, HOST_KEY_BYTES) != 0) {
-        RefreshLimit_Confirm(this->refreshes, id);
-    }
-    listed->domain = Str_ToString(entry->domain);
-    listed->entry = *entry;
-    listed->entry.domain = Str_FromString(listed->domain);
-    g_hash_table_replace(this->entries, listed->id, listed);
-}
+    for (guint i = 0; i < hosts->len; i++) {
+        const ListedHost *host = &g_array_index(hosts, ListedHost, i);
 
-static void
-apply_entry(KeyedSource *this, const KeyedRecord *record)
-{
-    RosterEntry entry;
-    int code;
-
-    if (record->removed || record->key.length == 0) {
-        return;
-    }
-    code = RosterEntry_Parse(record->value, &entry);
-    if (code < 0) {
-        log_bad_entry(this, record->key, code);
+        members[i] = to_member(host->id, &host->entry);
     }
-    if (code != ERR_PARSE) {
-        HostRoster_PutEntry(this->roster, record->key, record->offset);
-        put_entry(this, record->key, &entry);
+    plan = RelayTree_Plan(members, hosts->len, &own);
+    for (size_t i = 0; i < plan.parent_count; i++) {
+        g_ptr_array_add(
+            parents,
+            peer_of(this, &g_array_index(hosts, ListedHost, plan.parents[i])));
     }
+    this->level = plan.level;
+    g_ptr_array_free(this->parents, TRUE);
+    this->parents = parents;
+    g_free(members);
 }
 
 static void
-apply_list_page(KeyedSource *this, const KeyedPage *page)
+report_hosts(KeyedSource *this, const GArray *hosts)
 {
-    for (size_t i = 0; i < page->count; i++) {
-        const KeyedRecord *record = &page->records[i];
+    GArray *ids = g_array_new(FALSE, FALSE, sizeof(Str));
 
-        apply_entry(this, record);
-        this->registered =
-            this->registered || is_own_registration(this, record);
-        add_peer(this, record, this->listed_peers);
+    HostList_Live(this->list, ids);
+    this->options.on_hosts(this->options.user, (const Str *)ids->data,
+                           ids->len, HostList_KnownFrom(this->list));
+    g_array_free(ids, TRUE);
+    if (this->options.on_entries != NULL) {
+        this->options.on_entries(this->options.user,
+                                 (const ListedHost *)hosts->data, hosts->len);
     }
-    this->listed_count += page->count;
 }
 
-static gboolean
-is_gone(gpointer id, gpointer value, gpointer user)
-{
-    const KeyedSource *this = user;
-    const Listed *listed = value;
-
-    return !HostRoster_IsLive(this->roster, Str_FromString(listed->id));
-}
-
-/* A live host whose entry has disappeared keeps its last one. */
 static void
-report_entries(KeyedSource *this)
+on_list_read(void *user, bool changed)
 {
-    GArray *hosts = g_array_new(FALSE, FALSE, sizeof(ListedHost));
-    GHashTableIter iter;
-    gpointer value;
+    KeyedSource *this = user;
+    Read *read;
 
-    g_hash_table_foreach_remove(this->entries, is_gone, this);
-    g_hash_table_iter_init(&iter, this->entries);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const Listed *listed = value;
-        ListedHost host = {Str_FromString(listed->id), listed->entry};
+    if (changed) {
+        GArray *hosts = g_array_new(FALSE, FALSE, sizeof(ListedHost));
 
-        g_array_append_val(hosts, host);
+        HostList_Hosts(this->list, hosts);
+        update_parents(this, hosts);
+        report_hosts(this, hosts);
+        g_array_free(hosts, TRUE);
     }
-    if (this->options.on_entries != NULL) {
-        this->options.on_entries(this->options.user,
-                                 (const ListedHost *)hosts->data, hosts->len);
+    this->list_attempted = true;
+    while ((read = g_queue_pop_head(this->queued_reads)) != NULL) {
+        start_read(read);
     }
-    g_array_free(hosts, TRUE);
 }
 
+/* ---- registration --------------------------------------------------- */
+
 static void
-end_list(KeyedSource *this)
+destroy_registration(Registration *registration)
 {
-    GArray *ids = g_array_new(FALSE, FALSE, sizeof(Str));
-
-    this->list_read = true;
-    HostRoster_EndList(this->roster);
-    HostRoster_Live(this->roster, ids);
-    log_hosts(this, this->listed_count, ids->len);
-    this->options.on_hosts(this->options.user, (const Str *)ids->data,
-                           ids->len, HostRoster_KnownFrom(this->roster));
-    g_array_free(ids, TRUE);
-    report_entries(this);
-    g_ptr_array_sort(this->listed_peers, compare_peers);
-    /* Reads may still be in flight to peers of the previous list, but not to
-     * peers of older lists. */
-    g_ptr_array_set_size(this->unlisted_peers, 0);
-    g_ptr_array_extend_and_steal(this->unlisted_peers, this->peers);
-    this->peers = g_steal_pointer(&this->listed_peers);
+    LoopTimer_Destroy(registration->timer);
+    unref_peer(registration->relay);
+    g_string_free(registration->host, TRUE);
+    g_string_free(registration->value, TRUE);
+    g_free(registration);
 }
 
 static void
-start_queued_reads(KeyedSource *this)
+end_registration(Registration *registration, int code)
 {
-    Read *read;
+    KeyedAppendHandler *handler = registration->handler;
+    void *user = registration->user;
 
-    this->list_attempted = true;
-    while ((read = g_queue_pop_head(this->queued_reads)) != NULL) {
-        start_read(read);
-    }
+    destroy_registration(registration);
+    handler(user, code);
 }
 
 static void
-on_registered(void *user, int code)
+on_own_append(void *user, int code)
 {
-    KeyedSource *this = user;
-
-    schedule_list(this,
-                  code == 0 ? LIST_REREAD_DELAY_US : LIST_RETRY_DELAY_US);
+    end_registration(user, code);
 }
 
 static void
-on_removed(void *user, int code)
+register_at_log(Registration *registration)
 {
-    KeyedSource *this = user;
+    KeyedRecord record = {.key = Str_FromString(registration->host),
+                          .value = Str_FromString(registration->value)};
 
-    if (code < 0 && !Loop_IsClosing(this->loop) &&
-        EventLog_Begin(this->log, LOG_LEVEL_INFO, "hosts-unremoved")) {
-        EventLog_CStr(this->log, "reason", Error_Name(code));
-        EventLog_End(this->log);
-    }
+    append_to_list(registration->source, &record, 1, on_own_append,
+                   registration);
 }
 
-/* Removes the entries of hosts that are gone, at most a batch. */
+static void send_registration(void *user);
+
 static void
-remove_gone_hosts(KeyedSource *this)
+on_registration_response(void *user, const HttpFetchResponse *response)
 {
-    const KeyedLog *keyed_log = this->keyed_log;
-    GArray *ids = g_array_new(FALSE, FALSE, sizeof(Str));
-    KeyedRecord records[REMOVALS_MAX];
-    size_t n;
+    Registration *registration = user;
+    KeyedSource *this = registration->source;
 
-    HostRoster_Removable(this->roster, ids);
-    n = MIN(ids->len, REMOVALS_MAX);
-    for (size_t i = 0; i < n; i++) {
-        records[i] = (KeyedRecord){.key = g_array_index(ids, Str, i),
-                                   .value = STR(""),
-                                   .removed = true};
+    if (response->code == 0 && response->status == 200) {
+        end_registration(registration, 0);
     }
-    if (n > 0) {
-        this->log_calls++;
-        keyed_log->append(keyed_log->self, STR(HOSTS_TOPIC), records, n,
-                          LOG_CALL_TIMEOUT_US, on_removed, this);
+    else if (Loop_IsClosing(this->loop)) {
+        end_registration(registration, ERR_UNAVAILABLE);
+    }
+    else if (response->code < 0 && is_starting(this)) {
+        this->waiting_registration = registration;
+        LoopTimer_Start(registration->timer, START_RETRY_US);
+    }
+    else {
+        register_at_log(registration);
     }
-    g_array_free(ids, TRUE);
 }
 
-static void
-register_host(KeyedSource *this)
+/* Returns the host that writes the entry of this one; while the deployment
+ * starts, one that the platform names. */
+static Peer *
+choose_registrar(const KeyedSource *this)
 {
-    const KeyedLog *keyed_log = this->keyed_log;
-    char *value = registration_value(this);
-    KeyedRecord record = {.key = this->options.host,
-                          .value = Str_FromC(value)};
+    Peer *relay = choose_relay(this);
 
-    this->log_calls++;
-    keyed_log->append(keyed_log->self, STR(HOSTS_TOPIC), &record, 1,
-                      LOG_CALL_TIMEOUT_US, on_registered, this);
-    g_free(value);
+    if (relay != NULL || this->list_attempted || this->seeds->len == 0) {
+        return relay;
+    }
+    return g_ptr_array_index(
+        this->seeds, (guint)(Str_Hash(this->options.host) % this->seeds->len));
 }
 
-static void read_list_page(KeyedSource *this, Str after);
-
 static void
-on_list(void *user, const KeyedPage *page)
+send_registration(void *user)
 {
-    KeyedSource *this = user;
+    Registration *registration = user;
+    KeyedSource *this = registration->source;
+    Peer *relay = choose_registrar(this);
+    GString *path;
 
-    if (Loop_IsClosing(this->loop)) {
+    this->waiting_registration = NULL;
+    unref_peer(registration->relay);
+    registration->relay = ref_peer(relay);
+    if (relay == NULL) {
+        register_at_log(registration);
         return;
     }
-    if (page->code == 0) {
-        apply_list_page(this, page);
-        if (page->more && page->count > 0) {
-            read_list_page(this, page->records[page->count - 1].key);
-            return;
-        }
-        end_list(this);
-    }
-    else {
-        HostRoster_OnReadFailure(this->roster);
-    }
-    this->list_reading = false;
-    start_queued_reads(this);
-    if (page->code == 0 &&
-        (!this->registered || HostRoster_NeedsRenewal(this->roster))) {
-        register_host(this);
+    if (is_same_address(&relay->address, &this->options.entry.relay)) {
+        AppendBatch_Add(this->batch, Str_FromString(registration->host),
+                        Str_FromString(registration->value), on_own_append,
+                        registration);
         return;
     }
-    if (page->code == 0) {
-        remove_gone_hosts(this);
-    }
-    schedule_list(this, page->code == 0 ? HOST_LIST_INTERVAL_US
-                                        : LIST_RETRY_DELAY_US);
+    path = g_string_new("/register?host=");
+    g_string_append(path, registration->host->str);
+    HttpFetch_Send(relay->fetch, STR("POST"), Str_FromString(path), NULL,
+                   Str_FromString(registration->value), LOG_CALL_TIMEOUT_US,
+                   on_registration_response, registration);
+    g_string_free(path, TRUE);
 }
 
 static void
-read_list_page(KeyedSource *this, Str after)
+register_host(void *user, const KeyedRecord *record,
+              KeyedAppendHandler *handler, void *handler_user)
 {
-    const KeyedLog *keyed_log = this->keyed_log;
+    KeyedSource *this = user;
+    Registration *registration = g_new0(Registration, 1);
 
-    this->log_calls++;
-    keyed_log->read_newest(keyed_log->self, STR(HOSTS_TOPIC), after,
-                           LOG_CALL_TIMEOUT_US, on_list, this);
+    registration->source = this;
+    registration->host = Str_ToString(record->key);
+    registration->value = Str_ToString(record->value);
+    registration->handler = handler;
+    registration->user = handler_user;
+    registration->timer =
+        LoopTimer_Create(this->loop, send_registration, registration);
+    send_registration(registration);
 }
 
-static void
-read_list(void *user)
+void
+KeyedSource_RegisterFor(KeyedSource *this, Str host, Str value,
+                        KeyedAppendHandler *handler, void *user)
 {
-    KeyedSource *this = user;
-
-    if (this->list_reading) {
-        schedule_list(this, LIST_REREAD_DELAY_US);
-        return;
-    }
-    this->list_reading = true;
-    this->list_due = INT64_MAX;
-    this->list_read_at = now(this);
-    begin_list(this);
-    read_list_page(this, STR(""));
+    AppendBatch_Add(this->batch, host, value, handler, user);
 }
 
 /* ---- creation ------------------------------------------------------- */
 
+static void
+add_seeds(KeyedSource *this)
+{
+    for (size_t i = 0; i < this->options.seed_count; i++) {
+        g_ptr_array_add(this->seeds, create_peer(this->loop, STR("seed"),
+                                                 &this->options.seeds[i]));
+    }
+}
+
 KeyedSource *
 KeyedSource_Create(Loop *loop, const KeyedLog *keyed_log,
                    const KeyedSourceOptions *options, EventLog *log)
 {
     KeyedSource *this = g_new0(KeyedSource, 1);
+    HostListOptions list = {
+        .host = options->host,
+        .entry = options->entry,
+        .first_start = options->first_start,
+        .read = read_list,
+        .append = append_to_list,
+        .register_host = register_host,
+        .on_read = on_list_read,
+        .user = this,
+    };
 
     this->loop = loop;
     this->keyed_log = keyed_log;
     this->clock = Loop_Clock(loop);
     this->log = log;
     this->options = *options;
-    this->own_id = g_strndup(options->host.data, options->host.length);
-    this->roster =
-        HostRoster_Create(options->host, options->first_start, this->clock);
-    this->refreshes = RefreshLimit_Create(this->clock);
     this->interface = (KeyedLog){this, read_newest, read_tail, NULL};
-    this->entries = g_hash_table_new_full((GHashFunc)g_string_hash,
-                                          (GEqualFunc)g_string_equal, NULL,
-                                          destroy_listed);
-    this->peers = g_ptr_array_new_with_free_func(destroy_peer);
-    this->unlisted_peers = g_ptr_array_new_with_free_func(destroy_peer);
-    this->relay_request_at = -1;
+    this->level = RELAY_LEVEL_LEAF;
+    this->parents = g_ptr_array_new_with_free_func(unref_peer);
+    this->seeds = g_ptr_array_new_with_free_func(unref_peer);
+    this->started = now(this);
     this->log_failed_at = -1;
+    this->lost_heard_at = -1;
     this->era = KEYED_ERA_UNKNOWN;
     this->direct = true;
-    this->list_timer = LoopTimer_Create(loop, read_list, this);
     this->queued_reads = g_queue_new();
-    this->rejected_reads = g_queue_new();
-    schedule_list(this, 1);
+    this->postponed_reads = g_queue_new();
+    this->batch = AppendBatch_Create(loop, keyed_log, STR(HOSTS_TOPIC));
+    add_seeds(this);
+    this->list = HostList_Create(loop, &list, log);
     return this;
 }
 
@@ -847,16 +970,13 @@
     if (this == NULL) {
         return;
     }
-    LoopTimer_Destroy(this->list_timer);
-    HostRoster_Destroy(this->roster);
-    RefreshLimit_Destroy(this->refreshes);
-    g_hash_table_destroy(this->entries);
-    g_free(this->own_id);
+    AppendBatch_Destroy(this->batch);
+    g_clear_pointer(&this->waiting_registration, destroy_registration);
+    HostList_Destroy(this->list);
     g_queue_free_full(this->queued_reads, destroy_read);
-    g_queue_free_full(this->rejected_reads, destroy_read);
-    g_ptr_array_free(this->peers, TRUE);
-    g_ptr_array_free(this->unlisted_peers, TRUE);
-    g_clear_pointer(&this->listed_peers, g_ptr_array_unref);
+    g_queue_free_full(this->postponed_reads, destroy_read);
+    g_ptr_array_free(this->parents, TRUE);
+    g_ptr_array_free(this->seeds, TRUE);
     g_free(this);
 }
 
@@ -866,24 +986,27 @@
     return &this->interface;
 }
 
+bool
+KeyedSource_IsDirect(const KeyedSource *this)
+{
+    return this->direct;
+}
+
 void
-KeyedSource_OnRelayRequest(KeyedSource *this)
+KeyedSource_ServeHosts(KeyedSource *this, Micros age_max,
+                       KeyedPageHandler *handler, void *user)
 {
-    this->relay_request_at = now(this);
+    HostList_Serve(this->list, age_max, handler, user);
 }
 
 void
 KeyedSource_RefreshHosts(KeyedSource *this, Str host)
 {
-    Micros due = earlier_reading(this);
-
-    if (due >= 0 && RefreshLimit_Take(this->refreshes, host)) {
-        schedule_list_at(this, due);
-    }
+    HostList_Refresh(this->list, host);
 }
 
 uint64_t
 KeyedSource_LogCalls(const KeyedSource *this)
 {
-    return this->log_calls;
+    return this->log_calls + AppendBatch_Calls(this->batch);
 }
--- a/packages/net/KeyedSource.h
+++ b/packages/net/KeyedSource.h
@@ -1,35 +1,26 @@
 #ifndef AGATECRANK_NET_KEYEDSOURCE_H
 #define AGATECRANK_NET_KEYEDSOURCE_H
 
-#include "KeyedLog.h"
-#include "Loop.h"
-#include "RosterEntry.h"
+#include "HostList.h"
 
 /**
- * typedef KeyedSource - reads a log directly or through a relay
+ * typedef KeyedSource - reads a log directly or through other hosts
  *
- * Each call to the log is charged, so one host of each failure domain reads it
- * and serves the others as their relay (KeyedRelay): the first host by id that
- * responds. If the relay does not respond, a host immediately reads the log
- * directly, so that it never falls behind because of another host. Hosts
- * register themselves in a topic of the log.
+ * Each call to the log is charged, so hosts read it through a tree of relays
+ * (RelayTree, KeyedRelay). If no relay responds, a host immediately reads the
+ * log directly, so that it never falls behind because of another host. If
+ * relays respond that the log is unreachable for them, a host tries it at an
+ * interval that grows with the number of hosts.
  */
 typedef struct KeyedSource_ KeyedSource;
 
-/** struct ListedHost_ - a live host with its newest entry */
-typedef struct ListedHost_ {
-    Str id;
-    RosterEntry entry;
-} ListedHost;
-
 /**
  * struct KeyedSourceOptions_ - settings
- * @host, @domain: id and failure domain of this host
- * @relay: address and port of this host's KeyedRelay
- * @forward_port, @key: as in struct RosterEntry_, for the entry of this host
+ * @host: id of this host
+ * @entry: its entry in the list of hosts; strings are borrowed
+ * @seeds, @seed_count: hosts that may be running when the deployment starts,
+ *                      by the addresses of their relays
  * @first_start: see HostRoster_Create()
- * @on_direct: called when this host begins (@direct set) or ceases to read the
- *             log directly
  * @on_hosts: called after each reading of the list of hosts with the @count
  *            live ones; @known_from as of HostRoster_KnownFrom()
  * @on_entries: called with the entries of live hosts, this one included, after
@@ -37,12 +28,10 @@
  */
 typedef struct KeyedSourceOptions_ {
     Str host;
-    Str domain;
-    Endpoint relay;
-    uint16_t forward_port;
-    uint8_t key[HOST_KEY_BYTES];
+    RosterEntry entry;
+    const Endpoint *seeds;
+    size_t seed_count;
     bool first_start;
-    void (*on_direct)(void *user, bool direct);
     void (*on_hosts)(void *user, const Str *ids, size_t count,
                      Micros known_from);
     void (*on_entries)(void *user, const ListedHost *hosts, size_t count);
@@ -64,8 +53,21 @@
  */
 const KeyedLog *KeyedSource_Log(KeyedSource *this);
 
-/** KeyedSource_OnRelayRequest() - another host reads through this one */
-void KeyedSource_OnRelayRequest(KeyedSource *this);
+/** KeyedSource_IsDirect() - whether this host reads the log itself */
+bool KeyedSource_IsDirect(const KeyedSource *this);
+
+/** KeyedSource_ServeHosts() - hand on the list; see HostList_Serve() */
+void KeyedSource_ServeHosts(KeyedSource *this, Micros age_max,
+                            KeyedPageHandler *handler, void *user);
+
+/**
+ * KeyedSource_RegisterFor() - write the entry of another host
+ * @host, @value: its id and entry
+ *
+ * Entries of several hosts are written in one call.
+ */
+void KeyedSource_RegisterFor(KeyedSource *this, Str host, Str value,
+                             KeyedAppendHandler *handler, void *user);
 
 /**
  * KeyedSource_RefreshHosts() - bring the next reading of the list of hosts
--- a/packages/net/RosterEntry.h
+++ b/packages/net/RosterEntry.h
@@ -13,17 +13,22 @@
  * @forward_port: TCP port for forwarded requests, at the address of @relay; 0
  *                if it takes none
  * @key: public key of its present process; undefined if @forward_port is 0
+ * @link_mbps: capacity of its network link; 0 if it does not tell
+ * @region: of @domain; empty if it does not tell; borrowed as @domain
  *
- * The text is "DOMAIN;PORT;KEY ADDRESS:PORT" with the key in hexadecimal, and
- * "DOMAIN ADDRESS:PORT" of a host that takes no forwarded requests. Hosts of
- * versions without forwarding read the first form as an entry of another
- * domain.
+ * The text is "DOMAIN;PORT;KEY;LINK;REGION ADDRESS:PORT" with the key in
+ * hexadecimal, and "DOMAIN ADDRESS:PORT" of a host that takes no forwarded
+ * requests. Versions without relay trees write and read the first form up to
+ * the key, and hosts of versions without forwarding read it as an entry of
+ * another domain. Further fields are ignored.
  */
 typedef struct RosterEntry_ {
     Str domain;
     Endpoint relay;
     uint16_t forward_port;
     uint8_t key[HOST_KEY_BYTES];
+    uint32_t link_mbps;
+    Str region;
 } RosterEntry;
 
 /**
--- a/packages/net/Socket.c
+++ b/packages/net/Socket.c
@@ -516,6 +516,19 @@
     Socket_Close(this);
 }
 
+bool
+Socket_IsFrom(const Socket *this, const char *address)
+{
+    struct sockaddr_in peer = {0};
+    socklen_t length = sizeof(peer);
+    struct in_addr expected;
+
+    return getpeername(this->fd, (struct sockaddr *)&peer, &length) == 0 &&
+           peer.sin_family == AF_INET &&
+           inet_pton(AF_INET, address, &expected) == 1 &&
+           peer.sin_addr.s_addr == expected.s_addr;
+}
+
 Str
 Socket_PeerCommonName(const Socket *this)
 {
--- a/packages/net/Socket.h
+++ b/packages/net/Socket.h
@@ -113,6 +113,9 @@
  */
 void Socket_CloseIdle(Socket *this);
 
+/** Socket_IsFrom() - whether the peer has this IPv4 address */
+bool Socket_IsFrom(const Socket *this, const char *address);
+
 /**
  * Socket_PeerCommonName() - common name in the verified certificate of
  *     the peer, or an empty Str
--- a/tests/test_keyed_follower.c
+++ b/tests/test_keyed_follower.c
@@ -1,6 +1,7 @@
 #include <glib.h>
 #include <string.h>
 
+#include "HttpFetch.h"
 #include "KeyedCodec.h"
 #include "KeyedRelay.h"
 #include "KeyedSource.h"
@@ -25,7 +26,12 @@
     unsigned snapshots;
     Micros snapshot_at; /* begin of the last one */
     char appended[128]; /* value of the last record that was appended */
-    GList *pending;     /* Reply */
+    unsigned appends;
+    size_t appended_records; /* in the last append */
+    bool silent;             /* reads stay without a response */
+    char (*others)[16];      /* more keys of each snapshot */
+    size_t other_count;
+    GList *pending; /* Reply */
 } FakeLog;
 
 typedef struct Reply_ {
@@ -87,7 +93,9 @@
     reply->page.end = log->count;
     reply->page.era = log->era;
     reply->timer = LoopTimer_Create(log->loop, deliver, reply);
-    LoopTimer_Start(reply->timer, delay);
+    if (!log->silent) {
+        LoopTimer_Start(reply->timer, delay);
+    }
     log->pending = g_list_prepend(log->pending, reply);
     return reply;
 }
@@ -125,6 +133,13 @@
         }
         skip = skip && !Str_Equal(log->records[i].key, after);
     }
+    for (size_t i = 0; i < log->other_count && !log->unavailable; i++) {
+        KeyedRecord record = {.key = Str_FromC(log->others[i]),
+                              .value = STR("z 127.0.0.1:80"),
+                              .offset = 1000 + i};
+
+        g_array_append_val(reply->records, record);
+    }
 }
 
 static void
@@ -151,6 +166,8 @@
 {
     FakeLog *log = self;
 
+    log->appends++;
+    log->appended_records = count;
     g_snprintf(log->appended, sizeof(log->appended), STR_FORMAT,
                STR_ARGS(records[0].value));
     handler(user, 0);
@@ -400,6 +417,14 @@
 
 /* ---- relays --------------------------------------------------------- */
 
+#define KEY "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff"
+
+static void
+set_flag(void *user)
+{
+    *(bool *)user = true;
+}
+
 typedef struct Host_ {
     Fixture *f;
     KeyedSource *source;
@@ -408,11 +433,57 @@
     FakeLog *log;
     GString *seen;
     GString *entries; /* of the last list */
-    bool direct;
+    KeyedLog interface;
+    bool cut;      /* from the log */
     size_t listed; /* live hosts */
     unsigned lists;
+    unsigned calls; /* to the log */
 } Host;
 
+/* ---- the log as a host reaches it ----------------------------------- */
+
+static bool
+begin_call(Host *host)
+{
+    bool unavailable = host->f->log.unavailable;
+
+    host->calls++;
+    host->f->log.unavailable = unavailable || host->cut;
+    return unavailable;
+}
+
+static void
+host_read_newest(void *self, Str topic, Str after, Micros timeout,
+                 KeyedPageHandler *handler, void *user)
+{
+    Host *host = self;
+    bool unavailable = begin_call(host);
+
+    read_newest(&host->f->log, topic, after, timeout, handler, user);
+    host->f->log.unavailable = unavailable;
+}
+
+static void
+host_read_tail(void *self, Str topic, uint64_t from, Micros wait,
+               Micros timeout, KeyedPageHandler *handler, void *user)
+{
+    Host *host = self;
+    bool unavailable = begin_call(host);
+
+    read_tail(&host->f->log, topic, from, wait, timeout, handler, user);
+    host->f->log.unavailable = unavailable;
+}
+
+static void
+host_append(void *self, Str topic, const KeyedRecord *records, size_t count,
+            Micros timeout, KeyedAppendHandler *handler, void *user)
+{
+    Host *host = self;
+
+    host->calls++;
+    append(&host->f->log, topic, records, count, timeout, handler, user);
+}
+
 static void
 host_record(void *user, const KeyedRecord *record)
 {
@@ -439,15 +510,6 @@
     KeyedRelay_Notify(host->relay);
 }
 
-static void
-host_direct(void *user, bool direct)
-{
-    Host *host = user;
-
-    host->direct = direct;
-    KeyedRelay_SetDirect(host->relay, direct);
-}
-
 static void
 host_list(void *user, const Str *ids, size_t count, Micros known_from)
 {
@@ -472,32 +534,42 @@
 }
 
 static void
-host_relay_request(void *user)
+host_serve_hosts(void *user, Micros age_max, KeyedPageHandler *handler,
+                 void *handler_user)
 {
     Host *host = user;
 
-    if (host->source != NULL) {
-        KeyedSource_OnRelayRequest(host->source);
-    }
+    KeyedSource_ServeHosts(host->source, age_max, handler, handler_user);
 }
 
 static void
-start_host(Host *host, Fixture *f, const char *id, uint16_t port)
+host_register_for(void *user, Str id, Str value, KeyedAppendHandler *handler,
+                  void *handler_user)
+{
+    Host *host = user;
+
+    KeyedSource_RegisterFor(host->source, id, value, handler, handler_user);
+}
+
+static void
+start_host_in(Host *host, Fixture *f, const char *id, uint16_t port,
+              const char *domain, uint32_t link_mbps)
 {
     static const KeyedFollowerHandlers handlers = {
         host_record, host_snapshot, host_state, host_page, NULL};
     KeyedRelayOptions relay = {.address = "127.0.0.1",
                                .port = port,
-                               .on_relay_request = host_relay_request,
+                               .serve_hosts = host_serve_hosts,
+                               .register_for = host_register_for,
                                .user = host};
     KeyedSourceOptions source = {.host = Str_FromC(id),
-                                 .domain = STR("d"),
-                                 .relay = {"127.0.0.1", port},
-                                 .on_direct = host_direct,
+                                 .entry = {.domain = Str_FromC(domain),
+                                           .relay = {"127.0.0.1", port},
+                                           .forward_port = 7734,
+                                           .link_mbps = link_mbps,
+                                           .key = {1}},
                                  .on_hosts = host_list,
                                  .on_entries = host_entries,
-                                 .forward_port = 7734,
-                                 .key = {1},
                                  .user = host};
     KeyedFollowerOptions options = {
         .topic = STR(TOPIC),
@@ -511,18 +583,24 @@
     host->f = f;
     host->seen = g_string_new(NULL);
     host->entries = g_string_new(NULL);
-    host->direct = true;
+    host->interface =
+        (KeyedLog){host, host_read_newest, host_read_tail, host_append};
     host->relay = KeyedRelay_Create(f->loop, &relay, NULL);
     g_assert_nonnull(host->relay);
-    KeyedRelay_SetDirect(host->relay, true);
     host->source =
-        KeyedSource_Create(f->loop, &f->log.interface, &source, NULL);
+        KeyedSource_Create(f->loop, &host->interface, &source, NULL);
     host->follower =
         KeyedFollower_Create(f->loop, KeyedSource_Log(host->source), &options,
                              &handlers, host, f->random, NULL);
     KeyedRelay_Add(host->relay, STR(TOPIC), host->follower, 5 * MICROS_PER_S);
 }
 
+static void
+start_host(Host *host, Fixture *f, const char *id, uint16_t port)
+{
+    start_host_in(host, f, id, port, "d", 0);
+}
+
 static void
 stop_host(Host *host)
 {
@@ -561,10 +639,10 @@
     write_record(&f->log, "host-2", Str_FromC(value[1]));
     start_host(&first, f, "host-1", ports[0]);
     start_host(&second, f, "host-2", ports[1]);
-    while (second.direct) {
+    while (KeyedSource_IsDirect(second.source)) {
         Loop_RunOnce(f->loop);
     }
-    g_assert_true(first.direct);
+    g_assert_true(KeyedSource_IsDirect(first.source));
     g_assert_cmpuint(first.listed, ==, 2);
     write_record(&f->log, "x", STR("1"));
     while (strstr(second.seen->str, "x=1 ") == NULL) {
@@ -578,7 +656,7 @@
         Loop_RunOnce(f->loop);
     }
     /* The first host responds with 503 from now on. */
-    KeyedRelay_SetDirect(first.relay, false);
+    first.cut = true;
     write_record(&f->log, "x", STR("2"));
     while (strstr(second.seen->str, "x=2 ") == NULL) {
         Loop_RunOnce(f->loop);
@@ -589,6 +667,303 @@
     stop_host(&second);
 }
 
+/* Runs the loop for some time. */
+static void
+run_for(Fixture *f, Micros time)
+{
+    Micros until = Clock_Now(f->clock) + time;
+    bool over = false;
+    LoopTimer *timer = LoopTimer_Create(f->loop, set_flag, &over);
+
+    LoopTimer_Start(timer, time);
+    while (Clock_Now(f->clock) < until) {
+        Loop_RunOnce(f->loop);
+    }
+    LoopTimer_Destroy(timer);
+}
+
+static void
+run_until_host_seen(Fixture *f, const Host *host, const char *text)
+{
+    while (strstr(host->seen->str, text) == NULL) {
+        Loop_RunOnce(f->loop);
+    }
+}
+
+#define CHAIN_HOSTS 6
+
+/* A root, two more hosts that may be roots, and a domain with two relays and a
+ * leaf, the last host. */
+typedef struct Chain_ {
+    Host hosts[CHAIN_HOSTS];
+    char values[CHAIN_HOSTS][96];
+    uint16_t ports[CHAIN_HOSTS];
+} Chain;
+
+static const struct {
+    const char *domain;
+    uint32_t link_mbps;
+} chain_places[CHAIN_HOSTS] = {{"c", 200}, {"c", 150}, {"c", 140},
+                               {"d", 100}, {"d", 50},  {"d", 20}};
+
+static void
+list_chain(Fixture *f, Chain *chain)
+{
+    for (int i = 0; i < CHAIN_HOSTS; i++) {
+        g_autofree char *id = g_strdup_printf("host-%d", i);
+        RosterEntry entry = {.domain = Str_FromC(chain_places[i].domain),
+                             .relay = {"127.0.0.1", free_port(f)},
+                             .forward_port = 7734,
+                             .key = {1},
+                             .link_mbps = chain_places[i].link_mbps};
+        g_autofree char *value = RosterEntry_Format(&entry);
+
+        chain->ports[i] = entry.relay.port;
+        g_strlcpy(chain->values[i], value, sizeof(chain->values[i]));
+        write_record(&f->log, id, Str_FromC(chain->values[i]));
+    }
+}
+
+static Host *
+start_chain_host(Fixture *f, Chain *chain, int i)
+{
+    /* The records before have the keys of the topic. */
+    start_host_in(&chain->hosts[i], f, f->log.keys[2 + i], chain->ports[i],
+                  chain_places[i].domain, chain_places[i].link_mbps);
+    return &chain->hosts[i];
+}
+
+static void
+start_chain(Fixture *f, Chain *chain)
+{
+    list_chain(f, chain);
+    for (int i = 0; i < CHAIN_HOSTS; i++) {
+        start_chain_host(f, chain, i);
+    }
+    run_for(f, 500 * MICROS_PER_MS);
+    for (int i = 1; i < CHAIN_HOSTS; i++) {
+        g_assert_false(KeyedSource_IsDirect(chain->hosts[i].source));
+    }
+}
+
+static void
+stop_chain(Fixture *f, Chain *chain)
+{
+    Loop_Close(f->loop);
+    fail_pending(&f->log);
+    for (int i = 0; i < CHAIN_HOSTS; i++) {
+        if (chain->hosts[i].source != NULL) {
+            stop_host(&chain->hosts[i]);
+        }
+    }
+}
+
+/* Guards against each failure domain reading the log, and against a host that
+ * falls behind when the host at the root of the relays loses the log. */
+static void
+test_relay_chain(Fixture *f, gconstpointer data)
+{
+    Chain chain = {.ports = {0}};
+    Host *hosts = chain.hosts;
+    unsigned calls[CHAIN_HOSTS];
+    Micros began;
+
+    start_chain(f, &chain);
+    run_for(f, 200 * MICROS_PER_MS);
+    for (int i = 0; i < CHAIN_HOSTS; i++) {
+        calls[i] = hosts[i].calls;
+    }
+    write_record(&f->log, "x", STR("1"));
+    run_until_host_seen(f, &hosts[5], "x=1 ");
+    run_for(f, 300 * MICROS_PER_MS);
+    for (int i = 1; i < CHAIN_HOSTS; i++) {
+        g_assert_cmpuint(hosts[i].calls, ==, calls[i]);
+    }
+    g_assert_cmpuint(hosts[0].calls, >, calls[0]);
+    hosts[0].cut = true;
+    write_record(&f->log, "x", STR("2"));
+    began = Clock_Now(f->clock);
+    for (int i = 1; i < CHAIN_HOSTS; i++) {
+        run_until_host_seen(f, &hosts[i], "x=2 ");
+    }
+    g_assert_cmpint(Clock_Now(f->clock) - began, <, 2 * MICROS_PER_S);
+    g_assert_true(KeyedSource_IsDirect(hosts[1].source));
+    g_assert_false(KeyedSource_IsDirect(hosts[5].source));
+    stop_chain(f, &chain);
+}
+
+/* Guards against a host whose copy passes for new because each host on the way
+ * counts its age from its own read. */
+static void
+test_age_over_relays(Fixture *f, gconstpointer data)
+{
+    Chain chain = {.ports = {0}};
+    Host *hosts = chain.hosts;
+
+    start_chain(f, &chain);
+    run_for(f, 300 * MICROS_PER_MS);
+    for (int i = 0; i < 20; i++) {
+        run_for(f, 20 * MICROS_PER_MS);
+        /* The log responds within 2.1 ms. */
+        g_assert_cmpint(KeyedFollower_Age(hosts[5].follower), >=,
+                        KeyedFollower_Age(hosts[0].follower) -
+                            50 * MICROS_PER_MS);
+    }
+    /* Reads of the root stay without a response from here on. */
+    f->log.silent = true;
+    run_for(f, 600 * MICROS_PER_MS);
+    for (int i = 0; i < CHAIN_HOSTS; i++) {
+        Micros age = KeyedFollower_Age(hosts[i].follower);
+
+        g_assert_true(age < 0 || age >= 500 * MICROS_PER_MS);
+    }
+    stop_chain(f, &chain);
+}
+
+/* Guards against calls to an unreachable log that grow with the hosts. */
+static void
+test_lost_relays(Fixture *f, gconstpointer data)
+{
+    static char ids[400][16];
+    Chain chain = {.ports = {0}};
+    Host *hosts = chain.hosts;
+    unsigned calls;
+
+    for (size_t i = 0; i < G_N_ELEMENTS(ids); i++) {
+        g_snprintf(ids[i], sizeof(ids[i]), "other-%zu", i);
+    }
+    f->log.others = ids;
+    f->log.other_count = G_N_ELEMENTS(ids);
+    start_chain(f, &chain);
+    f->log.unavailable = true;
+    run_for(f, 1 * MICROS_PER_S);
+    calls = hosts[5].calls;
+    /* 400 hosts that each call once in 6 s. */
+    run_for(f, 3 * MICROS_PER_S);
+    g_assert_cmpuint(hosts[5].calls - calls, <=, 1);
+    g_assert_cmpuint(hosts[0].calls, >, 6);
+    f->log.unavailable = false;
+    write_record(&f->log, "x", STR("1"));
+    for (int i = 0; i < CHAIN_HOSTS; i++) {
+        run_until_host_seen(f, &hosts[i], "x=1 ");
+    }
+    g_assert_cmpuint(hosts[5].calls - calls, <=, 1);
+    stop_chain(f, &chain);
+}
+
+typedef struct Result_ {
+    int status;
+    bool ended;
+} Result;
+
+static void
+on_result(void *user, const HttpFetchResponse *response)
+{
+    Result *result = user;
+
+    result->status = response->status;
+    result->ended = true;
+}
+
+static int
+post(Fixture *f, HttpFetch *fetch, const char *path, Str body)
+{
+    Result result = {0, false};
+
+    HttpFetch_Send(fetch, STR("POST"), Str_FromC(path), NULL, body,
+                   2 * MICROS_PER_S, on_result, &result);
+    while (!result.ended) {
+        Loop_RunOnce(f->loop);
+    }
+    return result.status;
+}
+
+/* Guards against an append for each host that starts, and against a host that
+ * writes the entry of another address. */
+static void
+test_registration(Fixture *f, gconstpointer data)
+{
+    uint16_t port = free_port(f);
+    g_autofree char *url = g_strdup_printf("http://127.0.0.1:%u", port);
+    Result results[40] = {{0, false}};
+    HttpFetch *fetch;
+    unsigned appends;
+    Host host;
+
+    start_host(&host, f, "host-1", port);
+    while (host.lists == 0) {
+        Loop_RunOnce(f->loop);
+    }
+    run_for(f, 200 * MICROS_PER_MS);
+    fetch = HttpFetch_Create(f->loop, Str_FromC(url), 1000, NULL, NULL);
+    appends = f->log.appends;
+    for (size_t i = 0; i < 15; i++) {
+        g_autofree char *path = g_strdup_printf("/register?host=h-%zu", i);
+
+        HttpFetch_Send(fetch, STR("POST"), Str_FromC(path), NULL,
+                       STR("d;81;" KEY ";20; 127.0.0.1:80"), 2 * MICROS_PER_S,
+                       on_result, &results[i]);
+    }
+    for (size_t i = 0; i < 15; i++) {
+        while (!results[i].ended) {
+            Loop_RunOnce(f->loop);
+        }
+        g_assert_cmpint(results[i].status, ==, 200);
+    }
+    g_assert_cmpuint(f->log.appends - appends, ==, 1);
+    g_assert_cmpuint(f->log.appended_records, ==, 15);
+    g_assert_cmpint(post(f, fetch, "/register?host=x",
+                         STR("d;81;" KEY ";20; 10.1.2.3:80")),
+                    ==, 400);
+    g_assert_cmpint(post(f, fetch, "/register?host=x", STR("")), ==, 400);
+    g_assert_cmpint(
+        post(f, fetch, "/register", STR("d;81;" KEY ";20; 127.0.0.1:80")), ==,
+        400);
+    g_assert_cmpuint(f->log.appends - appends, ==, 1);
+    Loop_Close(f->loop);
+    fail_pending(&f->log);
+    HttpFetch_Destroy(fetch);
+    stop_host(&host);
+}
+
+/* Guards against a host that reads the log because its relay has started just
+ * before it. */
+static void
+test_starting_relay(Fixture *f, gconstpointer data)
+{
+    Chain chain = {.ports = {0}};
+    Host *leaf;
+
+    list_chain(f, &chain);
+    leaf = start_chain_host(f, &chain, 5);
+    run_for(f, 60 * MICROS_PER_MS);
+    g_assert_cmpuint(leaf->calls, ==, 1); /* the list of hosts */
+    start_chain_host(f, &chain, 3);
+    start_chain_host(f, &chain, 4);
+    run_for(f, 60 * MICROS_PER_MS);
+    start_chain_host(f, &chain, 0);
+    run_until_host_seen(f, leaf, "b=2 ");
+    g_assert_cmpuint(leaf->calls, ==, 1);
+    g_assert_cmpuint(chain.hosts[3].calls, ==, 1);
+    stop_chain(f, &chain);
+}
+
+/* Guards against a host that starts and waits for relays that don't. */
+static void
+test_absent_relay(Fixture *f, gconstpointer data)
+{
+    Micros began = Clock_Now(f->clock);
+    Host host;
+
+    write_record(&f->log, "host-1", STR("d 127.0.0.1:80"));
+    start_host(&host, f, "host-2", free_port(f));
+    run_until_host_seen(f, &host, "b=2 ");
+    g_assert_cmpint(Clock_Now(f->clock) - began, <, 600 * MICROS_PER_MS);
+    Loop_Close(f->loop);
+    fail_pending(&f->log);
+    stop_host(&host);
+}
+
 /* Guards against a host that shares with the hosts of the first page of the
  * list only. */
 static void
@@ -615,8 +990,6 @@
     stop_host(&host);
 }
 
-#define KEY "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff"
-
 #define OTHER_KEY                                                             \
     "ff112233445566778899aabbccddeeff00112233445566778899aabbccddeeff"
 
@@ -665,12 +1038,6 @@
     }
 }
 
-static void
-set_flag(void *user)
-{
-    *(bool *)user = true;
-}
-
 /* Guards against a host that knows the key of a restarted one seconds later,
  * because the list has just been read or the restart is not the first one. */
 static void
@@ -815,6 +1182,12 @@
     ADD("/keyed/lower-era", test_lower_era);
     ADD("/keyed/outage", test_outage);
     ADD("/keyed/relay", test_relay);
+    ADD("/keyed/relay-chain", test_relay_chain);
+    ADD("/keyed/age-over-relays", test_age_over_relays);
+    ADD("/keyed/lost-relays", test_lost_relays);
+    ADD("/keyed/registration", test_registration);
+    ADD("/keyed/starting-relay", test_starting_relay);
+    ADD("/keyed/absent-relay", test_absent_relay);
     ADD("/keyed/list-in-pages", test_list_in_pages);
     ADD("/keyed/entries", test_entries);
     ADD("/keyed/list-after-outage", test_list_after_outage);
