gateway: pages of a host that has got the address of a relay are not used

A relay is known by its address, which another host may have got since the list was read. Change: relays tell their id with each response; a response of another id is refused and the relay ejected. Relays of earlier versions tell none. Measured: test_keyed_follower reused-address, red without the check.

--- a/packages/agatecrankd/GatewayDaemon.c
+++ b/packages/agatecrankd/GatewayDaemon.c
@@ -361,6 +361,7 @@
     KeyedRelayOptions relay = {
         .address = settings->relay.address,
         .port = settings->relay.port,
+        .host = settings->host_id,
         .serve_hosts = serve_hosts,
         .register_for = register_for,
         .user = this,
--- a/packages/net/KeyedRelay.c
+++ b/packages/net/KeyedRelay.c
@@ -109,11 +109,22 @@
 
 /* ---- responses ------------------------------------------------------ */
 
-static void
-respond(HttpRequest *request, int status, const char *state)
+/* Readers check the id, as addresses of hosts that are gone are used again. */
+static HeaderList *
+create_headers(const KeyedRelay *this)
 {
     HeaderList *headers = HeaderList_Create();
 
+    HeaderList_Add(headers, STR(KEYED_RELAY_FIELD), this->options.host);
+    return headers;
+}
+
+static void
+respond(const KeyedRelay *this, HttpRequest *request, int status,
+        const char *state)
+{
+    HeaderList *headers = create_headers(this);
+
     if (state != NULL) {
         HeaderList_Add(headers, STR(KEYED_STATE_FIELD), Str_FromC(state));
     }
@@ -132,10 +143,10 @@
 
 /* Responds with a statement on a topic, which holds for its era only. */
 static void
-respond_with_era(HttpRequest *request, int status, uint64_t era, Micros age,
-                 const Body *body)
+respond_with_era(const KeyedRelay *this, HttpRequest *request, int status,
+                 uint64_t era, Micros age, const Body *body)
 {
-    HeaderList *headers = HeaderList_Create();
+    HeaderList *headers = create_headers(this);
 
     if (era != KEYED_ERA_UNKNOWN) {
         add_number(headers, KEYED_ERA_FIELD, era);
@@ -212,8 +223,10 @@
 }
 
 static void
-respond_records(HttpRequest *request, Topic *topic, const WaitingRead *read)
+respond_records(const KeyedRelay *this, HttpRequest *request,
+                const WaitingRead *read)
 {
+    Topic *topic = read->topic;
     const KeyedMirror *mirror = KeyedFollower_Mirror(topic->follower);
     Body body = {.newest = read->newest,
                  .from = read->from,
@@ -225,7 +238,7 @@
     GArray *records;
 
     if (kept != NULL) {
-        respond_with_era(request, 200, body.era, age, kept);
+        respond_with_era(this, request, 200, body.era, age, kept);
         return;
     }
     records = g_array_new(FALSE, FALSE, sizeof(KeyedRecord));
@@ -236,7 +249,7 @@
         KeyedMirror_Tail(mirror, read->from, records);
     }
     write_body(&body, records, deflate);
-    respond_with_era(request, 200, body.era, age, &body);
+    respond_with_era(this, request, 200, body.era, age, &body);
     if (body.deflated) {
         keep_body(topic, &body);
     }
@@ -262,7 +275,8 @@
 }
 
 static void
-respond_unserved(HttpRequest *request, const Topic *topic)
+respond_unserved(const KeyedRelay *this, HttpRequest *request,
+                 const Topic *topic)
 {
     const char *state = NULL;
 
@@ -272,27 +286,28 @@
     else if (!KeyedFollower_IsReachable(topic->follower)) {
         state = KEYED_STATE_LOST;
     }
-    respond(request, 503, state);
+    respond(this, request, 503, state);
 }
 
 /* Returns false, without a response, if the read has to wait for a record. */
 static bool
-respond_tail(HttpRequest *request, const WaitingRead *read, bool may_wait)
+respond_tail(const KeyedRelay *this, HttpRequest *request,
+             const WaitingRead *read, bool may_wait)
 {
     const KeyedMirror *mirror = KeyedFollower_Mirror(read->topic->follower);
 
     if (!is_current(read->topic)) {
-        respond_unserved(request, read->topic);
+        respond_unserved(this, request, read->topic);
     }
     else if (!KeyedMirror_Has(mirror, read->from)) {
-        respond_with_era(request, 410,
+        respond_with_era(this, request, 410,
                          KeyedFollower_Era(read->topic->follower), -1, NULL);
     }
     else if (may_wait && read->from == KeyedMirror_End(mirror)) {
         return false;
     }
     else {
-        respond_records(request, read->topic, read);
+        respond_records(this, request, read);
     }
     return true;
 }
@@ -300,25 +315,27 @@
 /* Returns false, without a response, if the read has to wait for the first
  * snapshot. */
 static bool
-respond_newest(HttpRequest *request, const WaitingRead *read, bool may_wait)
+respond_newest(const KeyedRelay *this, HttpRequest *request,
+               const WaitingRead *read, bool may_wait)
 {
     if (may_wait && is_starting(read->topic)) {
         return false;
     }
     if (is_current(read->topic)) {
-        respond_records(request, read->topic, read);
+        respond_records(this, request, read);
     }
     else {
-        respond_unserved(request, read->topic);
+        respond_unserved(this, request, read->topic);
     }
     return true;
 }
 
 static bool
-respond_read(HttpRequest *request, const WaitingRead *read, bool may_wait)
+respond_read(const KeyedRelay *this, HttpRequest *request,
+             const WaitingRead *read, bool may_wait)
 {
-    return read->newest ? respond_newest(request, read, may_wait)
-                        : respond_tail(request, read, may_wait);
+    return read->newest ? respond_newest(this, request, read, may_wait)
+                        : respond_tail(this, request, read, may_wait);
 }
 
 static void
@@ -326,7 +343,7 @@
 {
     Pending *pending = user;
 
-    respond_read(pending->request, pending->read, false);
+    respond_read(pending->relay, pending->request, pending->read, false);
     stop_waiting(pending);
 }
 
@@ -359,7 +376,7 @@
         return;
     }
     if (page->code < 0) {
-        respond(pending->request, 503, NULL);
+        respond(pending->relay, pending->request, 503, NULL);
         return;
     }
     records = g_array_new(FALSE, FALSE, sizeof(KeyedRecord));
@@ -367,7 +384,8 @@
         g_array_append_vals(records, page->records, (guint)page->count);
     }
     write_body(&body, records, wants_deflate(pending->request));
-    respond_with_era(pending->request, 200, page->era, page->age, &body);
+    respond_with_era(pending->relay, pending->request, 200, page->era,
+                     page->age, &body);
     clear_body(&body);
     g_array_free(records, TRUE);
 }
@@ -382,7 +400,7 @@
         release_pending(pending);
         return;
     }
-    respond(pending->request, code == 0 ? 200 : 503, NULL);
+    respond(pending->relay, pending->request, code == 0 ? 200 : 503, NULL);
 }
 
 /* A host writes only an entry with its own address. */
@@ -403,7 +421,7 @@
 
     if (host.length == 0 || value.length > ENTRY_BYTES_MAX ||
         !is_own_entry(pending->request, value)) {
-        respond(pending->request, 400, NULL);
+        respond(pending->relay, pending->request, 400, NULL);
         return;
     }
     pending->is_called_for = true;
@@ -435,17 +453,17 @@
     Str wait = query_parameter(query, "wait_ms");
 
     if (read.topic == NULL) {
-        respond(request, 404, NULL);
+        respond(this, request, 404, NULL);
         return;
     }
     if ((wait.length > 0 && Str_ParseU64(wait, &wait_ms) < 0) ||
         (!read.newest &&
          (wait.length == 0 ||
           Str_ParseU64(query_parameter(query, "from"), &read.from) < 0))) {
-        respond(request, 400, NULL);
+        respond(this, request, 400, NULL);
         return;
     }
-    if (!respond_read(request, &read, wait_ms > 0)) {
+    if (!respond_read(this, request, &read, wait_ms > 0)) {
         wait_for_record(this, request, &read, (Micros)wait_ms * MICROS_PER_MS);
     }
 }
@@ -566,7 +584,7 @@
         Pending *pending = item->data;
 
         next = item->next;
-        if (respond_read(pending->request, pending->read, true)) {
+        if (respond_read(this, pending->request, pending->read, true)) {
             stop_waiting(pending);
         }
     }
--- a/packages/net/KeyedRelay.h
+++ b/packages/net/KeyedRelay.h
@@ -17,12 +17,14 @@
 /**
  * struct KeyedRelayOptions_ - settings
  * @address, @port: where to listen for other hosts
+ * @host: id of this host; borrowed
  * @serve_hosts: hand on the list of hosts, see HostList_Serve()
  * @register_for: write the entry of another host
  */
 typedef struct KeyedRelayOptions_ {
     const char *address;
     uint16_t port;
+    Str host;
     void (*serve_hosts)(void *user, Micros age_max, KeyedPageHandler *handler,
                         void *handler_user);
     void (*register_for)(void *user, Str host, Str value,
--- a/packages/net/KeyedSource.c
+++ b/packages/net/KeyedSource.c
@@ -278,6 +278,18 @@
                      Str_FromC(state));
 }
 
+/* Returns false if another host has the address now. Relays of earlier versions
+ * do not tell their ids. */
+static bool
+is_from(const HttpFetchResponse *response, const Peer *relay)
+{
+    Str id = response->headers != NULL
+                 ? HeaderList_Get(response->headers, STR(KEYED_RELAY_FIELD))
+                 : STR("");
+
+    return id.length == 0 || Str_Equal(id, Str_FromC(relay->id));
+}
+
 static void
 log_relay_failure(const Read *read, const HttpFetchResponse *response)
 {
@@ -376,7 +388,7 @@
     relay->ejected_until = MAX(
         relay->ejected_until,
         now(this) + (refused && is_starting(this) ? START_RETRY_US : time));
-    if (has_state(response, KEYED_STATE_LOST)) {
+    if (has_state(response, KEYED_STATE_LOST) && is_from(response, relay)) {
         on_lost(this);
     }
 }
@@ -450,7 +462,8 @@
     GString *inflated;
     GArray *records;
 
-    if (response->code == 0 && response->status == 410 && !older) {
+    if (response->code == 0 && response->status == 410 && !older &&
+        is_from(response, read->relay)) {
         page.code = ERR_EXPIRED;
         on_era(this, page.era);
         deliver(read, &page);
@@ -458,7 +471,8 @@
     }
     records = g_array_new(FALSE, FALSE, sizeof(KeyedRecord));
     inflated = inflate_body(response);
-    if (response->code < 0 || response->status != 200 || older ||
+    if (!is_from(response, read->relay) || response->code < 0 ||
+        response->status != 200 || older ||
         KeyedCodec_Read(inflated != NULL ? Str_FromString(inflated)
                                          : response->body,
                         &page.end, records) < 0) {
--- a/tests/test_keyed_follower.c
+++ b/tests/test_keyed_follower.c
@@ -559,6 +559,7 @@
         host_record, host_snapshot, host_state, host_page, NULL};
     KeyedRelayOptions relay = {.address = "127.0.0.1",
                                .port = port,
+                               .host = Str_FromC(id),
                                .serve_hosts = host_serve_hosts,
                                .register_for = host_register_for,
                                .user = host};
@@ -948,6 +949,36 @@
     stop_chain(f, &chain);
 }
 
+/* Guards against pages of another host, which has got the address of one that
+ * is gone. */
+static void
+test_reused_address(Fixture *f, gconstpointer data)
+{
+    uint16_t port = free_port(f);
+    g_autofree char *value = g_strdup_printf("e 127.0.0.1:%u", port);
+    Host other, host;
+    FakeLog foreign = {.loop = f->loop};
+    Fixture elsewhere = *f;
+
+    elsewhere.log = foreign;
+    elsewhere.log.interface =
+        (KeyedLog){&elsewhere.log, read_newest, read_tail, append};
+    write_record(&elsewhere.log, "a", STR("foreign"));
+    start_host(&other, &elsewhere, "other-1", port);
+    run_until_host_seen(f, &other, "a=foreign ");
+    write_record(&f->log, "host-1", Str_FromC(value));
+    start_host(&host, f, "host-2", free_port(f));
+    run_for(f, 800 * MICROS_PER_MS);
+    write_record(&f->log, "x", STR("1"));
+    run_until_host_seen(f, &host, "x=1 ");
+    g_assert_null(strstr(host.seen->str, "foreign"));
+    Loop_Close(f->loop);
+    fail_pending(&f->log);
+    fail_pending(&elsewhere.log);
+    stop_host(&host);
+    stop_host(&other);
+}
+
 /* Guards against a host that starts and waits for relays that don't. */
 static void
 test_absent_relay(Fixture *f, gconstpointer data)
@@ -1188,6 +1219,7 @@
     ADD("/keyed/registration", test_registration);
     ADD("/keyed/starting-relay", test_starting_relay);
     ADD("/keyed/absent-relay", test_absent_relay);
+    ADD("/keyed/reused-address", test_reused_address);
     ADD("/keyed/list-in-pages", test_list_in_pages);
     ADD("/keyed/entries", test_entries);
     ADD("/keyed/list-after-outage", test_list_after_outage);
