Run hosts of an earlier version beside this one; malformed pages and requests of relays

Cause: nothing in the tree ran two builds together, and the relay's pages and requests have new forms. Tests: the order of the fields of an entry, damaged and truncated compressed pages, malformed requests to a relay.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 JOBS ?= $(shell nproc)
 BUILD ?= build
 
-.PHONY: all setup build sanitized format format-check lint test check demo bench clean
+.PHONY: all setup build sanitized format format-check lint test check upgrade-check demo bench clean
 
 all: build
 
@@ -31,6 +31,10 @@
 
 check: format-check lint test
 
+# Replaces hosts of an earlier version by this one, and back: FROM=COMMIT
+upgrade-check: build
+	@bash scripts/upgrade-check.sh $(BUILD)/release $(FROM) $(SEEDS)
+
 demo: build
 	@bash scripts/demo.sh $(BUILD)/release
 
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -27,7 +27,10 @@
 LINK_PERIOD_S=${LINK_PERIOD_S:-0.6}    # between faults of links; 0 for none
 SIGNALS=${SIGNALS:-mixed}    # mixed, term (SIGTERM only), ends (SIGTERM and SIGKILL), herd (SIGKILL to four of five
                              # hosts at once, soon after many responses begin to be lost), pairs (SIGKILL to the hosts
-                             # that are cut off, twice within a second, every 6 s) or none
+                             # that are cut off, twice within a second, every 6 s), upgrade (hosts of OLD_BIN are
+                             # replaced one after the other by this build, and back with BACK set) or none
+OLD_BIN=${OLD_BIN:-}         # build folder of an earlier version, with which the hosts start
+BACK=${BACK:-}               # not empty: after the upgrade the hosts go back to OLD_BIN
 CRASH_INTERVAL_MS=${CRASH_INTERVAL_MS:-0}  # between requests that end upstreams; 0 for none
 LIMIT_INTERVAL_MS=${LIMIT_INTERVAL_MS:-0}  # between changes of the limits that upstreams name; 0 for none
 NOTICE_INTERVAL_MS=${NOTICE_INTERVAL_MS:-0}  # between upstreams that leave or ask for pauses; 0 for none
@@ -57,6 +60,16 @@
     } >"$WORK/host-$1.toml"
 }
 
+# use_program HOST BUILD_DIR: starts a host with the program of a build from now on.
+# Settings that only this version has are left out for an earlier one.
+use_program() {
+    echo "$2" >"$WORK/program-$1"
+    write_settings "$1"
+    if [ "$2" != "$OLD_BIN" ]; then
+        sed -i 's/^domain = .*/&\nregion = "r"/; s/^store = .*/&\nlink_mbps = 100.0/' "$WORK/host-$1.toml"
+    fi
+}
+
 # record_event HOST: tells the stand-in that a host is being started, frozen or
 # resumed
 record_event() {
@@ -78,7 +91,7 @@
     SKEW_FILE=$WORK/skew-$1 LD_PRELOAD=$libraries \
         SOURCE_ADDRESS=$(loopback_address "$1") CUT_FILE=$cut \
         STORE_PORT=$(echo "$STORE_PORTS" | cut -d ' ' -f "$(($1 + 1))") \
-        "$BIN/packages/agatecrankd/agatecrankd" --config "$WORK/host-$1.toml" \
+        "$(cat "$WORK/program-$1" 2>/dev/null || echo "$BIN")/packages/agatecrankd/agatecrankd" --config "$WORK/host-$1.toml" \
         >>"$WORK/host-$1.log" 2>&1 &
     HOST_PID[$1]=$!
 }
@@ -172,6 +185,18 @@
     done
 }
 
+# replace_hosts BUILD_DIR UNTIL: stops one host after the other and starts it again
+# with the program of a build, until a time in nanoseconds since 1970
+replace_hosts() {
+    local host
+    for host in $(seq 0 $((HOSTS - 1))); do
+        [ "$(date +%s%N)" -ge "$2" ] && break
+        use_program "$host" "$1"
+        stop_and_restart "$host" TERM
+        sleep 0.3
+    done
+}
+
 # inject_clock_faults: repeatedly shifts the time of day of a random host by up to
 # an hour in either direction
 inject_clock_faults() {
@@ -224,13 +249,22 @@
     PLATFORM_PID=$!
     STORE_PORTS=$(store_ports "$WORK/platform.out")
     for host in $(seq 0 $((HOSTS - 1))); do
-        write_settings "$host"
+        if [ -n "$OLD_BIN" ]; then
+            use_program "$host" "$OLD_BIN"
+        else
+            write_settings "$host"
+        fi
         start_host "$host"
     done
     if [ "$SIGNALS" = herd ]; then
         inject_herd_kill
     elif [ "$SIGNALS" = pairs ]; then
         inject_pair_kills "$(($(date +%s%N) + LOAD_MS * 1000000))"
+    elif [ "$SIGNALS" = upgrade ]; then
+        sleep 3
+        replace_hosts "$BIN" "$(($(date +%s%N) + LOAD_MS * 1000000))"
+        [ -n "$BACK" ] && replace_hosts "$OLD_BIN" "$(($(date +%s%N) + LOAD_MS * 1000000))"
+        echo "programs=$(sort "$WORK"/program-* | uniq -c | tr '\n' ' ')"
     elif [ "$SIGNALS" != none ]; then
         sleep 3
         inject_clock_faults &
--- a/tests/test_forward_seal.c
+++ b/tests/test_forward_seal.c
@@ -23,6 +23,9 @@
         {"d 10.0.0.1:7735", 0, "d", 7735, 0},
         {"d;7734;" KEY " 10.0.0.1:7735", 0, "d", 7735, 7734},
         {"d;7734;" KEY ";more 10.0.0.1:7735", 0, "d", 7735, 7734},
+        {"d;7734;" KEY ";20;r 10.0.0.1:7735", 0, "d", 7735, 7734},
+        {"d;7734;" KEY ";20;r;more 10.0.0.1:7735", 0, "d", 7735, 7734},
+        {"d;7734;" KEY ";; 10.0.0.1:7735", 0, "d", 7735, 7734},
         {"d;0;" KEY " 10.0.0.1:7735", ERR_INVALID, "d", 7735, 0},
         {"d;65536;" KEY " 10.0.0.1:7735", ERR_INVALID, "d", 7735, 0},
         {"d;x;" KEY " 10.0.0.1:7735", ERR_INVALID, "d", 7735, 0},
@@ -76,6 +79,47 @@
     g_assert_cmpmem(parsed.key, HOST_KEY_BYTES, entry.key, HOST_KEY_BYTES);
 }
 
+/* The parser of the version before relay trees, which ignores what follows the
+ * key. */
+static bool
+parse_with_key(Str text, Str *domain, uint64_t *port, uint8_t *key)
+{
+    Str first, field;
+
+    return Str_Split(&text, ' ', &first) && Str_Split(&first, ';', domain) &&
+           Str_Split(&first, ';', &field) && Str_ParseU64(field, port) == 0 &&
+           Str_Split(&first, ';', &field) &&
+           Hex_Parse(field, key, HOST_KEY_BYTES) == 0;
+}
+
+/* Guards against fields in another order, by which hosts of the version before
+ * forward no requests to those of this one. */
+static void
+test_entry_with_capacity(void)
+{
+    RosterEntry entry = {.domain = STR("d"),
+                         .relay = {"10.0.0.1", 7735},
+                         .forward_port = 7734,
+                         .link_mbps = 200,
+                         .region = STR("r")};
+    uint8_t key[HOST_KEY_BYTES];
+    RosterEntry parsed;
+    g_autofree char *text = NULL;
+    uint64_t port;
+    Str domain;
+
+    g_assert_cmpint(Hex_Parse(STR(KEY), entry.key, HOST_KEY_BYTES), ==, 0);
+    text = RosterEntry_Format(&entry);
+    g_assert_cmpstr(text, ==, "d;7734;" KEY ";200;r 10.0.0.1:7735");
+    g_assert_true(parse_with_key(Str_FromC(text), &domain, &port, key));
+    g_assert_true(Str_Equal(domain, STR("d")));
+    g_assert_cmpuint(port, ==, 7734);
+    g_assert_cmpmem(key, HOST_KEY_BYTES, entry.key, HOST_KEY_BYTES);
+    g_assert_cmpint(RosterEntry_Parse(Str_FromC(text), &parsed), ==, 0);
+    g_assert_cmpuint(parsed.link_mbps, ==, 200);
+    g_assert_true(Str_Equal(parsed.region, STR("r")));
+}
+
 /* ---- keys ----------------------------------------------------------- */
 
 static Clock *test_clock;
@@ -374,6 +418,7 @@
     g_test_add_func("/forward/entry", test_entry);
     g_test_add_func("/forward/entry-of-next-version",
                     test_entry_of_next_version);
+    g_test_add_func("/forward/entry-with-capacity", test_entry_with_capacity);
     g_test_add_func("/forward/keys-of-pair", test_keys_of_pair);
     g_test_add_func("/forward/change-of-keys", test_change_of_keys);
     g_test_add_func("/forward/replay-window", test_replay_window);
--- a/tests/test_keyed_follower.c
+++ b/tests/test_keyed_follower.c
@@ -1200,6 +1200,134 @@
     g_string_free(text, TRUE);
 }
 
+#define PAGE_RECORDS 60
+#define DAMAGED_PAGES 3000
+#define PAGE_BYTES_MAX 100000
+
+static GString *
+create_page(void)
+{
+    GArray *records = g_array_new(FALSE, FALSE, sizeof(KeyedRecord));
+    GString *text = g_string_new(NULL);
+
+    for (unsigned i = 0; i < PAGE_RECORDS; i++) {
+        KeyedRecord record = {
+            STR("host-1"),
+            STR("d;81;" KEY " 127.0.0.1:80 0123456789abcdef 0123456789abcdef"),
+            false, i};
+
+        g_array_append_val(records, record);
+    }
+    KeyedCodec_Write(PAGE_RECORDS, records, text);
+    g_array_free(records, TRUE);
+    return text;
+}
+
+/* Guards against a page that ends early and passes for whole, and against a
+ * host that crashes or fills its memory because of a damaged one. */
+static void
+test_damaged_pages(void)
+{
+    GString *page = create_page();
+    GString *deflated = KeyedCodec_Deflate(page);
+    GArray *records = g_array_new(FALSE, FALSE, sizeof(KeyedRecord));
+    Random *random = Random_Create(36);
+    GString *text;
+    uint64_t end;
+
+    g_assert_nonnull(deflated);
+    g_assert_cmpuint(deflated->len, <, page->len / 2);
+    text = KeyedCodec_Inflate(Str_FromString(deflated), PAGE_BYTES_MAX);
+    g_assert_cmpmem(text->str, text->len, page->str, page->len);
+    g_string_free(text, TRUE);
+    for (size_t n = 0; n < deflated->len; n++) {
+        g_assert_null(
+            KeyedCodec_Inflate((Str){deflated->str, n}, PAGE_BYTES_MAX));
+    }
+    g_assert_null(KeyedCodec_Inflate(Str_FromString(deflated), page->len - 1));
+    for (unsigned i = 0; i < DAMAGED_PAGES; i++) {
+        GString *damaged =
+            g_string_new_len(deflated->str, (gssize)deflated->len);
+
+        for (unsigned k = 0; k <= i % 4; k++) {
+            damaged->str[Random_Below(random, damaged->len)] =
+                (char)Random_Below(random, 256);
+        }
+        text = KeyedCodec_Inflate(Str_FromString(damaged), PAGE_BYTES_MAX);
+        if (text != NULL) {
+            g_array_set_size(records, 0);
+            KeyedCodec_Read(Str_FromString(text), &end, records);
+            g_string_free(text, TRUE);
+        }
+        g_string_free(damaged, TRUE);
+    }
+    g_array_free(records, TRUE);
+    Random_Destroy(random);
+    g_string_free(deflated, TRUE);
+    g_string_free(page, TRUE);
+}
+
+/* Guards against a relay that one malformed request ends. */
+static void
+test_malformed_requests(Fixture *f, gconstpointer data)
+{
+    static const char *const pieces[] = {"/newest",
+                                         "/tail",
+                                         "/register",
+                                         "?",
+                                         "&",
+                                         "topic=",
+                                         TOPIC,
+                                         "keyed.agatecrank-hosts",
+                                         "from=",
+                                         "wait_ms=",
+                                         "age_ms=",
+                                         "host=",
+                                         "-1",
+                                         "0",
+                                         "18446744073709551615",
+                                         "99999999999999999999",
+                                         "encoding=deflate",
+                                         "x",
+                                         "%00",
+                                         "=",
+                                         "wait_ms=1"};
+    uint16_t port = free_port(f);
+    g_autofree char *url = g_strdup_printf("http://127.0.0.1:%u", port);
+    HttpFetch *fetch;
+    Host host;
+
+    start_host(&host, f, "host-1", port);
+    run_until_host_seen(f, &host, "b=2 ");
+    fetch = HttpFetch_Create(f->loop, Str_FromC(url), 100000, NULL, NULL);
+    for (unsigned i = 0; i < 400; i++) {
+        GString *path = g_string_new("/");
+        Result result = {0, false};
+        size_t length = Random_Below(f->random, 9);
+
+        for (size_t k = 0; k < length; k++) {
+            g_string_append(
+                path, pieces[Random_Below(f->random, G_N_ELEMENTS(pieces))]);
+        }
+        /* Long polls of any length are not waited for. */
+        HttpFetch_Send(fetch, i % 2 == 0 ? STR("GET") : STR("POST"),
+                       Str_FromString(path), NULL,
+                       i % 3 == 0 ? STR("d;81;" KEY " 127.0.0.1:80") : STR(""),
+                       20 * MICROS_PER_MS, on_result, &result);
+        while (!result.ended) {
+            Loop_RunOnce(f->loop);
+        }
+        g_string_free(path, TRUE);
+    }
+    g_assert_cmpint(
+        post(f, fetch, "/tail?topic=" TOPIC "&from=0&wait_ms=0", STR("")), >,
+        0);
+    Loop_Close(f->loop);
+    fail_pending(&f->log);
+    HttpFetch_Destroy(fetch);
+    stop_host(&host);
+}
+
 #define ADD(path, test)                                                       \
     g_test_add(path, Fixture, NULL, set_up, test, tear_down)
 
@@ -1225,6 +1353,8 @@
     ADD("/keyed/list-after-outage", test_list_after_outage);
     ADD("/keyed/refresh", test_refresh);
     ADD("/keyed/refresh-bound", test_refresh_bound);
+    ADD("/keyed/malformed-requests", test_malformed_requests);
     g_test_add_func("/keyed/codec", test_codec);
+    g_test_add_func("/keyed/damaged-pages", test_damaged_pages);
     return g_test_run();
 }
