gateway: a peer's word that an upstream leaves is confirmed or refuted by probes

Change: the notice counts at once, for 60 s; load probes go on, and a response to one that was sent since then confirms or refutes it. What the upstream itself has said stays certain. test_peer_notice_confirms asserted that a peer's word makes a notice certain; it is replaced by three tests, which also require that the notice holds until a later probe, and that it is renewed. Roots read the store every 0.45 s instead of 0.36 s. Measured: test_eligibility peer-notice-refuted, -confirmed, -renews; red with the word of a peer taken as certain; test_upstream_notices green.

--- a/packages/gateway/DispatcherNotices.c
+++ b/packages/gateway/DispatcherNotices.c
@@ -26,7 +26,7 @@
     Eligibility *eligibility = Placement_Eligibility(this->placement);
 
     if (!notice->leaving) {
-        Eligibility_OnNotLeaving(eligibility, upstream);
+        Eligibility_OnNotLeaving(eligibility, upstream, sent);
     }
     else if (Eligibility_SetLeaving(eligibility, upstream, sent)) {
         log_notice(this, upstream, "leaving", source, 0);
--- a/packages/gateway/Eligibility.c
+++ b/packages/gateway/Eligibility.c
@@ -32,6 +32,7 @@
     bool leaving;
     Micros leaving_sent;      /* time of the last request */
     Micros unconfirmed_until; /* 0 if the incarnation itself has said it */
+    Micros told_at;           /* by another host, 0 for never */
 } Notices;
 
 /* Notices of an incarnation that is not listed. */
@@ -370,35 +371,50 @@
     return !was_leaving;
 }
 
+/* Returns whether this was unknown. What the upstream itself has said is not
+ * made uncertain. */
+static bool
+set_told(const Eligibility *this, Entry *entry, Micros sent)
+{
+    Notices *notices = &entry->notices;
+    bool was_leaving = is_leaving(this, entry);
+
+    if (!was_leaving || notices->unconfirmed_until > 0) {
+        notices->unconfirmed_until = unconfirmed_until(this);
+        notices->told_at = Clock_Now(this->clock);
+    }
+    notices->leaving = true;
+    notices->leaving_sent = MAX(notices->leaving_sent, sent);
+    return !was_leaving;
+}
+
 bool
 Eligibility_OnPeerNotice(Eligibility *this, uint32_t instance, Micros sent)
 {
     Entry unlisted = {.instance = instance};
-    bool was_leaving;
+    bool unknown;
 
     for (guint i = 0; i < this->entries->len; i++) {
-        const Entry *entry = find_entry(this, i);
+        Entry *entry = find_entry(this, i);
 
         if (entry->listed && entry->instance == instance) {
-            return Eligibility_SetLeaving(this, i, sent);
+            return set_told(this, entry, sent);
         }
     }
     unlisted.notices = take_kept(this, instance);
-    was_leaving = is_leaving(this, &unlisted);
-    unlisted.notices.leaving = true;
-    unlisted.notices.unconfirmed_until = 0;
-    unlisted.notices.leaving_sent = MAX(unlisted.notices.leaving_sent, sent);
+    unknown = set_told(this, &unlisted, sent);
     keep(this, &unlisted);
-    return !was_leaving;
+    return unknown;
 }
 
 void
-Eligibility_OnNotLeaving(Eligibility *this, uint32_t upstream)
+Eligibility_OnNotLeaving(Eligibility *this, uint32_t upstream, Micros sent)
 {
     Entry *entry = find_entry(this, upstream);
 
     if (entry != NULL && entry->listed &&
-        entry->notices.unconfirmed_until > 0) {
+        entry->notices.unconfirmed_until > 0 &&
+        sent >= entry->notices.told_at) {
         entry->notices.leaving = false;
         entry->notices.unconfirmed_until = 0;
     }
--- a/packages/gateway/Eligibility.h
+++ b/packages/gateway/Eligibility.h
@@ -73,18 +73,23 @@
 bool Eligibility_SetLeaving(Eligibility *this, uint32_t upstream, Micros sent);
 
 /**
- * Eligibility_OnPeerNotice() - as Eligibility_SetLeaving(), in a response that
- *     another host has received
+ * Eligibility_OnPeerNotice() - another host has received a response of the
+ *     upstream that says so
  * @instance: of the upstream; it need not be listed
+ *
+ * A host may be mistaken, so this holds for 60 s, load probes go on, and a
+ * response to one that was sent since then confirms or refutes it.
  */
 bool Eligibility_OnPeerNotice(Eligibility *this, uint32_t instance,
                               Micros sent);
 
 /**
  * Eligibility_OnNotLeaving() - a response of the upstream does not say that it
- *     will end; ends what it has inherited
+ *     will end; ends what it has inherited or another host has said
+ * @sent: time at which the request was sent
  */
-void Eligibility_OnNotLeaving(Eligibility *this, uint32_t upstream);
+void Eligibility_OnNotLeaving(Eligibility *this, uint32_t upstream,
+                              Micros sent);
 
 /**
  * Eligibility_Pause() - the upstream wants nothing from this host for a time
--- a/packages/net/KeyedSource.c
+++ b/packages/net/KeyedSource.c
@@ -14,7 +14,7 @@
 #define DIRECT_WAIT_MAX_US (2 * MICROS_PER_S)
 /* Part of it for a host that others read through. With the waits and pauses
  * below it, what they get is young enough to be served. */
-#define RELAY_DIRECT_WAIT_RATIO 0.4
+#define RELAY_DIRECT_WAIT_RATIO 0.5
 /* Waits of a relay that reads through a root, and of a host that reads through
  * a relay. */
 #define ROOT_WAIT_US (200 * MICROS_PER_MS)
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -65,7 +65,9 @@
 use_program() {
     echo "$2" >"$WORK/program-$1"
     write_settings "$1"
-    if [ "$2" != "$OLD_BIN" ]; then
+    if [ "$2" = "$OLD_BIN" ]; then
+        grep -q '^forward = ' "$OLD_BIN/source/scripts/gateway.sh" || sed -i '/^forward = /d' "$WORK/host-$1.toml"
+    else
         sed -i 's/^domain = .*/&\nregion = "r"/; s/^store = .*/&\nlink_mbps = 100.0/' "$WORK/host-$1.toml"
     fi
 }
