gateway: hosts of small deployments do not wait for relays at a start

Change: the patience at a start, and the time for a relay that does not respond, grow with the number of hosts, 1 ms each up to 0.4 s.

--- a/packages/net/KeyedSource.c
+++ b/packages/net/KeyedSource.c
@@ -19,16 +19,18 @@
  * a relay. */
 #define ROOT_WAIT_US (200 * MICROS_PER_MS)
 #define RELAY_WAIT_US (400 * MICROS_PER_MS)
-/* Longest wait for a relay that has started and has not read the log yet. */
-#define START_WAIT_US (400 * MICROS_PER_MS)
 #define RELAY_TIMEOUT_US (250 * MICROS_PER_MS)
 #define RELAY_CONNECT_TIMEOUT_US (150 * MICROS_PER_MS)
 /* Time for which a relay without a valid response is ejected, doubled with each
  * timeout in a row. */
 #define RELAY_EJECTION_TIME_US (1 * MICROS_PER_S)
 #define RELAY_EJECTION_DOUBLINGS_MAX 3
-/* A host that starts waits this long for relays that start, too. */
-#define START_PATIENCE_US (400 * MICROS_PER_MS)
+/* A host that starts waits this long for relays that start, too. With few hosts
+ * the log serves all of them at once. */
+#define START_PATIENCE_MAX_US (400 * MICROS_PER_MS)
+#define START_PATIENCE_PER_HOST_US (1 * MICROS_PER_MS)
+#define START_TIME_US (1 * MICROS_PER_S)
+#define START_TIMEOUT_MIN_US (50 * MICROS_PER_MS)
 #define START_RETRY_US (50 * MICROS_PER_MS)
 /* While the log is unreachable, it is called only at this interval. Hosts whose
  * relays say that it is share a rate of calls. */
@@ -190,10 +192,28 @@
     return NULL;
 }
 
+/* Returns for how long this host goes on to wait for relays that start. */
+static Micros
+start_patience(const KeyedSource *this)
+{
+    Micros patience =
+        (Micros)HostList_Count(this->list) * START_PATIENCE_PER_HOST_US;
+
+    return MAX(
+        this->started + MIN(patience, START_PATIENCE_MAX_US) - now(this), 0);
+}
+
 static bool
 is_starting(const KeyedSource *this)
 {
-    return now(this) - this->started < START_PATIENCE_US;
+    return start_patience(this) > 0;
+}
+
+/* Returns whether this host has just started and waits no longer. */
+static bool
+is_impatient(const KeyedSource *this)
+{
+    return !is_starting(this) && now(this) - this->started < START_TIME_US;
 }
 
 /* Returns whether a relay seems to start, too. */
@@ -414,7 +434,7 @@
         return;
     }
     late = is_timeout(read, response);
-    if (!(late && read->timed_out) &&
+    if (!(late && read->timed_out) && !is_impatient(this) &&
         (choose_relay(this) != NULL || expects_relay(this))) {
         if (late) {
             read->timed_out = true;
@@ -595,6 +615,19 @@
     }
 }
 
+/* Returns for how long a host waits for a relay that may be down, besides its
+ * patience: not for long where the log serves all hosts at once. */
+static Micros
+snapshot_timeout(const KeyedSource *this)
+{
+    Micros timeout =
+        (Micros)HostList_Count(this->list) * START_PATIENCE_PER_HOST_US;
+
+    return now(this) - this->started < START_TIME_US
+               ? CLAMP(timeout, START_TIMEOUT_MIN_US, RELAY_TIMEOUT_US)
+               : RELAY_TIMEOUT_US;
+}
+
 /* Returns how long the relay may take to respond, and appends the query. */
 static Micros
 relay_query(const Read *read, GString *path)
@@ -609,9 +642,10 @@
         return LOG_CALL_TIMEOUT_US;
     }
     if (read->newest) {
+        wait = start_patience(read->source);
         g_string_printf(path, "/newest?topic=%s&wait_ms=%" G_GINT64_FORMAT,
-                        read->topic->str, START_WAIT_US / MICROS_PER_MS);
-        return START_WAIT_US + RELAY_TIMEOUT_US;
+                        read->topic->str, wait / MICROS_PER_MS);
+        return wait + snapshot_timeout(read->source);
     }
     g_string_printf(path,
                     "/tail?topic=%s&from=%" G_GUINT64_FORMAT
@@ -853,7 +887,8 @@
     else if (Loop_IsClosing(this->loop)) {
         end_registration(registration, ERR_UNAVAILABLE);
     }
-    else if (response->code < 0 && is_starting(this)) {
+    else if (response->code < 0 &&
+             now(this) - this->started < START_PATIENCE_MAX_US) {
         this->waiting_registration = registration;
         LoopTimer_Start(registration->timer, START_RETRY_US);
     }
--- a/tests/test_keyed_follower.c
+++ b/tests/test_keyed_follower.c
@@ -821,20 +821,28 @@
     stop_chain(f, &chain);
 }
 
-/* Guards against calls to an unreachable log that grow with the hosts. */
+/* Adds hosts of another domain to the list. */
 static void
-test_lost_relays(Fixture *f, gconstpointer data)
+list_others(Fixture *f)
 {
     static char ids[400][16];
-    Chain chain = {.ports = {0}};
-    Host *hosts = chain.hosts;
-    unsigned calls;
 
     for (size_t i = 0; i < G_N_ELEMENTS(ids); i++) {
         g_snprintf(ids[i], sizeof(ids[i]), "other-%zu", i);
     }
     f->log.others = ids;
     f->log.other_count = G_N_ELEMENTS(ids);
+}
+
+/* Guards against calls to an unreachable log that grow with the hosts. */
+static void
+test_lost_relays(Fixture *f, gconstpointer data)
+{
+    Chain chain = {.ports = {0}};
+    Host *hosts = chain.hosts;
+    unsigned calls;
+
+    list_others(f);
     start_chain(f, &chain);
     f->log.unavailable = true;
     run_for(f, 1 * MICROS_PER_S);
@@ -936,6 +944,7 @@
     Host *leaf;
 
     list_chain(f, &chain);
+    list_others(f);
     leaf = start_chain_host(f, &chain, 5);
     run_for(f, 60 * MICROS_PER_MS);
     g_assert_cmpuint(leaf->calls, ==, 1); /* the list of hosts */
@@ -949,6 +958,22 @@
     stop_chain(f, &chain);
 }
 
+/* Guards against a host of a small deployment that waits for relays, though the
+ * log serves all hosts at once. */
+static void
+test_start_of_few(Fixture *f, gconstpointer data)
+{
+    Micros began = Clock_Now(f->clock);
+    Chain chain = {.ports = {0}};
+    Host *leaf;
+
+    list_chain(f, &chain);
+    leaf = start_chain_host(f, &chain, 5);
+    run_until_host_seen(f, leaf, "b=2 ");
+    g_assert_cmpint(Clock_Now(f->clock) - began, <, 60 * MICROS_PER_MS);
+    stop_chain(f, &chain);
+}
+
 /* Guards against pages of another host, which has got the address of one that
  * is gone. */
 static void
@@ -1347,6 +1372,7 @@
     ADD("/keyed/registration", test_registration);
     ADD("/keyed/starting-relay", test_starting_relay);
     ADD("/keyed/absent-relay", test_absent_relay);
+    ADD("/keyed/start-of-few", test_start_of_few);
     ADD("/keyed/reused-address", test_reused_address);
     ADD("/keyed/list-in-pages", test_list_in_pages);
     ADD("/keyed/entries", test_entries);
