--- a/packages/net/KeyedSource.c
+++ b/packages/net/KeyedSource.c
@@ -14,7 +14,7 @@
 #define DIRECT_WAIT_MAX_US (2 * MICROS_PER_S)
 /* Part of it for a host that others read through. With the waits and pauses
  * below it, what they get is young enough to be served. */
-#define RELAY_DIRECT_WAIT_RATIO 0.5
+#define RELAY_DIRECT_WAIT_RATIO 0.4
 /* Waits of a relay that reads through a root, and of a host that reads through
  * a relay. */
 #define ROOT_WAIT_US (200 * MICROS_PER_MS)
@@ -69,6 +69,7 @@
     GPtrArray *parents; /* Peer, the preferred one first */
     GPtrArray *seeds;   /* Peer */
     Micros started;
+    Micros relays_known_at;  /* first reading of the list, or the start */
     GQueue *queued_reads;    /* Read that waits for the list */
     GQueue *postponed_reads; /* Read that waits for its timer */
     Micros log_failed_at;    /* time of the last read, -1 if it succeeded */
@@ -199,8 +200,9 @@
     Micros patience =
         (Micros)HostList_Count(this->list) * START_PATIENCE_PER_HOST_US;
 
-    return MAX(
-        this->started + MIN(patience, START_PATIENCE_MAX_US) - now(this), 0);
+    return MAX(this->relays_known_at + MIN(patience, START_PATIENCE_MAX_US) -
+                   now(this),
+               0);
 }
 
 static bool
@@ -213,7 +215,8 @@
 static bool
 is_impatient(const KeyedSource *this)
 {
-    return !is_starting(this) && now(this) - this->started < START_TIME_US;
+    return !is_starting(this) &&
+           now(this) - this->relays_known_at < START_TIME_US;
 }
 
 /* Returns whether a relay seems to start, too. */
@@ -324,6 +327,11 @@
                           : "refused");
         EventLog_Int(log, "era", (int64_t)era_of_relay(response));
         EventLog_Int(log, "status", response->status);
+        EventLog_Str(
+            log, "state",
+            response->code == 0
+                ? HeaderList_Get(response->headers, STR(KEYED_STATE_FIELD))
+                : STR(""));
         EventLog_End(log);
     }
 }
@@ -623,7 +631,7 @@
     Micros timeout =
         (Micros)HostList_Count(this->list) * START_PATIENCE_PER_HOST_US;
 
-    return now(this) - this->started < START_TIME_US
+    return now(this) - this->relays_known_at < START_TIME_US
                ? CLAMP(timeout, START_TIMEOUT_MIN_US, RELAY_TIMEOUT_US)
                : RELAY_TIMEOUT_US;
 }
@@ -821,6 +829,9 @@
     KeyedSource *this = user;
     Read *read;
 
+    if (!this->list_attempted) {
+        this->relays_known_at = now(this);
+    }
     if (changed) {
         GArray *hosts = g_array_new(FALSE, FALSE, sizeof(ListedHost));
 
@@ -1000,7 +1011,7 @@
     this->level = RELAY_LEVEL_LEAF;
     this->parents = g_ptr_array_new_with_free_func(unref_peer);
     this->seeds = g_ptr_array_new_with_free_func(unref_peer);
-    this->started = now(this);
+    this->started = this->relays_known_at = now(this);
     this->log_failed_at = -1;
     this->lost_heard_at = -1;
     this->era = KEYED_ERA_UNKNOWN;
