gateway: pages of relays carry the number of the read

Cause: one of the failures that operators reported: a second copy of a response, late, on a connection that is in use again. A page of a relay said nothing of the read it belongs to, so a copy passed for the next page of the topic. Change: the request has a number, which the response repeats; another one is refused and the relay ejected. Relays of earlier versions tell none. Measured: test_keyed_follower repeated-page, red (never reaches the record) without the check.

--- a/packages/net/KeyedCodec.h
+++ b/packages/net/KeyedCodec.h
@@ -15,6 +15,8 @@
 #define KEYED_ENCODING_FIELD "log-encoding"
 /** Name of the compression (RFC 1950), and parameter of a request for it */
 #define KEYED_DEFLATE "deflate"
+/** The same: number of the read, as in the parameter "read" of the request */
+#define KEYED_READ_FIELD "log-read"
 /** The same: id of the relay */
 #define KEYED_RELAY_FIELD "log-relay"
 /** The same of a response with status 503: why it cannot serve the topic */
--- a/packages/net/KeyedRelay.c
+++ b/packages/net/KeyedRelay.c
@@ -109,11 +109,18 @@
 
 /* ---- responses ------------------------------------------------------ */
 
-/* Readers check the id, as addresses of hosts that are gone are used again. */
+/* Readers check the id, as addresses of hosts that are gone are used again, and
+ * the number, as a response may be repeated on a connection. */
 static HeaderList *
-create_headers(const KeyedRelay *this)
+create_headers(const KeyedRelay *this, const HttpRequest *request)
 {
     HeaderList *headers = HeaderList_Create();
+    Str number = query_parameter(HttpRequest_Path(request), "read");
+    uint64_t read;
+
+    if (Str_ParseU64(number, &read) == 0) {
+        HeaderList_Add(headers, STR(KEYED_READ_FIELD), number);
+    }
 
     HeaderList_Add(headers, STR(KEYED_RELAY_FIELD), this->options.host);
     return headers;
@@ -123,7 +130,7 @@
 respond(const KeyedRelay *this, HttpRequest *request, int status,
         const char *state)
 {
-    HeaderList *headers = create_headers(this);
+    HeaderList *headers = create_headers(this, request);
 
     if (state != NULL) {
         HeaderList_Add(headers, STR(KEYED_STATE_FIELD), Str_FromC(state));
@@ -146,7 +153,7 @@
 respond_with_era(const KeyedRelay *this, HttpRequest *request, int status,
                  uint64_t era, Micros age, const Body *body)
 {
-    HeaderList *headers = create_headers(this);
+    HeaderList *headers = create_headers(this, request);
 
     if (era != KEYED_ERA_UNKNOWN) {
         add_number(headers, KEYED_ERA_FIELD, era);
--- a/packages/net/KeyedSource.c
+++ b/packages/net/KeyedSource.c
@@ -76,6 +76,7 @@
     Micros lost_heard_at;    /* a relay has no access to the log, or -1 */
     Micros lost_retry_at;    /* next call of the log while none has */
     uint64_t log_calls;
+    uint64_t read_count; /* reads over relays */
     uint64_t era;        /* of the last page that was delivered */
     bool list_attempted; /* a reading of the list has ended */
     bool direct;         /* reads go to the log, not to a relay */
@@ -92,6 +93,7 @@
     Micros timeout;
     Micros age_max; /* of the list of hosts, -1 for other topics */
     Micros sent_at;
+    uint64_t number; /* of the last read over a relay */
     LoopTimer *timer;
     bool newest;
     bool timed_out; /* at a relay */
@@ -301,16 +303,18 @@
                      Str_FromC(state));
 }
 
-/* Returns false if another host has the address now. Relays of earlier versions
- * do not tell their ids. */
+/* Returns false if another host has the address now, or the response is one to
+ * an earlier read. Relays of earlier versions tell neither. */
 static bool
-is_from(const HttpFetchResponse *response, const Peer *relay)
+is_own_response(const Read *read, const HttpFetchResponse *response)
 {
     Str id = response->headers != NULL
                  ? HeaderList_Get(response->headers, STR(KEYED_RELAY_FIELD))
                  : STR("");
 
-    return id.length == 0 || Str_Equal(id, Str_FromC(relay->id));
+    return (id.length == 0 || Str_Equal(id, Str_FromC(read->relay->id))) &&
+           number_field(response, KEYED_READ_FIELD, read->number) ==
+               read->number;
 }
 
 static void
@@ -416,7 +420,8 @@
     relay->ejected_until = MAX(
         relay->ejected_until,
         now(this) + (refused && is_starting(this) ? START_RETRY_US : time));
-    if (has_state(response, KEYED_STATE_LOST) && is_from(response, relay)) {
+    if (has_state(response, KEYED_STATE_LOST) &&
+        is_own_response(read, response)) {
         on_lost(this);
     }
 }
@@ -491,7 +496,7 @@
     GArray *records;
 
     if (response->code == 0 && response->status == 410 && !older &&
-        is_from(response, read->relay)) {
+        is_own_response(read, response)) {
         page.code = ERR_EXPIRED;
         on_era(this, page.era);
         deliver(read, &page);
@@ -499,7 +504,7 @@
     }
     records = g_array_new(FALSE, FALSE, sizeof(KeyedRecord));
     inflated = inflate_body(response);
-    if (!is_from(response, read->relay) || response->code < 0 ||
+    if (!is_own_response(read, response) || response->code < 0 ||
         response->status != 200 || older ||
         KeyedCodec_Read(inflated != NULL ? Str_FromString(inflated)
                                          : response->body,
@@ -669,6 +674,8 @@
     Micros timeout = relay_query(read, path);
 
     read->sent_at = now(read->source);
+    read->number = ++read->source->read_count;
+    g_string_append_printf(path, "&read=%" G_GUINT64_FORMAT, read->number);
     g_string_append(path, "&encoding=" KEYED_DEFLATE);
     HttpFetch_Send(read->relay->fetch, STR("GET"), Str_FromString(path), NULL,
                    STR(""), timeout, on_relay_response, read);
--- a/tests/test_keyed_follower.c
+++ b/tests/test_keyed_follower.c
@@ -1004,6 +1004,66 @@
     stop_host(&other);
 }
 
+/* A relay whose responses are those to an earlier read. */
+static void
+respond_late(void *user, HttpRequest *request)
+{
+    HeaderList *headers = HeaderList_Create();
+    GArray *records = g_array_new(FALSE, FALSE, sizeof(KeyedRecord));
+    KeyedRecord record = {STR("a"), STR("late"), false, 0};
+    GString *body = g_string_new(NULL);
+
+    g_array_append_val(records, record);
+    KeyedCodec_Write(1, records, body);
+    HeaderList_Add(headers, STR(KEYED_RELAY_FIELD), STR("host-1"));
+    HeaderList_Add(headers, STR(KEYED_READ_FIELD), STR("0"));
+    HttpRequest_Respond(request, 200, headers, Str_FromString(body));
+    g_string_free(body, TRUE);
+    g_array_free(records, TRUE);
+    HeaderList_Destroy(headers);
+}
+
+static void
+ignore_request(void *user, HttpRequest *request)
+{
+}
+
+static void
+ignore_body(void *user, HttpRequest *request, Str data)
+{
+}
+
+static void
+ignore_end(void *user, HttpRequest *request, bool complete)
+{
+}
+
+/* Guards against a second copy of a page, on a connection that is in use
+ * again. */
+static void
+test_repeated_page(Fixture *f, gconstpointer data)
+{
+    static const HttpServerHandlers handlers = {
+        ignore_request, ignore_body, respond_late, ignore_request, ignore_end};
+    HttpServerOptions options = {.address = "127.0.0.1", .keep_alive_s = 5};
+    HttpServer *relay =
+        HttpServer_Create(f->loop, &options, &handlers, f, NULL);
+    g_autofree char *value =
+        g_strdup_printf("e 127.0.0.1:%u", HttpServer_Port(relay));
+    Host host;
+
+    write_record(&f->log, "host-1", Str_FromC(value));
+    start_host(&host, f, "host-2", free_port(f));
+    run_for(f, 300 * MICROS_PER_MS);
+    write_record(&f->log, "x", STR("1"));
+    run_until_host_seen(f, &host, "x=1 ");
+    g_assert_null(strstr(host.seen->str, "late"));
+    Loop_Close(f->loop);
+    fail_pending(&f->log);
+    stop_host(&host);
+    HttpServer_Destroy(relay);
+}
+
 /* Guards against a host that starts and waits for relays that don't. */
 static void
 test_absent_relay(Fixture *f, gconstpointer data)
@@ -1374,6 +1434,7 @@
     ADD("/keyed/absent-relay", test_absent_relay);
     ADD("/keyed/start-of-few", test_start_of_few);
     ADD("/keyed/reused-address", test_reused_address);
+    ADD("/keyed/repeated-page", test_repeated_page);
     ADD("/keyed/list-in-pages", test_list_in_pages);
     ADD("/keyed/entries", test_entries);
     ADD("/keyed/list-after-outage", test_list_after_outage);
