gateway: a host that reaches the store while its relays do not goes on reading it

A host whose relays and roots have lost the store called it once in 15 ms for each host of the deployment, one topic at a time, also where the store served this host: some 7 to 20 s behind with 472 hosts. Change: a direct read that succeeds gives access for 5 s, whatever relays say. Measured: test_keyed_follower access-without-relays, red without the change; lost-relays, the rate of calls while nobody is served, green.

--- a/packages/net/KeyedSource.c
+++ b/packages/net/KeyedSource.c
@@ -38,6 +38,9 @@
 #define LOG_RETRY_PER_HOST_US (15 * MICROS_PER_MS)
 /* What relays say holds for this long. */
 #define LOST_TIME_US (2 * MICROS_PER_S)
+/* A host that has read the log goes on to do so for this long, whatever relays
+ * say, as the log may serve some hosts only. */
+#define LOG_ACCESS_TIME_US (5 * MICROS_PER_S)
 #define LOG_CALL_TIMEOUT_US (1 * MICROS_PER_S)
 /* A relay sends a whole topic at once. */
 #define RESPONSE_BYTES_MAX (8 * 1024 * 1024)
@@ -73,6 +76,7 @@
     GQueue *queued_reads;    /* Read that waits for the list */
     GQueue *postponed_reads; /* Read that waits for its timer */
     Micros log_failed_at;    /* time of the last read, -1 if it succeeded */
+    Micros log_read_at;      /* time of the last read that succeeded, or -1 */
     Micros lost_heard_at;    /* a relay has no access to the log, or -1 */
     Micros lost_retry_at;    /* next call of the log while none has */
     uint64_t log_calls;
@@ -533,6 +537,7 @@
 
     read->source->log_failed_at = failed ? now(read->source) : -1;
     if (!failed) {
+        read->source->log_read_at = now(read->source);
         on_era(read->source, page->era);
         HostList_ReadNow(read->source->list);
     }
@@ -567,10 +572,14 @@
     g_queue_push_tail(read->source->postponed_reads, read);
 }
 
+/* Returns whether the log is out of reach, as far as this host knows. */
 static bool
-relays_are_lost(const KeyedSource *this)
+log_is_lost(const KeyedSource *this)
 {
-    return this->lost_heard_at >= 0 &&
+    bool has_access = this->log_failed_at < 0 && this->log_read_at >= 0 &&
+                      now(this) - this->log_read_at <= LOG_ACCESS_TIME_US;
+
+    return !has_access && this->lost_heard_at >= 0 &&
            now(this) - this->lost_heard_at <= LOST_TIME_US;
 }
 
@@ -587,7 +596,7 @@
         now(this) - this->log_failed_at < interval) {
         return false;
     }
-    if (!relays_are_lost(this)) {
+    if (!log_is_lost(this)) {
         return true;
     }
     if (now(this) < this->lost_retry_at) {
@@ -1020,6 +1029,7 @@
     this->seeds = g_ptr_array_new_with_free_func(unref_peer);
     this->started = this->relays_known_at = now(this);
     this->log_failed_at = -1;
+    this->log_read_at = -1;
     this->lost_heard_at = -1;
     this->era = KEYED_ERA_UNKNOWN;
     this->direct = true;
--- a/tests/test_keyed_follower.c
+++ b/tests/test_keyed_follower.c
@@ -860,6 +860,38 @@
     stop_chain(f, &chain);
 }
 
+/* Guards against a host that falls behind though the log serves it, because it
+ * serves none of its relays. */
+static void
+test_access_without_relays(Fixture *f, gconstpointer data)
+{
+    Chain chain = {.ports = {0}};
+    Host *leaf = &chain.hosts[5];
+    Micros began;
+
+    list_others(f);
+    start_chain(f, &chain);
+    for (int i = 0; i < 5; i++) {
+        chain.hosts[i].cut = true;
+    }
+    write_record(&f->log, "x", STR("1"));
+    began = Clock_Now(f->clock);
+    run_until_host_seen(f, leaf, "x=1 ");
+    g_assert_cmpint(Clock_Now(f->clock) - began, <, 9 * MICROS_PER_S);
+    for (int i = 2; i < 5; i++) {
+        static char values[5][2];
+        g_autofree char *text = g_strdup_printf("x=%d ", i);
+
+        g_snprintf(values[i], sizeof(values[i]), "%d", i);
+        write_record(&f->log, "x", Str_FromC(values[i]));
+        began = Clock_Now(f->clock);
+        run_until_host_seen(f, leaf, text);
+        g_assert_cmpint(Clock_Now(f->clock) - began, <, 2 * MICROS_PER_S);
+        run_for(f, 700 * MICROS_PER_MS);
+    }
+    stop_chain(f, &chain);
+}
+
 typedef struct Result_ {
     int status;
     bool ended;
@@ -1429,6 +1461,7 @@
     ADD("/keyed/relay-chain", test_relay_chain);
     ADD("/keyed/age-over-relays", test_age_over_relays);
     ADD("/keyed/lost-relays", test_lost_relays);
+    ADD("/keyed/access-without-relays", test_access_without_relays);
     ADD("/keyed/registration", test_registration);
     ADD("/keyed/starting-relay", test_starting_relay);
     ADD("/keyed/absent-relay", test_absent_relay);
