settings: a seed that is no address is an error; upgrade check from older versions

Cause: by reading: a seed that could not be parsed was left out without a word. upgrade-check gave settings to versions that do not have them, which refused to start. Change: the address of each seed is checked; settings that an earlier version does not have are left out for it.

--- a/packages/gateway/GatewaySettings.c
+++ b/packages/gateway/GatewaySettings.c
@@ -165,18 +165,19 @@
 /* Relays of all hosts listen on the same port, and the platform may name
  * another one of the seeds. */
 static void
-read_seeds(GatewaySettings *this, const StrList *addresses)
+read_seeds(GatewaySettings *this, const TomlNode *table,
+           const StrList *addresses, Diagnostics *diagnostics)
 {
     Endpoint *seeds =
         Arena_Alloc(this->arena, addresses->count * sizeof(Endpoint));
 
     for (size_t i = 0; i < addresses->count; i++) {
-        if (Endpoint_Parse(addresses->items[i], &seeds[this->seed_count]) ==
-            0) {
-            seeds[this->seed_count++].port = this->relay.port;
-        }
+        read_address(table, "seeds", addresses->items[i], &seeds[i],
+                     diagnostics);
+        seeds[i].port = this->relay.port;
     }
     this->seeds = seeds;
+    this->seed_count = addresses->count;
 }
 
 static void
@@ -204,7 +205,7 @@
     read_address(gateway, "relay", table.relay, &this->relay, diagnostics);
     read_forward(this, gateway, table.forward, diagnostics);
     read_address(gateway, "store", table.store, &this->store, diagnostics);
-    read_seeds(this, &table.seeds);
+    read_seeds(this, gateway, &table.seeds, diagnostics);
     read_bounds(Toml_Find(root, STR("bounds")), &this->bounds, diagnostics);
 }
 
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -63,10 +63,14 @@
 # use_program HOST BUILD_DIR: starts a host with the program of a build from now on.
 # Settings that only this version has are left out for an earlier one.
 use_program() {
+    local key
     echo "$2" >"$WORK/program-$1"
     write_settings "$1"
     if [ "$2" = "$OLD_BIN" ]; then
-        grep -q '^forward = ' "$OLD_BIN/source/scripts/gateway.sh" || sed -i '/^forward = /d' "$WORK/host-$1.toml"
+        for key in forward first_start; do
+            grep -q "\"$key\"" "$OLD_BIN/source/packages/gateway/GatewaySettings.c" ||
+                sed -i "/^$key = /d" "$WORK/host-$1.toml"
+        done
     else
         sed -i 's/^domain = .*/&\nregion = "r"/; s/^store = .*/&\nlink_mbps = 100.0/' "$WORK/host-$1.toml"
     fi
