gateway: parameters of relay requests are found in any order

Cause: by reading the diff: a parameter that came first in a query was not found, and a host that registers itself at the first start could have begun a second registration when another one asked it for the list. Change: the query is split from the path first; no reading is brought forward before the first registration.

--- a/packages/net/HostList.c
+++ b/packages/net/HostList.c
@@ -105,13 +105,14 @@
     schedule_at(this, now(this) + delay);
 }
 
-/* Returns when the list can be read, -1 if that is no sooner than planned. */
+/* Returns when the list can be read, -1 if that is no sooner than planned, or
+ * this host registers itself first. */
 static Micros
 earlier_reading(const HostList *this, Micros interval)
 {
     Micros due = MAX(this->started_at + interval, now(this));
 
-    return !this->reading && due < this->due ? due : -1;
+    return !this->reading && !this->first && due < this->due ? due : -1;
 }
 
 /* ---- entries -------------------------------------------------------- */
@@ -539,7 +540,7 @@
 {
     Micros due = earlier_reading(this, REFRESH_DELAY_US);
 
-    if (!this->was_read && !this->first && due >= 0) {
+    if (!this->was_read && due >= 0) {
         schedule_at(this, due);
     }
 }
--- a/packages/net/KeyedRelay.c
+++ b/packages/net/KeyedRelay.c
@@ -69,6 +69,15 @@
     return STR("");
 }
 
+static Str
+request_parameter(const HttpRequest *request, const char *name)
+{
+    Str query = HttpRequest_Path(request), path;
+
+    Str_Split(&query, '?', &path);
+    return query_parameter(query, name);
+}
+
 /* ---- pending requests ----------------------------------------------- */
 
 static Pending *
@@ -115,7 +124,7 @@
 create_headers(const KeyedRelay *this, const HttpRequest *request)
 {
     HeaderList *headers = HeaderList_Create();
-    Str number = query_parameter(HttpRequest_Path(request), "read");
+    Str number = request_parameter(request, "read");
     uint64_t read;
 
     if (Str_ParseU64(number, &read) == 0) {
@@ -183,7 +192,7 @@
 static bool
 wants_deflate(const HttpRequest *request)
 {
-    return Str_Equal(query_parameter(HttpRequest_Path(request), "encoding"),
+    return Str_Equal(request_parameter(request, "encoding"),
                      STR(KEYED_DEFLATE));
 }
 
