tests: the start of few hosts is bounded by the patience of hundreds

The bound was taken from a run, so its verdict depended on the machine. Change: the bound is 0.4 s, the patience that the test guards against. Measured: red (408 ms) with that patience planted for few hosts, green without.

--- a/tests/test_keyed_follower.c
+++ b/tests/test_keyed_follower.c
@@ -1002,7 +1002,8 @@
     list_chain(f, &chain);
     leaf = start_chain_host(f, &chain, 5);
     run_until_host_seen(f, leaf, "b=2 ");
-    g_assert_cmpint(Clock_Now(f->clock) - began, <, 60 * MICROS_PER_MS);
+    /* The patience of a host among hundreds. */
+    g_assert_cmpint(Clock_Now(f->clock) - began, <, 400 * MICROS_PER_MS);
     stop_chain(f, &chain);
 }
 
