gateway: a relay writes no entry with a host id longer than a name

Cause: found by reading the diff. POST /register took an id of any length, while the log has one byte for the length of a key: a long id would have been written as a damaged record, under another key. Change: an id of more than 64 bytes gets 400. Measured: test_keyed_follower registration, red (200) without the check; the whole test, lint and format green.

--- a/packages/net/KeyedRelay.c
+++ b/packages/net/KeyedRelay.c
@@ -10,6 +10,8 @@
 #define TOPIC_BYTES_MAX 64
 #define WAIT_MAX_US (10 * MICROS_PER_S)
 #define ENTRY_BYTES_MAX 1024
+/* As of names in settings; the log has one byte for the length of a key. */
+#define HOST_ID_BYTES_MAX 64
 #define BODIES_MAX 3
 
 /* A body that several hosts get one after the other. */
@@ -435,7 +437,8 @@
     Str value =
         pending->body != NULL ? Str_FromString(pending->body) : STR("");
 
-    if (host.length == 0 || value.length > ENTRY_BYTES_MAX ||
+    if (host.length == 0 || host.length > HOST_ID_BYTES_MAX ||
+        value.length > ENTRY_BYTES_MAX ||
         !is_own_entry(pending->request, value)) {
         respond(pending->relay, pending->request, 400, NULL);
         return;
--- a/tests/test_keyed_follower.c
+++ b/tests/test_keyed_follower.c
@@ -926,6 +926,7 @@
 {
     uint16_t port = free_port(f);
     g_autofree char *url = g_strdup_printf("http://127.0.0.1:%u", port);
+    g_autofree char *long_path = g_strdup_printf("/register?host=%0300d", 1);
     Result results[40] = {{0, false}};
     HttpFetch *fetch;
     unsigned appends;
@@ -956,6 +957,9 @@
     g_assert_cmpint(post(f, fetch, "/register?host=x",
                          STR("d;81;" KEY ";20; 10.1.2.3:80")),
                     ==, 400);
+    g_assert_cmpint(
+        post(f, fetch, long_path, STR("d;81;" KEY ";20; 127.0.0.1:80")), ==,
+        400);
     g_assert_cmpint(post(f, fetch, "/register?host=x", STR("")), ==, 400);
     g_assert_cmpint(
         post(f, fetch, "/register", STR("d;81;" KEY ";20; 127.0.0.1:80")), ==,
