gateway: evacuated failure domains and cold upstreams

Cause: nothing read the operators' requests to evacuate a failure domain, nor the rate that a service names for cold upstreams.

If all upstreams are evacuated, requests are refused at once, queued ones too. The rate of a cold upstream is a limit of UpstreamLimits that ends by time, kept apart from the one that the upstream names.

--- a/packages/agatecrankd/GatewayDaemon.c
+++ b/packages/agatecrankd/GatewayDaemon.c
@@ -145,6 +145,8 @@
     Counters_Set(this->counters, "agatecrank_limited_upstreams", NULL, 0,
                  Dispatcher_LimitedUpstreamCount(this->dispatcher));
     set_excluded_counts(this);
+    Counters_Set(this->counters, "agatecrank_evacuated_domains", NULL, 0,
+                 (double)Dispatcher_EvacuatedCount(this->dispatcher));
     Counters_Set(this->counters, "agatecrank_store_calls", NULL, 0,
                  (double)(KeyedSource_LogCalls(this->source) +
                           QuarantineFeed_Appends(this->quarantine)));
--- a/packages/core/limits/UpstreamLimits.c
+++ b/packages/core/limits/UpstreamLimits.c
@@ -36,7 +36,10 @@
 #define REMOVED_MAX 1024
 
 typedef struct Limit_ {
-    double per_s;          /* NO_LIMIT for none */
+    double per_s;        /* in force: the lower one of the next two */
+    double named_per_s;  /* by the upstream; NO_LIMIT for none */
+    double warmup_per_s; /* until @warmup_until; NO_LIMIT for none */
+    Micros warmup_until;
     double reported_per_s; /* at the last LimitChange */
     double part_per_s;     /* of this host */
     double tokens;         /* requests that this host may send now */
@@ -49,6 +52,12 @@
     bool named_by_probes; /* a probe has named the limit in force */
 } Limit;
 
+static const Limit no_limit = {
+    .per_s = NO_LIMIT,
+    .named_per_s = NO_LIMIT,
+    .warmup_per_s = NO_LIMIT,
+};
+
 struct UpstreamLimits_ {
     const Clock *clock;
     Random *random;
@@ -91,7 +100,7 @@
 limit_at(UpstreamLimits *this, uint32_t upstream)
 {
     while (this->limits->len <= upstream) {
-        Limit none = {.per_s = NO_LIMIT};
+        Limit none = no_limit;
 
         g_array_append_val(this->limits, none);
     }
@@ -211,7 +220,8 @@
 {
     Micros now = Clock_Now(this->clock);
 
-    if (limit->named_by_probes) {
+    /* The end of a warm-up is known. */
+    if (limit->named_by_probes || limit->named_per_s < 0) {
         return false;
     }
     if (now > limit->trial_at + TRIAL_TIME_US) {
@@ -220,10 +230,28 @@
     return now >= limit->trial_at;
 }
 
+static LimitChange update_limit(UpstreamLimits *this, Limit *limit,
+                                uint32_t instance);
+
+/* Returns the limit in force, or NULL; a warm-up that is over ends here. */
+static Limit *
+current_limit(UpstreamLimits *this, uint32_t upstream)
+{
+    Limit *limit = this->count > 0 ? find_limit(this, upstream) : NULL;
+
+    if (limit != NULL && limit->warmup_per_s >= 0 &&
+        Clock_Now(this->clock) >= limit->warmup_until) {
+        limit->warmup_per_s = NO_LIMIT;
+        update_limit(this, limit, limit->instance);
+        return find_limit(this, upstream);
+    }
+    return limit;
+}
+
 bool
 UpstreamLimits_MaySend(UpstreamLimits *this, uint32_t upstream)
 {
-    Limit *limit = this->count > 0 ? find_limit(this, upstream) : NULL;
+    Limit *limit = current_limit(this, upstream);
 
     if (limit == NULL) {
         return true;
@@ -236,7 +264,7 @@
 void
 UpstreamLimits_OnSent(UpstreamLimits *this, uint32_t upstream)
 {
-    Limit *limit = this->count > 0 ? find_limit(this, upstream) : NULL;
+    Limit *limit = current_limit(this, upstream);
 
     if (limit == NULL) {
         return;
@@ -253,7 +281,7 @@
 Micros
 UpstreamLimits_Wait(UpstreamLimits *this, uint32_t upstream)
 {
-    Limit *limit = find_limit(this, upstream);
+    Limit *limit = current_limit(this, upstream);
 
     if (limit == NULL || UpstreamLimits_MaySend(this, upstream)) {
         return 0;
@@ -278,9 +306,10 @@
 bool
 UpstreamLimits_IsProbeDue(UpstreamLimits *this, uint32_t upstream)
 {
-    const Limit *limit = this->count > 0 ? find_limit(this, upstream) : NULL;
+    const Limit *limit = current_limit(this, upstream);
 
     return limit != NULL && !UpstreamLimits_MaySend(this, upstream) &&
+           limit->named_per_s >= 0 &&
            Clock_Now(this->clock) - limit->heard_at >=
                probe_interval(this, limit);
 }
@@ -288,7 +317,7 @@
 double
 UpstreamLimits_PartPerS(UpstreamLimits *this, uint32_t upstream)
 {
-    Limit *limit = find_limit(this, upstream);
+    Limit *limit = current_limit(this, upstream);
 
     if (limit == NULL) {
         return NO_LIMIT;
@@ -308,7 +337,7 @@
 static void
 end_limit(UpstreamLimits *this, Limit *limit)
 {
-    *limit = (Limit){.per_s = NO_LIMIT};
+    *limit = no_limit;
     this->count--;
 }
 
@@ -323,13 +352,32 @@
     this->count++;
 }
 
+/* Returns the lower rate of those that are in force. */
+static double
+lowest_rate(const Limit *limit)
+{
+    if (limit->named_per_s < 0 || limit->warmup_per_s < 0) {
+        return MAX(limit->named_per_s, limit->warmup_per_s);
+    }
+    return MIN(limit->named_per_s, limit->warmup_per_s);
+}
+
+/* Puts the lowest rate in force after one of the rates has changed. */
 static LimitChange
-set_limit(UpstreamLimits *this, Limit *limit, uint32_t instance, double per_s)
+update_limit(UpstreamLimits *this, Limit *limit, uint32_t instance)
 {
+    double per_s = lowest_rate(limit);
     bool is_new = limit->per_s < 0;
     double low = MIN(per_s, limit->reported_per_s);
     double high = MAX(per_s, limit->reported_per_s);
 
+    if (per_s < 0) {
+        if (is_new) {
+            return LIMIT_CHANGE_NONE;
+        }
+        end_limit(this, limit);
+        return LIMIT_CHANGE_ENDED;
+    }
     if (!is_new) {
         refill(this, limit);
     }
@@ -357,23 +405,42 @@
     case LIMIT_UNKNOWN:
         break;
     case LIMIT_ABSENT:
-        if (limit->per_s < 0 ||
+        if (limit->named_per_s < 0 ||
             (source == LIMIT_SOURCE_PROBE && !limit->named_by_probes)) {
             break;
         }
-        end_limit(this, limit);
-        return LIMIT_CHANGE_ENDED;
+        limit->named_per_s = NO_LIMIT;
+        limit->named_by_probes = false;
+        return update_limit(this, limit, instance);
     case LIMIT_NAMED:
         if (!is_valid(notice.per_s)) {
             break;
         }
         limit->named_by_probes |= source == LIMIT_SOURCE_PROBE;
         limit->named_at = limit->heard_at;
-        return set_limit(this, limit, instance, notice.per_s);
+        limit->named_per_s = notice.per_s;
+        return update_limit(this, limit, instance);
     }
     return LIMIT_CHANGE_NONE;
 }
 
+LimitChange
+UpstreamLimits_SetWarmup(UpstreamLimits *this, uint32_t upstream,
+                         uint32_t instance, double per_s, Micros until)
+{
+    Limit *limit = limit_at(this, upstream);
+
+    if (until <= Clock_Now(this->clock) || !is_valid(per_s)) {
+        per_s = NO_LIMIT;
+    }
+    if (per_s < 0 && limit->warmup_per_s < 0) {
+        return LIMIT_CHANGE_NONE;
+    }
+    limit->warmup_per_s = per_s;
+    limit->warmup_until = until;
+    return update_limit(this, limit, instance);
+}
+
 static gboolean
 is_outdated(gpointer key, gpointer value, gpointer user)
 {
--- a/packages/core/limits/UpstreamLimits.h
+++ b/packages/core/limits/UpstreamLimits.h
@@ -89,6 +89,18 @@
                                       uint32_t instance, LimitNotice notice,
                                       LimitSource source);
 
+/**
+ * UpstreamLimits_SetWarmup() - an upstream is cold until a time
+ * @instance: as in UpstreamLimits_OnResponse()
+ * @per_s: requests per second that it takes from all hosts together until then
+ * @until: the past if it is not cold
+ *
+ * Divided like a limit that the upstream names; the lower one is in force.
+ */
+LimitChange UpstreamLimits_SetWarmup(UpstreamLimits *this, uint32_t upstream,
+                                     uint32_t instance, double per_s,
+                                     Micros until);
+
 /**
  * UpstreamLimits_OnRemoved() - the upstream is not listed any more
  *
--- a/packages/gateway/Dialect.h
+++ b/packages/gateway/Dialect.h
@@ -22,6 +22,9 @@
  *         from this host, parsed by @parse_pause
  * @parse_pause: returns 0, ERR_PARSE, or ERR_LIMIT if the time is longer than
  *               UPSTREAM_PAUSE_MAX, which it returns then
+ * @warmup: from a probed upstream: time for which it stays cold, parsed by
+ *          @parse_warmup
+ * @parse_warmup: returns 0 or ERR_PARSE
  * @limits: from an upstream: requests per second that it accepts from all
  *          hosts together, parsed by @parse_limit; the first field present
  *          counts, and an empty name ends the list
@@ -40,6 +43,8 @@
     int (*parse_leaving)(Str text);
     Str pause;
     int (*parse_pause)(Str text, Micros *time);
+    Str warmup;
+    int (*parse_warmup)(Str text, Micros *time);
     Str limits[DIALECT_LIMITS_MAX];
     int (*parse_limit)(Str text, double *per_s);
 } Dialect;
--- a/packages/gateway/Dispatcher.c
+++ b/packages/gateway/Dispatcher.c
@@ -25,6 +25,9 @@
 /* Mean Retry-After of a host without a configuration, which usually arrives
  * within this time. */
 #define RETRY_AFTER_STARTUP_US (1 * MICROS_PER_S)
+/* Mean Retry-After while all upstreams of a service are evacuated, which lasts
+ * for seconds at least. */
+#define RETRY_AFTER_EVACUATED_US (1 * MICROS_PER_S)
 /* Bounds of Retry-After while a request is refused because it crashes
  * upstreams. A response elsewhere may end the refusal early. */
 #define RETRY_AFTER_CRASHING_MIN_US (1 * MICROS_PER_S)
@@ -374,6 +377,8 @@
         return retry_after_limits(this, wait);
     case ELIGIBILITY_PAUSED:
         return retry_after_pause(this, wait);
+    case ELIGIBILITY_EVACUATED:
+        return Random_Jitter(this->random, RETRY_AFTER_EVACUATED_US);
     case ELIGIBILITY_OK:
     case ELIGIBILITY_EJECTED:
     case ELIGIBILITY_DRAINING:
@@ -502,7 +507,10 @@
 Dispatcher_PutUpstream(Dispatcher *this, const UpstreamEntry *entry)
 {
     service_index(this, entry->service);
-    UpstreamSet_Put(this->upstreams, entry);
+    if (UpstreamSet_Put(this->upstreams, entry) && entry->warmup > 0) {
+        Dispatcher_SetWarmup(
+            this, UpstreamSet_Find(this->upstreams, entry->id), entry->warmup);
+    }
     CrashGuard_OnUpstreamsChanged(this->guard);
 }
 
@@ -520,6 +528,27 @@
     CrashGuard_OnUpstreamsChanged(this->guard);
 }
 
+void
+Dispatcher_SetEvacuated(Dispatcher *this, Str domain, bool evacuated)
+{
+    if (UpstreamSet_SetEvacuated(this->upstreams, domain, evacuated)) {
+        JobPlacement_OnTime(this);
+    }
+}
+
+void
+Dispatcher_RetainEvacuated(Dispatcher *this, GHashTable *domains)
+{
+    UpstreamSet_RetainEvacuated(this->upstreams, domains);
+    JobPlacement_OnTime(this);
+}
+
+size_t
+Dispatcher_EvacuatedCount(const Dispatcher *this)
+{
+    return UpstreamSet_EvacuatedCount(this->upstreams);
+}
+
 void
 Dispatcher_SetSourceReachable(Dispatcher *this, bool reachable, Micros since)
 {
--- a/packages/gateway/Dispatcher.h
+++ b/packages/gateway/Dispatcher.h
@@ -269,6 +269,23 @@
  */
 void Dispatcher_RetainUpstreams(Dispatcher *this, GHashTable *ids);
 
+/**
+ * Dispatcher_SetEvacuated() - operators evacuate a failure domain, or take it
+ *     back
+ *
+ * Nothing more is sent to its upstreams; requests in progress end normally.
+ */
+void Dispatcher_SetEvacuated(Dispatcher *this, Str domain, bool evacuated);
+
+/**
+ * Dispatcher_RetainEvacuated() - take back all domains but the listed ones
+ * @domains: set of GString
+ */
+void Dispatcher_RetainEvacuated(Dispatcher *this, GHashTable *domains);
+
+/** Dispatcher_EvacuatedCount() - number of evacuated failure domains */
+size_t Dispatcher_EvacuatedCount(const Dispatcher *this);
+
 /**
  * Dispatcher_SetSourceReachable() - report the state of the upstream source
  * @reachable: whether it can be read
--- a/packages/gateway/DispatcherNotices.c
+++ b/packages/gateway/DispatcherNotices.c
@@ -46,10 +46,34 @@
     }
 }
 
+void
+Dispatcher_SetWarmup(Dispatcher *this, uint32_t upstream, Micros time)
+{
+    const UpstreamRecord *record =
+        UpstreamSet_Record(this->upstreams, upstream);
+    double per_s = record != NULL && this->routes != NULL
+                       ? RouteTable_WarmupRate(
+                             this->routes,
+                             NameTable_Name(this->services, record->service))
+                       : 0;
+    LimitChange change;
+
+    if (per_s <= 0) {
+        return;
+    }
+    change = UpstreamLimits_SetWarmup(this->limits, upstream, record->instance,
+                                      per_s, Clock_Now(this->clock) + time);
+    if (change == LIMIT_CHANGE_NAMED) {
+        Placement_SetWarmup(this->placement, upstream, time);
+        log_notice(this, upstream, "warmup", "probe", time);
+    }
+}
+
 void
 Dispatcher_OnProbeNotice(Dispatcher *this, uint32_t upstream,
                          const UpstreamNotice *notice)
 {
+    Dispatcher_SetWarmup(this, upstream, notice->warmup);
     on_notice(this, upstream, notice, "probe",
               Dispatcher_SentProbe(this, upstream).sent);
 }
--- a/packages/gateway/DispatcherPrivate.h
+++ b/packages/gateway/DispatcherPrivate.h
@@ -117,6 +117,12 @@
 void Dispatcher_Count(Dispatcher *this, const char *name, const char *key,
                       Str value);
 
+/**
+ * Dispatcher_SetWarmup() - an upstream has said for how long it stays cold
+ * @time: from now; 0 if it is not cold
+ */
+void Dispatcher_SetWarmup(Dispatcher *this, uint32_t upstream, Micros time);
+
 /** Dispatcher_PushAction() - append an action for Dispatcher_NextAction() */
 void Dispatcher_PushAction(Dispatcher *this, const DispatchAction *action);
 
--- a/packages/gateway/Eligibility.c
+++ b/packages/gateway/Eligibility.c
@@ -59,6 +59,7 @@
     bool has_successor;
     bool listed;
     bool draining;
+    bool evacuated;
 } Entry;
 
 struct Eligibility_ {
@@ -105,6 +106,8 @@
         return "limit";
     case ELIGIBILITY_PAUSED:
         return "paused";
+    case ELIGIBILITY_EVACUATED:
+        return "evacuated";
     case ELIGIBILITY_DRAINING:
         return "draining";
     case ELIGIBILITY_LEAVING:
@@ -348,6 +351,16 @@
     }
 }
 
+void
+Eligibility_SetEvacuated(Eligibility *this, uint32_t upstream, bool evacuated)
+{
+    Entry *entry = find_entry(this, upstream);
+
+    if (entry != NULL) {
+        entry->evacuated = evacuated;
+    }
+}
+
 bool
 Eligibility_SetLeaving(Eligibility *this, uint32_t upstream, Micros sent)
 {
@@ -543,6 +556,9 @@
     if (entry->draining) {
         return ELIGIBILITY_DRAINING;
     }
+    if (entry->evacuated) {
+        return ELIGIBILITY_EVACUATED;
+    }
     if (is_paused(this, entry)) {
         return ELIGIBILITY_PAUSED;
     }
@@ -564,6 +580,7 @@
     case ELIGIBILITY_OK:
     case ELIGIBILITY_EJECTED:
         return 0;
+    case ELIGIBILITY_EVACUATED:
     case ELIGIBILITY_DRAINING:
     case ELIGIBILITY_LEAVING:
     case ELIGIBILITY_COUNT:
@@ -589,6 +606,7 @@
         return entry->notices.unconfirmed_until > 0 && !is_paused(this, entry);
     case ELIGIBILITY_EJECTED:
     case ELIGIBILITY_PAUSED:
+    case ELIGIBILITY_EVACUATED:
     case ELIGIBILITY_DRAINING:
     case ELIGIBILITY_COUNT:
         break;
--- a/packages/gateway/Eligibility.h
+++ b/packages/gateway/Eligibility.h
@@ -17,11 +17,12 @@
 /** enum EligibilityReason_ - why no request may be sent, weakest reason first */
 typedef enum EligibilityReason_ {
     ELIGIBILITY_OK,
-    ELIGIBILITY_EJECTED,  /* it fails or is unreachable; the last resort */
-    ELIGIBILITY_LIMIT,    /* this host's part of its limit is used up */
-    ELIGIBILITY_PAUSED,   /* it wants nothing from this host for a time */
-    ELIGIBILITY_DRAINING, /* its description says so */
-    ELIGIBILITY_LEAVING,  /* its responses say so */
+    ELIGIBILITY_EJECTED,   /* it fails or is unreachable; the last resort */
+    ELIGIBILITY_LIMIT,     /* this host's part of its limit is used up */
+    ELIGIBILITY_PAUSED,    /* it wants nothing from this host for a time */
+    ELIGIBILITY_EVACUATED, /* operators evacuate its failure domain */
+    ELIGIBILITY_DRAINING,  /* its description says so */
+    ELIGIBILITY_LEAVING,   /* its responses say so */
     ELIGIBILITY_COUNT,
 } EligibilityReason;
 
@@ -48,6 +49,13 @@
 void Eligibility_SetDraining(Eligibility *this, uint32_t upstream,
                              bool draining);
 
+/**
+ * Eligibility_SetEvacuated() - set whether operators evacuate the failure
+ *     domain of the upstream
+ */
+void Eligibility_SetEvacuated(Eligibility *this, uint32_t upstream,
+                              bool evacuated);
+
 /**
  * Eligibility_Inherit() - an upstream uses the address of an incarnation that
  *     has ended
--- a/packages/gateway/JobPlacement.c
+++ b/packages/gateway/JobPlacement.c
@@ -318,20 +318,32 @@
 }
 
 /* Rejects a queued job if all upstreams that it may use are paused for longer
- * than it may wait. */
+ * than it may wait, or are evacuated. */
 static bool
-reject_paused(Job *job)
+reject_blocked(Job *job)
 {
     PlacementQuery query = JobPlacement_Query(job);
     Micros wait;
 
-    if (Placement_Blocked(job->owner->placement, &query, &wait) !=
-            ELIGIBILITY_PAUSED ||
-        wait < queue_wait_max(job)) {
-        return false;
+    switch (Placement_Blocked(job->owner->placement, &query, &wait)) {
+    case ELIGIBILITY_PAUSED:
+        if (wait < queue_wait_max(job)) {
+            return false;
+        }
+        Job_Abandon(job, "upstream-pauses");
+        return true;
+    case ELIGIBILITY_EVACUATED:
+        Job_Abandon(job, "evacuated");
+        return true;
+    case ELIGIBILITY_OK:
+    case ELIGIBILITY_EJECTED:
+    case ELIGIBILITY_LIMIT:
+    case ELIGIBILITY_DRAINING:
+    case ELIGIBILITY_LEAVING:
+    case ELIGIBILITY_COUNT:
+        break;
     }
-    Job_Abandon(job, "upstream-pauses");
-    return true;
+    return false;
 }
 
 void
@@ -348,7 +360,7 @@
             continue;
         }
         if (Placement_Choose(this->placement, &query, &choice) < 0) {
-            if (reject_paused(job)) {
+            if (reject_blocked(job)) {
                 continue;
             }
             return;
@@ -421,6 +433,8 @@
         return "upstream-limits";
     case ELIGIBILITY_PAUSED:
         return "upstream-pauses";
+    case ELIGIBILITY_EVACUATED:
+        return "evacuated";
     case ELIGIBILITY_OK:
     case ELIGIBILITY_EJECTED:
     case ELIGIBILITY_DRAINING:
--- a/packages/gateway/NoticeReader.c
+++ b/packages/gateway/NoticeReader.c
@@ -107,12 +107,31 @@
     return code == 0 || code == ERR_LIMIT ? pause : 0;
 }
 
+static Micros
+read_warmup(NoticeReader *this, const HeaderList *headers)
+{
+    Str name = this->dialect->warmup;
+    Str text = HeaderList_Get(headers, name);
+    Micros warmup = 0;
+
+    if (!HeaderList_Has(headers, name)) {
+        return 0;
+    }
+    if (count_fields(headers, name) > 1 ||
+        this->dialect->parse_warmup(text, &warmup) < 0) {
+        report_invalid(this, "warmup", text);
+        return 0;
+    }
+    return warmup;
+}
+
 UpstreamNotice
 NoticeReader_Read(NoticeReader *this, int status, const HeaderList *headers)
 {
     return (UpstreamNotice){
         .leaving = read_leaving(this, headers),
         .pause = status == 503 ? read_pause(this, headers) : 0,
+        .warmup = read_warmup(this, headers),
     };
 }
 
--- a/packages/gateway/Placement.c
+++ b/packages/gateway/Placement.c
@@ -221,6 +221,16 @@
     }
 }
 
+void
+Placement_SetWarmup(Placement *this, uint32_t upstream, Micros time)
+{
+    Load *load = find_load(this, upstream);
+
+    if (load != NULL) {
+        load->warmup_until = Clock_Now(this->clock) + time;
+    }
+}
+
 void
 Placement_OnSent(Placement *this, uint32_t upstream)
 {
--- a/packages/gateway/Placement.h
+++ b/packages/gateway/Placement.h
@@ -105,6 +105,9 @@
  */
 void Placement_SetDraining(Placement *this, uint32_t upstream, bool draining);
 
+/** Placement_SetWarmup() - the upstream is slower for a time from now on */
+void Placement_SetWarmup(Placement *this, uint32_t upstream, Micros time);
+
 /** Placement_OnSent() - a request was sent to the upstream */
 void Placement_OnSent(Placement *this, uint32_t upstream);
 
--- a/packages/gateway/RouteTable.c
+++ b/packages/gateway/RouteTable.c
@@ -5,12 +5,17 @@
 
 #include "Arena.h"
 
+typedef struct Service_ {
+    Str load_path;
+    double warmup_per_s;
+} Service;
+
 struct RouteTable_ {
     uint64_t version;
     CallerLimits limits;
     Arena *arena;
-    GHashTable *routes;     /* "host prefix" to Route */
-    GHashTable *load_paths; /* service name to path */
+    GHashTable *routes;   /* "host prefix" to Route */
+    GHashTable *services; /* name to Service */
     unsigned references;
 };
 
@@ -23,7 +28,7 @@
     this->limits = *limits;
     this->arena = Arena_Create();
     this->routes = g_hash_table_new(g_str_hash, g_str_equal);
-    this->load_paths = g_hash_table_new(g_str_hash, g_str_equal);
+    this->services = g_hash_table_new(g_str_hash, g_str_equal);
     this->references = 1;
     return this;
 }
@@ -42,7 +47,7 @@
         return;
     }
     g_hash_table_destroy(this->routes);
-    g_hash_table_destroy(this->load_paths);
+    g_hash_table_destroy(this->services);
     Arena_Destroy(this->arena);
     g_free(this);
 }
@@ -119,19 +124,48 @@
 void
 RouteTable_AddService(RouteTable *this, Str service, Str load_path)
 {
-    g_hash_table_insert(this->load_paths,
+    Service *added = Arena_Alloc(this->arena, sizeof(*added));
+
+    added->load_path = Arena_CopyStr(this->arena, load_path);
+    g_hash_table_insert(this->services,
                         (gpointer)Arena_CopyStr(this->arena, service).data,
-                        (gpointer)Arena_CopyStr(this->arena, load_path).data);
+                        added);
+}
+
+static Service *
+find_service(const RouteTable *this, Str name)
+{
+    char *key = g_strndup(name.data, name.length);
+    Service *found = g_hash_table_lookup(this->services, key);
+
+    g_free(key);
+    return found;
+}
+
+void
+RouteTable_SetWarmupRate(RouteTable *this, Str service, double per_s)
+{
+    Service *found = find_service(this, service);
+
+    if (found != NULL) {
+        found->warmup_per_s = per_s;
+    }
+}
+
+double
+RouteTable_WarmupRate(const RouteTable *this, Str service)
+{
+    const Service *found = find_service(this, service);
+
+    return found != NULL ? found->warmup_per_s : 0;
 }
 
 Str
 RouteTable_LoadPath(const RouteTable *this, Str service)
 {
-    char *name = g_strndup(service.data, service.length);
-    const char *path = g_hash_table_lookup(this->load_paths, name);
+    const Service *found = find_service(this, service);
 
-    g_free(name);
-    return Str_FromC(path);
+    return found != NULL ? found->load_path : STR("");
 }
 
 static Str
--- a/packages/gateway/RouteTable.h
+++ b/packages/gateway/RouteTable.h
@@ -85,6 +85,15 @@
  */
 void RouteTable_AddService(RouteTable *this, Str service, Str load_path);
 
+/**
+ * RouteTable_SetWarmupRate() - set the requests per second that a cold upstream
+ *     of an added service takes from all hosts together; 0 for no limit
+ */
+void RouteTable_SetWarmupRate(RouteTable *this, Str service, double per_s);
+
+/** RouteTable_WarmupRate() - rate of RouteTable_SetWarmupRate(), or 0 */
+double RouteTable_WarmupRate(const RouteTable *this, Str service);
+
 /**
  * RouteTable_LoadPath() - the path of RouteTable_AddService(), or an empty Str
  */
--- a/packages/gateway/UpstreamSet.c
+++ b/packages/gateway/UpstreamSet.c
@@ -35,11 +35,12 @@
     NameTable *domains;
     const Clock *clock;
     EventLog *log;
-    GHashTable *by_id;   /* ListedUpstream by GString */
-    GHashTable *removed; /* RemovedUpstream by GString */
-    GPtrArray *by_index; /* ListedUpstream or NULL */
-    DueSet *expired;     /* entries of ListedUpstream in their grace period */
-    GArray *references;  /* uint32_t by index: attempts and probes */
+    GHashTable *by_id;     /* ListedUpstream by GString */
+    GHashTable *removed;   /* RemovedUpstream by GString */
+    GPtrArray *by_index;   /* ListedUpstream or NULL */
+    GHashTable *evacuated; /* set of domain indexes */
+    DueSet *expired;    /* entries of ListedUpstream in their grace period */
+    GArray *references; /* uint32_t by index: attempts and probes */
     Micros grace;
     Micros reachable_since; /* earliest end of the last outage, or -1 */
     bool reachable;
@@ -83,6 +84,7 @@
                                           (GEqualFunc)g_string_equal, NULL,
                                           destroy_removed);
     this->by_index = g_ptr_array_new();
+    this->evacuated = g_hash_table_new(NULL, NULL);
     this->expired = DueSet_Create();
     this->references = g_array_new(FALSE, TRUE, sizeof(uint32_t));
     this->reachable_since = -1;
@@ -99,6 +101,7 @@
     g_hash_table_destroy(this->by_id);
     g_hash_table_destroy(this->removed);
     g_ptr_array_free(this->by_index, TRUE);
+    g_hash_table_destroy(this->evacuated);
     DueSet_Destroy(this->expired);
     g_array_free(this->references, TRUE);
     g_free(this);
@@ -210,6 +213,12 @@
     return (uint32_t)Str_HashSeeded(entry->id, (uint64_t)entry->started) | 1;
 }
 
+static bool
+is_evacuated(const UpstreamSet *this, uint32_t domain)
+{
+    return g_hash_table_contains(this->evacuated, GUINT_TO_POINTER(domain));
+}
+
 static ListedUpstream *
 add_upstream(UpstreamSet *this, const UpstreamEntry *entry)
 {
@@ -230,6 +239,8 @@
     g_hash_table_insert(this->by_id, listed->id, listed);
     g_ptr_array_index(this->by_index, listed->index) = listed;
     Placement_Add(this->placement, listed->index, &info);
+    Eligibility_SetEvacuated(Placement_Eligibility(this->placement),
+                             listed->index, is_evacuated(this, info.domain));
     return listed;
 }
 
@@ -377,6 +388,69 @@
     this->reachable = reachable;
 }
 
+static void
+log_evacuation(const UpstreamSet *this, Str domain, bool evacuated,
+               size_t upstreams)
+{
+    if (EventLog_Begin(this->log, LOG_LEVEL_WARN, "evacuation")) {
+        EventLog_Str(this->log, "domain", domain);
+        EventLog_CStr(this->log, "change", evacuated ? "begun" : "ended");
+        EventLog_Int(this->log, "upstreams", (int64_t)upstreams);
+        EventLog_End(this->log);
+    }
+}
+
+bool
+UpstreamSet_SetEvacuated(UpstreamSet *this, Str domain, bool evacuated)
+{
+    uint32_t index = NameTable_Intern(this->domains, domain);
+    size_t count = 0;
+
+    if (is_evacuated(this, index) == evacuated) {
+        return false;
+    }
+    if (evacuated) {
+        g_hash_table_add(this->evacuated, GUINT_TO_POINTER(index));
+    }
+    else {
+        g_hash_table_remove(this->evacuated, GUINT_TO_POINTER(index));
+    }
+    for (guint i = 0; i < this->by_index->len; i++) {
+        const UpstreamRecord *record = UpstreamSet_Record(this, i);
+
+        if (record != NULL && record->domain == index) {
+            Eligibility_SetEvacuated(Placement_Eligibility(this->placement), i,
+                                     evacuated);
+            count++;
+        }
+    }
+    log_evacuation(this, domain, evacuated, count);
+    return true;
+}
+
+void
+UpstreamSet_RetainEvacuated(UpstreamSet *this, GHashTable *domains)
+{
+    GList *known = g_hash_table_get_keys(this->evacuated);
+
+    for (GList *item = known; item != NULL; item = item->next) {
+        Str name = NameTable_Name(this->domains, GPOINTER_TO_UINT(item->data));
+        GString *key = Str_ToString(name);
+
+        if (!g_hash_table_contains(domains, key)) {
+            UpstreamSet_SetEvacuated(this, name, false);
+        }
+        g_string_free(key, TRUE);
+    }
+    g_list_free(known);
+}
+
+size_t
+UpstreamSet_EvacuatedCount(const UpstreamSet *this)
+{
+    return g_hash_table_size(this->evacuated);
+}
+
 void
 UpstreamSet_OnTime(UpstreamSet *this)
 {
@@ -408,6 +482,14 @@
     return listed != NULL ? &listed->record : NULL;
 }
 
+uint32_t
+UpstreamSet_Find(const UpstreamSet *this, Str id)
+{
+    const ListedUpstream *listed = find_upstream(this, id);
+
+    return listed != NULL ? listed->index : UINT32_MAX;
+}
+
 uint32_t
 UpstreamSet_IndexOf(const UpstreamSet *this, uint32_t instance)
 {
--- a/packages/gateway/UpstreamSet.h
+++ b/packages/gateway/UpstreamSet.h
@@ -60,6 +60,23 @@
 void UpstreamSet_SetSourceReachable(UpstreamSet *this, bool reachable,
                                     Micros since);
 
+/**
+ * UpstreamSet_SetEvacuated() - operators evacuate a failure domain, or take it
+ *     back; holds for upstreams that are added later, too
+ *
+ * Return: whether this is a change.
+ */
+bool UpstreamSet_SetEvacuated(UpstreamSet *this, Str domain, bool evacuated);
+
+/**
+ * UpstreamSet_RetainEvacuated() - take back all domains but the listed ones
+ * @domains: set of GString
+ */
+void UpstreamSet_RetainEvacuated(UpstreamSet *this, GHashTable *domains);
+
+/** UpstreamSet_EvacuatedCount() - number of evacuated failure domains */
+size_t UpstreamSet_EvacuatedCount(const UpstreamSet *this);
+
 /** UpstreamSet_OnTime() - remove upstreams whose grace period is over */
 void UpstreamSet_OnTime(UpstreamSet *this);
 
@@ -72,6 +89,9 @@
 const UpstreamRecord *UpstreamSet_Record(const UpstreamSet *this,
                                          uint32_t index);
 
+/** UpstreamSet_Find() - index of the upstream with an id, or UINT32_MAX */
+uint32_t UpstreamSet_Find(const UpstreamSet *this, Str id);
+
 /** UpstreamSet_IndexOf() - index of an instance; UINT32_MAX if not listed */
 uint32_t UpstreamSet_IndexOf(const UpstreamSet *this, uint32_t instance);
 
