gateway: customers with keys, withdrawn keys, allowances over all hosts

Cause: the key of a caller was passed on to upstreams, unknown and withdrawn keys were served, and nothing kept the limit of a customer over all hosts.

The host replaces key and customer of a request; 401 for an unknown key, 503 while the configuration may be too old, checked at arrival and before each send. The age counts from the begin of the read that showed the end of the topic, on the clock that includes suspension, over relays with their age. The host is not ready meanwhile.

--- a/packages/agatecrankd/GatewayDaemon.c
+++ b/packages/agatecrankd/GatewayDaemon.c
@@ -20,6 +20,9 @@
 /* Part of the shared retry bound that is used, because the retry windows of
  * the hosts are not aligned. */
 #define RETRY_BOUND_RATIO 0.95
+/* Part of the time after the withdrawal of a key in which it may be used that
+ * is left unused. */
+#define KEY_TIME_MARGIN_US (250 * MICROS_PER_MS)
 /* Part of the drain time for which an upstream whose entry has expired is used
  * after the store is back; the rest is for the transfer of requests to it. */
 #define OUTAGE_GRACE_RATIO 0.95
@@ -67,7 +70,8 @@
 update_ready(GatewayDaemon *this)
 {
     bool ready = !this->stopping && this->feed != NULL &&
-                 PlatformFeed_IsComplete(this->feed);
+                 PlatformFeed_IsComplete(this->feed) &&
+                 !Dispatcher_RejectsKeys(this->dispatcher);
 
     if (ready == this->ready) {
         return;
@@ -277,6 +281,12 @@
         .probes_per_s = bounds->probes_per_s,
         .outage_grace =
             (Micros)(OUTAGE_GRACE_RATIO * (double)bounds->drain_time),
+        .allowance_window = bounds->allowance_window,
+        .allowance_overshoot = bounds->allowance_overshoot,
+        .allowance_slack = bounds->allowance_slack,
+        .key_age_max = bounds->key_time > 0
+                           ? MAX(bounds->key_time - KEY_TIME_MARGIN_US, 1)
+                           : 0,
     };
 
     this->dispatcher =
@@ -305,6 +315,25 @@
     Dispatcher_SetHosts(this->dispatcher, ids, count, known_from);
 }
 
+/* Hosts that listen for no requests of others can't be asked. */
+static void
+set_grantors(GatewayDaemon *this, const ListedHost *hosts, size_t count)
+{
+    GArray *grantors = g_array_new(FALSE, FALSE, sizeof(AllowanceHost));
+
+    for (size_t i = 0; i < count; i++) {
+        AllowanceHost host = {hosts[i].id, hosts[i].entry.link_mbps};
+
+        if (hosts[i].entry.forward_port > 0) {
+            g_array_append_val(grantors, host);
+        }
+    }
+    Dispatcher_SetGrantors(this->dispatcher,
+                           (const AllowanceHost *)grantors->data,
+                           grantors->len);
+    g_array_free(grantors, TRUE);
+}
+
 /* Hosts that listen for no requests of others take no part in forwarding. */
 static void
 on_entries(void *user, const ListedHost *hosts, size_t count)
@@ -314,6 +343,7 @@
     GArray *peers = g_array_new(FALSE, FALSE, sizeof(PeerInfo));
 
     HostKeys_SetPeers(this->keys, hosts, count);
+    set_grantors(this, hosts, count);
     for (guint i = 0; i < known->len; i++) {
         const HostPeer *peer = g_ptr_array_index(known, i);
         PeerInfo info = {Str_FromString(peer->id),
--- a/packages/base/Clock.c
+++ b/packages/base/Clock.c
@@ -1,6 +1,7 @@
 #include "Clock.h"
 
 #include <glib.h>
+#include <time.h>
 
 typedef enum ClockKind_ {
     CLOCK_SYSTEM,
@@ -10,6 +11,7 @@
 struct Clock_ {
     ClockKind kind;
     Micros now;
+    Micros suspended; /* total time */
     Micros wall;
 };
 
@@ -51,6 +53,29 @@
     return 0;
 }
 
+static Micros
+system_boot_time(void)
+{
+    struct timespec time;
+
+    if (clock_gettime(CLOCK_BOOTTIME, &time) != 0) {
+        return g_get_monotonic_time();
+    }
+    return (Micros)time.tv_sec * MICROS_PER_S + time.tv_nsec / 1000;
+}
+
+Micros
+Clock_Boot(const Clock *this)
+{
+    switch (this->kind) {
+    case CLOCK_SYSTEM:
+        return system_boot_time();
+    case CLOCK_MANUAL:
+        return this->now + this->suspended;
+    }
+    return 0;
+}
+
 Micros
 Clock_Wall(const Clock *this)
 {
@@ -63,6 +88,13 @@
     return 0;
 }
 
+void
+Clock_Suspend(Clock *this, Micros duration)
+{
+    this->suspended += duration;
+    this->wall += duration;
+}
+
 void
 Clock_Advance(Clock *this, Micros duration)
 {
--- a/packages/base/Clock.h
+++ b/packages/base/Clock.h
@@ -32,9 +32,23 @@
 /** Clock_Now() - monotonic time in microseconds; never decreases */
 Micros Clock_Now(const Clock *this);
 
+/**
+ * Clock_Boot() - monotonic time in microseconds that goes on while the machine
+ *     is suspended
+ *
+ * Its origin differs from that of Clock_Now().
+ */
+Micros Clock_Boot(const Clock *this);
+
 /** Clock_Wall() - wall-clock time in microseconds since 1970; may jump */
 Micros Clock_Wall(const Clock *this);
 
+/**
+ * Clock_Suspend() - let a manual clock be suspended: only Clock_Boot() and
+ *     Clock_Wall() advance
+ */
+void Clock_Suspend(Clock *this, Micros duration);
+
 /**
  * Clock_Advance() - advance a manual clock by @duration microseconds
  *
--- a/packages/core/limits/UpstreamLimits.c
+++ b/packages/core/limits/UpstreamLimits.c
@@ -196,6 +196,13 @@
     return limit->part_per_s > 0 && Clock_Now(this->clock) >= this->known_from;
 }
 
+/* Probes tell whether a warm-up goes on, and some of them named limits. */
+static bool
+ends_by_probe(const Limit *limit)
+{
+    return limit->named_by_probes || limit->named_per_s < 0;
+}
+
 static Micros
 trial_interval(const UpstreamLimits *this, const Limit *limit)
 {
@@ -220,8 +227,7 @@
 {
     Micros now = Clock_Now(this->clock);
 
-    /* The end of a warm-up is known. */
-    if (limit->named_by_probes || limit->named_per_s < 0) {
+    if (ends_by_probe(limit)) {
         return false;
     }
     if (now > limit->trial_at + TRIAL_TIME_US) {
@@ -297,7 +303,7 @@
 {
     Micros hosts = this->host_keys->len;
 
-    return limit->named_by_probes
+    return ends_by_probe(limit)
                ? MAX(PROBE_INTERVAL_MIN_US, hosts * PROBE_INTERVAL_PER_HOST_US)
                : MAX(SILENT_PROBE_INTERVAL_MIN_US,
                      hosts * SILENT_PROBE_INTERVAL_PER_HOST_US);
@@ -309,7 +315,6 @@
     const Limit *limit = current_limit(this, upstream);
 
     return limit != NULL && !UpstreamLimits_MaySend(this, upstream) &&
-           limit->named_per_s >= 0 &&
            Clock_Now(this->clock) - limit->heard_at >=
                probe_interval(this, limit);
 }
--- a/packages/gateway/Dialect.h
+++ b/packages/gateway/Dialect.h
@@ -9,6 +9,8 @@
 /**
  * struct Dialect_ - header fields that a platform's callers and upstreams use
  * @attempt_id: id of a caller's attempt; upstreams return it
+ * @key: from a caller: its key, which is never passed on
+ * @customer: to an upstream: customer of the caller
  * @timeout_ms: time in milliseconds that the sender waits
  * @instance: to an upstream: id that the server at the address must have
  * @not_run: from an upstream: it did not execute the request
@@ -32,6 +34,8 @@
  */
 typedef struct Dialect_ {
     Str attempt_id;
+    Str key;
+    Str customer;
     Str timeout_ms;
     Str instance;
     Str not_run;
--- a/packages/gateway/Dispatcher.c
+++ b/packages/gateway/Dispatcher.c
@@ -2,6 +2,7 @@
 
 #include "AttemptMonitor.h"
 #include "HostPath.h"
+#include "JobAllowance.h"
 #include "JobForward.h"
 #include "JobLog.h"
 #include "JobPlacement.h"
@@ -50,11 +51,15 @@
     Job *job = data;
 
     g_hash_table_remove(job->owner->probing, job);
+    JobAllowance_End(job);
     JobForward_End(job, PEER_UNKNOWN);
     Job_ReleaseRetry(job);
     job->owner->accepted_open -= job->forwarded;
     DueSet_Set(job->owner->due, &job->due, -1);
     g_string_free(job->id, TRUE);
+    if (job->peer_customer != NULL) {
+        g_string_free(job->peer_customer, TRUE);
+    }
     RouteTable_Unref(job->table);
     g_free(job);
 }
@@ -69,6 +74,7 @@
     this->options = *options;
     this->clock = clock;
     this->started = Clock_Now(clock);
+    this->routes_known_at = -1;
     this->random = random;
     this->log = log;
     this->decisions = decisions;
@@ -76,6 +82,10 @@
     this->services = NameTable_Create();
     this->domains = NameTable_Create();
     this->limits = UpstreamLimits_Create(options->host, clock, random);
+    this->allowances = AllowanceClient_Create(options->host, clock, random);
+    this->grantor = AllowanceGrantor_Create(clock);
+    this->questions =
+        g_hash_table_new_full(NULL, NULL, NULL, JobAllowance_DestroyQuestion);
     this->placement =
         Placement_Create(NameTable_Intern(this->domains, options->domain),
                          options->probes_per_s, this->limits, clock, random);
@@ -121,6 +131,9 @@
     UpstreamSet_Destroy(this->upstreams);
     Placement_Destroy(this->placement);
     UpstreamLimits_Destroy(this->limits);
+    AllowanceClient_Destroy(this->allowances);
+    AllowanceGrantor_Destroy(this->grantor);
+    g_hash_table_destroy(this->questions);
     NameTable_Destroy(this->services);
     NameTable_Destroy(this->domains);
     g_free(this);
@@ -497,6 +510,22 @@
     return 0;
 }
 
+void
+Dispatcher_SetRoutesKnownAt(Dispatcher *this, Micros at)
+{
+    this->routes_known_at = at;
+}
+
+bool
+Dispatcher_RejectsKeys(const Dispatcher *this)
+{
+    return this->options.key_age_max > 0 && this->routes != NULL &&
+           RouteTable_Customers(this->routes) != NULL &&
+           (this->routes_known_at < 0 ||
+            Clock_Boot(this->clock) - this->routes_known_at >
+                this->options.key_age_max);
+}
+
 const RouteTable *
 Dispatcher_Routes(const Dispatcher *this)
 {
@@ -592,6 +621,13 @@
     PeerSet_Replace(this->peers, peers, count);
 }
 
+void
+Dispatcher_SetGrantors(Dispatcher *this, const AllowanceHost *hosts,
+                       size_t count)
+{
+    AllowanceClient_SetHosts(this->allowances, hosts, count);
+}
+
 bool
 Dispatcher_IsCutOff(const Dispatcher *this)
 {
@@ -674,6 +710,69 @@
     }
 }
 
+CallerIdentity
+Job_CallerIdentity(const Job *job)
+{
+    CallerIdentity caller = {
+        .replaces_key = RouteTable_Customers(job->table) != NULL,
+    };
+
+    if (job->customer != NULL) {
+        caller.customer = job->customer->name;
+    }
+    else if (job->peer_customer != NULL) {
+        caller.customer = Str_FromString(job->peer_customer);
+    }
+    return caller;
+}
+
+bool
+Job_RejectStale(Job *job)
+{
+    if (job->customer == NULL || job->forwarded ||
+        !Dispatcher_RejectsKeys(job->owner)) {
+        return false;
+    }
+    Job_Abandon(job, "stale-configuration");
+    return true;
+}
+
+/* Returns whether the caller may use the route. If not, the job is rejected and
+ * released. The peer that has forwarded a request has identified its caller. */
+static bool
+identify_caller(Job *job, const JobInfo *info)
+{
+    const CustomerTable *customers = RouteTable_Customers(job->table);
+
+    if (customers == NULL || job->route->is_public) {
+        return true;
+    }
+    if (job->forwarded) {
+        job->peer_customer = Str_ToString(info->customer);
+        job->customer = CustomerTable_ByName(customers, info->customer);
+        return true;
+    }
+    /* The key may be one that was added since. */
+    if (Dispatcher_RejectsKeys(job->owner)) {
+        Job_Abandon(job, "stale-configuration");
+        return false;
+    }
+    job->customer = CustomerTable_ByKey(customers, info->key);
+    if (job->customer == NULL) {
+        Job_Reject(job, 401, "unknown-key", 0);
+        return false;
+    }
+    return true;
+}
+
+static uint32_t
+priority_of(const Job *job)
+{
+    return job->customer != NULL && job->customer->has_priority
+               ? job->customer->priority
+               : job->route->priority;
+}
+
 static Micros
 time_budget(const JobInfo *info, const Route *route)
 {
@@ -727,7 +826,9 @@
     else if (!JobForward_Admit(job)) {
         return;
     }
-    JobPlacement_Resume(job);
+    if (JobAllowance_Admit(job)) {
+        JobPlacement_Resume(job);
+    }
 }
 
 Job *
@@ -746,6 +847,10 @@
         Job_Reject(job, 404, "no-route", 0);
         return NULL;
     }
+    if (!identify_caller(job, info)) {
+        return NULL;
+    }
+    job->priority = priority_of(job);
     start_job(job, info);
     return g_hash_table_contains(this->jobs, job) ? job : NULL;
 }
--- a/packages/gateway/Dispatcher.h
+++ b/packages/gateway/Dispatcher.h
@@ -1,6 +1,7 @@
 #ifndef AGATECRANK_GATEWAY_DISPATCHER_H
 #define AGATECRANK_GATEWAY_DISPATCHER_H
 
+#include "AllowanceClient.h"
 #include "Counters.h"
 #include "EventLog.h"
 #include "Placement.h"
@@ -32,6 +33,12 @@
  * @probes_per_s: see Placement_Create()
  * @outage_grace: time after an outage of the upstream source during which an
  *                upstream that disappeared in the outage stays in use
+ * @allowance_window, @allowance_overshoot, @allowance_slack: all hosts together
+ *     may send what the limit of a customer allows in the window, this part of
+ *     it and this many requests more; a part of that is planned with
+ * @key_age_max: age of the routes up to which keys of customers are accepted,
+ *               so that a key that was withdrawn is served no longer; 0 for
+ *               no limit
  */
 typedef struct DispatcherOptions_ {
     Str host;
@@ -42,6 +49,10 @@
     double retry_shared_extra;
     double probes_per_s;
     Micros outage_grace;
+    Micros key_age_max;
+    Micros allowance_window;
+    double allowance_overshoot;
+    double allowance_slack;
 } DispatcherOptions;
 
 /**
@@ -82,6 +93,9 @@
  * @timeout: time that the caller waits, from now; 0 for no limit
  * @attempts_max: number of upstreams that it may still be sent to; 0: as the
  *                route says
+ * @key: by which the caller identifies itself; empty if it has none, or more
+ *       than one
+ * @customer: of a request that a peer has forwarded, as the peer states
  * @forwarded: sent by a peer: is not forwarded again, and does not count as a
  *             request in the retry window
  */
@@ -93,6 +107,8 @@
     Str body;
     Micros timeout;
     uint32_t attempts_max;
+    Str key;
+    Str customer;
     bool forwarded;
 } JobInfo;
 
@@ -186,8 +202,21 @@
     DISPATCH_RESPOND, /* send a response of the host; the job has ended */
     DISPATCH_CANCEL,  /* cancel the attempt or forward; an action follows */
     DISPATCH_ABORT,   /* end the relay: its deadline has passed */
+    DISPATCH_ASK,   /* ask a host for requests of a customer; without a job */
+    DISPATCH_GRANT, /* answer a question of another host; without a job */
 } DispatchActionKind;
 
+/**
+ * struct CallerIdentity_ - what the receiver of a request is told of its caller
+ * @replaces_key: the key of the caller, and what it says of its customer, are
+ *                not passed on
+ * @customer: of the caller; empty if it has none
+ */
+typedef struct CallerIdentity_ {
+    bool replaces_key;
+    Str customer;
+} CallerIdentity;
+
 /**
  * struct DispatchAction_ - an action for the caller of Dispatcher_NextAction()
  *
@@ -196,7 +225,8 @@
 typedef struct DispatchAction_ {
     DispatchActionKind kind;
     Job *job;
-    void *user; /* as given to Dispatcher_Submit() */
+    void
+        *user; /* as given to Dispatcher_Submit() or Dispatcher_OnQuestion() */
     union {
         struct {
             const char *address;
@@ -211,14 +241,24 @@
             uint16_t port;
             Str instance;   /* id that the server at the address must have */
             Micros timeout; /* from now; sent to the upstream */
+            CallerIdentity caller;
             bool idempotent;
         } send;
         struct {
             Str peer;              /* id of the host */
             Micros timeout;        /* from now; sent to the peer */
             uint32_t attempts_max; /* of the peer, at least 1 */
+            CallerIdentity caller;
             bool idempotent;
         } forward;
+        struct {
+            Str host;
+            Str customer;
+            uint32_t wanted;
+            uint64_t number; /* for Dispatcher_OnAllowance() */
+            bool relayed;    /* another host waits for the answer */
+        } ask;
+        AllowanceGrant grant;
         struct {
             int status;
             const char *reason; /* static string */
@@ -251,6 +291,18 @@
  */
 int Dispatcher_SetRoutes(Dispatcher *this, RouteTable *routes);
 
+/**
+ * Dispatcher_SetRoutesKnownAt() - the routes in force were the newest ones
+ * @at: time by Clock_Boot()
+ */
+void Dispatcher_SetRoutesKnownAt(Dispatcher *this, Micros at);
+
+/**
+ * Dispatcher_RejectsKeys() - whether callers with keys are rejected because the
+ *     routes may be out of date
+ */
+bool Dispatcher_RejectsKeys(const Dispatcher *this);
+
 /** Dispatcher_Routes() - the routes in force, or NULL */
 const RouteTable *Dispatcher_Routes(const Dispatcher *this);
 
@@ -310,6 +362,35 @@
 void Dispatcher_SetPeers(Dispatcher *this, const PeerInfo *peers,
                          size_t count);
 
+/**
+ * Dispatcher_SetGrantors() - set the live hosts that can hand out requests of
+ *     customers, this one included; see AllowanceClient_SetHosts()
+ */
+void Dispatcher_SetGrantors(Dispatcher *this, const AllowanceHost *hosts,
+                            size_t count);
+
+/**
+ * Dispatcher_OnQuestion() - another host asks for requests of a customer
+ * @wanted: requests that it has or expects
+ * @relayed: it asks for a third host, so this one must not ask further
+ * @user: copied to the DISPATCH_GRANT that follows
+ *
+ * Return: 0, ERR_NOT_FOUND if the customer is not known, or ERR_UNAVAILABLE
+ * until the other hosts have this one in their lists; without an action then.
+ */
+int Dispatcher_OnQuestion(Dispatcher *this, Str customer, uint32_t wanted,
+                          bool relayed, void *user);
+
+/** Dispatcher_CancelQuestion() - the host that has asked waits no longer */
+void Dispatcher_CancelQuestion(Dispatcher *this, void *user);
+
+/**
+ * Dispatcher_OnAllowance() - a DISPATCH_ASK has ended
+ * @grant: NULL if the host has not answered
+ */
+void Dispatcher_OnAllowance(Dispatcher *this, uint64_t number,
+                            const AllowanceGrant *grant);
+
 /** Dispatcher_IsCutOff() - whether this host reaches no upstream */
 bool Dispatcher_IsCutOff(const Dispatcher *this);
 
--- a/packages/gateway/DispatcherPrivate.h
+++ b/packages/gateway/DispatcherPrivate.h
@@ -41,6 +41,9 @@
     uint64_t number; /* in order of arrival */
     RouteTable *table;
     const Route *route;
+    const Customer *customer; /* of the caller, or NULL */
+    GString *peer_customer;   /* of a forwarded job, or NULL */
+    uint32_t priority;        /* rank, 0 is the most urgent */
     Fingerprint fingerprint;
     Micros arrived;
     Micros deadline; /* of the final response */
@@ -71,6 +74,8 @@
     bool loss_reported; /* the current attempt, to the guard */
     bool others_probed; /* other upstreams were probed for a move */
     bool retry_reserved;
+    bool awaits_allowance; /* the answer of another host */
+    bool has_allowance;
 };
 
 struct Dispatcher_ {
@@ -85,6 +90,9 @@
     Placement *placement;
     UpstreamSet *upstreams;
     UpstreamLimits *limits;
+    AllowanceClient *allowances;
+    AllowanceGrantor *grantor;
+    GHashTable *questions; /* of other hosts, by their user pointer */
     CrashGuard *guard;
     uint32_t reference;  /* upstream of the last reference probe */
     Micros reference_at; /* earliest time of the next one */
@@ -98,6 +106,7 @@
     double accept_tokens;   /* jobs of peers that may be accepted now */
     Micros accept_refilled_at;
     RouteTable *routes;
+    Micros routes_known_at;   /* by Clock_Boot(), -1 for never */
     GPtrArray *retry_windows; /* RetryWindow by service */
     Micros started;
     size_t host_count;       /* live hosts, 0 until they are known */
@@ -150,6 +159,17 @@
 /** Job_SetMonitorAt() - set the next check of the attempt; 0: none */
 void Job_SetMonitorAt(Job *job, Micros at);
 
+/** Job_CallerIdentity() - what is passed on; strings are valid as the job */
+CallerIdentity Job_CallerIdentity(const Job *job);
+
+/**
+ * Job_RejectStale() - reject the job if its caller has a key and the routes may
+ *     be out of date; releases the job then
+ *
+ * Return: whether it was rejected.
+ */
+bool Job_RejectStale(Job *job);
+
 /** Job_Queue() - the queue of the job's service */
 RequestQueue *Job_Queue(const Job *job);
 
--- a/packages/gateway/Gateway.c
+++ b/packages/gateway/Gateway.c
@@ -2,6 +2,7 @@
 
 #include <glib.h>
 
+#include "AllowanceLink.h"
 #include "ForwardClient.h"
 #include "ForwardServer.h"
 #include "NoticeReader.h"
@@ -46,6 +47,7 @@
     HttpClient *client;
     ForwardServer *forward_server; /* NULL without a listener */
     ForwardClient *forward_client; /* NULL without keys */
+    AllowanceLink *allowances;
     NoticeReader *notices;
     LoopTimer *timer;
     Micros timer_at;
@@ -78,6 +80,7 @@
     Micros paused_at;
     bool relaying;
     bool paused;
+    bool is_question; /* of another host, without a job */
 } Exchange;
 
 static void
@@ -684,8 +687,44 @@
     on_call_complete, on_call_failed,
 };
 
+/* Returns an empty text if there is no key, or more than one. */
+static Str
+key_of(const Exchange *exchange)
+{
+    const HeaderList *headers = HttpRequest_Headers(exchange->request);
+    Str wanted = exchange->gateway->options.dialect->key;
+    Str key = {NULL, 0}, name, value;
+    size_t n = 0;
+
+    for (size_t i = 0; i < HeaderList_Count(headers); i++) {
+        HeaderList_At(headers, i, &name, &value);
+        if (Str_EqualIgnoreCase(name, wanted)) {
+            key = value;
+            n++;
+        }
+    }
+    return n == 1 ? key : STR("");
+}
+
+static void
+set_caller(const Exchange *exchange, const CallerIdentity *caller,
+           HeaderList *headers)
+{
+    const Dialect *dialect = exchange->gateway->options.dialect;
+
+    if (!caller->replaces_key) {
+        return;
+    }
+    HeaderList_Remove(headers, dialect->key);
+    HeaderList_Remove(headers, dialect->customer);
+    if (caller->customer.length > 0) {
+        HeaderList_Add(headers, dialect->customer, caller->customer);
+    }
+}
+
 static HeaderList *
-headers_to_send(const Exchange *exchange, Micros timeout)
+headers_to_send(const Exchange *exchange, const CallerIdentity *caller,
+                Micros timeout)
 {
     const Dialect *dialect = exchange->gateway->options.dialect;
     HeaderList *headers = HeaderList_Create();
@@ -694,6 +733,8 @@
     HeaderList_CopyEndToEnd(HttpRequest_Headers(exchange->request), headers);
     HeaderList_Remove(headers, STR("expect"));
     HeaderList_Remove(headers, STR(FORWARD_FIELD));
+    HeaderList_Remove(headers, STR(ALLOWANCE_FIELD));
+    set_caller(exchange, caller, headers);
     g_snprintf(text, sizeof(text), "%" G_GINT64_FORMAT,
                MAX(timeout / MICROS_PER_MS, 1));
     HeaderList_Set(headers, dialect->timeout_ms, Str_FromC(text));
@@ -705,7 +746,8 @@
 {
     Gateway *this = exchange->gateway;
     const Dialect *dialect = this->options.dialect;
-    HeaderList *headers = headers_to_send(exchange, action->send.timeout);
+    HeaderList *headers =
+        headers_to_send(exchange, &action->send.caller, action->send.timeout);
     HttpCallSpec spec = {
         .address = action->send.address,
         .port = action->send.port,
@@ -761,7 +803,8 @@
 forward_request(Exchange *exchange, const DispatchAction *action)
 {
     Gateway *this = exchange->gateway;
-    HeaderList *headers = headers_to_send(exchange, action->forward.timeout);
+    HeaderList *headers = headers_to_send(exchange, &action->forward.caller,
+                                          action->forward.timeout);
     ForwardCallSpec spec = {
         .peer = action->forward.peer,
         .method = HttpRequest_Method(exchange->request),
@@ -962,6 +1005,13 @@
     case DISPATCH_ABORT:
         abort_relay(exchange);
         break;
+    case DISPATCH_ASK:
+        AllowanceLink_Ask(this->allowances, action);
+        break;
+    case DISPATCH_GRANT:
+        exchange->is_question = false;
+        AllowanceLink_Respond(exchange->forwarded, &action->grant);
+        break;
     }
 }
 
@@ -999,6 +1049,12 @@
     }
 }
 
+static void
+run_actions(void *user)
+{
+    Gateway_RunActions(user);
+}
+
 static void
 on_timer(void *user)
 {
@@ -1038,10 +1094,13 @@
         .path = HttpRequest_Path(exchange->request),
         .body = Str_FromBytes(exchange->body),
         .timeout = timeout_of(this, headers),
+        .key = key_of(exchange),
     };
 
     if (forwarded != NULL) {
         info.forwarded = true;
+        info.customer =
+            HeaderList_Get(headers, this->options.dialect->customer);
         info.attempts_max = ForwardedRequest_AttemptsMax(forwarded);
         info.timeout = MAX(info.timeout - FORWARD_MARGIN_US, MICROS_PER_MS);
     }
@@ -1066,6 +1125,9 @@
     if (exchange->job != NULL) {
         Dispatcher_OnCallerDisconnect(this->dispatcher, exchange->job);
     }
+    if (exchange->is_question) {
+        Dispatcher_CancelQuestion(this->dispatcher, exchange);
+    }
     cancel_call(exchange);
     destroy_exchange(exchange);
     if (!Loop_IsClosing(this->loop)) {
@@ -1135,10 +1197,17 @@
 static void *
 on_forwarded_request(void *user, ForwardedRequest *forwarded)
 {
-    Exchange *exchange =
-        create_exchange(user, ForwardedRequest_Http(forwarded));
+    Gateway *this = user;
+    Exchange *exchange;
 
+    exchange = create_exchange(this, ForwardedRequest_Http(forwarded));
     exchange->forwarded = forwarded;
+    if (AllowanceLink_IsQuestion(forwarded)) {
+        exchange->is_question =
+            AllowanceLink_Receive(this->allowances, forwarded, exchange);
+        Gateway_RunActions(this);
+        return exchange;
+    }
     g_byte_array_free(exchange->body, TRUE);
     exchange->body = ForwardedRequest_TakeBody(forwarded);
     log_forwarded(exchange);
@@ -1229,6 +1298,8 @@
         return NULL;
     }
     create_forwarding(this);
+    this->allowances = AllowanceLink_Create(
+        loop, dispatcher, this->forward_client, run_actions, this);
     return this;
 }
 
@@ -1243,6 +1314,7 @@
     ForwardServer_Destroy(this->forward_server);
     HttpClient_Destroy(this->client);
     ForwardClient_Destroy(this->forward_client);
+    AllowanceLink_Destroy(this->allowances);
     NoticeReader_Destroy(this->notices);
     g_free(this);
 }
--- a/packages/gateway/GatewaySettings.h
+++ b/packages/gateway/GatewaySettings.h
@@ -13,6 +13,10 @@
  * @stop_time: from SIGTERM to SIGKILL
  * @probes_per_s: load probes that an upstream may receive from all hosts
  *                together
+ * @key_time: from the withdrawal of a key of a customer to its last request, on
+ *            every host; 0 for no such limit
+ * @allowance_window, @allowance_overshoot, @allowance_slack: limit on the requests
+ *     of a customer over all hosts, see struct DispatcherOptions_
  * @retry_window, @retry_share, @retry_extra: limit on the retries of all hosts
  *     together, see struct RetryWindowOptions_
  */
@@ -20,6 +24,10 @@
     Micros drain_time;
     Micros stop_time;
     double probes_per_s;
+    Micros key_time;
+    Micros allowance_window;
+    double allowance_overshoot;
+    double allowance_slack;
     Micros retry_window;
     double retry_share;
     double retry_extra;
--- a/packages/gateway/HostPath.c
+++ b/packages/gateway/HostPath.c
@@ -190,7 +190,8 @@
 static bool
 is_waiting(const Job *job)
 {
-    return job->upstream == UPSTREAM_NONE && job->peer == NULL;
+    return job->upstream == UPSTREAM_NONE && job->peer == NULL &&
+           !job->awaits_allowance;
 }
 
 static void
@@ -207,7 +208,8 @@
         JobForward_Redirect(job);
     }
     /* Open connections may live on while new ones are refused. */
-    else if (job->peer == NULL && silent && !job->owner->stopping) {
+    else if (job->upstream != UPSTREAM_NONE && silent &&
+             !job->owner->stopping) {
         JobForward_Move(job, "path-lost");
     }
 }
--- a/packages/gateway/JobForward.c
+++ b/packages/gateway/JobForward.c
@@ -40,7 +40,7 @@
         .job = job,
         .user = job->user,
         .forward = {Peer_Id(job->peer), job->deadline - now,
-                    job->attempts_granted,
+                    job->attempts_granted, Job_CallerIdentity(job),
                     job->route->kind == ROUTE_IDEMPOTENT},
     };
 
--- a/packages/gateway/JobLog.c
+++ b/packages/gateway/JobLog.c
@@ -38,6 +38,9 @@
         EventLog_Str(log, "route", job->route->name);
         EventLog_Int(log, "version", (int64_t)RouteTable_Version(job->table));
     }
+    if (job->customer != NULL) {
+        EventLog_Str(log, "customer", job->customer->name);
+    }
     return true;
 }
 
--- a/packages/gateway/JobPlacement.c
+++ b/packages/gateway/JobPlacement.c
@@ -39,9 +39,13 @@
         .job = job,
         .user = job->user,
         .send = {record->address, record->port, record->id,
-                 job->deadline - now, job->route->kind == ROUTE_IDEMPOTENT},
+                 job->deadline - now, Job_CallerIdentity(job),
+                 job->route->kind == ROUTE_IDEMPOTENT},
     };
 
+    if (Job_RejectStale(job)) {
+        return;
+    }
     if (!Job_UseRetry(job)) {
         Job_Abandon(job, "retry-budget");
         return;
@@ -263,7 +267,7 @@
     Dispatcher *this = job->owner;
 
     reset_probing(job);
-    if (!RequestQueue_Push(Job_Queue(job), job, job->route->priority,
+    if (!RequestQueue_Push(Job_Queue(job), job, job->priority,
                            queue_wait_max(job))) {
         Job_Abandon(job, "overloaded");
         return;
@@ -299,8 +303,7 @@
     if (choice.near_idle && choice.has_capacity) {
         send_to(job, &choice);
     }
-    else if (!RequestQueue_WouldBeFirst(Job_Queue(job),
-                                        job->route->priority)) {
+    else if (!RequestQueue_WouldBeFirst(Job_Queue(job), job->priority)) {
         enqueue(job);
     }
     else if (continue_probing(job, choice.has_capacity
--- a/packages/gateway/RouteTable.c
+++ b/packages/gateway/RouteTable.c
@@ -16,6 +16,7 @@
     Arena *arena;
     GHashTable *routes;   /* "host prefix" to Route */
     GHashTable *services; /* name to Service */
+    CustomerTable *customers;
     unsigned references;
 };
 
@@ -48,6 +49,7 @@
     }
     g_hash_table_destroy(this->routes);
     g_hash_table_destroy(this->services);
+    CustomerTable_Destroy(this->customers);
     Arena_Destroy(this->arena);
     g_free(this);
 }
@@ -168,6 +170,19 @@
     return found != NULL ? found->load_path : STR("");
 }
 
+void
+RouteTable_SetCustomers(RouteTable *this, CustomerTable *customers)
+{
+    CustomerTable_Destroy(this->customers);
+    this->customers = customers;
+}
+
+const CustomerTable *
+RouteTable_Customers(const RouteTable *this)
+{
+    return this->customers;
+}
+
 static Str
 without_port(Str host)
 {
--- a/packages/gateway/RouteTable.h
+++ b/packages/gateway/RouteTable.h
@@ -2,6 +2,7 @@
 #define AGATECRANK_GATEWAY_ROUTETABLE_H
 
 #include "Clock.h"
+#include "CustomerTable.h"
 #include "Error.h"
 #include "Str.h"
 
@@ -32,6 +33,7 @@
  * @priority: rank, 0 is the most urgent
  * @attempts_max: most upstreams that a request is sent to, at least 1
  * @parts: at least one
+ * @is_public: callers need no key, even if there are customers
  */
 typedef struct Route_ {
     Str name;
@@ -44,6 +46,7 @@
     uint32_t attempts_max;
     const RoutePart *parts;
     size_t part_count;
+    bool is_public;
 } Route;
 
 /**
@@ -99,6 +102,15 @@
  */
 Str RouteTable_LoadPath(const RouteTable *this, Str service);
 
+/**
+ * RouteTable_SetCustomers() - let callers identify themselves by the keys of
+ *     customers; takes ownership of @customers
+ */
+void RouteTable_SetCustomers(RouteTable *this, CustomerTable *customers);
+
+/** RouteTable_Customers() - NULL if callers need no keys; borrowed */
+const CustomerTable *RouteTable_Customers(const RouteTable *this);
+
 /**
  * RouteTable_Find() - the route with the longest prefix of @path
  * @host: value of the Host header field, with or without a port
--- a/packages/net/KeyedFollower.c
+++ b/packages/net/KeyedFollower.c
@@ -5,6 +5,9 @@
 /* Time for which an era below the known one is taken for an answer that was
  * under way. After it the log is believed to have been replaced. */
 #define LOWER_ERA_TIME_US (5 * MICROS_PER_S)
+/* A response that takes longer than this beyond the wait may have been received
+ * long before it was read, as the process was suspended. */
+#define RESPONSE_TIME_MAX_US (250 * MICROS_PER_MS)
 /* Shortest time between two changes of the era, as each costs a snapshot. */
 #define ERA_INTERVAL_US (1 * MICROS_PER_S)
 
@@ -26,12 +29,17 @@
     GString *topic;
     KeyedMirror *mirror;
     Micros last_read_at; /* last successful read */
+    Micros read_boot;    /* the same, by Clock_Boot() */
+    Micros known_at;     /* see KeyedFollower_KnownAt() */
+    Micros snapshot_at;  /* the same for the snapshot that is being read */
     FollowerState state;
     GHashTable *snapshot_keys; /* keys of the current snapshot */
     GString *snapshot_after;   /* last key of its latest page */
     uint64_t next_offset;      /* offset of the next tail read */
     Micros recovery_end;       /* reads use the usual wait from then on */
     Micros read_started_at;    /* start of the latest read */
+    Micros read_started_boot;  /* the same, by Clock_Boot() */
+    Micros read_wait;          /* of the latest read */
     Micros last_failure_at;    /* start of the last read that failed */
     uint64_t era;
     Micros era_changed_at;
@@ -76,6 +84,8 @@
 
     this->reading = true;
     this->read_started_at = Clock_Now(this->clock);
+    this->read_started_boot = Clock_Boot(this->clock);
+    this->read_wait = this->state == STATE_TAIL ? wait : 0;
     switch (this->state) {
     case STATE_SNAPSHOT:
         keyed_log->read_newest(keyed_log->self, Str_FromString(this->topic),
@@ -105,6 +115,7 @@
     KeyedMirror_BeginSnapshot(this->mirror);
     this->complete = false;
     this->next_offset = 0;
+    this->snapshot_at = -1;
 }
 
 static void
@@ -184,6 +195,25 @@
     }
 }
 
+/* A page of the tail that ends before the end of the log shows nothing about the
+ * records after it. The tail is read on from the first page of a snapshot. */
+static void
+update_known(KeyedFollower *this, const KeyedPage *page, bool was_tail)
+{
+    Micros at = this->read_started_boot - page->age;
+
+    if (was_tail) {
+        this->known_at = this->next_offset >= page->end ? at : this->known_at;
+        return;
+    }
+    if (this->snapshot_at < 0) {
+        this->snapshot_at = at;
+    }
+    if (this->complete) {
+        this->known_at = this->snapshot_at;
+    }
+}
+
 static void
 log_era(KeyedFollower *this, const KeyedPage *page, const char *result)
 {
@@ -287,12 +317,17 @@
     }
     set_reachable(this, true, 0);
     this->last_read_at = Clock_Now(this->clock) - page->age;
+    this->read_boot =
+        MIN(Clock_Boot(this->clock),
+            this->read_started_boot + this->read_wait + RESPONSE_TIME_MAX_US) -
+        page->age;
     if (was_tail) {
         apply_tail(this, page);
     }
     else {
         apply_snapshot_page(this, page);
     }
+    update_known(this, page, was_tail);
     this->handlers.on_page(this->user);
     LoopTimer_Start(this->timer, was_tail && page->count > 0
                                      ? this->options.read_interval
@@ -322,6 +357,7 @@
                               (GEqualFunc)g_string_equal, free_string, NULL);
     this->timer = LoopTimer_Create(loop, read_next, this);
     this->reachable = true;
+    this->known_at = -1;
     this->lower_era_since = -1;
     this->era_changed_at = -ERA_INTERVAL_US;
     this->mirror = KeyedMirror_Create(TAIL_RECORDS_MAX);
@@ -386,6 +422,12 @@
 KeyedFollower_Age(const KeyedFollower *this)
 {
     return this->reachable && this->complete
-               ? Clock_Now(this->clock) - this->last_read_at
+               ? Clock_Boot(this->clock) - this->read_boot
                : -1;
 }
+
+Micros
+KeyedFollower_KnownAt(const KeyedFollower *this)
+{
+    return this->known_at;
+}
--- a/packages/net/KeyedFollower.h
+++ b/packages/net/KeyedFollower.h
@@ -101,4 +101,15 @@
  */
 Micros KeyedFollower_Age(const KeyedFollower *this);
 
+/**
+ * KeyedFollower_KnownAt() - time at which the copy had all records of the log,
+ *     on the clock of Clock_Boot()
+ *
+ * Unlike KeyedFollower_Age() it is the begin of a read, not its end, and is kept
+ * while the log is unreachable.
+ *
+ * Return: -1 before the first snapshot is complete.
+ */
+Micros KeyedFollower_KnownAt(const KeyedFollower *this);
+
 #endif
--- a/tests/support/CrashSimulation.c
+++ b/tests/support/CrashSimulation.c
@@ -564,6 +564,8 @@
         case DISPATCH_FORWARD:
             refuse_forward(host, action.job);
             break;
+        case DISPATCH_ASK:
+        case DISPATCH_GRANT:
         case DISPATCH_ABORT:
             g_assert_not_reached();
         case DISPATCH_CANCEL:
--- a/tests/support/CutSimulation.c
+++ b/tests/support/CutSimulation.c
@@ -632,6 +632,8 @@
         case DISPATCH_FORWARD:
             send_forward(leg, &action);
             break;
+        case DISPATCH_ASK:
+        case DISPATCH_GRANT:
         case DISPATCH_ABORT:
             g_assert_not_reached();
         case DISPATCH_CANCEL:
--- a/tests/support/NoticeSimulation.c
+++ b/tests/support/NoticeSimulation.c
@@ -529,6 +529,8 @@
             send_attempt(host, &action);
             break;
         case DISPATCH_FORWARD:
+        case DISPATCH_ASK:
+        case DISPATCH_GRANT:
         case DISPATCH_ABORT:
             g_assert_not_reached();
         case DISPATCH_CANCEL:
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -109,6 +109,9 @@
             break;
         case DISPATCH_FORWARD:
             break;
+        case DISPATCH_ASK:
+        case DISPATCH_GRANT:
+            g_assert_not_reached();
         case DISPATCH_ABORT:
             f->aborts++;
             break;
--- a/tests/test_forwarding.c
+++ b/tests/test_forwarding.c
@@ -112,6 +112,9 @@
         case DISPATCH_CANCEL:
             f->cancels++;
             break;
+        case DISPATCH_ASK:
+        case DISPATCH_GRANT:
+            g_assert_not_reached();
         case DISPATCH_ABORT:
             f->aborts++;
             break;
--- a/tests/test_overload.c
+++ b/tests/test_overload.c
@@ -275,6 +275,8 @@
         case DISPATCH_CANCEL:
             abandon_attempt(request);
             break;
+        case DISPATCH_ASK:
+        case DISPATCH_GRANT:
         case DISPATCH_ABORT:
             g_assert_not_reached();
         case DISPATCH_RESPOND:
