--- a/tests/support/AllowanceSimulation.c
+++ b/tests/support/AllowanceSimulation.c
@@ -37,8 +37,9 @@
     Random *random;
     Host *hosts;
     AllowanceHost *list;
-    GQueue messages; /* Message, by time */
-    GArray *sent;    /* Micros */
+    GQueue messages;      /* Message, by time */
+    GArray *sent;         /* Micros */
+    GPtrArray *allocated; /* requests and questions, to the end of the run */
     AllowanceLimit limit;
     AllowanceResult result;
     double ideal; /* tokens of a single bucket */
@@ -155,7 +156,6 @@
     if (s->ideal >= 1) {
         s->ideal -= 1;
     }
-    g_free(request);
 }
 
 /* Hosts that the others may not list do not answer. */
@@ -197,7 +197,6 @@
             relayed.grant = grant(s, i, question->wanted);
         }
         answer(s, question, &relayed.grant);
-        g_free(question);
     }
 }
 
@@ -269,13 +268,13 @@
     }
     else {
         kept = g_memdup2(message, sizeof(*message));
+        g_ptr_array_add(s->allocated, kept);
         if (!message->relayed &&
             AllowanceClient_Relay(s->hosts[message->to].client, &s->limit,
                                   message->wanted, kept)) {
             run_host(s, message->to);
             return;
         }
-        g_free(kept);
         given = grant(s, message->to, message->wanted);
         answer(s, message, &given);
     }
@@ -288,6 +287,8 @@
     Request *request = g_new0(Request, 1);
     AllowanceVerdict verdict;
 
+    g_ptr_array_add(s->allocated, request);
+
     /* Callers of a host without power use another one. */
     if (is_down(s, i)) {
         i = (i + 1) % s->run->hosts;
@@ -354,6 +355,7 @@
         .clock = Clock_CreateManual(MICROS_PER_S, 0),
         .random = Random_Create(run->seed),
         .sent = g_array_new(FALSE, FALSE, sizeof(Micros)),
+        .allocated = g_ptr_array_new_with_free_func(g_free),
         .limit = {CUSTOMER, run->rate_per_s, run->burst, run->tolerance},
         .ideal = MAX(run->burst, 1),
         .began = MICROS_PER_S,
@@ -387,6 +389,7 @@
     }
     g_queue_clear_full(&s.messages, g_free);
     g_array_free(s.sent, TRUE);
+    g_ptr_array_free(s.allocated, TRUE);
     g_free(s.hosts);
     g_free(s.list);
     Random_Destroy(s.random);
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -61,6 +61,32 @@
     return choice;
 }
 
+/* Guards against upstreams with two slots that count as full while they are
+ * idle, because their report is some milliseconds old. */
+static void
+test_few_slots(Fixture *f, gconstpointer data)
+{
+    static const struct {
+        uint32_t running;
+        bool has_capacity;
+        bool has_free_slot;
+    } cases[] = {{0, true, true}, {1, false, true}, {2, false, false}};
+    PlacementInfo info = {SERVICE, OWN_DOMAIN, 2, 0, 0};
+
+    Placement_Add(f->placement, 0, &info);
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        LoadReport load_report = {
+            .inflight = cases[i].running, .slots = 2, .slowdown_percent = 100};
+        PlacementChoice choice;
+
+        Placement_OnReport(f->placement, 0, &load_report);
+        Clock_Advance(f->clock, 5 * MICROS_PER_MS);
+        choice = choose(f);
+        g_assert_cmpint(choice.has_capacity, ==, cases[i].has_capacity);
+        g_assert_cmpint(choice.has_free_slot, ==, cases[i].has_free_slot);
+    }
+}
+
 /* Guards against choosing an upstream on a slow machine because it has fewer
  * requests. */
 static void
@@ -289,6 +315,7 @@
     ADD("/placement/pace", test_slowdown);
     ADD("/placement/domains", test_domains);
     ADD("/placement/room", test_capacity);
+    ADD("/placement/few-slots", test_few_slots);
     ADD("/placement/age", test_report_age);
     ADD("/placement/failures", test_failures);
     ADD("/placement/ask", test_select_probes);
