limits: what waits for a service is ordered by rank and work

Cause: within a rank, requests waited in order of arrival, so a long one delayed several short ones beyond their objective, a request behind more urgent ones waited although it could not be sent in time any more, and the lowest rank got nothing while others kept arriving.

Change: OverloadQueue (core) replaces RequestQueue. Where a configuration has customers, requests of a rank are ordered by the work that they need, which WorkEstimate learns by route; a sixteenth of the work goes to the request of a lower rank that has waited longest; a request that can no longer be sent in time is refused at once; it may wait until 1.7 times its work is left of its objective. Without customers the order is as before.

--- a/packages/gateway/Dispatcher.c
+++ b/packages/gateway/Dispatcher.c
@@ -102,7 +102,8 @@
     this->retry_windows =
         g_ptr_array_new_with_free_func((GDestroyNotify)RetryWindow_Destroy);
     this->queues =
-        g_ptr_array_new_with_free_func((GDestroyNotify)RequestQueue_Destroy);
+        g_ptr_array_new_with_free_func((GDestroyNotify)OverloadQueue_Destroy);
+    this->work = WorkEstimate_Create();
     this->probing = g_hash_table_new(NULL, NULL);
     this->due = DueSet_Create();
     this->jobs = g_hash_table_new_full(g_direct_hash, g_direct_equal,
@@ -123,6 +124,7 @@
     g_array_free(this->actions, TRUE);
     g_ptr_array_free(this->retry_windows, TRUE);
     g_ptr_array_free(this->queues, TRUE);
+    WorkEstimate_Destroy(this->work);
     RouteTable_Unref(this->routes);
     CrashGuard_Destroy(this->guard);
     PeerSet_Destroy(this->peers);
@@ -139,6 +141,19 @@
     g_free(this);
 }
 
+/* Customers compete for a service, so what waits for it is ordered by what it
+ * costs them. */
+static void
+set_order(const Dispatcher *this, guint service)
+{
+    bool has_customers =
+        this->routes != NULL && RouteTable_Customers(this->routes) != NULL;
+
+    OverloadQueue_SetOrder(g_ptr_array_index(this->queues, service),
+                           has_customers ? OVERLOAD_BY_WORK
+                                         : OVERLOAD_BY_ARRIVAL);
+}
+
 static uint32_t
 service_index(Dispatcher *this, Str name)
 {
@@ -156,7 +171,8 @@
 
         RetryWindow_SetHosts(window, this->host_count, this->hosts_known_from);
         g_ptr_array_add(this->retry_windows, window);
-        g_ptr_array_add(this->queues, RequestQueue_Create(this->clock));
+        g_ptr_array_add(this->queues, OverloadQueue_Create(this->clock));
+        set_order(this, this->queues->len - 1);
     }
     return service;
 }
@@ -304,7 +320,7 @@
     use_attempt(job);
 }
 
-RequestQueue *
+OverloadQueue *
 Job_Queue(const Job *job)
 {
     return g_ptr_array_index(job->owner->queues, job->service);
@@ -314,7 +330,7 @@
 Job_LeaveQueue(Job *job, bool served)
 {
     if (job->queued) {
-        RequestQueue_Remove(Job_Queue(job), job, served);
+        OverloadQueue_Remove(Job_Queue(job), job, served);
         job->queued = false;
     }
 }
@@ -498,6 +514,9 @@
     }
     RouteTable_Unref(this->routes);
     this->routes = RouteTable_Ref(routes);
+    for (guint i = 0; i < this->queues->len; i++) {
+        set_order(this, i);
+    }
     if (EventLog_Begin(this->log, LOG_LEVEL_INFO, "routes")) {
         EventLog_Int(this->log, "version", (int64_t)version);
         EventLog_Int(this->log, "routes", (int64_t)RouteTable_Count(routes));
@@ -872,6 +891,10 @@
     uint32_t upstream = job->upstream;
 
     use_attempt(job);
+    if (end->status < 500) {
+        WorkEstimate_Learn(this->work, job->route->name,
+                           Clock_Now(this->clock) - job->sent_at);
+    }
     if (end->status < 500 && end->more_follows) {
         Job_BeginRelay(job);
         return JOB_RELAY;
@@ -1223,7 +1246,7 @@
     next = earlier(next, PathMonitor_NextTime(this->path));
     for (guint i = 0; i < this->queues->len; i++) {
         next = earlier(
-            next, RequestQueue_NextTime(g_ptr_array_index(this->queues, i)));
+            next, OverloadQueue_NextTime(g_ptr_array_index(this->queues, i)));
     }
     return next;
 }
--- a/packages/gateway/DispatcherPrivate.h
+++ b/packages/gateway/DispatcherPrivate.h
@@ -7,11 +7,12 @@
 #include "Dispatcher.h"
 #include "DueSet.h"
 #include "NameTable.h"
+#include "OverloadQueue.h"
 #include "PathMonitor.h"
 #include "PeerSet.h"
-#include "RequestQueue.h"
 #include "RetryWindow.h"
 #include "UpstreamSet.h"
+#include "WorkEstimate.h"
 
 /* Limit on the number of upstreams that a request is sent to. */
 #define ATTEMPTS_MAX 8
@@ -111,7 +112,8 @@
     Micros started;
     size_t host_count;       /* live hosts, 0 until they are known */
     Micros hosts_known_from; /* since then they count this one */
-    GPtrArray *queues;       /* RequestQueue by service */
+    GPtrArray *queues;       /* OverloadQueue by service */
+    WorkEstimate *work;      /* by name of the route */
     Micros queue_probe_at;   /* next probes for queued jobs; 0 for none */
     GHashTable *jobs;        /* set of Job */
     GHashTable *probing;     /* subset of jobs that wait for probe replies */
@@ -171,7 +173,7 @@
 bool Job_RejectStale(Job *job);
 
 /** Job_Queue() - the queue of the job's service */
-RequestQueue *Job_Queue(const Job *job);
+OverloadQueue *Job_Queue(const Job *job);
 
 /**
  * Job_LeaveQueue() - remove the job from its queue, if it is queued
--- a/packages/gateway/JobForward.c
+++ b/packages/gateway/JobForward.c
@@ -302,7 +302,7 @@
 {
     const Dispatcher *this = job->owner;
 
-    return RequestQueue_Head(Job_Queue(job)) == NULL ||
+    return OverloadQueue_Head(Job_Queue(job)) == NULL ||
            this->accepted_open <= ACCEPTED_QUEUED_MIN ||
            this->accepted_open <=
                ACCEPTED_QUEUED_RATIO * (double)Dispatcher_OpenJobs(this);
--- a/packages/gateway/JobPlacement.c
+++ b/packages/gateway/JobPlacement.c
@@ -9,6 +9,9 @@
 #define FRESH_RATIO_MIN 0.5F
 /* Part of the objective that a request may spend in the queue. */
 #define QUEUE_WAIT_RATIO 0.4
+/* Where customers compete, a request may wait until this multiple of its expected
+ * work is left of the objective. */
+#define QUEUE_WORK_FACTOR 1.7
 /* Age up to which a report still proves spare capacity. */
 #define CAPACITY_REPORT_AGE_MAX_US (25 * MICROS_PER_MS)
 /* Time after which upstreams are probed for the head of a queue, if none of
@@ -248,16 +251,28 @@
     return false;
 }
 
-/* Returns the longest useful wait; the rest of the objective is needed for
- * processing. */
+/* Returns the part of the objective that may be spent in the queue; the rest is
+ * needed for processing. */
+static Micros
+queue_part(const Job *job)
+{
+    Micros objective = job->route->objective;
+    Micros work = WorkEstimate_Expected(job->owner->work, job->route->name);
+    Micros part = (Micros)(QUEUE_WAIT_RATIO * (double)objective);
+
+    if (RouteTable_Customers(job->table) == NULL || work == 0) {
+        return part;
+    }
+    return MAX(part, objective - (Micros)(QUEUE_WORK_FACTOR * (double)work));
+}
+
+/* Returns the longest useful wait. */
 static Micros
 queue_wait_max(const Job *job)
 {
-    Micros longest =
-        (Micros)(QUEUE_WAIT_RATIO * (double)job->route->objective);
     Micros waited = Clock_Now(job->owner->clock) - job->arrived;
 
-    return MIN(longest - waited,
+    return MIN(queue_part(job) - waited,
                job->deadline - ATTEMPT_TIME_MIN_US - job->arrived - waited);
 }
 
@@ -265,10 +280,15 @@
 enqueue(Job *job)
 {
     Dispatcher *this = job->owner;
+    OverloadItem item = {
+        .request = job,
+        .rank = job->priority,
+        .work = WorkEstimate_Expected(this->work, job->route->name),
+        .wait_max = queue_wait_max(job),
+    };
 
     reset_probing(job);
-    if (!RequestQueue_Push(Job_Queue(job), job, job->priority,
-                           queue_wait_max(job))) {
+    if (!OverloadQueue_Push(Job_Queue(job), &item)) {
         Job_Abandon(job, "overloaded");
         return;
     }
@@ -303,7 +323,7 @@
     if (choice.near_idle && choice.has_capacity) {
         send_to(job, &choice);
     }
-    else if (!RequestQueue_WouldBeFirst(Job_Queue(job), job->priority)) {
+    else if (!OverloadQueue_WouldBeFirst(Job_Queue(job), job->priority)) {
         enqueue(job);
     }
     else if (continue_probing(job, choice.has_capacity
@@ -349,14 +369,26 @@
     return false;
 }
 
+static void
+reject_late(OverloadQueue *queue)
+{
+    Job *job;
+
+    while ((job = OverloadQueue_TakeRejected(queue)) != NULL) {
+        job->queued = false;
+        Job_Abandon(job, "overloaded");
+    }
+}
+
 void
 JobPlacement_ServeQueue(Dispatcher *this, uint32_t service)
 {
-    RequestQueue *queue = g_ptr_array_index(this->queues, service);
+    OverloadQueue *queue = g_ptr_array_index(this->queues, service);
     PlacementChoice choice;
     Job *job;
 
-    while ((job = RequestQueue_Head(queue)) != NULL) {
+    reject_late(queue);
+    while ((job = OverloadQueue_Head(queue)) != NULL) {
         PlacementQuery query = JobPlacement_Query(job);
 
         if (Job_RefuseCrashing(job)) {
@@ -397,7 +429,7 @@
         return;
     }
     for (guint i = 0; i < this->queues->len; i++) {
-        Job *job = RequestQueue_Head(g_ptr_array_index(this->queues, i));
+        Job *job = OverloadQueue_Head(g_ptr_array_index(this->queues, i));
 
         if (job != NULL) {
             has_waiting = true;
@@ -411,20 +443,6 @@
     this->queue_probe_at = has_waiting ? now + QUEUE_PROBE_PERIOD_US : 0;
 }
 
-static void
-reject_expired(Dispatcher *this)
-{
-    for (guint i = 0; i < this->queues->len; i++) {
-        Job *job;
-
-        while ((job = RequestQueue_TakeExpired(
-                    g_ptr_array_index(this->queues, i))) != NULL) {
-            job->queued = false;
-            Job_Abandon(job, "overloaded");
-        }
-    }
-}
-
 static const char *
 placement_failure(const Job *job)
 {
@@ -484,7 +502,9 @@
 void
 JobPlacement_OnTime(Dispatcher *this)
 {
-    reject_expired(this);
+    for (guint i = 0; i < this->queues->len; i++) {
+        reject_late(g_ptr_array_index(this->queues, i));
+    }
     probe_for_capacity(this);
     serve_queues(this);
 }
--- a/tests/test_overload.c
+++ b/tests/test_overload.c
@@ -4,7 +4,7 @@
 #include "EventQueue.h"
 #include "GatewayFixture.h"
 
-/* Simulates the overload that RequestQueue handles: more requests than the
+/* Simulates the overload that OverloadQueue handles: more requests than the
  * upstreams can process, and upstreams that slow down when nearly full. The
  * goodput is compared with that of upstreams that do not report their load, to
  * which every request is sent immediately. Also simulates the failure that
