--- a/tests/test_forwarding.c
+++ b/tests/test_forwarding.c
@@ -22,6 +22,7 @@
     bool silent; /* probes time out instead of being refused */
     Job *watched;
     uint32_t granted; /* to the peer that got the watched job */
+    uint64_t asked;   /* number of the last question to a grantor */
     size_t sends, forwards, responses, cancels, aborts;
 } Fixture;
 
@@ -113,6 +114,8 @@
             f->cancels++;
             break;
         case DISPATCH_ASK:
+            f->asked = action.ask.number;
+            continue;
         case DISPATCH_GRANT:
             g_assert_not_reached();
         case DISPATCH_ABORT:
@@ -259,6 +262,66 @@
     take_actions(f);
 }
 
+/* Puts routes in force of which "/safe/" needs the key of a customer with a
+ * limit, which another host hands out. */
+static void
+limit_customer(Fixture *f)
+{
+    static const RoutePart parts[] = {{{"desk", 4}, 1}};
+    Route open = {.name = STR("open"),
+                  .host = GATEWAY_FIXTURE_HOST,
+                  .prefix = STR("/once/"),
+                  .kind = ROUTE_AT_MOST_ONCE,
+                  .timeout = TIMEOUT_US,
+                  .objective = OBJECTIVE_US,
+                  .attempts_max = 2,
+                  .parts = parts,
+                  .part_count = 1,
+                  .is_public = true};
+    Customer customer = {.name = STR("amina"), .rate_per_s = 1, .burst = 1};
+    CustomerTable *customers = CustomerTable_Create();
+    CallerLimits limits = {0};
+    RouteTable *table = RouteTable_Create(2, &limits);
+    AllowanceHost grantor = {STR("p1"), 10};
+
+    CustomerTable_Add(customers, &customer, NULL);
+    CustomerTable_AddKey(customers, customer.name, STR("k"), NULL);
+    RouteTable_SetCustomers(table, customers);
+    RouteTable_AddService(table, GATEWAY_FIXTURE_SERVICE, STR("/load"));
+    RouteTable_Add(table, &open, NULL);
+    GatewayFixture_AddRoute(table, "/safe/", ROUTE_IDEMPOTENT, 2, OBJECTIVE_US,
+                            TIMEOUT_US);
+    g_assert_cmpint(Dispatcher_SetRoutes(f->dispatcher, table), ==, 0);
+    RouteTable_Unref(table);
+    Dispatcher_SetGrantors(f->dispatcher, &grantor, 1);
+}
+
+/* Guards against a request that is forwarded because its host is cut off, and
+ * again when the answer on its allowance arrives. */
+static void
+test_awaited_allowance(Fixture *f, gconstpointer data)
+{
+    AllowanceGrant grant = {.granted = 1};
+    JobInfo info = {.id = STR("r"),
+                    .method = STR("GET"),
+                    .host = GATEWAY_FIXTURE_HOST,
+                    .path = STR("/safe/x"),
+                    .key = STR("k")};
+
+    limit_customer(f);
+    Dispatcher_Submit(f->dispatcher, &info, NULL);
+    take_actions(f);
+    g_assert_cmpuint(f->asked, >, 0);
+    cut_off(f);
+    g_assert_cmpuint(f->forwards, <=, 1); /* the request of cut_off() */
+    f->forwards = f->sends = 0;
+    Dispatcher_OnAllowance(f->dispatcher, f->asked, &grant);
+    take_actions(f);
+    g_assert_cmpuint(f->forwards, ==, 1);
+    g_assert_cmpuint(f->sends, ==, 0);
+    g_assert_true(Str_Equal(f->action.forward.caller.customer, STR("amina")));
+}
+
 /* Guards against a 503 of a host without a path, and against a retry limit that
  * prevents the first send. */
 static void
@@ -603,6 +666,7 @@
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
+    ADD("awaited-allowance", set_up, test_awaited_allowance);
     ADD("first-send", set_up_without_retries, test_first_send);
     ADD("attempts-are-summed", set_up, test_attempts_are_summed);
     ADD("no-retry-left", set_up_without_retries, test_no_retry_left);
