tests: no calls in assertions of the new tests

Cause: the linter reports assertions that call functions with effects.

Change: the results go into variables first.

Measured: make lint prints nothing.

--- a/tests/test_allowances.c
+++ b/tests/test_allowances.c
@@ -173,7 +173,9 @@
         .grantor_up_at = 8 * MICROS_PER_S,
     });
 
-    g_assert_cmpint(run_all(run).wait_max, <=, 300 * MICROS_PER_MS);
+    AllowanceResult worst = run_all(run);
+
+    g_assert_cmpint(worst.wait_max, <=, 300 * MICROS_PER_MS);
 }
 
 int
--- a/tests/test_gateway_customers.c
+++ b/tests/test_gateway_customers.c
@@ -169,6 +169,15 @@
     return f->status;
 }
 
+static void
+assert_call(Fixture *f, const char *path, const char *key,
+            const char *other_key, const char *customer, int expected)
+{
+    int status = call(f, path, key, other_key, customer);
+
+    g_assert_cmpint(status, ==, expected);
+}
+
 /* ---- fixture --------------------------------------------------------- */
 
 static void
@@ -312,13 +321,13 @@
 static void
 test_key_is_replaced(Fixture *f, gconstpointer data)
 {
-    g_assert_cmpint(call(f, "/safe/x", "k1", NULL, NULL), ==, 200);
+    assert_call(f, "/safe/x", "k1", NULL, NULL, 200);
     g_assert_cmpstr(f->customer, ==, "amina");
     g_assert_cmpuint(f->key_fields, ==, 0);
-    g_assert_cmpint(call(f, "/safe/x", "k1", NULL, "bruno"), ==, 200);
+    assert_call(f, "/safe/x", "k1", NULL, "bruno", 200);
     g_assert_cmpstr(f->customer, ==, "amina");
     g_assert_cmpuint(f->customer_fields, ==, 1);
-    g_assert_cmpint(call(f, "/open/x", "k1", NULL, "bruno"), ==, 200);
+    assert_call(f, "/open/x", "k1", NULL, "bruno", 200);
     g_assert_cmpuint(f->customer_fields, ==, 0);
     g_assert_cmpuint(f->key_fields, ==, 0);
     g_assert_cmpuint(f->runs, ==, 3);
@@ -327,11 +336,11 @@
 static void
 test_wrong_keys(Fixture *f, gconstpointer data)
 {
-    g_assert_cmpint(call(f, "/safe/x", NULL, NULL, "amina"), ==, 401);
-    g_assert_cmpint(call(f, "/safe/x", "", NULL, NULL), ==, 401);
-    g_assert_cmpint(call(f, "/safe/x", "k9", NULL, NULL), ==, 401);
-    g_assert_cmpint(call(f, "/safe/x", "k1", "k1", NULL), ==, 401);
-    g_assert_cmpint(call(f, "/safe/x", "k1", "k2", NULL), ==, 401);
+    assert_call(f, "/safe/x", NULL, NULL, "amina", 401);
+    assert_call(f, "/safe/x", "", NULL, NULL, 401);
+    assert_call(f, "/safe/x", "k9", NULL, NULL, 401);
+    assert_call(f, "/safe/x", "k1", "k1", NULL, 401);
+    assert_call(f, "/safe/x", "k1", "k2", NULL, 401);
     g_assert_cmpuint(f->runs, ==, 0);
 }
 
@@ -361,7 +370,7 @@
 test_grantor_gone(Fixture *f, gconstpointer data)
 {
     Gateway_StopListening(f->hosts[1].gateway);
-    g_assert_cmpint(call(f, "/safe/x", "k2", NULL, NULL), ==, 200);
+    assert_call(f, "/safe/x", "k2", NULL, NULL, 200);
     g_assert_cmpstr(f->customer, ==, "bruno");
 }
 
