Review of the new parts: one release function, cached order of grantors

Change: Str_FreeString(); AllowanceClient_IsGrantor() uses the order that the customer's share keeps; event=upstream-notice names probe or description.

--- a/packages/base/Str.c
+++ b/packages/base/Str.c
@@ -32,6 +32,12 @@
     return string;
 }
 
+void
+Str_FreeString(void *string)
+{
+    g_string_free(string, TRUE);
+}
+
 void
 Str_AppendTo(Str s, GString *out)
 {
--- a/packages/base/Str.h
+++ b/packages/base/Str.h
@@ -35,6 +35,9 @@
 /** Str_ToString() - copy to a new GString, which the calling function frees */
 GString *Str_ToString(Str s);
 
+/** Str_FreeString() - release a GString; a GDestroyNotify */
+void Str_FreeString(void *string);
+
 /** Str_AppendTo() - append to a GString */
 void Str_AppendTo(Str s, GString *out);
 
--- a/packages/core/limits/AllowanceClient.c
+++ b/packages/core/limits/AllowanceClient.c
@@ -230,10 +230,18 @@
 bool
 AllowanceClient_IsGrantor(AllowanceClient *this, Str customer)
 {
+    Share *share = find_share(this, customer);
     Host *grantors[GRANTORS];
+    const Host *first;
 
-    find_grantors(this, customer, grantors);
-    return grantors[0] != NULL && is_own(this, grantors[0]);
+    if (share != NULL) {
+        first = grantors_of(this, share)[0];
+    }
+    else {
+        find_grantors(this, customer, grantors);
+        first = grantors[0];
+    }
+    return first != NULL && is_own(this, first);
 }
 
 /* ---- requests -------------------------------------------------------- */
--- a/packages/core/limits/WorkEstimate.c
+++ b/packages/core/limits/WorkEstimate.c
@@ -17,20 +17,14 @@
     GHashTable *kinds; /* Kind by GString */
 };
 
-static void
-free_string(gpointer data)
-{
-    g_string_free(data, TRUE);
-}
-
 WorkEstimate *
 WorkEstimate_Create(void)
 {
     WorkEstimate *this = g_new0(WorkEstimate, 1);
 
-    this->kinds =
-        g_hash_table_new_full((GHashFunc)g_string_hash,
-                              (GEqualFunc)g_string_equal, free_string, g_free);
+    this->kinds = g_hash_table_new_full((GHashFunc)g_string_hash,
+                                        (GEqualFunc)g_string_equal,
+                                        Str_FreeString, g_free);
     return this;
 }
 
--- a/packages/gateway/Dispatcher.c
+++ b/packages/gateway/Dispatcher.c
@@ -556,8 +556,9 @@
 {
     service_index(this, entry->service);
     if (UpstreamSet_Put(this->upstreams, entry) && entry->warmup > 0) {
-        Dispatcher_SetWarmup(
-            this, UpstreamSet_Find(this->upstreams, entry->id), entry->warmup);
+        Dispatcher_SetWarmup(this,
+                             UpstreamSet_Find(this->upstreams, entry->id),
+                             "description", entry->warmup);
     }
     CrashGuard_OnUpstreamsChanged(this->guard);
 }
--- a/packages/gateway/Dispatcher.h
+++ b/packages/gateway/Dispatcher.h
@@ -225,8 +225,7 @@
 typedef struct DispatchAction_ {
     DispatchActionKind kind;
     Job *job;
-    void
-        *user; /* as given to Dispatcher_Submit() or Dispatcher_OnQuestion() */
+    void *user; /* as given to Dispatcher_Submit() or _OnQuestion() */
     union {
         struct {
             const char *address;
--- a/packages/gateway/DispatcherNotices.c
+++ b/packages/gateway/DispatcherNotices.c
@@ -47,7 +47,8 @@
 }
 
 void
-Dispatcher_SetWarmup(Dispatcher *this, uint32_t upstream, Micros time)
+Dispatcher_SetWarmup(Dispatcher *this, uint32_t upstream, const char *source,
+                     Micros time)
 {
     const UpstreamRecord *record =
         UpstreamSet_Record(this->upstreams, upstream);
@@ -65,7 +66,7 @@
                                       per_s, Clock_Now(this->clock) + time);
     if (change == LIMIT_CHANGE_NAMED) {
         Placement_SetWarmup(this->placement, upstream, time);
-        log_notice(this, upstream, "warmup", "probe", time);
+        log_notice(this, upstream, "warmup", source, time);
     }
 }
 
@@ -73,7 +74,7 @@
 Dispatcher_OnProbeNotice(Dispatcher *this, uint32_t upstream,
                          const UpstreamNotice *notice)
 {
-    Dispatcher_SetWarmup(this, upstream, notice->warmup);
+    Dispatcher_SetWarmup(this, upstream, "probe", notice->warmup);
     on_notice(this, upstream, notice, "probe",
               Dispatcher_SentProbe(this, upstream).sent);
 }
--- a/packages/gateway/DispatcherPrivate.h
+++ b/packages/gateway/DispatcherPrivate.h
@@ -130,9 +130,11 @@
 
 /**
  * Dispatcher_SetWarmup() - an upstream has said for how long it stays cold
+ * @source: of the log line: "probe" or "description"
  * @time: from now; 0 if it is not cold
  */
-void Dispatcher_SetWarmup(Dispatcher *this, uint32_t upstream, Micros time);
+void Dispatcher_SetWarmup(Dispatcher *this, uint32_t upstream,
+                          const char *source, Micros time);
 
 /** Dispatcher_PushAction() - append an action for Dispatcher_NextAction() */
 void Dispatcher_PushAction(Dispatcher *this, const DispatchAction *action);
--- a/packages/net/KeyedFollower.c
+++ b/packages/net/KeyedFollower.c
@@ -100,12 +100,6 @@
     }
 }
 
-static void
-free_string(gpointer data)
-{
-    g_string_free(data, TRUE);
-}
-
 static void
 begin_snapshot(KeyedFollower *this)
 {
@@ -352,9 +346,9 @@
     this->log = log;
     this->topic = Str_ToString(options->topic);
     this->snapshot_after = g_string_new(NULL);
-    this->snapshot_keys =
-        g_hash_table_new_full((GHashFunc)g_string_hash,
-                              (GEqualFunc)g_string_equal, free_string, NULL);
+    this->snapshot_keys = g_hash_table_new_full((GHashFunc)g_string_hash,
+                                                (GEqualFunc)g_string_equal,
+                                                Str_FreeString, NULL);
     this->timer = LoopTimer_Create(loop, read_next, this);
     this->reachable = true;
     this->known_at = -1;
--- a/packages/net/RefreshLimit.c
+++ b/packages/net/RefreshLimit.c
@@ -20,12 +20,6 @@
     GHashTable *hosts; /* Bucket by GString, owned */
 };
 
-static void
-free_id(gpointer data)
-{
-    g_string_free(data, TRUE);
-}
-
 RefreshLimit *
 RefreshLimit_Create(const Clock *clock)
 {
@@ -33,8 +27,9 @@
 
     this->clock = clock;
     this->all.full_at = Clock_Now(clock);
-    this->hosts = g_hash_table_new_full(
-        (GHashFunc)g_string_hash, (GEqualFunc)g_string_equal, free_id, g_free);
+    this->hosts = g_hash_table_new_full((GHashFunc)g_string_hash,
+                                        (GEqualFunc)g_string_equal,
+                                        Str_FreeString, g_free);
     return this;
 }
 
