gateway: a restarted grantor is asked again within seconds

Cause: a host that has restarted has another key, so its peers' questions are refused with 403 until they read the list of hosts again, within a minute. Until then they used equal parts of a customer's limit, and customers with few callers were refused within their limit.

Change: such a refusal brings the next reading of the list forward, as for forwarded requests.

--- a/packages/gateway/AllowanceLink.c
+++ b/packages/gateway/AllowanceLink.c
@@ -13,7 +13,7 @@
     Loop *loop;
     Dispatcher *dispatcher;
     ForwardClient *client;
-    void (*on_answer)(void *user);
+    AllowanceLinkHandlers handlers;
     void *user;
     GHashTable *questions; /* set of Question */
 };
@@ -21,6 +21,7 @@
 typedef struct Question_ {
     AllowanceLink *link;
     uint64_t number;
+    GString *host;
     HttpCall *call;
     LoopTimer *timer;
     ForwardTicket ticket;
@@ -34,19 +35,20 @@
     Question *question = data;
 
     LoopTimer_Destroy(question->timer);
+    g_string_free(question->host, TRUE);
     g_free(question);
 }
 
 AllowanceLink *
 AllowanceLink_Create(Loop *loop, Dispatcher *dispatcher, ForwardClient *client,
-                     void (*on_answer)(void *user), void *user)
+                     const AllowanceLinkHandlers *link_handlers, void *user)
 {
     AllowanceLink *this = g_new0(AllowanceLink, 1);
 
     this->loop = loop;
     this->dispatcher = dispatcher;
     this->client = client;
-    this->on_answer = on_answer;
+    this->handlers = *link_handlers;
     this->user = user;
     this->questions =
         g_hash_table_new_full(NULL, NULL, destroy_question, NULL);
@@ -73,7 +75,7 @@
     }
     g_hash_table_remove(this->questions, question);
     if (!Loop_IsClosing(this->loop)) {
-        this->on_answer(this->user);
+        this->handlers.on_answer(this->user);
     }
 }
 
@@ -99,13 +101,21 @@
 on_headers(void *user, HttpCall *call, int status, const HeaderList *headers)
 {
     Question *question = user;
+    const AllowanceLink *this = question->link;
     ForwardResponseSeal seal;
+    bool authentic =
+        ForwardTicket_Check(&question->ticket, status, headers, &seal) == 0;
 
     question->answered =
-        ForwardTicket_Check(&question->ticket, status, headers, &seal) == 0 &&
-        status == 200 &&
+        authentic && status == 200 &&
         parse_answer(HeaderList_Get(headers, STR(ALLOWANCE_FIELD)),
                      &question->grant);
+    /* Otherwise the host would not be asked again until the next regular
+     * reading of the list. */
+    if (!authentic && status == 403) {
+        this->handlers.on_stale_keys(this->user,
+                                     Str_FromString(question->host));
+    }
 }
 
 static void
@@ -166,6 +176,7 @@
 
     question->link = this;
     question->number = action->ask.number;
+    question->host = Str_ToString(action->ask.host);
     question->timer = LoopTimer_Create(this->loop, on_timeout, question);
     g_hash_table_add(this->questions, question);
     g_snprintf(text, sizeof(text), "%u%s", action->ask.wanted,
--- a/packages/gateway/AllowanceLink.h
+++ b/packages/gateway/AllowanceLink.h
@@ -19,13 +19,24 @@
 typedef struct AllowanceLink_ AllowanceLink;
 
 /**
- * AllowanceLink_Create() - all pointers are borrowed
+ * struct AllowanceLinkHandlers_ - callbacks of the owner
+ * @on_answer: the dispatcher was told an answer
+ * @on_stale_keys: a host does not accept the seal of this one, as either has
+ *                 another key than the other one's list
+ */
+typedef struct AllowanceLinkHandlers_ {
+    void (*on_answer)(void *user);
+    void (*on_stale_keys)(void *user, Str host);
+} AllowanceLinkHandlers;
+
+/**
+ * AllowanceLink_Create() - @handlers is copied, all other pointers are borrowed
  * @client: NULL if there are no keys; then no question is answered
- * @on_answer: called after the dispatcher was told an answer
  */
 AllowanceLink *AllowanceLink_Create(Loop *loop, Dispatcher *dispatcher,
                                     ForwardClient *client,
-                                    void (*on_answer)(void *user), void *user);
+                                    const AllowanceLinkHandlers *handlers,
+                                    void *user);
 
 /** AllowanceLink_Destroy() - after Loop_Close(); NULL is allowed */
 void AllowanceLink_Destroy(AllowanceLink *this);
--- a/packages/gateway/Gateway.c
+++ b/packages/gateway/Gateway.c
@@ -1234,6 +1234,11 @@
     on_stale_keys,
 };
 
+static const AllowanceLinkHandlers allowance_handlers = {
+    run_actions,
+    on_stale_keys,
+};
+
 /* ---- creation ------------------------------------------------------- */
 
 /* A host that cannot listen for its peers still serves its callers. */
@@ -1299,7 +1304,7 @@
     }
     create_forwarding(this);
     this->allowances = AllowanceLink_Create(
-        loop, dispatcher, this->forward_client, run_actions, this);
+        loop, dispatcher, this->forward_client, &allowance_handlers, this);
     return this;
 }
 
--- a/tests/test_gateway_customers.c
+++ b/tests/test_gateway_customers.c
@@ -36,6 +36,7 @@
     int status; /* of the last response to the caller */
     bool has_retry_after;
     bool complete;
+    char stale[8]; /* host that has another key than was listed */
 } Fixture;
 
 /* ---- upstream -------------------------------------------------------- */
@@ -218,6 +219,14 @@
     return table;
 }
 
+static void
+on_stale_keys(void *user, Str host)
+{
+    Fixture *f = user;
+
+    g_snprintf(f->stale, sizeof(f->stale), STR_FORMAT, STR_ARGS(host));
+}
+
 static void
 create_host(Fixture *f, Host *host, const char *id)
 {
@@ -234,7 +243,9 @@
                               .dialect = &PLATFORM_DIALECT,
                               .connections_max = 8,
                               .reuse_idle = MICROS_PER_S,
-                              .forward = {"127.0.0.1", 0}};
+                              .forward = {"127.0.0.1", 0},
+                              .on_stale_keys = on_stale_keys,
+                              .user = f};
 
     entry.address = STR("127.0.0.1");
     host->id = id;
@@ -374,6 +385,25 @@
     g_assert_cmpstr(f->customer, ==, "bruno");
 }
 
+/* Guards against a restarted grantor that is not asked until the list of hosts
+ * is read again in a minute, because its key has changed. */
+static void
+test_grantor_restarted(Fixture *f, gconstpointer data)
+{
+    HostKeys *keys = HostKeys_Create(STR("b"), f->clock, NULL);
+    ListedHost older = {
+        .id = STR("b"),
+        .entry = {.domain = STR("d"),
+                  .relay = {"127.0.0.1", 1},
+                  .forward_port = Gateway_ForwardPort(f->hosts[1].gateway)}};
+
+    memcpy(older.entry.key, HostKeys_PublicKey(keys), HOST_KEY_BYTES);
+    HostKeys_SetPeers(f->hosts[0].keys, &older, 1);
+    assert_call(f, "/safe/x", "k2", NULL, NULL, 200);
+    g_assert_cmpstr(f->stale, ==, "b");
+    HostKeys_Destroy(keys);
+}
+
 static void
 add_test(const char *path, void (*test)(Fixture *, gconstpointer))
 {
@@ -388,5 +418,6 @@
     add_test("/gateway-customers/wrong-keys", test_wrong_keys);
     add_test("/gateway-customers/limit", test_limit);
     add_test("/gateway-customers/grantor-gone", test_grantor_gone);
+    add_test("/gateway-customers/grantor-restarted", test_grantor_restarted);
     return g_test_run();
 }
