agatecrank: check a configuration of gateway hosts before it is sent

Cause: operators learn of routes that never match and of limits that contradict each other only when hosts have the configuration.

--- a/packages/agatecrank/completion.bash
+++ b/packages/agatecrank/completion.bash
@@ -25,7 +25,7 @@
     esac
     case $command in
     keygen) options="--peer --help" ;;
-    check) options="--settings --help" ;;
+    check) options="--settings --routes --against --json --help" ;;
     publish) options="$options --id --base --dry-run" ;;
     history) options="$options --author --limit" ;;
     status) options="$options --author" ;;
--- a/packages/core/limits/CustomerTable.c
+++ b/packages/core/limits/CustomerTable.c
@@ -145,6 +145,60 @@
     return found;
 }
 
+static unsigned
+count_keys(const CustomerTable *this, const Customer *customer)
+{
+    GHashTableIter iter;
+    gpointer holder;
+    unsigned n = 0;
+
+    g_hash_table_iter_init(&iter, this->by_digest);
+    while (g_hash_table_iter_next(&iter, NULL, &holder)) {
+        n += holder == customer;
+    }
+    return n;
+}
+
+void
+CustomerTable_ForEach(const CustomerTable *this,
+                      void (*visit)(void *user, const Customer *customer,
+                                    unsigned keys),
+                      void *user)
+{
+    GList *names = g_list_sort(g_hash_table_get_keys(this->by_name),
+                               (GCompareFunc)strcmp);
+
+    for (GList *item = names; item != NULL; item = item->next) {
+        const Customer *customer =
+            g_hash_table_lookup(this->by_name, item->data);
+
+        visit(user, customer, count_keys(this, customer));
+    }
+    g_list_free(names);
+}
+
+bool
+CustomerTable_HasSameKeys(const CustomerTable *this,
+                          const CustomerTable *other, Str name)
+{
+    const Customer *own = CustomerTable_ByName(this, name);
+    const Customer *others = CustomerTable_ByName(other, name);
+    GHashTableIter iter;
+    gpointer digest, holder;
+    unsigned shared = 0;
+
+    if (own == NULL || others == NULL) {
+        return own == others;
+    }
+    g_hash_table_iter_init(&iter, this->by_digest);
+    while (g_hash_table_iter_next(&iter, &digest, &holder)) {
+        shared += holder == own &&
+                  g_hash_table_lookup(other->by_digest, digest) == others;
+    }
+    return shared == count_keys(this, own) &&
+           shared == count_keys(other, others);
+}
+
 size_t
 CustomerTable_Count(const CustomerTable *this)
 {
--- a/packages/core/limits/CustomerTable.h
+++ b/packages/core/limits/CustomerTable.h
@@ -64,6 +64,16 @@
 /** CustomerTable_ByName() - the customer of a name, or NULL */
 const Customer *CustomerTable_ByName(const CustomerTable *this, Str name);
 
+/** CustomerTable_ForEach() - visit all customers with their number of keys */
+void CustomerTable_ForEach(const CustomerTable *this,
+                           void (*visit)(void *user, const Customer *customer,
+                                         unsigned keys),
+                           void *user);
+
+/** CustomerTable_HasSameKeys() - whether a customer has the same keys in both */
+bool CustomerTable_HasSameKeys(const CustomerTable *this,
+                               const CustomerTable *other, Str name);
+
 /** CustomerTable_Count() - number of customers */
 size_t CustomerTable_Count(const CustomerTable *this);
 
--- a/packages/gateway/RouteTable.c
+++ b/packages/gateway/RouteTable.c
@@ -220,6 +220,37 @@
     return found;
 }
 
+const Route *
+RouteTable_Exact(const RouteTable *this, Str host, Str prefix)
+{
+    GString *key = g_string_new(NULL);
+    const Route *found;
+
+    write_key(key, host, prefix);
+    found = g_hash_table_lookup(this->routes, key->str);
+    g_string_free(key, TRUE);
+    return found;
+}
+
+bool
+RouteTable_HasService(const RouteTable *this, Str service)
+{
+    return find_service(this, service) != NULL;
+}
+
+void
+RouteTable_ForEach(const RouteTable *this,
+                   void (*visit)(void *user, const Route *route), void *user)
+{
+    GList *keys =
+        g_list_sort(g_hash_table_get_keys(this->routes), (GCompareFunc)strcmp);
+
+    for (GList *item = keys; item != NULL; item = item->next) {
+        visit(user, g_hash_table_lookup(this->routes, item->data));
+    }
+    g_list_free(keys);
+}
+
 uint64_t
 RouteTable_Version(const RouteTable *this)
 {
--- a/packages/gateway/RouteTable.h
+++ b/packages/gateway/RouteTable.h
@@ -120,6 +120,19 @@
  */
 const Route *RouteTable_Find(const RouteTable *this, Str host, Str path);
 
+/**
+ * RouteTable_Exact() - the route of a host with just that prefix, or NULL
+ */
+const Route *RouteTable_Exact(const RouteTable *this, Str host, Str prefix);
+
+/** RouteTable_HasService() - whether RouteTable_AddService() was called for it */
+bool RouteTable_HasService(const RouteTable *this, Str service);
+
+/** RouteTable_ForEach() - visit all routes, in order of host and prefix */
+void RouteTable_ForEach(const RouteTable *this,
+                        void (*visit)(void *user, const Route *route),
+                        void *user);
+
 /** RouteTable_Version() - version that was passed at creation */
 uint64_t RouteTable_Version(const RouteTable *this);
 
