placement: the tolerance of room applies to upstreams with few slots only

The tolerance of a tenth of a request changed where requests go on upstreams with six slots, too, where nothing asks for it.

Change: it applies to upstreams with at most two slots. Placement of all others is as before.

Measured: test_cut_off_hosts and /placement/few-slots pass.

--- a/packages/gateway/Placement.c
+++ b/packages/gateway/Placement.c
@@ -12,10 +12,11 @@
  * full, and the factor by which their processing time grows then. */
 #define SATURATION_THRESHOLD_RATIO 0.8F
 #define SATURATION_COST_FACTOR 1.7F
-/* Requests by which an estimate may exceed what an upstream has room for. A
- * report that is a few milliseconds old is mixed with the mean of the service;
- * with two slots, even an idle upstream would count as full. */
+/* Requests by which an estimate may exceed what an upstream with few slots has
+ * room for. A report that is a few milliseconds old is mixed with the mean of the
+ * service, so that even an idle upstream would count as full. */
 #define CAPACITY_TOLERANCE_COUNT 0.1F
+#define FEW_SLOTS_MAX 2
 /* Cost up to which probing other upstreams is not worthwhile. */
 #define NEAR_IDLE_COST_THRESHOLD 1.3F
 /* An upstream in another failure domain is chosen only if it is better by this
@@ -614,6 +615,12 @@
     return n;
 }
 
+static float
+capacity_tolerance(const Load *load)
+{
+    return load->info.slots <= FEW_SLOTS_MAX ? CAPACITY_TOLERANCE_COUNT : 0;
+}
+
 /* An upstream always has capacity for one request. Upstreams without load
  * reports reject requests themselves when they are full. */
 static bool
@@ -624,7 +631,7 @@
     return !service->reported ||
            utilization * slots + 1 <=
                MAX(floorf(SATURATION_THRESHOLD_RATIO * slots), 1) +
-                   CAPACITY_TOLERANCE_COUNT;
+                   capacity_tolerance(load);
 }
 
 /* The cheapest upstream found so far in the own or the other domains. */
@@ -728,7 +735,7 @@
         .has_capacity = has_capacity(service_at(this, query->service), load,
                                      best->utilization),
         .has_free_slot = best->utilization * (float)load->info.slots + 1 <=
-                         (float)load->info.slots + CAPACITY_TOLERANCE_COUNT,
+                         (float)load->info.slots + capacity_tolerance(load),
         .fresh_ratio = (float)(own.fresh + other.fresh) /
                        (float)(own.usable + other.usable),
     };
