follower: the age of pages is as before, less the time of a suspension

Change: only a suspension during the read is added to the age, as the two clocks show it. KeyedFollower_KnownAt(), by which keys are accepted, is unchanged: it counts from the begin of the read.

--- a/packages/net/KeyedFollower.c
+++ b/packages/net/KeyedFollower.c
@@ -5,9 +5,6 @@
 /* Time for which an era below the known one is taken for an answer that was
  * under way. After it the log is believed to have been replaced. */
 #define LOWER_ERA_TIME_US (5 * MICROS_PER_S)
-/* A response that takes longer than this beyond the wait may have been received
- * long before it was read, as the process was suspended. */
-#define RESPONSE_TIME_MAX_US (250 * MICROS_PER_MS)
 /* Shortest time between two changes of the era, as each costs a snapshot. */
 #define ERA_INTERVAL_US (1 * MICROS_PER_S)
 
@@ -39,7 +36,6 @@
     Micros recovery_end;       /* reads use the usual wait from then on */
     Micros read_started_at;    /* start of the latest read */
     Micros read_started_boot;  /* the same, by Clock_Boot() */
-    Micros read_wait;          /* of the latest read */
     Micros last_failure_at;    /* start of the last read that failed */
     uint64_t era;
     Micros era_changed_at;
@@ -85,7 +81,6 @@
     this->reading = true;
     this->read_started_at = Clock_Now(this->clock);
     this->read_started_boot = Clock_Boot(this->clock);
-    this->read_wait = this->state == STATE_TAIL ? wait : 0;
     switch (this->state) {
     case STATE_SNAPSHOT:
         keyed_log->read_newest(keyed_log->self, Str_FromString(this->topic),
@@ -274,6 +269,18 @@
     return false;
 }
 
+/* Returns for how long the machine was suspended during the latest read: the
+ * response may have been received before. */
+static Micros
+suspended_time(const KeyedFollower *this)
+{
+    Micros difference = (Clock_Boot(this->clock) - this->read_started_boot) -
+                        (Clock_Now(this->clock) - this->read_started_at);
+
+    /* The two clocks are not read at the same moment. */
+    return difference >= MICROS_PER_MS ? difference : 0;
+}
+
 static void
 on_page(void *user, const KeyedPage *page)
 {
@@ -312,9 +319,7 @@
     set_reachable(this, true, 0);
     this->last_read_at = Clock_Now(this->clock) - page->age;
     this->read_boot =
-        MIN(Clock_Boot(this->clock),
-            this->read_started_boot + this->read_wait + RESPONSE_TIME_MAX_US) -
-        page->age;
+        Clock_Boot(this->clock) - page->age - suspended_time(this);
     if (was_tail) {
         apply_tail(this, page);
     }
