Show that a withdrawn key is in use again after a restart

Cause: a host that starts takes the first configuration it reads for current, also from a store that has come back from an older copy.

--- a/review/standin/copies.c
+++ b/review/standin/copies.c
@@ -91,8 +91,7 @@
 static bool
 is_disrupted(void)
 {
-    return trouble &&
-           fmod(now_s() - started, FAULT_S + FAULT_GAP_S) < FAULT_S;
+    return trouble && fmod(now_s() - started, FAULT_S + FAULT_GAP_S) < FAULT_S;
 }
 
 static bool
@@ -170,8 +169,8 @@
 
     while (open && read_message(&link->stream, message, false)) {
         if (link->copy[0] != '\0') {
-            record_line("copy worker=%s before=%.5s text=%.12s", link->worker->id, message->head,
-                        link->copy);
+            record_line("copy worker=%s before=%.5s text=%.12s",
+                        link->worker->id, message->head, link->copy);
             send_all(link->stream.fd, link->copy, strlen(link->copy));
             link->copy[0] = '\0';
         }
@@ -244,11 +243,12 @@
     snprintf(id, sizeof(id), "a-%d", number);
     stream->fd = connect_to(front, front_port, TIMEOUT_MS / 1000.0 + 0.5);
     if (stream->fd >= 0) {
-        send_text(stream->fd,
-                  "POST /pay-%d/%d HTTP/1.1\r\nHost: desk.example\r\n"
-                  "Agatecrank-Attempt-Id: %s\r\n"
-                  "Agatecrank-Timeout-Ms: %d\r\nContent-Length: 4\r\n\r\npay\n",
-                  service, number, id, TIMEOUT_MS);
+        send_text(
+            stream->fd,
+            "POST /pay-%d/%d HTTP/1.1\r\nHost: desk.example\r\n"
+            "Agatecrank-Attempt-Id: %s\r\n"
+            "Agatecrank-Timeout-Ms: %d\r\nContent-Length: 4\r\n\r\npay\n",
+            service, number, id, TIMEOUT_MS);
         if (read_message(stream, message, true)) {
             status = atoi(message->head + 9);
             field(message, "agatecrank-attempt-id", got, sizeof(got));
@@ -276,8 +276,7 @@
             send_payment(number, (int)((size_t)argument % SERVICES),
                          fronts[rand_r(&seed) % (unsigned)front_count]);
         }
-        usleep(PAUSE_MS * 500 +
-               (useconds_t)rand_r(&seed) % (PAUSE_MS * 1000));
+        usleep(PAUSE_MS * 500 + (useconds_t)rand_r(&seed) % (PAUSE_MS * 1000));
     }
     return NULL;
 }
@@ -359,7 +358,8 @@
     int port, verdict;
 
     if (argc < 6) {
-        fprintf(stderr, "usage: copies RECORD TROUBLE ADDRESS PORT FRONT...\n");
+        fprintf(stderr,
+                "usage: copies RECORD TROUBLE ADDRESS PORT FRONT...\n");
         return 2;
     }
     trouble = atoi(argv[2]) != 0;
--- a/review/standin/heads.c
+++ b/review/standin/heads.c
@@ -180,8 +180,7 @@
             close(stream->fd);
             stream->fd = -1;
         }
-        usleep(PAUSE_MS * 500 +
-               (useconds_t)rand_r(&seed) % (PAUSE_MS * 1000));
+        usleep(PAUSE_MS * 500 + (useconds_t)rand_r(&seed) % (PAUSE_MS * 1000));
     }
     return NULL;
 }
--- a/review/standin/store.c
+++ b/review/standin/store.c
@@ -29,6 +29,9 @@
 static size_t topic_count;
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 static pthread_cond_t changed;
+static unsigned era = 1;
+static bool down;
+static size_t copied[TOPICS_MAX]; /* records of each topic in the copy */
 
 static Topic *
 topic_of(const char *name)
@@ -130,9 +133,9 @@
 answer(int fd, int status, const char *type, const char *body, size_t length)
 {
     send_text(fd,
-              "HTTP/1.1 %d X\r\nContent-Type: %s\r\n"
+              "HTTP/1.1 %d X\r\nContent-Type: %s\r\nStore-Era: %u\r\n"
               "Content-Length: %zu\r\n\r\n",
-              status, type, length);
+              status, type, era, length);
     send_all(fd, body, length);
 }
 
@@ -194,7 +197,7 @@
         until.tv_sec++;
         until.tv_nsec -= 1000000000;
     }
-    while (topic->count <= from &&
+    while (topic->count <= from && !down &&
            pthread_cond_timedwait(&changed, &lock, &until) == 0) {
     }
 }
@@ -215,6 +218,11 @@
         return;
     }
     wait_for_record(topic, from, wait_ms);
+    if (from > topic->count) {
+        pthread_mutex_unlock(&lock);
+        answer_json(fd, 410, "{\"first\":0}");
+        return;
+    }
     out = open_memstream(&text, &size);
     write_number(out, topic->count, 8);
     write_number(out, 0, 8);
@@ -267,7 +275,10 @@
         query(message, "from", from, sizeof(from));
         query(message, "waitMs", wait, sizeof(wait));
         usleep(ANSWER_US);
-        if (strstr(message->head, "/agatecrank/log-newest?") != NULL) {
+        if (down) {
+            answer_json(stream->fd, 503, "{}");
+        }
+        else if (strstr(message->head, "/agatecrank/log-newest?") != NULL) {
             log_newest(stream->fd, topic);
         }
         else if (strstr(message->head, "/agatecrank/log-read?") != NULL) {
@@ -307,6 +318,35 @@
     return NULL;
 }
 
+void
+store_copy(void)
+{
+    pthread_mutex_lock(&lock);
+    for (size_t i = 0; i < topic_count; i++) {
+        copied[i] = topics[i].count;
+    }
+    pthread_mutex_unlock(&lock);
+}
+
+void
+store_set_down(void)
+{
+    down = true;
+}
+
+void
+store_restore(void)
+{
+    pthread_mutex_lock(&lock);
+    for (size_t i = 0; i < topic_count; i++) {
+        topics[i].count = copied[i];
+    }
+    era++;
+    down = false;
+    pthread_cond_broadcast(&changed);
+    pthread_mutex_unlock(&lock);
+}
+
 void
 store_start(const char *address, int port)
 {
--- a/review/standin/store.h
+++ b/review/standin/store.h
@@ -10,4 +10,13 @@
  */
 void store_put(const char *topic, const char *key, const char *value);
 
+/** store_copy() - keep a copy of what the store holds now */
+void store_copy(void);
+
+/** store_set_down() - answer each call with 503 */
+void store_set_down(void);
+
+/** store_restore() - come back from the copy, in the next era */
+void store_restore(void);
+
 #endif
--- a/review/standin/uploads.c
+++ b/review/standin/uploads.c
@@ -27,8 +27,8 @@
 #define LOOKUP_TIMEOUT_MS 1200
 #define UPLOAD_TIMEOUT_MS 1500
 #define UPLOADS 2
-#define UPLOAD_BYTES 67108864   /* maxBodyBytes */
-#define LINK_BYTES_PER_S 125e6  /* 1,000 Mbit/s, shared by the uploads */
+#define UPLOAD_BYTES 67108864  /* maxBodyBytes */
+#define LINK_BYTES_PER_S 125e6 /* 1,000 Mbit/s, shared by the uploads */
 #define WORKER_BYTES_PER_S 125e6
 #define CHUNK_BYTES 65536
 #define BURSTS 3
