End the hosts that a stand-in has started with the stand-in

Cause: a script that is interrupted left the hosts of its stand-in running. Change: review/hosts.sh ends them too, and an interrupt ends a script with 2.

--- a/review/hosts.sh
+++ b/review/hosts.sh
@@ -59,14 +59,17 @@
 }
 
 stop_all() {
-    local pid
+    local pid children
     for pid in "${HOST_PIDS[@]}" "${OTHER_PIDS[@]}"; do
-        kill -KILL "$pid" 2>/dev/null
+        # A stand-in may have started hosts itself.
+        children=$(cat /proc/"$pid"/task/*/children 2>/dev/null)
+        kill -KILL "$pid" $children 2>/dev/null
     done
     wait 2>/dev/null
     [ -n "${KEEP_LOGS:-}" ] && cp "$WORK"/*.log "$KEEP_LOGS"/
     rm -rf "$WORK"
 }
 trap stop_all EXIT
+trap "exit 2" INT TERM
 
 [ -x "$DAEMON" ] || { echo "not built: $DAEMON" >&2; exit 2; }
