Log the evidence that an attempt was not executed

Cause: from the log it could not be told on which connection an attempt was made, what showed that it was not executed, nor whether a host that answered a request by itself still had it open at an upstream or at another host.

Change: the event attempt has attempt, evidence and connection, the event refuse has open. No decision has changed.

--- a/packages/gateway/Dispatcher.h
+++ b/packages/gateway/Dispatcher.h
@@ -121,8 +121,18 @@
     ATTEMPT_RESULT_BROKEN, /* no complete, valid response of that upstream */
 } AttemptResult;
 
+/** enum RunEvidence - why an attempt counts as not executed */
+typedef enum RunEvidence_ {
+    RUN_EVIDENCE_NONE,      /* it may have been executed */
+    RUN_EVIDENCE_UNSENT,    /* nothing reached the upstream */
+    RUN_EVIDENCE_STATEMENT, /* the upstream states it */
+    RUN_EVIDENCE_STATUS,    /* only the status of the response implies it */
+} RunEvidence;
+
 /**
  * struct AttemptEndInfo_ - the end of an attempt
+ * @evidence: for the log
+ * @connection: number of the connection that was used, for the log; 0 if none
  * @status: HTTP status of the response
  * @report: load report of the response, or NULL
  * @limit: limit that the upstream names in the response
@@ -132,6 +142,8 @@
  */
 typedef struct AttemptEndInfo_ {
     AttemptResult result;
+    RunEvidence evidence;
+    uint64_t connection;
     int status;
     const LoadReport *report;
     LimitNotice limit;
--- a/packages/gateway/Gateway.c
+++ b/packages/gateway/Gateway.c
@@ -73,6 +73,7 @@
     HeaderList *response_headers;
     GByteArray *response;
     int response_status;
+    uint64_t connection;       /* number of the last attempt's connection */
     uint32_t leaving_instance; /* of the upstream, if its response says so */
     Micros received_at;
     Micros paused_at;
@@ -347,6 +348,26 @@
     return limit;
 }
 
+static RunEvidence
+evidence_of(const Exchange *exchange, AttemptResult result)
+{
+    switch (result) {
+    case ATTEMPT_RESULT_UNSENT:
+        return RUN_EVIDENCE_UNSENT;
+    case ATTEMPT_RESULT_NOT_RUN:
+        return RUN_EVIDENCE_STATEMENT;
+    case ATTEMPT_RESULT_MOVED:
+        return HeaderList_Has(exchange->response_headers,
+                              exchange->gateway->options.dialect->not_run)
+                   ? RUN_EVIDENCE_STATEMENT
+                   : RUN_EVIDENCE_STATUS;
+    case ATTEMPT_RESULT_RESPONSE:
+    case ATTEMPT_RESULT_BROKEN:
+        break;
+    }
+    return RUN_EVIDENCE_NONE;
+}
+
 /* @cause: for the log; may be empty */
 static JobVerdict
 report_attempt_end(Exchange *exchange, AttemptResult result, bool more_follows,
@@ -355,6 +376,8 @@
     Gateway *this = exchange->gateway;
     const Dialect *dialect = this->options.dialect;
     AttemptEndInfo end = {.result = result,
+                          .evidence = evidence_of(exchange, result),
+                          .connection = exchange->connection,
                           .status = exchange->response_status,
                           .more_follows = more_follows,
                           .cause = cause};
@@ -791,6 +814,8 @@
     exchange->call =
         HttpClient_Start(this->client, &spec, &call_handlers, exchange, NULL);
     HeaderList_Destroy(headers);
+    exchange->connection =
+        exchange->call != NULL ? HttpCall_ConnectionNumber(exchange->call) : 0;
     if (exchange->call == NULL) {
         report_attempt_end(exchange, ATTEMPT_RESULT_UNSENT, false,
                            STR("all connections are busy"));
--- a/packages/gateway/JobLog.c
+++ b/packages/gateway/JobLog.c
@@ -8,6 +8,18 @@
     return record != NULL ? record->id : STR("gone");
 }
 
+/* Returns where the request is being sent to. */
+static Str
+open_target(const Job *job)
+{
+    if (job->peer != NULL) {
+        return Peer_Id(job->peer);
+    }
+    return job->upstream != UPSTREAM_NONE
+               ? upstream_id(job->owner, job->upstream)
+               : STR("none");
+}
+
 /* Returns the upstream of the last attempt. */
 static Str
 last_upstream(const Job *job)
@@ -153,6 +165,22 @@
     return "unknown";
 }
 
+static const char *
+evidence_name(RunEvidence evidence)
+{
+    switch (evidence) {
+    case RUN_EVIDENCE_NONE:
+        return "none";
+    case RUN_EVIDENCE_UNSENT:
+        return "unsent";
+    case RUN_EVIDENCE_STATEMENT:
+        return "statement";
+    case RUN_EVIDENCE_STATUS:
+        return "status";
+    }
+    return "unknown";
+}
+
 void
 JobLog_AttemptEnd(const Job *job, uint32_t upstream, const AttemptEndInfo *end)
 {
@@ -169,9 +197,12 @@
                     "attempt")) {
         return;
     }
+    EventLog_Int(this->decisions, "attempt", job->tried_count);
     EventLog_Str(this->decisions, "upstream", upstream_id(this, upstream));
     EventLog_CStr(this->decisions, "result", result_name(end->result));
     EventLog_Int(this->decisions, "status", end->status);
+    EventLog_CStr(this->decisions, "evidence", evidence_name(end->evidence));
+    EventLog_Int(this->decisions, "connection", (int64_t)end->connection);
     EventLog_Int(this->decisions, "took_ms",
                  (Clock_Now(this->clock) - job->sent_at) / MICROS_PER_MS);
     EventLog_Int(this->decisions, "held_ms", total_ms);
@@ -249,6 +280,7 @@
     EventLog_CStr(this->decisions, "reason", reason);
     EventLog_Int(this->decisions, "attempts", job->tried_count);
     EventLog_CStr(this->decisions, "ran", job->may_have_run ? "maybe" : "no");
+    EventLog_Str(this->decisions, "open", open_target(job));
     EventLog_Str(this->decisions, "upstream", last_upstream(job));
     EventLog_Int(this->decisions, "held_ms", elapsed_ms(job));
     if (job->route != NULL) {
--- a/packages/net/HttpClient.c
+++ b/packages/net/HttpClient.c
@@ -31,6 +31,7 @@
 
 struct Connection_ {
     HttpClient *client;
+    uint64_t number;
     Peer *peer;
     Socket *socket;
     HttpParser *parser;
@@ -64,7 +65,8 @@
     int64_t content_written;
     Micros head_timeout; /* 0 for none */
     size_t response_bytes;
-    size_t response_bytes_max; /* 0 for no limit */
+    size_t response_bytes_max;  /* 0 for no limit */
+    uint64_t connection_number; /* 0 if none could be opened */
     Error error;
     bool is_head;
     bool maybe_sent;
@@ -609,7 +611,7 @@
                           &parser_handlers, connection);
     g_hash_table_add(this->connections, connection);
     peer->connection_count++;
-    this->opened_count++;
+    connection->number = ++this->opened_count;
     return connection;
 }
 
@@ -715,6 +717,7 @@
         return call;
     }
     call->connection = connection;
+    call->connection_number = connection->number;
     connection->call = call;
     connection->skipped_bytes = 0;
     connection->used_without_match |= spec->match_value.length == 0;
@@ -768,6 +771,12 @@
     LoopTask_Schedule(this->drained_task);
 }
 
+uint64_t
+HttpCall_ConnectionNumber(const HttpCall *this)
+{
+    return this->connection_number;
+}
+
 void
 HttpCall_WriteBody(HttpCall *this, Str data)
 {
--- a/packages/net/HttpClient.h
+++ b/packages/net/HttpClient.h
@@ -149,6 +149,12 @@
  */
 uint64_t HttpClient_SkippedCount(const HttpClient *this);
 
+/**
+ * HttpCall_ConnectionNumber() - number of the call's connection, in the order
+ *     in which the client opened them; 0 if none could be opened
+ */
+uint64_t HttpCall_ConnectionNumber(const HttpCall *this);
+
 /** HttpCall_WriteBody() - append to the request body */
 void HttpCall_WriteBody(HttpCall *this, Str data);
 
