Let a connection carry the id of a request once

Cause: connections are pooled by address and port, the upstreams that a request was sent to are known by entry of the roster. With an address that is listed twice, or again after a restart or expiry, two attempts of one request use one connection. Both have the caller's id, so a second copy of the refusal of the first, which arrives where the next response is expected, was the response to the second. Change: a connection keeps hashes of the ids that it has carried. An idle one is passed over for an id that it has carried, and stays open. After 256 ids it is not used again. Why it works: on one connection the id names the attempt, so any other response with it is not there to be taken.

--- a/packages/net/HttpClient.c
+++ b/packages/net/HttpClient.c
@@ -10,6 +10,8 @@
  * the current request. */
 #define SKIPPED_BYTES_MAX (1024 * 1024)
 #define KEEP_ALIVE_MARGIN_US (500 * MICROS_PER_MS)
+/* Values of match_value that a connection carries before it is closed. */
+#define CARRIED_MAX 256
 
 typedef struct Connection_ Connection;
 
@@ -49,6 +51,7 @@
     bool timing_head;       /* head_timer runs */
     bool keep_alive;
     bool used_without_match; /* by a call that expects no match_name */
+    GArray *carried;         /* uint64_t hashes of match_value; may be NULL */
     HttpFraming framing;
 };
 
@@ -80,6 +83,9 @@
     }
     HttpParser_Destroy(this->parser);
     LoopTimer_Destroy(this->head_timer);
+    if (this->carried != NULL) {
+        g_array_free(this->carried, TRUE);
+    }
     g_free(this);
 }
 
@@ -242,6 +248,40 @@
     on_message_end,
 };
 
+static bool
+has_carried(const Connection *this, Str match_value)
+{
+    uint64_t hash = Str_Hash(match_value);
+
+    for (guint i = 0; this->carried != NULL && i < this->carried->len; i++) {
+        if (g_array_index(this->carried, uint64_t, i) == hash) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+add_carried(Connection *this, Str match_value)
+{
+    uint64_t hash = Str_Hash(match_value);
+
+    if (match_value.length == 0) {
+        this->used_without_match = true;
+        return;
+    }
+    if (this->carried == NULL) {
+        this->carried = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+    }
+    g_array_append_val(this->carried, hash);
+}
+
+static bool
+may_carry_more(const Connection *this)
+{
+    return this->carried == NULL || this->carried->len < CARRIED_MAX;
+}
+
 /* @excess_data: the peer sent bytes beyond the response. */
 static void
 complete_call(Connection *this, bool excess_data)
@@ -250,7 +290,7 @@
     bool reusable = !excess_data && this->keep_alive &&
                     this->framing != HTTP_FRAMING_CLOSE &&
                     call->content_written >= call->content_length &&
-                    Socket_Buffered(this->socket) == 0;
+                    Socket_Buffered(this->socket) == 0 && may_carry_more(this);
 
     detach_call(call);
     this->response_complete = false;
@@ -545,15 +585,20 @@
 static Connection *
 take_idle_connection(HttpClient *this, Peer *peer, const HttpCallSpec *spec)
 {
-    Connection *connection;
+    GList *next;
+
+    for (GList *item = peer->idle->head; item != NULL; item = next) {
+        Connection *connection = item->data;
 
-    while ((connection = g_queue_peek_head(peer->idle)) != NULL) {
+        next = item->next;
         if (spec->new_connection ||
             is_idle_expired(this, connection, spec->idle_max)) {
             return NULL;
         }
-        if (is_open_and_quiet(connection)) {
-            return g_queue_pop_head(peer->idle);
+        if (!has_carried(connection, spec->match_value) &&
+            is_open_and_quiet(connection)) {
+            g_queue_remove(peer->idle, connection);
+            return connection;
         }
     }
     return NULL;
@@ -720,7 +765,7 @@
     call->connection_number = connection->number;
     connection->call = call;
     connection->skipped_bytes = 0;
-    connection->used_without_match |= spec->match_value.length == 0;
+    add_carried(connection, spec->match_value);
     call->maybe_sent = connection->connected;
     send_head(call, spec);
     return call;
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -648,6 +648,75 @@
     g_assert_cmpuint(opened, ==, 1);
 }
 
+static void
+call_with_value(Fixture *f, HttpClient *client, unsigned value)
+{
+    static const HttpCallHandlers call_handlers = {
+        upload_headers, upload_data, upload_drained, upload_complete,
+        upload_failed};
+    Upload upload = {f, 0, false};
+    char text[16];
+    HttpCallSpec spec = {.address = "127.0.0.1",
+                         .port = HttpServer_Port(f->server),
+                         .method = STR("GET"),
+                         .path = STR("/hello"),
+                         .match_name = STR("call")};
+
+    g_snprintf(text, sizeof(text), "%u", value);
+    spec.match_value = Str_FromC(text);
+    g_assert_nonnull(
+        HttpClient_Start(client, &spec, &call_handlers, &upload, NULL));
+    Loop_Run(f->loop);
+    g_assert_true(upload.done);
+}
+
+/* Guards against a connection that carries two calls with one match value, and
+ * against more connections than that takes. */
+static void
+test_repeated_match_value(void)
+{
+    HttpClientOptions options = {.max_connections = 4};
+    HttpClient *client;
+    Fixture f;
+
+    set_up(&f);
+    client = HttpClient_Create(f.loop, &options);
+    for (unsigned i = 1; i <= 200; i++) {
+        call_with_value(&f, client, i);
+    }
+    g_assert_cmpuint(HttpClient_OpenedCount(client), ==, 1);
+    call_with_value(&f, client, 1);
+    g_assert_cmpuint(HttpClient_OpenedCount(client), ==, 2);
+    call_with_value(&f, client, 1);
+    g_assert_cmpuint(HttpClient_OpenedCount(client), ==, 3);
+    /* The first connection is still open. */
+    for (unsigned i = 201; i <= 203; i++) {
+        call_with_value(&f, client, i);
+        call_with_value(&f, client, i);
+    }
+    g_assert_cmpuint(HttpClient_OpenedCount(client), ==, 3);
+    HttpClient_Destroy(client);
+    tear_down(&f);
+}
+
+/* Guards against a list of match values that grows without a bound. */
+static void
+test_bounded_match_values(void)
+{
+    HttpClientOptions options = {.max_connections = 4};
+    HttpClient *client;
+    Fixture f;
+
+    set_up(&f);
+    client = HttpClient_Create(f.loop, &options);
+    for (unsigned i = 1; i <= 1000; i++) {
+        call_with_value(&f, client, i);
+    }
+    g_assert_cmpuint(HttpClient_OpenedCount(client), ==, 4);
+    HttpClient_Destroy(client);
+    tear_down(&f);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -666,5 +735,9 @@
     g_test_add_func("/net/http/pipelined", test_pipelined);
     g_test_add_func("/net/http/upload-in-pieces", test_upload_in_pieces);
     g_test_add_func("/net/http/paused-at-the-end", test_paused_at_end);
+    g_test_add_func("/net/http/repeated-match-value",
+                    test_repeated_match_value);
+    g_test_add_func("/net/http/bounded-match-values",
+                    test_bounded_match_values);
     return g_test_run();
 }
