Count a request as run until it is proven that it was not

Cause: may_have_run was false while an attempt was open, and every end of an attempt or forward had to set it. The promise was the default, for the status as for the statement to the host that forwarded a request. The proof was not tied to an attempt. Change: AttemptLedger numbers the attempts and forwards of a request. One may have run from the moment it is sent until there is proof with its number. The numbers go with DISPATCH_SEND and DISPATCH_FORWARD and come back with their end; a result that claims 'not executed' for another one counts as broken. The tests end attempts over two functions that add number and evidence; what they check has not changed. Why it works: no path has to remember to withdraw the promise.

--- a/bench/bench_dispatcher.c
+++ b/bench/bench_dispatcher.c
@@ -93,8 +93,8 @@
 {
     AttemptEndInfo info = {.result = ATTEMPT_RESULT_RESPONSE, .status = 200};
 
-    Dispatcher_OnAttemptEnd(bench->dispatcher, g_queue_pop_head(&bench->jobs),
-                            &info);
+    GatewayFixture_EndAttempt(bench->dispatcher,
+                              g_queue_pop_head(&bench->jobs), &info);
     process_actions(bench);
 }
 
--- /dev/null
+++ b/packages/core/routing/AttemptLedger.c
@@ -0,0 +1,48 @@
+#include "AttemptLedger.h"
+
+uint32_t
+AttemptLedger_Begin(AttemptLedger *this)
+{
+    this->open = ++this->begun;
+    return this->open;
+}
+
+static bool
+is_proof(RunEvidence evidence)
+{
+    switch (evidence) {
+    case RUN_EVIDENCE_UNSENT:
+    case RUN_EVIDENCE_STATEMENT:
+    case RUN_EVIDENCE_STATUS:
+        return true;
+    case RUN_EVIDENCE_NONE:
+        break;
+    }
+    return false;
+}
+
+bool
+AttemptLedger_End(AttemptLedger *this, uint32_t number, RunEvidence evidence)
+{
+    bool proven;
+
+    if (number == 0 || number != this->open) {
+        return false;
+    }
+    proven = is_proof(evidence);
+    this->open = 0;
+    this->not_run += proven;
+    return proven;
+}
+
+void
+AttemptLedger_Cancel(AttemptLedger *this)
+{
+    this->open = 0;
+}
+
+bool
+AttemptLedger_MayHaveRun(const AttemptLedger *this)
+{
+    return this->not_run < this->begun;
+}
--- a/packages/gateway/Dispatcher.c
+++ b/packages/gateway/Dispatcher.c
@@ -301,7 +301,6 @@
 use_attempt(Job *job)
 {
     job->attempts_used++;
-    job->may_have_run = true;
     job->reached_upstream = true;
 }
 
@@ -317,6 +316,7 @@
     Job_ReportNoResponse(job, LOST_ATTEMPT_TIMEOUT);
     Dispatcher_PushAction(job->owner, &cancel);
     Job_EndAttempt(job, ATTEMPT_TIMEOUT);
+    AttemptLedger_Cancel(&job->ledger);
     use_attempt(job);
 }
 
@@ -351,7 +351,8 @@
         .kind = DISPATCH_RESPOND,
         .job = job,
         .user = job->user,
-        .respond = {status, reason, retry_after, !job->may_have_run},
+        .respond = {status, reason, retry_after,
+                    !AttemptLedger_MayHaveRun(&job->ledger)},
     };
 
     JobLog_Rejection(job, status, reason);
@@ -422,7 +423,7 @@
 void
 Job_Abandon(Job *job, const char *reason)
 {
-    if (job->may_have_run) {
+    if (AttemptLedger_MayHaveRun(&job->ledger)) {
         Job_Reject(job, 502, reason, 0);
         return;
     }
@@ -438,7 +439,7 @@
     if (!CrashGuard_Refuses(this->guard, &job->fingerprint)) {
         return false;
     }
-    if (job->may_have_run) {
+    if (AttemptLedger_MayHaveRun(&job->ledger)) {
         Job_Reject(job, 502, "quarantined", 0);
         return true;
     }
@@ -700,7 +701,8 @@
     if (JobForward_Applies(job)) {
         return JobForward_Start(job);
     }
-    if ((job->may_have_run && job->route->kind != ROUTE_IDEMPOTENT) ||
+    if ((AttemptLedger_MayHaveRun(&job->ledger) &&
+         job->route->kind != ROUTE_IDEMPOTENT) ||
         MAX(job->tried_count, job->attempts_used) >= job->attempts_max) {
         return reason;
     }
@@ -927,10 +929,29 @@
     return JOB_RELAY;
 }
 
+/* Returns the result, or ATTEMPT_RESULT_BROKEN if it claims that the attempt
+ * was not executed without proof for this attempt. */
+static AttemptResult
+believed_result(AttemptResult result, bool proven)
+{
+    switch (result) {
+    case ATTEMPT_RESULT_NOT_RUN:
+    case ATTEMPT_RESULT_UNSENT:
+        return proven ? result : ATTEMPT_RESULT_BROKEN;
+    case ATTEMPT_RESULT_RESPONSE:
+    case ATTEMPT_RESULT_MOVED:
+    case ATTEMPT_RESULT_BROKEN:
+        break;
+    }
+    return result;
+}
+
 static JobVerdict
 settle_attempt(Job *job, const AttemptEndInfo *end)
 {
-    switch (end->result) {
+    bool proven = AttemptLedger_End(&job->ledger, end->attempt, end->evidence);
+
+    switch (believed_result(end->result, proven)) {
     case ATTEMPT_RESULT_RESPONSE:
         return on_response(job, end);
     case ATTEMPT_RESULT_NOT_RUN:
@@ -940,6 +961,7 @@
         break;
     case ATTEMPT_RESULT_MOVED:
         job->reached_upstream = true;
+        job->attempts_used += !proven;
         Job_EndAttempt(job, ATTEMPT_CONNECTION_FAILED);
         Job_Retry(job, "upstream-moved");
         break;
@@ -1195,7 +1217,7 @@
     if (job->peer != NULL) {
         JobForward_Cancel(job);
     }
-    if (job->may_have_run) {
+    if (AttemptLedger_MayHaveRun(&job->ledger)) {
         Job_Reject(job, 504, "deadline", 0);
         return;
     }
--- a/packages/gateway/Dispatcher.h
+++ b/packages/gateway/Dispatcher.h
@@ -2,6 +2,7 @@
 #define AGATECRANK_GATEWAY_DISPATCHER_H
 
 #include "AllowanceClient.h"
+#include "AttemptLedger.h"
 #include "Counters.h"
 #include "EventLog.h"
 #include "Placement.h"
@@ -121,17 +122,11 @@
     ATTEMPT_RESULT_BROKEN, /* no complete, valid response of that upstream */
 } AttemptResult;
 
-/** enum RunEvidence - why an attempt counts as not executed */
-typedef enum RunEvidence_ {
-    RUN_EVIDENCE_NONE,      /* it may have been executed */
-    RUN_EVIDENCE_UNSENT,    /* nothing reached the upstream */
-    RUN_EVIDENCE_STATEMENT, /* the upstream states it */
-    RUN_EVIDENCE_STATUS,    /* only the status of the response implies it */
-} RunEvidence;
-
 /**
  * struct AttemptEndInfo_ - the end of an attempt
- * @evidence: for the log
+ * @attempt: its number, of the DISPATCH_SEND
+ * @evidence: that it was not executed; without proof the results
+ *            ATTEMPT_RESULT_NOT_RUN and ATTEMPT_RESULT_UNSENT are not believed
  * @connection: number of the connection that was used, for the log; 0 if none
  * @status: HTTP status of the response
  * @report: load report of the response, or NULL
@@ -142,6 +137,7 @@
  */
 typedef struct AttemptEndInfo_ {
     AttemptResult result;
+    uint32_t attempt;
     RunEvidence evidence;
     uint64_t connection;
     int status;
@@ -172,6 +168,7 @@
 
 /**
  * struct ForwardEndInfo_ - the end of a forward
+ * @attempt: its number, of the DISPATCH_FORWARD
  * @status: HTTP status of the response
  * @refusal: with FORWARD_NOT_RUN
  * @retry_after: as the peer states; 0 for none
@@ -179,6 +176,7 @@
  */
 typedef struct ForwardEndInfo_ {
     ForwardResult result;
+    uint32_t attempt;
     int status;
     ForwardRefusal refusal;
     Micros retry_after;
@@ -251,13 +249,15 @@
         struct {
             const char *address;
             uint16_t port;
-            Str instance;   /* id that the server at the address must have */
-            Micros timeout; /* from now; sent to the upstream */
+            Str instance;     /* id that the server at the address must have */
+            uint32_t attempt; /* its number among those of the job */
+            Micros timeout;   /* from now; sent to the upstream */
             CallerIdentity caller;
             bool idempotent;
         } send;
         struct {
             Str peer;              /* id of the host */
+            uint32_t attempt;      /* as above */
             Micros timeout;        /* from now; sent to the peer */
             uint32_t attempts_max; /* of the peer, at least 1 */
             CallerIdentity caller;
--- a/packages/gateway/DispatcherPrivate.h
+++ b/packages/gateway/DispatcherPrivate.h
@@ -67,9 +67,9 @@
     Micros peer_retry_after; /* longest that a peer has stated */
     Micros held_until;       /* end of the wait for the path; 0 for none */
     DueEntry due;            /* element of Dispatcher.due */
-    bool may_have_run;
-    bool reached_upstream; /* some upstream may have received it */
-    bool forwarded;        /* by a peer */
+    AttemptLedger ledger;    /* of attempts and forwards */
+    bool reached_upstream;   /* some upstream may have received it */
+    bool forwarded;          /* by a peer */
     bool queued;
     bool relaying;      /* the caller has got the beginning of a response */
     bool loss_reported; /* the current attempt, to the guard */
--- a/packages/gateway/Gateway.c
+++ b/packages/gateway/Gateway.c
@@ -73,7 +73,8 @@
     HeaderList *response_headers;
     GByteArray *response;
     int response_status;
-    uint64_t connection;       /* number of the last attempt's connection */
+    uint32_t attempt;          /* number of the last attempt */
+    uint64_t connection;       /* number of its connection */
     uint32_t leaving_instance; /* of the upstream, if its response says so */
     Micros received_at;
     Micros paused_at;
@@ -376,6 +377,7 @@
     Gateway *this = exchange->gateway;
     const Dialect *dialect = this->options.dialect;
     AttemptEndInfo end = {.result = result,
+                          .attempt = exchange->attempt,
                           .evidence = evidence_of(exchange, result),
                           .connection = exchange->connection,
                           .status = exchange->response_status,
@@ -811,6 +813,7 @@
     HeaderList_Set(headers, dialect->instance, action->send.instance);
     reset_response(exchange);
     exchange->job = action->job;
+    exchange->attempt = action->send.attempt;
     exchange->call =
         HttpClient_Start(this->client, &spec, &call_handlers, exchange, NULL);
     HeaderList_Destroy(headers);
@@ -866,6 +869,7 @@
     exchange->job = action->job;
     exchange->forward = g_new0(Forward, 1);
     exchange->forward->peer = Str_ToString(spec.peer);
+    exchange->forward->end.attempt = action->forward.attempt;
     if (this->forward_client != NULL) {
         exchange->call =
             ForwardClient_Start(this->forward_client, &spec, &call_handlers,
--- a/packages/gateway/JobForward.c
+++ b/packages/gateway/JobForward.c
@@ -39,9 +39,12 @@
         .kind = DISPATCH_FORWARD,
         .job = job,
         .user = job->user,
-        .forward = {Peer_Id(job->peer), job->deadline - now,
-                    job->attempts_granted, Job_CallerIdentity(job),
-                    job->route->kind == ROUTE_IDEMPOTENT},
+        .forward = {.peer = Peer_Id(job->peer),
+                    .attempt = AttemptLedger_Begin(&job->ledger),
+                    .timeout = job->deadline - now,
+                    .attempts_max = job->attempts_granted,
+                    .caller = Job_CallerIdentity(job),
+                    .idempotent = job->route->kind == ROUTE_IDEMPOTENT},
     };
 
     job->sent_at = now;
@@ -59,7 +62,8 @@
     if (job->forwarded) {
         return job->reached_upstream ? "path-lost" : "cut-off";
     }
-    if ((job->may_have_run && job->route->kind != ROUTE_IDEMPOTENT) ||
+    if ((AttemptLedger_MayHaveRun(&job->ledger) &&
+         job->route->kind != ROUTE_IDEMPOTENT) ||
         attempts_left(job) == 0) {
         return "path-lost";
     }
@@ -165,7 +169,6 @@
 use_granted(Job *job)
 {
     job->attempts_used += job->attempts_granted;
-    job->may_have_run = true;
     job->reached_upstream = true;
 }
 
@@ -181,6 +184,7 @@
     JobLog_ForwardCancelled(job);
     Dispatcher_PushAction(job->owner, &cancel);
     JobForward_End(job, PEER_SILENT);
+    AttemptLedger_Cancel(&job->ledger);
     use_granted(job);
 }
 
@@ -237,10 +241,10 @@
 }
 
 static void
-fail(Job *job, const ForwardEndInfo *end)
+fail(Job *job, ForwardResult result, int status)
 {
     use_granted(job);
-    if (end->result == FORWARD_FAILED && end->status == 504) {
+    if (result == FORWARD_FAILED && status == 504) {
         Job_Reject(job, 504, "deadline", 0);
         return;
     }
@@ -248,16 +252,43 @@
         send_again(job);
         return;
     }
-    Job_Abandon(job,
-                end->result == FORWARD_FAILED ? "peer-failed" : "peer-broken");
+    Job_Abandon(job, result == FORWARD_FAILED ? "peer-failed" : "peer-broken");
+}
+
+static RunEvidence
+evidence_of(ForwardResult result)
+{
+    switch (result) {
+    case FORWARD_NOT_RUN:
+        return RUN_EVIDENCE_STATEMENT;
+    case FORWARD_UNSENT:
+        return RUN_EVIDENCE_UNSENT;
+    case FORWARD_RESPONSE:
+    case FORWARD_FAILED:
+    case FORWARD_BROKEN:
+        break;
+    }
+    return RUN_EVIDENCE_NONE;
+}
+
+/* Returns the result, or FORWARD_BROKEN if it lacks proof for this forward. */
+static ForwardResult
+take_result(Job *job, const ForwardEndInfo *end)
+{
+    RunEvidence evidence = evidence_of(end->result);
+    bool proven = AttemptLedger_End(&job->ledger, end->attempt, evidence);
+
+    return evidence != RUN_EVIDENCE_NONE && !proven ? FORWARD_BROKEN
+                                                    : end->result;
 }
 
 static JobVerdict
 settle_forward(Job *job, const ForwardEndInfo *end)
 {
-    switch (end->result) {
+    ForwardResult result = take_result(job, end);
+
+    switch (result) {
     case FORWARD_RESPONSE:
-        job->may_have_run = true;
         if (end->more_follows) {
             Job_BeginRelay(job);
         }
@@ -277,7 +308,7 @@
         break;
     case FORWARD_FAILED:
     case FORWARD_BROKEN:
-        fail(job, end);
+        fail(job, result, end->status);
         break;
     }
     return JOB_DISCARD;
--- a/packages/gateway/JobLog.c
+++ b/packages/gateway/JobLog.c
@@ -279,7 +279,8 @@
     EventLog_Int(this->decisions, "status", status);
     EventLog_CStr(this->decisions, "reason", reason);
     EventLog_Int(this->decisions, "attempts", job->tried_count);
-    EventLog_CStr(this->decisions, "ran", job->may_have_run ? "maybe" : "no");
+    EventLog_CStr(this->decisions, "ran",
+                  AttemptLedger_MayHaveRun(&job->ledger) ? "maybe" : "no");
     EventLog_Str(this->decisions, "open", open_target(job));
     EventLog_Str(this->decisions, "upstream", last_upstream(job));
     EventLog_Int(this->decisions, "held_ms", elapsed_ms(job));
@@ -347,7 +348,7 @@
 {
     Dispatcher *this = job->owner;
     bool at_upstream = job->upstream != UPSTREAM_NONE;
-    bool may_run = job->may_have_run || at_upstream || job->peer != NULL;
+    bool may_run = AttemptLedger_MayHaveRun(&job->ledger);
 
     Dispatcher_Count(this, "agatecrank_attempts_total", "result",
                      STR("interrupted"));
--- a/packages/gateway/JobPlacement.c
+++ b/packages/gateway/JobPlacement.c
@@ -40,9 +40,12 @@
         .kind = DISPATCH_SEND,
         .job = job,
         .user = job->user,
-        .send = {record->address, record->port, record->id,
-                 job->deadline - now, Job_CallerIdentity(job),
-                 job->route->kind == ROUTE_IDEMPOTENT},
+        .send = {.address = record->address,
+                 .port = record->port,
+                 .instance = record->id,
+                 .timeout = job->deadline - now,
+                 .caller = Job_CallerIdentity(job),
+                 .idempotent = job->route->kind == ROUTE_IDEMPOTENT},
     };
 
     if (Job_RejectStale(job)) {
@@ -56,6 +59,7 @@
     job->upstream = choice->upstream;
     job->tried[job->tried_count++] = choice->upstream;
     job->sent_at = now;
+    action.send.attempt = AttemptLedger_Begin(&job->ledger);
     UpstreamSet_Acquire(this->upstreams, choice->upstream);
     Placement_OnSent(this->placement, choice->upstream);
     job->loss_reported = false;
--- a/tests/support/CrashSimulation.c
+++ b/tests/support/CrashSimulation.c
@@ -308,8 +308,8 @@
         if (event->has_report) {
             event->end.report = &event->report;
         }
-        verdict = Dispatcher_OnAttemptEnd(host->dispatcher, request->job,
-                                          &event->end);
+        verdict = GatewayFixture_EndAttempt(host->dispatcher, request->job,
+                                            &event->end);
         if (verdict == JOB_RELAY) {
             host->simulation->result.served +=
                 request->crashing == NOT_CRASHING;
@@ -543,7 +543,7 @@
                           .status = 503,
                           .refusal = FORWARD_REFUSAL_CUT_OFF};
 
-    Dispatcher_OnForwardEnd(host->dispatcher, job, &end);
+    GatewayFixture_EndForward(host->dispatcher, job, &end);
 }
 
 static void
--- a/tests/support/CutSimulation.c
+++ b/tests/support/CutSimulation.c
@@ -6,6 +6,7 @@
 #include "CutUpstreams.h"
 #include "Dispatcher.h"
 #include "EventQueue.h"
+#include "GatewayFixture.h"
 
 #define NETWORK_DELAY_US (1 * MICROS_PER_MS)
 #define TICK_US (2 * MICROS_PER_MS)
@@ -240,7 +241,7 @@
     }
     forward->from = NULL;
     leg->out = NULL;
-    if (Dispatcher_OnForwardEnd(host->dispatcher, leg->job, &forward->end) ==
+    if (GatewayFixture_EndForward(host->dispatcher, leg->job, &forward->end) ==
         JOB_RELAY) {
         answer(leg, &forward->end);
     }
@@ -304,7 +305,7 @@
         end.report = &attempt->report;
         end.limit = attempt->limit;
     }
-    if (Dispatcher_OnAttemptEnd(host->dispatcher, leg->job, &end) ==
+    if (GatewayFixture_EndAttempt(host->dispatcher, leg->job, &end) ==
         JOB_RELAY) {
         answer(leg, &response);
     }
--- a/tests/support/GatewayFixture.c
+++ b/tests/support/GatewayFixture.c
@@ -1,5 +1,7 @@
 #include "GatewayFixture.h"
 
+#include "DispatcherPrivate.h"
+
 void
 GatewayFixture_AddRoute(RouteTable *table, const char *prefix, RouteKind kind,
                         uint32_t priority, Micros objective, Micros timeout)
@@ -35,3 +37,40 @@
         .slots = slots,
     };
 }
+
+static RunEvidence
+evidence_of(AttemptResult result)
+{
+    switch (result) {
+    case ATTEMPT_RESULT_NOT_RUN:
+    case ATTEMPT_RESULT_MOVED:
+        return RUN_EVIDENCE_STATEMENT;
+    case ATTEMPT_RESULT_UNSENT:
+        return RUN_EVIDENCE_UNSENT;
+    case ATTEMPT_RESULT_RESPONSE:
+    case ATTEMPT_RESULT_BROKEN:
+        break;
+    }
+    return RUN_EVIDENCE_NONE;
+}
+
+JobVerdict
+GatewayFixture_EndAttempt(Dispatcher *dispatcher, Job *job,
+                          const AttemptEndInfo *end)
+{
+    AttemptEndInfo complete = *end;
+
+    complete.attempt = job->ledger.open;
+    complete.evidence = evidence_of(end->result);
+    return Dispatcher_OnAttemptEnd(dispatcher, job, &complete);
+}
+
+JobVerdict
+GatewayFixture_EndForward(Dispatcher *dispatcher, Job *job,
+                          const ForwardEndInfo *end)
+{
+    ForwardEndInfo complete = *end;
+
+    complete.attempt = job->ledger.open;
+    return Dispatcher_OnForwardEnd(dispatcher, job, &complete);
+}
--- a/tests/support/GatewayFixture.h
+++ b/tests/support/GatewayFixture.h
@@ -19,4 +19,18 @@
 UpstreamEntry GatewayFixture_Upstream(const char *id, uint16_t port,
                                       uint32_t slots);
 
+/**
+ * GatewayFixture_EndAttempt() - as Dispatcher_OnAttemptEnd() for the job's open
+ *     attempt, with the evidence that its result implies
+ */
+JobVerdict GatewayFixture_EndAttempt(Dispatcher *dispatcher, Job *job,
+                                     const AttemptEndInfo *end);
+
+/**
+ * GatewayFixture_EndForward() - as Dispatcher_OnForwardEnd() for the job's open
+ *     forward
+ */
+JobVerdict GatewayFixture_EndForward(Dispatcher *dispatcher, Job *job,
+                                     const ForwardEndInfo *end);
+
 #endif
--- a/tests/support/LimitSimulation.c
+++ b/tests/support/LimitSimulation.c
@@ -202,7 +202,7 @@
         attempt->result != ATTEMPT_RESULT_RESPONSE) {
         end.limit.kind = LIMIT_UNKNOWN;
     }
-    if (Dispatcher_OnAttemptEnd(host->dispatcher, request->job, &end) ==
+    if (GatewayFixture_EndAttempt(host->dispatcher, request->job, &end) ==
         JOB_RELAY) {
         sim->result.served++;
         if (attempt->limit.kind == LIMIT_NAMED) {
--- a/tests/support/NoticeSimulation.c
+++ b/tests/support/NoticeSimulation.c
@@ -349,7 +349,7 @@
             NoticeReader_Read(host->reader, attempt->status, attempt->headers);
         Dispatcher_OnNotice(host->dispatcher, request->job, &notice);
     }
-    if (Dispatcher_OnAttemptEnd(host->dispatcher, request->job, &end) ==
+    if (GatewayFixture_EndAttempt(host->dispatcher, request->job, &end) ==
         JOB_RELAY) {
         sim->result.served++;
         if (told->leaving_at == NEVER && attempt->upstream->leaving &&
--- a/tests/support/RetrySimulation.c
+++ b/tests/support/RetrySimulation.c
@@ -237,8 +237,8 @@
     host = request->host;
     attempt->request = NULL;
     request->attempt = NULL;
-    if (Dispatcher_OnAttemptEnd(host->dispatcher, request->job,
-                                &attempt->end) == JOB_RELAY) {
+    if (GatewayFixture_EndAttempt(host->dispatcher, request->job,
+                                  &attempt->end) == JOB_RELAY) {
         end_request(request);
     }
     handle_actions(host);
--- a/tests/test_customers.c
+++ b/tests/test_customers.c
@@ -295,7 +295,7 @@
     set_config(f, CONFIG("00000001", CUSTOMERS));
     job = submit(f, "/keyed/x", "k1");
     Clock_Suspend(f->clock, KEY_AGE_MAX_US + 1);
-    Dispatcher_OnAttemptEnd(f->dispatcher, job, &end);
+    GatewayFixture_EndAttempt(f->dispatcher, job, &end);
     take_actions(f);
     g_assert_cmpuint(f->sends, ==, 1);
     assert_refused(f, 503, "stale-configuration");
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -140,7 +140,7 @@
 end_attempt(Fixture *f, Job *job, AttemptResult result, int status)
 {
     AttemptEndInfo info = {.result = result, .status = status};
-    JobVerdict verdict = Dispatcher_OnAttemptEnd(f->dispatcher, job, &info);
+    JobVerdict verdict = GatewayFixture_EndAttempt(f->dispatcher, job, &info);
 
     take_actions(f);
     return verdict;
@@ -631,7 +631,7 @@
     AttemptEndInfo info = {.result = ATTEMPT_RESULT_RESPONSE,
                            .status = 200,
                            .limit = {LIMIT_NAMED, per_s}};
-    JobVerdict verdict = Dispatcher_OnAttemptEnd(f->dispatcher, job, &info);
+    JobVerdict verdict = GatewayFixture_EndAttempt(f->dispatcher, job, &info);
 
     take_actions(f);
     return verdict;
@@ -797,8 +797,9 @@
             Job *job = submit(f, "/safe/1", 0);
             bool to_u = strcmp(f->sent_to, "u") == 0;
 
-            g_assert_cmpint(Dispatcher_OnAttemptEnd(f->dispatcher, job, &info),
-                            ==, JOB_RELAY);
+            g_assert_cmpint(
+                GatewayFixture_EndAttempt(f->dispatcher, job, &info), ==,
+                JOB_RELAY);
             g_assert_cmpuint(Dispatcher_OpenJobs(f->dispatcher), ==, 1);
             if (!to_u) {
                 Dispatcher_OnRelayEnd(f->dispatcher, job, RELAY_COMPLETE);
--- a/tests/test_evacuation.c
+++ b/tests/test_evacuation.c
@@ -145,7 +145,7 @@
     f->ended[i] = true;
     report = report_of(f, Str_FromC(f->sent_to[i]));
     info.report = &report;
-    Dispatcher_OnAttemptEnd(f->dispatcher, f->sent[i], &info);
+    GatewayFixture_EndAttempt(f->dispatcher, f->sent[i], &info);
     take_actions(f);
 }
 
--- a/tests/test_forwarding.c
+++ b/tests/test_forwarding.c
@@ -222,7 +222,7 @@
 end_attempt(Fixture *f, Job *job, AttemptResult result)
 {
     AttemptEndInfo end = {.result = result, .status = 200};
-    JobVerdict verdict = Dispatcher_OnAttemptEnd(f->dispatcher, job, &end);
+    JobVerdict verdict = GatewayFixture_EndAttempt(f->dispatcher, job, &end);
 
     take_actions(f);
     return verdict;
@@ -232,7 +232,7 @@
 end_forward(Fixture *f, Job *job, ForwardResult result, ForwardRefusal refusal)
 {
     ForwardEndInfo end = {.result = result, .status = 200, .refusal = refusal};
-    JobVerdict verdict = Dispatcher_OnForwardEnd(f->dispatcher, job, &end);
+    JobVerdict verdict = GatewayFixture_EndForward(f->dispatcher, job, &end);
 
     take_actions(f);
     return verdict;
@@ -414,6 +414,30 @@
     g_assert_cmpuint(f->forwards, ==, 0);
 }
 
+/* Guards against a peer's statement on one forward that is taken for the one on
+ * another. */
+static void
+test_statement_on_other_forward(Fixture *f, gconstpointer data)
+{
+    ForwardEndInfo end = {.result = (ForwardResult)GPOINTER_TO_INT(data),
+                          .status = 503,
+                          .refusal = FORWARD_REFUSAL_CUT_OFF};
+    Job *job;
+
+    cut_off(f);
+    job = submit(f, "/once/1");
+    f->forwards = 0;
+    end.attempt = f->action.forward.attempt;
+    Dispatcher_OnForwardEnd(f->dispatcher, job, &end);
+    take_actions(f);
+    g_assert_cmpuint(f->forwards, ==, 1);
+    Dispatcher_OnForwardEnd(f->dispatcher, job, &end);
+    take_actions(f);
+    g_assert_cmpuint(f->forwards, ==, 1);
+    g_assert_cmpint(f->action.respond.status, ==, 502);
+    g_assert_false(f->action.respond.not_run);
+}
+
 /* Guards against a long response over a peer that no deadline ends. */
 static void
 test_relay_deadline(Fixture *f, gconstpointer data)
@@ -424,7 +448,7 @@
 
     cut_off(f);
     job = submit(f, "/once/1");
-    g_assert_cmpint(Dispatcher_OnForwardEnd(f->dispatcher, job, &end), ==,
+    g_assert_cmpint(GatewayFixture_EndForward(f->dispatcher, job, &end), ==,
                     JOB_RELAY);
     f->aborts = 0;
     advance_time(f, TIMEOUT_US);
@@ -443,7 +467,7 @@
                           .more_follows = true};
     Job *job = send_request(f, "/once/1", 0, false);
 
-    g_assert_cmpint(Dispatcher_OnAttemptEnd(f->dispatcher, job, &end), ==,
+    g_assert_cmpint(GatewayFixture_EndAttempt(f->dispatcher, job, &end), ==,
                     JOB_RELAY);
     take_actions(f);
     f->watched = job;
@@ -829,6 +853,12 @@
                tear_down);
     ADD("no-retry-left", set_up_without_retries, test_no_retry_left);
     ADD("may-have-run", set_up, test_may_have_run);
+    g_test_add("/forwarding/statement-on-other-forward/not-run", Fixture,
+               GINT_TO_POINTER(FORWARD_NOT_RUN), set_up,
+               test_statement_on_other_forward, tear_down);
+    g_test_add("/forwarding/statement-on-other-forward/unsent", Fixture,
+               GINT_TO_POINTER(FORWARD_UNSENT), set_up,
+               test_statement_on_other_forward, tear_down);
     ADD("relay-deadline", set_up, test_relay_deadline);
     ADD("cut-during-relay", set_up, test_cut_during_relay);
     ADD("three-peers", set_up, test_three_peers);
--- a/tests/test_overload.c
+++ b/tests/test_overload.c
@@ -129,7 +129,7 @@
     else {
         sim->late++;
     }
-    Dispatcher_OnAttemptEnd(sim->dispatcher, request->job, &end);
+    GatewayFixture_EndAttempt(sim->dispatcher, request->job, &end);
     g_free(request);
     g_free(attempt);
     handle_actions(sim);
@@ -186,7 +186,7 @@
 
     if (server->running >= SLOT_COUNT &&
         server->waiting->length >= WAITING_MAX) {
-        Dispatcher_OnAttemptEnd(sim->dispatcher, request->job, &end);
+        GatewayFixture_EndAttempt(sim->dispatcher, request->job, &end);
         return;
     }
     attempt = g_new0(Attempt, 1);
