Answer 502 where a promise lacks the proof

Cause: Job_Reject, which sends every response of a host, took status and promise as they came, also with an attempt or a forward open, which it left running. Change: it replaces 408, 421, 429 and 503 by 502 unless all attempts are proven not to have been executed, and cancels what is open. A replaced status is counted (agatecrank_withheld_promises_total) and logged (withheld-promise). Measured: /proof/open-attempt (408, 421, 429, 503) and /forwarding/refusal-with-open-forward failed without the change (the promise was sent, the forward not cancelled) and pass; 18 test programs around the dispatcher pass with sanitizers.

--- a/packages/core/routing/AttemptLedger.c
+++ b/packages/core/routing/AttemptLedger.c
@@ -1,5 +1,7 @@
 #include "AttemptLedger.h"
 
+#define STATUS_BAD_GATEWAY 502
+
 uint32_t
 AttemptLedger_Begin(AttemptLedger *this)
 {
@@ -46,3 +48,17 @@
 {
     return this->not_run < this->begun;
 }
+
+bool
+AttemptLedger_IsPromise(int status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+int
+AttemptLedger_Status(const AttemptLedger *this, int status)
+{
+    return AttemptLedger_IsPromise(status) && AttemptLedger_MayHaveRun(this)
+               ? STATUS_BAD_GATEWAY
+               : status;
+}
--- a/packages/core/routing/AttemptLedger.h
+++ b/packages/core/routing/AttemptLedger.h
@@ -51,4 +51,17 @@
 /** AttemptLedger_MayHaveRun() - whether any attempt lacks the proof */
 bool AttemptLedger_MayHaveRun(const AttemptLedger *this);
 
+/**
+ * AttemptLedger_IsPromise() - whether a status promises that the request was
+ *     not executed and never will be: 408, 421, 429 and 503
+ */
+bool AttemptLedger_IsPromise(int status);
+
+/**
+ * AttemptLedger_Status() - the status that may be sent
+ *
+ * Return: @status, or 502 if it is a promise that lacks the proof.
+ */
+int AttemptLedger_Status(const AttemptLedger *this, int status);
+
 #endif
--- a/packages/gateway/Dispatcher.c
+++ b/packages/gateway/Dispatcher.c
@@ -343,6 +343,28 @@
     g_hash_table_remove(job->owner->jobs, job);
 }
 
+static void
+cancel_open(Job *job)
+{
+    if (job->upstream != UPSTREAM_NONE) {
+        Job_CancelAttempt(job);
+    }
+    if (job->peer != NULL) {
+        JobForward_Cancel(job);
+    }
+}
+
+static void
+note_withheld_promise(const Job *job, int status, const char *reason)
+{
+    char text[8];
+
+    g_snprintf(text, sizeof(text), "%d", status);
+    Dispatcher_Count(job->owner, "agatecrank_withheld_promises_total",
+                     "status", Str_FromC(text));
+    JobLog_WithheldPromise(job, status, reason);
+}
+
 void
 Job_Reject(Job *job, int status, const char *reason, Micros retry_after)
 {
@@ -351,11 +373,16 @@
         .kind = DISPATCH_RESPOND,
         .job = job,
         .user = job->user,
-        .respond = {status, reason, retry_after,
-                    !AttemptLedger_MayHaveRun(&job->ledger)},
+        .respond = {AttemptLedger_Status(&job->ledger, status), reason,
+                    retry_after, !AttemptLedger_MayHaveRun(&job->ledger)},
     };
 
-    JobLog_Rejection(job, status, reason);
+    if (action.respond.status != status) {
+        note_withheld_promise(job, status, reason);
+        action.respond.retry_after = 0;
+    }
+    JobLog_Rejection(job, action.respond.status, reason);
+    cancel_open(job);
     Dispatcher_Count(this, "agatecrank_refusals_total", "reason",
                      Str_FromC(reason));
     Dispatcher_PushAction(this, &action);
@@ -1211,12 +1238,7 @@
 static void
 time_out(Job *job)
 {
-    if (job->upstream != UPSTREAM_NONE) {
-        Job_CancelAttempt(job);
-    }
-    if (job->peer != NULL) {
-        JobForward_Cancel(job);
-    }
+    cancel_open(job);
     if (AttemptLedger_MayHaveRun(&job->ledger)) {
         Job_Reject(job, 504, "deadline", 0);
         return;
--- a/packages/gateway/Gateway.c
+++ b/packages/gateway/Gateway.c
@@ -249,12 +249,6 @@
 
 /* ---- attempts ------------------------------------------------------- */
 
-static bool
-implies_not_run(int status)
-{
-    return status == 408 || status == 421 || status == 429 || status == 503;
-}
-
 static bool
 has_attempt_id(const Exchange *exchange)
 {
@@ -285,7 +279,7 @@
     if (HeaderList_Has(headers, dialect->not_run)) {
         return ATTEMPT_RESULT_NOT_RUN;
     }
-    if (implies_not_run(status) ||
+    if (AttemptLedger_IsPromise(status) ||
         (status < 300 && !HeaderList_Has(headers, dialect->signature))) {
         return ATTEMPT_RESULT_BROKEN;
     }
--- a/packages/gateway/JobLog.c
+++ b/packages/gateway/JobLog.c
@@ -291,6 +291,22 @@
     EventLog_End(this->decisions);
 }
 
+void
+JobLog_WithheldPromise(const Job *job, int status, const char *reason)
+{
+    Dispatcher *this = job->owner;
+
+    if (!begin_line(job, LOG_LEVEL_WARN, "withheld-promise")) {
+        return;
+    }
+    EventLog_Int(this->decisions, "status", status);
+    EventLog_CStr(this->decisions, "reason", reason);
+    EventLog_Int(this->decisions, "attempts", job->tried_count);
+    EventLog_Str(this->decisions, "open", open_target(job));
+    EventLog_Str(this->decisions, "upstream", last_upstream(job));
+    EventLog_End(this->decisions);
+}
+
 void
 JobLog_CallerDisconnect(const Job *job)
 {
--- a/packages/gateway/JobLog.h
+++ b/packages/gateway/JobLog.h
@@ -27,6 +27,12 @@
 /** JobLog_Rejection() - the host responds itself */
 void JobLog_Rejection(const Job *job, int status, const char *reason);
 
+/**
+ * JobLog_WithheldPromise() - 502 replaces a status that promises that the
+ *     request was not executed
+ */
+void JobLog_WithheldPromise(const Job *job, int status, const char *reason);
+
 /** JobLog_CallerDisconnect() - the caller closed its connection */
 void JobLog_CallerDisconnect(const Job *job);
 
--- a/tests/test_forwarding.c
+++ b/tests/test_forwarding.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "CrashGuard.h"
+#include "DispatcherPrivate.h"
 #include "GatewayFixture.h"
 
 #define OBJECTIVE_US (300 * MICROS_PER_MS)
@@ -438,6 +439,24 @@
     g_assert_false(f->action.respond.not_run);
 }
 
+/* Guards against a promise that a request was not executed while a peer has
+ * it. */
+static void
+test_refusal_with_open_forward(Fixture *f, gconstpointer data)
+{
+    Job *job;
+
+    cut_off(f);
+    job = submit(f, "/once/1");
+    f->cancels = 0;
+    Job_Reject(job, 503, "overloaded", MICROS_PER_S);
+    take_actions(f);
+    g_assert_cmpuint(f->cancels, ==, 1);
+    g_assert_cmpint(f->action.kind, ==, DISPATCH_RESPOND);
+    g_assert_cmpint(f->action.respond.status, ==, 502);
+    g_assert_false(f->action.respond.not_run);
+}
+
 /* Guards against a long response over a peer that no deadline ends. */
 static void
 test_relay_deadline(Fixture *f, gconstpointer data)
@@ -859,6 +878,7 @@
     g_test_add("/forwarding/statement-on-other-forward/unsent", Fixture,
                GINT_TO_POINTER(FORWARD_UNSENT), set_up,
                test_statement_on_other_forward, tear_down);
+    ADD("refusal-with-open-forward", set_up, test_refusal_with_open_forward);
     ADD("relay-deadline", set_up, test_relay_deadline);
     ADD("cut-during-relay", set_up, test_cut_during_relay);
     ADD("three-peers", set_up, test_three_peers);
--- a/tests/test_run_proofs.c
+++ b/tests/test_run_proofs.c
@@ -5,13 +5,15 @@
 #include "GatewayFixture.h"
 
 #define TIMEOUT_US (800 * MICROS_PER_MS)
+#define WITHHELD "agatecrank_withheld_promises_total{status=\"%d\"} 1"
 
 typedef struct Fixture_ {
     Clock *clock;
     Random *random;
     Counters *counters;
     Dispatcher *dispatcher;
-    DispatchAction action; /* the last one */
+    DispatchAction action;     /* the last one */
+    DispatchActionKind before; /* kind of the one before it */
     size_t sends;
 } Fixture;
 
@@ -57,6 +59,7 @@
 
     while (Dispatcher_NextAction(f->dispatcher, &action)) {
         f->sends += action.kind == DISPATCH_SEND;
+        f->before = f->action.kind;
         f->action = action;
     }
 }
@@ -76,6 +79,20 @@
     return job;
 }
 
+static bool
+has_counted_withheld(const Fixture *f, int status)
+{
+    GString *text = g_string_new(NULL);
+    char *line = g_strdup_printf(WITHHELD, status);
+    bool found;
+
+    Counters_Write(f->counters, text);
+    found = strstr(text->str, line) != NULL;
+    g_free(line);
+    g_string_free(text, TRUE);
+    return found;
+}
+
 /* Guards against a promise that a request was not executed while an upstream
  * has it. */
 static void
@@ -88,6 +105,10 @@
     take_actions(f);
     g_assert_cmpint(f->action.kind, ==, DISPATCH_RESPOND);
     g_assert_false(f->action.respond.not_run);
+    g_assert_cmpint(f->action.respond.status, ==, 502);
+    g_assert_cmpint(f->action.respond.retry_after, ==, 0);
+    g_assert_cmpint(f->before, ==, DISPATCH_CANCEL);
+    g_assert_true(has_counted_withheld(f, status));
     g_assert_cmpuint(Dispatcher_OpenJobs(f->dispatcher), ==, 0);
 }
 
@@ -105,6 +126,7 @@
     g_assert_cmpuint(f->sends, ==, 2);
     g_assert_cmpint(f->action.respond.status, ==, 503);
     g_assert_true(f->action.respond.not_run);
+    g_assert_false(has_counted_withheld(f, 503));
     Job_Reject(submit(f), 504, "deadline", 0);
     take_actions(f);
     g_assert_cmpint(f->action.respond.status, ==, 504);
