--- a/packages/core/routing/AttemptLedger.c
+++ b/packages/core/routing/AttemptLedger.c
@@ -15,9 +15,9 @@
     switch (evidence) {
     case RUN_EVIDENCE_UNSENT:
     case RUN_EVIDENCE_STATEMENT:
-    case RUN_EVIDENCE_STATUS:
         return true;
     case RUN_EVIDENCE_NONE:
+    case RUN_EVIDENCE_STATUS:
         break;
     }
     return false;
--- a/packages/core/routing/AttemptLedger.h
+++ b/packages/core/routing/AttemptLedger.h
@@ -9,7 +9,7 @@
     RUN_EVIDENCE_NONE,      /* it may have been executed */
     RUN_EVIDENCE_UNSENT,    /* nothing reached the receiver */
     RUN_EVIDENCE_STATEMENT, /* the receiver states it */
-    RUN_EVIDENCE_STATUS,    /* only the status of the response implies it */
+    RUN_EVIDENCE_STATUS,    /* only the status implies it: no proof */
 } RunEvidence;
 
 /**
--- a/packages/gateway/Dispatcher.h
+++ b/packages/gateway/Dispatcher.h
@@ -117,16 +117,17 @@
 typedef enum AttemptResult_ {
     ATTEMPT_RESULT_RESPONSE, /* complete response */
     ATTEMPT_RESULT_NOT_RUN,  /* the upstream states: not executed */
-    ATTEMPT_RESULT_MOVED, /* another upstream uses the address; not executed */
-    ATTEMPT_RESULT_UNSENT, /* nothing of the request reached the upstream */
-    ATTEMPT_RESULT_BROKEN, /* no complete, valid response of that upstream */
+    ATTEMPT_RESULT_MOVED,    /* another upstream uses the address */
+    ATTEMPT_RESULT_UNSENT,   /* nothing of the request reached the upstream */
+    ATTEMPT_RESULT_BROKEN,   /* no complete, valid response of that upstream */
 } AttemptResult;
 
 /**
  * struct AttemptEndInfo_ - the end of an attempt
  * @attempt: its number, of the DISPATCH_SEND
  * @evidence: that it was not executed; without proof the results
- *            ATTEMPT_RESULT_NOT_RUN and ATTEMPT_RESULT_UNSENT are not believed
+ *            ATTEMPT_RESULT_NOT_RUN and ATTEMPT_RESULT_UNSENT are not believed,
+ *            and the request may have run with ATTEMPT_RESULT_MOVED
  * @connection: number of the connection that was used, for the log; 0 if none
  * @status: HTTP status of the response
  * @report: load report of the response, or NULL
--- a/tests/test_run_proofs.c
+++ b/tests/test_run_proofs.c
@@ -162,6 +162,7 @@
         RunEvidence evidence;
         bool proven;
     } cases[] = {{RUN_EVIDENCE_NONE, false},
+                 {RUN_EVIDENCE_STATUS, false},
                  {RUN_EVIDENCE_UNSENT, true},
                  {RUN_EVIDENCE_STATEMENT, true}};
 
