--- a/tests/support/ScriptedGateway.c
+++ b/tests/support/ScriptedGateway.c
@@ -1,32 +1,16 @@
 #include "ScriptedGateway.h"
 
-#include <arpa/inet.h>
 #include <glib.h>
-#include <string.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 #include "Gateway.h"
 #include "GatewayFixture.h"
 #include "PlatformDialect.h"
 
-#define HEAD_BYTES_MAX 8192
-/* The host reads the copy long before the response follows. */
-#define RESPONSE_DELAY_US (50 * MICROS_PER_MS)
 #define HELD_POLL_US (2 * MICROS_PER_MS)
 #define TIMEOUT_US (60 * MICROS_PER_S)
 
-/* One thread accepts connections, and one serves each connection. */
 struct ScriptedGateway_ {
-    const ScriptedReply *replies;
-    unsigned reply_count;
-    int listen_fd;
-    uint16_t port;
-    gint requests;
-    gint connections; /* so far */
-    gint open;        /* connections that are served */
-    gint held;        /* a reply waits */
-    GThread *thread;
+    ScriptedUpstream *upstream;
     Clock *clock;
     Random *random;
     Loop *loop;
@@ -44,124 +28,17 @@
     bool failed;
 };
 
-typedef struct Served_ {
-    ScriptedGateway *owner;
-    int fd;
-} Served;
-
-/* ---- upstream ------------------------------------------------------- */
-
-/* Returns false at the end of the connection. */
-static bool
-read_head(int fd)
-{
-    char head[HEAD_BYTES_MAX];
-    size_t n = 0;
-
-    while (n < HEAD_BYTES_MAX - 1) {
-        if (recv(fd, head + n, 1, 0) <= 0) {
-            return false;
-        }
-        head[++n] = '\0';
-        if (g_str_has_suffix(head, "\r\n\r\n")) {
-            return true;
-        }
-    }
-    return false;
-}
-
-static void
-write_text(int fd, const char *text)
-{
-    if (send(fd, text, strlen(text), MSG_NOSIGNAL) < 0) {
-        g_test_message("the host has closed the connection");
-    }
-}
-
-static void
-reply(ScriptedGateway *this, int fd, bool reused)
-{
-    unsigned n = (unsigned)g_atomic_int_add(&this->requests, 1);
-    const ScriptedReply *script =
-        &this->replies[MIN(n, this->reply_count - 1)];
-
-    if (script->held) {
-        g_atomic_int_set(&this->held, 1);
-        while (g_atomic_int_get(&this->held) != 0) {
-            g_usleep(HELD_POLL_US);
-        }
-    }
-    if (script->copy != NULL && reused) {
-        write_text(fd, script->copy);
-        g_usleep(RESPONSE_DELAY_US);
-    }
-    write_text(fd, script->response);
-}
-
-static gpointer
-serve_connection(gpointer data)
-{
-    Served *served = data;
-    bool reused = false;
-
-    while (read_head(served->fd)) {
-        g_atomic_int_add(&served->owner->connections, !reused);
-        reply(served->owner, served->fd, reused);
-        reused = true;
-    }
-    close(served->fd);
-    g_atomic_int_add(&served->owner->open, -1);
-    g_free(served);
-    return NULL;
-}
-
-static gpointer
-accept_connections(gpointer data)
-{
-    ScriptedGateway *this = data;
-    int fd;
-
-    while ((fd = accept(this->listen_fd, NULL, NULL)) >= 0) {
-        Served *served = g_new0(Served, 1);
-
-        served->owner = this;
-        served->fd = fd;
-        g_atomic_int_inc(&this->open);
-        g_thread_unref(g_thread_new("connection", serve_connection, served));
-    }
-    return NULL;
-}
-
-static void
-start_upstream(ScriptedGateway *this)
-{
-    struct sockaddr_in address = {
-        .sin_family = AF_INET,
-        .sin_addr = {htonl(INADDR_LOOPBACK)},
-    };
-    socklen_t length = sizeof(address);
-
-    this->listen_fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    g_assert_cmpint(
-        bind(this->listen_fd, (struct sockaddr *)&address, sizeof(address)),
-        ==, 0);
-    g_assert_cmpint(listen(this->listen_fd, 64), ==, 0);
-    getsockname(this->listen_fd, (struct sockaddr *)&address, &length);
-    this->port = ntohs(address.sin_port);
-    this->thread = g_thread_new("upstream", accept_connections, this);
-}
-
 static void
 on_held_timer(void *user)
 {
     ScriptedGateway *this = user;
 
-    if (g_atomic_int_get(&this->held) == 0) {
+    if (!ScriptedUpstream_IsHeld(this->upstream)) {
         LoopTimer_Start(this->held_timer, HELD_POLL_US);
         return;
     }
     this->on_held(this->on_held_user);
-    g_atomic_int_set(&this->held, 0);
+    ScriptedUpstream_Release(this->upstream);
 }
 
 /* ---- caller --------------------------------------------------------- */
@@ -234,13 +111,7 @@
 unsigned
 ScriptedGateway_Requests(const ScriptedGateway *this)
 {
-    return (unsigned)g_atomic_int_get(&this->requests);
-}
-
-unsigned
-ScriptedGateway_Connections(const ScriptedGateway *this)
-{
-    return (unsigned)g_atomic_int_get(&this->connections);
+    return ScriptedUpstream_Requests(this->upstream);
 }
 
 /* ---- roster --------------------------------------------------------- */
@@ -248,7 +119,8 @@
 void
 ScriptedGateway_List(ScriptedGateway *this, const char *id, int64_t started)
 {
-    UpstreamEntry entry = GatewayFixture_Upstream(id, this->port, 4);
+    UpstreamEntry entry =
+        GatewayFixture_Upstream(id, ScriptedUpstream_Port(this->upstream), 4);
 
     entry.address = STR("127.0.0.1");
     entry.started = started;
@@ -314,14 +186,12 @@
     ScriptedGateway *this = g_new0(ScriptedGateway, 1);
     HttpClientOptions client = {.max_connections = 4};
 
-    this->replies = replies;
-    this->reply_count = reply_count;
+    this->upstream = ScriptedUpstream_Create(replies, reply_count);
     this->clock = Clock_CreateSystem();
     this->random = Random_Create(3);
     this->loop = Loop_Create(this->clock, NULL, NULL);
     this->counters = Counters_Create(100);
     this->body = g_string_new(NULL);
-    start_upstream(this);
     create_gateway(this);
     this->caller = HttpClient_Create(this->loop, &client);
     this->held_timer = LoopTimer_Create(this->loop, on_held_timer, this);
@@ -339,12 +209,7 @@
     Gateway_Destroy(this->gateway);
     Dispatcher_Destroy(this->dispatcher);
     HttpClient_Destroy(this->caller);
-    shutdown(this->listen_fd, SHUT_RDWR);
-    g_thread_join(this->thread);
-    while (g_atomic_int_get(&this->open) > 0) {
-        g_usleep(MICROS_PER_MS);
-    }
-    close(this->listen_fd);
+    ScriptedUpstream_Destroy(this->upstream);
     g_string_free(this->body, TRUE);
     Loop_Destroy(this->loop);
     Counters_Destroy(this->counters);
--- a/tests/support/ScriptedGateway.h
+++ b/tests/support/ScriptedGateway.h
@@ -3,6 +3,7 @@
 
 #include "Counters.h"
 #include "Dispatcher.h"
+#include "ScriptedUpstream.h"
 
 /** SCRIPTED_ID - id of the attempt that the caller sends */
 #define SCRIPTED_ID "17"
@@ -14,22 +15,9 @@
 #define SCRIPTED_RESULT_BODY "content-length: 6\r\n\r\nresult"
 #define SCRIPTED_NO_BODY "content-length: 0\r\n\r\n"
 
-/**
- * struct ScriptedReply_ - what the upstream writes to one request
- * @copy: written first if the connection has carried a request before; NULL for
- *        nothing
- * @response: written after it
- * @held: waits for ScriptedGateway_OnHeld()
- */
-typedef struct ScriptedReply_ {
-    const char *copy;
-    const char *response;
-    bool held;
-} ScriptedReply;
-
 /**
  * typedef ScriptedGateway - a gateway over real sockets, with a caller and an
- *     upstream that writes bytes as they are
+ *     ScriptedUpstream
  *
  * The routes are "/once/" and "/safe/", with two attempts.
  */
@@ -57,8 +45,8 @@
 void ScriptedGateway_Drop(ScriptedGateway *this, const char *id);
 
 /**
- * ScriptedGateway_OnHeld() - set what is called once the upstream has received
- *     the request whose reply is held; the reply is released afterwards
+ * ScriptedGateway_OnHeld() - set what is called once a reply is held; it is
+ *     released afterwards
  */
 void ScriptedGateway_OnHeld(ScriptedGateway *this, ScriptedHandler *handler,
                             void *user);
@@ -76,7 +64,4 @@
 /** ScriptedGateway_Requests() - number of requests at the upstream so far */
 unsigned ScriptedGateway_Requests(const ScriptedGateway *this);
 
-/** ScriptedGateway_Connections() - number of connections that they came on */
-unsigned ScriptedGateway_Connections(const ScriptedGateway *this);
-
 #endif
--- /dev/null
+++ b/tests/support/ScriptedUpstream.h
@@ -0,0 +1,48 @@
+#ifndef AGATECRANK_TESTS_SCRIPTEDUPSTREAM_H
+#define AGATECRANK_TESTS_SCRIPTEDUPSTREAM_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/**
+ * struct ScriptedReply_ - what the upstream writes to one request
+ * @copy: written first if the connection has carried a request before; NULL for
+ *        nothing
+ * @response: written after it
+ * @held: waits for ScriptedUpstream_Release()
+ */
+typedef struct ScriptedReply_ {
+    const char *copy;
+    const char *response;
+    bool held;
+} ScriptedReply;
+
+/**
+ * typedef ScriptedUpstream - writes bytes as they are, in threads of its own
+ */
+typedef struct ScriptedUpstream_ ScriptedUpstream;
+
+/**
+ * ScriptedUpstream_Create() - listen at 127.0.0.1
+ * @replies: to the first request and those after it; borrowed
+ */
+ScriptedUpstream *ScriptedUpstream_Create(const ScriptedReply *replies,
+                                          unsigned reply_count);
+
+/** ScriptedUpstream_Destroy() - after the other end has closed its connections
+ */
+void ScriptedUpstream_Destroy(ScriptedUpstream *this);
+
+/** ScriptedUpstream_Port() - TCP port */
+uint16_t ScriptedUpstream_Port(const ScriptedUpstream *this);
+
+/** ScriptedUpstream_IsHeld() - whether a reply waits */
+bool ScriptedUpstream_IsHeld(const ScriptedUpstream *this);
+
+/** ScriptedUpstream_Release() - write the reply that waits */
+void ScriptedUpstream_Release(ScriptedUpstream *this);
+
+/** ScriptedUpstream_Requests() - number of requests so far */
+unsigned ScriptedUpstream_Requests(const ScriptedUpstream *this);
+
+#endif
