Believe no statement beside the id of another request

Cause: agatecrank-outcome: not-run was believed beside the x-request-id of another request, such as in a second copy that arrives late. The caller was told not-run, or the request was sent again, though its upstream works on it. Change: it counts without an x-request-id, which upstreams need not return, or beside that of the request. Measured: /proxied/statement-on-other-request failed (sent again) and passes; /proxied/copy-of-earlier-attempt passes with and without the change: a retry starts at the header block of the refusal, before its connection is idle. 8 test programs of the balancer and of connections pass with sanitizers.

--- a/packages/net/Proxy.c
+++ b/packages/net/Proxy.c
@@ -434,6 +434,17 @@
     HeaderList_Destroy(out);
 }
 
+/* Upstreams need not return the id; another one is that of another request. */
+static bool
+states_not_run(const ProxyRequest *request, const HeaderList *headers)
+{
+    Str id = HeaderList_Get(headers, STR("x-request-id"));
+
+    return Str_Equal(HeaderList_Get(headers, STR("agatecrank-outcome")),
+                     STR("not-run")) &&
+           (id.length == 0 || Str_Equal(id, Str_FromC(request->request_id)));
+}
+
 static void
 on_call_headers(void *user, HttpCall *call, int status,
                 const HeaderList *headers)
@@ -442,9 +453,6 @@
     ProxyRequest *request = attempt->owner;
     ResponseHead head = {
         .status = status,
-        .not_run =
-            Str_Equal(HeaderList_Get(headers, STR("agatecrank-outcome")),
-                      STR("not-run")),
         .from_balancer = HeaderList_Has(headers, STR("agatecrank-reason")),
         .load = HeaderList_Get(headers, STR("agatecrank-load")),
     };
@@ -454,6 +462,7 @@
         return;
     }
     this = request->proxy;
+    head.not_run = states_not_run(request, headers);
     if (Balancer_OnResponseHead(this->balancer, request->id, &head) ==
         BALANCER_RELAY) {
         relay_headers(request, status, headers);
