--- a/packages/gateway/Dispatcher.c
+++ b/packages/gateway/Dispatcher.c
@@ -301,7 +301,6 @@
 use_attempt(Job *job)
 {
     job->attempts_used++;
-    job->may_have_run = true;
     job->reached_upstream = true;
 }
 
@@ -317,6 +316,7 @@
     Job_ReportNoResponse(job, LOST_ATTEMPT_TIMEOUT);
     Dispatcher_PushAction(job->owner, &cancel);
     Job_EndAttempt(job, ATTEMPT_TIMEOUT);
+    AttemptLedger_Cancel(&job->ledger);
     use_attempt(job);
 }
 
@@ -343,6 +343,28 @@
     g_hash_table_remove(job->owner->jobs, job);
 }
 
+static void
+cancel_open(Job *job)
+{
+    if (job->upstream != UPSTREAM_NONE) {
+        Job_CancelAttempt(job);
+    }
+    if (job->peer != NULL) {
+        JobForward_Cancel(job);
+    }
+}
+
+static void
+note_withheld_promise(const Job *job, int status, const char *reason)
+{
+    char text[8];
+
+    g_snprintf(text, sizeof(text), "%d", status);
+    Dispatcher_Count(job->owner, "agatecrank_withheld_promises_total",
+                     "status", Str_FromC(text));
+    JobLog_WithheldPromise(job, status, reason);
+}
+
 void
 Job_Reject(Job *job, int status, const char *reason, Micros retry_after)
 {
@@ -351,10 +373,16 @@
         .kind = DISPATCH_RESPOND,
         .job = job,
         .user = job->user,
-        .respond = {status, reason, retry_after, !job->may_have_run},
+        .respond = {AttemptLedger_Status(&job->ledger, status), reason,
+                    retry_after, !AttemptLedger_MayHaveRun(&job->ledger)},
     };
 
-    JobLog_Rejection(job, status, reason);
+    if (action.respond.status != status) {
+        note_withheld_promise(job, status, reason);
+        action.respond.retry_after = 0;
+    }
+    JobLog_Rejection(job, action.respond.status, reason);
+    cancel_open(job);
     Dispatcher_Count(this, "agatecrank_refusals_total", "reason",
                      Str_FromC(reason));
     Dispatcher_PushAction(this, &action);
@@ -422,7 +450,7 @@
 void
 Job_Abandon(Job *job, const char *reason)
 {
-    if (job->may_have_run) {
+    if (AttemptLedger_MayHaveRun(&job->ledger)) {
         Job_Reject(job, 502, reason, 0);
         return;
     }
@@ -438,7 +466,7 @@
     if (!CrashGuard_Refuses(this->guard, &job->fingerprint)) {
         return false;
     }
-    if (job->may_have_run) {
+    if (AttemptLedger_MayHaveRun(&job->ledger)) {
         Job_Reject(job, 502, "quarantined", 0);
         return true;
     }
@@ -700,7 +728,8 @@
     if (JobForward_Applies(job)) {
         return JobForward_Start(job);
     }
-    if ((job->may_have_run && job->route->kind != ROUTE_IDEMPOTENT) ||
+    if ((AttemptLedger_MayHaveRun(&job->ledger) &&
+         job->route->kind != ROUTE_IDEMPOTENT) ||
         MAX(job->tried_count, job->attempts_used) >= job->attempts_max) {
         return reason;
     }
@@ -927,10 +956,29 @@
     return JOB_RELAY;
 }
 
+/* Returns the result, or ATTEMPT_RESULT_BROKEN if it claims that the attempt
+ * was not executed without proof for this attempt. */
+static AttemptResult
+believed_result(AttemptResult result, bool proven)
+{
+    switch (result) {
+    case ATTEMPT_RESULT_NOT_RUN:
+    case ATTEMPT_RESULT_UNSENT:
+        return proven ? result : ATTEMPT_RESULT_BROKEN;
+    case ATTEMPT_RESULT_RESPONSE:
+    case ATTEMPT_RESULT_MOVED:
+    case ATTEMPT_RESULT_BROKEN:
+        break;
+    }
+    return result;
+}
+
 static JobVerdict
 settle_attempt(Job *job, const AttemptEndInfo *end)
 {
-    switch (end->result) {
+    bool proven = AttemptLedger_End(&job->ledger, end->attempt, end->evidence);
+
+    switch (believed_result(end->result, proven)) {
     case ATTEMPT_RESULT_RESPONSE:
         return on_response(job, end);
     case ATTEMPT_RESULT_NOT_RUN:
@@ -940,6 +988,7 @@
         break;
     case ATTEMPT_RESULT_MOVED:
         job->reached_upstream = true;
+        job->attempts_used += !proven;
         Job_EndAttempt(job, ATTEMPT_CONNECTION_FAILED);
         Job_Retry(job, "upstream-moved");
         break;
@@ -1189,13 +1238,8 @@
 static void
 time_out(Job *job)
 {
-    if (job->upstream != UPSTREAM_NONE) {
-        Job_CancelAttempt(job);
-    }
-    if (job->peer != NULL) {
-        JobForward_Cancel(job);
-    }
-    if (job->may_have_run) {
+    cancel_open(job);
+    if (AttemptLedger_MayHaveRun(&job->ledger)) {
         Job_Reject(job, 504, "deadline", 0);
         return;
     }
--- a/packages/gateway/DispatcherPrivate.h
+++ b/packages/gateway/DispatcherPrivate.h
@@ -67,9 +67,9 @@
     Micros peer_retry_after; /* longest that a peer has stated */
     Micros held_until;       /* end of the wait for the path; 0 for none */
     DueEntry due;            /* element of Dispatcher.due */
-    bool may_have_run;
-    bool reached_upstream; /* some upstream may have received it */
-    bool forwarded;        /* by a peer */
+    AttemptLedger ledger;    /* of attempts and forwards */
+    bool reached_upstream;   /* some upstream may have received it */
+    bool forwarded;          /* by a peer */
     bool queued;
     bool relaying;      /* the caller has got the beginning of a response */
     bool loss_reported; /* the current attempt, to the guard */
@@ -209,6 +209,8 @@
 
 /**
  * Job_Reject() - send a response of the host; releases the job
+ * @status: 502 replaces one that promises that the request was not executed, if
+ *          an attempt may have been; an open attempt or forward is cancelled
  * @reason: static string
  * @retry_after: time after which the caller should retry; 0 for none
  */
