--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -48,6 +48,7 @@
 SERVED_LEAST=${SERVED_LEAST:-0.9}  # fraction of the calls after the last fault that must be served
 START_MS=${START_MS:-3000}   # delay before the load
 WORK_MS=${WORK_MS:-30}       # mean service time of a request
+ROUTE_MS=${ROUTE_MS:-1200}   # timeout of the routes
 SHOW_LATE_MS=${SHOW_LATE_MS:-0}  # print calls that take longer or are not served
 KEEP=${KEEP:-}               # folder in which the logs of failed seeds are kept
 KEEP_ALL=${KEEP_ALL:-}       # not empty: keep the logs of all seeds
@@ -290,7 +291,7 @@
     done
     "$BIN/standins/standin-platform" --seed "$SEED" --hosts "${targets#,}" \
         --upstreams "$UPSTREAMS" --domains "$DOMAINS" --rate "$RATE" --load-ms "$LOAD_MS" \
-        --start-ms "$START_MS" --work-ms "$WORK_MS" --show-late-ms "$SHOW_LATE_MS" \
+        --start-ms "$START_MS" --work-ms "$WORK_MS" --route-ms "$ROUTE_MS" --show-late-ms "$SHOW_LATE_MS" \
         --rest-ms "$REST_MS" --fault-period-s "$FAULT_PERIOD_S" \
         --link-period-s "$LINK_PERIOD_S" \
         --crash-interval-ms "$CRASH_INTERVAL_MS" \
--- a/standins/PlatformCaller.c
+++ b/standins/PlatformCaller.c
@@ -3,7 +3,7 @@
 #include <glib.h>
 #include <stdio.h>
 
-#define CALL_TIMEOUT_US (1500 * MICROS_PER_MS)
+#define TIMEOUT_DEFAULT_US (1500 * MICROS_PER_MS)
 /* More than any complete response has; one that does not end is not kept. */
 #define BODY_KEPT_BYTES_MAX 65536
 #define UNSAFE_RATIO 0.35 /* calls of /once/, with a body */
@@ -20,6 +20,7 @@
     Timer send_timer;
     Micros next_send;
     double rate;
+    Micros timeout;         /* of a call */
     Micros print_threshold; /* 0: print no responses */
     uint64_t id_prefix;
     uint64_t call_count;
@@ -177,7 +178,7 @@
                     "agatecrank-attempt-id: %s\r\n"
                     "agatecrank-timeout-ms: %d\r\n%s",
                     unsafe ? "POST" : "GET", unsafe ? "once" : "safe", path,
-                    call->id, (int)(CALL_TIMEOUT_US / MICROS_PER_MS),
+                    call->id, (int)(call->caller->timeout / MICROS_PER_MS),
                     unsafe ? "connection: close\r\n" : "");
     if (unsafe) {
         g_string_append_printf(call->head, "content-length: %d\r\n",
@@ -212,7 +213,7 @@
         StopCheck_OnSent(PlatformChecker_Stops(this->checker), call->id,
                          (unsigned)target, call->sent_at);
     }
-    Timer_Start(&call->timer, this->loop->timers, CALL_TIMEOUT_US, on_timeout);
+    Timer_Start(&call->timer, this->loop->timers, this->timeout, on_timeout);
     HttpClient_Send(client, target, &call->client);
 }
 
@@ -264,6 +265,7 @@
     this->random = random;
     this->checker = checker;
     this->rate = rate;
+    this->timeout = TIMEOUT_DEFAULT_US;
     this->id_prefix = Random_Next(random);
     this->calls = g_hash_table_new(NULL, NULL);
     this->reusing_client = HttpClient_Create(loop, targets, 0, true);
@@ -293,6 +295,12 @@
     g_free(this);
 }
 
+void
+PlatformCaller_SetTimeout(PlatformCaller *this, Micros timeout)
+{
+    this->timeout = timeout;
+}
+
 void
 PlatformCaller_PrintSlowCalls(PlatformCaller *this, Micros min_latency)
 {
--- a/standins/PlatformCaller.h
+++ b/standins/PlatformCaller.h
@@ -28,6 +28,9 @@
 /** PlatformCaller_Destroy() - release; only after HttpLoop_Close() */
 void PlatformCaller_Destroy(PlatformCaller *this);
 
+/** PlatformCaller_SetTimeout() - time that callers wait; 1.5 s by default */
+void PlatformCaller_SetTimeout(PlatformCaller *this, Micros timeout);
+
 /**
  * PlatformCaller_PrintSlowCalls() - print failed and slow responses
  * @min_latency: prints responses that take longer, and those with a status of
--- a/standins/standin-platform.c
+++ b/standins/standin-platform.c
@@ -16,9 +16,12 @@
 
 #define HOST "gateway.example"
 #define SERVICE "desk"
-/* graceS of the hosts and timeoutS of the routes. */
+/* graceS of the hosts. */
 #define STOP_GRACE_US (6 * MICROS_PER_S)
-#define ROUTE_TIME_US (1200 * MICROS_PER_MS)
+/* Time for which callers wait longer than the routes allow. */
+#define CALLER_EXTRA_TIME_US (300 * MICROS_PER_MS)
+/* Time after the last call in which responses arrive, at least. */
+#define LAST_WAIT_MIN_US (2 * MICROS_PER_S)
 #define CONFIG_INTERVAL_US (3 * MICROS_PER_S)
 #define COPY_AGE_US (2 * MICROS_PER_S)
 #define RESTORE_OUTAGE_US (300 * MICROS_PER_MS)
@@ -47,6 +50,7 @@
     int64_t load_ms;
     int64_t rest_ms;
     int64_t work_ms;
+    int64_t route_ms;
     int64_t drain_ms;
     int64_t show_late_ms;
     int64_t crash_interval_ms;
@@ -81,6 +85,8 @@
     {"rest-ms", SETTING_INT, FIELD(rest_ms), false,
      "time of load after the last fault"},
     {"work-ms", SETTING_INT, FIELD(work_ms), false, "mean time of a request"},
+    {"route-ms", SETTING_INT, FIELD(route_ms), false,
+     "timeoutS of the routes"},
     {"drain-ms", SETTING_INT, FIELD(drain_ms), false,
      "bound for requests to an upstream that told that it leaves"},
     {"show-late-ms", SETTING_INT, FIELD(show_late_ms), false,
@@ -169,21 +175,28 @@
     bool faults_ended;
 } Platform;
 
+static Micros
+caller_timeout(const Platform *this)
+{
+    return this->options.route_ms * MICROS_PER_MS + CALLER_EXTRA_TIME_US;
+}
+
 static void
 publish_config(Platform *this)
 {
+    double timeout_s = (double)this->options.route_ms / 1000;
     g_autofree char *text = g_strdup_printf(
         "{\"version\":\"%08x\",\"services\":[{\"name\":\"" SERVICE
         "\",\"healthPath\":\"/health\"}],\"limits\":{\"maxHeaderBytes\":16384,"
         "\"maxBodyBytes\":1000000,\"headerTimeoutS\":3,\"idleTimeoutS\":15},"
         "\"hosts\":[{\"host\":\"" HOST "\",\"paths\":["
         "{\"name\":\"safe\",\"pathPrefix\":\"/safe/\",\"kind\":\"safe\","
-        "\"timeoutS\":1.2,\"targetLatencyS\":0.25,\"priority\":2,"
+        "\"timeoutS\":%.3f,\"targetLatencyS\":0.25,\"priority\":2,"
         "\"service\":\"" SERVICE "\",\"maxAttempts\":2},"
         "{\"name\":\"once\",\"pathPrefix\":\"/once/\",\"kind\":\"unsafe\","
-        "\"timeoutS\":1.2,\"targetLatencyS\":0.3,\"priority\":1,"
+        "\"timeoutS\":%.3f,\"targetLatencyS\":0.3,\"priority\":1,"
         "\"service\":\"" SERVICE "\",\"maxAttempts\":2}]}]}",
-        ++this->version);
+        ++this->version, timeout_s, timeout_s);
 
     PlatformStore_Put(this->store, "keyed.op", "config", text);
 }
@@ -710,7 +723,8 @@
         break;
     case 3:
         PlatformCaller_Stop(this->caller);
-        duration = 2 * MICROS_PER_S;
+        duration =
+            MAX(LAST_WAIT_MIN_US, caller_timeout(this) + LAST_WAIT_MIN_US / 4);
         break;
     default:
         HttpLoop_Stop();
@@ -847,7 +861,7 @@
 {
     StopCheckOptions options = {
         .grace = STOP_GRACE_US,
-        .route_time = ROUTE_TIME_US,
+        .route_time = this->options.route_ms * MICROS_PER_MS,
         .cut_hosts = (unsigned)this->options.cut_hosts,
     };
 
@@ -945,6 +959,7 @@
                                   this->checker, targets, this->options.rate);
     }
     if (this->caller != NULL && create_upstreams(this) && create_cut(this)) {
+        PlatformCaller_SetTimeout(this->caller, caller_timeout(this));
         PlatformCaller_PrintSlowCalls(
             this->caller, this->options.show_late_ms * MICROS_PER_MS);
         on_config_timer(&this->config_timer);
@@ -988,6 +1003,7 @@
                                      .load_ms = 5000,
                                      .rest_ms = 3000,
                                      .work_ms = 30,
+                                     .route_ms = 1200,
                                      .drain_ms = 2500,
                                      .loss_ratio = 0.5,
                                      .rate = 100,
