Refuse requests that may outlast the process while a host stops

What callers saw: after SIGTERM a host took requests whose deadline was later than its end. They were sent to an upstream and cut without a response, also those that are not idempotent. Requests that waited for probe replies, an allowance or a place when the signal came, retries and forwards to other hosts were the same. Cause: nothing compared the deadline of a request with the end of the process. Change: Dispatcher_Stop() gets the time at which the host ends. StopWindow decides whether a request fits: its deadline is before the end, or it is idempotent, the stop is young, and ten times its expected work fits. What does not fit is refused with 503 and a short Retry-After if it was not sent, when it arrives, when the stop begins and before each attempt; after an attempt that may have executed it, it ends with 502, or with the failure that the upstream has responded with. Attempts that are open go on.

--- a/packages/agatecrank/RequestTrace.c
+++ b/packages/agatecrank/RequestTrace.c
@@ -118,6 +118,14 @@
      "no connection to the upstreams that were tried could be opened; the "
      "request was not executed",
      "event=upstream: whether they are still listed, or lapsed"},
+    {"stopping",
+     "the host stops, and might have ended before the request; it was not "
+     "executed",
+     "event=stopping of the host; none is needed, other hosts serve it"},
+    {"stopping-retry",
+     "an attempt failed while the host stops, and the host might have ended "
+     "before another one",
+     "event=attempt lines with a result other than answer: the failure"},
     {"deadline",
      "no complete response came before the deadline of the request",
      "event=route lines with the same choice: whether other requests are late "
--- a/packages/agatecrankd/GatewayDaemon.c
+++ b/packages/agatecrankd/GatewayDaemon.c
@@ -58,7 +58,8 @@
     HttpServer *readiness;
     HttpServer *metrics;
     LoopTimer *stop_timer;
-    Micros stop_started;
+    Micros listen_end; /* after a stop signal */
+    Micros stop_end;   /* the process ends with what is open */
     int exit_code;
     bool ready;
     bool stopping;
@@ -199,14 +200,14 @@
 check_stop(void *user)
 {
     GatewayDaemon *this = user;
-    Micros passed = Clock_Now(this->clock) - this->stop_started;
+    Micros now = Clock_Now(this->clock);
 
-    if (passed >= STOP_NOTICE_US) {
+    if (now >= this->listen_end) {
         Gateway_StopListening(this->gateway);
     }
-    if ((passed >= STOP_NOTICE_US &&
+    if ((now >= this->listen_end &&
          Gateway_OpenRequests(this->gateway) == 0) ||
-        passed >= this->settings->bounds.stop_time - STOP_MARGIN_US) {
+        now >= this->stop_end) {
         stop_loop(this);
         return;
     }
@@ -230,10 +231,13 @@
         return;
     }
     this->stopping = true;
-    Dispatcher_Stop(this->dispatcher);
-    this->stop_started = Clock_Now(this->clock);
+    this->stop_end = Clock_Now(this->clock) +
+                     this->settings->bounds.stop_time - STOP_MARGIN_US;
+    this->listen_end = Clock_Now(this->clock) + STOP_NOTICE_US;
     update_ready(this);
     Gateway_Stop(this->gateway);
+    Dispatcher_Stop(this->dispatcher, this->stop_end);
+    Gateway_RunActions(this->gateway);
     LoopTimer_Start(this->stop_timer, STOP_CHECK_INTERVAL_US);
 }
 
--- a/packages/gateway/Dispatcher.c
+++ b/packages/gateway/Dispatcher.c
@@ -6,6 +6,7 @@
 #include "JobForward.h"
 #include "JobLog.h"
 #include "JobPlacement.h"
+#include "JobStop.h"
 
 /* Time reserved for the network between caller and host, 8 ms each way as the
  * platform specifies, and for processing at both ends: the caller stops
@@ -104,6 +105,7 @@
     this->queues =
         g_ptr_array_new_with_free_func((GDestroyNotify)OverloadQueue_Destroy);
     this->work = WorkEstimate_Create();
+    this->stop_window = StopWindow_Create(clock);
     this->probing = g_hash_table_new(NULL, NULL);
     this->due = DueSet_Create();
     this->jobs = g_hash_table_new_full(g_direct_hash, g_direct_equal,
@@ -125,6 +127,7 @@
     g_ptr_array_free(this->retry_windows, TRUE);
     g_ptr_array_free(this->queues, TRUE);
     WorkEstimate_Destroy(this->work);
+    StopWindow_Destroy(this->stop_window);
     RouteTable_Unref(this->routes);
     CrashGuard_Destroy(this->guard);
     PeerSet_Destroy(this->peers);
@@ -707,6 +710,9 @@
     if (remaining < ATTEMPT_TIME_MIN_US) {
         return "deadline";
     }
+    if (!JobStop_Fits(job)) {
+        return JobStop_Reason(job);
+    }
     if (CrashGuard_Refuses(job->owner->guard, &job->fingerprint)) {
         return "quarantined";
     }
@@ -854,7 +860,7 @@
     else if (!JobForward_Admit(job)) {
         return;
     }
-    if (JobAllowance_Admit(job)) {
+    if (!JobStop_Refuse(job) && JobAllowance_Admit(job)) {
         JobPlacement_Resume(job);
     }
 }
@@ -1147,12 +1153,6 @@
     JobPlacement_OnProbeEnd(this);
 }
 
-void
-Dispatcher_Stop(Dispatcher *this)
-{
-    this->stopping = true;
-}
-
 void
 Dispatcher_LogInterrupted(const Dispatcher *this)
 {
--- a/packages/gateway/Dispatcher.h
+++ b/packages/gateway/Dispatcher.h
@@ -452,11 +452,14 @@
 
 /**
  * Dispatcher_Stop() - prepare for the stop of the host
+ * @end: time at which the host ends with whatever is open
  *
  * From then on no attempt is moved to another upstream: one that is
- * unresponsive may still process the request. Requests of peers are refused.
+ * unresponsive may still process the request. Requests of peers are refused, and
+ * so are requests that may be open at the end; see StopWindow. Requests that
+ * wait and do not fit get a DISPATCH_RESPOND.
  */
-void Dispatcher_Stop(Dispatcher *this);
+void Dispatcher_Stop(Dispatcher *this, Micros end);
 
 /** Dispatcher_LogInterrupted() - log the requests that the stop cuts off */
 void Dispatcher_LogInterrupted(const Dispatcher *this);
--- a/packages/gateway/DispatcherPrivate.h
+++ b/packages/gateway/DispatcherPrivate.h
@@ -11,6 +11,7 @@
 #include "PathMonitor.h"
 #include "PeerSet.h"
 #include "RetryWindow.h"
+#include "StopWindow.h"
 #include "UpstreamSet.h"
 #include "WorkEstimate.h"
 
@@ -121,6 +122,7 @@
     DueSet *due;             /* jobs by deadline, probe wait or check */
     GArray *actions;
     guint actions_taken;
+    StopWindow *stop_window;
     bool stopping;
 };
 
--- a/packages/gateway/JobForward.c
+++ b/packages/gateway/JobForward.c
@@ -2,6 +2,7 @@
 
 #include "JobLog.h"
 #include "JobPlacement.h"
+#include "JobStop.h"
 
 /* Jobs of peers that may be open, and their rate. */
 #define ACCEPTED_OPEN_MAX 256
@@ -66,6 +67,9 @@
     if (job->deadline - Clock_Now(this->clock) < ATTEMPT_TIME_MIN_US) {
         return "deadline";
     }
+    if (!JobStop_Fits(job)) {
+        return JobStop_Reason(job);
+    }
     if (CrashGuard_Refuses(this->guard, &job->fingerprint)) {
         return "quarantined";
     }
--- a/packages/gateway/JobPlacement.c
+++ b/packages/gateway/JobPlacement.c
@@ -3,6 +3,7 @@
 #include "AttemptMonitor.h"
 #include "JobForward.h"
 #include "JobLog.h"
+#include "JobStop.h"
 
 /* Part of the upstreams that must have a fresh report for the service to count
  * as full. */
@@ -45,7 +46,7 @@
                  job->route->kind == ROUTE_IDEMPOTENT},
     };
 
-    if (Job_RejectStale(job)) {
+    if (Job_RejectStale(job) || JobStop_Refuse(job)) {
         return;
     }
     if (!Job_UseRetry(job)) {
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -8,6 +8,7 @@
 #define OBJECTIVE_US (300 * MICROS_PER_MS)
 #define RETRY_EXTRA 2
 #define TIMEOUT_US (800 * MICROS_PER_MS)
+#define STOP_US (5700 * MICROS_PER_MS)
 
 typedef struct Fixture_ {
     Clock *clock;
@@ -486,7 +487,7 @@
     report_load(f, 0);
     advance_time(f, 8 * MICROS_PER_MS);
     g_assert_cmpuint(f->cancels, ==, 0);
-    Dispatcher_Stop(f->dispatcher);
+    Dispatcher_Stop(f->dispatcher, Clock_Now(f->clock) + STOP_US);
     time_out_probe(f);
     time_out_probe(f);
     report_load(f, 0);
--- a/tests/test_forwarding.c
+++ b/tests/test_forwarding.c
@@ -6,6 +6,9 @@
 
 #define OBJECTIVE_US (300 * MICROS_PER_MS)
 #define TIMEOUT_US (1000 * MICROS_PER_MS)
+#define STOP_US (5700 * MICROS_PER_MS)
+/* Less than TIMEOUT_US. */
+#define SHORT_STOP_US (900 * MICROS_PER_MS)
 #define SLOT_COUNT 8
 #define UPSTREAM_COUNT 4
 #define PROBES_MAX 64
@@ -765,7 +768,7 @@
 {
     Job *open = send_request(f, "/safe/1", 2, true);
 
-    Dispatcher_Stop(f->dispatcher);
+    Dispatcher_Stop(f->dispatcher, Clock_Now(f->clock) + STOP_US);
     g_assert_null(submit_info(f, "/safe/2", 2, true));
     g_assert_cmpint(f->action.respond.status, ==, 503);
     g_assert_cmpstr(f->reason, ==, "stopping");
@@ -775,6 +778,143 @@
                     JOB_RELAY);
 }
 
+static void
+stop_soon(Fixture *f)
+{
+    Dispatcher_Stop(f->dispatcher, Clock_Now(f->clock) + SHORT_STOP_US);
+    take_actions(f);
+}
+
+static void
+assert_refused_stopping(const Fixture *f)
+{
+    g_assert_cmpint(f->action.kind, ==, DISPATCH_RESPOND);
+    g_assert_cmpint(f->action.respond.status, ==, 503);
+    g_assert_cmpstr(f->reason, ==, "stopping");
+    g_assert_true(f->action.respond.not_run);
+    g_assert_cmpint(f->action.respond.retry_after, >, 0);
+    g_assert_cmpint(f->action.respond.retry_after, <, 100 * MICROS_PER_MS);
+}
+
+/* Guards against a host that takes a request and ends before its deadline. */
+static void
+test_late_request(Fixture *f, gconstpointer data)
+{
+    static const char *const paths[] = {"/once/1", "/safe/1"};
+
+    stop_soon(f);
+    for (size_t i = 0; i < G_N_ELEMENTS(paths); i++) {
+        g_assert_null(submit(f, paths[i]));
+        assert_refused_stopping(f);
+    }
+    g_assert_cmpuint(f->probe_count + f->sends, ==, 0);
+}
+
+/* Guards against a stop that ends a request which an upstream processes, or
+ * refuses one whose deadline is before the end. */
+static void
+test_stop_keeps_requests(Fixture *f, gconstpointer data)
+{
+    Job *open = send_request(f, "/once/1", 0, false), *job;
+
+    Dispatcher_Stop(f->dispatcher,
+                    Clock_Now(f->clock) + TIMEOUT_US + 100 * MICROS_PER_MS);
+    take_actions(f);
+    job = send_request(f, "/once/2", 0, false);
+    g_assert_nonnull(job);
+    advance_time(f, TIMEOUT_US / 2);
+    g_assert_cmpuint(f->cancels + f->responses, ==, 0);
+    g_assert_cmpint(end_attempt(f, open, ATTEMPT_RESULT_RESPONSE), ==,
+                    JOB_RELAY);
+    g_assert_cmpint(end_attempt(f, job, ATTEMPT_RESULT_RESPONSE), ==,
+                    JOB_RELAY);
+}
+
+/* Guards against sending a request that waits for probe replies when the stop
+ * begins. */
+static void
+test_stop_while_probing(Fixture *f, gconstpointer data)
+{
+    g_assert_nonnull(submit(f, "/once/1"));
+    g_assert_cmpuint(f->probe_count, >, 0);
+    stop_soon(f);
+    assert_refused_stopping(f);
+    end_probes(f, PROBE_ANSWERED);
+    g_assert_cmpuint(f->sends, ==, 0);
+    g_assert_cmpuint(f->responses, ==, 1);
+}
+
+/* Guards against a refusal that promises that a request was not executed after a
+ * retry that no longer fits. */
+static void
+test_stop_before_retry(Fixture *f, gconstpointer data)
+{
+    Job *broken = send_request(f, "/safe/1", 0, false);
+    Job *unsent = send_request(f, "/once/1", 0, false);
+    Job *full = send_request(f, "/once/2", 0, false);
+
+    stop_soon(f);
+    f->sends = 0;
+    end_attempt(f, broken, ATTEMPT_RESULT_BROKEN);
+    g_assert_cmpint(f->action.respond.status, ==, 502);
+    g_assert_false(f->action.respond.not_run);
+    end_attempt(f, unsent, ATTEMPT_RESULT_UNSENT);
+    if (f->responses == 1) {
+        advance_time(f, 500 * MICROS_PER_MS);
+    }
+    g_assert_cmpint(f->action.respond.status, ==, 503);
+    g_assert_true(f->action.respond.not_run);
+    end_attempt(f, full, ATTEMPT_RESULT_NOT_RUN);
+    g_assert_cmpint(f->action.respond.status, ==, 503);
+    g_assert_cmpstr(f->reason, ==, "stopping-retry");
+    g_assert_cmpuint(f->sends, ==, 0);
+}
+
+/* Guards against replacing the failure of an upstream by one of the host. */
+static void
+test_stop_relays_failure(Fixture *f, gconstpointer data)
+{
+    Job *job = send_request(f, "/safe/1", 0, false);
+    AttemptEndInfo end = {.result = ATTEMPT_RESULT_RESPONSE, .status = 500};
+
+    stop_soon(f);
+    g_assert_cmpint(Dispatcher_OnAttemptEnd(f->dispatcher, job, &end), ==,
+                    JOB_RELAY);
+    take_actions(f);
+    g_assert_cmpuint(f->responses, ==, 0);
+}
+
+/* Guards against refusing idempotent requests that are known to be short, and
+ * against taking them in the last half of the stop. */
+static void
+test_stop_takes_short(Fixture *f, gconstpointer data)
+{
+    for (int i = 0; i < 8; i++) {
+        Job *job = send_request(f, "/safe/1", 0, false);
+
+        end_attempt(f, job, ATTEMPT_RESULT_RESPONSE);
+    }
+    stop_soon(f);
+    g_assert_nonnull(send_request(f, "/safe/2", 0, false));
+    g_assert_null(submit(f, "/once/1"));
+    assert_refused_stopping(f);
+    advance_time(f, SHORT_STOP_US / 2);
+    g_assert_null(submit(f, "/safe/3"));
+    assert_refused_stopping(f);
+}
+
+/* Guards against forwarding a request that may be open when the host ends. */
+static void
+test_stop_before_forward(Fixture *f, gconstpointer data)
+{
+    cut_off(f);
+    f->forwards = 0;
+    stop_soon(f);
+    g_assert_null(submit(f, "/once/1"));
+    assert_refused_stopping(f);
+    g_assert_cmpuint(f->forwards, ==, 0);
+}
+
 /* Guards against a helping host that ends a request before the deadline that
  * the first host keeps. */
 static void
@@ -808,7 +948,7 @@
     submit(f, "/safe/1");
     g_assert_cmpint(f->action.kind, ==, DISPATCH_FORWARD);
     Dispatcher_SetPeers(f->dispatcher, NULL, 0);
-    Dispatcher_Stop(f->dispatcher);
+    Dispatcher_Stop(f->dispatcher, Clock_Now(f->clock) + STOP_US);
 }
 
 #define ADD(path, set_up, test)                                               \
@@ -852,6 +992,13 @@
     ADD("attempt-survives-cut", set_up, test_attempt_survives_cut);
     ADD("stopping-helper-refuses", set_up, test_stopping_helper_refuses);
     ADD("deadline-of-helper", set_up, test_deadline_of_helper);
+    ADD("late-request", set_up, test_late_request);
+    ADD("stop-keeps-requests", set_up, test_stop_keeps_requests);
+    ADD("stop-while-probing", set_up, test_stop_while_probing);
+    ADD("stop-before-retry", set_up, test_stop_before_retry);
+    ADD("stop-relays-failure", set_up, test_stop_relays_failure);
+    ADD("stop-takes-short", set_up, test_stop_takes_short);
+    ADD("stop-before-forward", set_up, test_stop_before_forward);
     ADD("open-at-end", set_up, test_open_at_end);
     return g_test_run();
 }
