Answer requests that are open when a host ends

What callers saw: what was still open 0.3 s before the end of the stop time was cut without a response. A host that had forwarded a request saw the same. Cause: the process ended at that moment, and nothing ended the requests. Change: Dispatcher_Interrupt() replaces Dispatcher_LogInterrupted(). It cancels open attempts and forwards and answers 502, or 503 if nothing was sent; another host gets that with the seal. The process ends when these are written, 0.1 s later at most. Responses that have begun are cut as before.

--- a/packages/agatecrank/RequestTrace.c
+++ b/packages/agatecrank/RequestTrace.c
@@ -126,6 +126,10 @@
      "an attempt failed while the host stops, and the host might have ended "
      "before another one",
      "event=attempt lines with a result other than answer: the failure"},
+    {"stopped",
+     "the host ended while the request was open; it may have been executed",
+     "event=interrupted and event=stopping of the host: a stop time shorter "
+     "than the timeouts of the routes"},
     {"deadline",
      "no complete response came before the deadline of the request",
      "event=route lines with the same choice: whether other requests are late "
--- a/packages/agatecrankd/GatewayDaemon.c
+++ b/packages/agatecrankd/GatewayDaemon.c
@@ -33,8 +33,11 @@
  * platform checks readiness every second and acts on two equal results in a
  * row. */
 #define STOP_NOTICE_US (2500 * MICROS_PER_MS)
-/* Part of the stop time that is reserved for the exit of the process. */
+/* Part of the stop time that is reserved for the responses to the requests that
+ * are still open and for the exit of the process. */
 #define STOP_MARGIN_US (300 * MICROS_PER_MS)
+/* Time in which these responses are written. */
+#define STOP_RESPONSES_US (100 * MICROS_PER_MS)
 #define STOP_CHECK_INTERVAL_US (50 * MICROS_PER_MS)
 #define STATUS_KEEP_ALIVE_S 30
 
@@ -59,7 +62,8 @@
     HttpServer *metrics;
     LoopTimer *stop_timer;
     Micros listen_end; /* after a stop signal */
-    Micros stop_end;   /* the process ends with what is open */
+    Micros stop_end;   /* requests that are open then are interrupted */
+    size_t interrupted;
     int exit_code;
     bool ready;
     bool stopping;
@@ -185,17 +189,23 @@
 static void
 stop_loop(GatewayDaemon *this)
 {
-    size_t open = Gateway_OpenRequests(this->gateway);
-
-    this->exit_code = open > 0 ? EXIT_INTERRUPTED : EXIT_DRAINED;
-    Dispatcher_LogInterrupted(this->dispatcher);
+    this->exit_code = this->interrupted > 0 ? EXIT_INTERRUPTED : EXIT_DRAINED;
     if (EventLog_Begin(this->log, LOG_LEVEL_WARN, "stopped")) {
-        EventLog_Int(this->log, "interrupted_requests", (int64_t)open);
+        EventLog_Int(this->log, "interrupted_requests",
+                     (int64_t)this->interrupted);
         EventLog_End(this->log);
     }
     Loop_Stop(this->loop);
 }
 
+static void
+interrupt_requests(GatewayDaemon *this)
+{
+    this->interrupted = Gateway_OpenRequests(this->gateway);
+    Dispatcher_Interrupt(this->dispatcher);
+    Gateway_RunActions(this->gateway);
+}
+
 static void
 check_stop(void *user)
 {
@@ -205,9 +215,12 @@
     if (now >= this->listen_end) {
         Gateway_StopListening(this->gateway);
     }
+    if (now >= this->stop_end && this->interrupted == 0) {
+        interrupt_requests(this);
+    }
     if ((now >= this->listen_end &&
          Gateway_OpenRequests(this->gateway) == 0) ||
-        now >= this->stop_end) {
+        now >= this->stop_end + STOP_RESPONSES_US) {
         stop_loop(this);
         return;
     }
--- a/packages/gateway/Dispatcher.c
+++ b/packages/gateway/Dispatcher.c
@@ -1153,17 +1153,6 @@
     JobPlacement_OnProbeEnd(this);
 }
 
-void
-Dispatcher_LogInterrupted(const Dispatcher *this)
-{
-    GList *jobs = Job_Sorted(this->jobs);
-
-    for (GList *item = jobs; item != NULL; item = item->next) {
-        JobLog_Interrupted(item->data);
-    }
-    g_list_free(jobs);
-}
-
 void
 Dispatcher_OnCallerDisconnect(Dispatcher *this, Job *job)
 {
@@ -1193,7 +1182,7 @@
         Job_CancelAttempt(job);
     }
     if (job->peer != NULL) {
-        JobForward_Cancel(job);
+        JobForward_Cancel(job, "deadline");
     }
     if (job->may_have_run) {
         Job_Reject(job, 504, "deadline", 0);
--- a/packages/gateway/Dispatcher.h
+++ b/packages/gateway/Dispatcher.h
@@ -461,8 +461,11 @@
  */
 void Dispatcher_Stop(Dispatcher *this, Micros end);
 
-/** Dispatcher_LogInterrupted() - log the requests that the stop cuts off */
-void Dispatcher_LogInterrupted(const Dispatcher *this);
+/**
+ * Dispatcher_Interrupt() - log the open requests, and end those whose response
+ *     has not begun, because the host is about to end
+ */
+void Dispatcher_Interrupt(Dispatcher *this);
 
 /**
  * Dispatcher_OnProbeResult() - a DISPATCH_PROBE was answered or failed
--- a/packages/gateway/JobForward.c
+++ b/packages/gateway/JobForward.c
@@ -174,7 +174,7 @@
 }
 
 void
-JobForward_Cancel(Job *job)
+JobForward_Cancel(Job *job, const char *result)
 {
     DispatchAction cancel = {
         .kind = DISPATCH_CANCEL,
@@ -182,7 +182,7 @@
         .user = job->user,
     };
 
-    JobLog_ForwardCancelled(job);
+    JobLog_ForwardCancelled(job, result);
     Dispatcher_PushAction(job->owner, &cancel);
     JobForward_End(job, PEER_SILENT);
     use_granted(job);
--- a/packages/gateway/JobForward.h
+++ b/packages/gateway/JobForward.h
@@ -29,8 +29,11 @@
 /** JobForward_End() - account for the end of the open forward, if any */
 void JobForward_End(Job *job, PeerOutcome outcome);
 
-/** JobForward_Cancel() - cancel the forward; the peer may have executed it */
-void JobForward_Cancel(Job *job);
+/**
+ * JobForward_Cancel() - cancel the forward; the peer may have executed it
+ * @result: see JobLog_ForwardCancelled()
+ */
+void JobForward_Cancel(Job *job, const char *result);
 
 /**
  * JobForward_Admit() - reject a job of a peer that this host can't serve;
--- a/packages/gateway/JobLog.c
+++ b/packages/gateway/JobLog.c
@@ -325,17 +325,17 @@
 }
 
 void
-JobLog_ForwardCancelled(const Job *job)
+JobLog_ForwardCancelled(const Job *job, const char *result)
 {
     Dispatcher *this = job->owner;
 
     Dispatcher_Count(this, "agatecrank_forwards_total", "result",
-                     STR("deadline"));
+                     Str_FromC(result));
     if (!begin_line(job, LOG_LEVEL_INFO, "forward-end")) {
         return;
     }
     EventLog_Str(this->decisions, "peer", Peer_Id(job->peer));
-    EventLog_CStr(this->decisions, "result", "deadline");
+    EventLog_CStr(this->decisions, "result", result);
     EventLog_Int(this->decisions, "took_ms",
                  (Clock_Now(this->clock) - job->sent_at) / MICROS_PER_MS);
     EventLog_Int(this->decisions, "held_ms", elapsed_ms(job));
--- a/packages/gateway/JobLog.h
+++ b/packages/gateway/JobLog.h
@@ -33,8 +33,12 @@
 /** JobLog_Forward() - the job was forwarded to a peer */
 void JobLog_Forward(const Job *job);
 
-/** JobLog_ForwardCancelled() - the open forward ends at the job's deadline */
-void JobLog_ForwardCancelled(const Job *job);
+/**
+ * JobLog_ForwardCancelled() - the open forward ends at the job's deadline, or
+ *     with the host
+ * @result: "deadline" or "stopped"
+ */
+void JobLog_ForwardCancelled(const Job *job, const char *result);
 
 /** JobLog_Interrupted() - the process ends while the job is open */
 void JobLog_Interrupted(const Job *job);
--- a/packages/gateway/JobStop.c
+++ b/packages/gateway/JobStop.c
@@ -1,5 +1,8 @@
 #include "JobStop.h"
 
+#include "JobForward.h"
+#include "JobLog.h"
+
 /* Mean Retry-After of a host that stops; other hosts serve the caller at
  * once. */
 #define RETRY_AFTER_US (20 * MICROS_PER_MS)
@@ -26,18 +29,25 @@
     return job->reached_upstream ? "stopping-retry" : "stopping";
 }
 
+/* @failure: reason if the request may have been executed */
+static void
+reject(Job *job, const char *failure)
+{
+    if (job->may_have_run) {
+        Job_Reject(job, 502, failure, 0);
+        return;
+    }
+    Job_Reject(job, 503, JobStop_Reason(job),
+               Random_Jitter(job->owner->random, RETRY_AFTER_US));
+}
+
 bool
 JobStop_Refuse(Job *job)
 {
     if (JobStop_Fits(job)) {
         return false;
     }
-    if (job->may_have_run) {
-        Job_Reject(job, 502, JobStop_Reason(job), 0);
-        return true;
-    }
-    Job_Reject(job, 503, JobStop_Reason(job),
-               Random_Jitter(job->owner->random, RETRY_AFTER_US));
+    reject(job, JobStop_Reason(job));
     return true;
 }
 
@@ -66,3 +76,32 @@
     StopWindow_Begin(this->stop_window, end);
     refuse_waiting(this);
 }
+
+static void
+interrupt(Job *job)
+{
+    JobLog_Interrupted(job);
+    if (job->relaying) {
+        return;
+    }
+    if (job->upstream != UPSTREAM_NONE) {
+        /* The stop says nothing about the upstream. */
+        job->loss_reported = true;
+        Job_CancelAttempt(job);
+    }
+    if (job->peer != NULL) {
+        JobForward_Cancel(job, "stopped");
+    }
+    reject(job, "stopped");
+}
+
+void
+Dispatcher_Interrupt(Dispatcher *this)
+{
+    GList *jobs = Job_Sorted(this->jobs);
+
+    for (GList *item = jobs; item != NULL; item = item->next) {
+        interrupt(item->data);
+    }
+    g_list_free(jobs);
+}
--- a/tests/test_forwarding.c
+++ b/tests/test_forwarding.c
@@ -915,6 +915,49 @@
     g_assert_cmpuint(f->forwards, ==, 0);
 }
 
+/* Guards against requests that get no response when the host ends, and a promise
+ * that one was not executed that may have been. */
+static void
+test_open_when_host_ends(Fixture *f, gconstpointer data)
+{
+    bool forwarded = GPOINTER_TO_INT(data) != 0;
+
+    send_request(f, "/once/1", 1, forwarded);
+    Dispatcher_Stop(f->dispatcher, Clock_Now(f->clock) + STOP_US);
+    advance_time(f, OBJECTIVE_US / 2);
+    submit_info(f, "/once/2", 0, false);
+    g_assert_cmpuint(f->sends, ==, 1);
+    f->responses = 0;
+    Dispatcher_Interrupt(f->dispatcher);
+    while (Dispatcher_NextAction(f->dispatcher, &f->action)) {
+        if (f->action.kind == DISPATCH_RESPOND) {
+            bool first = f->responses++ == 0;
+
+            g_assert_cmpint(f->action.respond.status, ==, first ? 502 : 503);
+            g_assert_true(f->action.respond.not_run == !first);
+        }
+    }
+    g_assert_cmpuint(f->responses, ==, 2);
+    g_assert_cmpuint(Dispatcher_OpenJobs(f->dispatcher), ==, 0);
+}
+
+/* Guards against a forward that is open when its first host ends and gets no
+ * response. */
+static void
+test_forward_open_when_host_ends(Fixture *f, gconstpointer data)
+{
+    cut_off(f);
+    submit(f, "/once/1");
+    g_assert_cmpint(f->action.kind, ==, DISPATCH_FORWARD);
+    Dispatcher_Stop(f->dispatcher, Clock_Now(f->clock) + STOP_US);
+    f->cancels = 0;
+    Dispatcher_Interrupt(f->dispatcher);
+    take_actions(f);
+    g_assert_cmpuint(f->cancels, ==, 1);
+    g_assert_cmpint(f->action.respond.status, ==, 502);
+    g_assert_false(f->action.respond.not_run);
+}
+
 /* Guards against a helping host that ends a request before the deadline that
  * the first host keeps. */
 static void
@@ -999,6 +1042,13 @@
     ADD("stop-relays-failure", set_up, test_stop_relays_failure);
     ADD("stop-takes-short", set_up, test_stop_takes_short);
     ADD("stop-before-forward", set_up, test_stop_before_forward);
+    g_test_add("/forwarding/open-when-host-ends", Fixture, GINT_TO_POINTER(0),
+               set_up, test_open_when_host_ends, tear_down);
+    g_test_add("/forwarding/open-when-helper-ends", Fixture,
+               GINT_TO_POINTER(1), set_up, test_open_when_host_ends,
+               tear_down);
+    ADD("forward-open-when-host-ends", set_up,
+        test_forward_open_when_host_ends);
     ADD("open-at-end", set_up, test_open_at_end);
     return g_test_run();
 }
--- a/tests/test_late_requests.sh
+++ b/tests/test_late_requests.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Runs a gateway host as a process that is told to stop while requests arrive that
-# may take longer than the stop does. The upstreams work for longer than that.
+# may take longer than the stop does, or are open. The upstreams work for longer.
 set -uo pipefail
 cd "$(dirname "$0")/.."
 . scripts/gateway.sh
@@ -86,3 +86,21 @@
 wait "$host_pid"
 has_logged 'stopped interrupted_requests=0' || fail "requests are open at the end"
 echo "ok: late requests"
+
+# Guards against requests that are open when the host ends and get no response.
+start_host
+send_head 7 POST /once/open 8000
+send_head 8 POST /safe/open 8000
+printf cd >&7
+printf cd >&8
+wait_for 10 has_logged 'route request=0000000000000007'
+wait_for 10 has_logged 'route request=0000000000000008'
+kill -TERM "$host_pid"
+for fd in 7 8; do
+    response=$(read_response "$fd")
+    [[ $response = "HTTP/1.1 502 "* ]] || fail "open request $fd got: ${response:-no response}"
+done
+wait "$host_pid"
+[ $? -eq 3 ] || fail "the exit code does not tell of open requests"
+has_logged 'stopped interrupted_requests=2' || fail "the log does not tell of open requests"
+echo "ok: open requests"
