--- a/packages/agatecrankd/GatewayDaemon.c
+++ b/packages/agatecrankd/GatewayDaemon.c
@@ -33,8 +33,11 @@
  * platform checks readiness every second and acts on two equal results in a
  * row. */
 #define STOP_NOTICE_US (2500 * MICROS_PER_MS)
-/* Part of the stop time that is reserved for the exit of the process. */
+/* Part of the stop time that is reserved for the responses to the requests that
+ * are still open and for the exit of the process. */
 #define STOP_MARGIN_US (300 * MICROS_PER_MS)
+/* Time in which these responses are written. */
+#define STOP_RESPONSES_US (100 * MICROS_PER_MS)
 #define STOP_CHECK_INTERVAL_US (50 * MICROS_PER_MS)
 #define STATUS_KEEP_ALIVE_S 30
 
@@ -58,7 +61,9 @@
     HttpServer *readiness;
     HttpServer *metrics;
     LoopTimer *stop_timer;
-    Micros stop_started;
+    Micros listen_end; /* after a stop signal */
+    Micros stop_end;   /* requests that are open then are interrupted */
+    size_t interrupted;
     int exit_code;
     bool ready;
     bool stopping;
@@ -184,29 +189,38 @@
 static void
 stop_loop(GatewayDaemon *this)
 {
-    size_t open = Gateway_OpenRequests(this->gateway);
-
-    this->exit_code = open > 0 ? EXIT_INTERRUPTED : EXIT_DRAINED;
-    Dispatcher_LogInterrupted(this->dispatcher);
+    this->exit_code = this->interrupted > 0 ? EXIT_INTERRUPTED : EXIT_DRAINED;
     if (EventLog_Begin(this->log, LOG_LEVEL_WARN, "stopped")) {
-        EventLog_Int(this->log, "interrupted_requests", (int64_t)open);
+        EventLog_Int(this->log, "interrupted_requests",
+                     (int64_t)this->interrupted);
         EventLog_End(this->log);
     }
     Loop_Stop(this->loop);
 }
 
+static void
+interrupt_requests(GatewayDaemon *this)
+{
+    this->interrupted = Gateway_OpenRequests(this->gateway);
+    Dispatcher_Interrupt(this->dispatcher);
+    Gateway_RunActions(this->gateway);
+}
+
 static void
 check_stop(void *user)
 {
     GatewayDaemon *this = user;
-    Micros passed = Clock_Now(this->clock) - this->stop_started;
+    Micros now = Clock_Now(this->clock);
 
-    if (passed >= STOP_NOTICE_US) {
+    if (now >= this->listen_end) {
         Gateway_StopListening(this->gateway);
     }
-    if ((passed >= STOP_NOTICE_US &&
+    if (now >= this->stop_end && this->interrupted == 0) {
+        interrupt_requests(this);
+    }
+    if ((now >= this->listen_end &&
          Gateway_OpenRequests(this->gateway) == 0) ||
-        passed >= this->settings->bounds.stop_time - STOP_MARGIN_US) {
+        now >= this->stop_end + STOP_RESPONSES_US) {
         stop_loop(this);
         return;
     }
@@ -230,10 +244,13 @@
         return;
     }
     this->stopping = true;
-    Dispatcher_Stop(this->dispatcher);
-    this->stop_started = Clock_Now(this->clock);
+    this->stop_end = Clock_Now(this->clock) +
+                     this->settings->bounds.stop_time - STOP_MARGIN_US;
+    this->listen_end = Clock_Now(this->clock) + STOP_NOTICE_US;
     update_ready(this);
     Gateway_Stop(this->gateway);
+    Dispatcher_Stop(this->dispatcher, this->stop_end);
+    Gateway_RunActions(this->gateway);
     LoopTimer_Start(this->stop_timer, STOP_CHECK_INTERVAL_US);
 }
 
--- a/packages/gateway/Dispatcher.h
+++ b/packages/gateway/Dispatcher.h
@@ -453,14 +453,20 @@
 
 /**
  * Dispatcher_Stop() - prepare for the stop of the host
+ * @end: time at which the host ends with whatever is open
  *
  * From then on no attempt is moved to another upstream: one that is
- * unresponsive may still process the request. Requests of peers are refused.
+ * unresponsive may still process the request. Requests of peers are refused, and
+ * so are requests that may be open at the end; see StopWindow. Requests that
+ * wait and do not fit get a DISPATCH_RESPOND.
  */
-void Dispatcher_Stop(Dispatcher *this);
+void Dispatcher_Stop(Dispatcher *this, Micros end);
 
-/** Dispatcher_LogInterrupted() - log the requests that the stop cuts off */
-void Dispatcher_LogInterrupted(const Dispatcher *this);
+/**
+ * Dispatcher_Interrupt() - log the open requests, and end those whose response
+ *     has not begun, because the host is about to end
+ */
+void Dispatcher_Interrupt(Dispatcher *this);
 
 /**
  * Dispatcher_OnProbeResult() - a DISPATCH_PROBE was answered or failed
--- a/packages/gateway/JobForward.c
+++ b/packages/gateway/JobForward.c
@@ -2,6 +2,7 @@
 
 #include "JobLog.h"
 #include "JobPlacement.h"
+#include "JobStop.h"
 
 /* Jobs of peers that may be open, and their rate. */
 #define ACCEPTED_OPEN_MAX 256
@@ -70,6 +71,9 @@
     if (job->deadline - Clock_Now(this->clock) < ATTEMPT_TIME_MIN_US) {
         return "deadline";
     }
+    if (!JobStop_Fits(job)) {
+        return JobStop_Reason(job);
+    }
     if (CrashGuard_Refuses(this->guard, &job->fingerprint)) {
         return "quarantined";
     }
@@ -173,7 +177,7 @@
 }
 
 void
-JobForward_Cancel(Job *job)
+JobForward_Cancel(Job *job, const char *result)
 {
     DispatchAction cancel = {
         .kind = DISPATCH_CANCEL,
@@ -181,7 +185,7 @@
         .user = job->user,
     };
 
-    JobLog_ForwardCancelled(job);
+    JobLog_ForwardCancelled(job, result);
     Dispatcher_PushAction(job->owner, &cancel);
     JobForward_End(job, PEER_SILENT);
     AttemptLedger_Cancel(&job->ledger);
