Believe no statement of a refusal that breaks off

Cause: a refusal of another request that breaks off inside a field takes the fields of the next response on the connection, and its statement that the request was not executed stands beside the id of one that runs. The request was sent again, and refused with a promise. Change: the statement counts only if no field of the response holds a start line. A refusal whose own fields name a protocol version so (Via: HTTP/1.1 ...) is not believed; an unsafe request then gets 502. Measured: test_cut_refusals failed in 3 of 4 cases and passes, in release and with sanitizers; so do test_stray_responses, test_unstated_refusals, test_refused_requests, test_gateway_forward; in release test_forwarding, test_dispatcher and test_run_proofs.

--- a/packages/gateway/Gateway.c
+++ b/packages/gateway/Gateway.c
@@ -259,6 +259,33 @@
         attempt_id(exchange));
 }
 
+/* A header block that broke off runs into the start line of the response after
+ * it, so that its fields seem to belong to that one. */
+static bool
+has_start_line_in_field(const HeaderList *headers)
+{
+    Str name, value;
+
+    for (size_t i = 0; i < HeaderList_Count(headers); i++) {
+        HeaderList_At(headers, i, &name, &value);
+        if (g_strstr_len(value.data, (gssize)value.length, "HTTP/1.") !=
+            NULL) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static bool
+states_not_run(const Exchange *exchange)
+{
+    const HeaderList *headers = exchange->response_headers;
+
+    return HeaderList_Has(headers,
+                          exchange->gateway->options.dialect->not_run) &&
+           !has_start_line_in_field(headers);
+}
+
 /* Nothing is concluded from a response before its id shows that it is the one to
  * this request. It is not relayed if its status implies that the request was
  * not executed but the upstream's own statement of that is missing, if the
@@ -278,7 +305,9 @@
         return ATTEMPT_RESULT_MOVED;
     }
     if (HeaderList_Has(headers, dialect->not_run)) {
-        return status < 400 ? ATTEMPT_RESULT_BROKEN : ATTEMPT_RESULT_NOT_RUN;
+        return status >= 400 && states_not_run(exchange)
+                   ? ATTEMPT_RESULT_NOT_RUN
+                   : ATTEMPT_RESULT_BROKEN;
     }
     if (AttemptLedger_IsPromise(status) ||
         (status < 300 && !HeaderList_Has(headers, dialect->signature))) {
@@ -353,10 +382,8 @@
     case ATTEMPT_RESULT_NOT_RUN:
         return RUN_EVIDENCE_STATEMENT;
     case ATTEMPT_RESULT_MOVED:
-        return HeaderList_Has(exchange->response_headers,
-                              exchange->gateway->options.dialect->not_run)
-                   ? RUN_EVIDENCE_STATEMENT
-                   : RUN_EVIDENCE_STATUS;
+        return states_not_run(exchange) ? RUN_EVIDENCE_STATEMENT
+                                        : RUN_EVIDENCE_STATUS;
     case ATTEMPT_RESULT_RESPONSE:
     case ATTEMPT_RESULT_BROKEN:
         break;
