Show idle connections that repeated ids leave

Since a connection carries an id once, each request of a caller that repeats its id opens a connection, and all of them stay open, up to the limit for an upstream (32 a host), which takes them from other hosts.

--- a/tests/support/ScriptedUpstream.c
+++ b/tests/support/ScriptedUpstream.c
@@ -175,3 +175,9 @@
 {
     return (unsigned)g_atomic_int_get(&this->requests);
 }
+
+unsigned
+ScriptedUpstream_Connections(const ScriptedUpstream *this)
+{
+    return (unsigned)g_atomic_int_get(&this->open);
+}
--- a/tests/support/ScriptedUpstream.h
+++ b/tests/support/ScriptedUpstream.h
@@ -45,4 +45,7 @@
 /** ScriptedUpstream_Requests() - number of requests so far */
 unsigned ScriptedUpstream_Requests(const ScriptedUpstream *this);
 
+/** ScriptedUpstream_Connections() - number of open connections */
+unsigned ScriptedUpstream_Connections(const ScriptedUpstream *this);
+
 #endif
