Close idle connections that a repeated id leaves

Cause: a connection carries an id once, so a caller that repeats its id had each request sent over a new connection while all earlier ones stayed idle, up to 32 to an upstream. Change: a call that finds four idle connections which have carried its id closes the oldest one. Each of these requests still opens a connection. Measured: test_repeated_ids failed (32 connections) and passes (8 at most), in release and with sanitizers; so do test_http, test_refused_requests, test_stray_responses and test_cut_refusals.

--- a/packages/net/HttpClient.c
+++ b/packages/net/HttpClient.c
@@ -12,6 +12,9 @@
 #define KEEP_ALIVE_MARGIN_US (500 * MICROS_PER_MS)
 /* Values of match_value that a connection carries before it is closed. */
 #define CARRIED_MAX 256
+/* Idle connections that have carried the value of a call: the attempts at one
+ * request leave a few. */
+#define REPEATS_MAX 4
 
 typedef struct Connection_ Connection;
 
@@ -581,10 +584,13 @@
     return open;
 }
 
-/* Returns NULL if a new connection has to be opened. */
+/* Returns NULL if a new connection has to be opened. Callers that repeat a
+ * match value must not take up the connections of the peer. */
 static Connection *
 take_idle_connection(HttpClient *this, Peer *peer, const HttpCallSpec *spec)
 {
+    Connection *repeated = NULL;
+    unsigned repeats = 0;
     GList *next;
 
     for (GList *item = peer->idle->head; item != NULL; item = next) {
@@ -593,14 +599,20 @@
         next = item->next;
         if (spec->new_connection ||
             is_idle_expired(this, connection, spec->idle_max)) {
-            return NULL;
+            break;
         }
-        if (!has_carried(connection, spec->match_value) &&
-            is_open_and_quiet(connection)) {
+        if (has_carried(connection, spec->match_value)) {
+            repeated = connection;
+            repeats++;
+        }
+        else if (is_open_and_quiet(connection)) {
             g_queue_remove(peer->idle, connection);
             return connection;
         }
     }
+    if (repeats >= REPEATS_MAX) {
+        close_connection(repeated);
+    }
     return NULL;
 }
 
