Skip no refusal of a forward after a question

Cause: a response without the id is skipped on a connection that a call without id has used, which is meant for probes. Questions about allowances marked the connections between hosts, too, so that refusals of forwards, which lack the id, were skipped: 502, or another attempt used, where another peer could have served the request. Change: only a call that names the field and expects it to be absent marks the connection. Responses between hosts are told apart by their seals. A forward of a request whose caller sent no id still marks it. Measured: /unmarked/after-question failed and passes, in release and with sanitizers; so do test_stray_responses, test_repeated_ids, test_http, test_refused_requests, test_cut_refusals, test_forward_server, test_gateway_forward, test_gateway_cut_off and test_gateway_customers.

--- a/packages/net/HttpClient.c
+++ b/packages/net/HttpClient.c
@@ -53,7 +53,7 @@
     bool in_body;           /* a header block was received, its body not */
     bool timing_head;       /* head_timer runs */
     bool keep_alive;
-    bool used_without_match; /* by a call that expects no match_name */
+    bool used_without_match; /* by a call that expects its match_name absent */
     GArray *carried;         /* uint64_t hashes of match_value; may be NULL */
     HttpFraming framing;
 };
@@ -265,12 +265,12 @@
 }
 
 static void
-add_carried(Connection *this, Str match_value)
+add_carried(Connection *this, const HttpCallSpec *spec)
 {
-    uint64_t hash = Str_Hash(match_value);
+    uint64_t hash = Str_Hash(spec->match_value);
 
-    if (match_value.length == 0) {
-        this->used_without_match = true;
+    if (spec->match_value.length == 0) {
+        this->used_without_match |= spec->match_name.length > 0;
         return;
     }
     if (this->carried == NULL) {
@@ -777,7 +777,7 @@
     call->connection_number = connection->number;
     connection->call = call;
     connection->skipped_bytes = 0;
-    add_carried(connection, spec->match_value);
+    add_carried(connection, spec);
     call->maybe_sent = connection->connected;
     send_head(call, spec);
     return call;
--- a/packages/net/HttpClient.h
+++ b/packages/net/HttpClient.h
@@ -78,12 +78,12 @@
  * @new_connection: open a new connection instead of reusing an idle one
  * @idle_max: reuse no connection that was idle for longer; 0 for no limit
  * @match_name, @match_value: a response that has this header field with
- *     another value, or lacks it on a connection that was used with an empty
- *     value, belongs to an earlier request and is skipped, unless its end is
- *     that of the connection; both may be empty, and an empty value is that of
- *     a response without the field. A connection carries a value that is not
- *     empty once, so that a second copy of the response to an earlier call with
- *     the same value can't be taken for the response to this one.
+ *     another value, or lacks it on a connection that was used with a name and
+ *     an empty value, belongs to an earlier request and is skipped, unless its
+ *     end is that of the connection; both may be empty, and an empty value is
+ *     that of a response without the field. A connection carries a value that
+ *     is not empty once, so that a second copy of the response to an earlier
+ *     call with the same value can't be taken for the response to this one.
  * @head_timeout: a response whose header block is not complete this long after
  *     its first byte fails as malformed; 0 for no limit
  * @response_bytes_max: a response with a longer body fails as malformed; 0 for
