--- a/packages/net/HttpClient.c
+++ b/packages/net/HttpClient.c
@@ -12,6 +12,9 @@
 #define KEEP_ALIVE_MARGIN_US (500 * MICROS_PER_MS)
 /* Values of match_value that a connection carries before it is closed. */
 #define CARRIED_MAX 256
+/* Idle connections that have carried the value of a call: the attempts at one
+ * request leave a few. */
+#define REPEATS_MAX 4
 
 typedef struct Connection_ Connection;
 
@@ -50,7 +53,7 @@
     bool in_body;           /* a header block was received, its body not */
     bool timing_head;       /* head_timer runs */
     bool keep_alive;
-    bool used_without_match; /* by a call that expects no match_name */
+    bool used_without_match; /* by a call that expects its match_name absent */
     GArray *carried;         /* uint64_t hashes of match_value; may be NULL */
     HttpFraming framing;
 };
@@ -262,12 +265,12 @@
 }
 
 static void
-add_carried(Connection *this, Str match_value)
+add_carried(Connection *this, const HttpCallSpec *spec)
 {
-    uint64_t hash = Str_Hash(match_value);
+    uint64_t hash = Str_Hash(spec->match_value);
 
-    if (match_value.length == 0) {
-        this->used_without_match = true;
+    if (spec->match_value.length == 0) {
+        this->used_without_match |= spec->match_name.length > 0;
         return;
     }
     if (this->carried == NULL) {
@@ -581,10 +584,13 @@
     return open;
 }
 
-/* Returns NULL if a new connection has to be opened. */
+/* Returns NULL if a new connection has to be opened. Callers that repeat a
+ * match value must not take up the connections of the peer. */
 static Connection *
 take_idle_connection(HttpClient *this, Peer *peer, const HttpCallSpec *spec)
 {
+    Connection *repeated = NULL;
+    unsigned repeats = 0;
     GList *next;
 
     for (GList *item = peer->idle->head; item != NULL; item = next) {
@@ -593,14 +599,20 @@
         next = item->next;
         if (spec->new_connection ||
             is_idle_expired(this, connection, spec->idle_max)) {
-            return NULL;
+            break;
+        }
+        if (has_carried(connection, spec->match_value)) {
+            repeated = connection;
+            repeats++;
         }
-        if (!has_carried(connection, spec->match_value) &&
-            is_open_and_quiet(connection)) {
+        else if (is_open_and_quiet(connection)) {
             g_queue_remove(peer->idle, connection);
             return connection;
         }
     }
+    if (repeats >= REPEATS_MAX) {
+        close_connection(repeated);
+    }
     return NULL;
 }
 
@@ -765,7 +777,7 @@
     call->connection_number = connection->number;
     connection->call = call;
     connection->skipped_bytes = 0;
-    add_carried(connection, spec->match_value);
+    add_carried(connection, spec);
     call->maybe_sent = connection->connected;
     send_head(call, spec);
     return call;
