--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -43,6 +43,8 @@
 LOSS_PERIOD_MS=${LOSS_PERIOD_MS:-0}  # duration of pauses, and of losses of many responses after each; 0 for none
 LOSS_RATIO=${LOSS_RATIO:-0.5}  # fraction of the responses that are lost then
 ENDLESS_SHARE=${ENDLESS_SHARE:-0}  # fraction of the responses of upstreams that do not end
+REPEATED_SHARE=${REPEATED_SHARE:-0}  # fraction of the refusals of upstreams that are sent a second time, late
+OUTDATED_INTERVAL_MS=${OUTDATED_INTERVAL_MS:-0}  # between entries of ended upstreams whose address is in use; 0 for none
 RETRY_RATIO=${RETRY_RATIO:-0.2}  # retries per request that hosts are allowed
 RETRY_EXTRA=${RETRY_EXTRA:-64}   # retries in addition to that, in 10 s
 SERVED_LEAST=${SERVED_LEAST:-0.9}  # fraction of the calls after the last fault that must be served
@@ -298,6 +300,7 @@
         --notice-interval-ms "$NOTICE_INTERVAL_MS" \
         --restore-interval-ms "$RESTORE_INTERVAL_MS" \
         --loss-period-ms "$LOSS_PERIOD_MS" --loss-ratio "$LOSS_RATIO" \
+        --repeated-share "$REPEATED_SHARE" --outdated-interval-ms "$OUTDATED_INTERVAL_MS" \
         --endless-share "$ENDLESS_SHARE" --served-least "$SERVED_LEAST" \
         --host-events "$WORK/host-events" \
         --host-states "$WORK/states" \
--- a/standins/HttpConnection.c
+++ b/standins/HttpConnection.c
@@ -54,6 +54,9 @@
     Timer_Stop(&this->idle_timer);
     g_hash_table_remove(this->server->connections, this);
     g_string_free(this->input, TRUE);
+    if (this->copy != NULL) {
+        g_string_free(this->copy, TRUE);
+    }
     g_free(this);
 }
 
--- a/standins/HttpConnection.h
+++ b/standins/HttpConnection.h
@@ -29,6 +29,7 @@
     struct lws *wsi;
     HttpRequest *request; /* current request, or NULL */
     GString *input;       /* bytes received and not parsed yet */
+    GString *copy;        /* sent before the next response, or NULL */
     Timer idle_timer;     /* runs while there is neither request nor input */
     bool stalled;         /* input is discarded, nothing is sent */
     bool aborted;         /* to be closed without further output */
@@ -56,7 +57,8 @@
     bool completed;  /* the whole body was received */
     bool responding; /* the response was started */
     bool head_sent;
-    bool close; /* the request asks to close the connection */
+    bool close;   /* the request asks to close the connection */
+    bool repeats; /* the response is sent once more, see HttpServer.h */
 };
 
 /** HttpConnection_Create() - new object for an accepted connection */
--- a/standins/HttpRequest.c
+++ b/standins/HttpRequest.c
@@ -201,6 +201,21 @@
     }
 }
 
+/* Puts the copy of an earlier response before this one. */
+static void
+add_copy(HttpRequest *this)
+{
+    HttpConnection *connection = this->connection;
+    GString *copy = connection->copy;
+
+    connection->copy =
+        this->repeats ? g_string_new(this->response_head->str) : NULL;
+    if (copy != NULL) {
+        g_string_prepend(this->response_head, copy->str);
+        g_string_free(copy, TRUE);
+    }
+}
+
 void
 HttpRequest_RespondStream(HttpRequest *this, int status, const char *headers,
                           uint64_t length, uint64_t send_length,
@@ -219,6 +234,7 @@
                     "%s%s\r\n",
                     status, status_text(status), length,
                     this->close ? "connection: close\r\n" : "", headers);
+    add_copy(this);
     this->declared_length = head ? 0 : length;
     this->send_length = head ? 0 : send_length;
     this->fill = fill;
@@ -257,6 +273,12 @@
     json_decref(json);
 }
 
+void
+HttpRequest_RepeatResponse(HttpRequest *this)
+{
+    this->repeats = true;
+}
+
 void
 HttpRequest_Abort(HttpRequest *this)
 {
--- a/standins/HttpServer.h
+++ b/standins/HttpServer.h
@@ -159,6 +159,14 @@
                                uint64_t send_length, HttpBodyWriter *fill,
                                void *user);
 
+/**
+ * HttpRequest_RepeatResponse() - send the response, which has no body, once
+ *     more before the next one on the connection
+ *
+ * To be called before the response.
+ */
+void HttpRequest_RepeatResponse(HttpRequest *this);
+
 /** HttpRequest_Abort() - close the connection without further output */
 void HttpRequest_Abort(HttpRequest *this);
 
--- a/standins/PlatformUpstream.c
+++ b/standins/PlatformUpstream.c
@@ -58,19 +58,24 @@
     bool ended; /* by the upstream */
 } Execution;
 
-static void
-publish_record(PlatformUpstream *this)
+static char *
+record_text(const PlatformUpstream *this, int64_t born_ms, unsigned sequence)
 {
-    g_free(this->previous_record);
-    this->previous_record = this->record;
-    this->record = g_strdup_printf(
+    return g_strdup_printf(
         "{\"address\":\"127.0.0.1:%d\",\"born\":%" G_GINT64_FORMAT
         ",\"info\":{\"service\":\"%s\",\"version\":\"v1\",\"zone\":\"%s\","
         "\"slots\":%d},\"status\":{\"state\":\"%s\",\"seqNo\":%u,"
         "\"warmupLeftS\":0}}",
-        this->port, this->born_ms, this->service, this->domain, SLOT_COUNT,
-        this->draining_since >= 0 ? "draining" : "ready", ++this->sequence);
+        this->port, born_ms, this->service, this->domain, SLOT_COUNT,
+        this->draining_since >= 0 ? "draining" : "ready", sequence);
+}
 
+static void
+publish_record(PlatformUpstream *this)
+{
+    g_free(this->previous_record);
+    this->previous_record = this->record;
+    this->record = record_text(this, this->born_ms, ++this->sequence);
     PlatformStore_Put(this->context.store, "keyed.servers", this->id,
                       this->record);
 }
@@ -103,6 +108,17 @@
                            attempt_id != NULL ? "\r\n" : "");
 }
 
+static void
+draw_repetition(const PlatformUpstream *this, HttpRequest *request)
+{
+    double ratio = this->context.repeated_refusal_ratio;
+
+    /* Draws nothing more for other faults. */
+    if (ratio > 0 && Random_Unit(this->context.random) < ratio) {
+        HttpRequest_RepeatResponse(request);
+    }
+}
+
 static void
 reject(const PlatformUpstream *this, HttpRequest *request, int status)
 {
@@ -112,6 +128,7 @@
     g_autofree char *headers =
         g_strconcat(common, "agatecrank-not-executed: 1\r\n", NULL);
 
+    draw_repetition(this, request);
     HttpRequest_Respond(request, status, headers, STR(""));
 }
 
@@ -537,6 +554,16 @@
     }
 }
 
+void
+PlatformUpstream_ListOutdated(PlatformUpstream *this)
+{
+    g_autofree char *id = g_strconcat(this->id, "-ended", NULL);
+    g_autofree char *record =
+        record_text(this, Clock_Wall(this->context.clock) / MICROS_PER_MS, 1);
+
+    PlatformStore_Put(this->context.store, "keyed.servers", id, record);
+}
+
 void
 PlatformUpstream_Drain(PlatformUpstream *this)
 {
--- a/standins/PlatformUpstream.h
+++ b/standins/PlatformUpstream.h
@@ -26,6 +26,8 @@
  * @truncated_response_ratio: fraction of executions whose response ends early
  * @endless_response_ratio: fraction of executions whose response does not end;
  *                          half of them bear no signature
+ * @repeated_refusal_ratio: fraction of refusals that are sent once more, before
+ *                          the next response on their connection
  * @store_sound_since: end of the last fault of the store or of the links to it
  * @drain_limit: time after a drain report within which hosts may still send
  *               requests
@@ -42,6 +44,7 @@
     const double *lost_response_ratio;
     double truncated_response_ratio;
     double endless_response_ratio;
+    double repeated_refusal_ratio;
     const Micros *store_sound_since;
     Micros drain_limit;
 } PlatformContext;
@@ -62,6 +65,14 @@
 /** PlatformUpstream_Describe() - write its record again, if it has not crashed */
 void PlatformUpstream_Describe(PlatformUpstream *this);
 
+/**
+ * PlatformUpstream_ListOutdated() - list its address under the id of an upstream
+ *     that has ended, too, as one that has just started
+ *
+ * It answers requests for that one with 421.
+ */
+void PlatformUpstream_ListOutdated(PlatformUpstream *this);
+
 /** PlatformUpstream_Drain() - report to the store that it is draining */
 void PlatformUpstream_Drain(PlatformUpstream *this);
 
--- a/standins/standin-platform.c
+++ b/standins/standin-platform.c
@@ -61,6 +61,8 @@
     double link_period_s;
     double served_least;
     double endless_share;
+    double repeated_share;
+    int64_t outdated_interval_ms;
     char *hosts;
     char *cut_kind;
     char *cut_file;
@@ -108,6 +110,11 @@
      "share of the calls after the last fault that must be served"},
     {"endless-share", SETTING_REAL, FIELD(endless_share), false,
      "share of the responses of upstreams that do not end"},
+    {"repeated-share", SETTING_REAL, FIELD(repeated_share), false,
+     "share of the refusals of upstreams that are sent once more"},
+    {"outdated-interval-ms", SETTING_INT, FIELD(outdated_interval_ms), false,
+     "mean time between entries of ended upstreams whose address is in use, 0 "
+     "for none"},
     {"hosts", SETTING_TEXT, FIELD(hosts), false,
      "ADDRESS:PORT,... of the gateway hosts"},
     {"cut-hosts", SETTING_INT, FIELD(cut_hosts), false,
@@ -135,6 +142,7 @@
     Random *limit_random;
     Random *notice_random;
     Random *restore_random;
+    Random *outdated_random;
     HttpLoop *loop;
     PlatformStore *store;
     PlatformChecker *checker;
@@ -149,6 +157,7 @@
     Timer crash_timer;
     Timer limit_timer;
     Timer notice_timer;
+    Timer outdated_timer;
     Timer copy_timer;
     Timer restore_timer;
     Timer rewrite_timer;
@@ -172,9 +181,13 @@
 static void
 publish_config(Platform *this)
 {
+    /* Probes would tell which entries are outdated. */
+    const char *health_path = this->options.outdated_interval_ms > 0
+                                  ? ""
+                                  : ",\"healthPath\":\"/health\"";
     g_autofree char *text = g_strdup_printf(
         "{\"version\":\"%08x\",\"services\":[{\"name\":\"" SERVICE
-        "\",\"healthPath\":\"/health\"}],\"limits\":{\"maxHeaderBytes\":16384,"
+        "\"%s}],\"limits\":{\"maxHeaderBytes\":16384,"
         "\"maxBodyBytes\":1000000,\"headerTimeoutS\":3,\"idleTimeoutS\":15},"
         "\"hosts\":[{\"host\":\"" HOST "\",\"paths\":["
         "{\"name\":\"safe\",\"pathPrefix\":\"/safe/\",\"kind\":\"safe\","
@@ -183,7 +196,7 @@
         "{\"name\":\"once\",\"pathPrefix\":\"/once/\",\"kind\":\"unsafe\","
         "\"timeoutS\":1.2,\"targetLatencyS\":0.3,\"priority\":1,"
         "\"service\":\"" SERVICE "\",\"maxAttempts\":2}]}]}",
-        ++this->version);
+        ++this->version, health_path);
 
     PlatformStore_Put(this->store, "keyed.op", "config", text);
 }
@@ -509,6 +522,23 @@
                 Random_Jitter(this->notice_random, interval), on_notice_timer);
 }
 
+static void
+on_outdated_timer(Timer *timer)
+{
+    Platform *this = TIMER_OWNER(timer, Platform, outdated_timer);
+    Micros interval = this->options.outdated_interval_ms * MICROS_PER_MS;
+
+    if (this->faults_ended || interval <= 0) {
+        return;
+    }
+    PlatformUpstream_ListOutdated(g_ptr_array_index(
+        this->upstreams,
+        Random_Below(this->outdated_random, this->upstreams->len)));
+    Timer_Start(&this->outdated_timer, this->loop->timers,
+                Random_Jitter(this->outdated_random, interval),
+                on_outdated_timer);
+}
+
 static void on_copy_timer(Timer *timer);
 
 /* Upstreams write what they know again; operators have done so at once. One
@@ -690,6 +720,7 @@
         on_crash_timer(&this->crash_timer);
         on_limit_timer(&this->limit_timer);
         on_notice_timer(&this->notice_timer);
+        on_outdated_timer(&this->outdated_timer);
         on_copy_timer(&this->copy_timer);
         begin_cut(this);
         start_loss_timer(this);
@@ -736,6 +767,7 @@
         .truncated_response_ratio =
             this->options.fault_period_s > 0 ? 0.005 : 0,
         .endless_response_ratio = this->options.endless_share,
+        .repeated_refusal_ratio = this->options.repeated_share,
         .store_sound_since = &this->store_sound_since,
         .drain_limit = this->options.drain_ms * MICROS_PER_MS,
     };
@@ -921,6 +953,7 @@
     this->limit_random = Random_Create((uint64_t)this->options.seed);
     this->notice_random = Random_Create((uint64_t)this->options.seed);
     this->restore_random = Random_Create((uint64_t)this->options.seed);
+    this->outdated_random = Random_Create((uint64_t)this->options.seed);
     this->loop = HttpLoop_Create();
     this->hosts = list_hosts(this);
     this->links =
@@ -974,6 +1007,7 @@
     Random_Destroy(this->limit_random);
     Random_Destroy(this->notice_random);
     Random_Destroy(this->restore_random);
+    Random_Destroy(this->outdated_random);
     Clock_Destroy(this->clock);
     return code;
 }
