Count the allowance of a request that may have run

Cause: a request's allowance was given back unless it was known to have reached an upstream, which was noted at the end of an attempt and not at all for the response over a peer. A caller that left while an upstream worked, and a request that a peer had served, counted as not sent. Change: it is given back only if every attempt is proven not to have been executed and none has reached an upstream. Measured: /forwarding/allowance-of-gone-caller and allowance-of-forwarded failed (the next request went without a question to the grantor) and pass; the 8 test programs of dispatcher, forwards and customers pass with sanitizers.

--- a/packages/gateway/JobAllowance.c
+++ b/packages/gateway/JobAllowance.c
@@ -207,7 +207,8 @@
     if (job->awaits_allowance) {
         AllowanceClient_Cancel(allowances, job->customer->name, job);
     }
-    else if (job->has_allowance && !job->reached_upstream) {
+    else if (job->has_allowance && !job->reached_upstream &&
+             !AttemptLedger_MayHaveRun(&job->ledger)) {
         AllowanceClient_Return(allowances, job->customer->name);
     }
 }
--- a/tests/test_forwarding.c
+++ b/tests/test_forwarding.c
@@ -324,6 +324,64 @@
     g_assert_true(Str_Equal(f->action.forward.caller.customer, STR("amina")));
 }
 
+static Job *
+submit_keyed(Fixture *f)
+{
+    JobInfo info = {.id = STR("r"),
+                    .method = STR("GET"),
+                    .host = GATEWAY_FIXTURE_HOST,
+                    .path = STR("/safe/x"),
+                    .key = STR("k")};
+    Job *job = Dispatcher_Submit(f->dispatcher, &info, NULL);
+
+    take_actions(f);
+    return job;
+}
+
+/* Guards against a request of a customer that an upstream has and that does not
+ * count, as its caller has gone. */
+static void
+test_allowance_of_gone_caller(Fixture *f, gconstpointer data)
+{
+    AllowanceGrant grant = {.granted = 1};
+    Job *job;
+
+    limit_customer(f);
+    job = submit_keyed(f);
+    Dispatcher_OnAllowance(f->dispatcher, f->asked, &grant);
+    take_actions(f);
+    end_probes(f, PROBE_ANSWERED);
+    g_assert_cmpuint(f->sends, ==, 1);
+    Dispatcher_OnCallerDisconnect(f->dispatcher, job);
+    take_actions(f);
+    f->asked = 0;
+    submit_keyed(f);
+    end_probes(f, PROBE_ANSWERED);
+    g_assert_cmpuint(f->sends, ==, 1);
+    g_assert_cmpuint(f->asked, >, 0);
+}
+
+/* Guards against the same for a request that a peer has served. */
+static void
+test_allowance_of_forwarded(Fixture *f, gconstpointer data)
+{
+    AllowanceGrant grant = {.granted = 1};
+    Job *job;
+
+    limit_customer(f);
+    cut_off(f);
+    job = submit_keyed(f);
+    f->forwards = 0;
+    Dispatcher_OnAllowance(f->dispatcher, f->asked, &grant);
+    take_actions(f);
+    g_assert_cmpuint(f->forwards, ==, 1);
+    g_assert_cmpint(end_forward(f, job, FORWARD_RESPONSE, 0), ==, JOB_RELAY);
+    f->asked = 0;
+    submit_keyed(f);
+    g_assert_cmpuint(f->forwards, ==, 1);
+    g_assert_cmpuint(f->asked, >, 0);
+}
+
 /* Guards against a 503 of a host without a path, and against a retry limit that
  * prevents the first send. */
 static void
@@ -879,6 +937,8 @@
                GINT_TO_POINTER(FORWARD_UNSENT), set_up,
                test_statement_on_other_forward, tear_down);
     ADD("refusal-with-open-forward", set_up, test_refusal_with_open_forward);
+    ADD("allowance-of-gone-caller", set_up, test_allowance_of_gone_caller);
+    ADD("allowance-of-forwarded", set_up, test_allowance_of_forwarded);
     ADD("relay-deadline", set_up, test_relay_deadline);
     ADD("cut-during-relay", set_up, test_cut_during_relay);
     ADD("three-peers", set_up, test_three_peers);
