Limit trailers and chunk extensions of each parser by itself

The parser library has one limit on header bytes for the whole process. The parser created last set it: after a response parser, a request whose header block was inside a maxHeaderBytes above 80 KiB got 400, and after a request parser with a large limit the trailers of a response were limited by that. Chunk extensions were limited for each chunk, not for the message, so that a peer could send them without end.

The library's limit is off now. The parser counts what a message has beyond its header block, its content and the framing of its chunks, and limits it by head_bytes_max.

Before, test_http_parser limit-of-requests failed with ERR_PROTOCOL, and the five cases of excess accepted 64 KiB of trailers, extensions or zeros where the limit is 4 KiB. All of test_http_parser and test_endless_responses pass.

--- a/packages/net/HttpParser.c
+++ b/packages/net/HttpParser.c
@@ -4,6 +4,9 @@
 #include <http_parser.h>
 #include <string.h>
 
+/* Framing of a chunk without an extension: 16 digits and two line ends. */
+#define CHUNK_FRAMING_BYTES 20
+
 typedef enum ParserState_ {
     STATE_HEAD,
     STATE_BODY,
@@ -24,6 +27,9 @@
     GString *value;
     bool value_seen;
     HeaderList *headers;
+    uint64_t body_bytes;    /* delivered, of the current message */
+    uint64_t framing_bytes; /* received after its header block */
+    uint64_t chunk_count;
     bool message_complete;
 };
 
@@ -112,10 +118,20 @@
 {
     HttpParser *this = library->data;
 
+    this->body_bytes += length;
     this->handlers.on_body(this->user, (Str){data, length});
     return 0;
 }
 
+static int
+on_chunk_header(http_parser *library)
+{
+    HttpParser *this = library->data;
+
+    this->chunk_count++;
+    return 0;
+}
+
 /* Pauses after each message: the owner decides when to parse the next one. */
 static int
 on_message_complete(http_parser *library)
@@ -134,6 +150,7 @@
     .on_headers_complete = on_headers_complete,
     .on_body = on_body,
     .on_message_complete = on_message_complete,
+    .on_chunk_header = on_chunk_header,
 };
 
 static void
@@ -147,6 +164,9 @@
     this->searched = 0;
     this->message_complete = false;
     this->value_seen = false;
+    this->body_bytes = 0;
+    this->framing_bytes = 0;
+    this->chunk_count = 0;
     g_string_truncate(this->head, 0);
     g_string_truncate(this->target, 0);
     g_string_truncate(this->name, 0);
@@ -169,8 +189,8 @@
     this->target = g_string_new(NULL);
     this->name = g_string_new(NULL);
     this->value = g_string_new(NULL);
-    /* This limit of the library is global; 80 KiB is its default. */
-    http_parser_set_max_header_size((uint32_t)MAX(head_bytes_max, 80 * 1024));
+    /* The limit of the library is one for all parsers. */
+    http_parser_set_max_header_size(UINT32_MAX);
     begin_message(this);
     return this;
 }
@@ -411,6 +431,30 @@
     return check_head(Str_FromString(this->head), error);
 }
 
+/* Limits trailers and chunk extensions: whatever exceeds the framing of chunks
+ * without one. */
+static int
+check_framing(const HttpParser *this, Error *error)
+{
+    if (this->framing_bytes <=
+        this->head_bytes_max + CHUNK_FRAMING_BYTES * (this->chunk_count + 1)) {
+        return 0;
+    }
+    return Error_Set(error, ERR_LIMIT, "read-body", STR(""),
+                     "trailers and chunk extensions are longer than %zu bytes",
+                     this->head_bytes_max);
+}
+
+static int
+execute_body(HttpParser *this, Str data, size_t *used, Error *error)
+{
+    uint64_t before = this->body_bytes;
+    int code = execute_library(this, data, used, error);
+
+    this->framing_bytes += *used - (this->body_bytes - before);
+    return code < 0 ? code : check_framing(this, error);
+}
+
 static int
 mark_failed(HttpParser *this, int code)
 {
@@ -440,7 +484,7 @@
         data.length -= *used;
     }
     if (data.length > 0) {
-        code = execute_library(this, data, &n, error);
+        code = execute_body(this, data, &n, error);
         *used += n;
         return code;
     }
--- a/packages/net/HttpParser.h
+++ b/packages/net/HttpParser.h
@@ -69,7 +69,8 @@
 
 /**
  * HttpParser_Create() - create a parser for one connection
- * @head_bytes_max: limit on the size of a header block
+ * @head_bytes_max: limit on the size of a header block, and on that of the
+ *     trailers and chunk extensions of a message together
  */
 HttpParser *HttpParser_Create(HttpParserKind kind, size_t head_bytes_max,
                               const HttpParserHandlers *handlers, void *user);
@@ -81,8 +82,9 @@
  * HttpParser_Feed() - parse bytes up to the end of the current message
  * @used: number of bytes consumed; the rest belongs to the next message
  *
- * Return: 0, ERR_LIMIT for a header block that is too long, or ERR_PROTOCOL;
- * after an error the parser rejects all further data.
+ * Return: 0, ERR_LIMIT for a header block, trailers or chunk extensions that
+ * are too long, or ERR_PROTOCOL; after an error the parser rejects all further
+ * data.
  */
 int HttpParser_Feed(HttpParser *this, Str data, size_t *used, Error *error);
 
--- a/tests/test_http_parser.c
+++ b/tests/test_http_parser.c
@@ -272,6 +272,109 @@
     Random_Destroy(random);
 }
 
+/* ---- limits ---------------------------------------------------------- */
+
+#define CHUNKED "transfer-encoding: chunked\r\n\r\n"
+#define LONG_HEAD_BYTES (200 * 1024)
+#define CHUNK_COUNT 100000
+
+static HttpParser *
+create_parser(Recorder *recorder, HttpParserKind kind, size_t head_bytes_max)
+{
+    return HttpParser_Create(kind, head_bytes_max, &handlers, recorder);
+}
+
+/* Appends "@begin", @part as often as it takes to make @bytes of it, "@end". */
+static GString *
+repeat(const char *begin, const char *part, size_t bytes, const char *end)
+{
+    GString *text = g_string_new(begin);
+
+    for (size_t n = 0; n < bytes; n += strlen(part)) {
+        g_string_append(text, part);
+    }
+    return g_string_append(text, end);
+}
+
+/* Guards against a header block inside its limit that is rejected because a
+ * parser of the other kind has a lower one. */
+static void
+test_limit_of_requests(void)
+{
+    GString *text = repeat(GET, "x: v\r\n", LONG_HEAD_BYTES - 1024, "\r\n");
+    HttpParser *requests, *responses;
+    Recorder recorder = {.text = g_string_new(NULL)};
+
+    requests = create_parser(&recorder, HTTP_PARSER_REQUESTS, LONG_HEAD_BYTES);
+    responses =
+        create_parser(&recorder, HTTP_PARSER_RESPONSES, HEAD_BYTES_MAX);
+    recorder.parser = requests;
+    g_assert_cmpint(feed(&recorder, Str_FromString(text), 16384), ==, 0);
+    g_assert_cmpstr(recorder.text->str, ==, "[GET /a 0 0].");
+    HttpParser_Destroy(requests);
+    HttpParser_Destroy(responses);
+    g_string_free(recorder.text, TRUE);
+    g_string_free(text, TRUE);
+}
+
+typedef struct ExcessCase_ {
+    const char *name;
+    const char *begin;
+    const char *part;
+    const char *end;
+} ExcessCase;
+
+static const ExcessCase excess_cases[] = {
+    {"trailers", OK CHUNKED "2\r\nhi\r\n0\r\n", "x: v\r\n", "\r\n"},
+    {"trailer", OK CHUNKED "2\r\nhi\r\n0\r\nx: ", "v", "\r\n\r\n"},
+    {"extension", OK CHUNKED "2;", "a=b;", "\r\nhi\r\n0\r\n\r\n"},
+    {"extensions", OK CHUNKED, "2;a=bbbbbbbbbbbbbbbbbbbbbbbbbbbb\r\nhi\r\n",
+     "0\r\n\r\n"},
+    {"zeros", OK CHUNKED, "0", "2\r\nhi\r\n0\r\n\r\n"},
+};
+
+/* Guards against trailers and chunk extensions that are not limited, or by the
+ * limit of requests. */
+static void
+test_excess(gconstpointer data)
+{
+    const ExcessCase *excess = data;
+    Recorder recorder;
+    HttpParser *requests;
+    GString *text;
+
+    for (size_t i = 0; i < 2; i++) {
+        text = repeat(excess->begin, excess->part,
+                      i == 0 ? 16 * HEAD_BYTES_MAX : HEAD_BYTES_MAX / 2,
+                      excess->end);
+        set_up(&recorder, HTTP_PARSER_RESPONSES);
+        requests =
+            create_parser(&recorder, HTTP_PARSER_REQUESTS, LONG_HEAD_BYTES);
+        g_assert_cmpint(feed(&recorder, Str_FromString(text), 1024), ==,
+                        i == 0 ? ERR_LIMIT : 0);
+        g_assert_cmpint(g_str_has_suffix(recorder.text->str, "hi."), ==,
+                        i != 0);
+        HttpParser_Destroy(requests);
+        tear_down(&recorder);
+        g_string_free(text, TRUE);
+    }
+}
+
+/* Guards against small chunks without extensions that count as excess. */
+static void
+test_small_chunks(void)
+{
+    GString *text =
+        repeat(OK CHUNKED, "1\r\nh\r\n", CHUNK_COUNT * 6, "0\r\n\r\n");
+    Recorder recorder;
+
+    set_up(&recorder, HTTP_PARSER_RESPONSES);
+    g_assert_cmpint(feed(&recorder, Str_FromString(text), 1000), ==, 0);
+    g_assert_cmpuint(recorder.text->len, ==, CHUNK_COUNT + 11);
+    tear_down(&recorder);
+    g_string_free(text, TRUE);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -281,5 +384,13 @@
     g_test_add_func("/http-parser/end-of-connection", test_end_of_connection);
     g_test_add_func("/http-parser/head-answer", test_head_response);
     g_test_add_func("/http-parser/mutations", test_mutations);
+    g_test_add_func("/http-parser/limit-of-requests", test_limit_of_requests);
+    for (size_t i = 0; i < G_N_ELEMENTS(excess_cases); i++) {
+        g_autofree char *path =
+            g_strdup_printf("/http-parser/excess/%s", excess_cases[i].name);
+
+        g_test_add_data_func(path, &excess_cases[i], test_excess);
+    }
+    g_test_add_func("/http-parser/small-chunks", test_small_chunks);
     return g_test_run();
 }
