Drop the trailers of chunked messages

The parser kept them in the list of header fields until the message ended, though nothing reads them. Each field takes two buffers of its own, many times its bytes.

test_http_parser trailers-dropped found a field in the list before.

--- a/packages/net/HttpParser.c
+++ b/packages/net/HttpParser.c
@@ -30,6 +30,7 @@
     uint64_t body_bytes;    /* delivered, of the current message */
     uint64_t framing_bytes; /* received after its header block */
     uint64_t chunk_count;
+    bool head_complete;
     bool message_complete;
 };
 
@@ -59,6 +60,9 @@
 {
     HttpParser *this = library->data;
 
+    if (this->head_complete) {
+        return 0; /* a trailer */
+    }
     finish_field(this);
     g_string_append_len(this->name, data, (gssize)length);
     return 0;
@@ -69,6 +73,9 @@
 {
     HttpParser *this = library->data;
 
+    if (this->head_complete) {
+        return 0;
+    }
     this->value_seen = true;
     g_string_append_len(this->value, data, (gssize)length);
     return 0;
@@ -95,8 +102,8 @@
     HttpParser *this = library->data;
     HttpHead head = {.status = library->status_code};
 
-    /* Trailer fields follow after on_head(). */
     finish_field(this);
+    this->head_complete = true;
     if (this->kind == HTTP_PARSER_REQUESTS) {
         head.method = Str_FromC(http_method_str(library->method));
         head.target = Str_FromString(this->target);
@@ -162,6 +169,7 @@
     this->library.data = this;
     this->state = STATE_HEAD;
     this->searched = 0;
+    this->head_complete = false;
     this->message_complete = false;
     this->value_seen = false;
     this->body_bytes = 0;
--- a/packages/net/HttpParser.h
+++ b/packages/net/HttpParser.h
@@ -71,6 +71,8 @@
  * HttpParser_Create() - create a parser for one connection
  * @head_bytes_max: limit on the size of a header block, and on that of the
  *     trailers and chunk extensions of a message together
+ *
+ * Trailers are not kept.
  */
 HttpParser *HttpParser_Create(HttpParserKind kind, size_t head_bytes_max,
                               const HttpParserHandlers *handlers, void *user);
--- a/tests/test_http_parser.c
+++ b/tests/test_http_parser.c
@@ -375,6 +375,44 @@
     g_string_free(text, TRUE);
 }
 
+static HttpBodyRule
+take_headers(void *user, const HttpHead *head)
+{
+    Recorder *recorder = user;
+
+    HeaderList_Destroy(HttpParser_TakeHeaders(recorder->parser));
+    return HTTP_BODY_FRAMED;
+}
+
+static void
+count_headers(void *user)
+{
+    Recorder *recorder = user;
+    HeaderList *headers = HttpParser_TakeHeaders(recorder->parser);
+
+    g_string_append_printf(recorder->text, "%zu.", HeaderList_Count(headers));
+    HeaderList_Destroy(headers);
+}
+
+/* Guards against trailers, which nothing uses, that are kept in memory. */
+static void
+test_trailers_dropped(void)
+{
+    static const HttpParserHandlers counting = {take_headers, on_body,
+                                                count_headers};
+    Recorder recorder = {.text = g_string_new(NULL)};
+
+    recorder.parser = HttpParser_Create(HTTP_PARSER_RESPONSES, HEAD_BYTES_MAX,
+                                        &counting, &recorder);
+    g_assert_cmpint(
+        feed(&recorder, STR(OK CHUNKED "2\r\nhi\r\n0\r\nx: v\r\ny: w\r\n\r\n"),
+             1000),
+        ==, 0);
+    g_assert_cmpstr(recorder.text->str, ==, "hi0.");
+    HttpParser_Destroy(recorder.parser);
+    g_string_free(recorder.text, TRUE);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -392,5 +430,6 @@
         g_test_add_data_func(path, &excess_cases[i], test_excess);
     }
     g_test_add_func("/http-parser/small-chunks", test_small_chunks);
+    g_test_add_func("/http-parser/trailers-dropped", test_trailers_dropped);
     return g_test_run();
 }
