Expect no body in responses with status 1xx, 204 or 304

The parser took Content-Length or Transfer-Encoding of such a response for the framing of a body. A 304 that announces the length of the full response was waited for until the deadline and the caller got 504, though nothing was missing; an endless chunked body of a 204 was read and relayed.

These responses end with their header block now. Bytes that follow are excess and close the connection.

Before: test_endless_responses bodyless/304-length and 204-length got 504 in place of the response, 204-chunks relayed 165 MB; four cases of test_http_parser failed. The cases 304-excess, head-excess and head-chunks passed before, too: a body after a response to HEAD closes the connection after one or two reads.

--- a/packages/net/HttpParser.c
+++ b/packages/net/HttpParser.c
@@ -96,11 +96,21 @@
     return HTTP_FRAMING_CLOSE;
 }
 
+/* Length and encoding of such a response are those of another one (RFC 9112,
+ * section 6.3). */
+static bool
+is_bodyless(const HttpParser *this, int status)
+{
+    return this->kind == HTTP_PARSER_RESPONSES &&
+           (status / 100 == 1 || status == 204 || status == 304);
+}
+
 static int
 on_headers_complete(http_parser *library)
 {
     HttpParser *this = library->data;
     HttpHead head = {.status = library->status_code};
+    HttpBodyRule rule;
 
     finish_field(this);
     this->head_complete = true;
@@ -117,7 +127,8 @@
                           : (int64_t)library->content_length;
     }
     head.headers = this->headers;
-    return this->handlers.on_head(this->user, &head) == HTTP_BODY_NONE ? 1 : 0;
+    rule = this->handlers.on_head(this->user, &head);
+    return rule == HTTP_BODY_NONE || is_bodyless(this, head.status) ? 1 : 0;
 }
 
 static int
--- a/packages/net/HttpParser.h
+++ b/packages/net/HttpParser.h
@@ -51,7 +51,7 @@
 
 /** enum HttpBodyRule - return value of on_head() */
 typedef enum HttpBodyRule_ {
-    HTTP_BODY_FRAMED, /* a body as the header block announces */
+    HTTP_BODY_FRAMED, /* a body as status and header block announce */
     HTTP_BODY_NONE,   /* none, as in the response to HEAD */
 } HttpBodyRule;
 
--- a/tests/test_endless_responses.c
+++ b/tests/test_endless_responses.c
@@ -429,7 +429,7 @@
     HttpCallSpec spec = {
         .address = "127.0.0.1",
         .port = f->port,
-        .method = STR("GET"),
+        .method = strcmp(path, "/long/head") == 0 ? STR("HEAD") : STR("GET"),
         .path = Str_FromC(path),
         .headers = headers,
     };
@@ -1424,6 +1424,81 @@
     tear_down(&f);
 }
 
+/* Responses without a body that have one, or announce the length of that of
+ * another response. */
+static const struct {
+    const char *path;
+    int status;
+    unsigned open_max; /* connections that are kept */
+    Script script;
+} bodyless[] = {
+    {"/long/x",
+     304,
+     1,
+     {.name = "304-length",
+      .head = "HTTP/1.1 304 Same\r\n" IDENTITY "Content-Length: 8\r\n\r\n",
+      .part = "",
+      .parts = 1}},
+    {"/long/x",
+     204,
+     1,
+     {.name = "204-length",
+      .head = "HTTP/1.1 204 None\r\n" IDENTITY "Content-Length: 8\r\n\r\n",
+      .part = "",
+      .parts = 1}},
+    {"/long/x",
+     304,
+     0,
+     {.name = "304-excess",
+      .head = "HTTP/1.1 304 Same\r\n" IDENTITY "\r\n",
+      .part = "bbbbbbbb"}},
+    {"/long/x",
+     204,
+     0,
+     {.name = "204-chunks",
+      .head = "HTTP/1.1 204 None\r\n" IDENTITY
+              "Transfer-Encoding: chunked\r\n\r\n",
+      .part = "8\r\nbbbbbbbb\r\n"}},
+    {"/long/head",
+     200,
+     0,
+     {.name = "head-excess",
+      .head = SIGNED "Content-Length: 1000000\r\n\r\n",
+      .part = "bbbbbbbb"}},
+    {"/long/head",
+     200,
+     0,
+     {.name = "head-chunks",
+      .head = SIGNED "Transfer-Encoding: chunked\r\n\r\n",
+      .part = "8\r\nbbbbbbbb\r\n"}},
+};
+
+/* Guards against waiting for a body that a response can't have, and against
+ * reading one. */
+static void
+test_bodyless(gconstpointer data)
+{
+    size_t i = GPOINTER_TO_SIZE(data);
+    Caller caller;
+    Fixture f;
+
+    set_up(&f);
+    add_peer(&f, &bodyless[i].script);
+    for (int n = 0; n < 2; n++) {
+        caller = call_once(&f, bodyless[i].path);
+        g_test_message("status=%d bytes=%" G_GUINT64_FORMAT
+                       " sent=%" G_GUINT64_FORMAT,
+                       caller.status, caller.bytes, f.peers[0].sent);
+        g_assert_true(caller.complete);
+        g_assert_cmpint(caller.status, ==, bodyless[i].status);
+        g_assert_cmpuint(caller.bytes, ==, 0);
+        run_for(&f, 20 * MICROS_PER_MS);
+        g_assert_cmpuint(f.peers[0].open, <=, bodyless[i].open_max);
+        g_assert_cmpuint(f.peers[0].sent, <, GIVEN_UP_BYTES_MAX);
+    }
+    tear_down(&f);
+}
+
 #define REPORT(id)                                                            \
     {                                                                         \
         .head = OK_HEAD "Agatecrank-Instance-Id: " id "\r\n"                  \
@@ -1792,6 +1867,12 @@
 
         g_test_add_data_func(path, GSIZE_TO_POINTER(i), test_framing);
     }
+    for (size_t i = 0; i < G_N_ELEMENTS(bodyless); i++) {
+        g_autofree char *path = g_strdup_printf("/net/endless/bodyless/%s",
+                                                bodyless[i].script.name);
+
+        g_test_add_data_func(path, GSIZE_TO_POINTER(i), test_bodyless);
+    }
     for (size_t i = 0; i < G_N_ELEMENTS(trickled); i++) {
         g_autofree char *path =
             g_strdup_printf("/net/endless/trickle/%s", trickled[i].name);
--- a/tests/test_http_parser.c
+++ b/tests/test_http_parser.c
@@ -137,6 +137,22 @@
      "[  200 0].[  200 0]."},
     {"response with two lengths", HTTP_PARSER_RESPONSES,
      OK "content-length: 2\r\ncontent-length: 3\r\n\r\nhi", ERR_PROTOCOL, ""},
+    {"204 with length", HTTP_PARSER_RESPONSES,
+     "HTTP/1.1 204 None\r\ncontent-length: 2\r\n\r\n" OK
+     "content-length: 0\r\n\r\n",
+     0, "[  204 2].[  200 0]."},
+    {"304 with length", HTTP_PARSER_RESPONSES,
+     "HTTP/1.1 304 Same\r\ncontent-length: 2\r\n\r\n" OK
+     "content-length: 0\r\n\r\n",
+     0, "[  304 2].[  200 0]."},
+    {"304 with chunks", HTTP_PARSER_RESPONSES,
+     "HTTP/1.1 304 Same\r\ntransfer-encoding: chunked\r\n\r\n" OK
+     "content-length: 0\r\n\r\n",
+     0, "[  304 -1].[  200 0]."},
+    {"interim with length", HTTP_PARSER_RESPONSES,
+     "HTTP/1.1 102 Wait\r\ncontent-length: 2\r\n\r\n" OK
+     "content-length: 0\r\n\r\n",
+     0, "[  102 2].[  200 0]."},
     {"not a response", HTTP_PARSER_RESPONSES, "garbage\r\n\r\n", ERR_PROTOCOL,
      ""},
 };
