Close connections whose request has a body without end

The servers for readiness and metrics responded at the end of the body, and those and the relay had no limit on its length: a body without end was read for as long as it came, so that the connection was never closed.

Readiness and metrics respond to the header block now, which closes the connection after the response. The relay limits bodies to the length of an entry, which only a registration has.

Before, test_endless_requests.sh failed for GET at the ports of readiness, metrics and the relay and for POST /register: each still read after 10 s. The port for requests of other hosts closed the connection before, too.

--- a/packages/agatecrankd/GatewayDaemon.c
+++ b/packages/agatecrankd/GatewayDaemon.c
@@ -169,14 +169,15 @@
     HeaderList_Destroy(headers);
 }
 
+/* Without waiting for the end of a body, which nobody needs. */
 static const HttpServerHandlers readiness_handlers = {
-    ignore_request, ignore_body,   respond_readiness,
-    ignore_request, ignore_closed,
+    respond_readiness, ignore_body,   ignore_request,
+    ignore_request,    ignore_closed,
 };
 
 static const HttpServerHandlers metrics_handlers = {
-    ignore_request, ignore_body,   respond_metrics,
-    ignore_request, ignore_closed,
+    respond_metrics, ignore_body,   ignore_request,
+    ignore_request,  ignore_closed,
 };
 
 /* ---- stopping ------------------------------------------------------- */
--- a/packages/net/KeyedRelay.c
+++ b/packages/net/KeyedRelay.c
@@ -558,6 +558,7 @@
         .address = options->address,
         .port = options->port,
         .keep_alive_s = KEEP_ALIVE_S,
+        .limits = {.body_bytes = ENTRY_BYTES_MAX},
     };
 
     this->loop = loop;
