Add settings for the memory and descriptors of a process

Cause: hosts don't know how much memory and how many descriptors the platform allows them, so that nothing can be bounded by that.

Change: gateway.memory_mb and gateway.descriptors_max, filled in from the platform's settings. Nothing uses them yet.

--- a/packages/gateway/GatewaySettings.c
+++ b/packages/gateway/GatewaySettings.c
@@ -15,6 +15,12 @@
 #define RETRY_SHARE_DEFAULT_RATIO 0.2
 
 #define LINK_MAX_MBPS 1000000
+#define MEMORY_DEFAULT_MB 260
+#define MEMORY_MIN_MB 32
+#define MEMORY_MAX_MB 1048576
+#define DESCRIPTORS_DEFAULT_MAX 4100
+#define DESCRIPTORS_LEAST 512
+#define DESCRIPTORS_MOST 1048576
 
 #define FIELDS_END                                                            \
     {                                                                         \
@@ -31,6 +37,8 @@
     Str store;
     StrList seeds;
     double link_mbps;
+    double memory_mb;
+    uint32_t descriptors_max;
     bool first_start;
 } GatewayTable;
 
@@ -60,6 +68,10 @@
      NULL},
     {"link_mbps", FIELD_REAL, offsetof(GatewayTable, link_mbps), false, 0,
      LINK_MAX_MBPS, NULL},
+    {"memory_mb", FIELD_REAL, offsetof(GatewayTable, memory_mb), false,
+     MEMORY_MIN_MB, MEMORY_MAX_MB, NULL},
+    {"descriptors_max", FIELD_U32, offsetof(GatewayTable, descriptors_max),
+     false, DESCRIPTORS_LEAST, DESCRIPTORS_MOST, NULL},
     {"first_start", FIELD_BOOL, offsetof(GatewayTable, first_start), false, 0,
      0, NULL},
     FIELDS_END,
@@ -185,7 +197,10 @@
               GatewayBoundsReader *read_bounds, Diagnostics *diagnostics)
 {
     const TomlNode *gateway = Toml_Find(root, STR("gateway"));
-    GatewayTable table = {.first_start = false};
+    GatewayTable table = {
+        .memory_mb = MEMORY_DEFAULT_MB,
+        .descriptors_max = DESCRIPTORS_DEFAULT_MAX,
+    };
 
     check_tables(root, diagnostics);
     Fields_Read(host_fields, Toml_Find(root, STR("host")), STR("host"), this,
@@ -196,6 +211,8 @@
                 STR("logging"), this, this->arena, diagnostics);
     this->first_start = table.first_start;
     this->link_mbps = (uint32_t)table.link_mbps;
+    this->memory_mb = (uint32_t)table.memory_mb;
+    this->descriptors_max = table.descriptors_max;
     read_address(gateway, "callers", table.callers, &this->callers,
                  diagnostics);
     read_address(gateway, "readiness", table.readiness, &this->readiness,
--- a/packages/gateway/GatewaySettings.h
+++ b/packages/gateway/GatewaySettings.h
@@ -38,6 +38,8 @@
  * @host_id, @domain: name and failure domain of this host
  * @region: region of the failure domain; empty if there is only one
  * @link_mbps: capacity of the network link of this host; 0 if it is not known
+ * @memory_mb: resident memory that the process may use, in units of 10^6 bytes
+ * @descriptors_max: descriptors that the process may open
  * @callers, @readiness, @metrics: addresses to listen on
  * @relay: address on which other hosts read the store through this one
  * @forward: address on which other hosts send requests to be executed here; port
@@ -56,6 +58,8 @@
     Str domain;
     Str region;
     uint32_t link_mbps;
+    uint32_t memory_mb;
+    uint32_t descriptors_max;
     Endpoint callers;
     Endpoint readiness;
     Endpoint metrics;
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -290,6 +290,14 @@
         {SETTINGS "store = \"10.0.0.2:5\"\nforward = \"10.0.0.1:0\"\n", false},
         {SETTINGS "store = \"10.0.0.2:5\"\nforward = \"10.0.0.2:5\"\n", false},
         {SETTINGS "store = \"10.0.0.2:5\"\nforward = \"here\"\n", false},
+        {SETTINGS "store = \"10.0.0.2:5\"\nmemory_mb = 260\n"
+                  "descriptors_max = 4100\n",
+         true},
+        {SETTINGS "store = \"10.0.0.2:5\"\nmemory_mb = 31\n", false},
+        {SETTINGS "store = \"10.0.0.2:5\"\nmemory_mb = \"260\"\n", false},
+        {SETTINGS "store = \"10.0.0.2:5\"\ndescriptors_max = 511\n", false},
+        {SETTINGS "store = \"10.0.0.2:5\"\ndescriptors_max = 600.5\n",
+         false},
     };
 
     for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
@@ -303,6 +311,8 @@
         if (i == 1) {
             g_assert_cmpint(settings->bounds.drain_time, ==,
                             2500 * MICROS_PER_MS);
+            g_assert_cmpuint(settings->memory_mb, ==, 260);
+            g_assert_cmpuint(settings->descriptors_max, ==, 4100);
         }
         GatewaySettings_Destroy(settings);
         Diagnostics_Destroy(diagnostics);
