--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -296,8 +296,7 @@
         {SETTINGS "store = \"10.0.0.2:5\"\nmemory_mb = 31\n", false},
         {SETTINGS "store = \"10.0.0.2:5\"\nmemory_mb = \"260\"\n", false},
         {SETTINGS "store = \"10.0.0.2:5\"\ndescriptors_max = 511\n", false},
-        {SETTINGS "store = \"10.0.0.2:5\"\ndescriptors_max = 600.5\n",
-         false},
+        {SETTINGS "store = \"10.0.0.2:5\"\ndescriptors_max = 600.5\n", false},
     };
 
     for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
