Show that callers can exhaust the memory and descriptors of a host

Cause: nothing bounds what the requests of all callers together make a host keep, nor the number of their connections.

--- a/standins/LossyLink.c
+++ b/standins/LossyLink.c
@@ -11,6 +11,8 @@
 
 #define READ_BYTES (64 * 1024)
 #define BUFFER_MAX_BYTES (4 * 1024 * 1024)
+/* Reading pauses with more, unless bytes are delayed. */
+#define BUFFER_PAUSE_BYTES (1024 * 1024)
 
 /* Side of a connection; also names the direction of the bytes it sends. */
 enum Side { SIDE_CLIENT, SIDE_TARGET, SIDES };
@@ -34,6 +36,7 @@
     GString *buffer; /* received here, not yet sent to the other side */
     Timer delay_timer;
     bool has_gap; /* bytes received here were dropped */
+    bool paused;  /* does not read */
 } LinkSide;
 
 typedef struct LinkConnection_ {
@@ -133,6 +136,12 @@
         }
         g_string_erase(side->buffer, 0, MAX(sent, 0));
     }
+    if (side->paused && side->buffer->len < BUFFER_PAUSE_BYTES) {
+        side->paused = false;
+        if (side->wsi != NULL) {
+            lws_rx_flow_control(side->wsi, 1);
+        }
+    }
     if (side->buffer->len > 0) {
         lws_callback_on_writable(to->wsi);
     }
@@ -167,6 +176,13 @@
     }
 }
 
+static bool
+is_delayed(const LinkSide *side)
+{
+    return side->connection->link->fault == LINK_DELAYED ||
+           side->delay_timer.queue != NULL;
+}
+
 /* Forwards all bytes that can be received. Returns -1 to close this side. */
 static int
 read_side(LinkSide *side)
@@ -176,6 +192,12 @@
 
     while ((length = recv(side->fd, bytes, sizeof(bytes), 0)) > 0) {
         buffer_bytes(side, bytes, (size_t)length);
+        if (side->buffer->len >= BUFFER_PAUSE_BYTES && !is_delayed(side)) {
+            side->paused = true;
+            lws_rx_flow_control(side->wsi, 0);
+            forward_bytes(side);
+            return 0;
+        }
     }
     if (length == 0) {
         return -1;
--- a/standins/standin-platform.c
+++ b/standins/standin-platform.c
@@ -54,6 +54,8 @@
     int64_t notice_interval_ms;
     int64_t restore_interval_ms;
     int64_t cut_hosts;
+    int64_t body_bytes_max;
+    int64_t head_bytes_max;
     int64_t loss_period_ms;
     double loss_ratio;
     double rate;
@@ -61,6 +63,7 @@
     double link_period_s;
     double served_least;
     double endless_share;
+    double route_time_s;
     char *hosts;
     char *cut_kind;
     char *cut_file;
@@ -108,6 +111,12 @@
      "share of the calls after the last fault that must be served"},
     {"endless-share", SETTING_REAL, FIELD(endless_share), false,
      "share of the responses of upstreams that do not end"},
+    {"body-bytes-max", SETTING_INT, FIELD(body_bytes_max), false,
+     "limit on request bodies in the configuration"},
+    {"head-bytes-max", SETTING_INT, FIELD(head_bytes_max), false,
+     "limit on header blocks in the configuration"},
+    {"route-time-s", SETTING_REAL, FIELD(route_time_s), false,
+     "time limit of the routes"},
     {"hosts", SETTING_TEXT, FIELD(hosts), false,
      "ADDRESS:PORT,... of the gateway hosts"},
     {"cut-hosts", SETTING_INT, FIELD(cut_hosts), false,
@@ -174,16 +183,20 @@
 {
     g_autofree char *text = g_strdup_printf(
         "{\"version\":\"%08x\",\"services\":[{\"name\":\"" SERVICE
-        "\",\"healthPath\":\"/health\"}],\"limits\":{\"maxHeaderBytes\":16384,"
-        "\"maxBodyBytes\":1000000,\"headerTimeoutS\":3,\"idleTimeoutS\":15},"
+        "\",\"healthPath\":\"/"
+        "health\"}],\"limits\":{\"maxHeaderBytes\":%" G_GINT64_FORMAT
+        ",\"maxBodyBytes\":%" G_GINT64_FORMAT
+        ",\"headerTimeoutS\":3,\"idleTimeoutS\":15},"
         "\"hosts\":[{\"host\":\"" HOST "\",\"paths\":["
         "{\"name\":\"safe\",\"pathPrefix\":\"/safe/\",\"kind\":\"safe\","
-        "\"timeoutS\":1.2,\"targetLatencyS\":0.25,\"priority\":2,"
+        "\"timeoutS\":%.1f,\"targetLatencyS\":0.25,\"priority\":2,"
         "\"service\":\"" SERVICE "\",\"maxAttempts\":2},"
         "{\"name\":\"once\",\"pathPrefix\":\"/once/\",\"kind\":\"unsafe\","
-        "\"timeoutS\":1.2,\"targetLatencyS\":0.3,\"priority\":1,"
+        "\"timeoutS\":%.1f,\"targetLatencyS\":0.3,\"priority\":1,"
         "\"service\":\"" SERVICE "\",\"maxAttempts\":2}]}]}",
-        ++this->version);
+        ++this->version, this->options.head_bytes_max,
+        this->options.body_bytes_max, this->options.route_time_s,
+        this->options.route_time_s);
 
     PlatformStore_Put(this->store, "keyed.op", "config", text);
 }
@@ -992,6 +1005,9 @@
                                      .loss_ratio = 0.5,
                                      .rate = 100,
                                      .served_least = 0.95,
+                                     .body_bytes_max = 1000000,
+                                     .head_bytes_max = 16384,
+                                     .route_time_s = 1.2,
                                      .hosts = NULL}};
     int code = Settings_Parse(OPTIONS, G_N_ELEMENTS(OPTIONS),
                               &platform.options, argc, argv);
--- /dev/null
+++ b/tests/test_memory_unfinished_bodies.sh
@@ -0,0 +1,7 @@
+#!/usr/bin/env bash
+# Guards against a host that exceeds its memory by many bodies that stop short of their end.
+set -uo pipefail
+cd "$(dirname "$0")/.."
+. scripts/crowd.sh
+start_deployment "$1"
+run_crowd unfinished 12 "$BODY_BYTES"
