Keep one copy of a request body, in blocks

A body was kept in an array that doubles as it grows, once more in the text of the request to the upstream, and once more in the buffer of the socket; the system took up to tcp_wmem on top of it. An array also ends the process when a body reaches 4 GiB.

BodyBuffer keeps a body in blocks that grow with it up to 64 KiB and don't move. HttpClient sends the header block and the first 64 KiB in one write, and the rest from the blocks as the connection takes it, without a copy. The system keeps 128 KiB that are not sent. A second attempt sends the same body.

--- a/packages/gateway/AllowanceLink.c
+++ b/packages/gateway/AllowanceLink.c
@@ -22,6 +22,7 @@
     AllowanceLink *link;
     uint64_t number;
     GString *host;
+    BodyBuffer *body;
     HttpCall *call;
     LoopTimer *timer;
     ForwardTicket ticket;
@@ -36,6 +37,7 @@
 
     LoopTimer_Destroy(question->timer);
     g_string_free(question->host, TRUE);
+    BodyBuffer_Destroy(question->body);
     g_free(question);
 }
 
@@ -168,7 +170,6 @@
         .method = STR("POST"),
         .path = STR(PATH),
         .headers = headers,
-        .body = action->ask.customer,
         .attempts_max = 1,
     };
     char text[32];
@@ -177,6 +178,9 @@
     question->link = this;
     question->number = action->ask.number;
     question->host = Str_ToString(action->ask.host);
+    question->body = BodyBuffer_Create();
+    BodyBuffer_Append(question->body, action->ask.customer);
+    spec.body = question->body;
     question->timer = LoopTimer_Create(this->loop, on_timeout, question);
     g_hash_table_add(this->questions, question);
     g_snprintf(text, sizeof(text), "%u%s", action->ask.wanted,
@@ -240,17 +244,19 @@
 {
     const HeaderList *headers =
         HttpRequest_Headers(ForwardedRequest_Http(request));
-    GByteArray *body = ForwardedRequest_TakeBody(request);
+    BodyBuffer *body = ForwardedRequest_TakeBody(request);
+    GString *customer = BodyBuffer_ToString(body);
     int code = ERR_PARSE;
     uint32_t wanted;
     bool relayed;
 
     if (parse_question(HeaderList_Get(headers, STR(ALLOWANCE_FIELD)), &wanted,
                        &relayed)) {
-        code = Dispatcher_OnQuestion(this->dispatcher, Str_FromBytes(body),
-                                     wanted, relayed, user);
+        code = Dispatcher_OnQuestion(
+            this->dispatcher, Str_FromString(customer), wanted, relayed, user);
     }
-    g_byte_array_free(body, TRUE);
+    g_string_free(customer, TRUE);
+    BodyBuffer_Destroy(body);
     if (code < 0) {
         respond(request, code == ERR_PARSE ? 400 : 404, HeaderList_Create());
     }
--- a/packages/gateway/CrashGuard.c
+++ b/packages/gateway/CrashGuard.c
@@ -72,9 +72,9 @@
 }
 
 Fingerprint
-CrashGuard_Fingerprint(Str method, Str path, Str body)
+CrashGuard_Fingerprint(Str method, Str path, const BodyBuffer *body)
 {
-    uint64_t digest = Str_Hash(body);
+    uint64_t digest = BodyBuffer_Hash(body);
 
     return Quarantine_Fingerprint(
         ONLY_LINE, method, path, (Str){(const char *)&digest, sizeof(digest)});
--- a/packages/gateway/CrashGuard.h
+++ b/packages/gateway/CrashGuard.h
@@ -1,6 +1,7 @@
 #ifndef AGATECRANK_GATEWAY_CRASHGUARD_H
 #define AGATECRANK_GATEWAY_CRASHGUARD_H
 
+#include "BodyBuffer.h"
 #include "Counters.h"
 #include "EventLog.h"
 #include "LossWatch.h"
@@ -28,8 +29,9 @@
 /** CrashGuard_Destroy() - NULL is allowed */
 void CrashGuard_Destroy(CrashGuard *this);
 
-/** CrashGuard_Fingerprint() - identity of a request */
-Fingerprint CrashGuard_Fingerprint(Str method, Str path, Str body);
+/** CrashGuard_Fingerprint() - identity of a request; @body may be NULL */
+Fingerprint CrashGuard_Fingerprint(Str method, Str path,
+                                   const BodyBuffer *body);
 
 /** CrashGuard_Refuses() - whether the request must not be sent now */
 bool CrashGuard_Refuses(CrashGuard *this, const Fingerprint *fingerprint);
--- a/packages/gateway/Dispatcher.h
+++ b/packages/gateway/Dispatcher.h
@@ -2,6 +2,7 @@
 #define AGATECRANK_GATEWAY_DISPATCHER_H
 
 #include "AllowanceClient.h"
+#include "BodyBuffer.h"
 #include "Counters.h"
 #include "EventLog.h"
 #include "Placement.h"
@@ -90,6 +91,7 @@
 /**
  * struct JobInfo_ - a complete request
  * @id: identifies the caller's attempt in the log
+ * @body: borrowed during Dispatcher_Submit(); NULL for none
  * @timeout: time that the caller waits, from now; 0 for no limit
  * @attempts_max: number of upstreams that it may still be sent to; 0: as the
  *                route says
@@ -104,7 +106,7 @@
     Str method;
     Str host;
     Str path;
-    Str body;
+    const BodyBuffer *body;
     Micros timeout;
     uint32_t attempts_max;
     Str key;
--- a/packages/gateway/ForwardClient.c
+++ b/packages/gateway/ForwardClient.c
@@ -74,14 +74,14 @@
         .method = spec->method,
         .path = spec->path,
         .headers = spec->headers,
-        .content_length = (int64_t)spec->body.length,
-        .body = spec->body,
+        .content_length = (int64_t)BodyBuffer_Length(spec->body),
+        .content = spec->body,
         .idle_max = spec->idle_max,
         .match_name = spec->match_name,
         .match_value = spec->match_value,
     };
 
-    if (peer == NULL || spec->body.length > FORWARD_BODY_MAX_BYTES) {
+    if (peer == NULL || call.content_length > FORWARD_BODY_MAX_BYTES) {
         Error_Set(error, peer == NULL ? ERR_NOT_FOUND : ERR_INVALID, "forward",
                   spec->peer,
                   peer == NULL ? "the host is not known"
--- a/packages/gateway/ForwardClient.h
+++ b/packages/gateway/ForwardClient.h
@@ -1,6 +1,7 @@
 #ifndef AGATECRANK_GATEWAY_FORWARDCLIENT_H
 #define AGATECRANK_GATEWAY_FORWARDCLIENT_H
 
+#include "BodyBuffer.h"
 #include "HostKeys.h"
 #include "HttpClient.h"
 
@@ -11,6 +12,7 @@
  * struct ForwardCallSpec_ - a request to forward
  * @peer: id of the host
  * @headers: without hop-by-hop fields; the seal is added
+ * @body: borrowed until the end of the call; NULL for none
  * @attempts_max: upstreams that the peer may send it to
  * @idle_max, @match_name, @match_value: as in struct HttpCallSpec_
  */
@@ -19,7 +21,7 @@
     Str method;
     Str path;
     HeaderList *headers;
-    Str body;
+    const BodyBuffer *body;
     uint32_t attempts_max;
     Micros idle_max;
     Str match_name;
--- a/packages/gateway/ForwardServer.c
+++ b/packages/gateway/ForwardServer.c
@@ -36,7 +36,7 @@
     uint8_t response_key[FORWARD_MAC_KEY_BYTES];
     uint8_t digest[FORWARD_DIGEST_BYTES];
     LoopTimer *body_timer;
-    GByteArray *body;   /* NULL once taken */
+    BodyBuffer *body;   /* NULL once taken */
     int64_t body_bytes; /* as announced */
     void *data;         /* of the owner */
     bool delivered;
@@ -207,7 +207,7 @@
     memcpy(forwarded->response_key, peer->keys.sent_response,
            FORWARD_MAC_KEY_BYTES);
     memcpy(forwarded->digest, seal->digest, FORWARD_DIGEST_BYTES);
-    forwarded->body = g_byte_array_new();
+    forwarded->body = BodyBuffer_Create();
     forwarded->body_bytes = HttpRequest_ContentLength(request);
     this->body_bytes += forwarded->body_bytes;
     forwarded->body_timer =
@@ -222,9 +222,7 @@
     HttpRequest_SetData(this->http, NULL);
     this->server->body_bytes -= this->body_bytes;
     LoopTimer_Destroy(this->body_timer);
-    if (this->body != NULL) {
-        g_byte_array_free(this->body, TRUE);
-    }
+    BodyBuffer_Destroy(this->body);
     g_string_free(this->sender, TRUE);
     OPENSSL_cleanse(this->response_key, FORWARD_MAC_KEY_BYTES);
     g_free(this);
@@ -263,8 +261,7 @@
     ForwardedRequest *forwarded = HttpRequest_Data(request);
 
     if (forwarded != NULL) {
-        g_byte_array_append(forwarded->body, (const guint8 *)data.data,
-                            (guint)data.length);
+        BodyBuffer_Append(forwarded->body, data);
     }
 }
 
@@ -279,7 +276,7 @@
         return;
     }
     LoopTimer_Stop(forwarded->body_timer);
-    ForwardSeal_Digest(Str_FromBytes(forwarded->body), digest);
+    ForwardSeal_Digest(forwarded->body, digest);
     if (!ForwardSeal_Equal(digest, forwarded->digest, sizeof(digest))) {
         refuse(this, request, Str_FromString(forwarded->sender), "bad-body");
         destroy_forwarded(forwarded);
@@ -340,7 +337,7 @@
     return this->attempts_max;
 }
 
-GByteArray *
+BodyBuffer *
 ForwardedRequest_TakeBody(ForwardedRequest *this)
 {
     return g_steal_pointer(&this->body);
--- a/packages/gateway/ForwardServer.h
+++ b/packages/gateway/ForwardServer.h
@@ -1,6 +1,7 @@
 #ifndef AGATECRANK_GATEWAY_FORWARDSERVER_H
 #define AGATECRANK_GATEWAY_FORWARDSERVER_H
 
+#include "BodyBuffer.h"
 #include "Counters.h"
 #include "HostKeys.h"
 #include "HttpServer.h"
@@ -87,7 +88,7 @@
 uint32_t ForwardedRequest_AttemptsMax(const ForwardedRequest *this);
 
 /** ForwardedRequest_TakeBody() - the body, to be freed by the owner; once */
-GByteArray *ForwardedRequest_TakeBody(ForwardedRequest *this);
+BodyBuffer *ForwardedRequest_TakeBody(ForwardedRequest *this);
 
 /**
  * ForwardedRequest_Seal() - count the response and add its seal
--- a/packages/gateway/Gateway.c
+++ b/packages/gateway/Gateway.c
@@ -69,7 +69,7 @@
     Job *job;         /* NULL once the response is complete or ended */
     HttpCall *call;   /* NULL without an open attempt */
     Forward *forward; /* NULL unless the attempt is at a peer */
-    GByteArray *body;
+    BodyBuffer *body;
     HeaderList *response_headers;
     GByteArray *response;
     int response_status;
@@ -98,7 +98,7 @@
 
     exchange->gateway = this;
     exchange->request = request;
-    exchange->body = g_byte_array_new();
+    exchange->body = BodyBuffer_Create();
     exchange->response = g_byte_array_new();
     exchange->received_at = Clock_Now(Loop_Clock(this->loop));
     return exchange;
@@ -108,7 +108,7 @@
 destroy_exchange(Exchange *exchange)
 {
     destroy_forward(exchange->forward);
-    g_byte_array_free(exchange->body, TRUE);
+    BodyBuffer_Destroy(exchange->body);
     g_byte_array_free(exchange->response, TRUE);
     HeaderList_Destroy(exchange->response_headers);
     g_free(exchange);
@@ -798,8 +798,8 @@
         .method = HttpRequest_Method(exchange->request),
         .path = HttpRequest_Path(exchange->request),
         .headers = headers,
-        .content_length = (int64_t)exchange->body->len,
-        .body = Str_FromBytes(exchange->body),
+        .content_length = (int64_t)BodyBuffer_Length(exchange->body),
+        .content = exchange->body,
         .idle_max = action->send.idempotent ? 0 : this->options.reuse_idle,
         .head_timeout = head_timeout(exchange, action),
         .match_name = dialect->attempt_id,
@@ -854,7 +854,7 @@
         .method = HttpRequest_Method(exchange->request),
         .path = HttpRequest_Path(exchange->request),
         .headers = headers,
-        .body = Str_FromBytes(exchange->body),
+        .body = exchange->body,
         .attempts_max = action->forward.attempts_max,
         .idle_max = action->forward.idempotent ? 0 : this->options.reuse_idle,
         .match_name = this->options.dialect->attempt_id,
@@ -1141,7 +1141,7 @@
         .method = HttpRequest_Method(exchange->request),
         .host = HeaderList_Get(headers, STR("host")),
         .path = HttpRequest_Path(exchange->request),
-        .body = Str_FromBytes(exchange->body),
+        .body = exchange->body,
         .timeout = timeout_of(this, headers),
         .key = key_of(exchange),
     };
@@ -1196,8 +1196,7 @@
 {
     Exchange *exchange = HttpRequest_Data(request);
 
-    g_byte_array_append(exchange->body, (const guint8 *)data.data,
-                        (guint)data.length);
+    BodyBuffer_Append(exchange->body, data);
 }
 
 static void
@@ -1256,7 +1255,7 @@
         Gateway_RunActions(this);
         return exchange;
     }
-    g_byte_array_free(exchange->body, TRUE);
+    BodyBuffer_Destroy(exchange->body);
     exchange->body = ForwardedRequest_TakeBody(forwarded);
     log_forwarded(exchange);
     submit(exchange);
--- a/packages/net/ForwardSeal.c
+++ b/packages/net/ForwardSeal.c
@@ -12,12 +12,20 @@
 #define VERSION "1"
 
 void
-ForwardSeal_Digest(Str body, uint8_t *digest)
+ForwardSeal_Digest(const BodyBuffer *body, uint8_t *digest)
 {
-    if (EVP_Digest(body.data, body.length, digest, NULL, EVP_sha256(), NULL) !=
-        1) {
+    EVP_MD_CTX *context = EVP_MD_CTX_new();
+    bool ok = EVP_DigestInit_ex(context, EVP_sha256(), NULL) == 1;
+    Str part;
+
+    for (size_t n = 0; (part = BodyBuffer_From(body, n)).length > 0;
+         n += part.length) {
+        ok = ok && EVP_DigestUpdate(context, part.data, part.length) == 1;
+    }
+    if (!ok || EVP_DigestFinal_ex(context, digest, NULL) != 1) {
         g_error("SHA-256 is not available");
     }
+    EVP_MD_CTX_free(context);
 }
 
 bool
--- a/packages/net/ForwardSeal.h
+++ b/packages/net/ForwardSeal.h
@@ -1,6 +1,7 @@
 #ifndef AGATECRANK_NET_FORWARDSEAL_H
 #define AGATECRANK_NET_FORWARDSEAL_H
 
+#include "BodyBuffer.h"
 #include "HeaderList.h"
 #include "RosterEntry.h"
 
@@ -82,8 +83,8 @@
     const HeaderList *headers;
 } ForwardResponseHead;
 
-/** ForwardSeal_Digest() - digest of a body */
-void ForwardSeal_Digest(Str body, uint8_t *digest);
+/** ForwardSeal_Digest() - SHA-256 of a body; NULL is an empty one */
+void ForwardSeal_Digest(const BodyBuffer *body, uint8_t *digest);
 
 /** ForwardSeal_Equal() - compare MACs or digests in constant time */
 bool ForwardSeal_Equal(const uint8_t *a, const uint8_t *b, size_t length);
--- a/packages/net/HttpClient.c
+++ b/packages/net/HttpClient.c
@@ -9,6 +9,12 @@
 /* Interim responses and responses to earlier requests, before the response to
  * the current request. */
 #define SKIPPED_BYTES_MAX (1024 * 1024)
+/* Of @content, sent together with the header block. */
+#define FIRST_PART_BYTES_MAX 65536
+/* Parts of @content that are sent before other events are handled. */
+#define PARTS_PER_EVENT_MAX 8
+/* Bounds what the system keeps for a peer that does not read. */
+#define UNSENT_BYTES_MAX (128 * 1024)
 #define KEEP_ALIVE_MARGIN_US (500 * MICROS_PER_MS)
 
 typedef struct Connection_ Connection;
@@ -61,6 +67,7 @@
     LoopTask *drained_task; /* runs on_drained */
     GString *match_name;
     GString *match_value;
+    const BodyBuffer *content; /* NULL if the owner writes the body */
     int64_t content_length;
     int64_t content_written;
     Micros head_timeout; /* 0 for none */
@@ -387,12 +394,43 @@
     release_connection(this);
 }
 
+static void
+request_drained(HttpCall *call)
+{
+    if (call->content != NULL &&
+        call->content_written < call->content_length) {
+        Socket_RequestDrained(call->connection->socket);
+    }
+}
+
+static void
+write_content(HttpCall *call)
+{
+    for (int i = 0; i < PARTS_PER_EVENT_MAX; i++) {
+        Str part =
+            BodyBuffer_From(call->content, (size_t)call->content_written);
+        size_t sent = Socket_WriteSome(call->connection->socket, part);
+
+        call->content_written += (int64_t)sent;
+        if (sent < part.length) {
+            break;
+        }
+    }
+    request_drained(call);
+}
+
 static void
 notify_drained(void *user)
 {
     HttpCall *call = user;
 
-    if (call->content_written < call->content_length) {
+    if (call->content_written >= call->content_length) {
+        return;
+    }
+    if (call->content != NULL) {
+        write_content(call);
+    }
+    else {
         call->handlers.on_drained(call->user, call);
     }
 }
@@ -593,6 +631,7 @@
         .user_timeout_ms = this->options.user_timeout_ms,
         .keep_alive_s = this->options.keep_alive_s,
         .connect_timeout = this->options.connect_timeout,
+        .unsent_bytes_max = UNSENT_BYTES_MAX,
     };
 
     connection->client = this;
@@ -624,6 +663,7 @@
     call->client = this;
     call->handlers = *handlers;
     call->user = user;
+    call->content = spec->content;
     call->content_length = spec->content_length;
     call->head_timeout = spec->head_timeout;
     call->response_bytes_max = spec->response_bytes_max;
@@ -664,6 +704,23 @@
     }
 }
 
+static void
+append_content(HttpCall *call, GString *out)
+{
+    while (call->content_written < FIRST_PART_BYTES_MAX) {
+        Str part =
+            BodyBuffer_From(call->content, (size_t)call->content_written);
+        size_t room = (size_t)(FIRST_PART_BYTES_MAX - call->content_written);
+
+        if (part.length == 0) {
+            return;
+        }
+        part.length = MIN(part.length, room);
+        Str_AppendTo(part, out);
+        call->content_written += (int64_t)part.length;
+    }
+}
+
 static void
 send_head(HttpCall *call, const HttpCallSpec *spec)
 {
@@ -677,6 +734,7 @@
     Str_AppendTo(STR("\r\n"), out);
     Str_AppendTo(spec->body, out);
     call->content_written = (int64_t)spec->body.length;
+    append_content(call, out);
     Socket_Write(call->connection->socket, Str_FromString(out));
     g_string_free(out, TRUE);
 }
@@ -723,6 +781,7 @@
     connection->used_without_match |= spec->match_value.length == 0;
     call->maybe_sent = connection->connected;
     send_head(call, spec);
+    request_drained(call);
     return call;
 }
 
--- a/packages/net/HttpClient.h
+++ b/packages/net/HttpClient.h
@@ -1,6 +1,7 @@
 #ifndef AGATECRANK_NET_HTTPCLIENT_H
 #define AGATECRANK_NET_HTTPCLIENT_H
 
+#include "BodyBuffer.h"
 #include "HttpParser.h"
 #include "Loop.h"
 
@@ -75,6 +76,8 @@
  *           @address is sent as Host; may be NULL
  * @content_length: length of the body in bytes; 0 for no body
  * @body: first part of the body, sent together with the header block
+ * @content: the whole body, in place of @body; borrowed until the end of the
+ *     call, and sent in parts as the connection takes them
  * @new_connection: open a new connection instead of reusing an idle one
  * @idle_max: reuse no connection that was idle for longer; 0 for no limit
  * @match_name, @match_value: a response that has this header field with
@@ -95,6 +98,7 @@
     const HeaderList *headers;
     int64_t content_length;
     Str body;
+    const BodyBuffer *content;
     bool new_connection;
     Micros idle_max;
     Str match_name;
--- a/packages/net/Socket.c
+++ b/packages/net/Socket.c
@@ -12,6 +12,8 @@
 #include <unistd.h>
 
 #define READ_BUFFER_BYTES 16384
+/* A larger output buffer is released once it is empty. */
+#define OUTPUT_KEPT_BYTES 16384
 /* Limits the reads of one event, so that a peer cannot starve the others. */
 #define READS_PER_EVENT_MAX 8
 #define KEEP_ALIVE_PROBES_MAX 2
@@ -42,6 +44,8 @@
     bool paused;
     bool shut_down;
     bool tls_wants_write;
+    bool drained_requested;
+    bool write_failed; /* to be reported by the next event */
 };
 
 static void
@@ -94,7 +98,8 @@
     }
     else {
         events = this->paused ? 0 : LOOP_IO_READ;
-        if (Socket_Buffered(this) > 0 || this->tls_wants_write) {
+        if (Socket_Buffered(this) > 0 || this->tls_wants_write ||
+            this->drained_requested || this->write_failed) {
             events |= LOOP_IO_WRITE;
         }
     }
@@ -155,6 +160,17 @@
     return errno == EAGAIN || errno == EINTR ? -1 : -2;
 }
 
+static void
+clear_output(Socket *this)
+{
+    if (this->output->len > OUTPUT_KEPT_BYTES) {
+        g_byte_array_free(this->output, TRUE);
+        this->output = g_byte_array_new();
+    }
+    g_byte_array_set_size(this->output, 0);
+    this->output_sent = 0;
+}
+
 /* Returns false on an error of the connection. */
 static bool
 flush(Socket *this)
@@ -171,8 +187,7 @@
         }
         this->output_sent += (size_t)n;
     }
-    g_byte_array_set_size(this->output, 0);
-    this->output_sent = 0;
+    clear_output(this);
     return true;
 }
 
@@ -236,9 +251,10 @@
 static void
 write_peer(Socket *this)
 {
-    bool pending = Socket_Buffered(this) > 0;
+    bool pending = Socket_Buffered(this) > 0 || this->drained_requested;
 
-    if (!flush(this)) {
+    this->drained_requested = false;
+    if (this->write_failed || !flush(this)) {
         end_connection(this, SOCKET_END_ERROR);
         return;
     }
@@ -432,20 +448,44 @@
                          handlers, user);
 }
 
+size_t
+Socket_WriteSome(Socket *this, Str data)
+{
+    size_t sent = 0;
+
+    if (this->state != STATE_OPEN || Socket_Buffered(this) > 0) {
+        return 0;
+    }
+    while (sent < data.length && !this->write_failed) {
+        ssize_t n = transmit(this, data.data + sent, data.length - sent);
+
+        if (n == -1) {
+            break;
+        }
+        this->write_failed = n < 0;
+        sent += n > 0 ? (size_t)n : 0;
+    }
+    update_events(this);
+    return sent;
+}
+
 void
 Socket_Write(Socket *this, Str data)
 {
-    bool idle = Socket_Buffered(this) == 0;
+    size_t sent = Socket_WriteSome(this, data);
 
-    if (this->state == STATE_CLOSED || data.length == 0) {
+    if (this->state == STATE_CLOSED || sent == data.length) {
         return;
     }
-    g_byte_array_append(this->output, (const guint8 *)data.data,
-                        (guint)data.length);
-    /* An error here is reported through the next event. */
-    if (idle && this->state == STATE_OPEN) {
-        flush(this);
-    }
+    g_byte_array_append(this->output, (const guint8 *)data.data + sent,
+                        (guint)(data.length - sent));
+    update_events(this);
+}
+
+void
+Socket_RequestDrained(Socket *this)
+{
+    this->drained_requested = true;
     update_events(this);
 }
 
--- a/packages/net/Socket.h
+++ b/packages/net/Socket.h
@@ -69,9 +69,24 @@
                        const SocketHandlers *handlers, void *user,
                        Error *error);
 
-/** Socket_Write() - append to the output buffer and start to send */
+/** Socket_Write() - send, and keep the rest in the output buffer */
 void Socket_Write(Socket *this, Str data);
 
+/**
+ * Socket_WriteSome() - send without keeping anything in the output buffer
+ *
+ * Return: number of bytes that the system has taken; the rest is to be written
+ * after on_drained, see Socket_RequestDrained().
+ */
+size_t Socket_WriteSome(Socket *this, Str data);
+
+/**
+ * Socket_RequestDrained() - call on_drained once the connection takes more
+ *
+ * Not before the next event, also if the output buffer is empty.
+ */
+void Socket_RequestDrained(Socket *this);
+
 /** Socket_Buffered() - bytes in the output buffer */
 size_t Socket_Buffered(const Socket *this);
 
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -556,7 +556,7 @@
 {
     QuarantineItem item = {
         .fingerprint =
-            CrashGuard_Fingerprint(STR("GET"), Str_FromC(path), STR("")),
+            CrashGuard_Fingerprint(STR("GET"), Str_FromC(path), NULL),
         .losses = 2,
         .upstreams = {1, 2},
     };
--- a/tests/test_forward_seal.c
+++ b/tests/test_forward_seal.c
@@ -263,11 +263,15 @@
 static void
 init_sample(Sample *sample)
 {
+    BodyBuffer *body = BodyBuffer_Create();
+
     memset(sample, 0, sizeof(*sample));
     sample->headers = sample_headers();
     sample->seal = (ForwardRequestSeal){
         .sender = STR("a"), .sequence = 5, .attempts_max = 2};
-    ForwardSeal_Digest(STR("body"), sample->seal.digest);
+    BodyBuffer_Append(body, STR("body"));
+    ForwardSeal_Digest(body, sample->seal.digest);
+    BodyBuffer_Destroy(body);
     sample->head = (ForwardRequestHead){STR("b"), STR("POST"), STR("/once/1"),
                                         sample->headers};
     ForwardRequestSeal_Mac(&sample->seal, &sample->head, sample->key,
--- a/tests/test_forward_server.c
+++ b/tests/test_forward_server.c
@@ -55,7 +55,8 @@
 {
     Fixture *f = user;
     HeaderList *headers = HeaderList_Create();
-    GByteArray *body = ForwardedRequest_TakeBody(request);
+    BodyBuffer *body = ForwardedRequest_TakeBody(request);
+    GString *text = BodyBuffer_ToString(body);
 
     f->runs++;
     g_assert_true(Str_Equal(ForwardedRequest_Sender(request), STR("a")));
@@ -64,8 +65,9 @@
     ForwardedRequest_Seal(request, FORWARD_OUTCOME_RELAYED, STR(""), 201,
                           headers);
     HttpRequest_Respond(ForwardedRequest_Http(request), 201, headers,
-                        Str_FromBytes(body));
-    g_byte_array_free(body, TRUE);
+                        Str_FromString(text));
+    g_string_free(text, TRUE);
+    BodyBuffer_Destroy(body);
     HeaderList_Destroy(headers);
     return f;
 }
@@ -210,10 +212,29 @@
     return headers;
 }
 
+static BodyBuffer *
+create_body(Str text)
+{
+    BodyBuffer *body = BodyBuffer_Create();
+
+    BodyBuffer_Append(body, text);
+    return body;
+}
+
+static void
+digest_text(Str text, uint8_t *digest)
+{
+    BodyBuffer *body = create_body(text);
+
+    ForwardSeal_Digest(body, digest);
+    BodyBuffer_Destroy(body);
+}
+
 static void
-forward(Fixture *f, const char *method, Str body)
+forward(Fixture *f, const char *method, Str text)
 {
     HeaderList *headers = sample_headers();
+    BodyBuffer *body = create_body(text);
     ForwardCallSpec spec = {.peer = STR("b"),
                             .method = Str_FromC(method),
                             .path = STR("/once/1?x=y"),
@@ -226,6 +247,7 @@
                                          &f->ticket, NULL));
     HeaderList_Destroy(headers);
     wait_for_end(f);
+    BodyBuffer_Destroy(body);
 }
 
 /* A request on its way, which others may alter. */
@@ -254,7 +276,7 @@
                          .key = peer->keys.sent_request,
                          .receiver = STR("b")};
     memcpy(message->seal.sender_key, HostKeys_PublicKey(f->a), HOST_KEY_BYTES);
-    ForwardSeal_Digest(message->body, message->seal.digest);
+    digest_text(message->body, message->seal.digest);
     f->ticket.sequence = message->seal.sequence;
     memcpy(f->ticket.response_key, peer->keys.received_response,
            FORWARD_MAC_KEY_BYTES);
@@ -511,6 +533,7 @@
                             .path = STR("/once/1"),
                             .headers = headers,
                             .attempts_max = 2};
+    BodyBuffer *too_large;
     Message message;
     Error error;
 
@@ -519,7 +542,8 @@
     forward(f, "POST", Str_FromString(body));
     g_assert_cmpint(f->status, ==, 201);
     g_string_append_c(body, 'x');
-    spec.body = Str_FromString(body);
+    too_large = create_body(Str_FromString(body));
+    spec.body = too_large;
     g_assert_null(ForwardClient_Start(f->forwards, &spec, &call_handlers, f,
                                       &f->ticket, &error));
     g_assert_cmpint(error.code, ==, ERR_INVALID);
@@ -529,13 +553,14 @@
     g_assert_cmpint(error.code, ==, ERR_NOT_FOUND);
     init_message(f, &message);
     message.body = Str_FromString(body);
-    ForwardSeal_Digest(message.body, message.seal.digest);
+    digest_text(message.body, message.seal.digest);
     seal_message(&message);
     send_message(f, &message);
     g_assert_cmpint(f->status, ==, 413);
     g_assert_cmpuint(f->runs, ==, 1);
     HeaderList_Destroy(message.headers);
     HeaderList_Destroy(headers);
+    BodyBuffer_Destroy(too_large);
     g_string_free(body, TRUE);
 }
 
