Keep the header fields of a message in one buffer

Cause: each name and value had a buffer of its own, some 400 bytes for a field of four, so that 250 requests with header blocks of 16 kB inside the limit made a host keep 399 MB.

Change: HeaderList holds offsets into one buffer, and tells how much memory it takes.

--- a/packages/net/HeaderList.c
+++ b/packages/net/HeaderList.c
@@ -2,31 +2,28 @@
 
 #include <glib.h>
 
+/* Offsets and lengths in the text. A byte of 0 follows each name and value. */
 typedef struct Header_ {
-    GString *name;
-    GString *value;
+    uint32_t name_offset;
+    uint32_t name_length;
+    uint32_t value_offset;
+    uint32_t value_length;
 } Header;
 
+/* One buffer for all fields: an allocation for each name and value would take
+ * many times their bytes. */
 struct HeaderList_ {
     GArray *headers;
+    GString *text;
 };
 
-static void
-clear_header(gpointer item)
-{
-    Header *header = item;
-
-    g_string_free(header->name, TRUE);
-    g_string_free(header->value, TRUE);
-}
-
 HeaderList *
 HeaderList_Create(void)
 {
     HeaderList *this = g_new0(HeaderList, 1);
 
     this->headers = g_array_new(FALSE, FALSE, sizeof(Header));
-    g_array_set_clear_func(this->headers, clear_header);
+    this->text = g_string_new(NULL);
     return this;
 }
 
@@ -37,19 +34,41 @@
         return;
     }
     g_array_free(this->headers, TRUE);
+    g_string_free(this->text, TRUE);
     g_free(this);
 }
 
+static uint32_t
+append_text(HeaderList *this, Str text)
+{
+    uint32_t offset = (uint32_t)this->text->len;
+
+    Str_AppendTo(text, this->text);
+    g_string_append_c(this->text, '\0');
+    return offset;
+}
+
 void
 HeaderList_Add(HeaderList *this, Str name, Str value)
 {
-    Header *header;
+    Header header = {.name_length = (uint32_t)name.length,
+                     .value_length = (uint32_t)value.length};
+
+    header.name_offset = append_text(this, name);
+    for (size_t i = 0; i < name.length; i++) {
+        char *c = &this->text->str[header.name_offset + i];
 
-    g_array_set_size(this->headers, this->headers->len + 1);
-    header = &g_array_index(this->headers, Header, this->headers->len - 1);
-    header->name = Str_ToString(name);
-    g_string_ascii_down(header->name);
-    header->value = Str_ToString(value);
+        *c = g_ascii_tolower(*c);
+    }
+    header.value_offset = append_text(this, value);
+    g_array_append_val(this->headers, header);
+}
+
+size_t
+HeaderList_Bytes(const HeaderList *this)
+{
+    /* Arrays have up to twice the room that they need. */
+    return this->text->allocated_len + 2 * this->headers->len * sizeof(Header);
 }
 
 void
@@ -64,9 +83,17 @@
 static Str
 name_at(const HeaderList *this, size_t i)
 {
-    GString *name = g_array_index(this->headers, Header, i).name;
+    const Header *header = &g_array_index(this->headers, Header, i);
+
+    return (Str){this->text->str + header->name_offset, header->name_length};
+}
+
+static Str
+value_at(const HeaderList *this, size_t i)
+{
+    const Header *header = &g_array_index(this->headers, Header, i);
 
-    return Str_FromString(name);
+    return (Str){this->text->str + header->value_offset, header->value_length};
 }
 
 void
@@ -91,9 +118,7 @@
 {
     for (size_t i = 0; i < this->headers->len; i++) {
         if (Str_EqualIgnoreCase(name_at(this, i), name)) {
-            GString *value = g_array_index(this->headers, Header, i).value;
-
-            return Str_FromString(value);
+            return value_at(this, i);
         }
     }
     return (Str){NULL, 0};
@@ -130,10 +155,8 @@
 void
 HeaderList_At(const HeaderList *this, size_t i, Str *name, Str *value)
 {
-    GString *text = g_array_index(this->headers, Header, i).value;
-
     *name = name_at(this, i);
-    *value = Str_FromString(text);
+    *value = value_at(this, i);
 }
 
 bool
--- a/packages/net/HeaderList.h
+++ b/packages/net/HeaderList.h
@@ -16,9 +16,16 @@
 /** HeaderList_Destroy() - release the list; NULL is allowed */
 void HeaderList_Destroy(HeaderList *this);
 
-/** HeaderList_Add() - append a field; the name is stored in lower case */
+/**
+ * HeaderList_Add() - append a field; the name is stored in lower case
+ *
+ * @name and @value must not be borrowed from this list.
+ */
 void HeaderList_Add(HeaderList *this, Str name, Str value);
 
+/** HeaderList_Bytes() - memory that names, values and the list take */
+size_t HeaderList_Bytes(const HeaderList *this);
+
 /** HeaderList_AddInt() - append a field with an integer value */
 void HeaderList_AddInt(HeaderList *this, Str name, int64_t value);
 
