Bound the memory that the requests of all callers take

Cause: nothing bounded the sum over all requests; a body that stopped short of its end was kept for ever.

Change: HttpServer charges each connection for its header block, fields, pipelined input, body until its response is complete, and untaken output, at the callers' port and at that for other hosts, against one InputBudget from gateway.memory_mb. Without room it ends callers in the order of InputBudget: 503 with Retry-After and the end of the connection if nothing was passed on. The parser lets go of the buffers of large header blocks, and a connection whose pipelined input is not read keeps a small receive buffer. New metrics and event=callers-ended.

--- a/packages/agatecrankd/GatewayDaemon.c
+++ b/packages/agatecrankd/GatewayDaemon.c
@@ -27,6 +27,7 @@
  * after the store is back; the rest is for the transfer of requests to it. */
 #define OUTAGE_GRACE_RATIO 0.95
 #define CONNECTIONS_MAX 32
+#define BYTES_PER_MB 1000000
 /* The upstream may close a connection that is idle for longer. */
 #define REUSE_IDLE_MAX_US (1 * MICROS_PER_S)
 /* Time after a stop signal for which the host still accepts connections: the
@@ -122,6 +123,19 @@
                  NULL, 0, (double)idle->with_input);
 }
 
+static void
+set_input_counters(const GatewayDaemon *this)
+{
+    HttpServerPressure pressure = Gateway_Pressure(this->gateway);
+
+    Counters_Set(this->counters, "agatecrank_request_bytes", NULL, 0,
+                 (double)Gateway_InputBytes(this->gateway));
+    Counters_Set(this->counters, "agatecrank_callers_refused", NULL, 0,
+                 (double)pressure.refused);
+    Counters_Set(this->counters, "agatecrank_callers_closed", NULL, 0,
+                 (double)pressure.closed);
+}
+
 static void
 set_excluded_counts(GatewayDaemon *this)
 {
@@ -157,6 +171,7 @@
                  (double)(KeyedSource_LogCalls(this->source) +
                           QuarantineFeed_Appends(this->quarantine)));
     set_idle_counters(this);
+    set_input_counters(this);
     Counters_Set(this->counters, "agatecrank_log_lines_lost", NULL, 0,
                  (double)(LogSink_DroppedLines() +
                           EventLog_Dropped(this->log) +
@@ -467,6 +482,7 @@
         .port = settings->callers.port,
         .dialect = &PLATFORM_DIALECT,
         .connections_max = CONNECTIONS_MAX,
+        .memory_bytes = (size_t)settings->memory_mb * BYTES_PER_MB,
         .reuse_idle = REUSE_IDLE_MAX_US,
         .keys = this->keys,
         .log = this->log,
--- a/packages/gateway/ForwardServer.c
+++ b/packages/gateway/ForwardServer.c
@@ -380,6 +380,8 @@
         .port = options->address.port,
         .keep_alive_s = IDLE_TIMEOUT_S,
         .limits = limits_for(HEAD_DEFAULT_BYTES),
+        .budget = options->budget,
+        .log = options->log,
     };
 
     this->loop = loop;
@@ -422,6 +424,12 @@
     HttpServer_SetLimits(this->server, &limits, IDLE_TIMEOUT_S * MICROS_PER_S);
 }
 
+const HttpServerPressure *
+ForwardServer_Pressure(const ForwardServer *this)
+{
+    return HttpServer_Pressure(this->server);
+}
+
 void
 ForwardServer_CloseKeptAlive(ForwardServer *this)
 {
--- a/packages/gateway/ForwardServer.h
+++ b/packages/gateway/ForwardServer.h
@@ -38,10 +38,13 @@
  * struct ForwardServerOptions_ - settings
  * @address: where to listen; port 0 lets the system choose one
  * @keys, @counters, @log: borrowed
+ * @budget: bounds what requests make the process keep; borrowed, NULL for no
+ *          bound
  */
 typedef struct ForwardServerOptions_ {
     Endpoint address;
     HostKeys *keys;
+    InputBudget *budget;
     Counters *counters;
     EventLog *log;
 } ForwardServerOptions;
@@ -68,6 +71,9 @@
  */
 void ForwardServer_SetHeadBytes(ForwardServer *this, size_t head_bytes);
 
+/** ForwardServer_Pressure() - see HttpServer_Pressure(); borrowed */
+const HttpServerPressure *ForwardServer_Pressure(const ForwardServer *this);
+
 /** ForwardServer_CloseKeptAlive() - see HttpServer_DisableKeepAlive() */
 void ForwardServer_CloseKeptAlive(ForwardServer *this);
 
--- a/packages/gateway/Gateway.c
+++ b/packages/gateway/Gateway.c
@@ -35,12 +35,21 @@
 /* Request bodies are buffered in memory until they are complete. */
 #define BODY_MAX_BYTES (64 * 1024 * 1024)
 #define RETRY_AFTER_MAX_S 3600
+/* Memory of a host without requests, and of its idle connections. */
+#define PROCESS_BYTES ((size_t)24 * 1000 * 1000)
+/* Part of the rest for requests; the others are for responses, and for what the
+ * system keeps. */
+#define REQUESTS_RATIO 0.5
+/* Part of the memory for requests that only small ones may use. */
+#define SMALL_REQUESTS_RATIO 0.125
+#define SMALL_REQUEST_BYTES ((size_t)32 * 1024)
 
 struct Gateway_ {
     Loop *loop;
     Dispatcher *dispatcher;
     Counters *counters;
     GatewayOptions options;
+    InputBudget *budget; /* NULL without a bound */
     HttpServer *server;
     HttpClient *client;
     ForwardServer *forward_server; /* NULL without a listener */
@@ -1289,6 +1298,23 @@
 
 /* ---- creation ------------------------------------------------------- */
 
+static void
+create_budget(Gateway *this)
+{
+    size_t memory = this->options.memory_bytes;
+    InputBudgetOptions options = {.small_bytes = SMALL_REQUEST_BYTES};
+
+    if (memory == 0) {
+        return;
+    }
+    options.total_bytes =
+        (size_t)(REQUESTS_RATIO *
+                 (double)(MAX(memory, PROCESS_BYTES) - PROCESS_BYTES));
+    options.reserve_bytes =
+        (size_t)(SMALL_REQUESTS_RATIO * (double)options.total_bytes);
+    this->budget = InputBudget_Create(&options, Loop_Clock(this->loop));
+}
+
 /* A host that cannot listen for its peers still serves its callers. */
 static void
 create_forwarding(Gateway *this)
@@ -1296,6 +1322,7 @@
     ForwardServerOptions options = {
         .address = this->options.forward,
         .keys = this->options.keys,
+        .budget = this->budget,
         .counters = this->counters,
         .log = this->options.log,
     };
@@ -1328,6 +1355,7 @@
         .keep_alive_s = CALLER_IDLE_DEFAULT_S,
         .limits = {.body_bytes = BODY_MAX_BYTES},
         .accept_chunked = true,
+        .log = options->log,
     };
     HttpClientOptions client = {
         .max_connections = options->connections_max,
@@ -1340,6 +1368,8 @@
     this->dispatcher = dispatcher;
     this->counters = counters;
     this->options = *options;
+    create_budget(this);
+    server.budget = this->budget;
     this->client = HttpClient_Create(loop, &client);
     this->notices = NoticeReader_Create(options->dialect, Loop_Clock(loop),
                                         options->log, counters);
@@ -1365,6 +1395,7 @@
     LoopTimer_Destroy(this->timer);
     HttpServer_Destroy(this->server);
     ForwardServer_Destroy(this->forward_server);
+    InputBudget_Destroy(this->budget);
     HttpClient_Destroy(this->client);
     ForwardClient_Destroy(this->forward_client);
     AllowanceLink_Destroy(this->allowances);
@@ -1436,6 +1467,27 @@
     return HttpServer_IdleCounts(this->server);
 }
 
+size_t
+Gateway_InputBytes(const Gateway *this)
+{
+    return this->budget != NULL ? InputBudget_UsedBytes(this->budget) : 0;
+}
+
+HttpServerPressure
+Gateway_Pressure(const Gateway *this)
+{
+    HttpServerPressure sum = *HttpServer_Pressure(this->server);
+
+    if (this->forward_server != NULL) {
+        const HttpServerPressure *forwards =
+            ForwardServer_Pressure(this->forward_server);
+
+        sum.refused += forwards->refused;
+        sum.closed += forwards->closed;
+    }
+    return sum;
+}
+
 uint64_t
 Gateway_SkippedResponses(const Gateway *this)
 {
--- a/packages/gateway/Gateway.h
+++ b/packages/gateway/Gateway.h
@@ -22,6 +22,7 @@
  * @forward: where other hosts send requests to be executed here; without an
  *           address there is no such listener
  * @keys: of the hosts that may do so, or NULL for no forwarding
+ * @memory_bytes: resident memory of the process, 0 for no bound on requests
  * @log: events of the state of the host
  * @decisions: events of requests
  * @on_stale_keys: another host, as it claims, has another key than was listed
@@ -32,6 +33,7 @@
     uint16_t port;
     const Dialect *dialect;
     unsigned connections_max;
+    size_t memory_bytes;
     Micros reuse_idle;
     Endpoint forward;
     HostKeys *keys;
@@ -76,6 +78,12 @@
 /** Gateway_IdleCounts() - see HttpServer_IdleCounts() */
 const HttpServerIdleCounts *Gateway_IdleCounts(const Gateway *this);
 
+/** Gateway_InputBytes() - memory that open requests take */
+size_t Gateway_InputBytes(const Gateway *this);
+
+/** Gateway_Pressure() - callers ended for lack of memory */
+HttpServerPressure Gateway_Pressure(const Gateway *this);
+
 /** Gateway_SkippedResponses() - HttpClient_SkippedCount() of upstreams */
 uint64_t Gateway_SkippedResponses(const Gateway *this);
 
--- a/packages/net/HttpParser.c
+++ b/packages/net/HttpParser.c
@@ -6,6 +6,8 @@
 
 /* Framing of a chunk without an extension: 16 digits and two line ends. */
 #define CHUNK_FRAMING_BYTES 20
+/* Larger buffers are not kept from one message to the next. */
+#define KEPT_BUFFER_BYTES 512
 
 typedef enum ParserState_ {
     STATE_HEAD,
@@ -171,6 +173,16 @@
     .on_chunk_header = on_chunk_header,
 };
 
+static void
+clear_buffer(GString **buffer)
+{
+    if ((*buffer)->allocated_len > KEPT_BUFFER_BYTES) {
+        g_string_free(*buffer, TRUE);
+        *buffer = g_string_new(NULL);
+    }
+    g_string_truncate(*buffer, 0);
+}
+
 static void
 begin_message(HttpParser *this)
 {
@@ -186,10 +198,10 @@
     this->body_bytes = 0;
     this->framing_bytes = 0;
     this->chunk_count = 0;
-    g_string_truncate(this->head, 0);
-    g_string_truncate(this->target, 0);
-    g_string_truncate(this->name, 0);
-    g_string_truncate(this->value, 0);
+    clear_buffer(&this->head);
+    clear_buffer(&this->target);
+    clear_buffer(&this->name);
+    clear_buffer(&this->value);
     HeaderList_Destroy(this->headers);
     this->headers = HeaderList_Create();
 }
@@ -496,6 +508,7 @@
         }
         this->state = STATE_BODY;
         code = execute_library(this, Str_FromString(this->head), &n, error);
+        clear_buffer(&this->head);
         if (code < 0 || this->message_complete) {
             return code;
         }
@@ -566,3 +579,11 @@
     this->headers = HeaderList_Create();
     return headers;
 }
+
+size_t
+HttpParser_HeldBytes(const HttpParser *this)
+{
+    return this->head->allocated_len + this->target->allocated_len +
+           this->name->allocated_len + this->value->allocated_len +
+           HeaderList_Bytes(this->headers);
+}
--- a/packages/net/HttpParser.h
+++ b/packages/net/HttpParser.h
@@ -101,6 +101,9 @@
 /** HttpParser_IsIdle() - true if no byte of the next message was received */
 bool HttpParser_IsIdle(const HttpParser *this);
 
+/** HttpParser_HeldBytes() - memory that the parsed part of a message takes */
+size_t HttpParser_HeldBytes(const HttpParser *this);
+
 /**
  * HttpParser_TakeHeaders() - take over the fields of the current message
  *
--- a/packages/net/HttpServer.c
+++ b/packages/net/HttpServer.c
@@ -26,6 +26,10 @@
 /* Bounds what the system keeps for a caller that does not read. Larger than a
  * response that is buffered whole, which is then written at once. */
 #define UNSENT_BYTES_MAX (512 * 1024)
+/* Receive buffer of a connection whose pipelined input is not read. */
+#define PAUSED_BUFFER_BYTES 16384
+#define RETRY_AFTER_S 1
+#define PRESSURE_LOG_INTERVAL_US (1 * MICROS_PER_S)
 
 typedef struct Connection_ Connection;
 
@@ -43,6 +47,11 @@
     size_t open_requests;
     uint64_t accepted;
     HttpServerIdleCounts idle_counts;
+    InputBudget *budget; /* NULL for none */
+    HttpServerPressure pressure;
+    HttpServerPressure logged;
+    Micros logged_at;
+    EventLog *log;
     int listen_fd;
     uint16_t port;
     bool accept_chunked;
@@ -55,6 +64,7 @@
     HttpServer *server;
     Socket *socket;
     HttpParser *parser;
+    InputShare *share; /* NULL without a budget */
     HttpRequest *request;
     GByteArray *pipelined; /* input after the current request */
     LoopTask *task;        /* writes output and completes the request */
@@ -123,6 +133,8 @@
     this->closed = true;
     this->socket = NULL;
     this->request = NULL;
+    InputShare_Close(this->share);
+    this->share = NULL;
     g_hash_table_remove(this->server->connections, this);
     if (request != NULL) {
         destroy_request(request, complete);
@@ -218,8 +230,10 @@
     }
 }
 
+/* @fields: further header fields, each with CR LF */
 static void
-send_error_response(Connection *this, int status, const char *reason)
+send_error_response(Connection *this, int status, const char *reason,
+                    const char *fields)
 {
     GString *body = g_string_new(NULL);
     GString *response = g_string_new(NULL);
@@ -229,9 +243,9 @@
     g_string_printf(response,
                     "HTTP/1.1 %d %s\r\ncontent-type: application/json\r\n"
                     "agatecrank-outcome: not-run\r\nagatecrank-reason: %s\r\n"
-                    "content-length: %zu\r\nconnection: close\r\n\r\n%s",
+                    "%scontent-length: %zu\r\nconnection: close\r\n\r\n%s",
                     status, http_status_str((enum http_status)status), reason,
-                    body->len, body->str);
+                    fields, body->len, body->str);
     Socket_Write(this->socket, Str_FromString(response));
     g_string_free(response, TRUE);
     g_string_free(body, TRUE);
@@ -246,7 +260,7 @@
         close_connection(this);
         return;
     }
-    send_error_response(this, status, reason);
+    send_error_response(this, status, reason, "");
     close_gracefully(this, false);
 }
 
@@ -256,6 +270,124 @@
     return this->request == NULL && HttpParser_IsIdle(this->parser);
 }
 
+/* ---- memory and descriptors ----------------------------------------- */
+
+/* Anybody can cause these lines. */
+static void
+log_pressure(HttpServer *this)
+{
+    Micros time = Clock_Now(Loop_Clock(this->loop));
+
+    if (this->log == NULL ||
+        (this->logged_at >= 0 &&
+         time - this->logged_at < PRESSURE_LOG_INTERVAL_US)) {
+        return;
+    }
+    if (EventLog_Begin(this->log, LOG_LEVEL_WARN, "callers-ended")) {
+        EventLog_Int(this->log, "refused",
+                     (int64_t)(this->pressure.refused - this->logged.refused));
+        EventLog_Int(this->log, "closed",
+                     (int64_t)(this->pressure.closed - this->logged.closed));
+        EventLog_Int(this->log, "kept_bytes",
+                     (int64_t)InputBudget_UsedBytes(this->budget));
+        EventLog_End(this->log);
+    }
+    this->logged = this->pressure;
+    this->logged_at = time;
+}
+
+static bool
+has_unread_response(const Connection *this)
+{
+    return this->request != NULL && this->request->started &&
+           Socket_Buffered(this->socket) > 0;
+}
+
+static InputState
+input_state(const Connection *this)
+{
+    if (is_idle(this)) {
+        return INPUT_IDLE;
+    }
+    if (this->request == NULL) {
+        return INPUT_HEAD;
+    }
+    if (has_unread_response(this)) {
+        return INPUT_UNREAD;
+    }
+    return this->request->body_complete || this->request->started
+               ? INPUT_COMPLETE
+               : INPUT_BODY;
+}
+
+static size_t
+held_bytes(const Connection *this)
+{
+    const HttpRequest *request = this->request;
+    size_t bytes = HttpParser_HeldBytes(this->parser) + this->pipelined->len +
+                   Socket_Buffered(this->socket);
+
+    if (request != NULL) {
+        bytes += HeaderList_Bytes(request->headers) + request->method->len +
+                 request->path->len + (size_t)request->body_received +
+                 request->output->len;
+    }
+    return bytes;
+}
+
+/* A request of which nothing was passed on is refused, so that its caller may
+ * try again elsewhere. */
+static void
+end_caller(Connection *this, const char *reason)
+{
+    HttpServer *server = this->server;
+    InputState state = input_state(this);
+    char fields[32];
+
+    this->active_callbacks++;
+    if (state == INPUT_HEAD || state == INPUT_BODY) {
+        server->pressure.refused++;
+        g_snprintf(fields, sizeof(fields), "retry-after: %d\r\n",
+                   RETRY_AFTER_S);
+        send_error_response(this, 503, reason, fields);
+        close_gracefully(this, false);
+    }
+    else {
+        server->pressure.closed++;
+        close_connection(this);
+    }
+    this->active_callbacks--;
+    release_connection(this);
+    log_pressure(server);
+}
+
+/* Accounts what the connection holds. Ends others, or the connection itself, if
+ * there is no room for it. */
+static void
+update_share(Connection *this)
+{
+    size_t bytes;
+
+    if (this->closed || this->share == NULL) {
+        return;
+    }
+    InputShare_SetState(this->share, input_state(this));
+    bytes = held_bytes(this);
+    while (!InputShare_Hold(this->share, bytes)) {
+        InputShare *victim = InputShare_Victim(this->share, bytes);
+        bool is_own = victim == this->share;
+
+        if (victim == NULL) {
+            InputShare_Force(this->share, bytes);
+            return;
+        }
+        end_caller(InputShare_User(victim), "memory");
+        if (is_own) {
+            return;
+        }
+    }
+}
+
 /* Input that has arrived in time counts, also if the process was too busy to
  * read it. */
 static void
@@ -408,6 +540,11 @@
         reject_request(this, 413, "body-too-large");
         return false;
     }
+    if (server->budget != NULL &&
+        !InputBudget_Fits(server->budget, head->length)) {
+        reject_request(this, 413, "memory");
+        return false;
+    }
     return true;
 }
 
@@ -482,12 +619,16 @@
 static void
 update_reading(Connection *this)
 {
+    bool is_full = this->pipelined->len > PIPELINED_BYTES_MAX;
+
     if (this->closed) {
         return;
     }
-    Socket_Pause(this->socket,
-                 this->pipelined->len > PIPELINED_BYTES_MAX ||
-                     (this->request != NULL && this->request->body_paused));
+    if (is_full) {
+        Socket_LimitReceiveBuffer(this->socket, PAUSED_BUFFER_BYTES);
+    }
+    Socket_Pause(this->socket, is_full || (this->request != NULL &&
+                                           this->request->body_paused));
 }
 
 static void
@@ -528,6 +669,7 @@
     }
     parse(this, data);
     update_reading(this);
+    update_share(this);
     this->active_callbacks--;
     release_connection(this);
 }
@@ -591,6 +733,7 @@
     else {
         write_output(this);
     }
+    update_share(this);
     this->active_callbacks--;
     release_connection(this);
 }
@@ -643,6 +786,9 @@
         Socket_Accept(server->loop, fd, &options, &socket_handlers, this);
     g_hash_table_add(server->connections, this);
     begin_idle(this);
+    if (server->budget != NULL) {
+        this->share = InputBudget_Open(server->budget, this);
+    }
 }
 
 static void
@@ -759,6 +905,9 @@
     this->handlers = *handlers;
     this->user = user;
     this->accept_chunked = options->accept_chunked;
+    this->budget = options->budget;
+    this->log = options->log;
+    this->logged_at = -1;
     this->connections = g_hash_table_new(g_direct_hash, g_direct_equal);
     apply_limits(this, &options->limits, options->keep_alive_s * MICROS_PER_S);
     if (options->certificate_file != NULL) {
@@ -790,6 +939,12 @@
     return &this->idle_counts;
 }
 
+const HttpServerPressure *
+HttpServer_Pressure(const HttpServer *this)
+{
+    return &this->pressure;
+}
+
 void
 HttpServer_DisableKeepAlive(HttpServer *this)
 {
--- a/packages/net/HttpServer.h
+++ b/packages/net/HttpServer.h
@@ -2,6 +2,7 @@
 #define AGATECRANK_NET_HTTPSERVER_H
 
 #include "HttpParser.h"
+#include "InputBudget.h"
 #include "Loop.h"
 
 /** typedef HttpServer - HTTP/1.1 server on one listening address */
@@ -55,6 +56,9 @@
  *                  callers must then present; NULL to require none
  * @limits: limits on requests
  * @accept_chunked: accept chunked bodies; else they are rejected with 411
+ * @budget: bounds what requests make the process keep; borrowed, NULL for no
+ *          bound
+ * @log: receives the counts of connections that are ended; may be NULL
  */
 typedef struct HttpServerOptions_ {
     const char *address;
@@ -65,6 +69,8 @@
     const char *client_ca_file;
     HttpLimits limits;
     bool accept_chunked;
+    InputBudget *budget;
+    EventLog *log;
 } HttpServerOptions;
 
 /**
@@ -89,6 +95,19 @@
 /** HttpServer_IdleCounts() - counts since the start; borrowed */
 const HttpServerIdleCounts *HttpServer_IdleCounts(const HttpServer *this);
 
+/**
+ * struct HttpServerPressure_ - connections ended for lack of memory
+ * @refused: with status 503, nothing of the request was passed on
+ * @closed: without a response
+ */
+typedef struct HttpServerPressure_ {
+    uint64_t refused;
+    uint64_t closed;
+} HttpServerPressure;
+
+/** HttpServer_Pressure() - counts since the start; borrowed */
+const HttpServerPressure *HttpServer_Pressure(const HttpServer *this);
+
 /** HttpServer_Port() - TCP port; the one in use if the options gave 0 */
 uint16_t HttpServer_Port(const HttpServer *this);
 
--- a/packages/net/Socket.c
+++ b/packages/net/Socket.c
@@ -486,6 +486,12 @@
     }
 }
 
+void
+Socket_LimitReceiveBuffer(Socket *this, int bytes)
+{
+    setsockopt(this->fd, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes));
+}
+
 void
 Socket_Close(Socket *this)
 {
--- a/packages/net/Socket.h
+++ b/packages/net/Socket.h
@@ -90,6 +90,13 @@
  */
 void Socket_ReadNow(Socket *this);
 
+/**
+ * Socket_LimitReceiveBuffer() - bound what the system keeps unread
+ *
+ * Input beyond it is dropped and sent again by the peer.
+ */
+void Socket_LimitReceiveBuffer(Socket *this, int bytes);
+
 /** Socket_Pause() - stop or resume reading from the peer */
 void Socket_Pause(Socket *this, bool paused);
 
