Test what the system keeps of a body, and the packets of a small one

Cause: no test showed that the system keeps a bounded part of a body for an upstream that does not read, nor that the header block and a small body leave in one packet. Change: tests only.

--- a/tests/test_request_bodies.c
+++ b/tests/test_request_bodies.c
@@ -1,5 +1,11 @@
+#include <arpa/inet.h>
 #include <glib.h>
+#include <linux/sockios.h>
+#include <linux/tcp.h>
 #include <string.h>
+#include <sys/ioctl.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "Gateway.h"
 #include "GatewayFixture.h"
@@ -20,6 +26,9 @@
 #define PARTIAL_BYTES (BODY_BYTES / 2)
 #define SHORT_BYTES 1000
 #define UPSTREAM_COUNT 2
+#define DESCRIPTORS_MAX 1024
+/* Of a connection to an upstream that does not read. */
+#define UNSENT_BYTES_MAX (512 * 1024)
 
 typedef enum UpstreamKind_ {
     UPSTREAM_SLOW,
@@ -45,6 +54,7 @@
     int64_t received; /* of the current body */
     int64_t received_until_pause;
     bool matches;
+    int unsent_bytes_max;
     /* caller */
     HttpCall *call;
     int64_t body_bytes;
@@ -75,11 +85,32 @@
 
 /* ---- upstream -------------------------------------------------------- */
 
+/* Bytes that the system keeps for the connections of this process to @port. */
+static int
+unsent_bytes(uint16_t port)
+{
+    int sum = 0, bytes;
+
+    for (int fd = 0; fd < DESCRIPTORS_MAX; fd++) {
+        struct sockaddr_in address = {0};
+        socklen_t length = sizeof(address);
+
+        if (getpeername(fd, (struct sockaddr *)&address, &length) == 0 &&
+            address.sin_family == AF_INET && ntohs(address.sin_port) == port &&
+            ioctl(fd, SIOCOUTQ, &bytes) == 0) {
+            sum += bytes;
+        }
+    }
+    return sum;
+}
+
 static void
 resume_reading(void *user)
 {
     Fixture *f = user;
 
+    f->unsent_bytes_max = MAX(f->unsent_bytes_max,
+                              unsent_bytes(HttpServer_Port(f->upstreams[0])));
     if (f->reading != NULL) {
         HttpRequest_PauseBody(f->reading, false);
     }
@@ -335,11 +366,14 @@
 
     call_once(f, BODY_BYTES);
     kept = peak_bytes() - before;
-    g_test_message("body_kb=%" G_GINT64_FORMAT " kept_kb=%" G_GINT64_FORMAT,
-                   BODY_BYTES / 1024, kept / 1024);
+    g_test_message("body_kb=%" G_GINT64_FORMAT " kept_kb=%" G_GINT64_FORMAT
+                   " unsent_bytes=%d",
+                   BODY_BYTES / 1024, kept / 1024, f->unsent_bytes_max);
     g_assert_true(f->complete);
     g_assert_cmpint(f->status, ==, 200);
     g_assert_cmpint(kept, <, (int64_t)(MEMORY_RATIO * (double)BODY_BYTES));
+    g_assert_cmpint(f->unsent_bytes_max, >, 0);
+    g_assert_cmpint(f->unsent_bytes_max, <, UNSENT_BYTES_MAX);
     /* The connection can be used again. */
     call_once(f, SHORT_BYTES);
     g_assert_cmpint(f->status, ==, 200);
@@ -372,6 +406,60 @@
     g_assert_cmpuint(HttpServer_AcceptedCount(f->upstreams[0]), ==, 2);
 }
 
+/* Guards against a packet more for each request with a small body. */
+static void
+test_small_body(void)
+{
+    static const HttpCallHandlers handlers = {
+        on_headers, on_data, on_drained, on_complete, on_failed,
+    };
+    HttpClientOptions options = {.max_connections = 1};
+    HttpCallSpec spec = {.address = "127.0.0.1",
+                         .method = STR("PUT"),
+                         .path = STR("/"),
+                         .content_length = SHORT_BYTES};
+    struct sockaddr_in address = {.sin_family = AF_INET};
+    socklen_t length = sizeof(address);
+    Fixture f = {.clock = Clock_CreateSystem()};
+    int listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    BodyBuffer *body = BodyBuffer_Create();
+    struct tcp_info info = {0};
+    int peer;
+
+    f.loop = Loop_Create(f.clock, NULL, NULL);
+    f.client = HttpClient_Create(f.loop, &options);
+    for (int i = 0; i < SHORT_BYTES; i++) {
+        BodyBuffer_Append(body, STR("x"));
+    }
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    g_assert_cmpint(
+        bind(listener, (struct sockaddr *)&address, sizeof(address)), ==, 0);
+    g_assert_cmpint(listen(listener, 1), ==, 0);
+    getsockname(listener, (struct sockaddr *)&address, &length);
+    spec.port = ntohs(address.sin_port);
+    spec.content = body;
+    f.call = HttpClient_Start(f.client, &spec, &handlers, &f, NULL);
+    g_assert_nonnull(f.call);
+    while (!HttpCall_MaybeSent(f.call) || HttpCall_Buffered(f.call) > 0) {
+        Loop_RunOnce(f.loop);
+    }
+    peer = accept(listener, NULL, NULL);
+    g_assert_cmpint(recv(peer, &(char){0}, 1, 0), ==, 1);
+    length = sizeof(info);
+    g_assert_cmpint(getsockopt(peer, IPPROTO_TCP, TCP_INFO, &info, &length),
+                    ==, 0);
+    g_assert_cmpuint(info.tcpi_bytes_received, >, SHORT_BYTES);
+    g_assert_cmpuint(info.tcpi_data_segs_in, ==, 1);
+    HttpCall_Cancel(f.call);
+    Loop_Close(f.loop);
+    HttpClient_Destroy(f.client);
+    Loop_Destroy(f.loop);
+    Clock_Destroy(f.clock);
+    BodyBuffer_Destroy(body);
+    close(peer);
+    close(listener);
+}
+
 #define ADD(path, kind, test)                                                 \
     g_test_add(path, Fixture, GINT_TO_POINTER(kind), set_up, test, tear_down)
 
@@ -385,5 +473,6 @@
         test_second_attempt);
     ADD("/gateway/request-bodies/early-response", UPSTREAM_RESPONDING,
         test_early_response);
+    g_test_add_func("/gateway/request-bodies/small-body", test_small_body);
     return g_test_run();
 }
