Bound the connections of callers by the descriptors of the process

Cause: a host accepted connections without a limit, so that idle ones and unfinished header blocks took the descriptors that upstreams and the store need; without a descriptor left it tried to accept again at once, for ever.

Change: callers get three quarters of what descriptors_max leaves above the 200 for files. At that number the least useful connection is closed for each new one; if all wait for a response, and after a failed accept, the listener pauses for 20 ms. Connections that are closing count until their descriptor is closed.

--- a/packages/agatecrankd/GatewayDaemon.c
+++ b/packages/agatecrankd/GatewayDaemon.c
@@ -483,6 +483,7 @@
         .dialect = &PLATFORM_DIALECT,
         .connections_max = CONNECTIONS_MAX,
         .memory_bytes = (size_t)settings->memory_mb * BYTES_PER_MB,
+        .descriptors_max = settings->descriptors_max,
         .reuse_idle = REUSE_IDLE_MAX_US,
         .keys = this->keys,
         .log = this->log,
--- a/packages/gateway/Gateway.c
+++ b/packages/gateway/Gateway.c
@@ -43,6 +43,9 @@
 /* Part of the memory for requests that only small ones may use. */
 #define SMALL_REQUESTS_RATIO 0.125
 #define SMALL_REQUEST_BYTES ((size_t)32 * 1024)
+#define FILE_DESCRIPTORS 200
+/* Part of the other descriptors for connections of callers. */
+#define CALLER_DESCRIPTORS_RATIO 0.75
 
 struct Gateway_ {
     Loop *loop;
@@ -1315,6 +1318,17 @@
     this->budget = InputBudget_Create(&options, Loop_Clock(this->loop));
 }
 
+static unsigned
+caller_connections_max(const Gateway *this)
+{
+    unsigned descriptors = this->options.descriptors_max;
+
+    return this->budget != NULL && descriptors > FILE_DESCRIPTORS
+               ? (unsigned)(CALLER_DESCRIPTORS_RATIO *
+                            (descriptors - FILE_DESCRIPTORS))
+               : 0;
+}
+
 /* A host that cannot listen for its peers still serves its callers. */
 static void
 create_forwarding(Gateway *this)
@@ -1370,6 +1384,7 @@
     this->options = *options;
     create_budget(this);
     server.budget = this->budget;
+    server.connections_max = caller_connections_max(this);
     this->client = HttpClient_Create(loop, &client);
     this->notices = NoticeReader_Create(options->dialect, Loop_Clock(loop),
                                         options->log, counters);
--- a/packages/gateway/Gateway.h
+++ b/packages/gateway/Gateway.h
@@ -23,6 +23,7 @@
  *           address there is no such listener
  * @keys: of the hosts that may do so, or NULL for no forwarding
  * @memory_bytes: resident memory of the process, 0 for no bound on requests
+ * @descriptors_max: descriptors of the process; used with @memory_bytes
  * @log: events of the state of the host
  * @decisions: events of requests
  * @on_stale_keys: another host, as it claims, has another key than was listed
@@ -34,6 +35,7 @@
     const Dialect *dialect;
     unsigned connections_max;
     size_t memory_bytes;
+    unsigned descriptors_max;
     Micros reuse_idle;
     Endpoint forward;
     HostKeys *keys;
@@ -81,7 +83,7 @@
 /** Gateway_InputBytes() - memory that open requests take */
 size_t Gateway_InputBytes(const Gateway *this);
 
-/** Gateway_Pressure() - callers ended for lack of memory */
+/** Gateway_Pressure() - callers ended for lack of memory or descriptors */
 HttpServerPressure Gateway_Pressure(const Gateway *this);
 
 /** Gateway_SkippedResponses() - HttpClient_SkippedCount() of upstreams */
--- a/packages/net/HttpServer.c
+++ b/packages/net/HttpServer.c
@@ -28,6 +28,7 @@
 #define UNSENT_BYTES_MAX (512 * 1024)
 /* Receive buffer of a connection whose pipelined input is not read. */
 #define PAUSED_BUFFER_BYTES 16384
+#define ACCEPT_RETRY_US (20 * MICROS_PER_MS)
 #define RETRY_AFTER_S 1
 #define PRESSURE_LOG_INTERVAL_US (1 * MICROS_PER_S)
 
@@ -47,7 +48,10 @@
     size_t open_requests;
     uint64_t accepted;
     HttpServerIdleCounts idle_counts;
-    InputBudget *budget; /* NULL for none */
+    InputBudget *budget;    /* NULL for none */
+    unsigned *open_sockets; /* accepted, those that are closing included */
+    unsigned connections_max;
+    LoopTimer *accept_timer; /* runs while the listener is paused */
     HttpServerPressure pressure;
     HttpServerPressure logged;
     Micros logged_at;
@@ -290,6 +294,7 @@
                      (int64_t)(this->pressure.closed - this->logged.closed));
         EventLog_Int(this->log, "kept_bytes",
                      (int64_t)InputBudget_UsedBytes(this->budget));
+        EventLog_Int(this->log, "connections", *this->open_sockets);
         EventLog_End(this->log);
     }
     this->logged = this->pressure;
@@ -773,6 +778,7 @@
     SocketOptions options = {
         .tls = server->tls,
         .unsent_bytes_max = UNSENT_BYTES_MAX,
+        .open_sockets = server->open_sockets,
     };
 
     this->server = server;
@@ -791,17 +797,77 @@
     }
 }
 
+static bool
+is_at_connection_limit(const HttpServer *this)
+{
+    return this->connections_max > 0 &&
+           *this->open_sockets >= this->connections_max;
+}
+
+/* Connections that are closing keep their descriptors for a moment. */
+static void
+pause_listener(HttpServer *this)
+{
+    LoopIo_SetEvents(this->listener, 0);
+    LoopTimer_Start(this->accept_timer, ACCEPT_RETRY_US);
+}
+
+static void
+on_accept_timer(void *user)
+{
+    HttpServer *this = user;
+
+    LoopIo_SetEvents(this->listener, LOOP_IO_READ);
+}
+
+/* Idle connections whose next request has arrived meanwhile stay open. */
+static void
+end_least_useful(HttpServer *this)
+{
+    InputShare *share = InputBudget_LeastUseful(this->budget);
+
+    while (share != NULL) {
+        Connection *connection = InputShare_User(share);
+
+        connection->active_callbacks++;
+        if (is_idle(connection)) {
+            read_late_input(connection);
+        }
+        if (!connection->closed && input_state(connection) != INPUT_COMPLETE) {
+            this->pressure.closed++;
+            close_connection(connection);
+        }
+        share =
+            connection->closed ? NULL : InputBudget_LeastUseful(this->budget);
+        connection->active_callbacks--;
+        release_connection(connection);
+    }
+    log_pressure(this);
+}
+
 static void
 accept_pending(HttpServer *this)
 {
     for (int i = 0; i < ACCEPTS_PER_EVENT_MAX && !this->stopping; i++) {
-        int fd =
-            accept4(this->listen_fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        int fd;
 
+        if (is_at_connection_limit(this) &&
+            InputBudget_LeastUseful(this->budget) == NULL) {
+            pause_listener(this);
+            return;
+        }
+        fd =
+            accept4(this->listen_fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
         if (fd < 0) {
+            if (errno != EAGAIN && errno != EINTR && errno != ECONNABORTED) {
+                pause_listener(this);
+            }
             return;
         }
         this->accepted++;
+        if (is_at_connection_limit(this)) {
+            end_least_useful(this);
+        }
         accept_connection(this, fd);
     }
 }
@@ -812,6 +878,8 @@
     if (this->listener != NULL) {
         LoopIo_Destroy(this->listener);
         this->listener = NULL;
+        LoopTimer_Destroy(this->accept_timer);
+        this->accept_timer = NULL;
         close(this->listen_fd);
     }
 }
@@ -866,6 +934,7 @@
     this->listener =
         LoopIo_Create(this->loop, this->listen_fd, on_listener_event, this);
     LoopIo_SetEvents(this->listener, LOOP_IO_READ);
+    this->accept_timer = LoopTimer_Create(this->loop, on_accept_timer, this);
     return 0;
 }
 
@@ -906,8 +975,10 @@
     this->user = user;
     this->accept_chunked = options->accept_chunked;
     this->budget = options->budget;
+    this->connections_max = options->connections_max;
     this->log = options->log;
     this->logged_at = -1;
+    this->open_sockets = g_rc_box_new0(unsigned);
     this->connections = g_hash_table_new(g_direct_hash, g_direct_equal);
     apply_limits(this, &options->limits, options->keep_alive_s * MICROS_PER_S);
     if (options->certificate_file != NULL) {
@@ -1011,6 +1082,7 @@
     }
     g_list_free(all);
     close_listener(this);
+    g_rc_box_release(this->open_sockets);
     TlsContext_Destroy(this->tls);
     g_hash_table_destroy(this->connections);
     g_free(this);
--- a/packages/net/HttpServer.h
+++ b/packages/net/HttpServer.h
@@ -58,6 +58,8 @@
  * @accept_chunked: accept chunked bodies; else they are rejected with 411
  * @budget: bounds what requests make the process keep; borrowed, NULL for no
  *          bound
+ * @connections_max: open connections beyond which one is closed for each new
+ *                   one, or new ones wait; 0 for no limit. Needs @budget.
  * @log: receives the counts of connections that are ended; may be NULL
  */
 typedef struct HttpServerOptions_ {
@@ -70,6 +72,7 @@
     HttpLimits limits;
     bool accept_chunked;
     InputBudget *budget;
+    unsigned connections_max;
     EventLog *log;
 } HttpServerOptions;
 
@@ -96,7 +99,8 @@
 const HttpServerIdleCounts *HttpServer_IdleCounts(const HttpServer *this);
 
 /**
- * struct HttpServerPressure_ - connections ended for lack of memory
+ * struct HttpServerPressure_ - connections ended for lack of memory or
+ *     descriptors
  * @refused: with status 503, nothing of the request was passed on
  * @closed: without a response
  */
--- a/packages/net/Socket.c
+++ b/packages/net/Socket.c
@@ -36,6 +36,7 @@
     GByteArray *output;
     size_t output_sent;
     char common_name[COMMON_NAME_BYTES];
+    unsigned *open_sockets;
     SocketState state;
     int fd;
     unsigned active_callbacks; /* callbacks on the call stack */
@@ -67,6 +68,10 @@
         SSL_free(this->ssl);
     }
     close(this->fd);
+    if (this->open_sockets != NULL) {
+        (*this->open_sockets)--;
+        g_rc_box_release(this->open_sockets);
+    }
 }
 
 static void
@@ -387,6 +392,10 @@
         LoopTimer_Start(this->timer, options->connect_timeout);
     }
     set_options(fd, options);
+    if (options->open_sockets != NULL) {
+        this->open_sockets = g_rc_box_acquire(options->open_sockets);
+        (*this->open_sockets)++;
+    }
     if (options->tls != NULL) {
         this->ssl = TlsContext_CreateSession(options->tls, fd, address);
     }
--- a/packages/net/Socket.h
+++ b/packages/net/Socket.h
@@ -45,6 +45,8 @@
  * @connect_timeout: time limit to establish the connection; 0 for none
  * @unsent_bytes_max: TCP_NOTSENT_LOWAT, the bytes that the system takes beyond
  *                    the receive window of the peer; 0 for the system default
+ * @open_sockets: number from g_rc_box_new0(); includes this connection until
+ *                its descriptor is closed. NULL for none.
  */
 typedef struct SocketOptions_ {
     TlsContext *tls;
@@ -52,6 +54,7 @@
     int keep_alive_s;
     Micros connect_timeout;
     int unsent_bytes_max;
+    unsigned *open_sockets;
 } SocketOptions;
 
 /** Socket_Accept() - take ownership of a connected descriptor */
--- a/tests/test_caller_limits.c
+++ b/tests/test_caller_limits.c
@@ -3,6 +3,7 @@
 #include <glib.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -22,7 +23,10 @@
     Loop *loop;
     InputBudget *budget;
     HttpServer *server;
+    HttpRequest *held; /* answered by the test */
     int fds[CALLERS];
+    int answered;
+    bool hold;
 } Fixture;
 
 static void
@@ -36,17 +40,33 @@
 }
 
 static void
-on_body_end(void *user, HttpRequest *request)
+respond(Fixture *f, HttpRequest *request)
 {
     HeaderList *headers = HeaderList_Create();
 
+    f->answered++;
     HttpRequest_Respond(request, 200, headers, STR("ok"));
     HeaderList_Destroy(headers);
 }
 
+static void
+on_body_end(void *user, HttpRequest *request)
+{
+    Fixture *f = user;
+
+    if (f->hold) {
+        f->held = request;
+        return;
+    }
+    respond(f, request);
+}
+
 static void
 on_closed(void *user, HttpRequest *request, bool complete)
 {
+    Fixture *f = user;
+
+    f->held = f->held == request ? NULL : f->held;
 }
 
 static const HttpServerHandlers handlers = {
@@ -54,11 +74,13 @@
 };
 
 static void
-set_up(Fixture *f)
+set_up(Fixture *f, unsigned connections_max)
 {
     static const InputBudgetOptions budget = {TOTAL_BYTES, RESERVE_BYTES,
                                               SMALL_BYTES};
-    HttpServerOptions options = {.address = "127.0.0.1", .keep_alive_s = 60};
+    HttpServerOptions options = {.address = "127.0.0.1",
+                                 .keep_alive_s = 60,
+                                 .connections_max = connections_max};
     Error error = {0};
 
     memset(f, 0, sizeof(*f));
@@ -170,7 +192,7 @@
 {
     Fixture f;
 
-    set_up(&f);
+    set_up(&f, 0);
     for (int i = 0; i < CALLERS; i++) {
         connect_caller(&f, i);
     }
@@ -199,13 +221,67 @@
 {
     Fixture f;
 
-    set_up(&f);
+    set_up(&f, 0);
     connect_caller(&f, 0);
     send_text(&f, 0, POST("90000"));
     g_assert_cmpint(read_status(&f, 0), ==, 413);
     tear_down(&f);
 }
 
+/* Guards against a connection with a complete request that is closed for a new
+ * one, and new ones that are accepted beyond the limit. */
+static void
+test_connection_limit(void)
+{
+    Fixture f;
+
+    set_up(&f, 1);
+    f.hold = true;
+    connect_caller(&f, 0);
+    send_text(&f, 0, POST("10") BODY);
+    g_assert_nonnull(f.held);
+    connect_caller(&f, 1);
+    g_assert_cmpuint(HttpServer_AcceptedCount(f.server), ==, 1);
+    respond(&f, f.held);
+    f.hold = false;
+    g_assert_cmpint(read_status(&f, 0), ==, 200);
+    send_text(&f, 1, POST("10") BODY);
+    g_assert_cmpint(read_status(&f, 1), ==, 200);
+    g_assert_cmpint(read_status(&f, 0), ==, 0);
+    g_assert_cmpuint(HttpServer_Pressure(f.server)->closed, ==, 1);
+    tear_down(&f);
+}
+
+/* Guards against a host that spins while it has no descriptor for a new
+ * connection. */
+static void
+test_no_descriptors(void)
+{
+    struct rlimit before, none;
+    uint64_t iterations;
+    Fixture f;
+    int fd;
+
+    set_up(&f, 0);
+    fd = dup(f.fds[0]);
+    close(fd);
+    g_assert_cmpint(getrlimit(RLIMIT_NOFILE, &before), ==, 0);
+    none = before;
+    none.rlim_cur = (rlim_t)fd;
+    g_assert_cmpint(setrlimit(RLIMIT_NOFILE, &none), ==, 0);
+    connect_caller(&f, 0);
+    iterations = Loop_Iterations(f.loop);
+    for (Micros end = Clock_Now(f.clock) + 200 * MICROS_PER_MS;
+         Clock_Now(f.clock) < end;) {
+        Loop_RunOnce(f.loop);
+    }
+    g_assert_cmpuint(Loop_Iterations(f.loop) - iterations, <, 100);
+    g_assert_cmpint(setrlimit(RLIMIT_NOFILE, &before), ==, 0);
+    send_text(&f, 0, POST("10") BODY);
+    g_assert_cmpint(read_status(&f, 0), ==, 200);
+    tear_down(&f);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -214,5 +290,7 @@
                     test_bodies_over_budget);
     g_test_add_func("/caller-limits/body-that-cannot-fit",
                     test_body_that_cannot_fit);
+    g_test_add_func("/caller-limits/connection-limit", test_connection_limit);
+    g_test_add_func("/caller-limits/no-descriptors", test_no_descriptors);
     return g_test_run();
 }
