Keep the limit on a body that held when its request began

Cause: a body was compared with the limit in force when each part arrived, so that a configuration that lowers maxBodyBytes ended bodies under way.

Change: each request keeps the limit of its begin. The memory of all requests together bounds them besides.

Measured: /caller-limits/lowered-body-limit got 413 instead of 200 before, and passes.

--- a/packages/net/HttpServer.c
+++ b/packages/net/HttpServer.c
@@ -89,6 +89,7 @@
     GString *path;
     int64_t content_length;
     int64_t body_received;
+    int64_t body_bytes_max; /* 0 for no limit */
     void *data;
     GByteArray *output; /* not yet written to the socket */
     bool body_complete;
@@ -519,6 +520,7 @@
     this->method = Str_ToString(head->method);
     this->path = Str_ToString(head->target);
     this->content_length = head->length;
+    this->body_bytes_max = server->limits.body_bytes;
     this->output = g_byte_array_new();
     this->is_head = Str_Equal(head->method, STR("HEAD"));
     this->close_after = server->keep_alive_disabled || !head->keep_alive;
@@ -585,8 +587,8 @@
         return;
     }
     request->body_received += (int64_t)data.length;
-    if (server->limits.body_bytes > 0 &&
-        request->body_received > server->limits.body_bytes &&
+    if (request->body_bytes_max > 0 &&
+        request->body_received > request->body_bytes_max &&
         !request->started) {
         reject_request(request, 413, "body-too-large");
         return;
--- a/tests/test_caller_limits.c
+++ b/tests/test_caller_limits.c
@@ -73,6 +73,14 @@
     ignore_request, ignore_body, on_body_end, ignore_request, on_closed,
 };
 
+static void
+set_limits(const Fixture *f, size_t head_bytes, int64_t body_bytes)
+{
+    HttpLimits limits = {.head_bytes = head_bytes, .body_bytes = body_bytes};
+
+    HttpServer_SetLimits(f->server, &limits, 60 * MICROS_PER_S);
+}
+
 static void
 set_up(Fixture *f, unsigned connections_max)
 {
@@ -185,6 +193,25 @@
     return -1;
 }
 
+/* Guards against a limit that a new configuration lowers and that ends bodies
+ * under way. */
+static void
+test_lowered_body_limit(void)
+{
+    Fixture f;
+
+    set_up(&f, 0);
+    set_limits(&f, 0, 20);
+    connect_caller(&f, 0);
+    send_text(&f, 0, POST("20") BODY);
+    set_limits(&f, 0, 5);
+    send_text(&f, 0, BODY);
+    g_assert_cmpint(read_status(&f, 0), ==, 200);
+    send_text(&f, 0, POST("20"));
+    g_assert_cmpint(read_status(&f, 0), ==, 413);
+    tear_down(&f);
+}
+
 /* Guards against bodies that take more than the budget together, and against
  * small requests that are refused then. */
 static void
@@ -286,6 +313,8 @@
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/caller-limits/lowered-body-limit",
+                    test_lowered_body_limit);
     g_test_add_func("/caller-limits/bodies-over-budget",
                     test_bodies_over_budget);
     g_test_add_func("/caller-limits/body-that-cannot-fit",
