Apply a changed limit on header blocks to open connections

Cause: the parser took the limit when its connection was accepted, so that after a raise open connections answered larger header blocks with 431, and after a lowered limit they let them pass.

Change: it takes the limit with the first byte of each request; the one under way keeps its own.

Measured: /caller-limits/changed-head-limit got 431 instead of 200 before, and passes.

--- a/packages/net/HttpParser.c
+++ b/packages/net/HttpParser.c
@@ -587,3 +587,9 @@
            this->name->allocated_len + this->value->allocated_len +
            HeaderList_Bytes(this->headers);
 }
+
+void
+HttpParser_SetHeadBytes(HttpParser *this, size_t head_bytes_max)
+{
+    this->head_bytes_max = head_bytes_max;
+}
--- a/packages/net/HttpParser.h
+++ b/packages/net/HttpParser.h
@@ -104,6 +104,9 @@
 /** HttpParser_HeldBytes() - memory that the parsed part of a message takes */
 size_t HttpParser_HeldBytes(const HttpParser *this);
 
+/** HttpParser_SetHeadBytes() - change the limit, between two messages */
+void HttpParser_SetHeadBytes(HttpParser *this, size_t head_bytes_max);
+
 /**
  * HttpParser_TakeHeaders() - take over the fields of the current message
  *
--- a/packages/net/HttpServer.c
+++ b/packages/net/HttpServer.c
@@ -230,6 +230,7 @@
 static void
 begin_head(Connection *this)
 {
+    HttpParser_SetHeadBytes(this->parser, this->server->limits.head_bytes);
     if (this->server->limits.head_timeout > 0) {
         set_deadline(this, this->server->limits.head_timeout);
     }
--- a/tests/test_caller_limits.c
+++ b/tests/test_caller_limits.c
@@ -212,6 +212,29 @@
     tear_down(&f);
 }
 
+/* Guards against a raised limit on header blocks that does not reach connections
+ * that are open, and a lowered one that ends a header block under way. */
+static void
+test_changed_head_limit(void)
+{
+    Fixture f;
+
+    set_up(&f, 0);
+    set_limits(&f, 100, 0);
+    connect_caller(&f, 0);
+    set_limits(&f, 8000, 0);
+    send_text(&f, 0, "GET /x HTTP/1.1\r\nhost: a\r\nfill: ");
+    send_bytes(&f, 0, 200);
+    set_limits(&f, 100, 0);
+    send_bytes(&f, 0, 200);
+    send_text(&f, 0, "\r\n\r\n");
+    g_assert_cmpint(read_status(&f, 0), ==, 200);
+    send_text(&f, 0, "GET /x HTTP/1.1\r\nhost: a\r\nfill: ");
+    send_bytes(&f, 0, 200);
+    g_assert_cmpint(read_status(&f, 0), ==, 431);
+    tear_down(&f);
+}
+
 /* Guards against bodies that take more than the budget together, and against
  * small requests that are refused then. */
 static void
@@ -315,6 +338,8 @@
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/caller-limits/lowered-body-limit",
                     test_lowered_body_limit);
+    g_test_add_func("/caller-limits/changed-head-limit",
+                    test_changed_head_limit);
     g_test_add_func("/caller-limits/bodies-over-budget",
                     test_bodies_over_budget);
     g_test_add_func("/caller-limits/body-that-cannot-fit",
