--- a/tests/test_caller_limits.c
+++ b/tests/test_caller_limits.c
@@ -3,6 +3,7 @@
 #include <glib.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -22,7 +23,10 @@
     Loop *loop;
     InputBudget *budget;
     HttpServer *server;
+    HttpRequest *held; /* answered by the test */
     int fds[CALLERS];
+    int answered;
+    bool hold;
 } Fixture;
 
 static void
@@ -36,17 +40,33 @@
 }
 
 static void
-on_body_end(void *user, HttpRequest *request)
+respond(Fixture *f, HttpRequest *request)
 {
     HeaderList *headers = HeaderList_Create();
 
+    f->answered++;
     HttpRequest_Respond(request, 200, headers, STR("ok"));
     HeaderList_Destroy(headers);
 }
 
+static void
+on_body_end(void *user, HttpRequest *request)
+{
+    Fixture *f = user;
+
+    if (f->hold) {
+        f->held = request;
+        return;
+    }
+    respond(f, request);
+}
+
 static void
 on_closed(void *user, HttpRequest *request, bool complete)
 {
+    Fixture *f = user;
+
+    f->held = f->held == request ? NULL : f->held;
 }
 
 static const HttpServerHandlers handlers = {
@@ -54,11 +74,21 @@
 };
 
 static void
-set_up(Fixture *f)
+set_limits(const Fixture *f, size_t head_bytes, int64_t body_bytes)
+{
+    HttpLimits limits = {.head_bytes = head_bytes, .body_bytes = body_bytes};
+
+    HttpServer_SetLimits(f->server, &limits, 60 * MICROS_PER_S);
+}
+
+static void
+set_up(Fixture *f, unsigned connections_max)
 {
     static const InputBudgetOptions budget = {TOTAL_BYTES, RESERVE_BYTES,
                                               SMALL_BYTES};
-    HttpServerOptions options = {.address = "127.0.0.1", .keep_alive_s = 60};
+    HttpServerOptions options = {.address = "127.0.0.1",
+                                 .keep_alive_s = 60,
+                                 .connections_max = connections_max};
     Error error = {0};
 
     memset(f, 0, sizeof(*f));
@@ -163,6 +193,48 @@
     return -1;
 }
 
+/* Guards against a limit that a new configuration lowers and that ends bodies
+ * under way. */
+static void
+test_lowered_body_limit(void)
+{
+    Fixture f;
+
+    set_up(&f, 0);
+    set_limits(&f, 0, 20);
+    connect_caller(&f, 0);
+    send_text(&f, 0, POST("20") BODY);
+    set_limits(&f, 0, 5);
+    send_text(&f, 0, BODY);
+    g_assert_cmpint(read_status(&f, 0), ==, 200);
+    send_text(&f, 0, POST("20"));
+    g_assert_cmpint(read_status(&f, 0), ==, 413);
+    tear_down(&f);
+}
+
+/* Guards against a raised limit on header blocks that does not reach connections
+ * that are open, and a lowered one that ends a header block under way. */
+static void
+test_changed_head_limit(void)
+{
+    Fixture f;
+
+    set_up(&f, 0);
+    set_limits(&f, 100, 0);
+    connect_caller(&f, 0);
+    set_limits(&f, 8000, 0);
+    send_text(&f, 0, "GET /x HTTP/1.1\r\nhost: a\r\nfill: ");
+    send_bytes(&f, 0, 200);
+    set_limits(&f, 100, 0);
+    send_bytes(&f, 0, 200);
+    send_text(&f, 0, "\r\n\r\n");
+    g_assert_cmpint(read_status(&f, 0), ==, 200);
+    send_text(&f, 0, "GET /x HTTP/1.1\r\nhost: a\r\nfill: ");
+    send_bytes(&f, 0, 200);
+    g_assert_cmpint(read_status(&f, 0), ==, 431);
+    tear_down(&f);
+}
+
 /* Guards against bodies that take more than the budget together, and against
  * small requests that are refused then. */
 static void
@@ -170,7 +242,7 @@
 {
     Fixture f;
 
-    set_up(&f);
+    set_up(&f, 0);
     for (int i = 0; i < CALLERS; i++) {
         connect_caller(&f, i);
     }
@@ -199,20 +271,80 @@
 {
     Fixture f;
 
-    set_up(&f);
+    set_up(&f, 0);
     connect_caller(&f, 0);
     send_text(&f, 0, POST("90000"));
     g_assert_cmpint(read_status(&f, 0), ==, 413);
     tear_down(&f);
 }
 
+/* Guards against a connection with a complete request that is closed for a new
+ * one, and new ones that are accepted beyond the limit. */
+static void
+test_connection_limit(void)
+{
+    Fixture f;
+
+    set_up(&f, 1);
+    f.hold = true;
+    connect_caller(&f, 0);
+    send_text(&f, 0, POST("10") BODY);
+    g_assert_nonnull(f.held);
+    connect_caller(&f, 1);
+    g_assert_cmpuint(HttpServer_AcceptedCount(f.server), ==, 1);
+    respond(&f, f.held);
+    f.hold = false;
+    g_assert_cmpint(read_status(&f, 0), ==, 200);
+    send_text(&f, 1, POST("10") BODY);
+    g_assert_cmpint(read_status(&f, 1), ==, 200);
+    g_assert_cmpint(read_status(&f, 0), ==, 0);
+    g_assert_cmpuint(HttpServer_Pressure(f.server)->closed, ==, 1);
+    tear_down(&f);
+}
+
+/* Guards against a host that spins while it has no descriptor for a new
+ * connection. */
+static void
+test_no_descriptors(void)
+{
+    struct rlimit before, none;
+    uint64_t iterations;
+    Fixture f;
+    int fd;
+
+    set_up(&f, 0);
+    fd = dup(f.fds[0]);
+    close(fd);
+    g_assert_cmpint(getrlimit(RLIMIT_NOFILE, &before), ==, 0);
+    none = before;
+    none.rlim_cur = (rlim_t)fd;
+    g_assert_cmpint(setrlimit(RLIMIT_NOFILE, &none), ==, 0);
+    connect_caller(&f, 0);
+    iterations = Loop_Iterations(f.loop);
+    for (Micros end = Clock_Now(f.clock) + 200 * MICROS_PER_MS;
+         Clock_Now(f.clock) < end;) {
+        Loop_RunOnce(f.loop);
+    }
+    g_assert_cmpuint(Loop_Iterations(f.loop) - iterations, <, 100);
+    g_assert_cmpint(setrlimit(RLIMIT_NOFILE, &before), ==, 0);
+    send_text(&f, 0, POST("10") BODY);
+    g_assert_cmpint(read_status(&f, 0), ==, 200);
+    tear_down(&f);
+}
+
 int
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/caller-limits/lowered-body-limit",
+                    test_lowered_body_limit);
+    g_test_add_func("/caller-limits/changed-head-limit",
+                    test_changed_head_limit);
     g_test_add_func("/caller-limits/bodies-over-budget",
                     test_bodies_over_budget);
     g_test_add_func("/caller-limits/body-that-cannot-fit",
                     test_body_that_cannot_fit);
+    g_test_add_func("/caller-limits/connection-limit", test_connection_limit);
+    g_test_add_func("/caller-limits/no-descriptors", test_no_descriptors);
     return g_test_run();
 }
