--- a/packages/gateway/ForwardServer.h
+++ b/packages/gateway/ForwardServer.h
@@ -1,6 +1,7 @@
 #ifndef AGATECRANK_GATEWAY_FORWARDSERVER_H
 #define AGATECRANK_GATEWAY_FORWARDSERVER_H
 
+#include "BodyBuffer.h"
 #include "Counters.h"
 #include "HostKeys.h"
 #include "HttpServer.h"
@@ -38,10 +39,13 @@
  * struct ForwardServerOptions_ - settings
  * @address: where to listen; port 0 lets the system choose one
  * @keys, @counters, @log: borrowed
+ * @budget: bounds what requests make the process keep; borrowed, NULL for no
+ *          bound
  */
 typedef struct ForwardServerOptions_ {
     Endpoint address;
     HostKeys *keys;
+    InputBudget *budget;
     Counters *counters;
     EventLog *log;
 } ForwardServerOptions;
@@ -68,6 +72,9 @@
  */
 void ForwardServer_SetHeadBytes(ForwardServer *this, size_t head_bytes);
 
+/** ForwardServer_Pressure() - see HttpServer_Pressure(); borrowed */
+const HttpServerPressure *ForwardServer_Pressure(const ForwardServer *this);
+
 /** ForwardServer_CloseKeptAlive() - see HttpServer_DisableKeepAlive() */
 void ForwardServer_CloseKeptAlive(ForwardServer *this);
 
@@ -87,7 +94,7 @@
 uint32_t ForwardedRequest_AttemptsMax(const ForwardedRequest *this);
 
 /** ForwardedRequest_TakeBody() - the body, to be freed by the owner; once */
-GByteArray *ForwardedRequest_TakeBody(ForwardedRequest *this);
+BodyBuffer *ForwardedRequest_TakeBody(ForwardedRequest *this);
 
 /**
  * ForwardedRequest_Seal() - count the response and add its seal
--- a/packages/gateway/Gateway.c
+++ b/packages/gateway/Gateway.c
@@ -35,12 +35,24 @@
 /* Request bodies are buffered in memory until they are complete. */
 #define BODY_MAX_BYTES (64 * 1024 * 1024)
 #define RETRY_AFTER_MAX_S 3600
+/* Memory of a host without requests, and of its idle connections. */
+#define PROCESS_BYTES ((size_t)24 * 1000 * 1000)
+/* Part of the rest for requests; the others are for responses, and for what the
+ * system keeps. */
+#define REQUESTS_RATIO 0.5
+/* Part of the memory for requests that only small ones may use. */
+#define SMALL_REQUESTS_RATIO 0.125
+#define SMALL_REQUEST_BYTES ((size_t)32 * 1024)
+#define FILE_DESCRIPTORS 200
+/* Part of the other descriptors for connections of callers. */
+#define CALLER_DESCRIPTORS_RATIO 0.75
 
 struct Gateway_ {
     Loop *loop;
     Dispatcher *dispatcher;
     Counters *counters;
     GatewayOptions options;
+    InputBudget *budget; /* NULL without a bound */
     HttpServer *server;
     HttpClient *client;
     ForwardServer *forward_server; /* NULL without a listener */
@@ -69,7 +81,7 @@
     Job *job;         /* NULL once the response is complete or ended */
     HttpCall *call;   /* NULL without an open attempt */
     Forward *forward; /* NULL unless the attempt is at a peer */
-    GByteArray *body;
+    BodyBuffer *body;
     HeaderList *response_headers;
     GByteArray *response;
     int response_status;
@@ -99,7 +111,7 @@
 
     exchange->gateway = this;
     exchange->request = request;
-    exchange->body = g_byte_array_new();
+    exchange->body = BodyBuffer_Create();
     exchange->response = g_byte_array_new();
     exchange->received_at = Clock_Now(Loop_Clock(this->loop));
     return exchange;
@@ -109,7 +121,7 @@
 destroy_exchange(Exchange *exchange)
 {
     destroy_forward(exchange->forward);
-    g_byte_array_free(exchange->body, TRUE);
+    BodyBuffer_Destroy(exchange->body);
     g_byte_array_free(exchange->response, TRUE);
     HeaderList_Destroy(exchange->response_headers);
     g_free(exchange);
@@ -822,8 +834,8 @@
         .method = HttpRequest_Method(exchange->request),
         .path = HttpRequest_Path(exchange->request),
         .headers = headers,
-        .content_length = (int64_t)exchange->body->len,
-        .body = Str_FromBytes(exchange->body),
+        .content_length = (int64_t)BodyBuffer_Length(exchange->body),
+        .content = exchange->body,
         .idle_max = action->send.idempotent ? 0 : this->options.reuse_idle,
         .head_timeout = head_timeout(exchange, action),
         .match_name = dialect->attempt_id,
@@ -879,7 +891,7 @@
         .method = HttpRequest_Method(exchange->request),
         .path = HttpRequest_Path(exchange->request),
         .headers = headers,
-        .body = Str_FromBytes(exchange->body),
+        .body = exchange->body,
         .attempts_max = action->forward.attempts_max,
         .idle_max = action->forward.idempotent ? 0 : this->options.reuse_idle,
         .match_name = this->options.dialect->attempt_id,
@@ -1167,7 +1179,7 @@
         .method = HttpRequest_Method(exchange->request),
         .host = HeaderList_Get(headers, STR("host")),
         .path = HttpRequest_Path(exchange->request),
-        .body = Str_FromBytes(exchange->body),
+        .body = exchange->body,
         .timeout = timeout_of(this, headers),
         .key = key_of(exchange),
     };
@@ -1222,8 +1234,7 @@
 {
     Exchange *exchange = HttpRequest_Data(request);
 
-    g_byte_array_append(exchange->body, (const guint8 *)data.data,
-                        (guint)data.length);
+    BodyBuffer_Append(exchange->body, data);
 }
 
 static void
@@ -1282,7 +1293,7 @@
         Gateway_RunActions(this);
         return exchange;
     }
-    g_byte_array_free(exchange->body, TRUE);
+    BodyBuffer_Destroy(exchange->body);
     exchange->body = ForwardedRequest_TakeBody(forwarded);
     log_forwarded(exchange);
     submit(exchange);
@@ -1315,6 +1326,34 @@
 
 /* ---- creation ------------------------------------------------------- */
 
+static void
+create_budget(Gateway *this)
+{
+    size_t memory = this->options.memory_bytes;
+    InputBudgetOptions options = {.small_bytes = SMALL_REQUEST_BYTES};
+
+    if (memory == 0) {
+        return;
+    }
+    options.total_bytes =
+        (size_t)(REQUESTS_RATIO *
+                 (double)(MAX(memory, PROCESS_BYTES) - PROCESS_BYTES));
+    options.reserve_bytes =
+        (size_t)(SMALL_REQUESTS_RATIO * (double)options.total_bytes);
+    this->budget = InputBudget_Create(&options, Loop_Clock(this->loop));
+}
+
+static unsigned
+caller_connections_max(const Gateway *this)
+{
+    unsigned descriptors = this->options.descriptors_max;
+
+    return this->budget != NULL && descriptors > FILE_DESCRIPTORS
+               ? (unsigned)(CALLER_DESCRIPTORS_RATIO *
+                            (descriptors - FILE_DESCRIPTORS))
+               : 0;
+}
+
 /* A host that cannot listen for its peers still serves its callers. */
 static void
 create_forwarding(Gateway *this)
@@ -1322,6 +1361,7 @@
     ForwardServerOptions options = {
         .address = this->options.forward,
         .keys = this->options.keys,
+        .budget = this->budget,
         .counters = this->counters,
         .log = this->options.log,
     };
@@ -1354,6 +1394,7 @@
         .keep_alive_s = CALLER_IDLE_DEFAULT_S,
         .limits = {.body_bytes = BODY_MAX_BYTES},
         .accept_chunked = true,
+        .log = options->log,
     };
     HttpClientOptions client = {
         .max_connections = options->connections_max,
@@ -1366,6 +1407,9 @@
     this->dispatcher = dispatcher;
     this->counters = counters;
     this->options = *options;
+    create_budget(this);
+    server.budget = this->budget;
+    server.connections_max = caller_connections_max(this);
     this->client = HttpClient_Create(loop, &client);
     this->notices = NoticeReader_Create(options->dialect, Loop_Clock(loop),
                                         options->log, counters);
@@ -1391,6 +1435,7 @@
     LoopTimer_Destroy(this->timer);
     HttpServer_Destroy(this->server);
     ForwardServer_Destroy(this->forward_server);
+    InputBudget_Destroy(this->budget);
     HttpClient_Destroy(this->client);
     ForwardClient_Destroy(this->forward_client);
     AllowanceLink_Destroy(this->allowances);
@@ -1462,6 +1507,27 @@
     return HttpServer_IdleCounts(this->server);
 }
 
+size_t
+Gateway_InputBytes(const Gateway *this)
+{
+    return this->budget != NULL ? InputBudget_UsedBytes(this->budget) : 0;
+}
+
+HttpServerPressure
+Gateway_Pressure(const Gateway *this)
+{
+    HttpServerPressure sum = *HttpServer_Pressure(this->server);
+
+    if (this->forward_server != NULL) {
+        const HttpServerPressure *forwards =
+            ForwardServer_Pressure(this->forward_server);
+
+        sum.refused += forwards->refused;
+        sum.closed += forwards->closed;
+    }
+    return sum;
+}
+
 uint64_t
 Gateway_SkippedResponses(const Gateway *this)
 {
--- a/packages/net/HttpParser.c
+++ b/packages/net/HttpParser.c
@@ -4,6 +4,11 @@
 #include <http_parser.h>
 #include <string.h>
 
+/* Framing of a chunk without an extension: 16 digits and two line ends. */
+#define CHUNK_FRAMING_BYTES 20
+/* Larger buffers are not kept from one message to the next. */
+#define KEPT_BUFFER_BYTES 512
+
 typedef enum ParserState_ {
     STATE_HEAD,
     STATE_BODY,
@@ -24,6 +29,10 @@
     GString *value;
     bool value_seen;
     HeaderList *headers;
+    uint64_t body_bytes;    /* delivered, of the current message */
+    uint64_t framing_bytes; /* received after its header block */
+    uint64_t chunk_count;
+    bool head_complete;
     bool message_complete;
 };
 
@@ -53,6 +62,9 @@
 {
     HttpParser *this = library->data;
 
+    if (this->head_complete) {
+        return 0; /* a trailer */
+    }
     finish_field(this);
     g_string_append_len(this->name, data, (gssize)length);
     return 0;
@@ -63,6 +75,9 @@
 {
     HttpParser *this = library->data;
 
+    if (this->head_complete) {
+        return 0;
+    }
     this->value_seen = true;
     g_string_append_len(this->value, data, (gssize)length);
     return 0;
@@ -83,14 +98,24 @@
     return HTTP_FRAMING_CLOSE;
 }
 
+/* Length and encoding of such a response are those of another one (RFC 9112,
+ * section 6.3). */
+static bool
+is_bodyless(const HttpParser *this, int status)
+{
+    return this->kind == HTTP_PARSER_RESPONSES &&
+           (status / 100 == 1 || status == 204 || status == 304);
+}
+
 static int
 on_headers_complete(http_parser *library)
 {
     HttpParser *this = library->data;
     HttpHead head = {.status = library->status_code};
+    HttpBodyRule rule;
 
-    /* Trailer fields follow after on_head(). */
     finish_field(this);
+    this->head_complete = true;
     if (this->kind == HTTP_PARSER_REQUESTS) {
         head.method = Str_FromC(http_method_str(library->method));
         head.target = Str_FromString(this->target);
@@ -104,7 +129,8 @@
                           : (int64_t)library->content_length;
     }
     head.headers = this->headers;
-    return this->handlers.on_head(this->user, &head) == HTTP_BODY_NONE ? 1 : 0;
+    rule = this->handlers.on_head(this->user, &head);
+    return rule == HTTP_BODY_NONE || is_bodyless(this, head.status) ? 1 : 0;
 }
 
 static int
@@ -112,10 +138,20 @@
 {
     HttpParser *this = library->data;
 
+    this->body_bytes += length;
     this->handlers.on_body(this->user, (Str){data, length});
     return 0;
 }
 
+static int
+on_chunk_header(http_parser *library)
+{
+    HttpParser *this = library->data;
+
+    this->chunk_count++;
+    return 0;
+}
+
 /* Pauses after each message: the owner decides when to parse the next one. */
 static int
 on_message_complete(http_parser *library)
@@ -134,8 +170,19 @@
     .on_headers_complete = on_headers_complete,
     .on_body = on_body,
     .on_message_complete = on_message_complete,
+    .on_chunk_header = on_chunk_header,
 };
 
+static void
+clear_buffer(GString **buffer)
+{
+    if ((*buffer)->allocated_len > KEPT_BUFFER_BYTES) {
+        g_string_free(*buffer, TRUE);
+        *buffer = g_string_new(NULL);
+    }
+    g_string_truncate(*buffer, 0);
+}
+
 static void
 begin_message(HttpParser *this)
 {
@@ -145,12 +192,16 @@
     this->library.data = this;
     this->state = STATE_HEAD;
     this->searched = 0;
+    this->head_complete = false;
     this->message_complete = false;
     this->value_seen = false;
-    g_string_truncate(this->head, 0);
-    g_string_truncate(this->target, 0);
-    g_string_truncate(this->name, 0);
-    g_string_truncate(this->value, 0);
+    this->body_bytes = 0;
+    this->framing_bytes = 0;
+    this->chunk_count = 0;
+    clear_buffer(&this->head);
+    clear_buffer(&this->target);
+    clear_buffer(&this->name);
+    clear_buffer(&this->value);
     HeaderList_Destroy(this->headers);
     this->headers = HeaderList_Create();
 }
@@ -169,8 +220,8 @@
     this->target = g_string_new(NULL);
     this->name = g_string_new(NULL);
     this->value = g_string_new(NULL);
-    /* This limit of the library is global; 80 KiB is its default. */
-    http_parser_set_max_header_size((uint32_t)MAX(head_bytes_max, 80 * 1024));
+    /* The limit of the library is one for all parsers. */
+    http_parser_set_max_header_size(UINT32_MAX);
     begin_message(this);
     return this;
 }
@@ -411,6 +462,30 @@
     return check_head(Str_FromString(this->head), error);
 }
 
+/* Limits trailers and chunk extensions: whatever exceeds the framing of chunks
+ * without one. */
+static int
+check_framing(const HttpParser *this, Error *error)
+{
+    if (this->framing_bytes <=
+        this->head_bytes_max + CHUNK_FRAMING_BYTES * (this->chunk_count + 1)) {
+        return 0;
+    }
+    return Error_Set(error, ERR_LIMIT, "read-body", STR(""),
+                     "trailers and chunk extensions are longer than %zu bytes",
+                     this->head_bytes_max);
+}
+
+static int
+execute_body(HttpParser *this, Str data, size_t *used, Error *error)
+{
+    uint64_t before = this->body_bytes;
+    int code = execute_library(this, data, used, error);
+
+    this->framing_bytes += *used - (this->body_bytes - before);
+    return code < 0 ? code : check_framing(this, error);
+}
+
 static int
 mark_failed(HttpParser *this, int code)
 {
@@ -433,6 +508,7 @@
         }
         this->state = STATE_BODY;
         code = execute_library(this, Str_FromString(this->head), &n, error);
+        clear_buffer(&this->head);
         if (code < 0 || this->message_complete) {
             return code;
         }
@@ -440,7 +516,7 @@
         data.length -= *used;
     }
     if (data.length > 0) {
-        code = execute_library(this, data, &n, error);
+        code = execute_body(this, data, &n, error);
         *used += n;
         return code;
     }
@@ -503,3 +579,17 @@
     this->headers = HeaderList_Create();
     return headers;
 }
+
+size_t
+HttpParser_HeldBytes(const HttpParser *this)
+{
+    return this->head->allocated_len + this->target->allocated_len +
+           this->name->allocated_len + this->value->allocated_len +
+           HeaderList_Bytes(this->headers);
+}
+
+void
+HttpParser_SetHeadBytes(HttpParser *this, size_t head_bytes_max)
+{
+    this->head_bytes_max = head_bytes_max;
+}
--- a/packages/net/HttpParser.h
+++ b/packages/net/HttpParser.h
@@ -51,7 +51,7 @@
 
 /** enum HttpBodyRule - return value of on_head() */
 typedef enum HttpBodyRule_ {
-    HTTP_BODY_FRAMED, /* a body as the header block announces */
+    HTTP_BODY_FRAMED, /* a body as status and header block announce */
     HTTP_BODY_NONE,   /* none, as in the response to HEAD */
 } HttpBodyRule;
 
@@ -69,7 +69,10 @@
 
 /**
  * HttpParser_Create() - create a parser for one connection
- * @head_bytes_max: limit on the size of a header block
+ * @head_bytes_max: limit on the size of a header block, and on that of the
+ *     trailers and chunk extensions of a message together
+ *
+ * Trailers are not kept.
  */
 HttpParser *HttpParser_Create(HttpParserKind kind, size_t head_bytes_max,
                               const HttpParserHandlers *handlers, void *user);
@@ -81,8 +84,9 @@
  * HttpParser_Feed() - parse bytes up to the end of the current message
  * @used: number of bytes consumed; the rest belongs to the next message
  *
- * Return: 0, ERR_LIMIT for a header block that is too long, or ERR_PROTOCOL;
- * after an error the parser rejects all further data.
+ * Return: 0, ERR_LIMIT for a header block, trailers or chunk extensions that
+ * are too long, or ERR_PROTOCOL; after an error the parser rejects all further
+ * data.
  */
 int HttpParser_Feed(HttpParser *this, Str data, size_t *used, Error *error);
 
@@ -97,6 +101,12 @@
 /** HttpParser_IsIdle() - true if no byte of the next message was received */
 bool HttpParser_IsIdle(const HttpParser *this);
 
+/** HttpParser_HeldBytes() - memory that the parsed part of a message takes */
+size_t HttpParser_HeldBytes(const HttpParser *this);
+
+/** HttpParser_SetHeadBytes() - change the limit, between two messages */
+void HttpParser_SetHeadBytes(HttpParser *this, size_t head_bytes_max);
+
 /**
  * HttpParser_TakeHeaders() - take over the fields of the current message
  *
--- a/packages/net/Socket.h
+++ b/packages/net/Socket.h
@@ -45,6 +45,8 @@
  * @connect_timeout: time limit to establish the connection; 0 for none
  * @unsent_bytes_max: TCP_NOTSENT_LOWAT, the bytes that the system takes beyond
  *                    the receive window of the peer; 0 for the system default
+ * @open_sockets: number from g_rc_box_new0(); includes this connection until
+ *                its descriptor is closed. NULL for none.
  */
 typedef struct SocketOptions_ {
     TlsContext *tls;
@@ -52,6 +54,7 @@
     int keep_alive_s;
     Micros connect_timeout;
     int unsent_bytes_max;
+    unsigned *open_sockets;
 } SocketOptions;
 
 /** Socket_Accept() - take ownership of a connected descriptor */
@@ -69,9 +72,24 @@
                        const SocketHandlers *handlers, void *user,
                        Error *error);
 
-/** Socket_Write() - append to the output buffer and start to send */
+/** Socket_Write() - send, and keep the rest in the output buffer */
 void Socket_Write(Socket *this, Str data);
 
+/**
+ * Socket_WriteSome() - send without keeping anything in the output buffer
+ *
+ * Return: number of bytes that the system has taken; the rest is to be written
+ * after on_drained, see Socket_RequestDrained().
+ */
+size_t Socket_WriteSome(Socket *this, Str data);
+
+/**
+ * Socket_RequestDrained() - call on_drained once the connection takes more
+ *
+ * Not before the next event, also if the output buffer is empty.
+ */
+void Socket_RequestDrained(Socket *this);
+
 /** Socket_Buffered() - bytes in the output buffer */
 size_t Socket_Buffered(const Socket *this);
 
@@ -90,6 +108,13 @@
  */
 void Socket_ReadNow(Socket *this);
 
+/**
+ * Socket_LimitReceiveBuffer() - bound what the system keeps unread
+ *
+ * Input beyond it is dropped and sent again by the peer.
+ */
+void Socket_LimitReceiveBuffer(Socket *this, int bytes);
+
 /** Socket_Pause() - stop or resume reading from the peer */
 void Socket_Pause(Socket *this, bool paused);
 
--- a/standins/standin-platform.c
+++ b/standins/standin-platform.c
@@ -58,6 +58,8 @@
     int64_t notice_interval_ms;
     int64_t restore_interval_ms;
     int64_t cut_hosts;
+    int64_t body_bytes_max;
+    int64_t head_bytes_max;
     int64_t loss_period_ms;
     double loss_ratio;
     double rate;
@@ -121,6 +123,10 @@
     {"outdated-interval-ms", SETTING_INT, FIELD(outdated_interval_ms), false,
      "mean time between entries of ended upstreams whose address is in use, 0 "
      "for none"},
+    {"body-bytes-max", SETTING_INT, FIELD(body_bytes_max), false,
+     "limit on request bodies in the configuration"},
+    {"head-bytes-max", SETTING_INT, FIELD(head_bytes_max), false,
+     "limit on header blocks in the configuration"},
     {"hosts", SETTING_TEXT, FIELD(hosts), false,
      "ADDRESS:PORT,... of the gateway hosts"},
     {"cut-hosts", SETTING_INT, FIELD(cut_hosts), false,
@@ -200,8 +206,9 @@
                                   : ",\"healthPath\":\"/health\"";
     g_autofree char *text = g_strdup_printf(
         "{\"version\":\"%08x\",\"services\":[{\"name\":\"" SERVICE
-        "\"%s}],\"limits\":{\"maxHeaderBytes\":16384,"
-        "\"maxBodyBytes\":1000000,\"headerTimeoutS\":3,\"idleTimeoutS\":15},"
+        "\"%s}],\"limits\":{\"maxHeaderBytes\":%" G_GINT64_FORMAT
+        ",\"maxBodyBytes\":%" G_GINT64_FORMAT
+        ",\"headerTimeoutS\":3,\"idleTimeoutS\":15},"
         "\"hosts\":[{\"host\":\"" HOST "\",\"paths\":["
         "{\"name\":\"safe\",\"pathPrefix\":\"/safe/\",\"kind\":\"safe\","
         "\"timeoutS\":%.3f,\"targetLatencyS\":0.25,\"priority\":2,"
@@ -209,7 +216,8 @@
         "{\"name\":\"once\",\"pathPrefix\":\"/once/\",\"kind\":\"unsafe\","
         "\"timeoutS\":%.3f,\"targetLatencyS\":0.3,\"priority\":1,"
         "\"service\":\"" SERVICE "\",\"maxAttempts\":2}]}]}",
-        ++this->version, health_path, timeout_s, timeout_s);
+        ++this->version, health_path, this->options.head_bytes_max,
+        this->options.body_bytes_max, timeout_s, timeout_s);
 
     PlatformStore_Put(this->store, "keyed.op", "config", text);
 }
@@ -1042,6 +1050,8 @@
                                      .loss_ratio = 0.5,
                                      .rate = 100,
                                      .served_least = 0.95,
+                                     .body_bytes_max = 1000000,
+                                     .head_bytes_max = 16384,
                                      .hosts = NULL}};
     int code = Settings_Parse(OPTIONS, G_N_ELEMENTS(OPTIONS),
                               &platform.options, argc, argv);
