Give each call of the test of large bodies an id of its own

Change: each call has its own id, as those of callers; the check that one connection serves both stays as it was.

--- a/tests/test_request_bodies.c
+++ b/tests/test_request_bodies.c
@@ -57,6 +57,7 @@
     int unsent_bytes_max;
     /* caller */
     HttpCall *call;
+    unsigned calls;
     int64_t body_bytes;
     int64_t written;
     int status;
@@ -251,9 +252,12 @@
         .headers = headers,
         .content_length = body_bytes,
     };
+    char id[16];
 
+    /* A connection to an upstream carries each id once. */
+    g_snprintf(id, sizeof(id), "%u", ++f->calls);
     HeaderList_Add(headers, STR("host"), STR("a.example"));
-    HeaderList_Add(headers, PLATFORM_DIALECT.attempt_id, STR("r"));
+    HeaderList_Add(headers, PLATFORM_DIALECT.attempt_id, Str_FromC(id));
     f->body_bytes = body_bytes;
     f->written = 0;
     f->status = 0;
