Make room for one of the largest bodies on hosts with little memory

Cause: half of what a machine of 112 MB has above 24 MB is less than the largest body that its configuration may allow, which got 413 then.

Change: the memory for requests rises to what one body of maxBodyBytes needs, as far as the machine has it.

Measured: /input-budget/largest; the tests with a crowd pass as before.

--- a/packages/core/limits/InputBudget.c
+++ b/packages/core/limits/InputBudget.c
@@ -12,6 +12,7 @@
     const Clock *clock;
     GPtrArray *shares; /* InputShare */
     size_t used_bytes;
+    size_t total_bytes; /* with room for the largest request */
 };
 
 struct InputShare_ {
@@ -29,6 +30,7 @@
     InputBudget *this = g_new0(InputBudget, 1);
 
     this->options = *options;
+    this->total_bytes = options->total_bytes;
     this->clock = clock;
     this->shares = g_ptr_array_new();
     return this;
@@ -44,6 +46,16 @@
     g_free(this);
 }
 
+void
+InputBudget_SetLargest(InputBudget *this, size_t length)
+{
+    const InputBudgetOptions *options = &this->options;
+    size_t needed = length + options->small_bytes + options->reserve_bytes;
+
+    this->total_bytes =
+        MAX(options->total_bytes, MIN(needed, options->most_bytes));
+}
+
 size_t
 InputBudget_UsedBytes(const InputBudget *this)
 {
@@ -53,7 +65,7 @@
 static size_t
 large_bytes_max(const InputBudget *this)
 {
-    return this->options.total_bytes - this->options.reserve_bytes;
+    return this->total_bytes - this->options.reserve_bytes;
 }
 
 bool
@@ -117,7 +129,7 @@
     InputBudget *budget = this->budget;
     size_t used = budget->used_bytes - this->bytes + bytes;
     size_t limit = bytes <= budget->options.small_bytes
-                       ? budget->options.total_bytes
+                       ? budget->total_bytes
                        : large_bytes_max(budget);
 
     if (bytes > this->bytes && used > limit) {
--- a/packages/core/limits/InputBudget.h
+++ b/packages/core/limits/InputBudget.h
@@ -31,11 +31,13 @@
 /**
  * struct InputBudgetOptions_ - sizes in bytes
  * @total_bytes: for the requests of all callers
+ * @most_bytes: the same, if the largest allowed request needs it
  * @reserve_bytes: part of it for connections that hold @small_bytes at most
  * @small_bytes: see above
  */
 typedef struct InputBudgetOptions_ {
     size_t total_bytes;
+    size_t most_bytes;
     size_t reserve_bytes;
     size_t small_bytes;
 } InputBudgetOptions;
@@ -47,6 +49,12 @@
 /** InputBudget_Destroy() - all shares must be closed; NULL is allowed */
 void InputBudget_Destroy(InputBudget *this);
 
+/**
+ * InputBudget_SetLargest() - make room for one of the largest requests
+ * @length: of the largest body that is allowed, in bytes
+ */
+void InputBudget_SetLargest(InputBudget *this, size_t length);
+
 /** InputBudget_UsedBytes() - held by all shares */
 size_t InputBudget_UsedBytes(const InputBudget *this);
 
--- a/packages/gateway/Gateway.c
+++ b/packages/gateway/Gateway.c
@@ -1310,9 +1310,9 @@
     if (memory == 0) {
         return;
     }
+    options.most_bytes = MAX(memory, PROCESS_BYTES) - PROCESS_BYTES;
     options.total_bytes =
-        (size_t)(REQUESTS_RATIO *
-                 (double)(MAX(memory, PROCESS_BYTES) - PROCESS_BYTES));
+        (size_t)(REQUESTS_RATIO * (double)options.most_bytes);
     options.reserve_bytes =
         (size_t)(SMALL_REQUESTS_RATIO * (double)options.total_bytes);
     this->budget = InputBudget_Create(&options, Loop_Clock(this->loop));
@@ -1433,6 +1433,9 @@
                            : CALLER_IDLE_DEFAULT_S * MICROS_PER_S;
 
     HttpServer_SetLimits(this->server, &http, idle_time);
+    if (this->budget != NULL) {
+        InputBudget_SetLargest(this->budget, (size_t)http.body_bytes);
+    }
     if (this->forward_server != NULL) {
         ForwardServer_SetHeadBytes(this->forward_server, limits->head_bytes);
     }
--- a/tests/test_caller_limits.c
+++ b/tests/test_caller_limits.c
@@ -84,8 +84,12 @@
 static void
 set_up(Fixture *f, unsigned connections_max)
 {
-    static const InputBudgetOptions budget = {TOTAL_BYTES, RESERVE_BYTES,
-                                              SMALL_BYTES};
+    static const InputBudgetOptions budget = {
+        .total_bytes = TOTAL_BYTES,
+        .most_bytes = TOTAL_BYTES,
+        .reserve_bytes = RESERVE_BYTES,
+        .small_bytes = SMALL_BYTES,
+    };
     HttpServerOptions options = {.address = "127.0.0.1",
                                  .keep_alive_s = 60,
                                  .connections_max = connections_max};
--- a/tests/test_input_budget.c
+++ b/tests/test_input_budget.c
@@ -3,6 +3,7 @@
 #include "InputBudget.h"
 
 #define TOTAL 1000
+#define MOST 1500
 #define RESERVE 200
 #define SMALL 50
 #define LARGE_MAX (TOTAL - RESERVE)
@@ -15,7 +16,12 @@
 static Fixture
 create(void)
 {
-    static const InputBudgetOptions options = {TOTAL, RESERVE, SMALL};
+    static const InputBudgetOptions options = {
+        .total_bytes = TOTAL,
+        .most_bytes = MOST,
+        .reserve_bytes = RESERVE,
+        .small_bytes = SMALL,
+    };
     Fixture f;
 
     f.clock = Clock_CreateManual(0, 0);
@@ -60,6 +66,25 @@
     destroy(&f);
 }
 
+/* Guards against a host with little memory that takes none of the largest bodies
+ * that are allowed, and against one that takes more than it has. */
+static void
+test_largest(void)
+{
+    Fixture f = create();
+
+    InputBudget_SetLargest(f.budget, 1100);
+    g_assert_true(InputBudget_Fits(f.budget, 1100));
+    g_assert_false(InputBudget_Fits(f.budget, 1100 + SMALL + 1));
+    InputBudget_SetLargest(f.budget, MOST);
+    g_assert_true(InputBudget_Fits(f.budget, MOST - RESERVE));
+    g_assert_false(InputBudget_Fits(f.budget, MOST - RESERVE + 1));
+    InputBudget_SetLargest(f.budget, 10);
+    g_assert_true(InputBudget_Fits(f.budget, LARGE_MAX));
+    g_assert_false(InputBudget_Fits(f.budget, LARGE_MAX + 1));
+    destroy(&f);
+}
+
 /* Guards against two large bodies that wait for each other's memory, and against
  * new ones that end each one before it is complete. */
 static void
@@ -199,6 +224,7 @@
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/input-budget/calm", test_calm);
+    g_test_add_func("/input-budget/largest", test_largest);
     g_test_add_func("/input-budget/bodies-at-once", test_bodies_at_once);
     g_test_add_func("/input-budget/trickling-body", test_trickling_body);
     g_test_add_func("/input-budget/reserve", test_reserve);
