Do not cut off a response that its caller has begun to take

Cause: for lack of memory the youngest connection that waited for its caller was ended, which could be one that was about to read a response to a request that ran.

Change: a connection with an unread response ends only if it has waited two seconds or more.

--- a/packages/core/limits/InputBudget.c
+++ b/packages/core/limits/InputBudget.c
@@ -160,10 +160,10 @@
     return other == NULL || this->since < other->since;
 }
 
-/* The connections that wait for their caller and hold more than @least. */
+/* The connections that wait for their caller and hold more than a minimum. */
 typedef struct Waiting_ {
     InputShare *longest;
-    InputShare *shortest;
+    InputShare *shortest; /* of those whose request is not complete */
 } Waiting;
 
 static Waiting
@@ -182,7 +182,8 @@
         if (is_longer(share, found.longest)) {
             found.longest = share;
         }
-        if (found.shortest == NULL || !is_longer(share, found.shortest)) {
+        if (share->state != INPUT_UNREAD &&
+            (found.shortest == NULL || !is_longer(share, found.shortest))) {
             found.shortest = share;
         }
     }
@@ -195,15 +196,11 @@
     return Clock_Now(this->budget->clock) - this->since >= time;
 }
 
-InputShare *
-InputShare_Victim(InputShare *this, size_t bytes)
+static InputShare *
+victim_above(const InputShare *needy, size_t needed, size_t least)
 {
-    size_t small = this->budget->options.small_bytes;
-    Waiting found = find_waiting(this, bytes, small);
+    Waiting found = find_waiting(needy, needed, least);
 
-    if (found.longest == NULL && bytes <= small) {
-        found = find_waiting(this, bytes, 0);
-    }
     if (found.longest != NULL &&
         has_waited(found.longest, LARGE_WAIT_LEAST_US)) {
         return found.longest;
@@ -211,6 +208,16 @@
     return found.shortest;
 }
 
+InputShare *
+InputShare_Victim(InputShare *this, size_t bytes)
+{
+    size_t small = this->budget->options.small_bytes;
+    InputShare *victim = victim_above(this, bytes, small);
+
+    return victim == NULL && bytes <= small ? victim_above(this, bytes, 0)
+                                            : victim;
+}
+
 /* The order of those that are ended for a new connection; 0 for never. */
 static int
 rank_of(const InputShare *this)
--- a/packages/core/limits/InputBudget.h
+++ b/packages/core/limits/InputBudget.h
@@ -101,13 +101,12 @@
  *
  * Of the connections that wait for their caller and hold more than a small
  * request, or would do so with @bytes, it is the one that has waited longest
- * if that is two seconds or more, else the one that has waited shortest: the
- * first of several large bodies at once goes on, and one that stands still ends
- * when others need the room. For a small request in need it may also be a small
- * one.
+ * if that is two seconds or more, else, of those whose request is not complete,
+ * the one that has waited shortest: the first of several large bodies at once
+ * goes on, and one that stands still ends when others need the room. For a small
+ * request in need it may also be a small one.
  *
- * Return: NULL if no connection waits for its caller, or only @this does but
- * holds a complete request.
+ * Return: NULL if there is none; not if the request of @this is not complete.
  */
 InputShare *InputShare_Victim(InputShare *this, size_t bytes);
 
--- a/tests/test_input_budget.c
+++ b/tests/test_input_budget.c
@@ -188,6 +188,27 @@
     destroy(&f);
 }
 
+/* Guards against callers that take no response and keep all memory, and against
+ * one that is cut off from a response that it has just begun to read. */
+static void
+test_unread_responses(void)
+{
+    Fixture f = create();
+    InputShare *unread = open_share(&f, INPUT_UNREAD, 700);
+    InputShare *body = open_share(&f, INPUT_BODY, 100);
+
+    g_assert_true(InputShare_Victim(body, 101) == body);
+    g_assert_true(InputShare_Victim(unread, 900) == body);
+    InputShare_SetState(body, INPUT_COMPLETE);
+    g_assert_null(InputShare_Victim(unread, 900));
+    InputShare_SetState(body, INPUT_BODY);
+    Clock_Advance(f.clock, 2 * MICROS_PER_S);
+    g_assert_true(InputShare_Victim(body, 101) == unread);
+    InputShare_Close(unread);
+    InputShare_Close(body);
+    destroy(&f);
+}
+
 /* Guards against a connection with a request at an upstream that is closed for a
  * new one, and against new ones that are closed before their request arrives. */
 static void
@@ -229,6 +250,7 @@
     g_test_add_func("/input-budget/trickling-body", test_trickling_body);
     g_test_add_func("/input-budget/reserve", test_reserve);
     g_test_add_func("/input-budget/small-requests", test_small_requests);
+    g_test_add_func("/input-budget/unread-responses", test_unread_responses);
     g_test_add_func("/input-budget/least-useful", test_least_useful);
     return g_test_run();
 }
