--- a/packages/core/limits/InputBudget.c
+++ b/packages/core/limits/InputBudget.c
@@ -12,6 +12,7 @@
     const Clock *clock;
     GPtrArray *shares; /* InputShare */
     size_t used_bytes;
+    size_t total_bytes; /* with room for the largest request */
 };
 
 struct InputShare_ {
@@ -29,6 +30,7 @@
     InputBudget *this = g_new0(InputBudget, 1);
 
     this->options = *options;
+    this->total_bytes = options->total_bytes;
     this->clock = clock;
     this->shares = g_ptr_array_new();
     return this;
@@ -44,6 +46,16 @@
     g_free(this);
 }
 
+void
+InputBudget_SetLargest(InputBudget *this, size_t length)
+{
+    const InputBudgetOptions *options = &this->options;
+    size_t needed = length + options->small_bytes + options->reserve_bytes;
+
+    this->total_bytes =
+        MAX(options->total_bytes, MIN(needed, options->most_bytes));
+}
+
 size_t
 InputBudget_UsedBytes(const InputBudget *this)
 {
@@ -53,7 +65,7 @@
 static size_t
 large_bytes_max(const InputBudget *this)
 {
-    return this->options.total_bytes - this->options.reserve_bytes;
+    return this->total_bytes - this->options.reserve_bytes;
 }
 
 bool
@@ -117,7 +129,7 @@
     InputBudget *budget = this->budget;
     size_t used = budget->used_bytes - this->bytes + bytes;
     size_t limit = bytes <= budget->options.small_bytes
-                       ? budget->options.total_bytes
+                       ? budget->total_bytes
                        : large_bytes_max(budget);
 
     if (bytes > this->bytes && used > limit) {
@@ -148,10 +160,10 @@
     return other == NULL || this->since < other->since;
 }
 
-/* The connections that wait for their caller and hold more than @least. */
+/* The connections that wait for their caller and hold more than a minimum. */
 typedef struct Waiting_ {
     InputShare *longest;
-    InputShare *shortest;
+    InputShare *shortest; /* of those whose request is not complete */
 } Waiting;
 
 static Waiting
@@ -170,7 +182,8 @@
         if (is_longer(share, found.longest)) {
             found.longest = share;
         }
-        if (found.shortest == NULL || !is_longer(share, found.shortest)) {
+        if (share->state != INPUT_UNREAD &&
+            (found.shortest == NULL || !is_longer(share, found.shortest))) {
             found.shortest = share;
         }
     }
@@ -183,15 +196,11 @@
     return Clock_Now(this->budget->clock) - this->since >= time;
 }
 
-InputShare *
-InputShare_Victim(InputShare *this, size_t bytes)
+static InputShare *
+victim_above(const InputShare *needy, size_t needed, size_t least)
 {
-    size_t small = this->budget->options.small_bytes;
-    Waiting found = find_waiting(this, bytes, small);
+    Waiting found = find_waiting(needy, needed, least);
 
-    if (found.longest == NULL && bytes <= small) {
-        found = find_waiting(this, bytes, 0);
-    }
     if (found.longest != NULL &&
         has_waited(found.longest, LARGE_WAIT_LEAST_US)) {
         return found.longest;
@@ -199,6 +208,16 @@
     return found.shortest;
 }
 
+InputShare *
+InputShare_Victim(InputShare *this, size_t bytes)
+{
+    size_t small = this->budget->options.small_bytes;
+    InputShare *victim = victim_above(this, bytes, small);
+
+    return victim == NULL && bytes <= small ? victim_above(this, bytes, 0)
+                                            : victim;
+}
+
 /* The order of those that are ended for a new connection; 0 for never. */
 static int
 rank_of(const InputShare *this)
