--- a/packages/core/routing/AttemptLedger.c
+++ b/packages/core/routing/AttemptLedger.c
@@ -50,7 +50,7 @@
 }
 
 bool
-AttemptLedger_IsPromise(int status)
+AttemptLedger_ImpliesNotRun(int status)
 {
     return status == 408 || status == 421 || status == 429 || status == 503;
 }
@@ -58,7 +58,8 @@
 int
 AttemptLedger_Status(const AttemptLedger *this, int status)
 {
-    return AttemptLedger_IsPromise(status) && AttemptLedger_MayHaveRun(this)
+    return AttemptLedger_ImpliesNotRun(status) &&
+                   AttemptLedger_MayHaveRun(this)
                ? STATUS_BAD_GATEWAY
                : status;
 }
--- a/packages/core/routing/AttemptLedger.h
+++ b/packages/core/routing/AttemptLedger.h
@@ -52,15 +52,15 @@
 bool AttemptLedger_MayHaveRun(const AttemptLedger *this);
 
 /**
- * AttemptLedger_IsPromise() - whether a status promises that the request was
+ * AttemptLedger_ImpliesNotRun() - whether a status implies that the request was
  *     not executed and never will be: 408, 421, 429 and 503
  */
-bool AttemptLedger_IsPromise(int status);
+bool AttemptLedger_ImpliesNotRun(int status);
 
 /**
  * AttemptLedger_Status() - the status that may be sent
  *
- * Return: @status, or 502 if it is a promise that lacks the proof.
+ * Return: @status, or 502 if it implies what is not proven.
  */
 int AttemptLedger_Status(const AttemptLedger *this, int status);
 
--- a/packages/gateway/Dispatcher.c
+++ b/packages/gateway/Dispatcher.c
@@ -358,14 +358,14 @@
 }
 
 static void
-note_withheld_promise(const Job *job, int status, const char *reason)
+note_unproven_refusal(const Job *job, int status, const char *reason)
 {
     char text[8];
 
     g_snprintf(text, sizeof(text), "%d", status);
-    Dispatcher_Count(job->owner, "agatecrank_withheld_promises_total",
+    Dispatcher_Count(job->owner, "agatecrank_unproven_refusals_total",
                      "status", Str_FromC(text));
-    JobLog_WithheldPromise(job, status, reason);
+    JobLog_UnprovenRefusal(job, status, reason);
 }
 
 void
@@ -381,7 +381,7 @@
     };
 
     if (action.respond.status != status) {
-        note_withheld_promise(job, status, reason);
+        note_unproven_refusal(job, status, reason);
         action.respond.retry_after = 0;
     }
     JobLog_Rejection(job, action.respond.status, reason);
--- a/packages/gateway/DispatcherPrivate.h
+++ b/packages/gateway/DispatcherPrivate.h
@@ -211,7 +211,7 @@
 
 /**
  * Job_Reject() - send a response of the host; releases the job
- * @status: 502 replaces one that promises that the request was not executed, if
+ * @status: 502 replaces one that implies that the request was not executed, if
  *          an attempt may have been; an open attempt or forward is cancelled
  * @reason: static string
  * @retry_after: time after which the caller should retry; 0 for none
--- a/packages/gateway/Gateway.c
+++ b/packages/gateway/Gateway.c
@@ -321,7 +321,7 @@
                    ? ATTEMPT_RESULT_NOT_RUN
                    : ATTEMPT_RESULT_BROKEN;
     }
-    if (AttemptLedger_IsPromise(status) ||
+    if (AttemptLedger_ImpliesNotRun(status) ||
         (status < 300 && !HeaderList_Has(headers, dialect->signature))) {
         return ATTEMPT_RESULT_BROKEN;
     }
--- a/packages/gateway/JobLog.c
+++ b/packages/gateway/JobLog.c
@@ -292,11 +292,11 @@
 }
 
 void
-JobLog_WithheldPromise(const Job *job, int status, const char *reason)
+JobLog_UnprovenRefusal(const Job *job, int status, const char *reason)
 {
     Dispatcher *this = job->owner;
 
-    if (!begin_line(job, LOG_LEVEL_WARN, "withheld-promise")) {
+    if (!begin_line(job, LOG_LEVEL_WARN, "unproven-refusal")) {
         return;
     }
     EventLog_Int(this->decisions, "status", status);
--- a/packages/gateway/JobLog.h
+++ b/packages/gateway/JobLog.h
@@ -28,10 +28,10 @@
 void JobLog_Rejection(const Job *job, int status, const char *reason);
 
 /**
- * JobLog_WithheldPromise() - 502 replaces a status that promises that the
+ * JobLog_UnprovenRefusal() - 502 replaces a status that implies that the
  *     request was not executed
  */
-void JobLog_WithheldPromise(const Job *job, int status, const char *reason);
+void JobLog_UnprovenRefusal(const Job *job, int status, const char *reason);
 
 /** JobLog_CallerDisconnect() - the caller closed its connection */
 void JobLog_CallerDisconnect(const Job *job);
--- a/tests/test_run_proofs.c
+++ b/tests/test_run_proofs.c
@@ -5,7 +5,7 @@
 #include "GatewayFixture.h"
 
 #define TIMEOUT_US (800 * MICROS_PER_MS)
-#define WITHHELD "agatecrank_withheld_promises_total{status=\"%d\"} 1"
+#define UNPROVEN "agatecrank_unproven_refusals_total{status=\"%d\"} 1"
 
 typedef struct Fixture_ {
     Clock *clock;
@@ -80,10 +80,10 @@
 }
 
 static bool
-has_counted_withheld(const Fixture *f, int status)
+has_counted_unproven(const Fixture *f, int status)
 {
     GString *text = g_string_new(NULL);
-    char *line = g_strdup_printf(WITHHELD, status);
+    char *line = g_strdup_printf(UNPROVEN, status);
     bool found;
 
     Counters_Write(f->counters, text);
@@ -108,7 +108,7 @@
     g_assert_cmpint(f->action.respond.status, ==, 502);
     g_assert_cmpint(f->action.respond.retry_after, ==, 0);
     g_assert_cmpint(f->before, ==, DISPATCH_CANCEL);
-    g_assert_true(has_counted_withheld(f, status));
+    g_assert_true(has_counted_unproven(f, status));
     g_assert_cmpuint(Dispatcher_OpenJobs(f->dispatcher), ==, 0);
 }
 
@@ -126,7 +126,7 @@
     g_assert_cmpuint(f->sends, ==, 2);
     g_assert_cmpint(f->action.respond.status, ==, 503);
     g_assert_true(f->action.respond.not_run);
-    g_assert_false(has_counted_withheld(f, 503));
+    g_assert_false(has_counted_unproven(f, 503));
     Job_Reject(submit(f), 504, "deadline", 0);
     take_actions(f);
     g_assert_cmpint(f->action.respond.status, ==, 504);
