Take two start lines in one for a malformed response

Cause: a response whose start line breaks off runs into the start line of the next one on the connection, which is taken for its reason phrase. The id, the signature and the body are those of the next response, the status is not. Change: the start line of a response that holds a second "HTTP/" is malformed. So is a reason phrase that names a version ("400 Expected HTTP/1.1"); "505 HTTP Version Not Supported" is not. Requests are parsed as before. Measured: without the change, test_cut_refusals in-start-line/no-route fails (404 of another request relayed instead of 502) and test_http_parser fails at "start line in a start line" (accepted). in-start-line/full passes without it, too: a 503 without the upstream's statement was not relayed before. With the change test_cut_refusals, test_http_parser and test_http pass in release and with sanitizers.

--- a/packages/net/HttpParser.c
+++ b/packages/net/HttpParser.c
@@ -365,6 +365,17 @@
     return 0;
 }
 
+/* A start line that broke off runs into that of the next response, whose header
+ * fields and body would follow the wrong status. */
+static bool
+holds_second_start_line(Str line)
+{
+    size_t first = MIN(line.length, 1);
+
+    return g_strstr_len(line.data + first, (gssize)(line.length - first),
+                        "HTTP/") != NULL;
+}
+
 static int
 check_fields(Str block, GPtrArray *seen, Error *error)
 {
@@ -392,14 +403,19 @@
 }
 
 static int
-check_head(Str block, Error *error)
+check_head(Str block, HttpParserKind kind, Error *error)
 {
     GPtrArray *seen;
+    Str rest = block, line;
     int code = check_bytes(block, 0, error);
 
     if (code < 0) {
         return code;
     }
+    if (kind == HTTP_PARSER_RESPONSES && Str_Split(&rest, '\n', &line) &&
+        holds_second_start_line(line)) {
+        return set_protocol_error(error, "two start lines in one");
+    }
     seen = g_ptr_array_new_with_free_func(g_free);
     code = check_fields(block, seen, error);
     g_ptr_array_free(seen, TRUE);
@@ -459,7 +475,7 @@
     *used += end - before;
     g_string_truncate(this->head, end);
     *complete = true;
-    return check_head(Str_FromString(this->head), error);
+    return check_head(Str_FromString(this->head), this->kind, error);
 }
 
 /* Limits trailers and chunk extensions: whatever exceeds the framing of chunks
--- a/packages/net/HttpParser.h
+++ b/packages/net/HttpParser.h
@@ -13,7 +13,8 @@
  * It rejects messages that different parsers may interpret differently, which
  * allows request smuggling: bare CR or LF, folded lines, a space before a
  * colon, repeated length, host or credential fields, and content-length
- * together with transfer-encoding. Source: RFC 9112, sections 2.2, 5 and 6.
+ * together with transfer-encoding. Source: RFC 9112, sections 2.2, 5 and 6. Of
+ * responses it rejects those whose start line holds another one.
  */
 typedef struct HttpParser_ HttpParser;
 
--- a/tests/test_cut_refusals.c
+++ b/tests/test_cut_refusals.c
@@ -22,6 +22,12 @@
 static const ScriptedReply move[] = {
     {.response = MOVED SCRIPTED_NOT_RUN_FIELD "retry-after: 0." RESPONSE},
 };
+static const ScriptedReply in_start_line[] = {
+    {.response = "HTTP/1.1 404 No" RESPONSE},
+};
+static const ScriptedReply in_start_line_full[] = {
+    {.response = "HTTP/1.1 503 Fu" RESPONSE},
+};
 
 typedef struct Case_ {
     const char *name;
@@ -33,6 +39,8 @@
     {"/cut-refusal/after-statement", after_statement},
     {"/cut-refusal/between-fields", between_fields},
     {"/cut-refusal/move", move},
+    {"/cut-refusal/in-start-line/no-route", in_start_line},
+    {"/cut-refusal/in-start-line/full", in_start_line_full},
 };
 
 /* Guards against a refusal that breaks off and is believed beside the id of the
--- a/tests/test_http_parser.c
+++ b/tests/test_http_parser.c
@@ -153,6 +153,15 @@
      "HTTP/1.1 102 Wait\r\ncontent-length: 2\r\n\r\n" OK
      "content-length: 0\r\n\r\n",
      0, "[  102 2].[  200 0]."},
+    {"start line in a start line", HTTP_PARSER_RESPONSES,
+     "HTTP/1.1 404 No" OK "content-length: 0\r\n\r\n", ERR_PROTOCOL, ""},
+    {"start line at a reason", HTTP_PARSER_RESPONSES,
+     "HTTP/1.1 404 " OK "content-length: 0\r\n\r\n", ERR_PROTOCOL, ""},
+    {"reason with HTTP", HTTP_PARSER_RESPONSES,
+     "HTTP/1.1 505 HTTP Version Not Supported\r\ncontent-length: 0\r\n\r\n", 0,
+     "[  505 0]."},
+    {"target with a version", HTTP_PARSER_REQUESTS,
+     "GET /HTTP/1.1 HTTP/1.1\r\nhost: h\r\n\r\n", 0, "[GET /HTTP/1.1 0 0]."},
     {"not a response", HTTP_PARSER_RESPONSES, "garbage\r\n\r\n", ERR_PROTOCOL,
      ""},
 };
