Test that requests without an id share no connection

The response to a request without an id can't be told from a copy of another one, so such a request gets a connection of its own. No test failed without that. Change: two cases of test_refused_requests: two attempts of a request without an id at one address, with a second copy of the first refusal (503, 421) on a connection that both use. Measured: both cases fail if send_request does not set spec.new_connection (503 instead of 200 for a request that ran) and pass as it is, in release and with sanitizers; so do test_unstated_refusals, test_stray_responses and test_cut_refusals, which use the same gateway.

--- a/tests/support/ScriptedGateway.c
+++ b/tests/support/ScriptedGateway.c
@@ -77,8 +77,8 @@
     on_headers, on_data, on_drained, on_complete, on_failed,
 };
 
-int
-ScriptedGateway_Call(ScriptedGateway *this, const char *path)
+static int
+call(ScriptedGateway *this, const char *path, bool with_id)
 {
     HeaderList *headers = HeaderList_Create();
     HttpCallSpec spec = {.address = "127.0.0.1",
@@ -89,7 +89,10 @@
                          .new_connection = true};
 
     HeaderList_Add(headers, STR("host"), GATEWAY_FIXTURE_HOST);
-    HeaderList_Add(headers, STR("agatecrank-attempt-id"), STR(SCRIPTED_ID));
+    if (with_id) {
+        HeaderList_Add(headers, STR("agatecrank-attempt-id"),
+                       STR(SCRIPTED_ID));
+    }
     this->complete = this->failed = false;
     this->status = 0;
     g_string_truncate(this->body, 0);
@@ -102,6 +105,18 @@
     return this->complete ? this->status : 0;
 }
 
+int
+ScriptedGateway_Call(ScriptedGateway *this, const char *path)
+{
+    return call(this, path, true);
+}
+
+int
+ScriptedGateway_CallWithoutId(ScriptedGateway *this, const char *path)
+{
+    return call(this, path, false);
+}
+
 Str
 ScriptedGateway_Body(const ScriptedGateway *this)
 {
--- a/tests/support/ScriptedGateway.h
+++ b/tests/support/ScriptedGateway.h
@@ -58,6 +58,9 @@
  */
 int ScriptedGateway_Call(ScriptedGateway *this, const char *path);
 
+/** ScriptedGateway_CallWithoutId() - the same for a request without an id */
+int ScriptedGateway_CallWithoutId(ScriptedGateway *this, const char *path);
+
 /** ScriptedGateway_Body() - of the last response */
 Str ScriptedGateway_Body(const ScriptedGateway *this);
 
--- a/tests/test_refused_requests.c
+++ b/tests/test_refused_requests.c
@@ -8,6 +8,12 @@
 #define MOVED                                                                 \
     "HTTP/1.1 421 Moved\r\n" SCRIPTED_NOT_RUN_FIELD SCRIPTED_ID_FIELD         \
         SCRIPTED_NO_BODY
+#define FULL_WITHOUT_ID                                                       \
+    "HTTP/1.1 503 Full\r\n" SCRIPTED_NOT_RUN_FIELD SCRIPTED_NO_BODY
+#define MOVED_WITHOUT_ID                                                      \
+    "HTTP/1.1 421 Moved\r\n" SCRIPTED_NOT_RUN_FIELD SCRIPTED_NO_BODY
+#define RESPONSE_WITHOUT_ID                                                   \
+    "HTTP/1.1 200 OK\r\n" SCRIPTED_SIGNATURE_FIELD SCRIPTED_RESULT_BODY
 #define RESPONSE                                                              \
     "HTTP/1.1 200 OK\r\n" SCRIPTED_ID_FIELD SCRIPTED_SIGNATURE_FIELD          \
         SCRIPTED_RESULT_BODY
@@ -22,6 +28,14 @@
     {.response = MOVED, .held = true},
     {.copy = MOVED, .response = RESPONSE},
 };
+static const ScriptedReply full_without_id[] = {
+    {.response = FULL_WITHOUT_ID},
+    {.copy = FULL_WITHOUT_ID, .response = RESPONSE_WITHOUT_ID},
+};
+static const ScriptedReply moved_without_id[] = {
+    {.response = MOVED_WITHOUT_ID},
+    {.copy = MOVED_WITHOUT_ID, .response = RESPONSE_WITHOUT_ID},
+};
 
 static void
 change_nothing(void *user)
@@ -92,6 +106,22 @@
     ScriptedGateway_Destroy(gateway);
 }
 
+/* Guards against the same for a request without an id. */
+static void
+test_copy_without_id(gconstpointer data)
+{
+    ScriptedGateway *gateway = ScriptedGateway_Create(data, 2);
+    int status;
+
+    ScriptedGateway_List(gateway, "u", 1);
+    ScriptedGateway_List(gateway, "v", 1);
+    status = ScriptedGateway_CallWithoutId(gateway, "/once/1");
+    g_assert_cmpuint(ScriptedGateway_Requests(gateway), ==, 2);
+    g_assert_cmpint(status, ==, 200);
+    g_assert_true(Str_Equal(ScriptedGateway_Body(gateway), STR("result")));
+    ScriptedGateway_Destroy(gateway);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -100,5 +130,9 @@
         g_test_add_data_func(cases[i].path, &cases[i],
                              test_copy_of_earlier_attempt);
     }
+    g_test_add_data_func("/refused/copy-without-id/full", full_without_id,
+                         test_copy_without_id);
+    g_test_add_data_func("/refused/copy-without-id/moved", moved_without_id,
+                         test_copy_without_id);
     return g_test_run();
 }
