Test that a move without proof uses up an attempt

An upstream that answers 421 without its statement may have run the request, and counts towards the upstreams that may run an idempotent one. No test failed without that. Change: two cases of test_run_proofs: unproven moves at upstreams of this host, and one after which the host, cut off, forwards the request. The fixture gets an idempotent route and, for the second case only, probes of load. Measured: without the line in settle_attempt, unproven-move/forward fails (3 upstreams may run a request that 2 may). unproven-move/here passes without it, too: here, upstreams are counted when they are chosen. As it is, both pass, and the other cases of the test, in release and with sanitizers; test_forwarding passes in release.

--- a/tests/test_run_proofs.c
+++ b/tests/test_run_proofs.c
@@ -15,10 +15,13 @@
     DispatchAction action;     /* the last one */
     DispatchActionKind before; /* kind of the one before it */
     size_t sends;
+    uint32_t granted; /* upstreams that peers may send requests to, in all */
+    bool probed;      /* upstreams have a load path */
+    bool cut;         /* probes are refused */
 } Fixture;
 
 static void
-set_up(Fixture *f, gconstpointer data)
+create(Fixture *f, bool probed)
 {
     DispatcherOptions options = {.domain = STR("a"),
                                  .retry_window = 10 * MICROS_PER_S,
@@ -30,19 +33,37 @@
     UpstreamEntry v = GatewayFixture_Upstream("v", 80, 4);
 
     memset(f, 0, sizeof(*f));
+    f->probed = probed;
     f->clock = Clock_CreateManual(MICROS_PER_S, 0);
     f->random = Random_Create(3);
     f->counters = Counters_Create(100);
     f->dispatcher = Dispatcher_Create(&options, f->clock, f->random, NULL,
                                       NULL, f->counters);
+    if (probed) {
+        RouteTable_AddService(table, GATEWAY_FIXTURE_SERVICE, STR("/load"));
+    }
     GatewayFixture_AddRoute(table, "/once/", ROUTE_AT_MOST_ONCE, 1, TIMEOUT_US,
                             TIMEOUT_US);
+    GatewayFixture_AddRoute(table, "/safe/", ROUTE_IDEMPOTENT, 1, TIMEOUT_US,
+                            TIMEOUT_US);
     Dispatcher_SetRoutes(f->dispatcher, table);
     RouteTable_Unref(table);
     Dispatcher_PutUpstream(f->dispatcher, &u);
     Dispatcher_PutUpstream(f->dispatcher, &v);
 }
 
+static void
+set_up(Fixture *f, gconstpointer data)
+{
+    create(f, false);
+}
+
+static void
+set_up_probed(Fixture *f, gconstpointer data)
+{
+    create(f, true);
+}
+
 static void
 tear_down(Fixture *f, gconstpointer data)
 {
@@ -58,7 +79,16 @@
     DispatchAction action;
 
     while (Dispatcher_NextAction(f->dispatcher, &action)) {
+        if (f->probed && action.kind == DISPATCH_PROBE) {
+            Dispatcher_OnProbeResult(f->dispatcher, action.probe.upstream,
+                                     f->cut ? PROBE_REFUSED : PROBE_ANSWERED,
+                                     NULL);
+            continue;
+        }
         f->sends += action.kind == DISPATCH_SEND;
+        if (action.kind == DISPATCH_FORWARD) {
+            f->granted += action.forward.attempts_max;
+        }
         f->before = f->action.kind;
         f->action = action;
     }
@@ -66,12 +96,12 @@
 
 /* Returns a job whose request is being sent. */
 static Job *
-submit(Fixture *f)
+submit_path(Fixture *f, const char *path)
 {
     JobInfo info = {.id = STR("r"),
                     .method = STR("GET"),
                     .host = GATEWAY_FIXTURE_HOST,
-                    .path = STR("/once/1")};
+                    .path = Str_FromC(path)};
     Job *job = Dispatcher_Submit(f->dispatcher, &info, NULL);
 
     take_actions(f);
@@ -79,6 +109,47 @@
     return job;
 }
 
+static Job *
+submit(Fixture *f)
+{
+    return submit_path(f, "/once/1");
+}
+
+/* Has a request fail to connect, and all probes, until the host, which has two
+ * peers, takes itself for cut off. */
+static void
+cut_off(Fixture *f)
+{
+    PeerInfo peers[] = {{STR("p1"), STR("a")}, {STR("p2"), STR("b")}};
+    AttemptEndInfo end = {.result = ATTEMPT_RESULT_UNSENT};
+    Job *job = submit(f);
+
+    Dispatcher_SetPeers(f->dispatcher, peers, G_N_ELEMENTS(peers));
+    f->cut = true;
+    GatewayFixture_EndAttempt(f->dispatcher, job, &end);
+    for (int i = 0; !Dispatcher_IsCutOff(f->dispatcher); i++) {
+        g_assert_cmpint(i, <, 50);
+        take_actions(f);
+        Clock_Advance(f->clock, 10 * MICROS_PER_MS);
+        Dispatcher_OnTime(f->dispatcher);
+    }
+    Dispatcher_OnCallerDisconnect(f->dispatcher, job);
+    take_actions(f);
+}
+
+/* Ends an attempt whose status alone implies that it was not executed. */
+static void
+move_unproven(Fixture *f, Job *job)
+{
+    AttemptEndInfo end = {.result = ATTEMPT_RESULT_MOVED,
+                          .attempt = f->action.send.attempt,
+                          .evidence = RUN_EVIDENCE_STATUS,
+                          .status = 421};
+
+    Dispatcher_OnAttemptEnd(f->dispatcher, job, &end);
+    take_actions(f);
+}
+
 static bool
 has_counted_withheld(const Fixture *f, int status)
 {
@@ -154,6 +225,44 @@
     g_assert_cmpuint(f->sends, ==, 2);
 }
 
+/* Guards against more upstreams than allowed after a move without proof. */
+static void
+test_unproven_move(Fixture *f, gconstpointer data)
+{
+    UpstreamEntry w = GatewayFixture_Upstream("w", 80, 4);
+    Job *job;
+
+    Dispatcher_PutUpstream(f->dispatcher, &w);
+    job = submit_path(f, "/safe/1");
+    move_unproven(f, job);
+    g_assert_cmpint(f->action.kind, ==, DISPATCH_SEND);
+    move_unproven(f, job);
+    g_assert_cmpint(f->action.kind, ==, DISPATCH_RESPOND);
+    g_assert_cmpint(f->action.respond.status, ==, 502);
+    g_assert_cmpuint(f->sends, ==, 2);
+}
+
+/* Guards against the same over a forward. */
+static void
+test_unproven_move_and_forward(Fixture *f, gconstpointer data)
+{
+    ForwardEndInfo end = {.result = FORWARD_BROKEN};
+    Job *job = submit_path(f, "/safe/1");
+    DispatchAction sent = f->action;
+
+    cut_off(f);
+    f->action = sent;
+    f->sends = 1;
+    f->granted = 0;
+    move_unproven(f, job);
+    g_assert_cmpint(f->action.kind, ==, DISPATCH_FORWARD);
+    GatewayFixture_EndForward(f->dispatcher, job, &end);
+    take_actions(f);
+    g_assert_cmpuint(f->sends + f->granted, ==, 2);
+    g_assert_cmpint(f->action.kind, ==, DISPATCH_RESPOND);
+    g_assert_cmpint(f->action.respond.status, ==, 502);
+}
+
 /* Guards against an attempt that counts as not executed without proof. */
 static void
 test_ledger(void)
@@ -205,6 +314,9 @@
     ADD("other-attempt/not-run", ATTEMPT_RESULT_NOT_RUN, test_other_attempt);
     ADD("other-attempt/unsent", ATTEMPT_RESULT_UNSENT, test_other_attempt);
     ADD("other-attempt/moved", ATTEMPT_RESULT_MOVED, test_other_attempt);
+    ADD("unproven-move/here", 0, test_unproven_move);
+    g_test_add("/proof/unproven-move/forward", Fixture, NULL, set_up_probed,
+               test_unproven_move_and_forward, tear_down);
     g_test_add_func("/proof/ledger", test_ledger);
     return g_test_run();
 }
