Test pipelined requests of many callers against the memory of a host

Each of 900 callers sends 250 kB of complete requests without waiting for responses. Where an open request has its body, what the connection keeps is accounted also when there is no room, and nobody ends: 208 MB of 64, of which 98 MB have been received by the system and not read.

--- a/standins/standin-crowd.c
+++ b/standins/standin-crowd.c
@@ -18,6 +18,7 @@
 
 #define UNIT_BYTES 65536
 #define SMALL_CHUNKS 8192
+#define PIPELINED_REQUESTS 800
 #define READ_BYTES 4096
 #define POLL_MS 50
 #define SETTLE_TIME_US (1 * MICROS_PER_S)
@@ -44,7 +45,7 @@
     {"target", SETTING_TEXT, FIELD(target), false, "ADDRESS:PORT of the host"},
     {"kind", SETTING_TEXT, FIELD(kind), false,
      "get, idle, head, fields, whole, whole-chunks, unfinished, announced, "
-     "chunks, small-chunks, trailers or extensions"},
+     "chunks, small-chunks, trailers, extensions or pipelined"},
     {"connections", SETTING_INT, FIELD(connections), false, "number of them"},
     {"bytes", SETTING_INT, FIELD(bytes), false,
      "bytes of content for each connection"},
@@ -180,6 +181,13 @@
                                     "Agatecrank-Attempt-Id: crowd\r\n"
                                     "Content-Length: 2\r\n\r\nx");
     }
+    else if (strcmp(kind, "pipelined") == 0) {
+        repeat(this->unit,
+               "GET /safe/crowd HTTP/1.1\r\nHost: gateway.example\r\n"
+               "Agatecrank-Attempt-Id: crowd\r\n\r\n",
+               PIPELINED_REQUESTS);
+        this->units = bytes / this->unit->len + 1;
+    }
     else if (strcmp(kind, "whole") == 0) {
         begin_post(this, "Content-Length: ", bytes);
         fill_body(this, bytes);
