Drop input after an open request where there is no room for it

A host whose callers sent further requests without waiting for responses exceeded its memory. Such a connection waits for its response, so it was never ended, and what it kept was accounted also without room: up to 80 kB for each, of which the accounting left out what the buffer has in reserve, and 100 kB more that the system had received before reading paused.

Count all of it. Without room, drop that input, read and drop what follows, and close the connection after the response. None of the requests that are dropped was passed on, and nothing was promised for them.

--- a/packages/net/HttpServer.c
+++ b/packages/net/HttpServer.c
@@ -28,6 +28,8 @@
 #define UNSENT_BYTES_MAX (512 * 1024)
 /* Receive buffer of a connection whose pipelined input is not read. */
 #define PAUSED_BUFFER_BYTES 16384
+/* What the system may have received for it before that. */
+#define PAUSED_UNREAD_BYTES (128 * 1024)
 #define ACCEPT_RETRY_US (20 * MICROS_PER_MS)
 #define RETRY_AFTER_S 1
 #define PRESSURE_LOG_INTERVAL_US (1 * MICROS_PER_S)
@@ -327,13 +329,23 @@
                : INPUT_BODY;
 }
 
+static bool
+is_pipelined_full(const Connection *this)
+{
+    return this->pipelined->len > PIPELINED_BYTES_MAX;
+}
+
 static size_t
 held_bytes(const Connection *this)
 {
     const HttpRequest *request = this->request;
-    size_t bytes = HttpParser_HeldBytes(this->parser) + this->pipelined->len +
-                   Socket_Buffered(this->socket);
+    /* Arrays have up to twice the room that they need. */
+    size_t bytes = HttpParser_HeldBytes(this->parser) +
+                   2 * this->pipelined->len + Socket_Buffered(this->socket);
 
+    if (is_pipelined_full(this)) {
+        bytes += PAUSED_UNREAD_BYTES;
+    }
     if (request != NULL) {
         bytes += HeaderList_Bytes(request->headers) + request->method->len +
                  request->path->len + (size_t)request->body_received +
@@ -368,8 +380,33 @@
     log_pressure(server);
 }
 
-/* Accounts what the connection holds. Ends others, or the connection itself, if
- * there is no room for it. */
+static void
+update_reading(Connection *this)
+{
+    bool is_full = is_pipelined_full(this);
+
+    if (this->closed) {
+        return;
+    }
+    if (is_full) {
+        Socket_LimitReceiveBuffer(this->socket, PAUSED_BUFFER_BYTES);
+    }
+    Socket_Pause(this->socket, is_full || (this->request != NULL &&
+                                           this->request->body_paused));
+}
+
+/* The connection ends after the response to the current request. */
+static void
+drop_pipelined(Connection *this)
+{
+    g_byte_array_free(this->pipelined, TRUE);
+    this->pipelined = g_byte_array_new();
+    this->request->close_after = true;
+    update_reading(this);
+}
+
+/* Accounts what the connection holds. Drops its pipelined input, and ends others
+ * or the connection itself, if there is no room for it. */
 static void
 update_share(Connection *this)
 {
@@ -380,6 +417,10 @@
     }
     InputShare_SetState(this->share, input_state(this));
     bytes = held_bytes(this);
+    if (!InputShare_Hold(this->share, bytes) && this->pipelined->len > 0) {
+        drop_pipelined(this);
+        bytes = held_bytes(this);
+    }
     while (!InputShare_Hold(this->share, bytes)) {
         InputShare *victim = InputShare_Victim(this->share, bytes);
         bool is_own = victim == this->share;
@@ -624,21 +665,6 @@
     return this->request != NULL && this->request->body_complete;
 }
 
-static void
-update_reading(Connection *this)
-{
-    bool is_full = this->pipelined->len > PIPELINED_BYTES_MAX;
-
-    if (this->closed) {
-        return;
-    }
-    if (is_full) {
-        Socket_LimitReceiveBuffer(this->socket, PAUSED_BUFFER_BYTES);
-    }
-    Socket_Pause(this->socket, is_full || (this->request != NULL &&
-                                           this->request->body_paused));
-}
-
 static void
 parse(Connection *this, Str data)
 {
@@ -648,8 +674,10 @@
 
     while (data.length > 0 && !this->closed) {
         if (buffers_next_request(this)) {
-            g_byte_array_append(this->pipelined, (const guint8 *)data.data,
-                                (guint)data.length);
+            if (!this->request->close_after) {
+                g_byte_array_append(this->pipelined, (const guint8 *)data.data,
+                                    (guint)data.length);
+            }
             return;
         }
         code = HttpParser_Feed(this->parser, data, &used, &error);
