End small requests that stand still for larger ones

Cause: small requests counted against the room of larger ones, but were ended for small ones only, so a large one found nobody but itself. Change: instead of itself, the small one that has waited longest ends, if that is two seconds or more and small ones hold more than their reserve.

--- a/packages/core/limits/InputBudget.c
+++ b/packages/core/limits/InputBudget.c
@@ -208,14 +208,45 @@
     return found.shortest;
 }
 
+/* Returns the connection with a small request that has waited longest, if these
+ * together take more than their reserve. */
+static InputShare *
+find_standing_small(const InputBudget *this)
+{
+    InputShare *found = NULL;
+    size_t held = 0;
+
+    for (guint i = 0; i < this->shares->len; i++) {
+        InputShare *share = g_ptr_array_index(this->shares, i);
+
+        if (share->bytes == 0 || share->bytes > this->options.small_bytes) {
+            continue;
+        }
+        held += share->bytes;
+        if (waits_for_caller(share) && is_longer(share, found)) {
+            found = share;
+        }
+    }
+    return found != NULL && held > this->options.reserve_bytes &&
+                   has_waited(found, LARGE_WAIT_LEAST_US)
+               ? found
+               : NULL;
+}
+
 InputShare *
 InputShare_Victim(InputShare *this, size_t bytes)
 {
     size_t small = this->budget->options.small_bytes;
     InputShare *victim = victim_above(this, bytes, small);
+    InputShare *standing = NULL;
 
-    return victim == NULL && bytes <= small ? victim_above(this, bytes, 0)
-                                            : victim;
+    if (bytes <= small) {
+        return victim != NULL ? victim : victim_above(this, bytes, 0);
+    }
+    if (victim == this) {
+        standing = find_standing_small(this->budget);
+    }
+    return standing != NULL ? standing : victim;
 }
 
 /* The order of those that are ended for a new connection; 0 for never. */
--- a/packages/core/limits/InputBudget.h
+++ b/packages/core/limits/InputBudget.h
@@ -104,7 +104,9 @@
  * if that is two seconds or more, else, of those whose request is not complete,
  * the one that has waited shortest: the first of several large bodies at once
  * goes on, and one that stands still ends when others need the room. For a small
- * request in need it may also be a small one.
+ * request in need it may also be a small one; instead of the connection itself
+ * it is the small one that has waited longest, if that is two seconds or more
+ * and small ones hold more than their reserve.
  *
  * Return: NULL if there is none; not if the request of @this is not complete.
  */
