Let no peer end a request a moment before its deadline

Cause: the time that a forward carries is in whole milliseconds and was rounded down, so the helping host ended the request, and broke off its upstream, before the first host's deadline. Change: the time of a forward is rounded up. That of an upstream is not.

--- a/packages/gateway/Gateway.c
+++ b/packages/gateway/Gateway.c
@@ -884,8 +884,10 @@
 forward_request(Exchange *exchange, const DispatchAction *action)
 {
     Gateway *this = exchange->gateway;
-    HeaderList *headers = headers_to_send(exchange, &action->forward.caller,
-                                          action->forward.timeout);
+    /* Rounded up: the peer must not end the request before its deadline. */
+    HeaderList *headers =
+        headers_to_send(exchange, &action->forward.caller,
+                        action->forward.timeout + MICROS_PER_MS - 1);
     ForwardCallSpec spec = {
         .peer = action->forward.peer,
         .method = HttpRequest_Method(exchange->request),
--- a/tests/test_gateway_cut_off.c
+++ b/tests/test_gateway_cut_off.c
@@ -9,6 +9,9 @@
 #include "GatewayFixture.h"
 #include "PlatformDialect.h"
 
+#define TIMEOUT_MS "3000"
+/* TIMEOUT_MS less the time for the way between caller and host. */
+#define DEADLINE_US (2980 * MICROS_PER_MS)
 #define ID "17"
 #define LARGE_BYTES ((size_t)1024 * 1024)
 #define PART_BYTES ((size_t)64 * 1024)
@@ -58,6 +61,7 @@
     int status;
     bool complete;
     bool failed;
+    Micros peer_deadline; /* of the last request that the peer has got */
 } Fixture;
 
 /* ---- the peer ------------------------------------------------------- */
@@ -95,6 +99,13 @@
 static void
 peer_request(void *user, HttpRequest *request)
 {
+    Fixture *f = user;
+    Str timeout = HeaderList_Get(HttpRequest_Headers(request),
+                                 STR("agatecrank-timeout-ms"));
+    uint64_t ms;
+
+    g_assert_cmpint(Str_ParseU64(timeout, &ms), ==, 0);
+    f->peer_deadline = Clock_Now(f->clock) + (Micros)ms * MICROS_PER_MS;
 }
 
 static void
@@ -280,7 +291,7 @@
 
     HeaderList_Add(headers, STR("host"), GATEWAY_FIXTURE_HOST);
     HeaderList_Add(headers, STR("agatecrank-attempt-id"), STR(ID));
-    HeaderList_Add(headers, STR("agatecrank-timeout-ms"), STR("3000"));
+    HeaderList_Add(headers, STR("agatecrank-timeout-ms"), STR(TIMEOUT_MS));
     HeaderList_Add(headers, STR(FORWARD_FIELD), STR("of the caller"));
     f->complete = f->failed = false;
     f->status = 0;
@@ -466,6 +477,18 @@
     g_assert_cmpuint(f->received, ==, 1);
 }
 
+/* Guards against a peer that ends a request before the deadline that this host
+ * keeps. */
+static void
+test_deadline_of_peer(Fixture *f, gconstpointer data)
+{
+    Micros begun = Clock_Now(f->clock);
+
+    call(f, "/once/1", ANSWER_RELAYED);
+    g_assert_cmpint(f->status, ==, 200);
+    g_assert_cmpint(f->peer_deadline, >=, begun + DEADLINE_US);
+}
+
 /* Guards against responses that the peer did not give, or gave to another
  * request, and against such that are not an upstream's. Nothing is told about
  * the execution, so the request is not sent again. */
@@ -642,6 +665,7 @@
 {
     g_test_init(&argc, &argv, NULL);
     ADD("/cut-off/served", test_served);
+    ADD("/cut-off/deadline-of-peer", test_deadline_of_peer);
     ADD_NOT_USED("/cut-off/unsealed", ANSWER_UNSEALED);
     ADD_NOT_USED("/cut-off/other-sequence", ANSWER_OTHER_SEQUENCE);
     ADD_NOT_USED("/cut-off/other-status", ANSWER_OTHER_STATUS);
