--- a/packages/gateway/GatewaySettings.c
+++ b/packages/gateway/GatewaySettings.c
@@ -18,9 +18,9 @@
 #define MEMORY_DEFAULT_MB 260
 #define MEMORY_MIN_MB 32
 #define MEMORY_MAX_MB 1048576
-#define DESCRIPTORS_DEFAULT_MAX 4100
-#define DESCRIPTORS_LEAST 512
-#define DESCRIPTORS_MOST 1048576
+#define DESCRIPTORS_DEFAULT 4100
+#define DESCRIPTORS_MIN 512
+#define DESCRIPTORS_MAX 1048576
 
 #define FIELDS_END                                                            \
     {                                                                         \
@@ -71,7 +71,7 @@
     {"memory_mb", FIELD_REAL, offsetof(GatewayTable, memory_mb), false,
      MEMORY_MIN_MB, MEMORY_MAX_MB, NULL},
     {"descriptors_max", FIELD_U32, offsetof(GatewayTable, descriptors_max),
-     false, DESCRIPTORS_LEAST, DESCRIPTORS_MOST, NULL},
+     false, DESCRIPTORS_MIN, DESCRIPTORS_MAX, NULL},
     {"first_start", FIELD_BOOL, offsetof(GatewayTable, first_start), false, 0,
      0, NULL},
     FIELDS_END,
@@ -199,7 +199,7 @@
     const TomlNode *gateway = Toml_Find(root, STR("gateway"));
     GatewayTable table = {
         .memory_mb = MEMORY_DEFAULT_MB,
-        .descriptors_max = DESCRIPTORS_DEFAULT_MAX,
+        .descriptors_max = DESCRIPTORS_DEFAULT,
     };
 
     check_tables(root, diagnostics);
--- a/packages/net/HttpServer.h
+++ b/packages/net/HttpServer.h
@@ -121,9 +121,9 @@
  *                limit. It is closed a quarter later, at most 5 s, as responses
  *                and requests take time on their way.
  *
- * Limits apply from the next request of each open connection on. A raised idle timeout also applies to
- * connections that are idle; the one before a lowered timeout holds for 9 s
- * more, as callers may still go by it.
+ * Limits apply from the next request of each open connection on. A raised idle
+ * timeout also applies to connections that are idle; the one before a lowered
+ * timeout holds for 9 s more, as callers may still go by it.
  */
 void HttpServer_SetLimits(HttpServer *this, const HttpLimits *limits,
                           Micros idle_timeout);
