Log reads of the store that a host holds back

store-lost says once that a topic's read was rejected by the host itself (reason=limit), but not that the next ones are, why, nor how old the host's copy is by then. So a host that does not call the store could not be told from one that gets old pages.

Change: event store-withheld with topic, reason and known_ms for each call that is held back; KeyedSource keeps for each topic the time up to which it is known.

--- a/packages/net/KeyedSource.c
+++ b/packages/net/KeyedSource.c
@@ -82,6 +82,7 @@
     uint64_t log_calls;
     uint64_t read_count; /* reads over relays */
     uint64_t era;        /* of the last page that was delivered */
+    GHashTable *known;   /* Micros by topic, see known_at() */
     bool list_attempted; /* a reading of the list has ended */
     bool direct;         /* reads go to the log, not to a relay */
 };
@@ -347,12 +348,35 @@
 static void start_read(Read *read);
 static void read_log(Read *read);
 
+/* Returns the time up to which this host has been told what the topic has. */
+static Micros
+known_at(const KeyedSource *this, const GString *topic)
+{
+    const Micros *at = g_hash_table_lookup(this->known, topic->str);
+
+    return at != NULL ? *at : this->started;
+}
+
+static void
+update_known(KeyedSource *this, const GString *topic, const KeyedPage *page)
+{
+    Micros *at;
+
+    if (page->code < 0 || page->more) {
+        return;
+    }
+    at = g_new(Micros, 1);
+    *at = now(this) - page->age;
+    g_hash_table_replace(this->known, g_strdup(topic->str), at);
+}
+
 static void
 deliver(Read *read, const KeyedPage *page)
 {
     KeyedPageHandler *handler = read->handler;
     void *user = read->user;
 
+    update_known(read->source, read->topic, page);
     destroy_read(read);
     handler(user, page);
 }
@@ -583,6 +607,22 @@
            now(this) - this->lost_heard_at <= LOST_TIME_US;
 }
 
+static void
+log_withheld(const Read *read)
+{
+    const KeyedSource *this = read->source;
+
+    if (EventLog_Begin(this->log, LOG_LEVEL_INFO, "store-withheld")) {
+        EventLog_Str(this->log, "topic", Str_FromString(read->topic));
+        EventLog_CStr(this->log, "reason",
+                      this->log_failed_at >= 0 ? "failed" : "lost");
+        EventLog_Int(this->log, "known_ms",
+                     (now(this) - known_at(this, read->topic)) /
+                         MICROS_PER_MS);
+        EventLog_End(this->log);
+    }
+}
+
 /* Returns whether the log may be called, and counts the call. */
 static bool
 take_log_call(KeyedSource *this)
@@ -621,6 +661,7 @@
         wait = (Micros)(RELAY_DIRECT_WAIT_RATIO * (double)wait);
     }
     if (!take_log_call(this)) {
+        log_withheld(read);
         postpone(read, 1, reject_read);
         return;
     }
@@ -1032,6 +1073,8 @@
     this->log_read_at = -1;
     this->lost_heard_at = -1;
     this->era = KEYED_ERA_UNKNOWN;
+    this->known =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     this->direct = true;
     this->queued_reads = g_queue_new();
     this->postponed_reads = g_queue_new();
@@ -1052,6 +1095,7 @@
     HostList_Destroy(this->list);
     g_queue_free_full(this->queued_reads, destroy_read);
     g_queue_free_full(this->postponed_reads, destroy_read);
+    g_hash_table_destroy(this->known);
     g_ptr_array_free(this->parents, TRUE);
     g_ptr_array_free(this->seeds, TRUE);
     g_free(this);
