Call the store for each topic when relays refuse a host

Cause: a host whose relay says that it has lost the store shares a rate of calls with all others, one call for all of its topics. Any read could take the turn, also a long poll of another topic, which shows nothing before it ends. Meanwhile each read of the routes was rejected, and the follower tried again 400 ms later, often just after the next turn had gone. Together with the 1.3 s that a relay's copy may be old, the routes were up to 3.2 s behind at a host that reached the store all the time.

Change: in that state, and after a failed call, the next call is a probe that does not wait for a record; reads of other topics wait for its end, and go on at once if it succeeds. A read waits for a turn that comes within 400 ms instead of failing.

--- a/packages/net/KeyedSource.c
+++ b/packages/net/KeyedSource.c
@@ -36,6 +36,9 @@
  * relays say that it is share a rate of calls. */
 #define LOG_RETRY_INTERVAL_US (900 * MICROS_PER_MS)
 #define LOG_RETRY_PER_HOST_US (15 * MICROS_PER_MS)
+/* Reads wait up to this time for a call that may be made then. */
+#define LOG_PATIENCE_US (400 * MICROS_PER_MS)
+#define PROBE_CHECK_INTERVAL_US (20 * MICROS_PER_MS)
 /* What relays say holds for this long. */
 #define LOST_TIME_US (2 * MICROS_PER_S)
 /* A host that has read the log goes on to do so for this long, whatever relays
@@ -79,6 +82,7 @@
     Micros log_read_at;      /* time of the last read that succeeded, or -1 */
     Micros lost_heard_at;    /* a relay has no access to the log, or -1 */
     Micros lost_retry_at;    /* next call of the log while none has */
+    bool log_probing;        /* a read is to show whether the log is lost */
     uint64_t log_calls;
     uint64_t read_count; /* reads over relays */
     uint64_t era;        /* of the last page that was delivered */
@@ -101,6 +105,7 @@
     uint64_t number; /* of the last read over a relay */
     LoopTimer *timer;
     bool newest;
+    bool probe;     /* see KeyedSource_.log_probing */
     bool timed_out; /* at a relay */
     KeyedPageHandler *handler;
     void *user;
@@ -560,6 +565,7 @@
     bool failed = page->code < 0 && page->code != ERR_EXPIRED;
 
     read->source->log_failed_at = failed ? now(read->source) : -1;
+    read->source->log_probing = read->source->log_probing && !read->probe;
     if (!failed) {
         read->source->log_read_at = now(read->source);
         on_era(read->source, page->era);
@@ -623,31 +629,52 @@
     }
 }
 
-/* Returns whether the log may be called, and counts the call. */
-static bool
-take_log_call(KeyedSource *this)
+/* Returns for how long the log must not be called yet. */
+static Micros
+log_call_delay(const KeyedSource *this)
 {
-    Micros interval = LOG_RETRY_INTERVAL_US;
-
     if (this->parents->len == 0) {
-        return true;
+        return 0;
     }
-    if (this->log_failed_at >= 0 &&
-        now(this) - this->log_failed_at < interval) {
-        return false;
+    if (this->log_probing) {
+        return PROBE_CHECK_INTERVAL_US;
     }
-    if (!log_is_lost(this)) {
-        return true;
+    if (this->log_failed_at >= 0 &&
+        now(this) - this->log_failed_at < LOG_RETRY_INTERVAL_US) {
+        return this->log_failed_at + LOG_RETRY_INTERVAL_US - now(this);
     }
-    if (now(this) < this->lost_retry_at) {
-        return false;
+    return log_is_lost(this) ? MAX(this->lost_retry_at - now(this), 0) : 0;
+}
+
+/* A call that may soon be made is waited for. */
+static void
+withhold(Read *read, Micros delay)
+{
+    if (delay <= LOG_PATIENCE_US) {
+        postpone(read, delay, on_postponed);
+        return;
     }
+    log_withheld(read);
+    postpone(read, 1, reject_read);
+}
+
+/* Reads of other topics wait for the end of this one, so the log must not wait
+ * for a record. */
+static void
+begin_probe(Read *read)
+{
+    KeyedSource *this = read->source;
+
+    this->log_probing = true;
+    read->probe = true;
+    read->timeout -= read->wait;
+    read->wait = 0;
     if (this->level == RELAY_LEVEL_LEAF) {
-        interval = MAX(interval, (Micros)HostList_Count(this->list) *
-                                     LOG_RETRY_PER_HOST_US);
-        this->lost_retry_at = now(this) + interval;
+        this->lost_retry_at =
+            now(this) +
+            MAX(LOG_RETRY_INTERVAL_US,
+                (Micros)HostList_Count(this->list) * LOG_RETRY_PER_HOST_US);
     }
-    return true;
 }
 
 static void
@@ -655,16 +682,20 @@
 {
     KeyedSource *this = read->source;
     const KeyedLog *keyed_log = this->keyed_log;
-    Micros wait = MIN(read->wait, DIRECT_WAIT_MAX_US);
+    Micros delay = log_call_delay(this), wait;
 
+    if (delay > 0) {
+        withhold(read, delay);
+        return;
+    }
+    if (this->parents->len > 0 &&
+        (this->log_failed_at >= 0 || log_is_lost(this))) {
+        begin_probe(read);
+    }
+    wait = MIN(read->wait, DIRECT_WAIT_MAX_US);
     if (this->level != RELAY_LEVEL_LEAF) {
         wait = (Micros)(RELAY_DIRECT_WAIT_RATIO * (double)wait);
     }
-    if (!take_log_call(this)) {
-        log_withheld(read);
-        postpone(read, 1, reject_read);
-        return;
-    }
     this->log_calls++;
     if (read->newest) {
         keyed_log->read_newest(keyed_log->self, Str_FromString(read->topic),
