Wait for relays by the age of what a host knows

A host whose relay served an old page and then fell silent waited for relays as long as with a new one.

Cause: the waits were chosen one by one: a page of up to 1.3 s, 0.65 s for the first relay, 0.25 s for the second one, 2.2 s with the call of the store. The target is 2 s.

Change: a relay is asked to wait for a record no longer than until the copy of this host is 1.25 s old, so that a silent relay is given up at 1.5 s.

--- a/packages/net/KeyedSource.c
+++ b/packages/net/KeyedSource.c
@@ -746,13 +746,25 @@
                : RELAY_TIMEOUT_US;
 }
 
+/* Returns for how long a relay may wait for a record. A silent one is given up
+ * when what this host knows is KNOWN_AGE_MAX_US old. */
+static Micros
+relay_wait(const Read *read)
+{
+    const KeyedSource *this = read->source;
+    Micros longest =
+        this->level == RELAY_LEVEL_LEAF ? RELAY_WAIT_US : ROOT_WAIT_US;
+    Micros left = known_at(this, read->topic) + KNOWN_AGE_MAX_US -
+                  RELAY_TIMEOUT_US - now(this);
+
+    return MIN(read->wait, CLAMP(left, 0, longest));
+}
+
 /* Returns how long the relay may take to respond, and appends the query. */
 static Micros
 relay_query(const Read *read, GString *path)
 {
-    Micros wait = MIN(read->wait, read->source->level == RELAY_LEVEL_LEAF
-                                      ? RELAY_WAIT_US
-                                      : ROOT_WAIT_US);
+    Micros wait = relay_wait(read);
 
     if (read->age_max >= 0) {
         g_string_printf(path, "/newest?topic=%s&age_ms=%" G_GINT64_FORMAT,
--- a/tests/test_configuration_age.c
+++ b/tests/test_configuration_age.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "HostList.h"
+#include "KeyedCodec.h"
 #include "KeyedFollower.h"
 #include "KeyedRelay.h"
 #include "KeyedSource.h"
@@ -75,6 +76,9 @@
     char routes[RECORDS_MAX][16];
     Host hosts[HOSTS_COUNT];
     GList *calls; /* Call */
+    /* Pages that the relays of the test have sent, and the time of the last. */
+    bool page_sent[2];
+    Micros page_at;
 };
 
 /* ---- the log -------------------------------------------------------- */
@@ -471,6 +475,102 @@
     }
 }
 
+/* ---- relays that fall silent ---------------------------------------- */
+
+#define PAGE_AGE_MS 1250
+
+static void
+ignore_request(void *user, HttpRequest *request)
+{
+}
+
+static void
+ignore_body(void *user, HttpRequest *request, Str data)
+{
+}
+
+static void
+ignore_end(void *user, HttpRequest *request, bool complete)
+{
+}
+
+static void
+respond(HttpRequest *request, int status, const Topic *topic)
+{
+    HeaderList *headers = HeaderList_Create();
+    GArray *records = g_array_new(FALSE, FALSE, sizeof(KeyedRecord));
+    GString *body = g_string_new(NULL);
+
+    KeyedCodec_Write(topic->count, records, body);
+    HeaderList_Add(headers, STR(KEYED_AGE_FIELD),
+                   STR(G_STRINGIFY(PAGE_AGE_MS)));
+    HttpRequest_Respond(request, status, headers,
+                        status == 200 ? Str_FromString(body) : STR(""));
+    g_string_free(body, TRUE);
+    g_array_free(records, TRUE);
+    HeaderList_Destroy(headers);
+}
+
+/* Refuses snapshots, sends one page of each topic that is old but not too old,
+ * without records, and nothing after it. */
+static void
+on_relay_request(void *user, HttpRequest *request)
+{
+    Fixture *f = user;
+    Str path = HttpRequest_Path(request);
+
+    for (size_t i = 0; i < 2; i++) {
+        g_autofree char *tail =
+            g_strconcat("/tail?topic=", f->topics[i].name, "&", NULL);
+
+        if (!Str_StartsWith(path, Str_FromC(tail))) {
+            continue;
+        }
+        if (!f->page_sent[i]) {
+            respond(request, 200, &f->topics[i]);
+            f->page_sent[i] = true;
+            f->page_at = Clock_Now(f->clock);
+        }
+        return;
+    }
+    respond(request, 503, &f->topics[0]);
+}
+
+/* Guards against a host that waits for silent relays as long as if what it
+ * knows were new. */
+static void
+test_silent_relays(Fixture *f, gconstpointer data)
+{
+    static const HttpServerHandlers handlers = {ignore_request, ignore_body,
+                                                on_relay_request,
+                                                ignore_request, ignore_end};
+    Host *leaf = &f->hosts[HOSTS_COUNT - 1];
+    HttpServer *relays[2];
+
+    for (size_t i = 0; i < 2; i++) {
+        HttpServerOptions options = {.address = "127.0.0.1",
+                                     .port = f->hosts[i].port,
+                                     .keep_alive_s = 5};
+
+        relays[i] = HttpServer_Create(f->loop, &options, &handlers, f, NULL);
+    }
+    start_host(leaf);
+    while (!f->page_sent[0] || !f->page_sent[1]) {
+        Loop_RunOnce(f->loop);
+    }
+    write_route(f);
+    run_for(f, IN_FORCE_US);
+    g_assert_cmpstr(leaf->route, ==, f->routes[1]);
+    g_test_message("%" G_GINT64_FORMAT " ms",
+                   (leaf->route_at - f->page_at) / MICROS_PER_MS +
+                       PAGE_AGE_MS);
+    g_assert_cmpint(leaf->route_at - f->page_at +
+                        (Micros)PAGE_AGE_MS * MICROS_PER_MS,
+                    <, IN_FORCE_US);
+    HttpServer_Destroy(relays[0]);
+    HttpServer_Destroy(relays[1]);
+}
+
 #define ADD(path, test)                                                       \
     g_test_add(path, Fixture, NULL, set_up, test, tear_down)
 
@@ -480,5 +580,6 @@
     g_test_init(&argc, &argv, NULL);
     ADD("/configuration-age/cut-relays", test_cut_relays);
     ADD("/configuration-age/cut-relays-of-many", test_cut_relays_of_many);
+    ADD("/configuration-age/silent-relays", test_silent_relays);
     return g_test_run();
 }
