Refuse forwarded requests by routes older than the sender's

A host that reaches no upstream has its requests served by other hosts, which decide by their own routes. One that has lost the store for seconds would send them to the service that a route had before.

Cause: the bound on the age of the routes holds for each host by itself, and the host that forwards a request does not say by which routes it takes it.

Change: a forwarded request names the version of the routes, under its seal. A peer with an older one refuses it as not executed (older-routes) before it looks at the request, and the sender tries another peer, within no limit on retries, and leaves this one out for a second. Requests of earlier builds name none and are handled as before; earlier builds ignore the version.

Measured: /gateway-forward/older-routes failed before (the request reached the upstream) and passes now, as do test_forwarding with /forwarding/peer-with-older-routes, test_gateway_cut_off, test_cut_off_hosts and test_cut_off_host.sh (release build).

--- a/packages/gateway/Dispatcher.c
+++ b/packages/gateway/Dispatcher.c
@@ -905,6 +905,10 @@
         return NULL;
     }
     job->table = RouteTable_Ref(this->routes);
+    if (RouteTable_Version(job->table) < info->version_min) {
+        Job_Reject(job, 503, "older-routes", 0);
+        return NULL;
+    }
     job->route = RouteTable_Find(this->routes, info->host, info->path);
     if (job->route == NULL) {
         Job_Reject(job, 404, "no-route", 0);
--- a/packages/gateway/Dispatcher.h
+++ b/packages/gateway/Dispatcher.h
@@ -101,6 +101,7 @@
  * @customer: of a request that a peer has forwarded, as the peer states
  * @forwarded: sent by a peer: is not forwarded again, and does not count as a
  *             request in the retry window
+ * @version_min: of the routes by which it may be handled; 0: any
  */
 typedef struct JobInfo_ {
     Str id;
@@ -113,6 +114,7 @@
     Str key;
     Str customer;
     bool forwarded;
+    uint64_t version_min;
 } JobInfo;
 
 /** enum AttemptResult - how an attempt to send a request ended */
@@ -166,6 +168,7 @@
     FORWARD_REFUSAL_STOPPING, /* "stopping" */
     FORWARD_REFUSAL_LIMIT,  /* "forward-limit": bound on forwarded requests */
     FORWARD_REFUSAL_DENIED, /* it does not accept requests of this host */
+    FORWARD_REFUSAL_OLDER,  /* "older-routes": than those of this host */
     FORWARD_REFUSAL_OTHER,
 } ForwardRefusal;
 
@@ -263,6 +266,7 @@
             uint32_t attempt;      /* as above */
             Micros timeout;        /* from now; sent to the peer */
             uint32_t attempts_max; /* of the peer, at least 1 */
+            uint64_t version;      /* of the routes */
             CallerIdentity caller;
             bool idempotent;
         } forward;
--- a/packages/gateway/Gateway.c
+++ b/packages/gateway/Gateway.c
@@ -459,6 +459,7 @@
         {"stopping", FORWARD_REFUSAL_STOPPING},
         {"forward-limit", FORWARD_REFUSAL_LIMIT},
         {"forward-denied", FORWARD_REFUSAL_DENIED},
+        {"older-routes", FORWARD_REFUSAL_OLDER},
     };
 
     for (size_t i = 0; i < G_N_ELEMENTS(refusals); i++) {
@@ -803,6 +804,7 @@
     HeaderList_CopyEndToEnd(HttpRequest_Headers(exchange->request), headers);
     HeaderList_Remove(headers, STR("expect"));
     HeaderList_Remove(headers, STR(FORWARD_FIELD));
+    HeaderList_Remove(headers, STR(FORWARD_VERSION_FIELD));
     HeaderList_Remove(headers, STR(ALLOWANCE_FIELD));
     set_caller(exchange, caller, headers);
     g_snprintf(text, sizeof(text), "%" G_GINT64_FORMAT,
@@ -900,7 +902,11 @@
         .match_value = attempt_id(exchange),
     };
     Error error = {.code = ERR_NOT_FOUND};
+    char version[24];
 
+    g_snprintf(version, sizeof(version), "%" G_GUINT64_FORMAT,
+               action->forward.version);
+    HeaderList_Add(headers, STR(FORWARD_VERSION_FIELD), Str_FromC(version));
     reset_response(exchange);
     exchange->job = action->job;
     exchange->forward = g_new0(Forward, 1);
@@ -1191,6 +1197,11 @@
         info.customer =
             HeaderList_Get(headers, this->options.dialect->customer);
         info.attempts_max = ForwardedRequest_AttemptsMax(forwarded);
+        /* Earlier versions do not tell it. */
+        if (Str_ParseU64(HeaderList_Get(headers, STR(FORWARD_VERSION_FIELD)),
+                         &info.version_min) < 0) {
+            info.version_min = 0;
+        }
     }
     exchange->job = Dispatcher_Submit(this->dispatcher, &info, exchange);
     Gateway_RunActions(this);
--- a/packages/gateway/JobForward.c
+++ b/packages/gateway/JobForward.c
@@ -44,6 +44,7 @@
                     .attempt = AttemptLedger_Begin(&job->ledger),
                     .timeout = job->deadline - now,
                     .attempts_max = job->attempts_granted,
+                    .version = RouteTable_Version(job->table),
                     .caller = Job_CallerIdentity(job),
                     .idempotent = job->route->kind == ROUTE_IDEMPOTENT},
     };
@@ -205,6 +206,8 @@
         return PEER_FULL;
     case FORWARD_REFUSAL_DENIED:
         return PEER_DENIED;
+    case FORWARD_REFUSAL_OLDER:
+        return PEER_OUTDATED;
     case FORWARD_REFUSAL_NONE:
     case FORWARD_REFUSAL_OTHER:
         break;
--- a/packages/gateway/JobLog.c
+++ b/packages/gateway/JobLog.c
@@ -413,6 +413,8 @@
         return "forward-limit";
     case FORWARD_REFUSAL_DENIED:
         return "denied";
+    case FORWARD_REFUSAL_OLDER:
+        return "older-routes";
     case FORWARD_REFUSAL_OTHER:
         break;
     }
--- a/packages/gateway/PeerSet.c
+++ b/packages/gateway/PeerSet.c
@@ -283,6 +283,7 @@
         note_refusal(this, peer, DENIED_US);
         break;
     case PEER_UNREACHABLE:
+    case PEER_OUTDATED:
         note_refusal(this, peer, REFUSED_US);
         break;
     case PEER_SILENT:
--- a/packages/gateway/PeerSet.h
+++ b/packages/gateway/PeerSet.h
@@ -23,8 +23,9 @@
     PEER_FULL,
     PEER_DENIED,
     PEER_UNREACHABLE,
-    PEER_SILENT,  /* no response until the deadline */
-    PEER_UNKNOWN, /* nothing */
+    PEER_OUTDATED, /* it has older routes */
+    PEER_SILENT,   /* no response until the deadline */
+    PEER_UNKNOWN,  /* nothing */
 } PeerOutcome;
 
 /** PeerSet_Create() - without peers; @clock and @random are borrowed */
--- a/packages/net/ForwardSeal.h
+++ b/packages/net/ForwardSeal.h
@@ -8,6 +8,10 @@
 /** Header field of a seal, in requests and responses */
 #define FORWARD_FIELD "agatecrank-forward"
 
+/** The same of a forwarded request: version of the routes by which its sender
+ * takes it */
+#define FORWARD_VERSION_FIELD "agatecrank-routes-version"
+
 /** Beginning of the reason in a seal if the upstream says that it leaves */
 #define FORWARD_LEAVING "leaving-"
 
--- a/tests/test_forwarding.c
+++ b/tests/test_forwarding.c
@@ -459,6 +459,22 @@
     g_assert_true(f->action.respond.not_run);
 }
 
+/* Guards against a request that is lost to the first host with older routes. */
+static void
+test_peer_with_older_routes(Fixture *f, gconstpointer data)
+{
+    Job *job;
+
+    cut_off(f);
+    job = submit(f, "/once/1");
+    g_assert_cmpint(f->action.kind, ==, DISPATCH_FORWARD);
+    g_assert_cmpuint(f->action.forward.version, ==, 1);
+    f->forwards = 0;
+    end_forward(f, job, FORWARD_NOT_RUN, FORWARD_REFUSAL_OLDER);
+    g_assert_cmpuint(f->forwards, ==, 1);
+    end_forward(f, job, FORWARD_RESPONSE, FORWARD_REFUSAL_NONE);
+}
+
 /* Guards against a second run of a request that is not idempotent. */
 static void
 test_may_have_run(Fixture *f, gconstpointer data)
@@ -1112,6 +1128,8 @@
                GINT_TO_POINTER(FORWARD_FAILED), set_up, test_peer_fails,
                tear_down);
     ADD("no-retry-left", set_up_without_retries, test_no_retry_left);
+    ADD("peer-with-older-routes", set_up_without_retries,
+        test_peer_with_older_routes);
     ADD("may-have-run", set_up, test_may_have_run);
     g_test_add("/forwarding/statement-on-other-forward/not-run", Fixture,
                GINT_TO_POINTER(FORWARD_NOT_RUN), set_up,
--- a/tests/test_gateway_forward.c
+++ b/tests/test_gateway_forward.c
@@ -30,6 +30,7 @@
     unsigned runs;
     unsigned aborted; /* requests that were closed at the upstream */
     int64_t timeout_ms;
+    const char *version; /* of the routes of the other host, or NULL */
     ForwardTicket ticket;
     HttpCall *call;
     GByteArray *body; /* its beginning */
@@ -95,6 +96,7 @@
     f->timeout_ms = (int64_t)g_ascii_strtoull(
         HeaderList_Get(sent, STR("agatecrank-timeout-ms")).data, NULL, 10);
     g_assert_false(HeaderList_Has(sent, STR(FORWARD_FIELD)));
+    g_assert_false(HeaderList_Has(sent, STR(FORWARD_VERSION_FIELD)));
     g_assert_true(Str_Equal(
         HeaderList_Get(sent, STR("agatecrank-target-instance")), STR("u")));
     f->open = request;
@@ -223,6 +225,10 @@
     HeaderList_Add(headers, STR("agatecrank-attempt-id"), STR(ID));
     HeaderList_Add(headers, STR("agatecrank-timeout-ms"), STR("900"));
     HeaderList_Add(headers, STR("x-own"), STR("kept"));
+    if (f->version != NULL) {
+        HeaderList_Add(headers, STR(FORWARD_VERSION_FIELD),
+                       Str_FromC(f->version));
+    }
     f->call = ForwardClient_Start(f->forwards, &spec, &call_handlers, f,
                                   &f->ticket, NULL);
     g_assert_nonnull(f->call);
@@ -389,6 +395,7 @@
 static void
 test_relayed(Fixture *f, gconstpointer data)
 {
+    f->version = "1";
     forward(f, "/safe/1");
     g_assert_true(f->complete);
     g_assert_cmpint(f->status, ==, 207);
@@ -457,6 +464,20 @@
     g_assert_cmpuint(f->runs, ==, 1);
 }
 
+/* Guards against a request that is handled by an older configuration because it
+ * goes over a host that has lost the store. */
+static void
+test_older_routes(Fixture *f, gconstpointer data)
+{
+    f->version = "2";
+    forward(f, "/safe/1");
+    g_assert_true(f->complete);
+    g_assert_cmpint(f->status, ==, 503);
+    g_assert_cmpint(f->check, ==, 0);
+    g_assert_cmpint(f->seal.outcome, ==, FORWARD_OUTCOME_NOT_RUN);
+    g_assert_cmpuint(f->runs, ==, 0);
+}
+
 /* Guards against a refusal that the other host can't tell from a failure. */
 static void
 test_not_run(Fixture *f, gconstpointer data)
@@ -547,6 +568,7 @@
     ADD("/gateway-forward/cancelled", test_cancelled);
     ADD("/gateway-forward/deadline", test_deadline);
     ADD("/gateway-forward/not-run", test_not_run);
+    ADD("/gateway-forward/older-routes", test_older_routes);
     ADD("/gateway-forward/pause-of-upstream", test_pause);
     ADD("/gateway-forward/leaving-upstream", test_leaving);
     ADD("/gateway-forward/stopping", test_stopping);
