Bring requests to probed connections in the test of stray responses

Cause: a case needs a request on a connection that a probe has used. On a busy machine probes time out, and requests keep to connections of their own.

Change: the upstream of the test closes a connection that no probe has used after its response, so that an idle connection is one of a probe. What is checked of the response stays.

--- a/tests/test_stray_responses.c
+++ b/tests/test_stray_responses.c
@@ -112,7 +112,8 @@
                                       : TRUE_RESPONSE_DELAY_US);
     }
     write_text(fd, script->rest != NULL ? script->rest : RESPONSE);
-    return true;
+    /* So that the next request finds a connection that a probe has used. */
+    return probed || !script->after_probe;
 }
 
 static gpointer
