Ask relays to wait for a record though what a host knows is old

Since waits for relays follow the age of what a host knows, a read of a copy older than 1.25 s asked for no wait, and a relay that serves copies of up to 1.3 s was read again at once, some 50 times in the 50 ms until it refuses.

Change: a wait of 50 ms at least. A silent relay is given up at 1.6 s instead of 1.55 s at the latest.

--- a/packages/net/KeyedSource.c
+++ b/packages/net/KeyedSource.c
@@ -19,6 +19,8 @@
  * a relay. */
 #define ROOT_WAIT_US (200 * MICROS_PER_MS)
 #define RELAY_WAIT_US (400 * MICROS_PER_MS)
+/* Without a wait, a relay that still serves an old copy is read without pause. */
+#define RELAY_WAIT_MIN_US (50 * MICROS_PER_MS)
 #define RELAY_TIMEOUT_US (250 * MICROS_PER_MS)
 #define RELAY_CONNECT_TIMEOUT_US (150 * MICROS_PER_MS)
 /* Time for which a relay without a valid response is ejected, doubled with each
@@ -757,7 +759,7 @@
     Micros left = known_at(this, read->topic) + KNOWN_AGE_MAX_US -
                   RELAY_TIMEOUT_US - now(this);
 
-    return MIN(read->wait, CLAMP(left, 0, longest));
+    return MIN(read->wait, CLAMP(left, RELAY_WAIT_MIN_US, longest));
 }
 
 /* Returns how long the relay may take to respond, and appends the query. */
--- a/tests/test_configuration_age.c
+++ b/tests/test_configuration_age.c
@@ -79,6 +79,7 @@
     /* Pages that the relays of the test have sent, and the time of the last. */
     bool page_sent[2];
     Micros page_at;
+    const char *next_wait[2]; /* of the next read: "some" or "none" */
 };
 
 /* ---- the log -------------------------------------------------------- */
@@ -526,6 +527,12 @@
         if (!Str_StartsWith(path, Str_FromC(tail))) {
             continue;
         }
+        if (f->page_sent[i] && f->next_wait[i] == NULL) {
+            f->next_wait[i] = g_strstr_len(path.data, (gssize)path.length,
+                                           "&wait_ms=0&") != NULL
+                                  ? "none"
+                                  : "some";
+        }
         if (!f->page_sent[i]) {
             respond(request, 200, &f->topics[i]);
             f->page_sent[i] = true;
@@ -537,7 +544,7 @@
 }
 
 /* Guards against a host that waits for silent relays as long as if what it
- * knows were new. */
+ * knows were new, and against one that reads old pages without pause. */
 static void
 test_silent_relays(Fixture *f, gconstpointer data)
 {
@@ -561,6 +568,8 @@
     write_route(f);
     run_for(f, IN_FORCE_US);
     g_assert_cmpstr(leaf->route, ==, f->routes[1]);
+    g_assert_cmpstr(f->next_wait[0], ==, "some");
+    g_assert_cmpstr(f->next_wait[1], ==, "some");
     g_test_message("%" G_GINT64_FORMAT " ms",
                    (leaf->route_at - f->page_at) / MICROS_PER_MS +
                        PAGE_AGE_MS);
