--- a/packages/gateway/Dispatcher.c
+++ b/packages/gateway/Dispatcher.c
@@ -906,6 +906,8 @@
     }
     job->table = RouteTable_Ref(this->routes);
     if (RouteTable_Version(job->table) < info->version_min) {
+        Dispatcher_Count(this, "agatecrank_forwards_accepted_total", "result",
+                         STR("older-routes"));
         Job_Reject(job, 503, "older-routes", 0);
         return NULL;
     }
