Give relays time to serve while what a host knows is less than 1.5 s old

Change: the wait may last until 1.5 s. In exchange no second relay is asked after a silent one when what the host knows is older than that; the store is called.

--- a/packages/net/KeyedSource.c
+++ b/packages/net/KeyedSource.c
@@ -465,6 +465,16 @@
     }
 }
 
+/* Returns whether there is no time left for another relay that may be silent. */
+static bool
+is_overdue(const Read *read)
+{
+    const KeyedSource *this = read->source;
+
+    return read->age_max < 0 &&
+           now(this) - known_at(this, read->topic) > KNOWN_AGE_MAX_US;
+}
+
 static void
 on_relay_failure(Read *read, const HttpFetchResponse *response)
 {
@@ -486,7 +496,8 @@
         return;
     }
     late = is_timeout(read, response);
-    if (!(late && read->timed_out) && !is_impatient(this) &&
+    if (!(late && (read->timed_out || is_overdue(read))) &&
+        !is_impatient(this) &&
         (choose_relay(this) != NULL || expects_relay(this))) {
         if (late) {
             read->timed_out = true;
@@ -748,16 +759,15 @@
                : RELAY_TIMEOUT_US;
 }
 
-/* Returns for how long a relay may wait for a record. A silent one is given up
- * when what this host knows is KNOWN_AGE_MAX_US old. */
+/* Returns for how long a relay may wait for a record: until what this host knows
+ * is KNOWN_AGE_MAX_US old. */
 static Micros
 relay_wait(const Read *read)
 {
     const KeyedSource *this = read->source;
     Micros longest =
         this->level == RELAY_LEVEL_LEAF ? RELAY_WAIT_US : ROOT_WAIT_US;
-    Micros left = known_at(this, read->topic) + KNOWN_AGE_MAX_US -
-                  RELAY_TIMEOUT_US - now(this);
+    Micros left = known_at(this, read->topic) + KNOWN_AGE_MAX_US - now(this);
 
     return MIN(read->wait, CLAMP(left, RELAY_WAIT_MIN_US, longest));
 }
