Leave peers with older routes out for 200 ms only

Cause: a peer that refuses a forwarded request because of older routes was left out for a second, as one that can't be reached. A new configuration reaches hosts within some milliseconds of each other, and each request tries three peers, so a host that reaches no upstream and is ahead of the others could be without peers for a second at each change.

Change: 200 ms, as for peers that do not know this host's key yet.

Measured: test_peer_set, case outdated, failed before (no peer after 300 ms) and passes now, as do test_forwarding, test_gateway_forward, test_gateway_cut_off and test_cut_off_hosts (release build).

--- a/packages/gateway/PeerSet.c
+++ b/packages/gateway/PeerSet.c
@@ -9,6 +9,8 @@
 #define REFUSED_US (1 * MICROS_PER_S)
 #define FULL_US (200 * MICROS_PER_MS)
 #define DENIED_US (200 * MICROS_PER_MS)
+/* A new configuration reaches hosts at different times. */
+#define OUTDATED_US (200 * MICROS_PER_MS)
 /* Time for which the own domain is avoided after a peer in it was cut off. */
 #define DOMAIN_CUT_US (1 * MICROS_PER_S)
 /* Open forwards by which a peer in another domain must be less used, because
@@ -282,8 +284,10 @@
     case PEER_DENIED:
         note_refusal(this, peer, DENIED_US);
         break;
-    case PEER_UNREACHABLE:
     case PEER_OUTDATED:
+        note_refusal(this, peer, OUTDATED_US);
+        break;
+    case PEER_UNREACHABLE:
         note_refusal(this, peer, REFUSED_US);
         break;
     case PEER_SILENT:
--- a/tests/test_peer_set.c
+++ b/tests/test_peer_set.c
@@ -155,6 +155,22 @@
     g_assert_null(PeerSet_Take(f->set, &number, 1));
 }
 
+/* Guards against a host without peers for long when a configuration reaches it
+ * before them. */
+static void
+test_outdated(Fixture *f, gconstpointer data)
+{
+    Peer *peer;
+
+    while ((peer = PeerSet_Take(f->set, NULL, 0)) != NULL) {
+        PeerSet_Release(f->set, peer, PEER_OUTDATED);
+    }
+    Clock_Advance(f->clock, 300 * MICROS_PER_MS);
+    peer = PeerSet_Take(f->set, NULL, 0);
+    g_assert_nonnull(peer);
+    PeerSet_Release(f->set, peer, PEER_SERVED);
+}
+
 /* Guards against a host without peers while they know its key again: each reads
  * it right after the first refusal. */
 static void
@@ -194,6 +210,7 @@
     ADD("all-cut", test_all_cut);
     ADD("bounds", test_bounds);
     ADD("denied", test_denied);
+    ADD("outdated", test_outdated);
     ADD("not-the-same-again", test_not_the_same_again);
     return g_test_run();
 }
