Check which version of the routes a forwarded request names

Cause: no test failed when a host did not send the version of its routes with a forwarded request, or passed on one that a caller had sent.

Change: the peer in test_gateway_cut_off checks the field, and the caller sends another one.

Measured: fails with the line of Gateway.c that adds the field taken out, and passes as it is (release build).

--- a/tests/test_gateway_cut_off.c
+++ b/tests/test_gateway_cut_off.c
@@ -105,6 +105,10 @@
     uint64_t ms;
 
     g_assert_cmpint(Str_ParseU64(timeout, &ms), ==, 0);
+    /* The version of the routes is this host's, not what the caller says. */
+    g_assert_true(Str_Equal(HeaderList_Get(HttpRequest_Headers(request),
+                                           STR(FORWARD_VERSION_FIELD)),
+                            STR("1")));
     f->peer_deadline = Clock_Now(f->clock) + (Micros)ms * MICROS_PER_MS;
 }
 
@@ -293,6 +297,7 @@
     HeaderList_Add(headers, STR("agatecrank-attempt-id"), STR(ID));
     HeaderList_Add(headers, STR("agatecrank-timeout-ms"), STR(TIMEOUT_MS));
     HeaderList_Add(headers, STR(FORWARD_FIELD), STR("of the caller"));
+    HeaderList_Add(headers, STR(FORWARD_VERSION_FIELD), STR("99"));
     f->complete = f->failed = false;
     f->status = 0;
     f->length = 0;
