Log by which routes a request is refused, and how old they are

Cause: a line event=refuse with reason=no-route named no version, as the request has no route. The users' report is about such a refusal; their record could not tell by which version it was decided, nor whether the host knew that it was behind. No metric told the latter.

Change: the line names the version and routes_age_ms, the time since these routes were known to be the newest ones; gauge agatecrank_routes_age_seconds.

Measured: test_refusal_log failed before (no version in the line) and passes now, as do test_request_trace, test_customers, test_dispatcher, test_cut_refusals and test_readme (release build).

--- a/packages/agatecrankd/GatewayDaemon.c
+++ b/packages/agatecrankd/GatewayDaemon.c
@@ -141,6 +141,15 @@
                  (double)pressure.closed);
 }
 
+static void
+set_routes_age(const GatewayDaemon *this)
+{
+    Micros age = Dispatcher_RoutesAge(this->dispatcher);
+
+    Counters_Set(this->counters, "agatecrank_routes_age_seconds", NULL, 0,
+                 age >= 0 ? (double)age / (double)MICROS_PER_S : -1);
+}
+
 static void
 set_excluded_counts(GatewayDaemon *this)
 {
@@ -168,6 +177,7 @@
     Counters_Set(this->counters, "agatecrank_limited_upstreams", NULL, 0,
                  Dispatcher_LimitedUpstreamCount(this->dispatcher));
     set_excluded_counts(this);
+    set_routes_age(this);
     Counters_Set(this->counters, "agatecrank_skipped_responses", NULL, 0,
                  (double)Gateway_SkippedResponses(this->gateway));
     Counters_Set(this->counters, "agatecrank_evacuated_domains", NULL, 0,
--- a/packages/gateway/Dispatcher.c
+++ b/packages/gateway/Dispatcher.c
@@ -566,14 +566,21 @@
     this->routes_known_at = at;
 }
 
+Micros
+Dispatcher_RoutesAge(const Dispatcher *this)
+{
+    return this->routes_known_at >= 0
+               ? Clock_Boot(this->clock) - this->routes_known_at
+               : -1;
+}
+
 bool
 Dispatcher_RejectsKeys(const Dispatcher *this)
 {
     return this->options.key_age_max > 0 && this->routes != NULL &&
            RouteTable_Customers(this->routes) != NULL &&
            (this->routes_known_at < 0 ||
-            Clock_Boot(this->clock) - this->routes_known_at >
-                this->options.key_age_max);
+            Dispatcher_RoutesAge(this) > this->options.key_age_max);
 }
 
 const RouteTable *
--- a/packages/gateway/Dispatcher.h
+++ b/packages/gateway/Dispatcher.h
@@ -316,6 +316,13 @@
  */
 void Dispatcher_SetRoutesKnownAt(Dispatcher *this, Micros at);
 
+/**
+ * Dispatcher_RoutesAge() - time since the routes in force were the newest ones
+ *
+ * Return: by Clock_Boot(); -1 if they never were, as far as this host knows.
+ */
+Micros Dispatcher_RoutesAge(const Dispatcher *this);
+
 /**
  * Dispatcher_RejectsKeys() - whether callers with keys are rejected because the
  *     routes may be out of date
--- a/packages/gateway/JobLog.c
+++ b/packages/gateway/JobLog.c
@@ -48,6 +48,8 @@
     EventLog_Str(log, "request", Str_FromString(job->id));
     if (job->route != NULL) {
         EventLog_Str(log, "route", job->route->name);
+    }
+    if (job->table != NULL) {
         EventLog_Int(log, "version", (int64_t)RouteTable_Version(job->table));
     }
     if (job->customer != NULL) {
@@ -284,6 +286,12 @@
     EventLog_Str(this->decisions, "open", open_target(job));
     EventLog_Str(this->decisions, "upstream", last_upstream(job));
     EventLog_Int(this->decisions, "held_ms", elapsed_ms(job));
+    if (job->table != NULL && job->route == NULL) {
+        Micros age = Dispatcher_RoutesAge(this);
+
+        EventLog_Int(this->decisions, "routes_age_ms",
+                     age >= 0 ? age / MICROS_PER_MS : -1);
+    }
     if (job->route != NULL) {
         add_excluded_field(job);
     }
