Decide in the core when the store is called itself

Change: LogAccess in packages/core/membership holds what is known of each topic, what relays say and how the own calls ended, and answers when the log may be called, which call is a probe and how long a relay may wait. KeyedSource asks it.

--- a/packages/net/KeyedSource.c
+++ b/packages/net/KeyedSource.c
@@ -6,6 +6,7 @@
 #include "AppendBatch.h"
 #include "HttpFetch.h"
 #include "KeyedCodec.h"
+#include "LogAccess.h"
 #include "RelayTree.h"
 
 /* Longest duration of a long poll, whatever the follower asks for. A read may
@@ -19,8 +20,6 @@
  * a relay. */
 #define ROOT_WAIT_US (200 * MICROS_PER_MS)
 #define RELAY_WAIT_US (400 * MICROS_PER_MS)
-/* Without a wait, a relay that still serves an old copy is read without pause. */
-#define RELAY_WAIT_MIN_US (50 * MICROS_PER_MS)
 #define RELAY_TIMEOUT_US (250 * MICROS_PER_MS)
 #define RELAY_CONNECT_TIMEOUT_US (150 * MICROS_PER_MS)
 /* Time for which a relay without a valid response is ejected, doubled with each
@@ -34,21 +33,8 @@
 #define START_TIME_US (1 * MICROS_PER_S)
 #define START_TIMEOUT_MIN_US (50 * MICROS_PER_MS)
 #define START_RETRY_US (50 * MICROS_PER_MS)
-/* While the log is unreachable, it is called only at this interval. Hosts whose
- * relays say that it is share a rate of calls. */
-#define LOG_RETRY_INTERVAL_US (900 * MICROS_PER_MS)
-#define LOG_RETRY_PER_HOST_US (15 * MICROS_PER_MS)
-/* Age of what a host knows at which it calls the log itself. With the time-outs
- * of relays and of the log it is known again within 2 s. */
-#define KNOWN_AGE_MAX_US (1500 * MICROS_PER_MS)
 /* Reads wait up to this time for a call that may be made then. */
 #define LOG_PATIENCE_US (400 * MICROS_PER_MS)
-#define PROBE_CHECK_INTERVAL_US (20 * MICROS_PER_MS)
-/* What relays say holds for this long. */
-#define LOST_TIME_US (2 * MICROS_PER_S)
-/* A host that has read the log goes on to do so for this long, whatever relays
- * say, as the log may serve some hosts only. */
-#define LOG_ACCESS_TIME_US (5 * MICROS_PER_S)
 #define LOG_CALL_TIMEOUT_US (1 * MICROS_PER_S)
 /* A relay sends a whole topic at once. */
 #define RESPONSE_BYTES_MAX (8 * 1024 * 1024)
@@ -83,16 +69,10 @@
     Micros relays_known_at;  /* first reading of the list, or the start */
     GQueue *queued_reads;    /* Read that waits for the list */
     GQueue *postponed_reads; /* Read that waits for its timer */
-    Micros log_failed_at;    /* time of the last read, -1 if it succeeded */
-    Micros log_failure_at;   /* time of the last read that failed, or -1 */
-    Micros log_read_at;      /* time of the last read that succeeded, or -1 */
-    Micros lost_heard_at;    /* a relay has no access to the log, or -1 */
-    Micros lost_retry_at;    /* next call of the log while none has */
-    bool log_probing;        /* a read is to show whether the log is lost */
+    LogAccess *access;
     uint64_t log_calls;
     uint64_t read_count; /* reads over relays */
     uint64_t era;        /* of the last page that was delivered */
-    GHashTable *known;   /* Micros by topic, see known_at() */
     bool list_attempted; /* a reading of the list has ended */
     bool direct;         /* reads go to the log, not to a relay */
 };
@@ -111,7 +91,7 @@
     uint64_t number; /* of the last read over a relay */
     LoopTimer *timer;
     bool newest;
-    bool probe;     /* see KeyedSource_.log_probing */
+    bool probe;     /* see LogAccess_Begin() */
     bool timed_out; /* at a relay */
     KeyedPageHandler *handler;
     void *user;
@@ -359,35 +339,16 @@
 static void start_read(Read *read);
 static void read_log(Read *read);
 
-/* Returns the time up to which this host has been told what the topic has. */
-static Micros
-known_at(const KeyedSource *this, const GString *topic)
-{
-    const Micros *at = g_hash_table_lookup(this->known, topic->str);
-
-    return at != NULL ? *at : this->started;
-}
-
-static void
-update_known(KeyedSource *this, const GString *topic, const KeyedPage *page)
-{
-    Micros *at;
-
-    if (page->code < 0 || page->more) {
-        return;
-    }
-    at = g_new(Micros, 1);
-    *at = now(this) - page->age;
-    g_hash_table_replace(this->known, g_strdup(topic->str), at);
-}
-
 static void
 deliver(Read *read, const KeyedPage *page)
 {
     KeyedPageHandler *handler = read->handler;
     void *user = read->user;
 
-    update_known(read->source, read->topic, page);
+    if (page->code == 0 && !page->more) {
+        LogAccess_OnKnown(read->source->access, Str_FromString(read->topic),
+                          page->age);
+    }
     destroy_read(read);
     handler(user, page);
 }
@@ -411,23 +372,6 @@
            era < this->era;
 }
 
-/* A relay has no access to the log. Each host tries it at another time. */
-static void
-on_lost(KeyedSource *this)
-{
-    Micros spread = (Micros)HostList_Count(this->list) * LOG_RETRY_PER_HOST_US;
-
-    if (this->lost_heard_at < 0 ||
-        now(this) - this->lost_heard_at > LOST_TIME_US) {
-        this->lost_retry_at =
-            this->level == RELAY_LEVEL_LEAF && spread > 0
-                ? now(this) +
-                      (Micros)(Str_Hash(this->options.host) % (uint64_t)spread)
-                : now(this);
-    }
-    this->lost_heard_at = now(this);
-}
-
 /* Returns whether the relay did not respond, rather than refuse. */
 static bool
 is_timeout(const Read *read, const HttpFetchResponse *response)
@@ -461,18 +405,17 @@
         now(this) + (refused && is_starting(this) ? START_RETRY_US : time));
     if (has_state(response, KEYED_STATE_LOST) &&
         is_own_response(read, response)) {
-        on_lost(this);
+        LogAccess_OnRelayLost(this->access);
     }
 }
 
-/* Returns whether there is no time left for another relay that may be silent. */
+/* The list of hosts has no time limit. */
 static bool
 is_overdue(const Read *read)
 {
-    const KeyedSource *this = read->source;
-
     return read->age_max < 0 &&
-           now(this) - known_at(this, read->topic) > KNOWN_AGE_MAX_US;
+           LogAccess_IsOverdue(read->source->access,
+                               Str_FromString(read->topic));
 }
 
 static void
@@ -582,11 +525,8 @@
     KeyedSource *this = read->source;
     bool failed = page->code < 0 && page->code != ERR_EXPIRED;
 
-    this->log_failed_at = failed ? now(this) : -1;
-    this->log_failure_at = failed ? now(this) : this->log_failure_at;
-    this->log_probing = this->log_probing && !read->probe;
+    LogAccess_End(this->access, read->probe, failed);
     if (!failed) {
-        this->log_read_at = now(this);
         on_era(this, page->era);
         HostList_ReadNow(this->list);
     }
@@ -621,17 +561,6 @@
     g_queue_push_tail(read->source->postponed_reads, read);
 }
 
-/* Returns whether the log is out of reach, as far as this host knows. */
-static bool
-log_is_lost(const KeyedSource *this)
-{
-    bool has_access = this->log_failed_at < 0 && this->log_read_at >= 0 &&
-                      now(this) - this->log_read_at <= LOG_ACCESS_TIME_US;
-
-    return !has_access && this->lost_heard_at >= 0 &&
-           now(this) - this->lost_heard_at <= LOST_TIME_US;
-}
-
 static void
 log_withheld(const Read *read)
 {
@@ -640,49 +569,14 @@
     if (EventLog_Begin(this->log, LOG_LEVEL_INFO, "store-withheld")) {
         EventLog_Str(this->log, "topic", Str_FromString(read->topic));
         EventLog_CStr(this->log, "reason",
-                      this->log_failed_at >= 0 ? "failed" : "lost");
+                      LogAccess_HasFailed(this->access) ? "failed" : "lost");
         EventLog_Int(this->log, "known_ms",
-                     (now(this) - known_at(this, read->topic)) /
+                     LogAccess_Age(this->access, Str_FromString(read->topic)) /
                          MICROS_PER_MS);
         EventLog_End(this->log);
     }
 }
 
-/* Returns when the log is called whatever relays say: they may have lost it
- * while it serves this host. Once it has failed this host, too, their word
- * holds again. The list of hosts has no time limit. */
-static Micros
-log_due_at(const Read *read)
-{
-    const KeyedSource *this = read->source;
-    Micros known = known_at(this, read->topic);
-
-    return read->age_max < 0 && this->log_failure_at < known
-               ? known + KNOWN_AGE_MAX_US
-               : INT64_MAX;
-}
-
-/* Returns for how long the log must not be called yet. */
-static Micros
-log_call_delay(const Read *read)
-{
-    const KeyedSource *this = read->source;
-
-    if (this->parents->len == 0) {
-        return 0;
-    }
-    if (this->log_probing) {
-        return PROBE_CHECK_INTERVAL_US;
-    }
-    if (this->log_failed_at >= 0 &&
-        now(this) - this->log_failed_at < LOG_RETRY_INTERVAL_US) {
-        return this->log_failed_at + LOG_RETRY_INTERVAL_US - now(this);
-    }
-    return log_is_lost(this)
-               ? MAX(MIN(this->lost_retry_at, log_due_at(read)) - now(this), 0)
-               : 0;
-}
-
 /* A call that may soon be made is waited for. */
 static void
 withhold(Read *read, Micros delay)
@@ -695,39 +589,24 @@
     postpone(read, 1, reject_read);
 }
 
-/* Reads of other topics wait for the end of this one, so the log must not wait
- * for a record. */
-static void
-begin_probe(Read *read)
-{
-    KeyedSource *this = read->source;
-
-    this->log_probing = true;
-    read->probe = true;
-    read->timeout -= read->wait;
-    read->wait = 0;
-    if (this->level == RELAY_LEVEL_LEAF) {
-        this->lost_retry_at =
-            now(this) +
-            MAX(LOG_RETRY_INTERVAL_US,
-                (Micros)HostList_Count(this->list) * LOG_RETRY_PER_HOST_US);
-    }
-}
-
 static void
 read_log(Read *read)
 {
     KeyedSource *this = read->source;
     const KeyedLog *keyed_log = this->keyed_log;
-    Micros delay = log_call_delay(read), wait;
+    Micros delay = LogAccess_CallDelay(
+        this->access,
+        read->age_max < 0 ? Str_FromString(read->topic) : STR(""));
+    Micros wait;
 
     if (delay > 0) {
         withhold(read, delay);
         return;
     }
-    if (this->parents->len > 0 &&
-        (this->log_failed_at >= 0 || log_is_lost(this))) {
-        begin_probe(read);
+    read->probe = LogAccess_Begin(this->access);
+    if (read->probe) {
+        read->timeout -= read->wait;
+        read->wait = 0;
     }
     wait = MIN(read->wait, DIRECT_WAIT_MAX_US);
     if (this->level != RELAY_LEVEL_LEAF) {
@@ -759,24 +638,16 @@
                : RELAY_TIMEOUT_US;
 }
 
-/* Returns for how long a relay may wait for a record: until what this host knows
- * is KNOWN_AGE_MAX_US old. */
+/* Returns how long the relay may take to respond, and appends the query. */
 static Micros
-relay_wait(const Read *read)
+relay_query(const Read *read, GString *path)
 {
     const KeyedSource *this = read->source;
     Micros longest =
         this->level == RELAY_LEVEL_LEAF ? RELAY_WAIT_US : ROOT_WAIT_US;
-    Micros left = known_at(this, read->topic) + KNOWN_AGE_MAX_US - now(this);
-
-    return MIN(read->wait, CLAMP(left, RELAY_WAIT_MIN_US, longest));
-}
-
-/* Returns how long the relay may take to respond, and appends the query. */
-static Micros
-relay_query(const Read *read, GString *path)
-{
-    Micros wait = relay_wait(read);
+    Micros wait = MIN(
+        read->wait, LogAccess_RelayWait(this->access,
+                                        Str_FromString(read->topic), longest));
 
     if (read->age_max >= 0) {
         g_string_printf(path, "/newest?topic=%s&age_ms=%" G_GINT64_FORMAT,
@@ -977,6 +848,9 @@
         g_array_free(hosts, TRUE);
     }
     this->list_attempted = true;
+    LogAccess_SetPlace(this->access, HostList_Count(this->list),
+                       this->parents->len > 0,
+                       this->level == RELAY_LEVEL_LEAF);
     while ((read = g_queue_pop_head(this->queued_reads)) != NULL) {
         start_read(read);
     }
@@ -1148,13 +1022,8 @@
     this->parents = g_ptr_array_new_with_free_func(unref_peer);
     this->seeds = g_ptr_array_new_with_free_func(unref_peer);
     this->started = this->relays_known_at = now(this);
-    this->log_failed_at = -1;
-    this->log_failure_at = -1;
-    this->log_read_at = -1;
-    this->lost_heard_at = -1;
+    this->access = LogAccess_Create(options->host, this->clock);
     this->era = KEYED_ERA_UNKNOWN;
-    this->known =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     this->direct = true;
     this->queued_reads = g_queue_new();
     this->postponed_reads = g_queue_new();
@@ -1175,7 +1044,7 @@
     HostList_Destroy(this->list);
     g_queue_free_full(this->queued_reads, destroy_read);
     g_queue_free_full(this->postponed_reads, destroy_read);
-    g_hash_table_destroy(this->known);
+    LogAccess_Destroy(this->access);
     g_ptr_array_free(this->parents, TRUE);
     g_ptr_array_free(this->seeds, TRUE);
     g_free(this);
