--- a/review/standin-2/kit.c
+++ b/review/standin-2/kit.c
@@ -945,6 +945,8 @@
     char *arguments[] = {program, NULL};
     char *environment[] = {variable, "PATH=/usr/bin:/bin", "HOME=/tmp", NULL};
     FILE *file;
+    int started_program[2];
+    char byte;
 
     snprintf(settings, sizeof(settings), "%s/host-%d.toml", work, host);
     snprintf(log, sizeof(log), "%s/host-%d.log", work, host);
@@ -952,6 +954,9 @@
              repo, getenv("BUILD") != NULL ? getenv("BUILD") : "target");
     snprintf(variable, sizeof(variable), "AGATECRANK_NODE_FILE=%s", settings);
     write_settings(settings, host, zone, bounds);
+    if (pipe2(started_program, O_CLOEXEC) < 0) {
+        kit_end(2);
+    }
     host_pids[host] = fork();
     if (host_pids[host] == 0) {
         int fd = open(log, O_WRONLY | O_CREAT | O_APPEND, 0644);
@@ -964,6 +969,11 @@
         execve(program, arguments, environment);
         _exit(127);
     }
+    /* Ends when the program has replaced the child's copy of this one. */
+    close(started_program[1]);
+    while (read(started_program[0], &byte, 1) > 0) {
+    }
+    close(started_program[0]);
     snprintf(log, sizeof(log), "%s/host-%d.pid", work, host);
     file = fopen(log, "w");
     if (file != NULL) {
