--- a/review/standin-2/kit.c
+++ b/review/standin-2/kit.c
@@ -107,7 +107,8 @@
 
     inet_pton(AF_INET, address, &a.sin_addr);
     setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-    if (bind(fd, (struct sockaddr *)&a, sizeof(a)) < 0 || listen(fd, 1024) < 0) {
+    if (bind(fd, (struct sockaddr *)&a, sizeof(a)) < 0 ||
+        listen(fd, 1024) < 0) {
         close(fd);
         return -1;
     }
@@ -330,9 +331,8 @@
     size_t head;
 
     memset(message, 0, sizeof(*message));
-    while (reader->length == 0 ||
-           (end = memmem(reader->data, reader->length, "\r\n\r\n", 4)) ==
-               NULL) {
+    while (reader->length == 0 || (end = memmem(reader->data, reader->length,
+                                                "\r\n\r\n", 4)) == NULL) {
         if (reader->length > HEAD_BYTES_MAX ||
             !need(reader, reader->length + 1, message, until)) {
             return false;
@@ -344,7 +344,8 @@
     message->head[head] = '\0';
     consume(reader, head);
     append_body(message, "", 0);
-    if (response && sscanf(message->head, "HTTP/1.%*d %d", &message->status) != 1) {
+    if (response &&
+        sscanf(message->head, "HTTP/1.%*d %d", &message->status) != 1) {
         return false;
     }
     if (strcasecmp(kit_field(message, "transfer-encoding"), "chunked") == 0) {
@@ -880,8 +881,8 @@
                         .slots = slots,
                         .handler = handler};
     snprintf(this->address, sizeof(this->address), "%s", address);
-    snprintf(this->id, sizeof(this->id), "i-%04x%04x", (unsigned)rand() & 0xffff,
-             (unsigned)this->index);
+    snprintf(this->id, sizeof(this->id), "i-%04x%04x",
+             (unsigned)rand() & 0xffff, (unsigned)this->index);
     free(address);
     start_listener(fd, serve_worker, this);
     return this;
@@ -950,8 +951,9 @@
 
     snprintf(settings, sizeof(settings), "%s/host-%d.toml", work, host);
     snprintf(log, sizeof(log), "%s/host-%d.log", work, host);
-    snprintf(program, sizeof(program), "%s/%s/packages/agatecrankd/agatecrankd",
-             repo, getenv("BUILD") != NULL ? getenv("BUILD") : "target");
+    snprintf(program, sizeof(program),
+             "%s/%s/packages/agatecrankd/agatecrankd", repo,
+             getenv("BUILD") != NULL ? getenv("BUILD") : "target");
     snprintf(variable, sizeof(variable), "AGATECRANK_NODE_FILE=%s", settings);
     write_settings(settings, host, zone, bounds);
     if (pipe2(started_program, O_CLOEXEC) < 0) {
