--- a/tests/test_http_parser.c
+++ b/tests/test_http_parser.c
@@ -185,6 +185,25 @@
     }
 }
 
+/* Guards against a zero byte that ends the name or the value of a field. */
+static void
+test_zero_byte(void)
+{
+    const Str texts[] = {
+        STR(OK "x\0y: 1\r\ncontent-length: 0\r\n\r\n"),
+        STR(OK "x: 1\0\r\ncontent-length: 0\r\n\r\n"),
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
+        Recorder recorder;
+
+        set_up(&recorder, HTTP_PARSER_RESPONSES);
+        g_assert_cmpint(feed(&recorder, texts[i], 100), ==, ERR_PROTOCOL);
+        g_assert_cmpstr(recorder.text->str, ==, "");
+        tear_down(&recorder);
+    }
+}
+
 /* Guards against a header block that uses unbounded memory. */
 static void
 test_long_head(void)
@@ -443,6 +462,7 @@
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/http-parser/cases", test_cases);
+    g_test_add_func("/http-parser/zero-byte", test_zero_byte);
     g_test_add_func("/http-parser/long-head", test_long_head);
     g_test_add_func("/http-parser/end-of-connection", test_end_of_connection);
     g_test_add_func("/http-parser/head-answer", test_head_response);
