Check the status line of responses

Cause: header fields were checked strictly, the status line was left to the parser library, which takes any number up to 999 of any length, and any version. Change: HttpParser takes a version of 1.x, one blank, three digits from 100 to 599, and a blank before a reason. The error names the line or the status. Now the caller gets 502, which promises nothing, and outcome=unknown on the balancer's own path. 100 to 599, version 1.0 and an omitted reason pass.

--- a/packages/net/HttpParser.c
+++ b/packages/net/HttpParser.c
@@ -8,6 +8,11 @@
 #define CHUNK_FRAMING_BYTES 20
 /* Larger buffers are not kept from one message to the next. */
 #define KEPT_BUFFER_BYTES 512
+/* Version and status of a response; "d" stands for a digit. */
+#define STATUS_LINE_BEGIN "HTTP/1.d ddd"
+#define STATUS_INDEX 9
+/* Of a message, in an error text. */
+#define QUOTED_BYTES_MAX 32
 
 typedef enum ParserState_ {
     STATE_HEAD,
@@ -299,6 +304,15 @@
     return Error_Set(error, ERR_PROTOCOL, "read-head", STR(""), "%s", text);
 }
 
+static Str
+without_cr(Str line)
+{
+    if (line.length > 0 && line.data[line.length - 1] == '\r') {
+        line.length--;
+    }
+    return line;
+}
+
 /* Checks the bytes from index @from on; those before it were checked. */
 static int
 check_bytes(Str block, size_t from, Error *error)
@@ -365,6 +379,25 @@
     return 0;
 }
 
+/* Some servers omit the blank before an empty reason. */
+static bool
+is_status_line(Str line)
+{
+    static const char pattern[] = STATUS_LINE_BEGIN;
+    size_t length = sizeof(pattern) - 1;
+
+    if (line.length < length) {
+        return false;
+    }
+    for (size_t i = 0; i < length; i++) {
+        if (pattern[i] == 'd' ? !g_ascii_isdigit(line.data[i])
+                              : line.data[i] != pattern[i]) {
+            return false;
+        }
+    }
+    return line.length == length || line.data[length] == ' ';
+}
+
 /* A start line that broke off runs into that of the next response, whose header
  * fields and body would follow the wrong status. */
 static bool
@@ -376,6 +409,29 @@
                         "HTTP/") != NULL;
 }
 
+static int
+check_status_line(Str line, Error *error)
+{
+    Str begin = {line.data, MIN(line.length, QUOTED_BYTES_MAX)};
+
+    if (!is_status_line(line)) {
+        return Error_Set(
+            error, ERR_PROTOCOL, "read-head", STR(""),
+            "malformed status line \"" STR_FORMAT
+            "\": expected HTTP/1.N, a blank and a status of three digits",
+            STR_ARGS(begin));
+    }
+    if (line.data[STATUS_INDEX] < '1' || line.data[STATUS_INDEX] > '5') {
+        return Error_Set(error, ERR_PROTOCOL, "read-head", STR(""),
+                         "status %.3s is not from 100 to 599",
+                         line.data + STATUS_INDEX);
+    }
+    if (holds_second_start_line(line)) {
+        return set_protocol_error(error, "two start lines in one");
+    }
+    return 0;
+}
+
 static int
 check_fields(Str block, GPtrArray *seen, Error *error)
 {
@@ -386,9 +442,7 @@
     /* The first line is the start line. The block ends in CR LF CR LF, so that
      * the last two lines are empty. */
     while (Str_Split(&block, '\n', &line)) {
-        if (line.length > 0 && line.data[line.length - 1] == '\r') {
-            line.length--;
-        }
+        line = without_cr(line);
         if (!first && line.length > 0 &&
             check_field(line, seen, &framing, error) < 0) {
             return ERR_PROTOCOL;
@@ -412,9 +466,11 @@
     if (code < 0) {
         return code;
     }
-    if (kind == HTTP_PARSER_RESPONSES && Str_Split(&rest, '\n', &line) &&
-        holds_second_start_line(line)) {
-        return set_protocol_error(error, "two start lines in one");
+    if (kind == HTTP_PARSER_RESPONSES && Str_Split(&rest, '\n', &line)) {
+        code = check_status_line(without_cr(line), error);
+        if (code < 0) {
+            return code;
+        }
     }
     seen = g_ptr_array_new_with_free_func(g_free);
     code = check_fields(block, seen, error);
--- a/tests/support/ScriptedGateway.c
+++ b/tests/support/ScriptedGateway.c
@@ -1,6 +1,7 @@
 #include "ScriptedGateway.h"
 
 #include <glib.h>
+#include <string.h>
 
 #include "Gateway.h"
 #include "GatewayFixture.h"
@@ -22,6 +23,8 @@
     LoopTimer *held_timer;
     ScriptedHandler *on_held;
     void *on_held_user;
+    EventLog *log;
+    GString *lines; /* of the log */
     GString *body;
     int status;
     bool complete;
@@ -77,15 +80,19 @@
     on_headers, on_data, on_drained, on_complete, on_failed,
 };
 
+/* @content: body of the request, or NULL */
 static int
-call(ScriptedGateway *this, const char *path, bool with_id)
+call(ScriptedGateway *this, const char *path, const BodyBuffer *content,
+     bool with_id)
 {
     HeaderList *headers = HeaderList_Create();
     HttpCallSpec spec = {.address = "127.0.0.1",
                          .port = Gateway_Port(this->gateway),
-                         .method = STR("GET"),
+                         .method = content != NULL ? STR("POST") : STR("GET"),
                          .path = Str_FromC(path),
                          .headers = headers,
+                         .content_length = (int64_t)BodyBuffer_Length(content),
+                         .content = content,
                          .new_connection = true};
 
     HeaderList_Add(headers, STR("host"), GATEWAY_FIXTURE_HOST);
@@ -108,13 +115,32 @@
 int
 ScriptedGateway_Call(ScriptedGateway *this, const char *path)
 {
-    return call(this, path, true);
+    return call(this, path, NULL, true);
 }
 
 int
 ScriptedGateway_CallWithoutId(ScriptedGateway *this, const char *path)
 {
-    return call(this, path, false);
+    return call(this, path, NULL, false);
+}
+
+int
+ScriptedGateway_Upload(ScriptedGateway *this, const char *path, size_t bytes)
+{
+    BodyBuffer *content = BodyBuffer_Create();
+    g_autofree char *text = g_strnfill(bytes, 'u');
+    int status;
+
+    BodyBuffer_Append(content, (Str){text, bytes});
+    status = call(this, path, content, true);
+    BodyBuffer_Destroy(content);
+    return status;
+}
+
+const char *
+ScriptedGateway_Log(const ScriptedGateway *this)
+{
+    return this->lines->str;
 }
 
 Str
@@ -165,6 +191,30 @@
     g_error("the test takes too long");
 }
 
+static void
+add_line(void *user, LogLevel level, Str line)
+{
+    Str_AppendTo(line, user);
+    g_string_append_c(user, '\n');
+}
+
+static void
+set_routes(ScriptedGateway *this, uint64_t version, bool probing)
+{
+    CallerLimits limits = {0};
+    RouteTable *table = RouteTable_Create(version, &limits);
+
+    if (probing) {
+        RouteTable_AddService(table, GATEWAY_FIXTURE_SERVICE, STR("/health"));
+    }
+    GatewayFixture_AddRoute(table, "/once/", ROUTE_AT_MOST_ONCE, 1,
+                            300 * MICROS_PER_MS, 3 * MICROS_PER_S);
+    GatewayFixture_AddRoute(table, "/safe/", ROUTE_IDEMPOTENT, 1,
+                            300 * MICROS_PER_MS, 3 * MICROS_PER_S);
+    g_assert_cmpint(Dispatcher_SetRoutes(this->dispatcher, table), ==, 0);
+    RouteTable_Unref(table);
+}
+
 static void
 create_gateway(ScriptedGateway *this)
 {
@@ -178,23 +228,36 @@
                               .dialect = &PLATFORM_DIALECT,
                               .connections_max = 8,
                               .reuse_idle = MICROS_PER_S};
-    CallerLimits limits = {0};
-    RouteTable *table = RouteTable_Create(1, &limits);
 
-    this->dispatcher = Dispatcher_Create(
-        &dispatcher, this->clock, this->random, NULL, NULL, this->counters);
+    this->dispatcher =
+        Dispatcher_Create(&dispatcher, this->clock, this->random, NULL,
+                          this->log, this->counters);
     this->gateway = Gateway_Create(this->loop, this->dispatcher,
                                    this->counters, &options, NULL);
     g_assert_nonnull(this->gateway);
-    GatewayFixture_AddRoute(table, "/once/", ROUTE_AT_MOST_ONCE, 1,
-                            300 * MICROS_PER_MS, 3 * MICROS_PER_S);
-    GatewayFixture_AddRoute(table, "/safe/", ROUTE_IDEMPOTENT, 1,
-                            300 * MICROS_PER_MS, 3 * MICROS_PER_S);
-    g_assert_cmpint(Dispatcher_SetRoutes(this->dispatcher, table), ==, 0);
-    RouteTable_Unref(table);
+    set_routes(this, 1, false);
     Dispatcher_SetSourceReachable(this->dispatcher, true, 0);
 }
 
+void
+ScriptedGateway_EnableProbes(ScriptedGateway *this, const char *response)
+{
+    ScriptedUpstream_SetProbeResponse(this->upstream, response);
+    set_routes(this, 2, true);
+}
+
+bool
+ScriptedGateway_HasCounter(const ScriptedGateway *this, const char *text)
+{
+    GString *counters = g_string_new(NULL);
+    bool found;
+
+    Counters_Write(this->counters, counters);
+    found = strstr(counters->str, text) != NULL;
+    g_string_free(counters, TRUE);
+    return found;
+}
+
 ScriptedGateway *
 ScriptedGateway_Create(const ScriptedReply *replies, unsigned reply_count)
 {
@@ -207,6 +270,9 @@
     this->loop = Loop_Create(this->clock, NULL, NULL);
     this->counters = Counters_Create(100);
     this->body = g_string_new(NULL);
+    this->lines = g_string_new(NULL);
+    this->log =
+        EventLog_Create(this->clock, LOG_LEVEL_INFO, 0, add_line, this->lines);
     create_gateway(this);
     this->caller = HttpClient_Create(this->loop, &client);
     this->held_timer = LoopTimer_Create(this->loop, on_held_timer, this);
@@ -226,6 +292,8 @@
     HttpClient_Destroy(this->caller);
     ScriptedUpstream_Destroy(this->upstream);
     g_string_free(this->body, TRUE);
+    EventLog_Destroy(this->log);
+    g_string_free(this->lines, TRUE);
     Loop_Destroy(this->loop);
     Counters_Destroy(this->counters);
     Random_Destroy(this->random);
--- a/tests/support/ScriptedGateway.h
+++ b/tests/support/ScriptedGateway.h
@@ -34,6 +34,17 @@
                                         unsigned reply_count);
 void ScriptedGateway_Destroy(ScriptedGateway *this);
 
+/**
+ * ScriptedGateway_EnableProbes() - probe the load of the upstream
+ * @response: to a probe; borrowed
+ */
+void ScriptedGateway_EnableProbes(ScriptedGateway *this, const char *response);
+
+/**
+ * ScriptedGateway_HasCounter() - whether the text of its counters has @text
+ */
+bool ScriptedGateway_HasCounter(const ScriptedGateway *this, const char *text);
+
 /**
  * ScriptedGateway_List() - list the upstream in the roster
  * @id: of the entry; entries with other ids have the same address
@@ -61,6 +72,16 @@
 /** ScriptedGateway_CallWithoutId() - the same for a request without an id */
 int ScriptedGateway_CallWithoutId(ScriptedGateway *this, const char *path);
 
+/**
+ * ScriptedGateway_Upload() - the same for a request with a body
+ * @bytes: length of the body
+ */
+int ScriptedGateway_Upload(ScriptedGateway *this, const char *path,
+                           size_t bytes);
+
+/** ScriptedGateway_Log() - lines of its log since it was created */
+const char *ScriptedGateway_Log(const ScriptedGateway *this);
+
 /** ScriptedGateway_Body() - of the last response */
 Str ScriptedGateway_Body(const ScriptedGateway *this);
 
--- a/tests/support/ScriptedUpstream.c
+++ b/tests/support/ScriptedUpstream.c
@@ -17,6 +17,7 @@
 struct ScriptedUpstream_ {
     const ScriptedReply *replies;
     unsigned reply_count;
+    const char *probe_response; /* NULL for a reply */
     int listen_fd;
     uint16_t port;
     gint requests;
@@ -32,9 +33,8 @@
 
 /* Returns false at the end of the connection. */
 static bool
-read_head(int fd)
+read_head(int fd, char head[HEAD_BYTES_MAX])
 {
-    char head[HEAD_BYTES_MAX];
     size_t n = 0;
 
     while (n < HEAD_BYTES_MAX - 1) {
@@ -58,6 +58,41 @@
 }
 
 static void
+read_to_end(int fd)
+{
+    char buffer[HEAD_BYTES_MAX];
+
+    while (recv(fd, buffer, sizeof(buffer), 0) > 0) {
+    }
+}
+
+/* Returns whether the connection stays open. */
+static bool
+end_connection(int fd, ScriptedEnd end)
+{
+    static const struct linger at_once = {.l_onoff = 1};
+
+    switch (end) {
+    case SCRIPTED_END_NONE:
+        return true;
+    case SCRIPTED_END_CLOSE:
+        break;
+    case SCRIPTED_END_HALF_CLOSE:
+        shutdown(fd, SHUT_WR);
+        read_to_end(fd);
+        break;
+    case SCRIPTED_END_HALF_CLOSE_RESET:
+        shutdown(fd, SHUT_WR);
+        /* fall through */
+    case SCRIPTED_END_RESET:
+        setsockopt(fd, SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once));
+        break;
+    }
+    return false;
+}
+
+/* Returns whether the connection stays open. */
+static bool
 reply(ScriptedUpstream *this, int fd, bool reused)
 {
     unsigned n = (unsigned)g_atomic_int_add(&this->requests, 1);
@@ -75,16 +110,30 @@
         g_usleep(RESPONSE_DELAY_US);
     }
     write_text(fd, script->response);
+    g_usleep(script->end_delay_us);
+    return end_connection(fd, script->end);
+}
+
+static bool
+respond(ScriptedUpstream *this, int fd, const char *head, bool reused)
+{
+    if (this->probe_response != NULL &&
+        g_str_has_prefix(head, "GET /health ")) {
+        write_text(fd, this->probe_response);
+        return true;
+    }
+    return reply(this, fd, reused);
 }
 
 static gpointer
 serve_connection(gpointer data)
 {
     Served *served = data;
-    bool reused = false;
+    char head[HEAD_BYTES_MAX];
+    bool reused = false, open = true;
 
-    while (read_head(served->fd)) {
-        reply(served->owner, served->fd, reused);
+    while (open && read_head(served->fd, head)) {
+        open = respond(served->owner, served->fd, head, reused);
         reused = true;
     }
     close(served->fd);
@@ -140,6 +189,12 @@
     return this;
 }
 
+void
+ScriptedUpstream_SetProbeResponse(ScriptedUpstream *this, const char *response)
+{
+    this->probe_response = response;
+}
+
 void
 ScriptedUpstream_Destroy(ScriptedUpstream *this)
 {
--- a/tests/test_proxied_refusals.c
+++ b/tests/test_proxied_refusals.c
@@ -31,6 +31,7 @@
     LoopTimer *guard;
     int status;
     bool not_run;
+    bool unknown; /* the outcome, as the response states */
 } Fixture;
 
 static const char config_document[] =
@@ -118,9 +119,11 @@
 {
     Fixture *f = user;
 
+    Str outcome = HeaderList_Get(headers, STR("agatecrank-outcome"));
+
     f->status = status;
-    f->not_run = Str_Equal(HeaderList_Get(headers, STR("agatecrank-outcome")),
-                           STR("not-run"));
+    f->not_run = Str_Equal(outcome, STR("not-run"));
+    f->unknown = Str_Equal(outcome, STR("unknown"));
 }
 
 static void
@@ -234,6 +237,18 @@
     g_assert_false(f->not_run);
 }
 
+/* Guards against a response with an invalid status that reaches the caller, or
+ * whose statement is believed. */
+static void
+test_invalid_status(Fixture *f, gconstpointer data)
+{
+    call(f, REQUEST_ID);
+    g_assert_cmpuint(ScriptedUpstream_Requests(f->upstream), ==,
+                     SUCCESSES + 1);
+    g_assert_cmpint(f->status, ==, 502);
+    g_assert_true(f->unknown);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -250,6 +265,11 @@
              REFUSAL "x-request-id: " G_STRINGIFY(REQUEST_ID) "\r\n\r\n"},
         {.response = RESPONSE},
     };
+    static const ScriptedReply invalid[] = {
+        {.response = "HTTP/1.1 000 Trouble\r\nagatecrank-outcome: not-run\r\n"
+                     "content-length: 0\r\n\r\n"},
+        {.response = RESPONSE},
+    };
 
     g_test_init(&argc, &argv, NULL);
     g_test_add("/proxied/copy-of-earlier-attempt", Fixture, copy, set_up,
@@ -258,5 +278,7 @@
                test_statement_on_other_request, tear_down);
     g_test_add("/proxied/own-statement", Fixture, own, set_up,
                test_copy_of_earlier_attempt, tear_down);
+    g_test_add("/proxied/invalid-status", Fixture, invalid, set_up,
+               test_invalid_status, tear_down);
     return g_test_run();
 }
