Tell a reset from an orderly end whichever side of a socket meets it

Cause: the send() that fails takes ECONNRESET away from the socket, and recv() returns 0 afterwards, as after an orderly end. One event reported both: it wrote first and read then, and the body without a length counted as ended. Where the failed write was noticed in an earlier event, the connection ended at once, and whole responses that had arrived were lost. Change: Socket keeps what the failed write has met. EPIPE means that the peer had ended its output before the reset (the system reports ECONNRESET otherwise), so the input is whole; after any other error the end counts as one. On connections to peers the input that has arrived is delivered before the end; connections of callers end at once as before. TLS has its closure alert. Socket alone: reset and close met by on_drained were an end in order; an orderly end before a reset, and input that waited, were lost when a write met it first. HttpFetch lost whole responses (half close, reset). A worker that half-closes during the upload is passed on, as before. Held before, tests kept: the same ends without an upload; the balancer's own path (its output waits in the buffer); TLS ends without a closure alert.

--- a/packages/net/HttpClient.c
+++ b/packages/net/HttpClient.c
@@ -689,6 +689,7 @@
         .keep_alive_s = this->options.keep_alive_s,
         .connect_timeout = this->options.connect_timeout,
         .unsent_bytes_max = UNSENT_BYTES_MAX,
+        .reads_after_failed_write = true,
     };
 
     connection->client = this;
--- a/packages/net/Socket.c
+++ b/packages/net/Socket.c
@@ -46,7 +46,9 @@
     bool shut_down;
     bool tls_wants_write;
     bool drained_requested;
+    bool reads_after_failed_write;
     bool write_failed; /* to be reported by the next event */
+    bool reset;        /* a write has met the reset of the connection */
 };
 
 static void
@@ -90,6 +92,17 @@
     }
 }
 
+static bool
+wants_write_event(const Socket *this)
+{
+    /* The input that has arrived is delivered first. */
+    if (this->write_failed) {
+        return !this->reads_after_failed_write || !this->paused;
+    }
+    return Socket_Buffered(this) > 0 || this->tls_wants_write ||
+           this->drained_requested;
+}
+
 static void
 update_events(Socket *this)
 {
@@ -103,8 +116,7 @@
     }
     else {
         events = this->paused ? 0 : LOOP_IO_READ;
-        if (Socket_Buffered(this) > 0 || this->tls_wants_write ||
-            this->drained_requested || this->write_failed) {
+        if (wants_write_event(this)) {
             events |= LOOP_IO_WRITE;
         }
     }
@@ -144,6 +156,17 @@
     return errno == EAGAIN || errno == EINTR ? -1 : -2;
 }
 
+/* Reading meets an end without an error after a write that failed: the write has
+ * taken the error of the connection. EPIPE means that the peer had ended its
+ * output before, so that the input is complete. TLS has an end of its own. */
+static ssize_t
+fail_write(Socket *this, bool input_complete)
+{
+    this->write_failed = true;
+    this->reset = !input_complete;
+    return -2;
+}
+
 /* Returns the number of bytes, -1 if it would block or -2 on an error. */
 static ssize_t
 transmit(Socket *this, const void *data, size_t length)
@@ -156,13 +179,15 @@
             this->tls_wants_write = false;
             return n;
         }
-        return tls_would_block(this, (int)n) ? -1 : -2;
+        return tls_would_block(this, (int)n) ? -1 : fail_write(this, true);
     }
     n = send(this->fd, data, length, MSG_NOSIGNAL);
     if (n >= 0) {
         return n;
     }
-    return errno == EAGAIN || errno == EINTR ? -1 : -2;
+    return errno == EAGAIN || errno == EINTR
+               ? -1
+               : fail_write(this, errno == EPIPE);
 }
 
 static void
@@ -176,7 +201,7 @@
     this->output_sent = 0;
 }
 
-/* Returns false on an error of the connection. */
+/* Returns false if a write has failed. */
 static bool
 flush(Socket *this)
 {
@@ -209,7 +234,8 @@
     shutdown(this->fd, SHUT_WR);
 }
 
-static void
+/* Returns whether more input may be waiting. */
+static bool
 read_peer(Socket *this)
 {
     char buffer[READ_BUFFER_BYTES];
@@ -219,22 +245,24 @@
         ssize_t n = receive(this, buffer, sizeof(buffer));
 
         if (n == -1) {
-            return;
+            return false;
         }
         if (n <= 0) {
-            end_connection(this, n == 0 ? SOCKET_END_EOF : SOCKET_END_ERROR);
-            return;
+            end_connection(this, n == 0 && !this->reset ? SOCKET_END_EOF
+                                                        : SOCKET_END_ERROR);
+            return false;
         }
         if (this->state != STATE_LINGERING) {
             this->handlers.on_data(this->user, (Str){buffer, (size_t)n});
         }
         if ((size_t)n < sizeof(buffer) && this->ssl == NULL) {
-            return;
+            return true;
         }
         if (this->paused) {
-            return;
+            return true;
         }
     }
+    return true;
 }
 
 static void
@@ -259,8 +287,7 @@
     bool pending = Socket_Buffered(this) > 0 || this->drained_requested;
 
     this->drained_requested = false;
-    if (this->write_failed || !flush(this)) {
-        end_connection(this, SOCKET_END_ERROR);
+    if (!flush(this)) {
         return;
     }
     if (this->state == STATE_LINGERING) {
@@ -272,6 +299,18 @@
     }
 }
 
+/* The peer may have sent a whole response before. */
+static void
+handle_failed_write(Socket *this)
+{
+    bool read = this->reads_after_failed_write && this->state == STATE_OPEN;
+
+    if (read && (this->paused || read_peer(this))) {
+        return;
+    }
+    end_connection(this, SOCKET_END_ERROR);
+}
+
 static void
 mark_open(Socket *this)
 {
@@ -334,10 +373,13 @@
         continue_handshake(this);
     }
     else {
-        if ((events & LOOP_IO_WRITE) != 0) {
+        if ((events & LOOP_IO_WRITE) != 0 && !this->write_failed) {
             write_peer(this);
         }
-        if ((events & LOOP_IO_READ) != 0 && this->state != STATE_CLOSED) {
+        if (this->write_failed) {
+            handle_failed_write(this);
+        }
+        else if ((events & LOOP_IO_READ) != 0 && this->state != STATE_CLOSED) {
             read_peer(this);
         }
     }
@@ -404,6 +446,7 @@
     this->output = g_byte_array_new();
     this->io = LoopIo_Create(loop, fd, on_events, this);
     this->timer = LoopTimer_Create(loop, on_timer, this);
+    this->reads_after_failed_write = options->reads_after_failed_write;
     if (state == STATE_CONNECTING && options->connect_timeout > 0) {
         LoopTimer_Start(this->timer, options->connect_timeout);
     }
@@ -468,11 +511,10 @@
     while (sent < data.length && !this->write_failed) {
         ssize_t n = transmit(this, data.data + sent, data.length - sent);
 
-        if (n == -1) {
+        if (n < 0) {
             break;
         }
-        this->write_failed = n < 0;
-        sent += n > 0 ? (size_t)n : 0;
+        sent += (size_t)n;
     }
     update_events(this);
     return sent;
--- a/packages/net/Socket.h
+++ b/packages/net/Socket.h
@@ -15,7 +15,7 @@
 /** enum SocketEnd - how a connection ended */
 typedef enum SocketEnd_ {
     SOCKET_END_NOT_ESTABLISHED, /* no byte was sent */
-    SOCKET_END_EOF,             /* the peer closed the connection */
+    SOCKET_END_EOF,             /* the peer ended its output in order */
     SOCKET_END_ERROR,           /* reset, timeout or TLS error */
     SOCKET_END_LOOP_CLOSED,     /* Loop_Close() */
 } SocketEnd;
@@ -26,7 +26,8 @@
  *           called for an accepted plain socket
  * @on_data: bytes from the peer, borrowed during the callback
  * @on_drained: the output buffer became empty
- * @on_end: the connection ended; last callback
+ * @on_end: the connection ended; last callback. The end does not depend on
+ *          whether reading or writing has met it first.
  */
 typedef struct SocketHandlers_ {
     void (*on_open)(void *user);
@@ -45,6 +46,8 @@
  * @connect_timeout: time limit to establish the connection; 0 for none
  * @unsent_bytes_max: TCP_NOTSENT_LOWAT, the bytes that the system takes beyond
  *                    the receive window of the peer; 0 for the system default
+ * @reads_after_failed_write: if the peer takes no more output, deliver the input
+ *     that it has sent, and go on to its end; else the connection ends at once
  * @open_sockets: number from g_rc_box_new0(); includes this connection until
  *                its descriptor is closed. NULL for none.
  */
@@ -54,6 +57,7 @@
     int keep_alive_s;
     Micros connect_timeout;
     int unsent_bytes_max;
+    bool reads_after_failed_write;
     unsigned *open_sockets;
 } SocketOptions;
 
--- a/tests/test_broken_responses.c
+++ b/tests/test_broken_responses.c
@@ -4,6 +4,11 @@
 #include "HttpFetch.h"
 #include "ScriptedGateway.h"
 
+/* More than the system buffers on a connection. */
+#define UPLOAD_BYTES ((size_t)4 * 1024 * 1024)
+#define UPLOAD_RUNS 8
+/* More than the gateway buffers of a response. */
+#define LONG_BYTES ((size_t)1024 * 1024)
 #define FETCH_BYTES_MAX 65536
 #define TIMEOUT_US (10 * MICROS_PER_S)
 #define BROKEN_BODY "{\"reason\":\"upstream-broken\"}"
@@ -12,15 +17,21 @@
 #define REPORT_FIELDS                                                         \
     "agatecrank-instance-id: u\r\nagatecrank-server-load: 0,0,4,100\r\n"
 
-/* Sends a request that must not run twice to an upstream that replies with
- * @reply, and checks the response that its caller gets. */
+/* Sends a request that must not run twice, with a body of @upload_bytes, to an
+ * upstream that replies with @reply, and checks the response that its caller
+ * gets. */
 static void
-check(const ScriptedReply *reply, int status, const char *body)
+check(const ScriptedReply *reply, size_t upload_bytes, int status,
+      const char *body)
 {
     ScriptedGateway *gateway = ScriptedGateway_Create(reply, 1);
+    int received;
 
     ScriptedGateway_List(gateway, "u", 1);
-    g_assert_cmpint(ScriptedGateway_Call(gateway, "/once/x"), ==, status);
+    received = upload_bytes > 0
+                   ? ScriptedGateway_Upload(gateway, "/once/x", upload_bytes)
+                   : ScriptedGateway_Call(gateway, "/once/x");
+    g_assert_cmpint(received, ==, status);
     g_assert_true(Str_Equal(ScriptedGateway_Body(gateway), Str_FromC(body)));
     g_assert_cmpuint(ScriptedGateway_Requests(gateway), ==, 1);
     ScriptedGateway_Destroy(gateway);
@@ -31,7 +42,7 @@
 {
     ScriptedReply reply = {.response = response};
 
-    check(&reply, 502, BROKEN_BODY);
+    check(&reply, 0, 502, BROKEN_BODY);
 }
 
 typedef struct StatusCase_ {
@@ -83,7 +94,8 @@
         NULL);
     ScriptedReply reply = {.response = response};
 
-    check(&reply, item->status, item->status == 502 ? BROKEN_BODY : "result");
+    check(&reply, 0, item->status,
+          item->status == 502 ? BROKEN_BODY : "result");
 }
 
 /* Guards against a promise that a request was not executed, in a response with
@@ -231,6 +243,119 @@
     check_broken(interim);
 }
 
+typedef struct EndCase_ {
+    const char *name;
+    const char *response;
+    ScriptedEnd end;
+    unsigned long delay_us; /* before the end */
+    int status_in_upload;   /* that the caller must get */
+    int status;             /* the same if the request was sent before */
+} EndCase;
+
+#define PART HEAD "\r\npart"
+#define PART_OF_FAILURE                                                       \
+    "HTTP/1.1 500 Trouble\r\n" SCRIPTED_ID_FIELD SCRIPTED_SIGNATURE_FIELD     \
+    "\r\npart"
+
+static const EndCase end_cases[] = {
+    {"reset-at-once", PART, SCRIPTED_END_RESET, 0, 502, 502},
+    {"reset-after-5-ms", PART, SCRIPTED_END_RESET, 5000, 502, 502},
+    {"reset-after-50-ms", PART, SCRIPTED_END_RESET, 50000, 502, 502},
+    {"reset-after-300-ms", PART, SCRIPTED_END_RESET, 300000, 502, 502},
+    {"reset-after-head", HEAD "\r\n", SCRIPTED_END_RESET, 50000, 502, 502},
+    {"reset-of-failure", PART_OF_FAILURE, SCRIPTED_END_RESET, 50000, 502, 502},
+    {"reset-in-length", HEAD "content-length: 5\r\n\r\npart",
+     SCRIPTED_END_RESET, 50000, 502, 502},
+    {"reset-after-length", HEAD "content-length: 4\r\n\r\npart",
+     SCRIPTED_END_RESET, 0, 200, 200},
+    /* Unread input turns it into a reset. */
+    {"close", PART, SCRIPTED_END_CLOSE, 50000, 502, 200},
+    {"half-close-at-once", PART, SCRIPTED_END_HALF_CLOSE, 0, 200, 200},
+    {"half-close-after-50-ms", PART, SCRIPTED_END_HALF_CLOSE, 50000, 200, 200},
+    {"half-close-of-failure", PART_OF_FAILURE, SCRIPTED_END_HALF_CLOSE, 0, 500,
+     500},
+    {"half-close-and-reset", PART, SCRIPTED_END_HALF_CLOSE_RESET, 50000, 200,
+     200},
+    {"half-close-and-reset-at-once", PART, SCRIPTED_END_HALF_CLOSE_RESET, 0,
+     200, 200},
+};
+
+static ScriptedReply
+reply_of(const EndCase *item)
+{
+    return (ScriptedReply){.response = item->response,
+                           .end = item->end,
+                           .end_delay_us = item->delay_us};
+}
+
+/* Guards against the part of a body before a reset that passes for a whole one,
+ * and against a whole body that does not reach the caller, while the request is
+ * still being sent. */
+static void
+test_end_in_upload(gconstpointer data)
+{
+    const EndCase *item = data;
+    ScriptedReply reply = reply_of(item);
+    int status = item->status_in_upload;
+
+    for (int i = 0; i < UPLOAD_RUNS; i++) {
+        check(&reply, UPLOAD_BYTES, status,
+              status == 502 ? BROKEN_BODY : "part");
+    }
+}
+
+/* The same after the request. */
+static void
+test_end(gconstpointer data)
+{
+    const EndCase *item = data;
+    ScriptedReply reply = reply_of(item);
+
+    check(&reply, 0, item->status, item->status == 502 ? BROKEN_BODY : "part");
+}
+
+/* Guards against a response that is relayed while it arrives and that looks
+ * complete after a reset. */
+static void
+test_reset_of_relay(void)
+{
+    g_autofree char *part = g_strnfill(LONG_BYTES, 'p');
+    g_autofree char *response = g_strconcat(HEAD "\r\n", part, NULL);
+    ScriptedReply reply = {.response = response,
+                           .end = SCRIPTED_END_RESET,
+                           .end_delay_us = 50000};
+
+    for (int i = 0; i < UPLOAD_RUNS; i++) {
+        ScriptedGateway *gateway = ScriptedGateway_Create(&reply, 1);
+
+        ScriptedGateway_List(gateway, "u", 1);
+        g_assert_cmpint(
+            ScriptedGateway_Upload(gateway, "/once/x", UPLOAD_BYTES), ==, 0);
+        g_assert_cmpuint(ScriptedGateway_Body(gateway).length, >, 0);
+        ScriptedGateway_Destroy(gateway);
+    }
+}
+
+/* Guards against the same in a response of a service of the platform, whose
+ * request waits in the output buffer. */
+static void
+test_end_in_fetch(gconstpointer data)
+{
+    const EndCase *item = data;
+    ScriptedReply reply = reply_of(item);
+    g_autofree char *body = g_strnfill(UPLOAD_BYTES, 'u');
+
+    for (int i = 0; i < UPLOAD_RUNS; i++) {
+        Fetched fetched =
+            fetch(&reply, STR("POST"), (Str){body, UPLOAD_BYTES});
+
+        g_assert_cmpint(fetched.code, ==,
+                        item->status_in_upload == 502 ? ERR_IO : 0);
+        g_assert_true(fetched.maybe_sent);
+        g_free(fetched.text);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -252,5 +377,18 @@
 
         g_test_add_data_func(path, &field_cases[i], test_field);
     }
+    g_test_add_func("/broken/reset-of-relay", test_reset_of_relay);
+    for (size_t i = 0; i < G_N_ELEMENTS(end_cases); i++) {
+        const char *name = end_cases[i].name;
+        g_autofree char *in_upload =
+            g_strdup_printf("/broken/end-in-upload/%s", name);
+        g_autofree char *in_fetch =
+            g_strdup_printf("/broken/end-in-fetch/%s", name);
+        g_autofree char *after = g_strdup_printf("/broken/end/%s", name);
+
+        g_test_add_data_func(in_upload, &end_cases[i], test_end_in_upload);
+        g_test_add_data_func(in_fetch, &end_cases[i], test_end_in_fetch);
+        g_test_add_data_func(after, &end_cases[i], test_end);
+    }
     return g_test_run();
 }
--- a/tests/test_proxied_refusals.c
+++ b/tests/test_proxied_refusals.c
@@ -9,6 +9,8 @@
 #define BUFFER_BYTES 65536
 #define TIMEOUT_US (20 * MICROS_PER_S)
 #define REQUEST_ID 117
+/* More than the system buffers on a connection. */
+#define UPLOAD_BYTES ((size_t)4 * 1024 * 1024)
 /* Successes that allow one retry. */
 #define SUCCESSES 20
 #define REFUSAL                                                               \
@@ -32,6 +34,7 @@
     int status;
     bool not_run;
     bool unknown; /* the outcome, as the response states */
+    bool complete;
 } Fixture;
 
 static const char config_document[] =
@@ -139,7 +142,10 @@
 static void
 on_complete(void *user, HttpCall *call)
 {
-    Loop_Stop(((Fixture *)user)->loop);
+    Fixture *f = user;
+
+    f->complete = true;
+    Loop_Stop(f->loop);
 }
 
 static void
@@ -149,9 +155,10 @@
     Loop_Stop(((Fixture *)user)->loop);
 }
 
-/* Sends a request that must not run twice, and waits for its end. */
+/* Sends a request that must not run twice, and waits for its end.
+ * @content: its body, or NULL */
 static void
-call(Fixture *f, unsigned id)
+call_with(Fixture *f, unsigned id, const BodyBuffer *content)
 {
     static const HttpCallHandlers handlers = {
         on_headers, on_data, on_drained, on_complete, on_failed,
@@ -162,8 +169,11 @@
                          .port = Proxy_Port(f->proxy),
                          .method = STR("POST"),
                          .path = STR("/x"),
-                         .headers = headers};
+                         .headers = headers,
+                         .content_length = (int64_t)BodyBuffer_Length(content),
+                         .content = content};
 
+    f->complete = false;
     HeaderList_Add(headers, STR("host"), STR("desk"));
     HeaderList_Add(headers, STR("authorization"), STR("Bearer token"));
     g_snprintf(text, sizeof(text), "%u", id);
@@ -173,6 +183,12 @@
     Loop_Run(f->loop);
 }
 
+static void
+call(Fixture *f, unsigned id)
+{
+    call_with(f, id, NULL);
+}
+
 static void
 set_up(Fixture *f, gconstpointer data)
 {
@@ -249,6 +265,38 @@
     g_assert_true(f->unknown);
 }
 
+static void
+upload(Fixture *f)
+{
+    BodyBuffer *content = BodyBuffer_Create();
+    g_autofree char *text = g_strnfill(UPLOAD_BYTES, 'u');
+
+    BodyBuffer_Append(content, (Str){text, UPLOAD_BYTES});
+    call_with(f, REQUEST_ID, content);
+    BodyBuffer_Destroy(content);
+    g_assert_cmpuint(ScriptedUpstream_Requests(f->upstream), ==,
+                     SUCCESSES + 1);
+}
+
+/* Guards against the part of a body before a reset that passes for a whole one
+ * while the request is still being sent. */
+static void
+test_reset_in_upload(Fixture *f, gconstpointer data)
+{
+    upload(f);
+    g_assert_false(f->complete);
+}
+
+/* Guards against a whole response that does not reach the caller because the
+ * upstream has not read the request. */
+static void
+test_half_close_in_upload(Fixture *f, gconstpointer data)
+{
+    upload(f);
+    g_assert_true(f->complete);
+    g_assert_cmpint(f->status, ==, 200);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -270,6 +318,18 @@
                      "content-length: 0\r\n\r\n"},
         {.response = RESPONSE},
     };
+    static const ScriptedReply reset[] = {
+        {.response = "HTTP/1.1 200 OK\r\n\r\npart",
+         .end = SCRIPTED_END_RESET,
+         .end_delay_us = 50000},
+        {.response = RESPONSE},
+    };
+    static const ScriptedReply half_close[] = {
+        {.response = "HTTP/1.1 200 OK\r\n\r\nwhole",
+         .end = SCRIPTED_END_HALF_CLOSE,
+         .end_delay_us = 50000},
+        {.response = RESPONSE},
+    };
 
     g_test_init(&argc, &argv, NULL);
     g_test_add("/proxied/copy-of-earlier-attempt", Fixture, copy, set_up,
@@ -280,5 +340,9 @@
                test_copy_of_earlier_attempt, tear_down);
     g_test_add("/proxied/invalid-status", Fixture, invalid, set_up,
                test_invalid_status, tear_down);
+    g_test_add("/proxied/reset-in-upload", Fixture, reset, set_up,
+               test_reset_in_upload, tear_down);
+    g_test_add("/proxied/half-close-in-upload", Fixture, half_close, set_up,
+               test_half_close_in_upload, tear_down);
     return g_test_run();
 }
--- a/tests/test_tls.c
+++ b/tests/test_tls.c
@@ -1,9 +1,13 @@
+#include <arpa/inet.h>
 #include <glib.h>
 #include <glib/gstdio.h>
 #include <openssl/evp.h>
 #include <openssl/pem.h>
+#include <openssl/ssl.h>
 #include <openssl/x509v3.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "HttpFetch.h"
 #include "HttpServer.h"
@@ -15,6 +19,8 @@
 #define TEST_TIMEOUT_US (10 * MICROS_PER_S)
 #define IDLE_TIME_US (100 * MICROS_PER_MS)
 #define IDLE_ITERATIONS_MAX 50
+/* The client reads a response long before the end of its connection. */
+#define RAW_DELAY_US (50 * MICROS_PER_MS)
 
 /* Paths of a self-signed certificate and its key. */
 typedef struct CertificateFiles_ {
@@ -296,6 +302,175 @@
     remove_certificate(&other_address);
 }
 
+/* How a raw server ends its connection after a response without a length. */
+typedef enum RawEnd_ {
+    RAW_END_NOTIFY, /* the rest of the request is read */
+    RAW_END_NOTIFY_RESET,
+    RAW_END_CLOSE, /* without a closure alert */
+    RAW_END_HALF_CLOSE,
+    RAW_END_RESET,
+} RawEnd;
+
+typedef struct RawCase_ {
+    const char *name;
+    RawEnd end;
+    size_t body_bytes; /* of the request */
+    int code;
+} RawCase;
+
+typedef struct RawServer_ {
+    const RawCase *item;
+    SSL_CTX *context;
+    GThread *thread;
+    int listen_fd;
+    uint16_t port;
+} RawServer;
+
+static void
+read_raw_head(SSL *session)
+{
+    char head[4096];
+    int n = 0;
+
+    while (n < (int)sizeof(head) - 1 && SSL_read(session, head + n, 1) == 1) {
+        head[++n] = '\0';
+        if (g_str_has_suffix(head, "\r\n\r\n")) {
+            return;
+        }
+    }
+}
+
+static void
+end_raw_connection(SSL *session, int fd, RawEnd end)
+{
+    static const struct linger at_once = {.l_onoff = 1};
+    char rest[4096];
+
+    switch (end) {
+    case RAW_END_NOTIFY:
+        SSL_shutdown(session);
+        while (recv(fd, rest, sizeof(rest), 0) > 0) {
+        }
+        break;
+    case RAW_END_NOTIFY_RESET:
+        SSL_shutdown(session);
+        /* fall through */
+    case RAW_END_RESET:
+        setsockopt(fd, SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once));
+        break;
+    case RAW_END_HALF_CLOSE:
+        shutdown(fd, SHUT_WR);
+        while (recv(fd, rest, sizeof(rest), 0) > 0) {
+        }
+        break;
+    case RAW_END_CLOSE:
+        break;
+    }
+}
+
+static gpointer
+serve_raw(gpointer data)
+{
+    static const char response[] = "HTTP/1.1 200 OK\r\n\r\npart";
+    RawServer *this = data;
+    int fd = accept(this->listen_fd, NULL, NULL);
+    SSL *session = SSL_new(this->context);
+
+    SSL_set_fd(session, fd);
+    if (SSL_accept(session) == 1) {
+        read_raw_head(session);
+        SSL_write(session, response, sizeof(response) - 1);
+        g_usleep(RAW_DELAY_US);
+        end_raw_connection(session, fd, this->item->end);
+    }
+    SSL_free(session);
+    close(fd);
+    return NULL;
+}
+
+static void
+start_raw_server(RawServer *this, const CertificateFiles *files)
+{
+    struct sockaddr_in address = {
+        .sin_family = AF_INET,
+        .sin_addr = {htonl(INADDR_LOOPBACK)},
+    };
+    socklen_t length = sizeof(address);
+
+    this->context = SSL_CTX_new(TLS_server_method());
+    g_assert_cmpint(SSL_CTX_use_certificate_file(
+                        this->context, files->certificate, SSL_FILETYPE_PEM),
+                    ==, 1);
+    g_assert_cmpint(SSL_CTX_use_PrivateKey_file(this->context, files->key,
+                                                SSL_FILETYPE_PEM),
+                    ==, 1);
+    this->listen_fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    g_assert_cmpint(
+        bind(this->listen_fd, (struct sockaddr *)&address, sizeof(address)),
+        ==, 0);
+    g_assert_cmpint(listen(this->listen_fd, 1), ==, 0);
+    getsockname(this->listen_fd, (struct sockaddr *)&address, &length);
+    this->port = ntohs(address.sin_port);
+    this->thread = g_thread_new("raw server", serve_raw, this);
+}
+
+static void
+stop_raw_server(RawServer *this)
+{
+    g_thread_join(this->thread);
+    close(this->listen_fd);
+    SSL_CTX_free(this->context);
+}
+
+/* Guards against the part of a body before a reset, or before an end without a
+ * closure alert, that passes for a whole one, and against a whole one that is
+ * lost, with and without a request that is still being sent. */
+static void
+test_end(Fixture *f, gconstpointer data)
+{
+    const RawCase *item = data;
+    RawServer server = {.item = item};
+    CertificateFiles files =
+        create_certificate(f->folder, "host", "127.0.0.1");
+    HttpClientOptions client = {.ca_file = files.certificate};
+    g_autofree char *body = g_strnfill(item->body_bytes, 'u');
+    g_autofree char *url = NULL;
+
+    start_raw_server(&server, &files);
+    f->clock = Clock_CreateSystem();
+    f->loop = Loop_Create(f->clock, NULL, NULL);
+    url = g_strdup_printf("https://127.0.0.1:%u", server.port);
+    f->fetch =
+        HttpFetch_Create(f->loop, Str_FromC(url), BODY_BYTES, &client, NULL);
+    HttpFetch_Send(f->fetch, STR("PUT"), STR("/"), NULL,
+                   (Str){body, item->body_bytes}, TEST_TIMEOUT_US, on_response,
+                   f);
+    Loop_Run(f->loop);
+    g_assert_cmpint(f->code, ==, item->code);
+    if (item->code == 0) {
+        g_assert_cmpint(f->status, ==, 200);
+        g_assert_cmpuint(f->length, ==, 4);
+    }
+    Loop_Destroy(f->loop);
+    HttpFetch_Destroy(f->fetch);
+    Clock_Destroy(f->clock);
+    stop_raw_server(&server);
+    remove_certificate(&files);
+}
+
+static const RawCase raw_cases[] = {
+    {"notify", RAW_END_NOTIFY, 0, 0},
+    {"notify-in-upload", RAW_END_NOTIFY, LONG_BODY_BYTES, 0},
+    {"notify-and-reset", RAW_END_NOTIFY_RESET, 0, 0},
+    {"notify-and-reset-in-upload", RAW_END_NOTIFY_RESET, LONG_BODY_BYTES, 0},
+    {"close", RAW_END_CLOSE, 0, ERR_IO},
+    {"close-in-upload", RAW_END_CLOSE, LONG_BODY_BYTES, ERR_IO},
+    {"half-close", RAW_END_HALF_CLOSE, 0, ERR_IO},
+    {"half-close-in-upload", RAW_END_HALF_CLOSE, LONG_BODY_BYTES, ERR_IO},
+    {"reset", RAW_END_RESET, 0, ERR_IO},
+    {"reset-in-upload", RAW_END_RESET, LONG_BODY_BYTES, ERR_IO},
+};
+
 #define ADD(path, test)                                                       \
     g_test_add(path, Fixture, NULL, set_up, test, tear_down)
 
@@ -306,5 +481,11 @@
     ADD("/tls/both-ways", test_transfer);
     ADD("/tls/idle-after-transfer", test_idle_after_transfer);
     ADD("/tls/refused", test_rejected_certificates);
+    for (size_t i = 0; i < G_N_ELEMENTS(raw_cases); i++) {
+        g_autofree char *path =
+            g_strdup_printf("/tls/end/%s", raw_cases[i].name);
+
+        g_test_add(path, Fixture, &raw_cases[i], set_up, test_end, tear_down);
+    }
     return g_test_run();
 }
