Clear the errors of TLS before each operation

A whole response is lost, and a request counts as one that may have run. Cause: SSL_get_error() looks at the error queue of the thread. A connection that ended without a closure alert left its error there, and the next connection that only had to wait for input took it for its own and ended. Change: the queue is cleared before SSL_read(), SSL_write() and the handshake, as OpenSSL requires.

--- a/packages/net/Socket.c
+++ b/packages/net/Socket.c
@@ -5,6 +5,7 @@
 #include <glib.h>
 #include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <openssl/err.h>
 #include <openssl/x509.h>
 #include <string.h>
 #include <sys/ioctl.h>
@@ -123,6 +124,8 @@
     LoopIo_SetEvents(this->io, events);
 }
 
+/* SSL_get_error() goes by the errors of the thread: those of other connections
+ * have to be cleared before each operation. */
 static bool
 tls_would_block(Socket *this, int result)
 {
@@ -140,6 +143,7 @@
     ssize_t n;
 
     if (this->ssl != NULL) {
+        ERR_clear_error();
         n = SSL_read(this->ssl, buffer, (int)length);
         if (n > 0) {
             return n;
@@ -174,6 +178,7 @@
     ssize_t n;
 
     if (this->ssl != NULL) {
+        ERR_clear_error();
         n = SSL_write(this->ssl, data, (int)length);
         if (n > 0) {
             this->tls_wants_write = false;
@@ -325,8 +330,10 @@
 static void
 continue_handshake(Socket *this)
 {
-    int result = SSL_do_handshake(this->ssl);
+    int result;
 
+    ERR_clear_error();
+    result = SSL_do_handshake(this->ssl);
     if (result == 1) {
         this->tls_wants_write = false;
         read_common_name(this);
--- a/tests/test_tls.c
+++ b/tests/test_tls.c
@@ -309,6 +309,7 @@
     RAW_END_CLOSE, /* without a closure alert */
     RAW_END_HALF_CLOSE,
     RAW_END_RESET,
+    RAW_END_LATE, /* the response has another part before the alert */
 } RawEnd;
 
 typedef struct RawCase_ {
@@ -347,6 +348,11 @@
     char rest[4096];
 
     switch (end) {
+    case RAW_END_LATE:
+        g_usleep(RAW_DELAY_US);
+        SSL_write(session, "part", 4);
+        g_usleep(RAW_DELAY_US);
+        /* fall through */
     case RAW_END_NOTIFY:
         SSL_shutdown(session);
         while (recv(fd, rest, sizeof(rest), 0) > 0) {
@@ -458,6 +464,45 @@
     remove_certificate(&files);
 }
 
+/* Guards against a connection that is taken for broken because another one has
+ * ended with an error. */
+static void
+test_error_of_other_connection(Fixture *f, gconstpointer data)
+{
+    static const RawCase items[] = {{"late", RAW_END_LATE, 0, 0},
+                                    {"close", RAW_END_CLOSE, 0, ERR_IO}};
+    RawServer servers[] = {{.item = &items[0]}, {.item = &items[1]}};
+    HttpFetch *fetches[2];
+    CertificateFiles files =
+        create_certificate(f->folder, "host", "127.0.0.1");
+    HttpClientOptions client = {.ca_file = files.certificate};
+
+    f->clock = Clock_CreateSystem();
+    f->loop = Loop_Create(f->clock, NULL, NULL);
+    for (size_t i = 0; i < G_N_ELEMENTS(servers); i++) {
+        g_autofree char *url = NULL;
+
+        start_raw_server(&servers[i], &files);
+        url = g_strdup_printf("https://127.0.0.1:%u", servers[i].port);
+        fetches[i] = HttpFetch_Create(f->loop, Str_FromC(url), BODY_BYTES,
+                                      &client, NULL);
+        HttpFetch_Send(fetches[i], STR("GET"), STR("/"), NULL, STR(""),
+                       TEST_TIMEOUT_US, on_response, f);
+    }
+    Loop_Run(f->loop);
+    g_assert_cmpint(f->code, ==, ERR_IO);
+    Loop_Run(f->loop);
+    g_assert_cmpint(f->code, ==, 0);
+    g_assert_cmpuint(f->length, ==, 8);
+    Loop_Destroy(f->loop);
+    for (size_t i = 0; i < G_N_ELEMENTS(servers); i++) {
+        HttpFetch_Destroy(fetches[i]);
+        stop_raw_server(&servers[i]);
+    }
+    Clock_Destroy(f->clock);
+    remove_certificate(&files);
+}
+
 static const RawCase raw_cases[] = {
     {"notify", RAW_END_NOTIFY, 0, 0},
     {"notify-in-upload", RAW_END_NOTIFY, LONG_BODY_BYTES, 0},
@@ -481,6 +526,7 @@
     ADD("/tls/both-ways", test_transfer);
     ADD("/tls/idle-after-transfer", test_idle_after_transfer);
     ADD("/tls/refused", test_rejected_certificates);
+    ADD("/tls/error-of-other-connection", test_error_of_other_connection);
     for (size_t i = 0; i < G_N_ELEMENTS(raw_cases); i++) {
         g_autofree char *path =
             g_strdup_printf("/tls/end/%s", raw_cases[i].name);
