Log what is rejected of a response, and why, in one place

Cause: a malformed response was told in the line of the attempt alone, and only for upstreams of gateway hosts: forwards, probes, the store, the log service, the host list and the balancer's own path rejected it without a line. Well-formed responses that are rejected (another id, no signature, a refusal without its statement) had no cause, and the peer in the error of a call was empty, as it was printed over itself. Change: HttpClient, through which all responses are read, writes the line response-rejected with peer, status, bytes of the body and the reason, to the log of the loop, as a routine line (dropped first). A connection that ends inside a response says so.

--- a/packages/core/claims/Exchange.h
+++ b/packages/core/claims/Exchange.h
@@ -38,7 +38,7 @@
     ATTEMPT_END_UNSENT,            /* no byte was sent to the upstream */
     ATTEMPT_END_REFUSED,           /* 503 with proof that it did not run */
     ATTEMPT_END_CONNECTION_CLOSED, /* closed before the response ended */
-    ATTEMPT_END_FRAMING,           /* the response has a wrong length */
+    ATTEMPT_END_FRAMING,           /* the response is malformed */
     ATTEMPT_END_DEADLINE,          /* no complete response in time */
     ATTEMPT_END_CANCELLED,         /* the caller disconnected */
 } AttemptEnd;
--- a/packages/gateway/Dispatcher.h
+++ b/packages/gateway/Dispatcher.h
@@ -178,7 +178,7 @@
  * @status: HTTP status of the response
  * @refusal: with FORWARD_NOT_RUN
  * @retry_after: as the peer states; 0 for none
- * @more_follows: as in struct AttemptEndInfo_
+ * @more_follows, @cause: as in struct AttemptEndInfo_
  */
 typedef struct ForwardEndInfo_ {
     ForwardResult result;
@@ -187,6 +187,7 @@
     ForwardRefusal refusal;
     Micros retry_after;
     bool more_follows;
+    Str cause;
 } ForwardEndInfo;
 
 /** enum RelayEnd - how the relay of a long response ended */
--- a/packages/gateway/JobLog.c
+++ b/packages/gateway/JobLog.c
@@ -112,6 +112,14 @@
     g_string_free(text, TRUE);
 }
 
+static void
+add_cause_field(const Dispatcher *this, Str cause)
+{
+    if (cause.length > 0) {
+        EventLog_Str(this->decisions, "cause", cause);
+    }
+}
+
 /* First attempts are routine and rate-limited. */
 static bool
 begin_choice(const Job *job)
@@ -209,9 +217,7 @@
                  (Clock_Now(this->clock) - job->sent_at) / MICROS_PER_MS);
     EventLog_Int(this->decisions, "held_ms", total_ms);
     EventLog_Int(this->decisions, "objective_ms", objective_ms);
-    if (end->cause.length > 0) {
-        EventLog_Str(this->decisions, "cause", end->cause);
-    }
+    add_cause_field(this, end->cause);
     EventLog_End(this->decisions);
 }
 
@@ -446,5 +452,6 @@
     EventLog_Int(this->decisions, "took_ms",
                  (Clock_Now(this->clock) - job->sent_at) / MICROS_PER_MS);
     EventLog_Int(this->decisions, "held_ms", elapsed_ms(job));
+    add_cause_field(this, end->cause);
     EventLog_End(this->decisions);
 }
--- a/packages/net/HttpClient.c
+++ b/packages/net/HttpClient.c
@@ -51,6 +51,7 @@
     Micros idle_since;
     Micros keep_alive_timeout; /* from Keep-Alive of the peer; 0 if absent */
     size_t skipped_bytes;      /* received before the current response */
+    int status;                /* of a response that has no end yet, or 0 */
     unsigned active_callbacks; /* callbacks on the call stack */
     bool connected;
     bool closed;
@@ -212,6 +213,7 @@
     bool other;
 
     this->in_body = true;
+    this->status = head->status;
     this->timing_head = false;
     this->keep_alive = head->keep_alive;
     this->framing = head->framing;
@@ -249,6 +251,7 @@
     Connection *this = user;
 
     this->in_body = false;
+    this->status = 0;
     this->response_complete = !this->skipping_response;
 }
 
@@ -317,18 +320,45 @@
     destroy_call(call);
 }
 
+/* The peer is known since the call began. */
 static void
-fail_connection(Connection *this, HttpCallFailure failure, const Error *error)
+set_call_error(HttpCall *call, int code, const char *step, const char *text)
+{
+    call->error.code = code;
+    call->error.step = step;
+    g_strlcpy(call->error.text, text, sizeof(call->error.text));
+}
+
+/* The call of the connection has an error that tells why. */
+static void
+log_rejection(const Connection *this)
+{
+    EventLog *log = Loop_Log(this->client->loop);
+    const HttpCall *call = this->call;
+
+    if (EventLog_BeginRoutine(log, "response-rejected")) {
+        EventLog_CStr(log, "peer", call->error.peer);
+        EventLog_Int(log, "status", this->status);
+        EventLog_Int(log, "body_bytes", (int64_t)call->response_bytes);
+        EventLog_CStr(log, "reason", call->error.text);
+        EventLog_End(log);
+    }
+}
+
+/* Ends the call because its response is malformed. */
+static void
+reject_response(Connection *this, const Error *error)
 {
     HttpCall *call = this->call;
 
+    if (call != NULL) {
+        set_call_error(call, error->code, "upstream-answer", error->text);
+        log_rejection(this);
+    }
     close_connection(this);
-    if (call == NULL) {
-        return;
+    if (call != NULL) {
+        fail_call(call, CALL_FAILED_FRAMING);
     }
-    Error_Set(&call->error, error->code, "upstream-answer",
-              Str_FromC(call->error.peer), "%s", error->text);
-    fail_call(call, failure);
 }
 
 static int
@@ -368,17 +398,17 @@
             return;
         }
         if (HttpParser_Feed(this->parser, data, &used, &error) < 0) {
-            fail_connection(this, CALL_FAILED_FRAMING, &error);
+            reject_response(this, &error);
             return;
         }
         data.data += used;
         data.length -= used;
         if (this->skipping_response && count_skipped(this, used, &error) < 0) {
-            fail_connection(this, CALL_FAILED_FRAMING, &error);
+            reject_response(this, &error);
             return;
         }
         if (check_response_length(this->call, &error) < 0) {
-            fail_connection(this, CALL_FAILED_FRAMING, &error);
+            reject_response(this, &error);
             return;
         }
         if (this->response_complete && this->call != NULL) {
@@ -400,7 +430,7 @@
     Error_Set(&error, ERR_TIMEOUT, "read-head", STR(""),
               "the header block was not complete in time");
     this->active_callbacks++;
-    fail_connection(this, CALL_FAILED_FRAMING, &error);
+    reject_response(this, &error);
     this->active_callbacks--;
     release_connection(this);
 }
@@ -489,18 +519,24 @@
 }
 
 static const char *
-describe_end(SocketEnd end)
+describe_end(SocketEnd end, bool in_response)
 {
     switch (end) {
     case SOCKET_END_NOT_ESTABLISHED:
         return "the connection could not be established";
     case SOCKET_END_EOF:
-        return "the peer closed the connection";
+        return in_response ? "the peer closed the connection inside the "
+                             "response"
+                           : "the peer closed the connection";
     case SOCKET_END_LOOP_CLOSED:
         return "the process is shutting down";
-    default:
-        return "the connection was reset, timed out or failed in TLS";
+    case SOCKET_END_ERROR:
+        break;
     }
+    return in_response
+               ? "the connection was reset, timed out or failed in TLS "
+                 "inside the response"
+               : "the connection was reset, timed out or failed in TLS";
 }
 
 static void
@@ -508,6 +544,7 @@
 {
     Connection *this = user;
     HttpCall *call = this->call;
+    bool in_response = !HttpParser_IsIdle(this->parser);
     Error ignored;
 
     this->active_callbacks++;
@@ -520,9 +557,13 @@
         destroy_call(call);
     }
     else if (this->call != NULL) {
-        Error_Set(&call->error, ERR_IO,
-                  call->maybe_sent ? "upstream-answer" : "upstream-connect",
-                  Str_FromC(call->error.peer), "%s", describe_end(end));
+        set_call_error(call, ERR_IO,
+                       call->maybe_sent ? "upstream-answer"
+                                        : "upstream-connect",
+                       describe_end(end, in_response));
+        if (in_response && end != SOCKET_END_LOOP_CLOSED) {
+            log_rejection(this);
+        }
         fail_call(call, call->maybe_sent ? CALL_FAILED_CONNECTION_CLOSED
                                          : CALL_FAILED_CONNECT);
     }
--- a/packages/net/HttpClient.h
+++ b/packages/net/HttpClient.h
@@ -9,7 +9,9 @@
  * typedef HttpClient - pool of persistent HTTP/1.1 connections to peers
  *
  * Each connection carries one request at a time, without pipelining, so that
- * no request waits behind the response to another.
+ * no request waits behind the response to another. A response that is malformed
+ * or breaks off ends its call with on_failed; the log of the loop tells the peer
+ * and the reason.
  */
 typedef struct HttpClient_ HttpClient;
 
--- a/packages/net/Loop.c
+++ b/packages/net/Loop.c
@@ -26,6 +26,7 @@
     struct lws_context *context;
     struct lws_vhost *vhost;
     const Clock *clock;
+    EventLog *log;
     LoopSignalHandler *signal_handler;
     void *signal_user;
     GHashTable *ios; /* set of LoopIo */
@@ -136,6 +137,7 @@
     void *loop;
 
     this->clock = clock;
+    this->log = log;
     this->signal_fd = -1;
     this->ios = g_hash_table_new(g_direct_hash, g_direct_equal);
     this->tasks = g_queue_new();
@@ -300,6 +302,12 @@
     return this->iterations;
 }
 
+EventLog *
+Loop_Log(const Loop *this)
+{
+    return this->log;
+}
+
 const Clock *
 Loop_Clock(const Loop *this)
 {
--- a/packages/net/Loop.h
+++ b/packages/net/Loop.h
@@ -24,7 +24,8 @@
 /**
  * Loop_Create() - create a libev loop that libwebsockets shares
  * @clock: borrowed
- * @log: borrowed; receives the errors of libwebsockets, may be NULL
+ * @log: borrowed; receives the errors of libwebsockets and what HttpClient
+ *       rejects, may be NULL
  *
  * Return: NULL with @error filled if libwebsockets cannot be initialized.
  */
@@ -43,6 +44,9 @@
 /** Loop_Destroy() - close the loop and release it; NULL is allowed */
 void Loop_Destroy(Loop *this);
 
+/** Loop_Log() - log of Loop_Create() */
+EventLog *Loop_Log(const Loop *this);
+
 /** Loop_Run() - process events until Loop_Stop() */
 void Loop_Run(Loop *this);
 
--- a/tests/support/ScriptedGateway.c
+++ b/tests/support/ScriptedGateway.c
@@ -267,12 +267,12 @@
     this->upstream = ScriptedUpstream_Create(replies, reply_count);
     this->clock = Clock_CreateSystem();
     this->random = Random_Create(3);
-    this->loop = Loop_Create(this->clock, NULL, NULL);
-    this->counters = Counters_Create(100);
-    this->body = g_string_new(NULL);
     this->lines = g_string_new(NULL);
     this->log =
         EventLog_Create(this->clock, LOG_LEVEL_INFO, 0, add_line, this->lines);
+    this->loop = Loop_Create(this->clock, this->log, NULL);
+    this->counters = Counters_Create(100);
+    this->body = g_string_new(NULL);
     create_gateway(this);
     this->caller = HttpClient_Create(this->loop, &client);
     this->held_timer = LoopTimer_Create(this->loop, on_held_timer, this);
--- a/tests/test_broken_responses.c
+++ b/tests/test_broken_responses.c
@@ -19,12 +19,31 @@
 #define REPORT_FIELDS                                                         \
     "agatecrank-instance-id: u\r\nagatecrank-server-load: 0,0,4,100\r\n"
 
+/* Checks that the log tells once what was rejected, and in the line of the
+ * attempt, too. */
+static void
+check_log(const char *log, const char *reason)
+{
+    g_autofree char *rejected = g_strdup_printf(" reason=\"%s", reason);
+    g_autofree char *cause = g_strdup_printf(" cause=\"%s", reason);
+    const char *line = strstr(log, "event=response-rejected ");
+
+    g_test_message("%s", log);
+    g_assert_nonnull(line);
+    g_assert_null(strstr(line + 1, "event=response-rejected "));
+    g_assert_nonnull(strstr(line, rejected));
+    g_assert_nonnull(strstr(log, " result=broken "));
+    g_assert_nonnull(strstr(log, cause));
+}
+
 /* Sends a request that must not run twice, with a body of @upload_bytes, to an
  * upstream that replies with @reply, and checks the response that its caller
- * gets. */
+ * gets.
+ * @reason: begin of the reason that is logged if the response is rejected; else
+ *     NULL */
 static void
 check(const ScriptedReply *reply, size_t upload_bytes, int status,
-      const char *body)
+      const char *body, const char *reason)
 {
     ScriptedGateway *gateway = ScriptedGateway_Create(reply, 1);
     int received;
@@ -36,52 +55,59 @@
     g_assert_cmpint(received, ==, status);
     g_assert_true(Str_Equal(ScriptedGateway_Body(gateway), Str_FromC(body)));
     g_assert_cmpuint(ScriptedGateway_Requests(gateway), ==, 1);
+    if (reason != NULL) {
+        check_log(ScriptedGateway_Log(gateway), reason);
+    }
     ScriptedGateway_Destroy(gateway);
 }
 
 static void
-check_broken(const char *response)
+check_broken(const char *response, const char *reason)
 {
     ScriptedReply reply = {.response = response};
 
-    check(&reply, 0, 502, BROKEN_BODY);
+    check(&reply, 0, 502, BROKEN_BODY, reason);
 }
 
+#define BAD_LINE "malformed status line"
+#define BAD_STATUS " is not from 100 to 599"
+
 typedef struct StatusCase_ {
     const char *line;
-    int status; /* that the caller must get */
+    int status;         /* that the caller must get */
+    const char *reason; /* of the rejection; NULL if the line is valid */
 } StatusCase;
 
 static const StatusCase status_cases[] = {
-    {"HTTP/1.1 000 Trouble", 502},
-    {"HTTP/1.1 0 Trouble", 502},
-    {"HTTP/1.1 7 Trouble", 502},
-    {"HTTP/1.1 42 Trouble", 502},
-    {"HTTP/1.1 099 Trouble", 502},
-    {"HTTP/1.1 20 OK", 502},
-    {"HTTP/1.1 0200 OK", 502},
-    {"HTTP/1.1 600 Trouble", 502},
-    {"HTTP/1.1 999 Trouble", 502},
-    {"HTTP/1.1 1000 Trouble", 502},
-    {"HTTP/1.1 -200 OK", 502},
-    {"HTTP/1.1 2x0 OK", 502},
-    {"HTTP/1.1 200OK", 502},
-    {"HTTP/1.1  OK", 502},
-    {"HTTP/1.1", 502},
-    {"HTTP/0.9 200 OK", 502},
-    {"HTTP/2.0 200 OK", 502},
-    {"HTTP/1 200 OK", 502},
-    {"HTTP/11.1 200 OK", 502},
-    {"http/1.1 200 OK", 502},
-    {"HTTP/1.1 200 OK", 200},
-    {"HTTP/1.1 200 ", 200},
-    {"HTTP/1.1 200", 200},
-    {"HTTP/1.0 200 OK", 200},
-    {"HTTP/1.1 299 Other", 299},
-    {"HTTP/1.1 300 Choices", 300},
-    {"HTTP/1.1 404 None", 404},
-    {"HTTP/1.1 500 Trouble", 500},
-    {"HTTP/1.1 599 Trouble", 599},
+    {"HTTP/1.1 000 Trouble", 502, "status 000" BAD_STATUS},
+    {"HTTP/1.1 0 Trouble", 502, BAD_LINE},
+    {"HTTP/1.1 7 Trouble", 502, BAD_LINE},
+    {"HTTP/1.1 42 Trouble", 502, BAD_LINE},
+    {"HTTP/1.1 099 Trouble", 502, "status 099" BAD_STATUS},
+    {"HTTP/1.1 20 OK", 502, BAD_LINE},
+    {"HTTP/1.1 0200 OK", 502, BAD_LINE},
+    {"HTTP/1.1 600 Trouble", 502, "status 600" BAD_STATUS},
+    {"HTTP/1.1 999 Trouble", 502, "status 999" BAD_STATUS},
+    {"HTTP/1.1 1000 Trouble", 502, BAD_LINE},
+    {"HTTP/1.1 -200 OK", 502, BAD_LINE},
+    {"HTTP/1.1 2x0 OK", 502, BAD_LINE},
+    {"HTTP/1.1 200OK", 502, BAD_LINE},
+    {"HTTP/1.1  OK", 502, BAD_LINE},
+    {"HTTP/1.1", 502, BAD_LINE},
+    {"HTTP/0.9 200 OK", 502, BAD_LINE},
+    {"HTTP/2.0 200 OK", 502, BAD_LINE},
+    {"HTTP/1 200 OK", 502, BAD_LINE},
+    {"HTTP/11.1 200 OK", 502, BAD_LINE},
+    {"http/1.1 200 OK", 502, BAD_LINE},
+    {"HTTP/1.1 200 OK", 200, NULL},
+    {"HTTP/1.1 200 ", 200, NULL},
+    {"HTTP/1.1 200", 200, NULL},
+    {"HTTP/1.0 200 OK", 200, NULL},
+    {"HTTP/1.1 299 Other", 299, NULL},
+    {"HTTP/1.1 300 Choices", 300, NULL},
+    {"HTTP/1.1 404 None", 404, NULL},
+    {"HTTP/1.1 500 Trouble", 500, NULL},
+    {"HTTP/1.1 599 Trouble", 599, NULL},
 };
 
 /* Guards against a response with an invalid status line that reaches the
@@ -97,7 +123,7 @@
     ScriptedReply reply = {.response = response};
 
     check(&reply, 0, item->status,
-          item->status == 502 ? BROKEN_BODY : "result");
+          item->reason != NULL ? BROKEN_BODY : "result", item->reason);
 }
 
 /* Guards against a promise that a request was not executed, in a response with
@@ -107,7 +133,8 @@
 {
     check_broken(
         "HTTP/1.1 000 Trouble\r\n" SCRIPTED_ID_FIELD SCRIPTED_NOT_RUN_FIELD
-            SCRIPTED_NO_BODY);
+            SCRIPTED_NO_BODY,
+        "status 000" BAD_STATUS);
 }
 
 /* Guards against a load report that is taken from a response with an invalid
@@ -197,31 +224,34 @@
     g_free(fetched.text);
 }
 
+#define BAD_FIELD "malformed header field"
+
 typedef struct FieldCase_ {
     const char *name;
     const char *line;
+    const char *reason; /* of the rejection, in a header block */
 } FieldCase;
 
 static const FieldCase field_cases[] = {
-    {"blank", "x y: 1"},
-    {"blank-before", " x: 1"},
-    {"blank-after", "x : 1"},
-    {"blank-alone", " : 1"},
-    {"tab", "x\ty: 1"},
-    {"tab-after", "x\t: 1"},
-    {"control", "x\001y: 1"},
-    {"escape", "x\033y: 1"},
-    {"delete", "x\177y: 1"},
-    {"carriage-return", "x\ry: 1"},
-    {"line-feed", "x\ny: 1"},
-    {"high", "x\351y: 1"},
-    {"quote", "\"x\": 1"},
-    {"bracket", "x(y: 1"},
-    {"slash", "x/y: 1"},
-    {"empty", ": 1"},
-    {"no-colon", "xy"},
-    {"length-with-blank", "content-length : 3"},
-    {"encoding-with-blank", "transfer-encoding : chunked"},
+    {"blank", "x y: 1", BAD_FIELD},
+    {"blank-before", " x: 1", BAD_FIELD},
+    {"blank-after", "x : 1", BAD_FIELD},
+    {"blank-alone", " : 1", BAD_FIELD},
+    {"tab", "x\ty: 1", BAD_FIELD},
+    {"tab-after", "x\t: 1", BAD_FIELD},
+    {"control", "x\001y: 1", "control byte in the header block"},
+    {"escape", "x\033y: 1", "control byte in the header block"},
+    {"delete", "x\177y: 1", "control byte in the header block"},
+    {"carriage-return", "x\ry: 1", "bare CR in the header block"},
+    {"line-feed", "x\ny: 1", "bare LF in the header block"},
+    {"high", "x\351y: 1", BAD_FIELD},
+    {"quote", "\"x\": 1", BAD_FIELD},
+    {"bracket", "x(y: 1", BAD_FIELD},
+    {"slash", "x/y: 1", BAD_FIELD},
+    {"empty", ": 1", BAD_FIELD},
+    {"no-colon", "xy", BAD_FIELD},
+    {"length-with-blank", "content-length : 3", BAD_FIELD},
+    {"encoding-with-blank", "transfer-encoding : chunked", BAD_FIELD},
 };
 
 /* Guards against a response that reaches the caller though a line of its header
@@ -240,9 +270,9 @@
         g_strconcat("HTTP/1.1 103 Hints\r\n", item->line,
                     "\r\n\r\n" HEAD SCRIPTED_RESULT_BODY, NULL);
 
-    check_broken(first);
-    check_broken(last);
-    check_broken(interim);
+    check_broken(first, item->reason);
+    check_broken(last, item->reason);
+    check_broken(interim, item->reason);
 }
 
 /* The same for the trailers of a chunked body. */
@@ -255,8 +285,9 @@
     g_autofree char *last = g_strconcat(CHUNKED "0\r\nx-begin: 1\r\n",
                                         item->line, "\r\n\r\n", NULL);
 
-    check_broken(first);
-    check_broken(last);
+    /* Some are rejected by the library, in its own words. */
+    check_broken(first, "");
+    check_broken(last, "");
 }
 
 /* Guards against a chunked body that reaches the caller though its framing is
@@ -264,7 +295,7 @@
 static void
 test_chunks(gconstpointer data)
 {
-    check_broken(data);
+    check_broken(data, "");
 }
 
 /* Guards against valid chunks and trailers that are rejected. */
@@ -285,7 +316,7 @@
     for (size_t i = 0; i < G_N_ELEMENTS(responses); i++) {
         ScriptedReply reply = {.response = responses[i]};
 
-        check(&reply, 0, 200, "result");
+        check(&reply, 0, 200, "result", NULL);
     }
 }
 
@@ -307,6 +338,39 @@
     {"bare-cr-at-end", CHUNKED "0\r\n\rx"},
 };
 
+/* Guards against a well-formed response that is rejected without a reason in the
+ * log. */
+static void
+test_reasons(void)
+{
+    static const struct {
+        const char *response;
+        const char *cause;
+    } cases[] = {
+        {"HTTP/1.1 200 OK\r\n" SCRIPTED_SIGNATURE_FIELD SCRIPTED_RESULT_BODY,
+         "the response has another id than the request"},
+        {"HTTP/1.1 200 OK\r\n" SCRIPTED_ID_FIELD SCRIPTED_RESULT_BODY,
+         "a success without a signature"},
+        {"HTTP/1.1 503 Full\r\n" SCRIPTED_ID_FIELD SCRIPTED_NO_BODY,
+         "a refusal without the statement not executed"},
+        {HEAD SCRIPTED_NOT_RUN_FIELD SCRIPTED_RESULT_BODY,
+         "a status below 400 with the statement not executed"},
+        {"HTTP/1.1 503 Full\r\n" SCRIPTED_ID_FIELD SCRIPTED_NOT_RUN_FIELD
+         "x: HTTP/1.1 200 OK\r\n" SCRIPTED_NO_BODY,
+         "a start line inside a header field"},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        ScriptedReply reply = {.response = cases[i].response};
+        ScriptedGateway *gateway = ScriptedGateway_Create(&reply, 1);
+
+        ScriptedGateway_List(gateway, "u", 1);
+        g_assert_cmpint(ScriptedGateway_Call(gateway, "/once/x"), ==, 502);
+        g_assert_nonnull(strstr(ScriptedGateway_Log(gateway), cases[i].cause));
+        ScriptedGateway_Destroy(gateway);
+    }
+}
+
 typedef struct EndCase_ {
     const char *name;
     const char *response;
@@ -364,7 +428,8 @@
 
     for (int i = 0; i < UPLOAD_RUNS; i++) {
         check(&reply, UPLOAD_BYTES, status,
-              status == 502 ? BROKEN_BODY : "part");
+              status == 502 ? BROKEN_BODY : "part",
+              status == 502 ? "the connection was reset" : NULL);
     }
 }
 
@@ -375,7 +440,8 @@
     const EndCase *item = data;
     ScriptedReply reply = reply_of(item);
 
-    check(&reply, 0, item->status, item->status == 502 ? BROKEN_BODY : "part");
+    check(&reply, 0, item->status, item->status == 502 ? BROKEN_BODY : "part",
+          item->status == 502 ? "the connection was reset" : NULL);
 }
 
 /* Guards against a response that is relayed while it arrives and that looks
@@ -450,6 +516,7 @@
         g_test_add_data_func(path, chunk_cases[i].response, test_chunks);
     }
     g_test_add_func("/broken/valid-chunks", test_valid_chunks);
+    g_test_add_func("/broken/reasons", test_reasons);
     g_test_add_func("/broken/reset-of-relay", test_reset_of_relay);
     for (size_t i = 0; i < G_N_ELEMENTS(end_cases); i++) {
         const char *name = end_cases[i].name;
--- a/tests/test_gateway_forward.c
+++ b/tests/test_gateway_forward.c
@@ -2,13 +2,17 @@
 #include <string.h>
 
 #include "ForwardClient.h"
+#include "ForwardServer.h"
 #include "Gateway.h"
 #include "GatewayFixture.h"
 #include "PlatformDialect.h"
+#include "ScriptedUpstream.h"
 
 #define ID "17"
 /* More than the system buffers on two connections. */
 #define LARGE_BYTES ((size_t)48 * 1024 * 1024)
+/* Of a request; more than the system buffers on a connection. */
+#define UPLOAD_BYTES ((size_t)FORWARD_BODY_MAX_BYTES)
 #define PART_BYTES ((size_t)64 * 1024)
 #define TIMEOUT_US (900 * MICROS_PER_MS)
 
@@ -31,6 +35,7 @@
     unsigned aborted; /* requests that were closed at the upstream */
     int64_t timeout_ms;
     const char *version; /* of the routes of the other host, or NULL */
+    BodyBuffer *content; /* of the request, or NULL */
     ForwardTicket ticket;
     HttpCall *call;
     GByteArray *body; /* its beginning */
@@ -219,6 +224,7 @@
                             .method = STR("GET"),
                             .path = Str_FromC(path),
                             .headers = headers,
+                            .body = f->content,
                             .attempts_max = 2};
 
     HeaderList_Add(headers, STR("host"), GATEWAY_FIXTURE_HOST);
@@ -446,6 +452,39 @@
     g_assert_cmpuint(f->received, <, LARGE_BYTES);
 }
 
+/* Guards against a malformed response of another host, or the part of one
+ * before a reset while the request is still being sent, that passes for a whole
+ * response. */
+static void
+test_broken_peer(Fixture *f, gconstpointer data)
+{
+    static const ScriptedReply replies[] = {
+        {.response = "HTTP/1.1 000 Trouble\r\ncontent-length: 0\r\n\r\n",
+         .end = SCRIPTED_END_CLOSE},
+        {.response = "HTTP/1.1 200 OK\r\n\r\npart",
+         .end = SCRIPTED_END_RESET,
+         .end_delay_us = 50000},
+    };
+    ScriptedUpstream *peer =
+        ScriptedUpstream_Create(replies, G_N_ELEMENTS(replies));
+    ListedHost host = listed(f->b, ScriptedUpstream_Port(peer));
+    g_autofree char *text = g_strnfill(UPLOAD_BYTES, 'u');
+
+    HostKeys_SetPeers(f->a, &host, 1);
+    f->content = BodyBuffer_Create();
+    BodyBuffer_Append(f->content, (Str){text, UPLOAD_BYTES});
+    for (size_t i = 0; i < G_N_ELEMENTS(replies); i++) {
+        f->failed = false;
+        forward(f, "/safe/1");
+        g_assert_true(f->failed);
+        g_assert_false(f->complete);
+    }
+    g_assert_cmpuint(ScriptedUpstream_Requests(peer), ==, 2);
+    BodyBuffer_Destroy(f->content);
+    Loop_Close(f->loop);
+    ScriptedUpstream_Destroy(peer);
+}
+
 /* Guards against an upstream that works on for a caller who has left the other
  * host. */
 static void
@@ -565,6 +604,7 @@
     ADD("/gateway-forward/relayed", test_relayed);
     ADD("/gateway-forward/large", test_large);
     ADD("/gateway-forward/broken", test_broken);
+    ADD("/gateway-forward/broken-peer", test_broken_peer);
     ADD("/gateway-forward/cancelled", test_cancelled);
     ADD("/gateway-forward/deadline", test_deadline);
     ADD("/gateway-forward/not-run", test_not_run);
