--- a/review/lab3/quota.c
+++ b/review/lab3/quota.c
@@ -11,7 +11,7 @@
 #include <unistd.h>
 
 #ifndef HOSTS
-#define HOSTS 4
+#define HOSTS 6
 #endif
 #define WORKERS 12
 #define CLIENTS 24 /* threads for each host */
@@ -229,7 +229,7 @@
             lab_sleep(0.5);
             lab_host_start(&hosts[i], &settings);
         }
-        lab_sleep(9.5);
+        lab_sleep(8.5);
     }
     stopped = true;
     lab_sleep(1);
